--- /dev/null
+++ b/packages/reedlug-coordination/src/__tests__/lease.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai';
+import { createLease, leaseAnswered, leaseTick, usableFence, type LeaseState } from '../lease.js';
+import type { TableAnswer, TableOp, TableRow } from '../tableTypes.js';
+
+const OPTIONS = {
+  key: 'lease/x',
+  ttlMs: 10_000,
+  marginMs: 1000,
+  renewEveryMs: 3000,
+  maxOrderFlightMs: 5000,
+};
+
+/** A table of one row. */
+function createRowTable(): (op: TableOp) => TableAnswer {
+  let row: TableRow | undefined;
+  return (op) => {
+    if (op.kind === 'transact') {
+      const [write] = op.writes;
+      if (write === undefined) return { kind: 'done', rows: [] };
+      if ((row?.version ?? 0) !== write.expectVersion) {
+        return { kind: 'refused', reason: 'conflict', rows: row === undefined ? [] : [row] };
+      }
+      row = { key: write.key, version: write.expectVersion + 1, value: write.value };
+    }
+    return { kind: 'done', rows: row === undefined ? [] : [row] };
+  };
+}
+
+function turn(lease: LeaseState, table: (op: TableOp) => TableAnswer, nowMs: number): void {
+  const op = leaseTick(lease, nowMs);
+  if (op !== undefined) leaseAnswered(lease, table(op), { sentAtMs: nowMs, nowMs });
+}
+
+function acquire(lease: LeaseState, table: (op: TableOp) => TableAnswer, nowMs: number): void {
+  turn(lease, table, nowMs);
+  turn(lease, table, nowMs + 1);
+}
+
+test('a free lease is taken', () => {
+  const lease = createLease(OPTIONS, 'a', 1);
+  acquire(lease, createRowTable(), 0);
+  expect(usableFence(lease, 10, true)).equal(1);
+});
+
+test('a paused holder finds its lease lapsed', () => {
+  const lease = createLease(OPTIONS, 'a', 1);
+  acquire(lease, createRowTable(), 0);
+  expect(usableFence(lease, 8_999, true)).equal(1);
+  expect(usableFence(lease, 9_001, true)).equal(undefined);
+});
+
+test('a taker waits out the whole lease and the fence grows', () => {
+  const table = createRowTable();
+  const holder = createLease(OPTIONS, 'a', 1);
+  const taker = createLease(OPTIONS, 'b', 1);
+  acquire(holder, table, 0);
+  for (let nowMs = 100; nowMs < 11_000; nowMs += 100) turn(taker, table, nowMs);
+  expect(taker.held).equal(undefined);
+  for (let nowMs = 11_000; nowMs < 16_000; nowMs += 100) turn(taker, table, nowMs);
+  expect(taker.held?.fence).equal(2);
+});
+
+test('an unfenced server waits for the last holder', () => {
+  const lease = createLease(OPTIONS, 'a', 1);
+  acquire(lease, createRowTable(), 0);
+  expect(usableFence(lease, 100, false)).equal(undefined);
+});
+
+test('the answer to an older operation grants nothing', () => {
+  const table = createRowTable();
+  const lease = createLease(OPTIONS, 'a', 1);
+  turn(lease, table, 0);
+  const op = leaseTick(lease, 1);
+  expect(op?.kind).equal('transact');
+  const late = table(op ?? { kind: 'read', keys: [] });
+  leaseTick(lease, 20_000);
+  leaseAnswered(lease, late, { sentAtMs: 1, nowMs: 20_001 });
+  expect(lease.held).equal(undefined);
+});
--- /dev/null
+++ b/packages/reedlug-coordination/src/fairQueue.ts
@@ -0,0 +1,102 @@
+/**
+ * Fair queue: deficit round robin over owners, first in first out within one.
+ *
+ * The cost of an entry is its expected work, so an owner with long requests
+ * gets fewer turns than one with short ones.
+ */
+export interface FairEntry {
+  id: string;
+  ownerId: string;
+  /** Expected work in any fixed unit, above 0. */
+  cost: number;
+}
+
+interface Lane {
+  ownerId: string;
+  deficit: number;
+  entries: FairEntry[];
+}
+
+/** State of a fair queue. */
+export interface FairQueue {
+  quantum: number;
+  lanes: Lane[];
+  laneByOwner: Map<string, Lane>;
+  turn: number;
+  size: number;
+  costSum: number;
+}
+
+/** Returns an empty queue; `quantum` is the work an owner gains each round. */
+export function createFairQueue(quantum: number): FairQueue {
+  return { quantum, lanes: [], laneByOwner: new Map(), turn: 0, size: 0, costSum: 0 };
+}
+
+/** Adds an entry at the end of its owner's lane, or at its front. */
+export function pushFair(queue: FairQueue, entry: FairEntry, atFront = false): void {
+  let lane = queue.laneByOwner.get(entry.ownerId);
+  if (lane === undefined) {
+    lane = { ownerId: entry.ownerId, deficit: 0, entries: [] };
+    queue.laneByOwner.set(entry.ownerId, lane);
+    queue.lanes.push(lane);
+  }
+  if (atFront) lane.entries.unshift(entry);
+  else lane.entries.push(entry);
+  queue.size += 1;
+  queue.costSum += entry.cost;
+}
+
+/** Removes an entry wherever it stands; says whether it was there. */
+export function removeFair(queue: FairQueue, ownerId: string, id: string): boolean {
+  const lane = queue.laneByOwner.get(ownerId);
+  const index = lane?.entries.findIndex((entry) => entry.id === id) ?? -1;
+  if (lane === undefined || index < 0) return false;
+  takeAt(queue, lane, index);
+  return true;
+}
+
+/** Entries of one owner. */
+export function laneLength(queue: FairQueue, ownerId: string): number {
+  return queue.laneByOwner.get(ownerId)?.entries.length ?? 0;
+}
+
+/**
+ * Takes the next entry in fair order for which `accepts` holds, or undefined.
+ * Only the head of each lane is asked, so order within an owner is kept.
+ */
+export function takeFair(
+  queue: FairQueue,
+  accepts: (entry: FairEntry) => boolean,
+): FairEntry | undefined {
+  const refused = new Set<Lane>();
+  while (refused.size < queue.lanes.length) {
+    if (queue.turn >= queue.lanes.length) queue.turn = 0;
+    const lane = queue.lanes[queue.turn];
+    const head = lane?.entries[0];
+    if (lane === undefined || head === undefined) return undefined;
+    if (refused.has(lane) || (lane.deficit >= head.cost && !accepts(head))) {
+      refused.add(lane);
+      queue.turn += 1;
+      continue;
+    }
+    if (lane.deficit < head.cost) {
+      lane.deficit += queue.quantum;
+      queue.turn += 1;
+      continue;
+    }
+    lane.deficit -= head.cost;
+    takeAt(queue, lane, 0);
+    return head;
+  }
+  return undefined;
+}
+
+function takeAt(queue: FairQueue, lane: Lane, index: number): void {
+  const [entry] = lane.entries.splice(index, 1);
+  if (entry === undefined) return;
+  queue.size -= 1;
+  queue.costSum -= entry.cost;
+  if (lane.entries.length > 0) return;
+  queue.laneByOwner.delete(lane.ownerId);
+  queue.lanes.splice(queue.lanes.indexOf(lane), 1);
+}
--- /dev/null
+++ b/packages/reedlug-coordination/src/lease.ts
@@ -0,0 +1,204 @@
+/**
+ * Lease with a fence, held through a table and timed on monotonic clocks only.
+ *
+ * No clock is compared with another box's clock. A holder counts from the
+ * moment before it sent the write that granted the lease, less a margin. A
+ * taker counts from the moment it first saw a row that has not changed since.
+ * The fence grows with each change of holder and never falls.
+ */
+import type { TableAnswer, TableOp, TableRow } from './tableTypes.js';
+
+/** Times of a lease. */
+export interface LeaseOptions {
+  /** The row's key in the table. */
+  key: string;
+  ttlMs: number;
+  /** Taken off the holder's own view of the lease, for clock drift and pauses. */
+  marginMs: number;
+  /** How long before its end a held lease is renewed. */
+  renewEveryMs: number;
+  /** How long a order may be under way to a server that does not check fences. */
+  maxOrderFlightMs: number;
+}
+
+/** The value of a lease row. */
+export interface LeaseValue {
+  holderId: string;
+  incarnation: number;
+  fence: number;
+  /** Grows with each renewal, so that a taker sees that the holder is alive. */
+  renewal: number;
+}
+
+/** State of one box's part in a lease. */
+export interface LeaseState {
+  options: LeaseOptions;
+  ownerId: string;
+  incarnation: number;
+  /** The row as last seen, with the time on this box's clock at which it was first seen so. */
+  seen: { row: TableRow; sinceMs: number } | undefined;
+  held: { fence: number; grantedAtMs: number; unfencedFromMs: number } | undefined;
+  /** A request to the table under way. */
+  pending: { sentAtMs: number; kind: 'read' | 'write' } | undefined;
+  /** The highest fence ever seen; never falls. */
+  highestFence: number;
+  /** The fence of the last grant, kept after it has lapsed; 0 before the first. */
+  lastFence: number;
+  nextReadAtMs: number;
+}
+
+/** Returns the state of a box that does not hold the lease. */
+export function createLease(
+  options: LeaseOptions,
+  ownerId: string,
+  incarnation: number,
+): LeaseState {
+  return {
+    options,
+    ownerId,
+    incarnation,
+    seen: undefined,
+    held: undefined,
+    pending: undefined,
+    highestFence: 0,
+    lastFence: 0,
+    nextReadAtMs: 0,
+  };
+}
+
+/**
+ * The fence under which an order may be sent now, or undefined.
+ * `checksFence` false adds the wait for the last holder's orders to have landed.
+ */
+export function usableFence(
+  lease: LeaseState,
+  nowMs: number,
+  checksFence: boolean,
+): number | undefined {
+  const { held, options } = lease;
+  if (held === undefined) return undefined;
+  if (nowMs >= held.grantedAtMs + options.ttlMs - options.marginMs) return undefined;
+  if (!checksFence && nowMs < held.unfencedFromMs) return undefined;
+  return held.fence;
+}
+
+/** How long an order sent now stays valid, in ms; 0 when none may be sent. */
+export function orderValidForMs(lease: LeaseState, nowMs: number): number {
+  if (lease.held === undefined) return 0;
+  const endMs = lease.held.grantedAtMs + lease.options.ttlMs - lease.options.marginMs;
+  return Math.max(0, Math.min(endMs - nowMs, lease.options.maxOrderFlightMs));
+}
+
+/** Asks the table for what the lease needs next, if anything. Call it on each tick. */
+export function leaseTick(lease: LeaseState, nowMs: number): TableOp | undefined {
+  dropLapsed(lease, nowMs);
+  if (lease.pending !== undefined) {
+    if (nowMs - lease.pending.sentAtMs < lease.options.ttlMs) return undefined;
+    lease.pending = undefined;
+  }
+  if (lease.held !== undefined) return renewWhenDue(lease, nowMs);
+  if (lease.seen !== undefined && hasLapsedForOthers(lease, nowMs)) return take(lease, nowMs);
+  if (nowMs < lease.nextReadAtMs) return undefined;
+  return read(lease, nowMs);
+}
+
+/**
+ * Takes the table's answer to the operation that `leaseTick` gave at `sentAtMs`.
+ * The answer to an earlier operation is dropped: counted from the later one's
+ * time it would make the lease seem longer than it is.
+ */
+export function leaseAnswered(
+  lease: LeaseState,
+  answer: TableAnswer,
+  times: { sentAtMs: number; nowMs: number },
+): void {
+  const { pending } = lease;
+  const { nowMs } = times;
+  if (pending === undefined || pending.sentAtMs !== times.sentAtMs) return;
+  lease.pending = undefined;
+  if (answer.kind === 'unknown') {
+    lease.nextReadAtMs = nowMs;
+    return;
+  }
+  const row = answer.rows.find((candidate) => candidate.key === lease.options.key);
+  if (row === undefined) {
+    noteAbsent(lease, answer);
+    return;
+  }
+  noteRow(lease, row, nowMs, pending);
+}
+
+function noteAbsent(lease: LeaseState, answer: TableAnswer): void {
+  if (answer.kind !== 'done') return;
+  const absent: TableRow = { key: lease.options.key, version: 0, value: undefined };
+  lease.seen = { row: absent, sinceMs: Number.NEGATIVE_INFINITY };
+}
+
+function noteRow(
+  lease: LeaseState,
+  row: TableRow,
+  nowMs: number,
+  pending: { sentAtMs: number; kind: 'read' | 'write' },
+): void {
+  const value = row.value as LeaseValue;
+  if (lease.seen !== undefined && row.version < lease.seen.row.version) return;
+  if (lease.seen === undefined || lease.seen.row.version !== row.version) {
+    lease.seen = { row, sinceMs: nowMs };
+  }
+  lease.highestFence = Math.max(lease.highestFence, value.fence);
+  const mine = value.holderId === lease.ownerId && value.incarnation === lease.incarnation;
+  if (!mine) {
+    lease.held = undefined;
+    return;
+  }
+  if (pending.kind === 'write') grant(lease, value, pending.sentAtMs);
+}
+
+/** The grant counts from before the write was sent, so that it never outlives the takers' wait. */
+function grant(lease: LeaseState, value: LeaseValue, sentAtMs: number): void {
+  const { ttlMs, maxOrderFlightMs } = lease.options;
+  const renewed = lease.held !== undefined && lease.held.fence === value.fence;
+  const unfencedFromMs = renewed
+    ? (lease.held?.unfencedFromMs ?? sentAtMs)
+    : sentAtMs + ttlMs + maxOrderFlightMs;
+  lease.held = { fence: value.fence, grantedAtMs: sentAtMs, unfencedFromMs };
+  lease.lastFence = value.fence;
+}
+
+function dropLapsed(lease: LeaseState, nowMs: number): void {
+  const { held, options } = lease;
+  if (held !== undefined && nowMs >= held.grantedAtMs + options.ttlMs - options.marginMs) {
+    lease.held = undefined;
+  }
+}
+
+function hasLapsedForOthers(lease: LeaseState, nowMs: number): boolean {
+  const { seen, options } = lease;
+  return seen !== undefined && nowMs >= seen.sinceMs + options.ttlMs + options.marginMs;
+}
+
+function renewWhenDue(lease: LeaseState, nowMs: number): TableOp | undefined {
+  const { held, seen, options } = lease;
+  if (held === undefined || seen === undefined) return undefined;
+  if (nowMs < held.grantedAtMs + options.renewEveryMs) return undefined;
+  const value = seen.row.value as LeaseValue;
+  return write(lease, nowMs, { ...value, renewal: value.renewal + 1 });
+}
+
+function take(lease: LeaseState, nowMs: number): TableOp {
+  const fence = lease.highestFence + 1;
+  const { ownerId, incarnation } = lease;
+  return write(lease, nowMs, { holderId: ownerId, incarnation, fence, renewal: 1 });
+}
+
+function write(lease: LeaseState, nowMs: number, value: LeaseValue): TableOp {
+  lease.pending = { sentAtMs: nowMs, kind: 'write' };
+  const expectVersion = lease.seen?.row.version ?? 0;
+  return { kind: 'transact', writes: [{ key: lease.options.key, expectVersion, value }] };
+}
+
+function read(lease: LeaseState, nowMs: number): TableOp {
+  lease.pending = { sentAtMs: nowMs, kind: 'read' };
+  lease.nextReadAtMs = nowMs + lease.options.renewEveryMs;
+  return { kind: 'read', keys: [lease.options.key] };
+}
--- /dev/null
+++ b/packages/reedlug-coordination/src/membership.ts
@@ -0,0 +1,182 @@
+/**
+ * Membership of boxes from sources of unlike trust.
+ *
+ * Leaving is sticky for an incarnation: once any source has said it, no stale
+ * list and no late heartbeat of the same incarnation undoes it. A box that only
+ * a lagging list names is `listed`, and is not trusted until heard directly.
+ */
+export const MemberState = {
+  /** Named by the platform's list only. */
+  listed: 'listed',
+  /** Heard of directly. */
+  live: 'live',
+  /** Not heard of directly for a while. */
+  suspect: 'suspect',
+  /** Some source said that it leaves. */
+  leaving: 'leaving',
+  /** Known or taken to be gone. */
+  dead: 'dead',
+} as const;
+export type MemberState = (typeof MemberState)[keyof typeof MemberState];
+
+/** Where a statement about a member came from. */
+export const MemberSource = {
+  direct: 'direct',
+  notice: 'notice',
+  peer: 'peer',
+  list: 'list',
+} as const;
+export type MemberSource = (typeof MemberSource)[keyof typeof MemberSource];
+
+/** What one process holds about one member. */
+export interface Member {
+  id: string;
+  zone: string;
+  /** Grows with each start of the box under the same id. */
+  incarnation: number;
+  state: MemberState;
+  /** Time of the last direct word on this process's clock. */
+  heardAtMs: number;
+  /** When it leaves, on this process's clock, if told. */
+  leavesAtMs: number | undefined;
+  /** When the first source said that it leaves. */
+  leavingSinceMs: number | undefined;
+}
+
+/** A statement about a member. */
+export type MemberStatement =
+  | { kind: 'heard'; incarnation: number; zone: string }
+  | { kind: 'leaving'; incarnation: number; leavesAtMs: number | undefined; source: MemberSource }
+  | { kind: 'listed'; incarnation: number; zone: string; leaving: boolean }
+  | { kind: 'silent'; incarnation: number }
+  | { kind: 'gone'; incarnation: number; source: MemberSource };
+
+/** Times after which silence changes a member's state. */
+export interface MembershipOptions {
+  suspectAfterMs: number;
+  deadAfterMs: number;
+}
+
+/** All members known to one process. */
+export interface Membership {
+  options: MembershipOptions;
+  members: Map<string, Member>;
+}
+
+/** Returns an empty membership. */
+export function createMembership(options: MembershipOptions): Membership {
+  return { options, members: new Map() };
+}
+
+/** Takes a statement; returns the member when its state changed. */
+export function noteMember(
+  membership: Membership,
+  id: string,
+  statement: MemberStatement,
+  nowMs: number,
+): Member | undefined {
+  const member = membership.members.get(id);
+  if (member === undefined || statement.incarnation > member.incarnation) {
+    return addMember(membership, id, member, statement, nowMs);
+  }
+  if (statement.incarnation < member.incarnation) return undefined;
+  const before = member.state;
+  applyStatement(member, statement, nowMs);
+  return member.state === before ? undefined : member;
+}
+
+function addMember(
+  membership: Membership,
+  id: string,
+  previous: Member | undefined,
+  statement: MemberStatement,
+  nowMs: number,
+): Member {
+  const zone = 'zone' in statement ? statement.zone : (previous?.zone ?? '');
+  const member: Member = {
+    id,
+    zone,
+    incarnation: statement.incarnation,
+    state: MemberState.listed,
+    heardAtMs: nowMs,
+    leavesAtMs: undefined,
+    leavingSinceMs: undefined,
+  };
+  applyStatement(member, statement, nowMs);
+  membership.members.set(id, member);
+  return member;
+}
+
+function applyStatement(member: Member, statement: MemberStatement, nowMs: number): void {
+  switch (statement.kind) {
+    case 'heard':
+      member.heardAtMs = nowMs;
+      if (statement.zone !== '') member.zone = statement.zone;
+      if (!isSticky(member)) member.state = MemberState.live;
+      return;
+    case 'listed':
+      if (statement.leaving) markLeaving(member, undefined, nowMs);
+      return;
+    case 'leaving':
+      markLeaving(member, statement.leavesAtMs, nowMs);
+      return;
+    case 'silent':
+      if (member.state === MemberState.live) member.state = MemberState.suspect;
+      return;
+    case 'gone':
+      member.state = MemberState.dead;
+      return;
+  }
+}
+
+function isSticky(member: Member): boolean {
+  return member.leavingSinceMs !== undefined;
+}
+
+function markLeaving(member: Member, leavesAtMs: number | undefined, nowMs: number): void {
+  member.leavingSinceMs ??= nowMs;
+  if (leavesAtMs !== undefined) {
+    member.leavesAtMs = Math.min(member.leavesAtMs ?? leavesAtMs, leavesAtMs);
+  }
+  if (member.state !== MemberState.dead) member.state = MemberState.leaving;
+}
+
+/** Lets silence act; returns the members whose state changed. */
+export function membershipTick(membership: Membership, nowMs: number): Member[] {
+  const changed: Member[] = [];
+  for (const member of membership.members.values()) {
+    const next = stateAfterSilence(membership.options, member, nowMs);
+    if (next === member.state) continue;
+    member.state = next;
+    changed.push(member);
+  }
+  return changed;
+}
+
+function stateAfterSilence(options: MembershipOptions, member: Member, nowMs: number): MemberState {
+  const silentMs = nowMs - member.heardAtMs;
+  switch (member.state) {
+    case MemberState.live:
+      return silentMs > options.suspectAfterMs ? MemberState.suspect : member.state;
+    case MemberState.suspect:
+      return silentMs > options.deadAfterMs ? MemberState.dead : member.state;
+    case MemberState.leaving:
+    case MemberState.listed:
+    case MemberState.dead:
+      return member.state;
+  }
+}
+
+/** True when the member may be given new work. */
+export function takesNewWork(member: Member): boolean {
+  return member.state === MemberState.live;
+}
+
+/** Ids of the members of a zone that are live, in a fixed order; their index is their rank. */
+export function liveInZone(membership: Membership, zone: string): string[] {
+  const ids: string[] = [];
+  for (const member of membership.members.values()) {
+    if (member.zone === zone && member.state === MemberState.live) ids.push(member.id);
+  }
+  return ids.sort();
+}
--- /dev/null
+++ b/packages/reedlug-coordination/src/rendezvous.ts
@@ -0,0 +1,23 @@
+/**
+ * Rendezvous hashing: a stable ranking of servers for a key.
+ *
+ * Losing a server moves only the keys that it held. Ids are hashed once with
+ * xxHash; a ranking then mixes two 32-bit numbers per server, which keeps a
+ * ranking over thousands of engines in the tens of microseconds.
+ */
+import xxhash from 'xxhash-wasm';
+
+const { h32 } = await xxhash();
+
+/** 32-bit xxHash of a string. */
+export function hashString(text: string): number {
+  return h32(text);
+}
+
+/** The weight of a server for a key, from their hashes; the highest wins (Murmur3's finalizer). */
+export function rendezvousWeight(keyHash: number, serverHash: number): number {
+  let mixed = keyHash ^ Math.imul(serverHash, 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/index.ts
@@ -0,0 +1,9 @@
+/** The decisions of reedlug: state, reducer, invariants, policies and plans. */
+export * from './defaults.js';
+export * from './invariants/index.js';
+export * from './plans/items.js';
+export { digestFits } from './plans/draft.js';
+export * from './reduce.js';
+export { isReady } from './slices/readiness.js';
+export * from './state.js';
+export * from './types/index.js';
--- /dev/null
+++ b/packages/reedlug-decisions/src/invariants/effectInvariants.ts
@@ -0,0 +1,126 @@
+/** Invariants over the effects of one event. */
+import { mayHaveRun, Outcome, Reach } from 'reedlug-coordination';
+import type { Effect } from '../types/effect.js';
+import type { BoxState } from '../state.js';
+import type { InvariantMemory } from './memory.js';
+import { InvariantName, type Violation } from './violation.js';
+
+/** Checks one effect. */
+export function checkEffect(
+  memory: InvariantMemory,
+  state: BoxState,
+  effect: Effect,
+): Violation | undefined {
+  switch (effect.type) {
+    case 'sendAttempt':
+      return atMostOneRun(state, effect) ?? noWorkForLeaving(state, effect);
+    case 'deliverTokens':
+      return gapless(memory, state, effect);
+    case 'finishRequest':
+      return oneOutcome(memory, state, effect) ?? notRunHasNone(state, effect);
+    case 'sendOrder':
+      return withinLease(memory, state, effect.fence);
+    case 'askCloud':
+      return withinLease(memory, state, effect.ask.fence);
+    case 'forgetRequest':
+      memory.finished.delete(effect.requestId);
+      memory.nextOffset.delete(effect.requestId);
+      return undefined;
+    case 'cancelAttempt':
+    case 'exportKv':
+    case 'moveCache':
+    case 'requestTable':
+    case 'writeSnapshot':
+    case 'readSnapshot':
+    case 'sendPeer':
+    case 'probeServer':
+    case 'answerOperator':
+    case 'stopped':
+    case 'log':
+      return undefined;
+  }
+}
+
+function atMostOneRun(
+  state: BoxState,
+  effect: Extract<Effect, { type: 'sendAttempt' }>,
+): Violation | undefined {
+  const record = state.requests.get(effect.requestId);
+  if (record === undefined || record.spec.repeatable) return undefined;
+  const runs = record.attempts.filter((attempt) => mayHaveRun(attempt.reach)).length;
+  if (runs <= 1) return undefined;
+  const detail = `request ${effect.requestId} may not be repeated and has ${runs} attempts`;
+  return { name: InvariantName.atMostOneRun, detail };
+}
+
+function noWorkForLeaving(
+  state: BoxState,
+  effect: Extract<Effect, { type: 'sendAttempt' }>,
+): Violation | undefined {
+  const member = state.serverMembers.members.get(effect.serverId);
+  const graceMs = state.settings.control.leavingGraceMs;
+  if (member?.leavingSinceMs === undefined) return undefined;
+  if (state.nowMs - member.leavingSinceMs <= graceMs) return undefined;
+  const detail = `${effect.serverId} got new work ${state.nowMs - member.leavingSinceMs} ms after it was said to leave`;
+  return { name: InvariantName.noWorkForLeaving, detail };
+}
+
+function gapless(
+  memory: InvariantMemory,
+  state: BoxState,
+  effect: Extract<Effect, { type: 'deliverTokens' }>,
+): Violation | undefined {
+  const { requestId, offset, tokens } = effect;
+  const owed = memory.nextOffset.get(requestId) ?? firstOffset(state, requestId);
+  memory.nextOffset.set(requestId, offset + tokens.length);
+  if (offset === owed) return undefined;
+  const detail = `request ${requestId} got offset ${offset} where ${owed} was owed`;
+  return { name: InvariantName.gaplessTokens, detail };
+}
+
+/** A request that was handed over, or a reconnect, begins after the tokens that its caller has. */
+function firstOffset(state: BoxState, requestId: string): number {
+  const record = state.requests.get(requestId);
+  return record === undefined ? 0 : Math.max(record.skipUntil, record.handedOffset);
+}
+
+function oneOutcome(
+  memory: InvariantMemory,
+  state: BoxState,
+  effect: Extract<Effect, { type: 'finishRequest' }>,
+): Violation | undefined {
+  const { requestId } = effect;
+  if (memory.finished.has(requestId)) {
+    return { name: InvariantName.oneOutcome, detail: `request ${requestId} got a second outcome` };
+  }
+  if (state.requests.has(requestId)) memory.finished.add(requestId);
+  return undefined;
+}
+
+function notRunHasNone(
+  state: BoxState,
+  effect: Extract<Effect, { type: 'finishRequest' }>,
+): Violation | undefined {
+  if (effect.outcome !== Outcome.notRun) return undefined;
+  const attempts = state.requests.get(effect.requestId)?.attempts ?? [];
+  const ran = attempts.find(({ reach }) => mayHaveRun(reach) || reach === Reach.moved);
+  if (ran === undefined) return undefined;
+  const detail = `request ${effect.requestId} is notRun and ${ran.attemptId} may have run`;
+  return { name: InvariantName.notRunHasNone, detail };
+}
+
+function withinLease(
+  memory: InvariantMemory,
+  state: BoxState,
+  fence: number,
+): Violation | undefined {
+  const { held, options } = state.lease;
+  if (fence < memory.fence) {
+    return { name: InvariantName.fenceGrows, detail: `fence ${fence} after ${memory.fence}` };
+  }
+  memory.fence = fence;
+  const endMs = held === undefined ? 0 : held.grantedAtMs + options.ttlMs - options.marginMs;
+  if (state.nowMs < endMs) return undefined;
+  const detail = `an order left at ${state.nowMs} and the lease ended at ${endMs}`;
+  return { name: InvariantName.orderWithinLease, detail };
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/plans/confirm.ts
@@ -0,0 +1,228 @@
+/**
+ * Confirming a plan: one transaction that adds the next revision to the log.
+ *
+ * The log key of the next revision must not exist, and the items that the plan
+ * touches must stand at the revisions it rests on. A conflict on the log key
+ * alone means that another plan came first: this box catches up, checks the
+ * plan's own items again and tries the revision after. A lost answer is settled
+ * by reading the log row back and looking for the plan's own id.
+ */
+import { itemRevision, liveInZone, type TableAnswer, type TableRow } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import type { OperatorAnswer, OperatorAsk, Plan } from '../types/plan.js';
+import type { BoxState, ConfirmStep, ConfirmWait, Step } from '../state.js';
+import { nextId } from '../state.js';
+import { configLogKey, notePlan, takeDeltas, type ConfigLogValue } from '../slices/config.js';
+import { confirmedPlan, digestFits, draftPlan, draftUndo } from './draft.js';
+
+/** Revisions tried before the operator is asked to confirm again. */
+const MAX_TRIES = 16;
+/** How long the answer waits for the zones, in ms. */
+const IN_FORCE_WITHIN_MS = 5000;
+
+/** Takes an operator's question or confirmation. */
+export function onOperatorAsked(
+  state: BoxState,
+  step: Step,
+  event: EventOf<'operatorAsked'>,
+): void {
+  const { askId, ask, epochMs } = event;
+  state.epochMs = Math.max(state.epochMs, epochMs);
+  const reply = replyNow(state, ask, epochMs);
+  if (reply !== undefined) answer(step, askId, reply);
+  else if (ask.kind === 'confirm') startConfirm(state, step, askId, ask.plan);
+}
+
+function replyNow(state: BoxState, ask: OperatorAsk, epochMs: number): OperatorAnswer | undefined {
+  switch (ask.kind) {
+    case 'plan':
+      return draftPlan(state, { ...ask, epochMs });
+    case 'undo':
+      return draftUndo(state, { ...ask, epochMs });
+    case 'listPlans':
+      return { kind: 'plans', plans: state.confirmedPlans };
+    case 'confirm':
+      return undefined;
+  }
+}
+
+function answer(step: Step, askId: string, reply: OperatorAnswer): void {
+  step.effects.push({ type: 'answerOperator', askId, answer: reply });
+}
+
+function startConfirm(state: BoxState, step: Step, askId: string, plan: Plan): void {
+  if (!digestFits(plan)) {
+    const fault = 'the plan is not as it was drafted: its digest does not fit; plan again';
+    answer(step, askId, { kind: 'invalid', faults: [fault] });
+    return;
+  }
+  tryRevision(state, step, askId, plan, 1);
+}
+
+function tryRevision(state: BoxState, step: Step, askId: string, plan: Plan, tries: number): void {
+  const known = state.confirmedPlans.find((item) => item.planId === plan.planId);
+  if (known !== undefined) {
+    awaitZones(state, step, askId, known.revision);
+    return;
+  }
+  const conflict = conflictOf(state, plan);
+  if (conflict !== undefined) {
+    answer(step, askId, conflict);
+    return;
+  }
+  if (tries > MAX_TRIES) {
+    answer(step, askId, { kind: 'unavailable', detail: 'too many other plans; confirm again' });
+    return;
+  }
+  const revision = state.config.revision + 1;
+  ask(state, step, askId, plan, tries, { kind: 'write', revision });
+}
+
+/** The first item of a plan that has changed since it was drafted, with who changed it. */
+function conflictOf(state: BoxState, plan: Plan): OperatorAnswer | undefined {
+  for (const { name, revision } of plan.basis) {
+    const current = itemRevision(state.config, name);
+    if (current === revision) continue;
+    const first = state.confirmedPlans.find((item) => item.revision === current);
+    return {
+      kind: 'conflict',
+      item: name,
+      firstPlanId: first?.planId ?? '',
+      firstOperatorId: first?.operatorId ?? '',
+      firstRevision: current,
+    };
+  }
+  return undefined;
+}
+
+function ask(
+  state: BoxState,
+  step: Step,
+  askId: string,
+  plan: Plan,
+  tries: number,
+  confirmStep: ConfirmStep,
+): void {
+  const opId = nextId(state, 'op');
+  state.tableOps.set(opId, { kind: 'confirm', askId, plan, tries, step: confirmStep });
+  const key = configLogKey(confirmStep.revision);
+  if (confirmStep.kind === 'readBack') {
+    step.effects.push({ type: 'requestTable', opId, op: { kind: 'read', keys: [key] } });
+    return;
+  }
+  const value = logValue(plan, confirmStep.revision);
+  const writes = [{ key, expectVersion: 0, value }];
+  step.effects.push({ type: 'requestTable', opId, op: { kind: 'transact', writes } });
+}
+
+function logValue(plan: Plan, revision: number): ConfigLogValue {
+  const { planId, changes } = plan;
+  return { delta: { revision, planId, changes }, plan: confirmedPlan(plan, revision) };
+}
+
+/** Takes the table's answer to a step of a confirm. */
+export function onConfirmAnswered(
+  state: BoxState,
+  step: Step,
+  op: { askId: string; plan: Plan; tries: number; step: ConfirmStep },
+  tableAnswer: TableAnswer,
+): void {
+  const { askId, plan, tries } = op;
+  const { revision } = op.step;
+  switch (tableAnswer.kind) {
+    case 'unknown':
+      onUnknown(state, step, op);
+      return;
+    case 'refused':
+      if (tableAnswer.reason === 'throttled') {
+        answer(step, askId, { kind: 'unavailable', detail: 'the table is busy; confirm again' });
+        return;
+      }
+      onRowStands(state, step, op, tableAnswer.rows);
+      return;
+    case 'done':
+      if (op.step.kind === 'readBack') {
+        if (tableAnswer.rows.length === 0) tryRevision(state, step, askId, plan, tries + 1);
+        else onRowStands(state, step, op, tableAnswer.rows);
+        return;
+      }
+      inForceHere(state, step, logValue(plan, revision));
+      awaitZones(state, step, askId, revision);
+      return;
+  }
+}
+
+function onUnknown(
+  state: BoxState,
+  step: Step,
+  op: { askId: string; plan: Plan; tries: number; step: ConfirmStep },
+): void {
+  const { askId, plan, tries } = op;
+  if (tries >= MAX_TRIES) {
+    const detail = 'the table did not answer; see reedlug plans before confirming again';
+    answer(step, askId, { kind: 'unknown', detail });
+    return;
+  }
+  ask(state, step, askId, plan, tries + 1, { kind: 'readBack', revision: op.step.revision });
+}
+
+/** A row stands at the revision: ours after a lost answer, or another plan's that came first. */
+function onRowStands(
+  state: BoxState,
+  step: Step,
+  op: { askId: string; plan: Plan; tries: number; step: ConfirmStep },
+  rows: readonly TableRow[],
+): void {
+  for (const row of rows) inForceHere(state, step, row.value as ConfigLogValue);
+  tryRevision(state, step, op.askId, op.plan, op.tries + 1);
+}
+
+function inForceHere(state: BoxState, step: Step, value: ConfigLogValue): void {
+  state.configSourceSeen = true;
+  notePlan(state, value.plan);
+  takeDeltas(state, step, [value.delta], true);
+}
+
+function awaitZones(state: BoxState, step: Step, askId: string, revision: number): void {
+  state.confirmWaits.push({ askId, revision, untilMs: step.nowMs + IN_FORCE_WITHIN_MS });
+  confirmWaitsTick(state, step);
+}
+
+/** Answers confirms whose revision is in force in every zone, or whose time is over. */
+export function confirmWaitsTick(state: BoxState, step: Step): void {
+  const open: ConfirmWait[] = [];
+  for (const wait of state.confirmWaits) {
+    const { inForce, notReached } = zonesAt(state, wait.revision);
+    if (notReached.length > 0 && step.nowMs < wait.untilMs) {
+      open.push(wait);
+      continue;
+    }
+    answer(step, wait.askId, {
+      kind: 'confirmed',
+      revision: wait.revision,
+      zonesInForce: inForce,
+      zonesNotReached: notReached,
+    });
+  }
+  state.confirmWaits = open;
+}
+
+/** Zones in which every live box that this box hears has the revision. */
+function zonesAt(state: BoxState, revision: number): { inForce: string[]; notReached: string[] } {
+  const inForce: string[] = [];
+  const notReached: string[] = [];
+  for (const { name } of state.settings.zones) {
+    if (!state.settings.boxes.some((box) => box.zone === name)) continue;
+    (zoneHas(state, name, revision) ? inForce : notReached).push(name);
+  }
+  return { inForce, notReached };
+}
+
+function zoneHas(state: BoxState, zone: string, revision: number): boolean {
+  const ids = liveInZone(state.boxMembers, zone);
+  if (ids.length === 0) return false;
+  return ids.every((id) => {
+    if (id === state.settings.boxId) return state.config.revision >= revision;
+    return (state.peers.get(id)?.revision ?? 0) >= revision;
+  });
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/plans/intentFaults.ts
@@ -0,0 +1,109 @@
+/** Checks of an intent; every fault is listed, each with what would be right. */
+import { RequestClass } from '../types/settings.js';
+import type { Intent } from '../types/plan.js';
+import type { BoxState } from '../state.js';
+import { limitsOf } from '../slices/limits.js';
+import { itemName } from './items.js';
+
+/** Longest move of a pool, in ms. */
+const LONGEST_MOVE_MS = 90 * 24 * 3600 * 1000;
+const SHA256 = /^[0-9a-f]{64}$/;
+const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+
+/** All faults of an intent against the configuration as it is now. */
+export function intentFaults(state: BoxState, intent: Intent, epochMs: number): string[] {
+  switch (intent.kind) {
+    case 'createWorkspace':
+      return [
+        ...nameFaults('workspaceId', intent.workspaceId),
+        ...limitFaults(intent),
+        ...when(!SHA256.test(intent.keySha256), 'keySha256 must be the SHA-256 of the key in hex'),
+        ...when(
+          limitsOf(state, intent.workspaceId) !== undefined,
+          `workspace ${intent.workspaceId} exists already; use setLimits to change it`,
+        ),
+      ];
+    case 'createService':
+      return [
+        ...nameFaults('service', intent.service),
+        ...when(
+          state.config.items.has(itemName.service(intent.service)),
+          `service ${intent.service} exists already`,
+        ),
+      ];
+    case 'setPriority':
+      return [...workspaceFaults(state, intent.workspaceId), ...classFaults(intent.requestClass)];
+    case 'setLimits':
+      return [...workspaceFaults(state, intent.workspaceId), ...limitFaults(intent)];
+    case 'movePool':
+      return movePoolFaults(state, intent, epochMs);
+    case 'keepOffReclaimable':
+      return [...classFaults(intent.requestClass), ...windowFaults(intent, epochMs)];
+    case 'restore':
+      return when(intent.changes.length === 0, 'restore names no change');
+  }
+}
+
+function when(condition: boolean, fault: string): string[] {
+  return condition ? [fault] : [];
+}
+
+function nameFaults(field: string, name: string): string[] {
+  return when(!NAME.test(name), `${field} must be 1 to 63 of a-z, 0-9 and -, not "${name}"`);
+}
+
+function limitFaults(limits: {
+  requestsPerSecond: number;
+  burst: number;
+  maxQueued: number;
+}): string[] {
+  return [
+    ...when(!(limits.requestsPerSecond > 0), 'requestsPerSecond must be above 0'),
+    ...when(!(limits.burst >= 1), 'burst must be 1 or more'),
+    ...when(!(limits.maxQueued >= 1), 'maxQueued must be 1 or more'),
+  ];
+}
+
+function workspaceFaults(state: BoxState, workspaceId: string): string[] {
+  return when(
+    limitsOf(state, workspaceId) === undefined,
+    `workspace ${workspaceId} does not exist; create it first`,
+  );
+}
+
+function classFaults(requestClass: string): string[] {
+  return when(
+    !Object.hasOwn(RequestClass, requestClass),
+    `requestClass must be urgent or patient, not "${requestClass}"`,
+  );
+}
+
+function windowFaults(
+  window: { startsAtEpochMs: number; endsAtEpochMs: number },
+  epochMs: number,
+): string[] {
+  return [
+    ...when(window.endsAtEpochMs <= window.startsAtEpochMs, 'the end must lie after the start'),
+    ...when(window.endsAtEpochMs <= epochMs, 'the end has passed already'),
+  ];
+}
+
+function movePoolFaults(
+  state: BoxState,
+  intent: Extract<Intent, { kind: 'movePool' }>,
+  epochMs: number,
+): string[] {
+  const sites = new Set(state.settings.zones.map((zone) => zone.site));
+  const known = [...sites].sort().join(', ');
+  const spanMs = intent.endsAtEpochMs - intent.startsAtEpochMs;
+  return [
+    ...when(!state.serversByPool.has(intent.model), `no engine serves model ${intent.model}`),
+    ...when(!sites.has(intent.toSite), `site ${intent.toSite} is not known; known: ${known}`),
+    ...when(
+      !Number.isInteger(intent.steps) || intent.steps < 1 || intent.steps > 100,
+      'steps must be a whole number from 1 to 100',
+    ),
+    ...windowFaults(intent, epochMs),
+    ...when(spanMs > LONGEST_MOVE_MS, 'a move may take 90 days at most'),
+  ];
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/plans/rules.ts
@@ -0,0 +1,43 @@
+/** What the confirmed configuration says to routing, admission and placement. */
+import type { RequestSpec } from '../types/request.js';
+import { RequestClass } from '../types/settings.js';
+import type { BoxState, ServerView } from '../state.js';
+import { siteOfZone } from '../state.js';
+import { itemName, itemValue, type KeepOff, type PoolMove, type Priority } from './items.js';
+
+const HASH_RANGE = 0x1_0000_0000;
+
+/** The class that an operator has set for a workspace, if any. */
+export function priorityOf(state: BoxState, workspaceId: string): RequestClass | undefined {
+  return itemValue<Priority>(state, itemName.priority(workspaceId))?.requestClass;
+}
+
+/** Share of conversations that a moving pool serves at its new site now, in whole steps. */
+export function movedShare(move: PoolMove, epochMs: number): number {
+  if (move.haltedAtShare !== undefined) return move.haltedAtShare;
+  const spanMs = Math.max(1, move.endsAtEpochMs - move.startsAtEpochMs);
+  const passed = (epochMs - move.startsAtEpochMs) / spanMs;
+  const steps = Math.floor(Math.min(1, Math.max(0, passed)) * move.steps);
+  return steps / move.steps;
+}
+
+/** False when a confirmed rule keeps a request off a server. */
+export function serverAllowed(state: BoxState, view: ServerView, spec: RequestSpec): boolean {
+  if (view.spec.reclaimable && keptOff(state, spec.requestClass)) return false;
+  const move = itemValue<PoolMove>(state, itemName.poolMove(spec.pool));
+  if (move === undefined) return true;
+  const goesToNew = spec.affinityHash / HASH_RANGE < movedShare(move, state.epochMs);
+  const isNew = siteOfZone(state.settings, view.spec.zone) === move.toSite;
+  return goesToNew === isNew;
+}
+
+function keptOff(state: BoxState, requestClass: RequestClass): boolean {
+  const rule = itemValue<KeepOff>(state, itemName.keepOff(requestClass));
+  if (rule === undefined) return false;
+  return state.epochMs >= rule.startsAtEpochMs && state.epochMs < rule.endsAtEpochMs;
+}
+
+/** False while any class is kept off reclaimable boxes: placement then buys on demand. */
+export function reclaimableAllowed(state: BoxState): boolean {
+  return !keptOff(state, RequestClass.urgent) && !keptOff(state, RequestClass.patient);
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/policy/cacheView.ts
@@ -0,0 +1,85 @@
+/**
+ * Where cached prefixes are, as far as this box has seen.
+ *
+ * Cache events are late and have gaps. A gap makes a server's sights
+ * uncertain; the cached tokens that an engine reports with each answer correct
+ * the view. Without a sight, the first-ranked engine is credited with the
+ * share of prompt tokens that such requests were found to hit.
+ */
+import type { EventOf } from '../types/event.js';
+import type { RequestSpec } from '../types/request.js';
+import type { BoxState, ServerView } from '../state.js';
+
+/** Sights kept; the oldest goes first. */
+export const CACHE_SIGHT_LIMIT = 20_000;
+/** Weight of the newest answer in the smoothed hit share. */
+const HIT_SMOOTHING = 0.05;
+/** Credit of a sight whose server had a gap in its cache events. */
+const UNCERTAIN_CREDIT = 0.5;
+
+/** Prompt tokens that a server is expected to find in its cache. */
+export function expectedCachedTokens(
+  state: BoxState,
+  spec: RequestSpec,
+  view: ServerView,
+  isFirstRanked: boolean,
+): number {
+  const sight = state.cacheSights.get(spec.affinityHash);
+  if (sight === undefined) {
+    return isFirstRanked ? spec.promptTokens * state.priorHitShare : 0;
+  }
+  if (sight.serverId !== view.spec.id) return 0;
+  const credit = view.cacheUncertain ? UNCERTAIN_CREDIT : 1;
+  return Math.min(spec.promptTokens, sight.tokens) * credit;
+}
+
+/** Notes that a server now holds the conversation's prefix up to `tokens`. */
+export function noteCached(
+  state: BoxState,
+  affinityHash: number,
+  serverId: string,
+  tokens: number,
+): void {
+  state.cacheSights.delete(affinityHash);
+  state.cacheSights.set(affinityHash, { serverId, tokens });
+  if (state.cacheSights.size <= CACHE_SIGHT_LIMIT) return;
+  const oldest = state.cacheSights.keys().next();
+  if (oldest.done !== true) state.cacheSights.delete(oldest.value);
+}
+
+/** Learns from an engine's report of cached tokens how far the view can be trusted. */
+export function noteCacheHit(
+  state: BoxState,
+  params: { spec: RequestSpec; view: ServerView; cachedTokens: number; hadSight: boolean },
+): void {
+  const { spec, view, cachedTokens, hadSight } = params;
+  if (hadSight) {
+    const sight = state.cacheSights.get(spec.affinityHash);
+    view.cacheUncertain = sight !== undefined && cachedTokens < sight.tokens / 2;
+    return;
+  }
+  if (spec.promptTokens === 0) return;
+  const share = cachedTokens / spec.promptTokens;
+  state.priorHitShare += HIT_SMOOTHING * (share - state.priorHitShare);
+}
+
+/** Takes a cache event; a jump in its sequence number is a gap. */
+export function onCacheChanged(state: BoxState, event: EventOf<'cacheChanged'>): void {
+  const view = state.servers.get(event.serverId);
+  if (view === undefined || event.sequence <= view.cacheSequence) return;
+  if (view.cacheSequence !== 0 && event.sequence > view.cacheSequence + 1) {
+    view.cacheUncertain = true;
+  }
+  view.cacheSequence = event.sequence;
+  for (const affinityHash of event.evicted) {
+    const sight = state.cacheSights.get(affinityHash);
+    if (sight?.serverId === event.serverId) state.cacheSights.delete(affinityHash);
+  }
+}
+
+/** Forgets every sight of a server that is gone. */
+export function forgetServerCache(state: BoxState, serverId: string): void {
+  for (const [affinityHash, sight] of state.cacheSights) {
+    if (sight.serverId === serverId) state.cacheSights.delete(affinityHash);
+  }
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/admission.ts
@@ -0,0 +1,131 @@
+/**
+ * Admission: what is accepted, what is refused at once and with what retry time.
+ *
+ * A refusal is `notRun` and is told at once; nothing is held back until near
+ * its deadline.
+ */
+import { laneLength } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import { Reason, type RequestRecord, type RequestSpec } from '../types/request.js';
+import { RequestClass, ServerKind } from '../types/settings.js';
+import type { BoxState, Step } from '../state.js';
+import { takeFromLimit, workspaceView } from './limits.js';
+import { claim } from './claimWrites.js';
+import { dispatchPool } from './dispatch.js';
+import { enterQueue, queueFor, queuesOf } from './queues.js';
+import { addRecord, createRecord, refuse } from './requests.js';
+import { serverTakesWork } from './servers.js';
+import { priorityOf } from '../plans/rules.js';
+import { isReady } from './readiness.js';
+
+/** Retry time where nothing better is known, in ms. */
+const DEFAULT_RETRY_MS = 1000;
+/** Shortest retry time told, in ms. */
+const MIN_RETRY_MS = 50;
+
+/** A refusal with its retry time. */
+interface Refusal {
+  reason: Reason;
+  retryAfterMs: number;
+}
+
+/** Takes a request from a caller. */
+export function onRequestArrived(
+  state: BoxState,
+  step: Step,
+  event: EventOf<'requestArrived'>,
+): void {
+  const spec = withPriority(state, event.spec);
+  const refusal = refusalFor(state, spec, step.nowMs);
+  if (refusal !== undefined) {
+    refuse(step, spec, refusal.reason, refusal.retryAfterMs);
+    return;
+  }
+  const record = createRecord(spec, step.nowMs);
+  addRecord(state, record);
+  if (needsClaim(spec)) claim(state, step, record, 0);
+  else admit(state, step, record);
+}
+
+/** Puts an accepted request into its queue and lets the queue run. */
+export function admit(state: BoxState, step: Step, record: RequestRecord): void {
+  const { nowMs } = step;
+  enterQueue(state, record, { nowMs, notBeforeMs: nowMs, atFront: false });
+  dispatchPool(state, step, record.spec.pool);
+}
+
+function withPriority(state: BoxState, spec: RequestSpec): RequestSpec {
+  const requestClass = priorityOf(state, spec.workspaceId) ?? spec.requestClass;
+  return requestClass === spec.requestClass ? spec : { ...spec, requestClass };
+}
+
+/** Only a keyed request that may not be repeated needs a claim. */
+function needsClaim(spec: RequestSpec): boolean {
+  return spec.idempotencyKey !== undefined && !spec.repeatable;
+}
+
+function refusalFor(state: BoxState, spec: RequestSpec, nowMs: number): Refusal | undefined {
+  const { draining } = state;
+  if (
+    draining !== undefined &&
+    nowMs >= draining.sinceMs + state.settings.control.drainNotReadyMs
+  ) {
+    return { reason: Reason.draining, retryAfterMs: MIN_RETRY_MS };
+  }
+  if (!isReady(state) && state.draining === undefined) {
+    return { reason: Reason.notReady, retryAfterMs: DEFAULT_RETRY_MS };
+  }
+  const view = workspaceView(state, spec.workspaceId);
+  if (view === undefined) return { reason: Reason.notFound, retryAfterMs: DEFAULT_RETRY_MS };
+  const passesInMs = takeFromLimit(view, nowMs);
+  if (passesInMs > 0) {
+    return { reason: Reason.limited, retryAfterMs: Math.ceil(Math.max(MIN_RETRY_MS, passesInMs)) };
+  }
+  const queues = queuesOf(state, spec.pool);
+  const queued =
+    laneLength(queues.urgent, spec.workspaceId) + laneLength(queues.patient, spec.workspaceId);
+  const waitMs = expectedWaitMs(state, spec);
+  if (queued >= view.limits.maxQueued) {
+    return { reason: Reason.overloaded, retryAfterMs: Math.max(DEFAULT_RETRY_MS, waitMs) };
+  }
+  const slackMs = spec.deadlineAtMs - nowMs - shortestRunMs(state, spec);
+  if (waitMs > slackMs) {
+    return {
+      reason: Reason.deadline,
+      retryAfterMs: Math.ceil(Math.max(MIN_RETRY_MS, waitMs - slackMs)),
+    };
+  }
+  return undefined;
+}
+
+/** The least time in which the request could be answered once it runs, in ms. */
+export function shortestRunMs(state: BoxState, spec: RequestSpec): number {
+  if (spec.kind === ServerKind.service) return 0;
+  const { policy } = state.settings;
+  return policy.crossZoneMs + policy.interTokenMs;
+}
+
+/** Expected wait in the queue from the work ahead and the pool's speed, in ms. */
+export function expectedWaitMs(state: BoxState, spec: RequestSpec): number {
+  if (spec.kind === ServerKind.service) return 0;
+  const queues = queuesOf(state, spec.pool);
+  const ahead = queueFor(queues, spec.requestClass).costSum + urgentAhead(queues, spec);
+  if (ahead === 0) return 0;
+  const speed = poolCostPerMs(state, spec.pool);
+  return speed === 0 ? DEFAULT_RETRY_MS : Math.ceil(ahead / speed);
+}
+
+function urgentAhead(queues: { urgent: { costSum: number } }, spec: RequestSpec): number {
+  return spec.requestClass === RequestClass.patient ? queues.urgent.costSum : 0;
+}
+
+/** Work that a pool's engines do in one ms, as this box's share of them. */
+function poolCostPerMs(state: BoxState, pool: string): number {
+  const { policy, boxes } = state.settings;
+  let slots = 0;
+  for (const view of state.serversByPool.get(pool) ?? []) {
+    if (serverTakesWork(state, view)) slots += view.spec.slots;
+  }
+  const GENERATED_TOKEN_COST = 4;
+  return (slots * GENERATED_TOKEN_COST) / policy.interTokenMs / Math.max(1, boxes.length);
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/claimWrites.ts
@@ -0,0 +1,264 @@
+/**
+ * Claims of keyed requests that may not be repeated, and their outcomes.
+ *
+ * While a group is under way new claims gather for the next one, so that the
+ * table sees few writes under load and a lone claim does not wait.
+ */
+import {
+  claimRowKey,
+  Outcome,
+  startClaimGroup,
+  stepClaimGroup,
+  type ClaimGroup,
+  type ClaimValue,
+  type ClaimVerdict,
+  type PendingClaim,
+  type TableAnswer,
+  type TableOp,
+  type TableWrite,
+} from 'reedlug-coordination';
+import { Reason, type RequestRecord } from '../types/request.js';
+import type { BoxState, Step } from '../state.js';
+import { nextId } from '../state.js';
+import { admit } from './admission.js';
+import { startFollowing } from './following.js';
+import { log } from './log.js';
+import { giveUp, isUnsettled, phaseOf, settle } from './requests.js';
+
+/** Retry time told when the table did not answer, in ms. */
+const UNAVAILABLE_RETRY_MS = 2000;
+/** Wait before outcome writes are tried again after a failure, in ms. */
+const OUTCOME_RETRY_MS = 1000;
+/** Outcomes written in one operation. */
+const OUTCOME_GROUP = 25;
+
+/** Asks for a request's claim; `expectVersion` above 0 takes over a row whose outcome is `notRun`. */
+export function claim(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  expectVersion: number,
+): void {
+  record.phase = { kind: 'claiming', sinceMs: step.nowMs };
+  state.claimsWaiting.push({
+    key: keyOf(record),
+    expectVersion,
+    value: claimValue(state, record, undefined, nextId(state, 'claim')),
+  });
+  sendClaims(state, step);
+}
+
+function keyOf(record: RequestRecord): string {
+  return claimRowKey(record.spec.workspaceId, record.spec.idempotencyKey ?? '');
+}
+
+function claimValue(
+  state: BoxState,
+  record: RequestRecord,
+  outcome: Outcome | undefined,
+  operationId: string,
+): ClaimValue {
+  return {
+    digest: record.spec.digest,
+    holderId: state.settings.boxId,
+    incarnation: state.settings.incarnation,
+    operationId,
+    requestId: record.spec.requestId,
+    outcome,
+    status: phaseOf(record, 'settled')?.status,
+  };
+}
+
+function sendClaims(state: BoxState, step: Step): void {
+  if (state.claimGroupInFlight || state.claimsWaiting.length === 0) return;
+  const claims = takeGroup(state);
+  const { group, op } = startClaimGroup(claims);
+  state.claimGroupInFlight = true;
+  askTable(state, step, group, op);
+}
+
+/** Takes the next group; two claims on one key never share a group. */
+function takeGroup(state: BoxState): PendingClaim[] {
+  const group: PendingClaim[] = [];
+  const rest: PendingClaim[] = [];
+  const keys = new Set<string>();
+  for (const pending of state.claimsWaiting) {
+    const fits = group.length < state.settings.control.claimGroupSize && !keys.has(pending.key);
+    (fits ? group : rest).push(pending);
+    if (fits) keys.add(pending.key);
+  }
+  state.claimsWaiting = rest;
+  return group;
+}
+
+function askTable(state: BoxState, step: Step, group: ClaimGroup, op: TableOp): void {
+  const opId = nextId(state, 'op');
+  state.tableOps.set(opId, { kind: 'claims', group });
+  step.effects.push({ type: 'requestTable', opId, op });
+}
+
+/** Takes the table's answer for a group of claims. */
+export function onClaimsAnswered(
+  state: BoxState,
+  step: Step,
+  group: ClaimGroup,
+  answer: TableAnswer,
+): void {
+  const { verdicts, next } = stepClaimGroup(group, answer);
+  for (const verdict of verdicts) onVerdict(state, step, verdict, group);
+  if (next !== undefined) {
+    askTable(state, step, next.group, next.op);
+    return;
+  }
+  state.claimGroupInFlight = false;
+  sendClaims(state, step);
+}
+
+function onVerdict(state: BoxState, step: Step, verdict: ClaimVerdict, group: ClaimGroup): void {
+  const record = state.requests.get(verdict.requestId);
+  if (record === undefined) return;
+  const pending = group.claims.find((item) => item.value.requestId === verdict.requestId);
+  if (verdict.kind === 'held') record.claimVersion = (pending?.expectVersion ?? 0) + 1;
+  if (record.phase.kind !== 'claiming') {
+    // The caller was told `notRun` while the table was silent; the row must say so too.
+    if (verdict.kind === 'held') releaseLateClaim(state, step, record);
+    return;
+  }
+  switch (verdict.kind) {
+    case 'held':
+      record.claimHeld = true;
+      admit(state, step, record);
+      return;
+    case 'taken':
+      onTaken(state, step, record, verdict);
+      return;
+    case 'digestDiffers':
+      giveUp(state, step, record, Reason.keyReused);
+      return;
+    case 'unavailable':
+      withoutTable(state, step, record);
+      return;
+  }
+}
+
+function releaseLateClaim(state: BoxState, step: Step, record: RequestRecord): void {
+  if (record.claimHeld) return;
+  record.claimHeld = true;
+  if (!isUnsettled(record)) queueOutcome(state, step, record);
+}
+
+/** A key that is taken: take over what did not run, else follow the holder's request. */
+function onTaken(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  verdict: Extract<ClaimVerdict, { kind: 'taken' }>,
+): void {
+  const { by } = verdict;
+  if (by.outcome === Outcome.notRun) {
+    claim(state, step, record, verdict.version);
+    return;
+  }
+  startFollowing(state, step, record, {
+    sourceRequestId: by.requestId,
+    holderId: by.holderId,
+    storedOutcome: by.outcome,
+    storedStatus: by.status,
+  });
+}
+
+/** Without the table a keyed request runs only where the service removes duplicates itself. */
+function withoutTable(state: BoxState, step: Step, record: RequestRecord): void {
+  const { pool } = record.spec;
+  const service = state.config.items.get(`service/${pool}`)?.value as
+    { deduplicates: boolean } | undefined;
+  const deduplicates = service?.deduplicates ?? state.settings.deduplicatingServices.includes(pool);
+  if (deduplicates) admit(state, step, record);
+  else giveUp(state, step, record, Reason.claimUnavailable, UNAVAILABLE_RETRY_MS);
+}
+
+/** Gives up on a claim that the table has not answered in time. */
+export function claimingTick(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  sinceMs: number,
+): void {
+  const waitedMs = step.nowMs - sinceMs;
+  const late = step.nowMs >= record.spec.deadlineAtMs;
+  if (waitedMs < state.settings.control.claimTimeoutMs && !late) return;
+  withoutTable(state, step, record);
+}
+
+/** Queues the outcome of a claimed request for the table. */
+export function queueOutcome(state: BoxState, step: Step, record: RequestRecord): void {
+  state.outcomesWaiting.push(record.spec.requestId);
+  sendOutcomes(state, step);
+}
+
+/** Sends waiting outcomes, one group at a time. */
+export function sendOutcomes(state: BoxState, step: Step): void {
+  if (state.outcomesInFlight || state.outcomesWaiting.length === 0) return;
+  if (step.nowMs < state.outcomesNotBeforeMs) return;
+  const requestIds = state.outcomesWaiting.splice(0, OUTCOME_GROUP);
+  const writes = requestIds.flatMap((requestId) => outcomeWrite(state, requestId));
+  if (writes.length === 0) return;
+  state.outcomesInFlight = true;
+  const opId = nextId(state, 'op');
+  state.tableOps.set(opId, { kind: 'claimOutcomes', requestIds });
+  step.effects.push({ type: 'requestTable', opId, op: { kind: 'transact', writes } });
+}
+
+function outcomeWrite(state: BoxState, requestId: string): TableWrite[] {
+  const record = state.requests.get(requestId);
+  const settled = record === undefined ? undefined : phaseOf(record, 'settled');
+  if (record === undefined || settled === undefined) return [];
+  const value = claimValue(state, record, settled.outcome, nextId(state, 'outcome'));
+  return [{ key: keyOf(record), expectVersion: record.claimVersion, value }];
+}
+
+/**
+ * Takes the table's answer for outcomes. Rows in conflict were already changed
+ * (by this very write when its answer was lost) and are left; the rest is
+ * written again, later when the table is in trouble.
+ */
+export function onOutcomesAnswered(
+  state: BoxState,
+  step: Step,
+  requestIds: readonly string[],
+  answer: TableAnswer,
+): void {
+  state.outcomesInFlight = false;
+  if (answer.kind !== 'done') {
+    const again = openAfter(state, requestIds, answer);
+    state.outcomesWaiting.unshift(...again);
+    const troubled = answer.kind === 'unknown' || answer.reason === 'throttled';
+    if (troubled) state.outcomesNotBeforeMs = step.nowMs + OUTCOME_RETRY_MS;
+    log(step, 'outcomesDelayed', { count: again.length, answer: answer.kind });
+  }
+  sendOutcomes(state, step);
+}
+
+function openAfter(
+  state: BoxState,
+  requestIds: readonly string[],
+  answer: Exclude<TableAnswer, { kind: 'done' }>,
+): string[] {
+  if (answer.kind === 'unknown') return [...requestIds];
+  const conflicting = new Set(answer.rows.map((row) => row.key));
+  return requestIds.filter((requestId) => {
+    const record = state.requests.get(requestId);
+    return record !== undefined && !conflicting.has(keyOf(record));
+  });
+}
+
+/** Settles a follower of a key whose holder's answer is stored in the table. */
+export function settleFromRow(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  outcome: Outcome,
+  status: number | undefined,
+): void {
+  settle(state, step, record, { outcome, reason: Reason.answered, status });
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/config.ts
@@ -0,0 +1,179 @@
+/**
+ * Configuration: two readers a zone poll the revision log and push deltas to
+ * peers; heartbeats carry the revision and whoever is behind asks.
+ */
+import {
+  applyDeltas,
+  applySnapshot,
+  deltasAfter,
+  liveInZone,
+  takeSnapshot,
+  type ConfigDelta,
+  type ConfigSnapshot,
+  type TableAnswer,
+} from 'reedlug-coordination';
+import type { PeerMessage } from '../types/peer.js';
+import type { ConfirmedPlan } from '../types/plan.js';
+import type { BoxState, Step } from '../state.js';
+import { nextId } from '../state.js';
+import { confirmWaitsTick } from '../plans/confirm.js';
+import { log } from './log.js';
+import { sendToPeers } from './peerLinks.js';
+import { noteCaughtUp } from './readiness.js';
+
+/** Key prefix of the revision log in the table. */
+export const CONFIG_LOG_PREFIX = 'config/log/';
+/** Digits of a revision in its key, so that keys sort as numbers do. */
+const REVISION_DIGITS = 12;
+/** Deltas read or pushed at once. */
+const DELTA_LIMIT = 64;
+/** Boxes a zone that poll the table. */
+const READERS_PER_ZONE = 2;
+/** Confirmed plans kept for `plans` and `undo`. */
+const PLAN_LIMIT = 200;
+
+/** The value of a log row: a delta and what is needed to name and undo its plan. */
+export interface ConfigLogValue {
+  delta: ConfigDelta;
+  plan: ConfirmedPlan;
+}
+
+/** The key of a revision in the log. */
+export function configLogKey(revision: number): string {
+  return CONFIG_LOG_PREFIX + String(revision).padStart(REVISION_DIGITS, '0');
+}
+
+/** Polls the log when this box is a reader of its zone and a poll is due. */
+export function configTick(state: BoxState, step: Step): void {
+  confirmWaitsTick(state, step);
+  askWhenBehind(state, step);
+  if (step.nowMs < state.nextConfigPollAtMs || state.configScanInFlight) return;
+  state.nextConfigPollAtMs = step.nowMs + state.settings.control.configPollMs;
+  if (isReader(state)) scanLog(state, step);
+}
+
+/** A reader by rank among the live boxes of the zone; a box that hears none is one itself. */
+function isReader(state: BoxState): boolean {
+  const { boxId, zone } = state.settings;
+  const rank = liveInZone(state.boxMembers, zone).indexOf(boxId);
+  return rank < READERS_PER_ZONE;
+}
+
+/** Reads the log after the applied revision. */
+export function scanLog(state: BoxState, step: Step): void {
+  const opId = nextId(state, 'op');
+  state.configScanInFlight = true;
+  state.tableOps.set(opId, { kind: 'configScan' });
+  const afterKey = configLogKey(state.config.revision);
+  const op = { kind: 'scan', prefix: CONFIG_LOG_PREFIX, afterKey, limit: DELTA_LIMIT } as const;
+  step.effects.push({ type: 'requestTable', opId, op });
+}
+
+/** Takes the rows of a poll. */
+export function onConfigScanned(state: BoxState, step: Step, answer: TableAnswer): void {
+  state.configScanInFlight = false;
+  if (answer.kind !== 'done') return;
+  state.configSourceSeen = true;
+  const values = answer.rows.map((row) => row.value as ConfigLogValue);
+  for (const value of values) notePlan(state, value.plan);
+  takeDeltas(
+    state,
+    step,
+    values.map((value) => value.delta),
+    true,
+  );
+  noteCaughtUp(state);
+  if (answer.rows.length === DELTA_LIMIT) scanLog(state, step);
+  snapshotWhenDue(state, step);
+}
+
+/** Remembers a confirmed plan. */
+export function notePlan(state: BoxState, plan: ConfirmedPlan): void {
+  if (state.confirmedPlans.some((known) => known.planId === plan.planId)) return;
+  state.confirmedPlans.push(plan);
+  if (state.confirmedPlans.length > PLAN_LIMIT) state.confirmedPlans.shift();
+}
+
+/** Applies deltas and pushes to the peers what was new here. */
+export function takeDeltas(
+  state: BoxState,
+  step: Step,
+  deltas: readonly ConfigDelta[],
+  push: boolean,
+): void {
+  const applied = applyDeltas(state.config, deltas);
+  if (state.mutations.has('applyOlderRevision')) applyOldest(state, deltas);
+  noteCaughtUp(state);
+  if (applied.length === 0) return;
+  log(step, 'configApplied', { revision: state.config.revision, deltas: applied.length });
+  if (push) sendToPeers(state, step, { kind: 'configDeltas', deltas: applied });
+}
+
+/** The fault that the checker must find: a late delta is applied whatever its revision. */
+function applyOldest(state: BoxState, deltas: readonly ConfigDelta[]): void {
+  const oldest = deltas.find((delta) => delta.revision < state.config.revision);
+  if (oldest !== undefined) state.config.revision = oldest.revision;
+}
+
+/** Takes deltas that a peer pushed. */
+export function onConfigDeltas(state: BoxState, step: Step, deltas: readonly ConfigDelta[]): void {
+  state.configSourceSeen = true;
+  takeDeltas(state, step, deltas, false);
+}
+
+/** Notes a peer's revision; a peer that is reachable makes a source. */
+export function notePeerRevision(state: BoxState, revision: number): void {
+  state.configSourceSeen = true;
+  state.config.highestHeard = Math.max(state.config.highestHeard, revision);
+  noteCaughtUp(state);
+}
+
+/** Asks a peer that is ahead, when this box is behind what it has heard. */
+function askWhenBehind(state: BoxState, step: Step): void {
+  if (state.config.revision >= state.config.highestHeard) return;
+  if (step.nowMs < state.nextCatchUpAtMs) return;
+  state.nextCatchUpAtMs = step.nowMs + state.settings.control.configPollMs / 4;
+  for (const [boxId, peer] of state.peers) {
+    if (peer.revision <= state.config.revision) continue;
+    const message: PeerMessage = { kind: 'configAsk', afterRevision: state.config.revision };
+    step.effects.push({ type: 'sendPeer', boxId, message });
+    return;
+  }
+}
+
+/** Serves a peer that is behind: deltas while they are kept, else the whole state. */
+export function onConfigAsk(
+  state: BoxState,
+  step: Step,
+  from: string,
+  afterRevision: number,
+): void {
+  const deltas = deltasAfter(state.config, afterRevision, DELTA_LIMIT);
+  const message: PeerMessage =
+    deltas === undefined
+      ? { kind: 'configSnapshot', snapshot: takeSnapshot(state.config) }
+      : { kind: 'configDeltas', deltas };
+  step.effects.push({ type: 'sendPeer', boxId: from, message });
+}
+
+/** Takes a snapshot from a peer or from the object store. */
+export function onConfigSnapshot(
+  state: BoxState,
+  step: Step,
+  snapshot: ConfigSnapshot | undefined,
+): void {
+  if (snapshot === undefined) return;
+  state.configSourceSeen = true;
+  if (!applySnapshot(state.config, snapshot)) return;
+  state.snapshotAtRevision = Math.max(state.snapshotAtRevision, snapshot.revision);
+  noteCaughtUp(state);
+  log(step, 'configSnapshotApplied', { revision: snapshot.revision });
+}
+
+/** Writes a snapshot every so many revisions, so that a fresh box reads little of the log. */
+function snapshotWhenDue(state: BoxState, step: Step): void {
+  const { snapshotEveryRevisions } = state.settings.control;
+  if (state.config.revision < state.snapshotAtRevision + snapshotEveryRevisions) return;
+  state.snapshotAtRevision = state.config.revision;
+  step.effects.push({ type: 'writeSnapshot', snapshot: takeSnapshot(state.config) });
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/dispatch.ts
@@ -0,0 +1,114 @@
+/** Dispatch: the next request of a pool goes to a server while one has room. */
+import { Reach, startAttempt, takeFair, takeRetry, type FairQueue } from 'reedlug-coordination';
+import type { Attempt, RequestRecord } from '../types/request.js';
+import { ServerKind } from '../types/settings.js';
+import type { BoxState, PoolQueues, ServerView, Step } from '../state.js';
+import { chooseServer } from '../policy/routing.js';
+import { noteFirstTry } from 'reedlug-coordination';
+import { queuesOf } from './queues.js';
+import { serverMember } from './servers.js';
+
+/** Sends requests of a pool to servers until the queues are empty or nothing has room. */
+export function dispatchPool(state: BoxState, step: Step, pool: string): void {
+  const queues = queuesOf(state, pool);
+  while (queues.urgent.size + queues.patient.size > 0) {
+    if (!dispatchNext(state, step, queues)) return;
+  }
+}
+
+/** Urgent goes before patient; one in every few dispatches is a patient one that waits. */
+function dispatchNext(state: BoxState, step: Step, queues: PoolQueues): boolean {
+  const patientTurn =
+    queues.patient.size > 0 && queues.urgentRun >= state.settings.policy.patientFloorEvery;
+  if (patientTurn && dispatchFrom(state, step, queues.patient)) {
+    queues.urgentRun = 0;
+    return true;
+  }
+  if (dispatchFrom(state, step, queues.urgent)) {
+    queues.urgentRun += 1;
+    return true;
+  }
+  if (!dispatchFrom(state, step, queues.patient)) return false;
+  queues.urgentRun = 0;
+  return true;
+}
+
+function dispatchFrom(state: BoxState, step: Step, queue: FairQueue): boolean {
+  let chosen: ServerView | undefined;
+  const entry = takeFair(queue, (candidate) => {
+    const record = state.requests.get(candidate.id);
+    if (record === undefined || !mayGoNow(state, record, step.nowMs)) return false;
+    chosen = chooseServer(state, record, step.nowMs);
+    return chosen !== undefined;
+  });
+  const record = entry === undefined ? undefined : state.requests.get(entry.id);
+  if (record === undefined || chosen === undefined) return false;
+  sendAttempt(state, step, record, chosen);
+  return true;
+}
+
+/** A retry waits for its backoff, and for the budget to grant it. */
+function mayGoNow(state: BoxState, record: RequestRecord, nowMs: number): boolean {
+  if (record.phase.kind !== 'queued' || nowMs < record.phase.notBeforeMs) return false;
+  if (!record.retryOwed) return true;
+  if (!takeRetry(state.retryBudget)) return false;
+  record.retryOwed = false;
+  return true;
+}
+
+/** Opens an attempt at a server and sends it. */
+export function sendAttempt(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  view: ServerView,
+): void {
+  const { spec } = record;
+  const attempt = newAttempt(state, record, view, step.nowMs);
+  if (record.attempts.length === 0) {
+    noteFirstTry(state.retryBudget);
+    record.waitedMs = step.nowMs - record.arrivedAtMs;
+  }
+  record.attempts.push(attempt);
+  record.phase = { kind: 'running' };
+  view.openAttempts.add(attempt.attemptId);
+  view.pendingPrefillTokens += spec.promptTokens;
+  const resumeOffset = startAttempt(record.ledger, attempt.attemptId);
+  const { kvTicket } = record;
+  record.kvTicket = undefined;
+  const timeoutMs = timeoutOf(state, record);
+  step.effects.push({
+    type: 'sendAttempt',
+    attemptId: attempt.attemptId,
+    requestId: spec.requestId,
+    serverId: view.spec.id,
+    resumeOffset,
+    kvTicket,
+    timeoutMs,
+  });
+}
+
+function newAttempt(
+  state: BoxState,
+  record: RequestRecord,
+  view: ServerView,
+  nowMs: number,
+): Attempt {
+  return {
+    attemptId: `${record.spec.requestId}.${record.attempts.length + 1}`,
+    serverId: view.spec.id,
+    incarnation: serverMember(state, view.spec.id)?.incarnation ?? 0,
+    sentAtMs: nowMs,
+    progressAtMs: nowMs,
+    firstTokenAtMs: undefined,
+    reach: Reach.maybe,
+    open: true,
+  };
+}
+
+function timeoutOf(state: BoxState, record: RequestRecord): number {
+  const { control } = state.settings;
+  const leftMs = Math.max(0, record.spec.deadlineAtMs - state.nowMs);
+  if (record.spec.kind === ServerKind.service) return Math.min(leftMs, control.serviceTimeoutMs);
+  return leftMs;
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/following.ts
@@ -0,0 +1,228 @@
+/**
+ * Following: a request that another box runs, seen from here.
+ *
+ * A retry under a claimed key, or a caller that reconnects at another box, asks
+ * the holder over the peer link until there is an outcome. When the holder is
+ * gone and no peer has the request the answer is `unknown`, never a second run.
+ */
+import { Outcome, MemberState } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import type { PeerMessage, RequestSight } from '../types/peer.js';
+import {
+  Reason,
+  type RequestRecord,
+  type RequestPhase,
+  type RequestSpec,
+} from '../types/request.js';
+import { RequestClass, ServerKind } from '../types/settings.js';
+import type { BoxState, Step } from '../state.js';
+import { deliver } from './attempts.js';
+import { livePeers } from './peerLinks.js';
+import { addRecord, createRecord, phaseOf, settle } from './requests.js';
+import { settleFromRow } from './claimWrites.js';
+
+/** Time between two questions to the holder, in ms. */
+const ASK_EVERY_MS = 100;
+
+type FollowingPhase = Extract<RequestPhase, { kind: 'following' }>;
+
+/** Starts to follow a request of another box, or of this one. */
+export function startFollowing(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  source: {
+    sourceRequestId: string;
+    holderId: string | undefined;
+    storedOutcome: Outcome | undefined;
+    storedStatus: number | undefined;
+  },
+): void {
+  const { lookupTimeoutMs } = state.settings.control;
+  record.phase = {
+    kind: 'following',
+    sourceRequestId: source.sourceRequestId,
+    holderId: reachableHolder(state, source.holderId),
+    patienceUntilMs: step.nowMs + lookupTimeoutMs,
+    nextAskAtMs: step.nowMs,
+  };
+  if (source.storedOutcome !== undefined && record.phase.holderId === undefined) {
+    settleFromRow(state, step, record, source.storedOutcome, source.storedStatus);
+    return;
+  }
+  followTick(state, step, record, record.phase);
+}
+
+/** The holder if it can be asked; undefined asks every live peer. */
+function reachableHolder(state: BoxState, holderId: string | undefined): string | undefined {
+  // An earlier life of this very box cannot be asked; the peers may have its request.
+  if (holderId === undefined || holderId === state.settings.boxId) return undefined;
+  const member = state.boxMembers.members.get(holderId);
+  return member === undefined || member.state === MemberState.dead ? undefined : holderId;
+}
+
+/** Asks when due and gives up when nobody has answered for too long. */
+export function followTick(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  phase: FollowingPhase,
+): void {
+  if (followsHere(state, step, record, phase)) return;
+  if (step.nowMs >= phase.patienceUntilMs) {
+    loseHolder(state, step, record, phase);
+    return;
+  }
+  if (step.nowMs < phase.nextAskAtMs) return;
+  phase.nextAskAtMs = step.nowMs + ASK_EVERY_MS;
+  const message: PeerMessage = {
+    kind: 'lookup',
+    requestId: phase.sourceRequestId,
+    workspaceId: record.spec.workspaceId,
+    fromOffset: record.ledger.tokens.length,
+  };
+  const asked = phase.holderId === undefined ? livePeers(state) : [phase.holderId];
+  for (const boxId of asked) step.effects.push({ type: 'sendPeer', boxId, message });
+}
+
+function loseHolder(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  phase: FollowingPhase,
+): void {
+  if (phase.holderId !== undefined) {
+    // The holder may have handed the request to a peer before it went.
+    phase.holderId = undefined;
+    phase.patienceUntilMs = step.nowMs + state.settings.control.lookupTimeoutMs;
+    phase.nextAskAtMs = step.nowMs;
+    return;
+  }
+  settle(state, step, record, { outcome: Outcome.unknown, reason: Reason.holderGone });
+}
+
+/** Follows a request that this very box holds; says whether it does. */
+function followsHere(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  phase: FollowingPhase,
+): boolean {
+  const source = state.requests.get(phase.sourceRequestId);
+  if (source === undefined || source.spec.workspaceId !== record.spec.workspaceId) return false;
+  takeSight(state, step, record, sightOf(source, record.ledger.tokens.length));
+  return true;
+}
+
+/** What this box knows of a request, from an offset on. */
+function sightOf(source: RequestRecord, fromOffset: number): RequestSight {
+  const settled = phaseOf(source, 'settled');
+  return {
+    requestId: source.spec.requestId,
+    workspaceId: source.spec.workspaceId,
+    fromOffset,
+    tokens: source.ledger.tokens.slice(fromOffset),
+    outcome: settled?.outcome,
+    reason: settled?.reason,
+    status: settled?.status,
+    answer: undefined,
+  };
+}
+
+/** Answers a peer's question about a request. */
+export function onLookup(
+  state: BoxState,
+  step: Step,
+  from: string,
+  message: Extract<PeerMessage, { kind: 'lookup' }>,
+): void {
+  const source = state.requests.get(message.requestId);
+  const handedOver =
+    source !== undefined && phaseOf(source, 'settled')?.reason === Reason.handedOver;
+  if (source === undefined || handedOver || source.spec.workspaceId !== message.workspaceId) {
+    const answer: PeerMessage = { kind: 'notHere', requestId: message.requestId };
+    step.effects.push({ type: 'sendPeer', boxId: from, message: answer });
+    return;
+  }
+  const sight = sightOf(source, message.fromOffset);
+  step.effects.push({ type: 'sendPeer', boxId: from, message: { kind: 'sight', sight } });
+}
+
+/** Takes a peer's answer for every follower of that request. */
+export function onSight(state: BoxState, step: Step, from: string, sight: RequestSight): void {
+  for (const record of followersOf(state, sight.requestId)) {
+    const phase = phaseOf(record, 'following');
+    if (phase === undefined || record.spec.workspaceId !== sight.workspaceId) continue;
+    phase.holderId = from;
+    phase.patienceUntilMs = step.nowMs + state.settings.control.lookupTimeoutMs;
+    takeSight(state, step, record, sight);
+  }
+}
+
+/** A holder that does not have the request any more; the other peers are asked next. */
+export function onNotHere(state: BoxState, step: Step, from: string, requestId: string): void {
+  for (const record of followersOf(state, requestId)) {
+    const phase = phaseOf(record, 'following');
+    if (phase?.holderId === from) loseHolder(state, step, record, phase);
+  }
+}
+
+function followersOf(state: BoxState, requestId: string): RequestRecord[] {
+  const followers: RequestRecord[] = [];
+  for (const id of state.unsettled) {
+    const record = state.requests.get(id);
+    if (record === undefined) continue;
+    if (phaseOf(record, 'following')?.sourceRequestId === requestId) followers.push(record);
+  }
+  return followers;
+}
+
+function takeSight(state: BoxState, step: Step, record: RequestRecord, sight: RequestSight): void {
+  const held = record.ledger.tokens.length;
+  if (sight.fromOffset > held) return;
+  for (const token of sight.tokens.slice(held - sight.fromOffset)) record.ledger.tokens.push(token);
+  deliver(step, record);
+  if (sight.outcome === undefined) return;
+  settle(state, step, record, {
+    outcome: sight.outcome,
+    reason: sight.reason ?? Reason.answered,
+    status: sight.status,
+    answer: sight.answer,
+    attemptId: undefined,
+  });
+}
+
+/** A caller that reconnects: follows its request from the offset that it has. */
+export function onFollowAsked(state: BoxState, step: Step, event: EventOf<'followAsked'>): void {
+  const spec: RequestSpec = followerSpec(state, event);
+  const record = createRecord(spec, step.nowMs);
+  const source = state.requests.get(event.requestId);
+  if (source !== undefined) source.callerGoneAtMs = undefined;
+  addRecord(state, record);
+  record.skipUntil = event.fromOffset;
+  startFollowing(state, step, record, {
+    sourceRequestId: event.requestId,
+    holderId: undefined,
+    storedOutcome: undefined,
+    storedStatus: undefined,
+  });
+}
+
+function followerSpec(state: BoxState, event: EventOf<'followAsked'>): RequestSpec {
+  const FOLLOW_LIMIT_MS = 3_600_000;
+  return {
+    requestId: event.followId,
+    workspaceId: event.workspaceId,
+    requestClass: RequestClass.patient,
+    kind: ServerKind.engine,
+    pool: '',
+    version: '',
+    repeatable: true,
+    idempotencyKey: undefined,
+    digest: '',
+    deadlineAtMs: state.nowMs + FOLLOW_LIMIT_MS,
+    affinityHash: 0,
+    promptTokens: 0,
+    maxTokens: 0,
+  };
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/handover.ts
@@ -0,0 +1,162 @@
+/**
+ * Planned stop and reclaim of the entry box itself.
+ *
+ * A planned stop finishes what is in progress. A box that is reclaimed hands
+ * open requests to peers shortly before; the caller reconnects with its request
+ * id and last offset at any entry box.
+ */
+import { Outcome } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import type { PeerMessage } from '../types/peer.js';
+import { Reason, type RequestPhase, type RequestRecord } from '../types/request.js';
+import type { BoxState, Step } from '../state.js';
+import { admit } from './admission.js';
+import { cancelAll } from './attempts.js';
+import { log } from './log.js';
+import { livePeers } from './peerLinks.js';
+import { addRecord, createRecord, giveUp, mayHaveReached, phaseOf, settle } from './requests.js';
+import { leaveQueue } from './queues.js';
+
+/** How long a peer may take to say that it has taken a request, in ms. */
+const TAKEN_WITHIN_MS = 300;
+/** Peers tried for a repeatable request. */
+const MAX_PEERS_TRIED = 3;
+
+/** Begins a planned stop. */
+export function onStopAsked(state: BoxState, step: Step): void {
+  if (state.draining !== undefined) return;
+  state.draining = { sinceMs: step.nowMs, leavesAtMs: undefined };
+  log(step, 'draining', { open: state.unsettled.size });
+}
+
+/** Takes the notice that this box itself will be reclaimed. */
+export function onBoxReclaimNoticed(
+  state: BoxState,
+  step: Step,
+  event: EventOf<'boxReclaimNoticed'>,
+): void {
+  onStopAsked(state, step);
+  if (state.draining === undefined) return;
+  const known = state.draining.leavesAtMs ?? event.leavesAtMs;
+  state.draining.leavesAtMs = Math.min(known, event.leavesAtMs);
+}
+
+/** Hands requests over when the box's own end is near, and ends when nothing is left. */
+export function drainTick(state: BoxState, step: Step): void {
+  const { draining } = state;
+  if (draining === undefined) return;
+  const { handoverMs, drainNotReadyMs } = state.settings.control;
+  if (draining.leavesAtMs !== undefined && step.nowMs >= draining.leavesAtMs - handoverMs) {
+    handOverAll(state, step);
+  }
+  const balancerHasMovedOn = step.nowMs >= draining.sinceMs + drainNotReadyMs;
+  const idle = state.unsettled.size === 0 && state.outcomesWaiting.length === 0;
+  if (!balancerHasMovedOn || !idle || state.outcomesInFlight || state.stoppedTold) return;
+  state.stoppedTold = true;
+  step.effects.push({ type: 'stopped' });
+}
+
+function handOverAll(state: BoxState, step: Step): void {
+  for (const requestId of [...state.unsettled]) {
+    const record = state.requests.get(requestId);
+    if (record !== undefined && mayHandOver(record)) handOver(state, step, record, 0);
+  }
+}
+
+/** A run that may not be repeated stays where it is; one that has not left yet may go. */
+function mayHandOver(record: RequestRecord): boolean {
+  switch (record.phase.kind) {
+    case 'queued':
+    case 'running':
+      return record.spec.repeatable || !mayHaveReached(record);
+    case 'claiming':
+    case 'moving':
+    case 'following':
+    case 'handing':
+    case 'settled':
+      return false;
+  }
+}
+
+function handOver(state: BoxState, step: Step, record: RequestRecord, tries: number): void {
+  const peers = livePeers(state);
+  const toBoxId = peers[tries];
+  if (toBoxId === undefined) return;
+  leaveQueue(state, record);
+  cancelAll(state, step, record);
+  record.phase = { kind: 'handing', toBoxId, sinceMs: step.nowMs, tries };
+  const message: PeerMessage = {
+    kind: 'handover',
+    spec: record.spec,
+    deadlineInMs: record.spec.deadlineAtMs - step.nowMs,
+    tokens: record.ledger.tokens,
+    claimHeld: record.claimHeld,
+    claimVersion: record.claimVersion,
+    payload: undefined,
+  };
+  step.effects.push({ type: 'sendPeer', boxId: toBoxId, message });
+}
+
+/** Tries the next peer when one does not answer; only what is repeatable goes to a second one. */
+export function handingTick(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  phase: Extract<RequestPhase, { kind: 'handing' }>,
+): void {
+  if (step.nowMs - phase.sinceMs < TAKEN_WITHIN_MS) return;
+  if (record.spec.repeatable && phase.tries + 1 < MAX_PEERS_TRIED) {
+    const tries = phase.tries + 1;
+    if (livePeers(state)[tries] !== undefined) {
+      handOver(state, step, record, tries);
+      return;
+    }
+  }
+  if (record.spec.repeatable) {
+    giveUp(state, step, record, Reason.handedOver);
+    return;
+  }
+  // The peer may have taken it and run it.
+  settle(state, step, record, { outcome: Outcome.unknown, reason: Reason.handedOver });
+}
+
+/** Takes a request over from a box that is reclaimed. */
+export function onHandover(
+  state: BoxState,
+  step: Step,
+  from: string,
+  message: Extract<PeerMessage, { kind: 'handover' }>,
+): void {
+  const { requestId } = message.spec;
+  const taken: PeerMessage = { kind: 'handoverTaken', requestId };
+  if (state.requests.has(requestId)) {
+    step.effects.push({ type: 'sendPeer', boxId: from, message: taken });
+    return;
+  }
+  if (state.draining !== undefined) return;
+  const spec = { ...message.spec, deadlineAtMs: step.nowMs + message.deadlineInMs };
+  const record = createRecord(spec, step.nowMs);
+  for (const token of message.tokens) record.ledger.tokens.push(token);
+  record.deliveredCount = message.tokens.length;
+  record.handedOffset = message.tokens.length;
+  record.claimHeld = message.claimHeld;
+  record.claimVersion = message.claimVersion;
+  addRecord(state, record);
+  step.effects.push({ type: 'sendPeer', boxId: from, message: taken });
+  admit(state, step, record);
+}
+
+/** The peer has the request; the caller is told to reconnect. */
+export function onHandoverTaken(
+  state: BoxState,
+  step: Step,
+  from: string,
+  requestId: string,
+): void {
+  const record = state.requests.get(requestId);
+  const phase = record === undefined ? undefined : phaseOf(record, 'handing');
+  if (record === undefined || phase?.toBoxId !== from) return;
+  // The new holder writes the outcome of the claim.
+  record.claimHeld = false;
+  settle(state, step, record, { outcome: Outcome.unknown, reason: Reason.handedOver });
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/log.ts
@@ -0,0 +1,11 @@
+/** Short form of the log effect. */
+import type { Step } from '../state.js';
+
+/** Adds a log line to the effects. */
+export function log(
+  step: Step,
+  event: string,
+  fields: Readonly<Record<string, string | number | boolean>>,
+): void {
+  step.effects.push({ type: 'log', event, fields });
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -0,0 +1,135 @@
+/** Heartbeats to peers, who is live, and who is asked for what. */
+import {
+  liveInZone,
+  membershipTick,
+  MemberSource,
+  MemberState,
+  noteMember,
+} from 'reedlug-coordination';
+import type { PeerMessage } from '../types/peer.js';
+import type { BoxState, Step } from '../state.js';
+import { siteOfZone } from '../state.js';
+import { demandsOf, updateShares } from './limits.js';
+import { newsOf, poolLoads } from './servers.js';
+import { log } from './log.js';
+
+/** Live boxes of each other site that a box keeps a heartbeat with. */
+const FOREIGN_SITE_PEERS = 2;
+
+/** The other boxes of the settings. */
+export function otherBoxIds(state: BoxState): string[] {
+  const { boxes, boxId } = state.settings;
+  return boxes.filter((box) => box.id !== boxId).map((box) => box.id);
+}
+
+/** Sends a message to every peer that this box keeps a heartbeat with. */
+export function sendToPeers(state: BoxState, step: Step, message: PeerMessage): void {
+  for (const boxId of heartbeatPeers(state))
+    step.effects.push({ type: 'sendPeer', boxId, message });
+}
+
+/** All boxes of the own site, and a few of each other one, so that traffic does not grow with the fleet. */
+export function heartbeatPeers(state: BoxState): string[] {
+  const { settings } = state;
+  const ownSite = siteOfZone(settings, settings.zone);
+  const perSite = new Map<string, number>();
+  const ids: string[] = [];
+  const rank = Math.max(0, liveInZone(state.boxMembers, settings.zone).indexOf(settings.boxId));
+  for (const box of rotated(settings.boxes, rank)) {
+    if (box.id === settings.boxId) continue;
+    const site = siteOfZone(settings, box.zone);
+    const count = perSite.get(site) ?? 0;
+    if (site !== ownSite && count >= FOREIGN_SITE_PEERS) continue;
+    perSite.set(site, count + 1);
+    ids.push(box.id);
+  }
+  return ids;
+}
+
+function rotated<T>(items: readonly T[], by: number): T[] {
+  return [...items.slice(by), ...items.slice(0, by)];
+}
+
+/** Sends heartbeats when due and lets silence act on the peers. */
+export function peersTick(state: BoxState, step: Step): void {
+  for (const member of membershipTick(state.boxMembers, step.nowMs)) {
+    log(step, 'peerChanged', { box: member.id, state: member.state });
+  }
+  if (step.nowMs < state.nextHeartbeatAtMs) return;
+  state.nextHeartbeatAtMs = step.nowMs + state.settings.control.heartbeatMs;
+  updateShares(state, step.nowMs);
+  noteSelf(state, step.nowMs);
+  sendToPeers(state, step, heartbeat(state));
+}
+
+function noteSelf(state: BoxState, nowMs: number): void {
+  const { boxId, incarnation, zone } = state.settings;
+  noteMember(state.boxMembers, boxId, { kind: 'heard', incarnation, zone }, nowMs);
+}
+
+function heartbeat(state: BoxState): PeerMessage {
+  const { incarnation, zone } = state.settings;
+  return {
+    kind: 'heartbeat',
+    incarnation,
+    zone,
+    revision: state.config.revision,
+    draining: state.draining !== undefined,
+    demands: demandsOf(state),
+    poolLoads: poolLoads(state),
+  };
+}
+
+/** Takes a heartbeat; a box that is new to us is told what we know of the servers. */
+export function onHeartbeat(
+  state: BoxState,
+  step: Step,
+  from: string,
+  message: Extract<PeerMessage, { kind: 'heartbeat' }>,
+): void {
+  const before = state.boxMembers.members.get(from);
+  const isNew = before === undefined || before.incarnation < message.incarnation;
+  const wasSilent = before !== undefined && before.state !== MemberState.live;
+  const { incarnation, zone } = message;
+  if (before !== undefined && incarnation < before.incarnation) return;
+  noteMember(state.boxMembers, from, { kind: 'heard', incarnation, zone }, step.nowMs);
+  if (message.draining) noteDraining(state, from, incarnation, step.nowMs);
+  state.peers.set(from, {
+    revision: message.revision,
+    draining: message.draining,
+    demands: message.demands,
+    poolLoads: message.poolLoads,
+  });
+  if (isNew || wasSilent) tellAllServers(state, step, from);
+}
+
+function noteDraining(state: BoxState, from: string, incarnation: number, nowMs: number): void {
+  const statement = {
+    kind: 'leaving',
+    incarnation,
+    leavesAtMs: undefined,
+    source: MemberSource.direct,
+  } as const;
+  noteMember(state.boxMembers, from, statement, nowMs);
+}
+
+function tellAllServers(state: BoxState, step: Step, boxId: string): void {
+  const news = [...state.serverMembers.members.values()].flatMap((member) => {
+    const item = newsOf(member, step.nowMs);
+    return item === undefined ? [] : [item];
+  });
+  if (news.length === 0) return;
+  step.effects.push({ type: 'sendPeer', boxId, message: { kind: 'serverNews', news } });
+}
+
+/** Peers that may take over a request, own zone first. */
+export function livePeers(state: BoxState): string[] {
+  const { boxId, zone } = state.settings;
+  const own: string[] = [];
+  const other: string[] = [];
+  for (const member of state.boxMembers.members.values()) {
+    if (member.id === boxId || member.state !== MemberState.live) continue;
+    (member.zone === zone ? own : other).push(member.id);
+  }
+  return [...own.sort(), ...other.sort()];
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/queues.ts
@@ -0,0 +1,51 @@
+/** The queues of a pool: urgent and patient, each fair over workspaces. */
+import { createFairQueue, pushFair, removeFair, type FairQueue } from 'reedlug-coordination';
+import type { RequestRecord } from '../types/request.js';
+import { RequestClass } from '../types/settings.js';
+import type { BoxState, PoolQueues } from '../state.js';
+
+/** Work that a workspace gains each round, in prompt tokens. */
+const QUANTUM = 2000;
+
+/** The queues of a pool, made on first use. */
+export function queuesOf(state: BoxState, pool: string): PoolQueues {
+  const known = state.pools.get(pool);
+  if (known !== undefined) return known;
+  const queues: PoolQueues = {
+    urgent: createFairQueue(QUANTUM),
+    patient: createFairQueue(QUANTUM),
+    urgentRun: 0,
+  };
+  state.pools.set(pool, queues);
+  return queues;
+}
+
+/** The queue of a class. */
+export function queueFor(queues: PoolQueues, requestClass: RequestClass): FairQueue {
+  switch (requestClass) {
+    case RequestClass.urgent:
+      return queues.urgent;
+    case RequestClass.patient:
+      return queues.patient;
+  }
+}
+
+/** Puts a request into its queue; one that was in progress goes to the front. */
+export function enterQueue(
+  state: BoxState,
+  record: RequestRecord,
+  params: { nowMs: number; notBeforeMs: number; atFront: boolean },
+): void {
+  const { spec } = record;
+  record.phase = { kind: 'queued', sinceMs: params.nowMs, notBeforeMs: params.notBeforeMs };
+  const entry = { id: spec.requestId, ownerId: spec.workspaceId, cost: record.cost };
+  pushFair(queueFor(queuesOf(state, spec.pool), spec.requestClass), entry, params.atFront);
+}
+
+/** Takes a request out of its queue, if it is in one. */
+export function leaveQueue(state: BoxState, record: RequestRecord): void {
+  if (record.phase.kind !== 'queued') return;
+  const { spec } = record;
+  const queue = queueFor(queuesOf(state, spec.pool), spec.requestClass);
+  removeFair(queue, spec.workspaceId, spec.requestId);
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/requests.ts
@@ -0,0 +1,181 @@
+/** Records of requests: creation, phases, and the one way to settle them. */
+import { createAttemptLedger, Outcome, outcomeWhenGivenUp, Reach } from 'reedlug-coordination';
+import {
+  Reason,
+  type RequestPhase,
+  type RequestRecord,
+  type RequestSpec,
+} from '../types/request.js';
+import type { RelayedAnswer } from '../types/peer.js';
+import type { BoxState, Step } from '../state.js';
+import { workspaceView } from './limits.js';
+import { queueOutcome } from './claimWrites.js';
+import { leaveQueue } from './queues.js';
+
+/** Settled requests kept at most, whatever their age. */
+const SETTLED_LIMIT = 20_000;
+/** Work of a request besides its tokens, in tokens. */
+const REQUEST_BASE_COST = 16;
+/** A generated token costs as much as this many prompt tokens. */
+const GENERATED_TOKEN_COST = 4;
+
+/** Makes the record of an accepted request. */
+export function createRecord(spec: RequestSpec, nowMs: number): RequestRecord {
+  return {
+    spec,
+    arrivedAtMs: nowMs,
+    phase: { kind: 'queued', sinceMs: nowMs, notBeforeMs: nowMs },
+    attempts: [],
+    ledger: createAttemptLedger(),
+    deliveredCount: 0,
+    claimHeld: false,
+    claimVersion: 0,
+    kvTicket: undefined,
+    avoid: new Set(),
+    cachedTokens: 0,
+    cost: REQUEST_BASE_COST + spec.promptTokens + spec.maxTokens * GENERATED_TOKEN_COST,
+    waitedMs: undefined,
+    firstTokenMs: undefined,
+    retryOwed: false,
+    callerGoneAtMs: undefined,
+    skipUntil: 0,
+    handedOffset: 0,
+  };
+}
+
+/** Adds a record to the state and counts it for its workspace. */
+export function addRecord(state: BoxState, record: RequestRecord): void {
+  state.requests.set(record.spec.requestId, record);
+  state.unsettled.add(record.spec.requestId);
+  const view = workspaceView(state, record.spec.workspaceId);
+  if (view !== undefined) view.inProgress += 1;
+}
+
+/** The record of an attempt's request. */
+export function recordOfAttempt(state: BoxState, attemptId: string): RequestRecord | undefined {
+  return state.requests.get(attemptId.slice(0, attemptId.lastIndexOf('.')));
+}
+
+/** Settles a request that is given up on, by what its attempts may have done. */
+export function giveUp(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  reason: Reason,
+  retryAfterMs?: number,
+): void {
+  const outcome = outcomeWhenGivenUp({
+    reaches: record.attempts.map((attempt) => attempt.reach),
+    repeatable: record.spec.repeatable,
+  });
+  settle(state, step, record, { outcome, reason, retryAfterMs });
+}
+
+/** What is told when a request is settled. */
+export interface Settlement {
+  outcome: Outcome;
+  reason: Reason;
+  retryAfterMs?: number | undefined;
+  attemptId?: string | undefined;
+  status?: number | undefined;
+  answer?: RelayedAnswer | undefined;
+}
+
+/** Gives a request its one outcome and tells the caller. */
+export function settle(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  settlement: Settlement,
+): void {
+  const { spec, ledger } = record;
+  const { outcome, reason, status } = settlement;
+  const sourceRequestId = phaseOf(record, 'following')?.sourceRequestId;
+  leaveQueue(state, record);
+  record.phase = { kind: 'settled', outcome, reason, status, atMs: step.nowMs };
+  state.unsettled.delete(spec.requestId);
+  state.settledOrder.push(spec.requestId);
+  const view = workspaceView(state, spec.workspaceId);
+  if (view !== undefined) view.inProgress -= 1;
+  if (record.claimHeld) queueOutcome(state, step, record);
+  step.effects.push({
+    type: 'finishRequest',
+    requestId: spec.requestId,
+    outcome,
+    reason,
+    retryAfterMs: settlement.retryAfterMs,
+    attemptId: settlement.attemptId,
+    status,
+    promptTokens: spec.promptTokens,
+    completionTokens: ledger.tokens.length,
+    cachedTokens: record.cachedTokens,
+    times: {
+      waitedMs: record.waitedMs,
+      firstTokenMs: record.firstTokenMs,
+      wholeMs: step.nowMs - record.arrivedAtMs,
+    },
+    sourceRequestId,
+    answer: settlement.answer,
+  });
+}
+
+/** Refuses a request that was never accepted; it leaves no record. */
+export function refuse(
+  step: Step,
+  spec: RequestSpec,
+  reason: Reason,
+  retryAfterMs: number | undefined,
+): void {
+  step.effects.push({
+    type: 'finishRequest',
+    requestId: spec.requestId,
+    outcome: Outcome.notRun,
+    reason,
+    retryAfterMs,
+    attemptId: undefined,
+    status: undefined,
+    promptTokens: spec.promptTokens,
+    completionTokens: 0,
+    cachedTokens: 0,
+    times: { waitedMs: undefined, firstTokenMs: undefined, wholeMs: 0 },
+    sourceRequestId: undefined,
+    answer: undefined,
+  });
+}
+
+/** True while the request has no outcome. */
+export function isUnsettled(record: RequestRecord): boolean {
+  return record.phase.kind !== 'settled';
+}
+
+/** The phase of one kind, or undefined. */
+export function phaseOf<K extends RequestPhase['kind']>(
+  record: RequestRecord,
+  kind: K,
+): Extract<RequestPhase, { kind: K }> | undefined {
+  const { phase } = record;
+  return phase.kind === kind ? (phase as Extract<RequestPhase, { kind: K }>) : undefined;
+}
+
+/** True when an attempt of the request may have reached a server. */
+export function mayHaveReached(record: RequestRecord): boolean {
+  return record.attempts.some(
+    (attempt) => attempt.reach === Reach.maybe || attempt.reach === Reach.answered,
+  );
+}
+
+/** Forgets settled requests past their retention, oldest first. */
+export function forgetSettled(state: BoxState, step: Step): void {
+  const { retentionMs } = state.settings.control;
+  let forgotten = 0;
+  for (const requestId of state.settledOrder) {
+    const record = state.requests.get(requestId);
+    const settledAtMs = record === undefined ? 0 : (phaseOf(record, 'settled')?.atMs ?? 0);
+    const tooMany = state.settledOrder.length - forgotten > SETTLED_LIMIT;
+    if (!tooMany && step.nowMs - settledAtMs < retentionMs) break;
+    state.requests.delete(requestId);
+    step.effects.push({ type: 'forgetRequest', requestId });
+    forgotten += 1;
+  }
+  if (forgotten > 0) state.settledOrder.splice(0, forgotten);
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/servers.ts
@@ -0,0 +1,345 @@
+/**
+ * Backend servers: what is known of them, probes, and news to peers.
+ *
+ * Each server is probed by one live box of the zone, by rendezvous; the others
+ * learn only exceptions. Leaving is sticky for an incarnation.
+ */
+import {
+  hashString,
+  liveInZone,
+  MemberSource,
+  MemberState,
+  noteMember,
+  rendezvousWeight,
+  takesNewWork,
+  type Member,
+  type MemberStatement,
+} from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import type { EngineReport } from '../types/order.js';
+import type { PoolLoad, ServerNews } from '../types/peer.js';
+import { ServerKind, type ServerSpec } from '../types/settings.js';
+import type { BoxState, ServerView, Step } from '../state.js';
+import { siteOfZone } from '../state.js';
+import { evacuate } from './reclaim.js';
+import { log } from './log.js';
+import { sendToPeers } from './peerLinks.js';
+import { dispatchPool } from './dispatch.js';
+import { loseAttemptsAt } from './attempts.js';
+import { noteStarted } from './placement.js';
+import { noteReport } from '../policy/windows.js';
+
+/** Takes a server into the view if it is new or its description changed. */
+export function noteServerSpec(state: BoxState, spec: ServerSpec): ServerView {
+  const known = state.servers.get(spec.id);
+  if (known !== undefined && known.spec.pool === spec.pool && known.spec.zone === spec.zone) {
+    known.spec = spec;
+    return known;
+  }
+  if (known !== undefined) removeFromPool(state, known);
+  const view = known ?? newServerView(spec);
+  view.spec = spec;
+  state.servers.set(spec.id, view);
+  const pool = state.serversByPool.get(spec.pool) ?? [];
+  pool.push(view);
+  state.serversByPool.set(spec.pool, pool);
+  return view;
+}
+
+function newServerView(spec: ServerSpec): ServerView {
+  return {
+    spec,
+    idHash: hashString(spec.id),
+    openAttempts: new Set(),
+    pendingPrefillTokens: 0,
+    report: undefined,
+    reportedAtMs: Number.NEGATIVE_INFINITY,
+    openAtReport: 0,
+    probeFailures: 0,
+    interTokenMs: 0,
+    cacheAwareWindow: spec.slots,
+    cacheSequence: 0,
+    cacheUncertain: false,
+    exportBusyUntilMs: 0,
+  };
+}
+
+function removeFromPool(state: BoxState, view: ServerView): void {
+  const pool = state.serversByPool.get(view.spec.pool);
+  if (pool === undefined) return;
+  const index = pool.indexOf(view);
+  if (index >= 0) pool.splice(index, 1);
+}
+
+/** The member record of a server, if any source has named it. */
+export function serverMember(state: BoxState, serverId: string): Member | undefined {
+  return state.serverMembers.members.get(serverId);
+}
+
+/** True when a server may be given new work. */
+export function serverTakesWork(state: BoxState, view: ServerView): boolean {
+  const member = serverMember(state, view.spec.id);
+  if (member === undefined) return false;
+  if (state.mutations.has('trustStaleList') && member.state !== MemberState.dead) return true;
+  if (!takesNewWork(member)) return false;
+  return reportFits(view);
+}
+
+/** The engine's own report goes before what the settings say it runs. */
+function reportFits(view: ServerView): boolean {
+  const { report, spec } = view;
+  if (report === undefined || spec.kind === ServerKind.service) return true;
+  if (report.role !== 'serve') return false;
+  return report.model === spec.pool;
+}
+
+/** Takes the settings' own servers in at the start; they still have to be heard. */
+export function listConfiguredServers(state: BoxState, nowMs: number): void {
+  for (const spec of state.settings.servers) {
+    noteServerSpec(state, spec);
+    const statement: MemberStatement = {
+      kind: 'listed',
+      incarnation: 0,
+      zone: spec.zone,
+      leaving: false,
+    };
+    noteMember(state.serverMembers, spec.id, statement, nowMs);
+  }
+}
+
+/** Takes a statement about a server and does what follows from a change of state. */
+export function noteServer(
+  state: BoxState,
+  step: Step,
+  serverId: string,
+  statement: MemberStatement,
+  tellPeers: boolean,
+): void {
+  const view = state.servers.get(serverId);
+  const changed = noteMember(state.serverMembers, serverId, statement, step.nowMs);
+  if (changed === undefined) {
+    if (statement.kind === 'leaving' && view !== undefined) evacuate(state, step, view);
+    return;
+  }
+  log(step, 'serverChanged', { server: serverId, state: changed.state });
+  if (tellPeers) tellNews(state, step, changed);
+  if (view === undefined) return;
+  switch (changed.state) {
+    case MemberState.live:
+      dispatchPool(state, step, view.spec.pool);
+      return;
+    case MemberState.leaving:
+      evacuate(state, step, view);
+      return;
+    case MemberState.dead:
+      loseAttemptsAt(state, step, view);
+      return;
+    case MemberState.suspect:
+    case MemberState.listed:
+      return;
+  }
+}
+
+function tellNews(state: BoxState, step: Step, member: Member): void {
+  const news = newsOf(member, step.nowMs);
+  if (news !== undefined) sendToPeers(state, step, { kind: 'serverNews', news: [news] });
+}
+
+/** The exception to tell about a member; undefined for one that is only listed. */
+export function newsOf(member: Member, nowMs: number): ServerNews | undefined {
+  const base = { serverId: member.id, incarnation: member.incarnation, leavesInMs: undefined };
+  switch (member.state) {
+    case MemberState.live:
+      return { ...base, news: 'live' };
+    case MemberState.suspect:
+      return { ...base, news: 'silent' };
+    case MemberState.dead:
+      return { ...base, news: 'gone' };
+    case MemberState.leaving:
+      return {
+        ...base,
+        news: 'leaving',
+        leavesInMs: member.leavesAtMs === undefined ? undefined : member.leavesAtMs - nowMs,
+      };
+    case MemberState.listed:
+      return undefined;
+  }
+}
+
+/** Takes a peer's news about servers. */
+export function onServerNews(state: BoxState, step: Step, news: readonly ServerNews[]): void {
+  for (const item of news) noteServer(state, step, item.serverId, statementOf(item, step), false);
+}
+
+function statementOf(item: ServerNews, step: Step): MemberStatement {
+  const { incarnation } = item;
+  switch (item.news) {
+    case 'live':
+      return { kind: 'heard', incarnation, zone: '' };
+    case 'silent':
+      return { kind: 'silent', incarnation };
+    case 'gone':
+      return { kind: 'gone', incarnation, source: MemberSource.peer };
+    case 'leaving':
+      return {
+        kind: 'leaving',
+        incarnation,
+        leavesAtMs: item.leavesInMs === undefined ? undefined : step.nowMs + item.leavesInMs,
+        source: MemberSource.peer,
+      };
+  }
+}
+
+/** Takes a reclaim notice for a server. */
+export function onReclaimNoticed(
+  state: BoxState,
+  step: Step,
+  event: EventOf<'reclaimNoticed'>,
+): void {
+  const { serverId, leavesAtMs } = event;
+  // A notice may name a life of the box that this process has not met yet, or none.
+  const known = serverMember(state, serverId)?.incarnation ?? 0;
+  const incarnation = Math.max(event.incarnation, event.incarnation === 0 ? known : 0);
+  const statement: MemberStatement = {
+    kind: 'leaving',
+    incarnation,
+    leavesAtMs,
+    source: MemberSource.notice,
+  };
+  noteServer(state, step, serverId, statement, true);
+}
+
+/** Takes the platform's box list, which lags: it names servers and may say that they leave. */
+export function onBoxListRead(state: BoxState, step: Step, event: EventOf<'boxListRead'>): void {
+  for (const entry of event.entries) {
+    noteServerSpec(state, entry.spec);
+    const statement: MemberStatement = {
+      kind: 'listed',
+      incarnation: entry.incarnation,
+      zone: entry.spec.zone,
+      leaving: entry.leaving,
+    };
+    noteServer(state, step, entry.spec.id, statement, true);
+    noteStarted(state, entry.spec.id);
+  }
+}
+
+/** Takes an answer to a probe; undefined means that there was none. */
+export function onServerReported(
+  state: BoxState,
+  step: Step,
+  event: EventOf<'serverReported'>,
+): void {
+  const view = state.servers.get(event.serverId);
+  if (view === undefined) return;
+  if (event.report === undefined) {
+    onProbeFailed(state, step, view);
+    return;
+  }
+  view.probeFailures = 0;
+  onReport(state, step, view, event.report);
+}
+
+function onProbeFailed(state: BoxState, step: Step, view: ServerView): void {
+  const { probeFailuresToSuspect } = state.settings.control;
+  view.probeFailures += 1;
+  const incarnation = serverMember(state, view.spec.id)?.incarnation ?? 0;
+  if (view.probeFailures === probeFailuresToSuspect) {
+    noteServer(state, step, view.spec.id, { kind: 'silent', incarnation }, true);
+  }
+  if (view.probeFailures === probeFailuresToSuspect * 2) {
+    const gone = { kind: 'gone', incarnation, source: MemberSource.direct } as const;
+    noteServer(state, step, view.spec.id, gone, true);
+  }
+}
+
+/** Takes what a server reports of itself, in a probe's answer or beside a response. */
+export function onReport(
+  state: BoxState,
+  step: Step,
+  view: ServerView,
+  report: EngineReport,
+): void {
+  const member = serverMember(state, view.spec.id);
+  if (member !== undefined && report.incarnation < member.incarnation) return;
+  noteReport(state, view, report, step.nowMs);
+  const { incarnation } = report;
+  const heard = { kind: 'heard', incarnation, zone: view.spec.zone } as const;
+  noteServer(state, step, view.spec.id, heard, true);
+  if (!report.leaving) return;
+  const leaving = {
+    kind: 'leaving',
+    incarnation,
+    leavesAtMs: undefined,
+    source: MemberSource.direct,
+  } as const;
+  noteServer(state, step, view.spec.id, leaving, true);
+}
+
+/** Sends the probes that are due from this box. */
+export function probeServers(state: BoxState, step: Step): void {
+  if (step.nowMs < state.nextProbeAtMs) return;
+  state.nextProbeAtMs = step.nowMs + state.settings.control.probeEveryMs;
+  const boxes = probingBoxes(state);
+  for (const view of state.servers.values()) {
+    if (!isProbedHere(state, view, boxes)) continue;
+    step.effects.push({ type: 'probeServer', serverId: view.spec.id });
+  }
+}
+
+interface ProbingBox {
+  id: string;
+  hash: number;
+}
+
+function probingBoxes(state: BoxState): ProbingBox[] {
+  const { boxId, zone } = state.settings;
+  const ids = liveInZone(state.boxMembers, zone);
+  if (!ids.includes(boxId)) ids.push(boxId);
+  return ids.map((id) => ({ id, hash: hashString(id) }));
+}
+
+/** Own zone's servers are shared out; another zone's are probed here only when unheard of. */
+function isProbedHere(state: BoxState, view: ServerView, boxes: readonly ProbingBox[]): boolean {
+  const { settings } = state;
+  if (view.spec.zone !== settings.zone) {
+    const sameSite = siteOfZone(settings, view.spec.zone) === siteOfZone(settings, settings.zone);
+    return sameSite && !zoneHasLiveBox(state, view.spec.zone);
+  }
+  let best: ProbingBox | undefined;
+  let bestWeight = -1;
+  for (const box of boxes) {
+    const weight = rendezvousWeight(view.idHash, box.hash);
+    if (weight <= bestWeight) continue;
+    best = box;
+    bestWeight = weight;
+  }
+  return best?.id === settings.boxId;
+}
+
+function zoneHasLiveBox(state: BoxState, zone: string): boolean {
+  return liveInZone(state.boxMembers, zone).length > 0;
+}
+
+/** The loads of the pools whose engines this box has fresh reports of. */
+export function poolLoads(state: BoxState): PoolLoad[] {
+  const loads = new Map<string, PoolLoad>();
+  const freshAfterMs = state.nowMs - state.settings.control.probeEveryMs * 3;
+  for (const view of state.servers.values()) {
+    if (view.spec.kind !== ServerKind.engine || view.reportedAtMs < freshAfterMs) continue;
+    if (!serverTakesWork(state, view)) continue;
+    const key = `${view.spec.pool}@${view.spec.zone}`;
+    const load = loads.get(key) ?? {
+      pool: view.spec.pool,
+      zone: view.spec.zone,
+      engines: 0,
+      slots: 0,
+      busy: 0,
+    };
+    load.engines += 1;
+    load.slots += view.spec.slots;
+    load.busy += (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
+    loads.set(key, load);
+  }
+  return [...loads.values()];
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/timers.ts
@@ -0,0 +1,112 @@
+/** What time alone brings about in requests: deadlines, stalls, second tries, lost callers. */
+import { takeRetry } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import { Reason, type Attempt, type RequestRecord } from '../types/request.js';
+import { RequestClass } from '../types/settings.js';
+import type { BoxState, Step } from '../state.js';
+import { chooseServer } from '../policy/routing.js';
+import { shortestRunMs } from './admission.js';
+import { cancelAll, cancelAttempt, isStream, openAttempt, retryOrGiveUp } from './attempts.js';
+import { dispatchPool, sendAttempt } from './dispatch.js';
+import { followTick } from './following.js';
+import { giveUp, isUnsettled } from './requests.js';
+import { handingTick } from './handover.js';
+import { movingTick } from './reclaim.js';
+import { claimingTick } from './claimWrites.js';
+
+/** Retry time told with a request whose deadline has passed, in ms. */
+const DEADLINE_RETRY_MS = 500;
+
+/** Lets time act on every unsettled request, then on the queues. */
+export function requestsTick(state: BoxState, step: Step): void {
+  for (const requestId of [...state.unsettled]) {
+    const record = state.requests.get(requestId);
+    if (record !== undefined) requestTick(state, step, record);
+  }
+  for (const pool of state.pools.keys()) dispatchPool(state, step, pool);
+}
+
+function requestTick(state: BoxState, step: Step, record: RequestRecord): void {
+  if (callerIsGone(state, step, record)) return;
+  switch (record.phase.kind) {
+    case 'claiming':
+      claimingTick(state, step, record, record.phase.sinceMs);
+      return;
+    case 'queued':
+      queuedTick(state, step, record);
+      return;
+    case 'running':
+      runningTick(state, step, record);
+      return;
+    case 'moving':
+      movingTick(state, step, record, record.phase);
+      return;
+    case 'following':
+      followTick(state, step, record, record.phase);
+      return;
+    case 'handing':
+      handingTick(state, step, record, record.phase);
+      return;
+    case 'settled':
+      return;
+  }
+}
+
+/** Cancels a stream whose caller has not come back; a keyed request that may not be repeated goes on. */
+function callerIsGone(state: BoxState, step: Step, record: RequestRecord): boolean {
+  const { callerGoneAtMs } = record;
+  if (callerGoneAtMs === undefined || record.claimHeld) return false;
+  if (step.nowMs - callerGoneAtMs < state.settings.control.reconnectGraceMs) return false;
+  cancelAll(state, step, record);
+  giveUp(state, step, record, Reason.callerGone);
+  return true;
+}
+
+/** Gives up at once on what can no longer be answered in time. */
+function queuedTick(state: BoxState, step: Step, record: RequestRecord): void {
+  const latestStartMs = record.spec.deadlineAtMs - shortestRunMs(state, record.spec);
+  if (step.nowMs < latestStartMs) return;
+  giveUp(state, step, record, Reason.deadline, DEADLINE_RETRY_MS);
+}
+
+function runningTick(state: BoxState, step: Step, record: RequestRecord): void {
+  if (step.nowMs >= record.spec.deadlineAtMs) {
+    cancelAll(state, step, record);
+    giveUp(state, step, record, Reason.deadline, DEADLINE_RETRY_MS);
+    return;
+  }
+  const attempt = openAttempt(record);
+  if (attempt === undefined) return;
+  if (isStream(record)) stallTick(state, step, record, attempt);
+  else secondTryTick(state, step, record, attempt);
+}
+
+/** A silent stream is taken as lost. */
+function stallTick(state: BoxState, step: Step, record: RequestRecord, attempt: Attempt): void {
+  const { control } = state.settings;
+  const limitMs =
+    attempt.firstTokenAtMs === undefined ? control.firstTokenTimeoutMs : control.stallMs;
+  if (step.nowMs - attempt.progressAtMs < limitMs) return;
+  cancelAttempt(state, step, record, attempt);
+  record.avoid.add(attempt.serverId);
+  retryOrGiveUp(state, step, record);
+}
+
+/** An urgent repeatable look-up without an answer is tried once more elsewhere. */
+function secondTryTick(state: BoxState, step: Step, record: RequestRecord, attempt: Attempt): void {
+  const { spec } = record;
+  if (!spec.repeatable || spec.requestClass !== RequestClass.urgent) return;
+  if (record.attempts.length !== 1) return;
+  if (step.nowMs - attempt.sentAtMs < state.settings.policy.secondTryAfterMs) return;
+  record.avoid.add(attempt.serverId);
+  const view = chooseServer(state, record, step.nowMs);
+  if (view === undefined || view.spec.id === attempt.serverId) return;
+  if (takeRetry(state.retryBudget)) sendAttempt(state, step, record, view);
+}
+
+/** Notes that a caller's connection went away. */
+export function onCallerGone(state: BoxState, step: Step, event: EventOf<'callerGone'>): void {
+  const record = state.requests.get(event.requestId);
+  if (record === undefined || !isUnsettled(record)) return;
+  record.callerGoneAtMs = step.nowMs;
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/state.ts
@@ -0,0 +1,280 @@
+/**
+ * State of one box's decisions.
+ *
+ * Slices mutate their own part in place: copying maps of thousands of engines
+ * for each event does not fit the processor share that control may use.
+ */
+import {
+  createConfigReplica,
+  createLease,
+  createMembership,
+  createRetryBudget,
+  type ClaimGroup,
+  type ConfigReplica,
+  type FairQueue,
+  type LeaseState,
+  type Membership,
+  type PendingClaim,
+  type RetryBudget,
+  type TokenBucket,
+} from 'reedlug-coordination';
+import { xoroshiro128plus, type RandomGenerator } from 'pure-rand';
+import type { Effect } from './types/effect.js';
+import type { EngineReport } from './types/order.js';
+import type { PoolLoad, WorkspaceDemand } from './types/peer.js';
+import type { ConfirmedPlan, Plan } from './types/plan.js';
+import type { RequestRecord } from './types/request.js';
+import type { DecisionSettings, ServerSpec, WorkspaceLimits } from './types/settings.js';
+
+/** What the box holds about a backend server besides its membership. */
+export interface ServerView {
+  spec: ServerSpec;
+  idHash: number;
+  /** Ids of this box's open attempts there. */
+  openAttempts: Set<string>;
+  /** Prompt tokens of this box's attempts that have no first token yet. */
+  pendingPrefillTokens: number;
+  report: EngineReport | undefined;
+  reportedAtMs: number;
+  /** This box's open attempts when the report was made. */
+  openAtReport: number;
+  probeFailures: number;
+  /** Measured time between tokens, smoothed; 0 until measured. */
+  interTokenMs: number;
+  /** Window of the cache-aware policy, in requests. */
+  cacheAwareWindow: number;
+  /** Sequence number of the last cache event. */
+  cacheSequence: number;
+  /** True after a gap in the cache events, until the engine's own figures agree again. */
+  cacheUncertain: boolean;
+  exportBusyUntilMs: number;
+}
+
+/** The queues of one pool. */
+export interface PoolQueues {
+  urgent: FairQueue;
+  patient: FairQueue;
+  /** Urgent dispatches since the last patient one. */
+  urgentRun: number;
+}
+
+/** Where a conversation's cached prefix was last seen. */
+export interface CacheSight {
+  serverId: string;
+  tokens: number;
+}
+
+/** A box among the peers. */
+export interface PeerView {
+  revision: number;
+  draining: boolean;
+  demands: readonly WorkspaceDemand[];
+  poolLoads: readonly PoolLoad[];
+}
+
+/** One workspace's limit at this box. */
+export interface WorkspaceView {
+  limits: WorkspaceLimits;
+  bucket: TokenBucket;
+  sharePerSecond: number;
+  /** Requests asked for since the last heartbeat. */
+  asked: number;
+  demandPerSecond: number;
+  /** Unsettled requests at this box. */
+  inProgress: number;
+}
+
+/** What a table operation under way is for. */
+export type TablePurpose =
+  | { kind: 'claims'; group: ClaimGroup }
+  | { kind: 'claimOutcomes'; requestIds: readonly string[] }
+  | { kind: 'lease'; sentAtMs: number }
+  | { kind: 'configScan' }
+  | { kind: 'confirm'; askId: string; plan: Plan; tries: number; step: ConfirmStep };
+
+/** Steps of confirming a plan. */
+export type ConfirmStep =
+  { kind: 'write'; revision: number } | { kind: 'readBack'; revision: number };
+
+/** A start or stop asked of the cloud and not yet seen in the box list. */
+export interface CloudAskOpen {
+  askId: string;
+  sentAtMs: number;
+  zone: string;
+  machineClass: string;
+  reclaimable: boolean;
+  pool: string;
+  answered: boolean;
+}
+
+/** A refused kind of box, left alone for a while. */
+export interface OfferBackoff {
+  untilMs: number;
+  refusals: number;
+}
+
+/** A confirm that is in the table and waits to be in force at the peers. */
+export interface ConfirmWait {
+  askId: string;
+  revision: number;
+  untilMs: number;
+}
+
+/** The whole state. */
+export interface BoxState {
+  settings: DecisionSettings;
+  random: RandomGenerator;
+  nowMs: number;
+  epochMs: number;
+  startedAtMs: number;
+  counter: number;
+
+  requests: Map<string, RequestRecord>;
+  /** Requests that are not settled. */
+  unsettled: Set<string>;
+  /** Settled requests in the order in which they were settled. */
+  settledOrder: string[];
+  pools: Map<string, PoolQueues>;
+  workspaces: Map<string, WorkspaceView>;
+
+  servers: Map<string, ServerView>;
+  serversByPool: Map<string, ServerView[]>;
+  serverMembers: Membership;
+  roundRobinTurn: number;
+  cacheSights: Map<number, CacheSight>;
+  /** Share of prompt tokens found at the first-ranked engine without a sight, smoothed. */
+  priorHitShare: number;
+
+  boxMembers: Membership;
+  peers: Map<string, PeerView>;
+  nextHeartbeatAtMs: number;
+  nextProbeAtMs: number;
+
+  claimsWaiting: PendingClaim[];
+  claimGroupInFlight: boolean;
+  outcomesWaiting: string[];
+  outcomesInFlight: boolean;
+  outcomesNotBeforeMs: number;
+  tableOps: Map<string, TablePurpose>;
+
+  config: ConfigReplica;
+  nextConfigPollAtMs: number;
+  nextCatchUpAtMs: number;
+  configScanInFlight: boolean;
+  configSourceSeen: boolean;
+  /** True once the replica had every revision it had heard of. */
+  caughtUpOnce: boolean;
+  snapshotAtRevision: number;
+  confirmedPlans: ConfirmedPlan[];
+  confirmWaits: ConfirmWait[];
+
+  lease: LeaseState;
+  ordersSent: Map<string, { atMs: number; serverId: string; wantedKey: string }>;
+  cloudAsks: Map<string, CloudAskOpen>;
+  offerBackoff: Map<string, OfferBackoff>;
+  nextPlacementAtMs: number;
+
+  retryBudget: RetryBudget;
+  draining: { sinceMs: number; leavesAtMs: number | undefined } | undefined;
+  stoppedTold: boolean;
+  /** Deliberate faults for tests of the checker; empty in production. */
+  mutations: ReadonlySet<string>;
+}
+
+/** Time and effects of the event at hand. */
+export interface Step {
+  nowMs: number;
+  effects: Effect[];
+}
+
+/** Returns the state of a box that has just started. */
+export function createBoxState(params: {
+  settings: DecisionSettings;
+  seed: number;
+  nowMs: number;
+  mutations?: ReadonlySet<string>;
+}): BoxState {
+  const { settings, nowMs } = params;
+  const { control, policy } = settings;
+  return {
+    settings,
+    random: xoroshiro128plus(params.seed),
+    nowMs,
+    epochMs: 0,
+    startedAtMs: nowMs,
+    counter: 0,
+    requests: new Map(),
+    unsettled: new Set(),
+    settledOrder: [],
+    pools: new Map(),
+    workspaces: new Map(),
+    servers: new Map(),
+    serversByPool: new Map(),
+    serverMembers: createMembership({
+      suspectAfterMs: Number.POSITIVE_INFINITY,
+      deadAfterMs: control.deadAfterMs,
+    }),
+    roundRobinTurn: 0,
+    cacheSights: new Map(),
+    priorHitShare: 0.5,
+    boxMembers: createMembership({
+      suspectAfterMs: control.suspectAfterMs,
+      deadAfterMs: control.deadAfterMs,
+    }),
+    peers: new Map(),
+    nextHeartbeatAtMs: nowMs,
+    nextProbeAtMs: nowMs,
+    claimsWaiting: [],
+    claimGroupInFlight: false,
+    outcomesWaiting: [],
+    outcomesInFlight: false,
+    outcomesNotBeforeMs: 0,
+    tableOps: new Map(),
+    config: createConfigReplica(),
+    nextConfigPollAtMs: nowMs,
+    nextCatchUpAtMs: nowMs,
+    configScanInFlight: false,
+    configSourceSeen: false,
+    caughtUpOnce: false,
+    snapshotAtRevision: 0,
+    confirmedPlans: [],
+    confirmWaits: [],
+    lease: createLease(
+      {
+        key: `lease/orders/${siteOfZone(settings, settings.zone)}`,
+        ttlMs: control.leaseTtlMs,
+        marginMs: control.leaseMarginMs,
+        renewEveryMs: control.leaseRenewMs,
+        maxOrderFlightMs: control.maxOrderFlightMs,
+      },
+      settings.boxId,
+      settings.incarnation,
+    ),
+    ordersSent: new Map(),
+    cloudAsks: new Map(),
+    offerBackoff: new Map(),
+    nextPlacementAtMs: nowMs + control.placementEveryMs,
+    retryBudget: createRetryBudget(policy.retryShare, policy.retryCapacity),
+    draining: undefined,
+    stoppedTold: false,
+    mutations: params.mutations ?? new Set(),
+  };
+}
+
+/** The site of a zone; the zone's own name when the settings do not know it. */
+export function siteOfZone(settings: DecisionSettings, zone: string): string {
+  return settings.zones.find((spec) => spec.name === zone)?.site ?? zone;
+}
+
+/** An id that no other box and no earlier life of this box has used. */
+export function nextId(state: BoxState, prefix: string): string {
+  state.counter += 1;
+  const { boxId, incarnation } = state.settings;
+  return `${prefix}-${boxId}-${incarnation}-${state.counter}`;
+}
+
+/** A random number in [0, 1). */
+export function nextRandom(state: BoxState): number {
+  const RANGE = 0x1_0000_0000;
+  return (state.random.unsafeNext() >>> 0) / RANGE;
+}
--- /dev/null
+++ b/packages/reedlug-decisions/src/types/index.ts
@@ -0,0 +1,8 @@
+/** All types of the decisions. */
+export * from './effect.js';
+export * from './event.js';
+export * from './order.js';
+export * from './peer.js';
+export * from './plan.js';
+export * from './request.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/reedlug-standins/src/models/tableModel.ts
@@ -0,0 +1,76 @@
+/** In-memory transactional table: conditional writes, reads and ordered scans. */
+import type { TableAnswer, TableOp, TableRow } from 'reedlug-coordination';
+
+/** The table's rows. */
+export interface TableModel {
+  rows: Map<string, TableRow>;
+  /** Keys in order; rebuilt when a key was added. */
+  sortedKeys: string[];
+  sortedIsStale: boolean;
+  operations: number;
+}
+
+/** Returns an empty table. */
+export function createTableModel(): TableModel {
+  return { rows: new Map(), sortedKeys: [], sortedIsStale: false, operations: 0 };
+}
+
+/** Carries out an operation. */
+export function applyTableOp(table: TableModel, op: TableOp): TableAnswer {
+  table.operations += 1;
+  switch (op.kind) {
+    case 'transact':
+      return transact(table, op);
+    case 'read':
+      return { kind: 'done', rows: present(table, op.keys) };
+    case 'scan':
+      return { kind: 'done', rows: scan(table, op) };
+  }
+}
+
+function transact(table: TableModel, op: Extract<TableOp, { kind: 'transact' }>): TableAnswer {
+  const conflicts = op.writes.filter(
+    (write) => (table.rows.get(write.key)?.version ?? 0) !== write.expectVersion,
+  );
+  if (conflicts.length > 0) {
+    const rows = present(
+      table,
+      conflicts.map((write) => write.key),
+    );
+    return { kind: 'refused', reason: 'conflict', rows };
+  }
+  for (const write of op.writes) {
+    if (write.value === undefined) continue;
+    if (!table.rows.has(write.key)) table.sortedIsStale = true;
+    const version = write.expectVersion + 1;
+    table.rows.set(write.key, { key: write.key, version, value: structuredClone(write.value) });
+  }
+  return {
+    kind: 'done',
+    rows: present(
+      table,
+      op.writes.map((write) => write.key),
+    ),
+  };
+}
+
+function present(table: TableModel, keys: readonly string[]): TableRow[] {
+  return keys.flatMap((key) => {
+    const row = table.rows.get(key);
+    return row === undefined ? [] : [row];
+  });
+}
+
+function scan(table: TableModel, op: Extract<TableOp, { kind: 'scan' }>): TableRow[] {
+  if (table.sortedIsStale) {
+    table.sortedKeys = [...table.rows.keys()].sort();
+    table.sortedIsStale = false;
+  }
+  const rows: TableRow[] = [];
+  for (const key of table.sortedKeys) {
+    if (rows.length >= op.limit) break;
+    const row = key.startsWith(op.prefix) && key > op.afterKey ? table.rows.get(key) : undefined;
+    if (row !== undefined) rows.push(row);
+  }
+  return rows;
+}
--- /dev/null
+++ b/packages/reedlug/src/backends/serverPools.ts
@@ -0,0 +1,38 @@
+/** One undici pool for each backend server. */
+import { Pool } from 'undici';
+import type { ServerSpec } from 'reedlug-decisions';
+
+/** Pools by server address. */
+export interface ServerPools {
+  poolOf: (spec: ServerSpec) => Pool;
+  close: () => Promise<void>;
+}
+
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_MS = 4000;
+
+/** Returns pools that are made on first use. */
+export function createServerPools(): ServerPools {
+  const pools = new Map<string, Pool>();
+  return {
+    poolOf(spec) {
+      let pool = pools.get(spec.address);
+      if (pool === undefined) {
+        pool = new Pool(spec.address, {
+          // Streams are long and many; slots are bounded by the decisions, not here.
+          connections: null,
+          pipelining: 1,
+          connect: { timeout: CONNECT_TIMEOUT_MS },
+          keepAliveTimeout: KEEP_ALIVE_MS,
+          headersTimeout: 0,
+          bodyTimeout: 0,
+        });
+        pools.set(spec.address, pool);
+      }
+      return pool;
+    },
+    close: async () => {
+      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug/src/backends/serviceClient.ts
@@ -0,0 +1,125 @@
+/** Calls to plain services: method, query, body and status are carried through. */
+import { RefusalReason, type EventBody, type ServerSpec } from 'reedlug-decisions';
+import type { Emit } from './engineClient.js';
+import { neverConnected } from './httpErrors.js';
+import type { ServerPools } from './serverPools.js';
+
+/** A call as the caller made it, without the headers that belong to one connection. */
+export interface ServiceCall {
+  method: string;
+  /** Path and query at the service. */
+  path: string;
+  headers: Record<string, string>;
+  body: Buffer | undefined;
+}
+
+/** The answer of a service. */
+export interface ServiceAnswer {
+  status: number;
+  headers: Record<string, string>;
+  body: Buffer;
+}
+
+/** Headers that belong to one connection and are not carried through. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'content-length',
+  'expect',
+  'authorization',
+]);
+
+/** Copies the headers that may pass. */
+export function endToEndHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  const passed: Record<string, string> = {};
+  for (const [key, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_HEADERS.has(key)) continue;
+    passed[key] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return passed;
+}
+
+/** Calls a service; the answer goes to `onAnswer`, what follows from it to `emit`. */
+export function callService(params: {
+  pools: ServerPools;
+  spec: ServerSpec;
+  attemptId: string;
+  call: ServiceCall;
+  timeoutMs: number;
+  signal: AbortSignal;
+  onAnswer: (answer: ServiceAnswer) => void;
+  emit: Emit;
+}): void {
+  void run(params).then(params.emit);
+}
+
+async function run(params: Parameters<typeof callService>[0]): Promise<EventBody> {
+  const { pools, spec, attemptId, call, timeoutMs, signal, onAnswer } = params;
+  try {
+    const response = await pools.poolOf(spec).request({
+      method: call.method as 'GET',
+      path: call.path,
+      headers: call.headers,
+      body: call.body ?? null,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal,
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    const headers = endToEndHeaders(response.headers);
+    onAnswer({ status: response.statusCode, headers, body });
+    return { type: 'serviceAnswered', attemptId, status: response.statusCode };
+  } catch (error) {
+    if (neverConnected(error)) {
+      return { type: 'attemptRefused', attemptId, reason: RefusalReason.notConnected };
+    }
+    return { type: 'attemptLost', attemptId, reached: true };
+  }
+}
+
+/** Asks a plain service whether it is up; any answer will do. */
+export async function probeService(
+  pools: ServerPools,
+  spec: ServerSpec,
+  emit: Emit,
+): Promise<void> {
+  const PROBE_MS = 1000;
+  const serverId = spec.id;
+  try {
+    const response = await pools.poolOf(spec).request({
+      method: 'GET',
+      path: '/healthz',
+      headersTimeout: PROBE_MS,
+      bodyTimeout: PROBE_MS,
+    });
+    await response.body.dump();
+    emit({ type: 'serverReported', serverId, report: serviceReport(response.headers) });
+  } catch {
+    emit({ type: 'serverReported', serverId, report: undefined });
+  }
+}
+
+/** A plain service reports little: its start number and whether it leaves, in two headers. */
+function serviceReport(headers: Record<string, string | string[] | undefined>) {
+  const incarnation = Number(headers['x-incarnation'] ?? 0);
+  return {
+    incarnation: Number.isFinite(incarnation) ? incarnation : 0,
+    running: 0,
+    waiting: 0,
+    model: '',
+    version: '',
+    role: 'serve' as const,
+    leaving: headers['x-leaving'] === '1',
+    kvUsedShare: 0,
+    kvHitShare: 1,
+  };
+}
--- /dev/null
+++ b/packages/reedlug/src/backends/sseParser.ts
@@ -0,0 +1,24 @@
+/** Splits a server-sent event stream into the payloads of its `data:` lines. */
+export interface SseParser {
+  /** Takes a chunk and gives each whole `data:` payload to `onData`. */
+  push: (chunk: string, onData: (data: string) => void) => void;
+}
+
+/** Longest line kept while its end is awaited, in characters. */
+const MAX_LINE = 1_048_576;
+const DATA_PREFIX = 'data:';
+
+/** Returns a parser that keeps the rest of a line from chunk to chunk. */
+export function createSseParser(): SseParser {
+  let rest = '';
+  return {
+    push(chunk, onData) {
+      const lines = (rest + chunk).split('\n');
+      rest = lines.pop() ?? '';
+      if (rest.length > MAX_LINE) rest = '';
+      for (const line of lines) {
+        if (line.startsWith(DATA_PREFIX)) onData(line.slice(DATA_PREFIX.length).trim());
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug/src/cli.ts
@@ -0,0 +1,24 @@
+/** The command line of reedlug. */
+import { Builtins, Cli } from 'clipanion';
+import { DevCommand } from './commands/dev.js';
+import { EntryCommand } from './commands/entry.js';
+import { HashKeyCommand, SettingsCheckCommand } from './commands/settingsCheck.js';
+import { HistogramsCommand, StatusCommand } from './commands/status.js';
+import { VERSION, VersionCommand } from './commands/version.js';
+
+/** Runs the command line; resolves with the exit code. */
+export function runCli(args: readonly string[]): Promise<number> {
+  const cli = new Cli({ binaryLabel: 'reedlug', binaryName: 'reedlug', binaryVersion: VERSION });
+  const commands = [
+    Builtins.HelpCommand,
+    DevCommand,
+    EntryCommand,
+    HashKeyCommand,
+    HistogramsCommand,
+    SettingsCheckCommand,
+    StatusCommand,
+    VersionCommand,
+  ];
+  for (const command of commands) cli.register(command);
+  return cli.run([...args], Cli.defaultContext);
+}
--- /dev/null
+++ b/packages/reedlug/src/demo.ts
@@ -0,0 +1,128 @@
+/**
+ * The demo: a streamed draft and a bench look-up through `dev`, with a zone
+ * reclaimed in mid-stream. Exits 0 when both answers are whole.
+ */
+import { request } from 'undici';
+import { answerText } from 'reedlug-standins';
+import { hashString } from 'reedlug-coordination';
+import { startDevCluster, type DevBox, type DevCluster } from './dev/devCluster.js';
+import { createLogger } from './observe/logger.js';
+import { createSseParser } from './backends/sseParser.js';
+import { readSettingsFile } from './settings/settingsFile.js';
+
+const MAX_TOKENS = 160;
+const RECLAIM_AT_TOKENS = 40;
+const NOTICE_MS = 1500;
+const PROMPT = 'Draft the conformance report of meter batch 7.';
+
+/** What came of the demo. */
+interface DemoResult {
+  draftIsWhole: boolean;
+  lookUpIsWhole: boolean;
+}
+
+/** Runs the demo over a settings file; resolves with the exit code. */
+export async function runDemo(
+  settingsPath: string,
+  print: (line: string) => void,
+): Promise<number> {
+  const read = await readSettingsFile(settingsPath);
+  if (read.kind !== 'valid') {
+    print(`${settingsPath} is not valid; run reedlug settings check ${settingsPath}`);
+    return 1;
+  }
+  const logger = createLogger({}, (line) => {
+    if (/faultThrown|serverEvacuated|state=leaving/.test(line)) print(line);
+  });
+  const cluster = await startDevCluster(read.settings, logger);
+  try {
+    const result = await runCalls(cluster, print);
+    print(`draft whole: ${result.draftIsWhole}; look-up whole: ${result.lookUpIsWhole}`);
+    return result.draftIsWhole && result.lookUpIsWhole ? 0 : 1;
+  } finally {
+    await cluster.close();
+  }
+}
+
+async function runCalls(cluster: DevCluster, print: (line: string) => void): Promise<DemoResult> {
+  const [box] = cluster.boxes;
+  if (box === undefined) return { draftIsWhole: false, lookUpIsWhole: false };
+  const draft = await streamDraft(cluster, box, async () => {
+    const zone = runningZone(cluster, box);
+    print(`reclaiming ${zone} with ${NOTICE_MS} ms notice, in mid-stream`);
+    await cluster.throwFault({ kind: 'reclaimZone', zone, noticeMs: NOTICE_MS });
+  });
+  const lookUp = await lookUpSample(cluster, box);
+  print(`draft: ${draft.text.slice(0, 60)}… (${draft.tokens} tokens, done: ${draft.done})`);
+  print(`look-up: ${lookUp}`);
+  const expected = answerText(String(hashString(`user: ${PROMPT}\n`)), MAX_TOKENS);
+  return {
+    draftIsWhole: draft.done && draft.text === expected,
+    lookUpIsWhole: lookUp.includes('"registered"'),
+  };
+}
+
+/** The zone whose engine runs the draft. */
+function runningZone(cluster: DevCluster, box: DevBox): string {
+  for (const view of box.daemon.state.servers.values()) {
+    if (view.openAttempts.size > 0) return view.spec.zone;
+  }
+  return cluster.settings.zones[0]?.name ?? '';
+}
+
+interface Draft {
+  text: string;
+  tokens: number;
+  done: boolean;
+}
+
+async function streamDraft(
+  cluster: DevCluster,
+  box: DevBox,
+  onMiddle: () => Promise<void>,
+): Promise<Draft> {
+  const response = await request(`${box.address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: headersOf(cluster),
+    body: JSON.stringify({
+      model: cluster.settings.engines[0]?.model,
+      messages: [{ role: 'user', content: PROMPT }],
+      max_tokens: MAX_TOKENS,
+      stream: true,
+    }),
+  });
+  const draft: Draft = { text: '', tokens: 0, done: false };
+  const parser = createSseParser();
+  let reclaimed = false;
+  for await (const chunk of response.body) {
+    parser.push(String(chunk), (data) => takeEvent(draft, data));
+    if (reclaimed || draft.tokens < RECLAIM_AT_TOKENS) continue;
+    reclaimed = true;
+    await onMiddle();
+  }
+  return draft;
+}
+
+function takeEvent(draft: Draft, data: string): void {
+  if (data === '[DONE]') {
+    draft.done = true;
+    return;
+  }
+  const event = JSON.parse(data) as { choices?: { delta?: { content?: string } }[] };
+  const content = event.choices?.[0]?.delta?.content;
+  if (content === undefined) return;
+  draft.text += content;
+  draft.tokens += 1;
+}
+
+async function lookUpSample(cluster: DevCluster, box: DevBox): Promise<string> {
+  const service = cluster.settings.services[0]?.service;
+  const response = await request(`${box.address}/v1/services/${service}/samples/7`, {
+    headers: headersOf(cluster),
+  });
+  return response.body.text();
+}
+
+function headersOf(cluster: DevCluster): Record<string, string> {
+  return { authorization: `Bearer ${cluster.key}`, 'content-type': 'application/json' };
+}
--- /dev/null
+++ b/packages/reedlug/src/dev/devFaults.ts
@@ -0,0 +1,34 @@
+/** Fault switches of `reedlug dev`, checked before they are thrown. */
+import { z } from 'zod';
+
+const on = z.boolean().default(true);
+const noticeMs = z.number().nonnegative();
+
+/** The faults that can be thrown. */
+export const faultSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('reclaimZone'), zone: z.string(), noticeMs }),
+  z.strictObject({ kind: z.literal('reclaimServer'), server: z.string(), noticeMs }),
+  z.strictObject({ kind: z.literal('killServer'), server: z.string() }),
+  z.strictObject({ kind: z.literal('stallServer'), server: z.string(), forMs: noticeMs }),
+  z.strictObject({ kind: z.literal('refuseStarts'), on }),
+  z.strictObject({ kind: z.literal('tableDown'), on }),
+  z.strictObject({ kind: z.literal('tableSlow'), byMs: noticeMs }),
+  z.strictObject({ kind: z.literal('loseAnswers'), count: z.number().int().nonnegative() }),
+  z.strictObject({ kind: z.literal('cutPlatform'), zone: z.string(), on }),
+  z.strictObject({ kind: z.literal('cutZones'), zones: z.tuple([z.string(), z.string()]), on }),
+  z.strictObject({ kind: z.literal('stopBox'), box: z.string() }),
+  z.strictObject({ kind: z.literal('killBox'), box: z.string() }),
+  z.strictObject({ kind: z.literal('reclaimBox'), box: z.string(), noticeMs }),
+]);
+
+/** One fault. */
+export type DevFault = z.infer<typeof faultSchema>;
+
+/** A checked fault, or what is wrong with it. */
+export function parseFault(value: unknown): { fault: DevFault } | { faults: string[] } {
+  const parsed = faultSchema.safeParse(value);
+  if (parsed.success) return { fault: parsed.data };
+  return {
+    faults: parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`),
+  };
+}
--- /dev/null
+++ b/packages/reedlug/src/dev/devServers.ts
@@ -0,0 +1,77 @@
+/** The stand-in backend servers of `reedlug dev`, and the box list made of them. */
+import { ServerKind, type BoxListEntry, type CloudAsk, type ServerSpec } from 'reedlug-decisions';
+import {
+  startEngineServer,
+  startServiceServer,
+  type EngineServer,
+  type ServiceServer,
+} from 'reedlug-standins';
+import type { Settings } from '../settings/settingsTypes.js';
+
+/** One stand-in server. */
+export type DevServer = { spec: ServerSpec; incarnation: number; leaving: boolean } & (
+  { kind: 'engine'; running: EngineServer } | { kind: 'service'; running: ServiceServer }
+);
+
+/** Starts an engine under a description. */
+export async function startDevEngine(
+  settings: Settings,
+  spec: Omit<ServerSpec, 'address'>,
+  incarnation: number,
+): Promise<DevServer> {
+  const { kvCapacityTokens, prefillTokensPerMs, interTokenMs, crowding } = settings.standins;
+  const running = await startEngineServer({
+    options: {
+      engineId: spec.id,
+      model: spec.pool,
+      version: spec.version,
+      slots: spec.slots,
+      kvCapacityTokens,
+      prefillTokensPerMs,
+      interTokenMs,
+      crowding,
+      tokensPerEvent: 1,
+    },
+    port: 0,
+    checksFence: spec.checksFence,
+    incarnation,
+  });
+  const { address } = running.server;
+  return { kind: 'engine', spec: { ...spec, address }, incarnation, leaving: false, running };
+}
+
+/** Starts a plain service under a description. */
+export async function startDevService(
+  settings: Settings,
+  spec: Omit<ServerSpec, 'address'>,
+  incarnation: number,
+): Promise<DevServer> {
+  const answerMs = settings.standins.serviceAnswerMs;
+  const running = await startServiceServer({ port: 0, incarnation, answerMs });
+  const { address } = running.server;
+  return { kind: 'service', spec: { ...spec, address }, incarnation, leaving: false, running };
+}
+
+/** The description of an engine that the cloud is asked to start. */
+export function startedSpec(
+  settings: Settings,
+  ask: Extract<CloudAsk, { kind: 'start' }>,
+): Omit<ServerSpec, 'address'> {
+  const pool = settings.pools.find(({ model }) => model === ask.pool);
+  return {
+    id: ask.startToken,
+    kind: ServerKind.engine,
+    zone: ask.zone,
+    pool: ask.pool,
+    version: pool?.version ?? '',
+    slots: pool?.slotsPerEngine ?? 8,
+    machineClass: ask.machineClass,
+    reclaimable: ask.reclaimable,
+    checksFence: pool?.checksFence ?? true,
+  };
+}
+
+/** The box list as it is now. */
+export function boxListOf(servers: Iterable<DevServer>): BoxListEntry[] {
+  return [...servers].map(({ spec, incarnation, leaving }) => ({ spec, incarnation, leaving }));
+}
--- /dev/null
+++ b/packages/reedlug/src/http/adminRoutes.ts
@@ -0,0 +1,102 @@
+/** Routes for operators: status, histograms, plans. */
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { OperatorAnswer, Plan } from 'reedlug-decisions';
+import { parseIntent } from '../plans/intentValidation.js';
+import { isPlan } from '../plans/planShape.js';
+import { readBody } from './body.js';
+import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
+import { sendJson } from './exchanges.js';
+import { boxStatus } from './boxStatus.js';
+
+/** An operator's request with its JSON body. */
+interface OperatorRequest {
+  operatorId: string;
+  body: unknown;
+}
+
+type OperatorHandler = (asked: OperatorRequest, params: { id: string }) => Promise<Answer>;
+
+interface Answer {
+  status: number;
+  value: unknown;
+}
+
+/** Adds the routes. */
+export function addAdminRoutes(router: Router, context: RouteContext): void {
+  const { daemon } = context;
+  const route = (method: 'GET' | 'POST', path: string, handler: OperatorHandler): void =>
+    router.on(
+      method,
+      path,
+      (request, response, params) =>
+        void serveOperator(context, request, response, { id: params['id'] ?? '' }, handler),
+    );
+  route('GET', '/admin/status', async () => ({ status: 200, value: boxStatus(daemon) }));
+  route('GET', '/admin/histograms', async () => ({ status: 200, value: daemon.histograms.rows() }));
+  route('GET', '/admin/plans', async () => answerOf(await daemon.ask({ kind: 'listPlans' })));
+  route('POST', '/admin/plans', async ({ operatorId, body }) => {
+    const parsed = parseIntent(body);
+    if (parsed.kind === 'invalid') return answerOf({ kind: 'invalid', faults: parsed.faults });
+    const planId = randomUUID();
+    return answerOf(await daemon.ask({ kind: 'plan', operatorId, intent: parsed.intent, planId }));
+  });
+  route('POST', '/admin/plans/confirm', async ({ body }) => {
+    if (!isPlan(body)) return answerOf({ kind: 'invalid', faults: ['the body is not a plan'] });
+    return answerOf(await daemon.ask({ kind: 'confirm', plan: body as Plan }));
+  });
+  route('POST', '/admin/plans/:id/undo', async ({ operatorId }, { id }) => {
+    const newPlanId = randomUUID();
+    return answerOf(await daemon.ask({ kind: 'undo', operatorId, planId: id, newPlanId }));
+  });
+}
+
+async function serveOperator(
+  context: RouteContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+  params: { id: string },
+  handler: OperatorHandler,
+): Promise<void> {
+  const operatorId = context.operatorKeys.ownerOf(request.headers.authorization);
+  if (operatorId === undefined) {
+    const message = 'send "Authorization: Bearer KEY" with a key of an operator';
+    refuseRequest(request, response, 'unauthorized', message);
+    return;
+  }
+  const read = await readBody(request, context.settings.callers.maxBodyBytes);
+  if (read.kind !== 'body') {
+    refuseRequest(request, response, 'bodyTooLarge', 'the body is too large');
+    return;
+  }
+  const body = parseBody(read.body);
+  if (body === undefined) {
+    refuseRequest(request, response, 'badRequest', 'the body is not JSON');
+    return;
+  }
+  const { status, value } = await handler({ operatorId, body }, params);
+  sendJson(response, status, value);
+}
+
+function parseBody(body: Buffer): unknown {
+  if (body.length === 0) return null;
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+const ANSWER_STATUS: { [K in OperatorAnswer['kind']]: number } = {
+  planned: 200,
+  invalid: 400,
+  confirmed: 200,
+  conflict: 409,
+  unavailable: 503,
+  unknown: 502,
+  plans: 200,
+};
+
+function answerOf(answer: OperatorAnswer): Answer {
+  return { status: ANSWER_STATUS[answer.kind], value: answer };
+}
--- /dev/null
+++ b/packages/reedlug/src/http/apiError.ts
@@ -0,0 +1,123 @@
+/** The one JSON form of errors, with its HTTP status. */
+import { Outcome } from 'reedlug-coordination';
+import { Reason } from 'reedlug-decisions';
+
+/** Types of errors that the API tells. */
+export const ApiErrorType = {
+  badRequest: 'badRequest',
+  unauthorized: 'unauthorized',
+  notFound: 'notFound',
+  bodyTooLarge: 'bodyTooLarge',
+  headersTooLarge: 'headersTooLarge',
+  requestTimeout: 'requestTimeout',
+  limited: 'limited',
+  overloaded: 'overloaded',
+  unavailable: 'unavailable',
+  deadline: 'deadline',
+  keyReused: 'keyReused',
+  connectionLost: 'connectionLost',
+  handedOver: 'handedOver',
+  unknownOutcome: 'unknownOutcome',
+} as const;
+export type ApiErrorType = (typeof ApiErrorType)[keyof typeof ApiErrorType];
+
+/** An error as a caller sees it. */
+export interface ApiError {
+  status: number;
+  type: ApiErrorType;
+  message: string;
+  outcome: Outcome;
+  retryAfterMs: number | undefined;
+}
+
+const STATUS: { [K in ApiErrorType]: number } = {
+  badRequest: 400,
+  unauthorized: 401,
+  notFound: 404,
+  bodyTooLarge: 413,
+  headersTooLarge: 431,
+  requestTimeout: 408,
+  limited: 429,
+  overloaded: 503,
+  unavailable: 503,
+  deadline: 504,
+  keyReused: 422,
+  connectionLost: 502,
+  handedOver: 503,
+  unknownOutcome: 502,
+};
+
+/** An error about a request that was never accepted. */
+export function refusedError(type: ApiErrorType, message: string, retryAfterMs?: number): ApiError {
+  return { status: STATUS[type], type, message, outcome: Outcome.notRun, retryAfterMs };
+}
+
+/** The error for a request that did not complete. */
+export function errorOfFinish(finish: {
+  outcome: Outcome;
+  reason: Reason;
+  retryAfterMs: number | undefined;
+}): ApiError {
+  const { outcome, retryAfterMs } = finish;
+  const { type, message } = describe(finish.reason, outcome);
+  return { status: STATUS[type], type, message, outcome, retryAfterMs };
+}
+
+function describe(reason: Reason, outcome: Outcome): { type: ApiErrorType; message: string } {
+  switch (reason) {
+    case Reason.limited:
+      return {
+        type: 'limited',
+        message: 'the workspace is over its limit; retry after the given time',
+      };
+    case Reason.overloaded:
+      return { type: 'overloaded', message: 'too many requests of the workspace are waiting' };
+    case Reason.draining:
+      return { type: 'unavailable', message: 'this entry box is stopping; connect again' };
+    case Reason.notReady:
+      return { type: 'unavailable', message: 'this entry box is starting; connect again' };
+    case Reason.noServer:
+      return { type: 'unavailable', message: 'no server takes this request now' };
+    case Reason.claimUnavailable:
+      return {
+        type: 'unavailable',
+        message: 'the table did not answer, so the key could not be claimed; nothing was run',
+      };
+    case Reason.deadline:
+      return { type: 'deadline', message: 'the deadline cannot be met' };
+    case Reason.keyReused:
+      return {
+        type: 'keyReused',
+        message: 'the Idempotency-Key was used for another request; take a new key',
+      };
+    case Reason.notFound:
+      return { type: 'notFound', message: 'not found' };
+    case Reason.handedOver:
+      return {
+        type: 'handedOver',
+        message: 'another entry box has the request; connect again with its id',
+      };
+    case Reason.holderGone:
+    case Reason.callerGone:
+    case Reason.connectionLost:
+    case Reason.retriesExhausted:
+    case Reason.answered:
+      return lost(outcome);
+  }
+}
+
+function lost(outcome: Outcome): { type: ApiErrorType; message: string } {
+  if (outcome === Outcome.unknown) {
+    return {
+      type: 'unknownOutcome',
+      message: 'the request may have run and will not be sent again; check before repeating it',
+    };
+  }
+  return { type: 'connectionLost', message: 'the server was lost before the answer was whole' };
+}
+
+/** The body of an error. */
+export function errorBody(error: ApiError, requestId: string | undefined): string {
+  const { type, message, outcome, retryAfterMs } = error;
+  return JSON.stringify({ error: { type, message, outcome, retryAfterMs, requestId } });
+}
--- /dev/null
+++ b/packages/reedlug/src/http/callerServer.ts
@@ -0,0 +1,117 @@
+/** HTTP towards callers and operators. */
+import { randomUUID } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import findMyWay from 'find-my-way';
+import type { EntryDaemon } from '../daemon/entryDaemon.js';
+import { workspaceOfKey } from 'reedlug-decisions';
+import type { Settings } from '../settings/settingsTypes.js';
+import { refusedError, errorBody, type ApiError, type ApiErrorType } from './apiError.js';
+import { addAdminRoutes } from './adminRoutes.js';
+import { sendError, sendJson } from './exchanges.js';
+import { createKeyRing, type KeyRing } from './keys.js';
+import { addModelRoutes } from './modelRoutes.js';
+import { addRequestRoutes } from './requestRoutes.js';
+import { addServiceRoutes } from './serviceRoutes.js';
+
+/** The router's type. */
+export type Router = ReturnType<typeof createRouter>;
+
+/** What the routes share. */
+export interface RouteContext {
+  daemon: EntryDaemon;
+  settings: Settings;
+  workspaceKeys: KeyRing;
+  operatorKeys: KeyRing;
+  /** A fresh request id. */
+  newId: () => string;
+}
+
+/** How often connections are checked for their time-outs, in ms. */
+const CHECK_CONNECTIONS_MS = 500;
+const HTTP_CLOSE = 'connection: close\r\ncontent-type: application/json\r\n';
+
+function createRouter(onMissing: (request: IncomingMessage, response: ServerResponse) => void) {
+  return findMyWay({ ignoreTrailingSlash: true, defaultRoute: onMissing, maxParamLength: 500 });
+}
+
+/** Makes the server of an entry box; the caller lets it listen. */
+export function createCallerServer(daemon: EntryDaemon): Server {
+  const { settings } = daemon;
+  const router = createRouter((_request, response) => {
+    sendError(response, refusedError('notFound', 'no such path; see docs/api.md'), undefined);
+  });
+  const context: RouteContext = {
+    daemon,
+    settings,
+    workspaceKeys: createKeyRing(settings.workspaces, (hash) => workspaceOfKey(daemon.state, hash)),
+    operatorKeys: createKeyRing(settings.operators),
+    newId: () => randomUUID(),
+  };
+  addHealthRoutes(router, daemon);
+  addModelRoutes(router, context);
+  addServiceRoutes(router, context);
+  addRequestRoutes(router, context);
+  addAdminRoutes(router, context);
+  const { maxHeaderBytes, headersTimeoutMs, requestTimeoutMs } = settings.callers;
+  const server = createServer(
+    {
+      maxHeaderSize: maxHeaderBytes,
+      headersTimeout: headersTimeoutMs,
+      requestTimeout: requestTimeoutMs,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
+      keepAliveTimeout: 65_000,
+    },
+    (request, response) => router.lookup(request, response),
+  );
+  server.on('clientError', answerClientError);
+  return server;
+}
+
+function addHealthRoutes(router: Router, daemon: EntryDaemon): void {
+  router.on('GET', '/healthz', (_request, response) => sendJson(response, 200, { status: 'ok' }));
+  router.on('GET', '/readyz', (_request, response) => {
+    const ready = daemon.ready();
+    sendJson(response, ready ? 200 : 503, { ready, revision: daemon.state.config.revision });
+  });
+}
+
+/** Answers what the HTTP parser refused, then closes the connection. */
+function answerClientError(
+  error: NodeJS.ErrnoException,
+  socket: Socket | import('node:stream').Duplex,
+): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const refused = clientError(error.code);
+  const body = errorBody(refused, undefined);
+  const head = `HTTP/1.1 ${refused.status} ${refused.type}\r\n${HTTP_CLOSE}`;
+  socket.end(`${head}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+}
+
+function clientError(code: string | undefined): ApiError {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return refusedError('headersTooLarge', 'the headers are too large; send fewer');
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return refusedError('requestTimeout', 'the request was sent too slowly; send it at once');
+    default:
+      return refusedError('badRequest', 'this is not HTTP/1.1 as RFC 9112 has it');
+  }
+}
+
+/** Refuses a request and, when its body is unread, closes the connection after the answer. */
+export function refuseRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  type: ApiErrorType,
+  message: string,
+): void {
+  if (!request.complete) response.setHeader('connection', 'close');
+  sendError(response, refusedError(type, message), undefined);
+  if (!request.complete) {
+    response.once('finish', () => request.destroy());
+  }
+}
--- /dev/null
+++ b/packages/reedlug/src/http/exchanges.ts
@@ -0,0 +1,169 @@
+/** The three ways to answer a caller: a plain answer, a token stream, a service's answer. */
+import type { ServerResponse } from 'node:http';
+import { Outcome } from 'reedlug-coordination';
+import { Reason } from 'reedlug-decisions';
+import type { ServiceAnswer } from '../backends/serviceClient.js';
+import type { Exchange, FinishEffect } from '../daemon/exchange.js';
+import { errorBody, errorOfFinish, type ApiError } from './apiError.js';
+import { ModelForm } from './modelRequest.js';
+import { HeaderName } from './requestHeaders.js';
+
+/** What an exchange needs of its request. */
+export interface ModelExchangeParams {
+  response: ServerResponse;
+  requestId: string;
+  model: string;
+  form: ModelForm;
+  createdAtSeconds: number;
+}
+
+/** Sends an error in the one JSON form. */
+export function sendError(
+  response: ServerResponse,
+  error: ApiError,
+  requestId: string | undefined,
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.end();
+    return;
+  }
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    [HeaderName.outcome]: error.outcome,
+  };
+  if (requestId !== undefined) headers[HeaderName.requestId] = requestId;
+  if (error.retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.ceil(error.retryAfterMs / 1000));
+  }
+  response.writeHead(error.status, headers);
+  response.end(errorBody(error, requestId));
+}
+
+/** Sends a JSON value. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.end(JSON.stringify(value));
+}
+
+function usageOf(finish: FinishEffect): Record<string, unknown> {
+  return {
+    prompt_tokens: finish.promptTokens,
+    completion_tokens: finish.completionTokens,
+    total_tokens: finish.promptTokens + finish.completionTokens,
+    prompt_tokens_details: { cached_tokens: finish.cachedTokens },
+  };
+}
+
+/** An answer in one piece. */
+export function createPlainExchange(params: ModelExchangeParams): Exchange {
+  const { response, requestId, model, form, createdAtSeconds } = params;
+  const parts: string[] = [];
+  return {
+    onTokens: (_offset, tokens) => void parts.push(...tokens),
+    onFinish(finish) {
+      if (finish.outcome !== Outcome.completed) {
+        sendError(response, errorOfFinish(finish), requestId);
+        return;
+      }
+      const text = parts.join('');
+      const choice =
+        form === ModelForm.chat
+          ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
+          : { index: 0, text, finish_reason: 'stop' };
+      const body = {
+        id: requestId,
+        object: form === ModelForm.chat ? 'chat.completion' : 'text_completion',
+        created: createdAtSeconds,
+        model,
+        choices: [choice],
+        usage: usageOf(finish),
+      };
+      sendJson(response, 200, body, {
+        [HeaderName.requestId]: requestId,
+        [HeaderName.outcome]: finish.outcome,
+      });
+    },
+  };
+}
+
+/** An answer as server-sent events; each event's id is the offset after its tokens. */
+export function createStreamExchange(params: ModelExchangeParams): Exchange {
+  const { response, requestId, model, form, createdAtSeconds } = params;
+  const object = form === ModelForm.chat ? 'chat.completion.chunk' : 'text_completion';
+  const base = JSON.stringify({ id: requestId, object, created: createdAtSeconds, model });
+  const open = base.slice(0, -1);
+  const start = (): void => {
+    if (response.headersSent) return;
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      [HeaderName.requestId]: requestId,
+    });
+  };
+  return {
+    onTokens(offset, tokens) {
+      start();
+      const text = JSON.stringify(tokens.join(''));
+      const piece = form === ModelForm.chat ? `"delta":{"content":${text}}` : `"text":${text}`;
+      const choice = `{"index":0,${piece},"finish_reason":null}`;
+      response.write(`id: ${offset + tokens.length}\ndata: ${open},"choices":[${choice}]}\n\n`);
+    },
+    onFinish(finish) {
+      if (finish.outcome === Outcome.completed) {
+        start();
+        response.end(lastEvents(open, form, finish));
+        return;
+      }
+      if (!response.headersSent) {
+        sendError(response, errorOfFinish(finish), requestId);
+        return;
+      }
+      // Without `[DONE]` the caller knows that the answer is not whole.
+      const event = finish.reason === Reason.handedOver ? 'reconnect' : 'error';
+      response.end(`event: ${event}\ndata: ${errorBody(errorOfFinish(finish), requestId)}\n\n`);
+    },
+  };
+}
+
+function lastEvents(open: string, form: ModelForm, finish: FinishEffect): string {
+  const piece = form === ModelForm.chat ? '"delta":{}' : '"text":""';
+  const choice = `{"index":0,${piece},"finish_reason":"stop"}`;
+  const usage = JSON.stringify(usageOf(finish));
+  const last = `${open},"choices":[${choice}],"usage":${usage},"outcome":"${finish.outcome}"}`;
+  return `data: ${last}\n\ndata: [DONE]\n\n`;
+}
+
+/** The answer of a plain service, carried through. */
+export function createServiceExchange(response: ServerResponse, requestId: string): Exchange {
+  return {
+    onTokens: () => undefined,
+    onFinish(finish, answer) {
+      if (finish.outcome !== Outcome.completed) {
+        sendError(response, errorOfFinish(finish), requestId);
+        return;
+      }
+      sendServiceAnswer(response, requestId, finish, answer);
+    },
+  };
+}
+
+function sendServiceAnswer(
+  response: ServerResponse,
+  requestId: string,
+  finish: FinishEffect,
+  answer: ServiceAnswer | undefined,
+): void {
+  const own = { [HeaderName.requestId]: requestId, [HeaderName.outcome]: finish.outcome };
+  if (answer === undefined) {
+    // The request ran and its answer is no longer held by any box.
+    sendJson(response, 200, { requestId, outcome: finish.outcome, status: finish.status }, own);
+    return;
+  }
+  response.writeHead(answer.status, { ...answer.headers, ...own });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/reedlug/src/http/modelRoutes.ts
@@ -0,0 +1,152 @@
+/** Routes of model requests: chat, completions and the list of models. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { hashString } from 'reedlug-coordination';
+import { RequestClass, ServerKind, type RequestSpec } from 'reedlug-decisions';
+import { hashKey } from './keys.js';
+import { readBody } from './body.js';
+import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
+import { createPlainExchange, createStreamExchange, sendJson } from './exchanges.js';
+import { ModelForm, parseModelRequest, type ModelRequest } from './modelRequest.js';
+import { parseRequestHeaders, type RequestHeaders } from './requestHeaders.js';
+
+/** Characters of a prompt that make about one token. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Adds the routes. */
+export function addModelRoutes(router: Router, context: RouteContext): void {
+  const handle = (form: ModelForm) => (request: IncomingMessage, response: ServerResponse) =>
+    void serveModelRequest(context, form, request, response);
+  router.on('POST', '/v1/chat/completions', handle(ModelForm.chat));
+  router.on('POST', '/v1/completions', handle(ModelForm.completion));
+  router.on('GET', '/v1/models', (request, response) => listModels(context, request, response));
+}
+
+function listModels(
+  context: RouteContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  if (context.workspaceKeys.ownerOf(request.headers.authorization) === undefined) {
+    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
+    return;
+  }
+  const data = modelsOf(context).map((id) => ({ id, object: 'model', owned_by: 'reedlug' }));
+  sendJson(response, 200, { object: 'list', data });
+}
+
+/** What is told to a caller without a right key. */
+export const KEY_MESSAGE = 'send "Authorization: Bearer KEY" with a key of a workspace';
+
+function modelsOf(context: RouteContext): string[] {
+  const models = new Set<string>();
+  for (const { spec } of context.daemon.state.servers.values()) {
+    if (spec.kind === ServerKind.engine) models.add(spec.pool);
+  }
+  return [...models].sort();
+}
+
+async function serveModelRequest(
+  context: RouteContext,
+  form: ModelForm,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const workspaceId = context.workspaceKeys.ownerOf(request.headers.authorization);
+  if (workspaceId === undefined) {
+    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
+    return;
+  }
+  const { maxBodyBytes, deadlineLimitMs } = context.settings.callers;
+  const read = await readBody(request, maxBodyBytes);
+  if (read.kind === 'tooLarge') {
+    const message = `the body may have ${maxBodyBytes} bytes at most`;
+    refuseRequest(request, response, 'bodyTooLarge', message);
+    return;
+  }
+  if (read.kind === 'aborted') return;
+  const headers = parseRequestHeaders(request.headers, deadlineLimitMs);
+  const parsed = parseModelRequest(form, read.body);
+  const faults = [
+    ...(headers.kind === 'invalid' ? headers.faults : []),
+    ...(parsed.kind === 'invalid' ? parsed.faults : []),
+  ];
+  if (headers.kind === 'invalid' || parsed.kind === 'invalid') {
+    refuseRequest(request, response, 'badRequest', faults.join('; '));
+    return;
+  }
+  const fault = requestFault(context, parsed.request);
+  if (fault !== undefined) {
+    refuseRequest(request, response, fault.type, fault.message);
+    return;
+  }
+  const spec = specOf(context, workspaceId, parsed.request, headers.headers, read.body);
+  begin(context, spec, parsed.request, response);
+}
+
+function requestFault(
+  context: RouteContext,
+  request: ModelRequest,
+): { type: 'notFound' | 'badRequest'; message: string } | undefined {
+  const models = modelsOf(context);
+  if (!models.includes(request.model)) {
+    const message = `model ${request.model} is not served; served: ${models.join(', ')}`;
+    return { type: 'notFound', message };
+  }
+  const { maxTokensLimit } = context.settings.callers;
+  if ((request.maxTokens ?? 0) <= maxTokensLimit) return undefined;
+  return { type: 'badRequest', message: `max_tokens may be ${maxTokensLimit} at most` };
+}
+
+function specOf(
+  context: RouteContext,
+  workspaceId: string,
+  request: ModelRequest,
+  headers: RequestHeaders,
+  body: Buffer,
+): RequestSpec {
+  const { callers, workspaces } = context.settings;
+  const ownClass = workspaces.find(({ id }) => id === workspaceId)?.requestClass;
+  const requestClass = headers.requestClass ?? ownClass ?? RequestClass.patient;
+  const defaultMs =
+    requestClass === RequestClass.urgent
+      ? callers.urgentDeadlineDefaultMs
+      : callers.deadlineDefaultMs;
+  const conversation = headers.conversationId ?? request.opening;
+  const hasKey = headers.idempotencyKey !== undefined;
+  return {
+    requestId: context.newId(),
+    workspaceId,
+    requestClass,
+    kind: ServerKind.engine,
+    pool: request.model,
+    version: headers.modelVersion ?? '',
+    repeatable: headers.repeatable ?? true,
+    idempotencyKey: headers.idempotencyKey,
+    digest: hasKey ? hashKey(`${request.form} ${body.toString('latin1')}`) : '',
+    deadlineAtMs: performance.now() + (headers.deadlineMs ?? defaultMs),
+    affinityHash: hashString(`${workspaceId}|${request.model}|${conversation}`),
+    promptTokens: Math.ceil(request.prompt.length / CHARACTERS_PER_TOKEN),
+    maxTokens: request.maxTokens ?? callers.maxTokensDefault,
+  };
+}
+
+function begin(
+  context: RouteContext,
+  spec: RequestSpec,
+  request: ModelRequest,
+  response: ServerResponse,
+): void {
+  const { requestId } = spec;
+  const params = {
+    response,
+    requestId,
+    model: request.model,
+    form: request.form,
+    createdAtSeconds: Math.floor(Date.now() / 1000),
+  };
+  const exchange = request.stream ? createStreamExchange(params) : createPlainExchange(params);
+  response.on('close', () => {
+    if (!response.writableEnded) context.daemon.callerGone(requestId);
+  });
+  context.daemon.begin(spec, { kind: 'prompt', prompt: request.prompt }, exchange);
+}
--- /dev/null
+++ b/packages/reedlug/src/http/requestHeaders.ts
@@ -0,0 +1,90 @@
+/** The documented request headers: deadline, class, repeatability, key, conversation. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { RequestClass } from 'reedlug-decisions';
+
+/** What the headers say; undefined where one is absent. */
+export interface RequestHeaders {
+  deadlineMs: number | undefined;
+  requestClass: RequestClass | undefined;
+  repeatable: boolean | undefined;
+  idempotencyKey: string | undefined;
+  conversationId: string | undefined;
+  modelVersion: string | undefined;
+}
+
+/** Checked headers, or every fault. */
+export type RequestHeadersResult =
+  { kind: 'valid'; headers: RequestHeaders } | { kind: 'invalid'; faults: string[] };
+
+/** Names of the headers. */
+export const HeaderName = {
+  deadline: 'x-deadline-ms',
+  requestClass: 'x-request-class',
+  repeatable: 'x-repeatable',
+  idempotencyKey: 'idempotency-key',
+  conversation: 'x-conversation-id',
+  modelVersion: 'x-model-version',
+  requestId: 'x-request-id',
+  outcome: 'x-outcome',
+  lastEventId: 'last-event-id',
+} as const;
+
+const LONGEST_KEY = 255;
+
+/** Checks the headers. */
+export function parseRequestHeaders(
+  headers: IncomingHttpHeaders,
+  deadlineLimitMs: number,
+): RequestHeadersResult {
+  const faults: string[] = [];
+  const deadlineMs = parseDeadline(text(headers, HeaderName.deadline), deadlineLimitMs, faults);
+  const requestClass = parseClass(text(headers, HeaderName.requestClass), faults);
+  const repeatable = parseBoolean(text(headers, HeaderName.repeatable), faults);
+  const idempotencyKey = parseKey(text(headers, HeaderName.idempotencyKey), faults);
+  if (faults.length > 0) return { kind: 'invalid', faults };
+  const conversationId = text(headers, HeaderName.conversation);
+  const modelVersion = text(headers, HeaderName.modelVersion);
+  return {
+    kind: 'valid',
+    headers: { deadlineMs, requestClass, repeatable, idempotencyKey, conversationId, modelVersion },
+  };
+}
+
+function text(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function parseDeadline(
+  value: string | undefined,
+  limitMs: number,
+  faults: string[],
+): number | undefined {
+  if (value === undefined) return undefined;
+  const deadlineMs = /^\d{1,9}$/.test(value) ? Number(value) : Number.NaN;
+  if (deadlineMs >= 1 && deadlineMs <= limitMs) return deadlineMs;
+  faults.push(`${HeaderName.deadline} must be a whole number of ms from 1 to ${limitMs}`);
+  return undefined;
+}
+
+function parseClass(value: string | undefined, faults: string[]): RequestClass | undefined {
+  if (value === undefined) return undefined;
+  if (value === RequestClass.urgent || value === RequestClass.patient) return value;
+  faults.push(`${HeaderName.requestClass} must be urgent or patient`);
+  return undefined;
+}
+
+function parseBoolean(value: string | undefined, faults: string[]): boolean | undefined {
+  if (value === undefined) return undefined;
+  if (value === 'true') return true;
+  if (value === 'false') return false;
+  faults.push(`${HeaderName.repeatable} must be true or false`);
+  return undefined;
+}
+
+function parseKey(value: string | undefined, faults: string[]): string | undefined {
+  if (value === undefined) return undefined;
+  if (value.length >= 1 && value.length <= LONGEST_KEY) return value;
+  faults.push(`${HeaderName.idempotencyKey} must have 1 to ${LONGEST_KEY} characters`);
+  return undefined;
+}
--- /dev/null
+++ b/packages/reedlug/src/http/serviceRoutes.ts
@@ -0,0 +1,155 @@
+/** Routes to plain services: method, query, body and status are carried through. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { hashString } from 'reedlug-coordination';
+import { RequestClass, ServerKind, type RequestSpec } from 'reedlug-decisions';
+import { endToEndHeaders } from '../backends/serviceClient.js';
+import type { RouteSettings } from '../settings/settingsTypes.js';
+import { readBody } from './body.js';
+import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
+import { createServiceExchange } from './exchanges.js';
+import { hashKey } from './keys.js';
+import { KEY_MESSAGE } from './modelRoutes.js';
+import { parseRequestHeaders, type RequestHeaders } from './requestHeaders.js';
+
+/** Methods that repeat without harm where no route says otherwise. */
+const REPEATABLE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
+const PREFIX = '/v1/services/';
+
+/** Adds the routes. */
+export function addServiceRoutes(router: Router, context: RouteContext): void {
+  const handler = (request: IncomingMessage, response: ServerResponse): void =>
+    void serveServiceRequest(context, request, response);
+  const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
+  router.on([...methods], '/v1/services/:service', handler);
+  router.on([...methods], '/v1/services/:service/*', handler);
+}
+
+async function serveServiceRequest(
+  context: RouteContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const workspaceId = context.workspaceKeys.ownerOf(request.headers.authorization);
+  if (workspaceId === undefined) {
+    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
+    return;
+  }
+  const { maxBodyBytes, deadlineLimitMs } = context.settings.callers;
+  const read = await readBody(request, maxBodyBytes);
+  if (read.kind === 'tooLarge') {
+    refuseRequest(
+      request,
+      response,
+      'bodyTooLarge',
+      `the body may have ${maxBodyBytes} bytes at most`,
+    );
+    return;
+  }
+  if (read.kind === 'aborted') return;
+  const headers = parseRequestHeaders(request.headers, deadlineLimitMs);
+  if (headers.kind === 'invalid') {
+    refuseRequest(request, response, 'badRequest', headers.faults.join('; '));
+    return;
+  }
+  const { service, path } = splitTarget(request.url ?? '');
+  if (!knownServices(context).has(service)) {
+    const known = [...knownServices(context)].join(', ');
+    refuseRequest(
+      request,
+      response,
+      'notFound',
+      `service ${service} is not known; known: ${known}`,
+    );
+    return;
+  }
+  const method = request.method ?? 'GET';
+  const call = { service, method, path, body: read.body };
+  const spec = specOf(context, workspaceId, call, headers.headers);
+  response.on('close', () => {
+    if (!response.writableEnded) context.daemon.callerGone(spec.requestId);
+  });
+  context.daemon.begin(
+    spec,
+    {
+      kind: 'call',
+      method,
+      path,
+      headers: endToEndHeaders(request.headers),
+      body: read.body.length === 0 ? undefined : read.body,
+    },
+    createServiceExchange(response, spec.requestId),
+  );
+}
+
+interface Call {
+  service: string;
+  method: string;
+  path: string;
+  body: Buffer;
+}
+
+/** The service's name and the path and query at it. */
+function splitTarget(url: string): { service: string; path: string } {
+  const rest = url.slice(PREFIX.length);
+  const end = rest.search(/[/?]/);
+  if (end < 0) return { service: rest, path: '/' };
+  const tail = rest.slice(end);
+  return { service: rest.slice(0, end), path: tail.startsWith('/') ? tail : `/${tail}` };
+}
+
+function knownServices(context: RouteContext): Set<string> {
+  const services = new Set(context.settings.services.map(({ service }) => service));
+  for (const { spec } of context.daemon.state.servers.values()) {
+    if (spec.kind === ServerKind.service) services.add(spec.pool);
+  }
+  return services;
+}
+
+function specOf(
+  context: RouteContext,
+  workspaceId: string,
+  call: Call,
+  headers: RequestHeaders,
+): RequestSpec {
+  const { settings } = context;
+  const route = routeOf(settings.routes, call);
+  const workspace = settings.workspaces.find(({ id }) => id === workspaceId);
+  const requestClass =
+    headers.requestClass ?? route?.requestClass ?? workspace?.requestClass ?? RequestClass.urgent;
+  const deadlineMs =
+    headers.deadlineMs ?? route?.deadlineMs ?? settings.callers.urgentDeadlineDefaultMs;
+  const hasKey = headers.idempotencyKey !== undefined;
+  const text = `${call.method} ${call.service} ${call.path} ${call.body.toString('latin1')}`;
+  return {
+    requestId: context.newId(),
+    workspaceId,
+    requestClass,
+    kind: ServerKind.service,
+    pool: call.service,
+    version: '',
+    repeatable: isRepeatable(call, route, headers),
+    idempotencyKey: headers.idempotencyKey,
+    digest: hasKey ? hashKey(text) : '',
+    deadlineAtMs: performance.now() + deadlineMs,
+    affinityHash: hashString(workspaceId),
+    promptTokens: 0,
+    maxTokens: 0,
+  };
+}
+
+/**
+ * A caller may call a repeatable route not repeatable. The other way round
+ * only the settings decide, so that a wrong header cannot double a notice.
+ */
+function isRepeatable(
+  call: Call,
+  route: RouteSettings | undefined,
+  headers: RequestHeaders,
+): boolean {
+  const byRoute = route?.repeatable ?? REPEATABLE_METHODS.has(call.method);
+  return byRoute && headers.repeatable !== false;
+}
+
+function routeOf(routes: readonly RouteSettings[], call: Call): RouteSettings | undefined {
+  return routes.find((route) => route.service === call.service && route.method === call.method);
+}
--- /dev/null
+++ b/packages/reedlug/src/index.ts
@@ -0,0 +1,12 @@
+/** Library of the entry daemon. */
+export { runCli } from './cli.js';
+export * from './daemon/entryDaemon.js';
+export * from './daemon/exchange.js';
+export * from './dev/devCluster.js';
+export { createCallerServer } from './http/callerServer.js';
+export { hashKey } from './http/keys.js';
+export * from './observe/histograms.js';
+export * from './observe/logger.js';
+export * from './settings/settingsFile.js';
+export type * from './settings/settingsTypes.js';
+export * from './settings/settingsValidation.js';
--- /dev/null
+++ b/packages/reedlug/src/observe/logger.ts
@@ -0,0 +1,37 @@
+/** Structured logs: roarr's messages as one line of key=value pairs for each event. */
+import './enableRoarr.js';
+import { ROARR, Roarr } from 'roarr';
+
+/** A value of a log field. */
+export type LogValue = string | number | boolean;
+
+/** Writes one event. */
+export type Logger = (event: string, fields: Readonly<Record<string, LogValue>>) => void;
+
+/** Returns a logger that goes through roarr and writes lines by `writeLine`. */
+export function createLogger(
+  context: Readonly<Record<string, LogValue>>,
+  writeLine: (line: string) => void,
+): Logger {
+  ROARR.write = (message) => writeLine(lineOf(JSON.parse(message) as RoarrMessage));
+  const child = Roarr.child(context);
+  return (event, fields) => child(fields, event);
+}
+
+interface RoarrMessage {
+  context: Record<string, LogValue>;
+  message: string;
+  time: number;
+}
+
+function lineOf({ context, message, time }: RoarrMessage): string {
+  const pairs = [`time=${new Date(time).toISOString()}`, `event=${message}`];
+  for (const [key, value] of Object.entries(context)) pairs.push(`${key}=${quoted(value)}`);
+  return pairs.join(' ');
+}
+
+/** Quotes a value that would not read as one word. */
+export function quoted(value: LogValue): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/reedlug/src/peers/frames.ts
@@ -0,0 +1,48 @@
+/** Length-framed cbor-x: four bytes of length, then one value. */
+import { Decoder, Encoder } from 'cbor-x';
+
+/** Largest frame taken, in bytes. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** One value as a frame. */
+export function encodeFrame(value: unknown): Buffer {
+  const body = encoder.encode(value);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+/** Collects bytes and gives out whole values. */
+export interface FrameReader {
+  /** Returns the values that are complete, or `undefined` when the bytes are no frames. */
+  push: (chunk: Buffer, maxBytes?: number) => unknown[] | undefined;
+}
+
+/** Returns a reader that keeps an unfinished frame from chunk to chunk. */
+export function createFrameReader(): FrameReader {
+  let rest: Buffer = Buffer.alloc(0);
+  return {
+    push(chunk, maxBytes = MAX_FRAME_BYTES) {
+      rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      const values: unknown[] = [];
+      while (rest.length >= LENGTH_BYTES) {
+        const length = rest.readUInt32BE(0);
+        if (length > maxBytes) return undefined;
+        if (rest.length < LENGTH_BYTES + length) break;
+        const body = rest.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
+        rest = rest.subarray(LENGTH_BYTES + length);
+        try {
+          values.push(decoder.decode(body));
+        } catch {
+          return undefined;
+        }
+      }
+      return values;
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug/src/peers/peerLink.ts
@@ -0,0 +1,228 @@
+/**
+ * Peer link: one outgoing TCP connection to each peer for what this box says,
+ * and incoming ones for what it hears. A stranger or garbage is closed and
+ * counted; the process goes on.
+ */
+import { createServer, connect, type Server, type Socket } from 'node:net';
+import * as tls from 'node:tls';
+import type { PeerMessage } from 'reedlug-decisions';
+import { createFrameReader, encodeFrame } from './frames.js';
+import {
+  createHello,
+  createProof,
+  isHello,
+  isProof,
+  proofFits,
+  type Hello,
+  type Side,
+} from './handshake.js';
+import { isPeerMessage } from './peerMessages.js';
+
+/** Keys for mutual TLS, as PEM text. */
+export interface PeerTls {
+  key: string;
+  cert: string;
+  ca: string;
+}
+
+/** What a peer link needs. */
+export interface PeerLinkOptions {
+  boxId: string;
+  /** Address to listen on, `ip:port`. */
+  listen: string;
+  peers: readonly { id: string; address: string }[];
+  secret: string;
+  tls: PeerTls | undefined;
+  onMessage: (from: string, message: PeerMessage) => void;
+  /** Told of each connection that was refused, with the reason. */
+  onRejected: (reason: string) => void;
+  /** For tests of cuts: true while nothing passes between this box and a peer. */
+  isCut: (boxId: string) => boolean;
+}
+
+/** A running peer link. */
+export interface PeerLink {
+  send: (boxId: string, message: PeerMessage) => void;
+  port: number;
+  close: () => Promise<void>;
+}
+
+const HANDSHAKE_TIMEOUT_MS = 2000;
+const HANDSHAKE_MAX_BYTES = 1024;
+const RECONNECT_MS = 300;
+/** Messages kept for a peer whose connection is being made. */
+const PENDING_LIMIT = 256;
+/** A peer that takes nothing is dropped at this many bytes waiting. */
+const BACKLOG_BYTES = 8 * 1024 * 1024;
+
+interface Outgoing {
+  address: string;
+  socket: Socket | undefined;
+  ready: boolean;
+  pending: PeerMessage[];
+  retryAtMs: number;
+}
+
+/** Starts a peer link; resolves once it listens. */
+export async function startPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
+  const incoming = new Set<Socket>();
+  const outgoing = new Map<string, Outgoing>();
+  for (const { id, address } of options.peers) {
+    outgoing.set(id, { address, socket: undefined, ready: false, pending: [], retryAtMs: 0 });
+  }
+  const server = createListener(options, (socket) => {
+    incoming.add(socket);
+    socket.on('close', () => incoming.delete(socket));
+    serveIncoming(options, socket);
+  });
+  const port = await listen(server, options.listen);
+  return {
+    port,
+    send(boxId, message) {
+      const peer = outgoing.get(boxId);
+      if (peer !== undefined && !options.isCut(boxId)) sendTo(options, boxId, peer, message);
+    },
+    close: async () => {
+      for (const socket of incoming) socket.destroy();
+      for (const peer of outgoing.values()) peer.socket?.destroy();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
+
+function createListener(options: PeerLinkOptions, onSocket: (socket: Socket) => void): Server {
+  if (options.tls === undefined) return createServer(onSocket);
+  const server = tls.createServer(
+    { ...options.tls, requestCert: true, rejectUnauthorized: true },
+    onSocket,
+  );
+  server.on('tlsClientError', () => options.onRejected('tls'));
+  return server;
+}
+
+function listen(server: Server, address: string): Promise<number> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      const bound = server.address();
+      resolve(typeof bound === 'object' && bound !== null ? bound.port : port);
+    });
+  });
+}
+
+function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+function serveIncoming(options: PeerLinkOptions, socket: Socket): void {
+  handshake(options, socket, 'listener', undefined, (other, reader, rest) => {
+    const take = (values: unknown[] | undefined): void => {
+      if (values === undefined) {
+        options.onRejected('garbage');
+        socket.destroy();
+        return;
+      }
+      for (const value of values) takeValue(options, socket, other.boxId, value);
+    };
+    take(rest);
+    socket.on('data', (chunk: Buffer) => take(reader.push(chunk)));
+  });
+}
+
+function takeValue(options: PeerLinkOptions, socket: Socket, from: string, value: unknown): void {
+  if (options.isCut(from)) return;
+  if (isPeerMessage(value)) {
+    options.onMessage(from, value);
+    return;
+  }
+  options.onRejected('garbage');
+  socket.destroy();
+}
+
+type Reader = ReturnType<typeof createFrameReader>;
+
+/** Runs the handshake; `onDone` gets the other side, the reader, and values that came early. */
+function handshake(
+  options: PeerLinkOptions,
+  socket: Socket,
+  side: Side,
+  expectedId: string | undefined,
+  onDone: (other: Hello, reader: Reader, rest: unknown[]) => void,
+): void {
+  const own = createHello(options.boxId);
+  const reader = createFrameReader();
+  let other: Hello | undefined;
+  const reject = (reason: string): void => {
+    options.onRejected(reason);
+    socket.destroy();
+  };
+  const timer = setTimeout(() => reject('handshakeTimeout'), HANDSHAKE_TIMEOUT_MS);
+  timer.unref();
+  socket.setNoDelay(true);
+  socket.on('error', () => socket.destroy());
+  socket.on('close', () => clearTimeout(timer));
+  socket.write(encodeFrame(own));
+  const onData = (chunk: Buffer): void => {
+    // Messages may follow the proof at once, so only the hello is held to the small size.
+    const values = reader.push(chunk, other === undefined ? HANDSHAKE_MAX_BYTES : undefined);
+    if (values === undefined) return reject('garbage');
+    while (values.length > 0) {
+      const value = values.shift();
+      if (other === undefined) {
+        if (!isHello(value) || (expectedId ?? value.boxId) !== value.boxId) return reject('hello');
+        other = value;
+        const proof = createProof({ secret: options.secret, side, own, other });
+        socket.write(encodeFrame(proof));
+        continue;
+      }
+      const { secret } = options;
+      if (!isProof(value) || !proofFits({ secret, side, own, other, proof: value })) {
+        return reject('proof');
+      }
+      clearTimeout(timer);
+      socket.off('data', onData);
+      onDone(other, reader, values);
+      return;
+    }
+  };
+  socket.on('data', onData);
+}
+
+function sendTo(
+  options: PeerLinkOptions,
+  boxId: string,
+  peer: Outgoing,
+  message: PeerMessage,
+): void {
+  const { socket } = peer;
+  if (socket !== undefined && peer.ready) {
+    if (socket.writableLength > BACKLOG_BYTES) socket.destroy();
+    else socket.write(encodeFrame(message));
+    return;
+  }
+  // A heartbeat says how things are now; an old one is worth nothing.
+  if (message.kind !== 'heartbeat' && peer.pending.length < PENDING_LIMIT) {
+    peer.pending.push(message);
+  }
+  if (socket === undefined && performance.now() >= peer.retryAtMs) open(options, boxId, peer);
+}
+
+function open(options: PeerLinkOptions, boxId: string, peer: Outgoing): void {
+  const { host, port } = splitAddress(peer.address);
+  const socket =
+    options.tls === undefined
+      ? connect({ host, port })
+      : tls.connect({ host, port, ...options.tls, checkServerIdentity: () => undefined });
+  peer.socket = socket;
+  socket.on('close', () => {
+    peer.socket = undefined;
+    peer.ready = false;
+    peer.retryAtMs = performance.now() + RECONNECT_MS;
+  });
+  handshake(options, socket, 'opener', boxId, () => {
+    peer.ready = true;
+    for (const message of peer.pending.splice(0)) socket.write(encodeFrame(message));
+  });
+}
--- /dev/null
+++ b/packages/reedlug/src/peers/peerMessages.ts
@@ -0,0 +1,37 @@
+/** Shape check of what arrives over the peer link. */
+import type { PeerMessage } from 'reedlug-decisions';
+
+/** The fields that each kind of message must have, by type. */
+const SHAPES: { [K in PeerMessage['kind']]: Readonly<Record<string, string>> } = {
+  heartbeat: {
+    incarnation: 'number',
+    zone: 'string',
+    revision: 'number',
+    demands: 'array',
+    poolLoads: 'array',
+  },
+  serverNews: { news: 'array' },
+  configDeltas: { deltas: 'array' },
+  configAsk: { afterRevision: 'number' },
+  configSnapshot: { snapshot: 'object' },
+  lookup: { requestId: 'string', workspaceId: 'string', fromOffset: 'number' },
+  sight: { sight: 'object' },
+  notHere: { requestId: 'string' },
+  handover: { spec: 'object', deadlineInMs: 'number', tokens: 'array' },
+  handoverTaken: { requestId: 'string' },
+};
+
+/** True for a value with the fields of its kind of message. */
+export function isPeerMessage(value: unknown): value is PeerMessage {
+  if (typeof value !== 'object' || value === null) return false;
+  const message = value as Record<string, unknown>;
+  const { kind } = message;
+  if (typeof kind !== 'string' || !Object.hasOwn(SHAPES, kind)) return false;
+  const shape = SHAPES[kind as PeerMessage['kind']];
+  return Object.entries(shape).every(([field, type]) => typeOf(message[field]) === type);
+}
+
+function typeOf(value: unknown): string {
+  if (Array.isArray(value)) return 'array';
+  return value === null ? 'null' : typeof value;
+}
--- /dev/null
+++ b/packages/reedlug/src/plans/planShape.ts
@@ -0,0 +1,21 @@
+/** Shape of a plan as it comes back for confirmation; its digest guards its content. */
+import type { Plan } from 'reedlug-decisions';
+
+const FIELDS: readonly (keyof Plan)[] = [
+  'planId',
+  'operatorId',
+  'intent',
+  'steps',
+  'changes',
+  'undo',
+  'basis',
+  'digest',
+];
+
+/** True for a value with the fields of a plan. */
+export function isPlan(value: unknown): value is Plan {
+  if (typeof value !== 'object' || value === null) return false;
+  const plan = value as Record<string, unknown>;
+  const lists = ['steps', 'changes', 'undo', 'basis'].every((field) => Array.isArray(plan[field]));
+  return lists && FIELDS.every((field) => plan[field] !== undefined);
+}
--- /dev/null
+++ b/packages/reedlug/src/platform/platformClients.ts
@@ -0,0 +1,98 @@
+/** Clients of the platform: table, object store, cloud, box list and notices, weight store. */
+import type { ConfigSnapshot, TableAnswer, TableOp, TableRow } from 'reedlug-coordination';
+import type { AskAnswer, BoxListEntry, CloudAsk } from 'reedlug-decisions';
+import type { Settings } from '../settings/settingsTypes.js';
+import { createPlatformCaller, type PlatformAnswer, type PlatformCaller } from './platformCall.js';
+
+/** A reclaim notice of the cloud. */
+export interface ReclaimNotice {
+  /** Grows with each notice. */
+  sequence: number;
+  boxId: string;
+  incarnation: number;
+  /** Ms from now until the box goes. */
+  leavesInMs: number;
+}
+
+/** What the entry daemon asks of the platform. */
+export interface PlatformClients {
+  table: (op: TableOp) => Promise<TableAnswer>;
+  cloud: (ask: CloudAsk) => Promise<AskAnswer>;
+  boxList: () => Promise<readonly BoxListEntry[] | undefined>;
+  notices: (afterSequence: number) => Promise<readonly ReclaimNotice[]>;
+  writeSnapshot: (snapshot: ConfigSnapshot) => Promise<void>;
+  readSnapshot: () => Promise<ConfigSnapshot | undefined>;
+  close: () => Promise<void>;
+}
+
+const SNAPSHOT_PATH = '/v1/objects/config-snapshot';
+const STATUS_CONFLICT = 409;
+
+/** Returns clients for the addresses of the settings. */
+export function createPlatformClients(
+  platform: Settings['platform'],
+  isCut: () => boolean,
+): PlatformClients {
+  const { timeoutMs, requestsPerSecond } = platform;
+  const caller = (url: string): PlatformCaller =>
+    createPlatformCaller({ url, timeoutMs, requestsPerSecond, isCut });
+  const table = caller(platform.tableUrl);
+  const objects = caller(platform.objectStoreUrl);
+  const cloud = caller(platform.cloudUrl);
+  const boxes = caller(platform.boxListUrl);
+  const all = [table, objects, cloud, boxes];
+  return {
+    table: async (op) =>
+      tableAnswer(
+        await table.call<{ rows: TableRow[] }>({ method: 'POST', path: '/v1/table', body: op }),
+      ),
+    cloud: async (ask) =>
+      askAnswer(
+        await cloud.call<{ error?: string }>({ method: 'POST', path: '/v1/boxes', body: ask }),
+      ),
+    boxList: async () => {
+      const answer = await boxes.call<BoxListEntry[]>({ method: 'GET', path: '/v1/boxes' });
+      return answer.kind === 'done' ? answer.body : undefined;
+    },
+    notices: async (afterSequence) => {
+      const path = `/v1/notices?after=${afterSequence}`;
+      const answer = await cloud.call<ReclaimNotice[]>({ method: 'GET', path });
+      return answer.kind === 'done' ? answer.body : [];
+    },
+    writeSnapshot: async (snapshot) => {
+      await objects.call({ method: 'PUT', path: SNAPSHOT_PATH, body: snapshot });
+    },
+    readSnapshot: async () => {
+      const answer = await objects.call<ConfigSnapshot>({ method: 'GET', path: SNAPSHOT_PATH });
+      return answer.kind === 'done' ? answer.body : undefined;
+    },
+    close: async () => {
+      await Promise.all(all.map((client) => client.close()));
+    },
+  };
+}
+
+function tableAnswer(answer: PlatformAnswer<{ rows: TableRow[] }>): TableAnswer {
+  switch (answer.kind) {
+    case 'done':
+      return { kind: 'done', rows: answer.body.rows };
+    case 'unknown':
+      return { kind: 'unknown' };
+    case 'refused':
+      if (answer.status === STATUS_CONFLICT) {
+        return { kind: 'refused', reason: 'conflict', rows: answer.body?.rows ?? [] };
+      }
+      return { kind: 'refused', reason: 'throttled', rows: [] };
+  }
+}
+
+function askAnswer(answer: PlatformAnswer<{ error?: string }>): AskAnswer {
+  switch (answer.kind) {
+    case 'done':
+      return { kind: 'done' };
+    case 'unknown':
+      return { kind: 'unknown' };
+    case 'refused':
+      return { kind: 'refused', reason: answer.body?.error ?? `status ${answer.status}` };
+  }
+}
