--- /dev/null
+++ b/packages/reedlug-check/src/check/callers.ts
@@ -0,0 +1,214 @@
+/** Callers of a checked run: what they ask, and whether what they get keeps the promises. */
+import { hashString, Outcome } from 'reedlug-coordination';
+import type { Effect, RequestSpec } from 'reedlug-decisions';
+import { answerToken } from 'reedlug-standins';
+import { emit, type World, type WorldBox } from '../world/world.js';
+import { CallKind, CHECK_BOX_IDS, chosen, type PlannedCall } from './checkPlan.js';
+import { CHECK_MODEL, CHECK_SERVICE } from './checkSettings.js';
+
+type Finish = Extract<Effect, { type: 'finishRequest' }>;
+
+/** A request and what its caller has seen of it. */
+export interface Call {
+  planned: PlannedCall;
+  boxId: string;
+  /** The process that took it; another life of the box is another object. */
+  box: WorldBox;
+  tokens: string[];
+  finish: Finish | undefined;
+  /** The call that this one goes on with, after a reconnect. */
+  follows: Call | undefined;
+  gone: boolean;
+}
+
+/** A broken promise, as the callers or the servers see it. */
+export interface WorldViolation {
+  name: string;
+  detail: string;
+}
+
+/** The callers of a run. */
+export interface Callers {
+  calls: Map<string, Call>;
+  violations: WorldViolation[];
+  /** Runs at plain services by idempotency key. */
+  runsByKey: Map<string, number>;
+  /** Requests that some server has run. */
+  ran: Set<string>;
+}
+
+const DEADLINE_MS = { urgent: 20_000, patient: 40_000 } as const;
+const RECONNECT_MS = 50;
+
+/** Wires callers into a world. */
+export function createCallers(world: World, planned: readonly PlannedCall[]): Callers {
+  const callers: Callers = {
+    calls: new Map(),
+    violations: [],
+    runsByKey: new Map(),
+    ran: new Set(),
+  };
+  const keys = new Map(planned.map((call) => [call.requestId, call.key]));
+  // A box that took a request over has no connection to its caller.
+  const isConnected = (boxId: string, requestId: string): boolean =>
+    callers.calls.get(requestId)?.boxId === boxId;
+  world.observer.onTokens = (boxId, requestId, offset, tokens) => {
+    if (isConnected(boxId, requestId)) takeTokens(callers, requestId, offset, tokens);
+  };
+  world.observer.onFinish = (boxId, finish) => {
+    if (isConnected(boxId, finish.requestId)) takeFinish(world, callers, finish);
+  };
+  world.observer.onRun = (_serverId, requestId) => noteRun(callers, requestId, keys.get(requestId));
+  for (const call of planned) world.queue.at(call.atMs, () => place(world, callers, call));
+  return callers;
+}
+
+function noteRun(callers: Callers, requestId: string, key: string | undefined): void {
+  callers.ran.add(requestId);
+  const told = callers.calls.get(requestId)?.finish;
+  if (told?.outcome === Outcome.notRun) {
+    callers.violations.push({ name: 'notRunDidRun', detail: `${requestId} ran after notRun` });
+  }
+  if (key === undefined) return;
+  const runs = (callers.runsByKey.get(key) ?? 0) + 1;
+  callers.runsByKey.set(key, runs);
+  if (runs > 1)
+    callers.violations.push({ name: 'keyRanTwice', detail: `${key} ran ${runs} times` });
+}
+
+function place(world: World, callers: Callers, planned: PlannedCall): void {
+  const boxId = chosen(CHECK_BOX_IDS, planned.box);
+  const box = boxId === undefined ? undefined : world.boxes.get(boxId);
+  if (boxId === undefined || box?.alive !== true) return;
+  const call: Call = {
+    planned,
+    boxId,
+    box,
+    tokens: [],
+    finish: undefined,
+    follows: undefined,
+    gone: false,
+  };
+  callers.calls.set(planned.requestId, call);
+  emit(world, box, { type: 'requestArrived', spec: specOf(world, planned) });
+  if (planned.goneAfterMs === undefined) return;
+  world.queue.at(world.queue.nowMs() + planned.goneAfterMs, () => {
+    if (call.finish !== undefined) return;
+    call.gone = true;
+    emit(world, box, { type: 'callerGone', requestId: planned.requestId });
+  });
+}
+
+function specOf(world: World, call: PlannedCall): RequestSpec {
+  const toService =
+    call.kind === CallKind.lookUp ||
+    call.kind === CallKind.notice ||
+    call.kind === CallKind.unkeyedChange;
+  const patient = call.kind === CallKind.draft || call.kind === CallKind.singleDraft;
+  const requestClass = patient ? 'patient' : 'urgent';
+  const once: readonly CallKind[] = [CallKind.notice, CallKind.unkeyedChange, CallKind.singleDraft];
+  return {
+    requestId: call.requestId,
+    workspaceId: call.workspaceId,
+    requestClass,
+    kind: toService ? 'service' : 'engine',
+    pool: toService ? CHECK_SERVICE : CHECK_MODEL,
+    version: '',
+    repeatable: !once.includes(call.kind),
+    idempotencyKey: call.key,
+    digest: call.key ?? '',
+    deadlineAtMs: world.queue.nowMs() + DEADLINE_MS[requestClass],
+    affinityHash: hashString(`${call.workspaceId}|${call.conversation}`),
+    promptTokens: toService ? 0 : call.promptTokens,
+    maxTokens: toService ? 0 : call.maxTokens,
+  };
+}
+
+function takeTokens(
+  callers: Callers,
+  requestId: string,
+  offset: number,
+  tokens: readonly string[],
+): void {
+  const call = callers.calls.get(requestId);
+  if (call === undefined) return;
+  const source = originOf(call).planned.requestId;
+  for (const [index, token] of tokens.entries()) {
+    const at = offset + index;
+    if (at !== call.tokens.length || token !== answerToken(source, at)) {
+      const detail = `${requestId} got ${JSON.stringify(token)} at ${at}, has ${call.tokens.length}`;
+      callers.violations.push({ name: 'wrongToken', detail });
+      return;
+    }
+    call.tokens.push(token);
+  }
+}
+
+function originOf(call: Call): Call {
+  return call.follows === undefined ? call : originOf(call.follows);
+}
+
+function takeFinish(world: World, callers: Callers, finish: Finish): void {
+  const call = callers.calls.get(finish.requestId);
+  if (call === undefined) return;
+  if (call.finish !== undefined) {
+    callers.violations.push({ name: 'twoOutcomes', detail: finish.requestId });
+    return;
+  }
+  call.finish = finish;
+  checkFinish(callers, call, finish);
+  if (finish.reason === 'handedOver' && !call.gone) reconnect(world, callers, call);
+}
+
+function checkFinish(callers: Callers, call: Call, finish: Finish): void {
+  const { requestId } = call.planned;
+  if (finish.outcome === Outcome.notRun && callers.ran.has(requestId)) {
+    callers.violations.push({ name: 'notRunDidRun', detail: `${requestId} is notRun and ran` });
+  }
+  if (finish.outcome !== Outcome.completed) return;
+  const origin = originOf(call).planned;
+  const isModel = specIsModel(origin);
+  if (isModel && call.tokens.length !== origin.maxTokens) {
+    const detail = `${requestId} is completed with ${call.tokens.length} of ${origin.maxTokens} tokens`;
+    callers.violations.push({ name: 'partialShownWhole', detail });
+  }
+}
+
+function specIsModel(call: PlannedCall): boolean {
+  return (
+    call.kind === CallKind.draft ||
+    call.kind === CallKind.urgentDraft ||
+    call.kind === CallKind.singleDraft
+  );
+}
+
+/** Goes on at another box, from the offset that the caller has. */
+function reconnect(world: World, callers: Callers, call: Call): void {
+  world.queue.at(world.queue.nowMs() + RECONNECT_MS, () => {
+    const alive = [...world.boxes].filter(
+      ([, box]) => box.alive && box.state.draining === undefined,
+    );
+    const next = alive.find(([id]) => id !== call.boxId);
+    if (next === undefined) return;
+    const [boxId, box] = next;
+    const origin = originOf(call).planned;
+    const followId = `${call.planned.requestId}-follow`;
+    const follower: Call = {
+      planned: { ...origin, requestId: followId },
+      boxId,
+      box,
+      tokens: [...call.tokens],
+      finish: undefined,
+      follows: call,
+      gone: false,
+    };
+    callers.calls.set(followId, follower);
+    emit(world, box, {
+      type: 'followAsked',
+      followId,
+      requestId: origin.requestId,
+      workspaceId: origin.workspaceId,
+      fromOffset: call.tokens.length,
+    });
+  });
+}
--- /dev/null
+++ b/packages/reedlug-check/src/check/checkPlan.ts
@@ -0,0 +1,208 @@
+/** What happens in one checked run, drawn from its seed beforehand, so that it can be shrunk. */
+import { createRandom, type Random } from '../world/random.js';
+import { CHECK_WORKSPACES, CHECK_ZONES, checkSettings } from './checkSettings.js';
+
+/** Kinds of faults, from the brief's list. */
+export const FaultKind = {
+  reclaimServer: 'reclaimServer',
+  reclaimZone: 'reclaimZone',
+  partialNotice: 'partialNotice',
+  killServer: 'killServer',
+  stallServer: 'stallServer',
+  engineChanged: 'engineChanged',
+  refuseStarts: 'refuseStarts',
+  killBox: 'killBox',
+  pauseBox: 'pauseBox',
+  stopBox: 'stopBox',
+  reclaimBox: 'reclaimBox',
+  tableDown: 'tableDown',
+  tableSlow: 'tableSlow',
+  loseAnswers: 'loseAnswers',
+  cutPlatform: 'cutPlatform',
+  cutZones: 'cutZones',
+  staleList: 'staleList',
+} as const;
+export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
+
+/** Faults that are announced, or that no request may be lost by. */
+export const BENIGN_FAULTS: readonly FaultKind[] = [
+  FaultKind.reclaimServer,
+  FaultKind.reclaimZone,
+  FaultKind.refuseStarts,
+  FaultKind.stopBox,
+  FaultKind.reclaimBox,
+  FaultKind.staleList,
+];
+
+/** One fault. `target` and `other` are picked among what is there when it strikes. */
+export interface PlannedFault {
+  atMs: number;
+  kind: FaultKind;
+  /** In [0, 1); chooses the server, box or zone. */
+  target: number;
+  other: number;
+  durationMs: number;
+}
+
+/** Kinds of callers' requests. */
+export const CallKind = {
+  lookUp: 'lookUp',
+  notice: 'notice',
+  unkeyedChange: 'unkeyedChange',
+  draft: 'draft',
+  urgentDraft: 'urgentDraft',
+  singleDraft: 'singleDraft',
+} as const;
+export type CallKind = (typeof CallKind)[keyof typeof CallKind];
+
+/** One request of a caller. */
+export interface PlannedCall {
+  atMs: number;
+  kind: CallKind;
+  requestId: string;
+  workspaceId: string;
+  /** In [0, 1); chooses the entry box. */
+  box: number;
+  key: string | undefined;
+  conversation: number;
+  promptTokens: number;
+  maxTokens: number;
+  /** When the caller's connection goes away, after the call. */
+  goneAfterMs: number | undefined;
+}
+
+/** One pair of operators who want the same item changed. */
+export interface PlannedRace {
+  atMs: number;
+  kind: 'setLimits' | 'setPriority' | 'setEngine';
+  item: number;
+  boxes: [number, number];
+  secondAfterMs: number;
+}
+
+/** Everything that happens in a run. */
+export interface CheckPlan {
+  seed: number;
+  lengthMs: number;
+  calls: PlannedCall[];
+  faults: PlannedFault[];
+  races: PlannedRace[];
+}
+
+/** Time before the first fault, in which the boxes get to know each other. */
+const WARM_UP_MS = 2500;
+const CALLS_PER_SECOND = 12;
+const RACES = 4;
+
+/** Draws a plan. */
+export function drawPlan(params: {
+  seed: number;
+  lengthMs: number;
+  faultCount: number;
+  kinds: readonly FaultKind[];
+}): CheckPlan {
+  const random = createRandom(params.seed);
+  const { lengthMs } = params;
+  return {
+    seed: params.seed,
+    lengthMs,
+    calls: drawCalls(random, params.seed, lengthMs),
+    faults: drawFaults(random, lengthMs, params.faultCount, params.kinds),
+    races: drawRaces(random, lengthMs),
+  };
+}
+
+function drawFaults(
+  random: Random,
+  lengthMs: number,
+  count: number,
+  kinds: readonly FaultKind[],
+): PlannedFault[] {
+  const faults = Array.from({ length: count }, () => ({
+    atMs: WARM_UP_MS + random.unit() * (lengthMs - WARM_UP_MS),
+    kind: random.pick(kinds),
+    target: random.unit(),
+    other: random.unit(),
+    durationMs: 500 + random.unit() * 4500,
+  }));
+  // Every third fault strikes together with the one before it.
+  for (const [index, fault] of faults.entries()) {
+    const before = faults[index - 1];
+    if (index % 3 === 2 && before !== undefined) fault.atMs = before.atMs + random.unit() * 200;
+  }
+  return faults.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawCalls(random: Random, seed: number, lengthMs: number): PlannedCall[] {
+  const calls: PlannedCall[] = [];
+  const kinds = [
+    ...Array<CallKind>(4).fill(CallKind.lookUp),
+    ...Array<CallKind>(3).fill(CallKind.notice),
+    CallKind.unkeyedChange,
+    ...Array<CallKind>(4).fill(CallKind.draft),
+    CallKind.urgentDraft,
+    CallKind.singleDraft,
+  ];
+  let atMs = WARM_UP_MS - 500;
+  while (atMs < lengthMs) {
+    atMs += random.exponential(1000 / CALLS_PER_SECOND);
+    const call = drawCall(random, `r${seed}-${calls.length}`, random.pick(kinds), atMs);
+    calls.push(call);
+    if (call.key !== undefined) calls.push(...drawRepeats(random, call));
+  }
+  return calls.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawCall(random: Random, requestId: string, kind: CallKind, atMs: number): PlannedCall {
+  const isDraft = kind === CallKind.draft || kind === CallKind.singleDraft;
+  return {
+    atMs,
+    kind,
+    requestId,
+    workspaceId: random.pick(CHECK_WORKSPACES),
+    box: random.unit(),
+    key: kind === CallKind.notice ? `key-${requestId}` : undefined,
+    conversation: random.whole(1, 60),
+    promptTokens: isDraft ? random.whole(100, 4000) : 40,
+    maxTokens: isDraft ? random.whole(20, 250) : 8,
+    goneAfterMs: random.chance(0.05) ? random.unit() * 500 : undefined,
+  };
+}
+
+/** The same notice again, at other boxes, at once or later. */
+function drawRepeats(random: Random, call: PlannedCall): PlannedCall[] {
+  const repeats: PlannedCall[] = [];
+  for (let index = 1; random.chance(0.5) && index < 4; index += 1) {
+    repeats.push({
+      ...call,
+      requestId: `${call.requestId}-again${index}`,
+      atMs: call.atMs + random.pick([0, 1, 20, 300, 2500]) * random.unit(),
+      box: random.unit(),
+      goneAfterMs: undefined,
+    });
+  }
+  return repeats;
+}
+
+function drawRaces(random: Random, lengthMs: number): PlannedRace[] {
+  return Array.from({ length: RACES }, (_, index) => ({
+    atMs: WARM_UP_MS + random.unit() * (lengthMs - WARM_UP_MS),
+    kind: (['setLimits', 'setPriority', 'setEngine'] as const)[index % 3] ?? 'setLimits',
+    item: random.unit(),
+    boxes: [random.unit(), random.unit()] as [number, number],
+    secondAfterMs: random.pick([0, 5, 400]),
+  }));
+}
+
+/** Ids of the boxes of every checked run. */
+export const CHECK_BOX_IDS: readonly string[] = checkSettings().boxes.map(({ id }) => id);
+
+/** An element by a number in [0, 1); undefined for an empty list. */
+export function chosen<T>(items: readonly T[], at: number): T | undefined {
+  return items[Math.floor(at * items.length)];
+}
+
+/** A zone by a number in [0, 1). */
+export function chosenZone(at: number): string {
+  return chosen(CHECK_ZONES, at) ?? CHECK_ZONES[0];
+}
--- /dev/null
+++ b/packages/reedlug-check/src/check/operators.ts
@@ -0,0 +1,87 @@
+/** Operators of a checked run, who race each other with conflicting intents. */
+import type { Intent, OperatorAnswer, OperatorAsk, Plan } from 'reedlug-decisions';
+import { emit, type World } from '../world/world.js';
+import type { WorldViolation } from './callers.js';
+import { CHECK_BOX_IDS, chosen, type PlannedRace } from './checkPlan.js';
+import { CHECK_MODEL, CHECK_WORKSPACES } from './checkSettings.js';
+
+/** What became of the operators' plans. */
+export interface Operators {
+  confirmed: number;
+  conflicts: number;
+  violations: WorldViolation[];
+}
+
+/** Wires operators into a world. */
+export function createOperators(world: World, races: readonly PlannedRace[]): Operators {
+  const operators: Operators = { confirmed: 0, conflicts: 0, violations: [] };
+  const waits = new Map<string, (answer: OperatorAnswer) => void>();
+  const taken = new Map<string, string>();
+  world.observer.onOperator = (askId, answer) => waits.get(askId)?.(answer);
+  for (const [index, race] of races.entries()) {
+    for (const side of [0, 1] as const) {
+      const atMs = race.atMs + side * race.secondAfterMs;
+      world.queue.at(atMs, () => askPlan(index, side, race));
+    }
+  }
+
+  function askPlan(index: number, side: 0 | 1, race: PlannedRace): void {
+    const planId = `plan-${index}-${side}`;
+    waits.set(`ask-${planId}`, (answer) => {
+      if (answer.kind === 'planned') confirm(race.boxes[side], answer.plan);
+    });
+    const operatorId = `operator-${side}`;
+    const intent = intentOf(race, side);
+    send(race.boxes[side], `ask-${planId}`, { kind: 'plan', operatorId, intent, planId });
+  }
+
+  function confirm(box: number, plan: Plan): void {
+    const askId = `confirm-${plan.planId}`;
+    waits.set(askId, (answer) => noteConfirm(plan, answer));
+    send(box, askId, { kind: 'confirm', plan });
+  }
+
+  function noteConfirm(plan: Plan, answer: OperatorAnswer): void {
+    if (answer.kind === 'conflict') operators.conflicts += 1;
+    if (answer.kind !== 'confirmed') return;
+    operators.confirmed += 1;
+    for (const { name, revision } of plan.basis) {
+      const key = `${name}@${revision}`;
+      const first = taken.get(key);
+      taken.set(key, plan.planId);
+      if (first === undefined) continue;
+      const detail = `${first} and ${plan.planId} both changed ${key}`;
+      operators.violations.push({ name: 'bothConfirmed', detail });
+    }
+  }
+
+  function send(at: number, askId: string, ask: OperatorAsk): void {
+    const box = world.boxes.get(chosen(CHECK_BOX_IDS, at) ?? '');
+    if (box === undefined) return;
+    const epochMs = world.epochStartMs + world.queue.nowMs();
+    emit(world, box, { type: 'operatorAsked', askId, ask, epochMs });
+  }
+  return operators;
+}
+
+function intentOf(race: PlannedRace, side: number): Intent {
+  const workspaceId = chosen(CHECK_WORKSPACES, race.item) ?? CHECK_WORKSPACES[0];
+  switch (race.kind) {
+    case 'setLimits':
+      return {
+        kind: 'setLimits',
+        workspaceId,
+        requestsPerSecond: 1000 + side,
+        burst: 1000,
+        maxQueued: 1000,
+      };
+    case 'setPriority':
+      return { kind: 'setPriority', workspaceId, requestClass: side === 0 ? 'urgent' : 'patient' };
+    case 'setEngine':
+      return {
+        kind: 'setEngine',
+        serverId: race.item < 0.5 ? 'engine-zone-c-2' : 'engine-zone-a-2',
+        wanted: { model: CHECK_MODEL, version: `v${2 + side}`, adapters: [], role: 'serve' },
+      };
+  }
+}
--- /dev/null
+++ b/packages/reedlug-check/src/check/runCheck.ts
@@ -0,0 +1,83 @@
+/** Checks a range of seeds and sums up. */
+import type { Mutation } from 'reedlug-decisions';
+import { drawPlan, FaultKind } from './checkPlan.js';
+import { runPlan, type SeedResult } from './runSeed.js';
+import { shrinkPlan, type Shrunk } from './shrink.js';
+
+/** What to check. */
+export interface CheckOptions {
+  firstSeed: number;
+  lastSeed: number;
+  /** Events that a run has at the least. */
+  minEvents: number;
+  kinds: readonly FaultKind[];
+  mutations: ReadonlySet<Mutation>;
+  /** Stop at the first violation, as the check of the checker does. */
+  stopAtFirst: boolean;
+  onSeed?: (result: SeedResult) => void;
+}
+
+/** The sum of a check. */
+export interface CheckSummary {
+  seeds: number;
+  events: number;
+  faults: number;
+  violations: Shrunk[];
+  faultCounts: Partial<Record<FaultKind, number>>;
+  outcomes: Record<string, number>;
+  confirmed: number;
+  conflicts: number;
+}
+
+/** Every kind of fault. */
+export const ALL_FAULTS: readonly FaultKind[] = Object.values(FaultKind);
+
+/** Events that a second of a run has at the least. */
+const EVENTS_PER_SECOND = 200;
+const FAULTS_PER_SECOND = 0.8;
+
+/** Runs the seeds. */
+export function runCheck(options: CheckOptions): CheckSummary {
+  const summary: CheckSummary = {
+    seeds: 0,
+    events: 0,
+    faults: 0,
+    violations: [],
+    faultCounts: {},
+    outcomes: {},
+    confirmed: 0,
+    conflicts: 0,
+  };
+  const lengthMs = Math.max(6000, (options.minEvents / EVENTS_PER_SECOND) * 1000);
+  const faultCount = Math.round((lengthMs / 1000) * FAULTS_PER_SECOND);
+  for (let seed = options.firstSeed; seed <= options.lastSeed; seed += 1) {
+    const plan = drawPlan({ seed, lengthMs, faultCount, kinds: options.kinds });
+    const result = runPlan(plan, options.mutations);
+    addTo(summary, result);
+    options.onSeed?.(result);
+    if (result.violation === undefined) continue;
+    if (options.stopAtFirst) {
+      summary.violations.push({ plan, result });
+      break;
+    }
+    summary.violations.push(shrinkPlan(plan, result, options.mutations));
+  }
+  return summary;
+}
+
+function addTo(summary: CheckSummary, result: SeedResult): void {
+  summary.seeds += 1;
+  summary.events += result.events;
+  summary.faults += result.faults;
+  summary.confirmed += result.confirmed;
+  summary.conflicts += result.conflicts;
+  addCounts(summary.faultCounts, result.faultCounts);
+  addCounts(summary.outcomes, result.outcomes);
+}
+
+function addCounts(
+  sums: Partial<Record<string, number>>,
+  counts: Partial<Record<string, number>>,
+): void {
+  for (const [key, count] of Object.entries(counts)) sums[key] = (sums[key] ?? 0) + (count ?? 0);
+}
--- /dev/null
+++ b/packages/reedlug-check/src/check/runSeed.ts
@@ -0,0 +1,181 @@
+/** One checked run: a plan played against the reducers, with every promise asserted. */
+import { BrokenInvariantError, type Mutation } from 'reedlug-decisions';
+import { carryOut } from '../world/carryOut.js';
+import { createWorld, runUntil, type World } from '../world/world.js';
+import { createCallers, type Callers, type WorldViolation } from './callers.js';
+import { BENIGN_FAULTS, FaultKind, type CheckPlan } from './checkPlan.js';
+import { checkSettings } from './checkSettings.js';
+import { createOperators, type Operators } from './operators.js';
+import { throwFault } from './throwFault.js';
+
+/** What came of a run. */
+export interface SeedResult {
+  seed: number;
+  events: number;
+  faults: number;
+  violation: WorldViolation | undefined;
+  faultCounts: Partial<Record<FaultKind, number>>;
+  outcomes: Record<string, number>;
+  confirmed: number;
+  conflicts: number;
+  /** Last events before a violation. */
+  lastEvents: string[];
+}
+
+/** Time after the last call and fault in which everything has to come to its end. */
+const QUIET_MS = 45_000;
+const LAST_EVENTS = 60;
+
+/** Plays a plan. */
+export function runPlan(plan: CheckPlan, mutations: ReadonlySet<Mutation>): SeedResult {
+  const lastEvents: string[] = [];
+  const world = newWorld(plan, mutations);
+  world.onEvent = (boxId, event) => {
+    if (event.type === 'tick') return;
+    lastEvents.push(`${boxId} ${JSON.stringify(event)}`);
+    if (lastEvents.length > LAST_EVENTS) lastEvents.shift();
+  };
+  const callers = createCallers(world, plan.calls);
+  const operators = createOperators(world, plan.races);
+  const orders = watchOrders(world);
+  for (const fault of plan.faults) world.queue.at(fault.atMs, () => throwFault(world, fault));
+  const violation = play(world, plan, callers, operators, orders);
+  return {
+    seed: plan.seed,
+    events: world.eventCount,
+    faults: plan.faults.length,
+    violation,
+    faultCounts: countFaults(plan),
+    outcomes: countOutcomes(callers),
+    confirmed: operators.confirmed,
+    conflicts: operators.conflicts,
+    lastEvents,
+  };
+}
+
+function newWorld(plan: CheckPlan, mutations: ReadonlySet<Mutation>): World {
+  const settings = checkSettings();
+  return createWorld(
+    {
+      seed: plan.seed,
+      settings,
+      engineOptions: (spec) => ({
+        engineId: spec.id,
+        model: spec.pool,
+        version: spec.version,
+        slots: spec.slots,
+        kvCapacityTokens: 16_000,
+        prefillTokensPerMs: 8,
+        interTokenMs: 10,
+        crowding: 0.5,
+        tokensPerEvent: 16,
+      }),
+      serviceAnswerMs: 20,
+      crossZoneMs: 1.5,
+      tickMs: 50,
+      engineStartMs: 1500,
+      mutations,
+      doubledEvents: 0.05,
+    },
+    carryOut,
+  );
+}
+
+/** Orders must never step back at a server, and no two holders may use one fence. */
+function watchOrders(world: World): WorldViolation[] {
+  const violations: WorldViolation[] = [];
+  const highest = new Map<string, number>();
+  const holders = new Map<number, string>();
+  world.observer.onOrder = (serverId, fence, sentBy) => {
+    const holder = holders.get(fence) ?? sentBy;
+    holders.set(fence, holder);
+    if (holder !== sentBy) {
+      const detail = `${holder} and ${sentBy} both sent orders under fence ${fence}`;
+      violations.push({ name: 'fenceShared', detail });
+    }
+    const before = highest.get(serverId) ?? 0;
+    if (fence < before) {
+      const detail = `${serverId} took fence ${fence} of ${sentBy} after ${before}`;
+      violations.push({ name: 'orderSteppedBack', detail });
+    }
+    highest.set(serverId, Math.max(before, fence));
+  };
+  return violations;
+}
+
+function play(
+  world: World,
+  plan: CheckPlan,
+  callers: Callers,
+  operators: Operators,
+  orders: readonly WorldViolation[],
+): WorldViolation | undefined {
+  try {
+    const STEP_MS = 1000;
+    const endMs = plan.lengthMs + QUIET_MS;
+    for (let untilMs = STEP_MS; untilMs <= endMs; untilMs += STEP_MS) {
+      runUntil(world, untilMs);
+      const found = callers.violations[0] ?? operators.violations[0] ?? orders[0];
+      if (found !== undefined) return found;
+      if (untilMs > plan.lengthMs + STEP_MS * 8 && allFinished(callers)) break;
+    }
+  } catch (error) {
+    if (!(error instanceof BrokenInvariantError)) throw error;
+    const name = error.violation?.name ?? 'unknown';
+    return { name, detail: error.message };
+  }
+  return atTheEnd(world, plan, callers);
+}
+
+function allFinished(callers: Callers): boolean {
+  return [...callers.calls.values()].every((call) => call.finish !== undefined || !call.box.alive);
+}
+
+function atTheEnd(world: World, plan: CheckPlan, callers: Callers): WorldViolation | undefined {
+  for (const call of callers.calls.values()) {
+    if (call.finish === undefined && call.box.alive) {
+      const phase = call.box.state.requests.get(call.planned.requestId)?.phase.kind;
+      return { name: 'noOutcome', detail: `${call.planned.requestId} (${phase ?? 'no record'})` };
+    }
+  }
+  return configNotInForce(world) ?? lostByBenignFaults(plan, callers);
+}
+
+function configNotInForce(world: World): WorldViolation | undefined {
+  const revisions = [...world.table.rows.keys()].filter((key) => key.startsWith('config/log/'));
+  for (const [boxId, box] of world.boxes) {
+    if (!box.alive || box.state.config.revision === revisions.length) continue;
+    const detail = `${boxId} is at ${box.state.config.revision} of ${revisions.length}`;
+    return { name: 'configNotInForce', detail };
+  }
+  return undefined;
+}
+
+/** Announced faults alone lose nothing that was accepted. */
+function lostByBenignFaults(plan: CheckPlan, callers: Callers): WorldViolation | undefined {
+  if (!plan.faults.every(({ kind }) => BENIGN_FAULTS.includes(kind))) return undefined;
+  for (const call of callers.calls.values()) {
+    const { finish, planned } = call;
+    if (finish === undefined || call.gone || planned.kind === 'singleDraft') continue;
+    const lost = finish.outcome === 'failed' || finish.outcome === 'unknown';
+    if (!lost || finish.reason === 'handedOver') continue;
+    const detail = `${planned.requestId} (${planned.kind}) ended ${finish.outcome}, ${finish.reason}`;
+    return { name: 'lostByAnnouncedFault', detail };
+  }
+  return undefined;
+}
+
+function countFaults(plan: CheckPlan): Partial<Record<FaultKind, number>> {
+  const counts: Partial<Record<FaultKind, number>> = {};
+  for (const { kind } of plan.faults) counts[kind] = (counts[kind] ?? 0) + 1;
+  return counts;
+}
+
+function countOutcomes(callers: Callers): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { finish } of callers.calls.values()) {
+    const outcome = finish?.outcome ?? 'connectionLost';
+    counts[outcome] = (counts[outcome] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/packages/reedlug-check/src/world/carryOut.ts
@@ -0,0 +1,154 @@
+/** Carries out the boxes' effects against the fakes. */
+import type { Effect } from 'reedlug-decisions';
+import {
+  engineAnswersProbe,
+  engineExports,
+  engineMoves,
+  engineStops,
+  engineTakes,
+} from './engineFake.js';
+import { boxDies } from './faults.js';
+import { cloudAnswers, tableAnswers } from './platformFake.js';
+import { serviceAnswersProbe, serviceTakes } from './serviceFake.js';
+import {
+  Delay,
+  delayBetween,
+  emit,
+  emitLater,
+  platformReachable,
+  zonesAreCut,
+  type World,
+  type WorldBox,
+} from './world.js';
+
+/** Carries out one effect. */
+export function carryOut(world: World, box: WorldBox, effect: Effect): void {
+  const { boxId } = box.settings;
+  switch (effect.type) {
+    case 'sendAttempt':
+      return sendAttempt(world, box, effect);
+    case 'cancelAttempt': {
+      const server = world.servers.get(effect.serverId);
+      if (server?.kind === 'engine') engineStops(server, effect.attemptId);
+      return undefined;
+    }
+    case 'exportKv': {
+      const server = world.servers.get(effect.serverId);
+      if (server?.kind === 'engine') engineExports(world, box, server, effect.attemptId);
+      return undefined;
+    }
+    case 'moveCache': {
+      const source = world.servers.get(effect.serverId);
+      const target = world.servers.get(effect.targetServerId);
+      if (source?.kind !== 'engine' || target?.kind !== 'engine') return undefined;
+      return engineMoves(world, box, { source, target, affinityHash: effect.affinityHash });
+    }
+    case 'deliverTokens':
+      return world.observer.onTokens(boxId, effect.requestId, effect.offset, effect.tokens);
+    case 'finishRequest':
+      return world.observer.onFinish(boxId, effect);
+    case 'requestTable':
+      return tableAnswers(world, box, effect.opId, effect.op);
+    case 'writeSnapshot':
+      if (platformReachable(world, box)) world.snapshot = structuredClone(effect.snapshot);
+      return undefined;
+    case 'readSnapshot':
+      return emitLater(world, box, Delay.platform, {
+        type: 'snapshotRead',
+        snapshot: platformReachable(world, box) ? (world.snapshot as never) : undefined,
+      });
+    case 'sendPeer':
+      return sendPeer(world, box, effect);
+    case 'probeServer':
+      return probe(world, box, effect.serverId);
+    case 'sendOrder':
+      return sendOrder(world, box, effect);
+    case 'askCloud':
+      world.observer.onOrder('cloud', effect.ask.fence, processName(box));
+      return cloudAnswers(world, box, effect.askId, effect.ask);
+    case 'answerOperator':
+      return world.observer.onOperator(effect.askId, effect.answer);
+    case 'stopped':
+      return boxDies(world, boxId);
+    case 'forgetRequest':
+    case 'log':
+      return undefined;
+  }
+}
+
+function sendAttempt(
+  world: World,
+  box: WorldBox,
+  effect: Extract<Effect, { type: 'sendAttempt' }>,
+): void {
+  const server = world.servers.get(effect.serverId);
+  const { attemptId } = effect;
+  if (server === undefined) {
+    emitLater(world, box, 1, { type: 'attemptRefused', attemptId, reason: 'notConnected' });
+    return;
+  }
+  if (server.kind === 'engine') engineTakes(world, box, server, effect);
+  else serviceTakes(world, box, server, effect);
+}
+
+function sendPeer(
+  world: World,
+  box: WorldBox,
+  effect: Extract<Effect, { type: 'sendPeer' }>,
+): void {
+  const target = world.boxes.get(effect.boxId);
+  const from = box.settings.boxId;
+  if (target === undefined) return;
+  const { zone } = box.settings;
+  if (zonesAreCut(world, zone, target.settings.zone)) return;
+  const message = structuredClone(effect.message);
+  world.queue.at(world.queue.nowMs() + delayBetween(world, zone, target.settings.zone), () => {
+    if (zonesAreCut(world, zone, target.settings.zone)) return;
+    emit(world, target, { type: 'peerMessage', from, message });
+  });
+}
+
+function probe(world: World, box: WorldBox, serverId: string): void {
+  const server = world.servers.get(serverId);
+  if (server === undefined) {
+    emitLater(world, box, 1, { type: 'serverReported', serverId, report: undefined });
+    return;
+  }
+  if (server.kind === 'engine') engineAnswersProbe(world, box, server);
+  else serviceAnswersProbe(world, box, server);
+}
+
+function sendOrder(
+  world: World,
+  box: WorldBox,
+  effect: Extract<Effect, { type: 'sendOrder' }>,
+): void {
+  const { serverId, orderId, fence, wanted, validForMs } = effect;
+  const server = world.servers.get(serverId);
+  if (server?.kind !== 'engine') return;
+  // An order may be long under way, but not longer than it is valid.
+  const delayMs = world.random.unit() * validForMs;
+  world.queue.at(world.queue.nowMs() + delayMs, () => {
+    if (!server.alive) return;
+    const { model } = server;
+    if (server.spec.checksFence && fence < model.highestFence) {
+      emitLater(world, box, 1, {
+        type: 'orderAnswered',
+        orderId,
+        answer: { kind: 'refused', reason: 'old fence' },
+      });
+      return;
+    }
+    world.observer.onOrder(serverId, fence, processName(box));
+    model.highestFence = Math.max(model.highestFence, fence);
+    model.model = wanted.model;
+    model.version = wanted.version;
+    model.role = wanted.role;
+    emitLater(world, box, 1, { type: 'orderAnswered', orderId, answer: { kind: 'done' } });
+  });
+}
+
+/** Names one life of a box. */
+function processName(box: WorldBox): string {
+  return `${box.settings.boxId}/${box.settings.incarnation}`;
+}
--- /dev/null
+++ b/packages/reedlug-check/src/world/engineFake.ts
@@ -0,0 +1,236 @@
+/** An engine between the boxes' effects and the engine model. */
+import type { Effect, EventBody } from 'reedlug-decisions';
+import {
+  advanceEngine,
+  putCached,
+  reportOf,
+  stopRun,
+  submitRun,
+  takeCacheEvent,
+  type EngineSaying,
+} from 'reedlug-standins';
+import {
+  Delay,
+  delayBetween,
+  emitLater,
+  zonesAreCut,
+  type World,
+  type WorldBox,
+  type WorldEngine,
+} from './world.js';
+
+/** KV cache that an engine sends in one ms, in tokens. */
+const KV_TOKENS_PER_MS = 40;
+const KV_SETUP_MS = 20;
+/** Longest time that a doubled event is late, in ms. */
+const LATE_MS = 1500;
+
+type SendAttempt = Extract<Effect, { type: 'sendAttempt' }>;
+
+/** Takes an attempt at an engine. */
+export function engineTakes(
+  world: World,
+  box: WorldBox,
+  engine: WorldEngine,
+  effect: SendAttempt,
+): void {
+  const { attemptId, requestId } = effect;
+  const delayMs = delayBetween(world, box.settings.zone, engine.spec.zone);
+  const record = box.state.requests.get(requestId);
+  if (record === undefined) return;
+  const { spec } = record;
+  const { resumeOffset } = effect;
+  world.queue.at(world.queue.nowMs() + delayMs, () => {
+    const refusal = refusalOf(world, box, engine, spec);
+    if (refusal !== undefined) {
+      emitLater(world, box, delayMs, { type: 'attemptRefused', attemptId, reason: refusal });
+      return;
+    }
+    const source = effect.kvTicket;
+    const importedTokens = source === undefined ? 0 : ticketTokens(world, source.ticketId);
+    const taken = submitRun(
+      engine.model,
+      {
+        attemptId,
+        answerKey: requestId,
+        affinityHash: spec.affinityHash,
+        promptTokens: spec.promptTokens,
+        resumeOffset,
+        totalTokens: spec.maxTokens,
+        urgent: spec.requestClass === 'urgent',
+        importedTokens,
+      },
+      world.queue.nowMs(),
+    );
+    if (taken !== 'taken') {
+      emitLater(world, box, delayMs, { type: 'attemptRefused', attemptId, reason: taken });
+      return;
+    }
+    world.observer.onRun(engine.spec.id, requestId, attemptId);
+    engine.callers.set(attemptId, box.settings.boxId);
+    schedulePump(world, engine);
+  });
+}
+
+function refusalOf(
+  world: World,
+  box: WorldBox,
+  engine: WorldEngine,
+  spec: { pool: string; version: string },
+): 'notConnected' | 'leaving' | 'wrongModel' | undefined {
+  if (!engine.alive || zonesAreCut(world, box.settings.zone, engine.spec.zone))
+    return 'notConnected';
+  if (engine.leaving) return 'leaving';
+  const { model } = engine;
+  const versionFits = spec.version === '' || spec.version === model.version;
+  return spec.pool === model.model && versionFits ? undefined : 'wrongModel';
+}
+
+function ticketTokens(world: World, ticketId: string): number {
+  for (const server of world.servers.values()) {
+    if (server.kind !== 'engine') continue;
+    const tokens = server.tickets.get(ticketId);
+    if (tokens !== undefined) return tokens;
+  }
+  return 0;
+}
+
+/** Lets an engine work when its next iteration is due. */
+function schedulePump(world: World, engine: WorldEngine): void {
+  const dueMs = Math.max(engine.model.nextAtMs, engine.stalledUntilMs);
+  if (dueMs >= engine.pumpAtMs || dueMs === Number.POSITIVE_INFINITY) return;
+  engine.pumpAtMs = dueMs;
+  world.queue.at(dueMs, () => {
+    if (engine.pumpAtMs !== dueMs) return;
+    engine.pumpAtMs = Number.POSITIVE_INFINITY;
+    pump(world, engine);
+  });
+}
+
+function pump(world: World, engine: WorldEngine): void {
+  if (!engine.alive) return;
+  const nowMs = world.queue.nowMs();
+  if (nowMs >= engine.stalledUntilMs) {
+    for (const saying of advanceEngine(engine.model, nowMs)) say(world, engine, saying);
+  }
+  schedulePump(world, engine);
+}
+
+function say(world: World, engine: WorldEngine, saying: EngineSaying): void {
+  const box = callerBox(world, engine, saying.attemptId);
+  if (box === undefined) return;
+  const delayMs = delayBetween(world, box.settings.zone, engine.spec.zone);
+  if (saying.kind === 'tokens') {
+    const { attemptId, offset, tokens } = saying;
+    const body: EventBody = { type: 'attemptProgress', attemptId, offset, tokens };
+    emitLater(world, box, delayMs, body);
+    if (world.random.chance(world.options.doubledEvents)) {
+      emitLater(world, box, delayMs + world.random.unit() * LATE_MS, body);
+    }
+    return;
+  }
+  engine.callers.delete(saying.attemptId);
+  const { attemptId, totalTokens, cachedTokens } = saying;
+  const report = reportOf(engine.model);
+  emitLater(world, box, delayMs, {
+    type: 'attemptEnded',
+    attemptId,
+    totalTokens,
+    cachedTokens,
+    report,
+  });
+}
+
+function callerBox(world: World, engine: WorldEngine, attemptId: string): WorldBox | undefined {
+  const boxId = engine.callers.get(attemptId);
+  return boxId === undefined ? undefined : world.boxes.get(boxId);
+}
+
+/** Stops a run whose caller cancelled it or went away. */
+export function engineStops(engine: WorldEngine, attemptId: string): void {
+  engine.callers.delete(attemptId);
+  stopRun(engine.model, attemptId);
+}
+
+/** Stops a run and keeps its cache under a ticket. */
+export function engineExports(
+  world: World,
+  box: WorldBox,
+  engine: WorldEngine,
+  attemptId: string,
+): void {
+  const unreachable = !engine.alive || zonesAreCut(world, box.settings.zone, engine.spec.zone);
+  if (unreachable || world.queue.nowMs() < engine.stalledUntilMs) {
+    emitLater(world, box, Delay.connectionLoss, {
+      type: 'kvExported',
+      attemptId,
+      answer: { kind: 'unknown' },
+    });
+    return;
+  }
+  const stopped = stopRun(engine.model, attemptId);
+  engine.callers.delete(attemptId);
+  if (stopped === undefined) {
+    emitLater(world, box, 1, { type: 'kvExported', attemptId, answer: { kind: 'refused' } });
+    return;
+  }
+  engine.tickets.set(attemptId, stopped.contextTokens);
+  const delayMs = KV_SETUP_MS + stopped.contextTokens / KV_TOKENS_PER_MS;
+  const { offset } = stopped;
+  const ticket = { ticketId: attemptId, sourceServerId: engine.spec.id, offset };
+  emitLater(world, box, delayMs, {
+    type: 'kvExported',
+    attemptId,
+    answer: { kind: 'done', ticket },
+  });
+}
+
+/** Sends an idle prefix to another engine; lost when either dies first. */
+export function engineMoves(
+  world: World,
+  box: WorldBox,
+  params: { source: WorldEngine; target: WorldEngine; affinityHash: number },
+): void {
+  const { source, target, affinityHash } = params;
+  const tokens = source.model.cache.get(affinityHash);
+  if (tokens === undefined || !source.alive) return;
+  const delayMs = KV_SETUP_MS + tokens / KV_TOKENS_PER_MS;
+  world.queue.at(world.queue.nowMs() + delayMs, () => {
+    if (!source.alive || !target.alive) return;
+    putCached(target.model, affinityHash, tokens);
+    const serverId = target.spec.id;
+    emitLater(world, box, Delay.sameZone, { type: 'cacheMoved', affinityHash, serverId, tokens });
+  });
+}
+
+/** Answers a probe of an engine, with its cache events. */
+export function engineAnswersProbe(world: World, box: WorldBox, engine: WorldEngine): void {
+  const serverId = engine.spec.id;
+  const delayMs = delayBetween(world, box.settings.zone, engine.spec.zone) * 2;
+  const silent =
+    !engine.alive ||
+    world.queue.nowMs() < engine.stalledUntilMs ||
+    zonesAreCut(world, box.settings.zone, engine.spec.zone);
+  if (silent) {
+    emitLater(world, box, delayMs, { type: 'serverReported', serverId, report: undefined });
+    return;
+  }
+  const report = { ...reportOf(engine.model), leaving: engine.leaving };
+  emitLater(world, box, delayMs, { type: 'serverReported', serverId, report });
+  const event = takeCacheEvent(engine.model);
+  const GAP = 0.1;
+  if (event === undefined || world.random.chance(GAP)) return;
+  emitLater(world, box, delayMs + LATE_MS / 2, { type: 'cacheChanged', serverId, ...event });
+}
+
+/** Cuts every stream of an engine that has died. */
+export function engineDies(world: World, engine: WorldEngine): void {
+  engine.alive = false;
+  engine.endedAtMs = world.queue.nowMs();
+  for (const attemptId of engine.callers.keys()) {
+    const box = callerBox(world, engine, attemptId);
+    if (box === undefined) continue;
+    emitLater(world, box, Delay.connectionLoss, { type: 'attemptLost', attemptId, reached: true });
+  }
+  engine.callers.clear();
+}
--- /dev/null
+++ b/packages/reedlug-check/src/world/faults.ts
@@ -0,0 +1,67 @@
+/** Faults of servers and boxes. */
+import { engineDies, engineStops } from './engineFake.js';
+import { Delay, emitLater, noteList, platformReachable, startBox, type World } from './world.js';
+
+/** Ends a server, as a reclaim or a crash does. */
+export function serverEnds(world: World, serverId: string): void {
+  const server = world.servers.get(serverId);
+  if (server === undefined || !server.alive) return;
+  if (server.kind === 'engine') engineDies(world, server);
+  server.alive = false;
+  world.servers.delete(serverId);
+  world.gone.push(server);
+  noteList(world);
+}
+
+/** Reclaims a server after a notice; `heardBy` may leave boxes out. */
+export function reclaimServer(
+  world: World,
+  serverId: string,
+  noticeMs: number,
+  heardBy: (boxId: string) => boolean = () => true,
+): void {
+  const server = world.servers.get(serverId);
+  if (server === undefined || server.leaving) return;
+  server.leaving = true;
+  if (server.kind === 'engine') server.model.leaving = true;
+  noteList(world);
+  const { nowMs } = world.queue;
+  const leavesAtMs = nowMs() + noticeMs;
+  for (const [boxId, box] of world.boxes) {
+    if (!heardBy(boxId) || !platformReachable(world, box)) continue;
+    const delayMs = world.random.unit() * Delay.notice;
+    const { incarnation } = server;
+    emitLater(world, box, delayMs, { type: 'reclaimNoticed', serverId, incarnation, leavesAtMs });
+  }
+  world.queue.at(leavesAtMs, () => serverEnds(world, serverId));
+}
+
+/** Reclaims every reclaimable server of a zone. */
+export function reclaimZone(world: World, zone: string, noticeMs: number): void {
+  for (const [serverId, server] of [...world.servers]) {
+    if (server.spec.zone === zone && server.spec.reclaimable) {
+      reclaimServer(world, serverId, noticeMs);
+    }
+  }
+}
+
+/** Kills a box; its connections to servers are cut. */
+export function boxDies(world: World, boxId: string): void {
+  const box = world.boxes.get(boxId);
+  if (box === undefined || !box.alive) return;
+  box.alive = false;
+  for (const server of world.servers.values()) {
+    if (server.kind !== 'engine') continue;
+    for (const [attemptId, callerId] of [...server.callers]) {
+      if (callerId === boxId) engineStops(server, attemptId);
+    }
+  }
+}
+
+/** Kills a box and starts it again after a while. */
+export function boxRestarts(world: World, boxId: string, afterMs: number): void {
+  boxDies(world, boxId);
+  world.queue.at(world.queue.nowMs() + afterMs, () => {
+    if (world.boxes.get(boxId)?.alive === false) startBox(world, boxId);
+  });
+}
--- /dev/null
+++ b/packages/reedlug-check/src/world/platformFake.ts
@@ -0,0 +1,87 @@
+/** The platform: table, snapshots and cloud, with the faults that are on. */
+import type { TableAnswer, TableOp } from 'reedlug-coordination';
+import type { AskAnswer, CloudAsk } from 'reedlug-decisions';
+import { applyTableOp } from 'reedlug-standins';
+import {
+  addServer,
+  Delay,
+  emitLater,
+  platformReachable,
+  type World,
+  type WorldBox,
+} from './world.js';
+import { serverEnds } from './faults.js';
+
+/** Time after which a caller of the platform gives up, in ms. */
+const TIMEOUT_MS = 1000;
+/** Slowness of a slow table, in ms. */
+const SLOW_MS = 700;
+
+/** Carries out a table operation for a box. */
+export function tableAnswers(world: World, box: WorldBox, opId: string, op: TableOp): void {
+  const { faults, queue } = world;
+  const answerLater = (delayMs: number, answer: TableAnswer): void =>
+    emitLater(world, box, delayMs, { type: 'tableAnswered', opId, answer });
+  const nowMs = queue.nowMs();
+  if (!platformReachable(world, box) || nowMs < faults.tableDownUntilMs) {
+    answerLater(TIMEOUT_MS, { kind: 'unknown' });
+    return;
+  }
+  const slowMs = nowMs < faults.tableSlowUntilMs ? world.random.unit() * SLOW_MS * 2 : 0;
+  const delayMs = Delay.platform + slowMs;
+  queue.at(nowMs + delayMs, () => {
+    const answer = applyTableOp(world.table, op);
+    const lost = op.kind === 'transact' && world.random.chance(faults.loseAnswers);
+    if (lost || slowMs > TIMEOUT_MS) answerLater(TIMEOUT_MS, { kind: 'unknown' });
+    else answerLater(Delay.platform, answer);
+  });
+}
+
+/** Carries out a request to the cloud. */
+export function cloudAnswers(world: World, box: WorldBox, askId: string, ask: CloudAsk): void {
+  const answerLater = (delayMs: number, answer: AskAnswer): void =>
+    emitLater(world, box, delayMs, { type: 'cloudAnswered', askId, answer });
+  if (!platformReachable(world, box)) {
+    answerLater(TIMEOUT_MS, { kind: 'unknown' });
+    return;
+  }
+  world.queue.at(world.queue.nowMs() + Delay.platform, () => {
+    if (ask.fence < world.cloudFence) {
+      answerLater(Delay.platform, { kind: 'refused', reason: 'old fence' });
+      return;
+    }
+    world.cloudFence = ask.fence;
+    if (ask.kind === 'stop') {
+      serverEnds(world, ask.serverId);
+      answerLater(Delay.platform, { kind: 'done' });
+      return;
+    }
+    if (world.queue.nowMs() < world.faults.refuseStartsUntilMs) {
+      answerLater(Delay.platform, { kind: 'refused', reason: 'no capacity' });
+      return;
+    }
+    startEngine(world, ask);
+    answerLater(Delay.platform, { kind: 'done' });
+  });
+}
+
+function startEngine(world: World, ask: Extract<CloudAsk, { kind: 'start' }>): void {
+  if (world.startTokens.has(ask.startToken)) return;
+  world.startTokens.add(ask.startToken);
+  const pool = world.options.settings.pools.find(({ model }) => model === ask.pool);
+  if (pool === undefined) return;
+  world.queue.at(world.queue.nowMs() + world.options.engineStartMs, () => {
+    addServer(world, {
+      id: ask.startToken,
+      kind: 'engine',
+      zone: ask.zone,
+      pool: ask.pool,
+      version: pool.version,
+      slots: pool.slotsPerEngine,
+      machineClass: ask.machineClass,
+      reclaimable: ask.reclaimable,
+      checksFence: pool.checksFence,
+      address: `http://${ask.startToken}`,
+    });
+  });
+}
--- a/packages/reedlug-decisions/src/index.ts
+++ b/packages/reedlug-decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** The decisions of reedlug: state, reducer, invariants, policies and plans. */
 export * from './defaults.js';
 export * from './invariants/index.js';
+export * from './mutations.js';
 export * from './plans/items.js';
 export { digestFits } from './plans/draft.js';
 export * from './reduce.js';
--- a/packages/reedlug-decisions/src/plans/draft.ts
+++ b/packages/reedlug-decisions/src/plans/draft.ts
@@ -99,6 +99,8 @@
       const value = { startsAtEpochMs, endsAtEpochMs };
       return [{ name: itemName.keepOff(intent.requestClass), value }];
     }
+    case 'setEngine':
+      return [{ name: itemName.wanted(intent.serverId), value: intent.wanted }];
     case 'restore':
       return [...intent.changes];
   }
@@ -142,6 +144,11 @@
         },
         { atEpochMs: intent.endsAtEpochMs, text: `${intent.requestClass} may use them again` },
       ];
+    case 'setEngine': {
+      const { model, version, role } = intent.wanted;
+      const text = `engine ${intent.serverId}: ${model} ${version}, role ${role}`;
+      return [{ atEpochMs: epochMs, text }];
+    }
     case 'restore':
       return intent.changes.map(({ name }) => ({ atEpochMs: epochMs, text: `restore ${name}` }));
   }
@@ -178,6 +185,10 @@
       return moveEffects(state, intent, unchanged);
     case 'keepOffReclaimable':
       return keepOffEffects(state, unchanged);
+    case 'setEngine': {
+      const tokensAtStake = cachedTokensAt(state, new Set([intent.serverId]));
+      return { ...unchanged, tokensAtStake };
+    }
     case 'createWorkspace':
     case 'createService':
     case 'setPriority':
--- a/packages/reedlug-decisions/src/plans/intentFaults.ts
+++ b/packages/reedlug-decisions/src/plans/intentFaults.ts
@@ -39,6 +39,14 @@
       return movePoolFaults(state, intent, epochMs);
     case 'keepOffReclaimable':
       return [...classFaults(intent.requestClass), ...windowFaults(intent, epochMs)];
+    case 'setEngine':
+      return [
+        ...when(
+          !state.servers.has(intent.serverId),
+          `engine ${intent.serverId} is not known; see reedlug status`,
+        ),
+        ...when(intent.wanted.model === '', 'wanted.model must be named'),
+      ];
     case 'restore':
       return when(intent.changes.length === 0, 'restore names no change');
   }
--- a/packages/reedlug-decisions/src/plans/items.ts
+++ b/packages/reedlug-decisions/src/plans/items.ts
@@ -29,6 +29,9 @@
   keySha256: string | undefined;
 }
 
+/** Name prefix of the wanted states of engines. */
+export const WANTED_PREFIX = 'wanted/';
+
 /** Names of items. */
 export const itemName = {
   workspace: (workspaceId: string): string => `workspace/${workspaceId}`,
@@ -36,6 +39,7 @@
   priority: (workspaceId: string): string => `priority/${workspaceId}`,
   poolMove: (model: string): string => `poolMove/${model}`,
   keepOff: (requestClass: RequestClass): string => `keepOffReclaimable/${requestClass}`,
+  wanted: (serverId: string): string => `${WANTED_PREFIX}${serverId}`,
 } as const;
 
 /** The value of an item, or undefined. */
--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -26,7 +26,7 @@
   onConfigScanned,
   onConfigSnapshot,
 } from './slices/config.js';
-import { onFollowAsked, onLookup, onNotHere, onSight } from './slices/following.js';
+import { onClaimReread, onFollowAsked, onLookup, onNotHere, onSight } from './slices/following.js';
 import {
   drainTick,
   onBoxReclaimNoticed,
@@ -134,6 +134,8 @@
       return onClaimsAnswered(state, step, purpose.group, answer);
     case 'claimOutcomes':
       return onOutcomesAnswered(state, step, purpose.requestIds, answer);
+    case 'claimReread':
+      return onClaimReread(state, step, purpose.requestId, answer);
     case 'lease':
       return onLeaseAnswered(state, step, purpose.sentAtMs, answer);
     case 'configScan':
--- a/packages/reedlug-decisions/src/slices/admission.ts
+++ b/packages/reedlug-decisions/src/slices/admission.ts
@@ -43,7 +43,7 @@
   }
   const record = createRecord(spec, step.nowMs);
   addRecord(state, record);
-  if (needsClaim(spec)) claim(state, step, record, 0);
+  if (needsClaim(spec) && !state.mutations.has('skipClaim')) claim(state, step, record, 0);
   else admit(state, step, record);
 }
 
--- a/packages/reedlug-decisions/src/slices/attempts.ts
+++ b/packages/reedlug-decisions/src/slices/attempts.ts
@@ -49,7 +49,7 @@
   attempt.open = false;
   const view = state.servers.get(attempt.serverId);
   if (view === undefined) return;
-  view.openAttempts.delete(attempt.attemptId);
+  if (!state.mutations.has('leakPlace')) view.openAttempts.delete(attempt.attemptId);
   if (attempt.firstTokenAtMs === undefined) view.pendingPrefillTokens -= record.spec.promptTokens;
 }
 
@@ -85,6 +85,11 @@
   const found = find(state, event.attemptId);
   if (found === undefined || !isUnsettled(found.record)) return;
   const { record, attempt } = found;
+  if (state.mutations.has('takeAnyTokens')) {
+    const { requestId } = record.spec;
+    const { offset, tokens } = event;
+    step.effects.push({ type: 'deliverTokens', requestId, offset, tokens });
+  }
   const result = acceptTokens(record.ledger, event);
   switch (result.kind) {
     case 'dropped':
@@ -335,6 +340,11 @@
   const first = owedNothing && tries === 1;
   const delayMs = first ? 0 : backoffMs({ tries, baseMs: retryBaseMs, capMs: retryCapMs, random });
   const notBeforeMs = step.nowMs + delayMs;
+  if (state.mutations.has('forgetRequeued')) {
+    record.phase = { kind: 'running' };
+    record.spec = { ...record.spec, deadlineAtMs: Number.POSITIVE_INFINITY };
+    return;
+  }
   enterQueue(state, record, { nowMs: step.nowMs, notBeforeMs, atFront: true });
   if (delayMs === 0) dispatchPool(state, step, record.spec.pool);
 }
--- a/packages/reedlug-decisions/src/slices/following.ts
+++ b/packages/reedlug-decisions/src/slices/following.ts
@@ -5,7 +5,13 @@
  * the holder over the peer link until there is an outcome. When the holder is
  * gone and no peer has the request the answer is `unknown`, never a second run.
  */
-import { Outcome, MemberState } from 'reedlug-coordination';
+import {
+  claimRowKey,
+  MemberState,
+  Outcome,
+  type ClaimValue,
+  type TableAnswer,
+} from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
 import type { PeerMessage, RequestSight } from '../types/peer.js';
 import {
@@ -16,6 +22,8 @@
 } from '../types/request.js';
 import { RequestClass, ServerKind } from '../types/settings.js';
 import type { BoxState, Step } from '../state.js';
+import { nextId } from '../state.js';
+import { admit } from './admission.js';
 import { deliver } from './attempts.js';
 import { livePeers } from './peerLinks.js';
 import { addRecord, createRecord, phaseOf, settle } from './requests.js';
@@ -45,6 +53,7 @@
     holderId: reachableHolder(state, source.holderId),
     patienceUntilMs: step.nowMs + lookupTimeoutMs,
     nextAskAtMs: step.nowMs,
+    rereading: false,
   };
   if (source.storedOutcome !== undefined && record.phase.holderId === undefined) {
     settleFromRow(state, step, record, source.storedOutcome, source.storedStatus);
@@ -98,9 +107,49 @@
     phase.nextAskAtMs = step.nowMs;
     return;
   }
+  if (!phase.rereading && record.spec.idempotencyKey !== undefined) {
+    rereadClaim(state, step, record, phase);
+    return;
+  }
+  if (state.mutations.has('rerunWhenHolderGone') && record.spec.pool !== '') {
+    admit(state, step, record);
+    return;
+  }
   settle(state, step, record, { outcome: Outcome.unknown, reason: Reason.holderGone });
 }
 
+/** The holder may have written the outcome before it went; the row is asked once more. */
+function rereadClaim(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  phase: FollowingPhase,
+): void {
+  const { requestId, workspaceId, idempotencyKey } = record.spec;
+  phase.rereading = true;
+  phase.patienceUntilMs = step.nowMs + state.settings.control.claimTimeoutMs;
+  const opId = nextId(state, 'op');
+  state.tableOps.set(opId, { kind: 'claimReread', requestId });
+  const keys = [claimRowKey(workspaceId, idempotencyKey ?? '')];
+  step.effects.push({ type: 'requestTable', opId, op: { kind: 'read', keys } });
+}
+
+/** Takes the row of a claim whose holder is gone. */
+export function onClaimReread(
+  state: BoxState,
+  step: Step,
+  requestId: string,
+  answer: TableAnswer,
+): void {
+  const record = state.requests.get(requestId);
+  const phase = record === undefined ? undefined : phaseOf(record, 'following');
+  if (record === undefined || phase === undefined) return;
+  const row = answer.kind === 'done' ? answer.rows[0] : undefined;
+  const value = row?.value as ClaimValue | undefined;
+  if (value?.outcome === undefined) loseHolder(state, step, record, phase);
+  else settleFromRow(state, step, record, value.outcome, value.status);
+}
+
 /** Follows a request that this very box holds; says whether it does. */
 function followsHere(
   state: BoxState,
--- a/packages/reedlug-decisions/src/slices/orders.ts
+++ b/packages/reedlug-decisions/src/slices/orders.ts
@@ -17,14 +17,13 @@
 import type { EngineReport, EngineWanted } from '../types/order.js';
 import type { BoxState, ServerView, Step } from '../state.js';
 import { nextId, siteOfZone } from '../state.js';
+import { WANTED_PREFIX } from '../plans/items.js';
 import { log } from './log.js';
 
 /** Boxes of a site that try to hold the lease. */
 const LEASE_CANDIDATES = 2;
 /** An order that has not shown in a report is sent again after this long, in ms. */
 const ORDER_AGAIN_MS = 5000;
-/** Name prefix of wanted states in the configuration. */
-const WANTED_PREFIX = 'wanted/';
 
 /** Keeps the lease and sends what differs from the wanted states. */
 export function ordersTick(state: BoxState, step: Step): void {
@@ -38,6 +37,7 @@
 
 function leaseStep(state: BoxState, step: Step): void {
   if (state.lease.held === undefined && !isCandidate(state)) return;
+  if (state.mutations.has('reuseFence')) state.lease.highestFence = 0;
   const op = leaseTick(state.lease, step.nowMs);
   if (op === undefined) return;
   const opId = nextId(state, 'op');
--- a/packages/reedlug-decisions/src/slices/requests.ts
+++ b/packages/reedlug-decisions/src/slices/requests.ts
@@ -68,7 +68,8 @@
     reaches: record.attempts.map((attempt) => attempt.reach),
     repeatable: record.spec.repeatable,
   });
-  settle(state, step, record, { outcome, reason, retryAfterMs });
+  const told = state.mutations.has('callLossNotRun') ? Outcome.notRun : outcome;
+  settle(state, step, record, { outcome: told, reason, retryAfterMs });
 }
 
 /** What is told when a request is settled. */
@@ -117,6 +118,8 @@
     sourceRequestId,
     answer: settlement.answer,
   });
+  const last = step.effects.at(-1);
+  if (state.mutations.has('settleTwice') && last !== undefined) step.effects.push(last);
 }
 
 /** Refuses a request that was never accepted; it leaves no record. */
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -19,6 +19,7 @@
   type TokenBucket,
 } from 'reedlug-coordination';
 import { xoroshiro128plus, type RandomGenerator } from 'pure-rand';
+import type { Mutation } from './mutations.js';
 import type { Effect } from './types/effect.js';
 import type { EngineReport } from './types/order.js';
 import type { PoolLoad, WorkspaceDemand } from './types/peer.js';
@@ -88,6 +89,7 @@
 export type TablePurpose =
   | { kind: 'claims'; group: ClaimGroup }
   | { kind: 'claimOutcomes'; requestIds: readonly string[] }
+  | { kind: 'claimReread'; requestId: string }
   | { kind: 'lease'; sentAtMs: number }
   | { kind: 'configScan' }
   | { kind: 'confirm'; askId: string; plan: Plan; tries: number; step: ConfirmStep };
@@ -178,7 +180,7 @@
   draining: { sinceMs: number; leavesAtMs: number | undefined } | undefined;
   stoppedTold: boolean;
   /** Deliberate faults for tests of the checker; empty in production. */
-  mutations: ReadonlySet<string>;
+  mutations: ReadonlySet<Mutation>;
 }
 
 /** Time and effects of the event at hand. */
@@ -192,7 +194,7 @@
   settings: DecisionSettings;
   seed: number;
   nowMs: number;
-  mutations?: ReadonlySet<string>;
+  mutations?: ReadonlySet<Mutation>;
 }): BoxState {
   const { settings, nowMs } = params;
   const { control, policy } = settings;
--- a/packages/reedlug-decisions/src/types/plan.ts
+++ b/packages/reedlug-decisions/src/types/plan.ts
@@ -1,5 +1,6 @@
 /** Intents, plans and the answers to operators. */
 import type { ConfigChange } from 'reedlug-coordination';
+import type { EngineWanted } from './order.js';
 import type { RequestClass } from './settings.js';
 
 /** What an operator wants; times are epoch milliseconds. */
@@ -35,6 +36,7 @@
       startsAtEpochMs: number;
       endsAtEpochMs: number;
     }
+  | { kind: 'setEngine'; serverId: string; wanted: EngineWanted }
   | { kind: 'restore'; changes: readonly ConfigChange[] };
 
 /** One step of a plan. */
--- a/packages/reedlug-decisions/src/types/request.ts
+++ b/packages/reedlug-decisions/src/types/request.ts
@@ -79,6 +79,8 @@
       /** Until when an answer is waited for; moved on by each answer. */
       patienceUntilMs: number;
       nextAskAtMs: number;
+      /** True once the claim's row is read again, after nobody had the request. */
+      rereading: boolean;
     }
   | { kind: 'handing'; toBoxId: string; sinceMs: number; tries: number }
   | {
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -1,5 +1,6 @@
 /** The command line of reedlug. */
 import { Builtins, Cli } from 'clipanion';
+import { CheckCommand } from './commands/check.js';
 import { DevCommand } from './commands/dev.js';
 import { EntryCommand } from './commands/entry.js';
 import { HashKeyCommand, SettingsCheckCommand } from './commands/settingsCheck.js';
@@ -11,6 +12,7 @@
   const cli = new Cli({ binaryLabel: 'reedlug', binaryName: 'reedlug', binaryVersion: VERSION });
   const commands = [
     Builtins.HelpCommand,
+    CheckCommand,
     DevCommand,
     EntryCommand,
     HashKeyCommand,
--- /dev/null
+++ b/packages/reedlug/src/commands/check.ts
@@ -0,0 +1,80 @@
+/** `reedlug check`: randomised runs of the real reducers with every promise asserted. */
+import { writeFile } from 'node:fs/promises';
+import { Command, Option } from 'clipanion';
+import {
+  ALL_FAULTS,
+  runCheck,
+  type CheckSummary,
+  type FaultKind,
+  type Shrunk,
+} from 'reedlug-check';
+import { parseSeedRange } from './seedRange.js';
+
+/** Exits 0 when no promise was broken. */
+export class CheckCommand extends Command {
+  static override paths = [['check']];
+  static override usage = Command.Usage({
+    description: 'Check every promise in randomised runs with faults under virtual time',
+    details: 'On a violation the shrunk plan and the last events go to violation-SEED.json.',
+    examples: [
+      ['The long run', 'reedlug check --seeds 1-500'],
+      ['Reclaims only', 'reedlug check --seeds 1-50 --faults reclaimZone,reclaimServer'],
+    ],
+  });
+
+  seeds = Option.String('--seeds', '1-100', { description: 'One seed, or a range such as 1-500' });
+  events = Option.String('--events', '2000', { description: 'Events a run has at the least' });
+  faults = Option.String('--faults', { description: `Of ${ALL_FAULTS.join(', ')}` });
+  out = Option.String('--out', '.', { description: 'Folder for the traces of violations' });
+
+  override async execute(): Promise<number> {
+    const faults: string[] = [];
+    const seeds = parseSeedRange(this.seeds);
+    if (seeds === undefined) faults.push(`--seeds must be like 1-500, not ${this.seeds}`);
+    const minEvents = Number(this.events);
+    if (!Number.isInteger(minEvents) || minEvents < 1) faults.push('--events must be 1 or more');
+    const kinds = this.faults === undefined ? ALL_FAULTS : this.faults.split(',');
+    const unknown = kinds.filter((kind) => !ALL_FAULTS.includes(kind as FaultKind));
+    if (unknown.length > 0) {
+      faults.push(`--faults does not know ${unknown.join(', ')}; known: ${ALL_FAULTS.join(', ')}`);
+    }
+    if (seeds === undefined || faults.length > 0) {
+      this.context.stderr.write(`${faults.join('\n')}\n`);
+      return 1;
+    }
+    const summary = runCheck({
+      firstSeed: seeds.first,
+      lastSeed: seeds.last,
+      minEvents,
+      kinds: kinds as FaultKind[],
+      mutations: new Set(),
+      stopAtFirst: false,
+    });
+    for (const line of summaryLines(summary)) this.context.stdout.write(`${line}\n`);
+    for (const violation of summary.violations) await this.report(violation);
+    return summary.violations.length === 0 ? 0 : 1;
+  }
+
+  private async report({ plan, result }: Shrunk): Promise<void> {
+    const path = `${this.out}/violation-${result.seed}.json`;
+    await writeFile(path, JSON.stringify({ plan, result }, undefined, 2));
+    const { name, detail } = result.violation ?? { name: '', detail: '' };
+    this.context.stdout.write(
+      `violation seed=${result.seed} name=${name} trace=${path}\n${detail}\n`,
+    );
+  }
+}
+
+function summaryLines(summary: CheckSummary): string[] {
+  const { seeds, events, faults, violations, confirmed, conflicts } = summary;
+  const counts = Object.entries(summary.faultCounts)
+    .sort(([a], [b]) => a.localeCompare(b))
+    .map(([kind, count]) => `${kind}=${count}`);
+  const outcomes = Object.entries(summary.outcomes).map(([name, count]) => `${name}=${count}`);
+  return [
+    `seeds=${seeds} events=${events} faults=${faults} violations=${violations.length}`,
+    `coverage ${counts.join(' ')}`,
+    `outcomes ${outcomes.join(' ')}`,
+    `plans confirmed=${confirmed} conflicts=${conflicts}`,
+  ];
+}
--- /dev/null
+++ b/packages/reedlug/src/commands/seedRange.ts
@@ -0,0 +1,16 @@
+/** Ranges of seeds on the command line. */
+
+/** Seeds from `first` to `last`, both included. */
+export interface SeedRange {
+  first: number;
+  last: number;
+}
+
+/** Reads `7` or `1-500`; undefined for anything else. */
+export function parseSeedRange(text: string): SeedRange | undefined {
+  const match = /^(\d{1,9})(?:-(\d{1,9}))?$/.exec(text);
+  if (match === null) return undefined;
+  const first = Number(match[1]);
+  const last = Number(match[2] ?? match[1]);
+  return last >= first ? { first, last } : undefined;
+}
--- a/packages/reedlug/src/plans/intentValidation.ts
+++ b/packages/reedlug/src/plans/intentValidation.ts
@@ -51,6 +51,16 @@
     starts: pointInTime,
     ends: pointInTime,
   }),
+  z.strictObject({
+    kind: z.literal('setEngine'),
+    serverId: z.string(),
+    wanted: z.strictObject({
+      model: z.string(),
+      version: z.string(),
+      adapters: z.array(z.string()).default([]),
+      role: z.enum(['serve', 'drain']).default('serve'),
+    }),
+  }),
 ]);
 
 /** Checks a document. */
@@ -76,6 +86,7 @@
     case 'setLimits':
     case 'createService':
     case 'setPriority':
+    case 'setEngine':
       return data;
   }
 }
