Measure policies in scenarios under virtual time, against baselines

reedlug measure plays the real reducers against the fakes for an example deployment and prints cost at the latency target, recomputed tokens, latency by class, misses, refusals and losses; a range of seeds prints medians.

--- /dev/null
+++ b/packages/reedlug-check/src/measure/median.ts
@@ -0,0 +1,66 @@
+/** Medians of measurements over seeds. */
+import type { Measurement } from './measure.js';
+import type { PolicyVariant } from './policyVariants.js';
+import type { ScenarioName } from './scenario.js';
+
+/** Medians over the seeds of one scenario and policy. */
+export interface MedianRow {
+  scenario: ScenarioName;
+  policy: PolicyVariant;
+  seeds: number;
+  costPerThousand: number;
+  recomputedTokens: number;
+  recomputedShare: number;
+  urgentFirstP95Ms: number;
+  patientFirstP95Ms: number;
+  lookUpP95Ms: number;
+  urgentMissShare: number;
+  refusedUrgent: number;
+  refusedPatient: number;
+  /** Over all seeds, not a median: one lost request is one too many. */
+  lost: number;
+  busiestOverLeast: number;
+}
+
+/** The median of values; 0 for none. */
+export function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const middle = Math.floor(sorted.length / 2);
+  const upper = sorted[middle] ?? 0;
+  if (sorted.length % 2 === 1) return upper;
+  return (upper + (sorted[middle - 1] ?? 0)) / 2;
+}
+
+/** One row for each scenario and policy, in the order in which they first appear. */
+export function medianRows(results: readonly Measurement[]): MedianRow[] {
+  const groups = new Map<string, Measurement[]>();
+  for (const result of results) {
+    const key = `${result.scenario} ${result.policy}`;
+    groups.set(key, [...(groups.get(key) ?? []), result]);
+  }
+  return [...groups.values()].flatMap((group) => rowOf(group));
+}
+
+function rowOf(group: readonly Measurement[]): MedianRow[] {
+  const [first] = group;
+  if (first === undefined) return [];
+  const of = (value: (result: Measurement) => number): number => median(group.map(value));
+  return [
+    {
+      scenario: first.scenario,
+      policy: first.policy,
+      seeds: group.length,
+      costPerThousand: of((result) => result.costPerThousandWithinTarget),
+      recomputedTokens: of((result) => result.recomputedTokens),
+      recomputedShare: of((result) => result.recomputedShare),
+      urgentFirstP95Ms: of((result) => result.firstToken.urgent.p95Ms),
+      patientFirstP95Ms: of((result) => result.firstToken.patient.p95Ms),
+      lookUpP95Ms: of((result) => result.whole.lookUp.p95Ms),
+      urgentMissShare: of((result) => result.urgentMissShare),
+      refusedUrgent: of((result) => result.refused.urgent),
+      refusedPatient: of((result) => result.refused.patient),
+      lost: group.reduce((sum, { lost }) => sum + lost.urgent + lost.patient, 0),
+      busiestOverLeast: of((result) => result.busiestOverLeast),
+    },
+  ];
+}
--- /dev/null
+++ b/packages/reedlug-check/src/measure/policyVariants.ts
@@ -0,0 +1,67 @@
+/** The measured policy and the baselines beside it. */
+import type { DecisionSettings, PolicySettings } from 'reedlug-decisions';
+
+/** Names of the variants. */
+export const PolicyVariant = {
+  reedlug: 'reedlug',
+  roundRobin: 'roundRobin',
+  leastRequests: 'leastRequests',
+  stickyHash: 'stickyHash',
+  noKvMove: 'noKvMove',
+  onDemandOnly: 'onDemandOnly',
+  cheapestFirst: 'cheapestFirst',
+  cacheAware: 'cacheAware',
+} as const;
+export type PolicyVariant = (typeof PolicyVariant)[keyof typeof PolicyVariant];
+
+/** What a plain balancer does: no move of caches, no reserve, the cheapest boxes. */
+const PLAIN: Partial<PolicySettings> = {
+  kvMove: false,
+  placement: 'cheapestFirst',
+  urgentReservedSlots: 0,
+  patientFloorEvery: 1_000_000,
+};
+
+/** What a variant changes. */
+export function policyOf(variant: PolicyVariant): Partial<PolicySettings> {
+  switch (variant) {
+    case PolicyVariant.reedlug:
+      return {};
+    case PolicyVariant.roundRobin:
+    case PolicyVariant.leastRequests:
+    case PolicyVariant.stickyHash:
+      return { ...PLAIN, routing: variant };
+    case PolicyVariant.noKvMove:
+      return { kvMove: false };
+    case PolicyVariant.onDemandOnly:
+      return { placement: 'onDemandOnly' };
+    case PolicyVariant.cheapestFirst:
+      return { placement: 'cheapestFirst' };
+    case PolicyVariant.cacheAware:
+      return { window: 'cacheAware' };
+  }
+}
+
+/** Settings whose first boxes are bought as the variant would have bought them. */
+export function settingsFor<T extends Pick<DecisionSettings, 'policy' | 'servers'>>(
+  settings: T,
+  variant: PolicyVariant,
+): T {
+  const policy = { ...settings.policy, ...policyOf(variant) };
+  return { ...settings, policy, servers: settings.servers.map((spec) => bought(spec, policy)) };
+}
+
+function bought(
+  spec: DecisionSettings['servers'][number],
+  policy: PolicySettings,
+): DecisionSettings['servers'][number] {
+  if (spec.kind !== 'engine') return spec;
+  switch (policy.placement) {
+    case 'onDemandOnly':
+      return { ...spec, reclaimable: false };
+    case 'cheapestFirst':
+      return { ...spec, reclaimable: true };
+    case 'effectivePrice':
+      return spec;
+  }
+}
--- /dev/null
+++ b/packages/reedlug-check/src/measure/scenario.ts
@@ -0,0 +1,141 @@
+/** Scenarios of the measurement: the load and what happens to it. */
+import { emit, type World } from '../world/world.js';
+import { reclaimServer, reclaimZone } from '../world/faults.js';
+
+/** Names of the scenarios. */
+export const ScenarioName = {
+  ordinaryDay: 'ordinaryDay',
+  zoneReclaimed: 'zoneReclaimed',
+  wavesRefused: 'wavesRefused',
+  draftRush: 'draftRush',
+  noisyWorkspace: 'noisyWorkspace',
+  tableAway: 'tableAway',
+  siteMove: 'siteMove',
+} as const;
+export type ScenarioName = (typeof ScenarioName)[keyof typeof ScenarioName];
+
+/** A scenario. */
+export interface Scenario {
+  name: ScenarioName;
+  lengthMs: number;
+  /** Conversations that begin a second, patient and urgent, against an ordinary day. */
+  patientFactor: (atMs: number) => number;
+  urgentFactor: number;
+  /** Factor on one workspace's requests, the first patient one. */
+  noisyFactor: number;
+  /** Length of a conversation's first prompt against an ordinary one. */
+  promptFactor: number;
+  /** The deployment is doubled by a second site. */
+  twoSites: boolean;
+  /** Schedules what happens. */
+  happen: (world: World) => void;
+}
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+const NOTICE_MS = 5000;
+
+const ORDINARY: Scenario = {
+  name: ScenarioName.ordinaryDay,
+  lengthMs: 5 * MINUTE_MS,
+  patientFactor: () => 1,
+  urgentFactor: 1,
+  noisyFactor: 1,
+  promptFactor: 1,
+  twoSites: false,
+  happen: ordinaryReclaims,
+};
+
+/** Each reclaimable engine is reclaimed now and then, at its offer's rate. */
+function ordinaryReclaims(world: World): void {
+  const LOOK_MS = 5000;
+  const look = (): void => {
+    for (const server of [...world.servers.values()]) {
+      if (!server.spec.reclaimable || server.leaving) continue;
+      const offer = world.options.settings.offers.find(
+        ({ zone, machineClass, reclaimable }) =>
+          zone === server.spec.zone && machineClass === server.spec.machineClass && reclaimable,
+      );
+      // An hour of reclaims is packed into the minutes of the run.
+      const perLook = ((offer?.reclaimsPerHour ?? 0) * LOOK_MS) / (10 * MINUTE_MS);
+      if (world.random.chance(perLook)) reclaimServer(world, server.spec.id, NOTICE_MS);
+    }
+    world.queue.at(world.queue.nowMs() + LOOK_MS, look);
+  };
+  world.queue.at(LOOK_MS, look);
+}
+
+/** The scenario of a name. */
+export function scenarioOf(name: ScenarioName): Scenario {
+  switch (name) {
+    case ScenarioName.ordinaryDay:
+      return ORDINARY;
+    case ScenarioName.zoneReclaimed:
+      return { ...ORDINARY, name, patientFactor: () => 1.2, happen: zoneAtPeak };
+    case ScenarioName.wavesRefused:
+      return { ...ORDINARY, name, happen: waves };
+    case ScenarioName.draftRush:
+      return { ...ORDINARY, name, patientFactor: rush, promptFactor: 2 };
+    case ScenarioName.noisyWorkspace:
+      return { ...ORDINARY, name, noisyFactor: 8 };
+    case ScenarioName.tableAway:
+      return { ...ORDINARY, name, lengthMs: HOUR_MS + 5 * MINUTE_MS, happen: tableAway };
+    case ScenarioName.siteMove:
+      return { ...ORDINARY, name, twoSites: true, happen: moveSite };
+  }
+}
+
+function zoneAtPeak(world: World): void {
+  const zone = world.options.settings.zones[0]?.name ?? '';
+  world.queue.at(2 * MINUTE_MS, () => reclaimZone(world, zone, NOTICE_MS));
+}
+
+function waves(world: World): void {
+  const { zones } = world.options.settings;
+  for (const [index, zone] of zones.entries()) {
+    const atMs = MINUTE_MS + index * MINUTE_MS;
+    world.queue.at(atMs, () => {
+      world.faults.refuseStartsUntilMs = world.queue.nowMs() + 30_000;
+      reclaimZone(world, zone.name, NOTICE_MS);
+    });
+  }
+}
+
+function rush(atMs: number): number {
+  return atMs > MINUTE_MS && atMs < 3 * MINUTE_MS ? 1.8 : 0.8;
+}
+
+function tableAway(world: World): void {
+  ordinaryReclaims(world);
+  world.queue.at(2 * MINUTE_MS, () => {
+    world.faults.tableDownUntilMs = world.queue.nowMs() + HOUR_MS;
+  });
+}
+
+/** Operators move the pool to the second site by a plan, over two minutes. */
+function moveSite(world: World): void {
+  const [pool] = world.options.settings.pools;
+  const [first] = world.options.settings.zones;
+  const box = world.boxes.values().next().value;
+  if (pool === undefined || first === undefined || box === undefined) return;
+  const toSite = `${first.site}-new`;
+  world.observer.onOperator = (askId, answer) => {
+    if (answer.kind !== 'planned') return;
+    const epochMs = world.epochStartMs + world.queue.nowMs();
+    const ask = { kind: 'confirm', plan: answer.plan } as const;
+    emit(world, box, { type: 'operatorAsked', askId: `${askId}-confirm`, ask, epochMs });
+  };
+  world.queue.at(30_000, () => {
+    const epochMs = world.epochStartMs + world.queue.nowMs();
+    const intent = {
+      kind: 'movePool',
+      model: pool.model,
+      toSite,
+      startsAtEpochMs: epochMs + 30_000,
+      endsAtEpochMs: epochMs + 30_000 + 2 * MINUTE_MS,
+      steps: 8,
+    } as const;
+    const ask = { kind: 'plan', operatorId: 'operator', planId: 'move', intent } as const;
+    emit(world, box, { type: 'operatorAsked', askId: 'move', ask, epochMs });
+  });
+}
--- /dev/null
+++ b/packages/reedlug-check/src/measure/workload.ts
@@ -0,0 +1,326 @@
+/** The load of a measurement: conversations of drafts, short questions, look-ups. */
+import { hashString, Outcome } from 'reedlug-coordination';
+import type { Effect, RequestSpec } from 'reedlug-decisions';
+import { emit, type World, type WorldBox } from '../world/world.js';
+import type { Scenario } from './scenario.js';
+
+type Finish = Extract<Effect, { type: 'finishRequest' }>;
+
+/** One answered or lost request. */
+export interface Sample {
+  workspaceId: string;
+  kind: 'engine' | 'service';
+  requestClass: 'urgent' | 'patient';
+  outcome: Outcome;
+  reason: string;
+  accepted: boolean;
+  firstTokenMs: number | undefined;
+  wholeMs: number;
+  betweenTokensMs: number;
+  promptTokens: number;
+  completionTokens: number;
+}
+
+/** What the load has seen. */
+export interface Workload {
+  samples: Sample[];
+  promptTokens: number;
+  recomputedTokens: number;
+  /** Requests that have no outcome yet. */
+  open: Map<string, OpenRequest>;
+  conversationCount: number;
+  requestCount: number;
+}
+
+interface OpenRequest {
+  spec: RequestSpec;
+  box: WorldBox;
+  startedAtMs: number;
+  firstTokenAtMs: number | undefined;
+  tries: number;
+  attempted: boolean;
+  conversation: Conversation | undefined;
+}
+
+interface Conversation {
+  id: string;
+  workspaceId: string;
+  urgent: boolean;
+  turnsLeft: number;
+  contextTokens: number;
+  affinityHash: number;
+}
+
+/** Conversations of drafts that begin a second on an ordinary day, for each engine. */
+const DRAFTS_PER_ENGINE = 0.11;
+const QUESTIONS_PER_ENGINE = 0.35;
+const LOOK_UPS_PER_ENGINE = 1.2;
+const THINK_MS = 9000;
+const MAX_TRIES = 3;
+const URGENT_DEADLINE_MS = 8000;
+const PATIENT_DEADLINE_MS = 90_000;
+/** Share of requests after which the measurement starts, so that caches are warm. */
+const WARM_UP_MS = 30_000;
+
+/** Wires the load into a world. */
+export function createWorkload(world: World, scenario: Scenario, engines: number): Workload {
+  const workload: Workload = {
+    samples: [],
+    promptTokens: 0,
+    recomputedTokens: 0,
+    open: new Map(),
+    conversationCount: 0,
+    requestCount: 0,
+  };
+  const computed = new Map<number, number>();
+  world.observer.onPrefill = (affinityHash, cachedTokens, contextTokens) => {
+    const before = computed.get(affinityHash) ?? 0;
+    computed.set(affinityHash, Math.max(before, contextTokens));
+    if (world.queue.nowMs() < WARM_UP_MS) return;
+    workload.promptTokens += contextTokens;
+    workload.recomputedTokens += Math.max(0, Math.min(before, contextTokens) - cachedTokens);
+  };
+  world.observer.onRun = (_serverId, requestId) => {
+    const open = workload.open.get(requestId);
+    if (open !== undefined) open.attempted = true;
+  };
+  world.observer.onTokens = (_boxId, requestId) => {
+    const open = workload.open.get(requestId);
+    if (open !== undefined) open.firstTokenAtMs ??= world.queue.nowMs();
+  };
+  world.observer.onFinish = (_boxId, finish) => takeFinish(world, workload, computed, finish);
+  startArrivals(world, workload, scenario, engines);
+  return workload;
+}
+
+function workspacesOf(world: World): { patient: string[]; urgent: string[] } {
+  const ids = world.options.settings.workspaces.map(({ id }) => id);
+  // The two largest workspaces of each example draft; the floor's or counter's asks.
+  const floor = ids.filter((id) => /floor|counter|offices/.test(id));
+  const patient = ids.filter((id) => !floor.includes(id));
+  return { patient, urgent: floor.length > 0 ? floor : ids };
+}
+
+function startArrivals(
+  world: World,
+  workload: Workload,
+  scenario: Scenario,
+  engines: number,
+): void {
+  const { patient, urgent } = workspacesOf(world);
+  const noisy = patient[0];
+  let drafts = 0;
+  const every = (perSecond: (atMs: number) => number, begin: () => void): void => {
+    const next = (): void => {
+      const nowMs = world.queue.nowMs();
+      const rate = Math.max(1e-6, perSecond(nowMs));
+      world.queue.at(nowMs + world.random.exponential(1000 / rate), () => {
+        if (world.queue.nowMs() > scenario.lengthMs) return;
+        begin();
+        next();
+      });
+    };
+    next();
+  };
+  every(
+    (atMs) => DRAFTS_PER_ENGINE * engines * scenario.patientFactor(atMs),
+    () => {
+      drafts += 1;
+      beginDraft(world, workload, scenario, patient[drafts % patient.length] ?? '');
+    },
+  );
+  if (scenario.noisyFactor > 1 && noisy !== undefined) {
+    const share = (DRAFTS_PER_ENGINE * engines) / patient.length;
+    every(
+      () => share * (scenario.noisyFactor - 1),
+      () => beginDraft(world, workload, scenario, noisy),
+    );
+  }
+  every(
+    () => QUESTIONS_PER_ENGINE * engines * scenario.urgentFactor,
+    () => beginQuestion(world, workload, world.random.pick(urgent)),
+  );
+  every(
+    () => LOOK_UPS_PER_ENGINE * engines * scenario.urgentFactor,
+    () => place(world, workload, lookUp(world, workload, world.random.pick(urgent)), undefined, 1),
+  );
+}
+
+function newConversation(
+  workload: Workload,
+  workspaceId: string,
+  urgent: boolean,
+  turnsLeft: number,
+  contextTokens: number,
+): Conversation {
+  workload.conversationCount += 1;
+  const id = `c${workload.conversationCount}`;
+  const affinityHash = hashString(`${workspaceId}|${id}`);
+  return { id, workspaceId, urgent, turnsLeft, contextTokens, affinityHash };
+}
+
+function beginDraft(
+  world: World,
+  workload: Workload,
+  scenario: Scenario,
+  workspaceId: string,
+): void {
+  const { random } = world;
+  const prompt = Math.round(random.logNormal(1800 * scenario.promptFactor, 0.5));
+  const conversation = newConversation(workload, workspaceId, false, random.whole(3, 9), prompt);
+  nextTurn(world, workload, conversation);
+}
+
+function beginQuestion(world: World, workload: Workload, workspaceId: string): void {
+  const { random } = world;
+  const prompt = Math.round(random.logNormal(220, 0.4));
+  const conversation = newConversation(workload, workspaceId, true, random.whole(1, 2), prompt);
+  nextTurn(world, workload, conversation);
+}
+
+function nextTurn(world: World, workload: Workload, conversation: Conversation): void {
+  const { random } = world;
+  const median = conversation.urgent ? 30 : 220;
+  const maxTokens = Math.max(4, Math.round(random.logNormal(median, 0.4)));
+  const requestClass = conversation.urgent ? 'urgent' : 'patient';
+  const pool = world.options.settings.pools[0]?.model ?? '';
+  const spec: RequestSpec = {
+    requestId: nextRequestId(workload),
+    workspaceId: conversation.workspaceId,
+    requestClass,
+    kind: 'engine',
+    pool,
+    version: '',
+    repeatable: true,
+    idempotencyKey: undefined,
+    digest: '',
+    deadlineAtMs:
+      world.queue.nowMs() + (conversation.urgent ? URGENT_DEADLINE_MS : PATIENT_DEADLINE_MS),
+    affinityHash: conversation.affinityHash,
+    promptTokens: conversation.contextTokens,
+    maxTokens,
+  };
+  place(world, workload, spec, conversation, 1);
+}
+
+function nextRequestId(workload: Workload): string {
+  workload.requestCount += 1;
+  return `m${workload.requestCount}`;
+}
+
+function lookUp(world: World, workload: Workload, workspaceId: string): RequestSpec {
+  const service = world.options.settings.servers.find(({ kind }) => kind === 'service')?.pool ?? '';
+  return {
+    requestId: nextRequestId(workload),
+    workspaceId,
+    requestClass: 'urgent',
+    kind: 'service',
+    pool: service,
+    version: '',
+    repeatable: true,
+    idempotencyKey: undefined,
+    digest: '',
+    deadlineAtMs: world.queue.nowMs() + 3000,
+    affinityHash: 0,
+    promptTokens: 0,
+    maxTokens: 0,
+  };
+}
+
+/** Places a request at any ready box, as the balancer does. */
+function place(
+  world: World,
+  workload: Workload,
+  spec: RequestSpec,
+  conversation: Conversation | undefined,
+  tries: number,
+): void {
+  const boxes = [...world.boxes.values()].filter(
+    (box) => box.alive && box.state.draining === undefined,
+  );
+  if (boxes.length === 0) return;
+  const box = world.random.pick(boxes);
+  workload.open.set(spec.requestId, {
+    spec,
+    box,
+    startedAtMs: world.queue.nowMs(),
+    firstTokenAtMs: undefined,
+    tries,
+    attempted: false,
+    conversation,
+  });
+  emit(world, box, { type: 'requestArrived', spec });
+}
+
+function takeFinish(
+  world: World,
+  workload: Workload,
+  computed: Map<number, number>,
+  finish: Finish,
+): void {
+  const open = workload.open.get(finish.requestId);
+  if (open === undefined) return;
+  workload.open.delete(finish.requestId);
+  const nowMs = world.queue.nowMs();
+  if (open.startedAtMs >= WARM_UP_MS) workload.samples.push(sampleOf(open, finish, nowMs));
+  const { conversation } = open;
+  if (finish.outcome !== Outcome.completed) {
+    retryLater(world, workload, open, finish);
+    return;
+  }
+  if (conversation === undefined) return;
+  const context = open.spec.promptTokens + finish.completionTokens;
+  computed.set(
+    open.spec.affinityHash,
+    Math.max(computed.get(open.spec.affinityHash) ?? 0, context),
+  );
+  goOn(world, workload, conversation, context);
+}
+
+function goOn(
+  world: World,
+  workload: Workload,
+  conversation: Conversation,
+  contextTokens: number,
+): void {
+  conversation.turnsLeft -= 1;
+  if (conversation.turnsLeft <= 0) return;
+  const asked = world.random.logNormal(conversation.urgent ? 40 : 300, 0.5);
+  conversation.contextTokens = contextTokens + Math.round(asked);
+  const thinkMs = world.random.exponential(THINK_MS);
+  world.queue.at(world.queue.nowMs() + thinkMs, () => nextTurn(world, workload, conversation));
+}
+
+/** A refused caller comes back when it was told to. */
+function retryLater(world: World, workload: Workload, open: OpenRequest, finish: Finish): void {
+  if (finish.outcome !== Outcome.notRun || open.tries >= MAX_TRIES) return;
+  const delayMs = finish.retryAfterMs ?? 1000;
+  world.queue.at(world.queue.nowMs() + delayMs, () => {
+    const leftMs = open.spec.deadlineAtMs - open.startedAtMs;
+    const spec = {
+      ...open.spec,
+      requestId: nextRequestId(workload),
+      deadlineAtMs: world.queue.nowMs() + leftMs,
+    };
+    place(world, workload, spec, open.conversation, open.tries + 1);
+  });
+}
+
+function sampleOf(open: OpenRequest, finish: Finish, nowMs: number): Sample {
+  const { spec, startedAtMs, firstTokenAtMs } = open;
+  const tokens = finish.completionTokens;
+  const spanMs = firstTokenAtMs === undefined ? 0 : nowMs - firstTokenAtMs;
+  return {
+    workspaceId: spec.workspaceId,
+    kind: spec.kind,
+    requestClass: spec.requestClass,
+    outcome: finish.outcome,
+    reason: finish.reason,
+    accepted: finish.outcome !== Outcome.notRun || open.attempted,
+    firstTokenMs: firstTokenAtMs === undefined ? undefined : firstTokenAtMs - startedAtMs,
+    wholeMs: nowMs - startedAtMs,
+    betweenTokensMs: tokens > 1 ? spanMs / (tokens - 1) : 0,
+    promptTokens: spec.promptTokens,
+    completionTokens: tokens,
+  };
+}
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -3,6 +3,7 @@
 import { CheckCommand } from './commands/check.js';
 import { DevCommand } from './commands/dev.js';
 import { EntryCommand } from './commands/entry.js';
+import { MeasureCommand } from './commands/measure.js';
 import { HashKeyCommand, SettingsCheckCommand } from './commands/settingsCheck.js';
 import { HistogramsCommand, StatusCommand } from './commands/status.js';
 import { VERSION, VersionCommand } from './commands/version.js';
@@ -17,6 +18,7 @@
     EntryCommand,
     HashKeyCommand,
     HistogramsCommand,
+    MeasureCommand,
     SettingsCheckCommand,
     StatusCommand,
     VersionCommand,
