Split an engine's window exactly, and tell peers when it is hot

Cause: with 7 boxes and 10 slots for patient requests each box took ceil(10/7) = 2, so 14 drafts filled 12 slots and urgent calls waited inside the engine; a box without a fresh report spilled although the engine was half empty. Beside it, the first-ranked engine was looked for among engines that a site move had taken out. Change: shares sum to the window, the remainder goes by rank; a box uses its share while an engine is hot (told by the box that probes it) and up to half the window otherwise; ranks count allowed engines only.

--- /dev/null
+++ b/packages/reedlug-decisions/src/__tests__/windows.test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai';
+import { createTestBox, hear, testDraft, type TestBox } from './__fixtures__/testBox.js';
+import { chooseServer } from '../policy/routing.js';
+import { roomAt, updateSharing } from '../policy/windows.js';
+import { createRecord } from '../slices/requests.js';
+
+function hearPeer(box: TestBox, nowMs: number): void {
+  box.send(nowMs, {
+    type: 'peerMessage',
+    from: 'box-2',
+    message: {
+      kind: 'heartbeat',
+      incarnation: 1,
+      zone: 'zone-a',
+      revision: 0,
+      draining: false,
+      demands: [],
+      poolLoads: [],
+    },
+  });
+}
+
+function hot(box: TestBox, nowMs: number, news: 'hot' | 'cool'): void {
+  const item = { serverId: 'engine-1', incarnation: 1, news, leavesInMs: undefined };
+  box.send(nowMs, {
+    type: 'peerMessage',
+    from: 'box-2',
+    message: { kind: 'serverNews', news: [item] },
+  });
+}
+
+function room(box: TestBox, nowMs: number): number {
+  const view = box.state.servers.get('engine-1');
+  return view === undefined ? 0 : roomAt(box.state, view, 'patient', nowMs);
+}
+
+test('a hot engine leaves a box its exact share', () => {
+  const box = createTestBox();
+  hearPeer(box, 10);
+  updateSharing(box.state);
+  expect(room(box, 20)).equal(4);
+  hot(box, 20, 'hot');
+  expect(room(box, 30)).equal(2);
+  hot(box, 40, 'cool');
+  expect(room(box, 50)).equal(4);
+});
+
+test('an engine that is not heard of leaves part of its window', () => {
+  const box = createTestBox();
+  expect(room(box, 60_000)).equal(4);
+  hearPeer(box, 60_000);
+  updateSharing(box.state);
+  expect(room(box, 60_000)).equal(2);
+});
+
+test('the first rank counts only engines that a plan allows', () => {
+  const box = createTestBox();
+  box.state.epochMs = 1000;
+  const move = {
+    toSite: 'new',
+    startsAtEpochMs: 0,
+    endsAtEpochMs: 500,
+    steps: 1,
+    haltedAtShare: undefined,
+  };
+  box.state.config.items.set('poolMove/draft', { value: move, revision: 1 });
+  const record = createRecord(testDraft('d1'), 10);
+  expect(chooseServer(box.state, record, 10)).equal(undefined);
+  const moved = box.state.servers.get('engine-2');
+  if (moved === undefined) throw new Error('no engine-2');
+  moved.spec = { ...moved.spec, zone: 'zone-b' };
+  hear(box, 20, 'engine-2');
+  expect(chooseServer(box.state, record, 20)?.spec.id).equal('engine-2');
+});
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -6,7 +6,7 @@
  * recomputed tokens, weighed by the settings. The other policies are baselines.
  */
 import { rendezvousWeight } from 'reedlug-coordination';
-import type { RequestRecord } from '../types/request.js';
+import type { RequestRecord, RequestSpec } from '../types/request.js';
 import { RequestClass, RoutingPolicy, ServerKind } from '../types/settings.js';
 import type { BoxState, ServerView } from '../state.js';
 import { serverTakesWork } from '../slices/servers.js';
@@ -34,16 +34,22 @@
 /** Servers of the request's pool that take work and have room; own zone first where settings say so. */
 function candidatesFor(state: BoxState, record: RequestRecord, nowMs: number): ServerView[] {
   const { spec } = record;
+  const open = usableServers(state, spec).filter(
+    (view) => roomAt(state, view, spec.requestClass, nowMs) > 0,
+  );
+  if (state.settings.policy.routeOverSite) return open;
+  const own = open.filter((view) => view.spec.zone === state.settings.zone);
+  return own.length > 0 ? own : open;
+}
+
+/** Servers that may run a request, with room or without. */
+function usableServers(state: BoxState, spec: RequestSpec): ServerView[] {
   const pool = state.serversByPool.get(spec.pool) ?? [];
-  const open = pool.filter((view) => {
+  return pool.filter((view) => {
     if (view.spec.kind !== spec.kind) return false;
     if (!serverTakesWork(state, view) || !versionFits(view, spec.version)) return false;
-    if (!serverAllowed(state, view, spec)) return false;
-    return roomAt(state, view, spec.requestClass, nowMs) > 0;
+    return serverAllowed(state, view, spec);
   });
-  if (state.settings.policy.routeOverSite) return open;
-  const own = open.filter((view) => view.spec.zone === state.settings.zone);
-  return own.length > 0 ? own : open;
 }
 
 /** A request that names a version goes only to engines that report it. */
@@ -97,10 +103,7 @@
     return lowest(candidates, (view) => serviceCost(state, view, nowMs));
   }
   const { spec } = record;
-  const pool = (state.serversByPool.get(spec.pool) ?? []).filter((view) =>
-    serverTakesWork(state, view),
-  );
-  const first = firstRanked(spec.affinityHash, pool);
+  const first = firstRanked(spec.affinityHash, usableServers(state, spec));
   return lowest(candidates, (view) => engineCost(state, record, view, view === first, nowMs));
 }
 
--- a/packages/reedlug-decisions/src/policy/windows.ts
+++ b/packages/reedlug-decisions/src/policy/windows.ts
@@ -6,7 +6,7 @@
  * known. `cacheAware`: additive increase and multiplicative decrease on cache
  * use and hit share, after CONCUR (see docs/design/windows.md).
  */
-import { liveInZone } from 'reedlug-coordination';
+import { hashString, liveInZone, rendezvousWeight } from 'reedlug-coordination';
 import type { EngineReport } from '../types/order.js';
 import { RequestClass, ServerKind, WindowPolicy } from '../types/settings.js';
 import type { BoxState, ServerView } from '../state.js';
@@ -15,6 +15,9 @@
 /** How long a report says something about the other boxes' load. */
 const REPORT_FRESH_MS = 2500;
 
+/** Part of a window that a box may use at a server that is not hot and of which it has no report. */
+const UNHEARD_SHARE = 0.5;
+
 /** CONCUR's constants: thresholds of cache use and hit share, step and cut. */
 const CACHE_USE_LOW = 0.2;
 const CACHE_USE_HIGH = 0.5;
@@ -59,12 +62,27 @@
   nowMs: number,
 ): number {
   const { policy } = state.settings;
-  const reserved = reservedFor(view, requestClass, policy.urgentReservedSlots);
-  const whole = windowOf(state, view) - reserved;
-  const share = Math.ceil(whole / boxesSharing(state, view));
+  const whole = windowOf(state, view) - reservedFor(view, requestClass, policy.urgentReservedSlots);
+  return limitAt(state, view, whole, nowMs) - view.openAttempts.size;
+}
+
+/**
+ * This box's part of a server's window: its exact share while the server is
+ * hot, what a fresh report leaves otherwise, and part of the whole unheard.
+ */
+function limitAt(state: BoxState, view: ServerView, whole: number, nowMs: number): number {
+  const share = exactShare(state, view, whole);
+  if (nowMs < view.hotUntilMs) return share;
   const others = othersAt(view, nowMs);
-  const limit = others === undefined ? share : Math.max(share, whole - others);
-  return limit - view.openAttempts.size;
+  const free = others === undefined ? Math.floor(whole * UNHEARD_SHARE) : whole - others;
+  return Math.max(share, free);
+}
+
+/** Shares of all boxes sum to the whole; the remainder goes to the first ranks. */
+function exactShare(state: BoxState, view: ServerView, whole: number): number {
+  const boxes = state.sharingBoxes.get(view.spec.zone) ?? 1;
+  const base = Math.floor(whole / boxes);
+  return base + (view.shareRank < whole % boxes ? 1 : 0);
 }
 
 function windowOf(state: BoxState, view: ServerView): number {
@@ -80,16 +98,26 @@
   return Math.min(reserved, Math.floor(view.spec.slots / 2));
 }
 
-/** Boxes that send to a server: those of its site, or of its zone. */
-function boxesSharing(state: BoxState, view: ServerView): number {
+/** Counts the boxes that share each zone's servers, and ranks this one at each server. */
+export function updateSharing(state: BoxState): void {
   const { settings } = state;
-  if (!settings.policy.routeOverSite) {
-    return Math.max(1, liveInZone(state.boxMembers, view.spec.zone).length);
-  }
-  const site = siteOfZone(settings, view.spec.zone);
-  let count = 0;
+  const own = hashString(settings.boxId);
   for (const zone of settings.zones) {
-    if (zone.site === site) count += liveInZone(state.boxMembers, zone.name).length;
+    const hashes = sharingBoxIds(state, zone.name).map(hashString);
+    state.sharingBoxes.set(zone.name, Math.max(1, hashes.length));
+    for (const view of state.servers.values()) {
+      if (view.spec.zone !== zone.name) continue;
+      const weight = rendezvousWeight(view.idHash, own);
+      view.shareRank = hashes.filter((hash) => rendezvousWeight(view.idHash, hash) > weight).length;
+    }
   }
-  return Math.max(1, count);
+}
+
+/** Boxes that send to a zone's servers: the live ones of its site, or of the zone. */
+function sharingBoxIds(state: BoxState, zone: string): string[] {
+  const { settings } = state;
+  if (!settings.policy.routeOverSite) return liveInZone(state.boxMembers, zone);
+  const site = siteOfZone(settings, zone);
+  const zones = settings.zones.filter((other) => other.site === site);
+  return zones.flatMap(({ name }) => liveInZone(state.boxMembers, name));
 }
--- a/packages/reedlug-decisions/src/slices/peerLinks.ts
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -9,6 +9,7 @@
 import type { PeerMessage } from '../types/peer.js';
 import type { BoxState, Step } from '../state.js';
 import { siteOfZone } from '../state.js';
+import { updateSharing } from '../policy/windows.js';
 import { demandsOf, updateShares } from './limits.js';
 import { newsOf, poolLoads } from './servers.js';
 import { log } from './log.js';
@@ -59,6 +60,7 @@
   state.nextHeartbeatAtMs = step.nowMs + state.settings.control.heartbeatMs;
   updateShares(state, step.nowMs);
   noteSelf(state, step.nowMs);
+  updateSharing(state);
   sendToPeers(state, step, heartbeat(state));
 }
 
--- a/packages/reedlug-decisions/src/slices/servers.ts
+++ b/packages/reedlug-decisions/src/slices/servers.ts
@@ -29,6 +29,12 @@
 import { noteStarted } from './placement.js';
 import { noteReport } from '../policy/windows.js';
 
+/** Share of its slots in use from which a server is hot, and below which it is cool again. */
+const HOT_SHARE = 0.75;
+const COOL_SHARE = 0.6;
+/** How long news that a server is hot are believed, in ms. */
+const HOT_FOR_MS = 6000;
+
 /** Takes a server into the view if it is new or its description changed. */
 export function noteServerSpec(state: BoxState, spec: ServerSpec): ServerView {
   const known = state.servers.get(spec.id);
@@ -61,6 +67,9 @@
     cacheSequence: 0,
     cacheUncertain: false,
     exportBusyUntilMs: 0,
+    hotUntilMs: 0,
+    hotToldAtMs: undefined,
+    shareRank: 0,
   };
 }
 
@@ -168,12 +177,25 @@
 
 /** Takes a peer's news about servers. */
 export function onServerNews(state: BoxState, step: Step, news: readonly ServerNews[]): void {
-  for (const item of news) noteServer(state, step, item.serverId, statementOf(item, step), false);
+  for (const item of news) {
+    const statement = statementOf(item, step);
+    if (statement !== undefined) noteServer(state, step, item.serverId, statement, false);
+    else noteHotNews(state, item, step.nowMs);
+  }
+}
+
+function noteHotNews(state: BoxState, item: ServerNews, nowMs: number): void {
+  const view = state.servers.get(item.serverId);
+  if (view !== undefined) view.hotUntilMs = item.news === 'hot' ? nowMs + HOT_FOR_MS : 0;
 }
 
-function statementOf(item: ServerNews, step: Step): MemberStatement {
+/** What news say of a server's life; nothing for those of its load. */
+function statementOf(item: ServerNews, step: Step): MemberStatement | undefined {
   const { incarnation } = item;
   switch (item.news) {
+    case 'hot':
+    case 'cool':
+      return undefined;
     case 'live':
       return { kind: 'heard', incarnation, zone: '' };
     case 'silent':
@@ -238,6 +260,26 @@
   }
   view.probeFailures = 0;
   onReport(state, step, view, event.report);
+  tellLoad(state, step, view, event.report);
+}
+
+/** Tells peers when a server gets nearly full, again while it stays so, and when it is over. */
+function tellLoad(state: BoxState, step: Step, view: ServerView, report: EngineReport): void {
+  if (view.spec.kind !== ServerKind.engine) return;
+  const busy = (report.running + report.waiting) / view.spec.slots;
+  const { hotToldAtMs } = view;
+  const isHot = busy >= (hotToldAtMs === undefined ? HOT_SHARE : COOL_SHARE);
+  if (!isHot && hotToldAtMs === undefined) return;
+  if (isHot && hotToldAtMs !== undefined && step.nowMs - hotToldAtMs < HOT_FOR_MS / 2) return;
+  view.hotToldAtMs = isHot ? step.nowMs : undefined;
+  view.hotUntilMs = isHot ? step.nowMs + HOT_FOR_MS : 0;
+  const item: ServerNews = {
+    serverId: view.spec.id,
+    incarnation: report.incarnation,
+    news: isHot ? 'hot' : 'cool',
+    leavesInMs: undefined,
+  };
+  sendToPeers(state, step, { kind: 'serverNews', news: [item] });
 }
 
 function onProbeFailed(state: BoxState, step: Step, view: ServerView): void {
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -49,6 +49,12 @@
   /** True after a gap in the cache events, until the engine's own figures agree again. */
   cacheUncertain: boolean;
   exportBusyUntilMs: number;
+  /** Until when the server counts as nearly full, by the box that probes it. */
+  hotUntilMs: number;
+  /** When this box last told its peers that the server is hot; undefined when it is not. */
+  hotToldAtMs: number | undefined;
+  /** Place of this box among those that share the server's window; 0 is the first. */
+  shareRank: number;
 }
 
 /** The queues of one pool. */
@@ -138,6 +144,8 @@
   settledOrder: string[];
   pools: Map<string, PoolQueues>;
   workspaces: Map<string, WorkspaceView>;
+  /** Boxes that share the windows of a zone's servers, with this one. */
+  sharingBoxes: Map<string, number>;
 
   servers: Map<string, ServerView>;
   serversByPool: Map<string, ServerView[]>;
@@ -210,6 +218,7 @@
     settledOrder: [],
     pools: new Map(),
     workspaces: new Map(),
+    sharingBoxes: new Map(),
     servers: new Map(),
     serversByPool: new Map(),
     serverMembers: createMembership({
--- a/packages/reedlug-decisions/src/types/peer.ts
+++ b/packages/reedlug-decisions/src/types/peer.ts
@@ -22,7 +22,7 @@
 export interface ServerNews {
   serverId: string;
   incarnation: number;
-  news: 'live' | 'silent' | 'leaving' | 'gone';
+  news: 'live' | 'silent' | 'leaving' | 'gone' | 'hot' | 'cool';
   /** Ms from now until it leaves, for `leaving`. */
   leavesInMs: number | undefined;
 }
