Let a patient request wait for the engine that has its prefix

Cause: in the rush of drafts full engines made requests spill, each spill recomputed a whole prefix, and the added prompt work filled the engines more. Change: a patient request waits while waiting costs less than recomputing, by the settings' weights and at most longestHoldMs; the fair queue looks past an entry that waits.

--- a/packages/reedlug-coordination/src/fairQueue.ts
+++ b/packages/reedlug-coordination/src/fairQueue.ts
@@ -11,6 +11,9 @@
   cost: number;
 }
 
+/** Entries of a lane that are asked in one turn. */
+const LOOK_AHEAD = 8;
+
 interface Lane {
   ownerId: string;
   deficit: number;
@@ -62,7 +65,8 @@
 
 /**
  * Takes the next entry in fair order for which `accepts` holds, or undefined.
- * Only the head of each lane is asked, so order within an owner is kept.
+ * The first few entries of a lane are asked in order, so that one which waits
+ * for its place does not hold up those behind it.
  */
 export function takeFair(
   queue: FairQueue,
@@ -74,23 +78,34 @@
     const lane = queue.lanes[queue.turn];
     const head = lane?.entries[0];
     if (lane === undefined || head === undefined) return undefined;
-    if (refused.has(lane) || (lane.deficit >= head.cost && !accepts(head))) {
-      refused.add(lane);
+    if (!refused.has(lane) && lane.deficit < head.cost) {
+      lane.deficit += queue.quantum;
       queue.turn += 1;
       continue;
     }
-    if (lane.deficit < head.cost) {
-      lane.deficit += queue.quantum;
+    const index = refused.has(lane) ? -1 : firstAccepted(lane, accepts);
+    const entry = lane.entries[index];
+    if (entry === undefined) {
+      refused.add(lane);
       queue.turn += 1;
       continue;
     }
-    lane.deficit -= head.cost;
-    takeAt(queue, lane, 0);
-    return head;
+    lane.deficit -= entry.cost;
+    takeAt(queue, lane, index);
+    return entry;
   }
   return undefined;
 }
 
+function firstAccepted(lane: Lane, accepts: (entry: FairEntry) => boolean): number {
+  const end = Math.min(lane.entries.length, LOOK_AHEAD);
+  for (let index = 0; index < end; index += 1) {
+    const entry = lane.entries[index];
+    if (entry !== undefined && accepts(entry)) return index;
+  }
+  return -1;
+}
+
 function takeAt(queue: FairQueue, lane: Lane, index: number): void {
   const [entry] = lane.entries.splice(index, 1);
   if (entry === undefined) return;
--- a/packages/reedlug-decisions/src/defaults.ts
+++ b/packages/reedlug-decisions/src/defaults.ts
@@ -17,6 +17,7 @@
   weights: { recomputePerThousandTokens: 1, waitPerSecond: 1 },
   urgentReservedSlots: 2,
   patientFloorEvery: 8,
+  longestHoldMs: 5000,
   engineQueueAllowance: 0,
   retryShare: 0.1,
   retryCapacity: 20,
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -26,22 +26,28 @@
   nowMs: number,
 ): ServerView | undefined {
   const candidates = candidatesFor(state, record, nowMs);
-  if (candidates.length <= 1) return candidates[0];
+  if (candidates.length === 0) return undefined;
   const preferred = candidates.filter((view) => !record.avoid.has(view.spec.id));
   return pick(state, record, preferred.length > 0 ? preferred : candidates, nowMs);
 }
 
 /** Servers of the request's pool that take work and have room; own zone first where settings say so. */
 function candidatesFor(state: BoxState, record: RequestRecord, nowMs: number): ServerView[] {
-  const { spec } = record;
-  const open = usableServers(state, spec).filter(
-    (view) => roomAt(state, view, spec.requestClass, nowMs) > 0,
-  );
+  const open = usableServers(state, record.spec).filter((view) => hasRoom(state, record, view, nowMs));
   if (state.settings.policy.routeOverSite) return open;
   const own = open.filter((view) => view.spec.zone === state.settings.zone);
   return own.length > 0 ? own : open;
 }
 
+function hasRoom(
+  state: BoxState,
+  record: RequestRecord,
+  view: ServerView,
+  nowMs: number,
+): boolean {
+  return roomAt(state, view, record.spec.requestClass, nowMs) > 0;
+}
+
 /** Servers that may run a request, with room or without. */
 function usableServers(state: BoxState, spec: RequestSpec): ServerView[] {
   const pool = state.serversByPool.get(spec.pool) ?? [];
@@ -103,8 +109,37 @@
     return lowest(candidates, (view) => serviceCost(state, view, nowMs));
   }
   const { spec } = record;
-  const first = firstRanked(spec.affinityHash, usableServers(state, spec));
-  return lowest(candidates, (view) => engineCost(state, record, view, view === first, nowMs));
+  const usable = usableServers(state, spec);
+  const first = firstRanked(spec.affinityHash, usable);
+  const costOf = (view: ServerView): number =>
+    engineCost(state, record, view, view === first, nowMs);
+  const best = lowest(candidates, costOf);
+  const bestCost = best === undefined ? Number.POSITIVE_INFINITY : costOf(best);
+  const worthWaiting = usable.some(
+    (view) =>
+      !hasRoom(state, record, view, nowMs) &&
+      costOf(view) + waitCost(state, record, view, nowMs) < bestCost,
+  );
+  return worthWaiting ? undefined : best;
+}
+
+/** Cost of waiting until a full server has a place, less what was waited already. */
+function waitCost(
+  state: BoxState,
+  record: RequestRecord,
+  view: ServerView,
+  nowMs: number,
+): number {
+  if (record.phase.kind !== 'queued' || record.spec.requestClass === RequestClass.urgent) {
+    return Number.POSITIVE_INFINITY;
+  }
+  const waitedMs = nowMs - record.phase.sinceMs;
+  const { policy } = state.settings;
+  if (waitedMs > policy.longestHoldMs) return Number.POSITIVE_INFINITY;
+  const perTokenMs = view.interTokenMs > 0 ? view.interTokenMs : policy.interTokenMs;
+  const runMs = record.spec.maxTokens * perTokenMs;
+  const waitMs = runMs / Math.max(1, view.openAttempts.size);
+  return (waitMs / 1000) * policy.weights.waitPerSecond;
 }
 
 function serviceCost(state: BoxState, view: ServerView, nowMs: number): number {
--- a/packages/reedlug-decisions/src/types/settings.ts
+++ b/packages/reedlug-decisions/src/types/settings.ts
@@ -115,6 +115,8 @@
   urgentReservedSlots: number;
   /** One of this many dispatches goes to a patient request that waits. */
   patientFloorEvery: number;
+  /** A patient request waits at most this long for the engine that has its prefix. */
+  longestHoldMs: number;
   /** Requests beyond the slots that may wait inside an engine. */
   engineQueueAllowance: number;
   retryShare: number;
--- a/packages/reedlug/src/settings/settingsValidation.ts
+++ b/packages/reedlug/src/settings/settingsValidation.ts
@@ -52,6 +52,7 @@
   weights,
   urgentReservedSlots: z.number().int().nonnegative(),
   patientFloorEvery: count,
+  longestHoldMs: ms,
   engineQueueAllowance: z.number().int().nonnegative(),
   retryShare: ms,
   retryCapacity: count,
