Size pools by load, swap dear engines, keep still in a storm, spread over zones

Cause: placement bought the cheapest offer until its zone held most engines, and gave engines back or swapped them while zones were being taken. Change: wanted engines follow the smoothed load over a target share of slots; an engine is retired by an announced leaving of its own, so streams and caches move first; no engine is given back within 90 s of a reclaim or refused start; no zone holds more than its share of a pool while another has offers.

--- a/packages/reedlug-check/src/measure/policyVariants.ts
+++ b/packages/reedlug-check/src/measure/policyVariants.ts
@@ -10,6 +10,7 @@
   noKvMove: 'noKvMove',
   onDemandOnly: 'onDemandOnly',
   cheapestFirst: 'cheapestFirst',
+  fixedSize: 'fixedSize',
   cacheAware: 'cacheAware',
 } as const;
 export type PolicyVariant = (typeof PolicyVariant)[keyof typeof PolicyVariant];
@@ -18,6 +19,7 @@
 const PLAIN: Partial<PolicySettings> = {
   kvMove: false,
   placement: 'cheapestFirst',
+  sizing: 'fixed',
   urgentReservedSlots: 0,
   patientFloorEvery: 1_000_000,
 };
@@ -34,9 +36,11 @@
     case PolicyVariant.noKvMove:
       return { kvMove: false };
     case PolicyVariant.onDemandOnly:
-      return { placement: 'onDemandOnly' };
+      return { placement: 'onDemandOnly', sizing: 'fixed' };
     case PolicyVariant.cheapestFirst:
-      return { placement: 'cheapestFirst' };
+      return { placement: 'cheapestFirst', sizing: 'fixed' };
+    case PolicyVariant.fixedSize:
+      return { sizing: 'fixed' };
     case PolicyVariant.cacheAware:
       return { window: 'cacheAware' };
   }
--- a/packages/reedlug-decisions/src/defaults.ts
+++ b/packages/reedlug-decisions/src/defaults.ts
@@ -2,6 +2,7 @@
 import {
   PlacementPolicy,
   RoutingPolicy,
+  SizingPolicy,
   WindowPolicy,
   type ControlSettings,
   type PolicySettings,
@@ -12,6 +13,8 @@
   routing: RoutingPolicy.affinity,
   window: WindowPolicy.fixed,
   placement: PlacementPolicy.effectivePrice,
+  sizing: SizingPolicy.byLoad,
+  targetUse: 0.6,
   kvMove: true,
   routeOverSite: true,
   weights: { recomputePerThousandTokens: 1, waitPerSecond: 1 },
@@ -57,4 +60,5 @@
   handoverMs: 1500,
   placementEveryMs: 2000,
   startBackoffMs: 2000,
+  retireMs: 15_000,
 };
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -33,18 +33,15 @@
 
 /** Servers of the request's pool that take work and have room; own zone first where settings say so. */
 function candidatesFor(state: BoxState, record: RequestRecord, nowMs: number): ServerView[] {
-  const open = usableServers(state, record.spec).filter((view) => hasRoom(state, record, view, nowMs));
+  const open = usableServers(state, record.spec).filter((view) =>
+    hasRoom(state, record, view, nowMs),
+  );
   if (state.settings.policy.routeOverSite) return open;
   const own = open.filter((view) => view.spec.zone === state.settings.zone);
   return own.length > 0 ? own : open;
 }
 
-function hasRoom(
-  state: BoxState,
-  record: RequestRecord,
-  view: ServerView,
-  nowMs: number,
-): boolean {
+function hasRoom(state: BoxState, record: RequestRecord, view: ServerView, nowMs: number): boolean {
   return roomAt(state, view, record.spec.requestClass, nowMs) > 0;
 }
 
@@ -124,12 +121,7 @@
 }
 
 /** Cost of waiting until a full server has a place, less what was waited already. */
-function waitCost(
-  state: BoxState,
-  record: RequestRecord,
-  view: ServerView,
-  nowMs: number,
-): number {
+function waitCost(state: BoxState, record: RequestRecord, view: ServerView, nowMs: number): number {
   if (record.phase.kind !== 'queued' || record.spec.requestClass === RequestClass.urgent) {
     return Number.POSITIVE_INFINITY;
   }
--- a/packages/reedlug-decisions/src/slices/placement.ts
+++ b/packages/reedlug-decisions/src/slices/placement.ts
@@ -5,21 +5,34 @@
  * costs. Engines are spread over zones and machine classes; refused starts back
  * off per offer and the next one is tried.
  */
-import { backoffMs, MemberState } from 'reedlug-coordination';
+import { backoffMs, MemberSource, MemberState } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
 import type { CloudAsk } from '../types/order.js';
-import { PlacementPolicy, ServerKind, type OfferSpec, type PoolSpec } from '../types/settings.js';
+import {
+  PlacementPolicy,
+  ServerKind,
+  SizingPolicy,
+  type OfferSpec,
+  type PoolSpec,
+  type ServerSpec,
+} from '../types/settings.js';
 import type { BoxState, CloudAskOpen, ServerView, Step } from '../state.js';
 import { nextId, nextRandom, siteOfZone } from '../state.js';
 import { reclaimableAllowed } from '../plans/rules.js';
 import { fenceFor } from './orders.js';
 import { log } from './log.js';
-import { serverMember } from './servers.js';
+import { noteServer, poolLoads, serverMember } from './servers.js';
 
-/** Share of a pool's slots that should be in use at most. */
-const TARGET_USE = 0.75;
-/** Below this share engines are given back. */
-const LOW_USE = 0.3;
+/** Weight of the newest load in the smoothed one. */
+const BUSY_SMOOTHING = 0.05;
+/** Share of the load of now that a pool grows with at once. */
+const GROWTH_SHARE = 0.8;
+/** An engine is swapped for one that costs less than it by this factor. */
+const SWAP_FACTOR = 1.3;
+/** Calm that must have passed before engines are given back, in ms. */
+const STORM_MS = 90_000;
+/** A stop that has not shown is asked again after this long, in ms. */
+const STOP_AGAIN_MS = 10_000;
 /** A start that has not shown in the box list after this long is forgotten, in ms. */
 const START_FORGOTTEN_MS = 60_000;
 /** Longest back-off of a refused offer, in ms. */
@@ -41,6 +54,7 @@
   state.nextPlacementAtMs = step.nowMs + state.settings.control.placementEveryMs;
   const fence = fenceFor(state, step.nowMs, true);
   if (fence === undefined) return;
+  stopRetired(state, step, fence);
   for (const pool of state.settings.pools) sizePool(state, step, pool, fence);
 }
 
@@ -55,7 +69,17 @@
   const wanted = wantedEngines(state, pool);
   const have = count.engines.length + count.starting.length;
   if (have < wanted) startOne(state, step, count, fence);
-  else if (have > wanted) stopOne(state, step, count, fence);
+  else if (inStorm(state, step.nowMs)) return;
+  else if (have > wanted) retireOne(state, step, count);
+  else swapOne(state, step, count, fence);
+}
+
+/** While boxes are being taken or starts refused nothing is given back. */
+function inStorm(state: BoxState, nowMs: number): boolean {
+  for (const { untilMs } of state.offerBackoff.values()) {
+    if (untilMs + STORM_MS > nowMs) return true;
+  }
+  return nowMs < state.lastReclaimAtMs + STORM_MS;
 }
 
 function countPool(state: BoxState, pool: PoolSpec): PoolCount {
@@ -78,35 +102,49 @@
   return member.state === MemberState.live || member.state === MemberState.listed;
 }
 
-/** Engines wanted from the load that the zones' boxes have told. */
+/** Engines wanted: as the settings list them, or by the load that the boxes have told. */
 function wantedEngines(state: BoxState, pool: PoolSpec): number {
-  const load = loadOf(state, pool);
-  if (load.engines === 0) return pool.minEngines;
-  const use = load.busy / Math.max(1, load.slots);
-  const needed = Math.ceil(load.busy / (pool.slotsPerEngine * TARGET_USE));
-  if (use > TARGET_USE) return clamp(Math.max(needed, load.engines + 1), pool);
-  if (use < LOW_USE) return clamp(Math.max(needed, load.engines - 1), pool);
-  return clamp(load.engines, pool);
+  switch (state.settings.policy.sizing) {
+    case SizingPolicy.fixed:
+      return configuredEngines(state, pool);
+    case SizingPolicy.byLoad:
+      return enginesForLoad(state, pool);
+  }
+}
+
+function configuredEngines(state: BoxState, pool: PoolSpec): number {
+  const { settings } = state;
+  const site = siteOfZone(settings, settings.zone);
+  const listed = settings.servers.filter(
+    (spec) => spec.pool === pool.model && siteOfZone(settings, spec.zone) === site,
+  );
+  return clamp(listed.length, pool);
+}
+
+/** Grows with the load of now and shrinks with the smoothed one. */
+function enginesForLoad(state: BoxState, pool: PoolSpec): number {
+  const busy = busyOf(state, pool);
+  const smoothed = state.poolBusy.get(pool.model) ?? busy;
+  const next = smoothed + BUSY_SMOOTHING * (busy - smoothed);
+  state.poolBusy.set(pool.model, next);
+  const perEngine = pool.slotsPerEngine * state.settings.policy.targetUse;
+  return clamp(Math.ceil(Math.max(busy * GROWTH_SHARE, next) / perEngine), pool);
 }
 
 function clamp(count: number, pool: PoolSpec): number {
   return Math.min(pool.maxEngines, Math.max(pool.minEngines, count));
 }
 
-function loadOf(state: BoxState, pool: PoolSpec): { engines: number; slots: number; busy: number } {
-  const sum = { engines: 0, slots: 0, busy: 0 };
-  for (const view of state.serversByPool.get(pool.model) ?? []) {
-    if (!staysUp(state, view)) continue;
-    sum.engines += 1;
-    sum.slots += view.spec.slots;
-    sum.busy += (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
-  }
-  for (const peer of state.peers.values()) {
-    for (const load of peer.poolLoads) {
-      if (load.pool === pool.model) sum.busy += load.busy;
-    }
+/** Requests running or waiting in the site, each told by one box. */
+function busyOf(state: BoxState, pool: PoolSpec): number {
+  const { settings } = state;
+  const site = siteOfZone(settings, settings.zone);
+  const told = [...state.peers.values()].flatMap((peer) => peer.poolLoads);
+  let busy = 0;
+  for (const load of [...told, ...poolLoads(state)]) {
+    if (load.pool === pool.model && siteOfZone(settings, load.zone) === site) busy += load.busy;
   }
-  return sum;
+  return busy;
 }
 
 function startOne(state: BoxState, step: Step, count: PoolCount, fence: number): void {
@@ -163,11 +201,20 @@
     !reclaimableAllowed(state) ||
     (settings.policy.placement === PlacementPolicy.effectivePrice &&
       onDemand < count.pool.onDemandFloor);
-  return settings.offers.filter((offer) => {
+  const open = settings.offers.filter((offer) => {
     if (siteOfZone(settings, offer.zone) !== site) return false;
     if (onDemandOnly && offer.reclaimable) return false;
     return (state.offerBackoff.get(offerKey(offer))?.untilMs ?? 0) <= nowMs;
   });
+  if (settings.policy.placement === PlacementPolicy.cheapestFirst) return open;
+  const spread = open.filter(({ zone }) => shareInZone(zone, count) < zoneShare(state, site));
+  return spread.length > 0 ? spread : open;
+}
+
+/** Share of a pool that may stand in one zone, so that losing the zone leaves the rest. */
+function zoneShare(state: BoxState, site: string): number {
+  const zones = state.settings.zones.filter((zone) => zone.site === site).length;
+  return 1 / Math.max(1, zones);
 }
 
 function offerPrice(state: BoxState, offer: OfferSpec, count: PoolCount): number {
@@ -187,16 +234,57 @@
   return (engines + starting) / total;
 }
 
-/** Gives back the dearest idle engine. */
-function stopOne(state: BoxState, step: Step, count: PoolCount, fence: number): void {
-  const idle = count.engines.filter(
-    (view) => view.openAttempts.size === 0 && view.report?.running === 0 && mayStop(view, count),
-  );
-  const dearest = idle.sort((a, b) => priceOf(state, b) - priceOf(state, a))[0];
-  if (dearest === undefined) return;
-  const askId = nextId(state, 'stop');
-  const ask: CloudAsk = { kind: 'stop', serverId: dearest.spec.id, fence };
-  step.effects.push({ type: 'askCloud', askId, ask });
+/** Retires the dearest engine: its streams finish or move, then it is stopped. */
+function retireOne(state: BoxState, step: Step, count: PoolCount): void {
+  if (someRetire(state, count.pool)) return;
+  const dearest = dearestEngine(state, count);
+  if (dearest !== undefined) retire(state, step, dearest);
+}
+
+/** Buys a cheaper engine for a dear one; the dear one is retired once there are too many. */
+function swapOne(state: BoxState, step: Step, count: PoolCount, fence: number): void {
+  if (state.settings.policy.sizing === SizingPolicy.fixed || count.starting.length > 0) return;
+  if (someRetire(state, count.pool)) return;
+  const dearest = dearestEngine(state, count);
+  const offer = bestOffer(state, step.nowMs, count);
+  if (dearest === undefined || offer === undefined) return;
+  const worthIt = priceOf(state, dearest.spec) > offerPrice(state, offer, count) * SWAP_FACTOR;
+  if (worthIt) startOne(state, step, count, fence);
+}
+
+function someRetire(state: BoxState, pool: PoolSpec): boolean {
+  const views = state.serversByPool.get(pool.model) ?? [];
+  return views.some(({ spec }) => serverMember(state, spec.id)?.state === MemberState.leaving);
+}
+
+function dearestEngine(state: BoxState, count: PoolCount): ServerView | undefined {
+  const free = count.engines.filter((view) => mayStop(view, count));
+  return free.sort((a, b) => priceOf(state, b.spec) - priceOf(state, a.spec))[0];
+}
+
+function retire(state: BoxState, step: Step, view: ServerView): void {
+  const statement = {
+    kind: 'leaving',
+    incarnation: serverMember(state, view.spec.id)?.incarnation ?? 0,
+    leavesAtMs: step.nowMs + state.settings.control.retireMs,
+    source: MemberSource.notice,
+  } as const;
+  log(step, 'engineRetired', { server: view.spec.id });
+  noteServer(state, step, view.spec.id, statement, true);
+}
+
+/** Stops engines whose time to leave has passed; a holder that died before is made up for. */
+function stopRetired(state: BoxState, step: Step, fence: number): void {
+  for (const view of state.servers.values()) {
+    const member = serverMember(state, view.spec.id);
+    if (member?.state !== MemberState.leaving || view.spec.kind !== ServerKind.engine) continue;
+    if (member.leavesAtMs === undefined || step.nowMs < member.leavesAtMs) continue;
+    const askedAtMs = state.stopsAskedAtMs.get(view.spec.id) ?? Number.NEGATIVE_INFINITY;
+    if (step.nowMs - askedAtMs < STOP_AGAIN_MS) continue;
+    state.stopsAskedAtMs.set(view.spec.id, step.nowMs);
+    const ask: CloudAsk = { kind: 'stop', serverId: view.spec.id, fence };
+    step.effects.push({ type: 'askCloud', askId: nextId(state, 'stop'), ask });
+  }
 }
 
 function mayStop(view: ServerView, count: PoolCount): boolean {
@@ -205,8 +293,8 @@
   return onDemand > count.pool.onDemandFloor;
 }
 
-function priceOf(state: BoxState, view: ServerView): number {
-  const { zone, machineClass, reclaimable } = view.spec;
+function priceOf(state: BoxState, spec: ServerSpec): number {
+  const { zone, machineClass, reclaimable } = spec;
   const offer = state.settings.offers.find(
     (item) =>
       item.zone === zone && item.machineClass === machineClass && item.reclaimable === reclaimable,
--- a/packages/reedlug-decisions/src/slices/servers.ts
+++ b/packages/reedlug-decisions/src/slices/servers.ts
@@ -61,6 +61,7 @@
     report: undefined,
     reportedAtMs: Number.NEGATIVE_INFINITY,
     openAtReport: 0,
+    probedHere: false,
     probeFailures: 0,
     interTokenMs: 0,
     cacheAwareWindow: spec.slots,
@@ -219,6 +220,7 @@
   event: EventOf<'reclaimNoticed'>,
 ): void {
   const { serverId, leavesAtMs } = event;
+  state.lastReclaimAtMs = step.nowMs;
   // A notice may name a life of the box that this process has not met yet, or none.
   const known = serverMember(state, serverId)?.incarnation ?? 0;
   const incarnation = Math.max(event.incarnation, event.incarnation === 0 ? known : 0);
@@ -324,7 +326,8 @@
   state.nextProbeAtMs = step.nowMs + state.settings.control.probeEveryMs;
   const boxes = probingBoxes(state);
   for (const view of state.servers.values()) {
-    if (!isProbedHere(state, view, boxes)) continue;
+    view.probedHere = isProbedHere(state, view, boxes);
+    if (!view.probedHere) continue;
     step.effects.push({ type: 'probeServer', serverId: view.spec.id });
   }
 }
@@ -363,25 +366,31 @@
   return liveInZone(state.boxMembers, zone).length > 0;
 }
 
-/** The loads of the pools whose engines this box has fresh reports of. */
+/** The loads of the engines that this box probes, and of its own queues. */
 export function poolLoads(state: BoxState): PoolLoad[] {
   const loads = new Map<string, PoolLoad>();
   const freshAfterMs = state.nowMs - state.settings.control.probeEveryMs * 3;
   for (const view of state.servers.values()) {
-    if (view.spec.kind !== ServerKind.engine || view.reportedAtMs < freshAfterMs) continue;
-    if (!serverTakesWork(state, view)) continue;
+    if (view.spec.kind !== ServerKind.engine || !view.probedHere) continue;
+    if (view.reportedAtMs < freshAfterMs || !serverTakesWork(state, view)) continue;
     const key = `${view.spec.pool}@${view.spec.zone}`;
-    const load = loads.get(key) ?? {
-      pool: view.spec.pool,
-      zone: view.spec.zone,
-      engines: 0,
-      slots: 0,
-      busy: 0,
-    };
+    const load = loads.get(key) ?? emptyLoad(view.spec.pool, view.spec.zone);
     load.engines += 1;
     load.slots += view.spec.slots;
     load.busy += (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
     loads.set(key, load);
   }
+  for (const [pool, queues] of state.pools) {
+    const queued = queues.urgent.size + queues.patient.size;
+    const key = `${pool}@${state.settings.zone}`;
+    if (queued === 0 || !state.serversByPool.has(pool)) continue;
+    const load = loads.get(key) ?? emptyLoad(pool, state.settings.zone);
+    load.busy += queued;
+    loads.set(key, load);
+  }
   return [...loads.values()];
 }
+
+function emptyLoad(pool: string, zone: string): PoolLoad {
+  return { pool, zone, engines: 0, slots: 0, busy: 0 };
+}
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -39,6 +39,8 @@
   reportedAtMs: number;
   /** This box's open attempts when the report was made. */
   openAtReport: number;
+  /** True while this box is the one that probes the server. */
+  probedHere: boolean;
   probeFailures: number;
   /** Measured time between tokens, smoothed; 0 until measured. */
   interTokenMs: number;
@@ -183,6 +185,12 @@
   cloudAsks: Map<string, CloudAskOpen>;
   offerBackoff: Map<string, OfferBackoff>;
   nextPlacementAtMs: number;
+  /** Smoothed load of each pool, in requests. */
+  poolBusy: Map<string, number>;
+  /** When a reclaim that placement had not asked for was last told. */
+  lastReclaimAtMs: number;
+  /** When a stop of a server was last asked of the cloud. */
+  stopsAskedAtMs: Map<string, number>;
 
   retryBudget: RetryBudget;
   draining: { sinceMs: number; leavesAtMs: number | undefined } | undefined;
@@ -265,6 +273,9 @@
     cloudAsks: new Map(),
     offerBackoff: new Map(),
     nextPlacementAtMs: nowMs + control.placementEveryMs,
+    poolBusy: new Map(),
+    lastReclaimAtMs: Number.NEGATIVE_INFINITY,
+    stopsAskedAtMs: new Map(),
     retryBudget: createRetryBudget(policy.retryShare, policy.retryCapacity),
     draining: undefined,
     stoppedTold: false,
--- a/packages/reedlug-decisions/src/types/settings.ts
+++ b/packages/reedlug-decisions/src/types/settings.ts
@@ -25,6 +25,10 @@
 } as const;
 export type PlacementPolicy = (typeof PlacementPolicy)[keyof typeof PlacementPolicy];
 
+/** How many engines a pool has: by its load, or as many as the settings list. */
+export const SizingPolicy = { byLoad: 'byLoad', fixed: 'fixed' } as const;
+export type SizingPolicy = (typeof SizingPolicy)[keyof typeof SizingPolicy];
+
 /** What a backend server is. */
 export const ServerKind = { engine: 'engine', service: 'service' } as const;
 export type ServerKind = (typeof ServerKind)[keyof typeof ServerKind];
@@ -106,6 +110,9 @@
   routing: RoutingPolicy;
   window: WindowPolicy;
   placement: PlacementPolicy;
+  sizing: SizingPolicy;
+  /** Share of a pool's slots that should be in use; lower keeps more caches warm. */
+  targetUse: number;
   /** Move KV cache off engines that leave. */
   kvMove: boolean;
   /** Route over the engines of the whole site, or of the box's own zone first. */
@@ -165,6 +172,8 @@
   handoverMs: number;
   placementEveryMs: number;
   startBackoffMs: number;
+  /** Notice that placement gives before it stops an engine. */
+  retireMs: number;
 }
 
 /** All settings of one box's decisions. */
--- a/packages/reedlug/src/settings/settingsValidation.ts
+++ b/packages/reedlug/src/settings/settingsValidation.ts
@@ -47,6 +47,8 @@
   routing: z.enum(['affinity', 'roundRobin', 'leastRequests', 'stickyHash']),
   window: z.enum(['fixed', 'cacheAware']),
   placement: z.enum(['effectivePrice', 'cheapestFirst', 'onDemandOnly']),
+  sizing: z.enum(['byLoad', 'fixed']),
+  targetUse: z.number().gt(0).lte(1),
   kvMove: z.boolean(),
   routeOverSite: z.boolean(),
   weights,
