--- a/packages/reedlug-check/src/check/runSeed.ts
+++ b/packages/reedlug-check/src/check/runSeed.ts
@@ -1,7 +1,12 @@
 /** One checked run: a plan played against the reducers, with every promise asserted. */
-import { BrokenInvariantError, type Mutation } from 'reedlug-decisions';
+import {
+  BrokenInvariantError,
+  type BoxEvent,
+  type DecisionSettings,
+  type Mutation,
+} from 'reedlug-decisions';
 import { carryOut } from '../world/carryOut.js';
-import { createWorld, runUntil, type World } from '../world/world.js';
+import { createWorld, runUntil, stateSeedOf, type World } from '../world/world.js';
 import { createCallers, type Callers, type WorldViolation } from './callers.js';
 import { BENIGN_FAULTS, FaultKind, type CheckPlan } from './checkPlan.js';
 import { checkSettings } from './checkSettings.js';
@@ -26,11 +31,30 @@
 const QUIET_MS = 45_000;
 const LAST_EVENTS = 60;
 
+/** Takes the lives and events of the boxes, for a trace. */
+export interface RunRecorder {
+  onStart: (
+    boxId: string,
+    settings: DecisionSettings,
+    stateSeed: number,
+    startedAtMs: number,
+  ) => void;
+  onEvent: (boxId: string, event: BoxEvent) => void;
+}
+
 /** Plays a plan. */
-export function runPlan(plan: CheckPlan, mutations: ReadonlySet<Mutation>): SeedResult {
+export function runPlan(
+  plan: CheckPlan,
+  mutations: ReadonlySet<Mutation>,
+  recorder?: RunRecorder,
+): SeedResult {
   const lastEvents: string[] = [];
   const world = newWorld(plan, mutations);
+  for (const [boxId, box] of world.boxes) {
+    recorder?.onStart(boxId, box.settings, stateSeedOf(world, box.settings.incarnation), 0);
+  }
   world.onEvent = (boxId, event) => {
+    recorder?.onEvent(boxId, event);
     if (event.type === 'tick') return;
     lastEvents.push(`${boxId} ${JSON.stringify(event)}`);
     if (lastEvents.length > LAST_EVENTS) lastEvents.shift();
--- /dev/null
+++ b/packages/reedlug-check/src/replay/trace.ts
@@ -0,0 +1,114 @@
+/** Traces: one box's settings and events, one JSON line each. */
+import {
+  createBoxState,
+  createInvariantMemory,
+  BrokenInvariantError,
+  reduceChecked,
+  type BoxEvent,
+  type DecisionSettings,
+  type Effect,
+} from 'reedlug-decisions';
+
+/** First line of a trace. */
+export interface TraceHead {
+  kind: 'head';
+  seed: number;
+  startedAtMs: number;
+  settings: DecisionSettings;
+}
+
+/** A trace. */
+export interface Trace {
+  head: TraceHead;
+  events: BoxEvent[];
+}
+
+/** A read trace, or why there is none. */
+export type TraceResult = { kind: 'trace'; trace: Trace } | { kind: 'invalid'; fault: string };
+
+/** Reads the text of a trace; a last line that was cut off by a crash is left out. */
+export function parseTrace(text: string): TraceResult {
+  const lines = text.split('\n').filter((line) => line !== '');
+  const values: unknown[] = [];
+  for (const [index, line] of lines.entries()) {
+    try {
+      values.push(JSON.parse(line));
+    } catch {
+      if (index === lines.length - 1) break;
+      return { kind: 'invalid', fault: `line ${index + 1} is not JSON` };
+    }
+  }
+  const [head, ...events] = values;
+  if ((head as TraceHead | undefined)?.kind !== 'head') {
+    return { kind: 'invalid', fault: 'line 1 is not the head of a trace' };
+  }
+  return { kind: 'trace', trace: { head: head as TraceHead, events: events as BoxEvent[] } };
+}
+
+/** What a replay showed. */
+export interface ReplayResult {
+  events: number;
+  effects: number;
+  /** The same for the same events: a chained digest of their texts. */
+  effectsDigest: string;
+  outcomes: Record<string, { outcome: string; reason: string; tokens: number }>;
+  violation: string | undefined;
+}
+
+/** Runs a trace again. */
+export function replayTrace(trace: Trace, digest: (text: string) => string): ReplayResult {
+  const { head, events } = trace;
+  const state = createBoxState({
+    settings: head.settings,
+    seed: head.seed,
+    nowMs: head.startedAtMs,
+  });
+  const memory = createInvariantMemory();
+  const outcomes: ReplayResult['outcomes'] = {};
+  let effectCount = 0;
+  let effectsDigest = '';
+  let violation: string | undefined;
+  for (const event of events) {
+    try {
+      const effects = reduceChecked(memory, state, event);
+      effectCount += effects.length;
+      effectsDigest = digest(effectsDigest + JSON.stringify(effects));
+      for (const effect of effects) noteOutcome(outcomes, effect);
+    } catch (error) {
+      if (!(error instanceof BrokenInvariantError)) throw error;
+      violation = error.message;
+      break;
+    }
+  }
+  return { events: events.length, effects: effectCount, effectsDigest, outcomes, violation };
+}
+
+function noteOutcome(outcomes: ReplayResult['outcomes'], effect: Effect): void {
+  if (effect.type !== 'finishRequest') return;
+  const { requestId, outcome, reason, completionTokens } = effect;
+  outcomes[requestId] = { outcome, reason, tokens: completionTokens };
+}
+
+/** Stated outcomes of a trace. */
+export interface Expectation {
+  effectsDigest: string | undefined;
+  outcomes: Record<string, { outcome: string; reason?: string; tokens?: number }>;
+}
+
+/** Where a replay differs from what was stated. */
+export function differences(result: ReplayResult, expected: Expectation): string[] {
+  const faults: string[] = [];
+  if (result.violation !== undefined) faults.push(`broken invariant: ${result.violation}`);
+  if (expected.effectsDigest !== undefined && expected.effectsDigest !== result.effectsDigest) {
+    faults.push(`effects ${result.effectsDigest}, stated ${expected.effectsDigest}`);
+  }
+  for (const [requestId, stated] of Object.entries(expected.outcomes)) {
+    const seen = result.outcomes[requestId];
+    for (const [field, value] of Object.entries(stated)) {
+      const actual = seen?.[field as keyof typeof seen];
+      if (actual !== value)
+        faults.push(`${requestId}: ${field} ${String(actual)}, stated ${value}`);
+    }
+  }
+  return faults;
+}
--- a/packages/reedlug-check/src/world/world.ts
+++ b/packages/reedlug-check/src/world/world.ts
@@ -189,6 +189,11 @@
   return world.incarnations;
 }
 
+/** Seed of the generator in the state of one life of a box. */
+export function stateSeedOf(world: World, incarnation: number): number {
+  return world.options.seed * 1000 + incarnation;
+}
+
 /** Starts a box, or starts it again as a fresh process that holds nothing. */
 export function startBox(world: World, boxId: string): void {
   const { options, queue } = world;
@@ -197,7 +202,7 @@
   const settings: DecisionSettings = { ...options.settings, boxId, zone, incarnation };
   const state = createBoxState({
     settings,
-    seed: options.seed * 1000 + incarnation,
+    seed: stateSeedOf(world, incarnation),
     nowMs: queue.nowMs(),
     mutations: options.mutations,
   });
--- a/packages/reedlug-standins/src/models/engineModel.ts
+++ b/packages/reedlug-standins/src/models/engineModel.ts
@@ -223,13 +223,19 @@
   return prefilled;
 }
 
+/** Computes up to one chunk of prompt tokens, urgent prompts first; small ones share a chunk. */
 function prefillChunk(engine: EngineModel): number {
-  const pending = engine.running.filter((live) => live.prefillLeft > 0);
-  const next = pending.find((live) => live.run.urgent) ?? pending[0];
-  if (next === undefined) return 0;
-  const tokens = Math.min(PREFILL_CHUNK_TOKENS, next.prefillLeft);
-  next.prefillLeft -= tokens;
-  return tokens;
+  let left = PREFILL_CHUNK_TOKENS;
+  for (const urgent of [true, false]) {
+    for (const live of engine.running) {
+      if (left === 0) return PREFILL_CHUNK_TOKENS;
+      if (live.run.urgent !== urgent || live.prefillLeft === 0) continue;
+      const tokens = Math.min(left, live.prefillLeft);
+      live.prefillLeft -= tokens;
+      left -= tokens;
+    }
+  }
+  return PREFILL_CHUNK_TOKENS - left;
 }
 
 function generate(engine: EngineModel, live: LiveRun, sayings: EngineSaying[]): void {
--- /dev/null
+++ b/packages/reedlug/src/bench/load.ts
@@ -0,0 +1,236 @@
+/**
+ * Load on loopback: requests a second through one entry box, the time it adds,
+ * and memory a stream. Connections and seconds are bounded.
+ */
+import { Worker } from 'node:worker_threads';
+import { Pool } from 'undici';
+import { findFreePorts } from '../dev/freePorts.js';
+import { createHistogramOf } from './latency.js';
+import { BENCH_KEY, BENCH_MODEL, BENCH_SERVICE } from './benchSettings.js';
+import type { BenchReady, BenchRole } from './benchWorker.js';
+
+const CONNECTIONS = 64;
+const SECONDS = 4;
+const STREAMS = 1000;
+const PAUSE_MS = 500;
+const AUTHORIZED = { authorization: `Bearer ${BENCH_KEY}`, 'content-type': 'application/json' };
+
+interface Target {
+  name: string;
+  origin: string;
+  path: string;
+  method: 'GET' | 'POST';
+  body: (() => string) | undefined;
+}
+
+interface LoadResult {
+  perSecond: number;
+  p50Ms: number;
+  p99Ms: number;
+  failed: number;
+}
+
+function startWorker(role: BenchRole): Promise<{ worker: Worker; ready: BenchReady }> {
+  const worker = new Worker(new URL('./benchWorker.js', import.meta.url), {
+    workerData: role,
+  });
+  return new Promise((resolve, reject) => {
+    worker.once('error', reject);
+    worker.once('message', (ready: BenchReady) => resolve({ worker, ready }));
+  });
+}
+
+/** Keeps every connection busy for the given seconds. */
+async function closedLoop(target: Target, connections: number): Promise<LoadResult> {
+  const pool = new Pool(target.origin, { connections, pipelining: 1 });
+  const latency = createHistogramOf();
+  const untilMs = performance.now() + SECONDS * 1000;
+  let failed = 0;
+  const worker = async (): Promise<void> => {
+    while (performance.now() < untilMs) {
+      if (!(await callOnce(pool, target, latency.record))) failed += 1;
+    }
+  };
+  await Promise.all(Array.from({ length: connections }, worker));
+  await pool.destroy();
+  return { ...latency.summary(), perSecond: latency.count() / SECONDS, failed };
+}
+
+/** Sends at a fixed rate, whatever the answers do. */
+async function openLoop(target: Target, perSecond: number): Promise<LoadResult> {
+  const pool = new Pool(target.origin, { connections: CONNECTIONS * 2, pipelining: 1 });
+  const latency = createHistogramOf();
+  const total = Math.round(perSecond * SECONDS);
+  const startedMs = performance.now();
+  let failed = 0;
+  const calls: Promise<void>[] = [];
+  for (let sent = 0; sent < total;) {
+    const due = Math.min(total, Math.floor(((performance.now() - startedMs) / 1000) * perSecond));
+    for (; sent < due; sent += 1) {
+      calls.push(
+        callOnce(pool, target, latency.record).then((ok) => {
+          if (!ok) failed += 1;
+        }),
+      );
+    }
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+  await Promise.all(calls);
+  await pool.destroy();
+  return { ...latency.summary(), perSecond, failed };
+}
+
+async function callOnce(
+  pool: Pool,
+  target: Target,
+  record: (valueMs: number) => void,
+): Promise<boolean> {
+  const startedMs = performance.now();
+  const { method, path, body } = target;
+  const response = await pool.request({
+    method,
+    path,
+    headers: AUTHORIZED,
+    body: body?.() ?? null,
+  });
+  await response.body.dump();
+  record(performance.now() - startedMs);
+  return response.statusCode < 300;
+}
+
+function completionBody(maxTokens: number, stream: boolean): string {
+  return JSON.stringify({
+    model: BENCH_MODEL,
+    prompt: 'status of batch 7',
+    max_tokens: maxTokens,
+    stream,
+  });
+}
+
+let directCalls = 0;
+
+/** What the stand-in engine is asked when it is called directly. */
+function engineBody(): string {
+  directCalls += 1;
+  return JSON.stringify({
+    request_id: `direct-${directCalls}`,
+    model: BENCH_MODEL,
+    version: '',
+    prompt: 'status of batch 7',
+    stream: true,
+    max_tokens: 1,
+    priority: 0,
+    resume_tokens: [],
+    cache_key: 1,
+    prompt_tokens: 5,
+  });
+}
+
+function line(name: string, result: LoadResult): string {
+  const { perSecond, p50Ms, p99Ms, failed } = result;
+  return `${name}: ${Math.round(perSecond)} a second, p50 ${p50Ms} ms, p99 ${p99Ms} ms, failed ${failed}`;
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+async function compare(direct: Target, through: Target): Promise<void> {
+  await openLoop(through, 200);
+  const most = await closedLoop(through, CONNECTIONS);
+  print(line(`${through.name}, as fast as it goes`, most));
+  const half = most.perSecond / 2;
+  const alone = await openLoop(direct, half);
+  const added = await openLoop(through, half);
+  print(line(`${direct.name}, at half of that`, alone));
+  print(line(`${through.name}, at half of that`, added));
+  const p50 = (added.p50Ms - alone.p50Ms).toFixed(2);
+  const p99 = (added.p99Ms - alone.p99Ms).toFixed(2);
+  print(`added by the entry box: p50 ${p50} ms, p99 ${p99} ms`);
+}
+
+function askHeap(worker: Worker): Promise<number> {
+  return new Promise((resolve) => {
+    worker.once('message', (message: { heapBytes: number }) => resolve(message.heapBytes));
+    worker.postMessage({ kind: 'heap' });
+  });
+}
+
+/** Opens many streams at once and looks at the entry box's heap while they run. */
+async function manyStreams(origin: string, entry: Worker): Promise<void> {
+  const pool = new Pool(origin, { connections: STREAMS, pipelining: 1 });
+  const before = await askHeap(entry);
+  let open = 0;
+  let done = 0;
+  const streams = Array.from({ length: STREAMS }, async () => {
+    const response = await pool.request({
+      method: 'POST',
+      path: '/v1/completions',
+      headers: AUTHORIZED,
+      body: completionBody(40, true),
+    });
+    open += 1;
+    const text = await response.body.text();
+    if (text.endsWith('data: [DONE]\n\n')) done += 1;
+  });
+  const LOOK_MS = 50;
+  while (open < STREAMS) await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
+  const during = await askHeap(entry);
+  await Promise.all(streams);
+  await pool.destroy();
+  const perStream = Math.round((during - before) / STREAMS / 102.4) / 10;
+  print(`${STREAMS} open streams: ${perStream} KiB of heap each, ${done} whole`);
+}
+
+const standins = await startWorker({ role: 'standins', interTokenMs: 0.05 });
+const slow = await startWorker({ role: 'standins', interTokenMs: 300 });
+const [callersPort = 0, peersPort = 0, slowCallers = 0, slowPeers = 0] = await findFreePorts(4);
+if (standins.ready.role !== 'standins' || slow.ready.role !== 'standins')
+  throw new Error('no stand-ins');
+const { platform, engine, service } = standins.ready;
+const entry = await startWorker({
+  role: 'entry',
+  addresses: { platform, engines: [engine], services: [service], callersPort, peersPort },
+});
+const slowEntry = await startWorker({
+  role: 'entry',
+  addresses: {
+    platform: slow.ready.platform,
+    engines: [slow.ready.engine],
+    services: [slow.ready.service],
+    callersPort: slowCallers,
+    peersPort: slowPeers,
+  },
+});
+const SETTLE_MS = 1500;
+await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+const origin = `http://127.0.0.1:${callersPort}`;
+await compare(
+  { name: 'look-up, direct', origin: service, path: '/samples/7', method: 'GET', body: undefined },
+  {
+    name: 'look-up, through reedlug',
+    origin,
+    path: `/v1/services/${BENCH_SERVICE}/samples/7`,
+    method: 'GET',
+    body: undefined,
+  },
+);
+await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+await compare(
+  {
+    name: 'one-token answer, direct',
+    origin: engine,
+    path: '/v1/completions',
+    method: 'POST',
+    body: engineBody,
+  },
+  {
+    name: 'one-token answer, through reedlug',
+    origin,
+    path: '/v1/completions',
+    method: 'POST',
+    body: () => completionBody(1, false),
+  },
+);
+await manyStreams(`http://127.0.0.1:${slowCallers}`, slowEntry.worker);
+await Promise.all([standins, slow, entry, slowEntry].map(({ worker }) => worker.terminate()));
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -4,6 +4,8 @@
 import { DevCommand } from './commands/dev.js';
 import { EntryCommand } from './commands/entry.js';
 import { MeasureCommand } from './commands/measure.js';
+import { ConfirmCommand, PlanCommand, PlansCommand, UndoCommand } from './commands/plan.js';
+import { ReplayCommand } from './commands/replay.js';
 import { HashKeyCommand, SettingsCheckCommand } from './commands/settingsCheck.js';
 import { HistogramsCommand, StatusCommand } from './commands/status.js';
 import { VERSION, VersionCommand } from './commands/version.js';
@@ -19,6 +21,11 @@
     HashKeyCommand,
     HistogramsCommand,
     MeasureCommand,
+    PlanCommand,
+    PlansCommand,
+    ConfirmCommand,
+    UndoCommand,
+    ReplayCommand,
     SettingsCheckCommand,
     StatusCommand,
     VersionCommand,
--- a/packages/reedlug/src/commands/entry.ts
+++ b/packages/reedlug/src/commands/entry.ts
@@ -36,9 +36,6 @@
     const trace = this.tracePath === undefined ? undefined : createWriteStream(this.tracePath);
     const onEvent = (event: BoxEvent): void => void trace?.write(`${JSON.stringify(event)}\n`);
     const incarnation = Date.now();
-    if (trace !== undefined) {
-      trace.write(`${JSON.stringify({ box: box.id, incarnation, settings })}\n`);
-    }
     const stopped = withResolver<Error | undefined>();
     const daemon = await startEntryDaemon({
       settings,
@@ -49,6 +46,7 @@
       logger,
       cuts: { platform: () => false, zone: () => false },
       onEvent: trace === undefined ? undefined : onEvent,
+      onStarted: (head) => void trace?.write(`${JSON.stringify(head)}\n`),
       onStopped: stopped.resolve,
     });
     const server = createCallerServer(daemon);
--- a/packages/reedlug/src/daemon/entryDaemon.ts
+++ b/packages/reedlug/src/daemon/entryDaemon.ts
@@ -13,6 +13,7 @@
   ServerKind,
   type BoxEvent,
   type BoxState,
+  type DecisionSettings,
   type Effect,
   type EventBody,
   type OperatorAnswer,
@@ -68,6 +69,13 @@
   cuts: CutSwitches;
   /** Takes each event, for a trace. */
   onEvent: ((event: BoxEvent) => void) | undefined;
+  /** Takes what the state was made from, for the head of a trace. */
+  onStarted?: (head: {
+    kind: 'head';
+    seed: number;
+    startedAtMs: number;
+    settings: DecisionSettings;
+  }) => void;
   /** A planned stop has ended, or an invariant is broken. */
   onStopped: (error: Error | undefined) => void;
 }
@@ -115,11 +123,11 @@
 /** Starts a daemon; resolves once the peer link listens. */
 export async function startEntryDaemon(options: EntryDaemonOptions): Promise<EntryDaemon> {
   const { settings, box, logger } = options;
-  const state = createBoxState({
-    settings: toDecisionSettings(settings, box, options.incarnation),
-    seed: options.incarnation % 0x7fff_ffff,
-    nowMs: performance.now(),
-  });
+  const decisionSettings = toDecisionSettings(settings, box, options.incarnation);
+  const seed = options.incarnation % 0x7fff_ffff;
+  const startedAtMs = performance.now();
+  const state = createBoxState({ settings: decisionSettings, seed, nowMs: startedAtMs });
+  options.onStarted?.({ kind: 'head', seed, startedAtMs, settings: decisionSettings });
   const memory = createInvariantMemory();
   const waiting: BoxEvent[] = [];
   let draining = false;
