Tell peers where prefixes are that they would look for elsewhere

Cause: the balancer spreads a conversation's turns over the boxes, and a box knew only its own answers; after a spill or a reclaim the others looked at the first rank, recomputed the prefix there and held it twice. Change: with each heartbeat a box tells the exceptions, a prefix that is not at its first rank. Admission counts the expected time of the answer itself and the measured drain of the queue.

--- a/packages/reedlug-decisions/src/policy/cacheView.ts
+++ b/packages/reedlug-decisions/src/policy/cacheView.ts
@@ -7,11 +7,14 @@
  * share of prompt tokens that such requests were found to hit.
  */
 import type { EventOf } from '../types/event.js';
+import type { CacheNews } from '../types/peer.js';
 import type { RequestSpec } from '../types/request.js';
 import type { BoxState, ServerView } from '../state.js';
 
 /** Sights kept; the oldest goes first. */
 export const CACHE_SIGHT_LIMIT = 20_000;
+/** News of prefixes sent in one heartbeat at most. */
+const CACHE_NEWS_LIMIT = 200;
 /** Weight of the newest answer in the smoothed hit share. */
 const HIT_SMOOTHING = 0.05;
 /** Credit of a sight whose server had a gap in its cache events. */
@@ -47,6 +50,42 @@
   if (oldest.done !== true) state.cacheSights.delete(oldest.value);
 }
 
+/** Notes where this box's own answer left a prefix, and has peers told if they would look elsewhere. */
+export function noteOwnCached(
+  state: BoxState,
+  cached: CacheNews,
+  firstRankedId: string | undefined,
+): void {
+  const { affinityHash, serverId, tokens } = cached;
+  noteCached(state, affinityHash, serverId, tokens);
+  const believed = state.cacheTold.get(affinityHash) ?? firstRankedId;
+  if (believed === serverId) return;
+  noteTold(state, affinityHash, serverId, firstRankedId);
+  if (state.cacheNewsWaiting.length < CACHE_NEWS_LIMIT) state.cacheNewsWaiting.push(cached);
+}
+
+function noteTold(
+  state: BoxState,
+  affinityHash: number,
+  serverId: string,
+  firstRankedId: string | undefined,
+): void {
+  state.cacheTold.delete(affinityHash);
+  if (serverId === firstRankedId) return;
+  state.cacheTold.set(affinityHash, serverId);
+  if (state.cacheTold.size <= CACHE_SIGHT_LIMIT) return;
+  const oldest = state.cacheTold.keys().next();
+  if (oldest.done !== true) state.cacheTold.delete(oldest.value);
+}
+
+/** Takes a peer's news of prefixes. */
+export function onCacheNews(state: BoxState, news: readonly CacheNews[]): void {
+  for (const { affinityHash, serverId, tokens } of news) {
+    noteCached(state, affinityHash, serverId, tokens);
+    state.cacheTold.set(affinityHash, serverId);
+  }
+}
+
 /** Learns from an engine's report of cached tokens how far the view can be trusted. */
 export function noteCacheHit(
   state: BoxState,
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -46,7 +46,7 @@
 }
 
 /** Servers that may run a request, with room or without. */
-function usableServers(state: BoxState, spec: RequestSpec): ServerView[] {
+export function usableServers(state: BoxState, spec: RequestSpec): ServerView[] {
   const pool = state.serversByPool.get(spec.pool) ?? [];
   return pool.filter((view) => {
     if (view.spec.kind !== spec.kind) return false;
--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -8,7 +8,7 @@
 import type { PeerMessage } from './types/peer.js';
 import type { BoxState, Step } from './state.js';
 import { onConfirmAnswered, onOperatorAsked } from './plans/confirm.js';
-import { onCacheChanged } from './policy/cacheView.js';
+import { onCacheChanged, onCacheNews } from './policy/cacheView.js';
 import { onRequestArrived } from './slices/admission.js';
 import {
   onAttemptEnded,
@@ -152,6 +152,8 @@
       return notePeerRevision(state, message.revision);
     case 'serverNews':
       return onServerNews(state, step, message.news);
+    case 'cacheNews':
+      return onCacheNews(state, message.news);
     case 'configDeltas':
       return onConfigDeltas(state, step, message.deltas);
     case 'configAsk':
--- a/packages/reedlug-decisions/src/slices/admission.ts
+++ b/packages/reedlug-decisions/src/slices/admission.ts
@@ -88,7 +88,7 @@
   if (queued >= view.limits.maxQueued) {
     return { reason: Reason.overloaded, retryAfterMs: Math.max(DEFAULT_RETRY_MS, waitMs) };
   }
-  const slackMs = spec.deadlineAtMs - nowMs - shortestRunMs(state, spec);
+  const slackMs = spec.deadlineAtMs - nowMs - expectedRunMs(state, spec);
   if (waitMs > slackMs) {
     return {
       reason: Reason.deadline,
@@ -111,10 +111,30 @@
   const queues = queuesOf(state, spec.pool);
   const ahead = queueFor(queues, spec.requestClass).costSum + urgentAhead(queues, spec);
   if (ahead === 0) return 0;
-  const speed = poolCostPerMs(state, spec.pool);
+  const speed = queues.drainPerMs > 0 ? queues.drainPerMs : poolCostPerMs(state, spec.pool);
   return speed === 0 ? DEFAULT_RETRY_MS : Math.ceil(ahead / speed);
 }
 
+/** Expected time of the answer itself, with the prompt's share that is usually cached. */
+function expectedRunMs(state: BoxState, spec: RequestSpec): number {
+  if (spec.kind === ServerKind.service) return 0;
+  const { policy } = state.settings;
+  const promptMs = (spec.promptTokens * (1 - state.priorHitShare)) / policy.prefillTokensPerMs;
+  return policy.crossZoneMs + promptMs + spec.maxTokens * poolInterTokenMs(state, spec.pool);
+}
+
+/** Time between tokens over a pool's engines, as measured, or the settings' figure. */
+function poolInterTokenMs(state: BoxState, pool: string): number {
+  let sumMs = 0;
+  let measured = 0;
+  for (const view of state.serversByPool.get(pool) ?? []) {
+    if (view.interTokenMs === 0) continue;
+    sumMs += view.interTokenMs;
+    measured += 1;
+  }
+  return measured === 0 ? state.settings.policy.interTokenMs : sumMs / measured;
+}
+
 function urgentAhead(queues: { urgent: { costSum: number } }, spec: RequestSpec): number {
   return spec.requestClass === RequestClass.patient ? queues.urgent.costSum : 0;
 }
--- a/packages/reedlug-decisions/src/slices/attempts.ts
+++ b/packages/reedlug-decisions/src/slices/attempts.ts
@@ -18,7 +18,8 @@
 import { ServerKind } from '../types/settings.js';
 import type { BoxState, ServerView, Step } from '../state.js';
 import { nextRandom } from '../state.js';
-import { noteCached, noteCacheHit } from '../policy/cacheView.js';
+import { noteCacheHit, noteOwnCached } from '../policy/cacheView.js';
+import { firstRanked, usableServers } from '../policy/routing.js';
 import { dispatchPool } from './dispatch.js';
 import { enterQueue } from './queues.js';
 import { giveUp, isUnsettled, mayHaveReached, recordOfAttempt, settle } from './requests.js';
@@ -194,7 +195,9 @@
   const hadSight = state.cacheSights.get(spec.affinityHash)?.serverId === attempt.serverId;
   noteCacheHit(state, { spec, view, cachedTokens, hadSight });
   const held = spec.promptTokens + record.ledger.tokens.length;
-  noteCached(state, spec.affinityHash, attempt.serverId, held);
+  const first = firstRanked(spec.affinityHash, usableServers(state, spec));
+  const { affinityHash } = spec;
+  noteOwnCached(state, { affinityHash, serverId: attempt.serverId, tokens: held }, first?.spec.id);
 }
 
 /** Takes the answer of a plain service; the first one is the caller's. */
--- a/packages/reedlug-decisions/src/slices/dispatch.ts
+++ b/packages/reedlug-decisions/src/slices/dispatch.ts
@@ -43,6 +43,7 @@
   });
   const record = entry === undefined ? undefined : state.requests.get(entry.id);
   if (record === undefined || chosen === undefined) return false;
+  queuesOf(state, record.spec.pool).dispatchedCost += record.cost;
   sendAttempt(state, step, record, chosen);
   return true;
 }
--- a/packages/reedlug-decisions/src/slices/peerLinks.ts
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -13,6 +13,7 @@
 import { demandsOf, updateShares } from './limits.js';
 import { newsOf, poolLoads } from './servers.js';
 import { log } from './log.js';
+import { measureDrain } from './queues.js';
 
 /** Live boxes of each other site that a box keeps a heartbeat with. */
 const FOREIGN_SITE_PEERS = 2;
@@ -61,9 +62,19 @@
   updateShares(state, step.nowMs);
   noteSelf(state, step.nowMs);
   updateSharing(state);
+  measureDrain(state, state.settings.control.heartbeatMs);
+  tellCacheNews(state, step);
   sendToPeers(state, step, heartbeat(state));
 }
 
+/** Tells where prefixes are that peers would look for elsewhere. */
+function tellCacheNews(state: BoxState, step: Step): void {
+  if (state.cacheNewsWaiting.length === 0) return;
+  const news = state.cacheNewsWaiting;
+  state.cacheNewsWaiting = [];
+  sendToPeers(state, step, { kind: 'cacheNews', news });
+}
+
 function noteSelf(state: BoxState, nowMs: number): void {
   const { boxId, incarnation, zone } = state.settings;
   noteMember(state.boxMembers, boxId, { kind: 'heard', incarnation, zone }, nowMs);
--- a/packages/reedlug-decisions/src/slices/queues.ts
+++ b/packages/reedlug-decisions/src/slices/queues.ts
@@ -15,11 +15,28 @@
     urgent: createFairQueue(QUANTUM),
     patient: createFairQueue(QUANTUM),
     urgentRun: 0,
+    dispatchedCost: 0,
+    drainPerMs: 0,
   };
   state.pools.set(pool, queues);
   return queues;
 }
 
+/** Weight of the newest interval in the smoothed drain of a pool. */
+const DRAIN_SMOOTHING = 0.3;
+
+/** Measures how fast waiting work drains; call it on each heartbeat. */
+export function measureDrain(state: BoxState, intervalMs: number): void {
+  for (const queues of state.pools.values()) {
+    const perMs = queues.dispatchedCost / intervalMs;
+    queues.dispatchedCost = 0;
+    const waiting = queues.urgent.size + queues.patient.size > 0;
+    if (!waiting && perMs <= queues.drainPerMs) continue;
+    if (queues.drainPerMs === 0) queues.drainPerMs = perMs;
+    else queues.drainPerMs += DRAIN_SMOOTHING * (perMs - queues.drainPerMs);
+  }
+}
+
 /** The queue of a class. */
 export function queueFor(queues: PoolQueues, requestClass: RequestClass): FairQueue {
   switch (requestClass) {
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -22,7 +22,7 @@
 import type { Mutation } from './mutations.js';
 import type { Effect } from './types/effect.js';
 import type { EngineReport } from './types/order.js';
-import type { PoolLoad, WorkspaceDemand } from './types/peer.js';
+import type { CacheNews, PoolLoad, WorkspaceDemand } from './types/peer.js';
 import type { ConfirmedPlan, Plan } from './types/plan.js';
 import type { RequestRecord } from './types/request.js';
 import type { DecisionSettings, ServerSpec, WorkspaceLimits } from './types/settings.js';
@@ -65,6 +65,10 @@
   patient: FairQueue;
   /** Urgent dispatches since the last patient one. */
   urgentRun: number;
+  /** Work dispatched since the last heartbeat, in the units of a request's cost. */
+  dispatchedCost: number;
+  /** Work dispatched in one ms while requests waited, smoothed; 0 until measured. */
+  drainPerMs: number;
 }
 
 /** Where a conversation's cached prefix was last seen. */
@@ -154,6 +158,9 @@
   serverMembers: Membership;
   roundRobinTurn: number;
   cacheSights: Map<number, CacheSight>;
+  /** Where the peers believe a conversation's prefix to be, where it is not the first rank. */
+  cacheTold: Map<number, string>;
+  cacheNewsWaiting: CacheNews[];
   /** Share of prompt tokens found at the first-ranked engine without a sight, smoothed. */
   priorHitShare: number;
 
@@ -235,6 +242,8 @@
     }),
     roundRobinTurn: 0,
     cacheSights: new Map(),
+    cacheTold: new Map(),
+    cacheNewsWaiting: [],
     priorHitShare: 0.5,
     boxMembers: createMembership({
       suspectAfterMs: control.suspectAfterMs,
--- a/packages/reedlug-decisions/src/types/peer.ts
+++ b/packages/reedlug-decisions/src/types/peer.ts
@@ -27,6 +27,13 @@
   leavesInMs: number | undefined;
 }
 
+/** A conversation whose cached prefix is not where peers would look first. */
+export interface CacheNews {
+  affinityHash: number;
+  serverId: string;
+  tokens: number;
+}
+
 /** What a box knows of a request, for another box. */
 export interface RequestSight {
   requestId: string;
@@ -59,6 +66,7 @@
       poolLoads: readonly PoolLoad[];
     }
   | { kind: 'serverNews'; news: readonly ServerNews[] }
+  | { kind: 'cacheNews'; news: readonly CacheNews[] }
   | { kind: 'configDeltas'; deltas: readonly ConfigDelta[] }
   | { kind: 'configAsk'; afterRevision: number }
   | { kind: 'configSnapshot'; snapshot: ConfigSnapshot }
--- a/packages/reedlug/src/peers/peerMessages.ts
+++ b/packages/reedlug/src/peers/peerMessages.ts
@@ -11,6 +11,7 @@
     poolLoads: 'array',
   },
   serverNews: { news: 'array' },
+  cacheNews: { news: 'array' },
   configDeltas: { deltas: 'array' },
   configAsk: { afterRevision: 'number' },
   configSnapshot: { snapshot: 'object' },
