--- a/packages/reedlug-coordination/src/configReplica.ts
+++ b/packages/reedlug-coordination/src/configReplica.ts
@@ -16,6 +16,8 @@
 export interface ConfigDelta {
   revision: number;
   planId: string;
+  /** Who confirmed it. */
+  author: string;
   changes: readonly ConfigChange[];
 }
 
@@ -23,6 +25,9 @@
 export interface ConfigItem {
   value: unknown;
   revision: number;
+  /** The plan that last changed it, and who confirmed that plan. */
+  planId: string;
+  author: string;
 }
 
 /** The whole configuration at one revision. */
@@ -75,9 +80,10 @@
 }
 
 function applyOne(replica: ConfigReplica, delta: ConfigDelta): void {
-  for (const change of delta.changes) {
-    if (change.value === undefined) replica.items.delete(change.name);
-    else replica.items.set(change.name, { value: change.value, revision: delta.revision });
+  const { revision, planId, author } = delta;
+  for (const { name, value } of delta.changes) {
+    if (value === undefined) replica.items.delete(name);
+    else replica.items.set(name, { value, revision, planId, author });
   }
   replica.revision = delta.revision;
   replica.recent.set(delta.revision, delta);
--- a/packages/reedlug-decisions/src/__tests__/windows.test.ts
+++ b/packages/reedlug-decisions/src/__tests__/windows.test.ts
@@ -63,7 +63,12 @@
     steps: 1,
     haltedAtShare: undefined,
   };
-  box.state.config.items.set('poolMove/draft', { value: move, revision: 1 });
+  box.state.config.items.set('poolMove/draft', {
+    value: move,
+    revision: 1,
+    planId: 'p',
+    author: 'o',
+  });
   const record = createRecord(testDraft('d1'), 10);
   expect(chooseServer(box.state, record, 10)).equal(undefined);
   const moved = box.state.servers.get('engine-2');
--- a/packages/reedlug-decisions/src/plans/confirm.ts
+++ b/packages/reedlug-decisions/src/plans/confirm.ts
@@ -83,12 +83,12 @@
   for (const { name, revision } of plan.basis) {
     const current = itemRevision(state.config, name);
     if (current === revision) continue;
-    const first = state.confirmedPlans.find((item) => item.revision === current);
+    const item = state.config.items.get(name);
     return {
       kind: 'conflict',
       item: name,
-      firstPlanId: first?.planId ?? '',
-      firstOperatorId: first?.operatorId ?? '',
+      firstPlanId: item?.planId ?? '',
+      firstOperatorId: item?.author ?? '',
       firstRevision: current,
     };
   }
@@ -116,8 +116,8 @@
 }
 
 function logValue(plan: Plan, revision: number): ConfigLogValue {
-  const { planId, changes } = plan;
-  return { delta: { revision, planId, changes }, plan: confirmedPlan(plan, revision) };
+  const { planId, changes, operatorId: author } = plan;
+  return { delta: { revision, planId, author, changes }, plan: confirmedPlan(plan, revision) };
 }
 
 /** Takes the table's answer to a step of a confirm. */
--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -155,7 +155,7 @@
     case 'cacheNews':
       return onCacheNews(state, message.news);
     case 'configDeltas':
-      return onConfigDeltas(state, step, message.deltas);
+      return onConfigDeltas(state, step, message);
     case 'configAsk':
       return onConfigAsk(state, step, from, message.afterRevision);
     case 'configSnapshot':
--- a/packages/reedlug-decisions/src/slices/config.ts
+++ b/packages/reedlug-decisions/src/slices/config.ts
@@ -106,7 +106,13 @@
   noteCaughtUp(state);
   if (applied.length === 0) return;
   log(step, 'configApplied', { revision: state.config.revision, deltas: applied.length });
-  if (push) sendToPeers(state, step, { kind: 'configDeltas', deltas: applied });
+  if (push) sendToPeers(state, step, deltasMessage(state, applied));
+}
+
+function deltasMessage(state: BoxState, deltas: readonly ConfigDelta[]): PeerMessage {
+  const revisions = new Set(deltas.map(({ revision }) => revision));
+  const plans = state.confirmedPlans.filter(({ revision }) => revisions.has(revision));
+  return { kind: 'configDeltas', deltas, plans };
 }
 
 /** The fault that the checker must find: a late delta is applied whatever its revision. */
@@ -116,9 +122,14 @@
 }
 
 /** Takes deltas that a peer pushed. */
-export function onConfigDeltas(state: BoxState, step: Step, deltas: readonly ConfigDelta[]): void {
+export function onConfigDeltas(
+  state: BoxState,
+  step: Step,
+  message: Extract<PeerMessage, { kind: 'configDeltas' }>,
+): void {
   state.configSourceSeen = true;
-  takeDeltas(state, step, deltas, false);
+  for (const plan of message.plans) notePlan(state, plan);
+  takeDeltas(state, step, message.deltas, false);
 }
 
 /** Notes a peer's revision; a peer that is reachable makes a source. */
@@ -152,7 +163,7 @@
   const message: PeerMessage =
     deltas === undefined
       ? { kind: 'configSnapshot', snapshot: takeSnapshot(state.config) }
-      : { kind: 'configDeltas', deltas };
+      : deltasMessage(state, deltas);
   step.effects.push({ type: 'sendPeer', boxId: from, message });
 }
 
--- a/packages/reedlug-decisions/src/types/peer.ts
+++ b/packages/reedlug-decisions/src/types/peer.ts
@@ -1,5 +1,6 @@
 /** Messages between entry boxes. */
 import type { ConfigDelta, ConfigSnapshot, Outcome } from 'reedlug-coordination';
+import type { ConfirmedPlan } from './plan.js';
 import type { Reason, RequestSpec } from './request.js';
 
 /** Recent demand of one busy workspace at one box. */
@@ -67,7 +68,11 @@
     }
   | { kind: 'serverNews'; news: readonly ServerNews[] }
   | { kind: 'cacheNews'; news: readonly CacheNews[] }
-  | { kind: 'configDeltas'; deltas: readonly ConfigDelta[] }
+  | {
+      kind: 'configDeltas';
+      deltas: readonly ConfigDelta[];
+      plans: readonly ConfirmedPlan[];
+    }
   | { kind: 'configAsk'; afterRevision: number }
   | { kind: 'configSnapshot'; snapshot: ConfigSnapshot }
   | { kind: 'lookup'; requestId: string; workspaceId: string; fromOffset: number }
--- a/packages/reedlug/src/peers/peerMessages.ts
+++ b/packages/reedlug/src/peers/peerMessages.ts
@@ -12,7 +12,7 @@
   },
   serverNews: { news: 'array' },
   cacheNews: { news: 'array' },
-  configDeltas: { deltas: 'array' },
+  configDeltas: { deltas: 'array', plans: 'array' },
   configAsk: { afterRevision: 'number' },
   configSnapshot: { snapshot: 'object' },
   lookup: { requestId: 'string', workspaceId: 'string', fromOffset: 'number' },
