Keep the cost of a choice and of control from growing with the fleet

Cause, by profile at 330 boxes and 12,000 engines: every choice weighed all engines of the pool (26324 us a request), each heartbeat ranked every engine against every box, a new peer was told of every server, and one message was encoded anew for each peer. Change: a choice weighs the 16 first ranks of the conversation, then up to 64 more when those are full; ranks are worked out when needed and kept while the live boxes stay; a new peer is told of the servers probed here and of those that leave; messages to many peers are encoded once, with cbor records; demand travels in one heartbeat of five.

--- a/packages/reedlug-decisions/src/defaults.ts
+++ b/packages/reedlug-decisions/src/defaults.ts
@@ -36,6 +36,7 @@
 /** Times and sizes of the control part. */
 export const DEFAULT_CONTROL: ControlSettings = {
   heartbeatMs: 1000,
+  demandsEveryHeartbeats: 5,
   suspectAfterMs: 3000,
   deadAfterMs: 10_000,
   probeEveryMs: 1000,
--- a/packages/reedlug-decisions/src/index.ts
+++ b/packages/reedlug-decisions/src/index.ts
@@ -5,6 +5,7 @@
 export * from './plans/items.js';
 export { digestFits } from './plans/draft.js';
 export * from './reduce.js';
+export { workspaceView } from './slices/limits.js';
 export { isReady } from './slices/readiness.js';
 export * from './state.js';
 export * from './types/index.js';
--- a/packages/reedlug-decisions/src/plans/rules.ts
+++ b/packages/reedlug-decisions/src/plans/rules.ts
@@ -21,14 +21,28 @@
   return steps / move.steps;
 }
 
-/** False when a confirmed rule keeps a request off a server. */
-export function serverAllowed(state: BoxState, view: ServerView, spec: RequestSpec): boolean {
-  if (view.spec.reclaimable && keptOff(state, spec.requestClass)) return false;
+/** What confirmed rules say of the servers for one request; worked out once for all of them. */
+export interface ServerRules {
+  offReclaimable: boolean;
+  /** Site at which the request must run, and whether it is that one or any other. */
+  move: { toSite: string; goesToNew: boolean } | undefined;
+}
+
+/** The rules for a request. */
+export function rulesFor(state: BoxState, spec: RequestSpec): ServerRules {
+  const offReclaimable = keptOff(state, spec.requestClass);
   const move = itemValue<PoolMove>(state, itemName.poolMove(spec.pool));
-  if (move === undefined) return true;
+  if (move === undefined) return { offReclaimable, move: undefined };
   const goesToNew = spec.affinityHash / HASH_RANGE < movedShare(move, state.epochMs);
-  const isNew = siteOfZone(state.settings, view.spec.zone) === move.toSite;
-  return goesToNew === isNew;
+  return { offReclaimable, move: { toSite: move.toSite, goesToNew } };
+}
+
+/** False when the rules keep a request off a server. */
+export function serverAllowed(state: BoxState, view: ServerView, rules: ServerRules): boolean {
+  if (rules.offReclaimable && view.spec.reclaimable) return false;
+  if (rules.move === undefined) return true;
+  const isNew = siteOfZone(state.settings, view.spec.zone) === rules.move.toSite;
+  return rules.move.goesToNew === isNew;
 }
 
 function keptOff(state: BoxState, requestClass: RequestClass): boolean {
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -9,11 +9,16 @@
 import type { RequestRecord, RequestSpec } from '../types/request.js';
 import { RequestClass, RoutingPolicy, ServerKind } from '../types/settings.js';
 import type { BoxState, ServerView } from '../state.js';
+import { nextRandom, poolSiteKey, siteOfZone } from '../state.js';
 import { serverTakesWork } from '../slices/servers.js';
-import { serverAllowed } from '../plans/rules.js';
+import { rulesFor, serverAllowed, type ServerRules } from '../plans/rules.js';
 import { expectedCachedTokens } from './cacheView.js';
 import { othersAt, roomAt } from './windows.js';
 
+/** First ranks of a conversation that are weighed against each other. */
+const SHORTLIST_LENGTH = 16;
+/** Servers looked at beyond a full shortlist. */
+const FURTHER_TRIES = 64;
 /** A second of waiting of an urgent request weighs this many times a patient one's. */
 const URGENT_WAIT_FACTOR = 8;
 /** Slowdown of generation at a full engine, as a share of one second's wait per slot share. */
@@ -25,34 +30,106 @@
   record: RequestRecord,
   nowMs: number,
 ): ServerView | undefined {
-  const candidates = candidatesFor(state, record, nowMs);
+  const listed = listFor(state, record.spec);
+  const candidates = candidatesFor(state, record, listed, nowMs);
   if (candidates.length === 0) return undefined;
   const preferred = candidates.filter((view) => !record.avoid.has(view.spec.id));
-  return pick(state, record, preferred.length > 0 ? preferred : candidates, nowMs);
+  return pick(state, record, listed, preferred.length > 0 ? preferred : candidates, nowMs);
 }
 
-/** Servers of the request's pool that take work and have room; own zone first where settings say so. */
-function candidatesFor(state: BoxState, record: RequestRecord, nowMs: number): ServerView[] {
-  const open = usableServers(state, record.spec).filter((view) =>
-    hasRoom(state, record, view, nowMs),
-  );
-  if (state.settings.policy.routeOverSite) return open;
-  const own = open.filter((view) => view.spec.zone === state.settings.zone);
-  return own.length > 0 ? own : open;
+/** Listed servers with room; own zone first where settings say so. */
+function candidatesFor(
+  state: BoxState,
+  record: RequestRecord,
+  listed: readonly ServerView[],
+  nowMs: number,
+): ServerView[] {
+  const open = listed.filter((view) => hasRoom(state, record, view, nowMs));
+  const found = open.length > 0 ? open : furtherRoom(state, record, listed, nowMs);
+  if (state.settings.policy.routeOverSite) return found;
+  const own = found.filter((view) => view.spec.zone === state.settings.zone);
+  return own.length > 0 ? own : found;
+}
+
+/** Beyond a full shortlist: a few servers from a random place on, the first that has room. */
+function furtherRoom(
+  state: BoxState,
+  record: RequestRecord,
+  listed: readonly ServerView[],
+  nowMs: number,
+): ServerView[] {
+  const rules = rulesFor(state, record.spec);
+  const pool = poolServers(state, record.spec, rules);
+  if (pool.length <= listed.length) return [];
+  const start = Math.floor(nextRandom(state) * pool.length);
+  for (let step = 0; step < FURTHER_TRIES; step += 1) {
+    const view = pool[(start + step) % pool.length];
+    if (view === undefined || !isUsable(state, record.spec, rules, view)) continue;
+    if (hasRoom(state, record, view, nowMs)) return [view];
+  }
+  return [];
 }
 
 function hasRoom(state: BoxState, record: RequestRecord, view: ServerView, nowMs: number): boolean {
   return roomAt(state, view, record.spec.requestClass, nowMs) > 0;
 }
 
-/** Servers that may run a request, with room or without. */
-export function usableServers(state: BoxState, spec: RequestSpec): ServerView[] {
-  const pool = state.serversByPool.get(spec.pool) ?? [];
-  return pool.filter((view) => {
-    if (view.spec.kind !== spec.kind) return false;
-    if (!serverTakesWork(state, view) || !versionFits(view, spec.version)) return false;
-    return serverAllowed(state, view, spec);
-  });
+/** Servers of a request's pool: those of the own site, of all sites where it has none or moves. */
+function poolServers(
+  state: BoxState,
+  spec: RequestSpec,
+  rules: ServerRules,
+): readonly ServerView[] {
+  const all = state.serversByPool.get(spec.pool) ?? [];
+  if (rules.move !== undefined) return all;
+  const site = siteOfZone(state.settings, state.settings.zone);
+  const own = state.serversByPoolSite.get(poolSiteKey(spec.pool, site)) ?? [];
+  return own.some((view) => isUsable(state, spec, rules, view)) ? own : all;
+}
+
+function isUsable(
+  state: BoxState,
+  spec: RequestSpec,
+  rules: ServerRules,
+  view: ServerView,
+): boolean {
+  if (view.spec.kind !== spec.kind) return false;
+  if (!serverTakesWork(state, view) || !versionFits(view, spec.version)) return false;
+  return serverAllowed(state, view, rules);
+}
+
+/**
+ * Servers that may run a request, with room or without: the first ranks of its
+ * conversation, best first, so that the cost of a choice does not grow with the
+ * fleet.
+ */
+export function shortlist(state: BoxState, spec: RequestSpec): ServerView[] {
+  const rules = rulesFor(state, spec);
+  const weights: number[] = [];
+  const views: ServerView[] = [];
+  for (const view of poolServers(state, spec, rules)) {
+    const weight = rendezvousWeight(spec.affinityHash, view.idHash);
+    const isFull = views.length === SHORTLIST_LENGTH;
+    if (isFull && weight <= (weights.at(-1) ?? 0)) continue;
+    if (!isUsable(state, spec, rules, view)) continue;
+    let at = views.length;
+    while (at > 0 && weight > (weights[at - 1] ?? 0)) at -= 1;
+    weights.splice(at, 0, weight);
+    views.splice(at, 0, view);
+    if (!isFull) continue;
+    weights.pop();
+    views.pop();
+  }
+  return views;
+}
+
+/** The shortlist, and the server where the conversation's prefix was last seen. */
+function listFor(state: BoxState, spec: RequestSpec): ServerView[] {
+  const listed = shortlist(state, spec);
+  const sight = state.cacheSights.get(spec.affinityHash);
+  const holder = sight === undefined ? undefined : state.servers.get(sight.serverId);
+  if (holder === undefined || listed.includes(holder)) return listed;
+  return isUsable(state, spec, rulesFor(state, spec), holder) ? [...listed, holder] : listed;
 }
 
 /** A request that names a version goes only to engines that report it. */
@@ -64,12 +141,13 @@
 function pick(
   state: BoxState,
   record: RequestRecord,
+  listed: readonly ServerView[],
   candidates: readonly ServerView[],
   nowMs: number,
 ): ServerView | undefined {
   switch (state.settings.policy.routing) {
     case RoutingPolicy.affinity:
-      return cheapest(state, record, candidates, nowMs);
+      return cheapest(state, record, listed, candidates, nowMs);
     case RoutingPolicy.roundRobin:
       return inTurn(state, candidates);
     case RoutingPolicy.leastRequests:
@@ -99,20 +177,19 @@
 function cheapest(
   state: BoxState,
   record: RequestRecord,
+  listed: readonly ServerView[],
   candidates: readonly ServerView[],
   nowMs: number,
 ): ServerView | undefined {
   if (record.spec.kind === ServerKind.service) {
     return lowest(candidates, (view) => serviceCost(state, view, nowMs));
   }
-  const { spec } = record;
-  const usable = usableServers(state, spec);
-  const first = firstRanked(spec.affinityHash, usable);
+  const [first] = listed;
   const costOf = (view: ServerView): number =>
     engineCost(state, record, view, view === first, nowMs);
   const best = lowest(candidates, costOf);
   const bestCost = best === undefined ? Number.POSITIVE_INFINITY : costOf(best);
-  const worthWaiting = usable.some(
+  const worthWaiting = listed.some(
     (view) =>
       !hasRoom(state, record, view, nowMs) &&
       costOf(view) + waitCost(state, record, view, nowMs) < bestCost,
--- a/packages/reedlug-decisions/src/policy/windows.ts
+++ b/packages/reedlug-decisions/src/policy/windows.ts
@@ -9,7 +9,7 @@
 import { hashString, liveInZone, rendezvousWeight } from 'reedlug-coordination';
 import type { EngineReport } from '../types/order.js';
 import { RequestClass, ServerKind, WindowPolicy } from '../types/settings.js';
-import type { BoxState, ServerView } from '../state.js';
+import type { BoxState, ServerView, SharingBoxes } from '../state.js';
 import { siteOfZone } from '../state.js';
 
 /** How long a report says something about the other boxes' load. */
@@ -80,9 +80,20 @@
 
 /** Shares of all boxes sum to the whole; the remainder goes to the first ranks. */
 function exactShare(state: BoxState, view: ServerView, whole: number): number {
-  const boxes = state.sharingBoxes.get(view.spec.zone) ?? 1;
+  const sharing = state.sharingBoxes.get(view.spec.zone);
+  const boxes = Math.max(1, sharing?.hashes.length ?? 1);
   const base = Math.floor(whole / boxes);
-  return base + (view.shareRank < whole % boxes ? 1 : 0);
+  return base + (shareRank(state, view, sharing) < whole % boxes ? 1 : 0);
+}
+
+/** Place of this box among those that share a server, by rendezvous; 0 is the first. */
+function shareRank(state: BoxState, view: ServerView, sharing: SharingBoxes | undefined): number {
+  if (sharing === undefined) return 0;
+  if (view.place.version === sharing.version) return view.place.shareRank;
+  const weight = rendezvousWeight(view.idHash, hashString(state.settings.boxId));
+  const before = sharing.hashes.filter((hash) => rendezvousWeight(view.idHash, hash) > weight);
+  view.place = { version: sharing.version, shareRank: before.length };
+  return before.length;
 }
 
 function windowOf(state: BoxState, view: ServerView): number {
@@ -98,18 +109,15 @@
   return Math.min(reserved, Math.floor(view.spec.slots / 2));
 }
 
-/** Counts the boxes that share each zone's servers, and ranks this one at each server. */
+/** Notes which boxes share each zone's servers; their places are worked out when needed. */
 export function updateSharing(state: BoxState): void {
-  const { settings } = state;
-  const own = hashString(settings.boxId);
-  for (const zone of settings.zones) {
-    const hashes = sharingBoxIds(state, zone.name).map(hashString);
-    state.sharingBoxes.set(zone.name, Math.max(1, hashes.length));
-    for (const view of state.servers.values()) {
-      if (view.spec.zone !== zone.name) continue;
-      const weight = rendezvousWeight(view.idHash, own);
-      view.shareRank = hashes.filter((hash) => rendezvousWeight(view.idHash, hash) > weight).length;
-    }
+  for (const { name } of state.settings.zones) {
+    const ids = sharingBoxIds(state, name);
+    const idsKey = ids.join(' ');
+    const before = state.sharingBoxes.get(name);
+    if (before?.idsKey === idsKey) continue;
+    const version = (before?.version ?? 0) + 1;
+    state.sharingBoxes.set(name, { version, idsKey, hashes: ids.map(hashString) });
   }
 }
 
--- a/packages/reedlug-decisions/src/slices/admission.ts
+++ b/packages/reedlug-decisions/src/slices/admission.ts
@@ -123,16 +123,10 @@
   return policy.crossZoneMs + promptMs + spec.maxTokens * poolInterTokenMs(state, spec.pool);
 }
 
-/** Time between tokens over a pool's engines, as measured, or the settings' figure. */
+/** Time between tokens in a pool, as measured, or the settings' figure. */
 function poolInterTokenMs(state: BoxState, pool: string): number {
-  let sumMs = 0;
-  let measured = 0;
-  for (const view of state.serversByPool.get(pool) ?? []) {
-    if (view.interTokenMs === 0) continue;
-    sumMs += view.interTokenMs;
-    measured += 1;
-  }
-  return measured === 0 ? state.settings.policy.interTokenMs : sumMs / measured;
+  const measuredMs = queuesOf(state, pool).interTokenMs;
+  return measuredMs > 0 ? measuredMs : state.settings.policy.interTokenMs;
 }
 
 function urgentAhead(queues: { urgent: { costSum: number } }, spec: RequestSpec): number {
--- a/packages/reedlug-decisions/src/slices/attempts.ts
+++ b/packages/reedlug-decisions/src/slices/attempts.ts
@@ -19,9 +19,9 @@
 import type { BoxState, ServerView, Step } from '../state.js';
 import { nextRandom } from '../state.js';
 import { noteCacheHit, noteOwnCached } from '../policy/cacheView.js';
-import { firstRanked, usableServers } from '../policy/routing.js';
+import { shortlist } from '../policy/routing.js';
 import { dispatchPool } from './dispatch.js';
-import { enterQueue } from './queues.js';
+import { enterQueue, queuesOf } from './queues.js';
 import { giveUp, isUnsettled, mayHaveReached, recordOfAttempt, settle } from './requests.js';
 import { noteServer, onReport, serverMember } from './servers.js';
 
@@ -127,8 +127,14 @@
   const view = state.servers.get(attempt.serverId);
   if (view === undefined || attempt.firstTokenAtMs === nowMs) return;
   const perTokenMs = (nowMs - attempt.progressAtMs) / tokens;
-  if (view.interTokenMs === 0) view.interTokenMs = perTokenMs;
-  else view.interTokenMs += SPEED_SMOOTHING * (perTokenMs - view.interTokenMs);
+  view.interTokenMs = smoothed(view.interTokenMs, perTokenMs);
+  const queues = queuesOf(state, view.spec.pool);
+  queues.interTokenMs = smoothed(queues.interTokenMs, perTokenMs);
+}
+
+/** Moves a figure towards its newest value; the first value stands as it is. */
+function smoothed(before: number, newest: number): number {
+  return before === 0 ? newest : before + SPEED_SMOOTHING * (newest - before);
 }
 
 /** Hands the caller every token that it does not have yet. */
@@ -195,7 +201,7 @@
   const hadSight = state.cacheSights.get(spec.affinityHash)?.serverId === attempt.serverId;
   noteCacheHit(state, { spec, view, cachedTokens, hadSight });
   const held = spec.promptTokens + record.ledger.tokens.length;
-  const first = firstRanked(spec.affinityHash, usableServers(state, spec));
+  const [first] = shortlist(state, spec);
   const { affinityHash } = spec;
   noteOwnCached(state, { affinityHash, serverId: attempt.serverId, tokens: held }, first?.spec.id);
 }
--- a/packages/reedlug-decisions/src/slices/orders.ts
+++ b/packages/reedlug-decisions/src/slices/orders.ts
@@ -22,6 +22,8 @@
 
 /** Boxes of a site that try to hold the lease. */
 const LEASE_CANDIDATES = 2;
+/** Time between two looks at the lease, in ms. */
+const LEASE_LOOK_MS = 100;
 /** An order that has not shown in a report is sent again after this long, in ms. */
 const ORDER_AGAIN_MS = 5000;
 
@@ -36,6 +38,8 @@
 }
 
 function leaseStep(state: BoxState, step: Step): void {
+  if (step.nowMs < state.nextLeaseLookAtMs) return;
+  state.nextLeaseLookAtMs = step.nowMs + LEASE_LOOK_MS;
   if (state.lease.held === undefined && !isCandidate(state)) return;
   if (state.mutations.has('reuseFence')) state.lease.highestFence = 0;
   const op = leaseTick(state.lease, step.nowMs);
--- a/packages/reedlug-decisions/src/slices/peerLinks.ts
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -54,11 +54,11 @@
 
 /** Sends heartbeats when due and lets silence act on the peers. */
 export function peersTick(state: BoxState, step: Step): void {
+  if (step.nowMs < state.nextHeartbeatAtMs) return;
+  state.nextHeartbeatAtMs = step.nowMs + state.settings.control.heartbeatMs;
   for (const member of membershipTick(state.boxMembers, step.nowMs)) {
     log(step, 'peerChanged', { box: member.id, state: member.state });
   }
-  if (step.nowMs < state.nextHeartbeatAtMs) return;
-  state.nextHeartbeatAtMs = step.nowMs + state.settings.control.heartbeatMs;
   updateShares(state, step.nowMs);
   noteSelf(state, step.nowMs);
   updateSharing(state);
@@ -81,14 +81,16 @@
 }
 
 function heartbeat(state: BoxState): PeerMessage {
-  const { incarnation, zone } = state.settings;
+  const { incarnation, zone, control } = state.settings;
+  state.heartbeatCount += 1;
+  const isDemandsTurn = state.heartbeatCount % control.demandsEveryHeartbeats === 0;
   return {
     kind: 'heartbeat',
     incarnation,
     zone,
     revision: state.config.revision,
     draining: state.draining !== undefined,
-    demands: demandsOf(state),
+    demands: isDemandsTurn ? demandsOf(state) : undefined,
     poolLoads: poolLoads(state),
   };
 }
@@ -110,10 +112,10 @@
   state.peers.set(from, {
     revision: message.revision,
     draining: message.draining,
-    demands: message.demands,
+    demands: message.demands ?? state.peers.get(from)?.demands ?? [],
     poolLoads: message.poolLoads,
   });
-  if (isNew || wasSilent) tellAllServers(state, step, from);
+  if (isNew || wasSilent) tellServers(state, step, from);
 }
 
 function noteDraining(state: BoxState, from: string, incarnation: number, nowMs: number): void {
@@ -126,9 +128,13 @@
   noteMember(state.boxMembers, from, statement, nowMs);
 }
 
-function tellAllServers(state: BoxState, step: Step, boxId: string): void {
-  const news = [...state.serverMembers.members.values()].flatMap((member) => {
-    const item = newsOf(member, step.nowMs);
+/** Tells a box that is new to us of the servers probed here, and of those that leave. */
+function tellServers(state: BoxState, step: Step, boxId: string): void {
+  const ids = new Set(state.probed.views.map(({ spec }) => spec.id));
+  for (const id of state.leavingServers) ids.add(id);
+  const news = [...ids].flatMap((id) => {
+    const member = state.serverMembers.members.get(id);
+    const item = member === undefined ? undefined : newsOf(member, step.nowMs);
     return item === undefined ? [] : [item];
   });
   if (news.length === 0) return;
--- a/packages/reedlug-decisions/src/slices/queues.ts
+++ b/packages/reedlug-decisions/src/slices/queues.ts
@@ -17,6 +17,7 @@
     urgentRun: 0,
     dispatchedCost: 0,
     drainPerMs: 0,
+    interTokenMs: 0,
   };
   state.pools.set(pool, queues);
   return queues;
--- a/packages/reedlug-decisions/src/slices/servers.ts
+++ b/packages/reedlug-decisions/src/slices/servers.ts
@@ -20,7 +20,7 @@
 import type { PoolLoad, ServerNews } from '../types/peer.js';
 import { ServerKind, type ServerSpec } from '../types/settings.js';
 import type { BoxState, ServerView, Step } from '../state.js';
-import { siteOfZone } from '../state.js';
+import { poolSiteKey, siteOfZone } from '../state.js';
 import { evacuate } from './reclaim.js';
 import { log } from './log.js';
 import { sendToPeers } from './peerLinks.js';
@@ -42,13 +42,17 @@
     known.spec = spec;
     return known;
   }
-  if (known !== undefined) removeFromPool(state, known);
+  if (known !== undefined) {
+    removeFrom(state.serversByPool, known.spec.pool, known);
+    removeFrom(state.serversByZone, known.spec.zone, known);
+    removeFrom(state.serversByPoolSite, poolSiteOf(state, known.spec), known);
+  }
   const view = known ?? newServerView(spec);
   view.spec = spec;
   state.servers.set(spec.id, view);
-  const pool = state.serversByPool.get(spec.pool) ?? [];
-  pool.push(view);
-  state.serversByPool.set(spec.pool, pool);
+  addTo(state.serversByPool, spec.pool, view);
+  addTo(state.serversByZone, spec.zone, view);
+  addTo(state.serversByPoolSite, poolSiteOf(state, spec), view);
   return view;
 }
 
@@ -61,7 +65,6 @@
     report: undefined,
     reportedAtMs: Number.NEGATIVE_INFINITY,
     openAtReport: 0,
-    probedHere: false,
     probeFailures: 0,
     interTokenMs: 0,
     cacheAwareWindow: spec.slots,
@@ -70,15 +73,26 @@
     exportBusyUntilMs: 0,
     hotUntilMs: 0,
     hotToldAtMs: undefined,
-    shareRank: 0,
+    place: { version: 0, shareRank: 0 },
   };
 }
 
-function removeFromPool(state: BoxState, view: ServerView): void {
-  const pool = state.serversByPool.get(view.spec.pool);
-  if (pool === undefined) return;
-  const index = pool.indexOf(view);
-  if (index >= 0) pool.splice(index, 1);
+function poolSiteOf(state: BoxState, { pool, zone }: ServerSpec): string {
+  return poolSiteKey(pool, siteOfZone(state.settings, zone));
+}
+
+function addTo(groups: Map<string, ServerView[]>, name: string, view: ServerView): void {
+  const group = groups.get(name) ?? [];
+  group.push(view);
+  groups.set(name, group);
+}
+
+function removeFrom(groups: Map<string, ServerView[]>, name: string, view: ServerView): void {
+  const group = groups.get(name) ?? [];
+  groups.set(
+    name,
+    group.filter((other) => other !== view),
+  );
 }
 
 /** The member record of a server, if any source has named it. */
@@ -131,6 +145,8 @@
     if (statement.kind === 'leaving' && view !== undefined) evacuate(state, step, view);
     return;
   }
+  if (changed.state === MemberState.leaving) state.leavingServers.add(serverId);
+  else state.leavingServers.delete(serverId);
   log(step, 'serverChanged', { server: serverId, state: changed.state });
   if (tellPeers) tellNews(state, step, changed);
   if (view === undefined) return;
@@ -324,54 +340,68 @@
 export function probeServers(state: BoxState, step: Step): void {
   if (step.nowMs < state.nextProbeAtMs) return;
   state.nextProbeAtMs = step.nowMs + state.settings.control.probeEveryMs;
-  const boxes = probingBoxes(state);
-  for (const view of state.servers.values()) {
-    view.probedHere = isProbedHere(state, view, boxes);
-    if (!view.probedHere) continue;
-    step.effects.push({ type: 'probeServer', serverId: view.spec.id });
+  for (const { spec } of probedServers(state)) {
+    step.effects.push({ type: 'probeServer', serverId: spec.id });
   }
 }
 
-interface ProbingBox {
-  id: string;
-  hash: number;
+/** The servers that this box probes; worked out again when boxes or servers have changed. */
+function probedServers(state: BoxState): readonly ServerView[] {
+  const zones = probedZones(state);
+  const boxes = probingBoxIds(state);
+  const key = `${zones.join(' ')} | ${boxes.join(' ')} | ${state.servers.size}`;
+  if (state.probed.key === key) return state.probed.views;
+  const hashed = boxes.map((id) => ({ id, hash: hashString(id) }));
+  const { zone, boxId } = state.settings;
+  const views = zones.flatMap((name) => {
+    const all = state.serversByZone.get(name) ?? [];
+    return name === zone ? all.filter((view) => ownerOf(view, hashed) === boxId) : all;
+  });
+  state.probed = { key, views };
+  return views;
+}
+
+/** The own zone, and zones of the site in which no box is heard. */
+function probedZones(state: BoxState): string[] {
+  const { settings } = state;
+  const site = siteOfZone(settings, settings.zone);
+  const silent = settings.zones.filter(
+    ({ name, site: other }) =>
+      other === site && name !== settings.zone && liveInZone(state.boxMembers, name).length === 0,
+  );
+  return [settings.zone, ...silent.map(({ name }) => name)];
 }
 
-function probingBoxes(state: BoxState): ProbingBox[] {
+function probingBoxIds(state: BoxState): string[] {
   const { boxId, zone } = state.settings;
   const ids = liveInZone(state.boxMembers, zone);
-  if (!ids.includes(boxId)) ids.push(boxId);
-  return ids.map((id) => ({ id, hash: hashString(id) }));
+  return ids.includes(boxId) ? ids : [...ids, boxId];
 }
 
-/** Own zone's servers are shared out; another zone's are probed here only when unheard of. */
-function isProbedHere(state: BoxState, view: ServerView, boxes: readonly ProbingBox[]): boolean {
-  const { settings } = state;
-  if (view.spec.zone !== settings.zone) {
-    const sameSite = siteOfZone(settings, view.spec.zone) === siteOfZone(settings, settings.zone);
-    return sameSite && !zoneHasLiveBox(state, view.spec.zone);
-  }
-  let best: ProbingBox | undefined;
-  let bestWeight = -1;
-  for (const box of boxes) {
-    const weight = rendezvousWeight(view.idHash, box.hash);
-    if (weight <= bestWeight) continue;
-    best = box;
-    bestWeight = weight;
-  }
-  return best?.id === settings.boxId;
+interface ProbingBox {
+  id: string;
+  hash: number;
 }
 
-function zoneHasLiveBox(state: BoxState, zone: string): boolean {
-  return liveInZone(state.boxMembers, zone).length > 0;
+/** The box with the highest rendezvous weight at a server. */
+function ownerOf(view: ServerView, boxes: readonly ProbingBox[]): string | undefined {
+  let owner: string | undefined;
+  let ownerWeight = -1;
+  for (const { id, hash } of boxes) {
+    const weight = rendezvousWeight(view.idHash, hash);
+    if (weight <= ownerWeight) continue;
+    owner = id;
+    ownerWeight = weight;
+  }
+  return owner;
 }
 
 /** The loads of the engines that this box probes, and of its own queues. */
 export function poolLoads(state: BoxState): PoolLoad[] {
   const loads = new Map<string, PoolLoad>();
   const freshAfterMs = state.nowMs - state.settings.control.probeEveryMs * 3;
-  for (const view of state.servers.values()) {
-    if (view.spec.kind !== ServerKind.engine || !view.probedHere) continue;
+  for (const view of state.probed.views) {
+    if (view.spec.kind !== ServerKind.engine) continue;
     if (view.reportedAtMs < freshAfterMs || !serverTakesWork(state, view)) continue;
     const key = `${view.spec.pool}@${view.spec.zone}`;
     const load = loads.get(key) ?? emptyLoad(view.spec.pool, view.spec.zone);
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -39,8 +39,6 @@
   reportedAtMs: number;
   /** This box's open attempts when the report was made. */
   openAtReport: number;
-  /** True while this box is the one that probes the server. */
-  probedHere: boolean;
   probeFailures: number;
   /** Measured time between tokens, smoothed; 0 until measured. */
   interTokenMs: number;
@@ -55,8 +53,16 @@
   hotUntilMs: number;
   /** When this box last told its peers that the server is hot; undefined when it is not. */
   hotToldAtMs: number | undefined;
-  /** Place of this box among those that share the server's window; 0 is the first. */
-  shareRank: number;
+  /** This box's place at the server, worked out when the live boxes have changed. */
+  place: { version: number; shareRank: number };
+}
+
+/** The live boxes that share a zone's servers, as hashes of their ids. */
+export interface SharingBoxes {
+  /** Grows when the boxes change. */
+  version: number;
+  idsKey: string;
+  hashes: readonly number[];
 }
 
 /** The queues of one pool. */
@@ -69,6 +75,8 @@
   dispatchedCost: number;
   /** Work dispatched in one ms while requests waited, smoothed; 0 until measured. */
   drainPerMs: number;
+  /** Time between tokens over the pool's engines, smoothed; 0 until measured. */
+  interTokenMs: number;
 }
 
 /** Where a conversation's cached prefix was last seen. */
@@ -150,12 +158,18 @@
   settledOrder: string[];
   pools: Map<string, PoolQueues>;
   workspaces: Map<string, WorkspaceView>;
-  /** Boxes that share the windows of a zone's servers, with this one. */
-  sharingBoxes: Map<string, number>;
+  /** Boxes that share the windows of each zone's servers. */
+  sharingBoxes: Map<string, SharingBoxes>;
 
   servers: Map<string, ServerView>;
   serversByPool: Map<string, ServerView[]>;
+  serversByZone: Map<string, ServerView[]>;
+  serversByPoolSite: Map<string, ServerView[]>;
+  /** Servers that this box probes, for one set of live boxes and known servers. */
+  probed: { key: string; views: readonly ServerView[] };
   serverMembers: Membership;
+  /** Servers that leave, for boxes that are new to us. */
+  leavingServers: Set<string>;
   roundRobinTurn: number;
   cacheSights: Map<number, CacheSight>;
   /** Where the peers believe a conversation's prefix to be, where it is not the first rank. */
@@ -167,6 +181,7 @@
   boxMembers: Membership;
   peers: Map<string, PeerView>;
   nextHeartbeatAtMs: number;
+  heartbeatCount: number;
   nextProbeAtMs: number;
 
   claimsWaiting: PendingClaim[];
@@ -188,6 +203,7 @@
   confirmWaits: ConfirmWait[];
 
   lease: LeaseState;
+  nextLeaseLookAtMs: number;
   ordersSent: Map<string, { atMs: number; serverId: string; wantedKey: string }>;
   cloudAsks: Map<string, CloudAskOpen>;
   offerBackoff: Map<string, OfferBackoff>;
@@ -236,10 +252,14 @@
     sharingBoxes: new Map(),
     servers: new Map(),
     serversByPool: new Map(),
+    serversByZone: new Map(),
+    serversByPoolSite: new Map(),
+    probed: { key: '', views: [] },
     serverMembers: createMembership({
       suspectAfterMs: Number.POSITIVE_INFINITY,
       deadAfterMs: control.deadAfterMs,
     }),
+    leavingServers: new Set(),
     roundRobinTurn: 0,
     cacheSights: new Map(),
     cacheTold: new Map(),
@@ -251,6 +271,7 @@
     }),
     peers: new Map(),
     nextHeartbeatAtMs: nowMs,
+    heartbeatCount: 0,
     nextProbeAtMs: nowMs,
     claimsWaiting: [],
     claimGroupInFlight: false,
@@ -278,6 +299,7 @@
       settings.boxId,
       settings.incarnation,
     ),
+    nextLeaseLookAtMs: nowMs,
     ordersSent: new Map(),
     cloudAsks: new Map(),
     offerBackoff: new Map(),
@@ -297,6 +319,11 @@
   return settings.zones.find((spec) => spec.name === zone)?.site ?? zone;
 }
 
+/** Key of a pool's servers at one site. */
+export function poolSiteKey(pool: string, site: string): string {
+  return `${pool}@${site}`;
+}
+
 /** An id that no other box and no earlier life of this box has used. */
 export function nextId(state: BoxState, prefix: string): string {
   state.counter += 1;
--- a/packages/reedlug-decisions/src/types/peer.ts
+++ b/packages/reedlug-decisions/src/types/peer.ts
@@ -63,7 +63,8 @@
       zone: string;
       revision: number;
       draining: boolean;
-      demands: readonly WorkspaceDemand[];
+      /** Undefined when it is not their turn; the last ones told stay. */
+      demands: readonly WorkspaceDemand[] | undefined;
       poolLoads: readonly PoolLoad[];
     }
   | { kind: 'serverNews'; news: readonly ServerNews[] }
--- a/packages/reedlug-decisions/src/types/settings.ts
+++ b/packages/reedlug-decisions/src/types/settings.ts
@@ -143,6 +143,8 @@
 /** Times and sizes of the control part. */
 export interface ControlSettings {
   heartbeatMs: number;
+  /** One heartbeat in so many carries the demand of busy workspaces. */
+  demandsEveryHeartbeats: number;
   suspectAfterMs: number;
   deadAfterMs: number;
   probeEveryMs: number;
--- a/packages/reedlug/src/peers/frames.ts
+++ b/packages/reedlug/src/peers/frames.ts
@@ -5,8 +5,8 @@
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const LENGTH_BYTES = 4;
 
-const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
-const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+const encoder = new Encoder({ useRecords: true, mapsAsObjects: true });
+const decoder = new Decoder({ useRecords: true, mapsAsObjects: true });
 
 /** One value as a frame. */
 export function encodeFrame(value: unknown): Buffer {
@@ -17,6 +17,17 @@
   return frame;
 }
 
+const encoded = new WeakMap<object, Buffer>();
+
+/** The frame of a message that goes to several peers; encoded once. */
+export function encodeShared(message: object): Buffer {
+  const known = encoded.get(message);
+  if (known !== undefined) return known;
+  const frame = encodeFrame(message);
+  encoded.set(message, frame);
+  return frame;
+}
+
 /** Collects bytes and gives out whole values. */
 export interface FrameReader {
   /** Returns the values that are complete, or `undefined` when the bytes are no frames. */
--- a/packages/reedlug/src/peers/peerLink.ts
+++ b/packages/reedlug/src/peers/peerLink.ts
@@ -6,7 +6,7 @@
 import { createServer, connect, type Server, type Socket } from 'node:net';
 import * as tls from 'node:tls';
 import type { PeerMessage } from 'reedlug-decisions';
-import { createFrameReader, encodeFrame } from './frames.js';
+import { createFrameReader, encodeFrame, encodeShared } from './frames.js';
 import {
   createHello,
   createProof,
@@ -199,7 +199,7 @@
   const { socket } = peer;
   if (socket !== undefined && peer.ready) {
     if (socket.writableLength > BACKLOG_BYTES) socket.destroy();
-    else socket.write(encodeFrame(message));
+    else socket.write(encodeShared(message));
     return;
   }
   // A heartbeat says how things are now; an old one is worth nothing.
--- a/packages/reedlug/src/peers/peerMessages.ts
+++ b/packages/reedlug/src/peers/peerMessages.ts
@@ -7,7 +7,6 @@
     incarnation: 'number',
     zone: 'string',
     revision: 'number',
-    demands: 'array',
     poolLoads: 'array',
   },
   serverNews: { news: 'array' },
