Let every box hear the servers of another site; forget prefixes out of reach

Beside it, a prefix seen at a server that may not be used credited no engine, so the boxes each chose another one. Change: news that are new to a box and come from another site go on to its own site; a prefix out of reach is forgotten.

--- a/packages/reedlug-decisions/src/__tests__/windows.test.ts
+++ b/packages/reedlug-decisions/src/__tests__/windows.test.ts
@@ -77,3 +77,44 @@
   hear(box, 20, 'engine-2');
   expect(chooseServer(box.state, record, 20)?.spec.id).equal('engine-2');
 });
+
+test('news of another site go on to the own site once', () => {
+  const box = createTestBox();
+  hearPeer(box, 10);
+  const moved = box.state.servers.get('engine-2');
+  if (moved === undefined) throw new Error('no engine-2');
+  box.send(20, {
+    type: 'peerMessage',
+    from: 'box-far',
+    message: {
+      kind: 'heartbeat',
+      incarnation: 1,
+      zone: 'zone-b',
+      revision: 0,
+      draining: false,
+      demands: undefined,
+      poolLoads: [],
+    },
+  });
+  const item = {
+    serverId: 'engine-2',
+    incarnation: 5,
+    news: 'live',
+    leavesInMs: undefined,
+  } as const;
+  const message = { kind: 'serverNews', news: [item] } as const;
+  const first = box.send(30, { type: 'peerMessage', from: 'box-far', message });
+  expect(first.filter((effect) => effect.type === 'sendPeer')).length(1);
+  const second = box.send(40, { type: 'peerMessage', from: 'box-far', message });
+  expect(second.filter((effect) => effect.type === 'sendPeer')).deep.equal([]);
+});
+
+test('a prefix that is out of reach counts as none', () => {
+  const box = createTestBox();
+  const leaves = { type: 'reclaimNoticed', serverId: 'engine-1', incarnation: 1 } as const;
+  box.state.cacheSights.set(7, { serverId: 'engine-1', tokens: 100 });
+  box.send(10, { ...leaves, leavesAtMs: 9000 });
+  const record = createRecord(testDraft('d1'), 20);
+  expect(chooseServer(box.state, record, 20)?.spec.id).equal('engine-2');
+  expect(box.state.cacheSights.has(7)).equal(false);
+});
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -127,9 +127,16 @@
 function listFor(state: BoxState, spec: RequestSpec): ServerView[] {
   const listed = shortlist(state, spec);
   const sight = state.cacheSights.get(spec.affinityHash);
-  const holder = sight === undefined ? undefined : state.servers.get(sight.serverId);
-  if (holder === undefined || listed.includes(holder)) return listed;
-  return isUsable(state, spec, rulesFor(state, spec), holder) ? [...listed, holder] : listed;
+  if (sight === undefined) return listed;
+  const holder = state.servers.get(sight.serverId);
+  if (holder !== undefined && listed.includes(holder)) return listed;
+  if (holder !== undefined && isUsable(state, spec, rulesFor(state, spec), holder)) {
+    return [...listed, holder];
+  }
+  // A prefix out of reach is none: without this no engine would be credited, and the
+  // boxes would each choose another one.
+  state.cacheSights.delete(spec.affinityHash);
+  return listed;
 }
 
 /** A request that names a version goes only to engines that report it. */
--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -151,7 +151,7 @@
       onHeartbeat(state, step, from, message);
       return notePeerRevision(state, message.revision);
     case 'serverNews':
-      return onServerNews(state, step, message.news);
+      return onServerNews(state, step, from, message.news);
     case 'cacheNews':
       return onCacheNews(state, message.news);
     case 'configDeltas':
--- a/packages/reedlug-decisions/src/slices/peerLinks.ts
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -11,7 +11,7 @@
 import { siteOfZone } from '../state.js';
 import { updateSharing } from '../policy/windows.js';
 import { demandsOf, updateShares } from './limits.js';
-import { newsOf, poolLoads } from './servers.js';
+import { foreignServerIds, newsOf, poolLoads } from './servers.js';
 import { log } from './log.js';
 import { measureDrain } from './queues.js';
 
@@ -132,6 +132,7 @@
 function tellServers(state: BoxState, step: Step, boxId: string): void {
   const ids = new Set(state.probed.views.map(({ spec }) => spec.id));
   for (const id of state.leavingServers) ids.add(id);
+  for (const id of foreignServerIds(state)) ids.add(id);
   const news = [...ids].flatMap((id) => {
     const member = state.serverMembers.members.get(id);
     const item = member === undefined ? undefined : newsOf(member, step.nowMs);
--- a/packages/reedlug-decisions/src/slices/servers.ts
+++ b/packages/reedlug-decisions/src/slices/servers.ts
@@ -192,15 +192,42 @@
   }
 }
 
-/** Takes a peer's news about servers. */
-export function onServerNews(state: BoxState, step: Step, news: readonly ServerNews[]): void {
+/**
+ * Takes a peer's news about servers. Few boxes hear those of another site; what
+ * is new to one of them goes on to its own site.
+ */
+export function onServerNews(
+  state: BoxState,
+  step: Step,
+  from: string,
+  news: readonly ServerNews[],
+): void {
+  const goesOn = !isOfOwnSite(state, zoneOfBox(state, from));
   for (const item of news) {
     const statement = statementOf(item, step);
-    if (statement !== undefined) noteServer(state, step, item.serverId, statement, false);
+    if (statement !== undefined) noteServer(state, step, item.serverId, statement, goesOn);
     else noteHotNews(state, item, step.nowMs);
   }
 }
 
+function zoneOfBox(state: BoxState, boxId: string): string {
+  return state.boxMembers.members.get(boxId)?.zone ?? state.settings.zone;
+}
+
+function isOfOwnSite(state: BoxState, zone: string): boolean {
+  const { settings } = state;
+  return siteOfZone(settings, zone) === siteOfZone(settings, settings.zone);
+}
+
+/** Servers of other sites that are up; one box of a zone tells them to boxes that are new to it. */
+export function foreignServerIds(state: BoxState): string[] {
+  const { boxId, zone } = state.settings;
+  if (liveInZone(state.boxMembers, zone)[0] !== boxId) return [];
+  return [...state.servers.values()]
+    .filter(({ spec }) => !isOfOwnSite(state, spec.zone))
+    .map(({ spec }) => spec.id);
+}
+
 function noteHotNews(state: BoxState, item: ServerNews, nowMs: number): void {
   const view = state.servers.get(item.serverId);
   if (view !== undefined) view.hotUntilMs = item.news === 'hot' ? nowMs + HOT_FOR_MS : 0;
