--- a/packages/reedlug-decisions/src/slices/config.ts
+++ b/packages/reedlug-decisions/src/slices/config.ts
@@ -1,6 +1,6 @@
 /**
  * Configuration: two readers a zone poll the revision log and push deltas to
- * peers; heartbeats carry the revision and whoever is behind asks.
+ * the boxes of their zone; heartbeats carry the revision and whoever is behind asks.
  */
 import {
   applyDeltas,
@@ -18,7 +18,7 @@
 import { nextId } from '../state.js';
 import { confirmWaitsTick } from '../plans/confirm.js';
 import { log } from './log.js';
-import { sendToPeers } from './peerLinks.js';
+import { sendToZone } from './peerLinks.js';
 import { noteCaughtUp } from './readiness.js';
 
 /** Key prefix of the revision log in the table. */
@@ -106,7 +106,7 @@
   noteCaughtUp(state);
   if (applied.length === 0) return;
   log(step, 'configApplied', { revision: state.config.revision, deltas: applied.length });
-  if (push) sendToPeers(state, step, deltasMessage(state, applied));
+  if (push) sendToZone(state, step, deltasMessage(state, applied));
 }
 
 function deltasMessage(state: BoxState, deltas: readonly ConfigDelta[]): PeerMessage {
--- a/packages/reedlug-decisions/src/slices/peerLinks.ts
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -30,6 +30,15 @@
     step.effects.push({ type: 'sendPeer', boxId, message });
 }
 
+/** Sends a message to the other boxes of the own zone. */
+export function sendToZone(state: BoxState, step: Step, message: PeerMessage): void {
+  const { boxes, boxId, zone } = state.settings;
+  for (const box of boxes) {
+    if (box.zone !== zone || box.id === boxId) continue;
+    step.effects.push({ type: 'sendPeer', boxId: box.id, message });
+  }
+}
+
 /** All boxes of the own site, and a few of each other one, so that traffic does not grow with the fleet. */
 export function heartbeatPeers(state: BoxState): string[] {
   const { settings } = state;
