--- a/packages/reedlug-decisions/src/plans/confirm.ts
+++ b/packages/reedlug-decisions/src/plans/confirm.ts
@@ -50,7 +50,8 @@
   step.effects.push({ type: 'answerOperator', askId, answer: reply });
 }
 
-function startConfirm(state: BoxState, step: Step, askId: string, plan: Plan): void {
+/** Confirms a plan whose digest fits; the answer comes under `askId`. */
+export function startConfirm(state: BoxState, step: Step, askId: string, plan: Plan): void {
   if (!digestFits(plan)) {
     const fault = 'the plan is not as it was drafted: its digest does not fit; plan again';
     answer(step, askId, { kind: 'invalid', faults: [fault] });
--- a/packages/reedlug-decisions/src/plans/draft.ts
+++ b/packages/reedlug-decisions/src/plans/draft.ts
@@ -101,6 +101,11 @@
     }
     case 'setEngine':
       return [{ name: itemName.wanted(intent.serverId), value: intent.wanted }];
+    case 'haltMove': {
+      const name = itemName.poolMove(intent.model);
+      const move = itemValue<PoolMove>(state, name);
+      return [{ name, value: { ...move, haltedAtShare: intent.atShare } }];
+    }
     case 'restore':
       return [...intent.changes];
   }
@@ -149,6 +154,10 @@
       const text = `engine ${intent.serverId}: ${model} ${version}, role ${role}`;
       return [{ atEpochMs: epochMs, text }];
     }
+    case 'haltMove': {
+      const share = Math.round(intent.atShare * 100);
+      return [{ atEpochMs: epochMs, text: `the move of ${intent.model} halts at ${share}%` }];
+    }
     case 'restore':
       return intent.changes.map(({ name }) => ({ atEpochMs: epochMs, text: `restore ${name}` }));
   }
@@ -193,6 +202,7 @@
     case 'createService':
     case 'setPriority':
     case 'setLimits':
+    case 'haltMove':
     case 'restore':
       return unchanged;
   }
--- a/packages/reedlug-decisions/src/plans/intentFaults.ts
+++ b/packages/reedlug-decisions/src/plans/intentFaults.ts
@@ -47,6 +47,14 @@
         ),
         ...when(intent.wanted.model === '', 'wanted.model must be named'),
       ];
+    case 'haltMove':
+      return [
+        ...when(
+          !state.config.items.has(itemName.poolMove(intent.model)),
+          `pool ${intent.model} is not on a move; see reedlug plans`,
+        ),
+        ...when(!(intent.atShare >= 0 && intent.atShare <= 1), 'atShare must be from 0 to 1'),
+      ];
     case 'restore':
       return when(intent.changes.length === 0, 'restore names no change');
   }
--- /dev/null
+++ b/packages/reedlug-decisions/src/plans/moveWatch.ts
@@ -0,0 +1,70 @@
+/**
+ * Watch over pools on a move: when too many answers at the new site miss their
+ * target the move halts at the share that it has, by a plan of its own. An
+ * operator goes on by undoing that plan.
+ */
+import { Outcome } from 'reedlug-coordination';
+import type { RequestRecord } from '../types/request.js';
+import { RequestClass } from '../types/settings.js';
+import type { BoxState, Step } from '../state.js';
+import { nextId, siteOfZone } from '../state.js';
+import { log } from '../slices/log.js';
+import { startConfirm } from './confirm.js';
+import { draftPlan } from './draft.js';
+import { itemName, itemValue, type PoolMove } from './items.js';
+import { movedShare } from './rules.js';
+
+/** Name under which the watch confirms its plans. */
+const WATCH_NAME = 'reedlug';
+/** Length of one window, in ms. */
+const WINDOW_MS = 60_000;
+/** Answers that a window needs before it says anything. */
+const MIN_ANSWERS = 20;
+
+/** Counts an answer of a moving pool that ran at the new site. */
+export function noteMoveAnswer(state: BoxState, record: RequestRecord, outcome: Outcome): void {
+  const { pool } = record.spec;
+  const move = itemValue<PoolMove>(state, itemName.poolMove(pool));
+  if (move === undefined || move.haltedAtShare !== undefined) return;
+  const server = state.servers.get(record.attempts.at(-1)?.serverId ?? '');
+  if (server === undefined) return;
+  if (siteOfZone(state.settings, server.spec.zone) !== move.toSite) return;
+  const watch = state.moveWatches.get(pool) ?? { sinceMs: state.nowMs, seen: 0, missed: 0 };
+  watch.seen += 1;
+  if (outcome !== Outcome.completed || isLate(state, record)) watch.missed += 1;
+  state.moveWatches.set(pool, watch);
+}
+
+function isLate(state: BoxState, record: RequestRecord): boolean {
+  const { urgentTargetMs, patientTargetMs } = state.settings.policy;
+  const isUrgent = record.spec.requestClass === RequestClass.urgent;
+  return (record.firstTokenMs ?? 0) > (isUrgent ? urgentTargetMs : patientTargetMs);
+}
+
+/** Halts moves that miss their targets, and begins new windows. */
+export function moveWatchTick(state: BoxState, step: Step): void {
+  for (const [model, watch] of state.moveWatches) {
+    const failing = watch.missed / watch.seen > state.settings.policy.haltMissShare;
+    if (watch.seen >= MIN_ANSWERS && failing) {
+      state.moveWatches.delete(model);
+      haltMove(state, step, model);
+    } else if (step.nowMs - watch.sinceMs > WINDOW_MS) {
+      state.moveWatches.delete(model);
+    }
+  }
+}
+
+function haltMove(state: BoxState, step: Step, model: string): void {
+  const move = itemValue<PoolMove>(state, itemName.poolMove(model));
+  if (move === undefined || move.haltedAtShare !== undefined) return;
+  const atShare = movedShare(move, state.epochMs);
+  const drafted = draftPlan(state, {
+    operatorId: WATCH_NAME,
+    planId: nextId(state, 'halt'),
+    intent: { kind: 'haltMove', model, atShare },
+    epochMs: state.epochMs,
+  });
+  if (drafted.kind !== 'planned') return;
+  log(step, 'moveHalted', { model, share: atShare, plan: drafted.plan.planId });
+  startConfirm(state, step, drafted.plan.planId, drafted.plan);
+}
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -135,6 +135,13 @@
   refusals: number;
 }
 
+/** Answers of a moving pool at its new site, in one window. */
+export interface MoveWatch {
+  sinceMs: number;
+  seen: number;
+  missed: number;
+}
+
 /** A confirm that is in the table and waits to be in force at the peers. */
 export interface ConfirmWait {
   askId: string;
@@ -201,6 +208,8 @@
   snapshotAtRevision: number;
   confirmedPlans: ConfirmedPlan[];
   confirmWaits: ConfirmWait[];
+  /** Answers at the new site of pools on a move, since a time. */
+  moveWatches: Map<string, MoveWatch>;
 
   lease: LeaseState;
   nextLeaseLookAtMs: number;
@@ -288,6 +297,7 @@
     snapshotAtRevision: 0,
     confirmedPlans: [],
     confirmWaits: [],
+    moveWatches: new Map(),
     lease: createLease(
       {
         key: `lease/orders/${siteOfZone(settings, settings.zone)}`,
--- a/packages/reedlug-decisions/src/types/plan.ts
+++ b/packages/reedlug-decisions/src/types/plan.ts
@@ -37,6 +37,7 @@
       endsAtEpochMs: number;
     }
   | { kind: 'setEngine'; serverId: string; wanted: EngineWanted }
+  | { kind: 'haltMove'; model: string; atShare: number }
   | { kind: 'restore'; changes: readonly ConfigChange[] };
 
 /** One step of a plan. */
--- a/packages/reedlug-decisions/src/types/settings.ts
+++ b/packages/reedlug-decisions/src/types/settings.ts
@@ -132,6 +132,11 @@
   retryCapMs: number;
   /** After this long without an answer an urgent repeatable look-up is tried a second time. */
   secondTryAfterMs: number;
+  /** First token that an answer should have, by class. */
+  urgentTargetMs: number;
+  patientTargetMs: number;
+  /** A pool's move halts when more than this share of answers at the new site miss their target. */
+  haltMissShare: number;
   /** Typical prompt work and generation speed, used until measured. */
   prefillTokensPerMs: number;
   interTokenMs: number;
--- a/packages/reedlug/src/plans/intentValidation.ts
+++ b/packages/reedlug/src/plans/intentValidation.ts
@@ -51,6 +51,7 @@
     starts: pointInTime,
     ends: pointInTime,
   }),
+  z.strictObject({ kind: z.literal('haltMove'), model: z.string(), atShare: z.number() }),
   z.strictObject({
     kind: z.literal('setEngine'),
     serverId: z.string(),
@@ -87,6 +88,7 @@
     case 'createService':
     case 'setPriority':
     case 'setEngine':
+    case 'haltMove':
       return data;
   }
 }
