--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -45,8 +45,8 @@
   onReclaimNoticed,
   onServerNews,
   onServerReported,
-  probeServers,
 } from './slices/servers.js';
+import { probeServers } from './slices/probes.js';
 import { onCallerGone, requestsTick } from './slices/timers.js';
 
 /** Takes an event; returns what is asked of the outside. */
--- a/packages/reedlug-decisions/src/slices/peerLinks.ts
+++ b/packages/reedlug-decisions/src/slices/peerLinks.ts
@@ -11,7 +11,8 @@
 import { siteOfZone } from '../state.js';
 import { updateSharing } from '../policy/windows.js';
 import { demandsOf, updateShares } from './limits.js';
-import { foreignServerIds, newsOf, poolLoads } from './servers.js';
+import { poolLoads } from './probes.js';
+import { foreignServerIds, newsOf } from './servers.js';
 import { log } from './log.js';
 import { measureDrain } from './queues.js';
 
--- a/packages/reedlug-decisions/src/slices/placement.ts
+++ b/packages/reedlug-decisions/src/slices/placement.ts
@@ -21,7 +21,8 @@
 import { reclaimableAllowed } from '../plans/rules.js';
 import { fenceFor } from './orders.js';
 import { log } from './log.js';
-import { noteServer, poolLoads, serverMember } from './servers.js';
+import { poolLoads } from './probes.js';
+import { noteServer, serverMember } from './servers.js';
 
 /** Weight of the newest load in the smoothed one. */
 const BUSY_SMOOTHING = 0.05;
--- /dev/null
+++ b/packages/reedlug-decisions/src/slices/probes.ts
@@ -0,0 +1,130 @@
+/**
+ * Probes of backend servers and what they tell of load.
+ *
+ * Each server is probed by one live box of its zone, by rendezvous; peers hear
+ * only when one gets nearly full and when that is over.
+ */
+import { hashString, liveInZone, rendezvousWeight } from 'reedlug-coordination';
+import type { EngineReport } from '../types/order.js';
+import type { PoolLoad, ServerNews } from '../types/peer.js';
+import { ServerKind } from '../types/settings.js';
+import type { BoxState, ServerView, Step } from '../state.js';
+import { siteOfZone } from '../state.js';
+import { sendToPeers } from './peerLinks.js';
+import { HOT_FOR_MS, serverTakesWork } from './servers.js';
+
+/** Share of its slots in use from which a server is hot, and below which it is cool again. */
+const HOT_SHARE = 0.75;
+const COOL_SHARE = 0.6;
+/** Tells peers when a server gets nearly full, again while it stays so, and when it is over. */
+export function tellLoad(
+  state: BoxState,
+  step: Step,
+  view: ServerView,
+  report: EngineReport,
+): void {
+  if (view.spec.kind !== ServerKind.engine) return;
+  const busy = (report.running + report.waiting) / view.spec.slots;
+  const { hotToldAtMs } = view;
+  const isHot = busy >= (hotToldAtMs === undefined ? HOT_SHARE : COOL_SHARE);
+  if (!isHot && hotToldAtMs === undefined) return;
+  if (isHot && hotToldAtMs !== undefined && step.nowMs - hotToldAtMs < HOT_FOR_MS / 2) return;
+  view.hotToldAtMs = isHot ? step.nowMs : undefined;
+  view.hotUntilMs = isHot ? step.nowMs + HOT_FOR_MS : 0;
+  const item: ServerNews = {
+    serverId: view.spec.id,
+    incarnation: report.incarnation,
+    news: isHot ? 'hot' : 'cool',
+    leavesInMs: undefined,
+  };
+  sendToPeers(state, step, { kind: 'serverNews', news: [item] });
+}
+
+/** Sends the probes that are due from this box. */
+export function probeServers(state: BoxState, step: Step): void {
+  if (step.nowMs < state.nextProbeAtMs) return;
+  state.nextProbeAtMs = step.nowMs + state.settings.control.probeEveryMs;
+  for (const { spec } of probedServers(state)) {
+    step.effects.push({ type: 'probeServer', serverId: spec.id });
+  }
+}
+
+/** The servers that this box probes; worked out again when boxes or servers have changed. */
+function probedServers(state: BoxState): readonly ServerView[] {
+  const zones = probedZones(state);
+  const boxes = probingBoxIds(state);
+  const key = `${zones.join(' ')} | ${boxes.join(' ')} | ${state.servers.size}`;
+  if (state.probed.key === key) return state.probed.views;
+  const hashed = boxes.map((id) => ({ id, hash: hashString(id) }));
+  const { zone, boxId } = state.settings;
+  const views = zones.flatMap((name) => {
+    const all = state.serversByZone.get(name) ?? [];
+    return name === zone ? all.filter((view) => ownerOf(view, hashed) === boxId) : all;
+  });
+  state.probed = { key, views };
+  return views;
+}
+
+/** The own zone, and zones of the site in which no box is heard. */
+function probedZones(state: BoxState): string[] {
+  const { settings } = state;
+  const site = siteOfZone(settings, settings.zone);
+  const silent = settings.zones.filter(
+    ({ name, site: other }) =>
+      other === site && name !== settings.zone && liveInZone(state.boxMembers, name).length === 0,
+  );
+  return [settings.zone, ...silent.map(({ name }) => name)];
+}
+
+function probingBoxIds(state: BoxState): string[] {
+  const { boxId, zone } = state.settings;
+  const ids = liveInZone(state.boxMembers, zone);
+  return ids.includes(boxId) ? ids : [...ids, boxId];
+}
+
+interface ProbingBox {
+  id: string;
+  hash: number;
+}
+
+/** The box with the highest rendezvous weight at a server. */
+function ownerOf(view: ServerView, boxes: readonly ProbingBox[]): string | undefined {
+  let owner: string | undefined;
+  let ownerWeight = -1;
+  for (const { id, hash } of boxes) {
+    const weight = rendezvousWeight(view.idHash, hash);
+    if (weight <= ownerWeight) continue;
+    owner = id;
+    ownerWeight = weight;
+  }
+  return owner;
+}
+
+/** The loads of the engines that this box probes, and of its own queues. */
+export function poolLoads(state: BoxState): PoolLoad[] {
+  const loads = new Map<string, PoolLoad>();
+  const freshAfterMs = state.nowMs - state.settings.control.probeEveryMs * 3;
+  for (const view of state.probed.views) {
+    if (view.spec.kind !== ServerKind.engine) continue;
+    if (view.reportedAtMs < freshAfterMs || !serverTakesWork(state, view)) continue;
+    const key = `${view.spec.pool}@${view.spec.zone}`;
+    const load = loads.get(key) ?? emptyLoad(view.spec.pool, view.spec.zone);
+    load.engines += 1;
+    load.slots += view.spec.slots;
+    load.busy += (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
+    loads.set(key, load);
+  }
+  for (const [pool, queues] of state.pools) {
+    const queued = queues.urgent.size + queues.patient.size;
+    const key = `${pool}@${state.settings.zone}`;
+    if (queued === 0 || !state.serversByPool.has(pool)) continue;
+    const load = loads.get(key) ?? emptyLoad(pool, state.settings.zone);
+    load.busy += queued;
+    loads.set(key, load);
+  }
+  return [...loads.values()];
+}
+
+function emptyLoad(pool: string, zone: string): PoolLoad {
+  return { pool, zone, engines: 0, slots: 0, busy: 0 };
+}
--- /dev/null
+++ b/packages/reedlug/src/daemon/callerEffects.ts
@@ -0,0 +1,76 @@
+/** Effects towards callers: tokens, outcomes, and their times in the histograms. */
+import type { Effect } from 'reedlug-decisions';
+import type { ServiceAnswer } from '../backends/serviceClient.js';
+import { Measure } from '../observe/histograms.js';
+import { receiveAnswer } from './answerStore.js';
+import type { FinishEffect } from './exchange.js';
+import type { Runtime } from './runtime.js';
+
+/** Hands tokens to the caller's connection, if it is here. */
+export function deliver(
+  runtime: Runtime,
+  effect: Extract<Effect, { type: 'deliverTokens' }>,
+): void {
+  const { requestId, offset, tokens } = effect;
+  noteBetweenTokens(runtime, requestId, tokens.length);
+  runtime.exchanges.get(requestId)?.onTokens(offset, tokens);
+}
+
+function noteBetweenTokens(runtime: Runtime, requestId: string, count: number): void {
+  const nowMs = performance.now();
+  const lastMs = runtime.lastTokenAtMs.get(requestId);
+  runtime.lastTokenAtMs.set(requestId, nowMs);
+  const record = runtime.state.requests.get(requestId);
+  if (lastMs === undefined || record === undefined) return;
+  const { workspaceId, requestClass } = record.spec;
+  const key = { workspaceId, requestClass, measure: Measure.betweenTokens };
+  runtime.histograms.record(key, (nowMs - lastMs) / count);
+}
+
+/** Ends a request towards its caller. */
+export function finish(runtime: Runtime, effect: FinishEffect): void {
+  const { requestId } = effect;
+  const answer = answerFor(runtime, effect);
+  noteFinish(runtime, effect);
+  runtime.lastTokenAtMs.delete(requestId);
+  if (answer !== undefined && runtime.state.requests.get(requestId)?.claimHeld === true) {
+    runtime.answers.keep(requestId, answer);
+  }
+  runtime.payloads.delete(requestId);
+  const exchange = runtime.exchanges.get(requestId);
+  runtime.exchanges.delete(requestId);
+  exchange?.onFinish(effect, answer);
+}
+
+/** The answer of a plain service: of the winning attempt, relayed by a peer, or kept here. */
+function answerFor(runtime: Runtime, effect: FinishEffect): ServiceAnswer | undefined {
+  if (effect.attemptId !== undefined) return runtime.answers.takeAttempt(effect.attemptId);
+  if (effect.answer !== undefined) return receiveAnswer(effect.answer, effect.status ?? 200);
+  if (effect.sourceRequestId !== undefined) return runtime.answers.kept(effect.sourceRequestId);
+  return undefined;
+}
+
+function noteFinish(runtime: Runtime, effect: FinishEffect): void {
+  const spec = runtime.state.requests.get(effect.requestId)?.spec;
+  if (spec === undefined) {
+    runtime.metrics.count('refused', { reason: effect.reason });
+    return;
+  }
+  const { workspaceId, requestClass } = spec;
+  const { waitedMs, firstTokenMs, wholeMs } = effect.times;
+  const record = (measure: Measure, valueMs: number | undefined): void => {
+    if (valueMs === undefined) return;
+    runtime.histograms.record({ workspaceId, requestClass, measure }, valueMs);
+    runtime.metrics.time(measure, valueMs, { workspace: workspaceId, class: requestClass });
+  };
+  record(Measure.waiting, waitedMs);
+  record(Measure.firstToken, firstTokenMs);
+  record(Measure.whole, wholeMs);
+  const { outcome, reason } = effect;
+  runtime.metrics.count('finished', {
+    workspace: workspaceId,
+    class: requestClass,
+    outcome,
+    reason,
+  });
+}
--- a/packages/reedlug/src/http/modelRoutes.ts
+++ b/packages/reedlug/src/http/modelRoutes.ts
@@ -3,11 +3,11 @@
 import { hashString } from 'reedlug-coordination';
 import { RequestClass, ServerKind, type RequestSpec } from 'reedlug-decisions';
 import { hashKey } from './keys.js';
-import { readBody } from './body.js';
+import { readCallerRequest, workspaceOf } from './callerRequest.js';
 import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { createPlainExchange, createStreamExchange, sendJson } from './exchanges.js';
 import { ModelForm, parseModelRequest, type ModelRequest } from './modelRequest.js';
-import { parseRequestHeaders, type RequestHeaders } from './requestHeaders.js';
+import type { RequestHeaders } from './requestHeaders.js';
 
 /** Characters of a prompt that make about one token. */
 const CHARACTERS_PER_TOKEN = 4;
@@ -26,17 +26,11 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
-  if (context.workspaceKeys.ownerOf(request.headers.authorization) === undefined) {
-    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
-    return;
-  }
+  if (workspaceOf(context, request, response) === undefined) return;
   const data = modelsOf(context).map((id) => ({ id, object: 'model', owned_by: 'reedlug' }));
   sendJson(response, 200, { object: 'list', data });
 }
 
-/** What is told to a caller without a right key. */
-export const KEY_MESSAGE = 'send "Authorization: Bearer KEY" with a key of a workspace';
-
 function modelsOf(context: RouteContext): string[] {
   const models = new Set<string>();
   for (const { spec } of context.daemon.state.servers.values()) {
@@ -51,21 +45,10 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const workspaceId = context.workspaceKeys.ownerOf(request.headers.authorization);
-  if (workspaceId === undefined) {
-    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
-    return;
-  }
-  const { maxBodyBytes, deadlineLimitMs } = context.settings.callers;
-  const read = await readBody(request, maxBodyBytes);
-  if (read.kind === 'tooLarge') {
-    const message = `the body may have ${maxBodyBytes} bytes at most`;
-    refuseRequest(request, response, 'bodyTooLarge', message);
-    return;
-  }
-  if (read.kind === 'aborted') return;
-  const headers = parseRequestHeaders(request.headers, deadlineLimitMs);
-  const parsed = parseModelRequest(form, read.body);
+  const caller = await readCallerRequest(context, request, response);
+  if (caller === undefined) return;
+  const { workspaceId, body, headers } = caller;
+  const parsed = parseModelRequest(form, body);
   const faults = [
     ...(headers.kind === 'invalid' ? headers.faults : []),
     ...(parsed.kind === 'invalid' ? parsed.faults : []),
@@ -79,7 +62,7 @@
     refuseRequest(request, response, fault.type, fault.message);
     return;
   }
-  const spec = specOf(context, workspaceId, parsed.request, headers.headers, read.body);
+  const spec = specOf(context, workspaceId, parsed.request, headers.headers, body);
   begin(context, spec, parsed.request, response);
 }
 
--- a/packages/reedlug/src/http/requestRoutes.ts
+++ b/packages/reedlug/src/http/requestRoutes.ts
@@ -2,10 +2,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestRecord } from 'reedlug-decisions';
 import type { Exchange } from '../daemon/exchange.js';
+import { workspaceOf } from './callerRequest.js';
 import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { createPlainExchange, createStreamExchange, sendJson } from './exchanges.js';
 import { ModelForm } from './modelRequest.js';
-import { KEY_MESSAGE } from './modelRoutes.js';
 import { HeaderName } from './requestHeaders.js';
 
 /** How long the peers are asked for the outcome of a request, in ms. */
@@ -27,11 +27,8 @@
   response: ServerResponse,
   requestId: string,
 ): void {
-  const workspaceId = context.workspaceKeys.ownerOf(request.headers.authorization);
-  if (workspaceId === undefined) {
-    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
-    return;
-  }
+  const workspaceId = workspaceOf(context, request, response);
+  if (workspaceId === undefined) return;
   const record = context.daemon.state.requests.get(requestId);
   const isHere = record?.spec.workspaceId === workspaceId;
   if (record !== undefined && isHere && !wasHandedOver(record)) {
@@ -99,11 +96,8 @@
   response: ServerResponse,
   requestId: string,
 ): void {
-  const workspaceId = context.workspaceKeys.ownerOf(request.headers.authorization);
-  if (workspaceId === undefined) {
-    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
-    return;
-  }
+  const workspaceId = workspaceOf(context, request, response);
+  if (workspaceId === undefined) return;
   const last = request.headers[HeaderName.lastEventId] ?? '0';
   if (typeof last !== 'string' || !/^\d{1,9}$/.test(last)) {
     refuseRequest(request, response, 'badRequest', `${HeaderName.lastEventId} must be an offset`);
--- a/packages/reedlug/src/http/serviceRoutes.ts
+++ b/packages/reedlug/src/http/serviceRoutes.ts
@@ -4,12 +4,11 @@
 import { RequestClass, ServerKind, type RequestSpec } from 'reedlug-decisions';
 import { endToEndHeaders } from '../backends/serviceClient.js';
 import type { RouteSettings } from '../settings/settingsTypes.js';
-import { readBody } from './body.js';
+import { readCallerRequest } from './callerRequest.js';
 import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { createServiceExchange } from './exchanges.js';
 import { hashKey } from './keys.js';
-import { KEY_MESSAGE } from './modelRoutes.js';
-import { parseRequestHeaders, type RequestHeaders } from './requestHeaders.js';
+import type { RequestHeaders } from './requestHeaders.js';
 
 /** Methods that repeat without harm where no route says otherwise. */
 const REPEATABLE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
@@ -29,24 +28,9 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const workspaceId = context.workspaceKeys.ownerOf(request.headers.authorization);
-  if (workspaceId === undefined) {
-    refuseRequest(request, response, 'unauthorized', KEY_MESSAGE);
-    return;
-  }
-  const { maxBodyBytes, deadlineLimitMs } = context.settings.callers;
-  const read = await readBody(request, maxBodyBytes);
-  if (read.kind === 'tooLarge') {
-    refuseRequest(
-      request,
-      response,
-      'bodyTooLarge',
-      `the body may have ${maxBodyBytes} bytes at most`,
-    );
-    return;
-  }
-  if (read.kind === 'aborted') return;
-  const headers = parseRequestHeaders(request.headers, deadlineLimitMs);
+  const caller = await readCallerRequest(context, request, response);
+  if (caller === undefined) return;
+  const { workspaceId, body, headers } = caller;
   if (headers.kind === 'invalid') {
     refuseRequest(request, response, 'badRequest', headers.faults.join('; '));
     return;
@@ -63,7 +47,7 @@
     return;
   }
   const method = request.method ?? 'GET';
-  const call = { service, method, path, body: read.body };
+  const call = { service, method, path, body };
   const spec = specOf(context, workspaceId, call, headers.headers);
   response.on('close', () => {
     if (!response.writableEnded) context.daemon.callerGone(spec.requestId);
@@ -75,7 +59,7 @@
       method,
       path,
       headers: endToEndHeaders(request.headers),
-      body: read.body.length === 0 ? undefined : read.body,
+      body: body.length === 0 ? undefined : body,
     },
     createServiceExchange(response, spec.requestId),
   );
