--- a/packages/reedlug-check/src/index.ts
+++ b/packages/reedlug-check/src/index.ts
@@ -9,3 +9,4 @@
 export * from './measure/median.js';
 export * from './replay/recordWorld.js';
 export * from './replay/trace.js';
+export * from './check/inForce.js';
--- a/packages/reedlug-decisions/src/defaults.ts
+++ b/packages/reedlug-decisions/src/defaults.ts
@@ -64,5 +64,6 @@
   handoverMs: 1500,
   placementEveryMs: 2000,
   startBackoffMs: 2000,
+  weightLoadsPerMinute: 6,
   retireMs: 15_000,
 };
--- a/packages/reedlug-decisions/src/slices/orders.ts
+++ b/packages/reedlug-decisions/src/slices/orders.ts
@@ -10,6 +10,7 @@
   leaseTick,
   liveInZone,
   orderValidForMs,
+  takeTokens,
   usableFence,
   type TableAnswer,
 } from 'reedlug-coordination';
@@ -87,7 +88,7 @@
   const wantedKey = JSON.stringify(wanted);
   const sent = state.ordersSent.get(view.spec.id);
   const isRepeat = sent?.wantedKey === wantedKey && step.nowMs - sent.atMs < ORDER_AGAIN_MS;
-  if (isRepeat) return;
+  if (isRepeat || !weightsAllow(state, view.report, wanted, step.nowMs)) return;
   const orderId = nextId(state, 'order');
   state.ordersSent.set(view.spec.id, { atMs: step.nowMs, serverId: view.spec.id, wantedKey });
   step.effects.push({
@@ -108,12 +109,26 @@
   );
 }
 
+/** An order that loads weights waits for the store's rate; any other goes at once. */
+function weightsAllow(
+  state: BoxState,
+  report: EngineReport,
+  wanted: EngineWanted,
+  nowMs: number,
+): boolean {
+  if (!changesModel(report, wanted)) return true;
+  return takeTokens(state.weightLoads, 1, nowMs) === 0;
+}
+
+function changesModel(report: EngineReport, wanted: EngineWanted): boolean {
+  return report.model !== wanted.model || report.version !== wanted.version;
+}
+
 /** A harmful order to an engine that checks no fence waits until it is drained and idle. */
 function mustWait(view: ServerView, wanted: EngineWanted): boolean {
   const { report, spec } = view;
   if (spec.checksFence || report === undefined) return false;
-  const changesModel = report.model !== wanted.model || report.version !== wanted.version;
-  if (!changesModel) return false;
+  if (!changesModel(report, wanted)) return false;
   return report.role === 'serve' || report.running + report.waiting > 0;
 }
 
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -9,6 +9,7 @@
   createLease,
   createMembership,
   createRetryBudget,
+  createTokenBucket,
   type ClaimGroup,
   type ConfigReplica,
   type FairQueue,
@@ -213,6 +214,8 @@
 
   lease: LeaseState;
   nextLeaseLookAtMs: number;
+  /** Loads of weights that may be ordered now. */
+  weightLoads: TokenBucket;
   ordersSent: Map<string, { atMs: number; serverId: string; wantedKey: string }>;
   cloudAsks: Map<string, CloudAskOpen>;
   offerBackoff: Map<string, OfferBackoff>;
@@ -310,6 +313,7 @@
       settings.incarnation,
     ),
     nextLeaseLookAtMs: nowMs,
+    weightLoads: createTokenBucket(control.weightLoadsPerMinute / 60, 2, nowMs),
     ordersSent: new Map(),
     cloudAsks: new Map(),
     offerBackoff: new Map(),
--- a/packages/reedlug-decisions/src/types/settings.ts
+++ b/packages/reedlug-decisions/src/types/settings.ts
@@ -179,6 +179,8 @@
   handoverMs: number;
   placementEveryMs: number;
   startBackoffMs: number;
+  /** Loads of model weights that one site asks of the weight store in a minute. */
+  weightLoadsPerMinute: number;
   /** Notice that placement gives before it stops an engine. */
   retireMs: number;
 }
