Mend what a reading of the whole change found

One map lacked the bound of its twins: prefixes told by peers were kept without end (cacheTold); all three writes now go through one bounded put.

--- a/packages/reedlug-check/src/check/runSeed.ts
+++ b/packages/reedlug-check/src/check/runSeed.ts
@@ -6,7 +6,14 @@
   type Mutation,
 } from 'reedlug-decisions';
 import { carryOut } from '../world/carryOut.js';
-import { createWorld, runUntil, stateSeedOf, type World } from '../world/world.js';
+import {
+  createWorld,
+  engineOptionsOf,
+  runUntil,
+  stateSeedOf,
+  type EngineFigures,
+  type World,
+} from '../world/world.js';
 import { createCallers, type Callers, type WorldViolation } from './callers.js';
 import { BENIGN_FAULTS, FaultKind, type CheckPlan } from './checkPlan.js';
 import { checkSettings } from './checkSettings.js';
@@ -77,6 +84,14 @@
   };
 }
 
+/** Engines of the checked deployment: a small cache, so that it overflows. */
+const CHECK_ENGINE: EngineFigures = {
+  kvCapacityTokens: 16_000,
+  prefillTokensPerMs: 8,
+  interTokenMs: 10,
+  crowding: 0.5,
+};
+
 /** A world of the checked deployment, with nothing planned. */
 export function createCheckWorld(seed: number, mutations: ReadonlySet<Mutation>): World {
   const settings = checkSettings();
@@ -84,17 +99,7 @@
     {
       seed,
       settings,
-      engineOptions: (spec) => ({
-        engineId: spec.id,
-        model: spec.pool,
-        version: spec.version,
-        slots: spec.slots,
-        kvCapacityTokens: 16_000,
-        prefillTokensPerMs: 8,
-        interTokenMs: 10,
-        crowding: 0.5,
-        tokensPerEvent: 16,
-      }),
+      engineOptions: (spec) => engineOptionsOf(spec, CHECK_ENGINE, 16),
       serviceAnswerMs: 20,
       crossZoneMs: 1.5,
       tickMs: 50,
--- a/packages/reedlug-check/src/measure/measure.ts
+++ b/packages/reedlug-check/src/measure/measure.ts
@@ -2,7 +2,13 @@
 import { Outcome } from 'reedlug-coordination';
 import type { DecisionSettings, OfferSpec } from 'reedlug-decisions';
 import { carryOut } from '../world/carryOut.js';
-import { createWorld, runUntil, type World, type WorldEngine } from '../world/world.js';
+import {
+  createWorld,
+  engineOptionsOf,
+  runUntil,
+  type World,
+  type WorldEngine,
+} from '../world/world.js';
 import { settingsFor, type PolicyVariant } from './policyVariants.js';
 import { scenarioOf, type Scenario, type ScenarioName } from './scenario.js';
 import { createWorkload, type Sample, type Workload } from './workload.js';
@@ -86,23 +92,13 @@
   options: MeasureOptions,
   settings: Omit<DecisionSettings, 'boxId' | 'zone' | 'incarnation'>,
 ): World {
-  const { engines } = options;
+  const { serviceAnswerMs, ...figures } = options.engines;
   return createWorld(
     {
       seed: options.seed,
       settings,
-      engineOptions: (spec) => ({
-        engineId: spec.id,
-        model: spec.pool,
-        version: spec.version,
-        slots: spec.slots,
-        kvCapacityTokens: engines.kvCapacityTokens,
-        prefillTokensPerMs: engines.prefillTokensPerMs,
-        interTokenMs: engines.interTokenMs,
-        crowding: engines.crowding,
-        tokensPerEvent: 8,
-      }),
-      serviceAnswerMs: engines.serviceAnswerMs,
+      engineOptions: (spec) => engineOptionsOf(spec, figures, 8),
+      serviceAnswerMs,
       crossZoneMs: settings.policy.crossZoneMs,
       tickMs: TICK_MS,
       engineStartMs: ENGINE_START_MS,
--- a/packages/reedlug-check/src/world/carryOut.ts
+++ b/packages/reedlug-check/src/world/carryOut.ts
@@ -11,7 +11,6 @@
 import { cloudAnswers, tableAnswers } from './platformFake.js';
 import { serviceAnswersProbe, serviceTakes } from './serviceFake.js';
 import {
-  Delay,
   delayBetween,
   emit,
   emitLater,
@@ -52,11 +51,6 @@
     case 'writeSnapshot':
       if (platformReachable(world, box)) world.snapshot = structuredClone(effect.snapshot);
       return undefined;
-    case 'readSnapshot':
-      return emitLater(world, box, Delay.platform, {
-        type: 'snapshotRead',
-        snapshot: platformReachable(world, box) ? (world.snapshot as never) : undefined,
-      });
     case 'sendPeer':
       return sendPeer(world, box, effect);
     case 'probeServer':
--- a/packages/reedlug-check/src/world/engineFake.ts
+++ b/packages/reedlug-check/src/world/engineFake.ts
@@ -13,6 +13,7 @@
   Delay,
   delayBetween,
   emitLater,
+  isSilent,
   zonesAreCut,
   type World,
   type WorldBox,
@@ -159,8 +160,7 @@
   engine: WorldEngine,
   attemptId: string,
 ): void {
-  const unreachable = !engine.alive || zonesAreCut(world, box.settings.zone, engine.spec.zone);
-  if (unreachable || world.queue.nowMs() < engine.stalledUntilMs) {
+  if (isSilent(world, box, engine)) {
     emitLater(world, box, Delay.connectionLoss, {
       type: 'kvExported',
       attemptId,
@@ -207,11 +207,7 @@
 export function engineAnswersProbe(world: World, box: WorldBox, engine: WorldEngine): void {
   const serverId = engine.spec.id;
   const delayMs = delayBetween(world, box.settings.zone, engine.spec.zone) * 2;
-  const silent =
-    !engine.alive ||
-    world.queue.nowMs() < engine.stalledUntilMs ||
-    zonesAreCut(world, box.settings.zone, engine.spec.zone);
-  if (silent) {
+  if (isSilent(world, box, engine)) {
     emitLater(world, box, delayMs, { type: 'serverReported', serverId, report: undefined });
     return;
   }
--- a/packages/reedlug-check/src/world/serviceFake.ts
+++ b/packages/reedlug-check/src/world/serviceFake.ts
@@ -4,6 +4,7 @@
   Delay,
   delayBetween,
   emitLater,
+  isSilent,
   zonesAreCut,
   type World,
   type WorldBox,
@@ -56,10 +57,7 @@
 export function serviceAnswersProbe(world: World, box: WorldBox, service: WorldService): void {
   const serverId = service.spec.id;
   const delayMs = delayBetween(world, box.settings.zone, service.spec.zone) * 2;
-  const silent =
-    !service.alive ||
-    world.queue.nowMs() < service.stalledUntilMs ||
-    zonesAreCut(world, box.settings.zone, service.spec.zone);
+  const silent = isSilent(world, box, service);
   const report = {
     incarnation: service.incarnation,
     running: 0,
--- a/packages/reedlug-check/src/world/world.ts
+++ b/packages/reedlug-check/src/world/world.ts
@@ -149,6 +149,21 @@
 /** Epoch time at the start of every world. */
 export const WORLD_EPOCH_MS = Date.UTC(2026, 11, 1, 8);
 
+/** What an engine of a world is like, but for what its description says. */
+export type EngineFigures = Omit<
+  EngineModelOptions,
+  'engineId' | 'model' | 'version' | 'slots' | 'tokensPerEvent'
+>;
+
+/** The options of an engine's model from its description. */
+export function engineOptionsOf(
+  { id, pool, version, slots }: ServerSpec,
+  figures: EngineFigures,
+  tokensPerEvent: number,
+): EngineModelOptions {
+  return { ...figures, engineId: id, model: pool, version, slots, tokensPerEvent };
+}
+
 /** Makes a world with every box and server of the settings up. */
 export function createWorld(options: WorldOptions, carryOut: World['carryOut']): World {
   const world: World = {
@@ -323,6 +338,12 @@
   return world.cutZones.has(`${a}|${b}`);
 }
 
+/** True when a server gives a box no answer: dead, stalled or cut off. */
+export function isSilent(world: World, box: WorldBox, server: WorldServer): boolean {
+  if (!server.alive || world.queue.nowMs() < server.stalledUntilMs) return true;
+  return zonesAreCut(world, box.settings.zone, server.spec.zone);
+}
+
 /** One-way delay between two zones. */
 export function delayBetween(world: World, a: string, b: string): number {
   return a === b ? Delay.sameZone : world.options.crossZoneMs;
--- a/packages/reedlug-decisions/src/defaults.ts
+++ b/packages/reedlug-decisions/src/defaults.ts
@@ -50,7 +50,6 @@
   leaseMarginMs: 1000,
   leaseRenewMs: 3000,
   maxOrderFlightMs: 5000,
-  claimGroupMs: 2,
   claimGroupSize: 25,
   claimTimeoutMs: 3000,
   leavingGraceMs: 3000,
--- a/packages/reedlug-decisions/src/invariants/effectInvariants.ts
+++ b/packages/reedlug-decisions/src/invariants/effectInvariants.ts
@@ -31,7 +31,6 @@
     case 'moveCache':
     case 'requestTable':
     case 'writeSnapshot':
-    case 'readSnapshot':
     case 'sendPeer':
     case 'probeServer':
     case 'answerOperator':
--- a/packages/reedlug-decisions/src/policy/cacheView.ts
+++ b/packages/reedlug-decisions/src/policy/cacheView.ts
@@ -43,11 +43,16 @@
   serverId: string,
   tokens: number,
 ): void {
-  state.cacheSights.delete(affinityHash);
-  state.cacheSights.set(affinityHash, { serverId, tokens });
-  if (state.cacheSights.size <= CACHE_SIGHT_LIMIT) return;
-  const oldest = state.cacheSights.keys().next();
-  if (oldest.done !== true) state.cacheSights.delete(oldest.value);
+  putBounded(state.cacheSights, affinityHash, { serverId, tokens });
+}
+
+/** Puts an entry as the newest; the oldest goes when there are too many. */
+function putBounded<T>(entries: Map<number, T>, affinityHash: number, entry: T): void {
+  entries.delete(affinityHash);
+  entries.set(affinityHash, entry);
+  if (entries.size <= CACHE_SIGHT_LIMIT) return;
+  const oldest = entries.keys().next();
+  if (oldest.done !== true) entries.delete(oldest.value);
 }
 
 /** Notes where this box's own answer left a prefix, and has peers told if they would look elsewhere. */
@@ -70,19 +75,15 @@
   serverId: string,
   firstRankedId: string | undefined,
 ): void {
-  state.cacheTold.delete(affinityHash);
-  if (serverId === firstRankedId) return;
-  state.cacheTold.set(affinityHash, serverId);
-  if (state.cacheTold.size <= CACHE_SIGHT_LIMIT) return;
-  const oldest = state.cacheTold.keys().next();
-  if (oldest.done !== true) state.cacheTold.delete(oldest.value);
+  if (serverId === firstRankedId) state.cacheTold.delete(affinityHash);
+  else putBounded(state.cacheTold, affinityHash, serverId);
 }
 
 /** Takes a peer's news of prefixes. */
 export function onCacheNews(state: BoxState, news: readonly CacheNews[]): void {
   for (const { affinityHash, serverId, tokens } of news) {
     noteCached(state, affinityHash, serverId, tokens);
-    state.cacheTold.set(affinityHash, serverId);
+    putBounded(state.cacheTold, affinityHash, serverId);
   }
 }
 
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -30,8 +30,9 @@
   record: RequestRecord,
   nowMs: number,
 ): ServerView | undefined {
-  const listed = listFor(state, record.spec);
-  const candidates = candidatesFor(state, record, listed, nowMs);
+  const rules = rulesFor(state, record.spec);
+  const listed = listFor(state, record.spec, rules);
+  const candidates = candidatesFor(state, record, rules, listed, nowMs);
   if (candidates.length === 0) return undefined;
   const preferred = candidates.filter((view) => !record.avoid.has(view.spec.id));
   return pick(state, record, listed, preferred.length > 0 ? preferred : candidates, nowMs);
@@ -41,11 +42,12 @@
 function candidatesFor(
   state: BoxState,
   record: RequestRecord,
+  rules: ServerRules,
   listed: readonly ServerView[],
   nowMs: number,
 ): ServerView[] {
   const open = listed.filter((view) => hasRoom(state, record, view, nowMs));
-  const found = open.length > 0 ? open : furtherRoom(state, record, listed, nowMs);
+  const found = open.length > 0 ? open : furtherRoom(state, record, rules, listed, nowMs);
   if (state.settings.policy.routeOverSite) return found;
   const own = found.filter((view) => view.spec.zone === state.settings.zone);
   return own.length > 0 ? own : found;
@@ -55,10 +57,10 @@
 function furtherRoom(
   state: BoxState,
   record: RequestRecord,
+  rules: ServerRules,
   listed: readonly ServerView[],
   nowMs: number,
 ): ServerView[] {
-  const rules = rulesFor(state, record.spec);
   const pool = poolServers(state, record.spec, rules);
   if (pool.length <= listed.length) return [];
   const start = Math.floor(nextRandom(state) * pool.length);
@@ -103,8 +105,7 @@
  * conversation, best first, so that the cost of a choice does not grow with the
  * fleet.
  */
-export function shortlist(state: BoxState, spec: RequestSpec): ServerView[] {
-  const rules = rulesFor(state, spec);
+export function shortlist(state: BoxState, spec: RequestSpec, rules: ServerRules): ServerView[] {
   const weights: number[] = [];
   const views: ServerView[] = [];
   for (const view of poolServers(state, spec, rules)) {
@@ -124,13 +125,13 @@
 }
 
 /** The shortlist, and the server where the conversation's prefix was last seen. */
-function listFor(state: BoxState, spec: RequestSpec): ServerView[] {
-  const listed = shortlist(state, spec);
+function listFor(state: BoxState, spec: RequestSpec, rules: ServerRules): ServerView[] {
+  const listed = shortlist(state, spec, rules);
   const sight = state.cacheSights.get(spec.affinityHash);
   if (sight === undefined) return listed;
   const holder = state.servers.get(sight.serverId);
   if (holder !== undefined && listed.includes(holder)) return listed;
-  if (holder !== undefined && isUsable(state, spec, rulesFor(state, spec), holder)) {
+  if (holder !== undefined && isUsable(state, spec, rules, holder)) {
     return [...listed, holder];
   }
   // A prefix out of reach is none: without this no engine would be credited, and the
--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -85,8 +85,6 @@
       return onConfigSnapshot(state, step, event.snapshot);
     case 'peerMessage':
       return onPeerMessage(state, step, event.from, event.message);
-    case 'peerLost':
-      return undefined;
     case 'reclaimNoticed':
       return onReclaimNoticed(state, step, event);
     case 'boxReclaimNoticed':
--- a/packages/reedlug-decisions/src/slices/admission.ts
+++ b/packages/reedlug-decisions/src/slices/admission.ts
@@ -13,7 +13,7 @@
 import { claim } from './claimWrites.js';
 import { dispatchPool } from './dispatch.js';
 import { enterQueue, queueFor, queuesOf } from './queues.js';
-import { addRecord, createRecord, refuse } from './requests.js';
+import { addRecord, createRecord, GENERATED_TOKEN_COST, refuse } from './requests.js';
 import { serverTakesWork } from './servers.js';
 import { priorityOf } from '../plans/rules.js';
 import { isReady } from './readiness.js';
@@ -140,6 +140,5 @@
   for (const view of state.serversByPool.get(pool) ?? []) {
     if (serverTakesWork(state, view)) slots += view.spec.slots;
   }
-  const GENERATED_TOKEN_COST = 4;
   return (slots * GENERATED_TOKEN_COST) / policy.interTokenMs / Math.max(1, boxes.length);
 }
--- a/packages/reedlug-decisions/src/slices/attempts.ts
+++ b/packages/reedlug-decisions/src/slices/attempts.ts
@@ -19,6 +19,7 @@
 import type { BoxState, ServerView, Step } from '../state.js';
 import { nextRandom } from '../state.js';
 import { noteCacheHit, noteOwnCached } from '../policy/cacheView.js';
+import { rulesFor } from '../plans/rules.js';
 import { shortlist } from '../policy/routing.js';
 import { dispatchPool } from './dispatch.js';
 import { enterQueue, queuesOf } from './queues.js';
@@ -201,7 +202,7 @@
   const hadSight = state.cacheSights.get(spec.affinityHash)?.serverId === attempt.serverId;
   noteCacheHit(state, { spec, view, cachedTokens, hadSight });
   const held = spec.promptTokens + record.ledger.tokens.length;
-  const [first] = shortlist(state, spec);
+  const [first] = shortlist(state, spec, rulesFor(state, spec));
   const { affinityHash } = spec;
   noteOwnCached(state, { affinityHash, serverId: attempt.serverId, tokens: held }, first?.spec.id);
 }
--- a/packages/reedlug-decisions/src/slices/orders.ts
+++ b/packages/reedlug-decisions/src/slices/orders.ts
@@ -90,7 +90,7 @@
   const isRepeat = sent?.wantedKey === wantedKey && step.nowMs - sent.atMs < ORDER_AGAIN_MS;
   if (isRepeat || !weightsAllow(state, view.report, wanted, step.nowMs)) return;
   const orderId = nextId(state, 'order');
-  state.ordersSent.set(view.spec.id, { atMs: step.nowMs, serverId: view.spec.id, wantedKey });
+  state.ordersSent.set(view.spec.id, { atMs: step.nowMs, wantedKey });
   step.effects.push({
     type: 'sendOrder',
     orderId,
--- a/packages/reedlug-decisions/src/slices/placement.ts
+++ b/packages/reedlug-decisions/src/slices/placement.ts
@@ -164,7 +164,6 @@
     machineClass,
     reclaimable,
     pool,
-    answered: false,
   });
   const ask: CloudAsk = {
     kind: 'start',
@@ -315,7 +314,6 @@
 ): void {
   const ask = state.cloudAsks.get(event.askId);
   if (ask === undefined) return;
-  ask.answered = true;
   if (event.answer.kind !== 'refused') return;
   state.cloudAsks.delete(event.askId);
   const key = offerKey(ask);
--- a/packages/reedlug-decisions/src/slices/requests.ts
+++ b/packages/reedlug-decisions/src/slices/requests.ts
@@ -18,7 +18,7 @@
 /** Work of a request besides its tokens, in tokens. */
 const REQUEST_BASE_COST = 16;
 /** A generated token costs as much as this many prompt tokens. */
-const GENERATED_TOKEN_COST = 4;
+export const GENERATED_TOKEN_COST = 4;
 
 /** Makes the record of an accepted request. */
 export function createRecord(spec: RequestSpec, nowMs: number): RequestRecord {
--- a/packages/reedlug-decisions/src/state.ts
+++ b/packages/reedlug-decisions/src/state.ts
@@ -127,7 +127,6 @@
   machineClass: string;
   reclaimable: boolean;
   pool: string;
-  answered: boolean;
 }
 
 /** A refused kind of box, left alone for a while. */
@@ -156,7 +155,6 @@
   random: RandomGenerator;
   nowMs: number;
   epochMs: number;
-  startedAtMs: number;
   counter: number;
 
   requests: Map<string, RequestRecord>;
@@ -216,7 +214,7 @@
   nextLeaseLookAtMs: number;
   /** Loads of weights that may be ordered now. */
   weightLoads: TokenBucket;
-  ordersSent: Map<string, { atMs: number; serverId: string; wantedKey: string }>;
+  ordersSent: Map<string, { atMs: number; wantedKey: string }>;
   cloudAsks: Map<string, CloudAskOpen>;
   offerBackoff: Map<string, OfferBackoff>;
   nextPlacementAtMs: number;
@@ -254,7 +252,6 @@
     random: xoroshiro128plus(params.seed),
     nowMs,
     epochMs: 0,
-    startedAtMs: nowMs,
     counter: 0,
     requests: new Map(),
     unsettled: new Set(),
--- a/packages/reedlug-decisions/src/types/effect.ts
+++ b/packages/reedlug-decisions/src/types/effect.ts
@@ -54,7 +54,6 @@
     }
   | { type: 'requestTable'; opId: string; op: TableOp }
   | { type: 'writeSnapshot'; snapshot: ConfigSnapshot }
-  | { type: 'readSnapshot' }
   | { type: 'sendPeer'; boxId: string; message: PeerMessage }
   | { type: 'probeServer'; serverId: string }
   | {
--- a/packages/reedlug-decisions/src/types/event.ts
+++ b/packages/reedlug-decisions/src/types/event.ts
@@ -44,7 +44,6 @@
   | { type: 'tableAnswered'; opId: string; answer: TableAnswer }
   | { type: 'snapshotRead'; snapshot: ConfigSnapshot | undefined }
   | { type: 'peerMessage'; from: string; message: PeerMessage }
-  | { type: 'peerLost'; boxId: string }
   | { type: 'reclaimNoticed'; serverId: string; incarnation: number; leavesAtMs: number }
   | { type: 'boxReclaimNoticed'; leavesAtMs: number }
   | { type: 'boxListRead'; entries: readonly BoxListEntry[] }
--- a/packages/reedlug-decisions/src/types/settings.ts
+++ b/packages/reedlug-decisions/src/types/settings.ts
@@ -161,7 +161,6 @@
   leaseMarginMs: number;
   leaseRenewMs: number;
   maxOrderFlightMs: number;
-  claimGroupMs: number;
   claimGroupSize: number;
   claimTimeoutMs: number;
   /** No new work reaches a server this long after the first word that it leaves. */
--- a/packages/reedlug/src/commands/plan.ts
+++ b/packages/reedlug/src/commands/plan.ts
@@ -7,8 +7,25 @@
 import { AdminCommand } from './adminClient.js';
 import { table } from './textTable.js';
 
+/** A command that drafts a plan and writes it to a file. */
+abstract class DraftCommand extends AdminCommand {
+  abstract out: string;
+
+  protected async show(answer: OperatorAnswer): Promise<number> {
+    if (answer.kind !== 'planned') {
+      this.printLines(answerLines(answer));
+      return 1;
+    }
+    await writeFile(this.out, JSON.stringify(answer.plan, undefined, 2));
+    if (this.json) this.printJson(answer.plan);
+    else
+      this.printLines([...planLines(answer.plan), '', `confirm with: reedlug confirm ${this.out}`]);
+    return 0;
+  }
+}
+
 /** Asks for a plan of an intent and writes it to a file. */
-export class PlanCommand extends AdminCommand {
+export class PlanCommand extends DraftCommand {
   static override paths = [['plan']];
   static override usage = Command.Usage({
     description: 'Show the plan of an intent; nothing changes',
@@ -32,18 +49,6 @@
     for (const fault of faults) this.context.stderr.write(`${this.file}: ${fault}\n`);
     return 1;
   }
-
-  private async show(answer: OperatorAnswer): Promise<number> {
-    if (answer.kind !== 'planned') {
-      this.printLines(answerLines(answer));
-      return 1;
-    }
-    await writeFile(this.out, JSON.stringify(answer.plan, undefined, 2));
-    if (this.json) this.printJson(answer.plan);
-    else
-      this.printLines([...planLines(answer.plan), '', `confirm with: reedlug confirm ${this.out}`]);
-    return 0;
-  }
 }
 
 async function readDocument(path: string): Promise<{ value: unknown } | { fault: string }> {
@@ -96,7 +101,7 @@
 }
 
 /** Drafts the plan that undoes a confirmed one. */
-export class UndoCommand extends AdminCommand {
+export class UndoCommand extends DraftCommand {
   static override paths = [['undo']];
   static override usage = Command.Usage({
     description: 'Draft the plan that undoes a confirmed one; confirm it like any other',
@@ -110,19 +115,7 @@
     const path = `/admin/plans/${encodeURIComponent(this.planId)}/undo`;
     const answer = await this.ask<OperatorAnswer>('POST', path, {});
     if (answer === undefined) return 1;
-    if (answer.value.kind !== 'planned') {
-      this.printLines(answerLines(answer.value));
-      return 1;
-    }
-    await writeFile(this.out, JSON.stringify(answer.value.plan, undefined, 2));
-    if (this.json) this.printJson(answer.value.plan);
-    else
-      this.printLines([
-        ...planLines(answer.value.plan),
-        '',
-        `confirm with: reedlug confirm ${this.out}`,
-      ]);
-    return 0;
+    return this.show(answer.value);
   }
 }
 
--- a/packages/reedlug/src/daemon/effects.ts
+++ b/packages/reedlug/src/daemon/effects.ts
@@ -44,11 +44,6 @@
     case 'writeSnapshot':
       void runtime.platform.writeSnapshot(effect.snapshot);
       return undefined;
-    case 'readSnapshot':
-      void runtime.platform
-        .readSnapshot()
-        .then((snapshot) => runtime.emit({ type: 'snapshotRead', snapshot }));
-      return undefined;
     case 'sendPeer':
       runtime.peerLink?.send(effect.boxId, withDaemonParts(runtime, effect.message));
       return undefined;
--- a/packages/reedlug/src/http/apiError.ts
+++ b/packages/reedlug/src/http/apiError.ts
@@ -76,8 +76,6 @@
       return { type: 'unavailable', message: 'this entry box is stopping; connect again' };
     case Reason.notReady:
       return { type: 'unavailable', message: 'this entry box is starting; connect again' };
-    case Reason.noServer:
-      return { type: 'unavailable', message: 'no server takes this request now' };
     case Reason.claimUnavailable:
       return {
         type: 'unavailable',
@@ -100,7 +98,6 @@
     case Reason.holderGone:
     case Reason.callerGone:
     case Reason.connectionLost:
-    case Reason.retriesExhausted:
     case Reason.answered:
       return lost(outcome);
   }
