--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
@@ -19,7 +19,7 @@
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
   },
   {
     files: ['**/*.js'],
--- /dev/null
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -0,0 +1,112 @@
+/**
+ * What the gateway asks of a platform: decoding and encoding, and calls.
+ *
+ * An adapter holds no state, timer, retry or decision. Calls resolve with
+ * outcomes as values and never reject.
+ */
+import type { TableAnswer, TableOp } from 'reedlug-coordination';
+import type { Configuration } from './types/configuration.js';
+import type { CloudCall, SendOrder } from './types/effect.js';
+import type { CloudOutcome, PeerAddress, ServerChange } from './types/event.js';
+import type { AnswerVerdict, RequestFacts } from './types/request.js';
+import type { GatewaySettings } from './types/settings.js';
+
+/** Names and values in turn, as they stood on the wire. */
+export type RawHeaders = readonly string[];
+
+/** A request's head as received. */
+export interface RequestHead {
+  method: string;
+  path: string;
+  rawHeaders: RawHeaders;
+}
+
+/** A head that was read, or why it is not one of the protocol. */
+export type DecodedRequest =
+  { kind: 'request'; facts: RequestFacts } | { kind: 'malformed'; message: string };
+
+/** A collection of the store that boxes follow. */
+export interface FeedPage<T> {
+  items: readonly T[];
+  /** Go on from here. */
+  revision: number;
+  storeNowMs: number | undefined;
+}
+
+/** Answer of a call that reads or follows a collection. */
+export type FeedAnswer<T> =
+  | { kind: 'page'; page: FeedPage<T> }
+  /** The changes asked for are no longer kept; read the whole again. */
+  | { kind: 'historyGone' }
+  | { kind: 'unavailable'; reason: string };
+
+/** Where to go on, and how long an answer may wait for a change. */
+export interface FeedPosition {
+  afterRevision: number;
+  waitMs: number;
+  timeoutMs: number;
+}
+
+/** One collection: its whole, and its changes. */
+export interface Feed<T> {
+  readAll: (timeoutMs: number) => Promise<FeedAnswer<T>>;
+  follow: (position: FeedPosition) => Promise<FeedAnswer<T>>;
+}
+
+/** A peer's entry; without an address it is gone. */
+export interface PeerChange {
+  boxId: string;
+  address: PeerAddress | undefined;
+}
+
+/** The platform's store. */
+export interface PlatformStore {
+  configuration: Feed<Configuration>;
+  servers: Feed<ServerChange>;
+  boxes: Feed<PeerChange>;
+  /** Enters this box into the collection of boxes, or takes it out. */
+  announceBox: (boxId: string, address: PeerAddress | undefined) => Promise<boolean>;
+  table: (
+    op: TableOp,
+    timeoutMs: number,
+  ) => Promise<{ answer: TableAnswer; storeNowMs: number | undefined }>;
+  close: () => Promise<void>;
+}
+
+/** The platform's interface for duties. */
+export interface PlatformCloud {
+  call: (params: {
+    call: CloudCall;
+    holderId: string;
+    fence: number;
+    timeoutMs: number;
+  }) => Promise<CloudOutcome>;
+  close: () => Promise<void>;
+}
+
+/** Headers of requests and answers. */
+export interface HeaderCodec {
+  decodeRequest: (head: RequestHead) => DecodedRequest;
+  /** The fields that go to a server: the caller's end-to-end ones, and those that the order sets. */
+  encodeSend: (rawHeaders: RawHeaders, order: SendOrder) => string[];
+  judgeAnswer: (params: {
+    requestId: string;
+    status: number;
+    rawHeaders: RawHeaders;
+  }) => AnswerVerdict;
+  /** The answer's end-to-end fields. */
+  answerHeaders: (rawHeaders: RawHeaders) => string[];
+  /** Fields of an answer of this box itself. */
+  refusalHeaders: (params: {
+    requestId: string | undefined;
+    retryAfterMs: number | undefined;
+  }) => string[];
+}
+
+/** A platform. */
+export interface PlatformAdapter {
+  headers: HeaderCodec;
+  /** Opens the clients; nothing is sent before the first call. */
+  openStore: (settings: GatewaySettings) => PlatformStore;
+  openCloud: (settings: GatewaySettings) => PlatformCloud | undefined;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -0,0 +1,166 @@
+/**
+ * One send of a request to a backend server, and its answer.
+ *
+ * A plain answer is read whole before anything is told, so that a cut one can
+ * be made good by a repeat. A stream is told with its first whole event; what
+ * follows goes on to whoever `pipe` names.
+ */
+import type { Dispatcher } from 'undici';
+import type { HeaderCodec } from '../adapter.js';
+import type { AnswerVerdict } from '../types/request.js';
+import type { Connection, ConnectionPool } from './connectionPool.js';
+import { createEventSplitter, type StreamEvent } from './eventSplitter.js';
+
+/** Largest plain answer that is read whole, in bytes: well over the users' largest body. */
+const MAX_PLAIN_BYTES = 16 * 1024 * 1024;
+
+/** The head of an answer, and its body where it is plain. */
+export interface BackendAnswer {
+  status: number;
+  statusText: string;
+  rawHeaders: string[];
+  body: Buffer;
+}
+
+/** What an attempt tells. */
+export interface AttemptListener {
+  onNotSent: (reason: string) => void;
+  onAnswered: (verdict: AnswerVerdict, status: number) => void;
+  onEvents: (events: readonly StreamEvent[]) => void;
+  onEnded: () => void;
+  onLost: (reason: string) => void;
+}
+
+/** What is sent. */
+export interface AttemptRequest {
+  requestId: string;
+  method: string;
+  path: string;
+  headers: string[];
+  body: Buffer;
+  streaming: boolean;
+}
+
+/** A send in progress. */
+export interface BackendAttempt {
+  /** Complete for a plain answer once answered; for a stream without its body. */
+  answer: () => BackendAnswer | undefined;
+  /** Ends the connection, so that the server stops; nothing more is told. */
+  cancel: () => void;
+}
+
+/** Sends a request. */
+export function sendAttempt(params: {
+  connection: Connection;
+  pool: ConnectionPool;
+  codec: HeaderCodec;
+  request: AttemptRequest;
+  listener: AttemptListener;
+}): BackendAttempt {
+  const { connection, pool, codec, request, listener } = params;
+  const splitter = createEventSplitter();
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  let sent = false;
+  let settled = false;
+  let streamBegun = false;
+  let verdict: AnswerVerdict | undefined;
+  let answer: BackendAnswer | undefined;
+
+  const settle = (tell: () => void): void => {
+    if (settled) return;
+    settled = true;
+    tell();
+  };
+  const drop = (): void => pool.discard(connection);
+  const isStream = (): boolean => request.streaming && verdict === 'success';
+
+  const beginStream = (): void => {
+    if (streamBegun) return;
+    streamBegun = true;
+    if (!settled && answer !== undefined) listener.onAnswered('success', answer.status);
+  };
+
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart() {
+      sent = true;
+    },
+    onResponseStart(controller, status, _headers, statusText) {
+      if (status < 200 || settled) return;
+      const rawHeaders = textHeaders(controller.rawHeaders);
+      verdict = codec.judgeAnswer({ requestId: request.requestId, status, rawHeaders });
+      answer = { status, statusText: statusText ?? '', rawHeaders, body: Buffer.alloc(0) };
+      if (verdict !== 'invalid') return;
+      settle(() => listener.onAnswered('invalid', status));
+      drop();
+    },
+    onResponseData(_controller, chunk) {
+      if (settled) return;
+      if (isStream()) {
+        const events = splitter.push(chunk);
+        if (events.length === 0) return;
+        beginStream();
+        if (!settled) listener.onEvents(events);
+        return;
+      }
+      bytes += chunk.length;
+      chunks.push(chunk);
+      if (bytes <= MAX_PLAIN_BYTES) return;
+      settle(() => listener.onLost('answerTooLarge'));
+      drop();
+    },
+    onResponseEnd() {
+      if (settled || answer === undefined || verdict === undefined) return;
+      pool.giveBack(connection);
+      if (isStream()) {
+        if (splitter.pendingBytes() > 0) return settle(() => listener.onLost('cutInEvent'));
+        beginStream();
+        return settle(() => listener.onEnded());
+      }
+      answer.body = Buffer.concat(chunks);
+      const { status } = answer;
+      const told = verdict;
+      settle(() => listener.onAnswered(told, status));
+    },
+    onResponseError(_controller, error) {
+      drop();
+      settle(() => {
+        if (sent) listener.onLost(reasonOf(error));
+        else listener.onNotSent(reasonOf(error));
+      });
+    },
+  };
+
+  const { method, path, headers, body } = request;
+  try {
+    connection.client.dispatch(
+      {
+        method: method as Dispatcher.HttpMethod,
+        path,
+        headers,
+        body: body.length === 0 ? null : body,
+      },
+      handler,
+    );
+  } catch (error) {
+    // The request cannot be written as it is; it has not left this box.
+    queueMicrotask(() => settle(() => listener.onNotSent(reasonOf(error as Error))));
+  }
+  return {
+    answer: () => answer,
+    cancel() {
+      settled = true;
+      drop();
+    },
+  };
+}
+
+function textHeaders(raw: unknown): string[] {
+  if (!Array.isArray(raw)) return [];
+  return raw.map((item) => (Buffer.isBuffer(item) ? item.toString('latin1') : String(item)));
+}
+
+function reasonOf(error: Error): string {
+  const { code } = error as Error & { code?: string };
+  return code ?? error.message;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/callerServer.ts
@@ -0,0 +1,122 @@
+/** The server towards callers: reads requests whole, answers in order, tells when a caller leaves. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { RequestHead } from '../adapter.js';
+import { DEFAULT_CALLER_LIMITS } from '../settings/defaults.js';
+import type { CallerLimits } from '../types/configuration.js';
+
+/** Largest head that is read at all, in bytes; the configuration's limit is checked within. */
+const PARSER_HEADER_BYTES = 64 * 1024;
+/** How often unfinished heads are checked for their time, in ms. */
+const HEADER_CHECK_MS = 500;
+
+/** A request with its way back to the caller. */
+export interface CallerExchange {
+  id: number;
+  head: RequestHead;
+  body: Buffer;
+  response: ServerResponse;
+  /** Id of the last event that was written, for a stream. */
+  lastEventId: number | undefined;
+}
+
+/** What the server tells, and what it asks. */
+export interface CallerListener {
+  onRequest: (exchange: CallerExchange) => void;
+  onCallerGone: (exchangeId: number) => void;
+  /** A request that breaks a limit; it gets this status at once. */
+  onRejected: (status: number, reason: string) => void;
+  limits: () => CallerLimits | undefined;
+  isStopping: () => boolean;
+}
+
+/** Returns a server that is not yet listening. */
+export function createCallerServer(listener: CallerListener): Server {
+  let nextId = 1;
+  const limits = (): CallerLimits => listener.limits() ?? DEFAULT_CALLER_LIMITS;
+  const server = createServer(
+    {
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      keepAliveTimeout: DEFAULT_CALLER_LIMITS.idleTimeoutMs,
+      headersTimeout: DEFAULT_CALLER_LIMITS.headerTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: HEADER_CHECK_MS,
+      noDelay: true,
+    },
+    (request, response) => {
+      response.sendDate = false;
+      const inForce = limits();
+      server.keepAliveTimeout = inForce.idleTimeoutMs;
+      server.headersTimeout = inForce.headerTimeoutMs;
+      if (listener.isStopping()) response.shouldKeepAlive = false;
+      const reject = (status: number, reason: string): void => {
+        listener.onRejected(status, reason);
+        response.shouldKeepAlive = false;
+        response.writeHead(status, { 'content-length': 0 });
+        response.end();
+      };
+      const fault = headFault(request, inForce);
+      if (fault !== undefined) return reject(fault.status, fault.reason);
+      readBody(request, inForce.maxBodyBytes, (body) => {
+        if (body === undefined) return reject(413, 'bodyTooLarge');
+        const id = nextId;
+        nextId += 1;
+        const head = {
+          method: request.method ?? '',
+          path: request.url ?? '',
+          rawHeaders: request.rawHeaders,
+        };
+        response.on('close', () => {
+          if (!response.writableFinished) listener.onCallerGone(id);
+        });
+        listener.onRequest({ id, head, body, response, lastEventId: undefined });
+      });
+    },
+  );
+  return server;
+}
+
+function headFault(
+  request: IncomingMessage,
+  limits: CallerLimits,
+): { status: number; reason: string } | undefined {
+  const hosts = request.rawHeaders.filter(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'host',
+  );
+  if (hosts.length !== 1) return { status: 400, reason: 'hostNotNamedOnce' };
+  if (request.url?.startsWith('/') !== true) return { status: 400, reason: 'pathNotAbsolute' };
+  if (headBytes(request) > limits.maxHeaderBytes) return { status: 431, reason: 'headTooLarge' };
+  const length = Number(request.headers['content-length'] ?? 0);
+  if (length > limits.maxBodyBytes) return { status: 413, reason: 'bodyTooLarge' };
+  return undefined;
+}
+
+/** Bytes of the request line and the fields, with their separators. */
+function headBytes(request: IncomingMessage): number {
+  const requestLine = (request.method?.length ?? 0) + (request.url?.length ?? 0) + 12;
+  return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, requestLine);
+}
+
+/** Reads a body whole; gives undefined when it is too large. A caller that leaves gets nothing. */
+function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+  done: (body: Buffer | undefined) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  let over = false;
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (over) return;
+    if (bytes > maxBytes) {
+      over = true;
+      return done(undefined);
+    }
+    chunks.push(chunk);
+  });
+  request.on('end', () => {
+    if (!over) done(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
+  });
+  // A caller that leaves in the middle of its body has asked for nothing yet.
+  request.on('error', () => undefined);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/connectionPool.ts
@@ -0,0 +1,84 @@
+/**
+ * Connections to backend servers: one undici client a connection, one request
+ * at a time on each, so that an answer can only belong to the request in progress.
+ */
+import { Client } from 'undici';
+import type { HostPort } from '../types/server.js';
+
+/** Longest wait for a connection, in ms: a server's full queue drops the opening packet for seconds. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle time after which a connection is closed where the server names none, in ms. */
+const IDLE_TIMEOUT_MS = 4000;
+/** Taken off the idle time that a server names, in ms: a send must not cross its close. */
+const IDLE_MARGIN_MS = 1000;
+
+/** A connection and what it goes to. */
+export interface Connection {
+  client: Client;
+  serverId: string;
+}
+
+/** Idle connections by server. */
+export interface ConnectionPool {
+  /** An idle connection, or a fresh one; `fresh` asks for a new one in any case. */
+  take: (serverId: string, address: HostPort, fresh: boolean) => Connection;
+  /** Gives a connection back after a whole answer. */
+  giveBack: (connection: Connection) => void;
+  /** Ends a connection whose state is not known. */
+  discard: (connection: Connection) => void;
+  closeAll: () => void;
+}
+
+/** Returns an empty pool. */
+export function createConnectionPool(): ConnectionPool {
+  const idle = new Map<string, Connection[]>();
+
+  const forget = (connection: Connection): void => {
+    const list = idle.get(connection.serverId);
+    const index = list?.indexOf(connection) ?? -1;
+    if (list === undefined || index < 0) return;
+    list.splice(index, 1);
+    if (list.length === 0) idle.delete(connection.serverId);
+  };
+
+  const discard = (connection: Connection): void => {
+    forget(connection);
+    // The requests of a destroyed client have been told; there is nothing left to report.
+    connection.client.destroy().catch(() => undefined);
+  };
+
+  const open = (serverId: string, address: HostPort): Connection => {
+    const client = new Client(`http://${address.host}:${address.port}`, {
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      // The gateway keeps the time itself: a server's silence is no reason to end an answer.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const connection: Connection = { client, serverId };
+    client.on('disconnect', () => discard(connection));
+    return connection;
+  };
+
+  return {
+    take(serverId, address, fresh) {
+      const found = fresh ? undefined : idle.get(serverId)?.at(-1);
+      if (found === undefined) return open(serverId, address);
+      forget(found);
+      return found;
+    },
+    giveBack(connection) {
+      if (connection.client.destroyed || connection.client.closed) return;
+      const list = idle.get(connection.serverId) ?? [];
+      list.push(connection);
+      idle.set(connection.serverId, list);
+    },
+    discard,
+    closeAll() {
+      for (const list of [...idle.values()])
+        for (const connection of [...list]) discard(connection);
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -0,0 +1,164 @@
+/** Carries out the reducer's effects. */
+import { performance } from 'node:perf_hooks';
+import type { Effect } from '../types/effect.js';
+import type { Runtime } from './gatewayDaemon.js';
+import { sendAttempt } from './backendAttempt.js';
+import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
+
+/** Longest wait for the table, in ms: its answer takes 4 ms, a slow one 250. */
+const TABLE_TIMEOUT_MS = 1500;
+/** Longest wait for the cloud, in ms. */
+const CLOUD_TIMEOUT_MS = 1500;
+
+/** Carries out one effect; what comes of it is a later event. */
+export function performEffect(runtime: Runtime, effect: Effect): void {
+  switch (effect.type) {
+    case 'send':
+      return send(runtime, effect);
+    case 'cancelAttempt':
+      return cancel(runtime, effect.attemptId);
+    case 'relay':
+      return relay(runtime, effect);
+    case 'refuse':
+      return refuse(runtime, effect);
+    case 'cutCaller': {
+      runtime.exchanges.get(effect.exchangeId)?.response.destroy();
+      runtime.exchanges.delete(effect.exchangeId);
+      return;
+    }
+    case 'requestTable':
+      return requestTable(runtime, effect);
+    case 'callCloud':
+      return callCloud(runtime, effect);
+    case 'sendPeers':
+      return runtime.peers.send(effect.message, effect.to);
+    case 'askPeer':
+      return askPeer(runtime, effect);
+    case 'stopped':
+      return runtime.onStopped();
+    case 'log': {
+      runtime.metrics.decisions.inc({ event: effect.event });
+      return runtime.logger(effect.event, effect.fields);
+    }
+  }
+}
+
+type EffectOf<T extends Effect['type']> = Extract<Effect, { type: T }>;
+
+function send(runtime: Runtime, effect: EffectOf<'send'>): void {
+  const { exchangeId, attemptId, order, streaming } = effect;
+  const exchange = runtime.exchanges.get(exchangeId);
+  const record = runtime.state.requests.get(exchangeId);
+  if (exchange === undefined || record === undefined) return;
+  const { head, body } = exchange;
+  const ids = { exchangeId, attemptId };
+  const end = (): void => void runtime.attempts.delete(attemptId);
+  const attempt = sendAttempt({
+    connection: runtime.pool.take(order.serverId, order.address, order.careful),
+    pool: runtime.pool,
+    codec: runtime.adapter.headers,
+    request: {
+      requestId: record.facts.requestId,
+      method: head.method,
+      path: head.path,
+      headers: runtime.adapter.headers.encodeSend(head.rawHeaders, order),
+      body,
+      streaming,
+    },
+    listener: {
+      onNotSent(reason) {
+        end();
+        runtime.emit({ type: 'attemptNotSent', ...ids, reason });
+      },
+      onAnswered(verdict, status) {
+        runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status });
+        if (!streaming || verdict !== 'success') end();
+      },
+      onEvents(events) {
+        const written = writeEvents(exchange, events);
+        if (written.kind === 'gap') {
+          runtime.attempts.get(attemptId)?.cancel();
+          end();
+          runtime.emit({ type: 'attemptLost', ...ids, reason: 'eventMissing' });
+          return;
+        }
+        runtime.emit({ type: 'eventsRelayed', ...ids, lastEventId: written.lastEventId });
+      },
+      onEnded() {
+        end();
+        exchange.response.end();
+        runtime.exchanges.delete(exchangeId);
+        runtime.emit({ type: 'attemptEnded', ...ids });
+      },
+      onLost(reason) {
+        end();
+        runtime.emit({ type: 'attemptLost', ...ids, reason });
+      },
+    },
+  });
+  runtime.attempts.set(attemptId, attempt);
+}
+
+function cancel(runtime: Runtime, attemptId: number): void {
+  runtime.attempts.get(attemptId)?.cancel();
+  runtime.attempts.delete(attemptId);
+}
+
+function relay(runtime: Runtime, effect: EffectOf<'relay'>): void {
+  const { exchangeId, attemptId } = effect;
+  const exchange = runtime.exchanges.get(exchangeId);
+  const answer = runtime.attempts.get(attemptId)?.answer();
+  if (exchange === undefined || answer === undefined) return;
+  const codec = runtime.adapter.headers;
+  if (effect.part === 'streamHead') return writeStreamHead(exchange, codec, answer);
+  runtime.exchanges.delete(exchangeId);
+  writePlainAnswer(exchange, codec, answer);
+}
+
+function refuse(runtime: Runtime, effect: EffectOf<'refuse'>): void {
+  const { exchangeId, status, reason, retryAfterMs } = effect;
+  const exchange = runtime.exchanges.get(exchangeId);
+  if (exchange === undefined) return;
+  runtime.exchanges.delete(exchangeId);
+  const { requestId } = effect;
+  writeRefusal(exchange, runtime.adapter.headers, { status, reason, requestId, retryAfterMs });
+}
+
+function requestTable(runtime: Runtime, effect: EffectOf<'requestTable'>): void {
+  const { purpose, op } = effect;
+  const sentAtMs = effect.sentAtMs;
+  void runtime.store.table(op, TABLE_TIMEOUT_MS).then(({ answer, storeNowMs }) => {
+    if (storeNowMs !== undefined) runtime.emit({ type: 'storeClock', storeNowMs });
+    runtime.emit({ type: 'tableAnswered', purpose, answer, sentAtMs });
+  });
+}
+
+function callCloud(runtime: Runtime, effect: EffectOf<'callCloud'>): void {
+  const { callId, call, fence } = effect;
+  const startedAtMs = performance.now();
+  const holderId = runtime.settings.box.id;
+  void runtime.cloud
+    ?.call({ call, holderId, fence, timeoutMs: CLOUD_TIMEOUT_MS })
+    .then((outcome) => {
+      const tookMs = Math.round(performance.now() - startedAtMs);
+      runtime.logger('cloudAnswered', { kind: call.kind, fence, outcome, tookMs });
+      runtime.emit({ type: 'cloudAnswered', callId, outcome });
+    });
+}
+
+function askPeer(runtime: Runtime, effect: EffectOf<'askPeer'>): void {
+  void runtime.peers.ask(effect.peer).then((shared) => {
+    if (shared === undefined) return;
+    const { configuration, servers, serversRevision } = shared;
+    if (configuration !== undefined) {
+      runtime.emit({ type: 'configurationRead', configuration, source: 'peer' });
+    }
+    runtime.emit({
+      type: 'serversRead',
+      whole: true,
+      changes: servers,
+      revision: serversRevision,
+      source: 'peer',
+    });
+  });
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/eventSplitter.ts
@@ -0,0 +1,42 @@
+/** Cuts a `text/event-stream` into whole events, byte by byte as they came. */
+
+/** A whole event with its trailing blank line. */
+export interface StreamEvent {
+  bytes: Buffer;
+  /** Undefined when the event names none. */
+  id: number | undefined;
+}
+
+/** Collects bytes and gives out whole events. */
+export interface EventSplitter {
+  push: (chunk: Buffer) => StreamEvent[];
+  /** Bytes of an event that is not whole yet. */
+  pendingBytes: () => number;
+}
+
+const EVENT_END = Buffer.from('\n\n');
+const ID_LINE = /^id: ?(\d+)\r?$/m;
+
+/** Returns a splitter at the start of a stream. */
+export function createEventSplitter(): EventSplitter {
+  let rest: Buffer = Buffer.alloc(0);
+  return {
+    push(chunk) {
+      rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      const events: StreamEvent[] = [];
+      for (;;) {
+        const end = rest.indexOf(EVENT_END);
+        if (end < 0) return events;
+        const bytes = rest.subarray(0, end + EVENT_END.length);
+        rest = rest.subarray(bytes.length);
+        events.push({ bytes, id: idOf(bytes) });
+      }
+    },
+    pendingBytes: () => rest.length,
+  };
+}
+
+function idOf(bytes: Buffer): number | undefined {
+  const match = ID_LINE.exec(bytes.toString('latin1'));
+  return match?.[1] === undefined ? undefined : Number(match[1]);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/exchanges.ts
@@ -0,0 +1,77 @@
+/** Hands answers to callers: whole ones, streams as they come, and this box's own refusals. */
+import type { HeaderCodec } from '../adapter.js';
+import type { BackendAnswer } from './backendAttempt.js';
+import type { CallerExchange } from './callerServer.js';
+import type { StreamEvent } from './eventSplitter.js';
+
+/** Fields that frame a body; a stream may be put together from several answers. */
+const FRAMING_FIELDS = new Set(['content-length']);
+
+/** Writes a whole plain answer as the server gave it. */
+export function writePlainAnswer(
+  exchange: CallerExchange,
+  codec: HeaderCodec,
+  answer: BackendAnswer,
+): void {
+  const { response } = exchange;
+  const headers = withoutFields(codec.answerHeaders(answer.rawHeaders), FRAMING_FIELDS);
+  const hasBody = answer.status !== 204 && answer.status !== 304 && exchange.head.method !== 'HEAD';
+  if (hasBody) headers.push('Content-Length', String(answer.body.length));
+  response.writeHead(answer.status, answer.statusText, headers);
+  response.end(hasBody ? answer.body : undefined);
+}
+
+/** Begins a stream with the head of its first server. */
+export function writeStreamHead(
+  exchange: CallerExchange,
+  codec: HeaderCodec,
+  answer: BackendAnswer,
+): void {
+  if (exchange.response.headersSent) return;
+  const headers = withoutFields(codec.answerHeaders(answer.rawHeaders), FRAMING_FIELDS);
+  exchange.response.writeHead(answer.status, answer.statusText, headers);
+}
+
+/** How a batch of events went on to the caller. */
+export type EventsWritten =
+  { kind: 'written'; lastEventId: number | undefined } | { kind: 'gap'; expected: number };
+
+/** Writes events in order; ones that the caller has are left out, a missing one stops. */
+export function writeEvents(
+  exchange: CallerExchange,
+  events: readonly StreamEvent[],
+): EventsWritten {
+  for (const { bytes, id } of events) {
+    const last = exchange.lastEventId;
+    if (id !== undefined && last !== undefined) {
+      if (id <= last) continue;
+      if (id > last + 1) return { kind: 'gap', expected: last + 1 };
+    }
+    if (id !== undefined) exchange.lastEventId = id;
+    exchange.response.write(bytes);
+  }
+  return { kind: 'written', lastEventId: exchange.lastEventId };
+}
+
+/** Answers with a status of this box. */
+export function writeRefusal(
+  exchange: CallerExchange,
+  codec: HeaderCodec,
+  params: { status: number; reason: string; requestId: string; retryAfterMs: number | undefined },
+): void {
+  const { status, reason, requestId, retryAfterMs } = params;
+  const body = Buffer.from(JSON.stringify({ error: reason }));
+  const headers = codec.refusalHeaders({ requestId, retryAfterMs });
+  headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length));
+  exchange.response.writeHead(status, headers);
+  exchange.response.end(body);
+}
+
+function withoutFields(headers: readonly string[], names: ReadonlySet<string>): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] as string;
+    if (!names.has(name.toLowerCase())) kept.push(name, headers[index + 1] as string);
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -0,0 +1,68 @@
+/** Follows a collection of the store: the whole once, then its changes by long polls. */
+import type { Feed } from '../adapter.js';
+
+/** Longest wait for an answer beyond the time it may be held, in ms: the store's answer takes 4 ms, a slow one 250. */
+const ANSWER_MARGIN_MS = 700;
+/** Pause after a call that failed, in ms; doubled up to the longest. */
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 500;
+
+/** What a follower tells. */
+export interface FeedListener<T> {
+  onPage: (page: { items: readonly T[]; whole: boolean; revision: number }) => void;
+  onStoreClock: (storeNowMs: number) => void;
+  onContact: (reachable: boolean, reason: string) => void;
+}
+
+/** Follows until told to stop. */
+export function followFeed<T>(
+  feed: Feed<T>,
+  waitMs: number,
+  listener: FeedListener<T>,
+): { stop: () => void } {
+  let stopped = false;
+  let position: number | undefined;
+  let pauseMs = FIRST_PAUSE_MS;
+
+  const step = async (): Promise<void> => {
+    const whole = position === undefined;
+    const answer =
+      position === undefined
+        ? await feed.readAll(ANSWER_MARGIN_MS)
+        : await feed.follow({
+            afterRevision: position,
+            waitMs,
+            timeoutMs: waitMs + ANSWER_MARGIN_MS,
+          });
+    if (stopped) return;
+    switch (answer.kind) {
+      case 'page': {
+        const { items, revision, storeNowMs } = answer.page;
+        pauseMs = FIRST_PAUSE_MS;
+        position = revision;
+        listener.onContact(true, '');
+        if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
+        if (whole || items.length > 0) listener.onPage({ items, whole, revision });
+        return;
+      }
+      case 'historyGone':
+        position = undefined;
+        return;
+      case 'unavailable':
+        listener.onContact(false, answer.reason);
+        await new Promise((resolve) => setTimeout(resolve, pauseMs));
+        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+        return;
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopped) await step();
+  };
+  void run();
+  return {
+    stop() {
+      stopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -0,0 +1,179 @@
+/**
+ * The daemon of a gateway box: turns sockets and timers into events for the
+ * reducer, and its effects into I/O, on one thread.
+ */
+import { createServer, type Server } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import type { PlatformAdapter, PlatformCloud, PlatformStore } from '../adapter.js';
+import { createGatewayMetrics, type GatewayMetrics } from '../observe/gatewayMetrics.js';
+import type { Logger } from '../observe/logger.js';
+import { reduce } from '../reduce.js';
+import { isReady } from '../slices/stopping.js';
+import { createGatewayState, type GatewayState } from '../state.js';
+import type { Effect } from '../types/effect.js';
+import type { EventBody } from '../types/event.js';
+import type { HostPort } from '../types/server.js';
+import type { GatewaySettings } from '../types/settings.js';
+import { createCallerServer, type CallerExchange } from './callerServer.js';
+import { createConnectionPool, type ConnectionPool } from './connectionPool.js';
+import type { BackendAttempt } from './backendAttempt.js';
+import { performEffect } from './effects.js';
+import { followPlatform } from './platformFeeds.js';
+import { openPeerSocket, type PeerSocket } from './peerSocket.js';
+
+/** Pause between ticks, in ms: the precision of time limits, against the price of a wake-up. */
+const TICK_MS = 50;
+
+/** What a daemon is made of. */
+export interface Runtime {
+  settings: GatewaySettings;
+  adapter: PlatformAdapter;
+  store: PlatformStore;
+  cloud: PlatformCloud | undefined;
+  state: GatewayState;
+  pool: ConnectionPool;
+  peers: PeerSocket;
+  exchanges: Map<number, CallerExchange>;
+  attempts: Map<number, BackendAttempt>;
+  logger: Logger;
+  metrics: GatewayMetrics;
+  emit: (body: EventBody) => void;
+  onStopped: () => void;
+}
+
+/** A running daemon. */
+export interface GatewayDaemon {
+  /** Begins a planned stop. */
+  stop: () => void;
+  /** Closes everything at once. */
+  close: () => Promise<void>;
+  state: GatewayState;
+}
+
+/** Starts a box; resolves once it listens. */
+export async function startGatewayDaemon(params: {
+  settings: GatewaySettings;
+  adapter: PlatformAdapter;
+  incarnation: number;
+  logger: Logger;
+  metrics?: GatewayMetrics;
+  onStopped: () => void;
+}): Promise<GatewayDaemon> {
+  const { settings, adapter, incarnation, logger, onStopped } = params;
+  const state = createGatewayState({ settings, incarnation, nowMs: performance.now() });
+  const pending: EventBody[] = [];
+  let busy = false;
+
+  const emit = (body: EventBody): void => {
+    pending.push(body);
+    if (busy) return;
+    busy = true;
+    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
+      const event = { ...next, nowMs: performance.now(), wallMs: Date.now() };
+      for (const effect of reduce(state, event)) perform(effect);
+    }
+    busy = false;
+  };
+  const perform = (effect: Effect): void => performEffect(runtime, effect);
+
+  const peers = await openPeerSocket({
+    address: { host: settings.box.ip, port: settings.listen.peersPort },
+    onMessage: (message) => emit({ type: 'peerMessage', message }),
+    onFault: (reason) => logger('peerLinkFault', { reason }),
+    sharedState: () => ({
+      configuration: state.active?.configuration,
+      servers: [...state.servers.values()].map(({ entry }) => ({ id: entry.id, entry })),
+      serversRevision: state.serversRevision,
+    }),
+  });
+  const runtime: Runtime = {
+    settings,
+    adapter,
+    store: adapter.openStore(settings),
+    cloud: adapter.openCloud(settings),
+    state,
+    pool: createConnectionPool(),
+    peers,
+    exchanges: new Map(),
+    attempts: new Map(),
+    logger,
+    metrics: params.metrics ?? createGatewayMetrics(),
+    emit,
+    onStopped,
+  };
+  const feeds = followPlatform(runtime);
+  const servers = await listenAll(runtime);
+  const ticker = setInterval(() => emit({ type: 'tick' }), TICK_MS);
+  logger('started', { zone: settings.box.zone, incarnation });
+  return {
+    state,
+    stop: () => emit({ type: 'stopAsked' }),
+    async close() {
+      clearInterval(ticker);
+      feeds.stop();
+      peers.close();
+      runtime.pool.closeAll();
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
+      await runtime.store.close();
+      await runtime.cloud?.close();
+    },
+  };
+}
+
+async function listenAll(runtime: Runtime): Promise<Server[]> {
+  const { settings, state } = runtime;
+  const callers = createCallerServer({
+    onRequest: (exchange) => takeRequest(runtime, exchange),
+    onCallerGone: (exchangeId) => {
+      runtime.exchanges.delete(exchangeId);
+      runtime.emit({ type: 'callerGone', exchangeId });
+    },
+    onRejected: (status, reason) => runtime.logger('requestRejected', { status, reason }),
+    limits: () => state.active?.configuration.limits,
+    isStopping: () => state.stoppingSinceMs !== undefined,
+  });
+  const readiness = createServer((_request, response) => {
+    response.writeHead(isReady(state) ? 200 : 503, { 'content-length': 0 });
+    response.end();
+  });
+  const metrics = createServer((_request, response) => {
+    runtime.metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
+    runtime.metrics.versions.set({ of: 'servers' }, state.serversRevision);
+    runtime.metrics.text().then(
+      (text) => response.end(text),
+      (error: unknown) => {
+        runtime.logger('metricsFault', { reason: (error as Error).message });
+        response.writeHead(500);
+        response.end();
+      },
+    );
+  });
+  const { listen, box } = settings;
+  await listenOn(callers, listen.callers);
+  await listenOn(readiness, listen.readiness);
+  await listenOn(metrics, { host: box.ip, port: listen.metricsPort });
+  return [callers, readiness, metrics];
+}
+
+function listenOn(server: Server, address: HostPort): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, resolve);
+  });
+}
+
+function takeRequest(runtime: Runtime, exchange: CallerExchange): void {
+  const decoded = runtime.adapter.headers.decodeRequest(exchange.head);
+  if (decoded.kind === 'malformed') {
+    runtime.logger('requestRejected', { status: 400, reason: decoded.message });
+    exchange.response.writeHead(400, { 'content-length': 0 });
+    exchange.response.end();
+    return;
+  }
+  exchange.lastEventId = decoded.facts.lastEventId;
+  runtime.exchanges.set(exchange.id, exchange);
+  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts: decoded.facts });
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -0,0 +1,82 @@
+/**
+ * Peer link: news as datagrams, and whole configuration and registry over HTTP
+ * for a peer that has lost the store.
+ */
+import { createSocket } from 'node:dgram';
+import { createServer } from 'node:http';
+import { Decoder, Encoder } from 'cbor-x';
+import { request } from 'undici';
+import type { Configuration } from '../types/configuration.js';
+import type { ServerChange } from '../types/event.js';
+import type { PeerMessage } from '../types/peer.js';
+import type { HostPort } from '../types/server.js';
+
+/** Longest wait for a peer's answer, in ms: several round trips between zones. */
+const ASK_TIMEOUT_MS = 500;
+
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false });
+
+/** What a box gives to a peer that asks. */
+export interface SharedState {
+  configuration: Configuration | undefined;
+  servers: readonly ServerChange[];
+  serversRevision: number;
+}
+
+/** A box's end of the link. */
+export interface PeerSocket {
+  send: (message: PeerMessage, to: readonly HostPort[]) => void;
+  ask: (peer: HostPort) => Promise<SharedState | undefined>;
+  close: () => void;
+}
+
+/** Opens the link. */
+export async function openPeerSocket(params: {
+  address: HostPort;
+  onMessage: (message: PeerMessage) => void;
+  onFault: (reason: string) => void;
+  sharedState: () => SharedState;
+}): Promise<PeerSocket> {
+  const { address, onMessage, onFault, sharedState } = params;
+  const socket = createSocket('udp4');
+  socket.on('message', (bytes) => {
+    try {
+      onMessage(decoder.decode(bytes) as PeerMessage);
+    } catch (error) {
+      onFault(`a datagram could not be read: ${(error as Error).message}`);
+    }
+  });
+  socket.on('error', (error) => onFault(error.message));
+  await new Promise<void>((resolve) => socket.bind(address.port, address.host, resolve));
+  const server = createServer((_request, response) => {
+    response.end(encoder.encode(sharedState()));
+  });
+  server.on('error', (error) => onFault(error.message));
+  await new Promise<void>((resolve) => server.listen(address.port, address.host, resolve));
+  return {
+    send(message, to) {
+      const bytes = encoder.encode(message);
+      for (const { host, port } of to) {
+        socket.send(bytes, port, host, (error) => {
+          if (error) onFault(error.message);
+        });
+      }
+    },
+    async ask(peer) {
+      try {
+        const { body } = await request(`http://${peer.host}:${peer.port}/state`, {
+          signal: AbortSignal.timeout(ASK_TIMEOUT_MS),
+        });
+        return decoder.decode(Buffer.from(await body.arrayBuffer())) as SharedState;
+      } catch (error) {
+        onFault(`peer ${peer.host} did not answer: ${(error as Error).message}`);
+        return undefined;
+      }
+    },
+    close() {
+      socket.close();
+      server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/runGateway.ts
@@ -0,0 +1,59 @@
+/** Runs a gateway box as a process: settings, signals, logs, exit codes. */
+import { readFile } from 'node:fs/promises';
+import { performance } from 'node:perf_hooks';
+import type { PlatformAdapter } from '../adapter.js';
+import { createBoundedLog, streamSink } from '../observe/boundedLog.js';
+import { createGatewayMetrics } from '../observe/gatewayMetrics.js';
+import { createLogger, type Logger } from '../observe/logger.js';
+import { validateGatewaySettings } from '../settings/gatewaySettingsValidation.js';
+import type { GatewaySettings } from '../types/settings.js';
+import { startGatewayDaemon } from './gatewayDaemon.js';
+
+/** Bytes of log that may wait for their reader, in bytes: about a second of lines. */
+const LOG_WAITING_BYTES = 256 * 1024;
+/** Exit codes. */
+const EXIT_SETTINGS = 2;
+
+/** Runs until a planned stop has ended. */
+export async function runGateway(params: {
+  adapter: PlatformAdapter;
+  settingsPath: string;
+}): Promise<void> {
+  const { adapter, settingsPath } = params;
+  const settings = await readSettings(settingsPath);
+  if (settings === undefined) return;
+  const metrics = createGatewayMetrics();
+  const sink = streamSink(process.stdout, LOG_WAITING_BYTES);
+  const logger = createBoundedLog({
+    logger: createLogger({ box: settings.box.id }, sink.write),
+    isFull: sink.isFull,
+    nowMs: () => performance.now(),
+    onLeftOut: () => metrics.linesLeftOut.inc(),
+  });
+  const daemon = await startGatewayDaemon({
+    settings,
+    adapter,
+    incarnation: Date.now(),
+    logger,
+    metrics,
+    onStopped: () => process.exit(0),
+  });
+  process.on('SIGTERM', () => daemon.stop());
+  process.on('SIGINT', () => daemon.stop());
+  process.on('SIGHUP', () => void reload(settingsPath, logger));
+}
+
+async function readSettings(path: string): Promise<GatewaySettings | undefined> {
+  const result = validateGatewaySettings(await readFile(path, 'utf8'));
+  if (result.kind === 'valid') return result.settings;
+  for (const fault of result.faults) process.stderr.write(`${path}: ${fault}\n`);
+  process.exitCode = EXIT_SETTINGS;
+  return undefined;
+}
+
+/** A changed file is checked and told; what it holds is fixed for the life of a process. */
+async function reload(path: string, logger: Logger): Promise<void> {
+  const result = validateGatewaySettings(await readFile(path, 'utf8'));
+  const faults = result.kind === 'invalid' ? result.faults.join('; ') : '';
+  logger('settingsReread', { valid: result.kind === 'valid', faults });
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -0,0 +1,54 @@
+/** Counters and latency histograms of a gateway box, as text for a scraper. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Bounds of the latency histogram, in ms: around the targets of the users' requests. */
+const LATENCY_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1200, 2000, 4000, 8000, 16_000];
+
+/** What a box counts. */
+export interface GatewayMetrics {
+  requests: Counter;
+  latencyMs: Histogram;
+  decisions: Counter;
+  linesLeftOut: Counter;
+  versions: Gauge;
+  text: () => Promise<string>;
+}
+
+/** Returns metrics at zero. */
+export function createGatewayMetrics(): GatewayMetrics {
+  const registers = [new Registry()];
+  const [registry] = registers as [Registry];
+  return {
+    requests: new Counter({
+      name: 'reedlug_requests_total',
+      help: 'Final outcomes of requests',
+      labelNames: ['workspace', 'route', 'outcome'],
+      registers,
+    }),
+    latencyMs: new Histogram({
+      name: 'reedlug_request_ms',
+      help: 'Time from arrival to the end of the answer, in ms',
+      labelNames: ['workspace', 'route'],
+      buckets: LATENCY_BUCKETS_MS,
+      registers,
+    }),
+    decisions: new Counter({
+      name: 'reedlug_decisions_total',
+      help: 'Decisions and changes of belief, by kind',
+      labelNames: ['event'],
+      registers,
+    }),
+    linesLeftOut: new Counter({
+      name: 'reedlug_log_lines_left_out_total',
+      help: 'Log lines that were not written because there were too many or the pipe was full',
+      registers,
+    }),
+    versions: new Gauge({
+      name: 'reedlug_version',
+      help: 'Versions in force at this box: configuration and registry of servers',
+      labelNames: ['of'],
+      registers,
+    }),
+    text: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -0,0 +1,130 @@
+/**
+ * Choice of a backend server: the least expected time to the first event.
+ *
+ * The time is what already waits at the server, the reading of the prompt parts
+ * that it does not keep, and small charges for distance and recent failures.
+ * Without news of a cache, the server that ranks first for the prompt's last
+ * shared part is taken to keep its shared parts, so that all boxes agree.
+ */
+import { hashString, rendezvousWeight } from 'reedlug-coordination';
+import type { RequestFacts } from '../types/request.js';
+import type { GatewayState, ServerView } from '../state.js';
+import { failureScore, SUSPECT_SCORE } from './serverHealth.js';
+
+/** Prompt tokens that an engine reads in a ms; the sites' engines read 32.4, less what decoding takes. */
+const PREFILL_TOKENS_PER_MS = 28;
+/** What one running stream adds to the wait of a new one, in ms: the measured step grows by 0.0234 ms a stream. */
+const RUNNING_MS = 0.6;
+/** What one open request adds to the wait at a plain server of six slots, in ms: mean work of 20 ms over its slots. */
+const PLAIN_RUNNING_MS = 3.5;
+/** Charge for a server in another zone, in ms: a round trip, and bytes between zones are paid for. */
+const OTHER_ZONE_MS = 4;
+/** Charge for each recent failure, in ms: a failed send costs about a request's time. */
+const FAILURE_MS = 60;
+/** Charge for a server whose registry entry has lapsed, in ms: another is better while there is one. */
+const LAPSED_MS = 300;
+/** Time for which a prompt part is taken to stay in an engine's cache, in ms. */
+const PART_KEPT_MS = 30_000;
+
+/** A chosen server with the figures that decided it. */
+export interface Choice {
+  view: ServerView;
+  costMs: number;
+  /** Prompt tokens that it is expected to read. */
+  prefillTokens: number;
+}
+
+/** The best server for a request, or undefined when none may take it. */
+export function chooseServer(
+  state: GatewayState,
+  params: { service: string; facts: RequestFacts; avoid: ReadonlySet<string>; nowMs: number },
+): Choice | undefined {
+  const { service, facts, avoid, nowMs } = params;
+  const open = [...state.servers.values()].filter(
+    (view) => view.entry.service === service && !view.leaving && !avoid.has(view.entry.id),
+  );
+  const sound = open.filter((view) => failureScore(view, nowMs) < SUSPECT_SCORE);
+  const candidates = sound.length > 0 ? sound : open;
+  const homeId = homeOf(candidates, facts);
+  let best: Choice | undefined;
+  for (const view of candidates) {
+    const choice = weigh(state, view, facts, view.entry.id === homeId, nowMs);
+    if (best === undefined || choice.costMs < best.costMs) best = choice;
+  }
+  return best;
+}
+
+function weigh(
+  state: GatewayState,
+  view: ServerView,
+  facts: RequestFacts,
+  isHome: boolean,
+  nowMs: number,
+): Choice {
+  const load = totalLoad(state, view);
+  const isPlain = facts.promptTokens === undefined;
+  const prefillTokens = tokensToRead(view, facts, isHome, nowMs);
+  const runningMs = load.running * (isPlain ? PLAIN_RUNNING_MS : RUNNING_MS);
+  const readMs = (load.prefillTokens + prefillTokens) / PREFILL_TOKENS_PER_MS;
+  const zoneMs = view.entry.zone === state.settings.box.zone ? 0 : OTHER_ZONE_MS;
+  const failureMs = failureScore(view, nowMs) * FAILURE_MS;
+  const lapsedMs = view.lapsesAtMs === undefined ? 0 : LAPSED_MS;
+  return { view, prefillTokens, costMs: runningMs + readMs + zoneMs + failureMs + lapsedMs };
+}
+
+/** Open work at a server: this box's own and what peers last told. */
+export function totalLoad(state: GatewayState, view: ServerView) {
+  let { running, prefillTokens } = view;
+  for (const peer of state.peers.values()) {
+    const load = peer.message?.loads[view.entry.id];
+    if (load === undefined) continue;
+    running += load.running;
+    prefillTokens += load.prefillTokens;
+  }
+  return { running, prefillTokens };
+}
+
+function tokensToRead(
+  view: ServerView,
+  facts: RequestFacts,
+  isHome: boolean,
+  nowMs: number,
+): number {
+  const total = facts.promptTokens ?? 0;
+  let kept = 0;
+  for (const part of facts.promptParts.slice(0, -1)) {
+    const usedAtMs = view.cachedParts.get(part.id);
+    const isKept = isHome || (usedAtMs !== undefined && nowMs - usedAtMs < PART_KEPT_MS);
+    if (!isKept) break;
+    kept += part.tokens;
+  }
+  return Math.max(0, total - kept);
+}
+
+/** The server that ranks first for the prompt's last shared part. */
+function homeOf(candidates: readonly ServerView[], facts: RequestFacts): string | undefined {
+  const subject = facts.promptParts.at(-2);
+  if (subject === undefined) return undefined;
+  const keyHash = hashString(subject.id);
+  let bestId: string | undefined;
+  let bestWeight = -1;
+  for (const { entry } of candidates) {
+    const weight = rendezvousWeight(keyHash, hashString(entry.id));
+    if (weight <= bestWeight) continue;
+    bestWeight = weight;
+    bestId = entry.id;
+  }
+  return bestId;
+}
+
+/** Notes that a server has read a request's prompt. */
+export function notePartsRead(view: ServerView, facts: RequestFacts, nowMs: number): void {
+  for (const part of facts.promptParts) {
+    view.cachedParts.delete(part.id);
+    view.cachedParts.set(part.id, nowMs);
+  }
+  for (const [id, usedAtMs] of view.cachedParts) {
+    if (nowMs - usedAtMs < PART_KEPT_MS) return;
+    view.cachedParts.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -0,0 +1,99 @@
+/**
+ * The reducer of the gateway: the one place where events meet the slices.
+ *
+ * State is changed in place; what is asked of the outside comes back as data.
+ */
+import type { EventOf, GatewayEvent } from './types/event.js';
+import type { Effect } from './types/effect.js';
+import type { GatewayState, Step } from './state.js';
+import { onConfigurationRead } from './slices/configuration.js';
+import {
+  onAttemptAnswered,
+  onAttemptEnded,
+  onAttemptLost,
+  onAttemptNotSent,
+  onEventsRelayed,
+} from './slices/attempts.js';
+import { capacityTick, onOrderAnswered } from './slices/capacity.js';
+import { clockTick, onClockRow, onStoreClock } from './slices/clock.js';
+import { dutiesTick, onLeaseRow } from './slices/duties.js';
+import { onPeerMessage, onPeersListed, peersTick } from './slices/peers.js';
+import { onCallerGone, onRequestArrived, requestsTick } from './slices/requests.js';
+import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
+import { onStopAsked, stopTick } from './slices/stopping.js';
+import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage.js';
+
+/** Takes an event; returns what is asked of the outside. */
+export function reduce(state: GatewayState, event: GatewayEvent): Effect[] {
+  const step: Step = { nowMs: event.nowMs, wallMs: event.wallMs, effects: [] };
+  handle(state, step, event);
+  return step.effects;
+}
+
+function handle(state: GatewayState, step: Step, event: GatewayEvent): void {
+  switch (event.type) {
+    case 'tick':
+      return onTick(state, step);
+    case 'requestArrived':
+      return onRequestArrived(state, step, event);
+    case 'callerGone':
+      return onCallerGone(state, step, event);
+    case 'attemptNotSent':
+      return onAttemptNotSent(state, step, event);
+    case 'attemptAnswered':
+      return onAttemptAnswered(state, step, event);
+    case 'eventsRelayed':
+      return onEventsRelayed(state, step, event);
+    case 'attemptEnded':
+      return onAttemptEnded(state, step, event);
+    case 'attemptLost':
+      return onAttemptLost(state, step, event);
+    case 'configurationRead':
+      return onConfigurationRead(state, step, event);
+    case 'serversRead':
+      return onServersRead(state, step, event);
+    case 'storeContact':
+      return onStoreContact(state, step, event);
+    case 'tableAnswered':
+      return onTableAnswered(state, step, event);
+    case 'cloudAnswered':
+      return onCloudAnswered(state, step, event);
+    case 'storeClock':
+      return onStoreClock(state, step, event);
+    case 'peerMessage':
+      return onPeerMessage(state, step, event);
+    case 'peersListed':
+      return onPeersListed(state, step, event);
+    case 'stopAsked':
+      return onStopAsked(state, step);
+  }
+}
+
+function onTick(state: GatewayState, step: Step): void {
+  serversTick(state, step);
+  requestsTick(state, step);
+  clockTick(state, step);
+  dutiesTick(state, step);
+  usageTick(state, step);
+  capacityTick(state, step);
+  peersTick(state, step);
+  stopTick(state, step);
+}
+
+function onTableAnswered(state: GatewayState, step: Step, event: EventOf<'tableAnswered'>): void {
+  switch (event.purpose.kind) {
+    case 'lease':
+      return onLeaseRow(state, step, event);
+    case 'clock':
+      return onClockRow(state, step, event);
+    case 'usage':
+      return onUsageRow(state, step, event, event.purpose.window);
+    case 'checkpoint':
+      return onCheckpointRow(state, step, event);
+  }
+}
+
+function onCloudAnswered(state: GatewayState, step: Step, event: EventOf<'cloudAnswered'>): void {
+  if (onOrderAnswered(state, step, event)) return;
+  onUsageAnswered(state, step, event);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/settings/defaults.ts
@@ -0,0 +1,13 @@
+/** Defaults of the gateway, before a configuration is in force. */
+import type { CallerLimits } from '../types/configuration.js';
+
+/** Limits towards callers until the configuration names its own; the figures are those of the first sites. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Port of the metrics, where the settings name none. */
+export const DEFAULT_METRICS_PORT = 9464;
--- /dev/null
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -0,0 +1,95 @@
+/**
+ * Validation of a gateway box's settings file (YAML).
+ *
+ * Every fault is told with its path and what would be right. Unknown keys are
+ * refused, so that a misspelt one does not go unseen.
+ */
+import { parse } from 'yaml';
+import { z } from 'zod';
+import type { HostPort } from '../types/server.js';
+import type { GatewaySettings } from '../types/settings.js';
+import { DEFAULT_METRICS_PORT } from './defaults.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Duties that the platform may ask for; others are not carried out. */
+const Duty = { usageReports: 'usageReports', engineOrders: 'engineOrders' } as const;
+
+const hostPort = z
+  .string()
+  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be an IP number and port such as 10.0.0.5:8080')
+  .transform(parseHostPort);
+const name = z.string().min(1, 'must not be empty');
+const ip = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}$/, 'must be an IP number such as 10.0.0.5');
+const port = z.number().int().min(1).max(65_535);
+const ms = z.number().nonnegative();
+const seconds = z.number().nonnegative();
+
+const schema = z.strictObject({
+  box: z.strictObject({ id: name, ip, zone: name }),
+  zones: z.array(name).min(1),
+  listen: z.strictObject({
+    callers: hostPort,
+    readiness: hostPort,
+    peersPort: port,
+    metricsPort: port.default(DEFAULT_METRICS_PORT),
+  }),
+  seeds: z.array(hostPort).default([]),
+  store: z.strictObject({ address: hostPort }),
+  cloud: z.strictObject({ address: hostPort, duties: z.array(z.string()).default([]) }).optional(),
+  bounds: z.strictObject({
+    configurationMs: ms,
+    drainMs: ms,
+    graceSeconds: seconds,
+    retryRatio: ms,
+    retrySlack: ms,
+    leaseMs: z.number().positive(),
+    usageWindowSeconds: seconds.default(0),
+    usageDueSeconds: seconds.default(0),
+  }),
+});
+
+/** Settings, or all faults of the file. */
+export type GatewaySettingsResult =
+  { kind: 'valid'; settings: GatewaySettings } | { kind: 'invalid'; faults: readonly string[] };
+
+/** Reads settings from YAML text. */
+export function validateGatewaySettings(text: string): GatewaySettingsResult {
+  let document: unknown;
+  try {
+    document = parse(text);
+  } catch (error) {
+    return { kind: 'invalid', faults: [`not YAML: ${(error as Error).message}`] };
+  }
+  const result = schema.safeParse(document);
+  if (result.success) return { kind: 'valid', settings: settingsOf(result.data) };
+  const faults = result.error.issues.map(
+    (issue) => `${issue.path.join('.') || 'settings'}: ${issue.message}`,
+  );
+  return { kind: 'invalid', faults };
+}
+
+function settingsOf(file: z.infer<typeof schema>): GatewaySettings {
+  const { bounds, cloud } = file;
+  const { graceSeconds, usageWindowSeconds, usageDueSeconds, ...others } = bounds;
+  return {
+    ...file,
+    cloud: cloud && {
+      address: cloud.address,
+      reportsUsage: cloud.duties.includes(Duty.usageReports),
+      ordersEngines: cloud.duties.includes(Duty.engineOrders),
+    },
+    bounds: {
+      ...others,
+      graceMs: graceSeconds * MS_PER_SECOND,
+      usageWindowMs: usageWindowSeconds * MS_PER_SECOND,
+      usageDueMs: usageDueSeconds * MS_PER_SECOND,
+    },
+  };
+}
+
+/** Splits `10.0.0.5:8080`. */
+export function parseHostPort(text: string): HostPort {
+  const [host = '', portText = '0'] = text.split(':');
+  return { host, port: Number(portText) };
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -0,0 +1,286 @@
+/**
+ * Attempts: sends of a request, what servers say of them, and what follows.
+ *
+ * A request that a server may have run goes to another one only when it may be
+ * repeated, within the route's number of attempts, its time and the budget.
+ */
+import { mayHaveRun, Reach } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import { RouteKind } from '../types/configuration.js';
+import type { Attempt, RequestRecord } from '../types/request.js';
+import { log, type GatewayState, type Step } from '../state.js';
+import { chooseServer, notePartsRead, type Choice } from '../policy/chooseServer.js';
+import { noteFailure, noteSuccess } from '../policy/serverHealth.js';
+import { closeAttempt, giveUp, isRepeatable } from './ending.js';
+import { takeRepeat } from './retryBudgets.js';
+import { removeServer } from './servers.js';
+import { countBegun } from './usage.js';
+
+/** Least time left for which a further send is worth its place, in ms: a short plain request's work. */
+const MIN_SEND_MS = 30;
+/** Sends of one request at most, refused ones too: beyond it the service is full. */
+const MAX_SENDS = 3;
+
+interface Found {
+  record: RequestRecord;
+  attempt: Attempt;
+}
+
+function find(
+  state: GatewayState,
+  event: { exchangeId: number; attemptId: number },
+): Found | undefined {
+  const record = state.requests.get(event.exchangeId);
+  const attempt = record?.attempts.find((candidate) => candidate.attemptId === event.attemptId);
+  if (record === undefined || attempt === undefined || !attempt.open) return undefined;
+  return { record, attempt };
+}
+
+/** Sends a request to the best server, or gives it up. */
+export function offer(state: GatewayState, step: Step, record: RequestRecord): void {
+  const choice = chooseServer(state, {
+    service: record.service,
+    facts: record.facts,
+    avoid: record.avoid,
+    nowMs: step.nowMs,
+  });
+  if (choice === undefined) return giveUp(state, step, record, 'noServer');
+  send(state, step, record, choice);
+}
+
+function send(state: GatewayState, step: Step, record: RequestRecord, choice: Choice): void {
+  const { view, prefillTokens } = choice;
+  const attempt: Attempt = {
+    attemptId: state.nextAttemptId,
+    serverId: view.entry.id,
+    sentAtMs: step.nowMs,
+    reach: Reach.none,
+    open: true,
+    prefillTokens,
+    begun: false,
+  };
+  state.nextAttemptId += 1;
+  record.attempts.push(attempt);
+  view.running += 1;
+  view.prefillTokens += prefillTokens;
+  state.workTokens += prefillTokens;
+  notePartsRead(view, record.facts, step.nowMs);
+  const { exchangeId, route } = record;
+  step.effects.push({
+    type: 'send',
+    exchangeId,
+    attemptId: attempt.attemptId,
+    streaming: route.kind === RouteKind.stream,
+    order: {
+      serverId: view.entry.id,
+      address: view.entry.address,
+      deadlineMs: Math.max(1, Math.floor(record.endsAtMs - step.nowMs)),
+      urgency: route.kind === RouteKind.stream ? record.urgency : undefined,
+      workspace: record.workspace,
+      resumeAfterEventId: record.lastEventId,
+      careful: !isRepeatable(record),
+    },
+  });
+  log(step, 'requestSent', {
+    request: record.facts.requestId,
+    route: route.name,
+    server: view.entry.id,
+    attempt: record.attempts.length,
+    costMs: Math.round(choice.costMs),
+    prefillTokens,
+    configuration: state.active?.configuration.version ?? 0,
+    servers: state.serversRevision,
+  });
+}
+
+/** No connection was had: the request has not run there. */
+export function onAttemptNotSent(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'attemptNotSent'>,
+): void {
+  const found = find(state, event);
+  if (found === undefined) return;
+  const view = closeAttempt(state, found.attempt, Reach.none);
+  if (view !== undefined) noteFailure(view, step.nowMs);
+  tryAgain(state, step, found, event.reason);
+}
+
+/** A plain answer, or the head and first event of a stream. */
+export function onAttemptAnswered(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'attemptAnswered'>,
+): void {
+  const found = find(state, event);
+  if (found === undefined) return;
+  const { record, attempt } = found;
+  switch (event.verdict) {
+    case 'success':
+      return onSuccess(state, step, found);
+    case 'failure':
+      return onFailure(state, step, found, event.status);
+    case 'notRun':
+      closeAttempt(state, attempt, Reach.refused);
+      return tryAgain(state, step, found, `refused${event.status}`);
+    case 'otherServer': {
+      const view = closeAttempt(state, attempt, Reach.refused);
+      if (view !== undefined) removeServer(state, step, view, 'addressReused');
+      return tryAgain(state, step, found, 'otherServer');
+    }
+    case 'invalid': {
+      const view = closeAttempt(state, attempt, Reach.maybe);
+      if (view !== undefined) noteFailure(view, step.nowMs);
+      step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
+      return afterLoss(state, step, { record, attempt }, 'invalidAnswer');
+    }
+  }
+}
+
+function onSuccess(state: GatewayState, step: Step, found: Found): void {
+  const { record, attempt } = found;
+  begin(state, step, found);
+  const { exchangeId } = record;
+  const { attemptId } = attempt;
+  const isStream = record.route.kind === RouteKind.stream;
+  step.effects.push({
+    type: 'relay',
+    exchangeId,
+    attemptId,
+    part: isStream ? 'streamHead' : 'whole',
+  });
+  record.relayed = true;
+  if (isStream) return;
+  finish(state, step, found, 'success');
+}
+
+/** A server's own failure goes to the caller as it is, unless the request may be repeated. */
+function onFailure(state: GatewayState, step: Step, found: Found, status: number): void {
+  const { record, attempt } = found;
+  begin(state, step, found);
+  const view = state.servers.get(attempt.serverId);
+  if (view !== undefined && status >= 500) noteFailure(view, step.nowMs);
+  if (status >= 500 && !record.relayed && mayRepeat(state, step, record)) {
+    closeAttempt(state, attempt, Reach.answered);
+    step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
+    log(step, 'requestRepeated', { request: record.facts.requestId, reason: `status${status}` });
+    record.avoid.add(attempt.serverId);
+    return offer(state, step, record);
+  }
+  if (record.relayed) {
+    closeAttempt(state, attempt, Reach.answered);
+    return giveUp(state, step, record, `resumeFailed${status}`);
+  }
+  step.effects.push({
+    type: 'relay',
+    exchangeId: record.exchangeId,
+    attemptId: attempt.attemptId,
+    part: 'whole',
+  });
+  finish(state, step, found, `status${status}`);
+}
+
+/** The run has begun: its prompt is read, and it counts for its workspace. */
+function begin(state: GatewayState, step: Step, found: Found): void {
+  const { record, attempt } = found;
+  if (!attempt.begun) {
+    attempt.begun = true;
+    const view = state.servers.get(attempt.serverId);
+    if (view !== undefined) view.prefillTokens -= attempt.prefillTokens;
+  }
+  attempt.reach = Reach.answered;
+  countBegun(state, step, record);
+}
+
+function finish(state: GatewayState, step: Step, found: Found, outcome: string): void {
+  const { record, attempt } = found;
+  const view = closeAttempt(state, attempt, Reach.answered);
+  if (view !== undefined && outcome === 'success') noteSuccess(view, step.nowMs);
+  state.requests.delete(record.exchangeId);
+  log(step, 'requestFinished', {
+    request: record.facts.requestId,
+    route: record.route.name,
+    workspace: record.workspace ?? '',
+    server: attempt.serverId,
+    outcome,
+    attempts: record.attempts.length,
+    heldMs: Math.round(step.nowMs - record.arrivedAtMs),
+  });
+}
+
+/** Notes how far the caller has a stream. */
+export function onEventsRelayed(
+  state: GatewayState,
+  _step: Step,
+  event: EventOf<'eventsRelayed'>,
+): void {
+  const found = find(state, event);
+  if (found === undefined) return;
+  if (event.lastEventId !== undefined) found.record.lastEventId = event.lastEventId;
+}
+
+/** A stream came to its end. */
+export function onAttemptEnded(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'attemptEnded'>,
+): void {
+  const found = find(state, event);
+  if (found !== undefined) finish(state, step, found, 'success');
+}
+
+/** The connection ended after bytes were sent: the request may have run. */
+export function onAttemptLost(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'attemptLost'>,
+): void {
+  const found = find(state, event);
+  if (found === undefined) return;
+  const { attempt } = found;
+  const view = closeAttempt(state, attempt, attempt.begun ? Reach.answered : Reach.maybe);
+  if (view !== undefined) noteFailure(view, step.nowMs);
+  afterLoss(state, step, found, event.reason);
+}
+
+function afterLoss(state: GatewayState, step: Step, found: Found, reason: string): void {
+  const { record, attempt } = found;
+  record.avoid.add(attempt.serverId);
+  if (!mayRepeat(state, step, record)) return giveUp(state, step, record, reason);
+  log(step, record.relayed ? 'streamResumed' : 'requestRepeated', {
+    request: record.facts.requestId,
+    reason,
+    lost: attempt.serverId,
+    lastEvent: record.lastEventId ?? -1,
+  });
+  offer(state, step, record);
+}
+
+/** Whether a request that may have run may go to another server now; takes it from the budget. */
+function mayRepeat(state: GatewayState, step: Step, record: RequestRecord): boolean {
+  if (!isRepeatable(record)) return false;
+  const runs = record.attempts.filter((attempt) => mayHaveRun(attempt.reach)).length;
+  if (runs >= record.route.maxAttempts) return false;
+  return haveRoomForSend(state, step, record);
+}
+
+/** A send that did not run may be made again at another server. */
+function tryAgain(state: GatewayState, step: Step, found: Found, reason: string): void {
+  const { record, attempt } = found;
+  record.avoid.add(attempt.serverId);
+  const ranBefore = record.attempts.some((other) => mayHaveRun(other.reach));
+  const allowed = ranBefore ? mayRepeat(state, step, record) : haveRoomForSend(state, step, record);
+  if (!allowed) return giveUp(state, step, record, reason);
+  log(step, 'requestSentElsewhere', {
+    request: record.facts.requestId,
+    reason,
+    server: attempt.serverId,
+  });
+  offer(state, step, record);
+}
+
+function haveRoomForSend(state: GatewayState, step: Step, record: RequestRecord): boolean {
+  if (record.attempts.length >= MAX_SENDS) return false;
+  if (record.endsAtMs - step.nowMs < MIN_SEND_MS) return false;
+  return takeRepeat(state, record.service);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/configuration.ts
@@ -0,0 +1,57 @@
+/** Configuration: the newest version in force; never an older one. */
+import type { EventOf } from '../types/event.js';
+import type { Configuration, RouteSpec, WorkspaceSpec } from '../types/configuration.js';
+import { log, type ActiveConfiguration, type GatewayState, type Step } from '../state.js';
+
+/** Takes a version, unless it is not newer than the one in force. */
+export function onConfigurationRead(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'configurationRead'>,
+): void {
+  const { configuration, source } = event;
+  const inForce = state.active?.configuration.version ?? 0;
+  if (configuration.version <= inForce) return;
+  state.active = activate(configuration);
+  log(step, 'configurationInForce', {
+    version: configuration.version,
+    before: inForce,
+    source,
+    routes: configuration.routes.length,
+    workspaces: configuration.workspaces.length,
+  });
+}
+
+function activate(configuration: Configuration): ActiveConfiguration {
+  const routesByHost = new Map<string, RouteSpec[]>();
+  for (const route of configuration.routes) {
+    const host = route.host.toLowerCase();
+    const routes = routesByHost.get(host) ?? [];
+    routes.push(route);
+    routesByHost.set(host, routes);
+  }
+  for (const routes of routesByHost.values()) {
+    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  }
+  const workspaceByKey = new Map<string, WorkspaceSpec>();
+  for (const workspace of configuration.workspaces) {
+    for (const key of workspace.keys) workspaceByKey.set(key, workspace);
+  }
+  return { configuration, routesByHost, workspaceByKey };
+}
+
+/** The route of the longest prefix that begins the path, or undefined. */
+export function findRoute(
+  active: ActiveConfiguration,
+  host: string,
+  path: string,
+): RouteSpec | undefined {
+  const routes = active.routesByHost.get(host.toLowerCase());
+  const pathOnly = path.split('?', 1)[0] ?? path;
+  return routes?.find((route) => pathOnly.startsWith(route.pathPrefix));
+}
+
+/** The service of a name in force. */
+export function findService(state: GatewayState, name: string) {
+  return state.active?.configuration.services.find((service) => service.name === name);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/ending.ts
@@ -0,0 +1,108 @@
+/** Endings of a request: closed attempts, refusals, giving up. */
+import { mayHaveRun, Reach } from 'reedlug-coordination';
+import { RouteKind } from '../types/configuration.js';
+import type { Attempt, RequestFacts, RequestRecord } from '../types/request.js';
+import { log, type GatewayState, type ServerView, type Step } from '../state.js';
+
+/** When to come back after no server took a request, in ms: an engine's queue moves on in this time. */
+const NO_SERVER_RETRY_MS = 250;
+/** Shortest time to come back that is told, in ms: below it a caller comes back into the same state. */
+const MIN_RETRY_MS = 100;
+/** Gives an attempt's place back. */
+export function closeAttempt(
+  state: GatewayState,
+  attempt: Attempt,
+  reach: Reach,
+): ServerView | undefined {
+  if (!attempt.open) return undefined;
+  attempt.open = false;
+  attempt.reach = reach;
+  const view = state.servers.get(attempt.serverId);
+  if (view === undefined) return undefined;
+  view.running -= 1;
+  if (!attempt.begun) view.prefillTokens -= attempt.prefillTokens;
+  return view;
+}
+
+/** Closes every open attempt of a request and stops its servers. */
+export function cancelAll(state: GatewayState, step: Step, record: RequestRecord): void {
+  for (const attempt of record.attempts) {
+    if (!attempt.open) continue;
+    closeAttempt(state, attempt, attempt.begun ? Reach.answered : Reach.maybe);
+    step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
+  }
+}
+
+/** Answers with a status of this box; nothing of the request is kept. */
+export function refuse(
+  step: Step,
+  params: {
+    exchangeId: number;
+    facts: RequestFacts;
+    status: number;
+    reason: string;
+    retryAfterMs: number | undefined;
+  },
+): void {
+  const { exchangeId, facts, status, reason } = params;
+  const retryAfterMs =
+    params.retryAfterMs === undefined ? undefined : Math.max(MIN_RETRY_MS, params.retryAfterMs);
+  const { requestId } = facts;
+  step.effects.push({ type: 'refuse', exchangeId, requestId, status, reason, retryAfterMs });
+  log(step, 'requestRefused', {
+    request: requestId,
+    status,
+    reason,
+    retryAfterMs: Math.round(retryAfterMs ?? 0),
+  });
+}
+
+/** Gives a request its final answer when no server can finish it. */
+export function giveUp(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  reason: string,
+): void {
+  cancelAll(state, step, record);
+  state.requests.delete(record.exchangeId);
+  if (record.relayed) {
+    step.effects.push({ type: 'cutCaller', exchangeId: record.exchangeId });
+    log(step, 'streamCut', {
+      request: record.facts.requestId,
+      route: record.route.name,
+      reason,
+      attempts: record.attempts.length,
+      lastEvent: record.lastEventId ?? -1,
+      heldMs: Math.round(step.nowMs - record.arrivedAtMs),
+    });
+    return;
+  }
+  const ran = record.attempts.some((attempt) => mayHaveRun(attempt.reach));
+  const status = statusWhenGivenUp({ ran, timeIsUp: step.nowMs >= record.endsAtMs });
+  refuse(step, {
+    exchangeId: record.exchangeId,
+    facts: record.facts,
+    status,
+    reason,
+    retryAfterMs: status === 503 ? NO_SERVER_RETRY_MS : undefined,
+  });
+}
+
+/** 503 promises that the request has not run; 504 and 502 promise nothing. */
+function statusWhenGivenUp(params: { ran: boolean; timeIsUp: boolean }): number {
+  if (params.timeIsUp) return 504;
+  return params.ran ? 502 : 503;
+}
+
+/** True when a request may be sent again after a server may have run it. */
+export function isRepeatable(record: RequestRecord): boolean {
+  switch (record.route.kind) {
+    case RouteKind.repeatable:
+      return true;
+    case RouteKind.nonRepeatable:
+      return false;
+    case RouteKind.stream:
+      return record.route.resumable;
+  }
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -0,0 +1,96 @@
+/**
+ * Limits of workspaces over all boxes together.
+ *
+ * Each box keeps the whole bucket and takes from it what it admits and what its
+ * peers tell that they admitted. A peer that has fallen silent may still admit
+ * at its last rate, so its last share of the rate is left to it.
+ */
+import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
+import type { RequestFacts } from '../types/request.js';
+import type { GatewayState, PeerView, QuotaView } from '../state.js';
+
+/** Silence after which a peer's share is left to it, in ms: five of its messages lost in a row. */
+const SILENT_AFTER_MS = 1000;
+/** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
+export const PEER_GONE_AFTER_MS = 10_000;
+/** Part of the burst that a fresh box takes to be left: it cannot know what was used before its start. */
+const FRESH_LEVEL_SHARE = 0.25;
+
+/** What a request counts against its workspace's limit. */
+export function unitsOf(workspace: WorkspaceSpec, facts: RequestFacts): number {
+  if (workspace.unit === LimitUnit.requests) return 1;
+  if (facts.promptTokens === undefined) return workspace.plainTokens;
+  return facts.promptTokens + (facts.maxOutputTokens ?? 0);
+}
+
+/** Admits a request against the limit; returns 0, or the ms until the next one fits. */
+export function admitUnits(
+  state: GatewayState,
+  workspace: WorkspaceSpec,
+  units: number,
+  nowMs: number,
+): number {
+  const quota = quotaOf(state, workspace, nowMs);
+  const ratePerSecond = usableRate(state, workspace, nowMs);
+  refill(quota, workspace, ratePerSecond, nowMs);
+  if (workspace.ratePerSecond > 0 && quota.level < 0) {
+    return (-quota.level / Math.max(1, ratePerSecond)) * 1000;
+  }
+  quota.level -= units;
+  quota.admitted += units;
+  return 0;
+}
+
+/** Takes what a peer has admitted since its last message. */
+export function takePeerUnits(
+  state: GatewayState,
+  workspaceName: string,
+  units: number,
+  nowMs: number,
+): void {
+  const workspace = findWorkspace(state, workspaceName);
+  if (workspace === undefined) return;
+  const quota = quotaOf(state, workspace, nowMs);
+  refill(quota, workspace, usableRate(state, workspace, nowMs), nowMs);
+  quota.level -= units;
+}
+
+function findWorkspace(state: GatewayState, name: string): WorkspaceSpec | undefined {
+  return state.active?.configuration.workspaces.find((workspace) => workspace.name === name);
+}
+
+function quotaOf(state: GatewayState, workspace: WorkspaceSpec, nowMs: number): QuotaView {
+  const known = state.quotas.get(workspace.name);
+  if (known !== undefined) return known;
+  const level = workspace.burst * FRESH_LEVEL_SHARE;
+  const quota: QuotaView = { level, refilledAtMs: nowMs, admitted: 0 };
+  state.quotas.set(workspace.name, quota);
+  return quota;
+}
+
+function refill(
+  quota: QuotaView,
+  workspace: WorkspaceSpec,
+  ratePerSecond: number,
+  nowMs: number,
+): void {
+  const elapsedMs = Math.max(0, nowMs - quota.refilledAtMs);
+  quota.refilledAtMs = nowMs;
+  quota.level = Math.min(workspace.burst, quota.level + (ratePerSecond * elapsedMs) / 1000);
+}
+
+/** The rate less the last shares of silent peers. */
+function usableRate(state: GatewayState, workspace: WorkspaceSpec, nowMs: number): number {
+  let heard = 1;
+  let silent = 0;
+  for (const peer of state.peers.values()) {
+    if (peer.message === undefined || peer.message.leaving) continue;
+    if (isSilent(peer, nowMs)) silent += 1;
+    else heard += 1;
+  }
+  return (workspace.ratePerSecond * heard) / (heard + silent);
+}
+
+function isSilent(peer: PeerView, nowMs: number): boolean {
+  return nowMs - peer.heardAtMs > SILENT_AFTER_MS;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -0,0 +1,110 @@
+/** Requests: arrival, the caller's leaving, the end of their time. */
+import { hashString } from 'reedlug-coordination';
+import type { EventOf } from '../types/event.js';
+import type { RouteSpec, WorkspaceSpec } from '../types/configuration.js';
+import type { RequestFacts, RequestRecord } from '../types/request.js';
+import { log, type GatewayState, type Step } from '../state.js';
+import { offer } from './attempts.js';
+import { findRoute } from './configuration.js';
+import { cancelAll, giveUp, refuse } from './ending.js';
+import { admitUnits, unitsOf } from './quotas.js';
+import { countFirstSend } from './retryBudgets.js';
+
+/** When to come back to a box that has no configuration yet, in ms: it reads one within a second. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+/** The engine's scale of urgency, from 0 to this. */
+const MAX_URGENCY = 9;
+/** Steps of urgency between two priorities of workspaces, so that a route's priority decides within. */
+const WORKSPACE_PRIORITY_STEP = 3;
+
+/** Takes a request whose body is whole. */
+export function onRequestArrived(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'requestArrived'>,
+): void {
+  const { exchangeId, facts } = event;
+  const { active } = state;
+  const refuseNow = (status: number, reason: string, retryAfterMs?: number): void => {
+    refuse(step, { exchangeId, facts, status, reason, retryAfterMs });
+  };
+  if (active === undefined) {
+    return refuseNow(503, 'noConfiguration', NO_CONFIGURATION_RETRY_MS);
+  }
+  const route = findRoute(active, facts.host, facts.path);
+  if (route === undefined) return refuseNow(404, 'noRoute');
+  const needsKey = active.configuration.workspaces.length > 0 && !route.isPublic;
+  const workspace = facts.key === undefined ? undefined : active.workspaceByKey.get(facts.key);
+  if (needsKey && workspace === undefined) return refuseNow(401, 'unknownKey');
+  if (workspace !== undefined) {
+    const waitMs = admitUnits(state, workspace, unitsOf(workspace, facts), step.nowMs);
+    if (waitMs > 0) return refuseNow(429, 'overLimit', waitMs);
+  }
+  const record = createRecord({ exchangeId, facts, route, workspace, nowMs: step.nowMs });
+  state.requests.set(exchangeId, record);
+  countFirstSend(state, record.service);
+  offer(state, step, record);
+}
+
+function createRecord(params: {
+  exchangeId: number;
+  facts: RequestFacts;
+  route: RouteSpec;
+  workspace: WorkspaceSpec | undefined;
+  nowMs: number;
+}): RequestRecord {
+  const { exchangeId, facts, route, workspace, nowMs } = params;
+  const allowedMs = Math.min(facts.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+  return {
+    exchangeId,
+    facts,
+    route,
+    service: pickTarget(route, facts.requestId),
+    workspace: workspace?.name,
+    urgency: urgencyOf(route, workspace),
+    arrivedAtMs: nowMs,
+    endsAtMs: nowMs + allowedMs,
+    attempts: [],
+    avoid: new Set(),
+    relayed: false,
+    lastEventId: undefined,
+    counted: false,
+  };
+}
+
+/** The service by the targets' weights; one request id always gets the same. */
+function pickTarget(route: RouteSpec, requestId: string): string {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let point = (hashString(requestId) / 2 ** 32) * total;
+  for (const target of route.targets) {
+    point -= target.weight;
+    if (point < 0) return target.service;
+  }
+  return route.targets.at(-1)?.service ?? '';
+}
+
+function urgencyOf(route: RouteSpec, workspace: WorkspaceSpec | undefined): number {
+  const base = (workspace?.priority ?? 0) * WORKSPACE_PRIORITY_STEP;
+  return Math.min(MAX_URGENCY, base + Math.min(route.priority, WORKSPACE_PRIORITY_STEP - 1));
+}
+
+/** The caller closed its connection: whatever works for it stops. */
+export function onCallerGone(state: GatewayState, step: Step, event: EventOf<'callerGone'>): void {
+  const record = state.requests.get(event.exchangeId);
+  if (record === undefined) return;
+  cancelAll(state, step, record);
+  state.requests.delete(event.exchangeId);
+  log(step, 'callerGone', {
+    request: record.facts.requestId,
+    route: record.route.name,
+    heldMs: Math.round(step.nowMs - record.arrivedAtMs),
+    relayed: record.relayed,
+  });
+}
+
+/** Ends requests whose time is up. */
+export function requestsTick(state: GatewayState, step: Step): void {
+  for (const record of state.requests.values()) {
+    if (step.nowMs >= record.endsAtMs) giveUp(state, step, record, 'timeIsUp');
+  }
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/retryBudgets.ts
@@ -0,0 +1,35 @@
+/**
+ * Retry budgets by service.
+ *
+ * The users bound repeated sends over all boxes together. Each box keeps to an
+ * even part of the fixed number and to the ratio of its own requests, so the
+ * sum holds in any cut and needs no messages.
+ */
+import { createRetryBudget, noteFirstTry, takeRetry, type RetryBudget } from 'reedlug-coordination';
+import type { GatewayState } from '../state.js';
+
+/** Part of the users' ratio that is used: windows slide, and lost answers hide some sends. */
+const RATIO_SHARE = 0.75;
+/** Part of the fixed number that is used: a restarted box begins with a full part again. */
+const SLACK_SHARE = 0.4;
+
+/** Counts a request's first send. */
+export function countFirstSend(state: GatewayState, service: string): void {
+  noteFirstTry(budgetOf(state, service));
+}
+
+/** Takes one repeated send from the budget; false when none is left. */
+export function takeRepeat(state: GatewayState, service: string): boolean {
+  return takeRetry(budgetOf(state, service));
+}
+
+function budgetOf(state: GatewayState, service: string): RetryBudget {
+  const known = state.retryBudgets.get(service);
+  if (known !== undefined) return known;
+  const { retryRatio, retrySlack } = state.settings.bounds;
+  const boxes = state.peers.size + 1;
+  const capacity = Math.max(1, (retrySlack * SLACK_SHARE) / boxes);
+  const budget = createRetryBudget(retryRatio * RATIO_SHARE, capacity);
+  state.retryBudgets.set(service, budget);
+  return budget;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -0,0 +1,124 @@
+/**
+ * Backend servers: the registry's entries, and what this box's own sends say.
+ *
+ * Leaving is sticky for an id. An entry that goes missing right after the store
+ * was away may only have lapsed: its server stays in use for a moment, since a
+ * living one enters itself again at once.
+ */
+import type { EventOf } from '../types/event.js';
+import { ServerState, type ServerEntry } from '../types/server.js';
+import { log, type GatewayState, type ServerView, type Step } from '../state.js';
+
+/** How long after the store's return entries of living servers may be missing; the users' figure is about 2 s. */
+const LAPSE_WINDOW_MS = 2500;
+/** Kept below the time within which a server that left gets nothing more, in ms. */
+const LAPSE_MARGIN_MS = 400;
+
+/** Takes entries of the registry. */
+export function onServersRead(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'serversRead'>,
+): void {
+  if (event.source === 'peer' && event.revision <= state.serversRevision) return;
+  state.serversRevision = Math.max(state.serversRevision, event.revision);
+  state.serversKnown = true;
+  const present = new Set<string>();
+  for (const { id, entry } of event.changes) {
+    if (entry === undefined) {
+      onMissing(state, step, id, event.source);
+      continue;
+    }
+    present.add(id);
+    onEntry(state, step, entry, event.source);
+  }
+  if (!event.whole) return;
+  for (const id of state.servers.keys()) {
+    if (!present.has(id)) onMissing(state, step, id, event.source);
+  }
+}
+
+function onEntry(state: GatewayState, step: Step, entry: ServerEntry, source: string): void {
+  const known = state.servers.get(entry.id);
+  const leaving = entry.state === ServerState.leaving;
+  if (known === undefined) {
+    state.servers.set(entry.id, createView(entry, leaving));
+    log(step, 'serverAdded', describe(entry, source));
+    return;
+  }
+  if (known.lapsesAtMs !== undefined) log(step, 'serverBack', describe(entry, source));
+  known.lapsesAtMs = undefined;
+  known.entry = entry;
+  if (leaving && !known.leaving) {
+    known.leaving = true;
+    log(step, 'serverLeaving', { ...describe(entry, source), running: known.running });
+  }
+}
+
+function createView(entry: ServerEntry, leaving: boolean): ServerView {
+  return {
+    entry,
+    leaving,
+    lapsesAtMs: undefined,
+    running: 0,
+    prefillTokens: 0,
+    failureScore: 0,
+    failureAtMs: 0,
+    cachedParts: new Map(),
+  };
+}
+
+function describe(entry: ServerEntry, source: string) {
+  return {
+    server: entry.id,
+    service: entry.service,
+    zone: entry.zone,
+    state: entry.state,
+    reclaimable: entry.reclaimable,
+    source,
+  };
+}
+
+function onMissing(state: GatewayState, step: Step, id: string, source: string): void {
+  const view = state.servers.get(id);
+  if (view === undefined || view.lapsesAtMs !== undefined) return;
+  const storeJustBack = step.nowMs - state.storeReturnedAtMs < LAPSE_WINDOW_MS;
+  if (storeJustBack && !view.leaving) {
+    view.lapsesAtMs = step.nowMs + state.settings.bounds.drainMs - LAPSE_MARGIN_MS;
+    log(step, 'serverLapsed', describe(view.entry, source));
+    return;
+  }
+  removeServer(state, step, view, source);
+}
+
+/** Takes a server out for good; requests in progress there go on. */
+export function removeServer(
+  state: GatewayState,
+  step: Step,
+  view: ServerView,
+  reason: string,
+): void {
+  view.leaving = true;
+  state.servers.delete(view.entry.id);
+  log(step, 'serverGone', { ...describe(view.entry, reason), running: view.running });
+}
+
+/** Notes that the store answers, or does not. */
+export function onStoreContact(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'storeContact'>,
+): void {
+  if (event.reachable === state.storeReachable) return;
+  state.storeReachable = event.reachable;
+  if (event.reachable) state.storeReturnedAtMs = step.nowMs;
+  log(step, event.reachable ? 'storeRegained' : 'storeLost', {});
+}
+
+/** Lets servers go whose entries did not come back. */
+export function serversTick(state: GatewayState, step: Step): void {
+  for (const view of state.servers.values()) {
+    if (view.lapsesAtMs === undefined || step.nowMs < view.lapsesAtMs) continue;
+    removeServer(state, step, view, 'lapsed');
+  }
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/usage.ts
@@ -0,0 +1,217 @@
+/**
+ * Usage: how many requests of each workspace began in each window.
+ *
+ * Boxes tell each other their counts. The holder of the lease enters the sum of
+ * a window in a row that is written once, and reports just what the row says,
+ * so two holders never report different figures. A checkpoint of the counts in
+ * the store outlives a loss of all boxes.
+ */
+import type { EventOf } from '../types/event.js';
+import type { RequestRecord } from '../types/request.js';
+import { log, requestTable, type GatewayState, type Step, type UsageWindow } from '../state.js';
+import { agreedWallMs } from './clock.js';
+import { dropLease, dutyFence } from './duties.js';
+
+/** Time after a window's end in which peers' last counts arrive, in ms: several of their messages. */
+const SETTLE_MS = 1500;
+/** Pause before a row or a report is tried again, in ms. */
+const RETRY_MS = 700;
+/** Windows kept besides the current one: until the report is due, and one more. */
+const KEPT_WINDOWS = 4;
+/** Windows told to peers: the current one and the one before. */
+const TOLD_WINDOWS = 2;
+/** Pause between checkpoints, in ms: a tenth of the shortest window, against the price of a call. */
+const CHECKPOINT_MS = 500;
+/** Key of the checkpoint's row. */
+const CHECKPOINT_KEY = 'usage-open';
+
+type Counts = Readonly<Record<string, number>>;
+
+interface CheckpointRow {
+  windows: Readonly<Record<string, Readonly<Record<string, Counts>>>>;
+}
+
+/** Counts a request once, in the window in which it began to run. */
+export function countBegun(state: GatewayState, step: Step, record: RequestRecord): void {
+  if (record.counted || record.workspace === undefined) return;
+  record.counted = true;
+  const { usageWindowMs } = state.settings.bounds;
+  if (usageWindowMs === 0) return;
+  const window = Math.floor(agreedWallMs(state, step) / usageWindowMs);
+  const own = ownKey(state);
+  const counts = windowOf(state, window).byBox.get(own) ?? {};
+  const count = (counts[record.workspace] ?? 0) + 1;
+  windowOf(state, window).byBox.set(own, { ...counts, [record.workspace]: count });
+  state.usageChanged = true;
+}
+
+function ownKey(state: GatewayState): string {
+  return `${state.settings.box.id}/${state.incarnation}`;
+}
+
+function windowOf(state: GatewayState, window: number): UsageWindow {
+  const known = state.usage.get(window);
+  if (known !== undefined) return known;
+  const created: UsageWindow = {
+    window,
+    byBox: new Map(),
+    decided: undefined,
+    reported: false,
+    askedAtMs: Number.NEGATIVE_INFINITY,
+    callId: 0,
+  };
+  state.usage.set(window, created);
+  return created;
+}
+
+/** This box's counts of the newest windows, for its peers. */
+export function ownUsage(state: GatewayState, step: Step): Record<string, Counts> {
+  const { usageWindowMs } = state.settings.bounds;
+  if (usageWindowMs === 0) return {};
+  const current = Math.floor(agreedWallMs(state, step) / usageWindowMs);
+  const own: Record<string, Counts> = {};
+  for (const { window, byBox } of state.usage.values()) {
+    const counts = byBox.get(ownKey(state));
+    if (counts !== undefined && window > current - TOLD_WINDOWS) own[window] = counts;
+  }
+  return own;
+}
+
+/** Takes a box's counts; counts only grow, so the greater figure is the newer. */
+export function mergeUsage(
+  state: GatewayState,
+  boxKey: string,
+  usage: Readonly<Record<string, Counts>>,
+): void {
+  for (const [window, counts] of Object.entries(usage)) {
+    const { byBox } = windowOf(state, Number(window));
+    const known = byBox.get(boxKey);
+    if (known === undefined || total(counts) > total(known)) {
+      byBox.set(boxKey, counts);
+      state.usageChanged = true;
+    }
+  }
+}
+
+function total(counts: Counts): number {
+  return Object.values(counts).reduce((sum, count) => sum + count, 0);
+}
+
+/** Reports finished windows and writes the checkpoint, while this box holds the lease. */
+export function usageTick(state: GatewayState, step: Step): void {
+  const { usageWindowMs } = state.settings.bounds;
+  if (usageWindowMs === 0 || state.settings.cloud?.reportsUsage !== true) return;
+  const wallMs = agreedWallMs(state, step);
+  const current = Math.floor(wallMs / usageWindowMs);
+  for (const window of state.usage.keys()) {
+    if (window < current - KEPT_WINDOWS) state.usage.delete(window);
+  }
+  const fence = dutyFence(state, step.nowMs);
+  if (fence === undefined || state.agreedClockOffsetMs === undefined) return;
+  for (const entry of state.usage.values()) {
+    const endMs = (entry.window + 1) * usageWindowMs;
+    if (wallMs >= endMs + SETTLE_MS) advanceWindow(state, step, entry, fence);
+  }
+  writeCheckpoint(state, step);
+}
+
+function advanceWindow(state: GatewayState, step: Step, entry: UsageWindow, fence: number): void {
+  if (entry.reported || step.nowMs - entry.askedAtMs < RETRY_MS) return;
+  entry.askedAtMs = step.nowMs;
+  if (entry.decided === undefined) {
+    const writes = [{ key: reportKey(entry.window), expectVersion: 0, value: sumOf(entry) }];
+    return requestTable(
+      step,
+      { kind: 'usage', window: entry.window },
+      { kind: 'transact', writes },
+    );
+  }
+  entry.callId = state.nextCallId;
+  state.nextCallId += 1;
+  step.effects.push({
+    type: 'callCloud',
+    callId: entry.callId,
+    call: { kind: 'reportUsage', window: entry.window, counts: entry.decided },
+    fence,
+  });
+}
+
+function reportKey(window: number): string {
+  return `usage-report-${window}`;
+}
+
+function sumOf(entry: UsageWindow): Counts {
+  const sum: Record<string, number> = {};
+  for (const counts of entry.byBox.values()) {
+    for (const [workspace, count] of Object.entries(counts)) {
+      sum[workspace] = (sum[workspace] ?? 0) + count;
+    }
+  }
+  return sum;
+}
+
+/** Takes the row that fixes what is reported for a window. */
+export function onUsageRow(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'tableAnswered'>,
+  window: number,
+): void {
+  const entry = state.usage.get(window);
+  const { answer } = event;
+  if (entry === undefined || answer.kind === 'unknown') return;
+  const row = answer.rows.find((candidate) => candidate.key === reportKey(window));
+  if (row?.value === undefined) return;
+  entry.decided = row.value as Counts;
+  entry.askedAtMs = Number.NEGATIVE_INFINITY;
+  log(step, 'usageDecided', { window, requests: total(entry.decided), answer: answer.kind });
+}
+
+/** Takes the platform's answer to a report. */
+export function onUsageAnswered(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'cloudAnswered'>,
+): void {
+  for (const entry of state.usage.values()) {
+    if (entry.callId !== event.callId || entry.reported) continue;
+    log(step, 'usageReported', { window: entry.window, outcome: event.outcome });
+    if (event.outcome === 'done') entry.reported = true;
+    if (event.outcome === 'fenced') dropLease(state, step);
+  }
+}
+
+function writeCheckpoint(state: GatewayState, step: Step): void {
+  if (!state.usageChanged || step.nowMs - state.checkpointAtMs < CHECKPOINT_MS) return;
+  state.checkpointAtMs = step.nowMs;
+  state.usageChanged = false;
+  const windows: Record<string, Record<string, Counts>> = {};
+  for (const { window, byBox, reported } of state.usage.values()) {
+    if (!reported) windows[window] = Object.fromEntries(byBox);
+  }
+  const value: CheckpointRow = { windows };
+  const writes = [{ key: CHECKPOINT_KEY, expectVersion: state.checkpointVersion, value }];
+  requestTable(step, { kind: 'checkpoint' }, { kind: 'transact', writes });
+}
+
+/** Learns the checkpoint's version; after a conflict, takes the counts of whoever wrote it. */
+export function onCheckpointRow(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'tableAnswered'>,
+): void {
+  const { answer } = event;
+  if (answer.kind === 'unknown') return;
+  const row = answer.rows.find((candidate) => candidate.key === CHECKPOINT_KEY);
+  if (row === undefined) return;
+  state.checkpointVersion = row.version;
+  if (answer.kind === 'done' || row.value === undefined) return;
+  const { windows } = row.value as CheckpointRow;
+  for (const [window, byBox] of Object.entries(windows)) {
+    for (const [boxKey, counts] of Object.entries(byBox)) {
+      mergeUsage(state, boxKey, { [window]: counts });
+    }
+  }
+  state.usageChanged = true;
+  log(step, 'checkpointTaken', { windows: Object.keys(windows).length });
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/state.ts
@@ -0,0 +1,202 @@
+/** State of a gateway box; slices change their part of it in place. */
+import { createLease, type LeaseState, type RetryBudget, type TableOp } from 'reedlug-coordination';
+import type { Configuration, RouteSpec, WorkspaceSpec } from './types/configuration.js';
+import type { Effect, LogField } from './types/effect.js';
+import type { CloudCall } from './types/effect.js';
+import type { TablePurpose } from './types/event.js';
+import type { PeerMessage } from './types/peer.js';
+import type { RequestRecord } from './types/request.js';
+import type { HostPort, ServerEntry } from './types/server.js';
+import type { GatewaySettings } from './types/settings.js';
+
+/** One step of the reducer: its time, and the effects so far. */
+export interface Step {
+  nowMs: number;
+  wallMs: number;
+  effects: Effect[];
+}
+
+/** A configuration with the look-ups that a request needs. */
+export interface ActiveConfiguration {
+  configuration: Configuration;
+  /** Routes of each host, the longest prefix first. */
+  routesByHost: Map<string, RouteSpec[]>;
+  workspaceByKey: Map<string, WorkspaceSpec>;
+}
+
+/** What a box knows of one backend server. */
+export interface ServerView {
+  entry: ServerEntry;
+  /** True once any source has said that it leaves; never undone for one id. */
+  leaving: boolean;
+  /** Set while its entry is missing after the store was away; the server goes at this time. */
+  lapsesAtMs: number | undefined;
+  /** This box's open work there. */
+  running: number;
+  prefillTokens: number;
+  /** Recent failures, halved every few seconds. */
+  failureScore: number;
+  failureAtMs: number;
+  /** Prompt parts it is taken to keep, by last use on this box's clock, least recent first. */
+  cachedParts: Map<string, number>;
+}
+
+/** A workspace's limit as this box sees it. */
+export interface QuotaView {
+  /** Units left; below 0 after a request larger than what was left. */
+  level: number;
+  refilledAtMs: number;
+  /** Units that this box has admitted since its start. */
+  admitted: number;
+}
+
+/** A peer as last heard. */
+export interface PeerView {
+  boxId: string;
+  address: HostPort;
+  heardAtMs: number;
+  /** Undefined until the first message. */
+  message: PeerMessage | undefined;
+  askedAtMs: number;
+}
+
+/** Engines ordered of one kind in one zone. */
+export interface EngineOrder {
+  call: Extract<CloudCall, { kind: 'orderEngines' }>;
+  /** True once the platform has taken it. */
+  taken: boolean;
+  /** The fence it was sent under; a new holder orders anew. */
+  fence: number;
+  callId: number;
+  notBeforeMs: number;
+}
+
+/** A usage window on its way to the platform. */
+export interface UsageWindow {
+  window: number;
+  /** Counts by box and incarnation, then workspace. */
+  byBox: Map<string, Readonly<Record<string, number>>>;
+  /** What the store's row says is to be reported; nothing else may be reported. */
+  decided: Readonly<Record<string, number>> | undefined;
+  reported: boolean;
+  askedAtMs: number;
+  callId: number;
+}
+
+/** Everything a box knows. */
+export interface GatewayState {
+  settings: GatewaySettings;
+  incarnation: number;
+  startedAtMs: number;
+  nextAttemptId: number;
+  nextCallId: number;
+  active: ActiveConfiguration | undefined;
+  servers: Map<string, ServerView>;
+  serversRevision: number;
+  serversKnown: boolean;
+  storeReachable: boolean;
+  storeReturnedAtMs: number;
+  requests: Map<number, RequestRecord>;
+  quotas: Map<string, QuotaView>;
+  retryBudgets: Map<string, RetryBudget>;
+  peers: Map<string, PeerView>;
+  peerSequence: number;
+  newsSentAtMs: number;
+  lease: LeaseState;
+  /** Wall clock less store clock, agreed by all boxes in a row of the store. */
+  agreedClockOffsetMs: number | undefined;
+  clockAskedAtMs: number;
+  /** Monotonic time of this box at the store's time 0. */
+  storeEpochMs: number | undefined;
+  usage: Map<number, UsageWindow>;
+  /** True when counts have changed since the last checkpoint. */
+  usageChanged: boolean;
+  checkpointAtMs: number;
+  /** Version of the checkpoint's row as last seen; 0 before. */
+  checkpointVersion: number;
+  orders: Map<string, EngineOrder>;
+  planAtMs: number;
+  /** Prompt tokens that this box has sent to be read, since its start. */
+  workTokens: number;
+  /** The sum over all boxes at the last plan. */
+  workTokensSeen: number;
+  loadTokensPerSecond: number;
+  /** Engines kept whatever the load. */
+  engineFloor: number;
+  stoppingSinceMs: number | undefined;
+  stopped: boolean;
+}
+
+/** How often the holder renews the duty lease, as a share of its validity: two tries before it lapses. */
+const LEASE_RENEWAL_SHARE = 0.4;
+/** Taken off the holder's view of the lease, as a share: covers clock drift and short pauses. */
+const LEASE_MARGIN_SHARE = 0.1;
+/** Engines kept whatever the load, for a start without figures: two a zone on the first sites. */
+const ENGINE_FLOOR = 6;
+/** Key of the duty lease in the table. */
+const LEASE_KEY = 'duty-lease';
+
+/** Returns the state of a box that has just started. */
+export function createGatewayState(params: {
+  settings: GatewaySettings;
+  incarnation: number;
+  nowMs: number;
+}): GatewayState {
+  const { settings, incarnation, nowMs } = params;
+  const ttlMs = settings.bounds.leaseMs;
+  return {
+    settings,
+    incarnation,
+    startedAtMs: nowMs,
+    nextAttemptId: 1,
+    nextCallId: 1,
+    active: undefined,
+    servers: new Map(),
+    serversRevision: 0,
+    serversKnown: false,
+    storeReachable: true,
+    storeReturnedAtMs: Number.NEGATIVE_INFINITY,
+    requests: new Map(),
+    quotas: new Map(),
+    retryBudgets: new Map(),
+    peers: new Map(),
+    peerSequence: 0,
+    newsSentAtMs: Number.NEGATIVE_INFINITY,
+    lease: createLease(
+      {
+        key: LEASE_KEY,
+        ttlMs,
+        marginMs: ttlMs * LEASE_MARGIN_SHARE,
+        renewEveryMs: ttlMs * LEASE_RENEWAL_SHARE,
+        maxOrderFlightMs: ttlMs,
+      },
+      settings.box.id,
+      incarnation,
+    ),
+    agreedClockOffsetMs: undefined,
+    clockAskedAtMs: Number.NEGATIVE_INFINITY,
+    storeEpochMs: undefined,
+    usage: new Map(),
+    usageChanged: false,
+    checkpointAtMs: 0,
+    checkpointVersion: 0,
+    orders: new Map(),
+    planAtMs: nowMs,
+    workTokens: 0,
+    workTokensSeen: 0,
+    loadTokensPerSecond: 0,
+    engineFloor: ENGINE_FLOOR,
+    stoppingSinceMs: undefined,
+    stopped: false,
+  };
+}
+
+/** Adds a log line. */
+export function log(step: Step, event: string, fields: Readonly<Record<string, LogField>>): void {
+  step.effects.push({ type: 'log', event, fields });
+}
+
+/** Asks the table; the answer comes back with its purpose. */
+export function requestTable(step: Step, purpose: TablePurpose, op: TableOp): void {
+  step.effects.push({ type: 'requestTable', purpose, op, sentAtMs: step.nowMs });
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -0,0 +1,79 @@
+/** Everything that the reducer takes. */
+import type { TableAnswer } from 'reedlug-coordination';
+import type { Configuration } from './configuration.js';
+import type { AnswerVerdict, RequestFacts } from './request.js';
+import type { ServerEntry } from './server.js';
+import type { PeerMessage } from './peer.js';
+
+/** A change of an entry of the registry; without a value the entry is gone. */
+export interface ServerChange {
+  id: string;
+  entry: ServerEntry | undefined;
+}
+
+/** How a call to the cloud ended. */
+export type CloudOutcome = 'done' | 'fenced' | 'unavailable' | 'refused' | 'unknown';
+
+/** An event without its time. */
+export type EventBody =
+  | { type: 'tick' }
+  | { type: 'requestArrived'; exchangeId: number; facts: RequestFacts }
+  | { type: 'callerGone'; exchangeId: number }
+  /** No byte of the attempt left this box. */
+  | { type: 'attemptNotSent'; exchangeId: number; attemptId: number; reason: string }
+  /** A whole plain answer is here, or the head and first event of a stream. */
+  | {
+      type: 'attemptAnswered';
+      exchangeId: number;
+      attemptId: number;
+      verdict: AnswerVerdict;
+      status: number;
+    }
+  /** Whole events of a stream went to the caller. */
+  | {
+      type: 'eventsRelayed';
+      exchangeId: number;
+      attemptId: number;
+      lastEventId: number | undefined;
+    }
+  /** A relayed answer came to its end. */
+  | { type: 'attemptEnded'; exchangeId: number; attemptId: number }
+  /** The connection ended, or said what is no answer, after bytes were sent. */
+  | { type: 'attemptLost'; exchangeId: number; attemptId: number; reason: string }
+  | { type: 'configurationRead'; configuration: Configuration; source: 'store' | 'peer' }
+  /** All entries as of one moment, or changes since. */
+  | {
+      type: 'serversRead';
+      whole: boolean;
+      changes: readonly ServerChange[];
+      revision: number;
+      source: 'store' | 'peer';
+    }
+  /** Whether the store answered the last call of a feed. */
+  | { type: 'storeContact'; reachable: boolean }
+  | { type: 'tableAnswered'; purpose: TablePurpose; answer: TableAnswer; sentAtMs: number }
+  | { type: 'cloudAnswered'; callId: number; outcome: CloudOutcome }
+  | { type: 'storeClock'; storeNowMs: number }
+  | { type: 'peerMessage'; message: PeerMessage }
+  | { type: 'peersListed'; peers: readonly PeerAddress[] }
+  | { type: 'stopAsked' };
+
+/** What a call to the table was for. */
+export type TablePurpose =
+  | { kind: 'lease' }
+  | { kind: 'clock' }
+  | { kind: 'usage'; window: number }
+  | { kind: 'checkpoint' };
+
+/** Where a box listens for its peers. */
+export interface PeerAddress {
+  boxId: string;
+  host: string;
+  port: number;
+}
+
+/** An event with the time on the box's monotonic clock and on its wall clock. */
+export type GatewayEvent = EventBody & { nowMs: number; wallMs: number };
+
+/** An event of one type. */
+export type EventOf<T extends EventBody['type']> = Extract<GatewayEvent, { type: T }>;
--- /dev/null
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -0,0 +1,76 @@
+/** A caller's request as facts, and what a box holds of it. */
+import type { Reach } from 'reedlug-coordination';
+import type { RouteSpec } from './configuration.js';
+
+/** A part of a prompt that other requests may share. */
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
+
+/** What a request's head says; the body passes through unread. */
+export interface RequestFacts {
+  requestId: string;
+  host: string;
+  /** Path with query, as sent. */
+  path: string;
+  key: string | undefined;
+  /** How long the caller waits, in ms, from the arrival; undefined when it does not say. */
+  deadlineMs: number | undefined;
+  /** Tokens of the prompt and the most tokens of the answer; undefined for plain requests. */
+  promptTokens: number | undefined;
+  maxOutputTokens: number | undefined;
+  promptParts: readonly PromptPart[];
+  /** The last event that the caller has; it resumes a stream. */
+  lastEventId: number | undefined;
+}
+
+/** What a backend server's answer says of the run. */
+export type AnswerVerdict =
+  /** The server's own success, signed. */
+  | 'success'
+  /** The server's own failure; the request ran, or counts as run. */
+  | 'failure'
+  /** The server says that it did not run the request. */
+  | 'notRun'
+  /** Another server has the address now; the request did not run. */
+  | 'otherServer'
+  /** Not an answer to this request, or a success without a signature. */
+  | 'invalid';
+
+/** One send of a request to a server. */
+export interface Attempt {
+  attemptId: number;
+  serverId: string;
+  sentAtMs: number;
+  reach: Reach;
+  open: boolean;
+  /** Prompt tokens that the server is taken to have to read for it. */
+  prefillTokens: number;
+  /** True once its first event or its answer came. */
+  begun: boolean;
+}
+
+/** A request in progress. */
+export interface RequestRecord {
+  /** Number of the exchange with the caller, unique on this box. */
+  exchangeId: number;
+  facts: RequestFacts;
+  route: RouteSpec;
+  service: string;
+  workspace: string | undefined;
+  /** 0 to 9; 0 goes first at an engine. */
+  urgency: number;
+  arrivedAtMs: number;
+  /** When the final answer is due, the earlier of caller's deadline and route's timeout. */
+  endsAtMs: number;
+  attempts: Attempt[];
+  /** Servers that refused or lost it. */
+  avoid: Set<string>;
+  /** True once the head of an answer went to the caller. */
+  relayed: boolean;
+  /** Id of the last whole event that went to the caller. */
+  lastEventId: number | undefined;
+  /** True once the request is counted in the usage of its workspace. */
+  counted: boolean;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/types/server.ts
@@ -0,0 +1,27 @@
+/** Backend servers as the platform's registry lists them. */
+
+/** An IP number and a port. */
+export interface HostPort {
+  host: string;
+  port: number;
+}
+
+/** Whether a server takes new work. */
+export const ServerState = { ready: 'ready', leaving: 'leaving' } as const;
+export type ServerState = (typeof ServerState)[keyof typeof ServerState];
+
+/** An entry of the registry. */
+export interface ServerEntry {
+  /** Names one life of a server; a restart has another id. */
+  id: string;
+  service: string;
+  address: HostPort;
+  zone: string;
+  /** Requests worked on at a time. */
+  slots: number;
+  state: ServerState;
+  /** True for a server that may be taken back at short notice. */
+  reclaimable: boolean;
+  /** Time until it is gone, in ms, where it told. */
+  leavesInMs: number | undefined;
+}
--- a/packages/reedlug/src/commands/dev.ts
+++ b/packages/reedlug/src/commands/dev.ts
@@ -1,7 +1,7 @@
 /** `reedlug dev`: entry boxes and stand-ins in one process. */
 import { Command } from 'clipanion';
 import { startDevCluster } from '../dev/devCluster.js';
-import { createLogger } from '../observe/logger.js';
+import { createLogger } from 'reedlug-gateway';
 import { SettingsCommand } from './settingsCommand.js';
 
 /** Runs until it is interrupted. */
--- a/packages/reedlug/src/commands/entry.ts
+++ b/packages/reedlug/src/commands/entry.ts
@@ -5,7 +5,7 @@
 import type { BoxEvent } from 'reedlug-decisions';
 import { startEntryDaemon } from '../daemon/entryDaemon.js';
 import { createCallerServer } from '../http/callerServer.js';
-import { createLogger } from '../observe/logger.js';
+import { createLogger } from 'reedlug-gateway';
 import type { PeerTls } from '../peers/peerLink.js';
 import type { BoxSettings, Settings } from '../settings/settingsTypes.js';
 import { SettingsCommand } from './settingsCommand.js';
--- a/packages/reedlug/src/daemon/runtime.ts
+++ b/packages/reedlug/src/daemon/runtime.ts
@@ -9,7 +9,7 @@
 import type { EngineStream } from '../backends/engineClient.js';
 import type { ServerPools } from '../backends/serverPools.js';
 import type { Histograms } from '../observe/histograms.js';
-import type { Logger } from '../observe/logger.js';
+import type { Logger } from 'reedlug-gateway';
 import type { Metrics } from '../observe/metrics.js';
 import type { PeerLink, PeerTls } from '../peers/peerLink.js';
 import type { PlatformClients } from '../platform/platformClients.js';
--- a/packages/reedlug/src/demo.ts
+++ b/packages/reedlug/src/demo.ts
@@ -6,7 +6,7 @@
 import { answerText } from 'reedlug-standins';
 import { hashString } from 'reedlug-coordination';
 import { startDevCluster, type DevBox, type DevCluster } from './dev/devCluster.js';
-import { createLogger } from './observe/logger.js';
+import { createLogger } from 'reedlug-gateway';
 import { createSseParser } from './backends/sseParser.js';
 import { readSettingsFile } from './settings/settingsFile.js';
 
--- a/packages/reedlug/src/dev/devCluster.ts
+++ b/packages/reedlug/src/dev/devCluster.ts
@@ -14,7 +14,7 @@
 import { startEntryDaemon, type EntryDaemon } from '../daemon/entryDaemon.js';
 import { createCallerServer } from '../http/callerServer.js';
 import { hashKey } from '../http/keys.js';
-import type { Logger } from '../observe/logger.js';
+import type { Logger } from 'reedlug-gateway';
 import { toDecisionSettings } from '../settings/decisionSettings.js';
 import type { BoxSettings, Settings } from '../settings/settingsTypes.js';
 import { parseFault, type DevFault } from './devFaults.js';
--- a/packages/reedlug/src/index.ts
+++ b/packages/reedlug/src/index.ts
@@ -6,7 +6,7 @@
 export { createCallerServer } from './http/callerServer.js';
 export { hashKey } from './http/keys.js';
 export * from './observe/histograms.js';
-export * from './observe/logger.js';
+export { createLogger, quoted, type Logger, type LogValue } from 'reedlug-gateway';
 export * from './settings/settingsFile.js';
 export type * from './settings/settingsTypes.js';
 export * from './settings/settingsValidation.js';
