--- /dev/null
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -0,0 +1,230 @@
+/** A box's state under test: one route of each kind, two servers for each service. */
+import { createGatewayState, type GatewayState } from '../../state.js';
+import { reduce } from '../../reduce.js';
+import type { Configuration, RouteSpec } from '../../types/configuration.js';
+import { LimitUnit, RouteKind } from '../../types/configuration.js';
+import type { Effect } from '../../types/effect.js';
+import type { EventBody } from '../../types/event.js';
+import type { PeerMessage } from '../../types/peer.js';
+import type { RequestFacts } from '../../types/request.js';
+import { ServerState, type ServerEntry } from '../../types/server.js';
+import type { GatewaySettings } from '../../types/settings.js';
+
+export const HOST = 'bench.example';
+export const KEY = 'key-of-tiger';
+
+export function settings(changes: Partial<GatewaySettings['bounds']> = {}): GatewaySettings {
+  return {
+    box: { id: 'box-1', ip: '127.0.0.1', zone: 'zone-a' },
+    zones: ['zone-a', 'zone-b'],
+    listen: {
+      callers: { host: '127.0.0.1', port: 0 },
+      readiness: { host: '127.0.0.1', port: 0 },
+      peersPort: 0,
+      metricsPort: 0,
+    },
+    seeds: [],
+    store: { address: { host: '127.0.0.1', port: 1 } },
+    cloud: {
+      address: { host: '127.0.0.1', port: 1 },
+      reportsUsage: true,
+      ordersEngines: true,
+    },
+    bounds: {
+      configurationMs: 2000,
+      drainMs: 2000,
+      graceMs: 8000,
+      retryRatio: 0.2,
+      retrySlack: 50,
+      leaseMs: 3000,
+      usageWindowMs: 5000,
+      usageDueMs: 10_000,
+      ...changes,
+    },
+  };
+}
+
+export function route(changes: Partial<RouteSpec> = {}): RouteSpec {
+  return {
+    name: 'lookup',
+    host: HOST,
+    pathPrefix: '/lookup/',
+    kind: RouteKind.repeatable,
+    timeoutMs: 600,
+    targetMs: 100,
+    gapTargetMs: undefined,
+    priority: 2,
+    targets: [{ service: 'records', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    resumable: false,
+    ...changes,
+  };
+}
+
+export function configuration(changes: Partial<Configuration> = {}): Configuration {
+  const draft = {
+    kind: RouteKind.stream,
+    timeoutMs: 8000,
+    targetMs: 1200,
+    targets: [{ service: 'engines', weight: 1 }],
+  };
+  return {
+    version: 1,
+    routes: [
+      route(),
+      route({
+        name: 'notice',
+        pathPrefix: '/notice/',
+        kind: RouteKind.nonRepeatable,
+        maxAttempts: 1,
+      }),
+      route({ name: 'draft', pathPrefix: '/draft/', ...draft, resumable: true }),
+      route({ name: 'review', pathPrefix: '/review/', ...draft, maxAttempts: 1 }),
+    ],
+    services: [
+      { name: 'records', maxConnections: 100, engine: undefined, scaling: undefined },
+      {
+        name: 'engines',
+        maxConnections: 600,
+        engine: { slots: 128, kvCapacityTokens: 260_000 },
+        scaling: {
+          minPerZone: 1,
+          maxPerZone: 4,
+          bootMs: 4000,
+          reclaimablePriceShare: 0.2,
+          zonePrices: [
+            { zone: 'zone-a', price: 0.9 },
+            { zone: 'zone-b', price: 1.1 },
+          ],
+        },
+      },
+    ],
+    workspaces: [
+      {
+        name: 'tiger',
+        keys: [KEY],
+        priority: undefined,
+        unit: LimitUnit.tokens,
+        plainTokens: 200,
+        ratePerSecond: 10_000,
+        burst: 10_000,
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    ...changes,
+  };
+}
+
+export function server(id: string, changes: Partial<ServerEntry> = {}): ServerEntry {
+  return {
+    id,
+    service: 'records',
+    address: { host: '127.0.0.1', port: 1000 },
+    zone: 'zone-a',
+    slots: 6,
+    state: ServerState.ready,
+    reclaimable: false,
+    leavesInMs: undefined,
+    ...changes,
+  };
+}
+
+export function facts(changes: Partial<RequestFacts> = {}): RequestFacts {
+  return {
+    requestId: 'request-1',
+    host: HOST,
+    path: '/lookup/7',
+    key: KEY,
+    deadlineMs: 600,
+    promptTokens: undefined,
+    maxOutputTokens: undefined,
+    promptParts: [],
+    lastEventId: undefined,
+    ...changes,
+  };
+}
+
+export function peerMessage(changes: Partial<PeerMessage> = {}): PeerMessage {
+  return {
+    boxId: 'box-2',
+    incarnation: 1,
+    sequence: 1,
+    zone: 'zone-b',
+    host: '127.0.0.2',
+    port: 7000,
+    configurationVersion: 1,
+    serversRevision: 1,
+    holdsLease: false,
+    leaving: false,
+    loads: {},
+    admitted: {},
+    usage: {},
+    workTokens: 0,
+    clockOffsetMs: undefined,
+    ...changes,
+  };
+}
+
+/** A box with its clock in the test's hands. */
+export interface TestBox {
+  state: GatewayState;
+  nowMs: number;
+  wallOffsetMs: number;
+  /** Feeds an event and returns its effects. */
+  take: (event: EventBody) => Effect[];
+  /** Moves the clock on, with a tick at the end. */
+  pass: (ms: number) => Effect[];
+}
+
+export function createBox(boxSettings: GatewaySettings = settings()): TestBox {
+  const box: TestBox = {
+    state: createGatewayState({ settings: boxSettings, incarnation: 1, nowMs: 0 }),
+    nowMs: 0,
+    wallOffsetMs: 1_000_000,
+    take: (event) =>
+      reduce(box.state, { ...event, nowMs: box.nowMs, wallMs: box.nowMs + box.wallOffsetMs }),
+    pass(ms) {
+      box.nowMs += ms;
+      return box.take({ type: 'tick' });
+    },
+  };
+  return box;
+}
+
+/** A box that has its configuration and four servers. */
+export function createServingBox(boxSettings: GatewaySettings = settings()): TestBox {
+  const box = createBox(boxSettings);
+  box.take({ type: 'configurationRead', configuration: configuration(), source: 'store' });
+  const entries = [
+    server('records-1'),
+    server('records-2', { zone: 'zone-b' }),
+    server('engine-1', { service: 'engines' }),
+    server('engine-2', { service: 'engines', zone: 'zone-b' }),
+  ];
+  const changes = entries.map((entry) => ({ id: entry.id, entry }));
+  box.take({ type: 'serversRead', whole: true, changes, revision: 1, source: 'store' });
+  return box;
+}
+
+export function ofType<T extends Effect['type']>(
+  effects: readonly Effect[],
+  type: T,
+): Extract<Effect, { type: T }>[] {
+  return effects.filter((effect): effect is Extract<Effect, { type: T }> => effect.type === type);
+}
+
+/** The only effect of a type; fails the test when there is none or more. */
+export function only<T extends Effect['type']>(
+  effects: readonly Effect[],
+  type: T,
+): Extract<Effect, { type: T }> {
+  const found = ofType(effects, type);
+  if (found.length !== 1) throw new Error(`${found.length} effects of type ${type}`);
+  return found[0] as Extract<Effect, { type: T }>;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -0,0 +1,152 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { expect } from 'chai';
+import type { HeaderCodec } from '../../adapter.js';
+import { createConnectionPool } from '../connectionPool.js';
+import { sendAttempt } from '../backendAttempt.js';
+
+const codec: HeaderCodec = {
+  decodeRequest: () => ({ kind: 'malformed', message: 'not used' }),
+  encodeSend: () => [],
+  judgeAnswer: ({ status, rawHeaders }) => {
+    const index = rawHeaders.findIndex((name) => name.toLowerCase() === 'id');
+    if (rawHeaders[index + 1] !== 'request-1') return 'invalid';
+    return status === 200 ? 'success' : 'failure';
+  },
+  answerHeaders: (raw) => [...raw],
+  refusalHeaders: () => [],
+};
+
+/** Sends a request to a server that answers by `respond`; resolves with what the attempt told. */
+async function outcomeOf(
+  respond: (socket: Socket) => void,
+  streaming = false,
+): Promise<{ told: string[]; body: string }> {
+  const server: Server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => respond(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const pool = createConnectionPool();
+  const told: string[] = [];
+  const { port } = server.address() as AddressInfo;
+  const connection = pool.take('server-1', { host: '127.0.0.1', port }, true);
+  let text = '';
+  await new Promise<void>((resolve) => {
+    const tell = (what: string): void => {
+      told.push(what);
+      resolve();
+    };
+    const attempt = sendAttempt({
+      connection,
+      pool,
+      codec,
+      request: {
+        requestId: 'request-1',
+        method: 'GET',
+        path: '/',
+        headers: ['Host', 'bench.example'],
+        body: Buffer.alloc(0),
+        streaming,
+      },
+      listener: {
+        onNotSent: () => tell('notSent'),
+        onAnswered: (verdict) => {
+          text = attempt.answer()?.body.toString() ?? '';
+          if (streaming && verdict === 'success') told.push('begun');
+          else tell(verdict);
+        },
+        onEvents: (events) => told.push(`events${events.map((event) => event.id).join('+')}`),
+        onEnded: () => tell('ended'),
+        onLost: () => tell('lost'),
+      },
+    });
+  });
+  pool.closeAll();
+  server.close();
+  return { told, body: text };
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\nid: request-1\r\n';
+
+test('an answer with a length is told whole', async () => {
+  const { told, body } = await outcomeOf((socket) =>
+    socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`),
+  );
+  expect(told).to.deep.equal(['success']);
+  expect(body).to.equal('whole');
+});
+
+test('an answer without a length that ends with its connection is whole', async () => {
+  const { told, body } = await outcomeOf((socket) => socket.end(`${HEAD}\r\nwhole`));
+  expect(told).to.deep.equal(['success']);
+  expect(body).to.equal('whole');
+});
+
+test('an answer without a length that is reset is lost', async () => {
+  const { told } = await outcomeOf((socket) => {
+    socket.write(`${HEAD}\r\npart`, () => setTimeout(() => socket.resetAndDestroy(), 30));
+  });
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('a stream without a length that is reset is lost', async () => {
+  const { told } = await outcomeOf((socket) => {
+    socket.write(`${HEAD}\r\nid: 1\ndata: a\n\n`, () =>
+      setTimeout(() => socket.resetAndDestroy(), 30),
+    );
+  }, true);
+  expect(told).to.deep.equal(['begun', 'events1', 'lost']);
+});
+
+test('an answer that is cut short is lost', async () => {
+  const { told } = await outcomeOf((socket) => socket.end(`${HEAD}Content-Length: 50\r\n\r\npart`));
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('bytes that are no answer are lost', async () => {
+  const { told } = await outcomeOf((socket) => socket.end('no answer at all\r\n\r\n'));
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('an answer to another request is invalid', async () => {
+  const { told } = await outcomeOf((socket) =>
+    socket.write('HTTP/1.1 200 OK\r\nid: request-0\r\nContent-Length: 0\r\n\r\n'),
+  );
+  expect(told).to.deep.equal(['invalid']);
+});
+
+test('a stream that ends within an event is lost', async () => {
+  const { told } = await outcomeOf(
+    (socket) => socket.end(`${HEAD}\r\nid: 1\ndata: a\n\nid: 2\nda`),
+    true,
+  );
+  expect(told).to.deep.equal(['begun', 'events1', 'lost']);
+});
+
+test('a refused connection is not sent', async () => {
+  const pool = createConnectionPool();
+  const connection = pool.take('server-1', { host: '127.0.0.1', port: 1 }, true);
+  const told = await new Promise<string>((resolve) => {
+    sendAttempt({
+      connection,
+      pool,
+      codec,
+      request: {
+        requestId: 'request-1',
+        method: 'GET',
+        path: '/',
+        headers: ['Host', 'bench.example'],
+        body: Buffer.alloc(0),
+        streaming: false,
+      },
+      listener: {
+        onNotSent: () => resolve('notSent'),
+        onAnswered: () => resolve('answered'),
+        onEvents: () => undefined,
+        onEnded: () => resolve('ended'),
+        onLost: () => resolve('lost'),
+      },
+    });
+  });
+  expect(told).to.equal('notSent');
+});
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -111,6 +111,10 @@
     },
     onResponseEnd() {
       if (settled || answer === undefined || verdict === undefined) return;
+      if (connection.failed) {
+        drop();
+        return settle(() => listener.onLost('resetInAnswer'));
+      }
       pool.giveBack(connection);
       if (isStream()) {
         if (splitter.pendingBytes() > 0) return settle(() => listener.onLost('cutInEvent'));
--- a/packages/reedlug-gateway/src/daemon/connectionPool.ts
+++ b/packages/reedlug-gateway/src/daemon/connectionPool.ts
@@ -2,7 +2,7 @@
  * Connections to backend servers: one undici client a connection, one request
  * at a time on each, so that an answer can only belong to the request in progress.
  */
-import { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 import type { HostPort } from '../types/server.js';
 
 /** Longest wait for a connection, in ms: a server's full queue drops the opening packet for seconds. */
@@ -16,6 +16,8 @@
 export interface Connection {
   client: Client;
   serverId: string;
+  /** True once its socket failed; undici takes an unframed answer that is reset for a whole one. */
+  failed: boolean;
 }
 
 /** Idle connections by server. */
@@ -32,6 +34,7 @@
 /** Returns an empty pool. */
 export function createConnectionPool(): ConnectionPool {
   const idle = new Map<string, Connection[]>();
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
   const forget = (connection: Connection): void => {
     const list = idle.get(connection.serverId);
@@ -50,14 +53,20 @@
   const open = (serverId: string, address: HostPort): Connection => {
     const client = new Client(`http://${address.host}:${address.port}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          result[1]?.prependListener('error', () => {
+            connection.failed = true;
+          });
+          callback(...result);
+        }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       // The gateway keeps the time itself: a server's silence is no reason to end an answer.
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    const connection: Connection = { client, serverId };
+    const connection: Connection = { client, serverId, failed: false };
     client.on('disconnect', () => discard(connection));
     return connection;
   };
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -9,9 +9,12 @@
 import { cancelAll, giveUp, refuse } from './ending.js';
 import { admitUnits, unitsOf } from './quotas.js';
 import { countFirstSend } from './retryBudgets.js';
+import { isTooLateToTake } from './stopping.js';
 
 /** When to come back to a box that has no configuration yet, in ms: it reads one within a second. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** When to come back to another box after this one's planned stop refused, in ms. */
+const STOPPING_RETRY_MS = 100;
 /** The engine's scale of urgency, from 0 to this. */
 const MAX_URGENCY = 9;
 /** Steps of urgency between two priorities of workspaces, so that a route's priority decides within. */
@@ -33,6 +36,9 @@
   }
   const route = findRoute(active, facts.host, facts.path);
   if (route === undefined) return refuseNow(404, 'noRoute');
+  if (isTooLateToTake(state, step.nowMs, route.kind)) {
+    return refuseNow(503, 'stopping', STOPPING_RETRY_MS);
+  }
   const needsKey = active.configuration.workspaces.length > 0 && !route.isPublic;
   const workspace = facts.key === undefined ? undefined : active.workspaceByKey.get(facts.key);
   if (needsKey && workspace === undefined) return refuseNow(401, 'unknownKey');
