--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -3,7 +3,7 @@
 import { followFeed, type FeedListener } from './feedFollower.js';
 
 /** How long a poll of configuration or registry is held, in ms: a lost answer is noticed within the users' 2 s. */
-const WATCH_WAIT_MS = 1500;
+const WATCH_WAIT_MS = 2000;
 /** How long a poll of the boxes is held, in ms: boxes also hear of each other directly. */
 const BOXES_WAIT_MS = 15_000;
 /** Pause before this box is entered again after a failed try, in ms. */
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/__tests__/engineTarget.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai';
+import { enginesNeeded, spreadEngines } from '../engineTarget.js';
+
+const ZONES = [
+  { zone: 'zone-a', price: 0.85, readyReclaimable: 0, isDry: false },
+  { zone: 'zone-b', price: 1.2, readyReclaimable: 0, isDry: false },
+  { zone: 'zone-c', price: 1.0, readyReclaimable: 0, isDry: false },
+];
+
+test('without load a few engines stay', () => {
+  expect(enginesNeeded(0)).to.deep.equal({ usual: 3, least: 2 });
+});
+
+test('engines grow with the load', () => {
+  const { usual, least } = enginesNeeded(40_000);
+  expect(usual).to.equal(6);
+  expect(least).to.equal(4);
+});
+
+test('reclaimable engines spread over zones, the cheapest first', () => {
+  const zones = ZONES.map((zone) => ({ ...zone, readyReclaimable: 2 }));
+  const plan = spreadEngines({
+    need: { usual: 4, least: 3 },
+    zones,
+    maxPerZone: 4,
+    hasReclaimable: true,
+  });
+  expect(plan).to.deep.equal([
+    { zone: 'zone-a', reclaimable: 2, onDemand: 0 },
+    { zone: 'zone-c', reclaimable: 1, onDemand: 0 },
+    { zone: 'zone-b', reclaimable: 1, onDemand: 0 },
+  ]);
+});
+
+test('on-demand engines fill what a reclaim leaves missing', () => {
+  const zones = [
+    { zone: 'zone-a', price: 0.85, readyReclaimable: 0, isDry: true },
+    { zone: 'zone-b', price: 1.2, readyReclaimable: 1, isDry: false },
+    { zone: 'zone-c', price: 1.0, readyReclaimable: 1, isDry: false },
+  ];
+  const plan = spreadEngines({
+    need: { usual: 4, least: 3 },
+    zones,
+    maxPerZone: 4,
+    hasReclaimable: true,
+  });
+  expect(plan.reduce((sum, { onDemand }) => sum + onDemand, 0)).to.equal(1);
+  expect(plan[0]).to.deep.equal({ zone: 'zone-a', reclaimable: 0, onDemand: 1 });
+});
+
+test('without reclaimable engines all are on demand', () => {
+  const plan = spreadEngines({
+    need: { usual: 4, least: 2 },
+    zones: ZONES,
+    maxPerZone: 4,
+    hasReclaimable: false,
+  });
+  expect(plan.map(({ onDemand }) => onDemand)).to.deep.equal([2, 1, 1]);
+});
+
+test('a full zone that runs dry leaves its room to on-demand engines', () => {
+  const zones = ZONES.map((zone) => ({ ...zone, isDry: true }));
+  const plan = spreadEngines({
+    need: { usual: 12, least: 6 },
+    zones,
+    maxPerZone: 4,
+    hasReclaimable: true,
+  });
+  expect(plan.map(({ reclaimable }) => reclaimable)).to.deep.equal([0, 0, 0]);
+  expect(plan.map(({ onDemand }) => onDemand)).to.deep.equal([2, 2, 2]);
+});
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
@@ -0,0 +1,112 @@
+import { expect } from 'chai';
+import {
+  createServingBox,
+  ofType,
+  only,
+  server,
+  type TestBox,
+} from '../../__tests__/__fixtures__/box.js';
+import type { CloudCall } from '../../types/effect.js';
+
+type Order = Extract<CloudCall, { kind: 'orderEngines' }>;
+
+/** Lets the box take the duty lease. */
+function takeLease(box: TestBox): void {
+  const read = only(box.pass(4000), 'requestTable');
+  const { purpose, sentAtMs } = read;
+  box.take({ type: 'tableAnswered', purpose, answer: { kind: 'done', rows: [] }, sentAtMs });
+  const write = only(box.pass(50), 'requestTable');
+  if (write.op.kind !== 'transact') throw new Error('the lease is taken by a write');
+  const rows = write.op.writes.map(({ key, value }) => ({ key, version: 1, value }));
+  box.take({
+    type: 'tableAnswered',
+    purpose: write.purpose,
+    answer: { kind: 'done', rows },
+    sentAtMs: write.sentAtMs,
+  });
+}
+
+function ordersOf(box: TestBox, ms: number): Order[] {
+  return ofType(box.pass(ms), 'callCloud').flatMap(({ call }) =>
+    call.kind === 'orderEngines' ? [call] : [],
+  );
+}
+
+function sum(orders: readonly Order[], reclaimable: boolean): number {
+  const ofKind = orders.filter((order) => order.reclaimable === reclaimable);
+  return ofKind.reduce((total, { wanted }) => total + wanted, 0);
+}
+
+test('without the lease nothing is ordered', () => {
+  const box = createServingBox();
+  expect(ordersOf(box, 500)).to.have.length(0);
+});
+
+test('at the start reclaimable engines are ordered, and on-demand ones only until they serve', () => {
+  const box = createServingBox();
+  takeLease(box);
+  const first = ordersOf(box, 300);
+  expect(sum(first, true)).to.be.at.least(2);
+  expect(sum(first, false)).to.equal(2);
+  const entries = ['a', 'b', 'c'].map((id) =>
+    server(id, { service: 'engines', reclaimable: true, zone: 'zone-a' }),
+  );
+  const changes = entries.map((entry) => ({ id: entry.id, entry }));
+  box.take({ type: 'serversRead', whole: false, changes, revision: 2, source: 'store' });
+  const then = ordersOf(box, 300);
+  expect(sum(then, false)).to.equal(0);
+  expect(then.some(({ reclaimable }) => !reclaimable)).to.equal(true);
+});
+
+test('an order that was taken is not sent again under the same fence', () => {
+  const box = createServingBox();
+  takeLease(box);
+  const calls = ofType(box.pass(300), 'callCloud');
+  for (const { callId } of calls) box.take({ type: 'cloudAnswered', callId, outcome: 'done' });
+  expect(ordersOf(box, 300)).to.have.length(0);
+});
+
+test('an order that was not taken is sent again after a pause', () => {
+  const box = createServingBox();
+  takeLease(box);
+  const calls = ofType(box.pass(300), 'callCloud');
+  for (const { callId } of calls)
+    box.take({ type: 'cloudAnswered', callId, outcome: 'unavailable' });
+  expect(ordersOf(box, 300)).to.have.length(0);
+  box.pass(300);
+  expect(ordersOf(box, 500)).to.have.length(calls.length);
+});
+
+test('a zone that refuses a reclaimable engine is not asked again for a while', () => {
+  const box = createServingBox();
+  takeLease(box);
+  const calls = ofType(box.pass(300), 'callCloud');
+  for (const { callId, call } of calls) {
+    const isRefused = call.kind === 'orderEngines' && call.reclaimable && call.zone === 'zone-a';
+    box.take({ type: 'cloudAnswered', callId, outcome: isRefused ? 'refused' : 'done' });
+  }
+  const next = ordersOf(box, 300).filter(({ reclaimable }) => reclaimable);
+  expect(next.find(({ zone }) => zone === 'zone-a')?.wanted).to.equal(0);
+  expect(next.find(({ zone }) => zone === 'zone-b')?.wanted).to.equal(3);
+});
+
+test('on-demand engines are ordered at once when a full zone loses its reclaimable ones', () => {
+  const box = createServingBox();
+  const entries = ['a', 'b', 'c', 'd'].map((id) =>
+    server(id, { service: 'engines', reclaimable: true, zone: 'zone-a' }),
+  );
+  const changes = entries.map((entry) => ({ id: entry.id, entry }));
+  box.take({ type: 'serversRead', whole: false, changes, revision: 2, source: 'store' });
+  takeLease(box);
+  for (const { callId } of ofType(box.pass(300), 'callCloud')) {
+    box.take({ type: 'cloudAnswered', callId, outcome: 'done' });
+  }
+  const gone = [...box.state.servers.values()].filter(({ entry }) => entry.service === 'engines');
+  const removed = gone.map(({ entry }) => ({ id: entry.id, entry: undefined }));
+  box.take({ type: 'serversRead', whole: false, changes: removed, revision: 3, source: 'store' });
+  const orders = ordersOf(box, 300);
+  expect(sum(orders, false)).to.be.at.least(2);
+  expect(orders.find(({ zone, reclaimable }) => reclaimable && zone === 'zone-a')?.wanted).to.equal(
+    0,
+  );
+});
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -6,16 +6,36 @@
  */
 import type { EventOf } from '../types/event.js';
 import type { ServiceSpec } from '../types/configuration.js';
-import { enginesWanted, spreadEngines } from '../policy/engineTarget.js';
-import { log, type EngineOrder, type GatewayState, type Step } from '../state.js';
+import { enginesNeeded, spreadEngines, type EngineNeed } from '../policy/engineTarget.js';
+import {
+  log,
+  type EngineOrder,
+  type GatewayState,
+  type HeldFigure,
+  type HeldNeed,
+  type Step,
+} from '../state.js';
 import { dutyFence } from './duties.js';
 
 /** Pause between plans, in ms: an engine takes seconds to start, a reclaim gives two. */
 const PLAN_EVERY_MS = 250;
 /** Pause before an order that was refused or lost is sent again, in ms. */
 const ORDER_RETRY_MS = 1000;
-/** Time over which the load is averaged, in ms. */
-const LOAD_SMOOTHING_MS = 4000;
+/** Time over which the load is averaged while it rises, in ms: shorter than an engine's start. */
+const RISE_SMOOTHING_MS = 3000;
+/** The same while it falls, in ms: an engine that is given up costs its start again. */
+const FALL_SMOOTHING_MS = 20_000;
+/** How long a need is kept after it was last that high, in ms: an engine takes 4 s to start, and load comes in waves. */
+const HOLD_USUAL_MS = 20_000;
+const HOLD_LEAST_MS = 5000;
+/** Time in which the engines found at the start are kept, in ms: the load is not known yet, and traffic may begin after a while. */
+const LEARN_LOAD_MS = 15_000;
+/** How long a zone is taken to have no reclaimable engines, in ms: the users' zones run dry for 5 to 14 s. */
+const DRY_MS = 5000;
+/** How much later than its usual start an engine may come, in ms: its entry is read by long poll. */
+const BOOT_MARGIN_MS = 2000;
+/** Time from this box's start until it plans, in ms: two heartbeats, in which the registry fills at a first start. */
+const REGISTRY_FILLS_MS = 3500;
 
 /** Plans and orders, while this box holds the lease. */
 export function capacityTick(state: GatewayState, step: Step): void {
@@ -24,6 +44,7 @@
   state.planAtMs = step.nowMs;
   measureLoad(state, elapsedMs);
   if (state.settings.cloud?.ordersEngines !== true) return;
+  if (step.nowMs - state.startedAtMs < REGISTRY_FILLS_MS) return;
   const fence = dutyFence(state, step.nowMs);
   if (fence === undefined || state.active === undefined || !state.serversKnown) return;
   for (const service of state.active.configuration.services) {
@@ -37,21 +58,35 @@
   for (const peer of state.peers.values()) total += peer.message?.workTokens ?? 0;
   const added = Math.max(0, total - state.workTokensSeen);
   state.workTokensSeen = total;
-  const weight = Math.min(1, elapsedMs / LOAD_SMOOTHING_MS);
   const ratePerSecond = (added * 1000) / Math.max(1, elapsedMs);
-  state.loadTokensPerSecond += (ratePerSecond - state.loadTokensPerSecond) * weight;
+  const smoothing = { added: ratePerSecond, elapsedMs };
+  state.recentTokensPerSecond = smooth(state.recentTokensPerSecond, smoothing, RISE_SMOOTHING_MS);
+  state.longTokensPerSecond = smooth(state.longTokensPerSecond, smoothing, FALL_SMOOTHING_MS);
+}
+
+function smooth(
+  value: number,
+  sample: { added: number; elapsedMs: number },
+  smoothingMs: number,
+): number {
+  return value + (sample.added - value) * Math.min(1, sample.elapsedMs / smoothingMs);
+}
+
+function loadOf(state: GatewayState): number {
+  return Math.max(state.recentTokensPerSecond, state.longTokensPerSecond);
 }
 
 function planService(state: GatewayState, step: Step, service: ServiceSpec, fence: number): void {
   const { scaling } = service;
   if (scaling === undefined) return;
-  const zones = scaling.zonePrices.map(({ zone, price }) => ({
-    zone,
-    price,
-    readyReclaimable: countReady(state, service.name, zone),
-  }));
+  const zones = scaling.zonePrices.map(({ zone, price }) => {
+    const ready = countReady(state, service.name, zone);
+    noteLosses(state, step, { service: service.name, name: zone, ready, bootMs: scaling.bootMs });
+    const dryUntilMs = state.dryUntilMs.get(zoneKey(service.name, zone)) ?? 0;
+    return { zone, price, readyReclaimable: ready, isDry: step.nowMs < dryUntilMs };
+  });
   const plan = spreadEngines({
-    wanted: Math.max(state.engineFloor, enginesWanted(state.loadTokensPerSecond)),
+    need: steadyNeed(state, step, service.name),
     zones,
     maxPerZone: scaling.maxPerZone,
     hasReclaimable: scaling.reclaimablePriceShare !== undefined,
@@ -74,6 +109,74 @@
   }
 }
 
+function zoneKey(service: string, zone: string): string {
+  return `${service} ${zone}`;
+}
+
+function orderKey(service: string, zone: string, reclaimable: boolean): string {
+  return `${zoneKey(service, zone)} ${reclaimable ? 'reclaimable' : 'onDemand'}`;
+}
+
+/** No further reclaimable engines are to be had in a zone for a while. */
+function noteDry(state: GatewayState, step: Step, service: string, zone: string): void {
+  state.dryUntilMs.set(zoneKey(service, zone), step.nowMs + DRY_MS);
+}
+
+/**
+ * Finds zones that have run dry: reclaimable engines there went that this box did
+ * not give up, or did not come in time after the order was taken.
+ */
+function noteLosses(
+  state: GatewayState,
+  step: Step,
+  zone: { service: string; name: string; ready: number; bootMs: number },
+): void {
+  const key = zoneKey(zone.service, zone.name);
+  const before = state.readyReclaimable.get(key) ?? 0;
+  state.readyReclaimable.set(key, zone.ready);
+  const order = state.orders.get(orderKey(zone.service, zone.name, true));
+  if (order === undefined || zone.ready >= order.call.wanted) return;
+  const dueMs = order.sentAtMs + zone.bootMs + BOOT_MARGIN_MS;
+  const isLate = order.taken && step.nowMs > dueMs;
+  if (zone.ready < before || isLate) noteDry(state, step, zone.service, zone.name);
+}
+
+/** The need, which rises at once and falls only after a while. */
+function steadyNeed(state: GatewayState, step: Step, service: string): EngineNeed {
+  const { usual, least } = enginesNeeded(loadOf(state));
+  const held = state.heldNeeds.get(service) ?? startNeed();
+  // Before a load is known, as many engines as there are.
+  const isLearning = step.nowMs - state.startedAtMs < LEARN_LOAD_MS;
+  const atLeast = isLearning ? countPresent(state, service) : 0;
+  hold(held.usual, Math.max(usual, atLeast), step.nowMs, HOLD_USUAL_MS);
+  hold(held.least, least, step.nowMs, HOLD_LEAST_MS);
+  state.heldNeeds.set(service, held);
+  return { usual: held.usual.value, least: held.least.value };
+}
+
+/** Nothing is held yet. */
+function startNeed(): HeldNeed {
+  return { usual: { value: 0, untilMs: 0 }, least: { value: 0, untilMs: 0 } };
+}
+
+/** Engines of the more numerous kind: at a change from one kind to the other, both are there. */
+function countPresent(state: GatewayState, service: string): number {
+  let reclaimable = 0;
+  let onDemand = 0;
+  for (const { entry, leaving } of state.servers.values()) {
+    if (entry.service !== service || leaving) continue;
+    if (entry.reclaimable) reclaimable += 1;
+    else onDemand += 1;
+  }
+  return Math.max(reclaimable, onDemand);
+}
+
+function hold(held: HeldFigure, value: number, nowMs: number, holdMs: number): void {
+  if (value < held.value && nowMs < held.untilMs) return;
+  if (value < held.value || nowMs + holdMs > held.untilMs) held.untilMs = nowMs + holdMs;
+  held.value = value;
+}
+
 function countReady(state: GatewayState, service: string, zone: string): number {
   let count = 0;
   for (const { entry, leaving } of state.servers.values()) {
@@ -89,7 +192,7 @@
   wanted: Omit<EngineOrder['call'], 'kind'>,
   fence: number,
 ): void {
-  const key = `${wanted.service} ${wanted.zone} ${wanted.reclaimable ? 'reclaimable' : 'onDemand'}`;
+  const key = orderKey(wanted.service, wanted.zone, wanted.reclaimable);
   const last = state.orders.get(key);
   const isSame = last?.call.wanted === wanted.wanted && last.fence === fence;
   if (isSame && (last.taken || step.nowMs < last.notBeforeMs)) return;
@@ -97,12 +200,13 @@
   state.nextCallId += 1;
   const call: EngineOrder['call'] = { kind: 'orderEngines', ...wanted };
   const notBeforeMs = step.nowMs + ORDER_RETRY_MS;
-  state.orders.set(key, { call, fence, taken: false, callId, notBeforeMs });
+  const sentAtMs = step.nowMs;
+  state.orders.set(key, { call, fence, taken: false, callId, sentAtMs, notBeforeMs });
   step.effects.push({ type: 'callCloud', callId, call, fence });
   log(step, 'enginesOrdered', {
     ...wanted,
     fence,
-    loadTokensPerSecond: Math.round(state.loadTokensPerSecond),
+    loadTokensPerSecond: Math.round(loadOf(state)),
   });
 }
 
@@ -116,7 +220,8 @@
     if (entry.callId !== event.callId) continue;
     entry.taken = event.outcome === 'done';
     if (!entry.taken) {
-      const { zone, wanted, reclaimable } = entry.call;
+      const { service, zone, wanted, reclaimable } = entry.call;
+      if (reclaimable && event.outcome === 'refused') noteDry(state, step, service, zone);
       log(step, 'orderNotTaken', { zone, wanted, reclaimable, outcome: event.outcome });
     }
     return true;
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -68,9 +68,22 @@
   /** The fence it was sent under; a new holder orders anew. */
   fence: number;
   callId: number;
+  sentAtMs: number;
   notBeforeMs: number;
 }
 
+/** A figure that falls only after a time. */
+export interface HeldFigure {
+  value: number;
+  untilMs: number;
+}
+
+/** Engines needed by a service, held against short dips of its load. */
+export interface HeldNeed {
+  usual: HeldFigure;
+  least: HeldFigure;
+}
+
 /** A usage window on its way to the platform. */
 export interface UsageWindow {
   window: number;
@@ -120,9 +133,14 @@
   workTokens: number;
   /** The sum over all boxes at the last plan. */
   workTokensSeen: number;
-  loadTokensPerSecond: number;
-  /** Engines kept whatever the load. */
-  engineFloor: number;
+  /** Prompt tokens a second over all boxes, averaged over seconds and over a longer time. */
+  recentTokensPerSecond: number;
+  longTokensPerSecond: number;
+  heldNeeds: Map<string, HeldNeed>;
+  /** By service and zone, until when no further reclaimable engines are to be had. */
+  dryUntilMs: Map<string, number>;
+  /** By service and zone, reclaimable engines that took work at the last plan. */
+  readyReclaimable: Map<string, number>;
   stoppingSinceMs: number | undefined;
   stopped: boolean;
 }
@@ -131,8 +149,6 @@
 const LEASE_RENEWAL_SHARE = 0.4;
 /** Taken off the holder's view of the lease, as a share: covers clock drift and short pauses. */
 const LEASE_MARGIN_SHARE = 0.1;
-/** Engines kept whatever the load, for a start without figures: two a zone on the first sites. */
-const ENGINE_FLOOR = 6;
 /** Key of the duty lease in the table. */
 const LEASE_KEY = 'duty-lease';
 
@@ -184,8 +200,11 @@
     planAtMs: nowMs,
     workTokens: 0,
     workTokensSeen: 0,
-    loadTokensPerSecond: 0,
-    engineFloor: ENGINE_FLOOR,
+    recentTokensPerSecond: 0,
+    longTokensPerSecond: 0,
+    heldNeeds: new Map(),
+    dryUntilMs: new Map(),
+    readyReclaimable: new Map(),
     stoppingSinceMs: undefined,
     stopped: false,
   };
