Keep engines where they were ordered; count starting ones before on-demand orders

Cause: each plan dealt engines anew, so zones traded engines every second and on-demand ones were given up before reclaimable ones served; a restarted peer's total counted as load of one instant.

--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -1,11 +1,11 @@
 /** How many engines a service needs for its load, and where. */
 
-/** Prompt tokens that one engine reads in a second while it also decodes. */
+/** Prompt tokens of requests' own parts that one engine reads in a second while it also decodes. */
 const ENGINE_TOKENS_PER_SECOND = 28_000;
 /** Share of an engine's reading that is used on average: above it, each step carries a piece of a prompt and streams miss their deadlines (measured: 0.45 lost a tenth of the credit). */
-const USUAL_USE = 0.28;
+const USUAL_USE = 0.3;
 /** Share that is borne while reclaimable engines are away, before on-demand ones are paid for. */
-const STRAINED_USE = 0.42;
+const STRAINED_USE = 0.45;
 /** Engines that are there whatever the load: one loss must leave others. */
 const MIN_ENGINES = 3;
 /** Engines of any kind below which on-demand ones are ordered, whatever the load. */
@@ -42,6 +42,9 @@
   price: number;
   /** Reclaimable engines there that take work. */
   readyReclaimable: number;
+  /** Engines last ordered there, by kind. */
+  reclaimable: number;
+  onDemand: number;
   /** True while no further reclaimable engines are to be had there. */
   isDry: boolean;
 }
@@ -49,6 +52,8 @@
 /**
  * Spreads reclaimable engines evenly over zones, the cheapest first. On-demand
  * ones fill what is missing to the least while reclaimable ones are away.
+ * Whatever was ordered stays where it is as long as it fits: moving an engine
+ * costs a start and a cold cache.
  */
 export function spreadEngines(params: {
   need: EngineNeed;
@@ -59,23 +64,20 @@
 }): ZoneWanted[] {
   const { need, maxPerZone, hasReclaimable } = params;
   const zones = [...params.zones].sort((a, b) => a.price - b.price);
-  if (!hasReclaimable) {
-    const caps = zones.map(() => maxPerZone);
-    const onDemand = deal(need.usual, caps);
-    return zones.map(({ zone }, index) => ({
-      zone,
-      reclaimable: 0,
-      onDemand: onDemand[index] ?? 0,
-    }));
-  }
+  const onDemand = hasReclaimable
+    ? onDemandFor(need.least, zones, maxPerZone)
+    : dealOnto(
+        need.usual,
+        [],
+        zones.map(() => maxPerZone),
+      );
   // A dry zone keeps what it has: what is wished for there would only take the room of others.
-  const caps = zones.map(({ isDry, readyReclaimable }) =>
-    isDry ? Math.min(maxPerZone, readyReclaimable) : maxPerZone,
-  );
-  const reclaimable = deal(need.usual, caps);
-  const ready = zones.reduce((sum, { readyReclaimable }) => sum + readyReclaimable, 0);
-  const room = reclaimable.map((count) => maxPerZone - count);
-  const onDemand = deal(need.least - ready, room);
+  const caps = zones.map(({ isDry, readyReclaimable }, index) => {
+    const free = maxPerZone - (onDemand[index] ?? 0);
+    return isDry ? Math.min(free, readyReclaimable) : free;
+  });
+  const ordered = zones.map((zone) => zone.reclaimable);
+  const reclaimable = hasReclaimable ? dealOnto(need.usual, ordered, caps) : [];
   return zones.map(({ zone }, index) => ({
     zone,
     reclaimable: reclaimable[index] ?? 0,
@@ -83,17 +85,54 @@
   }));
 }
 
-/** Deals a number out evenly, the first places first, up to a cap for each. */
-function deal(count: number, caps: readonly number[]): number[] {
-  const dealt = caps.map(() => 0);
-  for (let left = count; left > 0; left -= 1) {
-    let least: number | undefined;
-    for (const [index, cap] of caps.entries()) {
-      const held = dealt[index] ?? 0;
-      if (held < cap && (least === undefined || held < (dealt[least] ?? 0))) least = index;
-    }
-    if (least === undefined) break;
+/** On-demand engines that are there stay until enough reclaimable ones serve; new ones count those on their way. */
+function onDemandFor(least: number, zones: readonly ZoneOffer[], maxPerZone: number): number[] {
+  const ready = total(zones.map(({ readyReclaimable }) => readyReclaimable));
+  const ordered = zones.map(({ onDemand }) => onDemand);
+  const kept = dealOnto(Math.min(least - ready, total(ordered)), ordered, ordered);
+  const coming = total(
+    zones.map(({ isDry, reclaimable, readyReclaimable }) =>
+      isDry ? 0 : Math.max(0, reclaimable - readyReclaimable),
+    ),
+  );
+  const wanted = Math.max(total(kept), least - ready - coming);
+  const room = zones.map(({ readyReclaimable }) => maxPerZone - readyReclaimable);
+  return dealOnto(wanted, kept, room);
+}
+
+function total(counts: readonly number[]): number {
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+/** Changes counts so that they sum to a number, within caps: adds to the least, takes from the greatest. */
+function dealOnto(count: number, from: readonly number[], caps: readonly number[]): number[] {
+  const dealt = caps.map((cap, index) => Math.max(0, Math.min(cap, from[index] ?? 0)));
+  while (total(dealt) > Math.max(0, count)) {
+    const greatest = indexOfBest(
+      dealt,
+      (held, best) => held >= best,
+      () => true,
+    );
+    dealt[greatest] = (dealt[greatest] ?? 0) - 1;
+  }
+  while (total(dealt) < count) {
+    const hasRoom = (index: number): boolean => (dealt[index] ?? 0) < (caps[index] ?? 0);
+    const least = indexOfBest(dealt, (held, best) => held < best, hasRoom);
+    if (least < 0) break;
     dealt[least] = (dealt[least] ?? 0) + 1;
   }
   return dealt;
 }
+
+function indexOfBest(
+  counts: readonly number[],
+  isBetter: (held: number, best: number) => boolean,
+  isAllowed: (index: number) => boolean,
+): number {
+  let best = -1;
+  for (const [index, held] of counts.entries()) {
+    if (!isAllowed(index)) continue;
+    if (best < 0 || isBetter(held, counts[best] ?? 0)) best = index;
+  }
+  return best;
+}
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -54,10 +54,15 @@
 
 /** Prompt tokens that all boxes sent to be read, a second, smoothed. */
 function measureLoad(state: GatewayState, elapsedMs: number): void {
-  let total = state.workTokens;
-  for (const peer of state.peers.values()) total += peer.message?.workTokens ?? 0;
-  const added = Math.max(0, total - state.workTokensSeen);
-  state.workTokensSeen = total;
+  let added = state.workTokens - state.workTokensSeen;
+  state.workTokensSeen = state.workTokens;
+  for (const peer of state.peers.values()) {
+    const total = peer.message?.workTokens;
+    if (total === undefined) continue;
+    // What a peer sent before it was first heard, or before a restart, is no load of now.
+    if (peer.workTokensSeen !== undefined) added += Math.max(0, total - peer.workTokensSeen);
+    peer.workTokensSeen = total;
+  }
   const ratePerSecond = (added * 1000) / Math.max(1, elapsedMs);
   const smoothing = { added: ratePerSecond, elapsedMs };
   state.recentTokensPerSecond = smooth(state.recentTokensPerSecond, smoothing, RISE_SMOOTHING_MS);
@@ -80,10 +85,17 @@
   const { scaling } = service;
   if (scaling === undefined) return;
   const zones = scaling.zonePrices.map(({ zone, price }) => {
-    const ready = countReady(state, service.name, zone);
+    const ready = countReady(state, service.name, zone, true);
     noteLosses(state, step, { service: service.name, name: zone, ready, bootMs: scaling.bootMs });
     const dryUntilMs = state.dryUntilMs.get(zoneKey(service.name, zone)) ?? 0;
-    return { zone, price, readyReclaimable: ready, isDry: step.nowMs < dryUntilMs };
+    return {
+      zone,
+      price,
+      readyReclaimable: ready,
+      reclaimable: lastOrdered(state, service.name, zone, true),
+      onDemand: lastOrdered(state, service.name, zone, false),
+      isDry: step.nowMs < dryUntilMs,
+    };
   });
   const plan = spreadEngines({
     need: steadyNeed(state, step, service.name),
@@ -117,6 +129,17 @@
   return `${zoneKey(service, zone)} ${reclaimable ? 'reclaimable' : 'onDemand'}`;
 }
 
+/** Engines last ordered; before the first order of this box, those that are there. */
+function lastOrdered(
+  state: GatewayState,
+  service: string,
+  zone: string,
+  reclaimable: boolean,
+): number {
+  const last = state.orders.get(orderKey(service, zone, reclaimable));
+  return last?.call.wanted ?? countReady(state, service, zone, reclaimable);
+}
+
 /** No further reclaimable engines are to be had in a zone for a while. */
 function noteDry(state: GatewayState, step: Step, service: string, zone: string): void {
   state.dryUntilMs.set(zoneKey(service, zone), step.nowMs + DRY_MS);
@@ -177,11 +200,16 @@
   held.value = value;
 }
 
-function countReady(state: GatewayState, service: string, zone: string): number {
+function countReady(
+  state: GatewayState,
+  service: string,
+  zone: string,
+  reclaimable: boolean,
+): number {
   let count = 0;
   for (const { entry, leaving } of state.servers.values()) {
     if (entry.service !== service || entry.zone !== zone) continue;
-    if (entry.reclaimable && !leaving) count += 1;
+    if (entry.reclaimable === reclaimable && !leaving) count += 1;
   }
   return count;
 }
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -88,6 +88,7 @@
     address,
     heardAtMs: step.nowMs,
     message: undefined,
+    workTokensSeen: undefined,
     askedAtMs: Number.NEGATIVE_INFINITY,
   };
   state.peers.set(boxId, peer);
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -57,6 +57,8 @@
   heardAtMs: number;
   /** Undefined until the first message. */
   message: PeerMessage | undefined;
+  /** Its total of prompt tokens at the last plan. */
+  workTokensSeen: number | undefined;
   askedAtMs: number;
 }
 
@@ -131,7 +133,7 @@
   planAtMs: number;
   /** Prompt tokens that this box has sent to be read, since its start. */
   workTokens: number;
-  /** The sum over all boxes at the last plan. */
+  /** The same at the last plan. */
   workTokensSeen: number;
   /** Prompt tokens a second over all boxes, averaged over seconds and over a longer time. */
   recentTokensPerSecond: number;
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -30,7 +30,7 @@
   admitted: Readonly<Record<string, number>>;
   /** Requests begun, by usage window and workspace; the newest windows only. */
   usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
-  /** Prompt tokens sent to be read since the start. */
+  /** Prompt tokens of requests' own parts, sent to be read since the start. */
   workTokens: number;
   /** Agreed wall clock less store clock, in ms; undefined while none is agreed. */
   clockOffsetMs: number | undefined;
