Tell a reset from an end of an answer without a length

Ruled out: answers with a length or in chunks, by raw socket tests. Change: at the end of such an answer an empty line is written; it fails on a reset connection. Test first failing: daemon/backendAttempt 'reset with its last bytes'.

--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -103,6 +103,56 @@
   expect(told).to.deep.equal(['lost']);
 });
 
+test('an answer with a length that is cut with a closing connection is lost', async () => {
+  const { told } = await outcomeOf((socket) =>
+    socket.end(`${HEAD}Content-Length: 50\r\nConnection: close\r\n\r\npart`),
+  );
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('an answer with a length that is reset with a closing connection is lost', async () => {
+  const { told } = await outcomeOf((socket) => {
+    socket.write(`${HEAD}Content-Length: 50\r\nConnection: close\r\n\r\npart`, () =>
+      setTimeout(() => socket.resetAndDestroy(), 30),
+    );
+  });
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('an answer without a length that is reset with its last bytes is lost', async () => {
+  const { told } = await outcomeOf((socket) => {
+    socket.write(`${HEAD}\r\npart`, () => socket.resetAndDestroy());
+  });
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('a stream without a length that ends with its connection is whole', async () => {
+  const { told } = await outcomeOf((socket) => socket.end(`${HEAD}\r\nid: 1\ndata: a\n\n`), true);
+  expect(told).to.deep.equal(['begun', 'events1', 'ended']);
+});
+
+const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n`;
+
+test('an answer in chunks that ends with its connection before the last chunk is lost', async () => {
+  const { told } = await outcomeOf((socket) => socket.end(`${CHUNKED}4\r\npart\r\n`));
+  expect(told).to.deep.equal(['lost']);
+});
+
+test('a stream in chunks that ends with its connection before the last chunk is lost', async () => {
+  const event = 'id: 1\ndata: a\n\n';
+  const chunk = `${event.length.toString(16)}\r\n${event}\r\n`;
+  const { told } = await outcomeOf((socket) => socket.end(`${CHUNKED}${chunk}`), true);
+  expect(told).to.deep.equal(['begun', 'events1', 'lost']);
+});
+
+test('an answer in chunks with its last chunk is whole, also when its connection ends', async () => {
+  const { told, body } = await outcomeOf((socket) =>
+    socket.end(`${CHUNKED}5\r\nwhole\r\n0\r\n\r\n`),
+  );
+  expect(told).to.deep.equal(['success']);
+  expect(body).to.equal('whole');
+});
+
 test('bytes that are no answer are lost', async () => {
   const { told } = await outcomeOf((socket) => socket.end('no answer at all\r\n\r\n'));
   expect(told).to.deep.equal(['lost']);
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -81,6 +81,16 @@
     if (!settled && answer !== undefined) listener.onAnswered('success', answer.status);
   };
 
+  const finish = (whole: BackendAnswer, told: AnswerVerdict): void => {
+    if (isStream()) {
+      if (splitter.pendingBytes() > 0) return settle(() => listener.onLost('cutInEvent'));
+      beginStream();
+      return settle(() => listener.onEnded());
+    }
+    whole.body = Buffer.concat(chunks);
+    settle(() => listener.onAnswered(told, whole.status));
+  };
+
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart() {
       sent = true;
@@ -89,6 +99,7 @@
       if (status < 200 || settled) return;
       const rawHeaders = textHeaders(controller.rawHeaders);
       verdict = codec.judgeAnswer({ requestId: request.requestId, status, rawHeaders });
+      connection.answerEndsWithIt = !isFramed(status, rawHeaders);
       answer = { status, statusText: statusText ?? '', rawHeaders, body: Buffer.alloc(0) };
       if (verdict !== 'invalid') return;
       settle(() => listener.onAnswered('invalid', status));
@@ -111,20 +122,16 @@
     },
     onResponseEnd() {
       if (settled || answer === undefined || verdict === undefined) return;
-      if (connection.failed) {
-        drop();
-        return settle(() => listener.onLost('resetInAnswer'));
-      }
-      pool.giveBack(connection);
-      if (isStream()) {
-        if (splitter.pendingBytes() > 0) return settle(() => listener.onLost('cutInEvent'));
-        beginStream();
-        return settle(() => listener.onEnded());
+      if (!connection.answerEndsWithIt) {
+        pool.giveBack(connection);
+        return finish(answer, verdict);
       }
-      answer.body = Buffer.concat(chunks);
-      const { status } = answer;
-      const told = verdict;
-      settle(() => listener.onAnswered(told, status));
+      const whole = { answer, verdict };
+      void (connection.closedInOrder ?? Promise.resolve(false)).then((inOrder) => {
+        drop();
+        if (inOrder && !connection.failed) return finish(whole.answer, whole.verdict);
+        settle(() => listener.onLost('resetInAnswer'));
+      });
     },
     onResponseError(_controller, error) {
       drop();
@@ -168,3 +175,12 @@
   const { code } = error as Error & { code?: string };
   return code ?? error.message;
 }
+
+/** Whether an answer says itself where it ends. */
+function isFramed(status: number, rawHeaders: readonly string[]): boolean {
+  if (status === 204 || status === 304) return true;
+  return rawHeaders.some((name, index) => {
+    const lower = index % 2 === 0 ? name.toLowerCase() : '';
+    return lower === 'content-length' || lower === 'transfer-encoding';
+  });
+}
--- a/packages/reedlug-gateway/src/daemon/connectionPool.ts
+++ b/packages/reedlug-gateway/src/daemon/connectionPool.ts
@@ -2,6 +2,7 @@
  * Connections to backend servers: one undici client a connection, one request
  * at a time on each, so that an answer can only belong to the request in progress.
  */
+import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
 import type { HostPort } from '../types/server.js';
 
@@ -18,6 +19,10 @@
   serverId: string;
   /** True once its socket failed; undici takes an unframed answer that is reset for a whole one. */
   failed: boolean;
+  /** Set while an answer is read that has no length and ends with its connection. */
+  answerEndsWithIt: boolean;
+  /** Whether the server closed the connection in good order; set at the end of such an answer. */
+  closedInOrder: Promise<boolean> | undefined;
 }
 
 /** Idle connections by server. */
@@ -55,9 +60,7 @@
       pipelining: 1,
       connect: (options, callback) =>
         connect(options, (...result) => {
-          result[1]?.prependListener('error', () => {
-            connection.failed = true;
-          });
+          if (result[1]) watchClose(connection, result[1]);
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -66,7 +69,13 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    const connection: Connection = { client, serverId, failed: false };
+    const connection: Connection = {
+      client,
+      serverId,
+      failed: false,
+      answerEndsWithIt: false,
+      closedInOrder: undefined,
+    };
     client.on('disconnect', () => discard(connection));
     return connection;
   };
@@ -91,3 +100,21 @@
     },
   };
 }
+
+/**
+ * Finds out how a server closed a connection. When a reset arrives together with
+ * the last bytes, libuv reports an ordinary end; only a write tells them apart,
+ * since it fails on a reset connection. An empty line between requests is harmless.
+ */
+function watchClose(connection: Connection, socket: Socket): void {
+  socket.prependListener('error', (error: NodeJS.ErrnoException) => {
+    // undici ends a connection that is not used again by an error of its own.
+    if (error.code !== 'UND_ERR_INFO') connection.failed = true;
+  });
+  socket.prependListener('end', () => {
+    if (!connection.answerEndsWithIt) return;
+    connection.closedInOrder = new Promise((resolve) => {
+      socket.write('\r\n', (error) => resolve(!error));
+    });
+  });
+}
