Hold lapsed servers only after the store was away for all; ask peers for a newer configuration

Now only after the store was away for 2 s, for peers too. A hung poll delayed a configuration by up to 2.7 s; a box that stays behind a peer for 300 ms now asks it.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -160,6 +160,7 @@
     port: 7000,
     configurationVersion: 1,
     serversRevision: 1,
+    storeContactAgeMs: undefined,
     holdsLease: false,
     leaving: false,
     loads: {},
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/__tests__/attempts.test.ts
@@ -0,0 +1,144 @@
+import { expect } from 'chai';
+import {
+  configuration,
+  createServingBox,
+  facts,
+  ofType,
+  only,
+  route,
+  server,
+  type TestBox,
+} from '../../__tests__/__fixtures__/box.js';
+import type { AnswerVerdict, RequestFacts } from '../../types/request.js';
+
+function ask(box: TestBox, changes: Partial<RequestFacts> = {}) {
+  return only(box.take({ type: 'requestArrived', exchangeId: 1, facts: facts(changes) }), 'send');
+}
+
+function answer(box: TestBox, attemptId: number, verdict: AnswerVerdict, status = 200) {
+  return box.take({ type: 'attemptAnswered', exchangeId: 1, attemptId, verdict, status });
+}
+
+function lose(box: TestBox, attemptId: number) {
+  return box.take({ type: 'attemptLost', exchangeId: 1, attemptId, reason: 'ECONNRESET' });
+}
+
+test('an answer goes to the caller', () => {
+  const box = createServingBox();
+  const { attemptId } = ask(box);
+  expect(only(answer(box, attemptId, 'success'), 'relay').part).to.equal('whole');
+  expect(box.state.requests.size).to.equal(0);
+});
+
+test('a notice whose connection is lost is never sent again', () => {
+  const box = createServingBox();
+  const { attemptId } = ask(box, { path: '/notice/1' });
+  const effects = lose(box, attemptId);
+  expect(ofType(effects, 'send')).to.have.length(0);
+  expect(only(effects, 'refuse').status).to.equal(502);
+});
+
+test('a notice that its server refused may go to another server', () => {
+  const box = createServingBox();
+  const { attemptId, order } = ask(box, { path: '/notice/1' });
+  const again = only(answer(box, attemptId, 'notRun', 503), 'send');
+  expect(again.order.serverId).not.to.equal(order.serverId);
+});
+
+test('a notice that every server refused is refused as not run', () => {
+  const box = createServingBox();
+  const { attemptId } = ask(box, { path: '/notice/1' });
+  const again = only(answer(box, attemptId, 'notRun', 503), 'send');
+  const refusal = only(answer(box, again.attemptId, 'notRun', 503), 'refuse');
+  expect(refusal.status).to.equal(503);
+  expect(refusal.retryAfterMs).to.be.greaterThan(0);
+});
+
+test('a look-up whose connection is lost goes to the other server, with less time', () => {
+  const box = createServingBox();
+  const first = ask(box);
+  box.pass(100);
+  const again = only(lose(box, first.attemptId), 'send');
+  expect(again.order.serverId).not.to.equal(first.order.serverId);
+  expect(again.order.deadlineMs).to.equal(first.order.deadlineMs - 100);
+});
+
+test('a look-up goes to no more servers than its route allows', () => {
+  const box = createServingBox();
+  const changes = [{ id: 'records-3', entry: server('records-3') }];
+  box.take({ type: 'serversRead', whole: false, changes, revision: 2, source: 'store' });
+  const again = only(lose(box, ask(box).attemptId), 'send');
+  const effects = lose(box, again.attemptId);
+  expect(ofType(effects, 'send')).to.have.length(0);
+  expect(only(effects, 'refuse').status).to.equal(502);
+});
+
+test('a stream that may be resumed goes on after its last event', () => {
+  const box = createServingBox();
+  const { attemptId } = ask(box, { path: '/draft/1', deadlineMs: 8000 });
+  answer(box, attemptId, 'success');
+  box.take({ type: 'eventsRelayed', exchangeId: 1, attemptId, lastEventId: 4 });
+  const again = only(lose(box, attemptId), 'send');
+  expect(again.order.resumeAfterEventId).to.equal(4);
+});
+
+test('a stream that may not be resumed is cut when its server is lost', () => {
+  const box = createServingBox();
+  const { attemptId } = ask(box, { path: '/review/1', deadlineMs: 8000 });
+  answer(box, attemptId, 'success');
+  const effects = lose(box, attemptId);
+  expect(ofType(effects, 'send')).to.have.length(0);
+  expect(ofType(effects, 'cutCaller')).to.have.length(1);
+});
+
+test('a caller that leaves stops its server at once', () => {
+  const box = createServingBox();
+  const { attemptId } = ask(box);
+  const effects = box.take({ type: 'callerGone', exchangeId: 1 });
+  expect(only(effects, 'cancelAttempt').attemptId).to.equal(attemptId);
+});
+
+test('at the end of its time a request gets a final answer', () => {
+  const box = createServingBox();
+  ask(box);
+  const effects = box.pass(600);
+  expect(only(effects, 'refuse').status).to.equal(504);
+  expect(ofType(effects, 'cancelAttempt')).to.have.length(1);
+});
+
+test('an address that another server has is not used again', () => {
+  const box = createServingBox();
+  const { attemptId, order } = ask(box);
+  answer(box, attemptId, 'otherServer', 421);
+  expect(box.state.servers.has(order.serverId)).to.equal(false);
+});
+
+test('the retry budget ends repeats when every send is lost', () => {
+  const box = createServingBox();
+  let repeats = 0;
+  for (let exchangeId = 1; exchangeId <= 400; exchangeId += 1) {
+    const request = facts({ requestId: `request-${exchangeId}` });
+    box.state.quotas.clear();
+    const first = only(box.take({ type: 'requestArrived', exchangeId, facts: request }), 'send');
+    const { attemptId } = first;
+    const lost = { type: 'attemptLost', exchangeId, attemptId, reason: 'ECONNRESET' } as const;
+    const again = ofType(box.take(lost), 'send')[0];
+    if (again === undefined) continue;
+    repeats += 1;
+    box.take({ ...lost, attemptId: again.attemptId });
+  }
+  expect(repeats).to.be.at.most(400 * 0.2 + 50);
+  expect(repeats).to.be.at.least(20);
+});
+
+test('a dropped route is not found, and an unknown key is refused', () => {
+  const box = createServingBox();
+  const take = (changes: Partial<RequestFacts>) =>
+    only(box.take({ type: 'requestArrived', exchangeId: 1, facts: facts(changes) }), 'refuse');
+  expect(take({ path: '/elsewhere/1' }).status).to.equal(404);
+  expect(take({ key: 'no such key' }).status).to.equal(401);
+  const routes = [route({ pathPrefix: '/other/' })];
+  const next = configuration({ version: 2, routes });
+  box.take({ type: 'configurationRead', configuration: next, source: 'store' });
+  expect(take({}).status).to.equal(404);
+});
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/__tests__/servers.test.ts
@@ -0,0 +1,88 @@
+import { expect } from 'chai';
+import {
+  createServingBox,
+  peerMessage,
+  server,
+  type TestBox,
+} from '../../__tests__/__fixtures__/box.js';
+import { ServerState } from '../../types/server.js';
+
+function remove(box: TestBox, id: string, revision = 2): void {
+  const changes = [{ id, entry: undefined }];
+  box.take({ type: 'serversRead', whole: false, changes, revision, source: 'store' });
+}
+
+function loseStore(box: TestBox, ms: number): void {
+  box.take({ type: 'storeContact', reachable: false });
+  box.pass(ms);
+  box.take({ type: 'storeContact', reachable: true });
+}
+
+test('a server whose entry goes is out at once', () => {
+  const box = createServingBox();
+  remove(box, 'records-1');
+  expect(box.state.servers.has('records-1')).to.equal(false);
+});
+
+test('an entry that lapsed while the store was away keeps its server for a moment', () => {
+  const box = createServingBox();
+  loseStore(box, 5000);
+  remove(box, 'records-1');
+  expect(box.state.servers.has('records-1')).to.equal(true);
+  box.pass(1000);
+  const changes = [{ id: 'records-1', entry: server('records-1') }];
+  box.take({ type: 'serversRead', whole: false, changes, revision: 3, source: 'store' });
+  box.pass(3000);
+  expect(box.state.servers.has('records-1')).to.equal(true);
+});
+
+test('a lapsed entry that is not back in time is gone', () => {
+  const box = createServingBox();
+  loseStore(box, 5000);
+  box.pass(500);
+  remove(box, 'records-1');
+  box.pass(1600);
+  expect(box.state.servers.has('records-1')).to.equal(false);
+});
+
+test('an entry that goes right after a short loss of contact is out at once', () => {
+  const box = createServingBox();
+  loseStore(box, 300);
+  remove(box, 'records-1');
+  expect(box.state.servers.has('records-1')).to.equal(false);
+});
+
+test('an entry that goes while peers had the store is out at once', () => {
+  const box = createServingBox();
+  box.take({ type: 'storeContact', reachable: false });
+  box.pass(2000);
+  box.take({ type: 'peerMessage', message: peerMessage({ storeContactAgeMs: 100 }) });
+  box.pass(3000);
+  box.take({ type: 'storeContact', reachable: true });
+  remove(box, 'records-1');
+  expect(box.state.servers.has('records-1')).to.equal(false);
+});
+
+test('a peer that has not noticed the loss of the store yet changes nothing', () => {
+  const box = createServingBox();
+  box.pass(5000);
+  box.take({ type: 'storeContact', reachable: false });
+  box.pass(1000);
+  box.take({ type: 'peerMessage', message: peerMessage({ storeContactAgeMs: 1500 }) });
+  box.pass(3000);
+  box.take({ type: 'storeContact', reachable: true });
+  remove(box, 'records-1');
+  expect(box.state.servers.has('records-1')).to.equal(true);
+});
+
+test('a leaving server stays leaving when an older entry says ready', () => {
+  const box = createServingBox();
+  const leaving = server('records-1', { state: ServerState.leaving });
+  const take = (entry: typeof leaving, revision: number): void => {
+    const changes = [{ id: entry.id, entry }];
+    box.take({ type: 'serversRead', whole: false, changes, revision, source: 'store' });
+  };
+  take(leaving, 2);
+  take(server('records-1'), 3);
+  expect(box.state.servers.get('records-1')?.leaving).to.equal(true);
+});
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -10,6 +10,8 @@
 
 /** Pause between messages, in ms: short against an engine's backlog, long against the price of a wake-up. */
 const NEWS_EVERY_MS = 200;
+/** How long a peer's newer configuration may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
+const BEHIND_MS = 300;
 /** Pause between questions to one peer for newer versions, in ms. */
 const ASK_PEER_EVERY_MS = 400;
 
@@ -35,6 +37,7 @@
     port: listen.peersPort,
     configurationVersion: state.active?.configuration.version ?? 0,
     serversRevision: state.serversRevision,
+    storeContactAgeMs: ageOf(state.storeContactAtMs, step.nowMs),
     holdsLease: dutyFence(state, step.nowMs) !== undefined,
     leaving: state.stoppingSinceMs !== undefined,
     loads: ownLoads(state),
@@ -69,6 +72,7 @@
   peer.address = address;
   peer.heardAtMs = step.nowMs;
   peer.message = message;
+  noteStoreSeen(state, step, message);
   takeAdmitted(state, step, message, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
@@ -96,6 +100,16 @@
   return peer;
 }
 
+function ageOf(atMs: number | undefined, nowMs: number): number | undefined {
+  return atMs === undefined ? undefined : Math.round(nowMs - atMs);
+}
+
+function noteStoreSeen(state: GatewayState, step: Step, message: PeerMessage): void {
+  if (message.storeContactAgeMs === undefined) return;
+  const seenAtMs = step.nowMs - message.storeContactAgeMs;
+  state.storeSeenByPeerAtMs = Math.max(state.storeSeenByPeerAtMs, seenAtMs);
+}
+
 /** Totals are compared with the last ones; a peer heard for the first time may have admitted long ago. */
 function takeAdmitted(
   state: GatewayState,
@@ -111,11 +125,15 @@
   }
 }
 
+/** Asks a peer for what the store does not give this box, or not in time. */
 function askForNewer(state: GatewayState, step: Step, peer: PeerView, message: PeerMessage): void {
   const ownVersion = state.active?.configuration.version ?? 0;
-  const isNewer =
-    message.configurationVersion > ownVersion || message.serversRevision > state.serversRevision;
-  if (!isNewer || state.storeReachable) return;
+  const isBehind = message.configurationVersion > ownVersion;
+  if (!isBehind) state.behindSinceMs = undefined;
+  else state.behindSinceMs ??= step.nowMs;
+  const isLate = isBehind && step.nowMs - (state.behindSinceMs ?? step.nowMs) >= BEHIND_MS;
+  const lacksServers = !state.storeReachable && message.serversRevision > state.serversRevision;
+  if (!isLate && !lacksServers) return;
   if (step.nowMs - peer.askedAtMs < ASK_PEER_EVERY_MS) return;
   peer.askedAtMs = step.nowMs;
   step.effects.push({ type: 'askPeer', peer: peer.address });
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -9,10 +9,10 @@
 import { ServerState, type ServerEntry } from '../types/server.js';
 import { log, type GatewayState, type ServerView, type Step } from '../state.js';
 
-/** How long after the store's return entries of living servers may be missing; the users' figure is about 2 s. */
-const LAPSE_WINDOW_MS = 2500;
-/** Kept below the time within which a server that left gets nothing more, in ms. */
-const LAPSE_MARGIN_MS = 400;
+/** How long after the store's return entries of living servers may be missing, in ms: the users' figure, about 2 s. */
+const LAPSE_WINDOW_MS = 2000;
+/** Shortest absence of the store in which entries lapse, in ms: under three heartbeats nothing does. */
+const LAPSING_ABSENCE_MS = 2000;
 
 /** Takes entries of the registry. */
 export function onServersRead(
@@ -82,9 +82,9 @@
 function onMissing(state: GatewayState, step: Step, id: string, source: string): void {
   const view = state.servers.get(id);
   if (view === undefined || view.lapsesAtMs !== undefined) return;
-  const storeJustBack = step.nowMs - state.storeReturnedAtMs < LAPSE_WINDOW_MS;
-  if (storeJustBack && !view.leaving) {
-    view.lapsesAtMs = step.nowMs + state.settings.bounds.drainMs - LAPSE_MARGIN_MS;
+  const lapsesAtMs = state.storeReturnedAtMs + LAPSE_WINDOW_MS;
+  if (step.nowMs < lapsesAtMs && !view.leaving) {
+    view.lapsesAtMs = lapsesAtMs;
     log(step, 'serverLapsed', describe(view.entry, source));
     return;
   }
@@ -109,12 +109,20 @@
   step: Step,
   event: EventOf<'storeContact'>,
 ): void {
+  if (event.reachable) state.storeContactAtMs = step.nowMs;
   if (event.reachable === state.storeReachable) return;
   state.storeReachable = event.reachable;
-  if (event.reachable) state.storeReturnedAtMs = step.nowMs;
+  if (!event.reachable) state.storeLostAtMs = step.nowMs;
+  else if (wasAwayForAll(state, step)) state.storeReturnedAtMs = step.nowMs;
   log(step, event.reachable ? 'storeRegained' : 'storeLost', {});
 }
 
+/** The store may have turned away just this box; then the entries of living servers did not lapse. */
+function wasAwayForAll(state: GatewayState, step: Step): boolean {
+  const awayMs = step.nowMs - state.storeLostAtMs;
+  return awayMs >= LAPSING_ABSENCE_MS && state.storeSeenByPeerAtMs < state.storeLostAtMs;
+}
+
 /** Lets servers go whose entries did not come back. */
 export function serversTick(state: GatewayState, step: Step): void {
   for (const view of state.servers.values()) {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -110,11 +110,19 @@
   serversRevision: number;
   serversKnown: boolean;
   storeReachable: boolean;
+  /** When the store last stopped answering this box, and when it answered again after it was away for all. */
+  storeLostAtMs: number;
   storeReturnedAtMs: number;
+  /** When the store last answered this box; undefined before. */
+  storeContactAtMs: number | undefined;
+  /** When the store last answered a peer, as far as peers told. */
+  storeSeenByPeerAtMs: number;
   requests: Map<number, RequestRecord>;
   quotas: Map<string, QuotaView>;
   retryBudgets: Map<string, RetryBudget>;
   peers: Map<string, PeerView>;
+  /** Since when a peer has had a newer configuration; undefined while none has. */
+  behindSinceMs: number | undefined;
   peerSequence: number;
   newsSentAtMs: number;
   lease: LeaseState;
@@ -173,11 +181,15 @@
     serversRevision: 0,
     serversKnown: false,
     storeReachable: true,
+    storeLostAtMs: Number.NEGATIVE_INFINITY,
     storeReturnedAtMs: Number.NEGATIVE_INFINITY,
+    storeContactAtMs: undefined,
+    storeSeenByPeerAtMs: Number.NEGATIVE_INFINITY,
     requests: new Map(),
     quotas: new Map(),
     retryBudgets: new Map(),
     peers: new Map(),
+    behindSinceMs: undefined,
     peerSequence: 0,
     newsSentAtMs: Number.NEGATIVE_INFINITY,
     lease: createLease(
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -21,6 +21,8 @@
   configurationVersion: number;
   /** Revision of the registry that the box has read. */
   serversRevision: number;
+  /** Time since the store last answered the box, in ms; undefined before its first answer. */
+  storeContactAgeMs: number | undefined;
   /** True while the box holds the lease for duties. */
   holdsLease: boolean;
   leaving: boolean;
