Limits: refuse the request that does not fit, draw a quarter of the slack

Cause: a request was admitted whenever anything was left, so one large prompt drew a limit deep below nothing and small requests were refused for up to 2 s. Ruled out: a larger bucket (no change).

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -36,6 +36,7 @@
       graceMs: 8000,
       retryRatio: 0.2,
       retrySlack: 50,
+      limitSlackUnits: 0,
       leaseMs: 3000,
       usageWindowMs: 5000,
       usageDueMs: 10_000,
--- a/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -43,6 +43,7 @@
     graceSeconds: seconds,
     retryRatio: ms,
     retrySlack: ms,
+    limitSlackUnits: ms.default(0),
     leaseMs: z.number().positive(),
     usageWindowSeconds: seconds.default(0),
     usageDueSeconds: seconds.default(0),
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -13,6 +13,8 @@
 const SILENT_AFTER_MS = 1000;
 /** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
 export const PEER_GONE_AFTER_MS = 10_000;
+/** Part of the users' slack that is used: peers' news are 0.2 s old, and a burst of one workspace admits up to three quarters of the slack in that time. */
+const SLACK_SHARE = 0.25;
 /** Part of the burst that a fresh box takes to be left: it cannot know what was used before its start. */
 const FRESH_LEVEL_SHARE = 0.25;
 
@@ -33,8 +35,9 @@
   const quota = quotaOf(state, workspace, nowMs);
   const ratePerSecond = usableRate(state, workspace, nowMs);
   refill(quota, workspace, ratePerSecond, nowMs);
-  if (workspace.ratePerSecond > 0 && quota.level < 0) {
-    return (-quota.level / Math.max(1, ratePerSecond)) * 1000;
+  const lacking = units - quota.level - toleratedUnits(state);
+  if (workspace.ratePerSecond > 0 && lacking > 0) {
+    return (lacking / Math.max(1, ratePerSecond)) * 1000;
   }
   quota.level -= units;
   quota.admitted += units;
@@ -79,6 +82,15 @@
   quota.level = Math.min(workspace.burst, quota.level + (ratePerSecond * elapsedMs) / 1000);
 }
 
+/**
+ * How far below nothing a limit may be drawn. What is refused within the limit is
+ * lost, what is admitted a little beyond it is not; a request that is large is
+ * refused by itself and leaves the small ones their place.
+ */
+function toleratedUnits(state: GatewayState): number {
+  return state.settings.bounds.limitSlackUnits * SLACK_SHARE;
+}
+
 /** The rate less the last shares of silent peers. */
 function usableRate(state: GatewayState, workspace: WorkspaceSpec, nowMs: number): number {
   let heard = 1;
--- a/packages/reedlug-gateway/src/types/settings.ts
+++ b/packages/reedlug-gateway/src/types/settings.ts
@@ -12,6 +12,8 @@
   /** Repeated sends over first ones that a service may get, and a fixed number on top. */
   retryRatio: number;
   retrySlack: number;
+  /** Units that a workspace may get beyond its limit in the users' window before a promise is broken. */
+  limitSlackUnits: number;
   /** Validity of a lease. */
   leaseMs: number;
   /** Length of a usage window and when its report is due after its end; 0 for no reports. */
