--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -34,6 +34,8 @@
 const DRY_MS = 5000;
 /** How much later than its usual start an engine may come, in ms: its entry is read by long poll. */
 const BOOT_MARGIN_MS = 2000;
+/** Engines added to those found at a start until the load is known: the first seconds come with empty caches, and an engine takes 4 s to start. */
+const START_RESERVE = 1;
 /** Time from this box's start until it plans, in ms: two heartbeats, in which the registry fills at a first start. */
 const REGISTRY_FILLS_MS = 3500;
 
@@ -85,7 +87,7 @@
   const { scaling } = service;
   if (scaling === undefined) return;
   const zones = scaling.zonePrices.map(({ zone, price }) => {
-    const ready = countReady(state, service.name, zone, true);
+    const ready = countReady(state, { service: service.name, zone, reclaimable: true });
     noteLosses(state, step, { service: service.name, name: zone, ready, bootMs: scaling.bootMs });
     const dryUntilMs = state.dryUntilMs.get(zoneKey(service.name, zone)) ?? 0;
     return {
@@ -137,7 +139,7 @@
   reclaimable: boolean,
 ): number {
   const last = state.orders.get(orderKey(service, zone, reclaimable));
-  return last?.call.wanted ?? countReady(state, service, zone, reclaimable);
+  return last?.call.wanted ?? countReady(state, { service, zone, reclaimable });
 }
 
 /** No further reclaimable engines are to be had in a zone for a while. */
@@ -168,9 +170,9 @@
 function steadyNeed(state: GatewayState, step: Step, service: string): EngineNeed {
   const { usual, least } = enginesNeeded(loadOf(state));
   const held = state.heldNeeds.get(service) ?? startNeed();
-  // Before a load is known, as many engines as there are.
+  // Before a load is known, as many engines as there were, and a few more.
   const isLearning = step.nowMs - state.startedAtMs < LEARN_LOAD_MS;
-  const atLeast = isLearning ? countPresent(state, service) : 0;
+  const atLeast = isLearning ? startingCount(state, service) : 0;
   hold(held.usual, Math.max(usual, atLeast), step.nowMs, HOLD_USUAL_MS);
   hold(held.least, least, step.nowMs, HOLD_LEAST_MS);
   state.heldNeeds.set(service, held);
@@ -182,38 +184,34 @@
   return { usual: { value: 0, untilMs: 0 }, least: { value: 0, untilMs: 0 } };
 }
 
-/** Engines of the more numerous kind: at a change from one kind to the other, both are there. */
-function countPresent(state: GatewayState, service: string): number {
-  let reclaimable = 0;
-  let onDemand = 0;
-  for (const { entry, leaving } of state.servers.values()) {
-    if (entry.service !== service || leaving) continue;
-    if (entry.reclaimable) reclaimable += 1;
-    else onDemand += 1;
-  }
-  return Math.max(reclaimable, onDemand);
-}
-
-function hold(held: HeldFigure, value: number, nowMs: number, holdMs: number): void {
-  if (value < held.value && nowMs < held.untilMs) return;
-  if (value < held.value || nowMs + holdMs > held.untilMs) held.untilMs = nowMs + holdMs;
-  held.value = value;
+/** On-demand engines are those of a first start; later there are reclaimable ones, which are enough. */
+function startingCount(state: GatewayState, service: string): number {
+  const onDemand = countReady(state, { service, reclaimable: false });
+  const reclaimable = countReady(state, { service, reclaimable: true });
+  return onDemand > reclaimable ? onDemand + START_RESERVE : reclaimable;
 }
 
+/** Engines of one kind that take work, in one zone or in all. */
 function countReady(
   state: GatewayState,
-  service: string,
-  zone: string,
-  reclaimable: boolean,
+  params: { service: string; reclaimable: boolean; zone?: string },
 ): number {
+  const { service, reclaimable, zone } = params;
   let count = 0;
   for (const { entry, leaving } of state.servers.values()) {
-    if (entry.service !== service || entry.zone !== zone) continue;
-    if (entry.reclaimable === reclaimable && !leaving) count += 1;
+    if (entry.service !== service || leaving) continue;
+    if (zone !== undefined && entry.zone !== zone) continue;
+    if (entry.reclaimable === reclaimable) count += 1;
   }
   return count;
 }
 
+function hold(held: HeldFigure, value: number, nowMs: number, holdMs: number): void {
+  if (value < held.value && nowMs < held.untilMs) return;
+  if (value < held.value || nowMs + holdMs > held.untilMs) held.untilMs = nowMs + holdMs;
+  held.value = value;
+}
+
 function order(
   state: GatewayState,
   step: Step,
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -14,7 +14,7 @@
 /** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
 export const PEER_GONE_AFTER_MS = 10_000;
 /** Part of the users' slack that is used: peers' news are 0.2 s old, and a burst of one workspace admits up to three quarters of the slack in that time. */
-const SLACK_SHARE = 0.25;
+const SLACK_SHARE = 0.1;
 /** Part of the burst that a fresh box takes to be left: it cannot know what was used before its start. */
 const FRESH_LEVEL_SHARE = 0.25;
 
