--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -171,9 +171,21 @@
   return raw.map((item) => (Buffer.isBuffer(item) ? item.toString('latin1') : String(item)));
 }
 
+/** What the codes of undici, llhttp and the system mean for a request. */
+const REASONS: Readonly<Record<string, string>> = {
+  UND_ERR_SOCKET: 'connectionClosed',
+  ECONNRESET: 'connectionReset',
+  EPIPE: 'connectionReset',
+  ECONNREFUSED: 'connectionRefused',
+  UND_ERR_CONNECT_TIMEOUT: 'connectTimeout',
+  UND_ERR_RES_CONTENT_LENGTH_MISMATCH: 'answerCutShort',
+};
+
+/** A reason for the logs; an unknown code stands as it is. */
 function reasonOf(error: Error): string {
   const { code } = error as Error & { code?: string };
-  return code ?? error.message;
+  if (code?.startsWith('HPE_') === true) return 'unreadableAnswer';
+  return REASONS[code ?? ''] ?? code ?? error.message;
 }
 
 /** Whether an answer says itself where it ends. */
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -2,6 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Effect } from '../types/effect.js';
 import type { Runtime } from './gatewayDaemon.js';
+import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
 import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
 
@@ -36,10 +37,9 @@
       return askPeer(runtime, effect);
     case 'stopped':
       return runtime.onStopped();
-    case 'log': {
-      runtime.metrics.decisions.inc({ event: effect.event });
+    case 'log':
+      countEvent(runtime.metrics, effect.event, effect.fields);
       return runtime.logger(effect.event, effect.fields);
-    }
   }
 }
 
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -4,6 +4,7 @@
 export { reduce } from './reduce.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
+export { explainRequest, type Explanation } from './observe/explainRequest.js';
 export { createLogger, quoted, type Logger, type LogValue } from './observe/logger.js';
 export { parseHostPort, validateGatewaySettings } from './settings/gatewaySettingsValidation.js';
 export * from './types/configuration.js';
--- /dev/null
+++ b/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
@@ -0,0 +1,30 @@
+import { expect } from 'chai';
+import { explainRequest, parseLogLine } from '../explainRequest.js';
+
+const LOG = `
+time=2026-04-05T06:06:34.103Z event=streamCut box=box-2 request=r1 route=draft reason=connectionClosed attempts=1 lastEvent=1 heldMs=143
+time=2026-04-05T06:06:33.960Z event=requestSent box=box-2 request=r1 route=draft server=i-1 attempt=1 costMs=39
+time=2026-04-05T06:06:33.970Z event=requestSent box=box-2 request=r10 route=draft server=i-2 attempt=1 costMs=39
+time=2026-04-05T06:06:32.088Z event=requestRefused box=box-1 request=r2 status=429 reason=overLimit retryAfterMs=100
+not a line of ours
+`;
+
+test('a cut stream is explained in the order of time', () => {
+  const explanation = explainRequest(LOG, 'r1');
+  expect(explanation?.lines.map(({ event }) => event)).to.deep.equal(['requestSent', 'streamCut']);
+  expect(explanation?.cause).to.equal('cut after event 1 (connectionClosed); sent to i-1');
+});
+
+test('a refused request is explained', () => {
+  const cause = explainRequest(LOG, 'r2')?.cause;
+  expect(cause).to.equal('refused with 429 (overLimit); it was sent to no server');
+});
+
+test('a request that no line names is not explained', () => {
+  expect(explainRequest(LOG, 'r3')).to.equal(undefined);
+});
+
+test('a quoted value is read whole', () => {
+  const line = parseLogLine('time=t event=fault reason="two words"');
+  expect(line?.fields.get('reason')).to.equal('two words');
+});
--- /dev/null
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -0,0 +1,62 @@
+/** Puts together what the logs of all boxes say of one request, and names its cause. */
+
+/** One line of a log. */
+export interface LogLine {
+  time: string;
+  event: string;
+  fields: ReadonlyMap<string, string>;
+}
+
+/** A request's lines in order, and what they come to. */
+export interface Explanation {
+  lines: readonly LogLine[];
+  cause: string;
+}
+
+/** A pair; a value with blanks is quoted as in JSON. */
+const PAIR = /([\w.]+)=("(?:[^"\\]|\\.)*"|\S*)/g;
+
+/** Reads a line of key=value pairs; undefined when it is none of ours. */
+export function parseLogLine(text: string): LogLine | undefined {
+  const fields = new Map<string, string>();
+  for (const [, key = '', raw = ''] of text.matchAll(PAIR)) {
+    fields.set(key, raw.startsWith('"') ? String(JSON.parse(raw)) : raw);
+  }
+  const time = fields.get('time');
+  const event = fields.get('event');
+  return time === undefined || event === undefined ? undefined : { time, event, fields };
+}
+
+/** Explains a request; undefined when no line names it. */
+export function explainRequest(logText: string, requestId: string): Explanation | undefined {
+  const lines = logText
+    .split('\n')
+    .filter((text) => text.includes(requestId))
+    .map(parseLogLine)
+    .filter((line) => line !== undefined)
+    .filter((line) => line.fields.get('request') === requestId)
+    .sort((a, b) => a.time.localeCompare(b.time));
+  const last = lines.at(-1);
+  return last === undefined ? undefined : { lines, cause: causeOf(last, lines) };
+}
+
+function causeOf(last: LogLine, lines: readonly LogLine[]): string {
+  const field = (name: string): string => last.fields.get(name) ?? '?';
+  const servers = lines
+    .filter(({ event }) => event === 'requestSent')
+    .map(({ fields }) => fields.get('server') ?? '?');
+  const sentTo =
+    servers.length === 0 ? 'it was sent to no server' : `sent to ${servers.join(', ')}`;
+  switch (last.event) {
+    case 'requestFinished':
+      return `answered with ${field('outcome')} after ${field('heldMs')} ms; ${sentTo}`;
+    case 'requestRefused':
+      return `refused with ${field('status')} (${field('reason')}); ${sentTo}`;
+    case 'streamCut':
+      return `cut after event ${field('lastEvent')} (${field('reason')}); ${sentTo}`;
+    case 'callerGone':
+      return `the caller left after ${field('heldMs')} ms; ${sentTo}`;
+    default:
+      return `no end is logged; the box may have been lost. ${sentTo}`;
+  }
+}
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 /** Counters and latency histograms of a gateway box, as text for a scraper. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { LogField } from '../types/effect.js';
 
 /** Bounds of the latency histogram, in ms: around the targets of the users' requests. */
 const LATENCY_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1200, 2000, 4000, 8000, 16_000];
@@ -14,6 +15,33 @@
   text: () => Promise<string>;
 }
 
+/** Counts a decision; the end of a request also by workspace, route and outcome. */
+export function countEvent(
+  metrics: GatewayMetrics,
+  event: string,
+  fields: Readonly<Record<string, LogField>>,
+): void {
+  metrics.decisions.inc({ event });
+  const labels = { workspace: textOf(fields['workspace']), route: textOf(fields['route']) };
+  switch (event) {
+    case 'requestFinished':
+      metrics.requests.inc({ ...labels, outcome: textOf(fields['outcome']) });
+      metrics.latencyMs.observe(labels, Number(fields['heldMs'] ?? 0));
+      return;
+    case 'requestRefused':
+    case 'streamCut':
+    case 'callerGone':
+      metrics.requests.inc({ ...labels, outcome: textOf(fields['reason'] ?? event) });
+      return;
+    default:
+      return;
+  }
+}
+
+function textOf(value: LogField | undefined): string {
+  return value === undefined ? '' : String(value);
+}
+
 /** Returns metrics at zero. */
 export function createGatewayMetrics(): GatewayMetrics {
   const registers = [new Registry()];
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -1,8 +1,10 @@
 /** The command line of reedlug. */
 import { Builtins, Cli } from 'clipanion';
+import { BoxSettingsCheckCommand } from './commands/boxSettingsCheck.js';
 import { CheckCommand } from './commands/check.js';
 import { DevCommand } from './commands/dev.js';
 import { EntryCommand } from './commands/entry.js';
+import { ExplainCommand } from './commands/explain.js';
 import { MeasureCommand } from './commands/measure.js';
 import { ConfirmCommand, PlanCommand, PlansCommand, UndoCommand } from './commands/plan.js';
 import { ReplayCommand } from './commands/replay.js';
@@ -15,9 +17,11 @@
   const cli = new Cli({ binaryLabel: 'reedlug', binaryName: 'reedlug', binaryVersion: VERSION });
   const commands = [
     Builtins.HelpCommand,
+    BoxSettingsCheckCommand,
     CheckCommand,
     DevCommand,
     EntryCommand,
+    ExplainCommand,
     HashKeyCommand,
     HistogramsCommand,
     MeasureCommand,
