--- a/packages/reedlug-gateway/src/slices/retryBudgets.ts
+++ b/packages/reedlug-gateway/src/slices/retryBudgets.ts
@@ -10,8 +10,10 @@
 
 /** Part of the users' ratio that is used: windows slide, and lost answers hide some sends. */
 const RATIO_SHARE = 0.75;
-/** Part of the fixed number that is used: a restarted box begins with a full part again. */
-const SLACK_SHARE = 0.4;
+/** Part of the fixed number that is used: a server that goes ends a dozen streams of a box at once. */
+const SLACK_SHARE = 0.8;
+/** Part of its share that a fresh box begins with: the life before may have used it in the same window. */
+const FRESH_SHARE = 0.5;
 
 /** Counts a request's first send. */
 export function countFirstSend(state: GatewayState, service: string): void {
@@ -30,6 +32,7 @@
   const boxes = state.peers.size + 1;
   const capacity = Math.max(1, (retrySlack * SLACK_SHARE) / boxes);
   const budget = createRetryBudget(retryRatio * RATIO_SHARE, capacity);
+  budget.tokens = Math.max(1, capacity * FRESH_SHARE);
   state.retryBudgets.set(service, budget);
   return budget;
 }
