--- a/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
@@ -2,34 +2,16 @@
 import {
   createServingBox,
   ofType,
-  only,
   server,
   type TestBox,
 } from '../../__tests__/__fixtures__/box.js';
+import { callsOf, takeLease } from '../../__tests__/__fixtures__/lease.js';
 import type { CloudCall } from '../../types/effect.js';
 
 type Order = Extract<CloudCall, { kind: 'orderEngines' }>;
 
-/** Lets the box take the duty lease. */
-function takeLease(box: TestBox): void {
-  const read = only(box.pass(4000), 'requestTable');
-  const { purpose, sentAtMs } = read;
-  box.take({ type: 'tableAnswered', purpose, answer: { kind: 'done', rows: [] }, sentAtMs });
-  const write = only(box.pass(50), 'requestTable');
-  if (write.op.kind !== 'transact') throw new Error('the lease is taken by a write');
-  const rows = write.op.writes.map(({ key, value }) => ({ key, version: 1, value }));
-  box.take({
-    type: 'tableAnswered',
-    purpose: write.purpose,
-    answer: { kind: 'done', rows },
-    sentAtMs: write.sentAtMs,
-  });
-}
-
 function ordersOf(box: TestBox, ms: number): Order[] {
-  return ofType(box.pass(ms), 'callCloud').flatMap(({ call }) =>
-    call.kind === 'orderEngines' ? [call] : [],
-  );
+  return callsOf(box.pass(ms), 'orderEngines').map(({ call }) => call);
 }
 
 function sum(orders: readonly Order[], reclaimable: boolean): number {
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
@@ -0,0 +1,101 @@
+import { expect } from 'chai';
+import {
+  createServingBox,
+  facts,
+  ofType,
+  only,
+  peerMessage,
+  type TestBox,
+} from '../../__tests__/__fixtures__/box.js';
+import { callsOf, passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
+
+/** Serves one request of workspace tiger. */
+function serve(box: TestBox, exchangeId: number): void {
+  const request = facts({ requestId: `request-${exchangeId}` });
+  const arrived = box.take({ type: 'requestArrived', exchangeId, facts: request });
+  const { attemptId } = only(arrived, 'send');
+  box.take({ type: 'attemptAnswered', exchangeId, attemptId, verdict: 'success', status: 200 });
+}
+
+/** A holder with an agreed clock that stands at the start of a window. */
+function createHolder(): TestBox {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 0 }) });
+  box.take({ type: 'storeClock', storeNowMs: 0 });
+  takeLease(box);
+  passAsHolder(box, 10_000 - box.nowMs);
+  return box;
+}
+
+/** The rows of usage that a span of time asks for. */
+function usageRows(box: TestBox, ms: number) {
+  return ofType(passAsHolder(box, ms), 'requestTable').filter(
+    ({ purpose }) => purpose.kind === 'usage',
+  );
+}
+
+test('a window is entered once with the counts of all boxes', () => {
+  const box = createHolder();
+  serve(box, 1);
+  serve(box, 2);
+  const window = Math.floor(box.nowMs / 5000);
+  const usage = { [window]: { tiger: 3 } };
+  box.take({ type: 'peerMessage', message: peerMessage({ sequence: 2, usage }) });
+  const [row] = usageRows(box, 7000);
+  expect(row?.purpose).to.deep.equal({ kind: 'usage', window });
+  if (row?.op.kind !== 'transact') throw new Error('a window is entered by a write');
+  expect(row.op.writes[0]?.value).to.deep.equal({ tiger: 5 });
+  expect(row.op.writes[0]?.expectVersion).to.equal(0);
+});
+
+test('what another holder entered is what is reported', () => {
+  const box = createHolder();
+  serve(box, 1);
+  const [row] = usageRows(box, 7000);
+  if (row?.op.kind !== 'transact' || row.purpose.kind !== 'usage') throw new Error('no row');
+  const { window } = row.purpose;
+  const entered = { key: row.op.writes[0]?.key ?? '', version: 9, value: { tiger: 7 } };
+  box.take({
+    type: 'tableAnswered',
+    purpose: row.purpose,
+    answer: { kind: 'refused', reason: 'conflict', rows: [entered] },
+    sentAtMs: row.sentAtMs,
+  });
+  const [report] = callsOf(passAsHolder(box, 100), 'reportUsage');
+  expect(report?.call).to.deep.equal({ kind: 'reportUsage', window, counts: { tiger: 7 } });
+});
+
+test('a report without an answer is sent again, unchanged', () => {
+  const box = createHolder();
+  serve(box, 1);
+  const [row] = usageRows(box, 7000);
+  if (row?.op.kind !== 'transact') throw new Error('no row');
+  const rows = row.op.writes.map(({ key, value }) => ({ key, version: 9, value }));
+  const { purpose, sentAtMs } = row;
+  box.take({ type: 'tableAnswered', purpose, answer: { kind: 'done', rows }, sentAtMs });
+  const [first] = callsOf(passAsHolder(box, 100), 'reportUsage');
+  box.take({ type: 'cloudAnswered', callId: first?.callId ?? 0, outcome: 'unknown' });
+  const [second] = callsOf(passAsHolder(box, 700), 'reportUsage');
+  expect(second?.call).to.deep.equal(first?.call);
+  box.take({ type: 'cloudAnswered', callId: second?.callId ?? 0, outcome: 'done' });
+  expect(callsOf(passAsHolder(box, 800), 'reportUsage')).to.have.length(0);
+});
+
+test('a step of this box`s wall clock does not move a request to another window', () => {
+  const box = createHolder();
+  const window = Math.floor(box.nowMs / 5000);
+  box.wallOffsetMs += 2_400_000;
+  serve(box, 1);
+  expect([...box.state.usage.keys()]).to.deep.equal([window]);
+});
+
+test('a box without the lease reports nothing', () => {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 0, holdsLease: true }) });
+  box.take({ type: 'storeClock', storeNowMs: 0 });
+  serve(box, 1);
+  const usage = ofType(box.pass(8000), 'requestTable').filter(
+    ({ purpose }) => purpose.kind === 'usage',
+  );
+  expect(usage).to.have.length(0);
+});
