Take test ports below those that the system hands out

Ports were searched by listening on port 0 and closing; such a port may go to an outgoing connection before the dev cluster listens. Ruled out: an earlier process of the same run still listening (the port came from the search of the same start).

--- a/packages/reedlug-standins/src/index.ts
+++ b/packages/reedlug-standins/src/index.ts
@@ -6,3 +6,4 @@
 export * from './models/answerText.js';
 export * from './models/engineModel.js';
 export * from './models/tableModel.js';
+export * from './http/freePorts.js';
--- a/packages/reedlug/src/bench/load.ts
+++ b/packages/reedlug/src/bench/load.ts
@@ -4,7 +4,7 @@
  */
 import { Worker } from 'node:worker_threads';
 import { Pool } from 'undici';
-import { findFreePorts } from '../dev/freePorts.js';
+import { findFreePorts } from 'reedlug-standins';
 import { createHistogramOf } from './latency.js';
 import { BENCH_KEY, BENCH_MODEL, BENCH_SERVICE } from './benchSettings.js';
 import type { BenchReady, BenchRole } from './benchWorker.js';
--- a/packages/reedlug/src/dev/devCluster.ts
+++ b/packages/reedlug/src/dev/devCluster.ts
@@ -18,7 +18,7 @@
 import { toDecisionSettings } from '../settings/decisionSettings.js';
 import type { BoxSettings, Settings } from '../settings/settingsTypes.js';
 import { parseFault, type DevFault } from './devFaults.js';
-import { findFreePorts } from './freePorts.js';
+import { findFreePorts } from 'reedlug-standins';
 import {
   boxListOf,
   startDevEngine,
