--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import type { HeaderCodec } from '../../adapter.js';
 import { createConnectionPool } from '../connectionPool.js';
-import { sendAttempt } from '../backendAttempt.js';
+import { sendAttempt, type AttemptRequest } from '../backendAttempt.js';
 
 const codec: HeaderCodec = {
   decodeRequest: () => ({ kind: 'malformed', message: 'not used' }),
@@ -16,6 +16,15 @@
   refusalHeaders: () => [],
 };
 
+const REQUEST: AttemptRequest = {
+  requestId: 'request-1',
+  method: 'GET',
+  path: '/',
+  headers: ['Host', 'bench.example'],
+  body: Buffer.alloc(0),
+  streaming: false,
+};
+
 /** Sends a request to a server that answers by `respond`; resolves with what the attempt told. */
 async function outcomeOf(
   respond: (socket: Socket) => void,
@@ -40,14 +49,7 @@
       connection,
       pool,
       codec,
-      request: {
-        requestId: 'request-1',
-        method: 'GET',
-        path: '/',
-        headers: ['Host', 'bench.example'],
-        body: Buffer.alloc(0),
-        streaming,
-      },
+      request: { ...REQUEST, streaming },
       listener: {
         onNotSent: () => tell('notSent'),
         onAnswered: (verdict) => {
@@ -181,14 +183,7 @@
       connection,
       pool,
       codec,
-      request: {
-        requestId: 'request-1',
-        method: 'GET',
-        path: '/',
-        headers: ['Host', 'bench.example'],
-        body: Buffer.alloc(0),
-        streaming: false,
-      },
+      request: REQUEST,
       listener: {
         onNotSent: () => resolve('notSent'),
         onAnswered: () => resolve('answered'),
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -3,7 +3,7 @@
  *
  * A plain answer is read whole before anything is told, so that a cut one can
  * be made good by a repeat. A stream is told with its first whole event; what
- * follows goes on to whoever `pipe` names.
+ * follows is told event by event.
  */
 import type { Dispatcher } from 'undici';
 import type { HeaderCodec } from '../adapter.js';
--- a/packages/reedlug-gateway/src/policy/__tests__/engineTarget.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/engineTarget.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { enginesNeeded, spreadEngines } from '../engineTarget.js';
+import { enginesNeeded, spreadEngines, type EngineNeed, type ZoneOffer } from '../engineTarget.js';
 
 const ZONES = [
   { zone: 'zone-a', price: 0.85, readyReclaimable: 0, isDry: false, onDemand: 0, reclaimable: 0 },
@@ -7,6 +7,11 @@
   { zone: 'zone-c', price: 1.0, readyReclaimable: 0, isDry: false, onDemand: 0, reclaimable: 0 },
 ];
 
+/** The plan of a service with reclaimable engines, four of all kinds in a zone at most. */
+function planFor(need: EngineNeed, zones: readonly ZoneOffer[]) {
+  return spreadEngines({ need, zones, maxPerZone: 4, hasReclaimable: true });
+}
+
 test('without load a few engines stay', () => {
   expect(enginesNeeded(0)).to.deep.equal({ usual: 3, least: 2 });
 });
@@ -19,12 +24,7 @@
 
 test('reclaimable engines spread over zones, the cheapest first', () => {
   const zones = ZONES.map((zone) => ({ ...zone, readyReclaimable: 2 }));
-  const plan = spreadEngines({
-    need: { usual: 4, least: 3 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 4, least: 3 }, zones);
   expect(plan).to.deep.equal([
     { zone: 'zone-a', reclaimable: 2, onDemand: 0 },
     { zone: 'zone-c', reclaimable: 1, onDemand: 0 },
@@ -38,12 +38,7 @@
     { zone: 'zone-b', price: 1.2, readyReclaimable: 1, isDry: false, onDemand: 0, reclaimable: 0 },
     { zone: 'zone-c', price: 1.0, readyReclaimable: 1, isDry: false, onDemand: 0, reclaimable: 0 },
   ];
-  const plan = spreadEngines({
-    need: { usual: 4, least: 3 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 4, least: 3 }, zones);
   expect(plan.reduce((sum, { onDemand }) => sum + onDemand, 0)).to.equal(1);
   expect(plan[0]).to.deep.equal({ zone: 'zone-a', reclaimable: 0, onDemand: 1 });
 });
@@ -60,36 +55,21 @@
 
 test('a full zone that runs dry leaves its room to on-demand engines', () => {
   const zones = ZONES.map((zone) => ({ ...zone, isDry: true, onDemand: 0, reclaimable: 0 }));
-  const plan = spreadEngines({
-    need: { usual: 12, least: 6 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 12, least: 6 }, zones);
   expect(plan.map(({ reclaimable }) => reclaimable)).to.deep.equal([0, 0, 0]);
   expect(plan.map(({ onDemand }) => onDemand)).to.deep.equal([2, 2, 2]);
 });
 
 test('on-demand engines stay while the zone may have reclaimable ones again', () => {
   const zones = ZONES.map((zone) => ({ ...zone, isDry: false, onDemand: 2 }));
-  const plan = spreadEngines({
-    need: { usual: 12, least: 6 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 12, least: 6 }, zones);
   expect(plan.map(({ onDemand }) => onDemand)).to.deep.equal([2, 2, 2]);
   expect(plan.map(({ reclaimable }) => reclaimable)).to.deep.equal([2, 2, 2]);
 });
 
 test('on-demand engines go once reclaimable ones are there', () => {
   const zones = ZONES.map((zone) => ({ ...zone, readyReclaimable: 2, onDemand: 2 }));
-  const plan = spreadEngines({
-    need: { usual: 6, least: 5 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 6, least: 5 }, zones);
   expect(plan.map(({ onDemand }) => onDemand)).to.deep.equal([0, 0, 0]);
 });
 
@@ -99,22 +79,12 @@
     reclaimable: index === 1 ? 4 : 1,
     readyReclaimable: index === 1 ? 4 : 1,
   }));
-  const plan = spreadEngines({
-    need: { usual: 6, least: 4 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 6, least: 4 }, zones);
   expect(plan.find(({ zone }) => zone === 'zone-b')?.reclaimable).to.equal(4);
 });
 
 test('no on-demand engine is ordered while reclaimable ones are starting', () => {
   const zones = ZONES.map((zone) => ({ ...zone, reclaimable: 2, readyReclaimable: 1 }));
-  const plan = spreadEngines({
-    need: { usual: 6, least: 5 },
-    zones,
-    maxPerZone: 4,
-    hasReclaimable: true,
-  });
+  const plan = planFor({ usual: 6, least: 5 }, zones);
   expect(plan.map(({ onDemand }) => onDemand)).to.deep.equal([0, 0, 0]);
 });
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -73,7 +73,7 @@
 }
 
 /** Open work at a server: this box's own and what peers last told. */
-export function totalLoad(state: GatewayState, view: ServerView) {
+function totalLoad(state: GatewayState, view: ServerView) {
   let { running, prefillTokens } = view;
   for (const peer of state.peers.values()) {
     const load = peer.message?.loads[view.entry.id];
--- a/packages/reedlug-gateway/src/slices/configuration.ts
+++ b/packages/reedlug-gateway/src/slices/configuration.ts
@@ -50,8 +50,3 @@
   const pathOnly = path.split('?', 1)[0] ?? path;
   return routes?.find((route) => pathOnly.startsWith(route.pathPrefix));
 }
-
-/** The service of a name in force. */
-export function findService(state: GatewayState, name: string) {
-  return state.active?.configuration.services.find((service) => service.name === name);
-}
--- a/packages/reedlug-gateway/src/slices/ending.ts
+++ b/packages/reedlug-gateway/src/slices/ending.ts
@@ -8,6 +8,7 @@
 const NO_SERVER_RETRY_MS = 250;
 /** Shortest time to come back that is told, in ms: below it a caller comes back into the same state. */
 const MIN_RETRY_MS = 100;
+
 /** Gives an attempt's place back. */
 export function closeAttempt(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -139,7 +139,7 @@
   checkpointVersion: number;
   orders: Map<string, EngineOrder>;
   planAtMs: number;
-  /** Prompt tokens that this box has sent to be read, since its start. */
+  /** Prompt tokens of requests' own parts that this box has sent to be read, since its start. */
   workTokens: number;
   /** The same at the last plan. */
   workTokensSeen: number;
