--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -5,7 +5,7 @@
 import { LimitUnit, RouteKind } from '../../types/configuration.js';
 import type { Effect } from '../../types/effect.js';
 import type { EventBody } from '../../types/event.js';
-import type { PeerMessage } from '../../types/peer.js';
+import { NewsScope, type PeerMessage } from '../../types/peer.js';
 import type { RequestFacts } from '../../types/request.js';
 import { ServerState, type ServerEntry } from '../../types/server.js';
 import type { GatewaySettings } from '../../types/settings.js';
@@ -15,7 +15,7 @@
 
 export function settings(changes: Partial<GatewaySettings['bounds']> = {}): GatewaySettings {
   return {
-    box: { id: 'box-1', ip: '127.0.0.1', zone: 'zone-a' },
+    box: { id: 'box-1', ip: '127.0.0.1', zone: 'zone-a', processorCores: 1 },
     zones: ['zone-a', 'zone-b'],
     listen: {
       callers: { host: '127.0.0.1', port: 0 },
@@ -153,16 +153,20 @@
 
 export function peerMessage(changes: Partial<PeerMessage> = {}): PeerMessage {
   return {
+    kind: 'news',
     boxId: 'box-2',
     incarnation: 1,
     sequence: 1,
+    scope: NewsScope.box,
+    boxes: 1,
+    processorCores: 1,
     zone: 'zone-b',
     host: '127.0.0.2',
     port: 7000,
     configurationVersion: 1,
     serversRevision: 1,
     storeContactAgeMs: undefined,
-    holdsLease: false,
+    leaseHolder: undefined,
     leaving: false,
     loads: {},
     admitted: {},
--- /dev/null
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -0,0 +1,86 @@
+/** Many boxes under virtual time whose datagrams reach each other at once. */
+import { createBox, ofType, settings, configuration, server, type TestBox } from './box.js';
+import type { PeerAddress } from '../../types/peer.js';
+import type { Effect } from '../../types/effect.js';
+
+/** Pause between ticks, in ms, as in the daemon. */
+const TICK_MS = 50;
+const PEERS_PORT = 7000;
+
+/** A fleet with its clock in the test's hands. */
+export interface TestFleet {
+  boxes: Map<string, TestBox>;
+  /** Datagrams that each box got. */
+  received: Map<string, number>;
+  /** Effects of the last step other than datagrams, by box. */
+  effects: Map<string, Effect[]>;
+  pass: (ms: number) => void;
+  /** Ends a box; nothing reaches it any more. */
+  kill: (boxId: string) => void;
+}
+
+/** Starts boxes that all know each other from the store's list. */
+export function createFleet(params: { boxes: number; zones: readonly string[] }): TestFleet {
+  const { zones } = params;
+  const addresses: PeerAddress[] = Array.from({ length: params.boxes }, (_, index) => ({
+    boxId: `box-${index}`,
+    host: `10.0.${Math.floor(index / 250)}.${index % 250}`,
+    port: PEERS_PORT,
+    zone: zones[index % zones.length],
+    processorCores: 1,
+  }));
+  const boxes = new Map(addresses.map((address) => [address.boxId, createFleetBox(address)]));
+  const idByHost = new Map(addresses.map(({ boxId, host }) => [host, boxId]));
+  const received = new Map<string, number>();
+  const effects = new Map<string, Effect[]>();
+  const changes = addresses.map((address) => ({ boxId: address.boxId, address }));
+  for (const box of boxes.values()) box.take({ type: 'peersListed', changes });
+
+  const deliver = (sent: readonly Effect[]): void => {
+    for (const { message, to } of ofType(sent, 'sendPeers')) {
+      for (const { host } of to) {
+        const boxId = idByHost.get(host) ?? '';
+        const box = boxes.get(boxId);
+        if (box === undefined) continue;
+        received.set(boxId, (received.get(boxId) ?? 0) + 1);
+        if (message.kind === 'news') box.take({ type: 'peerMessage', message });
+        else box.take({ type: 'peerUsage', message });
+      }
+    }
+  };
+  return {
+    boxes,
+    received,
+    effects,
+    kill: (boxId) => void boxes.delete(boxId),
+    pass(ms) {
+      for (let passed = 0; passed < ms; passed += TICK_MS) {
+        const sent = [...boxes].map(([boxId, box]) => {
+          const done = box.pass(TICK_MS);
+          effects.set(boxId, done);
+          return done;
+        });
+        for (const batch of sent) deliver(batch);
+      }
+    },
+  };
+}
+
+function createFleetBox(address: PeerAddress): TestBox {
+  const base = settings();
+  const { boxId: id, host: ip, zone = '', processorCores, port } = address;
+  const box = createBox({
+    ...base,
+    box: { id, ip, zone, processorCores },
+    listen: { ...base.listen, peersPort: port },
+  });
+  box.take({ type: 'configurationRead', configuration: configuration(), source: 'store' });
+  const entries = [
+    server('records-1'),
+    server('engine-1', { service: 'engines' }),
+    server('engine-2', { service: 'engines' }),
+  ];
+  const changes = entries.map((entry) => ({ id: entry.id, entry }));
+  box.take({ type: 'serversRead', whole: true, changes, revision: 1, source: 'store' });
+  return box;
+}
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -7,7 +7,8 @@
 import type { TableAnswer, TableOp } from 'reedlug-coordination';
 import type { Configuration } from './types/configuration.js';
 import type { CloudCall, SendOrder } from './types/effect.js';
-import type { CloudOutcome, PeerAddress, ServerChange } from './types/event.js';
+import type { CloudOutcome, PeerChange, ServerChange } from './types/event.js';
+import type { PeerAddress } from './types/peer.js';
 import type { AnswerVerdict, RequestFacts } from './types/request.js';
 import type { GatewaySettings } from './types/settings.js';
 
@@ -53,12 +54,6 @@
   follow: (position: FeedPosition) => Promise<FeedAnswer<T>>;
 }
 
-/** A peer's entry; without an address it is gone. */
-export interface PeerChange {
-  boxId: string;
-  address: PeerAddress | undefined;
-}
-
 /** The platform's store. */
 export interface PlatformStore {
   configuration: Feed<Configuration>;
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -1,4 +1,5 @@
 /** Follows a collection of the store: the whole once, then its changes by long polls. */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Feed } from '../adapter.js';
 
 /** Longest wait for an answer beyond the time it may be held, in ms: the store's answer takes 4 ms, a slow one 250. */
@@ -12,6 +13,8 @@
   onPage: (page: { items: readonly T[]; whole: boolean; revision: number }) => void;
   onStoreClock: (storeNowMs: number) => void;
   onContact: (reachable: boolean, reason: string) => void;
+  /** Pause after a page with changes, in ms, so that a burst of changes comes in few pages. */
+  pauseAfterPageMs?: number;
 }
 
 /** Follows until told to stop. */
@@ -42,7 +45,9 @@
         position = revision;
         listener.onContact(true, '');
         if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
-        if (whole || items.length > 0) listener.onPage({ items, whole, revision });
+        if (!whole && items.length === 0) return;
+        listener.onPage({ items, whole, revision });
+        if (listener.pauseAfterPageMs !== undefined) await delay(listener.pauseAfterPageMs);
         return;
       }
       case 'historyGone':
@@ -50,7 +55,7 @@
         return;
       case 'unavailable':
         listener.onContact(false, answer.reason);
-        await new Promise((resolve) => setTimeout(resolve, pauseMs));
+        await delay(pauseMs);
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
         return;
     }
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -78,7 +78,14 @@
 
   const peers = await openPeerSocket({
     address: { host: settings.box.ip, port: settings.listen.peersPort },
-    onMessage: (message) => emit({ type: 'peerMessage', message }),
+    onMessage(message) {
+      switch (message.kind) {
+        case 'news':
+          return emit({ type: 'peerMessage', message });
+        case 'usage':
+          return emit({ type: 'peerUsage', message });
+      }
+    },
     onFault: (reason) => logger('peerLinkFault', { reason }),
     sharedState: () => ({
       configuration: state.active?.configuration,
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -8,7 +8,7 @@
 import { Client } from 'undici';
 import type { Configuration } from '../types/configuration.js';
 import type { ServerChange } from '../types/event.js';
-import type { PeerMessage } from '../types/peer.js';
+import type { PeerDatagram } from '../types/peer.js';
 import type { HostPort } from '../types/server.js';
 
 /** Longest wait for a peer's answer, in ms: several round trips between zones. */
@@ -26,7 +26,7 @@
 
 /** A box's end of the link. */
 export interface PeerSocket {
-  send: (message: PeerMessage, to: readonly HostPort[]) => void;
+  send: (message: PeerDatagram, to: readonly HostPort[]) => void;
   ask: (peer: HostPort) => Promise<SharedState | undefined>;
   close: () => void;
 }
@@ -34,7 +34,7 @@
 /** Opens the link. */
 export async function openPeerSocket(params: {
   address: HostPort;
-  onMessage: (message: PeerMessage) => void;
+  onMessage: (message: PeerDatagram) => void;
   onFault: (reason: string) => void;
   sharedState: () => SharedState;
 }): Promise<PeerSocket> {
@@ -42,7 +42,7 @@
   const socket = createSocket('udp4');
   socket.on('message', (bytes) => {
     try {
-      onMessage(decoder.decode(bytes) as PeerMessage);
+      onMessage(decoder.decode(bytes) as PeerDatagram);
     } catch (error) {
       onFault(`a datagram could not be read: ${(error as Error).message}`);
     }
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -1,11 +1,15 @@
 /** Follows the store's collections and enters this box among the boxes. */
 import type { Runtime } from './gatewayDaemon.js';
+import type { PeerChange } from '../types/event.js';
+import { ownAddress } from '../slices/fleet.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
 
 /** How long a poll of configuration or registry is held, in ms: a lost answer is noticed within the users' 2 s. */
 const WATCH_WAIT_MS = 2000;
 /** How long a poll of the boxes is held, in ms: boxes also hear of each other directly. */
 const BOXES_WAIT_MS = 15_000;
+/** Pause after a change of the boxes, in ms: at a start all of them enter themselves at once, and each would wake all others. */
+const BOXES_PAUSE_MS = 500;
 /** Pause before this box is entered again after a failed try, in ms. */
 const ANNOUNCE_RETRY_MS = 1000;
 
@@ -39,15 +43,15 @@
   });
   const boxes = followFeed(store.boxes, BOXES_WAIT_MS, {
     ...common('boxes'),
+    pauseAfterPageMs: BOXES_PAUSE_MS,
     onPage({ items }) {
-      const peers = items.flatMap(({ address }) => (address === undefined ? [] : [address]));
-      if (peers.length > 0) emit({ type: 'peersListed', peers });
+      if (items.length > 0) emit({ type: 'peersListed', changes: items });
     },
   });
   const { box, listen, seeds } = settings;
-  const seedPeers = seeds.map(({ host }) => ({ boxId: host, host, port: listen.peersPort }));
-  if (seedPeers.length > 0) emit({ type: 'peersListed', peers: seedPeers });
-  const address = { boxId: box.id, host: box.ip, port: listen.peersPort };
+  const seedPeers = seeds.map(({ host }) => seedOf(host, listen.peersPort));
+  if (seedPeers.length > 0) emit({ type: 'peersListed', changes: seedPeers });
+  const address = ownAddress(runtime.state);
   const announce = async (): Promise<void> => {
     while (!stopped && !(await store.announceBox(box.id, address))) {
       logger('announceFailed', { box: box.id });
@@ -64,3 +68,8 @@
     },
   };
 }
+
+/** A box of which the settings tell only the address; its real name replaces the address once it is known. */
+function seedOf(host: string, port: number): PeerChange {
+  return { boxId: host, address: { boxId: host, host, port, zone: undefined, processorCores: 0 } };
+}
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -8,7 +8,9 @@
  */
 import { hashString, rendezvousWeight } from 'reedlug-coordination';
 import type { RequestFacts } from '../types/request.js';
+import type { ServerLoad } from '../types/peer.js';
 import type { GatewayState, ServerView } from '../state.js';
+import { countedPeers, type HeardPeer } from '../slices/fleet.js';
 import { failureScore, SUSPECT_SCORE } from './serverHealth.js';
 
 /** Prompt tokens that an engine reads in a ms; the sites' engines read 32.4, less what decoding takes. */
@@ -46,9 +48,16 @@
   const sound = open.filter((view) => failureScore(view, nowMs) < SUSPECT_SCORE);
   const candidates = sound.length > 0 ? sound : open;
   const homeId = homeOf(candidates, facts);
+  const peers = countedPeers(state, nowMs);
   let best: Choice | undefined;
   for (const view of candidates) {
-    const choice = weigh(state, view, facts, view.entry.id === homeId, nowMs);
+    const choice = weigh(state, {
+      view,
+      load: totalLoad(view, peers),
+      facts,
+      isHome: view.entry.id === homeId,
+      nowMs,
+    });
     if (best === undefined || choice.costMs < best.costMs) best = choice;
   }
   return best;
@@ -56,12 +65,15 @@
 
 function weigh(
   state: GatewayState,
-  view: ServerView,
-  facts: RequestFacts,
-  isHome: boolean,
-  nowMs: number,
+  params: {
+    view: ServerView;
+    load: ServerLoad;
+    facts: RequestFacts;
+    isHome: boolean;
+    nowMs: number;
+  },
 ): Choice {
-  const load = totalLoad(state, view);
+  const { view, load, facts, isHome, nowMs } = params;
   const isPlain = facts.promptTokens === undefined;
   const prefillTokens = tokensToRead(view, facts, isHome, nowMs);
   const runningMs = load.running * (isPlain ? PLAIN_RUNNING_MS : RUNNING_MS);
@@ -73,10 +85,10 @@
 }
 
 /** Open work at a server: this box's own and what peers last told. */
-function totalLoad(state: GatewayState, view: ServerView) {
+function totalLoad(view: ServerView, peers: readonly HeardPeer[]): ServerLoad {
   let { running, prefillTokens } = view;
-  for (const peer of state.peers.values()) {
-    const load = peer.message?.loads[view.entry.id];
+  for (const peer of peers) {
+    const load = peer.message.loads[view.entry.id];
     if (load === undefined) continue;
     running += load.running;
     prefillTokens += load.prefillTokens;
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -17,7 +17,7 @@
 import { capacityTick, onOrderAnswered } from './slices/capacity.js';
 import { clockTick, onClockRow, onStoreClock } from './slices/clock.js';
 import { dutiesTick, onLeaseRow } from './slices/duties.js';
-import { onPeerMessage, onPeersListed, peersTick } from './slices/peers.js';
+import { onPeerMessage, onPeersListed, onPeerUsage, peersTick } from './slices/peers.js';
 import { onCallerGone, onRequestArrived, requestsTick } from './slices/requests.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
 import { onStopAsked, stopTick } from './slices/stopping.js';
@@ -62,6 +62,8 @@
       return onStoreClock(state, step, event);
     case 'peerMessage':
       return onPeerMessage(state, step, event);
+    case 'peerUsage':
+      return onPeerUsage(state, step, event);
     case 'peersListed':
       return onPeersListed(state, step, event);
     case 'stopAsked':
--- a/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -32,7 +32,13 @@
 const seconds = z.number().check(z.nonnegative());
 
 const schema = z.strictObject({
-  box: z.strictObject({ id: name, ip, zone: name }),
+  box: z.strictObject({
+    id: name,
+    ip,
+    zone: name,
+    processorShare: z._default(z.number().check(z.positive()), 1),
+    processorSpeed: z._default(z.number().check(z.positive()), 1),
+  }),
   zones: z.array(name).check(z.minLength(1, 'must name a zone')),
   listen: z.strictObject({
     callers: hostPort,
@@ -79,10 +85,12 @@
 }
 
 function settingsOf(file: z.infer<typeof schema>): GatewaySettings {
-  const { bounds, cloud } = file;
+  const { bounds, box, cloud } = file;
+  const { processorShare, processorSpeed, ...names } = box;
   const { graceSeconds, usageWindowSeconds, usageDueSeconds, ...others } = bounds;
   return {
     ...file,
+    box: { ...names, processorCores: processorShare * processorSpeed },
     cloud: cloud && {
       address: cloud.address,
       reportsUsage: cloud.duties.includes(Duty.usageReports),
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
@@ -0,0 +1,152 @@
+import { expect } from 'chai';
+import { createFleet, type TestFleet } from '../../__tests__/__fixtures__/fleet.js';
+import { facts, only } from '../../__tests__/__fixtures__/box.js';
+import { countedPeers } from '../fleet.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+/** Starts a stream at a box that goes on until the test ends. */
+function openStream(fleet: TestFleet, boxId: string, exchangeId: number): string {
+  const box = fleet.boxes.get(boxId);
+  const request = facts({
+    requestId: `${boxId}-${exchangeId}`,
+    path: '/draft/1',
+    deadlineMs: 8000,
+    promptTokens: 100,
+    maxOutputTokens: 20,
+  });
+  const effects = box?.take({ type: 'requestArrived', exchangeId, facts: request }) ?? [];
+  return only(effects, 'send').order.serverId;
+}
+
+/** Streams that a box believes others to have open at all servers. */
+function runningElsewhere(fleet: TestFleet, boxId: string): number {
+  const box = fleet.boxes.get(boxId);
+  if (box === undefined) throw new Error(`no ${boxId}`);
+  let running = 0;
+  for (const { message } of countedPeers(box.state, box.nowMs)) {
+    for (const load of Object.values(message.loads)) running += load.running;
+  }
+  return running;
+}
+
+test('each box of a large fleet knows the load of all others, once', () => {
+  const fleet = createFleet({ boxes: 90, zones: ZONES });
+  fleet.pass(3000);
+  for (const boxId of ['box-0', 'box-1', 'box-44', 'box-89']) openStream(fleet, boxId, 1);
+  fleet.pass(1000);
+  for (const boxId of fleet.boxes.keys()) {
+    const own = ['box-0', 'box-1', 'box-44', 'box-89'].includes(boxId) ? 1 : 0;
+    expect(runningElsewhere(fleet, boxId), boxId).to.equal(4 - own);
+  }
+});
+
+test('a box of a large fleet hears few datagrams, a hub some hundred a second', () => {
+  const fleet = createFleet({ boxes: 300, zones: ZONES });
+  fleet.pass(3000);
+  fleet.received.clear();
+  fleet.pass(2000);
+  const perSecond = [...fleet.received.values()].map((count) => count / 2).sort((a, b) => a - b);
+  expect(perSecond[150]).to.be.lessThan(8);
+  expect(perSecond.at(-1)).to.be.lessThan(260);
+});
+
+test('a fleet of few boxes has no hubs', () => {
+  const fleet = createFleet({ boxes: 8, zones: ZONES });
+  fleet.pass(3000);
+  openStream(fleet, 'box-3', 1);
+  fleet.pass(400);
+  expect(runningElsewhere(fleet, 'box-0')).to.equal(1);
+  expect([...fleet.boxes.values()].every(({ state }) => state.hubId === undefined)).to.equal(true);
+});
+
+test('after the loss of a hub its members are heard again within two seconds', () => {
+  const fleet = createFleet({ boxes: 90, zones: ZONES });
+  fleet.pass(3000);
+  const hubId = fleet.boxes.get('box-0')?.state.hubId ?? 'box-0';
+  fleet.kill(hubId);
+  fleet.pass(2000);
+  const member = [...fleet.boxes].find(([, { state }]) => state.settings.box.zone === 'zone-a');
+  openStream(fleet, member?.[0] ?? '', 1);
+  fleet.pass(1000);
+  for (const boxId of fleet.boxes.keys()) {
+    const expected = boxId === member?.[0] ? 0 : 1;
+    expect(runningElsewhere(fleet, boxId), boxId).to.equal(expected);
+  }
+});
+
+test('what one box admits is taken from the limit at every box, once', () => {
+  const fleet = createFleet({ boxes: 60, zones: ZONES });
+  fleet.pass(3000);
+  // A first request each, so that all boxes keep a bucket.
+  let exchangeId = 0;
+  for (const boxId of fleet.boxes.keys()) openStream(fleet, boxId, (exchangeId += 1));
+  fleet.pass(20_000);
+  openStream(fleet, 'box-0', 1000);
+  fleet.pass(1000);
+  const total = [...fleet.boxes.values()].map(({ state }) => {
+    const { heardFromBoxes, heardFromHubs } = state;
+    const own = state.quotas.get('tiger')?.admitted ?? 0;
+    const told = heardFromBoxes.admitted.get('tiger') ?? 0;
+    return own + told + (heardFromHubs.admitted.get('tiger') ?? 0);
+  });
+  expect(Math.max(...total)).to.equal(61 * 120);
+  expect(Math.min(...total)).to.equal(61 * 120);
+});
+
+test('usage of a large fleet reaches the holder of the lease', () => {
+  const fleet = createFleet({ boxes: 40, zones: ZONES });
+  const holder = fleet.boxes.get('box-5');
+  if (holder === undefined) throw new Error('no holder');
+  holder.state.lease.held = { fence: 1, grantedAtMs: 0, unfencedFromMs: 0 };
+  holder.state.lease.pending = { sentAtMs: 0, kind: 'write' };
+  for (const box of fleet.boxes.values()) {
+    box.take({ type: 'storeClock', storeNowMs: 0 });
+    box.state.agreedClockOffsetMs = 0;
+  }
+  fleet.pass(1500);
+  const box = fleet.boxes.get('box-20');
+  const request = facts({ requestId: 'counted' });
+  const arrived = box?.take({ type: 'requestArrived', exchangeId: 1, facts: request }) ?? [];
+  const { attemptId } = only(arrived, 'send');
+  box?.take({ type: 'attemptAnswered', exchangeId: 1, attemptId, verdict: 'success', status: 200 });
+  fleet.pass(900);
+  const counts = holder.state.usage.get(0)?.byBox.get('box-20/1');
+  expect(counts).to.deep.equal({ tiger: 1 });
+});
+
+test('the checkpoint of a large fleet fits a row of the store', () => {
+  const fleet = createFleet({ boxes: 330, zones: ZONES });
+  const holder = fleet.boxes.get('box-5');
+  if (holder === undefined) throw new Error('no holder');
+  const workspaces = Array.from({ length: 16 }, (_, index) => `workspace-${index}`);
+  const counts = Object.fromEntries(workspaces.map((name) => [name, 123]));
+  const [workspace] = holder.state.active?.configuration.workspaces ?? [];
+  if (workspace === undefined) throw new Error('no workspace');
+  holder.take({
+    type: 'configurationRead',
+    configuration: {
+      ...(holder.state.active as NonNullable<typeof holder.state.active>).configuration,
+      version: 2,
+      workspaces: workspaces.map((name) => ({ ...workspace, name })),
+    },
+    source: 'store',
+  });
+  holder.take({ type: 'storeClock', storeNowMs: 0 });
+  holder.state.agreedClockOffsetMs = 0;
+  holder.state.lease.held = { fence: 1, grantedAtMs: 0, unfencedFromMs: 0 };
+  for (const boxId of fleet.boxes.keys()) {
+    const usage = { 0: counts, 1: counts, 2: counts };
+    const name = `front-kirikkale-of-the-north-${boxId}`;
+    holder.take({
+      type: 'peerUsage',
+      message: { kind: 'usage', boxId: name, incarnation: 1_764_687_548_000, usage },
+    });
+  }
+  const row = holder
+    .pass(600)
+    .flatMap((effect) => (effect.type === 'requestTable' ? [effect] : []))
+    .find(({ purpose }) => purpose.kind === 'checkpoint');
+  expect(row).not.to.equal(undefined);
+  expect(JSON.stringify(row?.op).length).to.be.lessThan(65_536);
+});
--- a/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
@@ -91,7 +91,10 @@
 
 test('a box without the lease reports nothing', () => {
   const box = createServingBox();
-  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 0, holdsLease: true }) });
+  box.take({
+    type: 'peerMessage',
+    message: peerMessage({ clockOffsetMs: 0, leaseHolder: { host: '127.0.0.2', port: 7000 } }),
+  });
   box.take({ type: 'storeClock', storeNowMs: 0 });
   serve(box, 1);
   const usage = ofType(box.pass(8000), 'requestTable').filter(
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -8,10 +8,10 @@
 import type { ServiceSpec } from '../types/configuration.js';
 import { enginesNeeded, spreadEngines, type EngineNeed } from '../policy/engineTarget.js';
 import {
+  holdFigure,
   log,
   type EngineOrder,
   type GatewayState,
-  type HeldFigure,
   type HeldNeed,
   type Step,
 } from '../state.js';
@@ -56,15 +56,10 @@
 
 /** Prompt tokens that all boxes sent to be read, a second, smoothed. */
 function measureLoad(state: GatewayState, elapsedMs: number): void {
-  let added = state.workTokens - state.workTokensSeen;
-  state.workTokensSeen = state.workTokens;
-  for (const peer of state.peers.values()) {
-    const total = peer.message?.workTokens;
-    if (total === undefined) continue;
-    // What a peer sent before it was first heard, or before a restart, is no load of now.
-    if (peer.workTokensSeen !== undefined) added += Math.max(0, total - peer.workTokensSeen);
-    peer.workTokensSeen = total;
-  }
+  const { workTokens, heardFromBoxes, heardFromHubs } = state;
+  const total = workTokens + heardFromBoxes.workTokens + heardFromHubs.workTokens;
+  const added = Math.max(0, total - state.workTokensSeen);
+  state.workTokensSeen = total;
   const ratePerSecond = (added * 1000) / Math.max(1, elapsedMs);
   const smoothing = { added: ratePerSecond, elapsedMs };
   state.recentTokensPerSecond = smooth(state.recentTokensPerSecond, smoothing, RISE_SMOOTHING_MS);
@@ -173,8 +168,8 @@
   // Before a load is known, as many engines as there were, and a few more.
   const isLearning = step.nowMs - state.startedAtMs < LEARN_LOAD_MS;
   const atLeast = isLearning ? startingCount(state, service) : 0;
-  hold(held.usual, Math.max(usual, atLeast), step.nowMs, HOLD_USUAL_MS);
-  hold(held.least, least, step.nowMs, HOLD_LEAST_MS);
+  holdFigure(held.usual, Math.max(usual, atLeast), step.nowMs, HOLD_USUAL_MS);
+  holdFigure(held.least, least, step.nowMs, HOLD_LEAST_MS);
   state.heldNeeds.set(service, held);
   return { usual: held.usual.value, least: held.least.value };
 }
@@ -206,12 +201,6 @@
   return count;
 }
 
-function hold(held: HeldFigure, value: number, nowMs: number, holdMs: number): void {
-  if (value < held.value && nowMs < held.untilMs) return;
-  if (value < held.value || nowMs + holdMs > held.untilMs) held.untilMs = nowMs + holdMs;
-  held.value = value;
-}
-
 function order(
   state: GatewayState,
   step: Step,
--- a/packages/reedlug-gateway/src/slices/duties.ts
+++ b/packages/reedlug-gateway/src/slices/duties.ts
@@ -25,7 +25,7 @@
   if (step.nowMs - state.startedAtMs < delayMs) return false;
   for (const peer of state.peers.values()) {
     const heardMs = step.nowMs - peer.heardAtMs;
-    if (peer.message?.holdsLease === true && heardMs < HOLDER_HEARD_MS) return false;
+    if (peer.message?.leaseHolder !== undefined && heardMs < HOLDER_HEARD_MS) return false;
   }
   return true;
 }
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -0,0 +1,114 @@
+/** The boxes that this one knows: how many there are, whose news count, and who is its hub. */
+import { groupBoxes, needsHubs } from '../policy/peerGroups.js';
+import { NewsScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
+import { holdFigure, type GatewayState, type PeerView } from '../state.js';
+
+/** Silence after which a peer's news no longer count, in ms: five of its messages lost in a row. */
+export const SILENT_AFTER_MS = 1000;
+/** Silence after which another hub is taken, in ms: three messages lost in a row. */
+const HUB_SILENT_AFTER_MS = 700;
+/** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
+export const PEER_GONE_AFTER_MS = 10_000;
+
+/** A peer that has been heard. */
+export type HeardPeer = PeerView & { message: PeerMessage };
+
+/** Whether a peer's last message is still news. */
+export function countsFreshly(peer: PeerView, nowMs: number): boolean {
+  return nowMs - peer.heardAtMs <= SILENT_AFTER_MS;
+}
+
+/** A seed is known by its address alone until it is heard or listed. */
+export function isSeed(peer: PeerView): boolean {
+  return peer.boxId === peer.address.host;
+}
+
+/** Boxes of the fleet, this one included: those listed or heard, or as many as a hub speaks for. */
+export function fleetSize(state: GatewayState): number {
+  let known = 1;
+  let told = 0;
+  for (const peer of state.peers.values()) {
+    if (!isSeed(peer)) known += 1;
+    const { message } = peer;
+    if (message?.scope === NewsScope.others) told = Math.max(told, message.boxes + 1);
+  }
+  return Math.max(known, told);
+}
+
+/** Whether boxes of this fleet tell their news by hubs. */
+export function usesHubs(state: GatewayState): boolean {
+  return needsHubs(fleetSize(state));
+}
+
+/** The peers whose figures, with this box's own, make up the fleet's; none is covered twice. */
+export function countedPeers(state: GatewayState, nowMs: number): HeardPeer[] {
+  const heard = [...state.peers.values()].filter((peer) => peer.message !== undefined);
+  return (heard as HeardPeer[]).filter((peer) => isCounted(state, peer, nowMs));
+}
+
+/** Whether a message adds to the fleet's figures as this box sees them. */
+export function isCounted(state: GatewayState, peer: HeardPeer, nowMs: number): boolean {
+  const { scope } = peer.message;
+  if (state.hubId !== undefined) return peer.boxId === state.hubId && scope === NewsScope.others;
+  if (!usesHubs(state)) return scope === NewsScope.box;
+  return scope !== NewsScope.others && countsFreshly(peer, nowMs);
+}
+
+/** Share of the fleet's boxes of the last seconds that can be heard now, this one included. */
+export function heardShare(state: GatewayState, nowMs: number): number {
+  let heard = 1;
+  let silent = 0;
+  for (const peer of countedPeers(state, nowMs)) {
+    const { message } = peer;
+    if (message.leaving) continue;
+    if (countsFreshly(peer, nowMs)) heard += message.boxes;
+    else silent += message.boxes;
+  }
+  if (!usesHubs(state)) return heard / (heard + silent);
+  holdFigure(state.fleetHeard, heard, nowMs, PEER_GONE_AFTER_MS);
+  return heard / state.fleetHeard.value;
+}
+
+/** This box as its peers know it. */
+export function ownAddress(state: GatewayState): PeerAddress {
+  const { box, listen } = state.settings;
+  const { id: boxId, ip: host, zone, processorCores } = box;
+  return { boxId, host, port: listen.peersPort, zone, processorCores };
+}
+
+/** Groups of the fleet as this box knows it, with its own group's name. */
+export function knownGroups(state: GatewayState): {
+  own: PeerAddress[];
+  others: PeerAddress[][];
+} {
+  const self = ownAddress(state);
+  const boxes = [self];
+  for (const peer of state.peers.values()) {
+    if (!isSeed(peer) && peer.message?.leaving !== true) boxes.push(peer.address);
+  }
+  const groups = [...groupBoxes(boxes).values()];
+  const own = groups.find((members) => members.includes(self)) ?? [self];
+  return { own, others: groups.filter((members) => members !== own) };
+}
+
+/** The best hub of this box's group that can be heard; undefined when that is this box itself. */
+export function chooseHub(
+  state: GatewayState,
+  group: readonly PeerAddress[],
+  nowMs: number,
+): string | undefined {
+  const self = ownAddress(state);
+  for (const { boxId } of group) {
+    if (boxId === self.boxId) return undefined;
+    const peer = state.peers.get(boxId);
+    const isHeard = peer?.message?.scope === NewsScope.others;
+    if (isHeard && nowMs - peer.heardAtMs <= HUB_SILENT_AFTER_MS) return boxId;
+  }
+  return undefined;
+}
+
+/** Boxes of this box's group that would be better hubs than a given one. */
+export function betterHubs(group: readonly PeerAddress[], thanId: string): readonly PeerAddress[] {
+  const rank = group.findIndex(({ boxId }) => boxId === thanId);
+  return group.slice(0, Math.max(0, rank));
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -0,0 +1,154 @@
+/** Puts news together: of this box, of its group, and of all others for one member. */
+import { NewsScope, type PeerMessage, type ServerLoad } from '../types/peer.js';
+import type { HeardTotals, GatewayState, PeerView, Step } from '../state.js';
+import { dutyFence } from './duties.js';
+import { countedPeers, countsFreshly } from './fleet.js';
+import { ownUsage } from './usage.js';
+
+/** The news of one tick; messages to several peers differ only in what they sum up. */
+export interface News {
+  /** This box's figures alone. */
+  ofBox: () => PeerMessage;
+  /** The sum of this box and its members. */
+  ofGroup: () => PeerMessage;
+  /** The sum of all boxes but one. */
+  ofOthers: (peer: PeerView) => PeerMessage;
+}
+
+/** Starts the news of a tick. */
+export function startNews(state: GatewayState, step: Step): News {
+  state.peerSequence += 1;
+  const own = ownNews(state, step);
+  const counted = countedPeers(state, step.nowMs);
+  const members = counted.filter(({ message }) => message.scope === NewsScope.box);
+  return {
+    ofBox: () => own,
+    ofGroup: () => sumUp(state, step, own, { scope: NewsScope.group, of: members }),
+    ofOthers: (peer) => {
+      const of = counted.filter(({ boxId }) => boxId !== peer.boxId);
+      return sumUp(state, step, own, { scope: NewsScope.others, of, except: peer.added });
+    },
+  };
+}
+
+function ownNews(state: GatewayState, step: Step): PeerMessage {
+  const { box, listen } = state.settings;
+  const holdsLease = dutyFence(state, step.nowMs) !== undefined;
+  return {
+    kind: 'news',
+    boxId: box.id,
+    incarnation: state.incarnation,
+    sequence: state.peerSequence,
+    scope: NewsScope.box,
+    boxes: 1,
+    zone: box.zone,
+    host: box.ip,
+    port: listen.peersPort,
+    processorCores: box.processorCores,
+    configurationVersion: state.active?.configuration.version ?? 0,
+    serversRevision: state.serversRevision,
+    storeContactAgeMs: ageOf(state.storeContactAtMs, step.nowMs),
+    leaseHolder: holdsLease ? { host: box.ip, port: listen.peersPort } : undefined,
+    leaving: state.stoppingSinceMs !== undefined,
+    loads: ownLoads(state),
+    admitted: Object.fromEntries([...state.quotas].map(([name, quota]) => [name, quota.admitted])),
+    usage: state.hubId === undefined ? ownUsage(state, step) : {},
+    workTokens: state.workTokens,
+    clockOffsetMs: state.agreedClockOffsetMs,
+  };
+}
+
+function ageOf(atMs: number | undefined, nowMs: number): number | undefined {
+  return atMs === undefined ? undefined : Math.round(nowMs - atMs);
+}
+
+function ownLoads(state: GatewayState): Record<string, ServerLoad> {
+  const loads: Record<string, ServerLoad> = {};
+  for (const view of state.servers.values()) {
+    const { running, prefillTokens } = view;
+    if (running > 0) loads[view.entry.id] = { running, prefillTokens };
+  }
+  return loads;
+}
+
+/** Adds the news of peers to this box's own; totals come from what was heard since the start, less one peer's part. */
+function sumUp(
+  state: GatewayState,
+  step: Step,
+  own: PeerMessage,
+  params: {
+    scope: typeof NewsScope.group | typeof NewsScope.others;
+    of: readonly (PeerView & { message: PeerMessage })[];
+    except?: HeardTotals;
+  },
+): PeerMessage {
+  const { scope, of, except } = params;
+  const parts = [state.heardFromBoxes];
+  if (scope === NewsScope.others) parts.push(state.heardFromHubs);
+  const holder = of.find(({ message }) => message.leaseHolder !== undefined);
+  return {
+    ...own,
+    scope,
+    boxes: 1 + of.reduce((sum, { message }) => sum + message.boxes, 0),
+    storeContactAgeMs: ageOf(lastStoreContact(state, of), step.nowMs),
+    leaseHolder: own.leaseHolder ?? holder?.message.leaseHolder,
+    loads: sumLoads([own, ...of.map(({ message }) => message)]),
+    admitted: sumAdmitted(own, parts, except),
+    usage: {},
+    workTokens:
+      own.workTokens +
+      parts.reduce((sum, { workTokens }) => sum + workTokens, 0) -
+      (except?.workTokens ?? 0),
+  };
+}
+
+function lastStoreContact(
+  state: GatewayState,
+  of: readonly (PeerView & { message: PeerMessage })[],
+): number | undefined {
+  let lastAtMs = state.storeContactAtMs;
+  for (const { heardAtMs, message } of of) {
+    if (message.storeContactAgeMs === undefined) continue;
+    const atMs = heardAtMs - message.storeContactAgeMs;
+    if (lastAtMs === undefined || atMs > lastAtMs) lastAtMs = atMs;
+  }
+  return lastAtMs;
+}
+
+function sumLoads(messages: readonly PeerMessage[]): Record<string, ServerLoad> {
+  const sums = new Map<string, ServerLoad>();
+  for (const { loads } of messages) {
+    for (const [id, { running, prefillTokens }] of Object.entries(loads)) {
+      const sum = sums.get(id);
+      if (sum === undefined) {
+        sums.set(id, { running, prefillTokens });
+        continue;
+      }
+      sum.running += running;
+      sum.prefillTokens += prefillTokens;
+    }
+  }
+  return Object.fromEntries(sums);
+}
+
+function sumAdmitted(
+  own: PeerMessage,
+  parts: readonly HeardTotals[],
+  except: HeardTotals | undefined,
+): Record<string, number> {
+  const sums: Record<string, number> = { ...own.admitted };
+  for (const { admitted } of parts) {
+    for (const [workspace, units] of admitted) sums[workspace] = (sums[workspace] ?? 0) + units;
+  }
+  for (const [workspace, units] of except?.admitted ?? []) {
+    sums[workspace] = (sums[workspace] ?? 0) - units;
+  }
+  return sums;
+}
+
+/** Peers whose hub this box is: they tell it their own news, and get everyone else's. */
+export function membersOf(state: GatewayState, nowMs: number): PeerView[] {
+  return [...state.peers.values()].filter(
+    (peer) => peer.message?.scope === NewsScope.box && countsFreshly(peer, nowMs),
+  );
+}
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -1,60 +1,132 @@
-/** News among boxes: load, limits, usage, versions. */
+/**
+ * News among boxes: load, limits, usage, versions.
+ *
+ * In a small fleet each box tells all others. In a larger one boxes tell their
+ * news to the hub of their group, which gives them the sum of all others back.
+ */
 import type { EventOf } from '../types/event.js';
-import type { PeerMessage, ServerLoad } from '../types/peer.js';
-import type { HostPort } from '../types/server.js';
-import { log, type GatewayState, type PeerView, type Step } from '../state.js';
+import { NewsScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
+import { createHeardTotals, log, type GatewayState, type PeerView, type Step } from '../state.js';
 import { agreeOnClock } from './clock.js';
-import { dutyFence } from './duties.js';
-import { PEER_GONE_AFTER_MS, takePeerUnits } from './quotas.js';
+import {
+  betterHubs,
+  chooseHub,
+  countsFreshly,
+  isCounted,
+  knownGroups,
+  PEER_GONE_AFTER_MS,
+  usesHubs,
+  type HeardPeer,
+} from './fleet.js';
+import { membersOf, startNews, type News } from './peerNews.js';
+import { takePeerUnits } from './quotas.js';
 import { mergeUsage, ownUsage } from './usage.js';
 
 /** Pause between messages, in ms: short against an engine's backlog, long against the price of a wake-up. */
 const NEWS_EVERY_MS = 200;
+/** Pause between messages to a peer that is not heard, in ms: enough to find it again a moment after a cut. */
+const PROBE_EVERY_MS = 1000;
+/** Boxes of another group that are tried while its hub is not heard: any two of them may be away. */
+const PROBED_HUBS = 3;
+/** Pause between counts of usage told to the holder of the lease where hubs sum up the news, in ms: a tenth of the shortest window. */
+const USAGE_EVERY_MS = 500;
 /** How long a peer's newer configuration may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
 const BEHIND_MS = 300;
 /** Pause between questions to one peer for newer versions, in ms. */
 const ASK_PEER_EVERY_MS = 400;
 
-/** Sends this box's news to all peers when it is time. */
+/** Sends this box's news when it is time. */
 export function peersTick(state: GatewayState, step: Step): void {
   if (step.nowMs - state.newsSentAtMs < NEWS_EVERY_MS) return;
   state.newsSentAtMs = step.nowMs;
   forgetGonePeers(state, step);
   if (state.peers.size === 0) return;
-  const to = [...state.peers.values()].map((peer) => peer.address);
-  step.effects.push({ type: 'sendPeers', message: ownNews(state, step), to });
-}
-
-function ownNews(state: GatewayState, step: Step): PeerMessage {
-  const { box, listen } = state.settings;
-  state.peerSequence += 1;
-  return {
-    boxId: box.id,
-    incarnation: state.incarnation,
-    sequence: state.peerSequence,
-    zone: box.zone,
-    host: box.ip,
-    port: listen.peersPort,
-    configurationVersion: state.active?.configuration.version ?? 0,
-    serversRevision: state.serversRevision,
-    storeContactAgeMs: ageOf(state.storeContactAtMs, step.nowMs),
-    holdsLease: dutyFence(state, step.nowMs) !== undefined,
-    leaving: state.stoppingSinceMs !== undefined,
-    loads: ownLoads(state),
-    admitted: Object.fromEntries([...state.quotas].map(([name, quota]) => [name, quota.admitted])),
-    usage: ownUsage(state, step),
-    workTokens: state.workTokens,
-    clockOffsetMs: state.agreedClockOffsetMs,
-  };
+  if (!usesHubs(state)) return tellAll(state, step);
+  const { own, others } = knownGroups(state);
+  takeHub(state, step, own);
+  const news = startNews(state, step);
+  tellHub(state, step, news, own);
+  if (state.hubId === undefined) tellOtherHubs(state, step, news, others);
+  for (const member of membersOf(state, step.nowMs)) tell(step, member, news.ofOthers(member));
+  tellUsage(state, step);
+}
+
+function tellAll(state: GatewayState, step: Step): void {
+  takeHub(state, step, []);
+  const news = startNews(state, step);
+  for (const peer of state.peers.values()) {
+    if (isDue(peer, step.nowMs)) tell(step, peer, news.ofBox());
+  }
+}
+
+/** A silent peer is told less often. */
+function isDue(peer: PeerView, nowMs: number): boolean {
+  const isHeard = nowMs - peer.heardAtMs <= PEER_GONE_AFTER_MS;
+  return isHeard || nowMs - peer.toldAtMs >= PROBE_EVERY_MS;
+}
+
+function tell(step: Step, peer: PeerView, message: PeerMessage): void {
+  peer.toldAtMs = step.nowMs;
+  step.effects.push({ type: 'sendPeers', message, to: [peer.address] });
 }
 
-function ownLoads(state: GatewayState): Record<string, ServerLoad> {
-  const loads: Record<string, ServerLoad> = {};
-  for (const view of state.servers.values()) {
-    const { running, prefillTokens } = view;
-    if (running > 0) loads[view.entry.id] = { running, prefillTokens };
+function takeHub(state: GatewayState, step: Step, group: readonly PeerAddress[]): void {
+  const hubId = chooseHub(state, group, step.nowMs);
+  if (hubId === state.hubId) return;
+  log(step, 'hubTaken', { hub: hubId ?? state.settings.box.id, before: state.hubId ?? '' });
+  state.hubId = hubId;
+}
+
+/** Tells the hub; boxes that would be better ones are tried now and then. */
+function tellHub(state: GatewayState, step: Step, news: News, group: readonly PeerAddress[]): void {
+  const hub = state.hubId === undefined ? undefined : state.peers.get(state.hubId);
+  if (hub !== undefined) tell(step, hub, news.ofBox());
+  for (const { boxId } of betterHubs(group, hub?.boxId ?? state.settings.box.id)) {
+    const peer = state.peers.get(boxId);
+    if (peer === undefined || step.nowMs - peer.toldAtMs < PROBE_EVERY_MS) continue;
+    tell(step, peer, news.ofBox());
+  }
+}
+
+function tellOtherHubs(
+  state: GatewayState,
+  step: Step,
+  news: News,
+  groups: readonly (readonly PeerAddress[])[],
+): void {
+  const message = news.ofGroup();
+  for (const group of groups) {
+    const peers = group.map(({ boxId }) => state.peers.get(boxId)).filter((peer) => !!peer);
+    const hubs = peers.filter(
+      (peer) => peer.message?.scope === NewsScope.group && countsFreshly(peer, step.nowMs),
+    );
+    for (const hub of hubs) tell(step, hub, message);
+    if (hubs.length > 0) continue;
+    for (const peer of peers.slice(0, PROBED_HUBS)) {
+      if (step.nowMs - peer.toldAtMs >= PROBE_EVERY_MS) tell(step, peer, message);
+    }
   }
-  return loads;
+}
+
+/** The sums of hubs leave usage out: it is told by each box to the one that reports it. */
+function tellUsage(state: GatewayState, step: Step): void {
+  if (step.nowMs - state.usageToldAtMs < USAGE_EVERY_MS) return;
+  const holder = leaseHolder(state, step.nowMs);
+  if (holder === undefined) return;
+  state.usageToldAtMs = step.nowMs;
+  const { incarnation } = state;
+  const usage = ownUsage(state, step);
+  const boxId = state.settings.box.id;
+  const message = { kind: 'usage' as const, boxId, incarnation, usage };
+  step.effects.push({ type: 'sendPeers', message, to: [holder] });
+}
+
+function leaseHolder(state: GatewayState, nowMs: number) {
+  for (const peer of state.peers.values()) {
+    const holder = peer.message?.leaseHolder;
+    if (holder !== undefined && countsFreshly(peer, nowMs)) return holder;
+  }
+  return undefined;
 }
 
 /** Takes a peer's news. */
@@ -65,64 +137,86 @@
 ): void {
   const { message } = event;
   if (message.boxId === state.settings.box.id) return;
-  const address = { host: message.host, port: message.port };
-  const peer = peerOf(state, step, message.boxId, address);
+  const { boxId, host, port, zone, processorCores } = message;
+  const peer = peerOf(state, step, { boxId, host, port, zone, processorCores });
   const before = peer.message;
   if (before !== undefined && isOlder(message, before)) return;
-  peer.address = address;
   peer.heardAtMs = step.nowMs;
   peer.message = message;
   noteStoreSeen(state, step, message);
-  takeAdmitted(state, step, message, before);
+  takeTotals(state, step, peer as HeardPeer, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
   askForNewer(state, step, peer, message);
 }
 
+/** Takes a box's counts, for the one that holds the lease. */
+export function onPeerUsage(state: GatewayState, _step: Step, event: EventOf<'peerUsage'>): void {
+  const { boxId, incarnation, usage } = event.message;
+  mergeUsage(state, `${boxId}/${incarnation}`, usage);
+}
+
 function isOlder(message: PeerMessage, known: PeerMessage): boolean {
   if (message.incarnation !== known.incarnation) return message.incarnation < known.incarnation;
   return message.sequence <= known.sequence;
 }
 
-function peerOf(state: GatewayState, step: Step, boxId: string, address: HostPort): PeerView {
-  const known = state.peers.get(boxId);
-  if (known !== undefined) return known;
+function peerOf(state: GatewayState, step: Step, address: PeerAddress): PeerView {
+  const known = state.peers.get(address.boxId);
+  if (known !== undefined) {
+    known.address = address;
+    return known;
+  }
+  // A seed was known by its address alone.
+  state.peers.delete(address.host);
   const peer: PeerView = {
-    boxId,
+    boxId: address.boxId,
     address,
+    listed: false,
     heardAtMs: step.nowMs,
     message: undefined,
-    workTokensSeen: undefined,
+    added: createHeardTotals(),
+    toldAtMs: Number.NEGATIVE_INFINITY,
     askedAtMs: Number.NEGATIVE_INFINITY,
   };
-  state.peers.set(boxId, peer);
-  log(step, 'peerAdded', { peer: boxId });
+  state.peers.set(address.boxId, peer);
+  log(step, 'peerAdded', { peer: address.boxId });
   return peer;
 }
 
-function ageOf(atMs: number | undefined, nowMs: number): number | undefined {
-  return atMs === undefined ? undefined : Math.round(nowMs - atMs);
-}
-
 function noteStoreSeen(state: GatewayState, step: Step, message: PeerMessage): void {
   if (message.storeContactAgeMs === undefined) return;
   const seenAtMs = step.nowMs - message.storeContactAgeMs;
   state.storeSeenByPeerAtMs = Math.max(state.storeSeenByPeerAtMs, seenAtMs);
 }
 
-/** Totals are compared with the last ones; a peer heard for the first time may have admitted long ago. */
-function takeAdmitted(
+/**
+ * Adds what a peer's totals have grown by. The first message of a peer, of its
+ * new life or with another scope has nothing to compare with: what it tells may be long ago.
+ */
+function takeTotals(
   state: GatewayState,
   step: Step,
-  message: PeerMessage,
+  peer: HeardPeer,
   before: PeerMessage | undefined,
 ): void {
-  if (before === undefined) return;
+  const { message } = peer;
+  if (before?.scope !== message.scope || !isCounted(state, peer, step.nowMs)) return;
   const sameLife = before.incarnation === message.incarnation;
+  if (!sameLife && message.scope !== NewsScope.box) return;
+  const isOwn = message.scope === NewsScope.box;
+  const heard = isOwn ? state.heardFromBoxes : state.heardFromHubs;
   for (const [workspace, admitted] of Object.entries(message.admitted)) {
     const units = admitted - (sameLife ? (before.admitted[workspace] ?? 0) : 0);
-    if (units > 0) takePeerUnits(state, workspace, units, step.nowMs);
+    if (units <= 0) continue;
+    heard.admitted.set(workspace, (heard.admitted.get(workspace) ?? 0) + units);
+    peer.added.admitted.set(workspace, (peer.added.admitted.get(workspace) ?? 0) + units);
+    takePeerUnits(state, workspace, units, step.nowMs);
   }
+  const tokens = message.workTokens - (sameLife ? before.workTokens : 0);
+  if (tokens <= 0) return;
+  heard.workTokens += tokens;
+  peer.added.workTokens += tokens;
 }
 
 /** Asks a peer for what the store does not give this box, or not in time. */
@@ -145,16 +239,39 @@
   step: Step,
   event: EventOf<'peersListed'>,
 ): void {
-  for (const { boxId, host, port } of event.peers) {
-    const isOwn = boxId === state.settings.box.id || host === state.settings.box.ip;
-    if (!isOwn) peerOf(state, step, boxId, { host, port });
+  for (const { boxId, address } of event.changes) {
+    const known = state.peers.get(boxId);
+    if (address === undefined) {
+      if (known !== undefined) known.listed = false;
+      continue;
+    }
+    const isOwn = boxId === state.settings.box.id || address.host === state.settings.box.ip;
+    if (isOwn) continue;
+    const isSeedOfKnown = boxId === address.host && knowsHost(state, address.host);
+    if (!isSeedOfKnown) peerOf(state, step, address).listed = boxId !== address.host;
   }
 }
 
+function knowsHost(state: GatewayState, host: string): boolean {
+  return [...state.peers.values()].some((peer) => peer.address.host === host);
+}
+
+/** A listed box that is silent is kept by its address: it may be cut off. */
 function forgetGonePeers(state: GatewayState, step: Step): void {
   for (const peer of state.peers.values()) {
     if (step.nowMs - peer.heardAtMs < PEER_GONE_AFTER_MS) continue;
-    state.peers.delete(peer.boxId);
-    log(step, 'peerGone', { peer: peer.boxId });
+    if (peer.message !== undefined) log(step, 'peerGone', { peer: peer.boxId });
+    peer.message = undefined;
+    if (!peer.listed) forget(state, peer);
+  }
+}
+
+function forget(state: GatewayState, peer: PeerView): void {
+  state.peers.delete(peer.boxId);
+  // Its part is no longer taken off when it is told the others' sum, so it must not be in that sum.
+  for (const [workspace, units] of peer.added.admitted) {
+    const { admitted } = state.heardFromBoxes;
+    admitted.set(workspace, (admitted.get(workspace) ?? 0) - units);
   }
+  state.heardFromBoxes.workTokens -= peer.added.workTokens;
 }
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -7,12 +7,9 @@
  */
 import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
 import type { RequestFacts } from '../types/request.js';
-import type { GatewayState, PeerView, QuotaView } from '../state.js';
+import type { GatewayState, QuotaView } from '../state.js';
+import { heardShare } from './fleet.js';
 
-/** Silence after which a peer's share is left to it, in ms: five of its messages lost in a row. */
-const SILENT_AFTER_MS = 1000;
-/** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
-export const PEER_GONE_AFTER_MS = 10_000;
 /** Part of the users' slack that is used: peers' news are 0.2 s old, and a burst of one workspace admits up to three quarters of the slack in that time. */
 const SLACK_SHARE = 0.1;
 /** Part of the burst that a fresh box takes to be left: it cannot know what was used before its start. */
@@ -93,16 +90,5 @@
 
 /** The rate less the last shares of silent peers. */
 function usableRate(state: GatewayState, workspace: WorkspaceSpec, nowMs: number): number {
-  let heard = 1;
-  let silent = 0;
-  for (const peer of state.peers.values()) {
-    if (peer.message === undefined || peer.message.leaving) continue;
-    if (isSilent(peer, nowMs)) silent += 1;
-    else heard += 1;
-  }
-  return (workspace.ratePerSecond * heard) / (heard + silent);
-}
-
-function isSilent(peer: PeerView, nowMs: number): boolean {
-  return nowMs - peer.heardAtMs > SILENT_AFTER_MS;
+  return workspace.ratePerSecond * heardShare(state, nowMs);
 }
--- a/packages/reedlug-gateway/src/slices/retryBudgets.ts
+++ b/packages/reedlug-gateway/src/slices/retryBudgets.ts
@@ -7,6 +7,7 @@
  */
 import { createRetryBudget, noteFirstTry, takeRetry, type RetryBudget } from 'reedlug-coordination';
 import type { GatewayState } from '../state.js';
+import { fleetSize } from './fleet.js';
 
 /** Part of the users' ratio that is used: windows slide, and lost answers hide some sends. */
 const RATIO_SHARE = 0.75;
@@ -26,11 +27,14 @@
 }
 
 function budgetOf(state: GatewayState, service: string): RetryBudget {
-  const known = state.retryBudgets.get(service);
-  if (known !== undefined) return known;
   const { retryRatio, retrySlack } = state.settings.bounds;
-  const boxes = state.peers.size + 1;
-  const capacity = Math.max(1, (retrySlack * SLACK_SHARE) / boxes);
+  const capacity = Math.max(1, (retrySlack * SLACK_SHARE) / fleetSize(state));
+  const known = state.retryBudgets.get(service);
+  if (known !== undefined) {
+    known.capacity = capacity;
+    known.tokens = Math.min(known.tokens, capacity);
+    return known;
+  }
   const budget = createRetryBudget(retryRatio * RATIO_SHARE, capacity);
   budget.tokens = Math.max(1, capacity * FRESH_SHARE);
   state.retryBudgets.set(service, budget);
--- a/packages/reedlug-gateway/src/slices/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage.ts
@@ -27,8 +27,13 @@
 
 type Counts = Readonly<Record<string, number>>;
 
+/** Bytes of counts that a checkpoint holds at most: a row takes 64 KiB, and the names of windows and workspaces come on top. */
+const CHECKPOINT_BYTES = 56 * 1024;
+
+/** Counts of the windows that are not entered yet, in the order of the workspaces' names. */
 interface CheckpointRow {
-  windows: Readonly<Record<string, Readonly<Record<string, Counts>>>>;
+  workspaces: readonly string[];
+  windows: Readonly<Record<string, Readonly<Record<string, readonly number[]>>>>;
 }
 
 /** Counts a request once, in the window in which it began to run. */
@@ -185,15 +190,30 @@
   if (!state.usageChanged || step.nowMs - state.checkpointAtMs < CHECKPOINT_MS) return;
   state.checkpointAtMs = step.nowMs;
   state.usageChanged = false;
-  const windows: Record<string, Record<string, Counts>> = {};
-  for (const { window, byBox, reported } of state.usage.values()) {
-    if (!reported) windows[window] = Object.fromEntries(byBox);
-  }
-  const value: CheckpointRow = { windows };
+  const value = checkpointOf(state);
   const writes = [{ key: CHECKPOINT_KEY, expectVersion: state.checkpointVersion, value }];
   requestTable(step, { kind: 'checkpoint' }, { kind: 'transact', writes });
 }
 
+/** The counts of boxes by window; a window that is entered in its own row needs only its name. */
+function checkpointOf(state: GatewayState): CheckpointRow {
+  const workspaces = state.active?.configuration.workspaces.map(({ name }) => name) ?? [];
+  const windows: Record<string, Record<string, number[]>> = {};
+  let bytesLeft = CHECKPOINT_BYTES;
+  const newestFirst = [...state.usage.values()].sort((a, b) => b.window - a.window);
+  for (const { window, byBox, reported, decided } of newestFirst) {
+    if (reported) continue;
+    const boxes: Record<string, number[]> = {};
+    for (const [box, counts] of decided === undefined ? byBox : []) {
+      const inOrder = workspaces.map((name) => counts[name] ?? 0);
+      bytesLeft -= JSON.stringify([box, inOrder]).length;
+      if (bytesLeft > 0) boxes[box] = inOrder;
+    }
+    windows[window] = boxes;
+  }
+  return { workspaces, windows };
+}
+
 /** Learns the checkpoint's version; after a conflict, takes the counts of whoever wrote it. */
 export function onCheckpointRow(
   state: GatewayState,
@@ -206,9 +226,11 @@
   if (row === undefined) return;
   state.checkpointVersion = row.version;
   if (answer.kind === 'done' || row.value === undefined) return;
-  const { windows } = row.value as CheckpointRow;
+  const { workspaces, windows } = row.value as CheckpointRow;
   for (const [window, byBox] of Object.entries(windows)) {
-    for (const [boxKey, counts] of Object.entries(byBox)) {
+    windowOf(state, Number(window));
+    for (const [boxKey, inOrder] of Object.entries(byBox)) {
+      const counts = Object.fromEntries(workspaces.map((name, at) => [name, inOrder[at] ?? 0]));
       mergeUsage(state, boxKey, { [window]: counts });
     }
   }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -4,9 +4,9 @@
 import type { Effect, LogField } from './types/effect.js';
 import type { CloudCall } from './types/effect.js';
 import type { TablePurpose } from './types/event.js';
-import type { PeerMessage } from './types/peer.js';
+import type { PeerAddress, PeerMessage } from './types/peer.js';
 import type { RequestRecord } from './types/request.js';
-import type { HostPort, ServerEntry } from './types/server.js';
+import type { ServerEntry } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
 
 /** One step of the reducer: its time, and the effects so far. */
@@ -53,15 +53,26 @@
 /** A peer as last heard. */
 export interface PeerView {
   boxId: string;
-  address: HostPort;
+  address: PeerAddress;
+  /** True while the store lists the box; then it is kept while it is silent. */
+  listed: boolean;
   heardAtMs: number;
-  /** Undefined until the first message. */
+  /** Undefined until the first message, and again after a long silence. */
   message: PeerMessage | undefined;
-  /** Its total of prompt tokens at the last plan. */
-  workTokensSeen: number | undefined;
+  /** What its messages have added to the totals of this box. */
+  added: HeardTotals;
+  toldAtMs: number;
   askedAtMs: number;
 }
 
+/** Sums of what other boxes told; they only grow while the boxes are known. */
+export interface HeardTotals {
+  /** Units admitted, by workspace. */
+  admitted: Map<string, number>;
+  /** Prompt tokens of requests' own parts. */
+  workTokens: number;
+}
+
 /** Engines ordered of one kind in one zone. */
 export interface EngineOrder {
   call: Extract<CloudCall, { kind: 'orderEngines' }>;
@@ -121,6 +132,14 @@
   quotas: Map<string, QuotaView>;
   retryBudgets: Map<string, RetryBudget>;
   peers: Map<string, PeerView>;
+  /** The peer that sums up the news of all others for this box; undefined when it needs none. */
+  hubId: string | undefined;
+  /** What other boxes told for themselves, and what hubs told for others. */
+  heardFromBoxes: HeardTotals;
+  heardFromHubs: HeardTotals;
+  /** The most boxes heard of lately, this one included. */
+  fleetHeard: HeldFigure;
+  usageToldAtMs: number;
   /** Since when a peer has had a newer configuration; undefined while none has. */
   behindSinceMs: number | undefined;
   peerSequence: number;
@@ -141,7 +160,7 @@
   planAtMs: number;
   /** Prompt tokens of requests' own parts that this box has sent to be read, since its start. */
   workTokens: number;
-  /** The same at the last plan. */
+  /** The same of all boxes at the last plan. */
   workTokensSeen: number;
   /** Prompt tokens a second over all boxes, averaged over seconds and over a longer time. */
   recentTokensPerSecond: number;
@@ -189,6 +208,11 @@
     quotas: new Map(),
     retryBudgets: new Map(),
     peers: new Map(),
+    hubId: undefined,
+    heardFromBoxes: createHeardTotals(),
+    heardFromHubs: createHeardTotals(),
+    fleetHeard: { value: 1, untilMs: nowMs },
+    usageToldAtMs: Number.NEGATIVE_INFINITY,
     behindSinceMs: undefined,
     peerSequence: 0,
     newsSentAtMs: Number.NEGATIVE_INFINITY,
@@ -224,6 +248,18 @@
   };
 }
 
+/** Nothing heard yet. */
+export function createHeardTotals(): HeardTotals {
+  return { admitted: new Map(), workTokens: 0 };
+}
+
+/** Sets a held figure: a lower value counts only once the time of the higher one is over. */
+export function holdFigure(held: HeldFigure, value: number, nowMs: number, holdMs: number): void {
+  if (value < held.value && nowMs < held.untilMs) return;
+  if (value < held.value || nowMs + holdMs > held.untilMs) held.untilMs = nowMs + holdMs;
+  held.value = value;
+}
+
 /** Adds a log line. */
 export function log(step: Step, event: string, fields: Readonly<Record<string, LogField>>): void {
   step.effects.push({ type: 'log', event, fields });
--- a/packages/reedlug-gateway/src/types/effect.ts
+++ b/packages/reedlug-gateway/src/types/effect.ts
@@ -1,7 +1,7 @@
 /** Everything that the reducer asks of the outside. Effects are data. */
 import type { TableOp } from 'reedlug-coordination';
 import type { TablePurpose } from './event.js';
-import type { PeerMessage } from './peer.js';
+import type { PeerDatagram } from './peer.js';
 import type { HostPort } from './server.js';
 
 /** What the platform is asked under a fence. */
@@ -48,7 +48,7 @@
   | { type: 'cutCaller'; exchangeId: number }
   | { type: 'requestTable'; purpose: TablePurpose; op: TableOp; sentAtMs: number }
   | { type: 'callCloud'; callId: number; call: CloudCall; fence: number }
-  | { type: 'sendPeers'; message: PeerMessage; to: readonly HostPort[] }
+  | { type: 'sendPeers'; message: PeerDatagram; to: readonly HostPort[] }
   /** Asks a peer for configuration and registry, when it has newer ones. */
   | { type: 'askPeer'; peer: HostPort }
   | { type: 'stopped' }
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -3,7 +3,7 @@
 import type { Configuration } from './configuration.js';
 import type { AnswerVerdict, RequestFacts } from './request.js';
 import type { ServerEntry } from './server.js';
-import type { PeerMessage } from './peer.js';
+import type { PeerAddress, PeerMessage, UsageMessage } from './peer.js';
 
 /** A change of an entry of the registry; without a value the entry is gone. */
 export interface ServerChange {
@@ -55,9 +55,17 @@
   | { type: 'cloudAnswered'; callId: number; outcome: CloudOutcome }
   | { type: 'storeClock'; storeNowMs: number }
   | { type: 'peerMessage'; message: PeerMessage }
-  | { type: 'peersListed'; peers: readonly PeerAddress[] }
+  | { type: 'peerUsage'; message: UsageMessage }
+  /** Boxes that the store lists or the settings name; one without an address has left. */
+  | { type: 'peersListed'; changes: readonly PeerChange[] }
   | { type: 'stopAsked' };
 
+/** A peer's entry; without an address it has left. */
+export interface PeerChange {
+  boxId: string;
+  address: PeerAddress | undefined;
+}
+
 /** What a call to the table was for. */
 export type TablePurpose =
   | { kind: 'lease' }
@@ -65,13 +73,6 @@
   | { kind: 'usage'; window: number }
   | { kind: 'checkpoint' };
 
-/** Where a box listens for its peers. */
-export interface PeerAddress {
-  boxId: string;
-  host: string;
-  port: number;
-}
-
 /** An event with the time on the box's monotonic clock and on its wall clock. */
 export type GatewayEvent = EventBody & { nowMs: number; wallMs: number };
 
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -1,6 +1,18 @@
-/** What boxes tell each other, a datagram several times a second. */
+/** What boxes tell each other, in datagrams. */
+import type { HostPort } from './server.js';
 
-/** Open work of a box at one server. */
+/** Where a box listens for its peers, and what speaks for it as a hub. */
+export interface PeerAddress {
+  boxId: string;
+  host: string;
+  port: number;
+  /** Unknown of a seed until it is heard or listed. */
+  zone: string | undefined;
+  /** Processor time that the box may use, in cores. */
+  processorCores: number;
+}
+
+/** Open work at one server. */
 export interface ServerLoad {
   /** Requests in progress. */
   running: number;
@@ -8,32 +20,64 @@
   prefillTokens: number;
 }
 
-/** One box's news. Counts are totals since its start, so a lost message loses nothing. */
-export interface PeerMessage {
+/** Whose figures a message sums up. */
+export const NewsScope = {
+  /** The sender alone. */
+  box: 'box',
+  /** The sender, a hub, and the boxes that tell it their news: for the hubs of other groups. */
+  group: 'group',
+  /** Every box that the sender, a hub, knows of, but for the one that it is sent to. */
+  others: 'others',
+} as const;
+export type NewsScope = (typeof NewsScope)[keyof typeof NewsScope];
+
+/** Figures that only grow, so that a lost message loses nothing. */
+export interface RunningTotals {
+  /** Units admitted since the start, by workspace. */
+  admitted: Readonly<Record<string, number>>;
+  /** Prompt tokens of requests' own parts, sent to be read since the start. */
+  workTokens: number;
+}
+
+/** One box's news, for itself or summed up over a group. */
+export interface PeerMessage extends RunningTotals {
+  kind: 'news';
   boxId: string;
   /** Grows with each start of a box. */
   incarnation: number;
   sequence: number;
+  scope: NewsScope;
+  /** Boxes that the figures cover. */
+  boxes: number;
   zone: string;
   host: string;
   port: number;
+  processorCores: number;
   /** Version of the configuration in force at the box; 0 for none. */
   configurationVersion: number;
   /** Revision of the registry that the box has read. */
   serversRevision: number;
-  /** Time since the store last answered the box, in ms; undefined before its first answer. */
+  /** Time since the store last answered one of the boxes covered, in ms; undefined before its first answer. */
   storeContactAgeMs: number | undefined;
-  /** True while the box holds the lease for duties. */
-  holdsLease: boolean;
+  /** The box that holds the lease for duties, when it is one of those covered. */
+  leaseHolder: HostPort | undefined;
   leaving: boolean;
   /** Open work by server id. */
   loads: Readonly<Record<string, ServerLoad>>;
-  /** Units admitted since the start, by workspace. */
-  admitted: Readonly<Record<string, number>>;
-  /** Requests begun, by usage window and workspace; the newest windows only. */
+  /** Requests of the sender begun, by usage window and workspace; empty where hubs sum news up. */
   usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
-  /** Prompt tokens of requests' own parts, sent to be read since the start. */
-  workTokens: number;
   /** Agreed wall clock less store clock, in ms; undefined while none is agreed. */
   clockOffsetMs: number | undefined;
 }
+
+/** A box's counts for the holder of the lease, where the news do not bring them. */
+export interface UsageMessage {
+  kind: 'usage';
+  boxId: string;
+  incarnation: number;
+  /** Requests begun, by usage window and workspace; the newest windows only. */
+  usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
+}
+
+/** Any datagram between boxes. */
+export type PeerDatagram = PeerMessage | UsageMessage;
--- a/packages/reedlug-gateway/src/types/settings.ts
+++ b/packages/reedlug-gateway/src/types/settings.ts
@@ -23,7 +23,8 @@
 
 /** Everything a box reads from its settings file. */
 export interface GatewaySettings {
-  box: { id: string; ip: string; zone: string };
+  /** `processorCores`: processor time that the box may use, in cores. */
+  box: { id: string; ip: string; zone: string; processorCores: number };
   zones: readonly string[];
   listen: { callers: HostPort; readiness: HostPort; peersPort: number; metricsPort: number };
   /** Peers that are likely to be there; they may be gone. */
