Let only hubs follow the store in a large fleet; compare registries by their rows

Found on the way: two boxes that lacked the same configuration kept resetting each other's wait, so that neither asked.

Change: a hub hands changes of the registry on with its news, numbered, so that a member that misses one asks for the whole; members follow the store themselves once their hub has not heard from it for 3 s. Registries are compared by the newest row's version, which is the same at all boxes, and no longer by the store's counter at the time of a page.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -165,6 +165,7 @@
     port: 7000,
     configurationVersion: 1,
     serversRevision: 1,
+    registry: undefined,
     storeContactAgeMs: undefined,
     leaseHolder: undefined,
     leaving: false,
--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -2,6 +2,7 @@
 import { createBox, ofType, settings, configuration, server, type TestBox } from './box.js';
 import type { PeerAddress } from '../../types/peer.js';
 import type { Effect } from '../../types/effect.js';
+import type { EventBody } from '../../types/event.js';
 
 /** Pause between ticks, in ms, as in the daemon. */
 const TICK_MS = 50;
@@ -12,8 +13,10 @@
   boxes: Map<string, TestBox>;
   /** Datagrams that each box got. */
   received: Map<string, number>;
-  /** Effects of the last step other than datagrams, by box. */
+  /** Effects of the last tick, by box. */
   effects: Map<string, Effect[]>;
+  /** Effects of the datagrams of the last tick, by box. */
+  answered: Map<string, Effect[]>;
   pass: (ms: number) => void;
   /** Ends a box; nothing reaches it any more. */
   kill: (boxId: string) => void;
@@ -33,6 +36,7 @@
   const idByHost = new Map(addresses.map(({ boxId, host }) => [host, boxId]));
   const received = new Map<string, number>();
   const effects = new Map<string, Effect[]>();
+  const answered = new Map<string, Effect[]>();
   const changes = addresses.map((address) => ({ boxId: address.boxId, address }));
   for (const box of boxes.values()) box.take({ type: 'peersListed', changes });
 
@@ -43,8 +47,23 @@
         const box = boxes.get(boxId);
         if (box === undefined) continue;
         received.set(boxId, (received.get(boxId) ?? 0) + 1);
-        if (message.kind === 'news') box.take({ type: 'peerMessage', message });
-        else box.take({ type: 'peerUsage', message });
+        const done =
+          message.kind === 'news'
+            ? box.take({ type: 'peerMessage', message })
+            : box.take({ type: 'peerUsage', message });
+        answered.set(boxId, [...(answered.get(boxId) ?? []), ...done]);
+      }
+    }
+  };
+  const answerQuestions = (boxId: string, asked: readonly Effect[]): void => {
+    const box = boxes.get(boxId);
+    for (const { peer } of ofType(asked, 'askPeer')) {
+      const sender = boxes.get(idByHost.get(peer.host) ?? '');
+      if (box === undefined || sender === undefined) continue;
+      box.take(registryOf(sender));
+      const given = sender.state.active?.configuration;
+      if (given !== undefined) {
+        box.take({ type: 'configurationRead', configuration: given, source: 'peer' });
       }
     }
   };
@@ -52,6 +71,7 @@
     boxes,
     received,
     effects,
+    answered,
     kill: (boxId) => void boxes.delete(boxId),
     pass(ms) {
       for (let passed = 0; passed < ms; passed += TICK_MS) {
@@ -60,12 +80,22 @@
           effects.set(boxId, done);
           return done;
         });
+        answered.clear();
         for (const batch of sent) deliver(batch);
+        for (const [boxId, done] of answered) answerQuestions(boxId, done);
       }
     },
   };
 }
 
+/** A box's whole registry as its peers get it. */
+function registryOf({ state }: TestBox): EventBody {
+  const changes = [...state.servers.values()].map(({ entry }) => ({ id: entry.id, entry }));
+  const { serversRevision: revision, registryNumber } = state;
+  const sender = { boxId: state.settings.box.id, registryNumber };
+  return { type: 'serversRead', whole: true, changes, revision, source: 'peer', sender };
+}
+
 function createFleetBox(address: PeerAddress): TestBox {
   const base = settings();
   const { boxId: id, host: ip, zone = '', processorCores, port } = address;
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -7,9 +7,10 @@
 import type { TableAnswer, TableOp } from 'reedlug-coordination';
 import type { Configuration } from './types/configuration.js';
 import type { CloudCall, SendOrder } from './types/effect.js';
-import type { CloudOutcome, PeerChange, ServerChange } from './types/event.js';
+import type { CloudOutcome, PeerChange } from './types/event.js';
 import type { PeerAddress } from './types/peer.js';
 import type { AnswerVerdict, RequestFacts } from './types/request.js';
+import type { ServerChange } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
 
 /** Names and values in turn, as they stood on the wire. */
@@ -31,6 +32,8 @@
   items: readonly T[];
   /** Go on from here. */
   revision: number;
+  /** Revision of the newest item; 0 without items. It is the same at all boxes that have read the same changes. */
+  newestRevision: number;
   storeNowMs: number | undefined;
 }
 
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -149,7 +149,7 @@
 function askPeer(runtime: Runtime, effect: EffectOf<'askPeer'>): void {
   void runtime.peers.ask(effect.peer).then((shared) => {
     if (shared === undefined) return;
-    const { configuration, servers, serversRevision } = shared;
+    const { configuration, servers, serversRevision, boxId, registryNumber } = shared;
     if (configuration !== undefined) {
       runtime.emit({ type: 'configurationRead', configuration, source: 'peer' });
     }
@@ -159,6 +159,7 @@
       changes: servers,
       revision: serversRevision,
       source: 'peer',
+      sender: { boxId, registryNumber },
     });
   });
 }
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -4,15 +4,19 @@
 
 /** Longest wait for an answer beyond the time it may be held, in ms: the store's answer takes 4 ms, a slow one 250. */
 const ANSWER_MARGIN_MS = 700;
+/** Pause before asking again whether a feed is needed, in ms: short against the users' 2 s. */
+const NOT_NEEDED_PAUSE_MS = 200;
 /** Pause after a call that failed, in ms; doubled up to the longest. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 500;
 
 /** What a follower tells. */
 export interface FeedListener<T> {
-  onPage: (page: { items: readonly T[]; whole: boolean; revision: number }) => void;
+  onPage: (page: { items: readonly T[]; whole: boolean; newestRevision: number }) => void;
   onStoreClock: (storeNowMs: number) => void;
   onContact: (reachable: boolean, reason: string) => void;
+  /** Asked before each call once the whole has been read; while it says no, nothing is asked. */
+  isNeeded?: () => boolean;
   /** Pause after a page with changes, in ms, so that a burst of changes comes in few pages. */
   pauseAfterPageMs?: number;
 }
@@ -28,6 +32,10 @@
   let pauseMs = FIRST_PAUSE_MS;
 
   const step = async (): Promise<void> => {
+    if (position !== undefined && listener.isNeeded?.() === false) {
+      await delay(NOT_NEEDED_PAUSE_MS);
+      return;
+    }
     const whole = position === undefined;
     const answer =
       position === undefined
@@ -40,13 +48,13 @@
     if (stopped) return;
     switch (answer.kind) {
       case 'page': {
-        const { items, revision, storeNowMs } = answer.page;
+        const { items, revision, newestRevision, storeNowMs } = answer.page;
         pauseMs = FIRST_PAUSE_MS;
         position = revision;
         listener.onContact(true, '');
         if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
         if (!whole && items.length === 0) return;
-        listener.onPage({ items, whole, revision });
+        listener.onPage({ items, whole, newestRevision });
         if (listener.pauseAfterPageMs !== undefined) await delay(listener.pauseAfterPageMs);
         return;
       }
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -91,6 +91,8 @@
       configuration: state.active?.configuration,
       servers: [...state.servers.values()].map(({ entry }) => ({ id: entry.id, entry })),
       serversRevision: state.serversRevision,
+      boxId: settings.box.id,
+      registryNumber: state.registryNumber,
     }),
   });
   const runtime: Runtime = {
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -7,9 +7,8 @@
 import { Decoder, Encoder } from 'cbor-x';
 import { Client } from 'undici';
 import type { Configuration } from '../types/configuration.js';
-import type { ServerChange } from '../types/event.js';
 import type { PeerDatagram } from '../types/peer.js';
-import type { HostPort } from '../types/server.js';
+import type { HostPort, ServerChange } from '../types/server.js';
 
 /** Longest wait for a peer's answer, in ms: several round trips between zones. */
 const ASK_TIMEOUT_MS = 500;
@@ -22,6 +21,8 @@
   configuration: Configuration | undefined;
   servers: readonly ServerChange[];
   serversRevision: number;
+  boxId: string;
+  registryNumber: number;
 }
 
 /** A box's end of the link. */
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -1,7 +1,8 @@
 /** Follows the store's collections and enters this box among the boxes. */
+import { performance } from 'node:perf_hooks';
 import type { Runtime } from './gatewayDaemon.js';
 import type { PeerChange } from '../types/event.js';
-import { ownAddress } from '../slices/fleet.js';
+import { followsStore, ownAddress } from '../slices/fleet.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
 
 /** How long a poll of configuration or registry is held, in ms: a lost answer is noticed within the users' 2 s. */
@@ -23,8 +24,10 @@
       if (!reachable) logger('feedFault', { feed: name, reason });
     },
   });
+  const isNeeded = (): boolean => followsStore(runtime.state, performance.now());
   const configuration = followFeed(store.configuration, WATCH_WAIT_MS, {
     ...common('configuration'),
+    isNeeded,
     onContact(reachable, reason) {
       emit({ type: 'storeContact', reachable });
       if (!reachable) logger('feedFault', { feed: 'configuration', reason });
@@ -37,7 +40,9 @@
   });
   const servers = followFeed(store.servers, WATCH_WAIT_MS, {
     ...common('servers'),
-    onPage({ items, whole, revision }) {
+    isNeeded,
+    onPage({ items, whole, newestRevision }) {
+      const revision = newestRevision;
       emit({ type: 'serversRead', whole, changes: items, revision, source: 'store' });
     },
   });
--- a/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai';
 import { createFleet, type TestFleet } from '../../__tests__/__fixtures__/fleet.js';
-import { facts, only } from '../../__tests__/__fixtures__/box.js';
-import { countedPeers } from '../fleet.js';
+import { configuration, facts, only, server } from '../../__tests__/__fixtures__/box.js';
+import { ServerState, type ServerChange } from '../../types/server.js';
+import { countedPeers, followsStore } from '../fleet.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
@@ -150,3 +151,89 @@
   expect(row).not.to.equal(undefined);
   expect(JSON.stringify(row?.op).length).to.be.lessThan(65_536);
 });
+
+/** Gives a change of the registry to the boxes that follow the store. */
+function changeRegistry(fleet: TestFleet, change: ServerChange, revision: number): number {
+  let readers = 0;
+  for (const box of fleet.boxes.values()) {
+    if (!followsStore(box.state, box.nowMs)) continue;
+    readers += 1;
+    box.take({ type: 'storeContact', reachable: true });
+    const changes = [change];
+    box.take({ type: 'serversRead', whole: false, changes, revision, source: 'store' });
+  }
+  return readers;
+}
+
+/** A fleet whose hubs have just heard from the store. */
+function createFollowingFleet(): TestFleet {
+  const fleet = createFleet({ boxes: 60, zones: ZONES });
+  fleet.pass(1000);
+  for (const box of fleet.boxes.values()) box.take({ type: 'storeContact', reachable: true });
+  fleet.pass(1500);
+  return fleet;
+}
+
+test('only hubs follow the store, and their members learn that a server leaves', () => {
+  const fleet = createFollowingFleet();
+  const entry = server('engine-2', { service: 'engines', state: ServerState.leaving });
+  expect(changeRegistry(fleet, { id: 'engine-2', entry }, 2)).to.equal(ZONES.length);
+  fleet.pass(500);
+  for (const [boxId, { state }] of fleet.boxes) {
+    expect(state.servers.get('engine-2')?.leaving, boxId).to.equal(true);
+  }
+});
+
+test('a server that a hub takes out goes at its members too', () => {
+  const fleet = createFollowingFleet();
+  changeRegistry(fleet, { id: 'engine-2', entry: undefined }, 2);
+  fleet.pass(500);
+  for (const [boxId, { state }] of fleet.boxes) {
+    expect(state.servers.has('engine-2'), boxId).to.equal(false);
+  }
+});
+
+test('a member whose hub has lost the store follows the store itself', () => {
+  const fleet = createFollowingFleet();
+  fleet.pass(4000);
+  const followers = [...fleet.boxes.values()].filter((box) => followsStore(box.state, box.nowMs));
+  expect(followers).to.have.length(60);
+});
+
+test('a member that missed changes of its hub asks for the whole', () => {
+  const fleet = createFollowingFleet();
+  const [boxId, member] = [...fleet.boxes].find(([, { state }]) => state.hubId !== undefined) ?? [];
+  const hub = member?.state.peers.get(member.state.hubId ?? '');
+  if (member === undefined || hub?.message === undefined) throw new Error('no member');
+  const message = {
+    ...hub.message,
+    sequence: hub.message.sequence + 1,
+    registry: { lastNumber: 50, changes: [] },
+  };
+  const effects = member.take({ type: 'peerMessage', message });
+  expect(
+    effects.filter(({ type }) => type === 'askPeer'),
+    boxId,
+  ).to.have.length(1);
+});
+
+test('two boxes that lack the same configuration both ask for it', () => {
+  const fleet = createFleet({ boxes: 3, zones: ZONES });
+  const newest = fleet.boxes.get('box-0');
+  newest?.take({
+    type: 'configurationRead',
+    configuration: configuration({ version: 9 }),
+    source: 'store',
+  });
+  const asked = new Set<string>();
+  for (let passedMs = 0; passedMs < 1500; passedMs += 50) {
+    fleet.pass(50);
+    for (const [boxId, effects] of fleet.effects) {
+      if (effects.some(({ type }) => type === 'askPeer')) asked.add(boxId);
+    }
+    for (const [boxId, effects] of fleet.answered) {
+      if (effects.some(({ type }) => type === 'askPeer')) asked.add(boxId);
+    }
+  }
+  expect([...asked].sort()).to.deep.equal(['box-1', 'box-2']);
+});
--- a/packages/reedlug-gateway/src/slices/clock.ts
+++ b/packages/reedlug-gateway/src/slices/clock.ts
@@ -5,6 +5,7 @@
  * far its wall clock was ahead of the store's clock; all boxes use that figure.
  */
 import type { EventOf } from '../types/event.js';
+import { startDelayMs } from './fleet.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 
 /** Key of the row in the table. */
@@ -32,6 +33,7 @@
 /** Proposes this box's offset while none is agreed. */
 export function clockTick(state: GatewayState, step: Step): void {
   if (state.agreedClockOffsetMs !== undefined || state.storeEpochMs === undefined) return;
+  if (step.nowMs - state.startedAtMs < startDelayMs(state)) return;
   if (step.nowMs - state.clockAskedAtMs < CLOCK_RETRY_MS) return;
   state.clockAskedAtMs = step.nowMs;
   const offsetMs = step.wallMs - (step.nowMs - state.storeEpochMs);
--- a/packages/reedlug-gateway/src/slices/duties.ts
+++ b/packages/reedlug-gateway/src/slices/duties.ts
@@ -1,12 +1,11 @@
 /** The lease under which one box carries out the duties for all. */
-import { hashString, leaseAnswered, leaseTick, usableFence } from 'reedlug-coordination';
+import { leaseAnswered, leaseTick, usableFence } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
+import { startDelayMs } from './fleet.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 
 /** How recently a peer must have said that it holds the lease for this box to leave the row alone, in ms. */
 const HOLDER_HEARD_MS = 1500;
-/** Boxes begin to try for the lease spread over this time, in ms, so that one takes it before the others ask. */
-const START_SPREAD_MS = 1000;
 
 /** Renews the lease, or tries for it when no peer holds it. */
 export function dutiesTick(state: GatewayState, step: Step): void {
@@ -20,9 +19,10 @@
   if (op !== undefined) requestTable(step, { kind: 'lease' }, op);
 }
 
+/** In a large fleet only hubs try, so that few boxes ask for the row. */
 function mayTry(state: GatewayState, step: Step): boolean {
-  const delayMs = hashString(state.settings.box.id) % START_SPREAD_MS;
-  if (step.nowMs - state.startedAtMs < delayMs) return false;
+  if (state.hubId !== undefined) return false;
+  if (step.nowMs - state.startedAtMs < startDelayMs(state)) return false;
   for (const peer of state.peers.values()) {
     const heardMs = step.nowMs - peer.heardAtMs;
     if (peer.message?.leaseHolder !== undefined && heardMs < HOLDER_HEARD_MS) return false;
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -1,4 +1,5 @@
 /** The boxes that this one knows: how many there are, whose news count, and who is its hub. */
+import { hashString } from 'reedlug-coordination';
 import { groupBoxes, needsHubs } from '../policy/peerGroups.js';
 import { NewsScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
 import { holdFigure, type GatewayState, type PeerView } from '../state.js';
@@ -7,9 +8,19 @@
 export const SILENT_AFTER_MS = 1000;
 /** Silence after which another hub is taken, in ms: three messages lost in a row. */
 const HUB_SILENT_AFTER_MS = 700;
+/** Time since a hub's last word from the store after which its members follow the store themselves, in ms: a poll is held for 2 s. */
+const STORE_UNHEARD_MS = 3000;
 /** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
 export const PEER_GONE_AFTER_MS = 10_000;
 
+/** Boxes begin with what one of them does for all spread over this time, in ms, so that one is done before the others ask. */
+const START_SPREAD_MS = 1000;
+
+/** Pause of this box after its start before it tries what one box does for all, in ms. */
+export function startDelayMs(state: GatewayState): number {
+  return hashString(state.settings.box.id) % START_SPREAD_MS;
+}
+
 /** A peer that has been heard. */
 export type HeardPeer = PeerView & { message: PeerMessage };
 
@@ -76,6 +87,17 @@
   return { boxId, host, port: listen.peersPort, zone, processorCores };
 }
 
+/** Whether this box follows the store itself: it does unless its hub hands on what the store says. */
+export function followsStore(state: GatewayState, nowMs: number): boolean {
+  if (state.hubId === undefined) return true;
+  const message = state.peers.get(state.hubId)?.message;
+  const ageMs = message?.storeContactAgeMs;
+  return (
+    ageMs === undefined ||
+    nowMs - (state.peers.get(state.hubId)?.heardAtMs ?? 0) + ageMs > STORE_UNHEARD_MS
+  );
+}
+
 /** Groups of the fleet as this box knows it, with its own group's name. */
 export function knownGroups(state: GatewayState): {
   own: PeerAddress[];
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -3,6 +3,7 @@
 import type { HeardTotals, GatewayState, PeerView, Step } from '../state.js';
 import { dutyFence } from './duties.js';
 import { countedPeers, countsFreshly } from './fleet.js';
+import { registryNews } from './registryNews.js';
 import { ownUsage } from './usage.js';
 
 /** The news of one tick; messages to several peers differ only in what they sum up. */
@@ -47,6 +48,7 @@
     processorCores: box.processorCores,
     configurationVersion: state.active?.configuration.version ?? 0,
     serversRevision: state.serversRevision,
+    registry: undefined,
     storeContactAgeMs: ageOf(state.storeContactAtMs, step.nowMs),
     leaseHolder: holdsLease ? { host: box.ip, port: listen.peersPort } : undefined,
     leaving: state.stoppingSinceMs !== undefined,
@@ -89,6 +91,7 @@
   return {
     ...own,
     scope,
+    registry: scope === NewsScope.others ? registryNews(state, step.nowMs) : undefined,
     boxes: 1 + of.reduce((sum, { message }) => sum + message.boxes, 0),
     storeContactAgeMs: ageOf(lastStoreContact(state, of), step.nowMs),
     leaseHolder: own.leaseHolder ?? holder?.message.leaseHolder,
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -20,6 +20,8 @@
 } from './fleet.js';
 import { membersOf, startNews, type News } from './peerNews.js';
 import { takePeerUnits } from './quotas.js';
+import { nextRegistryStep } from './registryNews.js';
+import { takeHubChanges } from './servers.js';
 import { mergeUsage, ownUsage } from './usage.js';
 
 /** Pause between messages, in ms: short against an engine's backlog, long against the price of a wake-up. */
@@ -30,7 +32,7 @@
 const PROBED_HUBS = 3;
 /** Pause between counts of usage told to the holder of the lease where hubs sum up the news, in ms: a tenth of the shortest window. */
 const USAGE_EVERY_MS = 500;
-/** How long a peer's newer configuration may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
+/** How long a peer's newer configuration or registry may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
 const BEHIND_MS = 300;
 /** Pause between questions to one peer for newer versions, in ms. */
 const ASK_PEER_EVERY_MS = 400;
@@ -73,6 +75,9 @@
 function takeHub(state: GatewayState, step: Step, group: readonly PeerAddress[]): void {
   const hubId = chooseHub(state, group, step.nowMs);
   if (hubId === state.hubId) return;
+  const hub = hubId === undefined ? undefined : state.peers.get(hubId);
+  // Changes that it told while it was no hub of this box were not followed.
+  if (hub !== undefined) hub.registryNumber = undefined;
   log(step, 'hubTaken', { hub: hubId ?? state.settings.box.id, before: state.hubId ?? '' });
   state.hubId = hubId;
 }
@@ -147,9 +152,25 @@
   takeTotals(state, step, peer as HeardPeer, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
+  if (peer.boxId === state.hubId) followHub(state, step, peer as HeardPeer);
   askForNewer(state, step, peer, message);
 }
 
+/** Follows the registry by the hub's changes. */
+function followHub(state: GatewayState, step: Step, hub: HeardPeer): void {
+  const { message } = hub;
+  const next = nextRegistryStep(hub, message.registry);
+  switch (next.kind) {
+    case 'apply':
+      return takeHubChanges(state, step, {
+        changes: next.changes,
+        revision: message.serversRevision,
+      });
+    case 'askWhole':
+      return askPeer(step, hub);
+  }
+}
+
 /** Takes a box's counts, for the one that holds the lease. */
 export function onPeerUsage(state: GatewayState, _step: Step, event: EventOf<'peerUsage'>): void {
   const { boxId, incarnation, usage } = event.message;
@@ -176,6 +197,8 @@
     heardAtMs: step.nowMs,
     message: undefined,
     added: createHeardTotals(),
+    registryNumber: undefined,
+    aheadSinceMs: undefined,
     toldAtMs: Number.NEGATIVE_INFINITY,
     askedAtMs: Number.NEGATIVE_INFINITY,
   };
@@ -222,12 +245,19 @@
 /** Asks a peer for what the store does not give this box, or not in time. */
 function askForNewer(state: GatewayState, step: Step, peer: PeerView, message: PeerMessage): void {
   const ownVersion = state.active?.configuration.version ?? 0;
-  const isBehind = message.configurationVersion > ownVersion;
-  if (!isBehind) state.behindSinceMs = undefined;
-  else state.behindSinceMs ??= step.nowMs;
-  const isLate = isBehind && step.nowMs - (state.behindSinceMs ?? step.nowMs) >= BEHIND_MS;
-  const lacksServers = !state.storeReachable && message.serversRevision > state.serversRevision;
-  if (!isLate && !lacksServers) return;
+  const lacksConfiguration = message.configurationVersion > ownVersion;
+  const lacksServers = message.serversRevision > state.serversRevision;
+  if (!lacksConfiguration && !lacksServers) {
+    peer.aheadSinceMs = undefined;
+    return;
+  }
+  peer.aheadSinceMs ??= step.nowMs;
+  const mayWait = peer.boxId !== state.hubId && state.storeReachable;
+  if (mayWait && step.nowMs - peer.aheadSinceMs < BEHIND_MS) return;
+  askPeer(step, peer);
+}
+
+function askPeer(step: Step, peer: PeerView): void {
   if (step.nowMs - peer.askedAtMs < ASK_PEER_EVERY_MS) return;
   peer.askedAtMs = step.nowMs;
   step.effects.push({ type: 'askPeer', peer: peer.address });
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/registryNews.ts
@@ -0,0 +1,44 @@
+/**
+ * The registry of servers within a group: a hub hands its changes on with its
+ * news, so that its members need not follow the store as well.
+ */
+import type { NumberedChange, RegistryNews } from '../types/peer.js';
+import type { ServerChange } from '../types/server.js';
+import type { GatewayState, PeerView, Step } from '../state.js';
+
+/** Time for which a change is told, in ms: seven messages, of which some may be lost. */
+const TOLD_FOR_MS = 1500;
+/** Changes told at most; after more of them members ask for the whole. A datagram holds three times as many. */
+const MAX_TOLD = 100;
+
+/** Notes a change of the registry as this box sees it. */
+export function noteRegistryChange(state: GatewayState, step: Step, change: ServerChange): void {
+  state.registryNumber += 1;
+  const numbered: NumberedChange = { number: state.registryNumber, ...change };
+  state.registryChanges.push({ atMs: step.nowMs, change: numbered });
+  if (state.registryChanges.length > MAX_TOLD) state.registryChanges.shift();
+}
+
+/** The changes that members are told now. */
+export function registryNews(state: GatewayState, nowMs: number): RegistryNews {
+  state.registryChanges = state.registryChanges.filter(({ atMs }) => nowMs - atMs <= TOLD_FOR_MS);
+  const changes = state.registryChanges.map(({ change }) => change);
+  return { lastNumber: state.registryNumber, changes };
+}
+
+/** What a hub's message means for this box's registry. */
+export type RegistryStep =
+  | { kind: 'apply'; changes: readonly NumberedChange[] }
+  /** Changes were missed, or it is not known which: the hub's whole registry is needed. */
+  | { kind: 'askWhole' };
+
+/** Compares a hub's changes with those that were taken from it before. */
+export function nextRegistryStep(hub: PeerView, registry: RegistryNews | undefined): RegistryStep {
+  if (registry === undefined) return { kind: 'apply', changes: [] };
+  const taken = hub.registryNumber;
+  if (taken === undefined || taken > registry.lastNumber) return { kind: 'askWhole' };
+  const changes = registry.changes.filter(({ number }) => number > taken);
+  if (changes.length < registry.lastNumber - taken) return { kind: 'askWhole' };
+  hub.registryNumber = registry.lastNumber;
+  return { kind: 'apply', changes };
+}
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -6,21 +6,36 @@
  * living one enters itself again at once.
  */
 import type { EventOf } from '../types/event.js';
-import { ServerState, type ServerEntry } from '../types/server.js';
+import { ServerState, type ServerChange, type ServerEntry } from '../types/server.js';
 import { log, type GatewayState, type ServerView, type Step } from '../state.js';
+import { noteRegistryChange } from './registryNews.js';
 
 /** How long after the store's return entries of living servers may be missing, in ms: the users' figure, about 2 s. */
 const LAPSE_WINDOW_MS = 2000;
 /** Shortest absence of the store in which entries lapse, in ms: under three heartbeats nothing does. */
 const LAPSING_ABSENCE_MS = 2000;
 
+/** Takes changes that a hub handed on; its revision covers them. */
+export function takeHubChanges(
+  state: GatewayState,
+  step: Step,
+  params: { changes: readonly ServerChange[]; revision: number },
+): void {
+  for (const { id, entry } of params.changes) {
+    if (entry === undefined) onMissing(state, step, id, 'hub');
+    else onEntry(state, step, entry, 'hub');
+  }
+  if (!state.serversKnown) return;
+  state.serversRevision = Math.max(state.serversRevision, params.revision);
+}
+
 /** Takes entries of the registry. */
 export function onServersRead(
   state: GatewayState,
   step: Step,
   event: EventOf<'serversRead'>,
 ): void {
-  if (event.source === 'peer' && event.revision <= state.serversRevision) return;
+  if (event.source === 'peer' && !isPeersNewer(state, event)) return;
   state.serversRevision = Math.max(state.serversRevision, event.revision);
   state.serversKnown = true;
   const present = new Set<string>();
@@ -38,9 +53,20 @@
   }
 }
 
+/** A peer's registry counts when it is newer; a hub's also when it is as new, since its own removals raise no revision. */
+function isPeersNewer(state: GatewayState, event: EventOf<'serversRead'>): boolean {
+  const { sender, revision } = event;
+  const hub = sender?.boxId === state.hubId ? state.peers.get(state.hubId ?? '') : undefined;
+  if (hub === undefined) return revision > state.serversRevision;
+  hub.registryNumber = sender?.registryNumber;
+  return revision >= state.serversRevision;
+}
+
 function onEntry(state: GatewayState, step: Step, entry: ServerEntry, source: string): void {
   const known = state.servers.get(entry.id);
   const leaving = entry.state === ServerState.leaving;
+  const isNews = known === undefined || known.entry.state !== entry.state;
+  if (isNews) noteRegistryChange(state, step, { id: entry.id, entry });
   if (known === undefined) {
     state.servers.set(entry.id, createView(entry, leaving));
     log(step, 'serverAdded', describe(entry, source));
@@ -100,6 +126,7 @@
 ): void {
   view.leaving = true;
   state.servers.delete(view.entry.id);
+  noteRegistryChange(state, step, { id: view.entry.id, entry: undefined });
   log(step, 'serverGone', { ...describe(view.entry, reason), running: view.running });
 }
 
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -4,7 +4,7 @@
 import type { Effect, LogField } from './types/effect.js';
 import type { CloudCall } from './types/effect.js';
 import type { TablePurpose } from './types/event.js';
-import type { PeerAddress, PeerMessage } from './types/peer.js';
+import type { NumberedChange, PeerAddress, PeerMessage } from './types/peer.js';
 import type { RequestRecord } from './types/request.js';
 import type { ServerEntry } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
@@ -61,7 +61,11 @@
   message: PeerMessage | undefined;
   /** What its messages have added to the totals of this box. */
   added: HeardTotals;
+  /** Number of its last change of the registry that this box took; undefined before the first. */
+  registryNumber: number | undefined;
   toldAtMs: number;
+  /** Since when it has had a newer configuration or registry; undefined while it has none. */
+  aheadSinceMs: number | undefined;
   askedAtMs: number;
 }
 
@@ -120,6 +124,9 @@
   servers: Map<string, ServerView>;
   serversRevision: number;
   serversKnown: boolean;
+  /** Changes of the registry of the last moments, for the members of this box as a hub. */
+  registryChanges: { atMs: number; change: NumberedChange }[];
+  registryNumber: number;
   storeReachable: boolean;
   /** When the store last stopped answering this box, and when it answered again after it was away for all. */
   storeLostAtMs: number;
@@ -140,8 +147,6 @@
   /** The most boxes heard of lately, this one included. */
   fleetHeard: HeldFigure;
   usageToldAtMs: number;
-  /** Since when a peer has had a newer configuration; undefined while none has. */
-  behindSinceMs: number | undefined;
   peerSequence: number;
   newsSentAtMs: number;
   lease: LeaseState;
@@ -199,6 +204,8 @@
     servers: new Map(),
     serversRevision: 0,
     serversKnown: false,
+    registryChanges: [],
+    registryNumber: 0,
     storeReachable: true,
     storeLostAtMs: Number.NEGATIVE_INFINITY,
     storeReturnedAtMs: Number.NEGATIVE_INFINITY,
@@ -213,7 +220,6 @@
     heardFromHubs: createHeardTotals(),
     fleetHeard: { value: 1, untilMs: nowMs },
     usageToldAtMs: Number.NEGATIVE_INFINITY,
-    behindSinceMs: undefined,
     peerSequence: 0,
     newsSentAtMs: Number.NEGATIVE_INFINITY,
     lease: createLease(
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -2,15 +2,9 @@
 import type { TableAnswer } from 'reedlug-coordination';
 import type { Configuration } from './configuration.js';
 import type { AnswerVerdict, RequestFacts } from './request.js';
-import type { ServerEntry } from './server.js';
+import type { ServerChange } from './server.js';
 import type { PeerAddress, PeerMessage, UsageMessage } from './peer.js';
 
-/** A change of an entry of the registry; without a value the entry is gone. */
-export interface ServerChange {
-  id: string;
-  entry: ServerEntry | undefined;
-}
-
 /** How a call to the cloud ended. */
 export type CloudOutcome = 'done' | 'fenced' | 'unavailable' | 'refused' | 'unknown';
 
@@ -48,6 +42,8 @@
       changes: readonly ServerChange[];
       revision: number;
       source: 'store' | 'peer';
+      /** The peer that gave its registry, and how far that counts its changes. */
+      sender?: { boxId: string; registryNumber: number };
     }
   /** Whether the store answered the last call of a feed. */
   | { type: 'storeContact'; reachable: boolean }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -1,5 +1,5 @@
 /** What boxes tell each other, in datagrams. */
-import type { HostPort } from './server.js';
+import type { HostPort, ServerChange } from './server.js';
 
 /** Where a box listens for its peers, and what speaks for it as a hub. */
 export interface PeerAddress {
@@ -31,6 +31,20 @@
 } as const;
 export type NewsScope = (typeof NewsScope)[keyof typeof NewsScope];
 
+/** A change of the registry as a hub took it in. */
+export interface NumberedChange extends ServerChange {
+  /** Counts the hub's changes, without gaps. */
+  number: number;
+}
+
+/** What a hub's members need to follow the registry without the store. */
+export interface RegistryNews {
+  /** Number of the hub's last change; 0 before the first. */
+  lastNumber: number;
+  /** The changes of the last moments, in order. */
+  changes: readonly NumberedChange[];
+}
+
 /** Figures that only grow, so that a lost message loses nothing. */
 export interface RunningTotals {
   /** Units admitted since the start, by workspace. */
@@ -57,6 +71,8 @@
   configurationVersion: number;
   /** Revision of the registry that the box has read. */
   serversRevision: number;
+  /** Changes of the registry, for the members of a hub. */
+  registry: RegistryNews | undefined;
   /** Time since the store last answered one of the boxes covered, in ms; undefined before its first answer. */
   storeContactAgeMs: number | undefined;
   /** The box that holds the lease for duties, when it is one of those covered. */
--- a/packages/reedlug-gateway/src/types/server.ts
+++ b/packages/reedlug-gateway/src/types/server.ts
@@ -25,3 +25,9 @@
   /** Time until it is gone, in ms, where it told. */
   leavesInMs: number | undefined;
 }
+
+/** A change of an entry of the registry; without a value the entry is gone. */
+export interface ServerChange {
+  id: string;
+  entry: ServerEntry | undefined;
+}
