Fault soak: real boxes as processes under load, faults from outside, promises checked

reedlug-soak starts boxes as processes before stand-ins of store, cloud and servers, with a loopback proxy on each link, and draws faults from a seed: links silenced, cut one way, reset or slowed; boxes paused, stopped, killed, all at once too; a store that is away, slow or loses answers; servers that crash, leave or fail; configurations and keys that change. What callers and servers saw is checked: at most once, truthful refusals, own whole answers, gapless streams, leaving servers, configuration and keys in time, planned stops, one report a window, one holder a fence.

--- a/packages/reedlug-check/src/index.ts
+++ b/packages/reedlug-check/src/index.ts
@@ -10,3 +10,4 @@
 export * from './replay/recordWorld.js';
 export * from './replay/trace.js';
 export * from './check/inForce.js';
+export * from './world/random.js';
--- /dev/null
+++ b/packages/reedlug-soak/src/__tests__/promises.test.ts
@@ -0,0 +1,112 @@
+import { expect } from 'chai';
+import { expectedBody, findViolations } from '../promises.js';
+import { CallKind, createSoakRecord, type Call, type SoakRecord } from '../soakRecord.js';
+
+const BOUNDS = { configurationMs: 2000, drainMs: 2000, contactMs: 3000 };
+
+function call(changes: Partial<Call> = {}): Call {
+  const requestId = changes.requestId ?? 'r1';
+  return {
+    requestId,
+    kind: CallKind.lookup,
+    box: 0,
+    key: 'key-0',
+    sentAtMs: 10_000,
+    endedAtMs: 10_050,
+    status: 200,
+    body: expectedBody(requestId),
+    isWhole: true,
+    version: undefined,
+    ...changes,
+  };
+}
+
+/** A record of one call that ran once, with changes. */
+function recordOf(one: Call, change: (record: SoakRecord) => void = () => undefined): SoakRecord {
+  const record = createSoakRecord(2);
+  record.calls.push(one);
+  record.runs.push({ requestId: one.requestId, server: 'records-0-0', atMs: 10_010, ran: true });
+  change(record);
+  return record;
+}
+
+function promisesBroken(record: SoakRecord): string[] {
+  return findViolations(record, BOUNDS).map(({ promise }) => promise);
+}
+
+function draftBody(...ids: readonly number[]): string {
+  return ids.map((id) => `id: ${id}\ndata: r1 drafts-0-0\n\n`).join('');
+}
+
+test('a run in good order breaks nothing', () => {
+  expect(promisesBroken(recordOf(call()))).to.deep.equal([]);
+});
+
+test('a notice that runs twice is found', () => {
+  const record = recordOf(call({ kind: CallKind.notice }), ({ runs }) => {
+    runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 10_020, ran: true });
+  });
+  expect(promisesBroken(record)).to.deep.equal(['at most once']);
+});
+
+test('a refusal of a request that ran is found', () => {
+  expect(promisesBroken(recordOf(call({ status: 503 })))).to.deep.equal(['truthful refusal']);
+});
+
+test('an answer that belongs to another request is found', () => {
+  const record = recordOf(call({ body: expectedBody('r2') }));
+  expect(promisesBroken(record)).to.deep.equal(['own whole answer']);
+});
+
+test('a success that no server made is found', () => {
+  const record = recordOf(call(), (made) => void (made.runs.length = 0));
+  expect(promisesBroken(record)).to.deep.equal(['own answer']);
+});
+
+test('a stream with a gap, a repeat or an early end is found', () => {
+  for (const ids of [[1, 3], [1, 1, 2], [1]]) {
+    const record = recordOf(call({ kind: CallKind.draft, body: draftBody(...ids) }));
+    expect(promisesBroken(record), ids.join()).to.deep.equal(['gapless stream']);
+  }
+  const whole = recordOf(call({ kind: CallKind.draft, body: draftBody(1, 2) }));
+  expect(promisesBroken(whole)).to.deep.equal([]);
+});
+
+test('a request to a server that left is found, unless the box was out of touch', () => {
+  const left = (record: SoakRecord): void => void record.leftAtMs.set('records-0-0', 7000);
+  expect(promisesBroken(recordOf(call(), left))).to.deep.equal(['nothing to a leaving server']);
+  const troubled = recordOf(call(), (record) => {
+    left(record);
+    record.troubles.set(0, [{ fromMs: 8000, toMs: 8500 }]);
+  });
+  expect(promisesBroken(troubled)).to.deep.equal([]);
+});
+
+test('a configuration that is not in force in time is found', () => {
+  const probe = call({ kind: CallKind.probe, status: 404, version: 4, body: '' });
+  const record = recordOf(probe, ({ configuredAtMs }) => void configuredAtMs.set(4, 7000));
+  expect(promisesBroken(record)).to.deep.equal(['configuration in force']);
+});
+
+test('a key that is served after it was taken away is found', () => {
+  const record = recordOf(call(), ({ revokedAtMs }) => void revokedAtMs.set('key-0', 7000));
+  expect(promisesBroken(record)).to.deep.equal(['revoked keys']);
+});
+
+test('a call that a planned stop cuts is found', () => {
+  const cut = call({ status: undefined, isWhole: false, body: '' });
+  const stop = { fromMs: 10_020, toMs: 12_000 };
+  const record = recordOf(cut, ({ stops, troubles }) => {
+    stops.set(0, [stop]);
+    troubles.set(0, [stop]);
+  });
+  expect(promisesBroken(record)).to.deep.equal(['a planned stop cuts nothing']);
+});
+
+test('two reports of a window and two holders of a fence are found', () => {
+  const record = recordOf(call(), ({ reports }) => {
+    reports.push({ window: 7, counts: '[["tiger",3]]', holder: 'box-0', fence: 1 });
+    reports.push({ window: 7, counts: '[["tiger",4]]', holder: 'box-1', fence: 1 });
+  });
+  expect(promisesBroken(record)).to.deep.equal(['one report a window', 'one holder a fence']);
+});
--- /dev/null
+++ b/packages/reedlug-soak/src/__tests__/soak.test.ts
@@ -0,0 +1,29 @@
+import { expect } from 'chai';
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { planFaults } from '../faultPlan.js';
+import { runSoak } from '../runSoak.js';
+
+/** Long enough for the processes of a short run on a loaded machine, in ms. */
+const RUN_TIMEOUT_MS = 60_000;
+
+test('a seed always gives the same faults, another seed gives others', () => {
+  const params = { lengthMs: 20_000, boxes: 4, servers: 6 };
+  expect(planFaults({ seed: 7, ...params })).to.deep.equal(planFaults({ seed: 7, ...params }));
+  expect(planFaults({ seed: 7, ...params })).not.to.deep.equal(planFaults({ seed: 8, ...params }));
+});
+
+test('a short run of real boxes under faults breaks no promise', async function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  const result = await runSoak({
+    seed: 5,
+    lengthMs: 8000,
+    boxes: 3,
+    serversPerService: 2,
+    callsPerSecond: 40,
+    folder: join(await mkdtemp(join(tmpdir(), 'reedlug-soak-')), 'run'),
+  });
+  expect(result.violations).to.deep.equal([]);
+  expect(result.statuses['200'] ?? 0).to.be.greaterThan(50);
+});
--- /dev/null
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -0,0 +1,95 @@
+/** The faults of a run, drawn from its seed: in series, and over one another. */
+import { createRandom, type Random } from 'reedlug-check';
+
+/** How a link misbehaves. */
+export const LinkFault = {
+  /** Nothing comes through either way; connections stay open. */
+  silent: 'silent',
+  /** Bytes go out, but nothing comes back. */
+  oneWay: 'oneWay',
+  /** Open connections are reset and new ones too. */
+  reset: 'reset',
+  /** Every byte comes late. */
+  slow: 'slow',
+} as const;
+export type LinkFault = (typeof LinkFault)[keyof typeof LinkFault];
+
+/** A fault or a planned change; boxes and servers are named by their number. */
+export type Fault =
+  | { kind: 'pauseBox'; box: number; forMs: number }
+  | { kind: 'stopBox'; box: number; backAfterMs: number }
+  | { kind: 'killBox'; box: number; backAfterMs: number }
+  | { kind: 'killAllBoxes'; backAfterMs: number }
+  | { kind: 'storeLink'; box: number; how: LinkFault; forMs: number }
+  | { kind: 'serverLink'; server: number; how: LinkFault; forMs: number }
+  | { kind: 'storeAway'; forMs: number }
+  | { kind: 'storeSlow'; delayMs: number; forMs: number }
+  | { kind: 'storeLosesAnswers'; share: number; forMs: number }
+  | { kind: 'serverCrash'; server: number; backAfterMs: number }
+  | { kind: 'serverLeaves'; server: number; backAfterMs: number }
+  | { kind: 'serverFails'; server: number; how: 'fail' | 'lose' | 'refuse'; forMs: number }
+  | { kind: 'configure' }
+  | { kind: 'revokeKey' };
+
+/** A fault with its time from the start of the load. */
+export interface PlannedFault {
+  atMs: number;
+  fault: Fault;
+}
+
+/** Mean pause between faults, in ms: most overlap another one. */
+const MEAN_PAUSE_MS = 900;
+/** Length of a fault, in ms: around the bounds that the promises name. */
+const SHORTEST_MS = 300;
+const LONGEST_MS = 4000;
+/** Quiet time at the end of a run, in ms, in which what is open ends. */
+const QUIET_END_MS = 3000;
+
+const SKIPPED_DRAWS = 32;
+
+/** Draws the faults of a run. */
+export function planFaults(params: {
+  seed: number;
+  lengthMs: number;
+  boxes: number;
+  servers: number;
+}): PlannedFault[] {
+  const { seed, lengthMs, boxes, servers } = params;
+  const random = createRandom(seed);
+  // The first draws of neighbouring seeds are alike.
+  for (let draw = 0; draw < SKIPPED_DRAWS; draw += 1) random.unit();
+  const planned: PlannedFault[] = [];
+  let atMs = random.exponential(MEAN_PAUSE_MS);
+  while (atMs < lengthMs - QUIET_END_MS) {
+    const box = random.whole(0, boxes - 1);
+    const server = random.whole(0, servers - 1);
+    planned.push({ atMs: Math.round(atMs), fault: drawFault(random, box, server) });
+    atMs += random.exponential(MEAN_PAUSE_MS);
+  }
+  return planned;
+}
+
+function drawFault(random: Random, box: number, server: number): Fault {
+  const forMs = random.whole(SHORTEST_MS, LONGEST_MS);
+  const how = random.pick(Object.values(LinkFault));
+  const kinds: readonly (() => Fault)[] = [
+    () => ({ kind: 'pauseBox', box, forMs }),
+    () => ({ kind: 'stopBox', box, backAfterMs: forMs }),
+    () => ({ kind: 'stopBox', box, backAfterMs: forMs }),
+    () => ({ kind: 'killBox', box, backAfterMs: forMs }),
+    () => ({ kind: 'killAllBoxes', backAfterMs: SHORTEST_MS }),
+    () => ({ kind: 'storeLink', box, how, forMs }),
+    () => ({ kind: 'storeLink', box, how, forMs }),
+    () => ({ kind: 'serverLink', server, how, forMs }),
+    () => ({ kind: 'storeAway', forMs }),
+    () => ({ kind: 'storeSlow', delayMs: random.whole(50, 400), forMs }),
+    () => ({ kind: 'storeLosesAnswers', share: random.unit(), forMs }),
+    () => ({ kind: 'serverCrash', server, backAfterMs: forMs }),
+    () => ({ kind: 'serverLeaves', server, backAfterMs: forMs }),
+    () => ({ kind: 'serverFails', server, how: random.pick(['fail', 'lose', 'refuse']), forMs }),
+    () => ({ kind: 'configure' }),
+    () => ({ kind: 'configure' }),
+    () => ({ kind: 'revokeKey' }),
+  ];
+  return random.pick(kinds)();
+}
--- /dev/null
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -0,0 +1,173 @@
+/** One run: real boxes under load and planned faults, then the check of what was seen. */
+import { rm } from 'node:fs/promises';
+import { createRandom } from 'reedlug-check';
+import { openCallers, type CallOrder, type Callers } from './callers.js';
+import { planFaults, type Fault } from './faultPlan.js';
+import { injectFault } from './injectFault.js';
+import { findViolations, type Violation } from './promises.js';
+import { CallKind, createSoakRecord, type SoakRecord } from './soakRecord.js';
+import {
+  BOX_BOUNDS,
+  buildWorld,
+  DRAFT_EVENTS,
+  probePath,
+  tearDown,
+  type SoakWorld,
+} from './soakWorld.js';
+
+/** What a run is made of. */
+export interface SoakOptions {
+  seed: number;
+  lengthMs: number;
+  boxes: number;
+  serversPerService: number;
+  callsPerSecond: number;
+  /** Folder of settings and logs; it stays when a promise was broken. */
+  folder: string;
+  /** Faults in place of those drawn from the seed. */
+  faults?: readonly { atMs: number; fault: Fault }[];
+}
+
+/** How a run went. */
+export interface SoakResult {
+  seed: number;
+  violations: Violation[];
+  calls: number;
+  /** Calls by status; `none` for connections without an answer. */
+  statuses: Record<string, number>;
+  faults: Record<string, number>;
+}
+
+/** Longest wait for the first boxes to be ready, in ms: a loaded machine starts a dozen processes slowly. */
+const START_WAIT_MS = 20_000;
+/** Time after which a box counts as in touch again, in ms: the users' figure. */
+const CONTACT_MS = 3000;
+/** Share of kinds among the calls. */
+const KIND_SHARES: readonly (readonly [CallKind, number])[] = [
+  [CallKind.lookup, 0.35],
+  [CallKind.notice, 0.35],
+  [CallKind.draft, 0.2],
+  [CallKind.probe, 0.1],
+];
+
+/** Runs one seed. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const { seed, lengthMs, boxes, serversPerService, folder } = options;
+  const world = await buildWorld({ boxes, serversPerService, folder });
+  const record = createSoakRecord(DRAFT_EVENTS);
+  const planned =
+    options.faults ?? planFaults({ seed, lengthMs, boxes, servers: world.servers.length });
+  const callers = openCallers();
+  try {
+    for (const { process } of world.boxes) process.start();
+    await waitForBoxes(world);
+    const startMs = performance.now();
+    const faults = planned.map(async ({ atMs, fault }) => {
+      await new Promise((resolve) => setTimeout(resolve, atMs));
+      await injectFault(world, record, fault);
+    });
+    await sendLoad({ options, world, record, callers, endMs: startMs + lengthMs });
+    await Promise.all(faults);
+  } finally {
+    callers.close();
+    await tearDown(world);
+  }
+  collectRuns(world, record);
+  const violations = findViolations(record, { ...BOX_BOUNDS, contactMs: CONTACT_MS });
+  if (violations.length === 0) await rm(folder, { recursive: true, force: true });
+  return {
+    seed,
+    violations,
+    calls: record.calls.length,
+    statuses: countBy(record.calls.map(({ status }) => String(status ?? 'none'))),
+    faults: countBy(planned.map(({ fault }) => fault.kind)),
+  };
+}
+
+async function waitForBoxes(world: SoakWorld): Promise<void> {
+  const endMs = performance.now() + START_WAIT_MS;
+  for (const { readiness } of world.boxes) {
+    while (!(await isReady(readiness))) {
+      if (performance.now() > endMs) {
+        throw new Error(`the box at ${readiness.host} is not ready after ${START_WAIT_MS} ms`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  }
+}
+
+async function isReady({ host, port }: { host: string; port: number }): Promise<boolean> {
+  try {
+    return (await fetch(`http://${host}:${port}/ready`)).ok;
+  } catch {
+    // The box does not listen yet.
+    return false;
+  }
+}
+
+async function sendLoad(params: {
+  options: SoakOptions;
+  world: SoakWorld;
+  record: SoakRecord;
+  callers: Callers;
+  endMs: number;
+}): Promise<void> {
+  const { options, world, record, callers, endMs } = params;
+  const random = createRandom(options.seed + 1);
+  const open: Promise<void>[] = [];
+  for (let number = 0; performance.now() < endMs; number += 1) {
+    await new Promise((resolve) =>
+      setTimeout(resolve, random.exponential(1000 / options.callsPerSecond)),
+    );
+    const box = random.whole(0, world.boxes.length - 1);
+    const target = world.boxes[box]?.target;
+    if (target === undefined) continue;
+    const order = orderOf({ world, box, number, seed: options.seed, point: random.unit() });
+    open.push(callers.call(order, target).then((call) => void record.calls.push(call)));
+  }
+  await Promise.all(open);
+}
+
+function orderOf(params: {
+  world: SoakWorld;
+  box: number;
+  number: number;
+  seed: number;
+  point: number;
+}): CallOrder {
+  const { world, box, number, seed, point } = params;
+  const requestId = `s${seed}-${number}`;
+  const kind = pickKind(point);
+  const key = world.keys.at(-1) ?? '';
+  // An old key now and then shows whether it is still served.
+  const usedKey = number % 7 === 0 ? 'key-0' : key;
+  if (kind !== CallKind.probe) {
+    return { requestId, kind, box, key: usedKey, path: `/${kind}/${number}` };
+  }
+  const { version } = world;
+  return { requestId, kind, box, key, path: probePath(version), version };
+}
+
+function pickKind(point: number): CallKind {
+  let left = point;
+  for (const [kind, share] of KIND_SHARES) {
+    left -= share;
+    if (left < 0) return kind;
+  }
+  return CallKind.lookup;
+}
+
+function collectRuns(world: SoakWorld, record: SoakRecord): void {
+  for (const standin of world.everyStandin) {
+    for (const { requestId, atMs, ran } of standin.arrivals) {
+      record.runs.push({ requestId, server: standin.id, atMs, ran });
+    }
+  }
+  record.reports.push(...world.cloud.reports);
+}
+
+function countBy(names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
+  return counts;
+}
--- /dev/null
+++ b/packages/reedlug-soak/src/soakWorld.ts
@@ -0,0 +1,242 @@
+/** The world of a run: store, cloud, servers and boxes, each link through a proxy. */
+import { mkdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { stringify } from 'yaml';
+import {
+  enterConfiguration,
+  enterServer,
+  removeServerEntry,
+  startCloudStandin,
+  startEngineStandin,
+  startStoreStandin,
+  type CloudStandin,
+  type EngineStandin,
+  type StoreStandin,
+} from 'reedlug-platform/standins';
+import { findFreePorts } from 'reedlug-standins';
+import { prepareBox, type BoxProcess } from './boxProcess.js';
+import { CALLED_HOST, type CallTarget } from './callers.js';
+import { openFaultProxy, type FaultProxy } from './faultProxy.js';
+import { expectedBody } from './promises.js';
+
+/** Events of a draft, and the pause between two, in ms: a stream lasts a good second, so that faults meet it. */
+export const DRAFT_EVENTS = 24;
+const EVENT_GAP_MS = 50;
+/** Work of a plain request, in ms: as the users' look-ups. */
+const PLAIN_WORK_MS = 20;
+/** Bounds of the boxes; the users' own figures, with a shorter grace so that stops end in a run. */
+export const BOX_BOUNDS = {
+  configurationMs: 2000,
+  drainMs: 2000,
+  graceSeconds: 5,
+  retryRatio: 0.2,
+  retrySlack: 50,
+  limitSlackUnits: 0,
+  leaseMs: 3000,
+  usageWindowSeconds: 5,
+  usageDueSeconds: 10,
+};
+const FIRST_KEY = 'key-0';
+
+/** A server that may crash and come back under another id. */
+export interface SoakServer {
+  standin: EngineStandin;
+  proxy: FaultProxy;
+  service: string;
+  lives: number;
+  failing: 'fail' | 'lose' | 'refuse' | undefined;
+}
+
+/** A box with its link to the store. */
+export interface SoakBox {
+  process: BoxProcess;
+  target: CallTarget;
+  readiness: CallTarget;
+  storeLink: FaultProxy;
+}
+
+/** Everything that faults act on. */
+export interface SoakWorld {
+  store: StoreStandin;
+  cloud: CloudStandin;
+  servers: SoakServer[];
+  boxes: SoakBox[];
+  version: number;
+  keys: string[];
+  /** All stand-ins that ever ran, for their arrivals. */
+  everyStandin: EngineStandin[];
+}
+
+/** Starts everything but the boxes' processes. */
+export async function buildWorld(params: {
+  boxes: number;
+  serversPerService: number;
+  folder: string;
+}): Promise<SoakWorld> {
+  mkdirSync(params.folder, { recursive: true });
+  const store = await startStoreStandin();
+  const cloud = await startCloudStandin();
+  const world: SoakWorld = {
+    store,
+    cloud,
+    servers: [],
+    boxes: [],
+    version: 0,
+    keys: [FIRST_KEY],
+    everyStandin: [],
+  };
+  for (const service of ['records', 'drafts']) {
+    for (let index = 0; index < params.serversPerService; index += 1) {
+      world.servers.push(await startServer(world, service));
+    }
+  }
+  configure(world);
+  for (let index = 0; index < params.boxes; index += 1) {
+    world.boxes.push(await prepareSoakBox(world, index, params.folder));
+  }
+  return world;
+}
+
+/** Enters the next configuration: the routes for callers, and one that names its version. */
+export function configure(world: SoakWorld): void {
+  world.version += 1;
+  enterConfiguration(world.store, {
+    version: world.version,
+    host: CALLED_HOST,
+    keys: world.keys,
+    routes: [
+      { path: '/lookup/' },
+      { path: '/notice/', kind: 'nonRepeatable' },
+      { path: '/draft/', kind: 'resumableStream', service: 'drafts', timeoutMs: 3000 },
+      { path: probePath(world.version) },
+    ],
+  });
+}
+
+/** The path of the route that only one version of the configuration has. */
+export function probePath(version: number): string {
+  return `/version-${version}/`;
+}
+
+async function startServer(world: SoakWorld, service: string): Promise<SoakServer> {
+  const [port = 0] = await findFreePorts(1);
+  const server: SoakServer = {
+    standin: await startLife(world, () => server, service, world.servers.length, 0),
+    proxy: await openFaultProxy({
+      host: '127.0.0.1',
+      port,
+      target: () => addressOf(server.standin),
+    }),
+    service,
+    lives: 1,
+    failing: undefined,
+  };
+  enter(world, server, false);
+  return server;
+}
+
+function startLife(
+  world: SoakWorld,
+  owner: () => SoakServer,
+  service: string,
+  number: number,
+  life: number,
+): Promise<EngineStandin> {
+  const id = `${service}-${number}-${life}`;
+  return startEngineStandin(id, (requestId) => {
+    const { failing } = owner();
+    if (failing !== undefined) return { kind: failing };
+    if (service === 'drafts') {
+      return { kind: 'slowStream', events: DRAFT_EVENTS, gapMs: EVENT_GAP_MS };
+    }
+    return { kind: 'answer', body: expectedBody(requestId), afterMs: PLAIN_WORK_MS };
+  }).then((standin) => {
+    world.everyStandin.push(standin);
+    return standin;
+  });
+}
+
+function addressOf({ address }: EngineStandin): { host: string; port: number } {
+  const [host = '', port = '0'] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/** Enters a server with the address of its proxy. */
+export function enter(world: SoakWorld, server: SoakServer, leaving: boolean): void {
+  const { standin, service, proxy } = server;
+  const address = `127.0.0.1:${proxy.port}`;
+  enterServer(world.store, { id: standin.id, address, service, leaving });
+}
+
+/** Ends a server at once, as a crash does; its entry goes a while later, as after lost heartbeats. */
+export function crash(world: SoakWorld, server: SoakServer): string {
+  const { id } = server.standin;
+  server.standin.close();
+  return id;
+}
+
+/** Takes the entry of an ended life out. */
+export function dropEntry(world: SoakWorld, id: string): void {
+  removeServerEntry(world.store, id);
+}
+
+/** Starts a server's next life under a new id. */
+export async function revive(world: SoakWorld, server: SoakServer): Promise<void> {
+  const number = world.servers.indexOf(server);
+  server.standin = await startLife(world, () => server, server.service, number, server.lives);
+  server.lives += 1;
+  enter(world, server, false);
+}
+
+async function prepareSoakBox(world: SoakWorld, index: number, folder: string): Promise<SoakBox> {
+  // Each box has a loopback address of its own, as boxes know each other by address.
+  const ip = `127.0.${1 + Math.floor(index / 200)}.${2 + (index % 200)}`;
+  const [callers = 0, readiness = 0, metrics = 0, link = 0, peers = 0] = await findFreePorts(5);
+  const storeLink = await openFaultProxy({
+    host: ip,
+    port: link,
+    target: () => world.store.address,
+  });
+  const settings = {
+    box: { id: `box-${index}`, ip, zone: index % 2 === 0 ? 'zone-a' : 'zone-b' },
+    zones: ['zone-a', 'zone-b'],
+    listen: {
+      callers: `${ip}:${callers}`,
+      readiness: `${ip}:${readiness}`,
+      peersPort: peers,
+      metricsPort: metrics,
+    },
+    store: { address: `${ip}:${link}` },
+    cloud: {
+      address: `${world.cloud.address.host}:${world.cloud.address.port}`,
+      duties: ['usageReports'],
+    },
+    bounds: BOX_BOUNDS,
+  };
+  return {
+    process: prepareBox({
+      settingsText: stringify(settings),
+      settingsPath: join(folder, `box-${index}.yaml`),
+      logPath: join(folder, `box-${index}.log`),
+    }),
+    target: { host: ip, port: callers },
+    readiness: { host: ip, port: readiness },
+    storeLink,
+  };
+}
+
+/** Ends all that the run started. */
+export async function tearDown(world: SoakWorld): Promise<void> {
+  for (const { process } of world.boxes) {
+    process.signal('SIGCONT');
+    process.signal('SIGKILL');
+    await process.ended();
+  }
+  for (const { storeLink } of world.boxes) storeLink.close();
+  for (const { proxy, standin } of world.servers) {
+    proxy.close();
+    standin.close();
+  }
+  world.store.close();
+  world.cloud.close();
+}
--- /dev/null
+++ b/packages/reedlug/src/commands/soak.ts
@@ -0,0 +1,65 @@
+/** `reedlug soak`: real boxes as processes under load, with faults injected from outside. */
+import { join } from 'node:path';
+import { Command, Option } from 'clipanion';
+import { runSoak, type SoakResult } from 'reedlug-soak';
+import { parseSeedRange } from './seedRange.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Exits 0 when no promise was broken. */
+export class SoakCommand extends Command {
+  static override paths = [['soak']];
+  static override usage = Command.Usage({
+    description: 'Run boxes as processes under load and faults, and check every promise',
+    details: 'Logs and settings of a run that broke a promise stay in OUT/soak-SEED.',
+    examples: [
+      ['Fifty seeds', 'reedlug soak --seeds 1-50'],
+      ['A larger fleet', 'reedlug soak --seeds 7 --boxes 24 --seconds 60'],
+    ],
+  });
+
+  seeds = Option.String('--seeds', '1-5', { description: 'One seed, or a range such as 1-50' });
+  seconds = Option.String('--seconds', '20', { description: 'Length of a run' });
+  boxes = Option.String('--boxes', '4', { description: 'Boxes, a process each' });
+  rate = Option.String('--rate', '60', { description: 'Calls a second over all boxes' });
+  out = Option.String('--out', '.', { description: 'Folder for logs of runs that failed' });
+
+  override async execute(): Promise<number> {
+    const seeds = parseSeedRange(this.seeds);
+    const [seconds = 0, boxes = 0, rate = 0] = [this.seconds, this.boxes, this.rate].map(Number);
+    if (seeds === undefined || !(seconds > 0) || !(boxes >= 1) || !(rate > 0)) {
+      this.context.stderr.write(
+        '--seeds must be like 1-50; --seconds, --boxes and --rate must be positive numbers\n',
+      );
+      return 1;
+    }
+    let broken = 0;
+    for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
+      const result = await runSoak({
+        seed,
+        lengthMs: seconds * MS_PER_SECOND,
+        boxes,
+        serversPerService: 3,
+        callsPerSecond: rate,
+        folder: join(this.out, `soak-${seed}`),
+      });
+      this.report(result);
+      if (result.violations.length > 0) broken += 1;
+    }
+    this.context.stdout.write(`seeds=${seeds.last - seeds.first + 1} broken=${broken}\n`);
+    return broken === 0 ? 0 : 1;
+  }
+
+  private report({ seed, calls, statuses, faults, violations }: SoakResult): void {
+    const pairs = (counts: Record<string, number>): string =>
+      Object.entries(counts)
+        .sort(([a], [b]) => a.localeCompare(b))
+        .map(([name, count]) => `${name}=${count}`)
+        .join(' ');
+    const head = `seed=${seed} calls=${calls} violations=${violations.length}`;
+    this.context.stdout.write(`${head} statuses: ${pairs(statuses)} faults: ${pairs(faults)}\n`);
+    for (const { promise, detail } of violations) {
+      this.context.stdout.write(`  ${promise}: ${detail}\n`);
+    }
+  }
+}
