--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -18,6 +18,8 @@
   /** Effects of the datagrams of the last tick, by box. */
   answered: Map<string, Effect[]>;
   pass: (ms: number) => void;
+  /** Starts a box anew with nothing but what the store gives it. */
+  restart: (boxId: string) => void;
   /** Ends a box; nothing reaches it any more. */
   kill: (boxId: string) => void;
 }
@@ -72,6 +74,14 @@
     received,
     effects,
     answered,
+    restart(boxId) {
+      const before = boxes.get(boxId);
+      const address = addresses.find((known) => known.boxId === boxId);
+      if (before === undefined || address === undefined) throw new Error(`no ${boxId}`);
+      const box = createFleetBox(address, before.state.incarnation + 1, before.nowMs);
+      box.take({ type: 'peersListed', changes });
+      boxes.set(boxId, box);
+    },
     kill: (boxId) => void boxes.delete(boxId),
     pass(ms) {
       for (let passed = 0; passed < ms; passed += TICK_MS) {
@@ -96,7 +106,7 @@
   return { type: 'serversRead', whole: true, changes, revision, source: 'peer', sender };
 }
 
-function createFleetBox(address: PeerAddress): TestBox {
+function createFleetBox(address: PeerAddress, incarnation = 1, nowMs = 0): TestBox {
   const base = settings();
   const { boxId: id, host: ip, zone = '', processorCores, port } = address;
   const box = createBox({
@@ -104,6 +114,8 @@
     box: { id, ip, zone, processorCores },
     listen: { ...base.listen, peersPort: port },
   });
+  box.state.incarnation = incarnation;
+  box.nowMs = nowMs;
   box.take({ type: 'configurationRead', configuration: configuration(), source: 'store' });
   const entries = [
     server('records-1'),
--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -3,9 +3,9 @@
 /** Prompt tokens that one engine reads in a second while it also decodes. */
 const ENGINE_TOKENS_PER_SECOND = 28_000;
 /** Share of an engine's reading that is used on average: above it, each step carries a piece of a prompt and streams miss their deadlines (measured: 0.45 lost a tenth of the credit). */
-const USUAL_USE = 0.3;
+const USUAL_USE = 0.38;
 /** Share that is borne while reclaimable engines are away, before on-demand ones are paid for. */
-const STRAINED_USE = 0.45;
+const STRAINED_USE = 0.55;
 /** Engines that are there whatever the load: one loss must leave others. */
 const MIN_ENGINES = 3;
 /** Engines of any kind below which on-demand ones are ordered, whatever the load. */
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -17,10 +17,11 @@
 import { capacityTick, onOrderAnswered } from './slices/capacity.js';
 import { clockTick, onClockRow, onStoreClock } from './slices/clock.js';
 import { dutiesTick, onLeaseRow } from './slices/duties.js';
-import { onPeerMessage, onPeersListed, onPeerUsage, peersTick } from './slices/peers.js';
+import { onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers.js';
 import { onCallerGone, onRequestArrived, requestsTick } from './slices/requests.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
 import { onStopAsked, stopTick } from './slices/stopping.js';
+import { peersTick } from './slices/tellPeers.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage.js';
 
 /** Takes an event; returns what is asked of the outside. */
--- a/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
@@ -237,3 +237,44 @@
   }
   expect([...asked].sort()).to.deep.equal(['box-1', 'box-2']);
 });
+
+/** Units that a box believes the whole fleet to have admitted. */
+function admittedAsSeen(fleet: TestFleet, boxId: string): number {
+  const state = fleet.boxes.get(boxId)?.state;
+  if (state === undefined) throw new Error(`no ${boxId}`);
+  const told = state.heardFromBoxes.admitted.get('tiger') ?? 0;
+  const toldByHubs = state.heardFromHubs.admitted.get('tiger') ?? 0;
+  return (state.quotas.get('tiger')?.admitted ?? 0) + told + toldByHubs;
+}
+
+test('restarts in turn count nothing twice against a limit', () => {
+  const fleet = createFleet({ boxes: 60, zones: ZONES });
+  fleet.pass(3000);
+  const ids = [...fleet.boxes.keys()];
+  let exchangeId = 0;
+  let admitted = 0;
+  const admitOne = (): void => {
+    exchangeId += 1;
+    const boxId = ids[(exchangeId * 7) % ids.length] ?? '';
+    const box = fleet.boxes.get(boxId);
+    const before = box?.state.quotas.get('tiger')?.admitted ?? 0;
+    const request = facts({ requestId: `turn-${exchangeId}` });
+    box?.take({ type: 'requestArrived', exchangeId, facts: request });
+    admitted += (box?.state.quotas.get('tiger')?.admitted ?? 0) - before;
+  };
+  const watcher = 'box-59';
+  for (let round = 0; round < 40; round += 1) admitOne();
+  fleet.pass(1500);
+  const seenBefore = admittedAsSeen(fleet, watcher);
+  const admittedBefore = admitted;
+  for (let turn = 0; turn < 30; turn += 1) {
+    fleet.restart(ids[turn] ?? '');
+    for (let step = 0; step < 20; step += 1) {
+      admitOne();
+      fleet.pass(50);
+    }
+  }
+  fleet.pass(2000);
+  const seen = admittedAsSeen(fleet, watcher) - seenBefore;
+  expect(seen / (admitted - admittedBefore)).to.be.within(0.85, 1.1);
+});
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -22,23 +22,31 @@
   return facts.promptTokens + (facts.maxOutputTokens ?? 0);
 }
 
-/** Admits a request against the limit; returns 0, or the ms until the next one fits. */
+/** What a limit says of a request. */
+export type Admission =
+  | { kind: 'admitted' }
+  /** `waitMs` until it fits; the figures that decided it are for the log. */
+  | { kind: 'overLimit'; waitMs: number; level: number; heardShare: number };
+
+/** Admits a request against its workspace's limit. */
 export function admitUnits(
   state: GatewayState,
   workspace: WorkspaceSpec,
   units: number,
   nowMs: number,
-): number {
+): Admission {
   const quota = quotaOf(state, workspace, nowMs);
-  const ratePerSecond = usableRate(state, workspace, nowMs);
+  const share = heardShare(state, nowMs);
+  const ratePerSecond = workspace.ratePerSecond * share;
   refill(quota, workspace, ratePerSecond, nowMs);
   const lacking = units - quota.level - toleratedUnits(state);
   if (workspace.ratePerSecond > 0 && lacking > 0) {
-    return (lacking / Math.max(1, ratePerSecond)) * 1000;
+    const waitMs = (lacking / Math.max(1, ratePerSecond)) * 1000;
+    return { kind: 'overLimit', waitMs, level: quota.level, heardShare: share };
   }
   quota.level -= units;
   quota.admitted += units;
-  return 0;
+  return { kind: 'admitted' };
 }
 
 /** Takes what a peer has admitted since its last message. */
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -7,7 +7,7 @@
 import { offer } from './attempts.js';
 import { findRoute } from './configuration.js';
 import { cancelAll, giveUp, refuse } from './ending.js';
-import { admitUnits, unitsOf } from './quotas.js';
+import { admitUnits, unitsOf, type Admission } from './quotas.js';
 import { countFirstSend } from './retryBudgets.js';
 import { isTooLateToTake } from './stopping.js';
 
@@ -43,8 +43,12 @@
   const workspace = facts.key === undefined ? undefined : active.workspaceByKey.get(facts.key);
   if (needsKey && workspace === undefined) return refuseNow(401, 'unknownKey');
   if (workspace !== undefined) {
-    const waitMs = admitUnits(state, workspace, unitsOf(workspace, facts), step.nowMs);
-    if (waitMs > 0) return refuseNow(429, 'overLimit', waitMs);
+    const units = unitsOf(workspace, facts);
+    const admission = admitUnits(state, workspace, units, step.nowMs);
+    if (admission.kind === 'overLimit') {
+      logOverLimit(step, { facts, workspace: workspace.name, units, admission });
+      return refuseNow(429, 'overLimit', admission.waitMs);
+    }
   }
   const record = createRecord({ exchangeId, facts, route, workspace, nowMs: step.nowMs });
   state.requests.set(exchangeId, record);
@@ -52,6 +56,25 @@
   offer(state, step, record);
 }
 
+function logOverLimit(
+  step: Step,
+  params: {
+    facts: RequestFacts;
+    workspace: string;
+    units: number;
+    admission: Extract<Admission, { kind: 'overLimit' }>;
+  },
+): void {
+  const { facts, workspace, units, admission } = params;
+  log(step, 'limitReached', {
+    request: facts.requestId,
+    workspace,
+    units,
+    level: Math.round(admission.level),
+    heardShare: Number(admission.heardShare.toFixed(2)),
+  });
+}
+
 function createRecord(params: {
   exchangeId: number;
   facts: RequestFacts;
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/tellPeers.ts
@@ -0,0 +1,128 @@
+/**
+ * Tells peers this box's news: load, limits, usage, versions.
+ *
+ * In a small fleet each box tells all others. In a larger one boxes tell their
+ * news to the hub of their group, which gives them the sum of all others back.
+ */
+import type { PeerAddress, PeerMessage } from '../types/peer.js';
+import { NewsScope } from '../types/peer.js';
+import type { HostPort } from '../types/server.js';
+import { log, type GatewayState, type PeerView, type Step } from '../state.js';
+import {
+  betterHubs,
+  chooseHub,
+  countsFreshly,
+  knownGroups,
+  PEER_GONE_AFTER_MS,
+  usesHubs,
+} from './fleet.js';
+import { membersOf, startNews, type News } from './peerNews.js';
+import { forgetGonePeers } from './peers.js';
+import { ownUsage } from './usage.js';
+
+/** Pause between messages, in ms: short against an engine's backlog, long against the price of a wake-up. */
+const NEWS_EVERY_MS = 200;
+/** Pause between messages to a peer that is not heard, in ms: enough to find it again a moment after a cut. */
+const PROBE_EVERY_MS = 1000;
+/** Boxes of another group that are tried while its hub is not heard: any two of them may be away. */
+const PROBED_HUBS = 3;
+/** Pause between counts of usage told to the holder of the lease where hubs sum up the news, in ms: a tenth of the shortest window. */
+const USAGE_EVERY_MS = 500;
+
+/** Sends this box's news when it is time. */
+export function peersTick(state: GatewayState, step: Step): void {
+  if (step.nowMs - state.newsSentAtMs < NEWS_EVERY_MS) return;
+  state.newsSentAtMs = step.nowMs;
+  forgetGonePeers(state, step);
+  if (state.peers.size === 0) return;
+  if (!usesHubs(state)) return tellAll(state, step);
+  const { own, others } = knownGroups(state);
+  takeHub(state, step, own);
+  const news = startNews(state, step);
+  tellHub(state, step, news, own);
+  if (state.hubId === undefined) tellOtherHubs(state, step, news, others);
+  for (const member of membersOf(state, step.nowMs)) tell(step, member, news.ofOthers(member));
+  tellUsage(state, step);
+}
+
+function tellAll(state: GatewayState, step: Step): void {
+  takeHub(state, step, []);
+  const news = startNews(state, step);
+  for (const peer of state.peers.values()) {
+    if (isDue(peer, step.nowMs)) tell(step, peer, news.ofBox());
+  }
+}
+
+/** A silent peer is told less often. */
+function isDue(peer: PeerView, nowMs: number): boolean {
+  const isHeard = nowMs - peer.heardAtMs <= PEER_GONE_AFTER_MS;
+  return isHeard || nowMs - peer.toldAtMs >= PROBE_EVERY_MS;
+}
+
+function tell(step: Step, peer: PeerView, message: PeerMessage): void {
+  peer.toldAtMs = step.nowMs;
+  step.effects.push({ type: 'sendPeers', message, to: [peer.address] });
+}
+
+function takeHub(state: GatewayState, step: Step, group: readonly PeerAddress[]): void {
+  const hubId = chooseHub(state, group, step.nowMs);
+  if (hubId === state.hubId) return;
+  const hub = hubId === undefined ? undefined : state.peers.get(hubId);
+  // Changes that it told while it was no hub of this box were not followed.
+  if (hub !== undefined) hub.registryNumber = undefined;
+  log(step, 'hubTaken', { hub: hubId ?? state.settings.box.id, before: state.hubId ?? '' });
+  state.hubId = hubId;
+}
+
+/** Tells the hub; boxes that would be better ones are tried now and then. */
+function tellHub(state: GatewayState, step: Step, news: News, group: readonly PeerAddress[]): void {
+  const hub = state.hubId === undefined ? undefined : state.peers.get(state.hubId);
+  if (hub !== undefined) tell(step, hub, news.ofBox());
+  for (const { boxId } of betterHubs(group, hub?.boxId ?? state.settings.box.id)) {
+    const peer = state.peers.get(boxId);
+    if (peer === undefined || step.nowMs - peer.toldAtMs < PROBE_EVERY_MS) continue;
+    tell(step, peer, news.ofBox());
+  }
+}
+
+function tellOtherHubs(
+  state: GatewayState,
+  step: Step,
+  news: News,
+  groups: readonly (readonly PeerAddress[])[],
+): void {
+  const message = news.ofGroup();
+  for (const group of groups) {
+    const peers = group.map(({ boxId }) => state.peers.get(boxId)).filter((peer) => !!peer);
+    const hubs = peers.filter(
+      (peer) => peer.message?.scope === NewsScope.group && countsFreshly(peer, step.nowMs),
+    );
+    for (const hub of hubs) tell(step, hub, message);
+    if (hubs.length > 0) continue;
+    for (const peer of peers.slice(0, PROBED_HUBS)) {
+      if (step.nowMs - peer.toldAtMs >= PROBE_EVERY_MS) tell(step, peer, message);
+    }
+  }
+}
+
+/** The sums of hubs leave usage out: it is told by each box to the one that reports it. */
+function tellUsage(state: GatewayState, step: Step): void {
+  if (step.nowMs - state.usageToldAtMs < USAGE_EVERY_MS) return;
+  const holder = leaseHolder(state, step.nowMs);
+  if (holder === undefined) return;
+  state.usageToldAtMs = step.nowMs;
+  const { incarnation } = state;
+  const usage = ownUsage(state, step);
+  const boxId = state.settings.box.id;
+  const message = { kind: 'usage' as const, boxId, incarnation, usage };
+  step.effects.push({ type: 'sendPeers', message, to: [holder] });
+}
+
+/** Where the holder of the lease listens, as a peer last told. */
+function leaseHolder(state: GatewayState, nowMs: number): HostPort | undefined {
+  for (const peer of state.peers.values()) {
+    const holder = peer.message?.leaseHolder;
+    if (holder !== undefined && countsFreshly(peer, nowMs)) return holder;
+  }
+  return undefined;
+}
