One candidate hub at a time, and probes that count for nothing

When the hub of hall-b went for good at 3.0 s, its 22 members each took themselves for the hub, told all better boxes their news as members, and each told the other hubs a group: figures and units admitted counted up to 22 times, and the fleet's most boxes, held for 10 s, rose to 200.

Ruled out: restarts in turn (a test of 30 restarts counts nothing twice); slow convergence after kills of all boxes (0.7 s in the logs).

Change: a member takes the best box that is not known to be silent and tells only that one; it passes a silent one over until it is heard again, and asks it once a second with a probe whose figures count for nothing. The most boxes heard is bounded by those known.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -158,6 +158,7 @@
     incarnation: 1,
     sequence: 1,
     scope: NewsScope.box,
+    isProbe: false,
     boxes: 1,
     processorCores: 1,
     zone: 'zone-b',
--- a/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
@@ -278,3 +278,31 @@
   const seen = admittedAsSeen(fleet, watcher) - seenBefore;
   expect(seen / (admitted - admittedBefore)).to.be.within(0.85, 1.1);
 });
+
+test('after the loss of a hub no box is counted twice', () => {
+  const fleet = createFleet({ boxes: 90, zones: ZONES });
+  fleet.pass(3000);
+  const hubId = fleet.boxes.get('box-0')?.state.hubId ?? 'box-0';
+  fleet.kill(hubId);
+  const ids = [...fleet.boxes.keys()];
+  const watcher = ids.find((id) => fleet.boxes.get(id)?.state.settings.box.zone === 'zone-b') ?? '';
+  const seenBefore = admittedAsSeen(fleet, watcher);
+  let admitted = 0;
+  for (let step = 0; step < 60; step += 1) {
+    const box = fleet.boxes.get(ids[(step * 11) % ids.length] ?? '');
+    const before = box?.state.quotas.get('tiger')?.admitted ?? 0;
+    box?.take({
+      type: 'requestArrived',
+      exchangeId: step,
+      facts: facts({ requestId: `l${step}` }),
+    });
+    admitted += (box?.state.quotas.get('tiger')?.admitted ?? 0) - before;
+    fleet.pass(50);
+    for (const { state } of fleet.boxes.values()) {
+      expect(state.fleetHeard.value).to.be.at.most(90);
+    }
+  }
+  fleet.pass(1500);
+  const seen = admittedAsSeen(fleet, watcher) - seenBefore;
+  expect(seen / admitted).to.be.within(0.5, 1.02);
+});
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -34,16 +34,18 @@
   return peer.boxId === peer.address.host;
 }
 
-/** Boxes of the fleet, this one included: those listed or heard, or as many as a hub speaks for. */
+/** Boxes of the fleet, this one included: those listed or heard; before there is a list, as many as a hub speaks for. */
 export function fleetSize(state: GatewayState): number {
   let known = 1;
   let told = 0;
+  let isListed = false;
   for (const peer of state.peers.values()) {
     if (!isSeed(peer)) known += 1;
+    isListed ||= peer.listed;
     const { message } = peer;
     if (message?.scope === NewsScope.others) told = Math.max(told, message.boxes + 1);
   }
-  return Math.max(known, told);
+  return isListed ? known : Math.max(known, told);
 }
 
 /** Whether boxes of this fleet tell their news by hubs. */
@@ -62,7 +64,7 @@
   const { scope } = peer.message;
   if (state.hubId !== undefined) return peer.boxId === state.hubId && scope === NewsScope.others;
   if (!usesHubs(state)) return scope === NewsScope.box;
-  return scope !== NewsScope.others && countsFreshly(peer, nowMs);
+  return scope !== NewsScope.others && !peer.message.isProbe && countsFreshly(peer, nowMs);
 }
 
 /** Share of the fleet's boxes of the last seconds that can be heard now, this one included. */
@@ -76,8 +78,9 @@
     else silent += message.boxes;
   }
   if (!usesHubs(state)) return heard / (heard + silent);
-  holdFigure(state.fleetHeard, heard, nowMs, PEER_GONE_AFTER_MS);
-  return heard / state.fleetHeard.value;
+  const known = Math.min(heard, fleetSize(state));
+  holdFigure(state.fleetHeard, known, nowMs, PEER_GONE_AFTER_MS);
+  return known / state.fleetHeard.value;
 }
 
 /** This box as its peers know it. */
@@ -113,24 +116,24 @@
   return { own, others: groups.filter((members) => members !== own) };
 }
 
-/** The best hub of this box's group that can be heard; undefined when that is this box itself. */
-export function chooseHub(
-  state: GatewayState,
-  group: readonly PeerAddress[],
-  nowMs: number,
-): string | undefined {
-  const self = ownAddress(state);
-  for (const { boxId } of group) {
-    if (boxId === self.boxId) return undefined;
-    const peer = state.peers.get(boxId);
-    const isHeard = peer?.message?.scope === NewsScope.others;
-    if (isHeard && nowMs - peer.heardAtMs <= HUB_SILENT_AFTER_MS) return boxId;
-  }
-  return undefined;
+/** The best box of a group that is not silent; undefined when that is this box itself. */
+export function chooseHub(state: GatewayState, group: readonly PeerAddress[]): string | undefined {
+  const best = group.find(({ boxId }) => state.peers.get(boxId)?.isSuspected !== true);
+  return best?.boxId === state.settings.box.id ? undefined : best?.boxId;
 }
 
-/** Boxes of this box's group that would be better hubs than a given one. */
-export function betterHubs(group: readonly PeerAddress[], thanId: string): readonly PeerAddress[] {
-  const rank = group.findIndex(({ boxId }) => boxId === thanId);
-  return group.slice(0, Math.max(0, rank));
+/** Whether the hub of this box has been silent too long, counted from when it was taken. */
+export function isHubSilent(state: GatewayState, hub: PeerView, nowMs: number): boolean {
+  return nowMs - Math.max(hub.heardAtMs, state.hubSinceMs) > HUB_SILENT_AFTER_MS;
+}
+
+/** Silent boxes of this box's group that would be better hubs than the one taken. */
+export function betterHubs(
+  state: GatewayState,
+  group: readonly PeerAddress[],
+): readonly PeerView[] {
+  const takenId = state.hubId ?? state.settings.box.id;
+  const rank = group.findIndex(({ boxId }) => boxId === takenId);
+  const better = group.slice(0, Math.max(0, rank)).map(({ boxId }) => state.peers.get(boxId));
+  return better.filter((peer) => peer !== undefined);
 }
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -41,6 +41,7 @@
     incarnation: state.incarnation,
     sequence: state.peerSequence,
     scope: NewsScope.box,
+    isProbe: false,
     boxes: 1,
     zone: box.zone,
     host: box.ip,
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -27,6 +27,7 @@
   const before = peer.message;
   if (before !== undefined && isOlder(message, before)) return;
   peer.heardAtMs = step.nowMs;
+  peer.isSuspected = false;
   peer.message = message;
   noteStoreSeen(state, step, message);
   takeTotals(state, step, peer as HeardPeer, before);
@@ -80,6 +81,7 @@
     registryNumber: undefined,
     aheadSinceMs: undefined,
     toldAtMs: Number.NEGATIVE_INFINITY,
+    isSuspected: false,
     askedAtMs: Number.NEGATIVE_INFINITY,
   };
   state.peers.set(address.boxId, peer);
--- a/packages/reedlug-gateway/src/slices/tellPeers.ts
+++ b/packages/reedlug-gateway/src/slices/tellPeers.ts
@@ -12,6 +12,7 @@
   betterHubs,
   chooseHub,
   countsFreshly,
+  isHubSilent,
   knownGroups,
   PEER_GONE_AFTER_MS,
   usesHubs,
@@ -64,24 +65,27 @@
   step.effects.push({ type: 'sendPeers', message, to: [peer.address] });
 }
 
+/** Takes the best box of the group as hub; one that stays silent is passed over until it is heard again. */
 function takeHub(state: GatewayState, step: Step, group: readonly PeerAddress[]): void {
-  const hubId = chooseHub(state, group, step.nowMs);
+  const taken = state.hubId === undefined ? undefined : state.peers.get(state.hubId);
+  if (taken !== undefined && isHubSilent(state, taken, step.nowMs)) taken.isSuspected = true;
+  const hubId = chooseHub(state, group);
   if (hubId === state.hubId) return;
   const hub = hubId === undefined ? undefined : state.peers.get(hubId);
   // Changes that it told while it was no hub of this box were not followed.
   if (hub !== undefined) hub.registryNumber = undefined;
   log(step, 'hubTaken', { hub: hubId ?? state.settings.box.id, before: state.hubId ?? '' });
   state.hubId = hubId;
+  state.hubSinceMs = step.nowMs;
 }
 
-/** Tells the hub; boxes that would be better ones are tried now and then. */
+/** Tells the hub; silent boxes that would be better ones are asked now and then whether they are back. */
 function tellHub(state: GatewayState, step: Step, news: News, group: readonly PeerAddress[]): void {
   const hub = state.hubId === undefined ? undefined : state.peers.get(state.hubId);
   if (hub !== undefined) tell(step, hub, news.ofBox());
-  for (const { boxId } of betterHubs(group, hub?.boxId ?? state.settings.box.id)) {
-    const peer = state.peers.get(boxId);
-    if (peer === undefined || step.nowMs - peer.toldAtMs < PROBE_EVERY_MS) continue;
-    tell(step, peer, news.ofBox());
+  for (const peer of betterHubs(state, group)) {
+    if (step.nowMs - peer.toldAtMs < PROBE_EVERY_MS) continue;
+    tell(step, peer, { ...news.ofBox(), isProbe: true });
   }
 }
 
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -64,6 +64,8 @@
   /** Number of its last change of the registry that this box took; undefined before the first. */
   registryNumber: number | undefined;
   toldAtMs: number;
+  /** True once it was silent as this box's hub, until it is heard again. */
+  isSuspected: boolean;
   /** Since when it has had a newer configuration or registry; undefined while it has none. */
   aheadSinceMs: number | undefined;
   askedAtMs: number;
@@ -141,6 +143,8 @@
   peers: Map<string, PeerView>;
   /** The peer that sums up the news of all others for this box; undefined when it needs none. */
   hubId: string | undefined;
+  /** When that peer became the hub of this box. */
+  hubSinceMs: number;
   /** What other boxes told for themselves, and what hubs told for others. */
   heardFromBoxes: HeardTotals;
   heardFromHubs: HeardTotals;
@@ -218,6 +222,7 @@
     retryBudgets: new Map(),
     peers: new Map(),
     hubId: undefined,
+    hubSinceMs: nowMs,
     heardFromBoxes: createHeardTotals(),
     heardFromHubs: createHeardTotals(),
     fleetHeard: { value: 1, untilMs: nowMs },
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -61,6 +61,8 @@
   incarnation: number;
   sequence: number;
   scope: NewsScope;
+  /** True when the sender only asks for an answer: its figures reach others in another way. */
+  isProbe: boolean;
   /** Boxes that the figures cover. */
   boxes: number;
   zone: string;
