Soak: a link keeps the order of its bytes

Traced to the soak's own proxy: when a slow link healed, the end of a stream overtook events that still waited for their time. No box was at fault. Now one queue a direction keeps the order, and an end waits for its turn.

--- /dev/null
+++ b/packages/reedlug-soak/src/__tests__/faultProxy.test.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai';
+import { connect, createServer, type AddressInfo, type Server } from 'node:net';
+import { findFreePorts } from 'reedlug-standins';
+import { LinkFault } from '../faultPlan.js';
+import { openFaultProxy, type FaultProxy } from '../faultProxy.js';
+
+interface Link {
+  proxy: FaultProxy;
+  server: Server;
+  close: () => void;
+}
+
+/** A proxy before a server that writes a number each millisecond, then ends. */
+async function openLink(numbers: number): Promise<Link> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    let next = 0;
+    const timer = setInterval(() => {
+      if (next < numbers) return void socket.write(`${next++} `);
+      clearInterval(timer);
+      socket.end();
+    }, 1);
+    socket.on('close', () => clearInterval(timer));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const [own = 0] = await findFreePorts(1);
+  const target = (): { host: string; port: number } => ({ host: '127.0.0.1', port });
+  const proxy = await openFaultProxy({ host: '127.0.0.1', port: own, target });
+  return {
+    proxy,
+    server,
+    close() {
+      proxy.close();
+      server.close();
+    },
+  };
+}
+
+/** Reads until the connection ends; `isReset` when it did not end in order. */
+function readAll(port: number): Promise<{ text: string; isReset: boolean }> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    let text = '';
+    let isReset = false;
+    socket.on('data', (chunk) => (text += chunk.toString()));
+    socket.on('error', () => (isReset = true));
+    socket.on('close', () => resolve({ text, isReset }));
+  });
+}
+
+// Seed 8 of the soak: a draft ended as whole after 22 of 24 events. The proxy had let the end of a
+// stream overtake events that still waited when its slow link healed; no box was at fault.
+test('bytes on a slow link keep their order and their end, also when it heals', async () => {
+  const link = await openLink(400);
+  link.proxy.set(LinkFault.slow);
+  const reading = readAll(link.proxy.port);
+  for (let flip = 0; flip < 8; flip += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    link.proxy.set(flip % 2 === 0 ? undefined : LinkFault.slow);
+  }
+  const { text } = await reading;
+  const expected = Array.from({ length: 400 }, (_, number) => `${number} `).join('');
+  link.close();
+  expect(text).to.equal(expected);
+});
+
+test('a link that was silent is reset when it heals, so that no bytes are missing in between', async () => {
+  const link = await openLink(5000);
+  const reading = readAll(link.proxy.port);
+  await new Promise((resolve) => setTimeout(resolve, 30));
+  link.proxy.set(LinkFault.silent);
+  await new Promise((resolve) => setTimeout(resolve, 30));
+  link.proxy.set(undefined);
+  const { isReset } = await reading;
+  link.close();
+  expect(isReset).to.equal(true);
+});
--- a/packages/reedlug-soak/src/faultProxy.ts
+++ b/packages/reedlug-soak/src/faultProxy.ts
@@ -36,7 +36,7 @@
     near.on('error', end);
     far.on('error', end);
     near.on('close', end);
-    far.on('close', () => near.end());
+    // An end in good order goes through `forward`, after what still waits; the pair stays for that.
   });
   await listen(server, params.host, params.port);
   return {
@@ -75,14 +75,20 @@
   fault: () => LinkFault | undefined;
 }): void {
   const { from, to, isHeld, fault } = params;
-  let lastAtMs = 0;
+  const waiting: { act: () => void; dueMs: number }[] = [];
+  // One timer for the first in line: a later chunk never overtakes it, also when the link heals.
+  const actInTurn = (): void => {
+    for (let first = waiting[0]; first !== undefined; first = waiting[0]) {
+      const waitMs = first.dueMs - performance.now();
+      if (waitMs > 0) return void setTimeout(actInTurn, waitMs);
+      waiting.shift();
+      first.act();
+    }
+  };
   const later = (act: () => void): void => {
-    const dueMs = fault() === LinkFault.slow ? performance.now() + SLOW_MS : performance.now();
-    // A chunk never overtakes the one before, also when the link heals in between.
-    lastAtMs = Math.max(lastAtMs, dueMs);
-    const waitMs = lastAtMs - performance.now();
-    if (waitMs <= 0) act();
-    else setTimeout(act, waitMs);
+    const delayMs = fault() === LinkFault.slow ? SLOW_MS : 0;
+    waiting.push({ act, dueMs: performance.now() + delayMs });
+    if (waiting.length === 1) actInTurn();
   };
   from.on('data', (chunk: Buffer) => {
     if (isHeld()) return;
