--- a/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
@@ -306,3 +306,35 @@
   const seen = admittedAsSeen(fleet, watcher) - seenBefore;
   expect(seen / admitted).to.be.within(0.5, 1.02);
 });
+
+test('a hub that wakes after a pause tells nothing that was told without it', () => {
+  const fleet = createFleet({ boxes: 60, zones: ZONES });
+  fleet.pass(3000);
+  const member = [...fleet.boxes.values()].find(({ state }) => state.hubId !== undefined);
+  const hubId = member?.state.hubId ?? '';
+  const watcher = 'box-59';
+  const seenBefore = admittedAsSeen(fleet, watcher);
+  let admitted = 0;
+  const ids = [...fleet.boxes.keys()].filter((id) => id !== hubId);
+  const serve = (steps: number, from: number): void => {
+    for (let step = 0; step < steps; step += 1) {
+      const box = fleet.boxes.get(ids[(step * 7) % ids.length] ?? '');
+      const before = box?.state.quotas.get('tiger')?.admitted ?? 0;
+      const exchangeId = from + step;
+      const request = facts({ requestId: `p${exchangeId}` });
+      box?.take({ type: 'requestArrived', exchangeId, facts: request });
+      admitted += (box?.state.quotas.get('tiger')?.admitted ?? 0) - before;
+      fleet.pass(50);
+    }
+  };
+  const paused = fleet.boxes.get(hubId);
+  fleet.kill(hubId);
+  serve(80, 0);
+  if (paused === undefined) throw new Error('no hub');
+  paused.nowMs = fleet.boxes.get(watcher)?.nowMs ?? 0;
+  fleet.boxes.set(hubId, paused);
+  serve(60, 1000);
+  fleet.pass(1500);
+  const seen = admittedAsSeen(fleet, watcher) - seenBefore;
+  expect(seen / admitted).to.be.within(0.6, 1.02);
+});
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -93,12 +93,10 @@
 /** Whether this box follows the store itself: it does unless its hub hands on what the store says. */
 export function followsStore(state: GatewayState, nowMs: number): boolean {
   if (state.hubId === undefined) return true;
-  const message = state.peers.get(state.hubId)?.message;
-  const ageMs = message?.storeContactAgeMs;
-  return (
-    ageMs === undefined ||
-    nowMs - (state.peers.get(state.hubId)?.heardAtMs ?? 0) + ageMs > STORE_UNHEARD_MS
-  );
+  const hub = state.peers.get(state.hubId);
+  const ageMs = hub?.message?.storeContactAgeMs;
+  if (hub === undefined || ageMs === undefined) return true;
+  return nowMs - hub.heardAtMs + ageMs > STORE_UNHEARD_MS;
 }
 
 /** Groups of the fleet as this box knows it, with its own group's name. */
