--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -26,12 +26,11 @@
   const peer = peerOf(state, step, { boxId, host, port, zone, processorCores });
   const before = peer.message;
   if (before !== undefined && isOlder(message, before)) return;
-  const wasFresh = countsFreshly(peer, step.nowMs);
   peer.heardAtMs = step.nowMs;
   peer.isSuspected = false;
   peer.message = message;
   noteStoreSeen(state, step, message);
-  takeTotals(state, step, { peer: peer as HeardPeer, before, wasFresh });
+  takeTotals(state, step, peer as HeardPeer, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
   if (peer.boxId === state.hubId) followHub(state, step, peer as HeardPeer);
@@ -83,7 +82,6 @@
     aheadSinceMs: undefined,
     toldAtMs: Number.NEGATIVE_INFINITY,
     isSuspected: false,
-    isCounted: false,
     askedAtMs: Number.NEGATIVE_INFINITY,
   };
   state.peers.set(address.boxId, peer);
@@ -100,19 +98,15 @@
 /**
  * Adds what a peer's totals have grown by. The first message of a peer, of its
  * new life or with another scope has nothing to compare with: what it tells may be long ago.
- * In a large fleet, what a peer did while it was silent or not followed was told by others.
  */
 function takeTotals(
   state: GatewayState,
   step: Step,
-  params: { peer: HeardPeer; before: PeerMessage | undefined; wasFresh: boolean },
+  peer: HeardPeer,
+  before: PeerMessage | undefined,
 ): void {
-  const { peer, before, wasFresh } = params;
   const { message } = peer;
-  const wasCounted = peer.isCounted;
-  peer.isCounted = isCounted(state, peer, step.nowMs);
-  if (before?.scope !== message.scope || !peer.isCounted) return;
-  if (usesHubs(state) && !(wasCounted && wasFresh)) return;
+  if (before?.scope !== message.scope || !isCounted(state, peer, step.nowMs)) return;
   const sameLife = before.incarnation === message.incarnation;
   if (!sameLife && message.scope !== NewsScope.box) return;
   const isOwn = message.scope === NewsScope.box;
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -66,8 +66,6 @@
   toldAtMs: number;
   /** True once it was silent as this box's hub, until it is heard again. */
   isSuspected: boolean;
-  /** Whether its last message added to this box's view of the fleet. */
-  isCounted: boolean;
   /** Since when it has had a newer configuration or registry; undefined while it has none. */
   aheadSinceMs: number | undefined;
   askedAtMs: number;
