--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -32,8 +32,8 @@
 const LEARN_LOAD_MS = 15_000;
 /** How long a zone is taken to have no reclaimable engines, in ms: the users' zones run dry for 5 to 14 s. */
 const DRY_MS = 5000;
-/** How long after a reclaim more of them are expected, in ms: the users' zones are taken back one after the other, up to 16 s apart. */
-const RECLAIMS_EXPECTED_MS = 20_000;
+/** How long after a reclaim more of them are expected, in ms: on the days played the next zone went up to 10 s later. */
+const RECLAIMS_EXPECTED_MS = 12_000;
 /** How much later than its usual start an engine may come, in ms: its entry is read by long poll. */
 const BOOT_MARGIN_MS = 2000;
 /** Engines added to those found at a start until the load is known: the first seconds come with empty caches, and an engine takes 4 s to start. */
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -3,7 +3,7 @@
 import { NewsScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
 import { createHeardTotals, log, type GatewayState, type PeerView, type Step } from '../state.js';
 import { agreeOnClock } from './clock.js';
-import { countsFreshly, isCounted, PEER_GONE_AFTER_MS, usesHubs, type HeardPeer } from './fleet.js';
+import { isCounted, PEER_GONE_AFTER_MS, type HeardPeer } from './fleet.js';
 import { takePeerUnits } from './quotas.js';
 import { nextRegistryStep } from './registryNews.js';
 import { takeHubChanges } from './servers.js';
