A new holder enters no usage window before it knows the checkpoint

The final loss of power took all boxes in that window; the new holder took the lease after the window's end and entered its own seven at once, half a second before its first checkpoint write came back in conflict with the counts of the boxes that were gone.

Ruled out: the checkpoint's age (0.5 s, some 70 requests).

Change: a holder writes the checkpoint at once, and enters windows only when it has known the row under its fence. The test fails without it.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/lease.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/lease.ts
@@ -26,13 +26,15 @@
   return box.state.lease.held?.fence ?? 0;
 }
 
-/** Lets time pass in ticks while the table grants what the lease asks; returns all other effects. */
+/** Purposes whose writes the table takes while time passes for a holder. */
+const TAKEN_WRITES: readonly string[] = ['lease', 'checkpoint'];
+
+/** Lets time pass in ticks while the table takes lease and checkpoint; returns all other effects. */
 export function passAsHolder(box: TestBox, ms: number): Effect[] {
   const others: Effect[] = [];
   for (let passed = 0; passed < ms; passed += TICK_MS) {
     for (const effect of box.pass(TICK_MS)) {
-      const isLease = effect.type === 'requestTable' && effect.purpose.kind === 'lease';
-      if (!isLease) {
+      if (effect.type !== 'requestTable' || !TAKEN_WRITES.includes(effect.purpose.kind)) {
         others.push(effect);
         continue;
       }
--- a/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
@@ -102,3 +102,32 @@
   );
   expect(usage).to.have.length(0);
 });
+
+test('a new holder enters no window before it knows what the holder before counted', () => {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 0 }) });
+  box.take({ type: 'storeClock', storeNowMs: 0 });
+  takeLease(box);
+  const window = Math.floor(box.nowMs / 5000);
+  serve(box, 1);
+  const isUsage = ({ purpose }: { purpose: { kind: string } }): boolean => purpose.kind === 'usage';
+  const asked = Array.from({ length: 200 }, () => box.pass(50)).flat();
+  expect(ofType(asked, 'requestTable').filter(isUsage)).to.have.length(0);
+  // The lease has lapsed without answers; it is taken again, and then the checkpoint is in conflict.
+  takeLease(box);
+  const write = ofType(box.pass(600), 'requestTable').find(
+    ({ purpose }) => purpose.kind === 'checkpoint',
+  );
+  if (write === undefined) throw new Error('no checkpoint');
+  const windows = { [window]: { 'box-9/1': [40] } };
+  const row = { key: 'usage-open', version: 7, value: { workspaces: ['tiger'], windows } };
+  box.take({
+    type: 'tableAnswered',
+    purpose: write.purpose,
+    answer: { kind: 'refused', reason: 'conflict', rows: [row] },
+    sentAtMs: write.sentAtMs,
+  });
+  const [entered] = ofType(box.pass(50), 'requestTable').filter(isUsage);
+  if (entered?.op.kind !== 'transact') throw new Error('a window is entered by a write');
+  expect(entered.op.writes[0]?.value).to.deep.equal({ tiger: 41 });
+});
--- a/packages/reedlug-gateway/src/slices/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage.ts
@@ -113,11 +113,13 @@
   }
   const fence = dutyFence(state, step.nowMs);
   if (fence === undefined || state.agreedClockOffsetMs === undefined) return;
+  writeCheckpoint(state, step, fence);
+  // What the holder before has counted, maybe of boxes that are gone, must be known first.
+  if (state.checkpointFence !== fence) return;
   for (const entry of state.usage.values()) {
     const endMs = (entry.window + 1) * usageWindowMs;
     if (wallMs >= endMs + SETTLE_MS) advanceWindow(state, step, entry, fence);
   }
-  writeCheckpoint(state, step);
 }
 
 function advanceWindow(state: GatewayState, step: Step, entry: UsageWindow, fence: number): void {
@@ -186,8 +188,10 @@
   }
 }
 
-function writeCheckpoint(state: GatewayState, step: Step): void {
-  if (!state.usageChanged || step.nowMs - state.checkpointAtMs < CHECKPOINT_MS) return;
+/** Writes the counts; a new holder does so at once, since a conflict brings those of the one before. */
+function writeCheckpoint(state: GatewayState, step: Step, fence: number): void {
+  const isNeeded = state.usageChanged || state.checkpointFence !== fence;
+  if (!isNeeded || step.nowMs - state.checkpointAtMs < CHECKPOINT_MS) return;
   state.checkpointAtMs = step.nowMs;
   state.usageChanged = false;
   const value = checkpointOf(state);
@@ -225,6 +229,7 @@
   const row = answer.rows.find((candidate) => candidate.key === CHECKPOINT_KEY);
   if (row === undefined) return;
   state.checkpointVersion = row.version;
+  state.checkpointFence = dutyFence(state, step.nowMs);
   if (answer.kind === 'done' || row.value === undefined) return;
   const { workspaces, windows } = row.value as CheckpointRow;
   for (const [window, byBox] of Object.entries(windows)) {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -165,6 +165,8 @@
   checkpointAtMs: number;
   /** Version of the checkpoint's row as last seen; 0 before. */
   checkpointVersion: number;
+  /** The fence under which this box last knew the checkpoint. */
+  checkpointFence: number | undefined;
   orders: Map<string, EngineOrder>;
   planAtMs: number;
   /** Prompt tokens that this box has sent to be read, since its start; those that a server keeps do not count. */
@@ -247,6 +249,7 @@
     usageChanged: false,
     checkpointAtMs: 0,
     checkpointVersion: 0,
+    checkpointFence: undefined,
     orders: new Map(),
     planAtMs: nowMs,
     workTokens: 0,
