--- a/packages/reedlug-soak/src/boxProcess.ts
+++ b/packages/reedlug-soak/src/boxProcess.ts
@@ -5,6 +5,12 @@
 
 const MAIN = fileURLToPath(import.meta.resolve('reedlug-platform/main'));
 
+/** Processes of this run; a soak that is ended early takes them along, paused ones too. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** A box that can be started again and again. */
 export interface BoxProcess {
   start: () => void;
@@ -33,6 +39,9 @@
         env: { ...process.env, REEDLUG_BOOT: settingsPath },
         stdio: ['ignore', 'pipe', 'pipe'],
       });
+      const started = child;
+      running.add(started);
+      started.once('exit', () => running.delete(started));
       child.stdout?.pipe(log);
       child.stderr?.pipe(log);
     },
@@ -41,9 +50,9 @@
     },
     isRunning,
     ended() {
-      const running = child;
-      if (running === undefined || !isRunning()) return Promise.resolve();
-      return new Promise((resolve) => running.once('exit', () => resolve()));
+      const current = child;
+      if (current === undefined || !isRunning()) return Promise.resolve();
+      return new Promise((resolve) => current.once('exit', () => resolve()));
     },
   };
 }
--- a/packages/reedlug/src/commands/soak.ts
+++ b/packages/reedlug/src/commands/soak.ts
@@ -5,6 +5,8 @@
 import { parseSeedRange } from './seedRange.js';
 
 const MS_PER_SECOND = 1000;
+/** Exit code after a signal, as shells give for SIGTERM. */
+const EXIT_SIGNALLED = 143;
 
 /** Exits 0 when no promise was broken. */
 export class SoakCommand extends Command {
@@ -33,6 +35,10 @@
       );
       return 1;
     }
+    // Without a handler the signal would end the process before it can end its boxes.
+    for (const name of ['SIGTERM', 'SIGINT'] as const) {
+      process.once(name, () => process.exit(EXIT_SIGNALLED));
+    }
     let broken = 0;
     for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
       const result = await runSoak({
