--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Feed, FeedAnswer } from '../../adapter.js';
+import { followFeed, type FeedListener } from '../feedFollower.js';
+
+interface Calls {
+  wholes: number;
+  /** Positions from which changes were asked for. */
+  positions: number[];
+}
+
+/** A feed that answers at once: the whole at revision 10, then what `answer` gives. */
+function feedOf(calls: Calls, answer: (call: number) => FeedAnswer<string>): Feed<string> {
+  return {
+    readAll() {
+      calls.wholes += 1;
+      return Promise.resolve(page(['whole'], 10));
+    },
+    async follow({ afterRevision }) {
+      calls.positions.push(afterRevision);
+      await delay(5);
+      return answer(calls.positions.length);
+    },
+  };
+}
+
+function page(items: readonly string[], revision: number): FeedAnswer<string> {
+  return {
+    kind: 'page',
+    page: { items, revision, newestRevision: revision, storeNowMs: undefined },
+  };
+}
+
+function listener(changes: Partial<FeedListener<string>> = {}): FeedListener<string> {
+  return {
+    onPage: () => undefined,
+    onStoreClock: () => undefined,
+    onContact: () => undefined,
+    ...changes,
+  };
+}
+
+test('a feed that is not needed is read once and then left alone until it is', async () => {
+  const calls: Calls = { wholes: 0, positions: [] };
+  let isNeeded = false;
+  const feed = feedOf(calls, () => page([], 11));
+  const following = followFeed(feed, 0, listener({ isNeeded: () => isNeeded }));
+  await delay(300);
+  expect(calls).to.deep.equal({ wholes: 1, positions: [] });
+  isNeeded = true;
+  await delay(300);
+  following.stop();
+  expect(calls.positions[0]).to.equal(10);
+});
+
+test('after a gap in the history the whole is read again', async () => {
+  const calls: Calls = { wholes: 0, positions: [] };
+  const pages: boolean[] = [];
+  const feed = feedOf(calls, (call) =>
+    call === 1 ? { kind: 'historyGone' } : page(['change'], 12),
+  );
+  const onPage: FeedListener<string>['onPage'] = ({ whole }) => void pages.push(whole);
+  const following = followFeed(feed, 0, listener({ onPage }));
+  await delay(60);
+  following.stop();
+  expect(calls.wholes).to.equal(2);
+  expect(pages.slice(0, 3)).to.deep.equal([true, true, false]);
+});
+
+test('changes that come in a burst are read in few pages where the listener pauses', async () => {
+  const calls: Calls = { wholes: 0, positions: [] };
+  const feed = feedOf(calls, (call) => page(['change'], 10 + call));
+  const following = followFeed(feed, 0, listener({ pauseAfterPageMs: 100 }));
+  await delay(350);
+  following.stop();
+  expect(calls.positions.length).to.be.within(1, 4);
+});
