--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -99,7 +99,7 @@
   return nowMs - hub.heardAtMs + ageMs > STORE_UNHEARD_MS;
 }
 
-/** Groups of the fleet as this box knows it, with its own group's name. */
+/** Groups of the fleet as this box knows it, the best hub first in each: the one that it is in, and the others. */
 export function knownGroups(state: GatewayState): {
   own: PeerAddress[];
   others: PeerAddress[][];
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -2,8 +2,9 @@
  * Limits of workspaces over all boxes together.
  *
  * Each box keeps the whole bucket and takes from it what it admits and what its
- * peers tell that they admitted. A peer that has fallen silent may still admit
- * at its last rate, so its last share of the rate is left to it.
+ * peers, or the hub of its group, tell that others admitted. A peer that has
+ * fallen silent may still admit at its last rate, so its last share of the rate
+ * is left to it.
  */
 import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
 import type { RequestFacts } from '../types/request.js';
