--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -1,8 +1,10 @@
 /** Carries a planned fault out on the world and writes down whom it troubles, and how long. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from 'reedlug-check';
+import { removeServerEntry } from 'reedlug-platform/standins';
 import type { Fault } from './faultPlan.js';
 import type { SoakRecord, Span } from './soakRecord.js';
-import { configure, crash, dropEntry, enter, revive, type SoakWorld } from './soakWorld.js';
+import { configure, enter, revive, type SoakWorld } from './soakWorld.js';
 
 /** How long a crashed server's entry stays, in ms: three heartbeats of the users' servers. */
 const ENTRY_STAYS_MS = 1200;
@@ -12,8 +14,6 @@
 /** Seed of the draws of lost answers: which ones are lost depends on their order alone. */
 const LOST_ANSWERS_SEED = 1;
 
-const later = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 /** Carries a fault out; resolves once it is over. */
 export async function injectFault(
   world: SoakWorld,
@@ -24,7 +24,7 @@
     case 'pauseBox':
       return troubling(record, [fault.box], async () => {
         world.boxes[fault.box]?.process.signal('SIGSTOP');
-        await later(fault.forMs);
+        await delay(fault.forMs);
         world.boxes[fault.box]?.process.signal('SIGCONT');
       });
     case 'stopBox':
@@ -38,61 +38,62 @@
     case 'storeLink':
       return troubling(record, [fault.box], async () => {
         world.boxes[fault.box]?.storeLink.set(fault.how);
-        await later(fault.forMs);
+        await delay(fault.forMs);
         world.boxes[fault.box]?.storeLink.set(undefined);
       });
     case 'serverLink':
       return troublingServers(record, async () => {
         world.servers[fault.server]?.proxy.set(fault.how);
-        await later(fault.forMs);
+        await delay(fault.forMs);
         world.servers[fault.server]?.proxy.set(undefined);
       });
     case 'storeAway':
       return troubling(record, [...world.boxes.keys()], async () => {
         world.store.isAway = true;
-        await later(fault.forMs);
+        await delay(fault.forMs);
         world.store.isAway = false;
       });
     case 'storeSlow':
       return troubling(record, [...world.boxes.keys()], async () => {
         world.store.delayMs = fault.delayMs;
-        await later(fault.forMs);
+        await delay(fault.forMs);
         world.store.delayMs = 0;
       });
     case 'storeLosesAnswers':
       return troubling(record, [...world.boxes.keys()], async () => {
         const random = createRandom(LOST_ANSWERS_SEED);
         world.store.losesAnswer = () => random.chance(fault.share);
-        await later(fault.forMs);
+        await delay(fault.forMs);
         world.store.losesAnswer = () => false;
       });
     case 'serverCrash':
-      return troublingServers(record, () => crashServer(world, record, fault));
     case 'serverLeaves':
-      return troublingServers(record, () => leave(world, record, fault));
+      return troublingServers(record, () => replaceServer(world, record, fault));
     case 'serverFails':
       return troublingServers(record, async () => {
         const server = world.servers[fault.server];
         if (server === undefined) return;
         server.failing = fault.how;
-        await later(fault.forMs);
+        await delay(fault.forMs);
         server.failing = undefined;
       });
     case 'configure':
-      configure(world);
-      record.configuredAtMs.set(world.version, performance.now());
-      return;
+      return enterNextVersion(world, record);
     case 'revokeKey': {
       const [oldest, ...others] = [...world.keys, `key-${world.version + 1}`];
       world.keys = others;
-      configure(world);
-      record.configuredAtMs.set(world.version, performance.now());
+      enterNextVersion(world, record);
       if (oldest !== undefined) record.revokedAtMs.set(oldest, performance.now());
       return;
     }
   }
 }
 
+function enterNextVersion(world: SoakWorld, record: SoakRecord): void {
+  configure(world);
+  record.configuredAtMs.set(world.version, performance.now());
+}
+
 /** Notes boxes as troubled from now until the fault is over. */
 async function troubling(
   record: SoakRecord,
@@ -131,7 +132,7 @@
   }
   box.process.signal('SIGTERM');
   await box.process.ended();
-  await later(fault.backAfterMs);
+  await delay(fault.backAfterMs);
   box.process.start();
   span.toMs = performance.now();
 }
@@ -144,38 +145,33 @@
   const killed = numbers.map((number) => world.boxes[number]).filter((box) => box !== undefined);
   for (const { process } of killed) process.signal('SIGKILL');
   await Promise.all(killed.map(({ process }) => process.ended()));
-  await later(backAfterMs);
+  await delay(backAfterMs);
   for (const { process } of killed) process.start();
 }
 
-async function crashServer(
-  world: SoakWorld,
-  record: SoakRecord,
-  fault: Extract<Fault, { kind: 'serverCrash' }>,
-): Promise<void> {
-  const server = world.servers[fault.server];
-  if (server === undefined || record.leftAtMs.has(server.standin.id)) return;
-  const id = crash(world, server);
-  record.leftAtMs.set(id, performance.now() + ENTRY_STAYS_MS);
-  await later(ENTRY_STAYS_MS);
-  dropEntry(world, id);
-  await later(fault.backAfterMs);
-  await revive(world, server);
-}
-
-async function leave(
+/** Ends a server, with notice or without, and starts its next life after a while. */
+async function replaceServer(
   world: SoakWorld,
   record: SoakRecord,
-  fault: Extract<Fault, { kind: 'serverLeaves' }>,
+  fault: Extract<Fault, { kind: 'serverCrash' | 'serverLeaves' }>,
 ): Promise<void> {
   const server = world.servers[fault.server];
   if (server === undefined || record.leftAtMs.has(server.standin.id)) return;
-  const { id } = server.standin;
-  enter(world, server, true);
-  record.leftAtMs.set(id, performance.now());
-  await later(LEAVES_AFTER_MS);
-  crash(world, server);
-  dropEntry(world, id);
-  await later(fault.backAfterMs);
+  const { standin } = server;
+  switch (fault.kind) {
+    case 'serverCrash':
+      standin.close();
+      record.leftAtMs.set(standin.id, performance.now() + ENTRY_STAYS_MS);
+      await delay(ENTRY_STAYS_MS);
+      break;
+    case 'serverLeaves':
+      enter(world, server, true);
+      record.leftAtMs.set(standin.id, performance.now());
+      await delay(LEAVES_AFTER_MS);
+      standin.close();
+      break;
+  }
+  removeServerEntry(world.store, standin.id);
+  await delay(fault.backAfterMs);
   await revive(world, server);
 }
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -1,5 +1,6 @@
 /** One run: real boxes under load and planned faults, then the check of what was seen. */
 import { rm } from 'node:fs/promises';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from 'reedlug-check';
 import { openCallers, type CallOrder, type Callers } from './callers.js';
 import { planFaults, type Fault } from './faultPlan.js';
@@ -10,6 +11,7 @@
   BOX_BOUNDS,
   buildWorld,
   DRAFT_EVENTS,
+  FIRST_KEY,
   probePath,
   tearDown,
   type SoakWorld,
@@ -40,6 +42,8 @@
 
 /** Longest wait for the first boxes to be ready, in ms: a loaded machine starts a dozen processes slowly. */
 const START_WAIT_MS = 20_000;
+/** Pause between questions whether a box is ready, in ms: a tick of the box. */
+const READINESS_PAUSE_MS = 50;
 /** Time after which a box counts as in touch again, in ms: the users' figure. */
 const CONTACT_MS = 3000;
 /** Share of kinds among the calls. */
@@ -63,7 +67,7 @@
     await waitForBoxes(world);
     const startMs = performance.now();
     const faults = planned.map(async ({ atMs, fault }) => {
-      await new Promise((resolve) => setTimeout(resolve, atMs));
+      await delay(atMs);
       await injectFault(world, record, fault);
     });
     await sendLoad({ options, world, record, callers, endMs: startMs + lengthMs });
@@ -91,7 +95,7 @@
       if (performance.now() > endMs) {
         throw new Error(`the box at ${readiness.host} is not ready after ${START_WAIT_MS} ms`);
       }
-      await new Promise((resolve) => setTimeout(resolve, 50));
+      await delay(READINESS_PAUSE_MS);
     }
   }
 }
@@ -116,9 +120,7 @@
   const random = createRandom(options.seed + 1);
   const open: Promise<void>[] = [];
   for (let number = 0; performance.now() < endMs; number += 1) {
-    await new Promise((resolve) =>
-      setTimeout(resolve, random.exponential(1000 / options.callsPerSecond)),
-    );
+    await delay(random.exponential(1000 / options.callsPerSecond));
     const box = random.whole(0, world.boxes.length - 1);
     const target = world.boxes[box]?.target;
     if (target === undefined) continue;
@@ -140,7 +142,7 @@
   const kind = pickKind(point);
   const key = world.keys.at(-1) ?? '';
   // An old key now and then shows whether it is still served.
-  const usedKey = number % 7 === 0 ? 'key-0' : key;
+  const usedKey = number % 7 === 0 ? FIRST_KEY : key;
   if (kind !== CallKind.probe) {
     return { requestId, kind, box, key: usedKey, path: `/${kind}/${number}` };
   }
--- a/packages/reedlug-soak/src/soakWorld.ts
+++ b/packages/reedlug-soak/src/soakWorld.ts
@@ -5,7 +5,6 @@
 import {
   enterConfiguration,
   enterServer,
-  removeServerEntry,
   startCloudStandin,
   startEngineStandin,
   startStoreStandin,
@@ -36,7 +35,8 @@
   usageWindowSeconds: 5,
   usageDueSeconds: 10,
 };
-const FIRST_KEY = 'key-0';
+/** The key that callers begin with; it is the first one taken away. */
+export const FIRST_KEY = 'key-0';
 
 /** A server that may crash and come back under another id. */
 export interface SoakServer {
@@ -168,18 +168,6 @@
   enterServer(world.store, { id: standin.id, address, service, leaving });
 }
 
-/** Ends a server at once, as a crash does; its entry goes a while later, as after lost heartbeats. */
-export function crash(world: SoakWorld, server: SoakServer): string {
-  const { id } = server.standin;
-  server.standin.close();
-  return id;
-}
-
-/** Takes the entry of an ended life out. */
-export function dropEntry(world: SoakWorld, id: string): void {
-  removeServerEntry(world.store, id);
-}
-
 /** Starts a server's next life under a new id. */
 export async function revive(world: SoakWorld, server: SoakServer): Promise<void> {
   const number = world.servers.indexOf(server);
