Feeds run on a given clock; virtual time and seeded draws stand with the stand-ins

Cause: a simulation of boxes of the gateway needs the code that follows the store as it is, on virtual time. The event queue and the seeded draws of the other check move to a place that both use. What a box gives a peer that asks, and the event of a datagram, stand once in place of three and two times.

--- a/packages/reedlug-check/src/check/checkPlan.ts
+++ b/packages/reedlug-check/src/check/checkPlan.ts
@@ -1,5 +1,5 @@
 /** What happens in one checked run, drawn from its seed beforehand, so that it can be shrunk. */
-import { createRandom, type Random } from '../world/random.js';
+import { createRandom, type Random } from 'reedlug-standins';
 import { CHECK_WORKSPACES, CHECK_ZONES, checkSettings } from './checkSettings.js';
 
 /** Kinds of faults, from the brief's list. */
--- a/packages/reedlug-check/src/index.ts
+++ b/packages/reedlug-check/src/index.ts
@@ -10,4 +10,3 @@
 export * from './replay/recordWorld.js';
 export * from './replay/trace.js';
 export * from './check/inForce.js';
-export * from './world/random.js';
--- a/packages/reedlug-check/src/world/world.ts
+++ b/packages/reedlug-check/src/world/world.ts
@@ -19,13 +19,15 @@
 } from 'reedlug-decisions';
 import {
   createEngineModel,
+  createEventQueue,
+  createRandom,
   createTableModel,
   type EngineModel,
   type EngineModelOptions,
+  type EventQueue,
+  type Random,
   type TableModel,
 } from 'reedlug-standins';
-import { createEventQueue, type EventQueue } from './eventQueue.js';
-import { createRandom, type Random } from './random.js';
 
 /** Delays of the fakes, one way, in ms. */
 export const Delay = {
--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -1,8 +1,9 @@
 /** Many boxes under virtual time whose datagrams reach each other at once. */
 import { createBox, ofType, settings, configuration, server, type TestBox } from './box.js';
-import type { PeerAddress, PeerDatagram } from '../../types/peer.js';
+import { eventOfDatagram } from '../../daemon/datagramEvent.js';
+import { eventsOfShared, sharedStateOf } from '../../slices/sharedState.js';
+import type { PeerAddress } from '../../types/peer.js';
 import type { Effect } from '../../types/effect.js';
-import type { EventBody } from '../../types/event.js';
 
 /** Pause between ticks, in ms, as in the daemon. */
 const TICK_MS = 50;
@@ -49,7 +50,7 @@
         const box = boxes.get(boxId);
         if (box === undefined) continue;
         received.set(boxId, (received.get(boxId) ?? 0) + 1);
-        const done = box.take(eventOf(message));
+        const done = box.take(eventOfDatagram(message));
         answered.set(boxId, [...(answered.get(boxId) ?? []), ...done]);
       }
     }
@@ -59,11 +60,7 @@
     for (const { peer } of ofType(asked, 'askPeer')) {
       const sender = boxes.get(idByHost.get(peer.host) ?? '');
       if (box === undefined || sender === undefined) continue;
-      box.take(registryOf(sender));
-      const given = sender.state.active?.configuration;
-      if (given !== undefined) {
-        box.take({ type: 'configurationRead', configuration: given, source: 'peer' });
-      }
+      for (const event of eventsOfShared(sharedStateOf(sender.state))) box.take(event);
     }
   };
   return {
@@ -95,26 +92,6 @@
   };
 }
 
-/** A datagram as the box that gets it takes it. */
-export function eventOf(message: PeerDatagram): EventBody {
-  switch (message.kind) {
-    case 'news':
-      return { type: 'peerMessage', message };
-    case 'usage':
-      return { type: 'peerUsage', message };
-    case 'limits':
-      return { type: 'peerLimits', message };
-  }
-}
-
-/** A box's whole registry as its peers get it. */
-function registryOf({ state }: TestBox): EventBody {
-  const changes = [...state.servers.values()].map(({ entry }) => ({ id: entry.id, entry }));
-  const { serversRevision: revision, registryNumber } = state;
-  const sender = { boxId: state.settings.box.id, registryNumber };
-  return { type: 'serversRead', whole: true, changes, revision, source: 'peer', sender };
-}
-
 function createFleetBox(address: PeerAddress, incarnation = 1, nowMs = 0): TestBox {
   const base = settings();
   const { boxId: id, host: ip, zone = '', processorCores, port } = address;
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -2,6 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Effect } from '../types/effect.js';
 import type { Runtime } from './gatewayDaemon.js';
+import { eventsOfShared } from '../slices/sharedState.js';
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
 import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
@@ -149,17 +150,6 @@
 function askPeer(runtime: Runtime, effect: EffectOf<'askPeer'>): void {
   void runtime.peers.ask(effect.peer).then((shared) => {
     if (shared === undefined) return;
-    const { configuration, servers, serversRevision, boxId, registryNumber } = shared;
-    if (configuration !== undefined) {
-      runtime.emit({ type: 'configurationRead', configuration, source: 'peer' });
-    }
-    runtime.emit({
-      type: 'serversRead',
-      whole: true,
-      changes: servers,
-      revision: serversRevision,
-      source: 'peer',
-      sender: { boxId, registryNumber },
-    });
+    for (const event of eventsOfShared(shared)) runtime.emit(event);
   });
 }
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -1,6 +1,6 @@
 /** Follows a collection of the store: the whole once, then its changes by long polls. */
-import { setTimeout as delay } from 'node:timers/promises';
 import type { Feed } from '../adapter.js';
+import { PROCESS_CLOCK, type Clock } from './clock.js';
 
 /** Longest wait for an answer beyond the time it may be held, in ms: the store's answer takes 4 ms, a slow one 250. */
 const ANSWER_MARGIN_MS = 700;
@@ -26,6 +26,7 @@
   feed: Feed<T>,
   waitMs: number,
   listener: FeedListener<T>,
+  clock: Clock = PROCESS_CLOCK,
 ): { stop: () => void } {
   let stopped = false;
   let position: number | undefined;
@@ -33,7 +34,7 @@
 
   const step = async (): Promise<void> => {
     if (position !== undefined && listener.isNeeded?.() === false) {
-      await delay(NOT_NEEDED_PAUSE_MS);
+      await clock.pause(NOT_NEEDED_PAUSE_MS);
       return;
     }
     const whole = position === undefined;
@@ -55,7 +56,7 @@
         if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
         if (!whole && items.length === 0) return;
         listener.onPage({ items, whole, newestRevision });
-        if (listener.pauseAfterPageMs !== undefined) await delay(listener.pauseAfterPageMs);
+        if (listener.pauseAfterPageMs !== undefined) await clock.pause(listener.pauseAfterPageMs);
         return;
       }
       case 'historyGone':
@@ -63,7 +64,7 @@
         return;
       case 'unavailable':
         listener.onContact(false, answer.reason);
-        await delay(pauseMs);
+        await clock.pause(pauseMs);
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
         return;
     }
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -3,12 +3,12 @@
  * reducer, and its effects into I/O, on one thread.
  */
 import { createServer, type Server } from 'node:http';
-import { performance } from 'node:perf_hooks';
 import type { PlatformAdapter, PlatformCloud, PlatformStore } from '../adapter.js';
 import { setDecisionMetrics } from '../observe/decisionMetrics.js';
 import { createGatewayMetrics, type GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
 import { reduce } from '../reduce.js';
+import { sharedStateOf } from '../slices/sharedState.js';
 import { isReady } from '../slices/stopping.js';
 import { createGatewayState, type GatewayState } from '../state.js';
 import type { Effect } from '../types/effect.js';
@@ -18,6 +18,8 @@
 import { createCallerServer, type CallerExchange } from './callerServer.js';
 import { createConnectionPool, type ConnectionPool } from './connectionPool.js';
 import type { BackendAttempt } from './backendAttempt.js';
+import { PROCESS_CLOCK, type Clock } from './clock.js';
+import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
 import { followPlatform } from './platformFeeds.js';
 import { openPeerSocket, type PeerSocket } from './peerSocket.js';
@@ -32,6 +34,7 @@
   store: PlatformStore;
   cloud: PlatformCloud | undefined;
   state: GatewayState;
+  clock: Clock;
   pool: ConnectionPool;
   peers: PeerSocket;
   exchanges: Map<number, CallerExchange>;
@@ -61,7 +64,8 @@
   onStopped: () => void;
 }): Promise<GatewayDaemon> {
   const { settings, adapter, incarnation, logger, onStopped } = params;
-  const state = createGatewayState({ settings, incarnation, nowMs: performance.now() });
+  const clock = PROCESS_CLOCK;
+  const state = createGatewayState({ settings, incarnation, nowMs: clock.nowMs() });
   const pending: EventBody[] = [];
   let busy = false;
 
@@ -70,7 +74,7 @@
     if (busy) return;
     busy = true;
     for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
-      const event = { ...next, nowMs: performance.now(), wallMs: Date.now() };
+      const event = { ...next, nowMs: clock.nowMs(), wallMs: Date.now() };
       for (const effect of reduce(state, event)) perform(effect);
     }
     busy = false;
@@ -79,24 +83,9 @@
 
   const peers = await openPeerSocket({
     address: { host: settings.box.ip, port: settings.listen.peersPort },
-    onMessage(message) {
-      switch (message.kind) {
-        case 'news':
-          return emit({ type: 'peerMessage', message });
-        case 'usage':
-          return emit({ type: 'peerUsage', message });
-        case 'limits':
-          return emit({ type: 'peerLimits', message });
-      }
-    },
+    onMessage: (message) => emit(eventOfDatagram(message)),
     onFault: (reason) => logger('peerLinkFault', { reason }),
-    sharedState: () => ({
-      configuration: state.active?.configuration,
-      servers: [...state.servers.values()].map(({ entry }) => ({ id: entry.id, entry })),
-      serversRevision: state.serversRevision,
-      boxId: settings.box.id,
-      registryNumber: state.registryNumber,
-    }),
+    sharedState: () => sharedStateOf(state),
   });
   const runtime: Runtime = {
     settings,
@@ -104,6 +93,7 @@
     store: adapter.openStore(settings),
     cloud: adapter.openCloud(settings),
     state,
+    clock,
     pool: createConnectionPool(),
     peers,
     exchanges: new Map(),
@@ -154,7 +144,7 @@
   const metrics = createServer((_request, response) => {
     runtime.metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
     runtime.metrics.versions.set({ of: 'servers' }, state.serversRevision);
-    setDecisionMetrics(runtime.metrics.figures, state, performance.now());
+    setDecisionMetrics(runtime.metrics.figures, state, runtime.clock.nowMs());
     runtime.metrics.text().then(
       (text) => response.end(text),
       (error: unknown) => {
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -6,9 +6,9 @@
 import { createServer } from 'node:http';
 import { Decoder, Encoder } from 'cbor-x';
 import { Client } from 'undici';
-import type { Configuration } from '../types/configuration.js';
 import type { PeerDatagram } from '../types/peer.js';
-import type { HostPort, ServerChange } from '../types/server.js';
+import type { SharedState } from '../slices/sharedState.js';
+import type { HostPort } from '../types/server.js';
 
 /** Longest wait for a peer's answer, in ms: several round trips between zones. */
 const ASK_TIMEOUT_MS = 500;
@@ -16,15 +16,6 @@
 const encoder = new Encoder({ useRecords: false });
 const decoder = new Decoder({ useRecords: false });
 
-/** What a box gives to a peer that asks. */
-export interface SharedState {
-  configuration: Configuration | undefined;
-  servers: readonly ServerChange[];
-  serversRevision: number;
-  boxId: string;
-  registryNumber: number;
-}
-
 /** A box's end of the link. */
 export interface PeerSocket {
   send: (message: PeerDatagram, to: readonly HostPort[]) => void;
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -1,6 +1,10 @@
 /** Follows the store's collections and enters this box among the boxes. */
-import { performance } from 'node:perf_hooks';
-import type { Runtime } from './gatewayDaemon.js';
+import type { PlatformStore } from '../adapter.js';
+import type { Logger } from '../observe/logger.js';
+import type { GatewayState } from '../state.js';
+import type { EventBody } from '../types/event.js';
+import type { GatewaySettings } from '../types/settings.js';
+import type { Clock } from './clock.js';
 import type { PeerChange } from '../types/event.js';
 import { followsStore, ownAddress } from '../slices/fleet.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
@@ -14,9 +18,19 @@
 /** Pause before this box is entered again after a failed try, in ms. */
 const ANNOUNCE_RETRY_MS = 1000;
 
+/** A box as its feeds need it. */
+export interface FeedRuntime {
+  settings: GatewaySettings;
+  store: PlatformStore;
+  state: GatewayState;
+  clock: Clock;
+  logger: Logger;
+  emit: (body: EventBody) => void;
+}
+
 /** Starts to follow; `stop` ends it. */
-export function followPlatform(runtime: Runtime): { stop: () => void } {
-  const { store, emit, logger, settings } = runtime;
+export function followPlatform(runtime: FeedRuntime): { stop: () => void } {
+  const { store, emit, logger, settings, clock } = runtime;
   let stopped = false;
   const common = (name: string): Omit<FeedListener<never>, 'onPage'> => ({
     onStoreClock: (storeNowMs) => emit({ type: 'storeClock', storeNowMs }),
@@ -24,35 +38,50 @@
       if (!reachable) logger('feedFault', { feed: name, reason });
     },
   });
-  const isNeeded = (): boolean => followsStore(runtime.state, performance.now());
-  const configuration = followFeed(store.configuration, WATCH_WAIT_MS, {
-    ...common('configuration'),
-    isNeeded,
-    onContact(reachable, reason) {
-      emit({ type: 'storeContact', reachable });
-      if (!reachable) logger('feedFault', { feed: 'configuration', reason });
+  const isNeeded = (): boolean => followsStore(runtime.state, clock.nowMs());
+  const configuration = followFeed(
+    store.configuration,
+    WATCH_WAIT_MS,
+    {
+      ...common('configuration'),
+      isNeeded,
+      onContact(reachable, reason) {
+        emit({ type: 'storeContact', reachable });
+        if (!reachable) logger('feedFault', { feed: 'configuration', reason });
+      },
+      onPage({ items }) {
+        for (const item of items) {
+          emit({ type: 'configurationRead', configuration: item, source: 'store' });
+        }
+      },
     },
-    onPage({ items }) {
-      for (const item of items) {
-        emit({ type: 'configurationRead', configuration: item, source: 'store' });
-      }
+    clock,
+  );
+  const servers = followFeed(
+    store.servers,
+    WATCH_WAIT_MS,
+    {
+      ...common('servers'),
+      isNeeded,
+      onPage({ items, whole, newestRevision }) {
+        const revision = newestRevision;
+        emit({ type: 'serversRead', whole, changes: items, revision, source: 'store' });
+      },
     },
-  });
-  const servers = followFeed(store.servers, WATCH_WAIT_MS, {
-    ...common('servers'),
-    isNeeded,
-    onPage({ items, whole, newestRevision }) {
-      const revision = newestRevision;
-      emit({ type: 'serversRead', whole, changes: items, revision, source: 'store' });
+    clock,
+  );
+  const boxes = followFeed(
+    store.boxes,
+    BOXES_WAIT_MS,
+    {
+      ...common('boxes'),
+      pauseAfterPageMs: BOXES_PAUSE_MS,
+      onPage({ items }) {
+        if (items.length > 0) emit({ type: 'peersListed', changes: items });
+      },
     },
-  });
-  const boxes = followFeed(store.boxes, BOXES_WAIT_MS, {
-    ...common('boxes'),
-    pauseAfterPageMs: BOXES_PAUSE_MS,
-    onPage({ items }) {
-      if (items.length > 0) emit({ type: 'peersListed', changes: items });
-    },
-  });
+    clock,
+  );
   const { box, listen, seeds } = settings;
   const seedPeers = seeds.map(({ host }) => seedOf(host, listen.peersPort));
   if (seedPeers.length > 0) emit({ type: 'peersListed', changes: seedPeers });
@@ -60,7 +89,7 @@
   const announce = async (): Promise<void> => {
     while (!stopped && !(await store.announceBox(box.id, address))) {
       logger('announceFailed', { box: box.id });
-      await new Promise((resolve) => setTimeout(resolve, ANNOUNCE_RETRY_MS));
+      await clock.pause(ANNOUNCE_RETRY_MS);
     }
   };
   void announce();
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -1,6 +1,11 @@
 /** The gateway: decisions, daemon, and the interface that a platform adapter fills. */
 export type * from './adapter.js';
 export { createGatewayState, type GatewayState } from './state.js';
+export type { Clock } from './daemon/clock.js';
+export { eventOfDatagram } from './daemon/datagramEvent.js';
+export { followPlatform } from './daemon/platformFeeds.js';
+export { eventsOfShared, sharedStateOf, type SharedState } from './slices/sharedState.js';
+export { isReady } from './slices/stopping.js';
 export { reduce } from './reduce.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
--- a/packages/reedlug-gateway/src/slices/__tests__/limitsOverBoxes.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/limitsOverBoxes.test.ts
@@ -15,7 +15,7 @@
 } from '../../__tests__/__fixtures__/box.js';
 import { CHECKPOINT_KEY } from '../../types/checkpoint.js';
 import { storedLimits } from '../limitNews.js';
-import { eventOf } from '../../__tests__/__fixtures__/fleet.js';
+import { eventOfDatagram } from '../../daemon/datagramEvent.js';
 import type { Effect } from '../../types/effect.js';
 import type { PeerAddress, PeerDatagram, StoredLimits } from '../../types/peer.js';
 
@@ -203,7 +203,7 @@
     inFlight = [];
     for (const { to, message } of arrived) {
       const box = fleet[to];
-      if (box !== undefined) post(to, box.take(eventOf(message)), nowMs);
+      if (box !== undefined) post(to, box.take(eventOfDatagram(message)), nowMs);
     }
     wanted += ((scene.demand[Math.floor(nowMs / 1000)] ?? 0) * RATE_PER_SECOND * TICK_MS) / 1000;
     while (wanted > 0) {
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -1,5 +1,5 @@
 /** The faults of a run, drawn from its seed: in series, and over one another. */
-import { createRandom, type Random } from 'reedlug-check';
+import { createRandom, type Random } from 'reedlug-standins';
 
 /** How a link misbehaves. */
 export const LinkFault = {
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -1,6 +1,6 @@
 /** Carries a planned fault out on the world and writes down whom it troubles, and how long. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { createRandom } from 'reedlug-check';
+import { createRandom } from 'reedlug-standins';
 import { removeServerEntry } from 'reedlug-platform/standins';
 import type { Fault } from './faultPlan.js';
 import type { SoakRecord, Span } from './soakRecord.js';
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -1,7 +1,7 @@
 /** One run: real boxes under load and planned faults, then the check of what was seen. */
 import { rm } from 'node:fs/promises';
 import { setTimeout as delay } from 'node:timers/promises';
-import { createRandom } from 'reedlug-check';
+import { createRandom } from 'reedlug-standins';
 import { openCallers, type CallOrder, type Callers } from './callers.js';
 import { planFaults, type Fault } from './faultPlan.js';
 import { injectFault } from './injectFault.js';
