--- /dev/null
+++ b/packages/reedlug-simulator/src/__tests__/runScene.test.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai';
+import { runScene, type Scene, type SceneReport } from '../index.js';
+import { smallScene } from './__fixtures__/smallScene.js';
+
+function run(changes: Partial<Scene> = {}, seed = 1): Promise<SceneReport> {
+  return runScene(smallScene(changes), seed);
+}
+
+test('the same seed gives the same run, another seed another one', async () => {
+  const [first, second, other] = [await run(), await run(), await run({}, 2)];
+  // How long the reducer took is real time, and differs.
+  const figures = (report: SceneReport) => ({ ...report, reducerMsPerBoxSecond: 0 });
+  expect(figures(first)).to.deep.equal(figures(second));
+  expect(figures(first)).not.to.deep.equal(figures(other));
+});
+
+test('callers of a calm fleet are served', async () => {
+  const { whole, broken, refusedBy } = await run();
+  expect(broken).to.deep.equal([]);
+  expect(refusedBy).to.deep.equal({});
+  expect(whole.asked).to.be.greaterThan(300);
+  expect(whole.inTime / whole.asked).to.be.greaterThan(0.95);
+});
+
+test('after a loss of power of all boxes callers are served again', async () => {
+  const { bySpan, broken } = await run({
+    faults: [{ kind: 'killBoxes', atS: 4, share: 1, downS: 0.8 }],
+  });
+  expect(broken).to.deep.equal([]);
+  const shares = new Map(bySpan.map(({ name, share }) => [name, share]));
+  expect(shares.get('4')).to.be.lessThan(0.9);
+  expect(shares.get('8')).to.be.greaterThan(0.9);
+});
+
+test('boxes of a zone that is cut off serve their callers', async () => {
+  const { byZone, broken } = await run({
+    faults: [{ kind: 'cutZone', atS: 4, forS: 4, zone: 'zone-b' }],
+  });
+  expect(broken).to.deep.equal([]);
+  expect(byZone.find(({ name }) => name === 'zone-b')?.share).to.be.greaterThan(0.7);
+});
+
+test('engines that go without a word cost their callers little', async () => {
+  const { whole } = await run({
+    faults: [{ kind: 'crashEngines', atS: 4, share: 0.3, silent: true }],
+  });
+  expect(whole.failed / whole.asked).to.be.lessThan(0.05);
+});
+
+test('a workspace beyond its limit is refused and told when to come back', async () => {
+  const { refusedBy, broken } = await run({
+    workspaces: { count: 3, limitOverUsual: 0.2, plainTokens: 200 },
+  });
+  expect(broken).to.deep.equal([]);
+  expect(refusedBy['429 overLimit']).to.be.greaterThan(0);
+});
+
+test('callers that leave early are owed nothing and broken nowhere', async () => {
+  const { whole, broken } = await run({
+    faults: [{ kind: 'callersLeave', atS: 2, forS: 4, share: 0.5 }],
+  });
+  expect(broken).to.deep.equal([]);
+  expect(whole.left).to.be.greaterThan(0);
+});
--- /dev/null
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -0,0 +1,228 @@
+/** Carries out the effects of a box's reducer in the world. */
+import { eventOfDatagram, eventsOfShared, sharedStateOf, type Effect } from 'reedlug-gateway';
+import {
+  reaches,
+  submitToEngine,
+  takeCloudCall,
+  type VirtualServer,
+} from '../servers/serverPark.js';
+import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
+import { areCut, boxAt, later, takeNumber, wayMs, type World } from '../world.js';
+import { killBox, stopRunAt, storeOf, type VirtualBox } from './virtualBox.js';
+
+/** Longest waits of the daemon, in ms: for the table, the cloud, a peer and a connection. */
+const TABLE_TIMEOUT_MS = 1500;
+const CLOUD_TIMEOUT_MS = 1500;
+const ASK_TIMEOUT_MS = 500;
+const CONNECT_TIMEOUT_MS = 400;
+/** Zone of the cloud; nothing else is in it. */
+const CLOUD_ZONE = '(cloud)';
+/** Time that a server's own failure takes, in ms. */
+const FAILURE_MS = 5;
+
+type EffectOf<T extends Effect['type']> = Extract<Effect, { type: T }>;
+
+/** Carries out one effect; what comes of it is a later event. */
+export function performEffect(world: World, box: VirtualBox, effect: Effect): void {
+  switch (effect.type) {
+    case 'send':
+      return send(world, box, effect);
+    case 'cancelAttempt':
+      return cancel(world, box, effect.attemptId);
+    case 'relay':
+      return relay(world, box, effect);
+    case 'refuse':
+      return refuse(box, effect);
+    case 'cutCaller': {
+      box.exchanges.get(effect.exchangeId)?.onConnectionLost();
+      box.exchanges.delete(effect.exchangeId);
+      return;
+    }
+    case 'requestTable':
+      return requestTable(box, effect);
+    case 'callCloud':
+      return callCloud(world, box, effect);
+    case 'sendPeers':
+      return sendPeers(world, box, effect);
+    case 'askPeer':
+      return askPeer(world, box, effect);
+    case 'stopped':
+      return killBox(world, box, true);
+    case 'log':
+      return noteLog(world, box.id, effect.event, effect.fields);
+  }
+}
+
+function send(world: World, box: VirtualBox, effect: EffectOf<'send'>): void {
+  const { exchangeId, attemptId, order } = effect;
+  const ids = { exchangeId, attemptId };
+  const server = world.servers.get(order.serverId);
+  const caller = box.exchanges.get(exchangeId);
+  if (caller === undefined) return;
+  if (server === undefined || !reaches(world, box.settings.box.zone, server)) {
+    // A dead port answers at once, a silent one not at all.
+    const isGone = server === undefined;
+    return later(world, isGone ? 1 : CONNECT_TIMEOUT_MS, () => {
+      if (box.sends.has(attemptId) || !box.state.requests.has(exchangeId)) return;
+      box.emit({ type: 'attemptNotSent', ...ids, reason: isGone ? 'refused' : 'timeout' });
+    });
+  }
+  const runId = takeNumber(world, 'runs');
+  box.sends.set(attemptId, { exchangeId, serverId: order.serverId, runId });
+  server.openRuns.set(runId, () => {
+    if (!box.sends.delete(attemptId)) return;
+    box.emit({ type: 'attemptLost', ...ids, reason: 'connectionReset' });
+  });
+  const ms = wayMs(world, box.settings.box.zone, server.entry.zone);
+  later(world, ms, () => {
+    if (!box.sends.has(attemptId) || !world.servers.has(order.serverId)) return;
+    arrive(world, box, { server, effect, runId });
+  });
+}
+
+/** A request reaches its server. */
+function arrive(
+  world: World,
+  box: VirtualBox,
+  params: { server: VirtualServer; effect: EffectOf<'send'>; runId: number },
+): void {
+  const { server, effect, runId } = params;
+  const { exchangeId, attemptId, order } = effect;
+  const ids = { exchangeId, attemptId };
+  const caller = box.exchanges.get(exchangeId);
+  if (caller === undefined) return;
+  const { request } = caller;
+  noteArrival(world, request, server.entry.service);
+  /** What the server says, unless it has gone silent or the box has left it. */
+  const say = (tell: () => void): void => {
+    if (!reaches(world, box.settings.box.zone, server)) return;
+    const ms = wayMs(world, box.settings.box.zone, server.entry.zone);
+    later(world, ms, () => {
+      if (box.sends.has(attemptId)) tell();
+    });
+  };
+  const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void =>
+    say(() => {
+      const isOpen = verdict === 'success' && effect.streaming;
+      if (!isOpen) end(box, server, attemptId, runId);
+      box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
+    });
+  const onRejected = (): void => answer('notRun', 503);
+  if (server.work.kind === 'plain') {
+    const onAnswered = (): void => {
+      noteRun(world, request);
+      answer('success', 200);
+    };
+    return server.work.server.submit({ runId, workMs: request.workMs, onAnswered, onRejected });
+  }
+  if (world.random.chance(world.failShare)) {
+    noteRun(world, request);
+    return later(world, FAILURE_MS, () => answer('failure', 500));
+  }
+  let isBegun = false;
+  const fromEvent = Math.max(order.resumeAfterEventId ?? request.lastEventId ?? 0, 0);
+  submitToEngine(world, server.work.engine, {
+    runId,
+    urgency: order.urgency ?? DEFAULT_URGENCY,
+    parts: request.facts.promptParts,
+    fromEvent,
+    events: request.events,
+    onRejected,
+    onEvent(event, isLast) {
+      if (!isBegun) {
+        isBegun = true;
+        noteRun(world, request);
+        answer('success', 200);
+      }
+      say(() => {
+        box.exchanges.get(exchangeId)?.onEvent(event);
+        box.emit({ type: 'eventsRelayed', ...ids, lastEventId: event });
+        if (!isLast) return;
+        end(box, server, attemptId, runId);
+        box.exchanges.get(exchangeId)?.onEnded();
+        box.exchanges.delete(exchangeId);
+        box.emit({ type: 'attemptEnded', ...ids });
+      });
+    },
+  });
+}
+
+/** Urgency of a request that says none. */
+const DEFAULT_URGENCY = 5;
+
+function end(box: VirtualBox, server: VirtualServer, attemptId: number, runId: number): void {
+  box.sends.delete(attemptId);
+  server.openRuns.delete(runId);
+}
+
+function cancel(world: World, box: VirtualBox, attemptId: number): void {
+  const sent = box.sends.get(attemptId);
+  if (sent === undefined) return;
+  box.sends.delete(attemptId);
+  const zone = world.servers.get(sent.serverId)?.entry.zone ?? '';
+  later(world, wayMs(world, box.settings.box.zone, zone), () => {
+    stopRunAt(world, sent.serverId, sent.runId);
+  });
+}
+
+/** A stream's head goes with its first event. */
+function relay(_world: World, box: VirtualBox, effect: EffectOf<'relay'>): void {
+  if (effect.part !== 'whole') return;
+  box.exchanges.get(effect.exchangeId)?.onAnswer();
+  box.exchanges.delete(effect.exchangeId);
+}
+
+function refuse(box: VirtualBox, effect: EffectOf<'refuse'>): void {
+  const { exchangeId, status, reason, retryAfterMs } = effect;
+  box.exchanges.get(exchangeId)?.onRefused({ status, reason, retryAfterMs });
+  box.exchanges.delete(exchangeId);
+}
+
+function requestTable(box: VirtualBox, effect: EffectOf<'requestTable'>): void {
+  const { purpose, op, sentAtMs } = effect;
+  void storeOf(box)
+    .table(op, TABLE_TIMEOUT_MS)
+    .then(({ answer, storeNowMs }) => {
+      if (storeNowMs !== undefined) box.emit({ type: 'storeClock', storeNowMs });
+      box.emit({ type: 'tableAnswered', purpose, answer, sentAtMs });
+    });
+}
+
+function callCloud(world: World, box: VirtualBox, effect: EffectOf<'callCloud'>): void {
+  const { callId, call } = effect;
+  if (areCut(world, box.settings.box.zone, CLOUD_ZONE)) {
+    return later(world, CLOUD_TIMEOUT_MS, () =>
+      box.emit({ type: 'cloudAnswered', callId, outcome: 'unknown' }),
+    );
+  }
+  later(world, world.scene.storeAnswerMs, () => {
+    const outcome = takeCloudCall(world, call);
+    box.emit({ type: 'cloudAnswered', callId, outcome });
+  });
+}
+
+function sendPeers(world: World, box: VirtualBox, effect: EffectOf<'sendPeers'>): void {
+  for (const { host } of effect.to) {
+    const peer = boxAt(world, host);
+    if (peer === undefined) continue;
+    world.record.datagrams += 1;
+    const { zone } = peer.settings.box;
+    if (areCut(world, box.settings.box.zone, zone)) continue;
+    if (world.random.chance(world.scene.network.datagramLossShare)) continue;
+    later(world, wayMs(world, box.settings.box.zone, zone), () => {
+      if (peer.isListening) peer.emit(eventOfDatagram(effect.message));
+    });
+  }
+}
+
+function askPeer(world: World, box: VirtualBox, effect: EffectOf<'askPeer'>): void {
+  const peer = boxAt(world, effect.peer.host);
+  if (peer === undefined) return;
+  const { zone } = peer.settings.box;
+  const ms = wayMs(world, box.settings.box.zone, zone);
+  later(world, ms, () => {
+    if (!peer.isListening || areCut(world, box.settings.box.zone, zone)) return;
+    const events = eventsOfShared(sharedStateOf(peer.state));
+    later(world, Math.min(ms, ASK_TIMEOUT_MS), () => events.forEach((event) => box.emit(event)));
+  });
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -0,0 +1,199 @@
+/** A box of the gateway under virtual time: the real reducer, the real feeds, effects on the world. */
+import {
+  createGatewayState,
+  followPlatform,
+  reduce,
+  type Clock,
+  type Effect,
+  type EventBody,
+  type GatewaySettings,
+  type GatewayState,
+  type PlatformStore,
+} from 'reedlug-gateway';
+import type { CallerAttempt } from '../callers/callerAttempt.js';
+import { stopRun } from '../servers/batchEngine.js';
+import { later, nowMs, type World } from '../world.js';
+import { performEffect } from './performEffect.js';
+
+/** Pause between ticks, in ms, as in the daemon. */
+const TICK_MS = 50;
+/** Wall clock of the world's start, in ms; any time will do. */
+const WALL_START_MS = 1_700_000_000_000;
+/** Port on which boxes hear each other. */
+export const PEERS_PORT = 7000;
+
+/** A send in progress. */
+export interface VirtualSend {
+  exchangeId: number;
+  serverId: string;
+  runId: number;
+}
+
+/** A box's process. */
+export interface VirtualBox {
+  id: string;
+  settings: GatewaySettings;
+  state: GatewayState;
+  isAlive: boolean;
+  /** Listens for callers. */
+  isListening: boolean;
+  /** How the process ended: a dead port answers, a box without power says nothing. */
+  hasPower: boolean;
+  incarnation: number;
+  /** World time of the process's start. */
+  startedAtMs: number;
+  exchanges: Map<number, CallerAttempt>;
+  sends: Map<number, VirtualSend>;
+  nextExchangeId: number;
+  /** Callers' balancer: checks in a row without a good answer, and whether callers come. */
+  missedChecks: number;
+  isIn: boolean;
+  /** Time that the reducer has taken, in ms. */
+  reducerMs: number;
+  emit: (body: EventBody) => void;
+}
+
+/** Where a box stands. */
+export interface BoxPlace {
+  id: string;
+  host: string;
+  zone: string;
+  processorCores: number;
+}
+
+/** Starts a box's process; it listens after the time that the scene gives. */
+export function startBox(world: World, place: BoxPlace, incarnation: number): VirtualBox {
+  const settings = settingsOf(world, place);
+  const startedAtMs = nowMs(world);
+  const box: VirtualBox = {
+    id: place.id,
+    settings,
+    state: createGatewayState({ settings, incarnation, nowMs: 0 }),
+    isAlive: true,
+    isListening: false,
+    hasPower: true,
+    incarnation,
+    startedAtMs,
+    exchanges: new Map(),
+    sends: new Map(),
+    nextExchangeId: 1,
+    missedChecks: 0,
+    isIn: false,
+    reducerMs: 0,
+    emit: () => undefined,
+  };
+  box.emit = createEmit(world, box);
+  world.boxes.set(box.id, box);
+  later(world, world.scene.boxStartMs, () => {
+    if (box.isAlive) listen(world, box);
+  });
+  return box;
+}
+
+function listen(world: World, box: VirtualBox): void {
+  const startedAtMs = nowMs(world);
+  box.startedAtMs = startedAtMs;
+  box.state.startedAtMs = 0;
+  box.isListening = true;
+  const clock: Clock = {
+    nowMs: () => nowMs(world) - startedAtMs,
+    pause: (ms) =>
+      new Promise((resolve) =>
+        later(world, ms, () => {
+          if (!box.isAlive) return;
+          world.hasSettled = true;
+          resolve();
+        }),
+      ),
+  };
+  const store: PlatformStore = world.store.openFor(box.settings.box.zone, clock, () => box.isAlive);
+  const logger = (): void => undefined;
+  const { settings, state, emit } = box;
+  followPlatform({ settings, store, state, clock, logger, emit });
+  world.hasSettled = true;
+  const tick = (): void => {
+    if (!box.isAlive) return;
+    emit({ type: 'tick' });
+    later(world, TICK_MS, tick);
+  };
+  later(world, world.random.unit() * TICK_MS, tick);
+  boxStores.set(box, store);
+}
+
+const boxStores = new WeakMap<VirtualBox, PlatformStore>();
+
+/** The store as a box has it. */
+export function storeOf(box: VirtualBox): PlatformStore {
+  const store = boxStores.get(box);
+  if (store === undefined) throw new Error(`${box.id} does not listen yet`);
+  return store;
+}
+
+/** Takes events one after the other, those that come meanwhile after them, as the daemon does. */
+function createEmit(world: World, box: VirtualBox): (body: EventBody) => void {
+  const pending: EventBody[] = [];
+  let busy = false;
+  return (body) => {
+    if (!box.isAlive) return;
+    pending.push(body);
+    if (busy) return;
+    busy = true;
+    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
+      const sinceMs = nowMs(world) - box.startedAtMs;
+      const wallMs = WALL_START_MS + nowMs(world);
+      const begunAtMs = performance.now();
+      const effects: Effect[] = reduce(box.state, { ...next, nowMs: sinceMs, wallMs });
+      box.reducerMs += performance.now() - begunAtMs;
+      for (const effect of effects) performEffect(world, box, effect);
+    }
+    busy = false;
+  };
+}
+
+/** Ends a box's process at once; its callers and servers see it, unless it has lost power. */
+export function killBox(world: World, box: VirtualBox, hasPower: boolean): void {
+  if (!box.isAlive) return;
+  box.isAlive = false;
+  box.isListening = false;
+  box.hasPower = hasPower;
+  box.isIn = false;
+  for (const attempt of box.exchanges.values()) attempt.onConnectionLost();
+  box.exchanges.clear();
+  for (const { serverId, runId } of box.sends.values()) {
+    world.servers.get(serverId)?.openRuns.delete(runId);
+    stopRunAt(world, serverId, runId);
+  }
+  box.sends.clear();
+}
+
+/** Stops a run at its server. */
+export function stopRunAt(world: World, serverId: string, runId: number): void {
+  const server = world.servers.get(serverId);
+  if (server === undefined) return;
+  server.openRuns.delete(runId);
+  if (server.work.kind === 'engine') stopRun(server.work.engine, runId);
+  else server.work.server.stop(runId);
+}
+
+function settingsOf(world: World, place: BoxPlace): GatewaySettings {
+  const { id, host, zone, processorCores } = place;
+  const { scene } = world;
+  return {
+    box: { id, ip: host, zone, processorCores },
+    zones: scene.zones,
+    listen: {
+      callers: { host, port: 8221 },
+      readiness: { host, port: 8224 },
+      peersPort: PEERS_PORT,
+      metricsPort: 8229,
+    },
+    seeds: [],
+    store: { address: { host: '10.200.1.7', port: 8225 } },
+    cloud: {
+      address: { host: '10.200.0.35', port: 8225 },
+      reportsUsage: true,
+      ordersEngines: true,
+    },
+    bounds: scene.bounds,
+  };
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/callers/callerAttempt.ts
@@ -0,0 +1,57 @@
+/** A caller's request, and one try of it at a box. */
+import type { RequestFacts } from 'reedlug-gateway';
+import type { SceneClass } from '../scene/scene.js';
+
+/** A request that a caller wants served, over all of its tries. */
+export interface CallerRequest {
+  spec: SceneClass;
+  zone: string;
+  workspace: string;
+  /** World time of the first try. */
+  startedAtMs: number;
+  /** World time at which the caller gives up. */
+  deadlineAtMs: number;
+  /** Facts of the try in progress. */
+  facts: RequestFacts;
+  /** Work of a plain request, in ms. */
+  workMs: number;
+  /** Events of a stream's answer, and the last that the caller has. */
+  events: number;
+  lastEventId: number | undefined;
+  /** Tries made, and what was seen of the answer. */
+  tries: number;
+  firstEventAtMs: number | undefined;
+  lastEventAtMs: number | undefined;
+  longestGapMs: number;
+  /** Runs of the try in progress that servers have begun. */
+  runsOfTry: number;
+  /** Servers that the try in progress was sent to, and when it reached the first one. */
+  arrivalsOfTry: number;
+  arrivedAtMs: number;
+  /** Set when a refusal was waited out as told: when the try after it began. */
+  returnedAtMs: number | undefined;
+  /** World time at which the try in progress reached a box. */
+  heldSinceMs: number | undefined;
+  /** The caller leaves before its time. */
+  leavesEarly: boolean;
+}
+
+/** A refusal as the caller sees it. */
+export interface Refusal {
+  status: number;
+  reason: string;
+  retryAfterMs: number | undefined;
+}
+
+/** A try at a box: what the box tells it. */
+export interface CallerAttempt {
+  request: CallerRequest;
+  /** A whole plain answer. */
+  onAnswer: () => void;
+  /** An event of a stream. */
+  onEvent: (event: number) => void;
+  /** The end of a stream. */
+  onEnded: () => void;
+  onRefused: (refusal: Refusal) => void;
+  onConnectionLost: () => void;
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -0,0 +1,282 @@
+/**
+ * Callers: when they come, which box they get, what they do after a refusal or a
+ * loss, and what they make of the answer.
+ */
+import { isReady } from 'reedlug-gateway';
+import type { VirtualBox } from '../boxes/virtualBox.js';
+import type { SceneClass } from '../scene/scene.js';
+import {
+  noteAnswered,
+  noteAsked,
+  noteBroken,
+  noteEvent,
+  noteFailed,
+  noteRefused,
+} from '../report/sceneRecord.js';
+import { later, nowMs, takeNumber, type World } from '../world.js';
+import type { CallerAttempt, CallerRequest, Refusal } from './callerAttempt.js';
+import {
+  drawRequest,
+  drawSharedParts,
+  workspaceName,
+  workspaceShares,
+  type SharedParts,
+} from './drawRequest.js';
+
+/** How often the balancer asks each box whether it is ready, in ms, and after how many misses it leaves it out. */
+const CHECK_EVERY_MS = 1000;
+const MISSES = 2;
+/** How long a caller waits for a connection that nobody answers, in ms. */
+const CONNECT_MS = 1000;
+/** Part of the time left up to which a caller waits as it is told. */
+const WAIT_SHARE = 1 / 3;
+/** Pause of a caller after a lost connection, in ms. */
+const RETRY_MS = 50;
+/** A caller gives a stream up after this silence, in ms: the longest of the three. */
+const SILENCE_MS = 2000;
+const SILENCE_TARGETS = 4;
+const SILENCE_GAPS = 8;
+
+/** Changes of the load that faults make. */
+export interface LoadChanges {
+  /** Factor on the rate of all classes, or of one. */
+  factorOf: (className: string) => number;
+  /** Factor on the first workspace's share. */
+  hotFactor: number;
+  /** Share of the callers that leave early. */
+  leaveShare: number;
+}
+
+/** Starts the balancer and the callers of every zone. */
+export function startCallers(world: World, changes: LoadChanges): void {
+  checkBoxes(world);
+  const shared = drawSharedParts(world.scene, world.random);
+  const firstAtMs = world.scene.leadS * 1000;
+  for (const zone of world.scene.zones) {
+    world.queue.at(firstAtMs, () => comeAgain(world, { zone, shared, changes }));
+  }
+}
+
+function checkBoxes(world: World): void {
+  for (const box of world.boxes.values()) {
+    const isGood = box.isListening && isReady(box.state);
+    box.missedChecks = isGood ? 0 : box.missedChecks + 1;
+    if (isGood) box.isIn = true;
+    else if (box.missedChecks >= MISSES) box.isIn = false;
+  }
+  later(world, CHECK_EVERY_MS, () => checkBoxes(world));
+}
+
+interface ZoneCallers {
+  zone: string;
+  shared: SharedParts;
+  changes: LoadChanges;
+}
+
+/** Lets a clump of callers come, and the next one after a while. */
+function comeAgain(world: World, callers: ZoneCallers): void {
+  const { scene, random } = world;
+  const trafficS = nowMs(world) / 1000 - scene.leadS;
+  if (trafficS >= scene.lengthS) return;
+  const { perSecond, clump, swing, swingPeriodS } = scene.callers;
+  const wave = 1 + swing * Math.sin((2 * Math.PI * trafficS) / swingPeriodS);
+  const classes = weightedClasses(world, callers.changes);
+  const factor = classes.total / classes.usual;
+  const ratePerMs = (perSecond * wave * factor) / scene.zones.length / 1000;
+  const size = clump <= 1 ? 1 : 1 + Math.floor(random.exponential(clump - 1) + 0.5);
+  for (let index = 0; index < size; index += 1) begin(world, callers, pickClass(world, classes));
+  later(world, random.exponential(clump / ratePerMs), () => comeAgain(world, callers));
+}
+
+interface WeightedClasses {
+  weights: number[];
+  total: number;
+  usual: number;
+}
+
+function weightedClasses(world: World, changes: LoadChanges): WeightedClasses {
+  const { classes } = world.scene;
+  const weights = classes.map(({ name, weight }) => weight * changes.factorOf(name));
+  const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
+  return { weights, total: sum(weights), usual: sum(classes.map(({ weight }) => weight)) };
+}
+
+function pickClass(world: World, { weights, total }: WeightedClasses): SceneClass {
+  return world.scene.classes[pickIndex(world, weights, total)] as SceneClass;
+}
+
+function pickIndex(world: World, weights: readonly number[], total: number): number {
+  let point = world.random.unit() * total;
+  for (const [index, weight] of weights.entries()) {
+    point -= weight;
+    if (point < 0) return index;
+  }
+  return weights.length - 1;
+}
+
+/** A new request: its first try. */
+function begin(world: World, callers: ZoneCallers, spec: SceneClass): void {
+  const { changes, zone, shared } = callers;
+  const shares = workspaceShares(world.scene.workspaces.count);
+  shares[0] = (shares[0] ?? 0) * changes.hotFactor;
+  const total = shares.reduce((sum, share) => sum + share, 0);
+  const workspace = workspaceName(pickIndex(world, shares, total));
+  const number = takeNumber(world, 'requests');
+  const drawn = drawRequest(world.scene, world.random, { spec, shared, workspace, number });
+  const startedAtMs = nowMs(world);
+  const leavesEarly = changes.leaveShare > 0 && world.random.chance(changes.leaveShare);
+  const request: CallerRequest = {
+    ...drawn,
+    spec,
+    zone,
+    workspace,
+    startedAtMs,
+    deadlineAtMs: startedAtMs + spec.deadlineMs,
+    lastEventId: undefined,
+    tries: 0,
+    firstEventAtMs: undefined,
+    lastEventAtMs: undefined,
+    longestGapMs: 0,
+    runsOfTry: 0,
+    arrivalsOfTry: 0,
+    arrivedAtMs: 0,
+    returnedAtMs: undefined,
+    heldSinceMs: undefined,
+    leavesEarly,
+  };
+  if (leavesEarly) request.deadlineAtMs = startedAtMs + world.random.unit() * spec.targetMs;
+  noteAsked(world, request);
+  tryOnce(world, request);
+}
+
+/** Sends a try to a box of the zone; of the nearest zones when none is in there. */
+function tryOnce(world: World, request: CallerRequest): void {
+  request.tries += 1;
+  request.runsOfTry = 0;
+  request.arrivalsOfTry = 0;
+  request.heldSinceMs = undefined;
+  const leftMs = request.deadlineAtMs - nowMs(world);
+  const { facts, lastEventId } = request;
+  const requestId = `${facts.requestId.split('/')[0] ?? ''}/${request.tries}`;
+  request.facts = { ...facts, requestId, deadlineMs: leftMs, lastEventId };
+  const box = pickBox(world, request.zone);
+  const { callerMs } = world.scene.network;
+  if (box === undefined) return later(world, callerMs, () => lost(world, request, 'noBox'));
+  if (!box.isListening) {
+    const waitMs = box.hasPower ? callerMs : CONNECT_MS;
+    return later(world, waitMs, () => lost(world, request, 'noConnection'));
+  }
+  later(world, callerMs, () => arriveAt(world, request, box));
+}
+
+function pickBox(world: World, zone: string): VirtualBox | undefined {
+  const boxes = [...world.boxes.values()];
+  const ofZone = boxes.filter((box) => box.settings.box.zone === zone);
+  const isIn = (box: VirtualBox): boolean => box.isIn;
+  const candidates = ofZone.some(isIn) ? ofZone.filter(isIn) : boxes.filter(isIn);
+  // When fewer than half are in, the balancer uses all of them.
+  const usable = candidates.length * 2 < ofZone.length ? ofZone : candidates;
+  return usable.length === 0 ? undefined : world.random.pick(usable);
+}
+
+function arriveAt(world: World, request: CallerRequest, box: VirtualBox): void {
+  if (!box.isListening) return lost(world, request, 'noConnection');
+  const exchangeId = box.nextExchangeId;
+  box.nextExchangeId += 1;
+  request.heldSinceMs = nowMs(world);
+  const attempt = createAttempt(world, request);
+  box.exchanges.set(exchangeId, attempt);
+  watchCaller(world, request, { box, exchangeId, attempt });
+  box.emit({ type: 'requestArrived', exchangeId, facts: request.facts });
+}
+
+/** Ends the try when the caller's time is up, or a stream has been silent for too long. */
+function watchCaller(
+  world: World,
+  request: CallerRequest,
+  at: { box: VirtualBox; exchangeId: number; attempt: CallerAttempt },
+): void {
+  const { box, exchangeId, attempt } = at;
+  const { spec } = request;
+  const silenceMs = Math.max(
+    SILENCE_MS,
+    SILENCE_TARGETS * spec.targetMs,
+    SILENCE_GAPS * (spec.gapTargetMs ?? 0),
+  );
+  const sentAtMs = nowMs(world);
+  const leave = (): void => {
+    if (box.exchanges.get(exchangeId) !== attempt) return;
+    const silentSinceMs = Math.max(sentAtMs, request.lastEventAtMs ?? 0);
+    const isSilent = spec.kind === 'stream' && nowMs(world) - silentSinceMs >= silenceMs - 1;
+    if (nowMs(world) < request.deadlineAtMs - 1 && !isSilent) return plan();
+    box.exchanges.delete(exchangeId);
+    box.emit({ type: 'callerGone', exchangeId });
+    noteFailed(world, request, isSilent ? 'callerLeftSilence' : 'deadline');
+  };
+  const plan = (): void => {
+    const silentSinceMs = Math.max(sentAtMs, request.lastEventAtMs ?? 0);
+    const dueMs = spec.kind === 'stream' ? silentSinceMs + silenceMs : Number.POSITIVE_INFINITY;
+    world.queue.at(Math.min(request.deadlineAtMs, dueMs), leave);
+  };
+  plan();
+}
+
+function createAttempt(world: World, request: CallerRequest): CallerAttempt {
+  const { callerMs } = world.scene.network;
+  return {
+    request,
+    onAnswer: () => later(world, callerMs, () => noteAnswered(world, request)),
+    onEvent(event) {
+      later(world, callerMs, () => {
+        const atMs = nowMs(world);
+        const beforeMs = request.lastEventAtMs;
+        if (beforeMs !== undefined) {
+          request.longestGapMs = Math.max(request.longestGapMs, atMs - beforeMs);
+        }
+        request.firstEventAtMs ??= atMs;
+        request.lastEventAtMs = atMs;
+        noteEvent(world, request, event);
+        request.lastEventId = event;
+      });
+    },
+    onEnded: () => later(world, callerMs, () => noteAnswered(world, request)),
+    onRefused: (refusal) => later(world, callerMs, () => refused(world, request, refusal)),
+    onConnectionLost: () => later(world, callerMs, () => lost(world, request, 'connection')),
+  };
+}
+
+/** A refusal that promises that the request has not run may be tried again, when it is told. */
+function refused(world: World, request: CallerRequest, refusal: Refusal): void {
+  const { status, reason, retryAfterMs } = refusal;
+  const isPromise = status === 429 || status === 503;
+  if (isPromise && request.runsOfTry > 0) noteBroken(world, 'refusalAfterRun', request);
+  if (!isPromise && !isRepeatable(request)) {
+    return noteFailed(world, request, `${status} ${reason}`);
+  }
+  const leftMs = request.deadlineAtMs - nowMs(world);
+  const waitMs = retryAfterMs ?? RETRY_MS;
+  const mayWait = request.tries <= request.spec.retries && waitMs <= leftMs * WAIT_SHARE;
+  if (!mayWait || status === 401 || status === 404) {
+    const label = `${status} ${reason}`;
+    if (isPromise) return noteRefused(world, request, label);
+    return noteFailed(world, request, label);
+  }
+  later(world, waitMs, () => {
+    request.returnedAtMs = nowMs(world);
+    tryOnce(world, request);
+  });
+}
+
+/** A lost connection: what may be repeated is tried again at once. */
+function lost(world: World, request: CallerRequest, reason: string): void {
+  const mayTry = request.heldSinceMs === undefined || isRepeatable(request);
+  const leftMs = request.deadlineAtMs - nowMs(world);
+  if (!mayTry || request.tries > request.spec.retries || leftMs <= RETRY_MS) {
+    return noteFailed(world, request, reason);
+  }
+  later(world, RETRY_MS, () => tryOnce(world, request));
+}
+
+function isRepeatable({ spec }: CallerRequest): boolean {
+  return spec.kind === 'stream' ? spec.resumable : spec.kind === 'repeatable';
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -0,0 +1,155 @@
+/** What goes wrong in a scene, at its time. */
+import { ServerState } from 'reedlug-gateway';
+import { killBox, startBox, type BoxPlace, type VirtualBox } from '../boxes/virtualBox.js';
+import type { LoadChanges } from '../callers/callers.js';
+import type { SceneFaultSpec } from '../scene/scene.js';
+import {
+  drainServer,
+  endServer,
+  silenceServer,
+  type VirtualServer,
+} from '../servers/serverPark.js';
+import { later, type World } from '../world.js';
+
+/** Time until a process that ended is started again, in ms. */
+const RESTART_MS = 100;
+/** Pause between looks whether a box has stopped as planned, in ms. */
+const STOP_CHECK_MS = 100;
+
+type FaultOf<K extends SceneFaultSpec['kind']> = Extract<SceneFaultSpec, { kind: K }>;
+
+/** Sets every fault of a scene to its time; gives what they change of the load. */
+export function scheduleFaults(world: World, places: readonly BoxPlace[]): LoadChanges {
+  const active = new Set<SceneFaultSpec>();
+  const firstAtMs = world.scene.leadS * 1000;
+  for (const fault of world.scene.faults) {
+    world.queue.at(firstAtMs + fault.atS * 1000, () => {
+      active.add(fault);
+      if ('forS' in fault) later(world, fault.forS * 1000, () => active.delete(fault));
+      begin(world, fault, places);
+    });
+  }
+  const ofKind = <K extends SceneFaultSpec['kind']>(kind: K): FaultOf<K>[] =>
+    [...active].filter((fault): fault is FaultOf<K> => fault.kind === kind);
+  return {
+    factorOf: (className) =>
+      ofKind('burst').reduce(
+        (factor, burst) =>
+          burst.class === undefined || burst.class === className ? factor * burst.factor : factor,
+        1,
+      ),
+    get hotFactor() {
+      return ofKind('hotWorkspace').reduce((factor, hot) => factor * hot.factor, 1);
+    },
+    get leaveShare() {
+      return Math.max(0, ...ofKind('callersLeave').map(({ share }) => share));
+    },
+  };
+}
+
+function begin(world: World, fault: SceneFaultSpec, places: readonly BoxPlace[]): void {
+  switch (fault.kind) {
+    case 'killBoxes':
+      return killBoxes(world, fault, places);
+    case 'rollBoxes':
+      return rollBoxes(world, fault, places);
+    case 'cutZone': {
+      world.cutZones.add(fault.zone);
+      return later(world, fault.forS * 1000, () => void world.cutZones.delete(fault.zone));
+    }
+    case 'reclaimZone':
+      return reclaimZone(world, fault);
+    case 'crashEngines':
+      return crashEngines(world, fault);
+    case 'failRequests': {
+      world.failShare = fault.share;
+      return later(world, fault.forS * 1000, () => {
+        world.failShare = 0;
+      });
+    }
+    case 'storeAway': {
+      world.store.isAway = true;
+      return later(world, fault.forS * 1000, () => {
+        world.store.isAway = false;
+      });
+    }
+    // These change the load alone, as long as they are active.
+    case 'burst':
+    case 'hotWorkspace':
+    case 'callersLeave':
+      return;
+  }
+}
+
+/** Draws a share of things, in an order of the seed. */
+function drawShare<T>(world: World, things: readonly T[], share: number): T[] {
+  const left = [...things];
+  const drawn: T[] = [];
+  const wanted = Math.round(things.length * share);
+  while (drawn.length < wanted) {
+    drawn.push(...left.splice(world.random.whole(0, left.length - 1), 1));
+  }
+  return drawn;
+}
+
+function killBoxes(world: World, fault: FaultOf<'killBoxes'>, places: readonly BoxPlace[]): void {
+  for (const place of drawShare(world, places, fault.share)) {
+    const box = world.boxes.get(place.id);
+    if (box === undefined) continue;
+    killBox(world, box, false);
+    later(world, fault.downS * 1000, () => restart(world, place, box));
+  }
+}
+
+function restart(world: World, place: BoxPlace, before: VirtualBox): void {
+  startBox(world, place, before.incarnation + 1);
+}
+
+/** Stops and starts boxes in turn, as for a release of the boxes themselves. */
+function rollBoxes(world: World, fault: FaultOf<'rollBoxes'>, places: readonly BoxPlace[]): void {
+  const chosen = drawShare(world, places, fault.share);
+  chosen.forEach((place, index) => {
+    later(world, (index * fault.gapS * 1000) / chosen.length, () => {
+      const box = world.boxes.get(place.id);
+      if (box?.isAlive !== true) return;
+      box.emit({ type: 'stopAsked' });
+      awaitStop(world, box, () => restart(world, place, box));
+    });
+  });
+}
+
+function awaitStop(world: World, box: VirtualBox, then: () => void): void {
+  if (!box.isAlive) return later(world, RESTART_MS, then);
+  later(world, STOP_CHECK_MS, () => awaitStop(world, box, then));
+}
+
+function enginesWhere(world: World, matches: (server: VirtualServer) => boolean): VirtualServer[] {
+  return [...world.servers.values()].filter(
+    (server) => server.work.kind === 'engine' && !server.isSilent && matches(server),
+  );
+}
+
+/** Takes back all reclaimable engines of a zone, by default of the one that has most; none are to be had for a while. */
+function reclaimZone(world: World, fault: FaultOf<'reclaimZone'>): void {
+  const reclaimable = enginesWhere(
+    world,
+    ({ entry }) => entry.reclaimable && entry.state === ServerState.ready,
+  );
+  const countOf = (zone: string): number =>
+    reclaimable.filter(({ entry }) => entry.zone === zone).length;
+  const fullest = [...world.scene.zones].sort((a, b) => countOf(b) - countOf(a))[0];
+  const zone = fault.zone ?? fullest;
+  for (const server of reclaimable) {
+    if (server.entry.zone === zone) drainServer(world, server, fault.noticeS * 1000);
+  }
+  const dryUntilMs = world.queue.nowMs() + fault.dryS * 1000;
+  world.dryUntilMs = Math.max(world.dryUntilMs, dryUntilMs);
+}
+
+function crashEngines(world: World, fault: FaultOf<'crashEngines'>): void {
+  const engines = enginesWhere(world, ({ entry }) => entry.state === ServerState.ready);
+  for (const server of drawShare(world, engines, fault.share)) {
+    if (fault.silent) silenceServer(world, server);
+    else endServer(world, server);
+  }
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/index.ts
@@ -0,0 +1,8 @@
+/** A whole fleet of gateway boxes in one process under virtual time. */
+export * from './report/outcomes.js';
+export * from './report/sceneReport.js';
+export type { BrokenPromise, LogLine } from './report/sceneRecord.js';
+export * from './runScene.js';
+export type * from './scene/scene.js';
+export { readSceneFile, type SceneRead } from './scene/readSceneFile.js';
+export { validateScene, type SceneFault } from './scene/sceneValidation.js';
--- /dev/null
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -0,0 +1,227 @@
+/** Keeps what happens in a run: ends of requests, costs, and promises that were broken. */
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { CallerRequest } from '../callers/callerAttempt.js';
+import type { BatchEngine } from '../servers/batchEngine.js';
+import type { World } from '../world.js';
+import { nowMs } from '../world.js';
+import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
+import type { TimedAmount } from './slidingSum.js';
+
+/** Length of the spans by which ends are told, in s. */
+export const SPAN_S = 2;
+
+/** Greatest time that a histogram takes, in ms. */
+const GREATEST_MS = 60_000;
+
+/** A promise that was broken. */
+export interface BrokenPromise {
+  promise: string;
+  detail: string;
+}
+
+/** The record of a run. */
+export interface SceneRecord {
+  whole: Outcomes;
+  byClass: Map<string, Outcomes>;
+  byZone: Map<string, Outcomes>;
+  bySpan: Map<number, Outcomes>;
+  refusedBy: Map<string, number>;
+  failedBy: Map<string, number>;
+  firstEventMs: Map<string, Histogram>;
+  heldUnservedMs: Histogram;
+  /** Late streams by what made them late. */
+  lateByFirstEvent: number;
+  lateByGap: number;
+  /** Seconds of engines, by kind; the priced sum counts reclaimable ones by their share and zones by their price. */
+  engineSeconds: { onDemand: number; reclaimable: number; priced: number };
+  orders: number;
+  datagrams: number;
+  readTokens: number;
+  readSharedTokens: number;
+  /** Requests and repeats by service, units by workspace. */
+  requests: Map<string, TimedAmount[]>;
+  repeats: Map<string, TimedAmount[]>;
+  units: Map<string, TimedAmount[]>;
+  broken: BrokenPromise[];
+  logs: Map<string, number>;
+  /** Told of each log line, for a look at one run. */
+  onLog: (line: LogLine) => void;
+}
+
+/** A line of a box's log. */
+export interface LogLine {
+  /** World time from the first caller, in s. */
+  atS: number;
+  boxId: string;
+  event: string;
+  fields: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Returns an empty record. */
+export function createSceneRecord(): SceneRecord {
+  return {
+    whole: createOutcomes(),
+    byClass: new Map(),
+    byZone: new Map(),
+    bySpan: new Map(),
+    refusedBy: new Map(),
+    failedBy: new Map(),
+    firstEventMs: new Map(),
+    heldUnservedMs: createHistogram(),
+    lateByFirstEvent: 0,
+    lateByGap: 0,
+    engineSeconds: { onDemand: 0, reclaimable: 0, priced: 0 },
+    orders: 0,
+    datagrams: 0,
+    readTokens: 0,
+    readSharedTokens: 0,
+    requests: new Map(),
+    repeats: new Map(),
+    units: new Map(),
+    broken: [],
+    logs: new Map(),
+    onLog: () => undefined,
+  };
+}
+
+function createHistogram(): Histogram {
+  return build({ highestTrackableValue: GREATEST_MS, numberOfSignificantValueDigits: 2 });
+}
+
+/** The value of a key, made when it is missing. */
+function entryOf<K, V>(map: Map<K, V>, key: K, make: () => V): V {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const made = make();
+  map.set(key, made);
+  return made;
+}
+
+function countIn(map: Map<string, number>, key: string): void {
+  map.set(key, (map.get(key) ?? 0) + 1);
+}
+
+/** A request was made. */
+export function noteAsked(world: World, request: CallerRequest): void {
+  const list = entryOf(world.record.requests, request.spec.service, () => []);
+  list.push({ atMs: nowMs(world), amount: 1 });
+}
+
+/** A send reached a server that takes it. */
+export function noteArrival(world: World, request: CallerRequest, service: string): void {
+  request.arrivalsOfTry += 1;
+  if (request.arrivalsOfTry === 1) {
+    request.arrivedAtMs = nowMs(world);
+    return;
+  }
+  entryOf(world.record.repeats, service, () => []).push({ atMs: nowMs(world), amount: 1 });
+}
+
+/** A server began to run a request. */
+export function noteRun(world: World, request: CallerRequest): void {
+  request.runsOfTry += 1;
+  const { spec, facts, workspace } = request;
+  if (request.runsOfTry > 1) {
+    const mayRunAgain = spec.kind === 'repeatable' || (spec.kind === 'stream' && spec.resumable);
+    if (!mayRunAgain) noteBroken(world, 'atMostOnce', request);
+    return;
+  }
+  const { plainTokens } = world.scene.workspaces;
+  const tokens = facts.promptTokens;
+  const amount = tokens === undefined ? plainTokens : tokens + (facts.maxOutputTokens ?? 0);
+  const { arrivedAtMs: atMs } = request;
+  entryOf(world.record.units, workspace, () => []).push({ atMs, amount });
+}
+
+/** An event of a stream reached its caller. */
+export function noteEvent(world: World, request: CallerRequest, event: number): void {
+  if (event !== (request.lastEventId ?? 0) + 1) noteBroken(world, 'eventsInOrder', request);
+}
+
+/** A request was served. */
+export function noteAnswered(world: World, request: CallerRequest): void {
+  const { spec, startedAtMs, returnedAtMs } = request;
+  const firstAtMs = request.firstEventAtMs ?? nowMs(world);
+  const waitMs = firstAtMs - startedAtMs;
+  entryOf(world.record.firstEventMs, spec.name, createHistogram).recordValue(
+    Math.min(GREATEST_MS, Math.max(0, Math.round(waitMs))),
+  );
+  const sinceMs = returnedAtMs ?? startedAtMs;
+  const isFirstLate = firstAtMs - sinceMs > spec.targetMs;
+  const isGapLate = request.longestGapMs > (spec.gapTargetMs ?? Number.POSITIVE_INFINITY);
+  if (isFirstLate) world.record.lateByFirstEvent += 1;
+  else if (isGapLate) world.record.lateByGap += 1;
+  noteEnd(world, request, isFirstLate || isGapLate ? RequestEnd.late : RequestEnd.inTime);
+}
+
+/** A request ended with a promise that it has not run. */
+export function noteRefused(world: World, request: CallerRequest, reason: string): void {
+  countIn(world.record.refusedBy, reason);
+  noteHeld(world, request);
+  noteEnd(world, request, RequestEnd.refused);
+}
+
+/** A request ended without an answer or such a promise. */
+export function noteFailed(world: World, request: CallerRequest, reason: string): void {
+  const hasLeft = request.leavesEarly && reason === 'deadline';
+  if (!hasLeft) {
+    countIn(world.record.failedBy, reason);
+    noteHeld(world, request);
+  }
+  noteEnd(world, request, hasLeft ? RequestEnd.left : RequestEnd.failed);
+}
+
+function noteHeld(world: World, { heldSinceMs }: CallerRequest): void {
+  if (heldSinceMs === undefined) return;
+  const heldMs = Math.round(Math.max(0, nowMs(world) - heldSinceMs));
+  world.record.heldUnservedMs.recordValue(Math.min(GREATEST_MS, heldMs));
+}
+
+function noteEnd(world: World, request: CallerRequest, end: RequestEnd): void {
+  const { record, scene } = world;
+  const startedS = request.startedAtMs / 1000 - scene.leadS;
+  const span = Math.floor(startedS / SPAN_S) * SPAN_S;
+  addOutcome(record.whole, end, request);
+  addOutcome(entryOf(record.byClass, request.spec.name, createOutcomes), end, request);
+  addOutcome(entryOf(record.byZone, request.zone, createOutcomes), end, request);
+  addOutcome(entryOf(record.bySpan, span, createOutcomes), end, request);
+}
+
+/** A promise was broken. */
+export function noteBroken(world: World, promise: string, request: CallerRequest): void {
+  const detail = `${request.facts.requestId} (${request.spec.name})`;
+  world.record.broken.push({ promise, detail });
+}
+
+/** An engine stood, or was started, for a time. */
+export function noteEngineTime(
+  world: World,
+  engine: { service: string; zone: string; reclaimable: boolean },
+  ms: number,
+): void {
+  const { zones, zonePrices, services } = world.scene;
+  const { engineSeconds } = world.record;
+  const seconds = ms / 1000;
+  const spec = services.find(({ name }) => name === engine.service);
+  const priceShare = spec?.kind === 'engines' ? (spec.reclaimablePriceShare ?? 1) : 1;
+  const zonePrice = zonePrices[zones.indexOf(engine.zone) % zonePrices.length] ?? 1;
+  engineSeconds[engine.reclaimable ? 'reclaimable' : 'onDemand'] += seconds;
+  engineSeconds.priced += seconds * zonePrice * (engine.reclaimable ? priceShare : 1);
+}
+
+/** What an engine has read. */
+export function noteRead(world: World, engine: BatchEngine): void {
+  world.record.readTokens += engine.readTokens;
+  world.record.readSharedTokens += engine.readSharedTokens;
+}
+
+/** A line of a box's log. */
+export function noteLog(
+  world: World,
+  boxId: string,
+  event: string,
+  fields: LogLine['fields'],
+): void {
+  countIn(world.record.logs, event);
+  world.record.onLog({ atS: nowMs(world) / 1000 - world.scene.leadS, boxId, event, fields });
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -0,0 +1,140 @@
+/** The report of a run: what callers got, what it cost, what was broken. */
+import type { World } from '../world.js';
+import { earnedShare, type Outcomes } from './outcomes.js';
+import type { BrokenPromise } from './sceneRecord.js';
+import { greatestSum } from './slidingSum.js';
+
+/** Spans that count as the worst ones. */
+const WORST_SPANS = 2;
+/** Part of the mean requests of a span below which it says nothing. */
+const LEAST_OF_MEAN = 0.2;
+
+/** A share of a whole, and what made it. */
+export interface OutcomeRow extends Outcomes {
+  name: string;
+  share: number;
+}
+
+/** Everything that a run tells. */
+export interface SceneReport {
+  scene: string;
+  seed: number;
+  boxes: number;
+  /** Shares of the worth that callers got: over all, in the two worst spans, in the worst class and zone. */
+  earned: { whole: number; worstSpans: number; worstClass: number; worstZone: number };
+  whole: OutcomeRow;
+  byClass: OutcomeRow[];
+  byZone: OutcomeRow[];
+  bySpan: OutcomeRow[];
+  refusedBy: Record<string, number>;
+  failedBy: Record<string, number>;
+  lateByFirstEvent: number;
+  lateByGap: number;
+  /** Time to the first event or the answer, in ms, by class. */
+  firstEventMs: Record<string, { p50: number; p99: number }>;
+  /** How long requests were held that were not served, in ms. */
+  heldUnservedMs: { p50: number; p95: number };
+  engineSeconds: { onDemand: number; reclaimable: number; priced: number };
+  orders: number;
+  storeCalls: Record<string, number>;
+  datagramsPerBoxSecond: number;
+  readTokens: number;
+  readSharedTokens: number;
+  repeats: number;
+  /** Mean time of the reducer at a box, in ms a second. */
+  reducerMsPerBoxSecond: number;
+  broken: BrokenPromise[];
+  logs: Record<string, number>;
+}
+
+/** Sums a run up. */
+export function reportOf(world: World, seed: number): SceneReport {
+  const { record, scene } = world;
+  checkBounds(world);
+  const seconds = scene.leadS + scene.lengthS;
+  const rows = (map: ReadonlyMap<string | number, Outcomes>): OutcomeRow[] =>
+    [...map].map(([name, outcomes]) => rowOf(String(name), outcomes));
+  const byClass = rows(record.byClass);
+  const byZone = rows(record.byZone);
+  const bySpan = rows(record.bySpan).sort((a, b) => Number(a.name) - Number(b.name));
+  const boxes = world.boxes.size;
+  let reducerMs = 0;
+  for (const box of world.boxes.values()) reducerMs += box.reducerMs;
+  const repeats = [...record.repeats.values()].reduce((sum, list) => sum + list.length, 0);
+  return {
+    scene: scene.name,
+    seed,
+    boxes,
+    earned: {
+      whole: earnedShare(record.whole),
+      worstSpans: worstSpans(bySpan),
+      worstClass: Math.min(1, ...byClass.map(({ share }) => share)),
+      worstZone: Math.min(1, ...byZone.map(({ share }) => share)),
+    },
+    whole: rowOf('all', record.whole),
+    byClass,
+    byZone,
+    bySpan,
+    refusedBy: Object.fromEntries(record.refusedBy),
+    failedBy: Object.fromEntries(record.failedBy),
+    lateByFirstEvent: record.lateByFirstEvent,
+    lateByGap: record.lateByGap,
+    firstEventMs: Object.fromEntries(
+      [...record.firstEventMs].map(([name, times]) => [
+        name,
+        { p50: times.getValueAtPercentile(50), p99: times.getValueAtPercentile(99) },
+      ]),
+    ),
+    heldUnservedMs: {
+      p50: record.heldUnservedMs.getValueAtPercentile(50),
+      p95: record.heldUnservedMs.getValueAtPercentile(95),
+    },
+    engineSeconds: record.engineSeconds,
+    orders: record.orders,
+    storeCalls: Object.fromEntries(world.store.calls),
+    datagramsPerBoxSecond: record.datagrams / boxes / seconds,
+    readTokens: record.readTokens,
+    readSharedTokens: record.readSharedTokens,
+    repeats,
+    reducerMsPerBoxSecond: reducerMs / boxes / seconds,
+    broken: record.broken,
+    logs: Object.fromEntries(record.logs),
+  };
+}
+
+function rowOf(name: string, outcomes: Outcomes): OutcomeRow {
+  return { name, share: earnedShare(outcomes), ...outcomes };
+}
+
+function worstSpans(bySpan: readonly OutcomeRow[]): number {
+  const mean = bySpan.reduce((sum, { asked }) => sum + asked, 0) / Math.max(1, bySpan.length);
+  const full = bySpan.filter(({ asked }) => asked >= mean * LEAST_OF_MEAN);
+  const worst = full.map(({ share }) => share).sort((a, b) => a - b);
+  const taken = worst.slice(0, WORST_SPANS);
+  return taken.length === 0 ? 1 : taken.reduce((sum, share) => sum + share, 0) / taken.length;
+}
+
+/** Repeats against the users' budget, and units against the workspaces' limits, in any window. */
+function checkBounds(world: World): void {
+  const { record, scene } = world;
+  const { retryRatio, retrySlack, limitWindowMs, limitOverShare, limitSlackUnits } = scene.bounds;
+  for (const [service, repeats] of record.repeats) {
+    const requests = record.requests.get(service) ?? [];
+    const most = greatestSum(repeats, RETRY_WINDOW_MS);
+    const allowed = retryRatio * greatestSum(requests, RETRY_WINDOW_MS) + retrySlack;
+    if (most > allowed) breakBound(world, 'retryBudget', `${service}: ${most} of ${allowed}`);
+  }
+  for (const { name, ratePerSecond, burst } of world.workspaces) {
+    const most = greatestSum(record.units.get(name) ?? [], limitWindowMs);
+    const limit = (ratePerSecond * limitWindowMs) / 1000 + burst;
+    const allowed = limit * (1 + limitOverShare) + limitSlackUnits;
+    if (most > allowed) breakBound(world, 'limit', `${name}: ${most} of ${Math.round(allowed)}`);
+  }
+}
+
+/** The users' window of repeats, in ms. */
+const RETRY_WINDOW_MS = 10_000;
+
+function breakBound(world: World, promise: string, detail: string): void {
+  world.record.broken.push({ promise, detail });
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -0,0 +1,178 @@
+/** Runs a scene with one seed. */
+import {
+  LimitUnit,
+  RouteKind,
+  type Configuration,
+  type RouteSpec,
+  type ServiceSpec,
+  type WorkspaceSpec,
+} from 'reedlug-gateway';
+import { createEventQueue, createRandom } from 'reedlug-standins';
+import { startBox, type BoxPlace } from './boxes/virtualBox.js';
+import { startCallers } from './callers/callers.js';
+import {
+  keyOf,
+  meanUnits,
+  pathOf,
+  SCENE_HOST,
+  workspaceName,
+  workspaceShares,
+} from './callers/drawRequest.js';
+import { scheduleFaults } from './faults/applyFaults.js';
+import { createSceneRecord, type LogLine } from './report/sceneRecord.js';
+import { reportOf, type SceneReport } from './report/sceneReport.js';
+import type { Scene, SceneService } from './scene/scene.js';
+import { noteStanding, startServers } from './servers/serverPark.js';
+import { createVirtualStore } from './store/virtualStore.js';
+import type { World } from './world.js';
+
+/** Time after the last caller in which answers still come, in s: the longest deadline is near it. */
+const TAIL_S = 16;
+/** Processor time of the larger boxes and of the others, in cores; only the order of hubs depends on it. */
+const LARGER_CORES = 0.675;
+const USUAL_CORES = 0.324;
+/** Boxes start within this time, in ms. */
+const START_SPREAD_MS = 300;
+
+/** Runs a scene to its end. */
+export async function runScene(
+  scene: Scene,
+  seed: number,
+  onLog: (line: LogLine) => void = () => undefined,
+): Promise<SceneReport> {
+  const world = createWorld(scene, seed);
+  world.record.onLog = onLog;
+  const places = placesOf(scene);
+  for (const { id, host } of places) world.boxIdByHost.set(host, id);
+  world.store.putConfiguration(configurationOf(scene, world.workspaces));
+  startServers(world);
+  for (const place of places) {
+    world.queue.at(world.random.unit() * START_SPREAD_MS, () => startBox(world, place, 1));
+  }
+  startCallers(world, scheduleFaults(world, places));
+  const endsAtMs = (scene.leadS + scene.lengthS) * 1000;
+  await runUntil(world, endsAtMs);
+  noteStanding(world);
+  const { engineSeconds } = world.record;
+  const cost = { ...engineSeconds };
+  await runUntil(world, endsAtMs + TAIL_S * 1000);
+  world.record.engineSeconds = cost;
+  return reportOf(world, seed);
+}
+
+function createWorld(scene: Scene, seed: number): World {
+  const world: World = {
+    scene,
+    random: createRandom(seed),
+    queue: createEventQueue(),
+    boxes: new Map(),
+    servers: new Map(),
+    store: createVirtualStore(() => world),
+    record: createSceneRecord(),
+    cutZones: new Set(),
+    failShare: 0,
+    dryUntilMs: 0,
+    workspaces: workspacesOf(scene),
+    boxIdByHost: new Map(),
+    booting: new Map(),
+    numbers: { servers: 0, runs: 0, requests: 0 },
+    hasSettled: false,
+  };
+  return world;
+}
+
+/** Runs events in the order of their time; what awaits a settled promise goes on before the next one. */
+async function runUntil(world: World, untilMs: number): Promise<void> {
+  while (world.queue.runNext(untilMs)) {
+    if (!world.hasSettled) continue;
+    world.hasSettled = false;
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function placesOf(scene: Scene): BoxPlace[] {
+  return scene.zones.flatMap((zone, zoneIndex) =>
+    Array.from({ length: scene.boxesPerZone }, (_, index) => ({
+      id: `box-${zone}-${index + 1}`,
+      host: `10.${zoneIndex + 1}.${Math.floor(index / 250)}.${(index % 250) + 1}`,
+      zone,
+      processorCores: index < scene.largerBoxesPerZone ? LARGER_CORES : USUAL_CORES,
+    })),
+  );
+}
+
+/** A workspace may use so many times its usual units, and a second of them at once. */
+function workspacesOf(scene: Scene): WorkspaceSpec[] {
+  const { count, limitOverUsual, plainTokens } = scene.workspaces;
+  const unitsPerSecond = meanUnits(scene) * scene.callers.perSecond;
+  return workspaceShares(count).map((share, index) => {
+    const ratePerSecond = Math.round(unitsPerSecond * share * limitOverUsual);
+    return {
+      name: workspaceName(index),
+      keys: [keyOf(workspaceName(index))],
+      priority: undefined,
+      unit: LimitUnit.tokens,
+      plainTokens,
+      ratePerSecond,
+      burst: ratePerSecond,
+    };
+  });
+}
+
+function configurationOf(scene: Scene, workspaces: readonly WorkspaceSpec[]): Configuration {
+  const kinds = {
+    repeatable: RouteKind.repeatable,
+    nonRepeatable: RouteKind.nonRepeatable,
+    stream: RouteKind.stream,
+  } as const;
+  const routes = scene.classes.map((spec): RouteSpec => ({
+    name: spec.name,
+    host: SCENE_HOST,
+    pathPrefix: pathOf(spec.name),
+    kind: kinds[spec.kind],
+    timeoutMs: spec.deadlineMs,
+    targetMs: spec.targetMs,
+    gapTargetMs: spec.gapTargetMs,
+    priority: spec.priority,
+    targets: [{ service: spec.service, weight: 1 }],
+    maxAttempts: spec.maxAttempts,
+    isPublic: false,
+    resumable: spec.resumable,
+  }));
+  return {
+    version: 1,
+    routes,
+    services: scene.services.map((service) => serviceOf(scene, service)),
+    workspaces,
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+function serviceOf(scene: Scene, service: SceneService): ServiceSpec {
+  const { name } = service;
+  if (service.kind === 'plain') {
+    return { name, maxConnections: 1200, engine: undefined, scaling: undefined };
+  }
+  const { slots, kvTokens } = service.engine;
+  const { zones, zonePrices } = scene;
+  return {
+    name,
+    maxConnections: 1400,
+    engine: { slots, kvCapacityTokens: kvTokens },
+    scaling: {
+      minPerZone: 1,
+      maxPerZone: service.maxPerZone,
+      bootMs: service.bootMs,
+      reclaimablePriceShare: service.reclaimablePriceShare,
+      zonePrices: zones.map((zone, index) => ({
+        zone,
+        price: zonePrices[index % zonePrices.length] ?? 1,
+      })),
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/scene/readSceneFile.ts
@@ -0,0 +1,54 @@
+/** Reads a scene's file; a scene may extend another one, whose fields it replaces whole. */
+import { readFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import { parseDocument } from 'yaml';
+import type { Scene } from './scene.js';
+import { validateScene, type SceneFault } from './sceneValidation.js';
+
+/** Scenes that extend each other at most; more are a circle. */
+const MAX_DEPTH = 5;
+
+/** A scene, or everything that is wrong with its file. */
+export type SceneRead = { kind: 'scene'; scene: Scene } | { kind: 'faulty'; faults: SceneFault[] };
+
+/** Reads and checks a scene's file. */
+export function readSceneFile(path: string): SceneRead {
+  const text = readText(path);
+  if (text.kind === 'faulty') return text;
+  const base = readBase(path, text.text, 1);
+  if (base.kind === 'faulty') return base;
+  return validateScene(text.text, base.fields);
+}
+
+function readText(
+  path: string,
+): { kind: 'text'; text: string } | { kind: 'faulty'; faults: SceneFault[] } {
+  try {
+    return { kind: 'text', text: readFileSync(path, 'utf8') };
+  } catch (error) {
+    return faulty(`cannot be read: ${(error as Error).message}`);
+  }
+}
+
+/** Fields of the scenes that a text extends, the nearest first. */
+function readBase(
+  path: string,
+  text: string,
+  depth: number,
+): { kind: 'fields'; fields: Record<string, unknown> } | { kind: 'faulty'; faults: SceneFault[] } {
+  const named = (parseDocument(text).toJS() as { extends?: unknown } | null)?.extends;
+  if (named === undefined) return { kind: 'fields', fields: {} };
+  if (typeof named !== 'string') return faulty('`extends` names a file');
+  if (depth > MAX_DEPTH) return faulty(`${named}: scenes extend each other in a circle`);
+  const basePath = join(dirname(path), named);
+  const base = readText(basePath);
+  if (base.kind === 'faulty') return base;
+  const further = readBase(basePath, base.text, depth + 1);
+  if (further.kind === 'faulty') return further;
+  const own = parseDocument(base.text).toJS() as Record<string, unknown>;
+  return { kind: 'fields', fields: { ...further.fields, ...own } };
+}
+
+function faulty(message: string): { kind: 'faulty'; faults: SceneFault[] } {
+  return { kind: 'faulty', faults: [{ line: 1, field: '', message }] };
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -0,0 +1,244 @@
+/** Checks a scene's file and tells all of its faults with their lines. */
+import { LineCounter, parseDocument } from 'yaml';
+import { z } from 'zod';
+import type { Scene } from './scene.js';
+
+const positive = z.number().positive();
+const notNegative = z.number().min(0);
+const share = z.number().min(0).max(1);
+const count = z.number().int().positive();
+const size = z.strictObject({ mean: positive, spread: notNegative.default(0) });
+
+const engineSchema = z.strictObject({
+  slots: count,
+  queue: count.default(100),
+  kvTokens: count,
+  stepMs: positive,
+  stepMsPerRun: notNegative.default(0),
+  readTokensPerMs: positive,
+  readMsPerMillionPairs: notNegative.default(0),
+  chunkTokens: count.default(2048),
+  tokensPerEvent: count.default(1),
+  firstMs: notNegative.default(0),
+});
+
+const serviceSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('engines'),
+    name: z.string().min(1),
+    /** On-demand engines at the start, in each zone. */
+    perZone: count,
+    engine: engineSchema,
+    bootMs: positive,
+    maxPerZone: count,
+    reclaimablePriceShare: z.number().positive().max(1).optional(),
+    heartbeatMs: positive.default(1200),
+  }),
+  z.strictObject({
+    kind: z.literal('plain'),
+    name: z.string().min(1),
+    perZone: count,
+    slots: count,
+    queue: z.number().int().min(0).default(24),
+  }),
+]);
+
+const classSchema = z.strictObject({
+  name: z.string().min(1),
+  service: z.string().min(1),
+  kind: z.enum(['repeatable', 'nonRepeatable', 'stream']),
+  resumable: z.boolean().default(false),
+  /** Relative to the other classes. */
+  weight: positive,
+  worth: positive.default(1),
+  lateWorthShare: share.default(0.1),
+  targetMs: positive,
+  gapTargetMs: positive.optional(),
+  deadlineMs: positive,
+  priority: z.number().int().min(0).default(0),
+  maxAttempts: count.default(1),
+  retries: z.number().int().min(0).default(1),
+  /** Parts of the prompt that others share, in order: how many there are of each, and how long they are. */
+  sharedParts: z.array(z.strictObject({ tokens: size, things: count })).default([]),
+  ownTokens: size.optional(),
+  events: size.optional(),
+  workMs: size.optional(),
+});
+
+const at = { atS: notNegative };
+const span = { ...at, forS: positive };
+const faultSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('killBoxes'), ...at, share, downS: positive }),
+  z.strictObject({ kind: z.literal('rollBoxes'), ...at, share, gapS: positive }),
+  z.strictObject({ kind: z.literal('cutZone'), ...span, zone: z.string() }),
+  z.strictObject({
+    kind: z.literal('reclaimZone'),
+    ...at,
+    noticeS: positive,
+    dryS: notNegative,
+    zone: z.string().optional(),
+  }),
+  z.strictObject({ kind: z.literal('crashEngines'), ...at, share, silent: z.boolean() }),
+  z.strictObject({ kind: z.literal('failRequests'), ...span, share }),
+  z.strictObject({
+    kind: z.literal('burst'),
+    ...span,
+    factor: positive,
+    class: z.string().optional(),
+  }),
+  z.strictObject({ kind: z.literal('hotWorkspace'), ...span, factor: positive }),
+  z.strictObject({ kind: z.literal('storeAway'), ...span }),
+  z.strictObject({ kind: z.literal('callersLeave'), ...span, share }),
+]);
+
+const sceneSchema = z.strictObject({
+  name: z.string().min(1),
+  /** From the first caller to the end, and from the start of the boxes to the first caller. */
+  lengthS: positive,
+  leadS: notNegative,
+  zones: z.array(z.string().min(1)).min(1),
+  /** Price of an engine-second by zone, in turn. */
+  zonePrices: z.array(positive).min(1),
+  boxesPerZone: count,
+  /** Boxes with more processor time in each zone, the first ones. */
+  largerBoxesPerZone: z.number().int().min(0).default(0),
+  /** From the start of a box's process until it listens. */
+  boxStartMs: positive,
+  network: z.strictObject({
+    sameZoneMs: notNegative,
+    otherZoneMs: notNegative,
+    callerMs: notNegative,
+    datagramLossShare: share.default(0),
+  }),
+  storeAnswerMs: positive,
+  bounds: z.strictObject({
+    configurationMs: positive,
+    drainMs: positive,
+    graceMs: positive,
+    retryRatio: notNegative,
+    retrySlack: notNegative,
+    limitWindowMs: positive,
+    limitOverShare: notNegative,
+    limitSlackUnits: notNegative,
+    leaseMs: positive,
+    usageWindowMs: notNegative,
+    usageDueMs: notNegative,
+  }),
+  services: z.array(serviceSchema).min(1),
+  callers: z.strictObject({
+    perSecond: positive,
+    /** Callers come in clumps of so many on the mean. */
+    clump: positive.default(1),
+    /** The rate goes up and down by this share. */
+    swing: share.default(0),
+    swingPeriodS: positive.default(40),
+  }),
+  workspaces: z.strictObject({
+    count,
+    /** A workspace's limit over its usual units. */
+    limitOverUsual: positive,
+    plainTokens: count.default(200),
+  }),
+  classes: z.array(classSchema).min(1),
+  faults: z.array(faultSchema).default([]),
+});
+
+/** A scene as its file gives it, with defaults filled in. */
+export type SceneShape = z.output<typeof sceneSchema>;
+
+/** A fault of a scene's file. */
+export interface SceneFault {
+  /** Line in the file, from 1; 0 where none is known. */
+  line: number;
+  /** Path of the field, by dots. */
+  field: string;
+  message: string;
+}
+
+/**
+ * Reads a scene; tells every fault that is found, not only the first.
+ * Fields that the text lacks come from `base`.
+ */
+export function validateScene(
+  text: string,
+  base: Readonly<Record<string, unknown>> = {},
+): { kind: 'scene'; scene: Scene } | { kind: 'faulty'; faults: SceneFault[] } {
+  const lines = new LineCounter();
+  const document = parseDocument(text, { lineCounter: lines });
+  if (document.errors.length > 0) {
+    const faults = document.errors.map(({ message, pos }) => {
+      return { line: lines.linePos(pos[0]).line, field: '', message: firstLine(message) };
+    });
+    return { kind: 'faulty', faults };
+  }
+  const lineOf = (path: readonly PropertyKey[]): number => {
+    for (let length = path.length; length > 0; length -= 1) {
+      const node: unknown = document.getIn(path.slice(0, length), true);
+      const range = (node as { range?: [number, number, number] | null } | undefined)?.range;
+      if (range) return lines.linePos(range[0]).line;
+    }
+    return 1;
+  };
+  const own = (document.toJS() ?? {}) as Record<string, unknown>;
+  const fields = Object.entries({ ...base, ...own }).filter(([name]) => name !== 'extends');
+  const read = sceneSchema.safeParse(Object.fromEntries(fields));
+  if (!read.success) {
+    const faults = read.error.issues.map(({ path, message }) => {
+      return { line: lineOf(path), field: path.map(String).join('.'), message };
+    });
+    return { kind: 'faulty', faults };
+  }
+  const faults = crossFaults(read.data).map(({ path, message }) => {
+    return { line: lineOf(path), field: path.map(String).join('.'), message };
+  });
+  return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'scene', scene: read.data };
+}
+
+function firstLine(message: string): string {
+  return message.split('\n')[0] ?? message;
+}
+
+interface CrossFault {
+  path: (string | number)[];
+  message: string;
+}
+
+/** Faults between fields: names that nothing has, and parts that a kind of request needs. */
+function crossFaults(scene: SceneShape): CrossFault[] {
+  const faults: CrossFault[] = [];
+  const kinds = new Map(scene.services.map(({ name, kind }) => [name, kind]));
+  scene.classes.forEach((spec, index) => {
+    const path = ['classes', index];
+    const kind = kinds.get(spec.service);
+    const known = [...kinds.keys()].join(', ');
+    if (kind === undefined) {
+      faults.push({
+        path: [...path, 'service'],
+        message: `no service ${spec.service}: one of ${known}`,
+      });
+    }
+    if (spec.kind === 'stream' && (spec.events === undefined || spec.ownTokens === undefined)) {
+      faults.push({ path, message: 'a stream needs `events` and `ownTokens`' });
+    }
+    if (spec.kind !== 'stream' && spec.workMs === undefined) {
+      faults.push({ path, message: 'a plain request needs `workMs`' });
+    }
+    if (kind !== undefined && (spec.kind === 'stream') !== (kind === 'engines')) {
+      faults.push({
+        path: [...path, 'kind'],
+        message: 'streams go to engines, plain requests to plain services',
+      });
+    }
+  });
+  scene.faults.forEach((fault, index) => {
+    const path = ['faults', index];
+    if ('zone' in fault && fault.zone !== undefined && !scene.zones.includes(fault.zone)) {
+      faults.push({ path: [...path, 'zone'], message: `no zone ${fault.zone}` });
+    }
+    if (fault.kind !== 'burst' || fault.class === undefined) return;
+    if (!scene.classes.some(({ name }) => name === fault.class)) {
+      faults.push({ path: [...path, 'class'], message: `no class ${fault.class}` });
+    }
+  });
+  return faults;
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/servers/batchEngine.ts
@@ -0,0 +1,188 @@
+/**
+ * A model engine that works in steps: each step reads a chunk of the prompts that
+ * are not read yet, the most urgent first, and makes a token of every request
+ * whose prompt is read. What runs beside a long prompt waits for its chunks.
+ */
+import type { PromptPart } from 'reedlug-gateway';
+import type { EngineFigures } from '../scene/scene.js';
+import {
+  createPromptCache,
+  keepParts,
+  keptTokens,
+  makeRoom,
+  type PromptCache,
+} from './promptCache.js';
+
+/** A request as an engine gets it. */
+export interface EngineRun {
+  runId: number;
+  urgency: number;
+  parts: readonly PromptPart[];
+  /** Events that the caller has already. */
+  fromEvent: number;
+  /** Events of the whole answer. */
+  events: number;
+  /** What comes of it. */
+  onEvent: (event: number, isLast: boolean) => void;
+  /** The engine was full, or leaves: it has not run. */
+  onRejected: () => void;
+}
+
+interface LiveRun {
+  run: EngineRun;
+  order: number;
+  promptTokens: number;
+  /** Prompt tokens still to be read, once it is admitted. */
+  readLeft: number;
+  /** Tokens made, those of events that the caller has included. */
+  made: number;
+  notBeforeMs: number;
+}
+
+/** One engine's work. */
+export interface BatchEngine {
+  figures: EngineFigures;
+  waiting: LiveRun[];
+  running: LiveRun[];
+  cache: PromptCache;
+  /** End of the step in progress; undefined while idle. */
+  stepEndsAtMs: number | undefined;
+  nextOrder: number;
+  /** Prompt tokens read, and those of shared parts among them. */
+  readTokens: number;
+  readSharedTokens: number;
+}
+
+/** Returns an idle engine. */
+export function createBatchEngine(figures: EngineFigures): BatchEngine {
+  return {
+    figures,
+    waiting: [],
+    running: [],
+    cache: createPromptCache(),
+    stepEndsAtMs: undefined,
+    nextOrder: 1,
+    readTokens: 0,
+    readSharedTokens: 0,
+  };
+}
+
+/** Takes a request; the engine's next step may have to be scheduled after it. */
+export function submitRun(engine: BatchEngine, run: EngineRun, nowMs: number): void {
+  if (engine.waiting.length >= engine.figures.queue) return run.onRejected();
+  const promptTokens = run.parts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const made = run.fromEvent * engine.figures.tokensPerEvent;
+  const live: LiveRun = {
+    run,
+    order: engine.nextOrder,
+    promptTokens,
+    readLeft: 0,
+    made,
+    notBeforeMs: nowMs + engine.figures.firstMs,
+  };
+  engine.nextOrder += 1;
+  insertByUrgency(engine.waiting, live);
+  if (engine.stepEndsAtMs === undefined) startStep(engine, nowMs);
+}
+
+function insertByUrgency(runs: LiveRun[], live: LiveRun): void {
+  const index = runs.findIndex((other) => isAhead(live, other));
+  if (index < 0) runs.push(live);
+  else runs.splice(index, 0, live);
+}
+
+function isAhead(a: LiveRun, b: LiveRun): boolean {
+  return a.run.urgency !== b.run.urgency ? a.run.urgency < b.run.urgency : a.order < b.order;
+}
+
+/** Stops a request; false when it is not here. */
+export function stopRun(engine: BatchEngine, runId: number): boolean {
+  for (const runs of [engine.waiting, engine.running]) {
+    const index = runs.findIndex(({ run }) => run.runId === runId);
+    if (index < 0) continue;
+    runs.splice(index, 1);
+    return true;
+  }
+  return false;
+}
+
+/** Ends the step that is due and starts the next one. */
+export function finishStep(engine: BatchEngine, nowMs: number): void {
+  const ready = engine.running.filter((live) => live.readLeft === 0 && live.notBeforeMs <= nowMs);
+  for (const live of ready) makeToken(engine, live);
+  startStep(engine, nowMs);
+}
+
+function makeToken(engine: BatchEngine, live: LiveRun): void {
+  const { tokensPerEvent } = engine.figures;
+  live.made += 1;
+  if (live.made % tokensPerEvent !== 0) return;
+  const event = live.made / tokensPerEvent;
+  const isLast = event >= live.run.events;
+  if (isLast) stopRun(engine, live.run.runId);
+  live.run.onEvent(event, isLast);
+}
+
+/** Admits what fits, reads a chunk and sets the end of the step. */
+function startStep(engine: BatchEngine, nowMs: number): void {
+  admit(engine);
+  if (engine.running.length === 0) {
+    engine.stepEndsAtMs = undefined;
+    return;
+  }
+  engine.stepEndsAtMs = nowMs + stepMs(engine);
+}
+
+function admit(engine: BatchEngine): void {
+  const { slots, kvTokens } = engine.figures;
+  while (engine.running.length < slots) {
+    const next = engine.waiting[0];
+    if (next === undefined) return;
+    const needed = next.promptTokens + next.made;
+    if (engine.running.length > 0 && usedTokens(engine) + needed > kvTokens) return;
+    engine.waiting.shift();
+    const kept = keptTokens(engine.cache, next.run.parts.slice(0, -1));
+    next.readLeft = Math.max(1, needed - kept);
+    const shared = next.promptTokens - (next.run.parts.at(-1)?.tokens ?? 0);
+    engine.readSharedTokens += Math.max(0, shared - kept);
+    insertByUrgency(engine.running, next);
+    makeRoom(engine.cache, Math.max(0, kvTokens - usedTokens(engine)));
+  }
+}
+
+/** Memory of the requests that run, without the parts that others share. */
+function usedTokens(engine: BatchEngine): number {
+  return engine.running.reduce(
+    (sum, { run, made }) => sum + (run.parts.at(-1)?.tokens ?? 0) + made,
+    0,
+  );
+}
+
+/** Reads a chunk, the most urgent prompts first; gives the time that the step takes. */
+function stepMs(engine: BatchEngine): number {
+  const { figures, running } = engine;
+  let left = figures.chunkTokens;
+  let pairs = 0;
+  for (const live of running) {
+    if (left === 0) break;
+    if (live.readLeft === 0) continue;
+    const tokens = Math.min(left, live.readLeft);
+    pairs += tokens * (live.promptTokens - live.readLeft + tokens / 2);
+    live.readLeft -= tokens;
+    left -= tokens;
+    if (live.readLeft === 0) keepRead(engine, live);
+  }
+  const tokens = figures.chunkTokens - left;
+  engine.readTokens += tokens;
+  return (
+    figures.stepMs +
+    figures.stepMsPerRun * running.length +
+    tokens / figures.readTokensPerMs +
+    (Math.max(0, pairs) / 1e6) * figures.readMsPerMillionPairs
+  );
+}
+
+function keepRead(engine: BatchEngine, live: LiveRun): void {
+  const room = Math.max(0, engine.figures.kvTokens - usedTokens(engine));
+  keepParts(engine.cache, live.run.parts.slice(0, -1), room);
+}
--- /dev/null
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -0,0 +1,227 @@
+/**
+ * The servers of a world: engines and plain ones, their entries in the registry,
+ * orders of engines, and what becomes of requests when a server goes.
+ */
+import { ServerState, type CloudCall, type CloudOutcome, type ServerEntry } from 'reedlug-gateway';
+import { noteEngineTime, noteRead } from '../report/sceneRecord.js';
+import { areCut, later, nowMs, takeNumber, type World } from '../world.js';
+import type { EngineService, PlainService } from '../scene/scene.js';
+import { createBatchEngine, finishStep, submitRun, type BatchEngine } from './batchEngine.js';
+import { createPlainServer, type PlainServer } from './plainServer.js';
+
+/** Port of every server; addresses differ by their host. */
+const SERVER_PORT = 8509;
+/** Time from an engine's start until its first entry in the registry at most: a heartbeat. */
+const ENTRY_DELAY_SHARE = 1;
+
+/** What a server works with. */
+export type ServerWork =
+  { kind: 'engine'; engine: BatchEngine } | { kind: 'plain'; server: PlainServer };
+
+/** A server of the world. */
+export interface VirtualServer {
+  entry: ServerEntry;
+  work: ServerWork;
+  startedAtMs: number;
+  /** Says nothing and takes nothing any more. */
+  isSilent: boolean;
+  /** Told when it ends while requests are open, by run. */
+  openRuns: Map<number, () => void>;
+}
+
+/** Starts the servers that stand at the beginning. */
+export function startServers(world: World): void {
+  for (const service of world.scene.services) {
+    for (const zone of world.scene.zones) {
+      for (let index = 0; index < service.perZone; index += 1) {
+        if (service.kind === 'plain') startPlain(world, service, zone);
+        else startEngine(world, service, zone, false);
+      }
+    }
+  }
+}
+
+function startPlain(world: World, service: PlainService, zone: string): void {
+  const schedule = (ms: number, run: () => void): void => later(world, ms, run);
+  const server = createPlainServer({ slots: service.slots, queue: service.queue, schedule });
+  addServer(world, service.name, zone, service.slots, false, { kind: 'plain', server });
+}
+
+function startEngine(
+  world: World,
+  service: EngineService,
+  zone: string,
+  reclaimable: boolean,
+): void {
+  const engine = createBatchEngine(service.engine);
+  const work: ServerWork = { kind: 'engine', engine };
+  addServer(world, service.name, zone, service.engine.slots, reclaimable, work);
+}
+
+function addServer(
+  world: World,
+  service: string,
+  zone: string,
+  slots: number,
+  reclaimable: boolean,
+  work: ServerWork,
+): void {
+  const number = takeNumber(world, 'servers');
+  const entry: ServerEntry = {
+    id: `server-${number}`,
+    service,
+    address: { host: `10.9.${Math.floor(number / 250)}.${number % 250}`, port: SERVER_PORT },
+    zone,
+    slots,
+    state: ServerState.ready,
+    reclaimable,
+    leavesInMs: undefined,
+  };
+  const server: VirtualServer = {
+    entry,
+    work,
+    startedAtMs: nowMs(world),
+    isSilent: false,
+    openRuns: new Map(),
+  };
+  world.servers.set(entry.id, server);
+  const heartbeatMs = heartbeatOf(world, service);
+  later(world, world.random.unit() * heartbeatMs * ENTRY_DELAY_SHARE, () => {
+    if (world.servers.has(entry.id)) world.store.putServer(server.entry);
+  });
+}
+
+function heartbeatOf(world: World, name: string): number {
+  const service = world.scene.services.find((known) => known.name === name);
+  return service?.kind === 'engines' ? service.heartbeatMs : 0;
+}
+
+/** Engines of one kind in a zone that do not leave. */
+function enginesOf(
+  world: World,
+  params: { service: string; zone: string; reclaimable: boolean },
+): VirtualServer[] {
+  return [...world.servers.values()].filter(
+    ({ entry }) =>
+      entry.service === params.service &&
+      entry.zone === params.zone &&
+      entry.reclaimable === params.reclaimable &&
+      entry.state === ServerState.ready,
+  );
+}
+
+/** Engines of one kind in a zone that were ordered and have not come yet. */
+function bootingOf(
+  world: World,
+  { service, zone, reclaimable }: { service: string; zone: string; reclaimable: boolean },
+): { booting: number } {
+  const key = `${service} ${zone} ${String(reclaimable)}`;
+  const known = world.booting.get(key) ?? { booting: 0 };
+  world.booting.set(key, known);
+  return known;
+}
+
+/** Carries out an order of engines or takes a report. */
+export function takeCloudCall(world: World, call: CloudCall): CloudOutcome {
+  if (call.kind === 'reportUsage') return 'done';
+  const service = world.scene.services.find(({ name }) => name === call.service);
+  if (service?.kind !== 'engines') return 'refused';
+  world.record.orders += 1;
+  const ordered = bootingOf(world, call);
+  const there = enginesOf(world, call);
+  const missing = call.wanted - there.length - ordered.booting;
+  if (missing <= 0) {
+    // The ones that came last go first.
+    for (const server of there.slice(call.wanted)) drainServer(world, server, 0);
+    return 'done';
+  }
+  if (call.reclaimable && nowMs(world) < world.dryUntilMs) return 'refused';
+  ordered.booting += missing;
+  for (let index = 0; index < missing; index += 1) {
+    const orderedAtMs = nowMs(world);
+    later(world, service.bootMs, () => {
+      ordered.booting -= 1;
+      noteEngineTime(world, call, nowMs(world) - orderedAtMs);
+      startEngine(world, service, call.zone, call.reclaimable);
+    });
+  }
+  return 'done';
+}
+
+/** Says that a server leaves; it ends after the notice, or as soon as it is idle when there is none. */
+export function drainServer(world: World, server: VirtualServer, noticeMs: number): void {
+  const leavesInMs = noticeMs > 0 ? noticeMs : undefined;
+  server.entry = { ...server.entry, state: ServerState.leaving, leavesInMs };
+  world.store.putServer(server.entry);
+  const { drainMs } = world.scene.bounds;
+  const endsAtMs = nowMs(world) + (noticeMs > 0 ? noticeMs : drainMs);
+  later(world, endsAtMs - nowMs(world), () => endWhenIdle(world, server, noticeMs > 0));
+}
+
+function endWhenIdle(world: World, server: VirtualServer, isForced: boolean): void {
+  if (isForced || server.openRuns.size === 0) return endServer(world, server);
+  later(world, IDLE_CHECK_MS, () => endWhenIdle(world, server, false));
+}
+
+/** Pause between looks whether a leaving server is idle, in ms. */
+const IDLE_CHECK_MS = 200;
+
+/** Ends a server; the boxes whose requests are open there see their connections reset. */
+export function endServer(world: World, server: VirtualServer): void {
+  if (!world.servers.delete(server.entry.id)) return;
+  noteLife(world, server);
+  world.store.removeServer(server.entry.id);
+  for (const lose of [...server.openRuns.values()]) lose();
+  server.openRuns.clear();
+}
+
+/** A server goes without a word: its entry lapses after three heartbeats, and connections to it hang. */
+export function silenceServer(world: World, server: VirtualServer): void {
+  server.isSilent = true;
+  const lapsesInMs = LAPSE_HEARTBEATS * heartbeatOf(world, server.entry.service);
+  later(world, lapsesInMs, () => {
+    if (!world.servers.delete(server.entry.id)) return;
+    noteLife(world, server);
+    world.store.removeServer(server.entry.id);
+  });
+}
+
+/** Heartbeats without which an entry of the registry goes. */
+const LAPSE_HEARTBEATS = 3;
+
+/** Notes what the engines that still stand have cost. */
+export function noteStanding(world: World): void {
+  for (const server of world.servers.values()) noteLife(world, server);
+}
+
+function noteLife(world: World, { entry, work, startedAtMs }: VirtualServer): void {
+  if (work.kind !== 'engine') return;
+  const { service, zone, reclaimable } = entry;
+  noteEngineTime(world, { service, zone, reclaimable }, nowMs(world) - startedAtMs);
+  noteRead(world, work.engine);
+}
+
+/** Whether a box in a zone gets through to a server. */
+export function reaches(world: World, zone: string, server: VirtualServer): boolean {
+  return !server.isSilent && !areCut(world, zone, server.entry.zone);
+}
+
+/** Hands a request to an engine and lets the engine work. */
+export function submitToEngine(
+  world: World,
+  engine: BatchEngine,
+  run: Parameters<typeof submitRun>[1],
+): void {
+  const wasIdle = engine.stepEndsAtMs === undefined;
+  submitRun(engine, run, nowMs(world));
+  if (wasIdle) scheduleStep(world, engine);
+}
+
+function scheduleStep(world: World, engine: BatchEngine): void {
+  const endsAtMs = engine.stepEndsAtMs;
+  if (endsAtMs === undefined) return;
+  world.queue.at(endsAtMs, () => {
+    finishStep(engine, nowMs(world));
+    scheduleStep(world, engine);
+  });
+}
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -9,6 +9,7 @@
 import { ConfirmCommand, PlanCommand, PlansCommand, UndoCommand } from './commands/plan.js';
 import { ReplayCommand } from './commands/replay.js';
 import { HashKeyCommand, SettingsCheckCommand } from './commands/settingsCheck.js';
+import { SimulateCommand } from './commands/simulate.js';
 import { SoakCommand } from './commands/soak.js';
 import { HistogramsCommand, StatusCommand } from './commands/status.js';
 import { VERSION, VersionCommand } from './commands/version.js';
@@ -32,6 +33,7 @@
     UndoCommand,
     ReplayCommand,
     SettingsCheckCommand,
+    SimulateCommand,
     SoakCommand,
     StatusCommand,
     VersionCommand,
--- /dev/null
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -0,0 +1,77 @@
+/** `reedlug simulate`: a whole fleet in one process under virtual time. */
+import { readFileSync } from 'node:fs';
+import { Command, Option } from 'clipanion';
+import { readSceneFile, runScene, type Scene, type SceneReport } from 'reedlug-simulator';
+import { parseSeedRange } from './seedRange.js';
+import { comparisonLines, reportLines } from './simulateReport.js';
+
+/** Exits 0 when no promise was broken. */
+export class SimulateCommand extends Command {
+  static override paths = [['simulate']];
+  static override usage = Command.Usage({
+    description: 'Run a scene: boxes, servers, store, callers and faults under virtual time',
+    details: 'The boxes run the same decisions as in service; the same seed gives the same run.',
+    examples: [
+      ['A quiet day of a large fleet', 'reedlug simulate scenes/large.yaml'],
+      [
+        'Three seeds against an earlier run',
+        'reedlug simulate scenes/large.yaml --seeds 1-3 --compare before.json',
+      ],
+    ],
+  });
+
+  file = Option.String({ name: 'scene', required: true });
+  seeds = Option.String('--seeds', '1', { description: 'One seed, or a range such as 1-8' });
+  json = Option.Boolean('--json', false, { description: 'Print the reports as one JSON list' });
+  compare = Option.String('--compare', {
+    description: 'A file that --json gave: prints both side by side',
+  });
+  logs = Option.String('--log', { description: 'Events to print, by commas, or all' });
+
+  override async execute(): Promise<number> {
+    const seeds = parseSeedRange(this.seeds);
+    if (seeds === undefined) return this.fail('--seeds must be like 1-8');
+    const scene = this.readScene();
+    if (scene === undefined) return 1;
+    const reports: SceneReport[] = [];
+    for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
+      reports.push(await runScene(scene, seed, (line) => this.printLog(line)));
+    }
+    this.context.stdout.write(`${this.linesOf(reports).join('\n')}\n`);
+    return reports.every(({ broken }) => broken.length === 0) ? 0 : 1;
+  }
+
+  private linesOf(reports: readonly SceneReport[]): string[] {
+    if (this.json) return [JSON.stringify(reports)];
+    if (this.compare === undefined) return reportLines(reports);
+    const before = JSON.parse(readFileSync(this.compare, 'utf8')) as SceneReport[];
+    return comparisonLines(before, reports);
+  }
+
+  private readScene(): Scene | undefined {
+    const read = readSceneFile(this.file);
+    if (read.kind === 'scene') return read.scene;
+    for (const { line, field, message } of read.faults) {
+      this.fail(`${this.file}:${line} ${field} ${message}`);
+    }
+    return undefined;
+  }
+
+  private printLog(line: {
+    atS: number;
+    boxId: string;
+    event: string;
+    fields: Readonly<Record<string, unknown>>;
+  }): void {
+    const wanted = this.logs?.split(',');
+    if (wanted === undefined || !(wanted.includes('all') || wanted.includes(line.event))) return;
+    const pairs = Object.entries(line.fields).map(([name, value]) => `${name}=${String(value)}`);
+    const head = `${line.atS.toFixed(3)} ${line.boxId} event=${line.event}`;
+    this.context.stderr.write(`${head} ${pairs.join(' ')}\n`);
+  }
+
+  private fail(message: string): number {
+    this.context.stderr.write(`${message}\n`);
+    return 1;
+  }
+}
--- /dev/null
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -0,0 +1,141 @@
+/** Text of the reports of a simulation. */
+import type { OutcomeRow, SceneReport } from 'reedlug-simulator';
+import { table } from './textTable.js';
+
+/** A figure of a report, by which runs are compared. */
+interface Figure {
+  name: string;
+  of: (report: SceneReport) => number;
+  digits: number;
+}
+
+const FIGURES: readonly Figure[] = [
+  { name: 'earned, whole', of: ({ earned }) => earned.whole, digits: 3 },
+  { name: 'earned, worst spans', of: ({ earned }) => earned.worstSpans, digits: 3 },
+  { name: 'earned, worst class', of: ({ earned }) => earned.worstClass, digits: 3 },
+  { name: 'earned, worst zone', of: ({ earned }) => earned.worstZone, digits: 3 },
+  { name: 'asked', of: ({ whole }) => whole.asked, digits: 0 },
+  { name: 'in time', of: ({ whole }) => whole.inTime, digits: 0 },
+  { name: 'late', of: ({ whole }) => whole.late, digits: 0 },
+  { name: 'late by a pause', of: ({ lateByGap }) => lateByGap, digits: 0 },
+  { name: 'refused', of: ({ whole }) => whole.refused, digits: 0 },
+  { name: 'failed', of: ({ whole }) => whole.failed, digits: 0 },
+  { name: 'held unserved p50, ms', of: ({ heldUnservedMs }) => heldUnservedMs.p50, digits: 0 },
+  { name: 'repeats', of: ({ repeats }) => repeats, digits: 0 },
+  { name: 'engine seconds, priced', of: ({ engineSeconds }) => engineSeconds.priced, digits: 0 },
+  { name: 'orders', of: ({ orders }) => orders, digits: 0 },
+  { name: 'store calls', of: storeCalls, digits: 0 },
+  { name: 'tokens read, 1,000', of: ({ readTokens }) => readTokens / 1000, digits: 0 },
+  {
+    name: 'shared ones again, 1,000',
+    of: ({ readSharedTokens }) => readSharedTokens / 1000,
+    digits: 0,
+  },
+  { name: 'datagrams a box and s', of: (report) => report.datagramsPerBoxSecond, digits: 1 },
+  { name: 'reducer ms a box and s', of: (report) => report.reducerMsPerBoxSecond, digits: 2 },
+  { name: 'broken promises', of: ({ broken }) => broken.length, digits: 0 },
+];
+
+function storeCalls(report: SceneReport): number {
+  return Object.values(report.storeCalls).reduce((sum, calls) => sum + calls, 0);
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const middle = Math.floor((sorted.length - 1) / 2);
+  const upper = Math.ceil((sorted.length - 1) / 2);
+  return ((sorted[middle] ?? 0) + (sorted[upper] ?? 0)) / 2;
+}
+
+/** One run in full; of several the figures' median, least and most. */
+export function reportLines(reports: readonly SceneReport[]): string[] {
+  const [only] = reports;
+  if (only === undefined) return [];
+  if (reports.length === 1) return [...figureLines(reports), '', ...detailLines(only)];
+  return [...figureLines(reports), ...brokenLines(reports)];
+}
+
+function figureLines(reports: readonly SceneReport[]): string[] {
+  const several = reports.length > 1;
+  const rows = FIGURES.map(({ name, of, digits }) => {
+    const values = reports.map(of);
+    const text = (value: number): string => value.toFixed(digits);
+    const ends = several ? [text(Math.min(...values)), text(Math.max(...values))] : [];
+    return [name, text(median(values)), ...ends];
+  });
+  const ends = several ? ['LEAST', 'MOST'] : [];
+  return table(['FIGURE', several ? 'MEDIAN' : 'VALUE', ...ends], rows);
+}
+
+function brokenLines(reports: readonly SceneReport[]): string[] {
+  return reports.flatMap(({ seed, broken }) =>
+    broken.map(({ promise, detail }) => `broken: seed ${seed} ${promise}: ${detail}`),
+  );
+}
+
+function detailLines(report: SceneReport): string[] {
+  const pairs = (counts: Readonly<Record<string, number>>): string =>
+    Object.entries(counts)
+      .sort(([, a], [, b]) => b - a)
+      .map(([name, count]) => `${name}: ${count}`)
+      .join(', ');
+  const times = Object.entries(report.firstEventMs).map(
+    ([name, { p50, p99 }]) => `${name}: ${p50}/${p99}`,
+  );
+  const { engineSeconds } = report;
+  return [
+    ...outcomeLines('CLASS', report.byClass),
+    '',
+    ...outcomeLines('ZONE', report.byZone),
+    '',
+    ...outcomeLines('FROM SECOND', report.bySpan),
+    '',
+    `first event p50/p99, ms: ${times.join(', ')}`,
+    `refused: ${pairs(report.refusedBy)}`,
+    `failed: ${pairs(report.failedBy)}`,
+    `store calls: ${pairs(report.storeCalls)}`,
+    `engine seconds: on-demand ${engineSeconds.onDemand.toFixed(0)}, reclaimable ${engineSeconds.reclaimable.toFixed(0)}`,
+    ...brokenLines([report]),
+  ];
+}
+
+function outcomeLines(label: string, rows: readonly OutcomeRow[]): string[] {
+  const header = [label, 'ASKED', 'IN TIME', 'LATE', 'REFUSED', 'FAILED', 'LEFT', 'EARNED'];
+  return table(
+    header,
+    rows.map((row) => [
+      row.name,
+      row.asked,
+      row.inTime,
+      row.late,
+      row.refused,
+      row.failed,
+      row.left,
+      row.share.toFixed(3),
+    ]),
+  );
+}
+
+/** Two sets of runs side by side, with the difference of the seeds that both have. */
+export function comparisonLines(
+  before: readonly SceneReport[],
+  after: readonly SceneReport[],
+): string[] {
+  const earlier = new Map(before.map((report) => [report.seed, report]));
+  const pairs = after.flatMap((report) => {
+    const known = earlier.get(report.seed);
+    return known === undefined ? [] : [{ before: known, after: report }];
+  });
+  if (pairs.length === 0) return ['the two sets of runs have no seed in common'];
+  const rows = FIGURES.map(({ name, of, digits }) => {
+    const text = (value: number): string => value.toFixed(digits);
+    const differences = pairs.map((pair) => of(pair.after) - of(pair.before));
+    return [
+      name,
+      text(median(pairs.map((pair) => of(pair.before)))),
+      text(median(pairs.map((pair) => of(pair.after)))),
+      differences.map(text).join(' '),
+    ];
+  });
+  return table(['FIGURE', 'BEFORE', 'AFTER', 'DIFFERENCE BY SEED'], rows);
+}
