Fewer calls to the store: an entry is written once, changes of the registry come in pages

- A hub pauses 0.2 s after changes of the registry; members hear each 0.2 s anyway.
- A box that starts anew writes its entry only where it is missing or differs; each write woke all 195 boxes that follow the list.
- The list of boxes is held for the 30 s that the users' store allows, not 15.
- A box that has read the store waits 0.6 s for its hub before it follows itself.

Ruled out: a longer hold of registry and configuration (a lost answer has to be noticed within 2 s).

--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai';
+import type { PeerAddress } from '../../types/peer.js';
+import { keepBoxEntry, type BoxEntry } from '../boxEntry.js';
+
+const ADDRESS: PeerAddress = {
+  boxId: 'box-1',
+  host: '10.1.0.1',
+  port: 7000,
+  zone: 'zone-a',
+  processorCores: 0.3,
+};
+
+/** A keeper before a store that takes a write after so many that fail. */
+function keep(failures = 0): { entry: BoxEntry; writes: () => number } {
+  let writes = 0;
+  const entry = keepBoxEntry({
+    store: {
+      announceBox() {
+        writes += 1;
+        return Promise.resolve(writes > failures);
+      },
+    },
+    clock: { nowMs: () => 0, pause: () => Promise.resolve() },
+    logger: () => undefined,
+    address: ADDRESS,
+  });
+  return { entry, writes: () => writes };
+}
+
+const settled = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+const listed = (address: PeerAddress | undefined) => [{ boxId: 'box-1', address }];
+
+test('a box that is listed as it is writes nothing', async () => {
+  const { entry, writes } = keep();
+  entry.onListed({ items: listed({ ...ADDRESS }), whole: true });
+  await settled();
+  expect(writes()).to.equal(0);
+});
+
+test('a box that is missing or has moved enters itself', async () => {
+  for (const items of [[], listed({ ...ADDRESS, host: '10.1.0.9' })]) {
+    const { entry, writes } = keep();
+    entry.onListed({ items, whole: true });
+    await settled();
+    expect(writes()).to.equal(1);
+  }
+});
+
+test('a box whose entry was taken out enters itself again', async () => {
+  const { entry, writes } = keep();
+  entry.onListed({ items: listed({ ...ADDRESS }), whole: true });
+  entry.onListed({ items: [{ boxId: 'box-2', address: undefined }], whole: false });
+  entry.onListed({ items: listed(undefined), whole: false });
+  await settled();
+  expect(writes()).to.equal(1);
+});
+
+test('an entry that the store did not take is written again', async () => {
+  const { entry, writes } = keep(2);
+  entry.onListed({ items: [], whole: true });
+  await settled();
+  expect(writes()).to.equal(3);
+});
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/boxEntry.ts
@@ -0,0 +1,59 @@
+/**
+ * Keeps this box's entry among the boxes in the store. An entry outlives the
+ * process, so a box that starts anew writes it only where it is missing or
+ * differs: each write wakes every box that follows the list.
+ */
+import type { PlatformStore } from '../adapter.js';
+import type { Logger } from '../observe/logger.js';
+import type { PeerChange } from '../types/event.js';
+import type { PeerAddress } from '../types/peer.js';
+import type { Clock } from './clock.js';
+
+/** Pause before this box is entered again after a failed try, in ms. */
+const RETRY_MS = 1000;
+
+/** What keeps an entry. */
+export interface BoxEntry {
+  /** Takes a page of the list: the whole, or changes. */
+  onListed: (page: { items: readonly PeerChange[]; whole: boolean }) => void;
+  stop: () => void;
+}
+
+/** Returns a keeper; it writes nothing before it has seen the list. */
+export function keepBoxEntry(params: {
+  store: Pick<PlatformStore, 'announceBox'>;
+  clock: Clock;
+  logger: Logger;
+  address: PeerAddress;
+}): BoxEntry {
+  const { store, clock, logger, address } = params;
+  const { boxId } = address;
+  let stopped = false;
+  let isWriting = false;
+
+  const write = async (): Promise<void> => {
+    if (isWriting) return;
+    isWriting = true;
+    while (!stopped && !(await store.announceBox(boxId, address))) {
+      logger('announceFailed', { box: boxId });
+      await clock.pause(RETRY_MS);
+    }
+    isWriting = false;
+  };
+  return {
+    onListed({ items, whole }) {
+      const own = items.find((item) => item.boxId === boxId);
+      if (own === undefined && !whole) return;
+      if (!isSameAddress(own?.address, address)) void write();
+    },
+    stop() {
+      stopped = true;
+    },
+  };
+}
+
+function isSameAddress(listed: PeerAddress | undefined, own: PeerAddress): boolean {
+  if (listed === undefined) return false;
+  const keys = Object.keys(own) as (keyof PeerAddress)[];
+  return keys.every((key) => listed[key] === own[key]);
+}
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -4,19 +4,20 @@
 import type { GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { GatewaySettings } from '../types/settings.js';
-import type { Clock } from './clock.js';
 import type { PeerChange } from '../types/event.js';
 import { followsStore, ownAddress } from '../slices/fleet.js';
+import { keepBoxEntry } from './boxEntry.js';
+import type { Clock } from './clock.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
 
 /** How long a poll of configuration or registry is held, in ms: a lost answer is noticed within the users' 2 s. */
 const WATCH_WAIT_MS = 2000;
-/** How long a poll of the boxes is held, in ms: boxes also hear of each other directly. */
-const BOXES_WAIT_MS = 15_000;
+/** How long a poll of the boxes is held, in ms: the longest that the users' store holds one; boxes also hear of each other directly. */
+const BOXES_WAIT_MS = 30_000;
 /** Pause after a change of the boxes, in ms: at a start all of them enter themselves at once, and each would wake all others. */
-const BOXES_PAUSE_MS = 500;
-/** Pause before this box is entered again after a failed try, in ms. */
-const ANNOUNCE_RETRY_MS = 1000;
+const BOXES_PAUSE_MS = 1000;
+/** Pause after a change of the registry, in ms: dozens of engines come and go within a second, and members hear of them each 0.2 s anyway. */
+const SERVERS_PAUSE_MS = 200;
 
 /** A box as its feeds need it. */
 export interface FeedRuntime {
@@ -31,7 +32,7 @@
 /** Starts to follow; `stop` ends it. */
 export function followPlatform(runtime: FeedRuntime): { stop: () => void } {
   const { store, emit, logger, settings, clock } = runtime;
-  let stopped = false;
+  const entry = keepBoxEntry({ store, clock, logger, address: ownAddress(runtime.state) });
   const common = (name: string): Omit<FeedListener<never>, 'onPage'> => ({
     onStoreClock: (storeNowMs) => emit({ type: 'storeClock', storeNowMs }),
     onContact(reachable, reason) {
@@ -63,6 +64,7 @@
     {
       ...common('servers'),
       isNeeded,
+      pauseAfterPageMs: SERVERS_PAUSE_MS,
       onPage({ items, whole, newestRevision }) {
         const revision = newestRevision;
         emit({ type: 'serversRead', whole, changes: items, revision, source: 'store' });
@@ -76,26 +78,19 @@
     {
       ...common('boxes'),
       pauseAfterPageMs: BOXES_PAUSE_MS,
-      onPage({ items }) {
+      onPage({ items, whole }) {
         if (items.length > 0) emit({ type: 'peersListed', changes: items });
+        entry.onListed({ items, whole });
       },
     },
     clock,
   );
-  const { box, listen, seeds } = settings;
+  const { listen, seeds } = settings;
   const seedPeers = seeds.map(({ host }) => seedOf(host, listen.peersPort));
   if (seedPeers.length > 0) emit({ type: 'peersListed', changes: seedPeers });
-  const address = ownAddress(runtime.state);
-  const announce = async (): Promise<void> => {
-    while (!stopped && !(await store.announceBox(box.id, address))) {
-      logger('announceFailed', { box: box.id });
-      await clock.pause(ANNOUNCE_RETRY_MS);
-    }
-  };
-  void announce();
   return {
     stop() {
-      stopped = true;
+      entry.stop();
       configuration.stop();
       servers.stop();
       boxes.stop();
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -11,6 +11,8 @@
 const HUB_SILENT_AFTER_MS = 700;
 /** Time since a hub's last word from the store after which its members follow the store themselves, in ms: a poll is held for 2 s. */
 const STORE_UNHEARD_MS = 3000;
+/** Time from its start in which a box that has read the store waits for a hub to tell it of changes, in ms: the list of boxes and three of a hub's messages. */
+const HUB_AWAITED_MS = 600;
 /** Silence after which a peer is taken to be gone for good, in ms: longer than the cuts the users describe. */
 export const PEER_GONE_AFTER_MS = 10_000;
 
@@ -115,12 +117,19 @@
   return { boxId, host, port: listen.peersPort, zone, processorCores };
 }
 
-/** Whether this box follows the store itself: it does unless its hub hands on what the store says. */
+/**
+ * Whether this box follows the store itself: it does unless its hub hands on what
+ * the store says. While a box of a large fleet has yet to hear of its hub, each
+ * would ask for changes that its hub tells in a moment: two calls a box and start.
+ */
 export function followsStore(state: GatewayState, nowMs: number): boolean {
+  if (nowMs - state.startedAtMs < HUB_AWAITED_MS) return false;
   if (state.hubId === undefined) return true;
   const hub = state.peers.get(state.hubId);
   const ageMs = hub?.message?.storeContactAgeMs;
-  if (hub === undefined || ageMs === undefined) return true;
+  if (hub === undefined || ageMs === undefined) {
+    return nowMs - state.hubSinceMs > HUB_SILENT_AFTER_MS;
+  }
   return nowMs - hub.heardAtMs + ageMs > STORE_UNHEARD_MS;
 }
 
