Orders of engines: count the first ones, keep those on their way, know one's own leavers

Entries came for 5.9 s. It now waits until none has come for 0.7 s. - When a zone was taken back, it ordered more elsewhere, was refused, and then ordered what was there, without the 36 that had been granted and were half a second from serving. What was granted now counts in a dry zone. - Engines that it had given up itself counted as a reclaim once an order rose again (12 s of on-demand reserve, a dry zone). They are now counted off first. - On-demand engines went to zones by price alone; they go where fewest engines are, and a zone left without any gets one where zones are meant to have two or more.

--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -17,6 +17,14 @@
 /** Engines of any kind below which on-demand ones are ordered, whatever the load. */
 const MIN_READY = 2;
 
+/**
+ * Engines that each zone is meant to have from which on one without any gets an
+ * on-demand one: a zone that is cut off serves its callers by itself or not at all
+ * (195 boxes, cut off after a reclaim: 174 callers refused in 9 s). Smaller fleets
+ * rest on the others; there one engine more is a third of the bill.
+ */
+const ENGINES_OF_OWN_ZONE = 2;
+
 /** Engines of a service by its load. */
 export interface EngineNeed {
   /** For usual times. */
@@ -70,24 +78,17 @@
   return engines;
 }
 
-/** Zones of a first start in which an on-demand engine stays until reclaimable ones serve. */
-const FIRST_ON_DEMAND_ZONES = 2;
-/** Reclaimable engines ordered in each zone at a first start, when no load is known; they cost a fraction, and more come one boot after the load is known. */
+/** Reclaimable engines ordered in each zone at a first start at least, when no load is known; they cost a fraction, and more come one boot after the load is known. */
 const FIRST_RECLAIMABLE_PER_ZONE = 3;
 
-/** Engines at the first start of a service that has reclaimable ones, while nobody has asked anything yet. */
-export function firstEngines(zones: readonly ZoneOffer[], maxPerZone: number): ZoneWanted[] {
-  const cheapestFirst = [...zones].sort((a, b) => a.price - b.price);
-  return cheapestFirst.map(({ zone }, index) => {
-    const onDemand = index < FIRST_ON_DEMAND_ZONES ? 1 : 0;
-    const reclaimable = Math.min(FIRST_RECLAIMABLE_PER_ZONE, maxPerZone - onDemand);
-    return { zone, onDemand, reclaimable };
-  });
-}
-
-/** Reclaimable engines of a first start over all zones. */
-export function firstReclaimable(zones: number): number {
-  return zones * FIRST_RECLAIMABLE_PER_ZONE;
+/**
+ * Reclaimable engines at the first start of a service, over all zones, while nobody
+ * has asked anything yet: as many as the operators started with. Three a zone alone
+ * left 195 boxes with 15 engines where their callers needed 35: the first six
+ * seconds earned 0.52 to 0.77 of what they could.
+ */
+export function firstReclaimable(zones: number, stood: number): number {
+  return Math.max(stood, zones * FIRST_RECLAIMABLE_PER_ZONE);
 }
 
 /** What is wanted of each zone and kind. */
@@ -103,6 +104,8 @@
   price: number;
   /** Reclaimable engines there that take work. */
   readyReclaimable: number;
+  /** Those, and what the platform has granted and is on its way. */
+  granted: number;
   /** Engines last ordered there, by kind. */
   reclaimable: number;
   onDemand: number;
@@ -128,16 +131,16 @@
   const { need, maxPerZone, hasReclaimable, keepReserve } = params;
   const zones = [...params.zones].sort((a, b) => a.price - b.price);
   const onDemand = hasReclaimable
-    ? onDemandFor({ least: need.least, zones, maxPerZone, keepReserve })
+    ? onDemandFor({ need, zones, maxPerZone, keepReserve })
     : dealOnto(
         need.usual,
         [],
         zones.map(() => maxPerZone),
       );
-  // A dry zone keeps what it has: what is wished for there would only take the room of others.
-  const caps = zones.map(({ isDry, readyReclaimable }, index) => {
+  // A dry zone keeps what it has and what comes: what is wished for there would only take the room of others.
+  const caps = zones.map(({ isDry, granted }, index) => {
     const free = maxPerZone - (onDemand[index] ?? 0);
-    return isDry ? Math.min(free, readyReclaimable) : free;
+    return isDry ? Math.min(free, granted) : free;
   });
   const ordered = zones.map((zone) => zone.reclaimable);
   const reclaimable = hasReclaimable ? dealOnto(need.usual, ordered, caps) : [];
@@ -148,47 +151,66 @@
   }));
 }
 
-/** On-demand engines that are there stay until enough reclaimable ones serve; new ones count those on their way. */
+/**
+ * On-demand engines that are there stay until enough reclaimable ones serve; new
+ * ones count those on their way, and go where fewest engines are.
+ */
 function onDemandFor(params: {
-  least: number;
+  need: EngineNeed;
   zones: readonly ZoneOffer[];
   maxPerZone: number;
   keepReserve: boolean;
 }): number[] {
-  const { least, zones, maxPerZone, keepReserve } = params;
+  const { need, zones, maxPerZone, keepReserve } = params;
   const readyByZone = zones.map(({ readyReclaimable }) => readyReclaimable);
   const atRisk = keepReserve ? Math.max(0, ...readyByZone) : 0;
   const ready = total(readyByZone) - atRisk;
   const ordered = zones.map(({ onDemand }) => onDemand);
-  const kept = dealOnto(Math.min(least - ready, total(ordered)), ordered, ordered);
-  const coming = total(
-    zones.map(({ isDry, reclaimable, readyReclaimable }) =>
-      isDry ? 0 : Math.max(0, reclaimable - readyReclaimable),
-    ),
-  );
-  const wanted = Math.max(total(kept), least - ready - coming);
-  const room = zones.map(({ readyReclaimable }) => maxPerZone - readyReclaimable);
-  return dealOnto(wanted, kept, room);
+  const comingByZone = zones.map((zone) => {
+    const { isDry, reclaimable, readyReclaimable, granted } = zone;
+    return Math.max(0, (isDry ? granted : reclaimable) - readyReclaimable);
+  });
+  const beside = readyByZone.map((count, index) => count + (comingByZone[index] ?? 0));
+  const missing = need.least - ready;
+  const kept = dealOnto(Math.min(missing, total(ordered)), ordered, ordered, beside);
+  const wanted = Math.max(total(kept), missing - total(comingByZone));
+  const room = readyByZone.map((count) => maxPerZone - count);
+  const dealt = dealOnto(wanted, kept, room, beside);
+  if (need.usual < zones.length * ENGINES_OF_OWN_ZONE) return dealt;
+  return dealt.map((count, index) => {
+    const isBare = zones[index]?.isDry === true && beside[index] === 0;
+    return isBare ? Math.max(count, Math.min(1, room[index] ?? 0)) : count;
+  });
 }
 
 function total(counts: readonly number[]): number {
   return counts.reduce((sum, count) => sum + count, 0);
 }
 
-/** Changes counts so that they sum to a number, within caps: adds to the least, takes from the greatest. */
-function dealOnto(count: number, from: readonly number[], caps: readonly number[]): number[] {
+/**
+ * Changes counts so that they sum to a number, within caps: adds to the least, takes
+ * from the greatest. What is `beside` counts in that, but not in the sum.
+ */
+function dealOnto(
+  count: number,
+  from: readonly number[],
+  caps: readonly number[],
+  beside: readonly number[] = [],
+): number[] {
+  const withBeside = (counts: readonly number[]): number[] =>
+    counts.map((held, index) => held + (beside[index] ?? 0));
   const dealt = caps.map((cap, index) => Math.max(0, Math.min(cap, from[index] ?? 0)));
   while (total(dealt) > Math.max(0, count)) {
     const greatest = indexOfBest(
-      dealt,
+      withBeside(dealt),
       (held, best) => held >= best,
-      () => true,
+      (index) => (dealt[index] ?? 0) > 0,
     );
     dealt[greatest] = (dealt[greatest] ?? 0) - 1;
   }
   while (total(dealt) < count) {
     const hasRoom = (index: number): boolean => (dealt[index] ?? 0) < (caps[index] ?? 0);
-    const least = indexOfBest(dealt, (held, best) => held < best, hasRoom);
+    const least = indexOfBest(withBeside(dealt), (held, best) => held < best, hasRoom);
     if (least < 0) break;
     dealt[least] = (dealt[least] ?? 0) + 1;
   }
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -7,7 +7,6 @@
 import type { ScalingSpec, ServiceSpec } from '../types/configuration.js';
 import {
   enginesNeeded,
-  firstEngines,
   firstReclaimable,
   spreadEngines,
   type EngineNeed,
@@ -18,7 +17,11 @@
 import { dutyFence } from './duties.js';
 import { modelOf } from './engineModels.js';
 import {
+  BOOT_MARGIN_MS,
+  countLost,
   countReady,
+  grantedEngines,
+  hasOrdered,
   lastOrdered,
   noteDry,
   orderEngines,
@@ -34,12 +37,16 @@
 const HOLD_LEAST_MS = 5000;
 /** How long after a reclaim more of them are expected, in ms: in logs of zones taken back in turn, the next one went 6 to 10 s later. */
 const RECLAIMS_EXPECTED_MS = 12_000;
-/** How much later than its usual start an engine may come, in ms: its entry is read by long poll. */
-const BOOT_MARGIN_MS = 2000;
 /** The fence of the first holder of all: nobody has ordered anything before. */
 const FIRST_FENCE = 1;
-/** Time from this box's start until it plans, in ms: two heartbeats, in which the registry fills at a first start. */
+/** Time from this box's start until it plans, in ms: two heartbeats, in which the registry fills. */
 const REGISTRY_FILLS_MS = 3500;
+/** The same at a first start that nobody asks at, where each engine that stands costs its full price: one heartbeat and the store's delay. */
+const FIRST_FILLS_MS = 2400;
+/** Pause between two new engines after which all of a first start are taken to have entered themselves, in ms: of 55, ten a second did. */
+const FIRST_PAUSE_MS = 700;
+/** Longest wait for them, in ms from this box's start. */
+const FIRST_FILLS_AT_MOST_MS = 7000;
 
 /** Plans and orders, while this box holds the lease. */
 export function capacityTick(state: GatewayState, step: Step): void {
@@ -52,44 +59,54 @@
   const fence = dutyFence(state, step.nowMs);
   for (const service of state.active.configuration.services) {
     if (service.scaling === undefined) continue;
-    if (isBeforeLoad(state, step)) noteFirstOnDemand(state, service.name);
+    if (isBeforeLoad(state, step)) noteFirstOnDemand(state, step, service.name);
     // Every box follows the need, so that a new holder knows it.
     const need = steadyNeed(state, step, service);
     if (fence === undefined) continue;
-    if (!registryFills(state, step)) planService(state, step, { service, need, fence });
-    else if (fence === FIRST_FENCE && isBeforeLoad(state, step)) {
-      orderFirst(state, step, service, fence);
-    }
+    const isFirst = fence === FIRST_FENCE && isBeforeLoad(state, step);
+    const isFilling = isFirst
+      ? firstFills(state, step, service.name)
+      : sinceStartMs(state, step) < REGISTRY_FILLS_MS;
+    if (!isFilling) planService(state, step, { service, need, fence });
   }
 }
 
-/** True while entries of a first start are still missing from the registry. */
-function registryFills(state: GatewayState, step: Step): boolean {
-  return step.nowMs - state.startedAtMs < REGISTRY_FILLS_MS;
+function sinceStartMs(state: GatewayState, step: Step): number {
+  return step.nowMs - state.startedAtMs;
 }
 
-/** True while the registry fills and nobody has asked anything. */
+/** True right after this box's start while nobody has asked anything. */
 function isBeforeLoad(state: GatewayState, step: Step): boolean {
-  return registryFills(state, step) && state.loadSinceMs === undefined;
+  return sinceStartMs(state, step) < FIRST_FILLS_AT_MOST_MS && state.loadSinceMs === undefined;
+}
+
+/** True while engines of a first start are still entering themselves: those that are not seen would not be replaced. */
+function firstFills(state: GatewayState, step: Step, service: string): boolean {
+  if (sinceStartMs(state, step) < FIRST_FILLS_MS) return true;
+  const first = state.firstOnDemand.get(service);
+  if (first === undefined || hasOrdered(state, service)) return false;
+  return step.nowMs - first.lastAtMs < FIRST_PAUSE_MS;
 }
 
 /** Remembers the engines that the operators started with: so many are likely to be needed. */
-function noteFirstOnDemand(state: GatewayState, service: string): void {
+function noteFirstOnDemand(state: GatewayState, step: Step, service: string): void {
   // With reclaimable ones there, it is no first start: then on-demand ones only stand in.
   if (countReady(state, { service, reclaimable: true }) > 0) return;
-  const seen = state.firstOnDemand.get(service) ?? new Set();
-  state.firstOnDemand.set(service, seen);
+  const first = state.firstOnDemand.get(service) ?? {
+    ids: new Set(),
+    lastAtMs: Number.NEGATIVE_INFINITY,
+  };
+  state.firstOnDemand.set(service, first);
   for (const { entry } of state.servers.values()) {
-    if (entry.service === service && !entry.reclaimable) seen.add(entry.id);
+    if (entry.service !== service || entry.reclaimable || first.ids.has(entry.id)) continue;
+    first.ids.add(entry.id);
+    first.lastAtMs = step.nowMs;
   }
 }
 
-/** The engines that were there cost their full price: all but a few are given up before anybody comes. */
-function orderFirst(state: GatewayState, step: Step, service: ServiceSpec, fence: number): void {
-  const { scaling } = service;
-  if (scaling?.reclaimablePriceShare === undefined) return;
-  const zones = zoneOffers(state, step, service, scaling);
-  orderEngines(state, step, { service, plan: firstEngines(zones, scaling.maxPerZone), fence });
+/** On-demand engines that the operators started with, as far as they were seen. */
+function countStood(state: GatewayState, service: ServiceSpec): number {
+  return state.firstOnDemand.get(service.name)?.ids.size ?? 0;
 }
 
 /** Places of one engine, by the registry; by the configuration before there is an entry. */
@@ -113,12 +130,16 @@
 ): ZoneOffer[] {
   return scaling.zonePrices.map(({ zone, price }) => {
     const ready = countReady(state, { service: service.name, zone, reclaimable: true });
-    noteLosses(state, step, { service: service.name, name: zone, ready, bootMs: scaling.bootMs });
+    const { bootMs } = scaling;
+    noteLosses(state, step, { service: service.name, name: zone, ready, bootMs });
+    const { nowMs } = step;
+    const granted = grantedEngines(state, { service: service.name, zone, ready, bootMs, nowMs });
     const dryUntilMs = state.dryUntilMs.get(zoneKey(service.name, zone)) ?? 0;
     return {
       zone,
       price,
       readyReclaimable: ready,
+      granted,
       reclaimable: lastOrdered(state, service.name, zone, true),
       onDemand: lastOrdered(state, service.name, zone, false),
       isDry: step.nowMs < dryUntilMs,
@@ -157,12 +178,19 @@
   const before = state.readyReclaimable.get(key) ?? 0;
   state.readyReclaimable.set(key, zone.ready);
   const order = state.orders.get(orderKey(zone.service, zone.name, true));
-  if (order === undefined || zone.ready >= order.call.wanted) return;
+  if (order === undefined) return;
   const dueMs = order.sentAtMs + zone.bootMs + BOOT_MARGIN_MS;
   const isLate = order.taken && step.nowMs > dueMs;
-  const isLoss = zone.ready < before;
+  const lost = countLost(order, Math.max(0, before - zone.ready), step.nowMs);
+  if (zone.ready >= order.call.wanted) return;
+  const isLoss = lost > 0;
   if (isLoss || isLate) noteDry(state, step, zone.service, zone.name);
-  if (isLoss && isBeingTakenBack(state, zone)) noteReclaim(state, step, zone);
+  if (!isLoss) return;
+  order.granted = Math.max(zone.ready, order.granted - lost);
+  if (!isBeingTakenBack(state, zone)) return;
+  // Those that were still to come there go with the others.
+  order.granted = zone.ready;
+  noteReclaim(state, step, zone);
 }
 
 /** Engines that are taken back say so and leave; crashed ones are just gone. */
@@ -209,8 +237,8 @@
 function startingCount(state: GatewayState, service: ServiceSpec): number {
   const reclaimable = countReady(state, { service: service.name, reclaimable: true });
   const onDemand = countReady(state, { service: service.name, reclaimable: false });
-  const seen = state.firstOnDemand.get(service.name)?.size ?? 0;
-  if (seen === 0 && onDemand <= reclaimable) return reclaimable;
+  const stood = countStood(state, service);
+  if (stood === 0 && onDemand <= reclaimable) return reclaimable;
   const zones = service.scaling?.zonePrices.length ?? 0;
-  return Math.max(reclaimable, seen, firstReclaimable(zones));
+  return Math.max(reclaimable, firstReclaimable(zones, stood));
 }
--- a/packages/reedlug-gateway/src/slices/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engineOrders.ts
@@ -12,6 +12,11 @@
 /** How long a zone is taken to have no reclaimable engines, in ms: the users' zones run dry for 5 to 14 s. */
 const DRY_MS = 5000;
 
+/** Time from an order until an engine that it gives up says that it leaves, in ms: three heartbeats and the store's delay. */
+const LEAVES_AFTER_MS = 4500;
+/** How much later than its usual start an engine may come, in ms: its entry is read by long poll. */
+export const BOOT_MARGIN_MS = 2000;
+
 /** Names a zone of a service. */
 export function zoneKey(service: string, zone: string): string {
   return `${service} ${zone}`;
@@ -33,6 +38,27 @@
   return last?.call.wanted ?? countReady(state, { service, zone, reclaimable });
 }
 
+/**
+ * Reclaimable engines of a zone that are there, or on their way as the platform
+ * granted them: an order for more that is refused takes nothing of those. Counting
+ * only those that are there cancelled 36 of 64 engines half a second before they
+ * came, when one zone was taken back (195 boxes).
+ */
+export function grantedEngines(
+  state: GatewayState,
+  params: { service: string; zone: string; ready: number; bootMs: number; nowMs: number },
+): number {
+  const { service, zone, ready, bootMs, nowMs } = params;
+  const order = state.orders.get(orderKey(service, zone, true));
+  if (order === undefined || nowMs > order.grantedAtMs + bootMs + BOOT_MARGIN_MS) return ready;
+  return Math.max(ready, order.granted);
+}
+
+/** Whether this box has ordered engines of a service. */
+export function hasOrdered(state: GatewayState, service: string): boolean {
+  return [...state.orders.values()].some(({ call }) => call.service === service);
+}
+
 /** No further reclaimable engines are to be had in a zone for a while. */
 export function noteDry(state: GatewayState, step: Step, service: string, zone: string): void {
   state.dryUntilMs.set(zoneKey(service, zone), step.nowMs + DRY_MS);
@@ -93,7 +119,20 @@
   const call: EngineOrder['call'] = { kind: 'orderEngines', ...wanted };
   const notBeforeMs = step.nowMs + ORDER_RETRY_MS;
   const sentAtMs = step.nowMs;
-  state.orders.set(key, { call, fence, taken: false, callId, sentAtMs, notBeforeMs });
+  const { granted, grantedAtMs } = last ?? { granted: 0, grantedAtMs: Number.NEGATIVE_INFINITY };
+  const surplus = Math.max(0, countReady(state, wanted) - wanted.wanted);
+  const givenUp = Math.max(surplus, stillLeaving(last, step.nowMs));
+  state.orders.set(key, {
+    call,
+    fence,
+    taken: false,
+    granted,
+    grantedAtMs,
+    givenUp,
+    callId,
+    sentAtMs,
+    notBeforeMs,
+  });
   step.effects.push({ type: 'callCloud', callId, call, fence });
   log(step, 'enginesOrdered', {
     ...wanted,
@@ -102,6 +141,23 @@
   });
 }
 
+/** Engines that were given up a moment ago and may still be on their way out. */
+function stillLeaving(order: EngineOrder | undefined, nowMs: number): number {
+  if (order === undefined || nowMs - order.sentAtMs > LEAVES_AFTER_MS) return 0;
+  return order.givenUp;
+}
+
+/**
+ * Takes engines that went from those that orders have given up; returns how many
+ * went by themselves. An engine of its own orders taken for a reclaim made a holder
+ * keep a reserve of on-demand ones for 12 s, and call the zone dry.
+ */
+export function countLost(order: EngineOrder, gone: number, nowMs: number): number {
+  const own = Math.min(gone, stillLeaving(order, nowMs));
+  order.givenUp -= own;
+  return gone - own;
+}
+
 /** The figures that decided an order. */
 function describeNeed(state: GatewayState, step: Step, service: string) {
   const load = loadOf(state, service);
@@ -124,6 +180,10 @@
   for (const entry of state.orders.values()) {
     if (entry.callId !== event.callId) continue;
     entry.taken = event.outcome === 'done';
+    if (entry.taken) {
+      entry.granted = entry.call.wanted;
+      entry.grantedAtMs = entry.sentAtMs;
+    }
     if (!entry.taken) {
       const { service, zone, wanted, reclaimable } = entry.call;
       if (reclaimable && event.outcome === 'refused') noteDry(state, step, service, zone);
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -95,6 +95,11 @@
   call: Extract<CloudCall, { kind: 'orderEngines' }>;
   /** True once the platform has taken it. */
   taken: boolean;
+  /** Engines that the platform last granted, with this order or one before, and when that was asked. */
+  granted: number;
+  grantedAtMs: number;
+  /** Engines that orders have given up and that still took work at the last plan. */
+  givenUp: number;
   /** The fence it was sent under; a new holder orders anew. */
   fence: number;
   callId: number;
@@ -102,6 +107,13 @@
   notBeforeMs: number;
 }
 
+/** Engines that stood when nobody had asked anything yet. */
+export interface FirstEngines {
+  ids: Set<string>;
+  /** When the last of them was seen first. */
+  lastAtMs: number;
+}
+
 /** A load averaged over seconds, and over a longer time. */
 export interface LoadAverage {
   recent: number;
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -33,6 +33,8 @@
     maxPerZone: count,
     reclaimablePriceShare: z.number().positive().max(1).optional(),
     heartbeatMs: positive.default(1200),
+    /** Time in which those that stand at the start have entered themselves. */
+    entrySpreadMs: positive.default(1200),
   }),
   z.strictObject({
     kind: z.literal('plain'),
