Limits of a zone that is cut off under hubs: what was summed up before counts by its share

Cause: a member knows of others only their sum, told by its hub. When its zone is cut off it keeps to the zone's share of a limit, but counted against it what all zones had admitted in the window before the cut, four fifths of it elsewhere. So a zone of 39 boxes refused most callers for up to the 8 s of the window. Ruled out by the simulation: too few engines in the zone; the reserve for the age of news.

What a hub's sum holds from before the cut now counts by the share; both parts together stay within the limit, since the other part counts the rest.

--- a/packages/reedlug-gateway/src/policy/unitWindow.ts
+++ b/packages/reedlug-gateway/src/policy/unitWindow.ts
@@ -96,6 +96,15 @@
   return window.total;
 }
 
+/** Units of the window that were added at a time or later. */
+export function unitsSince(window: UnitWindow, sinceMs: number): number {
+  let units = 0;
+  for (const slice of window.slices) {
+    if (slice.startMs + SLICE_MS > sinceMs) units += slice.units;
+  }
+  return units;
+}
+
 /** Time from now until so many units of the window have left it, in ms; its length when it holds fewer. */
 export function timeUntilLeft(window: UnitWindow, units: number, nowMs: number): number {
   let left = 0;
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -17,9 +17,11 @@
   createUnitWindow,
   SUM_MS,
   timeUntilLeft,
+  unitsSince,
   unitsWithin,
   type UnitWindow,
 } from '../policy/unitWindow.js';
+import { NewsScope } from '../types/peer.js';
 import type { GatewayState } from '../state.js';
 import type { LimitInForce, PeerView, QuotaView } from '../types/views.js';
 import { countsFreshly, heardShare, usesHubs } from './fleet.js';
@@ -46,11 +48,19 @@
 const USUAL_ROW_AGE_MS = 2600;
 /** Then, time before the loss whose admissions the sums lack, in ms: a write and the news before it. */
 const UNKNOWN_MS = 800;
+/** Share of the fleet that is heard from which on it is taken to be whole: some boxes are always on their way in or out. */
+const WHOLE_SHARE = 0.95;
 /** Shortest time for which a loss of all boxes keeps them away, in ms. */
 const SHORTEST_LOSS_MS = 500;
 /** Greatest part added to the time that a refused caller is told, drawn by its id, so that those refused together do not come back together. */
 const RETRY_SPREAD = 0.25;
 
+/** Notes since when this part of the fleet hears too few of the others. */
+export function noteParting(state: GatewayState, nowMs: number): void {
+  if (heardShare(state, nowMs) >= WHOLE_SHARE) state.partedAtMs = undefined;
+  else state.partedAtMs ??= nowMs;
+}
+
 /** What a request counts against its workspace's limit. */
 export function unitsOf(workspace: WorkspaceSpec, facts: RequestFacts): number {
   if (workspace.unit === LimitUnit.requests) return 1;
@@ -112,14 +122,14 @@
   nowMs: number,
 ): Account {
   const own = unitsWithin(quota.own, nowMs);
-  const { heard, silent } = othersUnits(state, workspace.name, nowMs);
+  const { heard, heardOfPart, silent } = othersUnits(state, workspace.name, nowMs);
   const share = heardShare(state, nowMs);
   const allowed = allowedUnits(state, quota, nowMs);
   const lagMs = usesHubs(state) ? NEWS_LAG_BY_HUBS_MS : NEWS_LAG_MS;
-  const reserve = (heard * CLUMP_FACTOR * lagMs) / windowLengthMs(state);
+  const reserve = (heardOfPart * CLUMP_FACTOR * lagMs) / windowLengthMs(state);
   const used = own + heard + silent + assumedUnits(quota, nowMs);
   const roomOfAll = allowed - used;
-  const roomOfShare = allowed * share - own - heard;
+  const roomOfShare = allowed * share - own - heardOfPart;
   return { room: Math.min(roomOfAll, roomOfShare) - reserve, used, allowed, share };
 }
 
@@ -127,22 +137,39 @@
   return quota.assumed === undefined ? 0 : unitsWithin(quota.assumed, nowMs);
 }
 
-/** What peers admitted in the window, as far as they told: those heard now, and those that fell silent. */
+/**
+ * What peers admitted in the window, as far as they told: those heard now, and
+ * those that fell silent. What a hub summed up before this part of the fleet was
+ * cut off counts for the part by its share; the other part counts the rest. Taken
+ * whole, it left a zone of 39 boxes no room for the length of the window.
+ */
 function othersUnits(
   state: GatewayState,
   workspaceName: string,
   nowMs: number,
-): { heard: number; silent: number } {
+): { heard: number; heardOfPart: number; silent: number } {
+  const { partedAtMs } = state;
   let heard = 0;
+  let heardOfPart = 0;
   let silent = 0;
   for (const peer of state.peers.values()) {
     const window = peer.units.get(workspaceName);
     if (window === undefined) continue;
     const units = unitsWithin(window, nowMs);
-    if (countsFreshly(peer, nowMs)) heard += units;
-    else silent += units;
+    if (!countsFreshly(peer, nowMs)) {
+      silent += units;
+      continue;
+    }
+    heard += units;
+    const isSum = peer.message?.scope === NewsScope.others;
+    if (partedAtMs === undefined || !isSum) {
+      heardOfPart += units;
+      continue;
+    }
+    const since = unitsSince(window, partedAtMs);
+    heardOfPart += since + (units - since) * heardShare(state, nowMs);
   }
-  return { heard, silent };
+  return { heard, heardOfPart, silent };
 }
 
 /** The most units of the window: limits that changed within it count for their parts of it. */
--- a/packages/reedlug-gateway/src/slices/tellPeers.ts
+++ b/packages/reedlug-gateway/src/slices/tellPeers.ts
@@ -20,6 +20,7 @@
 } from './fleet.js';
 import { membersOf, startNews, type News } from './peerNews.js';
 import { forgetGonePeers } from './peers.js';
+import { noteParting } from './quotas.js';
 import { ownUsage } from './usage.js';
 
 /** Pause between messages, in ms: short against an engine's backlog, long against the price of a wake-up. */
@@ -36,6 +37,7 @@
   if (step.nowMs - state.newsSentAtMs < NEWS_EVERY_MS) return;
   state.newsSentAtMs = step.nowMs;
   forgetGonePeers(state, step);
+  noteParting(state, step.nowMs);
   if (state.peers.size === 0) return;
   if (!usesHubs(state)) return tellAll(state, step);
   const { own, others } = knownGroups(state);
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -68,6 +68,8 @@
   /** What other boxes told for themselves, and what hubs told for others. */
   heardFromBoxes: HeardTotals;
   heardFromHubs: HeardTotals;
+  /** Since when this part of the fleet hears too few of the others; undefined while it is whole. */
+  partedAtMs: number | undefined;
   /** The most boxes heard of lately, this one included. */
   fleetHeard: HeldFigure;
   usageToldAtMs: number;
@@ -160,6 +162,7 @@
     hubSinceMs: nowMs,
     heardFromBoxes: createHeardTotals(),
     heardFromHubs: createHeardTotals(),
+    partedAtMs: undefined,
     fleetHeard: { value: 1, untilMs: nowMs },
     usageToldAtMs: Number.NEGATIVE_INFINITY,
     peerSequence: 0,
--- a/packages/reedlug-simulator/src/__tests__/runScene.test.ts
+++ b/packages/reedlug-simulator/src/__tests__/runScene.test.ts
@@ -55,6 +55,19 @@
   expect(refusedBy['429 overLimit']).to.be.greaterThan(0);
 });
 
+test('a zone of a fleet with hubs that is cut off goes on admitting its part', async () => {
+  const { refusedBy, byZone, broken } = await run({
+    boxesPerZone: 8,
+    workspaces: { count: 3, limitOverUsual: 1.8, plainTokens: 200 },
+    callers: { perSecond: 60, clump: 2, swing: 0, swingPeriodS: 40 },
+    faults: [{ kind: 'cutZone', atS: 5, forS: 6, zone: 'zone-b' }],
+  });
+  expect(broken).to.deep.equal([]);
+  // With all units of the window counted against the part, 58 of 718 callers were refused.
+  expect(refusedBy['429 overLimit'] ?? 0).to.be.lessThan(5);
+  expect(byZone.find(({ name }) => name === 'zone-b')?.share).to.be.greaterThan(0.7);
+});
+
 test('callers that leave early are owed nothing and broken nowhere', async () => {
   const { whole, broken } = await run({
     faults: [{ kind: 'callersLeave', atS: 2, forS: 4, share: 0.5 }],
