Expect the wait behind prompts that go first, not behind all

Cause: an engine reads urgent prompts first, but a request was expected to wait for all prompts at the server, whatever their urgency. Under load a box thus avoided engines that would have read an urgent prompt at once, and learned from waits that had little to do with the tokens they were set against.

Boxes tell each other the unread tokens by urgency; what is expected counts those that go first. Also in the simulator: a run that begins after its caller tried again no longer counts for the new try (it showed refusals after a run that were none).

--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -14,6 +14,7 @@
 import type { ServerView } from '../types/views.js';
 import { countedPeers, type HeardPeer } from '../slices/fleet.js';
 import { modelOf } from '../slices/engineModels.js';
+import { addLoads, tokensAhead } from './serverLoad.js';
 import { expectedWaitMs, type EngineModel, type SendConditions } from './engineModel.js';
 import { failureScore, slownessNow, SUSPECT_SCORE } from './serverHealth.js';
 import { silenceChargeMs } from './serverSilence.js';
@@ -50,13 +51,15 @@
   params: {
     service: string;
     facts: RequestFacts;
+    /** 0 to 9; prompts of less urgent requests are read after it. */
+    urgency: number;
     avoid: ReadonlySet<string>;
     /** True once a send of the request found no connection. */
     staysInZone?: boolean;
     nowMs: number;
   },
 ): Choice | undefined {
-  const { service, facts, avoid, staysInZone = false, nowMs } = params;
+  const { service, facts, urgency, avoid, staysInZone = false, nowMs } = params;
   const open = [...state.servers.values()].filter(
     (view) => view.entry.service === service && !view.leaving && !avoid.has(view.entry.id),
   );
@@ -72,6 +75,7 @@
       load: totalLoad(view, peers),
       model,
       facts,
+      urgency,
       isHome: view.entry.id === homeId,
       nowMs,
     });
@@ -125,17 +129,18 @@
   state: GatewayState,
   params: {
     view: ServerView;
-    load: Required<ServerLoad>;
+    load: ServerLoad;
     model: EngineModel;
     facts: RequestFacts;
+    urgency: number;
     isHome: boolean;
     nowMs: number;
   },
 ): Choice {
-  const { view, load, model, facts, isHome, nowMs } = params;
+  const { view, load, model, facts, urgency, isHome, nowMs } = params;
   const prefillTokens = tokensToRead(view, facts, isHome, nowMs);
-  const tokens = load.prefillTokens + prefillTokens;
-  const { running, unread } = load;
+  const tokens = tokensAhead(load, urgency) + prefillTokens;
+  const { running, unread = 0 } = load;
   const conditions = { tokens, running, unread, slots: view.entry.slots };
   const expectedMs = expectedWaitMs(model, conditions);
   const waitMs = expectedMs * slownessNow(view, nowMs) + silenceChargeMs(view, expectedMs, nowMs);
@@ -147,16 +152,13 @@
 }
 
 /** Open work at a server: this box's own and what peers last told. */
-function totalLoad(view: ServerView, peers: readonly HeardPeer[]): Required<ServerLoad> {
-  let { running, prefillTokens, unread } = view;
+function totalLoad(view: ServerView, peers: readonly HeardPeer[]): ServerLoad {
+  let total: ServerLoad = view;
   for (const peer of peers) {
     const load = peer.message.loads[view.entry.id];
-    if (load === undefined) continue;
-    running += load.running;
-    prefillTokens += load.prefillTokens;
-    unread += load.unread ?? 0;
+    if (load !== undefined) total = addLoads(total, load);
   }
-  return { running, prefillTokens, unread };
+  return total;
 }
 
 function tokensToRead(
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -12,7 +12,14 @@
 import { chooseServer, notePartsRead, type Choice } from '../policy/chooseServer.js';
 import { noteFailure, noteSuccess } from '../policy/serverHealth.js';
 import { noteHeard, noteSend } from '../policy/serverSilence.js';
-import { closeAttempt, giveUp, isRepeatable, noteRead, reachWhenLost } from './ending.js';
+import {
+  closeAttempt,
+  giveUp,
+  isRepeatable,
+  noteRead,
+  noteUnread,
+  reachWhenLost,
+} from './ending.js';
 import { takeRepeat } from './retryBudgets.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { removeServer } from './servers.js';
@@ -39,15 +46,29 @@
   return { record, attempt };
 }
 
-/** Sends a request to the best server, or gives it up. */
-export function offer(state: GatewayState, step: Step, record: RequestRecord): void {
-  const choice = chooseServer(state, {
+/** The best server for a request now; undefined when none may take it. */
+export function chooseFor(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+): Choice | undefined {
+  return chooseServer(state, {
     service: record.service,
     facts: record.facts,
+    urgency: record.urgency,
     avoid: record.avoid,
     staysInZone: record.foundNoConnection,
     nowMs: step.nowMs,
   });
+}
+
+/** Sends a request to the best server, or gives it up. */
+export function offer(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  choice = chooseFor(state, step, record),
+): void {
   if (choice === undefined) return giveUp(state, step, record, 'noServer');
   send(state, step, record, choice);
 }
@@ -61,6 +82,7 @@
     reach: Reach.none,
     open: true,
     prefillTokens,
+    urgency: record.urgency,
     conditions,
     expectedMs,
     heardAtMs: step.nowMs,
@@ -70,8 +92,7 @@
   record.attempts.push(attempt);
   noteSend(view, step.nowMs);
   view.running += 1;
-  view.prefillTokens += prefillTokens;
-  view.unread += 1;
+  noteUnread(view, attempt);
   if (record.attempts.length === 1) state.workTokens += prefillTokens;
   notePartsRead(view, record.facts, step.nowMs);
   const { exchangeId, route } = record;
--- a/packages/reedlug-gateway/src/slices/ending.ts
+++ b/packages/reedlug-gateway/src/slices/ending.ts
@@ -26,10 +26,22 @@
   return view;
 }
 
+/** An attempt's prompt is to be read by the server. */
+export function noteUnread(view: ServerView, attempt: Attempt): void {
+  changeUnread(view, attempt, 1);
+}
+
 /** The server has read an attempt's prompt, or need not any more. */
 export function noteRead(view: ServerView, attempt: Attempt): void {
-  view.prefillTokens -= attempt.prefillTokens;
-  view.unread -= 1;
+  changeUnread(view, attempt, -1);
+}
+
+function changeUnread(view: ServerView, attempt: Attempt, sign: 1 | -1): void {
+  const { prefillTokens, urgency } = attempt;
+  view.prefillTokens += sign * prefillTokens;
+  view.unread += sign;
+  while (view.unreadByUrgency.length <= urgency) view.unreadByUrgency.push(0);
+  view.unreadByUrgency[urgency] = (view.unreadByUrgency[urgency] ?? 0) + sign * prefillTokens;
 }
 
 /** How far a send got whose server says nothing more. */
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -1,7 +1,8 @@
 /** Puts news together: of this box, of its group, and of all others for one member. */
 import { NewsScope, type PeerMessage, type ServerLoad } from '../types/peer.js';
 import type { GatewayState, Step } from '../state.js';
-import type { HeardTotals, PeerView } from '../types/views.js';
+import { addLoads } from '../policy/serverLoad.js';
+import type { HeardTotals, PeerView, ServerView } from '../types/views.js';
 import { dutyFence } from './duties.js';
 import { countedPeers, countsFreshly } from './fleet.js';
 import { addSendSums, type SendSums } from '../policy/engineModel.js';
@@ -73,12 +74,16 @@
 function ownLoads(state: GatewayState): Record<string, ServerLoad> {
   const loads: Record<string, ServerLoad> = {};
   for (const view of state.servers.values()) {
-    const { running, prefillTokens, unread } = view;
-    if (running > 0) loads[view.entry.id] = { running, prefillTokens, unread };
+    if (view.running > 0) loads[view.entry.id] = ownLoad(view);
   }
   return loads;
 }
 
+function ownLoad({ running, prefillTokens, unread, unreadByUrgency }: ServerView): ServerLoad {
+  const load = { running, prefillTokens, unread };
+  return unread === 0 ? load : { ...load, unreadByUrgency: [...unreadByUrgency] };
+}
+
 /** Adds the news of peers to this box's own; totals come from what was heard since the start, less one peer's part. */
 function sumUp(
   state: GatewayState,
@@ -128,16 +133,7 @@
 function sumLoads(messages: readonly PeerMessage[]): Record<string, ServerLoad> {
   const sums = new Map<string, ServerLoad>();
   for (const { loads } of messages) {
-    for (const [id, { running, prefillTokens, unread = 0 }] of Object.entries(loads)) {
-      const sum = sums.get(id);
-      if (sum === undefined) {
-        sums.set(id, { running, prefillTokens, unread });
-        continue;
-      }
-      sum.running += running;
-      sum.prefillTokens += prefillTokens;
-      sum.unread = (sum.unread ?? 0) + unread;
-    }
+    for (const [id, load] of Object.entries(loads)) sums.set(id, addLoads(sums.get(id), load));
   }
   return Object.fromEntries(sums);
 }
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -99,6 +99,7 @@
     running: 0,
     prefillTokens: 0,
     unread: 0,
+    unreadByUrgency: [],
     failureScore: 0,
     failureAtMs: 0,
     heardAtMs: 0,
--- a/packages/reedlug-gateway/src/slices/silence.ts
+++ b/packages/reedlug-gateway/src/slices/silence.ts
@@ -31,9 +31,10 @@
   const reach = reachWhenLost(attempt);
   attempt.reach = reach;
   if (!mayRunAgain(record)) return;
-  const { service, facts } = record;
+  const { service, facts, urgency } = record;
   const avoid = new Set([...record.avoid, attempt.serverId]);
-  if (chooseServer(state, { service, facts, avoid, nowMs: step.nowMs }) === undefined) return;
+  if (chooseServer(state, { service, facts, urgency, avoid, nowMs: step.nowMs }) === undefined)
+    return;
   if (!haveRoomForSend(state, step, record)) return;
   record.avoid.add(attempt.serverId);
   const view = closeAttempt(state, attempt, reach);
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -21,6 +21,8 @@
   prefillTokens: number;
   /** Requests whose first event or answer has not come; boxes of an earlier version do not tell. */
   unread?: number | undefined;
+  /** Prompt tokens still to be read by urgency, 0 first; told where several prompts wait. */
+  unreadByUrgency?: readonly number[] | undefined;
 }
 
 /** Whose figures a message sums up. */
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -46,8 +46,9 @@
   sentAtMs: number;
   reach: Reach;
   open: boolean;
-  /** Prompt tokens that the server is taken to have to read for it. */
+  /** Prompt tokens that the server is taken to have to read for it, and how urgent it is there. */
   prefillTokens: number;
+  urgency: number;
   /** The server's state at the send, and the time to the first event that was expected of it. */
   conditions: SendConditions;
   expectedMs: number;
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -24,6 +24,8 @@
   running: number;
   prefillTokens: number;
   unread: number;
+  /** Prompt tokens of this box still to be read there, by urgency. */
+  unreadByUrgency: number[];
   /** Recent failures, halved every few seconds. */
   failureScore: number;
   failureAtMs: number;
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -93,6 +93,11 @@
   if (caller === undefined) return;
   const { request } = caller;
   noteArrival(world, request, server.entry.service);
+  const tryNumber = request.tries;
+  /** A server that cannot be told to stop may begin a try that its caller has left. */
+  const begin = (): void => {
+    if (request.tries === tryNumber) noteRun(world, request);
+  };
   /** What the server says, unless it has gone silent or the box has left it. */
   const say = (tell: () => void): void => {
     if (!reaches(world, box.settings.box.zone, server)) return;
@@ -110,13 +115,13 @@
   const onRejected = (): void => answer('notRun', 503);
   if (server.work.kind === 'plain') {
     const onAnswered = (): void => {
-      noteRun(world, request);
+      begin();
       answer('success', 200);
     };
     return server.work.server.submit({ runId, workMs: request.workMs, onAnswered, onRejected });
   }
   if (world.random.chance(world.failShare)) {
-    noteRun(world, request);
+    begin();
     return later(world, FAILURE_MS, () => answer('failure', 500));
   }
   let isBegun = false;
@@ -131,7 +136,7 @@
     onEvent(event, isLast) {
       if (!isBegun) {
         isBegun = true;
-        noteRun(world, request);
+        begin();
         answer('success', 200);
       }
       say(() => {
