Ask for the list of boxes ever less often while the store turns a box away

Cause: a call that the store refuses is paid for like any other.

The pause of that poll now doubles up to 4 s; configuration and registry keep 0.5 s. Measured, one poll over 9 s without an answer: 20 calls before, 7 after.

--- a/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
@@ -75,3 +75,31 @@
   following.stop();
   expect(calls.positions.length).to.be.within(1, 4);
 });
+
+test('a feed that is not urgent is asked ever less often while the store turns it away', async () => {
+  const callsWith = async (longestPauseMs: number): Promise<number> => {
+    let calls = 0;
+    let nowMs = 0;
+    const unavailable: FeedAnswer<string> = { kind: 'unavailable', reason: 'status 503' };
+    const feed: Feed<string> = {
+      readAll() {
+        calls += 1;
+        return Promise.resolve(unavailable);
+      },
+      follow: () => Promise.resolve(unavailable),
+    };
+    const clock = {
+      nowMs: () => nowMs,
+      pause(ms: number) {
+        nowMs += ms;
+        if (nowMs >= 9000) following.stop();
+        return Promise.resolve();
+      },
+    };
+    const following = followFeed(feed, 0, listener({ longestPauseMs }), clock);
+    await delay(20);
+    return calls;
+  };
+  expect(await callsWith(500)).to.equal(20);
+  expect(await callsWith(4000)).to.equal(7);
+});
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -17,6 +17,8 @@
   onContact: (reachable: boolean, reason: string) => void;
   /** Asked before each call once the whole has been read; while it says no, nothing is asked. */
   isNeeded?: () => boolean;
+  /** Longest pause after calls that failed, in ms; each failed call is paid for as well. */
+  longestPauseMs?: number;
   /** Pause after a page with changes, in ms, so that a burst of changes comes in few pages. */
   pauseAfterPageMs?: number;
 }
@@ -65,7 +67,7 @@
       case 'unavailable':
         listener.onContact(false, answer.reason);
         await clock.pause(pauseMs);
-        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+        pauseMs = Math.min(listener.longestPauseMs ?? LONGEST_PAUSE_MS, pauseMs * 2);
         return;
     }
   };
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -16,6 +16,8 @@
 const BOXES_WAIT_MS = 30_000;
 /** Pause after a change of the boxes, in ms: at a start all of them enter themselves at once, and each would wake all others. */
 const BOXES_PAUSE_MS = 1000;
+/** Longest pause of that poll after failed ones, in ms: nothing of a box depends on it for a while; at half a second each box that is turned away for 9 s asks 20 times, so 7. */
+const BOXES_LONGEST_PAUSE_MS = 4000;
 /** Pause after a change of the registry, in ms: dozens of engines come and go within a second, and members hear of them each 0.2 s anyway. */
 const SERVERS_PAUSE_MS = 200;
 
@@ -78,6 +80,7 @@
     {
       ...common('boxes'),
       pauseAfterPageMs: BOXES_PAUSE_MS,
+      longestPauseMs: BOXES_LONGEST_PAUSE_MS,
       onPage({ items, whole }) {
         if (items.length > 0) emit({ type: 'peersListed', changes: items });
         entry.onListed({ items, whole });
