--- a/packages/reedlug-gateway/src/policy/serverLoad.ts
+++ b/packages/reedlug-gateway/src/policy/serverLoad.ts
@@ -1,5 +1,7 @@
-/** Open work at a server, summed up over boxes. */
+/** Open work at a server: this box's own, and summed up over boxes. */
 import type { ServerLoad } from '../types/peer.js';
+import type { Attempt } from '../types/request.js';
+import type { ServerView } from '../types/views.js';
 
 /** Adds the work of two boxes, or takes the second one alone. */
 export function addLoads(first: ServerLoad | undefined, second: ServerLoad): ServerLoad {
@@ -27,3 +29,21 @@
   if (unreadByUrgency === undefined) return prefillTokens;
   return unreadByUrgency.slice(0, urgency + 1).reduce((sum, tokens) => sum + tokens, 0);
 }
+
+/** An attempt's prompt is to be read by the server. */
+export function noteUnread(view: ServerView, attempt: Attempt): void {
+  changeUnread(view, attempt, 1);
+}
+
+/** The server has read an attempt's prompt, or need not any more. */
+export function noteRead(view: ServerView, attempt: Attempt): void {
+  changeUnread(view, attempt, -1);
+}
+
+function changeUnread(view: ServerView, attempt: Attempt, sign: 1 | -1): void {
+  const { prefillTokens, urgency } = attempt;
+  view.prefillTokens += sign * prefillTokens;
+  view.unread += sign;
+  while (view.unreadByUrgency.length <= urgency) view.unreadByUrgency.push(0);
+  view.unreadByUrgency[urgency] = (view.unreadByUrgency[urgency] ?? 0) + sign * prefillTokens;
+}
--- a/packages/reedlug-gateway/src/slices/ending.ts
+++ b/packages/reedlug-gateway/src/slices/ending.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt, RequestFacts, RequestRecord } from '../types/request.js';
 import { log, type GatewayState, type Step } from '../state.js';
+import { noteRead } from '../policy/serverLoad.js';
 import type { ServerView } from '../types/views.js';
 
 /** When to come back after no server took a request, in ms: an engine's queue moves on in this time. */
@@ -26,24 +27,6 @@
   return view;
 }
 
-/** An attempt's prompt is to be read by the server. */
-export function noteUnread(view: ServerView, attempt: Attempt): void {
-  changeUnread(view, attempt, 1);
-}
-
-/** The server has read an attempt's prompt, or need not any more. */
-export function noteRead(view: ServerView, attempt: Attempt): void {
-  changeUnread(view, attempt, -1);
-}
-
-function changeUnread(view: ServerView, attempt: Attempt, sign: 1 | -1): void {
-  const { prefillTokens, urgency } = attempt;
-  view.prefillTokens += sign * prefillTokens;
-  view.unread += sign;
-  while (view.unreadByUrgency.length <= urgency) view.unreadByUrgency.push(0);
-  view.unreadByUrgency[urgency] = (view.unreadByUrgency[urgency] ?? 0) + sign * prefillTokens;
-}
-
 /** How far a send got whose server says nothing more. */
 export function reachWhenLost(attempt: Attempt): Reach {
   return attempt.begun ? Reach.answered : Reach.maybe;
--- a/packages/reedlug-gateway/src/slices/limitNews.ts
+++ b/packages/reedlug-gateway/src/slices/limitNews.ts
@@ -14,7 +14,9 @@
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 import type { PeerView } from '../types/views.js';
 import { usesHubs, type HeardPeer } from './fleet.js';
-import { assumeUsed, findWorkspace, isYoung, quotaOf, windowOf } from './quotas.js';
+import { assumeUsed } from './assumedUnits.js';
+import { isYoung } from './limitTolerance.js';
+import { findWorkspace, quotaOf, windowOf } from './quotas.js';
 
 /** Pause before the store is asked again, in ms. */
 const ASK_STORE_EVERY_MS = 500;
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -11,11 +11,8 @@
 import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
 import type { RequestFacts } from '../types/request.js';
 import {
-  addSpreadUnits,
-  addSums,
   addUnits,
   createUnitWindow,
-  SUM_MS,
   timeUntilLeft,
   unitsSince,
   unitsWithin,
@@ -24,34 +21,17 @@
 import { NewsScope } from '../types/peer.js';
 import type { GatewayState } from '../state.js';
 import type { LimitInForce, PeerView, QuotaView } from '../types/views.js';
+import { assumeUsed } from './assumedUnits.js';
 import { countsFreshly, heardShare, usesHubs } from './fleet.js';
+import { SURE, UNSURE, windowLengthMs, withTolerance } from './limitTolerance.js';
 
-/** Kept beyond the users' window, in ms: a request arrives at its server a little after it was admitted. */
-const WINDOW_MARGIN_MS = 200;
-/** Parts of the users' tolerance that are used: of its share of the limit, and of its units. */
-interface UsedTolerance {
-  share: number;
-  slack: number;
-}
-/** Usually; the rest is for what boxes do not know of each other after restarts and cuts. */
-const SURE: UsedTolerance = { share: 0.75, slack: 0.8 };
-/** While a box only supposes what was admitted before its start: that may all have come just before. */
-const UNSURE: UsedTolerance = { share: 0.25, slack: 0.25 };
 /** Time for which others' admissions may be unknown, in ms: a message each 0.2 s, a tick and the way; through two hubs, three times. */
 const NEWS_LAG_MS = 300;
 const NEWS_LAG_BY_HUBS_MS = 700;
 /** How much faster than over the window others may have admitted in that time: callers come in clumps. */
 const CLUMP_FACTOR = 2;
-/** Part of a limit that a box takes to have been used before its start, until the store or a peer that ran then tells it. */
-const FRESH_USED_SHARE = 0.9;
-/** Age of the stored sums up to which the loss alone explains it, in ms: a write each 0.5 s, a loss of power of up to 1.4 s, a start. */
-const USUAL_ROW_AGE_MS = 2600;
-/** Then, time before the loss whose admissions the sums lack, in ms: a write and the news before it. */
-const UNKNOWN_MS = 800;
 /** Share of the fleet that is heard from which on it is taken to be whole: some boxes are always on their way in or out. */
 const WHOLE_SHARE = 0.95;
-/** Shortest time for which a loss of all boxes keeps them away, in ms. */
-const SHORTEST_LOSS_MS = 500;
 /** Greatest part added to the time that a refused caller is told, drawn by its id, so that those refused together do not come back together. */
 const RETRY_SPREAD = 0.25;
 
@@ -190,12 +170,6 @@
   return withTolerance(state, units + burst, isSure ? SURE : UNSURE);
 }
 
-/** A limit with the part of the users' tolerance that is used. */
-function withTolerance(state: GatewayState, units: number, used: UsedTolerance): number {
-  const { limitOverShare, limitSlackUnits } = state.settings.bounds;
-  return units * (1 + limitOverShare * used.share) + limitSlackUnits * used.slack;
-}
-
 /** When so much more room is expected: own units leave the window at known times, others' about evenly. */
 function timeToRoom(
   own: UnitWindow,
@@ -231,16 +205,6 @@
   return window;
 }
 
-/** The users' window and a margin. */
-export function windowLengthMs(state: GatewayState): number {
-  return state.settings.bounds.limitWindowMs + WINDOW_MARGIN_MS;
-}
-
-/** Whether this box may have admitted something in the last window in an earlier life. */
-export function isYoung(state: GatewayState, nowMs: number): boolean {
-  return nowMs - state.startedAtMs < windowLengthMs(state);
-}
-
 /** A box's account of a workspace's limit. */
 export function quotaOf(state: GatewayState, workspace: WorkspaceSpec, nowMs: number): QuotaView {
   const known = state.quotas.get(workspace.name) ?? freshQuota(state, workspace, nowMs);
@@ -265,43 +229,3 @@
   assumeUsed(state, quota, workspace, nowMs);
   return quota;
 }
-
-/**
- * Sets what others and this box itself are supposed to have admitted before its
- * start: what the store says; before it answers, most of the limit, spread evenly.
- */
-export function assumeUsed(
-  state: GatewayState,
-  quota: QuotaView,
-  workspace: WorkspaceSpec,
-  nowMs: number,
-): void {
-  quota.assumed = undefined;
-  if (state.knowsLimits || !isYoung(state, nowMs)) return;
-  const assumed = createUnitWindow(windowLengthMs(state));
-  quota.assumed = assumed;
-  const { limitWindowMs } = state.settings.bounds;
-  const limit = (workspace.ratePerSecond * limitWindowMs) / 1000 + workspace.burst;
-  const { storedLimits, storeEpochMs } = state;
-  if (storedLimits === undefined || storeEpochMs === undefined) {
-    return addSpreadUnits(assumed, limit * FRESH_USED_SHARE, state.startedAtMs);
-  }
-  const sums = storedLimits.admitted[workspace.name] ?? [];
-  const storedAtMs = storedLimits.atStoreMs + storeEpochMs;
-  addSums(assumed, sums, storedAtMs);
-  const unknownMs = unknownSpanMs(state.startedAtMs - storedAtMs);
-  // Boxes that knew all may have gone beyond the limit, as far as they use the tolerance.
-  const room = withTolerance(state, limit, SURE) - unitsWithin(assumed, state.startedAtMs);
-  const most = (Math.max(0, ...sums) * unknownMs) / SUM_MS;
-  addSpreadUnits(assumed, Math.min(room, most), state.startedAtMs, unknownMs);
-}
-
-/**
- * Time before a box's start in which boxes may have admitted what the store does not
- * tell: a little after the holder's last write. Without a holder it goes on until the
- * loss, some hundred ms before the start.
- */
-function unknownSpanMs(ageMs: number): number {
-  const isUsual = ageMs <= USUAL_ROW_AGE_MS;
-  return isUsual ? Math.min(ageMs, UNKNOWN_MS) : ageMs - SHORTEST_LOSS_MS;
-}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/repeats.ts
@@ -0,0 +1,77 @@
+/**
+ * Further sends of a request.
+ *
+ * A request that a server may have run goes to another one only when it may be
+ * repeated, within the route's number of attempts, its time and the budget.
+ */
+import { mayHaveRun } from 'reedlug-coordination';
+import { log, type GatewayState, type Step } from '../state.js';
+import type { Attempt, RequestRecord } from '../types/request.js';
+import { giveUp, isRepeatable } from './ending.js';
+import { takeRepeat } from './retryBudgets.js';
+import { offer } from './sending.js';
+
+/** Least time left for which a further send is worth its place, in ms: a short plain request's work. */
+const MIN_SEND_MS = 30;
+/** Sends of one request at most, refused ones too: beyond it the service is full. */
+const MAX_SENDS = 3;
+
+/** A request and one of its attempts. */
+export interface Found {
+  record: RequestRecord;
+  attempt: Attempt;
+}
+
+/** After a loss the request goes on elsewhere where it may, or ends. */
+export function afterLoss(state: GatewayState, step: Step, found: Found, reason: string): void {
+  const { record, attempt } = found;
+  record.avoid.add(attempt.serverId);
+  if (!mayRepeat(state, step, record)) return giveUp(state, step, record, reason);
+  repeat(state, step, found, reason);
+}
+
+/** Sends a request to another server after its own was lost. */
+export function repeat(state: GatewayState, step: Step, found: Found, reason: string): void {
+  const { record, attempt } = found;
+  log(step, record.relayed ? 'streamResumed' : 'requestRepeated', {
+    request: record.facts.requestId,
+    reason,
+    lost: attempt.serverId,
+    lastEvent: record.lastEventId ?? -1,
+  });
+  offer(state, step, record);
+}
+
+/** Whether a request that may have run may go to another server now; takes it from the budget. */
+export function mayRepeat(state: GatewayState, step: Step, record: RequestRecord): boolean {
+  return mayRunAgain(record) && haveRoomForSend(state, step, record);
+}
+
+/** Whether its kind and its route allow one run more than it may have had. */
+export function mayRunAgain(record: RequestRecord): boolean {
+  if (!isRepeatable(record)) return false;
+  const runs = record.attempts.filter(({ reach }) => mayHaveRun(reach)).length;
+  return runs < record.route.maxAttempts;
+}
+
+/** A send that did not run may be made again at another server. */
+export function tryAgain(state: GatewayState, step: Step, found: Found, reason: string): void {
+  const { record, attempt } = found;
+  record.avoid.add(attempt.serverId);
+  const ranBefore = record.attempts.some((other) => mayHaveRun(other.reach));
+  const allowed = ranBefore ? mayRepeat(state, step, record) : haveRoomForSend(state, step, record);
+  if (!allowed) return giveUp(state, step, record, reason);
+  log(step, 'requestSentElsewhere', {
+    request: record.facts.requestId,
+    reason,
+    server: attempt.serverId,
+  });
+  offer(state, step, record);
+}
+
+/** Whether a further send is worth it and in the budget; takes it from there. */
+export function haveRoomForSend(state: GatewayState, step: Step, record: RequestRecord): boolean {
+  if (record.attempts.length >= MAX_SENDS) return false;
+  if (record.endsAtMs - step.nowMs < MIN_SEND_MS) return false;
+  return takeRepeat(state, record.service);
+}
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -4,13 +4,13 @@
 import type { RouteSpec, WorkspaceSpec } from '../types/configuration.js';
 import type { AwaitingRequest, RequestFacts, RequestRecord } from '../types/request.js';
 import { log, type GatewayState, type Step } from '../state.js';
-import { chooseFor, offer } from './attempts.js';
 import { awaitStart, forgetAwaiting, knowsEnough, takeAwaiting } from './awaiting.js';
 import { findRoute } from './configuration.js';
 import { cancelAll, giveUp, refuse } from './ending.js';
 import { refuseIfLate } from './lateRefusals.js';
 import { admitUnits, unitsOf, type Admission } from './quotas.js';
 import { countFirstSend } from './retryBudgets.js';
+import { chooseFor, offer } from './sending.js';
 import { isTooLateToTake } from './stopping.js';
 
 /** When to come back to another box after this one's planned stop refused, in ms. */
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -0,0 +1,88 @@
+/** Sends of requests to servers. */
+import { Reach } from 'reedlug-coordination';
+import { chooseServer, notePartsRead, type Choice } from '../policy/chooseServer.js';
+import { noteUnread } from '../policy/serverLoad.js';
+import { noteSend } from '../policy/serverSilence.js';
+import { log, type GatewayState, type Step } from '../state.js';
+import { RouteKind } from '../types/configuration.js';
+import type { Attempt, RequestRecord } from '../types/request.js';
+import { giveUp, isRepeatable } from './ending.js';
+
+/** The best server for a request now; undefined when none may take it. */
+export function chooseFor(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+): Choice | undefined {
+  return chooseServer(state, {
+    service: record.service,
+    facts: record.facts,
+    urgency: record.urgency,
+    avoid: record.avoid,
+    staysInZone: record.foundNoConnection,
+    nowMs: step.nowMs,
+  });
+}
+
+/** Sends a request to the best server, or gives it up. */
+export function offer(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  choice = chooseFor(state, step, record),
+): void {
+  if (choice === undefined) return giveUp(state, step, record, 'noServer');
+  send(state, step, record, choice);
+}
+
+function send(state: GatewayState, step: Step, record: RequestRecord, choice: Choice): void {
+  const { view, prefillTokens, conditions, expectedMs } = choice;
+  const attempt: Attempt = {
+    attemptId: state.nextAttemptId,
+    serverId: view.entry.id,
+    sentAtMs: step.nowMs,
+    reach: Reach.none,
+    open: true,
+    prefillTokens,
+    urgency: record.urgency,
+    conditions,
+    expectedMs,
+    heardAtMs: step.nowMs,
+    begun: false,
+  };
+  state.nextAttemptId += 1;
+  record.attempts.push(attempt);
+  noteSend(view, step.nowMs);
+  view.running += 1;
+  noteUnread(view, attempt);
+  if (record.attempts.length === 1) state.workTokens += prefillTokens;
+  notePartsRead(view, record.facts, step.nowMs);
+  const { exchangeId, route } = record;
+  step.effects.push({
+    type: 'send',
+    exchangeId,
+    attemptId: attempt.attemptId,
+    streaming: route.kind === RouteKind.stream,
+    order: {
+      serverId: view.entry.id,
+      address: view.entry.address,
+      deadlineMs: Math.max(1, Math.floor(record.endsAtMs - step.nowMs)),
+      urgency: route.kind === RouteKind.stream ? record.urgency : undefined,
+      workspace: record.workspace,
+      resumeAfterEventId: record.lastEventId,
+      careful: !isRepeatable(record),
+    },
+  });
+  log(step, 'requestSent', {
+    request: record.facts.requestId,
+    route: route.name,
+    server: view.entry.id,
+    attempt: record.attempts.length,
+    costMs: Math.round(choice.costMs),
+    expectedMs: Math.round(expectedMs),
+    running: conditions.running,
+    prefillTokens,
+    configuration: state.active?.configuration.version ?? 0,
+    servers: state.serversRevision,
+  });
+}
--- a/packages/reedlug-gateway/src/slices/silence.ts
+++ b/packages/reedlug-gateway/src/slices/silence.ts
@@ -4,7 +4,7 @@
 import { lostAfterMs, silenceMs } from '../policy/serverSilence.js';
 import type { GatewayState, Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
-import { haveRoomForSend, mayRunAgain, repeat } from './attempts.js';
+import { haveRoomForSend, mayRunAgain, repeat } from './repeats.js';
 import { closeAttempt, reachWhenLost } from './ending.js';
 
 /** Looks for attempts that are lost. */
