--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -98,9 +98,12 @@
   const begin = (): void => {
     if (request.tries === tryNumber) noteRun(world, request);
   };
+  /** A connection that a cut has taken bytes from says nothing any more. */
+  let isBroken = false;
   /** What the server says, unless it has gone silent or the box has left it. */
   const say = (tell: () => void): void => {
-    if (!reaches(world, box.settings.box.zone, server)) return;
+    isBroken ||= !reaches(world, box.settings.box.zone, server);
+    if (isBroken) return;
     const ms = wayMs(world, box.settings.box.zone, server.entry.zone);
     later(world, ms, () => {
       if (box.sends.has(attemptId)) tell();
