--- a/packages/reedlug-gateway/src/slices/__tests__/capacityUnderTrouble.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacityUnderTrouble.test.ts
@@ -31,6 +31,8 @@
   starting: { dueMs: number; entry: ServerEntry }[];
   /** Engines that were given up: they say that they leave after a heartbeat. */
   givenUp: { saysAtMs: number; entry: ServerEntry }[];
+  /** From an engine's start until its entry is read. */
+  entryDelayMs: number;
   /** Until when no reclaimable engine is to be had anywhere. */
   dryUntilMs: number;
   orders: number;
@@ -60,6 +62,7 @@
     wanted: new Map(),
     starting: [],
     givenUp: [],
+    entryDelayMs: 0,
     dryUntilMs: 0,
     orders: 0,
     nextId: 0,
@@ -138,7 +141,7 @@
       const isDry = reclaimable && box.nowMs < scene.dryUntilMs;
       while (!isDry && countOf(scene, zone, reclaimable) < wanted) {
         const entry = engine(scene, zone, reclaimable);
-        scene.starting.push({ dueMs: box.nowMs + BOOT_MS, entry });
+        scene.starting.push({ dueMs: box.nowMs + BOOT_MS + scene.entryDelayMs, entry });
       }
     }
   }
@@ -274,6 +277,24 @@
   expect([...dryUntilMs]).to.deep.equal([]);
 });
 
+test('engines that enter themselves late are not given up', () => {
+  const scene = startScene(40);
+  pass(scene, 30_000);
+  scene.entryDelayMs = 2600;
+  scene.open = 200;
+  const lowered = (): boolean =>
+    [...scene.wanted].some(([key, wanted]) => {
+      const before = highest.get(key) ?? 0;
+      highest.set(key, Math.max(before, wanted));
+      return key.endsWith('true') && wanted < before;
+    });
+  const highest = new Map<string, number>();
+  let times = 0;
+  pass(scene, 12_000, () => (times += lowered() ? 1 : 0));
+  expect(times).to.equal(0);
+  expect(ready(scene).filter(({ reclaimable }) => reclaimable).length).to.be.greaterThan(12);
+});
+
 test('a reclaim does not make orders swing', () => {
   const scene = startScene(60);
   pass(scene, 30_000);
--- a/packages/reedlug-gateway/src/slices/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engineOrders.ts
@@ -14,8 +14,12 @@
 
 /** Time from an order until an engine that it gives up says that it leaves, in ms: three heartbeats and the store's delay. */
 const LEAVES_AFTER_MS = 4500;
-/** How much later than its usual start an engine may come, in ms: its entry is read by long poll. */
-export const BOOT_MARGIN_MS = 2000;
+/**
+ * How much later than its usual start an engine may be seen, in ms: a heartbeat of 1.2 s
+ * until it enters itself, 0.8 s of the store, 0.4 s through a hub, and a slow box. With 2 s,
+ * engines were taken for late and given up while they were entering themselves.
+ */
+export const BOOT_MARGIN_MS = 3500;
 
 /** Names a zone of a service. */
 export function zoneKey(service: string, zone: string): string {
@@ -120,7 +124,9 @@
   const notBeforeMs = step.nowMs + ORDER_RETRY_MS;
   const sentAtMs = step.nowMs;
   const { granted, grantedAtMs } = last ?? { granted: 0, grantedAtMs: Number.NEGATIVE_INFINITY };
-  const surplus = Math.max(0, countReady(state, wanted) - wanted.wanted);
+  // The platform counts those that have not entered themselves yet, and may take others for them.
+  const counted = Math.max(countReady(state, wanted), granted);
+  const surplus = Math.max(0, counted - wanted.wanted);
   const givenUp = Math.max(surplus, stillLeaving(last, step.nowMs));
   state.orders.set(key, {
     call,
