At a first start, as many engines as the limits let expect; nothing is awaited

Before any load, half of what all workspaces' limits allow is expected, half of what the zones may hold at most, and what was ordered stays until the load is known. The on-demand engine of a zone without any is kept to fleets that mean each zone to have four, while zones are taken back.

--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -19,11 +19,11 @@
 
 /**
  * Engines that each zone is meant to have from which on one without any gets an
- * on-demand one: a zone that is cut off serves its callers by itself or not at all
+ * on-demand one while zones are taken back: a zone that is cut off serves its callers by itself or not at all
  * (195 boxes, cut off after a reclaim: 174 callers refused in 9 s). Smaller fleets
  * rest on the others; there one engine more is a third of the bill.
  */
-const ENGINES_OF_OWN_ZONE = 2;
+const ENGINES_OF_OWN_ZONE = 4;
 
 /** Engines of a service by its load. */
 export interface EngineNeed {
@@ -83,12 +83,11 @@
 
 /**
  * Reclaimable engines at the first start of a service, over all zones, while nobody
- * has asked anything yet: as many as the operators started with. Three a zone alone
- * left 195 boxes with 15 engines where their callers needed 35: the first six
- * seconds earned 0.52 to 0.77 of what they could.
+ * has asked anything yet. Three a zone alone left 195 boxes with 15 engines where
+ * their callers needed 35: the first six seconds earned 0.52 to 0.77 of what they could.
  */
-export function firstReclaimable(zones: number, stood: number): number {
-  return Math.max(stood, zones * FIRST_RECLAIMABLE_PER_ZONE);
+export function firstReclaimable(zones: number, expected: number): number {
+  return Math.max(expected, zones * FIRST_RECLAIMABLE_PER_ZONE);
 }
 
 /** What is wanted of each zone and kind. */
@@ -176,7 +175,7 @@
   const wanted = Math.max(total(kept), missing - total(comingByZone));
   const room = readyByZone.map((count) => maxPerZone - count);
   const dealt = dealOnto(wanted, kept, room, beside);
-  if (need.usual < zones.length * ENGINES_OF_OWN_ZONE) return dealt;
+  if (!keepReserve || need.usual < zones.length * ENGINES_OF_OWN_ZONE) return dealt;
   return dealt.map((count, index) => {
     const isBare = zones[index]?.isDry === true && beside[index] === 0;
     return isBare ? Math.max(count, Math.min(1, room[index] ?? 0)) : count;
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -4,12 +4,18 @@
  * Reclaimable engines carry the load. On-demand ones are kept only while the
  * reclaimable ones are not all there: at the start, and after a reclaim.
  */
-import type { ScalingSpec, ServiceSpec } from '../types/configuration.js';
+import {
+  LimitUnit,
+  type ScalingSpec,
+  type ServiceSpec,
+  type WorkspaceSpec,
+} from '../types/configuration.js';
 import {
   enginesNeeded,
   firstReclaimable,
   spreadEngines,
   type EngineNeed,
+  type ServiceLoad,
   type ZoneOffer,
 } from '../policy/engineTarget.js';
 import { holdFigure, log, type GatewayState, type Step } from '../state.js';
@@ -21,7 +27,6 @@
   countLost,
   countReady,
   grantedEngines,
-  hasOrdered,
   lastOrdered,
   noteDry,
   orderEngines,
@@ -41,12 +46,12 @@
 const FIRST_FENCE = 1;
 /** Time from this box's start until it plans, in ms: two heartbeats, in which the registry fills. */
 const REGISTRY_FILLS_MS = 3500;
-/** The same at a first start that nobody asks at, where each engine that stands costs its full price: one heartbeat and the store's delay. */
-const FIRST_FILLS_MS = 2400;
-/** Pause between two new engines after which all of a first start are taken to have entered themselves, in ms: of 55, ten a second did. */
-const FIRST_PAUSE_MS = 700;
-/** Longest wait for them, in ms from this box's start. */
-const FIRST_FILLS_AT_MOST_MS = 7000;
+/** Part of all workspaces' limits that callers are taken to use before any load is known: on the users' sites, about half. */
+const EXPECTED_OF_LIMITS = 0.5;
+/** The most engines that are ordered for it, as a share of those that the zones may hold: limits may be far above what is asked. */
+const MOST_EXPECTED_SHARE = 0.5;
+/** Time from this box's start up to which it may be a first start, in ms: of 55 engines the last entered itself after 5.9 s. */
+const FIRST_START_MS = 7000;
 
 /** Plans and orders, while this box holds the lease. */
 export function capacityTick(state: GatewayState, step: Step): void {
@@ -59,15 +64,13 @@
   const fence = dutyFence(state, step.nowMs);
   for (const service of state.active.configuration.services) {
     if (service.scaling === undefined) continue;
-    if (isBeforeLoad(state, step)) noteFirstOnDemand(state, step, service.name);
+    if (isBeforeLoad(state, step)) noteFirstOnDemand(state, service.name);
+    // At a first start the engines that stand cost their full price: nothing is awaited.
+    const isFirst = fence === FIRST_FENCE && isBeforeLoad(state, step);
     // Every box follows the need, so that a new holder knows it.
-    const need = steadyNeed(state, step, service);
+    const need = steadyNeed(state, step, service, isFirst);
     if (fence === undefined) continue;
-    const isFirst = fence === FIRST_FENCE && isBeforeLoad(state, step);
-    const isFilling = isFirst
-      ? firstFills(state, step, service.name)
-      : sinceStartMs(state, step) < REGISTRY_FILLS_MS;
-    if (!isFilling) planService(state, step, { service, need, fence });
+    if (isFirst || !registryFills(state, step)) planService(state, step, { service, need, fence });
   }
 }
 
@@ -75,40 +78,27 @@
   return step.nowMs - state.startedAtMs;
 }
 
-/** True right after this box's start while nobody has asked anything. */
-function isBeforeLoad(state: GatewayState, step: Step): boolean {
-  return sinceStartMs(state, step) < FIRST_FILLS_AT_MOST_MS && state.loadSinceMs === undefined;
+/** True while entries may still be missing from the registry after this box's start. */
+function registryFills(state: GatewayState, step: Step): boolean {
+  return sinceStartMs(state, step) < REGISTRY_FILLS_MS;
 }
 
-/** True while engines of a first start are still entering themselves: those that are not seen would not be replaced. */
-function firstFills(state: GatewayState, step: Step, service: string): boolean {
-  if (sinceStartMs(state, step) < FIRST_FILLS_MS) return true;
-  const first = state.firstOnDemand.get(service);
-  if (first === undefined || hasOrdered(state, service)) return false;
-  return step.nowMs - first.lastAtMs < FIRST_PAUSE_MS;
+/** True right after this box's start while nobody has asked anything. */
+function isBeforeLoad(state: GatewayState, step: Step): boolean {
+  return sinceStartMs(state, step) < FIRST_START_MS && state.loadSinceMs === undefined;
 }
 
 /** Remembers the engines that the operators started with: so many are likely to be needed. */
-function noteFirstOnDemand(state: GatewayState, step: Step, service: string): void {
+function noteFirstOnDemand(state: GatewayState, service: string): void {
   // With reclaimable ones there, it is no first start: then on-demand ones only stand in.
   if (countReady(state, { service, reclaimable: true }) > 0) return;
-  const first = state.firstOnDemand.get(service) ?? {
-    ids: new Set(),
-    lastAtMs: Number.NEGATIVE_INFINITY,
-  };
-  state.firstOnDemand.set(service, first);
+  const seen = state.firstOnDemand.get(service) ?? new Set();
+  state.firstOnDemand.set(service, seen);
   for (const { entry } of state.servers.values()) {
-    if (entry.service !== service || entry.reclaimable || first.ids.has(entry.id)) continue;
-    first.ids.add(entry.id);
-    first.lastAtMs = step.nowMs;
+    if (entry.service === service && !entry.reclaimable) seen.add(entry.id);
   }
 }
 
-/** On-demand engines that the operators started with, as far as they were seen. */
-function countStood(state: GatewayState, service: ServiceSpec): number {
-  return state.firstOnDemand.get(service.name)?.ids.size ?? 0;
-}
-
 /** Places of one engine, by the registry; by the configuration before there is an entry. */
 function slotsOf(state: GatewayState, service: ServiceSpec): number {
   let slots = 0;
@@ -211,34 +201,78 @@
 }
 
 /** The need, which rises at once and falls only after a while. */
-function steadyNeed(state: GatewayState, step: Step, spec: ServiceSpec): EngineNeed {
+function steadyNeed(
+  state: GatewayState,
+  step: Step,
+  spec: ServiceSpec,
+  isFirst: boolean,
+): EngineNeed {
   const service = spec.name;
-  const { usual, least } = enginesNeeded({
-    load: loadOf(state, service),
-    model: modelOf(state, service, step.nowMs),
-    slots: slotsOf(state, spec),
-    zones: spec.scaling?.zonePrices.length ?? 1,
-    hasReclaimable: spec.scaling?.reclaimablePriceShare !== undefined,
-  });
+  const { usual, least } = needFor(state, step, spec, loadOf(state, service));
   const held = state.heldNeeds.get(service) ?? startNeed();
   holdFigure(held.usual, usual, step.nowMs, HOLD_USUAL_MS);
   holdFigure(held.least, least, step.nowMs, HOLD_LEAST_MS);
   state.heldNeeds.set(service, held);
-  const atLeast = isLoadKnown(state, step) ? 0 : startingCount(state, spec);
+  const atLeast = isLoadKnown(state, step) ? 0 : startingCount(state, step, spec, isFirst);
   return { usual: Math.max(held.usual.value, atLeast), least: held.least.value };
 }
 
+function needFor(
+  state: GatewayState,
+  step: Step,
+  spec: ServiceSpec,
+  load: ServiceLoad,
+): EngineNeed {
+  return enginesNeeded({
+    load,
+    model: modelOf(state, spec.name, step.nowMs),
+    slots: slotsOf(state, spec),
+    zones: spec.scaling?.zonePrices.length ?? 1,
+    hasReclaimable: spec.scaling?.reclaimablePriceShare !== undefined,
+  });
+}
+
 /** Nothing is held yet. */
 function startNeed(): HeldNeed {
   return { usual: { value: 0, untilMs: 0 }, least: { value: 0, untilMs: 0 } };
 }
 
-/** Before the load is known, what is there stays; at a first start, as many as the operators started with, and a few for each zone at least. */
-function startingCount(state: GatewayState, service: ServiceSpec): number {
+/**
+ * Before the load is known, what is there or was ordered stays; at a first start, as many as the
+ * limits let expect, as far as seen as many as the operators started with, and a few
+ * for each zone at least.
+ */
+function startingCount(
+  state: GatewayState,
+  step: Step,
+  service: ServiceSpec,
+  isFirst: boolean,
+): number {
   const reclaimable = countReady(state, { service: service.name, reclaimable: true });
   const onDemand = countReady(state, { service: service.name, reclaimable: false });
-  const stood = countStood(state, service);
-  if (stood === 0 && onDemand <= reclaimable) return reclaimable;
-  const zones = service.scaling?.zonePrices.length ?? 0;
-  return Math.max(reclaimable, firstReclaimable(zones, stood));
+  const stood = state.firstOnDemand.get(service.name)?.size ?? 0;
+  const zones = service.scaling?.zonePrices ?? [];
+  const ordered = zones.reduce(
+    (sum, { zone }) => sum + lastOrdered(state, service.name, zone, true),
+    0,
+  );
+  if (isFirst && reclaimable === 0) {
+    const expected = Math.max(stood, expectedByLimits(state, step, service));
+    return Math.max(ordered, firstReclaimable(zones.length, expected));
+  }
+  if (stood === 0 && onDemand <= reclaimable) return ordered;
+  return Math.max(ordered, firstReclaimable(zones.length, stood));
+}
+
+/** Engines for the part of all limits that callers are likely to use; none where a workspace has no limit in tokens. */
+function expectedByLimits(state: GatewayState, step: Step, service: ServiceSpec): number {
+  const { workspaces = [] } = state.active?.configuration ?? {};
+  const hasLimit = ({ unit, ratePerSecond }: WorkspaceSpec): boolean =>
+    unit === LimitUnit.tokens && ratePerSecond > 0;
+  if (workspaces.length === 0 || !workspaces.every(hasLimit)) return 0;
+  const allowed = workspaces.reduce((sum, { ratePerSecond }) => sum + ratePerSecond, 0);
+  const load = { openRequests: 0, tokensPerSecond: allowed * EXPECTED_OF_LIMITS };
+  const { maxPerZone = 0, zonePrices = [] } = service.scaling ?? {};
+  const most = maxPerZone * zonePrices.length * MOST_EXPECTED_SHARE;
+  return Math.min(most, needFor(state, step, service, load).usual);
 }
--- a/packages/reedlug-gateway/src/slices/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engineOrders.ts
@@ -58,11 +58,6 @@
   return Math.max(ready, order.granted);
 }
 
-/** Whether this box has ordered engines of a service. */
-export function hasOrdered(state: GatewayState, service: string): boolean {
-  return [...state.orders.values()].some(({ call }) => call.service === service);
-}
-
 /** No further reclaimable engines are to be had in a zone for a while. */
 export function noteDry(state: GatewayState, step: Step, service: string, zone: string): void {
   state.dryUntilMs.set(zoneKey(service, zone), step.nowMs + DRY_MS);
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -9,7 +9,6 @@
 import type {
   ActiveConfiguration,
   EngineOrder,
-  FirstEngines,
   HeardTotals,
   HeldFigure,
   HeldNeed,
@@ -108,7 +107,7 @@
   /** When this box first saw any load, its own or another's; undefined before. */
   loadSinceMs: number | undefined;
   /** On-demand engines that were there while the registry filled and nobody asked, by service. */
-  firstOnDemand: Map<string, FirstEngines>;
+  firstOnDemand: Map<string, Set<string>>;
   heldNeeds: Map<string, HeldNeed>;
   /** By service and zone, until when no further reclaimable engines are to be had. */
   dryUntilMs: Map<string, number>;
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -109,13 +109,6 @@
   notBeforeMs: number;
 }
 
-/** Engines that stood when nobody had asked anything yet. */
-export interface FirstEngines {
-  ids: Set<string>;
-  /** When the last of them was seen first. */
-  lastAtMs: number;
-}
-
 /** A load averaged over seconds, and over a longer time. */
 export interface LoadAverage {
   recent: number;
