--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -8,7 +8,7 @@
 } from '../servers/serverPark.js';
 import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
 import { areCut, boxAt, later, takeNumber, wayMs, type World } from '../world.js';
-import { killBox, stopRunAt, storeOf, type VirtualBox } from './virtualBox.js';
+import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
 
 /** Longest waits of the daemon, in ms: for the table, the cloud, a peer and a connection. */
 const TABLE_TIMEOUT_MS = 1500;
@@ -17,6 +17,8 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Zone of the cloud; nothing else is in it. */
 const CLOUD_ZONE = '(cloud)';
+/** Urgency of a request that says none. */
+const DEFAULT_URGENCY = 5;
 /** Time that a server's own failure takes, in ms. */
 const FAILURE_MS = 5;
 
@@ -30,7 +32,7 @@
     case 'cancelAttempt':
       return cancel(world, box, effect.attemptId);
     case 'relay':
-      return relay(world, box, effect);
+      return relay(box, effect);
     case 'refuse':
       return refuse(box, effect);
     case 'cutCaller': {
@@ -155,9 +157,6 @@
   });
 }
 
-/** Urgency of a request that says none. */
-const DEFAULT_URGENCY = 5;
-
 function end(box: VirtualBox, server: VirtualServer, attemptId: number, runId: number): void {
   box.sends.delete(attemptId);
   server.openRuns.delete(runId);
@@ -174,7 +173,7 @@
 }
 
 /** A stream's head goes with its first event. */
-function relay(_world: World, box: VirtualBox, effect: EffectOf<'relay'>): void {
+function relay(box: VirtualBox, effect: EffectOf<'relay'>): void {
   if (effect.part !== 'whole') return;
   box.exchanges.get(effect.exchangeId)?.onAnswer();
   box.exchanges.delete(effect.exchangeId);
@@ -188,12 +187,10 @@
 
 function requestTable(box: VirtualBox, effect: EffectOf<'requestTable'>): void {
   const { purpose, op, sentAtMs } = effect;
-  void storeOf(box)
-    .table(op, TABLE_TIMEOUT_MS)
-    .then(({ answer, storeNowMs }) => {
-      if (storeNowMs !== undefined) box.emit({ type: 'storeClock', storeNowMs });
-      box.emit({ type: 'tableAnswered', purpose, answer, sentAtMs });
-    });
+  void box.store?.table(op, TABLE_TIMEOUT_MS).then(({ answer, storeNowMs }) => {
+    if (storeNowMs !== undefined) box.emit({ type: 'storeClock', storeNowMs });
+    box.emit({ type: 'tableAnswered', purpose, answer, sentAtMs });
+  });
 }
 
 function callCloud(world: World, box: VirtualBox, effect: EffectOf<'callCloud'>): void {
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -4,6 +4,8 @@
 import type { BrokenPromise } from './sceneRecord.js';
 import { greatestSum } from './slidingSum.js';
 
+/** The users' window of repeats, in ms. */
+const RETRY_WINDOW_MS = 10_000;
 /** Spans that count as the worst ones. */
 const WORST_SPANS = 2;
 /** Part of the mean requests of a span below which it says nothing. */
@@ -132,9 +134,6 @@
   }
 }
 
-/** The users' window of repeats, in ms. */
-const RETRY_WINDOW_MS = 10_000;
-
 function breakBound(world: World, promise: string, detail: string): void {
   world.record.broken.push({ promise, detail });
 }
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -9,6 +9,10 @@
 import { createBatchEngine, finishStep, submitRun, type BatchEngine } from './batchEngine.js';
 import { createPlainServer, type PlainServer } from './plainServer.js';
 
+/** Pause between looks whether a leaving server is idle, in ms. */
+const IDLE_CHECK_MS = 200;
+/** Heartbeats without which an entry of the registry goes. */
+const LAPSE_HEARTBEATS = 3;
 /** Port of every server; addresses differ by their host. */
 const SERVER_PORT = 8509;
 
@@ -163,9 +167,6 @@
   later(world, IDLE_CHECK_MS, () => endWhenIdle(world, server, false));
 }
 
-/** Pause between looks whether a leaving server is idle, in ms. */
-const IDLE_CHECK_MS = 200;
-
 /** Ends a server; the boxes whose requests are open there see their connections reset. */
 export function endServer(world: World, server: VirtualServer): void {
   if (!world.servers.delete(server.entry.id)) return;
@@ -186,9 +187,6 @@
   });
 }
 
-/** Heartbeats without which an entry of the registry goes. */
-const LAPSE_HEARTBEATS = 3;
-
 /** Notes what the engines that still stand have cost. */
 export function noteStanding(world: World): void {
   for (const server of world.servers.values()) noteLife(world, server);
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -17,6 +17,8 @@
 
 /** Zone in which the store is reached; no box is in it. */
 const STORE_ZONE = '(store)';
+/** Longest wait for the entry of a box, in ms, as the platform's adapter has it. */
+const ANNOUNCE_TIMEOUT_MS = 1500;
 /** Rows of one answer at most, as the users' store gives them. */
 const ROWS_OF_A_PAGE = 500;
 
@@ -186,9 +188,6 @@
   return store;
 }
 
-/** Longest wait for the entry of a box, in ms, as the platform's adapter has it. */
-const ANNOUNCE_TIMEOUT_MS = 1500;
-
 function purposeOf(key: string | undefined): StoreCall {
   if (key === 'duty-lease') return StoreCall.lease;
   return key === 'usage-open' ? StoreCall.checkpoint : StoreCall.otherRows;
