The caution of a parted fleet only where there are hubs

Cause: one box of six that is away parts a small fleet, and the others then kept to 0.85 of their share for nothing: boxes that hear each other directly notice a cut sooner.

--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -32,7 +32,7 @@
 const CLUMP_FACTOR = 2;
 /** Share of the fleet that is heard from which on it is taken to be whole: some boxes are always on their way in or out. */
 const WHOLE_SHARE = 0.95;
-/** Part of its share that a part of the fleet uses while it is cut off: until the cut is noticed, both parts take what the other may take as well. */
+/** Part of its share that a part of a fleet with hubs uses while it is cut off: until the cut is noticed, both parts take what the other may take as well. Boxes that hear each other directly notice sooner, and one box that is away is a sixth of a small fleet. */
 const USED_WHILE_PARTED = 0.85;
 /** Greatest part added to the time that a refused caller is told, drawn by its id, so that those refused together do not come back together. */
 const RETRY_SPREAD = 0.25;
@@ -111,7 +111,8 @@
   const reserve = (heardOfPart * CLUMP_FACTOR * lagMs) / windowLengthMs(state);
   const used = own + heard + silent + assumedUnits(quota, nowMs);
   const roomOfAll = allowed - used;
-  const ofShare = state.partedAtMs === undefined ? share : share * USED_WHILE_PARTED;
+  const isCautious = state.partedAtMs !== undefined && usesHubs(state);
+  const ofShare = isCautious ? share * USED_WHILE_PARTED : share;
   const roomOfShare = allowed * ofShare - own - heardOfPart;
   return { room: Math.min(roomOfAll, roomOfShare) - reserve, used, allowed, share };
 }
