--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -7,7 +7,7 @@
  * find no loads and no changes in it, and ask for the whole registry.
  */
 import { Decoder, Encoder } from 'cbor-x';
-import type { NumberedChange, PeerDatagram, PeerMessage, ServerLoad } from '../types/peer.js';
+import type { NumberedChange, PeerDatagram, ServerLoad } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
 
 const encoder = new Encoder({ useRecords: false });
@@ -50,24 +50,30 @@
     // Not CBOR: the caller says so in the log.
     return undefined;
   }
-  if (typeof value !== 'object' || value === null) return undefined;
-  const parts = value as Record<string, unknown>;
-  const kind = String(parts['kind']);
-  if (!Object.hasOwn(PARTS_OF_KINDS, kind) || typeof parts['boxId'] !== 'string') return undefined;
-  const required = PARTS_OF_KINDS[kind as PeerDatagram['kind']];
-  const isWhole = required.every((name) => typeof parts[name] === 'object' && parts[name] !== null);
-  if (!isWhole) return undefined;
-  const { loadRows, changeRows, ...rest } = parts;
-  if (!Array.isArray(loadRows)) return rest as unknown as PeerDatagram;
-  const message = rest as unknown as PeerMessage;
+  if (!isDatagram(value)) return undefined;
+  const { loadRows, changeRows, ...message } = value as PeerDatagram & Rows;
+  if (message.kind !== 'news' || !Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isRow).map(loadOf));
   const { registry } = message;
   if (registry === undefined || !Array.isArray(changeRows)) return { ...message, loads };
-  return {
-    ...message,
-    loads,
-    registry: { ...registry, changes: changeRows.filter(isChangeRow).map(changeOf) },
-  };
+  const changes = changeRows.filter(isChangeRow).map(changeOf);
+  return { ...message, loads, registry: { ...registry, changes } };
+}
+
+/** What news hold in place of loads and changes; a box of an earlier version sends none. */
+interface Rows {
+  loadRows?: unknown;
+  changeRows?: unknown;
+}
+
+/** Whether a value is of a known kind and has that kind's parts. */
+function isDatagram(value: unknown): value is PeerDatagram {
+  if (typeof value !== 'object' || value === null) return false;
+  const parts = value as Record<string, unknown>;
+  const kind = String(parts['kind']);
+  if (!Object.hasOwn(PARTS_OF_KINDS, kind) || typeof parts['boxId'] !== 'string') return false;
+  const required = PARTS_OF_KINDS[kind as PeerDatagram['kind']];
+  return required.every((name) => typeof parts[name] === 'object' && parts[name] !== null);
 }
 
 function isRow(row: unknown): row is LoadRow {
--- a/packages/reedlug-gateway/src/policy/__tests__/admission.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/decideSend.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
-import { admitRequest, type AdmissionFacts } from '../admission.js';
+import { decideSend, type SendFacts } from '../decideSend.js';
 
-function decide(changes: Partial<AdmissionFacts> = {}) {
-  return admitRequest({
+function decide(changes: Partial<SendFacts> = {}) {
+  return decideSend({
     expectedMs: 500,
     running: 30,
     slots: 48,
@@ -34,8 +34,8 @@
 
 test('the time to come back is neither a moment nor longer than a caller waits', () => {
   const retryAfter = (expectedMs: number): number => {
-    const admission = decide({ expectedMs });
-    return admission.kind === 'refuse' ? admission.retryAfterMs : 0;
+    const decision = decide({ expectedMs });
+    return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
   };
   expect(retryAfter(1300)).to.equal(500);
   expect(retryAfter(60_000)).to.equal(5000);
--- a/packages/reedlug-gateway/src/policy/admission.ts
+++ b/packages/reedlug-gateway/src/policy/decideSend.ts
@@ -22,7 +22,7 @@
 const MAX_RETRY_MS = 5000;
 
 /** What decides. */
-export interface AdmissionFacts {
+export interface SendFacts {
   /** Expected time to the first event at the best engine. */
   expectedMs: number;
   /** Requests in progress there, and its places. */
@@ -36,10 +36,10 @@
 }
 
 /** What is decided. */
-export type Admission = { kind: 'send' } | { kind: 'refuse'; retryAfterMs: number };
+export type SendDecision = { kind: 'send' } | { kind: 'refuse'; retryAfterMs: number };
 
 /** Decides. */
-export function admitRequest(facts: AdmissionFacts): Admission {
+export function decideSend(facts: SendFacts): SendDecision {
   const { expectedMs, running, slots, targetMs, leftMs, hasReturned } = facts;
   if (running < slots * FREE_PLACES_SHARE) return { kind: 'send' };
   const limitMs = hasReturned ? leftMs * RETURNED_SHARE : targetMs * LATE_FACTOR;
--- a/packages/reedlug-gateway/src/slices/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/lateRefusals.ts
@@ -1,7 +1,7 @@
 /** Refusals of requests that no engine would begin in time. */
 import { hashString } from 'reedlug-coordination';
-import { admitRequest } from '../policy/admission.js';
 import type { Choice } from '../policy/chooseServer.js';
+import { decideSend } from '../policy/decideSend.js';
 import { log, type Step } from '../state.js';
 import { RouteKind } from '../types/configuration.js';
 import type { RequestRecord } from '../types/request.js';
@@ -21,8 +21,8 @@
   const leftMs = endsAtMs - step.nowMs;
   const { targetMs, timeoutMs } = route;
   const hasReturned = (facts.deadlineMs ?? timeoutMs) < timeoutMs * RETURNED_DEADLINE_SHARE;
-  const admission = admitRequest({ expectedMs, running, slots, targetMs, leftMs, hasReturned });
-  if (admission.kind === 'send') return false;
+  const decision = decideSend({ expectedMs, running, slots, targetMs, leftMs, hasReturned });
+  if (decision.kind === 'send') return false;
   const spread = 1 + RETRY_SPREAD * (hashString(facts.requestId) / 2 ** 32);
   log(step, 'requestTooLate', {
     request: facts.requestId,
@@ -32,7 +32,7 @@
     leftMs: Math.round(leftMs),
     hasReturned,
   });
-  const retryAfterMs = admission.retryAfterMs * spread;
+  const retryAfterMs = decision.retryAfterMs * spread;
   refuse(step, { exchangeId, facts, status: 503, reason: 'tooLate', retryAfterMs });
   return true;
 }
