One copy of the daemon's times, its event order and the peer link's codec

The simulator's boxes and the platform's adapter kept the daemon's pause between ticks and its time limits as copies, and the simulator its loop over pending events; the peer link made its codec twice. Each stands once now.

--- a/packages/reedlug-gateway/src/daemon/connectionPool.ts
+++ b/packages/reedlug-gateway/src/daemon/connectionPool.ts
@@ -5,9 +5,8 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
 import type { HostPort } from '../types/server.js';
+import { CONNECT_TIMEOUT_MS } from './daemonTimes.js';
 
-/** Longest wait for a connection, in ms: a server's full queue drops the opening packet for seconds. */
-const CONNECT_TIMEOUT_MS = 400;
 /** Idle time after which a connection is closed where the server names none, in ms. */
 const IDLE_TIMEOUT_MS = 4000;
 /** Taken off the idle time that a server names, in ms: a send must not cross its close. */
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -5,13 +5,9 @@
 import { eventsOfShared } from '../slices/sharedState.js';
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
+import { CLOUD_TIMEOUT_MS, TABLE_TIMEOUT_MS } from './daemonTimes.js';
 import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
 
-/** Longest wait for the table, in ms: its answer takes 4 ms, a slow one 250. */
-const TABLE_TIMEOUT_MS = 1500;
-/** Longest wait for the cloud, in ms. */
-const CLOUD_TIMEOUT_MS = 1500;
-
 /** Carries out one effect; what comes of it is a later event. */
 export function performEffect(runtime: Runtime, effect: Effect): void {
   switch (effect.type) {
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -11,7 +11,6 @@
 import { sharedStateOf } from '../slices/sharedState.js';
 import { isReady } from '../slices/stopping.js';
 import { createGatewayState, type GatewayState } from '../state.js';
-import type { Effect } from '../types/effect.js';
 import type { EventBody } from '../types/event.js';
 import type { HostPort } from '../types/server.js';
 import type { GatewaySettings } from '../types/settings.js';
@@ -19,14 +18,13 @@
 import { createConnectionPool, type ConnectionPool } from './connectionPool.js';
 import type { BackendAttempt } from './backendAttempt.js';
 import { PROCESS_CLOCK, type Clock } from './clock.js';
+import { TICK_MS } from './daemonTimes.js';
 import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
+import { createEventQueue } from './eventQueue.js';
 import { followPlatform } from './platformFeeds.js';
 import { openPeerSocket, type PeerSocket } from './peerSocket.js';
 
-/** Pause between ticks, in ms: the precision of time limits, against the price of a wake-up. */
-const TICK_MS = 50;
-
 /** What a daemon is made of. */
 export interface Runtime {
   settings: GatewaySettings;
@@ -66,20 +64,10 @@
   const { settings, adapter, incarnation, logger, onStopped } = params;
   const clock = PROCESS_CLOCK;
   const state = createGatewayState({ settings, incarnation, nowMs: clock.nowMs() });
-  const pending: EventBody[] = [];
-  let busy = false;
-
-  const emit = (body: EventBody): void => {
-    pending.push(body);
-    if (busy) return;
-    busy = true;
-    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
-      const event = { ...next, nowMs: clock.nowMs(), wallMs: Date.now() };
-      for (const effect of reduce(state, event)) perform(effect);
-    }
-    busy = false;
-  };
-  const perform = (effect: Effect): void => performEffect(runtime, effect);
+  const emit = createEventQueue((body) => {
+    const event = { ...body, nowMs: clock.nowMs(), wallMs: Date.now() };
+    for (const effect of reduce(state, event)) performEffect(runtime, effect);
+  });
 
   const peers = await openPeerSocket({
     address: { host: settings.box.ip, port: settings.listen.peersPort },
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -4,18 +4,12 @@
  */
 import { createSocket } from 'node:dgram';
 import { createServer } from 'node:http';
-import { Decoder, Encoder } from 'cbor-x';
 import { Client } from 'undici';
 import type { PeerDatagram } from '../types/peer.js';
 import type { SharedState } from '../slices/sharedState.js';
 import type { HostPort } from '../types/server.js';
-import { decodeDatagram, encodeDatagram } from './peerWire.js';
-
-/** Longest wait for a peer's answer, in ms: several round trips between zones. */
-const ASK_TIMEOUT_MS = 500;
-
-const encoder = new Encoder({ useRecords: false });
-const decoder = new Decoder({ useRecords: false });
+import { ASK_TIMEOUT_MS } from './daemonTimes.js';
+import { decodeDatagram, decoder, encodeDatagram, encoder } from './peerWire.js';
 
 /** A box's end of the link. */
 export interface PeerSocket {
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -10,8 +10,9 @@
 import type { NumberedChange, PeerDatagram, ServerLoad } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
 
-const encoder = new Encoder({ useRecords: false });
-const decoder = new Decoder({ useRecords: false });
+/** CBOR of the peer link, without record definitions: a datagram must be readable alone. */
+export const encoder = new Encoder({ useRecords: false });
+export const decoder = new Decoder({ useRecords: false });
 
 /** Kinds of datagrams, with what each must hold to be taken. */
 const PARTS_OF_KINDS: Readonly<Record<PeerDatagram['kind'], readonly string[]>> = {
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -2,7 +2,9 @@
 export type * from './adapter.js';
 export { createGatewayState, type GatewayState } from './state.js';
 export type { Clock } from './daemon/clock.js';
+export * from './daemon/daemonTimes.js';
 export { eventOfDatagram } from './daemon/datagramEvent.js';
+export { createEventQueue } from './daemon/eventQueue.js';
 export { followPlatform } from './daemon/platformFeeds.js';
 export { eventsOfShared, sharedStateOf, type SharedState } from './slices/sharedState.js';
 export { isReady } from './slices/stopping.js';
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -1,5 +1,14 @@
 /** Carries out the effects of a box's reducer in the world. */
-import { eventOfDatagram, eventsOfShared, sharedStateOf, type Effect } from 'reedlug-gateway';
+import {
+  ASK_TIMEOUT_MS,
+  CLOUD_TIMEOUT_MS,
+  CONNECT_TIMEOUT_MS,
+  eventOfDatagram,
+  eventsOfShared,
+  sharedStateOf,
+  TABLE_TIMEOUT_MS,
+  type Effect,
+} from 'reedlug-gateway';
 import {
   reaches,
   submitToEngine,
@@ -10,11 +19,6 @@
 import { areCut, boxAt, later, takeNumber, wayMs, type World } from '../world.js';
 import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
 
-/** Longest waits of the daemon, in ms: for the table, the cloud, a peer and a connection. */
-const TABLE_TIMEOUT_MS = 1500;
-const CLOUD_TIMEOUT_MS = 1500;
-const ASK_TIMEOUT_MS = 500;
-const CONNECT_TIMEOUT_MS = 400;
 /** Zone of the cloud; nothing else is in it. */
 const CLOUD_ZONE = '(cloud)';
 /** Urgency of a request that says none. */
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -1,10 +1,11 @@
 /** A box of the gateway under virtual time: the real reducer, the real feeds, effects on the world. */
 import {
+  createEventQueue,
   createGatewayState,
   followPlatform,
   reduce,
+  TICK_MS,
   type Clock,
-  type Effect,
   type EventBody,
   type GatewaySettings,
   type GatewayState,
@@ -15,8 +16,6 @@
 import { later, nowMs, type World } from '../world.js';
 import { performEffect } from './performEffect.js';
 
-/** Pause between ticks, in ms, as in the daemon. */
-const TICK_MS = 50;
 /** Wall clock of the world's start, in ms; any time will do. */
 const WALL_START_MS = 1_700_000_000_000;
 /** Port on which boxes hear each other. */
@@ -122,24 +121,18 @@
   later(world, world.random.unit() * TICK_MS, tick);
 }
 
-/** Takes events one after the other, those that come meanwhile after them, as the daemon does. */
+/** Takes the events of a process that lives. */
 function createEmit(world: World, box: VirtualBox): (body: EventBody) => void {
-  const pending: EventBody[] = [];
-  let busy = false;
+  const enqueue = createEventQueue((body) => {
+    const sinceMs = nowMs(world) - box.startedAtMs;
+    const wallMs = WALL_START_MS + nowMs(world);
+    const begunAtMs = performance.now();
+    const effects = reduce(box.state, { ...body, nowMs: sinceMs, wallMs });
+    box.reducerMs += performance.now() - begunAtMs;
+    for (const effect of effects) performEffect(world, box, effect);
+  });
   return (body) => {
-    if (!box.isAlive) return;
-    pending.push(body);
-    if (busy) return;
-    busy = true;
-    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
-      const sinceMs = nowMs(world) - box.startedAtMs;
-      const wallMs = WALL_START_MS + nowMs(world);
-      const begunAtMs = performance.now();
-      const effects: Effect[] = reduce(box.state, { ...next, nowMs: sinceMs, wallMs });
-      box.reducerMs += performance.now() - begunAtMs;
-      for (const effect of effects) performEffect(world, box, effect);
-    }
-    busy = false;
+    if (box.isAlive) enqueue(body);
   };
 }
 
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -2,23 +2,22 @@
  * The platform's store under virtual time: collections that are followed by long
  * polls, a table, and a count of the calls by what they are for.
  */
-import type {
-  Clock,
-  Configuration,
-  Feed,
-  FeedAnswer,
-  PeerChange,
-  PlatformStore,
-  ServerChange,
-  ServerEntry,
+import {
+  ANNOUNCE_TIMEOUT_MS,
+  type Clock,
+  type Configuration,
+  type Feed,
+  type FeedAnswer,
+  type PeerChange,
+  type PlatformStore,
+  type ServerChange,
+  type ServerEntry,
 } from 'reedlug-gateway';
 import { applyTableOp, createTableModel } from 'reedlug-standins';
 import { areCut, later, nowMs, type World } from '../world.js';
 
 /** Zone in which the store is reached; no box is in it. */
 const STORE_ZONE = '(store)';
-/** Longest wait for the entry of a box, in ms, as the platform's adapter has it. */
-const ANNOUNCE_TIMEOUT_MS = 1500;
 /** Rows of one answer at most, as the users' store gives them. */
 const ROWS_OF_A_PAGE = 500;
 
