--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -21,7 +21,7 @@
 import { TICK_MS } from './daemonTimes.js';
 import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
-import { createEventQueue } from './eventQueue.js';
+import { handleInTurn } from './handleInTurn.js';
 import { followPlatform } from './platformFeeds.js';
 import { openPeerSocket, type PeerSocket } from './peerSocket.js';
 
@@ -64,7 +64,7 @@
   const { settings, adapter, incarnation, logger, onStopped } = params;
   const clock = PROCESS_CLOCK;
   const state = createGatewayState({ settings, incarnation, nowMs: clock.nowMs() });
-  const emit = createEventQueue((body) => {
+  const emit = handleInTurn((body) => {
     const event = { ...body, nowMs: clock.nowMs(), wallMs: Date.now() };
     for (const effect of reduce(state, event)) performEffect(runtime, effect);
   });
--- a/packages/reedlug-gateway/src/daemon/eventQueue.ts
+++ b/packages/reedlug-gateway/src/daemon/handleInTurn.ts
@@ -2,7 +2,7 @@
 import type { EventBody } from '../types/event.js';
 
 /** Makes the function that takes a box's events; `handle` is never called within itself. */
-export function createEventQueue(handle: (body: EventBody) => void): (body: EventBody) => void {
+export function handleInTurn(handle: (body: EventBody) => void): (body: EventBody) => void {
   const pending: EventBody[] = [];
   let busy = false;
   return (body) => {
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -4,7 +4,7 @@
 export type { Clock } from './daemon/clock.js';
 export * from './daemon/daemonTimes.js';
 export { eventOfDatagram } from './daemon/datagramEvent.js';
-export { createEventQueue } from './daemon/eventQueue.js';
+export { handleInTurn } from './daemon/handleInTurn.js';
 export { followPlatform } from './daemon/platformFeeds.js';
 export { eventsOfShared, sharedStateOf, type SharedState } from './slices/sharedState.js';
 export { isReady } from './slices/stopping.js';
