--- a/packages/reedlug/src/index.ts
+++ b/packages/reedlug/src/index.ts
@@ -9,4 +9,5 @@
 export { createLogger, quoted, type Logger, type LogValue } from 'reedlug-gateway';
 export * from './settings/settingsFile.js';
 export type * from './settings/settingsTypes.js';
+export * from './settings/settingsSchema.js';
 export * from './settings/settingsValidation.js';
--- a/packages/reedlug/src/settings/settingsTypes.ts
+++ b/packages/reedlug/src/settings/settingsTypes.ts
@@ -1,6 +1,6 @@
 /** Settings of an entry box as they stand in the YAML file. */
 import type { z } from 'zod';
-import type { settingsSchema } from './settingsValidation.js';
+import type { settingsSchema } from './settingsSchema.js';
 
 /** Checked settings, with defaults filled in. */
 export type Settings = z.infer<typeof settingsSchema>;
