--- a/packages/reedlug/src/__tests__/__fixtures__/testCluster.ts
+++ b/packages/reedlug/src/__tests__/__fixtures__/testCluster.ts
@@ -2,7 +2,8 @@
 import { readFile } from 'node:fs/promises';
 import { connect } from 'node:net';
 import { request } from 'undici';
-import { startDevCluster, type DevBox, type DevCluster } from '../../dev/devCluster.js';
+import { startDevCluster, type DevCluster } from '../../dev/devCluster.js';
+import type { DevBox } from '../../dev/devMembers.js';
 import type { Settings } from '../../settings/settingsTypes.js';
 import { validateSettings } from '../../settings/settingsValidation.js';
 
--- a/packages/reedlug/src/demo.ts
+++ b/packages/reedlug/src/demo.ts
@@ -5,7 +5,8 @@
 import { request } from 'undici';
 import { answerText } from 'reedlug-standins';
 import { hashString } from 'reedlug-coordination';
-import { startDevCluster, type DevBox, type DevCluster } from './dev/devCluster.js';
+import { startDevCluster, type DevCluster } from './dev/devCluster.js';
+import type { DevBox } from './dev/devMembers.js';
 import { createLogger } from 'reedlug-gateway';
 import { createSseParser } from './backends/sseParser.js';
 import { readSettingsFile } from './settings/settingsFile.js';
--- a/packages/reedlug/src/dev/devCluster.ts
+++ b/packages/reedlug/src/dev/devCluster.ts
@@ -2,23 +2,15 @@
  * `reedlug dev`: the entry boxes of a settings file with stand-ins around them,
  * in one process on loopback, with an address of fault switches.
  */
-import { randomBytes } from 'node:crypto';
-import type { Server } from 'node:http';
 import { ServerKind } from 'reedlug-decisions';
-import {
-  startJsonServer,
-  startPlatformServer,
-  type PlatformServer,
-  type RunningServer,
-} from 'reedlug-standins';
+import { startPlatformServer, type PlatformServer, type RunningServer } from 'reedlug-standins';
 import { startEntryDaemon, type EntryDaemon } from '../daemon/entryDaemon.js';
 import { createCallerServer } from '../http/callerServer.js';
-import { hashKey } from '../http/keys.js';
 import type { Logger } from 'reedlug-gateway';
 import { toDecisionSettings } from '../settings/decisionSettings.js';
 import type { BoxSettings, Settings } from '../settings/settingsTypes.js';
-import { parseFault, type DevFault } from './devFaults.js';
-import { findFreePorts } from 'reedlug-standins';
+import type { DevFault } from './devFaults.js';
+import { killBox, nextIncarnation, removeServer, type Cluster, type DevBox } from './devMembers.js';
 import {
   boxListOf,
   startDevEngine,
@@ -26,15 +18,8 @@
   startedSpec,
   type DevServer,
 } from './devServers.js';
-
-/** An entry box of the cluster. */
-export interface DevBox {
-  id: string;
-  zone: string;
-  address: string;
-  daemon: EntryDaemon;
-  stopped: boolean;
-}
+import { startFaultServer, throwFault } from './faultSwitches.js';
+import { onLoopback } from './loopbackSettings.js';
 
 /** A running cluster. */
 export interface DevCluster {
@@ -51,22 +36,6 @@
   close: () => Promise<void>;
 }
 
-interface Cluster {
-  settings: Settings;
-  logger: Logger;
-  servers: Map<string, DevServer>;
-  platform: PlatformServer;
-  boxes: DevBox[];
-  httpServers: Map<string, Server>;
-  cutFromPlatform: Set<string>;
-  /** Pairs of zones, as `a|b` in both orders. */
-  cutZones: Set<string>;
-  timers: Set<NodeJS.Timeout>;
-  incarnations: number;
-}
-
-const KEY_BYTES = 12;
-
 /** Starts a cluster; resolves once every box is ready. */
 export async function startDevCluster(
   given: Settings,
@@ -107,44 +76,6 @@
   };
 }
 
-/** Settings with loopback addresses, fresh keys and a fresh peer secret. */
-async function onLoopback(
-  given: Settings,
-  platformUrl: string,
-): Promise<{ settings: Settings; workspaceKeys: Map<string, string>; operatorKey: string }> {
-  const ports = await findFreePorts(given.boxes.length * 2);
-  const workspaceKeys = new Map(given.workspaces.map(({ id }) => [id, freshKey()]));
-  const operatorKey = freshKey();
-  const settings: Settings = {
-    ...given,
-    peerSecret: freshKey() + freshKey(),
-    peerSecretFile: undefined,
-    platform: {
-      ...given.platform,
-      tableUrl: platformUrl,
-      objectStoreUrl: platformUrl,
-      cloudUrl: platformUrl,
-      boxListUrl: platformUrl,
-      weightStoreUrl: platformUrl,
-    },
-    boxes: given.boxes.map((box, index) => ({
-      ...box,
-      callers: `127.0.0.1:${ports[index * 2]}`,
-      peers: `127.0.0.1:${ports[index * 2 + 1]}`,
-    })),
-    workspaces: given.workspaces.map((workspace) => ({
-      ...workspace,
-      keySha256: hashKey(workspaceKeys.get(workspace.id) ?? ''),
-    })),
-    operators: [{ id: 'dev-operator', keySha256: hashKey(operatorKey) }],
-  };
-  return { settings, workspaceKeys, operatorKey };
-}
-
-function freshKey(): string {
-  return randomBytes(KEY_BYTES).toString('hex');
-}
-
 async function startServers(cluster: Cluster): Promise<void> {
   const { settings } = cluster;
   const box = { id: 'dev', zone: '' };
@@ -166,11 +97,6 @@
   }));
 }
 
-function nextIncarnation(cluster: Cluster): number {
-  cluster.incarnations += 1;
-  return cluster.incarnations;
-}
-
 function wirePlatform(cluster: Cluster): void {
   const { platform, settings } = cluster;
   platform.setBoxes(boxListOf(cluster.servers.values()));
@@ -183,15 +109,6 @@
   platform.onStop(async (serverId) => removeServer(cluster, serverId));
 }
 
-async function removeServer(cluster: Cluster, serverId: string): Promise<void> {
-  const server = cluster.servers.get(serverId);
-  if (server === undefined) return;
-  cluster.servers.delete(serverId);
-  cluster.platform.setBoxes(boxListOf(cluster.servers.values()));
-  if (server.kind === 'engine') await server.running.kill();
-  else await server.running.server.kill();
-}
-
 async function startBox(
   cluster: Cluster,
   box: BoxSettings,
@@ -246,126 +163,6 @@
   return [...cluster.servers.keys()].every((id) => members.get(id)?.state === 'live');
 }
 
-function startFaultServer(cluster: Cluster): Promise<RunningServer> {
-  const throwOne = async (body: unknown): Promise<{ status: number; value: unknown }> => {
-    const parsed = parseFault(body);
-    if ('faults' in parsed) return { status: 400, value: parsed };
-    await throwFault(cluster, parsed.fault);
-    return { status: 200, value: { thrown: parsed.fault } };
-  };
-  const handle = ({ body }: { body: unknown }) => throwOne(body);
-  return startJsonServer(
-    [
-      { method: 'POST', path: '/', handle },
-      { method: 'POST', path: '/faults', handle },
-      { method: 'GET', path: '/runs', handle: () => ({ status: 200, value: runsOf(cluster) }) },
-    ],
-    0,
-  );
-}
-
-/** How often each non-repeatable request was run at the plain services. */
-function runsOf(cluster: Cluster): Record<string, number> {
-  const runs: Record<string, number> = {};
-  for (const server of cluster.servers.values()) {
-    if (server.kind !== 'service') continue;
-    for (const [ref, count] of server.running.runs) runs[ref] = (runs[ref] ?? 0) + count;
-  }
-  return runs;
-}
-
-async function throwFault(cluster: Cluster, fault: DevFault): Promise<void> {
-  cluster.logger('faultThrown', { kind: fault.kind });
-  const { faults } = cluster.platform;
-  switch (fault.kind) {
-    case 'reclaimZone':
-      for (const server of cluster.servers.values()) {
-        const { zone, reclaimable, id } = server.spec;
-        if (zone === fault.zone && reclaimable) reclaimServer(cluster, id, fault.noticeMs);
-      }
-      return;
-    case 'reclaimServer':
-      return reclaimServer(cluster, fault.server, fault.noticeMs);
-    case 'killServer':
-      return removeServer(cluster, fault.server);
-    case 'stallServer':
-      cluster.servers.get(fault.server)?.running.stall(fault.forMs);
-      return;
-    case 'refuseStarts':
-      faults.refuseStarts = fault.on;
-      return;
-    case 'tableDown':
-      faults.tableDown = fault.on;
-      return;
-    case 'tableSlow':
-      faults.tableSlowMs = fault.byMs;
-      return;
-    case 'loseAnswers':
-      faults.answersToLose = fault.count;
-      return;
-    case 'cutPlatform':
-      if (fault.on) cluster.cutFromPlatform.add(fault.zone);
-      else cluster.cutFromPlatform.delete(fault.zone);
-      return;
-    case 'cutZones':
-      return cutZones(cluster, fault.zones, fault.on);
-    case 'stopBox':
-      boxOf(cluster, fault.box)?.daemon.emit({ type: 'stopAsked' });
-      return;
-    case 'killBox':
-      return killBox(cluster, fault.box);
-    case 'reclaimBox':
-      return reclaimBox(cluster, fault.box, fault.noticeMs);
-  }
-}
-
-function boxOf(cluster: Cluster, id: string): DevBox | undefined {
-  return cluster.boxes.find((box) => box.id === id && !box.stopped);
-}
-
-function later(cluster: Cluster, delayMs: number, run: () => void): void {
-  const timer = setTimeout(() => {
-    cluster.timers.delete(timer);
-    run();
-  }, delayMs);
-  cluster.timers.add(timer);
-}
-
-function reclaimServer(cluster: Cluster, serverId: string, noticeMs: number): void {
-  const server = cluster.servers.get(serverId);
-  if (server === undefined) return;
-  server.leaving = true;
-  server.running.leave();
-  cluster.platform.notice(serverId, server.incarnation, noticeMs);
-  later(cluster, noticeMs, () => void removeServer(cluster, serverId));
-}
-
-function reclaimBox(cluster: Cluster, boxId: string, noticeMs: number): void {
-  const box = boxOf(cluster, boxId);
-  if (box === undefined) return;
-  cluster.platform.notice(boxId, box.daemon.state.settings.incarnation, noticeMs);
-  later(cluster, noticeMs, () => void killBox(cluster, boxId));
-}
-
-function cutZones(cluster: Cluster, zones: readonly [string, string], on: boolean): void {
-  const [a, b] = zones;
-  for (const pair of [`${a}|${b}`, `${b}|${a}`]) {
-    if (on) cluster.cutZones.add(pair);
-    else cluster.cutZones.delete(pair);
-  }
-}
-
-async function killBox(cluster: Cluster, boxId: string): Promise<void> {
-  const box = boxOf(cluster, boxId);
-  if (box === undefined) return;
-  box.stopped = true;
-  const server = cluster.httpServers.get(boxId);
-  server?.closeAllConnections();
-  server?.close();
-  await box.daemon.kill();
-  cluster.logger('boxEnded', { box: boxId });
-}
-
 async function closeAll(cluster: Cluster, faults: RunningServer): Promise<void> {
   for (const timer of cluster.timers) clearTimeout(timer);
   await Promise.all(cluster.boxes.map((box) => killBox(cluster, box.id)));
--- a/packages/reedlug/src/index.ts
+++ b/packages/reedlug/src/index.ts
@@ -3,6 +3,7 @@
 export * from './daemon/entryDaemon.js';
 export * from './daemon/exchange.js';
 export * from './dev/devCluster.js';
+export type { DevBox } from './dev/devMembers.js';
 export { createCallerServer } from './http/callerServer.js';
 export { hashKey } from './http/keys.js';
 export * from './observe/histograms.js';
