--- a/packages/reedlug-check/src/check/callers.ts
+++ b/packages/reedlug-check/src/check/callers.ts
@@ -2,7 +2,8 @@
 import { hashString, Outcome } from 'reedlug-coordination';
 import type { Effect, RequestSpec } from 'reedlug-decisions';
 import { answerToken } from 'reedlug-standins';
-import { emit, type World, type WorldBox } from '../world/world.js';
+import { emit } from '../world/emit.js';
+import type { World, WorldBox } from '../world/worldTypes.js';
 import { CallKind, CHECK_BOX_IDS, chosen, type PlannedCall } from './checkPlan.js';
 import { CHECK_MODEL, CHECK_SERVICE } from './checkSettings.js';
 
--- a/packages/reedlug-check/src/check/inForce.ts
+++ b/packages/reedlug-check/src/check/inForce.ts
@@ -1,5 +1,7 @@
 /** How long a confirmed revision takes until it is in force at every box. */
-import { emit, runUntil, type World } from '../world/world.js';
+import { emit } from '../world/emit.js';
+import { runUntil } from '../world/world.js';
+import type { World } from '../world/worldTypes.js';
 import { createCheckWorld } from './runSeed.js';
 
 /** Earliest time of the confirm, when the boxes know each other, and the span that it varies over. */
--- a/packages/reedlug-check/src/check/operators.ts
+++ b/packages/reedlug-check/src/check/operators.ts
@@ -1,6 +1,7 @@
 /** Operators of a checked run, who race each other with conflicting intents. */
 import type { Intent, OperatorAnswer, OperatorAsk, Plan } from 'reedlug-decisions';
-import { emit, type World } from '../world/world.js';
+import { emit } from '../world/emit.js';
+import type { World } from '../world/worldTypes.js';
 import type { WorldViolation } from './callers.js';
 import { CHECK_BOX_IDS, chosen, type PlannedRace } from './checkPlan.js';
 import { CHECK_MODEL, CHECK_WORKSPACES } from './checkSettings.js';
--- a/packages/reedlug-check/src/check/runSeed.ts
+++ b/packages/reedlug-check/src/check/runSeed.ts
@@ -6,14 +6,9 @@
   type Mutation,
 } from 'reedlug-decisions';
 import { carryOut } from '../world/carryOut.js';
-import {
-  createWorld,
-  engineOptionsOf,
-  runUntil,
-  stateSeedOf,
-  type EngineFigures,
-  type World,
-} from '../world/world.js';
+import { engineOptionsOf, type EngineFigures } from '../world/engineFigures.js';
+import { createWorld, runUntil, stateSeedOf } from '../world/world.js';
+import type { World } from '../world/worldTypes.js';
 import { createCallers, type Callers, type WorldViolation } from './callers.js';
 import { BENIGN_FAULTS, FaultKind, type CheckPlan } from './checkPlan.js';
 import { checkSettings } from './checkSettings.js';
--- a/packages/reedlug-check/src/check/throwFault.ts
+++ b/packages/reedlug-check/src/check/throwFault.ts
@@ -1,6 +1,8 @@
 /** Throws a planned fault into a world, and takes it back when its time is over. */
 import { boxDies, boxRestarts, reclaimServer, reclaimZone, serverEnds } from '../world/faults.js';
-import { addServer, emit, type World, type WorldServer } from '../world/world.js';
+import { emit } from '../world/emit.js';
+import { addServer } from '../world/world.js';
+import type { World, WorldServer } from '../world/worldTypes.js';
 import { chosen, chosenZone, FaultKind, type PlannedFault } from './checkPlan.js';
 
 /** Shortest notice of a reclaim, in ms. */
--- a/packages/reedlug-check/src/measure/measure.ts
+++ b/packages/reedlug-check/src/measure/measure.ts
@@ -2,13 +2,9 @@
 import { Outcome } from 'reedlug-coordination';
 import type { DecisionSettings, OfferSpec } from 'reedlug-decisions';
 import { carryOut } from '../world/carryOut.js';
-import {
-  createWorld,
-  engineOptionsOf,
-  runUntil,
-  type World,
-  type WorldEngine,
-} from '../world/world.js';
+import { engineOptionsOf } from '../world/engineFigures.js';
+import { createWorld, runUntil } from '../world/world.js';
+import type { World, WorldEngine } from '../world/worldTypes.js';
 import { settingsFor, type PolicyVariant } from './policyVariants.js';
 import { scenarioOf, type Scenario, type ScenarioName } from './scenario.js';
 import { createWorkload, type Sample, type Workload } from './workload.js';
--- a/packages/reedlug-check/src/measure/scenario.ts
+++ b/packages/reedlug-check/src/measure/scenario.ts
@@ -1,5 +1,6 @@
 /** Scenarios of the measurement: the load and what happens to it. */
-import { emit, type World } from '../world/world.js';
+import { emit } from '../world/emit.js';
+import type { World } from '../world/worldTypes.js';
 import { reclaimServer, reclaimZone } from '../world/faults.js';
 
 /** Names of the scenarios. */
--- a/packages/reedlug-check/src/measure/workload.ts
+++ b/packages/reedlug-check/src/measure/workload.ts
@@ -1,7 +1,8 @@
 /** The load of a measurement: conversations of drafts, short questions, look-ups. */
 import { hashString, Outcome } from 'reedlug-coordination';
 import type { Effect, RequestSpec } from 'reedlug-decisions';
-import { emit, type World, type WorldBox } from '../world/world.js';
+import { emit } from '../world/emit.js';
+import type { World, WorldBox } from '../world/worldTypes.js';
 import type { Scenario } from './scenario.js';
 
 type Finish = Extract<Effect, { type: 'finishRequest' }>;
--- /dev/null
+++ b/packages/reedlug-check/src/world/boxList.ts
@@ -0,0 +1,36 @@
+/** The platform's list of servers, as boxes read it: late. */
+import type { BoxListEntry } from 'reedlug-decisions';
+import { emit } from './emit.js';
+import { platformReachable } from './links.js';
+import type { World, WorldBox } from './worldTypes.js';
+
+/** Pause between readings of the list, in ms. */
+const LIST_EVERY_MS = 1000;
+
+/** Gives a box the list of servers every second while it reaches the platform. */
+export function scheduleBoxList(world: World, box: WorldBox, atMs: number): void {
+  world.queue.at(atMs, () => {
+    if (!box.alive) return;
+    if (platformReachable(world, box))
+      emit(world, box, { type: 'boxListRead', entries: laggingList(world) });
+    scheduleBoxList(world, box, world.queue.nowMs() + LIST_EVERY_MS);
+  });
+}
+
+function laggingList(world: World): readonly BoxListEntry[] {
+  const asOfMs = world.queue.nowMs() - world.faults.listLagMs;
+  const { listHistory } = world;
+  return (listHistory.findLast(({ atMs }) => atMs <= asOfMs) ?? listHistory[0])?.entries ?? [];
+}
+
+/** Notes the servers as they are for the lagging list. */
+export function noteList(world: World): void {
+  const entries = [...world.servers.values()].map(({ spec, incarnation, leaving }) => ({
+    spec,
+    incarnation,
+    leaving,
+  }));
+  world.listHistory.push({ atMs: world.queue.nowMs(), entries });
+  const KEPT = 50;
+  if (world.listHistory.length > KEPT) world.listHistory.shift();
+}
--- a/packages/reedlug-check/src/world/carryOut.ts
+++ b/packages/reedlug-check/src/world/carryOut.ts
@@ -10,15 +10,9 @@
 import { boxDies } from './faults.js';
 import { cloudAnswers, tableAnswers } from './platformFake.js';
 import { serviceAnswersProbe, serviceTakes } from './serviceFake.js';
-import {
-  delayBetween,
-  emit,
-  emitLater,
-  platformReachable,
-  zonesAreCut,
-  type World,
-  type WorldBox,
-} from './world.js';
+import { emit, emitLater } from './emit.js';
+import { delayBetween, platformReachable, zonesAreCut } from './links.js';
+import type { World, WorldBox } from './worldTypes.js';
 
 /** Carries out one effect. */
 export function carryOut(world: World, box: WorldBox, effect: Effect): void {
--- a/packages/reedlug-check/src/world/engineFake.ts
+++ b/packages/reedlug-check/src/world/engineFake.ts
@@ -9,16 +9,9 @@
   takeCacheEvent,
   type EngineSaying,
 } from 'reedlug-standins';
-import {
-  Delay,
-  delayBetween,
-  emitLater,
-  isSilent,
-  zonesAreCut,
-  type World,
-  type WorldBox,
-  type WorldEngine,
-} from './world.js';
+import { emitLater } from './emit.js';
+import { Delay, delayBetween, isSilent, zonesAreCut } from './links.js';
+import type { World, WorldBox, WorldEngine } from './worldTypes.js';
 
 /** KV cache that an engine sends in one ms, in tokens. */
 const KV_TOKENS_PER_MS = 40;
--- /dev/null
+++ b/packages/reedlug-check/src/world/engineFigures.ts
@@ -0,0 +1,18 @@
+/** What the engines of a world are like. */
+import type { ServerSpec } from 'reedlug-decisions';
+import type { EngineModelOptions } from 'reedlug-standins';
+
+/** What an engine of a world is like, but for what its description says. */
+export type EngineFigures = Omit<
+  EngineModelOptions,
+  'engineId' | 'model' | 'version' | 'slots' | 'tokensPerEvent'
+>;
+
+/** The options of an engine's model from its description. */
+export function engineOptionsOf(
+  { id, pool, version, slots }: ServerSpec,
+  figures: EngineFigures,
+  tokensPerEvent: number,
+): EngineModelOptions {
+  return { ...figures, engineId: id, model: pool, version, slots, tokensPerEvent };
+}
--- a/packages/reedlug-check/src/world/faults.ts
+++ b/packages/reedlug-check/src/world/faults.ts
@@ -1,6 +1,10 @@
 /** Faults of servers and boxes. */
 import { engineDies, engineStops } from './engineFake.js';
-import { Delay, emitLater, noteList, platformReachable, startBox, type World } from './world.js';
+import { noteList } from './boxList.js';
+import { emitLater } from './emit.js';
+import { Delay, platformReachable } from './links.js';
+import { startBox } from './world.js';
+import type { World } from './worldTypes.js';
 
 /** Ends a server, as a reclaim or a crash does. */
 export function serverEnds(world: World, serverId: string): void {
--- a/packages/reedlug-check/src/world/platformFake.ts
+++ b/packages/reedlug-check/src/world/platformFake.ts
@@ -2,14 +2,10 @@
 import type { TableAnswer, TableOp } from 'reedlug-coordination';
 import type { AskAnswer, CloudAsk } from 'reedlug-decisions';
 import { applyTableOp } from 'reedlug-standins';
-import {
-  addServer,
-  Delay,
-  emitLater,
-  platformReachable,
-  type World,
-  type WorldBox,
-} from './world.js';
+import { emitLater } from './emit.js';
+import { Delay, platformReachable } from './links.js';
+import { addServer } from './world.js';
+import type { World, WorldBox } from './worldTypes.js';
 import { serverEnds } from './faults.js';
 
 /** Time after which a caller of the platform gives up, in ms. */
--- a/packages/reedlug-check/src/world/serviceFake.ts
+++ b/packages/reedlug-check/src/world/serviceFake.ts
@@ -1,15 +1,8 @@
 /** A plain service: runs each call that reaches it, then answers. */
 import type { Effect } from 'reedlug-decisions';
-import {
-  Delay,
-  delayBetween,
-  emitLater,
-  isSilent,
-  zonesAreCut,
-  type World,
-  type WorldBox,
-  type WorldService,
-} from './world.js';
+import { emitLater } from './emit.js';
+import { Delay, delayBetween, isSilent, zonesAreCut } from './links.js';
+import type { World, WorldBox, WorldService } from './worldTypes.js';
 
 const STATUS_OK = 200;
 
