Engine model: one update for three coefficients; the rows' keys stand once

The three least-squares updates had one shape; the operations keep their order, so that the figures are the same to the last bit.

--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -1,6 +1,6 @@
 /** The gateway: decisions, daemon, and the interface that a platform adapter fills. */
 export type * from './adapter.js';
-export { createGatewayState, type GatewayState } from './state.js';
+export { createGatewayState, LEASE_KEY, type GatewayState } from './state.js';
 export type { Clock } from './daemon/clock.js';
 export * from './daemon/daemonTimes.js';
 export { eventOfDatagram } from './daemon/datagramEvent.js';
@@ -14,6 +14,7 @@
 export { explainRequest, type Explanation } from './observe/explainRequest.js';
 export { createLogger, quoted, type Logger, type LogValue } from './observe/logger.js';
 export { parseHostPort, validateGatewaySettings } from './settings/gatewaySettingsValidation.js';
+export { CHECKPOINT_KEY } from './types/checkpoint.js';
 export * from './types/configuration.js';
 export type * from './types/effect.js';
 export type * from './types/event.js';
--- a/packages/reedlug-gateway/src/policy/engineModel.ts
+++ b/packages/reedlug-gateway/src/policy/engineModel.ts
@@ -165,35 +165,44 @@
   };
   let { baseMs, msPerToken, runningMs }: Record<keyof typeof start, number> = start;
   for (let round = 0; round < FIT_ROUNDS; round += 1) {
-    baseMs = Math.max(
-      0,
-      (sums.waitMs -
-        msPerToken * sums.tokens -
-        runningMs * sums.running +
-        weight.base * start.baseMs) /
-        (sums.sends + weight.base),
-    );
-    msPerToken = Math.max(
-      1 / MAX_TOKENS_PER_MS,
-      (sums.tokensWait -
-        baseMs * sums.tokens -
-        runningMs * sums.tokensRunning +
-        weight.tokens * start.msPerToken) /
-        (sums.tokensSquared + weight.tokens),
-    );
-    runningMs = Math.max(
-      0,
-      (sums.runningWait -
-        baseMs * sums.running -
-        msPerToken * sums.tokensRunning +
-        weight.running * start.runningMs) /
-        (sums.runningSquared + weight.running),
-    );
+    baseMs = coefficient({
+      rest: sums.waitMs - msPerToken * sums.tokens - runningMs * sums.running,
+      squares: sums.sends,
+      weight: weight.base,
+      start: start.baseMs,
+      least: 0,
+    });
+    msPerToken = coefficient({
+      rest: sums.tokensWait - baseMs * sums.tokens - runningMs * sums.tokensRunning,
+      squares: sums.tokensSquared,
+      weight: weight.tokens,
+      start: start.msPerToken,
+      least: 1 / MAX_TOKENS_PER_MS,
+    });
+    runningMs = coefficient({
+      rest: sums.runningWait - baseMs * sums.running - msPerToken * sums.tokensRunning,
+      squares: sums.runningSquared,
+      weight: weight.running,
+      start: start.runningMs,
+      least: 0,
+    });
   }
   const stayMs = (sums.stayMs + START_SENDS * START.stayMs) / (sums.ended + START_SENDS);
   return { baseMs, tokensPerMs: 1 / msPerToken, runningMs, stayMs, sends: sums.sends };
 }
 
+/** One coefficient by least squares while the others stand, with its supposed value's weight. */
+function coefficient(sums: {
+  rest: number;
+  squares: number;
+  weight: number;
+  start: number;
+  least: number;
+}): number {
+  const { rest, squares, weight, start, least } = sums;
+  return Math.max(least, (rest + weight * start) / (squares + weight));
+}
+
 /** The expected time to the first event, with the wait for a place where all are taken. */
 export function expectedWaitMs(
   model: EngineModel,
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -124,7 +124,7 @@
 /** Taken off the holder's view of the lease, as a share: covers clock drift and short pauses. */
 const LEASE_MARGIN_SHARE = 0.1;
 /** Key of the duty lease in the table. */
-const LEASE_KEY = 'duty-lease';
+export const LEASE_KEY = 'duty-lease';
 
 /** Returns the state of a box that has just started. */
 export function createGatewayState(params: {
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -4,6 +4,8 @@
  */
 import {
   ANNOUNCE_TIMEOUT_MS,
+  CHECKPOINT_KEY,
+  LEASE_KEY,
   type Clock,
   type Configuration,
   type Feed,
@@ -188,8 +190,8 @@
 }
 
 function purposeOf(key: string | undefined): StoreCall {
-  if (key === 'duty-lease') return StoreCall.lease;
-  return key === 'usage-open' ? StoreCall.checkpoint : StoreCall.otherRows;
+  if (key === LEASE_KEY) return StoreCall.lease;
+  return key === CHECKPOINT_KEY ? StoreCall.checkpoint : StoreCall.otherRows;
 }
 
 function createCollection<T>(): Collection<T> {
