--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -121,11 +121,10 @@
   const isLoss = lost > 0;
   if (isLoss || isLate) noteDry(state, step, zone.service, zone.name);
   if (!isLoss) return;
-  order.granted = Math.max(zone.ready, order.granted - lost);
-  if (!isBeingTakenBack(state, zone)) return;
-  // Those that were still to come there go with the others.
-  order.granted = zone.ready;
-  noteReclaim(state, step, zone);
+  const isTakenBack = isBeingTakenBack(state, zone);
+  // In a reclaim those that were still to come there go with the others.
+  order.granted = isTakenBack ? zone.ready : Math.max(zone.ready, order.granted - lost);
+  if (isTakenBack) noteReclaim(state, step, zone);
 }
 
 /** Engines that are taken back say so and leave; crashed ones are just gone. */
