Gateway: twins made one, a choice and figures of a limit worked out once

- the spread of the time to come back stood in limits and in late refusals, the halving of figures in three places, the hash as a part of 1 in three
- a request whose server went silent chose its next server twice: the choice that showed there is one is now the one that is sent to; between the two only the figures of the avoided server changed

--- a/packages/reedlug-coordination/src/rendezvous.ts
+++ b/packages/reedlug-coordination/src/rendezvous.ts
@@ -14,6 +14,11 @@
   return h32(text);
 }
 
+/** A string's hash as a number from 0 to below 1. */
+export function hashShare(text: string): number {
+  return hashString(text) / 2 ** 32;
+}
+
 /** The weight of a server for a key, from their hashes; the highest wins (Murmur3's finalizer). */
 export function rendezvousWeight(keyHash: number, serverHash: number): number {
   let mixed = keyHash ^ Math.imul(serverHash, 0x9e3779b1);
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -2,9 +2,8 @@
 import type { PlatformStore } from '../adapter.js';
 import type { Logger } from '../observe/logger.js';
 import type { GatewayState } from '../state.js';
-import type { EventBody } from '../types/event.js';
+import type { EventBody, PeerChange } from '../types/event.js';
 import type { GatewaySettings } from '../types/settings.js';
-import type { PeerChange } from '../types/event.js';
 import { followsStore, ownAddress } from '../slices/fleet.js';
 import { keepBoxEntry } from './boxEntry.js';
 import type { Clock } from './clock.js';
--- a/packages/reedlug-gateway/src/policy/engineModel.ts
+++ b/packages/reedlug-gateway/src/policy/engineModel.ts
@@ -7,6 +7,7 @@
  * so that a box that has just started or has few callers knows what all saw.
  * The fit is a least-squares line with a few supposed sends as its start.
  */
+import { shareLeft } from './halving.js';
 
 /** Time in which a sum halves, in ms: some hundred sends at a box with a few requests a second, and a service that changes its speed is known anew within a minute. */
 const HALF_LIFE_MS = 15_000;
@@ -112,7 +113,7 @@
 
 /** Fades a box's sums to a time. */
 export function fadeSends(own: OwnSends, nowMs: number): void {
-  const share = 0.5 ** (Math.max(0, nowMs - own.fadedAtMs) / HALF_LIFE_MS);
+  const share = shareLeft(nowMs - own.fadedAtMs, HALF_LIFE_MS);
   own.fadedAtMs = nowMs;
   for (const key of Object.keys(own.sums) as (keyof SendSums)[]) own.sums[key] *= share;
 }
--- a/packages/reedlug-gateway/src/policy/serverHealth.ts
+++ b/packages/reedlug-gateway/src/policy/serverHealth.ts
@@ -1,5 +1,6 @@
 /** Health and speed of a server as this box's own sends show them; nothing is probed. */
 import type { ServerView } from '../types/views.js';
+import { shareLeft } from './halving.js';
 
 /** Time in which a failure score halves: a few requests' time at usual rates. */
 const FAILURE_HALF_LIFE_MS = 3000;
@@ -10,8 +11,7 @@
 
 /** The failure score now. */
 export function failureScore(view: ServerView, nowMs: number): number {
-  const halvings = (nowMs - view.failureAtMs) / FAILURE_HALF_LIFE_MS;
-  return view.failureScore * 0.5 ** halvings;
+  return view.failureScore * shareLeft(nowMs - view.failureAtMs, FAILURE_HALF_LIFE_MS);
 }
 
 /** Counts a failure of this box's own send. */
@@ -36,8 +36,8 @@
 
 /** How much longer than expected the server's first events take now; at least 1, so that one quick answer draws no crowd. */
 export function slownessNow(view: ServerView, nowMs: number): number {
-  const halvings = Math.max(0, nowMs - view.slownessAtMs) / SLOWNESS_HALF_LIFE_MS;
-  return Math.max(1, 1 + (view.slowness - 1) * 0.5 ** halvings);
+  const share = shareLeft(nowMs - view.slownessAtMs, SLOWNESS_HALF_LIFE_MS);
+  return Math.max(1, 1 + (view.slowness - 1) * share);
 }
 
 /** Takes the ratio of a send's time to the expected one. */
--- a/packages/reedlug-gateway/src/slices/assumedUnits.ts
+++ b/packages/reedlug-gateway/src/slices/assumedUnits.ts
@@ -19,6 +19,7 @@
 const UNKNOWN_MS = 800;
 /** Shortest time for which a loss of all boxes keeps them away, in ms. */
 const SHORTEST_LOSS_MS = 500;
+
 /**
  * Sets what others and this box itself are supposed to have admitted before its
  * start: what the store says; before it answers, most of the limit, spread evenly.
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -30,6 +30,7 @@
 const FIRST_FENCE = 1;
 /** Time from this box's start until it plans, in ms: two heartbeats, in which the registry fills. */
 const REGISTRY_FILLS_MS = 3500;
+
 /** Plans and orders, while this box holds the lease. */
 export function capacityTick(state: GatewayState, step: Step): void {
   if (step.nowMs - state.planAtMs < PLAN_EVERY_MS) return;
--- a/packages/reedlug-gateway/src/slices/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/lateRefusals.ts
@@ -1,7 +1,7 @@
 /** Refusals of requests that no engine would begin in time. */
-import { hashString } from 'reedlug-coordination';
 import type { Choice } from '../policy/chooseServer.js';
 import { decideSend } from '../policy/decideSend.js';
+import { spreadRetryMs } from '../policy/retrySpread.js';
 import { log, type Step } from '../state.js';
 import { RouteKind } from '../types/configuration.js';
 import type { RequestRecord } from '../types/request.js';
@@ -9,8 +9,6 @@
 
 /** Share of a route's time below which a request's own says that its caller has waited before. */
 const RETURNED_DEADLINE_SHARE = 0.95;
-/** Greatest part added to the time to come back, drawn by its id, so that those refused together do not come back together. */
-const RETRY_SPREAD = 0.25;
 
 /** Refuses a stream that would begin too late at the best engine; true when it did. Nothing of it was sent or counted yet. */
 export function refuseIfLate(step: Step, record: RequestRecord, choice: Choice): boolean {
@@ -23,7 +21,6 @@
   const hasReturned = (facts.deadlineMs ?? timeoutMs) < timeoutMs * RETURNED_DEADLINE_SHARE;
   const decision = decideSend({ expectedMs, running, slots, targetMs, leftMs, hasReturned });
   if (decision.kind === 'send') return false;
-  const spread = 1 + RETRY_SPREAD * (hashString(facts.requestId) / 2 ** 32);
   log(step, 'requestTooLate', {
     request: facts.requestId,
     route: route.name,
@@ -32,7 +29,7 @@
     leftMs: Math.round(leftMs),
     hasReturned,
   });
-  const retryAfterMs = decision.retryAfterMs * spread;
+  const retryAfterMs = spreadRetryMs(decision.retryAfterMs, facts.requestId);
   refuse(step, { exchangeId, facts, status: 503, reason: 'tooLate', retryAfterMs });
   return true;
 }
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -7,9 +7,9 @@
  * what others may have admitted since their last news. Boxes that are cut off
  * from others keep to their share of the whole.
  */
-import { hashString } from 'reedlug-coordination';
 import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
 import type { RequestFacts } from '../types/request.js';
+import { spreadRetryMs } from '../policy/retrySpread.js';
 import {
   addUnits,
   createUnitWindow,
@@ -45,8 +45,6 @@
 const NEXT_HUB_MS = 600;
 /** Time over which the latest rate of others is taken, in ms: a workspace may have begun to send much more. */
 const LATE_RATE_MS = 1500;
-/** Greatest part added to the time that a refused caller is told, drawn by its id, so that those refused together do not come back together. */
-const RETRY_SPREAD = 0.25;
 
 /** Notes since when this part of the fleet hears too few of the others. */
 export function noteParting(state: GatewayState, nowMs: number): void {
@@ -78,9 +76,9 @@
   const lacking = units - account.room;
   if (workspace.ratePerSecond > 0 && lacking > 0) {
     const { used, allowed, share } = account;
-    const waitMs = timeToRoom(quota.own, { lacking, used, nowMs });
-    const spread = 1 + RETRY_SPREAD * (hashString(params.requestId) / 2 ** 32);
-    return { kind: 'overLimit', waitMs: waitMs * spread, used, allowed, heardShare: share };
+    const roomInMs = timeToRoom(quota.own, { lacking, used, nowMs });
+    const waitMs = spreadRetryMs(roomInMs, params.requestId);
+    return { kind: 'overLimit', waitMs, used, allowed, heardShare: share };
   }
   addUnits(quota.own, units, nowMs);
   quota.admitted += units;
@@ -114,15 +112,18 @@
   quota: QuotaView,
   nowMs: number,
 ): Account {
+  const byHubs = usesHubs(state);
   const own = unitsWithin(quota.own, nowMs);
+  const assumed = assumedUnits(quota, nowMs);
   const share = heardShare(state, nowMs);
   const { heard, heardOfPart, silent } = othersUnits(state, workspace.name, { share, nowMs });
-  const allowed = allowedUnits(state, quota, nowMs);
-  const lagMs = usesHubs(state) ? NEWS_LAG_BY_HUBS_MS : NEWS_LAG_MS;
+  const tolerance = usedTolerance(assumed, byHubs);
+  const allowed = withTolerance(state, limitUnits(state, quota, nowMs), tolerance);
+  const lagMs = byHubs ? NEWS_LAG_BY_HUBS_MS : NEWS_LAG_MS;
   const reserve = (heardOfPart * CLUMP_FACTOR * lagMs) / windowLengthMs(state);
-  const used = own + heard + silent + assumedUnits(quota, nowMs);
+  const used = own + heard + silent + assumed;
   const roomOfAll = allowed - used;
-  const isCautious = state.partedAtMs !== undefined && usesHubs(state);
+  const isCautious = state.partedAtMs !== undefined && byHubs;
   const ofShare = isCautious ? share * USED_WHILE_PARTED : share;
   const roomOfShare = allowed * ofShare - own - heardOfPart;
   return { room: Math.min(roomOfAll, roomOfShare) - reserve, used, allowed, share };
@@ -172,8 +173,8 @@
   return since + (window.total - since) * share;
 }
 
-/** The most units of the window: limits that changed within it count for their parts of it. */
-function allowedUnits(state: GatewayState, quota: QuotaView, nowMs: number): number {
+/** The limit's units of the window: limits that changed within it count for their parts of it. */
+function limitUnits(state: GatewayState, quota: QuotaView, nowMs: number): number {
   const { limitWindowMs } = state.settings.bounds;
   const { limits } = quota;
   const windowStartMs = nowMs - limitWindowMs;
@@ -186,12 +187,12 @@
     units += (limit.ratePerSecond * Math.max(0, untilMs - fromMs)) / 1000;
     burst = Math.max(burst, limit.burst);
   });
-  return withTolerance(state, units + burst, usedTolerance(state, quota, nowMs));
+  return units + burst;
 }
 
-function usedTolerance(state: GatewayState, quota: QuotaView, nowMs: number): UsedTolerance {
-  if (assumedUnits(quota, nowMs) > 0) return UNSURE;
-  return usesHubs(state) ? SURE_BY_HUBS : SURE;
+function usedTolerance(assumedUnits: number, byHubs: boolean): UsedTolerance {
+  if (assumedUnits > 0) return UNSURE;
+  return byHubs ? SURE_BY_HUBS : SURE;
 }
 
 /** When so much more room is expected: own units leave the window at known times, others' about evenly. */
--- a/packages/reedlug-gateway/src/slices/repeats.ts
+++ b/packages/reedlug-gateway/src/slices/repeats.ts
@@ -5,6 +5,7 @@
  * repeated, within the route's number of attempts, its time and the budget.
  */
 import { mayHaveRun } from 'reedlug-coordination';
+import type { Choice } from '../policy/chooseServer.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { giveUp, isRepeatable } from './ending.js';
@@ -30,8 +31,14 @@
   repeat(state, step, found, reason);
 }
 
-/** Sends a request to another server after its own was lost. */
-export function repeat(state: GatewayState, step: Step, found: Found, reason: string): void {
+/** Sends a request to another server after its own was lost, to the one chosen where that is done. */
+export function repeat(
+  state: GatewayState,
+  step: Step,
+  found: Found,
+  reason: string,
+  choice?: Choice,
+): void {
   const { record, attempt } = found;
   log(step, record.relayed ? 'streamResumed' : 'requestRepeated', {
     request: record.facts.requestId,
@@ -39,7 +46,7 @@
     lost: attempt.serverId,
     lastEvent: record.lastEventId ?? -1,
   });
-  offer(state, step, record);
+  offer(state, step, record, choice);
 }
 
 /** Whether a request that may have run may go to another server now; takes it from the budget. */
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -13,12 +13,13 @@
   state: GatewayState,
   step: Step,
   record: RequestRecord,
+  avoid: ReadonlySet<string> = record.avoid,
 ): Choice | undefined {
   return chooseServer(state, {
     service: record.service,
     facts: record.facts,
     urgency: record.urgency,
-    avoid: record.avoid,
+    avoid,
     staysInZone: record.foundNoConnection,
     nowMs: step.nowMs,
   });
--- a/packages/reedlug-gateway/src/slices/silence.ts
+++ b/packages/reedlug-gateway/src/slices/silence.ts
@@ -1,11 +1,11 @@
 /** Requests whose server has gone silent: what may be repeated is sent to another one. */
-import { chooseServer } from '../policy/chooseServer.js';
 import { noteFailure } from '../policy/serverHealth.js';
 import { lostAfterMs, silenceMs } from '../policy/serverSilence.js';
 import type { GatewayState, Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { haveRoomForSend, mayRunAgain, repeat } from './repeats.js';
 import { closeAttempt, reachWhenLost } from './ending.js';
+import { chooseFor } from './sending.js';
 
 /** Looks for attempts that are lost. */
 export function silenceTick(state: GatewayState, step: Step): void {
@@ -31,14 +31,12 @@
   const reach = reachWhenLost(attempt);
   attempt.reach = reach;
   if (!mayRunAgain(record)) return;
-  const { service, facts, urgency } = record;
   const avoid = new Set([...record.avoid, attempt.serverId]);
-  if (chooseServer(state, { service, facts, urgency, avoid, nowMs: step.nowMs }) === undefined)
-    return;
-  if (!haveRoomForSend(state, step, record)) return;
+  const choice = chooseFor(state, step, record, avoid);
+  if (choice === undefined || !haveRoomForSend(state, step, record)) return;
   record.avoid.add(attempt.serverId);
   const view = closeAttempt(state, attempt, reach);
   if (view !== undefined) noteFailure(view, step.nowMs);
   step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
-  repeat(state, step, { record, attempt }, 'serverSilent');
+  repeat(state, step, { record, attempt }, 'serverSilent', choice);
 }
--- a/packages/reedlug-gateway/src/slices/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage.ts
@@ -25,11 +25,12 @@
 const TOLD_WINDOWS = 2;
 /** Pause between checkpoints, in ms: a tenth of the shortest window, against the price of a call. */
 const CHECKPOINT_MS = 500;
-type Counts = Readonly<Record<string, number>>;
-
 /** Bytes of counts that a checkpoint holds at most: a row takes 64 KiB; limits, and the names of windows and workspaces, come on top. */
 const CHECKPOINT_BYTES = 48 * 1024;
 
+/** Requests by workspace. */
+type Counts = Readonly<Record<string, number>>;
+
 /** Counts a request once, in the window in which it began to run. */
 export function countBegun(state: GatewayState, step: Step, record: RequestRecord): void {
   if (record.counted || record.workspace === undefined) return;
