Located YAML, median and what may be repeated: each once

Two validations parsed YAML and looked for lines alike; the simulator's report had its own median beside the checks', and its record the rule of what may run twice beside its callers'.

--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -15,6 +15,7 @@
 export { createLogger, quoted, type Logger, type LogValue } from './observe/logger.js';
 export { parseHostPort, validateGatewaySettings } from './settings/gatewaySettingsValidation.js';
 export { CHECKPOINT_KEY } from './types/checkpoint.js';
+export { parseLocatedYaml, type LocatedYaml } from './settings/locatedYaml.js';
 export * from './types/configuration.js';
 export type * from './types/effect.js';
 export type * from './types/event.js';
--- /dev/null
+++ b/packages/reedlug-gateway/src/settings/locatedYaml.ts
@@ -0,0 +1,33 @@
+/** YAML text with the lines of its fields, for validations that tell where a fault is. */
+import { isNode, LineCounter, parseDocument } from 'yaml';
+
+/** The text's value and a look for lines, or what is wrong with the text. */
+export type LocatedYaml =
+  | {
+      kind: 'parsed';
+      value: unknown;
+      /** Line of a field from 1; of the nearest field around it where it is not there. */
+      lineOf: (path: readonly PropertyKey[]) => number;
+    }
+  | { kind: 'faulty'; faults: { line: number; message: string }[] };
+
+/** Parses YAML text. */
+export function parseLocatedYaml(text: string): LocatedYaml {
+  const lines = new LineCounter();
+  const document = parseDocument(text, { lineCounter: lines });
+  if (document.errors.length > 0) {
+    const faults = document.errors.map(({ message, pos }) => ({
+      line: lines.linePos(pos[0]).line,
+      message: message.split('\n')[0] ?? message,
+    }));
+    return { kind: 'faulty', faults };
+  }
+  const lineOf = (path: readonly PropertyKey[]): number => {
+    for (let length = path.length; length > 0; length -= 1) {
+      const node = document.getIn(path.slice(0, length), true);
+      if (isNode(node) && node.range) return lines.linePos(node.range[0]).line;
+    }
+    return 1;
+  };
+  return { kind: 'parsed', value: document.toJS(), lineOf };
+}
--- a/packages/reedlug-simulator/src/callers/callerAttempt.ts
+++ b/packages/reedlug-simulator/src/callers/callerAttempt.ts
@@ -36,6 +36,11 @@
   leavesEarly: boolean;
 }
 
+/** Whether a request may run more than once. */
+export function isRepeatable({ spec }: CallerRequest): boolean {
+  return spec.kind === 'stream' ? spec.resumable : spec.kind === 'repeatable';
+}
+
 /** A refusal as the caller sees it. */
 export interface Refusal {
   status: number;
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -14,7 +14,12 @@
   noteRefused,
 } from '../report/sceneRecord.js';
 import { later, nowMs, takeNumber, type World } from '../world.js';
-import type { CallerAttempt, CallerRequest, Refusal } from './callerAttempt.js';
+import {
+  isRepeatable,
+  type CallerAttempt,
+  type CallerRequest,
+  type Refusal,
+} from './callerAttempt.js';
 import {
   drawRequest,
   drawSharedParts,
@@ -276,7 +281,3 @@
   }
   later(world, RETRY_MS, () => tryOnce(world, request));
 }
-
-function isRepeatable({ spec }: CallerRequest): boolean {
-  return spec.kind === 'stream' ? spec.resumable : spec.kind === 'repeatable';
-}
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -1,6 +1,6 @@
 /** Keeps what happens in a run: ends of requests, costs, and promises that were broken. */
 import { build, type Histogram } from 'hdr-histogram-js';
-import type { CallerRequest } from '../callers/callerAttempt.js';
+import { isRepeatable, type CallerRequest } from '../callers/callerAttempt.js';
 import type { BatchEngine } from '../servers/batchEngine.js';
 import type { World } from '../world.js';
 import { nowMs } from '../world.js';
@@ -120,10 +120,9 @@
 /** A server began to run a request. */
 export function noteRun(world: World, request: CallerRequest): void {
   request.runsOfTry += 1;
-  const { spec, facts, workspace } = request;
+  const { facts, workspace } = request;
   if (request.runsOfTry > 1) {
-    const mayRunAgain = spec.kind === 'repeatable' || (spec.kind === 'stream' && spec.resumable);
-    if (!mayRunAgain) noteBroken(world, 'atMostOnce', request);
+    if (!isRepeatable(request)) noteBroken(world, 'atMostOnce', request);
     return;
   }
   const { plainTokens } = world.scene.workspaces;
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -1,5 +1,5 @@
 /** Checks a scene's file and tells all of its faults with their lines. */
-import { LineCounter, parseDocument } from 'yaml';
+import { parseLocatedYaml } from 'reedlug-gateway';
 import { z } from 'zod';
 import type { Scene } from './scene.js';
 
@@ -165,23 +165,12 @@
   text: string,
   base: Readonly<Record<string, unknown>> = {},
 ): { kind: 'scene'; scene: Scene } | { kind: 'faulty'; faults: SceneFault[] } {
-  const lines = new LineCounter();
-  const document = parseDocument(text, { lineCounter: lines });
-  if (document.errors.length > 0) {
-    const faults = document.errors.map(({ message, pos }) => {
-      return { line: lines.linePos(pos[0]).line, field: '', message: firstLine(message) };
-    });
-    return { kind: 'faulty', faults };
+  const document = parseLocatedYaml(text);
+  if (document.kind === 'faulty') {
+    return { kind: 'faulty', faults: document.faults.map((fault) => ({ ...fault, field: '' })) };
   }
-  const lineOf = (path: readonly PropertyKey[]): number => {
-    for (let length = path.length; length > 0; length -= 1) {
-      const node: unknown = document.getIn(path.slice(0, length), true);
-      const range = (node as { range?: [number, number, number] | null } | undefined)?.range;
-      if (range) return lines.linePos(range[0]).line;
-    }
-    return 1;
-  };
-  const own = (document.toJS() ?? {}) as Record<string, unknown>;
+  const { lineOf } = document;
+  const own = (document.value ?? {}) as Record<string, unknown>;
   const fields = Object.entries({ ...base, ...own }).filter(([name]) => name !== 'extends');
   const read = sceneSchema.safeParse(Object.fromEntries(fields));
   if (!read.success) {
@@ -196,10 +185,6 @@
   return faults.length > 0 ? { kind: 'faulty', faults } : { kind: 'scene', scene: read.data };
 }
 
-function firstLine(message: string): string {
-  return message.split('\n')[0] ?? message;
-}
-
 interface CrossFault {
   path: (string | number)[];
   message: string;
--- a/packages/reedlug/src/commands/simulateReport.ts
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -1,4 +1,5 @@
 /** Text of the reports of a simulation. */
+import { median } from 'reedlug-check';
 import type { OutcomeRow, SceneReport } from 'reedlug-simulator';
 import { table } from './textTable.js';
 
@@ -40,13 +41,6 @@
   return Object.values(report.storeCalls).reduce((sum, calls) => sum + calls, 0);
 }
 
-function median(values: readonly number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  const middle = Math.floor((sorted.length - 1) / 2);
-  const upper = Math.ceil((sorted.length - 1) / 2);
-  return ((sorted[middle] ?? 0) + (sorted[upper] ?? 0)) / 2;
-}
-
 /** One run in full; of several the figures' median, least and most. */
 export function reportLines(reports: readonly SceneReport[]): string[] {
   const [only] = reports;
--- a/packages/reedlug/src/settings/settingsValidation.ts
+++ b/packages/reedlug/src/settings/settingsValidation.ts
@@ -4,8 +4,8 @@
  * Unknown keys, wrong types and wrong units are refused; every fault is listed
  * with its line and what would be right.
  */
-import { LineCounter, parseDocument, isNode, type Document } from 'yaml';
 import type { z } from 'zod';
+import { parseLocatedYaml } from 'reedlug-gateway';
 import { crossFaults } from './crossFaults.js';
 import { settingsSchema } from './settingsSchema.js';
 import type { Settings } from './settingsTypes.js';
@@ -24,18 +24,12 @@
 
 /** Checks the text of a settings file. */
 export function validateSettings(text: string): SettingsResult {
-  const lines = new LineCounter();
-  const document = parseDocument(text, { lineCounter: lines });
-  if (document.errors.length > 0) {
-    const faults = document.errors.map((error) => ({
-      line: error.linePos?.[0].line ?? 0,
-      path: '',
-      message: error.message.split('\n')[0] ?? error.message,
-    }));
-    return { kind: 'invalid', faults };
+  const document = parseLocatedYaml(text);
+  if (document.kind === 'faulty') {
+    return { kind: 'invalid', faults: document.faults.map((fault) => ({ ...fault, path: '' })) };
   }
-  const parsed = settingsSchema.safeParse(document.toJS());
-  const locate = (path: readonly PropertyKey[]): number => lineOf(document, lines, path);
+  const parsed = settingsSchema.safeParse(document.value);
+  const locate = document.lineOf;
   if (!parsed.success) {
     return {
       kind: 'invalid',
@@ -65,15 +59,3 @@
   const path = issue.path.map(String).join('.');
   return [{ line: locate(issue.path), path, message: issue.message }];
 }
-
-function lineOf(
-  document: Document.Parsed,
-  lines: LineCounter,
-  path: readonly PropertyKey[],
-): number {
-  for (let length = path.length; length > 0; length -= 1) {
-    const node = document.getIn(path.slice(0, length), true);
-    if (isNode(node) && node.range) return lines.linePos(node.range[0]).line;
-  }
-  return 1;
-}
