--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -4,7 +4,7 @@
 import { addLoads } from '../policy/serverLoad.js';
 import type { HeardTotals, PeerView, ServerView } from '../types/views.js';
 import { dutyFence } from './duties.js';
-import { countedPeers, countsFreshly } from './fleet.js';
+import { countedPeers, countsFreshly, type HeardPeer } from './fleet.js';
 import { addSendSums, type SendSums } from '../policy/engineModel.js';
 import { ownSendSums } from './engineModels.js';
 import { registryNews } from './registryNews.js';
@@ -91,7 +91,7 @@
   own: PeerMessage,
   params: {
     scope: typeof NewsScope.group | typeof NewsScope.others;
-    of: readonly (PeerView & { message: PeerMessage })[];
+    of: readonly HeardPeer[];
     except?: HeardTotals;
   },
 ): PeerMessage {
@@ -117,10 +117,7 @@
   };
 }
 
-function lastStoreContact(
-  state: GatewayState,
-  of: readonly (PeerView & { message: PeerMessage })[],
-): number | undefined {
+function lastStoreContact(state: GatewayState, of: readonly HeardPeer[]): number | undefined {
   let lastAtMs = state.storeContactAtMs;
   for (const { heardAtMs, message } of of) {
     if (message.storeContactAgeMs === undefined) continue;
