--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -39,6 +39,7 @@
       limitWindowMs: 8000,
       limitOverShare: 0.1,
       limitSlackUnits: 0,
+      exposeShare: 0.1,
       leaseMs: 3000,
       usageWindowMs: 5000,
       usageDueMs: 10_000,
@@ -134,6 +135,7 @@
     state: ServerState.ready,
     reclaimable: false,
     leavesInMs: undefined,
+    version: undefined,
     ...changes,
   };
 }
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -10,6 +10,7 @@
 import type { CloudOutcome, PeerChange } from './types/event.js';
 import type { PeerAddress } from './types/peer.js';
 import type { AnswerVerdict, RequestFacts } from './types/request.js';
+import type { RolloutOrder } from './types/rollout.js';
 import type { ServerChange } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
 
@@ -57,9 +58,16 @@
   follow: (position: FeedPosition) => Promise<FeedAnswer<T>>;
 }
 
-/** The platform's store. */
+/** What the operators write. */
+export type OperatorEntry =
+  | { kind: 'configuration'; configuration: Configuration }
+  | { kind: 'rollout'; order: RolloutOrder }
+  /** Nothing that this version understands; it is told in the log and moves nothing. */
+  | { kind: 'unreadable'; key: string; reason: string };
+
+/** The platform's store. A record under `ROLLOUT_KEY_PREFIX` is shown to the operators in the same step. */
 export interface PlatformStore {
-  configuration: Feed<Configuration>;
+  operators: Feed<OperatorEntry>;
   servers: Feed<ServerChange>;
   boxes: Feed<PeerChange>;
   /** Enters this box into the collection of boxes, or takes it out. */
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -90,18 +90,31 @@
 /** A change's number and its server's id; with an entry its other fields in turn. */
 type ChangeRow =
   | readonly [number, string]
-  | readonly [number, string, string, string, number, string, number, ServerState, boolean, number];
+  | readonly [
+      number,
+      string,
+      string,
+      string,
+      number,
+      string,
+      number,
+      ServerState,
+      boolean,
+      number,
+      string,
+    ];
 
 /** Values of a change with an entry. */
-const CHANGE_ROW_LENGTH = 10;
+const CHANGE_ROW_LENGTH = 11;
 /** Stands for a server that did not tell when it leaves. */
 const NOT_TOLD = -1;
 
 function changeRowOf({ number, id, entry }: NumberedChange): ChangeRow {
   if (entry === undefined) return [number, id];
-  const { service, address, zone, slots, state, reclaimable, leavesInMs = NOT_TOLD } = entry;
+  const { service, address, zone, slots, state, reclaimable } = entry;
+  const { leavesInMs = NOT_TOLD, version = '' } = entry;
   const { host, port } = address;
-  return [number, id, service, host, port, zone, slots, state, reclaimable, leavesInMs];
+  return [number, id, service, host, port, zone, slots, state, reclaimable, leavesInMs, version];
 }
 
 /** A row that is none leaves a gap in the numbers, so that the whole registry is asked for. */
@@ -113,12 +126,13 @@
 function changeOf(row: ChangeRow): NumberedChange {
   const [number, id] = row;
   if (row.length === 2) return { number, id, entry: undefined };
-  const [, , service, host, port, zone, slots, state, reclaimable, leaves] = row;
+  const [, , service, host, port, zone, slots, state, reclaimable, leaves, versionText] = row;
   const address = { host, port };
   const leavesInMs = leaves === NOT_TOLD ? undefined : leaves;
+  const version = versionText === '' ? undefined : versionText;
   return {
     number,
     id,
-    entry: { id, service, address, zone, slots, state, reclaimable, leavesInMs },
+    entry: { id, service, address, zone, slots, state, reclaimable, leavesInMs, version },
   };
 }
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -1,5 +1,5 @@
 /** Follows the store's collections and enters this box among the boxes. */
-import type { PlatformStore } from '../adapter.js';
+import type { OperatorEntry, PlatformStore } from '../adapter.js';
 import type { Logger } from '../observe/logger.js';
 import type { GatewayState } from '../state.js';
 import type { EventBody, PeerChange } from '../types/event.js';
@@ -41,20 +41,18 @@
     },
   });
   const isNeeded = (): boolean => followsStore(runtime.state, clock.nowMs());
-  const configuration = followFeed(
-    store.configuration,
+  const operators = followFeed(
+    store.operators,
     WATCH_WAIT_MS,
     {
-      ...common('configuration'),
+      ...common('operators'),
       isNeeded,
       onContact(reachable, reason) {
         emit({ type: 'storeContact', reachable });
-        if (!reachable) logger('feedFault', { feed: 'configuration', reason });
+        if (!reachable) logger('feedFault', { feed: 'operators', reason });
       },
       onPage({ items }) {
-        for (const item of items) {
-          emit({ type: 'configurationRead', configuration: item, source: 'store' });
-        }
+        for (const item of rolloutsFirst(items)) takeOperatorEntry(runtime, item);
       },
     },
     clock,
@@ -93,13 +91,32 @@
   return {
     stop() {
       entry.stop();
-      configuration.stop();
+      operators.stop();
       servers.stop();
       boxes.stop();
     },
   };
 }
 
+/** A box that begins to serve with a configuration must know of the roll-outs by then. */
+function rolloutsFirst(items: readonly OperatorEntry[]): readonly OperatorEntry[] {
+  const isFirst = ({ kind }: OperatorEntry): boolean => kind !== 'configuration';
+  return [...items.filter(isFirst), ...items.filter((item) => !isFirst(item))];
+}
+
+function takeOperatorEntry({ emit, logger }: FeedRuntime, entry: OperatorEntry): void {
+  switch (entry.kind) {
+    case 'configuration': {
+      const { configuration } = entry;
+      return emit({ type: 'configurationRead', configuration, source: 'store' });
+    }
+    case 'rollout':
+      return emit({ type: 'rolloutOrdered', order: entry.order });
+    case 'unreadable':
+      return logger('operatorEntryUnreadable', { key: entry.key, reason: entry.reason });
+  }
+}
+
 /** A box of which the settings tell only the address; its real name replaces the address once it is known. */
 function seedOf(host: string, port: number): PeerChange {
   return { boxId: host, address: { boxId: host, host, port, zone: undefined, processorCores: 0 } };
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -21,5 +21,6 @@
 export type * from './types/event.js';
 export type * from './types/peer.js';
 export type * from './types/request.js';
+export * from './types/rollout.js';
 export * from './types/server.js';
 export type * from './types/settings.js';
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -56,12 +56,18 @@
     avoid: ReadonlySet<string>;
     /** True once a send of the request found no connection. */
     staysInZone?: boolean;
+    /** Servers that the request may go to by their version; all when left out. */
+    admits?: (view: ServerView) => boolean;
     nowMs: number;
   },
 ): Choice | undefined {
-  const { service, facts, urgency, avoid, staysInZone = false, nowMs } = params;
+  const { service, facts, urgency, avoid, staysInZone = false, admits, nowMs } = params;
   const open = [...state.servers.values()].filter(
-    (view) => view.entry.service === service && !view.leaving && !avoid.has(view.entry.id),
+    (view) =>
+      view.entry.service === service &&
+      !view.leaving &&
+      !avoid.has(view.entry.id) &&
+      (admits === undefined || admits(view)),
   );
   const sound = open.filter((view) => failureScore(view, nowMs) < SUSPECT_SCORE);
   const candidates = reachable(state, sound.length > 0 ? sound : open, staysInZone);
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/rolloutStep.ts
@@ -0,0 +1,135 @@
+/**
+ * The course of a roll-out: a small sample, a larger one near the end, then everything.
+ *
+ * What a bad version gets before its deadline is bounded by the users, as a share of
+ * all requests. So the sample stays small for as long as possible, and what goes
+ * beyond it is left for the last seconds: even a version that shows no fault before
+ * everything goes to it has then had less than the bound.
+ * 12 s at the users' bound of a tenth: 9 s of 4 %, 2 s of 20 % and 0.7 s of all are
+ * 1.46 s of the traffic, 1.2 s and 50 requests on top are allowed (1.47 s at 187 a second).
+ */
+import { RolloutPhase } from '../types/rollout.js';
+import { Verdict } from './rolloutVerdict.js';
+
+/** Parts of the bound that the sample and the larger sample take, as factors of the allowed share. */
+const SAMPLE_OF_BOUND = 0.4;
+const WIDENED_OF_BOUND = 2;
+/** When the larger sample begins, as a share of the duration that is left over by then. */
+const WIDENED_FOR_SHARE = 1 / 6;
+/** From when everything goes to the new version until the end is written, in ms: news reach all boxes in 0.4 s, and most streams end. */
+const SHIFTED_FOR_MS = 700;
+/** Time kept before the deadline for the write of the end, in ms: the order was seen up to 0.2 s late, two tries of the store. */
+const WRITE_MARGIN_MS = 800;
+/** Servers of the new version, as a share of those of the old one, without which it is not completed: fewer would not carry the load. */
+const LEAST_SERVERS_SHARE = 0.3;
+/** How many times its usual part the sample takes at most, where servers of the new version came late. */
+const MOST_CATCH_UP = 2;
+/** Highest share of a route's requests that a sample takes. */
+const MOST_ROUTE_SHARE = 0.3;
+
+/** What decides the next phase. */
+export interface RolloutFacts {
+  phase: RolloutPhase;
+  /** Time since the order, and the time that it gives, in ms. */
+  ageMs: number;
+  durationMs: number;
+  verdict: Verdict;
+  /** Servers that take work, of the new version and of others, and answers that those others gave since the order. */
+  newServers: number;
+  oldServers: number;
+  oldAnswers: number;
+}
+
+/** Whether a duration leaves any time to judge; an order with another one moves nothing. */
+export function isUsableDuration(durationMs: number): boolean {
+  return Number.isFinite(durationMs) && durationMs > 0;
+}
+
+/** The phase that follows; the same one while nothing changes. */
+export function nextPhase(facts: RolloutFacts): RolloutPhase {
+  const { phase, verdict } = facts;
+  switch (phase) {
+    case RolloutPhase.held:
+    case RolloutPhase.completed:
+    case RolloutPhase.rolledBack:
+      return phase;
+    case RolloutPhase.sampling:
+    case RolloutPhase.widened:
+    case RolloutPhase.shifted:
+      if (verdict === Verdict.bad) return RolloutPhase.rolledBack;
+      return phase === RolloutPhase.shifted ? afterShift(facts) : beforeShift(facts);
+  }
+}
+
+function afterShift({ ageMs, durationMs }: RolloutFacts): RolloutPhase {
+  return ageMs >= durationMs - WRITE_MARGIN_MS ? RolloutPhase.completed : RolloutPhase.shifted;
+}
+
+function beforeShift(facts: RolloutFacts): RolloutPhase {
+  const { phase, ageMs, durationMs, verdict, newServers, oldServers, oldAnswers } = facts;
+  // Where no other version serves, nothing has to move.
+  if (oldServers === 0 && oldAnswers === 0 && newServers > 0) return RolloutPhase.completed;
+  const isEnough = newServers > 0 && newServers >= oldServers * LEAST_SERVERS_SHARE;
+  const shiftAtMs = durationMs - WRITE_MARGIN_MS - SHIFTED_FOR_MS;
+  if (ageMs >= shiftAtMs && verdict === Verdict.good && isEnough) return RolloutPhase.shifted;
+  if (ageMs >= durationMs - WRITE_MARGIN_MS) return RolloutPhase.rolledBack;
+  const widenAtMs = shiftAtMs - durationMs * WIDENED_FOR_SHARE;
+  const mayWiden = ageMs >= widenAtMs && verdict === Verdict.good && isEnough;
+  return mayWiden ? RolloutPhase.widened : phase;
+}
+
+/** Share of a service's requests that goes to the new version in a phase. */
+export function shareOfPhase(phase: RolloutPhase, allowedShare: number): number {
+  switch (phase) {
+    case RolloutPhase.held:
+    case RolloutPhase.rolledBack:
+      return 0;
+    case RolloutPhase.sampling:
+      return allowedShare * SAMPLE_OF_BOUND;
+    case RolloutPhase.widened:
+      return Math.min(1, allowedShare * WIDENED_OF_BOUND);
+    case RolloutPhase.shifted:
+    case RolloutPhase.completed:
+      return 1;
+  }
+}
+
+/** The factor by which the sample makes up for the time until the first server of the new version stood. */
+export function catchUpFactor(params: { durationMs: number; waitedMs: number }): number {
+  const { durationMs, waitedMs } = params;
+  const leftMs = Math.max(1, durationMs - waitedMs);
+  return Math.min(MOST_CATCH_UP, durationMs / leftMs);
+}
+
+/**
+ * The share of each route's requests that a sample takes: as many of each route, so
+ * that a version that is bad on a seldom one shows it, and the given share of all.
+ */
+export function spreadSample(
+  share: number,
+  answersByRoute: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> {
+  const total = [...answersByRoute.values()].reduce((sum, answers) => sum + answers, 0);
+  const spread = new Map<string, number>();
+  for (const [route, answers] of answersByRoute) {
+    const even = (share * total) / (answersByRoute.size * Math.max(1, answers));
+    spread.set(route, Math.min(MOST_ROUTE_SHARE, even));
+  }
+  return spread;
+}
+
+const RANKS: Readonly<Record<RolloutPhase, number>> = {
+  held: 0,
+  sampling: 1,
+  widened: 2,
+  shifted: 3,
+  // Once one box has found it bad, no other one's view brings it back.
+  rolledBack: 4,
+  // It counts only once the table has it: the old servers are gone then.
+  completed: 5,
+};
+
+/** The phase that is further on; boxes that tell each other theirs come to the same one. */
+export function laterPhase(a: RolloutPhase, b: RolloutPhase): RolloutPhase {
+  return RANKS[b] > RANKS[a] ? b : a;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/rolloutVerdict.ts
@@ -0,0 +1,140 @@
+/**
+ * Whether a new version answers worse than the one before.
+ *
+ * Both serve side by side, so a burst or a lost zone shows in both. Each answer is
+ * good or bad in two ways (failed, slow), and a sequential test compares two
+ * suppositions: the new version is as bad as the old one, or much worse. It is made
+ * for all routes together and for each alone, since a version may be bad on one.
+ * A server that gave more than half of the bad answers is left out while others are
+ * there: one failing server is no failing version.
+ */
+import type { AnswerTally, RolloutEvidence, TrialTally, UsualTally } from '../types/rollout.js';
+
+/** What the answers say. */
+export const Verdict = { unknown: 'unknown', good: 'good', bad: 'bad' } as const;
+export type Verdict = (typeof Verdict)[keyof typeof Verdict];
+
+/**
+ * Log likelihood ratio from which a version is bad: Wald's bound for a wrong verdict
+ * in one of 400 at each look, for some thirty looks that are not independent.
+ */
+const BAD_FROM = Math.log(400);
+/** The same up to which it is good: one of ten, with the larger sample that follows still to come. */
+const GOOD_UP_TO = -Math.log(10);
+/** Share of bad answers that a version has at least by which it is called bad: the least that callers would complain of. */
+const LEAST_BAD_SHARE = 0.15;
+/** How many times worse than the old version it is then. */
+const TIMES_WORSE = 3;
+/** Highest share that is supposed of a bad version: no answer proves it impossible. */
+const MOST_BAD_SHARE = 0.9;
+/** Share of bad answers that a sound version is allowed at least: a crash or two among few answers. */
+const LEAST_SOUND_SHARE = 0.02;
+/** Answers of that share that the old version's weigh against: few of them say little. */
+const SUPPOSED_ANSWERS = 20;
+/** Servers of the sample from which the worst one is left out. */
+const LEAVES_OUT_FROM = 3;
+
+type BadKind = 'failed' | 'slow';
+const BAD_KINDS: readonly BadKind[] = ['failed', 'slow'];
+
+/** A verdict with the figures that decided it. */
+export interface RolloutVerdict {
+  verdict: Verdict;
+  /** The highest log likelihood ratio that the new version is the worse one. */
+  evidence: number;
+  /** What was compared there: all routes, or one. */
+  route: string;
+  kind: BadKind;
+  answers: number;
+  bad: number;
+  usualShare: number;
+}
+
+/** Judges a new version. */
+export function judgeRollout(evidence: RolloutEvidence): RolloutVerdict {
+  const trial = withoutWorst(evidence.trial);
+  const routes = new Set(trial.map(({ route }) => route));
+  const whole = BAD_KINDS.map((kind) => compare('', kind, trial, evidence.usual));
+  const single = [...routes].flatMap((route) =>
+    BAD_KINDS.map((kind) =>
+      compare(route, kind, trial.filter(ofRoute(route)), evidence.usual.filter(ofRoute(route))),
+    ),
+  );
+  const worst = worstOf([...whole, ...single]);
+  if (worst.evidence >= BAD_FROM) return { ...worst, verdict: Verdict.bad };
+  const isGood = worstOf(whole).evidence <= GOOD_UP_TO && worst.evidence <= 0;
+  return { ...worst, verdict: isGood ? Verdict.good : Verdict.unknown };
+}
+
+function ofRoute(route: string) {
+  return (tally: { route: string }): boolean => tally.route === route;
+}
+
+function worstOf(compared: readonly RolloutVerdict[]): RolloutVerdict {
+  return compared.reduce((worst, next) => (next.evidence > worst.evidence ? next : worst));
+}
+
+/** One comparison: bad answers of one kind, of one route or of all. */
+function compare(
+  route: string,
+  kind: BadKind,
+  trial: readonly AnswerTally[],
+  usual: readonly AnswerTally[],
+): RolloutVerdict {
+  const answers = sumOf(trial, 'answers');
+  const bad = sumOf(trial, kind);
+  const usualShare =
+    (sumOf(usual, kind) + LEAST_SOUND_SHARE * SUPPOSED_ANSWERS) /
+    (sumOf(usual, 'answers') + SUPPOSED_ANSWERS);
+  const soundShare = Math.min(MOST_BAD_SHARE / 2, Math.max(LEAST_SOUND_SHARE, usualShare));
+  const badShare = Math.min(
+    MOST_BAD_SHARE,
+    Math.max(soundShare * TIMES_WORSE, soundShare + LEAST_BAD_SHARE),
+  );
+  const evidence =
+    bad * Math.log(badShare / soundShare) +
+    (answers - bad) * Math.log((1 - badShare) / (1 - soundShare));
+  return { verdict: Verdict.unknown, evidence, route, kind, answers, bad, usualShare };
+}
+
+function sumOf(tallies: readonly AnswerTally[], field: keyof AnswerTally): number {
+  return tallies.reduce((sum, tally) => sum + tally[field], 0);
+}
+
+/** The tallies without a server that has more bad answers than all others, where enough of them are there. */
+function withoutWorst(trial: readonly TrialTally[]): readonly TrialTally[] {
+  const badByServer = new Map<string, number>();
+  for (const { serverId, failed, slow } of trial) {
+    if (serverId === '') continue;
+    badByServer.set(serverId, (badByServer.get(serverId) ?? 0) + failed + slow);
+  }
+  if (badByServer.size < LEAVES_OUT_FROM) return trial;
+  const [worstId, worstBad] = [...badByServer].reduce((worst, next) =>
+    next[1] > worst[1] ? next : worst,
+  );
+  const allBad = [...badByServer.values()].reduce((sum, bad) => sum + bad, 0);
+  if (worstBad * 2 <= allBad) return trial;
+  return trial.filter(({ serverId }) => serverId !== worstId);
+}
+
+/** Adds up what several boxes saw. */
+export function addEvidence(parts: readonly RolloutEvidence[]): RolloutEvidence {
+  const trial = new Map<string, TrialTally>();
+  const usual = new Map<string, UsualTally>();
+  for (const part of parts) {
+    for (const tally of part.trial) addTally(trial, `${tally.route} ${tally.serverId}`, tally);
+    for (const tally of part.usual) addTally(usual, tally.route, tally);
+  }
+  return { trial: [...trial.values()], usual: [...usual.values()] };
+}
+
+function addTally<T extends AnswerTally>(sums: Map<string, T>, key: string, tally: T): void {
+  const sum = sums.get(key);
+  if (sum === undefined) {
+    sums.set(key, { ...tally });
+    return;
+  }
+  sum.answers += tally.answers;
+  sum.failed += tally.failed;
+  sum.slow += tally.slow;
+}
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -21,6 +21,8 @@
 import { limitsTick, onLimitsRow, onPeerLimits } from './slices/limitNews.js';
 import { onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers.js';
 import { awaitingTick, onCallerGone, onRequestArrived, requestsTick } from './slices/requests.js';
+import { onRolloutRow, rolloutRecordsTick } from './slices/rolloutRecords.js';
+import { onRolloutOrdered, rolloutsTick } from './slices/rollouts.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
 import { silenceTick } from './slices/silence.js';
 import { onStopAsked, stopTick } from './slices/stopping.js';
@@ -55,6 +57,8 @@
     case 'configurationRead':
       onConfigurationRead(state, step, event);
       return awaitingTick(state, step);
+    case 'rolloutOrdered':
+      return onRolloutOrdered(state, step, event);
     case 'serversRead':
       onServersRead(state, step, event);
       return awaitingTick(state, step);
@@ -88,6 +92,8 @@
   limitsTick(state, step);
   dutiesTick(state, step);
   usageTick(state, step);
+  rolloutsTick(state, step);
+  rolloutRecordsTick(state, step);
   capacityTick(state, step);
   peersTick(state, step);
   stopTick(state, step);
@@ -105,6 +111,8 @@
       return onCheckpointRow(state, step, event);
     case 'limits':
       return onLimitsRow(state, step, event);
+    case 'rollout':
+      return onRolloutRow(state, step, event, event.purpose);
   }
 }
 
--- a/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -68,6 +68,7 @@
     limitWindowSeconds: givenOr(z.number().check(z.positive()), DEFAULT_LIMIT_WINDOW_SECONDS),
     limitOverShare: givenOr(z.number().check(z.nonnegative()), 0),
     limitSlackUnits: givenOr(z.number().check(z.nonnegative()), 0),
+    exposeShare: givenOr(z.number().check(z.nonnegative(), z.maximum(1)), 0),
     leaseMs: z.number().check(z.positive()),
     usageWindowSeconds: z._default(seconds, 0),
     usageDueSeconds: z._default(seconds, 0),
--- a/packages/reedlug-gateway/src/slices/__tests__/limitsOverBoxes.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/limitsOverBoxes.test.ts
@@ -109,6 +109,7 @@
     state: 'ready' as const,
     reclaimable: false,
     leavesInMs: undefined,
+    version: undefined,
   };
   box.take({
     type: 'serversRead',
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -10,6 +10,7 @@
 import { closeAttempt, giveUp, reachWhenLost } from './ending.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
+import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { offer } from './sending.js';
 import { removeServer } from './servers.js';
 import { countBegun } from './usage.js';
@@ -64,6 +65,7 @@
     case 'invalid': {
       const view = closeAttempt(state, attempt, Reach.maybe);
       if (view !== undefined) noteFailure(view, step.nowMs);
+      noteAnswer(state, step, { record, attempt, end: AnswerEnd.failed });
       step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
       return afterLoss(state, step, { record, attempt }, 'invalidAnswer');
     }
@@ -72,7 +74,10 @@
 
 function onSuccess(state: GatewayState, step: Step, found: Found): void {
   const { record, attempt } = found;
-  if (!attempt.begun) noteFirstEvent(state, step, record, attempt);
+  if (!attempt.begun) {
+    noteFirstEvent(state, step, record, attempt);
+    noteAnswer(state, step, { record, attempt, end: AnswerEnd.good });
+  }
   begin(state, step, found);
   const { exchangeId } = record;
   const { attemptId } = attempt;
@@ -94,6 +99,7 @@
   begin(state, step, found);
   const view = state.servers.get(attempt.serverId);
   if (view !== undefined && status >= 500) noteFailure(view, step.nowMs);
+  if (status >= 500) noteAnswer(state, step, { record, attempt, end: AnswerEnd.failed });
   if (status >= 500 && !record.relayed && mayRepeat(state, step, record)) {
     closeAttempt(state, attempt, Reach.answered);
     step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
@@ -178,6 +184,7 @@
   const { attempt } = found;
   const view = closeAttempt(state, attempt, reachWhenLost(attempt));
   if (view !== undefined) noteFailure(view, step.nowMs);
+  noteLost(state, step, found);
   afterLoss(state, step, found, event.reason);
 }
 
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -5,7 +5,12 @@
  * reclaimable ones are not all there: at the start, and after a reclaim.
  */
 import type { ScalingSpec, ServiceSpec } from '../types/configuration.js';
-import { spreadEngines, type EngineNeed, type ZoneOffer } from '../policy/engineTarget.js';
+import {
+  spreadEngines,
+  type EngineNeed,
+  type ZoneOffer,
+  type ZoneWanted,
+} from '../policy/engineTarget.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import { dutyFence } from './duties.js';
 import { isBeforeLoad, noteFirstOnDemand, steadyNeed } from './engineNeed.js';
@@ -20,6 +25,7 @@
   orderKey,
   zoneKey,
 } from './engineOrders.js';
+import { isRollingOut } from './rollouts.js';
 import { measureLoad } from './serviceLoad.js';
 
 /** Pause between plans, in ms: an engine takes seconds to start, a reclaim gives two. */
@@ -91,16 +97,26 @@
   const { service, need, fence } = params;
   const { scaling } = service;
   if (scaling === undefined) return;
-  const plan = spreadEngines({
+  const spread = spreadEngines({
     need,
     zones: zoneOffers(state, step, service, scaling),
     maxPerZone: scaling.maxPerZone,
     hasReclaimable: scaling.reclaimablePriceShare !== undefined,
     keepReserve: step.nowMs < (state.reclaimsUntilMs.get(service.name) ?? 0),
   });
+  const plan = isRollingOut(state, service.name) ? spread.map(keepOrdered(state, service)) : spread;
   orderEngines(state, step, { service, plan, fence });
 }
 
+/** While two versions stand, none is given up: the platform may take the ones that came last, all of the new version. */
+function keepOrdered(state: GatewayState, { name }: ServiceSpec) {
+  return ({ zone, reclaimable, onDemand }: ZoneWanted): ZoneWanted => ({
+    zone,
+    reclaimable: Math.max(reclaimable, lastOrdered(state, name, zone, true)),
+    onDemand: Math.max(onDemand, lastOrdered(state, name, zone, false)),
+  });
+}
+
 /**
  * Finds zones that have run dry: reclaimable engines there went that this box did
  * not give up, or did not come in time after the order was taken.
--- a/packages/reedlug-gateway/src/slices/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engineOrders.ts
@@ -5,6 +5,7 @@
 import { log, type GatewayState, type Step } from '../state.js';
 import type { EngineOrder } from '../types/views.js';
 import { modelOf } from './engineModels.js';
+import { carriesLoad } from './rollouts.js';
 import { loadOf } from './serviceLoad.js';
 
 /** Pause before an order that was refused or lost is sent again, in ms. */
@@ -63,7 +64,7 @@
   state.dryUntilMs.set(zoneKey(service, zone), step.nowMs + DRY_MS);
 }
 
-/** Engines of one kind that take work, in one zone or in all. */
+/** Engines of one kind that take work, in one zone or in all; while two versions stand, those of the one that carries the load. */
 export function countReady(
   state: GatewayState,
   params: { service: string; reclaimable: boolean; zone?: string },
@@ -71,7 +72,7 @@
   const { service, reclaimable, zone } = params;
   let count = 0;
   for (const { entry, leaving } of state.servers.values()) {
-    if (entry.service !== service || leaving) continue;
+    if (entry.service !== service || leaving || !carriesLoad(state, entry)) continue;
     if (zone !== undefined && entry.zone !== zone) continue;
     if (entry.reclaimable === reclaimable) count += 1;
   }
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -7,6 +7,7 @@
 import { countedPeers, countsFreshly, type HeardPeer } from './fleet.js';
 import { addSendSums, type SendSums } from '../policy/engineModel.js';
 import { ownSendSums } from './engineModels.js';
+import { rolloutNews } from './rollouts.js';
 import { registryNews } from './registryNews.js';
 import { ownUsage } from './usage.js';
 
@@ -63,6 +64,7 @@
     admitted: Object.fromEntries([...state.quotas].map(([name, quota]) => [name, quota.admitted])),
     usage: state.hubId === undefined ? ownUsage(state, step) : {},
     workTokens: state.workTokens,
+    rollouts: rolloutNews(state, step.nowMs, []),
     clockOffsetMs: state.agreedClockOffsetMs,
   };
 }
@@ -108,6 +110,7 @@
     leaseHolder: own.leaseHolder ?? holder?.message.leaseHolder,
     loads: sumLoads([own, ...of.map(({ message }) => message)]),
     sendSums: sumSends([own, ...of.map(({ message }) => message)]),
+    rollouts: rolloutNews(state, step.nowMs, of),
     admitted: sumAdmitted(own, parts, except),
     usage: {},
     workTokens:
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -7,6 +7,7 @@
 import { isCounted, PEER_GONE_AFTER_MS, type HeardPeer } from './fleet.js';
 import { tellLimits } from './limitNews.js';
 import { takePeerUnits } from './quotas.js';
+import { takeRolloutNews } from './rollouts.js';
 import { nextRegistryStep } from './registryNews.js';
 import { takeHubChanges } from './servers.js';
 import { mergeUsage } from './usage.js';
@@ -36,6 +37,7 @@
   if (before?.incarnation !== message.incarnation) tellLimits(state, step, peer as HeardPeer);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
+  if (message.rollouts !== undefined) takeRolloutNews(state, step, boxId, message.rollouts);
   if (peer.boxId === state.hubId) followHub(state, step, peer as HeardPeer);
   askForNewer(state, step, peer, message);
 }
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -10,6 +10,7 @@
 import { refuseIfLate } from './lateRefusals.js';
 import { admitUnits, unitsOf, type Admission } from './quotas.js';
 import { countFirstSend } from './retryBudgets.js';
+import { noteLeft } from './rolloutEvidence.js';
 import { chooseFor, offer } from './sending.js';
 import { isTooLateToTake } from './stopping.js';
 
@@ -134,6 +135,7 @@
 export function onCallerGone(state: GatewayState, step: Step, event: EventOf<'callerGone'>): void {
   const record = state.requests.get(event.exchangeId);
   if (record === undefined) return forgetAwaiting(state, event.exchangeId);
+  noteLeft(state, step, record);
   cancelAll(state, step, record);
   state.requests.delete(event.exchangeId);
   log(step, 'callerGone', {
@@ -147,6 +149,8 @@
 /** Ends requests whose time is up. */
 export function requestsTick(state: GatewayState, step: Step): void {
   for (const record of state.requests.values()) {
-    if (step.nowMs >= record.endsAtMs) giveUp(state, step, record, 'timeIsUp');
+    if (step.nowMs < record.endsAtMs) continue;
+    noteLeft(state, step, record);
+    giveUp(state, step, record, 'timeIsUp');
   }
 }
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
@@ -0,0 +1,93 @@
+/** What sends show of both versions of a service during a roll-out. */
+import type { HeardPeer } from './fleet.js';
+import { addEvidence } from '../policy/rolloutVerdict.js';
+import type { GatewayState, Step } from '../state.js';
+import type { Attempt, RequestRecord } from '../types/request.js';
+import {
+  RolloutPhase,
+  type AnswerTally,
+  type RolloutEvidence,
+  type RolloutView,
+} from '../types/rollout.js';
+
+/** How many times longer than expected an answer takes that counts as slow: several times, in the users' words. */
+const SLOW_FACTOR = 3;
+/** Shortest time that is expected of an answer here, in ms: below it, network and timers decide. */
+const LEAST_EXPECTED_MS = 40;
+
+/** How an answer ended for the judgement of its version. */
+export const AnswerEnd = { good: 'good', failed: 'failed' } as const;
+export type AnswerEnd = (typeof AnswerEnd)[keyof typeof AnswerEnd];
+
+/** Counts an answer, or what came in its place. A stream that is cut after its first event counts once more, as failed. */
+export function noteAnswer(
+  state: GatewayState,
+  step: Step,
+  params: { record: RequestRecord; attempt: Attempt; end: AnswerEnd },
+): void {
+  const { record, attempt, end } = params;
+  const view = state.rollouts.get(record.service);
+  if (view === undefined || attempt.version === undefined || !isCounted(view)) return;
+  const tally = tallyOf(view, record, attempt);
+  tally.answers += 1;
+  if (end === AnswerEnd.failed) tally.failed += 1;
+  else if (isSlow(step, attempt)) tally.slow += 1;
+}
+
+/** A lost answer counts as failed, unless its server leaves or a zone is cut off: that is no fault of a version. */
+export function noteLost(
+  state: GatewayState,
+  step: Step,
+  found: { record: RequestRecord; attempt: Attempt },
+): void {
+  const isLeaving = state.servers.get(found.attempt.serverId)?.leaving !== false;
+  if (isLeaving || state.silentZones.size > 0) return;
+  noteAnswer(state, step, { ...found, end: AnswerEnd.failed });
+}
+
+/** A caller that left, or whose time was up, before a slow answer's first event says as much as that answer. */
+export function noteLeft(state: GatewayState, step: Step, record: RequestRecord): void {
+  const attempt = record.attempts.at(-1);
+  if (attempt?.open !== true || attempt.begun || !isSlow(step, attempt)) return;
+  noteAnswer(state, step, { record, attempt, end: AnswerEnd.good });
+}
+
+function isSlow(step: Step, { sentAtMs, expectedMs }: Attempt): boolean {
+  return step.nowMs - sentAtMs > SLOW_FACTOR * Math.max(LEAST_EXPECTED_MS, expectedMs);
+}
+
+function isCounted({ phase }: RolloutView): boolean {
+  switch (phase) {
+    case RolloutPhase.sampling:
+    case RolloutPhase.widened:
+    case RolloutPhase.shifted:
+      return true;
+    case RolloutPhase.held:
+    case RolloutPhase.completed:
+    case RolloutPhase.rolledBack:
+      return false;
+  }
+}
+
+function tallyOf(view: RolloutView, record: RequestRecord, attempt: Attempt): AnswerTally {
+  const route = record.route.name;
+  const empty = { answers: 0, failed: 0, slow: 0 };
+  if (attempt.version !== view.order.targetVersion) {
+    const known = view.usual.get(route) ?? { route, ...empty };
+    view.usual.set(route, known);
+    return known;
+  }
+  const serverId = view.widenedServers.has(attempt.serverId) ? attempt.serverId : '';
+  const key = `${route} ${serverId}`;
+  const known = view.trial.get(key) ?? { route, serverId, ...empty };
+  view.trial.set(key, known);
+  return known;
+}
+
+/** What this box saw, with what peers told of the same order. */
+export function evidenceOf(view: RolloutView, peers: readonly HeardPeer[]): RolloutEvidence {
+  const own = { trial: [...view.trial.values()], usual: [...view.usual.values()] };
+  const told = peers.flatMap(({ message }) => message.rollouts ?? []);
+  const ofOrder = told.filter(({ order }) => order.revision === view.order.revision);
+  return addEvidence([own, ...ofOrder.map(({ evidence }) => evidence)]);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/rolloutRecords.ts
@@ -0,0 +1,135 @@
+/**
+ * Roll-outs in the shared table, written by the holder of the duty lease.
+ *
+ * The record says how far a roll-out is, for boxes that start and for the next
+ * holder; an end that is written is never written over. Each write is conditional
+ * on the record's version, so a holder that has lost the lease without knowing
+ * cannot undo what the next one wrote.
+ */
+import type { TableAnswer, TableRow } from 'reedlug-coordination';
+import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
+import { log, requestTable, type GatewayState, type Step } from '../state.js';
+import type { EventOf } from '../types/event.js';
+import {
+  ROLLOUT_KEY_PREFIX,
+  RolloutPhase,
+  type RolloutRecord,
+  type RolloutView,
+} from '../types/rollout.js';
+import { dutyFence } from './duties.js';
+import { enterPhase } from './rollouts.js';
+
+/** Pause between calls for one roll-out, in ms: the store answers in some ms, a busy one is asked again. */
+const ASK_EVERY_MS = 250;
+/** Reads and writes the records, while this box holds the lease. */
+export function rolloutRecordsTick(state: GatewayState, step: Step): void {
+  if (state.rollouts.size === 0 || dutyFence(state, step.nowMs) === undefined) return;
+  for (const view of state.rollouts.values()) keepRecord(state, step, view);
+}
+
+function keepRecord(state: GatewayState, step: Step, view: RolloutView): void {
+  if (step.nowMs - view.askedAtMs < ASK_EVERY_MS) return;
+  if (!isUsableDuration(view.order.durationMs)) return;
+  const phase = phaseToWrite(view);
+  if (phase === undefined) return;
+  view.askedAtMs = step.nowMs;
+  const { service } = view.order;
+  const key = keyOf(service);
+  const purpose = { kind: 'rollout' as const, service, revision: view.order.revision };
+  if (view.recordVersion === undefined) {
+    return requestTable(step, purpose, { kind: 'read', keys: [key] });
+  }
+  const value = recordOf(state, view, phase);
+  const write = { key, expectVersion: view.recordVersion, value };
+  requestTable(step, purpose, { kind: 'transact', writes: [write] });
+}
+
+function keyOf(service: string): string {
+  return `${ROLLOUT_KEY_PREFIX}${service}`;
+}
+
+/** What the record should say and does not; undefined when it says it. */
+function phaseToWrite(view: RolloutView): RolloutPhase | undefined {
+  if (view.recordVersion === undefined) return view.phase;
+  const { phase, wantsCompletion, recordedPhase } = view;
+  if (phase === RolloutPhase.rolledBack) {
+    return recordedPhase === phase ? undefined : phase;
+  }
+  if (wantsCompletion && phase !== RolloutPhase.completed) return RolloutPhase.completed;
+  // What lies between is for the boxes alone; after a loss of all they begin with the small sample.
+  return recordedPhase === undefined ? RolloutPhase.sampling : undefined;
+}
+
+function recordOf(state: GatewayState, view: RolloutView, phase: RolloutPhase): RolloutRecord {
+  const { order, barred, orderedAtMs } = view;
+  return {
+    revision: order.revision,
+    targetVersion: order.targetVersion,
+    phase,
+    orderedAtStoreMs: Math.round(orderedAtMs - (state.storeEpochMs ?? 0)),
+    barred,
+  };
+}
+
+/** Takes the table's answer. */
+export function onRolloutRow(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'tableAnswered'>,
+  purpose: { service: string; revision: number },
+): void {
+  const view = state.rollouts.get(purpose.service);
+  if (view === undefined || view.order.revision !== purpose.revision) return;
+  const { answer } = event;
+  const rows = rowsOf(answer);
+  if (rows === undefined) {
+    // The write may have been done: the record is read before the next one.
+    view.recordVersion = undefined;
+    log(step, 'rolloutRecordUnknown', { service: purpose.service, answer: answer.kind });
+    return;
+  }
+  takeRecord(
+    state,
+    step,
+    view,
+    rows.find(({ key }) => key === keyOf(purpose.service)),
+  );
+}
+
+function rowsOf(answer: TableAnswer): readonly TableRow[] | undefined {
+  switch (answer.kind) {
+    case 'done':
+      return answer.rows;
+    case 'refused':
+      return answer.reason === 'conflict' ? answer.rows : undefined;
+    case 'unknown':
+      return undefined;
+  }
+}
+
+function takeRecord(
+  state: GatewayState,
+  step: Step,
+  view: RolloutView,
+  row: TableRow | undefined,
+): void {
+  view.recordVersion = row?.version ?? 0;
+  const record = row?.value as RolloutRecord | undefined;
+  if (record === undefined) return;
+  if (record.revision !== view.order.revision) return takeEarlierRecord(view, record);
+  view.recordedPhase = record.phase;
+  view.barred = record.barred;
+  const { storeEpochMs } = state;
+  if (storeEpochMs !== undefined) {
+    view.orderedAtMs = Math.min(view.orderedAtMs, record.orderedAtStoreMs + storeEpochMs);
+  }
+  enterPhase(step, view, laterPhase(view.phase, record.phase), { source: 'table' });
+}
+
+/** The record of an earlier order, which this one follows: a version that was not completed stays barred. */
+function takeEarlierRecord(view: RolloutView, record: RolloutRecord): void {
+  const isLeft = record.phase !== RolloutPhase.completed;
+  const barred = new Set([...record.barred, ...(isLeft ? [record.targetVersion] : [])]);
+  barred.delete(view.order.targetVersion);
+  view.barred = [...new Set([...view.barred, ...barred])];
+}
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -7,6 +7,7 @@
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { giveUp, isRepeatable } from './ending.js';
+import { carriesLoad, versionRule } from './rollouts.js';
 
 /** The best server for a request now; undefined when none may take it. */
 export function chooseFor(
@@ -15,14 +16,20 @@
   record: RequestRecord,
   avoid: ReadonlySet<string> = record.avoid,
 ): Choice | undefined {
-  return chooseServer(state, {
+  const params = {
     service: record.service,
     facts: record.facts,
     urgency: record.urgency,
     avoid,
     staysInZone: record.foundNoConnection,
     nowMs: step.nowMs,
-  });
+  };
+  const rule = versionRule(state, record);
+  if (rule === undefined) return chooseServer(state, params);
+  const choice = chooseServer(state, { ...params, admits: rule.admits });
+  if (choice !== undefined || !rule.isSample) return choice;
+  // No server of the sample takes work: the request goes the usual way.
+  return chooseServer(state, { ...params, admits: ({ entry }) => carriesLoad(state, entry) });
 }
 
 /** Sends a request to the best server, or gives it up. */
@@ -41,6 +48,7 @@
   const attempt: Attempt = {
     attemptId: state.nextAttemptId,
     serverId: view.entry.id,
+    version: view.entry.version,
     sentAtMs: step.nowMs,
     reach: Reach.none,
     open: true,
@@ -83,6 +91,7 @@
     expectedMs: Math.round(expectedMs),
     running: conditions.running,
     prefillTokens,
+    version: view.entry.version ?? '',
     configuration: state.active?.configuration.version ?? 0,
     servers: state.serversRevision,
   });
--- a/packages/reedlug-gateway/src/slices/silence.ts
+++ b/packages/reedlug-gateway/src/slices/silence.ts
@@ -4,6 +4,7 @@
 import type { GatewayState, Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { haveRoomForSend, mayRunAgain, repeat } from './repeats.js';
+import { noteLost } from './rolloutEvidence.js';
 import { closeAttempt, reachWhenLost } from './ending.js';
 import { chooseFor } from './sending.js';
 
@@ -37,6 +38,7 @@
   record.avoid.add(attempt.serverId);
   const view = closeAttempt(state, attempt, reach);
   if (view !== undefined) noteFailure(view, step.nowMs);
+  noteLost(state, step, { record, attempt });
   step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
   repeat(state, step, { record, attempt }, 'serverSilent', choice);
 }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -5,6 +5,7 @@
 import type { TablePurpose } from './types/event.js';
 import type { NumberedChange, StoredLimits } from './types/peer.js';
 import type { AwaitingRequest, RequestRecord } from './types/request.js';
+import type { RolloutView } from './types/rollout.js';
 import type { GatewaySettings } from './types/settings.js';
 import type {
   ActiveConfiguration,
@@ -90,6 +91,9 @@
   checkpointVersion: number;
   /** The fence under which this box last knew the checkpoint. */
   checkpointFence: number | undefined;
+  /** By service, the roll-out ordered last. */
+  rollouts: Map<string, RolloutView>;
+  rolloutsJudgedAtMs: number;
   orders: Map<string, EngineOrder>;
   planAtMs: number;
   /** Prompt tokens that this box has sent to be read, since its start; those that a server keeps do not count. */
@@ -188,6 +192,8 @@
     checkpointAtMs: 0,
     checkpointVersion: 0,
     checkpointFence: undefined,
+    rollouts: new Map(),
+    rolloutsJudgedAtMs: nowMs,
     orders: new Map(),
     planAtMs: nowMs,
     workTokens: 0,
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -2,6 +2,7 @@
 import type { TableAnswer } from 'reedlug-coordination';
 import type { Configuration } from './configuration.js';
 import type { AnswerVerdict, RequestFacts } from './request.js';
+import type { RolloutOrder } from './rollout.js';
 import type { ServerChange } from './server.js';
 import type { LimitsMessage, PeerAddress, PeerMessage, UsageMessage } from './peer.js';
 
@@ -35,6 +36,7 @@
   /** The connection ended, or said what is no answer, after bytes were sent. */
   | { type: 'attemptLost'; exchangeId: number; attemptId: number; reason: string }
   | { type: 'configurationRead'; configuration: Configuration; source: 'store' | 'peer' }
+  | { type: 'rolloutOrdered'; order: RolloutOrder }
   /** All entries as of one moment, or changes since. */
   | {
       type: 'serversRead';
@@ -69,6 +71,8 @@
   | { kind: 'clock' }
   | { kind: 'usage'; window: number }
   | { kind: 'checkpoint' }
+  /** The record of a roll-out, of the order with this revision. */
+  | { kind: 'rollout'; service: string; revision: number }
   /** The checkpoint again, read by a box that has just started, for the limits in it. */
   | { kind: 'limits' };
 
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -1,5 +1,6 @@
 /** What boxes tell each other, in datagrams. */
 import type { SendSums } from '../policy/engineModel.js';
+import type { RolloutNews } from './rollout.js';
 import type { HostPort, ServerChange } from './server.js';
 
 /** Where a box listens for its peers, and what speaks for it as a hub. */
@@ -93,6 +94,8 @@
   sendSums: Readonly<Record<string, SendSums>>;
   /** Requests of the sender begun, by usage window and workspace; empty where hubs sum news up. */
   usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /** Roll-outs that the sender knows of; boxes of an earlier version do not tell. */
+  rollouts?: readonly RolloutNews[] | undefined;
   /** Agreed wall clock less store clock, in ms; undefined while none is agreed. */
   clockOffsetMs: number | undefined;
 }
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -43,6 +43,8 @@
 export interface Attempt {
   attemptId: number;
   serverId: string;
+  /** Version of that server's software. */
+  version: string | undefined;
   sentAtMs: number;
   reach: Reach;
   open: boolean;
--- a/packages/reedlug-gateway/src/types/server.ts
+++ b/packages/reedlug-gateway/src/types/server.ts
@@ -20,6 +20,8 @@
   /** Requests worked on at a time. */
   slots: number;
   state: ServerState;
+  /** Version of its software; undefined where it is not told. */
+  version: string | undefined;
   /** True for a server that may be taken back at short notice. */
   reclaimable: boolean;
   /** Time until it is gone, in ms, where it told. */
--- a/packages/reedlug-gateway/src/types/settings.ts
+++ b/packages/reedlug-gateway/src/types/settings.ts
@@ -19,6 +19,8 @@
   limitWindowMs: number;
   limitOverShare: number;
   limitSlackUnits: number;
+  /** Share of a service's requests that a version under roll-out may get before it is known to be sound. */
+  exposeShare: number;
   /** Validity of a lease. */
   leaseMs: number;
   /** Length of a usage window and when its report is due after its end; 0 for no reports. */
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -17,6 +17,8 @@
 } from '../servers/serverPark.js';
 import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
 import { areCut, boxAt, later, takeNumber, wayMs, type World } from '../world.js';
+import { faultOfVersion, noteRolloutArrival } from '../faults/rollouts.js';
+import { slowDown } from '../servers/batchEngine.js';
 import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
 
 /** Zone of the cloud; nothing else is in it. */
@@ -99,6 +101,8 @@
   if (caller === undefined) return;
   const { request } = caller;
   noteArrival(world, request, server.entry.service);
+  noteRolloutArrival(world, server);
+  const versionFault = faultOfVersion(world, server, request.spec.name);
   const tryNumber = request.tries;
   /** A server that cannot be told to stop may begin a try that its caller has left. */
   const begin = (): void => {
@@ -127,9 +131,12 @@
       begin();
       answer('success', 200);
     };
-    return server.work.server.submit({ runId, workMs: request.workMs, onAnswered, onRejected });
+    if (versionFault.fails) return later(world, FAILURE_MS, () => answer('failure', 500));
+    const workMs = request.workMs * versionFault.slowFactor;
+    return server.work.server.submit({ runId, workMs, onAnswered, onRejected });
   }
-  if (world.random.chance(world.failShare)) {
+  slowDown(server.work.engine, versionFault.slowFactor);
+  if (versionFault.fails || world.random.chance(world.failShare)) {
     begin();
     return later(world, FAILURE_MS, () => answer('failure', 500));
   }
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -10,6 +10,7 @@
   type VirtualServer,
 } from '../servers/serverPark.js';
 import { later, type World } from '../world.js';
+import { beginRollout } from './rollouts.js';
 
 /** Time until a process that ended is started again, in ms. */
 const RESTART_MS = 100;
@@ -73,6 +74,8 @@
         world.store.isAway = false;
       });
     }
+    case 'rollout':
+      return beginRollout(world, fault);
     // These change the load alone, as long as they are active.
     case 'burst':
     case 'hotWorkspace':
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -1,4 +1,5 @@
 /** The report of a run: what callers got, what it cost, what was broken. */
+import { rolloutFaults } from '../faults/rollouts.js';
 import type { World } from '../world.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
 import type { BrokenPromise } from './sceneRecord.js';
@@ -47,6 +48,18 @@
   reducerMsPerBoxSecond: number;
   broken: BrokenPromise[];
   logs: Record<string, number>;
+  rollouts: RolloutRow[];
+}
+
+/** How a roll-out went. */
+export interface RolloutRow {
+  version: string;
+  end: string;
+  /** From the order to its end, in ms; undefined without one. */
+  tookMs: number | undefined;
+  arrivals: number;
+  trialArrivals: number;
+  badAnswers: number;
 }
 
 /** Sums a run up. */
@@ -101,6 +114,14 @@
     reducerMsPerBoxSecond: reducerMs / boxes / seconds,
     broken: record.broken,
     logs: Object.fromEntries(record.logs),
+    rollouts: world.rollouts.map((watch) => ({
+      version: watch.version,
+      end: watch.end ?? 'none',
+      tookMs: watch.endedAtMs === undefined ? undefined : watch.endedAtMs - watch.orderedAtMs,
+      arrivals: watch.arrivals,
+      trialArrivals: watch.trialArrivals,
+      badAnswers: watch.badAnswers,
+    })),
   };
 }
 
@@ -132,6 +153,7 @@
     const allowed = limit * (1 + limitOverShare) + limitSlackUnits;
     if (most > allowed) breakBound(world, 'limit', `${name}: ${most} of ${Math.round(allowed)}`);
   }
+  for (const { promise, detail } of rolloutFaults(world)) breakBound(world, promise, detail);
 }
 
 function breakBound(world: World, promise: string, detail: string): void {
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -71,6 +71,7 @@
     record: createSceneRecord(),
     cutZones: new Set(),
     failShare: 0,
+    rollouts: [],
     dryUntilMs: 0,
     workspaces: workspacesOf(scene),
     boxIdByHost: new Map(),
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -91,6 +91,21 @@
   z.strictObject({ kind: z.literal('hotWorkspace'), ...span, factor: positive }),
   z.strictObject({ kind: z.literal('storeAway'), ...span }),
   z.strictObject({ kind: z.literal('callersLeave'), ...span, share }),
+  z.strictObject({
+    kind: z.literal('rollout'),
+    ...at,
+    service: z.string().min(1),
+    durationS: positive,
+    /** From the order until the servers of the new version stand. */
+    startS: notNegative.default(4),
+    /** Share of its answers that fail, and how many times slower it works; from some time after the order on. */
+    failShare: share.default(0),
+    slowFactor: positive.default(1),
+    badFromS: notNegative.default(0),
+    /** Only these are failed: requests of one class, or those that find so many others at their server. */
+    class: z.string().optional(),
+    badFromOpen: z.number().int().min(0).default(0),
+  }),
 ]);
 
 const sceneSchema = z.strictObject({
@@ -122,6 +137,9 @@
     limitWindowMs: positive,
     limitOverShare: notNegative,
     limitSlackUnits: notNegative,
+    /** What a bad version may get: a share of the requests of its service, and some on top. */
+    exposeShare: share.default(0.1),
+    exposeSlack: notNegative.default(50),
     leaseMs: positive,
     usageWindowMs: notNegative,
     usageDueMs: notNegative,
@@ -222,7 +240,10 @@
     if ('zone' in fault && fault.zone !== undefined && !scene.zones.includes(fault.zone)) {
       faults.push({ path: [...path, 'zone'], message: `no zone ${fault.zone}` });
     }
-    if (fault.kind !== 'burst' || fault.class === undefined) return;
+    if (fault.kind === 'rollout' && !kinds.has(fault.service)) {
+      faults.push({ path: [...path, 'service'], message: `no service ${fault.service}` });
+    }
+    if (!('class' in fault) || fault.class === undefined) return;
     if (!scene.classes.some(({ name }) => name === fault.class)) {
       faults.push({ path: [...path, 'class'], message: `no class ${fault.class}` });
     }
--- a/packages/reedlug-simulator/src/servers/batchEngine.ts
+++ b/packages/reedlug-simulator/src/servers/batchEngine.ts
@@ -42,6 +42,8 @@
 /** One engine's work. */
 export interface BatchEngine {
   figures: EngineFigures;
+  /** How many times longer its steps take than the figures say. */
+  slowFactor: number;
   waiting: LiveRun[];
   running: LiveRun[];
   cache: PromptCache;
@@ -57,6 +59,7 @@
 export function createBatchEngine(figures: EngineFigures): BatchEngine {
   return {
     figures,
+    slowFactor: 1,
     waiting: [],
     running: [],
     cache: createPromptCache(),
@@ -67,6 +70,11 @@
   };
 }
 
+/** Sets how many times longer its steps take from now on. */
+export function slowDown(engine: BatchEngine, factor: number): void {
+  engine.slowFactor = factor;
+}
+
 /** Takes a request; the engine's next step may have to be scheduled after it. */
 export function submitRun(engine: BatchEngine, run: EngineRun, nowMs: number): void {
   if (engine.waiting.length >= engine.figures.queue) return run.onRejected();
@@ -174,12 +182,12 @@
   }
   const tokens = figures.chunkTokens - left;
   engine.readTokens += tokens;
-  return (
+  const usualMs =
     figures.stepMs +
     figures.stepMsPerRun * running.length +
     tokens / figures.readTokensPerMs +
-    (Math.max(0, pairs) / 1e6) * figures.readMsPerMillionPairs
-  );
+    (Math.max(0, pairs) / 1e6) * figures.readMsPerMillionPairs;
+  return usualMs * engine.slowFactor;
 }
 
 function keepRead(engine: BatchEngine, live: LiveRun): void {
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -2,7 +2,13 @@
  * The servers of a world: engines and plain ones, their entries in the registry,
  * orders of engines, and what becomes of requests when a server goes.
  */
-import { ServerState, type CloudCall, type CloudOutcome, type ServerEntry } from 'reedlug-gateway';
+import {
+  RolloutPhase,
+  ServerState,
+  type CloudCall,
+  type CloudOutcome,
+  type ServerEntry,
+} from 'reedlug-gateway';
 import { noteEngineTime, noteRead } from '../report/sceneRecord.js';
 import { areCut, later, nowMs, takeNumber, type World } from '../world.js';
 import type { EngineService, PlainService } from '../scene/scene.js';
@@ -13,6 +19,8 @@
 const IDLE_CHECK_MS = 200;
 /** Heartbeats without which an entry of the registry goes. */
 const LAPSE_HEARTBEATS = 3;
+/** Version of the servers that stand at the start. */
+const FIRST_VERSION = 'v1';
 /** Port of every server; addresses differ by their host. */
 const SERVER_PORT = 8509;
 
@@ -43,10 +51,12 @@
   }
 }
 
-function startPlain(world: World, service: PlainService, zone: string): void {
+function startPlain(world: World, service: PlainService, zone: string, version?: string): void {
   const schedule = (ms: number, run: () => void): void => later(world, ms, run);
   const server = createPlainServer({ slots: service.slots, queue: service.queue, schedule });
-  addServer(world, service.name, zone, service.slots, false, { kind: 'plain', server });
+  const work: ServerWork = { kind: 'plain', server };
+  const { name, slots } = service;
+  addServer(world, { service: name, zone, slots, reclaimable: false, work, version });
 }
 
 function startEngine(
@@ -54,20 +64,47 @@
   service: EngineService,
   zone: string,
   reclaimable: boolean,
+  version?: string,
 ): void {
-  const engine = createBatchEngine(service.engine);
-  const work: ServerWork = { kind: 'engine', engine };
-  addServer(world, service.name, zone, service.engine.slots, reclaimable, work);
+  const { name } = service;
+  const { slots } = service.engine;
+  const work: ServerWork = { kind: 'engine', engine: createBatchEngine(service.engine) };
+  addServer(world, { service: name, zone, slots, reclaimable, work, version });
+}
+
+/** Starts servers of another version, one beside each that stands. */
+export function startBeside(world: World, service: string, version: string): void {
+  const spec = world.scene.services.find(({ name }) => name === service);
+  const standing = [...world.servers.values()].filter(
+    ({ entry }) => entry.service === service && entry.state === ServerState.ready,
+  );
+  for (const { entry } of standing) {
+    if (spec?.kind === 'plain') startPlain(world, spec, entry.zone, version);
+    if (spec?.kind === 'engines') startEngine(world, spec, entry.zone, entry.reclaimable, version);
+  }
+}
+
+/** The version that servers have when nothing else is said. */
+function versionInService(world: World, service: string): string {
+  const done = world.rollouts.filter(
+    ({ spec, end }) => spec.service === service && end === RolloutPhase.completed,
+  );
+  return done.at(-1)?.version ?? FIRST_VERSION;
 }
 
 function addServer(
   world: World,
-  service: string,
-  zone: string,
-  slots: number,
-  reclaimable: boolean,
-  work: ServerWork,
+  params: {
+    service: string;
+    zone: string;
+    slots: number;
+    reclaimable: boolean;
+    work: ServerWork;
+    version: string | undefined;
+  },
 ): void {
+  const { service, zone, slots, reclaimable, work } = params;
+  const { version = versionInService(world, service) } = params;
   const number = takeNumber(world, 'servers');
   const entry: ServerEntry = {
     id: `server-${number}`,
@@ -78,6 +115,7 @@
     state: ServerState.ready,
     reclaimable,
     leavesInMs: undefined,
+    version,
   };
   const server: VirtualServer = {
     entry,
@@ -100,7 +138,7 @@
   return service?.kind === 'engines' ? service.heartbeatMs : 0;
 }
 
-/** Engines of one kind in a zone that do not leave. */
+/** Engines of one kind in a zone that do not leave; those under roll-out are no part of what is ordered. */
 function enginesOf(
   world: World,
   params: { service: string; zone: string; reclaimable: boolean },
@@ -110,6 +148,7 @@
       entry.service === params.service &&
       entry.zone === params.zone &&
       entry.reclaimable === params.reclaimable &&
+      entry.version === versionInService(world, params.service) &&
       entry.state === ServerState.ready,
   );
 }
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -6,12 +6,16 @@
   ANNOUNCE_TIMEOUT_MS,
   CHECKPOINT_KEY,
   LEASE_KEY,
+  ROLLOUT_KEY_PREFIX,
   type Clock,
   type Configuration,
   type Feed,
   type FeedAnswer,
+  type OperatorEntry,
   type PeerChange,
   type PlatformStore,
+  type RolloutOrder,
+  type RolloutRecord,
   type ServerChange,
   type ServerEntry,
 } from 'reedlug-gateway';
@@ -25,7 +29,7 @@
 
 /** What calls are for. */
 export const StoreCall = {
-  configuration: 'configuration',
+  operators: 'operators',
   servers: 'servers',
   boxes: 'boxes',
   announce: 'announce',
@@ -49,6 +53,9 @@
   isAway: boolean;
   calls: Map<StoreCall, number>;
   putConfiguration: (configuration: Configuration) => void;
+  orderRollout: (order: Omit<RolloutOrder, 'revision'>) => void;
+  /** The record of a service's roll-out; undefined while there is none. */
+  rolloutRecord: (service: string) => RolloutRecord | undefined;
   putServer: (entry: ServerEntry) => void;
   removeServer: (id: string) => void;
   /** The store as a box in a zone has it; `isAlive` ends its calls with the box. */
@@ -58,7 +65,7 @@
 /** Returns an empty store. `worldOf` gives the world once it is put together. */
 export function createVirtualStore(worldOf: () => World): VirtualStore {
   let revision = 0;
-  const configuration = createCollection<Configuration>();
+  const operators = createCollection<OperatorEntry>();
   const servers = createCollection<ServerChange>();
   const boxes = createCollection<PeerChange>();
   const table = createTableModel();
@@ -149,7 +156,17 @@
   const store: VirtualStore = {
     isAway: false,
     calls,
-    putConfiguration: (given) => put(configuration, 'configuration', given),
+    putConfiguration: (configuration) =>
+      put(operators, 'configuration', { kind: 'configuration', configuration }),
+    orderRollout(given) {
+      const order = { ...given, revision: revision + 1 };
+      put(operators, `${ROLLOUT_KEY_PREFIX}${given.service}`, { kind: 'rollout', order });
+    },
+    rolloutRecord(service) {
+      const op = { kind: 'read' as const, keys: [`${ROLLOUT_KEY_PREFIX}${service}`] };
+      const answer = applyTableOp(table, op);
+      return answer.kind === 'done' ? (answer.rows[0]?.value as RolloutRecord) : undefined;
+    },
     putServer: (entry) => put(servers, entry.id, { id: entry.id, entry }),
     removeServer(id) {
       revision += 1;
@@ -161,7 +178,7 @@
     openFor(zone, clock, isAlive) {
       const caller = { zone, isAlive };
       return {
-        configuration: openFeed(configuration, StoreCall.configuration, caller),
+        operators: openFeed(operators, StoreCall.operators, caller),
         servers: openFeed(servers, StoreCall.servers, caller),
         boxes: openFeed(boxes, StoreCall.boxes, caller),
         announceBox(boxId, address) {
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -4,6 +4,7 @@
 import type { Scene } from './scene/scene.js';
 import type { SceneRecord } from './report/sceneRecord.js';
 import type { VirtualBox } from './boxes/virtualBox.js';
+import type { RolloutWatch } from './faults/rollouts.js';
 import type { VirtualServer } from './servers/serverPark.js';
 import type { VirtualStore } from './store/virtualStore.js';
 
@@ -20,6 +21,8 @@
   cutZones: Set<string>;
   /** Share of requests that engines fail now. */
   failShare: number;
+  /** Roll-outs ordered so far. */
+  rollouts: RolloutWatch[];
   /** Until when no reclaimable engines are to be had. */
   dryUntilMs: number;
   workspaces: readonly WorkspaceSpec[];
