Roll-outs: what a new server cannot have read counts as time to be expected

Two sound versions of two were rolled back: 6 of 26 first answers of reports counted as slow, since shared prompt parts were taken to be kept.

--- a/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
@@ -1,4 +1,5 @@
 /** What sends show of both versions of a service during a roll-out. */
+import { modelOf } from './engineModels.js';
 import type { HeardPeer } from './fleet.js';
 import { addEvidence } from '../policy/rolloutVerdict.js';
 import type { GatewayState, Step } from '../state.js';
@@ -31,7 +32,7 @@
   const tally = tallyOf(view, record, attempt);
   tally.answers += 1;
   if (end === AnswerEnd.failed) tally.failed += 1;
-  else if (isSlow(step, attempt)) tally.slow += 1;
+  else if (isSlow(state, step, record, attempt)) tally.slow += 1;
 }
 
 /** A lost answer counts as failed, unless its server leaves or a zone is cut off: that is no fault of a version. */
@@ -48,12 +49,35 @@
 /** A caller that left, or whose time was up, before a slow answer's first event says as much as that answer. */
 export function noteLeft(state: GatewayState, step: Step, record: RequestRecord): void {
   const attempt = record.attempts.at(-1);
-  if (attempt?.open !== true || attempt.begun || !isSlow(step, attempt)) return;
+  if (attempt?.open !== true || attempt.begun || !isSlow(state, step, record, attempt)) return;
   noteAnswer(state, step, { record, attempt, end: AnswerEnd.good });
 }
 
-function isSlow(step: Step, { sentAtMs, expectedMs }: Attempt): boolean {
-  return step.nowMs - sentAtMs > SLOW_FACTOR * Math.max(LEAST_EXPECTED_MS, expectedMs);
+function isSlow(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  attempt: Attempt,
+): boolean {
+  const expectedMs = Math.max(LEAST_EXPECTED_MS, expectedOf(state, step, record, attempt));
+  return step.nowMs - attempt.sentAtMs > SLOW_FACTOR * expectedMs;
+}
+
+/**
+ * The time expected of an answer. A server of the new version has read no prompt
+ * before: what it is taken to keep counts as read. Without that, 6 of 26 first answers
+ * of a sound version counted as slow beside 9 % of the old one's (simulated, 69 boxes).
+ */
+function expectedOf(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  attempt: Attempt,
+): number {
+  const order = state.rollouts.get(record.service)?.order;
+  if (attempt.version !== order?.targetVersion) return attempt.expectedMs;
+  const keptTokens = Math.max(0, (record.facts.promptTokens ?? 0) - attempt.prefillTokens);
+  return attempt.expectedMs + keptTokens / modelOf(state, record.service, step.nowMs).tokensPerMs;
 }
 
 function isCounted({ phase }: RolloutView): boolean {
