--- a/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
@@ -53,12 +53,7 @@
   noteAnswer(state, step, { record, attempt, end: AnswerEnd.good });
 }
 
-function isSlow(
-  state: GatewayState,
-  step: Step,
-  record: RequestRecord,
-  attempt: Attempt,
-): boolean {
+function isSlow(state: GatewayState, step: Step, record: RequestRecord, attempt: Attempt): boolean {
   const expectedMs = Math.max(LEAST_EXPECTED_MS, expectedOf(state, step, record, attempt));
   return step.nowMs - attempt.sentAtMs > SLOW_FACTOR * expectedMs;
 }
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -57,6 +57,7 @@
   end: string;
   /** From the order to its end, in ms; undefined without one. */
   tookMs: number | undefined;
+  durationMs: number;
   arrivals: number;
   trialArrivals: number;
   badAnswers: number;
@@ -118,6 +119,7 @@
       version: watch.version,
       end: watch.end ?? 'none',
       tookMs: watch.endedAtMs === undefined ? undefined : watch.endedAtMs - watch.orderedAtMs,
+      durationMs: watch.spec.durationS * 1000,
       arrivals: watch.arrivals,
       trialArrivals: watch.trialArrivals,
       badAnswers: watch.badAnswers,
--- /dev/null
+++ b/packages/reedlug-simulator/src/scene/drawRollout.ts
@@ -0,0 +1,85 @@
+/** Roll-outs drawn by seed: what is rolled out, whether it is bad and how, and what goes wrong beside it. */
+import { createRandom, type Random } from 'reedlug-standins';
+import type { Scene, SceneFaultSpec } from './scene.js';
+
+/** When the order is given, in s after the first caller. */
+const ORDERED_AT_S = 2;
+/** Shortest and longest time that an order gives, in s. */
+const DURATION_S = { least: 10, most: 18 };
+
+type RolloutSpec = Extract<SceneFaultSpec, { kind: 'rollout' }>;
+type Fault = Pick<RolloutSpec, 'failShare' | 'slowFactor' | 'badFromS' | 'badFromOpen' | 'class'>;
+
+/** A drawn roll-out. */
+export interface DrawnRollout {
+  scene: Scene;
+  isBad: boolean;
+  /** How it is bad, and what goes wrong beside it; for the report. */
+  label: string;
+}
+
+/** Draws a roll-out into a scene; `withTrouble` adds a fault beside it. */
+export function drawRollout(scene: Scene, seed: number, withTrouble: boolean): DrawnRollout {
+  const random = createRandom(seed);
+  const service = pick(random, scene.services).name;
+  const durationS = random.whole(DURATION_S.least, DURATION_S.most);
+  const fault = drawFault(random, scene, service, durationS);
+  const rollout: RolloutSpec = {
+    kind: 'rollout',
+    atS: ORDERED_AT_S,
+    service,
+    durationS,
+    startS: 1 + random.unit() * 4,
+    ...fault.spec,
+  };
+  const trouble = withTrouble ? drawTrouble(random, scene, durationS) : undefined;
+  const faults = trouble === undefined ? [rollout] : [rollout, trouble];
+  return {
+    scene: { ...scene, faults },
+    isBad: fault.spec.failShare > 0 || fault.spec.slowFactor > 1,
+    label: `${service} ${durationS}s ${fault.name}${trouble === undefined ? '' : ` ${trouble.kind}`}`,
+  };
+}
+
+function pick<T>(random: Random, things: readonly T[]): T {
+  const thing = things[random.whole(0, things.length - 1)];
+  if (thing === undefined) throw new Error('nothing to draw from');
+  return thing;
+}
+
+/** Half of the versions are sound. */
+function drawFault(
+  random: Random,
+  scene: Scene,
+  service: string,
+  durationS: number,
+): { name: string; spec: Fault } {
+  const sound: Fault = { failShare: 0, slowFactor: 1, badFromS: 0, badFromOpen: 0 };
+  const failShare = 0.2 + random.unit() * 0.5;
+  const slowFactor = 4 + random.unit() * 4;
+  const routes = scene.classes.filter((spec) => spec.service === service);
+  const bad = [
+    { name: 'fails', spec: { ...sound, failShare } },
+    { name: 'slow', spec: { ...sound, slowFactor } },
+    { name: 'failsLater', spec: { ...sound, failShare, badFromS: durationS * 0.6 } },
+    { name: 'slowLater', spec: { ...sound, slowFactor, badFromS: durationS * 0.6 } },
+    { name: 'failsUnderLoad', spec: { ...sound, failShare, badFromOpen: 2 } },
+    { name: 'failsOneRoute', spec: { ...sound, failShare, class: pick(random, routes).name } },
+  ];
+  return random.chance(0.5) ? { name: 'sound', spec: sound } : pick(random, bad);
+}
+
+function drawTrouble(random: Random, scene: Scene, durationS: number): SceneFaultSpec {
+  const atS = ORDERED_AT_S + random.unit() * durationS;
+  const zone = pick(random, scene.zones);
+  return pick<SceneFaultSpec>(random, [
+    { kind: 'killBoxes', atS, share: 0.3, downS: 0.6 },
+    { kind: 'killBoxes', atS, share: 1, downS: 0.6 },
+    { kind: 'cutZone', atS, forS: 5, zone },
+    { kind: 'storeAway', atS, forS: 4 },
+    { kind: 'reclaimZone', atS, noticeS: 2.5, dryS: 12 },
+    { kind: 'crashEngines', atS, share: 0.15, silent: random.chance(0.5) },
+    { kind: 'failRequests', atS, forS: 4, share: 0.3 },
+    { kind: 'burst', atS, forS: 4, factor: 1.7 },
+  ]);
+}
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -10,6 +10,7 @@
 import { ReplayCommand } from './commands/replay.js';
 import { HashKeyCommand, SettingsCheckCommand } from './commands/settingsCheck.js';
 import { SimulateCommand } from './commands/simulate.js';
+import { SimulateRolloutsCommand } from './commands/simulateRollouts.js';
 import { SoakCommand } from './commands/soak.js';
 import { HistogramsCommand, StatusCommand } from './commands/status.js';
 import { VERSION, VersionCommand } from './commands/version.js';
@@ -34,6 +35,7 @@
     ReplayCommand,
     SettingsCheckCommand,
     SimulateCommand,
+    SimulateRolloutsCommand,
     SoakCommand,
     StatusCommand,
     VersionCommand,
