Roll-outs: the last moments are judged by themselves, the new version is seen under all load for longer

Answers of the last 0.8 and 2.5 s are judged as well, against the old version's of all the time and of the same moments; the shift is 1.2 s before the end is written, 0.5 s before the deadline.

--- a/packages/reedlug-gateway/src/policy/__tests__/rolloutStep.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/rolloutStep.test.ts
@@ -37,10 +37,10 @@
 });
 
 test('a version of which too little is known by the deadline goes back', () => {
-  expect(nextPhase(facts({ ageMs: 11_300, verdict: Verdict.unknown }))).to.equal(
+  expect(nextPhase(facts({ ageMs: 11_600, verdict: Verdict.unknown }))).to.equal(
     RolloutPhase.rolledBack,
   );
-  expect(nextPhase(facts({ ageMs: 11_300, newServers: 1 }))).to.equal(RolloutPhase.rolledBack);
+  expect(nextPhase(facts({ ageMs: 11_600, newServers: 1 }))).to.equal(RolloutPhase.rolledBack);
 });
 
 test('where the target serves alone it is completed at once', () => {
@@ -48,21 +48,33 @@
   expect(nextPhase(facts({ oldServers: 0 }))).to.equal(RolloutPhase.sampling);
 });
 
-test('a version that is bad from the last moment on has had less than the bound', () => {
+test('a version that is bad only under full load has had less than the bound when it is found', () => {
+  const foundAfterMs = 700;
   for (const durationMs of [12_000, 20_000, 60_000]) {
     let phase: RolloutPhase = RolloutPhase.sampling;
-    let exposedMs = 0;
+    let [exposedMs, shiftedMs] = [0, 0];
     const tickMs = 50;
     for (let ageMs = 0; ageMs < durationMs; ageMs += tickMs) {
-      phase = nextPhase(facts({ phase, ageMs, durationMs }));
+      const verdict = shiftedMs >= foundAfterMs ? Verdict.bad : Verdict.good;
+      phase = nextPhase(facts({ phase, ageMs, durationMs, verdict }));
+      if (phase === RolloutPhase.shifted) shiftedMs += tickMs;
       exposedMs += tickMs * shareOfPhase(phase, ALLOWED_SHARE);
     }
-    expect(phase).to.equal(RolloutPhase.completed);
+    expect(phase).to.equal(RolloutPhase.rolledBack);
     // 187 requests a second: 50 on top are 0.27 s of them.
-    expect(exposedMs - 800).to.be.lessThan(durationMs * ALLOWED_SHARE + 270);
+    expect(exposedMs).to.be.lessThan(durationMs * ALLOWED_SHARE + 270);
   }
 });
 
+test('a sound version is completed before its deadline', () => {
+  let phase: RolloutPhase = RolloutPhase.sampling;
+  let ageMs = 0;
+  for (; phase !== RolloutPhase.completed && ageMs < 20_000; ageMs += 50) {
+    phase = nextPhase(facts({ phase, ageMs }));
+  }
+  expect(ageMs).to.be.within(11_000, 11_700);
+});
+
 test('seldom routes get as large a sample as frequent ones', () => {
   const answers = new Map([
     ['draft', 400],
--- a/packages/reedlug-gateway/src/policy/__tests__/rolloutVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/rolloutVerdict.test.ts
@@ -46,6 +46,25 @@
   expect(verdictOf(trials, usuals)).to.equal(Verdict.bad);
 });
 
+test('a version that turns bad after a good start is bad by its last answers', () => {
+  const ever = { trial: [trial({ answers: 150, failed: 5 })], usual: [usual({ answers: 2000 })] };
+  const lately = {
+    trial: [trial({ answers: 12, failed: 5 })],
+    usual: [usual({ answers: 60, failed: 0 })],
+  };
+  expect(judgeRollout(ever).verdict).to.equal(Verdict.good);
+  expect(judgeRollout(ever, [lately]).verdict).to.equal(Verdict.bad);
+});
+
+test('what both versions have failed lately is no verdict', () => {
+  const ever = { trial: [trial({ answers: 150, failed: 5 })], usual: [usual({ answers: 2000 })] };
+  const lately = {
+    trial: [trial({ answers: 12, failed: 5 })],
+    usual: [usual({ answers: 60, failed: 25 })],
+  };
+  expect(judgeRollout(ever, [lately]).verdict).not.to.equal(Verdict.bad);
+});
+
 test('one failing server among several is no failing version', () => {
   const trials = ['a', 'b', 'c', 'd'].map((serverId) =>
     trial({ serverId, answers: 10, failed: serverId === 'c' ? 9 : 0 }),
--- a/packages/reedlug-gateway/src/policy/rolloutStep.ts
+++ b/packages/reedlug-gateway/src/policy/rolloutStep.ts
@@ -3,10 +3,10 @@
  *
  * What a bad version gets before its deadline is bounded by the users, as a share of
  * all requests. So the sample stays small for as long as possible, and what goes
- * beyond it is left for the last seconds: even a version that shows no fault before
- * everything goes to it has then had less than the bound.
- * 12 s at the users' bound of a tenth: 9 s of 4 %, 2 s of 20 % and 0.7 s of all are
- * 1.46 s of the traffic, 1.2 s and 50 requests on top are allowed (1.47 s at 187 a second).
+ * beyond it is left for the last seconds: a version that shows no fault before
+ * everything goes to it may have it for 0.7 s until it is found bad.
+ * 12 s at the users' bound of a tenth: 8.3 s of 4 %, 2 s of 20 % and 0.7 s of all are
+ * 1.43 s of the traffic, 1.2 s and 50 requests on top are allowed (1.47 s at 187 a second).
  */
 import { RolloutPhase } from '../types/rollout.js';
 import { Verdict } from './rolloutVerdict.js';
@@ -16,10 +16,10 @@
 const WIDENED_OF_BOUND = 2;
 /** When the larger sample begins, as a share of the duration that is left over by then. */
 const WIDENED_FOR_SHARE = 1 / 6;
-/** From when everything goes to the new version until the end is written, in ms: news reach all boxes in 0.4 s, and most streams end. */
-const SHIFTED_FOR_MS = 700;
-/** Time kept before the deadline for the write of the end, in ms: the order was seen up to 0.2 s late, two tries of the store. */
-const WRITE_MARGIN_MS = 800;
+/** From when everything goes to the new version until the end is written, in ms: news reach all boxes in 0.4 s, most streams end, and a version that is bad under load has shown it. */
+const SHIFTED_FOR_MS = 1200;
+/** Time kept before the deadline for the write of the end, in ms: the order was seen up to 0.2 s late, and one more try. */
+const WRITE_MARGIN_MS = 500;
 /** Servers of the new version, as a share of those of the old one, without which it is not completed: fewer would not carry the load. */
 const LEAST_SERVERS_SHARE = 0.3;
 /** How many times its usual part the sample takes at most, where servers of the new version came late. */
--- a/packages/reedlug-gateway/src/policy/rolloutVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/rolloutVerdict.ts
@@ -4,7 +4,8 @@
  * Both serve side by side, so a burst or a lost zone shows in both. Each answer is
  * good or bad in two ways (failed, slow), and a sequential test compares two
  * suppositions: the new version is as bad as the old one, or much worse. It is made
- * for all routes together and for each alone, since a version may be bad on one.
+ * for all routes together and for each alone, since a version may be bad on one, and
+ * for the last seconds alone, since it may turn bad after a good start.
  * A server that gave more than half of the bad answers is left out while others are
  * there: one failing server is no failing version.
  */
@@ -21,6 +22,8 @@
 const BAD_FROM = Math.log(400);
 /** The same up to which it is good: one of ten, with the larger sample that follows still to come. */
 const GOOD_UP_TO = -Math.log(10);
+/** Log likelihood ratio of the last moments from which a version is not called good: one of ten. */
+const DOUBTFUL_FROM = Math.log(10);
 /** Share of bad answers that a version has at least by which it is called bad: the least that callers would complain of. */
 const LEAST_BAD_SHARE = 0.15;
 /** How many times worse than the old version it is then. */
@@ -50,20 +53,45 @@
   usualShare: number;
 }
 
-/** Judges a new version. */
-export function judgeRollout(evidence: RolloutEvidence): RolloutVerdict {
+/** Judges a new version by all answers, and by those of the last moments alone. */
+export function judgeRollout(
+  evidence: RolloutEvidence,
+  recent: readonly RolloutEvidence[] = [],
+): RolloutVerdict {
   const trial = withoutWorst(evidence.trial);
+  const whole = worstOf(compareAll(trial, evidence.usual));
+  const worst = worstOf([whole, ...compareRoutes(trial, evidence.usual)]);
+  const lately = recent.map((part) => worstLately(part, evidence.usual));
+  const worstEver = worstOf([worst, ...lately]);
+  if (worstEver.evidence >= BAD_FROM) return { ...worstEver, verdict: Verdict.bad };
+  const isGood = whole.evidence <= GOOD_UP_TO && worst.evidence <= 0;
+  const turnsBad = worstEver.evidence >= DOUBTFUL_FROM;
+  return { ...worstEver, verdict: isGood && !turnsBad ? Verdict.good : Verdict.unknown };
+}
+
+/** The worst comparison of the last moments, against the old version's answers of all the time and of the same moments. */
+function worstLately(recent: RolloutEvidence, usualEver: readonly UsualTally[]): RolloutVerdict {
+  const trial = withoutWorst(recent.trial);
+  const against = (usual: readonly UsualTally[]): RolloutVerdict =>
+    worstOf([...compareAll(trial, usual), ...compareRoutes(trial, usual)]);
+  const [ever, now] = [against(usualEver), against(recent.usual)];
+  return now.evidence < ever.evidence ? now : ever;
+}
+
+function compareAll(trial: readonly TrialTally[], usual: readonly UsualTally[]): RolloutVerdict[] {
+  return BAD_KINDS.map((kind) => compare('', kind, trial, usual));
+}
+
+function compareRoutes(
+  trial: readonly TrialTally[],
+  usual: readonly UsualTally[],
+): RolloutVerdict[] {
   const routes = new Set(trial.map(({ route }) => route));
-  const whole = BAD_KINDS.map((kind) => compare('', kind, trial, evidence.usual));
-  const single = [...routes].flatMap((route) =>
+  return [...routes].flatMap((route) =>
     BAD_KINDS.map((kind) =>
-      compare(route, kind, trial.filter(ofRoute(route)), evidence.usual.filter(ofRoute(route))),
+      compare(route, kind, trial.filter(ofRoute(route)), usual.filter(ofRoute(route))),
     ),
   );
-  const worst = worstOf([...whole, ...single]);
-  if (worst.evidence >= BAD_FROM) return { ...worst, verdict: Verdict.bad };
-  const isGood = worstOf(whole).evidence <= GOOD_UP_TO && worst.evidence <= 0;
-  return { ...worst, verdict: isGood ? Verdict.good : Verdict.unknown };
 }
 
 function ofRoute(route: string) {
@@ -128,6 +156,30 @@
   return { trial: [...trial.values()], usual: [...usual.values()] };
 }
 
+/** What came since an earlier sum; what a box that died had told counts for neither. */
+export function evidenceSince(now: RolloutEvidence, before: RolloutEvidence): RolloutEvidence {
+  const trialBefore = new Map(
+    before.trial.map((tally) => [`${tally.route} ${tally.serverId}`, tally]),
+  );
+  const usualBefore = new Map(before.usual.map((tally) => [tally.route, tally]));
+  return {
+    trial: now.trial.map((tally) =>
+      tallySince(tally, trialBefore.get(`${tally.route} ${tally.serverId}`)),
+    ),
+    usual: now.usual.map((tally) => tallySince(tally, usualBefore.get(tally.route))),
+  };
+}
+
+function tallySince<T extends AnswerTally>(now: T, before: T | undefined): T {
+  if (before === undefined) return now;
+  return {
+    ...now,
+    answers: Math.max(0, now.answers - before.answers),
+    failed: Math.max(0, now.failed - before.failed),
+    slow: Math.max(0, now.slow - before.slow),
+  };
+}
+
 function addTally<T extends AnswerTally>(sums: Map<string, T>, key: string, tally: T): void {
   const sum = sums.get(key);
   if (sum === undefined) {
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts.ts
@@ -14,7 +14,7 @@
   shareOfPhase,
   spreadSample,
 } from '../policy/rolloutStep.js';
-import { judgeRollout } from '../policy/rolloutVerdict.js';
+import { evidenceSince, judgeRollout } from '../policy/rolloutVerdict.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
 import type { RequestRecord } from '../types/request.js';
@@ -32,6 +32,8 @@
 
 /** Pause between looks at the evidence, in ms: as often as peers tell theirs. */
 const JUDGE_EVERY_MS = 200;
+/** Spans that are judged by themselves, in ms: a version that turns bad shows in the shorter one first, in the longer one by fewer answers. */
+const RECENT_MS = [800, 2500] as const;
 /** Servers of the sample at least: a single failing one must not decide. */
 const LEAST_SAMPLE_SERVERS = 4;
 /** Versions kept as barred for a service: the newest ones; earlier ones have left the registry long ago. */
@@ -63,6 +65,7 @@
     wantsCompletion: false,
     trial: new Map(),
     usual: new Map(),
+    history: [],
     sampleServers: new Set(),
     widenedServers: new Set(),
     shareByRoute: new Map(),
@@ -146,7 +149,7 @@
   const oldOnes = servers.filter(({ entry }) => !isTarget(view, entry) && !isBarred(view, entry));
   if (newOnes.length > 0) view.waitedMs ??= step.nowMs - view.orderedAtMs;
   layOutSample(state, view, { evidence, newOnes, oldServers: oldOnes.length });
-  const found = judgeRollout(evidence);
+  const found = judgeRollout(evidence, recentEvidence(view, evidence, step.nowMs));
   const facts = {
     phase: view.phase,
     ageMs: step.nowMs - view.orderedAtMs,
@@ -172,6 +175,23 @@
   });
 }
 
+/** What was seen within each of the recent times; notes the look for later ones. */
+function recentEvidence(
+  view: RolloutView,
+  evidence: RolloutEvidence,
+  nowMs: number,
+): RolloutEvidence[] {
+  const longestMs = Math.max(...RECENT_MS);
+  const { history } = view;
+  while (history[0] !== undefined && nowMs - history[0].atMs > longestMs) history.shift();
+  const recent = RECENT_MS.flatMap((spanMs) => {
+    const before = history.find(({ atMs }) => nowMs - atMs <= spanMs);
+    return before === undefined ? [] : [evidenceSince(evidence, before.evidence)];
+  });
+  history.push({ atMs: nowMs, evidence });
+  return recent;
+}
+
 /** Whether a roll-out has come to its end. */
 export function isOver({ phase }: RolloutView): boolean {
   return phase === RolloutPhase.completed || phase === RolloutPhase.rolledBack;
--- a/packages/reedlug-gateway/src/types/rollout.ts
+++ b/packages/reedlug-gateway/src/types/rollout.ts
@@ -91,6 +91,8 @@
   /** This box's own sends. */
   trial: Map<string, TrialTally>;
   usual: Map<string, UsualTally>;
+  /** What all boxes had seen at earlier looks of the last seconds, the newest last. */
+  history: { atMs: number; evidence: RolloutEvidence }[];
   /** Servers of the new version that take the sample, and those of the larger one; set each tick. */
   sampleServers: ReadonlySet<string>;
   widenedServers: ReadonlySet<string>;
