--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -1,7 +1,10 @@
 /** The figures that decisions rest on now, as gauges: the model of each service, its need, the limits. */
 import { Gauge, type Registry } from 'prom-client';
+import { sumTallies } from '../policy/rolloutVerdict.js';
 import { modelOf } from '../slices/engineModels.js';
+import { countedPeers } from '../slices/fleet.js';
 import { limitUse } from '../slices/quotas.js';
+import { evidenceOf } from '../slices/rolloutEvidence.js';
 import { loadOf } from '../slices/serviceLoad.js';
 import type { GatewayState } from '../state.js';
 
@@ -13,6 +16,8 @@
   capacity: Gauge;
   /** Units of a workspace in the window of limits: used, and allowed at most. */
   limits: Gauge;
+  /** Answers of both versions of a service under roll-out, as far as this box has heard. */
+  rollouts: Gauge;
 }
 
 /** Returns gauges without values. */
@@ -37,6 +42,12 @@
       labelNames: ['workspace', 'figure'],
       registers,
     }),
+    rollouts: new Gauge({
+      name: 'reedlug_rollout_answers',
+      help: 'Answers since the order of a roll-out by version (new, old): answers, failed, slow',
+      labelNames: ['service', 'version', 'figure'],
+      registers,
+    }),
   };
 }
 
@@ -58,6 +69,17 @@
     const { used, allowed } = limitUse(state, workspace, nowMs);
     setAll(metrics.limits, { workspace: workspace.name }, { used, allowed });
   }
+  setRollouts(metrics.rollouts, state, nowMs);
+}
+
+/** Sums over routes and servers. */
+function setRollouts(gauge: Gauge, state: GatewayState, nowMs: number): void {
+  const peers = countedPeers(state, nowMs);
+  for (const [service, view] of state.rollouts) {
+    const { trial, usual } = evidenceOf(view, peers);
+    setAll(gauge, { service, version: 'new' }, sumTallies(trial));
+    setAll(gauge, { service, version: 'old' }, sumTallies(usual));
+  }
 }
 
 function setAll(gauge: Gauge, labels: Record<string, string>, figures: object): void {
--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -10,8 +10,14 @@
 }
 /** In usual times, where no zone can be lost: a choice. */
 const USUAL_USE: Use = { reading: 0.38, places: 0.5 };
-/** Borne after half of the zones are lost, before on-demand ones are paid for: a choice; above it, waits grow several times. */
+/** Left by the reclaimable ones after half of the zones are lost: a choice; above it, waits grow several times. */
 const STRAINED_USE: Use = { reading: 0.55, places: 0.7 };
+/**
+ * Borne for the seconds that zones are away, before on-demand engines are paid for, at
+ * four to five times the price: urgent requests still go first then, and the others are
+ * refused or late.
+ */
+const FULL_USE: Use = { reading: 0.85, places: 0.9 };
 /** Engines that are there whatever the load: one loss must leave others. */
 const MIN_ENGINES = 3;
 /** Engines of any kind below which on-demand ones are ordered, whatever the load. */
@@ -56,9 +62,10 @@
     const byPlaces = load.openRequests / (Math.max(1, slots) * use.places);
     return Math.ceil(Math.max(byReading, byPlaces));
   };
-  const least = Math.max(MIN_READY, atUse(STRAINED_USE));
-  const reserved = hasReclaimable ? withLostZones(least, zones) : least;
+  const afterLoss = Math.max(MIN_READY, atUse(STRAINED_USE));
+  const reserved = hasReclaimable ? withLostZones(afterLoss, zones) : afterLoss;
   const usual = Math.max(MIN_ENGINES, atUse(USUAL_USE), reserved);
+  const least = Math.max(MIN_READY, atUse(FULL_USE));
   return { usual, least };
 }
 
--- a/packages/reedlug-gateway/src/policy/rolloutVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/rolloutVerdict.ts
@@ -145,6 +145,15 @@
   return trial.filter(({ serverId }) => serverId !== worstId);
 }
 
+/** Sums answers over routes and servers. */
+export function sumTallies(tallies: readonly AnswerTally[]): AnswerTally {
+  return {
+    answers: sumOf(tallies, 'answers'),
+    failed: sumOf(tallies, 'failed'),
+    slow: sumOf(tallies, 'slow'),
+  };
+}
+
 /** Adds up what several boxes saw. */
 export function addEvidence(parts: readonly RolloutEvidence[]): RolloutEvidence {
   const trial = new Map<string, TrialTally>();
--- a/packages/reedlug-gateway/src/slices/__tests__/rollouts.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/rollouts.test.ts
@@ -10,6 +10,8 @@
   type TestBox,
 } from '../../__tests__/__fixtures__/box.js';
 import { passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
+import { setDecisionMetrics } from '../../observe/decisionMetrics.js';
+import { createGatewayMetrics } from '../../observe/gatewayMetrics.js';
 import type { Effect } from '../../types/effect.js';
 import { RolloutPhase, type RolloutNews, type RolloutRecord } from '../../types/rollout.js';
 
@@ -208,3 +210,21 @@
   expect(configuration().services.map(({ name }) => name)).not.to.include('nothing');
   expect(sendsToNew(box, 100)).to.be.greaterThan(10);
 });
+
+test('metrics tell the answers of both versions', async () => {
+  const box = boxOfTwoVersions();
+  const evidence = {
+    trial: [{ route: 'lookup', serverId: '', answers: 14, failed: 2, slow: 0 }],
+    usual: [{ route: 'lookup', answers: 300, failed: 1, slow: 3 }],
+  };
+  hear(box, news({ evidence }));
+  const metrics = createGatewayMetrics();
+  setDecisionMetrics(metrics.figures, box.state, box.nowMs);
+  const text = await metrics.text();
+  expect(text).to.match(
+    /reedlug_rollout_answers\{service="records",version="new",figure="failed"\} 2/,
+  );
+  expect(text).to.match(
+    /reedlug_rollout_answers\{service="records",version="old",figure="slow"\} 3/,
+  );
+});
