--- a/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
@@ -46,7 +46,7 @@
   noteAnswer(state, step, { ...found, end: AnswerEnd.failed });
 }
 
-/** A caller that left, or whose time was up, before a slow answer's first event says as much as that answer. */
+/** A slow answer that is not awaited to its first event, as its caller left or its server is silent, says as much as one that came. */
 export function noteLeft(state: GatewayState, step: Step, record: RequestRecord): void {
   const attempt = record.attempts.at(-1);
   if (attempt?.open !== true || attempt.begun || !isSlow(state, step, record, attempt)) return;
--- a/packages/reedlug-gateway/src/slices/silence.ts
+++ b/packages/reedlug-gateway/src/slices/silence.ts
@@ -4,7 +4,7 @@
 import type { GatewayState, Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { haveRoomForSend, mayRunAgain, repeat } from './repeats.js';
-import { noteLost } from './rolloutEvidence.js';
+import { noteLeft } from './rolloutEvidence.js';
 import { closeAttempt, reachWhenLost } from './ending.js';
 import { chooseFor } from './sending.js';
 
@@ -36,9 +36,9 @@
   const choice = chooseFor(state, step, record, avoid);
   if (choice === undefined || !haveRoomForSend(state, step, record)) return;
   record.avoid.add(attempt.serverId);
+  noteLeft(state, step, record);
   const view = closeAttempt(state, attempt, reach);
   if (view !== undefined) noteFailure(view, step.nowMs);
-  noteLost(state, step, { record, attempt });
   step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
   repeat(state, step, { record, attempt }, 'serverSilent', choice);
 }
