--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/capacity.ts
@@ -25,8 +25,8 @@
   orderKey,
   zoneKey,
 } from './engineOrders.js';
-import { isRollingOut } from './rollouts.js';
 import { measureLoad } from './serviceLoad.js';
+import { isRollingOut } from './versionRule.js';
 
 /** Pause between plans, in ms: an engine takes seconds to start, a reclaim gives two. */
 const PLAN_EVERY_MS = 250;
--- a/packages/reedlug-gateway/src/slices/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engineOrders.ts
@@ -5,8 +5,8 @@
 import { log, type GatewayState, type Step } from '../state.js';
 import type { EngineOrder } from '../types/views.js';
 import { modelOf } from './engineModels.js';
-import { carriesLoad } from './rollouts.js';
 import { loadOf } from './serviceLoad.js';
+import { carriesLoad } from './versionRule.js';
 
 /** Pause before an order that was refused or lost is sent again, in ms. */
 const ORDER_RETRY_MS = 1000;
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/rolloutJudgement.ts
@@ -0,0 +1,116 @@
+/** The judgement of roll-outs in progress, on every box by what it has heard, and the layout of their samples. */
+import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
+import { nextPhase, shareOfPhase, spreadSample } from '../policy/rolloutStep.js';
+import { evidenceSince, judgeRollout } from '../policy/rolloutVerdict.js';
+import type { GatewayState, Step } from '../state.js';
+import {
+  RolloutPhase,
+  type RolloutEvidence,
+  type RolloutOrder,
+  type RolloutView,
+} from '../types/rollout.js';
+import type { ServerView } from '../types/views.js';
+import { countedPeers } from './fleet.js';
+import { evidenceOf } from './rolloutEvidence.js';
+import { enterPhase, isOver } from './rollouts.js';
+import { isBarred, isTarget, sampleShare } from './versionRule.js';
+
+/** Pause between looks at the evidence, in ms: as often as peers tell theirs. */
+const JUDGE_EVERY_MS = 200;
+/** Spans that are judged by themselves, in ms: a version that turns bad shows in the shorter one first, in the longer one by fewer answers. */
+const RECENT_MS = [800, 2500] as const;
+/** Servers of the sample at least: a single failing one must not decide. */
+const LEAST_SAMPLE_SERVERS = 4;
+/** Judges roll-outs in progress and lays out their samples. */
+export function rolloutsTick(state: GatewayState, step: Step): void {
+  if (state.rollouts.size === 0 || step.nowMs - state.rolloutsJudgedAtMs < JUDGE_EVERY_MS) return;
+  state.rolloutsJudgedAtMs = step.nowMs;
+  for (const view of state.rollouts.values()) judge(state, step, view);
+}
+
+function judge(state: GatewayState, step: Step, view: RolloutView): void {
+  if (isOver(view)) return;
+  const { service } = view.order;
+  const evidence = evidenceOf(view, countedPeers(state, step.nowMs));
+  const servers = serversOf(state, service);
+  const newOnes = servers.filter(({ entry }) => isTarget(view, entry));
+  const oldOnes = servers.filter(({ entry }) => !isTarget(view, entry) && !isBarred(view, entry));
+  if (newOnes.length > 0) view.waitedMs ??= step.nowMs - view.orderedAtMs;
+  layOutSample(state, view, { evidence, newOnes, oldServers: oldOnes.length });
+  const found = judgeRollout(evidence, recentEvidence(view, evidence, step.nowMs));
+  const facts = {
+    phase: view.phase,
+    ageMs: step.nowMs - view.orderedAtMs,
+    durationMs: view.order.durationMs,
+    verdict: found.verdict,
+    newServers: newOnes.length,
+    oldServers: oldOnes.length,
+    oldAnswers: evidence.usual.reduce((sum, { answers }) => sum + answers, 0),
+  };
+  const next = nextPhase(facts);
+  view.wantsCompletion = next === RolloutPhase.completed;
+  if (view.wantsCompletion) return;
+  enterPhase(step, view, next, {
+    verdict: found.verdict,
+    evidence: Number(found.evidence.toFixed(2)),
+    route: found.route,
+    kind: found.kind,
+    answers: found.answers,
+    bad: found.bad,
+    usualShare: Number(found.usualShare.toFixed(3)),
+    newServers: facts.newServers,
+    oldServers: facts.oldServers,
+  });
+}
+
+/** What was seen within each of the recent times; notes the look for later ones. */
+function recentEvidence(
+  view: RolloutView,
+  evidence: RolloutEvidence,
+  nowMs: number,
+): RolloutEvidence[] {
+  const longestMs = Math.max(...RECENT_MS);
+  const { history } = view;
+  while (history[0] !== undefined && nowMs - history[0].atMs > longestMs) history.shift();
+  const recent = RECENT_MS.flatMap((spanMs) => {
+    const before = history.find(({ atMs }) => nowMs - atMs <= spanMs);
+    return before === undefined ? [] : [evidenceSince(evidence, before.evidence)];
+  });
+  history.push({ atMs: nowMs, evidence });
+  return recent;
+}
+
+function serversOf(state: GatewayState, service: string): ServerView[] {
+  return [...state.servers.values()].filter(
+    ({ entry, leaving }) => entry.service === service && !leaving,
+  );
+}
+
+/** Few servers take the sample, so that each carries as much as one of the old version does. */
+function layOutSample(
+  state: GatewayState,
+  view: RolloutView,
+  params: { evidence: RolloutEvidence; newOnes: readonly ServerView[]; oldServers: number },
+): void {
+  const { evidence, newOnes, oldServers } = params;
+  const { exposeShare } = state.settings.bounds;
+  const ranked = rank(newOnes, view.order);
+  const count = (phase: RolloutPhase): number =>
+    Math.max(LEAST_SAMPLE_SERVERS, Math.ceil(oldServers * shareOfPhase(phase, exposeShare)));
+  view.sampleServers = new Set(ranked.slice(0, count(RolloutPhase.sampling)));
+  view.widenedServers = new Set(ranked.slice(0, count(RolloutPhase.widened)));
+  const answersByRoute = new Map<string, number>();
+  for (const { route, answers } of [...evidence.usual, ...evidence.trial]) {
+    answersByRoute.set(route, (answersByRoute.get(route) ?? 0) + answers);
+  }
+  view.shareByRoute = spreadSample(sampleShare(state, view), answersByRoute);
+}
+
+/** All boxes rank the servers alike. */
+function rank(servers: readonly ServerView[], order: RolloutOrder): string[] {
+  const keyHash = hashString(`${order.service} ${order.revision}`);
+  return servers
+    .map(({ entry: { id } }) => ({ id, weight: rendezvousWeight(keyHash, hashId(id)) }))
+    .sort((a, b) => b.weight - a.weight)
+    .map(({ id }) => id);
+}
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -7,7 +7,7 @@
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { giveUp, isRepeatable } from './ending.js';
-import { carriesLoad, versionRule } from './rollouts.js';
+import { carriesLoad, versionRule } from './versionRule.js';
 
 /** The best server for a request now; undefined when none may take it. */
 export function chooseFor(
