A box that lacks the configuration alone asks its hub for that alone

Now the registry is asked for only where it is newer or changes were missed, and a box whose registry is as new as its hub's goes on from there.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -57,10 +57,10 @@
   };
   const answerQuestions = (boxId: string, asked: readonly Effect[]): void => {
     const box = boxes.get(boxId);
-    for (const { peer } of ofType(asked, 'askPeer')) {
+    for (const { peer, withServers } of ofType(asked, 'askPeer')) {
       const sender = boxes.get(idByHost.get(peer.host) ?? '');
       if (box === undefined || sender === undefined) continue;
-      for (const event of eventsOfShared(sharedStateOf(sender.state))) box.take(event);
+      for (const event of eventsOfShared(sharedStateOf(sender.state, withServers))) box.take(event);
     }
   };
   return {
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -144,7 +144,7 @@
 }
 
 function askPeer(runtime: Runtime, effect: EffectOf<'askPeer'>): void {
-  void runtime.peers.ask(effect.peer).then((shared) => {
+  void runtime.peers.ask(effect.peer, effect.withServers).then((shared) => {
     if (shared === undefined) return;
     for (const event of eventsOfShared(shared)) runtime.emit(event);
   });
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -73,7 +73,7 @@
     address: { host: settings.box.ip, port: settings.listen.peersPort },
     onMessage: (message) => emit(eventOfDatagram(message)),
     onFault: (reason) => logger('peerLinkFault', { reason }),
-    sharedState: () => sharedStateOf(state),
+    sharedState: (withServers) => sharedStateOf(state, withServers),
   });
   const runtime: Runtime = {
     settings,
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -11,10 +11,14 @@
 import { ASK_TIMEOUT_MS } from './daemonTimes.js';
 import { decodeDatagram, decoder, encodeDatagram, encoder } from './peerWire.js';
 
+/** Paths of what peers ask for; boxes of an earlier version know the first alone and give it for both. */
+const WHOLE_PATH = '/state';
+const CONFIGURATION_PATH = '/configuration';
+
 /** A box's end of the link. */
 export interface PeerSocket {
   send: (message: PeerDatagram, to: readonly HostPort[]) => void;
-  ask: (peer: HostPort) => Promise<SharedState | undefined>;
+  ask: (peer: HostPort, withServers: boolean) => Promise<SharedState | undefined>;
   close: () => void;
 }
 
@@ -23,7 +27,7 @@
   address: HostPort;
   onMessage: (message: PeerDatagram) => void;
   onFault: (reason: string) => void;
-  sharedState: () => SharedState;
+  sharedState: (withServers: boolean) => SharedState;
 }): Promise<PeerSocket> {
   const { address, onMessage, onFault, sharedState } = params;
   const socket = createSocket('udp4');
@@ -34,8 +38,8 @@
   });
   socket.on('error', (error) => onFault(error.message));
   await new Promise<void>((resolve) => socket.bind(address.port, address.host, resolve));
-  const server = createServer((_request, response) => {
-    response.end(encoder.encode(sharedState()));
+  const server = createServer((request, response) => {
+    response.end(encoder.encode(sharedState(request.url !== CONFIGURATION_PATH)));
   });
   server.on('error', (error) => onFault(error.message));
   await new Promise<void>((resolve) => server.listen(address.port, address.host, resolve));
@@ -48,11 +52,12 @@
         });
       }
     },
-    async ask(peer) {
+    async ask(peer, withServers) {
       const client = new Client(`http://${peer.host}:${peer.port}`);
       try {
         const signal = AbortSignal.timeout(ASK_TIMEOUT_MS);
-        const { body } = await client.request({ method: 'GET', path: '/state', signal });
+        const path = withServers ? WHOLE_PATH : CONFIGURATION_PATH;
+        const { body } = await client.request({ method: 'GET', path, signal });
         return decoder.decode(Buffer.from(await body.arrayBuffer())) as SharedState;
       } catch (error) {
         onFault(`peer ${peer.host} did not answer: ${(error as Error).message}`);
--- a/packages/reedlug-gateway/src/slices/__tests__/peers.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/peers.test.ts
@@ -10,6 +10,11 @@
   settings,
   createBox,
 } from '../../__tests__/__fixtures__/box.js';
+import type { Effect } from '../../types/effect.js';
+import type { PeerMessage } from '../../types/peer.js';
+import type { PeerView } from '../../types/views.js';
+import { nextRegistryStep } from '../registryNews.js';
+import { eventsOfShared, sharedStateOf } from '../sharedState.js';
 
 test('a box that stays behind a peer asks it for the configuration', () => {
   const box = createServingBox();
@@ -106,3 +111,31 @@
   box.take({ type: 'callerGone', exchangeId: 1 });
   expect(ofType(box.pass(400), 'refuse')).to.have.length(0);
 });
+
+test('a box that lacks the configuration alone does not ask for the registry', () => {
+  const box = createServingBox();
+  const ask = (message: Partial<PeerMessage>): Effect[] => {
+    sequence += 1;
+    return box.take({ type: 'peerMessage', message: peerMessage({ sequence, ...message }) });
+  };
+  let sequence = 0;
+  ask({ configurationVersion: 2, serversRevision: 1 });
+  box.pass(400);
+  const asked = only(ask({ configurationVersion: 2, serversRevision: 1 }), 'askPeer');
+  expect(asked.withServers).to.equal(false);
+  box.pass(500);
+  const both = only(ask({ configurationVersion: 2, serversRevision: 5 }), 'askPeer');
+  expect(both.withServers).to.equal(true);
+  // 3,000 servers: 450 KB for each of 32 members of a hub, some 20 KB since.
+  const shared = sharedStateOf(box.state, asked.withServers);
+  expect(eventsOfShared(shared).map(({ type }) => type)).to.deep.equal(['configurationRead']);
+});
+
+test('a box that has read as new a registry as its hub does not ask for it', () => {
+  const hub = { registryNumber: undefined } as PeerView;
+  const registry = { lastNumber: 7, changes: [] };
+  expect(nextRegistryStep({ ...hub }, registry, false).kind).to.equal('askWhole');
+  const known = { ...hub };
+  expect(nextRegistryStep(known, registry, true)).to.deep.equal({ kind: 'apply', changes: [] });
+  expect(known.registryNumber).to.equal(7);
+});
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -45,7 +45,8 @@
 /** Follows the registry by the hub's changes. */
 function followHub(state: GatewayState, step: Step, hub: HeardPeer): void {
   const { message } = hub;
-  const next = nextRegistryStep(hub, message.registry);
+  const isAsNew = state.serversKnown && state.serversRevision >= message.serversRevision;
+  const next = nextRegistryStep(hub, message.registry, isAsNew);
   switch (next.kind) {
     case 'apply':
       return takeHubChanges(state, step, {
@@ -53,7 +54,7 @@
         revision: message.serversRevision,
       });
     case 'askWhole':
-      return askPeer(step, hub);
+      return askPeer(step, hub, true);
   }
 }
 
@@ -143,13 +144,13 @@
   peer.aheadSinceMs ??= step.nowMs;
   const mayWait = peer.boxId !== state.hubId && state.storeReachable;
   if (mayWait && step.nowMs - peer.aheadSinceMs < BEHIND_MS) return;
-  askPeer(step, peer);
+  askPeer(step, peer, lacksServers);
 }
 
-function askPeer(step: Step, peer: PeerView): void {
+function askPeer(step: Step, peer: PeerView, withServers: boolean): void {
   if (step.nowMs - peer.askedAtMs < ASK_PEER_EVERY_MS) return;
   peer.askedAtMs = step.nowMs;
-  step.effects.push({ type: 'askPeer', peer: peer.address });
+  step.effects.push({ type: 'askPeer', peer: peer.address, withServers });
 }
 
 /** Takes addresses from the settings or the store. */
--- a/packages/reedlug-gateway/src/slices/registryNews.ts
+++ b/packages/reedlug-gateway/src/slices/registryNews.ts
@@ -33,9 +33,18 @@
   /** Changes were missed, or it is not known which: the hub's whole registry is needed. */
   | { kind: 'askWhole' };
 
-/** Compares a hub's changes with those that were taken from it before. */
-export function nextRegistryStep(hub: PeerView, registry: RegistryNews | undefined): RegistryStep {
+/**
+ * Compares a hub's changes with those that were taken from it before. A box that has
+ * read as new a registry from the store goes on from there: after a start of all boxes
+ * each would else ask its hub for what it has just read.
+ */
+export function nextRegistryStep(
+  hub: PeerView,
+  registry: RegistryNews | undefined,
+  isAsNew: boolean,
+): RegistryStep {
   if (registry === undefined) return { kind: 'apply', changes: [] };
+  if (hub.registryNumber === undefined && isAsNew) hub.registryNumber = registry.lastNumber;
   const taken = hub.registryNumber;
   if (taken === undefined || taken > registry.lastNumber) return { kind: 'askWhole' };
   const changes = registry.changes.filter(({ number }) => number > taken);
--- a/packages/reedlug-gateway/src/types/effect.ts
+++ b/packages/reedlug-gateway/src/types/effect.ts
@@ -49,7 +49,7 @@
   | { type: 'requestTable'; purpose: TablePurpose; op: TableOp; sentAtMs: number }
   | { type: 'callCloud'; callId: number; call: CloudCall; fence: number }
   | { type: 'sendPeers'; message: PeerDatagram; to: readonly HostPort[] }
-  /** Asks a peer for configuration and registry, when it has newer ones. */
-  | { type: 'askPeer'; peer: HostPort }
+  /** Asks a peer for its configuration, and for its registry where that is newer or changes of it were missed. */
+  | { type: 'askPeer'; peer: HostPort; withServers: boolean }
   | { type: 'stopped' }
   | { type: 'log'; event: string; fields: Readonly<Record<string, LogField>> };
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -238,7 +238,7 @@
   const ms = wayMs(world, box.settings.box.zone, zone);
   later(world, ms, () => {
     if (!peer.isListening || areCut(world, box.settings.box.zone, zone)) return;
-    const events = eventsOfShared(sharedStateOf(peer.state));
+    const events = eventsOfShared(sharedStateOf(peer.state, effect.withServers));
     later(world, Math.min(ms, ASK_TIMEOUT_MS), () => events.forEach((event) => box.emit(event)));
   });
 }
