Roll-outs: a version that carries the load already is not held when it is ordered again

Cause, found by reading: a repeated order would have held all servers of the service, and refused its callers, until the holder had written the record: half a second, or as long as the store is away. Test: twenty requests go on.

--- a/packages/reedlug-gateway/src/slices/__tests__/rollouts.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/rollouts.test.ts
@@ -203,6 +203,14 @@
   expect(sendsToNew(box, 100)).to.equal(0);
 });
 
+test('a version that is ordered again while it carries the load goes on serving', () => {
+  const box = boxOfTwoVersions();
+  hear(box, news({ phase: 'completed' }));
+  expect(sendsToNew(box, 20)).to.equal(20);
+  box.take({ type: 'rolloutOrdered', order: { ...ORDER, revision: 41 } });
+  expect(sendsToNew(box, 20)).to.equal(20);
+});
+
 test('an order for an unknown service moves nothing', () => {
   const box = boxOfTwoVersions();
   box.take({ type: 'rolloutOrdered', order: { ...ORDER, service: 'nothing' } });
--- a/packages/reedlug-gateway/src/slices/rolloutJudgement.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutJudgement.ts
@@ -21,6 +21,7 @@
 const RECENT_MS = [800, 2500] as const;
 /** Servers of the sample at least: a single failing one must not decide. */
 const LEAST_SAMPLE_SERVERS = 4;
+
 /** Judges roll-outs in progress and lays out their samples. */
 export function rolloutsTick(state: GatewayState, step: Step): void {
   if (state.rollouts.size === 0 || step.nowMs - state.rolloutsJudgedAtMs < JUDGE_EVERY_MS) return;
--- a/packages/reedlug-gateway/src/slices/rolloutRecords.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutRecords.ts
@@ -17,10 +17,11 @@
   type RolloutView,
 } from '../types/rollout.js';
 import { dutyFence } from './duties.js';
-import { enterPhase } from './rollouts.js';
+import { enterPhase, isOver } from './rollouts.js';
 
 /** Pause between calls for one roll-out, in ms: the store answers in some ms, a busy one is asked again. */
 const ASK_EVERY_MS = 250;
+
 /** Reads and writes the records, while this box holds the lease. */
 export function rolloutRecordsTick(state: GatewayState, step: Step): void {
   if (state.rollouts.size === 0 || dutyFence(state, step.nowMs) === undefined) return;
@@ -52,10 +53,8 @@
 function phaseToWrite(view: RolloutView): RolloutPhase | undefined {
   if (view.recordVersion === undefined) return view.phase;
   const { phase, wantsCompletion, recordedPhase } = view;
-  if (phase === RolloutPhase.rolledBack) {
-    return recordedPhase === phase ? undefined : phase;
-  }
-  if (wantsCompletion && phase !== RolloutPhase.completed) return RolloutPhase.completed;
+  if (isOver(view)) return recordedPhase === phase ? undefined : phase;
+  if (wantsCompletion) return RolloutPhase.completed;
   // What lies between is for the boxes alone; after a loss of all they begin with the small sample.
   return recordedPhase === undefined ? RolloutPhase.sampling : undefined;
 }
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts.ts
@@ -37,7 +37,7 @@
   if (known !== undefined && known.order.revision >= order.revision) return known;
   const view: RolloutView = {
     order,
-    phase: RolloutPhase.held,
+    phase: firstPhase(known, order),
     orderedAtMs: step.nowMs - ageMs,
     barred: barredAfter(known, order, told.barred),
     waitedMs: undefined,
@@ -63,6 +63,13 @@
   return view;
 }
 
+/** A version that carries the load already has nothing to prove when it is ordered again: held, its service would stand still. */
+function firstPhase(known: RolloutView | undefined, order: RolloutOrder): RolloutPhase {
+  const isInService =
+    known?.phase === RolloutPhase.completed && known.order.targetVersion === order.targetVersion;
+  return isInService ? RolloutPhase.completed : RolloutPhase.held;
+}
+
 /** A version whose roll-out did not end well before the next order gets nothing, unless it is the next target. */
 function barredAfter(
   known: RolloutView | undefined,
