One ranking of servers, one account of barred versions, one word for a bad version

Read once more: the choice's home, its draw and the sample of a roll-out each ranked servers by their own code; what is barred after an order stood twice, once without the bound on their number; whether a drawn version is bad twice. Each is one piece now.

--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -7,13 +7,14 @@
  * Without news of a cache, the server that ranks first for the prompt's last
  * shared part is taken to keep its shared parts, so that all boxes agree.
  */
-import { hashString, rendezvousWeight } from 'reedlug-coordination';
+import { hashString } from 'reedlug-coordination';
 import type { RequestFacts } from '../types/request.js';
 import type { ServerLoad } from '../types/peer.js';
 import type { GatewayState } from '../state.js';
 import type { ServerView } from '../types/views.js';
 import { countedPeers, type HeardPeer } from '../slices/fleet.js';
 import { modelOf } from '../slices/engineModels.js';
+import { highestRanked } from './highestRanked.js';
 import { addLoads, tokensAhead } from './serverLoad.js';
 import { expectedWaitMs, type EngineModel, type SendConditions } from './engineModel.js';
 import { failureScore, slownessNow, SUSPECT_SCORE } from './serverHealth.js';
@@ -126,23 +127,6 @@
   return home === undefined || drawn.includes(home) ? drawn : [home, ...drawn];
 }
 
-/** The servers that rank highest for a key, in order; one walk over all, since few are taken of many. */
-function highestRanked(
-  candidates: readonly ServerView[],
-  keyHash: number,
-  count: number,
-): ServerView[] {
-  const best: { view: ServerView; weight: number }[] = [];
-  for (const view of candidates) {
-    const weight = rendezvousWeight(keyHash, view.idHash);
-    if (best.length === count && weight <= (best[count - 1]?.weight ?? 0)) continue;
-    const at = best.findIndex((other) => other.weight < weight);
-    best.splice(at < 0 ? best.length : at, 0, { view, weight });
-    if (best.length > count) best.pop();
-  }
-  return best.map(({ view }) => view);
-}
-
 function weigh(
   state: GatewayState,
   params: {
@@ -200,16 +184,7 @@
 function homeOf(candidates: readonly ServerView[], facts: RequestFacts): string | undefined {
   const subject = facts.promptParts.at(-2);
   if (subject === undefined) return undefined;
-  const keyHash = hashString(subject.id);
-  let bestId: string | undefined;
-  let bestWeight = -1;
-  for (const { entry, idHash } of candidates) {
-    const weight = rendezvousWeight(keyHash, idHash);
-    if (weight <= bestWeight) continue;
-    bestWeight = weight;
-    bestId = entry.id;
-  }
-  return bestId;
+  return highestRanked(candidates, hashString(subject.id), 1)[0]?.entry.id;
 }
 
 /** Notes that a server has read a request's prompt. */
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/highestRanked.ts
@@ -0,0 +1,20 @@
+/** The ranking of servers for a key, on which all boxes agree. */
+import { rendezvousWeight } from 'reedlug-coordination';
+import type { ServerView } from '../types/views.js';
+
+/** The servers that rank highest for a key, in order; one walk over all, since few are taken of many. */
+export function highestRanked(
+  candidates: readonly ServerView[],
+  keyHash: number,
+  count: number,
+): ServerView[] {
+  const best: { view: ServerView; weight: number }[] = [];
+  for (const view of candidates) {
+    const weight = rendezvousWeight(keyHash, view.idHash);
+    if (best.length === count && weight <= (best[count - 1]?.weight ?? 0)) continue;
+    const at = best.findIndex((other) => other.weight < weight);
+    best.splice(at < 0 ? best.length : at, 0, { view, weight });
+    if (best.length > count) best.pop();
+  }
+  return best.map(({ view }) => view);
+}
--- a/packages/reedlug-gateway/src/slices/rolloutJudgement.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutJudgement.ts
@@ -1,14 +1,10 @@
 /** The judgement of roll-outs in progress, on every box by what it has heard, and the layout of their samples. */
-import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
+import { hashString } from 'reedlug-coordination';
+import { highestRanked } from '../policy/highestRanked.js';
 import { nextPhase, shareOfPhase, spreadSample } from '../policy/rolloutStep.js';
 import { evidenceSince, judgeRollout } from '../policy/rolloutVerdict.js';
 import type { GatewayState, Step } from '../state.js';
-import {
-  RolloutPhase,
-  type RolloutEvidence,
-  type RolloutOrder,
-  type RolloutView,
-} from '../types/rollout.js';
+import { RolloutPhase, type RolloutEvidence, type RolloutView } from '../types/rollout.js';
 import type { ServerView } from '../types/views.js';
 import { countedPeers } from './fleet.js';
 import { evidenceOf } from './rolloutEvidence.js';
@@ -95,23 +91,17 @@
 ): void {
   const { evidence, newOnes, oldServers } = params;
   const { exposeShare } = state.settings.bounds;
-  const ranked = rank(newOnes, view.order);
+  const { order } = view;
   const count = (phase: RolloutPhase): number =>
     Math.max(LEAST_SAMPLE_SERVERS, Math.ceil(oldServers * shareOfPhase(phase, exposeShare)));
-  view.sampleServers = new Set(ranked.slice(0, count(RolloutPhase.sampling)));
-  view.widenedServers = new Set(ranked.slice(0, count(RolloutPhase.widened)));
+  const keyHash = hashString(`${order.service} ${order.revision}`);
+  const widened = highestRanked(newOnes, keyHash, count(RolloutPhase.widened));
+  const ids = widened.map(({ entry }) => entry.id);
+  view.sampleServers = new Set(ids.slice(0, count(RolloutPhase.sampling)));
+  view.widenedServers = new Set(ids);
   const answersByRoute = new Map<string, number>();
   for (const { route, answers } of [...evidence.usual, ...evidence.trial]) {
     answersByRoute.set(route, (answersByRoute.get(route) ?? 0) + answers);
   }
   view.shareByRoute = spreadSample(sampleShare(state, view), answersByRoute);
 }
-
-/** All boxes rank the servers alike. */
-function rank(servers: readonly ServerView[], order: RolloutOrder): string[] {
-  const keyHash = hashString(`${order.service} ${order.revision}`);
-  return servers
-    .map(({ entry: { id } }) => ({ id, weight: rendezvousWeight(keyHash, hashId(id)) }))
-    .sort((a, b) => b.weight - a.weight)
-    .map(({ id }) => id);
-}
--- a/packages/reedlug-gateway/src/slices/rolloutRecords.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutRecords.ts
@@ -17,7 +17,7 @@
   type RolloutView,
 } from '../types/rollout.js';
 import { dutyFence } from './duties.js';
-import { enterPhase, isOver } from './rollouts.js';
+import { barredAfter, enterPhase, isOver } from './rollouts.js';
 
 /** Pause between calls for one roll-out, in ms: the store answers in some ms, a busy one is asked again. */
 const ASK_EVERY_MS = 250;
@@ -127,8 +127,9 @@
 
 /** The record of an earlier order, which this one follows: a version that was not completed stays barred. */
 function takeEarlierRecord(view: RolloutView, record: RolloutRecord): void {
-  const isLeft = record.phase !== RolloutPhase.completed;
-  const barred = new Set([...record.barred, ...(isLeft ? [record.targetVersion] : [])]);
-  barred.delete(view.order.targetVersion);
-  view.barred = [...new Set([...view.barred, ...barred])];
+  view.barred = barredAfter({
+    barred: [...view.barred, ...record.barred],
+    earlier: record,
+    targetVersion: view.order.targetVersion,
+  });
 }
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts.ts
@@ -39,7 +39,11 @@
     order,
     phase: firstPhase(known, order),
     orderedAtMs: step.nowMs - ageMs,
-    barred: barredAfter(known, order, told.barred),
+    barred: barredAfter({
+      barred: [...(known?.barred ?? []), ...told.barred],
+      earlier: known && { targetVersion: known.order.targetVersion, phase: known.phase },
+      targetVersion: order.targetVersion,
+    }),
     waitedMs: undefined,
     wantsCompletion: false,
     trial: new Map(),
@@ -70,16 +74,17 @@
   return isInService ? RolloutPhase.completed : RolloutPhase.held;
 }
 
-/** A version whose roll-out did not end well before the next order gets nothing, unless it is the next target. */
-function barredAfter(
-  known: RolloutView | undefined,
-  order: RolloutOrder,
-  told: readonly string[],
-): readonly string[] {
-  const barred = new Set([...(known?.barred ?? []), ...told]);
-  const isLeft = known !== undefined && known.phase !== RolloutPhase.completed;
-  if (isLeft) barred.add(known.order.targetVersion);
-  barred.delete(order.targetVersion);
+/** Versions that get nothing after a later order: those barred before, and the target of an earlier roll-out that did not end well, unless it is the next one. */
+export function barredAfter(params: {
+  barred: readonly string[];
+  earlier: { targetVersion: string; phase: RolloutPhase } | undefined;
+  targetVersion: string;
+}): readonly string[] {
+  const { earlier, targetVersion } = params;
+  const barred = new Set(params.barred);
+  const isLeft = earlier !== undefined && earlier.phase !== RolloutPhase.completed;
+  if (isLeft) barred.add(earlier.targetVersion);
+  barred.delete(targetVersion);
   return [...barred].slice(-MAX_BARRED);
 }
 
--- a/packages/reedlug-simulator/src/faults/rollouts.ts
+++ b/packages/reedlug-simulator/src/faults/rollouts.ts
@@ -76,7 +76,11 @@
   });
 }
 
-function isBadVersion({ failShare, slowFactor }: RolloutSpec): boolean {
+/** Whether a roll-out is of a version that fails requests or works slower. */
+export function isBadVersion({
+  failShare,
+  slowFactor,
+}: Pick<RolloutSpec, 'failShare' | 'slowFactor'>): boolean {
   return failShare > 0 || slowFactor > 1;
 }
 
--- a/packages/reedlug-simulator/src/scene/drawRollout.ts
+++ b/packages/reedlug-simulator/src/scene/drawRollout.ts
@@ -1,6 +1,7 @@
 /** Roll-outs drawn by seed: what is rolled out, whether it is bad and how, and what goes wrong beside it. */
 import { hashString } from 'reedlug-coordination';
 import { createRandom, type Random } from 'reedlug-standins';
+import { isBadVersion } from '../faults/rollouts.js';
 import type { Scene, SceneFaultSpec } from './scene.js';
 
 /** When the order is given, in s after the first caller. */
@@ -38,7 +39,7 @@
   const faults = trouble === undefined ? [rollout] : [rollout, trouble];
   return {
     scene: { ...scene, faults },
-    isBad: fault.spec.failShare > 0 || fault.spec.slowFactor > 1,
+    isBad: isBadVersion(rollout),
     label: `${service} ${durationS}s ${fault.name}${trouble === undefined ? '' : ` ${trouble.kind}`}`,
   };
 }
