Sight: requests are known by a digest of method, host, path and body in the log

Cause looked for: servers end one after the other under requests that the log can't tell apart. Added: the digest in requestSent, and sendLost with age and progress of a lost send. No logic changed.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -151,6 +151,7 @@
     maxOutputTokens: undefined,
     promptParts: [],
     lastEventId: undefined,
+    digest: 'digest-1',
     ...changes,
   };
 }
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -9,7 +9,7 @@
 import type { CloudCall, SendOrder } from './types/effect.js';
 import type { CloudOutcome, PeerChange } from './types/event.js';
 import type { PeerAddress } from './types/peer.js';
-import type { AnswerVerdict, RequestFacts } from './types/request.js';
+import type { AnswerVerdict, HeadFacts } from './types/request.js';
 import type { RolloutOrder } from './types/rollout.js';
 import type { ServerChange } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
@@ -26,7 +26,7 @@
 
 /** A head that was read, or why it is not one of the protocol. */
 export type DecodedRequest =
-  { kind: 'request'; facts: RequestFacts } | { kind: 'malformed'; message: string };
+  { kind: 'request'; facts: HeadFacts } | { kind: 'malformed'; message: string };
 
 /** A collection of the store that boxes follow. */
 export interface FeedPage<T> {
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -24,6 +24,7 @@
 import { handleInTurn } from './handleInTurn.js';
 import { followPlatform } from './platformFeeds.js';
 import { openPeerSocket, type PeerSocket } from './peerSocket.js';
+import { digestOf } from './requestDigest.js';
 
 /** What a daemon is made of. */
 export interface Runtime {
@@ -168,5 +169,6 @@
   }
   exchange.lastEventId = decoded.facts.lastEventId;
   runtime.exchanges.set(exchange.id, exchange);
-  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts: decoded.facts });
+  const facts = { ...decoded.facts, digest: digestOf(exchange, decoded.facts.host) };
+  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts });
 }
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -188,9 +188,23 @@
   const view = closeAttempt(state, attempt, reachWhenLost(attempt));
   if (view !== undefined) noteFailure(view, step.nowMs);
   noteLost(state, step, found);
+  logLost(step, found, event.reason);
   afterLoss(state, step, found, event.reason);
 }
 
+function logLost(step: Step, { record, attempt }: Found, reason: string): void {
+  log(step, 'sendLost', {
+    request: record.facts.requestId,
+    digest: record.facts.digest,
+    workspace: record.workspace ?? '',
+    server: attempt.serverId,
+    reason,
+    begun: attempt.begun,
+    lastEvent: record.lastEventId ?? -1,
+    sinceSentMs: Math.round(step.nowMs - attempt.sentAtMs),
+  });
+}
+
 /** Notes that something came of an attempt. */
 function hear(state: GatewayState, step: Step, attempt: Attempt): void {
   attempt.heardAtMs = step.nowMs;
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -85,6 +85,7 @@
   });
   log(step, 'requestSent', {
     request: record.facts.requestId,
+    digest: record.facts.digest,
     route: route.name,
     workspace: record.workspace ?? '',
     units: record.units,
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -9,8 +9,8 @@
   tokens: number;
 }
 
-/** What a request's head says; the body passes through unread. */
-export interface RequestFacts {
+/** What a request's head says. */
+export interface HeadFacts {
   requestId: string;
   host: string;
   /** Path with query, as sent. */
@@ -26,6 +26,12 @@
   lastEventId: number | undefined;
 }
 
+/** What a box knows of a request; its body passes through unread. */
+export interface RequestFacts extends HeadFacts {
+  /** Digest of method, host, path and body: alike for a request that comes again under another id. */
+  digest: string;
+}
+
 /** What a backend server's answer says of the run. */
 export type AnswerVerdict =
   /** The server's own success, signed. */
--- a/packages/reedlug-simulator/src/callers/drawRequest.ts
+++ b/packages/reedlug-simulator/src/callers/drawRequest.ts
@@ -83,6 +83,7 @@
       maxOutputTokens: isStream ? events * tokensPerEvent(scene, spec) : undefined,
       promptParts: parts,
       lastEventId: undefined,
+      digest: `digest-${number}`,
     },
     workMs: spec.workMs === undefined ? 0 : drawSize(random, spec.workMs),
     events,
