Crash suspects: judged after 1.5 s with the others' word, by share, rounds and weight; one box tries open cases

Change: a crash that may decide starts a wait in which nothing is sent; crashes of one moment are one round; the share of all crashes of that time sets the rounds that decide; a crash counts for the likeliest; runs past the point clear.

--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -6,24 +6,25 @@
  * A popular request is at many crashes of a bad hour, but has good runs between them, and
  * one good run clears a request. Crashes at the same moment count as one round, since
  * servers that go together do so for a common cause; where others went without it, it takes
- * more rounds. A crash counts for the suspect that
- * explains more of them than the others that were there.
+ * more rounds. A crash counts for the likeliest of the suspects that were there.
  */
 import type { CrashSuspect, ServerCrash } from '../types/crashSuspect.js';
 
 /** Crashes that make a request kept out: the users' figure of what may be lost to one. */
 export const CRASHES_TO_KEEP_OUT = 3;
-/** Rounds among them where it was at most crashes of that time, and where servers crashed without it as well. */
-const ROUNDS_AT_MOST = 2;
-const ROUNDS_AT_SOME = 3;
-/** Share of the crashes since its first one from which it was at most of them. */
-const MOST_SHARE = 0.5;
-/** Crashes without a good run that suffice also where another suspect was at each of them. */
+/** Share of the crashes since its first one at which a suspect was, and the rounds of them that decide from it on. */
+const ROUNDS_BY_SHARE = [
+  // Copies that came together took some servers, and none went without one of them.
+  { share: 0.8, rounds: 1 },
+  { share: 0.5, rounds: 2 },
+  { share: 0, rounds: 3 },
+] as const;
+/** Crashes in three rounds without a good run that suffice also where others were at each of them. */
 const CRASHES_IN_ANY_CASE = 5;
 /** Two news of one crash of a server that does not tell its births differ by less, in ms: it takes longer to start again. */
 const SAME_CRASH_MS = 1500;
-/** Servers that go together are lost within this time, in ms: a connection that is idle at the moment shows it later. */
-const SAME_MOMENT_MS = 250;
+/** Servers that go together are lost within this time, in ms: a busy box's turn. */
+const SAME_MOMENT_MS = 50;
 /** A send that is this much older than a crash, in ms, still followed it: the ages that boxes tell are late by the way of a datagram. */
 const AGE_ERROR_MS = 20;
 
@@ -45,13 +46,34 @@
 export function isCulprit(suspect: CrashSuspect, { suspects, recent }: CrashScene): boolean {
   const { crashes } = suspect;
   if (crashes.length < CRASHES_TO_KEEP_OUT) return false;
-  if (crashes.length >= CRASHES_IN_ANY_CASE) return true;
-  const others = [...suspects].filter(({ key }) => key !== suspect.key);
-  const own = crashes.filter((crash) => !others.some((other) => explains(other, crash, suspect)));
+  const rounds = roundsOf(crashes);
+  if (crashes.length >= CRASHES_IN_ANY_CASE && rounds >= CRASHES_TO_KEEP_OUT) return true;
+  if (rounds < roundsNeeded(shareOf(crashes, recent))) return false;
+  const known = [...suspects];
+  const rivals = known.filter(
+    (other) => other !== suspect && crashes.some((crash) => wasAt(other, crash)),
+  );
+  const weight = weightOf(suspect, known);
+  const stronger = rivals.filter(
+    (rival) => rival.keptOutSinceMs !== undefined || weightOf(rival, known) > weight,
+  );
+  const own = crashes.filter((crash) => !stronger.some((other) => wasAt(other, crash)));
   if (own.length < CRASHES_TO_KEEP_OUT) return false;
-  const rounds = shareOf(crashes, recent) >= MOST_SHARE ? ROUNDS_AT_MOST : ROUNDS_AT_SOME;
-  if (roundsOf(own) < rounds) return false;
-  return !others.some((other) => own.every((crash) => wasAt(other, crash)));
+  return !rivals.some((rival) => own.every((crash) => wasAt(rival, crash)));
+}
+
+/**
+ * How much speaks for a suspect: a crash at which it was alone counts whole, one at which
+ * several were counts in equal parts. Who has had a good run since is no suspect of it.
+ */
+function weightOf({ crashes }: CrashSuspect, known: readonly CrashSuspect[]): number {
+  const parts = crashes.map((crash) => 1 / known.filter((other) => wasAt(other, crash)).length);
+  return parts.reduce((sum, part) => sum + part, 0);
+}
+
+/** Rounds that decide, by the share of crashes at which a suspect was. */
+function roundsNeeded(share: number): number {
+  return ROUNDS_BY_SHARE.find((row) => share >= row.share)?.rounds ?? CRASHES_TO_KEEP_OUT;
 }
 
 /** Share of the crashes since the suspect's first one at which it was. */
@@ -61,23 +83,16 @@
   return crashes.length / Math.max(crashes.length, all);
 }
 
-/** Whether another suspect that was there is the likelier cause of a crash. */
-function explains(other: CrashSuspect, crash: ServerCrash, suspect: CrashSuspect): boolean {
-  const isStronger =
-    other.keptOutSinceMs !== undefined || other.crashes.length > suspect.crashes.length;
-  return isStronger && wasAt(other, crash);
-}
-
 function wasAt(suspect: CrashSuspect, crash: ServerCrash): boolean {
   return suspect.crashes.some((known) => isSameCrash(known, crash));
 }
 
-/** Crashes that followed one another, each with a send after the end before. */
+/** Crashes that followed one another, each with a send after the end before, and not at the same moment. */
 function roundsOf(crashes: readonly ServerCrash[]): number {
   let rounds = 0;
   let lastEndMs = Number.NEGATIVE_INFINITY;
   for (const { sentAtMs, endedAtMs } of crashes) {
-    if (sentAtMs < lastEndMs - AGE_ERROR_MS) continue;
+    if (sentAtMs < lastEndMs - AGE_ERROR_MS || endedAtMs < lastEndMs + SAME_MOMENT_MS) continue;
     rounds += 1;
     lastEndMs = endedAtMs;
   }
--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -14,7 +14,14 @@
 } from '../types/crashSuspect.js';
 import type { EventOf } from '../types/event.js';
 import { NewsScope, type PeerAddress } from '../types/peer.js';
-import { addCrash, clear, judge, keepOut, strengthOf, suspectFor } from './crashSuspects.js';
+import {
+  addCrash,
+  awaitJudgement,
+  clear,
+  keepOut,
+  strengthOf,
+  suspectFor,
+} from './crashSuspects.js';
 import { countsFreshly, usesHubs } from './fleet.js';
 import { membersOf } from './peerNews.js';
 
@@ -124,7 +131,7 @@
   const wasKeptOut = suspect.keptOutSinceMs !== undefined;
   if (!wasKeptOut && keptOutSinceMs > suspect.goodRunAtMs) {
     keepOut(state, step, suspect, keptOutSinceMs);
-  } else judge(state, step, suspect);
+  } else awaitJudgement(state, step, suspect);
   const isNewlyOut = !wasKeptOut && suspect.keptOutSinceMs !== undefined;
   const hasGrown = suspect.crashes.length > before.crashes;
   return isNewlyOut || hasGrown || suspect.goodRunAtMs !== before.goodRunAtMs;
--- a/packages/reedlug-gateway/src/slices/crashRecord.ts
+++ b/packages/reedlug-gateway/src/slices/crashRecord.ts
@@ -23,6 +23,8 @@
 const ASK_EVERY_MS = 250;
 /** Pause between tries to read the row after the start, in ms. */
 const READ_EVERY_MS = 1000;
+/** Pause after which the holder of the lease reads it again, in ms: a box that wrote it may be gone. */
+const READ_AGAIN_MS = 5000;
 /** Crashes from which a suspect is worth a row's place: one alone is most often an innocent's. */
 const RECORDED_CRASHES = 2;
 
@@ -33,11 +35,16 @@
   if (crashRow.version === undefined) {
     if (sinceMs < READ_EVERY_MS) return;
     crashRow.askedAtMs = step.nowMs;
+    crashRow.isWriting = false;
     const op = { kind: 'read', keys: [CRASH_SUSPECTS_KEY] } as const;
     return requestTable(step, { kind: 'crashSuspects' }, op);
   }
   if (state.crashSuspects.size === 0 && crashRow.written === '') return;
   if (sinceMs < ASK_EVERY_MS || !mayWrite(state, step)) return;
+  if (sinceMs >= READ_AGAIN_MS) {
+    crashRow.version = undefined;
+    return;
+  }
   const suspects = suspectsToRecord(state).map((suspect) => newsOf(suspect, step.nowMs));
   if (signatureOf(suspects) === crashRow.written) {
     crashRow.hasOwnNews = false;
@@ -45,13 +52,15 @@
   }
   crashRow.askedAtMs = step.nowMs;
   const storeNowMs = Math.round(step.nowMs - (state.storeEpochMs ?? 0));
+  crashRow.isWriting = true;
   const value: CrashSuspectsRow = { storeNowMs, suspects };
   const write = { key: CRASH_SUSPECTS_KEY, expectVersion: crashRow.version, value };
   requestTable(step, { kind: 'crashSuspects' }, { kind: 'transact', writes: [write] });
 }
 
 function mayWrite(state: GatewayState, step: Step): boolean {
-  return state.crashRow.hasOwnNews || dutyFence(state, step.nowMs) !== undefined;
+  const { hasOwnNews, wroteLast } = state.crashRow;
+  return hasOwnNews || wroteLast || dutyFence(state, step.nowMs) !== undefined;
 }
 
 function suspectsToRecord(state: GatewayState): CrashSuspect[] {
@@ -80,6 +89,7 @@
     crashRow.version = undefined;
     return;
   }
+  crashRow.wroteLast = answer.kind === 'done' && crashRow.isWriting;
   takeRow(
     state,
     step,
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -9,16 +9,21 @@
  * crashed 70 to 80 of 15 engines' lives within 18 s before, and 23 to 29 % of the worth of
  * all other requests went with them.
  */
-import { isCulprit, isSameCrash } from '../policy/crashVerdict.js';
+import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
+import { CRASHES_TO_KEEP_OUT, isCulprit, isSameCrash } from '../policy/crashVerdict.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { CrashSuspect, ServerCrash } from '../types/crashSuspect.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
+import type { PeerView } from '../types/views.js';
 import { giveUp } from './ending.js';
+import { countsFreshly, isSeed, usesHubs } from './fleet.js';
 
 /** Suspects known at most; the ones with the fewest crashes, then those unseen for the longest, go first. */
 const MOST_SUSPECTS = 512;
-/** Crashes kept of one suspect: more say nothing new. */
-const MOST_CRASHES = 6;
+/** Crashes kept of one suspect, the newest; more say nothing new. */
+const MOST_CRASHES = 12;
+/** When such a request may come back to another box, in ms: a trial has ended by then. */
+const TRIAL_RETRY_MS = 500;
 /** Time since it last came after which a suspect, or one that is kept out, is forgotten, in ms. */
 const WATCHED_MS = 600_000;
 const KEPT_OUT_MS = 3_600_000;
@@ -35,6 +40,14 @@
  */
 const PAST_CRASH_MS = 1000;
 
+/**
+ * Time from a crash that may decide to the judgement, in ms: half of the users' time for
+ * news. By then the other boxes' word is here, and a run of the same request elsewhere has
+ * ended or passed the point, if it is innocent. Judged after 250 ms, of 150 drawn scenes
+ * five kept popular requests out.
+ */
+const JUDGED_AFTER_MS = 1500;
+
 /** Why a request that crashes servers is refused or given up. */
 export const CRASHES_SERVERS = 'crashesServers';
 
@@ -49,12 +62,51 @@
   return state.crashSuspects.get(suspectKey(record.workspace, record.facts.digest));
 }
 
-/** Whether a request that has come is to be sent to no server. */
-export function isKeptOut(state: GatewayState, step: Step, record: RequestRecord): boolean {
+/** What a request that has come is refused with, if it is to be sent to no server. */
+export interface CrashRefusal {
+  status: number;
+  reason: string;
+  retryAfterMs: number | undefined;
+}
+
+/**
+ * Whether a request that has come is sent to no server, for good or until it is judged. For
+ * good: the failure is the servers' own, and coming back changes nothing, so it is a 500
+ * without a time; a 503 would be taken for overload and tried again.
+ */
+export function crashRefusal(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+): CrashRefusal | undefined {
   const suspect = suspectOf(state, record);
-  if (suspect === undefined) return false;
+  if (suspect === undefined) return undefined;
   suspect.seenAtMs = step.nowMs;
-  return suspect.keptOutSinceMs !== undefined;
+  const { keptOutSinceMs, judgedAtMs } = suspect;
+  if (keptOutSinceMs !== undefined) {
+    return { status: 500, reason: CRASHES_SERVERS, retryAfterMs: undefined };
+  }
+  const refusal = { status: 503, reason: 'crashSuspect' };
+  if (judgedAtMs !== undefined) return { ...refusal, retryAfterMs: judgedAtMs - step.nowMs };
+  if (suspect.crashes.length < CRASHES_TO_KEEP_OUT || mayTry(state, suspect, step.nowMs))
+    return undefined;
+  return { ...refusal, retryAfterMs: TRIAL_RETRY_MS };
+}
+
+/**
+ * Whether this box sends a suspect with three crashes whose case is open: one box does, the
+ * first by rank of those that are heard, one send at a time. The users allow three further
+ * sends in all; two boxes made four (drawn, a burst of six copies at once).
+ */
+function mayTry(state: GatewayState, suspect: CrashSuspect, nowMs: number): boolean {
+  const keyHash = hashString(suspect.key);
+  const rank = (boxId: string): number => rendezvousWeight(keyHash, hashId(boxId));
+  const own = rank(state.settings.box.id);
+  const isThere = (peer: PeerView): boolean => usesHubs(state) || countsFreshly(peer, nowMs);
+  for (const peer of state.peers.values()) {
+    if (!isSeed(peer) && isThere(peer) && rank(peer.boxId) > own) return false;
+  }
+  return ![...state.requests.values()].some((record) => suspectOf(state, record) === suspect);
 }
 
 /** A request was open at a server that crashed. */
@@ -72,7 +124,15 @@
     ranMs: Math.round(crash.endedAtMs - crash.sentAtMs),
     crashes: suspect.crashes.length,
   });
-  judge(state, step, suspect);
+  awaitJudgement(state, step, suspect);
+}
+
+/** After a crash that may decide, the others' word on it is awaited, and nothing is sent meanwhile. */
+export function awaitJudgement(state: GatewayState, step: Step, suspect: CrashSuspect): void {
+  if (suspect.crashes.length < CRASHES_TO_KEEP_OUT || suspect.keptOutSinceMs !== undefined) return;
+  // Of what happened before its start, a box knows too little to judge; others have.
+  if ((suspect.crashes.at(-1)?.endedAtMs ?? 0) < state.startedAtMs) return;
+  suspect.judgedAtMs ??= step.nowMs + JUDGED_AFTER_MS;
 }
 
 /** The suspect of a key; a new one where none is known. */
@@ -84,6 +144,7 @@
     crashes: [],
     goodRunAtMs: Number.NEGATIVE_INFINITY,
     keptOutSinceMs: undefined,
+    judgedAtMs: undefined,
     seenAtMs: step.nowMs,
   };
   state.crashSuspects.set(key, suspect);
@@ -113,10 +174,13 @@
     if (state.recentCrashes.length > MOST_RECENT) state.recentCrashes.shift();
   }
   const { crashes } = suspect;
-  if (crash.sentAtMs <= suspect.goodRunAtMs || crashes.length >= MOST_CRASHES) return false;
+  if (crash.sentAtMs <= suspect.goodRunAtMs) return false;
   if (crashes.some((known) => isSameCrash(known, crash))) return false;
+  if (crashes.length >= MOST_CRASHES && crash.endedAtMs <= (crashes[0]?.endedAtMs ?? 0))
+    return false;
   crashes.push(crash);
   crashes.sort((a, b) => a.endedAtMs - b.endedAtMs);
+  if (crashes.length > MOST_CRASHES) crashes.shift();
   return true;
 }
 
@@ -133,6 +197,7 @@
   suspect.goodRunAtMs = goodRunAtMs;
   const before = suspect.crashes.length;
   suspect.crashes = suspect.crashes.filter(({ sentAtMs }) => sentAtMs > goodRunAtMs);
+  if (suspect.crashes.length < CRASHES_TO_KEEP_OUT) suspect.judgedAtMs = undefined;
   const { keptOutSinceMs } = suspect;
   const isLifted = keptOutSinceMs !== undefined && keptOutSinceMs <= goodRunAtMs;
   if (isLifted) suspect.keptOutSinceMs = undefined;
@@ -142,10 +207,14 @@
 }
 
 /** Keeps a suspect out where its crashes say so. */
-export function judge(state: GatewayState, step: Step, suspect: CrashSuspect): void {
+function judge(state: GatewayState, step: Step, suspect: CrashSuspect): void {
+  suspect.judgedAtMs = undefined;
   if (suspect.keptOutSinceMs !== undefined) return;
   const scene = { suspects: state.crashSuspects.values(), recent: state.recentCrashes };
-  if (isCulprit(suspect, scene)) keepOut(state, step, suspect, step.nowMs);
+  if (!isCulprit(suspect, scene)) return;
+  keepOut(state, step, suspect, step.nowMs);
+  state.crashNewsDue.add(suspect.key);
+  state.crashRow.hasOwnNews = true;
 }
 
 /** Sends a request to no server any more, and ends what has not begun of it. */
@@ -156,6 +225,7 @@
   sinceMs: number,
 ): void {
   suspect.keptOutSinceMs = sinceMs;
+  suspect.judgedAtMs = undefined;
   log(step, 'requestKeptOut', {
     suspect: suspect.key,
     crashes: suspect.crashes.length,
@@ -169,10 +239,14 @@
   }
 }
 
-/** Forgets what has not come for long, and the least of too many. */
+/** Judges those that are due; forgets what has not come for long, and the least of too many. */
 export function crashSuspectsTick(state: GatewayState, step: Step): void {
   const { crashSuspects } = state;
   if (crashSuspects.size === 0) return;
+  const due = [...crashSuspects.values()].filter(
+    ({ judgedAtMs }) => judgedAtMs !== undefined && step.nowMs >= judgedAtMs,
+  );
+  for (const suspect of due) judge(state, step, suspect);
   if (step.nowMs - state.suspectsForgottenAtMs < FORGET_EVERY_MS) return;
   state.suspectsForgottenAtMs = step.nowMs;
   state.recentCrashes = state.recentCrashes.filter(
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -5,7 +5,7 @@
 import type { AwaitingRequest, RequestFacts, RequestRecord } from '../types/request.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import { awaitStart, forgetAwaiting, knowsEnough, takeAwaiting } from './awaiting.js';
-import { CRASHES_SERVERS, isKeptOut } from './crashSuspects.js';
+import { crashRefusal } from './crashSuspects.js';
 import { findRoute } from './configuration.js';
 import { cancelAll, giveUp, refuse } from './ending.js';
 import { refuseIfLate } from './lateRefusals.js';
@@ -54,7 +54,8 @@
   const workspace = facts.key === undefined ? undefined : active.workspaceByKey.get(facts.key);
   if (needsKey && workspace === undefined) return refuseNow(401, 'unknownKey');
   const record = createRecord({ exchangeId, facts, route, workspace, nowMs: arrivedAtMs });
-  if (isKeptOut(state, step, record)) return refuseNow(500, CRASHES_SERVERS);
+  const crash = crashRefusal(state, step, record);
+  if (crash !== undefined) return refuseNow(crash.status, crash.reason, crash.retryAfterMs);
   const choice = chooseFor(state, step, record);
   if (choice !== undefined && refuseIfLate(step, record, choice)) return;
   state.requests.set(exchangeId, record);
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -1,7 +1,7 @@
 /** State of a gateway box; slices change their part of it in place. */
 import { createLease, type LeaseState, type RetryBudget, type TableOp } from 'reedlug-coordination';
 import type { EngineModel, OwnSends } from './policy/engineModel.js';
-import type { CrashSuspect, LostServer, ServerCrash } from './types/crashSuspect.js';
+import type { CrashRowState, CrashSuspect, LostServer, ServerCrash } from './types/crashSuspect.js';
 import type { Effect, LogField } from './types/effect.js';
 import type { TablePurpose } from './types/event.js';
 import { createFleetPart, type FleetPart } from './types/fleetPart.js';
@@ -55,13 +55,7 @@
   crashNewsDue: Set<string>;
   crashNewsAllAtMs: number;
   suspectsForgottenAtMs: number;
-  /** The row of suspects in the table; its version is undefined until it is read. */
-  crashRow: {
-    version: number | undefined;
-    written: string;
-    askedAtMs: number;
-    hasOwnNews: boolean;
-  };
+  crashRow: CrashRowState;
   serversRevision: number;
   serversKnown: boolean;
   /** Changes of the registry of the last moments, for the members of this box as a hub. */
@@ -186,6 +180,8 @@
       version: undefined,
       written: '',
       askedAtMs: Number.NEGATIVE_INFINITY,
+      isWriting: false,
+      wroteLast: false,
       hasOwnNews: false,
     },
     serversRevision: 0,
--- a/packages/reedlug-gateway/src/types/crashSuspect.ts
+++ b/packages/reedlug-gateway/src/types/crashSuspect.ts
@@ -20,6 +20,8 @@
   goodRunAtMs: number;
   /** Since when it is sent to no server any more. */
   keptOutSinceMs: number | undefined;
+  /** When it is judged; undefined while nothing is to be decided. */
+  judgedAtMs: number | undefined;
   /** When it last came to a box, or crashed a server. */
   seenAtMs: number;
 }
@@ -61,3 +63,18 @@
   /** True once it is known that this life is over. */
   isGone: boolean;
 }
+
+/** What a box knows of the row of suspects in the table. */
+export interface CrashRowState {
+  /** Undefined until it is read, and where a write may have been done. */
+  version: number | undefined;
+  /** What it says in short. */
+  written: string;
+  askedAtMs: number;
+  /** True for a call that writes. */
+  isWriting: boolean;
+  /** True while this box wrote it last, as far as it knows. */
+  wroteLast: boolean;
+  /** True once this box's own sends showed what the row may lack. */
+  hasOwnNews: boolean;
+}
