Soak: a caller under whose request servers end; a probe is refused also by a forwarder that closes at once

Checked by what servers saw: sends later than 3 s after the third end, by boxes in touch; nobody else kept out.

--- a/packages/reedlug-gateway/src/daemon/probeServer.ts
+++ b/packages/reedlug-gateway/src/daemon/probeServer.ts
@@ -4,18 +4,30 @@
 import type { HostPort } from '../types/server.js';
 import { CONNECT_TIMEOUT_MS } from './daemonTimes.js';
 
-/** Opens a connection and closes it at once; resolves in any case. */
+/** How long a connection has to stay open, in ms: before a process that is gone, a forwarder accepts and closes at once. */
+const STAYS_MS = 30;
+
+/** Errors by which a host says that nothing is there; a cut or a host that is down says others. */
+const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EPIPE']);
+
+/** Opens a connection and closes it after a moment; resolves in any case. */
 export function probeServer({ host, port }: HostPort): Promise<ProbeOutcome> {
   return new Promise((resolve) => {
     const socket = connect({ host, port });
     const end = (outcome: ProbeOutcome): void => {
+      clearTimeout(timer);
       socket.destroy();
       resolve(outcome);
     };
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => end('silent'));
-    socket.once('connect', () => end('accepted'));
+    let timer = setTimeout(() => end('silent'), CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      timer = setTimeout(() => end('accepted'), STAYS_MS);
+    });
+    socket.once('end', () => end('refused'));
     socket.once('error', ({ code }: NodeJS.ErrnoException) => {
-      end(code === 'ECONNREFUSED' ? 'refused' : 'silent');
+      end(REFUSALS.has(code ?? '') ? 'refused' : 'silent');
     });
+    socket.resume();
   });
 }
--- a/packages/reedlug-soak/src/__tests__/promises.test.ts
+++ b/packages/reedlug-soak/src/__tests__/promises.test.ts
@@ -124,3 +124,29 @@
   record.runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 13_900, ran: true });
   expect(promisesBroken(record)).to.deep.equal(['limits over all boxes']);
 });
+
+test('a request that goes on being sent after the third server ended under it is found', () => {
+  const crashing = (requestId: string, sentAtMs: number): Call =>
+    call({ requestId, kind: CallKind.crashing, sentAtMs, status: 502, body: '' });
+  const sent = (sends: number, box = 0): string[] => {
+    const record = createSoakRecord(2);
+    record.crashesAtMs.push(1000, 1100, 1500);
+    for (let index = 0; index < sends; index += 1) {
+      const requestId = `c${index}`;
+      const atMs = 8000 + index;
+      record.calls.push({ ...crashing(requestId, atMs), box });
+      record.runs.push({ requestId, server: 'records-0-0', atMs, ran: true });
+    }
+    record.troubles.set(1, [{ fromMs: 6000, toMs: 6500 }]);
+    return promisesBroken(record);
+  };
+  expect(sent(4)).to.deep.equal(['a request that crashes servers is kept out']);
+  expect(sent(3)).to.deep.equal([]);
+  expect(sent(4, 1)).to.deep.equal([]);
+});
+
+test('another request that is refused for the crashes is found', () => {
+  const refused = call({ status: 500, body: '{"error":"crashesServers"}', isWhole: false });
+  const record = recordOf(refused);
+  expect(promisesBroken(record)).to.deep.equal(['no other is kept out']);
+});
--- a/packages/reedlug-soak/src/__tests__/soak.test.ts
+++ b/packages/reedlug-soak/src/__tests__/soak.test.ts
@@ -27,3 +27,18 @@
   expect(result.violations).to.deep.equal([]);
   expect(result.statuses['200'] ?? 0).to.be.greaterThan(50);
 });
+
+test('a caller under whose request servers end takes few of them from the others', async function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  const result = await runSoak({
+    seed: 6,
+    lengthMs: 9000,
+    boxes: 3,
+    serversPerService: 3,
+    callsPerSecond: 30,
+    folder: join(await mkdtemp(join(tmpdir(), 'reedlug-soak-')), 'run'),
+    faults: [{ atMs: 500, fault: { kind: 'crashingCaller', everyMs: 300 } }],
+  });
+  expect(result.violations).to.deep.equal([]);
+  expect(result.statuses['500'] ?? 0).to.be.greaterThan(10);
+});
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -32,6 +32,8 @@
   | { kind: 'oddEntry'; odd: number }
   | { kind: 'serverLeaves'; server: number; backAfterMs: number }
   | { kind: 'serverFails'; server: number; how: 'fail' | 'lose' | 'refuse'; forMs: number }
+  /** From now on a caller sends a request under which servers end, over and over. */
+  | { kind: 'crashingCaller'; everyMs: number }
   | { kind: 'configure' }
   | { kind: 'revokeKey' };
 
@@ -49,6 +51,11 @@
 /** Quiet time at the end of a run, in ms, in which what is open ends. */
 const QUIET_END_MS = 3000;
 
+/** Share of the runs with a caller under whose request servers end, and how often it comes, in ms. */
+const CRASHING_SHARE = 0.5;
+const SHORTEST_RETURN_MS = 200;
+const LONGEST_RETURN_MS = 1500;
+
 const SKIPPED_DRAWS = 32;
 
 /** Draws the faults of a run. */
@@ -70,9 +77,17 @@
     planned.push({ atMs: Math.round(atMs), fault: drawFault(random, box, server) });
     atMs += random.exponential(MEAN_PAUSE_MS);
   }
+  // Drawn last, so that the other faults of a seed stay what they were.
+  if (random.chance(CRASHING_SHARE)) planned.push(drawCrashingCaller(random, lengthMs));
   return planned;
 }
 
+function drawCrashingCaller(random: Random, lengthMs: number): PlannedFault {
+  const everyMs = random.whole(SHORTEST_RETURN_MS, LONGEST_RETURN_MS);
+  const atMs = Math.round((random.unit() * lengthMs) / 3);
+  return { atMs, fault: { kind: 'crashingCaller', everyMs } };
+}
+
 function drawFault(random: Random, box: number, server: number): Fault {
   const forMs = random.whole(SHORTEST_MS, LONGEST_MS);
   const how = random.pick(Object.values(LinkFault));
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -4,13 +4,17 @@
 import { enterOddServer, removeServerEntry } from 'reedlug-platform/standins';
 import type { Fault } from './faultPlan.js';
 import type { SoakRecord, Span } from './soakRecord.js';
-import { configure, enter, revive, type SoakWorld } from './soakWorld.js';
+import { configure, enter, revive, type SoakServer, type SoakWorld } from './soakWorld.js';
 
 /** How long a crashed server's entry stays, in ms: three heartbeats of the users' servers. */
 const ENTRY_STAYS_MS = 1200;
 /** How long a leaving server still serves, in ms: the users' bound and a little more. */
 const LEAVES_AFTER_MS = 2600;
 
+/** How long a server runs a request under which it ends, and how long it is away, in ms: as users saw it. */
+const CRASH_AFTER_MS = 60;
+const CRASHED_FOR_MS = 2500;
+
 /** Entries of the registry by other writers: none names a server. */
 const ODD_ENTRIES: readonly unknown[] = [
   null,
@@ -102,6 +106,9 @@
         await delay(fault.forMs);
         server.failing = undefined;
       });
+    case 'crashingCaller':
+      world.crashingEveryMs = fault.everyMs;
+      return;
     case 'configure':
       return enterNextVersion(world, record);
     case 'revokeKey': {
@@ -174,6 +181,22 @@
   for (const { process } of killed) process.start();
 }
 
+/** A server ends under the request that it runs, and starts again under its id. */
+export async function endUnderRequest(
+  world: SoakWorld,
+  record: SoakRecord,
+  server: SoakServer,
+): Promise<void> {
+  const { standin } = server;
+  await delay(CRASH_AFTER_MS);
+  if (server.standin !== standin || standin.isClosed()) return;
+  record.crashesAtMs.push(performance.now());
+  const fault = { kind: 'serverRestarts' as const, backAfterMs: CRASHED_FOR_MS };
+  await troublingServers(record, () =>
+    restartServer(world, record, { ...fault, server: world.servers.indexOf(server) }),
+  );
+}
+
 /** Ends a server without a word; its next life has its id and its entry. */
 async function restartServer(
   world: SoakWorld,
--- a/packages/reedlug-soak/src/promises.ts
+++ b/packages/reedlug-soak/src/promises.ts
@@ -21,6 +21,9 @@
 
 /** Statuses that promise that the request has not run and will not. */
 const PROMISING_STATUSES: readonly (number | undefined)[] = [408, 421, 429, 503];
+/** Servers that may end under one request, and sends of it after that: the users' figures. */
+const CRASHES_BEFORE = 3;
+const MOST_FURTHER_SENDS = 3;
 /** Taken off the bounds for the delays of one busy machine, in ms. */
 const TOLERANCE_MS = 400;
 
@@ -38,6 +41,8 @@
     ...checkPlannedStops(record),
     ...checkReports(record),
     ...checkLimit(record, bounds),
+    ...checkCrashing(record, bounds),
+    ...checkInnocent(record),
   ];
 }
 
@@ -168,6 +173,34 @@
   return [{ promise: 'limits over all boxes', detail }];
 }
 
+/** Counts what servers saw of the request under which they end. */
+function checkCrashing(record: SoakRecord, bounds: PromiseBounds): Violation[] {
+  const thirdAtMs = record.crashesAtMs[CRASHES_BEFORE - 1];
+  if (thirdAtMs === undefined) return [];
+  const fromMs = thirdAtMs + bounds.contactMs + TOLERANCE_MS;
+  const boxById = new Map(
+    record.calls
+      .filter(({ kind }) => kind === CallKind.crashing)
+      .map(({ requestId, box }) => [requestId, box]),
+  );
+  const further = record.runs.filter(({ requestId, atMs }) => {
+    const box = boxById.get(requestId);
+    if (box === undefined || atMs <= fromMs) return false;
+    return isInTouch(record, box, atMs, atMs, bounds);
+  });
+  if (further.length <= MOST_FURTHER_SENDS) return [];
+  const detail = `${further.length} sends after the third crash, ${record.crashesAtMs.length} crashes`;
+  return [{ promise: 'a request that crashes servers is kept out', detail }];
+}
+
+/** Nobody else is refused for the crashes. */
+function checkInnocent(record: SoakRecord): Violation[] {
+  return record.calls
+    .filter(({ kind, status }) => kind !== CallKind.crashing && status === 500)
+    .filter(({ body }) => body.includes('crashesServers'))
+    .map(({ requestId }) => ({ promise: 'no other is kept out', detail: requestId }));
+}
+
 function isInTouch(
   record: SoakRecord,
   box: number,
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -4,12 +4,13 @@
 import { createRandom } from 'reedlug-standins';
 import { openCallers, type CallOrder, type Callers } from './callers.js';
 import { planFaults, type Fault } from './faultPlan.js';
-import { injectFault } from './injectFault.js';
+import { endUnderRequest, injectFault } from './injectFault.js';
 import { findViolations, type Violation } from './promises.js';
 import { CallKind, createSoakRecord, type SoakRecord } from './soakRecord.js';
 import {
   BOX_BOUNDS,
   buildWorld,
+  CRASHING_PATH,
   DRAFT_EVENTS,
   FIRST_KEY,
   LIMITED,
@@ -49,6 +50,8 @@
 const READINESS_PAUSE_MS = 50;
 /** Time after which a box counts as in touch again, in ms: the users' figure. */
 const CONTACT_MS = 3000;
+/** Pause between looks whether the crashing caller has come, in ms. */
+const CRASHING_LOOK_MS = 100;
 /** Share of kinds among the calls. */
 const KIND_SHARES: readonly (readonly [CallKind, number])[] = [
   [CallKind.lookup, 0.35],
@@ -65,6 +68,8 @@
   const planned =
     options.faults ?? planFaults({ seed, lengthMs, boxes, servers: world.servers.length });
   const callers = openCallers();
+  const ends: Promise<void>[] = [];
+  world.onCrashingRun = (server) => ends.push(endUnderRequest(world, record, server));
   try {
     for (const { process } of world.boxes) process.start();
     await waitForBoxes(world);
@@ -73,8 +78,10 @@
       await delay(atMs);
       await injectFault(world, record, fault);
     });
-    await sendLoad({ options, world, record, callers, endMs: startMs + lengthMs });
+    const load = { options, world, record, callers, endMs: startMs + lengthMs };
+    await Promise.all([sendLoad(load), sendCrashing(load)]);
     await Promise.all(faults);
+    await Promise.all(ends);
   } finally {
     callers.close();
     await tearDown(world);
@@ -117,14 +124,33 @@
   }
 }
 
-async function sendLoad(params: {
+interface Load {
   options: SoakOptions;
   world: SoakWorld;
   record: SoakRecord;
   callers: Callers;
   endMs: number;
-}): Promise<void> {
-  const { options, world, record, callers, endMs } = params;
+}
+
+/** Sends the same request under other ids to any box, once its caller has come. */
+async function sendCrashing({ options, world, record, callers, endMs }: Load): Promise<void> {
+  const random = createRandom(options.seed + 2);
+  const open: Promise<void>[] = [];
+  for (let number = 0; performance.now() < endMs; number += 1) {
+    await delay(world.crashingEveryMs ?? CRASHING_LOOK_MS);
+    const box = random.whole(0, world.boxes.length - 1);
+    const target = world.boxes[box]?.target;
+    if (target === undefined || world.crashingEveryMs === undefined) continue;
+    const requestId = `c${options.seed}-${number}`;
+    const key = world.keys.at(-1) ?? '';
+    const order = { requestId, kind: CallKind.crashing, box, key, path: CRASHING_PATH };
+    open.push(callers.call(order, target).then((call) => void record.calls.push(call)));
+  }
+  await Promise.all(open);
+}
+
+async function sendLoad(load: Load): Promise<void> {
+  const { options, world, record, callers, endMs } = load;
   const random = createRandom(options.seed + 1);
   const open: Promise<void>[] = [];
   for (let number = 0; performance.now() < endMs; number += 1) {
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -7,6 +7,8 @@
   draft: 'draft',
   /** Asks on a route of one configuration whether it is in force at a box. */
   probe: 'probe',
+  /** The request under which servers end. */
+  crashing: 'crashing',
 } as const;
 export type CallKind = (typeof CallKind)[keyof typeof CallKind];
 
@@ -59,6 +61,8 @@
   stops: Map<number, Span[]>;
   /** Spans in which any server or its link misbehaved. */
   serverTroubles: Span[];
+  /** When servers ended under the request of the crashing caller. */
+  crashesAtMs: number[];
   reports: { window: number; counts: string; holder: string; fence: number }[];
 }
 
@@ -74,6 +78,7 @@
     troubles: new Map(),
     stops: new Map(),
     serverTroubles: [],
+    crashesAtMs: [],
     reports: [],
   };
 }
--- a/packages/reedlug-soak/src/soakWorld.ts
+++ b/packages/reedlug-soak/src/soakWorld.ts
@@ -38,6 +38,9 @@
 };
 /** A workspace whose callers ask for several times its limit, which counts requests. */
 export const LIMITED = { key: 'limited-key', ratePerSecond: 4, burst: 4 };
+/** Path of the request under which servers end, and when one would answer it that did not end, in ms. */
+export const CRASHING_PATH = '/lookup/crash';
+const CRASHING_ANSWER_MS = 2000;
 /** The key that callers begin with; it is the first one taken away. */
 export const FIRST_KEY = 'key-0';
 
@@ -67,6 +70,10 @@
   boxes: SoakBox[];
   version: number;
   keys: string[];
+  /** Pause of the caller under whose request servers end; undefined while there is none. */
+  crashingEveryMs: number | undefined;
+  /** Told of each server that begins to run that request. */
+  onCrashingRun: (server: SoakServer) => void;
   /** All stand-ins that ever ran, for their arrivals. */
   everyStandin: EngineStandin[];
 }
@@ -87,6 +94,8 @@
     boxes: [],
     version: 0,
     keys: [FIRST_KEY],
+    crashingEveryMs: undefined,
+    onCrashingRun: () => undefined,
     everyStandin: [],
   };
   for (const service of ['records', 'drafts']) {
@@ -149,8 +158,12 @@
   life: number,
 ): Promise<EngineStandin> {
   const id = `${service}-${number}-${life}`;
-  return startEngineStandin(id, (requestId) => {
+  return startEngineStandin(id, (requestId, path) => {
     const { failing } = owner();
+    if (path === CRASHING_PATH) {
+      world.onCrashingRun(owner());
+      return { kind: 'answer', body: '', afterMs: CRASHING_ANSWER_MS };
+    }
     if (failing !== undefined) return { kind: failing };
     if (service === 'drafts') {
       return { kind: 'slowStream', events: DRAFT_EVENTS, gapMs: EVENT_GAP_MS };
