--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -82,14 +82,29 @@
   const suspect = suspectOf(state, record);
   if (suspect === undefined) return undefined;
   suspect.seenAtMs = step.nowMs;
-  const { keptOutSinceMs, judgedAtMs } = suspect;
+  const refusal = refusalOf(state, step, suspect);
+  if (refusal === undefined) return undefined;
+  log(step, 'crashSuspectRefused', {
+    request: record.facts.requestId,
+    suspect: suspect.key,
+    crashes: suspect.crashes.length,
+    keptOutForMs: Math.round(step.nowMs - (suspect.keptOutSinceMs ?? step.nowMs)),
+  });
+  return refusal;
+}
+
+function refusalOf(
+  state: GatewayState,
+  { nowMs }: Step,
+  suspect: CrashSuspect,
+): CrashRefusal | undefined {
+  const { keptOutSinceMs, judgedAtMs, crashes } = suspect;
   if (keptOutSinceMs !== undefined) {
     return { status: 500, reason: CRASHES_SERVERS, retryAfterMs: undefined };
   }
   const refusal = { status: 503, reason: 'crashSuspect' };
-  if (judgedAtMs !== undefined) return { ...refusal, retryAfterMs: judgedAtMs - step.nowMs };
-  if (suspect.crashes.length < CRASHES_TO_KEEP_OUT || mayTry(state, suspect, step.nowMs))
-    return undefined;
+  if (judgedAtMs !== undefined) return { ...refusal, retryAfterMs: judgedAtMs - nowMs };
+  if (crashes.length < CRASHES_TO_KEEP_OUT || mayTry(state, suspect, nowMs)) return undefined;
   return { ...refusal, retryAfterMs: TRIAL_RETRY_MS };
 }
 
