--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -30,6 +30,9 @@
 /** Pause between messages that tell all, in ms: a third of the time in which news must have come. */
 const TELL_ALL_EVERY_MS = 1000;
 
+/** Two tellings of one good run differ by less, in ms. */
+const SAME_RUN_MS = 500;
+
 /** Tells what is new, or everything when it is time. */
 export function crashNewsTick(state: GatewayState, step: Step): void {
   if (state.crashSuspects.size === 0) return;
@@ -91,7 +94,7 @@
   if (typeof value !== 'object' || value === null) return false;
   const { key, crashes, goodRunAgeMs, keptOutAgeMs, seenAgeMs } =
     value as Partial<CrashSuspectNews>;
-  const isAge = (age: unknown): boolean => age === undefined || age === null || isNumber(age);
+  const isAge = (age: unknown): boolean => age === undefined || isNumber(age);
   if (typeof key !== 'string' || !Array.isArray(crashes) || !isNumber(seenAgeMs)) return false;
   return isAge(goodRunAgeMs) && isAge(keptOutAgeMs) && crashes.every(isCrashRow);
 }
@@ -137,9 +140,6 @@
   return isNewlyOut || hasGrown || suspect.goodRunAtMs !== before.goodRunAtMs;
 }
 
-/** Two tellings of one good run differ by less, in ms. */
-const SAME_RUN_MS = 500;
-
 function crashOf(
   [serverId, bornAtMs, sentAgeMs, endedAgeMs]: CrashRow,
   nowMs: number,
--- a/packages/reedlug-gateway/src/slices/crashRecord.ts
+++ b/packages/reedlug-gateway/src/slices/crashRecord.ts
@@ -109,19 +109,23 @@
   const writtenAtMs = value.storeNowMs + (state.storeEpochMs ?? step.nowMs - value.storeNowMs);
   const agedMs = Math.max(0, step.nowMs - writtenAtMs);
   const told = value.suspects.filter(isSuspectNews);
-  for (const news of told) {
-    takeSuspect(state, step, {
-      ...news,
-      crashes: news.crashes.map(([id, born, sent, ended]) => [
-        id,
-        born,
-        sent + agedMs,
-        ended + agedMs,
-      ]),
-      goodRunAgeMs: news.goodRunAgeMs === undefined ? undefined : news.goodRunAgeMs + agedMs,
-      keptOutAgeMs: news.keptOutAgeMs === undefined ? undefined : news.keptOutAgeMs + agedMs,
-      seenAgeMs: news.seenAgeMs + agedMs,
-    });
-  }
+  for (const news of told) takeSuspect(state, step, olderBy(agedMs, news));
   crashRow.written = signatureOf(told);
 }
+
+/** What a row told, with the ages as of now. */
+function olderBy(agedMs: number, news: CrashSuspectNews): CrashSuspectNews {
+  const { goodRunAgeMs, keptOutAgeMs } = news;
+  return {
+    ...news,
+    crashes: news.crashes.map(([id, born, sent, ended]) => [
+      id,
+      born,
+      sent + agedMs,
+      ended + agedMs,
+    ]),
+    goodRunAgeMs: goodRunAgeMs === undefined ? undefined : goodRunAgeMs + agedMs,
+    keptOutAgeMs: keptOutAgeMs === undefined ? undefined : keptOutAgeMs + agedMs,
+    seenAgeMs: news.seenAgeMs + agedMs,
+  };
+}
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -9,21 +9,16 @@
  * crashed 70 to 80 of 15 engines' lives within 18 s before, and 23 to 29 % of the worth of
  * all other requests went with them.
  */
-import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
 import { CRASHES_TO_KEEP_OUT, isCulprit, isSameCrash } from '../policy/crashVerdict.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { CrashSuspect, ServerCrash } from '../types/crashSuspect.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
-import type { PeerView } from '../types/views.js';
 import { giveUp } from './ending.js';
-import { countsFreshly, isSeed, usesHubs } from './fleet.js';
 
 /** Suspects known at most; the ones with the fewest crashes, then those unseen for the longest, go first. */
 const MOST_SUSPECTS = 512;
 /** Crashes kept of one suspect, the newest; more say nothing new. */
 const MOST_CRASHES = 12;
-/** When such a request may come back to another box, in ms: a trial has ended by then. */
-const TRIAL_RETRY_MS = 500;
 /** Time since it last came after which a suspect, or one that is kept out, is forgotten, in ms. */
 const WATCHED_MS = 600_000;
 const KEPT_OUT_MS = 3_600_000;
@@ -62,68 +57,6 @@
   return state.crashSuspects.get(suspectKey(record.workspace, record.facts.digest));
 }
 
-/** What a request that has come is refused with, if it is to be sent to no server. */
-export interface CrashRefusal {
-  status: number;
-  reason: string;
-  retryAfterMs: number | undefined;
-}
-
-/**
- * Whether a request that has come is sent to no server, for good or until it is judged. For
- * good: the failure is the servers' own, and coming back changes nothing, so it is a 500
- * without a time; a 503 would be taken for overload and tried again.
- */
-export function crashRefusal(
-  state: GatewayState,
-  step: Step,
-  record: RequestRecord,
-): CrashRefusal | undefined {
-  const suspect = suspectOf(state, record);
-  if (suspect === undefined) return undefined;
-  suspect.seenAtMs = step.nowMs;
-  const refusal = refusalOf(state, step, suspect);
-  if (refusal === undefined) return undefined;
-  log(step, 'crashSuspectRefused', {
-    request: record.facts.requestId,
-    suspect: suspect.key,
-    crashes: suspect.crashes.length,
-    keptOutForMs: Math.round(step.nowMs - (suspect.keptOutSinceMs ?? step.nowMs)),
-  });
-  return refusal;
-}
-
-function refusalOf(
-  state: GatewayState,
-  { nowMs }: Step,
-  suspect: CrashSuspect,
-): CrashRefusal | undefined {
-  const { keptOutSinceMs, judgedAtMs, crashes } = suspect;
-  if (keptOutSinceMs !== undefined) {
-    return { status: 500, reason: CRASHES_SERVERS, retryAfterMs: undefined };
-  }
-  const refusal = { status: 503, reason: 'crashSuspect' };
-  if (judgedAtMs !== undefined) return { ...refusal, retryAfterMs: judgedAtMs - nowMs };
-  if (crashes.length < CRASHES_TO_KEEP_OUT || mayTry(state, suspect, nowMs)) return undefined;
-  return { ...refusal, retryAfterMs: TRIAL_RETRY_MS };
-}
-
-/**
- * Whether this box sends a suspect with three crashes whose case is open: one box does, the
- * first by rank of those that are heard, one send at a time. The users allow three further
- * sends in all; two boxes made four (drawn, a burst of six copies at once).
- */
-function mayTry(state: GatewayState, suspect: CrashSuspect, nowMs: number): boolean {
-  const keyHash = hashString(suspect.key);
-  const rank = (boxId: string): number => rendezvousWeight(keyHash, hashId(boxId));
-  const own = rank(state.settings.box.id);
-  const isThere = (peer: PeerView): boolean => usesHubs(state) || countsFreshly(peer, nowMs);
-  for (const peer of state.peers.values()) {
-    if (!isSeed(peer) && isThere(peer) && rank(peer.boxId) > own) return false;
-  }
-  return ![...state.requests.values()].some((record) => suspectOf(state, record) === suspect);
-}
-
 /** A request was open at a server that crashed. */
 export function noteCrash(state: GatewayState, step: Step, key: string, crash: ServerCrash): void {
   if (isPastCrash(state, step, key)) return;
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -5,7 +5,7 @@
 import type { AwaitingRequest, RequestFacts, RequestRecord } from '../types/request.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import { awaitStart, forgetAwaiting, knowsEnough, takeAwaiting } from './awaiting.js';
-import { crashRefusal } from './crashSuspects.js';
+import { crashRefusal } from './crashRefusal.js';
 import { findRoute } from './configuration.js';
 import { cancelAll, giveUp, refuse } from './ending.js';
 import { refuseIfLate } from './lateRefusals.js';
