Crash verdict: one round never decides; crashes of others are told beside the suspects

And a suspect that is cleared before the next tick took its crashes with it, so that others heard of too few. Change: two rounds at least; the test of copies that come at once says so now, and asks as much: kept out with the next crash, and not before.

--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -21,7 +21,7 @@
   unitsAsked: [],
   unitsLent: [],
   unitsReturned: [],
-  crashSuspects: ['suspects'],
+  crashSuspects: ['suspects', 'recent'],
 };
 
 /** A server's id, requests in progress, tokens to be read, prompts to be read, and the tokens by urgency. */
--- a/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
@@ -46,9 +46,10 @@
   expect(judge([suspect('popular', crashes)], others)).to.equal(false);
 });
 
-test('copies that came at once and are at all crashes make a culprit', () => {
+test('copies that came at once make a culprit with the next crash, and not before', () => {
   const crashes = ['a', 'b', 'c', 'd', 'e'].map((id) => crash(id, 100));
-  expect(judge([suspect('x', crashes)])).to.equal(true);
+  expect(judge([suspect('x', crashes)])).to.equal(false);
+  expect(judge([suspect('x', [...crashes, crash('f', 2000)])])).to.equal(true);
 });
 
 test('who was at each crash beside another one is not told from it, and waits', () => {
--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -12,13 +12,16 @@
 
 /** Crashes that make a request kept out: the users' figure of what may be lost to one. */
 export const CRASHES_TO_KEEP_OUT = 3;
-/** Share of the crashes since its first one at which a suspect was, and the rounds of them that decide from it on. */
-const ROUNDS_BY_SHARE = [
-  // Copies that came together took some servers, and none went without one of them.
-  { share: 0.8, rounds: 1 },
-  { share: 0.5, rounds: 2 },
-  { share: 0, rounds: 3 },
-] as const;
+/**
+ * Rounds among them, for who was at most of the crashes since its first one, and for others.
+ * One round never decides, whatever the share: of servers that go together, those that
+ * nobody used at the moment are not noticed. One more send of copies that came together
+ * tells, and the users allow three.
+ */
+const ROUNDS_AT_MOST = 2;
+const ROUNDS_AT_FEW = 3;
+/** Share of the crashes from which a suspect was at most of them. */
+const MOST_SHARE = 0.5;
 /** Crashes in three rounds without a good run that suffice also where others were at each of them. */
 const CRASHES_IN_ANY_CASE = 5;
 /** Two news of one crash of a server that does not tell its births differ by less, in ms: it takes longer to start again. */
@@ -48,7 +51,8 @@
   if (crashes.length < CRASHES_TO_KEEP_OUT) return false;
   const rounds = roundsOf(crashes);
   if (crashes.length >= CRASHES_IN_ANY_CASE && rounds >= CRASHES_TO_KEEP_OUT) return true;
-  if (rounds < roundsNeeded(shareOf(crashes, recent))) return false;
+  const roundsNeeded = shareOf(crashes, recent) >= MOST_SHARE ? ROUNDS_AT_MOST : ROUNDS_AT_FEW;
+  if (rounds < roundsNeeded) return false;
   const known = [...suspects];
   const rivals = known.filter(
     (other) => other !== suspect && crashes.some((crash) => wasAt(other, crash)),
@@ -71,11 +75,6 @@
   return parts.reduce((sum, part) => sum + part, 0);
 }
 
-/** Rounds that decide, by the share of crashes at which a suspect was. */
-function roundsNeeded(share: number): number {
-  return ROUNDS_BY_SHARE.find((row) => share >= row.share)?.rounds ?? CRASHES_TO_KEEP_OUT;
-}
-
 /** Share of the crashes since the suspect's first one at which it was. */
 function shareOf(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
   const sinceMs = Math.min(...crashes.map(({ endedAtMs }) => endedAtMs)) - SAME_MOMENT_MS;
--- a/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
@@ -72,7 +72,7 @@
     keptOutAgeMs: undefined,
     seenAgeMs: 0,
   }));
-  return { kind: 'crashSuspects', boxId: 'box-2', suspects };
+  return { kind: 'crashSuspects', boxId: 'box-2', suspects, recent: [] };
 }
 
 test('after three crashes a request is refused at once, truly, and without a time to come back', () => {
@@ -221,7 +221,8 @@
   const box = createBox();
   const strange = [null, 5, {}, { key: 'a' }, { key: 'a', crashes: [[1]], seenAgeMs: 0 }];
   const suspects = strange as unknown as CrashSuspectsMessage['suspects'];
-  box.take({ type: 'crashSuspects', message: { kind: 'crashSuspects', boxId: 'box-2', suspects } });
+  const message = { kind: 'crashSuspects' as const, boxId: 'box-2', suspects, recent: [] };
+  box.take({ type: 'crashSuspects', message });
   expect(box.state.crashSuspects.size).to.equal(0);
 });
 
@@ -252,3 +253,23 @@
   });
   expect(only(arrive(starter, 'bad').effects, 'refuse').status).to.equal(500);
 });
+
+test('crashes of others speak for a request, also of those that are cleared by now', () => {
+  const rows = (ids: readonly string[], ageMs: number, stepMs: number) =>
+    ids.map((id, index) => [id, 1, ageMs + 60 - index * stepMs, ageMs - index * stepMs] as const);
+  // Two crashes of one moment and one later: two rounds, enough for who was at most crashes.
+  const crashes = [...rows(['a', 'b'], 800, 0), ...rows(['c'], 400, 0)];
+  const news = { key: SUSPECT, crashes, goodRunAgeMs: undefined, keptOutAgeMs: undefined };
+  const isKeptOut = (others: ReturnType<typeof rows>): boolean => {
+    const box = createBox();
+    box.pass(1000);
+    const suspects = [{ ...news, seenAgeMs: 0 }];
+    const recent = [...crashes, ...others];
+    const message = { kind: 'crashSuspects' as const, boxId: 'box-2', suspects, recent };
+    box.take({ type: 'crashSuspects', message });
+    box.pass(JUDGED_MS);
+    return box.state.crashSuspects.get(SUSPECT)?.keptOutSinceMs !== undefined;
+  };
+  expect(isKeptOut([])).to.equal(true);
+  expect(isKeptOut(rows(['d', 'e', 'f', 'g'], 800, 0))).to.equal(false);
+});
--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -19,6 +19,7 @@
   awaitJudgement,
   clear,
   keepOut,
+  noteRecent,
   strengthOf,
   suspectFor,
 } from './crashSuspects.js';
@@ -30,6 +31,9 @@
 /** Pause between messages that tell all, in ms: a third of the time in which news must have come. */
 const TELL_ALL_EVERY_MS = 1000;
 
+/** Crashes of others that are told beside, by their age in ms, and at most: some 40 bytes each. */
+const RECENT_TOLD_MS = 2000;
+const MOST_RECENT_TOLD = 64;
 /** Two tellings of one good run differ by less, in ms. */
 const SAME_RUN_MS = 500;
 
@@ -49,7 +53,12 @@
   if (to.length === 0) return;
   const suspects = told.map((suspect) => newsOf(suspect, step.nowMs));
   const boxId = state.settings.box.id;
-  step.effects.push({ type: 'sendPeers', message: { kind: 'crashSuspects', boxId, suspects }, to });
+  const recent = state.recentCrashes
+    .filter(({ endedAtMs }) => step.nowMs - endedAtMs < RECENT_TOLD_MS)
+    .slice(-MOST_RECENT_TOLD)
+    .map((crash) => rowOf(crash, step.nowMs));
+  const message = { kind: 'crashSuspects' as const, boxId, suspects, recent };
+  step.effects.push({ type: 'sendPeers', message, to });
 }
 
 /** The suspects that matter most, as many as a message holds. */
@@ -77,18 +86,17 @@
   const ageOf = (atMs: number): number => Math.round(nowMs - atMs);
   return {
     key,
-    crashes: crashes.map((crash): CrashRow => [
-      crash.serverId,
-      crash.bornAtMs ?? null,
-      ageOf(crash.sentAtMs),
-      ageOf(crash.endedAtMs),
-    ]),
+    crashes: crashes.map((crash) => rowOf(crash, nowMs)),
     goodRunAgeMs: Number.isFinite(goodRunAtMs) ? ageOf(goodRunAtMs) : undefined,
     keptOutAgeMs: keptOutSinceMs === undefined ? undefined : ageOf(keptOutSinceMs),
     seenAgeMs: ageOf(seenAtMs),
   };
 }
 
+function rowOf({ serverId, bornAtMs, sentAtMs, endedAtMs }: ServerCrash, nowMs: number): CrashRow {
+  return [serverId, bornAtMs ?? null, Math.round(nowMs - sentAtMs), Math.round(nowMs - endedAtMs)];
+}
+
 /** Whether a value is news of a suspect: datagrams and rows come from other versions too. */
 export function isSuspectNews(value: unknown): value is CrashSuspectNews {
   if (typeof value !== 'object' || value === null) return false;
@@ -115,7 +123,9 @@
   event: EventOf<'crashSuspects'>,
 ): void {
   const handsOn = usesHubs(state) && state.hubId === undefined;
-  for (const news of event.message.suspects.filter(isSuspectNews)) {
+  const { suspects, recent } = event.message;
+  for (const row of recent.filter(isCrashRow)) noteRecent(state, crashOf(row, step.nowMs));
+  for (const news of suspects.filter(isSuspectNews)) {
     if (takeSuspect(state, step, news) && handsOn) state.crashNewsDue.add(news.key);
   }
 }
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -115,12 +115,16 @@
   return begunAtMs !== undefined && nowMs - begunAtMs >= PAST_CRASH_MS;
 }
 
+/** Notes a crash whoever was there: those of a moment tell a common cause from a request. */
+export function noteRecent({ recentCrashes }: GatewayState, crash: ServerCrash): void {
+  if (recentCrashes.some((known) => isSameCrash(known, crash))) return;
+  recentCrashes.push(crash);
+  if (recentCrashes.length > MOST_RECENT) recentCrashes.shift();
+}
+
 /** Adds a crash; false when it is known, or a good run came after the send. */
 export function addCrash(state: GatewayState, suspect: CrashSuspect, crash: ServerCrash): boolean {
-  if (!state.recentCrashes.some((known) => isSameCrash(known, crash))) {
-    state.recentCrashes.push(crash);
-    if (state.recentCrashes.length > MOST_RECENT) state.recentCrashes.shift();
-  }
+  noteRecent(state, crash);
   const { crashes } = suspect;
   if (crash.sentAtMs <= suspect.goodRunAtMs) return false;
   if (crashes.some((known) => isSameCrash(known, crash))) return false;
--- a/packages/reedlug-gateway/src/types/crashSuspect.ts
+++ b/packages/reedlug-gateway/src/types/crashSuspect.ts
@@ -43,6 +43,12 @@
   kind: 'crashSuspects';
   boxId: string;
   suspects: readonly CrashSuspectNews[];
+  /**
+   * Crashes of the last moments, whoever was there. Who is cleared before the next tick is
+   * told without its crashes: a box that heard of three of five at one moment took them for
+   * all, and kept a popular request out.
+   */
+  recent: readonly CrashRow[];
 }
 
 /** Key of the row in the table. */
