Table rows of an answer: one reading for roll-outs and crash suspects

The record of crash suspects had written the reading of a table's answer again that roll-outs had. No behaviour changed. Format, lint, types clean; tests of both slices and of the scenes: 26 passed.

--- a/packages/reedlug-gateway/src/slices/crashRecord.ts
+++ b/packages/reedlug-gateway/src/slices/crashRecord.ts
@@ -18,6 +18,7 @@
 import type { EventOf } from '../types/event.js';
 import { isSuspectNews, newsOf, strongest, takeSuspect } from './crashNews.js';
 import { dutyFence } from './duties.js';
+import { rowsOf } from './tableRows.js';
 
 /** Pause between calls, in ms: the store answers in some ms, a busy one is asked again. */
 const ASK_EVERY_MS = 250;
@@ -84,17 +85,15 @@
 export function onCrashRow(state: GatewayState, step: Step, event: EventOf<'tableAnswered'>): void {
   const { crashRow } = state;
   const { answer } = event;
-  if (answer.kind === 'unknown' || (answer.kind === 'refused' && answer.reason !== 'conflict')) {
+  const rows = rowsOf(answer);
+  if (rows === undefined) {
     // The write may have been done: the row is read before the next one.
     crashRow.version = undefined;
     return;
   }
   crashRow.wroteLast = answer.kind === 'done' && crashRow.isWriting;
-  takeRow(
-    state,
-    step,
-    answer.rows.find(({ key }) => key === CRASH_SUSPECTS_KEY),
-  );
+  const row = rows.find(({ key }) => key === CRASH_SUSPECTS_KEY);
+  takeRow(state, step, row);
 }
 
 function takeRow(state: GatewayState, step: Step, row: TableRow | undefined): void {
--- a/packages/reedlug-gateway/src/slices/rolloutRecords.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutRecords.ts
@@ -6,7 +6,7 @@
  * on the record's version, so a holder that has lost the lease without knowing
  * cannot undo what the next one wrote.
  */
-import type { TableAnswer, TableRow } from 'reedlug-coordination';
+import type { TableRow } from 'reedlug-coordination';
 import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
@@ -18,6 +18,7 @@
 } from '../types/rollout.js';
 import { dutyFence } from './duties.js';
 import { barredAfter, enterPhase, isOver } from './rollouts.js';
+import { rowsOf } from './tableRows.js';
 
 /** Pause between calls for one roll-out, in ms: the store answers in some ms, a busy one is asked again. */
 const ASK_EVERY_MS = 250;
@@ -95,17 +96,6 @@
   );
 }
 
-function rowsOf(answer: TableAnswer): readonly TableRow[] | undefined {
-  switch (answer.kind) {
-    case 'done':
-      return answer.rows;
-    case 'refused':
-      return answer.reason === 'conflict' ? answer.rows : undefined;
-    case 'unknown':
-      return undefined;
-  }
-}
-
 function takeRecord(
   state: GatewayState,
   step: Step,
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/tableRows.ts
@@ -0,0 +1,14 @@
+/** What an answer of the shared table says of its rows. */
+import type { TableAnswer, TableRow } from 'reedlug-coordination';
+
+/** The rows as they are now; undefined where the answer leaves open what the call has done. */
+export function rowsOf(answer: TableAnswer): readonly TableRow[] | undefined {
+  switch (answer.kind) {
+    case 'done':
+      return answer.rows;
+    case 'refused':
+      return answer.reason === 'conflict' ? answer.rows : undefined;
+    case 'unknown':
+      return undefined;
+  }
+}
