Crash news: a suspect that is told is as old as it is said to be

Found on reading the change: a box that had forgotten a suspect and heard of it again took it for seen now and told the others so, and they it: none was ever forgotten, against the hour and the ten minutes of the design. A test asks for it.

--- a/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
@@ -273,3 +273,15 @@
   expect(isKeptOut([])).to.equal(true);
   expect(isKeptOut(rows(['d', 'e', 'f', 'g'], 800, 0))).to.equal(false);
 });
+
+test('a suspect that others tell of is as old as they say, so that it is forgotten at last', () => {
+  const box = createBox();
+  box.nowMs = 700_000;
+  const news = { key: SUSPECT, crashes: [], goodRunAgeMs: undefined, keptOutAgeMs: undefined };
+  const suspects = [{ ...news, seenAgeMs: 599_500 }];
+  const message = { kind: 'crashSuspects' as const, boxId: 'box-2', suspects, recent: [] };
+  box.take({ type: 'crashSuspects', message });
+  expect(box.state.crashSuspects.size).to.equal(1);
+  box.pass(1500);
+  expect(box.state.crashSuspects.size).to.equal(0);
+});
--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -133,13 +133,15 @@
 /** Takes what is told of a suspect, ages as of now; tells whether anything was new. */
 export function takeSuspect(state: GatewayState, step: Step, news: CrashSuspectNews): boolean {
   const { nowMs } = step;
-  const suspect = suspectFor(state, step, news.key);
+  // What is told is as old as it says: else boxes would renew for each other what is to be forgotten.
+  const seenAtMs = nowMs - news.seenAgeMs;
+  const suspect = suspectFor(state, news.key, seenAtMs);
   const goodRunAtMs = nowMs - (news.goodRunAgeMs ?? Number.POSITIVE_INFINITY);
   const before = { crashes: suspect.crashes.length, goodRunAtMs: suspect.goodRunAtMs };
   // The same good run told again comes a way later.
   if (goodRunAtMs > suspect.goodRunAtMs + SAME_RUN_MS) clear(step, suspect, goodRunAtMs);
   for (const row of news.crashes) addCrash(state, suspect, crashOf(row, nowMs));
-  suspect.seenAtMs = Math.max(suspect.seenAtMs, nowMs - news.seenAgeMs);
+  suspect.seenAtMs = Math.max(suspect.seenAtMs, seenAtMs);
   const keptOutSinceMs = nowMs - (news.keptOutAgeMs ?? Number.POSITIVE_INFINITY);
   const wasKeptOut = suspect.keptOutSinceMs !== undefined;
   if (!wasKeptOut && keptOutSinceMs > suspect.goodRunAtMs) {
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -60,7 +60,7 @@
 /** A request was open at a server that crashed. */
 export function noteCrash(state: GatewayState, step: Step, key: string, crash: ServerCrash): void {
   if (isPastCrash(state, step, key)) return;
-  const suspect = suspectFor(state, step, key);
+  const suspect = suspectFor(state, key, step.nowMs);
   if (!addCrash(state, suspect, crash)) return;
   suspect.seenAtMs = step.nowMs;
   state.crashNewsDue.add(key);
@@ -84,7 +84,7 @@
 }
 
 /** The suspect of a key; a new one where none is known. */
-export function suspectFor(state: GatewayState, step: Step, key: string): CrashSuspect {
+export function suspectFor(state: GatewayState, key: string, seenAtMs: number): CrashSuspect {
   const known = state.crashSuspects.get(key);
   if (known !== undefined) return known;
   const suspect: CrashSuspect = {
@@ -93,7 +93,7 @@
     goodRunAtMs: Number.NEGATIVE_INFINITY,
     keptOutSinceMs: undefined,
     judgedAtMs: undefined,
-    seenAtMs: step.nowMs,
+    seenAtMs,
   };
   state.crashSuspects.set(key, suspect);
   return suspect;
