Crash suspects: twins made one, state that was not needed taken out

On reading the change: a lost send was counted against its server in two places alike (noteLoss); a hub of another group was told by the same two words in two slices (isFreshHub); ages of the row were made older in a copy before they were read (takeSuspect takes the time at which they were true); whether a call wrote the row was kept as state beside calls that overlap, and is told by the call's purpose now.

--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -130,7 +130,7 @@
     case 'checkpoint':
       return onCheckpointRow(state, step, event);
     case 'crashSuspects':
-      return onCrashRow(state, step, event);
+      return onCrashRow(state, step, event, event.purpose);
     case 'rollout':
       return onRolloutRow(state, step, event, event.purpose);
   }
--- a/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
@@ -231,7 +231,7 @@
   const read = only(writer.pass(50), 'requestTable');
   expect(read.op).to.deep.equal({ kind: 'read', keys: ['crash-suspects'] });
   const answer = { kind: 'done' as const, rows: [] };
-  const purpose = { kind: 'crashSuspects' as const };
+  const purpose = { kind: 'crashSuspects' as const, writes: false };
   writer.take({ type: 'tableAnswered', purpose, answer, sentAtMs: writer.nowMs });
   comeAndCrash(writer);
   writer.pass(300);
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -10,7 +10,7 @@
 import { closeAttempt, giveUp, reachWhenLost, serverOf } from './ending.js';
 import { isPastPoint, noteGoodRun } from './crashSuspects.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
-import { noteLostSend } from './lostServers.js';
+import { noteLoss } from './lostServers.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
@@ -190,10 +190,7 @@
   if (found === undefined) return;
   const { record, attempt } = found;
   const view = closeAttempt(state, attempt, reachWhenLost(attempt));
-  if (view !== undefined) {
-    noteFailure(view, step.nowMs);
-    noteLostSend(state, step, { record, attempt, view });
-  }
+  noteLoss(state, step, { record, attempt, view });
   noteLost(state, step, found);
   logLost(step, found, event.reason);
   afterLoss(state, step, found, event.reason);
--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -13,7 +13,7 @@
   ServerCrash,
 } from '../types/crashSuspect.js';
 import type { EventOf } from '../types/event.js';
-import { NewsScope, type PeerAddress } from '../types/peer.js';
+import type { PeerAddress } from '../types/peer.js';
 import {
   addCrash,
   awaitJudgement,
@@ -23,7 +23,7 @@
   strengthOf,
   suspectFor,
 } from './crashSuspects.js';
-import { countsFreshly, usesHubs } from './fleet.js';
+import { isFreshHub, usesHubs } from './fleet.js';
 import { membersOf } from './peerNews.js';
 
 /** Suspects in one message: some 200 bytes each, and five crashes of a request matter more than one. */
@@ -74,9 +74,7 @@
   if (!usesHubs(state)) return [...state.peers.values()].map(({ address }) => address);
   const hub = state.peers.get(state.hubId ?? '');
   if (hub !== undefined) return [hub.address];
-  const otherHubs = [...state.peers.values()].filter(
-    (peer) => peer.message?.scope === NewsScope.group && countsFreshly(peer, nowMs),
-  );
+  const otherHubs = [...state.peers.values()].filter((peer) => isFreshHub(peer, nowMs));
   return [...otherHubs, ...membersOf(state, nowMs)].map(({ address }) => address);
 }
 
@@ -130,19 +128,23 @@
   }
 }
 
-/** Takes what is told of a suspect, ages as of now; tells whether anything was new. */
-export function takeSuspect(state: GatewayState, step: Step, news: CrashSuspectNews): boolean {
-  const { nowMs } = step;
+/** Takes what is told of a suspect, with ages as of a time, by default now; tells whether anything was new. */
+export function takeSuspect(
+  state: GatewayState,
+  step: Step,
+  news: CrashSuspectNews,
+  toldAtMs = step.nowMs,
+): boolean {
   // What is told is as old as it says: else boxes would renew for each other what is to be forgotten.
-  const seenAtMs = nowMs - news.seenAgeMs;
+  const seenAtMs = toldAtMs - news.seenAgeMs;
   const suspect = suspectFor(state, news.key, seenAtMs);
-  const goodRunAtMs = nowMs - (news.goodRunAgeMs ?? Number.POSITIVE_INFINITY);
+  const goodRunAtMs = toldAtMs - (news.goodRunAgeMs ?? Number.POSITIVE_INFINITY);
   const before = { crashes: suspect.crashes.length, goodRunAtMs: suspect.goodRunAtMs };
   // The same good run told again comes a way later.
   if (goodRunAtMs > suspect.goodRunAtMs + SAME_RUN_MS) clear(step, suspect, goodRunAtMs);
-  for (const row of news.crashes) addCrash(state, suspect, crashOf(row, nowMs));
+  for (const row of news.crashes) addCrash(state, suspect, crashOf(row, toldAtMs));
   suspect.seenAtMs = Math.max(suspect.seenAtMs, seenAtMs);
-  const keptOutSinceMs = nowMs - (news.keptOutAgeMs ?? Number.POSITIVE_INFINITY);
+  const keptOutSinceMs = toldAtMs - (news.keptOutAgeMs ?? Number.POSITIVE_INFINITY);
   const wasKeptOut = suspect.keptOutSinceMs !== undefined;
   if (!wasKeptOut && keptOutSinceMs > suspect.goodRunAtMs) {
     keepOut(state, step, suspect, keptOutSinceMs);
@@ -154,12 +156,12 @@
 
 function crashOf(
   [serverId, bornAtMs, sentAgeMs, endedAgeMs]: CrashRow,
-  nowMs: number,
+  toldAtMs: number,
 ): ServerCrash {
   return {
     serverId,
     bornAtMs: bornAtMs ?? undefined,
-    sentAtMs: nowMs - sentAgeMs,
-    endedAtMs: nowMs - endedAgeMs,
+    sentAtMs: toldAtMs - sentAgeMs,
+    endedAtMs: toldAtMs - endedAgeMs,
   };
 }
--- a/packages/reedlug-gateway/src/slices/crashRecord.ts
+++ b/packages/reedlug-gateway/src/slices/crashRecord.ts
@@ -36,9 +36,8 @@
   if (crashRow.version === undefined) {
     if (sinceMs < READ_EVERY_MS) return;
     crashRow.askedAtMs = step.nowMs;
-    crashRow.isWriting = false;
     const op = { kind: 'read', keys: [CRASH_SUSPECTS_KEY] } as const;
-    return requestTable(step, { kind: 'crashSuspects' }, op);
+    return requestTable(step, { kind: 'crashSuspects', writes: false }, op);
   }
   if (state.crashSuspects.size === 0 && crashRow.written === '') return;
   if (sinceMs < ASK_EVERY_MS || !mayWrite(state, step)) return;
@@ -53,10 +52,10 @@
   }
   crashRow.askedAtMs = step.nowMs;
   const storeNowMs = Math.round(step.nowMs - (state.storeEpochMs ?? 0));
-  crashRow.isWriting = true;
   const value: CrashSuspectsRow = { storeNowMs, suspects };
   const write = { key: CRASH_SUSPECTS_KEY, expectVersion: crashRow.version, value };
-  requestTable(step, { kind: 'crashSuspects' }, { kind: 'transact', writes: [write] });
+  const op = { kind: 'transact', writes: [write] } as const;
+  requestTable(step, { kind: 'crashSuspects', writes: true }, op);
 }
 
 function mayWrite(state: GatewayState, step: Step): boolean {
@@ -82,7 +81,12 @@
 }
 
 /** Takes the table's answer. */
-export function onCrashRow(state: GatewayState, step: Step, event: EventOf<'tableAnswered'>): void {
+export function onCrashRow(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'tableAnswered'>,
+  purpose: { writes: boolean },
+): void {
   const { crashRow } = state;
   const { answer } = event;
   const rows = rowsOf(answer);
@@ -91,7 +95,7 @@
     crashRow.version = undefined;
     return;
   }
-  crashRow.wroteLast = answer.kind === 'done' && crashRow.isWriting;
+  crashRow.wroteLast = answer.kind === 'done' && purpose.writes;
   const row = rows.find(({ key }) => key === CRASH_SUSPECTS_KEY);
   takeRow(state, step, row);
 }
@@ -108,23 +112,6 @@
   const writtenAtMs = value.storeNowMs + (state.storeEpochMs ?? step.nowMs - value.storeNowMs);
   const agedMs = Math.max(0, step.nowMs - writtenAtMs);
   const told = value.suspects.filter(isSuspectNews);
-  for (const news of told) takeSuspect(state, step, olderBy(agedMs, news));
+  for (const news of told) takeSuspect(state, step, news, step.nowMs - agedMs);
   crashRow.written = signatureOf(told);
 }
-
-/** What a row told, with the ages as of now. */
-function olderBy(agedMs: number, news: CrashSuspectNews): CrashSuspectNews {
-  const { goodRunAgeMs, keptOutAgeMs } = news;
-  return {
-    ...news,
-    crashes: news.crashes.map(([id, born, sent, ended]) => [
-      id,
-      born,
-      sent + agedMs,
-      ended + agedMs,
-    ]),
-    goodRunAgeMs: goodRunAgeMs === undefined ? undefined : goodRunAgeMs + agedMs,
-    keptOutAgeMs: keptOutAgeMs === undefined ? undefined : keptOutAgeMs + agedMs,
-    seenAgeMs: news.seenAgeMs + agedMs,
-  };
-}
--- a/packages/reedlug-gateway/src/slices/crashRefusal.ts
+++ b/packages/reedlug-gateway/src/slices/crashRefusal.ts
@@ -10,6 +10,7 @@
 
 /** When such a request may come back to another box, in ms: a trial has ended by then. */
 const TRIAL_RETRY_MS = 500;
+
 /** What a request that has come is refused with, if it is to be sent to no server. */
 export interface CrashRefusal {
   status: number;
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -40,6 +40,11 @@
   return nowMs - peer.heardAtMs <= SILENT_AFTER_MS;
 }
 
+/** Whether a peer is the hub of another group, as its last news said. */
+export function isFreshHub(peer: PeerView, nowMs: number): boolean {
+  return peer.message?.scope === NewsScope.group && countsFreshly(peer, nowMs);
+}
+
 /** A seed is known by its address alone until it is heard or listed. */
 export function isSeed(peer: PeerView): boolean {
   return peer.boxId === peer.address.host;
--- a/packages/reedlug-gateway/src/slices/lostServers.ts
+++ b/packages/reedlug-gateway/src/slices/lostServers.ts
@@ -6,7 +6,7 @@
  * after, when it is born again, or when its entry goes: the first says so some ms after
  * the loss, the others seconds later.
  */
-import { noteGone } from '../policy/serverHealth.js';
+import { noteFailure, noteGone } from '../policy/serverHealth.js';
 import type { GatewayState, Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
 import type { LostServer } from '../types/crashSuspect.js';
@@ -17,6 +17,18 @@
 /** Time for which it may still come out that a server has crashed, in ms: its entry goes after three heartbeats, or it is born again after some seconds. */
 const OPEN_MS = 15_000;
 
+/** A send of this box was lost: it counts against its server, if that is still known. */
+export function noteLoss(
+  state: GatewayState,
+  step: Step,
+  params: { record: RequestRecord; attempt: Attempt; view: ServerView | undefined },
+): void {
+  const { record, attempt, view } = params;
+  if (view === undefined) return;
+  noteFailure(view, step.nowMs);
+  noteLostSend(state, step, { record, attempt, view });
+}
+
 /** Notes a send that its server will not answer, and asks whether the server is still there. */
 export function noteLostSend(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/silence.ts
+++ b/packages/reedlug-gateway/src/slices/silence.ts
@@ -1,9 +1,8 @@
 /** Requests whose server has gone silent: what may be repeated is sent to another one. */
-import { noteFailure } from '../policy/serverHealth.js';
 import { lostAfterMs, silenceMs } from '../policy/serverSilence.js';
 import type { GatewayState, Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
-import { noteLostSend } from './lostServers.js';
+import { noteLoss } from './lostServers.js';
 import { haveRoomForSend, mayRunAgain, repeat } from './repeats.js';
 import { noteLeft } from './rolloutEvidence.js';
 import { closeAttempt, reachWhenLost, serverOf } from './ending.js';
@@ -40,10 +39,7 @@
   record.avoid.add(attempt.serverId);
   noteLeft(state, step, record);
   const view = closeAttempt(state, attempt, reach);
-  if (view !== undefined) {
-    noteFailure(view, step.nowMs);
-    noteLostSend(state, step, { record, attempt, view });
-  }
+  noteLoss(state, step, { record, attempt, view });
   step.effects.push({ type: 'cancelAttempt', attemptId: attempt.attemptId });
   repeat(state, step, { record, attempt }, 'serverSilent', choice);
 }
--- a/packages/reedlug-gateway/src/slices/tellPeers.ts
+++ b/packages/reedlug-gateway/src/slices/tellPeers.ts
@@ -5,7 +5,6 @@
  * news to the hub of their group, which gives them the sum of all others back.
  */
 import type { PeerAddress, PeerMessage } from '../types/peer.js';
-import { NewsScope } from '../types/peer.js';
 import type { HostPort } from '../types/server.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { PeerView } from '../types/views.js';
@@ -13,6 +12,7 @@
   betterHubs,
   chooseHub,
   countsFreshly,
+  isFreshHub,
   isHubSilent,
   knownGroups,
   PEER_GONE_AFTER_MS,
@@ -102,9 +102,7 @@
   const message = news.ofGroup();
   for (const group of groups) {
     const peers = group.map(({ boxId }) => state.peers.get(boxId)).filter((peer) => !!peer);
-    const hubs = peers.filter(
-      (peer) => peer.message?.scope === NewsScope.group && countsFreshly(peer, step.nowMs),
-    );
+    const hubs = peers.filter((peer) => isFreshHub(peer, step.nowMs));
     for (const hub of hubs) tell(step, hub, message);
     if (hubs.length > 0) continue;
     for (const peer of peers.slice(0, PROBED_HUBS)) {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -180,7 +180,6 @@
       version: undefined,
       written: '',
       askedAtMs: Number.NEGATIVE_INFINITY,
-      isWriting: false,
       wroteLast: false,
       hasOwnNews: false,
     },
--- a/packages/reedlug-gateway/src/types/crashSuspect.ts
+++ b/packages/reedlug-gateway/src/types/crashSuspect.ts
@@ -77,8 +77,6 @@
   /** What it says in short. */
   written: string;
   askedAtMs: number;
-  /** True for a call that writes. */
-  isWriting: boolean;
   /** True while this box wrote it last, as far as it knows. */
   wroteLast: boolean;
   /** True once this box's own sends showed what the row may lack. */
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -98,7 +98,7 @@
   | { kind: 'clock' }
   | { kind: 'usage'; window: number }
   | { kind: 'checkpoint' }
-  | { kind: 'crashSuspects' }
+  | { kind: 'crashSuspects'; writes: boolean }
   /** The record of a roll-out, of the order with this revision. */
   | { kind: 'rollout'; service: string; revision: number };
 
