Sight: a box hears which limit a server names, and logs it

The log could not tell why servers that name a limit of requests a second get more: no line said that a server named one, nor which box heard it. The head of each answer is now an event of its own, since a plain answer is told whole and a stream with its first event. Nothing is decided by it yet.

--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -12,6 +12,7 @@
 import type { AnswerVerdict, HeadFacts } from './types/request.js';
 import type { RolloutOrder } from './types/rollout.js';
 import type { ServerChange } from './types/server.js';
+import type { LimitWord } from './types/serverLimit.js';
 import type { GatewaySettings } from './types/settings.js';
 
 /** Names and values in turn, as they stood on the wire. */
@@ -104,6 +105,8 @@
     status: number;
     rawHeaders: RawHeaders;
   }) => AnswerVerdict;
+  /** What an answer says of its server's limit. */
+  limitOf: (rawHeaders: RawHeaders) => LimitWord;
   /** The answer's end-to-end fields. */
   answerHeaders: (rawHeaders: RawHeaders) => string[];
   /** Fields of an answer of this box itself. */
--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -12,6 +12,7 @@
     if (rawHeaders[index + 1] !== 'request-1') return 'invalid';
     return status === 200 ? 'success' : 'failure';
   },
+  limitOf: () => ({ kind: 'none' }),
   answerHeaders: (raw) => [...raw],
   refusalHeaders: () => [],
 };
@@ -52,6 +53,7 @@
       request: { ...REQUEST, streaming },
       listener: {
         onNotSent: () => tell('notSent'),
+        onBegun: () => undefined,
         onAnswered: (verdict) => {
           text = attempt.answer()?.body.toString() ?? '';
           if (streaming && verdict === 'success') told.push('begun');
@@ -186,6 +188,7 @@
       request: REQUEST,
       listener: {
         onNotSent: () => resolve('notSent'),
+        onBegun: () => undefined,
         onAnswered: () => resolve('answered'),
         onEvents: () => undefined,
         onEnded: () => resolve('ended'),
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from 'undici';
 import type { HeaderCodec } from '../adapter.js';
 import type { AnswerVerdict } from '../types/request.js';
+import type { LimitWord } from '../types/serverLimit.js';
 import type { Connection, ConnectionPool } from './connectionPool.js';
 import { createEventSplitter, type StreamEvent } from './eventSplitter.js';
 
@@ -25,6 +26,8 @@
 /** What an attempt tells. */
 export interface AttemptListener {
   onNotSent: (reason: string) => void;
+  /** The head of an answer of this server to this request came. */
+  onBegun: (limit: LimitWord) => void;
   onAnswered: (verdict: AnswerVerdict, status: number) => void;
   onEvents: (events: readonly StreamEvent[]) => void;
   onEnded: () => void;
@@ -101,7 +104,10 @@
       verdict = codec.judgeAnswer({ requestId: request.requestId, status, rawHeaders });
       connection.answerEndsWithIt = !isFramed(status, rawHeaders);
       answer = { status, statusText: statusText ?? '', rawHeaders, body: Buffer.alloc(0) };
-      if (verdict !== 'invalid') return;
+      if (verdict !== 'invalid') {
+        if (verdict !== 'otherServer') listener.onBegun(codec.limitOf(rawHeaders));
+        return;
+      }
       settle(() => listener.onAnswered('invalid', status));
       drop();
     },
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -72,6 +72,9 @@
         end();
         runtime.emit({ type: 'attemptNotSent', ...ids, reason });
       },
+      onBegun(limit) {
+        runtime.emit({ type: 'answerBegun', ...ids, limit });
+      },
       onAnswered(verdict, status) {
         runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status });
         if (!streaming || verdict !== 'success') end();
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -8,6 +8,7 @@
 import type { GatewayState, Step } from './state.js';
 import { onConfigurationRead } from './slices/configuration.js';
 import {
+  onAnswerBegun,
   onAttemptAnswered,
   onAttemptEnded,
   onAttemptLost,
@@ -53,6 +54,8 @@
       return onCallerGone(state, step, event);
     case 'attemptNotSent':
       return onAttemptNotSent(state, step, event);
+    case 'answerBegun':
+      return onAnswerBegun(state, step, event);
     case 'attemptAnswered':
       return onAttemptAnswered(state, step, event);
     case 'eventsRelayed':
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -11,6 +11,7 @@
 import { isPastPoint, noteGoodRun } from './crashSuspects.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { noteLoss } from './lostServers.js';
+import { noteLimitWord } from './serverLimits.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
@@ -42,6 +43,18 @@
   tryAgain(state, step, found, event.reason);
 }
 
+/** The head of an answer came: it may name its server's limit. */
+export function onAnswerBegun(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'answerBegun'>,
+): void {
+  const found = find(state, event);
+  if (found === undefined) return;
+  const view = serverOf(state, found.attempt);
+  if (view !== undefined) noteLimitWord(step, view, found, event.limit);
+}
+
 /** A plain answer, or the head and first event of a stream. */
 export function onAttemptAnswered(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -113,6 +113,7 @@
     running: conditions.running,
     prefillTokens,
     version: view.entry.version ?? '',
+    limitPerSecond: view.limit?.perSecond ?? -1,
     configuration: state.active?.configuration.version ?? 0,
     servers: state.serversRevision,
   });
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -131,6 +131,7 @@
     heardAtMs: 0,
     slowness: 1,
     slownessAtMs: 0,
+    limit: undefined,
     cachedParts: new Map(),
   };
 }
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -4,6 +4,7 @@
 import type { CrashSuspectsMessage } from './crashSuspect.js';
 import type { AnswerVerdict, RequestFacts } from './request.js';
 import type { RolloutOrder } from './rollout.js';
+import type { LimitWord } from './serverLimit.js';
 import type { ServerChange } from './server.js';
 import type {
   PeerAddress,
@@ -27,6 +28,8 @@
   | { type: 'callerGone'; exchangeId: number }
   /** No byte of the attempt left this box. */
   | { type: 'attemptNotSent'; exchangeId: number; attemptId: number; reason: string }
+  /** The head of a server's answer is here, with what it says of the server's limit. */
+  | { type: 'answerBegun'; exchangeId: number; attemptId: number; limit: LimitWord }
   /** A whole plain answer is here, or the head and first event of a stream. */
   | {
       type: 'attemptAnswered';
