Test, failing: servers that name a limit get as many requests as before

Simulated servers name a limit of requests a second in their answers, another one after a while, then none; what they get is counted at the servers, of boxes that had passed such an answer on half a second before, over each four seconds from the users' time for news on.

--- /dev/null
+++ b/packages/reedlug-simulator/src/__tests__/limitedServers.test.ts
@@ -0,0 +1,36 @@
+/**
+ * A server that names a limit gets no more than that from all boxes together.
+ *
+ * Users saw servers in need, which name in their answers how many requests a second they
+ * take from all boxes together, get as many as before: 12 in four seconds where 11 were
+ * allowed, from boxes that had passed such an answer on.
+ */
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { readSceneFile, runScene, type SceneReport } from '../index.js';
+
+const SCENES = [
+  'limited-base',
+  'limited-all',
+  'limited-falling',
+  'limited-killed',
+  'limited-cut',
+  'limited-24',
+  'limited-69',
+] as const;
+
+async function run(file: string, seed: number): Promise<SceneReport> {
+  const path = fileURLToPath(new URL(`../../../../scenes/${file}.yaml`, import.meta.url));
+  const read = readSceneFile(path);
+  if (read.kind === 'faulty') throw new Error(JSON.stringify(read.faults));
+  return runScene(read.scene, seed);
+}
+
+test('servers that name a limit get no more from all boxes together', async () => {
+  for (const file of SCENES) {
+    for (const seed of [1, 2]) {
+      const { broken } = await run(file, seed);
+      expect(broken, `${file}, seed ${seed}`).to.deep.equal([]);
+    }
+  }
+});
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -18,6 +18,7 @@
 import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
 import { areCut, boxAt, later, nowMs, takeNumber, wayMs, type World } from '../world.js';
 import { endUnder, noteEndingSend } from '../faults/endingRequests.js';
+import { limitWordOf, noteLimitedArrival, noteLimitTold } from '../faults/limitedServers.js';
 import { faultOfVersion, noteRolloutArrival } from '../faults/rollouts.js';
 import { slowDown } from '../servers/batchEngine.js';
 import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
@@ -108,6 +109,7 @@
   const { request } = caller;
   noteArrival(world, request, server.entry.service);
   noteRolloutArrival(world, server);
+  noteLimitedArrival(world, server, box);
   if (request.endsServer !== undefined) {
     noteEndingSend(world, box, request.facts.digest);
     return endUnder(world, server, request.facts.digest, request.endsServer);
@@ -130,12 +132,16 @@
       if (box.sends.has(attemptId)) tell();
     });
   };
-  const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void =>
+  const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void => {
+    const limit = limitWordOf(world, server, verdict);
     say(() => {
       const isOpen = verdict === 'success' && effect.streaming;
       if (!isOpen) end(box, server, attemptId, runId);
+      box.emit({ type: 'answerBegun', ...ids, limit });
+      if (limit.kind === 'limit') noteLimitTold(world, server, box);
       box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
     });
+  };
   const onRejected = (): void => answer('notRun', 503);
   if (server.work.kind === 'plain') {
     const onAnswered = (): void => {
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -13,7 +13,7 @@
 } from 'reedlug-gateway';
 import type { CallerAttempt } from '../callers/callerAttempt.js';
 import { stopRun } from '../servers/batchEngine.js';
-import { later, nowMs, type World } from '../world.js';
+import { CONTACT_MS, later, nowMs, type World } from '../world.js';
 import { performEffect } from './performEffect.js';
 
 /** Wall clock of the world's start, in ms; any time will do. */
@@ -157,6 +157,14 @@
   box.sends.clear();
 }
 
+/** Whether a box has run, and heard the others, for long enough to know what they know. */
+export function isInTouch(world: World, box: VirtualBox): boolean {
+  const sinceMs = nowMs(world) - CONTACT_MS;
+  return (
+    box.startedAtMs <= sinceMs && world.cutZones.size === 0 && world.lastCutEndedAtMs <= sinceMs
+  );
+}
+
 /** Stops a run at its server. */
 export function stopRunAt(world: World, serverId: string, runId: number): void {
   const server = world.servers.get(serverId);
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -14,6 +14,7 @@
 import { later, type World } from '../world.js';
 import { changeLimits } from './changeLimits.js';
 import { sendEndingRequests } from './endingRequests.js';
+import { limitServers } from './limitedServers.js';
 import { beginRollout } from './rollouts.js';
 
 /** Time until a process that ended is started again, in ms. */
@@ -73,6 +74,12 @@
       return restartEngines(world, fault);
     case 'endingRequests':
       return sendEndingRequests(world, fault);
+    case 'limitServers': {
+      const ofService = [...world.servers.values()].filter(
+        ({ entry }) => entry.service === fault.service && entry.state === ServerState.ready,
+      );
+      return limitServers(world, fault, drawShare(world, ofService, fault.share));
+    }
     case 'failRequests': {
       world.failShare = fault.share;
       return later(world, fault.forS * 1000, () => {
--- a/packages/reedlug-simulator/src/faults/endingRequests.ts
+++ b/packages/reedlug-simulator/src/faults/endingRequests.ts
@@ -5,13 +5,11 @@
 import { endingOf, noteAsked } from '../report/sceneRecord.js';
 import type { SceneClass, SceneFaultSpec } from '../scene/scene.js';
 import { restartServer, type VirtualServer } from '../servers/serverPark.js';
-import type { VirtualBox } from '../boxes/virtualBox.js';
-import { later, nowMs, takeNumber, type World } from '../world.js';
+import { isInTouch, type VirtualBox } from '../boxes/virtualBox.js';
+import { CONTACT_MS, later, nowMs, takeNumber, type World } from '../world.js';
 
 /** Servers that may end under one before the promise begins. */
 const ENDS_BEFORE = 3;
-/** Time after the third end in which news of it are on their way, and after a trouble until a box is in touch, in ms: the users' figure. */
-const CONTACT_MS = 3000;
 /** Sends that may be made after that, by all boxes in touch: the users' figure. */
 export const MOST_FURTHER_SENDS = 3;
 
@@ -73,14 +71,6 @@
   if (isInTouch(world, box)) endingOf(world, digest).sentAtMs.push(nowMs(world));
 }
 
-/** Whether a box has run, and heard the others, for long enough to know what they know. */
-function isInTouch(world: World, box: VirtualBox): boolean {
-  const sinceMs = nowMs(world) - CONTACT_MS;
-  return (
-    box.startedAtMs <= sinceMs && world.cutZones.size === 0 && world.lastCutEndedAtMs <= sinceMs
-  );
-}
-
 /** What became of one such request. */
 export interface EndingRow {
   digest: string;
--- /dev/null
+++ b/packages/reedlug-simulator/src/faults/limitedServers.ts
@@ -0,0 +1,160 @@
+/** Servers in need that name a limit in their answers, and what is promised of them. */
+import type { LimitWord } from 'reedlug-gateway';
+import { isInTouch, type VirtualBox } from '../boxes/virtualBox.js';
+import type { LimitedServerRecord } from '../report/sceneRecord.js';
+import { greatestShare, type TimedAmount } from '../report/slidingSum.js';
+import type { SceneFaultSpec } from '../scene/scene.js';
+import type { VirtualServer } from '../servers/serverPark.js';
+import { CONTACT_MS, later, nowMs, type World } from '../world.js';
+
+/** Time since a box passed such an answer on from which its sends count, in ms: the users' figure. */
+const TOLD_MS = 500;
+/** Length of the windows in which requests are counted, in ms, and what is allowed in each beside the limit: the users' figures. */
+const WINDOW_MS = 4000;
+const ALLOWED_FACTOR = 1.5;
+const ALLOWED_ON_TOP = 5;
+
+type LimitFault = Extract<SceneFaultSpec, { kind: 'limitServers' }>;
+
+/** Servers begin to name a limit, another one after half of the time where the fault says so, and then none. */
+export function limitServers(
+  world: World,
+  fault: LimitFault,
+  servers: readonly VirtualServer[],
+): void {
+  for (const server of servers) {
+    server.limit = { perSecond: fault.perSecond, namedOn: fault.namedOn };
+    const lengthMs = fault.forS * 1000;
+    const record = createRecord(world, server);
+    world.record.limitedServers.push(record);
+    if (fault.thenPerSecond !== undefined) {
+      const perSecond = fault.thenPerSecond;
+      later(world, lengthMs / 2, () => {
+        if (currentRecord(world, server) !== record) return;
+        server.limit = { perSecond, namedOn: fault.namedOn };
+        record.periods.push({ fromMs: nowMs(world), perSecond });
+      });
+    }
+    later(world, lengthMs, () => {
+      if (currentRecord(world, server) !== record) return;
+      server.limit = undefined;
+      record.endedAtMs = nowMs(world);
+    });
+  }
+}
+
+function createRecord(world: World, server: VirtualServer): LimitedServerRecord {
+  const earlier = currentRecord(world, server);
+  if (earlier !== undefined) earlier.endedAtMs = nowMs(world);
+  return {
+    server,
+    periods: [{ fromMs: nowMs(world), perSecond: server.limit?.perSecond ?? 0 }],
+    namedAtMs: undefined,
+    endedAtMs: undefined,
+    toldAtMs: new Map(),
+    arrivals: [],
+  };
+}
+
+/** The record of a server that names a limit now. */
+function currentRecord(world: World, server: VirtualServer): LimitedServerRecord | undefined {
+  return world.record.limitedServers.findLast(
+    (record) => record.server === server && record.endedAtMs === undefined,
+  );
+}
+
+/** What a server's answer says of its limit. */
+export function limitWordOf(
+  world: World,
+  server: VirtualServer,
+  verdict: 'success' | 'failure' | 'notRun',
+): LimitWord {
+  const { limit } = server;
+  if (limit === undefined) return { kind: 'none' };
+  if (limit.namedOn === 'failures' && verdict === 'success') return { kind: 'none' };
+  const record = currentRecord(world, server);
+  if (record !== undefined) record.namedAtMs ??= nowMs(world);
+  return { kind: 'limit', perSecond: limit.perSecond };
+}
+
+/** Notes that a box has passed an answer on that names a limit. */
+export function noteLimitTold(world: World, server: VirtualServer, box: VirtualBox): void {
+  const told = currentRecord(world, server)?.toldAtMs;
+  if (told !== undefined && !told.has(box)) told.set(box, nowMs(world));
+}
+
+/** Notes a request that reached a server. */
+export function noteLimitedArrival(world: World, server: VirtualServer, box: VirtualBox): void {
+  const record = world.record.limitedServers.findLast((known) => known.server === server);
+  const atMs = nowMs(world);
+  const isBound = (record?.toldAtMs.get(box) ?? Infinity) <= atMs - TOLD_MS;
+  record?.arrivals.push({ atMs, isBound: isBound && isInTouch(world, box) });
+}
+
+/** How a server's limit was kept. */
+export interface LimitedServerRow {
+  server: string;
+  /** The limit that was named last. */
+  perSecond: number;
+  /** Requests of the window that is the greatest share of what is allowed: of boxes bound by the promise, and of all boxes. */
+  most: number;
+  allowed: number;
+  mostOfAll: number;
+  allowedOfAll: number;
+  /** Requests from the time on at which all know, as a share of what the limits allow. */
+  usedShare: number;
+  /** Requests in the three seconds after those that follow its end. */
+  afterEnd: number | undefined;
+}
+
+/** How the limits of all servers were kept. */
+export function limitedServerRows(world: World): LimitedServerRow[] {
+  return world.record.limitedServers
+    .filter(({ namedAtMs }) => namedAtMs !== undefined)
+    .map((record) => rowOf(world, record));
+}
+
+function rowOf(world: World, record: LimitedServerRecord): LimitedServerRow {
+  const { server, periods, namedAtMs = 0, endedAtMs, arrivals } = record;
+  const fromMs = namedAtMs + CONTACT_MS;
+  const untilMs = Math.min(endedAtMs ?? Infinity, nowMs(world));
+  const counted = arrivals.filter(({ atMs }) => atMs >= fromMs && atMs < untilMs);
+  const timed = (of: typeof counted): TimedAmount[] => of.map(({ atMs }) => ({ atMs, amount: 1 }));
+  const allowedAt = (atMs: number): number =>
+    (highestLimit(record, atMs) * ALLOWED_FACTOR * WINDOW_MS) / 1000 + ALLOWED_ON_TOP;
+  const bound = greatestShare(
+    timed(counted.filter(({ isBound }) => isBound)),
+    WINDOW_MS,
+    allowedAt,
+  );
+  const all = greatestShare(timed(counted), WINDOW_MS, allowedAt);
+  const grantedOf = periods.map(({ fromMs: beginMs, perSecond }, index) => {
+    const endMs = Math.min(untilMs, periods[index + 1]?.fromMs ?? Infinity);
+    return (Math.max(0, endMs - Math.max(fromMs, beginMs)) * perSecond) / 1000;
+  });
+  const granted = grantedOf.reduce((sum, part) => sum + part, 0);
+  const endMs = endedAtMs;
+  return {
+    server: server.entry.id,
+    perSecond: periods.at(-1)?.perSecond ?? 0,
+    most: bound.most,
+    allowed: bound.allowed,
+    mostOfAll: all.most,
+    allowedOfAll: all.allowed,
+    usedShare: granted === 0 ? 0 : counted.length / granted,
+    afterEnd:
+      endMs === undefined
+        ? undefined
+        : arrivals.filter(({ atMs }) => atMs >= endMs + 3000 && atMs < endMs + 6000).length,
+  };
+}
+
+/** The highest limit in force in the window before a time; of a lower one news are on their way for a while. */
+function highestLimit({ periods }: LimitedServerRecord, atMs: number): number {
+  const sinceMs = atMs - WINDOW_MS - CONTACT_MS;
+  const inForce = periods.filter(({ fromMs }, index) => {
+    const endMs = periods[index + 1]?.fromMs ?? Infinity;
+    return fromMs <= atMs && endMs > sinceMs;
+  });
+  return Math.max(0, ...inForce.map(({ perSecond }) => perSecond));
+}
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -1,7 +1,9 @@
 /** Keeps what happens in a run: ends of requests, costs, and promises that were broken. */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { isRepeatable, type CallerRequest } from '../callers/callerAttempt.js';
+import type { VirtualBox } from '../boxes/virtualBox.js';
 import type { BatchEngine } from '../servers/batchEngine.js';
+import type { VirtualServer } from '../servers/serverPark.js';
 import type { World } from '../world.js';
 import { nowMs } from '../world.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
@@ -27,6 +29,20 @@
   sentAtMs: number[];
 }
 
+/** A server that named a limit, and what it got. */
+export interface LimitedServerRecord {
+  server: VirtualServer;
+  /** Its limits one after another. */
+  periods: { fromMs: number; perSecond: number }[];
+  /** When an answer first named one, and from when on none does. */
+  namedAtMs: number | undefined;
+  endedAtMs: number | undefined;
+  /** When boxes first passed such an answer on. */
+  toldAtMs: Map<VirtualBox, number>;
+  /** Requests that reached it, and whether their boxes were bound by the limit. */
+  arrivals: { atMs: number; isBound: boolean }[];
+}
+
 /** The record of a run. */
 export interface SceneRecord {
   whole: Outcomes;
@@ -52,6 +68,7 @@
   units: Map<string, TimedAmount[]>;
   /** Requests under which servers end, by digest. */
   endings: Map<string, EndingRecord>;
+  limitedServers: LimitedServerRecord[];
   broken: BrokenPromise[];
   logs: Map<string, number>;
   /** Told of each log line, for a look at one run. */
@@ -89,6 +106,7 @@
     repeats: new Map(),
     units: new Map(),
     endings: new Map(),
+    limitedServers: [],
     broken: [],
     logs: new Map(),
     onLog: () => undefined,
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -1,6 +1,7 @@
 /** The report of a run: what callers got, what it cost, what was broken. */
 import { factorInForce } from '../faults/changeLimits.js';
 import { endingRows, MOST_FURTHER_SENDS, type EndingRow } from '../faults/endingRequests.js';
+import { limitedServerRows, type LimitedServerRow } from '../faults/limitedServers.js';
 import { rolloutFaults } from '../faults/rollouts.js';
 import type { World } from '../world.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
@@ -53,6 +54,8 @@
   broken: BrokenPromise[];
   logs: Record<string, number>;
   rollouts: RolloutRow[];
+  /** Servers that named a limit, and how it was kept. */
+  limitedServers: LimitedServerRow[];
   /** Requests under which servers end: how many ended, and sends later than allowed after the third. */
   endings: EndingRow[];
 }
@@ -122,6 +125,7 @@
     limits: limitRows(world),
     broken: record.broken,
     logs: Object.fromEntries(record.logs),
+    limitedServers: limitedServerRows(world),
     endings: endingRows(world),
     rollouts: world.rollouts.map((watch) => ({
       version: watch.version,
@@ -162,6 +166,10 @@
       breakBound(world, 'limit', `${workspace}: ${most} of ${Math.round(allowed)}`);
     }
   }
+  for (const { server, perSecond, most, allowed } of limitedServerRows(world)) {
+    if (most <= allowed) continue;
+    breakBound(world, 'serverLimit', `${server}, ${perSecond} a second: ${most} of ${allowed}`);
+  }
   for (const { promise, detail } of rolloutFaults(world)) breakBound(world, promise, detail);
   for (const { digest, ended, furtherSends } of endingRows(world)) {
     if (furtherSends <= MOST_FURTHER_SENDS) continue;
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -106,6 +106,17 @@
     downS: positive.default(2.5),
     tellsBirth: z.boolean().default(true),
   }),
+  /** Servers in need name a limit of requests a second, another one after half of the time, then none. */
+  z.strictObject({
+    kind: z.literal('limitServers'),
+    ...span,
+    service: z.string().min(1),
+    share,
+    perSecond: notNegative,
+    thenPerSecond: notNegative.optional(),
+    /** Which of their answers name it. */
+    namedOn: z.enum(['all', 'failures']).default('all'),
+  }),
   z.strictObject({ kind: z.literal('failRequests'), ...span, share }),
   z.strictObject({
     kind: z.literal('burst'),
@@ -269,7 +280,7 @@
     if ('zone' in fault && fault.zone !== undefined && !scene.zones.includes(fault.zone)) {
       faults.push({ path: [...path, 'zone'], message: `no zone ${fault.zone}` });
     }
-    if (fault.kind === 'rollout' && !kinds.has(fault.service)) {
+    if ('service' in fault && !kinds.has(fault.service)) {
       faults.push({ path: [...path, 'service'], message: `no service ${fault.service}` });
     }
     if (!('class' in fault) || fault.class === undefined) return;
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -37,6 +37,8 @@
   startedAtMs: number;
   /** Says nothing and takes nothing any more. */
   isSilent: boolean;
+  /** The limit that its answers name, and which of them do. */
+  limit: { perSecond: number; namedOn: 'all' | 'failures' } | undefined;
   /** Told when it ends while requests are open, by run. */
   openRuns: Map<number, () => void>;
 }
@@ -139,7 +141,14 @@
 }
 
 function createServer(world: World, entry: ServerEntry, work: ServerWork): VirtualServer {
-  return { entry, work, startedAtMs: nowMs(world), isSilent: false, openRuns: new Map() };
+  return {
+    entry,
+    work,
+    startedAtMs: nowMs(world),
+    isSilent: false,
+    limit: undefined,
+    openRuns: new Map(),
+  };
 }
 
 function heartbeatOf(world: World, name: string): number {
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -9,6 +9,9 @@
 import type { VirtualServer } from './servers/serverPark.js';
 import type { VirtualStore } from './store/virtualStore.js';
 
+/** Time after a change, or a trouble, in which news of it are on their way to all boxes, in ms: the users' figure. */
+export const CONTACT_MS = 3000;
+
 /** A fleet in progress. */
 export interface World {
   scene: Scene;
