Server limits: half a request a second for each box that sends; the first ones send at once

Hypothesis: with a whole request a second for each, few boxes hold the limits of a service, and boxes that hold none refuse while others have room; and a box whose first look at a limit comes with its next caller took itself for the successor of another one and waited for a spacing.

--- a/packages/reedlug-gateway/src/policy/serverLimit.ts
+++ b/packages/reedlug-gateway/src/policy/serverLimit.ts
@@ -5,12 +5,12 @@
  * A limit is for all boxes together. Equal parts of all boxes would leave each with one
  * send in many seconds, at callers who may not come then, so that most of it is unused;
  * one box alone may have too few callers for a high one. So as many boxes send as leave
- * each about a request a second.
+ * each half a request a second.
  */
 import type { LimitFact } from '../types/serverLimit.js';
 
 /** Requests a second that a box which sends to a limited server has at least, where the limit allows it. */
-const LEAST_PART_PER_SECOND = 1;
+const LEAST_PART_PER_SECOND = 0.5;
 /** Time in which nothing was heard of a limited server after which one box more may send, in ms: those that may have no callers, or are gone. */
 const UNHEARD_MS = 10_000;
 /** Least requests a second that a limited server is sent, so that its word is heard again: one in ten seconds. */
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
@@ -116,7 +116,7 @@
 test('a box that ends, comes back or stops hands its part on without a second one', () => {
   const fleet = createFleet({ boxes: 6, zones: ['zone-a', 'zone-b', 'zone-c'] });
   fleet.pass(4000);
-  const word = (): LimitWord => ({ kind: 'limit', perSecond: 2 });
+  const word = (): LimitWord => ({ kind: 'limit', perSecond: 1 });
   const sentAtMs: number[] = [];
   let beganMs = 0;
   const playOn = (): void => {
@@ -133,7 +133,7 @@
   playOn();
   fleet.take(senders[1]?.[0] ?? '', { type: 'stopAsked' });
   playOn();
-  expect(mostFrom(sentAtMs, 3000)).to.be.at.most(12);
+  expect(mostFrom(sentAtMs, 3000)).to.be.at.most(6);
   expect(sentAtMs.filter((atMs) => atMs > 12_000).length).to.be.at.least(2);
 });
 
--- a/packages/reedlug-gateway/src/slices/limitedSends.ts
+++ b/packages/reedlug-gateway/src/slices/limitedSends.ts
@@ -58,11 +58,14 @@
   view: ServerView,
   { limit, perSecond, nowMs }: { limit: ServerLimit; perSecond: number; nowMs: number },
 ): number {
-  if (nowMs - limit.place.lookedAtMs >= LOOK_EVERY_MS) limit.place = look(state, view, nowMs);
-  const { rank, heardShare } = limit.place;
+  const known = limit.place;
+  const isFresh = known !== undefined && nowMs - known.lookedAtMs < LOOK_EVERY_MS;
+  const place = isFresh ? known : look(state, view, nowMs);
+  limit.place = place;
+  const { rank, heardShare } = place;
   const senders = sendersOf(perSecond, nowMs - limit.heardAtMs);
   const isSender = rank < senders;
-  noteSender(state, limit, isSender, nowMs);
+  noteSender(state, limit, { isSender, isFirstLook: known === undefined, nowMs });
   return isSender ? (perSecond * heardShare) / Math.min(senders, fleetSize(state)) : 0;
 }
 
@@ -70,14 +73,12 @@
 function noteSender(
   { startedAtMs }: GatewayState,
   { sends, knownSinceMs }: ServerLimit,
-  isSender: boolean,
-  nowMs: number,
+  { isSender, isFirstLook, nowMs }: { isSender: boolean; isFirstLook: boolean; nowMs: number },
 ): void {
   if (!isSender) sends.sinceMs = undefined;
   if (!isSender || sends.sinceMs !== undefined) return;
   sends.sinceMs = nowMs;
-  const isFirst = nowMs - knownSinceMs < LOOK_EVERY_MS && knownSinceMs - startedAtMs > SETTLED_MS;
-  sends.followsOther = !isFirst;
+  sends.followsOther = !isFirstLook || knownSinceMs - startedAtMs < SETTLED_MS;
 }
 
 /** Finds this box's place among those that may send to a server. */
--- a/packages/reedlug-gateway/src/slices/serverLimits.ts
+++ b/packages/reedlug-gateway/src/slices/serverLimits.ts
@@ -64,7 +64,7 @@
     knownSinceMs: nowMs,
     changedAtMs: nowMs,
     told: undefined,
-    place: { rank: Number.POSITIVE_INFINITY, heardShare: 0, lookedAtMs: Number.NEGATIVE_INFINITY },
+    place: undefined,
     sends: { atMs: [], sinceMs: undefined, followsOther: false },
   };
 }
--- a/packages/reedlug-gateway/src/types/serverLimit.ts
+++ b/packages/reedlug-gateway/src/types/serverLimit.ts
@@ -40,7 +40,8 @@
   changedAtMs: number;
   /** What this box last told others of it, or was told, and when. */
   told: { perSecond: number | undefined; atMs: number } | undefined;
-  place: SenderPlace;
+  /** Undefined before the first look. */
+  place: SenderPlace | undefined;
   /** What this box sends to it. */
   sends: LimitedSends;
 }
