--- a/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
@@ -264,3 +264,34 @@
   // Two at least, and as many again in the zone that may be lost.
   expect(wantedAfter(7000)).to.equal(4);
 });
+
+test('engines that name a limit count for what they take: others are ordered in their place', () => {
+  const wantedWith = (perSecond: number | undefined): number => {
+    const box = createServingBox();
+    const entries = ['a', 'b', 'c', 'd'].map((id) =>
+      server(id, { service: 'engines', reclaimable: true, zone: 'zone-a' }),
+    );
+    const changes = entries.map((entry) => ({ id: entry.id, entry }));
+    box.take({ type: 'serversRead', whole: false, changes, revision: 2, source: 'store' });
+    const { services, ...others } = configuration({ version: 2 });
+    const roomy = services.map((service) => ({
+      ...service,
+      scaling: service.scaling && { ...service.scaling, maxPerZone: 40 },
+    }));
+    const withRoom = { ...others, services: roomy };
+    box.take({ type: 'configurationRead', configuration: withRoom, source: 'store' });
+    takeLease(box);
+    const limits = entries.map(({ id }) => [id, null, perSecond ?? null, 2, 1] as const);
+    const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits };
+    if (perSecond !== undefined) box.take({ type: 'serverFacts', message });
+    for (let turn = 0; turn < 40; turn += 1) {
+      const request = facts({ requestId: `r${turn}`, path: '/draft/1', deadlineMs: 60_000 });
+      box.take({ type: 'requestArrived', exchangeId: 100 + turn, facts: request });
+    }
+    passAsHolder(box, 7000);
+    const orders = [...box.state.orders.values()].map(({ call }) => call);
+    return orders.reduce((sum, { wanted }) => sum + wanted, 0);
+  };
+  expect(wantedWith(1)).to.be.above(wantedWith(undefined));
+  expect(wantedWith(1_000_000)).to.equal(wantedWith(undefined));
+});
--- a/packages/reedlug-gateway/src/slices/engineNeed.ts
+++ b/packages/reedlug-gateway/src/slices/engineNeed.ts
@@ -10,6 +10,7 @@
 import type { HeldNeed } from '../types/views.js';
 import { modelOf } from './engineModels.js';
 import { countReady, lastOrdered } from './engineOrders.js';
+import { withLimitedEngines } from './limitedEngines.js';
 import { isLoadKnown, loadOf } from './serviceLoad.js';
 
 /** How long a need is kept after it was last that high, in ms: an engine takes 4 s to start, and load comes in waves. */
@@ -45,13 +46,15 @@
   spec: ServiceSpec,
   load: ServiceLoad,
 ): EngineNeed {
-  return enginesNeeded({
+  const model = modelOf(state, spec.name, step.nowMs);
+  const need = enginesNeeded({
     load,
-    model: modelOf(state, spec.name, step.nowMs),
+    model,
     slots: slotsOf(state, spec),
     zones: spec.scaling?.zonePrices.length ?? 1,
     hasReclaimable: spec.scaling?.reclaimablePriceShare !== undefined,
   });
+  return withLimitedEngines(state, step, { service: spec.name, load, model, need });
 }
 
 /** Nothing is held yet. */
