Soak and drawn scenes: servers that name limits

Real boxes before servers that name limits; what they get is counted at the servers, of boxes in touch that had passed such an answer on, over each four seconds.

--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -18,7 +18,12 @@
 import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
 import { areCut, boxAt, later, nowMs, takeNumber, wayMs, type World } from '../world.js';
 import { endUnder, noteEndingSend } from '../faults/endingRequests.js';
-import { limitWordOf, noteLimitedArrival, noteLimitTold } from '../faults/limitedServers.js';
+import {
+  isTurnedDown,
+  limitWordOf,
+  noteLimitedArrival,
+  noteLimitTold,
+} from '../faults/limitedServers.js';
 import { faultOfVersion, noteRolloutArrival } from '../faults/rollouts.js';
 import { slowDown } from '../servers/batchEngine.js';
 import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
@@ -133,7 +138,7 @@
     });
   };
   const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void => {
-    const limit = limitWordOf(world, server, verdict);
+    const limit = limitWordOf(world, server);
     say(() => {
       const isOpen = verdict === 'success' && effect.streaming;
       if (!isOpen) end(box, server, attemptId, runId);
@@ -143,6 +148,7 @@
     });
   };
   const onRejected = (): void => answer('notRun', 503);
+  if (isTurnedDown(world, server)) return onRejected();
   if (server.work.kind === 'plain') {
     const onAnswered = (): void => {
       begin();
--- a/packages/reedlug-simulator/src/faults/limitedServers.ts
+++ b/packages/reedlug-simulator/src/faults/limitedServers.ts
@@ -23,7 +23,7 @@
   servers: readonly VirtualServer[],
 ): void {
   for (const server of servers) {
-    server.limit = { perSecond: fault.perSecond, namedOn: fault.namedOn };
+    server.limit = { perSecond: fault.perSecond, turnsDown: fault.turnsDown };
     const lengthMs = fault.forS * 1000;
     const record = createRecord(world, server);
     world.record.limitedServers.push(record);
@@ -31,7 +31,7 @@
       const perSecond = fault.thenPerSecond;
       later(world, lengthMs / 2, () => {
         if (currentRecord(world, server) !== record) return;
-        server.limit = { perSecond, namedOn: fault.namedOn };
+        server.limit = { perSecond, turnsDown: fault.turnsDown };
         record.periods.push({ fromMs: nowMs(world), perSecond });
       });
     }
@@ -64,19 +64,23 @@
 }
 
 /** What a server's answer says of its limit. */
-export function limitWordOf(
-  world: World,
-  server: VirtualServer,
-  verdict: 'success' | 'failure' | 'notRun',
-): LimitWord {
+export function limitWordOf(world: World, server: VirtualServer): LimitWord {
   const { limit } = server;
   if (limit === undefined) return { kind: 'none' };
-  if (limit.namedOn === 'failures' && verdict === 'success') return { kind: 'none' };
   const record = currentRecord(world, server);
   if (record !== undefined) record.namedAtMs ??= nowMs(world);
   return { kind: 'limit', perSecond: limit.perSecond };
 }
 
+/** Whether a server turns a request down that is the last to have reached it. */
+export function isTurnedDown(world: World, server: VirtualServer): boolean {
+  const { limit } = server;
+  if (limit?.turnsDown !== true) return false;
+  const sinceMs = nowMs(world) - 1000;
+  const arrivals = currentRecord(world, server)?.arrivals ?? [];
+  return arrivals.filter(({ atMs }) => atMs > sinceMs).length > limit.perSecond + 1;
+}
+
 /** Notes that a box has passed an answer on that names a limit. */
 export function noteLimitTold(world: World, server: VirtualServer, box: VirtualBox): void {
   const told = currentRecord(world, server)?.toldAtMs;
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -114,8 +114,8 @@
     share,
     perSecond: notNegative,
     thenPerSecond: notNegative.optional(),
-    /** Which of their answers name it. */
-    namedOn: z.enum(['all', 'failures']).default('all'),
+    /** Whether they turn down, as not run, what comes beyond it within a second. */
+    turnsDown: z.boolean().default(false),
   }),
   z.strictObject({ kind: z.literal('failRequests'), ...span, share }),
   z.strictObject({
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -37,8 +37,8 @@
   startedAtMs: number;
   /** Says nothing and takes nothing any more. */
   isSilent: boolean;
-  /** The limit that its answers name, and which of them do. */
-  limit: { perSecond: number; namedOn: 'all' | 'failures' } | undefined;
+  /** The limit that its answers name, and whether it turns down what comes beyond it. */
+  limit: { perSecond: number; turnsDown: boolean } | undefined;
   /** Told when it ends while requests are open, by run. */
   openRuns: Map<number, () => void>;
 }
--- a/packages/reedlug-soak/src/__tests__/promises.test.ts
+++ b/packages/reedlug-soak/src/__tests__/promises.test.ts
@@ -150,3 +150,22 @@
   const record = recordOf(refused);
   expect(promisesBroken(record)).to.deep.equal(['no other is kept out']);
 });
+
+test('a server that gets more than the limit it names is found, from boxes that were told', () => {
+  const brokenWith = (sends: number, change: (record: SoakRecord) => void = () => undefined) => {
+    const record = createSoakRecord(2);
+    for (let turn = 0; turn < sends + 1; turn += 1) {
+      const requestId = `r${turn}`;
+      const sentAtMs = turn === 0 ? 5000 : 12_000 + turn * 100;
+      record.calls.push(call({ requestId, sentAtMs, endedAtMs: sentAtMs + 20 }));
+      const run = { requestId, server: 'records-0-0', atMs: sentAtMs + 5, ran: true };
+      record.runs.push({ ...run, limitPerSecond: 1 });
+    }
+    change(record);
+    return promisesBroken(record);
+  };
+  expect(brokenWith(11)).to.deep.equal([]);
+  expect(brokenWith(12)).to.deep.equal(['limits of servers']);
+  const restarted = [{ fromMs: 10_000, toMs: 10_500 }];
+  expect(brokenWith(12, ({ troubles }) => troubles.set(0, restarted))).to.deep.equal([]);
+});
--- a/packages/reedlug-soak/src/__tests__/soak.test.ts
+++ b/packages/reedlug-soak/src/__tests__/soak.test.ts
@@ -42,3 +42,22 @@
   expect(result.violations).to.deep.equal([]);
   expect(result.statuses['500'] ?? 0).to.be.greaterThan(10);
 });
+
+test('servers that name a limit get no more from boxes that are stopped and killed meanwhile', async function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  const result = await runSoak({
+    seed: 9,
+    lengthMs: 14_000,
+    boxes: 4,
+    serversPerService: 3,
+    callsPerSecond: 60,
+    folder: join(await mkdtemp(join(tmpdir(), 'reedlug-soak-')), 'run'),
+    faults: [
+      { atMs: 500, fault: { kind: 'serverLimits', server: 0, perSecond: 1, forMs: 12_000 } },
+      { atMs: 500, fault: { kind: 'serverLimits', server: 1, perSecond: 0.4, forMs: 12_000 } },
+      { atMs: 5000, fault: { kind: 'stopBox', box: 1, backAfterMs: 500 } },
+      { atMs: 7000, fault: { kind: 'killBox', box: 2, backAfterMs: 500 } },
+    ],
+  });
+  expect(result.violations).to.deep.equal([]);
+});
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -34,6 +34,8 @@
   | { kind: 'serverFails'; server: number; how: 'fail' | 'lose' | 'refuse'; forMs: number }
   /** From now on a caller sends a request under which servers end, over and over. */
   | { kind: 'crashingCaller'; everyMs: number }
+  /** It names a limit of requests a second in its answers. */
+  | { kind: 'serverLimits'; server: number; perSecond: number; forMs: number }
   | { kind: 'configure' }
   | { kind: 'revokeKey' };
 
@@ -56,6 +58,11 @@
 const SHORTEST_RETURN_MS = 200;
 const LONGEST_RETURN_MS = 1500;
 
+/** Share of the runs in which servers name limits, how many do at most, and the limits, in requests a second. */
+const LIMITING_SHARE = 0.6;
+const MOST_LIMITING = 3;
+const SERVER_LIMITS: readonly number[] = [0, 0.4, 1, 1.2, 3];
+
 const SKIPPED_DRAWS = 32;
 
 /** Draws the faults of a run. */
@@ -79,6 +86,7 @@
   }
   // Drawn last, so that the other faults of a seed stay what they were.
   if (random.chance(CRASHING_SHARE)) planned.push(drawCrashingCaller(random, lengthMs));
+  if (random.chance(LIMITING_SHARE)) planned.push(...drawLimits(random, lengthMs, servers));
   return planned;
 }
 
@@ -88,6 +96,16 @@
   return { atMs, fault: { kind: 'crashingCaller', everyMs } };
 }
 
+function drawLimits(random: Random, lengthMs: number, servers: number): PlannedFault[] {
+  return Array.from({ length: random.whole(1, MOST_LIMITING) }, () => {
+    const atMs = Math.round((random.unit() * lengthMs) / 3);
+    const server = random.whole(0, servers - 1);
+    const perSecond = random.pick(SERVER_LIMITS);
+    const forMs = Math.round((lengthMs - atMs) * (0.5 + random.unit() / 2));
+    return { atMs, fault: { kind: 'serverLimits', server, perSecond, forMs } };
+  });
+}
+
 function drawFault(random: Random, box: number, server: number): Fault {
   const forMs = random.whole(SHORTEST_MS, LONGEST_MS);
   const how = random.pick(Object.values(LinkFault));
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -106,6 +106,8 @@
         await delay(fault.forMs);
         server.failing = undefined;
       });
+    case 'serverLimits':
+      return limitServer(world, fault);
     case 'crashingCaller':
       world.crashingEveryMs = fault.everyMs;
       return;
@@ -197,6 +199,18 @@
   );
 }
 
+/** A server names a limit, for as long as this life of it lasts. */
+async function limitServer(
+  world: SoakWorld,
+  { server, perSecond, forMs }: Extract<Fault, { kind: 'serverLimits' }>,
+): Promise<void> {
+  const standin = world.servers[server]?.standin;
+  if (standin === undefined) return;
+  standin.limitPerSecond = perSecond;
+  await delay(forMs);
+  standin.limitPerSecond = undefined;
+}
+
 /** Ends a server without a word; its next life has its id and its entry. */
 async function restartServer(
   world: SoakWorld,
--- a/packages/reedlug-soak/src/promises.ts
+++ b/packages/reedlug-soak/src/promises.ts
@@ -24,6 +24,11 @@
 /** Servers that may end under one request, and sends of it after that: the users' figures. */
 const CRASHES_BEFORE = 3;
 const MOST_FURTHER_SENDS = 3;
+/** Windows in which requests to a server that names a limit are counted, what is allowed in each, and from when on a box counts that passed it on: the users' figures. */
+const LIMIT_WINDOW_MS = 4000;
+const LIMIT_FACTOR = 1.5;
+const LIMIT_ON_TOP = 5;
+const TOLD_MS = 500;
 /** Taken off the bounds for the delays of one busy machine, in ms. */
 const TOLERANCE_MS = 400;
 
@@ -43,6 +48,7 @@
     ...checkLimit(record, bounds),
     ...checkCrashing(record, bounds),
     ...checkInnocent(record),
+    ...checkServerLimits(record, bounds),
   ];
 }
 
@@ -201,6 +207,46 @@
     .map(({ requestId }) => ({ promise: 'no other is kept out', detail: requestId }));
 }
 
+/** Counts what servers that name a limit get from boxes that had passed such an answer on. */
+function checkServerLimits(record: SoakRecord, bounds: PromiseBounds): Violation[] {
+  const byServer = new Map<string, Run[]>();
+  for (const run of record.runs.filter(({ limitPerSecond }) => limitPerSecond !== undefined)) {
+    byServer.set(run.server, [...(byServer.get(run.server) ?? []), run]);
+  }
+  return [...byServer].flatMap(([server, runs]) => {
+    const counted = boundRuns(record, runs, bounds);
+    const over = counted.flatMap(({ atMs: endMs }) => {
+      const inWindow = counted.filter(
+        ({ atMs }) => atMs > endMs - LIMIT_WINDOW_MS && atMs <= endMs,
+      );
+      const perSecond = Math.max(...inWindow.map(({ limitPerSecond = 0 }) => limitPerSecond));
+      const allowed = (perSecond * LIMIT_FACTOR * LIMIT_WINDOW_MS) / 1000 + LIMIT_ON_TOP;
+      return inWindow.length > allowed ? [`${inWindow.length} of ${allowed}`] : [];
+    });
+    if (over.length === 0) return [];
+    const detail = `${server}: ${over[0]} requests, ${over.length} windows`;
+    return [{ promise: 'limits of servers', detail }];
+  });
+}
+
+/** Requests at a server that names a limit, of boxes that knew it for long enough. */
+function boundRuns(record: SoakRecord, naming: readonly Run[], bounds: PromiseBounds): Run[] {
+  const callById = new Map(record.calls.map((call) => [call.requestId, call]));
+  const fromMs = Math.min(...naming.map(({ atMs }) => atMs)) + bounds.contactMs + TOLERANCE_MS;
+  const toldAtMs = new Map<number, number>();
+  for (const { requestId } of naming) {
+    const call = callById.get(requestId);
+    if (call?.status !== 200) continue;
+    toldAtMs.set(call.box, Math.min(toldAtMs.get(call.box) ?? Infinity, call.endedAtMs));
+  }
+  return naming.filter(({ requestId, atMs }) => {
+    const box = callById.get(requestId)?.box;
+    if (box === undefined || atMs < fromMs) return false;
+    const isTold = (toldAtMs.get(box) ?? Infinity) + TOLD_MS + TOLERANCE_MS <= atMs;
+    return isTold && isInTouch(record, box, atMs, atMs, bounds);
+  });
+}
+
 function isInTouch(
   record: SoakRecord,
   box: number,
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -208,8 +208,8 @@
 
 function collectRuns(world: SoakWorld, record: SoakRecord): void {
   for (const standin of world.everyStandin) {
-    for (const { requestId, atMs, ran } of standin.arrivals) {
-      record.runs.push({ requestId, server: standin.id, atMs, ran });
+    for (const arrival of standin.arrivals) {
+      record.runs.push({ ...arrival, server: standin.id });
     }
   }
   record.reports.push(...world.cloud.reports);
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -35,6 +35,8 @@
   server: string;
   atMs: number;
   ran: boolean;
+  /** The limit of requests a second that the server named in its answer, if any. */
+  limitPerSecond?: number | undefined;
 }
 
 /** A span of time; open ones have not ended. */
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -4,6 +4,7 @@
 import {
   drawCrashTroubles,
   drawLimitTroubles,
+  drawServerLimits,
   readSceneFile,
   runScene,
   type Scene,
@@ -41,6 +42,9 @@
     description:
       'Draw the faults of each seed: requests that crash servers, popular bodies, crashes',
   });
+  drawServerLimits = Option.Boolean('--draw-server-limits', false, {
+    description: 'Draw the faults of each seed: servers that name limits, and troubles around them',
+  });
   logs = Option.String('--log', { description: 'Events to print, by commas, or all' });
 
   override async execute(): Promise<number> {
@@ -58,6 +62,7 @@
 
   private drawn(scene: Scene, seed: number): Scene {
     if (this.draw) return drawLimitTroubles(scene, seed);
+    if (this.drawServerLimits) return drawServerLimits(scene, seed);
     return this.drawCrashes ? drawCrashTroubles(scene, seed) : scene;
   }
 
