A server that refuses and asks for a pause gets nothing from any box until then

The same class as the limit: what a server says to one box is meant for all, and the time to come back of a refusal was read by no box, so each sent one more request to hear the same. It travels with the limits as one kind of news of servers' facts, ends with its time (5 s at most), and counts in the one gate before each send. A test with 24 boxes: before, all three others asked sent; now they refuse with the time, and send after it.

--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -107,6 +107,8 @@
   }) => AnswerVerdict;
   /** What an answer says of its server's limit. */
   limitOf: (rawHeaders: RawHeaders) => LimitWord;
+  /** Time for which a server that refused a request asks for nothing more, in ms; undefined where it does not tell. */
+  retryAfterMsOf: (rawHeaders: RawHeaders) => number | undefined;
   /** The answer's end-to-end fields. */
   answerHeaders: (rawHeaders: RawHeaders) => string[];
   /** Fields of an answer of this box itself. */
--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -13,6 +13,7 @@
     return status === 200 ? 'success' : 'failure';
   },
   limitOf: () => ({ kind: 'none' }),
+  retryAfterMsOf: () => undefined,
   answerHeaders: (raw) => [...raw],
   refusalHeaders: () => [],
 };
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -28,7 +28,8 @@
   onNotSent: (reason: string) => void;
   /** The head of an answer of this server to this request came. */
   onBegun: (limit: LimitWord) => void;
-  onAnswered: (verdict: AnswerVerdict, status: number) => void;
+  /** `retryAfterMs` is what a server asks for that did not run the request. */
+  onAnswered: (verdict: AnswerVerdict, status: number, retryAfterMs?: number) => void;
   onEvents: (events: readonly StreamEvent[]) => void;
   onEnded: () => void;
   onLost: (reason: string) => void;
@@ -91,7 +92,8 @@
       return settle(() => listener.onEnded());
     }
     whole.body = Buffer.concat(chunks);
-    settle(() => listener.onAnswered(told, whole.status));
+    const retryAfterMs = told === 'notRun' ? codec.retryAfterMsOf(whole.rawHeaders) : undefined;
+    settle(() => listener.onAnswered(told, whole.status, retryAfterMs));
   };
 
   const handler: Dispatcher.DispatchHandler = {
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -75,8 +75,8 @@
       onBegun(limit) {
         runtime.emit({ type: 'answerBegun', ...ids, limit });
       },
-      onAnswered(verdict, status) {
-        runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status });
+      onAnswered(verdict, status, retryAfterMs) {
+        runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status, retryAfterMs });
         if (!streaming || verdict !== 'success') end();
       },
       onEvents(events) {
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -22,7 +22,7 @@
   unitsLent: [],
   unitsReturned: [],
   crashSuspects: ['suspects', 'recent'],
-  serverFacts: ['limits'],
+  serverFacts: ['limits', 'pauses'],
 };
 
 /** A server's id, requests in progress, tokens to be read, prompts to be read, and the tokens by urgency. */
--- a/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
@@ -282,7 +282,7 @@
     box.take({ type: 'configurationRead', configuration: withRoom, source: 'store' });
     takeLease(box);
     const limits = entries.map(({ id }) => [id, null, perSecond ?? null, 2, 1] as const);
-    const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits };
+    const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits, pauses: [] };
     if (perSecond !== undefined) box.take({ type: 'serverFacts', message });
     for (let turn = 0; turn < 40; turn += 1) {
       const request = facts({ requestId: `r${turn}`, path: '/draft/1', deadlineMs: 60_000 });
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
@@ -212,7 +212,7 @@
   const read = { type: 'serversRead' as const, whole: false, source: 'store' as const };
   box.take({ ...read, changes: [change(1)], revision: 2 });
   const row = ['records-1', 1, 2, 10, 5] as const;
-  const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits: [row] };
+  const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits: [row], pauses: [] };
   box.take({ type: 'serverFacts', message });
   expect(box.state.servers.get('records-1')?.limit?.perSecond).to.equal(2);
   box.take({ ...read, changes: [change(9)], revision: 3 });
@@ -232,7 +232,37 @@
     ['records-1', null, 1, Number.NaN, 1],
     ['records-1', {}, 1, 1, 1],
   ];
+  const pauses = odd as (readonly [string, null, number])[];
   const limits = odd as (readonly [string, null, number, number, number])[];
-  box.take({ type: 'serverFacts', message: { kind: 'serverFacts', boxId: 'box-2', limits } });
+  box.take({
+    type: 'serverFacts',
+    message: { kind: 'serverFacts', boxId: 'box-2', limits, pauses },
+  });
   expect(box.state.limitedServers.size).to.equal(0);
 });
+
+test('a server that refuses and asks for a pause gets nothing from any box until then', () => {
+  const fleet = createFleet({ boxes: 24, zones: ['zone-a', 'zone-b', 'zone-c'] });
+  fleet.pass(4000);
+  const { exchangeId, attemptId } = sentOf(fleet.take('box-3', requestOf())) as Sent;
+  const refusal = { verdict: 'notRun' as const, status: 503, retryAfterMs: 2000 };
+  fleet.take('box-3', { type: 'attemptAnswered', exchangeId, attemptId, ...refusal });
+  fleet.pass(300);
+  for (const boxId of ['box-3', 'box-11', 'box-20']) {
+    const { status, retryAfterMs } = only(fleet.take(boxId, requestOf()), 'refuse');
+    expect(status).to.equal(503);
+    expect(retryAfterMs).to.be.within(1000, 6250);
+  }
+  fleet.pass(2000);
+  for (const boxId of ['box-3', 'box-11', 'box-20']) {
+    expect(sentOf(fleet.take(boxId, requestOf()))?.serverId).to.equal('records-1');
+  }
+});
+
+test('a server that refuses without asking for a pause is tried again at once', () => {
+  const box = createServingBox();
+  const { exchangeId, attemptId, serverId } = sentOf(box.take(requestOf())) as Sent;
+  const refusal = { verdict: 'notRun' as const, status: 503 };
+  box.take({ type: 'attemptAnswered', exchangeId, attemptId, ...refusal });
+  expect(box.state.servers.get(serverId)?.pausedUntilMs).to.equal(0);
+});
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -11,7 +11,7 @@
 import { isPastPoint, noteGoodRun } from './crashSuspects.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { noteLoss } from './lostServers.js';
-import { noteLimitWord } from './serverLimits.js';
+import { noteLimitWord, notePause } from './serverLimits.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
@@ -71,7 +71,7 @@
     case 'failure':
       return onFailure(state, step, found, event.status);
     case 'notRun':
-      closeAttempt(state, attempt, Reach.refused);
+      notePause(state, step, closeAttempt(state, attempt, Reach.refused), event.retryAfterMs);
       return tryAgain(state, step, found, `refused${event.status}`);
     case 'otherServer': {
       const view = closeAttempt(state, attempt, Reach.refused);
--- a/packages/reedlug-gateway/src/slices/limitedReturns.ts
+++ b/packages/reedlug-gateway/src/slices/limitedReturns.ts
@@ -13,6 +13,8 @@
 
 /** Why such a request is refused. */
 export const SERVERS_LIMITED = 'serversLimited';
+/** Requests a second that a server is taken to begin after its pause. */
+const PAUSED_PER_SECOND = 1;
 /** Longest time to come back that is told, in ms: limits change within seconds. */
 const MOST_RETRY_MS = 5000;
 
@@ -47,9 +49,10 @@
   let ownNextAtMs = Number.POSITIVE_INFINITY;
   for (const id of state.limitedServers) {
     const view = state.servers.get(id);
-    if (view?.limit === undefined || view.leaving) continue;
+    if (view === undefined || view.leaving) continue;
     if (view.entry.service !== service || avoid.has(id)) continue;
-    perSecond += limitNow(view.limit, nowMs) ?? 0;
+    const isPaused = view.pausedUntilMs > nowMs;
+    perSecond += (view.limit && limitNow(view.limit, nowMs)) ?? (isPaused ? PAUSED_PER_SECOND : 0);
     ownNextAtMs = Math.min(ownNextAtMs, receivesAtMs(state, view, nowMs));
   }
   const nextAtMs = Math.min(ownNextAtMs, nowMs + 1000 / Math.max(perSecond, Number.EPSILON));
--- a/packages/reedlug-gateway/src/slices/limitedSends.ts
+++ b/packages/reedlug-gateway/src/slices/limitedSends.ts
@@ -25,13 +25,14 @@
   return receivesAtMs(state, view, nowMs) <= nowMs;
 }
 
-/** When this box may next send to a server by the server's limit; now or earlier without one, never where others send. */
+/** When this box may next send to a server by what the server asks for; never where only others send. */
 export function receivesAtMs(state: GatewayState, view: ServerView, nowMs: number): number {
   const { limit } = view;
-  if (limit === undefined) return nowMs;
-  const perSecond = limitNow(limit, nowMs);
-  if (perSecond === undefined) return nowMs;
-  return nextSendAtMs(limit.sends, ownPart(state, view, { limit, perSecond, nowMs }), nowMs);
+  const fromMs = Math.max(nowMs, view.pausedUntilMs);
+  const perSecond = limit && limitNow(limit, nowMs);
+  if (limit === undefined || perSecond === undefined) return fromMs;
+  const part = ownPart(state, view, { limit, perSecond, nowMs });
+  return Math.max(fromMs, nextSendAtMs(limit.sends, part, nowMs));
 }
 
 /** Whether a server names a limit, or did so a moment ago. */
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -1,5 +1,5 @@
 /**
- * News of what servers say to one box and mean for all: their limits.
+ * News of what servers say to one box and mean for all: their limits and pauses.
  *
  * A word that is new goes out with the next tick, by way of the hubs in a large fleet, and
  * once more a moment later, as a datagram may be lost. One that stands is told again now
@@ -9,10 +9,10 @@
 import type { GatewayState, Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
 import type { PeerAddress } from '../types/peer.js';
-import type { LimitRow, ServerLimit } from '../types/serverLimit.js';
+import type { LimitRow, PauseRow, ServerLimit } from '../types/serverLimit.js';
 import type { PeerView, ServerView } from '../types/views.js';
 import { SILENT_AFTER_MS } from './fleet.js';
-import { takeLimitFact } from './serverLimits.js';
+import { MOST_PAUSE_MS, takeLimitFact, takePause } from './serverLimits.js';
 import { handsOn, neighbours } from './spreadNews.js';
 
 /** Limits in one datagram: some 40 bytes each, of the 64 KB that it holds. */
@@ -21,34 +21,43 @@
 const AGAIN_MS = 1000;
 /** Pause after which a limit that is heard again is told again, in ms: half of the time after which another box tries. */
 const RENEW_MS = 5000;
+/** Two tellings of one pause differ by less, in ms. */
+const SAME_PAUSE_MS = 300;
 /** Time for which an end of a limit is known, in ms: no news of it are on their way any more. */
 const END_KNOWN_MS = 60_000;
 
 /** Tells what is new, and boxes that are new everything. */
 export function serverFactsTick(state: GatewayState, step: Step): void {
-  if (state.limitedServers.size === 0) return;
-  const due: LimitRow[] = [];
-  const all: LimitRow[] = [];
+  const dueLimits: LimitRow[] = [];
+  const allLimits: LimitRow[] = [];
+  const duePauses: PauseRow[] = [];
   for (const id of state.limitedServers) {
     const view = state.servers.get(id);
-    const limit = view?.limit;
-    if (view === undefined || limit === undefined || isOver(limit, step.nowMs)) {
+    if (view === undefined || isOver(view, step.nowMs)) {
       state.limitedServers.delete(id);
       continue;
     }
-    const row = rowOf(view, limit, step.nowMs);
-    if (state.newcomers.size > 0) all.push(row);
+    if (state.pausesDue.has(id)) duePauses.push(pauseRowOf(view, step.nowMs));
+    const { limit } = view;
+    if (limit === undefined) continue;
+    const row = limitRowOf(view, limit, step.nowMs);
+    if (state.newcomers.size > 0) allLimits.push(row);
     if (!isDue(limit, step.nowMs)) continue;
-    due.push(row);
+    dueLimits.push(row);
     limit.told = { perSecond: limit.perSecond, atMs: step.nowMs };
   }
-  if (due.length > 0) tell(state, step, due, neighbours(state, step.nowMs));
-  if (all.length > 0) tell(state, step, all, addressesOf(state, state.newcomers));
+  tell(state, step, { limits: dueLimits, pauses: duePauses, to: neighbours(state, step.nowMs) });
+  const to = addressesOf(state, state.newcomers);
+  tell(state, step, { limits: allLimits, pauses: [], to });
+  state.pausesDue.clear();
   state.newcomers.clear();
 }
 
-function isOver({ perSecond, heardAtMs }: ServerLimit, nowMs: number): boolean {
-  return perSecond === undefined && nowMs - heardAtMs >= END_KNOWN_MS;
+/** Whether nothing of a server's limit or pause matters any more. */
+function isOver({ limit, pausedUntilMs }: ServerView, nowMs: number): boolean {
+  if (pausedUntilMs > nowMs) return false;
+  if (limit === undefined) return true;
+  return limit.perSecond === undefined && nowMs - limit.heardAtMs >= END_KNOWN_MS;
 }
 
 function isDue({ perSecond, told, changedAtMs, heardAtMs }: ServerLimit, nowMs: number): boolean {
@@ -64,27 +73,32 @@
 function tell(
   state: GatewayState,
   step: Step,
-  limits: readonly LimitRow[],
-  to: readonly PeerAddress[],
+  news: {
+    limits: readonly LimitRow[];
+    pauses: readonly PauseRow[];
+    to: readonly PeerAddress[];
+  },
 ): void {
+  const { limits, pauses, to } = news;
   if (to.length === 0) return;
   const boxId = state.settings.box.id;
-  for (let first = 0; first < limits.length; first += MOST_ROWS) {
-    const rows = limits.slice(first, first + MOST_ROWS);
-    step.effects.push({
-      type: 'sendPeers',
-      message: { kind: 'serverFacts', boxId, limits: rows },
-      to,
-    });
+  for (let first = 0; first < Math.max(limits.length, pauses.length); first += MOST_ROWS) {
+    const until = first + MOST_ROWS;
+    const rows = { limits: limits.slice(first, until), pauses: pauses.slice(first, until) };
+    step.effects.push({ type: 'sendPeers', message: { kind: 'serverFacts', boxId, ...rows }, to });
   }
 }
 
-function rowOf({ entry }: ServerView, limit: ServerLimit, nowMs: number): LimitRow {
+function limitRowOf({ entry }: ServerView, limit: ServerLimit, nowMs: number): LimitRow {
   const { perSecond = null, sentAtMs, heardAtMs } = limit;
   const ages = [Math.round(nowMs - sentAtMs), Math.round(nowMs - heardAtMs)] as const;
   return [entry.id, entry.bornAtMs ?? null, perSecond, ...ages];
 }
 
+function pauseRowOf({ entry, pausedUntilMs }: ServerView, nowMs: number): PauseRow {
+  return [entry.id, entry.bornAtMs ?? null, Math.round(pausedUntilMs - nowMs)];
+}
+
 /** Notes a peer that has begun a life or was silent: it may lack what was told meanwhile. */
 export function noteNewcomer(
   state: GatewayState,
@@ -103,11 +117,22 @@
   step: Step,
   event: EventOf<'serverFacts'>,
 ): void {
-  const { boxId, limits } = event.message;
-  for (const row of limits.filter(isLimitRow)) takeRow(state, step, row, boxId);
+  const { boxId, limits, pauses } = event.message;
+  for (const row of limits.filter(isLimitRow)) takeLimitRow(state, step, row, boxId);
+  for (const row of pauses.filter(isPauseRow)) takePauseRow(state, step, row);
+}
+
+function takePauseRow(state: GatewayState, step: Step, [id, bornAtMs, leftMs]: PauseRow): void {
+  const view = state.servers.get(id);
+  const untilMs = step.nowMs + Math.min(MOST_PAUSE_MS, leftMs);
+  if (view === undefined || !isOfLife(view, bornAtMs)) return;
+  // The same pause told again comes a way later.
+  if (untilMs <= view.pausedUntilMs + SAME_PAUSE_MS) return;
+  takePause(state, view, untilMs);
+  if (handsOn(state)) state.pausesDue.add(id);
 }
 
-function takeRow(state: GatewayState, step: Step, row: LimitRow, source: string): void {
+function takeLimitRow(state: GatewayState, step: Step, row: LimitRow, source: string): void {
   const [id, bornAtMs, told, sentAgeMs, heardAgeMs] = row;
   const view = state.servers.get(id);
   if (view === undefined || !isOfLife(view, bornAtMs)) return;
@@ -129,11 +154,20 @@
   return bornAtMs === null || entry.bornAtMs === undefined || entry.bornAtMs === bornAtMs;
 }
 
+function isNumberOrNull(value: unknown): boolean {
+  return value === null || Number.isFinite(value);
+}
+
 /** Whether a value is a limit as it is told: datagrams come from other versions too. */
 function isLimitRow(row: unknown): row is LimitRow {
   if (!Array.isArray(row) || row.length < 5 || typeof row[0] !== 'string') return false;
   const [, bornAtMs, perSecond, ...ages] = row as unknown[];
-  const isNumberOrNull = (value: unknown): boolean => value === null || Number.isFinite(value);
   const isLimit = isNumberOrNull(perSecond) && (perSecond === null || Number(perSecond) >= 0);
   return isNumberOrNull(bornAtMs) && isLimit && ages.slice(0, 2).every(Number.isFinite);
 }
+
+function isPauseRow(row: unknown): row is PauseRow {
+  if (!Array.isArray(row) || row.length < 3 || typeof row[0] !== 'string') return false;
+  const [, bornAtMs, leftMs] = row as unknown[];
+  return isNumberOrNull(bornAtMs) && Number.isFinite(leftMs);
+}
--- a/packages/reedlug-gateway/src/slices/serverLimits.ts
+++ b/packages/reedlug-gateway/src/slices/serverLimits.ts
@@ -1,10 +1,13 @@
-/** What this box knows of the limits that servers in need name in their answers. */
+/** What this box knows of the limits that servers in need name in their answers, and of their pauses. */
 import { isNewerWord } from '../policy/serverLimit.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { LimitFact, LimitWord, ServerLimit } from '../types/serverLimit.js';
 import type { ServerView } from '../types/views.js';
 import type { Found } from './repeats.js';
 
+/** Longest pause that is kept, in ms: a server is asked again within the time in which its state may have changed. */
+export const MOST_PAUSE_MS = 5000;
+
 /** Characters of an odd value that are logged. */
 const MOST_LOGGED = 40;
 
@@ -57,6 +60,31 @@
   });
 }
 
+/**
+ * Takes the time for which a server that refused a request asks for nothing more. Each box
+ * would else send it one more request to hear the same.
+ */
+export function notePause(
+  state: GatewayState,
+  step: Step,
+  view: ServerView | undefined,
+  retryAfterMs: number | undefined,
+): void {
+  if (view === undefined || retryAfterMs === undefined) return;
+  const untilMs = step.nowMs + Math.min(MOST_PAUSE_MS, retryAfterMs);
+  if (untilMs <= view.pausedUntilMs) return;
+  takePause(state, view, untilMs);
+  state.pausesDue.add(view.entry.id);
+  const server = view.entry.id;
+  log(step, 'serverPaused', { server, forMs: Math.round(untilMs - step.nowMs) });
+}
+
+/** Keeps a pause that this box or another one was told. */
+export function takePause(state: GatewayState, view: ServerView, untilMs: number): void {
+  view.pausedUntilMs = Math.max(view.pausedUntilMs, untilMs);
+  state.limitedServers.add(view.entry.id);
+}
+
 function createLimit(fact: LimitFact, nowMs: number): ServerLimit {
   return {
     ...fact,
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -132,6 +132,7 @@
     slowness: 1,
     slownessAtMs: 0,
     limit: undefined,
+    pausedUntilMs: 0,
     cachedParts: new Map(),
   };
 }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -56,8 +56,10 @@
   crashNewsAllAtMs: number;
   suspectsForgottenAtMs: number;
   crashRow: CrashRowState;
-  /** Servers that name a limit, or did so lately. */
+  /** Servers that name a limit or asked for a pause, or did so lately. */
   limitedServers: Set<string>;
+  /** Those whose pauses the next tick tells of. */
+  pausesDue: Set<string>;
   /** Until when callers were told to come back to limited servers, by service and urgency. */
   limitedReturns: Map<string, Map<number, number>>;
   /** Boxes to be told of all such limits: they began a life, or were silent. */
@@ -190,6 +192,7 @@
       hasOwnNews: false,
     },
     limitedServers: new Set(),
+    pausesDue: new Set(),
     limitedReturns: new Map(),
     newcomers: new Set(),
     serversRevision: 0,
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -37,6 +37,8 @@
       attemptId: number;
       verdict: AnswerVerdict;
       status: number;
+      /** For what has not run: how long the server asks for nothing more, where it tells. */
+      retryAfterMs?: number | undefined;
     }
   /** Whole events of a stream went to the caller. */
   | {
--- a/packages/reedlug-gateway/src/types/serverLimit.ts
+++ b/packages/reedlug-gateway/src/types/serverLimit.ts
@@ -49,9 +49,13 @@
 /** A limit as it is told: server, start of its life, requests a second, and how long ago it was asked and said, in ms. */
 export type LimitRow = readonly [string, number | null, number | null, number, number];
 
+/** A pause as it is told: server, start of its life, and how much longer it lasts, in ms. */
+export type PauseRow = readonly [string, number | null, number];
+
 /** What servers told one box and is meant for the fleet. */
 export interface ServerFactsMessage {
   kind: 'serverFacts';
   boxId: string;
   limits: readonly LimitRow[];
+  pauses: readonly PauseRow[];
 }
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -41,6 +41,8 @@
   slownessAtMs: number;
   /** What it last said of its limit; undefined while it has never named one. */
   limit: ServerLimit | undefined;
+  /** Until when it asked for nothing more as it refused a request. */
+  pausedUntilMs: number;
   /** Prompt parts it is taken to keep, by last use on this box's clock, least recent first. */
   cachedParts: Map<string, number>;
 }
