A suspended machine takes leases, lent units and parts of server limits as older

A machine may be suspended for seconds while its steady clock stands still. Then a lease that another box has taken, units that are lent no more and a part of a server's limit seemed fresh for as long again. The time of day tells at the first event after it; where that was set back at the same moment, the store's clock does with its next answer, since its zero can seem later than it is, never earlier. What is only safe for a time is aged by the difference; requests in progress keep their time, so that a clock that was merely set ahead costs a renewal of the lease.

--- a/packages/reedlug-coordination/src/lease.ts
+++ b/packages/reedlug-coordination/src/lease.ts
@@ -82,6 +82,15 @@
   return held.fence;
 }
 
+/**
+ * Takes what is known of the lease as older by a time that this box's clock has not counted.
+ * An answer that is still awaited counts for nothing: when it was asked is not known any more.
+ */
+export function ageLease(lease: LeaseState, ms: number): void {
+  if (lease.held !== undefined) lease.held.grantedAtMs -= ms;
+  lease.pending = undefined;
+}
+
 /** How long an order sent now stays valid, in ms; 0 when none may be sent. */
 export function orderValidForMs(lease: LeaseState, nowMs: number): number {
   if (lease.held === undefined) return 0;
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -34,6 +34,7 @@
 import { silenceTick } from './slices/silence.js';
 import { onStopAsked, stopTick } from './slices/stopping.js';
 import { peersTick } from './slices/tellPeers.js';
+import { noteWallClock } from './slices/suspension.js';
 import { onUnitsAsked, onUnitsReturned } from './slices/unitLoans.js';
 import { onUnitsLent, waitingSendsTick } from './slices/waitingSends.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage.js';
@@ -41,6 +42,7 @@
 /** Takes an event; returns what is asked of the outside. */
 export function reduce(state: GatewayState, event: GatewayEvent): Effect[] {
   const step: Step = { nowMs: event.nowMs, wallMs: event.wallMs, effects: [] };
+  noteWallClock(state, step);
   handle(state, step, event);
   return step.effects;
 }
--- a/packages/reedlug-gateway/src/slices/clock.ts
+++ b/packages/reedlug-gateway/src/slices/clock.ts
@@ -7,6 +7,7 @@
 import type { EventOf } from '../types/event.js';
 import { startDelayMs } from './fleet.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
+import { noteStoreEpoch } from './suspension.js';
 
 /** Key of the row in the table. */
 const CLOCK_KEY = 'clock-offset';
@@ -27,6 +28,7 @@
 /** Notes the store's clock; the least delay gives the truest figure. */
 export function onStoreClock(state: GatewayState, step: Step, event: EventOf<'storeClock'>): void {
   const epochMs = step.nowMs - event.storeNowMs;
+  noteStoreEpoch(state, step, epochMs);
   state.storeEpochMs = Math.min(state.storeEpochMs ?? epochMs, epochMs);
 }
 
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -108,6 +108,10 @@
   /** Wall clock less store clock, agreed by all boxes in a row of the store. */
   agreedClockOffsetMs: number | undefined;
   clockAskedAtMs: number;
+  /** How far the time of day was ahead of the steady clock at the last event. */
+  wallAheadMs: number | undefined;
+  /** When this box last came out of a suspension, as far as it knows. */
+  suspendedAtMs: number;
   /** Monotonic time of this box at the store's time 0. */
   storeEpochMs: number | undefined;
   usage: Map<number, UsageWindow>;
@@ -235,6 +239,8 @@
     ),
     agreedClockOffsetMs: undefined,
     clockAskedAtMs: Number.NEGATIVE_INFINITY,
+    wallAheadMs: undefined,
+    suspendedAtMs: Number.NEGATIVE_INFINITY,
     storeEpochMs: undefined,
     usage: new Map(),
     usageChanged: false,
