Operators see the requests that are kept out and lift a verdict at any box

GET /verdicts and DELETE /verdicts/KEY on the port of the metrics; it counts as a good run, so all boxes learn of it by the same news and the row.

--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/__tests__/operatorServer.test.ts
@@ -0,0 +1,58 @@
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { createServingBox } from '../../__tests__/__fixtures__/box.js';
+import { createGatewayMetrics } from '../../observe/gatewayMetrics.js';
+import type { EventBody } from '../../types/event.js';
+import { createOperatorServer } from '../operatorServer.js';
+
+const KEY = 'tiger/a+b/c';
+
+/** A box that keeps one request out; tells what operators asked of it. */
+async function serveBox(use: (url: string, asked: EventBody[]) => Promise<void>): Promise<void> {
+  const { state } = createServingBox();
+  state.crashSuspects.set(KEY, {
+    key: KEY,
+    crashes: [],
+    goodRunAtMs: Number.NEGATIVE_INFINITY,
+    keptOutSinceMs: 1000,
+    judgedAtMs: undefined,
+    seenAtMs: 1000,
+  });
+  const asked: EventBody[] = [];
+  const clock = { nowMs: () => 3000, pause: () => Promise.resolve() };
+  const server = createOperatorServer({
+    state,
+    clock,
+    metrics: createGatewayMetrics(),
+    logger: () => undefined,
+    emit: (body) => asked.push(body),
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await use(`http://127.0.0.1:${port}`, asked);
+  server.close();
+  server.closeAllConnections();
+}
+
+test('operators see the requests that are kept out', () =>
+  serveBox(async (url) => {
+    const verdicts: unknown = await (await fetch(`${url}/verdicts`)).json();
+    expect(verdicts).to.deep.equal([{ key: KEY, crashes: 0, keptOutForMs: 2000 }]);
+  }));
+
+test('a verdict is lifted by its key; one that does not stand is not found', () =>
+  serveBox(async (url, asked) => {
+    const lift = (key: string, method = 'DELETE') =>
+      fetch(`${url}/verdicts/${encodeURIComponent(key)}`, { method });
+    expect((await lift('tiger/other')).status).to.equal(404);
+    expect((await lift(KEY, 'POST')).status).to.equal(405);
+    expect((await fetch(`${url}/verdicts/%zz`, { method: 'DELETE' })).status).to.equal(404);
+    expect(asked).to.deep.equal([]);
+    expect((await lift(KEY)).status).to.equal(204);
+    expect(asked).to.deep.equal([{ type: 'verdictLifted', key: KEY }]);
+  }));
+
+test('any other path gives the metrics', () =>
+  serveBox(async (url) => {
+    expect(await (await fetch(`${url}/metrics`)).text()).to.include('reedlug');
+  }));
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -4,7 +4,6 @@
  */
 import { createServer, type Server } from 'node:http';
 import type { PlatformAdapter, PlatformCloud, PlatformStore } from '../adapter.js';
-import { setDecisionMetrics } from '../observe/decisionMetrics.js';
 import { createGatewayMetrics, type GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
 import { reduce } from '../reduce.js';
@@ -23,6 +22,7 @@
 import { performEffect } from './effects.js';
 import { handleInTurn } from './handleInTurn.js';
 import { followPlatform } from './platformFeeds.js';
+import { createOperatorServer } from './operatorServer.js';
 import { openPeerSocket, type PeerSocket } from './peerSocket.js';
 import { digestOf } from './requestDigest.js';
 
@@ -132,24 +132,12 @@
     response.writeHead(isReady(state) ? 200 : 503, { 'content-length': 0 });
     response.end();
   });
-  const metrics = createServer((_request, response) => {
-    runtime.metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
-    runtime.metrics.versions.set({ of: 'servers' }, state.serversRevision);
-    setDecisionMetrics(runtime.metrics.figures, state, runtime.clock.nowMs());
-    runtime.metrics.text().then(
-      (text) => response.end(text),
-      (error: unknown) => {
-        runtime.logger('metricsFault', { reason: (error as Error).message });
-        response.writeHead(500);
-        response.end();
-      },
-    );
-  });
+  const operators = createOperatorServer(runtime);
   const { listen, box } = settings;
   await listenOn(callers, listen.callers);
   await listenOn(readiness, listen.readiness);
-  await listenOn(metrics, { host: box.ip, port: listen.metricsPort });
-  return [callers, readiness, metrics];
+  await listenOn(operators, { host: box.ip, port: listen.metricsPort });
+  return [callers, readiness, operators];
 }
 
 function listenOn(server: Server, address: HostPort): Promise<void> {
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/operatorServer.ts
@@ -0,0 +1,78 @@
+/**
+ * What operators ask of one box over HTTP, on the port of its metrics: `GET /verdicts` and
+ * `DELETE /verdicts/KEY` (as `GET` names it, percent-encoded); any other path gives the metrics.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setDecisionMetrics } from '../observe/decisionMetrics.js';
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js';
+import type { Logger } from '../observe/logger.js';
+import { verdictsOf } from '../slices/crashSuspects.js';
+import type { GatewayState } from '../state.js';
+import type { EventBody } from '../types/event.js';
+import type { Clock } from './clock.js';
+
+const VERDICTS_PATH = '/verdicts';
+
+/** What the server shows and acts on. */
+export interface OperatedBox {
+  state: GatewayState;
+  clock: Clock;
+  metrics: GatewayMetrics;
+  logger: Logger;
+  emit: (body: EventBody) => void;
+}
+
+/** Returns the server; it does not listen yet. */
+export function createOperatorServer(box: OperatedBox): Server {
+  return createServer((request, response) => {
+    const { pathname } = new URL(request.url ?? '/', 'http://box');
+    if (request.method === 'GET' && pathname === VERDICTS_PATH) return showVerdicts(box, response);
+    if (pathname.startsWith(`${VERDICTS_PATH}/`)) return liftVerdict(box, request, response);
+    showMetrics(box, response);
+  });
+}
+
+function showVerdicts({ state, clock }: OperatedBox, response: ServerResponse): void {
+  response.setHeader('Content-Type', 'application/json');
+  response.end(JSON.stringify(verdictsOf(state, clock.nowMs())));
+}
+
+function liftVerdict(box: OperatedBox, request: IncomingMessage, response: ServerResponse): void {
+  const key = keyOf(request.url ?? '');
+  if (request.method !== 'DELETE') return end(response, 405, 'DELETE lifts a verdict');
+  const isKnown = verdictsOf(box.state, box.clock.nowMs()).some((verdict) => verdict.key === key);
+  if (key === undefined || !isKnown) {
+    return end(response, 404, 'no such verdict: GET /verdicts names those that stand');
+  }
+  box.emit({ type: 'verdictLifted', key });
+  end(response, 204, '');
+}
+
+function keyOf(url: string): string | undefined {
+  try {
+    return decodeURIComponent(url.slice(VERDICTS_PATH.length + 1));
+  } catch {
+    // Not percent-encoded as it must be: it names no verdict.
+    return undefined;
+  }
+}
+
+function end(response: ServerResponse, status: number, text: string): void {
+  response.writeHead(status);
+  response.end(text);
+}
+
+function showMetrics(box: OperatedBox, response: ServerResponse): void {
+  const { state, clock, metrics, logger } = box;
+  metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
+  metrics.versions.set({ of: 'servers' }, state.serversRevision);
+  setDecisionMetrics(metrics.figures, state, clock.nowMs());
+  metrics.text().then(
+    (text) => response.end(text),
+    (error: unknown) => {
+      logger('metricsFault', { reason: (error as Error).message });
+      response.writeHead(500);
+      response.end();
+    },
+  );
+}
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -18,7 +18,7 @@
 import { capacityTick } from './slices/capacity.js';
 import { crashNewsTick, onCrashSuspects } from './slices/crashNews.js';
 import { crashRecordTick, onCrashRow } from './slices/crashRecord.js';
-import { crashSuspectsTick } from './slices/crashSuspects.js';
+import { crashSuspectsTick, liftVerdict } from './slices/crashSuspects.js';
 import { onOrderAnswered } from './slices/engineOrders.js';
 import { clockTick, onClockRow, onStoreClock } from './slices/clock.js';
 import { dutiesTick, onLeaseRow } from './slices/duties.js';
@@ -71,6 +71,8 @@
       return onServerProbed(state, step, event);
     case 'crashSuspects':
       return onCrashSuspects(state, step, event);
+    case 'verdictLifted':
+      return liftVerdict(state, step, event.key);
     case 'serverFacts':
       return onServerFacts(state, step, event);
     case 'configurationRead':
--- a/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
@@ -285,3 +285,30 @@
   box.pass(1500);
   expect(box.state.crashSuspects.size).to.equal(0);
 });
+
+test('an operator lifts a verdict at one box, and all others learn of it', () => {
+  const box = createBox();
+  comeAndCrash(box);
+  box.pass(300);
+  comeAndCrash(box);
+  box.pass(JUDGED_MS);
+  expect(only(arrive(box, 'bad').effects, 'refuse').status).to.equal(500);
+  const other = createBox();
+  const told = message(box);
+  const suspects = told.suspects.map((suspect) => ({ ...suspect, keptOutAgeMs: 100 }));
+  other.take({ type: 'crashSuspects', message: { ...told, suspects } });
+  expect(only(arrive(other, 'bad').effects, 'refuse').status).to.equal(500);
+  for (const known of [box, other]) known.pass(1000);
+  box.take({ type: 'verdictLifted', key: SUSPECT });
+  expect(ofType(arrive(box, 'bad').effects, 'send')).to.have.length(1);
+  const good = { ...message(box), suspects: [newsOfLifted(box)] };
+  other.take({ type: 'crashSuspects', message: good });
+  expect(ofType(arrive(other, 'bad').effects, 'send')).to.have.length(1);
+});
+
+/** What the box tells of the suspect after the verdict was lifted. */
+function newsOfLifted(box: TestBox) {
+  const suspect = box.state.crashSuspects.get(SUSPECT);
+  const goodRunAgeMs = box.nowMs - (suspect?.goodRunAtMs ?? 0);
+  return { key: SUSPECT, crashes: [], goodRunAgeMs, keptOutAgeMs: undefined, seenAgeMs: 0 };
+}
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -158,6 +158,36 @@
   return true;
 }
 
+/** A request that is kept out, as operators see it. */
+export interface VerdictRow {
+  key: string;
+  crashes: number;
+  keptOutForMs: number;
+}
+
+/** Requests that are kept out. */
+export function verdictsOf(state: GatewayState, nowMs: number): VerdictRow[] {
+  return [...state.crashSuspects.values()].flatMap(({ key, crashes, keptOutSinceMs }) => {
+    if (keptOutSinceMs === undefined) return [];
+    const keptOutForMs = Math.round(nowMs - keptOutSinceMs);
+    return [{ key, crashes: crashes.length, keptOutForMs }];
+  });
+}
+
+/**
+ * An operator lets a request in again, say after a mend of the servers' software. It counts
+ * as a good run, so that all boxes learn of it in the same way, and its crashes up to now
+ * are forgotten; it is kept out again after as many new ones.
+ */
+export function liftVerdict(state: GatewayState, step: Step, key: string): void {
+  const suspect = state.crashSuspects.get(key);
+  if (suspect?.keptOutSinceMs === undefined) return;
+  log(step, 'verdictLifted', { suspect: key, crashes: suspect.crashes.length });
+  clear(step, suspect, step.nowMs);
+  state.crashNewsDue.add(key);
+  state.crashRow.hasOwnNews = true;
+}
+
 /** Keeps a suspect out where its crashes say so. */
 function judge(state: GatewayState, step: Step, suspect: CrashSuspect): void {
   suspect.judgedAtMs = undefined;
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -54,6 +54,8 @@
   /** What came of a new connection to a server with lost sends, of the life that the box knew. */
   | { type: 'serverProbed'; life: number; outcome: ProbeOutcome }
   | { type: 'crashSuspects'; message: CrashSuspectsMessage }
+  /** An operator lets a request in again that is kept out. */
+  | { type: 'verdictLifted'; key: string }
   | { type: 'serverFacts'; message: ServerFactsMessage }
   | { type: 'configurationRead'; configuration: Configuration; source: 'store' | 'peer' }
   | { type: 'rolloutOrdered'; order: RolloutOrder }
