--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -12,6 +12,7 @@
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
 export { explainRequest, type Explanation } from './observe/explainRequest.js';
+export { limitAccount, limitRefusals } from './observe/limitAccount.js';
 export { createLogger, quoted, type Logger, type LogValue } from './observe/logger.js';
 export { parseHostPort, validateGatewaySettings } from './settings/gatewaySettingsValidation.js';
 export { CHECKPOINT_KEY } from './types/checkpoint.js';
--- /dev/null
+++ b/packages/reedlug-gateway/src/observe/__tests__/limitAccount.test.ts
@@ -0,0 +1,45 @@
+import { expect } from 'chai';
+import { limitAccount, limitRefusals } from '../limitAccount.js';
+
+const WINDOW_MS = 8000;
+
+function line(second: number, event: string, fields: string): string {
+  const time = new Date(second * 1000).toISOString();
+  return `time=${time} event=${event} ${fields}`;
+}
+
+function refusal(second: number, box: string, units: number): string {
+  const account = `units=${units} used=40 allowed=50 divisor=2`;
+  return line(second, 'limitReached', `box=${box} workspace=tiger ${account}`);
+}
+
+function sent(second: number, box: string, units: number): string {
+  return line(second, 'requestSent', `box=${box} workspace=tiger units=${units}`);
+}
+
+test('a refusal is within the limit where what all boxes had sent leaves room for it', () => {
+  const log = [
+    sent(1, 'box-1', 30),
+    sent(2, 'box-2', 40),
+    refusal(3, 'box-1', 30),
+    refusal(4, 'box-1', 31),
+    // The first send has left the window.
+    refusal(9.5, 'box-2', 60),
+  ].join('\n');
+  const refusals = limitRefusals(log, WINDOW_MS);
+  expect(refusals.map(({ fleetUsed }) => fleetUsed)).to.deep.equal([70, 70, 40]);
+  expect(limitAccount(refusals)).to.deep.equal([
+    { workspace: 'tiger', refusals: 3, within: 2, withinAfterStart: 0, medianUsedShare: 0.7 },
+  ]);
+});
+
+test('refusals of a box right after its start are told apart, lines in any order', () => {
+  const log = [
+    refusal(3, 'box-1', 10),
+    line(1, 'partHeld', 'box=box-1 opening=earlierLife'),
+    refusal(12, 'box-1', 10),
+    refusal(3, 'box-2', 10),
+  ].join('\n');
+  const after = limitRefusals(log, WINDOW_MS).map(({ isAfterStart }) => isAfterStart);
+  expect(after).to.deep.equal([true, false, false]);
+});
--- a/packages/reedlug/src/cli.ts
+++ b/packages/reedlug/src/cli.ts
@@ -5,6 +5,7 @@
 import { DevCommand } from './commands/dev.js';
 import { EntryCommand } from './commands/entry.js';
 import { ExplainCommand } from './commands/explain.js';
+import { ExplainLimitsCommand } from './commands/explainLimits.js';
 import { MeasureCommand } from './commands/measure.js';
 import { ConfirmCommand, PlanCommand, PlansCommand, UndoCommand } from './commands/plan.js';
 import { ReplayCommand } from './commands/replay.js';
@@ -25,6 +26,7 @@
     DevCommand,
     EntryCommand,
     ExplainCommand,
+    ExplainLimitsCommand,
     HashKeyCommand,
     HistogramsCommand,
     MeasureCommand,
