--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -103,8 +103,8 @@
 /**
  * The servers that a connection is likely to be had to: those of zones that are
  * heard, and those of this box's own zone once a send found no connection. A zone
- * that is cut off has one server in five of its own: three tries among all of them
- * refused 174 callers of a zone of 39 boxes within 17 ms each.
+ * that is cut off has a few servers in many of its own, so that three tries among all of
+ * them would refuse most of its callers.
  */
 function reachable(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/policy/decideSend.ts
+++ b/packages/reedlug-gateway/src/policy/decideSend.ts
@@ -8,12 +8,7 @@
 
 /** Share of an engine's places up to which nothing is refused: there, what waits does so for a moment. */
 const FREE_PLACES_SHARE = 0.5;
-/**
- * Expected wait from which a request is refused, as a multiple of its route's target.
- * Simulated, 195 boxes that lost a third of their engines under half as many callers
- * again, seeds 1 and 2: nobody refused 0.798, 0.721 of the worth, from 1.5 on 0.789,
- * from 1 on 0.802, 0.767, from 0.7 on 0.771, 0.786; failed 889, 1,604 and 625, 916.
- */
+/** Expected wait from which a request is refused, as a multiple of its route's target: later, its answer is late for sure. */
 const LATE_FACTOR = 1;
 /** The same of one that came back, as a share of the time that it has left: it goes before others. */
 const RETURNED_SHARE = 0.5;
--- a/packages/reedlug-gateway/src/policy/engineModel.ts
+++ b/packages/reedlug-gateway/src/policy/engineModel.ts
@@ -19,9 +19,8 @@
 /**
  * Prompts that others wait with at a server, up to which a send tells how fast it
  * reads: behind more, urgency decides who is next and callers leave before their
- * turn, so waits no longer grow with the tokens. Learning from those took a speed
- * of 25 tokens a ms for 1,000 within ten seconds of overload, and so ordered
- * engines away (simulated, 195 boxes that lost a third of their engines).
+ * turn, so waits no longer grow with the tokens. Learning from those takes engines
+ * under overload for fast ones, and orders others away.
  */
 const MAX_UNREAD = 2;
 
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -5,9 +5,7 @@
  * request comes again, under another id, at any box, and takes a server with all that it
  * works on each time. So boxes know it by workspace and digest, count crashes of server
  * lives and not reports, and tell each other; the sets only grow until a good run, so the
- * order, repetition and loss of news change nothing. Simulated, one that comes each 0.3 s
- * crashed 70 to 80 of 15 engines' lives within 18 s before, and 23 to 29 % of the worth of
- * all other requests went with them.
+ * order, repetition and loss of news change nothing.
  */
 import { CRASHES_TO_KEEP_OUT, isCulprit, isSameCrash } from '../policy/crashVerdict.js';
 import { log, type GatewayState, type Step } from '../state.js';
@@ -38,8 +36,7 @@
 /**
  * Time from a crash that may decide to the judgement, in ms: half of the users' time for
  * news. By then the other boxes' word is here, and a run of the same request elsewhere has
- * ended or passed the point, if it is innocent. Judged after 250 ms, of 150 drawn scenes
- * five kept popular requests out.
+ * ended or passed the point, if it is innocent.
  */
 const JUDGED_AFTER_MS = 1500;
 
--- a/packages/reedlug-gateway/src/slices/limitWindow.ts
+++ b/packages/reedlug-gateway/src/slices/limitWindow.ts
@@ -22,8 +22,8 @@
  * The bounds of a window that ends now: one for the whole of it, and one from each change
  * of the limit on. A limit that changed within it counts for its part of the window, so
  * that boxes that learn of it one after another stay between the two. What is sent after a
- * limit was lowered must fit the lower one by itself: as a part of the window alone, 17 %
- * more than that went through in the window after it (simulated).
+ * limit was lowered must fit the lower one by itself: as a part of the window alone, more
+ * than that would go through in the window after it.
  */
 export function windowBounds(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/quotas.ts
@@ -4,8 +4,7 @@
  * Each box charges what it sends to its own part of the window and sends nothing beyond
  * it, so all boxes together stay within the limit whoever is cut off, lost or late to
  * hear. An account of what all others admitted can't do that: what it lacks is room at
- * every box at once, and six boxes went 1.7 times over a limit in a cut of 12 s (simulated).
- * A box whose part is used borrows from others ([unitLoans](./unitLoans.ts)).
+ * every box at once. A box whose part is used borrows from others ([unitLoans](./unitLoans.ts)).
  */
 import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
 import type { RequestFacts, RequestRecord } from '../types/request.js';
@@ -108,9 +107,8 @@
 }
 
 /**
- * Takes back the charge of a send that did not run. Without it a request whose first
- * server was not reached counts twice: a zone of eight boxes that was cut off got 0.72,
- * 0.79, 0.86 and 0.87 of its worth for 0.78, 0.87, 0.81 and 0.93 (simulated, four seeds).
+ * Takes back the charge of a send that did not run: a request whose first server was not
+ * reached would count twice, at callers of a zone that is cut off above all.
  */
 function giveBackCharge(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
@@ -62,8 +62,8 @@
 
 /**
  * The time expected of an answer. A server of the new version has read no prompt
- * before: what it is taken to keep counts as read. Without that, 6 of 26 first answers
- * of a sound version counted as slow beside 9 % of the old one's (simulated, 69 boxes).
+ * before: what it is taken to keep counts as read. Without that, many first
+ * answers of a sound version count as slow.
  */
 function expectedOf(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/unitLoans.ts
+++ b/packages/reedlug-gateway/src/slices/unitLoans.ts
@@ -149,9 +149,9 @@
 }
 
 /**
- * Gives back what a workspace's requests no longer wait for. Without it, of the units that
- * 69 boxes lent each other for a workspace far over its limit half were never sent, and it
- * got 0.54 to 0.60 of what is allowed (simulated).
+ * Gives back what a workspace's requests no longer wait for. Without it, many of the units
+ * that the boxes of a large fleet lend each other are never sent, and a workspace over its
+ * limit gets far less than it.
  */
 export function returnLoans(state: GatewayState, step: Step, workspace: WorkspaceSpec): void {
   const quota = quotaOf(state, workspace, step.nowMs);
