Crash verdict: at a crash who had just come is likelier than who was there for long

An innocent request with a long prompt is open for a second and more without an event; at a crash it counted as much as the culprit that had come 60 ms before, and with a crash of its own beside it was judged first. Now each crash counts the more for who was there for the shortest time.

--- a/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
@@ -79,3 +79,14 @@
   expect(isSameCrash(crash('a', 100, untold), crash('a', 130, untold))).to.equal(true);
   expect(isSameCrash(crash('a', 100, untold), crash('a', 3000, untold))).to.equal(false);
 });
+
+test('who was there for long without an event is less likely than who had just come', () => {
+  const alone = crash('a', 100, { sentAtMs: -900 });
+  const ends = [crash('b', 1500), crash('c', 2700)];
+  const long = ends.map((end) => ({ ...end, sentAtMs: end.endedAtMs - 1200 }));
+  const culprit = suspect('x', ends);
+  const innocent = suspect('y', [alone, ...long]);
+  expect(judge([innocent, culprit])).to.equal(false);
+  const third = crash('d', 4000);
+  expect(judge([suspect('x', [...ends, third]), innocent])).to.equal(true);
+});
--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -24,6 +24,8 @@
 const MOST_SHARE = 0.5;
 /** Crashes in three rounds without a good run that suffice also where others were at each of them. */
 const CRASHES_IN_ANY_CASE = 5;
+/** Time in which a server is likely to crash under a request, in ms: below it, who came later tells nothing. */
+const LIKELY_RUN_MS = 100;
 /** Two news of one crash of a server that does not tell its births differ by less, in ms: it takes longer to start again. */
 const SAME_CRASH_MS = 1500;
 /** Servers that go together are lost within this time, in ms: a busy box's turn. */
@@ -68,13 +70,22 @@
 
 /**
  * How much speaks for a suspect: a crash at which it was alone counts whole, one at which
- * several were counts in equal parts. Who has had a good run since is no suspect of it.
+ * several were counts in parts, the more for who had been there for the shortest time. A
+ * server crashes as it begins with a request; one with a long prompt is open there
+ * for long without an event. Who has had a good run since is no suspect of it.
  */
 function weightOf({ crashes }: CrashSuspect, known: readonly CrashSuspect[]): number {
-  const parts = crashes.map((crash) => 1 / known.filter((other) => wasAt(other, crash)).length);
+  const parts = crashes.map((crash) => {
+    const all = known.flatMap((other) => other.crashes.filter((own) => isSameCrash(own, crash)));
+    return nearnessOf(crash) / all.reduce((sum, other) => sum + nearnessOf(other), 0);
+  });
   return parts.reduce((sum, part) => sum + part, 0);
 }
 
+function nearnessOf({ sentAtMs, endedAtMs }: ServerCrash): number {
+  return 1 / (LIKELY_RUN_MS + Math.max(0, endedAtMs - sentAtMs));
+}
+
 /** Share of the crashes since the suspect's first one at which it was. */
 function shareOf(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
   const sinceMs = Math.min(...crashes.map(({ endedAtMs }) => endedAtMs)) - SAME_MOMENT_MS;
