--- a/packages/reedlug-gateway/src/policy/serverLimit.ts
+++ b/packages/reedlug-gateway/src/policy/serverLimit.ts
@@ -12,7 +12,7 @@
 /** Requests a second that a box which sends to a limited server has at least, where the limit allows it. */
 const LEAST_PART_PER_SECOND = 0.5;
 /** Time in which nothing was heard of a limited server after which one box more may send, in ms: those that may have no callers, or are gone. */
-const UNHEARD_MS = 10_000;
+const UNHEARD_MS = 16_000;
 /** Least requests a second that a limited server is sent, so that its word is heard again: one in ten seconds. */
 const LEAST_PER_SECOND = 0.1;
 /** Time in which a box's part is kept to, in ms: the servers' limits are meant over some seconds, and callers come in clumps. */
--- a/packages/reedlug-gateway/src/slices/limitedSends.ts
+++ b/packages/reedlug-gateway/src/slices/limitedSends.ts
@@ -10,12 +10,14 @@
 import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
 import { limitNow, nextSendAtMs, noteLimitedSend, sendersOf } from '../policy/serverLimit.js';
 import type { GatewayState } from '../state.js';
-import type { SenderPlace, ServerLimit } from '../types/serverLimit.js';
+import type { HeardFleet, ServerLimit } from '../types/serverLimit.js';
 import type { PeerView, ServerView } from '../types/views.js';
 import { countedPeers, countsFreshly, fleetSize, isSeed, usesHubs } from './fleet.js';
 
-/** Pause between looks who sends to a limited server, in ms: as often as news of boxes come. */
+/** Pause between looks which boxes are heard, in ms: as often as their news come. */
 const LOOK_EVERY_MS = 200;
+/** Pause between looks at a list of boxes that changes seldom, in ms: hundreds of boxes, for each of many limited servers. */
+const LOOK_AT_LIST_EVERY_MS = 5000;
 
 /** Time from its start after which a box is taken to have heard of the limits that stood before, in ms. */
 const SETTLED_MS = 3000;
@@ -59,15 +61,15 @@
   view: ServerView,
   { limit, perSecond, nowMs }: { limit: ServerLimit; perSecond: number; nowMs: number },
 ): number {
-  const known = limit.place;
-  const isFresh = known !== undefined && nowMs - known.lookedAtMs < LOOK_EVERY_MS;
-  const place = isFresh ? known : look(state, view, nowMs);
-  limit.place = place;
-  const { rank, heardShare } = place;
+  const isFirstLook = limit.place === undefined;
+  const rank = rankOf(state, view, limit, nowMs);
   const senders = sendersOf(perSecond, nowMs - limit.heardAtMs);
-  const isSender = rank < senders;
-  noteSender(state, limit, { isSender, isFirstLook: known === undefined, nowMs });
-  return isSender ? (perSecond * heardShare) / Math.min(senders, fleetSize(state)) : 0;
+  // The callers of a box that stops go to others.
+  const isSender = rank < senders && state.stoppingSinceMs === undefined;
+  noteSender(state, limit, { isSender, isFirstLook, nowMs });
+  if (!isSender) return 0;
+  const { boxes, share } = fleetNow(state, nowMs);
+  return (perSecond * share) / Math.min(senders, boxes);
 }
 
 /** Notes whether this box is one of those that send to a server. */
@@ -82,33 +84,38 @@
   sends.followsOther = !isFirstLook || knownSinceMs - startedAtMs < SETTLED_MS;
 }
 
-/** Finds this box's place among those that may send to a server. */
-function look(state: GatewayState, view: ServerView, nowMs: number): SenderPlace {
-  const lookedAtMs = nowMs;
-  const heardShare = Math.min(1, heardBoxes(state, nowMs) / fleetSize(state));
-  // Its callers go to other boxes.
-  if (state.stoppingSinceMs !== undefined) {
-    return { rank: Number.POSITIVE_INFINITY, heardShare, lookedAtMs };
-  }
+/** How many boxes come before this one among those that may send to a server. */
+function rankOf(state: GatewayState, view: ServerView, limit: ServerLimit, nowMs: number): number {
+  const known = limit.place;
+  const { byHubs } = fleetNow(state, nowMs);
+  const lookEveryMs = byHubs ? LOOK_AT_LIST_EVERY_MS : LOOK_EVERY_MS;
+  if (known !== undefined && nowMs - known.lookedAtMs < lookEveryMs) return known.rank;
   const { id, bornAtMs } = view.entry;
   const lifeHash = hashString(`${id} ${bornAtMs ?? ''}`);
   const weightOf = (boxId: string): number => rendezvousWeight(lifeHash, hashId(boxId));
   const own = weightOf(state.settings.box.id);
   let rank = 0;
   for (const peer of state.peers.values()) {
-    if (mayBeSender(state, peer, nowMs) && weightOf(peer.boxId) > own) rank += 1;
+    if (mayBeSender(peer, byHubs, nowMs) && weightOf(peer.boxId) > own) rank += 1;
   }
-  return { rank, heardShare, lookedAtMs };
+  limit.place = { rank, lookedAtMs: nowMs };
+  return rank;
 }
 
 /** In a fleet with hubs a box does not hear which of the others are there: all that are listed count. */
-function mayBeSender(state: GatewayState, peer: PeerView, nowMs: number): boolean {
+function mayBeSender(peer: PeerView, byHubs: boolean, nowMs: number): boolean {
   if (isSeed(peer) || peer.message?.leaving === true) return false;
-  return usesHubs(state) || (peer.message !== undefined && countsFreshly(peer, nowMs));
+  return byHubs || (peer.message !== undefined && countsFreshly(peer, nowMs));
 }
 
-/** Boxes whose news this one has, itself included. */
-function heardBoxes(state: GatewayState, nowMs: number): number {
+/** The fleet as this box hears it: each send may look at hundreds of limited servers. */
+function fleetNow(state: GatewayState, nowMs: number): HeardFleet {
+  const known = state.heardFleet;
+  if (known !== undefined && nowMs - known.lookedAtMs < LOOK_EVERY_MS) return known;
   const heard = countedPeers(state, nowMs).filter((peer) => countsFreshly(peer, nowMs));
-  return 1 + heard.reduce((sum, { message }) => sum + message.boxes, 0);
+  const covered = 1 + heard.reduce((sum, { message }) => sum + message.boxes, 0);
+  const boxes = fleetSize(state);
+  const share = Math.min(1, covered / boxes);
+  state.heardFleet = { boxes, share, byHubs: usesHubs(state), lookedAtMs: nowMs };
+  return state.heardFleet;
 }
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -20,7 +20,7 @@
 /** Pause after which a change is told once more, in ms: longer than a loss of several datagrams in a row. */
 const AGAIN_MS = 1000;
 /** Pause after which a limit that is heard again is told again, in ms: half of the time after which another box tries. */
-const RENEW_MS = 5000;
+const RENEW_MS = 8000;
 /** Two tellings of one pause differ by less, in ms. */
 const SAME_PAUSE_MS = 300;
 /** Time for which an end of a limit is known, in ms: no news of it are on their way any more. */
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -8,6 +8,7 @@
 import type { NumberedChange } from './types/peer.js';
 import type { AwaitingRequest, RequestRecord, WaitingSend } from './types/request.js';
 import type { RolloutView } from './types/rollout.js';
+import type { HeardFleet } from './types/serverLimit.js';
 import type { GatewaySettings } from './types/settings.js';
 import type {
   ActiveConfiguration,
@@ -58,6 +59,8 @@
   crashRow: CrashRowState;
   /** Servers that name a limit or asked for a pause, or did so lately. */
   limitedServers: Set<string>;
+  /** The fleet as this box last looked at it for the limits of servers; undefined before. */
+  heardFleet: HeardFleet | undefined;
   /** Those whose pauses the next tick tells of. */
   pausesDue: Set<string>;
   /** Until when callers were told to come back to limited servers, by service and urgency. */
@@ -196,6 +199,7 @@
       hasOwnNews: false,
     },
     limitedServers: new Set(),
+    heardFleet: undefined,
     pausesDue: new Set(),
     limitedReturns: new Map(),
     newcomers: new Set(),
--- a/packages/reedlug-gateway/src/types/serverLimit.ts
+++ b/packages/reedlug-gateway/src/types/serverLimit.ts
@@ -21,12 +21,17 @@
   heardAtMs: number;
 }
 
-/** Where a box stands among those that may send to a limited server. */
+/** The fleet as a box hears it: its boxes, the share of them that is heard, and whether hubs sum up their news. */
+export interface HeardFleet {
+  boxes: number;
+  share: number;
+  byHubs: boolean;
+  lookedAtMs: number;
+}
+
+/** Where a box stands among those that may send to a limited server: how many come before it. */
 export interface SenderPlace {
-  /** How many boxes come before this one. */
   rank: number;
-  /** Share of the fleet's boxes that this one hears, itself included. */
-  heardShare: number;
   lookedAtMs: number;
 }
 
