Server facts: a change is told again by the box that heard it alone

Each box of a small fleet told it once more to all others, as many datagrams as the square of its boxes. Found on reading; test first failed with 6 boxes telling.

--- a/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
@@ -266,3 +266,21 @@
   box.take({ type: 'attemptAnswered', exchangeId, attemptId, ...refusal });
   expect(box.state.servers.get(serverId)?.pausedUntilMs).to.equal(0);
 });
+
+test('a change is told by the box that heard it, twice, and by no other one of a small fleet', () => {
+  const fleet = createFleet({ boxes: 6, zones: ['zone-a', 'zone-b', 'zone-c'] });
+  fleet.pass(4000);
+  const sent = sentOf(fleet.take('box-4', requestOf())) as Sent;
+  for (const event of answer(sent, { kind: 'limit', perSecond: 2 })) fleet.take('box-4', event);
+  const tellers: string[] = [];
+  for (let passed = 0; passed < 3000; passed += 50) {
+    fleet.pass(50);
+    for (const [boxId, effects] of fleet.effects) {
+      const told = ofType(effects, 'sendPeers').filter(
+        ({ message }) => message.kind === 'serverFacts',
+      );
+      tellers.push(...told.map(() => boxId));
+    }
+  }
+  expect(tellers).to.deep.equal(['box-4', 'box-4']);
+});
--- a/packages/reedlug-gateway/src/slices/limitedReturns.ts
+++ b/packages/reedlug-gateway/src/slices/limitedReturns.ts
@@ -18,8 +18,8 @@
 /** Longest time to come back that is told, in ms: limits change within seconds. */
 const MOST_RETRY_MS = 5000;
 
-/** Time after which a request may come back, in ms; undefined where no limit keeps it from its servers. */
-export function limitedRetryMs(
+/** Books the time at which a request may come back, in ms from now; undefined where no limit keeps it from its servers. */
+export function bookReturnMs(
   state: GatewayState,
   record: RequestRecord,
   nowMs: number,
--- a/packages/reedlug-gateway/src/slices/limitedSends.ts
+++ b/packages/reedlug-gateway/src/slices/limitedSends.ts
@@ -18,9 +18,10 @@
 const LOOK_EVERY_MS = 200;
 /** Pause between looks at a list of boxes that changes seldom, in ms: hundreds of boxes, for each of many limited servers. */
 const LOOK_AT_LIST_EVERY_MS = 5000;
-
 /** Time from its start after which a box is taken to have heard of the limits that stood before, in ms. */
 const SETTLED_MS = 3000;
+/** Time since its last word for which a limited server is sent something where it can be, in ms: the end of its need shows in its next answer alone. */
+const WORD_WANTED_MS = 1500;
 
 /** Whether a server's limit lets this box send to it now; each send must pass it, whatever it is for. */
 export function mayReceive(state: GatewayState, view: ServerView, nowMs: number): boolean {
@@ -42,9 +43,6 @@
   return limit !== undefined && limitNow(limit, nowMs) !== undefined;
 }
 
-/** Time since its last word for which a limited server is sent something where it can be, in ms: the end of its need shows in its next answer alone. */
-const WORD_WANTED_MS = 1500;
-
 /** Whether nothing was heard of a limit for a while. */
 export function isWordWanted({ limit }: ServerView, nowMs: number): boolean {
   return limit?.perSecond !== undefined && nowMs - limit.heardAtMs >= WORD_WANTED_MS;
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -6,7 +6,7 @@
 import { log, type GatewayState, type Step } from '../state.js';
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
-import { limitedRetryMs, SERVERS_LIMITED } from './limitedReturns.js';
+import { bookReturnMs, SERVERS_LIMITED } from './limitedReturns.js';
 import { noteSendToLimited } from './limitedSends.js';
 import { suspectKey, suspectOf } from './crashSuspects.js';
 import { giveUp, isRepeatable } from './ending.js';
@@ -59,7 +59,7 @@
   choice = chooseFor(state, step, record),
 ): void {
   if (choice === undefined) {
-    const retryAfterMs = limitedRetryMs(state, record, step.nowMs);
+    const retryAfterMs = bookReturnMs(state, record, step.nowMs);
     const reason = retryAfterMs === undefined ? 'noServer' : SERVERS_LIMITED;
     return giveUp(state, step, record, reason, retryAfterMs);
   }
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -143,10 +143,10 @@
     heardAtMs: step.nowMs - heardAgeMs,
   };
   takeLimitFact(state, step, { view, fact, source });
-  // Whoever told it told all others, but those that hear it from this box.
   const { limit } = view;
-  if (limit === undefined || limit.perSecond !== perSecond) return;
-  if (!handsOn(state)) limit.told = { perSecond, atMs: step.nowMs };
+  if (limit === undefined || limit.perSecond !== perSecond || handsOn(state)) return;
+  // Whoever told it tells all others, and once more.
+  limit.told = { perSecond, atMs: Math.max(step.nowMs, limit.changedAtMs + AGAIN_MS) };
 }
 
 /** A server that does not tell when it was born has one life for all that is known. */
