Crash verdict: below 300 ms, who came later to a crashed server tells nothing

Callers saw: a request that crashes servers went on for longer before it was kept out, and an innocent one that comes often was kept out.

--- a/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
@@ -90,3 +90,14 @@
   const third = crash('d', 4000);
   expect(judge([suspect('x', [...ends, third]), innocent])).to.equal(true);
 });
+
+test('who had come 5 ms before a crash is no likelier than who had come 150 ms before', () => {
+  const ends = [crash('a', 1000), crash('b', 2000), crash('c', 3000)];
+  const culprit = suspect(
+    'x',
+    ends.map((end) => ({ ...end, sentAtMs: end.endedAtMs - 150 })),
+  );
+  const near = ends.map((end) => ({ ...end, sentAtMs: end.endedAtMs - 5 }));
+  const others = [suspect('y', near.slice(0, 2)), suspect('z', near.slice(2))];
+  expect(judge([culprit, ...others])).to.equal(true);
+});
--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -25,7 +25,7 @@
 /** Crashes in three rounds without a good run that suffice also where others were at each of them. */
 const CRASHES_IN_ANY_CASE = 5;
 /** Time in which a server is likely to crash under a request, in ms: below it, who came later tells nothing. */
-const LIKELY_RUN_MS = 100;
+const LIKELY_RUN_MS = 300;
 /** Two news of one crash of a server that does not tell its births differ by less, in ms: it takes longer to start again. */
 const SAME_CRASH_MS = 1500;
 /** Servers that go together are lost within this time, in ms: a busy box's turn. */
@@ -83,7 +83,7 @@
 }
 
 function nearnessOf({ sentAtMs, endedAtMs }: ServerCrash): number {
-  return 1 / (LIKELY_RUN_MS + Math.max(0, endedAtMs - sentAtMs));
+  return 1 / Math.max(LIKELY_RUN_MS, endedAtMs - sentAtMs);
 }
 
 /** Share of the crashes since the suspect's first one at which it was. */
