What is sent to a server after its end is not under suspicion of it

Order of events: the crashing caller ended all three servers of a service within 0.15 s; forwarders in front of them went on taking connections and lost what came. Now a send counts only if the life is not known, by any box's word, to have ended before it.

--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -31,7 +31,7 @@
 /** Servers that go together are lost within this time, in ms: a busy box's turn. */
 const SAME_MOMENT_MS = 50;
 /** A send that is this much older than a crash, in ms, still followed it: the ages that boxes tell are late by the way of a datagram. */
-const AGE_ERROR_MS = 20;
+export const AGE_ERROR_MS = 20;
 
 /** Whether two are one end of one life of a server. */
 export function isSameCrash(a: ServerCrash, b: ServerCrash): boolean {
--- a/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
@@ -312,3 +312,36 @@
   const goodRunAgeMs = box.nowMs - (suspect?.goodRunAtMs ?? 0);
   return { key: SUSPECT, crashes: [], goodRunAgeMs, keptOutAgeMs: undefined, seenAgeMs: 0 };
 }
+
+test('what is sent after a server has ended, and lost behind a forwarder, is not under suspicion', () => {
+  const box = createBox();
+  const late = arrive(box, 'popular');
+  const lateSend = only(late.effects, 'send');
+  const { serverId } = lateSend.order;
+  // Another box saw that server end before this one sent to it.
+  const recent = [[serverId, null, 300, 200] as const];
+  const message = { kind: 'crashSuspects' as const, boxId: 'box-2', suspects: [], recent };
+  box.take({ type: 'crashSuspects', message });
+  box.pass(10);
+  lose(box, { exchangeId: late.exchangeId, attemptId: lateSend.attemptId });
+  expect(box.state.crashSuspects.has('tiger/popular')).to.equal(false);
+});
+
+test('sends after the first loss that told of an end are no longer under suspicion of it', () => {
+  const box = createBox();
+  const first = arrive(box, 'bad');
+  const { attemptId, order } = only(first.effects, 'send');
+  box.pass(60);
+  lose(box, { exchangeId: first.exchangeId, attemptId });
+  expect([...box.state.crashSuspects.keys()]).to.deep.equal(['tiger/bad']);
+  // Only that server takes what comes next.
+  for (const view of box.state.servers.values()) view.leaving = view.entry.id !== order.serverId;
+  box.pass(100);
+  const later = arrive(box, 'popular');
+  box.pass(10);
+  lose(box, {
+    exchangeId: later.exchangeId,
+    attemptId: only(later.effects, 'send').attemptId,
+  });
+  expect([...box.state.crashSuspects.keys()]).to.deep.equal(['tiger/bad']);
+});
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -7,7 +7,12 @@
  * lives and not reports, and tell each other; the sets only grow until a good run, so the
  * order, repetition and loss of news change nothing.
  */
-import { CRASHES_TO_KEEP_OUT, isCulprit, isSameCrash } from '../policy/crashVerdict.js';
+import {
+  AGE_ERROR_MS,
+  CRASHES_TO_KEEP_OUT,
+  isCulprit,
+  isSameCrash,
+} from '../policy/crashVerdict.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { CrashSuspect, ServerCrash } from '../types/crashSuspect.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
@@ -114,11 +119,22 @@
 
 /** Notes a crash whoever was there: those of a moment tell a common cause from a request. */
 export function noteRecent({ recentCrashes }: GatewayState, crash: ServerCrash): void {
-  if (recentCrashes.some((known) => isSameCrash(known, crash))) return;
-  recentCrashes.push(crash);
+  const known = recentCrashes.find((other) => isSameCrash(other, crash));
+  if (known !== undefined) {
+    // Whoever lost a send first saw the end first.
+    known.endedAtMs = Math.min(known.endedAtMs, crash.endedAtMs);
+    return;
+  }
+  recentCrashes.push({ ...crash });
   if (recentCrashes.length > MOST_RECENT) recentCrashes.shift();
 }
 
+/** Whether a life of a server is known to have ended before a request was sent there. */
+export function hasEndedBefore({ recentCrashes }: GatewayState, crash: ServerCrash): boolean {
+  const known = recentCrashes.find((other) => isSameCrash(other, crash));
+  return known !== undefined && crash.sentAtMs > known.endedAtMs + AGE_ERROR_MS;
+}
+
 /** Adds a crash; false when it is known, or a good run came after the send. */
 export function addCrash(state: GatewayState, suspect: CrashSuspect, crash: ServerCrash): boolean {
   noteRecent(state, crash);
--- a/packages/reedlug-gateway/src/slices/lostServers.ts
+++ b/packages/reedlug-gateway/src/slices/lostServers.ts
@@ -12,7 +12,13 @@
 import type { LostServer } from '../types/crashSuspect.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import type { ServerView } from '../types/views.js';
-import { isPastPoint, noteCrash, noteGoodRun, suspectKey } from './crashSuspects.js';
+import {
+  hasEndedBefore,
+  isPastPoint,
+  noteCrash,
+  noteGoodRun,
+  suspectKey,
+} from './crashSuspects.js';
 
 /** Time for which it may still come out that a server has crashed, in ms: its entry goes after three heartbeats, or it is born again after some seconds. */
 const OPEN_MS = 15_000;
@@ -80,7 +86,9 @@
   { serverId, bornAtMs }: LostServer,
   { key, sentAtMs, lostAtMs }: LostServer['sends'][number],
 ): void {
-  noteCrash(state, step, key, { serverId, bornAtMs, sentAtMs, endedAtMs: lostAtMs });
+  const crash = { serverId, bornAtMs, sentAtMs, endedAtMs: lostAtMs };
+  // A forwarder may take what comes after the end, and lose it: the server did not end under that.
+  if (!hasEndedBefore(state, crash)) noteCrash(state, step, key, crash);
 }
 
 /** Forgets servers of which nothing came out. */
