--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -77,13 +77,22 @@
   }
   const sound = open.filter((view) => failureScore(view, nowMs) < SUSPECT_SCORE);
   const candidates = reachable(state, sound.length > 0 ? sound : open, staysInZone);
-  const homeId = homeOf(candidates, facts, nowMs);
+  // Most of the time no server names a limit, and there may be thousands.
+  const isAnyLimited = state.limitedServers.size > 0;
+  const limited = new Set(
+    isAnyLimited ? candidates.filter((view) => isLimited(view, nowMs)) : undefined,
+  );
+  const homeId = homeOf(candidates, limited, facts);
   const peers = countedPeers(state, nowMs);
   const model = modelOf(state, service, nowMs);
   let best: Choice | undefined;
   const considered =
     trialHash === undefined
-      ? compared(candidates, { facts, homeId, nowMs })
+      ? compared(candidates, {
+          facts,
+          homeId,
+          unheard: [...limited].find((view) => isWordWanted(view, nowMs)),
+        })
       : highestRanked(candidates, trialHash, 1);
   for (const view of considered) {
     const choice = weigh(state, {
@@ -127,14 +136,13 @@
  */
 function compared(
   candidates: readonly ServerView[],
-  params: { facts: RequestFacts; homeId: string | undefined; nowMs: number },
+  params: { facts: RequestFacts; homeId: string | undefined; unheard: ServerView | undefined },
 ): readonly ServerView[] {
   if (candidates.length <= COMPARED_WHOLE) return candidates;
-  const { facts, homeId, nowMs } = params;
+  const { facts, homeId, unheard } = params;
   const keyHash = hashString(facts.requestId);
   const drawn = highestRanked(candidates, keyHash, DRAWN_SERVERS);
   const home = candidates.find(({ entry }) => entry.id === homeId);
-  const unheard = candidates.find((view) => isWordWanted(view, nowMs));
   return [...new Set([home, unheard, ...drawn])].filter((view) => view !== undefined);
 }
 
@@ -198,12 +206,12 @@
  */
 function homeOf(
   candidates: readonly ServerView[],
+  limited: ReadonlySet<ServerView>,
   facts: RequestFacts,
-  nowMs: number,
 ): string | undefined {
   const subject = facts.promptParts.at(-2);
   if (subject === undefined) return undefined;
-  const free = candidates.filter((view) => !isLimited(view, nowMs));
+  const free = limited.size === 0 ? candidates : candidates.filter((view) => !limited.has(view));
   return highestRanked(free, hashString(subject.id), 1)[0]?.entry.id;
 }
 
--- a/packages/reedlug-simulator/src/faults/limitedServers.ts
+++ b/packages/reedlug-simulator/src/faults/limitedServers.ts
@@ -123,21 +123,12 @@
   const fromMs = namedAtMs + CONTACT_MS;
   const untilMs = Math.min(endedAtMs ?? Infinity, nowMs(world));
   const counted = arrivals.filter(({ atMs }) => atMs >= fromMs && atMs < untilMs);
-  const timed = (of: typeof counted): TimedAmount[] => of.map(({ atMs }) => ({ atMs, amount: 1 }));
-  const allowedAt = (atMs: number): number =>
-    (highestLimit(record, atMs) * ALLOWED_FACTOR * WINDOW_MS) / 1000 + ALLOWED_ON_TOP;
-  const bound = greatestShare(
-    timed(counted.filter(({ isBound }) => isBound)),
-    WINDOW_MS,
-    allowedAt,
+  const bound = mostOf(
+    record,
+    counted.filter(({ isBound }) => isBound),
   );
-  const all = greatestShare(timed(counted), WINDOW_MS, allowedAt);
-  const grantedOf = periods.map(({ fromMs: beginMs, perSecond }, index) => {
-    const endMs = Math.min(untilMs, periods[index + 1]?.fromMs ?? Infinity);
-    return (Math.max(0, endMs - Math.max(fromMs, beginMs)) * perSecond) / 1000;
-  });
-  const granted = grantedOf.reduce((sum, part) => sum + part, 0);
-  const endMs = endedAtMs;
+  const all = mostOf(record, counted);
+  const granted = grantedBetween(record, fromMs, untilMs);
   return {
     server: server.entry.id,
     perSecond: periods.at(-1)?.perSecond ?? 0,
@@ -146,13 +137,36 @@
     mostOfAll: all.most,
     allowedOfAll: all.allowed,
     usedShare: granted === 0 ? 0 : counted.length / granted,
-    afterEnd:
-      endMs === undefined
-        ? undefined
-        : arrivals.filter(({ atMs }) => atMs >= endMs + 3000 && atMs < endMs + 6000).length,
+    afterEnd: endedAtMs === undefined ? undefined : arrivalsAfter(record, endedAtMs),
   };
 }
 
+/** Requests of the window that is the greatest share of what is allowed. */
+function mostOf(
+  record: LimitedServerRecord,
+  arrivals: LimitedServerRecord['arrivals'],
+): { most: number; allowed: number } {
+  const amounts = arrivals.map(({ atMs }): TimedAmount => ({ atMs, amount: 1 }));
+  return greatestShare(amounts, WINDOW_MS, (atMs) => {
+    return (highestLimit(record, atMs) * ALLOWED_FACTOR * WINDOW_MS) / 1000 + ALLOWED_ON_TOP;
+  });
+}
+
+/** Requests that the limits named in a span of time let through. */
+function grantedBetween({ periods }: LimitedServerRecord, fromMs: number, untilMs: number): number {
+  const parts = periods.map(({ fromMs: beginMs, perSecond }, index) => {
+    const endMs = Math.min(untilMs, periods[index + 1]?.fromMs ?? Infinity);
+    return (Math.max(0, endMs - Math.max(fromMs, beginMs)) * perSecond) / 1000;
+  });
+  return parts.reduce((sum, part) => sum + part, 0);
+}
+
+/** Requests of a span as long as the one in which all learn of the end, after it. */
+function arrivalsAfter({ arrivals }: LimitedServerRecord, endedAtMs: number): number {
+  const fromMs = endedAtMs + CONTACT_MS;
+  return arrivals.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + CONTACT_MS).length;
+}
+
 /** The highest limit in force in the window before a time; of a lower one news are on their way for a while. */
 function highestLimit({ periods }: LimitedServerRecord, atMs: number): number {
   const sinceMs = atMs - WINDOW_MS - CONTACT_MS;
