--- a/packages/reedlug-gateway/src/daemon/requestDigest.ts
+++ b/packages/reedlug-gateway/src/daemon/requestDigest.ts
@@ -8,7 +8,6 @@
 /**
  * SHA-256 of method, host, path and body, cut short. Logs, news and stored rows carry it in
  * place of the body. Each part is preceded by its length, so that none runs into the next.
- * It takes 6 µs for a body of 2 KB, under one in a hundred of a request's processor time.
  */
 export function digestOf(exchange: Pick<CallerExchange, 'head' | 'body'>, host: string): string {
   const { head, body } = exchange;
--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -24,12 +24,12 @@
 } from './crashSuspects.js';
 import { handsOn, neighbours } from './spreadNews.js';
 
-/** Suspects in one message: some 200 bytes each, and five crashes of a request matter more than one. */
+/** Suspects in one message, so that it stays far under what a datagram holds; those with the most crashes matter most. */
 const MOST_TOLD = 24;
 /** Pause between messages that tell all, in ms: a third of the time in which news must have come. */
 const TELL_ALL_EVERY_MS = 1000;
 
-/** Crashes of others that are told beside, by their age in ms, and at most: some 40 bytes each. */
+/** Crashes of others that are told beside, by their age in ms, and at most. */
 const RECENT_TOLD_MS = 2000;
 const MOST_RECENT_TOLD = 64;
 /** Two tellings of one good run differ by less, in ms. */
--- a/packages/reedlug-gateway/src/slices/crashRefusal.ts
+++ b/packages/reedlug-gateway/src/slices/crashRefusal.ts
@@ -8,7 +8,7 @@
 import { CRASHES_SERVERS, suspectOf } from './crashSuspects.js';
 import { countsFreshly, isSeed, usesHubs } from './fleet.js';
 
-/** When such a request may come back to another box, in ms: a trial has ended by then. */
+/** When such a request may come back to another box, in ms: the one send that is under way has shown by then whether its server crashes. */
 const TRIAL_RETRY_MS = 500;
 
 /** What a request that has come is refused with, if it is to be sent to no server. */
@@ -60,7 +60,7 @@
 /**
  * Whether this box sends a suspect with three crashes whose case is open: one box does, the
  * first by rank of those that are heard, one send at a time. The users allow three further
- * sends in all; two boxes made four (drawn, a burst of six copies at once).
+ * sends in all, and copies that come at once to several boxes would make more.
  */
 function mayTry(state: GatewayState, suspect: CrashSuspect, nowMs: number): boolean {
   const keyHash = hashString(suspect.key);
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashSuspects.ts
@@ -34,7 +34,7 @@
 
 /**
  * Time since its first event after which a run is past the point at which servers crash,
- * in ms: the ones that users saw ended within 0.1 s, before their first event.
+ * in ms: a server crashes as it begins with one, before its first event.
  */
 const PAST_CRASH_MS = 1000;
 
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -15,7 +15,7 @@
 import { MOST_PAUSE_MS, takeLimitFact, takePause } from './serverLimits.js';
 import { handsOn, neighbours } from './spreadNews.js';
 
-/** Limits in one datagram: some 40 bytes each, of the 64 KB that it holds. */
+/** Limits in one datagram, so that they fill half of what it holds at most. */
 const MOST_ROWS = 800;
 /** Pause after which a change is told once more, in ms: longer than a loss of several datagrams in a row. */
 const AGAIN_MS = 1000;
