A path that is no URL by itself no longer ends a box

What operators saw: a request for // on the port of the metrics ended the process, by an uncaught Invalid URL. The path was parsed as a URL and then cut out of the request a second time; now it is cut once, without its query. Found on reading; the test failed first.

--- a/packages/reedlug-gateway/src/daemon/__tests__/operatorServer.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/operatorServer.test.ts
@@ -55,4 +55,6 @@
 test('any other path gives the metrics', () =>
   serveBox(async (url) => {
     expect(await (await fetch(`${url}/metrics`)).text()).to.include('reedlug');
+    // No URL by itself, and not one to end the process for.
+    expect(await (await fetch(`${url}//`)).text()).to.include('reedlug');
   }));
--- a/packages/reedlug-gateway/src/daemon/operatorServer.ts
+++ b/packages/reedlug-gateway/src/daemon/operatorServer.ts
@@ -2,7 +2,7 @@
  * What operators ask of one box over HTTP, on the port of its metrics: `GET /verdicts` and
  * `DELETE /verdicts/KEY` (as `GET` names it, percent-encoded); any other path gives the metrics.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import { setDecisionMetrics } from '../observe/decisionMetrics.js';
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
@@ -25,9 +25,11 @@
 /** Returns the server; it does not listen yet. */
 export function createOperatorServer(box: OperatedBox): Server {
   return createServer((request, response) => {
-    const { pathname } = new URL(request.url ?? '/', 'http://box');
-    if (request.method === 'GET' && pathname === VERDICTS_PATH) return showVerdicts(box, response);
-    if (pathname.startsWith(`${VERDICTS_PATH}/`)) return liftVerdict(box, request, response);
+    const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
+    if (request.method === 'GET' && path === VERDICTS_PATH) return showVerdicts(box, response);
+    if (path.startsWith(`${VERDICTS_PATH}/`)) {
+      return liftVerdict(box, { method: request.method, key: keyOf(path) }, response);
+    }
     showMetrics(box, response);
   });
 }
@@ -37,9 +39,12 @@
   response.end(JSON.stringify(verdictsOf(state, clock.nowMs())));
 }
 
-function liftVerdict(box: OperatedBox, request: IncomingMessage, response: ServerResponse): void {
-  const key = keyOf(request.url ?? '');
-  if (request.method !== 'DELETE') return end(response, 405, 'DELETE lifts a verdict');
+function liftVerdict(
+  box: OperatedBox,
+  { method, key }: { method: string | undefined; key: string | undefined },
+  response: ServerResponse,
+): void {
+  if (method !== 'DELETE') return end(response, 405, 'DELETE lifts a verdict');
   const isKnown = verdictsOf(box.state, box.clock.nowMs()).some((verdict) => verdict.key === key);
   if (key === undefined || !isKnown) {
     return end(response, 404, 'no such verdict: GET /verdicts names those that stand');
@@ -48,9 +53,9 @@
   end(response, 204, '');
 }
 
-function keyOf(url: string): string | undefined {
+function keyOf(path: string): string | undefined {
   try {
-    return decodeURIComponent(url.slice(VERDICTS_PATH.length + 1));
+    return decodeURIComponent(path.slice(VERDICTS_PATH.length + 1));
   } catch {
     // Not percent-encoded as it must be: it names no verdict.
     return undefined;
