Server facts: neighbours are looked up only where there is something to tell

Each tick of each box, twenty a second, listed all of its neighbours, at a hub its members and the other hubs, also while no server names anything.

--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -46,9 +46,14 @@
     dueLimits.push(row);
     limit.told = { perSecond: limit.perSecond, atMs: step.nowMs };
   }
-  tell(state, step, { limits: dueLimits, pauses: duePauses, to: neighbours(state, step.nowMs) });
-  const to = addressesOf(state, state.newcomers);
-  tell(state, step, { limits: allLimits, pauses: [], to });
+  if (dueLimits.length + duePauses.length > 0) {
+    const to = neighbours(state, step.nowMs);
+    tell(state, step, { limits: dueLimits, pauses: duePauses, to });
+  }
+  if (allLimits.length > 0) {
+    const to = addressesOf(state, state.newcomers);
+    tell(state, step, { limits: allLimits, pauses: [], to });
+  }
   state.pausesDue.clear();
   state.newcomers.clear();
 }
