One piece for the place of a box among others, for limited servers of a service, and for who hands on

The rank by which boxes agree on who tries a suspect and who sends to a limited server was worked out twice, as were the limited servers of a service and whether a box is the hub of others (a third time in the loans of units).

--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -22,7 +22,8 @@
   strengthOf,
   suspectFor,
 } from './crashSuspects.js';
-import { handsOn, neighbours } from './spreadNews.js';
+import { handsOn } from './fleet.js';
+import { neighbours } from './spreadNews.js';
 
 /** Suspects in one message, so that it stays far under what a datagram holds; those with the most crashes matter most. */
 const MOST_TOLD = 24;
--- a/packages/reedlug-gateway/src/slices/crashRefusal.ts
+++ b/packages/reedlug-gateway/src/slices/crashRefusal.ts
@@ -1,12 +1,12 @@
 /** Refusals of requests that may crash the servers that run them. */
-import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
+import { hashString } from 'reedlug-coordination';
 import { CRASHES_TO_KEEP_OUT } from '../policy/crashVerdict.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { CrashSuspect } from '../types/crashSuspect.js';
 import type { RequestRecord } from '../types/request.js';
 import type { PeerView } from '../types/views.js';
 import { CRASHES_SERVERS, suspectOf } from './crashSuspects.js';
-import { countsFreshly, isSeed, usesHubs } from './fleet.js';
+import { boxesBefore, countsFreshly, usesHubs } from './fleet.js';
 
 /** When such a request may come back to another box, in ms: the one send that is under way has shown by then whether its server crashes. */
 const TRIAL_RETRY_MS = 500;
@@ -63,12 +63,8 @@
  * sends in all, and copies that come at once to several boxes would make more.
  */
 function mayTry(state: GatewayState, suspect: CrashSuspect, nowMs: number): boolean {
-  const keyHash = hashString(suspect.key);
-  const rank = (boxId: string): number => rendezvousWeight(keyHash, hashId(boxId));
-  const own = rank(state.settings.box.id);
-  const isThere = (peer: PeerView): boolean => usesHubs(state) || countsFreshly(peer, nowMs);
-  for (const peer of state.peers.values()) {
-    if (!isSeed(peer) && isThere(peer) && rank(peer.boxId) > own) return false;
-  }
+  const byHubs = usesHubs(state);
+  const isThere = (peer: PeerView): boolean => byHubs || countsFreshly(peer, nowMs);
+  if (boxesBefore(state, hashString(suspect.key), isThere) > 0) return false;
   return ![...state.requests.values()].some((record) => suspectOf(state, record) === suspect);
 }
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -1,5 +1,5 @@
 /** The boxes that this one knows: how many there are, whose news count, and who is its hub. */
-import { hashString } from 'reedlug-coordination';
+import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
 import { groupBoxes, needsHubs } from '../policy/peerGroups.js';
 import { NewsScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
 import type { GatewayState } from '../state.js';
@@ -69,6 +69,26 @@
   return needsHubs(fleetSize(state));
 }
 
+/** Whether this box hands on what it is told: it is the hub of others. */
+export function handsOn(state: GatewayState): boolean {
+  return usesHubs(state) && state.hubId === undefined;
+}
+
+/** How many boxes rank before this one for a key, among the peers that count. */
+export function boxesBefore(
+  state: GatewayState,
+  keyHash: number,
+  counts: (peer: PeerView) => boolean,
+): number {
+  const weightOf = (boxId: string): number => rendezvousWeight(keyHash, hashId(boxId));
+  const own = weightOf(state.settings.box.id);
+  let before = 0;
+  for (const peer of state.peers.values()) {
+    if (!isSeed(peer) && counts(peer) && weightOf(peer.boxId) > own) before += 1;
+  }
+  return before;
+}
+
 /** The peers whose figures, with this box's own, make up the fleet's; none is covered twice. */
 export function countedPeers(state: GatewayState, nowMs: number): HeardPeer[] {
   const byHubs = usesHubs(state);
--- a/packages/reedlug-gateway/src/slices/limitedEngines.ts
+++ b/packages/reedlug-gateway/src/slices/limitedEngines.ts
@@ -3,6 +3,7 @@
 import type { EngineModel } from '../policy/engineModel.js';
 import type { EngineNeed, ServiceLoad } from '../policy/engineTarget.js';
 import type { GatewayState, Step } from '../state.js';
+import { limitedServersOf } from './limitedSends.js';
 
 const SECOND_MS = 1000;
 
@@ -13,12 +14,9 @@
   params: { service: string; load: ServiceLoad; model: EngineModel; need: EngineNeed },
 ): EngineNeed {
   const { service, load, model, need } = params;
-  const limits = [...state.limitedServers].flatMap((id) => {
-    const view = state.servers.get(id);
-    const isOfService = view?.entry.service === service && !view.leaving;
-    const perSecond = isOfService && view.limit ? limitNow(view.limit, nowMs) : undefined;
-    return perSecond === undefined ? [] : [perSecond];
-  });
+  const limits = limitedServersOf(state, service)
+    .map(({ limit }) => limit && limitNow(limit, nowMs))
+    .filter((perSecond) => perSecond !== undefined);
   if (limits.length === 0) return need;
   const asked = (load.openRequests * SECOND_MS) / model.stayMs;
   const missing = (engines: number): number => {
--- a/packages/reedlug-gateway/src/slices/limitedReturns.ts
+++ b/packages/reedlug-gateway/src/slices/limitedReturns.ts
@@ -9,7 +9,7 @@
 import type { GatewayState } from '../state.js';
 import type { RequestRecord } from '../types/request.js';
 import { fleetSize } from './fleet.js';
-import { receivesAtMs } from './limitedSends.js';
+import { limitedServersOf, receivesAtMs } from './limitedSends.js';
 
 /** Why such a request is refused. */
 export const SERVERS_LIMITED = 'serversLimited';
@@ -47,10 +47,8 @@
 ): { perSecond: number; nextAtMs: number } {
   let perSecond = 0;
   let ownNextAtMs = Number.POSITIVE_INFINITY;
-  for (const id of state.limitedServers) {
-    const view = state.servers.get(id);
-    if (view === undefined || view.leaving) continue;
-    if (view.entry.service !== service || avoid.has(id)) continue;
+  for (const view of limitedServersOf(state, service)) {
+    if (avoid.has(view.entry.id)) continue;
     const isPaused = view.pausedUntilMs > nowMs;
     perSecond += (view.limit && limitNow(view.limit, nowMs)) ?? (isPaused ? PAUSED_PER_SECOND : 0);
     ownNextAtMs = Math.min(ownNextAtMs, receivesAtMs(state, view, nowMs));
--- a/packages/reedlug-gateway/src/slices/limitedSends.ts
+++ b/packages/reedlug-gateway/src/slices/limitedSends.ts
@@ -7,12 +7,12 @@
  * others takes that share of its part alone, so that both sides of a cut together stay
  * within the limit.
  */
-import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
+import { hashString } from 'reedlug-coordination';
 import { limitNow, nextSendAtMs, noteLimitedSend, sendersOf } from '../policy/serverLimit.js';
 import type { GatewayState } from '../state.js';
 import type { HeardFleet, ServerLimit } from '../types/serverLimit.js';
 import type { PeerView, ServerView } from '../types/views.js';
-import { countedPeers, countsFreshly, fleetSize, isSeed, usesHubs } from './fleet.js';
+import { boxesBefore, countedPeers, countsFreshly, fleetSize, usesHubs } from './fleet.js';
 
 /** Pause between looks which boxes are heard, in ms: as often as their news come. */
 const LOOK_EVERY_MS = 200;
@@ -38,6 +38,14 @@
   return Math.max(fromMs, nextSendAtMs(limit.sends, part, nowMs));
 }
 
+/** Servers of a service that name a limit or asked for a pause, or did so lately, and do not leave. */
+export function limitedServersOf(state: GatewayState, service: string): ServerView[] {
+  return [...state.limitedServers].flatMap((id) => {
+    const view = state.servers.get(id);
+    return view?.entry.service === service && !view.leaving ? [view] : [];
+  });
+}
+
 /** Whether a server names a limit, or did so a moment ago. */
 export function isLimited({ limit }: ServerView, nowMs: number): boolean {
   return limit !== undefined && limitNow(limit, nowMs) !== undefined;
@@ -90,19 +98,14 @@
   if (known !== undefined && nowMs - known.lookedAtMs < lookEveryMs) return known.rank;
   const { id, bornAtMs } = view.entry;
   const lifeHash = hashString(`${id} ${bornAtMs ?? ''}`);
-  const weightOf = (boxId: string): number => rendezvousWeight(lifeHash, hashId(boxId));
-  const own = weightOf(state.settings.box.id);
-  let rank = 0;
-  for (const peer of state.peers.values()) {
-    if (mayBeSender(peer, byHubs, nowMs) && weightOf(peer.boxId) > own) rank += 1;
-  }
+  const rank = boxesBefore(state, lifeHash, (peer) => mayBeSender(peer, byHubs, nowMs));
   limit.place = { rank, lookedAtMs: nowMs };
   return rank;
 }
 
 /** In a fleet with hubs a box does not hear which of the others are there: all that are listed count. */
 function mayBeSender(peer: PeerView, byHubs: boolean, nowMs: number): boolean {
-  if (isSeed(peer) || peer.message?.leaving === true) return false;
+  if (peer.message?.leaving === true) return false;
   return byHubs || (peer.message !== undefined && countsFreshly(peer, nowMs));
 }
 
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -11,9 +11,9 @@
 import type { PeerAddress } from '../types/peer.js';
 import type { LimitRow, PauseRow, ServerLimit } from '../types/serverLimit.js';
 import type { PeerView, ServerView } from '../types/views.js';
-import { SILENT_AFTER_MS } from './fleet.js';
+import { handsOn, SILENT_AFTER_MS } from './fleet.js';
 import { MOST_PAUSE_MS, takeLimitFact, takePause } from './serverLimits.js';
-import { handsOn, neighbours } from './spreadNews.js';
+import { neighbours } from './spreadNews.js';
 
 /** Limits in one datagram, so that they fill half of what it holds at most. */
 const MOST_ROWS = 800;
--- a/packages/reedlug-gateway/src/slices/spreadNews.ts
+++ b/packages/reedlug-gateway/src/slices/spreadNews.ts
@@ -12,8 +12,3 @@
   const otherHubs = [...state.peers.values()].filter((peer) => isFreshHub(peer, nowMs));
   return [...otherHubs, ...membersOf(state, nowMs)].map(({ address }) => address);
 }
-
-/** Whether this box hands on what it is told: it is the hub of others. */
-export function handsOn(state: GatewayState): boolean {
-  return usesHubs(state) && state.hubId === undefined;
-}
--- a/packages/reedlug-gateway/src/slices/unitLoans.ts
+++ b/packages/reedlug-gateway/src/slices/unitLoans.ts
@@ -11,7 +11,7 @@
 import { addUnits } from '../policy/unitWindow.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { WorkspaceSpec } from '../types/configuration.js';
-import { countedPeers, countsFreshly, ownAddress, usesHubs, type HeardPeer } from './fleet.js';
+import { countedPeers, countsFreshly, handsOn, ownAddress, type HeardPeer } from './fleet.js';
 import { findWorkspace, lendUnits, LOAN_MS, quotaOf, roomOf } from './quotas.js';
 
 /** Boxes asked for the units of one request at most: a large request over small parts takes dozens. */
@@ -92,7 +92,7 @@
 
 function handOn(state: GatewayState, step: Step, message: UnitsAskedMessage): void {
   const { workspace, boxId, hops } = message;
-  if (!usesHubs(state) || state.hubId !== undefined || hops > MOST_HOPS) return;
+  if (!handsOn(state) || hops > MOST_HOPS) return;
   const lenders = lendersOf(state, workspace, step.nowMs).filter(({ peer }) => {
     const isMember = peer.message.scope === NewsScope.box;
     return peer.boxId !== boxId && (isMember || hops < MOST_HOPS);
