--- a/packages/reedlug-gateway/src/slices/crashNews.ts
+++ b/packages/reedlug-gateway/src/slices/crashNews.ts
@@ -23,6 +23,7 @@
   suspectFor,
 } from './crashSuspects.js';
 import { handsOn } from './fleet.js';
+import { isNumber, isNumberOrNull } from './rowValues.js';
 import { neighbours } from './spreadNews.js';
 
 /** Suspects in one message, so that it stays far under what a datagram holds; those with the most crashes matter most. */
@@ -97,11 +98,7 @@
 
 function isCrashRow(row: unknown): row is CrashRow {
   if (!Array.isArray(row) || row.length < 4 || typeof row[0] !== 'string') return false;
-  return (row[1] === null || isNumber(row[1])) && isNumber(row[2]) && isNumber(row[3]);
-}
-
-function isNumber(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value);
+  return isNumberOrNull(row[1]) && isNumber(row[2]) && isNumber(row[3]);
 }
 
 /** Takes what another box knows. */
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -12,6 +12,7 @@
 import type { LimitRow, PauseRow, ServerLimit } from '../types/serverLimit.js';
 import type { PeerView, ServerView } from '../types/views.js';
 import { handsOn, SILENT_AFTER_MS } from './fleet.js';
+import { isNumber, isNumberOrNull } from './rowValues.js';
 import { MOST_PAUSE_MS, takeLimitFact, takePause } from './serverLimits.js';
 import { neighbours } from './spreadNews.js';
 
@@ -159,20 +160,16 @@
   return bornAtMs === null || entry.bornAtMs === undefined || entry.bornAtMs === bornAtMs;
 }
 
-function isNumberOrNull(value: unknown): boolean {
-  return value === null || Number.isFinite(value);
-}
-
 /** Whether a value is a limit as it is told: datagrams come from other versions too. */
 function isLimitRow(row: unknown): row is LimitRow {
   if (!Array.isArray(row) || row.length < 5 || typeof row[0] !== 'string') return false;
-  const [, bornAtMs, perSecond, ...ages] = row as unknown[];
-  const isLimit = isNumberOrNull(perSecond) && (perSecond === null || Number(perSecond) >= 0);
-  return isNumberOrNull(bornAtMs) && isLimit && ages.slice(0, 2).every(Number.isFinite);
+  const [, bornAtMs, perSecond, sentAgeMs, heardAgeMs] = row as unknown[];
+  const isLimit = isNumberOrNull(perSecond) && (perSecond ?? 0) >= 0;
+  return isNumberOrNull(bornAtMs) && isLimit && isNumber(sentAgeMs) && isNumber(heardAgeMs);
 }
 
 function isPauseRow(row: unknown): row is PauseRow {
   if (!Array.isArray(row) || row.length < 3 || typeof row[0] !== 'string') return false;
   const [, bornAtMs, leftMs] = row as unknown[];
-  return isNumberOrNull(bornAtMs) && Number.isFinite(leftMs);
+  return isNumberOrNull(bornAtMs) && isNumber(leftMs);
 }
