--- a/packages/reedlug-soak/src/promises.ts
+++ b/packages/reedlug-soak/src/promises.ts
@@ -164,21 +164,20 @@
   const ids = new Set(
     record.calls.filter(({ key }) => key === limited.key).map(({ requestId }) => requestId),
   );
-  const timesMs = record.runs
-    .filter(({ requestId, ran }) => ran && ids.has(requestId))
-    .map(({ atMs }) => atMs)
-    .sort((a, b) => a - b);
-  let first = 0;
-  let most = 0;
-  timesMs.forEach((atMs, last) => {
-    while ((timesMs[first] ?? atMs) <= atMs - limited.windowMs) first += 1;
-    most = Math.max(most, last - first + 1);
-  });
+  const runs = record.runs.filter(({ requestId, ran }) => ran && ids.has(requestId));
+  const most = Math.max(0, ...windowsOf(runs, limited.windowMs).map((inWindow) => inWindow.length));
   if (most <= limited.runs) return [];
   const detail = `${most} runs in ${limited.windowMs} ms where ${limited.runs} are allowed`;
   return [{ promise: 'limits over all boxes', detail }];
 }
 
+/** For each run those of the window that ends with it. */
+function windowsOf(runs: readonly Run[], lengthMs: number): Run[][] {
+  return runs.map(({ atMs: endMs }) =>
+    runs.filter(({ atMs }) => atMs > endMs - lengthMs && atMs <= endMs),
+  );
+}
+
 /** Counts what servers saw of the request under which they end. */
 function checkCrashing(record: SoakRecord, bounds: PromiseBounds): Violation[] {
   const thirdAtMs = record.crashesAtMs[CRASHES_BEFORE - 1];
@@ -209,16 +208,14 @@
 
 /** Counts what servers that name a limit get from boxes that had passed such an answer on. */
 function checkServerLimits(record: SoakRecord, bounds: PromiseBounds): Violation[] {
+  const callById = new Map(record.calls.map((call) => [call.requestId, call]));
   const byServer = new Map<string, Run[]>();
   for (const run of record.runs.filter(({ limitPerSecond }) => limitPerSecond !== undefined)) {
     byServer.set(run.server, [...(byServer.get(run.server) ?? []), run]);
   }
   return [...byServer].flatMap(([server, runs]) => {
-    const counted = boundRuns(record, runs, bounds);
-    const over = counted.flatMap(({ atMs: endMs }) => {
-      const inWindow = counted.filter(
-        ({ atMs }) => atMs > endMs - LIMIT_WINDOW_MS && atMs <= endMs,
-      );
+    const counted = boundRuns(record, runs, { bounds, callById });
+    const over = windowsOf(counted, LIMIT_WINDOW_MS).flatMap((inWindow) => {
       const perSecond = Math.max(...inWindow.map(({ limitPerSecond = 0 }) => limitPerSecond));
       const allowed = (perSecond * LIMIT_FACTOR * LIMIT_WINDOW_MS) / 1000 + LIMIT_ON_TOP;
       return inWindow.length > allowed ? [`${inWindow.length} of ${allowed}`] : [];
@@ -230,8 +227,11 @@
 }
 
 /** Requests at a server that names a limit, of boxes that knew it for long enough. */
-function boundRuns(record: SoakRecord, naming: readonly Run[], bounds: PromiseBounds): Run[] {
-  const callById = new Map(record.calls.map((call) => [call.requestId, call]));
+function boundRuns(
+  record: SoakRecord,
+  naming: readonly Run[],
+  { bounds, callById }: { bounds: PromiseBounds; callById: ReadonlyMap<string, Call> },
+): Run[] {
   const fromMs = Math.min(...naming.map(({ atMs }) => atMs)) + bounds.contactMs + TOLERANCE_MS;
   const toldAtMs = new Map<number, number>();
   for (const { requestId } of naming) {
