--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/fleet.ts
@@ -103,6 +103,11 @@
   return peer.message !== undefined;
 }
 
+/** Boxes that the news of some peers cover, this one included. */
+export function boxesCovered(peers: readonly HeardPeer[]): number {
+  return 1 + peers.reduce((sum, { message }) => sum + message.boxes, 0);
+}
+
 /** Whether a message adds to the fleet's figures as this box sees them. */
 export function isCounted(state: GatewayState, peer: HeardPeer, nowMs: number): boolean {
   return addsToFleet(state, peer, usesHubs(state), nowMs);
--- a/packages/reedlug-gateway/src/slices/limitedSends.ts
+++ b/packages/reedlug-gateway/src/slices/limitedSends.ts
@@ -12,7 +12,14 @@
 import type { GatewayState } from '../state.js';
 import type { HeardFleet, ServerLimit } from '../types/serverLimit.js';
 import type { PeerView, ServerView } from '../types/views.js';
-import { boxesBefore, countedPeers, countsFreshly, fleetSize, usesHubs } from './fleet.js';
+import {
+  boxesBefore,
+  boxesCovered,
+  countedPeers,
+  countsFreshly,
+  fleetSize,
+  usesHubs,
+} from './fleet.js';
 
 /** Pause between looks which boxes are heard, in ms: as often as their news come. */
 const LOOK_EVERY_MS = 200;
@@ -114,9 +121,8 @@
   const known = state.heardFleet;
   if (known !== undefined && nowMs - known.lookedAtMs < LOOK_EVERY_MS) return known;
   const heard = countedPeers(state, nowMs).filter((peer) => countsFreshly(peer, nowMs));
-  const covered = 1 + heard.reduce((sum, { message }) => sum + message.boxes, 0);
   const boxes = fleetSize(state);
-  const share = Math.min(1, covered / boxes);
+  const share = Math.min(1, boxesCovered(heard) / boxes);
   state.heardFleet = { boxes, share, byHubs: usesHubs(state), lookedAtMs: nowMs };
   return state.heardFleet;
 }
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -4,7 +4,7 @@
 import { addLoads } from '../policy/serverLoad.js';
 import type { HeardTotals, PeerView, ServerView } from '../types/views.js';
 import { dutyFence } from './duties.js';
-import { countedPeers, countsFreshly, type HeardPeer } from './fleet.js';
+import { boxesCovered, countedPeers, countsFreshly, type HeardPeer } from './fleet.js';
 import { addSendSums, type SendSums } from '../policy/engineModel.js';
 import { ownSendSums } from './engineModels.js';
 import { ownPartNews, sumParts } from './fleetPart.js';
@@ -109,7 +109,7 @@
     ...own,
     scope,
     registry: scope === NewsScope.others ? registryNews(state, step.nowMs) : undefined,
-    boxes: 1 + of.reduce((sum, { message }) => sum + message.boxes, 0),
+    boxes: boxesCovered(of),
     storeContactAgeMs: ageOf(lastStoreContact(state, of), step.nowMs),
     leaseHolder: own.leaseHolder ?? holder?.message.leaseHolder,
     loads: sumLoads([own, ...of.map(({ message }) => message)]),
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -41,10 +41,9 @@
     if (state.pausesDue.has(id)) duePauses.push(pauseRowOf(view, step.nowMs));
     const { limit } = view;
     if (limit === undefined) continue;
-    const row = limitRowOf(view, limit, step.nowMs);
-    if (state.newcomers.size > 0) allLimits.push(row);
+    if (state.newcomers.size > 0) allLimits.push(limitRowOf(view, limit, step.nowMs));
     if (!isDue(limit, step.nowMs)) continue;
-    dueLimits.push(row);
+    dueLimits.push(limitRowOf(view, limit, step.nowMs));
     limit.told = { perSecond: limit.perSecond, atMs: step.nowMs };
   }
   if (dueLimits.length + duePauses.length > 0) {
