--- a/packages/reedlug-gateway/src/slices/retryBudgets.ts
+++ b/packages/reedlug-gateway/src/slices/retryBudgets.ts
@@ -17,8 +17,7 @@
 const FRESH_SHARE = 0.5;
 /**
  * Part of its share that a next life of a box begins with: the life before may have used
- * all of it in the same window. With 0.5, eight boxes made 72 further sends of 50 in two
- * losses of all; with this they stay within it, as 0.8 + 2 × 0.08 of the number.
+ * all of it in the same window, and two losses of all boxes in a row must stay within the whole.
  */
 const NEXT_LIFE_SHARE = 0.1;
 
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -11,7 +11,7 @@
 /** How long a leaving server still serves, in ms: the users' bound and a little more. */
 const LEAVES_AFTER_MS = 2600;
 
-/** How long a server runs a request under which it ends, and how long it is away, in ms: as users saw it. */
+/** How long a server runs a request under which it ends, and how long it is away, in ms. */
 const CRASH_AFTER_MS = 60;
 const CRASHED_FOR_MS = 2500;
 
