--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -8,11 +8,19 @@
 import { NewsScope, type PeerAddress, type PeerMessage } from '../../types/peer.js';
 import type { RequestFacts } from '../../types/request.js';
 import { ServerState, type ServerEntry } from '../../types/server.js';
+import type { AnswerStatements } from '../../types/serverLimit.js';
 import type { GatewaySettings } from '../../types/settings.js';
 
 export const HOST = 'bench.example';
 export const KEY = 'key-of-tiger';
 
+/** The head of an answer that says nothing of its server. */
+export const NOTHING_SAID: AnswerStatements = {
+  limit: { kind: 'none' },
+  isLeaving: false,
+  restMs: undefined,
+};
+
 export function settings(changes: Partial<GatewaySettings['bounds']> = {}): GatewaySettings {
   return {
     box: { id: 'box-1', ip: '127.0.0.1', zone: 'zone-a', processorCores: 1 },
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -12,7 +12,7 @@
 import type { AnswerVerdict, HeadFacts } from './types/request.js';
 import type { RolloutOrder } from './types/rollout.js';
 import type { ServerChange } from './types/server.js';
-import type { LimitWord } from './types/serverLimit.js';
+import type { AnswerStatements } from './types/serverLimit.js';
 import type { GatewaySettings } from './types/settings.js';
 
 /** Names and values in turn, as they stood on the wire. */
@@ -95,20 +95,21 @@
   close: () => Promise<void>;
 }
 
+/** An answer's head, with the id of the request that was sent. */
+export interface AnswerHead {
+  requestId: string;
+  status: number;
+  rawHeaders: RawHeaders;
+}
+
 /** Headers of requests and answers. */
 export interface HeaderCodec {
   decodeRequest: (head: RequestHead) => DecodedRequest;
   /** The fields that go to a server: the caller's end-to-end ones, and those that the order sets. */
   encodeSend: (rawHeaders: RawHeaders, order: SendOrder) => string[];
-  judgeAnswer: (params: {
-    requestId: string;
-    status: number;
-    rawHeaders: RawHeaders;
-  }) => AnswerVerdict;
-  /** What an answer says of its server's limit. */
-  limitOf: (rawHeaders: RawHeaders) => LimitWord;
-  /** Time for which a server that refused a request asks for nothing more, in ms; undefined where it does not tell. */
-  retryAfterMsOf: (rawHeaders: RawHeaders) => number | undefined;
+  judgeAnswer: (head: AnswerHead) => AnswerVerdict;
+  /** What an answer says of its server; undefined where it answers another request, or comes from another server. */
+  statementsOf: (head: AnswerHead) => AnswerStatements | undefined;
   /** The answer's end-to-end fields. */
   answerHeaders: (rawHeaders: RawHeaders) => string[];
   /** Fields of an answer of this box itself. */
--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -12,8 +12,7 @@
     if (rawHeaders[index + 1] !== 'request-1') return 'invalid';
     return status === 200 ? 'success' : 'failure';
   },
-  limitOf: () => ({ kind: 'none' }),
-  retryAfterMsOf: () => undefined,
+  statementsOf: () => undefined,
   answerHeaders: (raw) => [...raw],
   refusalHeaders: () => [],
 };
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -8,7 +8,7 @@
 import type { Dispatcher } from 'undici';
 import type { HeaderCodec } from '../adapter.js';
 import type { AnswerVerdict } from '../types/request.js';
-import type { LimitWord } from '../types/serverLimit.js';
+import type { AnswerStatements } from '../types/serverLimit.js';
 import type { Connection, ConnectionPool } from './connectionPool.js';
 import { createEventSplitter, type StreamEvent } from './eventSplitter.js';
 
@@ -27,9 +27,8 @@
 export interface AttemptListener {
   onNotSent: (reason: string) => void;
   /** The head of an answer of this server to this request came. */
-  onBegun: (limit: LimitWord) => void;
-  /** `retryAfterMs` is what a server asks for that did not run the request. */
-  onAnswered: (verdict: AnswerVerdict, status: number, retryAfterMs?: number) => void;
+  onBegun: (statements: AnswerStatements) => void;
+  onAnswered: (verdict: AnswerVerdict, status: number) => void;
   onEvents: (events: readonly StreamEvent[]) => void;
   onEnded: () => void;
   onLost: (reason: string) => void;
@@ -92,8 +91,7 @@
       return settle(() => listener.onEnded());
     }
     whole.body = Buffer.concat(chunks);
-    const retryAfterMs = told === 'notRun' ? codec.retryAfterMsOf(whole.rawHeaders) : undefined;
-    settle(() => listener.onAnswered(told, whole.status, retryAfterMs));
+    settle(() => listener.onAnswered(told, whole.status));
   };
 
   const handler: Dispatcher.DispatchHandler = {
@@ -103,13 +101,13 @@
     onResponseStart(controller, status, _headers, statusText) {
       if (status < 200 || settled) return;
       const rawHeaders = textHeaders(controller.rawHeaders);
-      verdict = codec.judgeAnswer({ requestId: request.requestId, status, rawHeaders });
+      const head = { requestId: request.requestId, status, rawHeaders };
+      verdict = codec.judgeAnswer(head);
       connection.answerEndsWithIt = !isFramed(status, rawHeaders);
       answer = { status, statusText: statusText ?? '', rawHeaders, body: Buffer.alloc(0) };
-      if (verdict !== 'invalid') {
-        if (verdict !== 'otherServer') listener.onBegun(codec.limitOf(rawHeaders));
-        return;
-      }
+      const statements = codec.statementsOf(head);
+      if (statements !== undefined) listener.onBegun(statements);
+      if (verdict !== 'invalid') return;
       settle(() => listener.onAnswered('invalid', status));
       drop();
     },
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -72,11 +72,11 @@
         end();
         runtime.emit({ type: 'attemptNotSent', ...ids, reason });
       },
-      onBegun(limit) {
-        runtime.emit({ type: 'answerBegun', ...ids, limit });
+      onBegun(statements) {
+        runtime.emit({ type: 'answerBegun', ...ids, statements });
       },
-      onAnswered(verdict, status, retryAfterMs) {
-        runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status, retryAfterMs });
+      onAnswered(verdict, status) {
+        runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status });
         if (!streaming || verdict !== 'success') end();
       },
       onEvents(events) {
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLifeOrders.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLifeOrders.test.ts
@@ -6,6 +6,7 @@
   ofType,
   server,
   type TestBox,
+  NOTHING_SAID,
 } from '../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../types/effect.js';
 import type { EventBody } from '../../types/event.js';
@@ -121,7 +122,7 @@
   if (how === 'leave') return take({ type: 'callerGone', exchangeId: ids.exchangeId });
   if (how === 'lose') return take({ type: 'attemptLost', ...ids, reason: 'reset' });
   const word = limit > 0 ? { kind: 'limit' as const, perSecond: limit } : { kind: 'none' as const };
-  take({ type: 'answerBegun', ...ids, limit: word });
+  take({ type: 'answerBegun', ...ids, statements: { ...NOTHING_SAID, limit: word } });
   const verdict = how === 'answer' ? ('success' as const) : ('notRun' as const);
   take({ type: 'attemptAnswered', ...ids, verdict, status: how === 'answer' ? 200 : 503 });
 }
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
@@ -6,10 +6,11 @@
   only,
   server,
   type TestBox,
+  NOTHING_SAID,
 } from '../../__tests__/__fixtures__/box.js';
 import { createFleet, type TestFleet } from '../../__tests__/__fixtures__/fleet.js';
 import type { Effect } from '../../types/effect.js';
-import type { LimitWord } from '../../types/serverLimit.js';
+import type { LimitStatement } from '../../types/serverLimit.js';
 
 let nextExchangeId = 1;
 
@@ -33,18 +34,18 @@
   return { exchangeId, attemptId, serverId: order.serverId };
 }
 
-function answer({ exchangeId, attemptId }: Sent, limit: LimitWord) {
+function answer({ exchangeId, attemptId }: Sent, limit: LimitStatement) {
   const ids = { exchangeId, attemptId };
   return [
-    { type: 'answerBegun' as const, ...ids, limit },
+    { type: 'answerBegun' as const, ...ids, statements: { ...NOTHING_SAID, limit } },
     { type: 'attemptAnswered' as const, ...ids, verdict: 'success' as const, status: 200 },
   ];
 }
 
-const NONE: LimitWord = { kind: 'none' };
+const NONE: LimitStatement = { kind: 'none' };
 
 /** A box with two servers of look-ups, of which it sends one request and takes the answer. */
-function ask(box: TestBox, words: Readonly<Record<string, LimitWord>>): string | undefined {
+function ask(box: TestBox, words: Readonly<Record<string, LimitStatement>>): string | undefined {
   const sent = sentOf(box.take(requestOf()));
   if (sent === undefined) return undefined;
   for (const event of answer(sent, words[sent.serverId] ?? NONE)) box.take(event);
@@ -54,7 +55,7 @@
 /** All servers of look-ups name a limit until told otherwise; a caller comes to a box each few ms. */
 function play(
   fleet: TestFleet,
-  params: { forMs: number; everyMs: number; word: () => LimitWord },
+  params: { forMs: number; everyMs: number; word: () => LimitStatement },
 ): { atMs: number; refusedMs: number[]; sentAtMs: number[] } {
   const ids = [...fleet.boxes.keys()];
   const refusedMs: number[] = [];
@@ -103,7 +104,7 @@
     for (const perSecond of [0.4, 1, 8, 50]) {
       const fleet = createFleet({ boxes, zones: ['zone-a', 'zone-b', 'zone-c'] });
       fleet.pass(4000);
-      const word = (): LimitWord => ({ kind: 'limit', perSecond });
+      const word = (): LimitStatement => ({ kind: 'limit', perSecond });
       const { sentAtMs } = play(fleet, { forMs: 16_000, everyMs: 5, word });
       const label = `${boxes} boxes, ${perSecond} a second`;
       expect(mostFrom(sentAtMs, 1000), label).to.be.at.most(perSecond * 5 + 1);
@@ -116,7 +117,7 @@
 test('a box that ends, comes back or stops hands its part on without a second one', () => {
   const fleet = createFleet({ boxes: 6, zones: ['zone-a', 'zone-b', 'zone-c'] });
   fleet.pass(4000);
-  const word = (): LimitWord => ({ kind: 'limit', perSecond: 1 });
+  const word = (): LimitStatement => ({ kind: 'limit', perSecond: 1 });
   const sentAtMs: number[] = [];
   let beganMs = 0;
   const playOn = (): void => {
@@ -149,7 +150,7 @@
 test('when a limit ends all boxes use the server again, more and more', () => {
   const fleet = createFleet({ boxes: 6, zones: ['zone-a', 'zone-b', 'zone-c'] });
   fleet.pass(4000);
-  let word: LimitWord = { kind: 'limit', perSecond: 1 };
+  let word: LimitStatement = { kind: 'limit', perSecond: 1 };
   play(fleet, { forMs: 4000, everyMs: 10, word: () => word });
   word = NONE;
   const { sentAtMs } = play(fleet, { forMs: 8000, everyMs: 25, word: () => word });
@@ -161,7 +162,7 @@
 
 test('what no server may take is refused at once, truly, and comes back at different times', () => {
   const box = createServingBox();
-  const limited: LimitWord = { kind: 'limit', perSecond: 0.5 };
+  const limited: LimitStatement = { kind: 'limit', perSecond: 0.5 };
   const words = { 'records-1': limited, 'records-2': limited };
   box.pass(4000);
   for (let turn = 0; turn < 4; turn += 1) ask(box, words);
@@ -186,7 +187,7 @@
 
 test('odd values change nothing and are logged', () => {
   const box = createServingBox();
-  const odd: LimitWord = { kind: 'odd', value: 'x'.repeat(500) };
+  const odd: LimitStatement = { kind: 'odd', value: 'x'.repeat(500) };
   const sent = sentOf(box.take(requestOf())) as Sent;
   const effects = answer(sent, odd).flatMap((event) => box.take(event));
   const lines = ofType(effects, 'log').filter(({ event }) => event === 'serverLimitOdd');
@@ -197,7 +198,7 @@
 test('an odd value does not end a limit that stands', () => {
   const box = createServingBox();
   box.pass(4000);
-  const words: Record<string, LimitWord> = { 'records-1': { kind: 'limit', perSecond: 50 } };
+  const words: Record<string, LimitStatement> = { 'records-1': { kind: 'limit', perSecond: 50 } };
   for (let turn = 0; turn < 5; turn += 1) ask(box, words);
   words['records-1'] = { kind: 'odd', value: '' };
   box.pass(1000);
@@ -245,8 +246,10 @@
   const fleet = createFleet({ boxes: 24, zones: ['zone-a', 'zone-b', 'zone-c'] });
   fleet.pass(4000);
   const { exchangeId, attemptId } = sentOf(fleet.take('box-3', requestOf())) as Sent;
-  const refusal = { verdict: 'notRun' as const, status: 503, retryAfterMs: 2000 };
-  fleet.take('box-3', { type: 'attemptAnswered', exchangeId, attemptId, ...refusal });
+  const ids = { exchangeId, attemptId };
+  const statements = { ...NOTHING_SAID, restMs: 2000 };
+  fleet.take('box-3', { type: 'answerBegun', ...ids, statements });
+  fleet.take('box-3', { type: 'attemptAnswered', ...ids, verdict: 'notRun', status: 503 });
   fleet.pass(300);
   for (const boxId of ['box-3', 'box-11', 'box-20']) {
     const { status, retryAfterMs } = only(fleet.take(boxId, requestOf()), 'refuse');
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -11,7 +11,7 @@
 import { isPastPoint, noteGoodRun } from './crashSuspects.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { noteLoss } from './lostServers.js';
-import { noteLimitWord, notePause } from './serverLimits.js';
+import { noteStatements } from './serverLimits.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
@@ -43,7 +43,7 @@
   tryAgain(state, step, found, event.reason);
 }
 
-/** The head of an answer came: it may name its server's limit. */
+/** The head of an answer came: it may say something of its server. */
 export function onAnswerBegun(
   state: GatewayState,
   step: Step,
@@ -52,7 +52,8 @@
   const found = find(state, event);
   if (found === undefined) return;
   const view = serverOf(state, found.attempt);
-  if (view !== undefined) noteLimitWord(state, step, { view, found, word: event.limit });
+  if (view === undefined) return;
+  noteStatements(state, step, { view, found, statements: event.statements });
 }
 
 /** A plain answer, or the head and first event of a stream. */
@@ -71,7 +72,7 @@
     case 'failure':
       return onFailure(state, step, found, event.status);
     case 'notRun':
-      notePause(state, step, closeAttempt(state, attempt, Reach.refused), event.retryAfterMs);
+      closeAttempt(state, attempt, Reach.refused);
       return tryAgain(state, step, found, `refused${event.status}`);
     case 'otherServer': {
       const view = closeAttempt(state, attempt, Reach.refused);
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -121,6 +121,7 @@
     prefillTokens,
     version: view.entry.version ?? '',
     limitPerSecond: view.limit?.perSecond ?? -1,
+    restLeftMs: Math.max(0, Math.round(view.pausedUntilMs - step.nowMs)),
     configuration: state.active?.configuration.version ?? 0,
     servers: state.serversRevision,
   });
--- a/packages/reedlug-gateway/src/slices/serverFacts.ts
+++ b/packages/reedlug-gateway/src/slices/serverFacts.ts
@@ -6,7 +6,7 @@
  * and then, so that others know that it is still heard. A box that is heard for the first
  * time, or again, is told everything.
  */
-import type { GatewayState, Step } from '../state.js';
+import { log, type GatewayState, type Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
 import type { PeerAddress } from '../types/peer.js';
 import type { LimitRow, PauseRow, ServerLimit } from '../types/serverLimit.js';
@@ -124,16 +124,18 @@
 ): void {
   const { boxId, limits, pauses } = event.message;
   for (const row of limits.filter(isLimitRow)) takeLimitRow(state, step, row, boxId);
-  for (const row of pauses.filter(isPauseRow)) takePauseRow(state, step, row);
+  for (const row of pauses.filter(isPauseRow)) takePauseRow(state, step, row, boxId);
 }
 
-function takePauseRow(state: GatewayState, step: Step, [id, bornAtMs, leftMs]: PauseRow): void {
+function takePauseRow(state: GatewayState, step: Step, row: PauseRow, source: string): void {
+  const [id, bornAtMs, leftMs] = row;
   const view = state.servers.get(id);
   const untilMs = step.nowMs + Math.min(MOST_PAUSE_MS, leftMs);
   if (view === undefined || !isOfLife(view, bornAtMs)) return;
   // The same pause told again comes a way later.
   if (untilMs <= view.pausedUntilMs + SAME_PAUSE_MS) return;
   takePause(state, view, untilMs);
+  log(step, 'serverPaused', { server: id, source, forMs: Math.round(untilMs - step.nowMs) });
   if (handsOn(state)) state.pausesDue.add(id);
 }
 
--- a/packages/reedlug-gateway/src/slices/serverLimits.ts
+++ b/packages/reedlug-gateway/src/slices/serverLimits.ts
@@ -1,7 +1,12 @@
 /** What this box knows of the limits that servers in need name in their answers, and of their pauses. */
 import { isNewerWord } from '../policy/serverLimit.js';
 import { log, type GatewayState, type Step } from '../state.js';
-import type { LimitFact, LimitWord, ServerLimit } from '../types/serverLimit.js';
+import type {
+  AnswerStatements,
+  LimitFact,
+  LimitStatement,
+  ServerLimit,
+} from '../types/serverLimit.js';
 import type { ServerView } from '../types/views.js';
 import type { Found } from './repeats.js';
 
@@ -11,11 +16,26 @@
 /** Characters of an odd value that are logged. */
 const MOST_LOGGED = 40;
 
-/** Takes what an answer says of its server's limit. */
-export function noteLimitWord(
+/** Takes what an answer says of its server. */
+export function noteStatements(
   state: GatewayState,
   step: Step,
-  { view, found, word }: { view: ServerView; found: Found; word: LimitWord },
+  params: { view: ServerView; found: Found; statements: AnswerStatements },
+): void {
+  const { view, found, statements } = params;
+  const { limit, isLeaving, restMs } = statements;
+  noteLimit(state, step, { view, found, word: limit });
+  if (restMs !== undefined) notePause(state, step, { view, found, restMs });
+  if (!isLeaving) return;
+  const { entry, running, leaving } = view;
+  const source = found.record.facts.requestId;
+  log(step, 'serverSaysLeaving', { server: entry.id, source, running, known: leaving });
+}
+
+function noteLimit(
+  state: GatewayState,
+  step: Step,
+  { view, found, word }: { view: ServerView; found: Found; word: LimitStatement },
 ): void {
   const { record, attempt } = found;
   const { requestId } = record.facts;
@@ -64,19 +84,21 @@
  * Takes the time for which a server that refused a request asks for nothing more. Each box
  * would else send it one more request to hear the same.
  */
-export function notePause(
+function notePause(
   state: GatewayState,
   step: Step,
-  view: ServerView | undefined,
-  retryAfterMs: number | undefined,
+  { view, found, restMs }: { view: ServerView; found: Found; restMs: number },
 ): void {
-  if (view === undefined || retryAfterMs === undefined) return;
-  const untilMs = step.nowMs + Math.min(MOST_PAUSE_MS, retryAfterMs);
+  const untilMs = step.nowMs + Math.min(MOST_PAUSE_MS, restMs);
   if (untilMs <= view.pausedUntilMs) return;
   takePause(state, view, untilMs);
   state.pausesDue.add(view.entry.id);
-  const server = view.entry.id;
-  log(step, 'serverPaused', { server, forMs: Math.round(untilMs - step.nowMs) });
+  log(step, 'serverPaused', {
+    server: view.entry.id,
+    source: found.record.facts.requestId,
+    askedMs: restMs,
+    forMs: Math.round(untilMs - step.nowMs),
+  });
 }
 
 /** Keeps a pause that this box or another one was told. */
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -4,7 +4,7 @@
 import type { CrashSuspectsMessage } from './crashSuspect.js';
 import type { AnswerVerdict, RequestFacts } from './request.js';
 import type { RolloutOrder } from './rollout.js';
-import type { LimitWord, ServerFactsMessage } from './serverLimit.js';
+import type { AnswerStatements, ServerFactsMessage } from './serverLimit.js';
 import type { ServerChange } from './server.js';
 import type {
   PeerAddress,
@@ -28,8 +28,13 @@
   | { type: 'callerGone'; exchangeId: number }
   /** No byte of the attempt left this box. */
   | { type: 'attemptNotSent'; exchangeId: number; attemptId: number; reason: string }
-  /** The head of a server's answer is here, with what it says of the server's limit. */
-  | { type: 'answerBegun'; exchangeId: number; attemptId: number; limit: LimitWord }
+  /** The head of a server's answer is here, with what it says of the server. */
+  | {
+      type: 'answerBegun';
+      exchangeId: number;
+      attemptId: number;
+      statements: AnswerStatements;
+    }
   /** A whole plain answer is here, or the head and first event of a stream. */
   | {
       type: 'attemptAnswered';
@@ -37,8 +42,6 @@
       attemptId: number;
       verdict: AnswerVerdict;
       status: number;
-      /** For what has not run: how long the server asks for nothing more, where it tells. */
-      retryAfterMs?: number | undefined;
     }
   /** Whole events of a stream went to the caller. */
   | {
--- a/packages/reedlug-gateway/src/types/serverLimit.ts
+++ b/packages/reedlug-gateway/src/types/serverLimit.ts
@@ -1,8 +1,17 @@
 /** Limits that servers in need name: requests a second from all boxes together. */
 import type { LimitedSends } from '../policy/serverLimit.js';
 
+/** What the head of an answer says of its server, beside the answer itself. */
+export interface AnswerStatements {
+  limit: LimitStatement;
+  /** The server takes no new requests any more. */
+  isLeaving: boolean;
+  /** Time for which a server that refused the request wants no other one, in ms; undefined where it does not tell. */
+  restMs: number | undefined;
+}
+
 /** What an answer says of its server's limit. */
-export type LimitWord =
+export type LimitStatement =
   /** It names none: a limit that was named before has ended. */
   | { kind: 'none' }
   | { kind: 'limit'; perSecond: number }
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -20,7 +20,7 @@
 import { endUnder, noteEndingSend } from '../faults/endingRequests.js';
 import {
   isTurnedDown,
-  limitWordOf,
+  limitStatementOf,
   noteLimitedArrival,
   noteLimitTold,
 } from '../faults/limitedServers.js';
@@ -138,11 +138,15 @@
     });
   };
   const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void => {
-    const limit = limitWordOf(world, server);
+    const limit = limitStatementOf(world, server);
     say(() => {
       const isOpen = verdict === 'success' && effect.streaming;
       if (!isOpen) end(box, server, attemptId, runId);
-      box.emit({ type: 'answerBegun', ...ids, limit });
+      box.emit({
+        type: 'answerBegun',
+        ...ids,
+        statements: { limit, isLeaving: false, restMs: undefined },
+      });
       if (limit.kind === 'limit') noteLimitTold(world, server, box);
       box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
     });
--- a/packages/reedlug-simulator/src/faults/limitedServers.ts
+++ b/packages/reedlug-simulator/src/faults/limitedServers.ts
@@ -1,5 +1,5 @@
 /** Servers in need that name a limit in their answers, and what is promised of them. */
-import type { LimitWord } from 'reedlug-gateway';
+import type { LimitStatement } from 'reedlug-gateway';
 import { isInTouch, type VirtualBox } from '../boxes/virtualBox.js';
 import type { LimitedServerRecord } from '../report/sceneRecord.js';
 import { greatestShare, type TimedAmount } from '../report/slidingSum.js';
@@ -64,7 +64,7 @@
 }
 
 /** What a server's answer says of its limit. */
-export function limitWordOf(world: World, server: VirtualServer): LimitWord {
+export function limitStatementOf(world: World, server: VirtualServer): LimitStatement {
   const { limit } = server;
   if (limit === undefined) return { kind: 'none' };
   const record = currentRecord(world, server);
