--- /dev/null
+++ b/packages/reedlug-simulator/src/__tests__/statingServers.test.ts
@@ -0,0 +1,25 @@
+import { expect } from 'chai';
+import { runSceneFile } from './__fixtures__/runSceneFile.js';
+
+/** Long enough for a loaded machine, in ms. */
+const RUN_TIMEOUT_MS = 120_000;
+const SEEDS = [1, 2] as const;
+
+async function expectKept(files: readonly string[]): Promise<void> {
+  for (const file of files) {
+    for (const seed of SEEDS) {
+      const { broken } = await runSceneFile(file, seed);
+      expect(broken, `${file}, seed ${seed}`).to.deep.equal([]);
+    }
+  }
+}
+
+test('no request reaches a server whose answer said that it leaves', function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  return expectKept(['leaving-unlisted', 'leaving-all', 'leaving-next-life']);
+});
+
+test('a server that asks for a long rest gets it whole', function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  return expectKept(['rest-all', 'rest-long', 'rest-full', 'rest-hour']);
+});
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -18,12 +18,13 @@
 import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
 import { areCut, boxAt, later, nowMs, takeNumber, wayMs, type World } from '../world.js';
 import { endUnder, noteEndingSend } from '../faults/endingRequests.js';
+import { isTurnedDown, noteLimitedArrival } from '../faults/limitedServers.js';
 import {
-  isTurnedDown,
-  limitStatementOf,
-  noteLimitedArrival,
-  noteLimitTold,
-} from '../faults/limitedServers.js';
+  isRefused,
+  noteArrivalAtStating,
+  noteStated,
+  statementsOf,
+} from '../faults/statingServers.js';
 import { faultOfVersion, noteRolloutArrival } from '../faults/rollouts.js';
 import { slowDown } from '../servers/batchEngine.js';
 import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
@@ -115,6 +116,8 @@
   noteArrival(world, request, server.entry.service);
   noteRolloutArrival(world, server);
   noteLimitedArrival(world, server, box);
+  const callerSentAtMs = request.heldSinceMs ?? nowMs(world);
+  noteArrivalAtStating(world, { server, box, callerSentAtMs });
   if (request.endsServer !== undefined) {
     noteEndingSend(world, box, request.facts.digest);
     return endUnder(world, server, request.facts.digest, request.endsServer);
@@ -138,21 +141,17 @@
     });
   };
   const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void => {
-    const limit = limitStatementOf(world, server);
+    const statements = statementsOf(world, server, verdict === 'notRun');
     say(() => {
       const isOpen = verdict === 'success' && effect.streaming;
       if (!isOpen) end(box, server, attemptId, runId);
-      box.emit({
-        type: 'answerBegun',
-        ...ids,
-        statements: { limit, isLeaving: false, restMs: undefined },
-      });
-      if (limit.kind === 'limit') noteLimitTold(world, server, box);
+      box.emit({ type: 'answerBegun', ...ids, statements });
+      noteStated(world, { server, box, statements });
       box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
     });
   };
   const onRejected = (): void => answer('notRun', 503);
-  if (isTurnedDown(world, server)) return onRejected();
+  if (isTurnedDown(world, server) || isRefused(world, server)) return onRejected();
   if (server.work.kind === 'plain') {
     const onAnswered = (): void => {
       begin();
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -15,6 +15,7 @@
 import { changeLimits } from './changeLimits.js';
 import { sendEndingRequests } from './endingRequests.js';
 import { limitServers } from './limitedServers.js';
+import { leaveServers, restServers } from './statingServers.js';
 import { beginRollout } from './rollouts.js';
 
 /** Time until a process that ended is started again, in ms. */
@@ -61,8 +62,11 @@
       return rollBoxes(world, fault, places);
     case 'cutZone': {
       world.cutZones.add(fault.zone);
+      const cut: World['cuts'][number] = { fromMs: world.queue.nowMs(), toMs: undefined };
+      world.cuts.push(cut);
       return later(world, fault.forS * 1000, () => {
         world.cutZones.delete(fault.zone);
+        cut.toMs = world.queue.nowMs();
         world.lastCutEndedAtMs = world.queue.nowMs();
       });
     }
@@ -74,12 +78,12 @@
       return restartEngines(world, fault);
     case 'endingRequests':
       return sendEndingRequests(world, fault);
-    case 'limitServers': {
-      const ofService = [...world.servers.values()].filter(
-        ({ entry }) => entry.service === fault.service && entry.state === ServerState.ready,
-      );
-      return limitServers(world, fault, drawShare(world, ofService, fault.share));
-    }
+    case 'limitServers':
+      return limitServers(world, fault, drawReady(world, fault));
+    case 'leaveServers':
+      return leaveServers(world, fault, drawReady(world, fault));
+    case 'restServers':
+      return restServers(world, fault, drawReady(world, fault));
     case 'failRequests': {
       world.failShare = fault.share;
       return later(world, fault.forS * 1000, () => {
@@ -117,6 +121,18 @@
   }
 }
 
+/** Draws a share of a service's servers that do not leave. */
+function drawReady(
+  world: World,
+  { service, share }: { service: string; share: number },
+): VirtualServer[] {
+  const ready = [...world.servers.values()].filter(
+    ({ entry, isLeaving }) =>
+      entry.service === service && entry.state === ServerState.ready && !isLeaving,
+  );
+  return drawShare(world, ready, share);
+}
+
 /** Draws a share of things, in an order of the seed. */
 function drawShare<T>(world: World, things: readonly T[], share: number): T[] {
   const left = [...things];
--- /dev/null
+++ b/packages/reedlug-simulator/src/faults/statingServers.ts
@@ -0,0 +1,155 @@
+/** Servers that say in their answers that they leave, or ask for rest, and what they get after it. */
+import type { AnswerStatements } from 'reedlug-gateway';
+import type { VirtualBox } from '../boxes/virtualBox.js';
+import type { StatingServerRecord } from '../report/sceneRecord.js';
+import type { SceneFaultSpec } from '../scene/scene.js';
+import { endServer, restartServer, type VirtualServer } from '../servers/serverPark.js';
+import { CONTACT_MS, later, nowMs, type World } from '../world.js';
+import { limitStatementOf, noteLimitTold } from './limitedServers.js';
+
+/** Time after a box was asked for rest from which requests count, in ms, and how many are allowed then: the users' figures. */
+const ASKED_MS = 500;
+const ALLOWED_IN_REST = 2;
+
+type LeaveFault = Extract<SceneFaultSpec, { kind: 'leaveServers' }>;
+type RestFault = Extract<SceneFaultSpec, { kind: 'restServers' }>;
+
+/** Servers say from now on that they leave; their entries say nothing of it. */
+export function leaveServers(
+  world: World,
+  fault: LeaveFault,
+  servers: readonly VirtualServer[],
+): void {
+  for (const server of servers) {
+    server.isLeaving = true;
+    recordOf(world, server);
+    later(world, fault.endAfterS * 1000, () => {
+      if (world.servers.get(server.entry.id) !== server) return;
+      if (fault.nextLifeAfterS === undefined) return endServer(world, server);
+      restartServer(world, server, fault.nextLifeAfterS * 1000, fault.tellsBirth);
+    });
+  }
+}
+
+/** Servers refuse a share of their requests for a while and ask for rest. */
+export function restServers(
+  world: World,
+  fault: RestFault,
+  servers: readonly VirtualServer[],
+): void {
+  for (const server of servers) {
+    const refusing = { share: fault.refuseShare, restMs: fault.restS * 1000 };
+    server.refusing = refusing;
+    recordOf(world, server);
+    later(world, fault.forS * 1000, () => {
+      if (server.refusing === refusing) server.refusing = undefined;
+    });
+  }
+}
+
+/** Whether a server refuses the request that has just reached it. */
+export function isRefused(world: World, { refusing }: VirtualServer): boolean {
+  return refusing !== undefined && world.random.chance(refusing.share);
+}
+
+/** What the head of a server's answer says of it. */
+export function statementsOf(
+  world: World,
+  server: VirtualServer,
+  isRefusal: boolean,
+): AnswerStatements {
+  return {
+    limit: limitStatementOf(world, server),
+    isLeaving: server.isLeaving,
+    restMs: isRefusal ? server.refusing?.restMs : undefined,
+  };
+}
+
+/** Notes that a box has taken an answer that says something of its server. */
+export function noteStated(
+  world: World,
+  params: { server: VirtualServer; box: VirtualBox; statements: AnswerStatements },
+): void {
+  const { server, box, statements } = params;
+  const { limit, isLeaving, restMs } = statements;
+  if (limit.kind === 'limit') noteLimitTold(world, server, box);
+  if (isLeaving) {
+    const { leavingToldAtMs } = recordOf(world, server);
+    if (!leavingToldAtMs.has(box)) leavingToldAtMs.set(box, nowMs(world));
+  }
+  if (restMs !== undefined) recordOf(world, server).rests.push({ atMs: nowMs(world), restMs, box });
+}
+
+/** Notes a request that reached a server which has said something. */
+export function noteArrivalAtStating(
+  world: World,
+  params: { server: VirtualServer; box: VirtualBox; callerSentAtMs: number },
+): void {
+  const { server, box, callerSentAtMs } = params;
+  const record = world.record.statingServers.get(server);
+  record?.arrivals.push({ atMs: nowMs(world), callerSentAtMs, box });
+}
+
+function recordOf(world: World, server: VirtualServer): StatingServerRecord {
+  const known = world.record.statingServers.get(server);
+  if (known !== undefined) return known;
+  const record = { server, leavingToldAtMs: new Map(), rests: [], arrivals: [] };
+  world.record.statingServers.set(server, record);
+  return record;
+}
+
+/** What a server got after its words. */
+export interface StatingServerRow {
+  server: string;
+  /** Requests that count against the users' rule on servers that leave; none is allowed. */
+  afterLeaving: number;
+  /** The same of all boxes together from the first word on, without any excuse. */
+  afterLeavingOfAll: number;
+  /** Most requests of one box in one rest that it was asked for, and what is allowed. */
+  inRest: number;
+  allowedInRest: number;
+  /** Most requests of all boxes in a rest, without any excuse. */
+  inRestOfAll: number;
+}
+
+/** What servers got after their words. */
+export function statingServerRows(world: World): StatingServerRow[] {
+  return [...world.record.statingServers.values()].map((record) => rowOf(world, record));
+}
+
+function rowOf(world: World, record: StatingServerRecord): StatingServerRow {
+  const { server, leavingToldAtMs, rests, arrivals } = record;
+  const { drainMs } = world.scene.bounds;
+  const firstToldAtMs = Math.min(Infinity, ...leavingToldAtMs.values());
+  const isLate = (sentAtMs: number, toldAtMs: number): boolean => sentAtMs > toldAtMs + drainMs;
+  const late = arrivals.filter(({ callerSentAtMs, box }) =>
+    isLate(callerSentAtMs, leavingToldAtMs.get(box) ?? Infinity),
+  );
+  const lateOfAll = arrivals.filter(({ callerSentAtMs }) => isLate(callerSentAtMs, firstToldAtMs));
+  const inRests = rests.map((rest) => {
+    const inRest = arrivals.filter(
+      ({ atMs }) => atMs > rest.atMs + ASKED_MS && atMs < rest.atMs + rest.restMs,
+    );
+    const ofBox = inRest.filter(({ box }) => box === rest.box);
+    return {
+      ofBox: isExcused(world, rest.atMs, rest.restMs) ? 0 : ofBox.length,
+      all: inRest.length,
+    };
+  });
+  return {
+    server: server.entry.id,
+    afterLeaving: late.length,
+    afterLeavingOfAll: lateOfAll.length,
+    inRest: Math.max(0, ...inRests.map(({ ofBox }) => ofBox)),
+    allowedInRest: ALLOWED_IN_REST,
+    inRestOfAll: Math.max(0, ...inRests.map(({ all }) => all)),
+  };
+}
+
+/** A cut excuses a rest that it falls into; a box that starts anew is another one here. */
+function isExcused(world: World, fromMs: number, restMs: number): boolean {
+  return world.cuts.some(
+    ({ fromMs: cutAtMs, toMs = Infinity }) =>
+      cutAtMs < fromMs + restMs && toMs > fromMs - CONTACT_MS,
+  );
+}
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -43,6 +43,17 @@
   arrivals: { atMs: number; isBound: boolean }[];
 }
 
+/** A server that says it leaves, or asks for rest, and what it got. */
+export interface StatingServerRecord {
+  server: VirtualServer;
+  /** When boxes first took an answer that says it leaves. */
+  leavingToldAtMs: Map<VirtualBox, number>;
+  /** Rests that boxes were asked for. */
+  rests: { atMs: number; restMs: number; box: VirtualBox }[];
+  /** Requests that reached it, and when their callers had sent them to a box. */
+  arrivals: { atMs: number; callerSentAtMs: number; box: VirtualBox }[];
+}
+
 /** The record of a run. */
 export interface SceneRecord {
   whole: Outcomes;
@@ -69,6 +80,7 @@
   /** Requests under which servers end, by digest. */
   endings: Map<string, EndingRecord>;
   limitedServers: LimitedServerRecord[];
+  statingServers: Map<VirtualServer, StatingServerRecord>;
   broken: BrokenPromise[];
   logs: Map<string, number>;
   /** Told of each log line, for a look at one run. */
@@ -107,6 +119,7 @@
     units: new Map(),
     endings: new Map(),
     limitedServers: [],
+    statingServers: new Map(),
     broken: [],
     logs: new Map(),
     onLog: () => undefined,
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -2,6 +2,7 @@
 import { factorInForce } from '../faults/changeLimits.js';
 import { endingRows, MOST_FURTHER_SENDS, type EndingRow } from '../faults/endingRequests.js';
 import { limitedServerRows, type LimitedServerRow } from '../faults/limitedServers.js';
+import { statingServerRows, type StatingServerRow } from '../faults/statingServers.js';
 import { rolloutFaults } from '../faults/rollouts.js';
 import type { World } from '../world.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
@@ -56,6 +57,8 @@
   rollouts: RolloutRow[];
   /** Servers that named a limit, and how it was kept. */
   limitedServers: LimitedServerRow[];
+  /** Servers that said they leave, or asked for rest, and what they got after it. */
+  statingServers: StatingServerRow[];
   /** Requests under which servers end: how many ended, and sends later than allowed after the third. */
   endings: EndingRow[];
 }
@@ -126,6 +129,7 @@
     broken: record.broken,
     logs: Object.fromEntries(record.logs),
     limitedServers: limitedServerRows(world),
+    statingServers: statingServerRows(world),
     endings: endingRows(world),
     rollouts: world.rollouts.map((watch) => ({
       version: watch.version,
@@ -170,6 +174,10 @@
     if (most <= allowed) continue;
     breakBound(world, 'serverLimit', `${server}, ${perSecond} a second: ${most} of ${allowed}`);
   }
+  for (const { server, afterLeaving, inRest, allowedInRest } of statingServerRows(world)) {
+    if (afterLeaving > 0) breakBound(world, 'serverLeaving', `${server}: ${afterLeaving}`);
+    if (inRest > allowedInRest) breakBound(world, 'serverRest', `${server}: ${inRest} in one rest`);
+  }
   for (const { promise, detail } of rolloutFaults(world)) breakBound(world, promise, detail);
   for (const { digest, ended, furtherSends } of endingRows(world)) {
     if (furtherSends <= MOST_FURTHER_SENDS) continue;
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -70,6 +70,7 @@
     record: createSceneRecord(),
     cutZones: new Set(),
     lastCutEndedAtMs: Number.NEGATIVE_INFINITY,
+    cuts: [],
     failShare: 0,
     rollouts: [],
     dryUntilMs: 0,
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -117,6 +117,25 @@
     /** Whether they turn down, as not run, what comes beyond it within a second. */
     turnsDown: z.boolean().default(false),
   }),
+  /** Servers say in their answers alone that they leave, serve on for a while, and end or begin another life. */
+  z.strictObject({
+    kind: z.literal('leaveServers'),
+    ...at,
+    service: z.string().min(1),
+    share,
+    endAfterS: positive,
+    nextLifeAfterS: positive.optional(),
+    tellsBirth: z.boolean().default(true),
+  }),
+  /** Servers refuse a share of their requests, as not run, and ask for rest. */
+  z.strictObject({
+    kind: z.literal('restServers'),
+    ...span,
+    service: z.string().min(1),
+    share,
+    refuseShare: share.default(1),
+    restS: positive,
+  }),
   z.strictObject({ kind: z.literal('failRequests'), ...span, share }),
   z.strictObject({
     kind: z.literal('burst'),
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -39,6 +39,10 @@
   isSilent: boolean;
   /** The limit that its answers name, and whether it turns down what comes beyond it. */
   limit: { perSecond: number; turnsDown: boolean } | undefined;
+  /** Says in its answers that it leaves. */
+  isLeaving: boolean;
+  /** The share of requests that it refuses, and the rest that it asks for as it does. */
+  refusing: { share: number; restMs: number } | undefined;
   /** Told when it ends while requests are open, by run. */
   openRuns: Map<number, () => void>;
 }
@@ -147,6 +151,8 @@
     startedAtMs: nowMs(world),
     isSilent: false,
     limit: undefined,
+    isLeaving: false,
+    refusing: undefined,
     openRuns: new Map(),
   };
 }
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -25,6 +25,8 @@
   cutZones: Set<string>;
   /** When a cut last ended. */
   lastCutEndedAtMs: number;
+  /** Cuts so far; one without an end goes on. */
+  cuts: { fromMs: number; toMs: number | undefined }[];
   /** Share of requests that engines fail now. */
   failShare: number;
   /** Roll-outs ordered so far. */
