--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -8,7 +8,11 @@
 import { NewsScope, type PeerAddress, type PeerMessage } from '../../types/peer.js';
 import type { RequestFacts } from '../../types/request.js';
 import { ServerState, type ServerEntry } from '../../types/server.js';
-import type { AnswerStatements } from '../../types/serverLimit.js';
+import type {
+  AnswerStatements,
+  ServerStatement,
+  StatementOfLife,
+} from '../../types/serverStatement.js';
 import type { GatewaySettings } from '../../types/settings.js';
 
 export const HOST = 'bench.example';
@@ -193,6 +197,20 @@
   };
 }
 
+/** News of another box of what servers said. */
+export function statementNews(...statements: StatementOfLife[]) {
+  const message = { kind: 'serverStatements' as const, boxId: 'box-2', statements };
+  return { type: 'serverStatements' as const, message };
+}
+
+/** A limit as another box tells it: asked and said a moment ago. */
+export function limitStatement(
+  perSecond: number | undefined,
+  ages: { sentAgeMs: number; receivedAgeMs: number } = { sentAgeMs: 2, receivedAgeMs: 1 },
+): ServerStatement {
+  return { kind: 'limit', perSecond, ...ages };
+}
+
 /** A box with its clock in the test's hands. */
 export interface TestBox {
   state: GatewayState;
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -12,7 +12,7 @@
 import type { AnswerVerdict, HeadFacts } from './types/request.js';
 import type { RolloutOrder } from './types/rollout.js';
 import type { ServerChange } from './types/server.js';
-import type { AnswerStatements } from './types/serverLimit.js';
+import type { AnswerStatements } from './types/serverStatement.js';
 import type { GatewaySettings } from './types/settings.js';
 
 /** Names and values in turn, as they stood on the wire. */
--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -8,7 +8,7 @@
 import type { Dispatcher } from 'undici';
 import type { HeaderCodec } from '../adapter.js';
 import type { AnswerVerdict } from '../types/request.js';
-import type { AnswerStatements } from '../types/serverLimit.js';
+import type { AnswerStatements } from '../types/serverStatement.js';
 import type { Connection, ConnectionPool } from './connectionPool.js';
 import { createEventSplitter, type StreamEvent } from './eventSplitter.js';
 
--- a/packages/reedlug-gateway/src/daemon/datagramEvent.ts
+++ b/packages/reedlug-gateway/src/daemon/datagramEvent.ts
@@ -17,7 +17,7 @@
       return { type: 'unitsReturned', message };
     case 'crashSuspects':
       return { type: 'crashSuspects', message };
-    case 'serverFacts':
-      return { type: 'serverFacts', message };
+    case 'serverStatements':
+      return { type: 'serverStatements', message };
   }
 }
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -9,6 +9,7 @@
 import { Decoder, Encoder } from 'cbor-x';
 import type { NumberedChange, PeerDatagram, ServerLoad } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
+import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
 /** CBOR of the peer link, without record definitions: a datagram must be readable alone. */
 export const encoder = new Encoder({ useRecords: false });
@@ -22,7 +23,7 @@
   unitsLent: [],
   unitsReturned: [],
   crashSuspects: ['suspects', 'recent'],
-  serverFacts: ['limits', 'pauses'],
+  serverStatements: ['statements'],
 };
 
 /** A server's id, requests in progress, tokens to be read, prompts to be read, and the tokens by urgency. */
@@ -30,6 +31,7 @@
 
 /** The bytes of a datagram. */
 export function encodeDatagram(message: PeerDatagram): Buffer {
+  if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
   const { loads, registry } = message;
   return encoder.encode({
@@ -55,6 +57,7 @@
     // Not CBOR: the caller says so in the log.
     return undefined;
   }
+  if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
   const { loadRows, changeRows, ...message } = value as PeerDatagram & Rows;
   if (message.kind !== 'news' || !Array.isArray(loadRows)) return message;
@@ -79,9 +82,14 @@
   unitsLent: ['incarnation', 'askId', 'units', 'port'],
   unitsReturned: ['incarnation', 'askId', 'units'],
   crashSuspects: [],
-  serverFacts: [],
+  serverStatements: [],
 };
 
+function isStatementRows(value: unknown): value is Readonly<Record<string, unknown>> {
+  if (typeof value !== 'object' || value === null) return false;
+  return (value as { kind?: unknown }).kind === STATEMENTS_WIRE_KIND;
+}
+
 /** Whether a value is of a known kind and has that kind's parts. */
 function isDatagram(value: unknown): value is PeerDatagram {
   if (typeof value !== 'object' || value === null) return false;
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/statementWire.ts
@@ -0,0 +1,84 @@
+/**
+ * Statements of servers as rows of a datagram.
+ *
+ * A tenth of thousands of servers may say something at once, so rows carry no names. A row
+ * that is none, as of another version, is left out.
+ */
+import { isNumber, isNumberOrNull } from '../slices/rowValues.js';
+import type {
+  ServerStatement,
+  ServerStatementsMessage,
+  StatementOfLife,
+} from '../types/serverStatement.js';
+
+/** The kind under which boxes of all versions know the datagram. */
+export const STATEMENTS_WIRE_KIND = 'serverFacts';
+
+/** Server, start of its life, requests a second, and how long ago it was asked and said. */
+type LimitRow = readonly [string, number | null, number | null, number, number];
+/** Server, start of its life, and how much longer it rests. */
+type RestRow = readonly [string, number | null, number];
+
+/** The datagram's value. */
+export interface StatementRows {
+  kind: typeof STATEMENTS_WIRE_KIND;
+  boxId: string;
+  limits: readonly LimitRow[];
+  pauses: readonly RestRow[];
+}
+
+/** The rows of a message. */
+export function statementRows({ boxId, statements }: ServerStatementsMessage): StatementRows {
+  const limits: LimitRow[] = [];
+  const pauses: RestRow[] = [];
+  for (const { serverId, bornAtMs = null, statement } of statements) {
+    switch (statement.kind) {
+      case 'limit': {
+        const { perSecond = null, sentAgeMs, receivedAgeMs } = statement;
+        limits.push([serverId, bornAtMs, perSecond, sentAgeMs, receivedAgeMs]);
+        break;
+      }
+      case 'rest':
+        pauses.push([serverId, bornAtMs, statement.leftMs]);
+        break;
+    }
+  }
+  return { kind: STATEMENTS_WIRE_KIND, boxId, limits, pauses };
+}
+
+/** The message of a datagram's value; undefined when it is none. */
+export function statementsOfRows(
+  value: Readonly<Record<string, unknown>>,
+): ServerStatementsMessage | undefined {
+  const { boxId, limits, pauses } = value;
+  if (typeof boxId !== 'string' || !Array.isArray(limits) || !Array.isArray(pauses)) {
+    return undefined;
+  }
+  const statements = [
+    ...limits.flatMap((row) => read(row, limitOf)),
+    ...pauses.flatMap((row) => read(row, restOf)),
+  ];
+  return { kind: 'serverStatements', boxId, statements };
+}
+
+function read(
+  row: unknown,
+  statementOf: (values: readonly unknown[]) => ServerStatement | undefined,
+): StatementOfLife[] {
+  if (!Array.isArray(row)) return [];
+  const [serverId, bornAtMs, ...values] = row as unknown[];
+  if (typeof serverId !== 'string' || !isNumberOrNull(bornAtMs)) return [];
+  const statement = statementOf(values);
+  return statement === undefined ? [] : [{ serverId, bornAtMs: bornAtMs ?? undefined, statement }];
+}
+
+function limitOf([perSecond, sentAgeMs, receivedAgeMs]: readonly unknown[]):
+  ServerStatement | undefined {
+  if (!isNumberOrNull(perSecond) || (perSecond ?? 0) < 0) return undefined;
+  if (!isNumber(sentAgeMs) || !isNumber(receivedAgeMs)) return undefined;
+  return { kind: 'limit', perSecond: perSecond ?? undefined, sentAgeMs, receivedAgeMs };
+}
+
+function restOf([leftMs]: readonly unknown[]): ServerStatement | undefined {
+  return isNumber(leftMs) ? { kind: 'rest', leftMs } : undefined;
+}
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -24,5 +24,5 @@
 export type * from './types/request.js';
 export * from './types/rollout.js';
 export * from './types/server.js';
-export type * from './types/serverLimit.js';
+export type * from './types/serverStatement.js';
 export type * from './types/settings.js';
--- a/packages/reedlug-gateway/src/policy/__tests__/serverLimit.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/serverLimit.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import type { LimitFact } from '../../types/serverLimit.js';
+import type { LimitFact } from '../../types/serverStatement.js';
 import {
-  isNewerWord,
+  isNewerLimit,
   limitNow,
   nextSendAtMs,
   noteLimitedSend,
@@ -66,12 +66,12 @@
 });
 
 test('a limit of nothing leaves one send in ten seconds, to hear of its end', () => {
-  const word = { perSecond: 0, lastPerSecond: 0, sentAtMs: 0, heardAtMs: 0 };
+  const word = { perSecond: 0, lastPerSecond: 0, sentAtMs: 0, receivedAtMs: 0 };
   expect(limitNow(word, 1000)).to.equal(0.1);
 });
 
 test('after its end a limit rises until it is gone', () => {
-  const word = { perSecond: undefined, lastPerSecond: 2, sentAtMs: 0, heardAtMs: 0 };
+  const word = { perSecond: undefined, lastPerSecond: 2, sentAtMs: 0, receivedAtMs: 0 };
   expect(limitNow(word, 0)).to.equal(2);
   expect(limitNow(word, 1000)).to.equal(8);
   expect(limitNow(word, 3000)).to.equal(undefined);
@@ -86,21 +86,21 @@
   .map(({ perSecond, sentAtMs, tookMs }): LimitFact => ({
     perSecond,
     sentAtMs,
-    heardAtMs: sentAtMs + tookMs,
+    receivedAtMs: sentAtMs + tookMs,
   }));
 
 test('of two words the same one stands, whichever is heard first', () => {
   fc.assert(
     fc.property(word, word, (one, other) => {
       fc.pre(one.perSecond !== other.perSecond);
-      expect(isNewerWord(one, other)).to.equal(!isNewerWord(other, one));
+      expect(isNewerLimit(one, other)).to.equal(!isNewerLimit(other, one));
     }),
   );
 });
 
 test('an answer that was on its way when the need began does not end the limit', () => {
-  const named = { perSecond: 1, sentAtMs: 900, heardAtMs: 1000 };
-  const before = { perSecond: undefined, sentAtMs: 800, heardAtMs: 1100 };
-  expect(isNewerWord(before, named)).to.equal(false);
-  expect(isNewerWord({ ...before, sentAtMs: 1001, heardAtMs: 1100 }, named)).to.equal(true);
+  const named = { perSecond: 1, sentAtMs: 900, receivedAtMs: 1000 };
+  const before = { perSecond: undefined, sentAtMs: 800, receivedAtMs: 1100 };
+  expect(isNewerLimit(before, named)).to.equal(false);
+  expect(isNewerLimit({ ...before, sentAtMs: 1001, receivedAtMs: 1100 }, named)).to.equal(true);
 });
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -13,7 +13,7 @@
 import type { GatewayState } from '../state.js';
 import type { ServerView } from '../types/views.js';
 import { countedPeers, type HeardPeer } from '../slices/fleet.js';
-import { isLimited, isWordWanted, mayReceive } from '../slices/limitedSends.js';
+import { isAnswerWanted, isEligible, isLimited } from '../slices/statements/eligibility.js';
 import { modelOf } from '../slices/engineModels.js';
 import { highestRanked } from './highestRanked.js';
 import { addLoads, tokensAhead } from './serverLoad.js';
@@ -27,8 +27,8 @@
 const FAILURE_MS = 60;
 /** Charge for a server whose registry entry has lapsed, in ms: another is better while there is one. */
 const LAPSED_MS = 300;
-/** What a word of a server is worth whose limit may have ended, in ms: with it all boxes use the server again. */
-const WORD_MS = 200;
+/** What an answer of a server is worth whose limit may have ended, in ms: with it all boxes use the server again. */
+const ANSWER_MS = 200;
 /** Time for which a prompt part is taken to stay in an engine's cache, in ms. */
 const PART_KEPT_MS = 30_000;
 
@@ -72,17 +72,17 @@
   for (const view of state.servers.values()) {
     const { entry, leaving } = view;
     if (entry.service !== service || leaving || avoid.has(entry.id)) continue;
-    if (!mayReceive(state, view, nowMs)) continue;
+    if (!isEligible(state, view, nowMs)) continue;
     if (admits === undefined || admits(view)) open.push(view);
   }
   const sound = open.filter((view) => failureScore(view, nowMs) < SUSPECT_SCORE);
   const candidates = reachable(state, sound.length > 0 ? sound : open, staysInZone);
   // Most of the time no server names a limit, and there may be thousands.
-  const isAnyLimited = state.limitedServers.size > 0;
+  const isAnyLimited = state.statements.size > 0;
   const limited = new Set(
     isAnyLimited ? candidates.filter((view) => isLimited(view, nowMs)) : undefined,
   );
-  const homeId = homeOf(candidates, limited, facts);
+  const preferredId = preferredServerId(candidates, limited, facts);
   const peers = countedPeers(state, nowMs);
   const model = modelOf(state, service, nowMs);
   let best: Choice | undefined;
@@ -90,8 +90,8 @@
     trialHash === undefined
       ? compared(candidates, {
           facts,
-          homeId,
-          unheard: [...limited].find((view) => isWordWanted(view, nowMs)),
+          preferredId,
+          answerWanted: [...limited].find((view) => isAnswerWanted(view, nowMs)),
         })
       : highestRanked(candidates, trialHash, 1);
   for (const view of considered) {
@@ -101,7 +101,7 @@
       model,
       facts,
       urgency,
-      isHome: view.entry.id === homeId,
+      isPreferred: view.entry.id === preferredId,
       nowMs,
     });
     if (best === undefined || choice.costMs < best.costMs) best = choice;
@@ -136,14 +136,18 @@
  */
 function compared(
   candidates: readonly ServerView[],
-  params: { facts: RequestFacts; homeId: string | undefined; unheard: ServerView | undefined },
+  params: {
+    facts: RequestFacts;
+    preferredId: string | undefined;
+    answerWanted: ServerView | undefined;
+  },
 ): readonly ServerView[] {
   if (candidates.length <= COMPARED_WHOLE) return candidates;
-  const { facts, homeId, unheard } = params;
+  const { facts, preferredId, answerWanted } = params;
   const keyHash = hashString(facts.requestId);
   const drawn = highestRanked(candidates, keyHash, DRAWN_SERVERS);
-  const home = candidates.find(({ entry }) => entry.id === homeId);
-  return [...new Set([home, unheard, ...drawn])].filter((view) => view !== undefined);
+  const home = candidates.find(({ entry }) => entry.id === preferredId);
+  return [...new Set([home, answerWanted, ...drawn])].filter((view) => view !== undefined);
 }
 
 function weigh(
@@ -154,12 +158,12 @@
     model: EngineModel;
     facts: RequestFacts;
     urgency: number;
-    isHome: boolean;
+    isPreferred: boolean;
     nowMs: number;
   },
 ): Choice {
-  const { view, load, model, facts, urgency, isHome, nowMs } = params;
-  const prefillTokens = tokensToRead(view, facts, isHome, nowMs);
+  const { view, load, model, facts, urgency, isPreferred, nowMs } = params;
+  const prefillTokens = tokensToRead(view, facts, isPreferred, nowMs);
   const tokens = tokensAhead(load, urgency) + prefillTokens;
   const { running, unread = 0 } = load;
   const conditions = { tokens, running, unread, slots: view.entry.slots };
@@ -168,8 +172,8 @@
   const zoneMs = view.entry.zone === state.settings.box.zone ? 0 : OTHER_ZONE_MS;
   const failureMs = failureScore(view, nowMs) * FAILURE_MS;
   const lapsedMs = view.lapsesAtMs === undefined ? 0 : LAPSED_MS;
-  const wordMs = isWordWanted(view, nowMs) ? WORD_MS : 0;
-  const costMs = waitMs + zoneMs + failureMs + lapsedMs - wordMs;
+  const answerMs = isAnswerWanted(view, nowMs) ? ANSWER_MS : 0;
+  const costMs = waitMs + zoneMs + failureMs + lapsedMs - answerMs;
   return { view, prefillTokens, conditions, expectedMs, costMs };
 }
 
@@ -186,14 +190,14 @@
 function tokensToRead(
   view: ServerView,
   facts: RequestFacts,
-  isHome: boolean,
+  isPreferred: boolean,
   nowMs: number,
 ): number {
   const total = facts.promptTokens ?? 0;
   let kept = 0;
   for (const part of facts.promptParts.slice(0, -1)) {
     const usedAtMs = view.cachedParts.get(part.id);
-    const isKept = isHome || (usedAtMs !== undefined && nowMs - usedAtMs < PART_KEPT_MS);
+    const isKept = isPreferred || (usedAtMs !== undefined && nowMs - usedAtMs < PART_KEPT_MS);
     if (!isKept) break;
     kept += part.tokens;
   }
@@ -204,7 +208,7 @@
  * The server that ranks first for the prompt's last shared part. One that names a limit is
  * home to nothing: it takes too few, and not all boxes may send to it.
  */
-function homeOf(
+function preferredServerId(
   candidates: readonly ServerView[],
   limited: ReadonlySet<ServerView>,
   facts: RequestFacts,
--- a/packages/reedlug-gateway/src/policy/serverLimit.ts
+++ b/packages/reedlug-gateway/src/policy/serverLimit.ts
@@ -1,5 +1,5 @@
 /**
- * The limit of a server in need: which word of it is newer, how many boxes share it, and
+ * The limit of a server in need: which of two statements is newer, how many boxes share it, and
  * when a box may send.
  *
  * A limit is for all boxes together. Equal parts of all boxes would leave each with one
@@ -7,13 +7,13 @@
  * one box alone may have too few callers for a high one. So as many boxes send as leave
  * each half a request a second.
  */
-import type { LimitFact } from '../types/serverLimit.js';
+import type { LimitFact } from '../types/serverStatement.js';
 
 /** Requests a second that a box which sends to a limited server has at least, where the limit allows it. */
 const LEAST_PART_PER_SECOND = 0.5;
 /** Time in which nothing was heard of a limited server after which one box more may send, in ms: those that may have no callers, or are gone. */
-const UNHEARD_MS = 16_000;
-/** Least requests a second that a limited server is sent, so that its word is heard again: one in ten seconds. */
+const SILENT_LIMIT_MS = 16_000;
+/** Least requests a second that a limited server is sent, so that its answer tells again: one in ten seconds. */
 const LEAST_PER_SECOND = 0.1;
 /** Time in which a box's part is kept to, in ms: the servers' limits are meant over some seconds, and callers come in clumps. */
 const WINDOW_MS = 4000;
@@ -24,17 +24,17 @@
 const DOUBLES_MS = 500;
 
 /**
- * Whether a word on a limit takes the place of the known one. Answers overtake each other,
+ * Whether what a server said of its limit takes the place of what is known. Answers overtake each other,
  * and boxes hear them at different times: a higher limit, or its end, counts only if its
- * request was sent after the known word had come; a lower one counts unless it is older
+ * request was sent after the known answer had come; a lower one counts unless it is older
  * for sure. Whichever comes first, the same one stands.
  */
-export function isNewerWord(word: LimitFact, known: LimitFact | undefined): boolean {
-  // The first word of an end dates it: what the server gets rises from then on.
-  if (known?.perSecond === undefined && word.perSecond === undefined) return false;
+export function isNewerLimit(given: LimitFact, known: LimitFact | undefined): boolean {
+  // The first answer without one dates the end: what the server gets rises from then on.
+  if (known?.perSecond === undefined && given.perSecond === undefined) return false;
   if (known === undefined) return true;
-  const isLower = limitOf(word) < limitOf(known);
-  return isLower ? word.heardAtMs > known.sentAtMs : word.sentAtMs >= known.heardAtMs;
+  const isLower = limitOf(given) < limitOf(known);
+  return isLower ? given.receivedAtMs > known.sentAtMs : given.sentAtMs >= known.receivedAtMs;
 }
 
 function limitOf({ perSecond }: LimitFact): number {
@@ -43,20 +43,20 @@
 
 /** Requests a second that a server gets now, where it has named a limit; undefined for as many as come. */
 export function limitNow(
-  word: LimitFact & { lastPerSecond: number },
+  limit: LimitFact & { lastPerSecond: number },
   nowMs: number,
 ): number | undefined {
-  if (word.perSecond !== undefined) return Math.max(LEAST_PER_SECOND, word.perSecond);
-  const sinceEndMs = nowMs - word.heardAtMs;
+  if (limit.perSecond !== undefined) return Math.max(LEAST_PER_SECOND, limit.perSecond);
+  const sinceEndMs = nowMs - limit.receivedAtMs;
   if (sinceEndMs >= RISE_MS) return undefined;
-  const from = Math.max(LEAST_PART_PER_SECOND, word.lastPerSecond);
+  const from = Math.max(LEAST_PART_PER_SECOND, limit.lastPerSecond);
   return from * 2 ** (sinceEndMs / DOUBLES_MS);
 }
 
 /** How many boxes share a limit of which nothing was heard for a time. */
-export function sendersOf(perSecond: number, unheardMs: number): number {
+export function sendersOf(perSecond: number, silentMs: number): number {
   const sharing = Math.max(1, Math.floor(perSecond / LEAST_PART_PER_SECOND));
-  return sharing + Math.floor(Math.max(0, unheardMs) / UNHEARD_MS);
+  return sharing + Math.floor(Math.max(0, silentMs) / SILENT_LIMIT_MS);
 }
 
 /** This box's sends to a limited server. */
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -29,7 +29,7 @@
 import { onRolloutRow, rolloutRecordsTick } from './slices/rolloutRecords.js';
 import { rolloutsTick } from './slices/rolloutJudgement.js';
 import { onRolloutOrdered } from './slices/rollouts.js';
-import { onServerFacts, serverFactsTick } from './slices/serverFacts.js';
+import { onServerStatements, statementsTick } from './slices/statements/statementNews.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
 import { silenceTick } from './slices/silence.js';
 import { onStopAsked, stopTick } from './slices/stopping.js';
@@ -73,8 +73,8 @@
       return onCrashSuspects(state, step, event);
     case 'verdictLifted':
       return liftVerdict(state, step, event.key);
-    case 'serverFacts':
-      return onServerFacts(state, step, event);
+    case 'serverStatements':
+      return onServerStatements(state, step, event);
     case 'configurationRead':
       onConfigurationRead(state, step, event);
       return awaitingTick(state, step);
@@ -125,7 +125,7 @@
   peersTick(state, step);
   crashSuspectsTick(state, step);
   crashNewsTick(state, step);
-  serverFactsTick(state, step);
+  statementsTick(state, step);
   crashRecordTick(state, step);
   stopTick(state, step);
 }
--- a/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
@@ -7,6 +7,8 @@
   ofType,
   server,
   type TestBox,
+  limitStatement,
+  statementNews,
 } from '../../__tests__/__fixtures__/box.js';
 import { callsOf, passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
 import type { CloudCall } from '../../types/effect.js';
@@ -281,9 +283,9 @@
     const withRoom = { ...others, services: roomy };
     box.take({ type: 'configurationRead', configuration: withRoom, source: 'store' });
     takeLease(box);
-    const limits = entries.map(({ id }) => [id, null, perSecond ?? null, 2, 1] as const);
-    const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits, pauses: [] };
-    if (perSecond !== undefined) box.take({ type: 'serverFacts', message });
+    const statement = limitStatement(perSecond);
+    const limits = entries.map(({ id }) => ({ serverId: id, bornAtMs: undefined, statement }));
+    if (perSecond !== undefined) box.take(statementNews(...limits));
     for (let turn = 0; turn < 40; turn += 1) {
       const request = facts({ requestId: `r${turn}`, path: '/draft/1', deadlineMs: 60_000 });
       box.take({ type: 'requestArrived', exchangeId: 100 + turn, facts: request });
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLifeOrders.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLifeOrders.test.ts
@@ -7,6 +7,8 @@
   server,
   type TestBox,
   NOTHING_SAID,
+  limitStatement,
+  statementNews,
 } from '../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../types/effect.js';
 import type { EventBody } from '../../types/event.js';
@@ -84,10 +86,10 @@
         break;
       }
       case 'news': {
-        const row = [step.id, step.bornAtMs, step.perSecond, step.ageMs, step.ageMs] as const;
-        const message = { kind: 'serverFacts' as const, boxId: 'b', limits: [row], pauses: [] };
+        const ages = { sentAgeMs: step.ageMs, receivedAgeMs: step.ageMs };
+        const statement = limitStatement(step.perSecond ?? undefined, ages);
         const before = limitOf(box, step.id);
-        take({ type: 'serverFacts', message });
+        take(statementNews({ serverId: step.id, bornAtMs: step.bornAtMs, statement }));
         if (isOfOtherLife(box, step)) expect(limitOf(box, step.id)).to.equal(before);
         break;
       }
@@ -128,7 +130,7 @@
 }
 
 function limitOf(box: TestBox, serverId: string): number | undefined {
-  return box.state.servers.get(serverId)?.limit?.perSecond;
+  return box.state.servers.get(serverId)?.statements?.limit?.perSecond;
 }
 
 function isOfOtherLife(box: TestBox, news: { id: string; bornAtMs: number }): boolean {
--- a/packages/reedlug-gateway/src/slices/__tests__/suspension.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/suspension.test.ts
@@ -1,5 +1,12 @@
 import { expect } from 'chai';
-import { createServingBox, facts, ofType, type TestBox } from '../../__tests__/__fixtures__/box.js';
+import {
+  createServingBox,
+  facts,
+  ofType,
+  type TestBox,
+  limitStatement,
+  statementNews,
+} from '../../__tests__/__fixtures__/box.js';
 import { takeLease } from '../../__tests__/__fixtures__/lease.js';
 import type { Effect } from '../../types/effect.js';
 import { dutyFence } from '../duties.js';
@@ -63,9 +70,13 @@
 test('after a suspension a box sends to a limited server as one that takes another box its place', () => {
   const box = createServingBox();
   box.pass(4000);
-  const limits = [['records-1', null, 2, 2, 1] as const, ['records-2', null, 2, 2, 1] as const];
-  const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits, pauses: [] };
-  box.take({ type: 'serverFacts', message });
+  const statement = limitStatement(2);
+  const limits = ['records-1', 'records-2'].map((serverId) => ({
+    serverId,
+    bornAtMs: undefined,
+    statement,
+  }));
+  box.take(statementNews(...limits));
   const ask = (exchangeId: number): Effect[] =>
     box.take({
       type: 'requestArrived',
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -11,7 +11,7 @@
 import { isPastPoint, noteGoodRun } from './crashSuspects.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { noteLoss } from './lostServers.js';
-import { noteStatements } from './serverLimits.js';
+import { takeAnswerStatements } from './statements/answerStatements.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
@@ -51,9 +51,7 @@
 ): void {
   const found = find(state, event);
   if (found === undefined) return;
-  const view = serverOf(state, found.attempt);
-  if (view === undefined) return;
-  noteStatements(state, step, { view, found, statements: event.statements });
+  takeAnswerStatements(state, step, { ...found, said: event.statements });
 }
 
 /** A plain answer, or the head and first event of a stream. */
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -8,7 +8,7 @@
 import { noteBoxesListed } from './fleetPart.js';
 import { takeRolloutNews } from './rollouts.js';
 import { nextRegistryStep } from './registryNews.js';
-import { noteNewcomer } from './serverFacts.js';
+import { noteNewcomer } from './statements/statementNews.js';
 import { takeHubChanges } from './servers.js';
 import { mergeUsage } from './usage.js';
 
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests.ts
@@ -9,7 +9,7 @@
 import { findRoute } from './configuration.js';
 import { cancelAll, giveUp, refuse } from './ending.js';
 import { refuseIfLate } from './lateRefusals.js';
-import { bookReturnMs, SERVERS_LIMITED } from './limitedReturns.js';
+import { bookReturnMs, SERVERS_LIMITED } from './statements/returnTimes.js';
 import { chargeSend, unitsOf } from './quotas.js';
 import { countFirstSend } from './retryBudgets.js';
 import { noteLeft } from './rolloutEvidence.js';
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -6,8 +6,8 @@
 import { log, type GatewayState, type Step } from '../state.js';
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
-import { bookReturnMs, SERVERS_LIMITED } from './limitedReturns.js';
-import { noteSendToLimited } from './limitedSends.js';
+import { bookReturnMs, SERVERS_LIMITED } from './statements/returnTimes.js';
+import { noteSendToLimited } from './statements/eligibility.js';
 import { suspectKey, suspectOf } from './crashSuspects.js';
 import { giveUp, isRepeatable } from './ending.js';
 import { carriesLoad, versionRule } from './versionRule.js';
@@ -71,6 +71,7 @@
   const attempt: Attempt = {
     attemptId: state.nextAttemptId,
     serverId: view.entry.id,
+    bornAtMs: view.entry.bornAtMs,
     life: view.life,
     version: view.entry.version,
     sentAtMs: step.nowMs,
@@ -120,8 +121,8 @@
     running: conditions.running,
     prefillTokens,
     version: view.entry.version ?? '',
-    limitPerSecond: view.limit?.perSecond ?? -1,
-    restLeftMs: Math.max(0, Math.round(view.pausedUntilMs - step.nowMs)),
+    limitPerSecond: view.statements?.limit?.perSecond ?? -1,
+    restLeftMs: Math.max(0, Math.round((view.statements?.rest?.untilMs ?? 0) - step.nowMs)),
     configuration: state.active?.configuration.version ?? 0,
     servers: state.serversRevision,
   });
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -13,6 +13,7 @@
 import { noteLifeOver } from './lostServers.js';
 import { noteRegistryChange } from './registryNews.js';
 import { loseAttempts } from './serverLives.js';
+import { findStatements, isLaterLife, lifeOf } from './statements/lifeStatements.js';
 
 /** How long after the store's return entries of living servers may be missing, in ms: the users' figure, about 2 s. */
 const LAPSE_WINDOW_MS = 2000;
@@ -78,7 +79,7 @@
     log(step, 'serverEntryOdd', { ...describe(given, source), slots: String(given.slots) });
   }
   const leaving = entry.state === ServerState.leaving;
-  const isBorn = known !== undefined && isLaterLife(known.entry, entry);
+  const isBorn = known !== undefined && isLaterLife(entry.bornAtMs, known.entry.bornAtMs);
   const isNews = known === undefined || isBorn || known.entry.state !== entry.state;
   if (isNews) noteRegistryChange(state, step, { id: entry.id, entry });
   if (known === undefined || isBorn) {
@@ -90,6 +91,7 @@
   if (known.lapsesAtMs !== undefined) log(step, 'serverBack', describe(entry, source));
   known.lapsesAtMs = undefined;
   known.entry = entry;
+  known.statements = findStatements(state, lifeOf(entry));
   if (leaving && !known.leaving) {
     known.leaving = true;
     log(step, 'serverLeaving', { ...describe(entry, source), running: known.running });
@@ -100,12 +102,7 @@
 function isOfEarlierLife(state: GatewayState, entry: ServerEntry): boolean {
   const { id, bornAtMs } = entry;
   const knownMs = state.servers.get(id)?.entry.bornAtMs ?? state.goneServers.get(id)?.bornAtMs;
-  return bornAtMs !== undefined && knownMs !== undefined && bornAtMs < knownMs;
-}
-
-function isLaterLife(known: ServerEntry, entry: ServerEntry): boolean {
-  if (entry.bornAtMs === undefined || known.bornAtMs === undefined) return false;
-  return entry.bornAtMs > known.bornAtMs;
+  return isLaterLife(knownMs, bornAtMs);
 }
 
 /** Decisions divide by the places of a server: an entry without a whole number of them counts as one place. */
@@ -131,8 +128,7 @@
     heardAtMs: 0,
     slowness: 1,
     slownessAtMs: 0,
-    limit: undefined,
-    pausedUntilMs: 0,
+    statements: findStatements(state, lifeOf(entry)),
     cachedParts: new Map(),
   };
 }
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLimits.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/limits.test.ts
@@ -7,10 +7,14 @@
   server,
   type TestBox,
   NOTHING_SAID,
-} from '../../__tests__/__fixtures__/box.js';
-import { createFleet, type TestFleet } from '../../__tests__/__fixtures__/fleet.js';
-import type { Effect } from '../../types/effect.js';
-import type { LimitStatement } from '../../types/serverLimit.js';
+  limitStatement,
+  statementNews,
+} from '../../../__tests__/__fixtures__/box.js';
+import { createFleet, type TestFleet } from '../../../__tests__/__fixtures__/fleet.js';
+import { eventOfDatagram } from '../../../daemon/datagramEvent.js';
+import { decodeDatagram, encoder } from '../../../daemon/peerWire.js';
+import type { Effect } from '../../../types/effect.js';
+import type { LimitStatement } from '../../../types/serverStatement.js';
 
 let nextExchangeId = 1;
 
@@ -93,7 +97,7 @@
     for (const event of answer(sent, { kind: 'limit', perSecond: 2 })) fleet.take('box-4', event);
     fleet.pass(300);
     for (const [boxId, { state }] of fleet.boxes) {
-      const limit = state.servers.get(sent.serverId)?.limit;
+      const limit = state.servers.get(sent.serverId)?.statements?.limit;
       expect(limit?.perSecond, `${boxId} of ${boxes}`).to.equal(2);
     }
   }
@@ -127,7 +131,8 @@
   };
   playOn();
   const senders = [...fleet.boxes].filter(
-    ([, { state }]) => state.servers.get('records-1')?.limit?.sends.sinceMs !== undefined,
+    ([, { state }]) =>
+      state.servers.get('records-1')?.statements?.limit?.sends.sinceMs !== undefined,
   );
   expect(senders.length).to.equal(2);
   fleet.kill(senders[0]?.[0] ?? '');
@@ -144,7 +149,9 @@
   play(fleet, { forMs: 2000, everyMs: 10, word: () => ({ kind: 'limit', perSecond: 1 }) });
   fleet.restart('box-2');
   fleet.pass(500);
-  expect(fleet.boxes.get('box-2')?.state.servers.get('records-1')?.limit?.perSecond).to.equal(1);
+  expect(
+    fleet.boxes.get('box-2')?.state.servers.get('records-1')?.statements?.limit?.perSecond,
+  ).to.equal(1);
 });
 
 test('when a limit ends all boxes use the server again, more and more', () => {
@@ -192,7 +199,7 @@
   const effects = answer(sent, odd).flatMap((event) => box.take(event));
   const lines = ofType(effects, 'log').filter(({ event }) => event === 'serverLimitOdd');
   expect(lines.map(({ fields }) => String(fields['value']).length)).to.deep.equal([40]);
-  expect(box.state.servers.get(sent.serverId)?.limit).to.equal(undefined);
+  expect(box.state.servers.get(sent.serverId)?.statements?.limit).to.equal(undefined);
 });
 
 test('an odd value does not end a limit that stands', () => {
@@ -203,7 +210,7 @@
   words['records-1'] = { kind: 'odd', value: '' };
   box.pass(1000);
   for (let turn = 0; turn < 5; turn += 1) ask(box, words);
-  expect(box.state.servers.get('records-1')?.limit?.perSecond).to.equal(50);
+  expect(box.state.servers.get('records-1')?.statements?.limit?.perSecond).to.equal(50);
 });
 
 test('a limit belongs to one life of its server', () => {
@@ -212,14 +219,14 @@
   const change = (bornAtMs: number) => ({ id: entry.id, entry: { ...entry, bornAtMs } });
   const read = { type: 'serversRead' as const, whole: false, source: 'store' as const };
   box.take({ ...read, changes: [change(1)], revision: 2 });
-  const row = ['records-1', 1, 2, 10, 5] as const;
-  const message = { kind: 'serverFacts' as const, boxId: 'box-2', limits: [row], pauses: [] };
-  box.take({ type: 'serverFacts', message });
-  expect(box.state.servers.get('records-1')?.limit?.perSecond).to.equal(2);
+  const statement = limitStatement(2, { sentAgeMs: 10, receivedAgeMs: 5 });
+  const news = statementNews({ serverId: 'records-1', bornAtMs: 1, statement });
+  box.take(news);
+  expect(box.state.servers.get('records-1')?.statements?.limit?.perSecond).to.equal(2);
   box.take({ ...read, changes: [change(9)], revision: 3 });
-  expect(box.state.servers.get('records-1')?.limit).to.equal(undefined);
-  box.take({ type: 'serverFacts', message });
-  expect(box.state.servers.get('records-1')?.limit).to.equal(undefined);
+  expect(box.state.servers.get('records-1')?.statements?.limit).to.equal(undefined);
+  box.take(news);
+  expect(box.state.servers.get('records-1')?.statements?.limit).to.equal(undefined);
 });
 
 test('news that are none change nothing', () => {
@@ -233,13 +240,11 @@
     ['records-1', null, 1, Number.NaN, 1],
     ['records-1', {}, 1, 1, 1],
   ];
-  const pauses = odd as (readonly [string, null, number])[];
-  const limits = odd as (readonly [string, null, number, number, number])[];
-  box.take({
-    type: 'serverFacts',
-    message: { kind: 'serverFacts', boxId: 'box-2', limits, pauses },
-  });
-  expect(box.state.limitedServers.size).to.equal(0);
+  const rows = { kind: 'serverFacts', boxId: 'box-2', limits: odd, pauses: odd };
+  const message = decodeDatagram(encoder.encode(rows));
+  if (message === undefined) throw new Error('the datagram is well formed');
+  box.take(eventOfDatagram(message));
+  expect(box.state.statements.size).to.equal(0);
 });
 
 test('a server that refuses and asks for a pause gets nothing from any box until then', () => {
@@ -267,7 +272,7 @@
   const { exchangeId, attemptId, serverId } = sentOf(box.take(requestOf())) as Sent;
   const refusal = { verdict: 'notRun' as const, status: 503 };
   box.take({ type: 'attemptAnswered', exchangeId, attemptId, ...refusal });
-  expect(box.state.servers.get(serverId)?.pausedUntilMs).to.equal(0);
+  expect(box.state.servers.get(serverId)?.statements?.rest).to.equal(undefined);
 });
 
 test('a change is told by the box that heard it, twice, and by no other one of a small fleet', () => {
@@ -280,7 +285,7 @@
     fleet.pass(50);
     for (const [boxId, effects] of fleet.effects) {
       const told = ofType(effects, 'sendPeers').filter(
-        ({ message }) => message.kind === 'serverFacts',
+        ({ message }) => message.kind === 'serverStatements',
       );
       tellers.push(...told.map(() => boxId));
     }
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/statements/eligibility.ts
@@ -0,0 +1,40 @@
+/** Whether a server may be sent a request by what it has said: the one gate of all sends. */
+import { limitNow, nextSendAtMs, noteLimitedSend } from '../../policy/serverLimit.js';
+import type { GatewayState } from '../../state.js';
+import type { ServerView } from '../../types/views.js';
+import { ownPart } from './senderPart.js';
+
+/** Time since its last answer for which a limited server is sent something where it can be, in ms: the end of its need shows in its next answer alone. */
+const ANSWER_WANTED_MS = 1500;
+
+/** Whether this box may send to a server now; each send must pass it, whatever it is for. */
+export function isEligible(state: GatewayState, view: ServerView, nowMs: number): boolean {
+  return eligibleAtMs(state, view, nowMs) <= nowMs;
+}
+
+/** When this box may next send to a server by what the server has said; never where only others send. */
+export function eligibleAtMs(state: GatewayState, view: ServerView, nowMs: number): number {
+  if (view.statements === undefined) return nowMs;
+  const { limit, rest } = view.statements;
+  const fromMs = Math.max(nowMs, rest?.untilMs ?? 0);
+  const perSecond = limit && limitNow(limit, nowMs);
+  if (limit === undefined || perSecond === undefined) return fromMs;
+  const part = ownPart(state, view, { limit, perSecond, nowMs });
+  return Math.max(fromMs, nextSendAtMs(limit.sends, part, nowMs));
+}
+
+/** Whether a server names a limit, or did so a moment ago. */
+export function isLimited({ statements }: ServerView, nowMs: number): boolean {
+  return statements?.limit !== undefined && limitNow(statements.limit, nowMs) !== undefined;
+}
+
+/** Whether a server that names a limit has not answered for a while. */
+export function isAnswerWanted({ statements }: ServerView, nowMs: number): boolean {
+  const limit = statements?.limit;
+  return limit?.perSecond !== undefined && nowMs - limit.receivedAtMs >= ANSWER_WANTED_MS;
+}
+
+/** Notes a send. */
+export function noteSendToLimited({ statements }: ServerView, nowMs: number): void {
+  if (statements?.limit !== undefined) noteLimitedSend(statements.limit.sends, nowMs);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
@@ -0,0 +1,95 @@
+/**
+ * The table of what servers have said, by life.
+ *
+ * It is kept apart from the registry: an entry that lapses, comes late or is read anew
+ * undoes no statement, and a next life begins without any.
+ */
+import type { GatewayState, Step } from '../../state.js';
+import type { ServerEntry } from '../../types/server.js';
+import type { LifeStatements, ServerLife } from '../../types/serverStatement.js';
+import type { ServerView } from '../../types/views.js';
+import { isLimitOver } from './limits.js';
+
+/** Time for which statements of a life are kept that is not in the registry, in ms: well over the longest time for which entries come late. */
+const KEPT_UNLISTED_MS = 600_000;
+
+/** Whether a life began after another one of the same server. */
+export function isLaterLife(bornAtMs: number | undefined, thanMs: number | undefined): boolean {
+  return bornAtMs !== undefined && thanMs !== undefined && bornAtMs > thanMs;
+}
+
+/** The life of a registry entry. */
+export function lifeOf({ id, bornAtMs }: ServerEntry): ServerLife {
+  return { serverId: id, bornAtMs };
+}
+
+/** The statements of a life, for one more; undefined for a life that is over. */
+export function statementsFor(
+  state: GatewayState,
+  step: Step,
+  life: ServerLife,
+): LifeStatements | undefined {
+  const { serverId, bornAtMs } = life;
+  const known = state.statements.get(serverId);
+  const view = state.servers.get(serverId);
+  const latestMs = view?.entry.bornAtMs ?? state.goneServers.get(serverId)?.bornAtMs;
+  if (isLaterLife(latestMs, bornAtMs) || isLaterLife(known?.bornAtMs, bornAtMs)) return undefined;
+  if (known !== undefined && !isLaterLife(bornAtMs, known.bornAtMs ?? latestMs)) {
+    known.bornAtMs ??= bornAtMs;
+    return known;
+  }
+  const made: LifeStatements = {
+    ...life,
+    limit: undefined,
+    rest: undefined,
+    listedAtMs: step.nowMs,
+  };
+  state.statements.set(serverId, made);
+  if (view !== undefined && !isLaterLife(bornAtMs, view.entry.bornAtMs)) view.statements = made;
+  return made;
+}
+
+/** What is known of a life that the registry lists now; the statements of an earlier one are forgotten. */
+export function findStatements(
+  state: GatewayState,
+  { serverId, bornAtMs }: ServerLife,
+): LifeStatements | undefined {
+  const known = state.statements.get(serverId);
+  if (known === undefined || isLaterLife(known.bornAtMs, bornAtMs)) return undefined;
+  if (isLaterLife(bornAtMs, known.bornAtMs)) {
+    state.statements.delete(serverId);
+    return undefined;
+  }
+  known.bornAtMs ??= bornAtMs;
+  return known;
+}
+
+/** Servers of a service of whose limits or rests something is known, and that do not leave. */
+export function statingServersOf(state: GatewayState, service: string): ServerView[] {
+  return [...state.statements.values()].flatMap((statements) => {
+    const view = viewOf(state, statements);
+    return view?.entry.service === service && !view.leaving ? [view] : [];
+  });
+}
+
+/** Forgets what matters no more. */
+export function forgetOldStatements(state: GatewayState, { nowMs }: Step): void {
+  for (const statements of state.statements.values()) {
+    const view = viewOf(state, statements);
+    if (view !== undefined) statements.listedAtMs = nowMs;
+    const isForgotten = nowMs - statements.listedAtMs >= KEPT_UNLISTED_MS;
+    if (!isForgotten && isAnyInForce(statements, nowMs)) continue;
+    state.statements.delete(statements.serverId);
+    if (view !== undefined) view.statements = undefined;
+  }
+}
+
+function isAnyInForce({ limit, rest }: LifeStatements, nowMs: number): boolean {
+  if (rest !== undefined && rest.untilMs > nowMs) return true;
+  return limit !== undefined && !isLimitOver(limit, nowMs);
+}
+
+function viewOf(state: GatewayState, statements: LifeStatements): ServerView | undefined {
+  const view = state.servers.get(statements.serverId);
+  return view?.statements === statements ? view : undefined;
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/statements/limits.ts
@@ -0,0 +1,50 @@
+/** Limits of servers as this box merges them, from its own answers and from other boxes. */
+import { isNewerLimit } from '../../policy/serverLimit.js';
+import { log, type Step } from '../../state.js';
+import type { LifeStatements, LimitFact, ServerLimit } from '../../types/serverStatement.js';
+
+/** Time for which an end of a limit is known, in ms: no news of it are on their way any more. */
+const END_KNOWN_MS = 60_000;
+
+/** Merges what a server said of its limit; `source` names the request, or the box that told it. */
+export function mergeLimit(
+  step: Step,
+  { statements, fact, source }: { statements: LifeStatements; fact: LimitFact; source: string },
+): void {
+  const { limit } = statements;
+  if (!isNewerLimit(fact, limit)) return;
+  const before = limit?.perSecond;
+  const known = limit ?? createLimit(fact, step.nowMs);
+  statements.limit = known;
+  const { perSecond, sentAtMs, receivedAtMs } = fact;
+  known.perSecond = perSecond;
+  known.sentAtMs = sentAtMs;
+  known.receivedAtMs = receivedAtMs;
+  known.lastPerSecond = perSecond ?? known.lastPerSecond;
+  if (before === perSecond) return;
+  known.announcement = { changedAtMs: step.nowMs, toldAtMs: undefined };
+  log(step, perSecond === undefined ? 'serverLimitEnded' : 'serverLimitNamed', {
+    server: statements.serverId,
+    bornAtMs: statements.bornAtMs ?? 0,
+    perSecond: perSecond ?? 0,
+    before: before ?? 0,
+    source,
+    ageMs: Math.round(step.nowMs - receivedAtMs),
+  });
+}
+
+/** Whether a limit has ended so long ago that nothing of it matters any more. */
+export function isLimitOver({ perSecond, receivedAtMs }: ServerLimit, nowMs: number): boolean {
+  return perSecond === undefined && nowMs - receivedAtMs >= END_KNOWN_MS;
+}
+
+function createLimit(fact: LimitFact, nowMs: number): ServerLimit {
+  return {
+    ...fact,
+    lastPerSecond: fact.perSecond ?? 0,
+    knownSinceMs: nowMs,
+    announcement: { changedAtMs: nowMs, toldAtMs: undefined },
+    rank: undefined,
+    sends: { atMs: [], sinceMs: undefined, followsOther: false },
+  };
+}
--- a/packages/reedlug-gateway/src/slices/limitedEngines.ts
+++ b/packages/reedlug-gateway/src/slices/statements/missingEngines.ts
@@ -1,9 +1,9 @@
 /** Engines that limits leave missing: one in need counts for what it takes. */
-import { limitNow } from '../policy/serverLimit.js';
-import type { EngineModel } from '../policy/engineModel.js';
-import type { EngineNeed, ServiceLoad } from '../policy/engineTarget.js';
-import type { GatewayState, Step } from '../state.js';
-import { limitedServersOf } from './limitedSends.js';
+import { limitNow } from '../../policy/serverLimit.js';
+import type { EngineModel } from '../../policy/engineModel.js';
+import type { EngineNeed, ServiceLoad } from '../../policy/engineTarget.js';
+import type { GatewayState, Step } from '../../state.js';
+import { statingServersOf } from './lifeStatements.js';
 
 const SECOND_MS = 1000;
 
@@ -14,8 +14,8 @@
   params: { service: string; load: ServiceLoad; model: EngineModel; need: EngineNeed },
 ): EngineNeed {
   const { service, load, model, need } = params;
-  const limits = limitedServersOf(state, service)
-    .map(({ limit }) => limit && limitNow(limit, nowMs))
+  const limits = statingServersOf(state, service)
+    .map(({ statements }) => statements?.limit && limitNow(statements.limit, nowMs))
     .filter((perSecond) => perSecond !== undefined);
   if (limits.length === 0) return need;
   const asked = (load.openRequests * SECOND_MS) / model.stayMs;
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/statements/statementNews.ts
@@ -0,0 +1,163 @@
+/**
+ * News of what servers say to one box and mean for all.
+ *
+ * What is new goes out with the next tick, by way of the hubs in a large fleet, and once
+ * more a moment later, as a datagram may be lost. A limit that stands is told again now and
+ * then, so that others know that it is still heard. A box that is heard for the first time,
+ * or again, is told everything.
+ */
+import type { GatewayState, Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { PeerAddress } from '../../types/peer.js';
+import type {
+  Announcement,
+  LifeStatements,
+  ServerLimit,
+  ServerStatement,
+  StatementOfLife,
+} from '../../types/serverStatement.js';
+import type { PeerView } from '../../types/views.js';
+import { handsOn, SILENT_AFTER_MS } from '../fleet.js';
+import { neighbours } from '../spreadNews.js';
+import { forgetOldStatements, statementsFor } from './lifeStatements.js';
+import { mergeLimit } from './limits.js';
+import { mergeRest, SAME_REST_MS } from './rests.js';
+
+/** Statements in one datagram, so that they fill half of what it holds at most. */
+const MOST_STATEMENTS = 800;
+/** Pause after which a change is told once more, in ms: longer than a loss of several datagrams in a row. */
+const AGAIN_MS = 1000;
+/** Pause after which a limit that is heard again is told again, in ms: half of the time after which another box tries. */
+const RENEW_MS = 8000;
+
+/** Tells what is new, and boxes that are new everything. */
+export function statementsTick(state: GatewayState, step: Step): void {
+  forgetOldStatements(state, step);
+  const { nowMs } = step;
+  const due: StatementOfLife[] = [];
+  const all: StatementOfLife[] = [];
+  for (const known of state.statements.values()) {
+    for (const { statement, announcement, isDue } of standing(known, nowMs)) {
+      const { serverId, bornAtMs } = known;
+      if (state.newcomers.size > 0) all.push({ serverId, bornAtMs, statement });
+      if (!isDue) continue;
+      due.push({ serverId, bornAtMs, statement });
+      announcement.toldAtMs = nowMs;
+    }
+  }
+  if (due.length > 0) tell(state, step, due, neighbours(state, nowMs));
+  if (all.length > 0) tell(state, step, all, addressesOf(state, state.newcomers));
+  state.newcomers.clear();
+}
+
+/** A statement that stands, and whether others are to be told now. */
+interface Standing {
+  statement: ServerStatement;
+  announcement: Announcement;
+  isDue: boolean;
+}
+
+function standing({ limit, rest }: LifeStatements, nowMs: number): Standing[] {
+  const found: Standing[] = [];
+  if (limit !== undefined) {
+    const { perSecond, sentAtMs, receivedAtMs, announcement } = limit;
+    const sentAgeMs = Math.round(nowMs - sentAtMs);
+    const receivedAgeMs = Math.round(nowMs - receivedAtMs);
+    found.push({
+      statement: { kind: 'limit', perSecond, sentAgeMs, receivedAgeMs },
+      announcement,
+      isDue: isNews(announcement, nowMs) || isRenewed(limit, nowMs),
+    });
+  }
+  if (rest !== undefined && rest.untilMs > nowMs) {
+    const { untilMs, announcement } = rest;
+    found.push({
+      statement: { kind: 'rest', leftMs: Math.round(untilMs - nowMs) },
+      announcement,
+      isDue: isNews(announcement, nowMs),
+    });
+  }
+  return found;
+}
+
+function isNews({ changedAtMs, toldAtMs }: Announcement, nowMs: number): boolean {
+  if (toldAtMs === undefined) return true;
+  return toldAtMs < changedAtMs + AGAIN_MS && nowMs >= changedAtMs + AGAIN_MS;
+}
+
+function isRenewed({ announcement, receivedAtMs }: ServerLimit, nowMs: number): boolean {
+  const { toldAtMs = nowMs } = announcement;
+  return receivedAtMs > toldAtMs && nowMs - toldAtMs >= RENEW_MS;
+}
+
+function addressesOf(state: GatewayState, boxIds: ReadonlySet<string>): PeerAddress[] {
+  return [...boxIds].flatMap((boxId) => state.peers.get(boxId)?.address ?? []);
+}
+
+function tell(
+  state: GatewayState,
+  step: Step,
+  news: readonly StatementOfLife[],
+  to: readonly PeerAddress[],
+): void {
+  if (to.length === 0) return;
+  const boxId = state.settings.box.id;
+  for (let first = 0; first < news.length; first += MOST_STATEMENTS) {
+    const statements = news.slice(first, first + MOST_STATEMENTS);
+    const message = { kind: 'serverStatements' as const, boxId, statements };
+    step.effects.push({ type: 'sendPeers', message, to });
+  }
+}
+
+/** Notes a peer that has begun a life or was silent: it may lack what was told meanwhile. */
+export function noteNewcomer(
+  state: GatewayState,
+  step: Step,
+  peer: PeerView,
+  incarnation: number,
+): void {
+  const isNewLife = peer.message?.incarnation !== incarnation;
+  const wasSilent = step.nowMs - peer.heardAtMs > SILENT_AFTER_MS;
+  if (isNewLife || wasSilent) state.newcomers.add(peer.boxId);
+}
+
+/** Takes what another box was told by servers. */
+export function onServerStatements(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'serverStatements'>,
+): void {
+  const { boxId, statements } = event.message;
+  for (const news of statements) take(state, step, news, boxId);
+}
+
+function take(state: GatewayState, step: Step, news: StatementOfLife, source: string): void {
+  const { statement } = news;
+  if (statement.kind === 'rest' && statement.leftMs < SAME_REST_MS) return;
+  const statements = statementsFor(state, step, news);
+  if (statements === undefined) return;
+  switch (statement.kind) {
+    case 'limit': {
+      const { perSecond, sentAgeMs, receivedAgeMs } = statement;
+      const sentAtMs = step.nowMs - sentAgeMs;
+      const receivedAtMs = step.nowMs - receivedAgeMs;
+      mergeLimit(step, { statements, fact: { perSecond, sentAtMs, receivedAtMs }, source });
+      const { limit } = statements;
+      if (limit?.perSecond === perSecond) leaveTelling(state, step, limit?.announcement);
+      return;
+    }
+    case 'rest':
+      mergeRest(step, { statements, leftMs: statement.leftMs, source });
+      return leaveTelling(state, step, statements.rest?.announcement);
+  }
+}
+
+/** Whoever told a statement tells all others, and once more; hubs hand it on. */
+function leaveTelling(
+  state: GatewayState,
+  { nowMs }: Step,
+  announcement: Announcement | undefined,
+): void {
+  if (announcement === undefined || handsOn(state)) return;
+  announcement.toldAtMs = Math.max(nowMs, announcement.changedAtMs + AGAIN_MS);
+}
--- a/packages/reedlug-gateway/src/slices/suspension.ts
+++ b/packages/reedlug-gateway/src/slices/suspension.ts
@@ -39,8 +39,8 @@
     for (const loan of quota.loans) loan.untilMs -= lostMs;
   }
   for (const ask of state.unitAsks.values()) ask.sentAtMs -= lostMs;
-  for (const id of state.limitedServers) {
-    const sends = state.servers.get(id)?.limit?.sends;
+  for (const { limit } of state.statements.values()) {
+    const sends = limit?.sends;
     if (sends?.sinceMs === undefined) continue;
     sends.sinceMs = step.nowMs;
     sends.followsOther = true;
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -8,7 +8,7 @@
 import type { NumberedChange } from './types/peer.js';
 import type { AwaitingRequest, RequestRecord, WaitingSend } from './types/request.js';
 import type { RolloutView } from './types/rollout.js';
-import type { HeardFleet } from './types/serverLimit.js';
+import type { LifeStatements, ReachedFleet } from './types/serverStatement.js';
 import type { GatewaySettings } from './types/settings.js';
 import type {
   ActiveConfiguration,
@@ -57,15 +57,13 @@
   crashNewsAllAtMs: number;
   suspectsForgottenAtMs: number;
   crashRow: CrashRowState;
-  /** Servers that name a limit or asked for a pause, or did so lately. */
-  limitedServers: Set<string>;
+  /** What servers have said in answers, by id: of the latest life that said something. */
+  statements: Map<string, LifeStatements>;
   /** The fleet as this box last looked at it for the limits of servers; undefined before. */
-  heardFleet: HeardFleet | undefined;
-  /** Those whose pauses the next tick tells of. */
-  pausesDue: Set<string>;
-  /** Until when callers were told to come back to limited servers, by service and urgency. */
-  limitedReturns: Map<string, Map<number, number>>;
-  /** Boxes to be told of all such limits: they began a life, or were silent. */
+  reachedFleet: ReachedFleet | undefined;
+  /** Until when callers were told to come back to servers that take too few, by service and urgency. */
+  returnTimes: Map<string, Map<number, number>>;
+  /** Boxes to be told of all such statements: they began a life, or were silent. */
   newcomers: Set<string>;
   serversRevision: number;
   serversKnown: boolean;
@@ -198,10 +196,9 @@
       wroteLast: false,
       hasOwnNews: false,
     },
-    limitedServers: new Set(),
-    heardFleet: undefined,
-    pausesDue: new Set(),
-    limitedReturns: new Map(),
+    statements: new Map(),
+    reachedFleet: undefined,
+    returnTimes: new Map(),
     newcomers: new Set(),
     serversRevision: 0,
     serversKnown: false,
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -4,7 +4,7 @@
 import type { CrashSuspectsMessage } from './crashSuspect.js';
 import type { AnswerVerdict, RequestFacts } from './request.js';
 import type { RolloutOrder } from './rollout.js';
-import type { AnswerStatements, ServerFactsMessage } from './serverLimit.js';
+import type { AnswerStatements, ServerStatementsMessage } from './serverStatement.js';
 import type { ServerChange } from './server.js';
 import type {
   PeerAddress,
@@ -59,7 +59,7 @@
   | { type: 'crashSuspects'; message: CrashSuspectsMessage }
   /** An operator lets a request in again that is kept out. */
   | { type: 'verdictLifted'; key: string }
-  | { type: 'serverFacts'; message: ServerFactsMessage }
+  | { type: 'serverStatements'; message: ServerStatementsMessage }
   | { type: 'configurationRead'; configuration: Configuration; source: 'store' | 'peer' }
   | { type: 'rolloutOrdered'; order: RolloutOrder }
   /** All entries as of one moment, or changes since. */
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -4,7 +4,7 @@
 import type { PartNews } from './fleetPart.js';
 import type { RolloutNews } from './rollout.js';
 import type { HostPort, ServerChange } from './server.js';
-import type { ServerFactsMessage } from './serverLimit.js';
+import type { ServerStatementsMessage } from './serverStatement.js';
 
 /** Where a box listens for its peers, and what speaks for it as a hub. */
 export interface PeerAddress {
@@ -161,4 +161,4 @@
   | UnitsLentMessage
   | UnitsReturnedMessage
   | CrashSuspectsMessage
-  | ServerFactsMessage;
+  | ServerStatementsMessage;
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -49,7 +49,8 @@
 export interface Attempt {
   attemptId: number;
   serverId: string;
-  /** Life of the server that it was sent to. */
+  /** Life of the server that it was sent to: when it began, and its number at this box. */
+  bornAtMs: number | undefined;
   life: number;
   /** Version of that server's software. */
   version: string | undefined;
--- /dev/null
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -0,0 +1,115 @@
+/**
+ * What servers say of themselves in their answers: a limit of requests a second, a time of
+ * rest, that they leave. Said to one box, it is meant for all, and belongs to one life.
+ */
+import type { LimitedSends } from '../policy/serverLimit.js';
+
+/** What the head of an answer says of its server, beside the answer itself. */
+export interface AnswerStatements {
+  limit: LimitStatement;
+  /** The server takes no new requests any more. */
+  isLeaving: boolean;
+  /** Time for which a server that refused the request wants no other one, in ms; undefined where it does not tell. */
+  restMs: number | undefined;
+}
+
+/** What an answer says of its server's limit. */
+export type LimitStatement =
+  /** It names none: a limit that was named before has ended. */
+  | { kind: 'none' }
+  | { kind: 'limit'; perSecond: number }
+  /** What it says is no limit that can be kept, and changes nothing. */
+  | { kind: 'odd'; value: string };
+
+/** A life of a server; one that does not tell when it was born has one life for all that is known. */
+export interface ServerLife {
+  serverId: string;
+  /** Start of the life by the wall clock, in Unix ms. */
+  bornAtMs: number | undefined;
+}
+
+/** A statement as boxes tell it each other; ages are in ms when it is sent. */
+export type ServerStatement =
+  | {
+      kind: 'limit';
+      /** Undefined once the server names none any more. */
+      perSecond: number | undefined;
+      /** How long ago the request was sent, and the head of its answer received. */
+      sentAgeMs: number;
+      receivedAgeMs: number;
+    }
+  | { kind: 'rest'; leftMs: number };
+
+/** A statement of one life of a server. */
+export interface StatementOfLife extends ServerLife {
+  statement: ServerStatement;
+}
+
+/** What servers told one box and is meant for the fleet. */
+export interface ServerStatementsMessage {
+  kind: 'serverStatements';
+  boxId: string;
+  statements: readonly StatementOfLife[];
+}
+
+/** How far a box has told others of a statement. */
+export interface Announcement {
+  /** When this box learned what stands now. */
+  changedAtMs: number;
+  /** When it last told others, or was told by one that tells them; undefined before. */
+  toldAtMs: number | undefined;
+}
+
+/** Everything that a box knows of the statements of one life of a server. */
+export interface LifeStatements extends ServerLife {
+  limit: ServerLimit | undefined;
+  rest: ServerRest | undefined;
+  /** When the life was last in the registry, as this box knows it. */
+  listedAtMs: number;
+}
+
+/**
+ * What is known of a server's limit, by one answer of it. Answers overtake each other, so
+ * both ends of the time in which the server said it are kept.
+ */
+export interface LimitFact {
+  /** Undefined once the server names none any more. */
+  perSecond: number | undefined;
+  /** When the request was sent, and when the head of its answer came, on this box's clock. */
+  sentAtMs: number;
+  receivedAtMs: number;
+}
+
+/** The limit of one life of a server as a box knows it. */
+export interface ServerLimit extends LimitFact {
+  /** The limit that was named last, also once there is none any more. */
+  lastPerSecond: number;
+  /** When this box first learned that the server has a limit. */
+  knownSinceMs: number;
+  announcement: Announcement;
+  /** Undefined before the first look. */
+  rank: SenderRank | undefined;
+  /** What this box sends to it. */
+  sends: LimitedSends;
+}
+
+/** The rest that a server asked for. */
+export interface ServerRest {
+  /** When the last of all rests ends, on this box's clock. */
+  untilMs: number;
+  announcement: Announcement;
+}
+
+/** The fleet as a box reaches it: its boxes, the share of them that is heard, and whether hubs sum up their news. */
+export interface ReachedFleet {
+  boxes: number;
+  share: number;
+  byHubs: boolean;
+  lookedAtMs: number;
+}
+
+/** How many boxes come before this one among those that may send to a limited server. */
+export interface SenderRank {
+  rank: number;
+  lookedAtMs: number;
+}
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -4,7 +4,7 @@
 import type { CloudCall } from './effect.js';
 import type { PeerAddress, PeerMessage } from './peer.js';
 import type { HostPort, ServerEntry } from './server.js';
-import type { ServerLimit } from './serverLimit.js';
+import type { LifeStatements } from './serverStatement.js';
 
 /** A configuration with the look-ups that a request needs. */
 export interface ActiveConfiguration {
@@ -39,10 +39,8 @@
   /** How much longer its first events take than those of its service: 1 for as long; it goes back to 1 with time. */
   slowness: number;
   slownessAtMs: number;
-  /** What it last said of its limit; undefined while it has never named one. */
-  limit: ServerLimit | undefined;
-  /** Until when it asked for nothing more as it refused a request. */
-  pausedUntilMs: number;
+  /** What its life has said in answers; undefined while nothing of it matters. */
+  statements: LifeStatements | undefined;
   /** Prompt parts it is taken to keep, by last use on this box's clock, least recent first. */
   cachedParts: Map<string, number>;
 }
