--- a/packages/reedlug-gateway/src/daemon/statementWire.ts
+++ b/packages/reedlug-gateway/src/daemon/statementWire.ts
@@ -19,18 +19,24 @@
 /** Server, start of its life, and how much longer it rests. */
 type RestRow = readonly [string, number | null, number];
 
+/** A server that leaves, and start of its life. */
+type LeavingRow = readonly [string, number | null];
+
 /** The datagram's value. */
 export interface StatementRows {
   kind: typeof STATEMENTS_WIRE_KIND;
   boxId: string;
   limits: readonly LimitRow[];
   pauses: readonly RestRow[];
+  /** Boxes of the version before neither send nor read it. */
+  leaving: readonly LeavingRow[];
 }
 
 /** The rows of a message. */
 export function statementRows({ boxId, statements }: ServerStatementsMessage): StatementRows {
   const limits: LimitRow[] = [];
   const pauses: RestRow[] = [];
+  const leaving: LeavingRow[] = [];
   for (const { serverId, bornAtMs = null, statement } of statements) {
     switch (statement.kind) {
       case 'limit': {
@@ -41,22 +47,25 @@
       case 'rest':
         pauses.push([serverId, bornAtMs, statement.leftMs]);
         break;
+      case 'leaving':
+        leaving.push([serverId, bornAtMs]);
+        break;
     }
   }
-  return { kind: STATEMENTS_WIRE_KIND, boxId, limits, pauses };
+  return { kind: STATEMENTS_WIRE_KIND, boxId, limits, pauses, leaving };
 }
 
 /** The message of a datagram's value; undefined when it is none. */
 export function statementsOfRows(
   value: Readonly<Record<string, unknown>>,
 ): ServerStatementsMessage | undefined {
-  const { boxId, limits, pauses } = value;
-  if (typeof boxId !== 'string' || !Array.isArray(limits) || !Array.isArray(pauses)) {
-    return undefined;
-  }
+  const { boxId, limits, pauses, leaving = [] } = value;
+  if (typeof boxId !== 'string') return undefined;
+  if (!Array.isArray(limits) || !Array.isArray(pauses) || !Array.isArray(leaving)) return undefined;
   const statements = [
     ...limits.flatMap((row) => read(row, limitOf)),
     ...pauses.flatMap((row) => read(row, restOf)),
+    ...leaving.flatMap((row) => read(row, () => ({ kind: 'leaving' }))),
   ];
   return { kind: 'serverStatements', boxId, statements };
 }
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -70,8 +70,8 @@
   const { service, facts, urgency, avoid, staysInZone = false, admits, trialHash, nowMs } = params;
   const open: ServerView[] = [];
   for (const view of state.servers.values()) {
-    const { entry, leaving } = view;
-    if (entry.service !== service || leaving || avoid.has(entry.id)) continue;
+    const { entry } = view;
+    if (entry.service !== service || avoid.has(entry.id)) continue;
     if (!isEligible(state, view, nowMs)) continue;
     if (admits === undefined || admits(view)) open.push(view);
   }
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -13,6 +13,7 @@
 import { noteLifeOver } from './lostServers.js';
 import { noteRegistryChange } from './registryNews.js';
 import { loseAttempts } from './serverLives.js';
+import { mergeLeaving } from './statements/leaving.js';
 import { findStatements, isLaterLife, lifeOf } from './statements/lifeStatements.js';
 
 /** How long after the store's return entries of living servers may be missing, in ms: the users' figure, about 2 s. */
@@ -83,7 +84,8 @@
   const isNews = known === undefined || isBorn || known.entry.state !== entry.state;
   if (isNews) noteRegistryChange(state, step, { id: entry.id, entry });
   if (known === undefined || isBorn) {
-    state.servers.set(entry.id, createView(state, entry, leaving));
+    state.servers.set(entry.id, createView(state, entry));
+    if (leaving) mergeLeaving(state, step, { life: lifeOf(entry), source, isListed: true });
     log(step, isBorn ? 'serverBorn' : 'serverAdded', describe(entry, source));
     if (isBorn) loseAttempts(state, step, known);
     return;
@@ -92,10 +94,8 @@
   known.lapsesAtMs = undefined;
   known.entry = entry;
   known.statements = findStatements(state, lifeOf(entry));
-  if (leaving && !known.leaving) {
-    known.leaving = true;
-    log(step, 'serverLeaving', { ...describe(entry, source), running: known.running });
-  }
+  if (leaving) mergeLeaving(state, step, { life: lifeOf(entry), source, isListed: true });
+  if (known.statements?.leaving !== undefined) known.leaving = true;
 }
 
 /** Whether news are of a life before the one that is known: it never comes back. */
@@ -111,13 +111,14 @@
 }
 
 /** A server as this box begins to know it: a new life holds and knows nothing of an earlier one. */
-function createView(state: GatewayState, entry: ServerEntry, leaving: boolean): ServerView {
+function createView(state: GatewayState, entry: ServerEntry): ServerView {
   state.serverLives += 1;
+  const statements = findStatements(state, lifeOf(entry));
   return {
     entry,
     idHash: hashId(entry.id),
     life: state.serverLives,
-    leaving,
+    leaving: statements?.leaving !== undefined,
     lapsesAtMs: undefined,
     running: 0,
     prefillTokens: 0,
@@ -128,7 +129,7 @@
     heardAtMs: 0,
     slowness: 1,
     slownessAtMs: 0,
-    statements: findStatements(state, lifeOf(entry)),
+    statements,
     cachedParts: new Map(),
   };
 }
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/statements/announcement.ts
@@ -0,0 +1,16 @@
+/** When a statement is told to other boxes. */
+import type { Announcement } from '../../types/serverStatement.js';
+
+/** Pause after which a change is told once more, in ms: longer than a loss of several datagrams in a row. */
+const AGAIN_MS = 1000;
+
+/** Whether others are to be told of a change now. */
+export function isNews({ changedAtMs, toldAtMs }: Announcement, nowMs: number): boolean {
+  if (toldAtMs === undefined) return true;
+  return toldAtMs < changedAtMs + AGAIN_MS && nowMs >= changedAtMs + AGAIN_MS;
+}
+
+/** The announcement of a change that others tell, and tell again. */
+export function asTold({ changedAtMs }: Announcement): { changedAtMs: number; toldAtMs: number } {
+  return { changedAtMs, toldAtMs: changedAtMs + AGAIN_MS };
+}
--- a/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
@@ -6,6 +6,7 @@
   LifeStatements,
   LimitStatement,
 } from '../../types/serverStatement.js';
+import { mergeLeaving } from './leaving.js';
 import { statementsFor } from './lifeStatements.js';
 import { mergeLimit } from './limits.js';
 import { mergeRest } from './rests.js';
@@ -26,7 +27,7 @@
     const statements = statementsFor(state, step, attempt);
     if (statements !== undefined) mergeRest(step, { statements, leftMs: said.restMs, source });
   }
-  if (said.isLeaving) log(step, 'serverSaysLeaving', { server: attempt.serverId, source });
+  if (said.isLeaving) mergeLeaving(state, step, { life: attempt, source, isListed: false });
 }
 
 function takeLimit(
--- a/packages/reedlug-gateway/src/slices/statements/eligibility.ts
+++ b/packages/reedlug-gateway/src/slices/statements/eligibility.ts
@@ -14,6 +14,7 @@
 
 /** When this box may next send to a server by what the server has said; never where only others send. */
 export function eligibleAtMs(state: GatewayState, view: ServerView, nowMs: number): number {
+  if (view.leaving) return Number.POSITIVE_INFINITY;
   if (view.statements === undefined) return nowMs;
   const { limit, rest } = view.statements;
   const fromMs = Math.max(nowMs, rest?.untilMs ?? 0);
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/statements/leaving.ts
@@ -0,0 +1,27 @@
+/** Servers that say they leave: for the rest of that life they get nothing, whatever else says they are ready. */
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { ServerLife } from '../../types/serverStatement.js';
+import { asTold } from './announcement.js';
+import { statementsFor } from './lifeStatements.js';
+
+/** Merges that a server leaves; `source` names the request, the box or the feed of the registry that told it. */
+export function mergeLeaving(
+  state: GatewayState,
+  step: Step,
+  params: { life: ServerLife; source: string; isListed: boolean },
+): void {
+  const { life, source, isListed } = params;
+  const statements = statementsFor(state, step, life);
+  if (statements === undefined || statements.leaving !== undefined) return;
+  const announcement = { changedAtMs: step.nowMs, toldAtMs: undefined };
+  // The registry tells all boxes itself.
+  statements.leaving = { announcement: isListed ? asTold(announcement) : announcement };
+  const view = state.servers.get(life.serverId);
+  if (view?.statements === statements) view.leaving = true;
+  log(step, 'serverLeaving', {
+    server: life.serverId,
+    bornAtMs: life.bornAtMs ?? 0,
+    source,
+    running: view?.running ?? 0,
+  });
+}
--- a/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
@@ -42,6 +42,7 @@
     ...life,
     limit: undefined,
     rest: undefined,
+    leaving: undefined,
     listedAtMs: step.nowMs,
   };
   state.statements.set(serverId, made);
@@ -84,7 +85,8 @@
   }
 }
 
-function isAnyInForce({ limit, rest }: LifeStatements, nowMs: number): boolean {
+function isAnyInForce({ limit, rest, leaving }: LifeStatements, nowMs: number): boolean {
+  if (leaving !== undefined) return true;
   if (rest !== undefined && rest.untilMs > nowMs) return true;
   return limit !== undefined && !isLimitOver(limit, nowMs);
 }
--- a/packages/reedlug-gateway/src/slices/statements/statementNews.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementNews.ts
@@ -19,14 +19,14 @@
 import type { PeerView } from '../../types/views.js';
 import { handsOn, SILENT_AFTER_MS } from '../fleet.js';
 import { neighbours } from '../spreadNews.js';
+import { asTold, isNews } from './announcement.js';
+import { mergeLeaving } from './leaving.js';
 import { forgetOldStatements, statementsFor } from './lifeStatements.js';
 import { mergeLimit } from './limits.js';
 import { mergeRest, SAME_REST_MS } from './rests.js';
 
 /** Statements in one datagram, so that they fill half of what it holds at most. */
 const MOST_STATEMENTS = 800;
-/** Pause after which a change is told once more, in ms: longer than a loss of several datagrams in a row. */
-const AGAIN_MS = 1000;
 /** Pause after which a limit that is heard again is told again, in ms: half of the time after which another box tries. */
 const RENEW_MS = 8000;
 
@@ -57,7 +57,7 @@
   isDue: boolean;
 }
 
-function standing({ limit, rest }: LifeStatements, nowMs: number): Standing[] {
+function standing({ limit, rest, leaving }: LifeStatements, nowMs: number): Standing[] {
   const found: Standing[] = [];
   if (limit !== undefined) {
     const { perSecond, sentAtMs, receivedAtMs, announcement } = limit;
@@ -77,14 +77,17 @@
       isDue: isNews(announcement, nowMs),
     });
   }
+  if (leaving !== undefined) {
+    const { announcement } = leaving;
+    found.push({
+      statement: { kind: 'leaving' },
+      announcement,
+      isDue: isNews(announcement, nowMs),
+    });
+  }
   return found;
 }
 
-function isNews({ changedAtMs, toldAtMs }: Announcement, nowMs: number): boolean {
-  if (toldAtMs === undefined) return true;
-  return toldAtMs < changedAtMs + AGAIN_MS && nowMs >= changedAtMs + AGAIN_MS;
-}
-
 function isRenewed({ announcement, receivedAtMs }: ServerLimit, nowMs: number): boolean {
   const { toldAtMs = nowMs } = announcement;
   return receivedAtMs > toldAtMs && nowMs - toldAtMs >= RENEW_MS;
@@ -134,6 +137,8 @@
 function take(state: GatewayState, step: Step, news: StatementOfLife, source: string): void {
   const { statement } = news;
   if (statement.kind === 'rest' && statement.leftMs < SAME_REST_MS) return;
+  if (statement.kind === 'leaving')
+    mergeLeaving(state, step, { life: news, source, isListed: false });
   const statements = statementsFor(state, step, news);
   if (statements === undefined) return;
   switch (statement.kind) {
@@ -149,6 +154,8 @@
     case 'rest':
       mergeRest(step, { statements, leftMs: statement.leftMs, source });
       return leaveTelling(state, step, statements.rest?.announcement);
+    case 'leaving':
+      return leaveTelling(state, step, statements.leaving?.announcement);
   }
 }
 
@@ -159,5 +166,5 @@
   announcement: Announcement | undefined,
 ): void {
   if (announcement === undefined || handsOn(state)) return;
-  announcement.toldAtMs = Math.max(nowMs, announcement.changedAtMs + AGAIN_MS);
+  announcement.toldAtMs = Math.max(nowMs, asTold(announcement).toldAtMs);
 }
--- a/packages/reedlug-gateway/src/types/serverStatement.ts
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -38,7 +38,8 @@
       sentAgeMs: number;
       receivedAgeMs: number;
     }
-  | { kind: 'rest'; leftMs: number };
+  | { kind: 'rest'; leftMs: number }
+  | { kind: 'leaving' };
 
 /** A statement of one life of a server. */
 export interface StatementOfLife extends ServerLife {
@@ -64,6 +65,8 @@
 export interface LifeStatements extends ServerLife {
   limit: ServerLimit | undefined;
   rest: ServerRest | undefined;
+  /** Set once the server has said that it leaves; that ends with the life. */
+  leaving: ServerLeaving | undefined;
   /** When the life was last in the registry, as this box knows it. */
   listedAtMs: number;
 }
@@ -100,6 +103,11 @@
   announcement: Announcement;
 }
 
+/** A server that takes no new requests any more. */
+export interface ServerLeaving {
+  announcement: Announcement;
+}
+
 /** The fleet as a box reaches it: its boxes, the share of them that is heard, and whether hubs sum up their news. */
 export interface ReachedFleet {
   boxes: number;
