--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -1,5 +1,4 @@
 /** What goes wrong in a scene, at its time. */
-import { ServerState } from 'reedlug-gateway';
 import { killBox, startBox, type BoxPlace, type VirtualBox } from '../boxes/virtualBox.js';
 import type { LoadChanges } from '../callers/callers.js';
 import type { SceneFaultSpec } from '../scene/scene.js';
@@ -8,6 +7,7 @@
   endServer,
   restartServer,
   silenceServer,
+  takesWork,
   type VirtualServer,
 } from '../servers/serverPark.js';
 import { placesOf } from '../boxes/boxPlaces.js';
@@ -127,8 +127,7 @@
   { service, share }: { service: string; share: number },
 ): VirtualServer[] {
   const ready = [...world.servers.values()].filter(
-    ({ entry, isLeaving }) =>
-      entry.service === service && entry.state === ServerState.ready && !isLeaving,
+    (server) => server.entry.service === service && takesWork(server),
   );
   return drawShare(world, ready, share);
 }
@@ -185,7 +184,7 @@
 function reclaimZone(world: World, fault: FaultOf<'reclaimZone'>): void {
   const reclaimable = enginesWhere(
     world,
-    ({ entry }) => entry.reclaimable && entry.state === ServerState.ready,
+    (server) => server.entry.reclaimable && takesWork(server),
   );
   const countOf = (zone: string): number =>
     reclaimable.filter(({ entry }) => entry.zone === zone).length;
@@ -199,14 +198,14 @@
 }
 
 function restartEngines(world: World, fault: FaultOf<'restartEngines'>): void {
-  const engines = enginesWhere(world, ({ entry }) => entry.state === ServerState.ready);
+  const engines = enginesWhere(world, takesWork);
   for (const server of drawShare(world, engines, fault.share)) {
     restartServer(world, server, fault.downS * 1000, fault.tellsBirth);
   }
 }
 
 function crashEngines(world: World, fault: FaultOf<'crashEngines'>): void {
-  const engines = enginesWhere(world, ({ entry }) => entry.state === ServerState.ready);
+  const engines = enginesWhere(world, takesWork);
   for (const server of drawShare(world, engines, fault.share)) {
     if (fault.silent) silenceServer(world, server);
     else endServer(world, server);
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -92,7 +92,7 @@
 export function startBeside(world: World, service: string, version: string): void {
   const spec = world.scene.services.find(({ name }) => name === service);
   const standing = [...world.servers.values()].filter(
-    ({ entry }) => entry.service === service && entry.state === ServerState.ready,
+    (server) => server.entry.service === service && takesWork(server),
   );
   for (const { entry } of standing) {
     if (spec?.kind === 'plain') startPlain(world, spec, entry.zone, version);
@@ -168,15 +168,20 @@
   params: { service: string; zone: string; reclaimable: boolean },
 ): VirtualServer[] {
   return [...world.servers.values()].filter(
-    ({ entry }) =>
-      entry.service === params.service &&
-      entry.zone === params.zone &&
-      entry.reclaimable === params.reclaimable &&
-      entry.version === versionInService(world, params.service) &&
-      entry.state === ServerState.ready,
+    (server) =>
+      server.entry.service === params.service &&
+      server.entry.zone === params.zone &&
+      server.entry.reclaimable === params.reclaimable &&
+      server.entry.version === versionInService(world, params.service) &&
+      takesWork(server),
   );
 }
 
+/** Whether a server takes new work, as the platform knows it: its entry may say so late. */
+export function takesWork({ entry, isLeaving }: VirtualServer): boolean {
+  return entry.state === ServerState.ready && !isLeaving;
+}
+
 /** Engines of one kind in a zone that were ordered and have not come yet. */
 function bootingOf(
   world: World,
@@ -219,6 +224,7 @@
 export function drainServer(world: World, server: VirtualServer, noticeMs: number): void {
   const leavesInMs = noticeMs > 0 ? noticeMs : undefined;
   server.entry = { ...server.entry, state: ServerState.leaving, leavesInMs };
+  server.isLeaving = true;
   world.store.putServer(server.entry);
   const { drainMs } = world.scene.bounds;
   const endsAtMs = nowMs(world) + (noticeMs > 0 ? noticeMs : drainMs);
