--- a/packages/reedlug-gateway/src/daemon/statementWire.ts
+++ b/packages/reedlug-gateway/src/daemon/statementWire.ts
@@ -16,8 +16,18 @@
 
 /** Server, start of its life, requests a second, and how long ago it was asked and said. */
 type LimitRow = readonly [string, number | null, number | null, number, number];
-/** Server, start of its life, and how much longer it rests. */
-type RestRow = readonly [string, number | null, number];
+/**
+ * Server, start of its life, how much longer it rests, and how long ago that was asked, tried and served;
+ * boxes of the version before tell the first three alone.
+ */
+type RestRow = readonly [
+  string,
+  number | null,
+  number,
+  number?,
+  (number | null)?,
+  (number | null)?,
+];
 
 /** A server that leaves, and start of its life. */
 type LeavingRow = readonly [string, number | null];
@@ -44,9 +54,11 @@
         limits.push([serverId, bornAtMs, perSecond, sentAgeMs, receivedAgeMs]);
         break;
       }
-      case 'rest':
-        pauses.push([serverId, bornAtMs, statement.leftMs]);
+      case 'rest': {
+        const { leftMs, askedAgeMs, trialAgeMs = null, servedAgeMs = null } = statement;
+        pauses.push([serverId, bornAtMs, leftMs, askedAgeMs, trialAgeMs, servedAgeMs]);
         break;
+      }
       case 'leaving':
         leaving.push([serverId, bornAtMs]);
         break;
@@ -88,6 +100,15 @@
   return { kind: 'limit', perSecond: perSecond ?? undefined, sentAgeMs, receivedAgeMs };
 }
 
-function restOf([leftMs]: readonly unknown[]): ServerStatement | undefined {
-  return isNumber(leftMs) ? { kind: 'rest', leftMs } : undefined;
+function restOf(values: readonly unknown[]): ServerStatement | undefined {
+  const [leftMs, askedAgeMs = 0, trialAgeMs = null, servedAgeMs = null] = values;
+  if (!isNumber(leftMs) || !isNumber(askedAgeMs)) return undefined;
+  if (!isNumberOrNull(trialAgeMs) || !isNumberOrNull(servedAgeMs)) return undefined;
+  return {
+    kind: 'rest',
+    leftMs,
+    askedAgeMs,
+    trialAgeMs: trialAgeMs ?? undefined,
+    servedAgeMs: servedAgeMs ?? undefined,
+  };
 }
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -11,6 +11,7 @@
 import { isPastPoint, noteGoodRun } from './crashSuspects.js';
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { noteLoss } from './lostServers.js';
+import { noteServed } from './statements/rests.js';
 import { takeAnswerStatements } from './statements/answerStatements.js';
 import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
@@ -155,6 +156,7 @@
   if (outcome === 'success') {
     noteEnd(state, step, record, attempt);
     if (view !== undefined) noteSuccess(view, step.nowMs);
+    noteServed(state, step, attempt);
     noteGoodRun(state, step, record);
   }
   state.requests.delete(record.exchangeId);
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -7,7 +7,7 @@
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { bookReturnMs, SERVERS_LIMITED } from './statements/returnTimes.js';
-import { noteSendToLimited } from './statements/eligibility.js';
+import { noteSendToStating } from './statements/eligibility.js';
 import { suspectKey, suspectOf } from './crashSuspects.js';
 import { giveUp, isRepeatable } from './ending.js';
 import { carriesLoad, versionRule } from './versionRule.js';
@@ -87,7 +87,7 @@
   state.nextAttemptId += 1;
   record.attempts.push(attempt);
   noteSend(view, step.nowMs);
-  noteSendToLimited(view, step.nowMs);
+  noteSendToStating(view, step.nowMs);
   view.running += 1;
   noteUnread(view, attempt);
   if (record.attempts.length === 1) state.workTokens += prefillTokens;
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -7,14 +7,20 @@
  */
 import { hashId } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
-import { ServerState, type ServerChange, type ServerEntry } from '../types/server.js';
+import {
+  isLaterLife,
+  lifeOf,
+  ServerState,
+  type ServerChange,
+  type ServerEntry,
+} from '../types/server.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { ServerView } from '../types/views.js';
 import { noteLifeOver } from './lostServers.js';
 import { noteRegistryChange } from './registryNews.js';
 import { loseAttempts } from './serverLives.js';
 import { mergeLeaving } from './statements/leaving.js';
-import { findStatements, isLaterLife, lifeOf } from './statements/lifeStatements.js';
+import { findStatements } from './statements/lifeStatements.js';
 
 /** How long after the store's return entries of living servers may be missing, in ms: the users' figure, about 2 s. */
 const LAPSE_WINDOW_MS = 2000;
--- a/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
@@ -9,7 +9,7 @@
 import { mergeLeaving } from './leaving.js';
 import { statementsFor } from './lifeStatements.js';
 import { mergeLimit } from './limits.js';
-import { mergeRest } from './rests.js';
+import { mergeOwnRest } from './rests.js';
 
 /** Characters of an odd value that are logged. */
 const MOST_LOGGED = 40;
@@ -25,7 +25,7 @@
   takeLimit(state, step, { attempt, limit: said.limit, source });
   if (said.restMs !== undefined) {
     const statements = statementsFor(state, step, attempt);
-    if (statements !== undefined) mergeRest(step, { statements, leftMs: said.restMs, source });
+    if (statements !== undefined) mergeOwnRest(step, { statements, restMs: said.restMs, source });
   }
   if (said.isLeaving) mergeLeaving(state, step, { life: attempt, source, isListed: false });
 }
--- a/packages/reedlug-gateway/src/slices/statements/eligibility.ts
+++ b/packages/reedlug-gateway/src/slices/statements/eligibility.ts
@@ -1,7 +1,9 @@
 /** Whether a server may be sent a request by what it has said: the one gate of all sends. */
 import { limitNow, nextSendAtMs, noteLimitedSend } from '../../policy/serverLimit.js';
 import type { GatewayState } from '../../state.js';
+import type { LifeStatements } from '../../types/serverStatement.js';
 import type { ServerView } from '../../types/views.js';
+import { mayTryRest, noteSendInRest, restsUntilMs } from './rests.js';
 import { ownPart } from './senderPart.js';
 
 /** Time since its last answer for which a limited server is sent something where it can be, in ms: the end of its need shows in its next answer alone. */
@@ -16,14 +18,22 @@
 export function eligibleAtMs(state: GatewayState, view: ServerView, nowMs: number): number {
   if (view.leaving) return Number.POSITIVE_INFINITY;
   if (view.statements === undefined) return nowMs;
-  const { limit, rest } = view.statements;
-  const fromMs = Math.max(nowMs, rest?.untilMs ?? 0);
+  const { limit } = view.statements;
+  const fromMs = Math.max(nowMs, restedAtMs(state, view.statements, nowMs));
   const perSecond = limit && limitNow(limit, nowMs);
   if (limit === undefined || perSecond === undefined) return fromMs;
   const part = ownPart(state, view, { limit, perSecond, nowMs });
   return Math.max(fromMs, nextSendAtMs(limit.sends, part, nowMs));
 }
 
+/** When a rest lets this box send again. */
+function restedAtMs(state: GatewayState, life: LifeStatements, nowMs: number): number {
+  const { rest } = life;
+  if (rest === undefined) return nowMs;
+  const untilMs = restsUntilMs(rest);
+  return untilMs > nowMs && mayTryRest(state, { rest, life, nowMs }) ? nowMs : untilMs;
+}
+
 /** Whether a server names a limit, or did so a moment ago. */
 export function isLimited({ statements }: ServerView, nowMs: number): boolean {
   return statements?.limit !== undefined && limitNow(statements.limit, nowMs) !== undefined;
@@ -35,7 +45,8 @@
   return limit?.perSecond !== undefined && nowMs - limit.receivedAtMs >= ANSWER_WANTED_MS;
 }
 
-/** Notes a send. */
-export function noteSendToLimited({ statements }: ServerView, nowMs: number): void {
+/** Notes a send to a server, for what it has said. */
+export function noteSendToStating({ statements }: ServerView, nowMs: number): void {
   if (statements?.limit !== undefined) noteLimitedSend(statements.limit.sends, nowMs);
+  if (statements?.rest !== undefined) noteSendInRest(statements.rest, nowMs);
 }
--- a/packages/reedlug-gateway/src/slices/statements/leaving.ts
+++ b/packages/reedlug-gateway/src/slices/statements/leaving.ts
@@ -1,6 +1,6 @@
 /** Servers that say they leave: for the rest of that life they get nothing, whatever else says they are ready. */
 import { log, type GatewayState, type Step } from '../../state.js';
-import type { ServerLife } from '../../types/serverStatement.js';
+import type { ServerLife } from '../../types/server.js';
 import { asTold } from './announcement.js';
 import { statementsFor } from './lifeStatements.js';
 
--- a/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
@@ -5,24 +5,14 @@
  * undoes no statement, and a next life begins without any.
  */
 import type { GatewayState, Step } from '../../state.js';
-import type { ServerEntry } from '../../types/server.js';
-import type { LifeStatements, ServerLife } from '../../types/serverStatement.js';
+import { isLaterLife, type ServerLife } from '../../types/server.js';
+import type { LifeStatements } from '../../types/serverStatement.js';
 import type { ServerView } from '../../types/views.js';
 import { isLimitOver } from './limits.js';
 
 /** Time for which statements of a life are kept that is not in the registry, in ms: well over the longest time for which entries come late. */
 const KEPT_UNLISTED_MS = 600_000;
 
-/** Whether a life began after another one of the same server. */
-export function isLaterLife(bornAtMs: number | undefined, thanMs: number | undefined): boolean {
-  return bornAtMs !== undefined && thanMs !== undefined && bornAtMs > thanMs;
-}
-
-/** The life of a registry entry. */
-export function lifeOf({ id, bornAtMs }: ServerEntry): ServerLife {
-  return { serverId: id, bornAtMs };
-}
-
 /** The statements of a life, for one more; undefined for a life that is over. */
 export function statementsFor(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/statements/rests.ts
+++ b/packages/reedlug-gateway/src/slices/statements/rests.ts
@@ -1,28 +1,140 @@
-/** Rests that servers ask for as they refuse, from this box's own answers and from other boxes. */
-import { log, type Step } from '../../state.js';
-import type { LifeStatements } from '../../types/serverStatement.js';
+/**
+ * Rests that servers ask for as they refuse.
+ *
+ * Whatever the order in which boxes learn of several, each rest is kept to its end. So that
+ * a mistake does not lose a server for all, one box of the fleet sends one request late in a
+ * long rest: where it is served, boxes that were not asked themselves use the server again.
+ */
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { Attempt } from '../../types/request.js';
+import type { LifeStatements, ServerRest, ServerStatement } from '../../types/serverStatement.js';
+import { rankOf } from './senderPart.js';
 
-/** Longest rest that is kept, in ms: a server is asked again within the time in which its state may have changed. */
-const MOST_REST_MS = 5000;
 /** Two tellings of one rest differ by less, in ms: each comes a way later. A shorter rest is over before others hear of it. */
 export const SAME_REST_MS = 300;
+/** Time in a rest from which on one request of the fleet may be sent, in ms: few servers mean to rest for longer. */
+const TRIAL_AFTER_MS = 60_000;
+/** Time after which the next box by rank may send it, in ms: the first may have no callers, or be gone. */
+const NEXT_TRIAL_MS = 10_000;
 
-/** Merges a rest: of several the one that ends last holds, in whatever order boxes learn of them. */
-export function mergeRest(
+type RestStatement = Extract<ServerStatement, { kind: 'rest' }>;
+
+/** Merges a rest that a server asked this box for. */
+export function mergeOwnRest(
   step: Step,
-  { statements, leftMs, source }: { statements: LifeStatements; leftMs: number; source: string },
+  params: { statements: LifeStatements; restMs: number; source: string },
 ): void {
-  const untilMs = step.nowMs + Math.min(MOST_REST_MS, leftMs);
-  const { rest } = statements;
-  if (rest !== undefined && untilMs <= rest.untilMs + SAME_REST_MS) {
-    rest.untilMs = Math.max(rest.untilMs, untilMs);
-    return;
-  }
-  statements.rest = { untilMs, announcement: { changedAtMs: step.nowMs, toldAtMs: undefined } };
+  const { statements, restMs, source } = params;
+  const rest = mergeRest(step, {
+    statements,
+    told: {
+      kind: 'rest',
+      leftMs: restMs,
+      askedAgeMs: 0,
+      trialAgeMs: undefined,
+      servedAgeMs: undefined,
+    },
+    source,
+  });
+  rest.ownUntilMs = Math.max(rest.ownUntilMs, step.nowMs + restMs);
+}
+
+/** Merges a rest of which this box or another one knows. */
+export function mergeRest(
+  step: Step,
+  { statements, told, source }: { statements: LifeStatements; told: RestStatement; source: string },
+): ServerRest {
+  const { nowMs } = step;
+  const known = statements.rest;
+  const rest = known ?? createRest(nowMs);
+  statements.rest = rest;
+  const before = { ...rest, wasLifted: isLifted(rest) };
+  rest.untilMs = Math.max(rest.untilMs, nowMs + told.leftMs);
+  rest.askedAtMs = Math.max(rest.askedAtMs, nowMs - told.askedAgeMs);
+  rest.trialAtMs = Math.max(rest.trialAtMs, timeOf(told.trialAgeMs, nowMs));
+  rest.servedAtMs = Math.max(rest.servedAtMs, timeOf(told.servedAgeMs, nowMs));
+  const isNews =
+    known === undefined ||
+    rest.untilMs > before.untilMs + SAME_REST_MS ||
+    rest.trialAtMs > before.trialAtMs + SAME_REST_MS ||
+    isLifted(rest) !== before.wasLifted;
+  if (!isNews) return rest;
+  rest.announcement = { changedAtMs: nowMs, toldAtMs: undefined };
   log(step, 'serverRests', {
     server: statements.serverId,
     bornAtMs: statements.bornAtMs ?? 0,
     source,
-    leftMs: Math.round(leftMs),
+    leftMs: Math.round(told.leftMs),
+    isLifted: isLifted(rest),
   });
+  return rest;
+}
+
+/** A rest as others are told. */
+export function restStatement(rest: ServerRest, nowMs: number): RestStatement {
+  return {
+    kind: 'rest',
+    leftMs: Math.round(rest.untilMs - nowMs),
+    askedAgeMs: Math.round(nowMs - rest.askedAtMs),
+    trialAgeMs: ageOf(rest.trialAtMs, nowMs),
+    servedAgeMs: ageOf(rest.servedAtMs, nowMs),
+  };
+}
+
+/** Until when this box keeps a rest. */
+export function restsUntilMs(rest: ServerRest): number {
+  return isLifted(rest) ? rest.ownUntilMs : rest.untilMs;
+}
+
+/** Whether this box may send the one request of the fleet by which it shows whether a long rest stands. */
+export function mayTryRest(
+  state: GatewayState,
+  { rest, life, nowMs }: { rest: ServerRest; life: LifeStatements; nowMs: number },
+): boolean {
+  const restedMs = nowMs - rest.askedAtMs;
+  if (restedMs < TRIAL_AFTER_MS || rest.trialAtMs >= rest.askedAtMs) return false;
+  const rank = rankOf(state, { life, ranked: rest, nowMs });
+  return restedMs >= TRIAL_AFTER_MS + rank * NEXT_TRIAL_MS;
+}
+
+/** Notes a send to a server that rests. */
+export function noteSendInRest(rest: ServerRest, nowMs: number): void {
+  if (restsUntilMs(rest) <= nowMs) return;
+  rest.trialAtMs = nowMs;
+  rest.announcement = { changedAtMs: nowMs, toldAtMs: undefined };
+}
+
+/** A server has served a request: where that was the trial of a rest, the rest is over for boxes that were not asked. */
+export function noteServed(state: GatewayState, step: Step, attempt: Attempt): void {
+  const statements = state.statements.get(attempt.serverId);
+  const rest = statements?.rest;
+  if (statements?.bornAtMs !== attempt.bornAtMs || rest === undefined) return;
+  if (attempt.sentAtMs !== rest.trialAtMs || isLifted(rest)) return;
+  rest.servedAtMs = step.nowMs;
+  rest.announcement = { changedAtMs: step.nowMs, toldAtMs: undefined };
+  log(step, 'serverRestLifted', { server: attempt.serverId });
+}
+
+function isLifted({ servedAtMs, askedAtMs }: ServerRest): boolean {
+  return servedAtMs > askedAtMs;
+}
+
+function timeOf(ageMs: number | undefined, nowMs: number): number {
+  return ageMs === undefined ? Number.NEGATIVE_INFINITY : nowMs - ageMs;
+}
+
+function ageOf(atMs: number, nowMs: number): number | undefined {
+  return atMs === Number.NEGATIVE_INFINITY ? undefined : Math.round(nowMs - atMs);
+}
+
+function createRest(nowMs: number): ServerRest {
+  return {
+    untilMs: nowMs,
+    askedAtMs: Number.NEGATIVE_INFINITY,
+    ownUntilMs: nowMs,
+    trialAtMs: Number.NEGATIVE_INFINITY,
+    servedAtMs: Number.NEGATIVE_INFINITY,
+    announcement: { changedAtMs: nowMs, toldAtMs: undefined },
+    rank: undefined,
+  };
 }
--- a/packages/reedlug-gateway/src/slices/statements/returnTimes.ts
+++ b/packages/reedlug-gateway/src/slices/statements/returnTimes.ts
@@ -11,6 +11,7 @@
 import { fleetSize } from '../fleet.js';
 import { eligibleAtMs } from './eligibility.js';
 import { statingServersOf } from './lifeStatements.js';
+import { restsUntilMs } from './rests.js';
 
 /** Why such a request is refused. */
 export const SERVERS_LIMITED = 'serversLimited';
@@ -51,7 +52,7 @@
   for (const view of statingServersOf(state, service)) {
     if (avoid.has(view.entry.id)) continue;
     const { limit, rest } = view.statements ?? {};
-    const rests = rest !== undefined && rest.untilMs > nowMs;
+    const rests = rest !== undefined && restsUntilMs(rest) > nowMs;
     perSecond += (limit && limitNow(limit, nowMs)) ?? (rests ? RESTED_PER_SECOND : 0);
     ownNextAtMs = Math.min(ownNextAtMs, eligibleAtMs(state, view, nowMs));
   }
--- a/packages/reedlug-gateway/src/slices/statements/senderPart.ts
+++ b/packages/reedlug-gateway/src/slices/statements/senderPart.ts
@@ -10,7 +10,8 @@
 import { hashString } from 'reedlug-coordination';
 import { sendersOf } from '../../policy/serverLimit.js';
 import type { GatewayState } from '../../state.js';
-import type { ReachedFleet, ServerLimit } from '../../types/serverStatement.js';
+import { lifeOf, type ServerLife } from '../../types/server.js';
+import type { ReachedFleet, SenderRank, ServerLimit } from '../../types/serverStatement.js';
 import type { PeerView, ServerView } from '../../types/views.js';
 import {
   boxesBefore,
@@ -35,7 +36,7 @@
   { limit, perSecond, nowMs }: { limit: ServerLimit; perSecond: number; nowMs: number },
 ): number {
   const isFirstLook = limit.rank === undefined;
-  const rank = rankOf(state, view, limit, nowMs);
+  const rank = rankOf(state, { life: lifeOf(view.entry), ranked: limit, nowMs });
   const senders = sendersOf(perSecond, nowMs - limit.receivedAtMs);
   // The callers of a box that stops go to others.
   const isSender = rank < senders && state.stoppingSinceMs === undefined;
@@ -57,16 +58,19 @@
   sends.followsOther = !isFirstLook || knownSinceMs - startedAtMs < SETTLED_MS;
 }
 
-/** How many boxes come before this one among those that may send to a server. */
-function rankOf(state: GatewayState, view: ServerView, limit: ServerLimit, nowMs: number): number {
-  const known = limit.rank;
+/** How many boxes come before this one among those that may send to a server; kept in what is ranked. */
+export function rankOf(
+  state: GatewayState,
+  params: { life: ServerLife; ranked: { rank: SenderRank | undefined }; nowMs: number },
+): number {
+  const { life, ranked, nowMs } = params;
+  const known = ranked.rank;
   const { byHubs } = reachedFleet(state, nowMs);
   const lookEveryMs = byHubs ? LOOK_AT_LIST_EVERY_MS : LOOK_EVERY_MS;
   if (known !== undefined && nowMs - known.lookedAtMs < lookEveryMs) return known.rank;
-  const { id, bornAtMs } = view.entry;
-  const lifeHash = hashString(`${id} ${bornAtMs ?? ''}`);
+  const lifeHash = hashString(`${life.serverId} ${life.bornAtMs ?? ''}`);
   const rank = boxesBefore(state, lifeHash, (peer) => mayBeSender(peer, byHubs, nowMs));
-  limit.rank = { rank, lookedAtMs: nowMs };
+  ranked.rank = { rank, lookedAtMs: nowMs };
   return rank;
 }
 
--- a/packages/reedlug-gateway/src/slices/statements/statementNews.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementNews.ts
@@ -23,7 +23,7 @@
 import { mergeLeaving } from './leaving.js';
 import { forgetOldStatements, statementsFor } from './lifeStatements.js';
 import { mergeLimit } from './limits.js';
-import { mergeRest, SAME_REST_MS } from './rests.js';
+import { mergeRest, restStatement, SAME_REST_MS } from './rests.js';
 
 /** Statements in one datagram, so that they fill half of what it holds at most. */
 const MOST_STATEMENTS = 800;
@@ -70,9 +70,9 @@
     });
   }
   if (rest !== undefined && rest.untilMs > nowMs) {
-    const { untilMs, announcement } = rest;
+    const { announcement } = rest;
     found.push({
-      statement: { kind: 'rest', leftMs: Math.round(untilMs - nowMs) },
+      statement: restStatement(rest, nowMs),
       announcement,
       isDue: isNews(announcement, nowMs),
     });
@@ -152,8 +152,11 @@
       return;
     }
     case 'rest':
-      mergeRest(step, { statements, leftMs: statement.leftMs, source });
-      return leaveTelling(state, step, statements.rest?.announcement);
+      return leaveTelling(
+        state,
+        step,
+        mergeRest(step, { statements, told: statement, source }).announcement,
+      );
     case 'leaving':
       return leaveTelling(state, step, statements.leaving?.announcement);
   }
--- a/packages/reedlug-gateway/src/types/serverStatement.ts
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -3,6 +3,7 @@
  * rest, that they leave. Said to one box, it is meant for all, and belongs to one life.
  */
 import type { LimitedSends } from '../policy/serverLimit.js';
+import type { ServerLife } from './server.js';
 
 /** What the head of an answer says of its server, beside the answer itself. */
 export interface AnswerStatements {
@@ -21,13 +22,6 @@
   /** What it says is no limit that can be kept, and changes nothing. */
   | { kind: 'odd'; value: string };
 
-/** A life of a server; one that does not tell when it was born has one life for all that is known. */
-export interface ServerLife {
-  serverId: string;
-  /** Start of the life by the wall clock, in Unix ms. */
-  bornAtMs: number | undefined;
-}
-
 /** A statement as boxes tell it each other; ages are in ms when it is sent. */
 export type ServerStatement =
   | {
@@ -38,7 +32,15 @@
       sentAgeMs: number;
       receivedAgeMs: number;
     }
-  | { kind: 'rest'; leftMs: number }
+  | {
+      kind: 'rest';
+      /** Until the last rest ends that was asked for, and since that was asked. */
+      leftMs: number;
+      askedAgeMs: number;
+      /** Since a box sent the one request that shows whether it stands, and since that was served; undefined before. */
+      trialAgeMs: number | undefined;
+      servedAgeMs: number | undefined;
+    }
   | { kind: 'leaving' };
 
 /** A statement of one life of a server. */
@@ -96,11 +98,19 @@
   sends: LimitedSends;
 }
 
-/** The rest that a server asked for. */
+/** Rests that a server asked for, on this box's clock; times that are not known lie before all others. */
 export interface ServerRest {
-  /** When the last of all rests ends, on this box's clock. */
+  /** When the last of them ends, and when that was asked. */
   untilMs: number;
+  askedAtMs: number;
+  /** When the last one ends that this box was asked for itself. */
+  ownUntilMs: number;
+  /** When a box sent a request to learn whether the rest stands, and when that was served. */
+  trialAtMs: number;
+  servedAtMs: number;
   announcement: Announcement;
+  /** Undefined before the first look. */
+  rank: SenderRank | undefined;
 }
 
 /** A server that takes no new requests any more. */
