--- a/packages/reedlug-gateway/src/slices/statements/__tests__/leaving.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/leaving.test.ts
@@ -4,6 +4,7 @@
   facts,
   NOTHING_SAID,
   ofType,
+  only,
   server,
   statementNews,
   type TestBox,
@@ -59,6 +60,17 @@
   });
 }
 
+test('when all engines leave, callers are told when the next one comes', () => {
+  const box = createServingBox();
+  for (const serverId of ['engine-1', 'engine-2']) {
+    box.take(statementNews({ serverId, bornAtMs: undefined, statement: { kind: 'leaving' } }));
+    box.pass(1000);
+  }
+  const request = facts({ requestId: 'r1', path: '/draft/1', deadlineMs: 8000 });
+  const effects = box.take({ type: 'requestArrived', exchangeId: 1, facts: request });
+  expect(only(effects, 'refuse').retryAfterMs).to.be.within(3000, 3750);
+});
+
 test('all boxes hear that a server leaves, also through hubs and boxes that start', () => {
   for (const boxes of [6, 24, 69]) {
     const fleet = createFleet({ boxes, zones: ['zone-a', 'zone-b', 'zone-c'] });
--- a/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
@@ -5,6 +5,7 @@
   facts,
   NOTHING_SAID,
   ofType,
+  only,
   server,
   statementNews,
   type TestBox,
@@ -154,6 +155,21 @@
   );
 });
 
+test('a request that all servers rest from is refused with the time of the first that comes back', () => {
+  const box = createServingBox();
+  for (const [serverId, leftMs] of [
+    ['records-1', 30_000] as const,
+    ['records-2', 20_000] as const,
+  ]) {
+    box.take(statementNews({ serverId, bornAtMs: undefined, statement: rest(leftMs, 0) }));
+  }
+  const request = facts({ requestId: 'late', path: '/lookup/1', deadlineMs: 8000 });
+  const effects = box.take({ type: 'requestArrived', exchangeId: 9, facts: request });
+  const { status, retryAfterMs } = only(effects, 'refuse');
+  expect(status).to.equal(503);
+  expect(retryAfterMs).to.be.within(20_000, 25_000);
+});
+
 function rest(leftMs: number, askedAgeMs: number): ServerStatement {
   return { kind: 'rest', leftMs, askedAgeMs, trialAgeMs: undefined, servedAgeMs: undefined };
 }
--- a/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
@@ -6,7 +6,7 @@
  */
 import type { GatewayState, Step } from '../../state.js';
 import { isLaterLife, type ServerLife } from '../../types/server.js';
-import type { LifeStatements } from '../../types/serverStatement.js';
+import type { LifeStatements, ServerLeaving } from '../../types/serverStatement.js';
 import type { ServerView } from '../../types/views.js';
 import { isLimitOver } from './limits.js';
 
@@ -63,6 +63,14 @@
   });
 }
 
+/** What servers of a service have said that leave and are still listed. */
+export function leavingServersOf(state: GatewayState, service: string): ServerLeaving[] {
+  return [...state.statements.values()].flatMap((statements) => {
+    const isOfService = viewOf(state, statements)?.entry.service === service;
+    return isOfService && statements.leaving !== undefined ? [statements.leaving] : [];
+  });
+}
+
 /** Forgets what matters no more. */
 export function forgetOldStatements(state: GatewayState, { nowMs }: Step): void {
   for (const statements of state.statements.values()) {
