--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -3,6 +3,7 @@
 import type { EventOf } from '../types/event.js';
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt } from '../types/request.js';
+import type { ServerView } from '../types/views.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import { noteFailure, noteSuccess } from '../policy/serverHealth.js';
 import { noteRead } from '../policy/serverLoad.js';
@@ -71,7 +72,7 @@
     case 'failure':
       return onFailure(state, step, found, event.status);
     case 'notRun':
-      closeAttempt(state, attempt, Reach.refused);
+      noteRefused(closeAttempt(state, attempt, Reach.refused), step.nowMs);
       return tryAgain(state, step, found, `refused${event.status}`);
     case 'otherServer': {
       const view = closeAttempt(state, attempt, Reach.refused);
@@ -88,6 +89,13 @@
   }
 }
 
+/** A server that refuses has little open and would be the cheapest choice again; one that asked for rest is not chosen. */
+function noteRefused(view: ServerView | undefined, nowMs: number): void {
+  if (view === undefined) return;
+  const { rest } = view.statements ?? {};
+  if (rest === undefined || rest.ownUntilMs <= nowMs) noteFailure(view, nowMs);
+}
+
 function onSuccess(state: GatewayState, step: Step, found: Found): void {
   const { record, attempt } = found;
   if (attempt.begunAtMs === undefined) {
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -31,7 +31,7 @@
   unread: number;
   /** Prompt tokens of this box still to be read there, by urgency. */
   unreadByUrgency: number[];
-  /** Recent failures, halved every few seconds. */
+  /** Recent failures, and refusals without a time, halved every few seconds. */
   failureScore: number;
   failureAtMs: number;
   /** When anything last came from it to this box, or was sent while nothing else was open. */
--- a/packages/reedlug-simulator/src/__tests__/statingServers.test.ts
+++ b/packages/reedlug-simulator/src/__tests__/statingServers.test.ts
@@ -4,6 +4,8 @@
 /** Long enough for a loaded machine, in ms. */
 const RUN_TIMEOUT_MS = 120_000;
 const SEEDS = [1, 2] as const;
+/** One in five hundred: what no fleet keeps from its callers as a server begins to refuse. */
+const MOST_REFUSED_SHARE = 0.002;
 
 async function expectKept(files: readonly string[]): Promise<void> {
   for (const file of files) {
@@ -23,3 +25,12 @@
   this.timeout(RUN_TIMEOUT_MS);
   return expectKept(['rest-all', 'rest-long', 'rest-full', 'rest-hour']);
 });
+
+test('no caller is refused for servers that refuse while others are free', async function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  for (const seed of SEEDS) {
+    const { refusedBy, whole } = await runSceneFile('refusing', seed);
+    const refused = refusedBy['503 refused503'] ?? 0;
+    expect(refused / whole.asked, `seed ${seed}`).to.be.below(MOST_REFUSED_SHARE);
+  }
+});
--- a/packages/reedlug-simulator/src/faults/statingServers.ts
+++ b/packages/reedlug-simulator/src/faults/statingServers.ts
@@ -31,14 +31,15 @@
   }
 }
 
-/** Servers refuse a share of their requests for a while and ask for rest. */
+/** Servers refuse a share of their requests for a while and may ask for rest. */
 export function restServers(
   world: World,
   fault: RestFault,
   servers: readonly VirtualServer[],
 ): void {
   for (const server of servers) {
-    const refusing = { share: fault.refuseShare, restMs: fault.restS * 1000 };
+    const restMs = fault.restS === undefined ? undefined : fault.restS * 1000;
+    const refusing = { share: fault.refuseShare, restMs };
     server.refusing = refusing;
     recordOf(world, server);
     later(world, fault.forS * 1000, () => {
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -127,14 +127,14 @@
     nextLifeAfterS: positive.optional(),
     tellsBirth: z.boolean().default(true),
   }),
-  /** Servers refuse a share of their requests, as not run, and ask for rest. */
+  /** Servers refuse a share of their requests, as not run, and may ask for rest. */
   z.strictObject({
     kind: z.literal('restServers'),
     ...span,
     service: z.string().min(1),
     share,
     refuseShare: share.default(1),
-    restS: positive,
+    restS: positive.optional(),
   }),
   z.strictObject({ kind: z.literal('failRequests'), ...span, share }),
   z.strictObject({
--- a/packages/reedlug-simulator/src/servers/serverPark.ts
+++ b/packages/reedlug-simulator/src/servers/serverPark.ts
@@ -41,8 +41,8 @@
   limit: { perSecond: number; turnsDown: boolean } | undefined;
   /** Says in its answers that it leaves. */
   isLeaving: boolean;
-  /** The share of requests that it refuses, and the rest that it asks for as it does. */
-  refusing: { share: number; restMs: number } | undefined;
+  /** The share of requests that it refuses, and the rest that it asks for as it does, if any. */
+  refusing: { share: number; restMs: number | undefined } | undefined;
   /** Told when it ends while requests are open, by run. */
   openRuns: Map<number, () => void>;
 }
