--- a/packages/reedlug-soak/src/__tests__/promises.test.ts
+++ b/packages/reedlug-soak/src/__tests__/promises.test.ts
@@ -30,7 +30,13 @@
 function recordOf(one: Call, change: (record: SoakRecord) => void = () => undefined): SoakRecord {
   const record = createSoakRecord(2);
   record.calls.push(one);
-  record.runs.push({ requestId: one.requestId, server: 'records-0-0', atMs: 10_010, ran: true });
+  record.runs.push({
+    requestId: one.requestId,
+    server: 'records-0-0',
+    atMs: 10_010,
+    ran: true,
+    life: 0,
+  });
   change(record);
   return record;
 }
@@ -49,7 +55,7 @@
 
 test('a notice that runs twice is found', () => {
   const record = recordOf(call({ kind: CallKind.notice }), ({ runs }) => {
-    runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 10_020, ran: true });
+    runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 10_020, ran: true, life: 0 });
   });
   expect(promisesBroken(record)).to.deep.equal(['at most once']);
 });
@@ -118,10 +124,10 @@
 
 test('a workspace that gets more runs than its limit in a window is found, repeats too', () => {
   const record = recordOf(call({ key: 'key-9' }), ({ runs }) => {
-    runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 13_000, ran: true });
+    runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 13_000, ran: true, life: 0 });
   });
   expect(promisesBroken(record)).to.deep.equal([]);
-  record.runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 13_900, ran: true });
+  record.runs.push({ requestId: 'r1', server: 'records-1-0', atMs: 13_900, ran: true, life: 0 });
   expect(promisesBroken(record)).to.deep.equal(['limits over all boxes']);
 });
 
@@ -135,7 +141,7 @@
       const requestId = `c${index}`;
       const atMs = 8000 + index;
       record.calls.push({ ...crashing(requestId, atMs), box });
-      record.runs.push({ requestId, server: 'records-0-0', atMs, ran: true });
+      record.runs.push({ requestId, server: 'records-0-0', atMs, ran: true, life: 0 });
     }
     record.troubles.set(1, [{ fromMs: 6000, toMs: 6500 }]);
     return promisesBroken(record);
@@ -158,7 +164,7 @@
       const requestId = `r${turn}`;
       const sentAtMs = turn === 0 ? 5000 : 12_000 + turn * 100;
       record.calls.push(call({ requestId, sentAtMs, endedAtMs: sentAtMs + 20 }));
-      const run = { requestId, server: 'records-0-0', atMs: sentAtMs + 5, ran: true };
+      const run = { requestId, server: 'records-0-0', atMs: sentAtMs + 5, ran: true, life: 0 };
       record.runs.push({ ...run, limitPerSecond: 1 });
     }
     change(record);
@@ -169,3 +175,46 @@
   const restarted = [{ fromMs: 10_000, toMs: 10_500 }];
   expect(brokenWith(12, ({ troubles }) => troubles.set(0, restarted))).to.deep.equal([]);
 });
+
+/** Calls of one box to one server, one a second, with what the server said at some of them. */
+function recordOfCalls(saidAt: Readonly<Record<number, Partial<SoakRecord['runs'][number]>>>) {
+  const record = createSoakRecord(2);
+  for (let second = 0; second < 10; second += 1) {
+    const requestId = `q${second}`;
+    const sentAtMs = second * 1000;
+    record.calls.push(call({ requestId, sentAtMs, endedAtMs: sentAtMs + 50 }));
+    const run = { requestId, server: 'records-0-0', atMs: sentAtMs + 10, ran: true, life: 0 };
+    record.runs.push({ ...run, ...saidAt[second] });
+  }
+  return record;
+}
+
+test('requests at a server that had told their box that it leaves are found', () => {
+  const record = recordOfCalls({ 2: { saysLeaving: true } });
+  expect(promisesBroken(record)).to.deep.equal(['nothing to a server that says it leaves']);
+  record.interruptions.set(0, [{ fromMs: 3000, toMs: 3500 }]);
+  expect(promisesBroken(record)).to.deep.equal([]);
+});
+
+test('requests at the next life of a server that had left are none', () => {
+  const next = { life: 1 };
+  const saidAt = { 2: { saysLeaving: true }, 5: next, 6: next, 7: next, 8: next, 9: next };
+  expect(promisesBroken(recordOfCalls(saidAt))).to.deep.equal([]);
+});
+
+test('more than two requests of a box in the rest that a server asked it for are found', () => {
+  const refused = { ran: false, restSeconds: '5' };
+  const record = recordOfCalls({ 2: refused });
+  record.calls[2] = call({ requestId: 'q2', sentAtMs: 2000, status: 503, body: '' });
+  expect(promisesBroken(record)).to.deep.equal(['rests of servers']);
+  record.linkTroubles.push({ fromMs: 1900, toMs: 2100 });
+  expect(promisesBroken(record)).to.deep.equal([]);
+});
+
+test('a rest of two more requests, or of an odd time, is no broken one', () => {
+  for (const restSeconds of ['3', 'soon', '-1']) {
+    const record = recordOfCalls({ 2: { ran: false, restSeconds } });
+    record.calls[2] = call({ requestId: 'q2', sentAtMs: 2000, status: 503, body: '' });
+    expect(promisesBroken(record), restSeconds).to.deep.equal([]);
+  }
+});
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -36,6 +36,10 @@
   | { kind: 'crashingCaller'; everyMs: number }
   /** It names a limit of requests a second in its answers. */
   | { kind: 'serverLimits'; server: number; perSecond: number; forMs: number }
+  /** It says in its answers alone that it leaves, and begins another life under its id after a while. */
+  | { kind: 'serverSaysLeaving'; server: number; forMs: number; backAfterMs: number }
+  /** It refuses everything for a while and asks for rest; the value stands on the wire as it is. */
+  | { kind: 'serverRests'; server: number; restSeconds: string; forMs: number }
   | { kind: 'configure' }
   | { kind: 'revokeKey' };
 
@@ -63,6 +67,21 @@
 const MOST_LIMITING = 3;
 const SERVER_LIMITS: readonly number[] = [0, 0.4, 1, 1.2, 3];
 
+/** Share of the runs in which servers leave or rest by their answers alone, how many do, and the rests. */
+const STATING_SHARE = 0.7;
+const MOST_STATING = 4;
+const REST_SECONDS: readonly string[] = [
+  '0.2',
+  '1',
+  '3',
+  '6',
+  '10',
+  '60',
+  '1000000000',
+  'soon',
+  '-1',
+];
+
 const SKIPPED_DRAWS = 32;
 
 /** Draws the faults of a run. */
@@ -87,6 +106,7 @@
   // Drawn last, so that the other faults of a seed stay what they were.
   if (random.chance(CRASHING_SHARE)) planned.push(drawCrashingCaller(random, lengthMs));
   if (random.chance(LIMITING_SHARE)) planned.push(...drawLimits(random, lengthMs, servers));
+  if (random.chance(STATING_SHARE)) planned.push(...drawStating(random, lengthMs, servers));
   return planned;
 }
 
@@ -106,6 +126,18 @@
   });
 }
 
+function drawStating(random: Random, lengthMs: number, servers: number): PlannedFault[] {
+  return Array.from({ length: random.whole(1, MOST_STATING) }, () => {
+    const atMs = Math.round(random.unit() * (lengthMs - QUIET_END_MS));
+    const server = random.whole(0, servers - 1);
+    const forMs = random.whole(SHORTEST_MS, LONGEST_MS);
+    const fault: Fault = random.chance(0.5)
+      ? { kind: 'serverSaysLeaving', server, forMs: forMs + LONGEST_MS, backAfterMs: SHORTEST_MS }
+      : { kind: 'serverRests', server, restSeconds: random.pick(REST_SECONDS), forMs };
+    return { atMs, fault };
+  });
+}
+
 function drawFault(random: Random, box: number, server: number): Fault {
   const forMs = random.whole(SHORTEST_MS, LONGEST_MS);
   const how = random.pick(Object.values(LinkFault));
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -47,7 +47,7 @@
 ): Promise<void> {
   switch (fault.kind) {
     case 'pauseBox':
-      return troubling(record, [fault.box], async () => {
+      return interrupting(record, [fault.box], async () => {
         world.boxes[fault.box]?.process.signal('SIGSTOP');
         await delay(fault.forMs);
         world.boxes[fault.box]?.process.signal('SIGCONT');
@@ -55,10 +55,12 @@
     case 'stopBox':
       return stopBox(world, record, fault);
     case 'killBox':
-      return troubling(record, [fault.box], () => killBoxes(world, [fault.box], fault.backAfterMs));
+      return interrupting(record, [fault.box], () =>
+        killBoxes(world, [fault.box], fault.backAfterMs),
+      );
     case 'killAllBoxes': {
       const all = [...world.boxes.keys()];
-      return troubling(record, all, () => killBoxes(world, all, fault.backAfterMs));
+      return interrupting(record, all, () => killBoxes(world, all, fault.backAfterMs));
     }
     case 'storeLink':
       return troubling(record, [fault.box], async () => {
@@ -68,9 +70,12 @@
       });
     case 'serverLink':
       return troublingServers(record, async () => {
+        const span = openSpan();
+        record.linkTroubles.push(span);
         world.servers[fault.server]?.proxy.set(fault.how);
         await delay(fault.forMs);
         world.servers[fault.server]?.proxy.set(undefined);
+        span.toMs = performance.now();
       });
     case 'storeAway':
       return troubling(record, [...world.boxes.keys()], async () => {
@@ -108,6 +113,10 @@
       });
     case 'serverLimits':
       return limitServer(world, fault);
+    case 'serverSaysLeaving':
+      return troublingServers(record, () => leaveUnlisted(world, record, fault));
+    case 'serverRests':
+      return troublingServers(record, () => restServer(world, fault));
     case 'crashingCaller':
       world.crashingEveryMs = fault.everyMs;
       return;
@@ -135,13 +144,27 @@
   act: () => Promise<void>,
 ): Promise<void> {
   const span = openSpan();
-  for (const box of boxes) {
-    record.troubles.set(box, [...(record.troubles.get(box) ?? []), span]);
-  }
+  noteSpan(record.troubles, boxes, span);
   await act();
   span.toMs = performance.now();
 }
 
+/** The same where the processes of the boxes stand still or end. */
+async function interrupting(
+  record: SoakRecord,
+  boxes: readonly number[],
+  act: () => Promise<void>,
+): Promise<void> {
+  const span = openSpan();
+  noteSpan(record.interruptions, boxes, span);
+  await troubling(record, boxes, act);
+  span.toMs = performance.now();
+}
+
+function noteSpan(spans: Map<number, Span[]>, boxes: readonly number[], span: Span): void {
+  for (const box of boxes) spans.set(box, [...(spans.get(box) ?? []), span]);
+}
+
 async function troublingServers(record: SoakRecord, act: () => Promise<void>): Promise<void> {
   const span = openSpan();
   record.serverTroubles.push(span);
@@ -161,8 +184,8 @@
   const box = world.boxes[fault.box];
   if (box === undefined || !box.process.isRunning()) return;
   const span = openSpan();
-  for (const spans of [record.troubles, record.stops]) {
-    spans.set(fault.box, [...(spans.get(fault.box) ?? []), span]);
+  for (const spans of [record.troubles, record.stops, record.interruptions]) {
+    noteSpan(spans, [fault.box], span);
   }
   box.process.signal('SIGTERM');
   await box.process.ended();
@@ -211,6 +234,36 @@
   standin.limitPerSecond = undefined;
 }
 
+/** A server says that it leaves, serves on, and begins another life under its id. */
+async function leaveUnlisted(
+  world: SoakWorld,
+  record: SoakRecord,
+  fault: Extract<Fault, { kind: 'serverSaysLeaving' }>,
+): Promise<void> {
+  const standin = world.servers[fault.server]?.standin;
+  if (standin === undefined) return;
+  standin.saysLeaving = true;
+  await delay(fault.forMs);
+  if (world.servers[fault.server]?.standin !== standin) return;
+  const { server, backAfterMs } = fault;
+  return restartServer(world, record, { kind: 'serverRestarts', server, backAfterMs });
+}
+
+/** A server refuses everything for a while and asks for rest, for as long as this life of it lasts. */
+async function restServer(
+  world: SoakWorld,
+  { server, restSeconds, forMs }: Extract<Fault, { kind: 'serverRests' }>,
+): Promise<void> {
+  const resting = world.servers[server];
+  if (resting === undefined) return;
+  const { standin } = resting;
+  standin.restSeconds = restSeconds;
+  resting.failing = 'refuse';
+  await delay(forMs);
+  standin.restSeconds = undefined;
+  resting.failing = undefined;
+}
+
 /** Ends a server without a word; its next life has its id and its entry. */
 async function restartServer(
   world: SoakWorld,
@@ -249,6 +302,7 @@
       await delay(ENTRY_STAYS_MS);
       break;
     case 'serverLeaves':
+      standin.saysLeaving = true;
       enter(world, server, true);
       record.leftAtMs.set(standin.id, performance.now());
       await delay(LEAVES_AFTER_MS);
--- a/packages/reedlug-soak/src/promises.ts
+++ b/packages/reedlug-soak/src/promises.ts
@@ -1,4 +1,5 @@
 /** Checks a run's record against the promises to callers, servers and the operator. */
+import { checkRests, checkSaidLeaving } from './serverStatements.js';
 import { CallKind, touches, type Call, type Run, type SoakRecord } from './soakRecord.js';
 
 /** A broken promise. */
@@ -30,7 +31,7 @@
 const LIMIT_ON_TOP = 5;
 const TOLD_MS = 500;
 /** Taken off the bounds for the delays of one busy machine, in ms. */
-const TOLERANCE_MS = 400;
+export const TOLERANCE_MS = 400;
 
 /** All broken promises of a run. */
 export function findViolations(record: SoakRecord, bounds: PromiseBounds): Violation[] {
@@ -49,6 +50,8 @@
     ...checkCrashing(record, bounds),
     ...checkInnocent(record),
     ...checkServerLimits(record, bounds),
+    ...checkSaidLeaving(record, bounds),
+    ...checkRests(record),
   ];
 }
 
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -207,9 +207,9 @@
 }
 
 function collectRuns(world: SoakWorld, record: SoakRecord): void {
-  for (const standin of world.everyStandin) {
+  for (const [life, standin] of world.everyStandin.entries()) {
     for (const arrival of standin.arrivals) {
-      record.runs.push({ ...arrival, server: standin.id });
+      record.runs.push({ ...arrival, server: standin.id, life });
     }
   }
   record.reports.push(...world.cloud.reports);
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -37,6 +37,12 @@
   ran: boolean;
   /** The limit of requests a second that the server named in its answer, if any. */
   limitPerSecond?: number | undefined;
+  /** Number of the server's life among all servers' lives. */
+  life: number;
+  /** Whether its answer said that the server leaves. */
+  saysLeaving?: boolean;
+  /** The rest that its refusal asked for, in seconds as it stood on the wire. */
+  restSeconds?: string | undefined;
 }
 
 /** A span of time; open ones have not ended. */
@@ -61,6 +67,10 @@
   troubles: Map<number, Span[]>;
   /** Planned stops by box: from the signal to the end of the process. */
   stops: Map<number, Span[]>;
+  /** Spans in which a box's process was paused, or ended until its next start, by box. */
+  interruptions: Map<number, Span[]>;
+  /** Spans in which the link of a server misbehaved, so that its answers may not arrive. */
+  linkTroubles: Span[];
   /** Spans in which any server or its link misbehaved. */
   serverTroubles: Span[];
   /** When servers ended under the request of the crashing caller. */
@@ -79,6 +89,8 @@
     leftAtMs: new Map(),
     troubles: new Map(),
     stops: new Map(),
+    interruptions: new Map(),
+    linkTroubles: [],
     serverTroubles: [],
     crashesAtMs: [],
     reports: [],
