--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -2,7 +2,8 @@
 export * from './scene/drawCrashTroubles.js';
 export * from './scene/drawLimitTroubles.js';
 export * from './scene/drawRollout.js';
-export * from './scene/drawServerLimits.js';
+export { drawServerLimits } from './scene/drawServerLimits.js';
+export * from './scene/drawStatements.js';
 export * from './report/outcomes.js';
 export * from './report/sceneReport.js';
 export type { BrokenPromise, LogLine } from './report/sceneRecord.js';
--- a/packages/reedlug-simulator/src/scene/drawServerLimits.ts
+++ b/packages/reedlug-simulator/src/scene/drawServerLimits.ts
@@ -34,7 +34,8 @@
   };
 }
 
-function drawTrouble(random: Random, scene: Scene): SceneFaultSpec {
+/** Draws a trouble that may stand beside statements of servers. */
+export function drawTrouble(random: Random, scene: Scene): SceneFaultSpec {
   const atS = 1 + random.unit() * (scene.lengthS - 6);
   const forS = 1 + random.unit() * 8;
   const zone = random.pick(scene.zones);
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -5,6 +5,7 @@
   drawCrashTroubles,
   drawLimitTroubles,
   drawServerLimits,
+  drawStatements,
   readSceneFile,
   runScene,
   type Scene,
@@ -45,6 +46,10 @@
   drawServerLimits = Option.Boolean('--draw-server-limits', false, {
     description: 'Draw the faults of each seed: servers that name limits, and troubles around them',
   });
+  drawStatements = Option.Boolean('--draw-statements', false, {
+    description:
+      'Draw the faults of each seed: servers that leave, rest or refuse, and troubles around them',
+  });
   logs = Option.String('--log', { description: 'Events to print, by commas, or all' });
 
   override async execute(): Promise<number> {
@@ -62,6 +67,7 @@
 
   private drawn(scene: Scene, seed: number): Scene {
     if (this.draw) return drawLimitTroubles(scene, seed);
+    if (this.drawStatements) return drawStatements(scene, seed);
     if (this.drawServerLimits) return drawServerLimits(scene, seed);
     return this.drawCrashes ? drawCrashTroubles(scene, seed) : scene;
   }
