--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -211,6 +211,11 @@
   return { kind: 'limit', perSecond, ...ages };
 }
 
+/** A rest as another box tells it that was asked for just now. */
+export function restStatement(leftMs: number): ServerStatement {
+  return { kind: 'rest', leftMs, askedAgeMs: 0, trialAgeMs: undefined, servedAgeMs: undefined };
+}
+
 /** A box with its clock in the test's hands. */
 export interface TestBox {
   state: GatewayState;
--- a/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
@@ -8,11 +8,13 @@
   server,
   type TestBox,
   limitStatement,
+  restStatement,
   statementNews,
 } from '../../__tests__/__fixtures__/box.js';
 import { callsOf, passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
 import type { CloudCall } from '../../types/effect.js';
 import { ServerState, type ServerEntry } from '../../types/server.js';
+import type { ServerStatement } from '../../types/serverStatement.js';
 
 type Order = Extract<CloudCall, { kind: 'orderEngines' }>;
 
@@ -267,8 +269,8 @@
   expect(wantedAfter(7000)).to.equal(4);
 });
 
-test('engines that name a limit count for what they take: others are ordered in their place', () => {
-  const wantedWith = (perSecond: number | undefined): number => {
+test('engines that limit or rest count for what they take: others are ordered in their place', () => {
+  const wantedWith = (statement: ServerStatement | undefined): number => {
     const box = createServingBox();
     const entries = ['a', 'b', 'c', 'd'].map((id) =>
       server(id, { service: 'engines', reclaimable: true, zone: 'zone-a' }),
@@ -283,9 +285,10 @@
     const withRoom = { ...others, services: roomy };
     box.take({ type: 'configurationRead', configuration: withRoom, source: 'store' });
     takeLease(box);
-    const statement = limitStatement(perSecond);
-    const limits = entries.map(({ id }) => ({ serverId: id, bornAtMs: undefined, statement }));
-    if (perSecond !== undefined) box.take(statementNews(...limits));
+    const life = entries.map(({ id }) => ({ serverId: id, bornAtMs: undefined }));
+    if (statement !== undefined) {
+      box.take(statementNews(...life.map((known) => ({ ...known, statement }))));
+    }
     for (let turn = 0; turn < 40; turn += 1) {
       const request = facts({ requestId: `r${turn}`, path: '/draft/1', deadlineMs: 60_000 });
       box.take({ type: 'requestArrived', exchangeId: 100 + turn, facts: request });
@@ -294,6 +297,10 @@
     const orders = [...box.state.orders.values()].map(({ call }) => call);
     return orders.reduce((sum, { wanted }) => sum + wanted, 0);
   };
-  expect(wantedWith(1)).to.be.above(wantedWith(undefined));
-  expect(wantedWith(1_000_000)).to.equal(wantedWith(undefined));
+  const usual = wantedWith(undefined);
+  expect(wantedWith(limitStatement(1))).to.be.above(usual);
+  expect(wantedWith(limitStatement(1_000_000))).to.equal(usual);
+  expect(wantedWith(restStatement(30_000))).to.be.above(usual);
+  // Over before another engine would be there.
+  expect(wantedWith(restStatement(3000))).to.equal(usual);
 });
--- a/packages/reedlug-gateway/src/slices/engineNeed.ts
+++ b/packages/reedlug-gateway/src/slices/engineNeed.ts
@@ -10,7 +10,7 @@
 import type { HeldNeed } from '../types/views.js';
 import { modelOf } from './engineModels.js';
 import { countReady, lastOrdered } from './engineOrders.js';
-import { withLimitedEngines } from './statements/missingEngines.js';
+import { withMissingEngines } from './statements/missingEngines.js';
 import { isLoadKnown, loadOf } from './serviceLoad.js';
 
 /** How long a need is kept after it was last that high, in ms: an engine takes 4 s to start, and load comes in waves. */
@@ -54,7 +54,7 @@
     zones: spec.scaling?.zonePrices.length ?? 1,
     hasReclaimable: spec.scaling?.reclaimablePriceShare !== undefined,
   });
-  return withLimitedEngines(state, step, { service: spec.name, load, model, need });
+  return withMissingEngines(state, step, { spec, load, model, need });
 }
 
 /** Nothing is held yet. */
--- a/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
@@ -6,13 +6,13 @@
   NOTHING_SAID,
   ofType,
   only,
+  restStatement,
   server,
   statementNews,
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import { createFleet, type TestFleet } from '../../../__tests__/__fixtures__/fleet.js';
 import { ServerState } from '../../../types/server.js';
-import type { ServerStatement } from '../../../types/serverStatement.js';
 
 let nextExchangeId = 1;
 
@@ -124,7 +124,7 @@
   const rests = (): boolean =>
     (box.state.servers.get('records-1')?.statements?.rest?.untilMs ?? 0) > box.nowMs;
   read(entry);
-  box.take(statementNews({ serverId: 'records-1', bornAtMs: 5, statement: rest(9000, 0) }));
+  box.take(statementNews({ serverId: 'records-1', bornAtMs: 5, statement: restStatement(9000) }));
   expect(rests()).to.equal(true);
   read(undefined);
   read({ ...entry, state: ServerState.ready });
@@ -143,7 +143,7 @@
       const ends = [drawn, [...drawn].reverse()].map((order) => {
         const box = createServingBox();
         for (const { leftMs } of order) {
-          const statement = rest(leftMs, 0);
+          const statement = restStatement(leftMs);
           box.take(statementNews({ serverId: 'records-1', bornAtMs: undefined, statement }));
         }
         return box.state.servers.get('records-1')?.statements?.rest?.untilMs;
@@ -161,7 +161,7 @@
     ['records-1', 30_000] as const,
     ['records-2', 20_000] as const,
   ]) {
-    box.take(statementNews({ serverId, bornAtMs: undefined, statement: rest(leftMs, 0) }));
+    box.take(statementNews({ serverId, bornAtMs: undefined, statement: restStatement(leftMs) }));
   }
   const request = facts({ requestId: 'late', path: '/lookup/1', deadlineMs: 8000 });
   const effects = box.take({ type: 'requestArrived', exchangeId: 9, facts: request });
@@ -169,7 +169,3 @@
   expect(status).to.equal(503);
   expect(retryAfterMs).to.be.within(20_000, 25_000);
 });
-
-function rest(leftMs: number, askedAgeMs: number): ServerStatement {
-  return { kind: 'rest', leftMs, askedAgeMs, trialAgeMs: undefined, servedAgeMs: undefined };
-}
--- a/packages/reedlug-gateway/src/slices/statements/missingEngines.ts
+++ b/packages/reedlug-gateway/src/slices/statements/missingEngines.ts
@@ -1,31 +1,44 @@
-/** Engines that limits leave missing: one in need counts for what it takes. */
+/** Engines that limits and rests leave missing: one in need counts for what it takes. */
 import { limitNow } from '../../policy/serverLimit.js';
 import type { EngineModel } from '../../policy/engineModel.js';
 import type { EngineNeed, ServiceLoad } from '../../policy/engineTarget.js';
 import type { GatewayState, Step } from '../../state.js';
+import type { ServiceSpec } from '../../types/configuration.js';
+import type { LifeStatements } from '../../types/serverStatement.js';
 import { statingServersOf } from './lifeStatements.js';
+import { restsUntilMs } from './rests.js';
 
 const SECOND_MS = 1000;
 
-/** Adds to a need the engines that stand in for those with limits. */
-export function withLimitedEngines(
+/** Adds to a need the engines that stand in for those that take less than their share, or nothing. */
+export function withMissingEngines(
   state: GatewayState,
   { nowMs }: Step,
-  params: { service: string; load: ServiceLoad; model: EngineModel; need: EngineNeed },
+  params: { spec: ServiceSpec; load: ServiceLoad; model: EngineModel; need: EngineNeed },
 ): EngineNeed {
-  const { service, load, model, need } = params;
-  const limits = statingServersOf(state, service)
-    .map(({ statements }) => statements?.limit && limitNow(statements.limit, nowMs))
+  const { spec, load, model, need } = params;
+  const { bootMs = Infinity } = spec.scaling ?? {};
+  const taken = statingServersOf(state, spec.name)
+    .map(({ statements }) => statements && takenPerSecond(statements, { nowMs, bootMs }))
     .filter((perSecond) => perSecond !== undefined);
-  if (limits.length === 0) return need;
+  if (taken.length === 0) return need;
   const asked = (load.openRequests * SECOND_MS) / model.stayMs;
   const missing = (engines: number): number => {
     const share = asked / Math.max(1, engines);
     if (share <= 0) return 0;
-    return limits.reduce((sum, perSecond) => sum + Math.max(0, 1 - perSecond / share), 0);
+    return taken.reduce((sum, perSecond) => sum + Math.max(0, 1 - perSecond / share), 0);
   };
   return {
     usual: need.usual + Math.ceil(missing(need.usual)),
     least: need.least + Math.ceil(missing(need.least)),
   };
 }
+
+/** Requests a second that a server takes by what it said; undefined for as many as come. A rest that is over before another engine is there counts for nothing. */
+function takenPerSecond(
+  { limit, rest }: LifeStatements,
+  { nowMs, bootMs }: { nowMs: number; bootMs: number },
+): number | undefined {
+  if (rest !== undefined && restsUntilMs(rest) - nowMs > bootMs) return 0;
+  return limit && limitNow(limit, nowMs);
+}
