--- a/packages/reedlug-gateway/src/policy/__tests__/serverLimit.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/serverLimit.test.ts
@@ -1,13 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import type { LimitFact } from '../../types/serverStatement.js';
+import type { LimitedSends, LimitFact } from '../../types/serverStatement.js';
 import {
   isNewerLimit,
   limitNow,
   nextSendAtMs,
   noteLimitedSend,
   sendersOf,
-  type LimitedSends,
 } from '../serverLimit.js';
 
 /** Counts what a box sends that tries each 20 ms, and gives the times. */
--- a/packages/reedlug-gateway/src/policy/serverLimit.ts
+++ b/packages/reedlug-gateway/src/policy/serverLimit.ts
@@ -7,7 +7,7 @@
  * one box alone may have too few callers for a high one. So as many boxes send as leave
  * each half a request a second.
  */
-import type { LimitFact } from '../types/serverStatement.js';
+import type { LimitedSends, LimitFact } from '../types/serverStatement.js';
 
 /** Requests a second that a box which sends to a limited server has at least, where the limit allows it. */
 const LEAST_PART_PER_SECOND = 0.5;
@@ -59,16 +59,6 @@
   return sharing + Math.floor(Math.max(0, silentMs) / SILENT_LIMIT_MS);
 }
 
-/** This box's sends to a limited server. */
-export interface LimitedSends {
-  /** The latest ones, oldest first. */
-  atMs: number[];
-  /** Since when this box is one of those that share the limit; undefined while it is not. */
-  sinceMs: number | undefined;
-  /** Whether it took the place of another box, which may have sent the whole of the window before. */
-  followsOther: boolean;
-}
-
 /** When a box with a part of a limit may send next; in its first window its sends are spaced evenly. */
 export function nextSendAtMs(
   { atMs, sinceMs, followsOther }: LimitedSends,
--- a/packages/reedlug-gateway/src/types/serverStatement.ts
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -2,7 +2,6 @@
  * What servers say of themselves in their answers: a limit of requests a second, a time of
  * rest, that they leave. Said to one box, it is meant for all, and belongs to one life.
  */
-import type { LimitedSends } from '../policy/serverLimit.js';
 import type { ServerLife } from './server.js';
 
 /** What the head of an answer says of its server, beside the answer itself. */
@@ -98,6 +97,16 @@
   sends: LimitedSends;
 }
 
+/** This box's sends to a limited server. */
+export interface LimitedSends {
+  /** The latest ones, oldest first. */
+  atMs: number[];
+  /** Since when this box is one of those that share the limit; undefined while it is not. */
+  sinceMs: number | undefined;
+  /** Whether it took the place of another box, which may have sent the whole of the window before. */
+  followsOther: boolean;
+}
+
 /** Rests that a server asked for, on this box's clock; times that are not known lie before all others. */
 export interface ServerRest {
   /** When the last of them ends, and when that was asked. */
--- /dev/null
+++ b/packages/reedlug-simulator/src/__tests__/__fixtures__/expectKept.ts
@@ -0,0 +1,16 @@
+/** Runs scenes that no promise may be broken in. */
+import { expect } from 'chai';
+import { runSceneFile } from './runSceneFile.js';
+
+/** Seeds with which each scene is run. */
+export const SEEDS = [1, 2] as const;
+
+/** Runs each scene with each seed, and expects that no promise was broken. */
+export async function expectKept(files: readonly string[]): Promise<void> {
+  for (const file of files) {
+    for (const seed of SEEDS) {
+      const { broken } = await runSceneFile(file, seed);
+      expect(broken, `${file}, seed ${seed}`).to.deep.equal([]);
+    }
+  }
+}
--- a/packages/reedlug-simulator/src/__tests__/statingServers.test.ts
+++ b/packages/reedlug-simulator/src/__tests__/statingServers.test.ts
@@ -1,21 +1,12 @@
 import { expect } from 'chai';
+import { expectKept, SEEDS } from './__fixtures__/expectKept.js';
 import { runSceneFile } from './__fixtures__/runSceneFile.js';
 
 /** Long enough for a loaded machine, in ms. */
 const RUN_TIMEOUT_MS = 120_000;
-const SEEDS = [1, 2] as const;
 /** One in five hundred: what no fleet keeps from its callers as a server begins to refuse. */
 const MOST_REFUSED_SHARE = 0.002;
 
-async function expectKept(files: readonly string[]): Promise<void> {
-  for (const file of files) {
-    for (const seed of SEEDS) {
-      const { broken } = await runSceneFile(file, seed);
-      expect(broken, `${file}, seed ${seed}`).to.deep.equal([]);
-    }
-  }
-}
-
 test('no request reaches a server whose answer said that it leaves', function () {
   this.timeout(RUN_TIMEOUT_MS);
   return expectKept(['leaving-unlisted', 'leaving-all', 'leaving-next-life']);
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -14,7 +14,7 @@
   submitToEngine,
   takeCloudCall,
   type VirtualServer,
-} from '../servers/serverPark.js';
+} from '../servers/virtualServers.js';
 import { noteArrival, noteLog, noteRun } from '../report/sceneRecord.js';
 import { areCut, boxAt, later, nowMs, takeNumber, wayMs, type World } from '../world.js';
 import { endUnder, noteEndingSend } from '../faults/endingRequests.js';
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -9,7 +9,7 @@
   silenceServer,
   takesWork,
   type VirtualServer,
-} from '../servers/serverPark.js';
+} from '../servers/virtualServers.js';
 import { placesOf } from '../boxes/boxPlaces.js';
 import { later, type World } from '../world.js';
 import { changeLimits } from './changeLimits.js';
--- a/packages/reedlug-simulator/src/faults/endingRequests.ts
+++ b/packages/reedlug-simulator/src/faults/endingRequests.ts
@@ -4,7 +4,7 @@
 import { drawRequest, drawSharedParts, workspaceName } from '../callers/drawRequest.js';
 import { endingOf, noteAsked } from '../report/sceneRecord.js';
 import type { SceneClass, SceneFaultSpec } from '../scene/scene.js';
-import { restartServer, type VirtualServer } from '../servers/serverPark.js';
+import { restartServer, type VirtualServer } from '../servers/virtualServers.js';
 import { isInTouch, type VirtualBox } from '../boxes/virtualBox.js';
 import { CONTACT_MS, later, nowMs, takeNumber, type World } from '../world.js';
 
--- a/packages/reedlug-simulator/src/faults/limitedServers.ts
+++ b/packages/reedlug-simulator/src/faults/limitedServers.ts
@@ -4,7 +4,7 @@
 import type { LimitedServerRecord } from '../report/sceneRecord.js';
 import { greatestShare, type TimedAmount } from '../report/slidingSum.js';
 import type { SceneFaultSpec } from '../scene/scene.js';
-import type { VirtualServer } from '../servers/serverPark.js';
+import type { VirtualServer } from '../servers/virtualServers.js';
 import { CONTACT_MS, later, nowMs, type World } from '../world.js';
 
 /** Time since a box passed such an answer on from which its sends count, in ms: the users' figure. */
--- a/packages/reedlug-simulator/src/faults/rollouts.ts
+++ b/packages/reedlug-simulator/src/faults/rollouts.ts
@@ -4,7 +4,12 @@
  */
 import { RolloutPhase } from 'reedlug-gateway';
 import type { SceneFaultSpec } from '../scene/scene.js';
-import { drainServer, endServer, startBeside, type VirtualServer } from '../servers/serverPark.js';
+import {
+  drainServer,
+  endServer,
+  startBeside,
+  type VirtualServer,
+} from '../servers/virtualServers.js';
 import { later, nowMs, type World } from '../world.js';
 
 /** Pause between looks at the record, in ms: the platform sees it at once. */
--- a/packages/reedlug-simulator/src/faults/statingServers.ts
+++ b/packages/reedlug-simulator/src/faults/statingServers.ts
@@ -3,7 +3,7 @@
 import type { VirtualBox } from '../boxes/virtualBox.js';
 import type { StatingServerRecord } from '../report/sceneRecord.js';
 import type { SceneFaultSpec } from '../scene/scene.js';
-import { endServer, restartServer, type VirtualServer } from '../servers/serverPark.js';
+import { endServer, restartServer, type VirtualServer } from '../servers/virtualServers.js';
 import { CONTACT_MS, later, nowMs, type World } from '../world.js';
 import { limitStatementOf, noteLimitTold } from './limitedServers.js';
 
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -3,7 +3,7 @@
 import { isRepeatable, type CallerRequest } from '../callers/callerAttempt.js';
 import type { VirtualBox } from '../boxes/virtualBox.js';
 import type { BatchEngine } from '../servers/batchEngine.js';
-import type { VirtualServer } from '../servers/serverPark.js';
+import type { VirtualServer } from '../servers/virtualServers.js';
 import type { World } from '../world.js';
 import { nowMs } from '../world.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -23,7 +23,7 @@
 import { createSceneRecord, type LogLine } from './report/sceneRecord.js';
 import { reportOf, type SceneReport } from './report/sceneReport.js';
 import type { Scene, SceneService } from './scene/scene.js';
-import { noteStanding, startServers } from './servers/serverPark.js';
+import { noteStanding, startServers } from './servers/virtualServers.js';
 import { createVirtualStore } from './store/virtualStore.js';
 import type { World } from './world.js';
 
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -6,7 +6,7 @@
 import type { VirtualBox } from './boxes/virtualBox.js';
 import type { LimitPeriod } from './faults/changeLimits.js';
 import type { RolloutWatch } from './faults/rollouts.js';
-import type { VirtualServer } from './servers/serverPark.js';
+import type { VirtualServer } from './servers/virtualServers.js';
 import type { VirtualStore } from './store/virtualStore.js';
 
 /** Time after a change, or a trouble, in which news of it are on their way to all boxes, in ms: the users' figure. */
