--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -14,7 +14,7 @@
 import { noteLoss } from './lostServers.js';
 import { noteServed } from './statements/rests.js';
 import { takeAnswerStatements } from './statements/answerStatements.js';
-import { afterLoss, mayRepeat, tryAgain, type Found } from './repeats.js';
+import { afterLoss, mayRepeat, tryAgain, type RequestAttempt } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
 import { countBegun } from './usage.js';
@@ -24,7 +24,7 @@
 function find(
   state: GatewayState,
   event: { exchangeId: number; attemptId: number },
-): Found | undefined {
+): RequestAttempt | undefined {
   const record = state.requests.get(event.exchangeId);
   const attempt = record?.attempts.find((candidate) => candidate.attemptId === event.attemptId);
   if (record === undefined || attempt === undefined || !attempt.open) return undefined;
@@ -96,7 +96,7 @@
   if (rest === undefined || rest.ownUntilMs <= nowMs) noteFailure(view, nowMs);
 }
 
-function onSuccess(state: GatewayState, step: Step, found: Found): void {
+function onSuccess(state: GatewayState, step: Step, found: RequestAttempt): void {
   const { record, attempt } = found;
   if (attempt.begunAtMs === undefined) {
     noteFirstEvent(state, step, record, attempt);
@@ -118,7 +118,7 @@
 }
 
 /** A server's own failure goes to the caller as it is, unless the request may be repeated. */
-function onFailure(state: GatewayState, step: Step, found: Found, status: number): void {
+function onFailure(state: GatewayState, step: Step, found: RequestAttempt, status: number): void {
   const { record, attempt } = found;
   begin(state, step, found);
   const view = serverOf(state, attempt);
@@ -147,7 +147,7 @@
 }
 
 /** The run has begun: its prompt is read, and it counts for its workspace. */
-function begin(state: GatewayState, step: Step, found: Found): void {
+function begin(state: GatewayState, step: Step, found: RequestAttempt): void {
   const { record, attempt } = found;
   if (attempt.begunAtMs === undefined) {
     attempt.begunAtMs = step.nowMs;
@@ -158,7 +158,7 @@
   countBegun(state, step, record);
 }
 
-function finish(state: GatewayState, step: Step, found: Found, outcome: string): void {
+function finish(state: GatewayState, step: Step, found: RequestAttempt, outcome: string): void {
   const { record, attempt } = found;
   const view = closeAttempt(state, attempt, Reach.answered);
   if (outcome === 'success') {
@@ -218,7 +218,7 @@
   afterLoss(state, step, found, event.reason);
 }
 
-function logLost(step: Step, { record, attempt }: Found, reason: string): void {
+function logLost(step: Step, { record, attempt }: RequestAttempt, reason: string): void {
   log(step, 'sendLost', {
     request: record.facts.requestId,
     digest: record.facts.digest,
--- a/packages/reedlug-gateway/src/slices/repeats.ts
+++ b/packages/reedlug-gateway/src/slices/repeats.ts
@@ -20,24 +20,29 @@
 const MAX_SENDS = 3;
 
 /** A request and one of its attempts. */
-export interface Found {
+export interface RequestAttempt {
   record: RequestRecord;
   attempt: Attempt;
 }
 
 /** After a loss the request goes on elsewhere where it may, or ends. */
-export function afterLoss(state: GatewayState, step: Step, found: Found, reason: string): void {
+export function afterLoss(
+  state: GatewayState,
+  step: Step,
+  found: RequestAttempt,
+  reason: string,
+): void {
   found.record.avoid.add(found.attempt.serverId);
   goOn(state, step, found, reason);
 }
 
 /** After the end of a server's life the request may go on at its next one, too. */
-export function afterLife(state: GatewayState, step: Step, found: Found): void {
+export function afterLife(state: GatewayState, step: Step, found: RequestAttempt): void {
   found.record.avoid.delete(found.attempt.serverId);
   goOn(state, step, found, 'serverBorn');
 }
 
-function goOn(state: GatewayState, step: Step, found: Found, reason: string): void {
+function goOn(state: GatewayState, step: Step, found: RequestAttempt, reason: string): void {
   const { record } = found;
   if (!mayBeTriedAgain(state, record)) return giveUp(state, step, record, CRASHES_SERVERS);
   if (!mayRepeat(state, step, record)) return giveUp(state, step, record, reason);
@@ -58,7 +63,7 @@
 export function repeat(
   state: GatewayState,
   step: Step,
-  found: Found,
+  found: RequestAttempt,
   reason: string,
   choice?: Choice,
 ): void {
@@ -85,7 +90,12 @@
 }
 
 /** A send that did not run may be made again at another server. */
-export function tryAgain(state: GatewayState, step: Step, found: Found, reason: string): void {
+export function tryAgain(
+  state: GatewayState,
+  step: Step,
+  found: RequestAttempt,
+  reason: string,
+): void {
   const { record, attempt } = found;
   record.avoid.add(attempt.serverId);
   const ranBefore = record.attempts.some((other) => mayHaveRun(other.reach));
--- a/packages/reedlug-gateway/src/slices/statements/statementNews.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementNews.ts
@@ -34,12 +34,14 @@
 export function statementsTick(state: GatewayState, step: Step): void {
   forgetOldStatements(state, step);
   const { nowMs } = step;
+  const hasNewcomers = state.newcomers.size > 0;
   const due: StatementOfLife[] = [];
   const all: StatementOfLife[] = [];
   for (const known of state.statements.values()) {
+    if (!hasNewcomers && !isAnyDue(known, nowMs)) continue;
     for (const { statement, announcement, isDue } of standing(known, nowMs)) {
       const { serverId, bornAtMs } = known;
-      if (state.newcomers.size > 0) all.push({ serverId, bornAtMs, statement });
+      if (hasNewcomers) all.push({ serverId, bornAtMs, statement });
       if (!isDue) continue;
       due.push({ serverId, bornAtMs, statement });
       announcement.toldAtMs = nowMs;
@@ -50,6 +52,13 @@
   state.newcomers.clear();
 }
 
+/** Whether others are to be told something now; thousands of servers may have said something that they know. */
+function isAnyDue({ limit, rest, leaving }: LifeStatements, nowMs: number): boolean {
+  if (limit !== undefined && isLimitDue(limit, nowMs)) return true;
+  if (rest !== undefined && isNews(rest.announcement, nowMs)) return true;
+  return leaving !== undefined && isNews(leaving.announcement, nowMs);
+}
+
 /** A statement that stands, and whether others are to be told now. */
 interface Standing {
   statement: ServerStatement;
@@ -66,7 +75,7 @@
     found.push({
       statement: { kind: 'limit', perSecond, sentAgeMs, receivedAgeMs },
       announcement,
-      isDue: isNews(announcement, nowMs) || isRenewed(limit, nowMs),
+      isDue: isLimitDue(limit, nowMs),
     });
   }
   if (rest !== undefined && rest.untilMs > nowMs) {
@@ -88,7 +97,8 @@
   return found;
 }
 
-function isRenewed({ announcement, receivedAtMs }: ServerLimit, nowMs: number): boolean {
+function isLimitDue({ announcement, receivedAtMs }: ServerLimit, nowMs: number): boolean {
+  if (isNews(announcement, nowMs)) return true;
   const { toldAtMs = nowMs } = announcement;
   return receivedAtMs > toldAtMs && nowMs - toldAtMs >= RENEW_MS;
 }
