--- a/packages/reedlug-gateway/src/daemon/statementWire.ts
+++ b/packages/reedlug-gateway/src/daemon/statementWire.ts
@@ -32,6 +32,9 @@
 /** A server that leaves, and start of its life. */
 type LeavingRow = readonly [string, number | null];
 
+/** A server that refused, start of its life, and how long ago that was. */
+type RefusalRow = readonly [string, number | null, number];
+
 /** The datagram's value. */
 export interface StatementRows {
   kind: typeof STATEMENTS_WIRE_KIND;
@@ -40,6 +43,7 @@
   pauses: readonly RestRow[];
   /** Boxes of the version before neither send nor read it. */
   leaving: readonly LeavingRow[];
+  refusals: readonly RefusalRow[];
 }
 
 /** The rows of a message. */
@@ -47,6 +51,7 @@
   const limits: LimitRow[] = [];
   const pauses: RestRow[] = [];
   const leaving: LeavingRow[] = [];
+  const refusals: RefusalRow[] = [];
   for (const { serverId, bornAtMs = null, statement } of statements) {
     switch (statement.kind) {
       case 'limit': {
@@ -59,24 +64,29 @@
         pauses.push([serverId, bornAtMs, leftMs, askedAgeMs, trialAgeMs, servedAgeMs]);
         break;
       }
+      case 'refusal':
+        refusals.push([serverId, bornAtMs, statement.ageMs]);
+        break;
       case 'leaving':
         leaving.push([serverId, bornAtMs]);
         break;
     }
   }
-  return { kind: STATEMENTS_WIRE_KIND, boxId, limits, pauses, leaving };
+  return { kind: STATEMENTS_WIRE_KIND, boxId, limits, pauses, leaving, refusals };
 }
 
 /** The message of a datagram's value; undefined when it is none. */
 export function statementsOfRows(
   value: Readonly<Record<string, unknown>>,
 ): ServerStatementsMessage | undefined {
-  const { boxId, limits, pauses, leaving = [] } = value;
+  const { boxId, limits, pauses, leaving = [], refusals = [] } = value;
   if (typeof boxId !== 'string') return undefined;
   if (!Array.isArray(limits) || !Array.isArray(pauses) || !Array.isArray(leaving)) return undefined;
+  if (!Array.isArray(refusals)) return undefined;
   const statements = [
     ...limits.flatMap((row) => read(row, limitOf)),
     ...pauses.flatMap((row) => read(row, restOf)),
+    ...refusals.flatMap((row) => read(row, refusalOf)),
     ...leaving.flatMap((row) => read(row, () => ({ kind: 'leaving' }))),
   ];
   return { kind: 'serverStatements', boxId, statements };
@@ -100,6 +110,10 @@
   return { kind: 'limit', perSecond: perSecond ?? undefined, sentAgeMs, receivedAgeMs };
 }
 
+function refusalOf([ageMs]: readonly unknown[]): ServerStatement | undefined {
+  return isNumber(ageMs) ? { kind: 'refusal', ageMs } : undefined;
+}
+
 function restOf(values: readonly unknown[]): ServerStatement | undefined {
   const [leftMs, askedAgeMs = 0, trialAgeMs = null, servedAgeMs = null] = values;
   if (!isNumber(leftMs) || !isNumber(askedAgeMs)) return undefined;
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/attempts.ts
@@ -3,7 +3,6 @@
 import type { EventOf } from '../types/event.js';
 import { RouteKind } from '../types/configuration.js';
 import type { Attempt } from '../types/request.js';
-import type { ServerView } from '../types/views.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import { noteFailure, noteSuccess } from '../policy/serverHealth.js';
 import { noteRead } from '../policy/serverLoad.js';
@@ -13,7 +12,7 @@
 import { noteEnd, noteFirstEvent } from './engineModels.js';
 import { noteLoss } from './lostServers.js';
 import { noteServed } from './statements/rests.js';
-import { takeAnswerStatements } from './statements/answerStatements.js';
+import { takeAnswerStatements, takeRefusal } from './statements/answerStatements.js';
 import { afterLoss, mayRepeat, tryAgain, type RequestAttempt } from './repeats.js';
 import { AnswerEnd, noteAnswer, noteLost } from './rolloutEvidence.js';
 import { removeServer } from './servers.js';
@@ -72,7 +71,8 @@
     case 'failure':
       return onFailure(state, step, found, event.status);
     case 'notRun':
-      noteRefused(closeAttempt(state, attempt, Reach.refused), step.nowMs);
+      closeAttempt(state, attempt, Reach.refused);
+      takeRefusal(state, step, attempt);
       return tryAgain(state, step, found, `refused${event.status}`);
     case 'otherServer': {
       const view = closeAttempt(state, attempt, Reach.refused);
@@ -89,13 +89,6 @@
   }
 }
 
-/** A server that refuses has little open and would be the cheapest choice again; one that asked for rest is not chosen. */
-function noteRefused(view: ServerView | undefined, nowMs: number): void {
-  if (view === undefined) return;
-  const { rest } = view.statements ?? {};
-  if (rest === undefined || rest.ownUntilMs <= nowMs) noteFailure(view, nowMs);
-}
-
 function onSuccess(state: GatewayState, step: Step, found: RequestAttempt): void {
   const { record, attempt } = found;
   if (attempt.begunAtMs === undefined) {
--- a/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
@@ -169,3 +169,25 @@
   expect(status).to.equal(503);
   expect(retryAfterMs).to.be.within(20_000, 25_000);
 });
+
+test('all boxes hear that a server refuses without a time, and send to others', () => {
+  const box = createServingBox();
+  const refusals = [900, 300].map((ageMs) => ({ kind: 'refusal' as const, ageMs }));
+  for (const statement of refusals) {
+    box.take(statementNews({ serverId: 'records-1', bornAtMs: undefined, statement }));
+  }
+  for (let turn = 0; turn < 20; turn += 1) {
+    const sent = send(box) as Sent;
+    expect(sent.serverId).to.equal('records-2');
+    serve(box, sent);
+  }
+});
+
+test('refusals of a server within half a second are told as one', () => {
+  const box = createServingBox();
+  for (const ageMs of [900, 800, 700]) {
+    const statement = { kind: 'refusal' as const, ageMs };
+    box.take(statementNews({ serverId: 'records-1', bornAtMs: undefined, statement }));
+  }
+  expect(box.state.servers.get('records-1')?.failureScore).to.equal(1);
+});
--- a/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
@@ -9,6 +9,7 @@
 import { mergeLeaving } from './leaving.js';
 import { statementsFor } from './lifeStatements.js';
 import { mergeLimit } from './limits.js';
+import { mergeRefusal } from './refusals.js';
 import { mergeOwnRest } from './rests.js';
 
 /** Characters of an odd value that are logged. */
@@ -30,6 +31,14 @@
   if (said.isLeaving) mergeLeaving(state, step, { life: attempt, source, isListed: false });
 }
 
+/** A server that refuses has little open and would be the cheapest choice again; one that asked for rest is not chosen. */
+export function takeRefusal(state: GatewayState, step: Step, attempt: Attempt): void {
+  const statements = statementsFor(state, step, attempt);
+  if (statements === undefined) return;
+  if (statements.rest !== undefined && statements.rest.ownUntilMs > step.nowMs) return;
+  mergeRefusal(state, step, { statements, ageMs: 0 });
+}
+
 function takeLimit(
   state: GatewayState,
   step: Step,
--- a/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
@@ -13,6 +13,9 @@
 /** Time for which statements of a life are kept that is not in the registry, in ms: well over the longest time for which entries come late. */
 const KEPT_UNLISTED_MS = 600_000;
 
+/** Time for which a refusal is known, in ms: no news of it are on their way any more. */
+const REFUSAL_KNOWN_MS = 3000;
+
 /** The statements of a life, for one more; undefined for a life that is over. */
 export function statementsFor(
   state: GatewayState,
@@ -32,6 +35,7 @@
     ...life,
     limit: undefined,
     rest: undefined,
+    refusal: undefined,
     leaving: undefined,
     listedAtMs: step.nowMs,
   };
@@ -83,8 +87,10 @@
   }
 }
 
-function isAnyInForce({ limit, rest, leaving }: LifeStatements, nowMs: number): boolean {
+function isAnyInForce(statements: LifeStatements, nowMs: number): boolean {
+  const { limit, rest, refusal, leaving } = statements;
   if (leaving !== undefined) return true;
+  if (refusal !== undefined && nowMs - refusal.atMs < REFUSAL_KNOWN_MS) return true;
   if (rest !== undefined && rest.untilMs > nowMs) return true;
   return limit !== undefined && !isLimitOver(limit, nowMs);
 }
--- a/packages/reedlug-gateway/src/slices/statements/statementNews.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementNews.ts
@@ -23,6 +23,7 @@
 import { mergeLeaving } from './leaving.js';
 import { forgetOldStatements, statementsFor } from './lifeStatements.js';
 import { mergeLimit } from './limits.js';
+import { mergeRefusal } from './refusals.js';
 import { mergeRest, restStatement, SAME_REST_MS } from './rests.js';
 
 /** Statements in one datagram, so that they fill half of what it holds at most. */
@@ -53,7 +54,9 @@
 }
 
 /** Whether others are to be told something now; thousands of servers may have said something that they know. */
-function isAnyDue({ limit, rest, leaving }: LifeStatements, nowMs: number): boolean {
+function isAnyDue(statements: LifeStatements, nowMs: number): boolean {
+  const { limit, rest, refusal, leaving } = statements;
+  if (refusal !== undefined && refusal.announcement.toldAtMs === undefined) return true;
   if (limit !== undefined && isLimitDue(limit, nowMs)) return true;
   if (rest !== undefined && isNews(rest.announcement, nowMs)) return true;
   return leaving !== undefined && isNews(leaving.announcement, nowMs);
@@ -66,7 +69,8 @@
   isDue: boolean;
 }
 
-function standing({ limit, rest, leaving }: LifeStatements, nowMs: number): Standing[] {
+function standing(statements: LifeStatements, nowMs: number): Standing[] {
+  const { limit, rest, refusal, leaving } = statements;
   const found: Standing[] = [];
   if (limit !== undefined) {
     const { perSecond, sentAtMs, receivedAtMs, announcement } = limit;
@@ -86,6 +90,14 @@
       isDue: isNews(announcement, nowMs),
     });
   }
+  if (refusal !== undefined) {
+    const { atMs, announcement } = refusal;
+    found.push({
+      statement: { kind: 'refusal', ageMs: Math.round(nowMs - atMs) },
+      announcement,
+      isDue: announcement.toldAtMs === undefined,
+    });
+  }
   if (leaving !== undefined) {
     const { announcement } = leaving;
     found.push({
@@ -167,6 +179,9 @@
         step,
         mergeRest(step, { statements, told: statement, source }).announcement,
       );
+    case 'refusal':
+      mergeRefusal(state, step, { statements, ageMs: statement.ageMs });
+      return leaveTelling(state, step, statements.refusal?.announcement);
     case 'leaving':
       return leaveTelling(state, step, statements.leaving?.announcement);
   }
--- a/packages/reedlug-gateway/src/types/serverStatement.ts
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -40,6 +40,8 @@
       trialAgeMs: number | undefined;
       servedAgeMs: number | undefined;
     }
+  /** It refused a request and asked for no rest. */
+  | { kind: 'refusal'; ageMs: number }
   | { kind: 'leaving' };
 
 /** A statement of one life of a server. */
@@ -66,6 +68,8 @@
 export interface LifeStatements extends ServerLife {
   limit: ServerLimit | undefined;
   rest: ServerRest | undefined;
+  /** The last one without a time of rest. */
+  refusal: ServerRefusal | undefined;
   /** Set once the server has said that it leaves; that ends with the life. */
   leaving: ServerLeaving | undefined;
   /** When the life was last in the registry, as this box knows it. */
@@ -122,6 +126,12 @@
   rank: SenderRank | undefined;
 }
 
+/** A refusal without a time of rest, on this box's clock. */
+export interface ServerRefusal {
+  atMs: number;
+  announcement: Announcement;
+}
+
 /** A server that takes no new requests any more. */
 export interface ServerLeaving {
   announcement: Announcement;
