--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -213,7 +213,7 @@
 
 /** A rest as another box tells it that was asked for just now. */
 export function restStatement(leftMs: number): ServerStatement {
-  return { kind: 'rest', leftMs, askedAgeMs: 0, trialAgeMs: undefined, servedAgeMs: undefined };
+  return { kind: 'rest', leftMs, askedAgeMs: 0, probeAgeMs: undefined, servedAgeMs: undefined };
 }
 
 /** A box with its clock in the test's hands. */
--- a/packages/reedlug-gateway/src/daemon/statementWire.ts
+++ b/packages/reedlug-gateway/src/daemon/statementWire.ts
@@ -17,7 +17,7 @@
 /** Server, start of its life, requests a second, and how long ago it was asked and said. */
 type LimitRow = readonly [string, number | null, number | null, number, number];
 /**
- * Server, start of its life, how much longer it rests, and how long ago that was asked, tried and served;
+ * Server, start of its life, how much longer it rests, and how long ago that was asked, probed and served;
  * boxes of the version before tell the first three alone.
  */
 type RestRow = readonly [
@@ -60,8 +60,8 @@
         break;
       }
       case 'rest': {
-        const { leftMs, askedAgeMs, trialAgeMs = null, servedAgeMs = null } = statement;
-        pauses.push([serverId, bornAtMs, leftMs, askedAgeMs, trialAgeMs, servedAgeMs]);
+        const { leftMs, askedAgeMs, probeAgeMs = null, servedAgeMs = null } = statement;
+        pauses.push([serverId, bornAtMs, leftMs, askedAgeMs, probeAgeMs, servedAgeMs]);
         break;
       }
       case 'refusal':
@@ -115,14 +115,14 @@
 }
 
 function restOf(values: readonly unknown[]): ServerStatement | undefined {
-  const [leftMs, askedAgeMs = 0, trialAgeMs = null, servedAgeMs = null] = values;
+  const [leftMs, askedAgeMs = 0, probeAgeMs = null, servedAgeMs = null] = values;
   if (!isNumber(leftMs) || !isNumber(askedAgeMs)) return undefined;
-  if (!isNumberOrNull(trialAgeMs) || !isNumberOrNull(servedAgeMs)) return undefined;
+  if (!isNumberOrNull(probeAgeMs) || !isNumberOrNull(servedAgeMs)) return undefined;
   return {
     kind: 'rest',
     leftMs,
     askedAgeMs,
-    trialAgeMs: trialAgeMs ?? undefined,
+    probeAgeMs: probeAgeMs ?? undefined,
     servedAgeMs: servedAgeMs ?? undefined,
   };
 }
--- a/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/rests.test.ts
@@ -84,19 +84,19 @@
   });
 }
 
-test('boxes that were not asked use a server again that served the trial of a long rest', () => {
+test('boxes that were not asked use a server again that served the probe of a long rest', () => {
   const fleet = createCalmFleet(6);
   refuse(boxOf(fleet, 'box-3'), send(boxOf(fleet, 'box-3')) as Sent, 3_600_000);
-  let trial: { boxId: string; sent: Sent } | undefined;
-  for (let passedMs = 0; passedMs < 130_000 && trial === undefined; passedMs += 500) {
+  let probe: { boxId: string; sent: Sent } | undefined;
+  for (let passedMs = 0; passedMs < 130_000 && probe === undefined; passedMs += 500) {
     fleet.pass(500);
     for (const boxId of fleet.boxes.keys()) {
-      const sent: Sent | undefined = trial === undefined ? send(boxOf(fleet, boxId)) : undefined;
-      if (sent !== undefined) trial = { boxId, sent };
+      const sent: Sent | undefined = probe === undefined ? send(boxOf(fleet, boxId)) : undefined;
+      if (sent !== undefined) probe = { boxId, sent };
     }
   }
-  if (trial === undefined) throw new Error('no box tried');
-  serve(boxOf(fleet, trial.boxId), trial.sent);
+  if (probe === undefined) throw new Error('no box tried');
+  serve(boxOf(fleet, probe.boxId), probe.sent);
   fleet.pass(300);
   for (const boxId of fleet.boxes.keys()) {
     const isUsed = send(boxOf(fleet, boxId)) !== undefined;
--- a/packages/reedlug-gateway/src/slices/statements/eligibility.ts
+++ b/packages/reedlug-gateway/src/slices/statements/eligibility.ts
@@ -3,7 +3,7 @@
 import type { GatewayState } from '../../state.js';
 import type { LifeStatements } from '../../types/serverStatement.js';
 import type { ServerView } from '../../types/views.js';
-import { mayTryRest, noteSendInRest, restsUntilMs } from './rests.js';
+import { mayProbeRest, noteSendInRest, restsUntilMs } from './rests.js';
 import { ownPart } from './senderPart.js';
 
 /** Time since its last answer for which a limited server is sent something where it can be, in ms: the end of its need shows in its next answer alone. */
@@ -31,7 +31,7 @@
   const { rest } = life;
   if (rest === undefined) return nowMs;
   const untilMs = restsUntilMs(rest);
-  return untilMs > nowMs && mayTryRest(state, { rest, life, nowMs }) ? nowMs : untilMs;
+  return untilMs > nowMs && mayProbeRest(state, { rest, life, nowMs }) ? nowMs : untilMs;
 }
 
 /** Whether a server names a limit, or did so a moment ago. */
--- a/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/lifeStatements.ts
@@ -59,7 +59,7 @@
   return known;
 }
 
-/** Servers of a service of whose limits or rests something is known, and that do not leave. */
+/** Servers of a service that have said something of late and do not leave. */
 export function statingServersOf(state: GatewayState, service: string): ServerView[] {
   return [...state.statements.values()].flatMap((statements) => {
     const view = viewOf(state, statements);
--- a/packages/reedlug-gateway/src/slices/statements/rests.ts
+++ b/packages/reedlug-gateway/src/slices/statements/rests.ts
@@ -13,9 +13,9 @@
 /** Two tellings of one rest differ by less, in ms: each comes a way later. A shorter rest is over before others hear of it. */
 export const SAME_REST_MS = 300;
 /** Time in a rest from which on one request of the fleet may be sent, in ms: few servers mean to rest for longer. */
-const TRIAL_AFTER_MS = 60_000;
+const PROBE_AFTER_MS = 60_000;
 /** Time after which the next box by rank may send it, in ms: the first may have no callers, or be gone. */
-const NEXT_TRIAL_MS = 10_000;
+const NEXT_PROBE_MS = 10_000;
 
 type RestStatement = Extract<ServerStatement, { kind: 'rest' }>;
 
@@ -31,7 +31,7 @@
       kind: 'rest',
       leftMs: restMs,
       askedAgeMs: 0,
-      trialAgeMs: undefined,
+      probeAgeMs: undefined,
       servedAgeMs: undefined,
     },
     source,
@@ -51,12 +51,12 @@
   const before = { ...rest, wasLifted: isLifted(rest) };
   rest.untilMs = Math.max(rest.untilMs, nowMs + told.leftMs);
   rest.askedAtMs = Math.max(rest.askedAtMs, nowMs - told.askedAgeMs);
-  rest.trialAtMs = Math.max(rest.trialAtMs, timeOf(told.trialAgeMs, nowMs));
+  rest.probeAtMs = Math.max(rest.probeAtMs, timeOf(told.probeAgeMs, nowMs));
   rest.servedAtMs = Math.max(rest.servedAtMs, timeOf(told.servedAgeMs, nowMs));
   const isNews =
     known === undefined ||
     rest.untilMs > before.untilMs + SAME_REST_MS ||
-    rest.trialAtMs > before.trialAtMs + SAME_REST_MS ||
+    rest.probeAtMs > before.probeAtMs + SAME_REST_MS ||
     isLifted(rest) !== before.wasLifted;
   if (!isNews) return rest;
   rest.announcement = { changedAtMs: nowMs, toldAtMs: undefined };
@@ -76,7 +76,7 @@
     kind: 'rest',
     leftMs: Math.round(rest.untilMs - nowMs),
     askedAgeMs: Math.round(nowMs - rest.askedAtMs),
-    trialAgeMs: ageOf(rest.trialAtMs, nowMs),
+    probeAgeMs: ageOf(rest.probeAtMs, nowMs),
     servedAgeMs: ageOf(rest.servedAtMs, nowMs),
   };
 }
@@ -87,29 +87,29 @@
 }
 
 /** Whether this box may send the one request of the fleet by which it shows whether a long rest stands. */
-export function mayTryRest(
+export function mayProbeRest(
   state: GatewayState,
   { rest, life, nowMs }: { rest: ServerRest; life: LifeStatements; nowMs: number },
 ): boolean {
   const restedMs = nowMs - rest.askedAtMs;
-  if (restedMs < TRIAL_AFTER_MS || rest.trialAtMs >= rest.askedAtMs) return false;
+  if (restedMs < PROBE_AFTER_MS || rest.probeAtMs >= rest.askedAtMs) return false;
   const rank = rankOf(state, { life, ranked: rest, nowMs });
-  return restedMs >= TRIAL_AFTER_MS + rank * NEXT_TRIAL_MS;
+  return restedMs >= PROBE_AFTER_MS + rank * NEXT_PROBE_MS;
 }
 
 /** Notes a send to a server that rests. */
 export function noteSendInRest(rest: ServerRest, nowMs: number): void {
   if (restsUntilMs(rest) <= nowMs) return;
-  rest.trialAtMs = nowMs;
+  rest.probeAtMs = nowMs;
   rest.announcement = { changedAtMs: nowMs, toldAtMs: undefined };
 }
 
-/** A server has served a request: where that was the trial of a rest, the rest is over for boxes that were not asked. */
+/** A server has served a request: where that was the probe of a rest, the rest is over for boxes that were not asked. */
 export function noteServed(state: GatewayState, step: Step, attempt: Attempt): void {
   const statements = state.statements.get(attempt.serverId);
   const rest = statements?.rest;
   if (statements?.bornAtMs !== attempt.bornAtMs || rest === undefined) return;
-  if (attempt.sentAtMs !== rest.trialAtMs || isLifted(rest)) return;
+  if (attempt.sentAtMs !== rest.probeAtMs || isLifted(rest)) return;
   rest.servedAtMs = step.nowMs;
   rest.announcement = { changedAtMs: step.nowMs, toldAtMs: undefined };
   log(step, 'serverRestLifted', { server: attempt.serverId });
@@ -132,7 +132,7 @@
     untilMs: nowMs,
     askedAtMs: Number.NEGATIVE_INFINITY,
     ownUntilMs: nowMs,
-    trialAtMs: Number.NEGATIVE_INFINITY,
+    probeAtMs: Number.NEGATIVE_INFINITY,
     servedAtMs: Number.NEGATIVE_INFINITY,
     announcement: { changedAtMs: nowMs, toldAtMs: undefined },
     rank: undefined,
--- a/packages/reedlug-gateway/src/types/serverStatement.ts
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -37,7 +37,7 @@
       leftMs: number;
       askedAgeMs: number;
       /** Since a box sent the one request that shows whether it stands, and since that was served; undefined before. */
-      trialAgeMs: number | undefined;
+      probeAgeMs: number | undefined;
       servedAgeMs: number | undefined;
     }
   /** It refused a request and asked for no rest. */
@@ -119,7 +119,7 @@
   /** When the last one ends that this box was asked for itself. */
   ownUntilMs: number;
   /** When a box sent a request to learn whether the rest stands, and when that was served. */
-  trialAtMs: number;
+  probeAtMs: number;
   servedAtMs: number;
   announcement: Announcement;
   /** Undefined before the first look. */
