--- a/packages/reedlug-gateway/src/daemon/__tests__/peerWire.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/peerWire.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { peerMessage, server } from '../../__tests__/__fixtures__/box.js';
 import type { PeerMessage } from '../../types/peer.js';
+import type { ServerStatementsMessage } from '../../types/serverStatement.js';
 import { decodeDatagram, encodeDatagram } from '../peerWire.js';
 
 const encoder = new Encoder({ useRecords: false });
@@ -78,3 +79,52 @@
   const changes = [{ number: 1, id: 'i-1', entry: undefined }];
   expect(decoded).to.deep.include({ registry: { lastNumber: 3, changes } });
 });
+
+test('statements of servers are read as they were sent', () => {
+  const message: ServerStatementsMessage = {
+    kind: 'serverStatements',
+    boxId: 'box-1',
+    statements: [
+      {
+        serverId: 'a',
+        bornAtMs: 5,
+        statement: { kind: 'limit', perSecond: undefined, sentAgeMs: 3, receivedAgeMs: 2 },
+      },
+      {
+        serverId: 'b',
+        bornAtMs: undefined,
+        statement: {
+          kind: 'rest',
+          leftMs: 900,
+          askedAgeMs: 7,
+          probeAgeMs: 4,
+          servedAgeMs: undefined,
+        },
+      },
+      { serverId: 'c', bornAtMs: 6, statement: { kind: 'refusal', ageMs: 8 } },
+      { serverId: 'd', bornAtMs: 7, statement: { kind: 'leaving' } },
+    ],
+  };
+  expect(decodeDatagram(encodeDatagram(message))).to.deep.equal(message);
+});
+
+test('statements of a box of the version before are read', () => {
+  const rows = { kind: 'serverFacts', boxId: 'box-1', limits: [], pauses: [['a', 5, 900]] };
+  const read = decodeDatagram(encoder.encode(rows));
+  const statement = {
+    kind: 'rest',
+    leftMs: 900,
+    askedAgeMs: 0,
+    probeAgeMs: undefined,
+    servedAgeMs: undefined,
+  };
+  const statements = [{ serverId: 'a', bornAtMs: 5, statement }];
+  expect(read).to.deep.equal({ kind: 'serverStatements', boxId: 'box-1', statements });
+});
+
+test('a datagram that only looks like statements is none', () => {
+  for (const kind of ['serverStatements', 'serverFacts']) {
+    const odd = { kind, boxId: 'box-1', statements: {}, limits: {}, pauses: [] };
+    expect(decodeDatagram(encoder.encode(odd)), kind).to.equal(undefined);
+  }
+});
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -15,15 +15,17 @@
 export const encoder = new Encoder({ useRecords: false });
 export const decoder = new Decoder({ useRecords: false });
 
+/** Kinds that travel as they are but for news; statements of servers go as rows of a kind of their own. */
+type WireKind = Exclude<PeerDatagram['kind'], 'serverStatements'>;
+
 /** Kinds of datagrams, with what each must hold to be taken. */
-const PARTS_OF_KINDS: Readonly<Record<PeerDatagram['kind'], readonly string[]>> = {
+const PARTS_OF_KINDS: Readonly<Record<WireKind, readonly string[]>> = {
   news: ['loads', 'sendSums', 'admitted', 'usage'],
   usage: ['usage'],
   unitsAsked: [],
   unitsLent: [],
   unitsReturned: [],
   crashSuspects: ['suspects', 'recent'],
-  serverStatements: ['statements'],
 };
 
 /** A server's id, requests in progress, tokens to be read, prompts to be read, and the tokens by urgency. */
@@ -75,14 +77,13 @@
 }
 
 /** Numbers that a kind must hold to be taken. */
-const NUMBERS_OF_KINDS: Readonly<Record<PeerDatagram['kind'], readonly string[]>> = {
+const NUMBERS_OF_KINDS: Readonly<Record<WireKind, readonly string[]>> = {
   news: ['incarnation', 'sequence'],
   usage: ['incarnation'],
   unitsAsked: ['incarnation', 'askId', 'units', 'hops', 'port'],
   unitsLent: ['incarnation', 'askId', 'units', 'port'],
   unitsReturned: ['incarnation', 'askId', 'units'],
   crashSuspects: [],
-  serverStatements: [],
 };
 
 function isStatementRows(value: unknown): value is Readonly<Record<string, unknown>> {
@@ -96,8 +97,8 @@
   const parts = value as Record<string, unknown>;
   const kind = String(parts['kind']);
   if (!Object.hasOwn(PARTS_OF_KINDS, kind) || typeof parts['boxId'] !== 'string') return false;
-  const required = PARTS_OF_KINDS[kind as PeerDatagram['kind']];
-  const numbers = NUMBERS_OF_KINDS[kind as PeerDatagram['kind']];
+  const required = PARTS_OF_KINDS[kind as WireKind];
+  const numbers = NUMBERS_OF_KINDS[kind as WireKind];
   if (!numbers.every((name) => Number.isFinite(parts[name]))) return false;
   return required.every((name) => typeof parts[name] === 'object' && parts[name] !== null);
 }
