--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -146,8 +146,8 @@
   const { facts, preferredId, answerWanted } = params;
   const keyHash = hashString(facts.requestId);
   const drawn = highestRanked(candidates, keyHash, DRAWN_SERVERS);
-  const home = candidates.find(({ entry }) => entry.id === preferredId);
-  return [...new Set([home, answerWanted, ...drawn])].filter((view) => view !== undefined);
+  const preferred = candidates.find(({ entry }) => entry.id === preferredId);
+  return [...new Set([preferred, answerWanted, ...drawn])].filter((view) => view !== undefined);
 }
 
 function weigh(
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -101,7 +101,7 @@
   known.entry = entry;
   known.statements = findStatements(state, lifeOf(entry));
   if (leaving) mergeLeaving(state, step, { life: lifeOf(entry), source, isListed: true });
-  if (known.statements?.leaving !== undefined) known.leaving = true;
+  if (leaving || known.statements?.leaving !== undefined) known.leaving = true;
 }
 
 /** Whether news are of a life before the one that is known: it never comes back. */
@@ -124,7 +124,7 @@
     entry,
     idHash: hashId(entry.id),
     life: state.serverLives,
-    leaving: statements?.leaving !== undefined,
+    leaving: entry.state === ServerState.leaving || statements?.leaving !== undefined,
     lapsesAtMs: undefined,
     running: 0,
     prefillTokens: 0,
--- a/packages/reedlug-gateway/src/slices/statements/__tests__/leaving.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/leaving.test.ts
@@ -2,6 +2,7 @@
 import {
   createServingBox,
   facts,
+  limitStatement,
   NOTHING_SAID,
   ofType,
   only,
@@ -122,6 +123,15 @@
   expect(isLeaving(box, 'records-1')).to.equal(false);
 });
 
+test('an entry that says leaving counts beside news of a later life', () => {
+  const box = createServingBox();
+  read(box, 'records-1', 5, ServerState.ready);
+  const statement = limitStatement(2);
+  box.take(statementNews({ serverId: 'records-1', bornAtMs: 6, statement }));
+  read(box, 'records-1', 5, ServerState.leaving);
+  expect(isLeaving(box, 'records-1')).to.equal(true);
+});
+
 test('what the registry says of a server that leaves is kept as its own word is', () => {
   const box = createServingBox();
   read(box, 'records-1', 5, ServerState.leaving);
