Sight: boxes log and count that the store came back from a copy

Now the adapter hears it of each answer (no number, or none: 0, as for a store without eras), each box logs storeEraFirst and storeCameBack with both eras, and reedlug_version{of=storeEra} shows it. No decision rests on it yet.

--- a/packages/reedlug-coordination/src/index.ts
+++ b/packages/reedlug-coordination/src/index.ts
@@ -10,5 +10,6 @@
 export * from './rendezvous.js';
 export * from './retryBudget.js';
 export * from './sharedLimit.js';
+export * from './storeRevision.js';
 export * from './tableTypes.js';
 export * from './tokenBucket.js';
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -119,10 +119,16 @@
   }) => string[];
 }
 
+/** What the store tells beside its answers. */
+export interface StoreListener {
+  /** The era of each answer, before whoever made the call has it; 0 of a store that tells none. */
+  onEra: (era: number) => void;
+}
+
 /** A platform. */
 export interface PlatformAdapter {
   headers: HeaderCodec;
   /** Opens the clients; nothing is sent before the first call. */
-  openStore: (settings: GatewaySettings) => PlatformStore;
+  openStore: (settings: GatewaySettings, listener: StoreListener) => PlatformStore;
   openCloud: (settings: GatewaySettings) => PlatformCloud | undefined;
 }
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -81,7 +81,7 @@
   const runtime: Runtime = {
     settings,
     adapter,
-    store: adapter.openStore(settings),
+    store: adapter.openStore(settings, { onEra: (era) => tellEra(state, emit, era) }),
     cloud: adapter.openCloud(settings),
     state,
     clock,
@@ -116,6 +116,11 @@
   };
 }
 
+/** Most answers tell the era that is known already. */
+function tellEra({ storeEra }: GatewayState, emit: Runtime['emit'], era: number): void {
+  if (storeEra === undefined || era > storeEra) emit({ type: 'storeEra', era });
+}
+
 async function listenAll(runtime: Runtime): Promise<Server[]> {
   const { settings, state } = runtime;
   const callers = createCallerServer({
--- a/packages/reedlug-gateway/src/daemon/operatorServer.ts
+++ b/packages/reedlug-gateway/src/daemon/operatorServer.ts
@@ -71,6 +71,7 @@
   const { state, clock, metrics, logger } = box;
   metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
   metrics.versions.set({ of: 'servers' }, state.serversRevision);
+  metrics.versions.set({ of: 'storeEra' }, state.storeEra ?? 0);
   setDecisionMetrics(metrics.figures, state, clock.nowMs());
   metrics.text().then(
     (text) => response.end(text),
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -75,7 +75,7 @@
     }),
     versions: new Gauge({
       name: 'reedlug_version',
-      help: 'Versions in force at this box: configuration and registry of servers',
+      help: 'Versions at this box: configuration in force, registry of servers, era of the store',
       labelNames: ['of'],
       registers,
     }),
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -32,6 +32,7 @@
 import { onServerStatements, statementsTick } from './slices/statements/statementNews.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
 import { silenceTick } from './slices/silence.js';
+import { onStoreEra } from './slices/storeEra.js';
 import { onStopAsked, stopTick } from './slices/stopping.js';
 import { peersTick } from './slices/tellPeers.js';
 import { noteWallClock } from './slices/suspension.js';
@@ -85,6 +86,8 @@
       return awaitingTick(state, step);
     case 'storeContact':
       return onStoreContact(state, step, event);
+    case 'storeEra':
+      return onStoreEra(state, step, { era: event.era, source: 'store' });
     case 'tableAnswered':
       return onTableAnswered(state, step, event);
     case 'cloudAnswered':
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -71,6 +71,8 @@
   registryChanges: { atMs: number; change: NumberedChange }[];
   registryNumber: number;
   storeReachable: boolean;
+  /** The latest era of the store that this box knows; undefined before the store's first answer. */
+  storeEra: number | undefined;
   /** When the store last stopped answering this box, and when it answered again after it was away for all. */
   storeLostAtMs: number;
   storeReturnedAtMs: number;
@@ -205,6 +207,7 @@
     registryChanges: [],
     registryNumber: 0,
     storeReachable: true,
+    storeEra: undefined,
     storeLostAtMs: Number.NEGATIVE_INFINITY,
     storeReturnedAtMs: Number.NEGATIVE_INFINITY,
     storeContactAtMs: undefined,
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -74,6 +74,8 @@
     }
   /** Whether the store answered the last call of a feed. */
   | { type: 'storeContact'; reachable: boolean }
+  /** The store answers in this era; a later one than before means that it came back from a copy. */
+  | { type: 'storeEra'; era: number }
   | { type: 'tableAnswered'; purpose: TablePurpose; answer: TableAnswer; sentAtMs: number }
   | { type: 'cloudAnswered'; callId: number; outcome: CloudOutcome }
   | { type: 'storeClock'; storeNowMs: number }
