--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -247,14 +247,14 @@
 }
 
 function callCloud(world: World, box: VirtualBox, effect: EffectOf<'callCloud'>): void {
-  const { callId, call } = effect;
+  const { callId, call, fence } = effect;
   if (areCut(world, box.settings.box.zone, CLOUD_ZONE)) {
     return later(world, CLOUD_TIMEOUT_MS, () =>
       box.emit({ type: 'cloudAnswered', callId, outcome: 'unknown' }),
     );
   }
   later(world, world.scene.storeAnswerMs, () => {
-    const outcome = takeCloudCall(world, call);
+    const outcome = takeCloudCall(world, { call, holder: box.id, fence });
     box.emit({ type: 'cloudAnswered', callId, outcome });
   });
 }
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -112,7 +112,13 @@
         }),
       ),
   };
-  const store: PlatformStore = world.store.openFor(box.settings.box.zone, clock, () => box.isAlive);
+  const store: PlatformStore = world.store.openFor(box.settings.box.zone, {
+    isAlive: () => box.isAlive,
+    onEra(era) {
+      const { storeEra } = box.state;
+      if (storeEra === undefined || era > storeEra) box.emit({ type: 'storeEra', era });
+    },
+  });
   box.store = store;
   const logger = (): void => undefined;
   const { settings, state, emit } = box;
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -11,8 +11,11 @@
   type VirtualServer,
 } from '../servers/virtualServers.js';
 import { placesOf } from '../boxes/boxPlaces.js';
+import { StoreOutage } from '../store/virtualStore.js';
+import { noteDutyTrouble } from '../report/dutyRecord.js';
 import { later, type World } from '../world.js';
 import { changeLimits } from './changeLimits.js';
+import { copyStore } from './copyStore.js';
 import { sendEndingRequests } from './endingRequests.js';
 import { limitServers } from './limitedServers.js';
 import { leaveServers, restServers } from './statingServers.js';
@@ -62,6 +65,7 @@
       return rollBoxes(world, fault, places);
     case 'cutZone': {
       world.cutZones.add(fault.zone);
+      noteDutyTrouble(world, fault.forS * 1000);
       const cut: World['cuts'][number] = { fromMs: world.queue.nowMs(), toMs: undefined };
       world.cuts.push(cut);
       return later(world, fault.forS * 1000, () => {
@@ -91,11 +95,14 @@
       });
     }
     case 'storeAway': {
-      world.store.isAway = true;
+      world.store.setOutage(StoreOutage.silent);
+      noteDutyTrouble(world, fault.forS * 1000);
       return later(world, fault.forS * 1000, () => {
-        world.store.isAway = false;
+        world.store.setOutage(undefined);
       });
     }
+    case 'copyStore':
+      return copyStore(world, fault);
     case 'rollout':
       return beginRollout(world, fault);
     case 'changeLimits':
@@ -144,6 +151,7 @@
 }
 
 function killBoxes(world: World, fault: FaultOf<'killBoxes'>, places: readonly BoxPlace[]): void {
+  noteDutyTrouble(world, fault.downS * 1000 + world.scene.boxStartMs);
   for (const place of drawShare(world, places, fault.share)) {
     const box = world.boxes.get(place.id);
     if (box === undefined) continue;
@@ -159,6 +167,7 @@
 /** Stops and starts boxes in turn, as for a release of the boxes themselves. */
 function rollBoxes(world: World, fault: FaultOf<'rollBoxes'>, places: readonly BoxPlace[]): void {
   const chosen = drawShare(world, places, fault.share);
+  noteDutyTrouble(world, fault.gapS * 1000 + world.scene.bounds.graceMs);
   chosen.forEach((place, index) => {
     later(world, (index * fault.gapS * 1000) / chosen.length, () => {
       const box = world.boxes.get(place.id);
--- a/packages/reedlug-simulator/src/faults/changeLimits.ts
+++ b/packages/reedlug-simulator/src/faults/changeLimits.ts
@@ -1,4 +1,5 @@
 /** Limits of workspaces that change during a scene. */
+import { putConfiguration } from '../report/configurationRecord.js';
 import { nowMs, type World } from '../world.js';
 
 /** A limit from a moment on. */
@@ -18,7 +19,7 @@
   }));
   const version = configuration.version + 1;
   world.configuration = { ...configuration, version, workspaces };
-  world.store.putConfiguration(world.configuration);
+  putConfiguration(world);
   limitPeriods.push({ fromMs: nowMs(world), factor });
 }
 
--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -1,4 +1,5 @@
 /** A whole fleet of gateway boxes in one process under virtual time. */
+export { drawCopies } from './scene/drawCopies.js';
 export * from './scene/drawCrashTroubles.js';
 export * from './scene/drawLimitTroubles.js';
 export * from './scene/drawRollout.js';
--- /dev/null
+++ b/packages/reedlug-simulator/src/report/dutyRecord.ts
@@ -0,0 +1,124 @@
+/** What the platform saw of the duties: who called under which fence, and what was reported for each window. */
+import type { CloudCall, CloudOutcome } from 'reedlug-gateway';
+import { nowMs, type World } from '../world.js';
+import type { VirtualBox } from '../boxes/virtualBox.js';
+
+/** Time beyond the lease's in which some box holds it again, in ms: the stated aim. */
+const HELD_AGAIN_MS = 2000;
+/** Pause between looks whether any box holds the lease, in ms. */
+const LOOK_EVERY_MS = 100;
+
+/** A call that the platform took. */
+interface DutyCall {
+  atMs: number;
+  holder: string;
+}
+
+/** The record of the duties. */
+export interface DutyRecord {
+  calls: DutyCall[];
+  /** Highest fence by subject, and whose each fence was. */
+  highestFences: Map<string, number>;
+  holderByFence: Map<string, string>;
+  /** What was reported, by window. */
+  reports: Map<number, string>;
+  /** When a box last held the lease; undefined before the first. */
+  lastHeldAtMs: number | undefined;
+  /** Until when a trouble explains that no box does. */
+  troubledUntilMs: number;
+  /** Spans too long without a holder. */
+  wasUnheld: boolean;
+}
+
+/** Returns an empty record. */
+export function createDutyRecord(): DutyRecord {
+  return {
+    calls: [],
+    highestFences: new Map(),
+    holderByFence: new Map(),
+    reports: new Map(),
+    lastHeldAtMs: undefined,
+    troubledUntilMs: 0,
+    wasUnheld: false,
+  };
+}
+
+/** Takes a call as the platform does, or refuses it for its fence. */
+export function noteDutyCall(
+  world: World,
+  { call, holder, fence }: { call: CloudCall; holder: string; fence: number },
+): Extract<CloudOutcome, 'done' | 'fenced'> {
+  const { duties } = world.record;
+  const subject = subjectOf(call);
+  if (fence < (duties.highestFences.get(subject) ?? 0)) return 'fenced';
+  duties.highestFences.set(subject, fence);
+  noteFence(world, `${subject} ${fence}`, holder);
+  noteOrder(world, holder);
+  if (call.kind === 'reportUsage') noteReport(world, call.window, call.counts);
+  return 'done';
+}
+
+function subjectOf(call: CloudCall): string {
+  return call.kind === 'reportUsage' ? 'usage' : `engines ${call.service} ${call.zone}`;
+}
+
+function noteFence(world: World, fence: string, holder: string): void {
+  const { duties, broken } = world.record;
+  const other = duties.holderByFence.get(fence) ?? holder;
+  duties.holderByFence.set(fence, holder);
+  if (other === holder) return;
+  broken.push({ promise: 'oneHolderAFence', detail: `${fence}: ${other}, ${holder}` });
+}
+
+/** Within the time of one lease nobody acts again after whom another one has acted. */
+function noteOrder(world: World, holder: string): void {
+  const { duties, broken } = world.record;
+  const sinceMs = nowMs(world) - world.scene.bounds.leaseMs;
+  duties.calls = duties.calls.filter(({ atMs }) => atMs > sinceMs);
+  const first = duties.calls.findIndex((call) => call.holder === holder);
+  const other = duties.calls.slice(first + 1).find((call) => call.holder !== holder);
+  if (first >= 0 && other !== undefined) {
+    broken.push({ promise: 'holdersInOrder', detail: `${holder}, ${other.holder}, ${holder}` });
+  }
+  duties.calls.push({ atMs: nowMs(world), holder });
+}
+
+function noteReport(world: World, window: number, counts: Readonly<Record<string, number>>): void {
+  const { duties, broken } = world.record;
+  const text = JSON.stringify(Object.entries(counts).sort(([a], [b]) => a.localeCompare(b)));
+  const before = duties.reports.get(window) ?? text;
+  duties.reports.set(window, before);
+  if (before === text) return;
+  broken.push({ promise: 'oneReportAWindow', detail: `${window}: ${before}, ${text}` });
+}
+
+/** Notes a trouble that lasts so long: a holder is due a lease's time and a little after it. */
+export function noteDutyTrouble(world: World, forMs: number): void {
+  const { duties } = world.record;
+  duties.troubledUntilMs = Math.max(duties.troubledUntilMs, nowMs(world) + forMs);
+}
+
+/** Looks now and then whether a box holds the lease. */
+export function watchDuties(world: World): void {
+  const { duties, broken } = world.record;
+  const isHeld = [...world.boxes.values()].some((box) => box.isListening && holdsLease(world, box));
+  if (isHeld) {
+    duties.lastHeldAtMs = nowMs(world);
+    duties.wasUnheld = false;
+  } else if (duties.lastHeldAtMs !== undefined && !duties.wasUnheld) {
+    const sinceMs = Math.max(duties.lastHeldAtMs, duties.troubledUntilMs);
+    const unheldMs = nowMs(world) - sinceMs;
+    duties.wasUnheld = unheldMs > world.scene.bounds.leaseMs + HELD_AGAIN_MS;
+    if (duties.wasUnheld) {
+      broken.push({ promise: 'leaseHeldAgain', detail: `not ${Math.round(unheldMs)} ms later` });
+    }
+  }
+  world.queue.at(nowMs(world) + LOOK_EVERY_MS, () => watchDuties(world));
+}
+
+function holdsLease(world: World, { state, startedAtMs }: VirtualBox): boolean {
+  const { held, options } = state.lease;
+  if (held === undefined || state.stoppingSinceMs !== undefined) return false;
+  const ownNowMs = nowMs(world) - startedAtMs;
+  return ownNowMs < held.grantedAtMs + options.ttlMs - options.marginMs;
+}
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -6,6 +6,7 @@
 import type { VirtualServer } from '../servers/virtualServers.js';
 import type { World } from '../world.js';
 import { nowMs } from '../world.js';
+import { createDutyRecord, type DutyRecord } from './dutyRecord.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
 import type { TimedAmount } from './slidingSum.js';
 
@@ -81,6 +82,7 @@
   endings: Map<string, EndingRecord>;
   limitedServers: LimitedServerRecord[];
   statingServers: Map<VirtualServer, StatingServerRecord>;
+  duties: DutyRecord;
   broken: BrokenPromise[];
   logs: Map<string, number>;
   /** Told of each log line, for a look at one run. */
@@ -120,6 +122,7 @@
     endings: new Map(),
     limitedServers: [],
     statingServers: new Map(),
+    duties: createDutyRecord(),
     broken: [],
     logs: new Map(),
     onLog: () => undefined,
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -20,6 +20,7 @@
   workspaceShares,
 } from './callers/drawRequest.js';
 import { scheduleFaults } from './faults/applyFaults.js';
+import { watchDuties } from './report/dutyRecord.js';
 import { createSceneRecord, type LogLine } from './report/sceneRecord.js';
 import { reportOf, type SceneReport } from './report/sceneReport.js';
 import type { Scene, SceneService } from './scene/scene.js';
@@ -48,6 +49,7 @@
     world.queue.at(world.random.unit() * START_SPREAD_MS, () => startBox(world, place, 1));
   }
   startCallers(world, scheduleFaults(world, places));
+  watchDuties(world);
   const endsAtMs = (scene.leadS + scene.lengthS) * 1000;
   await runUntil(world, endsAtMs);
   noteStanding(world);
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -149,6 +149,17 @@
   /** Boxes that were never there before join in each zone. */
   z.strictObject({ kind: z.literal('addBoxes'), ...at, perZone: count }),
   z.strictObject({ kind: z.literal('storeAway'), ...span }),
+  /** It goes away and comes back from a copy of so long before it went. */
+  z.strictObject({
+    kind: z.literal('copyStore'),
+    ...at,
+    ageS: notNegative,
+    awayS: notNegative.default(0.5),
+    /** Time in which the operator and the servers write again what was lost; 0 for the moment of its return. */
+    againWithinS: notNegative.default(1.2),
+    /** Versions that others use up within a moment of its return. */
+    otherWrites: z.number().int().min(0).default(0),
+  }),
   z.strictObject({ kind: z.literal('callersLeave'), ...span, share }),
   z.strictObject({
     kind: z.literal('rollout'),
--- a/packages/reedlug-simulator/src/servers/virtualServers.ts
+++ b/packages/reedlug-simulator/src/servers/virtualServers.ts
@@ -2,6 +2,7 @@
  * The servers of a world: engines and plain ones, their entries in the registry,
  * orders of engines, and what becomes of requests when a server goes.
  */
+import { noteDutyCall } from '../report/dutyRecord.js';
 import {
   RolloutPhase,
   ServerState,
@@ -194,7 +195,12 @@
 }
 
 /** Carries out an order of engines or takes a report. */
-export function takeCloudCall(world: World, call: CloudCall): CloudOutcome {
+export function takeCloudCall(
+  world: World,
+  made: { call: CloudCall; holder: string; fence: number },
+): CloudOutcome {
+  const { call } = made;
+  if (noteDutyCall(world, made) === 'fenced') return 'fenced';
   if (call.kind === 'reportUsage') return 'done';
   const service = world.scene.services.find(({ name }) => name === call.service);
   if (service?.kind !== 'engines') return 'refused';
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -7,7 +7,6 @@
   CHECKPOINT_KEY,
   LEASE_KEY,
   ROLLOUT_KEY_PREFIX,
-  type Clock,
   type Configuration,
   type Feed,
   type FeedAnswer,
@@ -18,12 +17,17 @@
   type RolloutRecord,
   type ServerChange,
   type ServerEntry,
+  type StoreListener,
 } from 'reedlug-gateway';
+import type { TableAnswer, TableOp } from 'reedlug-coordination';
 import { applyTableOp, createTableModel } from 'reedlug-standins';
 import { areCut, later, nowMs, type World } from '../world.js';
+import { createStoreHistory, StoreWriter, type StoreChange } from './storeHistory.js';
 
 /** Zone in which the store is reached; no box is in it. */
 const STORE_ZONE = '(store)';
+/** The era of a store that never came back from a copy. */
+const FIRST_ERA = 1;
 /** Rows of one answer at most, as the users' store gives them. */
 const ROWS_OF_A_PAGE = 500;
 
@@ -48,9 +52,38 @@
   newestRevision: number;
 }
 
+/** How the store fails its callers: it says nothing, or refuses each call and all that wait. */
+export const StoreOutage = { silent: 'silent', refusing: 'refusing' } as const;
+export type StoreOutage = (typeof StoreOutage)[keyof typeof StoreOutage];
+
+/** A change of one item. */
+interface Put<T> {
+  key: string;
+  item: T;
+  writer: StoreWriter;
+  isRemoval?: boolean;
+  redo?: () => void;
+}
+
+/** A box's process that calls. */
+interface StoreCaller extends StoreListener {
+  zone: string;
+  isAlive: () => boolean;
+}
+
 /** The store of a world. */
 export interface VirtualStore {
-  isAway: boolean;
+  outage: StoreOutage | undefined;
+  /** Begins or ends an outage. */
+  setOutage: (outage: StoreOutage | undefined) => void;
+  /** When it last did not answer, or came back; before the start of the clock if never. */
+  lastAwayAtMs: number;
+  /** How often it has come back from a copy. */
+  copies: number;
+  /** Comes back as it was at a time; versions since then are given out again. Gives what is lost, the newest first. */
+  comeBackAsOf: (atMs: number) => StoreChange[];
+  /** Writes of others: versions rise, nothing else changes. */
+  skipVersions: (count: number) => void;
   calls: Map<StoreCall, number>;
   putConfiguration: (configuration: Configuration) => void;
   orderRollout: (order: Omit<RolloutOrder, 'revision'>) => void;
@@ -59,7 +92,7 @@
   putServer: (entry: ServerEntry) => void;
   removeServer: (id: string) => void;
   /** The store as a box in a zone has it; `isAlive` ends its calls with the box. */
-  openFor: (zone: string, clock: Clock, isAlive: () => boolean) => PlatformStore;
+  openFor: (zone: string, caller: { isAlive: () => boolean } & StoreListener) => PlatformStore;
 }
 
 /** Returns an empty store. `worldOf` gives the world once it is put together. */
@@ -68,23 +101,66 @@
   const operators = createCollection<OperatorEntry>();
   const servers = createCollection<ServerChange>();
   const boxes = createCollection<PeerChange>();
-  const table = createTableModel();
+  const nextRevision = (): number => {
+    revision += 1;
+    return revision;
+  };
+  const table = createTableModel(nextRevision);
   const calls = new Map<StoreCall, number>();
+  const history = createStoreHistory();
 
-  const put = <T>(collection: Collection<T>, key: string, item: T): void => {
-    revision += 1;
-    collection.items.set(key, { item, revision });
-    collection.removed.delete(key);
-    collection.newestRevision = revision;
+  /** Notes what stands before a change, so that it can be taken back. */
+  const noteChange = (
+    change: Pick<StoreChange, 'writer' | 'key' | 'redo'>,
+    restore: () => void,
+  ): void => {
+    const revisionBefore = revision;
+    const undo = (): void => {
+      restore();
+      revision = revisionBefore;
+    };
+    history.note({ ...change, atMs: nowMs(worldOf()), undo });
+  };
+  /** Puts an item, or removes it where `isRemoval` says so. */
+  const put = <T>(
+    collection: Collection<T>,
+    { key, item, writer, isRemoval = false, redo }: Put<T>,
+  ): void => {
+    const { items, removed, newestRevision } = collection;
+    const [itemBefore, removedBefore] = [items.get(key), removed.get(key)];
+    noteChange({ writer, key, redo }, () => {
+      setOrDelete(items, key, itemBefore);
+      setOrDelete(removed, key, removedBefore);
+      collection.newestRevision = newestRevision;
+    });
+    const row = { item, revision: nextRevision() };
+    setOrDelete(items, key, isRemoval ? undefined : row);
+    setOrDelete(removed, key, isRemoval ? row : undefined);
+    collection.newestRevision = row.revision;
     wake(collection);
   };
+  const changeTable = (op: TableOp): TableAnswer => {
+    const writes = op.kind === 'transact' ? op.writes : [];
+    const before = writes.map(({ key }) => ({ key, row: table.rows.get(key) }));
+    const key = writes[0]?.key ?? '';
+    noteChange({ writer: StoreWriter.box, key, redo: undefined }, () => {
+      for (const { key, row } of before) setOrDelete(table.rows, key, row);
+      table.sortedIsStale = true;
+    });
+    return applyTableOp(table, op);
+  };
   const count = (call: StoreCall, times = 1): void => {
     calls.set(call, (calls.get(call) ?? 0) + times);
   };
 
+  const isSilentTo = (zone: string): boolean =>
+    store.outage === StoreOutage.silent || areCut(worldOf(), zone, STORE_ZONE);
+
+  const eraOfStore = (): number => FIRST_ERA + store.copies;
+
   /** Answers a call after the store's time, or never within its limit. */
   const answer = <R>(
-    caller: { zone: string; isAlive: () => boolean },
+    caller: StoreCaller,
     timeoutMs: number,
     make: () => R,
     silent: R,
@@ -93,19 +169,21 @@
     return new Promise((resolve) => {
       const settle = (value: R): void => {
         if (!caller.isAlive()) return;
+        if (!isSilentTo(caller.zone)) caller.onEra(eraOfStore());
         world.hasSettled = true;
         resolve(value);
       };
-      const isSilent = store.isAway || areCut(world, caller.zone, STORE_ZONE);
-      if (isSilent) return later(world, timeoutMs, () => settle(silent));
-      later(world, world.scene.storeAnswerMs, () => settle(make()));
+      if (isSilentTo(caller.zone)) return later(world, timeoutMs, () => settle(silent));
+      later(world, world.scene.storeAnswerMs, () =>
+        settle(store.outage === undefined ? make() : silent),
+      );
     });
   };
 
   const openFeed = <T>(
     collection: Collection<T>,
     call: StoreCall,
-    caller: { zone: string; isAlive: () => boolean },
+    caller: StoreCaller,
   ): Feed<T> => {
     const unavailable: FeedAnswer<T> = { kind: 'unavailable', reason: 'silent' };
     return {
@@ -125,18 +203,23 @@
           let isDone = false;
           const finish = (): void => {
             if (isDone) return;
-            const isLost = store.isAway || areCut(world, caller.zone, STORE_ZONE);
-            if (isLost) return;
+            if (isSilentTo(caller.zone)) return;
             isDone = true;
             collection.waiting.delete(check);
             later(world, world.scene.storeAnswerMs, () => {
               if (!caller.isAlive()) return;
+              caller.onEra(eraOfStore());
               world.hasSettled = true;
+              if (store.outage !== undefined) return resolve(unavailable);
+              const isUnknown = afterRevision > revision;
+              if (isUnknown) return resolve({ kind: 'historyGone' });
               resolve(changesOf(world, collection, afterRevision, revision));
             });
           };
           const check = (): void => {
-            if (collection.newestRevision > afterRevision) finish();
+            const isUnknown = afterRevision > revision;
+            const hasChanged = collection.newestRevision > afterRevision;
+            if (isUnknown || hasChanged || store.outage !== undefined) finish();
           };
           collection.waiting.add(check);
           check();
@@ -154,29 +237,53 @@
   };
 
   const store: VirtualStore = {
-    isAway: false,
+    outage: undefined,
+    setOutage(outage) {
+      store.outage = outage;
+      store.lastAwayAtMs = nowMs(worldOf());
+      if (outage === undefined) return;
+      wake(operators);
+      wake(servers);
+      wake(boxes);
+    },
+    lastAwayAtMs: Number.NEGATIVE_INFINITY,
+    copies: 0,
+    comeBackAsOf(atMs) {
+      store.copies += 1;
+      return history.takeBack(atMs);
+    },
+    skipVersions(count) {
+      revision += count;
+    },
     calls,
-    putConfiguration: (configuration) =>
-      put(operators, 'configuration', { kind: 'configuration', configuration }),
+    putConfiguration(configuration) {
+      const item: OperatorEntry = { kind: 'configuration', configuration };
+      put(operators, { key: 'configuration', item, writer: StoreWriter.operator });
+    },
     orderRollout(given) {
       const order = { ...given, revision: revision + 1 };
-      put(operators, `${ROLLOUT_KEY_PREFIX}${given.service}`, { kind: 'rollout', order });
+      const key = `${ROLLOUT_KEY_PREFIX}${given.service}`;
+      put(operators, {
+        key,
+        item: { kind: 'rollout', order },
+        writer: StoreWriter.operator,
+        redo: () => store.orderRollout(given),
+      });
     },
     rolloutRecord(service) {
       const op = { kind: 'read' as const, keys: [`${ROLLOUT_KEY_PREFIX}${service}`] };
       const answer = applyTableOp(table, op);
       return answer.kind === 'done' ? (answer.rows[0]?.value as RolloutRecord) : undefined;
     },
-    putServer: (entry) => put(servers, entry.id, { id: entry.id, entry }),
+    putServer(entry) {
+      put(servers, { key: entry.id, item: { id: entry.id, entry }, writer: StoreWriter.server });
+    },
     removeServer(id) {
-      revision += 1;
-      servers.items.delete(id);
-      servers.removed.set(id, { item: { id, entry: undefined }, revision });
-      servers.newestRevision = revision;
-      wake(servers);
+      const item: ServerChange = { id, entry: undefined };
+      put(servers, { key: id, item, writer: StoreWriter.server, isRemoval: true });
     },
-    openFor(zone, clock, isAlive) {
-      const caller = { zone, isAlive };
+    openFor(zone, { isAlive, onEra }) {
+      const caller = { zone, isAlive, onEra };
       return {
         operators: openFeed(operators, StoreCall.operators, caller),
         servers: openFeed(servers, StoreCall.servers, caller),
@@ -185,7 +292,7 @@
           count(StoreCall.announce);
           const enter = (): boolean => {
             const entry = { boxId, address, holdsPart, revision: revision + 1 };
-            put(boxes, boxId, entry);
+            put(boxes, { key: boxId, item: entry, writer: StoreWriter.box });
             return true;
           };
           return answer(caller, ANNOUNCE_TIMEOUT_MS, enter, false);
@@ -194,7 +301,7 @@
           const key = op.kind === 'transact' ? op.writes[0]?.key : undefined;
           count(purposeOf(key ?? (op.kind === 'read' ? op.keys[0] : undefined)));
           const done = () => ({
-            answer: applyTableOp(table, op),
+            answer: op.kind === 'transact' ? changeTable(op) : applyTableOp(table, op),
             storeNowMs: nowMs(worldOf()),
           });
           const silent = { answer: { kind: 'unknown' as const }, storeNowMs: undefined };
@@ -216,6 +323,11 @@
   return { items: new Map(), removed: new Map(), waiting: new Set(), newestRevision: 0 };
 }
 
+function setOrDelete<K, V>(map: Map<K, V>, key: K, value: V | undefined): void {
+  if (value === undefined) map.delete(key);
+  else map.set(key, value);
+}
+
 function wake<T>(collection: Collection<T>): void {
   for (const check of [...collection.waiting]) check();
 }
--- a/packages/reedlug-standins/src/models/tableModel.ts
+++ b/packages/reedlug-standins/src/models/tableModel.ts
@@ -8,11 +8,13 @@
   sortedKeys: string[];
   sortedIsStale: boolean;
   operations: number;
+  /** Version of the next write, from one counter for all rows; undefined where each row counts its own writes. */
+  nextVersion: (() => number) | undefined;
 }
 
 /** Returns an empty table. */
-export function createTableModel(): TableModel {
-  return { rows: new Map(), sortedKeys: [], sortedIsStale: false, operations: 0 };
+export function createTableModel(nextVersion?: () => number): TableModel {
+  return { rows: new Map(), sortedKeys: [], sortedIsStale: false, operations: 0, nextVersion };
 }
 
 /** Carries out an operation. */
@@ -42,7 +44,7 @@
   for (const write of op.writes) {
     if (write.value === undefined) continue;
     if (!table.rows.has(write.key)) table.sortedIsStale = true;
-    const version = write.expectVersion + 1;
+    const version = table.nextVersion?.() ?? write.expectVersion + 1;
     table.rows.set(write.key, { key: write.key, version, value: structuredClone(write.value) });
   }
   return {
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
 import {
+  drawCopies,
   drawCrashTroubles,
   drawLimitTroubles,
   drawServerLimits,
@@ -50,6 +51,10 @@
     description:
       'Draw the faults of each seed: servers that leave, rest or refuse, and troubles around them',
   });
+  drawCopies = Option.Boolean('--draw-copies', false, {
+    description:
+      'Draw the faults of each seed: the store comes back from copies, and troubles around them',
+  });
   logs = Option.String('--log', { description: 'Events to print, by commas, or all' });
 
   override async execute(): Promise<number> {
@@ -67,6 +72,7 @@
 
   private drawn(scene: Scene, seed: number): Scene {
     if (this.draw) return drawLimitTroubles(scene, seed);
+    if (this.drawCopies) return drawCopies(scene, seed);
     if (this.drawStatements) return drawStatements(scene, seed);
     if (this.drawServerLimits) return drawServerLimits(scene, seed);
     return this.drawCrashes ? drawCrashTroubles(scene, seed) : scene;
