Revisions hold the store's era, and a new era is read whole

What callers saw: after the store came back from a copy no box ever saw a configuration or a revoked key that was written in its first moments; a revoked key was served for good. Cause: a position of the old history was followed on in the new one, as soon as the new counter had passed it (before that, 410 healed it). A version says something only beside the era it was given in. The adapter makes a revision of both (one number, later eras greater; weighed against a pair of fields: all comparisons, sums over groups and datagrams stay as they are, and boxes without eras work on) from each answer's own header.

--- a/packages/reedlug-coordination/src/tableTypes.ts
+++ b/packages/reedlug-coordination/src/tableTypes.ts
@@ -7,7 +7,7 @@
  */
 export interface TableRow {
   key: string;
-  /** Grows by one with each write of the row; starts at 1. */
+  /** Grows with each write of the row, over at least 0; a revision where the store has eras. */
   version: number;
   value: unknown;
 }
--- a/packages/reedlug-gateway/src/adapter.ts
+++ b/packages/reedlug-gateway/src/adapter.ts
@@ -32,7 +32,7 @@
 /** A collection of the store that boxes follow. */
 export interface FeedPage<T> {
   items: readonly T[];
-  /** Go on from here. */
+  /** Go on from here; a revision of the store, as all others here. */
   revision: number;
   /** Revision of the newest item; 0 without items. It is the same at all boxes that have read the same changes. */
   newestRevision: number;
@@ -51,6 +51,8 @@
   afterRevision: number;
   waitMs: number;
   timeoutMs: number;
+  /** Ends the call early. */
+  signal?: AbortSignal;
 }
 
 /** One collection: its whole, and its changes. */
@@ -66,6 +68,13 @@
   /** Nothing that this version understands; it is told in the log and moves nothing. */
   | { kind: 'unreadable'; key: string; reason: string };
 
+/** Answer of the shared table, and what the store told with it: undefined where it did not answer. */
+export interface StoreTableReply {
+  answer: TableAnswer;
+  storeNowMs: number | undefined;
+  era: number | undefined;
+}
+
 /** The platform's store. A record under `ROLLOUT_KEY_PREFIX` is shown to the operators in the same step. */
 export interface PlatformStore {
   operators: Feed<OperatorEntry>;
@@ -77,10 +86,7 @@
     address: PeerAddress | undefined,
     holdsPart: boolean,
   ) => Promise<boolean>;
-  table: (
-    op: TableOp,
-    timeoutMs: number,
-  ) => Promise<{ answer: TableAnswer; storeNowMs: number | undefined }>;
+  table: (op: TableOp, timeoutMs: number) => Promise<StoreTableReply>;
   close: () => Promise<void>;
 }
 
--- a/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { setTimeout as delay } from 'node:timers/promises';
+import { storeRevision } from 'reedlug-coordination';
 import type { Feed, FeedAnswer } from '../../adapter.js';
 import { followFeed, type FeedListener } from '../feedFollower.js';
 
@@ -53,6 +54,53 @@
   expect(calls.positions[0]).to.equal(10);
 });
 
+test('an answer of another era is no change: the whole is read, and nothing of an earlier era', async () => {
+  const inEra = (era: number, version: number): number => storeRevision({ era, version });
+  let storeEra = 1;
+  const wholes = [page(['of era 1'], inEra(1, 90)), page(['late'], inEra(1, 95))];
+  const feed: Feed<string> = {
+    readAll: () => Promise.resolve(wholes.shift() ?? page(['of era 2'], inEra(2, 60))),
+    async follow({ afterRevision, signal }) {
+      if (afterRevision >= inEra(2, 0)) await delay(10_000, undefined, { signal }).catch(() => 0);
+      storeEra = 2;
+      return page(['change of another history'], inEra(2, 100));
+    },
+  };
+  const read: string[] = [];
+  const onPage = ({ items }: { items: readonly string[] }) => void read.push(...items);
+  const following = followFeed(feed, 0, listener({ onPage, storeEra: () => storeEra }));
+  await delay(300);
+  following.stop();
+  expect(read).to.deep.equal(['of era 1', 'of era 2']);
+});
+
+test('a feed that is told to read again leaves a call that waits', async () => {
+  const calls: Calls = { wholes: 0, positions: [] };
+  let ended = 0;
+  const feed: Feed<string> = {
+    readAll() {
+      calls.wholes += 1;
+      return Promise.resolve(page(['whole'], 10));
+    },
+    async follow({ signal }) {
+      await delay(10_000, undefined, { signal }).catch(() => (ended += 1));
+      return page(['late'], 11);
+    },
+  };
+  const read: string[] = [];
+  const onPage = ({ items }: { items: readonly string[] }) => void read.push(...items);
+  const following = followFeed(feed, 10_000, listener({ onPage }));
+  await delay(20);
+  following.readAgain();
+  await delay(20);
+  following.stop();
+  expect({ wholes: calls.wholes, ended, read }).to.deep.equal({
+    wholes: 2,
+    ended: 1,
+    read: ['whole', 'whole'],
+  });
+});
+
 test('after a gap in the history the whole is read again', async () => {
   const calls: Calls = { wholes: 0, positions: [] };
   const pages: boolean[] = [];
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -6,6 +6,7 @@
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
 import { CLOUD_TIMEOUT_MS, TABLE_TIMEOUT_MS } from './daemonTimes.js';
+import { eventsOfTable } from './tableEvents.js';
 import { probeServer } from './probeServer.js';
 import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
 
@@ -31,6 +32,8 @@
       return requestTable(runtime, effect);
     case 'callCloud':
       return callCloud(runtime, effect);
+    case 'readStoreAgain':
+      return runtime.feeds?.readAgain();
     case 'sendPeers':
       return runtime.peers.send(effect.message, effect.to);
     case 'askPeer':
@@ -138,9 +141,10 @@
 function requestTable(runtime: Runtime, effect: EffectOf<'requestTable'>): void {
   const { purpose, op } = effect;
   const sentAtMs = effect.sentAtMs;
-  void runtime.store.table(op, TABLE_TIMEOUT_MS).then(({ answer, storeNowMs }) => {
-    if (storeNowMs !== undefined) runtime.emit({ type: 'storeClock', storeNowMs });
-    runtime.emit({ type: 'tableAnswered', purpose, answer, sentAtMs });
+  void runtime.store.table(op, TABLE_TIMEOUT_MS).then((reply) => {
+    for (const event of eventsOfTable(runtime.state, { purpose, sentAtMs, reply })) {
+      runtime.emit(event);
+    }
   });
 }
 
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -1,5 +1,10 @@
-/** Follows a collection of the store: the whole once, then its changes by long polls. */
-import type { Feed } from '../adapter.js';
+/**
+ * Follows a collection of the store: the whole once, then its changes by long polls, and the whole
+ * again where the changes are no longer kept or the store came back from a copy: a position of one
+ * era means nothing in the next.
+ */
+import { eraOf } from 'reedlug-coordination';
+import type { Feed, FeedAnswer, FeedPage } from '../adapter.js';
 import { PROCESS_CLOCK, type Clock } from './clock.js';
 
 /** Longest wait for an answer beyond the time it may be held, in ms: the store's answer takes 4 ms, a slow one 250. */
@@ -15,6 +20,8 @@
   onPage: (page: { items: readonly T[]; whole: boolean; newestRevision: number }) => void;
   onStoreClock: (storeNowMs: number) => void;
   onContact: (reachable: boolean, reason: string) => void;
+  /** The latest era of the store that is known; an answer of an earlier one comes too late. */
+  storeEra?: () => number | undefined;
   /** Asked before each call once the whole has been read; while it says no, nothing is asked. */
   isNeeded?: () => boolean;
   /** Longest pause after calls that failed, in ms; each failed call is paid for as well. */
@@ -23,62 +30,96 @@
   pauseAfterPageMs?: number;
 }
 
+/** A feed that is followed. */
+export interface FollowedFeed {
+  /** Drops the position and the call that waits, and reads the whole anew. */
+  readAgain: () => void;
+  stop: () => void;
+}
+
+/** One reading of the whole and what follows it; the answer of a call that was given up is dropped. */
+interface Following {
+  isOver: boolean;
+  call: AbortController;
+}
+
 /** Follows until told to stop. */
 export function followFeed<T>(
   feed: Feed<T>,
   waitMs: number,
   listener: FeedListener<T>,
   clock: Clock = PROCESS_CLOCK,
-): { stop: () => void } {
-  let stopped = false;
+): FollowedFeed {
+  let current: Following = { isOver: false, call: new AbortController() };
+  let hasReadWhole = false;
   let position: number | undefined;
   let pauseMs = FIRST_PAUSE_MS;
 
-  const step = async (): Promise<void> => {
-    if (position !== undefined && listener.isNeeded?.() === false) {
-      await clock.pause(NOT_NEEDED_PAUSE_MS);
+  const ask = (signal: AbortSignal): Promise<FeedAnswer<T>> => {
+    if (position === undefined) return feed.readAll(ANSWER_MARGIN_MS);
+    const timeoutMs = waitMs + ANSWER_MARGIN_MS;
+    return feed.follow({ afterRevision: position, waitMs, timeoutMs, signal });
+  };
+
+  const takePage = async (page: FeedPage<T>): Promise<void> => {
+    const { items, revision, newestRevision, storeNowMs } = page;
+    if (eraOf(revision) < (listener.storeEra?.() ?? 0)) return fail('answer of an earlier era');
+    const whole = position === undefined;
+    if (position !== undefined && eraOf(revision) !== eraOf(position)) {
+      position = undefined;
       return;
     }
-    const whole = position === undefined;
-    const answer =
-      position === undefined
-        ? await feed.readAll(ANSWER_MARGIN_MS)
-        : await feed.follow({
-            afterRevision: position,
-            waitMs,
-            timeoutMs: waitMs + ANSWER_MARGIN_MS,
-          });
-    if (stopped) return;
+    pauseMs = FIRST_PAUSE_MS;
+    position = revision;
+    hasReadWhole = true;
+    listener.onContact(true, '');
+    if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
+    if (!whole && items.length === 0) return;
+    listener.onPage({ items, whole, newestRevision });
+    if (listener.pauseAfterPageMs !== undefined) await clock.pause(listener.pauseAfterPageMs);
+  };
+
+  const fail = async (reason: string): Promise<void> => {
+    listener.onContact(false, reason);
+    await clock.pause(pauseMs);
+    pauseMs = Math.min(listener.longestPauseMs ?? LONGEST_PAUSE_MS, pauseMs * 2);
+  };
+
+  const step = async (following: Following): Promise<void> => {
+    if (hasReadWhole && listener.isNeeded?.() === false) {
+      return clock.pause(NOT_NEEDED_PAUSE_MS);
+    }
+    following.call = new AbortController();
+    const answer = await ask(following.call.signal);
+    if (following.isOver) return;
     switch (answer.kind) {
-      case 'page': {
-        const { items, revision, newestRevision, storeNowMs } = answer.page;
-        pauseMs = FIRST_PAUSE_MS;
-        position = revision;
-        listener.onContact(true, '');
-        if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
-        if (!whole && items.length === 0) return;
-        listener.onPage({ items, whole, newestRevision });
-        if (listener.pauseAfterPageMs !== undefined) await clock.pause(listener.pauseAfterPageMs);
-        return;
-      }
+      case 'page':
+        return takePage(answer.page);
       case 'historyGone':
         position = undefined;
         return;
       case 'unavailable':
-        listener.onContact(false, answer.reason);
-        await clock.pause(pauseMs);
-        pauseMs = Math.min(listener.longestPauseMs ?? LONGEST_PAUSE_MS, pauseMs * 2);
-        return;
+        return fail(answer.reason);
     }
   };
 
-  const run = async (): Promise<void> => {
-    while (!stopped) await step();
+  const run = async (following: Following): Promise<void> => {
+    while (!following.isOver) await step(following);
+  };
+  const end = (): void => {
+    current.isOver = true;
+    current.call.abort();
   };
-  void run();
+  void run(current);
   return {
-    stop() {
-      stopped = true;
+    readAgain() {
+      if (current.isOver) return;
+      end();
+      current = { isOver: false, call: new AbortController() };
+      position = undefined;
+      pauseMs = FIRST_PAUSE_MS;
+      void run(current);
     },
+    stop: end,
   };
 }
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -21,7 +21,7 @@
 import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
 import { handleInTurn } from './handleInTurn.js';
-import { followPlatform } from './platformFeeds.js';
+import { followPlatform, type PlatformFeeds } from './platformFeeds.js';
 import { createOperatorServer } from './operatorServer.js';
 import { openPeerSocket, type PeerSocket } from './peerSocket.js';
 import { digestOf } from './requestDigest.js';
@@ -36,6 +36,8 @@
   clock: Clock;
   pool: ConnectionPool;
   peers: PeerSocket;
+  /** Undefined until the daemon has begun to follow the store. */
+  feeds: PlatformFeeds | undefined;
   exchanges: Map<number, CallerExchange>;
   attempts: Map<number, BackendAttempt>;
   logger: Logger;
@@ -87,6 +89,7 @@
     clock,
     pool: createConnectionPool(),
     peers,
+    feeds: undefined,
     exchanges: new Map(),
     attempts: new Map(),
     logger,
@@ -95,6 +98,7 @@
     onStopped,
   };
   const feeds = followPlatform(runtime);
+  runtime.feeds = feeds;
   const servers = await listenAll(runtime);
   const ticker = setInterval(() => emit({ type: 'tick' }), TICK_MS);
   logger('started', { zone: settings.box.zone, incarnation });
--- a/packages/reedlug-gateway/src/daemon/operatorServer.ts
+++ b/packages/reedlug-gateway/src/daemon/operatorServer.ts
@@ -3,6 +3,7 @@
  * `DELETE /verdicts/KEY` (as `GET` names it, percent-encoded); any other path gives the metrics.
  */
 import { createServer, type Server, type ServerResponse } from 'node:http';
+import { versionOf } from 'reedlug-coordination';
 import { setDecisionMetrics } from '../observe/decisionMetrics.js';
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
@@ -70,7 +71,7 @@
 function showMetrics(box: OperatedBox, response: ServerResponse): void {
   const { state, clock, metrics, logger } = box;
   metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
-  metrics.versions.set({ of: 'servers' }, state.serversRevision);
+  metrics.versions.set({ of: 'servers' }, versionOf(state.serversRevision));
   metrics.versions.set({ of: 'storeEra' }, state.storeEra ?? 0);
   setDecisionMetrics(metrics.figures, state, clock.nowMs());
   metrics.text().then(
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -4,7 +4,7 @@
 import type { GatewayState } from '../state.js';
 import type { EventBody, PeerChange } from '../types/event.js';
 import type { GatewaySettings } from '../types/settings.js';
-import { followsStore, ownAddress } from '../slices/fleet.js';
+import { followsStore, ownAddress, startDelayMs } from '../slices/fleet.js';
 import { keepBoxEntry } from './boxEntry.js';
 import type { Clock } from './clock.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
@@ -30,12 +30,20 @@
   emit: (body: EventBody) => void;
 }
 
-/** Starts to follow; `stop` ends it. */
-export function followPlatform(runtime: FeedRuntime): { stop: () => void } {
+/** The store's collections, followed. */
+export interface PlatformFeeds {
+  /** Reads all of them anew, since the store came back from a copy. */
+  readAgain: () => void;
+  stop: () => void;
+}
+
+/** Starts to follow. */
+export function followPlatform(runtime: FeedRuntime): PlatformFeeds {
   const { store, emit, logger, settings, clock } = runtime;
   const entry = keepBoxEntry({ store, clock, logger, address: ownAddress(runtime.state) });
   const common = (name: string): Omit<FeedListener<never>, 'onPage'> => ({
     onStoreClock: (storeNowMs) => emit({ type: 'storeClock', storeNowMs }),
+    storeEra: () => runtime.state.storeEra,
     onContact(reachable, reason) {
       if (!reachable) logger('feedFault', { feed: name, reason });
     },
@@ -90,8 +98,18 @@
   const { listen, seeds } = settings;
   const seedPeers = seeds.map(({ host }) => seedOf(host, listen.peersPort));
   if (seedPeers.length > 0) emit({ type: 'peersListed', changes: seedPeers });
+  let isStopped = false;
   return {
+    readAgain() {
+      operators.readAgain();
+      servers.readAgain();
+      // Every box of a large fleet follows the list of boxes, and nothing waits for it.
+      void clock.pause(startDelayMs(runtime.state)).then(() => {
+        if (!isStopped) boxes.readAgain();
+      });
+    },
     stop() {
+      isStopped = true;
       entry.stop();
       operators.stop();
       servers.stop();
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -57,6 +57,7 @@
     configurationVersion: state.active?.configuration.version ?? 0,
     serversRevision: state.serversRevision,
     registry: undefined,
+    storeEra: state.storeEra,
     storeContactAgeMs: ageOf(state.storeContactAtMs, step.nowMs),
     leaseHolder: holdsLease ? { host: box.ip, port: listen.peersPort } : undefined,
     leaving: state.stoppingSinceMs !== undefined,
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -10,6 +10,7 @@
 import { nextRegistryStep } from './registryNews.js';
 import { noteNewcomer } from './statements/statementNews.js';
 import { takeHubChanges } from './servers.js';
+import { onStoreEra } from './storeEra.js';
 import { mergeUsage } from './usage.js';
 
 /** How long a peer's newer configuration or registry may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
@@ -35,6 +36,9 @@
   peer.message = message;
   peer.askedUnits.clear();
   noteStoreSeen(state, step, message);
+  if (message.storeEra !== undefined) {
+    onStoreEra(state, step, { era: message.storeEra, source: boxId });
+  }
   takeTotals(state, step, peer as HeardPeer, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -15,4 +15,5 @@
   state.storeEra = era;
   if (before === undefined) return log(step, 'storeEraFirst', { era, source });
   log(step, 'storeCameBack', { era, before, source });
+  step.effects.push({ type: 'readStoreAgain' });
 }
--- a/packages/reedlug-gateway/src/types/effect.ts
+++ b/packages/reedlug-gateway/src/types/effect.ts
@@ -50,6 +50,8 @@
   | { type: 'probeServer'; life: number; address: HostPort }
   | { type: 'requestTable'; purpose: TablePurpose; op: TableOp; sentAtMs: number }
   | { type: 'callCloud'; callId: number; call: CloudCall; fence: number }
+  /** Reads the store's collections anew: it came back from a copy. */
+  | { type: 'readStoreAgain' }
   | { type: 'sendPeers'; message: PeerDatagram; to: readonly HostPort[] }
   /** Asks a peer for its configuration, and for its registry where that is newer or changes of it were missed. */
   | { type: 'askPeer'; peer: HostPort; withServers: boolean }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -84,6 +84,8 @@
   serversRevision: number;
   /** Changes of the registry, for the members of a hub. */
   registry: RegistryNews | undefined;
+  /** The latest era of the store that the sender knows; boxes of an earlier version do not tell. */
+  storeEra?: number | undefined;
   /** Time since the store last answered one of the boxes covered, in ms; undefined before its first answer. */
   storeContactAgeMs: number | undefined;
   /** The box that holds the lease for duties, when it is one of those covered. */
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -5,6 +5,7 @@
   CONNECT_TIMEOUT_MS,
   eventOfDatagram,
   eventsOfShared,
+  eventsOfTable,
   sharedStateOf,
   TABLE_TIMEOUT_MS,
   type Effect,
@@ -60,6 +61,8 @@
       return requestTable(box, effect);
     case 'callCloud':
       return callCloud(world, box, effect);
+    case 'readStoreAgain':
+      return box.feeds?.readAgain();
     case 'sendPeers':
       return sendPeers(world, box, effect);
     case 'askPeer':
@@ -240,9 +243,8 @@
 
 function requestTable(box: VirtualBox, effect: EffectOf<'requestTable'>): void {
   const { purpose, op, sentAtMs } = effect;
-  void box.store?.table(op, TABLE_TIMEOUT_MS).then(({ answer, storeNowMs }) => {
-    if (storeNowMs !== undefined) box.emit({ type: 'storeClock', storeNowMs });
-    box.emit({ type: 'tableAnswered', purpose, answer, sentAtMs });
+  void box.store?.table(op, TABLE_TIMEOUT_MS).then((reply) => {
+    for (const event of eventsOfTable(box.state, { purpose, sentAtMs, reply })) box.emit(event);
   });
 }
 
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -9,6 +9,7 @@
   type EventBody,
   type GatewaySettings,
   type GatewayState,
+  type PlatformFeeds,
   type PlatformStore,
 } from 'reedlug-gateway';
 import type { CallerAttempt } from '../callers/callerAttempt.js';
@@ -51,6 +52,7 @@
   reducerMs: number;
   /** The store as the process has it; undefined until it listens. */
   store: PlatformStore | undefined;
+  feeds: PlatformFeeds | undefined;
   emit: (body: EventBody) => void;
 }
 
@@ -87,6 +89,7 @@
     isIn: false,
     reducerMs: 0,
     store: undefined,
+    feeds: undefined,
     emit: () => undefined,
   };
   box.emit = createEmit(world, box);
@@ -122,7 +125,7 @@
   box.store = store;
   const logger = (): void => undefined;
   const { settings, state, emit } = box;
-  followPlatform({ settings, store, state, clock, logger, emit });
+  box.feeds = followPlatform({ settings, store, state, clock, logger, emit });
   world.hasSettled = true;
   const tick = (): void => {
     if (!box.isAlive) return;
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -18,8 +18,16 @@
   type ServerChange,
   type ServerEntry,
   type StoreListener,
+  type StoreTableReply,
 } from 'reedlug-gateway';
-import type { TableAnswer, TableOp } from 'reedlug-coordination';
+import {
+  answerOfEra,
+  storeRevision,
+  versionOf,
+  withStoreVersions,
+  type TableAnswer,
+  type TableOp,
+} from 'reedlug-coordination';
 import { applyTableOp, createTableModel } from 'reedlug-standins';
 import { areCut, later, nowMs, type World } from '../world.js';
 import { createStoreHistory, StoreWriter, type StoreChange } from './storeHistory.js';
@@ -43,13 +51,19 @@
 } as const;
 export type StoreCall = (typeof StoreCall)[keyof typeof StoreCall];
 
+interface StoredItem<T> {
+  /** The item as it is read under a revision. */
+  itemOf: (revision: number) => T;
+  version: number;
+}
+
 interface Collection<T> {
-  /** Items by key, and the revision of each. */
-  items: Map<string, { item: T; revision: number }>;
+  /** Items by key, each with the version of its last write. */
+  items: Map<string, StoredItem<T>>;
   /** Removed items, by key. */
-  removed: Map<string, { item: T; revision: number }>;
+  removed: Map<string, StoredItem<T>>;
   waiting: Set<() => void>;
-  newestRevision: number;
+  newestVersion: number;
 }
 
 /** How the store fails its callers: it says nothing, or refuses each call and all that wait. */
@@ -59,7 +73,7 @@
 /** A change of one item. */
 interface Put<T> {
   key: string;
-  item: T;
+  itemOf: (revision: number) => T;
   writer: StoreWriter;
   isRemoval?: boolean;
   redo?: () => void;
@@ -97,15 +111,15 @@
 
 /** Returns an empty store. `worldOf` gives the world once it is put together. */
 export function createVirtualStore(worldOf: () => World): VirtualStore {
-  let revision = 0;
+  let version = 0;
   const operators = createCollection<OperatorEntry>();
   const servers = createCollection<ServerChange>();
   const boxes = createCollection<PeerChange>();
-  const nextRevision = (): number => {
-    revision += 1;
-    return revision;
+  const nextVersion = (): number => {
+    version += 1;
+    return version;
   };
-  const table = createTableModel(nextRevision);
+  const table = createTableModel(nextVersion);
   const calls = new Map<StoreCall, number>();
   const history = createStoreHistory();
 
@@ -114,35 +128,35 @@
     change: Pick<StoreChange, 'writer' | 'key' | 'redo'>,
     restore: () => void,
   ): void => {
-    const revisionBefore = revision;
+    const versionBefore = version;
     const undo = (): void => {
       restore();
-      revision = revisionBefore;
+      version = versionBefore;
     };
     history.note({ ...change, atMs: nowMs(worldOf()), undo });
   };
   /** Puts an item, or removes it where `isRemoval` says so. */
   const put = <T>(
     collection: Collection<T>,
-    { key, item, writer, isRemoval = false, redo }: Put<T>,
+    { key, itemOf, writer, isRemoval = false, redo }: Put<T>,
   ): void => {
-    const { items, removed, newestRevision } = collection;
+    const { items, removed, newestVersion } = collection;
     const [itemBefore, removedBefore] = [items.get(key), removed.get(key)];
     noteChange({ writer, key, redo }, () => {
       setOrDelete(items, key, itemBefore);
       setOrDelete(removed, key, removedBefore);
-      collection.newestRevision = newestRevision;
+      collection.newestVersion = newestVersion;
     });
-    const row = { item, revision: nextRevision() };
+    const row = { itemOf, version: nextVersion() };
     setOrDelete(items, key, isRemoval ? undefined : row);
     setOrDelete(removed, key, isRemoval ? row : undefined);
-    collection.newestRevision = row.revision;
+    collection.newestVersion = row.version;
     wake(collection);
   };
-  const changeTable = (op: TableOp): TableAnswer => {
-    const writes = op.kind === 'transact' ? op.writes : [];
-    const before = writes.map(({ key }) => ({ key, row: table.rows.get(key) }));
-    const key = writes[0]?.key ?? '';
+  const changeTable = (given: Extract<TableOp, { kind: 'transact' }>): TableAnswer => {
+    const op = withStoreVersions(given);
+    const before = op.writes.map(({ key }) => ({ key, row: table.rows.get(key) }));
+    const key = op.writes[0]?.key ?? '';
     noteChange({ writer: StoreWriter.box, key, redo: undefined }, () => {
       for (const { key, row } of before) setOrDelete(table.rows, key, row);
       table.sortedIsStale = true;
@@ -157,6 +171,7 @@
     store.outage === StoreOutage.silent || areCut(worldOf(), zone, STORE_ZONE);
 
   const eraOfStore = (): number => FIRST_ERA + store.copies;
+  const storeNow = (): StoreMoment => ({ era: eraOfStore(), version });
 
   /** Answers a call after the store's time, or never within its limit. */
   const answer = <R>(
@@ -192,13 +207,14 @@
         return answer(
           caller,
           timeoutMs,
-          () => wholeOf(worldOf(), collection, revision),
+          () => wholeOf(worldOf(), collection, storeNow()),
           unavailable,
         );
       },
-      follow({ afterRevision, waitMs, timeoutMs }) {
+      follow({ afterRevision, waitMs, timeoutMs, signal }) {
         count(call);
         const world = worldOf();
+        const afterVersion = versionOf(afterRevision);
         return new Promise((resolve) => {
           let isDone = false;
           const finish = (): void => {
@@ -211,26 +227,27 @@
               caller.onEra(eraOfStore());
               world.hasSettled = true;
               if (store.outage !== undefined) return resolve(unavailable);
-              const isUnknown = afterRevision > revision;
-              if (isUnknown) return resolve({ kind: 'historyGone' });
-              resolve(changesOf(world, collection, afterRevision, revision));
+              if (afterVersion > version) return resolve({ kind: 'historyGone' });
+              resolve(changesOf(world, collection, afterVersion, storeNow()));
             });
           };
           const check = (): void => {
-            const isUnknown = afterRevision > revision;
-            const hasChanged = collection.newestRevision > afterRevision;
+            const isUnknown = afterVersion > version;
+            const hasChanged = collection.newestVersion > afterVersion;
             if (isUnknown || hasChanged || store.outage !== undefined) finish();
           };
-          collection.waiting.add(check);
-          check();
-          later(world, waitMs, finish);
-          later(world, timeoutMs, () => {
+          const giveUp = (): void => {
             if (isDone || !caller.isAlive()) return;
             isDone = true;
             collection.waiting.delete(check);
             world.hasSettled = true;
             resolve(unavailable);
-          });
+          };
+          collection.waiting.add(check);
+          check();
+          signal?.addEventListener('abort', giveUp);
+          later(world, waitMs, finish);
+          later(world, timeoutMs, giveUp);
         });
       },
     };
@@ -253,19 +270,22 @@
       return history.takeBack(atMs);
     },
     skipVersions(count) {
-      revision += count;
+      version += count;
     },
     calls,
     putConfiguration(configuration) {
       const item: OperatorEntry = { kind: 'configuration', configuration };
-      put(operators, { key: 'configuration', item, writer: StoreWriter.operator });
+      put(operators, {
+        key: 'configuration',
+        itemOf: () => item,
+        writer: StoreWriter.operator,
+      });
     },
     orderRollout(given) {
-      const order = { ...given, revision: revision + 1 };
       const key = `${ROLLOUT_KEY_PREFIX}${given.service}`;
       put(operators, {
         key,
-        item: { kind: 'rollout', order },
+        itemOf: (revision): OperatorEntry => ({ kind: 'rollout', order: { ...given, revision } }),
         writer: StoreWriter.operator,
         redo: () => store.orderRollout(given),
       });
@@ -276,11 +296,12 @@
       return answer.kind === 'done' ? (answer.rows[0]?.value as RolloutRecord) : undefined;
     },
     putServer(entry) {
-      put(servers, { key: entry.id, item: { id: entry.id, entry }, writer: StoreWriter.server });
+      const itemOf = (): ServerChange => ({ id: entry.id, entry });
+      put(servers, { key: entry.id, itemOf, writer: StoreWriter.server });
     },
     removeServer(id) {
-      const item: ServerChange = { id, entry: undefined };
-      put(servers, { key: id, item, writer: StoreWriter.server, isRemoval: true });
+      const itemOf = (): ServerChange => ({ id, entry: undefined });
+      put(servers, { key: id, itemOf, writer: StoreWriter.server, isRemoval: true });
     },
     openFor(zone, { isAlive, onEra }) {
       const caller = { zone, isAlive, onEra };
@@ -291,8 +312,13 @@
         announceBox(boxId, address, holdsPart) {
           count(StoreCall.announce);
           const enter = (): boolean => {
-            const entry = { boxId, address, holdsPart, revision: revision + 1 };
-            put(boxes, { key: boxId, item: entry, writer: StoreWriter.box });
+            const itemOf = (revision: number): PeerChange => ({
+              boxId,
+              address,
+              holdsPart,
+              revision,
+            });
+            put(boxes, { key: boxId, itemOf, writer: StoreWriter.box });
             return true;
           };
           return answer(caller, ANNOUNCE_TIMEOUT_MS, enter, false);
@@ -300,12 +326,17 @@
         table(op, timeoutMs) {
           const key = op.kind === 'transact' ? op.writes[0]?.key : undefined;
           count(purposeOf(key ?? (op.kind === 'read' ? op.keys[0] : undefined)));
-          const done = () => ({
-            answer: op.kind === 'transact' ? changeTable(op) : applyTableOp(table, op),
-            storeNowMs: nowMs(worldOf()),
-          });
-          const silent = { answer: { kind: 'unknown' as const }, storeNowMs: undefined };
-          return answer<ReturnType<typeof done> | typeof silent>(caller, timeoutMs, done, silent);
+          const done = (): StoreTableReply => {
+            const found = op.kind === 'transact' ? changeTable(op) : applyTableOp(table, op);
+            const era = eraOfStore();
+            return { answer: answerOfEra(op, found, era), storeNowMs: nowMs(worldOf()), era };
+          };
+          const silent: StoreTableReply = {
+            answer: { kind: 'unknown' },
+            storeNowMs: undefined,
+            era: undefined,
+          };
+          return answer(caller, timeoutMs, done, silent);
         },
         close: () => Promise.resolve(),
       };
@@ -320,7 +351,7 @@
 }
 
 function createCollection<T>(): Collection<T> {
-  return { items: new Map(), removed: new Map(), waiting: new Set(), newestRevision: 0 };
+  return { items: new Map(), removed: new Map(), waiting: new Set(), newestVersion: 0 };
 }
 
 function setOrDelete<K, V>(map: Map<K, V>, key: K, value: V | undefined): void {
@@ -332,31 +363,40 @@
   for (const check of [...collection.waiting]) check();
 }
 
+/** How far the store's counter is, and in which era. */
+interface StoreMoment {
+  era: number;
+  version: number;
+}
+
 function pageOf<T>(
   world: World,
-  rows: readonly { item: T; revision: number }[],
-  revision: number,
+  rows: readonly StoredItem<T>[],
+  { era, version }: StoreMoment,
 ): FeedAnswer<T> {
-  const sorted = [...rows].sort((a, b) => a.revision - b.revision);
-  const items = sorted.map(({ item }) => item);
-  const newestRevision = sorted.at(-1)?.revision ?? 0;
+  const sorted = [...rows].sort((a, b) => a.version - b.version);
+  const revisionOf = (row: StoredItem<T>): number => storeRevision({ era, version: row.version });
+  const items = sorted.map((row) => row.itemOf(revisionOf(row)));
+  const newest = sorted.at(-1);
+  const newestRevision = newest === undefined ? 0 : revisionOf(newest);
+  const revision = storeRevision({ era, version });
   return { kind: 'page', page: { items, revision, newestRevision, storeNowMs: nowMs(world) } };
 }
 
-function wholeOf<T>(world: World, collection: Collection<T>, revision: number): FeedAnswer<T> {
-  return pageOf(world, [...collection.items.values()], revision);
+function wholeOf<T>(world: World, collection: Collection<T>, moment: StoreMoment): FeedAnswer<T> {
+  return pageOf(world, [...collection.items.values()], moment);
 }
 
 function changesOf<T>(
   world: World,
   { items, removed }: Collection<T>,
-  afterRevision: number,
-  revision: number,
+  afterVersion: number,
+  moment: StoreMoment,
 ): FeedAnswer<T> {
   const rows = [...items.values(), ...removed.values()];
   return pageOf(
     world,
-    rows.filter((row) => row.revision > afterRevision),
-    revision,
+    rows.filter(({ version }) => version > afterVersion),
+    moment,
   );
 }
