--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -160,7 +160,9 @@
   }
 }
 
+/** Two faults may have ended the same process: it has one next life. */
 function restart(world: World, place: BoxPlace, before: VirtualBox): void {
+  if (world.boxes.get(place.id) !== before) return;
   startBox(world, place, before.incarnation + 1);
 }
 
