Fences hold the store's era, and the holder of a lease takes its row again at once

Seen: fence 2 sent by two holders after a copy in which the holder before still stood; nobody with the lease again where a holder that had just taken over stayed. Causes: the next fence was the highest one known plus one, and both the row and whoever knew it may be gone; a row with a lower version was taken for an older answer, for good. Now a fence holds the era in which it was taken, so each is greater than all of earlier eras, whoever knows those; a take that the store carried out in a later era than its fence's grants nothing. At a new era what the row said is over: whoever holds a lease that has not lapsed takes the row at once (nobody else can have held it since), an earlier holder's row that came back takes nothing from it, all others wait the lease out from when they see the row, or that it is missing, in the new era. So holders never go A, B, A, and nobody waits longer than after a loss.

--- a/packages/reedlug-coordination/src/lease.ts
+++ b/packages/reedlug-coordination/src/lease.ts
@@ -5,7 +5,14 @@
  * moment before it sent the write that granted the lease, less a margin. A
  * taker counts from the moment it first saw a row that has not changed since.
  * The fence grows with each change of holder and never falls.
+ *
+ * The table's store may come back from a copy and begin a new era: then the row may be that of an
+ * earlier holder, or missing. Fences hold the era in which they were taken, so that each is greater
+ * than all of earlier eras, whoever knows those. Whoever holds a lease that has not lapsed takes the
+ * row again at once, since nobody else can have held it since; all others wait as long as for a
+ * holder that they have just seen.
  */
+import { eraOf } from './storeRevision.js';
 import type { TableAnswer, TableOp, TableRow } from './tableTypes.js';
 
 /** Times of a lease. */
@@ -30,6 +37,15 @@
   renewal: number;
 }
 
+/** A lease that is held. */
+export interface HeldLease {
+  fence: number;
+  /** From when it is held without a gap, under whatever fences. */
+  sinceMs: number;
+  grantedAtMs: number;
+  unfencedFromMs: number;
+}
+
 /** State of one box's part in a lease. */
 export interface LeaseState {
   options: LeaseOptions;
@@ -37,7 +53,7 @@
   incarnation: number;
   /** The row as last seen, with the time on this box's clock at which it was first seen so. */
   seen: { row: TableRow; sinceMs: number } | undefined;
-  held: { fence: number; grantedAtMs: number; unfencedFromMs: number } | undefined;
+  held: HeldLease | undefined;
   /** A request to the table under way. */
   pending: { sentAtMs: number; kind: 'read' | 'write' } | undefined;
   /** The highest fence ever seen; never falls. */
@@ -45,6 +61,17 @@
   /** The fence of the last grant, kept after it has lapsed; 0 before the first. */
   lastFence: number;
   nextReadAtMs: number;
+  /** The store's era as far as known. */
+  era: number;
+  /** Whether this box has known an earlier era, in which others may have held what this one lacks. */
+  isLaterEra: boolean;
+}
+
+/** Fences of one era. */
+const FENCES_OF_ERA = 2 ** 20;
+
+function eraOfFence(fence: number): number {
+  return Math.floor(fence / FENCES_OF_ERA);
 }
 
 /** Returns the state of a box that does not hold the lease. */
@@ -63,6 +90,8 @@
     highestFence: 0,
     lastFence: 0,
     nextReadAtMs: 0,
+    era: 0,
+    isLaterEra: false,
   };
 }
 
@@ -75,9 +104,9 @@
   nowMs: number,
   checksFence: boolean,
 ): number | undefined {
-  const { held, options } = lease;
+  const { held } = lease;
   if (held === undefined) return undefined;
-  if (nowMs >= held.grantedAtMs + options.ttlMs - options.marginMs) return undefined;
+  if (hasLapsed(lease, nowMs)) return undefined;
   if (!checksFence && nowMs < held.unfencedFromMs) return undefined;
   return held.fence;
 }
@@ -91,6 +120,15 @@
   lease.pending = undefined;
 }
 
+/** Takes it that the store answers in an era: what the row said before is over. */
+export function noteLeaseEra(lease: LeaseState, era: number, nowMs: number): void {
+  lease.isLaterEra ||= lease.seen !== undefined || lease.era > 0;
+  lease.era = era;
+  lease.seen = undefined;
+  lease.pending = undefined;
+  lease.nextReadAtMs = nowMs;
+}
+
 /** How long an order sent now stays valid, in ms; 0 when none may be sent. */
 export function orderValidForMs(lease: LeaseState, nowMs: number): number {
   if (lease.held === undefined) return 0;
@@ -105,8 +143,10 @@
     if (nowMs - lease.pending.sentAtMs < lease.options.ttlMs) return undefined;
     lease.pending = undefined;
   }
-  if (lease.held !== undefined) return renewWhenDue(lease, nowMs);
-  if (lease.seen !== undefined && hasLapsedForOthers(lease, nowMs)) return take(lease, nowMs);
+  if (lease.seen !== undefined) {
+    if (lease.held !== undefined) return renewWhenDue(lease, nowMs);
+    if (hasLapsedForOthers(lease, nowMs)) return take(lease, nowMs);
+  }
   if (nowMs < lease.nextReadAtMs) return undefined;
   return read(lease, nowMs);
 }
@@ -131,16 +171,17 @@
   }
   const row = answer.rows.find((candidate) => candidate.key === lease.options.key);
   if (row === undefined) {
-    noteAbsent(lease, answer);
+    noteAbsent(lease, answer, nowMs);
     return;
   }
   noteRow(lease, row, nowMs, pending);
 }
 
-function noteAbsent(lease: LeaseState, answer: TableAnswer): void {
-  if (answer.kind !== 'done') return;
+/** Where nothing was lost nobody has held it; else it counts as a holder that was just seen. */
+function noteAbsent(lease: LeaseState, answer: TableAnswer, nowMs: number): void {
+  if (answer.kind !== 'done' || lease.seen?.row.version === 0) return;
   const absent: TableRow = { key: lease.options.key, version: 0, value: undefined };
-  lease.seen = { row: absent, sinceMs: Number.NEGATIVE_INFINITY };
+  lease.seen = { row: absent, sinceMs: lease.isLaterEra ? nowMs : Number.NEGATIVE_INFINITY };
 }
 
 function noteRow(
@@ -157,28 +198,40 @@
   lease.highestFence = Math.max(lease.highestFence, value.fence);
   const mine = value.holderId === lease.ownerId && value.incarnation === lease.incarnation;
   if (!mine) {
-    lease.held = undefined;
+    // An earlier holder's row that came back with the copy takes nothing from the one of now.
+    if (eraOfFence(value.fence) === eraOf(row.version)) lease.held = undefined;
     return;
   }
-  if (pending.kind === 'write') grant(lease, value, pending.sentAtMs);
+  if (pending.kind === 'write') grant(lease, { value, row, sentAtMs: pending.sentAtMs });
 }
 
-/** The grant counts from before the write was sent, so that it never outlives the takers' wait. */
-function grant(lease: LeaseState, value: LeaseValue, sentAtMs: number): void {
+/**
+ * The grant counts from before the write was sent, so that it never outlives the takers' wait. A
+ * fence of an earlier era than the row's is not granted: others may have used it in what was lost.
+ */
+function grant(
+  lease: LeaseState,
+  { value, row, sentAtMs }: { value: LeaseValue; row: TableRow; sentAtMs: number },
+): void {
+  if (eraOfFence(value.fence) < eraOf(row.version)) return;
   const { ttlMs, maxOrderFlightMs } = lease.options;
+  const isHeld = !hasLapsed(lease, sentAtMs);
+  const sinceMs = isHeld ? (lease.held?.sinceMs ?? sentAtMs) : sentAtMs;
   const renewed = lease.held !== undefined && lease.held.fence === value.fence;
   const unfencedFromMs = renewed
     ? (lease.held?.unfencedFromMs ?? sentAtMs)
     : sentAtMs + ttlMs + maxOrderFlightMs;
-  lease.held = { fence: value.fence, grantedAtMs: sentAtMs, unfencedFromMs };
+  lease.held = { fence: value.fence, sinceMs, grantedAtMs: sentAtMs, unfencedFromMs };
   lease.lastFence = value.fence;
 }
 
 function dropLapsed(lease: LeaseState, nowMs: number): void {
-  const { held, options } = lease;
-  if (held !== undefined && nowMs >= held.grantedAtMs + options.ttlMs - options.marginMs) {
-    lease.held = undefined;
-  }
+  if (hasLapsed(lease, nowMs)) lease.held = undefined;
+}
+
+/** Whether this box's lease has ended by its own view; true as well where it has none. */
+function hasLapsed({ held, options }: LeaseState, nowMs: number): boolean {
+  return held === undefined || nowMs >= held.grantedAtMs + options.ttlMs - options.marginMs;
 }
 
 function hasLapsedForOthers(lease: LeaseState, nowMs: number): boolean {
@@ -189,13 +242,14 @@
 function renewWhenDue(lease: LeaseState, nowMs: number): TableOp | undefined {
   const { held, seen, options } = lease;
   if (held === undefined || seen === undefined) return undefined;
+  if (eraOfFence(held.fence) < lease.era) return take(lease, nowMs);
   if (nowMs < held.grantedAtMs + options.renewEveryMs) return undefined;
   const value = seen.row.value as LeaseValue;
   return write(lease, nowMs, { ...value, renewal: value.renewal + 1 });
 }
 
 function take(lease: LeaseState, nowMs: number): TableOp {
-  const fence = lease.highestFence + 1;
+  const fence = Math.max(lease.highestFence, lease.era * FENCES_OF_ERA) + 1;
   const { ownerId, incarnation } = lease;
   return write(lease, nowMs, { holderId: ownerId, incarnation, fence, renewal: 1 });
 }
--- a/packages/reedlug-decisions/src/__tests__/invariants.test.ts
+++ b/packages/reedlug-decisions/src/__tests__/invariants.test.ts
@@ -12,7 +12,7 @@
 
 test('a fence that falls breaks an invariant', () => {
   const box = createTestBox();
-  const held = { grantedAtMs: 0, unfencedFromMs: 0 };
+  const held = { sinceMs: 0, grantedAtMs: 0, unfencedFromMs: 0 };
   box.state.lease.held = { ...held, fence: 5 };
   box.tickThrough(50, 100);
   box.state.lease.held = { ...held, fence: 4 };
--- a/packages/reedlug-decisions/src/__tests__/orders.test.ts
+++ b/packages/reedlug-decisions/src/__tests__/orders.test.ts
@@ -18,7 +18,7 @@
   const box = createTestBox({ servers });
   const item = { value: WANTED, revision: 1, planId: 'p', author: 'o' };
   for (const { id } of servers) box.state.config.items.set(`wanted/${id}`, item);
-  box.state.lease.held = { fence: 3, grantedAtMs: 0, unfencedFromMs: 5000 };
+  box.state.lease.held = { fence: 3, sinceMs: 0, grantedAtMs: 0, unfencedFromMs: 5000 };
   return box;
 }
 
--- a/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
@@ -167,7 +167,7 @@
   const fleet = createFleet({ boxes: 40, zones: ZONES });
   const holder = fleet.boxes.get('box-5');
   if (holder === undefined) throw new Error('no holder');
-  holder.state.lease.held = { fence: 1, grantedAtMs: 0, unfencedFromMs: 0 };
+  holder.state.lease.held = { fence: 1, sinceMs: 0, grantedAtMs: 0, unfencedFromMs: 0 };
   holder.state.lease.pending = { sentAtMs: 0, kind: 'write' };
   for (const box of fleet.boxes.values()) {
     box.take({ type: 'storeClock', storeNowMs: 0 });
@@ -203,7 +203,7 @@
   });
   holder.take({ type: 'storeClock', storeNowMs: 0 });
   holder.state.agreedClockOffsetMs = 0;
-  holder.state.lease.held = { fence: 1, grantedAtMs: 0, unfencedFromMs: 0 };
+  holder.state.lease.held = { fence: 1, sinceMs: 0, grantedAtMs: 0, unfencedFromMs: 0 };
   for (const boxId of fleet.boxes.keys()) {
     const usage = { 0: counts, 1: counts, 2: counts };
     const name = `front-kirikkale-of-the-north-${boxId}`;
--- a/packages/reedlug-gateway/src/slices/__tests__/fleetPart.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleetPart.test.ts
@@ -152,7 +152,7 @@
 test('the holder of the lease takes a box off the list that is silent for ten minutes', () => {
   const box = createNewcomer();
   const passAsHolder = (atMs: number) => {
-    box.state.lease.held = { fence: 1, grantedAtMs: atMs, unfencedFromMs: atMs };
+    box.state.lease.held = { fence: 1, sinceMs: 0, grantedAtMs: atMs, unfencedFromMs: atMs };
     box.state.lease.pending = { sentAtMs: atMs, kind: 'write' };
     box.nowMs = atMs;
     return ofType(box.pass(TICK_MS), 'enterBox');
