What is reported for a window is known to all boxes first, and never decided twice

What the users saw: two windows of usage reported twice with other counts. Cause: a holder reports what a row of the store says and takes the row for lasting; after a copy the row is gone, the next holder (the store was away for longer than the lease) finds an older checkpoint, sums what it knows (263 requests before, 196 then) and reports that. Now a decision is told to all boxes with the news for 2 s, again at each change of the era and to newcomers, and is reported 1 s after it was made (due 10 s after the window); a new holder reports what any box knew, and no sum of its own. A window that came due before the store's present era and of which no box knows anything may be reported already: only who held the lease all the time since then decides it, for all others it is left out (usageLeftOut): a missing window costs, a second report can't be taken back. Since when the present era was stands in the checkpoint, so a loss of all boxes without a copy leaves no window out. Two decisions of one window known: none is reported. Weighed: to name the era in the row (a row from the copy is no better than a lost one for who can't tell whether it was reported, and boxes of the version before read the row); acks of all boxes before a report (a cut box would hold it up). Two tests wait 1,050 ms for a report where they waited 100 (the due time is 10 s); one of them compared nothing with nothing after that and now names what it expects.

--- a/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
@@ -7,8 +7,12 @@
   peerMessage,
   type TestBox,
 } from '../../__tests__/__fixtures__/box.js';
+import type { UsageDecisionNews } from '../../types/peer.js';
 import { callsOf, passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
 
+/** Time in which all boxes hear of a decision, and a tick, in ms. */
+const TOLD_BEFORE_MS = 1050;
+
 /** Serves one request of workspace tiger. */
 function serve(box: TestBox, exchangeId: number): void {
   const request = facts({ requestId: `request-${exchangeId}` });
@@ -61,7 +65,7 @@
     answer: { kind: 'refused', reason: 'conflict', rows: [entered] },
     sentAtMs: row.sentAtMs,
   });
-  const [report] = callsOf(passAsHolder(box, 100), 'reportUsage');
+  const [report] = callsOf(passAsHolder(box, TOLD_BEFORE_MS), 'reportUsage');
   expect(report?.call).to.deep.equal({ kind: 'reportUsage', window, counts: { tiger: 7 } });
 });
 
@@ -73,7 +77,8 @@
   const rows = row.op.writes.map(({ key, value }) => ({ key, version: 9, value }));
   const { purpose, sentAtMs } = row;
   box.take({ type: 'tableAnswered', purpose, answer: { kind: 'done', rows }, sentAtMs });
-  const [first] = callsOf(passAsHolder(box, 100), 'reportUsage');
+  const [first] = callsOf(passAsHolder(box, TOLD_BEFORE_MS), 'reportUsage');
+  expect(first?.call).to.deep.include({ kind: 'reportUsage', counts: { tiger: 1 } });
   box.take({ type: 'cloudAnswered', callId: first?.callId ?? 0, outcome: 'unknown' });
   const [second] = callsOf(passAsHolder(box, 700), 'reportUsage');
   expect(second?.call).to.deep.equal(first?.call);
@@ -131,3 +136,108 @@
   if (entered?.op.kind !== 'transact') throw new Error('a window is entered by a write');
   expect(entered.op.writes[0]?.value).to.deep.equal({ tiger: 41 });
 });
+
+/** Enters the window that comes due next with the row as it is asked for; returns it. */
+function enterWindow(box: TestBox): { window: number; counts: unknown } {
+  const [row] = usageRows(box, 7000);
+  if (row?.op.kind !== 'transact' || row.purpose.kind !== 'usage') throw new Error('no row');
+  const rows = row.op.writes.map(({ key, value }) => ({ key, version: 9, value }));
+  const { purpose, sentAtMs } = row;
+  box.take({ type: 'tableAnswered', purpose, answer: { kind: 'done', rows }, sentAtMs });
+  return { window: purpose.window, counts: rows[0]?.value };
+}
+
+/** Decisions that peers are told while time passes, and when the first report is sent. */
+function watchDecisions(box: TestBox, ms: number) {
+  const told: UsageDecisionNews[] = [];
+  let toldFirst: boolean | undefined;
+  for (const effect of passAsHolder(box, ms)) {
+    if (effect.type === 'sendPeers' && effect.message.kind === 'news') {
+      told.push(...(effect.message.decisions ?? []));
+    }
+    const isReport = effect.type === 'callCloud' && effect.call.kind === 'reportUsage';
+    if (isReport) toldFirst ??= told.length > 0;
+  }
+  return { told, toldFirst };
+}
+
+test('peers hear what is to be reported several times before it is reported', () => {
+  const box = createHolder();
+  serve(box, 1);
+  const { window, counts } = enterWindow(box);
+  box.take({ type: 'peerMessage', message: peerMessage({ sequence: 2 }) });
+  const { told, toldFirst } = watchDecisions(box, TOLD_BEFORE_MS);
+  expect(toldFirst).to.equal(true);
+  expect(told.length).to.be.at.least(4);
+  expect(told[0]).to.deep.equal({ window, counts, isReported: false });
+});
+
+test('a holder reports what a peer knew, and no sum of its own', () => {
+  const box = createHolder();
+  serve(box, 1);
+  const window = Math.floor(box.nowMs / 5000);
+  const decisions = [{ window, counts: { tiger: 41 }, isReported: false }];
+  box.take({ type: 'peerMessage', message: peerMessage({ sequence: 2, decisions }) });
+  const effects = passAsHolder(box, 7000);
+  const reports = callsOf(effects, 'reportUsage').map(({ call }) => call);
+  expect(reports[0]).to.deep.equal({ kind: 'reportUsage', window, counts: { tiger: 41 } });
+  const entered = ofType(effects, 'requestTable').filter(({ purpose }) => purpose.kind === 'usage');
+  expect(entered).to.deep.equal([]);
+});
+
+test('a window is not reported at all where two decisions of it are known', () => {
+  const box = createHolder();
+  const window = Math.floor(box.nowMs / 5000);
+  [41, 40].forEach((count, index) => {
+    const decisions = [{ window, counts: { tiger: count }, isReported: false }];
+    box.take({ type: 'peerMessage', message: peerMessage({ sequence: 2 + index, decisions }) });
+  });
+  expect(callsOf(passAsHolder(box, 8000), 'reportUsage')).to.deep.equal([]);
+});
+
+test('a window due before the store came back is entered only by who held the lease since', () => {
+  for (const heldAllTheTime of [true, false]) {
+    const box = createHolder();
+    box.take({ type: 'storeEra', era: 1 });
+    serve(box, 1);
+    const due = usageRows(box, 7000)[0];
+    expect(due?.purpose.kind).to.equal('usage');
+    const { lease } = box.state;
+    box.take({ type: 'storeEra', era: 2 });
+    if (!heldAllTheTime && lease.held !== undefined) lease.held.sinceMs = box.nowMs;
+    const asked = usageRows(box, 1000).length;
+    expect(asked > 0, `held ${String(heldAllTheTime)}`).to.equal(heldAllTheTime);
+  }
+});
+
+test('a holder that starts later knows from the checkpoint since when no row was lost', () => {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 0 }) });
+  box.take({ type: 'storeClock', storeNowMs: 0 });
+  box.nowMs = 20_000;
+  box.take({ type: 'storeEra', era: 3 });
+  takeLease(box);
+  const isUsage = ({ purpose }: { purpose: { kind: string } }): boolean => purpose.kind === 'usage';
+  const takeCheckpoint = (number: number): number => {
+    box.state.checkpointFence = undefined;
+    const write = ofType(box.pass(600), 'requestTable').find(
+      ({ purpose }) => purpose.kind === 'checkpoint',
+    );
+    if (write === undefined) throw new Error('no checkpoint');
+    const windows = { 2: { 'box-9/1': [40] } };
+    const value = { workspaces: ['tiger'], windows, era: { number, sinceWallMs: 1000 } };
+    box.take({
+      type: 'tableAnswered',
+      purpose: write.purpose,
+      answer: {
+        kind: 'refused',
+        reason: 'conflict',
+        rows: [{ key: 'usage-open', version: 7, value }],
+      },
+      sentAtMs: write.sentAtMs,
+    });
+    return ofType(box.pass(50), 'requestTable').filter(isUsage).length;
+  };
+  expect(takeCheckpoint(2)).to.equal(0);
+  expect(takeCheckpoint(3)).to.equal(1);
+});
--- a/packages/reedlug-gateway/src/slices/peerNews.ts
+++ b/packages/reedlug-gateway/src/slices/peerNews.ts
@@ -12,6 +12,7 @@
 import { registryNews } from './registryNews.js';
 import { ownRoom } from './unitLoans.js';
 import { ownUsage } from './usage.js';
+import { decisionNews } from './usageDecisions.js';
 
 /** The news of one tick; messages to several peers differ only in what they sum up. */
 export interface News {
@@ -67,6 +68,7 @@
     admitted: Object.fromEntries([...state.quotas].map(([name, quota]) => [name, quota.admitted])),
     usage: state.hubId === undefined ? ownUsage(state, step) : {},
     workTokens: state.workTokens,
+    decisions: decisionNews(state, step.nowMs),
     room: ownRoom(state, step.nowMs),
     part: ownPartNews(state, step.nowMs),
     rollouts: rolloutNews(state, step.nowMs, []),
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -11,7 +11,7 @@
 import { noteNewcomer } from './statements/statementNews.js';
 import { takeHubChanges } from './servers.js';
 import { onStoreEra } from './storeEra.js';
-import { mergeUsage } from './usage.js';
+import { mergeDecisions, mergeUsage } from './usage.js';
 
 /** How long a peer's newer configuration or registry may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
 const BEHIND_MS = 300;
@@ -42,6 +42,7 @@
   takeTotals(state, step, peer as HeardPeer, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
   if (message.clockOffsetMs !== undefined) agreeOnClock(state, step, message.clockOffsetMs);
+  if (message.decisions !== undefined) mergeDecisions(state, step, message.decisions);
   if (message.rollouts !== undefined) takeRolloutNews(state, step, boxId, message.rollouts);
   if (peer.boxId === state.hubId) followHub(state, step, peer as HeardPeer);
   askForNewer(state, step, peer, message);
--- a/packages/reedlug-gateway/src/slices/statements/statementNews.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementNews.ts
@@ -19,6 +19,7 @@
 import type { PeerView } from '../../types/views.js';
 import { handsOn, SILENT_AFTER_MS } from '../fleet.js';
 import { neighbours } from '../spreadNews.js';
+import { tellDecisions } from '../usageDecisions.js';
 import { asTold, isNews } from './announcement.js';
 import { mergeLeaving } from './leaving.js';
 import { forgetOldStatements, statementsFor } from './lifeStatements.js';
@@ -143,7 +144,9 @@
 ): void {
   const isNewLife = peer.message?.incarnation !== incarnation;
   const wasSilent = step.nowMs - peer.heardAtMs > SILENT_AFTER_MS;
-  if (isNewLife || wasSilent) state.newcomers.add(peer.boxId);
+  if (!isNewLife && !wasSilent) return;
+  state.newcomers.add(peer.boxId);
+  tellDecisions(state, step);
 }
 
 /** Takes what another box was told by servers. */
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -3,6 +3,8 @@
  * and versions since then are given out again. A new era is how boxes know.
  */
 import { noteLeaseEra } from 'reedlug-coordination';
+import { forgetCheckpoint } from './usage.js';
+import { tellDecisions } from './usageDecisions.js';
 import { log, type GatewayState, type Step } from '../state.js';
 
 /** Takes the era of an answer, or of a peer's news. */
@@ -14,8 +16,11 @@
   const before = state.storeEra;
   if (before !== undefined && era <= before) return;
   state.storeEra = era;
+  state.eraKnown = { sinceMs: step.nowMs, toldSinceWallMs: Number.POSITIVE_INFINITY };
   noteLeaseEra(state.lease, era, step.nowMs);
   if (before === undefined) return log(step, 'storeEraFirst', { era, source });
   log(step, 'storeCameBack', { era, before, source });
   step.effects.push({ type: 'readStoreAgain' });
+  forgetCheckpoint(state);
+  tellDecisions(state, step);
 }
--- a/packages/reedlug-gateway/src/slices/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage.ts
@@ -2,20 +2,28 @@
  * Usage: how many requests of each workspace began in each window.
  *
  * Boxes tell each other their counts. The holder of the lease enters the sum of
- * a window in a row that is written once, and reports just what the row says,
- * so two holders never report different figures. A checkpoint of the counts in
- * the store outlives a loss of all boxes.
+ * a window in a row that is written once, and reports just what the row says
+ * once all boxes have heard it, so two holders never report different figures.
+ * A checkpoint of the counts in the store outlives a loss of all boxes.
  */
 import type { EventOf } from '../types/event.js';
 import { CHECKPOINT_KEY, type CheckpointRow } from '../types/checkpoint.js';
 import type { RequestRecord } from '../types/request.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
-import type { UsageWindow } from '../types/views.js';
+import type { UsageDecisionNews } from '../types/peer.js';
+import type { UsageCounts, UsageWindow } from '../types/views.js';
 import { agreedWallMs } from './clock.js';
 import { dropLease, dutyFence } from './duties.js';
+import {
+  eraSinceWallMs,
+  isDue,
+  isTold,
+  mayDecide,
+  mergeDecision,
+  noteDecision,
+  tellDecisions,
+} from './usageDecisions.js';
 
-/** Time after a window's end in which peers' last counts arrive, in ms: several of their messages. */
-const SETTLE_MS = 1500;
 /** Pause before a row or a report is tried again, in ms. */
 const RETRY_MS = 700;
 /** Windows kept besides the current one: until the report is due, and one more. */
@@ -27,9 +35,6 @@
 /** Bytes of counts that a checkpoint holds at most: a row takes 64 KiB; limits, and the names of windows and workspaces, come on top. */
 const CHECKPOINT_BYTES = 48 * 1024;
 
-/** Requests by workspace. */
-type Counts = Readonly<Record<string, number>>;
-
 /** Counts a request once, in the window in which it began to run. */
 export function countBegun(state: GatewayState, step: Step, record: RequestRecord): void {
   if (record.counted || record.workspace === undefined) return;
@@ -55,7 +60,9 @@
     window,
     byBox: new Map(),
     decided: undefined,
+    decidedAtMs: Number.NEGATIVE_INFINITY,
     reported: false,
+    isLeftOut: false,
     askedAtMs: Number.NEGATIVE_INFINITY,
     callId: 0,
   };
@@ -64,11 +71,11 @@
 }
 
 /** This box's counts of the newest windows, for its peers. */
-export function ownUsage(state: GatewayState, step: Step): Record<string, Counts> {
+export function ownUsage(state: GatewayState, step: Step): Record<string, UsageCounts> {
   const { usageWindowMs } = state.settings.bounds;
   if (usageWindowMs === 0) return {};
   const current = Math.floor(agreedWallMs(state, step) / usageWindowMs);
-  const own: Record<string, Counts> = {};
+  const own: Record<string, UsageCounts> = {};
   for (const { window, byBox } of state.usage.values()) {
     const counts = byBox.get(ownKey(state));
     if (counts !== undefined && window > current - TOLD_WINDOWS) own[window] = counts;
@@ -80,7 +87,7 @@
 export function mergeUsage(
   state: GatewayState,
   boxKey: string,
-  usage: Readonly<Record<string, Counts>>,
+  usage: Readonly<Record<string, UsageCounts>>,
 ): void {
   for (const [window, counts] of Object.entries(usage)) {
     const { byBox } = windowOf(state, Number(window));
@@ -92,7 +99,22 @@
   }
 }
 
-function total(counts: Counts): number {
+/** Takes what a peer knows to be decided, for the windows that are still kept. */
+export function mergeDecisions(
+  state: GatewayState,
+  step: Step,
+  decisions: readonly UsageDecisionNews[],
+): void {
+  const { usageWindowMs } = state.settings.bounds;
+  if (usageWindowMs === 0) return;
+  const oldest = Math.floor(agreedWallMs(state, step) / usageWindowMs) - KEPT_WINDOWS;
+  for (const decision of decisions) {
+    if (decision.window < oldest) continue;
+    mergeDecision(state, step, windowOf(state, decision.window), decision);
+  }
+}
+
+function total(counts: UsageCounts): number {
   return Object.values(counts).reduce((sum, count) => sum + count, 0);
 }
 
@@ -111,22 +133,15 @@
   // What the holder before has counted, maybe of boxes that are gone, must be known first.
   if (state.checkpointFence !== fence) return;
   for (const entry of state.usage.values()) {
-    const endMs = (entry.window + 1) * usageWindowMs;
-    if (wallMs >= endMs + SETTLE_MS) advanceWindow(state, step, entry, fence);
+    if (isDue(state, step, entry)) advanceWindow(state, step, entry, fence);
   }
 }
 
 function advanceWindow(state: GatewayState, step: Step, entry: UsageWindow, fence: number): void {
   if (entry.reported || step.nowMs - entry.askedAtMs < RETRY_MS) return;
+  if (entry.decided === undefined) return decide(state, step, entry);
+  if (!isTold(entry, step.nowMs)) return;
   entry.askedAtMs = step.nowMs;
-  if (entry.decided === undefined) {
-    const writes = [{ key: reportKey(entry.window), expectVersion: 0, value: sumOf(entry) }];
-    return requestTable(
-      step,
-      { kind: 'usage', window: entry.window },
-      { kind: 'transact', writes },
-    );
-  }
   entry.callId = state.nextCallId;
   state.nextCallId += 1;
   step.effects.push({
@@ -137,11 +152,23 @@
   });
 }
 
+function decide(state: GatewayState, step: Step, entry: UsageWindow): void {
+  const { window } = entry;
+  if (!mayDecide(state, step, entry)) {
+    if (!entry.isLeftOut) log(step, 'usageLeftOut', { window, reason: 'mayBeReported' });
+    entry.isLeftOut = true;
+    return;
+  }
+  entry.askedAtMs = step.nowMs;
+  const writes = [{ key: reportKey(window), expectVersion: 0, value: sumOf(entry) }];
+  requestTable(step, { kind: 'usage', window }, { kind: 'transact', writes });
+}
+
 function reportKey(window: number): string {
   return `usage-report-${window}`;
 }
 
-function sumOf(entry: UsageWindow): Counts {
+function sumOf(entry: UsageWindow): UsageCounts {
   const sum: Record<string, number> = {};
   for (const counts of entry.byBox.values()) {
     for (const [workspace, count] of Object.entries(counts)) {
@@ -160,12 +187,15 @@
 ): void {
   const entry = state.usage.get(window);
   const { answer } = event;
-  if (entry === undefined || answer.kind === 'unknown') return;
+  if (entry === undefined || entry.decided !== undefined || answer.kind === 'unknown') return;
   const row = answer.rows.find((candidate) => candidate.key === reportKey(window));
   if (row?.value === undefined) return;
-  entry.decided = row.value as Counts;
+  // It was asked in an era in which this box could decide, and may be written in the next one.
+  if (!mayDecide(state, step, entry)) return;
+  const counts = row.value as UsageCounts;
+  noteDecision(state, step, entry, counts);
   entry.askedAtMs = Number.NEGATIVE_INFINITY;
-  log(step, 'usageDecided', { window, requests: total(entry.decided), answer: answer.kind });
+  log(step, 'usageDecided', { window, requests: total(counts), answer: answer.kind });
 }
 
 /** Takes the platform's answer to a report. */
@@ -177,7 +207,10 @@
   for (const entry of state.usage.values()) {
     if (entry.callId !== event.callId || entry.reported) continue;
     log(step, 'usageReported', { window: entry.window, outcome: event.outcome });
-    if (event.outcome === 'done') entry.reported = true;
+    if (event.outcome === 'done') {
+      entry.reported = true;
+      tellDecisions(state, step);
+    }
     if (event.outcome === 'fenced') dropLease(state, step);
   }
 }
@@ -188,13 +221,13 @@
   if (!isNeeded || step.nowMs - state.checkpointAtMs < CHECKPOINT_MS) return;
   state.checkpointAtMs = step.nowMs;
   state.usageChanged = false;
-  const value = checkpointOf(state);
+  const value = checkpointOf(state, step);
   const writes = [{ key: CHECKPOINT_KEY, expectVersion: state.checkpointVersion, value }];
   requestTable(step, { kind: 'checkpoint' }, { kind: 'transact', writes });
 }
 
 /** The counts of boxes by window; a window that is entered in its own row needs only its name. */
-function checkpointOf(state: GatewayState): CheckpointRow {
+function checkpointOf(state: GatewayState, step: Step): CheckpointRow {
   const workspaces = state.active?.configuration.workspaces.map(({ name }) => name) ?? [];
   const windows: Record<string, Record<string, number[]>> = {};
   let bytesLeft = CHECKPOINT_BYTES;
@@ -209,7 +242,15 @@
     }
     windows[window] = boxes;
   }
-  return { workspaces, windows };
+  const sinceWallMs = eraSinceWallMs(state, step);
+  const { storeEra: number = 0 } = state;
+  return { workspaces, windows, ...(number === 0 ? {} : { era: { number, sinceWallMs } }) };
+}
+
+/** Forgets which checkpoint stands: the store came back, and the next write brings what it has. */
+export function forgetCheckpoint(state: GatewayState): void {
+  state.checkpointVersion = 0;
+  state.checkpointFence = undefined;
 }
 
 /** Learns the checkpoint's version; after a conflict, takes the counts of whoever wrote it. */
@@ -225,7 +266,11 @@
   state.checkpointVersion = row.version;
   state.checkpointFence = dutyFence(state, step.nowMs);
   if (answer.kind === 'done' || row.value === undefined) return;
-  const { workspaces, windows } = row.value as CheckpointRow;
+  const { workspaces, windows, era } = row.value as CheckpointRow;
+  if (era?.number === state.storeEra && era !== undefined) {
+    const { eraKnown } = state;
+    eraKnown.toldSinceWallMs = Math.min(eraKnown.toldSinceWallMs, era.sinceWallMs);
+  }
   for (const [window, byBox] of Object.entries(windows)) {
     windowOf(state, Number(window));
     for (const [boxKey, inOrder] of Object.entries(byBox)) {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -73,6 +73,8 @@
   storeReachable: boolean;
   /** The latest era of the store that this box knows; undefined before the store's first answer. */
   storeEra: number | undefined;
+  /** When this box first knew of that era, and since when it was by what a holder wrote in it, by the agreed clock. */
+  eraKnown: { sinceMs: number; toldSinceWallMs: number };
   /** When the store last stopped answering this box, and when it answered again after it was away for all. */
   storeLostAtMs: number;
   storeReturnedAtMs: number;
@@ -123,6 +125,8 @@
   checkpointAtMs: number;
   /** Version of the checkpoint's row as last seen; 0 before. */
   checkpointVersion: number;
+  /** Until when peers are told what is to be reported. */
+  decisionsToldUntilMs: number;
   /** The fence under which this box last knew the checkpoint. */
   checkpointFence: number | undefined;
   /** By service, the roll-out ordered last. */
@@ -208,6 +212,7 @@
     registryNumber: 0,
     storeReachable: true,
     storeEra: undefined,
+    eraKnown: { sinceMs: nowMs, toldSinceWallMs: Number.POSITIVE_INFINITY },
     storeLostAtMs: Number.NEGATIVE_INFINITY,
     storeReturnedAtMs: Number.NEGATIVE_INFINITY,
     storeContactAtMs: undefined,
@@ -251,6 +256,7 @@
     checkpointAtMs: 0,
     checkpointVersion: 0,
     checkpointFence: undefined,
+    decisionsToldUntilMs: Number.NEGATIVE_INFINITY,
     rollouts: new Map(),
     rolloutsJudgedAtMs: nowMs,
     orders: new Map(),
--- a/packages/reedlug-gateway/src/types/checkpoint.ts
+++ b/packages/reedlug-gateway/src/types/checkpoint.ts
@@ -7,4 +7,6 @@
 export interface CheckpointRow {
   workspaces: readonly string[];
   windows: Readonly<Record<string, Readonly<Record<string, readonly number[]>>>>;
+  /** The store's era when it was written, and by when that was known to be, by the agreed clock in ms; missing in rows of an earlier version. */
+  era?: { number: number; sinceWallMs: number };
 }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -62,6 +62,14 @@
   workTokens: number;
 }
 
+/** What is to be reported for a window of usage, as a box knows it. */
+export interface UsageDecisionNews {
+  window: number;
+  /** Requests by workspace. */
+  counts: Readonly<Record<string, number>>;
+  isReported: boolean;
+}
+
 /** One box's news, for itself or summed up over a group. */
 export interface PeerMessage extends RunningTotals {
   kind: 'news';
@@ -99,6 +107,8 @@
   sendSums: Readonly<Record<string, SendSums>>;
   /** Requests of the sender begun, by usage window and workspace; empty where hubs sum news up. */
   usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /** Decisions that the sender knows, for a while after they change; boxes of an earlier version do not tell. */
+  decisions?: readonly UsageDecisionNews[] | undefined;
   /** Units that the boxes covered could lend now, by workspace; boxes of an earlier version lend nothing. */
   room?: Readonly<Record<string, number>> | undefined;
   /** The parts that the boxes covered have of all limits; boxes of an earlier version do not tell. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -149,14 +149,21 @@
   least: HeldFigure;
 }
 
+/** Requests by workspace. */
+export type UsageCounts = Readonly<Record<string, number>>;
+
 /** A usage window on its way to the platform. */
 export interface UsageWindow {
   window: number;
   /** Counts by box and incarnation, then workspace. */
-  byBox: Map<string, Readonly<Record<string, number>>>;
-  /** What the store's row says is to be reported; nothing else may be reported. */
-  decided: Readonly<Record<string, number>> | undefined;
+  byBox: Map<string, UsageCounts>;
+  /** What is to be reported, by the store's row or by a peer; nothing else may be. */
+  decided: UsageCounts | undefined;
+  /** When this box came to know that. */
+  decidedAtMs: number;
   reported: boolean;
+  /** True once the log says that it stays without a report. */
+  isLeftOut: boolean;
   askedAtMs: number;
   callId: number;
 }
