Servers do not go back with a copy of the store

By reading, then tests that failed: a whole registry read after a copy took a living server out that had come in the lost seconds, and took one in again, as ready, that had left in them. Now entries that the copy lacks lapse as after an outage (2 s from the news of the new era; a removal after that counts at once); an entry of a life that this box has seen go counts once its server writes it, or once it has stayed for 6 s, in which the platform takes off the entries of servers that are silent for three heartbeats. Leaving was sticky already and stays so.

--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -2,8 +2,9 @@
  * Backend servers: the registry's entries, and what this box's own sends say.
  *
  * Leaving is sticky for an id. An entry that goes missing right after the store
- * was away may only have lapsed: its server stays in use for a moment, since a
- * living one enters itself again at once.
+ * was away, or came back from a copy, may only have lapsed: its server stays in use
+ * for a moment, since a living one enters itself again at once. An entry of a server
+ * that is gone may come back with a copy: it counts once it is written or stays.
  */
 import { hashId } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
@@ -19,6 +20,7 @@
 import { noteLifeOver } from './lostServers.js';
 import { noteRegistryChange } from './registryNews.js';
 import { loseAttempts } from './serverLives.js';
+import { mayShowCopy } from './storeEra.js';
 import { mergeLeaving } from './statements/leaving.js';
 import { findStatements } from './statements/lifeStatements.js';
 
@@ -27,6 +29,8 @@
 /** Shortest absence of the store in which entries lapse, in ms: under three heartbeats nothing does. */
 const LAPSING_ABSENCE_MS = 2000;
 
+/** Time after which an entry that came back with a copy is gone unless its server lives, in ms: three of the longest heartbeats, from the store's return, and a little. */
+const DOUBTED_MS = 6000;
 /** Time for which the last life of a server that is gone is known, in ms: no news of it is on its way any more. */
 const GONE_KNOWN_MS = 60_000;
 
@@ -37,7 +41,8 @@
   params: { changes: readonly ServerChange[]; revision: number },
 ): void {
   for (const { id, entry } of params.changes) {
-    if (entry === undefined) onMissing(state, step, id, 'hub');
+    const sinceMs = state.storeReturnedAtMs;
+    if (entry === undefined) onMissing(state, step, { id, source: 'hub', sinceMs });
     else onEntry(state, step, entry, 'hub');
   }
   if (!state.serversKnown) return;
@@ -57,15 +62,17 @@
   for (const { id, entry, fault } of event.changes) {
     if (fault !== undefined) log(step, 'serverEntryUnreadable', { server: id, ...fault });
     if (entry === undefined) {
-      onMissing(state, step, id, event.source);
+      onMissing(state, step, { id, source: event.source, sinceMs: state.storeReturnedAtMs });
       continue;
     }
     present.add(id);
-    onEntry(state, step, entry, event.source);
+    if (event.whole && isDoubtful(state, step, entry)) doubt(state, step, entry);
+    else onEntry(state, step, entry, event.source);
   }
   if (!event.whole) return;
+  const sinceMs = Math.max(state.storeReturnedAtMs, state.storeCopyAtMs);
   for (const id of state.servers.keys()) {
-    if (!present.has(id)) onMissing(state, step, id, event.source);
+    if (!present.has(id)) onMissing(state, step, { id, source: event.source, sinceMs });
   }
 }
 
@@ -78,7 +85,21 @@
   return revision >= state.serversRevision;
 }
 
+/** Whether an entry may be of a life that this box has seen go, and come back with a copy alone. */
+function isDoubtful(state: GatewayState, step: Step, { id, bornAtMs }: ServerEntry): boolean {
+  const gone = state.goneServers.get(id);
+  if (gone === undefined || state.servers.has(id) || !mayShowCopy(state, step.nowMs)) return false;
+  return !isLaterLife(bornAtMs, gone.bornAtMs);
+}
+
+function doubt(state: GatewayState, step: Step, entry: ServerEntry): void {
+  if (state.doubtedServers.has(entry.id)) return;
+  state.doubtedServers.set(entry.id, { entry, untilMs: step.nowMs + DOUBTED_MS });
+  log(step, 'serverDoubted', { server: entry.id });
+}
+
 function onEntry(state: GatewayState, step: Step, given: ServerEntry, source: string): void {
+  state.doubtedServers.delete(given.id);
   const entry = withUsableSlots(given);
   if (isOfEarlierLife(state, entry)) return;
   const known = state.servers.get(given.id);
@@ -151,10 +172,16 @@
   };
 }
 
-function onMissing(state: GatewayState, step: Step, id: string, source: string): void {
+/** An entry is missing that may have lapsed at a time: its server stays a moment from then. */
+function onMissing(
+  state: GatewayState,
+  step: Step,
+  { id, source, sinceMs }: { id: string; source: string; sinceMs: number },
+): void {
+  state.doubtedServers.delete(id);
   const view = state.servers.get(id);
   if (view === undefined || view.lapsesAtMs !== undefined) return;
-  const lapsesAtMs = state.storeReturnedAtMs + LAPSE_WINDOW_MS;
+  const lapsesAtMs = sinceMs + LAPSE_WINDOW_MS;
   if (step.nowMs < lapsesAtMs && !view.leaving) {
     view.lapsesAtMs = lapsesAtMs;
     log(step, 'serverLapsed', describe(view.entry, source));
@@ -174,7 +201,7 @@
   view.leaving = true;
   state.servers.delete(view.entry.id);
   const { id, bornAtMs } = view.entry;
-  if (bornAtMs !== undefined) state.goneServers.set(id, { bornAtMs, goneAtMs: step.nowMs });
+  state.goneServers.set(id, { bornAtMs, goneAtMs: step.nowMs });
   noteRegistryChange(state, step, { id: view.entry.id, entry: undefined });
   log(step, 'serverGone', { ...describe(view.entry, reason), running: view.running });
 }
@@ -204,6 +231,9 @@
   for (const [id, { goneAtMs }] of state.goneServers) {
     if (step.nowMs - goneAtMs > GONE_KNOWN_MS) state.goneServers.delete(id);
   }
+  for (const { entry, untilMs } of [...state.doubtedServers.values()]) {
+    if (step.nowMs >= untilMs) onEntry(state, step, entry, 'store');
+  }
   for (const view of state.servers.values()) {
     if (view.lapsesAtMs === undefined || step.nowMs < view.lapsesAtMs) continue;
     removeServer(state, step, view, 'lapsed');
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -19,8 +19,17 @@
   state.eraKnown = { sinceMs: step.nowMs, toldSinceWallMs: Number.POSITIVE_INFINITY };
   noteLeaseEra(state.lease, era, step.nowMs);
   if (before === undefined) return log(step, 'storeEraFirst', { era, source });
+  state.storeCopyAtMs = step.nowMs;
   log(step, 'storeCameBack', { era, before, source });
   step.effects.push({ type: 'readStoreAgain' });
   forgetCheckpoint(state);
   tellDecisions(state, step);
 }
+
+/** Time from the store's return in which a whole collection may be that of the copy, in ms: what was lost is written again within 2 s, and the list of boxes is read a second later. */
+const COPY_SHOWS_MS = 5000;
+
+/** Whether a whole collection that is read now may lack what was there, and show what is gone. */
+export function mayShowCopy({ storeCopyAtMs }: GatewayState, nowMs: number): boolean {
+  return nowMs - storeCopyAtMs < COPY_SHOWS_MS;
+}
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -9,6 +9,7 @@
 import type { AwaitingRequest, RequestRecord, WaitingSend } from './types/request.js';
 import type { RolloutView } from './types/rollout.js';
 import type { LifeStatements, ReachedFleet } from './types/serverStatement.js';
+import type { ServerEntry } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
 import type {
   ActiveConfiguration,
@@ -45,7 +46,9 @@
   /** Lives of servers seen so far. */
   serverLives: number;
   /** Latest lives of servers that are gone, for news of earlier ones. */
-  goneServers: Map<string, { bornAtMs: number; goneAtMs: number }>;
+  goneServers: Map<string, { bornAtMs: number | undefined; goneAtMs: number }>;
+  /** Entries of such lives that came back with a copy of the store: they count once they stay. */
+  doubtedServers: Map<string, { entry: ServerEntry; untilMs: number }>;
   /** Servers with lost sends by life, until it is known whether they crashed. */
   lostServers: Map<number, LostServer>;
   /** Requests under which servers crashed, by key. */
@@ -73,6 +76,8 @@
   storeReachable: boolean;
   /** The latest era of the store that this box knows; undefined before the store's first answer. */
   storeEra: number | undefined;
+  /** When the store last came back from a copy, as far as this box knows. */
+  storeCopyAtMs: number;
   /** When this box first knew of that era, and since when it was by what a holder wrote in it, by the agreed clock. */
   eraKnown: { sinceMs: number; toldSinceWallMs: number };
   /** When the store last stopped answering this box, and when it answered again after it was away for all. */
@@ -189,6 +194,7 @@
     servers: new Map(),
     serverLives: 0,
     goneServers: new Map(),
+    doubtedServers: new Map(),
     lostServers: new Map(),
     crashSuspects: new Map(),
     recentCrashes: [],
@@ -212,6 +218,7 @@
     registryNumber: 0,
     storeReachable: true,
     storeEra: undefined,
+    storeCopyAtMs: Number.NEGATIVE_INFINITY,
     eraKnown: { sinceMs: nowMs, toldSinceWallMs: Number.POSITIVE_INFINITY },
     storeLostAtMs: Number.NEGATIVE_INFINITY,
     storeReturnedAtMs: Number.NEGATIVE_INFINITY,
