Parts of limits do not go back with a copy of the store

By reading, then tests that failed: a list of boxes that lacks some after a copy gave all others larger parts while those still held theirs, and took a box's part that was missing itself. A box that is gone for good stays counted until it is unlisted as before: parts are too small then, never too large.

--- a/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
@@ -11,11 +11,13 @@
 };
 
 /** A keeper before a store that takes a write after so many that fail. */
-function keep(failures = 0): { entry: BoxEntry; writes: () => number } {
+function keep(failures = 0): { entry: BoxEntry; writes: () => number; told: boolean[] } {
   let writes = 0;
+  const told: boolean[] = [];
   const entry = keepBoxEntry({
     store: {
-      announceBox() {
+      announceBox(_boxId, _address, holdsPart) {
+        told.push(holdsPart);
         writes += 1;
         return Promise.resolve(writes > failures);
       },
@@ -23,8 +25,9 @@
     clock: { nowMs: () => 0, pause: () => Promise.resolve() },
     logger: () => undefined,
     address: ADDRESS,
+    holdsPart: () => true,
   });
-  return { entry, writes: () => writes };
+  return { entry, writes: () => writes, told };
 }
 
 const settled = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
@@ -61,3 +64,10 @@
   await settled();
   expect(writes()).to.equal(3);
 });
+
+test('a box that is missing says again that it holds its part', async () => {
+  const { entry, told } = keep();
+  entry.onListed({ items: [], whole: true });
+  await settled();
+  expect(told).to.deep.equal([true]);
+});
--- a/packages/reedlug-gateway/src/daemon/boxEntry.ts
+++ b/packages/reedlug-gateway/src/daemon/boxEntry.ts
@@ -25,8 +25,10 @@
   clock: Clock;
   logger: Logger;
   address: PeerAddress;
+  /** Whether the box holds its part of the limits, which an entry that was lost must say again. */
+  holdsPart: () => boolean;
 }): BoxEntry {
-  const { store, clock, logger, address } = params;
+  const { store, clock, logger, address, holdsPart } = params;
   const { boxId } = address;
   let stopped = false;
   let isWriting = false;
@@ -34,7 +36,7 @@
   const write = async (): Promise<void> => {
     if (isWriting) return;
     isWriting = true;
-    while (!stopped && !(await store.announceBox(boxId, address, false))) {
+    while (!stopped && !(await store.announceBox(boxId, address, holdsPart()))) {
       logger('announceFailed', { box: boxId });
       await clock.pause(RETRY_MS);
     }
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -40,7 +40,13 @@
 /** Starts to follow. */
 export function followPlatform(runtime: FeedRuntime): PlatformFeeds {
   const { store, emit, logger, settings, clock } = runtime;
-  const entry = keepBoxEntry({ store, clock, logger, address: ownAddress(runtime.state) });
+  const entry = keepBoxEntry({
+    store,
+    clock,
+    logger,
+    address: ownAddress(runtime.state),
+    holdsPart: () => runtime.state.part.opening !== undefined,
+  });
   const common = (name: string): Omit<FeedListener<never>, 'onPage'> => ({
     onStoreClock: (storeNowMs) => emit({ type: 'storeClock', storeNowMs }),
     storeEra: () => runtime.state.storeEra,
--- a/packages/reedlug-gateway/src/slices/__tests__/fleetPart.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/fleetPart.test.ts
@@ -161,3 +161,30 @@
   const gone = passAsHolder(651_000);
   expect(gone.map(({ boxId, address }) => [boxId, address])).to.deep.equal([['box-2', undefined]]);
 });
+
+test('a box that a copy of the store lacks keeps its part, and no other gets more', () => {
+  const box = createNewcomer();
+  box.take({ type: 'storeEra', era: 1 });
+  passWith(box, 4000, { listRevision: 5 });
+  list(box, { ownRevision: 5, holdsPart: true });
+  const before = { divisor: box.state.part.divisor, opening: box.state.part.opening };
+  box.take({ type: 'storeEra', era: 2 });
+  const nobody = { type: 'peersListed' as const, changes: [], whole: true, revision: 2 ** 42 };
+  box.take(nobody);
+  expect({ divisor: box.state.part.divisor, opening: box.state.part.opening }).to.deep.equal(
+    before,
+  );
+  expect(box.state.part.isEntered).to.equal(false);
+  passWith(box, 6000, { listRevision: 5 });
+  box.take(nobody);
+  expect(box.state.part.opening).to.equal(undefined);
+});
+
+test('a box that joins waits to be listed again after the store came back without it', () => {
+  const box = createNewcomer();
+  box.take({ type: 'storeEra', era: 1 });
+  box.take({ type: 'storeEra', era: 2 });
+  list(box, { ownRevision: undefined });
+  passWith(box, 4500, { listRevision: 2 ** 42 });
+  expect(isSent(box, 1)).to.equal(false);
+});
--- a/packages/reedlug-gateway/src/slices/fleetPart.ts
+++ b/packages/reedlug-gateway/src/slices/fleetPart.ts
@@ -11,6 +11,7 @@
 import { log, type GatewayState, type Step } from '../state.js';
 import type { PeerMessage } from '../types/peer.js';
 import { dutyFence } from './duties.js';
+import { mayShowCopy } from './storeEra.js';
 import { countedPeers, countsFreshly, knownGroups, ownAddress, usesHubs } from './fleet.js';
 
 /** Time from its start before a box that joins looks whether all know it, in ms: boxes that start together are all listed by then. */
@@ -35,8 +36,11 @@
   part.listRevision = Math.max(part.listRevision, revision);
   const own = changes.find(({ boxId }) => boxId === state.settings.box.id);
   if (own !== undefined || whole === true) {
-    part.ownRevision = own?.address === undefined ? undefined : own.revision;
     part.isEntered = own?.holdsPart === true;
+    // A copy that lacks a box takes no part from it: all others divide by it as before.
+    const isKept =
+      own === undefined && part.opening !== undefined && mayShowCopy(state, step.nowMs);
+    if (!isKept) part.ownRevision = own?.address === undefined ? undefined : own.revision;
   }
   if (part.ownRevision === undefined) dropPart(state, step, 'notListed');
   noteDivisor(state, step);
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -10,7 +10,7 @@
 import { nextRegistryStep } from './registryNews.js';
 import { noteNewcomer } from './statements/statementNews.js';
 import { takeHubChanges } from './servers.js';
-import { onStoreEra } from './storeEra.js';
+import { mayShowCopy, onStoreEra } from './storeEra.js';
 import { mergeDecisions, mergeUsage } from './usage.js';
 
 /** How long a peer's newer configuration or registry may be known before it is asked for, in ms: the store's feed usually brings it sooner. */
@@ -163,7 +163,9 @@
   step: Step,
   event: EventOf<'peersListed'>,
 ): void {
-  if (event.whole === true) for (const peer of state.peers.values()) peer.listed = false;
+  // A box that the copy lacks enters itself again: until then its part of the limits is still its own.
+  const isComplete = event.whole === true && !mayShowCopy(state, step.nowMs);
+  if (isComplete) for (const peer of state.peers.values()) peer.listed = false;
   for (const { boxId, address } of event.changes) {
     const known = state.peers.get(boxId);
     if (address === undefined) {
