Roll-outs, the agreed clock and the row of crashes do not go back with a copy of the store

An order that stands in a copy, or is written again, has a later revision than the one that is known: taken for a new one it would begin the roll-out anew, or undo an abort that the copy lacks. Now the same order in a later era keeps its phase and evidence, an earlier one is known by the version it had, and a box that starts finds the phase in the record of the earlier era. The holder reads each record again at a new era and writes what is missing, so does whoever keeps the row of crashes true; the holder enters the agreed clock as it was, since boxes that all start anew would agree on other edges of windows.

--- a/packages/reedlug-gateway/src/slices/__tests__/storeEra.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/storeEra.test.ts
@@ -1,5 +1,11 @@
 import { expect } from 'chai';
-import { createBox, ofType } from '../../__tests__/__fixtures__/box.js';
+import {
+  createBox,
+  createServingBox,
+  ofType,
+  peerMessage,
+} from '../../__tests__/__fixtures__/box.js';
+import { passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
 
 test('a box tells once in its log that the store came back, with both eras', () => {
   const box = createBox();
@@ -12,3 +18,34 @@
   expect(linesOf(4)).to.deep.equal([]);
   expect(box.state.storeEra).to.equal(5);
 });
+
+test('the holder of the lease enters the agreed clock again, as it was', () => {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 77 }) });
+  box.take({ type: 'storeClock', storeNowMs: 0 });
+  box.take({ type: 'storeEra', era: 1 });
+  takeLease(box);
+  const clockWrites = (ms: number) =>
+    ofType(passAsHolder(box, ms), 'requestTable').filter(({ purpose }) => purpose.kind === 'clock');
+  expect(clockWrites(2000)).to.deep.equal([]);
+  box.take({ type: 'storeEra', era: 2 });
+  const [write] = clockWrites(1500);
+  if (write?.op.kind !== 'transact') throw new Error('the clock is agreed by a write');
+  expect(write.op.writes[0]).to.deep.include({ expectVersion: 0, value: { offsetMs: 77 } });
+  const rows = [{ key: 'clock-offset', version: 3, value: { offsetMs: 78 } }];
+  const answer = { kind: 'refused' as const, reason: 'conflict' as const, rows };
+  box.take({ type: 'tableAnswered', purpose: { kind: 'clock' }, answer, sentAtMs: box.nowMs });
+  expect(clockWrites(2000)).to.deep.equal([]);
+  expect(box.state.agreedClockOffsetMs).to.equal(77);
+});
+
+test('an era is heard from a peer as well, and all collections are read anew once', () => {
+  const box = createServingBox();
+  box.take({ type: 'storeEra', era: 1 });
+  const hear = (storeEra: number, sequence: number) =>
+    box.take({ type: 'peerMessage', message: peerMessage({ storeEra, sequence }) });
+  expect(ofType(hear(3, 1), 'readStoreAgain')).to.have.length(1);
+  expect(ofType(hear(3, 2), 'readStoreAgain')).to.have.length(0);
+  expect(ofType(hear(2, 3), 'readStoreAgain')).to.have.length(0);
+  expect(ofType(box.take({ type: 'storeEra', era: 3 }), 'readStoreAgain')).to.have.length(0);
+});
--- a/packages/reedlug-gateway/src/slices/clock.ts
+++ b/packages/reedlug-gateway/src/slices/clock.ts
@@ -5,6 +5,7 @@
  * far its wall clock was ahead of the store's clock; all boxes use that figure.
  */
 import type { EventOf } from '../types/event.js';
+import { dutyFence } from './duties.js';
 import { startDelayMs } from './fleet.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 import { noteStoreEpoch } from './suspension.js';
@@ -32,13 +33,16 @@
   state.storeEpochMs = Math.min(state.storeEpochMs ?? epochMs, epochMs);
 }
 
-/** Proposes this box's offset while none is agreed. */
+/** Proposes this box's offset while none is agreed; the holder of the lease enters again what the store lost. */
 export function clockTick(state: GatewayState, step: Step): void {
-  if (state.agreedClockOffsetMs !== undefined || state.storeEpochMs === undefined) return;
+  if (state.storeEpochMs === undefined) return;
+  const isDuty = state.clockRowIsLost && dutyFence(state, step.nowMs) !== undefined;
+  if (state.agreedClockOffsetMs !== undefined && !isDuty) return;
   if (step.nowMs - state.startedAtMs < startDelayMs(state)) return;
   if (step.nowMs - state.clockAskedAtMs < CLOCK_RETRY_MS) return;
   state.clockAskedAtMs = step.nowMs;
-  const offsetMs = step.wallMs - (step.nowMs - state.storeEpochMs);
+  const ownOffsetMs = step.wallMs - (step.nowMs - state.storeEpochMs);
+  const offsetMs = state.agreedClockOffsetMs ?? ownOffsetMs;
   const value: ClockRow = { offsetMs };
   const writes = [{ key: CLOCK_KEY, expectVersion: 0, value }];
   requestTable(step, { kind: 'clock' }, { kind: 'transact', writes });
@@ -49,6 +53,7 @@
   const { answer } = event;
   if (answer.kind === 'unknown') return;
   const row = answer.rows.find((candidate) => candidate.key === CLOCK_KEY);
+  if (row !== undefined) state.clockRowIsLost = false;
   if (row?.value !== undefined) agreeOnClock(state, step, (row.value as ClockRow).offsetMs);
 }
 
--- a/packages/reedlug-gateway/src/slices/crashRecord.ts
+++ b/packages/reedlug-gateway/src/slices/crashRecord.ts
@@ -58,6 +58,11 @@
   requestTable(step, { kind: 'crashSuspects', writes: true }, op);
 }
 
+/** The store came back: whoever keeps the row true reads whether it says what it should. */
+export function forgetCrashRow(state: GatewayState, step: Step): void {
+  if (mayWrite(state, step)) state.crashRow.version = undefined;
+}
+
 function mayWrite(state: GatewayState, step: Step): boolean {
   const { hasOwnNews, wroteLast } = state.crashRow;
   return hasOwnNews || wroteLast || dutyFence(state, step.nowMs) !== undefined;
--- a/packages/reedlug-gateway/src/slices/rolloutRecords.ts
+++ b/packages/reedlug-gateway/src/slices/rolloutRecords.ts
@@ -6,7 +6,7 @@
  * on the record's version, so a holder that has lost the lease without knowing
  * cannot undo what the next one wrote.
  */
-import type { TableRow } from 'reedlug-coordination';
+import { eraOf, type TableRow } from 'reedlug-coordination';
 import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
@@ -105,7 +105,7 @@
   view.recordVersion = row?.version ?? 0;
   const record = row?.value as RolloutRecord | undefined;
   if (record === undefined) return;
-  if (record.revision !== view.order.revision) return takeEarlierRecord(view, record);
+  if (!isOfOrder(view, record)) return takeEarlierRecord(view, record);
   view.recordedPhase = record.phase;
   view.barred = record.barred;
   const { storeEpochMs } = state;
@@ -115,6 +115,15 @@
   enterPhase(step, view, laterPhase(view.phase, record.phase), { source: 'table' });
 }
 
+/** An order that was written again after the store lost it has another revision than its record. */
+function isOfOrder({ order, earlierRevisions }: RolloutView, record: RolloutRecord): boolean {
+  if (record.revision === order.revision) return true;
+  if (earlierRevisions.includes(record.revision)) return false;
+  return (
+    record.targetVersion === order.targetVersion && eraOf(record.revision) < eraOf(order.revision)
+  );
+}
+
 /** The record of an earlier order, which this one follows: a version that was not completed stays barred. */
 function takeEarlierRecord(view: RolloutView, record: RolloutRecord): void {
   view.barred = barredAfter({
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts.ts
@@ -3,6 +3,7 @@
  *
  * Phases only go forward, so boxes that tell each other theirs come to the same one.
  */
+import { eraOf, versionOf } from 'reedlug-coordination';
 import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
@@ -18,6 +19,9 @@
 /** Versions kept as barred for a service: the newest ones; earlier ones have left the registry long ago. */
 const MAX_BARRED = 8;
 
+/** Earlier orders of a service that are known, in number: more than are given within any copy's age. */
+const MAX_EARLIER = 8;
+
 /** Takes an order that the store or a peer told. */
 export function onRolloutOrdered(
   state: GatewayState,
@@ -34,7 +38,14 @@
 ): RolloutView {
   const { order, ageMs, source } = told;
   const known = state.rollouts.get(order.service);
-  if (known !== undefined && known.order.revision >= order.revision) return known;
+  if (known !== undefined) {
+    if (known.order.revision >= order.revision || isFromCopy(known, order)) return known;
+    if (isWrittenAgain(known, order)) {
+      known.order = order;
+      forgetRecord(known);
+      return known;
+    }
+  }
   const view: RolloutView = {
     order,
     phase: firstPhase(known, order),
@@ -44,6 +55,10 @@
       earlier: known && { targetVersion: known.order.targetVersion, phase: known.phase },
       targetVersion: order.targetVersion,
     }),
+    earlierRevisions: [
+      ...(known?.earlierRevisions ?? []),
+      ...(known ? [known.order.revision] : []),
+    ].slice(-MAX_EARLIER),
     waitedMs: undefined,
     wantsCompletion: false,
     trial: new Map(),
@@ -67,6 +82,32 @@
   return view;
 }
 
+/** An earlier order that came back with a copy of the store: the version that it was given in an era before is its own. */
+function isFromCopy({ order, earlierRevisions }: RolloutView, told: RolloutOrder): boolean {
+  return earlierRevisions.some(
+    (revision) =>
+      eraOf(revision) < eraOf(told.revision) &&
+      versionOf(revision) === versionOf(told.revision) &&
+      eraOf(order.revision) < eraOf(told.revision),
+  );
+}
+
+/** The order that is known, in a later era of the store: it stood in the copy, or was written again. */
+export function isWrittenAgain(
+  { order }: Pick<RolloutView, 'order'>,
+  told: Pick<RolloutOrder, 'targetVersion' | 'durationMs' | 'revision'>,
+): boolean {
+  const isLaterEra = eraOf(order.revision) < eraOf(told.revision);
+  if (!isLaterEra || order.targetVersion !== told.targetVersion) return false;
+  return Object.is(order.durationMs, told.durationMs);
+}
+
+/** What the table says of a roll-out is not known any more. */
+export function forgetRecord(view: RolloutView): void {
+  view.recordVersion = undefined;
+  view.recordedPhase = undefined;
+}
+
 /** A version that carries the load already has nothing to prove when it is ordered again: held, its service would stand still. */
 function firstPhase(known: RolloutView | undefined, order: RolloutOrder): RolloutPhase {
   const isInService =
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -3,6 +3,8 @@
  * and versions since then are given out again. A new era is how boxes know.
  */
 import { noteLeaseEra } from 'reedlug-coordination';
+import { forgetCrashRow } from './crashRecord.js';
+import { forgetRecord } from './rollouts.js';
 import { forgetCheckpoint } from './usage.js';
 import { tellDecisions } from './usageDecisions.js';
 import { log, type GatewayState, type Step } from '../state.js';
@@ -23,6 +25,9 @@
   log(step, 'storeCameBack', { era, before, source });
   step.effects.push({ type: 'readStoreAgain' });
   forgetCheckpoint(state);
+  for (const view of state.rollouts.values()) forgetRecord(view);
+  forgetCrashRow(state, step);
+  state.clockRowIsLost = true;
   tellDecisions(state, step);
 }
 
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -118,6 +118,8 @@
   /** Wall clock less store clock, agreed by all boxes in a row of the store. */
   agreedClockOffsetMs: number | undefined;
   clockAskedAtMs: number;
+  /** True while the row may be missing that says what was agreed. */
+  clockRowIsLost: boolean;
   /** How far the time of day was ahead of the steady clock at the last event. */
   wallAheadMs: number | undefined;
   /** When this box last came out of a suspension, as far as it knows. */
@@ -255,6 +257,7 @@
     ),
     agreedClockOffsetMs: undefined,
     clockAskedAtMs: Number.NEGATIVE_INFINITY,
+    clockRowIsLost: false,
     wallAheadMs: undefined,
     suspendedAtMs: Number.NEGATIVE_INFINITY,
     storeEpochMs: undefined,
--- a/packages/reedlug-gateway/src/types/rollout.ts
+++ b/packages/reedlug-gateway/src/types/rollout.ts
@@ -84,6 +84,8 @@
   phase: RolloutPhase;
   orderedAtMs: number;
   barred: readonly string[];
+  /** Revisions of the orders before it, the newest last. */
+  earlierRevisions: readonly number[];
   /** Time from the order until a server of the new version was first seen, in ms; undefined before. */
   waitedMs: number | undefined;
   /** True when it may be completed as this box sees it; the holder of the lease writes that. */
