--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -23,6 +23,8 @@
   | { kind: 'storeLink'; box: number; how: LinkFault; forMs: number }
   | { kind: 'serverLink'; server: number; how: LinkFault; forMs: number }
   | { kind: 'storeAway'; forMs: number }
+  /** It is away, and comes back from a copy of so long before; others use versions up at its return. */
+  | { kind: 'storeCopy'; ageMs: number; forMs: number; againWithinMs: number; otherWrites: number }
   | { kind: 'storeSlow'; delayMs: number; forMs: number }
   | { kind: 'storeLosesAnswers'; share: number; forMs: number }
   | { kind: 'serverCrash'; server: number; backAfterMs: number }
@@ -82,6 +84,12 @@
   '-1',
 ];
 
+/** Share of the runs in which the store comes back from copies, how often at most, and how old those are, in ms. */
+const COPYING_SHARE = 0.7;
+const MOST_COPIES = 3;
+const YOUNGEST_COPY_MS = 500;
+const OLDEST_COPY_MS = 10_000;
+
 const SKIPPED_DRAWS = 32;
 
 /** Draws the faults of a run. */
@@ -107,6 +115,7 @@
   if (random.chance(CRASHING_SHARE)) planned.push(drawCrashingCaller(random, lengthMs));
   if (random.chance(LIMITING_SHARE)) planned.push(...drawLimits(random, lengthMs, servers));
   if (random.chance(STATING_SHARE)) planned.push(...drawStating(random, lengthMs, servers));
+  if (random.chance(COPYING_SHARE)) planned.push(...drawCopies(random, lengthMs));
   return planned;
 }
 
@@ -138,6 +147,20 @@
   });
 }
 
+function drawCopies(random: Random, lengthMs: number): PlannedFault[] {
+  return Array.from({ length: random.whole(1, MOST_COPIES) }, () => {
+    const atMs = Math.round(random.unit() * (lengthMs - 2 * QUIET_END_MS));
+    const fault: Fault = {
+      kind: 'storeCopy',
+      ageMs: random.whole(YOUNGEST_COPY_MS, OLDEST_COPY_MS),
+      forMs: random.chance(0.3) ? random.whole(0, LONGEST_MS) : random.whole(0, SHORTEST_MS * 3),
+      againWithinMs: random.pick([0, 200, 1200]),
+      otherWrites: random.pick([0, 3, 30, 500]),
+    };
+    return { atMs, fault };
+  });
+}
+
 function drawFault(random: Random, box: number, server: number): Fault {
   const forMs = random.whole(SHORTEST_MS, LONGEST_MS);
   const how = random.pick(Object.values(LinkFault));
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -83,6 +83,8 @@
         await delay(fault.forMs);
         world.store.isAway = false;
       });
+    case 'storeCopy':
+      return troubling(record, [...world.boxes.keys()], () => copyStore(world, record, fault));
     case 'storeSlow':
       return troubling(record, [...world.boxes.keys()], async () => {
         world.store.delayMs = fault.delayMs;
@@ -137,6 +139,28 @@
   record.configuredAtMs.set(world.version, performance.now());
 }
 
+/** The store comes back from a copy; what the operator and the servers wrote since is written again. */
+async function copyStore(
+  world: SoakWorld,
+  record: SoakRecord,
+  fault: Extract<Fault, { kind: 'storeCopy' }>,
+): Promise<void> {
+  const { store } = world;
+  store.goAway();
+  await delay(fault.forMs);
+  const lost = store.comeBackFromCopy(fault.ageMs);
+  const random = createRandom(fault.ageMs);
+  const writes = lost.map(async ({ table, isRemoval, again }) => {
+    const afterMs = isRemoval ? ENTRY_STAYS_MS : random.unit() * fault.againWithinMs;
+    if (afterMs > 0) await delay(afterMs);
+    again();
+    // The acknowledgement that counts is the one that the store has not lost.
+    if (table === 'op') record.configuredAtMs.set(world.version, performance.now());
+  });
+  store.skipVersions(fault.otherWrites);
+  await Promise.all(writes);
+}
+
 /** Notes boxes as troubled from now until the fault is over. */
 async function troubling(
   record: SoakRecord,
