--- a/packages/reedlug/src/commands/soak.ts
+++ b/packages/reedlug/src/commands/soak.ts
@@ -1,4 +1,5 @@
 /** `reedlug soak`: real boxes as processes under load, with faults injected from outside. */
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Command, Option } from 'clipanion';
 import { runSoak, type SoakResult } from 'reedlug-soak';
@@ -24,7 +25,9 @@
   seconds = Option.String('--seconds', '20', { description: 'Length of a run' });
   boxes = Option.String('--boxes', '4', { description: 'Boxes, a process each' });
   rate = Option.String('--rate', '60', { description: 'Calls a second over all boxes' });
-  out = Option.String('--out', '.', { description: 'Folder for logs of runs that failed' });
+  out = Option.String('--out', join(tmpdir(), 'reedlug-soak'), {
+    description: 'Folder for logs of runs that failed',
+  });
 
   override async execute(): Promise<number> {
     const seeds = parseSeedRange(this.seeds);
