A box that starts after its time of day was set back is heard by its peers

A box whose clock was ahead and that started anew after it was set right was not heard by any peer for 10 s (its hub and units among them). Beside a life that has been silent for a second an earlier number is now the next life; a datagram of an earlier life that comes late beside one that is heard is dropped as before. The test failed before.

--- a/packages/reedlug-gateway/src/slices/__tests__/peers.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/peers.test.ts
@@ -221,3 +221,16 @@
   expect(nextRegistryStep(known, registry, true)).to.deep.equal({ kind: 'apply', changes: [] });
   expect(known.registryNumber).to.equal(7);
 });
+
+test('a peer that starts again after its time of day was set back is heard', () => {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage({ incarnation: 5000, sequence: 9 }) });
+  const hear = (): number | undefined => {
+    box.take({ type: 'peerMessage', message: peerMessage({ incarnation: 2000, sequence: 1 }) });
+    return box.state.peers.get('box-2')?.message?.incarnation;
+  };
+  // A datagram of an earlier life that comes late is none of a new one.
+  expect(hear()).to.equal(5000);
+  box.pass(1100);
+  expect(hear()).to.equal(2000);
+});
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers.ts
@@ -4,7 +4,7 @@
 import { createHeardTotals, log, type GatewayState, type Step } from '../state.js';
 import type { PeerView } from '../types/views.js';
 import { agreeOnClock } from './clock.js';
-import { isCounted, PEER_GONE_AFTER_MS, type HeardPeer } from './fleet.js';
+import { countsFreshly, isCounted, PEER_GONE_AFTER_MS, type HeardPeer } from './fleet.js';
 import { noteBoxesListed } from './fleetPart.js';
 import { takeRolloutNews } from './rollouts.js';
 import { nextRegistryStep } from './registryNews.js';
@@ -29,7 +29,7 @@
   const { boxId, host, port, zone, processorCores } = message;
   const peer = peerOf(state, step, { boxId, host, port, zone, processorCores });
   const before = peer.message;
-  if (before !== undefined && isOlder(message, before)) return;
+  if (before !== undefined && isOlder(message, before, countsFreshly(peer, step.nowMs))) return;
   noteNewcomer(state, step, peer, message.incarnation);
   peer.heardAtMs = step.nowMs;
   peer.isSuspected = false;
@@ -70,9 +70,13 @@
   mergeUsage(state, `${boxId}/${incarnation}`, usage);
 }
 
-function isOlder(message: PeerMessage, known: PeerMessage): boolean {
-  if (message.incarnation !== known.incarnation) return message.incarnation < known.incarnation;
-  return message.sequence <= known.sequence;
+/**
+ * Whether a message is one that was overtaken. A life is numbered by the time of day, which may be
+ * set back between two of them: beside a life that has gone silent an earlier number is the next one.
+ */
+function isOlder(message: PeerMessage, known: PeerMessage, isKnownFresh: boolean): boolean {
+  if (message.incarnation === known.incarnation) return message.sequence <= known.sequence;
+  return isKnownFresh && message.incarnation < known.incarnation;
 }
 
 function peerOf(state: GatewayState, step: Step, address: PeerAddress): PeerView {
