--- a/packages/reedlug-coordination/src/storeRevision.ts
+++ b/packages/reedlug-coordination/src/storeRevision.ts
@@ -29,6 +29,12 @@
   return revision % VERSIONS_OF_ERA;
 }
 
+/** A revision for a log line: `ERA/VERSION`, or the version alone of a store without eras. */
+export function describeRevision(revision: number): string {
+  const era = eraOf(revision);
+  return era === 0 ? String(revision) : `${era}/${versionOf(revision)}`;
+}
+
 /** A transaction with the versions that the store itself knows. */
 export function withStoreVersions(op: TableTransaction): TableTransaction {
   const writes = op.writes.map((write) => ({
--- a/packages/reedlug-gateway/src/slices/__tests__/serverLives.test.ts
+++ b/packages/reedlug-gateway/src/slices/__tests__/serverLives.test.ts
@@ -127,7 +127,7 @@
   });
   expect(box.state.servers.has('engine-1')).to.equal(false);
   const line = ofType(effects, 'log').find(({ event }) => event === 'serverEntryUnreadable');
-  expect(line?.fields).to.deep.equal({ server: 'engine-1', ...fault });
+  expect(line?.fields).to.deep.equal({ server: 'engine-1', ...fault, revision: '3' });
   read(box, {}, 4);
   expect(box.state.servers.has('engine-1')).to.equal(true);
 });
--- a/packages/reedlug-gateway/src/slices/crashRecord.ts
+++ b/packages/reedlug-gateway/src/slices/crashRecord.ts
@@ -7,7 +7,7 @@
  * all others before it has heard. Writes are conditional, and what another one wrote in
  * between is taken in before the next.
  */
-import type { TableRow } from 'reedlug-coordination';
+import { describeRevision, type TableRow } from 'reedlug-coordination';
 import { log, requestTable, type GatewayState, type Step } from '../state.js';
 import {
   CRASH_SUSPECTS_KEY,
@@ -112,7 +112,7 @@
   if (row === undefined) return;
   const value = row.value as Partial<CrashSuspectsRow> | null;
   if (!Array.isArray(value?.suspects) || typeof value.storeNowMs !== 'number') {
-    return log(step, 'crashRowUnreadable', { version: row.version });
+    return log(step, 'crashRowUnreadable', { revision: describeRevision(row.version) });
   }
   const writtenAtMs = value.storeNowMs + (state.storeEpochMs ?? step.nowMs - value.storeNowMs);
   const agedMs = Math.max(0, step.nowMs - writtenAtMs);
--- a/packages/reedlug-gateway/src/slices/fleetPart.ts
+++ b/packages/reedlug-gateway/src/slices/fleetPart.ts
@@ -6,6 +6,7 @@
  * list with it, and have sent with the smaller part for a window. Once it holds one, its
  * entry in the list says so, and its next lives hold it from their start, whoever is away.
  */
+import { describeRevision } from 'reedlug-coordination';
 import type { FleetPart, PartNews } from '../types/fleetPart.js';
 import type { EventOf } from '../types/event.js';
 import { log, type GatewayState, type Step } from '../state.js';
@@ -69,7 +70,7 @@
   log(step, 'partHeld', {
     opening: opening.kind,
     divisor: part.divisor,
-    listRevision: part.listRevision,
+    listRevision: describeRevision(part.listRevision),
   });
 }
 
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts.ts
@@ -3,7 +3,7 @@
  *
  * Phases only go forward, so boxes that tell each other theirs come to the same one.
  */
-import { eraOf, versionOf } from 'reedlug-coordination';
+import { describeRevision, eraOf, versionOf } from 'reedlug-coordination';
 import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
 import { log, type GatewayState, type Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
@@ -76,7 +76,7 @@
     service: order.service,
     version: order.targetVersion,
     durationMs: String(order.durationMs),
-    revision: order.revision,
+    revision: describeRevision(order.revision),
     source,
   });
   return view;
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/sending.ts
@@ -1,5 +1,5 @@
 /** Sends of requests to servers. */
-import { hashString, Reach } from 'reedlug-coordination';
+import { describeRevision, hashString, Reach } from 'reedlug-coordination';
 import { chooseServer, notePartsRead, type Choice } from '../policy/chooseServer.js';
 import { noteUnread } from '../policy/serverLoad.js';
 import { noteSend } from '../policy/serverSilence.js';
@@ -124,6 +124,6 @@
     limitPerSecond: view.statements?.limit?.perSecond ?? -1,
     restLeftMs: Math.max(0, Math.round((view.statements?.rest?.untilMs ?? 0) - step.nowMs)),
     configuration: state.active?.configuration.version ?? 0,
-    servers: state.serversRevision,
+    servers: describeRevision(state.serversRevision),
   });
 }
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers.ts
@@ -6,7 +6,7 @@
  * for a moment, since a living one enters itself again at once. An entry of a server
  * that is gone may come back with a copy: it counts once it is written or stays.
  */
-import { hashId } from 'reedlug-coordination';
+import { describeRevision, hashId } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
 import {
   isLaterLife,
@@ -60,7 +60,10 @@
   state.serversKnown = true;
   const present = new Set<string>();
   for (const { id, entry, fault } of event.changes) {
-    if (fault !== undefined) log(step, 'serverEntryUnreadable', { server: id, ...fault });
+    if (fault !== undefined) {
+      const revision = describeRevision(fault.revision);
+      log(step, 'serverEntryUnreadable', { server: id, ...fault, revision });
+    }
     if (entry === undefined) {
       onMissing(state, step, { id, source: event.source, sinceMs: state.storeReturnedAtMs });
       continue;
