--- /dev/null
+++ b/packages/reedlug-simulator/src/store/storeCollection.ts
@@ -0,0 +1,81 @@
+/** Collections of the virtual store: items with the versions of their last writes, and pages of them. */
+import { storeRevision } from 'reedlug-coordination';
+import type { FeedAnswer } from 'reedlug-gateway';
+import { nowMs, type World } from '../world.js';
+
+/** An item as it was last written. */
+export interface StoredItem<T> {
+  /** The item as it is read under a revision. */
+  itemOf: (revision: number) => T;
+  version: number;
+}
+
+/** A collection that is followed. */
+export interface Collection<T> {
+  /** Items by key, each with the version of its last write. */
+  items: Map<string, StoredItem<T>>;
+  /** Removed items, by key. */
+  removed: Map<string, StoredItem<T>>;
+  waiting: Set<() => void>;
+  newestVersion: number;
+}
+
+/** Returns an empty collection. */
+export function createCollection<T>(): Collection<T> {
+  return { items: new Map(), removed: new Map(), waiting: new Set(), newestVersion: 0 };
+}
+
+/** Sets a value; undefined takes it out. */
+export function setOrDelete<K, V>(map: Map<K, V>, key: K, value: V | undefined): void {
+  if (value === undefined) map.delete(key);
+  else map.set(key, value);
+}
+
+/** Lets all calls that wait look whether there is something for them. */
+export function wake<T>(collection: Collection<T>): void {
+  for (const check of [...collection.waiting]) check();
+}
+
+/** How far the store's counter is, and in which era. */
+export interface StoreMoment {
+  era: number;
+  version: number;
+}
+
+function pageOf<T>(
+  world: World,
+  rows: readonly StoredItem<T>[],
+  { era, version }: StoreMoment,
+): FeedAnswer<T> {
+  const sorted = [...rows].sort((a, b) => a.version - b.version);
+  const revisionOf = (row: StoredItem<T>): number => storeRevision({ era, version: row.version });
+  const items = sorted.map((row) => row.itemOf(revisionOf(row)));
+  const newest = sorted.at(-1);
+  const newestRevision = newest === undefined ? 0 : revisionOf(newest);
+  const revision = storeRevision({ era, version });
+  return { kind: 'page', page: { items, revision, newestRevision, storeNowMs: nowMs(world) } };
+}
+
+/** The whole as one page. */
+export function wholeOf<T>(
+  world: World,
+  collection: Collection<T>,
+  moment: StoreMoment,
+): FeedAnswer<T> {
+  return pageOf(world, [...collection.items.values()], moment);
+}
+
+/** What was written or removed after a version. */
+export function changesOf<T>(
+  world: World,
+  { items, removed }: Collection<T>,
+  afterVersion: number,
+  moment: StoreMoment,
+): FeedAnswer<T> {
+  const rows = [...items.values(), ...removed.values()];
+  return pageOf(
+    world,
+    rows.filter(({ version }) => version > afterVersion),
+    moment,
+  );
+}
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -22,7 +22,6 @@
 } from 'reedlug-gateway';
 import {
   answerOfEra,
-  storeRevision,
   versionOf,
   withStoreVersions,
   type TableAnswer,
@@ -30,6 +29,15 @@
 } from 'reedlug-coordination';
 import { applyTableOp, createTableModel } from 'reedlug-standins';
 import { areCut, later, nowMs, type World } from '../world.js';
+import {
+  changesOf,
+  createCollection,
+  setOrDelete,
+  wake,
+  wholeOf,
+  type Collection,
+  type StoreMoment,
+} from './storeCollection.js';
 import { createStoreHistory, StoreWriter, type StoreChange } from './storeHistory.js';
 
 /** Zone in which the store is reached; no box is in it. */
@@ -51,21 +59,6 @@
 } as const;
 export type StoreCall = (typeof StoreCall)[keyof typeof StoreCall];
 
-interface StoredItem<T> {
-  /** The item as it is read under a revision. */
-  itemOf: (revision: number) => T;
-  version: number;
-}
-
-interface Collection<T> {
-  /** Items by key, each with the version of its last write. */
-  items: Map<string, StoredItem<T>>;
-  /** Removed items, by key. */
-  removed: Map<string, StoredItem<T>>;
-  waiting: Set<() => void>;
-  newestVersion: number;
-}
-
 /** How the store fails its callers: it says nothing, or refuses each call and all that wait. */
 export const StoreOutage = { silent: 'silent', refusing: 'refusing' } as const;
 export type StoreOutage = (typeof StoreOutage)[keyof typeof StoreOutage];
@@ -349,54 +342,3 @@
   if (key === LEASE_KEY) return StoreCall.lease;
   return key === CHECKPOINT_KEY ? StoreCall.checkpoint : StoreCall.otherRows;
 }
-
-function createCollection<T>(): Collection<T> {
-  return { items: new Map(), removed: new Map(), waiting: new Set(), newestVersion: 0 };
-}
-
-function setOrDelete<K, V>(map: Map<K, V>, key: K, value: V | undefined): void {
-  if (value === undefined) map.delete(key);
-  else map.set(key, value);
-}
-
-function wake<T>(collection: Collection<T>): void {
-  for (const check of [...collection.waiting]) check();
-}
-
-/** How far the store's counter is, and in which era. */
-interface StoreMoment {
-  era: number;
-  version: number;
-}
-
-function pageOf<T>(
-  world: World,
-  rows: readonly StoredItem<T>[],
-  { era, version }: StoreMoment,
-): FeedAnswer<T> {
-  const sorted = [...rows].sort((a, b) => a.version - b.version);
-  const revisionOf = (row: StoredItem<T>): number => storeRevision({ era, version: row.version });
-  const items = sorted.map((row) => row.itemOf(revisionOf(row)));
-  const newest = sorted.at(-1);
-  const newestRevision = newest === undefined ? 0 : revisionOf(newest);
-  const revision = storeRevision({ era, version });
-  return { kind: 'page', page: { items, revision, newestRevision, storeNowMs: nowMs(world) } };
-}
-
-function wholeOf<T>(world: World, collection: Collection<T>, moment: StoreMoment): FeedAnswer<T> {
-  return pageOf(world, [...collection.items.values()], moment);
-}
-
-function changesOf<T>(
-  world: World,
-  { items, removed }: Collection<T>,
-  afterVersion: number,
-  moment: StoreMoment,
-): FeedAnswer<T> {
-  const rows = [...items.values(), ...removed.values()];
-  return pageOf(
-    world,
-    rows.filter(({ version }) => version > afterVersion),
-    moment,
-  );
-}
