Decisions of usage are told window by window, only while they change

Each change told all kept windows, five times a second for 2 s, to every box (by reading: 16 workspaces and four windows are about a kilobyte a datagram). Now a window is told for 2 s after its own decision or report; all are at a new era and to newcomers. The tests of copies and of usage pass as before.

--- a/packages/reedlug-gateway/src/slices/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage.ts
@@ -21,7 +21,7 @@
   mayDecide,
   mergeDecision,
   noteDecision,
-  tellDecisions,
+  noteReported,
 } from './usageDecisions.js';
 
 /** Pause before a row or a report is tried again, in ms. */
@@ -62,6 +62,7 @@
     decided: undefined,
     decidedAtMs: Number.NEGATIVE_INFINITY,
     reported: false,
+    toldUntilMs: Number.NEGATIVE_INFINITY,
     isLeftOut: false,
     askedAtMs: Number.NEGATIVE_INFINITY,
     callId: 0,
@@ -110,7 +111,7 @@
   const oldest = Math.floor(agreedWallMs(state, step) / usageWindowMs) - KEPT_WINDOWS;
   for (const decision of decisions) {
     if (decision.window < oldest) continue;
-    mergeDecision(state, step, windowOf(state, decision.window), decision);
+    mergeDecision(step, windowOf(state, decision.window), decision);
   }
 }
 
@@ -193,7 +194,7 @@
   // It was asked in an era in which this box could decide, and may be written in the next one.
   if (!mayDecide(state, step, entry)) return;
   const counts = row.value as UsageCounts;
-  noteDecision(state, step, entry, counts);
+  noteDecision(step, entry, counts);
   entry.askedAtMs = Number.NEGATIVE_INFINITY;
   log(step, 'usageDecided', { window, requests: total(counts), answer: answer.kind });
 }
@@ -207,10 +208,7 @@
   for (const entry of state.usage.values()) {
     if (entry.callId !== event.callId || entry.reported) continue;
     log(step, 'usageReported', { window: entry.window, outcome: event.outcome });
-    if (event.outcome === 'done') {
-      entry.reported = true;
-      tellDecisions(state, step);
-    }
+    if (event.outcome === 'done') noteReported(step, entry);
     if (event.outcome === 'fenced') dropLease(state, step);
   }
 }
--- a/packages/reedlug-gateway/src/slices/usageDecisions.ts
+++ b/packages/reedlug-gateway/src/slices/usageDecisions.ts
@@ -55,15 +55,16 @@
 }
 
 /** Takes what is to be reported for a window. */
-export function noteDecision(
-  state: GatewayState,
-  step: Step,
-  entry: UsageWindow,
-  counts: UsageCounts,
-): void {
+export function noteDecision(step: Step, entry: UsageWindow, counts: UsageCounts): void {
   entry.decided = counts;
   entry.decidedAtMs = step.nowMs;
-  tellDecisions(state, step);
+  tell(step, entry);
+}
+
+/** Takes it that the platform has a window's report. */
+export function noteReported(step: Step, entry: UsageWindow): void {
+  entry.reported = true;
+  tell(step, entry);
 }
 
 /** Whether all boxes have heard what is to be reported. */
@@ -71,35 +72,37 @@
   return nowMs - decidedAtMs >= TOLD_BEFORE_MS;
 }
 
-/** Tells peers the decisions from now on for a while. */
+/** Tells peers all decisions for a while: the store may have lost them, or a peer may not know them. */
 export function tellDecisions(state: GatewayState, step: Step): void {
-  state.decisionsToldUntilMs = step.nowMs + TOLD_FOR_MS;
+  for (const entry of state.usage.values()) tell(step, entry);
+}
+
+function tell(step: Step, entry: UsageWindow): void {
+  entry.toldUntilMs = step.nowMs + TOLD_FOR_MS;
 }
 
 /** What peers are told now. */
 export function decisionNews(state: GatewayState, nowMs: number): UsageDecisionNews[] | undefined {
-  if (nowMs >= state.decisionsToldUntilMs) return undefined;
-  return [...state.usage.values()].flatMap(({ window, decided, reported }) =>
+  const told = [...state.usage.values()].filter(({ toldUntilMs }) => nowMs < toldUntilMs);
+  const news = told.flatMap(({ window, decided, reported }) =>
     decided === undefined ? [] : [{ window, counts: decided, isReported: reported }],
   );
+  return news.length === 0 ? undefined : news;
 }
 
 /** Takes what a peer knows of a window. */
 export function mergeDecision(
-  state: GatewayState,
   step: Step,
   entry: UsageWindow,
   { counts, isReported }: UsageDecisionNews,
 ): void {
-  if (entry.decided === undefined) noteDecision(state, step, entry, counts);
+  if (entry.decided === undefined) noteDecision(step, entry, counts);
   else if (!areEqual(entry.decided, counts)) {
     // One of them may be reported already: the other must not be.
     if (!entry.reported) log(step, 'usageDisputed', { window: entry.window });
     entry.reported = true;
   }
-  if (!isReported || entry.reported) return;
-  entry.reported = true;
-  tellDecisions(state, step);
+  if (isReported && !entry.reported) noteReported(step, entry);
 }
 
 function areEqual(a: UsageCounts, b: UsageCounts): boolean {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -132,8 +132,6 @@
   checkpointAtMs: number;
   /** Version of the checkpoint's row as last seen; 0 before. */
   checkpointVersion: number;
-  /** Until when peers are told what is to be reported. */
-  decisionsToldUntilMs: number;
   /** The fence under which this box last knew the checkpoint. */
   checkpointFence: number | undefined;
   /** By service, the roll-out ordered last. */
@@ -266,7 +264,6 @@
     checkpointAtMs: 0,
     checkpointVersion: 0,
     checkpointFence: undefined,
-    decisionsToldUntilMs: Number.NEGATIVE_INFINITY,
     rollouts: new Map(),
     rolloutsJudgedAtMs: nowMs,
     orders: new Map(),
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -162,6 +162,8 @@
   /** When this box came to know that. */
   decidedAtMs: number;
   reported: boolean;
+  /** Until when peers are told what is decided. */
+  toldUntilMs: number;
   /** True once the log says that it stays without a report. */
   isLeftOut: boolean;
   askedAtMs: number;
