An era or a decision that is none is left out of a peer's news

A datagram's storeEra was taken as it came: a text, or a number beyond all eras, would have made a box drop every answer of the store as too late. Checked once, at the wire.

--- a/packages/reedlug-gateway/src/daemon/__tests__/peerWire.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/peerWire.test.ts
@@ -128,3 +128,18 @@
     expect(decodeDatagram(encoder.encode(odd)), kind).to.equal(undefined);
   }
 });
+
+test('an era or a decision that is none is left out of the news', () => {
+  const sound = { window: 7, counts: { tiger: 3 }, isReported: true };
+  const told = { ...peerMessage({ storeEra: 4 }), decisions: [sound, 5, { window: 'x' }, null] };
+  const read = decodeDatagram(encodeDatagram(told as unknown as PeerMessage));
+  if (read?.kind !== 'news') throw new Error('no news');
+  expect(read.storeEra).to.equal(4);
+  expect(read.decisions).to.deep.equal([sound]);
+  for (const storeEra of ['4', -1, 1.5, 1e9, Number.NaN]) {
+    const odd = { ...peerMessage(), storeEra, decisions: 'none' } as unknown as PeerMessage;
+    const decoded = decodeDatagram(encodeDatagram(odd));
+    if (decoded?.kind !== 'news') throw new Error('no news');
+    expect([decoded.storeEra, decoded.decisions]).to.deep.equal([undefined, undefined]);
+  }
+});
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -7,7 +7,14 @@
  * find no loads and no changes in it, and ask for the whole registry.
  */
 import { Decoder, Encoder } from 'cbor-x';
-import type { NumberedChange, PeerDatagram, ServerLoad } from '../types/peer.js';
+import { LAST_STORE_ERA } from 'reedlug-coordination';
+import type {
+  NumberedChange,
+  PeerDatagram,
+  PeerMessage,
+  ServerLoad,
+  UsageDecisionNews,
+} from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
@@ -61,8 +68,10 @@
   }
   if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
-  const { loadRows, changeRows, ...message } = value as PeerDatagram & Rows;
-  if (message.kind !== 'news' || !Array.isArray(loadRows)) return message;
+  const { loadRows, changeRows, ...told } = value as PeerDatagram & Rows;
+  if (told.kind !== 'news') return told;
+  const message = withSoundParts(told);
+  if (!Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isRow).map(loadOf));
   const { registry } = message;
   if (registry === undefined || !Array.isArray(changeRows)) return { ...message, loads };
@@ -86,6 +95,28 @@
   crashSuspects: [],
 };
 
+/** Leaves out what news may hold and is not as it should be, as a box of an earlier version does not tell it. */
+function withSoundParts(message: PeerMessage): PeerMessage {
+  const { storeEra, decisions, ...others } = message;
+  return {
+    ...others,
+    ...(isEra(storeEra) ? { storeEra } : {}),
+    ...(Array.isArray(decisions) ? { decisions: decisions.filter(isDecision) } : {}),
+  };
+}
+
+function isEra(value: unknown): value is number {
+  return Number.isInteger(value) && Number(value) >= 0 && Number(value) <= LAST_STORE_ERA;
+}
+
+function isDecision(value: unknown): value is UsageDecisionNews {
+  if (typeof value !== 'object' || value === null) return false;
+  const { window, counts, isReported } = value as Partial<Record<string, unknown>>;
+  if (!Number.isInteger(window) || typeof isReported !== 'boolean') return false;
+  if (typeof counts !== 'object' || counts === null) return false;
+  return Object.values(counts).every(Number.isFinite);
+}
+
 function isStatementRows(value: unknown): value is Readonly<Record<string, unknown>> {
   if (typeof value !== 'object' || value === null) return false;
   return (value as { kind?: unknown }).kind === STATEMENTS_WIRE_KIND;
