--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -9,6 +9,9 @@
 import { tellDecisions } from './usageDecisions.js';
 import { log, type GatewayState, type Step } from '../state.js';
 
+/** Time from the store's return in which a whole collection may be that of the copy, in ms: what was lost is written again within 2 s, and the list of boxes is read a second later. */
+const COPY_SHOWS_MS = 5000;
+
 /** Takes the era of an answer, or of a peer's news. */
 export function onStoreEra(
   state: GatewayState,
@@ -31,9 +34,6 @@
   tellDecisions(state, step);
 }
 
-/** Time from the store's return in which a whole collection may be that of the copy, in ms: what was lost is written again within 2 s, and the list of boxes is read a second later. */
-const COPY_SHOWS_MS = 5000;
-
 /** Whether a whole collection that is read now may lack what was there, and show what is gone. */
 export function mayShowCopy({ storeCopyAtMs }: GatewayState, nowMs: number): boolean {
   return nowMs - storeCopyAtMs < COPY_SHOWS_MS;
--- a/packages/reedlug-simulator/src/report/dutyRecord.ts
+++ b/packages/reedlug-simulator/src/report/dutyRecord.ts
@@ -26,7 +26,7 @@
   lastHeldAtMs: number | undefined;
   /** Until when a trouble explains that no box does. */
   troubledUntilMs: number;
-  /** Spans too long without a holder. */
+  /** True while nobody has held it for too long, so that one span is told once. */
   wasUnheld: boolean;
 }
 
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -98,7 +98,7 @@
   rolloutRecord: (service: string) => RolloutRecord | undefined;
   putServer: (entry: ServerEntry) => void;
   removeServer: (id: string) => void;
-  /** The store as a box in a zone has it; `isAlive` ends its calls with the box. */
+  /** The store as a box in a zone has it; `isAlive` ends its calls with the box, `onEra` hears of each answer's era. */
   openFor: (zone: string, caller: { isAlive: () => boolean } & StoreListener) => PlatformStore;
 }
 
