A missing row of the lease is waited for by all who knew the store before, also from its first era on

By reading: a box that had not looked at the row yet when a store without eras began to tell one, took a missing row for one that was never there and took it at once. What counts is whether the box knew the store before, not the row.

--- a/packages/reedlug-coordination/src/__tests__/leaseEras.test.ts
+++ b/packages/reedlug-coordination/src/__tests__/leaseEras.test.ts
@@ -73,7 +73,8 @@
       const op = leaseTick(lease, nowMs);
       if (op === undefined) continue;
       const answer = table.apply(op);
-      if (table.era > lease.era) noteLeaseEra(lease, table.era, nowMs);
+      const { era } = table;
+      if (era > lease.era) noteLeaseEra(lease, { era, isFirst: lease.era === 0, nowMs });
       leaseAnswered(lease, answer, { sentAtMs: nowMs, nowMs });
     }
   }
@@ -158,3 +159,14 @@
   leaseAnswered(lease, table.apply(op), { sentAtMs: 100, nowMs: 104 });
   expect(lease.held).to.equal(undefined);
 });
+
+test('a missing row is waited for by a box that had never looked at it before', () => {
+  const lease = createBox('a');
+  noteLeaseEra(lease, { era: 0, isFirst: true, nowMs: 0 });
+  noteLeaseEra(lease, { era: 1, isFirst: false, nowMs: 100 });
+  const table = new CopiedTable();
+  run(table, [lease], 100, 100 + WAIT_MS);
+  expect(lease.held).to.equal(undefined);
+  run(table, [lease], 100 + WAIT_MS, 100 + WAIT_MS + 4 * TICK_MS);
+  expect(lease.held?.fence).to.be.greaterThan(0);
+});
--- a/packages/reedlug-coordination/src/lease.ts
+++ b/packages/reedlug-coordination/src/lease.ts
@@ -120,9 +120,12 @@
   lease.pending = undefined;
 }
 
-/** Takes it that the store answers in an era: what the row said before is over. */
-export function noteLeaseEra(lease: LeaseState, era: number, nowMs: number): void {
-  lease.isLaterEra ||= lease.seen !== undefined || lease.era > 0;
+/** Takes it that the store answers in an era, the first one that this box knows or a later one: what the row said before is over. */
+export function noteLeaseEra(
+  lease: LeaseState,
+  { era, isFirst, nowMs }: { era: number; isFirst: boolean; nowMs: number },
+): void {
+  lease.isLaterEra ||= !isFirst;
   lease.era = era;
   lease.seen = undefined;
   lease.pending = undefined;
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -22,7 +22,7 @@
   if (before !== undefined && era <= before) return;
   state.storeEra = era;
   state.eraKnown = { sinceMs: step.nowMs, toldSinceWallMs: Number.POSITIVE_INFINITY };
-  noteLeaseEra(state.lease, era, step.nowMs);
+  noteLeaseEra(state.lease, { era, isFirst: before === undefined, nowMs: step.nowMs });
   if (before === undefined) return log(step, 'storeEraFirst', { era, source });
   state.storeCopyAtMs = step.nowMs;
   log(step, 'storeCameBack', { era, before, source });
