House: one rule for a new era, the simulator asks the lease itself, the order that is written again in plain steps

Read once more, behaviour unchanged. Whether an era is news stood three times (daemon, simulated box, reducer): isNewEra. The simulator computed a lease's end by itself: usableFence. isFromCopy asked three things of which one follows from another, and isWrittenAgain was exported for nobody: the later era is asked once, where the order is taken.

--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -9,6 +9,7 @@
 import { reduce } from '../reduce.js';
 import { sharedStateOf } from '../slices/sharedState.js';
 import { isReady } from '../slices/stopping.js';
+import { isNewEra } from '../slices/storeEra.js';
 import { createGatewayState, type GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { HostPort } from '../types/server.js';
@@ -83,7 +84,11 @@
   const runtime: Runtime = {
     settings,
     adapter,
-    store: adapter.openStore(settings, { onEra: (era) => tellEra(state, emit, era) }),
+    store: adapter.openStore(settings, {
+      onEra: (era) => {
+        if (isNewEra(state, era)) emit({ type: 'storeEra', era });
+      },
+    }),
     cloud: adapter.openCloud(settings),
     state,
     clock,
@@ -120,11 +125,6 @@
   };
 }
 
-/** Most answers tell the era that is known already. */
-function tellEra({ storeEra }: GatewayState, emit: Runtime['emit'], era: number): void {
-  if (storeEra === undefined || era > storeEra) emit({ type: 'storeEra', era });
-}
-
 async function listenAll(runtime: Runtime): Promise<Server[]> {
   const { settings, state } = runtime;
   const callers = createCallerServer({
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -9,6 +9,7 @@
 export { eventsOfTable } from './daemon/tableEvents.js';
 export { eventsOfShared, sharedStateOf, type SharedState } from './slices/sharedState.js';
 export { isReady } from './slices/stopping.js';
+export { isNewEra } from './slices/storeEra.js';
 export { reduce } from './reduce.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts.ts
@@ -39,8 +39,10 @@
   const { order, ageMs, source } = told;
   const known = state.rollouts.get(order.service);
   if (known !== undefined) {
-    if (known.order.revision >= order.revision || isFromCopy(known, order)) return known;
-    if (isWrittenAgain(known, order)) {
+    if (known.order.revision >= order.revision) return known;
+    const isOfLaterEra = eraOf(known.order.revision) < eraOf(order.revision);
+    if (isOfLaterEra && isFromCopy(known, order)) return known;
+    if (isOfLaterEra && isSameOrder(known.order, order)) {
       known.order = order;
       forgetRecord(known);
       return known;
@@ -82,24 +84,15 @@
   return view;
 }
 
-/** An earlier order that came back with a copy of the store: the version that it was given in an era before is its own. */
-function isFromCopy({ order, earlierRevisions }: RolloutView, told: RolloutOrder): boolean {
-  return earlierRevisions.some(
-    (revision) =>
-      eraOf(revision) < eraOf(told.revision) &&
-      versionOf(revision) === versionOf(told.revision) &&
-      eraOf(order.revision) < eraOf(told.revision),
-  );
+/** An earlier order that came back with a copy of the store: it has the version that it was given in an era before. */
+function isFromCopy({ earlierRevisions }: RolloutView, told: RolloutOrder): boolean {
+  return earlierRevisions.some((revision) => versionOf(revision) === versionOf(told.revision));
 }
 
-/** The order that is known, in a later era of the store: it stood in the copy, or was written again. */
-export function isWrittenAgain(
-  { order }: Pick<RolloutView, 'order'>,
-  told: Pick<RolloutOrder, 'targetVersion' | 'durationMs' | 'revision'>,
-): boolean {
-  const isLaterEra = eraOf(order.revision) < eraOf(told.revision);
-  if (!isLaterEra || order.targetVersion !== told.targetVersion) return false;
-  return Object.is(order.durationMs, told.durationMs);
+/** Whether an order of a later era is the one that is known: it stood in the copy, or was written again. */
+function isSameOrder(known: RolloutOrder, told: RolloutOrder): boolean {
+  const isSameTime = Object.is(known.durationMs, told.durationMs);
+  return isSameTime && known.targetVersion === told.targetVersion;
 }
 
 /** What the table says of a roll-out is not known any more. */
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/storeEra.ts
@@ -12,14 +12,19 @@
 /** Time from the store's return in which a whole collection may be that of the copy, in ms: what was lost is written again within 2 s, and the list of boxes is read a second later. */
 const COPY_SHOWS_MS = 5000;
 
+/** Whether an era is news: most answers tell the one that is known already. */
+export function isNewEra({ storeEra }: GatewayState, era: number): boolean {
+  return storeEra === undefined || era > storeEra;
+}
+
 /** Takes the era of an answer, or of a peer's news. */
 export function onStoreEra(
   state: GatewayState,
   step: Step,
   { era, source }: { era: number; source: string },
 ): void {
+  if (!isNewEra(state, era)) return;
   const before = state.storeEra;
-  if (before !== undefined && era <= before) return;
   state.storeEra = era;
   state.eraKnown = { sinceMs: step.nowMs, toldSinceWallMs: Number.POSITIVE_INFINITY };
   noteLeaseEra(state.lease, { era, isFirst: before === undefined, nowMs: step.nowMs });
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -1,6 +1,7 @@
 /** A box of the gateway under virtual time: the real reducer, the real feeds, effects on the world. */
 import {
   handleInTurn,
+  isNewEra,
   createGatewayState,
   followPlatform,
   reduce,
@@ -118,8 +119,7 @@
   const store: PlatformStore = world.store.openFor(box.settings.box.zone, {
     isAlive: () => box.isAlive,
     onEra(era) {
-      const { storeEra } = box.state;
-      if (storeEra === undefined || era > storeEra) box.emit({ type: 'storeEra', era });
+      if (isNewEra(box.state, era)) box.emit({ type: 'storeEra', era });
     },
   });
   box.store = store;
--- a/packages/reedlug-simulator/src/report/dutyRecord.ts
+++ b/packages/reedlug-simulator/src/report/dutyRecord.ts
@@ -1,4 +1,5 @@
 /** What the platform saw of the duties: who called under which fence, and what was reported for each window. */
+import { usableFence } from 'reedlug-coordination';
 import type { CloudCall, CloudOutcome } from 'reedlug-gateway';
 import { nowMs, type World } from '../world.js';
 import type { VirtualBox } from '../boxes/virtualBox.js';
@@ -117,8 +118,6 @@
 }
 
 function holdsLease(world: World, { state, startedAtMs }: VirtualBox): boolean {
-  const { held, options } = state.lease;
-  if (held === undefined || state.stoppingSinceMs !== undefined) return false;
-  const ownNowMs = nowMs(world) - startedAtMs;
-  return ownNowMs < held.grantedAtMs + options.ttlMs - options.marginMs;
+  if (state.stoppingSinceMs !== undefined) return false;
+  return usableFence(state.lease, nowMs(world) - startedAtMs, true) !== undefined;
 }
