--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -10,7 +10,7 @@
   type TestBox,
 } from './box.js';
 import { eventOfDatagram } from '../../daemon/datagramEvent.js';
-import { eventsOfSharedState, sharedStateOf } from '../../slices/sharedState.js';
+import { eventsOfSharedState, sharedStateOf } from '../../slices/peers/sharedState.js';
 import type { PeerAddress } from '../../types/peer.js';
 import type { Effect } from '../../types/effect.js';
 import type { EventBody } from '../../types/event.js';
--- a/packages/reedlug-gateway/src/daemon/__tests__/recordedBytes.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/recordedBytes.test.ts
@@ -4,7 +4,7 @@
   RECORDED_SHARED_STATE,
 } from '../../__tests__/__fixtures__/recordedBytes.js';
 import { createBox } from '../../__tests__/__fixtures__/box.js';
-import { eventsOfSharedState, type SharedState } from '../../slices/sharedState.js';
+import { eventsOfSharedState, type SharedState } from '../../slices/peers/sharedState.js';
 import type { PeerDatagram } from '../../types/peer.js';
 import { decodeDatagram, decoder, encodeDatagram } from '../peerWire.js';
 
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -2,7 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Effect } from '../types/effect.js';
 import type { Runtime } from './gatewayDaemon.js';
-import { eventsOfSharedState } from '../slices/sharedState.js';
+import { eventsOfSharedState } from '../slices/peers/sharedState.js';
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
 import { CLOUD_TIMEOUT_MS, TABLE_TIMEOUT_MS } from './daemonTimes.js';
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -7,9 +7,9 @@
 import { createGatewayMetrics, type GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
 import { reduce } from '../reduce.js';
-import { sharedStateOf } from '../slices/sharedState.js';
-import { isReady } from '../slices/shutdown.js';
-import { isNewEra } from '../slices/storeEra.js';
+import { sharedStateOf } from '../slices/peers/sharedState.js';
+import { isReady } from '../slices/lifecycle/shutdown.js';
+import { isNewEra } from '../slices/store/storeEra.js';
 import { createGatewayState, type GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { HostPort } from '../types/server.js';
--- a/packages/reedlug-gateway/src/daemon/operatorServer.ts
+++ b/packages/reedlug-gateway/src/daemon/operatorServer.ts
@@ -8,7 +8,7 @@
 import { setDecisionMetrics } from '../observe/decisionMetrics.js';
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
-import { blockedSuspects } from '../slices/crashSuspects.js';
+import { blockedSuspects } from '../slices/crashes/crashSuspects.js';
 import type { GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { Clock } from './clock.js';
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:http';
 import { Client } from 'undici';
 import type { PeerDatagram } from '../types/peer.js';
-import type { SharedState } from '../slices/sharedState.js';
+import type { SharedState } from '../slices/peers/sharedState.js';
 import type { HostPort } from '../types/server.js';
 import { PEER_REQUEST_TIMEOUT_MS } from './daemonTimes.js';
 import { decodeDatagram, decoder, encodeDatagram, encoder } from './peerWire.js';
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -4,7 +4,7 @@
 import type { GatewayState } from '../state.js';
 import type { EventBody, PeerChange } from '../types/event.js';
 import type { GatewaySettings } from '../types/settings.js';
-import { followsStore, ownAddress, startDelayMs } from '../slices/fleet.js';
+import { followsStore, ownAddress, startDelayMs } from '../slices/peers/fleet.js';
 import { maintainBoxEntry } from './boxEntry.js';
 import type { Clock } from './clock.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
--- a/packages/reedlug-gateway/src/daemon/statementWire.ts
+++ b/packages/reedlug-gateway/src/daemon/statementWire.ts
@@ -4,7 +4,7 @@
  * Of thousands of servers, a tenth may make a statement at the same time, so rows contain no field
  * names. A malformed row, such as one of another version, is skipped.
  */
-import { isFiniteNumber, isFiniteNumberOrNull } from '../slices/rowValues.js';
+import { isFiniteNumber, isFiniteNumberOrNull } from '../slices/store/rowValues.js';
 import type {
   ServerStatement,
   ServerStatementsMessage,
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -13,9 +13,9 @@
   eventsOfSharedState as eventsOfShared,
   sharedStateOf,
   type SharedState,
-} from './slices/sharedState.js';
-export { isReady } from './slices/shutdown.js';
-export { isNewEra } from './slices/storeEra.js';
+} from './slices/peers/sharedState.js';
+export { isReady } from './slices/lifecycle/shutdown.js';
+export { isNewEra } from './slices/store/storeEra.js';
 export { reduce } from './reduce.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -1,11 +1,11 @@
 /** Gauges of the values that decisions are currently based on: the model of each service, its need for engines, and the limits. */
 import { Gauge, type Registry } from 'prom-client';
 import { sumTallies } from '../policy/rolloutVerdict.js';
-import { modelOf } from '../slices/engineModels.js';
-import { countedPeers } from '../slices/fleet.js';
-import { limitUse } from '../slices/quotas.js';
-import { evidenceOf } from '../slices/rolloutEvidence.js';
-import { loadOf } from '../slices/serviceLoad.js';
+import { modelOf } from '../slices/engines/engineModels.js';
+import { countedPeers } from '../slices/peers/fleet.js';
+import { limitUse } from '../slices/limits/quotas.js';
+import { evidenceOf } from '../slices/rollouts/rolloutEvidence.js';
+import { loadOf } from '../slices/engines/serviceLoad.js';
 import type { GatewayState } from '../state.js';
 
 /** Gauges of decisions; they are set when the metrics are requested. */
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -6,7 +6,7 @@
 import type { EventOf, GatewayEvent } from './types/event.js';
 import type { Effect } from './types/effect.js';
 import type { GatewayState, Step } from './state.js';
-import { onConfigurationRead } from './slices/configuration.js';
+import { onConfigurationRead } from './slices/store/configuration.js';
 import {
   onAnswerBegun,
   onAttemptAnswered,
@@ -14,36 +14,36 @@
   onAttemptLost,
   onAttemptNotSent,
   onEventsRelayed,
-} from './slices/attempts.js';
-import { capacityTick } from './slices/capacity.js';
-import { crashGossipTick, onCrashSuspects } from './slices/crashGossip.js';
-import { crashRowTick, onCrashRow } from './slices/crashRow.js';
-import { crashSuspectsTick, liftVerdict } from './slices/crashSuspects.js';
-import { onOrderAnswered } from './slices/engineOrders.js';
-import { clockTick, onClockRow, onStoreClock } from './slices/clock.js';
-import { dutyLeaseTick, onLeaseRow } from './slices/dutyLease.js';
-import { limitShareTick } from './slices/limitShare.js';
-import { lostServersTick, onServerProbed } from './slices/lostServers.js';
-import { onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers.js';
+} from './slices/requests/attempts.js';
+import { capacityTick } from './slices/engines/capacity.js';
+import { crashGossipTick, onCrashSuspects } from './slices/crashes/crashGossip.js';
+import { crashRowTick, onCrashRow } from './slices/crashes/crashRow.js';
+import { crashSuspectsTick, liftVerdict } from './slices/crashes/crashSuspects.js';
+import { onOrderAnswered } from './slices/engines/engineOrders.js';
+import { clockTick, onClockRow, onStoreClock } from './slices/store/clock.js';
+import { dutyLeaseTick, onLeaseRow } from './slices/store/dutyLease.js';
+import { limitShareTick } from './slices/limits/limitShare.js';
+import { lostServersTick, onServerProbed } from './slices/crashes/lostServers.js';
+import { onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers/peers.js';
 import {
   pendingRequestsTick,
   onCallerGone,
   onRequestArrived,
   requestsTick,
-} from './slices/requests.js';
-import { onRolloutRow, rolloutRecordsTick } from './slices/rolloutRecords.js';
-import { rolloutEvaluationTick } from './slices/rolloutEvaluation.js';
-import { onRolloutOrdered } from './slices/rollouts.js';
+} from './slices/requests/requests.js';
+import { onRolloutRow, rolloutRecordsTick } from './slices/rollouts/rolloutRecords.js';
+import { rolloutEvaluationTick } from './slices/rollouts/rolloutEvaluation.js';
+import { onRolloutOrdered } from './slices/rollouts/rollouts.js';
 import { onServerStatements, statementsTick } from './slices/statements/statementGossip.js';
-import { onServersRead, onStoreContact, serversTick } from './slices/servers.js';
-import { silentServersTick } from './slices/silentServers.js';
-import { onStoreEra } from './slices/storeEra.js';
-import { onStopAsked, shutdownTick } from './slices/shutdown.js';
-import { gossipTick } from './slices/sendGossip.js';
-import { checkWallClock } from './slices/suspension.js';
-import { onUnitsAsked, onUnitsReturned } from './slices/unitLoans.js';
-import { onUnitsLent, waitingSendsTick } from './slices/waitingSends.js';
-import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage.js';
+import { onServersRead, onStoreContact, serversTick } from './slices/servers/servers.js';
+import { silentServersTick } from './slices/servers/silentServers.js';
+import { onStoreEra } from './slices/store/storeEra.js';
+import { onStopAsked, shutdownTick } from './slices/lifecycle/shutdown.js';
+import { gossipTick } from './slices/peers/sendGossip.js';
+import { checkWallClock } from './slices/lifecycle/suspension.js';
+import { onUnitsAsked, onUnitsReturned } from './slices/limits/unitLoans.js';
+import { onUnitsLent, waitingSendsTick } from './slices/limits/waitingSends.js';
+import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage/usage.js';
 
 /** Handles an event and returns the requested effects. */
 export function reduce(state: GatewayState, event: GatewayEvent): Effect[] {
--- a/packages/reedlug-gateway/src/slices/__tests__/crashSuspects.test.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/__tests__/crashSuspects.test.ts
@@ -7,9 +7,9 @@
   only,
   server,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { CrashSuspectsMessage, CrashSuspectsRow } from '../../types/crashSuspect.js';
-import type { Effect } from '../../types/effect.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { CrashSuspectsMessage, CrashSuspectsRow } from '../../../types/crashSuspect.js';
+import type { Effect } from '../../../types/effect.js';
 
 const SUSPECT = 'tiger/bad';
 /** Time until a verdict is given, plus one tick. */
--- a/packages/reedlug-gateway/src/slices/crashGossip.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashGossip.ts
@@ -5,14 +5,14 @@
  * otherwise through the hubs, which forward what is new to them. At longer intervals
  * everything is sent again, for boxes that start, were partitioned, or lost a datagram.
  */
-import type { GatewayState, Step } from '../state.js';
+import type { GatewayState, Step } from '../../state.js';
 import type {
   CrashEntry,
   CrashSuspect,
   CrashSuspectGossip,
   ServerCrash,
-} from '../types/crashSuspect.js';
-import type { EventOf } from '../types/event.js';
+} from '../../types/crashSuspect.js';
+import type { EventOf } from '../../types/event.js';
 import {
   addCrash,
   scheduleEvaluation,
@@ -22,9 +22,9 @@
   suspectPriority,
   getOrCreateSuspect,
 } from './crashSuspects.js';
-import { forwardsGossip } from './fleet.js';
-import { isFiniteNumber, isFiniteNumberOrNull } from './rowValues.js';
-import { gossipTargets } from './gossipTargets.js';
+import { forwardsGossip } from '../peers/fleet.js';
+import { isFiniteNumber, isFiniteNumberOrNull } from '../store/rowValues.js';
+import { gossipTargets } from '../peers/gossipTargets.js';
 
 /** Maximum number of suspects in one message, so that it stays far below the maximum size of a datagram; those with the highest priority come first. */
 const MAX_SUSPECTS_PER_MESSAGE = 24;
--- a/packages/reedlug-gateway/src/slices/crashRefusal.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashRefusal.ts
@@ -1,12 +1,12 @@
 /** Refuses requests that may crash the servers that run them. */
 import { hashString } from 'reedlug-coordination';
-import { CRASHES_TO_BLOCK } from '../policy/crashVerdict.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { CrashSuspect } from '../types/crashSuspect.js';
-import type { RequestRecord } from '../types/request.js';
-import type { PeerView } from '../types/views.js';
+import { CRASHES_TO_BLOCK } from '../../policy/crashVerdict.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { CrashSuspect } from '../../types/crashSuspect.js';
+import type { RequestRecord } from '../../types/request.js';
+import type { PeerView } from '../../types/views.js';
 import { CRASHES_SERVERS_REASON, suspectOf } from './crashSuspects.js';
-import { boxesRankedBefore, isFreshPeer, usesHubs } from './fleet.js';
+import { boxesRankedBefore, isFreshPeer, usesHubs } from '../peers/fleet.js';
 
 /** Retry-After while a trial send of such a request is in progress, in ms: by then it is known whether the server of the trial crashes. */
 const TRIAL_RETRY_AFTER_MS = 500;
--- a/packages/reedlug-gateway/src/slices/crashRow.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashRow.ts
@@ -8,22 +8,22 @@
  * and what another box wrote in the meantime is merged before the next write.
  */
 import { describeRevision, type TableRow } from 'reedlug-coordination';
-import { log, requestTable, type GatewayState, type Step } from '../state.js';
+import { log, requestTable, type GatewayState, type Step } from '../../state.js';
 import {
   CRASH_SUSPECTS_KEY,
   type CrashSuspect,
   type CrashSuspectGossip,
   type CrashSuspectsRow,
-} from '../types/crashSuspect.js';
-import type { EventOf } from '../types/event.js';
+} from '../../types/crashSuspect.js';
+import type { EventOf } from '../../types/event.js';
 import {
   isSuspectGossip,
   suspectGossip,
   highestPrioritySuspects,
   mergeSuspect,
 } from './crashGossip.js';
-import { dutyFence } from './dutyLease.js';
-import { rowsOf } from './tableRows.js';
+import { dutyFence } from '../store/dutyLease.js';
+import { rowsOf } from '../store/tableRows.js';
 
 /** Interval between calls to the table, in ms: the store usually answers within a few ms, and a busy store is called again. */
 const TABLE_CALL_INTERVAL_MS = 250;
--- a/packages/reedlug-gateway/src/slices/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashSuspects.ts
@@ -12,11 +12,11 @@
   CRASHES_TO_BLOCK,
   causesCrashes,
   isSameCrash,
-} from '../policy/crashVerdict.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { CrashSuspect, ServerCrash } from '../types/crashSuspect.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import { giveUp } from './requestCompletion.js';
+} from '../../policy/crashVerdict.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { CrashSuspect, ServerCrash } from '../../types/crashSuspect.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import { giveUp } from '../requests/requestCompletion.js';
 
 /** Maximum number of suspects; those with the fewest crashes, then those not seen for the longest, are removed first. */
 const MAX_SUSPECTS = 512;
--- a/packages/reedlug-gateway/src/slices/lostServers.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/lostServers.ts
@@ -6,12 +6,12 @@
  * after the loss, if it restarts, or if its entry disappears. The first is known some ms after
  * the loss, the others seconds later.
  */
-import { recordFailure, recordGone } from '../policy/serverHealth.js';
-import type { GatewayState, Step } from '../state.js';
-import type { EventOf } from '../types/event.js';
-import type { LostServer } from '../types/crashSuspect.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import type { ServerView } from '../types/views.js';
+import { recordFailure, recordGone } from '../../policy/serverHealth.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { LostServer } from '../../types/crashSuspect.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import type { ServerView } from '../../types/views.js';
 import {
   hasEndedBefore,
   isPastCrashPoint,
--- a/packages/reedlug-gateway/src/slices/__tests__/capacity.test.ts
+++ b/packages/reedlug-gateway/src/slices/engines/__tests__/capacity.test.ts
@@ -10,11 +10,11 @@
   limitStatement,
   pauseStatement,
   statementsEvent,
-} from '../../__tests__/__fixtures__/box.js';
-import { callsOf, passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
-import type { CloudCall } from '../../types/effect.js';
-import { ServerState, type ServerEntry } from '../../types/server.js';
-import type { ServerStatement } from '../../types/serverStatement.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { callsOf, passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
+import type { CloudCall } from '../../../types/effect.js';
+import { ServerState, type ServerEntry } from '../../../types/server.js';
+import type { ServerStatement } from '../../../types/serverStatement.js';
 
 type Order = Extract<CloudCall, { kind: 'orderEngines' }>;
 
--- a/packages/reedlug-gateway/src/slices/__tests__/capacityUnderFaults.test.ts
+++ b/packages/reedlug-gateway/src/slices/engines/__tests__/capacityUnderFaults.test.ts
@@ -10,9 +10,9 @@
   ofType,
   server,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import { passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
-import { ServerState, type ServerEntry } from '../../types/server.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
+import { ServerState, type ServerEntry } from '../../../types/server.js';
 
 const TICK_MS = 50;
 const BOOT_MS = 4000;
--- a/packages/reedlug-gateway/src/slices/capacity.ts
+++ b/packages/reedlug-gateway/src/slices/engines/capacity.ts
@@ -5,15 +5,15 @@
  * Reclaimable engines carry the load. On-demand engines are kept only while reclaimable
  * ones are missing: at the start, and after a reclaim.
  */
-import type { ScalingSpec, ServiceSpec } from '../types/configuration.js';
+import type { ScalingSpec, ServiceSpec } from '../../types/configuration.js';
 import {
   spreadEngines,
   type EngineNeed,
   type ZoneOffer,
   type ZoneTarget,
-} from '../policy/engineTarget.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import { dutyFence } from './dutyLease.js';
+} from '../../policy/engineTarget.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import { dutyFence } from '../store/dutyLease.js';
 import { isBeforeFirstLoad, recordInitialOnDemand, stabilizedNeed } from './engineNeed.js';
 import {
   BOOT_MARGIN_MS,
@@ -27,7 +27,7 @@
   zoneKey,
 } from './engineOrders.js';
 import { measureLoad } from './serviceLoad.js';
-import { isRollingOut } from './versionRule.js';
+import { isRollingOut } from '../rollouts/versionRule.js';
 
 /** Interval between plans, in ms: an engine takes seconds to start, and a reclaim is announced two seconds ahead. */
 const PLAN_INTERVAL_MS = 250;
--- a/packages/reedlug-gateway/src/slices/engineModels.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineModels.ts
@@ -1,5 +1,5 @@
 /** Performance models of the engines of each service, fitted to the sends of this box and its peers. */
-import { serverOf } from './requestCompletion.js';
+import { serverOf } from '../requests/requestCompletion.js';
 import {
   addSendSums,
   createSendSums,
@@ -10,11 +10,11 @@
   type EngineModel,
   type OwnSends,
   type SendSums,
-} from '../policy/engineModel.js';
-import { recordSlowness } from '../policy/serverHealth.js';
-import type { GatewayState, Step } from '../state.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import { countedPeers } from './fleet.js';
+} from '../../policy/engineModel.js';
+import { recordSlowness } from '../../policy/serverHealth.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import { countedPeers } from '../peers/fleet.js';
 
 /** Interval between fits, in ms: sums with a half-life of 15 s change by 2 % in it. */
 const FIT_INTERVAL_MS = 500;
--- a/packages/reedlug-gateway/src/slices/engineNeed.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineNeed.ts
@@ -1,16 +1,16 @@
 /** Engines that a service needs: computed from its load, or estimated while the load is not known yet. */
-import { LimitUnit, type ServiceSpec, type WorkspaceSpec } from '../types/configuration.js';
+import { LimitUnit, type ServiceSpec, type WorkspaceSpec } from '../../types/configuration.js';
 import {
   enginesNeeded,
   initialReclaimable,
   type EngineNeed,
   type ServiceLoad,
-} from '../policy/engineTarget.js';
-import { updateStabilized, type GatewayState, type Step } from '../state.js';
-import type { StabilizedNeed } from '../types/views.js';
+} from '../../policy/engineTarget.js';
+import { updateStabilized, type GatewayState, type Step } from '../../state.js';
+import type { StabilizedNeed } from '../../types/views.js';
 import { modelOf } from './engineModels.js';
 import { countReady, lastOrderedCount } from './engineOrders.js';
-import { withMissingEngines } from './statements/missingEngines.js';
+import { withMissingEngines } from '../statements/missingEngines.js';
 import { isLoadKnown, loadOf } from './serviceLoad.js';
 
 /** How long a need is kept after it was last that high, in ms: an engine takes 4 s to start, and the load fluctuates. */
--- a/packages/reedlug-gateway/src/slices/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineOrders.ts
@@ -1,12 +1,12 @@
 /** Orders of engines to the platform, its answers, and the engines that each order granted or released. */
-import type { EventOf } from '../types/event.js';
-import type { ServiceSpec } from '../types/configuration.js';
-import type { ZoneTarget } from '../policy/engineTarget.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { EngineOrder } from '../types/views.js';
+import type { EventOf } from '../../types/event.js';
+import type { ServiceSpec } from '../../types/configuration.js';
+import type { ZoneTarget } from '../../policy/engineTarget.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { EngineOrder } from '../../types/views.js';
 import { modelOf } from './engineModels.js';
 import { loadOf } from './serviceLoad.js';
-import { carriesLoad } from './versionRule.js';
+import { carriesLoad } from '../rollouts/versionRule.js';
 
 /** Time until an order that was refused or lost is sent again, in ms. */
 const ORDER_RETRY_MS = 1000;
--- a/packages/reedlug-gateway/src/slices/serviceLoad.ts
+++ b/packages/reedlug-gateway/src/slices/engines/serviceLoad.ts
@@ -1,8 +1,8 @@
 /** Load of the services whose engines can be ordered, over all boxes and averaged over time. */
-import type { ServiceLoad } from '../policy/engineTarget.js';
-import type { GatewayState, Step } from '../state.js';
-import type { LoadAverage } from '../types/views.js';
-import { countedPeers } from './fleet.js';
+import type { ServiceLoad } from '../../policy/engineTarget.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { LoadAverage } from '../../types/views.js';
+import { countedPeers } from '../peers/fleet.js';
 
 /** Time over which a rising load is averaged, in ms: shorter than an engine's start. */
 const RISE_SMOOTHING_MS = 3000;
--- a/packages/reedlug-gateway/src/slices/__tests__/shutdown.test.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/__tests__/shutdown.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { createServingBox, facts, ofType, only } from '../../__tests__/__fixtures__/box.js';
+import { createServingBox, facts, ofType, only } from '../../../__tests__/__fixtures__/box.js';
 
 test('a stream that arrives late in a planned shutdown is refused as not run', () => {
   const box = createServingBox();
--- a/packages/reedlug-gateway/src/slices/__tests__/suspension.test.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/__tests__/suspension.test.ts
@@ -6,10 +6,10 @@
   type TestBox,
   limitStatement,
   statementsEvent,
-} from '../../__tests__/__fixtures__/box.js';
-import { takeLease } from '../../__tests__/__fixtures__/lease.js';
-import type { Effect } from '../../types/effect.js';
-import { dutyFence } from '../dutyLease.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { takeLease } from '../../../__tests__/__fixtures__/lease.js';
+import type { Effect } from '../../../types/effect.js';
+import { dutyFence } from '../../store/dutyLease.js';
 
 /** Suspends the machine for a time that its monotonic clock does not count. */
 function suspend(box: TestBox, ms: number): Effect[] {
--- a/packages/reedlug-gateway/src/slices/shutdown.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/shutdown.ts
@@ -1,6 +1,6 @@
 /** Planned shutdown: the box is no longer ready, open requests finish, then the process ends. */
-import { RouteKind } from '../types/configuration.js';
-import { log, type GatewayState, type Step } from '../state.js';
+import { RouteKind } from '../../types/configuration.js';
+import { log, type GatewayState, type Step } from '../../state.js';
 
 /** Time within which the platform's load balancer stops sending new connections, in ms: two health checks a second apart, and one in flight. */
 const BALANCER_REACTION_MS = 3200;
--- a/packages/reedlug-gateway/src/slices/suspension.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/suspension.ts
@@ -9,7 +9,7 @@
  * callers' requests are left as they are.
  */
 import { ageLease } from 'reedlug-coordination';
-import { log, type GatewayState, type Step } from '../state.js';
+import { log, type GatewayState, type Step } from '../../state.js';
 
 /** Minimum time that counts as a suspension, in ms: several ticks, and more than clocks are corrected by. */
 const MIN_SUSPENSION_MS = 250;
--- a/packages/reedlug-gateway/src/slices/__tests__/limitShare.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/limitShare.test.ts
@@ -9,9 +9,9 @@
   server,
   settings,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { LimitShareGossip } from '../../types/limitShare.js';
-import type { PeerAddress, PeerMessage } from '../../types/peer.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { LimitShareGossip } from '../../../types/limitShare.js';
+import type { PeerAddress, PeerMessage } from '../../../types/peer.js';
 
 const OTHER: PeerAddress = {
   boxId: 'box-2',
--- a/packages/reedlug-gateway/src/slices/__tests__/limitsAcrossBoxes.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/limitsAcrossBoxes.test.ts
@@ -13,10 +13,10 @@
   ofType,
   settings,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import { eventOfDatagram } from '../../daemon/datagramEvent.js';
-import type { Effect } from '../../types/effect.js';
-import type { PeerAddress, PeerDatagram } from '../../types/peer.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { eventOfDatagram } from '../../../daemon/datagramEvent.js';
+import type { Effect } from '../../../types/effect.js';
+import type { PeerAddress, PeerDatagram } from '../../../types/peer.js';
 
 const TICK_MS = 50;
 const WINDOW_MS = 8000;
--- a/packages/reedlug-gateway/src/slices/__tests__/quotas.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/quotas.test.ts
@@ -8,8 +8,8 @@
   only,
   settings,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { GatewaySettings } from '../../types/settings.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { GatewaySettings } from '../../../types/settings.js';
 
 /** Share of the users' limit that is used. */
 const USED_SHARE = 0.98;
--- a/packages/reedlug-gateway/src/slices/limitShare.ts
+++ b/packages/reedlug-gateway/src/slices/limits/limitShare.ts
@@ -7,13 +7,13 @@
  * so, and its later incarnations hold the share from their start, whichever other boxes are unreachable.
  */
 import { describeRevision } from 'reedlug-coordination';
-import type { LimitShare, LimitShareGossip } from '../types/limitShare.js';
-import type { EventOf } from '../types/event.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { PeerMessage } from '../types/peer.js';
-import { dutyFence } from './dutyLease.js';
-import { mayShowBackup } from './storeEra.js';
-import { countedPeers, isFreshPeer, knownGroups, ownAddress, usesHubs } from './fleet.js';
+import type { LimitShare, LimitShareGossip } from '../../types/limitShare.js';
+import type { EventOf } from '../../types/event.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { PeerMessage } from '../../types/peer.js';
+import { dutyFence } from '../store/dutyLease.js';
+import { mayShowBackup } from '../store/storeEra.js';
+import { countedPeers, isFreshPeer, knownGroups, ownAddress, usesHubs } from '../peers/fleet.js';
 
 /** Time after its start before a joining box checks whether all boxes know it, in ms. Boxes that start together are all listed by then. */
 const JOIN_AFTER_MS = 3000;
--- a/packages/reedlug-gateway/src/slices/limitWindow.ts
+++ b/packages/reedlug-gateway/src/slices/limits/limitWindow.ts
@@ -1,6 +1,6 @@
 /** The sliding window of limits that the users define, and what a workspace may send in it over all boxes. */
-import type { GatewayState } from '../state.js';
-import type { LimitInForce, QuotaView } from '../types/views.js';
+import type { GatewayState } from '../../state.js';
+import type { LimitInForce, QuotaView } from '../../types/views.js';
 
 /** Margin added to the users' window, in ms. A request arrives at its server shortly after it was charged. */
 const WINDOW_MARGIN_MS = 200;
--- a/packages/reedlug-gateway/src/slices/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/limits/quotas.ts
@@ -7,10 +7,10 @@
  * appear as spare capacity at every box at once. A box whose share is used up borrows units from others
  * ([unitLoans](./unitLoans.ts)).
  */
-import { LimitUnit, type WorkspaceSpec } from '../types/configuration.js';
-import type { RequestFacts, RequestRecord } from '../types/request.js';
+import { LimitUnit, type WorkspaceSpec } from '../../types/configuration.js';
+import type { RequestFacts, RequestRecord } from '../../types/request.js';
 import { mayHaveRun } from 'reedlug-coordination';
-import { limitShareBound } from '../policy/limitShareBound.js';
+import { limitShareBound } from '../../policy/limitShareBound.js';
 import {
   addUnits,
   createUnitWindow,
@@ -18,9 +18,9 @@
   timeUntilSpareMs,
   unitsWithin,
   type WindowBound,
-} from '../policy/unitWindow.js';
-import type { GatewayState } from '../state.js';
-import type { QuotaView } from '../types/views.js';
+} from '../../policy/unitWindow.js';
+import type { GatewayState } from '../../state.js';
+import type { QuotaView } from '../../types/views.js';
 import { chargeWindowMs, windowBounds } from './limitWindow.js';
 
 /** Time for which lent units may be spent, in ms; twice the longest wait for them. After a restart a box spends no units for the same time. */
--- a/packages/reedlug-gateway/src/slices/unitLoans.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
@@ -6,18 +6,22 @@
  * incarnation only makes the limit smaller. The time of a loan starts with the request for it, on the
  * clock of the borrower, which is before the lender charges it.
  */
-import type { EventOf } from '../types/event.js';
-import { GossipScope, type UnitsAskedMessage, type UnitsReturnedMessage } from '../types/peer.js';
-import { addUnits } from '../policy/unitWindow.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { WorkspaceSpec } from '../types/configuration.js';
+import type { EventOf } from '../../types/event.js';
+import {
+  GossipScope,
+  type UnitsAskedMessage,
+  type UnitsReturnedMessage,
+} from '../../types/peer.js';
+import { addUnits } from '../../policy/unitWindow.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { WorkspaceSpec } from '../../types/configuration.js';
 import {
   countedPeers,
   isFreshPeer,
   forwardsGossip,
   ownAddress,
   type PeerWithMessage,
-} from './fleet.js';
+} from '../peers/fleet.js';
 import { findWorkspace, lendUnits, LOAN_MS, quotaOf, spareUnits } from './quotas.js';
 
 /** Maximum number of boxes asked for the units of one request. A large request needs dozens of small shares. */
--- a/packages/reedlug-gateway/src/slices/waitingSends.ts
+++ b/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
@@ -4,13 +4,13 @@
  * A box whose share is used up asks other boxes for units, which takes one round trip. A request is
  * refused at once if the other boxes have not announced enough spare units.
  */
-import type { Choice } from '../policy/chooseServer.js';
-import { addRetryJitter } from '../policy/retryJitter.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { EventOf } from '../types/event.js';
-import type { WorkspaceSpec } from '../types/configuration.js';
-import type { RequestRecord, WaitingSend } from '../types/request.js';
-import { giveUp, refuse } from './requestCompletion.js';
+import type { Choice } from '../../policy/chooseServer.js';
+import { addRetryJitter } from '../../policy/retryJitter.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { WorkspaceSpec } from '../../types/configuration.js';
+import type { RequestRecord, WaitingSend } from '../../types/request.js';
+import { giveUp, refuse } from '../requests/requestCompletion.js';
 import {
   chargeFurtherSend,
   chargeSend,
@@ -21,8 +21,8 @@
   spareUnits,
   timeUntilUnits,
 } from './quotas.js';
-import { countFirstSend } from './retryBudgets.js';
-import { sendOrGiveUp } from './sending.js';
+import { countFirstSend } from '../requests/retryBudgets.js';
+import { sendOrGiveUp } from '../requests/sending.js';
 import { requestUnits, pruneLoans, returnLoans, acceptLoan } from './unitLoans.js';
 
 /** Share of a route's target time for which a request may wait; small enough that the answer is hardly delayed. */
--- a/packages/reedlug-gateway/src/slices/__tests__/fleet.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/fleet.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
-import { createFleet, type TestFleet } from '../../__tests__/__fixtures__/fleet.js';
-import { configuration, facts, ofType, only, server } from '../../__tests__/__fixtures__/box.js';
-import { ServerState, type ServerChange } from '../../types/server.js';
+import { createFleet, type TestFleet } from '../../../__tests__/__fixtures__/fleet.js';
+import { configuration, facts, ofType, only, server } from '../../../__tests__/__fixtures__/box.js';
+import { ServerState, type ServerChange } from '../../../types/server.js';
 import { countedPeers, fleetSize, followsStore, knownGroups } from '../fleet.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
--- a/packages/reedlug-gateway/src/slices/__tests__/peers.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/peers.test.ts
@@ -10,10 +10,10 @@
   server,
   settings,
   createBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { Effect } from '../../types/effect.js';
-import type { PeerMessage } from '../../types/peer.js';
-import type { PeerView } from '../../types/views.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { Effect } from '../../../types/effect.js';
+import type { PeerMessage } from '../../../types/peer.js';
+import type { PeerView } from '../../../types/views.js';
 import { nextRegistryUpdate } from '../registryGossip.js';
 import { eventsOfSharedState, sharedStateOf } from '../sharedState.js';
 
--- a/packages/reedlug-gateway/src/slices/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -1,18 +1,18 @@
 /** Builds gossip messages: for this box, for its group, and for one member the sum of all other boxes. */
-import { GossipScope, type PeerMessage, type ServerLoad } from '../types/peer.js';
-import type { GatewayState, Step } from '../state.js';
-import { addLoads } from '../policy/serverLoad.js';
-import type { ReceivedTotals, PeerView, ServerView } from '../types/views.js';
-import { dutyFence } from './dutyLease.js';
-import { boxesCovered, countedPeers, isFreshPeer, type PeerWithMessage } from './fleet.js';
-import { addSendSums, type SendSums } from '../policy/engineModel.js';
-import { ownSendSums } from './engineModels.js';
-import { ownShareGossip, sumShares } from './limitShare.js';
-import { rolloutGossip } from './rollouts.js';
+import { GossipScope, type PeerMessage, type ServerLoad } from '../../types/peer.js';
+import type { GatewayState, Step } from '../../state.js';
+import { addLoads } from '../../policy/serverLoad.js';
+import type { ReceivedTotals, PeerView, ServerView } from '../../types/views.js';
+import { dutyFence } from '../store/dutyLease.js';
+import { boxesCovered, countedPeers, type PeerWithMessage } from './fleet.js';
+import { addSendSums, type SendSums } from '../../policy/engineModel.js';
+import { ownSendSums } from '../engines/engineModels.js';
+import { ownShareGossip, sumShares } from '../limits/limitShare.js';
+import { rolloutGossip } from '../rollouts/rollouts.js';
 import { registryGossip } from './registryGossip.js';
-import { ownSpareUnits } from './unitLoans.js';
-import { ownUsage } from './usage.js';
-import { decisionGossip } from './usageDecisions.js';
+import { ownSpareUnits } from '../limits/unitLoans.js';
+import { ownUsage } from '../usage/usage.js';
+import { decisionGossip } from '../usage/usageDecisions.js';
 
 /** The gossip of one tick; messages to several peers differ only in what they sum up. */
 export interface GossipMessages {
@@ -186,10 +186,3 @@
   }
   return sums;
 }
-
-/** Returns the peers whose hub this box is: they send it their own gossip, and receive the sum of all others. */
-export function hubMembers(state: GatewayState, nowMs: number): PeerView[] {
-  return [...state.peers.values()].filter(
-    (peer) => peer.message?.scope === GossipScope.box && isFreshPeer(peer, nowMs),
-  );
-}
--- a/packages/reedlug-gateway/src/slices/fleet.ts
+++ b/packages/reedlug-gateway/src/slices/peers/fleet.ts
@@ -4,10 +4,10 @@
  * A large fleet is divided into groups. The hub of a group sums up the gossip of its members.
  */
 import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
-import { groupBoxes, needsHubs } from '../policy/peerGroups.js';
-import { GossipScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
-import type { GatewayState } from '../state.js';
-import type { PeerView } from '../types/views.js';
+import { groupBoxes, needsHubs } from '../../policy/peerGroups.js';
+import { GossipScope, type PeerAddress, type PeerMessage } from '../../types/peer.js';
+import type { GatewayState } from '../../state.js';
+import type { PeerView } from '../../types/views.js';
 
 /** Silence after which a peer's gossip no longer counts, in ms: five of its messages lost in a row. */
 export const SILENT_AFTER_MS = 1000;
@@ -49,6 +49,13 @@
   return peer.message?.scope === GossipScope.group && isFreshPeer(peer, nowMs);
 }
 
+/** Returns the peers whose hub this box is: they send it their own gossip, and receive the sum of all others. */
+export function hubMembers(state: GatewayState, nowMs: number): PeerView[] {
+  return [...state.peers.values()].filter(
+    (peer) => peer.message?.scope === GossipScope.box && isFreshPeer(peer, nowMs),
+  );
+}
+
 /** Returns whether a peer is a seed, which is known by its address alone until it sends a message or is listed. */
 export function isSeed(peer: PeerView): boolean {
   return peer.boxId === peer.address.host;
--- a/packages/reedlug-gateway/src/slices/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -1,17 +1,17 @@
 /** Handles gossip from peers: totals, versions, addresses. */
-import type { EventOf } from '../types/event.js';
-import { GossipScope, type PeerAddress, type PeerMessage } from '../types/peer.js';
-import { createReceivedTotals, log, type GatewayState, type Step } from '../state.js';
-import type { PeerView } from '../types/views.js';
-import { adoptClockOffset } from './clock.js';
+import type { EventOf } from '../../types/event.js';
+import { GossipScope, type PeerAddress, type PeerMessage } from '../../types/peer.js';
+import { createReceivedTotals, log, type GatewayState, type Step } from '../../state.js';
+import type { PeerView } from '../../types/views.js';
+import { adoptClockOffset } from '../store/clock.js';
 import { isFreshPeer, isCounted, PEER_GONE_AFTER_MS, type PeerWithMessage } from './fleet.js';
-import { recordBoxesListed } from './limitShare.js';
-import { mergeRolloutGossip } from './rollouts.js';
+import { recordBoxesListed } from '../limits/limitShare.js';
+import { mergeRolloutGossip } from '../rollouts/rollouts.js';
 import { nextRegistryUpdate } from './registryGossip.js';
-import { recordIfUninformed } from './statements/statementGossip.js';
-import { applyHubChanges } from './servers.js';
-import { mayShowBackup, onStoreEra } from './storeEra.js';
-import { mergeDecisions, mergeUsage } from './usage.js';
+import { recordIfUninformed } from '../statements/statementGossip.js';
+import { applyHubChanges } from '../servers/servers.js';
+import { mayShowBackup, onStoreEra } from '../store/storeEra.js';
+import { mergeDecisions, mergeUsage } from '../usage/usage.js';
 
 /** Time for which a peer's newer configuration or registry may be known before it is requested, in ms: the store's feed usually brings it sooner. */
 const BEHIND_GRACE_MS = 300;
--- a/packages/reedlug-gateway/src/slices/registryGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/registryGossip.ts
@@ -3,10 +3,10 @@
  * gossip) includes its changes in what it sends, so that its members need not follow the store
  * as well.
  */
-import type { NumberedChange, RegistryGossip } from '../types/peer.js';
-import type { ServerChange } from '../types/server.js';
-import type { GatewayState, Step } from '../state.js';
-import type { PeerView } from '../types/views.js';
+import type { NumberedChange, RegistryGossip } from '../../types/peer.js';
+import type { ServerChange } from '../../types/server.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { PeerView } from '../../types/views.js';
 
 /** Time for which a change is announced, in ms: seven messages, of which some may be lost. */
 const ANNOUNCE_MS = 1500;
--- a/packages/reedlug-gateway/src/slices/sendGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/sendGossip.ts
@@ -4,13 +4,14 @@
  * In a small fleet each box sends to all others. In a larger one boxes send their
  * gossip to the hub of their group, which sends the sum of all others back.
  */
-import type { PeerAddress, PeerMessage } from '../types/peer.js';
-import type { HostPort } from '../types/server.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { PeerView } from '../types/views.js';
+import type { PeerAddress, PeerMessage } from '../../types/peer.js';
+import type { HostPort } from '../../types/server.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { PeerView } from '../../types/views.js';
 import {
   betterHubs,
   chooseHub,
+  hubMembers,
   isFreshPeer,
   isFreshHub,
   isHubSilent,
@@ -18,10 +19,10 @@
   PEER_GONE_AFTER_MS,
   usesHubs,
 } from './fleet.js';
-import { hubMembers, buildGossip, type GossipMessages } from './buildGossip.js';
+import { buildGossip, type GossipMessages } from './buildGossip.js';
 import { forgetGonePeers } from './peers.js';
 import { updateSilentZones } from './silentZones.js';
-import { ownUsage } from './usage.js';
+import { ownUsage } from '../usage/usage.js';
 
 /** Interval between messages, in ms: short compared with an engine's backlog, long compared with the cost of a wake-up. */
 const GOSSIP_INTERVAL_MS = 200;
--- a/packages/reedlug-gateway/src/slices/sharedState.ts
+++ b/packages/reedlug-gateway/src/slices/peers/sharedState.ts
@@ -6,10 +6,10 @@
  * hub's link of 10 Mbit/s is saturated for seconds and the version arrives 3.8 s late
  * (in a fleet of 300 boxes).
  */
-import type { GatewayState } from '../state.js';
-import type { Configuration } from '../types/configuration.js';
-import type { EventBody } from '../types/event.js';
-import type { ServerChange } from '../types/server.js';
+import type { GatewayState } from '../../state.js';
+import type { Configuration } from '../../types/configuration.js';
+import type { EventBody } from '../../types/event.js';
+import type { ServerChange } from '../../types/server.js';
 
 /** The state that a box sends to a peer on request. */
 export interface SharedState {
--- a/packages/reedlug-gateway/src/slices/silentZones.ts
+++ b/packages/reedlug-gateway/src/slices/peers/silentZones.ts
@@ -1,5 +1,5 @@
 /** Availability zones from which no gossip arrives: they, or this box's own zone, are probably partitioned. */
-import type { GatewayState } from '../state.js';
+import type { GatewayState } from '../../state.js';
 import { isFreshPeer, fleetDiscoveredAtMs, isSeed } from './fleet.js';
 
 /** Updates the silent zones; a box that has a hub uses those that the hub reports. */
--- a/packages/reedlug-gateway/src/slices/__tests__/attempts.test.ts
+++ b/packages/reedlug-gateway/src/slices/requests/__tests__/attempts.test.ts
@@ -8,8 +8,8 @@
   route,
   server,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { AnswerVerdict, RequestFacts } from '../../types/request.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { AnswerVerdict, RequestFacts } from '../../../types/request.js';
 
 function sendRequest(box: TestBox, changes: Partial<RequestFacts> = {}) {
   return only(box.take({ type: 'requestArrived', exchangeId: 1, facts: facts(changes) }), 'send');
--- a/packages/reedlug-gateway/src/slices/__tests__/lateRefusals.test.ts
+++ b/packages/reedlug-gateway/src/slices/requests/__tests__/lateRefusals.test.ts
@@ -5,8 +5,8 @@
   ofType,
   only,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { RequestFacts } from '../../types/request.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { RequestFacts } from '../../../types/request.js';
 
 /** Creates a box at whose engines `tokens` prompt tokens of the given urgency wait. */
 function createBusyBox(tokens: number, urgency: number): TestBox {
--- a/packages/reedlug-gateway/src/slices/__tests__/retryBudgets.test.ts
+++ b/packages/reedlug-gateway/src/slices/requests/__tests__/retryBudgets.test.ts
@@ -6,8 +6,8 @@
  * make 72 further sends where 50 are allowed.
  */
 import { expect } from 'chai';
-import { createFleet } from '../../__tests__/__fixtures__/fleet.js';
-import { settings } from '../../__tests__/__fixtures__/box.js';
+import { createFleet } from '../../../__tests__/__fixtures__/fleet.js';
+import { settings } from '../../../__tests__/__fixtures__/box.js';
 import { countFirstSend, takeRepeat } from '../retryBudgets.js';
 
 const BOXES = 8;
--- a/packages/reedlug-gateway/src/slices/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -1,23 +1,23 @@
 /** Events of attempts (one attempt is one send of a request to a server): answers, losses, completion. */
 import { Reach } from 'reedlug-coordination';
-import type { EventOf } from '../types/event.js';
-import { RouteKind } from '../types/configuration.js';
-import type { Attempt } from '../types/request.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import { recordFailure, recordSuccess } from '../policy/serverHealth.js';
-import { removeUnreadPrompt } from '../policy/serverLoad.js';
-import { recordActivity } from '../policy/serverSilence.js';
+import type { EventOf } from '../../types/event.js';
+import { RouteKind } from '../../types/configuration.js';
+import type { Attempt } from '../../types/request.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import { recordFailure, recordSuccess } from '../../policy/serverHealth.js';
+import { removeUnreadPrompt } from '../../policy/serverLoad.js';
+import { recordActivity } from '../../policy/serverSilence.js';
 import { closeAttempt, giveUp, reachWhenLost, serverOf } from './requestCompletion.js';
-import { isPastCrashPoint, recordGoodRun } from './crashSuspects.js';
-import { recordSuccessfulEnd, recordFirstEvent } from './engineModels.js';
-import { recordLoss } from './lostServers.js';
-import { recordServedProbe } from './statements/pauses.js';
-import { applyAnswerStatements, applyRefusal } from './statements/answerStatements.js';
+import { isPastCrashPoint, recordGoodRun } from '../crashes/crashSuspects.js';
+import { recordSuccessfulEnd, recordFirstEvent } from '../engines/engineModels.js';
+import { recordLoss } from '../crashes/lostServers.js';
+import { recordServedProbe } from '../statements/pauses.js';
+import { applyAnswerStatements, applyRefusal } from '../statements/answerStatements.js';
 import { retryAfterLoss, reserveRerun, retryNotRun, type RequestAttempt } from './retries.js';
-import { AnswerEnd, recordAnswer, recordLostAnswer } from './rolloutEvidence.js';
-import { removeServer } from './servers.js';
-import { countStarted } from './usage.js';
-import { chargeFurtherSend } from './quotas.js';
+import { AnswerEnd, recordAnswer, recordLostAnswer } from '../rollouts/rolloutEvidence.js';
+import { removeServer } from '../servers/servers.js';
+import { countStarted } from '../usage/usage.js';
+import { chargeFurtherSend } from '../limits/quotas.js';
 import { sendOrGiveUp } from './sending.js';
 
 function findOpenAttempt(
--- a/packages/reedlug-gateway/src/slices/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -1,10 +1,10 @@
 /** Refusals of requests that no engine would start in time. */
-import type { Choice } from '../policy/chooseServer.js';
-import { decideSend } from '../policy/decideSend.js';
-import { addRetryJitter } from '../policy/retryJitter.js';
-import { log, type Step } from '../state.js';
-import { RouteKind } from '../types/configuration.js';
-import type { RequestRecord } from '../types/request.js';
+import type { Choice } from '../../policy/chooseServer.js';
+import { decideSend } from '../../policy/decideSend.js';
+import { addRetryJitter } from '../../policy/retryJitter.js';
+import { log, type Step } from '../../state.js';
+import { RouteKind } from '../../types/configuration.js';
+import type { RequestRecord } from '../../types/request.js';
 import { refuse } from './requestCompletion.js';
 
 /** Share of a route's timeout; a request with a shorter deadline comes from a caller that has waited before. */
--- a/packages/reedlug-gateway/src/slices/pendingRequests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
@@ -4,9 +4,9 @@
  * After a start both are read within some tens of ms, but callers that waited for the box
  * all arrive at once. Their requests are held for a moment instead of being refused.
  */
-import type { EventOf } from '../types/event.js';
-import type { PendingRequest } from '../types/request.js';
-import type { GatewayState, Step } from '../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { PendingRequest } from '../../types/request.js';
+import type { GatewayState, Step } from '../../state.js';
 import { refuse } from './requestCompletion.js';
 
 /** Longest wait for configuration and servers, in ms: the store answers within a few ms, a slow one within 250. */
--- a/packages/reedlug-gateway/src/slices/requestCompletion.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
@@ -1,10 +1,10 @@
 /** Completion of requests: closing attempts, refusing and giving up. */
 import { mayHaveRun, Reach } from 'reedlug-coordination';
-import { RouteKind } from '../types/configuration.js';
-import type { Attempt, RequestFacts, RequestRecord } from '../types/request.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import { removeUnreadPrompt } from '../policy/serverLoad.js';
-import type { ServerView } from '../types/views.js';
+import { RouteKind } from '../../types/configuration.js';
+import type { Attempt, RequestFacts, RequestRecord } from '../../types/request.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import { removeUnreadPrompt } from '../../policy/serverLoad.js';
+import type { ServerView } from '../../types/views.js';
 
 /** Retry-After time when no server accepted a request, in ms: an engine's queue advances in this time. */
 const NO_SERVER_RETRY_MS = 250;
--- a/packages/reedlug-gateway/src/slices/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -1,26 +1,26 @@
 /** Arrival of requests, disconnects of their callers, and deadlines. */
 import { hashFraction } from 'reedlug-coordination';
-import type { EventOf } from '../types/event.js';
-import type { RouteSpec, WorkspaceSpec } from '../types/configuration.js';
-import type { PendingRequest, RequestFacts, RequestRecord } from '../types/request.js';
-import { log, type GatewayState, type Step } from '../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { RouteSpec, WorkspaceSpec } from '../../types/configuration.js';
+import type { PendingRequest, RequestFacts, RequestRecord } from '../../types/request.js';
+import { log, type GatewayState, type Step } from '../../state.js';
 import {
   addPendingRequest,
   removePendingRequest,
   isReadyForRequests,
   takeReadyRequests,
 } from './pendingRequests.js';
-import { crashRefusal } from './crashRefusal.js';
-import { findRoute } from './configuration.js';
+import { crashRefusal } from '../crashes/crashRefusal.js';
+import { findRoute } from '../store/configuration.js';
 import { cancelAll, giveUp, refuse } from './requestCompletion.js';
 import { refuseIfLate } from './lateRefusals.js';
-import { reserveRetryAfterMs, SERVERS_LIMITED } from './statements/retryAfterTimes.js';
-import { chargeSend, unitsOf } from './quotas.js';
+import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
+import { chargeSend, unitsOf } from '../limits/quotas.js';
 import { countFirstSend } from './retryBudgets.js';
-import { recordAbandonedAnswer } from './rolloutEvidence.js';
+import { recordAbandonedAnswer } from '../rollouts/rolloutEvidence.js';
 import { chooseServerFor, sendOrGiveUp } from './sending.js';
-import { isTooLateToAccept } from './shutdown.js';
-import { refuseOverLimit, requestAndAwaitUnits } from './waitingSends.js';
+import { isTooLateToAccept } from '../lifecycle/shutdown.js';
+import { refuseOverLimit, requestAndAwaitUnits } from '../limits/waitingSends.js';
 
 /** Retry-After time of requests refused because this box is about to stop, in ms; another box serves them then. */
 const STOPPING_RETRY_MS = 100;
--- a/packages/reedlug-gateway/src/slices/retries.ts
+++ b/packages/reedlug-gateway/src/slices/requests/retries.ts
@@ -5,14 +5,14 @@
  * repeated, and within the route's number of attempts, the deadline and the retry budget.
  */
 import { mayHaveRun } from 'reedlug-coordination';
-import { CRASHES_TO_BLOCK } from '../policy/crashVerdict.js';
-import type { Choice } from '../policy/chooseServer.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import { CRASHES_SERVERS_REASON, suspectOf } from './crashSuspects.js';
+import { CRASHES_TO_BLOCK } from '../../policy/crashVerdict.js';
+import type { Choice } from '../../policy/chooseServer.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import { CRASHES_SERVERS_REASON, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
 import { takeRepeat } from './retryBudgets.js';
-import { sendAgain } from './waitingSends.js';
+import { sendAgain } from '../limits/waitingSends.js';
 
 /** Minimum time left for a further send, in ms: a short plain request takes about as long. */
 const MIN_TIME_LEFT_MS = 30;
--- a/packages/reedlug-gateway/src/slices/retryBudgets.ts
+++ b/packages/reedlug-gateway/src/slices/requests/retryBudgets.ts
@@ -11,8 +11,8 @@
   takeRetry,
   type RetryBudget,
 } from 'reedlug-coordination';
-import type { GatewayState } from '../state.js';
-import { fleetSize } from './fleet.js';
+import type { GatewayState } from '../../state.js';
+import { fleetSize } from '../peers/fleet.js';
 
 /** Share of the users' ratio that is used. The margin covers sliding windows and sends hidden by lost answers. */
 const USED_RATIO_SHARE = 0.75;
--- a/packages/reedlug-gateway/src/slices/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -1,16 +1,16 @@
 /** Choosing a server for a request and sending the request there. */
 import { describeRevision, hashString, Reach } from 'reedlug-coordination';
-import { chooseServer, recordPartsRead, type Choice } from '../policy/chooseServer.js';
-import { addUnreadPrompt } from '../policy/serverLoad.js';
-import { recordSend } from '../policy/serverSilence.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import { RouteKind } from '../types/configuration.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import { reserveRetryAfterMs, SERVERS_LIMITED } from './statements/retryAfterTimes.js';
-import { recordSendForStatements } from './statements/eligibility.js';
-import { suspectKey, suspectOf } from './crashSuspects.js';
+import { chooseServer, recordPartsRead, type Choice } from '../../policy/chooseServer.js';
+import { addUnreadPrompt } from '../../policy/serverLoad.js';
+import { recordSend } from '../../policy/serverSilence.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import { RouteKind } from '../../types/configuration.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
+import { recordSendForStatements } from '../statements/eligibility.js';
+import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
-import { carriesLoad, versionRule } from './versionRule.js';
+import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
 /** Returns the best server for a request now, or undefined when none is eligible. */
 export function chooseServerFor(
--- a/packages/reedlug-gateway/src/slices/__tests__/rolloutEras.test.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/__tests__/rolloutEras.test.ts
@@ -5,9 +5,9 @@
   ofType,
   peerMessage,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import { passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
-import { RolloutPhase, type RolloutOrder, type RolloutRecord } from '../../types/rollout.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
+import { RolloutPhase, type RolloutOrder, type RolloutRecord } from '../../../types/rollout.js';
 
 function orderOf(targetVersion: string, era: number, version: number): RolloutOrder {
   const revision = storeRevision({ era, version });
--- a/packages/reedlug-gateway/src/slices/__tests__/rollouts.test.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/__tests__/rollouts.test.ts
@@ -8,12 +8,12 @@
   peerMessage,
   server,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import { passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
-import { setDecisionMetrics } from '../../observe/decisionMetrics.js';
-import { createGatewayMetrics } from '../../observe/gatewayMetrics.js';
-import type { Effect } from '../../types/effect.js';
-import { RolloutPhase, type RolloutGossip, type RolloutRecord } from '../../types/rollout.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
+import { setDecisionMetrics } from '../../../observe/decisionMetrics.js';
+import { createGatewayMetrics } from '../../../observe/gatewayMetrics.js';
+import type { Effect } from '../../../types/effect.js';
+import { RolloutPhase, type RolloutGossip, type RolloutRecord } from '../../../types/rollout.js';
 
 const ORDER = { service: 'records', targetVersion: 'v2', durationMs: 12_000, revision: 40 };
 
--- a/packages/reedlug-gateway/src/slices/rolloutEvaluation.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutEvaluation.ts
@@ -1,12 +1,12 @@
 /** Evaluates roll-outs in progress, on every box by the gossip it has received, and chooses their samples. */
 import { hashString } from 'reedlug-coordination';
-import { highestRanked } from '../policy/highestRanked.js';
-import { nextPhase, shareOfPhase, spreadSample } from '../policy/rolloutStep.js';
-import { evidenceSince, evaluateRollout } from '../policy/rolloutVerdict.js';
-import type { GatewayState, Step } from '../state.js';
-import { RolloutPhase, type RolloutEvidence, type RolloutView } from '../types/rollout.js';
-import type { ServerView } from '../types/views.js';
-import { countedPeers } from './fleet.js';
+import { highestRanked } from '../../policy/highestRanked.js';
+import { nextPhase, shareOfPhase, spreadSample } from '../../policy/rolloutStep.js';
+import { evidenceSince, evaluateRollout } from '../../policy/rolloutVerdict.js';
+import type { GatewayState, Step } from '../../state.js';
+import { RolloutPhase, type RolloutEvidence, type RolloutView } from '../../types/rollout.js';
+import type { ServerView } from '../../types/views.js';
+import { countedPeers } from '../peers/fleet.js';
 import { evidenceOf } from './rolloutEvidence.js';
 import { enterPhase, isFinished } from './rollouts.js';
 import { isBlockedVersion, isTargetVersion, sampleShare } from './versionRule.js';
--- a/packages/reedlug-gateway/src/slices/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
@@ -1,16 +1,16 @@
 /** Collects evidence from sends about both versions of a service during a roll-out. */
-import { serverOf } from './requestCompletion.js';
-import { modelOf } from './engineModels.js';
-import type { PeerWithMessage } from './fleet.js';
-import { addEvidence } from '../policy/rolloutVerdict.js';
-import type { GatewayState, Step } from '../state.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
+import { serverOf } from '../requests/requestCompletion.js';
+import { modelOf } from '../engines/engineModels.js';
+import type { PeerWithMessage } from '../peers/fleet.js';
+import { addEvidence } from '../../policy/rolloutVerdict.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
 import {
   RolloutPhase,
   type AnswerTally,
   type RolloutEvidence,
   type RolloutView,
-} from '../types/rollout.js';
+} from '../../types/rollout.js';
 
 /** Multiple of the expected time above which an answer counts as slow: "several times" in the users' words. */
 const SLOW_FACTOR = 3;
--- a/packages/reedlug-gateway/src/slices/rolloutRecords.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutRecords.ts
@@ -7,18 +7,18 @@
  * cannot overwrite what the next one wrote.
  */
 import { eraOf, type TableRow } from 'reedlug-coordination';
-import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
-import { log, requestTable, type GatewayState, type Step } from '../state.js';
-import type { EventOf } from '../types/event.js';
+import { isUsableDuration, laterPhase } from '../../policy/rolloutStep.js';
+import { log, requestTable, type GatewayState, type Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
 import {
   ROLLOUT_KEY_PREFIX,
   RolloutPhase,
   type RolloutRecord,
   type RolloutView,
-} from '../types/rollout.js';
-import { dutyFence } from './dutyLease.js';
+} from '../../types/rollout.js';
+import { dutyFence } from '../store/dutyLease.js';
 import { blockedVersionsAfter, enterPhase, isFinished } from './rollouts.js';
-import { rowsOf } from './tableRows.js';
+import { rowsOf } from '../store/tableRows.js';
 
 /** Interval between table calls for one roll-out, in ms: the store usually answers within a few ms, and a busy store is called again. */
 const TABLE_CALL_INTERVAL_MS = 250;
--- a/packages/reedlug-gateway/src/slices/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rollouts.ts
@@ -4,16 +4,16 @@
  * Phases only move forward, so boxes that exchange theirs converge on the same one.
  */
 import { describeRevision, eraOf, versionOf } from 'reedlug-coordination';
-import { isUsableDuration, laterPhase } from '../policy/rolloutStep.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { EventOf } from '../types/event.js';
+import { isUsableDuration, laterPhase } from '../../policy/rolloutStep.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
 import {
   RolloutPhase,
   type RolloutGossip,
   type RolloutOrder,
   type RolloutView,
-} from '../types/rollout.js';
-import type { PeerWithMessage } from './fleet.js';
+} from '../../types/rollout.js';
+import type { PeerWithMessage } from '../peers/fleet.js';
 import { evidenceOf } from './rolloutEvidence.js';
 
 /** Maximum number of blocked versions kept per service, the newest ones; earlier ones left the registry long ago. */
--- a/packages/reedlug-gateway/src/slices/versionRule.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/versionRule.ts
@@ -6,12 +6,12 @@
  * fail or are partitioned. Only first sends are in the sample.
  */
 import { hashFraction } from 'reedlug-coordination';
-import { catchUpFactor, shareOfPhase } from '../policy/rolloutStep.js';
-import type { GatewayState } from '../state.js';
-import type { RequestRecord } from '../types/request.js';
-import { RolloutPhase, type RolloutView } from '../types/rollout.js';
-import type { ServerEntry } from '../types/server.js';
-import type { ServerView } from '../types/views.js';
+import { catchUpFactor, shareOfPhase } from '../../policy/rolloutStep.js';
+import type { GatewayState } from '../../state.js';
+import type { RequestRecord } from '../../types/request.js';
+import { RolloutPhase, type RolloutView } from '../../types/rollout.js';
+import type { ServerEntry } from '../../types/server.js';
+import type { ServerView } from '../../types/views.js';
 import { isFinished } from './rollouts.js';
 
 /** Whether a server runs the version that is being rolled out. */
--- a/packages/reedlug-gateway/src/slices/__tests__/serverIncarnationOrders.test.ts
+++ b/packages/reedlug-gateway/src/slices/servers/__tests__/serverIncarnationOrders.test.ts
@@ -9,10 +9,10 @@
   NO_STATEMENTS,
   limitStatement,
   statementsEvent,
-} from '../../__tests__/__fixtures__/box.js';
-import type { Effect } from '../../types/effect.js';
-import type { EventBody } from '../../types/event.js';
-import { ServerState } from '../../types/server.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { Effect } from '../../../types/effect.js';
+import type { EventBody } from '../../../types/event.js';
+import { ServerState } from '../../../types/server.js';
 
 const IDS = ['records-1', 'records-2'] as const;
 
--- a/packages/reedlug-gateway/src/slices/__tests__/serverIncarnations.test.ts
+++ b/packages/reedlug-gateway/src/slices/servers/__tests__/serverIncarnations.test.ts
@@ -8,9 +8,9 @@
   server,
   settings,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import { decodeDatagram, encodeDatagram } from '../../daemon/peerWire.js';
-import { ServerState, type ServerEntry } from '../../types/server.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { decodeDatagram, encodeDatagram } from '../../../daemon/peerWire.js';
+import { ServerState, type ServerEntry } from '../../../types/server.js';
 
 const STARTED_MS = 1_780_000_000_000;
 
--- a/packages/reedlug-gateway/src/slices/__tests__/servers.test.ts
+++ b/packages/reedlug-gateway/src/slices/servers/__tests__/servers.test.ts
@@ -6,8 +6,8 @@
   peerMessage,
   server,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import { ServerState } from '../../types/server.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { ServerState } from '../../../types/server.js';
 
 function remove(box: TestBox, id: string, revision = 2): void {
   const changes = [{ id, entry: undefined }];
--- a/packages/reedlug-gateway/src/slices/serverIncarnations.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverIncarnations.ts
@@ -1,10 +1,10 @@
 /** Incarnations of servers (a server restarted under the same id is a new one): what runs at one ends with it. */
-import type { GatewayState, Step } from '../state.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import type { ServerView } from '../types/views.js';
-import { closeAttempt, reachWhenLost } from './requestCompletion.js';
-import { recordIncarnationEnd, recordLostSend } from './lostServers.js';
-import { retryAfterRestart } from './retries.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import type { ServerView } from '../../types/views.js';
+import { closeAttempt, reachWhenLost } from '../requests/requestCompletion.js';
+import { recordIncarnationEnd, recordLostSend } from '../crashes/lostServers.js';
+import { retryAfterRestart } from '../requests/retries.js';
 
 /** Closes the attempts open at a server's earlier incarnation as lost: it has ended with everything it was working on. */
 export function failOpenAttempts(state: GatewayState, step: Step, earlier: ServerView): void {
--- a/packages/reedlug-gateway/src/slices/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -8,22 +8,22 @@
  * still there after a while.
  */
 import { describeRevision, hashId } from 'reedlug-coordination';
-import type { EventOf } from '../types/event.js';
+import type { EventOf } from '../../types/event.js';
 import {
   isLaterIncarnation,
   incarnationOf,
   ServerState,
   type ServerChange,
   type ServerEntry,
-} from '../types/server.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { ServerView } from '../types/views.js';
-import { recordIncarnationEnd } from './lostServers.js';
-import { recordRegistryChange } from './registryGossip.js';
+} from '../../types/server.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { ServerView } from '../../types/views.js';
+import { recordIncarnationEnd } from '../crashes/lostServers.js';
+import { recordRegistryChange } from '../peers/registryGossip.js';
 import { failOpenAttempts } from './serverIncarnations.js';
-import { mayShowBackup } from './storeEra.js';
-import { mergeDraining } from './statements/draining.js';
-import { findStatements } from './statements/incarnationStatements.js';
+import { mayShowBackup } from '../store/storeEra.js';
+import { mergeDraining } from '../statements/draining.js';
+import { findStatements } from '../statements/incarnationStatements.js';
 
 /** How long after the store's return entries of live servers may be missing, in ms: they register again within about 2 s. */
 const EXPIRY_GRACE_MS = 2000;
--- a/packages/reedlug-gateway/src/slices/silentServers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/silentServers.ts
@@ -1,12 +1,12 @@
 /** Detects attempts whose server has gone silent, and sends requests that may be repeated to another one. */
-import { lostAfterMs, silenceMs } from '../policy/serverSilence.js';
-import type { GatewayState, Step } from '../state.js';
-import type { Attempt, RequestRecord } from '../types/request.js';
-import { recordLoss } from './lostServers.js';
-import { reserveRetry, mayRunAgain, retry } from './retries.js';
-import { recordAbandonedAnswer } from './rolloutEvidence.js';
-import { closeAttempt, reachWhenLost, serverOf } from './requestCompletion.js';
-import { chooseServerFor } from './sending.js';
+import { lostAfterMs, silenceMs } from '../../policy/serverSilence.js';
+import type { GatewayState, Step } from '../../state.js';
+import type { Attempt, RequestRecord } from '../../types/request.js';
+import { recordLoss } from '../crashes/lostServers.js';
+import { reserveRetry, mayRunAgain, retry } from '../requests/retries.js';
+import { recordAbandonedAnswer } from '../rollouts/rolloutEvidence.js';
+import { closeAttempt, reachWhenLost, serverOf } from '../requests/requestCompletion.js';
+import { chooseServerFor } from '../requests/sending.js';
 
 /** Moves requests with a lost attempt to another server where they may run again. */
 export function silentServersTick(state: GatewayState, step: Step): void {
--- a/packages/reedlug-gateway/src/slices/statements/senderShare.ts
+++ b/packages/reedlug-gateway/src/slices/statements/senderShare.ts
@@ -20,7 +20,7 @@
   isFreshPeer,
   fleetSize,
   usesHubs,
-} from '../fleet.js';
+} from '../peers/fleet.js';
 
 /** Interval at which the reachable boxes are determined again, in ms; equal to the interval of their gossip. */
 const REACHABILITY_REFRESH_MS = 200;
--- a/packages/reedlug-gateway/src/slices/statements/statementGossip.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementGossip.ts
@@ -17,9 +17,9 @@
   IncarnationStatement,
 } from '../../types/serverStatement.js';
 import type { PeerView } from '../../types/views.js';
-import { forwardsGossip, SILENT_AFTER_MS } from '../fleet.js';
-import { gossipTargets } from '../gossipTargets.js';
-import { announceDecisions } from '../usageDecisions.js';
+import { forwardsGossip, SILENT_AFTER_MS } from '../peers/fleet.js';
+import { gossipTargets } from '../peers/gossipTargets.js';
+import { announceDecisions } from '../usage/usageDecisions.js';
 import { asAnnounced, isAnnouncementDue } from './announcement.js';
 import { mergeDraining } from './draining.js';
 import { pruneStatements, statementsFor } from './incarnationStatements.js';
--- a/packages/reedlug-gateway/src/slices/__tests__/storeEra.test.ts
+++ b/packages/reedlug-gateway/src/slices/store/__tests__/storeEra.test.ts
@@ -4,8 +4,8 @@
   createServingBox,
   ofType,
   peerMessage,
-} from '../../__tests__/__fixtures__/box.js';
-import { passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import { passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
 
 test('a box logs a restore of the store once, with both eras', () => {
   const box = createBox();
--- a/packages/reedlug-gateway/src/slices/clock.ts
+++ b/packages/reedlug-gateway/src/slices/store/clock.ts
@@ -4,11 +4,11 @@
  * The wall clock of a single box may jump. The first box to start writes to the shared
  * table how far its wall clock is ahead of the store's clock; all boxes use that offset.
  */
-import type { EventOf } from '../types/event.js';
+import type { EventOf } from '../../types/event.js';
 import { dutyFence } from './dutyLease.js';
-import { startDelayMs } from './fleet.js';
-import { log, requestTable, type GatewayState, type Step } from '../state.js';
-import { checkStoreEpoch } from './suspension.js';
+import { startDelayMs } from '../peers/fleet.js';
+import { log, requestTable, type GatewayState, type Step } from '../../state.js';
+import { checkStoreEpoch } from '../lifecycle/suspension.js';
 
 /** Key of the table row that holds the agreed offset. */
 const CLOCK_KEY = 'clock-offset';
--- a/packages/reedlug-gateway/src/slices/configuration.ts
+++ b/packages/reedlug-gateway/src/slices/store/configuration.ts
@@ -1,8 +1,8 @@
 /** The configuration in force: always the newest version that was read, never an older one. */
-import type { EventOf } from '../types/event.js';
-import type { Configuration, RouteSpec, WorkspaceSpec } from '../types/configuration.js';
-import { log, type GatewayState, type Step } from '../state.js';
-import type { ActiveConfiguration } from '../types/views.js';
+import type { EventOf } from '../../types/event.js';
+import type { Configuration, RouteSpec, WorkspaceSpec } from '../../types/configuration.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { ActiveConfiguration } from '../../types/views.js';
 
 /** Puts a version into force if it is newer than the current one. */
 export function onConfigurationRead(
--- a/packages/reedlug-gateway/src/slices/dutyLease.ts
+++ b/packages/reedlug-gateway/src/slices/store/dutyLease.ts
@@ -1,8 +1,8 @@
 /** The duty lease: the box that holds it performs the tasks that one box does for the whole fleet. */
 import { handleLeaseAnswer, leaseTick, usableFence } from 'reedlug-coordination';
-import type { EventOf } from '../types/event.js';
-import { startDelayMs } from './fleet.js';
-import { log, requestTable, type GatewayState, type Step } from '../state.js';
+import type { EventOf } from '../../types/event.js';
+import { startDelayMs } from '../peers/fleet.js';
+import { log, requestTable, type GatewayState, type Step } from '../../state.js';
 
 /** Time since the last message of a peer that names a holder of the lease after which this box tries to acquire it, in ms. */
 const HOLDER_SILENT_AFTER_MS = 1500;
--- a/packages/reedlug-gateway/src/slices/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/store/storeEra.ts
@@ -4,11 +4,11 @@
  * a new era, by which boxes detect it.
  */
 import { recordLeaseEra } from 'reedlug-coordination';
-import { forgetCrashRow } from './crashRow.js';
-import { forgetRecord } from './rollouts.js';
-import { forgetCheckpoint } from './usage.js';
-import { announceDecisions } from './usageDecisions.js';
-import { log, type GatewayState, type Step } from '../state.js';
+import { forgetCrashRow } from '../crashes/crashRow.js';
+import { forgetRecord } from '../rollouts/rollouts.js';
+import { forgetCheckpoint } from '../usage/usage.js';
+import { announceDecisions } from '../usage/usageDecisions.js';
+import { log, type GatewayState, type Step } from '../../state.js';
 
 /** Time from a restore of the store for which a whole collection may be that of the backup, in ms: what was lost is written again within 2 s, and the list of boxes is read a second later. */
 const RESTORE_SETTLE_MS = 5000;
--- a/packages/reedlug-gateway/src/slices/__tests__/usage.test.ts
+++ b/packages/reedlug-gateway/src/slices/usage/__tests__/usage.test.ts
@@ -6,9 +6,9 @@
   only,
   peerMessage,
   type TestBox,
-} from '../../__tests__/__fixtures__/box.js';
-import type { UsageDecisionGossip } from '../../types/peer.js';
-import { callsOf, passAsHolder, takeLease } from '../../__tests__/__fixtures__/lease.js';
+} from '../../../__tests__/__fixtures__/box.js';
+import type { UsageDecisionGossip } from '../../../types/peer.js';
+import { callsOf, passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
 
 /** Time in which a decision is announced before its report, and one tick, in ms. */
 const ANNOUNCED_BEFORE_REPORT_MS = 1050;
--- a/packages/reedlug-gateway/src/slices/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usage.ts
@@ -6,14 +6,14 @@
  * after all boxes have received it, so two holders never report different figures. A checkpoint of the
  * counts in the store survives a loss of all boxes.
  */
-import type { EventOf } from '../types/event.js';
-import { CHECKPOINT_KEY, type CheckpointRow } from '../types/checkpoint.js';
-import type { RequestRecord } from '../types/request.js';
-import { log, requestTable, type GatewayState, type Step } from '../state.js';
-import type { UsageDecisionGossip } from '../types/peer.js';
-import type { UsageCounts, UsageWindow } from '../types/views.js';
-import { agreedWallClockMs } from './clock.js';
-import { dropLease, dutyFence } from './dutyLease.js';
+import type { EventOf } from '../../types/event.js';
+import { CHECKPOINT_KEY, type CheckpointRow } from '../../types/checkpoint.js';
+import type { RequestRecord } from '../../types/request.js';
+import { log, requestTable, type GatewayState, type Step } from '../../state.js';
+import type { UsageDecisionGossip } from '../../types/peer.js';
+import type { UsageCounts, UsageWindow } from '../../types/views.js';
+import { agreedWallClockMs } from '../store/clock.js';
+import { dropLease, dutyFence } from '../store/dutyLease.js';
 import {
   eraSinceWallClockMs,
   isDue,
--- a/packages/reedlug-gateway/src/slices/usageDecisions.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
@@ -8,10 +8,10 @@
  * to act for the fleet) ever since the window came due: a missing report can be corrected, a double one
  * cannot.
  */
-import { log, type GatewayState, type Step } from '../state.js';
-import type { UsageDecisionGossip } from '../types/peer.js';
-import type { UsageCounts, UsageWindow } from '../types/views.js';
-import { agreedWallClockMs } from './clock.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { UsageDecisionGossip } from '../../types/peer.js';
+import type { UsageCounts, UsageWindow } from '../../types/views.js';
+import { agreedWallClockMs } from '../store/clock.js';
 
 /** Time after the end of a window in which the last counts of peers arrive, in ms; several of their messages. */
 const SETTLE_MS = 1500;
