Settings section for decisions under load, all off by default

Cause: the decisions under load described in docs/hard-load.md are built as separate parts; each needs a switch that leaves existing deployments as they are.

Change: an optional section `load` with one switch a part, validated with the other settings, and the same switches in scenes of the simulator.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -1,6 +1,7 @@
 /** Test fixtures of a single box, with one route of each kind and two servers for each service. */
 import { createGatewayState, type GatewayState } from '../../state.js';
 import { reduce } from '../../reduce.js';
+import { DEFAULT_LOAD_SETTINGS } from '../../settings/defaults.js';
 import type { Configuration, RouteSpec } from '../../types/configuration.js';
 import { LimitUnit, RouteKind } from '../../types/configuration.js';
 import type { Effect } from '../../types/effect.js';
@@ -25,7 +26,10 @@
   pauseMs: undefined,
 };
 
-export function settings(changes: Partial<GatewaySettings['bounds']> = {}): GatewaySettings {
+export function settings(
+  changes: Partial<GatewaySettings['bounds']> = {},
+  load: Partial<GatewaySettings['load']> = {},
+): GatewaySettings {
   return {
     box: { id: 'box-1', ip: '127.0.0.1', zone: 'zone-a', processorCores: 1 },
     zones: ['zone-a', 'zone-b'],
@@ -57,6 +61,7 @@
       usageDueMs: 10_000,
       ...changes,
     },
+    load: { ...DEFAULT_LOAD_SETTINGS, ...load },
   };
 }
 
--- a/packages/reedlug-gateway/src/settings/__tests__/gatewaySettingsValidation.test.ts
+++ b/packages/reedlug-gateway/src/settings/__tests__/gatewaySettingsValidation.test.ts
@@ -57,3 +57,16 @@
   const result = validateGatewaySettings(text);
   expect(result.kind === 'valid' && result.settings.cloud).to.equal(undefined);
 });
+
+test('decisions under load are off unless the file enables them', () => {
+  const plain = validateGatewaySettings(VALID);
+  expect(plain.kind === 'valid' && plain.settings.load.shareCapacity).to.equal(false);
+  const enabled = validateGatewaySettings(`${VALID}load: { shareCapacity: true }\n`);
+  expect(enabled.kind === 'valid' && enabled.settings.load.shareCapacity).to.equal(true);
+  expect(enabled.kind === 'valid' && enabled.settings.load.placeBySize).to.equal(false);
+});
+
+test('placement by size without learned speeds is reported', () => {
+  const faults = faultsOf(`${VALID}load: { placeBySize: true }\n`);
+  expect(faults).to.deep.equal(['load.placeBySize: needs learnServerSpeeds: true']);
+});
--- a/packages/reedlug-gateway/src/settings/defaults.ts
+++ b/packages/reedlug-gateway/src/settings/defaults.ts
@@ -1,5 +1,6 @@
 /** Defaults of the gateway. */
 import type { CallerLimits } from '../types/configuration.js';
+import type { LoadSettings } from '../types/settings.js';
 
 /** Limits for callers until a configuration is in force; the same values as in the users' configuration. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
@@ -14,3 +15,13 @@
 
 /** Limit window in seconds if the settings name none; the same as in the users' deployments. */
 export const DEFAULT_LIMIT_WINDOW_SECONDS = 8;
+
+/** Decisions under load if the settings enable none. */
+export const DEFAULT_LOAD_SETTINGS: LoadSettings = {
+  learnServerSpeeds: false,
+  placeBySize: false,
+  shareCapacity: false,
+  spreadRetries: false,
+  reserveLimitUnits: false,
+  rampUpAfterStart: false,
+};
--- a/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -9,7 +9,11 @@
 import * as z from 'zod/mini';
 import type { HostPort } from '../types/server.js';
 import type { GatewaySettings } from '../types/settings.js';
-import { DEFAULT_LIMIT_WINDOW_SECONDS, DEFAULT_METRICS_PORT } from './defaults.js';
+import {
+  DEFAULT_LIMIT_WINDOW_SECONDS,
+  DEFAULT_LOAD_SETTINGS,
+  DEFAULT_METRICS_PORT,
+} from './defaults.js';
 
 z.config(en());
 
@@ -39,6 +43,23 @@
   );
 }
 
+const isEnabled = z._default(z.boolean(), false);
+const loadSchema = z
+  .strictObject({
+    learnServerSpeeds: isEnabled,
+    placeBySize: isEnabled,
+    shareCapacity: isEnabled,
+    spreadRetries: isEnabled,
+    reserveLimitUnits: isEnabled,
+    rampUpAfterStart: isEnabled,
+  })
+  .check(
+    z.refine(({ placeBySize, learnServerSpeeds }) => !placeBySize || learnServerSpeeds, {
+      path: ['placeBySize'],
+      message: 'needs learnServerSpeeds: true',
+    }),
+  );
+
 const schema = z.strictObject({
   box: z.strictObject({
     id: name,
@@ -73,6 +94,7 @@
     usageWindowSeconds: z._default(seconds, 0),
     usageDueSeconds: z._default(seconds, 0),
   }),
+  load: z._default(loadSchema, DEFAULT_LOAD_SETTINGS),
 });
 
 /** Valid settings, or all faults of the file. */
--- a/packages/reedlug-gateway/src/types/settings.ts
+++ b/packages/reedlug-gateway/src/types/settings.ts
@@ -33,6 +33,22 @@
   usageDueMs: number;
 }
 
+/** Decisions under load that the settings enable; each is off by default. */
+export interface LoadSettings {
+  /** Learns the speed of each server from its answers and uses it to choose servers. */
+  learnServerSpeeds: boolean;
+  /** Sends large prompts to servers that can start them in time; needs the servers' speeds. */
+  placeBySize: boolean;
+  /** Divides the capacity of a service fairly among workspaces while it is short. */
+  shareCapacity: boolean;
+  /** Spreads the `Retry-After` times of refusals over the time in which capacity becomes free. */
+  spreadRetries: boolean;
+  /** Reserves units of a limit that is nearly used up for requests that take precedence. */
+  reserveLimitUnits: boolean;
+  /** Admits requests gradually while a box that has just started knows no loads. */
+  rampUpAfterStart: boolean;
+}
+
 /** Contents of the settings file of a box. */
 export interface GatewaySettings {
   /** `processorCores` is the processor time available to the box, in cores. */
@@ -44,4 +60,5 @@
   store: { address: HostPort };
   cloud?: { address: HostPort; reportsUsage: boolean; ordersEngines: boolean } | undefined;
   bounds: BoundSettings;
+  load: LoadSettings;
 }
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -212,5 +212,6 @@
       ordersEngines: true,
     },
     bounds: scene.bounds,
+    load: scene.load,
   };
 }
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -223,6 +223,17 @@
     usageWindowMs: nonNegative,
     usageDueMs: nonNegative,
   }),
+  /** Decisions under load that the boxes' settings enable. */
+  load: z
+    .strictObject({
+      learnServerSpeeds: z.boolean().default(false),
+      placeBySize: z.boolean().default(false),
+      shareCapacity: z.boolean().default(false),
+      spreadRetries: z.boolean().default(false),
+      reserveLimitUnits: z.boolean().default(false),
+      rampUpAfterStart: z.boolean().default(false),
+    })
+    .prefault({}),
   services: z.array(serviceSchema).min(1),
   callers: z.strictObject({
     perSecond: positive,
