--- a/packages/reedlug-gateway/src/settings/defaults.ts
+++ b/packages/reedlug-gateway/src/settings/defaults.ts
@@ -23,5 +23,5 @@
   shareCapacity: false,
   spreadRetries: false,
   reserveLimitUnits: false,
-  rampUpAfterStart: false,
+  restartReserve: false,
 };
--- a/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -51,7 +51,7 @@
     shareCapacity: isEnabled,
     spreadRetries: isEnabled,
     reserveLimitUnits: isEnabled,
-    rampUpAfterStart: isEnabled,
+    restartReserve: isEnabled,
   })
   .check(
     z.refine(({ placeBySize, learnServerSpeeds }) => !placeBySize || learnServerSpeeds, {
--- a/packages/reedlug-gateway/src/types/settings.ts
+++ b/packages/reedlug-gateway/src/types/settings.ts
@@ -45,8 +45,8 @@
   spreadRetries: boolean;
   /** Reserves units of a limit that is nearly used up for requests that take precedence. */
   reserveLimitUnits: boolean;
-  /** Admits requests gradually while a box that has just started knows no loads. */
-  rampUpAfterStart: boolean;
+  /** Keeps a part of each limit share for the first requests after a restart of the box. */
+  restartReserve: boolean;
 }
 
 /** Contents of the settings file of a box. */
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -231,7 +231,7 @@
       shareCapacity: z.boolean().default(false),
       spreadRetries: z.boolean().default(false),
       reserveLimitUnits: z.boolean().default(false),
-      rampUpAfterStart: z.boolean().default(false),
+      restartReserve: z.boolean().default(false),
     })
     .prefault({}),
   services: z.array(serviceSchema).min(1),
