Soak: server faults and fault spans in files of their own; simulator: purposes of store calls too

Change: faults of servers move to serverFaults.ts, the spans that faults record to faultSpans.ts, and the purposes of calls to storeCalls.ts. No behaviour changes.

--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -4,8 +4,6 @@
  */
 import {
   ANNOUNCE_TIMEOUT_MS,
-  CHECKPOINT_KEY,
-  LEASE_KEY,
   ROLLOUT_KEY_PREFIX,
   type Configuration,
   type Feed,
@@ -38,6 +36,7 @@
   type Collection,
   type StorePosition,
 } from './storeCollection.js';
+import { purposeOf, StoreCall } from './storeCalls.js';
 import { createStoreHistory, StoreWriter, type StoreChange } from './storeHistory.js';
 
 /** Zone of the store; it contains no boxes. */
@@ -47,18 +46,6 @@
 /** Maximum number of rows per answer, as in the platform's store. */
 const MAX_ROWS_PER_PAGE = 500;
 
-/** Purpose of a call. */
-export const StoreCall = {
-  operators: 'operators',
-  servers: 'servers',
-  boxes: 'boxes',
-  announce: 'announce',
-  lease: 'lease',
-  checkpoint: 'checkpoint',
-  otherRows: 'otherRows',
-} as const;
-export type StoreCall = (typeof StoreCall)[keyof typeof StoreCall];
-
 /** How the store fails: it answers nothing, or refuses each call, including those that wait. */
 export const StoreOutage = { silent: 'silent', refusing: 'refusing' } as const;
 export type StoreOutage = (typeof StoreOutage)[keyof typeof StoreOutage];
@@ -344,8 +331,3 @@
   };
   return store;
 }
-
-function purposeOf(key: string | undefined): StoreCall {
-  if (key === LEASE_KEY) return StoreCall.lease;
-  return key === CHECKPOINT_KEY ? StoreCall.checkpoint : StoreCall.otherRows;
-}
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -4,7 +4,8 @@
 import { createRandom } from 'reedlug-standins';
 import { createCallers, type CallSpec, type Callers } from './callers.js';
 import { planFaults, type Fault } from './faultPlan.js';
-import { crashUnderRequest, injectFault } from './injectFault.js';
+import { injectFault } from './injectFault.js';
+import { crashUnderRequest } from './serverFaults.js';
 import { findViolations, type Violation } from './guarantees.js';
 import { CallKind, createSoakRecord, type SoakRecord } from './soakRecord.js';
 import {
