A settings file that cannot be read at SIGHUP is logged instead of ending the box

Cause, by reading: the reload read the file in a promise whose rejection nobody handled. A file that is missing for a moment, as while it is replaced, would end the process.

Change: recheckSettings logs settingsReread with the reason.

--- a/packages/reedlug-gateway/src/daemon/runGateway.ts
+++ b/packages/reedlug-gateway/src/daemon/runGateway.ts
@@ -4,10 +4,11 @@
 import type { PlatformAdapter } from '../adapter.js';
 import { createBoundedLog, streamSink } from '../observe/boundedLog.js';
 import { createGatewayMetrics } from '../observe/gatewayMetrics.js';
-import { createLogger, type Logger } from '../observe/logger.js';
+import { createLogger } from '../observe/logger.js';
 import { validateGatewaySettings } from '../settings/gatewaySettingsValidation.js';
 import type { GatewaySettings } from '../types/settings.js';
 import { startGatewayDaemon } from './gatewayDaemon.js';
+import { recheckSettings } from './recheckSettings.js';
 
 /** Maximum size of the buffered log output, in bytes: about one second of lines. */
 const MAX_BUFFERED_LOG_BYTES = 256 * 1024;
@@ -40,7 +41,7 @@
   });
   process.on('SIGTERM', () => daemon.stop());
   process.on('SIGINT', () => daemon.stop());
-  process.on('SIGHUP', () => void reload(settingsPath, logger));
+  process.on('SIGHUP', () => void recheckSettings(settingsPath, logger));
 }
 
 async function readSettings(path: string): Promise<GatewaySettings | undefined> {
@@ -50,10 +51,3 @@
   process.exitCode = EXIT_INVALID_SETTINGS;
   return undefined;
 }
-
-/** Validates a changed settings file and logs the result; a running process keeps the settings that it started with. */
-async function reload(path: string, logger: Logger): Promise<void> {
-  const result = validateGatewaySettings(await readFile(path, 'utf8'));
-  const faults = result.kind === 'invalid' ? result.faults.join('; ') : '';
-  logger('settingsReread', { valid: result.kind === 'valid', faults });
-}
