--- a/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/daemonFleet.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/daemonFleet.ts
@@ -28,8 +28,12 @@
   hubHost: string;
   lines: LogLine[];
   putConfiguration: (configuration: Configuration) => void;
+  /** Makes the store answer only the hub, or all boxes again. */
+  setStoreAway: (isAway: boolean) => void;
   /** Announces in the registry that a server is draining. */
   drainServer: (id: string) => void;
+  /** Ends the hub. */
+  closeHub: () => Promise<void>;
   close: () => Promise<void>;
 }
 
@@ -40,6 +44,8 @@
   servers: Map<string, ServerChange>;
   boxes: readonly PeerChange[];
   waiting: Set<() => void>;
+  /** Boxes that the store does not answer. */
+  isAwayFor: (boxId: string) => boolean;
 }
 
 /** Starts boxes of one group; the first is the hub. */
@@ -70,6 +76,7 @@
       revision: 1,
     })),
     waiting: new Set(),
+    isAwayFor: () => false,
   };
   const change = (apply: () => void): void => {
     apply();
@@ -79,16 +86,26 @@
   const lines: LogLine[] = [];
   const daemons = await Promise.all(addresses.map((address) => startDaemon(address, store, lines)));
   const [hub, ...others] = daemons as [GatewayDaemon, ...GatewayDaemon[]];
+  let hasHub = true;
+  const closeHub = async (): Promise<void> => {
+    if (hasHub) await hub.close();
+    hasHub = false;
+  };
   return {
     hub,
+    closeHub,
     members: others,
     hubHost: hostOf(0),
     lines,
     putConfiguration: (next) => change(() => (store.configuration = next)),
+    setStoreAway(isAway) {
+      store.isAwayFor = (boxId) => isAway && boxId !== 'box-0';
+      for (const wake of [...store.waiting]) wake();
+    },
     drainServer: (id) =>
       change(() => store.servers.set(id, { id, entry: server(id, { state: 'leaving' }) })),
     async close() {
-      await Promise.all(daemons.map((daemon) => daemon.close()));
+      await Promise.all([closeHub(), ...others.map((daemon) => daemon.close())]);
       for (const wake of [...store.waiting]) wake();
     },
   };
@@ -107,15 +124,16 @@
       box: { id, ip, zone, processorCores },
       listen: { ...base.listen, peersPort: port },
     },
-    adapter: adapterOf(store),
+    adapter: adapterOf(store, id),
     incarnation: 1,
     logger: (event, fields) => void lines.push({ box: id, event, fields }),
     onStopped: () => undefined,
   });
 }
 
-function adapterOf(store: MemoryStore): PlatformAdapter {
-  const operators = feedOf<OperatorEntry>(store, () => [
+function adapterOf(store: MemoryStore, boxId: string): PlatformAdapter {
+  const isAway = (): boolean => store.isAwayFor(boxId);
+  const operators = feedOf<OperatorEntry>(store, isAway, () => [
     { kind: 'configuration', configuration: store.configuration },
   ]);
   return {
@@ -123,8 +141,8 @@
     headers: {} as PlatformAdapter['headers'],
     openStore: () => ({
       operators,
-      servers: feedOf(store, () => [...store.servers.values()]),
-      boxes: feedOf(store, () => store.boxes),
+      servers: feedOf(store, isAway, () => [...store.servers.values()]),
+      boxes: feedOf(store, isAway, () => store.boxes),
       announceBox: () => Promise.resolve(true),
       table: () =>
         Promise.resolve({ answer: { kind: 'unknown' }, storeNowMs: undefined, era: undefined }),
@@ -134,7 +152,12 @@
   };
 }
 
-function feedOf<T>(store: MemoryStore, itemsOf: () => readonly T[]): Feed<T> {
+function feedOf<T>(
+  store: MemoryStore,
+  isAway: () => boolean,
+  itemsOf: () => readonly T[],
+): Feed<T> {
+  const unavailable: FeedAnswer<T> = { kind: 'unavailable', reason: 'the store is away' };
   const page = (): FeedAnswer<T> => ({
     kind: 'page',
     page: {
@@ -145,9 +168,11 @@
     },
   });
   return {
-    readAll: () => Promise.resolve(page()),
+    readAll: () => Promise.resolve(isAway() ? unavailable : page()),
     async follow({ afterRevision, waitMs, signal }) {
+      if (isAway()) return unavailable;
       if (store.revision <= afterRevision) await changeOf(store, waitMs, signal);
+      if (isAway()) return unavailable;
       if (store.revision > afterRevision) return page();
       const { revision } = store;
       const empty = { items: [], revision, newestRevision: revision, storeNowMs: undefined };
--- a/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/slowLink.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/slowLink.ts
@@ -26,10 +26,16 @@
 type SendDatagram = (...args: unknown[]) => void;
 
 /** Slows down everything that the box at an address sends from its servers and datagram sockets. */
-export function openSlowLink(host: string, megabitPerSecond: number): SlowLink {
+export function openSlowLink(
+  host: string,
+  megabitPerSecond: number,
+  /** Share of the datagrams that are lost. */
+  lossShare = 0,
+): SlowLink {
   const bytesPerMs = (megabitPerSecond * 1_000_000) / 8 / 1000;
   let freeAtMs = 0;
   let sentBytes = 0;
+  let lostShare = 0;
   /** Returns the delay after which bytes written now have left the link. */
   const delayOf = (bytes: number): number => {
     sentBytes += bytes;
@@ -48,6 +54,11 @@
   const sendAtOnce = prototype.send;
   prototype.send = function (this: DatagramSocket, ...args: unknown[]): void {
     if (this.address().address !== host) return sendAtOnce.apply(this, args);
+    lostShare += lossShare;
+    if (lostShare >= 1) {
+      lostShare -= 1;
+      return;
+    }
     setTimeout(
       () => {
         try {
--- a/packages/reedlug-gateway/src/daemon/__tests__/configurationTransfer.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/configurationTransfer.test.ts
@@ -53,8 +53,9 @@
 /** Runs a test with 24 members of a hub behind a slow link. */
 async function withSlowHub(
   use: (fleet: DaemonFleet, link: SlowLink) => Promise<void>,
+  lossShare = 0,
 ): Promise<void> {
-  const link = openSlowLink('127.0.1.1', LINK_MEGABIT_PER_SECOND);
+  const link = openSlowLink('127.0.1.1', LINK_MEGABIT_PER_SECOND, lossShare);
   const fleet = await startDaemonFleet({ members: MEMBERS, configuration: configuration() });
   try {
     await delay(SETTLE_MS);
@@ -97,3 +98,67 @@
     expect(hubs).to.deep.equal([]);
     expect(longestSilenceMs).to.be.below(HUB_SILENT_AFTER_MS);
   }));
+
+/** Returns the sources from which the members have put a version into force. */
+function sourcesOf({ lines }: DaemonFleet, version: number): unknown[] {
+  const inForce = lines.filter(
+    ({ event, box, fields }) =>
+      event === 'configurationInForce' && box !== 'box-0' && fields['version'] === version,
+  );
+  return [...new Set(inForce.map(({ fields }) => fields['source']))];
+}
+
+test('while the store answers only the hub, boxes alone distribute a version', () =>
+  withSlowHub(async (fleet) => {
+    fleet.setStoreAway(true);
+    fleet.putConfiguration(largeConfiguration(2, 2000));
+    expect(await timeUntilInForce(fleet, 2, CONFIGURATION_MS), 'time until in force').to.be.a(
+      'number',
+    );
+    expect(sourcesOf(fleet, 2)).to.deep.equal(['peer']);
+  }));
+
+test('a changed route is in force at all members in time, as a delta', () =>
+  withSlowHub(async (fleet, link) => {
+    fleet.putConfiguration(largeConfiguration(2, 2000));
+    await timeUntilInForce(fleet, 2, 2 * CONFIGURATION_MS);
+    // A transfer of a member that has read the version from the store meanwhile ends by then.
+    await delay(500);
+    const { routes, ...others } = largeConfiguration(2, 2000);
+    const [first, ...rest] = routes;
+    if (first === undefined) throw new Error('no route');
+    const next = { ...others, version: 3, routes: [{ ...first, timeoutMs: 777 }, ...rest] };
+    const sentBefore = link.sentBytes();
+    fleet.putConfiguration(next);
+    const tookMs = await timeUntilInForce(fleet, 3, CONFIGURATION_MS);
+    if (process.env['TRANSFER_FIGURES'] !== undefined) {
+      printFigures(fleet, { tookMs, sentBytes: link.sentBytes() - sentBefore });
+    }
+    expect(tookMs, 'time until in force').to.be.a('number');
+    for (const { state } of fleet.members) {
+      expect(state.active?.configuration).to.deep.equal(next);
+    }
+    const forms = fleet.lines
+      .filter(({ event, fields }) => event === 'configurationReceived' && fields['version'] === 3)
+      .map(({ fields }) => fields['form']);
+    expect([...new Set(forms)]).to.deep.equal(['delta']);
+  }));
+
+test('a version arrives in time while 3 of 10 datagrams of the hub are lost', () =>
+  withSlowHub(async (fleet) => {
+    fleet.putConfiguration(largeConfiguration(2, 2000));
+    expect(await timeUntilInForce(fleet, 2, CONFIGURATION_MS), 'time until in force').to.be.a(
+      'number',
+    );
+  }, 0.3));
+
+test('a version whose hub ends while it sends it arrives from another box', () =>
+  withSlowHub(async (fleet) => {
+    fleet.putConfiguration(largeConfiguration(2, 2000));
+    while (!fleet.lines.some(({ event }) => event === 'configurationEncoded')) await delay(5);
+    await delay(50);
+    await fleet.closeHub();
+    expect(await timeUntilInForce(fleet, 2, CONFIGURATION_MS), 'time until in force').to.be.a(
+      'number',
+    );
+  }));
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/resumableGet.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/resumableGet.ts
@@ -26,10 +26,11 @@
   | { kind: 'busy'; holder: HostPort | undefined }
   /** The answering box has nothing newer. */
   | { kind: 'notNewer' }
-  /** No bytes arrived for the idle time, or no connection was made. */
-  | { kind: 'stalled'; reason: string }
-  /** The connection broke off, or the response is not one of a state; `partial` holds what has arrived. */
-  | { kind: 'broken'; reason: string; partial: PartialBody | undefined }
+  /**
+   * The connection broke off (broken), or no bytes arrived for the idle time or no connection was
+   * made (stalled); `partial` holds what has arrived.
+   */
+  | { kind: 'broken' | 'stalled'; reason: string; partial: PartialBody | undefined }
   | { kind: 'malformed'; reason: string };
 
 /** A request for a state. */
@@ -88,13 +89,13 @@
     const { chunks, tag, contentEncoding } = start;
     return { kind: 'complete', bytes: Buffer.concat(chunks), tag, contentEncoding, resumedFrom };
   } catch (error) {
-    const isIdle = abort.signal.aborted;
-    if (isIdle) return { kind: 'stalled', reason: `no bytes for ${idleTimeoutMs} ms` };
-    const reason = (error as Error).message;
-    if ((error as NodeJS.ErrnoException).code === 'ECONNREFUSED')
-      return { kind: 'stalled', reason };
     const hasBytes = received !== undefined && received.tag !== '' && received.size > 0;
-    return { kind: 'broken', reason, partial: hasBytes ? received : undefined };
+    const kept = hasBytes ? received : undefined;
+    if (abort.signal.aborted) {
+      return { kind: 'stalled', reason: `no bytes for ${idleTimeoutMs} ms`, partial: kept };
+    }
+    const { message: reason, code } = error as NodeJS.ErrnoException;
+    return { kind: code === 'ECONNREFUSED' ? 'stalled' : 'broken', reason, partial: kept };
   } finally {
     clearTimeout(timer);
   }
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
@@ -101,7 +101,8 @@
       idleTimeoutMs,
       partial,
     });
-    partial = outcome.kind === 'broken' ? outcome.partial : undefined;
+    if ('partial' in outcome) partial = outcome.partial;
+    else if (outcome.kind !== 'busy') partial = undefined;
     const result = await resultOf(outcome, base);
     metrics.attempts.inc({ state: 'configuration', outcome: result.kind });
     transfer.source = announcer;
