Digest of a configuration independent of the order of its fields

Cause: the store may give the fields of a version in another order than an applied delta has them; the digests then differed, and members requested the whole (56 KB) instead of the delta (0.3 KB).

Change: fields are encoded in the order of their names.

--- a/packages/reedlug-gateway/src/daemon/__tests__/configurationDelta.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/configurationDelta.test.ts
@@ -102,6 +102,13 @@
   expect(await decodeConfiguration(bytes, undefined)).to.deep.equal({ kind: 'otherBase' });
 });
 
+test('a delta is applied whatever the order of the fields in which the store gave the version', async () => {
+  const base = configuration();
+  const { version, routes: list, ...others } = base;
+  const next: Configuration = { ...others, routes: list.slice(1), version: version + 1 };
+  expect(await transferDelta(base, next)).to.deep.include({ kind: 'configuration' });
+});
+
 test('malformed positions of a delta lead to no configuration', () => {
   const base = withRoutes(
     1,
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/encodeWhole.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/encodeWhole.ts
@@ -10,10 +10,14 @@
 const MAP_HEAD = 0xba;
 const LIST_HEAD = 0x9a;
 
-/** Returns `{ configuration }` as CBOR. Equal configurations with equally ordered fields have equal bytes. */
+/**
+ * Returns `{ configuration }` as CBOR. Configurations whose items are equal, with equally ordered
+ * fields, have equal bytes, whatever the order of the configuration's own fields.
+ */
 export async function encodeWhole(configuration: Configuration): Promise<Buffer> {
   const parts: Buffer[] = [head(MAP_HEAD, 1), encoder.encode('configuration')];
-  const fields = Object.entries(configuration) as [string, unknown][];
+  const fields: [string, unknown][] = Object.entries(configuration);
+  fields.sort(([a], [b]) => (a < b ? -1 : 1));
   parts.push(head(MAP_HEAD, fields.length));
   for (const [name, value] of fields) {
     parts.push(encoder.encode(name));
