--- a/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/daemonFleet.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/daemonFleet.ts
@@ -48,14 +48,17 @@
   isAwayFor: (boxId: string) => boolean;
 }
 
+/** Returns the host of a box by its index. */
+export function hostOf(index: number): string {
+  return `127.0.1.${index + 1}`;
+}
+
 /** Starts boxes of one group; the first is the hub. */
 export async function startDaemonFleet(params: {
   members: number;
   configuration: Configuration;
-  /** Host of a box by its index; defaults to addresses of 127.0.1.0/24. */
-  hostOf?: (index: number) => string;
 }): Promise<DaemonFleet> {
-  const { members, configuration, hostOf = (index) => `127.0.1.${index + 1}` } = params;
+  const { members, configuration } = params;
   const port = await freePort(hostOf(0));
   const addresses: PeerAddress[] = Array.from({ length: members + 1 }, (_, index) => ({
     boxId: `box-${index}`,
--- a/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/slowLink.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/slowLinks.ts
@@ -1,5 +1,5 @@
 /**
- * A slow link for the sockets of one box on loopback: all that the box sends, datagrams and answers
+ * Slow links for the sockets of boxes on loopback, one for each box: all that a box sends, datagrams and answers
  * alike, leaves in order of writing at the link's rate. Each connection may have some bytes
  * queued, as in a kernel's send buffer; the queue of datagrams is not bounded.
  */
@@ -10,13 +10,22 @@
 /** Send buffer of a connection, in bytes: Linux grows it to several times this value. */
 const SEND_BUFFER_BYTES = 256 * 1024;
 
-/** The link of a box. */
-export interface SlowLink {
-  /** Bytes that the box has sent. */
-  sentBytes: () => number;
+/** The links of boxes. */
+export interface SlowLinks {
+  /** Bytes that a box has sent. */
+  sentBytes: (host: string) => number;
   close: () => void;
 }
 
+/** State of a link. */
+interface Link {
+  /** Time at which all that was written has left. */
+  freeAtMs: number;
+  sentBytes: number;
+  /** Share of a datagram that is still to be lost. */
+  lostShare: number;
+}
+
 type WriteCallback = (error?: Error | null) => void;
 type Write = (chunk: unknown, encoding: BufferEncoding, done: WriteCallback) => void;
 type WriteMany = (
@@ -25,38 +34,38 @@
 ) => void;
 type SendDatagram = (...args: unknown[]) => void;
 
-/** Slows down everything that the box at an address sends from its servers and datagram sockets. */
-export function openSlowLink(
-  host: string,
+/** Slows down everything that the boxes at some addresses send from their servers and datagram sockets. */
+export function openSlowLinks(
+  hosts: readonly string[],
   megabitPerSecond: number,
   /** Share of the datagrams that are lost. */
   lossShare = 0,
-): SlowLink {
+): SlowLinks {
   const bytesPerMs = (megabitPerSecond * 1_000_000) / 8 / 1000;
-  let freeAtMs = 0;
-  let sentBytes = 0;
-  let lostShare = 0;
+  const links = new Map(hosts.map((host) => [host, { freeAtMs: 0, sentBytes: 0, lostShare: 0 }]));
   /** Returns the delay after which bytes written now have left the link. */
-  const delayOf = (bytes: number): number => {
-    sentBytes += bytes;
+  const delayOf = (link: Link, bytes: number): number => {
+    link.sentBytes += bytes;
     const nowMs = performance.now();
-    freeAtMs = Math.max(freeAtMs, nowMs) + bytes / bytesPerMs;
-    return freeAtMs - nowMs;
+    link.freeAtMs = Math.max(link.freeAtMs, nowMs) + bytes / bytesPerMs;
+    return link.freeAtMs - nowMs;
   };
 
   const onConnection = (message: unknown): void => {
     const { socket } = message as { socket: Socket };
-    if (socket.localAddress === host) slowDown(socket, delayOf);
+    const link = links.get(socket.localAddress ?? '');
+    if (link !== undefined) slowDown(socket, (bytes) => delayOf(link, bytes));
   };
   subscribe('net.server.socket', onConnection);
 
   const prototype = DatagramSocket.prototype as unknown as { send: SendDatagram };
   const sendAtOnce = prototype.send;
   prototype.send = function (this: DatagramSocket, ...args: unknown[]): void {
-    if (this.address().address !== host) return sendAtOnce.apply(this, args);
-    lostShare += lossShare;
-    if (lostShare >= 1) {
-      lostShare -= 1;
+    const link = links.get(this.address().address);
+    if (link === undefined) return sendAtOnce.apply(this, args);
+    link.lostShare += lossShare;
+    if (link.lostShare >= 1) {
+      link.lostShare -= 1;
       return;
     }
     setTimeout(
@@ -67,11 +76,11 @@
           // The socket was closed while the datagram was queued, so the datagram is lost.
         }
       },
-      delayOf((args[0] as Buffer).length),
+      delayOf(link, (args[0] as Buffer).length),
     );
   };
   return {
-    sentBytes: () => sentBytes,
+    sentBytes: (host) => links.get(host)?.sentBytes ?? 0,
     close() {
       prototype.send = sendAtOnce;
       unsubscribe('net.server.socket', onConnection);
--- a/packages/reedlug-gateway/src/daemon/__tests__/configurationTransfer.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/configurationTransfer.test.ts
@@ -3,9 +3,14 @@
 import { configuration } from '../../__tests__/__fixtures__/box.js';
 import { followsStore } from '../../slices/peers/fleet.js';
 import type { GatewayDaemon } from '../gatewayDaemon.js';
-import { startDaemonFleet, type DaemonFleet, type LogLine } from './__fixtures__/daemonFleet.js';
+import {
+  hostOf,
+  startDaemonFleet,
+  type DaemonFleet,
+  type LogLine,
+} from './__fixtures__/daemonFleet.js';
 import { largeConfiguration } from './__fixtures__/largeConfiguration.js';
-import { openSlowLink, type SlowLink } from './__fixtures__/slowLink.js';
+import { openSlowLinks, type SlowLinks } from './__fixtures__/slowLinks.js';
 
 const MEMBERS = 24;
 const LINK_MEGABIT_PER_SECOND = 10;
@@ -55,12 +60,13 @@
   process.stdout.write(`${JSON.stringify(all)}\n`);
 }
 
-/** Runs a test with 24 members of a hub behind a slow link. */
+/** Runs a test with 24 members of a hub; each box is behind a slow link. */
 async function withSlowHub(
-  use: (fleet: DaemonFleet, link: SlowLink) => Promise<void>,
+  use: (fleet: DaemonFleet, links: SlowLinks) => Promise<void>,
   lossShare = 0,
 ): Promise<void> {
-  const link = openSlowLink('127.0.1.1', LINK_MEGABIT_PER_SECOND, lossShare);
+  const hosts = Array.from({ length: MEMBERS + 1 }, (_, index) => hostOf(index));
+  const links = openSlowLinks(hosts, LINK_MEGABIT_PER_SECOND, lossShare);
   const fleet = await startDaemonFleet({ members: MEMBERS, configuration: configuration() });
   try {
     const isSettled = ({ state }: GatewayDaemon): boolean =>
@@ -71,10 +77,10 @@
     }
     await delay(POLL_MS);
     for (const { state } of fleet.members) expect(state.hubId).to.equal('box-0');
-    await use(fleet, link);
+    await use(fleet, links);
   } finally {
     await fleet.close();
-    link.close();
+    links.close();
   }
 }
 
@@ -91,9 +97,9 @@
 }
 
 /** Puts a version into the store and observes the members until it is in force. */
-async function spread(fleet: DaemonFleet, link: SlowLink): Promise<SpreadFigures> {
+async function spread(fleet: DaemonFleet, links: SlowLinks): Promise<SpreadFigures> {
   const firstLine = fleet.lines.length;
-  const sentBefore = link.sentBytes();
+  const sentBefore = links.sentBytes(fleet.hubHost);
   let silenceMs = 0;
   let stallMs = 0;
   let observedAtMs = performance.now();
@@ -111,15 +117,21 @@
   const tookMs = await timeUntilInForce(fleet, 2, CONFIGURATION_MS, observe);
   const lines = fleet.lines.slice(firstLine);
   const hubChanges = lines.filter(({ event }) => event === 'hubTaken');
-  return { tookMs, sentBytes: link.sentBytes() - sentBefore, silenceMs, stallMs, hubChanges };
+  return {
+    tookMs,
+    sentBytes: links.sentBytes(fleet.hubHost) - sentBefore,
+    silenceMs,
+    stallMs,
+    hubChanges,
+  };
 }
 
 test('2,000 routes are in force at 24 members of a hub behind 10 Mbit/s in time, with gossip arriving and the hub unchanged', async function () {
   this.timeout(90_000);
   for (let round = 1; ; round += 1) {
     let isStalled = false;
-    await withSlowHub(async (fleet, link) => {
-      const { hubChanges, ...figures } = await spread(fleet, link);
+    await withSlowHub(async (fleet, links) => {
+      const { hubChanges, ...figures } = await spread(fleet, links);
       const { tookMs, silenceMs, stallMs } = figures;
       printFigures(fleet, { ...figures, hubChanges: hubChanges.length });
       // On a busy machine, a process with 25 boxes may not run for longer than a hub may be silent.
@@ -157,7 +169,7 @@
   }));
 
 test('a changed route is in force at all members in time, as a delta', () =>
-  withSlowHub(async (fleet, link) => {
+  withSlowHub(async (fleet, links) => {
     fleet.putConfiguration(largeConfiguration(2, 2000));
     await timeUntilInForce(fleet, 2, 2 * CONFIGURATION_MS);
     // A transfer of a member that has read the version from the store meanwhile ends by then.
@@ -166,10 +178,10 @@
     const [first, ...rest] = routes;
     if (first === undefined) throw new Error('no route');
     const next = { ...others, version: 3, routes: [{ ...first, timeoutMs: 777 }, ...rest] };
-    const sentBefore = link.sentBytes();
+    const sentBefore = links.sentBytes(fleet.hubHost);
     fleet.putConfiguration(next);
     const tookMs = await timeUntilInForce(fleet, 3, CONFIGURATION_MS);
-    printFigures(fleet, { tookMs, sentBytes: link.sentBytes() - sentBefore });
+    printFigures(fleet, { tookMs, sentBytes: links.sentBytes(fleet.hubHost) - sentBefore });
     expect(tookMs, 'time until in force').to.be.a('number');
     for (const { state } of fleet.members) {
       expect(state.active?.configuration).to.deep.equal(next);
@@ -180,7 +192,7 @@
     expect([...new Set(forms)]).to.deep.equal(['delta']);
   }));
 
-test('a version arrives in time while 3 of 10 datagrams of the hub are lost', () =>
+test('a version arrives in time while 3 of 10 datagrams are lost', () =>
   withSlowHub(async (fleet) => {
     fleet.putConfiguration(largeConfiguration(2, 2000));
     expect(await timeUntilInForce(fleet, 2, CONFIGURATION_MS), 'time until in force').to.be.a(
