Usage windows wait for counts of boxes that fell silent

Cause: the lease holder wrote the counts of a window 1.5 s after its end, although the report is due 10 s after it. A window in which a zone was partitioned was written without the counts of that zone (317 of 1,025).

Change: while a listed box was heard in the window (or has counts in it, e.g. from the checkpoint) and has sent no counts since its end, the write waits, until 3.8 s before the report is due at the latest: the write, its announcement and the report, each call with a retry. Boxes send the counts of three windows instead of two, so that those of an undecided window still arrive. Log line usageAwaited.

--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -4,13 +4,20 @@
 import { createReceivedTotals, log, type GatewayState, type Step } from '../../state.js';
 import type { PeerView } from '../../types/views.js';
 import { adoptClockOffset } from '../store/clock.js';
-import { isFreshPeer, isCounted, PEER_GONE_AFTER_MS, type PeerWithMessage } from './fleet.js';
+import {
+  isFreshPeer,
+  isCounted,
+  PEER_GONE_AFTER_MS,
+  usesHubs,
+  type PeerWithMessage,
+} from './fleet.js';
 import { recordBoxesListed } from '../limits/limitShare.js';
 import { mergeRolloutGossip } from '../rollouts/rollouts.js';
 import { nextRegistryUpdate } from './registryGossip.js';
 import { recordIfUninformed } from '../statements/statementGossip.js';
 import { applyHubChanges } from '../servers/servers.js';
 import { mayShowBackup, onStoreEra } from '../store/storeEra.js';
+import { recordUsageReceived } from '../usage/lateCounts.js';
 import { mergeDecisions, mergeUsage } from '../usage/usage.js';
 
 /** Time for which a peer's newer configuration or registry may be known before it is requested, in ms: the store's feed usually brings it sooner. */
@@ -41,6 +48,10 @@
   }
   addReceivedTotals(state, step, peer as PeerWithMessage, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
+  // In a fleet with hubs, counts come in messages of their own.
+  if (message.scope === GossipScope.box && !usesHubs(state)) {
+    recordUsageReceived(state, boxId, step.nowMs);
+  }
   if (message.clockOffsetMs !== undefined) adoptClockOffset(state, step, message.clockOffsetMs);
   if (message.decisions !== undefined) mergeDecisions(state, step, message.decisions);
   if (message.rollouts !== undefined) mergeRolloutGossip(state, step, boxId, message.rollouts);
@@ -65,8 +76,9 @@
 }
 
 /** Merges the usage counts that a box sends to the holder of the lease. */
-export function onPeerUsage(state: GatewayState, _step: Step, event: EventOf<'peerUsage'>): void {
+export function onPeerUsage(state: GatewayState, step: Step, event: EventOf<'peerUsage'>): void {
   const { boxId, incarnation, usage } = event.message;
+  recordUsageReceived(state, boxId, step.nowMs);
   mergeUsage(state, `${boxId}/${incarnation}`, usage);
 }
 
@@ -210,6 +222,7 @@
 
 function forget(state: GatewayState, peer: PeerView): void {
   state.peers.delete(peer.boxId);
+  state.usageReceivedAtMs.delete(peer.boxId);
   // Its contribution is no longer subtracted from the sum of the others that is sent to it, so it must not be in that sum.
   for (const [workspace, units] of peer.contribution.admitted) {
     const { admitted } = state.totalsFromBoxes;
--- a/packages/reedlug-gateway/src/slices/usage/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usage.ts
@@ -28,8 +28,8 @@
 const RETRY_MS = 700;
 /** Number of windows kept besides the current one: until the report is due, and one more. */
 const RETAINED_WINDOWS = 4;
-/** Number of windows whose counts are sent to peers: the current one and the one before. */
-const ANNOUNCED_WINDOWS = 2;
+/** Number of windows whose counts are sent to peers: the current one, and two that may not be decided yet while boxes were silent. */
+const ANNOUNCED_WINDOWS = 3;
 /** Minimum interval between checkpoints, in ms; a tenth of the shortest window, to limit the cost of calls. */
 const CHECKPOINT_INTERVAL_MS = 500;
 /** Maximum size of the counts in a checkpoint, in bytes. A row holds 64 KiB, and limits and the names of windows and workspaces need space as well. */
@@ -64,6 +64,7 @@
     reported: false,
     announcedUntilMs: Number.NEGATIVE_INFINITY,
     isOmissionLogged: false,
+    isDelayLogged: false,
     requestedAtMs: Number.NEGATIVE_INFINITY,
     callId: 0,
   };
--- a/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
@@ -12,6 +12,7 @@
 import type { UsageDecisionGossip } from '../../types/peer.js';
 import type { UsageCounts, UsageWindow } from '../../types/views.js';
 import { agreedWallClockMs } from '../store/clock.js';
+import { boxesWithLateCounts, CLOCK_SLACK_MS } from './lateCounts.js';
 
 /** Time after the end of a window in which the last counts of peers arrive, in ms; several of their messages. */
 const SETTLE_MS = 1500;
@@ -22,14 +23,36 @@
  * two hubs (boxes that forward gossip for a group).
  */
 const ANNOUNCE_BEFORE_REPORT_MS = 1000;
-/** Maximum difference of the agreed clock between boxes, in ms; the delay of a slow answer of the store. */
-const CLOCK_SLACK_MS = 500;
+/** Time for a write of the row or a report of it, with one retry, in ms. */
+const CALL_WITH_RETRY_MS = 1400;
+/** Time that the write of the row, its announcement and the report may take together, in ms. */
+const REPORT_TAKES_MS = CALL_WITH_RETRY_MS + ANNOUNCE_BEFORE_REPORT_MS + CALL_WITH_RETRY_MS;
 
-/** Returns whether a window is due to be decided, by the agreed clock. */
-export function isDue(state: GatewayState, step: Step, { window }: UsageWindow): boolean {
-  return agreedWallClockMs(state, step) >= dueAtMs(state, window);
+/**
+ * Returns whether a window is due to be decided, by the agreed clock. While counts of it may still
+ * arrive, it is due only once the time to its report is needed for the decision and the report.
+ */
+export function isDue(state: GatewayState, step: Step, entry: UsageWindow): boolean {
+  const nowMs = agreedWallClockMs(state, step);
+  if (nowMs < dueAtMs(state, entry.window)) return false;
+  const { usageWindowMs, usageDueMs } = state.settings.bounds;
+  const endedAgoMs = nowMs - (entry.window + 1) * usageWindowMs;
+  if (entry.decided !== undefined || endedAgoMs >= usageDueMs - REPORT_TAKES_MS) return true;
+  const boxes = boxesWithLateCounts(state, entry, step.nowMs - endedAgoMs);
+  if (boxes.length === 0) return true;
+  if (!entry.isDelayLogged) {
+    log(step, 'usageAwaited', {
+      window: entry.window,
+      boxes: boxes.length,
+      first: boxes[0] ?? '',
+      forMs: Math.round(usageDueMs - REPORT_TAKES_MS - endedAgoMs),
+    });
+  }
+  entry.isDelayLogged = true;
+  return false;
 }
 
+/** Returns the earliest time at which a holder of the lease decides a window, by the agreed clock. */
 function dueAtMs(state: GatewayState, window: number): number {
   return (window + 1) * state.settings.bounds.usageWindowMs + SETTLE_MS;
 }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -145,6 +145,8 @@
    */
   storeEpochMs: number | undefined;
   usage: Map<number, UsageWindow>;
+  /** Time at which this box last received the usage counts of each other box, by box id. */
+  usageReceivedAtMs: Map<string, number>;
   /** True if counts have changed since the last checkpoint. */
   usageChanged: boolean;
   checkpointAtMs: number;
@@ -293,6 +295,7 @@
     resumedAtMs: Number.NEGATIVE_INFINITY,
     storeEpochMs: undefined,
     usage: new Map(),
+    usageReceivedAtMs: new Map(),
     usageChanged: false,
     checkpointAtMs: 0,
     checkpointVersion: 0,
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -189,6 +189,8 @@
   announcedUntilMs: number;
   /** True once it is logged that the window is not reported. */
   isOmissionLogged: boolean;
+  /** True once it is logged that its decision waits for counts of silent boxes. */
+  isDelayLogged: boolean;
   requestedAtMs: number;
   callId: number;
 }
