Requests right after a start wait for units instead of being rejected

Cause: in the first quarter of a second after a loss of all boxes, 39 of 106 requests were rejected with 429 although the reserves opened within 60 ms: requests arrived before that, or before gossip had announced units to lend.

Change (switch restartReserve): within the first second after the start of a box, a request that finds too few units is tried again with each tick, for a quarter of its target and at most 300 ms. No units are added. Log line unitsAwaited, gauge reedlug_restart_reserve.

--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -16,6 +16,8 @@
   capacity: Gauge;
   /** Units of a workspace within the limit window: used, and the maximum allowed. */
   limits: Gauge;
+  /** State of the reserve for restarts; 1 for the current one. */
+  reserve: Gauge;
   /** Answers of both versions of a service during a roll-out, as far as this box knows. */
   rollouts: Gauge;
 }
@@ -42,6 +44,12 @@
       labelNames: ['workspace', 'figure'],
       registers,
     }),
+    reserve: new Gauge({
+      name: 'reedlug_restart_reserve',
+      help: 'State of the reserve of the limit shares: 1 for the current one of unknown, requested, open, closed',
+      labelNames: ['state'],
+      registers,
+    }),
     rollouts: new Gauge({
       name: 'reedlug_rollout_answers',
       help: 'Answers since the order of a roll-out by version (new, old): answers, failed, slow',
@@ -69,6 +77,10 @@
     const { used, allowed } = limitUse(state, workspace, nowMs);
     setAll(metrics.limits, { workspace: workspace.name }, { used, allowed });
   }
+  if (state.settings.load.restartReserve) {
+    metrics.reserve.reset();
+    metrics.reserve.set({ state: state.restartReserve.phase }, 1);
+  }
   setRollouts(metrics.rollouts, state, nowMs);
 }
 
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/restartReserve.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/restartReserve.test.ts
@@ -217,3 +217,39 @@
   expect(admits(box, UNITS * 0.4 + 10)).to.equal(false);
   expect(admits(box, UNITS * 0.4 - 10)).to.equal(true);
 });
+
+test('a request that finds too few units right after the start waits for the reserve', () => {
+  const store = storeWithRow();
+  const { box, calls } = restart();
+  const request = facts({ requestId: 'r', path: '/draft/1', promptTokens: 5000, deadlineMs: 8000 });
+  const event = { type: 'requestArrived' as const, exchangeId: 90_000, facts: request };
+  const held = box.take(event);
+  expect(ofType(held, 'refuse')).to.have.length(0);
+  expect(ofType(held, 'log').map((line) => line.event)).to.include('unitsAwaited');
+  answerAll(box, calls, store, 20_000);
+  const effects = box.pass(50);
+  expect(ofType(effects, 'send').map((effect) => effect.exchangeId)).to.deep.equal([90_000]);
+});
+
+test('a request does not wait longer than a quarter of its target, nor after the first second', () => {
+  const { box } = restart();
+  const request = facts({ requestId: 'r', path: '/draft/1', promptTokens: 5000, deadlineMs: 8000 });
+  box.take({ type: 'requestArrived', exchangeId: 90_001, facts: request });
+  // The target is 1,200 ms; the wait ends after 300 ms.
+  const early = Array.from({ length: 5 }, () => box.pass(50)).flat();
+  expect(ofType(early, 'refuse')).to.have.length(0);
+  expect(ofType(box.pass(50), 'refuse').map(({ status }) => status)).to.deep.equal([429]);
+  box.pass(700);
+  const late = box.take({ type: 'requestArrived', exchangeId: 90_002, facts: request });
+  expect(ofType(late, 'refuse')).to.have.length(1);
+});
+
+test('the caller of a waiting request may leave', () => {
+  const store = storeWithRow();
+  const { box, calls } = restart();
+  const request = facts({ requestId: 'r', path: '/draft/1', promptTokens: 5000, deadlineMs: 8000 });
+  box.take({ type: 'requestArrived', exchangeId: 90_003, facts: request });
+  box.take({ type: 'callerGone', exchangeId: 90_003 });
+  answerAll(box, calls, store, 20_000);
+  expect(ofType(box.pass(50), 'send')).to.have.length(0);
+});
--- a/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
+++ b/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
@@ -13,6 +13,7 @@
 import { describeRevision, type TableRow } from 'reedlug-coordination';
 import { log, requestTable, type GatewayState, type Step } from '../../state.js';
 import type { EventOf, TablePurpose } from '../../types/event.js';
+import type { PendingRequest, RequestRecord } from '../../types/request.js';
 import { isFiniteNumber } from '../store/rowValues.js';
 import { rowsOf } from '../store/tableRows.js';
 import { chargeWindowMs } from './limitWindow.js';
@@ -23,6 +24,12 @@
 /** Interval between them, in ms: a store that is busy or just started answers within a second. */
 const READ_RETRY_MS = 1000;
 
+/** Time after the start of a box within which requests wait for units, in ms: gossip reaches members of other groups through two hubs, each of which sends every 200 ms. */
+const FIRST_UNITS_MS = 1000;
+/** Share of a route's target for which they wait at most, and longest wait, in ms. */
+const WAIT_SHARE = 0.25;
+const MAX_WAIT_MS = 300;
+
 type ReservePurpose = Extract<TablePurpose, { kind: 'limitReserve' }>;
 
 /** Value of the row of a box. */
@@ -42,11 +49,35 @@
   return chargeWindowMs(state) + 2 * LOAN_MS;
 }
 
-/** Returns whether it is still open whether this incarnation may use the reserve. */
-export function awaitsReserve(state: GatewayState): boolean {
-  if (!state.settings.load.restartReserve) return false;
-  const { phase } = state.restartReserve;
-  return phase === 'unknown' || phase === 'requested';
+/**
+ * Holds a request that finds too few units instead of refusing it, if this box has just started; it is
+ * tried again with each tick. Within some tenths of a second after a loss of all boxes, this box opens
+ * its own reserve and others announce what they lend. Returns false if the request is to be refused.
+ */
+export function holdForFirstUnits(
+  state: GatewayState,
+  step: Step,
+  request: PendingRequest,
+  { route, workspace, units }: RequestRecord,
+): boolean {
+  const startedAgoMs = step.nowMs - state.startedAtMs;
+  if (!state.settings.load.restartReserve || startedAgoMs >= FIRST_UNITS_MS) return false;
+  const { exchangeId, facts, arrivedAtMs } = request;
+  const waitMs = Math.min(MAX_WAIT_MS, route.targetMs * WAIT_SHARE);
+  if (step.nowMs - arrivedAtMs >= waitMs) return false;
+  if (request.awaitsUnits !== true) {
+    const { phase } = state.restartReserve;
+    const fields = {
+      workspace: workspace ?? '',
+      units,
+      waitMs: Math.round(waitMs),
+      reserve: phase,
+    };
+    log(step, 'unitsAwaited', { request: facts.requestId, ...fields });
+  }
+  state.requests.delete(exchangeId);
+  state.pendingRequests.push({ ...request, awaitsUnits: true });
+  return true;
 }
 
 /** Reads the row after the start of this incarnation, a second time if the store has not answered. */
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -20,6 +20,7 @@
 import { recordAbandonedAnswer } from '../rollouts/rolloutEvidence.js';
 import { chooseServerFor, sendOrGiveUp } from './sending.js';
 import { isTooLateToAccept } from '../lifecycle/shutdown.js';
+import { holdForFirstUnits } from '../limits/restartReserve.js';
 import { refuseOverLimit, requestAndAwaitUnits } from '../limits/waitingSends.js';
 
 /** Retry-After time of requests refused because this box is about to stop, in ms; another box serves them then. */
@@ -69,8 +70,9 @@
   if (retryAfterMs !== undefined) return refuseNow(503, SERVERS_LIMITED, retryAfterMs);
   state.requests.set(exchangeId, record);
   if (workspace !== undefined && !chargeSend(state, record, workspace, step.nowMs)) {
-    if (!requestAndAwaitUnits(state, step, record, workspace)) refuseOverLimit(state, step, record);
-    return;
+    if (requestAndAwaitUnits(state, step, record, workspace)) return;
+    if (holdForFirstUnits(state, step, request, record)) return;
+    return refuseOverLimit(state, step, record);
   }
   countFirstSend(state, record.service);
   sendOrGiveUp(state, step, record, choice);
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -121,4 +121,6 @@
   exchangeId: number;
   facts: RequestFacts;
   arrivedAtMs: number;
+  /** True while it waits for units of its workspace's limit. */
+  awaitsUnits?: boolean;
 }
