--- a/packages/reedlug-gateway/src/slices/limits/__tests__/restartReserveBound.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/restartReserveBound.test.ts
@@ -83,12 +83,9 @@
   seed: fc.integer({ min: 1, max: 1_000_000 }),
 });
 
-/** Draws a value in one of four cases, otherwise undefined. */
-function rarely(values: fc.Arbitrary<number>): fc.Arbitrary<number | undefined> {
-  return fc.oneof(
-    { weight: 3, arbitrary: fc.constant(undefined) },
-    { weight: 1, arbitrary: values },
-  );
+/** Draws a value in one of two cases, otherwise undefined. */
+function sometimes(values: fc.Arbitrary<number>): fc.Arbitrary<number | undefined> {
+  return fc.option(values, { nil: undefined, freq: 2 });
 }
 
 /**
@@ -98,13 +95,15 @@
 const rapidLivesArbitrary: fc.Arbitrary<Scene> = fc
   .record({
     boxes: fc.integer({ min: 1, max: 3 }),
+    hasRestores: fc.boolean(),
+    hasLostAnswers: fc.boolean(),
     burstS: fc.integer({ min: 1, max: 2 }),
     firstEndMs: fc.integer({ min: 10_000, max: 13_000 }),
     lives: fc.array(
       fc.record({
         gapMs: fc.integer({ min: 200, max: 5000 }),
-        restoreBackMs: rarely(fc.integer({ min: 0, max: 6000 })),
-        lostMs: rarely(
+        restoreBackMs: sometimes(fc.integer({ min: 0, max: 6000 })),
+        lostMs: sometimes(
           fc.oneof(fc.integer({ min: 0, max: 3000 }), fc.constant(Number.POSITIVE_INFINITY)),
         ),
         /** Time after the start from which answers are lost: the write may be lost, or the read as well. */
@@ -115,17 +114,18 @@
     storeMs: fc.integer({ min: 1, max: 40 }),
     seed: fc.integer({ min: 1, max: 1_000_000 }),
   })
-  .map(({ boxes, burstS, firstEndMs, lives, storeMs, seed }) => {
+  .map((drawn) => {
+    const { boxes, burstS, firstEndMs, lives, storeMs, seed } = drawn;
     const faults: Fault[] = [];
     let endMs = firstEndMs;
     for (const { gapMs, restoreBackMs, lostMs, lostFromMs } of lives) {
       faults.push({ kind: 'end', atMs: endMs, boxes: 255, downMs: TICK_MS });
-      if (lostMs !== undefined) {
+      if (drawn.hasLostAnswers && lostMs !== undefined) {
         const atMs = endMs + TICK_MS + lostFromMs;
         faults.push({ kind: 'lost', atMs, forMs: 200, lateMs: lostMs });
       }
       endMs += gapMs;
-      if (restoreBackMs !== undefined) {
+      if (drawn.hasRestores && restoreBackMs !== undefined) {
         faults.push({ kind: 'restore', atMs: endMs - TICK_MS, backMs: restoreBackMs });
       }
     }
