Fair shares of short capacity and spread retry times: first working state

Cause: while a service is short of capacity, decideSend refuses by the expected wait alone, so a flood of one workspace has requests of all others refused, and each box tells its refused callers the same moment to return.

Change: boxes keep and exchange decayed sums of requested and admitted work by workspace, compute max-min shares from them, and scale the limit of the expected wait by the standing of the workspace; less urgent requests yield to more urgent ones that are or would be refused; Retry-After times come from a schedule spaced by the admitted work. Both behind the switches shareCapacity and spreadRetries. Simulator: skew of workspaces, outcomes by workspace, Jain's index of shares.

--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -16,6 +16,7 @@
   UsageDecisionGossip,
 } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
+import { workloadRowOf, workloadsOfRows } from './workloadWire.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
 /** CBOR encoder of the peer link, without record definitions: each datagram must be decodable on its own. */
@@ -42,13 +43,15 @@
 export function encodeDatagram(message: PeerDatagram): Buffer {
   if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
-  const { loads, registry } = message;
+  const { loads, registry, workloads } = message;
   return encoder.encode({
     ...message,
     loads: {},
     loadRows: Object.entries(loads).map(loadRowOf),
     registry: registry === undefined ? undefined : { ...registry, changes: [] },
     changeRows: registry?.changes.map(changeRowOf),
+    workloads: undefined,
+    workloadRows: workloads?.map(workloadRowOf),
   });
 }
 
@@ -68,9 +71,10 @@
   }
   if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
-  const { loadRows, changeRows, ...datagram } = value as PeerDatagram & GossipRows;
+  const { loadRows, changeRows, workloadRows, ...datagram } = value as PeerDatagram & GossipRows;
   if (datagram.kind !== 'news') return datagram;
-  const message = withoutInvalidFields(datagram);
+  const workloads = workloadsOfRows(workloadRows);
+  const message = { ...withoutInvalidFields(datagram), workloads };
   if (!Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isLoadRow).map(loadOf));
   const { registry } = message;
@@ -83,6 +87,7 @@
 interface GossipRows {
   loadRows?: unknown;
   changeRows?: unknown;
+  workloadRows?: unknown;
 }
 
 /** Fields that must hold a finite number for a datagram of each kind to be accepted. */
--- a/packages/reedlug-gateway/src/observe/explainRequest.ts
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -51,7 +51,7 @@
     case 'requestFinished':
       return `answered with ${field('outcome')} after ${field('heldMs')} ms; ${sentTo}`;
     case 'requestRefused':
-      return `refused with ${field('status')} (${field('reason')})${describeLimit(lines)}; ${sentTo}`;
+      return `refused with ${field('status')} (${field('reason')})${describeLimit(lines)}${describeShare(lines)}; ${sentTo}`;
     case 'streamCut':
       return `cut after event ${field('lastEvent')} (${field('reason')}); ${sentTo}`;
     case 'callerGone':
@@ -61,6 +61,16 @@
   }
 }
 
+/** Describes the standing of the workspace that led to the refusal; returns an empty text without one. */
+function describeShare(lines: readonly LogLine[]): string {
+  const late = lines.find(({ event }) => event === 'requestTooLate');
+  const standing = late?.fields.get('standing');
+  if (late === undefined || standing === undefined) return '';
+  const field = (name: string): string => late.fields.get(name) ?? '?';
+  const yieldsTo = field('yieldsTo') === '' ? '' : `, yields to others (${field('yieldsTo')})`;
+  return `: ${field('expectedMs')} ms expected, up to ${field('limitMs')} ms accepted, workspace ${standing} its share${yieldsTo}`;
+}
+
 /** Describes the limit that refused the request; returns an empty text if none did. */
 function describeLimit(lines: readonly LogLine[]): string {
   const limit = lines.find(({ event }) => event === 'limitReached');
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -199,7 +199,7 @@
 }
 
 /** Returns the open work at a server: this box's own and the work last reported by peers. */
-function totalLoad(view: ServerView, peers: readonly PeerWithMessage[]): ServerLoad {
+export function totalLoad(view: ServerView, peers: readonly PeerWithMessage[]): ServerLoad {
   let total: ServerLoad = view;
   for (const peer of peers) {
     const load = peer.message.loads[view.entry.id];
--- a/packages/reedlug-gateway/src/policy/decideSend.ts
+++ b/packages/reedlug-gateway/src/policy/decideSend.ts
@@ -6,6 +6,8 @@
  * of a kind are then late, whereas refusals affect only some of them.
  */
 
+import type { Standing } from './fairShare.js';
+
 /** Share of an engine's slots in use below which nothing is refused: waits are then short. */
 const NO_REFUSAL_BELOW_SHARE = 0.5;
 /**
@@ -34,6 +36,12 @@
   leftMs: number;
   /** True if the request was refused before and is a retry. */
   hasReturned: boolean;
+  /** Standing of its workspace if capacity is shared fairly, see `fairShare.ts`. */
+  standing?: Standing | undefined;
+  /** Expected time to the first event at that engine if no other request waited there. */
+  idleMs?: number | undefined;
+  /** True if a request that takes precedence is refused at present. */
+  yields?: boolean | undefined;
 }
 
 /** Outcome of the decision. */
@@ -41,13 +49,37 @@
 
 /** Decides whether to send a request or to refuse it. */
 export function decideSend(context: SendContext): SendDecision {
-  const { expectedMs, running, slots, targetMs, leftMs, hasReturned } = context;
+  const { expectedMs, running, slots, targetMs, yields = false } = context;
   if (running < slots * NO_REFUSAL_BELOW_SHARE) return { kind: 'send' };
-  const limitMs = hasReturned ? leftMs * RETRY_TIME_SHARE : targetMs * TARGET_FACTOR;
-  if (!(expectedMs > limitMs)) return { kind: 'send' };
+  if (!yields && !(expectedMs > maxExpectedMs(context))) return { kind: 'send' };
   const retryAfterMs = Math.min(
     MAX_RETRY_AFTER_MS,
     Math.max(MIN_RETRY_AFTER_MS, expectedMs - targetMs),
   );
   return { kind: 'refuse', retryAfterMs };
 }
+
+/** Returns the expected time to the first event above which a request is refused. */
+export function maxExpectedMs(context: SendContext): number {
+  const { targetMs, leftMs, hasReturned, standing, idleMs = 0 } = context;
+  const usualMs = hasReturned ? leftMs * RETRY_TIME_SHARE : targetMs * TARGET_FACTOR;
+  switch (standing?.kind) {
+    case undefined:
+    case 'even':
+      return usualMs;
+    case 'under':
+      // It is rather late than refused while workspaces over their shares are served.
+      return Math.max(usualMs, leftMs * RETRY_TIME_SHARE);
+    case 'over': {
+      const { queueShare } = standing;
+      const queueMs = Math.max(0, targetMs * TARGET_FACTOR - idleMs);
+      // Only the time in a queue is scaled, so that an engine always has prompts to process.
+      if (!hasReturned) return usualMs - (1 - queueShare) * queueMs;
+      // A retry precedes a new request of its kind, but takes no more than the target from others.
+      const retryShare = (1 + queueShare) / 2;
+      const sharedMs = Math.min(usualMs, targetMs * TARGET_FACTOR - (1 - retryShare) * queueMs);
+      const usualWeight = Math.max(0, 2 * queueShare - 1);
+      return usualWeight * usualMs + (1 - usualWeight) * sharedMs;
+    }
+  }
+}
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -11,6 +11,7 @@
 import { rolloutGossip } from '../rollouts/rollouts.js';
 import { registryGossip } from './registryGossip.js';
 import { ownSpareUnits } from '../limits/unitLoans.js';
+import { ownWorkloads, sumWorkloads } from '../workspaceShares/workSums.js';
 import { ownUsage } from '../usage/usage.js';
 import { decisionGossip } from '../usage/usageDecisions.js';
 
@@ -76,6 +77,7 @@
     room: ownSpareUnits(state, step.nowMs),
     part: ownShareGossip(state, step.nowMs),
     rollouts: rolloutGossip(state, step.nowMs, []),
+    workloads: ownWorkloads(state, step.nowMs),
     clockOffsetMs: state.agreedClockOffsetMs,
   };
 }
@@ -124,6 +126,7 @@
     room: sumSpareUnits([own, ...of.map(({ message }) => message)]),
     part: sumShares([own, ...of.map(({ message }) => message)]),
     rollouts: rolloutGossip(state, step.nowMs, of),
+    workloads: sumWorkloads([own, ...of.map(({ message }) => message)]),
     admitted: sumAdmitted(own, totals, except),
     usage: {},
     workTokens:
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -1,35 +1,122 @@
 /** Refusals of requests that no engine would start in time. */
-import type { Choice } from '../../policy/chooseServer.js';
-import { decideSend } from '../../policy/decideSend.js';
+import { totalLoad, type Choice } from '../../policy/chooseServer.js';
+import { decideSend, maxExpectedMs, type SendContext } from '../../policy/decideSend.js';
+import type { Standing } from '../../policy/fairShare.js';
 import { addRetryJitter } from '../../policy/retryJitter.js';
-import { log, type Step } from '../../state.js';
+import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
+import type { LogField } from '../../types/effect.js';
 import type { RequestRecord } from '../../types/request.js';
+import { modelOf } from '../engines/engineModels.js';
+import { countedPeers } from '../peers/fleet.js';
+import { isEarlyRepeat, spreadRetryAfterMs } from '../workspaceShares/retryTimes.js';
+import {
+  idleMsOf,
+  recordKind,
+  recordRefusal,
+  standingAgeMs,
+  standingOf,
+  yieldReason,
+  type YieldReason,
+} from '../workspaceShares/standings.js';
+import { recordWork } from '../workspaceShares/workSums.js';
 import { refuse } from './requestCompletion.js';
 
 /** Share of a route's timeout; a request with a shorter deadline comes from a caller that has waited before. */
 const RETRY_DEADLINE_SHARE = 0.95;
 
 /** Refuses a stream that would start too late even at the best engine; returns whether it did. Runs before the request is sent or charged. */
-export function refuseIfLate(step: Step, record: RequestRecord, choice: Choice): boolean {
+export function refuseIfLate(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  choice: Choice,
+): boolean {
   const { route, facts, exchangeId, deadlineAtMs } = record;
   if (route.kind !== RouteKind.stream) return false;
   const { expectedMs, conditions } = choice;
   const { running, slots } = conditions;
   const leftMs = deadlineAtMs - step.nowMs;
   const { targetMs, timeoutMs } = route;
-  const hasReturned = (facts.deadlineMs ?? timeoutMs) < timeoutMs * RETRY_DEADLINE_SHARE;
-  const decision = decideSend({ expectedMs, running, slots, targetMs, leftMs, hasReturned });
-  if (decision.kind === 'send') return false;
-  log(step, 'requestTooLate', {
+  const hasWaited = (facts.deadlineMs ?? timeoutMs) < timeoutMs * RETRY_DEADLINE_SHARE;
+  const isEarly = isEarlyRepeat(state, record, step.nowMs);
+  const hasReturned = hasWaited && !isEarly;
+  const usual = { expectedMs, running, slots, targetMs, leftMs, hasReturned };
+  const { context, yieldsTo } = withShares(state, step, { record, choice, usual });
+  const decision = decideSend(context);
+  const fields = {
     request: facts.requestId,
     route: route.name,
     expectedMs: Math.round(expectedMs),
     running,
     leftMs: Math.round(leftMs),
     hasReturned,
-  });
-  const retryAfterMs = addRetryJitter(decision.retryAfterMs, facts.requestId);
+    ...shareFields(state, step, record, { context, yieldsTo }),
+  };
+  if (decision.kind === 'send') {
+    if (context.standing?.kind === 'under' && decideSend(usual).kind === 'refuse') {
+      log(step, 'requestAcceptedUnderShare', fields);
+    }
+    return false;
+  }
+  // A repeat before its time is the same demand as before.
+  const { prefillTokens } = choice;
+  if (!isEarly) recordWork(state, record, { prefillTokens, isAdmitted: false }, step.nowMs);
+  const { standing, idleMs = 0 } = context;
+  if (standing !== undefined && yieldsTo === undefined && idleMs <= targetMs) {
+    recordRefusal(state, record, standing, step.nowMs);
+  }
+  log(step, 'requestTooLate', fields);
+  const retryAfterMs = state.settings.load.spreadRetries
+    ? spreadRetryAfterMs(state, record, {
+        earliestMs: decision.retryAfterMs,
+        prefillTokens,
+        nowMs: step.nowMs,
+      })
+    : addRetryJitter(decision.retryAfterMs, facts.requestId);
   refuse(step, { exchangeId, facts, status: 503, reason: 'tooLate', retryAfterMs });
   return true;
 }
+
+/** Adds the standing of the workspace to the facts of a decision, and whether the request yields to others. */
+function withShares(
+  state: GatewayState,
+  step: Step,
+  params: { record: RequestRecord; choice: Choice; usual: SendContext },
+): { context: SendContext; yieldsTo: YieldReason | undefined } {
+  const { record, choice, usual } = params;
+  const standing = standingOf(state, record, step.nowMs);
+  if (standing === undefined) return { context: usual, yieldsTo: undefined };
+  const { nowMs } = step;
+  recordKind(state, record, choice.prefillTokens, nowMs);
+  const model = modelOf(state, record.service, nowMs);
+  const load = totalLoad(choice.view, countedPeers(state, nowMs));
+  const yieldsTo = yieldReason(state, { record, standing, choice, load, model, nowMs });
+  const idleMs = idleMsOf(model, choice);
+  const context = { ...usual, standing, idleMs, yields: yieldsTo !== undefined };
+  return { context, yieldsTo };
+}
+
+function shareFields(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  { context, yieldsTo }: { context: SendContext; yieldsTo: YieldReason | undefined },
+): Readonly<Record<string, LogField>> {
+  const { standing } = context;
+  if (standing === undefined) return {};
+  return {
+    workspace: record.workspace ?? '',
+    limitMs: Math.round(maxExpectedMs(context)),
+    ...standingFields(standing),
+    yieldsTo: yieldsTo ?? '',
+    sumsAgeMs: Math.round(standingAgeMs(state, record.service, step.nowMs)),
+  };
+}
+
+function standingFields(standing: Standing): Readonly<Record<string, LogField>> {
+  const { kind } = standing;
+  if (kind !== 'over') return { standing: kind };
+  const { use, queueShare } = standing;
+  return { standing: kind, use: Number(use.toFixed(2)), queueShare: Number(queueShare.toFixed(2)) };
+}
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -63,7 +63,7 @@
   const refusal = crashRefusal(state, step, record);
   if (refusal !== undefined) return refuseNow(refusal.status, refusal.reason, refusal.retryAfterMs);
   const choice = chooseServerFor(state, step, record);
-  if (choice !== undefined && refuseIfLate(step, record, choice)) return;
+  if (choice !== undefined && refuseIfLate(state, step, record, choice)) return;
   const retryAfterMs =
     choice === undefined ? reserveRetryAfterMs(state, record, step.nowMs) : undefined;
   if (retryAfterMs !== undefined) return refuseNow(503, SERVERS_LIMITED, retryAfterMs);
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -8,6 +8,7 @@
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
 import { recordSendForStatements } from '../statements/eligibility.js';
+import { recordWork } from '../workspaceShares/workSums.js';
 import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
@@ -92,7 +93,10 @@
   recordSendForStatements(view, step.nowMs);
   view.running += 1;
   addUnreadPrompt(view, attempt);
-  if (record.attempts.length === 1) state.workTokens += prefillTokens;
+  if (record.attempts.length === 1) {
+    state.workTokens += prefillTokens;
+    recordWork(state, record, { prefillTokens, isAdmitted: true }, step.nowMs);
+  }
   recordPartsRead(view, record.facts, step.nowMs);
   const { exchangeId, route } = record;
   step.effects.push({
--- a/packages/reedlug-gateway/src/slices/statements/retryAfterTimes.ts
+++ b/packages/reedlug-gateway/src/slices/statements/retryAfterTimes.ts
@@ -6,6 +6,7 @@
  */
 import { currentLimit } from '../../policy/serverLimit.js';
 import { addRetryJitter } from '../../policy/retryJitter.js';
+import { nextRetryAtMs } from '../../policy/retrySchedule.js';
 import type { GatewayState } from '../../state.js';
 import type { RequestRecord } from '../../types/request.js';
 import { modelOf } from '../engines/engineModels.js';
@@ -37,9 +38,7 @@
   // Other boxes refuse callers as well, and all of these return to the same servers.
   const intervalMs = (1000 * fleetSize(state)) / perSecond;
   const assigned = state.retryAfterTimes.get(service) ?? new Map<number, number>();
-  const earlier = [...assigned].filter(([other]) => other <= urgency).map(([, atMs]) => atMs);
-  const lastAtMs = Math.max(Number.NEGATIVE_INFINITY, ...earlier);
-  const atMs = Math.max(nextAtMs, lastAtMs + intervalMs);
+  const atMs = nextRetryAtMs(assigned, { urgency, earliestAtMs: nextAtMs, intervalMs });
   const waitMs = Math.min(maxRetryAfterMs, Math.max(0, atMs - nowMs));
   assigned.set(urgency, nowMs + waitMs);
   state.retryAfterTimes.set(service, assigned);
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/retryTimes.ts
@@ -0,0 +1,97 @@
+/** Retry-After times of requests that are refused because their service is short of capacity. */
+import { addRetryJitter } from '../../policy/retryJitter.js';
+import { nextRetryAtMs } from '../../policy/retrySchedule.js';
+import type { GatewayState } from '../../state.js';
+import type { RequestRecord } from '../../types/request.js';
+import type { ServiceWork } from '../../types/workspaceShares.js';
+import { modelOf } from '../engines/engineModels.js';
+import { fleetSize } from '../peers/fleet.js';
+import { standingOf, standingsOf } from './standings.js';
+import { ratePerSecond, serviceWorkOf, workOf } from './workSums.js';
+
+/** Share of the freed capacity that is offered to returning callers; the rest is for new ones. */
+const RETURNING_SHARE = 0.5;
+/** Longest time told, in ms: nobody waits longer, and the load is another one by then. */
+const MAX_RETRY_AFTER_MS = 60_000;
+/** Share of its remaining time up to which a caller waits; a time beyond it is not used. */
+const MAX_WAIT_SHARE = 1 / 3;
+/** Maximum number of told times that are kept: some seconds of refusals at a busy box. */
+const MAX_TOLD_TIMES = 2000;
+
+/** Returns the delay that a refused caller is told, in ms, and takes its place in the schedule if it will return. */
+export function spreadRetryAfterMs(
+  state: GatewayState,
+  record: RequestRecord,
+  params: { earliestMs: number; prefillTokens: number; nowMs: number },
+): number {
+  const { earliestMs, prefillTokens, nowMs } = params;
+  const { service, urgency, facts, deadlineAtMs } = record;
+  const known = serviceWorkOf(state, service, nowMs);
+  const key = callerKey(record);
+  const toldAtMs = known.toldTimes.get(key);
+  // A caller that comes before its time keeps its place.
+  if (toldAtMs !== undefined && toldAtMs > nowMs) return toldAtMs - nowMs;
+  const intervalMs = intervalMsOf(state, record, { prefillTokens, nowMs });
+  const isOver = standingOf(state, record, nowMs)?.kind === 'over';
+  const scheduleName = isOver ? `over ${record.workspace ?? ''}` : '';
+  const assigned = known.retryTimes.get(scheduleName) ?? new Map<number, number>();
+  known.retryTimes.set(scheduleName, assigned);
+  const earliestAtMs = nowMs + earliestMs;
+  const atMs = nextRetryAtMs(assigned, { urgency, earliestAtMs, intervalMs });
+  const waitMs = Math.min(MAX_RETRY_AFTER_MS, atMs - nowMs);
+  const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, addRetryJitter(waitMs, facts.requestId));
+  if (retryAfterMs <= (deadlineAtMs - nowMs) * MAX_WAIT_SHARE) {
+    assigned.set(urgency, nowMs + waitMs);
+    rememberTold(known, key, nowMs + retryAfterMs, nowMs);
+  }
+  return retryAfterMs;
+}
+
+/** Returns whether a request repeats one that was told a later time. */
+export function isEarlyRepeat(state: GatewayState, record: RequestRecord, nowMs: number): boolean {
+  const toldAtMs = state.workspaceShares.get(record.service)?.toldTimes.get(callerKey(record));
+  return toldAtMs !== undefined && toldAtMs > nowMs;
+}
+
+function callerKey({ workspace, facts }: RequestRecord): string {
+  return `${workspace ?? ''} ${facts.digest}`;
+}
+
+function rememberTold({ toldTimes }: ServiceWork, key: string, atMs: number, nowMs: number): void {
+  toldTimes.delete(key);
+  toldTimes.set(key, atMs);
+  if (toldTimes.size <= MAX_TOLD_TIMES) return;
+  for (const [other, otherAtMs] of toldTimes) {
+    if (otherAtMs <= nowMs) toldTimes.delete(other);
+  }
+  for (const other of toldTimes.keys()) {
+    if (toldTimes.size <= MAX_TOLD_TIMES) return;
+    toldTimes.delete(other);
+  }
+}
+
+/**
+ * Returns the interval between the times told by this box, in ms: the time in which its part of the
+ * service takes the work of the request. A workspace over its share gets no more than that share,
+ * even when its callers return.
+ */
+function intervalMsOf(
+  state: GatewayState,
+  record: RequestRecord,
+  { prefillTokens, nowMs }: { prefillTokens: number; nowMs: number },
+): number {
+  const { service, workspace = '' } = record;
+  const { shares, admitted } = standingsOf(state, service, nowMs);
+  const isOver = standingOf(state, record, nowMs)?.kind === 'over';
+  const work = isOver ? Math.min(admitted, shares.get(workspace) ?? 0) : admitted;
+  const perSecond = ratePerSecond(work) * RETURNING_SHARE;
+  if (perSecond > 0) return (1000 * fleetSize(state) * workOf(record, prefillTokens)) / perSecond;
+  return (fleetSize(state) * modelOf(state, service, nowMs).stayMs) / slotsOf(state, service);
+}
+
+/** Returns the slots of a service; the rate at which they become free is used before anything was admitted. */
+function slotsOf({ servers }: GatewayState, service: string): number {
+  let slots = 0;
+  for (const { entry } of servers.values()) if (entry.service === service) slots += entry.slots;
+  return Math.max(1, slots);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
@@ -0,0 +1,166 @@
+/** Standing of workspaces, and precedence of urgent requests, while a service is short of capacity. */
+import { maxExpectedMs } from '../../policy/decideSend.js';
+import { expectedWaitMs, type EngineModel } from '../../policy/engineModel.js';
+import {
+  computeStandings,
+  standingRank,
+  type ServiceStandings,
+  type Standing,
+} from '../../policy/fairShare.js';
+import type { Choice } from '../../policy/chooseServer.js';
+import { tokensAhead } from '../../policy/serverLoad.js';
+import type { GatewayState } from '../../state.js';
+import type { RequestRecord } from '../../types/request.js';
+import type { ServerLoad } from '../../types/peer.js';
+import { countedPeers } from '../peers/fleet.js';
+import { fleetWork, serviceWorkOf } from './workSums.js';
+
+/** Interval between computations of the standings, in ms: a quarter of the interval of gossip. */
+const STANDINGS_INTERVAL_MS = 50;
+/**
+ * Time for which a refusal holds back requests that it precedes, in ms: after it, this box has new
+ * loads from all others.
+ */
+const REFUSAL_HOLD_MS = 250;
+/** Weight of a new request in the figures of a typical one. */
+const TYPICAL_WEIGHT = 1 / 16;
+/** Time after which a kind of request that does not arrive any more is ignored, in ms. */
+const TYPICAL_LIFE_MS = 10_000;
+
+const EVEN: Standing = { kind: 'even' };
+
+/** Returns the standings of the workspaces at a service, at most some tens of ms old. */
+export function standingsOf(state: GatewayState, service: string, nowMs: number): ServiceStandings {
+  const known = serviceWorkOf(state, service, nowMs);
+  if (known.standings === undefined || nowMs - known.standingsAtMs >= STANDINGS_INTERVAL_MS) {
+    known.standings = computeStandings(fleetWork(state, service, nowMs));
+    known.standingsAtMs = nowMs;
+  }
+  return known.standings;
+}
+
+/** Returns the standing of a request's workspace; undefined while capacity is not shared. */
+export function standingOf(
+  state: GatewayState,
+  { service, workspace = '' }: RequestRecord,
+  nowMs: number,
+): Standing | undefined {
+  if (!state.settings.load.shareCapacity) return undefined;
+  const { standings } = standingsOf(state, service, nowMs);
+  // A workspace that requested nothing lately is under its share of a service that is short.
+  return standings.get(workspace) ?? (standings.size > 0 ? { kind: 'under' } : EVEN);
+}
+
+/** Returns the age of the oldest figures in the standings of a service, in ms: of this computation or of the last message. */
+export function standingAgeMs(state: GatewayState, service: string, nowMs: number): number {
+  const { standingsAtMs } = serviceWorkOf(state, service, nowMs);
+  const received = countedPeers(state, nowMs).map(({ lastReceivedAtMs }) => lastReceivedAtMs);
+  return nowMs - Math.min(standingsAtMs, ...received);
+}
+
+/** Returns the time to the first event that a request needs by itself, without a queue. */
+export function idleMsOf(
+  model: EngineModel,
+  { conditions, prefillTokens }: Pick<Choice, 'conditions' | 'prefillTokens'>,
+): number {
+  const { running, slots } = conditions;
+  return expectedWaitMs(model, {
+    tokens: prefillTokens,
+    running: Math.min(running, slots - 1),
+    slots,
+  });
+}
+
+/** Records the figures of a request, by which less urgent ones are compared with its kind. */
+export function recordKind(
+  state: GatewayState,
+  { service, urgency, route }: RequestRecord,
+  prefillTokens: number,
+  nowMs: number,
+): void {
+  const { typical } = serviceWorkOf(state, service, nowMs);
+  const known = typical.get(urgency);
+  if (known === undefined) {
+    typical.set(urgency, { targetMs: route.targetMs, prefillTokens, seenAtMs: nowMs });
+    return;
+  }
+  known.seenAtMs = nowMs;
+  known.targetMs += (route.targetMs - known.targetMs) * TYPICAL_WEIGHT;
+  known.prefillTokens += (prefillTokens - known.prefillTokens) * TYPICAL_WEIGHT;
+}
+
+/** Records a refusal that is due to the load and not to the size of the request. */
+export function recordRefusal(
+  state: GatewayState,
+  { service, urgency }: RequestRecord,
+  standing: Standing,
+  nowMs: number,
+): void {
+  const { refusals } = serviceWorkOf(state, service, nowMs);
+  const rank = standingRank(standing);
+  const known = refusals.get(urgency);
+  const isKnownValid = known !== undefined && nowMs - known.atMs < REFUSAL_HOLD_MS;
+  refusals.set(urgency, { atMs: nowMs, rank: isKnownValid ? Math.min(rank, known.rank) : rank });
+}
+
+/** Why a request yields to others; undefined if it does not. */
+export type YieldReason = 'underShareRefused' | 'urgentRefused' | 'urgentWouldBeRefused';
+
+/** Returns why a request must be refused because one that takes precedence is refused; undefined if it need not. */
+export function yieldReason(
+  state: GatewayState,
+  params: {
+    record: RequestRecord;
+    standing: Standing;
+    choice: Choice;
+    load: ServerLoad;
+    model: EngineModel;
+    nowMs: number;
+  },
+): YieldReason | undefined {
+  const { record, standing, nowMs } = params;
+  const { refusals } = serviceWorkOf(state, record.service, nowMs);
+  const ownRank = standingRank(standing);
+  for (const [urgency, { atMs, rank }] of refusals) {
+    if (nowMs - atMs >= REFUSAL_HOLD_MS) continue;
+    if (rank === 0 && ownRank > 0) return 'underShareRefused';
+    if (urgency < record.urgency && ownRank >= rank) return 'urgentRefused';
+  }
+  return isKindRefusedBefore(state, params) ? 'urgentWouldBeRefused' : undefined;
+}
+
+/** Returns whether a typical request of a more urgent kind and the same standing would be refused at the server. */
+function isKindRefusedBefore(
+  state: GatewayState,
+  params: {
+    record: RequestRecord;
+    standing: Standing;
+    choice: Choice;
+    load: ServerLoad;
+    model: EngineModel;
+    nowMs: number;
+  },
+): boolean {
+  const { record, standing, choice, load, model, nowMs } = params;
+  const { running, slots } = choice.conditions;
+  const { typical } = serviceWorkOf(state, record.service, nowMs);
+  for (const [urgency, { targetMs, prefillTokens, seenAtMs }] of typical) {
+    if (urgency >= record.urgency || nowMs - seenAtMs > TYPICAL_LIFE_MS) continue;
+    // A kind that is late even at an empty engine says nothing about the load.
+    if (model.baseMs + prefillTokens / model.tokensPerMs > targetMs) continue;
+    const tokens = tokensAhead(load, urgency) + prefillTokens;
+    const expectedMs = expectedWaitMs(model, { tokens, running, slots });
+    const limitMs = maxExpectedMs({
+      expectedMs,
+      running,
+      slots,
+      targetMs,
+      leftMs: record.deadlineAtMs - nowMs,
+      hasReturned: false,
+      standing,
+      idleMs: idleMsOf(model, { ...choice, prefillTokens }),
+    });
+    if (expectedMs > limitMs) return true;
+  }
+  return false;
+}
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -11,6 +11,7 @@
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
+import type { WorkspaceShares } from './types/workspaceShares.js';
 import type {
   ActiveConfiguration,
   EngineOrder,
@@ -186,6 +187,8 @@
   reclaimsExpectedUntilMs: Map<string, number>;
   /** Reclaimable engines that accepted requests at the last plan, by service and zone. */
   readyReclaimable: Map<string, number>;
+  /** Work by service and workspace, and retry times, for sharing capacity that is short. */
+  workspaceShares: WorkspaceShares;
   stoppingSinceMs: number | undefined;
   stopped: boolean;
 }
@@ -313,6 +316,7 @@
     outOfCapacityUntilMs: new Map(),
     reclaimsExpectedUntilMs: new Map(),
     readyReclaimable: new Map(),
+    workspaceShares: new Map(),
     stoppingSinceMs: undefined,
     stopped: false,
   };
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -127,7 +127,7 @@
 /** Generates a request and sends its first try. */
 function startRequest(world: World, callers: ZoneCallers, spec: SceneClass): void {
   const { changes, zone, shared } = callers;
-  const shares = workspaceShares(world.scene.workspaces.count);
+  const shares = workspaceShares(world.scene.workspaces);
   shares[0] = (shares[0] ?? 0) * changes.hotFactor;
   const total = shares.reduce((sum, share) => sum + share, 0);
   const workspace = workspaceName(pickIndex(world, shares, total));
--- a/packages/reedlug-simulator/src/callers/generateRequest.ts
+++ b/packages/reedlug-simulator/src/callers/generateRequest.ts
@@ -21,9 +21,9 @@
   return `workspace-${index + 1}`;
 }
 
-/** Returns each workspace's share of the load; a few are large. */
-export function workspaceShares(count: number): number[] {
-  const weights = Array.from({ length: count }, (_, index) => 1 / (index + 1));
+/** Returns each workspace's share of the load, by Zipf's law with the scene's exponent. */
+export function workspaceShares({ count, skew = 1 }: Scene['workspaces']): number[] {
+  const weights = Array.from({ length: count }, (_, index) => 1 / (index + 1) ** skew);
   const total = weights.reduce((sum, weight) => sum + weight, 0);
   return weights.map((weight) => weight / total);
 }
@@ -125,6 +125,14 @@
   return [...parts, { id: `own-${number}`, tokens }];
 }
 
+/** Prompt tokens that an engine processes in the time that an output token takes it, roughly. */
+const OUTPUT_TOKEN_WORK = 5;
+
+/** Returns the work of a stream request in prompt tokens; 0 for plain requests. */
+export function workOf({ promptTokens, maxOutputTokens }: RequestFacts): number {
+  return promptTokens === undefined ? 0 : promptTokens + OUTPUT_TOKEN_WORK * (maxOutputTokens ?? 0);
+}
+
 /** Returns the limit units that a request of the scene needs on average. */
 export function meanUnits(scene: Scene): number {
   let weights = 0;
--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -7,6 +7,7 @@
 export * from './scene/generateServerStatements.js';
 export * from './report/outcomes.js';
 export * from './report/sceneReport.js';
+export type { Fairness, WorkspaceOutcomes, WorkspaceRow } from './report/workspaceRecord.js';
 export type { BrokenGuarantee, LogLine } from './report/sceneRecord.js';
 export * from './runScene.js';
 export type * from './scene/scene.js';
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -9,6 +9,11 @@
 import { createDutyRecord, type DutyRecord } from './dutyRecord.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
 import type { TimedAmount } from './slidingSum.js';
+import {
+  createWorkspaceRecord,
+  recordWorkspaceEnd,
+  type WorkspaceRecord,
+} from './workspaceRecord.js';
 
 /** Length of the spans by which outcomes are reported, in s. */
 export const SPAN_S = 2;
@@ -60,6 +65,8 @@
   whole: Outcomes;
   byClass: Map<string, Outcomes>;
   byZone: Map<string, Outcomes>;
+  /** Outcomes by workspace and by workspace and class, and work by span and workspace. */
+  workspaces: WorkspaceRecord;
   bySpan: Map<number, Outcomes>;
   refusedBy: Map<string, number>;
   failedBy: Map<string, number>;
@@ -107,6 +114,7 @@
     whole: createOutcomes(),
     byClass: new Map(),
     byZone: new Map(),
+    workspaces: createWorkspaceRecord(),
     bySpan: new Map(),
     refusedBy: new Map(),
     failedBy: new Map(),
@@ -236,6 +244,7 @@
   addOutcome(getOrCreate(record.byClass, request.spec.name, createOutcomes), end, request);
   addOutcome(getOrCreate(record.byZone, request.zone, createOutcomes), end, request);
   addOutcome(getOrCreate(record.bySpan, span, createOutcomes), end, request);
+  recordWorkspaceEnd(record.workspaces, { end, request, span });
 }
 
 /** Records a guarantee that was broken for a request. */
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -12,6 +12,7 @@
 import { earnedShare, type Outcomes } from './outcomes.js';
 import type { BrokenGuarantee } from './sceneRecord.js';
 import { greatestShare, greatestSum } from './slidingSum.js';
+import { fairnessOf, workspaceRows, type Fairness, type WorkspaceRow } from './workspaceRecord.js';
 
 /** Window of the users' retry budget, in ms. */
 const RETRY_WINDOW_MS = 10_000;
@@ -36,6 +37,10 @@
   whole: OutcomeRow;
   byClass: OutcomeRow[];
   byZone: OutcomeRow[];
+  /** Outcomes by workspace and by workspace and class, and how evenly work was shared. */
+  byWorkspace: WorkspaceRow[];
+  byWorkspaceClass: WorkspaceRow[];
+  fairness: Fairness;
   bySpan: OutcomeRow[];
   refusedBy: Record<string, number>;
   failedBy: Record<string, number>;
@@ -106,6 +111,9 @@
     whole: rowOf('all', record.whole),
     byClass,
     byZone,
+    byWorkspace: workspaceRows(record.workspaces.byWorkspace),
+    byWorkspaceClass: workspaceRows(record.workspaces.byWorkspaceClass),
+    fairness: fairnessOf(record.workspaces),
     bySpan,
     refusedBy: Object.fromEntries(record.refusedBy),
     failedBy: Object.fromEntries(record.failedBy),
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -98,9 +98,9 @@
 
 /** Returns the workspaces; each limit is a multiple of the usual units, with a burst of one second. */
 function workspacesOf(scene: Scene): WorkspaceSpec[] {
-  const { count, limitOverUsual, plainTokens } = scene.workspaces;
+  const { limitOverUsual, plainTokens } = scene.workspaces;
   const unitsPerSecond = meanUnits(scene) * scene.callers.perSecond;
-  return workspaceShares(count).map((share, index) => {
+  return workspaceShares(scene.workspaces).map((share, index) => {
     const ratePerSecond = Math.round(unitsPerSecond * share * limitOverUsual);
     return {
       name: workspaceName(index),
--- a/packages/reedlug/src/commands/simulateReport.ts
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -1,6 +1,6 @@
 /** Formats the reports of simulations as text. */
 import { median } from 'reedlug-check';
-import type { OutcomeRow, SceneReport } from 'reedlug-simulator';
+import type { OutcomeRow, SceneReport, WorkspaceRow } from 'reedlug-simulator';
 import { formatTable } from './textTable.js';
 
 /** A figure of a report that is printed and compared between runs. */
@@ -20,6 +20,11 @@
   { name: 'late', of: ({ whole }) => whole.late, digits: 0 },
   { name: 'late by a pause', of: ({ lateByGap }) => lateByGap, digits: 0 },
   { name: 'refused', of: ({ whole }) => whole.refused, digits: 0 },
+  { name: 'refused twice', of: sumOfWorkspaces('refusedTwice'), digits: 0 },
+  { name: 'served after refusal', of: sumOfWorkspaces('servedAfterRefusal'), digits: 0 },
+  { name: 'fairness while short', of: ({ fairness }) => fairness.mean, digits: 3 },
+  { name: 'fairness, worst span', of: ({ fairness }) => fairness.worst, digits: 3 },
+  { name: 'spans short of capacity', of: ({ fairness }) => fairness.shortSpans, digits: 0 },
   { name: 'failed', of: ({ whole }) => whole.failed, digits: 0 },
   { name: 'held unserved p50, ms', of: ({ heldUnservedMs }) => heldUnservedMs.p50, digits: 0 },
   { name: 'repeats', of: ({ repeats }) => repeats, digits: 0 },
@@ -41,6 +46,12 @@
   return Object.values(report.storeCalls).reduce((sum, calls) => sum + calls, 0);
 }
 
+function sumOfWorkspaces(
+  field: 'refusedTwice' | 'servedAfterRefusal',
+): (report: SceneReport) => number {
+  return ({ byWorkspace }) => byWorkspace.reduce((sum, row) => sum + row[field], 0);
+}
+
 /** Formats one run in full, or the median, minimum and maximum of the figures of several runs. */
 export function reportLines(reports: readonly SceneReport[]): string[] {
   const [only] = reports;
@@ -82,6 +93,10 @@
     '',
     ...outcomeLines('ZONE', report.byZone),
     '',
+    ...workspaceLines('WORKSPACE', report.byWorkspace),
+    '',
+    ...workspaceLines('WORKSPACE, CLASS', report.byWorkspaceClass),
+    '',
     ...outcomeLines('FROM SECOND', report.bySpan),
     '',
     `first event p50/p99, ms: ${times.join(', ')}`,
@@ -93,6 +108,32 @@
   ];
 }
 
+function workspaceLines(label: string, rows: readonly WorkspaceRow[]): string[] {
+  const header = [
+    label,
+    'ASKED',
+    'IN TIME',
+    'LATE',
+    'REFUSED',
+    'REFUSED TWICE',
+    'SERVED AFTER REFUSAL',
+    'FAILED',
+  ];
+  return formatTable(
+    header,
+    rows.map((row) => [
+      row.name,
+      row.asked,
+      row.inTime,
+      row.late,
+      row.refused,
+      row.refusedTwice,
+      row.servedAfterRefusal,
+      row.failed,
+    ]),
+  );
+}
+
 function outcomeLines(label: string, rows: readonly OutcomeRow[]): string[] {
   const header = [label, 'ASKED', 'IN TIME', 'LATE', 'REFUSED', 'FAILED', 'LEFT', 'EARNED'];
   return formatTable(
