--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -16,7 +16,7 @@
   UsageDecisionGossip,
 } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
-import { workloadRowOf, workloadsOfRows } from './workloadWire.js';
+import { withWorkloads, workloadRowOf } from './workloadWire.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
 /** CBOR encoder of the peer link, without record definitions: each datagram must be decodable on its own. */
@@ -43,15 +43,15 @@
 export function encodeDatagram(message: PeerDatagram): Buffer {
   if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
-  const { loads, registry, workloads } = message;
+  const { workloads, ...others } = message;
+  const { loads, registry } = others;
   return encoder.encode({
-    ...message,
+    ...others,
     loads: {},
     loadRows: Object.entries(loads).map(loadRowOf),
     registry: registry === undefined ? undefined : { ...registry, changes: [] },
     changeRows: registry?.changes.map(changeRowOf),
-    workloads: undefined,
-    workloadRows: workloads?.map(workloadRowOf),
+    ...(workloads === undefined ? {} : { workloadRows: workloads.map(workloadRowOf) }),
   });
 }
 
@@ -73,8 +73,7 @@
   if (!isDatagram(value)) return undefined;
   const { loadRows, changeRows, workloadRows, ...datagram } = value as PeerDatagram & GossipRows;
   if (datagram.kind !== 'news') return datagram;
-  const workloads = workloadsOfRows(workloadRows);
-  const message = { ...withoutInvalidFields(datagram), workloads };
+  const message = withWorkloads(withoutInvalidFields(datagram), workloadRows);
   if (!Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isLoadRow).map(loadOf));
   const { registry } = message;
--- a/packages/reedlug-gateway/src/daemon/workloadWire.ts
+++ b/packages/reedlug-gateway/src/daemon/workloadWire.ts
@@ -1,4 +1,5 @@
 /** Encoding of the work of workspaces in gossip, as rows of values without names. */
+import type { PeerMessage } from '../types/peer.js';
 import type { WorkloadRow } from '../types/workspaceShares.js';
 
 /** Maximum number of rows accepted from one message, and length of a name in them. */
@@ -15,13 +16,16 @@
   return [service, workspace, Math.round(requested), Math.round(admitted)];
 }
 
-/** Returns the valid rows of a message; undefined if it has none, as from an older box. */
-export function workloadsOfRows(rows: unknown): readonly WorkloadRow[] | undefined {
-  if (!Array.isArray(rows)) return undefined;
+/** Adds the valid rows to a message; without rows, as from an older box, it has no such field. */
+export function withWorkloads(received: PeerMessage, rows: unknown): PeerMessage {
+  const message = { ...received };
+  delete message.workloads;
+  if (!Array.isArray(rows)) return message;
   const valid = rows.slice(0, MAX_ROWS).filter(isWireRow);
-  return valid.map(([service, workspace, requested, admitted]) => {
+  const workloads = valid.map(([service, workspace, requested, admitted]) => {
     return { service, workspace, requested, admitted: Math.min(admitted, requested) };
   });
+  return { ...message, workloads };
 }
 
 function isWireRow(row: unknown): row is WireRow {
--- a/packages/reedlug-gateway/src/policy/__tests__/fairShare.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/fairShare.test.ts
@@ -57,12 +57,22 @@
 
 test('one workspace alone, and equal workspaces, keep the usual queue while the service is short', () => {
   const alone = computeStandings(new Map([['a', { requested: 900, admitted: 600 }]]));
-  expect(alone.standings.get('a')).to.deep.equal({ kind: 'over', use: 1, queueShare: 1 });
+  expect(alone.standings.get('a')).to.deep.equal({
+    kind: 'over',
+    use: 1,
+    queueShare: 1,
+    leavesRoom: false,
+  });
   const equal = computeStandings(
     new Map(['a', 'b', 'c'].map((name) => [name, { requested: 900, admitted: 600 }])),
   );
   for (const standing of equal.standings.values()) {
-    expect(standing).to.deep.equal({ kind: 'over', use: 1, queueShare: 1 });
+    expect(standing).to.deep.equal({
+      kind: 'over',
+      use: 1,
+      queueShare: 1,
+      leavesRoom: false,
+    });
   }
 });
 
--- a/packages/reedlug-gateway/src/policy/decideSend.ts
+++ b/packages/reedlug-gateway/src/policy/decideSend.ts
@@ -50,7 +50,9 @@
 /** Decides whether to send a request or to refuse it. */
 export function decideSend(context: SendContext): SendDecision {
   const { expectedMs, running, slots, targetMs, yields = false } = context;
-  if (running < slots * NO_REFUSAL_BELOW_SHARE) return { kind: 'send' };
+  // Heavy prompts of a flood would queue for seconds in half of the slots, before all others.
+  const leavesRoom = context.standing?.kind === 'over' && context.standing.leavesRoom;
+  if (running < slots * NO_REFUSAL_BELOW_SHARE && !leavesRoom) return { kind: 'send' };
   if (!yields && !(expectedMs > maxExpectedMs(context))) return { kind: 'send' };
   const retryAfterMs = Math.min(
     MAX_RETRY_AFTER_MS,
--- a/packages/reedlug-gateway/src/policy/fairShare.ts
+++ b/packages/reedlug-gateway/src/policy/fairShare.ts
@@ -23,8 +23,9 @@
   /**
    * It requests more than its share. `use` is its admitted work divided by its share, and
    * `queueShare` the share of the usual time in a queue up to which its requests are accepted.
+   * `leavesRoom` is true if other workspaces are under their shares.
    */
-  | { kind: 'over'; use: number; queueShare: number };
+  | { kind: 'over'; use: number; queueShare: number; leavesRoom: boolean };
 
 /** Standing of each workspace, and figures of the service for logs and metrics. */
 export interface ServiceStandings {
@@ -109,7 +110,7 @@
     const use = level > 0 ? sum.admitted / level : 1;
     const queueShare = 1 - room - USE_SLOPE * (use - 1);
     const bounded = Math.min(1, Math.max(MIN_QUEUE_SHARE, queueShare));
-    standings.set(name, { kind: 'over', use, queueShare: bounded });
+    standings.set(name, { kind: 'over', use, queueShare: bounded, leavesRoom: room > 0 });
   }
   return { standings, shares, requested, admitted };
 }
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -77,7 +77,7 @@
     room: ownSpareUnits(state, step.nowMs),
     part: ownShareGossip(state, step.nowMs),
     rollouts: rolloutGossip(state, step.nowMs, []),
-    workloads: ownWorkloads(state, step.nowMs),
+    ...ownWorkloads(state, step.nowMs),
     clockOffsetMs: state.agreedClockOffsetMs,
   };
 }
@@ -126,7 +126,7 @@
     room: sumSpareUnits([own, ...of.map(({ message }) => message)]),
     part: sumShares([own, ...of.map(({ message }) => message)]),
     rollouts: rolloutGossip(state, step.nowMs, of),
-    workloads: sumWorkloads([own, ...of.map(({ message }) => message)]),
+    ...sumWorkloads([own, ...of.map(({ message }) => message)]),
     admitted: sumAdmitted(own, totals, except),
     usage: {},
     workTokens:
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -44,7 +44,7 @@
   const usual = { expectedMs, running, slots, targetMs, leftMs, hasReturned };
   const { context, yieldsTo } = withShares(state, step, { record, choice, usual });
   const decision = decideSend(context);
-  const fields = {
+  const fields = (): Record<string, LogField> => ({
     request: facts.requestId,
     route: route.name,
     expectedMs: Math.round(expectedMs),
@@ -52,10 +52,10 @@
     leftMs: Math.round(leftMs),
     hasReturned,
     ...shareFields(state, step, record, { context, yieldsTo }),
-  };
+  });
   if (decision.kind === 'send') {
     if (context.standing?.kind === 'under' && decideSend(usual).kind === 'refuse') {
-      log(step, 'requestAcceptedUnderShare', fields);
+      log(step, 'requestAcceptedUnderShare', fields());
     }
     return false;
   }
@@ -66,14 +66,15 @@
   if (standing !== undefined && yieldsTo === undefined && idleMs <= targetMs) {
     recordRefusal(state, record, standing, step.nowMs);
   }
-  log(step, 'requestTooLate', fields);
-  const retryAfterMs = state.settings.load.spreadRetries
+  const { retryAfterMs, ...retryFields } = state.settings.load.spreadRetries
     ? spreadRetryAfterMs(state, record, {
-        earliestMs: decision.retryAfterMs,
+        // The true time, also beyond the longest one that is told without a schedule.
+        earliestMs: Math.max(decision.retryAfterMs, expectedMs - targetMs),
         prefillTokens,
         nowMs: step.nowMs,
       })
-    : addRetryJitter(decision.retryAfterMs, facts.requestId);
+    : { retryAfterMs: addRetryJitter(decision.retryAfterMs, facts.requestId) };
+  log(step, 'requestTooLate', { ...fields(), ...retryFields });
   refuse(step, { exchangeId, facts, status: 503, reason: 'tooLate', retryAfterMs });
   return true;
 }
--- a/packages/reedlug-gateway/src/slices/workspaceShares/__tests__/sharedAdmission.test.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/__tests__/sharedAdmission.test.ts
@@ -145,13 +145,27 @@
   expect(isSent(ask(box, 'heavy', { key: 'usual' }))).to.equal(true);
 });
 
-test('nothing is refused while half of the slots are free, whoever asks', () => {
+test('while half of the slots are free, only a workspace over its share is refused, and only if it would be late', () => {
   const box = createSharingBox();
   recordFlood(box);
-  occupy(box, { running: 0, tokens: 300_000 });
-  expect(isSent(ask(box, 'urgent', { key: 'flood' }))).to.equal(true);
-  occupy(box, { running: 0, tokens: 300_000 });
-  expect(isSent(ask(box, 'heavy', { key: 'flood' }))).to.equal(true);
+  for (const tokens of [1000, 300_000]) {
+    occupy(box, { running: 0, tokens });
+    expect(isSent(ask(box, 'urgent', { key: 'usual' }))).to.equal(true);
+    occupy(box, { running: 0, tokens });
+    expect(isSent(ask(box, 'urgent', { key: 'flood' }))).to.equal(tokens === 1000);
+  }
+});
+
+test('while half of the slots are free, nothing is refused if no workspace is under its share', () => {
+  const box = createSharingBox();
+  const record = { service: 'engines', workspace: 'flood', facts: facts({ promptTokens: 9 }) };
+  for (const isAdmitted of [true, false]) {
+    recordWork(box.state, record, { prefillTokens: 50_000, isAdmitted }, box.nowMs);
+  }
+  for (const kind of ['urgent', 'heavy']) {
+    occupy(box, { running: 0, tokens: 300_000 });
+    expect(isSent(ask(box, kind, { key: 'flood' }))).to.equal(true);
+  }
 });
 
 test('one workspace alone is refused at the same waits as without shares', () => {
@@ -168,7 +182,7 @@
   }
 });
 
-test('callers that are refused together are told different times, urgent ones the earliest', () => {
+test('callers that are refused together are told different times', () => {
   const box = createSharingBox({ spreadRetries: true });
   recordFlood(box);
   occupy(box, { running: 4, tokens: 400_000 });
@@ -179,8 +193,24 @@
   for (const [index, atMs] of sorted.entries()) {
     if (index > 0) expect(atMs).to.be.greaterThan(sorted[index - 1] ?? 0);
   }
-  const urgent = retryAfterOf(ask(box, 'urgent', { key: 'usual' }));
-  expect(urgent).to.be.lessThan(Math.max(...heavy));
+});
+
+test('an urgent caller is not placed after less urgent ones, and they are placed after it', () => {
+  const timeOf = (kinds: readonly string[]): number => {
+    const box = createSharingBox({ spreadRetries: true });
+    recordFlood(box);
+    // Short enough that all callers return: the urgent one after some 2 s of its 8 s.
+    occupy(box, { running: 4, tokens: 140_000 });
+    // The jitter depends on the request's id, so all requests have the same.
+    const times = kinds.map((kind, index) => {
+      const changes = { key: 'usual', requestId: 'request-same', digest: `digest-${index}` };
+      return retryAfterOf(ask(box, kind, changes));
+    });
+    return times.at(-1) ?? 0;
+  };
+  expect(timeOf(['heavy', 'heavy', 'heavy', 'urgent'])).to.equal(timeOf(['urgent']));
+  expect(timeOf(['urgent', 'heavy'])).to.be.greaterThan(timeOf(['urgent']));
+  expect(timeOf(['heavy'])).to.be.lessThan(timeOf(['urgent', 'heavy']));
 });
 
 test('a caller that would not wait so long is told the true time, and takes no place in the schedule', () => {
--- a/packages/reedlug-gateway/src/slices/workspaceShares/retryTimes.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/retryTimes.ts
@@ -1,6 +1,6 @@
 /** Retry-After times of requests that are refused because their service is short of capacity. */
 import { addRetryJitter } from '../../policy/retryJitter.js';
-import { nextRetryAtMs } from '../../policy/retrySchedule.js';
+import { nextRetryAtMs, type AssignedTimes } from '../../policy/retrySchedule.js';
 import type { GatewayState } from '../../state.js';
 import type { RequestRecord } from '../../types/request.js';
 import type { ServiceWork } from '../../types/workspaceShares.js';
@@ -21,33 +21,52 @@
 /** Maximum number of told times that are kept: some seconds of refusals at a busy box. */
 const MAX_TOLD_TIMES = 2000;
 
+/** Delay told to a refused caller, and what it comes from. */
+export interface SpreadRetry {
+  retryAfterMs: number;
+  /** Interval between the times that this box tells such callers. */
+  retryIntervalMs: number;
+  /** True if the caller came before the time that it was told, and keeps that time. */
+  isEarlyRepeat: boolean;
+}
+
 /** Returns the delay that a refused caller is told, in ms, and takes its place in the schedule if it will return. */
 export function spreadRetryAfterMs(
   state: GatewayState,
   record: RequestRecord,
   params: { earliestMs: number; prefillTokens: number; nowMs: number },
-): number {
+): SpreadRetry {
   const { earliestMs, prefillTokens, nowMs } = params;
   const { service, urgency, facts, deadlineAtMs } = record;
   const known = serviceWorkOf(state, service, nowMs);
   const key = callerKey(record);
   const toldAtMs = known.toldTimes.get(key);
   // A caller that comes before its time keeps its place.
-  if (toldAtMs !== undefined && toldAtMs > nowMs) return toldAtMs - nowMs;
+  if (toldAtMs !== undefined && toldAtMs > nowMs) {
+    return { retryAfterMs: toldAtMs - nowMs, retryIntervalMs: 0, isEarlyRepeat: true };
+  }
   const intervalMs = intervalMsOf(state, record, { prefillTokens, nowMs });
   const isOver = standingOf(state, record, nowMs)?.kind === 'over';
-  const scheduleName = isOver ? `over ${record.workspace ?? ''}` : '';
-  const assigned = known.retryTimes.get(scheduleName) ?? new Map<number, number>();
-  known.retryTimes.set(scheduleName, assigned);
+  const assigned = scheduleOf(known, isOver ? `over ${record.workspace ?? ''}` : '', nowMs);
   const earliestAtMs = nowMs + earliestMs;
   const atMs = nextRetryAtMs(assigned, { urgency, earliestAtMs, intervalMs });
-  const waitMs = Math.min(MAX_RETRY_AFTER_MS, atMs - nowMs);
+  const waitMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(0, atMs - nowMs) || 0);
   const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, addRetryJitter(waitMs, facts.requestId));
   if (retryAfterMs <= (deadlineAtMs - nowMs) * MAX_WAIT_SHARE) {
     assigned.set(urgency, nowMs + waitMs);
     rememberTold(known, key, nowMs + retryAfterMs, nowMs);
   }
-  return retryAfterMs;
+  return { retryAfterMs, retryIntervalMs: Math.round(intervalMs), isEarlyRepeat: false };
+}
+
+/** Returns a schedule by its name, and drops the others that are over. */
+function scheduleOf({ retryTimes }: ServiceWork, name: string, nowMs: number): AssignedTimes {
+  for (const [other, times] of retryTimes) {
+    if ([...times.values()].every((atMs) => atMs <= nowMs)) retryTimes.delete(other);
+  }
+  const assigned = retryTimes.get(name) ?? new Map<number, number>();
+  retryTimes.set(name, assigned);
+  return assigned;
 }
 
 /** Returns whether a request repeats one that was told a later time. */
--- a/packages/reedlug-gateway/src/slices/workspaceShares/workSums.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/workSums.ts
@@ -105,36 +105,42 @@
   return total;
 }
 
-/** Returns this box's sums for its gossip, the heaviest first; undefined while no switch needs them. */
-export function ownWorkloads(state: GatewayState, nowMs: number): WorkloadRow[] | undefined {
-  if (!usesWorkSums(state)) return undefined;
+/** Returns this box's sums for its gossip, the heaviest first; no field while no switch needs them. */
+export function ownWorkloads(state: GatewayState, nowMs: number): Pick<PeerMessage, 'workloads'> {
+  if (!usesWorkSums(state)) return {};
   const rows: WorkloadRow[] = [];
   for (const [service, known] of state.workspaceShares) {
     decay(known, nowMs);
     for (const [workspace, sums] of known.own) rows.push({ service, workspace, ...sums });
   }
-  return heaviest(rows);
+  return { workloads: heaviest(rows) };
 }
 
 /** Adds up the sums of several messages, the heaviest first. */
 export function sumWorkloads(
   messages: readonly Pick<PeerMessage, 'workloads'>[],
-): WorkloadRow[] | undefined {
-  const sums = new Map<string, WorkloadRow>();
+): Pick<PeerMessage, 'workloads'> {
+  // Nested maps, since a hub adds up the rows of all messages for each of its members.
+  const sums = new Map<string, Map<string, WorkloadRow>>();
   let isKnown = false;
   for (const { workloads } of messages) {
     isKnown ||= workloads !== undefined;
-    for (const row of workloads ?? []) {
-      const key = JSON.stringify([row.service, row.workspace]);
-      const sum = sums.get(key);
-      if (sum === undefined) sums.set(key, { ...row });
-      else {
-        sum.requested += row.requested;
-        sum.admitted += row.admitted;
-      }
-    }
+    for (const row of workloads ?? []) addRow(sums, row);
+  }
+  if (!isKnown) return {};
+  return { workloads: heaviest([...sums.values()].flatMap((rows) => [...rows.values()])) };
+}
+
+function addRow(sums: Map<string, Map<string, WorkloadRow>>, row: WorkloadRow): void {
+  const ofService = sums.get(row.service) ?? new Map<string, WorkloadRow>();
+  sums.set(row.service, ofService);
+  const sum = ofService.get(row.workspace);
+  if (sum === undefined) {
+    ofService.set(row.workspace, { ...row });
+    return;
   }
-  return isKnown ? heaviest([...sums.values()]) : undefined;
+  sum.requested += row.requested;
+  sum.admitted += row.admitted;
 }
 
 function heaviest(rows: WorkloadRow[]): WorkloadRow[] {
