--- a/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
@@ -30,3 +30,17 @@
   const line = parseLogLine('time=t event=fault reason="two words"');
   expect(line?.fields.get('reason')).to.equal('two words');
 });
+
+test('a refusal for lack of capacity is explained by the standing of its workspace', () => {
+  const log = `
+time=2026-04-05T06:06:32.087Z event=requestTooLate request=r7 expectedMs=450 limitMs=300 standing=over yieldsTo=
+time=2026-04-05T06:06:32.088Z event=requestRefused request=r7 status=503 reason=tooLate retryAfterMs=700
+time=2026-04-05T06:06:33.087Z event=requestTooLate request=r8 expectedMs=250 limitMs=300 standing=over yieldsTo=urgentRefused
+time=2026-04-05T06:06:33.088Z event=requestRefused request=r8 status=503 reason=tooLate retryAfterMs=700
+`;
+  const cause = (requestId: string) => explainRequest(log, requestId)?.cause;
+  expect(cause('r7')).to.equal(
+    'refused with 503 (tooLate): 450 ms expected, up to 300 ms accepted, workspace over its share; it was sent to no server',
+  );
+  expect(cause('r8')).to.contain('over its share, yields to others (urgentRefused)');
+});
