Fair shares: a large request is served where nothing waits before it

Cause: for some seconds after a flood, a request of its workspace that is late for its own size alone was refused at idle engines, which have room to spare.

Change: below half of the slots such a request is refused only if a long queue is before it; a test of the gauge of recent work; figures of the final state.

--- a/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
-import { createServingBox, facts } from '../../__tests__/__fixtures__/box.js';
+import { createServingBox, facts, settings } from '../../__tests__/__fixtures__/box.js';
+import { recordWork } from '../../slices/workspaceShares/workSums.js';
 import { setDecisionMetrics } from '../decisionMetrics.js';
 import { createGatewayMetrics } from '../gatewayMetrics.js';
 
@@ -18,3 +19,18 @@
   expect(text).to.match(/reedlug_limit_units\{workspace="tiger",figure="used"\} 1000/);
   expect(text).not.to.match(/NaN|Infinity/);
 });
+
+test('metrics contain the recent work of a service whose capacity is shared, and how many are over their shares', async () => {
+  const box = createServingBox(settings({}, { shareCapacity: true }));
+  box.pass(10_000);
+  const request = { service: 'engines', workspace: 'tiger', facts: facts({ promptTokens: 900 }) };
+  for (const isAdmitted of [true, false]) {
+    recordWork(box.state, request, { prefillTokens: 3000, isAdmitted }, box.nowMs);
+  }
+  const metrics = createGatewayMetrics();
+  setDecisionMetrics(metrics.figures, box.state, box.nowMs);
+  const text = await metrics.text();
+  expect(text).to.match(/reedlug_service_work\{service="engines",figure="requested"\} 1386/);
+  expect(text).to.match(/reedlug_service_work\{service="engines",figure="admitted"\} 693/);
+  expect(text).to.match(/reedlug_service_work\{service="engines",figure="workspacesOver"\} 1/);
+});
--- a/packages/reedlug-gateway/src/policy/decideSend.ts
+++ b/packages/reedlug-gateway/src/policy/decideSend.ts
@@ -50,9 +50,7 @@
 /** Decides whether to send a request or to refuse it. */
 export function decideSend(context: SendContext): SendDecision {
   const { expectedMs, running, slots, targetMs, yields = false } = context;
-  // Heavy prompts of a flood would queue for seconds in half of the slots, before all others.
-  const leavesRoom = context.standing?.kind === 'over' && context.standing.leavesRoom;
-  if (running < slots * NO_REFUSAL_BELOW_SHARE && !leavesRoom) return { kind: 'send' };
+  if (running < slots * NO_REFUSAL_BELOW_SHARE && !isQueuedFlood(context)) return { kind: 'send' };
   if (!yields && !(expectedMs > maxExpectedMs(context))) return { kind: 'send' };
   const retryAfterMs = Math.min(
     MAX_RETRY_AFTER_MS,
@@ -61,6 +59,17 @@
   return { kind: 'refuse', retryAfterMs };
 }
 
+/**
+ * Returns whether a request of a workspace over its share may be refused below half of the slots,
+ * while others are under their shares. Heavy prompts of a flood would otherwise queue for seconds in
+ * half of the slots, before all others. A request that is late for its own size needs a long queue
+ * before it to be refused.
+ */
+function isQueuedFlood({ standing, expectedMs, targetMs, idleMs = 0 }: SendContext): boolean {
+  if (standing?.kind !== 'over' || !standing.leavesRoom) return false;
+  return idleMs < targetMs || expectedMs - idleMs > targetMs * standing.queueShare;
+}
+
 /** Returns the expected time to the first event above which a request is refused. */
 export function maxExpectedMs(context: SendContext): number {
   const { targetMs, leftMs, hasReturned, standing, idleMs = 0 } = context;
--- a/packages/reedlug-gateway/src/slices/workspaceShares/__tests__/sharedAdmission.test.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/__tests__/sharedAdmission.test.ts
@@ -156,6 +156,14 @@
   }
 });
 
+test('a large request of a workspace over its share is served where nothing waits before it', () => {
+  const box = createSharingBox();
+  recordFlood(box);
+  occupy(box, { running: 0, tokens: 0 });
+  const large = { key: 'flood', promptTokens: 60_000 };
+  expect(isSent(ask(box, 'urgent', large))).to.equal(true);
+});
+
 test('while half of the slots are free, nothing is refused if no workspace is under its share', () => {
   const box = createSharingBox();
   const record = { service: 'engines', workspace: 'flood', facts: facts({ promptTokens: 9 }) };
