--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -5,6 +5,7 @@
 import { countedPeers } from '../slices/peers/fleet.js';
 import { limitUse } from '../slices/limits/quotas.js';
 import { evidenceOf } from '../slices/rollouts/rolloutEvidence.js';
+import { shareFigures } from '../slices/workspaceShares/standings.js';
 import { loadOf } from '../slices/engines/serviceLoad.js';
 import type { GatewayState } from '../state.js';
 
@@ -18,6 +19,8 @@
   limits: Gauge;
   /** State of the reserve for restarts; 1 for the current one. */
   reserve: Gauge;
+  /** Recent work of a service whose capacity is shared, in prompt tokens per second, and the workspaces over their shares. */
+  shares: Gauge;
   /** Answers of both versions of a service during a roll-out, as far as this box knows. */
   rollouts: Gauge;
 }
@@ -50,6 +53,12 @@
       labelNames: ['state'],
       registers,
     }),
+    shares: new Gauge({
+      name: 'reedlug_service_work',
+      help: 'Recent work in prompt tokens per second: requested, admitted; and workspacesOver their fair shares',
+      labelNames: ['service', 'figure'],
+      registers,
+    }),
     rollouts: new Gauge({
       name: 'reedlug_rollout_answers',
       help: 'Answers since the order of a roll-out by version (new, old): answers, failed, slow',
@@ -81,6 +90,9 @@
     metrics.reserve.reset();
     metrics.reserve.set({ state: state.restartReserve.phase }, 1);
   }
+  for (const service of state.workspaceShares.keys()) {
+    setAll(metrics.shares, { service }, shareFigures(state, service, nowMs));
+  }
   setRollouts(metrics.rollouts, state, nowMs);
 }
 
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -16,6 +16,7 @@
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
 import type { GatewaySettings } from './types/settings.js';
+import type { WorkspaceShares } from './types/workspaceShares.js';
 import type {
   ActiveConfiguration,
   EngineOrder,
@@ -195,6 +196,8 @@
   reclaimsExpectedUntilMs: Map<string, number>;
   /** Reclaimable engines that accepted requests at the last plan, by service and zone. */
   readyReclaimable: Map<string, number>;
+  /** Work by service and workspace, and retry times, for sharing capacity that is short. */
+  workspaceShares: WorkspaceShares;
   stoppingSinceMs: number | undefined;
   stopped: boolean;
 }
@@ -324,6 +327,7 @@
     outOfCapacityUntilMs: new Map(),
     reclaimsExpectedUntilMs: new Map(),
     readyReclaimable: new Map(),
+    workspaceShares: new Map(),
     stoppingSinceMs: undefined,
     stopped: false,
   };
