Simulator: refusals by limits by kind, size and workspace

Cause: the report counted refusals by kind only, so neither the share inside a limit nor the part of large requests showed. Change: the report has limitRefusals; a refusal is inside the limit if the units run in the window before it and its own stay within what the users allow.

--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -14,6 +14,7 @@
   recordRefused,
 } from '../report/sceneRecord.js';
 import { later, nowMs, nextNumber, type World } from '../world.js';
+import { recordLimitRefusal } from '../report/limitRefusals.js';
 import {
   isRepeatable,
   type CallerAttempt,
@@ -281,6 +282,7 @@
   const leftMs = request.deadlineAtMs - nowMs(world);
   const waitMs = retryAfterMs ?? RETRY_DELAY_MS;
   const mayWait = request.tries <= request.spec.retries && waitMs <= leftMs * MAX_WAIT_SHARE;
+  if (reason === 'overLimit' && status === 429) recordLimitRefusal(world, request, !mayWait);
   if (!mayWait || status === 401 || status === 404) {
     const label = `${status} ${reason}`;
     if (claimsNotRun) return recordRefused(world, request, label);
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -7,6 +7,7 @@
 import type { World } from '../world.js';
 import { nowMs } from '../world.js';
 import { createDutyRecord, type DutyRecord } from './dutyRecord.js';
+import type { LimitRefusalRecord } from './limitRefusals.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
 import type { TimedAmount } from './slidingSum.js';
 
@@ -81,6 +82,9 @@
   requests: Map<string, TimedAmount[]>;
   repeats: Map<string, TimedAmount[]>;
   units: Map<string, TimedAmount[]>;
+  /** All requests, and the tries that a limit refused. */
+  asked: CallerRequest[];
+  limitRefusals: LimitRefusalRecord[];
   /** Requests that crash servers, by digest. */
   endings: Map<string, CrashingRequestRecord>;
   limitedServers: LimitedServerRecord[];
@@ -122,6 +126,8 @@
     requests: new Map(),
     repeats: new Map(),
     units: new Map(),
+    asked: [],
+    limitRefusals: [],
     endings: new Map(),
     limitedServers: [],
     statingServers: new Map(),
@@ -153,6 +159,7 @@
 export function recordRequest(world: World, request: CallerRequest): void {
   const list = getOrCreate(world.record.requests, request.spec.service, () => []);
   list.push({ atMs: nowMs(world), amount: 1 });
+  world.record.asked.push(request);
 }
 
 /** Records a send that reached a server; sends after the first one of a try count as repeats. */
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -9,6 +9,7 @@
 import { serverStatementRows, type ServerStatementRow } from '../faults/serverStatements.js';
 import { brokenRolloutGuarantees } from '../faults/rollouts.js';
 import type { World } from '../world.js';
+import { limitRefusalRows, type LimitRefusalRow } from './limitRefusals.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
 import type { BrokenGuarantee } from './sceneRecord.js';
 import { greatestShare, greatestSum } from './slidingSum.js';
@@ -56,6 +57,8 @@
   reducerMsPerBoxSecond: number;
   /** Units and allowance of each workspace, in the window that uses the greatest share of its allowance. */
   limits: { workspace: string; most: number; allowed: number }[];
+  /** Refusals by limits, by kind, size and workspace. */
+  limitRefusals: LimitRefusalRow[];
   broken: BrokenGuarantee[];
   logs: Record<string, number>;
   rollouts: RolloutRow[];
@@ -130,6 +133,7 @@
     repeats,
     reducerMsPerBoxSecond: reducerMs / boxes / seconds,
     limits: limitRows(world),
+    limitRefusals: limitRefusalRows(world),
     broken: record.broken,
     logs: Object.fromEntries(record.logs),
     limitedServers: limitedServerRows(world),
--- a/packages/reedlug/src/commands/simulateReport.ts
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -84,6 +84,7 @@
     '',
     ...outcomeLines('FROM SECOND', report.bySpan),
     '',
+    ...limitRefusalLines(report),
     `first event p50/p99, ms: ${times.join(', ')}`,
     `refused: ${pairs(report.refusedBy)}`,
     `failed: ${pairs(report.failedBy)}`,
@@ -110,6 +111,21 @@
   );
 }
 
+/** Returns the refusals by limits; none if there were none. */
+function limitRefusalLines({ limitRefusals }: SceneReport): string[] {
+  if (limitRefusals.every(({ tries }) => tries === 0)) return [];
+  const header = ['LIMIT', 'ASKED', 'REFUSED', 'INSIDE', 'TRIES', 'INSIDE'];
+  const rows = limitRefusals.map((row) => [
+    row.name,
+    row.asked,
+    row.refused,
+    row.refusedInside,
+    row.tries,
+    row.triesInside,
+  ]);
+  return [...formatTable(header, rows), ''];
+}
+
 /** Formats two sets of runs side by side, with the differences for the seeds in both sets. */
 export function comparisonLines(
   before: readonly SceneReport[],
