Units of a limit under contention: precedence, reservations, loans in rounds

Cause: a request that lacked units got its loans in part, since lenders are asked by announcements up to 200 ms old and other requests spent the lent units meanwhile. It was then refused although its workspace was inside the limit. Units went first come, first served.

Change: with load.reserveLimitUnits a waiting request keeps what arrived and asks again for the rest; lent units go to waiting requests, more urgent ones first; a refused request reserves its units until its caller returns, and boxes withhold their part, at most half of what is spare. With or without the switch, loans are numbered and accepted once.

--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -16,6 +16,7 @@
   UsageDecisionGossip,
 } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
+import { reservationFields, reservationsOfRows, withValidClaim } from './reservationWire.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
 /** CBOR encoder of the peer link, without record definitions: each datagram must be decodable on its own. */
@@ -42,9 +43,10 @@
 export function encodeDatagram(message: PeerDatagram): Buffer {
   if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
-  const { loads, registry } = message;
+  const { loads, registry, reservations } = message;
   return encoder.encode({
     ...message,
+    ...reservationFields(reservations),
     loads: {},
     loadRows: Object.entries(loads).map(loadRowOf),
     registry: registry === undefined ? undefined : { ...registry, changes: [] },
@@ -68,9 +70,10 @@
   }
   if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
-  const { loadRows, changeRows, ...datagram } = value as PeerDatagram & GossipRows;
+  const { loadRows, changeRows, reservations, ...datagram } = value as PeerDatagram & GossipRows;
+  if (datagram.kind === 'unitsAsked') return withValidClaim(datagram);
   if (datagram.kind !== 'news') return datagram;
-  const message = withoutInvalidFields(datagram);
+  const message = { ...withoutInvalidFields(datagram), ...reservationsOfRows(reservations) };
   if (!Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isLoadRow).map(loadOf));
   const { registry } = message;
@@ -79,8 +82,9 @@
   return { ...message, loads, registry: { ...registry, changes } };
 }
 
-/** Rows that gossip holds in place of loads and changes; older boxes send none. */
+/** Rows that gossip holds in place of loads, changes and reservations; older boxes send none. */
 interface GossipRows {
+  reservations?: unknown;
   loadRows?: unknown;
   changeRows?: unknown;
 }
--- a/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
@@ -30,3 +30,15 @@
   const line = parseLogLine('time=t event=fault reason="two words"');
   expect(line?.fields.get('reason')).to.equal('two words');
 });
+
+test('a refusal with reservations names what was withheld and when the caller returns', () => {
+  const log = [
+    'time=2026-04-05T06:06:32.087Z event=limitReached request=r4 units=900 used=80 allowed=90 reservedBefore=4000 withheld=70 announced=200',
+    'time=2026-04-05T06:06:32.088Z event=unitsReserved request=r4 units=900 dueInMs=450',
+    'time=2026-04-05T06:06:32.089Z event=requestRefused request=r4 status=429 reason=overLimit',
+  ].join('\n');
+  expect(explainRequest(log, 'r4')?.cause).to.equal(
+    'refused with 429 (overLimit): 900 units beside 80 of 90, 70 withheld for 4000 reserved before it, ' +
+      '200 announced elsewhere; reserved for its return in 450 ms; it was sent to no server',
+  );
+});
--- a/packages/reedlug-gateway/src/observe/__tests__/limitRefusals.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/limitRefusals.test.ts
@@ -43,3 +43,15 @@
   const after = limitRefusals(log, WINDOW_MS).map(({ isAfterStart }) => isAfterStart);
   expect(after).to.deep.equal([true, false, false]);
 });
+
+test('refusals whose units were reserved are counted', () => {
+  const fields = 'box=box-1 workspace=tiger units=10 used=40 allowed=50 divisor=2';
+  const log = [
+    line(3, 'limitReached', `request=r1 ${fields}`),
+    line(3, 'unitsReserved', 'request=r1 workspace=tiger units=10 dueInMs=400'),
+    line(4, 'limitReached', `request=r2 ${fields}`),
+  ].join('\n');
+  const [summary] = summarizeLimitRefusals(limitRefusals(log, WINDOW_MS));
+  expect(summary?.refusals).to.equal(2);
+  expect(summary?.reserved).to.equal(1);
+});
--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -4,6 +4,7 @@
 import { modelOf } from '../slices/engines/engineModels.js';
 import { countedPeers } from '../slices/peers/fleet.js';
 import { limitUse } from '../slices/limits/quotas.js';
+import { reservedUnitsOf, reservesUnits } from '../slices/limits/unitReservations.js';
 import { evidenceOf } from '../slices/rollouts/rolloutEvidence.js';
 import { loadOf } from '../slices/engines/serviceLoad.js';
 import type { GatewayState } from '../state.js';
@@ -14,7 +15,7 @@
   model: Gauge;
   /** Load of a service whose engines can be ordered, and the engines it needs. */
   capacity: Gauge;
-  /** Units of a workspace within the limit window: used, and the maximum allowed. */
+  /** Units of a workspace within the limit window: used, the maximum allowed, and reserved by all boxes. */
   limits: Gauge;
   /** Answers of both versions of a service during a roll-out, as far as this box knows. */
   rollouts: Gauge;
@@ -38,7 +39,7 @@
     }),
     limits: new Gauge({
       name: 'reedlug_limit_units',
-      help: 'Units of a workspace in the window of limits: used, allowed',
+      help: 'Units of a workspace in the window of limits: used, allowed, reserved',
       labelNames: ['workspace', 'figure'],
       registers,
     }),
@@ -67,7 +68,10 @@
   }
   for (const workspace of workspaces) {
     const { used, allowed } = limitUse(state, workspace, nowMs);
-    setAll(metrics.limits, { workspace: workspace.name }, { used, allowed });
+    const { name } = workspace;
+    setAll(metrics.limits, { workspace: name }, { used, allowed });
+    if (!reservesUnits(state)) continue;
+    setAll(metrics.limits, { workspace: name }, { reserved: reservedUnitsOf(state, name, nowMs) });
   }
   setRollouts(metrics.rollouts, state, nowMs);
 }
--- a/packages/reedlug-gateway/src/observe/explainRequest.ts
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -66,5 +66,13 @@
   const limit = lines.find(({ event }) => event === 'limitReached');
   if (limit === undefined) return '';
   const field = (name: string): string => limit.fields.get(name) ?? '?';
-  return `: ${field('units')} units beside ${field('used')} of ${field('allowed')}`;
+  const share = `: ${field('units')} units beside ${field('used')} of ${field('allowed')}`;
+  if (!limit.fields.has('withheld')) return share;
+  const reserved = lines.find(({ event }) => event === 'unitsReserved');
+  const held = `${field('withheld')} withheld for ${field('reservedBefore')} reserved before it`;
+  const outcome =
+    reserved === undefined
+      ? 'none reserved for it'
+      : `reserved for its return in ${reserved.fields.get('dueInMs') ?? '?'} ms`;
+  return `${share}, ${held}, ${field('announced')} announced elsewhere; ${outcome}`;
 }
--- a/packages/reedlug-gateway/src/observe/limitRefusals.ts
+++ b/packages/reedlug-gateway/src/observe/limitRefusals.ts
@@ -15,6 +15,8 @@
   fleetAllowed: number;
   /** Whether the box had received its share of the limits less than a window before. */
   isAfterStart: boolean;
+  /** Whether the units were reserved until the caller returns. */
+  isReserved: boolean;
 }
 
 /** Summary of one workspace's refusals. */
@@ -26,6 +28,8 @@
   withinAfterStart: number;
   /** Median share of the whole limit that was used at the refusals within it. */
   medianUsedShare: number;
+  /** Number of refusals whose units were reserved until the caller returns; missing if there are none. */
+  reserved?: number;
 }
 
 interface SentUnits {
@@ -37,12 +41,16 @@
 export function limitRefusals(logText: string, windowMs: number): LimitRefusal[] {
   const lines = logText
     .split('\n')
-    .filter((text) => /limitReached|requestSent|partHeld/.test(text));
+    .filter((text) => /limitReached|requestSent|partHeld|unitsReserved/.test(text));
   const parsed = lines.map(parseLogLine).filter((line) => line !== undefined);
   parsed.sort((a, b) => a.time.localeCompare(b.time));
   const sent = new Map<string, SentUnits[]>();
   const shareHeldAtMs = new Map<string, number>();
   const refusals: LimitRefusal[] = [];
+  const reserved = new Set<string>();
+  for (const line of parsed) {
+    if (line.event === 'unitsReserved') reserved.add(textOf(line, 'request'));
+  }
   for (const line of parsed) {
     const atMs = Date.parse(line.time);
     const [box, workspace] = [textOf(line, 'box'), textOf(line, 'workspace')];
@@ -59,6 +67,7 @@
       units: numberOf(line, 'units'),
       fleetUsed: usedSince(sent.get(workspace) ?? [], atMs - windowMs),
       fleetAllowed: numberOf(line, 'allowed') * numberOf(line, 'divisor'),
+      isReserved: reserved.has(textOf(line, 'request')),
       isAfterStart: atMs - (shareHeldAtMs.get(box) ?? Number.NEGATIVE_INFINITY) < windowMs,
     });
   }
@@ -85,12 +94,14 @@
     });
     const shares = within.map(({ fleetUsed, fleetAllowed }) => fleetUsed / fleetAllowed);
     shares.sort((a, b) => a - b);
+    const reserved = own.filter(({ isReserved }) => isReserved).length;
     return {
       workspace,
       refusals: own.length,
       within: within.length,
       withinAfterStart: within.filter(({ isAfterStart }) => isAfterStart).length,
       medianUsedShare: shares[Math.floor(shares.length / 2)] ?? 0,
+      ...(reserved > 0 ? { reserved } : {}),
     };
   });
   return rows.sort((a, b) => b.refusals - a.refusals);
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -42,6 +42,7 @@
 import { gossipTick } from './slices/peers/sendGossip.js';
 import { checkWallClock } from './slices/lifecycle/suspension.js';
 import { onUnitsAsked, onUnitsReturned } from './slices/limits/unitLoans.js';
+import { unitReservationsTick } from './slices/limits/unitReservations.js';
 import { onUnitsLent, waitingSendsTick } from './slices/limits/waitingSends.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage/usage.js';
 
@@ -123,6 +124,7 @@
   silentServersTick(state, step);
   lostServersTick(state, step);
   clockTick(state, step);
+  unitReservationsTick(state, step.nowMs);
   waitingSendsTick(state, step);
   limitShareTick(state, step);
   dutyLeaseTick(state, step);
--- a/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
@@ -14,6 +14,7 @@
 } from '../../types/peer.js';
 import { addUnits } from '../../policy/unitWindow.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import type { LentUnits } from '../../types/views.js';
 import type { WorkspaceSpec } from '../../types/configuration.js';
 import {
   countedPeers,
@@ -23,29 +24,39 @@
   type PeerWithMessage,
 } from '../peers/fleet.js';
 import { findWorkspace, lendUnits, LOAN_MS, quotaOf, spareUnits } from './quotas.js';
+import { lendableUnits, reservedBefore, reservesUnits } from './unitReservations.js';
+import { withheldUnits, type UnitClaim } from '../../policy/unitPrecedence.js';
 
 /** Maximum number of boxes asked for the units of one request. A large request needs dozens of small shares. */
 const MAX_LENDERS = 48;
 /** Maximum number of hubs that forward a request for units: the hub of the borrower's own group and one of another group. */
 const MAX_HOPS = 2;
 
+/** Urgency assumed for requests of older boxes, which state none; 9 is the least urgent. */
+const UNSTATED_URGENCY = 9;
+
 /** Requests units from other boxes. Returns false and asks none if they have not announced enough. */
 export function requestUnits(
   state: GatewayState,
   step: Step,
   { name: workspace }: WorkspaceSpec,
   units: number,
+  claim?: UnitClaim,
 ): boolean {
-  const lenders = lendersOf(state, workspace, step.nowMs);
+  const lenders = lendersOf(state, workspace, { claim, nowMs: step.nowMs });
   const announced = lenders.reduce((sum, { room }) => sum + room, 0);
   if (announced < units) return false;
   const { boxId, host, port } = ownAddress(state);
   const askId = state.nextAskId;
   state.nextAskId += 1;
-  state.unitRequests.set(askId, { sentAtMs: step.nowMs, workspace });
+  state.unitRequests.set(askId, { sentAtMs: step.nowMs, workspace, loans: new Set() });
   const { incarnation } = state;
   const request = { kind: 'unitsAsked' as const, boxId, incarnation, host, port, askId, hops: 0 };
-  requestFromEach(step, lenders, { ...request, workspace, units });
+  const stated =
+    claim === undefined
+      ? {}
+      : { urgency: claim.urgency, heldForMs: Math.round(step.nowMs - claim.heldSinceMs) };
+  requestFromEach(step, lenders, { ...request, ...stated, workspace, units });
   return true;
 }
 
@@ -56,16 +67,41 @@
 }
 
 /** Returns the reachable boxes that announced spare units, those with the most units first. */
-function lendersOf(state: GatewayState, workspace: string, nowMs: number): Lender[] {
+function lendersOf(
+  state: GatewayState,
+  workspace: string,
+  { claim, nowMs }: { claim?: UnitClaim | undefined; nowMs: number },
+): Lender[] {
   const lenders: Lender[] = [];
+  const isClaim = claim !== undefined && reservesUnits(state);
+  const reservedUnits = isClaim ? reservedBefore(state, workspace, claim, nowMs) : 0;
   for (const peer of countedPeers(state, nowMs)) {
     const announced = peer.message.room?.[workspace] ?? 0;
-    const room = announced - (peer.requestedUnits.get(workspace) ?? 0);
+    const requested = peer.requestedUnits.get(workspace) ?? 0;
+    const spare = announced - requested;
+    const divisor = state.part.divisor / peer.message.boxes;
+    const room = spare - withheldUnits({ reservedUnits, divisor, spare });
     if (room > 0 && isFreshPeer(peer, nowMs)) lenders.push({ peer, room });
   }
   return lenders.sort((a, b) => b.room - a.room).slice(0, MAX_LENDERS);
 }
 
+/** Returns the spare units of a workspace that other boxes announced, less those requested since. */
+export function announcedUnits(
+  state: GatewayState,
+  { name }: WorkspaceSpec,
+  nowMs: number,
+): number {
+  return lendersOf(state, name, { nowMs }).reduce((sum, { room }) => sum + room, 0);
+}
+
+function claimOfAsked(
+  { urgency = UNSTATED_URGENCY, heldForMs = 0 }: UnitsAskedMessage,
+  nowMs: number,
+): UnitClaim {
+  return { urgency, heldSinceMs: nowMs - heldForMs };
+}
+
 function requestFromEach(step: Step, lenders: readonly Lender[], message: UnitsAskedMessage): void {
   const { workspace } = message;
   let remaining = message.units;
@@ -87,12 +123,15 @@
   const { boxId, host, port, askId, incarnation, hops } = message;
   const workspace = findWorkspace(state, message.workspace);
   if (workspace === undefined || boxId === state.settings.box.id) return;
-  const units = lendUnits(state, workspace, message.units, step.nowMs);
+  const lendable = lendableUnits(state, workspace, claimOfAsked(message, step.nowMs), step.nowMs);
+  const units = lendUnits(state, workspace, Math.min(message.units, lendable), step.nowMs);
   if (units > 0) {
     const own = ownAddress(state);
     const lender = { boxId: own.boxId, host: own.host, port: own.port };
-    const answer = { kind: 'unitsLent' as const, ...lender, incarnation, askId, units };
-    recordLent(state, step, message, units);
+    const loanId = state.nextAskId;
+    state.nextAskId += 1;
+    const answer = { kind: 'unitsLent' as const, ...lender, incarnation, askId, units, loanId };
+    recordLent(state, step, message, { units, loanId });
     step.effects.push({ type: 'sendPeers', message: answer, to: [{ host, port }] });
     log(step, 'unitsLent', { peer: boxId, workspace: workspace.name, units: Math.round(units) });
   }
@@ -103,7 +142,8 @@
 function forwardRequest(state: GatewayState, step: Step, message: UnitsAskedMessage): void {
   const { workspace, boxId, hops } = message;
   if (!forwardsGossip(state) || hops > MAX_HOPS) return;
-  const lenders = lendersOf(state, workspace, step.nowMs).filter(({ peer }) => {
+  const claim = claimOfAsked(message, step.nowMs);
+  const lenders = lendersOf(state, workspace, { claim, nowMs: step.nowMs }).filter(({ peer }) => {
     const isMember = peer.message.scope === GossipScope.box;
     return peer.boxId !== boxId && (isMember || hops < MAX_HOPS);
   });
@@ -121,8 +161,12 @@
   const workspace = findWorkspace(state, request.workspace);
   const untilMs = request.sentAtMs + LOAN_MS;
   if (workspace === undefined || untilMs < step.nowMs) return undefined;
-  const { askId, units, host, port } = message;
-  const loan = { units, untilMs, askId, lender: { host, port } };
+  const { askId, units, host, port, boxId, loanId } = message;
+  // A datagram may arrive twice; the lender has charged its units once.
+  const key = `${boxId}/${loanId ?? 0}`;
+  if (loanId !== undefined && request.loans.has(key)) return undefined;
+  request.loans.add(key);
+  const loan = { units, untilMs, askId, loanId, lender: { host, port } };
   quotaOf(state, workspace, step.nowMs).loans.push(loan);
   return workspace;
 }
@@ -138,19 +182,21 @@
 }
 
 /**
- * Records a loan so that it can be returned. Only the first loan for a request is recorded; one made when the
- * request arrives again through another hub cannot be returned.
+ * Records a loan so that it can be returned. Without reservations only the first loan for a request is
+ * recorded; one made when the request arrives again through another hub cannot be returned.
  */
 function recordLent(
   state: GatewayState,
   step: Step,
   message: UnitsAskedMessage,
-  units: number,
+  { units, loanId }: { units: number; loanId: number },
 ): void {
   const key = loanKey(message);
-  if (state.lentUnits.has(key)) return;
+  const isFirst = !state.lentUnits.has(key);
+  if (!isFirst && !reservesUnits(state)) return;
   const countsFromMs = step.nowMs + LOAN_MS;
-  state.lentUnits.set(key, { workspace: message.workspace, units, countsFromMs });
+  const lent = { workspace: message.workspace, units, loanId, countsFromMs };
+  state.lentUnits.set(isFirst ? key : `${key}/${loanId}`, lent);
 }
 
 function loanKey({
@@ -170,22 +216,42 @@
   const quota = quotaOf(state, workspace, step.nowMs);
   const { incarnation } = state;
   const { id: boxId } = state.settings.box;
-  for (const { units, untilMs, askId, lender } of quota.loans) {
+  for (const { units, untilMs, askId, loanId, lender } of quota.loans) {
     if (untilMs < step.nowMs) continue;
-    const message = { kind: 'unitsReturned' as const, boxId, incarnation, askId, units };
+    const stated = reservesUnits(state) ? { loanId } : {};
+    const message = {
+      kind: 'unitsReturned' as const,
+      boxId,
+      incarnation,
+      askId,
+      units,
+      ...stated,
+    };
     step.effects.push({ type: 'sendPeers', message, to: [lender] });
   }
   quota.loans = [];
 }
 
+/** Returns the record of a loan; older boxes do not state its number and return the first loan for a request. */
+function findLent(
+  state: GatewayState,
+  message: UnitsReturnedMessage,
+): { key: string; lent: LentUnits | undefined } {
+  const first = loanKey(message);
+  const known = state.lentUnits.get(first);
+  const { loanId } = message;
+  if (loanId === undefined || known?.loanId === loanId) return { key: first, lent: known };
+  const key = `${first}/${loanId}`;
+  return { key, lent: state.lentUnits.get(key) };
+}
+
 /** Takes back returned units, once for each loan and no more than were lent. */
 export function onUnitsReturned(
   state: GatewayState,
   _step: Step,
   { message }: EventOf<'unitsReturned'>,
 ): void {
-  const key = loanKey(message);
-  const lent = state.lentUnits.get(key);
+  const { key, lent } = findLent(state, message);
   const quota = lent === undefined ? undefined : state.quotas.get(lent.workspace);
   if (lent === undefined || quota === undefined) return;
   state.lentUnits.delete(key);
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -10,6 +10,7 @@
 import { ownShareGossip, sumShares } from '../limits/limitShare.js';
 import { rolloutGossip } from '../rollouts/rollouts.js';
 import { registryGossip } from './registryGossip.js';
+import { reservationGossip } from '../limits/unitReservations.js';
 import { ownSpareUnits } from '../limits/unitLoans.js';
 import { ownUsage } from '../usage/usage.js';
 import { decisionGossip } from '../usage/usageDecisions.js';
@@ -74,6 +75,7 @@
     workTokens: state.workTokens,
     decisions: decisionGossip(state, step.nowMs),
     room: ownSpareUnits(state, step.nowMs),
+    ...reservationGossip(state, step.nowMs, []),
     part: ownShareGossip(state, step.nowMs),
     rollouts: rolloutGossip(state, step.nowMs, []),
     clockOffsetMs: state.agreedClockOffsetMs,
@@ -122,6 +124,7 @@
     loads: sumLoads([own, ...of.map(({ message }) => message)]),
     sendSums: sumSends([own, ...of.map(({ message }) => message)]),
     room: sumSpareUnits([own, ...of.map(({ message }) => message)]),
+    ...reservationGossip(state, step.nowMs, of),
     part: sumShares([own, ...of.map(({ message }) => message)]),
     rollouts: rolloutGossip(state, step.nowMs, of),
     admitted: sumAdmitted(own, totals, except),
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -15,7 +15,8 @@
 import { cancelAll, giveUp, refuse } from './requestCompletion.js';
 import { refuseIfLate } from './lateRefusals.js';
 import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
-import { chargeSend, unitsOf } from '../limits/quotas.js';
+import { unitsOf } from '../limits/quotas.js';
+import { chargeFirstSend } from '../limits/unitReservations.js';
 import { countFirstSend } from './retryBudgets.js';
 import { recordAbandonedAnswer } from '../rollouts/rolloutEvidence.js';
 import { chooseServerFor, sendOrGiveUp } from './sending.js';
@@ -68,7 +69,7 @@
     choice === undefined ? reserveRetryAfterMs(state, record, step.nowMs) : undefined;
   if (retryAfterMs !== undefined) return refuseNow(503, SERVERS_LIMITED, retryAfterMs);
   state.requests.set(exchangeId, record);
-  if (workspace !== undefined && !chargeSend(state, record, workspace, step.nowMs)) {
+  if (workspace !== undefined && !chargeFirstSend(state, step, record, workspace)) {
     if (!requestAndAwaitUnits(state, step, record, workspace)) refuseOverLimit(state, step, record);
     return;
   }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -1,6 +1,7 @@
 /** State of a gateway box. Each slice modifies its part of the state in place. */
 import { createLease, type LeaseState, type RetryBudget, type TableOp } from 'reedlug-coordination';
 import type { EngineModel, OwnSends } from './policy/engineModel.js';
+import type { UnitReservation } from './policy/unitPrecedence.js';
 import type { CrashRowState, CrashSuspect, LostServer, ServerCrash } from './types/crashSuspect.js';
 import type { Effect, LogField } from './types/effect.js';
 import type { TablePurpose } from './types/event.js';
@@ -18,6 +19,7 @@
   StabilizedValue,
   StabilizedNeed,
   LentUnits,
+  UnitRequest,
   LoadAverage,
   PeerView,
   QuotaView,
@@ -106,12 +108,17 @@
   /** This box's share of all limits. */
   part: LimitShare;
   /** Pending requests for units of other boxes, by their id. */
-  unitRequests: Map<number, { sentAtMs: number; workspace: string }>;
+  unitRequests: Map<number, UnitRequest>;
   nextAskId: number;
   /** Units that this box lent recently, by borrower and request id. */
   lentUnits: Map<string, LentUnits>;
   /** Requests that wait for units of other boxes, in order of arrival. */
   waitingForUnits: WaitingSend[];
+  /**
+   * Units reserved for refused requests: by this box, by others according to gossip, and
+   * reservations whose callers have returned.
+   */
+  unitReservations: { own: UnitReservation[]; ofPeers: UnitReservation[]; used: UnitReservation[] };
   retryBudgets: Map<string, RetryBudget>;
   peers: Map<string, PeerView>;
   /**
@@ -265,6 +272,7 @@
     nextAskId: 1,
     lentUnits: new Map(),
     waitingForUnits: [],
+    unitReservations: { own: [], ofPeers: [], used: [] },
     retryBudgets: new Map(),
     peers: new Map(),
     hubId: undefined,
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -59,6 +59,17 @@
   changes: readonly NumberedChange[];
 }
 
+/** Units that a covered box reserves for a refused request, see `UnitReservation`. */
+export interface UnitReservationGossip {
+  workspace: string;
+  urgency: number;
+  units: number;
+  /** Time since the first refusal, and times until the caller returns (negative once passed) and until the reservation expires, in ms. */
+  ageMs: number;
+  dueInMs: number;
+  leftMs: number;
+}
+
 /** Totals that only increase, so that a lost message does not lose data. */
 export interface RunningTotals {
   /** Units admitted since the start, by workspace. */
@@ -121,6 +132,8 @@
   decisions?: readonly UsageDecisionGossip[] | undefined;
   /** Spare units that the covered boxes could lend now, by workspace; older boxes lend nothing. */
   room?: Readonly<Record<string, number>> | undefined;
+  /** Units that the covered boxes reserve; missing from older boxes and from boxes that reserve none. */
+  reservations?: readonly UnitReservationGossip[] | undefined;
   /** Limit shares of the covered boxes; missing from older boxes. */
   part?: LimitShareGossip | undefined;
   /** Roll-outs known to the sender; missing from older boxes. */
@@ -153,6 +166,9 @@
   units: number;
   /** Number of hubs that have forwarded the message. */
   hops: number;
+  /** Urgency of the request, and time since it first asked for units, in ms; missing from older boxes. */
+  urgency?: number | undefined;
+  heldForMs?: number | undefined;
 }
 
 /** Lends units. The lender's share is charged for them, whether or not they arrive or are used. */
@@ -164,6 +180,8 @@
   incarnation: number;
   askId: number;
   units: number;
+  /** Number of the loan at its lender, by which a datagram that arrives twice is known; missing from older boxes. */
+  loanId?: number | undefined;
 }
 
 /** Returns unused lent units to the lender. */
@@ -174,6 +192,8 @@
   incarnation: number;
   askId: number;
   units: number;
+  /** Number of the loan at its lender; missing from older boxes. */
+  loanId?: number | undefined;
 }
 
 /** A datagram between boxes. */
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -90,6 +90,8 @@
   chargedToShare: number;
   /** 0 to 9; engines process 0 first. */
   urgency: number;
+  /** Time of the first refusal, for a request whose units were reserved since; missing from others. */
+  reservedAtMs?: number;
   arrivedAtMs: number;
   /**
    * Time by which the final answer is due: the earlier of the caller's deadline and the route's
@@ -114,6 +116,8 @@
   record: RequestRecord;
   /** Time at which the request is refused, or given up if it has been sent before. */
   untilMs: number;
+  /** Time at which units were last requested for it. */
+  askedAtMs: number;
 }
 
 /** A request that arrived before its box knew the configuration and the servers. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -70,13 +70,25 @@
   /** Time until which they may be used, on this box's clock. */
   untilMs: number;
   askId: number;
+  /** Number of the loan at its lender; undefined for loans of older boxes. */
+  loanId?: number | undefined;
   lender: HostPort;
 }
 
+/** Pending request for units of other boxes. */
+export interface UnitRequest {
+  sentAtMs: number;
+  workspace: string;
+  /** Loans that were accepted for it, by lender and number. */
+  loans: Set<string>;
+}
+
 /** Units that this box lent, kept while they may be returned. */
 export interface LentUnits {
   workspace: string;
   units: number;
+  /** Number of the loan at this box. */
+  loanId: number;
   /** Time from which they count in the window of this box. */
   countsFromMs: number;
 }
--- a/packages/reedlug/src/commands/explainLimits.ts
+++ b/packages/reedlug/src/commands/explainLimits.ts
@@ -29,9 +29,13 @@
     const rows = summarizeLimitRefusals(
       limitRefusals(await readFile(this.logFile, 'utf8'), windowMs),
     );
+    const hasReserved = rows.some(({ reserved = 0 }) => reserved > 0);
     const header = ['workspace', 'refused', 'within the limit', 'after a start', 'used, median'];
-    const cells = rows.map(({ workspace, refusals, within, withinAfterStart, medianUsedShare }) => {
-      return [workspace, refusals, within, withinAfterStart, medianUsedShare.toFixed(2)];
+    if (hasReserved) header.push('reserved');
+    const cells = rows.map((row) => {
+      const { workspace, refusals, within, withinAfterStart, medianUsedShare, reserved = 0 } = row;
+      const cell = [workspace, refusals, within, withinAfterStart, medianUsedShare.toFixed(2)];
+      return hasReserved ? [...cell, reserved] : cell;
     });
     this.context.stdout.write(`${formatTable(header, cells).join('\n')}\n`);
     return 0;
