--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -16,6 +16,7 @@
   UsageDecisionGossip,
 } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
+import { reservationFields, reservationsOfRows, withValidClaim } from './reservationWire.js';
 import { withWorkloads, workloadRowOf } from './workloadWire.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
@@ -44,9 +45,10 @@
   if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
   const { workloads, ...others } = message;
-  const { loads, registry } = others;
+  const { loads, registry, reservations } = others;
   return encoder.encode({
     ...others,
+    ...reservationFields(reservations),
     loads: {},
     loadRows: Object.entries(loads).map(loadRowOf),
     registry: registry === undefined ? undefined : { ...registry, changes: [] },
@@ -71,9 +73,14 @@
   }
   if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
-  const { loadRows, changeRows, workloadRows, ...datagram } = value as PeerDatagram & GossipRows;
+  const { loadRows, changeRows, workloadRows, reservations, ...datagram } = value as PeerDatagram &
+    GossipRows;
+  if (datagram.kind === 'unitsAsked') return withValidClaim(datagram);
   if (datagram.kind !== 'news') return datagram;
-  const message = withWorkloads(withoutInvalidFields(datagram), workloadRows);
+  const message = {
+    ...withWorkloads(withoutInvalidFields(datagram), workloadRows),
+    ...reservationsOfRows(reservations),
+  };
   if (!Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isLoadRow).map(loadOf));
   const { registry } = message;
@@ -82,8 +89,9 @@
   return { ...message, loads, registry: { ...registry, changes } };
 }
 
-/** Rows that gossip holds in place of loads and changes; older boxes send none. */
+/** Rows that gossip holds in place of loads, changes and reservations; older boxes send none. */
 interface GossipRows {
+  reservations?: unknown;
   loadRows?: unknown;
   changeRows?: unknown;
   workloadRows?: unknown;
--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -4,6 +4,7 @@
 import { modelOf } from '../slices/engines/engineModels.js';
 import { countedPeers } from '../slices/peers/fleet.js';
 import { limitUse } from '../slices/limits/quotas.js';
+import { reservedUnitsOf, reservesUnits } from '../slices/limits/unitReservations.js';
 import { evidenceOf } from '../slices/rollouts/rolloutEvidence.js';
 import { shareFigures } from '../slices/workspaceShares/standings.js';
 import { loadOf } from '../slices/engines/serviceLoad.js';
@@ -15,7 +16,7 @@
   model: Gauge;
   /** Load of a service whose engines can be ordered, and the engines it needs. */
   capacity: Gauge;
-  /** Units of a workspace within the limit window: used, and the maximum allowed. */
+  /** Units of a workspace within the limit window: used, the maximum allowed, and reserved by all boxes. */
   limits: Gauge;
   /** State of the reserve for restarts; 1 for the current one. */
   reserve: Gauge;
@@ -43,7 +44,7 @@
     }),
     limits: new Gauge({
       name: 'reedlug_limit_units',
-      help: 'Units of a workspace in the window of limits: used, allowed',
+      help: 'Units of a workspace in the window of limits: used, allowed, reserved',
       labelNames: ['workspace', 'figure'],
       registers,
     }),
@@ -84,7 +85,10 @@
   }
   for (const workspace of workspaces) {
     const { used, allowed } = limitUse(state, workspace, nowMs);
-    setAll(metrics.limits, { workspace: workspace.name }, { used, allowed });
+    const { name } = workspace;
+    setAll(metrics.limits, { workspace: name }, { used, allowed });
+    if (!reservesUnits(state)) continue;
+    setAll(metrics.limits, { workspace: name }, { reserved: reservedUnitsOf(state, name, nowMs) });
   }
   if (state.settings.load.restartReserve) {
     metrics.reserve.reset();
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -44,6 +44,7 @@
 import { checkWallClock } from './slices/lifecycle/suspension.js';
 import { onUnitsAsked, onUnitsReturned } from './slices/limits/unitLoans.js';
 import { onLimitReserveRow, restartReserveTick } from './slices/limits/restartReserve.js';
+import { unitReservationsTick } from './slices/limits/unitReservations.js';
 import { onUnitsLent, waitingSendsTick } from './slices/limits/waitingSends.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage/usage.js';
 
@@ -127,6 +128,7 @@
   silentServersTick(state, step);
   lostServersTick(state, step);
   clockTick(state, step);
+  unitReservationsTick(state, step.nowMs);
   waitingSendsTick(state, step);
   limitShareTick(state, step);
   restartReserveTick(state, step);
