A new lease holder waits for the counts of all boxes before it closes a usage window

Cause: a box that took the lease 0.25 s before a window came due closed it with the counts of the checkpoint alone (24 of 120 requests; boxes send their counts to the holder twice a second, and learn of a new one through hubs).

Change: the window waits until the lease has been held for 1.5 s, within the time that the report leaves.

Result: the new test fails without the change (closed after 1,500 ms with its own counts) and passes with it; 20 tests of slices/usage pass.

--- a/packages/reedlug-gateway/src/slices/usage/__tests__/lateCounts.test.ts
+++ b/packages/reedlug-gateway/src/slices/usage/__tests__/lateCounts.test.ts
@@ -116,6 +116,17 @@
   expect(awaitRow(box)?.afterMs).to.equal(6200);
 });
 
+test('a box that has just taken the lease waits for counts of boxes that it knows nothing of', () => {
+  const box = createHolder();
+  passAsHolder(box, WINDOW_MS + 1400);
+  const byBox = new Map([['box-1/1', { tiger: 1 }]]);
+  box.state.usage.set(2, { ...emptyWindow, window: 2, byBox });
+  if (box.state.lease.held !== undefined) box.state.lease.held.sinceMs = box.nowMs;
+  expect(awaitRow(box, box.nowMs + 1400)).to.equal(undefined);
+  receive(box, 2, 5);
+  expect(awaitRow(box)).to.deep.equal({ afterMs: 2900, value: { tiger: 6 } });
+});
+
 test('a box that was silent sends the counts of the two windows before the current one', () => {
   const box = createHolder();
   for (const window of [0, 1, 2]) {
--- a/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
@@ -23,6 +23,11 @@
  * two hubs (boxes that forward gossip for a group).
  */
 const ANNOUNCE_BEFORE_REPORT_MS = 1000;
+/**
+ * Time after the lease was taken in which the counts of all boxes arrive, in ms. Boxes learn of the
+ * new holder through hubs and send it their counts twice a second.
+ */
+const HOLDER_SETTLE_MS = 1500;
 /** Time for a write of the row or a report of it, with one retry, in ms. */
 const CALL_WITH_RETRY_MS = 1400;
 /** Time that the write of the row, its announcement and the report may take together, in ms. */
@@ -38,6 +43,8 @@
   const { usageWindowMs, usageDueMs } = state.settings.bounds;
   const endedAgoMs = nowMs - (entry.window + 1) * usageWindowMs;
   if (entry.decided !== undefined || endedAgoMs >= usageDueMs - REPORT_TAKES_MS) return true;
+  const heldSinceMs = state.lease.held?.sinceMs ?? Number.NEGATIVE_INFINITY;
+  if (step.nowMs - heldSinceMs < HOLDER_SETTLE_MS) return false;
   const boxes = boxesWithLateCounts(state, entry, step.nowMs - endedAgoMs);
   if (boxes.length === 0) return true;
   if (!entry.isDelayLogged) {
