Speeds of servers, learned from the sends of all boxes

Cause: engines of a service may run at different speeds that nothing states. A box sends to a given engine once in ten seconds, so no box knows them, and the longest prompts reach their target only at some engines.

Change: each box sums expected and observed times to the first event by server, gossip adds the sums of all boxes, and a pure policy estimates speeds once the servers differ beyond noise. The speed scales the expected time of a choice, the momentary slowness, and the number of engines needed.

--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -16,6 +16,7 @@
   UsageDecisionGossip,
 } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
+import { speedRowOf, withSpeedRows } from './speedWire.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
 /** CBOR encoder of the peer link, without record definitions: each datagram must be decodable on its own. */
@@ -42,9 +43,11 @@
 export function encodeDatagram(message: PeerDatagram): Buffer {
   if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
+  const { speeds, ...others } = message;
   const { loads, registry } = message;
   return encoder.encode({
-    ...message,
+    ...others,
+    ...(speeds === undefined ? {} : { speedRows: speeds.map(speedRowOf) }),
     loads: {},
     loadRows: Object.entries(loads).map(loadRowOf),
     registry: registry === undefined ? undefined : { ...registry, changes: [] },
@@ -68,9 +71,9 @@
   }
   if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
-  const { loadRows, changeRows, ...datagram } = value as PeerDatagram & GossipRows;
+  const { loadRows, changeRows, speedRows, ...datagram } = value as PeerDatagram & GossipRows;
   if (datagram.kind !== 'news') return datagram;
-  const message = withoutInvalidFields(datagram);
+  const message = withSpeedRows(withoutInvalidFields(datagram), speedRows);
   if (!Array.isArray(loadRows)) return message;
   const loads = Object.fromEntries(loadRows.filter(isLoadRow).map(loadOf));
   const { registry } = message;
@@ -79,10 +82,11 @@
   return { ...message, loads, registry: { ...registry, changes } };
 }
 
-/** Rows that gossip holds in place of loads and changes; older boxes send none. */
+/** Rows that gossip holds in place of loads, changes and speeds; older boxes send none. */
 interface GossipRows {
   loadRows?: unknown;
   changeRows?: unknown;
+  speedRows?: unknown;
 }
 
 /** Fields that must hold a finite number for a datagram of each kind to be accepted. */
--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -5,6 +5,7 @@
 import { countedPeers } from '../slices/peers/fleet.js';
 import { limitUse } from '../slices/limits/quotas.js';
 import { evidenceOf } from '../slices/rollouts/rolloutEvidence.js';
+import { meanSpeedOf } from '../slices/serverSpeeds/speedOf.js';
 import { loadOf } from '../slices/engines/serviceLoad.js';
 import type { GatewayState } from '../state.js';
 
@@ -16,6 +17,8 @@
   capacity: Gauge;
   /** Units of a workspace within the limit window: used, and the maximum allowed. */
   limits: Gauge;
+  /** Speeds of the servers of a service, see `ServiceSpeeds`; without values while none are learned. */
+  speeds: Gauge;
   /** Answers of both versions of a service during a roll-out, as far as this box knows. */
   rollouts: Gauge;
 }
@@ -42,6 +45,12 @@
       labelNames: ['workspace', 'figure'],
       registers,
     }),
+    speeds: new Gauge({
+      name: 'reedlug_server_speeds',
+      help: 'Speeds of the servers of a service: inUse, slowest, fastest, mean, evidenceMs, ageMs',
+      labelNames: ['service', 'figure'],
+      registers,
+    }),
     rollouts: new Gauge({
       name: 'reedlug_rollout_answers',
       help: 'Answers since the order of a roll-out by version (new, old): answers, failed, slow',
@@ -60,6 +69,7 @@
   const { services = [], workspaces = [] } = state.active?.configuration ?? {};
   for (const { name: service, scaling } of services) {
     setAll(metrics.model, { service }, modelOf(state, service, nowMs));
+    setSpeeds(metrics.speeds, state, service, nowMs);
     if (scaling === undefined) continue;
     const need = state.stabilizedNeeds.get(service);
     const needed = { usual: need?.usual.value ?? 0, least: need?.least.value ?? 0 };
@@ -72,6 +82,22 @@
   setRollouts(metrics.rollouts, state, nowMs);
 }
 
+/** Sets the gauges of speeds to the extremes, the mean and the basis of a service's speeds. */
+function setSpeeds(gauge: Gauge, state: GatewayState, service: string, nowMs: number): void {
+  const known = state.serverSpeeds.services.get(service);
+  if (known === undefined) return;
+  let slowest = 1;
+  let fastest = 1;
+  for (const { speed } of known.byServer.values()) {
+    slowest = Math.min(slowest, speed);
+    fastest = Math.max(fastest, speed);
+  }
+  const { inUse, evidenceMs, computedAtMs } = known;
+  const mean = meanSpeedOf(state, service, nowMs);
+  const ageMs = nowMs - computedAtMs;
+  setAll(gauge, { service }, { inUse, slowest, fastest, mean, evidenceMs, ageMs });
+}
+
 /** Sets the gauges of roll-outs to sums over routes and servers. */
 function setRollouts(gauge: Gauge, state: GatewayState, nowMs: number): void {
   const peers = countedPeers(state, nowMs);
--- a/packages/reedlug-gateway/src/observe/explainRequest.ts
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -46,7 +46,9 @@
     .filter(({ event }) => event === 'requestSent')
     .map(({ fields }) => fields.get('server') ?? '?');
   const sentTo =
-    servers.length === 0 ? 'it was sent to no server' : `sent to ${servers.join(', ')}`;
+    servers.length === 0
+      ? 'it was sent to no server'
+      : `sent to ${servers.join(', ')}${describeSpeed(lines)}`;
   switch (last.event) {
     case 'requestFinished':
       return `answered with ${field('outcome')} after ${field('heldMs')} ms; ${sentTo}`;
@@ -61,6 +63,14 @@
   }
 }
 
+/** Describes the speed that the last send's expected time rests on; returns an empty text if it is that of the service. */
+function describeSpeed(lines: readonly LogLine[]): string {
+  const sent = lines.filter(({ event }) => event === 'requestSent').at(-1);
+  const speed = sent?.fields.get('speed') ?? '1.00';
+  if (speed === '1.00') return '';
+  return ` at speed ${speed} (expected ${sent?.fields.get('expectedMs') ?? '?'} ms)`;
+}
+
 /** Describes the limit that refused the request; returns an empty text if none did. */
 function describeLimit(lines: readonly LogLine[]): string {
   const limit = lines.find(({ event }) => event === 'limitReached');
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses the backend server with the lowest expected time to the first event.
  *
- * The estimate comes from the service's fitted model, the work in progress at the server
- * and the prompt parts that its cache lacks. A server that was slow recently gets a longer
+ * The estimate comes from the service's fitted model, the work in progress at the server,
+ * the prompt parts that its cache lacks, and the server's speed if speeds are learned. A server that was slow recently gets a longer
  * estimate, and distance and recent failures add small costs.
  * Servers do not report the contents of their caches, so the server that ranks first for
  * the prompt's last shared part is assumed to hold the shared parts. All boxes compute the
@@ -16,6 +16,7 @@
 import { countedPeers, type PeerWithMessage } from '../slices/peers/fleet.js';
 import { isLimitRefreshDue, isEligible, isLimited } from '../slices/statements/eligibility.js';
 import { modelOf } from '../slices/engines/engineModels.js';
+import { speedOf } from '../slices/serverSpeeds/speedOf.js';
 import { highestRanked } from './highestRanked.js';
 import { addLoads, tokensAhead } from './serverLoad.js';
 import { expectedWaitMs, type EngineModel, type SendConditions } from './engineModel.js';
@@ -58,8 +59,10 @@
   prefillTokens: number;
   /** State of the server that the estimate is based on. */
   conditions: SendConditions;
-  /** Expected time to the first event, without added costs. */
+  /** Expected time to the first event at the speed of the server, without added costs. */
   expectedMs: number;
+  /** The same by the service's model alone. */
+  modelMs: number;
 }
 
 /** Returns the best server for a request, or undefined if no server may accept it. */
@@ -188,14 +191,15 @@
   const tokens = tokensAhead(load, urgency) + prefillTokens;
   const { running, unread = 0 } = load;
   const conditions = { tokens, running, unread, slots: view.entry.slots };
-  const expectedMs = expectedWaitMs(model, conditions);
+  const modelMs = expectedWaitMs(model, conditions);
+  const expectedMs = modelMs / speedOf(state, view, nowMs);
   const waitMs = expectedMs * currentSlowness(view, nowMs) + silenceCostMs(view, expectedMs, nowMs);
   const zoneMs = view.entry.zone === state.settings.box.zone ? 0 : OTHER_ZONE_COST_MS;
   const failureMs = failureScore(view, nowMs) * FAILURE_COST_MS;
   const expiringMs = view.expiresAtMs === undefined ? 0 : EXPIRING_COST_MS;
   const probeBonusMs = isLimitRefreshDue(view, nowMs) ? LIMIT_PROBE_BONUS_MS : 0;
   const costMs = waitMs + zoneMs + failureMs + expiringMs - probeBonusMs;
-  return { view, prefillTokens, conditions, expectedMs, costMs };
+  return { view, prefillTokens, conditions, expectedMs, modelMs, costMs };
 }
 
 /** Returns the open work at a server: this box's own and the work last reported by peers. */
--- a/packages/reedlug-gateway/src/policy/engineModel.ts
+++ b/packages/reedlug-gateway/src/policy/engineModel.ts
@@ -134,15 +134,16 @@
 /**
  * Records the time to the first event of a send. Sends to a server without a free slot or with
  * many unprocessed prompts are ignored, since their waits say little about the server's speed.
+ * Returns whether the send was recorded.
  */
 export function recordWait(
   own: OwnSends,
   sample: { conditions: SendConditions; waitMs: number; expectedMs: number; nowMs: number },
-): void {
+): boolean {
   const { conditions, expectedMs, nowMs } = sample;
   const { tokens, running, unread, slots } = conditions;
-  if (tokens > 0 && unread > MAX_UNREAD_PROMPTS) return;
-  if (running >= slots || !Number.isFinite(sample.waitMs) || sample.waitMs < 0) return;
+  if (tokens > 0 && unread > MAX_UNREAD_PROMPTS) return false;
+  if (running >= slots || !Number.isFinite(sample.waitMs) || sample.waitMs < 0) return false;
   const waitMs = Math.min(sample.waitMs, MAX_WAIT_RATIO * Math.max(MIN_EXPECTED_MS, expectedMs));
   decaySends(own, nowMs);
   const { sums } = own;
@@ -155,6 +156,7 @@
   sums.runningSquared += running * running;
   sums.tokensWait += tokens * waitMs;
   sums.runningWait += running * waitMs;
+  return true;
 }
 
 /** Records how long a successful send occupied its slot. */
--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -56,14 +56,20 @@
   model: EngineModel;
   /** Slots of one engine. */
   slots: number;
+  /**
+   * Mean speed of the engines present, where 1 is the speed that the model describes: capacity is
+   * counted in engines of that speed, so the loss of fast engines weighs more than that of slow ones.
+   */
+  meanSpeed?: number;
   /** Number of zones that engines are spread over. */
   zones: number;
   /** False if the service has no reclaimable engines. */
   hasReclaimable: boolean;
 }): EngineNeed {
-  const { load, model, slots, zones, hasReclaimable } = params;
+  const { load, model, slots, meanSpeed = 1, zones, hasReclaimable } = params;
   const enginesAt = (utilization: Utilization): number => {
-    const byPrefill = load.tokensPerSecond / (model.tokensPerMs * 1000 * utilization.prefill);
+    const tokensPerSecond = model.tokensPerMs * meanSpeed * 1000;
+    const byPrefill = load.tokensPerSecond / (tokensPerSecond * utilization.prefill);
     const bySlots = load.openRequests / (Math.max(1, slots) * utilization.slots);
     return Math.ceil(Math.max(byPrefill, bySlots));
   };
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/serverSpeed.ts
@@ -0,0 +1,225 @@
+/**
+ * Speeds of the servers of a service, from the times to the first event that the service's model
+ * expected and that were observed.
+ *
+ * It answers a load whose largest prompts reach their target only at some of the servers: at the
+ * mean speed a prompt of 55,000 tokens takes 830 of 1,000 ms. A single send says little, because
+ * load figures are some tenths of a second old and engines have slow phases of a few hundred ms.
+ * So times are summed over all boxes, and a ratio of sums gives long prompts their weight: short
+ * ones take some 30 ms, mostly in the network.
+ *
+ * The noise is measured instead of assumed. Sends of even and odd blocks of time are summed apart.
+ * A speed shows in both halves alike, and whatever differs between the halves of one server is
+ * noise, including slow phases, which are shorter than a block.
+ */
+import type { SpeedSums } from '../types/serverSpeed.js';
+import { decayFactor } from './decayFactor.js';
+
+/**
+ * Half-life of the sums, in ms. With four sends a second to each engine, a speed rests on some
+ * 45 sends, and most of a lasting change is followed within 10 s.
+ */
+export const SPEED_HALF_LIFE_MS = 8000;
+/** Length of a block, in ms: several times a slow phase, and short enough for both halves to fill within seconds. */
+const BLOCK_MS = 2000;
+/** Maximum observed time of one send, as a multiple of the expected one, as in the model: one stalled send must not look like a speed. */
+const MAX_WAIT_RATIO = 4;
+/** Minimum expected time that the multiple applies to, in ms: below it, network and timers dominate. */
+const MIN_EXPECTED_MS = 20;
+
+/** Bounds of a speed: beyond them, a server is rather faulty than slow, and failures and momentary slowness decide. */
+const MIN_SPEED = 0.25;
+const MAX_SPEED = 4;
+
+/**
+ * Smallest deviation from the mean, as a logarithm, for which speeds are used: 25 %. Callers give
+ * the first event about 1.2 times the time that the longest prompts take at the mean speed, so
+ * smaller deviations hardly change who is in time.
+ */
+const START_DEVIATION = Math.log(1.25);
+/** Deviation below which speeds are no longer used: half of the above, so that they do not come and go. */
+const KEEP_DEVIATION = START_DEVIATION / 2;
+/**
+ * Number of standard errors beyond the largest deviation that chance gives among this many servers.
+ * A service of equal servers is evaluated 86,400 times a day, and must not change its placement.
+ */
+const EXTRA_ERRORS = 2.5;
+/** The same while speeds are in use. */
+const KEEP_EXTRA_ERRORS = 1;
+
+/**
+ * Expected time for which the halves of a server are compared at least, in ms, each: some sends,
+ * below which the logarithm of their ratio is far from normal.
+ */
+const MIN_HALF_MS = 150;
+/** Variance of a ratio's logarithm times its expected time, in ms, before it is measured: prompts of 300 ms that vary by 0.6. */
+const PRIOR_NOISE_MS = 100;
+/** Weight of that prior, as a number of servers: three servers alone may agree by chance. */
+const PRIOR_NOISE_SERVERS = 6;
+/** Assumed variance of the logarithm of speeds: most are within a factor of 1.5. Less evidence than it outweighs is shrunk towards 1. */
+const SPEED_VARIANCE = 0.16;
+
+/** Speeds of the servers of a service. */
+export interface SpeedEstimate {
+  /** False while the servers do not differ beyond noise; all speeds are then 1. */
+  inUse: boolean;
+  speeds: Map<string, number>;
+  /** Total expected time of the sends behind the estimate, in ms. */
+  evidenceMs: number;
+  /** Standard deviation of the logarithm of a ratio over one second of expected time. */
+  noise: number;
+}
+
+/** Returns sums without any sends. */
+export function createSpeedSums(): SpeedSums {
+  return { evenExpectedMs: 0, evenObservedMs: 0, oddExpectedMs: 0, oddObservedMs: 0 };
+}
+
+/** Returns the sums of two boxes, each multiplied by a factor. */
+export function combineSpeedSums(
+  first: SpeedSums,
+  firstFactor: number,
+  second: SpeedSums,
+  secondFactor: number,
+): SpeedSums {
+  const combine = (one: number, other: number): number =>
+    Math.max(0, one * firstFactor + other * secondFactor);
+  return {
+    evenExpectedMs: combine(first.evenExpectedMs, second.evenExpectedMs),
+    evenObservedMs: combine(first.evenObservedMs, second.evenObservedMs),
+    oddExpectedMs: combine(first.oddExpectedMs, second.oddExpectedMs),
+    oddObservedMs: combine(first.oddObservedMs, second.oddObservedMs),
+  };
+}
+
+/** Returns sums decayed over a time. */
+export function decaySpeedSums(sums: SpeedSums, elapsedMs: number): SpeedSums {
+  return combineSpeedSums(sums, decayFactor(elapsedMs, SPEED_HALF_LIFE_MS), sums, 0);
+}
+
+/** Returns the sums with a send added, whose first event arrived at the given wall-clock time. */
+export function withSend(
+  sums: SpeedSums,
+  send: { expectedMs: number; waitMs: number; wallClockMs: number },
+): SpeedSums {
+  const { expectedMs, waitMs, wallClockMs } = send;
+  if (!Number.isFinite(expectedMs) || !Number.isFinite(waitMs)) return sums;
+  if (expectedMs <= 0 || waitMs < 0) return sums;
+  const observedMs = Math.min(waitMs, MAX_WAIT_RATIO * Math.max(MIN_EXPECTED_MS, expectedMs));
+  return Math.floor(wallClockMs / BLOCK_MS) % 2 === 0
+    ? {
+        ...sums,
+        evenExpectedMs: sums.evenExpectedMs + expectedMs,
+        evenObservedMs: sums.evenObservedMs + observedMs,
+      }
+    : {
+        ...sums,
+        oddExpectedMs: sums.oddExpectedMs + expectedMs,
+        oddObservedMs: sums.oddObservedMs + observedMs,
+      };
+}
+
+/** Returns the total expected time of sums, in ms, which measures how much they show. */
+export function evidenceOf({ evenExpectedMs, oddExpectedMs }: SpeedSums): number {
+  return evenExpectedMs + oddExpectedMs;
+}
+
+/** Logarithms of a server's ratios of observed to expected time, relative to those of its service. */
+interface Ratios {
+  id: string;
+  evidenceMs: number;
+  whole: number;
+  /** Of the halves; undefined while they hold too little. */
+  even: number | undefined;
+  odd: number | undefined;
+  /** Sum of the reciprocal expected times of the halves. */
+  halfErrors: number;
+}
+
+/**
+ * Estimates the speeds of the servers of a service. They are used once one server deviates from the
+ * mean by more than callers notice and more than chance explains, in both halves, and until none
+ * does any more. A server counts the more towards its own speed the longer its sends were.
+ */
+export function estimateSpeeds(
+  sumsByServer: ReadonlyMap<string, SpeedSums>,
+  wasInUse: boolean,
+): SpeedEstimate {
+  const ratios = ratiosOf(sumsByServer);
+  const evidenceMs = ratios.reduce((sum, ratio) => sum + ratio.evidenceMs, 0);
+  const noiseMs = noiseOf(ratios);
+  const noise = Math.sqrt(noiseMs / 1000);
+  if (!differBeyondNoise(ratios, noiseMs, wasInUse)) {
+    return { inUse: false, speeds: new Map(), evidenceMs, noise };
+  }
+  const priorMs = noiseMs / SPEED_VARIANCE;
+  const speeds = ratios.map(({ id, evidenceMs: ownMs, whole }) => {
+    const speed = Math.exp((-whole * ownMs) / (ownMs + priorMs));
+    return { id, ownMs, speed };
+  });
+  // Expected times at these speeds add up to those of the model, which is fitted over all servers.
+  const slowed = speeds.reduce((sum, { ownMs, speed }) => sum + ownMs / speed, 0) / evidenceMs;
+  const bounded = speeds.map(({ id, speed }): [string, number] => [
+    id,
+    Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed * slowed)),
+  ]);
+  return { inUse: true, speeds: new Map(bounded), evidenceMs, noise };
+}
+
+function ratiosOf(sumsByServer: ReadonlyMap<string, SpeedSums>): Ratios[] {
+  let expectedMs = 0;
+  let observedMs = 0;
+  for (const sums of sumsByServer.values()) {
+    expectedMs += evidenceOf(sums);
+    observedMs += sums.evenObservedMs + sums.oddObservedMs;
+  }
+  if (!(expectedMs > 0 && observedMs > 0)) return [];
+  const mean = observedMs / expectedMs;
+  const ratios: Ratios[] = [];
+  for (const [id, sums] of sumsByServer) {
+    const evidenceMs = evidenceOf(sums);
+    if (!(evidenceMs > 0)) continue;
+    const { evenExpectedMs, evenObservedMs, oddExpectedMs, oddObservedMs } = sums;
+    const hasHalves = evenExpectedMs >= MIN_HALF_MS && oddExpectedMs >= MIN_HALF_MS;
+    ratios.push({
+      id,
+      evidenceMs,
+      whole: logRatio(evenObservedMs + oddObservedMs, evidenceMs * mean),
+      even: hasHalves ? logRatio(evenObservedMs, evenExpectedMs * mean) : undefined,
+      odd: hasHalves ? logRatio(oddObservedMs, oddExpectedMs * mean) : undefined,
+      halfErrors: hasHalves ? 1 / evenExpectedMs + 1 / oddExpectedMs : 0,
+    });
+  }
+  return ratios;
+}
+
+/** Returns the logarithm of a ratio, within the bounds of speeds. */
+function logRatio(observedMs: number, expectedMs: number): number {
+  return Math.log(Math.min(1 / MIN_SPEED, Math.max(1 / MAX_SPEED, observedMs / expectedMs)));
+}
+
+/** Returns the variance of a ratio's logarithm times its expected time, in ms, by the differences between halves. */
+function noiseOf(ratios: readonly Ratios[]): number {
+  let weighted = PRIOR_NOISE_SERVERS * PRIOR_NOISE_MS;
+  let servers = PRIOR_NOISE_SERVERS;
+  for (const { even, odd, halfErrors } of ratios) {
+    if (even === undefined || odd === undefined) continue;
+    weighted += (even - odd) ** 2 / halfErrors;
+    servers += 1;
+  }
+  return weighted / servers;
+}
+
+function differBeyondNoise(ratios: readonly Ratios[], noiseMs: number, wasInUse: boolean): boolean {
+  if (ratios.length < 2) return false;
+  const deviation = wasInUse ? KEEP_DEVIATION : START_DEVIATION;
+  const extraErrors = wasInUse ? KEEP_EXTRA_ERRORS : EXTRA_ERRORS;
+  const errors = Math.sqrt(2 * Math.log(ratios.length)) + extraErrors;
+  return ratios.some(({ whole, even, odd, evidenceMs }) => {
+    if (even === undefined || odd === undefined) return false;
+    const isInBothHalves =
+      even * odd > 0 && Math.min(Math.abs(even), Math.abs(odd)) > deviation / 2;
+    const standardError = Math.sqrt(noiseMs / evidenceMs);
+    return isInBothHalves && Math.abs(whole) > Math.max(deviation, errors * standardError);
+  });
+}
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -39,6 +39,7 @@
 import { silentServersTick } from './slices/servers/silentServers.js';
 import { onStoreEra } from './slices/store/storeEra.js';
 import { onStopAsked, shutdownTick } from './slices/lifecycle/shutdown.js';
+import { serverSpeedsTick } from './slices/serverSpeeds/serverSpeeds.js';
 import { gossipTick } from './slices/peers/sendGossip.js';
 import { checkWallClock } from './slices/lifecycle/suspension.js';
 import { onUnitsAsked, onUnitsReturned } from './slices/limits/unitLoans.js';
@@ -129,6 +130,7 @@
   usageTick(state, step);
   rolloutEvaluationTick(state, step);
   rolloutRecordsTick(state, step);
+  serverSpeedsTick(state, step);
   capacityTick(state, step);
   gossipTick(state, step);
   crashSuspectsTick(state, step);
--- a/packages/reedlug-gateway/src/slices/engines/engineModels.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineModels.ts
@@ -14,6 +14,7 @@
 import { recordSlowness } from '../../policy/serverHealth.js';
 import type { GatewayState, Step } from '../../state.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
+import { recordSpeed } from '../serverSpeeds/speedSums.js';
 import { countedPeers } from '../peers/fleet.js';
 
 /** Interval between fits, in ms: sums with a half-life of 15 s change by 2 % in it. */
@@ -47,15 +48,16 @@
   record: RequestRecord,
   attempt: Attempt,
 ): void {
-  const { conditions, expectedMs } = attempt;
+  const { conditions, expectedMs, modelMs } = attempt;
   const waitMs = step.nowMs - attempt.sentAtMs;
-  recordWait(ownSendsOf(state, record.service), {
+  const isRecorded = recordWait(ownSendsOf(state, record.service), {
     conditions,
     waitMs,
-    expectedMs,
+    expectedMs: modelMs,
     nowMs: step.nowMs,
   });
   const view = serverOf(state, attempt);
+  if (isRecorded && view !== undefined) recordSpeed(state, step, { view, attempt, waitMs });
   const isCompared = Math.max(waitMs, expectedMs) >= MIN_COMPARED_MS;
   if (view !== undefined && isCompared) {
     recordSlowness(view, waitMs / Math.max(MIN_COMPARED_MS, expectedMs), step.nowMs);
--- a/packages/reedlug-gateway/src/slices/engines/engineNeed.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineNeed.ts
@@ -9,6 +9,7 @@
 import { updateStabilized, type GatewayState, type Step } from '../../state.js';
 import type { StabilizedNeed } from '../../types/views.js';
 import { modelOf } from './engineModels.js';
+import { meanSpeedOf } from '../serverSpeeds/speedOf.js';
 import { countReady, lastOrderedCount } from './engineOrders.js';
 import { withMissingEngines } from '../statements/missingEngines.js';
 import { isLoadKnown, loadOf } from './serviceLoad.js';
@@ -53,6 +54,7 @@
     load,
     model,
     slots: slotsPerEngine(state, spec),
+    meanSpeed: meanSpeedOf(state, spec.name, step.nowMs),
     zones: spec.scaling?.zonePrices.length ?? 1,
     hasReclaimable: spec.scaling?.reclaimablePriceShare !== undefined,
   });
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -11,6 +11,7 @@
 import { rolloutGossip } from '../rollouts/rollouts.js';
 import { registryGossip } from './registryGossip.js';
 import { ownSpareUnits } from '../limits/unitLoans.js';
+import { speedRows, withSpeeds } from '../serverSpeeds/speedGossip.js';
 import { ownUsage } from '../usage/usage.js';
 import { decisionGossip } from '../usage/usageDecisions.js';
 
@@ -30,16 +31,21 @@
   const own = ownGossip(state, step);
   const counted = countedPeers(state, step.nowMs);
   const members = counted.filter(({ message }) => message.scope === GossipScope.box);
+  const speeds = speedRows(state, step.nowMs, counted);
   return {
-    ownMessage: () => own,
-    groupMessage: () => summedGossip(state, step, own, { scope: GossipScope.group, of: members }),
+    ownMessage: () => withSpeeds(own, speeds?.own()),
+    groupMessage: () => {
+      const message = summedGossip(state, step, own, { scope: GossipScope.group, of: members });
+      return withSpeeds(message, speeds?.group());
+    },
     othersMessage: (peer) => {
       const of = counted.filter(({ boxId }) => boxId !== peer.boxId);
-      return summedGossip(state, step, own, {
+      const message = summedGossip(state, step, own, {
         scope: GossipScope.others,
         of,
         except: peer.contribution,
       });
+      return withSpeeds(message, speeds?.others(peer));
     },
   };
 }
--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -8,6 +8,7 @@
 import { recordBoxesListed } from '../limits/limitShare.js';
 import { mergeRolloutGossip } from '../rollouts/rollouts.js';
 import { nextRegistryUpdate } from './registryGossip.js';
+import { mergeSpeedGossip } from '../serverSpeeds/speedSums.js';
 import { recordIfUninformed } from '../statements/statementGossip.js';
 import { applyHubChanges } from '../servers/servers.js';
 import { mayShowBackup, onStoreEra } from '../store/storeEra.js';
@@ -44,6 +45,7 @@
   if (message.clockOffsetMs !== undefined) adoptClockOffset(state, step, message.clockOffsetMs);
   if (message.decisions !== undefined) mergeDecisions(state, step, message.decisions);
   if (message.rollouts !== undefined) mergeRolloutGossip(state, step, boxId, message.rollouts);
+  mergeSpeedGossip(state, step, message);
   if (peer.boxId === state.hubId) followHub(state, step, peer as PeerWithMessage);
   requestNewerState(state, step, peer, message);
 }
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -10,6 +10,7 @@
 import { recordSendForStatements } from '../statements/eligibility.js';
 import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
+import { speedLogFields } from '../serverSpeeds/speedOf.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
 /** Returns the best server for a request now, or undefined when none is eligible. */
@@ -69,7 +70,7 @@
 }
 
 function send(state: GatewayState, step: Step, record: RequestRecord, choice: Choice): void {
-  const { view, prefillTokens, conditions, expectedMs } = choice;
+  const { view, prefillTokens, conditions, expectedMs, modelMs } = choice;
   const attempt: Attempt = {
     attemptId: state.nextAttemptId,
     serverId: view.entry.id,
@@ -83,6 +84,7 @@
     urgency: record.urgency,
     conditions,
     expectedMs,
+    modelMs,
     lastActivityAtMs: step.nowMs,
     firstOutputAtMs: undefined,
   };
@@ -120,6 +122,7 @@
     attempt: record.attempts.length,
     costMs: Math.round(choice.costMs),
     expectedMs: Math.round(expectedMs),
+    ...speedLogFields(state, view, step.nowMs),
     running: conditions.running,
     prefillTokens,
     version: view.entry.version ?? '',
--- a/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
@@ -67,7 +67,8 @@
 /**
  * Returns the expected time of an answer, in ms. A server of the new version has read no
  * prompt before, so the time to read the tokens assumed to be cached is added. Without that,
- * many first answers of a healthy version count as slow.
+ * many first answers of a healthy version count as slow. The speeds of servers are left out:
+ * otherwise a slow version would soon be compared with its own speed.
  */
 function expectedAnswerMs(
   state: GatewayState,
@@ -76,9 +77,9 @@
   attempt: Attempt,
 ): number {
   const order = state.rollouts.get(record.service)?.order;
-  if (attempt.version !== order?.targetVersion) return attempt.expectedMs;
+  if (attempt.version !== order?.targetVersion) return attempt.modelMs;
   const cachedTokens = Math.max(0, (record.facts.promptTokens ?? 0) - attempt.prefillTokens);
-  return attempt.expectedMs + cachedTokens / modelOf(state, record.service, step.nowMs).tokensPerMs;
+  return attempt.modelMs + cachedTokens / modelOf(state, record.service, step.nowMs).tokensPerMs;
 }
 
 function countsAnswers({ phase }: RolloutView): boolean {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -10,6 +10,7 @@
 import type { RolloutView } from './types/rollout.js';
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
+import { createServerSpeeds, type ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
 import type {
   ActiveConfiguration,
@@ -170,6 +171,8 @@
   ownSends: Map<string, OwnSends>;
   /** Models last fitted from sends of this box and its peers, by service. */
   engineModels: Map<string, { model: EngineModel; fittedAtMs: number }>;
+  /** Sums from which the speeds of servers are estimated, and the estimates. */
+  serverSpeeds: ServerSpeedsState;
   /** Requests in progress over all boxes, averaged over the same times, by service. */
   openRequests: Map<string, LoadAverage>;
   /** Time at which this box first saw any load, its own or that of peers; undefined before. */
@@ -306,6 +309,7 @@
     tokensPerSecond: { recent: 0, long: 0 },
     ownSends: new Map(),
     engineModels: new Map(),
+    serverSpeeds: createServerSpeeds(),
     openRequests: new Map(),
     loadSinceMs: undefined,
     initialOnDemand: new Map(),
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -10,6 +10,7 @@
 import type { RolloutGossip } from './rollout.js';
 import type { HostPort, ServerChange } from './server.js';
 import type { ServerStatementsMessage } from './serverStatement.js';
+import type { SpeedGossip } from './serverSpeed.js';
 
 /** Address of a box for its peers, with the processor time by which hubs are chosen. */
 export interface PeerAddress {
@@ -125,6 +126,11 @@
   part?: LimitShareGossip | undefined;
   /** Roll-outs known to the sender; missing from older boxes. */
   rollouts?: readonly RolloutGossip[] | undefined;
+  /**
+   * Sums behind the speeds of servers over the covered boxes, for some of the servers; missing from
+   * older boxes, and while no speeds are learned.
+   */
+  speeds?: readonly SpeedGossip[] | undefined;
   /** Agreed wall clock minus store clock, in ms; undefined while none is agreed. */
   clockOffsetMs: number | undefined;
 }
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -68,6 +68,8 @@
   /** State of the server at the send, and the expected time to the first event. */
   conditions: SendConditions;
   expectedMs: number;
+  /** Expected time by the service's model alone, without the speed of the server. */
+  modelMs: number;
   /** Time at which it was sent, or at which data was last received for it. */
   lastActivityAtMs: number;
   /** Time at which its first event or its answer was received; undefined before. */
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -61,6 +61,8 @@
   byClass: Map<string, Outcomes>;
   byZone: Map<string, Outcomes>;
   bySpan: Map<number, Outcomes>;
+  /** Requests with a prompt that did not leave early, with its length and whether they were served in time. */
+  prompts: { tokens: number; isInTime: boolean }[];
   refusedBy: Map<string, number>;
   failedBy: Map<string, number>;
   firstEventMs: Map<string, Histogram>;
@@ -108,6 +110,7 @@
     byClass: new Map(),
     byZone: new Map(),
     bySpan: new Map(),
+    prompts: [],
     refusedBy: new Map(),
     failedBy: new Map(),
     firstEventMs: new Map(),
@@ -236,6 +239,9 @@
   addOutcome(getOrCreate(record.byClass, request.spec.name, createOutcomes), end, request);
   addOutcome(getOrCreate(record.byZone, request.zone, createOutcomes), end, request);
   addOutcome(getOrCreate(record.bySpan, span, createOutcomes), end, request);
+  const { promptTokens: tokens } = request.facts;
+  if (tokens === undefined || end === RequestEnd.left) return;
+  record.prompts.push({ tokens, isInTime: end === RequestEnd.inTime });
 }
 
 /** Records a guarantee that was broken for a request. */
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -10,7 +10,7 @@
 import { brokenRolloutGuarantees } from '../faults/rollouts.js';
 import type { World } from '../world.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
-import type { BrokenGuarantee } from './sceneRecord.js';
+import type { BrokenGuarantee, SceneRecord } from './sceneRecord.js';
 import { greatestShare, greatestSum } from './slidingSum.js';
 
 /** Window of the users' retry budget, in ms. */
@@ -37,6 +37,8 @@
   byClass: OutcomeRow[];
   byZone: OutcomeRow[];
   bySpan: OutcomeRow[];
+  /** Share of the largest tenth of the prompts that was served in time; 1 without prompts. */
+  largestPromptsInTime: number;
   refusedBy: Record<string, number>;
   failedBy: Record<string, number>;
   lateByFirstEvent: number;
@@ -107,6 +109,7 @@
     byClass,
     byZone,
     bySpan,
+    largestPromptsInTime: largestInTime(record.prompts),
     refusedBy: Object.fromEntries(record.refusedBy),
     failedBy: Object.fromEntries(record.failedBy),
     lateByFirstEvent: record.lateByFirstEvent,
@@ -151,6 +154,12 @@
   return { name, share: earnedShare(outcomes), ...outcomes };
 }
 
+function largestInTime(prompts: SceneRecord['prompts']): number {
+  const count = Math.ceil(prompts.length / 10);
+  const largest = [...prompts].sort((a, b) => b.tokens - a.tokens).slice(0, count);
+  return count === 0 ? 1 : largest.filter(({ isInTime }) => isInTime).length / count;
+}
+
 function worstSpans(bySpan: readonly OutcomeRow[]): number {
   const mean = bySpan.reduce((sum, { asked }) => sum + asked, 0) / Math.max(1, bySpan.length);
   const full = bySpan.filter(({ asked }) => asked >= mean * MIN_SHARE_OF_MEAN);
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -81,7 +81,7 @@
     limitPeriods: [{ fromMs: 0, factor: 1 }],
     boxIdByHost: new Map(),
     booting: new Map(),
-    numbers: { servers: 0, runs: 0, requests: 0 },
+    numbers: { servers: 0, engines: 0, runs: 0, requests: 0 },
     hasResolvedPromise: false,
   };
   return world;
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -33,6 +33,8 @@
     maxPerZone: count,
     reclaimablePriceShare: z.number().positive().max(1).optional(),
     heartbeatMs: positive.default(1200),
+    /** Speeds that engines are given in turn as they start, those ordered later included. */
+    speeds: z.array(positive).min(1).default([1]),
     /** Time within which the engines of the start register. */
     entrySpreadMs: positive.default(1200),
   }),
--- a/packages/reedlug-simulator/src/servers/batchEngine.ts
+++ b/packages/reedlug-simulator/src/servers/batchEngine.ts
@@ -42,6 +42,8 @@
 /** State of one engine. */
 export interface BatchEngine {
   parameters: EngineParameters;
+  /** Speed of the machine: its steps take the usual duration divided by it. */
+  speed: number;
   /** Factor on the duration of its steps. */
   slowFactor: number;
   waiting: LiveRun[];
@@ -55,11 +57,12 @@
   readSharedTokens: number;
 }
 
-/** Returns an idle engine. */
-export function createBatchEngine(parameters: EngineParameters): BatchEngine {
+/** Returns an idle engine of a given speed. */
+export function createBatchEngine(parameters: EngineParameters, speed = 1): BatchEngine {
   return {
     parameters,
-    slowFactor: 1,
+    speed,
+    slowFactor: 1 / speed,
     waiting: [],
     running: [],
     cache: createPromptCache(),
@@ -70,9 +73,9 @@
   };
 }
 
-/** Sets the factor on the duration of the following steps. */
+/** Sets the factor on the duration of the following steps, in addition to the speed of the machine. */
 export function setSlowFactor(engine: BatchEngine, factor: number): void {
-  engine.slowFactor = factor;
+  engine.slowFactor = factor / engine.speed;
 }
 
 /**
--- a/packages/reedlug-simulator/src/servers/virtualServers.ts
+++ b/packages/reedlug-simulator/src/servers/virtualServers.ts
@@ -63,7 +63,9 @@
 /** Returns an idle engine or plain server of a service. */
 function createWork(world: World, service: SceneService): ServerWork {
   if (service.kind === 'engines') {
-    return { kind: 'engine', engine: createBatchEngine(service.engine) };
+    const { engine, speeds } = service;
+    const speed = speeds[nextNumber(world, 'engines') % speeds.length] ?? 1;
+    return { kind: 'engine', engine: createBatchEngine(engine, speed) };
   }
   const { slots, queue } = service;
   const schedule = (ms: number, run: () => void): void => later(world, ms, run);
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -44,8 +44,8 @@
   boxIdByHost: Map<string, string>;
   /** Numbers of ordered engines that are still booting, by service, zone and kind. */
   booting: Map<string, { booting: number }>;
-  /** Last numbers assigned to servers, runs and requests. */
-  numbers: { servers: number; runs: number; requests: number };
+  /** Last numbers assigned to servers, engines, runs and requests. */
+  numbers: { servers: number; engines: number; runs: number; requests: number };
   /** Set when a Promise was resolved: its continuations run before the next event. */
   hasResolvedPromise: boolean;
 }
--- a/packages/reedlug/src/commands/simulateReport.ts
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -15,6 +15,11 @@
   { name: 'earned, worst spans', of: ({ earned }) => earned.worstSpans, digits: 3 },
   { name: 'earned, worst class', of: ({ earned }) => earned.worstClass, digits: 3 },
   { name: 'earned, worst zone', of: ({ earned }) => earned.worstZone, digits: 3 },
+  {
+    name: 'largest prompts in time',
+    of: ({ largestPromptsInTime }) => largestPromptsInTime,
+    digits: 3,
+  },
   { name: 'asked', of: ({ whole }) => whole.asked, digits: 0 },
   { name: 'in time', of: ({ whole }) => whole.inTime, digits: 0 },
   { name: 'late', of: ({ whole }) => whole.late, digits: 0 },
