--- a/packages/reedlug-gateway/src/policy/serverSpeed.ts
+++ b/packages/reedlug-gateway/src/policy/serverSpeed.ts
@@ -31,29 +31,48 @@
 const MIN_SPEED = 0.25;
 const MAX_SPEED = 4;
 
+/** How far servers must differ for speeds to be used. */
+interface DifferenceRule {
+  /** Deviation of one server from the mean, as a logarithm. */
+  deviation: number;
+  /** Standard errors of that deviation beyond the largest one that chance gives among the servers. */
+  extraErrors: number;
+  /** Standard deviation of all servers' speeds, as a logarithm and without noise. */
+  spread: number;
+  /** Standard errors by which the servers' variance exceeds that of the noise, as a logarithm. */
+  varianceErrors: number;
+}
+
 /**
- * Smallest deviation from the mean, as a logarithm, for which speeds are used: 25 %. Callers give
- * the first event about 1.2 times the time that the longest prompts take at the mean speed, so
- * smaller deviations hardly change who is in time.
- */
-const START_DEVIATION = Math.log(1.25);
-/** Deviation below which speeds are no longer used: half of the above, so that they do not come and go. */
-const KEEP_DEVIATION = START_DEVIATION / 2;
-/**
- * Number of standard errors beyond the largest deviation that chance gives among this many servers.
- * A service of equal servers is evaluated 86,400 times a day, and must not change its placement.
+ * Differences from which speeds are used. Callers give the first event about 1.2 times the time
+ * that the longest prompts take at the mean speed, so one server that deviates by less than 25 %, or
+ * all that mostly deviate by less than 15 %, hardly change who is in time. A service of equal
+ * servers is evaluated 86,400 times a day and must not change its placement, so chance has to be
+ * excluded by 5 standard errors.
  */
-const EXTRA_ERRORS = 2.5;
-/** The same while speeds are in use. */
-const KEEP_EXTRA_ERRORS = 1;
+const START_RULE: DifferenceRule = {
+  deviation: Math.log(1.25),
+  extraErrors: 3,
+  spread: 0.15,
+  varianceErrors: 5,
+};
+/** Differences down to which they stay in use: about half of the above, so that they do not come and go. */
+const KEEP_RULE: DifferenceRule = {
+  deviation: Math.log(1.12),
+  extraErrors: 1.5,
+  spread: 0.08,
+  varianceErrors: 2,
+};
 
 /**
  * Expected time for which the halves of a server are compared at least, in ms, each: some sends,
  * below which the logarithm of their ratio is far from normal.
  */
 const MIN_HALF_MS = 150;
-/** Variance of a ratio's logarithm times its expected time, in ms, before it is measured: prompts of 300 ms that vary by 0.6. */
-const PRIOR_NOISE_MS = 100;
+/** Variance of a ratio's logarithm times its expected time, in ms, before it is measured: prompts of 400 ms whose times vary by 0.6. */
+const PRIOR_NOISE_MS = 150;
+/** Least deviation of either half, as a share of that of the whole. */
+const HALF_SHARE = 0.6;
 /** Weight of that prior, as a number of servers: three servers alone may agree by chance. */
 const PRIOR_NOISE_SERVERS = 6;
 /** Assumed variance of the logarithm of speeds: most are within a factor of 1.5. Less evidence than it outweighs is shrunk towards 1. */
@@ -138,8 +157,8 @@
 
 /**
  * Estimates the speeds of the servers of a service. They are used once one server deviates from the
- * mean by more than callers notice and more than chance explains, in both halves, and until none
- * does any more. A server counts the more towards its own speed the longer its sends were.
+ * mean, or all together differ, by more than callers notice and more than chance explains, and until
+ * that is over. A server counts the more towards its own speed the longer its sends were.
  */
 export function estimateSpeeds(
   sumsByServer: ReadonlyMap<string, SpeedSums>,
@@ -149,7 +168,7 @@
   const evidenceMs = ratios.reduce((sum, ratio) => sum + ratio.evidenceMs, 0);
   const noiseMs = noiseOf(ratios);
   const noise = Math.sqrt(noiseMs / 1000);
-  if (!differBeyondNoise(ratios, noiseMs, wasInUse)) {
+  if (!differBeyondNoise(ratios, noiseMs, wasInUse ? KEEP_RULE : START_RULE)) {
     return { inUse: false, speeds: new Map(), evidenceMs, noise };
   }
   const priorMs = noiseMs / SPEED_VARIANCE;
@@ -210,16 +229,46 @@
   return weighted / servers;
 }
 
-function differBeyondNoise(ratios: readonly Ratios[], noiseMs: number, wasInUse: boolean): boolean {
+/** Returns whether one server differs from the mean beyond noise, or all of them together do. */
+function differBeyondNoise(
+  ratios: readonly Ratios[],
+  noiseMs: number,
+  rule: DifferenceRule,
+): boolean {
   if (ratios.length < 2) return false;
-  const deviation = wasInUse ? KEEP_DEVIATION : START_DEVIATION;
-  const extraErrors = wasInUse ? KEEP_EXTRA_ERRORS : EXTRA_ERRORS;
-  const errors = Math.sqrt(2 * Math.log(ratios.length)) + extraErrors;
-  return ratios.some(({ whole, even, odd, evidenceMs }) => {
+  const errors = Math.sqrt(2 * Math.log(ratios.length)) + rule.extraErrors;
+  const isOneDifferent = ratios.some(({ whole, even, odd, evidenceMs }) => {
     if (even === undefined || odd === undefined) return false;
-    const isInBothHalves =
-      even * odd > 0 && Math.min(Math.abs(even), Math.abs(odd)) > deviation / 2;
+    // One stalled long prompt shows in one half only.
+    const lesser = even * odd > 0 ? Math.min(Math.abs(even), Math.abs(odd)) : 0;
+    const isInBothHalves = lesser > HALF_SHARE * Math.abs(whole);
     const standardError = Math.sqrt(noiseMs / evidenceMs);
-    return isInBothHalves && Math.abs(whole) > Math.max(deviation, errors * standardError);
+    return isInBothHalves && Math.abs(whole) > Math.max(rule.deviation, errors * standardError);
   });
+  return isOneDifferent || isVarianceBeyondNoise(ratios, noiseMs, rule);
+}
+
+/**
+ * Compares the variance between servers with that of the noise. The logarithm of the quotient of
+ * two variances that rest on n and m values has a variance of about 2 / n + 2 / m.
+ */
+function isVarianceBeyondNoise(
+  ratios: readonly Ratios[],
+  noiseMs: number,
+  { spread, varianceErrors }: DifferenceRule,
+): boolean {
+  const compared = ratios.filter(({ even }) => even !== undefined);
+  if (compared.length < 2) return false;
+  const evidenceMs = compared.reduce((sum, ratio) => sum + ratio.evidenceMs, 0);
+  const mean =
+    compared.reduce((sum, { whole, evidenceMs: ms }) => sum + whole * ms, 0) / evidenceMs;
+  const squares = compared.reduce(
+    (sum, { whole, evidenceMs: ms }) => sum + ms * (whole - mean) ** 2,
+    0,
+  );
+  const freedom = compared.length - 1;
+  const quotient = squares / freedom / noiseMs;
+  const excess = (squares - freedom * noiseMs) / evidenceMs;
+  const error = Math.sqrt(2 / freedom + 2 / (compared.length + PRIOR_NOISE_SERVERS));
+  return excess > spread ** 2 && Math.log(quotient) > varianceErrors * error;
 }
