--- a/packages/reedlug-gateway/src/slices/serverSpeeds/serverSpeeds.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/serverSpeeds.ts
@@ -7,6 +7,8 @@
 
 /** Interval between estimates, in ms: as often as sums are received. */
 const ESTIMATE_INTERVAL_MS = 1000;
+/** Least interval for each registered server, in ms: an estimate takes some 1.4 ms a thousand servers, so it stays below 0.3 % of a core. */
+const INTERVAL_PER_SERVER_MS = 0.5;
 /** How long the sums of all other boxes are kept after most of them are missing, in ms: a hub is replaced and has received its members' sums by then. */
 const HOLD_MS = 5000;
 /** Share of the evidence below which sums count as incomplete: the loss of one group of several leaves more. */
@@ -16,7 +18,8 @@
 export function serverSpeedsTick(state: GatewayState, step: Step): void {
   const { serverSpeeds, settings } = state;
   if (!settings.load.learnServerSpeeds) return;
-  if (step.nowMs - serverSpeeds.computedAtMs < ESTIMATE_INTERVAL_MS) return;
+  const intervalMs = Math.max(ESTIMATE_INTERVAL_MS, state.servers.size * INTERVAL_PER_SERVER_MS);
+  if (step.nowMs - serverSpeeds.computedAtMs < intervalMs) return;
   serverSpeeds.computedAtMs = step.nowMs;
   pruneSums(state, step.nowMs);
   const sumsByService = groupByService(state, fleetSums(state, step.nowMs));
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/speedGossip.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/speedGossip.ts
@@ -19,8 +19,10 @@
 const CHECK_INTERVAL_MS = 1000;
 /** Interval after which an unchanged row is sent again, in ms: a lost row is replaced while its sums are mostly valid. */
 const REFRESH_INTERVAL_MS = 4000;
-/** Change of the evidence or of the ratio from which a row is sent, as a share: far below the noise of a ratio. */
-const MIN_CHANGE = 0.05;
+/** Change of the ratio from which a row is sent, as a share: half of the noise of a ratio over ten seconds. */
+const MIN_RATIO_CHANGE = 0.05;
+/** Change of the evidence from which a row is sent, as a share: it only weighs the ratio, and changes by 8 % in a second by decay alone. */
+const MIN_EVIDENCE_CHANGE = 0.1;
 /** Maximum number of rows of one message: some 10 KB, so that a message stays far below a datagram's 64 KB beside the loads of 3,000 servers. */
 export const MAX_SPEED_ROWS = 256;
 
@@ -148,15 +150,18 @@
   if (ageMs >= REFRESH_INTERVAL_MS) return true;
   // Recipients decay what they received, so only a departure from that is news to them.
   const known = decaySpeedSums(sent.sums, ageMs);
-  return differs(evidenceOf(row.sums), evidenceOf(known)) || differs(ratioOf(row), ratioOf(sent));
+  return (
+    differs(evidenceOf(row.sums), evidenceOf(known), MIN_EVIDENCE_CHANGE) ||
+    differs(ratioOf(row), ratioOf(sent), MIN_RATIO_CHANGE)
+  );
 }
 
 function ratioOf({ sums }: { sums: SpeedSums }): number {
   return (sums.evenObservedMs + sums.oddObservedMs) / Math.max(1, evidenceOf(sums));
 }
 
-function differs(value: number, known: number): boolean {
-  return Math.abs(value - known) > MIN_CHANGE * Math.max(value, known);
+function differs(value: number, known: number, share: number): boolean {
+  return Math.abs(value - known) > share * Math.max(value, known);
 }
 
 /** Returns the ids of the servers with the most evidence, for a recipient that has no rows yet. */
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/speedOf.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/speedOf.ts
@@ -3,8 +3,8 @@
 import type { LogField } from '../../types/effect.js';
 import type { ServerView } from '../../types/views.js';
 
-/** Age from which speeds are no longer used, in ms: the box was suspended, and servers may have changed meanwhile. */
-const MAX_AGE_MS = 5000;
+/** Age from which speeds are no longer used, in ms: more than twice the interval at 12,000 servers, so the box was suspended, and servers may have changed meanwhile. */
+const MAX_AGE_MS = 15_000;
 
 /**
  * Returns the speed of a server: 1 for the mean of its service, 2 for a server twice as fast.
