--- a/packages/reedlug-simulator/src/__tests__/batchEngine.test.ts
+++ b/packages/reedlug-simulator/src/__tests__/batchEngine.test.ts
@@ -3,6 +3,7 @@
 import {
   createBatchEngine,
   finishStep,
+  setSlowFactor,
   stopRun,
   submitRun,
   type BatchEngine,
@@ -99,3 +100,16 @@
   expect(stopRun(engine, 1)).to.equal(false);
   expect(engine.running).to.have.length(0);
 });
+
+test('an engine of twice the speed takes half the time, and keeps its speed under a slow factor', () => {
+  const durationOf = (speed: number, slowFactor: number): number => {
+    const engine = createBatchEngine(PARAMETERS, speed);
+    setSlowFactor(engine, slowFactor);
+    const nothing = (): void => undefined;
+    const run = { urgency: 5, fromEvent: 0, events: 1, onEvent: nothing, onRejected: nothing };
+    submitRun(engine, { ...run, runId: 1, parts: ownPart('a', 1000) }, 0);
+    return engine.stepEndsAtMs ?? 0;
+  };
+  expect(durationOf(2, 1)).to.equal(durationOf(1, 1) / 2);
+  expect(durationOf(2, 4)).to.equal(durationOf(1, 1) * 2);
+});
