--- a/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { createServingBox, facts } from '../../__tests__/__fixtures__/box.js';
+import { createServingBox, facts, settings } from '../../__tests__/__fixtures__/box.js';
 import { setDecisionMetrics } from '../decisionMetrics.js';
 import { createGatewayMetrics } from '../gatewayMetrics.js';
 
@@ -18,3 +18,30 @@
   expect(text).to.match(/reedlug_limit_units\{workspace="tiger",figure="used"\} 1000/);
   expect(text).not.to.match(/NaN|Infinity/);
 });
+
+test('metrics contain the extremes of the speeds of a service, and none while no speeds are learned', async () => {
+  const textOf = async (isOn: boolean): Promise<string> => {
+    const box = createServingBox(settings({}, { learnServerSpeeds: isOn }));
+    for (const [id, observedMs] of [
+      ['engine-1', 60_000],
+      ['engine-2', 20_000],
+    ] as const) {
+      const sums = {
+        evenExpectedMs: 30_000,
+        evenObservedMs: observedMs,
+        oddExpectedMs: 30_000,
+        oddObservedMs: observedMs,
+      };
+      box.state.serverSpeeds.own.set(id, { bornAtMs: undefined, sums, atMs: 1000 });
+    }
+    box.pass(1000);
+    const metrics = createGatewayMetrics();
+    setDecisionMetrics(metrics.figures, box.state, box.nowMs);
+    return metrics.text();
+  };
+  const text = await textOf(true);
+  expect(text).to.match(/reedlug_server_speeds\{service="engines",figure="inUse"\} 1/);
+  expect(text).to.match(/reedlug_server_speeds\{service="engines",figure="slowest"\} 0\.[67]/);
+  expect(text).to.match(/reedlug_server_speeds\{service="engines",figure="fastest"\} [12]\./);
+  expect(await textOf(false)).not.to.contain('reedlug_server_speeds{');
+});
--- a/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
@@ -22,6 +22,15 @@
   expect(cause).to.equal(`refused with 429 (overLimit): ${account}; it was sent to no server`);
 });
 
+test('the speed that the expected time of the last send rests on is explained unless it is 1', () => {
+  const sent = 'event=requestSent request=r5 server=i-7 expectedMs=1190';
+  const finished = 'time=t2 event=requestFinished request=r5 outcome=success heldMs=1300';
+  const causeAt = (speed: string): string | undefined =>
+    explainRequest(`time=t1 ${sent} speed=${speed} speedAgeMs=400\n${finished}`, 'r5')?.cause;
+  expect(causeAt('0.70')).to.contain('sent to i-7 at speed 0.70 (expected 1190 ms)');
+  expect(causeAt('1.00')).to.match(/sent to i-7$/);
+});
+
 test('a request that no line mentions is not explained', () => {
   expect(explainRequest(LOG, 'r3')).to.equal(undefined);
 });
--- a/packages/reedlug-gateway/src/policy/__tests__/engineTarget.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/engineTarget.test.ts
@@ -228,3 +228,19 @@
   expect(onDemandOf(false)).to.equal(0);
   expect(onDemandOf(true)).to.equal(4);
 });
+
+test('engines below the speed of the model are counted as less capacity for prompts', () => {
+  const load = { openRequests: 0, tokensPerSecond: 300_000 };
+  const needAt = (meanSpeed?: number): EngineNeed =>
+    enginesNeeded({
+      load,
+      model: engine(28),
+      slots: 24,
+      meanSpeed,
+      zones: 3,
+      hasReclaimable: false,
+    });
+  expect(needAt(1)).to.deep.equal(needAt());
+  expect(needAt(0.5).usual).to.be.within(2 * needAt(1).usual - 1, 2 * needAt(1).usual);
+  expect(needAt(2).usual).to.be.lessThan(needAt(1).usual);
+});
--- a/packages/reedlug-gateway/src/slices/engines/engineOrders.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineOrders.ts
@@ -4,6 +4,7 @@
 import type { ZoneTarget } from '../../policy/engineTarget.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import type { EngineOrder } from '../../types/views.js';
+import { meanSpeedOf } from '../serverSpeeds/speedOf.js';
 import { modelOf } from './engineModels.js';
 import { loadOf } from './serviceLoad.js';
 import { carriesLoad } from '../rollouts/versionRule.js';
@@ -170,7 +171,9 @@
 function describeNeed(state: GatewayState, step: Step, service: string) {
   const load = loadOf(state, service);
   const model = modelOf(state, service, step.nowMs);
+  const meanSpeed = meanSpeedOf(state, service, step.nowMs);
   return {
+    ...(meanSpeed === 1 ? {} : { meanSpeed: meanSpeed.toFixed(2) }),
     loadTokensPerSecond: Math.round(load.tokensPerSecond),
     openRequests: Math.round(load.openRequests),
     readTokensPerMs: Math.round(model.tokensPerMs),
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -14,7 +14,7 @@
 export function refuseIfLate(step: Step, record: RequestRecord, choice: Choice): boolean {
   const { route, facts, exchangeId, deadlineAtMs } = record;
   if (route.kind !== RouteKind.stream) return false;
-  const { expectedMs, conditions } = choice;
+  const { expectedMs, modelMs, conditions } = choice;
   const { running, slots } = conditions;
   const leftMs = deadlineAtMs - step.nowMs;
   const { targetMs, timeoutMs } = route;
@@ -25,6 +25,8 @@
     request: facts.requestId,
     route: route.name,
     expectedMs: Math.round(expectedMs),
+    // Differs if a speed of the server other than that of the service is known.
+    ...(modelMs === expectedMs ? {} : { modelMs: Math.round(modelMs) }),
     running,
     leftMs: Math.round(leftMs),
     hasReturned,
