Speeds stay in use down to one standard error of the variance

Change: once in use, speeds stay until the variance between servers is within one standard error of the noise. What little evidence there is then is shrunk towards 1 anyway.

--- a/packages/reedlug-gateway/src/policy/serverSpeed.ts
+++ b/packages/reedlug-gateway/src/policy/serverSpeed.ts
@@ -61,7 +61,7 @@
   deviation: Math.log(1.12),
   extraErrors: 1.5,
   spread: 0.08,
-  varianceErrors: 2,
+  varianceErrors: 1,
 };
 
 /**
