--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -17,6 +17,7 @@
 } from '../types/peer.js';
 import type { ServerState } from '../types/server.js';
 import { reservationFields, reservationsOfRows, withValidClaim } from './reservationWire.js';
+import { speedRowOf, withSpeedRows } from './speedWire.js';
 import { withWorkloads, workloadRowOf } from './workloadWire.js';
 import { statementRows, STATEMENTS_WIRE_KIND, statementsOfRows } from './statementWire.js';
 
@@ -44,11 +45,12 @@
 export function encodeDatagram(message: PeerDatagram): Buffer {
   if (message.kind === 'serverStatements') return encoder.encode(statementRows(message));
   if (message.kind !== 'news') return encoder.encode(message);
-  const { workloads, ...others } = message;
+  const { speeds, workloads, ...others } = message;
   const { loads, registry, reservations } = others;
   return encoder.encode({
     ...others,
     ...reservationFields(reservations),
+    ...(speeds === undefined ? {} : { speedRows: speeds.map(speedRowOf) }),
     loads: {},
     loadRows: Object.entries(loads).map(loadRowOf),
     registry: registry === undefined ? undefined : { ...registry, changes: [] },
@@ -73,12 +75,13 @@
   }
   if (isStatementRows(value)) return statementsOfRows(value);
   if (!isDatagram(value)) return undefined;
-  const { loadRows, changeRows, workloadRows, reservations, ...datagram } = value as PeerDatagram &
-    GossipRows;
+  const { loadRows, changeRows, speedRows, workloadRows, reservations, ...datagram } =
+    value as PeerDatagram & GossipRows;
   if (datagram.kind === 'unitsAsked') return withValidClaim(datagram);
   if (datagram.kind !== 'news') return datagram;
+  const withSpeeds = withSpeedRows(withoutInvalidFields(datagram), speedRows);
   const message = {
-    ...withWorkloads(withoutInvalidFields(datagram), workloadRows),
+    ...withWorkloads(withSpeeds, workloadRows),
     ...reservationsOfRows(reservations),
   };
   if (!Array.isArray(loadRows)) return message;
@@ -89,12 +92,13 @@
   return { ...message, loads, registry: { ...registry, changes } };
 }
 
-/** Rows that gossip holds in place of loads, changes and reservations; older boxes send none. */
+/** Rows that gossip holds in place of loads, changes, speeds, work and reservations; older boxes send none. */
 interface GossipRows {
   reservations?: unknown;
   loadRows?: unknown;
   changeRows?: unknown;
   workloadRows?: unknown;
+  speedRows?: unknown;
 }
 
 /** Fields that must hold a finite number for a datagram of each kind to be accepted. */
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -11,6 +11,7 @@
 import { recordWork } from '../workspaceShares/workSums.js';
 import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
+import { speedLogFields } from '../serverSpeeds/speedOf.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
 /** Returns the best server for a request now, or undefined when none is eligible. */
@@ -70,7 +71,7 @@
 }
 
 function send(state: GatewayState, step: Step, record: RequestRecord, choice: Choice): void {
-  const { view, prefillTokens, conditions, expectedMs } = choice;
+  const { view, prefillTokens, conditions, expectedMs, modelMs } = choice;
   const attempt: Attempt = {
     attemptId: state.nextAttemptId,
     serverId: view.entry.id,
@@ -84,6 +85,7 @@
     urgency: record.urgency,
     conditions,
     expectedMs,
+    modelMs,
     lastActivityAtMs: step.nowMs,
     firstOutputAtMs: undefined,
   };
@@ -124,6 +126,7 @@
     attempt: record.attempts.length,
     costMs: Math.round(choice.costMs),
     expectedMs: Math.round(expectedMs),
+    ...speedLogFields(state, view, step.nowMs),
     running: conditions.running,
     prefillTokens,
     version: view.entry.version ?? '',
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -69,6 +69,8 @@
   /** Outcomes by workspace and by workspace and class, and work by span and workspace. */
   workspaces: WorkspaceRecord;
   bySpan: Map<number, Outcomes>;
+  /** Requests with a prompt that did not leave early, with its length and whether they were served in time. */
+  prompts: { tokens: number; isInTime: boolean }[];
   refusedBy: Map<string, number>;
   failedBy: Map<string, number>;
   firstEventMs: Map<string, Histogram>;
@@ -120,6 +122,7 @@
     byZone: new Map(),
     workspaces: createWorkspaceRecord(),
     bySpan: new Map(),
+    prompts: [],
     refusedBy: new Map(),
     failedBy: new Map(),
     firstEventMs: new Map(),
@@ -252,6 +255,9 @@
   addOutcome(getOrCreate(record.byZone, request.zone, createOutcomes), end, request);
   addOutcome(getOrCreate(record.bySpan, span, createOutcomes), end, request);
   recordWorkspaceEnd(record.workspaces, { end, request, span });
+  const { promptTokens: tokens } = request.facts;
+  if (tokens === undefined || end === RequestEnd.left) return;
+  record.prompts.push({ tokens, isInTime: end === RequestEnd.inTime });
 }
 
 /** Records a guarantee that was broken for a request. */
