Placement by size: requests that only fast servers start in time are compared among these

Where engines differ in speed, the sample for a long prompt often holds no server that can meet its target.

Change: with placeBySize on and speeds known, a request whose prompt meets the target only from some speed on is compared among the servers of at least that speed. Without speeds the choice is as before.

--- a/packages/reedlug-gateway/src/policy/__tests__/chooseServer.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/chooseServer.test.ts
@@ -1,12 +1,19 @@
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { hashString, rendezvousWeight } from 'reedlug-coordination';
-import { createBox, facts, server, type TestBox } from '../../__tests__/__fixtures__/box.js';
+import {
+  createBox,
+  facts,
+  server,
+  settings,
+  type TestBox,
+} from '../../__tests__/__fixtures__/box.js';
 import type { PromptPart, RequestFacts } from '../../types/request.js';
 import { chooseServer } from '../chooseServer.js';
 
 /** Creates a box that knows this many idle engines. */
-function createBoxWith(engines: number): TestBox {
-  const box = createBox();
+function createBoxWith(engines: number, boxSettings = settings()): TestBox {
+  const box = createBox(boxSettings);
   const entries = Array.from({ length: engines }, (_, index) =>
     server(`engine-${index}`, { service: 'engines' }),
   );
@@ -118,3 +125,38 @@
   }).sort((a, b) => a - b);
   expect(takenMs[50]).to.be.lessThan(0.8);
 });
+
+test('without known speeds, placement by size chooses the same server under the same loads', () => {
+  const bySize = settings({}, { learnServerSpeeds: true, placeBySize: true });
+  const drawnLoads = fc.array(fc.integer({ min: 0, max: 40 }), { minLength: 1, maxLength: 60 });
+  const drawnPrompt = fc.record({
+    index: fc.nat(),
+    promptTokens: fc.integer({ min: 1, max: 60_000 }),
+    sharedTokens: fc.option(fc.integer({ min: 1, max: 20_000 }), { nil: undefined }),
+  });
+  fc.assert(
+    fc.property(drawnLoads, drawnPrompt, (loads, { index, promptTokens, sharedTokens }) => {
+      const choices = [settings(), bySize].map((boxSettings) => {
+        const box = createBoxWith(loads.length, boxSettings);
+        for (const [at, view] of [...box.state.servers.values()].entries()) {
+          view.running = loads[at] ?? 0;
+          view.prefillTokens = view.running * 900;
+        }
+        const parts = [
+          { id: `part-${index % 7}`, tokens: sharedTokens ?? 0 },
+          { id: 'own', tokens: promptTokens },
+        ];
+        const promptParts = sharedTokens === undefined ? [] : parts;
+        const request = { ...prompt(index, promptParts), promptTokens };
+        return chooseServer(box.state, {
+          ...{ service: 'engines', facts: request, urgency: 0, targetMs: 1000, nowMs: 0 },
+          excludedServers: new Set<string>(),
+        });
+      });
+      const [today, sized] = choices;
+      expect(sized?.placement).to.equal(undefined);
+      expect(sized?.view.entry.id).to.equal(today?.view.entry.id);
+      expect(sized?.costMs).to.equal(today?.costMs);
+    }),
+  );
+});
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -14,9 +14,12 @@
 import type { GatewayState } from '../state.js';
 import type { ServerView } from '../types/views.js';
 import { countedPeers, type PeerWithMessage } from '../slices/peers/fleet.js';
+import { placementBasis, type PlacementBasis } from '../slices/placement/servicePlacement.js';
+import { speedOf } from '../slices/serverSpeeds/speedOf.js';
 import { isLimitRefreshDue, isEligible, isLimited } from '../slices/statements/eligibility.js';
 import { modelOf } from '../slices/engines/engineModels.js';
 import { highestRanked } from './highestRanked.js';
+import { placeBySize, type PlacementOutcome, type SizeNeed } from './placeBySize.js';
 import { addLoads, tokensAhead } from './serverLoad.js';
 import { expectedWaitMs, type EngineModel, type SendConditions } from './engineModel.js';
 import { failureScore, currentSlowness, SUSPECT_SCORE } from './serverHealth.js';
@@ -60,6 +63,23 @@
   conditions: SendConditions;
   /** Expected time to the first event, without added costs. */
   expectedMs: number;
+  /** The same, with what this box saw of the server's slowness and silence. */
+  waitMs: number;
+  /** Set if the server was chosen by the size of the request. */
+  placement?: PlacementFacts;
+}
+
+/** Figures behind a choice by size. */
+export interface PlacementFacts {
+  outcome: PlacementOutcome;
+  need: SizeNeed;
+  speed: number;
+  evaluated: number;
+  leavesRoom: boolean;
+  /** Share of the target charged for servers that large requests need. */
+  chargeShare: number;
+  /** Age of the oldest message among those that the loads come from; 0 without any. */
+  loadAgeMs: number;
 }
 
 /** Returns the best server for a request, or undefined if no server may accept it. */
@@ -77,6 +97,8 @@
     isAllowed?: (view: ServerView) => boolean;
     /** Set for a crash suspect: a hash by which all boxes send its copies to the same server. */
     trialHash?: number | undefined;
+    /** Time until the first event is late, in ms; undefined for answers without events. */
+    targetMs?: number | undefined;
     nowMs: number;
   },
 ): Choice | undefined {
@@ -88,49 +110,111 @@
     staysInZone = false,
     isAllowed,
     trialHash,
+    targetMs,
     nowMs,
   } = params;
   const eligible: ServerView[] = [];
+  let isAnySuspect = false;
   for (const view of state.servers.values()) {
     const { entry } = view;
-    if (entry.service !== service || excludedServers.has(entry.id)) continue;
+    if (entry.service !== service) continue;
+    if (excludedServers.size > 0 && excludedServers.has(entry.id)) continue;
     if (!isEligible(state, view, nowMs)) continue;
-    if (isAllowed === undefined || isAllowed(view)) eligible.push(view);
+    if (isAllowed !== undefined && !isAllowed(view)) continue;
+    eligible.push(view);
+    isAnySuspect ||= isSuspect(view, nowMs);
   }
-  const healthy = eligible.filter((view) => failureScore(view, nowMs) < SUSPECT_SCORE);
+  // Avoids a second pass over thousands of servers while none of them fails.
+  const healthy = isAnySuspect ? eligible.filter((view) => !isSuspect(view, nowMs)) : eligible;
   const candidates = filterReachable(state, healthy.length > 0 ? healthy : eligible, staysInZone);
   // Avoids a pass over thousands of servers while none of them has stated anything.
   const isAnyLimited = state.statements.size > 0;
   const limited = new Set(
     isAnyLimited ? candidates.filter((view) => isLimited(view, nowMs)) : undefined,
   );
-  const preferredId = preferredServerId(candidates, limited, facts);
   const peers = countedPeers(state, nowMs);
   const model = modelOf(state, service, nowMs);
-  let best: Choice | undefined;
-  const considered =
-    trialHash === undefined
-      ? serversToCompare(candidates, {
-          facts,
-          preferredId,
-          probeTarget: [...limited].find((view) => isLimitRefreshDue(view, nowMs)),
-        })
-      : highestRanked(candidates, trialHash, 1);
-  for (const view of considered) {
-    const choice = evaluateServer(state, {
+  const evaluate = (view: ServerView, isPreferred: boolean): Choice =>
+    evaluateServer(state, {
       view,
       load: totalLoad(view, peers),
       model,
       facts,
       urgency,
-      isPreferred: view.entry.id === preferredId,
+      isPreferred,
       nowMs,
     });
+  const probeTarget = [...limited].find((view) => isLimitRefreshDue(view, nowMs));
+  const basis =
+    trialHash === undefined && targetMs !== undefined
+      ? placementBasis(state, { service, model, facts, targetMs, nowMs })
+      : undefined;
+  if (basis !== undefined) {
+    return chooseBySize(state, {
+      ...{ basis, candidates, limited, probeTarget, facts, peers, evaluate, nowMs },
+    });
+  }
+  const preferred = preferredServer(candidates, limited, facts);
+  let best: Choice | undefined;
+  const considered =
+    trialHash === undefined
+      ? serversToCompare(candidates, { facts, preferred, probeTarget })
+      : highestRanked(candidates, trialHash, 1);
+  for (const view of considered) {
+    const choice = evaluate(view, view === preferred);
     if (best === undefined || choice.costMs < best.costMs) best = choice;
   }
   return best;
 }
 
+function isSuspect(view: ServerView, nowMs: number): boolean {
+  return failureScore(view, nowMs) >= SUSPECT_SCORE;
+}
+
+/** Chooses a server by the size of the request, where servers differ in speed. */
+function chooseBySize(
+  state: GatewayState,
+  params: {
+    basis: PlacementBasis;
+    candidates: readonly ServerView[];
+    limited: ReadonlySet<ServerView>;
+    probeTarget: ServerView | undefined;
+    facts: RequestFacts;
+    peers: readonly PeerWithMessage[];
+    evaluate: (view: ServerView, isPreferred: boolean) => Choice;
+    nowMs: number;
+  },
+): Choice | undefined {
+  const { basis, candidates, limited, probeTarget, facts, peers, evaluate, nowMs } = params;
+  const sharedPart = facts.promptParts.at(-2);
+  const placement = placeBySize({
+    ...basis,
+    candidates,
+    isLimited: (view) => limited.has(view),
+    probeTarget,
+    requestHash: hashString(facts.requestId),
+    sharedPartHash: sharedPart === undefined ? undefined : hashString(sharedPart.id),
+    speedOf: (view) => speedOf(state, view, nowMs),
+    evaluate,
+  });
+  if (placement === undefined) return undefined;
+  const { evaluation, outcome, evaluated, leavesRoom } = placement;
+  const { need, room } = basis;
+  const ages = peers.map(({ lastReceivedAtMs }) => nowMs - lastReceivedAtMs);
+  return {
+    ...evaluation,
+    placement: {
+      outcome,
+      need,
+      speed: speedOf(state, evaluation.view, nowMs),
+      evaluated,
+      leavesRoom,
+      chargeShare: room.chargeShare,
+      loadAgeMs: Math.max(0, ...ages),
+    },
+  };
+}
+
 /**
  * Returns the servers that are probably reachable: those in zones whose boxes respond, or only
  * those in this box's zone once an attempt failed to connect. In a zone that is cut off, most
@@ -159,15 +243,14 @@
   candidates: readonly ServerView[],
   params: {
     facts: RequestFacts;
-    preferredId: string | undefined;
+    preferred: ServerView | undefined;
     probeTarget: ServerView | undefined;
   },
 ): readonly ServerView[] {
   if (candidates.length <= MAX_COMPARED_SERVERS) return candidates;
-  const { facts, preferredId, probeTarget } = params;
+  const { facts, preferred, probeTarget } = params;
   const keyHash = hashString(facts.requestId);
   const sampled = highestRanked(candidates, keyHash, SAMPLED_SERVERS);
-  const preferred = candidates.find(({ entry }) => entry.id === preferredId);
   return [...new Set([preferred, probeTarget, ...sampled])].filter((view) => view !== undefined);
 }
 
@@ -188,14 +271,14 @@
   const tokens = tokensAhead(load, urgency) + prefillTokens;
   const { running, unread = 0 } = load;
   const conditions = { tokens, running, unread, slots: view.entry.slots };
-  const expectedMs = expectedWaitMs(model, conditions);
+  const expectedMs = expectedWaitMs(model, conditions) / speedOf(state, view, nowMs);
   const waitMs = expectedMs * currentSlowness(view, nowMs) + silenceCostMs(view, expectedMs, nowMs);
   const zoneMs = view.entry.zone === state.settings.box.zone ? 0 : OTHER_ZONE_COST_MS;
   const failureMs = failureScore(view, nowMs) * FAILURE_COST_MS;
   const expiringMs = view.expiresAtMs === undefined ? 0 : EXPIRING_COST_MS;
   const probeBonusMs = isLimitRefreshDue(view, nowMs) ? LIMIT_PROBE_BONUS_MS : 0;
   const costMs = waitMs + zoneMs + failureMs + expiringMs - probeBonusMs;
-  return { view, prefillTokens, conditions, expectedMs, costMs };
+  return { view, prefillTokens, conditions, expectedMs, waitMs, costMs };
 }
 
 /** Returns the open work at a server: this box's own and the work last reported by peers. */
@@ -230,16 +313,16 @@
  * Returns the server that ranks first for the prompt's last shared part. Servers with a limit
  * are left out: they accept too few requests, and not all boxes may send to them.
  */
-function preferredServerId(
+function preferredServer(
   candidates: readonly ServerView[],
   limited: ReadonlySet<ServerView>,
   facts: RequestFacts,
-): string | undefined {
+): ServerView | undefined {
   const sharedPart = facts.promptParts.at(-2);
   if (sharedPart === undefined) return undefined;
   const unlimited =
     limited.size === 0 ? candidates : candidates.filter((view) => !limited.has(view));
-  return highestRanked(unlimited, hashString(sharedPart.id), 1)[0]?.entry.id;
+  return highestRanked(unlimited, hashString(sharedPart.id), 1)[0];
 }
 
 /** Records that a server has processed a request's prompt, and drops expired parts. */
--- a/packages/reedlug-gateway/src/policy/highestRanked.ts
+++ b/packages/reedlug-gateway/src/policy/highestRanked.ts
@@ -12,12 +12,15 @@
   count: number,
 ): ServerView[] {
   const best: { view: ServerView; weight: number }[] = [];
+  // Lowest weight of a full list; -1 while it is not full.
+  let lowestWeight = -1;
   for (const view of candidates) {
     const weight = rendezvousWeight(keyHash, view.idHash);
-    if (best.length === count && weight <= (best[count - 1]?.weight ?? 0)) continue;
+    if (weight <= lowestWeight) continue;
     const at = best.findIndex((other) => other.weight < weight);
     best.splice(at < 0 ? best.length : at, 0, { view, weight });
     if (best.length > count) best.pop();
+    if (best.length === count) lowestWeight = best[count - 1]?.weight ?? lowestWeight;
   }
   return best.map(({ view }) => view);
 }
--- a/packages/reedlug-gateway/src/policy/serverHealth.ts
+++ b/packages/reedlug-gateway/src/policy/serverHealth.ts
@@ -14,6 +14,8 @@
 
 /** Returns the current failure score. */
 export function failureScore(view: ServerView, nowMs: number): number {
+  // Spares the power for most servers of a large fleet: a quarter of the time of a choice.
+  if (view.failureScore === 0) return 0;
   return view.failureScore * decayFactor(nowMs - view.failureAtMs, FAILURE_HALF_LIFE_MS);
 }
 
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -5,11 +5,13 @@
 import { recordSend } from '../../policy/serverSilence.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
+import type { LogField } from '../../types/effect.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
 import { recordSendForStatements } from '../statements/eligibility.js';
 import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
+import { recordPlacement } from '../placement/servicePlacement.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
 /** Returns the best server for a request now, or undefined when none is eligible. */
@@ -26,6 +28,7 @@
     excludedServers,
     staysInZone: record.failedToConnect,
     trialHash: suspectHash(state, record),
+    targetMs: firstEventTargetMs(record, step.nowMs),
     nowMs: step.nowMs,
   };
   const rule = versionRule(state, record);
@@ -36,6 +39,14 @@
   return chooseServer(state, { ...params, isAllowed: ({ entry }) => carriesLoad(state, entry) });
 }
 
+/** Returns the time until the first event of a stream is late, or undefined for other answers. */
+function firstEventTargetMs(
+  { route, arrivedAtMs }: RequestRecord,
+  nowMs: number,
+): number | undefined {
+  return route.kind === RouteKind.stream ? arrivedAtMs + route.targetMs - nowMs : undefined;
+}
+
 /**
  * Returns the hash that places a request that may have crashed a server. All boxes send copies
  * of one such request to the same server, and different requests mostly to different servers.
@@ -93,6 +104,10 @@
   view.running += 1;
   addUnreadPrompt(view, attempt);
   if (record.attempts.length === 1) state.workTokens += prefillTokens;
+  if (record.attempts.length === 1 && choice.placement !== undefined) {
+    const { service, facts } = record;
+    recordPlacement(state, { service, facts, need: choice.placement.need }, step.nowMs);
+  }
   recordPartsRead(view, record.facts, step.nowMs);
   const { exchangeId, route } = record;
   step.effects.push({
@@ -127,5 +142,23 @@
     restLeftMs: Math.max(0, Math.round((view.statements?.rest?.untilMs ?? 0) - step.nowMs)),
     configuration: state.active?.configuration.version ?? 0,
     servers: describeRevision(state.serversRevision),
+    ...placementFields(choice),
   });
 }
+
+/** Returns the log fields of a choice by size: what the request needed, and what was found. */
+function placementFields({ placement, waitMs }: Choice): Readonly<Record<string, LogField>> {
+  if (placement === undefined) return {};
+  const { outcome, need, speed, evaluated, leavesRoom, chargeShare, loadAgeMs } = placement;
+  return {
+    placement: outcome,
+    targetLeftMs: Math.round(need.targetMs),
+    waitMs: Math.round(waitMs),
+    neededSpeed: need.minSpeed.toFixed(2),
+    speed: speed.toFixed(2),
+    evaluated,
+    leavesRoom,
+    chargeShare: chargeShare.toFixed(3),
+    loadAgeMs: Math.round(loadAgeMs),
+  };
+}
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -1,6 +1,7 @@
 /** State of a gateway box. Each slice modifies its part of the state in place. */
 import { createLease, type LeaseState, type RetryBudget, type TableOp } from 'reedlug-coordination';
 import type { EngineModel, OwnSends } from './policy/engineModel.js';
+import type { ServicePlacement } from './types/placement.js';
 import type { CrashRowState, CrashSuspect, LostServer, ServerCrash } from './types/crashSuspect.js';
 import type { Effect, LogField } from './types/effect.js';
 import type { TablePurpose } from './types/event.js';
@@ -170,6 +171,8 @@
   ownSends: Map<string, OwnSends>;
   /** Models last fitted from sends of this box and its peers, by service. */
   engineModels: Map<string, { model: EngineModel; fittedAtMs: number }>;
+  /** Speeds and large requests on which placement by size is based, by service. */
+  placements: Map<string, ServicePlacement>;
   /** Requests in progress over all boxes, averaged over the same times, by service. */
   openRequests: Map<string, LoadAverage>;
   /** Time at which this box first saw any load, its own or that of peers; undefined before. */
@@ -306,6 +309,7 @@
     tokensPerSecond: { recent: 0, long: 0 },
     ownSends: new Map(),
     engineModels: new Map(),
+    placements: new Map(),
     openRequests: new Map(),
     loadSinceMs: undefined,
     initialOnDemand: new Map(),
