--- a/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { createServingBox, facts } from '../../__tests__/__fixtures__/box.js';
 import { setDecisionMetrics } from '../decisionMetrics.js';
-import { createGatewayMetrics } from '../gatewayMetrics.js';
+import { countEvent, createGatewayMetrics } from '../gatewayMetrics.js';
 
 test('metrics contain the model, the need for engines and the use of limits', async () => {
   const box = createServingBox();
@@ -18,3 +18,15 @@
   expect(text).to.match(/reedlug_limit_units\{workspace="tiger",figure="used"\} 1000/);
   expect(text).not.to.match(/NaN|Infinity/);
 });
+
+test('sends that were placed by size are counted by outcome and request', async () => {
+  const metrics = createGatewayMetrics();
+  const sent = { placement: 'inTime', neededSpeed: '0.00', leavesRoom: false };
+  countEvent(metrics, 'requestSent', {});
+  countEvent(metrics, 'requestSent', { ...sent, leavesRoom: true });
+  countEvent(metrics, 'requestSent', { ...sent, placement: 'late', neededSpeed: '1.20' });
+  const text = await metrics.text();
+  expect(text).to.match(/placements_total\{outcome="inTime",request="leavesRoom"\} 1/);
+  expect(text).to.match(/placements_total\{outcome="late",request="large"\} 1/);
+  expect(text).not.to.match(/placements_total\{outcome="inTime",request="other"\}/);
+});
--- a/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/explainRequest.test.ts
@@ -30,3 +30,15 @@
   const line = parseLogLine('time=t event=fault reason="two words"');
   expect(line?.fields.get('reason')).to.equal('two words');
 });
+
+test('a request that was placed by its size is explained with what it needed', () => {
+  const log = `
+time=2026-04-05T06:06:33.960Z event=requestSent request=r4 server=i-1 placement=late targetLeftMs=1000 waitMs=1204 neededSpeed=1.16 speed=0.71 evaluated=9 leavesRoom=false chargeShare=0.120 loadAgeMs=140
+time=2026-04-05T06:06:35.103Z event=requestFinished request=r4 outcome=success heldMs=1143
+`;
+  const placement =
+    'placement late: needs speed 1.16, expected 1204 of 1000 ms at speed 0.71, loads 140 ms old';
+  expect(explainRequest(log, 'r4')?.cause).to.equal(
+    `answered with success after 1143 ms; sent to i-1 (${placement})`,
+  );
+});
--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -16,6 +16,8 @@
   capacity: Gauge;
   /** Units of a workspace within the limit window: used, and the maximum allowed. */
   limits: Gauge;
+  /** Speeds and reserved room of a service whose requests are placed by size. */
+  placement: Gauge;
   /** Answers of both versions of a service during a roll-out, as far as this box knows. */
   rollouts: Gauge;
 }
@@ -42,6 +44,12 @@
       labelNames: ['workspace', 'figure'],
       registers,
     }),
+    placement: new Gauge({
+      name: 'reedlug_service_placement',
+      help: 'Speeds of servers: slowest, fastest; speed from which room is left, and its charge: reservedFromSpeed (0 for none), chargeShare',
+      labelNames: ['service', 'figure'],
+      registers,
+    }),
     rollouts: new Gauge({
       name: 'reedlug_rollout_answers',
       help: 'Answers since the order of a roll-out by version (new, old): answers, failed, slow',
@@ -69,6 +77,11 @@
     const { used, allowed } = limitUse(state, workspace, nowMs);
     setAll(metrics.limits, { workspace: workspace.name }, { used, allowed });
   }
+  for (const [service, { range, room }] of state.placements) {
+    const { fromSpeed, chargeShare } = room;
+    const reservedFromSpeed = Number.isFinite(fromSpeed) ? fromSpeed : 0;
+    setAll(metrics.placement, { service }, { ...range, reservedFromSpeed, chargeShare });
+  }
   setRollouts(metrics.rollouts, state, nowMs);
 }
 
--- a/packages/reedlug-gateway/src/observe/explainRequest.ts
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -46,7 +46,9 @@
     .filter(({ event }) => event === 'requestSent')
     .map(({ fields }) => fields.get('server') ?? '?');
   const sentTo =
-    servers.length === 0 ? 'it was sent to no server' : `sent to ${servers.join(', ')}`;
+    servers.length === 0
+      ? 'it was sent to no server'
+      : `sent to ${servers.join(', ')}${describePlacement(lines)}`;
   switch (last.event) {
     case 'requestFinished':
       return `answered with ${field('outcome')} after ${field('heldMs')} ms; ${sentTo}`;
@@ -68,3 +70,14 @@
   const field = (name: string): string => limit.fields.get(name) ?? '?';
   return `: ${field('units')} units beside ${field('used')} of ${field('allowed')}`;
 }
+
+/** Describes the last choice by size; returns an empty text if the request was not placed by its size. */
+function describePlacement(lines: readonly LogLine[]): string {
+  const sent = lines.findLast(({ fields }) => fields.has('placement'));
+  if (sent === undefined) return '';
+  const field = (name: string): string => sent.fields.get(name) ?? '?';
+  const needs =
+    Number(field('neededSpeed')) > 0 ? `needs speed ${field('neededSpeed')}` : 'any speed';
+  const wait = `expected ${field('waitMs')} of ${field('targetLeftMs')} ms at speed ${field('speed')}`;
+  return ` (placement ${field('placement')}: ${needs}, ${wait}, loads ${field('loadAgeMs')} ms old)`;
+}
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -11,6 +11,7 @@
   requests: Counter;
   latencyMs: Histogram;
   decisions: Counter;
+  placements: Counter;
   linesLeftOut: Counter;
   versions: Gauge;
   figures: DecisionMetrics;
@@ -30,6 +31,9 @@
       metrics.requests.inc({ ...labels, outcome: textOf(fields['outcome']) });
       metrics.latencyMs.observe(labels, Number(fields['heldMs'] ?? 0));
       return;
+    case 'requestSent':
+      countPlacement(metrics, fields);
+      return;
     case 'requestRefused':
     case 'streamCut':
     case 'callerGone':
@@ -40,6 +44,15 @@
   }
 }
 
+/** Counts a send that was placed by the size of its request. */
+function countPlacement(metrics: GatewayMetrics, fields: Readonly<Record<string, LogField>>): void {
+  const { placement, neededSpeed, leavesRoom } = fields;
+  if (placement === undefined) return;
+  const usualRequest = leavesRoom === true ? 'leavesRoom' : 'other';
+  const request = Number(neededSpeed) > 0 ? 'large' : usualRequest;
+  metrics.placements.inc({ outcome: textOf(placement), request });
+}
+
 function textOf(value: LogField | undefined): string {
   return value === undefined ? '' : String(value);
 }
@@ -68,6 +81,12 @@
       labelNames: ['event'],
       registers,
     }),
+    placements: new Counter({
+      name: 'reedlug_placements_total',
+      help: 'Sends placed by size, by outcome (inTime, searched, late) and request (large, leavesRoom, other)',
+      labelNames: ['outcome', 'request'],
+      registers,
+    }),
     linesLeftOut: new Counter({
       name: 'reedlug_log_lines_left_out_total',
       help: 'Log lines that were not written because there were too many or the pipe was full',
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/placement/placementFields.ts
@@ -0,0 +1,20 @@
+/** Log fields of a choice by size. */
+import type { Choice } from '../../policy/chooseServer.js';
+import type { LogField } from '../../types/effect.js';
+
+/** Returns what the request needed and what was found; nothing if it was placed without regard to its size. */
+export function placementFields({ placement, waitMs }: Choice): Readonly<Record<string, LogField>> {
+  if (placement === undefined) return {};
+  const { outcome, need, speed, evaluated, leavesRoom, chargeShare, loadAgeMs } = placement;
+  return {
+    placement: outcome,
+    targetLeftMs: Math.round(need.targetMs),
+    waitMs: Math.round(waitMs),
+    neededSpeed: need.minSpeed.toFixed(2),
+    speed: speed.toFixed(2),
+    evaluated,
+    leavesRoom,
+    chargeShare: chargeShare.toFixed(3),
+    loadAgeMs: Math.round(loadAgeMs),
+  };
+}
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -5,6 +5,7 @@
 import { log, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
 import type { RequestRecord } from '../../types/request.js';
+import { placementFields } from '../placement/placementFields.js';
 import { refuse } from './requestCompletion.js';
 
 /** Share of a route's timeout; a request with a shorter deadline comes from a caller that has waited before. */
@@ -28,6 +29,7 @@
     running,
     leftMs: Math.round(leftMs),
     hasReturned,
+    ...placementFields(choice),
   });
   const retryAfterMs = addRetryJitter(decision.retryAfterMs, facts.requestId);
   refuse(step, { exchangeId, facts, status: 503, reason: 'tooLate', retryAfterMs });
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -5,12 +5,12 @@
 import { recordSend } from '../../policy/serverSilence.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
-import type { LogField } from '../../types/effect.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
 import { recordSendForStatements } from '../statements/eligibility.js';
 import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
+import { placementFields } from '../placement/placementFields.js';
 import { recordPlacement } from '../placement/servicePlacement.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
@@ -145,20 +145,3 @@
     ...placementFields(choice),
   });
 }
-
-/** Returns the log fields of a choice by size: what the request needed, and what was found. */
-function placementFields({ placement, waitMs }: Choice): Readonly<Record<string, LogField>> {
-  if (placement === undefined) return {};
-  const { outcome, need, speed, evaluated, leavesRoom, chargeShare, loadAgeMs } = placement;
-  return {
-    placement: outcome,
-    targetLeftMs: Math.round(need.targetMs),
-    waitMs: Math.round(waitMs),
-    neededSpeed: need.minSpeed.toFixed(2),
-    speed: speed.toFixed(2),
-    evaluated,
-    leavesRoom,
-    chargeShare: chargeShare.toFixed(3),
-    loadAgeMs: Math.round(loadAgeMs),
-  };
-}
