--- a/packages/reedlug-gateway/src/observe/explainRequest.ts
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -48,7 +48,7 @@
   const sentTo =
     servers.length === 0
       ? 'it was sent to no server'
-      : `sent to ${servers.join(', ')}${describePlacement(lines)}`;
+      : `sent to ${servers.join(', ')}${describeSpeed(lines)}${describePlacement(lines)}`;
   switch (last.event) {
     case 'requestFinished':
       return `answered with ${field('outcome')} after ${field('heldMs')} ms; ${sentTo}`;
@@ -63,6 +63,14 @@
   }
 }
 
+/** Describes the speed that the last send's expected time rests on; returns an empty text if it is that of the service. */
+function describeSpeed(lines: readonly LogLine[]): string {
+  const sent = lines.filter(({ event }) => event === 'requestSent').at(-1);
+  const speed = sent?.fields.get('speed') ?? '1.00';
+  if (speed === '1.00') return '';
+  return ` at speed ${speed} (expected ${sent?.fields.get('expectedMs') ?? '?'} ms)`;
+}
+
 /** Describes the limit that refused the request; returns an empty text if none did. */
 function describeLimit(lines: readonly LogLine[]): string {
   const limit = lines.find(({ event }) => event === 'limitReached');
@@ -78,6 +86,6 @@
   const field = (name: string): string => sent.fields.get(name) ?? '?';
   const needs =
     Number(field('neededSpeed')) > 0 ? `needs speed ${field('neededSpeed')}` : 'any speed';
-  const wait = `expected ${field('waitMs')} of ${field('targetLeftMs')} ms at speed ${field('speed')}`;
+  const wait = `expected ${field('waitMs')} of ${field('targetLeftMs')} ms`;
   return ` (placement ${field('placement')}: ${needs}, ${wait}, loads ${field('loadAgeMs')} ms old)`;
 }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -11,6 +11,7 @@
 import type { RolloutView } from './types/rollout.js';
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
+import { createServerSpeeds, type ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
 import type {
   ActiveConfiguration,
@@ -173,6 +174,8 @@
   engineModels: Map<string, { model: EngineModel; fittedAtMs: number }>;
   /** Speeds and large requests on which placement by size is based, by service. */
   placements: Map<string, ServicePlacement>;
+  /** Sums from which the speeds of servers are estimated, and the estimates. */
+  serverSpeeds: ServerSpeedsState;
   /** Requests in progress over all boxes, averaged over the same times, by service. */
   openRequests: Map<string, LoadAverage>;
   /** Time at which this box first saw any load, its own or that of peers; undefined before. */
@@ -310,6 +313,7 @@
     ownSends: new Map(),
     engineModels: new Map(),
     placements: new Map(),
+    serverSpeeds: createServerSpeeds(),
     openRequests: new Map(),
     loadSinceMs: undefined,
     initialOnDemand: new Map(),
