--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -7,6 +7,7 @@
 import type { World } from '../world.js';
 import { nowMs } from '../world.js';
 import { createDutyRecord, type DutyRecord } from './dutyRecord.js';
+import type { PromptRecord } from './largestPrompts.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
 import type { TimedAmount } from './slidingSum.js';
 
@@ -61,8 +62,8 @@
   byClass: Map<string, Outcomes>;
   byZone: Map<string, Outcomes>;
   bySpan: Map<number, Outcomes>;
-  /** Requests with a prompt that did not leave early, with its length and whether they were served in time. */
-  prompts: { tokens: number; isInTime: boolean }[];
+  /** Requests with a prompt that did not leave early. */
+  prompts: PromptRecord[];
   refusedBy: Map<string, number>;
   failedBy: Map<string, number>;
   firstEventMs: Map<string, Histogram>;
@@ -241,7 +242,8 @@
   addOutcome(getOrCreate(record.bySpan, span, createOutcomes), end, request);
   const { promptTokens: tokens } = request.facts;
   if (tokens === undefined || end === RequestEnd.left) return;
-  record.prompts.push({ tokens, isInTime: end === RequestEnd.inTime });
+  const { name: className } = request.spec;
+  record.prompts.push({ className, tokens, isInTime: end === RequestEnd.inTime });
 }
 
 /** Records a guarantee that was broken for a request. */
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -9,8 +9,9 @@
 import { serverStatementRows, type ServerStatementRow } from '../faults/serverStatements.js';
 import { brokenRolloutGuarantees } from '../faults/rollouts.js';
 import type { World } from '../world.js';
+import { largestInTime, largestInTimeByClass } from './largestPrompts.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
-import type { BrokenGuarantee, SceneRecord } from './sceneRecord.js';
+import type { BrokenGuarantee } from './sceneRecord.js';
 import { greatestShare, greatestSum } from './slidingSum.js';
 
 /** Window of the users' retry budget, in ms. */
@@ -39,6 +40,8 @@
   bySpan: OutcomeRow[];
   /** Share of the largest tenth of the prompts that was served in time; 1 without prompts. */
   largestPromptsInTime: number;
+  /** The same for the prompts of each class alone. */
+  largestPromptsInTimeByClass: Record<string, number>;
   refusedBy: Record<string, number>;
   failedBy: Record<string, number>;
   lateByFirstEvent: number;
@@ -110,6 +113,7 @@
     byZone,
     bySpan,
     largestPromptsInTime: largestInTime(record.prompts),
+    largestPromptsInTimeByClass: largestInTimeByClass(record.prompts),
     refusedBy: Object.fromEntries(record.refusedBy),
     failedBy: Object.fromEntries(record.failedBy),
     lateByFirstEvent: record.lateByFirstEvent,
@@ -154,12 +158,6 @@
   return { name, share: earnedShare(outcomes), ...outcomes };
 }
 
-function largestInTime(prompts: SceneRecord['prompts']): number {
-  const count = Math.ceil(prompts.length / 10);
-  const largest = [...prompts].sort((a, b) => b.tokens - a.tokens).slice(0, count);
-  return count === 0 ? 1 : largest.filter(({ isInTime }) => isInTime).length / count;
-}
-
 function worstSpans(bySpan: readonly OutcomeRow[]): number {
   const mean = bySpan.reduce((sum, { asked }) => sum + asked, 0) / Math.max(1, bySpan.length);
   const full = bySpan.filter(({ asked }) => asked >= mean * MIN_SHARE_OF_MEAN);
--- a/packages/reedlug/src/commands/simulateReport.ts
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -81,6 +81,9 @@
   const times = Object.entries(report.firstEventMs).map(
     ([name, { p50, p99 }]) => `${name}: ${p50}/${p99}`,
   );
+  const largest = Object.entries(report.largestPromptsInTimeByClass).map(
+    ([name, share]) => `${name}: ${share.toFixed(3)}`,
+  );
   const { engineSeconds } = report;
   return [
     ...outcomeLines('CLASS', report.byClass),
@@ -90,6 +93,7 @@
     ...outcomeLines('FROM SECOND', report.bySpan),
     '',
     `first event p50/p99, ms: ${times.join(', ')}`,
+    `largest tenth in time: ${largest.join(', ')}`,
     `refused: ${pairs(report.refusedBy)}`,
     `failed: ${pairs(report.failedBy)}`,
     `store calls: ${pairs(report.storeCalls)}`,
