Engine model: times to the first event at the speed of 1

Cause: where long prompts go to fast servers, the model fitted to raw times takes their rate for that of long prompts.

Change: a time is recorded as it would have been at speed 1. Without speeds the factor is exactly 1.

--- a/packages/reedlug-gateway/src/slices/engines/engineModels.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineModels.ts
@@ -50,9 +50,12 @@
 ): void {
   const { conditions, expectedMs, modelMs } = attempt;
   const waitMs = step.nowMs - attempt.sentAtMs;
+  // The model describes a server of speed 1. Where long prompts go to fast servers, raw times would
+  // give it the rate of these for long prompts, and the speeds estimated by it would vanish.
+  const speed = expectedMs > 0 ? modelMs / expectedMs : 1;
   const isRecorded = recordWait(ownSendsOf(state, record.service), {
     conditions,
-    waitMs,
+    waitMs: waitMs * speed,
     expectedMs: modelMs,
     nowMs: step.nowMs,
   });
