Speeds of servers: learned from sends whose prompt decides their time

Cause: most sends have short prompts, whose times are mostly the network and the step in progress. Engines at 0.7 and 1.7 showed in the sums as 0.88 and 1.16, and long prompts were placed as if slow engines started them in time.

Change: a send counts if its prompt makes up half of the expected time; plain requests count as before.

--- a/packages/reedlug-gateway/src/slices/engines/engineModels.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineModels.ts
@@ -60,13 +60,35 @@
     nowMs: step.nowMs,
   });
   const view = serverOf(state, attempt);
-  if (isRecorded && view !== undefined) recordSpeed(state, step, { view, attempt, waitMs });
+  if (isRecorded && view !== undefined && showsSpeed(state, step, record, attempt)) {
+    recordSpeed(state, step, { view, attempt, waitMs });
+  }
   const isCompared = Math.max(waitMs, expectedMs) >= MIN_COMPARED_MS;
   if (view !== undefined && isCompared) {
     recordSlowness(view, waitMs / Math.max(MIN_COMPARED_MS, expectedMs), step.nowMs);
   }
 }
 
+/**
+ * Share of the expected time that prompt tokens make up in a send that shows the speed of its server.
+ * The rest is the network, the step in progress and what the loads do not show; it is the same at
+ * fast and slow servers, and short prompts would make these look alike.
+ */
+const MIN_PREFILL_SHARE = 0.5;
+
+/** Returns whether the speed of the server decides the time to the first event; always so without a prompt. */
+function showsSpeed(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  attempt: Attempt,
+): boolean {
+  const { conditions, modelMs } = attempt;
+  if (record.facts.promptTokens === undefined) return true;
+  const { tokensPerMs } = modelOf(state, record.service, step.nowMs);
+  return conditions.tokens / tokensPerMs >= modelMs * MIN_PREFILL_SHARE;
+}
+
 /** Records how long a successful send occupied its slot. */
 export function recordSuccessfulEnd(
   state: GatewayState,
