--- a/packages/reedlug-gateway/src/slices/engines/engineModels.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineModels.ts
@@ -72,9 +72,10 @@
 /**
  * Share of the expected time that prompt tokens make up in a send that shows the speed of its server.
  * The rest is the network, the step in progress and what the loads do not show; it is the same at
- * fast and slow servers, and short prompts would make these look alike.
+ * fast and slow servers, and short prompts would make these look alike. With a half, a service of
+ * prompts below some 2,000 tokens would never show speeds.
  */
-const MIN_PREFILL_SHARE = 0.5;
+const MIN_PREFILL_SHARE = 0.35;
 
 /** Returns whether the speed of the server decides the time to the first event; always so without a prompt. */
 function showsSpeed(
