--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -1,5 +1,6 @@
 /** Test fixtures of a single box, with one route of each kind and two servers for each service. */
-import { createGatewayState, type GatewayState } from '../../state.js';
+import { createGatewayState } from '../../createGatewayState.js';
+import type { GatewayState } from '../../state.js';
 import { reduce } from '../../reduce.js';
 import { DEFAULT_LOAD_SETTINGS } from '../../settings/defaults.js';
 import type { Configuration, RouteSpec } from '../../types/configuration.js';
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -11,7 +11,8 @@
 import { sharedStateOf } from '../slices/peers/sharedState.js';
 import { isReady } from '../slices/lifecycle/shutdown.js';
 import { isNewEra } from '../slices/store/storeEra.js';
-import { createGatewayState, type GatewayState } from '../state.js';
+import { createGatewayState } from '../createGatewayState.js';
+import type { GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { HostPort } from '../types/server.js';
 import type { GatewaySettings } from '../types/settings.js';
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -2,7 +2,8 @@
  * Public API of the gateway: reducer, daemon, and the interface that a platform adapter implements.
  */
 export type * from './adapter.js';
-export { createGatewayState, LEASE_KEY, type GatewayState } from './state.js';
+export { createGatewayState, LEASE_KEY } from './createGatewayState.js';
+export type { GatewayState } from './state.js';
 export type { Clock } from './daemon/clock.js';
 export * from './daemon/daemonTimes.js';
 export { eventOfDatagram } from './daemon/datagramEvent.js';
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -1,23 +1,18 @@
 /** State of a gateway box. Each slice modifies its part of the state in place. */
-import { createLease, type LeaseState, type RetryBudget, type TableOp } from 'reedlug-coordination';
+import type { LeaseState, RetryBudget, TableOp } from 'reedlug-coordination';
 import type { EngineModel, OwnSends } from './policy/engineModel.js';
 import type { UnitReservation } from './policy/unitPrecedence.js';
 import type { ServicePlacement } from './types/placement.js';
 import type { CrashRowState, CrashSuspect, LostServer, ServerCrash } from './types/crashSuspect.js';
 import type { Effect, LogField } from './types/effect.js';
 import type { TablePurpose } from './types/event.js';
-import {
-  createLimitShare,
-  createRestartReserve,
-  type LimitShare,
-  type RestartReserve,
-} from './types/limitShare.js';
+import type { LimitShare, RestartReserve } from './types/limitShare.js';
 import type { NumberedChange } from './types/peer.js';
 import type { PendingRequest, RequestRecord, WaitingSend } from './types/request.js';
 import type { RolloutView } from './types/rollout.js';
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
-import { createServerSpeeds, type ServerSpeedsState } from './types/serverSpeed.js';
+import type { ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
 import type { WorkspaceShares } from './types/workspaceShares.js';
 import type {
@@ -215,140 +210,6 @@
   stopped: boolean;
 }
 
-/**
- * Interval between renewals of the duty lease, as a share of its validity: it allows two attempts
- * before the lease expires.
- */
-const LEASE_RENEWAL_SHARE = 0.4;
-/**
- * Safety margin of the lease holder, as a share of the validity: it covers clock drift and short
- * pauses.
- */
-const LEASE_MARGIN_SHARE = 0.1;
-/**
- * Key of the duty lease in the table. Its holder performs the duties of the fleet towards the
- * platform.
- */
-export const LEASE_KEY = 'duty-lease';
-
-/** Returns the initial state of a box. */
-export function createGatewayState(params: {
-  settings: GatewaySettings;
-  incarnation: number;
-  nowMs: number;
-  /** Time since the start of the process, in ms. */
-  processAgeMs?: number;
-}): GatewayState {
-  const { settings, incarnation, nowMs, processAgeMs = 0 } = params;
-  const ttlMs = settings.bounds.leaseMs;
-  return {
-    settings,
-    incarnation,
-    startedAtMs: nowMs,
-    processStartedAtMs: nowMs - processAgeMs,
-    nextAttemptId: 1,
-    nextCallId: 1,
-    active: undefined,
-    servers: new Map(),
-    serverIncarnationCount: 0,
-    goneServers: new Map(),
-    unconfirmedServers: new Map(),
-    lostServers: new Map(),
-    crashSuspects: new Map(),
-    recentCrashes: [],
-    crashGossipDue: new Set(),
-    fullCrashGossipSentAtMs: Number.NEGATIVE_INFINITY,
-    suspectsPrunedAtMs: nowMs,
-    crashRow: {
-      version: undefined,
-      writtenSignature: '',
-      requestedAtMs: Number.NEGATIVE_INFINITY,
-      isLastWriter: false,
-      hasUnwrittenObservations: false,
-    },
-    statements: new Map(),
-    reachableFleet: undefined,
-    retryAfterTimes: new Map(),
-    peersNeedingStatements: new Set(),
-    serversRevision: 0,
-    serversKnown: false,
-    registryChanges: [],
-    registryNumber: 0,
-    storeReachable: true,
-    storeEra: undefined,
-    storeRestoredAtMs: Number.NEGATIVE_INFINITY,
-    eraKnown: { sinceMs: nowMs, reportedSinceWallClockMs: Number.POSITIVE_INFINITY },
-    storeLostAtMs: Number.NEGATIVE_INFINITY,
-    storeReturnedAtMs: Number.NEGATIVE_INFINITY,
-    storeContactAtMs: undefined,
-    storeContactByPeerAtMs: Number.NEGATIVE_INFINITY,
-    requests: new Map(),
-    pendingRequests: [],
-    quotas: new Map(),
-    part: createLimitShare(),
-    restartReserve: createRestartReserve(),
-    unitRequests: new Map(),
-    nextAskId: 1,
-    lentUnits: new Map(),
-    waitingForUnits: [],
-    unitReservations: { own: [], ofPeers: [], used: [] },
-    retryBudgets: new Map(),
-    peers: new Map(),
-    hubId: undefined,
-    hubSinceMs: nowMs,
-    totalsFromBoxes: createReceivedTotals(),
-    totalsFromHubs: createReceivedTotals(),
-    silentZones: new Set(),
-    usageSentAtMs: Number.NEGATIVE_INFINITY,
-    peerSequence: 0,
-    gossipSentAtMs: Number.NEGATIVE_INFINITY,
-    lease: createLease(
-      {
-        key: LEASE_KEY,
-        ttlMs,
-        marginMs: ttlMs * LEASE_MARGIN_SHARE,
-        renewIntervalMs: ttlMs * LEASE_RENEWAL_SHARE,
-        maxOrderFlightMs: ttlMs,
-      },
-      settings.box.id,
-      incarnation,
-    ),
-    agreedClockOffsetMs: undefined,
-    clockRequestedAtMs: Number.NEGATIVE_INFINITY,
-    clockRowIsLost: false,
-    wallClockAheadMs: undefined,
-    resumedAtMs: Number.NEGATIVE_INFINITY,
-    storeEpochMs: undefined,
-    usage: new Map(),
-    usageReceivedAtMs: new Map(),
-    usageChanged: false,
-    checkpointAtMs: 0,
-    checkpointVersion: 0,
-    checkpointFence: undefined,
-    rollouts: new Map(),
-    rolloutsEvaluatedAtMs: nowMs,
-    orders: new Map(),
-    plannedAtMs: nowMs,
-    workTokens: 0,
-    workTokensAtLastPlan: 0,
-    tokensPerSecond: { recent: 0, long: 0 },
-    ownSends: new Map(),
-    engineModels: new Map(),
-    placements: new Map(),
-    serverSpeeds: createServerSpeeds(),
-    openRequests: new Map(),
-    loadSinceMs: undefined,
-    initialOnDemand: new Map(),
-    stabilizedNeeds: new Map(),
-    outOfCapacityUntilMs: new Map(),
-    reclaimsExpectedUntilMs: new Map(),
-    readyReclaimable: new Map(),
-    workspaceShares: new Map(),
-    stoppingSinceMs: undefined,
-    stopped: false,
-  };
-}
-
 /** Returns empty totals. */
 export function createReceivedTotals(): ReceivedTotals {
   return { admitted: new Map(), workTokens: 0 };
