--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/fleet.ts
@@ -2,9 +2,11 @@
 import {
   configuration,
   createBox,
+  facts,
   listBoxes,
   listBoxesAfterRestart,
   ofType,
+  only,
   server,
   settings,
   type TestBox,
@@ -153,3 +155,17 @@
   box.take({ type: 'serversRead', whole: true, changes, revision: 1, source: 'store' });
   return box;
 }
+
+/** Starts a stream at a box that stays open until the test ends. */
+export function openStream(fleet: TestFleet, boxId: string, exchangeId: number): string {
+  const box = fleet.boxes.get(boxId);
+  const request = facts({
+    requestId: `${boxId}-${exchangeId}`,
+    path: '/draft/1',
+    deadlineMs: 8000,
+    promptTokens: 100,
+    maxOutputTokens: 20,
+  });
+  const effects = box?.take({ type: 'requestArrived', exchangeId, facts: request }) ?? [];
+  return only(effects, 'send').order.serverId;
+}
--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/restartingFleet.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/restartingFleet.ts
@@ -3,6 +3,7 @@
  * store with faults and one workspace with a limit.
  */
 import { configuration, createBox, facts, server, settings, type TestBox } from './box.js';
+import { createRandom } from './random.js';
 import { createFaultyStore, type FaultyStore } from './faultyStore.js';
 import type { StoreTableReply } from '../../adapter.js';
 import { eventOfDatagram } from '../../daemon/datagramEvent.js';
@@ -52,14 +53,6 @@
   suspendedUntilMs: number;
 }
 
-function createRandom(seed: number): () => number {
-  let state = seed % 2147483647 || 1;
-  return () => {
-    state = (state * 48271) % 2147483647;
-    return state / 2147483647;
-  };
-}
-
 function limitedTo(factor: number, version: number) {
   const base = configuration();
   const limit = { ratePerSecond: RATE_PER_SECOND * factor, burst: BURST * factor };
--- a/packages/reedlug-gateway/src/daemon/__tests__/stateTransfer.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/stateTransfer.test.ts
@@ -5,6 +5,7 @@
 import { configuration, createServingBox } from '../../__tests__/__fixtures__/box.js';
 import { sharedStateOf } from '../../slices/peers/sharedState.js';
 import type { Configuration } from '../../types/configuration.js';
+import type { HostPort } from '../../types/server.js';
 import { decoder, encoder } from '../peerWire.js';
 import { largeConfiguration } from './__fixtures__/largeConfiguration.js';
 import {
@@ -44,6 +45,16 @@
 const eventsOf = (lines: readonly (readonly [string, unknown])[]): string[] =>
   lines.map(([event]) => event);
 
+/** Starts four transfers, as many as a box serves at a time, and returns what aborts them. */
+async function startFourTransfers({ host, port }: HostPort): Promise<AbortController> {
+  const leave = new AbortController();
+  const open = Array.from({ length: 4 }, () =>
+    fetch(`http://${host}:${port}/configuration?after=0`, { signal: leave.signal }),
+  );
+  await Promise.all(open);
+  return leave;
+}
+
 test('a box that has the version before receives a compressed delta, and others the whole', () =>
   withAnsweringBox([largeConfiguration(1, 300), largeConfiguration(2, 310)], async (box) => {
     const next = largeConfiguration(2, 310);
@@ -191,11 +202,7 @@
     [largeConfiguration(2, 3000)],
     async (box) => {
       const { host, port } = box.address;
-      const leave = new AbortController();
-      const open = Array.from({ length: 4 }, () =>
-        fetch(`http://${host}:${port}/configuration?after=0`, { signal: leave.signal }),
-      );
-      await Promise.all(open);
+      const leave = await startFourTransfers(box.address);
       const refused = await fetch(`http://${host}:${port}/configuration?after=0`);
       expect(refused.status).to.equal(503);
       leave.abort();
@@ -257,11 +264,7 @@
     [largeConfiguration(2, 1000)],
     async (box) => {
       const { host, port } = box.address;
-      const leave = new AbortController();
-      const open = Array.from({ length: 4 }, () =>
-        fetch(`http://${host}:${port}/configuration?after=0`, { signal: leave.signal }),
-      );
-      await Promise.all(open);
+      const leave = await startFourTransfers(box.address);
       for (const [path, withServers] of [
         ['/configuration', false],
         ['/state', true],
--- a/packages/reedlug-gateway/src/policy/__tests__/serverSpeed.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/serverSpeed.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import { randomOf } from '../../__tests__/__fixtures__/random.js';
 import { expect } from 'chai';
 import type { SpeedSums } from '../../types/serverSpeed.js';
 import {
@@ -9,17 +10,6 @@
   type SpeedEstimate,
 } from '../serverSpeed.js';
 
-/** Returns a generator of numbers from 0 to 1 (mulberry32). */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 function normal(random: () => number): number {
   return Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
 }
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/reservingFleet.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/reservingFleet.ts
@@ -9,6 +9,7 @@
   settings,
   type TestBox,
 } from '../../../../__tests__/__fixtures__/box.js';
+import { createRandom } from '../../../../__tests__/__fixtures__/random.js';
 import { eventOfDatagram } from '../../../../daemon/datagramEvent.js';
 import { decodeDatagram, encodeDatagram } from '../../../../daemon/peerWire.js';
 import type { Effect } from '../../../../types/effect.js';
@@ -64,14 +65,6 @@
   leftOver: number;
 }
 
-function createRandom(seed: number): () => number {
-  let state = seed % 2147483647 || 1;
-  return () => {
-    state = (state * 48271) % 2147483647;
-    return state / 2147483647;
-  };
-}
-
 function addressOf(index: number): PeerAddress {
   const zone = ZONES[index % ZONES.length] ?? '';
   const host = `10.0.0.${index}`;
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
@@ -8,6 +8,7 @@
   TICK_MS,
   type LossyFleet,
 } from '../../../__tests__/__fixtures__/lossyFleet.js';
+import { randomOf } from '../../../__tests__/__fixtures__/random.js';
 import { evidenceOf } from '../../../policy/serverSpeed.js';
 import type { Attempt } from '../../../types/request.js';
 import { fleetSums } from '../serverSpeeds.js';
@@ -22,17 +23,6 @@
  */
 const LEAST_COVERAGE = 0.69;
 
-/** Returns a generator of numbers from 0 to 1 (mulberry32). */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 function trueSpeed(id: string): number {
   return Number(id.split('-')[1]) % 3 === 2 ? 1.7 : 0.7;
 }
