--- a/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/limitScene.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/limitScene.ts
@@ -12,9 +12,9 @@
 import { eventOfDatagram } from '../../../../daemon/datagramEvent.js';
 import type { Effect } from '../../../../types/effect.js';
 import type { PeerAddress, PeerDatagram } from '../../../../types/peer.js';
+import { WINDOW_MS } from './unitsInWindow.js';
 
 const TICK_MS = 50;
-export const WINDOW_MS = 8000;
 const RATE_PER_SECOND = 50_000;
 const BURST = 100_000;
 const SLACK = 140_000;
@@ -234,22 +234,6 @@
   return { admitted, refusedUnits, lastRefusedAtMs, askedUnits };
 }
 
-/** Returns the maximum number of units in any window. */
-export function maxInWindow(admitted: readonly { atMs: number; units: number }[]): number {
-  let most = 0;
-  let sum = 0;
-  let first = 0;
-  for (const { atMs, units } of admitted) {
-    sum += units;
-    while ((admitted[first]?.atMs ?? atMs) <= atMs - WINDOW_MS) {
-      sum -= admitted[first]?.units ?? 0;
-      first += 1;
-    }
-    most = Math.max(most, sum);
-  }
-  return most;
-}
-
 /** Returns the users' bound for the rate times a factor. */
 export function boundOf(factor = 1): number {
   return ((RATE_PER_SECOND * WINDOW_MS) / 1000 + BURST) * factor * (1 + OVER_SHARE) + SLACK;
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/reservingFleet.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/reservingFleet.ts
@@ -14,9 +14,9 @@
 import { decodeDatagram, encodeDatagram } from '../../../../daemon/peerWire.js';
 import type { Effect } from '../../../../types/effect.js';
 import type { PeerAddress } from '../../../../types/peer.js';
+import { WINDOW_MS } from './unitsInWindow.js';
 
 const TICK_MS = 50;
-const WINDOW_MS = 8000;
 const RATE_PER_SECOND = 50_000;
 const BURST = 50_000;
 const SLACK = 140_000;
@@ -254,26 +254,6 @@
   return run;
 }
 
-/** Returns the maximum number of units in any window that begins at a time or later. */
-export function maxUnitsInWindow(
-  admitted: readonly { atMs: number; units: number }[],
-  fromMs = 0,
-): number {
-  const list = admitted.filter(({ atMs }) => atMs >= fromMs);
-  let most = 0;
-  let sum = 0;
-  let first = 0;
-  for (const { atMs, units } of list) {
-    sum += units;
-    while ((list[first]?.atMs ?? atMs) <= atMs - WINDOW_MS) {
-      sum -= list[first]?.units ?? 0;
-      first += 1;
-    }
-    most = Math.max(most, sum);
-  }
-  return most;
-}
-
 /** Returns the users' bound on the units of a window, for the limit times a factor. */
 export function unitsAllowed(factor = 1): number {
   const limit = (RATE_PER_SECOND * WINDOW_MS) / 1000 + BURST;
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/limitsAcrossBoxes.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/limitsAcrossBoxes.test.ts
@@ -6,13 +6,12 @@
 import fc from 'fast-check';
 import {
   boundOf,
-  maxInWindow,
   simulate,
   steadyDemand,
-  WINDOW_MS,
   type Fault,
   type Scene,
 } from './__fixtures__/limitScene.js';
+import { maxUnitsInWindow as maxInWindow, WINDOW_MS } from './__fixtures__/unitsInWindow.js';
 
 const faultArbitrary: fc.Arbitrary<Fault> = fc.oneof(
   fc.record({
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/limitsAfterLosses.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/limitsAfterLosses.test.ts
@@ -1,12 +1,7 @@
 /** Tests that the loss of boxes neither renews a limit nor refuses a workspace within it for long. */
 import { expect } from 'chai';
-import {
-  boundOf,
-  maxInWindow,
-  simulate,
-  steadyDemand,
-  type Fault,
-} from './__fixtures__/limitScene.js';
+import { boundOf, simulate, steadyDemand, type Fault } from './__fixtures__/limitScene.js';
+import { maxUnitsInWindow as maxInWindow } from './__fixtures__/unitsInWindow.js';
 
 test('a workspace that uses up its limit right before a loss of all boxes does not get it twice', () => {
   // A fifth of the rate until 5 s, then five times the rate; all boxes are down from 7.5 to 8.5 s.
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/unitReservations.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/unitReservations.test.ts
@@ -9,11 +9,11 @@
   settings,
 } from '../../../__tests__/__fixtures__/box.js';
 import {
-  maxUnitsInWindow,
   playReservingScene,
   unitsAllowed,
   type ReservingScene,
 } from './__fixtures__/reservingFleet.js';
+import { maxUnitsInWindow } from './__fixtures__/unitsInWindow.js';
 
 const BASE: ReservingScene = {
   boxes: 6,
