--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -1,9 +1,9 @@
 /**
  * Chooses the backend server with the lowest expected time to the first event.
  *
- * The estimate comes from the service's fitted model, the work in progress at the server,
- * the prompt parts that its cache lacks, and the server's speed if speeds are learned. A server that was slow recently gets a longer
- * estimate, and distance and recent failures add small costs.
+ * The estimate comes from the service's fitted model, the work in progress at the server, the
+ * prompt parts that its cache lacks, and the server's speed if speeds are learned. A server that
+ * was slow recently gets a longer estimate, and distance and recent failures add small costs.
  * Servers do not report the contents of their caches, so the server that ranks first for
  * the prompt's last shared part is assumed to hold the shared parts. All boxes compute the
  * same ranking and therefore agree.
@@ -151,9 +151,8 @@
       ? placementBasis(state, { service, model, facts, targetMs, nowMs })
       : undefined;
   if (basis !== undefined) {
-    return chooseBySize(state, {
-      ...{ basis, candidates, limited, probeTarget, facts, peers, evaluate, nowMs },
-    });
+    const shared = { candidates, limited, probeTarget, facts, peers, evaluate, nowMs };
+    return chooseBySize(state, { basis, ...shared });
   }
   const preferred = preferredServer(candidates, limited, facts);
   let best: Choice | undefined;
--- a/packages/reedlug-gateway/src/policy/decideSend.ts
+++ b/packages/reedlug-gateway/src/policy/decideSend.ts
@@ -61,9 +61,9 @@
 
 /**
  * Returns whether a request of a workspace over its share may be refused below half of the slots,
- * while others are under their shares. Heavy prompts of a flood would otherwise queue for seconds in
- * half of the slots, before all others. A request that is late for its own size needs a long queue
- * before it to be refused.
+ * while others are under their shares. Heavy prompts of a flood would otherwise queue for seconds
+ * in half of the slots, before all others. A request that is late for its own size needs a long
+ * queue before it to be refused.
  */
 function isQueuedFlood({ standing, expectedMs, targetMs, idleMs = 0 }: SendContext): boolean {
   if (standing?.kind !== 'over' || !standing.leavesRoom) return false;
@@ -79,7 +79,7 @@
     case 'even':
       return usualMs;
     case 'under':
-      // It is rather late than refused while workspaces over their shares are served.
+      // Accepted late rather than refused while workspaces over their shares are served.
       return Math.max(usualMs, leftMs * RETRY_TIME_SHARE);
     case 'over': {
       const { queueShare } = standing;
--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -58,7 +58,8 @@
   slots: number;
   /**
    * Mean speed of the engines present, where 1 is the speed that the model describes: capacity is
-   * counted in engines of that speed, so the loss of fast engines weighs more than that of slow ones.
+   * counted in engines of that speed, so the loss of fast engines weighs more than that of slow
+   * ones.
    */
   meanSpeed?: number;
   /** Number of zones that engines are spread over. */
--- a/packages/reedlug-gateway/src/policy/fairShare.ts
+++ b/packages/reedlug-gateway/src/policy/fairShare.ts
@@ -2,9 +2,9 @@
  * Max-min fair shares of a service's work, and what follows from them for single requests.
  *
  * Answers overload in which a few workspaces request far more than the others: refusals that depend
- * on the expected wait alone then affect all workspaces alike. The work that was admitted in the last
- * seconds is taken as the capacity while the service is short of it, so no estimate is needed. All
- * boxes compute the same shares from the same sums.
+ * on the expected wait alone then affect all workspaces alike. The work that was admitted in the
+ * last seconds is taken as the capacity while the service is short of it, so no estimate is needed.
+ * All boxes compute the same shares from the same sums.
  */
 
 /** Work of one workspace at one service in the last seconds, in prompt tokens. */
@@ -36,20 +36,23 @@
 }
 
 /**
- * Share of the requested work that was refused, up to which nothing counts as shortage. Some tens of
- * ms of refused work reach it, and a flood that has ended is below it again within some seconds.
+ * Share of the requested work that was refused, up to which nothing counts as shortage. Some tens
+ * of ms of refused work reach it, and a flood that has ended is below it again within some seconds.
  */
 const MIN_REFUSED_SHARE = 0.01;
 /**
- * Refused share of the work at which workspaces over their shares leave as much room as they ever do:
- * a flood of half of a service's capacity refuses as much within 200 ms.
+ * Refused share of the work at which workspaces over their shares leave the most room. A flood has
+ * to reach it before the queues are as long as the targets of the other callers.
  */
 const FULL_EFFECT_REFUSED_SHARE = 0.04;
-/** Part of the work requested by workspaces under their shares that needs the whole of that room. */
+/**
+ * Part of the work requested by workspaces under their shares that needs the whole of that room.
+ */
 const FULL_EFFECT_UNDER_SHARE = 0.1;
 /**
  * Share of the usual queue that workspaces over their shares leave to the others. Half of a target
- * covers the deviations of expected waits from real ones, and engines keep enough prompts to work on.
+ * covers the deviations of expected waits from real ones, and engines keep enough prompts to work
+ * on.
  */
 const ROOM_SHARE = 0.5;
 /** Decrease of the accepted queue for each unit by which the use exceeds the share. */
--- a/packages/reedlug-gateway/src/policy/limitShareBound.ts
+++ b/packages/reedlug-gateway/src/policy/limitShareBound.ts
@@ -7,8 +7,9 @@
  * share over the window. The next incarnation starts with the burst counted as sent, so that
  * both incarnations together stay within burst and sustained rate over any span.
  *
- * With a reserve, a third part of the share is never used in normal operation. The next incarnation
- * may use it at once, so that callers are served while the burst of its predecessor still counts.
+ * With a reserve, the share has one more part, which is never used in normal operation. The next
+ * incarnation may use it at once, so that callers are served while the burst of its predecessor
+ * still counts.
  */
 import type { WindowBound } from './unitWindow.js';
 
@@ -21,13 +22,14 @@
 
 /**
  * Split without a reserve. A larger sustained rate serves callers sooner after a loss, a smaller
- * one allows larger bursts. With one half, callers that use 0.55 of a limit continue at once
+ * one allows larger bursts. With one half, callers that use about half of a limit continue at once
  * after the loss of all boxes, and an idle workspace may send half of its window at once.
  */
 const SPLIT: ShareSplit = { burst: 0.5, sustained: 0.5, reserve: 0 };
 /**
- * Split with a reserve. Burst and reserve together are no more than the burst of the other split, and
- * the sustained rate is the same, so an incarnation with a reserve may be followed by one without.
+ * Split with a reserve. Burst and reserve together are no more than the burst of the other split,
+ * and the sustained rate is the same, so an incarnation with a reserve may be followed by one
+ * without.
  */
 const SPLIT_WITH_RESERVE: ShareSplit = { burst: 0.4, sustained: 0.5, reserve: 0.1 };
 
@@ -50,7 +52,10 @@
   return { burst: units * burst, perMs: (units * sustained) / lengthMs, sinceMs };
 }
 
-/** Returns the units of a share that an incarnation may use while the burst of its predecessor still counts. */
+/**
+ * Returns the units of a share that an incarnation may use while the burst of its predecessor still
+ * counts.
+ */
 export function reservedUnits(units: number, hasReserve: boolean): number {
   return units * splitOf(hasReserve).reserve;
 }
--- a/packages/reedlug-gateway/src/policy/placeBySize.ts
+++ b/packages/reedlug-gateway/src/policy/placeBySize.ts
@@ -6,18 +6,18 @@
  * without regard to this occupy the slots of just these engines.
  *
  * - A request that only some servers start in time is compared among these only.
- * - The preferred server of a shared prompt part is the highest ranked one that starts the request in
- *   time. Ranks are weighted by speed, so that fast servers hold more shared parts.
- * - Other requests are charged for the fast servers (`sizeDemand.ts`), while a server without a charge
- *   starts them well within their target.
+ * - The preferred server of a shared prompt part is the highest ranked one that starts the request
+ *   in time. Ranks are weighted by speed, so that fast servers hold more shared parts.
+ * - Other requests are charged for the fast servers (`sizeDemand.ts`), while a server without a
+ *   charge starts them well within their target.
  */
 import type { ServerView } from '../types/views.js';
 import { highestWeighted } from './highestWeighted.js';
 import { NO_RESERVED_ROOM, type ReservedRoom } from './sizeDemand.js';
 
 /**
- * Share of the target within which an idle server must start a request to count as capable of it. The
- * rest covers the error of the model and the requests that run alongside.
+ * Share of the target within which an idle server must start a request to count as capable of it.
+ * The rest covers the error of the model and the requests that run alongside.
  */
 const CAPABLE_TARGET_SHARE = 0.8;
 /**
@@ -26,8 +26,8 @@
  */
 const NEAR_FASTEST_SHARE = 0.85;
 /**
- * Share of the target within which a server starts a request that leaves room elsewhere: the request
- * keeps the other half for what the loads do not show.
+ * Share of the target within which a server starts a request that leaves room elsewhere: the
+ * request keeps the other half for what the loads do not show.
  */
 const WELL_WITHIN_SHARE = 0.5;
 /** Number of ranked servers among which the preferred one of a shared part is sought. */
@@ -37,9 +37,9 @@
 /** Maximum number of candidates that are all compared. */
 const MAX_COMPARED_SERVERS = 12;
 /**
- * Maximum number of servers that are evaluated in search of one that starts a request in time, once no
- * sampled one does. It covers the capable servers of a fleet of some 200, and takes some ten
- * microseconds. In larger fleets, 64 busy servers mean that nearly all are busy.
+ * Maximum number of servers that are evaluated in search of one that starts a request in time, once
+ * no sampled one does. It covers the capable servers of a fleet of some 200, and bounds the time of
+ * a choice. In larger fleets, 64 busy servers mean that nearly all are busy.
  */
 const MAX_SCANNED_SERVERS = 64;
 /** Maximum number of servers whose speed is read in that search. */
@@ -59,8 +59,8 @@
 }
 
 /**
- * Returns what a request needs, or undefined if placement by size does not apply: all servers have the
- * same speed, or not even the fastest one meets the target.
+ * Returns what a request needs, or undefined if placement by size does not apply: all servers have
+ * the same speed, or not even the fastest one meets the target.
  */
 export function sizeNeed(params: {
   /** Expected time to the first event on an idle server of speed 1, without cached prompt parts. */
@@ -159,7 +159,7 @@
   const evaluated = compared.size + scanned;
   if (found !== undefined) return toPlacement(found, PlacementOutcome.searched, evaluated);
   // No server is known to start the request in time, so that any of them may be the best.
-  for (const view of inOwnOrder(candidates, requestHash, SAMPLED_SERVERS)) compare(view);
+  for (const view of inPseudoRandomOrder(candidates, requestHash, SAMPLED_SERVERS)) compare(view);
   const best = lowestCost([...compared.values()]);
   return best && toPlacement(best, PlacementOutcome.late, evaluated);
 }
@@ -175,8 +175,8 @@
 
 /**
  * Compares the servers that rank highest for the shared part, up to the first one that starts the
- * request in time. Only the first rank is assumed to hold the part: it moves on only while that
- * server is busy, and other boxes may see another load.
+ * request in time. Only the first is assumed to hold the part: the others get requests only while
+ * it is busy, and other boxes may see another load.
  */
 function comparePreferred<E extends ServerEvaluation>(
   context: PlacementContext<E>,
@@ -212,9 +212,9 @@
 }
 
 /**
- * Searches the capable servers for one that starts the request in time. The first one found is taken,
- * in an order of the request's own: boxes that see the same outdated loads would otherwise all
- * take the one with the lowest load.
+ * Searches the capable servers for one that starts the request in time. The first one found is
+ * taken, in an order of the request's own: boxes that see the same outdated loads would otherwise
+ * all take the one with the lowest load.
  */
 function searchInTime<E extends ServerEvaluation>(
   context: PlacementContext<E>,
@@ -223,7 +223,7 @@
 ): { found: E | undefined; scanned: number } {
   const { candidates, need, requestHash, evaluate } = context;
   let scanned = 0;
-  for (const view of inOwnOrder(candidates, requestHash, MAX_VISITED_SERVERS)) {
+  for (const view of inPseudoRandomOrder(candidates, requestHash, MAX_VISITED_SERVERS)) {
     if (compared.has(view) || !isCapable(view)) continue;
     scanned += 1;
     const evaluation = evaluate(view, false);
@@ -234,10 +234,11 @@
 }
 
 /**
- * Returns up to `count` servers in a pseudo-random order of a request: every server once, in steps
- * whose length has no common factor with the number of servers. Ranking them would take a pass over all.
+ * Returns up to `count` servers in a pseudo-random order that depends on the request. Each comes
+ * once, since the step length has no common factor with the number of servers. Ranking them
+ * would take a pass over all.
  */
-function* inOwnOrder(
+function* inPseudoRandomOrder(
   servers: readonly ServerView[],
   requestHash: number,
   count: number,
@@ -253,8 +254,8 @@
   }
 }
 
-function greatestCommonDivisor(one: number, other: number): number {
-  return other === 0 ? one : greatestCommonDivisor(other, one % other);
+function greatestCommonDivisor(a: number, b: number): number {
+  return b === 0 ? a : greatestCommonDivisor(b, a % b);
 }
 
 function lowestCost<E extends ServerEvaluation>(evaluations: readonly E[]): E | undefined {
@@ -266,8 +267,9 @@
 }
 
 /**
- * Returns the best server when those that large requests need are charged for; undefined if the request
- * needs them itself, or if no other server starts it well within its target.
+ * Returns the best of the servers that large requests do not need, if it starts the request well
+ * within its target and costs at most the charge more than the best of the others. Returns
+ * undefined otherwise, and for a request that needs a fast server itself.
  */
 function lowestCharged<E extends ServerEvaluation>(
   { need, room = NO_RESERVED_ROOM, speedOf }: PlacementContext<E>,
--- a/packages/reedlug-gateway/src/policy/retrySchedule.ts
+++ b/packages/reedlug-gateway/src/policy/retrySchedule.ts
@@ -1,8 +1,9 @@
 /**
  * Schedule of the times that refused callers are told, one after the other.
  *
- * Callers that are refused together would otherwise return together. Each gets a time that no caller
- * of the same or higher urgency was given; more urgent callers are placed before less urgent ones.
+ * Callers that are refused together would otherwise return together. Each gets a time that no
+ * caller of the same or higher urgency was given; more urgent callers are placed before less urgent
+ * ones.
  */
 
 /** Latest time given so far, by urgency. */
--- a/packages/reedlug-gateway/src/policy/serverHealth.ts
+++ b/packages/reedlug-gateway/src/policy/serverHealth.ts
@@ -14,7 +14,7 @@
 
 /** Returns the current failure score. */
 export function failureScore(view: ServerView, nowMs: number): number {
-  // Spares the power for most servers of a large fleet: a quarter of the time of a choice.
+  // Avoids the exponentiation: most of the thousands of servers in a choice have no failures.
   if (view.failureScore === 0) return 0;
   return view.failureScore * decayFactor(nowMs - view.failureAtMs, FAILURE_HALF_LIFE_MS);
 }
--- a/packages/reedlug-gateway/src/policy/serverSpeed.ts
+++ b/packages/reedlug-gateway/src/policy/serverSpeed.ts
@@ -2,14 +2,14 @@
  * Speeds of the servers of a service, from the times to the first event that the service's model
  * expected and that were observed.
  *
- * It answers a load whose largest prompts reach their target only at some of the servers: at the
- * mean speed a prompt of 55,000 tokens takes 830 of 1,000 ms. A single send says little, because
- * load figures are some tenths of a second old and engines have slow phases of a few hundred ms.
- * So times are summed over all boxes, and a ratio of sums gives long prompts their weight: short
- * ones take some 30 ms, mostly in the network.
+ * It answers a load whose largest prompts meet their target only at some of the servers, because
+ * they take most of it at the mean speed. A single send says little: load figures are some tenths
+ * of a second old, and engines have slow phases of a few hundred ms. So times are summed over all
+ * boxes. A ratio of sums gives long prompts more weight; the times of short ones are mostly those
+ * of the network.
  *
- * The noise is measured instead of assumed. Sends of even and odd blocks of time are summed apart.
- * A speed shows in both halves alike, and whatever differs between the halves of one server is
+ * The noise is estimated from the sends. Those of even and odd blocks of time are summed apart. A
+ * speed shows in both halves alike, and whatever differs between the halves of one server is
  * noise, including slow phases, which are shorter than a block.
  */
 import type { SpeedSums } from '../types/serverSpeed.js';
@@ -20,14 +20,25 @@
  * 45 sends, and most of a lasting change is followed within 10 s.
  */
 export const SPEED_HALF_LIFE_MS = 8000;
-/** Length of a block, in ms: several times a slow phase, and short enough for both halves to fill within seconds. */
+/**
+ * Length of a block, in ms: several times a slow phase, and short enough for both halves to fill
+ * within seconds.
+ */
 const BLOCK_MS = 2000;
-/** Maximum observed time of one send, as a multiple of the expected one, as in the model: one stalled send must not look like a speed. */
+/**
+ * Maximum observed time of one send, as a multiple of the expected one, as in the model: one
+ * stalled send must not look like a speed.
+ */
 const MAX_WAIT_RATIO = 4;
-/** Minimum expected time that the multiple applies to, in ms: below it, network and timers dominate. */
+/**
+ * Minimum expected time that the multiple applies to, in ms: below it, network and timers dominate.
+ */
 const MIN_EXPECTED_MS = 20;
 
-/** Bounds of a speed: beyond them, a server is rather faulty than slow, and failures and momentary slowness decide. */
+/**
+ * Bounds of a speed: beyond them, a server is faulty rather than slow, and its failures and recent
+ * slowness decide.
+ */
 const MIN_SPEED = 0.25;
 const MAX_SPEED = 4;
 
@@ -35,7 +46,9 @@
 interface DifferenceRule {
   /** Deviation of one server from the mean, as a logarithm. */
   deviation: number;
-  /** Standard errors of that deviation beyond the largest one that chance gives among the servers. */
+  /**
+   * Standard errors of that deviation beyond the largest one that chance gives among the servers.
+   */
   extraErrors: number;
   /** Standard deviation of all servers' speeds, as a logarithm and without noise. */
   spread: number;
@@ -44,9 +57,9 @@
 }
 
 /**
- * Differences from which speeds are used. Callers give the first event about 1.2 times the time
- * that the longest prompts take at the mean speed, so one server that deviates by less than 25 %, or
- * all that mostly deviate by less than 15 %, hardly change who is in time. A service of equal
+ * Differences from which speeds are used. Targets are about 1.2 times the time that the longest
+ * prompts take at the mean speed. So one server that deviates by less than 25 %, or all servers if
+ * most deviate by less than 15 %, hardly change which requests are in time. A service of equal
  * servers is evaluated 86,400 times a day and must not change its placement, so chance has to be
  * excluded by 5 standard errors.
  */
@@ -56,7 +69,10 @@
   spread: 0.15,
   varianceErrors: 5,
 };
-/** Differences down to which they stay in use: about half of the above, so that they do not come and go. */
+/**
+ * Differences down to which they stay in use: about half of the above, so that they do not come and
+ * go.
+ */
 const KEEP_RULE: DifferenceRule = {
   deviation: Math.log(1.12),
   extraErrors: 1.5,
@@ -69,13 +85,19 @@
  * below which the logarithm of their ratio is far from normal.
  */
 const MIN_HALF_MS = 150;
-/** Variance of a ratio's logarithm times its expected time, in ms, before it is measured: prompts of 400 ms whose times vary by 0.6. */
+/**
+ * Prior for the noise, which is the variance of a ratio's logarithm times its expected time, in ms:
+ * prompts of 400 ms whose times have a relative standard deviation of 0.6.
+ */
 const PRIOR_NOISE_MS = 150;
-/** Least deviation of either half, as a share of that of the whole. */
-const HALF_SHARE = 0.6;
 /** Weight of that prior, as a number of servers: three servers alone may agree by chance. */
 const PRIOR_NOISE_SERVERS = 6;
-/** Assumed variance of the logarithm of speeds: most are within a factor of 1.5. Less evidence than it outweighs is shrunk towards 1. */
+/** Minimum deviation of either half of a server's sums, as a share of that of the whole. */
+const HALF_SHARE = 0.6;
+/**
+ * Prior variance of the logarithm of speeds: most are within a factor of 1.5. The less evidence
+ * there is for a speed, the closer it is moved to 1.
+ */
 const SPEED_VARIANCE = 0.16;
 
 /** Speeds of the servers of a service. */
@@ -143,7 +165,9 @@
   return evenExpectedMs + oddExpectedMs;
 }
 
-/** Logarithms of a server's ratios of observed to expected time, relative to those of its service. */
+/**
+ * Logarithms of a server's ratios of observed to expected time, relative to those of its service.
+ */
 interface Ratios {
   id: string;
   evidenceMs: number;
@@ -157,8 +181,8 @@
 
 /**
  * Estimates the speeds of the servers of a service. They are used once one server deviates from the
- * mean, or all together differ, by more than callers notice and more than chance explains, and until
- * that is over. A server counts the more towards its own speed the longer its sends were.
+ * mean, or all together differ, by more than callers notice and more than chance explains, and
+ * until that is over. A server counts the more towards its own speed the longer its sends were.
  */
 export function estimateSpeeds(
   sumsByServer: ReadonlyMap<string, SpeedSums>,
@@ -166,21 +190,22 @@
 ): SpeedEstimate {
   const ratios = ratiosOf(sumsByServer);
   const evidenceMs = ratios.reduce((sum, ratio) => sum + ratio.evidenceMs, 0);
-  const noiseMs = noiseOf(ratios);
-  const noise = Math.sqrt(noiseMs / 1000);
-  if (!differBeyondNoise(ratios, noiseMs, wasInUse ? KEEP_RULE : START_RULE)) {
+  const noiseVarianceMs = noiseOf(ratios);
+  const noise = Math.sqrt(noiseVarianceMs / 1000);
+  if (!differBeyondNoise(ratios, noiseVarianceMs, wasInUse ? KEEP_RULE : START_RULE)) {
     return { inUse: false, speeds: new Map(), evidenceMs, noise };
   }
-  const priorMs = noiseMs / SPEED_VARIANCE;
+  const priorMs = noiseVarianceMs / SPEED_VARIANCE;
   const speeds = ratios.map(({ id, evidenceMs: ownMs, whole }) => {
     const speed = Math.exp((-whole * ownMs) / (ownMs + priorMs));
     return { id, ownMs, speed };
   });
   // Expected times at these speeds add up to those of the model, which is fitted over all servers.
-  const slowed = speeds.reduce((sum, { ownMs, speed }) => sum + ownMs / speed, 0) / evidenceMs;
+  const normalization =
+    speeds.reduce((sum, { ownMs, speed }) => sum + ownMs / speed, 0) / evidenceMs;
   const bounded = speeds.map(({ id, speed }): [string, number] => [
     id,
-    Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed * slowed)),
+    Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed * normalization)),
   ]);
   return { inUse: true, speeds: new Map(bounded), evidenceMs, noise };
 }
@@ -217,7 +242,10 @@
   return Math.log(Math.min(1 / MIN_SPEED, Math.max(1 / MAX_SPEED, observedMs / expectedMs)));
 }
 
-/** Returns the variance of a ratio's logarithm times its expected time, in ms, by the differences between halves. */
+/**
+ * Returns the variance of a ratio's logarithm times its expected time, in ms, by the differences
+ * between halves.
+ */
 function noiseOf(ratios: readonly Ratios[]): number {
   let weighted = PRIOR_NOISE_SERVERS * PRIOR_NOISE_MS;
   let servers = PRIOR_NOISE_SERVERS;
@@ -232,7 +260,7 @@
 /** Returns whether one server differs from the mean beyond noise, or all of them together do. */
 function differBeyondNoise(
   ratios: readonly Ratios[],
-  noiseMs: number,
+  noiseVarianceMs: number,
   rule: DifferenceRule,
 ): boolean {
   if (ratios.length < 2) return false;
@@ -242,10 +270,10 @@
     // One stalled long prompt shows in one half only.
     const lesser = even * odd > 0 ? Math.min(Math.abs(even), Math.abs(odd)) : 0;
     const isInBothHalves = lesser > HALF_SHARE * Math.abs(whole);
-    const standardError = Math.sqrt(noiseMs / evidenceMs);
+    const standardError = Math.sqrt(noiseVarianceMs / evidenceMs);
     return isInBothHalves && Math.abs(whole) > Math.max(rule.deviation, errors * standardError);
   });
-  return isOneDifferent || isVarianceBeyondNoise(ratios, noiseMs, rule);
+  return isOneDifferent || isVarianceBeyondNoise(ratios, noiseVarianceMs, rule);
 }
 
 /**
@@ -254,7 +282,7 @@
  */
 function isVarianceBeyondNoise(
   ratios: readonly Ratios[],
-  noiseMs: number,
+  noiseVarianceMs: number,
   { spread, varianceErrors }: DifferenceRule,
 ): boolean {
   const compared = ratios.filter(({ even }) => even !== undefined);
@@ -267,8 +295,8 @@
     0,
   );
   const freedom = compared.length - 1;
-  const quotient = squares / freedom / noiseMs;
-  const excess = (squares - freedom * noiseMs) / evidenceMs;
+  const quotient = squares / freedom / noiseVarianceMs;
+  const excess = (squares - freedom * noiseVarianceMs) / evidenceMs;
   const error = Math.sqrt(2 / freedom + 2 / (compared.length + PRIOR_NOISE_SERVERS));
   return excess > spread ** 2 && Math.log(quotient) > varianceErrors * error;
 }
--- a/packages/reedlug-gateway/src/policy/sizeDemand.ts
+++ b/packages/reedlug-gateway/src/policy/sizeDemand.ts
@@ -4,17 +4,20 @@
  *
  * Fast servers are a large part of the capacity of a service, so other requests must use them too.
  * The charge is a small part of a request's own target: it moves requests while the slower servers
- * start them nearly as early, and stops doing so as soon as these become busy. It grows with the share
- * of the fast servers' capacity that large requests need, and is 0 while there are none.
+ * start them nearly as early, and stops doing so as soon as these become busy. It grows with the
+ * share of the fast servers' capacity that large requests need, and is 0 while there are none.
  */
 import { decayFactor } from './decayFactor.js';
 
 /**
- * Half-life of the sums, in ms. A box gets a few requests a second, of which a tenth are large; a
- * shorter time would base the charge on one or two of them.
+ * Half-life of the sums, in ms. Large requests are rare at a single box; a shorter time would base
+ * the charge on one or two of them.
  */
 const HALF_LIFE_MS = 30_000;
-/** Charge as a share of the target of the charged request, when large requests need all fast servers. */
+/**
+ * Charge as a share of the target of the charged request, when large requests need all fast
+ * servers.
+ */
 const MAX_CHARGE_SHARE = 0.25;
 
 /** Decayed sums of the prompt tokens that a box received for a service. */
--- a/packages/reedlug-gateway/src/policy/unitPrecedence.ts
+++ b/packages/reedlug-gateway/src/policy/unitPrecedence.ts
@@ -1,7 +1,7 @@
 /**
  * Precedence of requests over the units of a limit that is nearly used up.
  *
- * Answers a workspace that asks for more than its limit, or whose units lie spread over many boxes.
+ * Answers a workspace that asks for more than its limit, or whose units are spread over many boxes.
  * First come, first served then serves the smallest requests only: a large one never finds enough
  * units at one moment. A refused request therefore reserves its units until its caller returns.
  * A reservation only withholds units from requests that it precedes and never adds any, so the
@@ -21,7 +21,10 @@
   untilMs: number;
 }
 
-/** What decides the precedence of a request: its urgency, then the time since which it has asked for its units. */
+/**
+ * What decides the precedence of a request: its urgency, then the time since which it has asked for
+ * its units.
+ */
 export interface UnitClaim {
   urgency: number;
   /** Time of the first refusal; without one, the arrival of the request. */
@@ -35,23 +38,31 @@
 const SAME_TIME_MS = 100;
 /**
  * Share of a limit's window that may be reserved. It holds several of the largest requests of a
- * workspace with a limit of 33,000 units a second, and leaves most of the units to requests that
- * are there, since the units of a caller that does not return are lost.
+ * busy workspace, and leaves most of the units to requests that are present: the units reserved
+ * for a caller that does not return are lost.
  */
 export const MAX_RESERVED_SHARE = 0.15;
 /**
- * Share of a box's spare units that may be withheld from a request. The other half lets small requests of
- * any urgency through while a large one accumulates its units. With three quarters withheld
- * instead of one half, a workspace at six times its usual got 0.703 instead of 0.723 of its worth.
+ * Share of a box's spare units that may be withheld from a request. The rest lets small requests
+ * of any urgency through while a large one accumulates its units.
  */
 const MAX_WITHHELD_SHARE = 0.5;
-/** Time for which a reservation outlasts the time at which its caller returns, in ms: the way there and back between zones and a wait for a connection. */
+/**
+ * Time for which a reservation outlasts the time at which its caller returns, in ms: the way there
+ * and back between zones and a wait for a connection.
+ */
 const RETURN_MARGIN_MS = 300;
-/** How much sooner than told a caller may return, in ms: its clock and the box's differ by rounding only. */
+/**
+ * How much sooner than told a caller may return, in ms: its clock and the box's differ by rounding
+ * only.
+ */
 const EARLY_RETURN_MS = 20;
 /** Share of their remaining time up to which callers wait for a Retry-After. */
 const MAX_WAIT_SHARE = 1 / 3;
-/** Share by which the units of a returning request may differ from those reserved, as resumed streams have other prompts. */
+/**
+ * Share by which the units of a returning request may differ from those reserved, as resumed
+ * streams have other prompts.
+ */
 const SIMILAR_UNITS_SHARE = 0.02;
 
 /** Returns whether a reservation precedes a request: by urgency, and among equals by time. */
@@ -77,7 +88,7 @@
   return sum;
 }
 
-/** Returns the units of its spare ones that one box withholds for its part of the reserved ones. */
+/** Returns how many of its spare units a box withholds for its part of the reserved units. */
 export function withheldUnits(params: {
   reservedUnits: number;
   divisor: number;
@@ -88,8 +99,8 @@
 }
 
 /**
- * Returns a reservation for a refused request; undefined if its caller will not return in time, or if too
- * much of the limit is reserved already.
+ * Returns a reservation for a refused request; undefined if its caller will not return in time, or
+ * if too much of the limit is reserved already.
  */
 export function createReservation(params: {
   workspace: string;
@@ -117,7 +128,10 @@
   };
 }
 
-/** Returns the earliest reservation that fits a returning request; those not due yet are left out if `isDue` is set. */
+/**
+ * Returns the earliest reservation that fits a returning request; those not due yet are left out if
+ * `isDue` is set.
+ */
 export function findReservation(
   reservations: readonly UnitReservation[],
   params: { workspace: string; urgency: number; units: number; nowMs: number; isDue: boolean },
--- a/packages/reedlug-gateway/src/slices/limits/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/limits/quotas.ts
@@ -211,7 +211,10 @@
   }
 }
 
-/** Returns the units that an earlier incarnation may have sent at once, less the reserve if this one may use it. */
+/**
+ * Returns the units that an earlier incarnation may have sent at once, less the reserve if this one
+ * may use it.
+ */
 function priorBurstOf(state: GatewayState, units: number): number {
   const { restartReserve: hasReserve } = state.settings.load;
   const lengthMs = chargeWindowMs(state);
--- a/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
+++ b/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
@@ -1,14 +1,15 @@
 /**
  * Reserve of this box's share of all limits, for the time after a restart.
  *
- * An incarnation charges the burst of its share as used by its predecessor, so after a loss of all boxes
- * no box has units to send or to lend. With the reserve, a part of the share that no incarnation uses in
- * normal operation is available at once. It may be used once in a window over all incarnations of a box:
- * a row of the store per box holds the store's time of the last use. An incarnation reads the row, writes
- * its own time on condition that the row is unchanged, and uses the reserve only once the store has
- * confirmed the write. Without a row of the store's present era nothing is known of earlier uses, since
- * a restore of the store from a backup may have lost them; the incarnation then records the time at which
- * it found that out and leaves the reserve closed. All times compared are the store's.
+ * An incarnation charges the burst of its share as used by its predecessor, so after a loss of all
+ * boxes no box has units to send or to lend. With the reserve, a part of the share that no
+ * incarnation uses in normal operation is available at once. It may be used once in a window over
+ * all incarnations of a box: a row of the store per box holds the store's time of the last use. An
+ * incarnation reads the row, writes its own time on condition that the row is unchanged, and uses
+ * the reserve only once the store has confirmed the write. Without a row of the store's present era
+ * nothing is known of earlier uses, since a restore of the store from a backup may have lost them;
+ * the incarnation then records the time at which it found that out and leaves the reserve closed.
+ * All times compared are the store's.
  */
 import { describeRevision, type TableRow } from 'reedlug-coordination';
 import { log, requestTable, type GatewayState, type Step } from '../../state.js';
@@ -19,12 +20,18 @@
 import { chargeWindowMs } from './limitWindow.js';
 import { LOAN_MS, releaseReserve } from './quotas.js';
 
-/** Maximum number of reads of the row by an incarnation: with the write three calls, which are billed. */
+/**
+ * Maximum number of reads of the row by an incarnation: with the write three calls, which are
+ * billed.
+ */
 const MAX_READS = 2;
 /** Interval between them, in ms: a store that is busy or just started answers within a second. */
 const READ_RETRY_MS = 1000;
 
-/** Time after the start of a box within which requests wait for units, in ms: gossip reaches members of other groups through two hubs, each of which sends every 200 ms. */
+/**
+ * Time after the start of a box within which requests wait for units, in ms: gossip reaches members
+ * of other groups through two hubs, each of which sends every 200 ms.
+ */
 const FIRST_UNITS_MS = 1000;
 /** Share of a route's target for which they wait at most, and longest wait, in ms. */
 const WAIT_SHARE = 0.25;
@@ -44,15 +51,19 @@
   return `limit-reserve/${state.settings.box.id}`;
 }
 
-/** Returns the time after an opening before which the reserve is not opened again, in ms: units lent before a restart may be spent until LOAN_MS later. */
+/**
+ * Returns the time after an opening before which the reserve is not opened again, in ms: units lent
+ * before a restart may be spent until LOAN_MS later.
+ */
 function closedForMs(state: GatewayState): number {
   return chargeWindowMs(state) + 2 * LOAN_MS;
 }
 
 /**
- * Holds a request that finds too few units instead of refusing it, if this box has just started; it is
- * tried again with each tick. Within some tenths of a second after a loss of all boxes, this box opens
- * its own reserve and others announce what they lend. Returns false if the request is to be refused.
+ * Holds a request that finds too few units instead of refusing it, if this box has just started; it
+ * is tried again with each tick. Within some tenths of a second after a loss of all boxes, this box
+ * opens its own reserve and others announce what they lend. Returns false if the request is to be
+ * refused.
  */
 export function holdForFirstUnits(
   state: GatewayState,
@@ -60,8 +71,8 @@
   request: PendingRequest,
   { route, workspace, units }: RequestRecord,
 ): boolean {
-  const startedAgoMs = step.nowMs - state.startedAtMs;
-  if (!state.settings.load.restartReserve || startedAgoMs >= FIRST_UNITS_MS) return false;
+  const sinceStartMs = step.nowMs - state.startedAtMs;
+  if (!state.settings.load.restartReserve || sinceStartMs >= FIRST_UNITS_MS) return false;
   const { exchangeId, facts, arrivedAtMs } = request;
   const waitMs = Math.min(MAX_WAIT_MS, route.targetMs * WAIT_SHARE);
   if (step.nowMs - arrivedAtMs >= waitMs) return false;
@@ -80,7 +91,9 @@
   return true;
 }
 
-/** Reads the row after the start of this incarnation, a second time if the store has not answered. */
+/**
+ * Reads the row after the start of this incarnation, a second time if the store has not answered.
+ */
 export function restartReserveTick(state: GatewayState, step: Step): void {
   const { restartReserve: reserve } = state;
   if (!state.settings.load.restartReserve || reserve.phase !== 'unknown') return;
@@ -114,7 +127,7 @@
   const rows = rowsOf(answer);
   if (rows === undefined || storeTime === undefined) {
     if (reserve.reads < MAX_READS) reserve.phase = 'unknown';
-    else close(state, step, 'noAnswer');
+    else closeReserve(state, step, 'noAnswer');
     return;
   }
   const row = rows.find(({ key }) => key === reserveKey(state));
@@ -123,7 +136,7 @@
   const isTrusted = recorded?.era === era;
   const closedUntilMs = (recorded?.openedStoreMs ?? 0) + closedForMs(state);
   // The row already closes the reserve for this incarnation, and needs no write.
-  if (isTrusted && storeNowMs < closedUntilMs) return close(state, step, 'openedRecently');
+  if (isTrusted && storeNowMs < closedUntilMs) return closeReserve(state, step, 'openedRecently');
   const value: ReserveRow = { openedStoreMs: storeNowMs, era };
   const write = { key: reserveKey(state), expectVersion: row?.version ?? 0, value };
   const purpose = { kind: 'limitReserve', step: 'write', opens: isTrusted, era } as const;
@@ -145,17 +158,18 @@
   { answer, storeTime }: EventOf<'tableAnswered'>,
   { opens, era }: Extract<ReservePurpose, { step: 'write' }>,
 ): void {
-  if (answer.kind === 'unknown' || storeTime === undefined) return close(state, step, 'noAnswer');
-  if (answer.kind === 'refused') return close(state, step, answer.reason);
-  if (!opens) return close(state, step, 'noRecord');
+  if (answer.kind === 'unknown' || storeTime === undefined)
+    return closeReserve(state, step, 'noAnswer');
+  if (answer.kind === 'refused') return closeReserve(state, step, answer.reason);
+  if (!opens) return closeReserve(state, step, 'noRecord');
   // A restore between read and write may have lost an opening by another process under this id.
-  if (storeTime.era !== era) return close(state, step, 'restored');
+  if (storeTime.era !== era) return closeReserve(state, step, 'restored');
   state.restartReserve.phase = 'open';
   for (const quota of state.quotas.values()) releaseReserve(state, quota, step.nowMs);
   log(step, 'reserveOpened', { era, ageMs: Math.round(step.nowMs - state.startedAtMs) });
 }
 
-function close(state: GatewayState, step: Step, reason: string): void {
+function closeReserve(state: GatewayState, step: Step, reason: string): void {
   state.restartReserve.phase = 'closed';
   log(step, 'reserveClosed', { reason });
 }
--- a/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
@@ -52,11 +52,11 @@
   state.unitRequests.set(askId, { sentAtMs: step.nowMs, workspace, loans: new Set() });
   const { incarnation } = state;
   const request = { kind: 'unitsAsked' as const, boxId, incarnation, host, port, askId, hops: 0 };
-  const stated =
+  const claimFields =
     claim === undefined
       ? {}
       : { urgency: claim.urgency, heldForMs: Math.round(step.nowMs - claim.heldSinceMs) };
-  requestFromEach(step, lenders, { ...request, ...stated, workspace, units });
+  requestFromEach(step, lenders, { ...request, ...claimFields, workspace, units });
   return true;
 }
 
@@ -73,8 +73,8 @@
   { claim, nowMs }: { claim?: UnitClaim | undefined; nowMs: number },
 ): Lender[] {
   const lenders: Lender[] = [];
-  const isClaim = claim !== undefined && reservesUnits(state);
-  const reservedUnits = isClaim ? reservedBefore(state, workspace, claim, nowMs) : 0;
+  const countsReservations = claim !== undefined && reservesUnits(state);
+  const reservedUnits = countsReservations ? reservedBefore(state, workspace, claim, nowMs) : 0;
   for (const peer of countedPeers(state, nowMs)) {
     const announced = peer.message.room?.[workspace] ?? 0;
     const requested = peer.requestedUnits.get(workspace) ?? 0;
@@ -86,7 +86,9 @@
   return lenders.sort((a, b) => b.room - a.room).slice(0, MAX_LENDERS);
 }
 
-/** Returns the spare units of a workspace that other boxes announced, less those requested since. */
+/**
+ * Returns the spare units of a workspace that other boxes announced, less those requested since.
+ */
 export function announcedUnits(
   state: GatewayState,
   { name }: WorkspaceSpec,
@@ -182,8 +184,8 @@
 }
 
 /**
- * Records a loan so that it can be returned. Without reservations only the first loan for a request is
- * recorded; one made when the request arrives again through another hub cannot be returned.
+ * Records a loan so that it can be returned. Without reservations only the first loan for a request
+ * is recorded; one made when the request arrives again through another hub cannot be returned.
  */
 function recordLent(
   state: GatewayState,
@@ -218,21 +220,24 @@
   const { id: boxId } = state.settings.box;
   for (const { units, untilMs, askId, loanId, lender } of quota.loans) {
     if (untilMs < step.nowMs) continue;
-    const stated = reservesUnits(state) ? { loanId } : {};
+    const loanFields = reservesUnits(state) ? { loanId } : {};
     const message = {
       kind: 'unitsReturned' as const,
       boxId,
       incarnation,
       askId,
       units,
-      ...stated,
+      ...loanFields,
     };
     step.effects.push({ type: 'sendPeers', message, to: [lender] });
   }
   quota.loans = [];
 }
 
-/** Returns the record of a loan; older boxes do not state its number and return the first loan for a request. */
+/**
+ * Returns the record of a loan; older boxes do not state its number and return the first loan for a
+ * request.
+ */
 function findLent(
   state: GatewayState,
   message: UnitsReturnedMessage,
--- a/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
@@ -21,7 +21,7 @@
 import { countedPeers, isFreshPeer, type PeerWithMessage } from '../peers/fleet.js';
 import { borrowedUnits, chargeSend, limitUse, quotaOf, spareUnits } from './quotas.js';
 
-/** Maximum number of reservations in a message. With the share of a limit that may be reserved, more are rare. */
+/** Maximum number of reservations in a message; few limits leave room for more. */
 export const MAX_RESERVATION_ROWS = 64;
 
 /** Returns whether units are reserved at all. */
@@ -66,7 +66,10 @@
   return state.unitReservations.used.some((used) => isSameReservation(used, reservation));
 }
 
-/** Returns the reservations of the given peers and this box's own as a field of a message, the first in precedence at its start; no field while none are kept. */
+/**
+ * Returns the reservations of the given peers and this box's own as a field of a message, the first
+ * in precedence at its start; no field while none are kept.
+ */
 export function reservationGossip(
   state: GatewayState,
   nowMs: number,
@@ -103,7 +106,10 @@
   return unitsReservedBefore(knownReservations(state), { workspace, claim, nowMs });
 }
 
-/** Returns the units of its share that a box withholds from a request, for reservations and for its requests that wait. */
+/**
+ * Returns the units of its share that a box withholds from a request, for reservations and for its
+ * requests that wait.
+ */
 export function withheldFrom(
   state: GatewayState,
   workspace: WorkspaceSpec,
@@ -113,8 +119,8 @@
   const reservedUnits = reservedBefore(state, workspace.name, claim, nowMs);
   if (reservedUnits + waiting === 0) return 0;
   const spareOfShare = spareUnits(state, workspace, nowMs);
-  const ofReserved = reservedUnits / state.part.divisor;
-  return withheldUnits({ reservedUnits: ofReserved + waiting, divisor: 1, spare: spareOfShare });
+  const reservedPart = reservedUnits / state.part.divisor;
+  return withheldUnits({ reservedUnits: reservedPart + waiting, divisor: 1, spare: spareOfShare });
 }
 
 /** Returns the units of this box's requests that wait for units and precede a request. */
@@ -135,7 +141,10 @@
   return units;
 }
 
-/** Returns the units that this box may spend on a request that arrives now; requests that wait for units precede it. */
+/**
+ * Returns the units that this box may spend on a request that arrives now; requests that wait for
+ * units precede it.
+ */
 export function unitsForArrival(
   state: GatewayState,
   workspace: WorkspaceSpec,
@@ -143,10 +152,13 @@
   nowMs: number,
 ): number {
   const waiting = waitingBefore(state, workspace, claimOf(record), { except: record });
-  return unitsBeside(state, workspace, record, { waiting, nowMs });
+  return unitsAvailableFor(state, workspace, record, { waiting, nowMs });
 }
 
-/** Returns the units that this box may spend on a request that waits for units; only more urgent ones that wait precede it. */
+/**
+ * Returns the units that this box may spend on a request that waits for units; only more urgent
+ * ones that wait precede it.
+ */
 export function unitsForWaiting(
   state: GatewayState,
   workspace: WorkspaceSpec,
@@ -155,11 +167,14 @@
 ): number {
   const params = { except: record, onlyMoreUrgent: true };
   const waiting = waitingBefore(state, workspace, claimOf(record), params);
-  return unitsBeside(state, workspace, record, { waiting, nowMs });
+  return unitsAvailableFor(state, workspace, record, { waiting, nowMs });
 }
 
-/** Returns the units for a request beside those reserved before it and those for requests that wait; borrowed units are for the latter. */
-function unitsBeside(
+/**
+ * Returns the units left for a request after those reserved before it and those for `waiting` units
+ * of other requests, for which borrowed units are used first.
+ */
+function unitsAvailableFor(
   state: GatewayState,
   workspace: WorkspaceSpec,
   record: RequestRecord,
@@ -167,10 +182,10 @@
 ): number {
   const borrowed = borrowedUnits(quotaOf(state, workspace, nowMs), nowMs);
   const claim = claimOf(record);
-  const ofShare = spareUnits(state, workspace, nowMs);
+  const spareOfOwnShare = spareUnits(state, workspace, nowMs);
   const unmet = Math.max(0, waiting - borrowed);
   const withheld = withheldFrom(state, workspace, claim, { waiting: unmet, nowMs });
-  return ofShare - withheld + Math.max(0, borrowed - waiting);
+  return spareOfOwnShare - withheld + Math.max(0, borrowed - waiting);
 }
 
 /** Returns the units of its share that a box may lend to a request of another box. */
@@ -186,7 +201,10 @@
   return Math.max(0, spare - withheldFrom(state, workspace, claim, { waiting, nowMs }));
 }
 
-/** Charges the first send of a request, unless its units are withheld for others. Returns false and charges nothing if there are too few units. */
+/**
+ * Charges the first send of a request, unless its units are withheld for others. Returns false and
+ * charges nothing if there are too few units.
+ */
 export function chargeFirstSend(
   state: GatewayState,
   step: Step,
@@ -201,7 +219,9 @@
   return chargeSend(state, record, workspace, step.nowMs);
 }
 
-/** Takes the reservation of a returning request, which keeps the precedence of its first refusal. */
+/**
+ * Takes the reservation of a returning request, which keeps the precedence of its first refusal.
+ */
 function useReservation(
   state: GatewayState,
   step: Step,
@@ -227,14 +247,17 @@
   });
 }
 
-/** Returns whether a request may be the second try of a refused one: its caller has less time than the route grants. */
+/**
+ * Returns whether a request may be the second try of a refused one: its caller has less time than
+ * the route grants.
+ */
 function mayHaveReturned({ facts, route }: RequestRecord): boolean {
   return facts.deadlineMs !== undefined && facts.deadlineMs < route.timeoutMs;
 }
 
 /**
- * Reserves the units of a refused request until its caller returns, if it can. A caller that returned too
- * early keeps the reservation that it has and gets no further one.
+ * Reserves the units of a refused request until its caller returns, if it can. A caller that
+ * returned too early keeps the reservation that it has and gets no further one.
  */
 export function reserveUnits(
   state: GatewayState,
@@ -282,7 +305,7 @@
     .reduce((sum, { units }) => sum + units, 0);
 }
 
-/** Returns whether a request that waits for units goes before another. */
+/** Compares waiting requests by precedence; negative if the first precedes the second. */
 export function comparePrecedence(a: RequestRecord, b: RequestRecord): number {
   const [first, second] = [claimOf(a), claimOf(b)];
   return first.urgency - second.urgency || first.heldSinceMs - second.heldSinceMs;
--- a/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
+++ b/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
@@ -43,11 +43,15 @@
 const MIN_WAIT_MS = 25;
 const MAX_WAIT_MS = 150;
 /**
- * Bounds of the wait with reservations: two round trips through two hubs, and less than a loan lasts. The
- * share of the target is twice the one above, as the alternative is a refusal inside the limit.
+ * Bounds of the wait with reservations: two round trips through two hubs, and less than a loan
+ * lasts. The share of the target is twice the one above, as the alternative is a refusal inside the
+ * limit.
  */
 const REPEATED_WAIT = { share: 0.25, minMs: 75, maxMs: 250 } as const;
-/** Time after which units are requested again for what is still missing, in ms: a round trip between zones through two hubs. */
+/**
+ * Time after which units are requested again for what is still missing, in ms: a round trip between
+ * zones through two hubs.
+ */
 const ASK_AGAIN_AFTER_MS = 45;
 
 /** Requests the units that a request lacks from other boxes and lets it wait for them; returns false if they have not announced enough. */
@@ -109,7 +113,10 @@
   returnUnneededLoans(state, step, workspace);
 }
 
-/** Sends the waiting requests of a workspace for which there are enough units now, in the order of their precedence. */
+/**
+ * Sends the waiting requests of a workspace for which there are enough units now, in the order of
+ * their precedence.
+ */
 function sendReady(state: GatewayState, step: Step, workspace: WorkspaceSpec): void {
   const { nowMs } = step;
   const isReady = ({ record }: WaitingSend): boolean =>
@@ -162,7 +169,10 @@
   }
 }
 
-/** Sends what has become possible since, and requests the units that waiting requests still lack after a round trip. */
+/**
+ * Sends what has become possible since, and requests the units that waiting requests still lack
+ * after a round trip.
+ */
 function askAgain(state: GatewayState, step: Step): void {
   const names = new Set(state.waitingForUnits.map(({ record }) => record.workspace ?? ''));
   for (const name of names) {
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -42,8 +42,8 @@
   const hasWaited = (facts.deadlineMs ?? timeoutMs) < timeoutMs * RETRY_DEADLINE_SHARE;
   const isEarly = isEarlyRepeat(state, record, step.nowMs);
   const hasReturned = hasWaited && !isEarly;
-  const usual = { expectedMs, running, slots, targetMs, leftMs, hasReturned };
-  const { context, yieldsTo } = withShares(state, step, { record, choice, usual });
+  const baseContext = { expectedMs, running, slots, targetMs, leftMs, hasReturned };
+  const { context, yieldsTo } = withShares(state, step, { record, choice, baseContext });
   const decision = decideSend(context);
   const fields = (): Record<string, LogField> => ({
     request: facts.requestId,
@@ -58,7 +58,7 @@
     ...placementFields(choice),
   });
   if (decision.kind === 'send') {
-    if (context.standing?.kind === 'under' && decideSend(usual).kind === 'refuse') {
+    if (context.standing?.kind === 'under' && decideSend(baseContext).kind === 'refuse') {
       log(step, 'requestAcceptedUnderShare', fields());
     }
     return false;
@@ -72,7 +72,7 @@
   }
   const { retryAfterMs, ...retryFields } = state.settings.load.spreadRetries
     ? spreadRetryAfterMs(state, record, {
-        // The true time, also beyond the longest one that is told without a schedule.
+        // Without the upper bound that the decision sets to its Retry-After time.
         earliestMs: Math.max(decision.retryAfterMs, expectedMs - targetMs),
         prefillTokens,
         nowMs: step.nowMs,
@@ -83,22 +83,25 @@
   return true;
 }
 
-/** Adds the standing of the workspace to the facts of a decision, and whether the request yields to others. */
+/**
+ * Adds the standing of the workspace to the facts of a decision, and whether the request yields to
+ * others.
+ */
 function withShares(
   state: GatewayState,
   step: Step,
-  params: { record: RequestRecord; choice: Choice; usual: SendContext },
+  params: { record: RequestRecord; choice: Choice; baseContext: SendContext },
 ): { context: SendContext; yieldsTo: YieldReason | undefined } {
-  const { record, choice, usual } = params;
+  const { record, choice, baseContext } = params;
   const standing = standingOf(state, record, step.nowMs);
-  if (standing === undefined) return { context: usual, yieldsTo: undefined };
+  if (standing === undefined) return { context: baseContext, yieldsTo: undefined };
   const { nowMs } = step;
   recordKind(state, record, choice.prefillTokens, nowMs);
   const model = modelOf(state, record.service, nowMs);
   const load = totalLoad(choice.view, countedPeers(state, nowMs));
   const yieldsTo = yieldReason(state, { record, standing, choice, load, model, nowMs });
   const idleMs = idleMsOf(model, choice);
-  const context = { ...usual, standing, idleMs, yields: yieldsTo !== undefined };
+  const context = { ...baseContext, standing, idleMs, yields: yieldsTo !== undefined };
   return { context, yieldsTo };
 }
 
--- a/packages/reedlug-gateway/src/slices/usage/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usage.ts
@@ -28,7 +28,10 @@
 const RETRY_MS = 700;
 /** Number of windows kept besides the current one: until the report is due, and one more. */
 const RETAINED_WINDOWS = 4;
-/** Number of windows whose counts are sent to peers: the current one, and two that may not be decided yet while boxes were silent. */
+/**
+ * Number of windows whose counts are sent to peers: the current one, and two that may not be
+ * decided yet while boxes were silent.
+ */
 const ANNOUNCED_WINDOWS = 3;
 /** Minimum interval between checkpoints, in ms; a tenth of the shortest window, to limit the cost of calls. */
 const CHECKPOINT_INTERVAL_MS = 500;
--- a/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usageDecisions.ts
@@ -59,7 +59,9 @@
   return false;
 }
 
-/** Returns the earliest time at which a holder of the lease decides a window, by the agreed clock. */
+/**
+ * Returns the earliest time at which a holder of the lease decides a window, by the agreed clock.
+ */
 function dueAtMs(state: GatewayState, window: number): number {
   return (window + 1) * state.settings.bounds.usageWindowMs + SETTLE_MS;
 }
--- a/packages/reedlug-gateway/src/slices/workspaceShares/retryTimes.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/retryTimes.ts
@@ -10,11 +10,11 @@
 import { ratePerSecond, serviceWorkOf, workOf } from './workSums.js';
 
 /**
- * Share of the freed capacity that is offered to returning callers. The rest is for new ones, some of
- * them more urgent: at 0.5, four of ten returning callers were refused again (`scenes/contention.yaml`).
+ * Share of the freed capacity that is offered to returning callers. The rest is for new ones, some
+ * of which are more urgent. A larger share would bring callers back only to be refused again.
  */
 const RETURNING_SHARE = 0.25;
-/** Longest time told, in ms: nobody waits longer, and the load is another one by then. */
+/** Longest time told, in ms: callers do not wait longer, and the load has changed by then. */
 const MAX_RETRY_AFTER_MS = 60_000;
 /** Share of its remaining time up to which a caller waits; a time beyond it is not used. */
 const MAX_WAIT_SHARE = 1 / 3;
@@ -30,7 +30,10 @@
   isEarlyRepeat: boolean;
 }
 
-/** Returns the delay that a refused caller is told, in ms, and takes its place in the schedule if it will return. */
+/**
+ * Returns the delay that a refused caller is told, in ms, and takes its place in the schedule if it
+ * is likely to return.
+ */
 export function spreadRetryAfterMs(
   state: GatewayState,
   record: RequestRecord,
@@ -111,7 +114,10 @@
   return (fleetSize(state) * modelOf(state, service, nowMs).stayMs) / slotsOf(state, service);
 }
 
-/** Returns the slots of a service; the rate at which they become free is used before anything was admitted. */
+/**
+ * Returns the slots of a service; the rate at which they become free is used before anything was
+ * admitted.
+ */
 function slotsOf({ servers }: GatewayState, service: string): number {
   let slots = 0;
   for (const { entry } of servers.values()) if (entry.service === service) slots += entry.slots;
--- a/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
@@ -1,4 +1,6 @@
-/** Standing of workspaces, and precedence of urgent requests, while a service is short of capacity. */
+/**
+ * Standing of workspaces, and precedence of urgent requests, while a service is short of capacity.
+ */
 import { maxExpectedMs } from '../../policy/decideSend.js';
 import { expectedWaitMs, type EngineModel } from '../../policy/engineModel.js';
 import {
@@ -24,7 +26,7 @@
 const REFUSAL_HOLD_MS = 250;
 /** Weight of a new request in the figures of a typical one. */
 const TYPICAL_WEIGHT = 1 / 16;
-/** Time after which a kind of request that does not arrive any more is ignored, in ms. */
+/** Time after the last request of an urgency until its typical request is ignored, in ms. */
 const TYPICAL_LIFE_MS = 10_000;
 
 const EVEN: Standing = { kind: 'even' };
@@ -66,7 +68,10 @@
   };
 }
 
-/** Returns the age of the oldest figures in the standings of a service, in ms: of this computation or of the last message. */
+/**
+ * Returns the age of the oldest figures in the standings of a service, in ms: of this computation
+ * or of the last message.
+ */
 export function standingAgeMs(state: GatewayState, service: string, nowMs: number): number {
   const { standingsAtMs } = serviceWorkOf(state, service, nowMs);
   const received = countedPeers(state, nowMs).map(({ lastReceivedAtMs }) => lastReceivedAtMs);
@@ -86,7 +91,7 @@
   });
 }
 
-/** Records the figures of a request, by which less urgent ones are compared with its kind. */
+/** Updates the typical request of an urgency, with which less urgent requests are compared. */
 export function recordKind(
   state: GatewayState,
   { service, urgency, route }: RequestRecord,
@@ -121,7 +126,10 @@
 /** Why a request yields to others; undefined if it does not. */
 export type YieldReason = 'underShareRefused' | 'urgentRefused' | 'urgentWouldBeRefused';
 
-/** Returns why a request must be refused because one that takes precedence is refused; undefined if it need not. */
+/**
+ * Returns why a request must be refused because one that takes precedence is refused; undefined if
+ * it need not.
+ */
 export function yieldReason(
   state: GatewayState,
   params: {
@@ -141,11 +149,14 @@
     if (rank === 0 && ownRank > 0) return 'underShareRefused';
     if (urgency < record.urgency && ownRank >= rank) return 'urgentRefused';
   }
-  return isKindRefusedBefore(state, params) ? 'urgentWouldBeRefused' : undefined;
+  return wouldRefuseMoreUrgent(state, params) ? 'urgentWouldBeRefused' : undefined;
 }
 
-/** Returns whether a typical request of a more urgent kind and the same standing would be refused at the server. */
-function isKindRefusedBefore(
+/**
+ * Returns whether a typical request of a more urgent kind and the same standing would be refused at
+ * the server.
+ */
+function wouldRefuseMoreUrgent(
   state: GatewayState,
   params: {
     record: RequestRecord;
--- a/packages/reedlug-gateway/src/slices/workspaceShares/workSums.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/workSums.ts
@@ -1,4 +1,6 @@
-/** Decayed sums of the work that workspaces request from services, of this box and over all boxes. */
+/**
+ * Decayed sums of the work that workspaces request from services, of this box and over all boxes.
+ */
 import { decayFactor } from '../../policy/decayFactor.js';
 import type { WorkSums } from '../../policy/fairShare.js';
 import type { GatewayState } from '../../state.js';
@@ -8,13 +10,13 @@
 import { countedPeers } from '../peers/fleet.js';
 
 /**
- * Half-life of the sums, in ms: a flood is told from a clump of requests within two seconds, and a
+ * Half-life of the sums, in ms: a flood is told from a short burst within two seconds, and a
  * workspace that stops flooding has its share back a few seconds later.
  */
 const HALF_LIFE_MS = 3000;
 /**
- * Work of an output token in prompt tokens: a step of some 4 ms yields a token for each of up to 48
- * requests, and in a 48th of it an engine processes 5 to 7 prompt tokens.
+ * Work of an output token in prompt tokens. A step of an engine yields a token for each running
+ * request; in the time of a step divided by the slots, it processes some 5 prompt tokens.
  */
 const OUTPUT_TOKEN_WORK = 5;
 /** Sums below this are dropped, in prompt tokens: less than one short request. */
@@ -83,7 +85,10 @@
   }
 }
 
-/** Returns the work at a service over all boxes, by workspace; what was received decays as its message ages. */
+/**
+ * Returns the work at a service over all boxes, by workspace; what was received decays as its
+ * message ages.
+ */
 export function fleetWork(
   state: GatewayState,
   service: string,
@@ -105,7 +110,9 @@
   return total;
 }
 
-/** Returns this box's sums for its gossip, the heaviest first; no field while no switch needs them. */
+/**
+ * Returns this box's sums for its gossip, the heaviest first; no field while no switch needs them.
+ */
 export function ownWorkloads(state: GatewayState, nowMs: number): Pick<PeerMessage, 'workloads'> {
   if (!usesWorkSums(state)) return {};
   const rows: WorkloadRow[] = [];
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -129,7 +129,9 @@
   | { kind: 'crashSuspects'; writes: boolean }
   /** Record of the roll-out that the order with this revision started. */
   | { kind: 'rollout'; service: string; revision: number }
-  /** Row of this box's reserve; `opens` is true for a write after which the box may use the reserve. */
+  /**
+   * Row of this box's reserve; `opens` is true for a write after which the box may use the reserve.
+   */
   | { kind: 'limitReserve'; step: 'read' }
   | { kind: 'limitReserve'; step: 'write'; opens: boolean; era: number };
 
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -66,7 +66,10 @@
   workspace: string;
   urgency: number;
   units: number;
-  /** Time since the first refusal, and times until the caller returns (negative once passed) and until the reservation expires, in ms. */
+  /**
+   * Time since the first refusal, and times until the caller returns (negative once passed) and
+   * until the reservation expires, in ms.
+   */
   ageMs: number;
   dueInMs: number;
   leftMs: number;
@@ -134,7 +137,10 @@
   decisions?: readonly UsageDecisionGossip[] | undefined;
   /** Spare units that the covered boxes could lend now, by workspace; older boxes lend nothing. */
   room?: Readonly<Record<string, number>> | undefined;
-  /** Units that the covered boxes reserve; missing from older boxes and from boxes that reserve none. */
+  /**
+   * Units that the covered boxes reserve; missing from older boxes and from boxes that reserve
+   * none.
+   */
   reservations?: readonly UnitReservationGossip[] | undefined;
   /** Limit shares of the covered boxes; missing from older boxes. */
   part?: LimitShareGossip | undefined;
@@ -145,7 +151,9 @@
    * older boxes, and while no speeds are learned.
    */
   speeds?: readonly SpeedGossip[] | undefined;
-  /** Recent work by service and workspace, the heaviest first; missing while capacity is not shared. */
+  /**
+   * Recent work by service and workspace, the heaviest first; missing while capacity is not shared.
+   */
   workloads?: readonly WorkloadRow[] | undefined;
   /** Agreed wall clock minus store clock, in ms; undefined while none is agreed. */
   clockOffsetMs: number | undefined;
@@ -175,7 +183,10 @@
   units: number;
   /** Number of hubs that have forwarded the message. */
   hops: number;
-  /** Urgency of the request, and time since it first asked for units, in ms; missing from older boxes. */
+  /**
+   * Urgency of the request, and time since it first asked for units, in ms; missing from older
+   * boxes.
+   */
   urgency?: number | undefined;
   heldForMs?: number | undefined;
 }
@@ -189,7 +200,10 @@
   incarnation: number;
   askId: number;
   units: number;
-  /** Number of the loan at its lender, by which a datagram that arrives twice is known; missing from older boxes. */
+  /**
+   * Number of the loan at its lender, by which a datagram that arrives twice is known; missing from
+   * older boxes.
+   */
   loanId?: number | undefined;
 }
 
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -92,7 +92,9 @@
   chargedToShare: number;
   /** 0 to 9; engines process 0 first. */
   urgency: number;
-  /** Time of the first refusal, for a request whose units were reserved since; missing from others. */
+  /**
+   * Time of the first refusal, for a request whose units were reserved since; missing from others.
+   */
   reservedAtMs?: number;
   arrivedAtMs: number;
   /**
