A held request keeps its reservation; work of a slow server is not taken for its queue

Cause, found by reading: a request that waits for its first units after a restart was accepted again with a new record and lost the reservation that it had taken; idle times in the standings left out the server's speed; requests whose callers had left withheld units until their wait timed out; receipts of usage from boxes that are not known any more were kept for good.

Change: the pending request carries the time of its reservation; idle times are scaled by the speed of the chosen server; closed requests withhold nothing; receipts are recorded for known boxes only.

--- a/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
+++ b/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
@@ -69,7 +69,7 @@
   state: GatewayState,
   step: Step,
   request: PendingRequest,
-  { route, workspace, units }: RequestRecord,
+  { route, workspace, units, reservedAtMs }: RequestRecord,
 ): boolean {
   const sinceStartMs = step.nowMs - state.startedAtMs;
   if (!state.settings.load.restartReserve || sinceStartMs >= FIRST_UNITS_MS) return false;
@@ -87,7 +87,7 @@
     log(step, 'unitsAwaited', { request: facts.requestId, ...fields });
   }
   state.requests.delete(exchangeId);
-  state.pendingRequests.push({ ...request, awaitsUnits: true });
+  state.pendingRequests.push({ ...request, awaitsUnits: true, reservedAtMs });
   return true;
 }
 
--- a/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
@@ -133,6 +133,8 @@
   let units = 0;
   for (const { record } of state.waitingForUnits) {
     if (record === params.except || record.workspace !== workspace.name) continue;
+    // The caller may have left, or the deadline may have passed.
+    if (state.requests.get(record.exchangeId) !== record) continue;
     const { urgency, heldSinceMs } = claimOf(record);
     const isEqual = urgency === claim.urgency && heldSinceMs <= claim.heldSinceMs;
     const isBefore = urgency < claim.urgency || (isEqual && params.onlyMoreUrgent !== true);
@@ -228,7 +230,8 @@
   record: RequestRecord,
   { name: workspace }: WorkspaceSpec,
 ): void {
-  if (!mayHaveReturned(record)) return;
+  // A request that was held for its first units has taken its reservation already.
+  if (!mayHaveReturned(record) || record.reservedAtMs !== undefined) return;
   const { urgency, units, facts } = record;
   const sought = { workspace, urgency, units, nowMs: step.nowMs, isDue: true };
   const reservation = findReservation(knownReservations(state), sought);
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -61,7 +61,10 @@
   const needsKey = active.configuration.workspaces.length > 0 && !route.isPublic;
   const workspace = facts.key === undefined ? undefined : active.workspaceByKey.get(facts.key);
   if (needsKey && workspace === undefined) return refuseNow(401, 'unknownKey');
-  const record = createRecord({ exchangeId, facts, route, workspace, nowMs: arrivedAtMs });
+  const { reservedAtMs } = request;
+  const record = createRecord({
+    ...{ exchangeId, facts, route, workspace, reservedAtMs, nowMs: arrivedAtMs },
+  });
   const refusal = crashRefusal(state, step, record);
   if (refusal !== undefined) return refuseNow(refusal.status, refusal.reason, refusal.retryAfterMs);
   const choice = chooseServerFor(state, step, record);
@@ -84,9 +87,10 @@
   facts: RequestFacts;
   route: RouteSpec;
   workspace: WorkspaceSpec | undefined;
+  reservedAtMs: number | undefined;
   nowMs: number;
 }): RequestRecord {
-  const { exchangeId, facts, route, workspace, nowMs } = params;
+  const { exchangeId, facts, route, workspace, reservedAtMs, nowMs } = params;
   const allowedMs = Math.min(facts.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   return {
     exchangeId,
@@ -106,6 +110,7 @@
     relayed: false,
     lastEventId: undefined,
     counted: false,
+    reservedAtMs,
   };
 }
 
--- a/packages/reedlug-gateway/src/slices/usage/lateCounts.ts
+++ b/packages/reedlug-gateway/src/slices/usage/lateCounts.ts
@@ -18,7 +18,8 @@
 
 /** Records that this box has received all counts that a box had at that time. */
 export function recordUsageReceived(state: GatewayState, boxId: string, nowMs: number): void {
-  state.usageReceivedAtMs.set(boxId, nowMs);
+  // An entry is dropped together with its peer.
+  if (state.peers.has(boxId)) state.usageReceivedAtMs.set(boxId, nowMs);
 }
 
 /**
--- a/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
@@ -78,17 +78,23 @@
   return nowMs - Math.min(standingsAtMs, ...received);
 }
 
+/** Figures of a choice by which other requests at its server are judged. */
+type ChoiceFigures = Pick<Choice, 'conditions' | 'prefillTokens' | 'expectedMs' | 'modelMs'>;
+
 /** Returns the time to the first event that a request needs by itself, without a queue. */
-export function idleMsOf(
-  model: EngineModel,
-  { conditions, prefillTokens }: Pick<Choice, 'conditions' | 'prefillTokens'>,
-): number {
-  const { running, slots } = conditions;
-  return expectedWaitMs(model, {
-    tokens: prefillTokens,
+export function idleMsOf(model: EngineModel, choice: ChoiceFigures): number {
+  const { running, slots } = choice.conditions;
+  const conditions = {
+    tokens: choice.prefillTokens,
     running: Math.min(running, slots - 1),
     slots,
-  });
+  };
+  return expectedWaitMs(model, conditions) * slownessOf(choice);
+}
+
+/** Returns the factor by which the speed of the chosen server lengthens times of the model. */
+function slownessOf({ expectedMs, modelMs }: ChoiceFigures): number {
+  return modelMs > 0 ? expectedMs / modelMs : 1;
 }
 
 /** Updates the typical request of an urgency, with which less urgent requests are compared. */
@@ -175,7 +181,7 @@
     // A kind that is late even at an empty engine says nothing about the load.
     if (model.baseMs + prefillTokens / model.tokensPerMs > targetMs) continue;
     const tokens = tokensAhead(load, urgency) + prefillTokens;
-    const expectedMs = expectedWaitMs(model, { tokens, running, slots });
+    const expectedMs = expectedWaitMs(model, { tokens, running, slots }) * slownessOf(choice);
     const limitMs = maxExpectedMs({
       expectedMs,
       running,
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -131,4 +131,6 @@
   arrivedAtMs: number;
   /** True while it waits for units of its workspace's limit. */
   awaitsUnits?: boolean;
+  /** Time of its first refusal, if it took the units that were reserved then. */
+  reservedAtMs?: number | undefined;
 }
