Explain constants of transfers, speeds and placement by their reasons

Comments told how values had been found (durations on one machine, counts of one run) where a reader needs the reason, so that is stated instead.

Also: a constant named as a predicate (isValid, now VALID), a map named "before", an alias of Math.round, a comment that described two variables, and comment lines over 100 characters. No behaviour changes.

--- a/packages/reedlug-gateway/src/daemon/daemonTimes.ts
+++ b/packages/reedlug-gateway/src/daemon/daemonTimes.ts
@@ -10,5 +10,8 @@
 export const ANNOUNCE_TIMEOUT_MS = 1500;
 /** Timeout of opening a connection: a server whose accept queue is full drops the opening packet for seconds. */
 export const CONNECT_TIMEOUT_MS = 400;
-/** Time without bytes after which a request to a peer is abandoned, in ms: the peer may have to encode and compress the configuration first, on a quarter of a core. */
+/**
+ * Time without bytes after which a request to a peer is abandoned, in ms: the peer may have to
+ * encode and compress the configuration first, on a quarter of a core.
+ */
 export const PEER_IDLE_TIMEOUT_MS = 1000;
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -1,4 +1,6 @@
-/** Peer link: gossip as datagrams, and an HTTP server for boxes that request the configuration or the registry. */
+/**
+ * Peer link: gossip as datagrams, and an HTTP server for requests of configuration and registry.
+ */
 import { createSocket } from 'node:dgram';
 import { createServer, type RequestListener } from 'node:http';
 import type { PeerDatagram } from '../types/peer.js';
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -92,7 +92,9 @@
   return { ...message, loads, registry: { ...registry, changes } };
 }
 
-/** Rows that gossip holds in place of loads, changes, speeds, work and reservations; older boxes send none. */
+/**
+ * Rows in gossip in place of loads, changes, speeds, work and reservations; older boxes send none.
+ */
 interface GossipRows {
   reservations?: unknown;
   loadRows?: unknown;
--- a/packages/reedlug-gateway/src/daemon/reservationWire.ts
+++ b/packages/reedlug-gateway/src/daemon/reservationWire.ts
@@ -1,4 +1,4 @@
-/** Encoding of reserved units in gossip, and validation of what requests for units state of their precedence. */
+/** Encoding of reserved units in gossip, and validation of the precedence in requests for units. */
 import { MAX_RESERVATION_ROWS } from '../slices/limits/unitReservations.js';
 import type { UnitReservationGossip, UnitsAskedMessage } from '../types/peer.js';
 
@@ -8,10 +8,15 @@
 const MAX_NAME_LENGTH = 256;
 const MAX_UNITS = 1e9;
 const MAX_AGE_MS = 120_000;
-/** Longest remaining time of a reservation, in ms; a box with a faulty clock must not withhold units for long. */
+/**
+ * Longest remaining time of a reservation, in ms; a faulty clock must not withhold units for long.
+ */
 const MAX_LEFT_MS = 30_000;
 
-/** Workspace, urgency, units, time since the first refusal, and times until the caller returns and until the reservation expires. */
+/**
+ * Workspace, urgency, units, time since the first refusal, and times until the caller returns and
+ * until the reservation expires.
+ */
 type ReservationRow = readonly [string, number, number, number, number, number];
 
 /** Returns the rows of reservations for a message; no field if there are none. */
@@ -60,7 +65,7 @@
   return typeof value === 'number' && value >= least && value <= most;
 }
 
-/** Drops the precedence of a request for units if it is malformed, as if an older box had sent it. */
+/** Drops a malformed precedence from a request for units, as if an older box had sent it. */
 export function withValidClaim(message: UnitsAskedMessage): UnitsAskedMessage {
   const { urgency, heldForMs, ...others } = message;
   if (!isUrgency(urgency) || !isWithin(heldForMs, 0, MAX_AGE_MS)) return others;
--- a/packages/reedlug-gateway/src/daemon/speedWire.ts
+++ b/packages/reedlug-gateway/src/daemon/speedWire.ts
@@ -11,24 +11,28 @@
 const ABSENT = -1;
 /** Maximum length of a server id in a row. */
 const MAX_ID_LENGTH = 256;
-/** Maximum sum in a row, in ms: 10,000 sends of some 10 s each are more than any server gets within the decay. */
+/**
+ * Maximum sum in a row, in ms: 10,000 sends of 10 s each, more than any server gets before the sums
+ * decay.
+ */
 const MAX_SUM_MS = 1e8;
 
-/** Returns the row of a server; whole milliseconds are exact enough for sums of many. */
+/** Returns the row of a server; whole milliseconds are exact enough for sums of many sends. */
 export function speedRowOf({ serverId, bornAtMs = ABSENT, sums }: SpeedGossip): SpeedRow {
   const { evenExpectedMs, evenObservedMs, oddExpectedMs, oddObservedMs } = sums;
-  const whole = Math.round;
   return [
     serverId,
     bornAtMs,
-    whole(evenExpectedMs),
-    whole(evenObservedMs),
-    whole(oddExpectedMs),
-    whole(oddObservedMs),
+    Math.round(evenExpectedMs),
+    Math.round(evenObservedMs),
+    Math.round(oddExpectedMs),
+    Math.round(oddObservedMs),
   ];
 }
 
-/** Adds the valid rows of a datagram to its message; malformed rows are dropped, also those beyond the maximum. */
+/**
+ * Adds a datagram's valid rows to its message; drops malformed ones and those beyond the maximum.
+ */
 export function withSpeedRows(message: PeerMessage, rows: unknown): PeerMessage {
   // A `speeds` field outside of rows was not checked, and no box sends it.
   const { speeds: unchecked, ...others } = message;
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/configurationDelta.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/configurationDelta.ts
@@ -66,11 +66,14 @@
   return { placed, removed };
 }
 
-/** Returns the positions of a longest ascending subsequence; positions without a value are not part of it. */
+/**
+ * Returns the positions of a longest ascending subsequence; positions without a value are skipped.
+ */
 function longestAscending(values: readonly (number | undefined)[]): Set<number> {
-  /** Position at which the best subsequence of each length ends, and each position's predecessor. */
+  /** For each length, the position at which the subsequence with the smallest last value ends. */
   const ends: number[] = [];
-  const before = new Map<number, number | undefined>();
+  /** Predecessor of each position in its subsequence. */
+  const predecessors = new Map<number, number | undefined>();
   for (const [position, value] of values.entries()) {
     if (value === undefined) continue;
     let low = 0;
@@ -80,11 +83,11 @@
       if ((values[ends[middle] ?? 0] ?? 0) < value) low = middle + 1;
       else high = middle;
     }
-    before.set(position, ends[low - 1]);
+    predecessors.set(position, ends[low - 1]);
     ends[low] = position;
   }
   const found = new Set<number>();
-  for (let at = ends.at(-1); at !== undefined; at = before.get(at)) found.add(at);
+  for (let at = ends.at(-1); at !== undefined; at = predecessors.get(at)) found.add(at);
   return found;
 }
 
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/encodeWhole.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/encodeWhole.ts
@@ -1,9 +1,11 @@
-/** Encodes the whole configuration in steps, so that a box with a quarter of a core serves requests in between. */
+/** Encodes the whole configuration in steps, so that a slow box serves requests in between. */
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Configuration } from '../../types/configuration.js';
 import { encoder } from '../peerWire.js';
 
-/** Number of list items encoded in one step: up to 3 ms of a whole core the first time, 0.6 ms later. */
+/**
+ * Number of list items encoded in one step: few enough that a request waits only some ms for it.
+ */
 const ITEMS_PER_STEP = 100;
 
 /** CBOR major types of maps and lists, with a length of four bytes. */
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/encodedConfigurations.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/encodedConfigurations.ts
@@ -1,9 +1,9 @@
 /**
  * The configuration in force as bytes for other boxes, whole and as deltas from earlier versions.
  *
- * A hub sends the same version to some thirty members within a second, so each form is encoded
- * and compressed once, when it is first requested. A box that nobody asks encodes nothing, and one
- * that received the version from another box passes on the bytes that it received.
+ * A hub sends the same version to all its members at about the same time, so each form is encoded
+ * and compressed once, when it is first requested. A box that receives no request encodes nothing.
+ * A box that received the version from another box passes on the received bytes.
  */
 import { performance } from 'node:perf_hooks';
 import { promisify } from 'node:util';
@@ -14,7 +14,10 @@
 import { encodeWhole } from './encodeWhole.js';
 import { digestOf, encodeDelta } from './transferWire.js';
 
-/** Number of earlier versions from which deltas are sent: members are behind by one version, or by some that follow each other within a second. */
+/**
+ * Number of earlier versions from which deltas are sent: members are behind by one version, or by a
+ * few when changes follow each other quickly.
+ */
 const EARLIER_VERSIONS = 3;
 
 /** A body for other boxes. */
@@ -111,7 +114,7 @@
       if (known !== undefined) return known;
       const body = encode(latest, base, acceptsGzip);
       bodies.set(key, body);
-      // The next request tries again; the one that waits for this body is told of the failure.
+      // The requests that wait for this body fail; the next one encodes it again.
       body.catch(() => bodies.delete(key));
       return body;
     },
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/resumableGet.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/resumableGet.ts
@@ -1,4 +1,7 @@
-/** One attempt to get a state from another box; what arrived before a failure is kept for the next attempt. */
+/**
+ * One attempt to get a state from another box. Bytes received before a failure are kept for the
+ * next.
+ */
 import type { Dispatcher } from 'undici';
 import { parseHostPort } from '../../settings/gatewaySettingsValidation.js';
 import type { HostPort } from '../../types/server.js';
@@ -22,7 +25,9 @@
       contentEncoding: string;
       resumedFrom: number;
     }
-  /** The answering box serves as many transfers as it can; `holder` is another box with the configuration. */
+  /**
+   * The answering box is at its limit of transfers; `holder` is another box with the configuration.
+   */
   | { kind: 'busy'; holder: HostPort | undefined }
   /** The answering box has nothing newer. */
   | { kind: 'notNewer' }
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
@@ -21,13 +21,22 @@
   SHARED_STATE_PATH,
 } from './transferWire.js';
 
-/** Number of failed attempts after which a transfer is given up: connections that break off, malformed answers. */
+/** Number of failed attempts after which a transfer is given up; busy responses do not count. */
 const MAX_FAILURES = 3;
-/** Time for which a box that is busy is asked again, in ms; the store is read before, see `isConfigurationOverdue`. */
+/**
+ * Time for which requests to a busy box are repeated, in ms. The store is read before it has
+ * passed, see `isConfigurationOverdue`.
+ */
 const MAX_BUSY_MS = 2000;
-/** Random delay before a retry, in ms: 20 waiting boxes then send some 100 requests a second, and a place at the answering box is free for some ms. */
+/**
+ * Random delay before a retry, in ms: short enough that a free place at the answering box is soon
+ * used, long enough that the waiting boxes of a group do not load it with their requests.
+ */
 const RETRY_DELAY_MS = [100, 300] as const;
-/** Random delay before a request to a box to which a busy one has referred this one, in ms: the same box may be named to several. */
+/**
+ * Random delay before a request to a box named by a busy one, in ms: the same box may be named to
+ * several.
+ */
 const REFERRAL_DELAY_MS = [0, 50] as const;
 
 /** What the fetcher reads and reports to. */
@@ -37,7 +46,7 @@
   /** Returns whether an address is that of a box; this box sends requests to no other address. */
   isKnownBox: (address: HostPort) => boolean;
   onConfiguration: (configuration: Configuration, received: ReceivedBody) => void;
-  /** Receives that a box did not send the version that it announced. */
+  /** Called when a box did not send the version that it announced. */
   onFailed: (failure: TransferFailure) => void;
   logger: Logger;
   metrics: TransferMetrics;
@@ -56,7 +65,10 @@
 export interface StateFetcher {
   /** Requests a version that a box has announced, unless a transfer is in progress. */
   requestConfiguration: (peer: HostPort, version: number) => void;
-  /** Requests a box's registry; undefined if it did not answer, or if a request to it is in progress. */
+  /**
+   * Requests a box's registry; undefined if it did not answer, or if a request to it is in
+   * progress.
+   */
   requestRegistry: (peer: HostPort) => Promise<SharedState | undefined>;
 }
 
@@ -132,7 +144,7 @@
     }
     const reason = result.kind === 'notNewer' ? 'no newer version' : result.reason;
     transfer.failures += 1;
-    // Another box to which the announcing one has referred this one may have left or restarted.
+    // The box named by a busy announcer may have left or restarted; the announcer is tried again.
     const isReferred = source !== announcer;
     const mayRetry = isReferred || result.kind === 'broken' || result.kind === 'malformed';
     return mayRetry && transfer.failures < MAX_FAILURES ? 'retry' : { reason };
@@ -196,7 +208,7 @@
         metrics.bytes.inc({ direction: 'received', form: 'registry' }, bytes);
         return state;
       }
-      // The next gossip message of the box repeats the request; a busy one is no fault.
+      // The next gossip message of the box repeats the request. That a box is busy is no fault.
       if (kind !== 'busy') logger('registryTransferFailed', { peer: peer.host, reason: state });
       return undefined;
     },
@@ -289,6 +301,7 @@
 }
 
 function closeClient(client: Client): void {
-  // The request has been answered or has failed by now, so errors of closing the client are ignored.
+  // The request has been answered or has failed by now, so errors of closing the client are
+  // ignored.
   client.destroy().catch(() => undefined);
 }
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateServer.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateServer.ts
@@ -17,9 +17,15 @@
 import { createTransferPacer, type TransferPacer } from './transferPacer.js';
 import { AFTER_HEADER, CONFIGURATION_PATH, digestOf, HOLDER_HEADER } from './transferWire.js';
 
-/** Number of concurrent transfers. Some boxes then finish early and can serve others; one alone would leave the link idle while its box reads. */
+/**
+ * Number of concurrent transfers. With few of them, the first boxes finish early and can serve
+ * others. A single one would leave the link idle while the requesting box reads.
+ */
 const MAX_TRANSFERS = 4;
-/** Time without progress after which a transfer is ended, in ms, so that a box that has left does not keep a place. */
+/**
+ * Time without progress after which a transfer is ended, in ms, so that a box that has left does
+ * not keep a place.
+ */
 const STALL_TIMEOUT_MS = 2000;
 
 /** What the handler answers with. */
@@ -33,7 +39,7 @@
   pacer?: TransferPacer;
 }
 
-/** A body on its way. */
+/** A body that is sent to another box. */
 type OutgoingBody = Omit<EncodedBody, 'form'> & { form: EncodedBody['form'] | 'registry' };
 
 const gzipAsync = promisify(gzip);
@@ -52,7 +58,7 @@
     response.end(bytes);
   };
 
-  /** Compressed at the lowest level: registries differ from request to request, so that each is compressed anew. */
+  /** Encodes the registry; compressed at the fastest level, because it changes between requests. */
   const registryBody = async (acceptsGzip: boolean): Promise<OutgoingBody> => {
     const content = encoder.encode({ ...sharedState(true), configuration: undefined });
     const bytes = acceptsGzip
@@ -83,7 +89,10 @@
     await pacer.send(response, part);
   };
 
-  /** Refers a box to another one, so that the members of a hub distribute a version among them. */
+  /**
+   * Refuses a request and names another box, so that members of a hub get a version from each
+   * other.
+   */
   const refuseBusy = (response: ServerResponse, isConfiguration: boolean): void => {
     const known = isConfiguration ? holders() : [];
     const holder = known[Math.floor(Math.random() * known.length)];
@@ -134,13 +143,15 @@
   return (request.url ?? '').split('?', 1)[0] ?? '';
 }
 
-/** Returns the version that the requesting box has; undefined if it names none, as older boxes do. */
+/**
+ * Returns the version that the requesting box has; undefined if it names none, as older boxes do.
+ */
 function versionNamedBy(request: IncomingMessage): number | undefined {
   const header = request.headers[AFTER_HEADER];
   const query = new URLSearchParams((request.url ?? '').split('?')[1] ?? '').get('after');
   const value = typeof header === 'string' ? header : query;
   if (value === null) return undefined;
-  // A value that is not a version names none that this box could know, so the whole is sent.
+  // A value that is not a version counts as none, so the whole configuration is sent.
   return /^\d{1,15}$/.test(value) ? Number(value) : 0;
 }
 
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateValidation.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateValidation.ts
@@ -1,28 +1,30 @@
 /**
- * Validation of states that other boxes send; fields of newer boxes are kept. Tables of checks
- * rather than the schema library of the settings: for 2,000 routes that took 34 and 19 ms of a whole
- * core on its first two uses, these take 14 and 1.5 ms, and a box with a quarter of a core serves
- * nothing meanwhile.
+ * Validation of states that other boxes send; fields of newer boxes are kept.
+ *
+ * It uses tables of checks instead of the schema library of the settings: the check blocks the
+ * event loop, and the library takes several times as long for a configuration with thousands of
+ * routes.
  */
 import { LimitUnit, RouteKind } from '../../types/configuration.js';
 
 /** Returns where and how a value is invalid; undefined if it is valid. */
 type Check = (value: unknown) => string | undefined;
 
-const isValid: undefined = undefined;
+/** Result of a check of a valid value. */
+const VALID: undefined = undefined;
 
-const text: Check = (value) => (typeof value === 'string' ? isValid : 'not a text');
-const flag: Check = (value) => (typeof value === 'boolean' ? isValid : 'not a flag');
-const number: Check = (value) => (Number.isFinite(value) ? isValid : 'not a number');
+const text: Check = (value) => (typeof value === 'string' ? VALID : 'not a text');
+const flag: Check = (value) => (typeof value === 'boolean' ? VALID : 'not a flag');
+const number: Check = (value) => (Number.isFinite(value) ? VALID : 'not a number');
 const count: Check = (value) =>
-  Number.isSafeInteger(value) && Number(value) >= 0 ? isValid : 'not a count';
+  Number.isSafeInteger(value) && Number(value) >= 0 ? VALID : 'not a count';
 
 function oneOf(values: readonly string[]): Check {
-  return (value) => (values.includes(value as string) ? isValid : 'unknown value');
+  return (value) => (values.includes(value as string) ? VALID : 'unknown value');
 }
 
 function optional(check: Check): Check {
-  return (value) => (value === undefined ? isValid : check(value));
+  return (value) => (value === undefined ? VALID : check(value));
 }
 
 function record(fields: Readonly<Record<string, Check>>): Check {
@@ -33,7 +35,7 @@
       const fault = check((value as Record<string, unknown>)[name]);
       if (fault !== undefined) return `${name}: ${fault}`;
     }
-    return isValid;
+    return VALID;
   };
 }
 
@@ -44,7 +46,7 @@
       const fault = check(value[index]);
       if (fault !== undefined) return `${index}: ${fault}`;
     }
-    return isValid;
+    return VALID;
   };
 }
 
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/transferPacer.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/transferPacer.ts
@@ -1,19 +1,21 @@
 /**
  * Divides transfers into chunks with gaps between them.
  *
- * What is written to a connection is queued in front of the link, and gossip queues behind it: with
- * 24 whole configurations queued on a link of 10 Mbit/s, the hub was silent for 1.5 s and its members
- * chose another one. All transfers of a box together therefore send less than the slowest link of
- * the users (7 Mbit/s) carries, so that the queue in front of it stays short.
+ * Bytes written to a connection are queued before the link, and gossip waits behind them. Members
+ * whose hub is silent for too long choose another one. All transfers of a box together therefore
+ * send less than the users' slowest link (7 Mbit/s) carries, so that the queue stays short.
  */
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 
-/** Bytes of one write: 7 ms of a link of 10 Mbit/s. */
+/** Bytes of one write: they delay gossip by less than 10 ms on the users' slowest link. */
 const CHUNK_BYTES = 8 * 1024;
-/** Rate of all transfers of a box, in bytes per ms (5 Mbit/s): leaves 2 Mbit/s of the users' slowest link for gossip and callers. */
+/**
+ * Rate of all transfers of a box, in bytes per ms (5 Mbit/s): leaves 2 Mbit/s of the users' slowest
+ * link for gossip and callers.
+ */
 const BYTES_PER_MS = 625;
 
 /** Paces the transfers of a box. */
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/transferWire.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/transferWire.ts
@@ -1,4 +1,6 @@
-/** Encoding of the states that boxes transfer to each other: headers, bodies and their validation. */
+/**
+ * Encoding of the states that boxes transfer to each other: headers, bodies and their validation.
+ */
 import { createHash } from 'node:crypto';
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
@@ -14,16 +16,16 @@
 export const CONFIGURATION_PATH = '/configuration';
 
 /**
- * Header with the version that the requesting box has; 0 for none. Older boxes do not send it. It is
- * a header because an older box returns its registry as well, 481 KB at 3,000 servers, to a request
- * of the configuration with a query.
+ * Header with the version that the requesting box has; 0 for none. Older boxes do not send it. It
+ * is a header rather than a query, because an older box answers any other path with its whole
+ * registry.
  */
 export const AFTER_HEADER = 'configuration-after';
 
 /** Header of a response with 503: address of another box that has the configuration. */
 export const HOLDER_HEADER = 'configuration-holder';
 
-/** Maximum size of a state, compressed or not, in bytes: some thirty times that of 4,000 routes. */
+/** Maximum size of a state, compressed or not, in bytes: far above that of thousands of routes. */
 export const MAX_STATE_BYTES = 32 * 1024 * 1024;
 
 /** Body of a response with the whole configuration. */
@@ -51,11 +53,13 @@
 /** A configuration decoded from a response. */
 export type DecodedConfiguration =
   | { kind: 'configuration'; form: 'whole' | 'delta'; configuration: Configuration }
-  /** The delta does not lead to the announced version from this box's own, so the whole is needed. */
+  /**
+   * The delta does not lead to the announced version from this box's own, so the whole is needed.
+   */
   | { kind: 'otherBase' }
   | { kind: 'malformed'; reason: string };
 
-/** Decodes the response to a request of the configuration. `base` is the version that the request named. */
+/** Decodes the response to a request of the configuration; `base` is the version that it named. */
 export async function decodeConfiguration(
   bytes: Buffer,
   base: Configuration | undefined,
--- a/packages/reedlug-gateway/src/daemon/workloadWire.ts
+++ b/packages/reedlug-gateway/src/daemon/workloadWire.ts
@@ -5,7 +5,10 @@
 /** Maximum number of rows accepted from one message, and length of a name in them. */
 const MAX_ROWS = 64;
 const MAX_NAME_LENGTH = 256;
-/** Maximum work in a row, in prompt tokens: above what a fleet of thousands of engines processes in a minute. */
+/**
+ * Maximum work in a row, in prompt tokens: above what a fleet of thousands of engines processes in
+ * a minute.
+ */
 const MAX_WORK = 1e11;
 
 /** Service, workspace, requested and admitted work. */
--- a/packages/reedlug-gateway/src/observe/decisionMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/decisionMetrics.ts
@@ -17,15 +17,23 @@
   model: Gauge;
   /** Load of a service whose engines can be ordered, and the engines it needs. */
   capacity: Gauge;
-  /** Units of a workspace within the limit window: used, the maximum allowed, and reserved by all boxes. */
+  /**
+   * Units of a workspace within the limit window: used, the maximum allowed, and reserved by all
+   * boxes.
+   */
   limits: Gauge;
   /** State of the reserve for restarts; 1 for the current one. */
   reserve: Gauge;
-  /** Recent work of a service whose capacity is shared, in prompt tokens per second, and the workspaces over their shares. */
+  /**
+   * Recent work of a service whose capacity is shared, in prompt tokens per second, and the number
+   * of workspaces over their shares.
+   */
   shares: Gauge;
   /** Speeds and reserved room of a service whose requests are placed by size. */
   placement: Gauge;
-  /** Speeds of the servers of a service, see `ServiceSpeeds`; without values while none are learned. */
+  /**
+   * Speeds of the servers of a service, see `ServiceSpeeds`; without values while none are learned.
+   */
   speeds: Gauge;
   /** Answers of both versions of a service during a roll-out, as far as this box knows. */
   rollouts: Gauge;
@@ -123,7 +131,7 @@
   setRollouts(metrics.rollouts, state, nowMs);
 }
 
-/** Sets the gauges of speeds to the extremes, the mean and the basis of a service's speeds. */
+/** Sets the gauges of a service's speeds. */
 function setSpeeds(gauge: Gauge, state: GatewayState, service: string, nowMs: number): void {
   const known = state.serverSpeeds.services.get(service);
   if (known === undefined) return;
--- a/packages/reedlug-gateway/src/observe/explainRequest.ts
+++ b/packages/reedlug-gateway/src/observe/explainRequest.ts
@@ -63,7 +63,7 @@
   }
 }
 
-/** Describes the speed that the last send's expected time rests on; returns an empty text if it is that of the service. */
+/** Describes the speed behind the last send's expected time; returns an empty text if it is 1. */
 function describeSpeed(lines: readonly LogLine[]): string {
   const sent = lines.filter(({ event }) => event === 'requestSent').at(-1);
   const speed = sent?.fields.get('speed') ?? '1.00';
@@ -71,7 +71,9 @@
   return ` at speed ${speed} (expected ${sent?.fields.get('expectedMs') ?? '?'} ms)`;
 }
 
-/** Describes the standing of the workspace that led to the refusal; returns an empty text without one. */
+/**
+ * Describes the workspace's standing that led to the refusal; returns an empty text without one.
+ */
 function describeShare(lines: readonly LogLine[]): string {
   const late = lines.find(({ event }) => event === 'requestTooLate');
   const standing = late?.fields.get('standing');
@@ -97,7 +99,7 @@
   return `${share}, ${held}, ${field('announced')} announced elsewhere; ${outcome}`;
 }
 
-/** Describes the last choice by size; returns an empty text if the request was not placed by its size. */
+/** Describes the last choice by size; returns an empty text if there was none. */
 function describePlacement(lines: readonly LogLine[]): string {
   const sent = lines.findLast(({ fields }) => fields.has('placement'));
   if (sent === undefined) return '';
--- a/packages/reedlug-gateway/src/observe/limitRefusals.ts
+++ b/packages/reedlug-gateway/src/observe/limitRefusals.ts
@@ -28,7 +28,10 @@
   withinAfterStart: number;
   /** Median share of the whole limit that was used at the refusals within it. */
   medianUsedShare: number;
-  /** Number of refusals whose units were reserved until the caller returns; missing if there are none. */
+  /**
+   * Number of refusals whose units were reserved until the caller returns; missing if there are
+   * none.
+   */
   reserved?: number;
 }
 
--- a/packages/reedlug-gateway/src/observe/transferMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/transferMetrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of the states that boxes transfer to each other. */
 import { Counter, Histogram, type Registry } from 'prom-client';
 
-/** Upper bounds of the duration buckets, in ms; the users' bound on a configuration is 2,000 or 3,000 ms. */
+/** Upper bounds of the duration buckets, in ms; the users' bounds are 2,000 and 3,000 ms. */
 const DURATION_BUCKETS_MS = [50, 100, 250, 500, 1000, 2000, 3000, 5000];
 
 /** How a request for a state ended at the answering box. */
--- a/packages/reedlug-gateway/src/slices/engines/engineModels.ts
+++ b/packages/reedlug-gateway/src/slices/engines/engineModels.ts
@@ -50,8 +50,8 @@
 ): void {
   const { conditions, expectedMs, modelMs } = attempt;
   const waitMs = step.nowMs - attempt.sentAtMs;
-  // The model describes a server of speed 1. Where long prompts go to fast servers, raw times would
-  // give it the rate of these for long prompts, and the speeds estimated by it would vanish.
+  // The model describes a server of speed 1. Where long prompts go to fast servers, uncorrected
+  // times would give it the rate of these servers, and they would then seem to have speed 1.
   const speed = expectedMs > 0 ? modelMs / expectedMs : 1;
   const isRecorded = recordWait(ownSendsOf(state, record.service), {
     conditions,
@@ -70,14 +70,16 @@
 }
 
 /**
- * Share of the expected time that prompt tokens make up in a send that shows the speed of its server.
- * The rest is the network, the step in progress and what the loads do not show; it is the same at
- * fast and slow servers, and short prompts would make these look alike. With a half, a service of
- * prompts below some 2,000 tokens would never show speeds.
+ * Share of the expected time that prompt tokens make up in a send that shows the speed of its
+ * server. The rest is the network, the step in progress and load that is not known yet. It is the
+ * same at fast and slow servers, so short prompts would make these look alike. A larger share would
+ * leave out all sends of services whose prompts are short.
  */
 const MIN_PREFILL_SHARE = 0.35;
 
-/** Returns whether the speed of the server decides the time to the first event; always so without a prompt. */
+/**
+ * Returns whether the time to the first event shows the server's speed; always without a prompt.
+ */
 function showsSpeed(
   state: GatewayState,
   step: Step,
--- a/packages/reedlug-gateway/src/slices/peers/configurationSources.ts
+++ b/packages/reedlug-gateway/src/slices/peers/configurationSources.ts
@@ -1,4 +1,4 @@
-/** Where a box gets a newer version of the configuration from when the box that announced it does not send it. */
+/** Other sources of a newer configuration when the box that announced it does not send it. */
 import { hashString } from 'reedlug-coordination';
 import type { EventOf } from '../../types/event.js';
 import type { HostPort } from '../../types/server.js';
@@ -6,13 +6,15 @@
 import { hubMembers, isFreshPeer, isSeed, knownGroups, ownAddress, usesHubs } from './fleet.js';
 
 /**
- * Time for which a newer version may be announced without being in force, as a share of the users'
- * bound; then this box reads the store itself. 24 members of a hub take 1.1 to 1.5 s for 2,000 routes
- * over 10 Mbit/s; the rest of a bound of 3 s is ample for the store, which answers within 0.3 s.
+ * Time for which a newer version may be announced without being in force at this box, as a share of
+ * the users' bound. After it, this box reads the store itself. It leaves the transfers within a
+ * hub's group time to finish, and the rest of the bound for the store's response.
  */
 const OVERDUE_SHARE = 0.6;
 
-/** Returns whether this box should read the configuration from the store, although its hub follows the store for it. */
+/**
+ * Returns whether this box should read the store for the configuration, although its hub does so.
+ */
 export function isConfigurationOverdue(state: GatewayState, nowMs: number): boolean {
   const overdueAfterMs = state.settings.bounds.configurationMs * OVERDUE_SHARE;
   for (const peer of state.peers.values()) {
@@ -42,7 +44,9 @@
   return version > (state.active?.configuration.version ?? 0);
 }
 
-/** Handles a failed transfer: another box is asked, and the store is read, see `isConfigurationOverdue`. */
+/**
+ * Requests the version from another box; the store is read as well, see `isConfigurationOverdue`.
+ */
 export function onConfigurationTransferFailed(
   state: GatewayState,
   step: Step,
@@ -51,7 +55,8 @@
   const { peer: failed, version, reason } = event;
   const announcer = [...state.peers.values()].find(({ address }) => isSame(address, failed));
   const behind = announcer?.behindConfiguration;
-  // A box that was asked instead of the announcing one may simply not have the version yet: the next gossip message repeats the request.
+  // A member that was asked in place of the announcer may not have the version yet. The announcer's
+  // next gossip message repeats the request.
   const next = behind === undefined ? undefined : otherSource(state, step, failed, version);
   const fields = { peer: announcer?.boxId ?? failed.host, version, reason };
   log(step, 'configurationTransferFailed', { ...fields, next: next?.boxId ?? '' });
@@ -79,7 +84,7 @@
   const members = knownGroups(state).own.filter(
     (box) => box.boxId !== own.boxId && !isSame(box, failed) && !isUnusable(state, box.boxId),
   );
-  // Members ask different ones, and another one each time.
+  // Each member asks a different one, and another one each time.
   const index = (hashString(own.boxId) + Math.floor(step.nowMs)) % Math.max(1, members.length);
   return members[index];
 }
--- a/packages/reedlug-gateway/src/slices/placement/placementFields.ts
+++ b/packages/reedlug-gateway/src/slices/placement/placementFields.ts
@@ -2,7 +2,9 @@
 import type { Choice } from '../../policy/chooseServer.js';
 import type { LogField } from '../../types/effect.js';
 
-/** Returns what the request needed and what was found; nothing if it was placed without regard to its size. */
+/**
+ * Returns the request's need and the outcome; no fields if it was placed without regard to size.
+ */
 export function placementFields({ placement, waitMs }: Choice): Readonly<Record<string, LogField>> {
   if (placement === undefined) return {};
   const { outcome, need, evaluated, leavesRoom, chargeShare, loadAgeMs } = placement;
--- a/packages/reedlug-gateway/src/slices/placement/servicePlacement.ts
+++ b/packages/reedlug-gateway/src/slices/placement/servicePlacement.ts
@@ -15,7 +15,7 @@
 
 /**
  * Interval at which the speeds of all servers of a service are read, in ms. Speeds change over
- * seconds, and reading those of 12,000 servers takes about as long as one choice.
+ * seconds, and reading all of them for each request would slow down the choice of a server.
  */
 const READ_INTERVAL_MS = 1000;
 
@@ -26,7 +26,9 @@
   room: ReservedRoom;
 }
 
-/** Returns the basis of a placement, or undefined if the request is placed without regard to its size. */
+/**
+ * Returns the basis of a placement; undefined if the request is placed without regard to its size.
+ */
 export function placementBasis(
   state: GatewayState,
   params: {
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/serverSpeeds.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/serverSpeeds.ts
@@ -7,11 +7,20 @@
 
 /** Interval between estimates, in ms: as often as sums are received. */
 const ESTIMATE_INTERVAL_MS = 1000;
-/** Least interval for each registered server, in ms: an estimate takes some 1.4 ms a thousand servers, so it stays below 0.3 % of a core. */
+/**
+ * Minimum interval for each registered server, in ms: the cost of an estimate grows with the number
+ * of servers, and its share of the processor must not.
+ */
 const INTERVAL_PER_SERVER_MS = 0.5;
-/** How long the sums of all other boxes are kept after most of them are missing, in ms: a hub is replaced and has received its members' sums by then. */
+/**
+ * How long the sums of all other boxes are kept after most of them are missing, in ms: a lost hub
+ * is replaced, and the next one has received its members' sums, by then.
+ */
 const HOLD_MS = 5000;
-/** Share of the evidence below which sums count as incomplete: the loss of one group of several leaves more. */
+/**
+ * Share of the evidence below which sums count as incomplete: the loss of one group of several
+ * leaves more.
+ */
 const COMPLETE_SHARE = 0.5;
 
 /** Estimates the speeds when they are due. */
@@ -57,7 +66,10 @@
   });
 }
 
-/** Returns the sums of all boxes. While most of the other boxes' are missing, the last complete ones count. */
+/**
+ * Returns the sums of all boxes. While most of the other boxes' sums are missing, the last complete
+ * ones are used.
+ */
 export function fleetSums(state: GatewayState, nowMs: number): SumsByServer {
   const { serverSpeeds } = state;
   const others: SumsByServer = new Map();
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/speedGossip.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/speedGossip.ts
@@ -17,13 +17,22 @@
 
 /** Interval between checks for changed rows, in ms. */
 const CHECK_INTERVAL_MS = 1000;
-/** Interval after which an unchanged row is sent again, in ms: a lost row is replaced while its sums are mostly valid. */
+/**
+ * Interval after which an unchanged row is sent again, in ms: a lost row is replaced before its
+ * sums have mostly decayed.
+ */
 const REFRESH_INTERVAL_MS = 4000;
-/** Change of the ratio from which a row is sent, as a share: half of the noise of a ratio over ten seconds. */
+/** Change of the ratio from which a row is sent, as a share: smaller ones are mostly noise. */
 const MIN_RATIO_CHANGE = 0.05;
-/** Change of the evidence from which a row is sent, as a share: it only weighs the ratio, and changes by 8 % in a second by decay alone. */
+/**
+ * Change of the evidence from which a row is sent, as a share: the evidence only weighs the ratio,
+ * so it may be less exact.
+ */
 const MIN_EVIDENCE_CHANGE = 0.1;
-/** Maximum number of rows of one message: some 10 KB, so that a message stays far below a datagram's 64 KB beside the loads of 3,000 servers. */
+/**
+ * Maximum number of rows of one message, which also holds the loads of thousands of servers and
+ * must fit into a datagram (64 KB).
+ */
 export const MAX_SPEED_ROWS = 256;
 
 /** Rows for the recipients of one tick. */
@@ -128,7 +137,7 @@
   return ids;
 }
 
-/** Returns the ids of the rows that changed or were not sent for long, those sent longest ago first. */
+/** Returns the ids of the rows that changed or were not sent for long, the longest unsent first. */
 function dueIds(
   schedule: SpeedSchedule,
   sums: SumsByServer,
@@ -148,7 +157,7 @@
   if (sent === undefined || sent.bornAtMs !== row.bornAtMs) return true;
   const ageMs = nowMs - sent.atMs;
   if (ageMs >= REFRESH_INTERVAL_MS) return true;
-  // Recipients decay what they received, so only a departure from that is news to them.
+  // Recipients decay the sums that they received, so only a deviation from these is sent.
   const known = decaySpeedSums(sent.sums, ageMs);
   return (
     differs(evidenceOf(row.sums), evidenceOf(known), MIN_EVIDENCE_CHANGE) ||
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/speedOf.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/speedOf.ts
@@ -3,7 +3,10 @@
 import type { LogField } from '../../types/effect.js';
 import type { ServerView } from '../../types/views.js';
 
-/** Age from which speeds are no longer used, in ms: more than twice the interval at 12,000 servers, so the box was suspended, and servers may have changed meanwhile. */
+/**
+ * Age from which speeds are no longer used, in ms: more than twice the interval at 12,000 servers.
+ * The box was suspended then, and servers may have changed meanwhile.
+ */
 const MAX_AGE_MS = 15_000;
 
 /**
@@ -20,7 +23,7 @@
   return known?.bornAtMs === view.entry.bornAtMs ? (known?.speed ?? 1) : 1;
 }
 
-/** Returns the log fields of a send: the speed that its expected time rests on, and the age of the estimate. */
+/** Returns the log fields of a send: the speed behind its expected time, and the estimate's age. */
 export function speedLogFields(
   state: GatewayState,
   view: ServerView,
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/speedSums.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/speedSums.ts
@@ -17,7 +17,10 @@
 
 /** Evidence below which sums are dropped, in ms of expected time. */
 const MIN_EVIDENCE_MS = 1;
-/** Maximum number of servers whose sums are kept for one peer; malformed messages must not fill the memory. */
+/**
+ * Maximum number of servers whose sums are kept for one peer, so that malformed messages cannot
+ * fill the memory.
+ */
 const MAX_SERVERS = 20_000;
 
 /** Sums by server id. */
--- a/packages/reedlug-simulator/src/callers/generateRequest.ts
+++ b/packages/reedlug-simulator/src/callers/generateRequest.ts
@@ -125,7 +125,7 @@
   return [...parts, { id: `own-${number}`, tokens }];
 }
 
-/** Prompt tokens that an engine processes in the time that an output token takes it, roughly. */
+/** Weight of an output token, in prompt tokens: an engine takes several times as long for it. */
 const OUTPUT_TOKEN_WORK = 5;
 
 /** Returns the work of a stream request in prompt tokens; 0 for plain requests. */
--- a/packages/reedlug-simulator/src/report/limitRefusals.ts
+++ b/packages/reedlug-simulator/src/report/limitRefusals.ts
@@ -8,7 +8,7 @@
 import { factorInForce } from '../faults/changeLimits.js';
 import { nowMs, type World } from '../world.js';
 
-/** Requests of the largest tenth, of the fifth below and of the other seven tenths, by their units. */
+/** Requests by their units: the largest tenth, the fifth below it, and the other seven tenths. */
 const SIZE_BANDS = [
   { name: 'largest tenth', fromShare: 0.9 },
   { name: 'fifth below', fromShare: 0.7 },
--- a/packages/reedlug-simulator/src/report/workspaceRecord.ts
+++ b/packages/reedlug-simulator/src/report/workspaceRecord.ts
@@ -33,7 +33,9 @@
   work: Map<string, Map<string, SpanWork>>;
 }
 
-/** Jain's index of served work over fair shares, over the spans in which a service was short of capacity. */
+/**
+ * Jain's index of served work over fair shares, for the spans in which a service lacked capacity.
+ */
 export interface Fairness {
   shortSpans: number;
   /** 1 if every workspace got its fair share; 1 as well without such spans. */
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -250,7 +250,10 @@
     /** Ratio of a workspace's limit to its usual units. */
     limitOverUsual: positive,
     plainTokens: count.default(200),
-    /** Exponent of Zipf's law for the workspaces' shares of the load, 1 if absent; 0 makes them equal. */
+    /**
+     * Exponent of Zipf's law for the workspaces' shares of the load, 1 if absent; 0 makes them
+     * equal.
+     */
     skew: nonNegative.optional(),
   }),
   classes: z.array(classSchema).min(1),
--- a/packages/reedlug-simulator/src/servers/batchEngine.ts
+++ b/packages/reedlug-simulator/src/servers/batchEngine.ts
@@ -73,7 +73,9 @@
   };
 }
 
-/** Sets the factor on the duration of the following steps, in addition to the speed of the machine. */
+/**
+ * Sets the factor on the duration of the following steps, in addition to the speed of the machine.
+ */
 export function setSlowFactor(engine: BatchEngine, factor: number): void {
   engine.slowFactor = factor / engine.speed;
 }
