Transfers: failed announcers are not asked in turn; an exception ends the transfer, not the process

Cause, found by reading: of two boxes that announce a version and refuse connections, each failure led to the other at once (some 4,000 attempts in 1 s with two closed ports); an address that no connection can use, or an unforeseen body, threw in a promise that nobody handled; a failed encoding of a version was kept for its life.

Change: an announcer that has failed is not chosen again until its next announcement; both kinds of transfers end with a log line on an exception; a failed encoding is dropped.

--- a/packages/reedlug-gateway/src/daemon/__tests__/stateTransfer.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/stateTransfer.test.ts
@@ -130,6 +130,17 @@
   expect(requesting.failures[0]?.reason).to.include('ECONNREFUSED');
 });
 
+test('a box with an address that no connection can use fails the transfer and blocks no later one', () =>
+  withAnsweringBox([largeConfiguration(1, 300)], async (box) => {
+    const requesting = createRequestingBox();
+    const invalid = { host: '127.0.0.1', port: 99_999 };
+    await requesting.get(invalid, 1);
+    expect(requesting.failures).to.have.length(1);
+    expect(await requesting.fetcher.requestRegistry(invalid)).to.equal(undefined);
+    await requesting.get(box.address, 1);
+    expect(requesting.configuration()?.version).to.equal(1);
+  }));
+
 test('malformed answers are dropped with a line, and nothing of them is applied', () =>
   withAnsweringBox([configuration()], async (box) => {
     const [first, ...others] = configuration().routes;
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/encodedConfigurations.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/encodedConfigurations.ts
@@ -69,8 +69,11 @@
     acceptsGzip: boolean,
   ): Promise<EncodedBody> => {
     const startedAtMs = performance.now();
-    whole ??= encodeWhole(latest);
-    const wholeBytes = await whole;
+    const encoding = (whole ??= encodeWhole(latest));
+    encoding.catch(() => {
+      if (whole === encoding) whole = undefined;
+    });
+    const wholeBytes = await encoding;
     const delta = base === undefined ? undefined : deltaOf(base, latest, wholeBytes);
     const content = delta ?? wholeBytes;
     const encodedAtMs = performance.now();
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
@@ -162,6 +162,30 @@
     }
   };
 
+  /** Reads a box's registry; undefined if it did not send one. */
+  const readRegistry = async (peer: HostPort): Promise<SharedState | undefined> => {
+    const client = openClient(peer);
+    const outcome = await getState({
+      client,
+      path: SHARED_STATE_PATH,
+      afterVersion: ownVersion(),
+      idleTimeoutMs,
+    });
+    closeClient(client);
+    const state = await registryOf(outcome);
+    const isReceived = typeof state !== 'string';
+    const kind = isReceived ? 'received' : outcome.kind === 'complete' ? 'malformed' : outcome.kind;
+    metrics.attempts.inc({ state: 'registry', outcome: kind });
+    if (isReceived) {
+      const bytes = outcome.kind === 'complete' ? outcome.bytes.length : 0;
+      metrics.bytes.inc({ direction: 'received', form: 'registry' }, bytes);
+      return state;
+    }
+    // The next gossip message of the box repeats the request. That a box is busy is no fault.
+    if (kind !== 'busy') logger('registryTransferFailed', { peer: peer.host, reason: state });
+    return undefined;
+  };
+
   return {
     requestConfiguration(peer, version) {
       if (isInProgress || ownVersion() >= version) return;
@@ -176,7 +200,9 @@
         failures: 0,
         acceptsDelta: true,
       };
-      void run(transfer).then((reason) => {
+      // An address or a body that no check foresees must not end the process.
+      const finished = run(transfer).catch((error: unknown) => (error as Error).message);
+      void finished.then((reason) => {
         for (const client of transfer.clients.values()) closeClient(client);
         isInProgress = false;
         if (reason !== undefined) onFailed({ peer, version, reason });
@@ -186,31 +212,15 @@
       const key = keyOf(peer);
       if (registriesInProgress.has(key)) return undefined;
       registriesInProgress.add(key);
-      const client = openClient(peer);
-      const outcome = await getState({
-        client,
-        path: SHARED_STATE_PATH,
-        afterVersion: ownVersion(),
-        idleTimeoutMs,
-      });
-      closeClient(client);
-      registriesInProgress.delete(key);
-      const state = await registryOf(outcome);
-      const isReceived = typeof state !== 'string';
-      const kind = isReceived
-        ? 'received'
-        : outcome.kind === 'complete'
-          ? 'malformed'
-          : outcome.kind;
-      metrics.attempts.inc({ state: 'registry', outcome: kind });
-      if (isReceived) {
-        const bytes = outcome.kind === 'complete' ? outcome.bytes.length : 0;
-        metrics.bytes.inc({ direction: 'received', form: 'registry' }, bytes);
-        return state;
+      try {
+        return await readRegistry(peer);
+      } catch (error) {
+        const reason = (error as Error).message;
+        logger('registryTransferFailed', { peer: peer.host, reason });
+        return undefined;
+      } finally {
+        registriesInProgress.delete(key);
       }
-      // The next gossip message of the box repeats the request. That a box is busy is no fault.
-      if (kind !== 'busy') logger('registryTransferFailed', { peer: peer.host, reason: state });
-      return undefined;
     },
   };
 }
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/configurationSources.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/configurationSources.test.ts
@@ -62,6 +62,24 @@
   expect(ofType(fail(fleet, boxId, peer), 'askPeer')).to.deep.equal([]);
 });
 
+test('two boxes that announce a version and do not send it are not asked in turn without a pause', () => {
+  const fleet = createFleet({ boxes: 4, zones: ['zone-a'] });
+  fleet.pass(3000);
+  const [entry] = [...fleet.boxes];
+  if (entry === undefined) throw new Error('no box');
+  const [boxId, box] = entry;
+  const [first, second] = [...box.state.peers.values()];
+  if (first?.message === undefined || second?.message === undefined) throw new Error('no peers');
+  for (const { message } of [first, second]) {
+    if (message === undefined) continue;
+    const newer = { ...message, sequence: message.sequence + 1, configurationVersion: 9 };
+    box.take({ type: 'peerMessage', message: newer });
+  }
+  const asked = only(fail(fleet, boxId, first.address), 'askPeer');
+  expect(asked.peer).to.deep.equal(second.address);
+  expect(ofType(fail(fleet, boxId, second.address), 'askPeer')).to.deep.equal([]);
+});
+
 test('members ask different boxes of their group', () => {
   const { fleet, member, hub } = fleetWithNewerHub();
   const asked = new Set<string>();
--- a/packages/reedlug-gateway/src/slices/peers/configurationSources.ts
+++ b/packages/reedlug-gateway/src/slices/peers/configurationSources.ts
@@ -57,12 +57,11 @@
   const behind = announcer?.behindConfiguration;
   // A member that was asked in place of the announcer may not have the version yet. The announcer's
   // next gossip message repeats the request.
+  if (behind !== undefined) behind.hasFailed = true;
   const next = behind === undefined ? undefined : otherSource(state, step, failed, version);
   const fields = { peer: announcer?.boxId ?? failed.host, version, reason };
   log(step, 'configurationTransferFailed', { ...fields, next: next?.boxId ?? '' });
-  if (behind === undefined || !isNewer(state, version)) return;
-  behind.hasFailed = true;
-  if (next === undefined) return;
+  if (!isNewer(state, version) || next === undefined) return;
   const effect = { type: 'askPeer' as const, withServers: false, configurationVersion: version };
   step.effects.push({ ...effect, peer: next });
 }
@@ -75,8 +74,12 @@
   version: number,
 ): (HostPort & { boxId: string }) | undefined {
   const others = [...state.peers.values()].filter(({ address }) => !isSame(address, failed));
+  // Two announcers that refuse connections would otherwise be asked in turn without a pause.
   const announcer = others.find((peer) => {
-    return isFreshPeer(peer, step.nowMs) && (peer.message?.configurationVersion ?? 0) >= version;
+    const hasVersion = (peer.message?.configurationVersion ?? 0) >= version;
+    return (
+      hasVersion && isFreshPeer(peer, step.nowMs) && peer.behindConfiguration?.hasFailed !== true
+    );
   });
   if (announcer !== undefined) return announcer.address;
   if (!usesHubs(state)) return undefined;
