--- a/packages/reedlug-gateway/src/policy/serverSpeed.ts
+++ b/packages/reedlug-gateway/src/policy/serverSpeed.ts
@@ -57,11 +57,9 @@
 }
 
 /**
- * Differences from which speeds are used. Targets are about 1.2 times the time that the longest
- * prompts take at the mean speed. So one server that deviates by less than 25 %, or all servers if
- * most deviate by less than 15 %, hardly change which requests are in time. A service of equal
- * servers is evaluated 86,400 times a day and must not change its placement, so chance has to be
- * excluded by 5 standard errors.
+ * Differences from which speeds are used. Below them, hardly any request is in time on one server
+ * and late on another. A service of equal servers is evaluated 86,400 times a day and must not
+ * change its placement, so chance has to be excluded by 5 standard errors.
  */
 const START_RULE: DifferenceRule = {
   deviation: Math.log(1.25),
@@ -87,7 +85,7 @@
 const MIN_HALF_MS = 150;
 /**
  * Prior for the noise, which is the variance of a ratio's logarithm times its expected time, in ms:
- * prompts of 400 ms whose times have a relative standard deviation of 0.6.
+ * that of long prompts with widely varying times, so that few sends show no speed.
  */
 const PRIOR_NOISE_MS = 150;
 /** Weight of that prior, as a number of servers: three servers alone may agree by chance. */
--- a/packages/reedlug-gateway/src/slices/usage/__tests__/lateCounts.test.ts
+++ b/packages/reedlug-gateway/src/slices/usage/__tests__/lateCounts.test.ts
@@ -8,19 +8,10 @@
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import { passAsHolder, takeLease } from '../../../__tests__/__fixtures__/lease.js';
+import { createUsageWindow } from '../usage.js';
 import type { GatewaySettings } from '../../../types/settings.js';
 
 const WINDOW_MS = 5000;
-const emptyWindow = {
-  decided: undefined,
-  decidedAtMs: Number.NEGATIVE_INFINITY,
-  reported: false,
-  announcedUntilMs: Number.NEGATIVE_INFINITY,
-  isOmissionLogged: false,
-  isDelayLogged: false,
-  requestedAtMs: Number.NEGATIVE_INFINITY,
-  callId: 0,
-};
 const OTHER = {
   boxId: 'box-2',
   host: '127.0.0.2',
@@ -93,8 +84,7 @@
 test('a box that was silent in the whole window does not delay it', () => {
   const box = createHolder();
   box.state.usage.set(2, {
-    ...emptyWindow,
-    window: 2,
+    ...createUsageWindow(2),
     byBox: new Map([['box-1/1', { tiger: 1 }]]),
   });
   expect(awaitRow(box)?.afterMs).to.equal(1500);
@@ -120,7 +110,7 @@
   const box = createHolder();
   passAsHolder(box, WINDOW_MS + 1400);
   const byBox = new Map([['box-1/1', { tiger: 1 }]]);
-  box.state.usage.set(2, { ...emptyWindow, window: 2, byBox });
+  box.state.usage.set(2, { ...createUsageWindow(2), byBox });
   if (box.state.lease.held !== undefined) box.state.lease.held.sinceMs = box.nowMs;
   expect(awaitRow(box, box.nowMs + 1400)).to.equal(undefined);
   receive(box, 2, 5);
@@ -131,7 +121,7 @@
   const box = createHolder();
   for (const window of [0, 1, 2]) {
     const byBox = new Map([['box-1/1', { tiger: window + 1 }]]);
-    box.state.usage.set(window, { ...emptyWindow, window, byBox });
+    box.state.usage.set(window, { ...createUsageWindow(window), byBox });
   }
   box.take({ type: 'peerMessage', message: peerMessage({ sequence: 2 }) });
   const sent = ofType(box.pass(200), 'sendPeers').map(({ message }) => message);
--- a/packages/reedlug-gateway/src/slices/usage/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usage.ts
@@ -56,10 +56,9 @@
   return `${state.settings.box.id}/${state.incarnation}`;
 }
 
-function windowOf(state: GatewayState, window: number): UsageWindow {
-  const known = state.usage.get(window);
-  if (known !== undefined) return known;
-  const created: UsageWindow = {
+/** Returns a window without counts. */
+export function createUsageWindow(window: number): UsageWindow {
+  return {
     window,
     byBox: new Map(),
     decided: undefined,
@@ -71,6 +70,12 @@
     requestedAtMs: Number.NEGATIVE_INFINITY,
     callId: 0,
   };
+}
+
+function windowOf(state: GatewayState, window: number): UsageWindow {
+  const known = state.usage.get(window);
+  if (known !== undefined) return known;
+  const created = createUsageWindow(window);
   state.usage.set(window, created);
   return created;
 }
--- a/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
@@ -129,6 +129,16 @@
   refusals.set(urgency, { atMs: nowMs, rank: isKnownValid ? Math.min(rank, known.rank) : rank });
 }
 
+/** A request, the server chosen for it, and what is known of both. */
+interface JudgedRequest {
+  record: RequestRecord;
+  standing: Standing;
+  choice: Choice;
+  load: ServerLoad;
+  model: EngineModel;
+  nowMs: number;
+}
+
 /** Why a request yields to others; undefined if it does not. */
 export type YieldReason = 'underShareRefused' | 'urgentRefused' | 'urgentWouldBeRefused';
 
@@ -136,17 +146,7 @@
  * Returns why a request must be refused because one that takes precedence is refused; undefined if
  * it need not.
  */
-export function yieldReason(
-  state: GatewayState,
-  params: {
-    record: RequestRecord;
-    standing: Standing;
-    choice: Choice;
-    load: ServerLoad;
-    model: EngineModel;
-    nowMs: number;
-  },
-): YieldReason | undefined {
+export function yieldReason(state: GatewayState, params: JudgedRequest): YieldReason | undefined {
   const { record, standing, nowMs } = params;
   const { refusals } = serviceWorkOf(state, record.service, nowMs);
   const ownRank = standingRank(standing);
@@ -162,17 +162,7 @@
  * Returns whether a typical request of a more urgent kind and the same standing would be refused at
  * the server.
  */
-function wouldRefuseMoreUrgent(
-  state: GatewayState,
-  params: {
-    record: RequestRecord;
-    standing: Standing;
-    choice: Choice;
-    load: ServerLoad;
-    model: EngineModel;
-    nowMs: number;
-  },
-): boolean {
+function wouldRefuseMoreUrgent(state: GatewayState, params: JudgedRequest): boolean {
   const { record, standing, choice, load, model, nowMs } = params;
   const { running, slots } = choice.conditions;
   const { typical } = serviceWorkOf(state, record.service, nowMs);
