Fair shares: requests yield to hypothetical ones only while the service is short

Returning callers with an expected wait of 0.9 s and 11 s left were refused again.

Change: yieldReason looks at the typical request only if the standing is not even; the hold after a real refusal stays.

--- a/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/standings.ts
@@ -155,6 +155,8 @@
     if (rank === 0 && ownRank > 0) return 'underShareRefused';
     if (urgency < record.urgency && ownRank >= rank) return 'urgentRefused';
   }
+  // While the service is not short of capacity, more urgent requests find another server.
+  if (standing.kind === 'even') return undefined;
   return wouldRefuseMoreUrgent(state, params) ? 'urgentWouldBeRefused' : undefined;
 }
 
