--- a/packages/reedlug-gateway/src/policy/engineTarget.ts
+++ b/packages/reedlug-gateway/src/policy/engineTarget.ts
@@ -15,9 +15,7 @@
 const USUAL_UTILIZATION: Utilization = { prefill: 0.38, slots: 0.5 };
 /**
  * Utilization that is tolerated after the loss of half of the zones before on-demand engines are
- * ordered; above it, waits grow several times. With 0.7 in place of 0.55 of the prefill capacity,
- * a simulated quiet day costs 6 % fewer engine seconds, but its worst seconds earn 0.83 of their
- * worth in place of 0.91.
+ * ordered; above it, waits grow several times.
  */
 const STRAINED_UTILIZATION: Utilization = { prefill: 0.55, slots: 0.7 };
 /** Minimum number of engines, whatever the load: others must remain after the loss of one. */
--- a/packages/reedlug-gateway/src/slices/placement/__tests__/placement.test.ts
+++ b/packages/reedlug-gateway/src/slices/placement/__tests__/placement.test.ts
@@ -147,7 +147,7 @@
 });
 
 test('the speed of a server is learned from long prompts, not from short ones', () => {
-  // Short prompts take as long at fast engines as at slow ones, and made engines at 0.7 and 1.7 look alike.
+  // Short prompts take as long at fast engines as at slow ones, and would make them look alike.
   expect(receiveAfter(6000, 1).state.serverSpeeds.own.size).to.equal(1);
   expect(receiveAfter(600, 1).state.serverSpeeds.own.size).to.equal(0);
 });
