Log and count connections to servers by outcome; a box knows which of its links are down

The logs of the incident name the last failure of a request alone. They do not show which connections were tried, how each ended and when a server was last reached, so a box that lost its links cannot be told from one whose retries end too early. Each attempt to connect now reaches the reducer (connectionTried): log lines serverLinkDown and serverLinkUp, counters reedlug_connections_total by path and outcome, histogram reedlug_connect_ms. Which connections are opened, and when a request is sent or refused, is unchanged.

--- a/deploy/undiciParts.js
+++ b/deploy/undiciParts.js
@@ -1,7 +1,6 @@
 // The parts of undici that a box uses. The package's own index also loads fetch, web sockets and
 // caches, which cost a third of a start's processor time.
 import request from 'undici/lib/api/api-request.js';
-import buildConnector from 'undici/lib/core/connect.js';
 import Client from 'undici/lib/dispatcher/client.js';
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
@@ -9,4 +8,4 @@
 // The package's index adds its calls to the dispatchers in the same way.
 Dispatcher.prototype.request = request;
 
-export { buildConnector, Client, Pool };
+export { Client, Pool };
--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -2,6 +2,7 @@
 import { createLease } from 'reedlug-coordination';
 import { createReceivedTotals, type GatewayState } from './state.js';
 import { createLimitShare, createRestartReserve } from './types/limitShare.js';
+import { createServerLinks } from './types/serverLink.js';
 import { createServerSpeeds } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
 
@@ -40,6 +41,7 @@
     nextCallId: 1,
     active: undefined,
     servers: new Map(),
+    serverLinks: createServerLinks(),
     serverIncarnationCount: 0,
     goneServers: new Map(),
     unconfirmedServers: new Map(),
--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import type { HeaderCodec } from '../../adapter.js';
 import { createConnectionPool } from '../connectionPool.js';
+import { createServerDialer } from '../serverDialer.js';
 import { sendAttempt, type AttemptRequest } from '../backendAttempt.js';
 
 const codec: HeaderCodec = {
@@ -36,10 +37,13 @@
     socket.once('data', () => respond(socket));
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const pool = createConnectionPool();
+  const pool = createConnectionPool(createServerDialer(() => undefined));
   const reported: string[] = [];
   const { port } = server.address() as AddressInfo;
-  const connection = pool.acquire('server-1', { host: '127.0.0.1', port }, true);
+  const connection = pool.acquire(
+    { serverId: 'server-1', address: { host: '127.0.0.1', port }, requestId: REQUEST.requestId },
+    true,
+  );
   let text = '';
   await new Promise<void>((resolve) => {
     const finishWith = (what: string): void => {
@@ -183,8 +187,11 @@
 });
 
 test('a request whose connection is refused is not sent', async () => {
-  const pool = createConnectionPool();
-  const connection = pool.acquire('server-1', { host: '127.0.0.1', port: 1 }, true);
+  const pool = createConnectionPool(createServerDialer(() => undefined));
+  const connection = pool.acquire(
+    { serverId: 'server-1', address: { host: '127.0.0.1', port: 1 }, requestId: REQUEST.requestId },
+    true,
+  );
   const reported = await new Promise<string>((resolve) => {
     sendAttempt({
       connection,
--- a/packages/reedlug-gateway/src/daemon/connectionPool.ts
+++ b/packages/reedlug-gateway/src/daemon/connectionPool.ts
@@ -3,9 +3,9 @@
  * one request at a time, so that an answer can only belong to the request in progress.
  */
 import type { Socket } from 'node:net';
-import { buildConnector, Client } from 'undici';
+import { Client } from 'undici';
 import type { HostPort } from '../types/server.js';
-import { CONNECT_TIMEOUT_MS } from './daemonTimes.js';
+import type { DialTarget, ServerDialer } from './serverDialer.js';
 
 /** Idle time after which a connection is closed if the server states none, in ms. */
 const IDLE_TIMEOUT_MS = 4000;
@@ -28,7 +28,7 @@
 /** Pool of idle connections by server. */
 export interface ConnectionPool {
   /** Returns an idle connection or opens one; with `fresh` it always opens one. */
-  acquire: (serverId: string, address: HostPort, fresh: boolean) => Connection;
+  acquire: (target: DialTarget, fresh: boolean) => Connection;
   /** Returns a connection to the pool after a complete answer. */
   release: (connection: Connection) => void;
   /** Closes a connection whose state is unknown. */
@@ -37,9 +37,8 @@
 }
 
 /** Creates an empty pool. */
-export function createConnectionPool(): ConnectionPool {
+export function createConnectionPool(dialer: ServerDialer): ConnectionPool {
   const idle = new Map<string, Connection[]>();
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
   const removeIdle = (connection: Connection): void => {
     const list = idle.get(connection.serverId);
@@ -55,12 +54,13 @@
     connection.client.destroy().catch(() => undefined);
   };
 
-  const open = (serverId: string, address: HostPort): Connection => {
+  const open = (target: DialTarget): Connection => {
+    const { serverId, address } = target;
     const client = new Client(`http://${address.host}:${address.port}`, {
       pipelining: 1,
-      connect: (options, callback) =>
-        connect(options, (...result) => {
-          if (result[1]) detectUncleanClose(connection, result[1]);
+      connect: (_options, callback) =>
+        dialer.dial(target, (...result) => {
+          if (result[1] !== null) detectUncleanClose(connection, result[1]);
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -82,7 +82,8 @@
   };
 
   return {
-    acquire(serverId, address, fresh) {
+    acquire(target, fresh) {
+      const { serverId, address } = target;
       const hasSameAddress = (connection: Connection): boolean =>
         connection.address.host === address.host && connection.address.port === address.port;
       // A server that restarted under its id may have another address.
@@ -90,7 +91,7 @@
         idle.get(serverId)?.filter((connection) => !hasSameAddress(connection)) ?? [];
       outdated.forEach(discard);
       const found = fresh ? undefined : idle.get(serverId)?.at(-1);
-      if (found === undefined) return open(serverId, address);
+      if (found === undefined) return open(target);
       removeIdle(found);
       return found;
     },
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -56,14 +56,16 @@
   const record = runtime.state.requests.get(exchangeId);
   if (exchange === undefined || record === undefined) return;
   const { head, body } = exchange;
+  const { serverId, address } = order;
+  const { requestId } = record.facts;
   const ids = { exchangeId, attemptId };
   const end = (): void => void runtime.attempts.delete(attemptId);
   const attempt = sendAttempt({
-    connection: runtime.pool.acquire(order.serverId, order.address, order.needsFreshConnection),
+    connection: runtime.pool.acquire({ serverId, address, requestId }, order.needsFreshConnection),
     pool: runtime.pool,
     codec: runtime.adapter.headers,
     request: {
-      requestId: record.facts.requestId,
+      requestId,
       method: head.method,
       path: head.path,
       headers: runtime.adapter.headers.encodeSend(head.rawHeaders, order),
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -4,7 +4,11 @@
  */
 import { createServer, type Server } from 'node:http';
 import type { PlatformAdapter, PlatformCloud, PlatformStore } from '../adapter.js';
-import { createGatewayMetrics, type GatewayMetrics } from '../observe/gatewayMetrics.js';
+import {
+  countConnection,
+  createGatewayMetrics,
+  type GatewayMetrics,
+} from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
 import { reduce } from '../reduce.js';
 import { configurationHolders, isKnownBox } from '../slices/peers/configurationSources.js';
@@ -23,6 +27,7 @@
 import { TICK_MS } from './daemonTimes.js';
 import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
+import { createServerDialer } from './serverDialer.js';
 import { createSequentialHandler } from './sequentialHandler.js';
 import { followPlatform, type PlatformFeeds } from './platformFeeds.js';
 import { createOperatorServer } from './operatorServer.js';
@@ -98,6 +103,10 @@
       metrics: metrics.transfers,
     }),
   });
+  const dialer = createServerDialer((attempt) => {
+    countConnection(metrics, attempt);
+    emit({ type: 'connectionTried', attempt });
+  });
   const runtime: Runtime = {
     settings,
     adapter,
@@ -109,7 +118,7 @@
     cloud: adapter.openCloud(settings),
     state,
     clock,
-    pool: createConnectionPool(),
+    pool: createConnectionPool(dialer),
     peers,
     states: createStateFetcher({
       configuration: () => state.active?.configuration,
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -35,5 +35,6 @@
 export type * from './types/request.js';
 export * from './types/rollout.js';
 export * from './types/server.js';
+export * from './types/serverLink.js';
 export type * from './types/serverStatement.js';
 export type * from './types/settings.js';
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -1,18 +1,24 @@
 /** Counters and latency histograms of a gateway box in the text format of Prometheus. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { LogField } from '../types/effect.js';
+import { ConnectOutcome, type ConnectionTry } from '../types/serverLink.js';
 import { createTransferMetrics, type TransferMetrics } from './transferMetrics.js';
 import { createDecisionMetrics, type DecisionMetrics } from './decisionMetrics.js';
 
 /** Upper bounds of the latency buckets, in ms: around the latency targets of the users' requests. */
 const LATENCY_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1200, 2000, 4000, 8000, 16_000];
 
+/** Upper bounds of the times to connect, in ms: from a link within a zone to the timeout. */
+const CONNECT_BUCKETS_MS = [1, 2, 5, 10, 25, 50, 100, 200, 400];
+
 /** Metrics of a box. */
 export interface GatewayMetrics {
   requests: Counter;
   latencyMs: Histogram;
   decisions: Counter;
   placements: Counter;
+  connections: Counter;
+  connectMs: Histogram;
   linesLeftOut: Counter;
   versions: Gauge;
   figures: DecisionMetrics;
@@ -46,6 +52,15 @@
   }
 }
 
+/** Counts an attempt to open a connection to a server. */
+export function countConnection(
+  { connections, connectMs }: GatewayMetrics,
+  { path, outcome, tookMs }: ConnectionTry,
+): void {
+  connections.inc({ path: path.kind, outcome });
+  if (outcome === ConnectOutcome.opened) connectMs.observe({ path: path.kind }, tookMs);
+}
+
 /** Counts a send that was placed by the size of its request. */
 function countPlacement(metrics: GatewayMetrics, fields: Readonly<Record<string, LogField>>): void {
   const { placement, neededSpeed, leavesRoom } = fields;
@@ -89,6 +104,19 @@
       labelNames: ['outcome', 'request'],
       registers,
     }),
+    connections: new Counter({
+      name: 'reedlug_connections_total',
+      help: 'Connections to servers that were tried, by path (direct, peer) and outcome (opened, refused, silent, unavailable)',
+      labelNames: ['path', 'outcome'],
+      registers,
+    }),
+    connectMs: new Histogram({
+      name: 'reedlug_connect_ms',
+      help: 'Time in which connections to servers came up, in ms',
+      labelNames: ['path'],
+      buckets: CONNECT_BUCKETS_MS,
+      registers,
+    }),
     linesLeftOut: new Counter({
       name: 'reedlug_log_lines_left_out_total',
       help: 'Log lines that were not written because there were too many or the pipe was full',
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -37,6 +37,7 @@
 import { onRolloutOrdered } from './slices/rollouts/rollouts.js';
 import { onServerStatements, statementsTick } from './slices/statements/statementGossip.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers/servers.js';
+import { onConnectionTried, serverLinksTick } from './slices/servers/serverLinks.js';
 import { silentServersTick } from './slices/servers/silentServers.js';
 import { onStoreEra } from './slices/store/storeEra.js';
 import { onStopAsked, shutdownTick } from './slices/lifecycle/shutdown.js';
@@ -65,6 +66,8 @@
       return onRequestArrived(state, step, event);
     case 'callerGone':
       return onCallerGone(state, step, event);
+    case 'connectionTried':
+      return onConnectionTried(state, step, event);
     case 'attemptNotSent':
       return onAttemptNotSent(state, step, event);
     case 'answerBegun':
@@ -124,6 +127,7 @@
 
 function onTick(state: GatewayState, step: Step): void {
   serversTick(state, step);
+  serverLinksTick(state);
   pendingRequestsTick(state, step);
   requestsTick(state, step);
   silentServersTick(state, step);
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -0,0 +1,79 @@
+/** What attempts to open connections show of this box's links to the servers. */
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
+import { ConnectOutcome, type ConnectionTry, type ServerLink } from '../../types/serverLink.js';
+import type { ServerView } from '../../types/views.js';
+
+/** Weight of one connection in the moving average of the time to connect, and in its deviation. */
+const CONNECT_TIME_WEIGHT = 0.125;
+const DEVIATION_WEIGHT = 0.25;
+
+/** Records how an attempt to open a connection to a server ended. */
+export function onConnectionTried(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'connectionTried'>,
+): void {
+  const view = viewOf(state, event.attempt);
+  if (view === undefined) return;
+  recordDirect(state, step, view, event.attempt);
+}
+
+/** Returns the server to which a connection was opened; undefined if another one has its address. */
+function viewOf(state: GatewayState, { serverId, address }: ConnectionTry): ServerView | undefined {
+  const view = state.servers.get(serverId);
+  const known = view?.entry.address;
+  return known?.host === address.host && known.port === address.port ? view : undefined;
+}
+
+function recordDirect(
+  state: GatewayState,
+  step: Step,
+  view: ServerView,
+  { outcome, tookMs, requestId }: ConnectionTry,
+): void {
+  const { serverLinks: links } = state;
+  const { id: server } = view.entry;
+  if (outcome === ConnectOutcome.opened) {
+    links.openedAtMs = step.nowMs;
+    recordConnectTime(state, tookMs);
+    if (view.link === undefined) return;
+    const downMs = Math.round(step.nowMs - view.link.downSinceMs);
+    log(step, 'serverLinkUp', { server, downMs, tookMs: Math.round(tookMs), request: requestId });
+    view.link = undefined;
+    links.down.delete(server);
+    return;
+  }
+  links.failedAtMs = step.nowMs;
+  links.failure = outcome;
+  const lastOpenedMs = Math.round(step.nowMs - links.openedAtMs);
+  if (view.link === undefined) {
+    const fields = { server, outcome, tookMs: Math.round(tookMs), lastOpenedMs };
+    log(step, 'serverLinkDown', { ...fields, request: requestId });
+  }
+  view.link = { ...(view.link ?? createLink(step.nowMs)), failure: outcome, triedAtMs: step.nowMs };
+  links.down.add(server);
+}
+
+function createLink(nowMs: number): ServerLink {
+  return {
+    downSinceMs: nowMs,
+    failure: ConnectOutcome.silent,
+    triedAtMs: nowMs,
+    openedByPeerAtMs: Number.NEGATIVE_INFINITY,
+    failedByPeersAtMs: Number.NEGATIVE_INFINITY,
+  };
+}
+
+function recordConnectTime({ serverLinks }: GatewayState, tookMs: number): void {
+  const differenceMs = tookMs - serverLinks.connectMs;
+  serverLinks.connectMs += differenceMs * CONNECT_TIME_WEIGHT;
+  serverLinks.deviationMs += (Math.abs(differenceMs) - serverLinks.deviationMs) * DEVIATION_WEIGHT;
+}
+
+/** Forgets the links of servers that are gone. */
+export function serverLinksTick({ serverLinks, servers }: GatewayState): void {
+  for (const id of serverLinks.down) {
+    if (servers.get(id)?.link === undefined) serverLinks.down.delete(id);
+  }
+}
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -12,6 +12,7 @@
 import type { RolloutView } from './types/rollout.js';
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
+import type { ServerLinks } from './types/serverLink.js';
 import type { ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
 import type { WorkspaceShares } from './types/workspaceShares.js';
@@ -48,6 +49,7 @@
   nextCallId: number;
   active: ActiveConfiguration | undefined;
   servers: Map<string, ServerView>;
+  serverLinks: ServerLinks;
   /** Number of server incarnations seen so far. */
   serverIncarnationCount: number;
   /** Latest incarnations of servers that are gone, to detect updates about earlier ones. */
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -6,6 +6,7 @@
 import type { RolloutOrder } from './rollout.js';
 import type { AnswerStatements, ServerStatementsMessage } from './serverStatement.js';
 import type { HostPort, ServerChange } from './server.js';
+import type { ConnectionTry } from './serverLink.js';
 import type {
   PeerAddress,
   PeerMessage,
@@ -26,6 +27,8 @@
   | { type: 'tick' }
   | { type: 'requestArrived'; exchangeId: number; facts: RequestFacts }
   | { type: 'callerGone'; exchangeId: number }
+  /** An attempt to open a connection to a server ended. */
+  | { type: 'connectionTried'; attempt: ConnectionTry }
   /** The attempt failed before any byte of it left this box. */
   | { type: 'attemptNotSent'; exchangeId: number; attemptId: number; reason: string }
   /** The head of a server's answer arrived, with the server's statements. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -4,6 +4,7 @@
 import type { CloudCall } from './effect.js';
 import type { PeerAddress, PeerMessage } from './peer.js';
 import type { HostPort, ServerEntry } from './server.js';
+import type { ServerLink } from './serverLink.js';
 import type { IncarnationStatements } from './serverStatement.js';
 
 /** A configuration with the look-up tables for requests. */
@@ -55,6 +56,8 @@
    * recent first.
    */
   cachedParts: Map<string, number>;
+  /** Undefined unless the last direct connection to the server failed. */
+  link: ServerLink | undefined;
 }
 
 /** A workspace's limit, in force from a given time. */
