--- a/packages/reedlug-soak/src/boxProcess.ts
+++ b/packages/reedlug-soak/src/boxProcess.ts
@@ -3,7 +3,7 @@
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
-const MAIN_PATH = fileURLToPath(import.meta.resolve('reedlug-platform/main'));
+const MAIN_PATH = fileURLToPath(new URL('./soakBox.js', import.meta.url));
 
 /**
  * Box processes that are running. A soak that exits early kills them all, also those that SIGSTOP
@@ -31,8 +31,9 @@
   settingsText: string;
   settingsPath: string;
   logPath: string;
+  environment: Readonly<Record<string, string>>;
 }): BoxProcess {
-  const { settingsText, settingsPath, logPath } = params;
+  const { settingsText, settingsPath, logPath, environment } = params;
   writeFileSync(settingsPath, settingsText);
   let child: ChildProcess | undefined;
   const isRunning = (): boolean =>
@@ -42,7 +43,7 @@
       if (isRunning()) return;
       const log = createWriteStream(logPath, { flags: 'a' });
       child = spawn(process.execPath, [MAIN_PATH], {
-        env: { ...process.env, REEDLUG_BOOT: settingsPath },
+        env: { ...process.env, ...environment, REEDLUG_BOOT: settingsPath },
         stdio: ['ignore', 'pipe', 'pipe'],
       });
       const started = child;
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -14,6 +14,17 @@
 } as const;
 export type LinkFault = (typeof LinkFault)[keyof typeof LinkFault];
 
+/** What a box that is partitioned from servers sees. */
+export const Partition = {
+  /** Open connections deliver nothing, and new ones hang. */
+  hang: 'hang',
+  /** Open connections are reset, and new ones refused. */
+  reset: 'reset',
+  /** Open connections go on, and new ones are refused. */
+  refuseNew: 'refuseNew',
+} as const;
+export type Partition = (typeof Partition)[keyof typeof Partition];
+
 /** A fault or a planned change. `box` and `server` are indexes. */
 export type Fault =
   | { kind: 'pauseBox'; box: number; forMs: number }
@@ -22,6 +33,8 @@
   | { kind: 'killAllBoxes'; backAfterMs: number }
   | { kind: 'storeLink'; box: number; how: LinkFault; forMs: number }
   | { kind: 'serverLink'; server: number; how: LinkFault; forMs: number }
+  /** Boxes are partitioned from a share of the servers; callers, the store and other boxes reach them. */
+  | { kind: 'serversPartitioned'; boxes: number; share: number; how: Partition; forMs: number }
   | { kind: 'storeAway'; forMs: number }
   /**
    * The store is unavailable for `forMs`, then restored from a backup that is `ageMs` old. Lost
--- a/packages/reedlug-soak/src/faultProxy.ts
+++ b/packages/reedlug-soak/src/faultProxy.ts
@@ -10,6 +10,9 @@
   port: number;
   /** Sets the fault of the link; `undefined` removes it. */
   setFault: (fault: LinkFault | undefined) => void;
+  /** Refuses new connections; open ones go on. */
+  stopListening: () => void;
+  listenAgain: () => Promise<void>;
   close: () => void;
 }
 
@@ -69,6 +72,8 @@
       }
       pairs.clear();
     },
+    stopListening: () => void server.close(),
+    listenAgain: () => listen(server, params.host, params.port),
     close() {
       for (const [client, upstream] of pairs) {
         client.destroy();
--- a/packages/reedlug-soak/src/guarantees.ts
+++ b/packages/reedlug-soak/src/guarantees.ts
@@ -1,4 +1,5 @@
 /** Checks a run's record against the guarantees to callers, servers and the operator. */
+import { checkPartitionedBoxes } from './partitionedBoxes.js';
 import { checkPauses, checkDrainingStatements } from './serverStatements.js';
 import { CallKind, overlaps, type Call, type Arrival, type SoakRecord } from './soakRecord.js';
 
@@ -66,6 +67,7 @@
     ...checkServerLimits(record, bounds),
     ...checkDrainingStatements(record, bounds),
     ...checkPauses(record),
+    ...checkPartitionedBoxes(record, bounds),
   ];
 }
 
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -65,6 +65,8 @@
         world.servers[fault.server]?.proxy.setFault(undefined);
         span.toMs = performance.now();
       });
+    case 'serversPartitioned':
+      return partitionBoxes(world, record, fault);
     case 'storeAway':
       return withBoxFault(record, [...world.boxes.keys()], async () => {
         world.store.isDown = true;
@@ -124,6 +126,25 @@
   }
 }
 
+/** Partitions the first boxes from the first servers of each service. */
+async function partitionBoxes(
+  world: SoakWorld,
+  record: SoakRecord,
+  { boxes, share, how, forMs }: Extract<Fault, { kind: 'serversPartitioned' }>,
+): Promise<void> {
+  const partitioned = world.boxes.slice(0, boxes);
+  const ports = [...new Set(world.servers.map(({ service }) => service))].flatMap((service) => {
+    const ofService = world.servers.filter((server) => server.service === service);
+    return ofService.slice(0, Math.ceil(share * ofService.length)).map(({ proxy }) => proxy.port);
+  });
+  const span = { ...startSpan(), boxes: partitioned.length };
+  record.partitions.push(span);
+  await Promise.all(partitioned.map(({ serverLinks }) => serverLinks.partition(how, ports)));
+  await delay(forMs);
+  await Promise.all(partitioned.map(({ serverLinks }) => serverLinks.heal()));
+  span.toMs = performance.now();
+}
+
 function publishNextConfiguration(world: SoakWorld, record: SoakRecord): void {
   configure(world);
   record.configuredAtMs.set(world.version, performance.now());
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -43,6 +43,7 @@
   /** Number of calls by status; `none` stands for connections without a response. */
   statuses: Record<string, number>;
   faults: Record<string, number>;
+  record: SoakRecord;
 }
 
 /**
@@ -68,7 +69,7 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, lengthMs, boxes, serversPerService, folder } = options;
   const world = await buildWorld({ boxes, serversPerService, folder });
-  const record = createSoakRecord(DRAFT_EVENTS);
+  const record = createSoakRecord(DRAFT_EVENTS, LIMITED_WORKSPACE.key);
   const plannedFaults =
     options.faults ?? planFaults({ seed, lengthMs, boxes, servers: world.servers.length });
   const callers = createCallers();
@@ -104,6 +105,7 @@
     limitedServed: countServed(record, LIMITED_WORKSPACE.key),
     statuses: countBy(record.calls.map(({ status }) => String(status ?? 'none'))),
     faults: countBy(plannedFaults.map(({ fault }) => fault.kind)),
+    record,
   };
 }
 
--- /dev/null
+++ b/packages/reedlug-soak/src/soakBox.ts
@@ -0,0 +1,28 @@
+/**
+ * Program of a box in a soak. Its connections to the servers go through links of its own, so that a
+ * run can partition it from them.
+ */
+import { Socket } from 'node:net';
+import { LINK_HOST_VARIABLE, LINK_PORTS_VARIABLE } from './linkVariables.js';
+
+const linkHost = process.env[LINK_HOST_VARIABLE];
+const serverPorts = new Set((process.env[LINK_PORTS_VARIABLE] ?? '').split(',').map(Number));
+// eslint-disable-next-line @typescript-eslint/unbound-method -- it is applied to the socket below.
+const { connect } = Socket.prototype;
+
+interface ConnectOptions {
+  host?: string;
+  port?: number | string;
+}
+
+Socket.prototype.connect = function redirectToLink(this: Socket, ...args: unknown[]): Socket {
+  const [first] = args;
+  // `net.connect` passes its arguments as one array.
+  const options = (Array.isArray(first) ? first[0] : first) as ConnectOptions;
+  if (options.host === '127.0.0.1' && serverPorts.has(Number(options.port))) {
+    options.host = linkHost ?? options.host;
+  }
+  return Reflect.apply(connect as (...args: unknown[]) => Socket, this, args);
+};
+
+await import('reedlug-platform/main');
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -54,10 +54,17 @@
   toMs: number;
 }
 
+/** A span in which the first boxes were partitioned from servers. */
+export interface PartitionSpan extends Span {
+  boxes: number;
+}
+
 /** Everything that is needed to check the guarantees. */
 export interface SoakRecord {
   calls: Call[];
   runs: Arrival[];
+  /** Key of the workspace with a limit. */
+  limitedKey: string;
   /** Number of events of a complete draft. */
   draftEvents: number;
   /** When the store acknowledged each configuration, by version. */
@@ -74,6 +81,8 @@
    * or of its link to the store, by box.
    */
   troubles: Map<number, Span[]>;
+  /** Spans in which the first boxes were partitioned from servers, with their number. */
+  partitions: PartitionSpan[];
   /** Planned stops by box: from the signal to the next start of the process. */
   stops: Map<number, Span[]>;
   /**
@@ -91,15 +100,17 @@
 }
 
 /** Returns an empty record. */
-export function createSoakRecord(draftEvents: number): SoakRecord {
+export function createSoakRecord(draftEvents: number, limitedKey = ''): SoakRecord {
   return {
     calls: [],
     runs: [],
+    limitedKey,
     draftEvents,
     configuredAtMs: new Map(),
     revokedAtMs: new Map(),
     leftAtMs: new Map(),
     troubles: new Map(),
+    partitions: [],
     stops: new Map(),
     interruptions: new Map(),
     linkTroubles: [],
--- a/packages/reedlug-soak/src/soakWorld.ts
+++ b/packages/reedlug-soak/src/soakWorld.ts
@@ -16,10 +16,12 @@
   type StoreStandin,
 } from 'reedlug-platform/standins';
 import { findFreePorts } from 'reedlug-standins';
+import { openBoxLinks, type BoxLinks } from './boxLinks.js';
 import { prepareBox, type BoxProcess } from './boxProcess.js';
 import { SERVICE_HOST, type CallTarget } from './callers.js';
 import { openFaultProxy, type FaultProxy } from './faultProxy.js';
 import { expectedBody } from './guarantees.js';
+import { LINK_HOST_VARIABLE, LINK_PORTS_VARIABLE } from './linkVariables.js';
 
 /**
  * Number of events of a draft, and the interval between them, in ms. A stream lasts over a second,
@@ -69,6 +71,7 @@
   target: CallTarget;
   readiness: CallTarget;
   storeLink: FaultProxy;
+  serverLinks: BoxLinks;
 }
 
 /** Components that faults act on, and the state of the load. */
@@ -245,15 +248,21 @@
     },
     bounds: BOX_BOUNDS,
   };
+  const serverPorts = world.servers.map(({ proxy }) => proxy.port);
   return {
     process: prepareBox({
       settingsText: stringify(settings),
       settingsPath: join(folder, `box-${index}.yaml`),
       logPath: join(folder, `box-${index}.log`),
+      environment: {
+        [LINK_HOST_VARIABLE]: ip,
+        [LINK_PORTS_VARIABLE]: serverPorts.join(','),
+      },
     }),
     target: { host: ip, port: callers },
     readiness: { host: ip, port: readiness },
     storeLink,
+    serverLinks: await openBoxLinks(ip, serverPorts),
   };
 }
 
@@ -264,7 +273,10 @@
     process.signal('SIGKILL');
     await process.ended();
   }
-  for (const { storeLink } of world.boxes) storeLink.close();
+  for (const { storeLink, serverLinks } of world.boxes) {
+    storeLink.close();
+    serverLinks.close();
+  }
   for (const { proxy, standin } of world.servers) {
     proxy.close();
     standin.close();
