--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -2,7 +2,7 @@
 import { createGatewayState } from '../../createGatewayState.js';
 import type { GatewayState } from '../../state.js';
 import { reduce } from '../../reduce.js';
-import { DEFAULT_LOAD_SETTINGS } from '../../settings/defaults.js';
+import { DEFAULT_LOAD_SETTINGS, DEFAULT_TUNNEL_SETTINGS } from '../../settings/defaults.js';
 import type { Configuration, RouteSpec } from '../../types/configuration.js';
 import { LimitUnit, RouteKind } from '../../types/configuration.js';
 import type { Effect } from '../../types/effect.js';
@@ -63,6 +63,7 @@
       ...changes,
     },
     load: { ...DEFAULT_LOAD_SETTINGS, ...load },
+    tunnels: DEFAULT_TUNNEL_SETTINGS,
   };
 }
 
--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -42,6 +42,7 @@
     active: undefined,
     servers: new Map(),
     serverLinks: createServerLinks(),
+    openTunnels: 0,
     serverIncarnationCount: 0,
     goneServers: new Map(),
     unconfirmedServers: new Map(),
--- a/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/backendAttempt.test.ts
@@ -2,7 +2,9 @@
 import { expect } from 'chai';
 import type { HeaderCodec } from '../../adapter.js';
 import { createConnectionPool } from '../connectionPool.js';
-import { createServerDialer } from '../serverDialer.js';
+import { createGatewayState } from '../../createGatewayState.js';
+import { settings } from '../../__tests__/__fixtures__/box.js';
+import { createServerDialer, type ServerDialer } from '../serverDialer.js';
 import { sendAttempt, type AttemptRequest } from '../backendAttempt.js';
 
 const codec: HeaderCodec = {
@@ -18,6 +20,12 @@
   refusalHeaders: () => [],
 };
 
+/** A dialer of a box that knows no peers. */
+function testDialer(): ServerDialer {
+  const state = createGatewayState({ settings: settings(), incarnation: 1, nowMs: 0 });
+  return createServerDialer({ state, nowMs: () => 0, onTried: () => undefined });
+}
+
 const REQUEST: AttemptRequest = {
   requestId: 'request-1',
   method: 'GET',
@@ -37,7 +45,7 @@
     socket.once('data', () => respond(socket));
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const pool = createConnectionPool(createServerDialer(() => undefined));
+  const pool = createConnectionPool(testDialer());
   const reported: string[] = [];
   const { port } = server.address() as AddressInfo;
   const connection = pool.acquire(
@@ -187,7 +195,7 @@
 });
 
 test('a request whose connection is refused is not sent', async () => {
-  const pool = createConnectionPool(createServerDialer(() => undefined));
+  const pool = createConnectionPool(testDialer());
   const connection = pool.acquire(
     { serverId: 'server-1', address: { host: '127.0.0.1', port: 1 }, requestId: REQUEST.requestId },
     true,
--- a/packages/reedlug-gateway/src/daemon/connectionPool.ts
+++ b/packages/reedlug-gateway/src/daemon/connectionPool.ts
@@ -5,7 +5,9 @@
 import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { HostPort } from '../types/server.js';
+import { ConnectOutcome, type ConnectionPath } from '../types/serverLink.js';
 import type { DialTarget, ServerDialer } from './serverDialer.js';
+import { ServerUnreachedError } from './serverUnreachedError.js';
 
 /** Idle time after which a connection is closed if the server states none, in ms. */
 const IDLE_TIMEOUT_MS = 4000;
@@ -17,6 +19,8 @@
   client: Client;
   serverId: string;
   address: HostPort;
+  /** Undefined until the connection is open. */
+  path: ConnectionPath | undefined;
   /** True once the socket has failed: undici treats a close-delimited answer that was reset as complete. */
   failed: boolean;
   /** True while the answer being read has no length and ends when the connection closes. */
@@ -37,9 +41,15 @@
 }
 
 /** Creates an empty pool. */
-export function createConnectionPool(dialer: ServerDialer): ConnectionPool {
+export function createConnectionPool(
+  dialer: ServerDialer,
+  isUsable: (connection: { serverId: string; path: ConnectionPath }) => boolean = () => true,
+): ConnectionPool {
   const idle = new Map<string, Connection[]>();
 
+  const isOpenPathUsable = ({ serverId, path }: Connection): boolean =>
+    path === undefined || isUsable({ serverId, path });
+
   const removeIdle = (connection: Connection): void => {
     const list = idle.get(connection.serverId);
     const index = list?.indexOf(connection) ?? -1;
@@ -59,9 +69,13 @@
     const client = new Client(`http://${address.host}:${address.port}`, {
       pipelining: 1,
       connect: (_options, callback) =>
-        dialer.dial(target, (...result) => {
-          if (result[1] !== null) detectUncleanClose(connection, result[1]);
-          callback(...result);
+        dialer.dial(target, (result) => {
+          if (result.outcome !== ConnectOutcome.opened) {
+            return callback(new ServerUnreachedError(result.outcome), null);
+          }
+          connection.path = result.path;
+          detectUncleanClose(connection, result.socket);
+          callback(null, result.socket);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -73,6 +87,7 @@
       client,
       serverId,
       address,
+      path: undefined,
       failed: false,
       isCloseDelimited: false,
       closedCleanly: undefined,
@@ -84,11 +99,14 @@
   return {
     acquire(target, fresh) {
       const { serverId, address } = target;
+      // A server that restarted under its id may have another address.
       const hasSameAddress = (connection: Connection): boolean =>
         connection.address.host === address.host && connection.address.port === address.port;
-      // A server that restarted under its id may have another address.
       const outdated =
-        idle.get(serverId)?.filter((connection) => !hasSameAddress(connection)) ?? [];
+        idle
+          .get(serverId)
+          ?.filter((connection) => !hasSameAddress(connection) || !isOpenPathUsable(connection)) ??
+        [];
       outdated.forEach(discard);
       const found = fresh ? undefined : idle.get(serverId)?.at(-1);
       if (found === undefined) return open(target);
@@ -97,6 +115,7 @@
     },
     release(connection) {
       if (connection.client.destroyed || connection.client.closed) return;
+      if (!isOpenPathUsable(connection)) return discard(connection);
       const list = idle.get(connection.serverId) ?? [];
       list.push(connection);
       idle.set(connection.serverId, list);
--- a/packages/reedlug-gateway/src/daemon/daemonTimes.ts
+++ b/packages/reedlug-gateway/src/daemon/daemonTimes.ts
@@ -8,7 +8,7 @@
 export const CLOUD_TIMEOUT_MS = 1500;
 /** Timeout of writing this box's entry to the store. */
 export const ANNOUNCE_TIMEOUT_MS = 1500;
-/** Timeout of opening a connection: a server whose accept queue is full drops the opening packet for seconds. */
+/** Timeout of opening a connection, also through a peer: a server whose accept queue is full drops the opening packet for seconds. */
 export const CONNECT_TIMEOUT_MS = 400;
 /**
  * Time without bytes after which a request to a peer is abandoned, in ms: the peer may have to
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -2,14 +2,19 @@
 import { performance } from 'node:perf_hooks';
 import type { Effect } from '../types/effect.js';
 import type { Runtime } from './gatewayDaemon.js';
+import { connectingPeers } from '../slices/peers/connectingPeers.js';
 import { eventsOfSharedState } from '../slices/peers/sharedState.js';
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
-import { CLOUD_TIMEOUT_MS, TABLE_TIMEOUT_MS } from './daemonTimes.js';
+import { CLOUD_TIMEOUT_MS, CONNECT_TIMEOUT_MS, TABLE_TIMEOUT_MS } from './daemonTimes.js';
 import { eventsOfTable } from './tableEvents.js';
-import { probeServer } from './probeServer.js';
+import { probeServer, type PeerProbe } from './probeServer.js';
+import { openTunnel } from './tunnels/openTunnel.js';
 import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
 
+/** Peers that are asked in turn whether a server that refuses this box is gone. */
+const MAX_PEER_PROBES = 2;
+
 /** Performs one effect; its result arrives as a later event. */
 export function performEffect(runtime: Runtime, effect: Effect): void {
   switch (effect.type) {
@@ -134,8 +139,22 @@
   writeRefusal(exchange, runtime.adapter.headers, { status, reason, requestId, retryAfterMs });
 }
 
-function probe(runtime: Runtime, { life, address }: EffectOf<'probeServer'>): void {
-  void probeServer(address).then((outcome) => {
+function probe(runtime: Runtime, { life, serverId, address }: EffectOf<'probeServer'>): void {
+  const { state, clock } = runtime;
+  const view = state.servers.get(serverId);
+  const peers = view === undefined ? [] : connectingPeers(state, view, clock.nowMs());
+  const peerProbes = peers.slice(0, MAX_PEER_PROBES).map(
+    (peer): PeerProbe =>
+      (report) =>
+        openTunnel(
+          {
+            ...{ peer, serverId, boxId: state.settings.box.id, requestId: '' },
+            timeoutMs: CONNECT_TIMEOUT_MS,
+          },
+          report,
+        ),
+  );
+  void probeServer(address, peerProbes).then((outcome) => {
     runtime.emit({ type: 'serverProbed', life, outcome });
   });
 }
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -14,6 +14,9 @@
 import { configurationHolders, isKnownBox } from '../slices/peers/configurationSources.js';
 import { sharedStateOf } from '../slices/peers/sharedState.js';
 import { isReady } from '../slices/lifecycle/shutdown.js';
+import { decideTunnel } from '../slices/peers/tunnels.js';
+import { isConnectionUsable } from '../slices/servers/serverLinks.js';
+import type { ConnectionTry } from '../types/serverLink.js';
 import { isNewEra } from '../slices/store/storeEra.js';
 import { createGatewayState } from '../createGatewayState.js';
 import type { GatewayState } from '../state.js';
@@ -27,7 +30,8 @@
 import { TICK_MS } from './daemonTimes.js';
 import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
-import { createServerDialer } from './serverDialer.js';
+import { createServerDialer, type ServerDialer } from './serverDialer.js';
+import { createTunnelServer } from './tunnels/tunnelServer.js';
 import { createSequentialHandler } from './sequentialHandler.js';
 import { followPlatform, type PlatformFeeds } from './platformFeeds.js';
 import { createOperatorServer } from './operatorServer.js';
@@ -45,6 +49,7 @@
   cloud: PlatformCloud | undefined;
   state: GatewayState;
   clock: Clock;
+  dialer: ServerDialer;
   pool: ConnectionPool;
   peers: PeerSocket;
   /** Gets states from other boxes. */
@@ -91,6 +96,17 @@
   const metrics = params.metrics ?? createGatewayMetrics();
   const configurations = createEncodedConfigurations(logger);
 
+  const onTried = (attempt: ConnectionTry): void => {
+    countConnection(metrics, attempt);
+    emit({ type: 'connectionTried', attempt });
+  };
+  const dialer = createServerDialer({ state, nowMs: clock.nowMs, onTried });
+  const tunnels = createTunnelServer({
+    decide: (request) => decideTunnel(state, request),
+    onTried,
+    emit,
+  });
+
   const peers = await openPeerSocket({
     address: { host: settings.box.ip, port: settings.listen.peersPort },
     onMessage: (message) => emit(eventOfDatagram(message)),
@@ -102,10 +118,7 @@
       logger,
       metrics: metrics.transfers,
     }),
-  });
-  const dialer = createServerDialer((attempt) => {
-    countConnection(metrics, attempt);
-    emit({ type: 'connectionTried', attempt });
+    onConnect: tunnels.onConnect,
   });
   const runtime: Runtime = {
     settings,
@@ -118,7 +131,10 @@
     cloud: adapter.openCloud(settings),
     state,
     clock,
-    pool: createConnectionPool(dialer),
+    dialer,
+    pool: createConnectionPool(dialer, (connection) =>
+      isConnectionUsable(state, connection, clock.nowMs()),
+    ),
     peers,
     states: createStateFetcher({
       configuration: () => state.active?.configuration,
@@ -151,6 +167,7 @@
       clearInterval(ticker);
       feeds.stop();
       peers.close();
+      tunnels.closeAll();
       runtime.pool.closeAll();
       for (const server of servers) {
         server.close();
--- a/packages/reedlug-gateway/src/daemon/peerSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/peerSocket.ts
@@ -1,8 +1,10 @@
 /**
- * Peer link: gossip as datagrams, and an HTTP server for requests of configuration and registry.
+ * Peer link: gossip as datagrams, and an HTTP server for requests of
+ * configuration and registry and for tunnels to servers.
  */
 import { createSocket } from 'node:dgram';
-import { createServer, type RequestListener } from 'node:http';
+import { createServer, type IncomingMessage, type RequestListener } from 'node:http';
+import type { Duplex } from 'node:stream';
 import type { PeerDatagram } from '../types/peer.js';
 import type { HostPort } from '../types/server.js';
 import { decodeDatagram, encodeDatagram } from './peerWire.js';
@@ -20,8 +22,10 @@
   onFault: (reason: string) => void;
   /** Answers the requests of other boxes for states. */
   onRequest: RequestListener;
+  /** Handles the requests of other boxes to be connected to servers. */
+  onConnect: (request: IncomingMessage, client: Duplex) => void;
 }): Promise<PeerSocket> {
-  const { address, onMessage, onFault, onRequest } = params;
+  const { address, onMessage, onFault, onRequest, onConnect } = params;
   const socket = createSocket('udp4');
   socket.on('message', (bytes) => {
     const message = decodeDatagram(bytes);
@@ -31,6 +35,7 @@
   socket.on('error', (error) => onFault(error.message));
   await new Promise<void>((resolve) => socket.bind(address.port, address.host, resolve));
   const server = createServer(onRequest);
+  server.on('connect', onConnect);
   server.on('error', (error) => onFault(error.message));
   await new Promise<void>((resolve) => server.listen(address.port, address.host, resolve));
   return {
--- a/packages/reedlug-gateway/src/daemon/probeServer.ts
+++ b/packages/reedlug-gateway/src/daemon/probeServer.ts
@@ -1,33 +1,55 @@
-/** Probes whether a process is listening at a server's address. */
-import { connect } from 'node:net';
+/**
+ * Probes whether a process is listening at a server's address. A refusal counts only if peers do not
+ * reach the server either: this box may have lost its own link.
+ */
+import type { Socket } from 'node:net';
 import type { ProbeOutcome } from '../types/event.js';
+import { ConnectOutcome } from '../types/serverLink.js';
 import type { HostPort } from '../types/server.js';
 import { CONNECT_TIMEOUT_MS } from './daemonTimes.js';
+import { openSocket, type OpenedSocket } from './openSocket.js';
 
 /** Time for which a connection has to stay open, in ms: a port forwarder whose target is gone accepts a connection and closes it immediately. */
 const MIN_OPEN_MS = 30;
 
-/** Errors that mean that the host is up but nothing is listening; a network partition or a host that is down causes others. */
-const REFUSAL_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EPIPE']);
+/** Opens a connection through a peer and reports how that ended. */
+export type PeerProbe = (report: (result: OpenedSocket) => void) => void;
 
-/** Opens a connection and closes it shortly afterwards; the promise never rejects. */
-export function probeServer({ host, port }: HostPort): Promise<ProbeOutcome> {
+/** Opens connections and closes them shortly afterwards; the promise never rejects. */
+export async function probeServer(
+  address: HostPort,
+  peerProbes: readonly PeerProbe[] = [],
+): Promise<ProbeOutcome> {
+  const own = await outcomeOf((report) => openSocket(address, CONNECT_TIMEOUT_MS, report));
+  if (own !== 'refused') return own === 'accepted' ? 'accepted' : 'silent';
+  const told: Outcome[] = [];
+  for (const probe of peerProbes) {
+    const outcome = await outcomeOf(probe);
+    if (outcome === 'accepted') return outcome;
+    if (outcome !== ConnectOutcome.unavailable) told.push(outcome);
+  }
+  const isOnlySilent = told.length > 0 && told.every((outcome) => outcome === 'silent');
+  return isOnlySilent ? 'silent' : own;
+}
+
+type Outcome = ProbeOutcome | typeof ConnectOutcome.unavailable;
+
+async function outcomeOf(open: PeerProbe): Promise<Outcome> {
+  const result = await new Promise<OpenedSocket>(open);
+  if (result.outcome !== ConnectOutcome.opened) return result.outcome;
+  return (await staysOpen(result.socket)) ? 'accepted' : 'refused';
+}
+
+function staysOpen(socket: Socket): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect({ host, port });
-    const end = (outcome: ProbeOutcome): void => {
+    const end = (isOpen: boolean): void => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(outcome);
+      resolve(isOpen);
     };
-    let timer = setTimeout(() => end('silent'), CONNECT_TIMEOUT_MS);
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      timer = setTimeout(() => end('accepted'), MIN_OPEN_MS);
-    });
-    socket.once('end', () => end('refused'));
-    socket.once('error', ({ code }: NodeJS.ErrnoException) => {
-      end(REFUSAL_ERROR_CODES.has(code ?? '') ? 'refused' : 'silent');
-    });
+    const timer = setTimeout(() => end(true), MIN_OPEN_MS);
+    socket.once('end', () => end(false));
+    socket.once('error', () => end(false));
     socket.resume();
   });
 }
--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -1,9 +1,27 @@
-/** Opens connections to servers and reports how each attempt ended. */
+/**
+ * Opens connections to servers: directly, or through peers while this box does not reach a server.
+ *
+ * Nothing is sent on a connection before it is open, so several attempts may run at the same time; the
+ * first that opens is used.
+ */
 import type { Socket } from 'node:net';
-import { ConnectOutcome, type ConnectionTry } from '../types/serverLink.js';
+import { connectPlan } from '../policy/connectPlan.js';
+import { connectingPeers } from '../slices/peers/connectingPeers.js';
+import type { GatewayState } from '../state.js';
+import type { PeerAddress } from '../types/peer.js';
+import { ConnectOutcome, type ConnectionPath, type ConnectionTry } from '../types/serverLink.js';
 import type { HostPort } from '../types/server.js';
 import { CONNECT_TIMEOUT_MS } from './daemonTimes.js';
-import { openSocket } from './openSocket.js';
+import { openSocket, type OpenedSocket, type SocketAttempt } from './openSocket.js';
+import { openTunnel } from './tunnels/openTunnel.js';
+import type { ConnectFailure } from './tunnels/tunnelWire.js';
+
+/** Time after which another peer is asked as well, in ms. */
+const NEXT_PEER_MS = 120;
+/** Largest number of peers that are asked for one connection. */
+const MAX_PEERS_ASKED = 3;
+/** Peers that the server has to refuse until it counts as gone; one of them may have lost its link. */
+const REFUSALS_TO_FAIL = 2;
 
 /** A server to connect to, and the request for which it is done. */
 export interface DialTarget {
@@ -12,41 +30,131 @@
   requestId: string;
 }
 
+/** Receives an open connection and its path, or how all attempts failed. */
+export type DialResult =
+  | { outcome: typeof ConnectOutcome.opened; socket: Socket; path: ConnectionPath }
+  | { outcome: ConnectFailure };
+
 /** Opens connections to servers. */
 export interface ServerDialer {
-  /** Calls back once, with a socket or the reason why none came up. */
-  dial: (target: DialTarget, callback: DialCallback) => void;
+  /** Calls back once. */
+  dial: (target: DialTarget, callback: (result: DialResult) => void) => void;
 }
 
-/** Receives an open connection, or the error. */
-export type DialCallback = (...result: [null, Socket] | [ServerUnreachedError, null]) => void;
-
-/** No connection to the server came up. */
-export class ServerUnreachedError extends Error {
-  readonly code: string;
-
-  constructor(outcome: Exclude<ConnectOutcome, 'opened'>) {
-    super(`no connection to the server: ${outcome}`);
-    this.code = REASONS[outcome];
-  }
+/** What the dialer reads and reports to. */
+export interface DialerContext {
+  state: GatewayState;
+  nowMs: () => number;
+  onTried: (attempt: ConnectionTry) => void;
 }
 
-const REASONS = {
-  [ConnectOutcome.refused]: 'connectionRefused',
-  [ConnectOutcome.silent]: 'connectTimeout',
-  [ConnectOutcome.unavailable]: 'serverUnreached',
-} as const;
-
 /** Creates a dialer. */
-export function createServerDialer(onTried: (attempt: ConnectionTry) => void): ServerDialer {
+export function createServerDialer(context: DialerContext): ServerDialer {
+  /** Servers that are down for this box and to which it is trying a direct connection. */
+  const trials = new Set<string>();
   return {
     dial(target, callback) {
-      openSocket(target.address, CONNECT_TIMEOUT_MS, (result) => {
-        const { outcome, tookMs } = result;
-        onTried({ ...target, path: { kind: 'direct' }, outcome, tookMs });
-        if (result.outcome === ConnectOutcome.opened) callback(null, result.socket);
-        else callback(new ServerUnreachedError(result.outcome), null);
-      });
+      const plan = planDial(context, target, trials);
+      startDial(context, { target, plan, trials }, callback);
     },
   };
 }
+
+/** What is tried for one connection. */
+interface DialPlan {
+  isDirectTried: boolean;
+  /** Peers to ask, in order, and the time after which the first is asked, in ms. */
+  peers: PeerAddress[];
+  peersAfterMs: number;
+}
+
+function planDial(
+  { state, nowMs }: DialerContext,
+  { serverId }: DialTarget,
+  trials: ReadonlySet<string>,
+): DialPlan {
+  const view = state.servers.get(serverId);
+  // A server that has left the registry since is tried directly, in case it still serves.
+  if (view === undefined) return { isDirectTried: true, peers: [], peersAfterMs: 0 };
+  const now = nowMs();
+  const peers = connectingPeers(state, view, now).slice(0, MAX_PEERS_ASKED);
+  const hasPeers = peers.length > 0;
+  const { link } = view;
+  const plan = connectPlan({ link, links: state.serverLinks, hasPeers, nowMs: now });
+  const isTrial = link !== undefined && plan.peersAfterMs !== undefined;
+  return {
+    isDirectTried: plan.isDirectTried && !(isTrial && trials.has(serverId)),
+    peers: plan.peersAfterMs === undefined ? [] : peers,
+    peersAfterMs: plan.peersAfterMs ?? 0,
+  };
+}
+
+function startDial(
+  { state, onTried }: DialerContext,
+  { target, plan, trials }: { target: DialTarget; plan: DialPlan; trials: Set<string> },
+  callback: (result: DialResult) => void,
+): void {
+  const { serverId, address, requestId } = target;
+  const { peers, peersAfterMs } = plan;
+  const openTunnels = new Set<SocketAttempt>();
+  let isDirectOpen = plan.isDirectTried;
+  let isSettled = false;
+  let refusals = 0;
+  let failure: ConnectFailure = ConnectOutcome.unavailable;
+  let timer: NodeJS.Timeout | undefined;
+
+  const settle = (result: DialResult): void => {
+    isSettled = true;
+    clearTimeout(timer);
+    for (const attempt of openTunnels) attempt.cancel();
+    callback(result);
+  };
+  /** Uses the first socket that opens; later ones are closed. */
+  const onEnded = (path: ConnectionPath, result: OpenedSocket): void => {
+    const { outcome, tookMs } = result;
+    onTried({ serverId, address, requestId, path, outcome, tookMs });
+    if (result.outcome === ConnectOutcome.opened) {
+      if (isSettled) return void result.socket.destroy();
+      return settle({ outcome: result.outcome, socket: result.socket, path });
+    }
+    if (isSettled) return;
+    // What is known of the server itself says more than a peer that could not try.
+    if (result.outcome !== ConnectOutcome.unavailable) failure = result.outcome;
+    if (path.kind === 'peer' && outcome === ConnectOutcome.refused) refusals += 1;
+    if (refusals >= REFUSALS_TO_FAIL) return settle({ outcome: failure });
+    askNextPeer();
+    if (!isDirectOpen && openTunnels.size === 0) settle({ outcome: failure });
+  };
+  const askNextPeer = (): void => {
+    clearTimeout(timer);
+    const peer = peers.shift();
+    if (peer === undefined || isSettled) return;
+    openTunnels.add(askPeer(peer));
+    timer = setTimeout(askNextPeer, NEXT_PEER_MS);
+  };
+  const askPeer = (peer: PeerAddress): SocketAttempt => {
+    const attempt = openTunnel(
+      { peer, serverId, requestId, boxId: state.settings.box.id, timeoutMs: CONNECT_TIMEOUT_MS },
+      (result) => {
+        openTunnels.delete(attempt);
+        onEnded({ kind: 'peer', boxId: peer.boxId }, result);
+      },
+    );
+    return attempt;
+  };
+
+  if (isDirectOpen) {
+    trials.add(serverId);
+    openSocket(address, CONNECT_TIMEOUT_MS, (result) => {
+      isDirectOpen = false;
+      trials.delete(serverId);
+      onEnded({ kind: 'direct' }, result);
+    });
+  }
+  if (!isDirectOpen && peers.length === 0) {
+    return void setImmediate(() => settle({ outcome: ConnectOutcome.unavailable }));
+  }
+  if (peersAfterMs === 0) return askNextPeer();
+  // Sockets are read after timers: a connection that came up while the process stood still is not late.
+  timer = setTimeout(() => setImmediate(askNextPeer), peersAfterMs);
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/serverUnreachedError.ts
@@ -0,0 +1,19 @@
+/** Error of a connection to a server that did not come up. */
+import { ConnectOutcome } from '../types/serverLink.js';
+
+/** Reasons for the logs. */
+const REASONS = {
+  [ConnectOutcome.refused]: 'connectionRefused',
+  [ConnectOutcome.silent]: 'connectTimeout',
+  [ConnectOutcome.unavailable]: 'serverUnreached',
+} as const;
+
+/** No connection to the server came up; the code is the reason for the logs. */
+export class ServerUnreachedError extends Error {
+  readonly code: string;
+
+  constructor(outcome: Exclude<ConnectOutcome, 'opened'>) {
+    super(`no connection to the server: ${outcome}`);
+    this.code = REASONS[outcome];
+  }
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/tunnels/openTunnel.ts
@@ -0,0 +1,71 @@
+/** Opens a connection to a server through another box. */
+import { request as httpRequest } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { ConnectOutcome } from '../../types/serverLink.js';
+import type { HostPort } from '../../types/server.js';
+import type { OpenedSocket, SocketAttempt } from '../openSocket.js';
+import {
+  BOX_HEADER,
+  failureOf,
+  OUTCOME_HEADER,
+  REQUEST_HEADER,
+  type ConnectFailure,
+} from './tunnelWire.js';
+
+const STATUS_OPENED = 200;
+
+/** Asks a peer to connect to a server, and reports once how that ended. */
+export function openTunnel(
+  params: {
+    peer: HostPort;
+    serverId: string;
+    /** Id of this box. */
+    boxId: string;
+    requestId: string;
+    timeoutMs: number;
+  },
+  report: (result: OpenedSocket) => void,
+): SocketAttempt {
+  const { peer, serverId, boxId, requestId, timeoutMs } = params;
+  const startedAtMs = performance.now();
+  const request = httpRequest({
+    host: peer.host,
+    port: peer.port,
+    agent: false,
+    method: 'CONNECT',
+    path: encodeURIComponent(serverId),
+    headers: { [BOX_HEADER]: boxId, [REQUEST_HEADER]: encodeURIComponent(requestId) },
+  });
+  let isOver = false;
+  const close = (): void => {
+    isOver = true;
+    clearTimeout(timer);
+    request.destroy();
+  };
+  const fail = (outcome: ConnectFailure): void => {
+    if (isOver) return;
+    close();
+    report({ outcome, tookMs: performance.now() - startedAtMs });
+  };
+  const timer = setTimeout(() => fail(ConnectOutcome.unavailable), timeoutMs);
+  // A peer that is down, or too old to open tunnels, closes the connection.
+  request.on('error', () => fail(ConnectOutcome.unavailable));
+  request.once('response', () => fail(ConnectOutcome.unavailable));
+  request.once('connect', ({ statusCode, headers }, socket) => {
+    if (isOver) return void socket.destroy();
+    if (statusCode !== STATUS_OPENED) {
+      socket.destroy();
+      return fail(failureOf(headers[OUTCOME_HEADER]));
+    }
+    isOver = true;
+    clearTimeout(timer);
+    socket.setNoDelay(true);
+    report({ outcome: ConnectOutcome.opened, socket, tookMs: performance.now() - startedAtMs });
+  });
+  request.end();
+  return {
+    cancel() {
+      if (!isOver) close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
@@ -0,0 +1,145 @@
+/**
+ * Connects other boxes to servers that they can't reach themselves, and forwards the bytes of both.
+ *
+ * The end of one side ends the other at once: a server notices a caller that leaves, and a box a
+ * server that breaks off, as on a connection without a tunnel. A connection goes straight to the
+ * server, so tunnels never form a chain.
+ */
+import type { IncomingMessage } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
+import { ConnectOutcome, type ConnectionTry } from '../../types/serverLink.js';
+import type { HostPort } from '../../types/server.js';
+import type { TunnelDecision } from '../../slices/peers/tunnels.js';
+import type { EventBody } from '../../types/event.js';
+import { openSocket } from '../openSocket.js';
+import {
+  BOX_HEADER,
+  OUTCOME_HEADER,
+  REQUEST_HEADER,
+  serverIdOf,
+  type ConnectFailure,
+} from './tunnelWire.js';
+
+/**
+ * Time in which the server has to accept the connection, in ms; shorter than the wait of the box that
+ * asks, so that it learns the outcome.
+ */
+const CONNECT_TIMEOUT_MS = 300;
+/** Time without bytes after which a tunnel is closed, in ms; longer than any request may take. */
+const IDLE_TIMEOUT_MS = 60_000;
+/** Idle time after which the kernel checks whether the box that asked still exists, in ms. */
+const KEEP_ALIVE_DELAY_MS = 1000;
+
+/** What tunnels need of the box. */
+export interface TunnelServerParams {
+  /** Decides on a request for a tunnel. */
+  decide: (request: { serverId: string; boxId: string }) => TunnelDecision;
+  onTried: (attempt: ConnectionTry) => void;
+  emit: (
+    event: Extract<EventBody, { type: 'tunnelRefused' | 'tunnelOpened' | 'tunnelClosed' }>,
+  ) => void;
+}
+
+/** Tunnels of a box. */
+export interface TunnelServer {
+  /** Handles a CONNECT request on the peer link. */
+  onConnect: (request: IncomingMessage, client: Duplex) => void;
+  closeAll: () => void;
+}
+
+/** Who asked for a tunnel, and where it leads. */
+interface TunnelRequest {
+  serverId: string;
+  boxId: string;
+  requestId: string;
+}
+
+/** Creates a tunnel server without tunnels. */
+export function createTunnelServer({ decide, onTried, emit }: TunnelServerParams): TunnelServer {
+  const open = new Set<Socket>();
+
+  const connectTo = (address: HostPort, client: Socket, tunnel: TunnelRequest): void => {
+    const { serverId, requestId } = tunnel;
+    const attempt = openSocket(address, CONNECT_TIMEOUT_MS, (result) => {
+      const { outcome, tookMs } = result;
+      onTried({ serverId, address, requestId, path: { kind: 'direct' }, outcome, tookMs });
+      client.off('close', attempt.cancel);
+      if (result.outcome !== ConnectOutcome.opened) {
+        refuse(client, result.outcome);
+        return emit({ type: 'tunnelRefused', ...tunnel, reason: result.outcome });
+      }
+      const startedAtMs = performance.now();
+      open.add(client);
+      client.write('HTTP/1.1 200 OK\r\n\r\n');
+      emit({ type: 'tunnelOpened', ...tunnel, tookMs });
+      forward(client, result.socket, () => {
+        open.delete(client);
+        const bytes = client.bytesRead + result.socket.bytesRead;
+        emit({ type: 'tunnelClosed', ...tunnel, bytes, openMs: performance.now() - startedAtMs });
+      });
+    });
+    client.once('close', attempt.cancel);
+  };
+
+  return {
+    onConnect(request, stream) {
+      // The peer link's connections are TCP sockets.
+      const client = stream as Socket;
+      client.on('error', () => client.destroy());
+      const tunnel = tunnelRequestOf(request);
+      const decision = decide(tunnel);
+      if (decision.kind === 'connect') return connectTo(decision.address, client, tunnel);
+      refuse(client, ConnectOutcome.unavailable);
+      emit({ type: 'tunnelRefused', ...tunnel, reason: decision.reason });
+    },
+    closeAll() {
+      for (const client of open) client.destroy();
+    },
+  };
+}
+
+function tunnelRequestOf({ url, headers }: IncomingMessage): TunnelRequest {
+  const textOf = (value: string | string[] | undefined): string => String(value ?? '');
+  return {
+    serverId: serverIdOf(url) ?? '',
+    boxId: textOf(headers[BOX_HEADER]),
+    requestId: serverIdOf(textOf(headers[REQUEST_HEADER])) ?? '',
+  };
+}
+
+function refuse(client: Socket, outcome: ConnectFailure): void {
+  client.end(`HTTP/1.1 502 Bad Gateway\r\n${OUTCOME_HEADER}: ${outcome}\r\n\r\n`);
+}
+
+/** Forwards bytes in both directions until either side ends. */
+function forward(client: Socket, server: Socket, onClosed: () => void): void {
+  client.setNoDelay(true);
+  client.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
+  client.setTimeout(IDLE_TIMEOUT_MS, () => client.destroy());
+  client.pipe(server, { end: false });
+  server.pipe(client, { end: false });
+  server.on('error', () => client.resetAndDestroy());
+  // The box that asked ends only connections that it gives up.
+  client.once('end', () => client.destroy());
+  client.once('close', () => {
+    server.destroy();
+    onClosed();
+  });
+  server.prependListener('end', () => endIfClean(client, server));
+  server.once('close', () => {
+    if (!server.readableEnded) client.resetAndDestroy();
+  });
+}
+
+/**
+ * Passes on the end of a server's bytes. A reset that arrives with the last bytes looks like an end;
+ * a write tells them apart, and an empty line between requests is harmless.
+ */
+function endIfClean(client: Socket, server: Socket): void {
+  server.write('\r\n', (error) => {
+    if (error) client.resetAndDestroy();
+    else client.end();
+  });
+}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelWire.ts
@@ -0,0 +1,35 @@
+/**
+ * Wire format of a tunnel: an HTTP CONNECT request on the peer link whose target is the
+ * percent-encoded id of a server, never an address.
+ */
+import { ConnectOutcome } from '../../types/serverLink.js';
+
+/** Names the box that asks, and the request for which it does. */
+export const BOX_HEADER = 'x-box';
+export const REQUEST_HEADER = 'x-request';
+/** In a refusal: how the attempt to connect ended. */
+export const OUTCOME_HEADER = 'x-outcome';
+
+/** Failures of an attempt to connect. */
+export type ConnectFailure = Exclude<ConnectOutcome, 'opened'>;
+
+/** Returns the failure that a refusal names; an older box names none. */
+export function failureOf(value: unknown): ConnectFailure {
+  switch (value) {
+    case ConnectOutcome.refused:
+    case ConnectOutcome.silent:
+      return value;
+    default:
+      return ConnectOutcome.unavailable;
+  }
+}
+
+/** Returns the server id of a target; undefined if it is malformed. */
+export function serverIdOf(target: string | undefined): string | undefined {
+  try {
+    return decodeURIComponent(target ?? '');
+  } catch {
+    // Invalid percent-encoding names no server.
+    return undefined;
+  }
+}
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -19,6 +19,7 @@
   placements: Counter;
   connections: Counter;
   connectMs: Histogram;
+  tunnelBytes: Counter;
   linesLeftOut: Counter;
   versions: Gauge;
   figures: DecisionMetrics;
@@ -42,6 +43,9 @@
     case 'requestSent':
       countPlacement(metrics, fields);
       return;
+    case 'tunnelClosed':
+      metrics.tunnelBytes.inc(Number(fields['bytes'] ?? 0));
+      return;
     case 'requestRefused':
     case 'streamCut':
     case 'callerGone':
@@ -117,6 +121,11 @@
       buckets: CONNECT_BUCKETS_MS,
       registers,
     }),
+    tunnelBytes: new Counter({
+      name: 'reedlug_tunnel_bytes_total',
+      help: 'Bytes forwarded in both directions between other boxes and servers, of closed tunnels',
+      registers,
+    }),
     linesLeftOut: new Counter({
       name: 'reedlug_log_lines_left_out_total',
       help: 'Log lines that were not written because there were too many or the pipe was full',
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/connectPlan.ts
@@ -0,0 +1,80 @@
+/**
+ * Decides how a connection to a server is opened: by this box itself, through other boxes, or both.
+ *
+ * A box may lose its links to servers that other boxes reach. Nothing is sent on a connection that
+ * never came up, so the paths are tried at the same time, and the first that opens is used.
+ */
+import type { ServerLink, ServerLinks } from '../types/serverLink.js';
+
+/** Shortest and longest time for which a direct connection is tried alone, in ms. */
+const MIN_PATIENCE_MS = 60;
+const MAX_PATIENCE_MS = 200;
+/** Multiple of the deviation that is added to the usual time to connect, as for TCP retransmissions. */
+const DEVIATION_FACTOR = 4;
+/**
+ * Interval at which a direct connection to a server is tried again while its link is down, in ms: the
+ * link is in use again within a second of its return.
+ */
+const TRIAL_INTERVAL_MS = 500;
+/** Time for which peers are not asked again after they failed to connect to a server, in ms. */
+const PEERS_RETRY_MS = 500;
+/** Number of servers out of reach from which the cause is taken to be this box's own links. */
+const MIN_SERVERS_DOWN = 2;
+
+/** How to open a connection. */
+export interface ConnectPlan {
+  isDirectTried: boolean;
+  /** Time after which peers are asked, in ms; undefined if they aren't. */
+  peersAfterMs: number | undefined;
+}
+
+/** Returns how to open a connection to a server. */
+export function connectPlan(params: {
+  /** Undefined unless the last direct connection failed. */
+  link: ServerLink | undefined;
+  links: ServerLinks;
+  /** Whether there are peers to ask. */
+  hasPeers: boolean;
+  nowMs: number;
+}): ConnectPlan {
+  const { link, links, hasPeers, nowMs } = params;
+  const isCut = isCutOff(links);
+  if (link === undefined) {
+    const afterMs = isCut ? 0 : patienceMs(links);
+    return { isDirectTried: true, peersAfterMs: hasPeers ? afterMs : undefined };
+  }
+  const isTrialDue = nowMs - link.triedAtMs >= TRIAL_INTERVAL_MS;
+  if (hasPeers && !arePeersFailing(link, nowMs)) {
+    return { isDirectTried: isTrialDue, peersAfterMs: 0 };
+  }
+  // Neither this box nor its peers reach the server. If that holds for many, requests are refused at once.
+  return { isDirectTried: !isCut || isTrialDue, peersAfterMs: undefined };
+}
+
+/** Returns whether the server itself, and not this box's link to it, is why connections fail. */
+export function isServerAtFault(
+  link: ServerLink | undefined,
+  links: ServerLinks,
+  nowMs: number,
+): boolean {
+  if (link === undefined || arePeersFailing(link, nowMs)) return true;
+  return link.openedByPeerAtMs === Number.NEGATIVE_INFINITY && !isCutOff(links);
+}
+
+function arePeersFailing(
+  { openedByPeerAtMs, failedByPeersAtMs }: ServerLink,
+  nowMs: number,
+): boolean {
+  return failedByPeersAtMs > openedByPeerAtMs && nowMs - failedByPeersAtMs < PEERS_RETRY_MS;
+}
+
+/** Returns how long a direct connection is tried alone, in ms. */
+export function patienceMs({ connectMs, deviationMs }: ServerLinks): number {
+  const usualMs = connectMs + DEVIATION_FACTOR * deviationMs;
+  return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, usualMs));
+}
+
+/** Returns whether a box seems to have lost its links: several direct connections failed, and none came up since. */
+export function isCutOff({ down, openedAtMs, failedAtMs }: ServerLinks): boolean {
+  return down.size >= MIN_SERVERS_DOWN && failedAtMs > openedAtMs;
+}
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -25,6 +25,7 @@
 import { limitShareTick } from './slices/limits/limitShare.js';
 import { lostServersTick, onServerProbed } from './slices/crashes/lostServers.js';
 import { onConfigurationTransferFailed } from './slices/peers/configurationSources.js';
+import { onTunnel } from './slices/peers/tunnels.js';
 import { onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers/peers.js';
 import {
   pendingRequestsTick,
@@ -68,6 +69,10 @@
       return onCallerGone(state, step, event);
     case 'connectionTried':
       return onConnectionTried(state, step, event);
+    case 'tunnelRefused':
+    case 'tunnelOpened':
+    case 'tunnelClosed':
+      return onTunnel(state, step, event);
     case 'attemptNotSent':
       return onAttemptNotSent(state, step, event);
     case 'answerBegun':
--- a/packages/reedlug-gateway/src/settings/defaults.ts
+++ b/packages/reedlug-gateway/src/settings/defaults.ts
@@ -1,6 +1,6 @@
 /** Defaults of the gateway. */
 import type { CallerLimits } from '../types/configuration.js';
-import type { LoadSettings } from '../types/settings.js';
+import type { LoadSettings, TunnelSettings } from '../types/settings.js';
 
 /** Limits for callers until a configuration is in force; the same values as in the users' configuration. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
@@ -25,3 +25,6 @@
   reserveLimitUnits: false,
   restartReserve: false,
 };
+
+/** Tunnels if the settings say nothing of them; each takes two descriptors. */
+export const DEFAULT_TUNNEL_SETTINGS: TunnelSettings = { areUsed: true, maxTunnels: 512 };
--- a/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
+++ b/packages/reedlug-gateway/src/settings/gatewaySettingsValidation.ts
@@ -13,6 +13,7 @@
   DEFAULT_LIMIT_WINDOW_SECONDS,
   DEFAULT_LOAD_SETTINGS,
   DEFAULT_METRICS_PORT,
+  DEFAULT_TUNNEL_SETTINGS,
 } from './defaults.js';
 
 z.config(en());
@@ -60,6 +61,11 @@
     }),
   );
 
+const tunnelSchema = z.strictObject({
+  areUsed: z._default(z.boolean(), DEFAULT_TUNNEL_SETTINGS.areUsed),
+  maxTunnels: z._default(z.int().check(z.nonnegative()), DEFAULT_TUNNEL_SETTINGS.maxTunnels),
+});
+
 const schema = z.strictObject({
   box: z.strictObject({
     id: name,
@@ -95,6 +101,7 @@
     usageDueSeconds: z._default(seconds, 0),
   }),
   load: z._default(loadSchema, DEFAULT_LOAD_SETTINGS),
+  tunnels: z._default(tunnelSchema, DEFAULT_TUNNEL_SETTINGS),
 });
 
 /** Valid settings, or all faults of the file. */
--- a/packages/reedlug-gateway/src/slices/crashes/lostServers.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/lostServers.ts
@@ -57,7 +57,7 @@
   const { id: serverId, bornAtMs, address } = view.entry;
   const lost = { serverId, bornAtMs, firstLostAtMs: step.nowMs, sends: [send], isGone: false };
   state.lostServers.set(view.life, lost);
-  step.effects.push({ type: 'probeServer', life: view.life, address });
+  step.effects.push({ type: 'probeServer', life: view.life, serverId, address });
 }
 
 /** Handles the result of a new connection to a server with lost sends. */
--- a/packages/reedlug-gateway/src/slices/lifecycle/shutdown.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/shutdown.ts
@@ -27,12 +27,13 @@
   log(step, 'stopping', { openRequests: state.requests.size });
 }
 
-/** Ends the process once no request is open and the load balancer has reacted, or the grace period is over. */
+/** Ends the process once no request is open, here or through a tunnel, and the load balancer has reacted, or the grace period is over. */
 export function shutdownTick(state: GatewayState, step: Step): void {
   if (state.stoppingSinceMs === undefined || state.stopped) return;
   const sinceMs = step.nowMs - state.stoppingSinceMs;
   const timeIsUp = sinceMs >= state.settings.bounds.graceMs - SHUTDOWN_MARGIN_MS;
-  const idle = state.requests.size === 0 && sinceMs >= BALANCER_REACTION_MS;
+  const isUnused = state.requests.size === 0 && state.openTunnels === 0;
+  const idle = isUnused && sinceMs >= BALANCER_REACTION_MS;
   if (!timeIsUp && !idle) return;
   state.stopped = true;
   log(step, 'stopped', { openRequests: state.requests.size, afterMs: Math.round(sinceMs) });
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -5,6 +5,7 @@
 import type { ReceivedTotals, PeerView, ServerView } from '../../types/views.js';
 import { dutyFence } from '../store/dutyLease.js';
 import { boxesCovered, countedPeers, type PeerWithMessage } from './fleet.js';
+import { isCutOff } from '../../policy/connectPlan.js';
 import { addSendSums, type SendSums } from '../../policy/engineModel.js';
 import { ownSendSums } from '../engines/engineModels.js';
 import { ownShareGossip, sumShares } from '../limits/limitShare.js';
@@ -75,6 +76,7 @@
     leaseHolder: holdsLease ? { host: box.ip, port: listen.peersPort } : undefined,
     leaving: state.stoppingSinceMs !== undefined,
     silentZones: [...state.silentZones],
+    ...(isCutOff(state.serverLinks) ? { isCutOff: true } : {}),
     loads: ownLoads(state),
     sendSums: ownSendSums(state, step.nowMs),
     admitted: Object.fromEntries([...state.quotas].map(([name, quota]) => [name, quota.admitted])),
--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -114,6 +114,7 @@
     aheadSinceMs: undefined,
     behindConfiguration: undefined,
     gossipSentAtMs: Number.NEGATIVE_INFINITY,
+    connectFailedAtMs: Number.NEGATIVE_INFINITY,
     isSuspected: false,
     stateRequestedAtMs: Number.NEGATIVE_INFINITY,
   };
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/peers/tunnels.ts
@@ -0,0 +1,57 @@
+/** Connections to servers that this box opens for peers that can't reach them. */
+import { isCutOff } from '../../policy/connectPlan.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { HostPort } from '../../types/server.js';
+
+/** Whether a peer is connected to a server, or why it is not. */
+export type TunnelDecision =
+  | { kind: 'connect'; address: HostPort }
+  | {
+      kind: 'refuse';
+      reason: 'switchedOff' | 'unknownBox' | 'unknownServer' | 'stopping' | 'cutOff' | 'full';
+    };
+
+/** Decides on a peer's request to connect it to a server. */
+export function decideTunnel(
+  state: GatewayState,
+  { serverId, boxId }: { serverId: string; boxId: string },
+): TunnelDecision {
+  const { areUsed, maxTunnels } = state.settings.tunnels;
+  const view = state.servers.get(serverId);
+  if (!areUsed) return { kind: 'refuse', reason: 'switchedOff' };
+  if (!state.peers.has(boxId)) return { kind: 'refuse', reason: 'unknownBox' };
+  if (view === undefined) return { kind: 'refuse', reason: 'unknownServer' };
+  if (state.stoppingSinceMs !== undefined) return { kind: 'refuse', reason: 'stopping' };
+  if (isCutOff(state.serverLinks)) return { kind: 'refuse', reason: 'cutOff' };
+  if (state.openTunnels >= maxTunnels) return { kind: 'refuse', reason: 'full' };
+  return { kind: 'connect', address: view.entry.address };
+}
+
+/** Records the outcome of a peer's request, and the end of a tunnel. */
+export function onTunnel(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'tunnelRefused' | 'tunnelOpened' | 'tunnelClosed'>,
+): void {
+  const { serverId: server, boxId: peer, requestId: request } = event;
+  const fields = { server, peer, request };
+  switch (event.type) {
+    case 'tunnelRefused':
+      return log(step, 'tunnelRefused', { ...fields, reason: event.reason });
+    case 'tunnelOpened':
+      state.openTunnels += 1;
+      return log(step, 'tunnelOpened', {
+        ...fields,
+        tookMs: Math.round(event.tookMs),
+        open: state.openTunnels,
+      });
+    case 'tunnelClosed':
+      state.openTunnels -= 1;
+      return log(step, 'tunnelClosed', {
+        ...fields,
+        bytes: event.bytes,
+        openMs: Math.round(event.openMs),
+      });
+  }
+}
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -4,6 +4,7 @@
 import { RouteKind } from '../../types/configuration.js';
 import type { Attempt } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import { isServerAtFault } from '../../policy/connectPlan.js';
 import { recordFailure, recordSuccess } from '../../policy/serverHealth.js';
 import { removeUnreadPrompt } from '../../policy/serverLoad.js';
 import { recordActivity } from '../../policy/serverSilence.js';
@@ -39,7 +40,8 @@
   const found = findOpenAttempt(state, event);
   if (found === undefined) return;
   const view = closeAttempt(state, found.attempt, Reach.none);
-  if (view !== undefined) recordFailure(view, step.nowMs);
+  const isAtFault = isServerAtFault(view?.link, state.serverLinks, step.nowMs);
+  if (view !== undefined && isAtFault) recordFailure(view, step.nowMs);
   found.record.failedToConnect = true;
   retryNotRun(state, step, found, event.reason);
 }
--- a/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
@@ -2,6 +2,7 @@
 import { serverOf } from '../requests/requestCompletion.js';
 import { modelOf } from '../engines/engineModels.js';
 import type { PeerWithMessage } from '../peers/fleet.js';
+import { isCutOff } from '../../policy/connectPlan.js';
 import { addEvidence } from '../../policy/rolloutVerdict.js';
 import type { GatewayState, Step } from '../../state.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
@@ -36,14 +37,15 @@
   else if (isSlow(state, step, record, attempt)) tally.slow += 1;
 }
 
-/** Counts a lost answer as failed, unless its server is draining or gone or a zone is partitioned: neither is the version's fault. */
+/** Counts a lost answer as failed, unless its server is draining or gone or this box is partitioned from a zone or from the servers: none of these is the version's fault. */
 export function recordLostAnswer(
   state: GatewayState,
   step: Step,
   lost: { record: RequestRecord; attempt: Attempt },
 ): void {
   const isDrainingOrGone = serverOf(state, lost.attempt)?.leaving !== false;
-  if (isDrainingOrGone || state.silentZones.size > 0) return;
+  const isOwnLinkDown = state.silentZones.size > 0 || isCutOff(state.serverLinks);
+  if (isDrainingOrGone || isOwnLinkDown) return;
   recordAnswer(state, step, { ...lost, end: AnswerEnd.failed });
 }
 
--- a/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -1,7 +1,15 @@
 /** What attempts to open connections show of this box's links to the servers. */
 import { log, type GatewayState, type Step } from '../../state.js';
 import type { EventOf } from '../../types/event.js';
-import { ConnectOutcome, type ConnectionTry, type ServerLink } from '../../types/serverLink.js';
+import {
+  ConnectOutcome,
+  type ConnectionPath,
+  type ConnectionTry,
+  type ServerLink,
+} from '../../types/serverLink.js';
+import { isCutOff } from '../../policy/connectPlan.js';
+import { mayConnect } from '../peers/connectingPeers.js';
+import { usesHubs } from '../peers/fleet.js';
 import type { ServerView } from '../../types/views.js';
 
 /** Weight of one connection in the moving average of the time to connect, and in its deviation. */
@@ -16,7 +24,62 @@
 ): void {
   const view = viewOf(state, event.attempt);
   if (view === undefined) return;
-  recordDirect(state, step, view, event.attempt);
+  const { path } = event.attempt;
+  switch (path.kind) {
+    case 'direct':
+      return recordDirect(state, step, view, event.attempt);
+    case 'peer':
+      return recordByPeer(state, step, { view, peerId: path.boxId, attempt: event.attempt });
+  }
+}
+
+/** Returns whether an idle connection to a server may carry a request. */
+export function isConnectionUsable(
+  state: GatewayState,
+  { serverId, path }: { serverId: string; path: ConnectionPath },
+  nowMs: number,
+): boolean {
+  const link = state.servers.get(serverId)?.link;
+  const { serverLinks: links } = state;
+  switch (path.kind) {
+    case 'direct': {
+      // Where new connections are refused, open ones may live on; where they hang, open ones hang too.
+      const failure = link?.failure ?? (isCutOff(links) ? links.failure : undefined);
+      return failure !== ConnectOutcome.silent;
+    }
+    case 'peer': {
+      const peer = state.peers.get(path.boxId);
+      return link !== undefined && peer !== undefined && mayConnect(peer, usesHubs(state), nowMs);
+    }
+  }
+}
+
+function recordByPeer(
+  state: GatewayState,
+  step: Step,
+  { view, peerId, attempt }: { view: ServerView; peerId: string; attempt: ConnectionTry },
+): void {
+  const { outcome, tookMs, requestId } = attempt;
+  const { link } = view;
+  switch (outcome) {
+    case ConnectOutcome.unavailable: {
+      const peer = state.peers.get(peerId);
+      if (peer !== undefined) peer.connectFailedAtMs = step.nowMs;
+      return;
+    }
+    case ConnectOutcome.refused:
+    case ConnectOutcome.silent:
+      if (link !== undefined) link.failedByPeersAtMs = step.nowMs;
+      return;
+    case ConnectOutcome.opened: {
+      const fields = { server: view.entry.id, peer: peerId, tookMs: Math.round(tookMs) };
+      log(step, 'serverReachedByPeer', { ...fields, request: requestId });
+      if (link === undefined) return;
+      link.openedByPeerAtMs = step.nowMs;
+      // The failures were those of this box's link.
+      view.failureScore = 0;
+    }
+  }
 }
 
 /** Returns the server to which a connection was opened; undefined if another one has its address. */
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -50,6 +50,8 @@
   active: ActiveConfiguration | undefined;
   servers: Map<string, ServerView>;
   serverLinks: ServerLinks;
+  /** Number of connections that this box keeps open for peers. */
+  openTunnels: number;
   /** Number of server incarnations seen so far. */
   serverIncarnationCount: number;
   /** Latest incarnations of servers that are gone, to detect updates about earlier ones. */
--- a/packages/reedlug-gateway/src/types/effect.ts
+++ b/packages/reedlug-gateway/src/types/effect.ts
@@ -55,7 +55,7 @@
   /** Closes the caller's connection in the middle of an answer. */
   | { type: 'cutCaller'; exchangeId: number }
   /** Checks a server with lost attempts by opening and closing a connection. */
-  | { type: 'probeServer'; life: number; address: HostPort }
+  | { type: 'probeServer'; life: number; serverId: string; address: HostPort }
   | { type: 'requestTable'; purpose: TablePurpose; op: TableOp; sentAtMs: number }
   | { type: 'callCloud'; callId: number; call: CloudCall; fence: number }
   /** Reads the store's collections again after the store was restored from a backup. */
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -29,6 +29,18 @@
   | { type: 'callerGone'; exchangeId: number }
   /** An attempt to open a connection to a server ended. */
   | { type: 'connectionTried'; attempt: ConnectionTry }
+  /** A peer's request to be connected to a server, and the end of such a connection. */
+  | { type: 'tunnelRefused'; serverId: string; boxId: string; requestId: string; reason: string }
+  | { type: 'tunnelOpened'; serverId: string; boxId: string; requestId: string; tookMs: number }
+  | {
+      type: 'tunnelClosed';
+      serverId: string;
+      boxId: string;
+      requestId: string;
+      /** Bytes forwarded in both directions. */
+      bytes: number;
+      openMs: number;
+    }
   /** The attempt failed before any byte of it left this box. */
   | { type: 'attemptNotSent'; exchangeId: number; attemptId: number; reason: string }
   /** The head of a server's answer arrived, with the server's statements. */
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -125,6 +125,11 @@
   leaving: boolean;
   /** Zones from whose boxes the sender receives nothing; missing from older boxes. */
   silentZones?: readonly string[] | undefined;
+  /**
+   * Whether the sender has lost its own links to servers; missing from older boxes, and while it has
+   * not.
+   */
+  isCutOff?: boolean | undefined;
   /** Open work by server id. */
   loads: Readonly<Record<string, ServerLoad>>;
   /** Statistics of sends, by service. */
--- a/packages/reedlug-gateway/src/types/settings.ts
+++ b/packages/reedlug-gateway/src/types/settings.ts
@@ -49,6 +49,14 @@
   restartReserve: boolean;
 }
 
+/** Connections to servers through other boxes. */
+export interface TunnelSettings {
+  /** Whether boxes connect each other to servers that one of them can't reach. */
+  areUsed: boolean;
+  /** Largest number of connections that this box keeps open for others. */
+  maxTunnels: number;
+}
+
 /** Contents of the settings file of a box. */
 export interface GatewaySettings {
   /** `processorCores` is the processor time available to the box, in cores. */
@@ -61,4 +69,5 @@
   cloud?: { address: HostPort; reportsUsage: boolean; ordersEngines: boolean } | undefined;
   bounds: BoundSettings;
   load: LoadSettings;
+  tunnels: TunnelSettings;
 }
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -129,6 +129,8 @@
   /** Number of its last registry change that this box applied; undefined before the first one. */
   registryNumber: number | undefined;
   gossipSentAtMs: number;
+  /** Time at which it last failed to connect to a server for this box. */
+  connectFailedAtMs: number;
   /** True if it became silent as this box's hub, until its next message. */
   isSuspected: boolean;
   /** Time since which it has had a newer configuration or registry; undefined otherwise. */
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -3,6 +3,7 @@
   createSequentialHandler,
   isNewEra,
   createGatewayState,
+  DEFAULT_TUNNEL_SETTINGS,
   followPlatform,
   reduce,
   TICK_MS,
@@ -213,5 +214,6 @@
     },
     bounds: scene.bounds,
     load: scene.load,
+    tunnels: DEFAULT_TUNNEL_SETTINGS,
   };
 }
--- a/packages/reedlug-soak/src/partitionedBoxes.ts
+++ b/packages/reedlug-soak/src/partitionedBoxes.ts
@@ -69,6 +69,8 @@
     const { partitioned, others } = servedDuring(record, span, part);
     const failures = partitioned.total - partitioned.served;
     const allowed = MIN_FAILURES + (partitioned.total + others.total) * MIN_FAILURE_SHARE;
+    // Without other boxes nobody reaches the servers.
+    if (others.total === 0) return [];
     const isBelow = servedShare(partitioned) < servedShare(others) * MIN_RELATIVE_SHARE;
     if (!isBelow || failures <= allowed) return [];
     const detail = `${partitioned.served} of ${partitioned.total} served at ${span.boxes} partitioned boxes, ${others.served} of ${others.total} at the others`;
--- a/packages/reedlug-soak/src/soakBox.ts
+++ b/packages/reedlug-soak/src/soakBox.ts
@@ -7,7 +7,6 @@
 
 const linkHost = process.env[LINK_HOST_VARIABLE];
 const serverPorts = new Set((process.env[LINK_PORTS_VARIABLE] ?? '').split(',').map(Number));
-// eslint-disable-next-line @typescript-eslint/unbound-method -- it is applied to the socket below.
 const { connect } = Socket.prototype;
 
 interface ConnectOptions {
