Brittle servers: boxes share out their places and bound what they may have to reject

What callers saw: servers that say that they are brittle (Server-Brittle: N) crash when they have to reject more than N requests in a second; nothing read the statement. A server at its limit fell, its work fell the next one, and the cascade kept itself going.

The statement now holds for all servers of its service, also for those that start later, and travels in each gossip message. While it holds, each box has places of its own at each server, whole parts that sum to the server's places whatever the boxes know of each other. Beyond them a box uses places that seem free, within its part of the rejections that the server bears. Requests without a place are refused at once, with times to come back that follow the rate at which places become free; less urgent ones leave the last places to more urgent ones that were refused lately.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -25,6 +25,7 @@
   limit: { kind: 'none' },
   isDraining: false,
   pauseMs: undefined,
+  rejectionsPerSecond: undefined,
 };
 
 export function settings(
--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -41,6 +41,7 @@
     nextCallId: 1,
     active: undefined,
     servers: new Map(),
+    brittleServices: new Map(),
     serverLinks: createServerLinks(),
     openTunnels: 0,
     serverIncarnationCount: 0,
--- a/packages/reedlug-gateway/src/daemon/__tests__/peerWire.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/peerWire.test.ts
@@ -143,3 +143,19 @@
     expect([decoded.storeEra, decoded.decisions]).to.deep.equal([undefined, undefined]);
   }
 });
+
+test('brittle services are decoded as they were sent, and malformed ones are dropped', () => {
+  const ages = { sentAgeMs: 40, receivedAgeMs: 10 };
+  const brittle = [
+    { service: 'records', rejectionsPerSecond: 5, ...ages },
+    { service: 'drafts', rejectionsPerSecond: undefined, ...ages },
+  ];
+  expect(decodeDatagram(encodeDatagram(peerMessage({ brittle })))).to.deep.include({ brittle });
+  const malformed = [
+    null,
+    { service: 5 },
+    { service: 'records', rejectionsPerSecond: -1, ...ages },
+  ];
+  const message = { ...peerMessage(), brittle: malformed } as unknown as PeerMessage;
+  expect(decodeDatagram(encodeDatagram(message))).to.deep.include({ brittle: [] });
+});
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -8,6 +8,7 @@
  */
 import { Decoder, Encoder } from 'cbor-x';
 import { MAX_STORE_ERA } from 'reedlug-coordination';
+import type { BrittleServiceGossip } from '../types/brittleService.js';
 import type {
   NumberedChange,
   PeerDatagram,
@@ -115,11 +116,12 @@
 
 /** Drops optional fields of gossip that are malformed, as if an older box had sent it without them. */
 function withoutInvalidFields(message: PeerMessage): PeerMessage {
-  const { storeEra, decisions, ...others } = message;
+  const { storeEra, decisions, brittle, ...others } = message;
   return {
     ...others,
     ...(isEra(storeEra) ? { storeEra } : {}),
     ...(Array.isArray(decisions) ? { decisions: decisions.filter(isDecision) } : {}),
+    ...(Array.isArray(brittle) ? { brittle: brittle.filter(isBrittleService) } : {}),
   };
 }
 
@@ -135,6 +137,20 @@
   return Object.values(counts).every(Number.isFinite);
 }
 
+function isBrittleService(value: unknown): value is BrittleServiceGossip {
+  if (typeof value !== 'object' || value === null) return false;
+  const { service, rejectionsPerSecond, sentAgeMs, receivedAgeMs } = value as Partial<
+    Record<string, unknown>
+  >;
+  if (typeof service !== 'string') return false;
+  if (rejectionsPerSecond !== undefined && !isNonNegative(rejectionsPerSecond)) return false;
+  return Number.isFinite(sentAgeMs) && Number.isFinite(receivedAgeMs);
+}
+
+function isNonNegative(value: unknown): boolean {
+  return Number.isFinite(value) && Number(value) >= 0;
+}
+
 function isStatementRows(value: unknown): value is Readonly<Record<string, unknown>> {
   if (typeof value !== 'object' || value === null) return false;
   return (value as { kind?: unknown }).kind === STATEMENTS_WIRE_KIND;
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -15,6 +15,7 @@
 import type { ServerView } from '../types/views.js';
 import { countedPeers, type PeerWithMessage } from '../slices/peers/fleet.js';
 import { placementBasis, type PlacementBasis } from '../slices/placement/servicePlacement.js';
+import { rejectionsBorne } from '../slices/statements/brittleServices.js';
 import { isLimitRefreshDue, isEligible, isLimited } from '../slices/statements/eligibility.js';
 import { modelOf } from '../slices/engines/engineModels.js';
 import { speedOf } from '../slices/serverSpeeds/speedOf.js';
@@ -114,17 +115,20 @@
     targetMs,
     nowMs,
   } = params;
-  const eligible: ServerView[] = [];
-  let isAnySuspect = false;
-  for (const view of state.servers.values()) {
-    const { entry } = view;
-    if (entry.service !== service) continue;
-    if (excludedServers.size > 0 && excludedServers.has(entry.id)) continue;
-    if (!isEligible(state, view, nowMs)) continue;
-    if (isAllowed !== undefined && !isAllowed(view)) continue;
-    eligible.push(view);
-    isAnySuspect ||= isSuspect(view, nowMs);
+  const mayServe = ({ entry }: ServerView): boolean =>
+    entry.service === service && !(excludedServers.size > 0 && excludedServers.has(entry.id));
+  const findEligible = (usesSparePlaces: boolean): ServerView[] =>
+    [...state.servers.values()].filter(
+      (view) =>
+        mayServe(view) &&
+        isEligible(state, view, nowMs, usesSparePlaces) &&
+        (isAllowed === undefined || isAllowed(view)),
+    );
+  let eligible = findEligible(false);
+  if (eligible.length === 0 && rejectionsBorne(state, service) !== undefined) {
+    eligible = findEligible(true);
   }
+  const isAnySuspect = eligible.some((view) => isSuspect(view, nowMs));
   // Avoids a second pass over thousands of servers while none of them fails.
   const healthy = isAnySuspect ? eligible.filter((view) => !isSuspect(view, nowMs)) : eligible;
   const candidates = filterReachable(state, healthy.length > 0 ? healthy : eligible, staysInZone);
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -36,6 +36,7 @@
 import { onRolloutRow, rolloutRecordsTick } from './slices/rollouts/rolloutRecords.js';
 import { rolloutEvaluationTick } from './slices/rollouts/rolloutEvaluation.js';
 import { onRolloutOrdered } from './slices/rollouts/rollouts.js';
+import { brittleServicesTick } from './slices/statements/brittleServices.js';
 import { onServerStatements, statementsTick } from './slices/statements/statementGossip.js';
 import { onServersRead, onStoreContact, serversTick } from './slices/servers/servers.js';
 import { onConnectionTried, serverLinksTick } from './slices/servers/serverLinks.js';
@@ -133,6 +134,7 @@
 function onTick(state: GatewayState, step: Step): void {
   serversTick(state, step);
   serverLinksTick(state);
+  brittleServicesTick(state, step.nowMs);
   pendingRequestsTick(state, step);
   requestsTick(state, step);
   silentServersTick(state, step);
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -15,6 +15,7 @@
 import { ownSpareUnits } from '../limits/unitLoans.js';
 import { speedRows, withSpeeds } from '../serverSpeeds/speedGossip.js';
 import { ownWorkloads, sumWorkloads } from '../workspaceShares/workSums.js';
+import { brittleGossip } from '../statements/brittleServices.js';
 import { ownUsage } from '../usage/usage.js';
 import { decisionGossip } from '../usage/usageDecisions.js';
 
@@ -76,6 +77,7 @@
     leaseHolder: holdsLease ? { host: box.ip, port: listen.peersPort } : undefined,
     leaving: state.stoppingSinceMs !== undefined,
     silentZones: [...state.silentZones],
+    ...(state.brittleServices.size > 0 ? { brittle: brittleGossip(state, step.nowMs) } : {}),
     ...(isCutOff(state.serverLinks) ? { isCutOff: true } : {}),
     loads: ownLoads(state),
     sendSums: ownSendSums(state, step.nowMs),
--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -15,6 +15,7 @@
 import { mergeRolloutGossip } from '../rollouts/rollouts.js';
 import { nextRegistryUpdate } from './registryGossip.js';
 import { mergeSpeedGossip } from '../serverSpeeds/speedSums.js';
+import { mergeBrittleGossip } from '../statements/brittleServices.js';
 import { recordIfUninformed } from '../statements/statementGossip.js';
 import { applyHubChanges } from '../servers/servers.js';
 import { mayShowBackup, onStoreEra } from '../store/storeEra.js';
@@ -56,6 +57,9 @@
   if (message.clockOffsetMs !== undefined) adoptClockOffset(state, step, message.clockOffsetMs);
   if (message.decisions !== undefined) mergeDecisions(state, step, message.decisions);
   if (message.rollouts !== undefined) mergeRolloutGossip(state, step, boxId, message.rollouts);
+  if (message.brittle !== undefined) {
+    mergeBrittleGossip(state, step, { boxId, brittle: message.brittle });
+  }
   mergeSpeedGossip(state, step, message);
   if (peer.boxId === state.hubId) followHub(state, step, peer as PeerWithMessage);
   requestNewerState(state, step, peer, message);
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -12,6 +12,7 @@
 import { isPastCrashPoint, recordGoodRun } from '../crashes/crashSuspects.js';
 import { recordSuccessfulEnd, recordFirstEvent } from '../engines/engineModels.js';
 import { recordLoss } from '../crashes/lostServers.js';
+import { recordRejection, releaseSparePlace } from '../statements/brittleServices.js';
 import { recordServedProbe } from '../statements/pauses.js';
 import { applyAnswerStatements, applyRefusal } from '../statements/answerStatements.js';
 import { retryAfterLoss, reserveRerun, retryNotRun, type RequestAttempt } from './retries.js';
@@ -72,10 +73,12 @@
       return onSuccess(state, step, found);
     case 'failure':
       return onFailure(state, step, found, event.status);
-    case 'notRun':
-      closeAttempt(state, attempt, Reach.refused);
+    case 'notRun': {
+      const view = closeAttempt(state, attempt, Reach.refused);
+      if (view !== undefined) recordRejection(view, step.nowMs);
       applyRefusal(state, step, attempt);
       return retryNotRun(state, step, found, `refused${event.status}`);
+    }
     case 'otherServer': {
       const view = closeAttempt(state, attempt, Reach.refused);
       if (view !== undefined) removeServer(state, step, view, 'addressReused');
@@ -149,6 +152,8 @@
     const view = serverOf(state, attempt);
     if (view !== undefined) removeUnreadPrompt(view, attempt);
   }
+  const server = serverOf(state, attempt);
+  if (server !== undefined) releaseSparePlace(server, attempt);
   attempt.reach = Reach.answered;
   countStarted(state, step, record);
 }
--- a/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from '../../types/configuration.js';
 import type { Attempt, RequestFacts, RequestRecord } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import { releaseSparePlace } from '../statements/brittleServices.js';
 import { removeUnreadPrompt } from '../../policy/serverLoad.js';
 import type { ServerView } from '../../types/views.js';
 
@@ -28,6 +29,7 @@
   attempt.reach = reach;
   const view = serverOf(state, attempt);
   if (view === undefined) return undefined;
+  releaseSparePlace(view, attempt);
   view.running -= 1;
   if (attempt.firstOutputAtMs === undefined) removeUnreadPrompt(view, attempt);
   return view;
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -8,6 +8,7 @@
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { reserveRetryAfterMs, SERVERS_LIMITED } from '../statements/retryAfterTimes.js';
 import { recordSendForStatements } from '../statements/eligibility.js';
+import { takesSparePlace, yieldsPlaces } from '../statements/brittleServices.js';
 import { recordWork } from '../workspaceShares/workSums.js';
 import { suspectKey, suspectOf } from '../crashes/crashSuspects.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
@@ -23,6 +24,7 @@
   record: RequestRecord,
   excludedServers: ReadonlySet<string> = record.excludedServers,
 ): Choice | undefined {
+  if (yieldsPlaces(state, record, step.nowMs)) return undefined;
   const params = {
     service: record.service,
     facts: record.facts,
@@ -92,6 +94,7 @@
     sentAtMs: step.nowMs,
     reach: Reach.none,
     open: true,
+    usesSparePlace: takesSparePlace(state, view, step.nowMs),
     prefillTokens,
     urgency: record.urgency,
     conditions,
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
@@ -37,6 +37,7 @@
     sentAtMs: 0,
     reach: Reach.none,
     open: true,
+    usesSparePlace: false,
     prefillTokens: 0,
     urgency: 0,
     conditions: { tokens: 0, running: 0, unread: 0, slots: 1 },
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -172,6 +172,7 @@
     slownessAtMs: 0,
     statements,
     cachedParts: new Map(),
+    placeUse: undefined,
     link: undefined,
   };
 }
--- a/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
@@ -6,6 +6,7 @@
   IncarnationStatements,
   LimitStatement,
 } from '../../types/serverStatement.js';
+import { mergeBrittleService } from './brittleServices.js';
 import { mergeDraining } from './draining.js';
 import { statementsFor } from './incarnationStatements.js';
 import { mergeLimit } from './limits.js';
@@ -24,6 +25,10 @@
   const { record, attempt, answerStatements } = params;
   const source = record.facts.requestId;
   applyLimit(state, step, { attempt, limit: answerStatements.limit, source });
+  const { sentAtMs } = attempt;
+  const perSecond = answerStatements.rejectionsPerSecond;
+  const stated = { perSecond, sentAtMs, receivedAtMs: step.nowMs };
+  mergeBrittleService(state, step, { service: record.service, stated, source });
   if (answerStatements.pauseMs !== undefined) {
     const statements = statementsFor(state, step, attempt);
     if (statements !== undefined)
--- a/packages/reedlug-gateway/src/slices/statements/eligibility.ts
+++ b/packages/reedlug-gateway/src/slices/statements/eligibility.ts
@@ -4,6 +4,7 @@
 import type { IncarnationStatements } from '../../types/serverStatement.js';
 import type { ServerView } from '../../types/views.js';
 import { mayProbePause, recordSendDuringPause, pausedUntilMs } from './pauses.js';
+import { hasPlace } from './brittleServices.js';
 import { ownShare } from './senderShare.js';
 
 /**
@@ -12,9 +13,18 @@
  */
 const LIMIT_REFRESH_MS = 1500;
 
-/** Returns whether this box may send to a server now. Every send is checked, whatever its purpose. */
-export function isEligible(state: GatewayState, view: ServerView, nowMs: number): boolean {
-  return eligibleAtMs(state, view, nowMs) <= nowMs;
+/**
+ * Returns whether this box may send to a server now. Every send is checked, whatever its purpose. With
+ * `usesSparePlaces` a brittle server's places that seem free count as well as this box's own.
+ */
+export function isEligible(
+  state: GatewayState,
+  view: ServerView,
+  nowMs: number,
+  usesSparePlaces = false,
+): boolean {
+  if (eligibleAtMs(state, view, nowMs) > nowMs) return false;
+  return hasPlace(state, view, { usesSpare: usesSparePlaces, nowMs });
 }
 
 /** Returns when the statements of a server next allow this box to send to it; infinity where only other boxes may send. */
--- a/packages/reedlug-gateway/src/slices/statements/retryAfterTimes.ts
+++ b/packages/reedlug-gateway/src/slices/statements/retryAfterTimes.ts
@@ -11,6 +11,7 @@
 import type { RequestRecord } from '../../types/request.js';
 import { modelOf } from '../engines/engineModels.js';
 import { fleetSize } from '../peers/fleet.js';
+import { recordPlaceRefusal, rejectionsBorne } from './brittleServices.js';
 import { eligibleAtMs } from './eligibility.js';
 import { drainingStatementsOf, serversWithStatements } from './incarnationStatements.js';
 import { pausedUntilMs } from './pauses.js';
@@ -31,7 +32,7 @@
   record: RequestRecord,
   nowMs: number,
 ): number | undefined {
-  const accepted = acceptedRateOf(state, record, nowMs);
+  const accepted = brittleRateOf(state, record, nowMs) ?? acceptedRateOf(state, record, nowMs);
   if (accepted === undefined) return replacementRetryAfterMs(state, record, nowMs);
   const { perSecond, nextAtMs, maxRetryAfterMs } = accepted;
   const { service, urgency, facts } = record;
@@ -53,6 +54,24 @@
   maxRetryAfterMs: number;
 }
 
+/** Returns the rate at which the places of a brittle service become free; undefined if it is not brittle. */
+function brittleRateOf(
+  state: GatewayState,
+  record: RequestRecord,
+  nowMs: number,
+): AcceptedRate | undefined {
+  const { service } = record;
+  if (rejectionsBorne(state, service) === undefined) return undefined;
+  recordPlaceRefusal(state, record, nowMs);
+  let slots = 0;
+  for (const { entry, leaving } of state.servers.values()) {
+    if (entry.service === service && !leaving) slots += entry.slots;
+  }
+  const { stayMs } = modelOf(state, service, nowMs);
+  const perSecond = (Math.max(1, slots) * 1000) / Math.max(1, stayMs);
+  return { perSecond, nextAtMs: nowMs + stayMs, maxRetryAfterMs: MAX_RETRY_AFTER_MS };
+}
+
 function acceptedRateOf(
   state: GatewayState,
   { service, excludedServers }: RequestRecord,
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -12,6 +12,7 @@
 import type { RolloutView } from './types/rollout.js';
 import type { IncarnationStatements, ReachableFleet } from './types/serverStatement.js';
 import type { ServerEntry } from './types/server.js';
+import type { BrittleService } from './types/brittleService.js';
 import type { ServerLinks } from './types/serverLink.js';
 import type { ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
@@ -49,6 +50,8 @@
   nextCallId: number;
   active: ActiveConfiguration | undefined;
   servers: Map<string, ServerView>;
+  /** Services whose servers are brittle, or were until lately. */
+  brittleServices: Map<string, BrittleService>;
   serverLinks: ServerLinks;
   /** Number of connections that this box keeps open for peers. */
   openTunnels: number;
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -5,6 +5,7 @@
  * members, exchanges sums with other hubs and sends each member the sum of all other boxes.
  */
 import type { SendSums } from '../policy/engineModel.js';
+import type { BrittleServiceGossip } from './brittleService.js';
 import type { CrashSuspectsMessage } from './crashSuspect.js';
 import type { LimitShareGossip } from './limitShare.js';
 import type { RolloutGossip } from './rollout.js';
@@ -125,6 +126,8 @@
   leaving: boolean;
   /** Zones from whose boxes the sender receives nothing; missing from older boxes. */
   silentZones?: readonly string[] | undefined;
+  /** Services whose servers are brittle; missing from older boxes, and while there are none. */
+  brittle?: readonly BrittleServiceGossip[] | undefined;
   /**
    * Whether the sender has lost its own links to servers; missing from older boxes, and while it has
    * not.
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -62,6 +62,8 @@
   sentAtMs: number;
   reach: Reach;
   open: boolean;
+  /** True while it uses a place of a brittle server that is not this box's own, until an answer. */
+  usesSparePlace: boolean;
   /** Prompt tokens that the server is assumed to process for the attempt, and its urgency there. */
   prefillTokens: number;
   urgency: number;
--- a/packages/reedlug-gateway/src/types/serverStatement.ts
+++ b/packages/reedlug-gateway/src/types/serverStatement.ts
@@ -12,6 +12,11 @@
   isDraining: boolean;
   /** Pause that a server asks for when it refuses a request, in ms; undefined if it states none. */
   pauseMs: number | undefined;
+  /**
+   * How many requests a second a brittle server may have to reject for want of room before it crashes;
+   * undefined if it is not brittle.
+   */
+  rejectionsPerSecond: number | undefined;
 }
 
 /** Statement of an answer about its server's limit. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -4,6 +4,7 @@
 import type { CloudCall } from './effect.js';
 import type { PeerAddress, PeerMessage } from './peer.js';
 import type { HostPort, ServerEntry } from './server.js';
+import type { PlaceUse } from './brittleService.js';
 import type { ServerLink } from './serverLink.js';
 import type { IncarnationStatements } from './serverStatement.js';
 
@@ -56,6 +57,8 @@
    * recent first.
    */
   cachedParts: Map<string, number>;
+  /** Undefined until this box uses the server while it is brittle. */
+  placeUse: PlaceUse | undefined;
   /** Undefined unless the last direct connection to the server failed. */
   link: ServerLink | undefined;
 }
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -26,6 +26,7 @@
   latencyMs,
   type World,
 } from '../world.js';
+import { isQueueShut, recordRejection } from '../faults/brittleServers.js';
 import { crashUnder, recordCrashingSend } from '../faults/crashingRequests.js';
 import { exceedsStatedLimit, recordLimitedArrival } from '../faults/limitedServers.js';
 import {
@@ -164,8 +165,14 @@
       box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
     });
   };
-  const onRejected = (): void => answer('notRun', 503);
-  if (exceedsStatedLimit(world, server) || refusesRequest(world, server)) return onRejected();
+  const onRejected = (): void => {
+    answer('notRun', 503);
+    recordRejection(world, server, box);
+  };
+  if (isQueueShut(world, server)) return onRejected();
+  if (exceedsStatedLimit(world, server) || refusesRequest(world, server)) {
+    return answer('notRun', 503);
+  }
   if (server.work.kind === 'plain') {
     const onAnswered = (): void => {
       recordStart();
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -14,6 +14,7 @@
 import { StoreOutage } from '../store/virtualStore.js';
 import { recordDutyOutage } from '../report/dutyRecord.js';
 import { later, type World } from '../world.js';
+import { startBrittlePeriod } from './brittleServers.js';
 import { changeLimits } from './changeLimits.js';
 import { restoreStore } from './restoreStore.js';
 import { sendCrashingRequests } from './crashingRequests.js';
@@ -91,6 +92,8 @@
       return announceDraining(world, fault, pickReadyServers(world, fault));
     case 'restServers':
       return refuseRequests(world, fault, pickReadyServers(world, fault));
+    case 'brittleServers':
+      return startBrittlePeriod(world, fault);
     case 'failRequests': {
       world.failShare = fault.share;
       return later(world, fault.forS * 1000, () => {
--- a/packages/reedlug-simulator/src/faults/serverStatements.ts
+++ b/packages/reedlug-simulator/src/faults/serverStatements.ts
@@ -8,6 +8,7 @@
 import type { SceneFaultSpec } from '../scene/scene.js';
 import { endServer, restartServer, type VirtualServer } from '../servers/virtualServers.js';
 import { PROPAGATION_MS, later, nowMs, type World } from '../world.js';
+import { brittleStatementOf } from './brittleServers.js';
 import { limitStatementOf, recordLimitForwarded } from './limitedServers.js';
 
 /**
@@ -69,6 +70,7 @@
     limit: limitStatementOf(world, server),
     isDraining: server.isDraining,
     pauseMs: isRefusal ? server.refusing?.pauseMs : undefined,
+    rejectionsPerSecond: brittleStatementOf(world, server),
   };
 }
 
--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -4,6 +4,7 @@
 export * from './scene/generateLimitFaults.js';
 export * from './scene/generateRollout.js';
 export { generateServerLimits } from './scene/generateServerLimits.js';
+export * from './scene/generateBrittleServers.js';
 export * from './scene/generateServerStatements.js';
 export * from './report/outcomes.js';
 export * from './report/sceneReport.js';
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -5,6 +5,7 @@
   MAX_FURTHER_SENDS,
   type CrashingRequestRow,
 } from '../faults/crashingRequests.js';
+import { brittleRows } from '../faults/brittleServers.js';
 import { limitedServerRows, type LimitedServerRow } from '../faults/limitedServers.js';
 import { serverStatementRows, type ServerStatementRow } from '../faults/serverStatements.js';
 import { brokenRolloutGuarantees } from '../faults/rollouts.js';
@@ -78,6 +79,8 @@
   statingServers: ServerStatementRow[];
   /** Requests that crash servers: the number of crashes, and the sends later than allowed after the third one. */
   endings: CrashingRequestRow[];
+  /** How often the servers of a service crashed while they were brittle, and how often they may. */
+  brittle: { service: string; crashes: number; allowed: number }[];
 }
 
 /** The result of a roll-out. */
@@ -154,6 +157,7 @@
     limitedServers: limitedServerRows(world),
     statingServers: serverStatementRows(world),
     endings: crashingRequestRows(world),
+    brittle: brittleRows(world),
     rollouts: world.rollouts.map((rollout) => ({
       version: rollout.version,
       end: rollout.end ?? 'none',
@@ -211,6 +215,10 @@
     if (inRest > allowedInRest)
       recordBrokenGuarantee(world, 'serverRest', `${server}: ${inRest} in one rest`);
   }
+  for (const { service, crashes, allowed } of brittleRows(world)) {
+    if (crashes <= allowed) continue;
+    recordBrokenGuarantee(world, 'brittleServers', `${service}: ${crashes} crashes of ${allowed}`);
+  }
   for (const { promise, detail } of brokenRolloutGuarantees(world))
     recordBrokenGuarantee(world, promise, detail);
   for (const { digest, ended, furtherSends } of crashingRequestRows(world)) {
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -73,6 +73,7 @@
     cutZones: new Set(),
     lastPartitionEndedAtMs: Number.NEGATIVE_INFINITY,
     partitions: [],
+    brittlePeriods: [],
     failShare: 0,
     rollouts: [],
     outOfCapacityUntilMs: 0,
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -141,6 +141,19 @@
     refuseShare: share.default(1),
     restS: positive.optional(),
   }),
+  /**
+   * The servers of a service state that they are brittle: after a while fewer requests may wait, and a
+   * server that rejects too many in a second for want of room crashes.
+   */
+  z.strictObject({
+    kind: z.literal('brittleServers'),
+    ...spanFields,
+    service: z.string().min(1),
+    rejectionsPerSecond: count.default(5),
+    queueAfterS: nonNegative.default(3),
+    queue: z.number().int().min(0).default(1),
+    downS: positive.default(4),
+  }),
   z.strictObject({ kind: z.literal('failRequests'), ...spanFields, share }),
   z.strictObject({
     kind: z.literal('burst'),
--- a/packages/reedlug-simulator/src/servers/plainServer.ts
+++ b/packages/reedlug-simulator/src/servers/plainServer.ts
@@ -15,6 +15,10 @@
   stop: (runId: number) => void;
   /** Returns the number of requests that wait or run. */
   open: () => number;
+  /** Returns the number of requests that wait. */
+  waiting: () => number;
+  /** Whether all slots are in use. */
+  isFull: () => boolean;
 }
 
 /** Returns an idle server. `schedule` runs an action after a time in ms. */
@@ -51,5 +55,7 @@
       if (running.delete(runId)) startNext();
     },
     open: () => waiting.length + running.size,
+    waiting: () => waiting.length,
+    isFull: () => running.size >= slots,
   };
 }
--- a/packages/reedlug-simulator/src/servers/virtualServers.ts
+++ b/packages/reedlug-simulator/src/servers/virtualServers.ts
@@ -46,6 +46,8 @@
   refusing: { share: number; pauseMs: number | undefined } | undefined;
   /** Handlers by run id, called for the open requests when the server ends. */
   openRuns: Map<number, () => void>;
+  /** Returns the number of requests that wait, or -1 while a slot is free. */
+  waiting: () => number;
 }
 
 /** Starts the servers that a scene begins with. */
@@ -157,9 +159,16 @@
     isDraining: false,
     refusing: undefined,
     openRuns: new Map(),
+    waiting: () => waitingAt(work),
   };
 }
 
+function waitingAt(work: ServerWork): number {
+  if (work.kind === 'plain') return work.server.isFull() ? work.server.waiting() : -1;
+  const { running, waiting, parameters } = work.engine;
+  return running.length >= parameters.slots ? waiting.length : -1;
+}
+
 function heartbeatOf(world: World, name: string): number {
   const service = world.scene.services.find((known) => known.name === name);
   return service?.kind === 'engines' ? service.heartbeatMs : PLAIN_HEARTBEAT_MS;
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -4,6 +4,7 @@
 import type { Scene } from './scene/scene.js';
 import type { SceneRecord } from './report/sceneRecord.js';
 import type { VirtualBox } from './boxes/virtualBox.js';
+import type { BrittlePeriod } from './faults/brittleServers.js';
 import type { LimitPeriod } from './faults/changeLimits.js';
 import type { RolloutState } from './faults/rollouts.js';
 import type { VirtualServer } from './servers/virtualServers.js';
@@ -30,6 +31,8 @@
   lastPartitionEndedAtMs: number;
   /** Network partitions so far; `toMs` is undefined while one lasts. */
   partitions: { fromMs: number; toMs: number | undefined }[];
+  /** Times in which the servers of a service are brittle. */
+  brittlePeriods: BrittlePeriod[];
   /** Share of requests that engines fail at the moment. */
   failShare: number;
   /** Roll-outs ordered so far. */
