Soak draws partitions from servers; tests of the connection plan and of tunnels

Tests: how a connection is opened while links are up, down, or down for all; what a tunnel forwards, how resets and callers that leave pass through it, and what a peer answers that does not connect.

--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/tunnels/__tests__/tunnels.test.ts
@@ -0,0 +1,162 @@
+import { createServer as createHttpServer, type Server as HttpServer } from 'node:http';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { ConnectOutcome, type ConnectionTry } from '../../../types/serverLink.js';
+import type { TunnelDecision } from '../../../slices/peers/tunnels.js';
+import type { EventBody } from '../../../types/event.js';
+import type { OpenedSocket } from '../../openSocket.js';
+import { openTunnel } from '../openTunnel.js';
+import { createTunnelServer } from '../tunnelServer.js';
+
+const LOOPBACK = '127.0.0.1';
+const TIMEOUT_MS = 1000;
+
+function listen(server: Server | HttpServer): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, LOOPBACK, () => resolve((server.address() as AddressInfo).port));
+  });
+}
+
+interface Scene {
+  open: (serverId?: string) => Promise<OpenedSocket>;
+  asked: { serverId: string; boxId: string }[];
+  events: EventBody[];
+  tries: ConnectionTry[];
+  /** Waits until an event of the type has been emitted. */
+  until: (type: EventBody['type']) => Promise<void>;
+  close: () => void;
+}
+
+/** Starts a peer that opens tunnels to a server, whose connections `serve` handles. */
+async function startScene(
+  serve: (socket: Socket) => void,
+  decide: (port: number) => TunnelDecision = (port) => ({
+    kind: 'connect',
+    address: { host: LOOPBACK, port },
+  }),
+): Promise<Scene> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    serve(socket);
+  });
+  const serverPort = await listen(server);
+  const asked: Scene['asked'] = [];
+  const events: EventBody[] = [];
+  const tries: ConnectionTry[] = [];
+  const tunnels = createTunnelServer({
+    decide(request) {
+      asked.push({ serverId: request.serverId, boxId: request.boxId });
+      return decide(serverPort);
+    },
+    onTried: (attempt) => tries.push(attempt),
+    emit: (event) => events.push(event),
+  });
+  const peer = createHttpServer().on('connect', tunnels.onConnect);
+  const port = await listen(peer);
+  return {
+    asked,
+    events,
+    tries,
+    open: (serverId = 'i 1/ä') =>
+      new Promise((resolve) => {
+        const address = { host: LOOPBACK, port };
+        openTunnel(
+          { peer: address, serverId, boxId: 'box-1', requestId: 'r1', timeoutMs: TIMEOUT_MS },
+          resolve,
+        );
+      }),
+    async until(type) {
+      while (!events.some((event) => event.type === type)) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+    },
+    close() {
+      tunnels.closeAll();
+      peer.close();
+      server.close();
+    },
+  };
+}
+
+function socketOf(result: OpenedSocket): Socket {
+  if (result.outcome !== ConnectOutcome.opened) throw new Error(result.outcome);
+  return result.socket;
+}
+
+/** Resolves with what a socket receives, and with how it ends. */
+function readAll(socket: Socket): Promise<{ text: string; end: 'clean' | 'reset' }> {
+  return new Promise((resolve) => {
+    let text = '';
+    socket.on('data', (chunk) => (text += String(chunk)));
+    socket.once('end', () => resolve({ text, end: 'clean' }));
+    socket.once('error', () => resolve({ text, end: 'reset' }));
+  });
+}
+
+test('a tunnel forwards the bytes of both sides, and names the server by its id', async () => {
+  const scene = await startScene((socket) => {
+    socket.once('data', (chunk) => socket.end(`got ${String(chunk)}`));
+  });
+  const socket = socketOf(await scene.open());
+  socket.write('a request');
+  expect(await readAll(socket)).to.deep.equal({ text: 'got a request', end: 'clean' });
+  expect(scene.asked).to.deep.equal([{ serverId: 'i 1/ä', boxId: 'box-1' }]);
+  expect(scene.tries.map(({ outcome }) => outcome)).to.deep.equal(['opened']);
+  socket.destroy();
+  await scene.until('tunnelClosed');
+  scene.close();
+});
+
+test('a server that resets its connection is not taken for one that ends it', async () => {
+  const scene = await startScene((socket) => {
+    socket.once('data', () => {
+      socket.write('half an answer');
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  });
+  const socket = socketOf(await scene.open());
+  socket.write('a request');
+  expect((await readAll(socket)).end).to.equal('reset');
+  scene.close();
+});
+
+test('a caller that leaves ends the connection of the server at once', async () => {
+  let onClosed = (): void => undefined;
+  const closed = new Promise<void>((resolve) => (onClosed = resolve));
+  const scene = await startScene((socket) => {
+    socket.resume();
+    socket.once('close', onClosed);
+  });
+  const socket = socketOf(await scene.open());
+  socket.write('a request');
+  socket.destroy();
+  await closed;
+  scene.close();
+});
+
+test('a peer tells how it failed to connect, or that it does not try', async () => {
+  const gone = await startScene(
+    () => undefined,
+    () => ({ kind: 'connect', address: { host: LOOPBACK, port: 1 } }),
+  );
+  expect((await gone.open()).outcome).to.equal(ConnectOutcome.refused);
+  gone.close();
+  const unwilling = await startScene(
+    () => undefined,
+    () => ({ kind: 'refuse', reason: 'full' }),
+  );
+  expect((await unwilling.open()).outcome).to.equal(ConnectOutcome.unavailable);
+  expect(unwilling.events[0]).to.deep.include({ type: 'tunnelRefused', reason: 'full' });
+  unwilling.close();
+});
+
+test('a peer without tunnels counts as unavailable', async () => {
+  const older = createHttpServer((_request, response) => response.end());
+  const port = await listen(older);
+  const result = await new Promise<OpenedSocket>((resolve) => {
+    const peer = { host: LOOPBACK, port };
+    openTunnel({ peer, serverId: 's', boxId: 'b', requestId: '', timeoutMs: TIMEOUT_MS }, resolve);
+  });
+  expect(result.outcome).to.equal(ConnectOutcome.unavailable);
+  older.close();
+});
--- /dev/null
+++ b/packages/reedlug-gateway/src/policy/__tests__/connectPlan.test.ts
@@ -0,0 +1,69 @@
+import { expect } from 'chai';
+import { ConnectOutcome, createServerLinks, type ServerLink } from '../../types/serverLink.js';
+import { connectPlan, isCutOff, isServerAtFault, patienceMs } from '../connectPlan.js';
+
+const NEVER = Number.NEGATIVE_INFINITY;
+
+function downLink(changes: Partial<ServerLink> = {}): ServerLink {
+  return {
+    downSinceMs: 1000,
+    failure: ConnectOutcome.silent,
+    triedAtMs: 1000,
+    openedByPeerAtMs: NEVER,
+    failedByPeersAtMs: NEVER,
+    ...changes,
+  };
+}
+
+function cutLinks() {
+  return { ...createServerLinks(), down: new Set(['s1', 's2']), openedAtMs: 900, failedAtMs: 1000 };
+}
+
+const BASE = { links: createServerLinks(), hasPeers: true, nowMs: 1100 };
+
+test('a link that is up is tried alone for as long as connecting usually takes', () => {
+  const links = { ...createServerLinks(), connectMs: 20, deviationMs: 25 };
+  const plan = connectPlan({ ...BASE, link: undefined, links });
+  expect(plan).to.deep.equal({ isDirectTried: true, peersAfterMs: 120 });
+  expect(patienceMs({ ...links, connectMs: 1000 })).to.equal(200);
+  expect(patienceMs(createServerLinks())).to.equal(60);
+});
+
+test('while a link is down peers are asked at once, and the link is tried from time to time', () => {
+  const link = downLink();
+  expect(connectPlan({ ...BASE, link })).to.deep.equal({ isDirectTried: false, peersAfterMs: 0 });
+  const later = connectPlan({ ...BASE, link, nowMs: 1500 });
+  expect(later).to.deep.equal({ isDirectTried: true, peersAfterMs: 0 });
+});
+
+test('a box without peers tries its own link each time', () => {
+  const plan = connectPlan({ ...BASE, link: downLink(), hasPeers: false });
+  expect(plan).to.deep.equal({ isDirectTried: true, peersAfterMs: undefined });
+});
+
+test('a box that seems cut off asks peers at once also for servers that it has not tried', () => {
+  expect(connectPlan({ ...BASE, link: undefined, links: cutLinks() }).peersAfterMs).to.equal(0);
+});
+
+test('where neither the box nor its peers reach servers, connecting fails at once between trials', () => {
+  const link = downLink({ failedByPeersAtMs: 1050 });
+  const params = { ...BASE, link, links: cutLinks() };
+  expect(connectPlan(params)).to.deep.equal({ isDirectTried: false, peersAfterMs: undefined });
+  const later = connectPlan({ ...params, nowMs: 1540 });
+  expect(later).to.deep.equal({ isDirectTried: true, peersAfterMs: undefined });
+});
+
+test('a box is cut off once several links are down and none came up since', () => {
+  expect(isCutOff(cutLinks())).to.equal(true);
+  expect(isCutOff({ ...cutLinks(), openedAtMs: 1001 })).to.equal(false);
+  expect(isCutOff({ ...cutLinks(), down: new Set(['s1']) })).to.equal(false);
+});
+
+test('a server that peers reach is not at fault for a failed connection', () => {
+  const { links, nowMs } = BASE;
+  expect(isServerAtFault(undefined, links, nowMs)).to.equal(true);
+  expect(isServerAtFault(downLink(), links, nowMs)).to.equal(true);
+  expect(isServerAtFault(downLink({ openedByPeerAtMs: 1050 }), links, nowMs)).to.equal(false);
+  expect(isServerAtFault(downLink({ failedByPeersAtMs: 1050 }), cutLinks(), nowMs)).to.equal(true);
+  expect(isServerAtFault(downLink(), cutLinks(), nowMs)).to.equal(false);
+});
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -33,7 +33,10 @@
   | { kind: 'killAllBoxes'; backAfterMs: number }
   | { kind: 'storeLink'; box: number; how: LinkFault; forMs: number }
   | { kind: 'serverLink'; server: number; how: LinkFault; forMs: number }
-  /** Boxes are partitioned from a share of the servers; callers, the store and other boxes reach them. */
+  /**
+   * The first boxes are partitioned from a share of the servers; callers, the store and other boxes
+   * reach them. Does nothing while another partition lasts.
+   */
   | { kind: 'serversPartitioned'; boxes: number; share: number; how: Partition; forMs: number }
   | { kind: 'storeAway'; forMs: number }
   /**
@@ -132,6 +135,15 @@
 const MIN_BACKUP_AGE_MS = 500;
 const MAX_BACKUP_AGE_MS = 10_000;
 
+/**
+ * Probability that boxes are partitioned from servers in a run, maximum number of partitions, the shares
+ * of the servers, and the maximum duration, in ms. It spans the time by which boxes have recovered.
+ */
+const PARTITION_PROBABILITY = 0.7;
+const MAX_PARTITIONS = 2;
+const PARTITION_SHARES: readonly number[] = [0.34, 0.5, 1, 1];
+const MAX_PARTITION_MS = 8000;
+
 const SKIPPED_RANDOM_VALUES = 32;
 
 /** Generates the faults of a run; the same seed always gives the same faults. */
@@ -161,6 +173,9 @@
   if (random.chance(STATEMENT_PROBABILITY))
     planned.push(...generateServerStatements(random, lengthMs, servers));
   if (random.chance(RESTORE_PROBABILITY)) planned.push(...generateStoreRestores(random, lengthMs));
+  if (random.chance(PARTITION_PROBABILITY)) {
+    planned.push(...generatePartitions(random, lengthMs, boxes));
+  }
   return planned;
 }
 
@@ -215,6 +230,19 @@
   });
 }
 
+function generatePartitions(random: Random, lengthMs: number, boxes: number): PlannedFault[] {
+  return Array.from({ length: random.whole(1, MAX_PARTITIONS) }, () => ({
+    atMs: Math.round(random.unit() * (lengthMs - 2 * FAULT_FREE_END_MS)),
+    fault: {
+      kind: 'serversPartitioned' as const,
+      boxes: random.whole(1, boxes),
+      share: random.pick(PARTITION_SHARES),
+      how: random.pick(Object.values(Partition)),
+      forMs: random.whole(MIN_FAULT_MS, MAX_PARTITION_MS),
+    },
+  }));
+}
+
 function generateFault(random: Random, box: number, server: number): Fault {
   const forMs = random.whole(MIN_FAULT_MS, MAX_FAULT_MS);
   const how = random.pick(Object.values(LinkFault));
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -132,6 +132,8 @@
   record: SoakRecord,
   { boxes, share, how, forMs }: Extract<Fault, { kind: 'serversPartitioned' }>,
 ): Promise<void> {
+  const isPartitioned = record.partitions.some(({ toMs }) => toMs === Number.POSITIVE_INFINITY);
+  if (isPartitioned) return;
   const partitioned = world.boxes.slice(0, boxes);
   const ports = [...new Set(world.servers.map(({ service }) => service))].flatMap((service) => {
     const ofService = world.servers.filter((server) => server.service === service);
