Peers for a connection are looked up only when they are asked

The list of peers was filtered, hashed and sorted for each connection, also while all links are up: 300 hashes a connection in a fleet of 300 boxes. It is looked up while a link is down, or once a direct connection is late. The loop over servers in a choice is one without copies again.

--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -63,9 +63,10 @@
 /** What is tried for one connection. */
 interface DialPlan {
   isDirectTried: boolean;
-  /** Peers to ask, in order, and the time after which the first is asked, in ms. */
-  peers: PeerAddress[];
-  peersAfterMs: number;
+  /** Returns the peers to ask, in order. */
+  findPeers: () => PeerAddress[];
+  /** Time after which the first is asked, in ms; undefined if none is. */
+  peersAfterMs: number | undefined;
 }
 
 function planDial(
@@ -75,17 +76,21 @@
 ): DialPlan {
   const view = state.servers.get(serverId);
   // A server that has left the registry since is tried directly, in case it still serves.
-  if (view === undefined) return { isDirectTried: true, peers: [], peersAfterMs: 0 };
+  if (view === undefined) {
+    return { isDirectTried: true, findPeers: () => [], peersAfterMs: undefined };
+  }
   const now = nowMs();
-  const peers = connectingPeers(state, view, now).slice(0, MAX_PEERS_ASKED);
-  const hasPeers = peers.length > 0;
+  const findPeers = (): PeerAddress[] =>
+    connectingPeers(state, view, nowMs()).slice(0, MAX_PEERS_ASKED);
   const { link } = view;
+  // While a link is up its connections hardly ever need peers.
+  const hasPeers = link === undefined ? state.peers.size > 0 : findPeers().length > 0;
   const plan = connectPlan({ link, links: state.serverLinks, hasPeers, nowMs: now });
   const isTrial = link !== undefined && plan.peersAfterMs !== undefined;
   return {
     isDirectTried: plan.isDirectTried && !(isTrial && trials.has(serverId)),
-    peers: plan.peersAfterMs === undefined ? [] : peers,
-    peersAfterMs: plan.peersAfterMs ?? 0,
+    findPeers: plan.peersAfterMs === undefined ? () => [] : findPeers,
+    peersAfterMs: plan.peersAfterMs,
   };
 }
 
@@ -95,7 +100,8 @@
   callback: (result: DialResult) => void,
 ): void {
   const { serverId, address, requestId } = target;
-  const { peers, peersAfterMs } = plan;
+  const { findPeers, peersAfterMs } = plan;
+  let peers: PeerAddress[] | undefined;
   const openTunnels = new Set<SocketAttempt>();
   let isDirectOpen = plan.isDirectTried;
   let isSettled = false;
@@ -127,6 +133,7 @@
   };
   const askNextPeer = (): void => {
     clearTimeout(timer);
+    peers ??= findPeers();
     const peer = peers.shift();
     if (peer === undefined || isSettled) return;
     openTunnels.add(askPeer(peer));
@@ -151,10 +158,11 @@
       onEnded({ kind: 'direct' }, result);
     });
   }
-  if (!isDirectOpen && peers.length === 0) {
+  if (peersAfterMs === 0) askNextPeer();
+  if (!isDirectOpen && openTunnels.size === 0) {
     return void setImmediate(() => settle({ outcome: ConnectOutcome.unavailable }));
   }
-  if (peersAfterMs === 0) return askNextPeer();
+  if (peersAfterMs === undefined || peersAfterMs === 0) return;
   // Sockets are read after timers: a connection that came up while the process stood still is not late.
   timer = setTimeout(() => setImmediate(askNextPeer), peersAfterMs);
 }
--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -115,15 +115,18 @@
     targetMs,
     nowMs,
   } = params;
-  const mayServe = ({ entry }: ServerView): boolean =>
-    entry.service === service && !(excludedServers.size > 0 && excludedServers.has(entry.id));
-  const findEligible = (usesSparePlaces: boolean): ServerView[] =>
-    [...state.servers.values()].filter(
-      (view) =>
-        mayServe(view) &&
-        isEligible(state, view, nowMs, usesSparePlaces) &&
-        (isAllowed === undefined || isAllowed(view)),
-    );
+  const findEligible = (usesSparePlaces: boolean): ServerView[] => {
+    const found: ServerView[] = [];
+    for (const view of state.servers.values()) {
+      const { entry } = view;
+      if (entry.service !== service) continue;
+      if (excludedServers.size > 0 && excludedServers.has(entry.id)) continue;
+      if (!isEligible(state, view, nowMs, usesSparePlaces)) continue;
+      if (isAllowed !== undefined && !isAllowed(view)) continue;
+      found.push(view);
+    }
+    return found;
+  };
   let eligible = findEligible(false);
   if (eligible.length === 0 && rejectionsBorne(state, service) !== undefined) {
     eligible = findEligible(true);
