A box counts as cut off by servers that fail one after another; connecting is bounded in time

Two engines that crash at once could make a quiet box think itself cut off until its next connection: the belief rested on the set of servers whose last connection failed. It now rests on those that failed since any direct connection came up, less those that peers do not reach either. Requests are refused without a try only where a try costs a timeout. A connection has to come up within 450 ms on any path, as the server is told the deadline of the start: before, three peers in turn could take 840 ms.

--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -18,6 +18,11 @@
 
 /** Time after which another peer is asked as well, in ms. */
 const NEXT_PEER_MS = 120;
+/**
+ * Time within which a connection has to come up on any path, in ms: the deadline that the server is told
+ * is that of the start.
+ */
+const DIAL_TIMEOUT_MS = 450;
 /** Largest number of peers that are asked for one connection. */
 const MAX_PEERS_ASKED = 3;
 /** Peers that the server has to refuse until it counts as gone; one of them may have lost its link. */
@@ -108,10 +113,13 @@
   let refusals = 0;
   let failure: ConnectFailure = ConnectOutcome.unavailable;
   let timer: NodeJS.Timeout | undefined;
+  const timeout = setTimeout(() => settle({ outcome: failure }), DIAL_TIMEOUT_MS);
 
   const settle = (result: DialResult): void => {
+    if (isSettled) return;
     isSettled = true;
     clearTimeout(timer);
+    clearTimeout(timeout);
     for (const attempt of openTunnels) attempt.cancel();
     callback(result);
   };
--- a/packages/reedlug-gateway/src/policy/connectPlan.ts
+++ b/packages/reedlug-gateway/src/policy/connectPlan.ts
@@ -4,7 +4,7 @@
  * A box may lose its links to servers that other boxes reach. Nothing is sent on a connection that
  * never came up, so the paths are tried at the same time, and the first that opens is used.
  */
-import type { ServerLink, ServerLinks } from '../types/serverLink.js';
+import { ConnectOutcome, type ServerLink, type ServerLinks } from '../types/serverLink.js';
 
 /** Shortest and longest time for which a direct connection is tried alone, in ms. */
 const MIN_PATIENCE_MS = 60;
@@ -18,8 +18,8 @@
 const TRIAL_INTERVAL_MS = 500;
 /** Time for which peers are not asked again after they failed to connect to a server, in ms. */
 const PEERS_RETRY_MS = 500;
-/** Number of servers out of reach from which the cause is taken to be this box's own links. */
-const MIN_SERVERS_DOWN = 2;
+/** Number of servers out of reach from which the cause is not taken to be one of them. */
+const MIN_SERVERS_FAILED = 2;
 
 /** How to open a connection. */
 export interface ConnectPlan {
@@ -47,8 +47,10 @@
   if (hasPeers && !arePeersFailing(link, nowMs)) {
     return { isDirectTried: isTrialDue, peersAfterMs: 0 };
   }
-  // Neither this box nor its peers reach the server. If that holds for many, requests are refused at once.
-  return { isDirectTried: !isCut || isTrialDue, peersAfterMs: undefined };
+  // Neither this box nor its peers reach the server. Where that takes a timeout to learn, and holds for
+  // several servers, requests are refused at once between trials.
+  const isHopeless = link.failure === ConnectOutcome.silent && reachesNone(links);
+  return { isDirectTried: !isHopeless || isTrialDue, peersAfterMs: undefined };
 }
 
 /** Returns whether the server itself, and not this box's link to it, is why connections fail. */
@@ -74,7 +76,20 @@
   return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, usualMs));
 }
 
-/** Returns whether a box seems to have lost its links: several direct connections failed, and none came up since. */
-export function isCutOff({ down, openedAtMs, failedAtMs }: ServerLinks): boolean {
-  return down.size >= MIN_SERVERS_DOWN && failedAtMs > openedAtMs;
+/**
+ * Returns whether a box seems to have lost its own links: direct connections to several servers failed,
+ * none came up since, and peers have not failed to reach these servers.
+ */
+export function isCutOff({ failedSinceOpen }: ServerLinks): boolean {
+  let unconfirmed = 0;
+  for (const { isConfirmed } of failedSinceOpen.values()) {
+    if (!isConfirmed) unconfirmed += 1;
+    if (unconfirmed >= MIN_SERVERS_FAILED) return true;
+  }
+  return false;
+}
+
+/** Returns whether direct connections to several servers failed and none came up since. */
+function reachesNone({ failedSinceOpen }: ServerLinks): boolean {
+  return failedSinceOpen.size >= MIN_SERVERS_FAILED;
 }
--- a/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -70,10 +70,12 @@
     case ConnectOutcome.refused:
     case ConnectOutcome.silent:
       if (link !== undefined) link.failedByPeersAtMs = step.nowMs;
+      confirmFailure(state, view, true);
       return;
     case ConnectOutcome.opened: {
       const fields = { server: view.entry.id, peer: peerId, tookMs: Math.round(tookMs) };
       log(step, 'serverReachedByPeer', { ...fields, request: requestId });
+      confirmFailure(state, view, false);
       if (link === undefined) return;
       link.openedByPeerAtMs = step.nowMs;
       // The failures were those of this box's link.
@@ -99,15 +101,14 @@
   const { id: server } = view.entry;
   if (outcome === ConnectOutcome.opened) {
     links.openedAtMs = step.nowMs;
+    links.failedSinceOpen.clear();
     recordConnectTime(state, tookMs);
     if (view.link === undefined) return;
     const downMs = Math.round(step.nowMs - view.link.downSinceMs);
     log(step, 'serverLinkUp', { server, downMs, tookMs: Math.round(tookMs), request: requestId });
     view.link = undefined;
-    links.down.delete(server);
     return;
   }
-  links.failedAtMs = step.nowMs;
   links.failure = outcome;
   const lastOpenedMs = Math.round(step.nowMs - links.openedAtMs);
   if (view.link === undefined) {
@@ -115,7 +116,9 @@
     log(step, 'serverLinkDown', { ...fields, request: requestId });
   }
   view.link = { ...(view.link ?? createLink(step.nowMs)), failure: outcome, triedAtMs: step.nowMs };
-  links.down.add(server);
+  if (!links.failedSinceOpen.has(server)) {
+    links.failedSinceOpen.set(server, { isConfirmed: false });
+  }
 }
 
 function createLink(nowMs: number): ServerLink {
@@ -134,9 +137,19 @@
   serverLinks.deviationMs += (Math.abs(differenceMs) - serverLinks.deviationMs) * DEVIATION_WEIGHT;
 }
 
-/** Forgets the links of servers that are gone. */
+/** Records whether peers reach a server to which this box's direct connections fail. */
+function confirmFailure(
+  { serverLinks }: GatewayState,
+  { entry }: ServerView,
+  isConfirmed: boolean,
+): void {
+  const failure = serverLinks.failedSinceOpen.get(entry.id);
+  if (failure !== undefined) failure.isConfirmed = isConfirmed;
+}
+
+/** Forgets the links to servers that are gone. */
 export function serverLinksTick({ serverLinks, servers }: GatewayState): void {
-  for (const id of serverLinks.down) {
-    if (servers.get(id)?.link === undefined) serverLinks.down.delete(id);
+  for (const id of serverLinks.failedSinceOpen.keys()) {
+    if (!servers.has(id)) serverLinks.failedSinceOpen.delete(id);
   }
 }
--- a/packages/reedlug-gateway/src/types/serverLink.ts
+++ b/packages/reedlug-gateway/src/types/serverLink.ts
@@ -43,11 +43,13 @@
 
 /** What this box knows of its links to all servers. */
 export interface ServerLinks {
-  /** Ids of the servers to which the last direct connection failed. */
-  down: Set<string>;
-  /** Times at which a direct connection to any server last came up, and last failed, and how. */
+  /**
+   * Servers to which direct connections failed since one to any server came up, and whether peers did
+   * not reach the server either.
+   */
+  failedSinceOpen: Map<string, { isConfirmed: boolean }>;
+  /** Time at which a direct connection last came up, and how the last failed one did. */
   openedAtMs: number;
-  failedAtMs: number;
   failure: ConnectOutcome | undefined;
   /** Moving averages of the time in which direct connections come up, and of its deviation. */
   connectMs: number;
@@ -57,9 +59,8 @@
 /** Returns the links of a box that has opened no connection. */
 export function createServerLinks(): ServerLinks {
   return {
-    down: new Set(),
+    failedSinceOpen: new Map(),
     openedAtMs: Number.NEGATIVE_INFINITY,
-    failedAtMs: Number.NEGATIVE_INFINITY,
     failure: undefined,
     connectMs: 0,
     deviationMs: 0,
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -38,6 +38,8 @@
    * reach them. Does nothing while another partition lasts.
    */
   | { kind: 'serversPartitioned'; boxes: number; share: number; how: Partition; forMs: number }
+  /** The server neither reads nor answers for a while, then goes on where it was. */
+  | { kind: 'serverStalls'; server: number; forMs: number }
   | { kind: 'storeAway'; forMs: number }
   /**
    * The store is unavailable for `forMs`, then restored from a backup that is `ageMs` old. Lost
@@ -135,6 +137,11 @@
 const MIN_BACKUP_AGE_MS = 500;
 const MAX_BACKUP_AGE_MS = 10_000;
 
+/** Probability that servers stall in a run, maximum number of stalls, and the longest, in ms. */
+const STALL_PROBABILITY = 0.5;
+const MAX_STALLS = 3;
+const MAX_STALL_MS = 1200;
+
 /**
  * Probability that boxes are partitioned from servers in a run, maximum number of partitions, the shares
  * of the servers, and the maximum duration, in ms. It spans the time by which boxes have recovered.
@@ -173,6 +180,7 @@
   if (random.chance(STATEMENT_PROBABILITY))
     planned.push(...generateServerStatements(random, lengthMs, servers));
   if (random.chance(RESTORE_PROBABILITY)) planned.push(...generateStoreRestores(random, lengthMs));
+  if (random.chance(STALL_PROBABILITY)) planned.push(...generateStalls(random, lengthMs, servers));
   if (random.chance(PARTITION_PROBABILITY)) {
     planned.push(...generatePartitions(random, lengthMs, boxes));
   }
@@ -230,6 +238,17 @@
   });
 }
 
+function generateStalls(random: Random, lengthMs: number, servers: number): PlannedFault[] {
+  return Array.from({ length: random.whole(1, MAX_STALLS) }, () => ({
+    atMs: Math.round(random.unit() * (lengthMs - FAULT_FREE_END_MS)),
+    fault: {
+      kind: 'serverStalls' as const,
+      server: random.whole(0, servers - 1),
+      forMs: random.whole(MIN_FAULT_MS, MAX_STALL_MS),
+    },
+  }));
+}
+
 function generatePartitions(random: Random, lengthMs: number, boxes: number): PlannedFault[] {
   return Array.from({ length: random.whole(1, MAX_PARTITIONS) }, () => ({
     atMs: Math.round(random.unit() * (lengthMs - 2 * FAULT_FREE_END_MS)),
--- a/packages/reedlug-soak/src/faultProxy.ts
+++ b/packages/reedlug-soak/src/faultProxy.ts
@@ -4,12 +4,16 @@
 
 /** Delay of each chunk on a slow link, in ms: fifty times the store's usual response time. */
 const SLOW_LINK_DELAY_MS = 200;
+/** Interval at which held bytes are checked for the end of a stall, in ms. */
+const STALL_POLL_MS = 10;
 
 /** A proxied link and control over its fault. */
 export interface FaultProxy {
   port: number;
   /** Sets the fault of the link; `undefined` removes it. */
   setFault: (fault: LinkFault | undefined) => void;
+  /** Holds all bytes back until the stall ends. */
+  setStalled: (isStalled: boolean) => void;
   /** Refuses new connections; open ones go on. */
   stopListening: () => void;
   listenAgain: () => Promise<void>;
@@ -26,6 +30,7 @@
   target: () => { host: string; port: number };
 }): Promise<FaultProxy> {
   let fault: LinkFault | undefined;
+  let isStalled = false;
   const pairs = new Set<readonly [Socket, Socket]>();
   const server = createServer((client) => {
     if (fault === LinkFault.reset) return void client.resetAndDestroy();
@@ -37,12 +42,14 @@
       to: upstream,
       dropsBytes: () => fault === LinkFault.silent,
       fault: () => fault,
+      isStalled: () => isStalled,
     });
     forward({
       from: upstream,
       to: client,
       dropsBytes: () => dropsResponses(fault),
       fault: () => fault,
+      isStalled: () => isStalled,
     });
     const destroyPair = (): void => {
       pairs.delete(pair);
@@ -72,6 +79,9 @@
       }
       pairs.clear();
     },
+    setStalled(next) {
+      isStalled = next;
+    },
     stopListening: () => void server.close(),
     listenAgain: () => listen(server, params.host, params.port),
     close() {
@@ -93,14 +103,15 @@
   to: Socket;
   dropsBytes: () => boolean;
   fault: () => LinkFault | undefined;
+  isStalled: () => boolean;
 }): void {
-  const { from, to, dropsBytes, fault } = params;
+  const { from, to, dropsBytes, fault, isStalled } = params;
   const queue: { act: () => void; dueAtMs: number }[] = [];
   // A single timer serves the head of the queue, so no chunk overtakes an earlier one when the
   // fault is removed.
   const runDueActions = (): void => {
     for (let head = queue[0]; head !== undefined; head = queue[0]) {
-      const waitMs = head.dueAtMs - performance.now();
+      const waitMs = isStalled() ? STALL_POLL_MS : head.dueAtMs - performance.now();
       if (waitMs > 0) return void setTimeout(runDueActions, waitMs);
       queue.shift();
       head.act();
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -67,6 +67,13 @@
       });
     case 'serversPartitioned':
       return partitionBoxes(world, record, fault);
+    case 'serverStalls':
+      return withServerFault(record, async () => {
+        const proxy = world.servers[fault.server]?.proxy;
+        proxy?.setStalled(true);
+        await delay(fault.forMs);
+        proxy?.setStalled(false);
+      });
     case 'storeAway':
       return withBoxFault(record, [...world.boxes.keys()], async () => {
         world.store.isDown = true;
