Stopping boxes connect others as long as they take streams; soak compares while another box is up

The trace: the third box was told to stop 3.7 s into the partition, so nobody was left to connect the others, and refused at once. A stopping box is now asked last, and connects others for as long as it takes streams of its own. Links of a box listen on ports of their own, free at its address: two soaks at once took each other's ports.

--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -102,7 +102,7 @@
   };
   const dialer = createServerDialer({ state, nowMs: clock.nowMs, onTried });
   const tunnels = createTunnelServer({
-    decide: (request) => decideTunnel(state, request),
+    decide: (request) => decideTunnel(state, request, clock.nowMs()),
     onTried,
     emit,
   });
--- a/packages/reedlug-gateway/src/slices/peers/connectingPeers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/connectingPeers.ts
@@ -9,9 +9,9 @@
 const FAILED_PEER_MS = 1000;
 
 /**
- * Returns the peers to ask, the best first: those that have not failed lately, then those in the zone
- * of this box or of the server, so that no byte crosses zones more often than on a direct connection.
- * Among equals each box prefers another one for each server.
+ * Returns the peers to ask, the best first: those that are not stopping, those that have not failed
+ * lately, then those in the zone of this box or of the server, so that no byte crosses zones more often
+ * than on a direct connection. Among equals each box prefers another one for each server.
  */
 export function connectingPeers(
   state: GatewayState,
@@ -26,8 +26,10 @@
     .map((peer) => {
       const hasFailed = nowMs - peer.connectFailedAtMs < FAILED_PEER_MS;
       const isNear = peer.address.zone === box.zone || peer.address.zone === entry.zone;
+      const isStopping = peer.message?.leaving === true;
+      const group = (isStopping ? 4 : 0) + (hasFailed ? 2 : 0) + (isNear ? 0 : 1);
       const order = hashString(`${box.id} ${entry.id} ${peer.boxId}`);
-      return { address: peer.address, group: (hasFailed ? 2 : 0) + (isNear ? 0 : 1), order };
+      return { address: peer.address, group, order };
     });
   ranked.sort((a, b) => a.group - b.group || a.order - b.order);
   return ranked.map(({ address }) => address);
@@ -36,7 +38,7 @@
 /** Whether a peer may be able to connect. With hubs, a box hears only some of the others, so all listed ones count. */
 export function mayConnect(peer: PeerView, viaHubs: boolean, nowMs: number): boolean {
   const { message } = peer;
-  if (isSeed(peer) || message?.leaving === true) return false;
+  if (isSeed(peer)) return false;
   if (message?.isCutOff === true && isFreshPeer(peer, nowMs)) return false;
   return viaHubs || (message !== undefined && isFreshPeer(peer, nowMs));
 }
--- a/packages/reedlug-gateway/src/slices/peers/tunnels.ts
+++ b/packages/reedlug-gateway/src/slices/peers/tunnels.ts
@@ -1,4 +1,6 @@
 /** Connections to servers that this box opens for peers that can't reach them. */
+import { isTooLateToAccept } from '../lifecycle/shutdown.js';
+import { RouteKind } from '../../types/configuration.js';
 import { isCutOff } from '../../policy/connectPlan.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import type { EventOf } from '../../types/event.js';
@@ -16,13 +18,16 @@
 export function decideTunnel(
   state: GatewayState,
   { serverId, boxId }: { serverId: string; boxId: string },
+  nowMs: number,
 ): TunnelDecision {
   const { areUsed, maxTunnels } = state.settings.tunnels;
   const view = state.servers.get(serverId);
   if (!areUsed) return { kind: 'refuse', reason: 'switchedOff' };
   if (!state.peers.has(boxId)) return { kind: 'refuse', reason: 'unknownBox' };
   if (view === undefined) return { kind: 'refuse', reason: 'unknownServer' };
-  if (state.stoppingSinceMs !== undefined) return { kind: 'refuse', reason: 'stopping' };
+  if (isTooLateToAccept(state, nowMs, RouteKind.stream)) {
+    return { kind: 'refuse', reason: 'stopping' };
+  }
   if (isCutOff(state.serverLinks)) return { kind: 'refuse', reason: 'cutOff' };
   if (state.openTunnels >= maxTunnels) return { kind: 'refuse', reason: 'full' };
   return { kind: 'connect', address: view.entry.address };
--- a/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -49,7 +49,9 @@
     }
     case 'peer': {
       const peer = state.peers.get(path.boxId);
-      return link !== undefined && peer !== undefined && mayConnect(peer, usesHubs(state), nowMs);
+      // A box that stops waits for its connections, so it gets no further requests on them.
+      if (link === undefined || peer === undefined || peer.message?.leaving === true) return false;
+      return mayConnect(peer, usesHubs(state), nowMs);
     }
   }
 }
--- a/packages/reedlug-soak/src/boxLinks.ts
+++ b/packages/reedlug-soak/src/boxLinks.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
+import { findFreePorts } from 'reedlug-standins';
 import { LinkFault, Partition } from './faultPlan.js';
 import { openFaultProxy, type FaultProxy } from './faultProxy.js';
 import type { HangingListenerData } from './hangingListener.js';
@@ -11,26 +12,34 @@
 /** Time in which they are queued, in ms. */
 const FILLING_MS = 50;
 
-/** Links of a box; the proxies listen at the box's own address, each on the port of its server. */
+/** Links of a box; the proxies listen at the box's own address, each on a port of its own. */
 export interface BoxLinks {
+  /** Ports of the links by port of their server. */
+  portsByServer: ReadonlyMap<number, number>;
   /** Partitions the box from the servers with these ports; resolves once it is. */
-  partition: (how: Partition, ports: readonly number[]) => Promise<void>;
+  partition: (how: Partition, serverPorts: readonly number[]) => Promise<void>;
   heal: () => Promise<void>;
   close: () => void;
 }
 
 /** Opens the links of the box at `host` to the servers at `ports` on 127.0.0.1. */
-export async function openBoxLinks(host: string, ports: readonly number[]): Promise<BoxLinks> {
+export async function openBoxLinks(
+  host: string,
+  serverPorts: readonly number[],
+): Promise<BoxLinks> {
   const proxies = new Map<number, FaultProxy>();
-  for (const port of ports) {
-    const target = (): { host: string; port: number } => ({ host: '127.0.0.1', port });
-    proxies.set(port, await openFaultProxy({ host, port, target }));
+  for (const serverPort of serverPorts) {
+    const target = { host: '127.0.0.1', port: serverPort };
+    const [port = 0] = await findFreePorts(1, host);
+    proxies.set(serverPort, await openFaultProxy({ host, port, target: () => target }));
   }
   let cut: FaultProxy[] = [];
   let releaseHanging: (() => Promise<void>) | undefined;
   return {
-    async partition(how, cutPorts) {
-      cut = [...proxies.values()].filter(({ port }) => cutPorts.includes(port));
+    portsByServer: new Map([...proxies].map(([serverPort, { port }]) => [serverPort, port])),
+    async partition(how, cutServerPorts) {
+      cut = cutServerPorts.flatMap((serverPort) => proxies.get(serverPort) ?? []);
+      const cutPorts = cut.map(({ port }) => port);
       for (const proxy of cut) proxy.stopListening();
       if (how === Partition.hang) releaseHanging = await hangConnections(host, cutPorts);
       for (const proxy of cut) proxy.setFault(OPEN_CONNECTIONS[how]);
--- a/packages/reedlug-soak/src/partitionedBoxes.ts
+++ b/packages/reedlug-soak/src/partitionedBoxes.ts
@@ -36,7 +36,8 @@
 ): PartitionOutcome {
   const calls = record.calls.filter((call) => {
     const sinceMs = call.sentAtMs - span.fromMs;
-    return sinceMs >= part.fromMs && sinceMs < part.toMs && isOwed(record, call);
+    if (sinceMs < part.fromMs || sinceMs >= part.toMs) return false;
+    return isOwed(record, call) && isAnyOtherUp(record, span, call);
   });
   const isPartitioned = ({ box }: Call): boolean => box < span.boxes;
   return {
@@ -50,6 +51,17 @@
   return total === 0 ? 1 : served / total;
 }
 
+/** Whether, during a call, some box that is not partitioned is undisturbed, so that it could help. */
+function isAnyOtherUp(record: SoakRecord, span: PartitionSpan, call: Call): boolean {
+  const others = Array.from(
+    { length: record.boxes - span.boxes },
+    (_, index) => span.boxes + index,
+  );
+  return others.some(
+    (box) => !overlaps(record.troubles.get(box) ?? [], call.sentAtMs, call.endedAtMs),
+  );
+}
+
 /** Whether a call has a valid key without a limit, and no fault affects its box. */
 function isOwed(record: SoakRecord, { kind, key, box, sentAtMs, endedAtMs }: Call): boolean {
   if (kind === CallKind.probe || kind === CallKind.crashing) return false;
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -69,7 +69,11 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, lengthMs, boxes, serversPerService, folder } = options;
   const world = await buildWorld({ boxes, serversPerService, folder });
-  const record = createSoakRecord(DRAFT_EVENTS, LIMITED_WORKSPACE.key);
+  const record = createSoakRecord({
+    draftEvents: DRAFT_EVENTS,
+    boxes,
+    limitedKey: LIMITED_WORKSPACE.key,
+  });
   const plannedFaults =
     options.faults ?? planFaults({ seed, lengthMs, boxes, servers: world.servers.length });
   const callers = createCallers();
--- a/packages/reedlug-soak/src/soakBox.ts
+++ b/packages/reedlug-soak/src/soakBox.ts
@@ -6,7 +6,11 @@
 import { LINK_HOST_VARIABLE, LINK_PORTS_VARIABLE } from './linkVariables.js';
 
 const linkHost = process.env[LINK_HOST_VARIABLE];
-const serverPorts = new Set((process.env[LINK_PORTS_VARIABLE] ?? '').split(',').map(Number));
+const linkPorts = new Map(
+  (process.env[LINK_PORTS_VARIABLE] ?? '')
+    .split(',')
+    .map((pair) => pair.split(':').map(Number) as [number, number]),
+);
 const { connect } = Socket.prototype;
 
 interface ConnectOptions {
@@ -18,8 +22,10 @@
   const [first] = args;
   // `net.connect` passes its arguments as one array.
   const options = (Array.isArray(first) ? first[0] : first) as ConnectOptions;
-  if (options.host === '127.0.0.1' && serverPorts.has(Number(options.port))) {
-    options.host = linkHost ?? options.host;
+  const linkPort = linkPorts.get(Number(options.port));
+  if (options.host === '127.0.0.1' && linkHost !== undefined && linkPort !== undefined) {
+    options.host = linkHost;
+    options.port = linkPort;
   }
   return Reflect.apply(connect as (...args: unknown[]) => Socket, this, args);
 };
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -63,6 +63,8 @@
 export interface SoakRecord {
   calls: Call[];
   runs: Arrival[];
+  /** Number of boxes at the start. */
+  boxes: number;
   /** Key of the workspace with a limit. */
   limitedKey: string;
   /** Number of events of a complete draft. */
@@ -100,12 +102,15 @@
 }
 
 /** Returns an empty record. */
-export function createSoakRecord(draftEvents: number, limitedKey = ''): SoakRecord {
+export function createSoakRecord(params: {
+  draftEvents: number;
+  boxes: number;
+  limitedKey: string;
+}): SoakRecord {
   return {
     calls: [],
     runs: [],
-    limitedKey,
-    draftEvents,
+    ...params,
     configuredAtMs: new Map(),
     revokedAtMs: new Map(),
     leftAtMs: new Map(),
--- a/packages/reedlug-soak/src/soakWorld.ts
+++ b/packages/reedlug-soak/src/soakWorld.ts
@@ -226,7 +226,7 @@
   // Each box needs its own loopback address, as boxes identify each other by address.
   const ip = `127.0.${1 + Math.floor(index / 200)}.${2 + (index % 200)}`;
   const [callers = 0, readiness = 0, metrics = 0, storeLinkPort = 0, peers = 0] =
-    await findFreePorts(5);
+    await findFreePorts(5, ip);
   const storeLink = await openFaultProxy({
     host: ip,
     port: storeLinkPort,
@@ -248,7 +248,11 @@
     },
     bounds: BOX_BOUNDS,
   };
-  const serverPorts = world.servers.map(({ proxy }) => proxy.port);
+  const serverLinks = await openBoxLinks(
+    ip,
+    world.servers.map(({ proxy }) => proxy.port),
+  );
+  const linkPorts = [...serverLinks.portsByServer].map((pair) => pair.join(':'));
   return {
     process: prepareBox({
       settingsText: stringify(settings),
@@ -256,13 +260,13 @@
       logPath: join(folder, `box-${index}.log`),
       environment: {
         [LINK_HOST_VARIABLE]: ip,
-        [LINK_PORTS_VARIABLE]: serverPorts.join(','),
+        [LINK_PORTS_VARIABLE]: linkPorts.join(','),
       },
     }),
     target: { host: ip, port: callers },
     readiness: { host: ip, port: readiness },
     storeLink,
-    serverLinks: await openBoxLinks(ip, serverPorts),
+    serverLinks,
   };
 }
 
