--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -35,7 +35,7 @@
   requestId: string;
 }
 
-/** Receives an open connection and its path, or how all attempts failed. */
+/** An open connection and its path, or how all attempts failed. */
 export type DialResult =
   | { outcome: typeof ConnectOutcome.opened; socket: Socket; path: ConnectionPath }
   | { outcome: ConnectFailure };
@@ -53,27 +53,39 @@
   onTried: (attempt: ConnectionTry) => void;
 }
 
+/** What is tried for one connection. */
+interface DialPlan {
+  isDirectTried: boolean;
+  /** Returns the peers to ask, in order. */
+  findPeers: () => PeerAddress[];
+  /** Time after which the first is asked, in ms; undefined if none is. */
+  peersAfterMs: number | undefined;
+}
+
 /** Creates a dialer. */
 export function createServerDialer(context: DialerContext): ServerDialer {
-  /** Servers that are down for this box and to which it is trying a direct connection. */
+  /** Servers to which a direct connection is being tried. */
   const trials = new Set<string>();
+
+  const startDirect = (
+    { serverId, address }: DialTarget,
+    report: (result: OpenedSocket) => void,
+  ): void => {
+    trials.add(serverId);
+    openSocket(address, CONNECT_TIMEOUT_MS, (result) => {
+      trials.delete(serverId);
+      report(result);
+    });
+  };
+
   return {
     dial(target, callback) {
       const plan = planDial(context, target, trials);
-      startDial(context, { target, plan, trials }, callback);
+      raceAttempts(context, { target, plan, startDirect }, callback);
     },
   };
 }
 
-/** What is tried for one connection. */
-interface DialPlan {
-  isDirectTried: boolean;
-  /** Returns the peers to ask, in order. */
-  findPeers: () => PeerAddress[];
-  /** Time after which the first is asked, in ms; undefined if none is. */
-  peersAfterMs: number | undefined;
-}
-
 function planDial(
   { state, nowMs }: DialerContext,
   { serverId }: DialTarget,
@@ -84,13 +96,12 @@
   if (view === undefined) {
     return { isDirectTried: true, findPeers: () => [], peersAfterMs: undefined };
   }
-  const now = nowMs();
   const findPeers = (): PeerAddress[] =>
     connectingPeers(state, view, nowMs()).slice(0, MAX_PEERS_ASKED);
   const { link } = view;
   // While a link is up its connections hardly ever need peers.
   const hasPeers = link === undefined ? state.peers.size > 0 : findPeers().length > 0;
-  const plan = connectPlan({ link, links: state.serverLinks, hasPeers, nowMs: now });
+  const plan = connectPlan({ link, links: state.serverLinks, hasPeers, nowMs: nowMs() });
   const isTrial = link !== undefined && plan.peersAfterMs !== undefined;
   return {
     isDirectTried: plan.isDirectTried && !(isTrial && trials.has(serverId)),
@@ -99,78 +110,86 @@
   };
 }
 
-function startDial(
+/** Runs the attempts of a plan; a direct one goes on after a peer has connected, to learn whether the link is up. */
+function raceAttempts(
   { state, onTried }: DialerContext,
-  { target, plan, trials }: { target: DialTarget; plan: DialPlan; trials: Set<string> },
+  params: {
+    target: DialTarget;
+    plan: DialPlan;
+    startDirect: (target: DialTarget, report: (result: OpenedSocket) => void) => void;
+  },
   callback: (result: DialResult) => void,
 ): void {
-  const { serverId, address, requestId } = target;
+  const { target, plan, startDirect } = params;
   const { findPeers, peersAfterMs } = plan;
-  let peers: PeerAddress[] | undefined;
-  const openTunnels = new Set<SocketAttempt>();
-  let isDirectOpen = plan.isDirectTried;
+  const tunnels = new Set<SocketAttempt>();
+  let peersLeft: PeerAddress[] | undefined;
+  let isDirectRunning = plan.isDirectTried;
   let isSettled = false;
-  let refusals = 0;
+  let refusalsByPeers = 0;
   let failure: ConnectFailure = ConnectOutcome.unavailable;
-  let timer: NodeJS.Timeout | undefined;
+  let nextPeerTimer: NodeJS.Timeout | undefined;
   const timeout = setTimeout(() => settle({ outcome: failure }), DIAL_TIMEOUT_MS);
 
   const settle = (result: DialResult): void => {
     if (isSettled) return;
     isSettled = true;
-    clearTimeout(timer);
+    clearTimeout(nextPeerTimer);
     clearTimeout(timeout);
-    for (const attempt of openTunnels) attempt.cancel();
+    for (const attempt of tunnels) attempt.cancel();
     callback(result);
   };
-  /** Uses the first socket that opens; later ones are closed. */
-  const onEnded = (path: ConnectionPath, result: OpenedSocket): void => {
+
+  const onAttemptEnded = (path: ConnectionPath, result: OpenedSocket): void => {
     const { outcome, tookMs } = result;
-    onTried({ serverId, address, requestId, path, outcome, tookMs });
+    onTried({ ...target, path, outcome, tookMs });
     if (result.outcome === ConnectOutcome.opened) {
       if (isSettled) return void result.socket.destroy();
       return settle({ outcome: result.outcome, socket: result.socket, path });
     }
-    if (isSettled) return;
     // What is known of the server itself says more than a peer that could not try.
     if (result.outcome !== ConnectOutcome.unavailable) failure = result.outcome;
-    if (path.kind === 'peer' && outcome === ConnectOutcome.refused) refusals += 1;
-    if (refusals >= REFUSALS_TO_FAIL) return settle({ outcome: failure });
+    if (path.kind === 'peer' && outcome === ConnectOutcome.refused) refusalsByPeers += 1;
+    if (refusalsByPeers >= REFUSALS_TO_FAIL) return settle({ outcome: failure });
     askNextPeer();
-    if (!isDirectOpen && openTunnels.size === 0) settle({ outcome: failure });
+    if (!isDirectRunning && tunnels.size === 0) settle({ outcome: failure });
   };
+
   const askNextPeer = (): void => {
-    clearTimeout(timer);
-    peers ??= findPeers();
-    const peer = peers.shift();
-    if (peer === undefined || isSettled) return;
-    openTunnels.add(askPeer(peer));
-    timer = setTimeout(askNextPeer, NEXT_PEER_MS);
-  };
-  const askPeer = (peer: PeerAddress): SocketAttempt => {
-    const attempt = openTunnel(
-      { peer, serverId, requestId, boxId: state.settings.box.id, timeoutMs: CONNECT_TIMEOUT_MS },
-      (result) => {
-        openTunnels.delete(attempt);
-        onEnded({ kind: 'peer', boxId: peer.boxId }, result);
-      },
-    );
-    return attempt;
+    clearTimeout(nextPeerTimer);
+    if (isSettled) return;
+    peersLeft ??= findPeers();
+    const peer = peersLeft.shift();
+    if (peer === undefined) return;
+    const attempt = askPeer(state, { peer, target }, (result) => {
+      tunnels.delete(attempt);
+      onAttemptEnded({ kind: 'peer', boxId: peer.boxId }, result);
+    });
+    tunnels.add(attempt);
+    nextPeerTimer = setTimeout(askNextPeer, NEXT_PEER_MS);
   };
 
-  if (isDirectOpen) {
-    trials.add(serverId);
-    openSocket(address, CONNECT_TIMEOUT_MS, (result) => {
-      isDirectOpen = false;
-      trials.delete(serverId);
-      onEnded({ kind: 'direct' }, result);
+  if (plan.isDirectTried) {
+    startDirect(target, (result) => {
+      isDirectRunning = false;
+      onAttemptEnded({ kind: 'direct' }, result);
     });
   }
   if (peersAfterMs === 0) askNextPeer();
-  if (!isDirectOpen && openTunnels.size === 0) {
-    return void setImmediate(() => settle({ outcome: ConnectOutcome.unavailable }));
+  else if (peersAfterMs !== undefined) {
+    // Sockets are read after timers: a connection that came up while the process stood still is not late.
+    nextPeerTimer = setTimeout(() => setImmediate(askNextPeer), peersAfterMs);
   }
-  if (peersAfterMs === undefined || peersAfterMs === 0) return;
-  // Sockets are read after timers: a connection that came up while the process stood still is not late.
-  timer = setTimeout(() => setImmediate(askNextPeer), peersAfterMs);
+  // The connection pool does not expect an answer before `dial` returns.
+  if (!isDirectRunning && tunnels.size === 0) setImmediate(() => settle({ outcome: failure }));
+}
+
+function askPeer(
+  { settings }: GatewayState,
+  { peer, target }: { peer: PeerAddress; target: DialTarget },
+  report: (result: OpenedSocket) => void,
+): SocketAttempt {
+  const { serverId, requestId } = target;
+  const boxId = settings.box.id;
+  return openTunnel({ peer, serverId, requestId, boxId, timeoutMs: CONNECT_TIMEOUT_MS }, report);
 }
