--- a/packages/reedlug-gateway/src/slices/statements/brittleServices.ts
+++ b/packages/reedlug-gateway/src/slices/statements/brittleServices.ts
@@ -19,7 +19,7 @@
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import type { LimitObservation } from '../../types/serverStatement.js';
 import type { ServerView } from '../../types/views.js';
-import { boxesRankedBefore, countedPeers, fleetSize } from '../peers/fleet.js';
+import { boxesRankedBefore, countedPeers, fleetDiscoveredAtMs, fleetSize } from '../peers/fleet.js';
 
 /** Time without an answer of its servers after which a service is not brittle any more, in ms. */
 const SILENT_SERVICE_MS = 30_000;
@@ -29,6 +29,8 @@
 const REFUSED_LATELY_MS = 500;
 /** Share of this box's places that they leave. */
 const KEPT_SHARE = 0.125;
+/** Boxes that a box which has just started counts for each one that it knows. */
+const UNDISCOVERED_FACTOR = 2;
 /** Interval at which boxes are ranked anew, in ms. */
 const RANK_REFRESH_MS = 1000;
 
@@ -142,7 +144,7 @@
 
 function placesAt(state: GatewayState, view: ServerView, borne: number, nowMs: number): PlaceView {
   const use = placeUseOf(state, view, nowMs);
-  const sharing = { rank: use.rank, boxes: fleetSize(state) };
+  const sharing = { rank: use.rank, boxes: sharingBoxes(state, nowMs) };
   const { slots } = view.entry;
   const refusedAtMs = view.statements?.refusal?.atMs ?? Number.NEGATIVE_INFINITY;
   use.rejectedAtMs = use.rejectedAtMs.filter((atMs) => nowMs - atMs < REJECTION_WINDOW_MS);
@@ -157,6 +159,12 @@
   };
 }
 
+/** Returns among how many boxes places are shared. A box that has just started may not have heard of all. */
+function sharingBoxes(state: GatewayState, nowMs: number): number {
+  const isDiscovered = nowMs >= fleetDiscoveredAtMs(state);
+  return fleetSize(state) * (isDiscovered ? 1 : UNDISCOVERED_FACTOR);
+}
+
 function placeUseOf(state: GatewayState, view: ServerView, nowMs: number): PlaceUse {
   const known = view.placeUse;
   if (known !== undefined && nowMs - known.rankedAtMs < RANK_REFRESH_MS) return known;
