--- a/packages/reedlug-gateway/src/policy/connectPlan.ts
+++ b/packages/reedlug-gateway/src/policy/connectPlan.ts
@@ -70,6 +70,12 @@
   return failedByPeersAtMs > openedByPeerAtMs && nowMs - failedByPeersAtMs < PEERS_RETRY_MS;
 }
 
+/** Returns whether a direct connection hung so recently that another would as well. */
+export function isLinkHanging(link: ServerLink | undefined, nowMs: number): boolean {
+  if (link?.failure !== ConnectOutcome.silent) return false;
+  return nowMs - link.triedAtMs < TRIAL_INTERVAL_MS;
+}
+
 /** Returns how long a direct connection is tried alone, in ms. */
 export function patienceMs({ connectMs, deviationMs }: ServerLinks): number {
   const usualMs = connectMs + DEVIATION_FACTOR * deviationMs;
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/tunnels.test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import {
+  createServingBox,
+  peerMessage,
+  type TestBox,
+} from '../../../__tests__/__fixtures__/box.js';
+import { ConnectOutcome } from '../../../types/serverLink.js';
+import { decideTunnel, type TunnelDecision } from '../tunnels.js';
+
+function serverIdOf({ state }: TestBox): string {
+  return [...state.servers.keys()][0] ?? '';
+}
+
+function decide(box: TestBox, serverId = serverIdOf(box), boxId = 'box-2'): TunnelDecision {
+  return decideTunnel(box.state, { serverId, boxId }, 2000);
+}
+
+function boxWithPeer(): TestBox {
+  const box = createServingBox();
+  box.take({ type: 'peerMessage', message: peerMessage() });
+  return box;
+}
+
+test('a known box is connected to a server of the registry, at the address there', () => {
+  const box = boxWithPeer();
+  const address = box.state.servers.get(serverIdOf(box))?.entry.address;
+  expect(decide(box)).to.deep.equal({ kind: 'connect', address });
+});
+
+test('neither a server outside the registry nor an unknown box is connected', () => {
+  const box = boxWithPeer();
+  expect(decide(box, '127.0.0.1:80')).to.deep.include({ reason: 'unknownServer' });
+  expect(decide(box, serverIdOf(box), 'box-9')).to.deep.include({ reason: 'unknownBox' });
+});
+
+test('a box with as many tunnels as it may have opens no more', () => {
+  const box = boxWithPeer();
+  box.state.openTunnels = box.state.settings.tunnels.maxTunnels;
+  expect(decide(box)).to.deep.include({ reason: 'full' });
+});
+
+test('a box whose own connection to the server hangs says so at once', () => {
+  const box = boxWithPeer();
+  const serverId = serverIdOf(box);
+  const address = box.state.servers.get(serverId)?.entry.address ?? { host: '', port: 0 };
+  const path = { kind: 'direct' as const };
+  const outcome = ConnectOutcome.silent;
+  const attempt = { serverId, address, path, outcome, tookMs: 400, requestId: 'r1' };
+  box.take({ type: 'connectionTried', attempt });
+  const { triedAtMs = 0 } = box.state.servers.get(serverId)?.link ?? {};
+  const request = { serverId, boxId: 'box-2' };
+  expect(decideTunnel(box.state, request, triedAtMs + 100)).to.deep.include({ reason: 'linkDown' });
+  expect(decideTunnel(box.state, request, triedAtMs + 600).kind).to.equal('connect');
+});
--- a/packages/reedlug-gateway/src/slices/peers/tunnels.ts
+++ b/packages/reedlug-gateway/src/slices/peers/tunnels.ts
@@ -1,7 +1,7 @@
 /** Connections to servers that this box opens for peers that can't reach them. */
 import { isTooLateToAccept } from '../lifecycle/shutdown.js';
 import { RouteKind } from '../../types/configuration.js';
-import { isCutOff } from '../../policy/connectPlan.js';
+import { isCutOff, isLinkHanging } from '../../policy/connectPlan.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import type { EventOf } from '../../types/event.js';
 import type { HostPort } from '../../types/server.js';
@@ -11,7 +11,14 @@
   | { kind: 'connect'; address: HostPort }
   | {
       kind: 'refuse';
-      reason: 'switchedOff' | 'unknownBox' | 'unknownServer' | 'stopping' | 'cutOff' | 'full';
+      reason:
+        | 'switchedOff'
+        | 'unknownBox'
+        | 'unknownServer'
+        | 'stopping'
+        | 'cutOff'
+        | 'linkDown'
+        | 'full';
     };
 
 /** Decides on a peer's request to connect it to a server. */
@@ -29,6 +36,7 @@
     return { kind: 'refuse', reason: 'stopping' };
   }
   if (isCutOff(state.serverLinks)) return { kind: 'refuse', reason: 'cutOff' };
+  if (isLinkHanging(view.link, nowMs)) return { kind: 'refuse', reason: 'linkDown' };
   if (state.openTunnels >= maxTunnels) return { kind: 'refuse', reason: 'full' };
   return { kind: 'connect', address: view.entry.address };
 }
