--- a/packages/reedlug-gateway/src/policy/chooseServer.ts
+++ b/packages/reedlug-gateway/src/policy/chooseServer.ts
@@ -21,7 +21,7 @@
 import { speedOf } from '../slices/serverSpeeds/speedOf.js';
 import { highestRanked } from './highestRanked.js';
 import { placeBySize, type PlacementOutcome, type SizeNeed } from './placeBySize.js';
-import { addLoads, tokensAhead } from './serverLoad.js';
+import { tokensAhead, totalLoad } from './serverLoad.js';
 import { expectedWaitMs, type EngineModel, type SendConditions } from './engineModel.js';
 import { failureScore, currentSlowness, SUSPECT_SCORE } from './serverHealth.js';
 import { silenceCostMs } from './serverSilence.js';
@@ -288,16 +288,6 @@
   return { view, prefillTokens, conditions, expectedMs, modelMs, waitMs, costMs };
 }
 
-/** Returns the open work at a server: this box's own and the work last reported by peers. */
-export function totalLoad(view: ServerView, peers: readonly PeerWithMessage[]): ServerLoad {
-  let total: ServerLoad = view;
-  for (const peer of peers) {
-    const load = peer.message.loads[view.entry.id];
-    if (load !== undefined) total = addLoads(total, load);
-  }
-  return total;
-}
-
 function tokensToRead(
   view: ServerView,
   facts: RequestFacts,
--- a/packages/reedlug-gateway/src/policy/serverLoad.ts
+++ b/packages/reedlug-gateway/src/policy/serverLoad.ts
@@ -1,6 +1,7 @@
 /** Tracks the open work at a server: this box's own, and sums over several boxes. */
 import type { ServerLoad } from '../types/peer.js';
 import type { Attempt } from '../types/request.js';
+import type { PeerWithMessage } from '../slices/peers/fleet.js';
 import type { ServerView } from '../types/views.js';
 
 /** Adds the work of two boxes; returns the second one if the first one is undefined. */
@@ -14,6 +15,16 @@
   };
 }
 
+/** Returns the open work at a server: this box's own and the work last reported by peers. */
+export function totalLoad(view: ServerView, peers: readonly PeerWithMessage[]): ServerLoad {
+  let total: ServerLoad = view;
+  for (const peer of peers) {
+    const load = peer.message.loads[view.entry.id];
+    if (load !== undefined) total = addLoads(total, load);
+  }
+  return total;
+}
+
 function addByUrgency(
   first: readonly number[] | undefined,
   second: readonly number[] | undefined,
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -1,5 +1,6 @@
 /** Refusals of requests that no engine would start in time. */
-import { totalLoad, type Choice } from '../../policy/chooseServer.js';
+import type { Choice } from '../../policy/chooseServer.js';
+import { totalLoad } from '../../policy/serverLoad.js';
 import { decideSend, maxExpectedMs, type SendContext } from '../../policy/decideSend.js';
 import type { Standing } from '../../policy/fairShare.js';
 import { addRetryJitter } from '../../policy/retryJitter.js';
--- a/packages/reedlug-gateway/src/slices/statements/brittleServices.ts
+++ b/packages/reedlug-gateway/src/slices/statements/brittleServices.ts
@@ -13,7 +13,7 @@
   riskedRejections,
   type PlaceView,
 } from '../../policy/serverPlaces.js';
-import { totalLoad } from '../../policy/chooseServer.js';
+import { totalLoad } from '../../policy/serverLoad.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import type { BrittleServiceGossip, PlaceUse } from '../../types/brittleService.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
