--- a/packages/reedlug-gateway/src/policy/connectPlan.ts
+++ b/packages/reedlug-gateway/src/policy/connectPlan.ts
@@ -47,8 +47,7 @@
   if (hasPeers && !arePeersFailing(link, nowMs)) {
     return { isDirectTried: isTrialDue, peersAfterMs: 0 };
   }
-  // Neither this box nor its peers reach the server. Where that takes a timeout to learn, and holds for
-  // several servers, requests are refused at once between trials.
+  // Neither this box nor its peers reach the server. A connection that hangs would only delay the refusal.
   const isHopeless = link.failure === ConnectOutcome.silent && reachesNone(links);
   return { isDirectTried: !isHopeless || isTrialDue, peersAfterMs: undefined };
 }
--- a/packages/reedlug-simulator/src/__tests__/runScene.test.ts
+++ b/packages/reedlug-simulator/src/__tests__/runScene.test.ts
@@ -98,7 +98,7 @@
       { kind: 'cutZone', atS: 10, forS: 4, zone: 'zone-a' },
     ],
   };
-  // Without the sums of silent hubs, a workspace would exceed its limit (seed 3).
+  // Without the sums of silent hubs, a workspace would exceed its limit.
   for (const seed of [2, 3]) expect((await run(changes, seed)).broken).to.deep.equal([]);
 });
 
