Tunnels: connections on their way count toward the bound; plain order of peers, one name for decoding

Found by reading; a test covers it. The order of peers compares named keys in place of added weights.

--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -1,6 +1,7 @@
 /** Performs the reducer's effects. */
 import { performance } from 'node:perf_hooks';
 import type { Effect } from '../types/effect.js';
+import type { HostPort } from '../types/server.js';
 import type { Runtime } from './gatewayDaemon.js';
 import { connectingPeers } from '../slices/peers/connectingPeers.js';
 import { eventsOfSharedState } from '../slices/peers/sharedState.js';
@@ -143,17 +144,12 @@
   const { state, clock } = runtime;
   const view = state.servers.get(serverId);
   const peers = view === undefined ? [] : connectingPeers(state, view, clock.nowMs());
-  const peerProbes = peers.slice(0, MAX_PEER_PROBES).map(
-    (peer): PeerProbe =>
-      (report) =>
-        openTunnel(
-          {
-            ...{ peer, serverId, boxId: state.settings.box.id, requestId: '' },
-            timeoutMs: CONNECT_TIMEOUT_MS,
-          },
-          report,
-        ),
-  );
+  const boxId = state.settings.box.id;
+  const shared = { serverId, boxId, requestId: '', timeoutMs: CONNECT_TIMEOUT_MS };
+  const probeThrough = (peer: HostPort): PeerProbe => {
+    return (report) => openTunnel({ ...shared, peer }, report);
+  };
+  const peerProbes = peers.slice(0, MAX_PEER_PROBES).map(probeThrough);
   void probeServer(address, peerProbes).then((outcome) => {
     runtime.emit({ type: 'serverProbed', life, outcome });
   });
--- a/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
@@ -18,7 +18,7 @@
   BOX_HEADER,
   OUTCOME_HEADER,
   REQUEST_HEADER,
-  serverIdOf,
+  decodeText,
   type ConnectFailure,
 } from './tunnelWire.js';
 
@@ -35,7 +35,7 @@
 /** What tunnels need of the box. */
 export interface TunnelServerParams {
   /** Decides on a request for a tunnel. */
-  decide: (request: { serverId: string; boxId: string }) => TunnelDecision;
+  decide: (request: { serverId: string; boxId: string; connecting: number }) => TunnelDecision;
   onTried: (attempt: ConnectionTry) => void;
   emit: (
     event: Extract<EventBody, { type: 'tunnelRefused' | 'tunnelOpened' | 'tunnelClosed' }>,
@@ -59,13 +59,17 @@
 /** Creates a tunnel server without tunnels. */
 export function createTunnelServer({ decide, onTried, emit }: TunnelServerParams): TunnelServer {
   const open = new Set<Socket>();
+  /** Number of connections to servers that are not open yet. */
+  let connecting = 0;
 
   const connectTo = (address: HostPort, client: Socket, tunnel: TunnelRequest): void => {
     const { serverId, requestId } = tunnel;
+    connecting += 1;
     const attempt = openSocket(address, CONNECT_TIMEOUT_MS, (result) => {
       const { outcome, tookMs } = result;
       onTried({ serverId, address, requestId, path: { kind: 'direct' }, outcome, tookMs });
-      client.off('close', attempt.cancel);
+      connecting -= 1;
+      client.off('close', onClientGone);
       if (result.outcome !== ConnectOutcome.opened) {
         refuse(client, result.outcome);
         return emit({ type: 'tunnelRefused', ...tunnel, reason: result.outcome });
@@ -80,7 +84,11 @@
         emit({ type: 'tunnelClosed', ...tunnel, bytes, openMs: performance.now() - startedAtMs });
       });
     });
-    client.once('close', attempt.cancel);
+    const onClientGone = (): void => {
+      connecting -= 1;
+      attempt.cancel();
+    };
+    client.once('close', onClientGone);
   };
 
   return {
@@ -89,7 +97,7 @@
       const client = stream as Socket;
       client.on('error', () => client.destroy());
       const tunnel = tunnelRequestOf(request);
-      const decision = decide(tunnel);
+      const decision = decide({ ...tunnel, connecting });
       if (decision.kind === 'connect') return connectTo(decision.address, client, tunnel);
       refuse(client, ConnectOutcome.unavailable);
       emit({ type: 'tunnelRefused', ...tunnel, reason: decision.reason });
@@ -103,9 +111,9 @@
 function tunnelRequestOf({ url, headers }: IncomingMessage): TunnelRequest {
   const textOf = (value: string | string[] | undefined): string => String(value ?? '');
   return {
-    serverId: serverIdOf(url) ?? '',
+    serverId: decodeText(url) ?? '',
     boxId: textOf(headers[BOX_HEADER]),
-    requestId: serverIdOf(textOf(headers[REQUEST_HEADER])) ?? '',
+    requestId: decodeText(textOf(headers[REQUEST_HEADER])) ?? '',
   };
 }
 
--- a/packages/reedlug-gateway/src/daemon/tunnels/tunnelWire.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelWire.ts
@@ -24,12 +24,12 @@
   }
 }
 
-/** Returns the server id of a target; undefined if it is malformed. */
-export function serverIdOf(target: string | undefined): string | undefined {
+/** Decodes a percent-encoded text; undefined if it is malformed. */
+export function decodeText(encoded: string | undefined): string | undefined {
   try {
-    return decodeURIComponent(target ?? '');
+    return decodeURIComponent(encoded ?? '');
   } catch {
-    // Invalid percent-encoding names no server.
+    // Invalid percent-encoding names nothing.
     return undefined;
   }
 }
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/tunnels.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/tunnels.test.ts
@@ -12,7 +12,7 @@
 }
 
 function decide(box: TestBox, serverId = serverIdOf(box), boxId = 'box-2'): TunnelDecision {
-  return decideTunnel(box.state, { serverId, boxId }, 2000);
+  return decideTunnel(box.state, { serverId, boxId, connecting: 0 }, 2000);
 }
 
 function boxWithPeer(): TestBox {
@@ -37,6 +37,10 @@
   const box = boxWithPeer();
   box.state.openTunnels = box.state.settings.tunnels.maxTunnels;
   expect(decide(box)).to.deep.include({ reason: 'full' });
+  box.state.openTunnels -= 1;
+  expect(decide(box).kind).to.equal('connect');
+  const request = { serverId: serverIdOf(box), boxId: 'box-2', connecting: 1 };
+  expect(decideTunnel(box.state, request, 2000)).to.deep.include({ reason: 'full' });
 });
 
 test('a box whose own connection to the server hangs says so at once', () => {
@@ -48,7 +52,7 @@
   const attempt = { serverId, address, path, outcome, tookMs: 400, requestId: 'r1' };
   box.take({ type: 'connectionTried', attempt });
   const { triedAtMs = 0 } = box.state.servers.get(serverId)?.link ?? {};
-  const request = { serverId, boxId: 'box-2' };
+  const request = { serverId, boxId: 'box-2', connecting: 0 };
   expect(decideTunnel(box.state, request, triedAtMs + 100)).to.deep.include({ reason: 'linkDown' });
   expect(decideTunnel(box.state, request, triedAtMs + 600).kind).to.equal('connect');
 });
--- a/packages/reedlug-gateway/src/slices/peers/connectingPeers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/connectingPeers.ts
@@ -27,14 +27,19 @@
       const hasFailed = nowMs - peer.connectFailedAtMs < FAILED_PEER_MS;
       const isNear = peer.address.zone === box.zone || peer.address.zone === entry.zone;
       const isStopping = peer.message?.leaving === true;
-      const group = (isStopping ? 4 : 0) + (hasFailed ? 2 : 0) + (isNear ? 0 : 1);
       const order = hashString(`${box.id} ${entry.id} ${peer.boxId}`);
-      return { address: peer.address, group, order };
+      return { address: peer.address, keys: [isStopping, hasFailed, !isNear].map(Number), order };
     });
-  ranked.sort((a, b) => a.group - b.group || a.order - b.order);
+  ranked.sort((a, b) => compareKeys(a.keys, b.keys) || a.order - b.order);
   return ranked.map(({ address }) => address);
 }
 
+/** Compares two lists by their first difference. */
+function compareKeys(first: readonly number[], second: readonly number[]): number {
+  const index = first.findIndex((key, position) => key !== second[position]);
+  return index < 0 ? 0 : (first[index] ?? 0) - (second[index] ?? 0);
+}
+
 /** Whether a peer may be able to connect. With hubs, a box hears only some of the others, so all listed ones count. */
 export function mayConnect(peer: PeerView, viaHubs: boolean, nowMs: number): boolean {
   const { message } = peer;
--- a/packages/reedlug-gateway/src/slices/peers/tunnels.ts
+++ b/packages/reedlug-gateway/src/slices/peers/tunnels.ts
@@ -21,10 +21,10 @@
         | 'full';
     };
 
-/** Decides on a peer's request to connect it to a server. */
+/** Decides on a peer's request to connect it to a server, while `connecting` other connections are on their way. */
 export function decideTunnel(
   state: GatewayState,
-  { serverId, boxId }: { serverId: string; boxId: string },
+  { serverId, boxId, connecting }: { serverId: string; boxId: string; connecting: number },
   nowMs: number,
 ): TunnelDecision {
   const { areUsed, maxTunnels } = state.settings.tunnels;
@@ -37,7 +37,7 @@
   }
   if (isCutOff(state.serverLinks)) return { kind: 'refuse', reason: 'cutOff' };
   if (isLinkHanging(view.link, nowMs)) return { kind: 'refuse', reason: 'linkDown' };
-  if (state.openTunnels >= maxTunnels) return { kind: 'refuse', reason: 'full' };
+  if (state.openTunnels + connecting >= maxTunnels) return { kind: 'refuse', reason: 'full' };
   return { kind: 'connect', address: view.entry.address };
 }
 
