Log the versions of streams that go on, and name the stream that a caller takes up

The logs of the incident do not tell whether a stream crosses versions inside one answer or over its caller's tries, nor which attempt began it: `streamResumed` names no version, and the arrival of a stream that is taken up looks like that of a new one.

--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -17,6 +17,7 @@
   latencyMs: Histogram;
   decisions: Counter;
   placements: Counter;
+  continuations: Counter;
   connections: Counter;
   connectMs: Histogram;
   tunnelBytes: Counter;
@@ -43,6 +44,11 @@
     case 'requestSent':
       countPlacement(metrics, fields);
       return;
+    case 'streamContinued': {
+      const isSame = fields['version'] === fields['earlierVersion'];
+      metrics.continuations.inc({ version: isSame ? 'same' : 'other' });
+      return;
+    }
     case 'tunnelClosed':
       metrics.tunnelBytes.inc(Number(fields['bytes'] ?? 0));
       return;
@@ -108,6 +114,12 @@
       labelNames: ['outcome', 'request'],
       registers,
     }),
+    continuations: new Counter({
+      name: 'reedlug_stream_continuations_total',
+      help: 'Streams that went on at another server inside one answer, by its software version (same, other)',
+      labelNames: ['version'],
+      registers,
+    }),
     connections: new Counter({
       name: 'reedlug_connections_total',
       help: 'Connections to servers that were tried, by path (direct, peer) and outcome (opened, refused, silent, unavailable)',
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -101,6 +101,7 @@
     recordAnswer(state, step, { record, attempt, end: AnswerEnd.good });
   }
   recordRunStart(state, step, found);
+  logContinuation(step, found);
   const { exchangeId } = record;
   const { attemptId } = attempt;
   const isStream = record.route.kind === RouteKind.stream;
@@ -115,6 +116,22 @@
   finishRequest(state, step, found, 'success');
 }
 
+/** Logs the versions of two servers whose events are joined in one answer. */
+function logContinuation(step: Step, { record, attempt }: RequestAttempt): void {
+  const isEarlier = (other: Attempt): boolean =>
+    other !== attempt && other.firstOutputAtMs !== undefined;
+  const before = record.relayed ? record.attempts.filter(isEarlier).at(-1) : undefined;
+  if (before === undefined) return;
+  log(step, 'streamContinued', {
+    request: record.facts.requestId,
+    server: attempt.serverId,
+    version: attempt.version ?? '',
+    earlierServer: before.serverId,
+    earlierVersion: before.version ?? '',
+    lastEvent: record.lastEventId ?? -1,
+  });
+}
+
 /** Relays a server's own failure to the caller unchanged, unless the request may be sent again. */
 function onFailure(state: GatewayState, step: Step, found: RequestAttempt, status: number): void {
   const { record, attempt } = found;
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -72,6 +72,13 @@
   const retryAfterMs =
     choice === undefined ? reserveRetryAfterMs(state, record, step.nowMs) : undefined;
   if (retryAfterMs !== undefined) return refuseNow(503, SERVERS_LIMITED, retryAfterMs);
+  if (isTakenUp(facts)) {
+    log(step, 'streamTakenUp', {
+      request: facts.requestId,
+      resumes: facts.resumedRequestId ?? '',
+      lastEvent: facts.lastEventId ?? -1,
+    });
+  }
   state.requests.set(exchangeId, record);
   if (workspace !== undefined && !chargeFirstSend(state, step, record, workspace)) {
     if (requestAndAwaitUnits(state, step, record, workspace)) return;
@@ -82,6 +89,11 @@
   sendOrGiveUp(state, step, record, choice);
 }
 
+/** Whether the caller has events of the stream already. */
+function isTakenUp({ lastEventId, resumedRequestId }: RequestFacts): boolean {
+  return lastEventId !== undefined || resumedRequestId !== undefined;
+}
+
 function createRecord(params: {
   exchangeId: number;
   facts: RequestFacts;
--- a/packages/reedlug-gateway/src/slices/requests/retries.ts
+++ b/packages/reedlug-gateway/src/slices/requests/retries.ts
@@ -77,6 +77,7 @@
     request: record.facts.requestId,
     reason,
     lost: attempt.serverId,
+    lostVersion: attempt.version ?? '',
     lastEvent: record.lastEventId ?? -1,
   });
   sendAgain(state, step, record, choice);
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -26,6 +26,8 @@
   promptParts: readonly PromptPart[];
   /** Last event that the caller received; the stream is resumed after it. */
   lastEventId: number | undefined;
+  /** Id of the request that brought the first event of the stream, if the caller takes one up. */
+  resumedRequestId?: string | undefined;
 }
 
 /** Facts about a request; its body is relayed without being parsed. */
