--- a/packages/reedlug-soak/src/boxProcess.ts
+++ b/packages/reedlug-soak/src/boxProcess.ts
@@ -2,6 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
+import type { JOIN_SIGNAL, SEPARATE_SIGNAL } from './linkVariables.js';
 
 const MAIN_PATH = fileURLToPath(new URL('./soakBox.js', import.meta.url));
 
@@ -17,7 +18,10 @@
 /** A box whose process can be started repeatedly. */
 export interface BoxProcess {
   start: () => void;
-  signal: (name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT') => void;
+  signal: (
+    name:
+      'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | typeof SEPARATE_SIGNAL | typeof JOIN_SIGNAL,
+  ) => void;
   isRunning: () => boolean;
   /** Resolves once the process has exited. */
   ended: () => Promise<void>;
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -31,6 +31,10 @@
   | { kind: 'stopBox'; box: number; backAfterMs: number }
   | { kind: 'killBox'; box: number; backAfterMs: number }
   | { kind: 'killAllBoxes'; backAfterMs: number }
+  /** Kills the boxes at once; they start again together. */
+  | { kind: 'killBoxes'; boxes: readonly number[]; backAfterMs: number }
+  /** No box receives the datagrams of another one. */
+  | { kind: 'boxesApart'; forMs: number }
   | { kind: 'storeLink'; box: number; how: LinkFault; forMs: number }
   | { kind: 'serverLink'; server: number; how: LinkFault; forMs: number }
   /**
@@ -50,8 +54,8 @@
   | { kind: 'storeSlow'; delayMs: number; forMs: number }
   | { kind: 'storeLosesAnswers'; share: number; forMs: number }
   | { kind: 'serverCrash'; server: number; backAfterMs: number }
-  /** The server crashes; its next incarnation has the same id. */
-  | { kind: 'serverRestarts'; server: number; backAfterMs: number }
+  /** The server crashes; its next incarnation has the same id, and another version if one is given. */
+  | { kind: 'serverRestarts'; server: number; backAfterMs: number; version?: string }
   /** Another writer adds an invalid registry entry; `odd` selects it from a fixed list. */
   | { kind: 'oddEntry'; odd: number }
   | { kind: 'serverLeaves'; server: number; backAfterMs: number }
@@ -70,6 +74,12 @@
    * value as sent.
    */
   | { kind: 'serverRests'; server: number; restSeconds: string; forMs: number }
+  /** The server resets all its connections at each interval. */
+  | { kind: 'serverResets'; server: number; everyMs: number; forMs: number }
+  /** All servers of a software version end at once. */
+  | { kind: 'versionEnds'; version: string }
+  /** Servers of a software version are drained one by one, and one of another version starts for each. */
+  | { kind: 'versionReplaced'; from: string; to: string; everyMs: number }
   | { kind: 'configure' }
   | { kind: 'revokeKey' };
 
--- a/packages/reedlug-soak/src/guarantees.ts
+++ b/packages/reedlug-soak/src/guarantees.ts
@@ -1,4 +1,5 @@
 /** Checks a run's record against the guarantees to callers, servers and the operator. */
+import { checkStreamVersions } from './streamVersions.js';
 import { checkPartitionedBoxes } from './partitionedBoxes.js';
 import { checkPauses, checkDrainingStatements } from './serverStatements.js';
 import { CallKind, overlaps, type Call, type Arrival, type SoakRecord } from './soakRecord.js';
@@ -68,6 +69,7 @@
     ...checkDrainingStatements(record, bounds),
     ...checkPauses(record),
     ...checkPartitionedBoxes(record, bounds),
+    ...checkStreamVersions(record, bounds),
   ];
 }
 
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -18,8 +18,10 @@
   requestPause,
   restartServer,
 } from './serverFaults.js';
+import { JOIN_SIGNAL, SEPARATE_SIGNAL } from './linkVariables.js';
 import type { SoakRecord } from './soakRecord.js';
 import { configure, type SoakWorld } from './soakWorld.js';
+import { endVersion, replaceVersion, resetConnections } from './versionFaults.js';
 
 /**
  * Seed that decides which responses of the store are lost. It is fixed, so that the choice depends
@@ -50,6 +52,16 @@
       const all = [...world.boxes.keys()];
       return withInterruption(record, all, () => killBoxes(world, all, fault.backAfterMs));
     }
+    case 'killBoxes':
+      return withInterruption(record, fault.boxes, () =>
+        killBoxes(world, fault.boxes, fault.backAfterMs),
+      );
+    case 'boxesApart':
+      return withBoxFault(record, [...world.boxes.keys()], async () => {
+        for (const { process } of world.boxes) process.signal(SEPARATE_SIGNAL);
+        await delay(fault.forMs);
+        for (const { process } of world.boxes) process.signal(JOIN_SIGNAL);
+      });
     case 'storeLink':
       return withBoxFault(record, [fault.box], async () => {
         world.boxes[fault.box]?.storeLink.setFault(fault.how);
@@ -112,6 +124,12 @@
         await delay(fault.forMs);
         server.failureMode = undefined;
       });
+    case 'serverResets':
+      return withServerFault(record, () => resetConnections(world, fault));
+    case 'versionEnds':
+      return withServerFault(record, () => endVersion(world, record, fault));
+    case 'versionReplaced':
+      return withServerFault(record, () => replaceVersion(world, record, fault));
     case 'serverLimits':
       return announceServerLimit(world, fault);
     case 'serverSaysLeaving':
--- a/packages/reedlug-soak/src/linkVariables.ts
+++ b/packages/reedlug-soak/src/linkVariables.ts
@@ -4,3 +4,10 @@
  */
 export const LINK_HOST_VARIABLE = 'SOAK_LINK_HOST';
 export const LINK_PORTS_VARIABLE = 'SOAK_LINK_PORTS';
+
+/**
+ * Signals after which a box sends no datagrams to other boxes, and sends them again. A process that
+ * is still starting ignores both.
+ */
+export const SEPARATE_SIGNAL = 'SIGWINCH';
+export const JOIN_SIGNAL = 'SIGURG';
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -7,6 +7,7 @@
 import { injectFault } from './injectFault.js';
 import { crashUnderRequest } from './serverFaults.js';
 import { findViolations, type Violation } from './guarantees.js';
+import { callStream, type StreamLoad } from './streamCallers.js';
 import { CallKind, createSoakRecord, type SoakRecord } from './soakRecord.js';
 import {
   BOX_BOUNDS,
@@ -29,6 +30,8 @@
   callsPerSecond: number;
   /** Folder of settings and logs; deleted after a run that violated no guarantee. */
   folder: string;
+  /** Streams that their callers take up, at servers of several software versions. */
+  streams?: StreamLoad;
   /** Faults that replace those generated from the seed. */
   faults?: readonly { atMs: number; fault: Fault }[];
 }
@@ -55,6 +58,10 @@
 const READINESS_POLL_INTERVAL_MS = 50;
 /** Time after a fault by which the users require a box to have recovered, in ms. */
 const RECOVERY_MS = 3000;
+/** Interval at which the software versions of the servers are recorded, in ms. */
+const VERSION_POLL_INTERVAL_MS = 10;
+/** Number of events after which some callers of streams leave, and take the stream up again. */
+const LEAVES_AFTER_EVENTS = 8;
 /** Interval of the checks whether the crashing caller has started, in ms. */
 const CRASHING_POLL_INTERVAL_MS = 100;
 /** Share of each kind among the calls. */
@@ -65,10 +72,52 @@
   [CallKind.probe, 0.1],
 ];
 
+/** Records how many servers of each software version accept requests, until the end of the load. */
+async function watchVersions({ world, record, endMs }: LoadContext): Promise<void> {
+  const known = new Map<string, number>();
+  while (performance.now() < endMs) {
+    const counts = new Map([...known.keys()].map((version) => [version, 0]));
+    for (const { standin } of world.servers) {
+      const { version } = standin;
+      if (version === undefined) continue;
+      const accepts = !standin.isClosed() && !standin.saysLeaving;
+      counts.set(version, (counts.get(version) ?? 0) + (accepts ? 1 : 0));
+    }
+    for (const [version, servers] of counts) {
+      if (known.get(version) === servers) continue;
+      known.set(version, servers);
+      record.versionServers.push({ atMs: performance.now(), version, servers });
+    }
+    await delay(VERSION_POLL_INTERVAL_MS);
+  }
+}
+
+/** Calls streams at random boxes. */
+async function callStreams(
+  { options, world, record, endMs }: LoadContext,
+  load: StreamLoad,
+): Promise<void> {
+  const random = createRandom(options.seed + 3);
+  const pending: Promise<void>[] = [];
+  for (let number = 0; performance.now() < endMs; number += 1) {
+    await delay(random.exponential(1000 / load.perSecond));
+    const called = callStream({
+      name: `t${options.seed}-${number}`,
+      key: world.keys.at(-1) ?? '',
+      targets: world.boxes.map(({ target }) => target),
+      leavesAfterEvents: random.chance(load.leavingShare) ? LEAVES_AFTER_EVENTS : undefined,
+      random,
+    });
+    pending.push(called.then((stream) => void record.streams.push(stream)));
+  }
+  await Promise.all(pending);
+}
+
 /** Runs one seed. Throws when a box is not ready within `START_TIMEOUT_MS`. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, lengthMs, boxes, serversPerService, folder } = options;
-  const world = await buildWorld({ boxes, serversPerService, folder });
+  const draftVersions = options.streams?.versions ?? [];
+  const world = await buildWorld({ boxes, serversPerService, draftVersions, folder });
   const record = createSoakRecord({
     draftEvents: DRAFT_EVENTS,
     boxes,
@@ -88,7 +137,10 @@
       await injectFault(world, record, fault);
     });
     const load = { options, world, record, callers, endMs: startMs + lengthMs };
-    await Promise.all([sendRequests(load), sendCrashingRequests(load)]);
+    const { streams } = options;
+    const streamCalls =
+      streams === undefined ? [] : [callStreams(load, streams), watchVersions(load)];
+    await Promise.all([sendRequests(load), sendCrashingRequests(load), ...streamCalls]);
     await Promise.all(injections);
     await Promise.all(crashes);
   } finally {
--- a/packages/reedlug-soak/src/serverFaults.ts
+++ b/packages/reedlug-soak/src/serverFaults.ts
@@ -130,6 +130,7 @@
   await delay(fault.backAfterMs);
   // Another fault may have ended this incarnation meanwhile.
   if (server.standin === standin && !record.leftAtMs.has(standin.id)) {
+    server.version = fault.version ?? server.version;
     await startNextIncarnation(world, server, true);
   }
 }
--- a/packages/reedlug-soak/src/soakBox.ts
+++ b/packages/reedlug-soak/src/soakBox.ts
@@ -3,7 +3,13 @@
  * run can partition it from them.
  */
 import { Socket } from 'node:net';
-import { LINK_HOST_VARIABLE, LINK_PORTS_VARIABLE } from './linkVariables.js';
+import { Socket as DatagramSocket } from 'node:dgram';
+import {
+  JOIN_SIGNAL,
+  LINK_HOST_VARIABLE,
+  LINK_PORTS_VARIABLE,
+  SEPARATE_SIGNAL,
+} from './linkVariables.js';
 
 const linkHost = process.env[LINK_HOST_VARIABLE];
 const linkPorts = new Map(
@@ -30,4 +36,15 @@
   return Reflect.apply(connect as (...args: unknown[]) => Socket, this, args);
 };
 
+let isSeparated = false;
+process.on(SEPARATE_SIGNAL, () => (isSeparated = true));
+process.on(JOIN_SIGNAL, () => (isSeparated = false));
+const { send } = DatagramSocket.prototype;
+DatagramSocket.prototype.send = function sendUnlessSeparated(
+  this: DatagramSocket,
+  ...args: unknown[]
+): void {
+  if (!isSeparated) Reflect.apply(send as (...all: unknown[]) => void, this, args);
+};
+
 await import('reedlug-platform/main');
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -1,5 +1,7 @@
 /** Record of what callers and servers observed in a run. Times are in ms of one monotonic clock. */
 
+import type { CalledStream } from './streamCallers.js';
+
 /** Kinds of requests that callers send. */
 export const CallKind = {
   lookup: 'lookup',
@@ -98,6 +100,10 @@
   serverTroubles: Span[];
   /** When servers crashed while they ran the crashing request. */
   crashesAtMs: number[];
+  /** Streams of callers that take them up. */
+  streams: CalledStream[];
+  /** Changes of the number of servers that accept requests, by software version, in order. */
+  versionServers: { atMs: number; version: string; servers: number }[];
   reports: { window: number; counts: string; holder: string; fence: number }[];
 }
 
@@ -121,6 +127,8 @@
     linkTroubles: [],
     serverTroubles: [],
     crashesAtMs: [],
+    streams: [],
+    versionServers: [],
     reports: [],
   };
 }
--- a/packages/reedlug-soak/src/soakWorld.ts
+++ b/packages/reedlug-soak/src/soakWorld.ts
@@ -11,6 +11,7 @@
   startCloudStandin,
   startEngineStandin,
   startStoreStandin,
+  type Behaviour,
   type CloudStandin,
   type EngineStandin,
   type StoreStandin,
@@ -60,6 +61,8 @@
   standin: EngineStandin;
   proxy: FaultProxy;
   service: string;
+  /** Software version of its next incarnation; undefined for none. */
+  version: string | undefined;
   incarnationCount: number;
   bornAtMs: number;
   failureMode: 'fail' | 'lose' | 'refuse' | undefined;
@@ -94,6 +97,8 @@
 export async function buildWorld(params: {
   boxes: number;
   serversPerService: number;
+  /** Software versions of the servers for drafts, in turn; none if empty. */
+  draftVersions: readonly string[];
   folder: string;
 }): Promise<SoakWorld> {
   mkdirSync(params.folder, { recursive: true });
@@ -110,10 +115,13 @@
     onCrashingRequest: () => undefined,
     allStandins: [],
   };
-  for (const service of ['records', 'drafts']) {
-    for (let index = 0; index < params.serversPerService; index += 1) {
-      world.servers.push(await startServer(world, service));
-    }
+  const { serversPerService, draftVersions } = params;
+  for (let index = 0; index < serversPerService; index += 1) {
+    world.servers.push(await startServer(world, 'records', undefined));
+  }
+  for (let index = 0; index < serversPerService; index += 1) {
+    const version = draftVersions[index % Math.max(1, draftVersions.length)];
+    world.servers.push(await startServer(world, 'drafts', version));
   }
   configure(world);
   for (let index = 0; index < params.boxes; index += 1) {
@@ -147,16 +155,29 @@
   return `/version-${version}/`;
 }
 
-async function startServer(world: SoakWorld, service: string): Promise<SoakServer> {
+async function startServer(
+  world: SoakWorld,
+  service: string,
+  version: string | undefined,
+): Promise<SoakServer> {
   const [port = 0] = await findFreePorts(1);
+  const serverIndex = world.servers.length;
+  const getServer = (): SoakServer => server;
   const server: SoakServer = {
-    standin: await startIncarnation(world, () => server, service, world.servers.length, 0),
+    standin: await startIncarnation(world, {
+      getServer,
+      service,
+      version,
+      serverIndex,
+      incarnation: 0,
+    }),
     proxy: await openFaultProxy({
       host: '127.0.0.1',
       port,
       target: () => addressOf(server.standin),
     }),
     service,
+    version,
     incarnationCount: 1,
     bornAtMs: Date.now(),
     failureMode: undefined,
@@ -167,13 +188,17 @@
 
 function startIncarnation(
   world: SoakWorld,
-  getServer: () => SoakServer,
-  service: string,
-  serverIndex: number,
-  incarnation: number,
+  params: {
+    getServer: () => SoakServer;
+    service: string;
+    version: string | undefined;
+    serverIndex: number;
+    incarnation: number;
+  },
 ): Promise<EngineStandin> {
+  const { getServer, service, version, serverIndex, incarnation } = params;
   const id = `${service}-${serverIndex}-${incarnation}`;
-  return startEngineStandin(id, (requestId, path) => {
+  const behaviour = (requestId: string, path: string): Behaviour => {
     const { failureMode } = getServer();
     if (path === CRASHING_PATH) {
       world.onCrashingRequest(getServer());
@@ -184,7 +209,8 @@
       return { kind: 'slowStream', events: DRAFT_EVENTS, gapMs: EVENT_GAP_MS };
     }
     return { kind: 'answer', body: expectedBody(requestId), afterMs: PLAIN_REQUEST_MS };
-  }).then((standin) => {
+  };
+  return startEngineStandin(id, behaviour, version).then((standin) => {
     world.allStandins.push(standin);
     return standin;
   });
@@ -199,7 +225,8 @@
 export function registerServer(world: SoakWorld, server: SoakServer, leaving: boolean): void {
   const { standin, service, proxy, bornAtMs } = server;
   const address = `127.0.0.1:${proxy.port}`;
-  enterServer(world.store, { id: standin.id, address, service, leaving, bornAtMs });
+  const { id, version } = standin;
+  enterServer(world.store, { id, address, service, leaving, bornAtMs, version });
 }
 
 /** Starts the next incarnation of a server, under a new id or its current one. */
@@ -210,13 +237,10 @@
 ): Promise<void> {
   const serverIndex = world.servers.indexOf(server);
   const incarnation = keepsId ? server.incarnationCount - 1 : server.incarnationCount;
-  server.standin = await startIncarnation(
-    world,
-    () => server,
-    server.service,
-    serverIndex,
-    incarnation,
-  );
+  const { service, version } = server;
+  const getServer = (): SoakServer => server;
+  const identity = { getServer, service, version, serverIndex, incarnation };
+  server.standin = await startIncarnation(world, identity);
   server.incarnationCount = incarnation + 1;
   server.bornAtMs = Date.now();
   registerServer(world, server, false);
--- /dev/null
+++ b/packages/reedlug-soak/src/streamCallers.ts
@@ -0,0 +1,152 @@
+/** Callers of streams that take a stream up at another box when its connection breaks. */
+import { request, type IncomingMessage } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Random } from 'reedlug-standins';
+import { SERVICE_HOST, type CallTarget } from './callers.js';
+
+/** Load of streams, and the software versions of their servers. */
+export interface StreamLoad {
+  perSecond: number;
+  /** Share of callers that leave after some events and take the stream up again. */
+  leavingShare: number;
+  /** Software versions of the servers, in turn. */
+  versions: readonly string[];
+}
+
+/** An event as the caller received it. */
+export interface ReceivedEvent {
+  id: number;
+  /** Software version of the server that produced it. */
+  version: string;
+}
+
+/** One of a caller's attempts to get a stream. */
+export interface StreamTry {
+  requestId: string;
+  box: number;
+  sentAtMs: number;
+  endedAtMs: number;
+  /** Undefined when the connection gave no response. */
+  status: number | undefined;
+  events: readonly ReceivedEvent[];
+}
+
+/** A stream over all attempts of its caller. */
+export interface CalledStream {
+  tries: readonly StreamTry[];
+}
+
+/** Time for which a caller tries to get a stream, in ms, and maximum number of its attempts. */
+const DEADLINE_MS = 5000;
+const MAX_TRIES = 10;
+/** Range of the pause before a caller takes up a broken stream, in ms. */
+const MIN_PAUSE_MS = 40;
+const MAX_PAUSE_MS = 200;
+
+/** Calls a stream until it is complete, refused for good, or out of time. */
+export async function callStream(params: {
+  name: string;
+  key: string;
+  targets: readonly CallTarget[];
+  /** Number of events after which the caller leaves in its first attempt; undefined if it stays. */
+  leavesAfterEvents: number | undefined;
+  random: Random;
+}): Promise<CalledStream> {
+  const { name, key, targets, leavesAfterEvents, random } = params;
+  const untilMs = performance.now() + DEADLINE_MS;
+  const tries: StreamTry[] = [];
+  while (tries.length < MAX_TRIES) {
+    const box = random.whole(0, targets.length - 1);
+    const first = tries.find(({ events }) => events.length > 0);
+    const { outcome, isWhole, retryAfterMs } = await tryOnce({
+      target: targets[box] as CallTarget,
+      box,
+      requestId: `${name}-${tries.length}`,
+      key,
+      deadlineMs: untilMs - performance.now(),
+      resumes: first?.requestId,
+      lastEventId: tries.flatMap(({ events }) => events).at(-1)?.id,
+      leavesAfterEvents: first === undefined ? leavesAfterEvents : undefined,
+    });
+    tries.push(outcome);
+    if (isWhole) return { tries };
+    const leftMs = untilMs - performance.now();
+    const pauseMs = retryAfterMs ?? random.whole(MIN_PAUSE_MS, MAX_PAUSE_MS);
+    // A caller waits for up to a third of the time that it has left.
+    if (pauseMs > leftMs / 3) return { tries };
+    await delay(pauseMs);
+  }
+  return { tries };
+}
+
+interface TryResult {
+  outcome: StreamTry;
+  isWhole: boolean;
+  /** Set if the box refused the attempt with a time to come back. */
+  retryAfterMs: number | undefined;
+}
+
+function tryOnce(params: {
+  target: CallTarget;
+  box: number;
+  requestId: string;
+  key: string;
+  deadlineMs: number;
+  resumes: string | undefined;
+  lastEventId: number | undefined;
+  leavesAfterEvents: number | undefined;
+}): Promise<TryResult> {
+  const { target, box, requestId, key, resumes, lastEventId, leavesAfterEvents } = params;
+  const sentAtMs = performance.now();
+  const headers = {
+    Host: SERVICE_HOST,
+    Authorization: `Bearer ${key}`,
+    'X-Reedlug-Request-Id': requestId,
+    'X-Reedlug-Deadline-Ms': String(Math.max(1, Math.floor(params.deadlineMs))),
+    ...(resumes === undefined ? {} : { Resumes: resumes }),
+    ...(lastEventId === undefined ? {} : { 'Last-Event-Id': String(lastEventId) }),
+  };
+  return new Promise((resolve) => {
+    let status: number | undefined;
+    let text = '';
+    let retryAfterMs: number | undefined;
+    const finish = (isWhole: boolean): void => {
+      clearTimeout(timer);
+      const endedAtMs = performance.now();
+      const events = status === 200 ? eventsOf(text) : [];
+      const outcome = { requestId, box, sentAtMs, endedAtMs, status, events };
+      resolve({ outcome, isWhole: isWhole && status === 200, retryAfterMs });
+    };
+    const outgoing = request({
+      ...target,
+      agent: false,
+      path: '/draft/t',
+      method: 'POST',
+      headers,
+    });
+    const timer = setTimeout(() => outgoing.destroy(), params.deadlineMs + 500);
+    outgoing.on('response', (response: IncomingMessage) => {
+      status = response.statusCode;
+      const seconds = response.headers['retry-after'];
+      if (seconds !== undefined) retryAfterMs = Number(seconds) * 1000;
+      response.setEncoding('utf8');
+      response.on('data', (chunk: string) => {
+        text += chunk;
+        const isLeaving = leavesAfterEvents !== undefined && status === 200;
+        if (isLeaving && eventsOf(text).length >= leavesAfterEvents) outgoing.destroy();
+      });
+      response.on('error', () => undefined);
+      response.on('close', () => finish(response.complete));
+    });
+    outgoing.on('error', () => {
+      if (status === undefined) finish(false);
+    });
+    // Each caller has a body of its own, as a repeated one may be taken for a crash suspect.
+    outgoing.end(`body of ${requestId.replace(/-\d+$/, '')}`);
+  });
+}
+
+function eventsOf(text: string): ReceivedEvent[] {
+  const matches = text.matchAll(/id: (\d+)\ndata: \S+ \S+@(\S+)\n\n/g);
+  return [...matches].map(([, id = '0', version = '']) => ({ id: Number(id), version }));
+}
--- /dev/null
+++ b/packages/reedlug-soak/src/versionFaults.ts
@@ -0,0 +1,57 @@
+/** Faults and changes of the software versions of servers. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { removeServerEntry } from 'reedlug-platform/standins';
+import { LinkFault, type Fault } from './faultPlan.js';
+import { ENTRY_LIFETIME_MS, replaceServer } from './serverFaults.js';
+import type { SoakRecord } from './soakRecord.js';
+import type { SoakServer, SoakWorld } from './soakWorld.js';
+
+/** Makes a server reset all its connections again and again. */
+export async function resetConnections(
+  world: SoakWorld,
+  { server, everyMs, forMs }: Extract<Fault, { kind: 'serverResets' }>,
+): Promise<void> {
+  const proxy = world.servers[server]?.proxy;
+  const endMs = performance.now() + forMs;
+  while (performance.now() < endMs) {
+    proxy?.setFault(LinkFault.reset);
+    proxy?.setFault(undefined);
+    await delay(everyMs);
+  }
+}
+
+/** Ends all servers of a version at once; their entries expire later. */
+export async function endVersion(
+  world: SoakWorld,
+  record: SoakRecord,
+  { version }: Extract<Fault, { kind: 'versionEnds' }>,
+): Promise<void> {
+  const standins = serversOf(world, version).map(({ standin }) => standin);
+  for (const standin of standins) {
+    standin.close();
+    record.leftAtMs.set(standin.id, performance.now() + ENTRY_LIFETIME_MS);
+  }
+  await delay(ENTRY_LIFETIME_MS);
+  for (const { id } of standins) removeServerEntry(world.store, id);
+}
+
+/** Drains the servers of a version one by one; one of another version starts in place of each. */
+export async function replaceVersion(
+  world: SoakWorld,
+  record: SoakRecord,
+  { from, to, everyMs }: Extract<Fault, { kind: 'versionReplaced' }>,
+): Promise<void> {
+  const replacements: Promise<void>[] = [];
+  for (const server of serversOf(world, from)) {
+    server.version = to;
+    const index = world.servers.indexOf(server);
+    const fault = { kind: 'serverLeaves' as const, server: index, backAfterMs: 0 };
+    replacements.push(replaceServer(world, record, fault));
+    await delay(everyMs);
+  }
+  await Promise.all(replacements);
+}
+
+function serversOf(world: SoakWorld, version: string): SoakServer[] {
+  return world.servers.filter(({ standin }) => standin.version === version);
+}
