Streams go on only at the software version that began them

Callers saw streams with events of two software versions of a service. Cause: the choice of a server for a stream that has begun did not know at which version it began, inside one answer and when its caller took it up at any box.

The version of the first relayed event binds a request. Where several versions serve, a box tells the others the start of each stream before it relays the first event (all of a small fleet, four by rendezvous in a large one), and writes its streams to a row of the table twice a second at most. A box that does not know a stream that is taken up asks these boxes and the table in one round trip; if nobody knows it, the stream goes on only where one version can have begun it, which a row of the versions that serve side by side or the answers of all boxes must show, and is refused otherwise. An entry with another version under a known id is a new life of its server.

--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -4,6 +4,7 @@
 import { createLimitShare, createRestartReserve } from './types/limitShare.js';
 import { createServerLinks } from './types/serverLink.js';
 import { createServerSpeeds } from './types/serverSpeed.js';
+import { createStreamVersions } from './types/streamVersion.js';
 import type { GatewaySettings } from './types/settings.js';
 
 /**
@@ -77,6 +78,7 @@
     storeContactAtMs: undefined,
     storeContactByPeerAtMs: Number.NEGATIVE_INFINITY,
     requests: new Map(),
+    streamVersions: createStreamVersions(),
     pendingRequests: [],
     quotas: new Map(),
     part: createLimitShare(),
--- a/packages/reedlug-gateway/src/daemon/datagramEvent.ts
+++ b/packages/reedlug-gateway/src/daemon/datagramEvent.ts
@@ -17,6 +17,12 @@
       return { type: 'unitsReturned', message };
     case 'crashSuspects':
       return { type: 'crashSuspects', message };
+    case 'streamStarts':
+      return { type: 'streamStarts', message };
+    case 'streamStartAsked':
+      return { type: 'streamStartAsked', message };
+    case 'streamStartAnswered':
+      return { type: 'streamStartAnswered', message };
     case 'serverStatements':
       return { type: 'serverStatements', message };
   }
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -37,6 +37,9 @@
   unitsLent: [],
   unitsReturned: [],
   crashSuspects: ['suspects', 'recent'],
+  streamStarts: ['starts'],
+  streamStartAsked: [],
+  streamStartAnswered: ['versions'],
 };
 
 /** Server id, requests in progress, tokens waiting for prefill, prompts waiting for prefill, and the waiting tokens by urgency. */
@@ -112,6 +115,9 @@
   unitsLent: ['incarnation', 'askId', 'units', 'port'],
   unitsReturned: ['incarnation', 'askId', 'units'],
   crashSuspects: [],
+  streamStarts: [],
+  streamStartAsked: ['port'],
+  streamStartAnswered: [],
 };
 
 /** Drops optional fields of gossip that are malformed, as if an older box had sent it without them. */
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -32,6 +32,7 @@
   onCallerGone,
   onRequestArrived,
   requestsTick,
+  resumedStreamsTick,
 } from './slices/requests/requests.js';
 import { onRolloutRow, rolloutRecordsTick } from './slices/rollouts/rolloutRecords.js';
 import { rolloutEvaluationTick } from './slices/rollouts/rolloutEvaluation.js';
@@ -50,6 +51,13 @@
 import { onLimitReserveRow, restartReserveTick } from './slices/limits/restartReserve.js';
 import { unitReservationsTick } from './slices/limits/unitReservations.js';
 import { onUnitsLent, waitingSendsTick } from './slices/limits/waitingSends.js';
+import {
+  onStreamStartAnswered,
+  onStreamStartAsked,
+  onStreamStarts,
+} from './slices/streamVersions/startGossip.js';
+import { onStreamRows } from './slices/streamVersions/streamRows.js';
+import { streamVersionsTick } from './slices/streamVersions/streamVersionsTick.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage/usage.js';
 
 /** Handles an event and returns the requested effects. */
@@ -118,6 +126,14 @@
       return onPeerMessage(state, step, event);
     case 'peerUsage':
       return onPeerUsage(state, step, event);
+    case 'streamStarts':
+      onStreamStarts(state, step, event);
+      return resumedStreamsTick(state, step);
+    case 'streamStartAsked':
+      return onStreamStartAsked(state, step, event);
+    case 'streamStartAnswered':
+      onStreamStartAnswered(state, step, event);
+      return resumedStreamsTick(state, step);
     case 'unitsAsked':
       return onUnitsAsked(state, step, event);
     case 'unitsLent':
@@ -136,6 +152,8 @@
   serverLinksTick(state);
   brittleServicesTick(state, step.nowMs);
   pendingRequestsTick(state, step);
+  streamVersionsTick(state, step);
+  resumedStreamsTick(state, step);
   requestsTick(state, step);
   silentServersTick(state, step);
   lostServersTick(state, step);
@@ -170,6 +188,9 @@
       return onCheckpointRow(state, step, event);
     case 'crashSuspects':
       return onCrashRow(state, step, event, event.purpose);
+    case 'streamRows':
+      onStreamRows(state, step, event, event.purpose);
+      return resumedStreamsTick(state, step);
     case 'rollout':
       return onRolloutRow(state, step, event, event.purpose);
     case 'limitReserve':
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -20,6 +20,9 @@
 import { removeServer } from '../servers/servers.js';
 import { countStarted } from '../usage/usage.js';
 import { chargeFurtherSend } from '../limits/quotas.js';
+import { hasSeveralVersions, softwareVersionOf } from '../streamVersions/servedVersions.js';
+import { announceStart } from '../streamVersions/startGossip.js';
+import { recordOwnStart } from '../streamVersions/streamStarts.js';
 import { sendOrGiveUp } from './sending.js';
 
 function findOpenAttempt(
@@ -41,6 +44,7 @@
   const found = findOpenAttempt(state, event);
   if (found === undefined) return;
   const view = closeAttempt(state, found.attempt, Reach.none);
+  if (view !== undefined) view.connectionLostAtMs = step.nowMs;
   const isAtFault = isServerAtFault(view?.link, state.serverLinks, step.nowMs);
   if (view !== undefined && isAtFault) recordFailure(view, step.nowMs);
   found.record.failedToConnect = true;
@@ -105,6 +109,7 @@
   const { exchangeId } = record;
   const { attemptId } = attempt;
   const isStream = record.route.kind === RouteKind.stream;
+  if (isStream) recordVersionOfStream(state, step, found);
   step.effects.push({
     type: 'relay',
     exchangeId,
@@ -116,6 +121,21 @@
   finishRequest(state, step, found, 'success');
 }
 
+/** Binds a stream to the version of its first event's server, and tells other boxes before the event is relayed. */
+function recordVersionOfStream(
+  state: GatewayState,
+  step: Step,
+  { record, attempt }: RequestAttempt,
+): void {
+  if (record.relayed) return;
+  record.beganAtVersion ??= softwareVersionOf(attempt);
+  if (!record.route.resumable) return;
+  const start = recordOwnStart(state, step, record, record.beganAtVersion);
+  if (start === undefined) return;
+  announceStart(state, step, start);
+  if (hasSeveralVersions(state, record.service)) state.streamVersions.ownRow.isOutdated = true;
+}
+
 /** Logs the versions of two servers whose events are joined in one answer. */
 function logContinuation(step: Step, { record, attempt }: RequestAttempt): void {
   const isEarlier = (other: Attempt): boolean =>
@@ -234,6 +254,7 @@
   if (found === undefined) return;
   const { record, attempt } = found;
   const view = closeAttempt(state, attempt, reachWhenLost(attempt));
+  if (view !== undefined) view.connectionLostAtMs = step.nowMs;
   recordLoss(state, step, { record, attempt, view });
   recordLostAnswer(state, step, found);
   logLost(step, found, event.reason);
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -3,6 +3,7 @@
 import type { EventOf } from '../../types/event.js';
 import type { RouteSpec, WorkspaceSpec } from '../../types/configuration.js';
 import type { PendingRequest, RequestFacts, RequestRecord } from '../../types/request.js';
+import type { TakeUp } from '../../types/streamVersion.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import {
   addPendingRequest,
@@ -22,10 +23,22 @@
 import { chooseServerFor, sendOrGiveUp } from './sending.js';
 import { isTooLateToAccept } from '../lifecycle/shutdown.js';
 import { holdForFirstUnits } from '../limits/restartReserve.js';
+import { hasServersOfVersion } from '../streamVersions/resumeRule.js';
+import {
+  lookupsTick,
+  removeLookup,
+  takeResolvedRequests,
+  takeUpOf,
+} from '../streamVersions/takeUps.js';
 import { refuseOverLimit, requestAndAwaitUnits } from '../limits/waitingSends.js';
 
 /** Retry-After time of requests refused because this box is about to stop, in ms; another box serves them then. */
 const STOPPING_RETRY_MS = 100;
+/**
+ * Retry-After time of streams whose version is unknown or served nowhere, in ms: a box that knows the
+ * stream may answer again by then, or a server of the version start.
+ */
+const VERSION_RETRY_MS = 1000;
 /** Largest value on the engines' urgency scale; 0 is the most urgent. */
 const MAX_URGENCY = 9;
 /** Urgency steps per workspace priority: a route's priority only orders requests within its workspace's steps. */
@@ -65,6 +78,12 @@
   const record = createRecord({
     ...{ exchangeId, facts, route, workspace, reservedAtMs, nowMs: arrivedAtMs },
   });
+  const takeUp = takeUpOf(state, step, request, record);
+  if (takeUp === undefined) return;
+  if (takeUp !== 'new') {
+    const refusal = applyTakeUp(state, step, record, takeUp);
+    if (refusal !== undefined) return refuseNow(503, refusal, VERSION_RETRY_MS);
+  }
   const refusal = crashRefusal(state, step, record);
   if (refusal !== undefined) return refuseNow(refusal.status, refusal.reason, refusal.retryAfterMs);
   const choice = chooseServerFor(state, step, record);
@@ -72,13 +91,6 @@
   const retryAfterMs =
     choice === undefined ? reserveRetryAfterMs(state, record, step.nowMs) : undefined;
   if (retryAfterMs !== undefined) return refuseNow(503, SERVERS_LIMITED, retryAfterMs);
-  if (isTakenUp(facts)) {
-    log(step, 'streamTakenUp', {
-      request: facts.requestId,
-      resumes: facts.resumedRequestId ?? '',
-      lastEvent: facts.lastEventId ?? -1,
-    });
-  }
   state.requests.set(exchangeId, record);
   if (workspace !== undefined && !chargeFirstSend(state, step, record, workspace)) {
     if (requestAndAwaitUnits(state, step, record, workspace)) return;
@@ -89,9 +101,37 @@
   sendOrGiveUp(state, step, record, choice);
 }
 
-/** Whether the caller has events of the stream already. */
-function isTakenUp({ lastEventId, resumedRequestId }: RequestFacts): boolean {
-  return lastEventId !== undefined || resumedRequestId !== undefined;
+/** Accepts or refuses the streams that are taken up whose version is known by now, or will not be. */
+export function resumedStreamsTick(state: GatewayState, step: Step): void {
+  lookupsTick(state, step);
+  for (const request of takeResolvedRequests(state)) acceptRequest(state, step, request);
+}
+
+/**
+ * Binds a request to the service and the version at which its stream began; returns the reason if the
+ * stream can't go on.
+ */
+function applyTakeUp(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+  takeUp: TakeUp,
+): string | undefined {
+  if (takeUp.kind === 'unknown') return 'streamVersionUnknown';
+  const { service, version, source, ageMs } = takeUp;
+  const { facts, route } = record;
+  log(step, 'streamTakenUp', {
+    request: facts.requestId,
+    resumes: facts.resumedRequestId ?? '',
+    lastEvent: facts.lastEventId ?? -1,
+    version,
+    source,
+    ageMs: Math.round(ageMs),
+  });
+  if (!route.targets.some((target) => target.service === service)) return 'streamServiceMoved';
+  record.service = service;
+  record.beganAtVersion = version;
+  return hasServersOfVersion(state, record) ? undefined : 'noServerOfVersion';
 }
 
 function createRecord(params: {
@@ -121,6 +161,7 @@
     failedToConnect: false,
     relayed: false,
     lastEventId: undefined,
+    beganAtVersion: undefined,
     counted: false,
     reservedAtMs,
   };
@@ -145,7 +186,10 @@
 /** Cancels a request whose caller has closed its connection. */
 export function onCallerGone(state: GatewayState, step: Step, event: EventOf<'callerGone'>): void {
   const record = state.requests.get(event.exchangeId);
-  if (record === undefined) return removePendingRequest(state, event.exchangeId);
+  if (record === undefined) {
+    removeLookup(state, event.exchangeId);
+    return removePendingRequest(state, event.exchangeId);
+  }
   recordAbandonedAnswer(state, step, record);
   cancelAll(state, step, record);
   state.requests.delete(event.exchangeId);
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -15,6 +15,7 @@
 import { placementFields } from '../placement/placementFields.js';
 import { recordPlacement } from '../placement/servicePlacement.js';
 import { speedLogFields } from '../serverSpeeds/speedOf.js';
+import { resumeRule } from '../streamVersions/resumeRule.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
 /** Returns the best server for a request now, or undefined when none is eligible. */
@@ -35,6 +36,8 @@
     targetMs: firstEventTargetMs(record, step.nowMs),
     nowMs: step.nowMs,
   };
+  const mayResume = resumeRule(state, record, step.nowMs);
+  if (mayResume !== undefined) return chooseServer(state, { ...params, isAllowed: mayResume });
   const rule = versionRule(state, record);
   if (rule === undefined) return chooseServer(state, params);
   const choice = chooseServer(state, { ...params, isAllowed: rule.isAllowed });
@@ -73,7 +76,7 @@
   state: GatewayState,
   step: Step,
   record: RequestRecord,
-  choice = chooseServerFor(state, step, record),
+  choice = chooseServerFor(state, step, record) ?? chooseForRelayedStream(state, step, record),
 ): void {
   if (choice === undefined) {
     const retryAfterMs = reserveRetryAfterMs(state, record, step.nowMs);
@@ -83,6 +86,15 @@
   send(state, step, record, choice);
 }
 
+/** Returns a server that has lost the stream before, where no other one of its version can go on with it. */
+function chooseForRelayedStream(
+  state: GatewayState,
+  step: Step,
+  record: RequestRecord,
+): Choice | undefined {
+  return record.relayed ? chooseServerFor(state, step, record, new Set()) : undefined;
+}
+
 function send(state: GatewayState, step: Step, record: RequestRecord, choice: Choice): void {
   const { view, prefillTokens, conditions, expectedMs, modelMs } = choice;
   const attempt: Attempt = {
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -24,6 +24,7 @@
 import { mayShowBackup } from '../store/storeEra.js';
 import { mergeDraining } from '../statements/draining.js';
 import { findStatements } from '../statements/incarnationStatements.js';
+import { recordServedVersion } from '../streamVersions/servedVersions.js';
 
 /** How long after the store's return entries of live servers may be missing, in ms: they register again within about 2 s. */
 const EXPIRY_GRACE_MS = 2000;
@@ -118,9 +119,9 @@
       slots: String(received.slots),
     });
   }
+  recordServedVersion(state, step, entry);
   const leaving = entry.state === ServerState.leaving;
-  const isRestarted =
-    known !== undefined && isLaterIncarnation(entry.bornAtMs, known.entry.bornAtMs);
+  const isRestarted = known !== undefined && isNextIncarnation(entry, known.entry);
   const isChanged = known === undefined || isRestarted || known.entry.state !== entry.state;
   if (isChanged) recordRegistryChange(state, step, { id: entry.id, entry });
   if (known === undefined || isRestarted) {
@@ -138,6 +139,12 @@
   if (leaving || known.statements?.leaving !== undefined) known.leaving = true;
 }
 
+/** Whether an entry is of an incarnation after the known one. A server changes its version only by a restart. */
+function isNextIncarnation(entry: ServerEntry, known: ServerEntry): boolean {
+  if (isLaterIncarnation(entry.bornAtMs, known.bornAtMs)) return true;
+  return entry.bornAtMs === known.bornAtMs && entry.version !== known.version;
+}
+
 /** Whether an entry is of an incarnation before the latest known one, which never comes back. */
 function isOfEarlierIncarnation(state: GatewayState, entry: ServerEntry): boolean {
   const { id, bornAtMs } = entry;
@@ -174,6 +181,7 @@
     cachedParts: new Map(),
     placeUse: undefined,
     link: undefined,
+    connectionLostAtMs: Number.NEGATIVE_INFINITY,
   };
 }
 
--- a/packages/reedlug-gateway/src/slices/store/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/store/storeEra.ts
@@ -6,6 +6,7 @@
 import { recordLeaseEra } from 'reedlug-coordination';
 import { forgetCrashRow } from '../crashes/crashRow.js';
 import { forgetRecord } from '../rollouts/rollouts.js';
+import { forgetStreamRows } from '../streamVersions/streamRows.js';
 import { forgetCheckpoint } from '../usage/usage.js';
 import { announceDecisions } from '../usage/usageDecisions.js';
 import { log, type GatewayState, type Step } from '../../state.js';
@@ -39,6 +40,7 @@
   forgetCheckpoint(state);
   for (const view of state.rollouts.values()) forgetRecord(view);
   forgetCrashRow(state, step);
+  forgetStreamRows(state);
   state.clockRowIsLost = true;
   announceDecisions(state, step);
 }
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -16,6 +16,7 @@
 import type { ServerLinks } from './types/serverLink.js';
 import type { ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
+import type { StreamVersions } from './types/streamVersion.js';
 import type { WorkspaceShares } from './types/workspaceShares.js';
 import type {
   ActiveConfiguration,
@@ -112,6 +113,8 @@
   /** Time at which the store last answered a peer, as reported by peers. */
   storeContactByPeerAtMs: number;
   requests: Map<number, RequestRecord>;
+  /** Streams that may be taken up, and the software versions at which they began. */
+  streamVersions: StreamVersions;
   /** Requests that arrived before the configuration and the servers were known. */
   pendingRequests: PendingRequest[];
   quotas: Map<string, QuotaView>;
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -7,6 +7,11 @@
 import type { AnswerStatements, ServerStatementsMessage } from './serverStatement.js';
 import type { HostPort, ServerChange } from './server.js';
 import type { ConnectionTry } from './serverLink.js';
+import type {
+  StreamStartAnsweredMessage,
+  StreamStartAskedMessage,
+  StreamStartsMessage,
+} from './streamVersion.js';
 import type {
   PeerAddress,
   PeerMessage,
@@ -111,6 +116,9 @@
   | { type: 'storeClock'; storeNowMs: number }
   | { type: 'peerMessage'; message: PeerMessage }
   | { type: 'peerUsage'; message: UsageMessage }
+  | { type: 'streamStarts'; message: StreamStartsMessage }
+  | { type: 'streamStartAsked'; message: StreamStartAskedMessage }
+  | { type: 'streamStartAnswered'; message: StreamStartAnsweredMessage }
   | { type: 'unitsAsked'; message: UnitsAskedMessage }
   | { type: 'unitsLent'; message: UnitsLentMessage }
   | { type: 'unitsReturned'; message: UnitsReturnedMessage }
@@ -142,6 +150,7 @@
   | { kind: 'usage'; window: number }
   | { kind: 'checkpoint' }
   | { kind: 'crashSuspects'; writes: boolean }
+  | { kind: 'streamRows'; call: 'read' | 'writeOwn' | 'writeVersions' }
   /** Record of the roll-out that the order with this revision started. */
   | { kind: 'rollout'; service: string; revision: number }
   /**
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -11,6 +11,11 @@
 import type { RolloutGossip } from './rollout.js';
 import type { HostPort, ServerChange } from './server.js';
 import type { ServerStatementsMessage } from './serverStatement.js';
+import type {
+  StreamStartAnsweredMessage,
+  StreamStartAskedMessage,
+  StreamStartsMessage,
+} from './streamVersion.js';
 import type { SpeedGossip } from './serverSpeed.js';
 import type { WorkloadRow } from './workspaceShares.js';
 
@@ -235,4 +240,7 @@
   | UnitsLentMessage
   | UnitsReturnedMessage
   | CrashSuspectsMessage
-  | ServerStatementsMessage;
+  | ServerStatementsMessage
+  | StreamStartsMessage
+  | StreamStartAskedMessage
+  | StreamStartAnsweredMessage;
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -2,6 +2,7 @@
 import type { Reach } from 'reedlug-coordination';
 import type { SendConditions } from '../policy/engineModel.js';
 import type { RouteSpec } from './configuration.js';
+import type { TakeUp } from './streamVersion.js';
 
 /** A part of a prompt that other requests may share. */
 export interface PromptPart {
@@ -115,6 +116,11 @@
   relayed: boolean;
   /** Id of the last complete event that was relayed to the caller. */
   lastEventId: number | undefined;
+  /**
+   * Software version of the server that produced the first event, in this answer or in an earlier one
+   * of the caller; undefined while there is none.
+   */
+  beganAtVersion: string | undefined;
   /** True once the request is counted in the usage of its workspace. */
   counted: boolean;
 }
@@ -137,4 +143,6 @@
   awaitsUnits?: boolean;
   /** Time of its first refusal, if it took the units that were reserved then. */
   reservedAtMs?: number | undefined;
+  /** How the stream that it takes up goes on, once that is known. */
+  takeUp?: TakeUp | undefined;
 }
--- /dev/null
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -0,0 +1,156 @@
+/**
+ * Software versions at which streams began.
+ *
+ * What servers of two versions write does not fit together, so a stream goes on only at the version
+ * that produced its first event, inside one answer and when its caller takes it up at any box.
+ */
+import type { PendingRequest } from './request.js';
+
+/** A stream that its caller may take up. */
+export interface StreamStart {
+  /** Workspace, and id of the request that brought the first event. */
+  key: string;
+  service: string;
+  /** Software version of the first event's server; undefined if two streams have the same key. */
+  version: string | undefined;
+  /** Time after which its caller has given up. */
+  untilMs: number;
+  /** True if this box relayed the stream, in this life or an earlier one. */
+  isOwn: boolean;
+  /** Box or row from which it is known, and the time of its first record here. */
+  source: string;
+  recordedAtMs: number;
+}
+
+/** A stream in a message or a row: key, service, version, and time left until its caller gives up, in ms. */
+export type StreamStartRow = readonly [string, string, string | null, number];
+
+/** Streams that the sender relayed. */
+export interface StreamStartsMessage {
+  kind: 'streamStarts';
+  boxId: string;
+  starts: readonly StreamStartRow[];
+}
+
+/** Asks for the start of a stream; `host` and `port` are the address of the asking box. */
+export interface StreamStartAskedMessage {
+  kind: 'streamStartAsked';
+  boxId: string;
+  host: string;
+  port: number;
+  key: string;
+  service: string;
+}
+
+/** Answers for the start of a stream. */
+export interface StreamStartAnsweredMessage {
+  kind: 'streamStartAnswered';
+  boxId: string;
+  key: string;
+  /** Null if the box does not know the stream. */
+  start: StreamStartRow | null;
+  /** Versions of the service at which a stream may have begun, as the box has seen them. */
+  versions: readonly string[];
+}
+
+/** How a stream that is taken up goes on. */
+export type TakeUp =
+  | { kind: 'goOn'; service: string; version: string; source: string; ageMs: number }
+  /** The version is not known, and several are possible. */
+  | { kind: 'unknown' };
+
+/** State of the table with regard to a look-up. */
+export type TableLookup = 'pending' | 'read' | 'failed';
+
+/** A request that takes a stream up, until this box knows at which version the stream began. */
+export interface TakeUpLookup {
+  request: PendingRequest;
+  /** Undefined if the caller does not name the request that began the stream. */
+  key: string | undefined;
+  service: string;
+  sinceMs: number;
+  untilMs: number;
+  /** Boxes whose answer is awaited. */
+  awaited: Set<string>;
+  /** Versions of the service that other boxes have seen. */
+  versions: Set<string>;
+  table: TableLookup;
+}
+
+/** Prefix of the rows of this concept in the shared table. */
+export const STREAM_ROWS_PREFIX = 'streams/';
+/** Key of the row with the versions that serve side by side. */
+export const SERVED_VERSIONS_KEY = `${STREAM_ROWS_PREFIX}versions`;
+
+/** Returns the key of the row with the streams of a box. */
+export function streamStartsKey(boxId: string): string {
+  return `${STREAM_ROWS_PREFIX}of/${boxId}`;
+}
+
+/** A software version in the registry. */
+export interface ServedVersion {
+  /** Time at which it was last there. */
+  seenAtMs: number;
+  isPresent: boolean;
+}
+
+/** Row of the streams of a box; the times left count from `storeNowMs`. */
+export interface StreamStartsRow {
+  storeNowMs: number;
+  starts: readonly StreamStartRow[];
+}
+
+/**
+ * Versions of a service, each with the store's time at which its last server was gone; null while it
+ * serves.
+ */
+export type VersionEnds = Readonly<Record<string, number | null>>;
+
+/** Row of the services of which several versions serve, or did until lately. */
+export interface ServedVersionsRow {
+  services: Readonly<Record<string, VersionEnds>>;
+}
+
+/** What a box knows of streams and the versions at which they began. */
+export interface StreamVersions {
+  starts: Map<string, StreamStart>;
+  /** Versions of each service that were in the registry lately. */
+  served: Map<string, Map<string, ServedVersion>>;
+  /** Times at which the versions were last checked, and streams last removed. */
+  checkedAtMs: number;
+  prunedAtMs: number;
+  lookups: TakeUpLookup[];
+  /** Requests whose look-up has ended. */
+  resolved: { request: PendingRequest; takeUp: TakeUp }[];
+  /** The last read of the rows: its time, and whether its answer is awaited; a wanted one is still to be made. */
+  read: { sentAtMs: number; isPending: boolean; isWanted: boolean };
+  /** Row of this box: its version, the time of its last write, and whether streams have begun since. */
+  ownRow: { version: number; writtenAtMs: number; isPending: boolean; isOutdated: boolean };
+  /** Row of the versions that serve side by side, as last known. */
+  versionsRow: {
+    version: number;
+    services: Readonly<Record<string, VersionEnds>>;
+    isPending: boolean;
+    isOutdated: boolean;
+  };
+}
+
+/** Returns the state of a box that has just started. */
+export function createStreamVersions(): StreamVersions {
+  return {
+    starts: new Map(),
+    served: new Map(),
+    checkedAtMs: Number.NEGATIVE_INFINITY,
+    prunedAtMs: Number.NEGATIVE_INFINITY,
+    lookups: [],
+    resolved: [],
+    read: { sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, isWanted: false },
+    ownRow: {
+      version: 0,
+      writtenAtMs: Number.NEGATIVE_INFINITY,
+      isPending: false,
+      isOutdated: false,
+    },
+    versionsRow: { version: 0, services: {}, isPending: false, isOutdated: false },
+  };
+}
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -61,6 +61,8 @@
   placeUse: PlaceUse | undefined;
   /** Undefined unless the last direct connection to the server failed. */
   link: ServerLink | undefined;
+  /** Time at which a connection with a request under way last broke. */
+  connectionLostAtMs: number;
 }
 
 /** A workspace's limit, in force from a given time. */
--- a/packages/reedlug-soak/src/streamCallers.ts
+++ b/packages/reedlug-soak/src/streamCallers.ts
@@ -29,6 +29,8 @@
   /** Undefined when the connection gave no response. */
   status: number | undefined;
   events: readonly ReceivedEvent[];
+  /** True when the stream ended as complete, which one that is taken up after its last event does at once. */
+  isWhole: boolean;
 }
 
 /** A stream over all attempts of its caller. */
@@ -58,7 +60,7 @@
   while (tries.length < MAX_TRIES) {
     const box = random.whole(0, targets.length - 1);
     const first = tries.find(({ events }) => events.length > 0);
-    const { outcome, isWhole, retryAfterMs } = await tryOnce({
+    const { outcome, retryAfterMs } = await tryOnce({
       target: targets[box] as CallTarget,
       box,
       requestId: `${name}-${tries.length}`,
@@ -69,7 +71,7 @@
       leavesAfterEvents: first === undefined ? leavesAfterEvents : undefined,
     });
     tries.push(outcome);
-    if (isWhole) return { tries };
+    if (outcome.isWhole) return { tries };
     const leftMs = untilMs - performance.now();
     const pauseMs = retryAfterMs ?? random.whole(MIN_PAUSE_MS, MAX_PAUSE_MS);
     // A caller waits for up to a third of the time that it has left.
@@ -81,7 +83,6 @@
 
 interface TryResult {
   outcome: StreamTry;
-  isWhole: boolean;
   /** Set if the box refused the attempt with a time to come back. */
   retryAfterMs: number | undefined;
 }
@@ -110,12 +111,13 @@
     let status: number | undefined;
     let text = '';
     let retryAfterMs: number | undefined;
-    const finish = (isWhole: boolean): void => {
+    const finish = (isComplete: boolean): void => {
       clearTimeout(timer);
       const endedAtMs = performance.now();
       const events = status === 200 ? eventsOf(text) : [];
-      const outcome = { requestId, box, sentAtMs, endedAtMs, status, events };
-      resolve({ outcome, isWhole: isWhole && status === 200, retryAfterMs });
+      const isWhole = isComplete && status === 200;
+      const outcome = { requestId, box, sentAtMs, endedAtMs, status, events, isWhole };
+      resolve({ outcome, retryAfterMs });
     };
     const outgoing = request({
       ...target,
--- a/packages/reedlug-soak/src/streamVersions.ts
+++ b/packages/reedlug-soak/src/streamVersions.ts
@@ -11,7 +11,7 @@
 /** Number of servers of a version from which its streams have to go on. */
 const MIN_SERVERS = 2;
 
-/** Attempts that were to bring events, and how many of them brought some. */
+/** Attempts, and how many of them brought events or the end of the stream. */
 export interface StreamShare {
   begun: number;
   total: number;
@@ -53,7 +53,7 @@
 
 function shareOf(attempts: readonly StreamTry[]): StreamShare {
   return {
-    begun: attempts.filter(({ events }) => events.length > 0).length,
+    begun: attempts.filter(({ events, isWhole }) => isWhole || events.length > 0).length,
     total: attempts.length,
   };
 }
