--- a/packages/reedlug-decisions/src/__tests__/requests.test.ts
+++ b/packages/reedlug-decisions/src/__tests__/requests.test.ts
@@ -5,6 +5,7 @@
   effectsOf,
   reportServer,
   testDraft,
+  testEngine,
   testNotice,
   type TestBox,
 } from './__fixtures__/testBox.js';
@@ -93,6 +94,31 @@
   expect(second?.serverId).not.equal(first?.serverId);
 });
 
+/** Begins a draft among engines of the given model versions, loses its engine, and returns where it goes on. */
+function resumeBegunDraft(versions: readonly string[], affinityHash: number) {
+  const servers = versions.map((version, index) => testEngine(`engine-${index}`, { version }));
+  const box = createTestBox({ servers });
+  const draft = testDraft('d1', { affinityHash });
+  const first = effectOf(sendRequest(box, 10, draft), 'sendAttempt');
+  const attemptId = first?.attemptId ?? '';
+  box.send(20, { type: 'attemptProgress', attemptId, offset: 0, tokens: ['a', 'b'] });
+  box.send(30, { type: 'attemptLost', attemptId, reached: true });
+  const second = effectOf(box.tickThrough(50, 500), 'sendAttempt');
+  const versionOf = (id = ''): string | undefined => box.state.servers.get(id)?.spec.version;
+  return { first: versionOf(first?.serverId), second: versionOf(second?.serverId) };
+}
+
+test('a draft that has begun resumes only at the model version that began it', () => {
+  for (let affinityHash = 0; affinityHash < 20; affinityHash += 1) {
+    const { first, second } = resumeBegunDraft(['v1', 'v2', 'v1', 'v2'], affinityHash);
+    expect(second).equal(first);
+  }
+});
+
+test('a draft does not go on at another model version where its own has no other engine', () => {
+  expect(resumeBegunDraft(['v1', 'v2'], 7).second).equal(undefined);
+});
+
 test('late tokens of the first attempt are dropped', () => {
   const box = createTestBox();
   const first = effectOf(sendRequest(box, 10, testDraft('d1')), 'sendAttempt');
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -159,9 +159,13 @@
 }
 
 /** True if the engine runs the model version that the request names, or if it names none. */
-function versionMatches(view: ServerView, version: string): boolean {
-  if (version === '') return true;
-  return (view.report?.version ?? view.spec.version) === version;
+export function versionMatches(view: ServerView, version: string): boolean {
+  return version === '' || modelVersionOf(view) === version;
+}
+
+/** Returns the model version that an engine runs; empty if none is stated. */
+export function modelVersionOf({ report, spec }: ServerView): string {
+  return report?.version ?? spec.version;
 }
 
 function selectByPolicy(
--- a/packages/reedlug-decisions/src/slices/reclaim.ts
+++ b/packages/reedlug-decisions/src/slices/reclaim.ts
@@ -12,7 +12,7 @@
 import { ServerKind } from '../types/settings.js';
 import type { BoxState, ServerView, Step } from '../state.js';
 import { recordPrefixLocation } from '../policy/cacheView.js';
-import { firstRanked } from '../policy/routing.js';
+import { firstRanked, modelVersionOf } from '../policy/routing.js';
 import { cancelAttempt, closeAttempt, isStream, openAttempt } from './openAttempts.js';
 import { requeue, retryOrGiveUp } from './retries.js';
 import { log } from './log.js';
@@ -140,10 +140,14 @@
   return moveTargets(state, view).length > 0;
 }
 
-/** Returns the other servers of the same pool that accept requests. */
+/** Returns the other servers of the same pool and model version that accept requests. */
 function moveTargets(state: BoxState, view: ServerView): ServerView[] {
   const pool = state.serversByPool.get(view.spec.pool) ?? [];
-  return pool.filter((other) => other !== view && serverAcceptsRequests(state, other));
+  const version = modelVersionOf(view);
+  return pool.filter(
+    (other) =>
+      other !== view && modelVersionOf(other) === version && serverAcceptsRequests(state, other),
+  );
 }
 
 function startMove(
--- a/packages/reedlug-decisions/src/slices/retries.ts
+++ b/packages/reedlug-decisions/src/slices/retries.ts
@@ -1,5 +1,6 @@
 /** Retries after an attempt without an answer, or the final outcome of the request. */
 import { backoffMs, MemberState } from 'reedlug-coordination';
+import { versionMatches } from '../policy/routing.js';
 import { nextRandom, type BoxState, type Step } from '../state.js';
 import { Reason, type RequestRecord } from '../types/request.js';
 import { dispatchPool } from './dispatch.js';
@@ -21,9 +22,24 @@
     giveUp(state, step, record, Reason.deadline, FAILED_RETRY_MS);
     return;
   }
+  if (!hasEngineForRest(state, record)) {
+    giveUp(state, step, record, Reason.connectionLost);
+    return;
+  }
   requeue(state, step, record, causedByServerStop(state, record));
 }
 
+/** True unless an answer has begun and no engine of its model version is left to go on with it. */
+function hasEngineForRest(state: BoxState, { spec, ledger }: RequestRecord): boolean {
+  if (ledger.tokens.length === 0) return true;
+  const pool = state.serversByPool.get(spec.pool) ?? [];
+  return pool.some(
+    (view) =>
+      versionMatches(view, spec.version) &&
+      serverMember(state, view.spec.id)?.state !== MemberState.dead,
+  );
+}
+
 /** True if the server of the last attempt is draining or dead; such a retry is free of the budget. */
 function causedByServerStop(state: BoxState, record: RequestRecord): boolean {
   const last = record.attempts.at(-1);
--- a/packages/reedlug-decisions/src/slices/streamAttempts.ts
+++ b/packages/reedlug-decisions/src/slices/streamAttempts.ts
@@ -2,8 +2,8 @@
 import { acceptEnd, acceptTokens, Outcome, Reach } from 'reedlug-coordination';
 import { rulesFor } from '../plans/rules.js';
 import { recordCacheHit, recordOwnPrefixLocation } from '../policy/cacheView.js';
-import { shortlist } from '../policy/routing.js';
-import type { BoxState, Step } from '../state.js';
+import { modelVersionOf, shortlist } from '../policy/routing.js';
+import type { BoxState, ServerView, Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
 import { Reason, type Attempt, type RequestRecord } from '../types/request.js';
 import { dispatchPool } from './dispatch.js';
@@ -57,11 +57,21 @@
   attempt.reach = Reach.answered;
   if (attempt.firstTokenAtMs !== undefined) return;
   const view = state.servers.get(attempt.serverId);
+  if (view !== undefined) bindToVersion(record, view);
   if (view !== undefined && attempt.open) view.pendingPrefillTokens -= record.spec.promptTokens;
   attempt.firstTokenAtMs = step.nowMs;
   record.firstTokenMs ??= step.nowMs - record.arrivedAtMs;
 }
 
+/**
+ * Binds an answer that has begun to the model version of its engine, for resumptions here and at a box
+ * that takes the request over: tokens of two versions do not fit together.
+ */
+function bindToVersion(record: RequestRecord, view: ServerView): void {
+  if (record.spec.version !== '') return;
+  record.spec = { ...record.spec, version: modelVersionOf(view) };
+}
+
 function recordTokenInterval(
   state: BoxState,
   attempt: Attempt,
