--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -76,8 +76,8 @@
   | { kind: 'serverRests'; server: number; restSeconds: string; forMs: number }
   /** The server resets all its connections at each interval. */
   | { kind: 'serverResets'; server: number; everyMs: number; forMs: number }
-  /** All servers of a software version end at once. */
-  | { kind: 'versionEnds'; version: string }
+  /** All servers of a software version end at once; later as many of another version start, if one is given. */
+  | { kind: 'versionEnds'; version: string; backAs?: string }
   /** Servers of a software version are drained one by one, and one of another version starts for each. */
   | { kind: 'versionReplaced'; from: string; to: string; everyMs: number }
   | { kind: 'configure' }
--- a/packages/reedlug-soak/src/index.ts
+++ b/packages/reedlug-soak/src/index.ts
@@ -3,3 +3,5 @@
 export * from './guarantees.js';
 export * from './runSoak.js';
 export * from './soakRecord.js';
+export { drawStreamLoad } from './streamCallers.js';
+export { describeStreams } from './streamVersions.js';
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -3,7 +3,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from 'reedlug-standins';
 import { createCallers, type CallSpec, type Callers } from './callers.js';
-import { planFaults, type Fault } from './faultPlan.js';
+import { planFaults, type Fault, type PlannedFault } from './faultPlan.js';
+import { planVersionFaults } from './versionFaultPlan.js';
 import { injectFault } from './injectFault.js';
 import { crashUnderRequest } from './serverFaults.js';
 import { findViolations, type Violation } from './guarantees.js';
@@ -123,8 +124,10 @@
     boxes,
     limitedKey: LIMITED_WORKSPACE.key,
   });
-  const plannedFaults =
-    options.faults ?? planFaults({ seed, lengthMs, boxes, servers: world.servers.length });
+  const plannedFaults = options.faults ?? [
+    ...planFaults({ seed, lengthMs, boxes, servers: world.servers.length }),
+    ...versionFaultsOf(options, world),
+  ];
   const callers = createCallers();
   const crashes: Promise<void>[] = [];
   world.onCrashingRequest = (server) => crashes.push(crashUnderRequest(world, record, server));
@@ -165,6 +168,18 @@
   };
 }
 
+/** Returns the drawn faults of software versions, if the run has any. */
+function versionFaultsOf(
+  { seed, lengthMs, boxes, streams }: SoakOptions,
+  world: SoakWorld,
+): PlannedFault[] {
+  if (streams?.addsFaults !== true) return [];
+  const servers = [...world.servers.keys()].filter(
+    (index) => world.servers[index]?.version !== undefined,
+  );
+  return planVersionFaults({ seed, lengthMs, boxes, servers });
+}
+
 async function waitForBoxes(world: SoakWorld): Promise<void> {
   const endMs = performance.now() + START_TIMEOUT_MS;
   for (const { readiness } of world.boxes) {
--- a/packages/reedlug-soak/src/streamCallers.ts
+++ b/packages/reedlug-soak/src/streamCallers.ts
@@ -2,6 +2,7 @@
 import { request, type IncomingMessage } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Random } from 'reedlug-standins';
+import { drawVersions } from './versionFaultPlan.js';
 import { SERVICE_HOST, type CallTarget } from './callers.js';
 
 /** Load of streams, and the software versions of their servers. */
@@ -11,6 +12,17 @@
   leavingShare: number;
   /** Software versions of the servers, in turn. */
   versions: readonly string[];
+  /** Whether faults of the versions are drawn beside the other faults. */
+  addsFaults?: boolean;
+}
+
+/** Share of callers that leave in a drawn load. */
+const DRAWN_LEAVING_SHARE = 0.3;
+
+/** Returns a load with versions drawn from the seed, and faults of these versions beside the other ones. */
+export function drawStreamLoad(seed: number, perSecond: number): StreamLoad {
+  const versions = drawVersions(seed);
+  return { perSecond, leavingShare: DRAWN_LEAVING_SHARE, versions, addsFaults: true };
 }
 
 /** An event as the caller received it. */
--- a/packages/reedlug-soak/src/streamVersions.ts
+++ b/packages/reedlug-soak/src/streamVersions.ts
@@ -70,6 +70,14 @@
   return Math.min(before, ...during.map(({ servers }) => servers)) >= MIN_SERVERS;
 }
 
+/** Describes the streams of a run in a line of its report. */
+export function describeStreams(record: SoakRecord): string {
+  const taken = takenUpStreams(record, () => true);
+  const fresh = newStreams(record, () => true);
+  const mixed = mixedStreams(record).length;
+  return `streams: new=${fresh.begun}/${fresh.total} takenUp=${taken.begun}/${taken.total} mixed=${mixed}`;
+}
+
 /** Checks both guarantees of streams over a run. */
 export function checkStreamVersions(record: SoakRecord, bounds: GuaranteeBounds): Violation[] {
   const violations: Violation[] = [];
--- a/packages/reedlug-soak/src/versionFaults.ts
+++ b/packages/reedlug-soak/src/versionFaults.ts
@@ -4,7 +4,7 @@
 import { LinkFault, type Fault } from './faultPlan.js';
 import { ENTRY_LIFETIME_MS, replaceServer } from './serverFaults.js';
 import type { SoakRecord } from './soakRecord.js';
-import type { SoakServer, SoakWorld } from './soakWorld.js';
+import { startNextIncarnation, type SoakServer, type SoakWorld } from './soakWorld.js';
 
 /** Makes a server reset all its connections again and again. */
 export async function resetConnections(
@@ -24,15 +24,21 @@
 export async function endVersion(
   world: SoakWorld,
   record: SoakRecord,
-  { version }: Extract<Fault, { kind: 'versionEnds' }>,
+  { version, backAs }: Extract<Fault, { kind: 'versionEnds' }>,
 ): Promise<void> {
-  const standins = serversOf(world, version).map(({ standin }) => standin);
+  const servers = serversOf(world, version).filter(({ standin }) => !standin.isClosed());
+  const standins = servers.map(({ standin }) => standin);
   for (const standin of standins) {
     standin.close();
     record.leftAtMs.set(standin.id, performance.now() + ENTRY_LIFETIME_MS);
   }
   await delay(ENTRY_LIFETIME_MS);
   for (const { id } of standins) removeServerEntry(world.store, id);
+  if (backAs === undefined) return;
+  for (const server of servers) {
+    server.version = backAs;
+    await startNextIncarnation(world, server, false);
+  }
 }
 
 /** Drains the servers of a version one by one; one of another version starts in place of each. */
--- a/packages/reedlug/src/commands/soak.ts
+++ b/packages/reedlug/src/commands/soak.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Command, Option } from 'clipanion';
-import { runSoak, type SoakResult } from 'reedlug-soak';
+import { describeStreams, drawStreamLoad, runSoak, type SoakResult } from 'reedlug-soak';
 import { parseSeedRange } from './seedRange.js';
 
 const MS_PER_SECOND = 1000;
@@ -27,16 +27,23 @@
     description: 'Number of boxes, each in its own process',
   });
   rate = Option.String('--rate', '60', { description: 'Calls per second over all boxes' });
+  streams = Option.String('--streams', '0', {
+    description:
+      'Streams per second that callers take up, at servers of several software versions; 0 for none',
+  });
+  servers = Option.String('--servers', '3', { description: 'Number of servers of each service' });
   out = Option.String('--out', join(tmpdir(), 'reedlug-soak'), {
     description: 'Folder for logs of runs that failed',
   });
 
   override async execute(): Promise<number> {
     const seeds = parseSeedRange(this.seeds);
-    const [seconds = 0, boxes = 0, rate = 0] = [this.seconds, this.boxes, this.rate].map(Number);
-    if (seeds === undefined || !(seconds > 0) || !(boxes >= 1) || !(rate > 0)) {
+    const texts = [this.seconds, this.boxes, this.rate, this.streams, this.servers];
+    const [seconds = 0, boxes = 0, rate = 0, streams = 0, servers = 0] = texts.map(Number);
+    const areUsable = seconds > 0 && boxes >= 1 && rate > 0 && streams >= 0 && servers >= 1;
+    if (seeds === undefined || !areUsable) {
       this.context.stderr.write(
-        '--seeds must be like 1-50; --seconds, --boxes and --rate must be positive numbers\n',
+        '--seeds must be like 1-50; --seconds, --boxes, --servers and --rate must be positive numbers\n',
       );
       return 1;
     }
@@ -50,8 +57,9 @@
         seed,
         lengthMs: seconds * MS_PER_SECOND,
         boxes,
-        serversPerService: 3,
+        serversPerService: servers,
         callsPerSecond: rate,
+        ...(streams > 0 ? { streams: drawStreamLoad(seed, streams) } : {}),
         folder: join(this.out, `soak-${seed}`),
       });
       this.report(result);
@@ -62,14 +70,17 @@
   }
 
   private report(result: SoakResult): void {
-    const { seed, calls, limitedServed, statuses, faults, violations } = result;
+    const { seed, calls, limitedServed, statuses, faults, violations, record } = result;
     const pairs = (counts: Record<string, number>): string =>
       Object.entries(counts)
         .sort(([a], [b]) => a.localeCompare(b))
         .map(([name, count]) => `${name}=${count}`)
         .join(' ');
     const head = `seed=${seed} calls=${calls} limitedServed=${limitedServed} violations=${violations.length}`;
-    this.context.stdout.write(`${head} statuses: ${pairs(statuses)} faults: ${pairs(faults)}\n`);
+    const streams = record.streams.length === 0 ? '' : ` ${describeStreams(record)}`;
+    this.context.stdout.write(
+      `${head}${streams} statuses: ${pairs(statuses)} faults: ${pairs(faults)}\n`,
+    );
     for (const { promise, detail } of violations) {
       this.context.stdout.write(`  ${promise}: ${detail}\n`);
     }
