Simulator: software versions without a roll-out, and streams that are taken up

Faults mixVersions, endVersion and breakStreams, restarts with another version, and scenes drawn from a seed (--draw-versions); callers name the attempt that brought a stream's first event, and both guarantees of streams are checked in each run. Orders of engines move to a module of their own. Soak: the plan of version faults skips the first random numbers, which neighbouring seeds share; before it drew nothing.

--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -10,12 +10,8 @@
   TABLE_TIMEOUT_MS,
   type Effect,
 } from 'reedlug-gateway';
-import {
-  isReachableFrom,
-  submitToEngine,
-  handleCloudCall,
-  type VirtualServer,
-} from '../servers/virtualServers.js';
+import { handleCloudCall } from '../servers/engineOrders.js';
+import { isReachableFrom, submitToEngine, type VirtualServer } from '../servers/virtualServers.js';
 import { recordArrival, recordLog, recordRun } from '../report/sceneRecord.js';
 import {
   arePartitioned,
@@ -203,7 +199,7 @@
         answer('success', 200);
       }
       respond(() => {
-        box.exchanges.get(exchangeId)?.onEvent(event);
+        box.exchanges.get(exchangeId)?.onEvent(event, server.entry.version ?? '');
         box.emit({ type: 'eventsRelayed', ...ids, lastEventId: event });
         if (!isLast) return;
         endSend(box, server, attemptId, runId);
--- a/packages/reedlug-simulator/src/callers/callerAttempt.ts
+++ b/packages/reedlug-simulator/src/callers/callerAttempt.ts
@@ -26,6 +26,10 @@
   /** Number of events in a stream's answer, and the last one that the caller has received. */
   events: number;
   lastEventId: number | undefined;
+  /** Request that brought the first event, and the software version of its server. */
+  began: { requestId: string; version: string } | undefined;
+  /** Whether the try in progress still has to bring an event, for the record of streams. */
+  isAttemptCounted: boolean;
   /** Number of tries, and what the caller has received of the answer. */
   tries: number;
   firstEventAtMs: number | undefined;
@@ -62,8 +66,8 @@
   request: CallerRequest;
   /** A whole plain answer. */
   onAnswer: () => void;
-  /** An event of a stream. */
-  onEvent: (event: number) => void;
+  /** An event of a stream, from a server of the given software version. */
+  onEvent: (event: number, version: string) => void;
   /** The end of a stream. */
   onEnded: () => void;
   onRefused: (refusal: Refusal) => void;
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -13,6 +13,7 @@
   recordFailed,
   recordRefused,
 } from '../report/sceneRecord.js';
+import { recordStreamAttempt, recordStreamEvent } from '../report/streamRecord.js';
 import { later, nowMs, nextNumber, type World } from '../world.js';
 import { recordLimitRefusal } from '../report/limitRefusals.js';
 import {
@@ -155,6 +156,8 @@
     startedAtMs,
     deadlineAtMs: startedAtMs + spec.deadlineMs,
     lastEventId: undefined,
+    began: undefined,
+    isAttemptCounted: false,
     tries: 0,
     firstEventAtMs: undefined,
     lastEventAtMs: undefined,
@@ -175,9 +178,10 @@
   request.arrivalsInTry = 0;
   request.reachedBoxAtMs = undefined;
   const leftMs = request.deadlineAtMs - nowMs(world);
-  const { facts, lastEventId } = request;
+  const { facts, lastEventId, began } = request;
   const requestId = `${facts.requestId.split('/')[0] ?? ''}/${request.tries}`;
-  request.facts = { ...facts, requestId, deadlineMs: leftMs, lastEventId };
+  const resumedRequestId = began?.requestId;
+  request.facts = { ...facts, requestId, deadlineMs: leftMs, lastEventId, resumedRequestId };
   const box = pickBox(world, request.zone);
   const { callerMs } = world.scene.network;
   if (box === undefined)
@@ -206,8 +210,10 @@
   const exchangeId = box.nextExchangeId;
   box.nextExchangeId += 1;
   request.reachedBoxAtMs = nowMs(world);
-  const attempt = createAttempt(world, request);
+  const leave = (): void => leaveStream(world, request, { box, exchangeId });
+  const attempt = createAttempt(world, request, leave);
   box.exchanges.set(exchangeId, attempt);
+  recordStreamAttempt(world, request, box);
   watchTimeouts(world, request, { box, exchangeId, attempt });
   box.emit({ type: 'requestArrived', exchangeId, facts: request.facts });
 }
@@ -243,13 +249,25 @@
   scheduleCheck();
 }
 
-function createAttempt(world: World, request: CallerRequest): CallerAttempt {
+/** Closes the connection of a stream and takes the stream up a moment later. */
+function leaveStream(
+  world: World,
+  request: CallerRequest,
+  { box, exchangeId }: { box: VirtualBox; exchangeId: number },
+): void {
+  if (!box.exchanges.delete(exchangeId)) return;
+  box.emit({ type: 'callerGone', exchangeId });
+  later(world, RETRY_DELAY_MS, () => sendTry(world, request));
+}
+
+function createAttempt(world: World, request: CallerRequest, leave: () => void): CallerAttempt {
   const { callerMs } = world.scene.network;
   return {
     request,
     onAnswer: () => later(world, callerMs, () => recordAnswered(world, request)),
-    onEvent(event) {
+    onEvent(event, version) {
       later(world, callerMs, () => {
+        recordStreamEvent(world, request, version);
         const atMs = nowMs(world);
         const beforeMs = request.lastEventAtMs;
         if (beforeMs !== undefined) {
@@ -259,6 +277,9 @@
         request.lastEventAtMs = atMs;
         recordEvent(world, request, event);
         request.lastEventId = event;
+        // Without such a fault no random number is drawn, so that other scenes keep theirs.
+        const mayLeave = world.breakShare > 0 && event < request.events;
+        if (mayLeave && world.random.chance(world.breakShare)) leave();
       });
     },
     onEnded: () => later(world, callerMs, () => recordAnswered(world, request)),
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -19,6 +19,7 @@
 import { restoreStore } from './restoreStore.js';
 import { sendCrashingRequests } from './crashingRequests.js';
 import { limitServers } from './limitedServers.js';
+import { endVersion, mixVersions, nextVersionName } from './softwareVersions.js';
 import { announceDraining, refuseRequests } from './serverStatements.js';
 import { startRollout } from './rollouts.js';
 
@@ -94,6 +95,16 @@
       return refuseRequests(world, fault, pickReadyServers(world, fault));
     case 'brittleServers':
       return startBrittlePeriod(world, fault);
+    case 'mixVersions':
+      return mixVersions(world, pickReadyServers(world, fault));
+    case 'endVersion':
+      return endVersion(world, fault);
+    case 'breakStreams': {
+      world.breakShare = fault.share;
+      return later(world, fault.forS * 1000, () => {
+        world.breakShare = 0;
+      });
+    }
     case 'failRequests': {
       world.failShare = fault.share;
       return later(world, fault.forS * 1000, () => {
@@ -217,7 +228,8 @@
 function restartEngines(world: World, fault: FaultOf<'restartEngines'>): void {
   const engines = enginesWhere(world, acceptsNewWork);
   for (const server of pickShare(world, engines, fault.share)) {
-    restartServer(world, server, fault.downS * 1000, fault.tellsBirth);
+    const version = fault.newVersion === true ? nextVersionName(world) : undefined;
+    restartServer(world, server, fault.downS * 1000, fault.tellsBirth, version);
   }
 }
 
--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -3,6 +3,7 @@
 export * from './scene/generateCrashFaults.js';
 export * from './scene/generateLimitFaults.js';
 export * from './scene/generateRollout.js';
+export { generateSoftwareVersions } from './scene/generateSoftwareVersions.js';
 export { generateServerLimits } from './scene/generateServerLimits.js';
 export * from './scene/generateBrittleServers.js';
 export * from './scene/generateServerStatements.js';
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -11,6 +11,7 @@
 import type { PromptRecord } from './largestPrompts.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
 import type { TimedAmount } from './slidingSum.js';
+import { createStreamRecord, type StreamRecord } from './streamRecord.js';
 import {
   createWorkspaceRecord,
   recordWorkspaceEnd,
@@ -100,6 +101,7 @@
   limitedServers: LimitedServerRecord[];
   statingServers: Map<VirtualServer, ServerStatementRecord>;
   duties: DutyRecord;
+  streams: StreamRecord;
   broken: BrokenGuarantee[];
   logs: Map<string, number>;
   /** Called for each log line, to inspect a single run. */
@@ -144,6 +146,7 @@
     limitedServers: [],
     statingServers: new Map(),
     duties: createDutyRecord(),
+    streams: createStreamRecord(),
     broken: [],
     logs: new Map(),
     onLog: () => undefined,
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -14,6 +14,7 @@
 import { largestInTime, largestInTimeByClass } from './largestPrompts.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
 import type { BrokenGuarantee } from './sceneRecord.js';
+import { brokenStreamGuarantees, type AttemptCounts } from './streamRecord.js';
 import { greatestShare, greatestSum } from './slidingSum.js';
 import { fairnessOf, workspaceRows, type Fairness, type WorkspaceRow } from './workspaceRecord.js';
 
@@ -70,6 +71,8 @@
   limits: { workspace: string; most: number; allowed: number }[];
   /** Refusals by limits, by kind, size and workspace. */
   limitRefusals: LimitRefusalRow[];
+  /** Streams with events of several software versions, and attempts at new streams and at ones taken up. */
+  streams: { mixed: number; fresh: AttemptCounts; takenUp: AttemptCounts };
   broken: BrokenGuarantee[];
   logs: Record<string, number>;
   rollouts: RolloutRow[];
@@ -152,6 +155,7 @@
     reducerMsPerBoxSecond: reducerMs / boxes / seconds,
     limits: limitRows(world),
     limitRefusals: limitRefusalRows(world),
+    streams: { ...record.streams, mixed: record.streams.mixed.size },
     broken: record.broken,
     logs: Object.fromEntries(record.logs),
     limitedServers: limitedServerRows(world),
@@ -219,8 +223,12 @@
     if (crashes <= allowed) continue;
     recordBrokenGuarantee(world, 'brittleServers', `${service}: ${crashes} crashes of ${allowed}`);
   }
-  for (const { promise, detail } of brokenRolloutGuarantees(world))
+  for (const { promise, detail } of [
+    ...brokenRolloutGuarantees(world),
+    ...brokenStreamGuarantees(world),
+  ]) {
     recordBrokenGuarantee(world, promise, detail);
+  }
   for (const { digest, ended, furtherSends } of crashingRequestRows(world)) {
     if (furtherSends <= MAX_FURTHER_SENDS) continue;
     recordBrokenGuarantee(
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -75,6 +75,7 @@
     partitions: [],
     brittlePeriods: [],
     failShare: 0,
+    breakShare: 0,
     rollouts: [],
     outOfCapacityUntilMs: 0,
     workspaces,
@@ -82,7 +83,7 @@
     limitPeriods: [{ fromMs: 0, factor: 1 }],
     boxIdByHost: new Map(),
     booting: new Map(),
-    numbers: { servers: 0, engines: 0, runs: 0, requests: 0 },
+    numbers: { servers: 0, engines: 0, runs: 0, requests: 0, versions: 0 },
     hasResolvedPromise: false,
   };
   return world;
--- a/packages/reedlug-simulator/src/scene/faultValidation.ts
+++ b/packages/reedlug-simulator/src/scene/faultValidation.ts
@@ -29,6 +29,8 @@
     downS: positive,
     /** Whether their registry entries contain the time of their start. */
     tellsBirth: z.boolean().default(true),
+    /** Whether each comes back with a new software version. */
+    newVersion: z.boolean().optional(),
   }),
   /** Requests that crash every server that runs them; they are repeated under other ids. */
   z.strictObject({
@@ -90,6 +92,20 @@
     queue: z.number().int().min(0).default(1),
     downS: positive.default(4),
   }),
+  /**
+   * A share of a service's servers is replaced by servers of a new software version, without an order to
+   * the boxes; the replaced servers drain.
+   */
+  z.strictObject({
+    kind: z.literal('mixVersions'),
+    ...startFields,
+    service: z.string().min(1),
+    share,
+  }),
+  /** All servers of one of a service's versions end at once, unless it has only one. */
+  z.strictObject({ kind: z.literal('endVersion'), ...startFields, service: z.string().min(1) }),
+  /** Callers lose the connections of a share of their streams, and take these up. */
+  z.strictObject({ kind: z.literal('breakStreams'), ...spanFields, share }),
   z.strictObject({ kind: z.literal('failRequests'), ...spanFields, share }),
   z.strictObject({
     kind: z.literal('burst'),
--- a/packages/reedlug-simulator/src/servers/virtualServers.ts
+++ b/packages/reedlug-simulator/src/servers/virtualServers.ts
@@ -1,15 +1,8 @@
 /**
- * The servers of a world: engines and plain servers, their registry entries, orders
- * of engines, and the loss of requests when a server ends.
+ * The servers of a world: engines and plain servers, their registry entries, and the loss of requests
+ * when a server ends.
  */
-import { recordDutyCall } from '../report/dutyRecord.js';
-import {
-  RolloutPhase,
-  ServerState,
-  type CloudCall,
-  type CloudOutcome,
-  type ServerEntry,
-} from 'reedlug-gateway';
+import { RolloutPhase, ServerState, type ServerEntry } from 'reedlug-gateway';
 import { recordEngineTime, recordPrefill } from '../report/sceneRecord.js';
 import { arePartitioned, later, nowMs, nextNumber, type World } from '../world.js';
 import type { EngineService, PlainService, SceneService } from '../scene/scene.js';
@@ -24,6 +17,8 @@
 const PLAIN_HEARTBEAT_MS = 1200;
 /** Version of the servers at the start. */
 const FIRST_VERSION = 'v1';
+/** First part of the names of versions that serve without a roll-out. */
+export const MIXED_VERSION_PREFIX = 'mixed-';
 /** Port of every server; only the hosts of addresses differ. */
 const SERVER_PORT = 8509;
 
@@ -80,7 +75,7 @@
   addServer(world, { service: name, zone, slots, reclaimable: false, work, version });
 }
 
-function startEngine(
+export function startEngine(
   world: World,
   service: EngineService,
   zone: string,
@@ -95,18 +90,21 @@
 
 /** Starts one server of another version for each existing server of a service, in the same zone. */
 export function startAlongside(world: World, service: string, version: string): void {
-  const spec = world.scene.services.find(({ name }) => name === service);
   const existing = [...world.servers.values()].filter(
     (server) => server.entry.service === service && acceptsNewWork(server),
   );
-  for (const { entry } of existing) {
-    if (spec?.kind === 'plain') startPlain(world, spec, entry.zone, version);
-    if (spec?.kind === 'engines') startEngine(world, spec, entry.zone, entry.reclaimable, version);
-  }
+  for (const server of existing) startReplacement(world, server, version);
+}
+
+/** Starts a server of another version in the place of one. */
+export function startReplacement(world: World, { entry }: VirtualServer, version: string): void {
+  const spec = world.scene.services.find(({ name }) => name === entry.service);
+  if (spec?.kind === 'plain') startPlain(world, spec, entry.zone, version);
+  if (spec?.kind === 'engines') startEngine(world, spec, entry.zone, entry.reclaimable, version);
 }
 
 /** Returns the default version of a service's servers: that of the last completed roll-out. */
-function currentVersion(world: World, service: string): string {
+export function currentVersion(world: World, service: string): string {
   const done = world.rollouts.filter(
     ({ spec, end }) => spec.service === service && end === RolloutPhase.completed,
   );
@@ -174,75 +172,11 @@
   return service?.kind === 'engines' ? service.heartbeatMs : PLAIN_HEARTBEAT_MS;
 }
 
-/**
- * Returns the engines of one kind in a zone that are not draining, without those of a roll-out in
- * progress, which orders do not count.
- */
-function enginesOf(
-  world: World,
-  params: { service: string; zone: string; reclaimable: boolean },
-): VirtualServer[] {
-  return [...world.servers.values()].filter(
-    (server) =>
-      server.entry.service === params.service &&
-      server.entry.zone === params.zone &&
-      server.entry.reclaimable === params.reclaimable &&
-      server.entry.version === currentVersion(world, params.service) &&
-      acceptsNewWork(server),
-  );
-}
-
 /** Whether a server accepts new requests, as the platform knows; its registry entry may show it later. */
 export function acceptsNewWork({ entry, isDraining }: VirtualServer): boolean {
   return entry.state === ServerState.ready && !isDraining;
 }
 
-/**
- * Returns the number of ordered engines of one kind in a zone that are still booting, in an object
- * that callers update.
- */
-function bootingOf(
-  world: World,
-  { service, zone, reclaimable }: { service: string; zone: string; reclaimable: boolean },
-): { booting: number } {
-  const key = `${service} ${zone} ${String(reclaimable)}`;
-  const known = world.booting.get(key) ?? { booting: 0 };
-  world.booting.set(key, known);
-  return known;
-}
-
-/** Executes an order of engines or accepts a usage report. */
-export function handleCloudCall(
-  world: World,
-  request: { call: CloudCall; holder: string; fence: number },
-): CloudOutcome {
-  const { call } = request;
-  if (recordDutyCall(world, request) === 'fenced') return 'fenced';
-  if (call.kind === 'reportUsage') return 'done';
-  const service = world.scene.services.find(({ name }) => name === call.service);
-  if (service?.kind !== 'engines') return 'refused';
-  world.record.orders += 1;
-  const ordered = bootingOf(world, call);
-  const existing = enginesOf(world, call);
-  const missing = call.wanted - existing.length - ordered.booting;
-  if (missing <= 0) {
-    // The engines that started last drain first.
-    for (const server of existing.slice(call.wanted)) drainServer(world, server, 0);
-    return 'done';
-  }
-  if (call.reclaimable && nowMs(world) < world.outOfCapacityUntilMs) return 'refused';
-  ordered.booting += missing;
-  for (let index = 0; index < missing; index += 1) {
-    const orderedAtMs = nowMs(world);
-    later(world, service.bootMs, () => {
-      ordered.booting -= 1;
-      recordEngineTime(world, call, nowMs(world) - orderedAtMs);
-      startEngine(world, service, call.zone, call.reclaimable);
-    });
-  }
-  return 'done';
-}
-
 /** Announces that a server drains. It ends after the notice; without a notice, when it is idle after the drain time. */
 export function drainServer(world: World, server: VirtualServer, noticeMs: number): void {
   const leavesInMs = noticeMs > 0 ? noticeMs : undefined;
@@ -277,6 +211,7 @@
   server: VirtualServer,
   downMs: number,
   reportsStartTime: boolean,
+  version = server.entry.version,
 ): void {
   const { entry } = server;
   const service = world.scene.services.find(({ name }) => name === entry.service);
@@ -289,7 +224,7 @@
   later(world, downMs, () => {
     const bornAtMs = reportsStartTime ? Math.round(nowMs(world)) : undefined;
     const work = createWork(world, service);
-    const next = { ...entry, state: ServerState.ready, leavesInMs: undefined, bornAtMs };
+    const next = { ...entry, state: ServerState.ready, leavesInMs: undefined, bornAtMs, version };
     world.servers.set(entry.id, createServer(world, next, work));
     world.store.putServer(next);
   });
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -35,6 +35,8 @@
   brittlePeriods: BrittlePeriod[];
   /** Share of requests that engines fail at the moment. */
   failShare: number;
+  /** Probability with which a caller loses its connection after an event of a stream. */
+  breakShare: number;
   /** Roll-outs ordered so far. */
   rollouts: RolloutState[];
   /** World time until which no reclaimable engines can be ordered. */
@@ -47,8 +49,8 @@
   boxIdByHost: Map<string, string>;
   /** Numbers of ordered engines that are still booting, by service, zone and kind. */
   booting: Map<string, { booting: number }>;
-  /** Last numbers assigned to servers, engines, runs and requests. */
-  numbers: { servers: number; engines: number; runs: number; requests: number };
+  /** Last numbers assigned to servers, engines, runs, requests and software versions. */
+  numbers: { servers: number; engines: number; runs: number; requests: number; versions: number };
   /** Set when a Promise was resolved: its continuations run before the next event. */
   hasResolvedPromise: boolean;
 }
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -163,6 +163,13 @@
 
 const SKIPPED_RANDOM_VALUES = 32;
 
+/** Returns the random numbers of a plan. Neighbouring seeds give similar first values, so these are skipped. */
+export function createPlanRandom(seed: number): Random {
+  const random = createRandom(seed);
+  for (let index = 0; index < SKIPPED_RANDOM_VALUES; index += 1) random.unit();
+  return random;
+}
+
 /** Generates the faults of a run; the same seed always gives the same faults. */
 export function planFaults(params: {
   seed: number;
@@ -171,9 +178,7 @@
   servers: number;
 }): PlannedFault[] {
   const { seed, lengthMs, boxes, servers } = params;
-  const random = createRandom(seed);
-  // Neighbouring seeds give similar first values, so these are skipped.
-  for (let index = 0; index < SKIPPED_RANDOM_VALUES; index += 1) random.unit();
+  const random = createPlanRandom(seed);
   const planned: PlannedFault[] = [];
   let atMs = random.exponential(MEAN_FAULT_INTERVAL_MS);
   while (atMs < lengthMs - FAULT_FREE_END_MS) {
--- a/packages/reedlug-soak/src/versionFaultPlan.ts
+++ b/packages/reedlug-soak/src/versionFaultPlan.ts
@@ -1,6 +1,6 @@
 /** Generates faults and changes of software versions from a seed, in addition to the other faults of a run. */
-import { createRandom, type Random } from 'reedlug-standins';
-import type { Fault, PlannedFault } from './faultPlan.js';
+import type { Random } from 'reedlug-standins';
+import { createPlanRandom, type Fault, type PlannedFault } from './faultPlan.js';
 
 /** Mean interval between the starts of these faults, in ms. */
 const MEAN_INTERVAL_MS = 1500;
@@ -17,7 +17,7 @@
 
 /** Returns software versions for servers in turn: of one to many servers each. */
 export function drawVersions(seed: number): readonly string[] {
-  const random = createRandom(seed + SEED_OFFSET);
+  const random = createPlanRandom(seed + SEED_OFFSET);
   return random.pick([
     ['v1', 'v2'],
     ['v1', 'v1', 'v2'],
@@ -36,7 +36,7 @@
   servers: readonly number[];
 }): PlannedFault[] {
   const { seed, lengthMs, boxes, servers } = params;
-  const random = createRandom(seed + 2 * SEED_OFFSET);
+  const random = createPlanRandom(seed + 2 * SEED_OFFSET);
   const planned: PlannedFault[] = [];
   let nextVersion = 4;
   let atMs = random.exponential(MEAN_INTERVAL_MS);
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -7,6 +7,7 @@
   generateLimitFaults,
   generateServerLimits,
   generateServerStatements,
+  generateSoftwareVersions,
   readSceneFile,
   runScene,
   type Scene,
@@ -57,6 +58,10 @@
     description:
       'Generate faults from each seed: the store restored from backups, with other faults alongside',
   });
+  drawVersions = Option.Boolean('--draw-versions', false, {
+    description:
+      'Generate faults from each seed: servers of several software versions, streams that are taken up',
+  });
   logs = Option.String('--log', { description: 'Log events to print, comma-separated, or all' });
 
   override async execute(): Promise<number> {
@@ -77,6 +82,7 @@
   private withGeneratedFaults(scene: Scene, seed: number): Scene {
     if (this.draw) return generateLimitFaults(scene, seed);
     if (this.drawCopies) return generateStoreRestores(scene, seed);
+    if (this.drawVersions) return generateSoftwareVersions(scene, seed);
     if (this.drawStatements) return generateServerStatements(scene, seed);
     if (this.drawServerLimits) return generateServerLimits(scene, seed);
     return this.drawCrashes ? generateCrashFaults(scene, seed) : scene;
--- a/packages/reedlug/src/commands/simulateReport.ts
+++ b/packages/reedlug/src/commands/simulateReport.ts
@@ -113,11 +113,16 @@
     `refused: ${pairs(report.refusedBy)}`,
     `failed: ${pairs(report.failedBy)}`,
     `store calls: ${pairs(report.storeCalls)}`,
+    streamLine(report),
     `engine seconds: on-demand ${engineSeconds.onDemand.toFixed(0)}, reclaimable ${engineSeconds.reclaimable.toFixed(0)}`,
     ...brokenLines([report]),
   ];
 }
 
+function streamLine({ streams: { mixed, fresh, takenUp } }: SceneReport): string {
+  return `streams: new ${fresh.begun} of ${fresh.attempts}, taken up ${takenUp.begun} of ${takenUp.attempts}, of several software versions ${mixed}`;
+}
+
 function workspaceLines(label: string, rows: readonly WorkspaceRow[]): string[] {
   const header = [
     label,
