A changed software version is the next life of a server, also without a start time

The entry replaced the known one, but was not forwarded by hubs, whose members went on with the old version for 4 s. Now it counts as a restart, whose entry is forwarded and whose open sends are lost.

--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -24,7 +24,7 @@
 import { mayShowBackup } from '../store/storeEra.js';
 import { mergeDraining } from '../statements/draining.js';
 import { findStatements } from '../statements/incarnationStatements.js';
-import { recordServedVersion } from '../streamVersions/servedVersions.js';
+import { recordServedVersion, softwareVersionOf } from '../streamVersions/servedVersions.js';
 
 /** How long after the store's return entries of live servers may be missing, in ms: they register again within about 2 s. */
 const EXPIRY_GRACE_MS = 2000;
@@ -141,8 +141,10 @@
 
 /** Whether an entry is of an incarnation after the known one. A server changes its version only by a restart. */
 function isNextIncarnation(entry: ServerEntry, known: ServerEntry): boolean {
-  if (isLaterIncarnation(entry.bornAtMs, known.bornAtMs)) return true;
-  return entry.bornAtMs === known.bornAtMs && entry.version !== known.version;
+  return (
+    isLaterIncarnation(entry.bornAtMs, known.bornAtMs) ||
+    softwareVersionOf(entry) !== softwareVersionOf(known)
+  );
 }
 
 /** Whether an entry is of an incarnation before the latest known one, which never comes back. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -274,6 +274,17 @@
   expect(only(takeUp(box, 2, 'request-1'), 'refuse').reason).to.equal('noServerOfVersion');
 });
 
+test('an entry with another version is the next life of its server, also without a start time', () => {
+  const box = createBoxWithTwoVersions();
+  const { attemptId, order } = only(request(box, 1), 'send');
+  box.take({ type: 'attemptAnswered', exchangeId: 1, attemptId, verdict: 'success', status: 200 });
+  const before = box.state.registryNumber;
+  listEngines(box, { [order.serverId]: { version: 'v9', bornAtMs: undefined } });
+  expect(box.state.requests.get(1)?.attempts[0]?.open).to.equal(false);
+  // Hubs forward it to their members.
+  expect(box.state.registryNumber).to.equal(before + 1);
+});
+
 test('without the store, a server that broke a connection may run another version', () => {
   const box = createServingBox();
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v2' } });
