--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -113,6 +113,8 @@
     clockRequestedAtMs: Number.NEGATIVE_INFINITY,
     clockRowIsLost: false,
     wallClockAheadMs: undefined,
+    lastEventAtMs: nowMs,
+    stalledAtMs: Number.NEGATIVE_INFINITY,
     resumedAtMs: Number.NEGATIVE_INFINITY,
     storeEpochMs: undefined,
     usage: new Map(),
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -46,7 +46,7 @@
 import { onStopAsked, shutdownTick } from './slices/lifecycle/shutdown.js';
 import { serverSpeedsTick } from './slices/serverSpeeds/serverSpeeds.js';
 import { gossipTick } from './slices/peers/sendGossip.js';
-import { checkWallClock } from './slices/lifecycle/suspension.js';
+import { checkWallClock, recordStall } from './slices/lifecycle/suspension.js';
 import { onUnitsAsked, onUnitsReturned } from './slices/limits/unitLoans.js';
 import { onLimitReserveRow, restartReserveTick } from './slices/limits/restartReserve.js';
 import { unitReservationsTick } from './slices/limits/unitReservations.js';
@@ -64,6 +64,7 @@
 export function reduce(state: GatewayState, event: GatewayEvent): Effect[] {
   const step: Step = { nowMs: event.nowMs, wallClockMs: event.wallClockMs, effects: [] };
   checkWallClock(state, step);
+  recordStall(state, step.nowMs);
   handle(state, step, event);
   return step.effects;
 }
--- a/packages/reedlug-gateway/src/slices/crashes/lostServers.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/lostServers.ts
@@ -67,7 +67,11 @@
   event: EventOf<'serverProbed'>,
 ): void {
   // A server that accepts may be the next incarnation, and a silent one may be partitioned: both are detected later.
-  if (event.outcome === 'refused') recordIncarnationEnd(state, step, event.life);
+  if (event.outcome !== 'refused') return;
+  const serverId = state.lostServers.get(event.life)?.serverId ?? '';
+  const view = state.servers.get(serverId);
+  if (view?.life === event.life) view.endSuspectedAtMs = step.nowMs;
+  recordIncarnationEnd(state, step, event.life);
 }
 
 /** Records the end of a server's incarnation: the sends lost there count as lost in a crash. */
--- a/packages/reedlug-gateway/src/slices/lifecycle/suspension.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/suspension.ts
@@ -13,6 +13,8 @@
 
 /** Minimum time that counts as a suspension, in ms: several ticks, and more than clocks are corrected by. */
 const MIN_SUSPENSION_MS = 250;
+/** Minimum time without an event that counts as standing still, in ms: a busy box is late by less. */
+const MIN_STALL_MS = 1000;
 /** Time within which the store's clock shows the suspension that the wall clock has already shown, in ms. */
 const SAME_SUSPENSION_MS = 5000;
 
@@ -24,6 +26,12 @@
   if (lostMs >= MIN_SUSPENSION_MS) applySuspension(state, step, lostMs, 'timeOfDay');
 }
 
+/** Records that the process stood still: ticks come far more often than its threshold. */
+export function recordStall(state: GatewayState, nowMs: number): void {
+  if (nowMs - state.lastEventAtMs >= MIN_STALL_MS) state.stalledAtMs = nowMs;
+  state.lastEventAtMs = nowMs;
+}
+
 /** Checks the store's clock: a slow answer makes its time 0 seem later, never earlier, so it does not look like a suspension. */
 export function checkStoreEpoch(state: GatewayState, step: Step, epochMs: number): void {
   const lostMs = (state.storeEpochMs ?? epochMs) - epochMs;
--- a/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -72,6 +72,7 @@
     case ConnectOutcome.refused:
     case ConnectOutcome.silent:
       if (link !== undefined) link.failedByPeersAtMs = step.nowMs;
+      if (outcome === ConnectOutcome.refused) view.endSuspectedAtMs = step.nowMs;
       confirmFailure(state, view, true);
       return;
     case ConnectOutcome.opened: {
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -184,6 +184,7 @@
     placeUse: undefined,
     link: undefined,
     connectionLostAtMs: Number.NEGATIVE_INFINITY,
+    endSuspectedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
 
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -159,6 +159,9 @@
   clockRowIsLost: boolean;
   /** Difference between wall clock and monotonic clock at the last event, in ms. */
   wallClockAheadMs: number | undefined;
+  /** Time of the last event, and of the first one after the process last stood still. */
+  lastEventAtMs: number;
+  stalledAtMs: number;
   /** Time at which this box last resumed from a suspension, as far as it knows. */
   resumedAtMs: number;
   /**
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -63,6 +63,8 @@
   link: ServerLink | undefined;
   /** Time at which a connection with a request under way last broke. */
   connectionLostAtMs: number;
+  /** Time at which its port last refused a peer, or this box and peers after a lost send: this life has probably ended. */
+  endSuspectedAtMs: number;
 }
 
 /** A workspace's limit, in force from a given time. */
