A tunnel opens only for a box at its known address

Anybody on the network who named a known box was connected to servers. The box that asks binds its own address, and a request from another one than that of the named box is refused (tunnelRefused reason=otherAddress).

--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -144,8 +144,8 @@
   const { state, clock } = runtime;
   const view = state.servers.get(serverId);
   const peers = view === undefined ? [] : connectingPeers(state, view, clock.nowMs());
-  const boxId = state.settings.box.id;
-  const shared = { serverId, boxId, requestId: '', timeoutMs: CONNECT_TIMEOUT_MS };
+  const { id: boxId, ip: boxHost } = state.settings.box;
+  const shared = { serverId, boxId, boxHost, requestId: '', timeoutMs: CONNECT_TIMEOUT_MS };
   const probeThrough = (peer: HostPort): PeerProbe => {
     return (report) => openTunnel({ ...shared, peer }, report);
   };
--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -190,6 +190,7 @@
   report: (result: OpenedSocket) => void,
 ): SocketAttempt {
   const { serverId, requestId } = target;
-  const boxId = settings.box.id;
-  return openTunnel({ peer, serverId, requestId, boxId, timeoutMs: CONNECT_TIMEOUT_MS }, report);
+  const { id: boxId, ip: boxHost } = settings.box;
+  const timeoutMs = CONNECT_TIMEOUT_MS;
+  return openTunnel({ peer, serverId, requestId, boxId, boxHost, timeoutMs }, report);
 }
--- a/packages/reedlug-gateway/src/daemon/tunnels/__tests__/tunnels.test.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/__tests__/tunnels.test.ts
@@ -10,6 +10,8 @@
 
 const LOOPBACK = '127.0.0.1';
 const TIMEOUT_MS = 1000;
+/** Identity of the box that asks; its address is another one than that of the peer. */
+const IDENTITY = { boxId: 'box-1', boxHost: '127.0.0.9' } as const;
 
 function listen(server: Server | HttpServer): Promise<number> {
   return new Promise((resolve) => {
@@ -19,7 +21,7 @@
 
 interface Scene {
   open: (serverId?: string) => Promise<OpenedSocket>;
-  asked: { serverId: string; boxId: string }[];
+  asked: { serverId: string; boxId: string; fromHost: string }[];
   events: EventBody[];
   tries: ConnectionTry[];
   /** Waits until an event of the type has been emitted. */
@@ -45,7 +47,8 @@
   const tries: ConnectionTry[] = [];
   const tunnels = createTunnelServer({
     decide(request) {
-      asked.push({ serverId: request.serverId, boxId: request.boxId });
+      const { serverId, boxId, fromHost } = request;
+      asked.push({ serverId, boxId, fromHost });
       return decide(serverPort);
     },
     onTried: (attempt) => tries.push(attempt),
@@ -61,7 +64,7 @@
       new Promise((resolve) => {
         const address = { host: LOOPBACK, port };
         openTunnel(
-          { peer: address, serverId, boxId: 'box-1', requestId: 'r1', timeoutMs: TIMEOUT_MS },
+          { ...IDENTITY, peer: address, serverId, requestId: 'r1', timeoutMs: TIMEOUT_MS },
           resolve,
         );
       }),
@@ -100,7 +103,9 @@
   const socket = socketOf(await scene.open());
   socket.write('a request');
   expect(await readAll(socket)).to.deep.equal({ text: 'got a request', end: 'clean' });
-  expect(scene.asked).to.deep.equal([{ serverId: 'i 1/ä', boxId: 'box-1' }]);
+  expect(scene.asked).to.deep.equal([
+    { serverId: 'i 1/ä', boxId: 'box-1', fromHost: IDENTITY.boxHost },
+  ]);
   expect(scene.tries.map(({ outcome }) => outcome)).to.deep.equal(['opened']);
   socket.destroy();
   await scene.until('tunnelClosed');
@@ -155,7 +160,8 @@
   const port = await listen(older);
   const result = await new Promise<OpenedSocket>((resolve) => {
     const peer = { host: LOOPBACK, port };
-    openTunnel({ peer, serverId: 's', boxId: 'b', requestId: '', timeoutMs: TIMEOUT_MS }, resolve);
+    const target = { peer, serverId: 's', requestId: '', timeoutMs: TIMEOUT_MS };
+    openTunnel({ ...IDENTITY, ...target }, resolve);
   });
   expect(result.outcome).to.equal(ConnectOutcome.unavailable);
   older.close();
--- a/packages/reedlug-gateway/src/daemon/tunnels/openTunnel.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/openTunnel.ts
@@ -19,18 +19,20 @@
   params: {
     peer: HostPort;
     serverId: string;
-    /** Id of this box. */
+    /** This box's id, and its address, by which the peer knows it. */
     boxId: string;
+    boxHost: string;
     requestId: string;
     timeoutMs: number;
   },
   report: (result: OpenedSocket) => void,
 ): SocketAttempt {
-  const { peer, serverId, boxId, requestId, timeoutMs } = params;
+  const { peer, serverId, boxId, boxHost, requestId, timeoutMs } = params;
   const startedAtMs = performance.now();
   const request = httpRequest({
     host: peer.host,
     port: peer.port,
+    localAddress: boxHost,
     agent: false,
     method: 'CONNECT',
     path: encodeURIComponent(serverId),
--- a/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
@@ -32,10 +32,18 @@
 /** Idle time after which the kernel checks whether the box that asked still exists, in ms. */
 const KEEP_ALIVE_DELAY_MS = 1000;
 
+const IPV4_MAPPED_PREFIX = /^::ffff:/i;
+
 /** What tunnels need of the box. */
 export interface TunnelServerParams {
   /** Decides on a request for a tunnel. */
-  decide: (request: { serverId: string; boxId: string; connecting: number }) => TunnelDecision;
+  decide: (request: {
+    serverId: string;
+    boxId: string;
+    /** Address from which the request comes. */
+    fromHost: string;
+    connecting: number;
+  }) => TunnelDecision;
   onTried: (attempt: ConnectionTry) => void;
   emit: (
     event: Extract<EventBody, { type: 'tunnelRefused' | 'tunnelOpened' | 'tunnelClosed' }>,
@@ -97,7 +105,7 @@
       const client = stream as Socket;
       client.on('error', () => client.destroy());
       const tunnel = tunnelRequestOf(request);
-      const decision = decide({ ...tunnel, connecting });
+      const decision = decide({ ...tunnel, fromHost: hostOf(client), connecting });
       if (decision.kind === 'connect') return connectTo(decision.address, client, tunnel);
       refuse(client, ConnectOutcome.unavailable);
       emit({ type: 'tunnelRefused', ...tunnel, reason: decision.reason });
@@ -117,6 +125,11 @@
   };
 }
 
+/** Returns the address of the other end, without the prefix that marks an IPv4 address on an IPv6 socket. */
+function hostOf({ remoteAddress = '' }: Socket): string {
+  return remoteAddress.replace(IPV4_MAPPED_PREFIX, '');
+}
+
 function refuse(client: Socket, outcome: ConnectFailure): void {
   client.end(`HTTP/1.1 502 Bad Gateway\r\n${OUTCOME_HEADER}: ${outcome}\r\n\r\n`);
 }
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/tunnels.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/tunnels.test.ts
@@ -11,8 +11,14 @@
   return [...state.servers.keys()][0] ?? '';
 }
 
-function decide(box: TestBox, serverId = serverIdOf(box), boxId = 'box-2'): TunnelDecision {
-  return decideTunnel(box.state, { serverId, boxId, connecting: 0 }, 2000);
+/** Address of the peer in the tests. */
+const PEER_HOST = '127.0.0.2';
+
+function decide(
+  box: TestBox,
+  { serverId = serverIdOf(box), boxId = 'box-2', fromHost = PEER_HOST } = {},
+): TunnelDecision {
+  return decideTunnel(box.state, { serverId, boxId, fromHost, connecting: 0 }, 2000);
 }
 
 function boxWithPeer(): TestBox {
@@ -29,8 +35,14 @@
 
 test('neither a server outside the registry nor an unknown box is connected', () => {
   const box = boxWithPeer();
-  expect(decide(box, '127.0.0.1:80')).to.deep.include({ reason: 'unknownServer' });
-  expect(decide(box, serverIdOf(box), 'box-9')).to.deep.include({ reason: 'unknownBox' });
+  expect(decide(box, { serverId: '127.0.0.1:80' })).to.deep.include({ reason: 'unknownServer' });
+  expect(decide(box, { boxId: 'box-9' })).to.deep.include({ reason: 'unknownBox' });
+});
+
+test('who names a known box from another address is not connected', () => {
+  expect(decide(boxWithPeer(), { fromHost: '127.0.0.8' })).to.deep.include({
+    reason: 'otherAddress',
+  });
 });
 
 test('a box with as many tunnels as it may have opens no more', () => {
@@ -39,7 +51,7 @@
   expect(decide(box)).to.deep.include({ reason: 'full' });
   box.state.openTunnels -= 1;
   expect(decide(box).kind).to.equal('connect');
-  const request = { serverId: serverIdOf(box), boxId: 'box-2', connecting: 1 };
+  const request = { serverId: serverIdOf(box), boxId: 'box-2', fromHost: PEER_HOST, connecting: 1 };
   expect(decideTunnel(box.state, request, 2000)).to.deep.include({ reason: 'full' });
 });
 
@@ -52,7 +64,7 @@
   const attempt = { serverId, address, path, outcome, tookMs: 400, requestId: 'r1' };
   box.take({ type: 'connectionTried', attempt });
   const { triedAtMs = 0 } = box.state.servers.get(serverId)?.link ?? {};
-  const request = { serverId, boxId: 'box-2', connecting: 0 };
+  const request = { serverId, boxId: 'box-2', fromHost: PEER_HOST, connecting: 0 };
   expect(decideTunnel(box.state, request, triedAtMs + 100)).to.deep.include({ reason: 'linkDown' });
   expect(decideTunnel(box.state, request, triedAtMs + 600).kind).to.equal('connect');
 });
--- a/packages/reedlug-gateway/src/slices/peers/tunnels.ts
+++ b/packages/reedlug-gateway/src/slices/peers/tunnels.ts
@@ -14,6 +14,7 @@
       reason:
         | 'switchedOff'
         | 'unknownBox'
+        | 'otherAddress'
         | 'unknownServer'
         | 'stopping'
         | 'cutOff'
@@ -24,13 +25,16 @@
 /** Decides on a peer's request to connect it to a server, while `connecting` other connections are on their way. */
 export function decideTunnel(
   state: GatewayState,
-  { serverId, boxId, connecting }: { serverId: string; boxId: string; connecting: number },
+  request: { serverId: string; boxId: string; fromHost: string; connecting: number },
   nowMs: number,
 ): TunnelDecision {
+  const { serverId, boxId, fromHost, connecting } = request;
   const { areUsed, maxTunnels } = state.settings.tunnels;
   const view = state.servers.get(serverId);
   if (!areUsed) return { kind: 'refuse', reason: 'switchedOff' };
-  if (!state.peers.has(boxId)) return { kind: 'refuse', reason: 'unknownBox' };
+  const peer = state.peers.get(boxId);
+  if (peer === undefined) return { kind: 'refuse', reason: 'unknownBox' };
+  if (peer.address.host !== fromHost) return { kind: 'refuse', reason: 'otherAddress' };
   if (view === undefined) return { kind: 'refuse', reason: 'unknownServer' };
   if (isTooLateToAccept(state, nowMs, RouteKind.stream)) {
     return { kind: 'refuse', reason: 'stopping' };
