Where no box reaches the servers, callers are refused at once, also during trials

Where connections of all boxes hang, each caller whose request tried a server again was held for 402 to 454 ms and then refused. A box now treats such a try as a trial that nobody waits for: direct, and through peers when these have failed before. It counts servers as reached by no box once two failures are confirmed by peers and none was reached through one, also for servers that it has not tried itself.

--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -56,6 +56,8 @@
 /** What is tried for one connection. */
 interface DialPlan {
   isDirectTried: boolean;
+  /** Whether the connection waits for the attempts. */
+  isAwaited: boolean;
   /** Returns the peers to ask, in order. */
   findPeers: () => PeerAddress[];
   /** Time after which the first is asked, in ms; undefined if none is. */
@@ -94,7 +96,8 @@
   const view = state.servers.get(serverId);
   // A server that has left the registry since is tried directly, in case it still serves.
   if (view === undefined) {
-    return { isDirectTried: true, findPeers: () => [], peersAfterMs: undefined };
+    const shared = { isDirectTried: true, isAwaited: true };
+    return { ...shared, findPeers: () => [], peersAfterMs: undefined };
   }
   const findPeers = (): PeerAddress[] =>
     connectingPeers(state, view, nowMs()).slice(0, MAX_PEERS_ASKED);
@@ -102,9 +105,10 @@
   // While a link is up its connections hardly ever need peers.
   const hasPeers = link === undefined ? state.peers.size > 0 : findPeers().length > 0;
   const plan = connectPlan({ link, links: state.serverLinks, hasPeers, nowMs: nowMs() });
-  const isTrial = link !== undefined && plan.peersAfterMs !== undefined;
+  const isTrial = link !== undefined && (plan.peersAfterMs !== undefined || !plan.isAwaited);
   return {
     isDirectTried: plan.isDirectTried && !(isTrial && trials.has(serverId)),
+    isAwaited: plan.isAwaited,
     findPeers: plan.peersAfterMs === undefined ? () => [] : findPeers,
     peersAfterMs: plan.peersAfterMs,
   };
@@ -136,7 +140,8 @@
     isSettled = true;
     clearTimeout(nextPeerTimer);
     clearTimeout(timeout);
-    for (const attempt of tunnels) attempt.cancel();
+    // Attempts that nobody waits for go on, to learn whether a path is up.
+    if (plan.isAwaited) for (const attempt of tunnels) attempt.cancel();
     callback(result);
   };
 
@@ -181,7 +186,8 @@
     nextPeerTimer = setTimeout(() => setImmediate(askNextPeer), peersAfterMs);
   }
   // The connection pool does not expect an answer before `dial` returns.
-  if (!isDirectRunning && tunnels.size === 0) setImmediate(() => settle({ outcome: failure }));
+  const isAwaited = plan.isAwaited && (isDirectRunning || tunnels.size > 0);
+  if (!isAwaited) setImmediate(() => settle({ outcome: failure }));
 }
 
 function askPeer(
--- a/packages/reedlug-gateway/src/policy/connectPlan.ts
+++ b/packages/reedlug-gateway/src/policy/connectPlan.ts
@@ -24,6 +24,8 @@
 /** How to open a connection. */
 export interface ConnectPlan {
   isDirectTried: boolean;
+  /** Whether the connection waits for the attempts; otherwise they only show whether a path is up again. */
+  isAwaited: boolean;
   /** Time after which peers are asked, in ms; undefined if they aren't. */
   peersAfterMs: number | undefined;
 }
@@ -41,15 +43,19 @@
   const isCut = isCutOff(links);
   if (link === undefined) {
     const afterMs = isCut ? 0 : patienceMs(links);
-    return { isDirectTried: true, peersAfterMs: hasPeers ? afterMs : undefined };
+    const peersAfterMs = hasPeers ? afterMs : undefined;
+    return { isDirectTried: true, isAwaited: !isNoneReached(links), peersAfterMs };
   }
   const isTrialDue = nowMs - link.triedAtMs >= TRIAL_INTERVAL_MS;
-  if (hasPeers && !arePeersFailing(link, nowMs)) {
-    return { isDirectTried: isTrialDue, peersAfterMs: 0 };
-  }
+  const peersAfterMs = hasPeers && !arePeersFailing(link, nowMs) ? 0 : undefined;
   // Neither this box nor its peers reach the server. A connection that hangs would only delay the refusal.
-  const isHopeless = link.failure === ConnectOutcome.silent && reachesNone(links);
-  return { isDirectTried: !isHopeless || isTrialDue, peersAfterMs: undefined };
+  const arePeersWithoutPath = !hasPeers || link.failedByPeersAtMs > link.openedByPeerAtMs;
+  const isHopeless =
+    isNoneReached(links) ||
+    (link.failure === ConnectOutcome.silent && reachesNone(links) && arePeersWithoutPath);
+  if (isHopeless) return { isDirectTried: isTrialDue, isAwaited: false, peersAfterMs };
+  const isDirectTried = isTrialDue || peersAfterMs === undefined;
+  return { isDirectTried, isAwaited: true, peersAfterMs };
 }
 
 /** Returns whether the server itself, and not this box's link to it, is why connections fail. */
@@ -94,6 +100,14 @@
   return false;
 }
 
+/** Returns whether connections of this box hang, and peers have not reached any of these servers either. */
+function isNoneReached(links: ServerLinks): boolean {
+  if (links.failure !== ConnectOutcome.silent) return false;
+  const failures = [...links.failedSinceOpen.values()];
+  const confirmed = failures.filter(({ isConfirmed }) => isConfirmed).length;
+  return confirmed >= MIN_SERVERS_FAILED && !failures.some((failure) => failure.isReachedByPeer);
+}
+
 /** Returns whether direct connections to several servers failed and none came up since. */
 function reachesNone({ failedSinceOpen }: ServerLinks): boolean {
   return failedSinceOpen.size >= MIN_SERVERS_FAILED;
--- a/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -120,7 +120,7 @@
   }
   view.link = { ...(view.link ?? createLink(step.nowMs)), failure: outcome, triedAtMs: step.nowMs };
   if (!links.failedSinceOpen.has(server)) {
-    links.failedSinceOpen.set(server, { isConfirmed: false });
+    links.failedSinceOpen.set(server, { isConfirmed: false, isReachedByPeer: false });
   }
 }
 
@@ -147,7 +147,9 @@
   isConfirmed: boolean,
 ): void {
   const failure = serverLinks.failedSinceOpen.get(entry.id);
-  if (failure !== undefined) failure.isConfirmed = isConfirmed;
+  if (failure === undefined) return;
+  failure.isConfirmed = isConfirmed;
+  failure.isReachedByPeer = !isConfirmed;
 }
 
 /** Forgets the links to servers that are gone. */
--- a/packages/reedlug-gateway/src/types/serverLink.ts
+++ b/packages/reedlug-gateway/src/types/serverLink.ts
@@ -45,9 +45,9 @@
 export interface ServerLinks {
   /**
    * Servers to which direct connections failed since one to any server came up, and whether peers did
-   * not reach the server either.
+   * not reach the server either, or did.
    */
-  failedSinceOpen: Map<string, { isConfirmed: boolean }>;
+  failedSinceOpen: Map<string, { isConfirmed: boolean; isReachedByPeer: boolean }>;
   /** Time at which a direct connection last came up, and how the last failed one did. */
   openedAtMs: number;
   failure: ConnectOutcome | undefined;
