--- a/packages/reedlug-gateway/src/slices/streamVersions/resumeRule.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/resumeRule.ts
@@ -58,7 +58,7 @@
   if (nowMs - view.endSuspectedAtMs < ENDED_SERVER_MS) return false;
   const confirmedAtMs = registryConfirmedAtMs(state, nowMs);
   if (confirmedAtMs < state.stalledAtMs + STALL_SETTLE_MS) return false;
-  if (nowMs - confirmedAtMs <= REGISTRY_TRUSTED_MS) return true;
+  if (state.storeReachable && nowMs - confirmedAtMs <= REGISTRY_TRUSTED_MS) return true;
   return view.connectionLostAtMs <= confirmedAtMs;
 }
 
--- a/packages/reedlug-soak/src/streamCallers.ts
+++ b/packages/reedlug-soak/src/streamCallers.ts
@@ -35,6 +35,7 @@
 /** One of a caller's attempts to get a stream. */
 export interface StreamTry {
   requestId: string;
+  key: string;
   box: number;
   sentAtMs: number;
   endedAtMs: number;
@@ -128,7 +129,7 @@
       const endedAtMs = performance.now();
       const events = status === 200 ? eventsOf(text) : [];
       const isWhole = isComplete && status === 200;
-      const outcome = { requestId, box, sentAtMs, endedAtMs, status, events, isWhole };
+      const outcome = { requestId, key, box, sentAtMs, endedAtMs, status, events, isWhole };
       resolve({ outcome, retryAfterMs });
     };
     const outgoing = request({
--- a/packages/reedlug-soak/src/streamVersions.ts
+++ b/packages/reedlug-soak/src/streamVersions.ts
@@ -87,10 +87,12 @@
     const detail = `${mixed.length} of ${record.streams.length} streams, ${names.join(', ')}`;
     violations.push({ promise: 'one software version a stream', detail });
   }
-  const isInTouch = ({ box, sentAtMs, endedAtMs }: StreamTry): boolean =>
+  // A caller whose key was revoked meanwhile is refused, whatever its stream.
+  const isOwed = ({ key, box, sentAtMs, endedAtMs }: StreamTry): boolean =>
+    !record.revokedAtMs.has(key) &&
     !overlaps(record.troubles.get(box) ?? [], sentAtMs - bounds.recoveryMs, endedAtMs);
-  const taken = takenUpStreams(record, isInTouch);
-  const fresh = newStreams(record, isInTouch);
+  const taken = takenUpStreams(record, isOwed);
+  const fresh = newStreams(record, isOwed);
   if (taken.total < MIN_TAKEN_UP) return violations;
   if (begunShare(taken) >= begunShare(fresh) * MIN_RELATIVE_SHARE) return violations;
   const detail = `${taken.begun} of ${taken.total} taken up, ${fresh.begun} of ${fresh.total} new ones`;
