Streams keep to their version at boxes that do not see the registry change

What shows that a server still runs the life of its entry is now a registry that is current or, while it may not be, an attempt that is open at that life, and each one that began beside it. A stream that began without either is uncertain and goes on nowhere. Where one version has served, nothing changes.

--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -44,7 +44,6 @@
   const found = findOpenAttempt(state, event);
   if (found === undefined) return;
   const view = closeAttempt(state, found.attempt, Reach.none);
-  if (view !== undefined) view.connectionLostAtMs = step.nowMs;
   const isAtFault = isServerAtFault(view?.link, state.serverLinks, step.nowMs);
   if (view !== undefined && isAtFault) recordFailure(view, step.nowMs);
   found.record.failedToConnect = true;
@@ -128,9 +127,13 @@
   { record, attempt }: RequestAttempt,
 ): void {
   if (record.relayed) return;
-  record.beganAtVersion ??= softwareVersionOf(attempt);
+  if (record.beganAtVersion === undefined) {
+    record.beganAtVersion = softwareVersionOf(attempt);
+    record.isBeginUncertain = !attempt.isAtKnownLife && hasSeveralVersions(state, record.service);
+  }
   if (!record.route.resumable) return;
-  const start = recordOwnStart(state, step, record, record.beganAtVersion);
+  const version = record.isBeginUncertain ? undefined : record.beganAtVersion;
+  const start = recordOwnStart(state, step, record, version);
   if (start === undefined) return;
   announceStart(state, step, start);
   if (hasSeveralVersions(state, record.service)) state.streamVersions.ownRow.isOutdated = true;
@@ -254,7 +257,6 @@
   if (found === undefined) return;
   const { record, attempt } = found;
   const view = closeAttempt(state, attempt, reachWhenLost(attempt));
-  if (view !== undefined) view.connectionLostAtMs = step.nowMs;
   recordLoss(state, step, { record, attempt, view });
   recordLostAnswer(state, step, found);
   logLost(step, found, event.reason);
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -162,6 +162,7 @@
     relayed: false,
     lastEventId: undefined,
     beganAtVersion: undefined,
+    isBeginUncertain: false,
     counted: false,
     reservedAtMs,
   };
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -15,6 +15,7 @@
 import { placementFields } from '../placement/placementFields.js';
 import { recordPlacement } from '../placement/servicePlacement.js';
 import { speedLogFields } from '../serverSpeeds/speedOf.js';
+import { knownLives } from '../streamVersions/serverLives.js';
 import { resumeRule } from '../streamVersions/resumeRule.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
@@ -103,6 +104,7 @@
     bornAtMs: view.entry.bornAtMs,
     life: view.life,
     version: view.entry.version,
+    isAtKnownLife: knownLives(state, step.nowMs).has(view),
     sentAtMs: step.nowMs,
     reach: Reach.none,
     open: true,
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
@@ -34,6 +34,7 @@
     bornAtMs: undefined,
     life: 1,
     version: undefined,
+    isAtKnownLife: true,
     sentAtMs: 0,
     reach: Reach.none,
     open: true,
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -183,7 +183,6 @@
     cachedParts: new Map(),
     placeUse: undefined,
     link: undefined,
-    connectionLostAtMs: Number.NEGATIVE_INFINITY,
     endSuspectedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
@@ -0,0 +1,65 @@
+/**
+ * Whether a server still runs the life that its registry entry describes.
+ *
+ * A server may end and come back under its id and address with another version, and accepts whatever
+ * names its id. Its next life writes a new entry at once, which a box sees only while the registry that it
+ * knows is that of the store.
+ */
+import type { GatewayState } from '../../state.js';
+import type { ServerView } from '../../types/views.js';
+import { isFreshPeer } from '../peers/fleet.js';
+
+/** Time without an answer of the store after which a registry entry may be out of date, in ms: longer than a long poll. */
+const REGISTRY_TRUSTED_MS = 2500;
+/** Time after connections were refused by which the entry of a server that has ended is gone or that of its next life, in ms. */
+const ENDED_SERVER_MS = 5000;
+/** Time after the process stood still within which what arrives may have been sent meanwhile, in ms. */
+const STALL_SETTLE_MS = 300;
+
+/** Servers whose entries describe the life that they run. */
+export interface KnownLives {
+  has: (view: ServerView) => boolean;
+}
+
+/**
+ * Returns the servers that are known to run the life of their entry. One whose port refuses connections has
+ * ended. While the registry may be out of date, an attempt that is open at a life shows that it goes on,
+ * and so does each attempt that began beside it.
+ */
+export function knownLives(state: GatewayState, nowMs: number): KnownLives {
+  const lives = isRegistryCurrent(state, nowMs) ? undefined : livesOfOpenAttempts(state);
+  return {
+    has: ({ life, endSuspectedAtMs }) =>
+      nowMs - endSuspectedAtMs >= ENDED_SERVER_MS && (lives === undefined || lives.has(life)),
+  };
+}
+
+function isRegistryCurrent(state: GatewayState, nowMs: number): boolean {
+  const { streamVersions, storeContactAtMs = 0, stalledAtMs, storeReachable } = state;
+  const confirmedAtMs = Math.max(streamVersions.registryConfirmedAtMs, storeContactAtMs);
+  if (confirmedAtMs < stalledAtMs + STALL_SETTLE_MS) return false;
+  return storeReachable && nowMs - confirmedAtMs <= REGISTRY_TRUSTED_MS;
+}
+
+function livesOfOpenAttempts({ requests }: GatewayState): ReadonlySet<number> {
+  const lives = new Set<number>();
+  for (const { attempts } of requests.values()) {
+    for (const { open, isAtKnownLife, life } of attempts)
+      if (open && isAtKnownLife) lives.add(life);
+  }
+  return lives;
+}
+
+/** Updates when a peer last showed that the registry that this box knows is that of the store. */
+export function registryConfirmationTick(state: GatewayState, nowMs: number): void {
+  const { streamVersions } = state;
+  for (const peer of state.peers.values()) {
+    const { message, lastReceivedAtMs } = peer;
+    if (message?.storeContactAgeMs === undefined || !isFreshPeer(peer, nowMs)) continue;
+    if (message.serversRevision > state.serversRevision) continue;
+    const confirmedAtMs = lastReceivedAtMs - message.storeContactAgeMs;
+    if (confirmedAtMs > streamVersions.registryConfirmedAtMs) {
+      streamVersions.registryConfirmedAtMs = confirmedAtMs;
+    }
+  }
+}
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
@@ -24,12 +24,12 @@
   return streamKey(workspace, resumedRequestId ?? requestId);
 }
 
-/** Records that this box relays a stream from a server of the given version; returns its start. */
+/** Records that this box relays a stream from a server of the given version, if that is certain; returns its start. */
 export function recordOwnStart(
   state: GatewayState,
   step: Step,
   record: RequestRecord,
-  version: string,
+  version: string | undefined,
 ): StreamStart | undefined {
   const key = keyOfStream(record);
   if (key === undefined) return undefined;
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -60,8 +60,9 @@
   /** Incarnation of the server: its start time, and its number at this box. */
   bornAtMs: number | undefined;
   life: number;
-  /** Software version of the server. */
+  /** Software version of the server, and whether the server was known to run it when the attempt began. */
   version: string | undefined;
+  isAtKnownLife: boolean;
   sentAtMs: number;
   reach: Reach;
   open: boolean;
@@ -121,6 +122,8 @@
    * of the caller; undefined while there is none.
    */
   beganAtVersion: string | undefined;
+  /** True if that server may have run another version than its entry states, so that no server may go on. */
+  isBeginUncertain: boolean;
   /** True once the request is counted in the usage of its workspace. */
   counted: boolean;
 }
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -11,7 +11,7 @@
   /** Workspace, and id of the request that brought the first event. */
   key: string;
   service: string;
-  /** Software version of the first event's server; undefined if two streams have the same key. */
+  /** Software version of the first event's server; undefined if it is uncertain, or two streams have the same key. */
   version: string | undefined;
   /** Time after which its caller has given up. */
   untilMs: number;
@@ -119,6 +119,8 @@
   /** Times at which the versions were last checked, and streams last removed. */
   checkedAtMs: number;
   prunedAtMs: number;
+  /** Time at which, as peers have shown, the registry that this box knows was that of the store. */
+  registryConfirmedAtMs: number;
   lookups: TakeUpLookup[];
   /** Requests whose look-up has ended. */
   resolved: { request: PendingRequest; takeUp: TakeUp }[];
@@ -142,6 +144,7 @@
     served: new Map(),
     checkedAtMs: Number.NEGATIVE_INFINITY,
     prunedAtMs: Number.NEGATIVE_INFINITY,
+    registryConfirmedAtMs: Number.NEGATIVE_INFINITY,
     lookups: [],
     resolved: [],
     read: { sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, isWanted: false },
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -61,8 +61,6 @@
   placeUse: PlaceUse | undefined;
   /** Undefined unless the last direct connection to the server failed. */
   link: ServerLink | undefined;
-  /** Time at which a connection with a request under way last broke. */
-  connectionLostAtMs: number;
   /** Time at which its port last refused a peer, or this box and peers after a lost send: this life has probably ended. */
   endSuspectedAtMs: number;
 }
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -13,7 +13,7 @@
 import { boxSpecsOf } from '../boxes/boxSpecs.js';
 import { StoreOutage } from '../store/virtualStore.js';
 import { recordDutyOutage } from '../report/dutyRecord.js';
-import { later, type World } from '../world.js';
+import { later, PROPAGATION_MS, type World } from '../world.js';
 import { startBrittlePeriod } from './brittleServers.js';
 import { changeLimits } from './changeLimits.js';
 import { restoreStore } from './restoreStore.js';
@@ -113,12 +113,14 @@
     }
     case 'storeAway': {
       world.store.setOutage(StoreOutage.silent);
+      recordUnstableStore(world, fault.forS);
       recordDutyOutage(world, fault.forS * 1000);
       return later(world, fault.forS * 1000, () => {
         world.store.setOutage(undefined);
       });
     }
     case 'copyStore':
+      recordUnstableStore(world, fault.awayS + fault.againWithinS);
       return restoreStore(world, fault);
     case 'rollout':
       return startRollout(world, fault);
@@ -134,6 +136,12 @@
   }
 }
 
+/** Records that the store is away, and that boxes may not have heard of it for a while after. */
+function recordUnstableStore(world: World, forS: number): void {
+  const untilMs = world.queue.nowMs() + forS * 1000 + PROPAGATION_MS;
+  world.storeUnstableUntilMs = Math.max(world.storeUnstableUntilMs, untilMs);
+}
+
 /** Starts boxes with new ids and hosts. */
 function addBoxes(world: World, perZone: number): void {
   const { zones, boxesPerZone } = world.scene;
--- a/packages/reedlug-simulator/src/report/streamRecord.ts
+++ b/packages/reedlug-simulator/src/report/streamRecord.ts
@@ -2,7 +2,7 @@
 import { isSynchronized, type VirtualBox } from '../boxes/virtualBox.js';
 import type { CallerRequest } from '../callers/callerAttempt.js';
 import { readyServersOf } from '../faults/softwareVersions.js';
-import type { World } from '../world.js';
+import { nowMs, type World } from '../world.js';
 
 /** Number of streams with events of two software versions that the users allow. */
 const MAX_MIXED_STREAMS = 2;
@@ -40,6 +40,8 @@
 export function recordStreamAttempt(world: World, request: CallerRequest, box: VirtualBox): void {
   request.isAttemptCounted = false;
   if (request.spec.kind !== 'stream' || !isSynchronized(world, box)) return;
+  // The users ask it of boxes in touch, which takes a store that has been sound for a while.
+  if (nowMs(world) < world.storeUnstableUntilMs) return;
   const { began, spec } = request;
   if (began !== undefined && readyServersOf(world, spec.service, began.version) < MIN_SERVERS) {
     return;
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -76,6 +76,7 @@
     brittlePeriods: [],
     failShare: 0,
     breakShare: 0,
+    storeUnstableUntilMs: 0,
     rollouts: [],
     outOfCapacityUntilMs: 0,
     workspaces,
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -35,6 +35,8 @@
   brittlePeriods: BrittlePeriod[];
   /** Share of requests that engines fail at the moment. */
   failShare: number;
+  /** Time until which the store is away, or boxes may not have heard of it again. */
+  storeUnstableUntilMs: number;
   /** Probability with which a caller loses its connection after an event of a stream. */
   breakShare: number;
   /** Roll-outs ordered so far. */
