--- a/packages/reedlug-soak/src/__tests__/soak.test.ts
+++ b/packages/reedlug-soak/src/__tests__/soak.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { planFaults } from '../faultPlan.js';
 import { runSoak } from '../runSoak.js';
+import { planVersionFaults } from '../versionFaultPlan.js';
 
 /** Timeout of a short run, in ms, which leaves time for its processes on a loaded machine. */
 const RUN_TIMEOUT_MS = 60_000;
@@ -14,6 +15,14 @@
   expect(planFaults({ seed: 7, ...params })).not.to.deep.equal(planFaults({ seed: 8, ...params }));
 });
 
+test('a seed always gives the same faults of software versions', () => {
+  const params = { lengthMs: 20_000, boxes: 4, servers: [6, 7, 8] };
+  const planned = planVersionFaults({ seed: 7, ...params });
+  expect(planned).to.deep.equal(planVersionFaults({ seed: 7, ...params }));
+  expect(planned).not.to.deep.equal(planVersionFaults({ seed: 8, ...params }));
+  expect(planned.length).to.be.greaterThan(3);
+});
+
 test('a short run of real boxes under faults violates no guarantee', async function () {
   this.timeout(RUN_TIMEOUT_MS);
   const result = await runSoak({
