A stream that turns out to come from the next life of its server is uncertain

The connections of an earlier life end with it, so an attempt that still brings events when a new entry arrives is served by the next life: its stream is uncertain, at all boxes, and goes on nowhere.

--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -9,11 +9,18 @@
 import { hashId, hashString, rendezvousWeight } from 'reedlug-coordination';
 import type { GatewayState, Step } from '../../state.js';
 import type { EventOf } from '../../types/event.js';
+import type { RequestRecord } from '../../types/request.js';
 import type { StreamStart } from '../../types/streamVersion.js';
 import type { PeerView } from '../../types/views.js';
 import { isFreshPeer, isSeed, ownAddress, usesHubs } from '../peers/fleet.js';
 import { hasSeveralVersions, possibleVersions } from './servedVersions.js';
-import { findStart, isStartRow, recordReceivedStart, startRowOf } from './streamStarts.js';
+import {
+  findStart,
+  isStartRow,
+  recordOwnStart,
+  recordReceivedStart,
+  startRowOf,
+} from './streamStarts.js';
 
 /** Number of boxes that keep the start of a stream in a large fleet: one is left with 94 % if half of all boxes fail. */
 const HOLDERS = 4;
@@ -29,6 +36,14 @@
   sendStarts(state, step, [start], holdersOf(state, start.key));
 }
 
+/** Records that events of a stream may be of another version than it was bound to; nobody goes on with it. */
+export function recordUncertainBegin(state: GatewayState, step: Step, record: RequestRecord): void {
+  if (record.beganAtVersion === undefined) return;
+  record.isBeginUncertain = true;
+  const start = recordOwnStart(state, step, record, undefined);
+  if (start !== undefined) announceStart(state, step, start);
+}
+
 /** Sends the starts of all streams of this box, as other boxes may lack them. */
 export function announceOwnStarts(state: GatewayState, step: Step): void {
   const { starts } = state.streamVersions;
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -278,7 +278,7 @@
         recordEvent(world, request, event);
         request.lastEventId = event;
         // Without such a fault no random number is drawn, so that other scenes keep theirs.
-        const mayLeave = world.breakShare > 0 && event < request.events;
+        const mayLeave = world.breakShare > 0 && request.spec.resumable && event < request.events;
         if (mayLeave && world.random.chance(world.breakShare)) leave();
       });
     },
