--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -77,7 +77,7 @@
   state: GatewayState,
   step: Step,
   record: RequestRecord,
-  choice = chooseServerFor(state, step, record) ?? chooseForRelayedStream(state, step, record),
+  choice = chooseServerFor(state, step, record),
 ): void {
   if (choice === undefined) {
     const retryAfterMs = reserveRetryAfterMs(state, record, step.nowMs);
@@ -87,15 +87,6 @@
   send(state, step, record, choice);
 }
 
-/** Returns a server that has lost the stream before, where no other one of its version can go on with it. */
-function chooseForRelayedStream(
-  state: GatewayState,
-  step: Step,
-  record: RequestRecord,
-): Choice | undefined {
-  return record.relayed ? chooseServerFor(state, step, record, new Set()) : undefined;
-}
-
 function send(state: GatewayState, step: Step, record: RequestRecord, choice: Choice): void {
   const { view, prefillTokens, conditions, expectedMs, modelMs } = choice;
   const attempt: Attempt = {
