--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -302,6 +302,15 @@
   expect(only(takeUp(box, 2, 'request-1'), 'refuse').reason).to.equal('streamVersionUnknown');
 });
 
+test('a stream that began in the sample of a roll-out does not go on at the new version', () => {
+  const box = createBoxWithTwoVersions();
+  const starts = [['tiger/request-9', 'engines', 'v2', 5000]] as const;
+  box.take({ type: 'streamStarts', message: { kind: 'streamStarts', boxId: 'box-2', starts } });
+  const order = { service: 'engines', targetVersion: 'v2', durationMs: 20_000, revision: 5 };
+  box.take({ type: 'rolloutOrdered', order });
+  expect(only(takeUp(box, 1, 'request-9'), 'refuse').reason).to.equal('noServer');
+});
+
 test('without the store, a stream goes on only at servers whose life an open attempt shows', () => {
   const box = createServingBox();
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v2' } });
--- a/packages/reedlug-gateway/src/slices/streamVersions/resumeRule.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/resumeRule.ts
@@ -24,24 +24,16 @@
     lives?.has(view) !== false;
 }
 
-/** Whether a roll-out lets streams that have begun at a server's version go on there. */
+/**
+ * Whether a roll-out lets streams that have begun at a server's version go on there. Until a version carries
+ * the load, only first sends go to it: further ones would expose more requests to it than its share.
+ */
 function isOpenToStreams(state: GatewayState, { entry }: ServerView): boolean {
   const view = state.rollouts.get(entry.service);
   if (view === undefined) return true;
   if (isBlockedVersion(view, entry)) return false;
   if (!isTargetVersion(view, entry)) return true;
-  switch (view.phase) {
-    case RolloutPhase.held:
-    case RolloutPhase.rolledBack:
-      return false;
-    case RolloutPhase.sampling:
-      return view.sampleServers.has(entry.id);
-    case RolloutPhase.widened:
-      return view.widenedServers.has(entry.id);
-    case RolloutPhase.shifted:
-    case RolloutPhase.completed:
-      return true;
-  }
+  return view.phase === RolloutPhase.shifted || view.phase === RolloutPhase.completed;
 }
 
 /** Whether any server of a stream's version is there to go on with it, now or once it accepts requests again. */
