Streams and versions: retention kept instead of computed for each stream, writes of the versions bounded

Read as a newcomer: the time for which streams are kept went through all routes for each start, of which there may be thousands; and while the store refuses writes, the versions row was written at each tick. Now every 500 ms and four times a second at most (test).

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
@@ -73,6 +73,24 @@
   expect((again?.value as StreamStartsRow).starts).to.have.length(2);
 });
 
+test('a store that refuses is asked four times a second at most to write the versions', () => {
+  const box = createServingBox();
+  addVersion(box, 'engine-3', 'v2');
+  let writes = 0;
+  for (let passedMs = 0; passedMs < 1000; passedMs += 50) {
+    const isDue = writesOf(box.pass(50)).some(({ key }) => key === SERVED_VERSIONS_KEY);
+    if (!isDue) continue;
+    writes += 1;
+    box.take({
+      type: 'tableAnswered',
+      purpose: { kind: 'streamRows', call: 'writeVersions' },
+      answer: { kind: 'refused', reason: 'throttled', rows: [] },
+      sentAtMs: box.nowMs,
+    });
+  }
+  expect(writes).to.equal(4);
+});
+
 test('the row of an earlier life of the box is kept and announced again', () => {
   const box = createServingBox();
   addVersion(box, 'engine-3', 'v2');
--- a/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
@@ -5,12 +5,10 @@
 import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
 import type { ServerEntry } from '../../types/server.js';
-import type { ServedVersion } from '../../types/streamVersion.js';
+import { MIN_STREAM_RETENTION_MS, type ServedVersion } from '../../types/streamVersion.js';
 
 /** Interval between checks of the registry's versions, in ms. */
 const CHECK_INTERVAL_MS = 500;
-/** Shortest time for which a version that has ended counts, in ms: a server serves on for some seconds after its entry is gone. */
-const MIN_RETENTION_MS = 30_000;
 /** Number of route timeouts within which a stream is over: one for the stream, one for its caller's further attempts. */
 const TIMEOUTS_TO_END = 2;
 
@@ -20,12 +18,16 @@
 }
 
 /** Returns the time after which no caller takes up a stream any more, in ms from its begin. */
-export function streamRetentionMs({ active }: GatewayState): number {
-  const routes = active?.configuration.routes ?? [];
-  const timeouts = routes
-    .filter(({ kind }) => kind === RouteKind.stream)
-    .map(({ timeoutMs }) => timeoutMs);
-  return Math.max(MIN_RETENTION_MS, TIMEOUTS_TO_END * Math.max(0, ...timeouts));
+export function streamRetentionMs({ streamVersions }: GatewayState): number {
+  return streamVersions.retentionMs;
+}
+
+function retentionOfRoutes({ active }: GatewayState): number {
+  let longestMs = 0;
+  for (const { kind, timeoutMs } of active?.configuration.routes ?? []) {
+    if (kind === RouteKind.stream) longestMs = Math.max(longestMs, timeoutMs);
+  }
+  return Math.max(MIN_STREAM_RETENTION_MS, TIMEOUTS_TO_END * longestMs);
 }
 
 /** Records that the registry lists a server. */
@@ -82,6 +84,8 @@
   const { streamVersions } = state;
   if (step.nowMs - streamVersions.checkedAtMs < CHECK_INTERVAL_MS) return;
   streamVersions.checkedAtMs = step.nowMs;
+  // Kept, as there may be thousands of routes.
+  streamVersions.retentionMs = retentionOfRoutes(state);
   const present = presentVersions(state);
   const retentionMs = streamRetentionMs(state);
   for (const [service, ofService] of streamVersions.served) {
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
@@ -32,6 +32,8 @@
 
 /** Shortest interval between writes of this box's row, in ms: what began since is lost with all boxes. */
 const MIN_WRITE_INTERVAL_MS = 500;
+/** Shortest interval between writes of the versions row, in ms, so that a store that refuses is not pressed. */
+const VERSIONS_WRITE_INTERVAL_MS = 250;
 /** Interval for each box of the fleet, in ms: all boxes together write at most a hundred times a second. */
 const WRITE_INTERVAL_PER_BOX_MS = 10;
 /** Maximum number of streams in a row, the newest ones; a row stays below 16 KB. */
@@ -43,13 +45,16 @@
 export function streamRowsTick(state: GatewayState, step: Step): void {
   const { read, ownRow, versionsRow } = state.streamVersions;
   if (read.isWanted && !read.isPending) readStreamRows(state, step);
-  if (versionsRow.isOutdated && !versionsRow.isPending) writeServedVersions(state, step);
+  const isVersionsDue = step.nowMs - versionsRow.writtenAtMs >= VERSIONS_WRITE_INTERVAL_MS;
+  if (versionsRow.isOutdated && !versionsRow.isPending && isVersionsDue) {
+    writeServedVersions(state, step);
+  }
   if (!ownRow.isOutdated || ownRow.isPending) return;
   const intervalMs = Math.max(MIN_WRITE_INTERVAL_MS, fleetSize(state) * WRITE_INTERVAL_PER_BOX_MS);
   if (step.nowMs - ownRow.writtenAtMs >= intervalMs) writeOwnRow(state, step);
 }
 
-/** Reads the rows unless a read is under way that was sent in this step. */
+/** Reads the rows, with those of other boxes in a small fleet. */
 export function readStreamRows(state: GatewayState, step: Step): void {
   const { read } = state.streamVersions;
   read.isWanted = false;
@@ -90,6 +95,7 @@
   const services = mergeServedVersions(state, step);
   if (isSameServices(services, versionsRow.services)) return;
   versionsRow.isPending = true;
+  versionsRow.writtenAtMs = step.nowMs;
   const value: ServedVersionsRow = { services };
   const write = { key: SERVED_VERSIONS_KEY, expectVersion: versionsRow.version, value };
   const op = { kind: 'transact', writes: [write] } as const;
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -6,6 +6,12 @@
  */
 import type { PendingRequest } from './request.js';
 
+/**
+ * Shortest time for which streams, and versions that have ended, are kept, in ms: a server serves on for
+ * some seconds after its entry is gone.
+ */
+export const MIN_STREAM_RETENTION_MS = 30_000;
+
 /** A stream that its caller may take up. */
 export interface StreamStart {
   /** Workspace, and id of the request that brought the first event. */
@@ -116,6 +122,8 @@
   starts: Map<string, StreamStart>;
   /** Versions of each service that were in the registry lately. */
   served: Map<string, Map<string, ServedVersion>>;
+  /** Time after which no caller takes up a stream any more, in ms from its begin. */
+  retentionMs: number;
   /** Times at which the versions were last checked, and streams last removed. */
   checkedAtMs: number;
   prunedAtMs: number;
@@ -132,6 +140,7 @@
   versionsRow: {
     version: number;
     services: Readonly<Record<string, VersionEnds>>;
+    writtenAtMs: number;
     isPending: boolean;
     isOutdated: boolean;
   };
@@ -142,6 +151,7 @@
   return {
     starts: new Map(),
     served: new Map(),
+    retentionMs: MIN_STREAM_RETENTION_MS,
     checkedAtMs: Number.NEGATIVE_INFINITY,
     prunedAtMs: Number.NEGATIVE_INFINITY,
     registryConfirmedAtMs: Number.NEGATIVE_INFINITY,
@@ -154,6 +164,12 @@
       isPending: false,
       isOutdated: false,
     },
-    versionsRow: { version: 0, services: {}, isPending: false, isOutdated: false },
+    versionsRow: {
+      version: 0,
+      services: {},
+      writtenAtMs: Number.NEGATIVE_INFINITY,
+      isPending: false,
+      isOutdated: false,
+    },
   };
 }
