--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -3,7 +3,6 @@
 import type { EventOf } from '../../types/event.js';
 import type { RouteSpec, WorkspaceSpec } from '../../types/configuration.js';
 import type { PendingRequest, RequestFacts, RequestRecord } from '../../types/request.js';
-import type { TakeUp } from '../../types/streamVersion.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import {
   addPendingRequest,
@@ -25,10 +24,11 @@
 import { holdForFirstUnits } from '../limits/restartReserve.js';
 import { hasServersOfVersion } from '../streamVersions/resumeRule.js';
 import {
+  decideTakeUp,
   lookupsTick,
   removeLookup,
   takeResolvedRequests,
-  takeUpOf,
+  type TakeUpDecision,
 } from '../streamVersions/takeUps.js';
 import { refuseOverLimit, requestAndAwaitUnits } from '../limits/waitingSends.js';
 
@@ -78,12 +78,10 @@
   const record = createRecord({
     ...{ exchangeId, facts, route, workspace, reservedAtMs, nowMs: arrivedAtMs },
   });
-  const takeUp = takeUpOf(state, step, request, record);
-  if (takeUp === undefined) return;
-  if (takeUp !== 'new') {
-    const refusal = applyTakeUp(state, step, record, takeUp);
-    if (refusal !== undefined) return refuseNow(503, refusal, VERSION_RETRY_MS);
-  }
+  const takeUp = decideTakeUp(state, step, request, record);
+  if (takeUp.kind === 'held') return;
+  const versionFault = applyTakeUp(state, step, record, takeUp);
+  if (versionFault !== undefined) return refuseNow(503, versionFault, VERSION_RETRY_MS);
   const refusal = crashRefusal(state, step, record);
   if (refusal !== undefined) return refuseNow(refusal.status, refusal.reason, refusal.retryAfterMs);
   const choice = chooseServerFor(state, step, record);
@@ -115,8 +113,9 @@
   state: GatewayState,
   step: Step,
   record: RequestRecord,
-  takeUp: TakeUp,
+  takeUp: Exclude<TakeUpDecision, { kind: 'held' }>,
 ): string | undefined {
+  if (takeUp.kind === 'new') return undefined;
   if (takeUp.kind === 'unknown') return 'streamVersionUnknown';
   const { service, version, source, ageMs } = takeUp;
   const { facts, route } = record;
--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -19,27 +19,27 @@
 const MAX_LOOKUP_MS = 300;
 
 /** Whether the caller of a request has events of the stream already. */
-export function isTakenUp({ lastEventId, resumedRequestId }: RequestFacts): boolean {
+function isTakenUp({ lastEventId, resumedRequestId }: RequestFacts): boolean {
   return lastEventId !== undefined || resumedRequestId !== undefined;
 }
 
-/**
- * Returns how a stream that is taken up goes on; undefined while the request is held until that is known,
- * and `new` for other requests.
- */
-export function takeUpOf(
+/** What is to be done with a request: others than those that take up a stream are new. */
+export type TakeUpDecision = { kind: 'new' } | { kind: 'held' } | TakeUp;
+
+/** Returns how a stream that is taken up goes on, or holds its request until that is known. */
+export function decideTakeUp(
   state: GatewayState,
   step: Step,
   request: PendingRequest,
   record: RequestRecord,
-): TakeUp | 'new' | undefined {
-  if (record.route.kind !== RouteKind.stream || !isTakenUp(record.facts)) return 'new';
+): TakeUpDecision {
+  if (record.route.kind !== RouteKind.stream || !isTakenUp(record.facts)) return { kind: 'new' };
   if (request.takeUp !== undefined) return request.takeUp;
   const key = keyOfStream(record);
   const start = findStart(state, key);
   if (start !== undefined) return takeUpOfStart(start, step);
   startLookup(state, step, { request, key, service: record.service });
-  return undefined;
+  return { kind: 'held' };
 }
 
 function takeUpOfStart(start: StreamStart, { nowMs }: Step): TakeUp {
