Lines on servers name their software version; simulator: an ended life announces nothing

With the version in serverAdded and serverBorn the cause was seen at once: the delayed first entry of a server's earlier life overwrote that of its next one in the simulated registry, as the simulator asked whether the id was still there and not whether the life was.

--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -194,6 +194,7 @@
     zone: entry.zone,
     state: entry.state,
     reclaimable: entry.reclaimable,
+    version: softwareVersionOf(entry),
     source,
   };
 }
--- a/packages/reedlug-simulator/src/servers/virtualServers.ts
+++ b/packages/reedlug-simulator/src/servers/virtualServers.ts
@@ -143,7 +143,7 @@
   const isInitial = nowMs(world) === 0;
   const spreadMs = spec?.kind === 'engines' ? spec[isInitial ? 'entrySpreadMs' : 'heartbeatMs'] : 0;
   later(world, world.random.unit() * spreadMs, () => {
-    if (world.servers.has(entry.id)) world.store.putServer(server.entry);
+    if (world.servers.get(entry.id) === server) world.store.putServer(server.entry);
   });
 }
 
