--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -13,7 +13,11 @@
   recordFailed,
   recordRefused,
 } from '../report/sceneRecord.js';
-import { recordStreamAttempt, recordStreamEvent } from '../report/streamRecord.js';
+import {
+  recordStreamAttempt,
+  recordStreamAttemptLost,
+  recordStreamEvent,
+} from '../report/streamRecord.js';
 import { later, nowMs, nextNumber, type World } from '../world.js';
 import { recordLimitRefusal } from '../report/limitRefusals.js';
 import {
@@ -291,6 +295,7 @@
 
 /** Retries after a refusal if the request has not run or is repeatable, at the requested Retry-After. */
 function handleRefusal(world: World, request: CallerRequest, refusal: Refusal): void {
+  recordStreamAttemptLost(world, request);
   const { status, reason, retryAfterMs } = refusal;
   const claimsNotRun = status === 429 || status === 503;
   if (status === BLOCKED_STATUS && request.crashesServer === undefined) {
@@ -317,6 +322,7 @@
 
 /** Retries after a short delay if the request never reached a box or is repeatable; otherwise it has failed. */
 function handleLostConnection(world: World, request: CallerRequest, reason: string): void {
+  recordStreamAttemptLost(world, request);
   const mayRetry = request.reachedBoxAtMs === undefined || isRepeatable(request);
   const leftMs = request.deadlineAtMs - nowMs(world);
   if (!mayRetry || request.tries > request.spec.retries || leftMs <= RETRY_DELAY_MS) {
--- a/packages/reedlug-simulator/src/report/streamRecord.ts
+++ b/packages/reedlug-simulator/src/report/streamRecord.ts
@@ -51,6 +51,15 @@
   request.isAttemptCounted = true;
 }
 
+/** Records that an attempt ended without an event; it is not counted if the servers of its version ended meanwhile. */
+export function recordStreamAttemptLost(world: World, request: CallerRequest): void {
+  const { began, spec, isAttemptCounted } = request;
+  request.isAttemptCounted = false;
+  if (!isAttemptCounted || began === undefined) return;
+  if (readyServersOf(world, spec.service, began.version) >= MIN_SERVERS) return;
+  world.record.streams.takenUp.attempts -= 1;
+}
+
 /** Records an event of a stream from a server of the given version. */
 export function recordStreamEvent(world: World, request: CallerRequest, version: string): void {
   if (request.isAttemptCounted) countsOf(world, request).begun += 1;
