--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -295,8 +295,8 @@
 
 /** Retries after a refusal if the request has not run or is repeatable, at the requested Retry-After. */
 function handleRefusal(world: World, request: CallerRequest, refusal: Refusal): void {
-  recordStreamAttemptLost(world, request);
   const { status, reason, retryAfterMs } = refusal;
+  recordStreamAttemptLost(world, request, status === 429);
   const claimsNotRun = status === 429 || status === 503;
   if (status === BLOCKED_STATUS && request.crashesServer === undefined) {
     recordBroken(world, 'innocentKeptOut', request);
@@ -322,7 +322,7 @@
 
 /** Retries after a short delay if the request never reached a box or is repeatable; otherwise it has failed. */
 function handleLostConnection(world: World, request: CallerRequest, reason: string): void {
-  recordStreamAttemptLost(world, request);
+  recordStreamAttemptLost(world, request, false);
   const mayRetry = request.reachedBoxAtMs === undefined || isRepeatable(request);
   const leftMs = request.deadlineAtMs - nowMs(world);
   if (!mayRetry || request.tries > request.spec.retries || leftMs <= RETRY_DELAY_MS) {
