Logs and metrics: age of each feed of the store and of the registry

The logs could not tell apart a poll noticed too late, one that is never noticed and an entry held back: a feed that is silent for ever left no line. feedFault has the call's duration and the feed's age and is counted, requestSent the age of the registry that chose the server, serverLeaving how long its entry may have been there, registryOverdue says when the registry is older than the bound.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -16,6 +16,7 @@
   IncarnationStatement,
 } from '../../types/serverStatement.js';
 import type { GatewaySettings } from '../../types/settings.js';
+import { StoreFeed, type FeedContact } from '../../types/storeFeed.js';
 
 export const HOST = 'bench.example';
 export const KEY = 'key-of-tiger';
@@ -224,6 +225,14 @@
   return { kind: 'rest', leftMs, askedAgeMs: 0, probeAgeMs: undefined, servedAgeMs: undefined };
 }
 
+/** Returns the event that the store answered a call of a feed, or did not. */
+export function storeContact(reachable: boolean, feed: StoreFeed = StoreFeed.operators): EventBody {
+  const contact: FeedContact = reachable
+    ? { reachable }
+    : { reachable, reason: 'silent', tookMs: 700 };
+  return { type: 'storeContact', feed, ...contact };
+}
+
 /** A box whose clock is controlled by the test. */
 export interface TestBox {
   state: GatewayState;
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -6,6 +6,7 @@
  */
 import { eraOf } from 'reedlug-coordination';
 import type { Feed, FeedAnswer, FeedPage } from '../adapter.js';
+import type { FeedContact } from '../types/storeFeed.js';
 import { PROCESS_CLOCK, type Clock } from './clock.js';
 
 /** Time to wait for an answer beyond the long poll's wait, in ms; the store usually answers in 4 ms and sometimes takes 250 ms. */
@@ -20,7 +21,7 @@
 export interface FeedListener<T> {
   onPage: (page: { items: readonly T[]; whole: boolean; newestRevision: number }) => void;
   onStoreClock: (storeNowMs: number) => void;
-  onContact: (reachable: boolean, reason: string) => void;
+  onContact: (contact: FeedContact) => void;
   /** Returns the latest known era of the store; answers of an earlier era are rejected. */
   storeEra?: () => number | undefined;
   /** Checked before each call once the collection has been read completely; while it returns false, no call is made. */
@@ -62,9 +63,10 @@
     return feed.follow({ afterRevision: position, waitMs, timeoutMs, signal });
   };
 
-  const applyPage = async (page: FeedPage<T>): Promise<void> => {
+  const applyPage = async (page: FeedPage<T>, tookMs: number): Promise<void> => {
     const { items, revision, newestRevision, storeNowMs } = page;
-    if (eraOf(revision) < (listener.storeEra?.() ?? 0)) return fail('answer of an earlier era');
+    if (eraOf(revision) < (listener.storeEra?.() ?? 0))
+      return fail('answer of an earlier era', tookMs);
     const whole = position === undefined;
     if (position !== undefined && eraOf(revision) !== eraOf(position)) {
       position = undefined;
@@ -73,15 +75,15 @@
     pauseMs = INITIAL_PAUSE_MS;
     position = revision;
     hasReadWhole = true;
-    listener.onContact(true, '');
+    listener.onContact({ reachable: true });
     if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
     if (!whole && items.length === 0) return;
     listener.onPage({ items, whole, newestRevision });
     if (listener.pauseAfterPageMs !== undefined) await clock.pause(listener.pauseAfterPageMs);
   };
 
-  const fail = async (reason: string): Promise<void> => {
-    listener.onContact(false, reason);
+  const fail = async (reason: string, tookMs: number): Promise<void> => {
+    listener.onContact({ reachable: false, reason, tookMs });
     await clock.pause(pauseMs);
     pauseMs = Math.min(listener.maxPauseMs ?? MAX_PAUSE_MS, pauseMs * 2);
   };
@@ -91,16 +93,18 @@
       return clock.pause(NOT_NEEDED_PAUSE_MS);
     }
     following.call = new AbortController();
+    const startedAtMs = clock.nowMs();
     const answer = await requestPage(following.call.signal);
     if (following.isCancelled) return;
+    const tookMs = clock.nowMs() - startedAtMs;
     switch (answer.kind) {
       case 'page':
-        return applyPage(answer.page);
+        return applyPage(answer.page, tookMs);
       case 'historyGone':
         position = undefined;
         return;
       case 'unavailable':
-        return fail(answer.reason);
+        return fail(answer.reason, tookMs);
     }
   };
 
--- a/packages/reedlug-gateway/src/daemon/operatorServer.ts
+++ b/packages/reedlug-gateway/src/daemon/operatorServer.ts
@@ -9,6 +9,8 @@
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
 import { blockedSuspects } from '../slices/crashes/crashSuspects.js';
+import { feedAgeMs, registryAgeMs } from '../slices/store/feedAges.js';
+import { StoreFeed } from '../types/storeFeed.js';
 import type { GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { Clock } from './clock.js';
@@ -76,7 +78,12 @@
   metrics.versions.set({ of: 'configuration' }, state.active?.configuration.version ?? 0);
   metrics.versions.set({ of: 'servers' }, versionOf(state.serversRevision));
   metrics.versions.set({ of: 'storeEra' }, state.storeEra ?? 0);
-  setDecisionMetrics(metrics.figures, state, clock.nowMs());
+  const nowMs = clock.nowMs();
+  for (const feed of Object.values(StoreFeed)) {
+    metrics.feedAgeMs.set({ of: feed }, feedAgeMs(state, feed, nowMs));
+  }
+  metrics.feedAgeMs.set({ of: 'registry' }, registryAgeMs(state, nowMs));
+  setDecisionMetrics(metrics.figures, state, nowMs);
   metrics.text().then(
     (text) => response.end(text),
     (error: unknown) => {
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -4,6 +4,7 @@
 import type { GatewayState } from '../state.js';
 import type { EventBody, PeerChange } from '../types/event.js';
 import type { GatewaySettings } from '../types/settings.js';
+import { StoreFeed } from '../types/storeFeed.js';
 import { followsStore, ownAddress, startDelayMs } from '../slices/peers/fleet.js';
 import { isConfigurationOverdue } from '../slices/peers/configurationSources.js';
 import { maintainBoxEntry } from './boxEntry.js';
@@ -48,24 +49,18 @@
     address: ownAddress(runtime.state),
     holdsPart: () => runtime.state.part.opening !== undefined,
   });
-  const common = (name: string): Omit<FeedListener<never>, 'onPage'> => ({
+  const common = (feed: StoreFeed): Omit<FeedListener<never>, 'onPage'> => ({
     onStoreClock: (storeNowMs) => emit({ type: 'storeClock', storeNowMs }),
     storeEra: () => runtime.state.storeEra,
-    onContact(reachable, reason) {
-      if (!reachable) logger('feedFault', { feed: name, reason });
-    },
+    onContact: (contact) => emit({ type: 'storeContact', feed, ...contact }),
   });
   const isNeeded = (): boolean => followsStore(runtime.state, clock.nowMs());
   const operators = followFeed(
     store.operators,
     POLL_WAIT_MS,
     {
-      ...common('operators'),
+      ...common(StoreFeed.operators),
       isNeeded: () => isNeeded() || isConfigurationOverdue(runtime.state, clock.nowMs()),
-      onContact(reachable, reason) {
-        emit({ type: 'storeContact', reachable });
-        if (!reachable) logger('feedFault', { feed: 'operators', reason });
-      },
       onPage({ items }) {
         for (const item of rolloutsFirst(items)) emitOperatorEntry(runtime, item);
       },
@@ -76,7 +71,7 @@
     store.servers,
     POLL_WAIT_MS,
     {
-      ...common('servers'),
+      ...common(StoreFeed.servers),
       isNeeded,
       pauseAfterPageMs: SERVERS_PAUSE_MS,
       onPage({ items, whole, newestRevision }) {
@@ -90,7 +85,7 @@
     store.boxes,
     BOXES_POLL_WAIT_MS,
     {
-      ...common('boxes'),
+      ...common(StoreFeed.boxes),
       pauseAfterPageMs: BOXES_PAUSE_MS,
       maxPauseMs: BOXES_MAX_PAUSE_MS,
       onPage({ items, whole, newestRevision }) {
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -25,6 +25,9 @@
   closedConnections: Counter;
   linesLeftOut: Counter;
   versions: Gauge;
+  /** Age of what this box knows of the store: its own feeds, and the registry from whichever source. */
+  feedAgeMs: Gauge;
+  feedFaults: Counter;
   figures: DecisionMetrics;
   transfers: TransferMetrics;
   text: () => Promise<string>;
@@ -51,6 +54,9 @@
       metrics.continuations.inc({ version: isSame ? 'same' : 'other' });
       return;
     }
+    case 'feedFault':
+      metrics.feedFaults.inc({ feed: textOf(fields['feed']) });
+      return;
     case 'tunnelClosed':
       metrics.tunnelBytes.inc(Number(fields['bytes'] ?? 0));
       return;
@@ -156,6 +162,18 @@
       labelNames: ['of'],
       registers,
     }),
+    feedAgeMs: new Gauge({
+      name: 'reedlug_feed_age_ms',
+      help: 'Time since the store last answered a feed of this box (operators, servers, boxes), and age of the registry by any source (registry), in ms; -1 before',
+      labelNames: ['of'],
+      registers,
+    }),
+    feedFaults: new Counter({
+      name: 'reedlug_feed_faults_total',
+      help: 'Calls of a feed that brought no answer, or one that does not count, by feed',
+      labelNames: ['feed'],
+      registers,
+    }),
     figures: createDecisionMetrics(registry),
     transfers: createTransferMetrics(registry),
     text: () => registry.metrics(),
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -58,6 +58,7 @@
   onStreamStartAsked,
   onStreamStarts,
 } from './slices/streamVersions/startGossip.js';
+import { registryAgeTick } from './slices/store/feedAges.js';
 import { onStreamRows } from './slices/streamVersions/streamRows.js';
 import { streamVersionsTick } from './slices/streamVersions/streamVersionsTick.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage/usage.js';
@@ -153,6 +154,7 @@
 function onTick(state: GatewayState, step: Step, load: ThreadLoad | undefined): void {
   overloadTick(state, step, load);
   serversTick(state, step);
+  registryAgeTick(state, step);
   serverLinksTick(state);
   brittleServicesTick(state, step.nowMs);
   pendingRequestsTick(state, step);
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/fleetStore.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/fleetStore.test.ts
@@ -1,7 +1,13 @@
 /** Tests which boxes of a large fleet read and write the store, and how the others learn its contents. */
 import { expect } from 'chai';
 import { createFleet, type TestFleet } from '../../../__tests__/__fixtures__/fleet.js';
-import { configuration, facts, only, server } from '../../../__tests__/__fixtures__/box.js';
+import {
+  configuration,
+  facts,
+  only,
+  server,
+  storeContact,
+} from '../../../__tests__/__fixtures__/box.js';
 import { ServerState, type ServerChange } from '../../../types/server.js';
 import { followsStore } from '../fleet.js';
 
@@ -70,7 +76,7 @@
   for (const box of fleet.boxes.values()) {
     if (!followsStore(box.state, box.nowMs)) continue;
     readers += 1;
-    box.take({ type: 'storeContact', reachable: true });
+    box.take(storeContact(true));
     const changes = [change];
     box.take({ type: 'serversRead', whole: false, changes, revision, source: 'store' });
   }
@@ -81,7 +87,7 @@
 function createFollowingFleet(): TestFleet {
   const fleet = createFleet({ boxes: 60, zones: ZONES });
   fleet.pass(1000);
-  for (const box of fleet.boxes.values()) box.take({ type: 'storeContact', reachable: true });
+  for (const box of fleet.boxes.values()) box.take(storeContact(true));
   fleet.pass(1500);
   return fleet;
 }
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -20,6 +20,7 @@
 import { speedLogFields } from '../serverSpeeds/speedOf.js';
 import { knownLives } from '../streamVersions/serverLives.js';
 import { resumeRule } from '../streamVersions/resumeRule.js';
+import { registryAgeMs } from '../store/feedAges.js';
 import { carriesLoad, versionRule } from '../rollouts/versionRule.js';
 
 /** Returns the best server for a request now, or undefined when none is eligible. */
@@ -165,6 +166,7 @@
     restLeftMs: Math.max(0, Math.round((view.statements?.rest?.untilMs ?? 0) - step.nowMs)),
     configuration: state.active?.configuration.version ?? 0,
     servers: describeRevision(state.serversRevision),
+    registryAgeMs: registryAgeMs(state, step.nowMs),
     ...placementFields(choice),
   });
 }
--- a/packages/reedlug-gateway/src/slices/servers/__tests__/servers.test.ts
+++ b/packages/reedlug-gateway/src/slices/servers/__tests__/servers.test.ts
@@ -6,6 +6,7 @@
   peerMessage,
   server,
   type TestBox,
+  storeContact,
 } from '../../../__tests__/__fixtures__/box.js';
 import { ServerState } from '../../../types/server.js';
 
@@ -15,9 +16,9 @@
 }
 
 function loseStore(box: TestBox, ms: number): void {
-  box.take({ type: 'storeContact', reachable: false });
+  box.take(storeContact(false));
   box.pass(ms);
-  box.take({ type: 'storeContact', reachable: true });
+  box.take(storeContact(true));
 }
 
 test('a server whose entry is removed is removed at once', () => {
@@ -56,11 +57,11 @@
 
 test('a server whose entry is removed while peers reached the store is removed at once', () => {
   const box = createServingBox();
-  box.take({ type: 'storeContact', reachable: false });
+  box.take(storeContact(false));
   box.pass(2000);
   box.take({ type: 'peerMessage', message: peerMessage({ storeContactAgeMs: 100 }) });
   box.pass(3000);
-  box.take({ type: 'storeContact', reachable: true });
+  box.take(storeContact(true));
   remove(box, 'records-1');
   expect(box.state.servers.has('records-1')).to.equal(false);
 });
@@ -68,11 +69,11 @@
 test('a peer that has not detected the outage of the store yet changes nothing', () => {
   const box = createServingBox();
   box.pass(5000);
-  box.take({ type: 'storeContact', reachable: false });
+  box.take(storeContact(false));
   box.pass(1000);
   box.take({ type: 'peerMessage', message: peerMessage({ storeContactAgeMs: 1500 }) });
   box.pass(3000);
-  box.take({ type: 'storeContact', reachable: true });
+  box.take(storeContact(true));
   remove(box, 'records-1');
   expect(box.state.servers.has('records-1')).to.equal(true);
 });
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -16,11 +16,13 @@
   type ServerChange,
   type ServerEntry,
 } from '../../types/server.js';
+import { StoreFeed } from '../../types/storeFeed.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import type { ServerView } from '../../types/views.js';
 import { recordIncarnationEnd } from '../crashes/lostServers.js';
 import { recordRegistryChange } from '../peers/registryGossip.js';
 import { failOpenAttempts } from './serverIncarnations.js';
+import { recordFeedContact } from '../store/feedAges.js';
 import { mayShowBackup } from '../store/storeEra.js';
 import { mergeDraining } from '../statements/draining.js';
 import { findStatements } from '../statements/incarnationStatements.js';
@@ -234,12 +236,14 @@
   log(step, 'serverGone', { ...entryLogFields(view.entry, reason), running: view.running });
 }
 
-/** Records whether the store answers. */
+/** Records whether the store answers; the feed of the operators' rows tells. */
 export function onStoreContact(
   state: GatewayState,
   step: Step,
   event: EventOf<'storeContact'>,
 ): void {
+  recordFeedContact(state, step, event);
+  if (event.feed !== StoreFeed.operators) return;
   if (event.reachable) state.storeContactAtMs = step.nowMs;
   if (event.reachable === state.storeReachable) return;
   state.storeReachable = event.reachable;
--- a/packages/reedlug-gateway/src/slices/statements/draining.ts
+++ b/packages/reedlug-gateway/src/slices/statements/draining.ts
@@ -23,5 +23,6 @@
     bornAtMs: life.bornAtMs ?? 0,
     source,
     running: view?.running ?? 0,
+    gapMs: state.registryGapMs,
   });
 }
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/store/feedAges.ts
@@ -0,0 +1,57 @@
+/** How old this box's knowledge of the store's collections is. */
+import type { EventOf } from '../../types/event.js';
+import { StoreFeed } from '../../types/storeFeed.js';
+import { log, type GatewayState, type Step } from '../../state.js';
+
+/** Returns the time up to which this box knows the registry: from its own feed, or from a peer whose registry is not newer. */
+export function registryKnownAtMs({ feedAnsweredAtMs, streamVersions }: GatewayState): number {
+  const { servers = Number.NEGATIVE_INFINITY } = feedAnsweredAtMs;
+  return Math.max(servers, streamVersions.registryConfirmedAtMs);
+}
+
+/** Returns the age of this box's knowledge of the registry, in ms, for logs and metrics; -1 before it is known. */
+export function registryAgeMs(state: GatewayState, nowMs: number): number {
+  const ageMs = Math.round(nowMs - registryKnownAtMs(state));
+  return Number.isFinite(ageMs) ? ageMs : -1;
+}
+
+/** Returns the time since the store last answered a feed of this box, in ms; -1 before. */
+export function feedAgeMs(
+  { feedAnsweredAtMs }: GatewayState,
+  feed: StoreFeed,
+  nowMs: number,
+): number {
+  const answeredAtMs = feedAnsweredAtMs[feed];
+  return answeredAtMs === undefined ? -1 : Math.round(nowMs - answeredAtMs);
+}
+
+/** Records how a call of a feed ended. */
+export function recordFeedContact(
+  state: GatewayState,
+  step: Step,
+  event: EventOf<'storeContact'>,
+): void {
+  const { feed } = event;
+  if (event.reachable) {
+    if (feed === StoreFeed.servers) state.registryGapMs = registryAgeMs(state, step.nowMs);
+    state.feedAnsweredAtMs[feed] = step.nowMs;
+    return;
+  }
+  const { reason, tookMs } = event;
+  const ageMs = feedAgeMs(state, feed, step.nowMs);
+  log(step, 'feedFault', { feed, reason, tookMs: Math.round(tookMs), ageMs });
+}
+
+/** Logs when the registry becomes older than the users' bound for draining servers, and when it no longer is. */
+export function registryAgeTick(state: GatewayState, step: Step): void {
+  const ageMs = registryAgeMs(state, step.nowMs);
+  const isOverdue = ageMs > state.settings.bounds.drainMs;
+  if (isOverdue === state.isRegistryOverdue) return;
+  state.isRegistryOverdue = isOverdue;
+  const feeds = Object.values(StoreFeed).map((feed) => [
+    `${feed}AgeMs`,
+    feedAgeMs(state, feed, step.nowMs),
+  ]);
+  const fields = { ageMs, hub: state.hubId ?? '', ...Object.fromEntries(feeds) };
+  log(step, isOverdue ? 'registryOverdue' : 'registryCurrent', fields);
+}
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -4,6 +4,7 @@
   ofType,
   only,
   type TestBox,
+  storeContact,
 } from '../../../__tests__/__fixtures__/box.js';
 import {
   addPeer,
@@ -154,7 +155,7 @@
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v1' } });
   // Before, the engines stated no version.
   passWithoutStall(box, 40_000);
-  box.take({ type: 'storeContact', reachable: true });
+  box.take(storeContact(true));
   takeUp(box, 1, 'request-9');
   expect(ofType(answerRead(box, []), 'send')).to.have.length(1);
 });
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -24,6 +24,7 @@
 import type { ServerLinks } from './types/serverLink.js';
 import type { ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
+import type { StoreFeed } from './types/storeFeed.js';
 import type { StreamVersions } from './types/streamVersion.js';
 import type { WorkspaceShares } from './types/workspaceShares.js';
 import type {
@@ -127,6 +128,12 @@
    */
   storeLostAtMs: number;
   storeReturnedAtMs: number;
+  /** Time at which the store last answered a call of each feed; missing before. */
+  feedAnsweredAtMs: Partial<Record<StoreFeed, number>>;
+  /** Age of the registry right before its feed's last answer, in ms: how late a change in that answer may be; -1 for the first one. */
+  registryGapMs: number;
+  /** Whether the registry is older than the users' bound for servers that drain. */
+  isRegistryOverdue: boolean;
   /** Time at which the store last answered this box; undefined before. */
   storeContactAtMs: number | undefined;
   /** Time at which the store last answered a peer, as reported by peers. */
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -8,6 +8,7 @@
 import type { HostPort, ServerChange } from './server.js';
 import type { ThreadLoad } from './threadLoad.js';
 import type { ConnectionTry } from './serverLink.js';
+import type { FeedContact, StoreFeed } from './storeFeed.js';
 import type {
   StreamStartAnsweredMessage,
   StreamStartAskedMessage,
@@ -102,7 +103,7 @@
       sender?: { boxId: string; registryNumber: number };
     }
   /** States whether the store answered the last call of a feed. */
-  | { type: 'storeContact'; reachable: boolean }
+  | ({ type: 'storeContact'; feed: StoreFeed } & FeedContact)
   /**
    * Era in which the store answers; a later one than before means that the store was restored from
    * a backup.
--- /dev/null
+++ b/packages/reedlug-gateway/src/types/storeFeed.ts
@@ -0,0 +1,11 @@
+/** Collections of the store that boxes follow. */
+
+/** Names of the feeds, as in logs and metrics. */
+export const StoreFeed = { operators: 'operators', servers: 'servers', boxes: 'boxes' } as const;
+export type StoreFeed = (typeof StoreFeed)[keyof typeof StoreFeed];
+
+/** How a call of a feed ended. */
+export type FeedContact =
+  | { reachable: true }
+  /** Without an answer, or with one that does not count; `tookMs` is the time that the call took. */
+  | { reachable: false; reason: string; tookMs: number };
