--- a/packages/reedlug-soak/src/faultProxy.ts
+++ b/packages/reedlug-soak/src/faultProxy.ts
@@ -14,12 +14,29 @@
   setFault: (fault: LinkFault | undefined) => void;
   /** Holds all bytes back until the stall ends. */
   setStalled: (isStalled: boolean) => void;
+  /**
+   * Loses the answers to open HTTP requests whose first line matches, or to the next one if none is
+   * open. Their connections deliver nothing any more, and stay open.
+   */
+  loseNextAnswer: (matches: (requestLine: string) => boolean) => void;
+  /** Makes the open connections silent for good; new ones work. */
+  silenceOpenConnections: () => void;
   /** Refuses new connections; open ones go on. */
   stopListening: () => void;
   listenAgain: () => Promise<void>;
   close: () => void;
 }
 
+/** The two connections of a proxied one. */
+interface SocketPair {
+  client: Socket;
+  upstream: Socket;
+  /** Whether it delivers nothing any more. */
+  isSilent: boolean;
+  /** First line of an HTTP request without an answer yet. */
+  openRequestLine: string | undefined;
+}
+
 /**
  * Opens a proxy on `host`. `target` is read for each connection, as a server may restart on another
  * port.
@@ -31,26 +48,35 @@
 }): Promise<FaultProxy> {
   let fault: LinkFault | undefined;
   let isStalled = false;
-  const pairs = new Set<readonly [Socket, Socket]>();
+  const pairs = new Set<SocketPair>();
+  let losesNext: ((requestLine: string) => boolean) | undefined;
   const server = createServer((client) => {
     if (fault === LinkFault.reset) return void client.resetAndDestroy();
     const upstream = connect(params.target());
-    const pair = [client, upstream] as const;
+    const pair: SocketPair = { client, upstream, isSilent: false, openRequestLine: undefined };
     pairs.add(pair);
+    upstream.on('data', () => (pair.openRequestLine = undefined));
     forward({
       from: client,
       to: upstream,
-      dropsBytes: () => fault === LinkFault.silent,
+      dropsBytes: () => pair.isSilent || fault === LinkFault.silent,
       fault: () => fault,
       isStalled: () => isStalled,
     });
     forward({
       from: upstream,
       to: client,
-      dropsBytes: () => dropsResponses(fault),
+      dropsBytes: () => pair.isSilent || dropsResponses(fault),
       fault: () => fault,
       isStalled: () => isStalled,
     });
+    // Runs after the request was forwarded.
+    client.on('data', (chunk: Buffer) => {
+      pair.openRequestLine = firstLineOf(chunk);
+      if (losesNext?.(pair.openRequestLine) !== true) return;
+      losesNext = undefined;
+      pair.isSilent = true;
+    });
     const destroyPair = (): void => {
       pairs.delete(pair);
       client.destroy();
@@ -73,7 +99,7 @@
       // Bytes dropped during the fault are lost. A connection must not carry bytes from before and
       // after the gap.
       if (!mustReset) return;
-      for (const [client, upstream] of pairs) {
+      for (const { client, upstream } of pairs) {
         client.resetAndDestroy();
         upstream.resetAndDestroy();
       }
@@ -82,10 +108,20 @@
     setStalled(next) {
       isStalled = next;
     },
+    loseNextAnswer(matches) {
+      const open = [...pairs].filter(
+        ({ openRequestLine: line }) => line !== undefined && matches(line),
+      );
+      if (open.length === 0) losesNext = matches;
+      for (const pair of open) pair.isSilent = true;
+    },
+    silenceOpenConnections() {
+      for (const pair of pairs) pair.isSilent = true;
+    },
     stopListening: () => void server.close(),
     listenAgain: () => listen(server, params.host, params.port),
     close() {
-      for (const [client, upstream] of pairs) {
+      for (const { client, upstream } of pairs) {
         client.destroy();
         upstream.destroy();
       }
@@ -94,6 +130,10 @@
   };
 }
 
+function firstLineOf(chunk: Buffer): string {
+  return chunk.toString('latin1').split('\r\n', 1)[0] ?? '';
+}
+
 function dropsResponses(fault: LinkFault | undefined): boolean {
   return fault === LinkFault.silent || fault === LinkFault.oneWay;
 }
