Polls of the store end one box after another, and soon for a box on its own

Callers saw servers that had said they leave used for 2.9 s (bound 2 s) where the answers to the polls of all boxes, of a hub or of a box on its own were lost: a poll waited 2,000 ms, its answer was given 700 ms more, and the next call came 100 ms later.

The boxes that follow the store now end their polls at points of its clock, 350 ms or less apart, so that one of them notices soon whichever answers are lost; a box on its own ends each poll after 350 ms. The time for an answer is estimated from the answers before (150 to 700 ms), and after a failure the store is asked without a wait. Weighed: short waits at all boxes notice as soon; by calculation they cost 14 calls a second more in a fleet of six (not built).

The test boxes settle for 1.5 s first: a box that has just started waits 0.6 s for a hub.

--- a/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
@@ -4,6 +4,9 @@
 import type { Feed, FeedAnswer } from '../../adapter.js';
 import { followFeed, type FeedListener } from '../feedFollower.js';
 
+/** Wait of polls that are answered at once. */
+const noWait = (): number => 0;
+
 interface Calls {
   fullReads: number;
   /** Positions after which changes were requested. */
@@ -45,7 +48,11 @@
   const calls: Calls = { fullReads: 0, followPositions: [] };
   let isNeeded = false;
   const feed = createFeed(calls, () => page([], 11));
-  const following = followFeed(feed, 0, listener({ isNeeded: () => isNeeded }));
+  const following = followFeed({
+    feed,
+    nextWaitMs: noWait,
+    listener: listener({ isNeeded: () => isNeeded }),
+  });
   await delay(300);
   expect(calls).to.deep.equal({ fullReads: 1, followPositions: [] });
   isNeeded = true;
@@ -68,7 +75,11 @@
   };
   const read: string[] = [];
   const onPage = ({ items }: { items: readonly string[] }) => void read.push(...items);
-  const following = followFeed(feed, 0, listener({ onPage, storeEra: () => storeEra }));
+  const following = followFeed({
+    feed,
+    nextWaitMs: noWait,
+    listener: listener({ onPage, storeEra: () => storeEra }),
+  });
   await delay(300);
   following.stop();
   expect(read).to.deep.equal(['of era 1', 'of era 2']);
@@ -89,7 +100,7 @@
   };
   const read: string[] = [];
   const onPage = ({ items }: { items: readonly string[] }) => void read.push(...items);
-  const following = followFeed(feed, 10_000, listener({ onPage }));
+  const following = followFeed({ feed, nextWaitMs: () => 10_000, listener: listener({ onPage }) });
   await delay(20);
   following.restart();
   await delay(20);
@@ -108,7 +119,7 @@
     call === 1 ? { kind: 'historyGone' } : page(['change'], 12),
   );
   const onPage: FeedListener<string>['onPage'] = ({ whole }) => void pages.push(whole);
-  const following = followFeed(feed, 0, listener({ onPage }));
+  const following = followFeed({ feed, nextWaitMs: noWait, listener: listener({ onPage }) });
   await delay(60);
   following.stop();
   expect(calls.fullReads).to.equal(2);
@@ -118,7 +129,11 @@
 test('a burst of changes is read in few pages if the listener pauses', async () => {
   const calls: Calls = { fullReads: 0, followPositions: [] };
   const feed = createFeed(calls, (call) => page(['change'], 10 + call));
-  const following = followFeed(feed, 0, listener({ pauseAfterPageMs: 100 }));
+  const following = followFeed({
+    feed,
+    nextWaitMs: noWait,
+    listener: listener({ pauseAfterPageMs: 100 }),
+  });
   await delay(350);
   following.stop();
   expect(calls.followPositions.length).to.be.within(1, 4);
@@ -144,7 +159,12 @@
         return Promise.resolve();
       },
     };
-    const following = followFeed(feed, 0, listener({ maxPauseMs }), clock);
+    const following = followFeed({
+      feed,
+      nextWaitMs: noWait,
+      listener: listener({ maxPauseMs }),
+      clock,
+    });
     await delay(20);
     return calls;
   };
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -6,14 +6,23 @@
  */
 import { eraOf } from 'reedlug-coordination';
 import type { Feed, FeedAnswer, FeedPage } from '../adapter.js';
+import {
+  createAnswerMargin,
+  recordAnswerTime,
+  recordMissingAnswer,
+  type AnswerMargin,
+} from '../policy/answerMargin.js';
 import type { FeedContact } from '../types/storeFeed.js';
 import { PROCESS_CLOCK, type Clock } from './clock.js';
 
-/** Time to wait for an answer beyond the long poll's wait, in ms; the store usually answers in 4 ms and sometimes takes 250 ms. */
-const ANSWER_MARGIN_MS = 700;
+/** Time limit of each call of a complete read, in ms. */
+const READ_TIMEOUT_MS = 700;
 /** Pause before checking again whether a feed is needed, in ms; short compared to the 2 s within which the users expect changes to apply. */
 const NOT_NEEDED_PAUSE_MS = 200;
-/** Pause after a failed call, in ms; doubled with each further failure up to the maximum. */
+/**
+ * Shortest time from the start of a failed call to the next call, in ms, which is also the pause after each further
+ * failure; doubled with each one up to the maximum. So a single lost answer costs no pause on top of its time limit.
+ */
 const INITIAL_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 500;
 
@@ -45,28 +54,57 @@
   call: AbortController;
 }
 
+/** Answer of a call with its duration; `waitMs` is how long it was allowed to wait for a change, undefined for a complete read. */
+interface TimedAnswer<T> {
+  answer: FeedAnswer<T>;
+  tookMs: number;
+  waitMs: number | undefined;
+}
+
 /** Follows a feed until it is stopped. */
-export function followFeed<T>(
-  feed: Feed<T>,
-  waitMs: number,
-  listener: FeedListener<T>,
-  clock: Clock = PROCESS_CLOCK,
-): FollowedFeed {
+export function followFeed<T>(params: {
+  feed: Feed<T>;
+  /** Returns how long the next poll may wait at the store, in ms. */
+  nextWaitMs: () => number;
+  /** Shared by the feeds of one store, since an idle one learns more of its answers than a busy one. */
+  margin?: AnswerMargin;
+  listener: FeedListener<T>;
+  clock?: Clock;
+}): FollowedFeed {
+  const { feed, nextWaitMs, margin = createAnswerMargin(), listener } = params;
+  const { clock = PROCESS_CLOCK } = params;
   let current: FollowRun = { isCancelled: false, call: new AbortController() };
   let hasReadWhole = false;
   let position: number | undefined;
   let pauseMs = INITIAL_PAUSE_MS;
 
-  const requestPage = (signal: AbortSignal): Promise<FeedAnswer<T>> => {
-    if (position === undefined) return feed.readAll(ANSWER_MARGIN_MS);
-    const timeoutMs = waitMs + ANSWER_MARGIN_MS;
-    return feed.follow({ afterRevision: position, waitMs, timeoutMs, signal });
+  const requestPage = async (signal: AbortSignal): Promise<TimedAnswer<T>> => {
+    const startedAtMs = clock.nowMs();
+    if (position === undefined) {
+      const answer = await feed.readAll(READ_TIMEOUT_MS);
+      return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs: undefined };
+    }
+    // After a failure changes may have been missed, and the store can say at once.
+    const waitMs = pauseMs > INITIAL_PAUSE_MS ? 0 : nextWaitMs();
+    const timeoutMs = waitMs + Math.round(margin.marginMs);
+    const answer = await feed.follow({ afterRevision: position, waitMs, timeoutMs, signal });
+    return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs };
+  };
+
+  /** Learns from the time of an answer; that of a poll with changes does not tell how long its answer took. */
+  const learnMargin = ({ answer, tookMs, waitMs }: TimedAnswer<T>): void => {
+    if (waitMs === undefined) return;
+    const isMissing = answer.kind === 'unavailable' && tookMs >= waitMs + margin.marginMs;
+    const isEmpty = answer.kind === 'page' && answer.page.items.length === 0;
+    if (isMissing) recordMissingAnswer(margin);
+    else if (isEmpty && tookMs >= waitMs) recordAnswerTime(margin, tookMs - waitMs);
   };
 
   const applyPage = async (page: FeedPage<T>, tookMs: number): Promise<void> => {
     const { items, revision, newestRevision, storeNowMs } = page;
-    if (eraOf(revision) < (listener.storeEra?.() ?? 0))
+    if (eraOf(revision) < (listener.storeEra?.() ?? 0)) {
       return fail('answer of an earlier era', tookMs);
+    }
     const whole = position === undefined;
     if (position !== undefined && eraOf(revision) !== eraOf(position)) {
       position = undefined;
@@ -84,8 +122,10 @@
 
   const fail = async (reason: string, tookMs: number): Promise<void> => {
     listener.onContact({ reachable: false, reason, tookMs });
-    await clock.pause(pauseMs);
+    const isFirstFailure = pauseMs === INITIAL_PAUSE_MS;
+    const currentPauseMs = pauseMs;
     pauseMs = Math.min(listener.maxPauseMs ?? MAX_PAUSE_MS, pauseMs * 2);
+    if (!isFirstFailure || tookMs < currentPauseMs) await clock.pause(currentPauseMs);
   };
 
   const step = async (following: FollowRun): Promise<void> => {
@@ -93,10 +133,10 @@
       return clock.pause(NOT_NEEDED_PAUSE_MS);
     }
     following.call = new AbortController();
-    const startedAtMs = clock.nowMs();
-    const answer = await requestPage(following.call.signal);
+    const timed = await requestPage(following.call.signal);
     if (following.isCancelled) return;
-    const tookMs = clock.nowMs() - startedAtMs;
+    learnMargin(timed);
+    const { answer, tookMs } = timed;
     switch (answer.kind) {
       case 'page':
         return applyPage(answer.page, tookMs);
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -7,12 +7,12 @@
 import { StoreFeed } from '../types/storeFeed.js';
 import { followsStore, ownAddress, startDelayMs } from '../slices/peers/fleet.js';
 import { isConfigurationOverdue } from '../slices/peers/configurationSources.js';
+import { createAnswerMargin } from '../policy/answerMargin.js';
+import { pollWaitMs } from '../slices/store/pollSchedule.js';
 import { maintainBoxEntry } from './boxEntry.js';
 import type { Clock } from './clock.js';
 import { followFeed, type FeedListener } from './feedFollower.js';
 
-/** Wait of a long poll of configuration or registry, in ms; a lost answer is noticed within the 2 s that the users require. */
-const POLL_WAIT_MS = 2000;
 /** Wait of a long poll of the boxes, in ms: the maximum that the users' store allows. Boxes also learn of each other directly by gossip. */
 const BOXES_POLL_WAIT_MS = 30_000;
 /** Pause after a change of the boxes, in ms: when a fleet starts, all boxes register at the same time, and each entry would wake all others. */
@@ -54,11 +54,13 @@
     storeEra: () => runtime.state.storeEra,
     onContact: (contact) => emit({ type: 'storeContact', feed, ...contact }),
   });
+  const margin = createAnswerMargin();
   const isNeeded = (): boolean => followsStore(runtime.state, clock.nowMs());
-  const operators = followFeed(
-    store.operators,
-    POLL_WAIT_MS,
-    {
+  const operators = followFeed({
+    feed: store.operators,
+    nextWaitMs: () => pollWaitMs(runtime.state, settings.bounds.configurationMs, clock.nowMs()),
+    margin,
+    listener: {
       ...common(StoreFeed.operators),
       isNeeded: () => isNeeded() || isConfigurationOverdue(runtime.state, clock.nowMs()),
       onPage({ items }) {
@@ -66,11 +68,12 @@
       },
     },
     clock,
-  );
-  const servers = followFeed(
-    store.servers,
-    POLL_WAIT_MS,
-    {
+  });
+  const servers = followFeed({
+    feed: store.servers,
+    nextWaitMs: () => pollWaitMs(runtime.state, settings.bounds.drainMs, clock.nowMs()),
+    margin,
+    listener: {
       ...common(StoreFeed.servers),
       isNeeded,
       pauseAfterPageMs: SERVERS_PAUSE_MS,
@@ -80,11 +83,12 @@
       },
     },
     clock,
-  );
-  const boxes = followFeed(
-    store.boxes,
-    BOXES_POLL_WAIT_MS,
-    {
+  });
+  const boxes = followFeed({
+    feed: store.boxes,
+    nextWaitMs: () => BOXES_POLL_WAIT_MS,
+    margin,
+    listener: {
       ...common(StoreFeed.boxes),
       pauseAfterPageMs: BOXES_PAUSE_MS,
       maxPauseMs: BOXES_MAX_PAUSE_MS,
@@ -96,7 +100,7 @@
       },
     },
     clock,
-  );
+  });
   const { listen, seeds } = settings;
   const seedPeers = seeds.map(({ host }) => seedPeer(host, listen.peersPort));
   if (seedPeers.length > 0) emit({ type: 'peersListed', changes: seedPeers });
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/store/pollSchedule.ts
@@ -0,0 +1,56 @@
+/**
+ * When the long polls of a feed end.
+ *
+ * A lost answer is noticed when its poll should have ended. So the boxes that follow the store end theirs
+ * one after another, at points of the store's clock: whenever the answers to all of them are lost, one box notices soon
+ * and the others learn from it. A box on its own ends its polls as often as all of a larger fleet together.
+ */
+import type { GatewayState } from '../../state.js';
+import { hubMembers, isFreshHub, isFreshPeer, knownGroups, usesHubs } from '../peers/fleet.js';
+
+/** Longest time between the ends of two boxes' polls, as a share of the users' bound for the feed, and in ms. */
+const SPACING_SHARE = 0.175;
+const MAX_SPACING_MS = 350;
+/** Longest wait of a poll, in ms. */
+const MAX_WAIT_MS = 2000;
+/** Longest wait of a hub's poll as a share of the bound: its members depend on it. */
+const HUB_WAIT_SHARE = 0.4;
+/** Shortest wait, in ms, so that a poll that was answered just before its point is not followed by an empty one. */
+const MIN_WAIT_MS = 20;
+/** Age of a peer's last answer of the store after which it is not counted as following it, in ms. */
+const FOLLOWING_PEER_AGE_MS = 3000;
+
+/** Returns how long a poll that starts now may wait at the store, in ms; `boundMs` is the time within which changes must be known. */
+export function pollWaitMs(state: GatewayState, boundMs: number, nowMs: number): number {
+  const boxes = followingBoxes(state, nowMs);
+  const spacingMs = Math.min(MAX_SPACING_MS, boundMs * SPACING_SHARE);
+  const hasMembers = usesHubs(state) && hubMembers(state, nowMs).length > 0;
+  const maxWaitMs = hasMembers ? Math.min(MAX_WAIT_MS, boundMs * HUB_WAIT_SHARE) : MAX_WAIT_MS;
+  const periodMs = Math.min(maxWaitMs, spacingMs * boxes.length);
+  const rank = boxes.indexOf(state.settings.box.id);
+  const storeNowMs = nowMs - (state.storeEpochMs ?? 0);
+  const restMs = modulo((periodMs * rank) / boxes.length - storeNowMs, periodMs);
+  return Math.round(restMs < MIN_WAIT_MS ? restMs + periodMs : restMs);
+}
+
+/** Returns the ids of the boxes that follow the store and from which this box learns, itself included, in an order that all agree on. */
+function followingBoxes(state: GatewayState, nowMs: number): string[] {
+  const ownId = state.settings.box.id;
+  if (state.hubId !== undefined)
+    return knownGroups(state)
+      .own.map(({ boxId }) => boxId)
+      .sort();
+  const viaHubs = usesHubs(state);
+  const ids = [ownId];
+  for (const peer of state.peers.values()) {
+    const { message } = peer;
+    if (message?.storeContactAgeMs === undefined) continue;
+    if (message.storeContactAgeMs > FOLLOWING_PEER_AGE_MS) continue;
+    if (viaHubs ? isFreshHub(peer, nowMs) : isFreshPeer(peer, nowMs)) ids.push(peer.boxId);
+  }
+  return ids.sort();
+}
+
+function modulo(value: number, divisor: number): number {
+  return ((value % divisor) + divisor) % divisor;
+}
--- a/packages/reedlug-soak/src/__tests__/__fixtures__/followingBoxes.ts
+++ b/packages/reedlug-soak/src/__tests__/__fixtures__/followingBoxes.ts
@@ -28,6 +28,8 @@
 const CALLS_PER_SECOND = 100;
 /** Bound of the users within which a configuration is in force and a draining server gets no more requests, in ms. */
 const BOUND_MS = 2000;
+/** Time from the start of boxes after which they follow the store, in ms: they wait for a hub's changes first. */
+const SETTLE_MS = 1500;
 const KEY = 'key';
 const PATH = '/lookup/';
 
@@ -104,6 +106,7 @@
         state.peers.size >= count - 1,
     ),
   );
+  await delay(SETTLE_MS);
   const callers = createCallers();
   let calls = 0;
   const load = setInterval(() => {
