Hubs state the age of their own feeds, and a registry's age is that of its own feed

Members rely on their hub while it states a recent contact with the store: the most recent of any box that it covers, on the feed of the operators' rows, and up to 3,000 ms old (bounds of 2,000). A hub whose own polls brought no answer thus kept its members from the store.

The same class: an answer of the operators' feed counted as proof that the registry is current, for streams that are taken up. That is now the feed of the registry. The tests of that let the store answer both feeds; fleets of the tests are 1.0 s after their last contact in place of 1.5. A new test fails before: members of a hub that is not answered follow the store within 1.5 s while all other hubs are answered.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -263,6 +263,12 @@
   return box;
 }
 
+/** Lets the store answer the box's feeds of the operators' rows and of the registry, or not. */
+export function takeContacts(box: TestBox, reachable: boolean): void {
+  box.take(storeContact(reachable, StoreFeed.operators));
+  box.take(storeContact(reachable, StoreFeed.servers));
+}
+
 /** Lists a box and others in the store, all of them with unused limit shares. */
 export function listBoxes(box: TestBox, others: readonly PeerAddress[] = []): void {
   listBoxesAfterRestart(box, others);
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/fleetStore.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/fleetStore.test.ts
@@ -6,7 +6,7 @@
   facts,
   only,
   server,
-  storeContact,
+  takeContacts,
 } from '../../../__tests__/__fixtures__/box.js';
 import { ServerState, type ServerChange } from '../../../types/server.js';
 import { followsStore } from '../fleet.js';
@@ -76,7 +76,7 @@
   for (const box of fleet.boxes.values()) {
     if (!followsStore(box.state, box.nowMs)) continue;
     readers += 1;
-    box.take(storeContact(true));
+    takeContacts(box, true);
     const changes = [change];
     box.take({ type: 'serversRead', whole: false, changes, revision, source: 'store' });
   }
@@ -87,8 +87,8 @@
 function createFollowingFleet(): TestFleet {
   const fleet = createFleet({ boxes: 60, zones: ZONES });
   fleet.pass(1000);
-  for (const box of fleet.boxes.values()) box.take(storeContact(true));
-  fleet.pass(1500);
+  for (const box of fleet.boxes.values()) takeContacts(box, true);
+  fleet.pass(1000);
   return fleet;
 }
 
@@ -118,6 +118,23 @@
   expect(followers).to.have.length(60);
 });
 
+test('a member follows the store itself while its hub is not answered, before the bound for changes', () => {
+  const fleet = createFollowingFleet();
+  const silentHub = [...fleet.boxes.values()].find(({ state }) => state.hubId === undefined);
+  const silentHubId = silentHub?.state.settings.box.id;
+  // The other hubs are answered all the time.
+  for (let passedMs = 0; passedMs < 1500; passedMs += 100) {
+    for (const box of fleet.boxes.values()) {
+      if (box.state.hubId === undefined && box !== silentHub) takeContacts(box, true);
+    }
+    fleet.pass(100);
+  }
+  const members = [...fleet.boxes.values()].filter(({ state }) => state.hubId === silentHubId);
+  const followers = members.filter((box) => followsStore(box.state, box.nowMs));
+  expect(members.length).to.be.greaterThan(10);
+  expect(followers).to.have.length(members.length);
+});
+
 test('a member that missed changes of its hub requests the whole registry', () => {
   const fleet = createFollowingFleet();
   const [boxId, member] = [...fleet.boxes].find(([, { state }]) => state.hubId !== undefined) ?? [];
--- a/packages/reedlug-gateway/src/slices/store/__tests__/feedAges.test.ts
+++ b/packages/reedlug-gateway/src/slices/store/__tests__/feedAges.test.ts
@@ -10,6 +10,7 @@
 } from '../../../__tests__/__fixtures__/box.js';
 import { ServerState } from '../../../types/server.js';
 import type { Effect } from '../../../types/effect.js';
+import { ownFeedAgeMs } from '../feedAges.js';
 
 function linesOf(effects: readonly Effect[], event: string) {
   return ofType(effects, 'log').filter((line) => line.event === event);
@@ -61,3 +62,13 @@
   box.take(storeContact(true, 'servers'));
   expect(linesOf(box.pass(50), 'registryCurrent')).to.have.length(1);
 });
+
+test("an answer of the operators' feed does not make a silent registry current", () => {
+  const box = createServingBox();
+  box.take(storeContact(true, 'servers'));
+  box.pass(2000);
+  box.take(storeContact(true, 'operators'));
+  expect(ownFeedAgeMs(box.state, box.nowMs)).to.equal(2000);
+  const { fields } = linesOf(box.pass(100), 'registryOverdue')[0] ?? {};
+  expect(fields).to.include({ ageMs: 2100, operatorsAgeMs: 100, serversAgeMs: 2100 });
+});
--- a/packages/reedlug-gateway/src/slices/store/feedAges.ts
+++ b/packages/reedlug-gateway/src/slices/store/feedAges.ts
@@ -1,5 +1,6 @@
 /** How old this box's knowledge of the store's collections is. */
 import type { EventOf } from '../../types/event.js';
+import type { PeerMessage } from '../../types/peer.js';
 import { StoreFeed } from '../../types/storeFeed.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 
@@ -25,6 +26,23 @@
   return answeredAtMs === undefined ? -1 : Math.round(nowMs - answeredAtMs);
 }
 
+/**
+ * Returns the age of what this box knows by its own feeds of configuration and registry, in ms, to be
+ * sent to peers; undefined while its hub follows the store in its place, or before both are known.
+ */
+export function ownFeedAgeMs(
+  { feedAnsweredAtMs: { operators, servers }, hubId }: GatewayState,
+  nowMs: number,
+): number | undefined {
+  if (hubId !== undefined || operators === undefined || servers === undefined) return undefined;
+  return Math.round(nowMs - Math.min(operators, servers));
+}
+
+/** Returns the age that a peer states of what it knows of the store, in ms; one of an older box is that of any contact. */
+export function peerFeedAgeMs({ feedAgeMs, storeContactAgeMs }: PeerMessage): number | undefined {
+  return feedAgeMs ?? storeContactAgeMs;
+}
+
 /** Records how a call of a feed ended. */
 export function recordFeedContact(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/store/pollSchedule.ts
+++ b/packages/reedlug-gateway/src/slices/store/pollSchedule.ts
@@ -6,6 +6,7 @@
  * and the others learn from it. A box on its own ends its polls as often as all of a larger fleet together.
  */
 import type { GatewayState } from '../../state.js';
+import { peerFeedAgeMs } from './feedAges.js';
 import { hubMembers, isFreshHub, isFreshPeer, knownGroups, usesHubs } from '../peers/fleet.js';
 
 /** Longest time between the ends of two boxes' polls, as a share of the users' bound for the feed, and in ms. */
@@ -44,8 +45,8 @@
   const ids = [ownId];
   for (const peer of state.peers.values()) {
     const { message } = peer;
-    if (message?.storeContactAgeMs === undefined) continue;
-    if (message.storeContactAgeMs > FOLLOWING_PEER_AGE_MS) continue;
+    const ageMs = message && peerFeedAgeMs(message);
+    if (ageMs === undefined || ageMs > FOLLOWING_PEER_AGE_MS) continue;
     if (viaHubs ? isFreshHub(peer, nowMs) : isFreshPeer(peer, nowMs)) ids.push(peer.boxId);
   }
   return ids.sort();
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/knownLives.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/knownLives.test.ts
@@ -4,7 +4,7 @@
   ofType,
   only,
   peerMessage,
-  storeContact,
+  takeContacts,
 } from '../../../__tests__/__fixtures__/box.js';
 import {
   addPeer,
@@ -20,9 +20,9 @@
 test('without the store, a stream goes on only at servers whose life an open attempt shows', () => {
   const box = createServingBox();
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v2' } });
-  box.take(storeContact(true));
+  takeContacts(box, true);
   const version = begin(box, 1);
-  box.take(storeContact(false));
+  takeContacts(box, false);
   // The first stream is still open at its server, so that a further one there is of the same life.
   const { order } = only(takeUp(box, 2, 'request-1'), 'send');
   expect(versionOf(box, order.serverId)).to.equal(version);
@@ -34,17 +34,17 @@
 
 test('a stream that began while its server may have run another version goes on nowhere', () => {
   const box = createBoxWithTwoVersions();
-  box.take(storeContact(true));
-  box.take(storeContact(false));
+  takeContacts(box, true);
+  takeContacts(box, false);
   begin(box, 1);
-  box.take(storeContact(true));
+  takeContacts(box, true);
   expect(only(takeUp(box, 2, 'request-1'), 'refuse').reason).to.equal('streamVersionUnknown');
 });
 
 test('without the store, streams go on as before where one version has served', () => {
   const box = createServingBox();
-  box.take(storeContact(true));
-  box.take(storeContact(false));
+  takeContacts(box, true);
+  takeContacts(box, false);
   begin(box, 1);
   box.take({ type: 'callerGone', exchangeId: 1 });
   expect(ofType(takeUp(box, 2, 'request-1'), 'send')).to.have.length(1);
@@ -54,11 +54,11 @@
   const box = createBoxWithTwoVersions();
   const starts = [['tiger/request-9', 'engines', 'v2', 60_000]] as const;
   box.take({ type: 'streamStarts', message: { kind: 'streamStarts', boxId: 'box-2', starts } });
-  box.take(storeContact(true));
+  takeContacts(box, true);
   box.nowMs += 2000;
   expect(only(takeUp(box, 1, 'request-9'), 'refuse').reason).to.equal('noServer');
   box.pass(400);
-  box.take(storeContact(true));
+  takeContacts(box, true);
   expect(ofType(takeUp(box, 2, 'request-9'), 'send')).to.have.length(1);
 });
 
@@ -84,7 +84,7 @@
 test('a stream does not go on at a server whose port refuses connections', () => {
   const box = createServingBox();
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v2' } });
-  box.take(storeContact(true));
+  takeContacts(box, true);
   const { attemptId, order } = only(request(box, 1), 'send');
   box.take({ type: 'attemptAnswered', exchangeId: 1, attemptId, verdict: 'success', status: 200 });
   const lost = { type: 'attemptLost' as const, exchangeId: 1, attemptId, reason: 'reset' };
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -4,7 +4,7 @@
   ofType,
   only,
   type TestBox,
-  storeContact,
+  takeContacts,
 } from '../../../__tests__/__fixtures__/box.js';
 import {
   addPeer,
@@ -155,7 +155,7 @@
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v1' } });
   // Before, the engines stated no version.
   passWithoutStall(box, 40_000);
-  box.take(storeContact(true));
+  takeContacts(box, true);
   takeUp(box, 1, 'request-9');
   expect(ofType(answerRead(box, []), 'send')).to.have.length(1);
 });
--- a/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
@@ -7,6 +7,8 @@
  */
 import type { GatewayState } from '../../state.js';
 import type { ServerView } from '../../types/views.js';
+import { peerFeedAgeMs, registryKnownAtMs } from '../store/feedAges.js';
+import { StoreFeed } from '../../types/storeFeed.js';
 import { isFreshPeer } from '../peers/fleet.js';
 
 /** Time without an answer of the store after which a registry entry may be out of date, in ms: longer than a long poll. */
@@ -35,10 +37,11 @@
 }
 
 function isRegistryCurrent(state: GatewayState, nowMs: number): boolean {
-  const { streamVersions, storeContactAtMs = 0, stalledAtMs, storeReachable } = state;
-  const confirmedAtMs = Math.max(streamVersions.registryConfirmedAtMs, storeContactAtMs);
+  const { startedAtMs, stalledAtMs, storeReachable, failedFeeds } = state;
+  const confirmedAtMs = Math.max(startedAtMs, registryKnownAtMs(state));
   if (confirmedAtMs < stalledAtMs + STALL_SETTLE_MS) return false;
-  return storeReachable && nowMs - confirmedAtMs <= REGISTRY_TRUSTED_MS;
+  if (!storeReachable || failedFeeds.has(StoreFeed.servers)) return false;
+  return nowMs - confirmedAtMs <= REGISTRY_TRUSTED_MS;
 }
 
 function livesOfOpenAttempts({ requests }: GatewayState): ReadonlySet<number> {
@@ -55,9 +58,11 @@
   const { streamVersions } = state;
   for (const peer of state.peers.values()) {
     const { message, lastReceivedAtMs } = peer;
-    if (message?.storeContactAgeMs === undefined || !isFreshPeer(peer, nowMs)) continue;
+    if (message === undefined || !isFreshPeer(peer, nowMs)) continue;
+    const ageMs = peerFeedAgeMs(message);
+    if (ageMs === undefined) continue;
     if (message.serversRevision > state.serversRevision) continue;
-    const confirmedAtMs = lastReceivedAtMs - message.storeContactAgeMs;
+    const confirmedAtMs = lastReceivedAtMs - ageMs;
     if (confirmedAtMs > streamVersions.registryConfirmedAtMs) {
       streamVersions.registryConfirmedAtMs = confirmedAtMs;
     }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -126,6 +126,11 @@
    * answer.
    */
   storeContactAgeMs: number | undefined;
+  /**
+   * Time since the store last answered the sender's own feeds of configuration and registry, the
+   * older of both, in ms; missing if it does not follow them, and from older boxes.
+   */
+  feedAgeMs?: number | undefined;
   /** Address of the holder of the duty lease, if it is one of the covered boxes. */
   leaseHolder: HostPort | undefined;
   leaving: boolean;
