A box that missed an answer tells others which servers leave

What a box reads in the registry goes to nobody, since all boxes read it. What the call after a missed answer brings is now sent as a statement with the next tick; what comes in time still goes to nobody.

--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -26,9 +26,19 @@
 const INITIAL_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 500;
 
+/** Page of a followed feed. */
+export interface FollowedPage<T> {
+  items: readonly T[];
+  /** Whether it is the complete collection. */
+  whole: boolean;
+  newestRevision: number;
+  /** Whether the call before brought no answer. */
+  isLate: boolean;
+}
+
 /** Receives the pages of a followed feed and controls how it is followed. */
 export interface FeedListener<T> {
-  onPage: (page: { items: readonly T[]; whole: boolean; newestRevision: number }) => void;
+  onPage: (page: FollowedPage<T>) => void;
   onStoreClock: (storeNowMs: number) => void;
   onContact: (contact: FeedContact) => void;
   /** Returns the latest known era of the store; answers of an earlier era are rejected. */
@@ -110,13 +120,14 @@
       position = undefined;
       return;
     }
+    const isLate = pauseMs > INITIAL_PAUSE_MS;
     pauseMs = INITIAL_PAUSE_MS;
     position = revision;
     hasReadWhole = true;
     listener.onContact({ reachable: true });
     if (storeNowMs !== undefined) listener.onStoreClock(storeNowMs);
     if (!whole && items.length === 0) return;
-    listener.onPage({ items, whole, newestRevision });
+    listener.onPage({ items, whole, newestRevision, isLate });
     if (listener.pauseAfterPageMs !== undefined) await clock.pause(listener.pauseAfterPageMs);
   };
 
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -77,9 +77,9 @@
       ...common(StoreFeed.servers),
       isNeeded,
       pauseAfterPageMs: SERVERS_PAUSE_MS,
-      onPage({ items, whole, newestRevision }) {
-        const revision = newestRevision;
-        emit({ type: 'serversRead', whole, changes: items, revision, source: 'store' });
+      onPage({ items, whole, newestRevision, isLate }) {
+        const read = { whole, changes: items, revision: newestRevision, isLate };
+        emit({ type: 'serversRead', ...read, source: 'store' });
       },
     },
     clock,
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -47,7 +47,7 @@
   for (const { id, entry } of params.changes) {
     const sinceMs = state.storeReturnedAtMs;
     if (entry === undefined) onEntryMissing(state, step, { id, source: 'hub', sinceMs });
-    else onEntry(state, step, entry, 'hub');
+    else onEntry(state, step, entry, { source: 'hub', isLate: false });
   }
   if (!state.serversKnown) return;
   state.serversRevision = Math.max(state.serversRevision, params.revision);
@@ -62,6 +62,7 @@
   if (event.source === 'peer' && !isPeerRegistryNewer(state, event)) return;
   state.serversRevision = Math.max(state.serversRevision, event.revision);
   state.serversKnown = true;
+  const { isLate = false } = event;
   const present = new Set<string>();
   for (const { id, entry, fault } of event.changes) {
     if (fault !== undefined) {
@@ -74,7 +75,7 @@
     }
     present.add(id);
     if (event.whole && needsConfirmation(state, step, entry)) holdUnconfirmed(state, step, entry);
-    else onEntry(state, step, entry, event.source);
+    else onEntry(state, step, entry, { source: event.source, isLate });
   }
   if (!event.whole) return;
   const sinceMs = Math.max(state.storeReturnedAtMs, state.storeRestoredAtMs);
@@ -110,7 +111,18 @@
   log(step, 'serverDoubted', { server: entry.id });
 }
 
-function onEntry(state: GatewayState, step: Step, received: ServerEntry, source: string): void {
+/** Where an entry was read; a late one may be missing at other boxes too. */
+interface EntryOrigin {
+  source: string;
+  isLate: boolean;
+}
+
+function onEntry(
+  state: GatewayState,
+  step: Step,
+  received: ServerEntry,
+  { source, isLate }: EntryOrigin,
+): void {
   state.unconfirmedServers.delete(received.id);
   const entry = withValidSlots(received);
   if (isOfEarlierIncarnation(state, entry)) return;
@@ -123,12 +135,14 @@
   }
   recordServedVersion(state, step, entry);
   const leaving = entry.state === ServerState.leaving;
+  // Other boxes read the same entry, unless answers were lost.
+  const isAnnounced = !isLate;
   const isRestarted = known !== undefined && isNextIncarnation(entry, known.entry);
   const isChanged = known === undefined || isRestarted || known.entry.state !== entry.state;
   if (isChanged) recordRegistryChange(state, step, { id: entry.id, entry });
   if (known === undefined || isRestarted) {
     state.servers.set(entry.id, createView(state, entry));
-    if (leaving) mergeDraining(state, step, { life: incarnationOf(entry), source, isListed: true });
+    if (leaving) mergeDraining(state, step, { life: incarnationOf(entry), source, isAnnounced });
     log(step, isRestarted ? 'serverBorn' : 'serverAdded', entryLogFields(entry, source));
     if (isRestarted) failOpenAttempts(state, step, known);
     return;
@@ -137,7 +151,7 @@
   known.expiresAtMs = undefined;
   known.entry = entry;
   known.statements = findStatements(state, incarnationOf(entry));
-  if (leaving) mergeDraining(state, step, { life: incarnationOf(entry), source, isListed: true });
+  if (leaving) mergeDraining(state, step, { life: incarnationOf(entry), source, isAnnounced });
   if (leaving || known.statements?.leaving !== undefined) known.leaving = true;
 }
 
@@ -264,7 +278,7 @@
     if (step.nowMs - goneAtMs > GONE_RETENTION_MS) state.goneServers.delete(id);
   }
   for (const { entry, untilMs } of [...state.unconfirmedServers.values()]) {
-    if (step.nowMs >= untilMs) onEntry(state, step, entry, 'store');
+    if (step.nowMs >= untilMs) onEntry(state, step, entry, { source: 'store', isLate: false });
   }
   for (const view of state.servers.values()) {
     if (view.expiresAtMs === undefined || step.nowMs < view.expiresAtMs) continue;
--- a/packages/reedlug-gateway/src/slices/statements/__tests__/draining.test.ts
+++ b/packages/reedlug-gateway/src/slices/statements/__tests__/draining.test.ts
@@ -154,3 +154,19 @@
   box.pass(2000);
   expect(box.state.statements.size).to.equal(0);
 });
+
+for (const isLate of [false, true]) {
+  test(`a box tells others of a server that leaves by the registry only after it missed an answer: ${isLate}`, () => {
+    const fleet = createFleet({ boxes: 3, zones: ['zone-a'] });
+    fleet.pass(500);
+    const [reader, ...others] = [...fleet.boxes.values()] as [TestBox, ...TestBox[]];
+    const entry = server('records-1', { state: ServerState.leaving });
+    const changes = [{ id: entry.id, entry }];
+    const read = { whole: false, changes, revision: 1, isLate };
+    reader.take({ type: 'serversRead', ...read, source: 'store' });
+    fleet.pass(100);
+    for (const { state } of others) {
+      expect(state.servers.get(entry.id)?.leaving).to.equal(isLate);
+    }
+  });
+}
--- a/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
+++ b/packages/reedlug-gateway/src/slices/statements/answerStatements.ts
@@ -35,7 +35,7 @@
       mergeOwnPause(step, { statements, pauseMs: answerStatements.pauseMs, source });
   }
   if (answerStatements.isDraining)
-    mergeDraining(state, step, { life: attempt, source, isListed: false });
+    mergeDraining(state, step, { life: attempt, source, isAnnounced: false });
 }
 
 /**
--- a/packages/reedlug-gateway/src/slices/statements/draining.ts
+++ b/packages/reedlug-gateway/src/slices/statements/draining.ts
@@ -4,18 +4,17 @@
 import { asAnnounced } from './announcement.js';
 import { statementsFor } from './incarnationStatements.js';
 
-/** Records that a server is draining. `source` names the request, the box or the registry feed that reported it. */
+/** Records that a server is draining. `source` names the request, the box or the registry feed that reported it; `isAnnounced` is set if all boxes learn of it without this one. */
 export function mergeDraining(
   state: GatewayState,
   step: Step,
-  params: { life: ServerIncarnation; source: string; isListed: boolean },
+  params: { life: ServerIncarnation; source: string; isAnnounced: boolean },
 ): void {
-  const { life, source, isListed } = params;
+  const { life, source, isAnnounced } = params;
   const statements = statementsFor(state, step, life);
   if (statements === undefined || statements.leaving !== undefined) return;
   const announcement = { changedAtMs: step.nowMs, announcedAtMs: undefined };
-  // All boxes read the registry, so its entries need no announcement.
-  statements.leaving = { announcement: isListed ? asAnnounced(announcement) : announcement };
+  statements.leaving = { announcement: isAnnounced ? asAnnounced(announcement) : announcement };
   const view = state.servers.get(life.serverId);
   if (view?.statements === statements) view.leaving = true;
   log(step, 'serverLeaving', {
--- a/packages/reedlug-gateway/src/slices/statements/statementGossip.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementGossip.ts
@@ -169,7 +169,7 @@
   const { statement } = received;
   if (statement.kind === 'rest' && statement.leftMs < PAUSE_TOLERANCE_MS) return;
   if (statement.kind === 'leaving')
-    mergeDraining(state, step, { life: received, source, isListed: false });
+    mergeDraining(state, step, { life: received, source, isAnnounced: false });
   const statements = statementsFor(state, step, received);
   if (statements === undefined) return;
   switch (statement.kind) {
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -99,6 +99,8 @@
       changes: readonly ServerChange[];
       revision: number;
       source: 'store' | 'peer';
+      /** Whether the feed's call before brought no answer, so that other boxes may have missed the same changes. */
+      isLate?: boolean;
       /** Peer that sent its registry, and the number of the last change in it. */
       sender?: { boxId: string; registryNumber: number };
     }
