Feeds abandon a call that outlives its own time limit

The limit of a poll rested on one timer in the adapter, and nothing watched it: when it was lost, the feed waited for ever and left no line. The follower now abandons a poll 200 ms after its limit (a complete read after 10 s), logs it as feedFault and asks again. The test fails before: a call that never ends stops its feed.

--- a/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
@@ -171,3 +171,32 @@
   expect(await callsWith(500)).to.equal(20);
   expect(await callsWith(4000)).to.equal(7);
 });
+
+test('a poll that outlives its time limit is abandoned, and its feed goes on', async () => {
+  const calls: Calls = { fullReads: 0, followPositions: [] };
+  const feed = createFeed(calls, () => page([], 11));
+  const lost: AbortSignal[] = [];
+  const follow: Feed<string>['follow'] = ({ signal }) => {
+    if (signal !== undefined) lost.push(signal);
+    return new Promise(() => undefined);
+  };
+  const isFirst = (): boolean => lost.length === 0;
+  const losesFirst: Feed<string> = {
+    readAll: feed.readAll,
+    follow: (position) => (isFirst() ? follow(position) : feed.follow(position)),
+  };
+  const faults: number[] = [];
+  const onContact: FeedListener<string>['onContact'] = (contact) => {
+    if (!contact.reachable) faults.push(contact.tookMs);
+  };
+  const following = followFeed({
+    feed: losesFirst,
+    nextWaitMs: noWait,
+    listener: listener({ onContact }),
+  });
+  await delay(800);
+  following.stop();
+  expect(calls.followPositions.length).to.be.greaterThan(5);
+  expect(faults).to.have.length(1);
+  expect(lost[0]?.aborted).to.equal(true);
+});
--- a/packages/reedlug-gateway/src/daemon/clock.ts
+++ b/packages/reedlug-gateway/src/daemon/clock.ts
@@ -5,11 +5,15 @@
 /** Monotonic clock that can also pause. */
 export interface Clock {
   nowMs: () => number;
-  pause: (ms: number) => Promise<void>;
+  /** Resolves after a time, or once the signal is aborted. */
+  pause: (ms: number, signal?: AbortSignal) => Promise<void>;
 }
 
 /** Monotonic clock of the process. */
 export const PROCESS_CLOCK: Clock = {
   nowMs: () => performance.now(),
-  pause: async (ms) => void (await delay(ms)),
+  async pause(ms, signal) {
+    // Rejects only if it is aborted.
+    await delay(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined);
+  },
 };
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -15,8 +15,11 @@
 import type { FeedContact } from '../types/storeFeed.js';
 import { PROCESS_CLOCK, type Clock } from './clock.js';
 
-/** Time limit of each call of a complete read, in ms. */
+/** Time after its own limit at which a poll that has not ended is abandoned, in ms. */
+const ABANDON_AFTER_MS = 200;
+/** Time limit of each call of a complete read, and of the whole of it, in ms. */
 const READ_TIMEOUT_MS = 700;
+const MAX_READ_MS = 10_000;
 /** Pause before checking again whether a feed is needed, in ms; short compared to the 2 s within which the users expect changes to apply. */
 const NOT_NEEDED_PAUSE_MS = 200;
 /**
@@ -88,16 +91,34 @@
   let position: number | undefined;
   let pauseMs = INITIAL_PAUSE_MS;
 
-  const requestPage = async (signal: AbortSignal): Promise<TimedAnswer<T>> => {
+  /** Waits for a call; one that outlives its own time limit is abandoned. */
+  const withinLimit = async (
+    call: Promise<FeedAnswer<T>>,
+    limitMs: number,
+  ): Promise<FeedAnswer<T>> => {
+    const limit = new AbortController();
+    const abandoned = clock.pause(limitMs, limit.signal).then((): FeedAnswer<T> => {
+      return { kind: 'unavailable', reason: 'the call outlived its time limit' };
+    });
+    try {
+      return await Promise.race([call, abandoned]);
+    } finally {
+      limit.abort();
+    }
+  };
+
+  const requestPage = async (poll: AbortController): Promise<TimedAnswer<T>> => {
     const startedAtMs = clock.nowMs();
     if (position === undefined) {
-      const answer = await feed.readAll(READ_TIMEOUT_MS);
+      const answer = await withinLimit(feed.readAll(READ_TIMEOUT_MS), MAX_READ_MS);
       return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs: undefined };
     }
     // After a failure changes may have been missed, and the store can say at once.
     const waitMs = pauseMs > INITIAL_PAUSE_MS ? 0 : nextWaitMs();
     const timeoutMs = waitMs + Math.round(margin.marginMs);
-    const answer = await feed.follow({ afterRevision: position, waitMs, timeoutMs, signal });
+    const call = feed.follow({ afterRevision: position, waitMs, timeoutMs, signal: poll.signal });
+    const answer = await withinLimit(call, timeoutMs + ABANDON_AFTER_MS);
+    poll.abort();
     return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs };
   };
 
@@ -144,7 +165,7 @@
       return clock.pause(NOT_NEEDED_PAUSE_MS);
     }
     following.call = new AbortController();
-    const timed = await requestPage(following.call.signal);
+    const timed = await requestPage(following.call);
     if (following.isCancelled) return;
     learnMargin(timed);
     const { answer, tookMs } = timed;
