Calls to the table, the cloud and the list of boxes have a second time limit

A call that outlives its limit by 200 ms now counts as one without an answer: a row of streams that was being written, a box's own entry and an order of engines could otherwise wait for ever.

--- a/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
@@ -26,7 +26,12 @@
         return Promise.resolve(writes > failures);
       },
     },
-    clock: { nowMs: () => 0, pause: () => Promise.resolve() },
+    clock: {
+      nowMs: () => 0,
+      // All calls are answered within their limits, and pauses take no time.
+      pause: (_ms, limit) =>
+        limit === undefined ? Promise.resolve() : new Promise(() => undefined),
+    },
     logger: () => undefined,
     address: ADDRESS,
     holdsPart: () => true,
--- a/packages/reedlug-gateway/src/daemon/boxEntry.ts
+++ b/packages/reedlug-gateway/src/daemon/boxEntry.ts
@@ -8,6 +8,8 @@
 import type { PeerChange } from '../types/event.js';
 import type { PeerAddress } from '../types/peer.js';
 import type { Clock } from './clock.js';
+import { ANNOUNCE_TIMEOUT_MS } from './daemonTimes.js';
+import { withinLimit } from './withinLimit.js';
 
 /** Pause before the entry is written again after a failed write, in ms. */
 const RETRY_PAUSE_MS = 1000;
@@ -33,10 +35,14 @@
   let stopped = false;
   let isWriting = false;
 
+  const announce = (): Promise<boolean> => {
+    const call = store.announceBox(boxId, address, holdsPart());
+    return withinLimit(clock, call, { timeoutMs: ANNOUNCE_TIMEOUT_MS, abandoned: false });
+  };
   const write = async (): Promise<void> => {
     if (isWriting) return;
     isWriting = true;
-    while (!stopped && !(await store.announceBox(boxId, address, holdsPart()))) {
+    while (!stopped && !(await announce())) {
       logger('announceFailed', { box: boxId });
       await clock.pause(RETRY_PAUSE_MS);
     }
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -1,6 +1,8 @@
 /** Performs the reducer's effects. */
 import { performance } from 'node:perf_hooks';
+import type { StoreTableReply } from '../adapter.js';
 import type { Effect } from '../types/effect.js';
+import type { CloudOutcome } from '../types/event.js';
 import type { HostPort } from '../types/server.js';
 import type { Runtime } from './gatewayDaemon.js';
 import { connectingPeers } from '../slices/peers/connectingPeers.js';
@@ -11,6 +13,7 @@
 import { eventsOfTable } from './tableEvents.js';
 import { probeServer, type PeerProbe } from './probeServer.js';
 import { openTunnel } from './tunnels/openTunnel.js';
+import { withinLimit } from './withinLimit.js';
 import { writeEvents, writePlainAnswer, writeRefusal, writeStreamHead } from './exchanges.js';
 
 /** Peers that are asked in turn whether a server that refuses this box is gone. */
@@ -159,7 +162,14 @@
 function requestTable(runtime: Runtime, effect: EffectOf<'requestTable'>): void {
   const { purpose, op } = effect;
   const sentAtMs = effect.sentAtMs;
-  void runtime.store.table(op, TABLE_TIMEOUT_MS).then((reply) => {
+  const call = runtime.store.table(op, TABLE_TIMEOUT_MS);
+  const abandoned: StoreTableReply = {
+    answer: { kind: 'unknown' },
+    storeNowMs: undefined,
+    era: undefined,
+  };
+  const limit = { timeoutMs: TABLE_TIMEOUT_MS, abandoned };
+  void withinLimit(runtime.clock, call, limit).then((reply) => {
     for (const event of eventsOfTable(runtime.state, { purpose, sentAtMs, reply })) {
       runtime.emit(event);
     }
@@ -178,13 +188,15 @@
   const { callId, call, fence } = effect;
   const startedAtMs = performance.now();
   const holderId = runtime.settings.box.id;
-  void runtime.cloud
-    ?.call({ call, holderId, fence, timeoutMs: CLOUD_TIMEOUT_MS })
-    .then((outcome) => {
-      const tookMs = Math.round(performance.now() - startedAtMs);
-      runtime.logger('cloudAnswered', { kind: call.kind, fence, outcome, tookMs });
-      runtime.emit({ type: 'cloudAnswered', callId, outcome });
-    });
+  const { cloud, clock } = runtime;
+  if (cloud === undefined) return;
+  const limit = { timeoutMs: CLOUD_TIMEOUT_MS, abandoned: 'unknown' } as const;
+  const answered = cloud.call({ call, holderId, fence, timeoutMs: CLOUD_TIMEOUT_MS });
+  void withinLimit<CloudOutcome>(clock, answered, limit).then((outcome) => {
+    const tookMs = Math.round(performance.now() - startedAtMs);
+    runtime.logger('cloudAnswered', { kind: call.kind, fence, outcome, tookMs });
+    runtime.emit({ type: 'cloudAnswered', callId, outcome });
+  });
 }
 
 function askPeer(runtime: Runtime, effect: EffectOf<'askPeer'>): void {
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -14,9 +14,8 @@
 } from '../policy/answerMargin.js';
 import type { FeedContact } from '../types/storeFeed.js';
 import { PROCESS_CLOCK, type Clock } from './clock.js';
+import { withinLimit } from './withinLimit.js';
 
-/** Time after its own limit at which a poll that has not ended is abandoned, in ms. */
-const ABANDON_AFTER_MS = 200;
 /** Time limit of each call of a complete read, and of the whole of it, in ms. */
 const READ_TIMEOUT_MS = 700;
 const MAX_READ_MS = 10_000;
@@ -91,33 +90,22 @@
   let position: number | undefined;
   let pauseMs = INITIAL_PAUSE_MS;
 
-  /** Waits for a call; one that outlives its own time limit is abandoned. */
-  const withinLimit = async (
-    call: Promise<FeedAnswer<T>>,
-    limitMs: number,
-  ): Promise<FeedAnswer<T>> => {
-    const limit = new AbortController();
-    const abandoned = clock.pause(limitMs, limit.signal).then((): FeedAnswer<T> => {
-      return { kind: 'unavailable', reason: 'the call outlived its time limit' };
-    });
-    try {
-      return await Promise.race([call, abandoned]);
-    } finally {
-      limit.abort();
-    }
+  const limited = (call: Promise<FeedAnswer<T>>, timeoutMs: number): Promise<FeedAnswer<T>> => {
+    const abandoned = { kind: 'unavailable', reason: 'the call outlived its time limit' } as const;
+    return withinLimit(clock, call, { timeoutMs, abandoned });
   };
 
   const requestPage = async (poll: AbortController): Promise<TimedAnswer<T>> => {
     const startedAtMs = clock.nowMs();
     if (position === undefined) {
-      const answer = await withinLimit(feed.readAll(READ_TIMEOUT_MS), MAX_READ_MS);
+      const answer = await limited(feed.readAll(READ_TIMEOUT_MS), MAX_READ_MS);
       return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs: undefined };
     }
     // After a failure changes may have been missed, and the store can say at once.
     const waitMs = pauseMs > INITIAL_PAUSE_MS ? 0 : nextWaitMs();
     const timeoutMs = waitMs + Math.round(margin.marginMs);
     const call = feed.follow({ afterRevision: position, waitMs, timeoutMs, signal: poll.signal });
-    const answer = await withinLimit(call, timeoutMs + ABANDON_AFTER_MS);
+    const answer = await limited(call, timeoutMs);
     poll.abort();
     return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs };
   };
