Simulator: servers leave by the registry while boxes lose its answers

The simulated store had no answer that is lost by itself, and its servers said in their answers too that they leave. Drawn scenes now lose one or two answers of the registry's feed at a share of the boxes or at all, beside kills, crashes and bursts; requests that callers sent later than the bound after the entry break the guarantee.

--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -20,7 +20,7 @@
 import { sendCrashingRequests } from './crashingRequests.js';
 import { limitServers } from './limitedServers.js';
 import { endVersion, mixVersions, nextVersionName } from './softwareVersions.js';
-import { announceDraining, refuseRequests } from './serverStatements.js';
+import { announceDraining, leaveUnheard, refuseRequests } from './serverStatements.js';
 import { startRollout } from './rollouts.js';
 
 /** Delay before a stopped process starts again, in ms. */
@@ -91,6 +91,8 @@
       return limitServers(world, fault, pickReadyServers(world, fault));
     case 'leaveServers':
       return announceDraining(world, fault, pickReadyServers(world, fault));
+    case 'leaveUnheard':
+      return leaveUnheard(world, fault, pickReadyServers(world, fault));
     case 'restServers':
       return refuseRequests(world, fault, pickReadyServers(world, fault));
     case 'brittleServers':
--- a/packages/reedlug-simulator/src/faults/serverStatements.ts
+++ b/packages/reedlug-simulator/src/faults/serverStatements.ts
@@ -1,8 +1,8 @@
 /**
- * Servers that announce draining or request a pause in their answers, and the requests that they
- * receive afterwards.
+ * Servers that announce draining or request a pause in their answers, or leave by the registry alone,
+ * and the requests that they receive afterwards.
  */
-import type { AnswerStatements } from 'reedlug-gateway';
+import { ServerState, type AnswerStatements } from 'reedlug-gateway';
 import type { VirtualBox } from '../boxes/virtualBox.js';
 import type { ServerStatementRecord } from '../report/sceneRecord.js';
 import type { SceneFaultSpec } from '../scene/scene.js';
@@ -19,6 +19,7 @@
 const MAX_REQUESTS_PER_PAUSE = 2;
 
 type DrainFault = Extract<SceneFaultSpec, { kind: 'leaveServers' }>;
+type UnheardLeaveFault = Extract<SceneFaultSpec, { kind: 'leaveUnheard' }>;
 type RefuseFault = Extract<SceneFaultSpec, { kind: 'restServers' }>;
 
 /** Makes servers announce in their answers that they drain; their registry entries do not show it. */
@@ -38,6 +39,23 @@
   }
 }
 
+/** Writes into the registry that servers leave, while boxes lose answers of its feed. */
+export function leaveUnheard(
+  world: World,
+  fault: UnheardLeaveFault,
+  servers: readonly VirtualServer[],
+): void {
+  world.store.loseRegistryAnswers(() => world.random.chance(fault.boxShare), fault.answers);
+  for (const server of servers) {
+    server.entry = { ...server.entry, state: ServerState.leaving };
+    world.store.putServer(server.entry);
+    // The registry tells all boxes, those included that have not read it.
+    const { drainingStatedAtMs } = recordOf(world, server);
+    for (const box of world.boxes.values()) drainingStatedAtMs.set(box, nowMs(world));
+    later(world, fault.endAfterS * 1000, () => endServer(world, server));
+  }
+}
+
 /** Makes servers refuse a share of their requests for a while; they may request a pause. */
 export function refuseRequests(
   world: World,
--- a/packages/reedlug-simulator/src/scene/faultValidation.ts
+++ b/packages/reedlug-simulator/src/scene/faultValidation.ts
@@ -75,6 +75,19 @@
     nextLifeAfterS: positive.optional(),
     tellsBirth: z.boolean().default(true),
   }),
+  /**
+   * Servers say only in the registry that they leave, and serve on for a while. A share of the boxes
+   * loses the answers that tell: as many in a row as `answers`.
+   */
+  z.strictObject({
+    kind: z.literal('leaveUnheard'),
+    ...startFields,
+    service: z.string().min(1),
+    share,
+    boxShare: share,
+    answers: count,
+    endAfterS: positive,
+  }),
   /** Servers refuse a share of their requests, as not run, and may request a pause. */
   z.strictObject({
     kind: z.literal('restServers'),
--- a/packages/reedlug-simulator/src/store/storeCalls.ts
+++ b/packages/reedlug-simulator/src/store/storeCalls.ts
@@ -1,4 +1,5 @@
 /** Purposes by which calls to the store are counted. */
+import type { StoreListener } from 'reedlug-gateway';
 import { CHECKPOINT_KEY, LEASE_KEY } from 'reedlug-gateway';
 
 /** Purpose of a call. */
@@ -18,3 +19,11 @@
   if (key === LEASE_KEY) return StoreCall.lease;
   return key === CHECKPOINT_KEY ? StoreCall.checkpoint : StoreCall.otherRows;
 }
+
+/** The box's process that makes a call. */
+export interface StoreCaller extends StoreListener {
+  zone: string;
+  isAlive: () => boolean;
+  /** Answers with changes of the registry that it loses from now on. */
+  registryAnswersToLose: number;
+}
--- a/packages/reedlug-simulator/src/store/virtualStore.ts
+++ b/packages/reedlug-simulator/src/store/virtualStore.ts
@@ -36,7 +36,7 @@
   type Collection,
   type StorePosition,
 } from './storeCollection.js';
-import { purposeOf, StoreCall } from './storeCalls.js';
+import { purposeOf, StoreCall, type StoreCaller } from './storeCalls.js';
 import { createStoreHistory, StoreWriter, type StoreChange } from './storeHistory.js';
 
 /** Zone of the store; it contains no boxes. */
@@ -59,12 +59,6 @@
   redo?: () => void;
 }
 
-/** The box's process that makes a call. */
-interface StoreCaller extends StoreListener {
-  zone: string;
-  isAlive: () => boolean;
-}
-
 /** The store of a world. */
 export interface VirtualStore {
   outage: StoreOutage | undefined;
@@ -84,6 +78,8 @@
   /** Returns the record of a service's roll-out; undefined while there is none. */
   rolloutRecord: (service: string) => RolloutRecord | undefined;
   putServer: (entry: ServerEntry) => void;
+  /** Makes boxes that are picked lose their next answers with changes of the registry. */
+  loseRegistryAnswers: (isPicked: () => boolean, answers: number) => void;
   removeServer: (id: string) => void;
   /**
    * Returns the store's client for a box in a zone. Calls end when `isAlive` returns false; `onEra`
@@ -104,6 +100,7 @@
   };
   const table = createTableModel(nextVersion);
   const calls = new Map<StoreCall, number>();
+  const callers = new Set<StoreCaller>();
   const history = createStoreHistory();
 
   /** Records the state before a change, so that a restore can revert it. */
@@ -200,9 +197,17 @@
         const afterVersion = versionOf(afterRevision);
         return new Promise((resolve) => {
           let isDone = false;
+          let isLost = false;
           const finish = (): void => {
             if (isDone) return;
             if (isUnreachableFrom(caller.zone)) return;
+            const isOfRegistry =
+              call === StoreCall.servers && collection.newestVersion > afterVersion;
+            if (isOfRegistry && caller.registryAnswersToLose > 0) {
+              caller.registryAnswersToLose -= 1;
+              isLost = true;
+            }
+            if (isLost) return;
             isDone = true;
             collection.waiting.delete(check);
             later(world, world.scene.storeAnswerMs, () => {
@@ -282,12 +287,18 @@
       const itemOf = (): ServerChange => ({ id: entry.id, entry });
       put(servers, { key: entry.id, itemOf, writer: StoreWriter.server });
     },
+    loseRegistryAnswers(isPicked, answers) {
+      for (const caller of callers) {
+        if (isPicked()) caller.registryAnswersToLose = answers;
+      }
+    },
     removeServer(id) {
       const itemOf = (): ServerChange => ({ id, entry: undefined });
       put(servers, { key: id, itemOf, writer: StoreWriter.server, isRemoval: true });
     },
     openFor(zone, { isAlive, onEra }) {
-      const caller = { zone, isAlive, onEra };
+      const caller = { zone, isAlive, onEra, registryAnswersToLose: 0 };
+      callers.add(caller);
       return {
         operators: openFeed(operators, StoreCall.operators, caller),
         servers: openFeed(servers, StoreCall.servers, caller),
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -3,6 +3,7 @@
 import { Command, Option } from 'clipanion';
 import {
   generateStoreRestores,
+  generateUnheardLeaves,
   generateCrashFaults,
   generatePartFaults,
   generateLimitFaults,
@@ -67,6 +68,10 @@
     description:
       'Generate faults from each seed: servers of several software versions, streams that are taken up',
   });
+  drawUnheardLeaves = Option.Boolean('--draw-unheard-leaves', false, {
+    description:
+      'Generate faults from each seed: servers leave by the registry while boxes lose its answers',
+  });
   logs = Option.String('--log', { description: 'Log events to print, comma-separated, or all' });
 
   override async execute(): Promise<number> {
@@ -86,6 +91,7 @@
 
   private withGeneratedFaults(scene: Scene, seed: number): Scene {
     if (this.draw) return generateLimitFaults(scene, seed);
+    if (this.drawUnheardLeaves) return generateUnheardLeaves(scene, seed);
     if (this.drawCopies) return generateStoreRestores(scene, seed);
     if (this.drawVersions) return generateSoftwareVersions(scene, seed);
     if (this.drawStatements) return generateServerStatements(scene, seed);
