--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -23,7 +23,7 @@
 import { mergeDecisions, mergeUsage } from '../usage/usage.js';
 
 /** Time for which a peer's newer configuration may be known before it is requested, in ms: the store's feed usually brings it sooner. */
-const CONFIGURATION_GRACE_MS = 100;
+const CONFIGURATION_GRACE_MS = 200;
 /** The same for a newer registry, in ms: a box reads it again 0.2 s after its last changes. */
 const REGISTRY_GRACE_MS = 250;
 /** Interval between requests to one peer for newer versions, in ms. */
--- a/packages/reedlug-gateway/src/slices/store/__tests__/pollSchedule.test.ts
+++ b/packages/reedlug-gateway/src/slices/store/__tests__/pollSchedule.test.ts
@@ -12,6 +12,7 @@
 function boxAmong(peers: readonly string[], storeContactAgeMs = 10): TestBox {
   const box = createServingBox();
   box.state.storeEpochMs = 0;
+  box.state.startedAtMs = -10_000;
   for (const boxId of peers) {
     const message = peerMessage({ boxId, host: boxId, storeContactAgeMs });
     box.take({ type: 'peerMessage', message });
--- a/packages/reedlug-gateway/src/slices/store/pollSchedule.ts
+++ b/packages/reedlug-gateway/src/slices/store/pollSchedule.ts
@@ -6,8 +6,16 @@
  * and the others learn from it. A box on its own ends its polls as often as all of a larger fleet together.
  */
 import type { GatewayState } from '../../state.js';
+import type { PeerView } from '../../types/views.js';
 import { peerFeedAgeMs } from './feedAges.js';
-import { hubMembers, isFreshHub, isFreshPeer, knownGroups, usesHubs } from '../peers/fleet.js';
+import {
+  fleetDiscoveredAtMs,
+  hubMembers,
+  isFreshHub,
+  isFreshPeer,
+  knownGroups,
+  usesHubs,
+} from '../peers/fleet.js';
 
 /** Longest time between the ends of two boxes' polls, as a share of the users' bound for the feed, and in ms. */
 const SPACING_SHARE = 0.175;
@@ -44,14 +52,19 @@
   const viaHubs = usesHubs(state);
   const ids = [ownId];
   for (const peer of state.peers.values()) {
-    const { message } = peer;
-    const ageMs = message && peerFeedAgeMs(message);
-    if (ageMs === undefined || ageMs > FOLLOWING_PEER_AGE_MS) continue;
-    if (viaHubs ? isFreshHub(peer, nowMs) : isFreshPeer(peer, nowMs)) ids.push(peer.boxId);
+    const isHeard = viaHubs ? isFreshHub(peer, nowMs) : isFreshPeer(peer, nowMs);
+    if (isHeard && follows(state, peer, nowMs)) ids.push(peer.boxId);
   }
   return ids.sort();
 }
 
+/** Returns whether a peer follows the store. While a fleet starts its boxes do not know yet, and each takes the others to do so. */
+function follows(state: GatewayState, { message }: PeerView, nowMs: number): boolean {
+  const ageMs = message && peerFeedAgeMs(message);
+  if (ageMs === undefined) return nowMs < fleetDiscoveredAtMs(state);
+  return ageMs <= FOLLOWING_PEER_AGE_MS;
+}
+
 function modulo(value: number, divisor: number): number {
   return ((value % divisor) + divisor) % divisor;
 }
