Hubs tell their members of a change of the registry with the next tick

Members see a server's next life 170 to 300 ms late: their hub's gossip carries the change up to 200 ms after it was read. A hub now sends its gossip with the tick after a change, which is also how members learn that a server leaves.

--- a/packages/reedlug-gateway/src/slices/peers/__tests__/fleetStore.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/fleetStore.test.ts
@@ -102,6 +102,18 @@
   }
 });
 
+test('a hub tells its members of a change of the registry with its next tick', () => {
+  const fleet = createFollowingFleet();
+  fleet.pass(50);
+  const entry = server('engine-2', { service: 'engines', state: ServerState.leaving });
+  changeRegistry(fleet, { id: 'engine-2', entry }, 2);
+  fleet.pass(50);
+  fleet.pass(50);
+  for (const [boxId, { state }] of fleet.boxes) {
+    expect(state.servers.get('engine-2')?.leaving, boxId).to.equal(true);
+  }
+});
+
 test('a server that a hub removes is removed by its members too', () => {
   const fleet = createFollowingFleet();
   changeRegistry(fleet, { id: 'engine-2', entry: undefined }, 2);
--- a/packages/reedlug-gateway/src/slices/peers/registryGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/registryGossip.ts
@@ -6,6 +6,7 @@
 import type { NumberedChange, RegistryGossip } from '../../types/peer.js';
 import type { ServerChange } from '../../types/server.js';
 import type { GatewayState, Step } from '../../state.js';
+import { forwardsGossip } from './fleet.js';
 import type { PeerView } from '../../types/views.js';
 
 /** Time for which a change is announced, in ms: seven messages, of which some may be lost. */
@@ -18,6 +19,8 @@
   state.registryNumber += 1;
   const numbered: NumberedChange = { number: state.registryNumber, ...change };
   state.registryChanges.push({ atMs: step.nowMs, change: numbered });
+  // Members know of it only from this box, with its next gossip.
+  if (forwardsGossip(state)) state.gossipSentAtMs = Number.NEGATIVE_INFINITY;
   if (state.registryChanges.length > MAX_ANNOUNCED_CHANGES) state.registryChanges.shift();
 }
 
