HTTP of the entry box: shared types and refusals in modules of their own

Six files imported each other around refuseRequest and the route context of callerServer.ts. Both have a module now, which imports nothing above it; two groups of circular imports are left (decisions, simulator), by a count of value imports.

--- a/packages/reedlug/src/http/adminRoutes.ts
+++ b/packages/reedlug/src/http/adminRoutes.ts
@@ -5,9 +5,10 @@
 import { parseIntent } from '../plans/intentValidation.js';
 import { isPlan } from '../plans/planShape.js';
 import { readBody } from './body.js';
-import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { sendJson } from './exchanges.js';
 import { boxStatus } from './boxStatus.js';
+import { refuseRequest } from './refuseRequest.js';
+import type { RouteContext, Router } from './routeContext.js';
 
 /** A request of an authenticated operator with its parsed JSON body. */
 interface AuthenticatedRequest {
--- a/packages/reedlug/src/http/callerRequest.ts
+++ b/packages/reedlug/src/http/callerRequest.ts
@@ -1,7 +1,8 @@
 /** Common first steps of the caller routes: authenticate, read the body, parse the headers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { readBody } from './body.js';
-import { refuseRequest, type RouteContext } from './callerServer.js';
+import { refuseRequest } from './refuseRequest.js';
+import type { RouteContext } from './routeContext.js';
 import { parseRequestHeaders, type RequestHeadersResult } from './requestHeaders.js';
 
 /** An authenticated request with its complete body. */
--- a/packages/reedlug/src/http/callerServer.ts
+++ b/packages/reedlug/src/http/callerServer.ts
@@ -1,40 +1,22 @@
 /** The HTTP server of an entry box, for callers and operators. */
 import { randomUUID } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
-import findMyWay from 'find-my-way';
 import type { EntryDaemon } from '../daemon/entryDaemon.js';
 import { workspaceOfKey } from 'reedlug-decisions';
-import type { Settings } from '../settings/settingsTypes.js';
-import { refusedError, errorBody, type ApiError, type ApiErrorType } from './apiError.js';
+import { refusedError, errorBody, type ApiError } from './apiError.js';
 import { addAdminRoutes } from './adminRoutes.js';
 import { sendError, sendJson } from './exchanges.js';
-import { createKeyRing, type KeyRing } from './keys.js';
+import { createKeyRing } from './keys.js';
 import { addModelRoutes } from './modelRoutes.js';
 import { addRequestRoutes } from './requestRoutes.js';
+import { createRouter, type RouteContext, type Router } from './routeContext.js';
 import { addServiceRoutes } from './serviceRoutes.js';
 
-/** Router of the HTTP server. */
-export type Router = ReturnType<typeof createRouter>;
-
-/** Dependencies that the routes share. */
-export interface RouteContext {
-  daemon: EntryDaemon;
-  settings: Settings;
-  workspaceKeys: KeyRing;
-  operatorKeys: KeyRing;
-  /** Returns a new unique id for a request. */
-  newId: () => string;
-}
-
 /** Time between two checks of the connections for time-outs, in ms. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 const CLOSING_JSON_HEADERS = 'connection: close\r\ncontent-type: application/json\r\n';
 
-function createRouter(onMissing: (request: IncomingMessage, response: ServerResponse) => void) {
-  return findMyWay({ ignoreTrailingSlash: true, defaultRoute: onMissing, maxParamLength: 500 });
-}
-
 /** Creates the HTTP server of an entry box, without starting to listen. */
 export function createCallerServer(daemon: EntryDaemon): Server {
   const { settings } = daemon;
@@ -104,17 +86,3 @@
       return refusedError('badRequest', 'this is not a valid HTTP/1.1 request (RFC 9112)');
   }
 }
-
-/** Refuses a request and, when its body is unread, closes the connection after the answer. */
-export function refuseRequest(
-  request: IncomingMessage,
-  response: ServerResponse,
-  type: ApiErrorType,
-  message: string,
-): void {
-  if (!request.complete) response.setHeader('connection', 'close');
-  sendError(response, refusedError(type, message), undefined);
-  if (!request.complete) {
-    response.once('finish', () => request.destroy());
-  }
-}
--- a/packages/reedlug/src/http/modelRoutes.ts
+++ b/packages/reedlug/src/http/modelRoutes.ts
@@ -4,10 +4,11 @@
 import { RequestClass, ServerKind, type RequestSpec } from 'reedlug-decisions';
 import { hashKey } from './keys.js';
 import { readCallerRequest, authenticateWorkspace } from './callerRequest.js';
-import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { createJsonExchange, createStreamExchange, sendJson } from './exchanges.js';
 import { ModelForm, parseModelRequest, type ModelRequest } from './modelRequest.js';
 import type { RequestHeaders } from './requestHeaders.js';
+import { refuseRequest } from './refuseRequest.js';
+import type { RouteContext, Router } from './routeContext.js';
 
 /** Average number of characters in a token, to estimate the length of a prompt. */
 const CHARACTERS_PER_TOKEN = 4;
--- a/packages/reedlug/src/http/requestRoutes.ts
+++ b/packages/reedlug/src/http/requestRoutes.ts
@@ -3,10 +3,11 @@
 import type { RequestRecord } from 'reedlug-decisions';
 import type { Exchange } from '../daemon/exchange.js';
 import { authenticateWorkspace } from './callerRequest.js';
-import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { createJsonExchange, createStreamExchange, sendJson } from './exchanges.js';
 import { ModelForm } from './modelRequest.js';
 import { HeaderName } from './requestHeaders.js';
+import { refuseRequest } from './refuseRequest.js';
+import type { RouteContext, Router } from './routeContext.js';
 
 /** Time that peers have to answer a lookup of a request, in ms. */
 const PEER_LOOKUP_TIMEOUT_MS = 500;
--- a/packages/reedlug/src/http/serviceRoutes.ts
+++ b/packages/reedlug/src/http/serviceRoutes.ts
@@ -5,10 +5,11 @@
 import { endToEndHeaders } from '../backends/serviceClient.js';
 import type { RouteSettings } from '../settings/settingsTypes.js';
 import { readCallerRequest } from './callerRequest.js';
-import { refuseRequest, type RouteContext, type Router } from './callerServer.js';
 import { createServiceExchange } from './exchanges.js';
 import { hashKey } from './keys.js';
 import type { RequestHeaders } from './requestHeaders.js';
+import { refuseRequest } from './refuseRequest.js';
+import type { RouteContext, Router } from './routeContext.js';
 
 /** Methods that are safe to repeat unless a route in the settings says otherwise. */
 const REPEATABLE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
