Soak: polls are recognized in platform/, by feed

The soak named the path and the tables of the platform's store; its stand-ins now say whether a request line is a poll of a feed, and whether a lost write is the operator's.

--- a/packages/reedlug-gateway/src/daemon/__tests__/operatorServer.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/operatorServer.test.ts
@@ -57,6 +57,7 @@
 test('any other path returns the metrics', () =>
   withOperatorServer(async (url) => {
     const text = await (await fetch(`${url}/metrics`)).text();
+    expect(text).to.include('reedlug');
     expect(text).to.include('reedlug_feed_age_ms{of="registry"} -1');
     // `//` alone is not a valid URL and must not crash the process.
     expect(await (await fetch(`${url}//`)).text()).to.include('reedlug');
--- a/packages/reedlug-soak/src/__tests__/lostAnswers.test.ts
+++ b/packages/reedlug-soak/src/__tests__/lostAnswers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { setTimeout as delay } from 'node:timers/promises';
+import { isPollOf } from 'reedlug-platform/standins';
 import { collectMemory } from '../collectMemory.js';
-import { isPollOf } from '../injectFault.js';
 import {
   startFollowingBoxes,
   timeUntil,
@@ -91,7 +91,7 @@
   this.timeout(TEST_TIMEOUT_MS);
   const fleet = await startFollowingBoxes(4);
   const lose = ({ link }: FollowingBox): void =>
-    link.loseNextAnswer((line) => isPollOf(line, 'op'));
+    link.loseNextAnswer((line) => isPollOf(line, 'operators'));
   const times: (number | undefined)[] = [];
   for (const version of [2, 3]) {
     const change = () => {
--- a/packages/reedlug-soak/src/__tests__/soak.test.ts
+++ b/packages/reedlug-soak/src/__tests__/soak.test.ts
@@ -106,11 +106,11 @@
     callsPerSecond: 80,
     folder: join(await mkdtemp(join(tmpdir(), 'reedlug-soak-')), 'run'),
     faults: [
-      { atMs: 2000, fault: { kind: 'pollLost', boxes, table: 'servers' } },
+      { atMs: 2000, fault: { kind: 'pollLost', boxes, feed: 'servers' } },
       { atMs: 2000, fault: { ...leave, server: 0 } },
       { atMs: 5000, fault: { kind: 'storeConnectionsSilent', boxes } },
       { atMs: 5000, fault: { ...leave, server: 1 } },
-      { atMs: 8000, fault: { kind: 'pollLost', boxes, table: 'op' } },
+      { atMs: 8000, fault: { kind: 'pollLost', boxes, feed: 'operators' } },
       { atMs: 8000, fault: { kind: 'configure' } },
       { atMs: 10_000, fault: { kind: 'storeConnectionsSilent', boxes } },
       { atMs: 10_000, fault: { kind: 'revokeKey' } },
--- a/packages/reedlug-soak/src/faultPlan.ts
+++ b/packages/reedlug-soak/src/faultPlan.ts
@@ -1,4 +1,5 @@
 /** Generates the faults of a run from its seed. Faults follow one another and may overlap. */
+import { BoundedFeed } from 'reedlug-platform/standins';
 import { createRandom, type Random } from 'reedlug-standins';
 
 /** Kinds of network faults. */
@@ -25,10 +26,6 @@
 } as const;
 export type Partition = (typeof Partition)[keyof typeof Partition];
 
-/** Tables of the store that boxes follow and whose changes have bounds. */
-export const FollowedTable = { operators: 'op', servers: 'servers' } as const;
-export type FollowedTable = (typeof FollowedTable)[keyof typeof FollowedTable];
-
 /** A fault or a planned change. `box` and `server` are indexes. */
 export type Fault =
   | { kind: 'pauseBox'; box: number; forMs: number }
@@ -57,8 +54,8 @@
   | { kind: 'storeCopy'; ageMs: number; forMs: number; againWithinMs: number; otherWrites: number }
   | { kind: 'storeSlow'; delayMs: number; forMs: number }
   | { kind: 'storeLosesAnswers'; share: number; forMs: number }
-  /** Each of the boxes loses the answer to its open or next poll of a table of the store, and collects its memory soon after. */
-  | { kind: 'pollLost'; boxes: readonly number[]; table: FollowedTable }
+  /** Each of the boxes loses the answer to its open or next poll of a feed, and collects its memory soon after. */
+  | { kind: 'pollLost'; boxes: readonly number[]; feed: BoundedFeed }
   /** The open connections of the boxes to the store fall silent for good; new ones work. */
   | { kind: 'storeConnectionsSilent'; boxes: readonly number[] }
   | { kind: 'serverCrash'; server: number; backAfterMs: number }
@@ -306,9 +303,9 @@
     const leave: Fault = { kind: 'serverLeaves', server, backAfterMs: 500, onlyListed: true };
     const isLeave = random.chance(0.5);
     const change: Fault = isLeave ? leave : { kind: random.pick(['configure', 'revokeKey']) };
-    const table = isLeave ? FollowedTable.servers : FollowedTable.operators;
+    const feed = isLeave ? BoundedFeed.servers : BoundedFeed.operators;
     const loss: Fault = random.chance(0.5)
-      ? { kind: 'pollLost', boxes: affected, table }
+      ? { kind: 'pollLost', boxes: affected, feed }
       : { kind: 'storeConnectionsSilent', boxes: affected };
     return [loss, change].map((fault) => ({ atMs, fault }));
   }).flat();
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -1,5 +1,6 @@
 /** Injects planned faults and records which boxes and servers they affect, and for how long. */
 import { setTimeout as delay } from 'node:timers/promises';
+import { isPollOf } from 'reedlug-platform/standins';
 import { createRandom } from 'reedlug-standins';
 import type { Fault } from './faultPlan.js';
 import {
@@ -114,7 +115,7 @@
       });
     case 'pollLost':
       return loseInBoxes(world, fault.boxes, ({ storeLink }) =>
-        storeLink.loseNextAnswer((line) => isPollOf(line, fault.table)),
+        storeLink.loseNextAnswer((line) => isPollOf(line, fault.feed)),
       );
     case 'storeConnectionsSilent':
       return loseInBoxes(world, fault.boxes, ({ storeLink }) => storeLink.silenceOpenConnections());
@@ -172,11 +173,6 @@
   for (const { process } of boxes) process.signal(COLLECT_SIGNAL);
 }
 
-/** Returns whether a request line is that of a long poll of a table. */
-export function isPollOf(requestLine: string, table: string): boolean {
-  return requestLine.includes('/rows-feed') && requestLine.includes(`table=${table}`);
-}
-
 /** Partitions the first boxes from the first servers of each service. */
 async function partitionBoxes(
   world: SoakWorld,
@@ -216,12 +212,12 @@
   await delay(fault.forMs);
   const lostWrites = store.restoreFromBackup(fault.ageMs);
   const random = createRandom(fault.ageMs);
-  const writes = lostWrites.map(async ({ table, isRemoval, again }) => {
+  const writes = lostWrites.map(async ({ isByOperator, isRemoval, again }) => {
     const afterMs = isRemoval ? ENTRY_LIFETIME_MS : random.unit() * fault.againWithinMs;
     if (afterMs > 0) await delay(afterMs);
     again();
     // The guarantee counts from the repeated write, as the store lost the first one.
-    if (table === 'op') record.configuredAtMs.set(world.version, performance.now());
+    if (isByOperator) record.configuredAtMs.set(world.version, performance.now());
   });
   store.skipVersions(fault.otherWrites);
   await Promise.all(writes);
