Review: case 3, a stream without an end of an event makes its box stand still

One model engine of two spoils one stream in fifty for 5 s: its bytes hold no empty line. The box that reads it answers nothing else meanwhile.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/case.mjs"
