--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,3 +1,4 @@
+/* global Buffer, performance, process, setTimeout */
 /**
  * One server of two spoils one answer in fifty for 5 s: a byte of its status line is wrong. The case
  * counts the requests that boxes leave without a final answer 0.5 s after their route's timeout_ms.
@@ -5,7 +6,14 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
-  call, openRecord, putConfiguration, serverEntry, sleep, startDeployment, startRawServer, untilReady,
+  call,
+  openRecord,
+  putConfiguration,
+  serverEntry,
+  sleep,
+  startDeployment,
+  startRawServer,
+  untilReady,
 } from '../lib/deployment.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
@@ -44,7 +52,7 @@
       );
       if (isFaulty && isTroubled()) {
         answers += 1;
-        if (answers % SPOILED_EVERY === 0) {
+        if (answers % SPOILED_EVERY === SPOILED_EVERY / 2) {
           // The top bit of the K of "200 OK" is wrong.
           bytes = Buffer.from(bytes);
           bytes[bytes.indexOf('OK') + 1] |= 0x80;
@@ -64,11 +72,17 @@
   const { store, boxes } = deployment;
   putConfiguration(store, {
     version: 1,
-    routes: [{ path_prefix: '/sira/', kind: 'idempotent', service: 'gise-api', timeout_ms: TIMEOUT_MS }],
+    routes: [
+      { path_prefix: '/sira/', kind: 'idempotent', service: 'gise-api', timeout_ms: TIMEOUT_MS },
+    ],
   });
   // One server and one box in each zone.
   servers.forEach(({ id, address }, index) =>
-    store.put('servers', id, serverEntry({ address, service: 'gise-api', zone: index === 0 ? 'zone-a' : 'zone-b' })),
+    store.put(
+      'servers',
+      id,
+      serverEntry({ address, service: 'gise-api', zone: index === 0 ? 'zone-a' : 'zone-b' }),
+    ),
   );
   for (const box of boxes) box.start();
   if (!(await untilReady(boxes))) throw new Error('the boxes did not become ready');
@@ -79,26 +93,38 @@
     const box = boxes[index % boxes.length];
     const sentAtMs = Math.round(performance.now() - loadStartedAtMs);
     // The client waits for longer than the rule: timeout_ms + 0.5 s.
-    const outcome = call({ box, path: `/sira/${index}`, deadlineMs: TIMEOUT_MS, waitMs: TIMEOUT_MS + 1000 });
+    const outcome = call({
+      box,
+      path: `/sira/${index}`,
+      deadlineMs: TIMEOUT_MS,
+      waitMs: TIMEOUT_MS + 1000,
+    });
     pending.push(outcome.then((result) => ({ ...result, box: box.id, sentAtMs })));
     await sleep(EVERY_MS);
   }
   const results = await Promise.all(pending);
   for (const { id, box, sentAtMs, kind, status, reason, tookMs } of results) {
-    record(`${id} sent to ${box} at ${sentAtMs} ms: ${kind} ${status ?? reason ?? ''} after ${tookMs} ms, ran ${ran.get(id) ?? 0} times`);
+    record(
+      `${id} sent to ${box} at ${sentAtMs} ms: ${kind} ${status ?? reason ?? ''} after ${tookMs} ms, ran ${ran.get(id) ?? 0} times`,
+    );
   }
   const ready = await Promise.all(boxes.map((box) => box.isReady()));
   record(`ready now: ${boxes.map((box, index) => `${box.id} ${ready[index]}`).join(', ')}`);
   // CONFIG: of the requests that outlast timeout_ms, eight or more and over a quarter have no final answer 0.5 s after it.
-  const outlasting = results.filter(({ kind, tookMs }) => kind === 'silent' || tookMs >= TIMEOUT_MS);
-  const unanswered = outlasting.filter(({ kind, tookMs }) => kind === 'silent' || tookMs > TIMEOUT_MS + 500);
+  const outlasting = results.filter(
+    ({ kind, tookMs }) => kind === 'silent' || tookMs >= TIMEOUT_MS,
+  );
+  const unanswered = outlasting.filter(
+    ({ kind, tookMs }) => kind === 'silent' || tookMs > TIMEOUT_MS + 500,
+  );
   const isBroken = unanswered.length >= 8 && unanswered.length > outlasting.length / 4;
   const ends = boxes.flatMap((box) => box.ownEnds).length;
   record(
     `${results.length} requests, ${results.filter(({ status }) => status === 200).length} with 200, ${spoiled} answers spoiled, ` +
       `${outlasting.length} outlasted timeout_ms, ${unanswered.length} of them unanswered 0.5 s later, ${ends} processes ended by themselves`,
   );
-  if (results.filter(({ status }) => status === 200).length === 0) throw new Error('nothing was served');
+  if (results.filter(({ status }) => status === 200).length === 0)
+    throw new Error('nothing was served');
   code = isBroken ? 1 : 0;
   record(isBroken ? 'CONFIG is broken' : 'CONFIG holds');
 } catch (error) {
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,3 +1,4 @@
+/* global performance, process, setTimeout */
 /**
  * Another writer puts one entry into `servers/`: all fields of the service are there, but its address is
  * no IP:PORT that can be read. Clients keep their connections and send on to the sound servers.
@@ -6,7 +7,14 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
-  call, openRecord, putConfiguration, serverEntry, sleep, startDeployment, startRawServer, untilReady,
+  call,
+  openRecord,
+  putConfiguration,
+  serverEntry,
+  sleep,
+  startDeployment,
+  startRawServer,
+  untilReady,
 } from '../lib/deployment.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
@@ -29,7 +37,9 @@
     passedOn.set(request.id, (passedOn.get(request.id) ?? 0) + 1);
     setTimeout(() => {
       if (socket.destroyed) return;
-      socket.write(`${head('200 OK')}X-Reedlug-Response-Stamp: stamp-${id}\r\nContent-Length: 5\r\n\r\nwhole`);
+      socket.write(
+        `${head('200 OK')}X-Reedlug-Response-Stamp: stamp-${id}\r\nContent-Length: 5\r\n\r\nwhole`,
+      );
     }, 150);
   });
 }
@@ -41,14 +51,19 @@
   const { store, boxes } = deployment;
   putConfiguration(store, {
     version: 1,
-    routes: [{ path_prefix: '/plaka/', kind: 'non_idempotent', service: 'gise-api', timeout_ms: 1000 }],
+    routes: [
+      { path_prefix: '/plaka/', kind: 'non_idempotent', service: 'gise-api', timeout_ms: 1000 },
+    ],
   });
-  for (const { id, address } of servers) store.put('servers', id, serverEntry({ address, service: 'gise-api' }));
+  for (const { id, address } of servers)
+    store.put('servers', id, serverEntry({ address, service: 'gise-api' }));
   for (const box of boxes) box.start();
   if (!(await untilReady(boxes))) throw new Error('the boxes did not become ready');
   await sleep(500);
   // Kept connections, as many as a box needs.
-  const agents = boxes.map(() => new http.Agent({ keepAlive: true, maxSockets: 200, timeout: 60_000 }));
+  const agents = boxes.map(
+    () => new http.Agent({ keepAlive: true, maxSockets: 200, timeout: 60_000 }),
+  );
   const startedAtMs = performance.now();
   let isEntered = false;
   const pending = [];
@@ -56,22 +71,41 @@
     const sinceMs = performance.now() - startedAtMs;
     if (hasTrouble && !isEntered && sinceMs >= TROUBLE_FROM_MS) {
       isEntered = true;
-      store.put('servers', 'i-other', serverEntry({ address: UNREADABLE_ADDRESS, service: 'gise-api' }));
+      store.put(
+        'servers',
+        'i-other',
+        serverEntry({ address: UNREADABLE_ADDRESS, service: 'gise-api' }),
+      );
       record(`another writer has entered i-other with the address ${UNREADABLE_ADDRESS}`);
     }
     const at = index % boxes.length;
     const box = boxes[at];
-    const outcome = call({ box, path: `/plaka/${index}`, method: 'POST', body: 'x', agent: agents[at], deadlineMs: 1000, waitMs: 2000 });
-    pending.push(outcome.then((result) => ({ ...result, box: box.id, sentAtMs: Math.round(sinceMs) })));
+    const outcome = call({
+      box,
+      path: `/plaka/${index}`,
+      method: 'POST',
+      body: 'x',
+      agent: agents[at],
+      deadlineMs: 1000,
+      waitMs: 2000,
+    });
+    pending.push(
+      outcome.then((result) => ({ ...result, box: box.id, sentAtMs: Math.round(sinceMs) })),
+    );
     await sleep(EVERY_MS);
   }
   const results = await Promise.all(pending);
   for (const { id, box, sentAtMs, reused, kind, status, reason, tookMs } of results) {
-    record(`${id} sent to ${box} at ${sentAtMs} ms${reused ? ' on a kept connection' : ''}: ${kind} ${status ?? reason ?? ''} after ${tookMs} ms, ran ${passedOn.get(id) ?? 0} times`);
+    record(
+      `${id} sent to ${box} at ${sentAtMs} ms${reused ? ' on a kept connection' : ''}: ${kind} ${status ?? reason ?? ''} after ${tookMs} ms, ran ${passedOn.get(id) ?? 0} times`,
+    );
   }
   // LOST: passed on to a sound server, and the kept connection closed without an answer, more than three times.
   const lostAt = ({ id: boxId }) =>
-    results.filter(({ kind, id, box, reused }) => kind === 'closed' && reused && box === boxId && passedOn.has(id));
+    results.filter(
+      ({ kind, id, box, reused }) =>
+        kind === 'closed' && reused && box === boxId && passedOn.has(id),
+    );
   const lost = boxes.map((box) => lostAt(box).length);
   const ends = boxes.flatMap((box) => box.ownEnds).length;
   const served = results.filter(({ status }) => status === 200).length;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,3 +1,4 @@
+/* global clearInterval, performance, process, setInterval, setTimeout */
 /**
  * One box of two is partitioned from all engines and reaches them through the other. Then the process of
  * the other is killed. Engines send streams without a length and without chunks. The case compares
@@ -7,7 +8,15 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
-  call, openRecord, putConfiguration, ROOT, serverEntry, sleep, startDeployment, startRawServer, untilReady,
+  call,
+  openRecord,
+  putConfiguration,
+  ROOT,
+  serverEntry,
+  sleep,
+  startDeployment,
+  startRawServer,
+  untilReady,
 } from '../lib/deployment.mjs';
 import { openServerLink, openStoreLink } from '../lib/links.mjs';
 
@@ -63,11 +72,16 @@
 const store = await startStoreStandin();
 const engines = await Promise.all(['m-1', 'm-2', 'm-3', 'm-4'].map(engine));
 const links = await Promise.all(
-  Array.from({ length: BOXES }, () => Promise.all(engines.map(({ address }) => openServerLink(address)))),
+  Array.from({ length: BOXES }, () =>
+    Promise.all(engines.map(({ address }) => openServerLink(address))),
+  ),
 );
 const storeLinks = await Promise.all(
   links.map((ofBox) =>
-    openStoreLink(store, (address) => ofBox[engines.findIndex((known) => known.address === address)]?.address),
+    openStoreLink(
+      store,
+      (address) => ofBox[engines.findIndex((known) => known.address === address)]?.address,
+    ),
   ),
 );
 const deployment = await startDeployment({
@@ -83,13 +97,28 @@
     version: 1,
     routes: [
       {
-        path_prefix: '/memur/', kind: 'streaming', service: 'reedlug-havuz', timeout_ms: STREAM_TIMEOUT_MS,
-        slo_ms: 800, gap_target_ms: 500, can_resume: false, max_attempts: 1,
+        path_prefix: '/memur/',
+        kind: 'streaming',
+        service: 'reedlug-havuz',
+        timeout_ms: STREAM_TIMEOUT_MS,
+        slo_ms: 800,
+        gap_target_ms: 500,
+        can_resume: false,
+        max_attempts: 1,
       },
     ],
   });
   engines.forEach(({ id, address }, index) =>
-    store.put('servers', id, serverEntry({ address, service: 'reedlug-havuz', slots: 128, zone: index % 2 === 0 ? 'zone-a' : 'zone-b' })),
+    store.put(
+      'servers',
+      id,
+      serverEntry({
+        address,
+        service: 'reedlug-havuz',
+        slots: 128,
+        zone: index % 2 === 0 ? 'zone-a' : 'zone-b',
+      }),
+    ),
   );
   for (const box of boxes) box.start();
   if (!(await untilReady(boxes))) throw new Error('the boxes did not become ready');
@@ -128,15 +157,21 @@
     const isComplete = kind === 'answer' && status === 200;
     if (isComplete && (events.length < EVENTS || !isInOrder)) early += 1;
     if (isComplete && events.length === EVENTS && isInOrder) whole += 1;
-    const ran = (runs.get(id) ?? []).map((run) => `${run.engine} ${run.events} events, ${run.outcome}`).join('; ');
+    const ran = (runs.get(id) ?? [])
+      .map((run) => `${run.engine} ${run.events} events, ${run.outcome}`)
+      .join('; ');
     record(
       `${id} sent at ${sentAtMs} ms: ${kind} ${status ?? reason ?? ''}, ${events.length} of ${EVENTS} events` +
         `${isComplete && events.length < EVENTS ? ', COMPLETE FOR THE CLIENT' : ''}; ran at ${ran || 'none'}`,
     );
   }
-  const tunnels = boxes.map(({ logPath }) => (readFileSync(logPath, 'utf8').match(/event=tunnelOpened/g) ?? []).length);
+  const tunnels = boxes.map(
+    ({ logPath }) => (readFileSync(logPath, 'utf8').match(/event=tunnelOpened/g) ?? []).length,
+  );
   record(`connections opened for other boxes: ${tunnels.join(', ')}`);
-  record(`${results.length} streams, ${whole} whole, ${early} that ended as complete before their last event`);
+  record(
+    `${results.length} streams, ${whole} whole, ${early} that ended as complete before their last event`,
+  );
   if (whole === 0) throw new Error('no stream was whole');
   code = early > 0 ? 1 : 0;
   record(early > 0 ? 'ORDER is broken' : 'ORDER holds');
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -1,3 +1,4 @@
+/* global Buffer, clearTimeout, performance, process, setTimeout */
 /**
  * A small deployment on loopback for the cases of the review: the project's stand-ins of the store and
  * the cloud, raw servers that a case scripts, and boxes as separate processes, started with the `run`
@@ -96,7 +97,10 @@
 }
 
 /** Writes the operator's configuration, with the fields of PROTOCOL.md. */
-export function putConfiguration(store, { version, routes, keys = [KEY], tenants, idleMs = 15_000 }) {
+export function putConfiguration(
+  store,
+  { version, routes, keys = [KEY], tenants, idleMs = 15_000 },
+) {
   store.put('op', 'config', {
     config_version: version,
     routes: routes.map((route) => ({
@@ -125,12 +129,36 @@
 }
 
 /** Entry of a server as it writes it itself. */
-export function serverEntry({ address, service, zone = 'zone-a', slots = 64, state = 'ready', ...rest }) {
-  return { service, address, zone, config_version: 'v1', slots, state, cold_left_ms: 0, sequence: 1, ...rest };
+export function serverEntry({
+  address,
+  service,
+  zone = 'zone-a',
+  slots = 64,
+  state = 'ready',
+  ...rest
+}) {
+  return {
+    service,
+    address,
+    zone,
+    config_version: 'v1',
+    slots,
+    state,
+    cold_left_ms: 0,
+    sequence: 1,
+    ...rest,
+  };
 }
 
 /** Starts the store, the cloud and the boxes; a proxy may stand before the store of each box. */
-export async function startDeployment({ record, boxes: count = 2, storeAddressOf, store, cloud, bounds = {} }) {
+export async function startDeployment({
+  record,
+  boxes: count = 2,
+  storeAddressOf,
+  store,
+  cloud,
+  bounds = {},
+}) {
   store ??= await startStoreStandin();
   cloud ??= await startCloudStandin();
   const folder = mkdtempSync(join(tmpdir(), 'reedlug-review-'));
@@ -140,9 +168,20 @@
     const ip = `127.0.0.${11 + index}`;
     const storeAddress = storeAddressOf?.(index) ?? store.address;
     const settings = {
-      box: { id: `front-${index + 1}`, ip, zone: index % 2 === 0 ? 'zone-a' : 'zone-b', processorShare: 0.675, processorSpeed: 1 },
+      box: {
+        id: `front-${index + 1}`,
+        ip,
+        zone: index % 2 === 0 ? 'zone-a' : 'zone-b',
+        processorShare: 0.675,
+        processorSpeed: 1,
+      },
       zones: ['zone-a', 'zone-b'],
-      listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, peersPort, metricsPort },
+      listen: {
+        callers: `${ip}:${callers}`,
+        readiness: `${ip}:${readiness}`,
+        peersPort,
+        metricsPort,
+      },
       seeds: [],
       store: { address: `${storeAddress.host}:${storeAddress.port}` },
       cloud: { address: `${cloud.address.host}:${cloud.address.port}`, duties: ['usageReports'] },
@@ -197,7 +236,10 @@
       child.stderr.on('data', keep);
       // What a process says before it ends by itself, once.
       child.stderr.on('data', (chunk) => {
-        const [line] = chunk.toString().split('\n').filter((text) => /^\w*Error/.test(text));
+        const [line] = chunk
+          .toString()
+          .split('\n')
+          .filter((text) => /^\w*Error/.test(text));
         if (line !== undefined && box.ownEnds.length < 3) record(`${id} says: ${line}`);
       });
       const started = child;
@@ -221,10 +263,13 @@
     /** Whether the box says that it is ready. */
     isReady: () =>
       new Promise((resolve) => {
-        const request = http.get({ host: ip, port: readiness, path: '/ready', agent: false, timeout: 1000 }, (response) => {
-          response.resume();
-          resolve(response.statusCode === 200);
-        });
+        const request = http.get(
+          { host: ip, port: readiness, path: '/ready', agent: false, timeout: 1000 },
+          (response) => {
+            response.resume();
+            resolve(response.statusCode === 200);
+          },
+        );
         request.on('timeout', () => request.destroy());
         request.on('error', () => resolve(false));
       }),
@@ -248,7 +293,17 @@
  * Sends one client attempt and resolves with its outcome: `answer` with status and body, `closed` for a
  * connection that ended without a whole answer, or `silent` if nothing came within `waitMs`.
  */
-export function call({ box, path, method = 'GET', deadlineMs = 2000, waitMs = deadlineMs + 1000, headers = {}, body, agent = false, id }) {
+export function call({
+  box,
+  path,
+  method = 'GET',
+  deadlineMs = 2000,
+  waitMs = deadlineMs + 1000,
+  headers = {},
+  body,
+  agent = false,
+  id,
+}) {
   calls += 1;
   const requestId = id ?? `c${process.pid.toString(16)}${calls.toString(16).padStart(8, '0')}`;
   const startedAtMs = performance.now();
@@ -258,7 +313,12 @@
       if (isOver) return;
       isOver = true;
       clearTimeout(timer);
-      resolve({ id: requestId, tookMs: Math.round(performance.now() - startedAtMs), reused: request.reusedSocket, ...outcome });
+      resolve({
+        id: requestId,
+        tookMs: Math.round(performance.now() - startedAtMs),
+        reused: request.reusedSocket,
+        ...outcome,
+      });
     };
     const request = http.request({
       ...box.callers,
@@ -280,7 +340,13 @@
     request.on('response', (response) => {
       const chunks = [];
       response.on('data', (chunk) => chunks.push(chunk));
-      response.on('error', () => end({ kind: 'closed', status: response.statusCode, body: Buffer.concat(chunks).toString() }));
+      response.on('error', () =>
+        end({
+          kind: 'closed',
+          status: response.statusCode,
+          body: Buffer.concat(chunks).toString(),
+        }),
+      );
       response.on('end', () => {
         const { statusCode: status, headers: answered } = response;
         end({ kind: 'answer', status, headers: answered, body: Buffer.concat(chunks).toString() });
--- a/review/lib/links.mjs
+++ b/review/lib/links.mjs
@@ -1,3 +1,4 @@
+/* global Buffer */
 /**
  * Links of a box of its own: on loopback all boxes have one address towards a server, so each box gets a
  * proxy of its own before each server, and a proxy before the store that names the box its proxies in
@@ -64,8 +65,10 @@
       answer.on('data', (chunk) => chunks.push(chunk));
       answer.on('end', () => {
         const body = JSON.parse(Buffer.concat(chunks).toString());
-        const { 'content-length': _length, 'transfer-encoding': _coding, ...others } = answer.headers;
-        response.writeHead(answer.statusCode, others);
+        const kept = Object.entries(answer.headers).filter(
+          ([name]) => name !== 'content-length' && name !== 'transfer-encoding',
+        );
+        response.writeHead(answer.statusCode, Object.fromEntries(kept));
         response.end(JSON.stringify({ ...body, rows: (body.rows ?? []).map(rename) }));
       });
     });
