An exception in the reducer ends a part of its step; the rest is done, and the state repaired

Cause: an exception in the middle of the reducer dropped all effects of its event, while the state had changed already, and all that would have come after it. In a tick, which does 31 things in a row, a part that throws each time kept deadlines, take-ups, gossip and the shutdown from ever running; requests that arrived before the configuration were lost to the first of them that threw; a send half-way left its place at the server taken for good.

Change: each part of a tick, and each request of a loop over requests, throws for itself (runPart). Effects requested before an exception are performed, since the state holds them as done. Afterwards the state is repaired: sends of a failed request that were decided in the same step are withdrawn, so that its answer is a true 'not run'; requests that no attempt and no wait goes on with are answered at once; open work at servers is counted anew from the requests. The daemon answers what the state does not know, as not run only if nothing was handed to a connection. 20 requests in a row that exceptions end stop the box as well.

Seen failing before, on with a reduceStep that drops the effects as the daemon did there: all four tests of faultRepair.test.ts, and 'a box whose ticks throw keeps the deadlines of its requests' (a caller with a deadline of 300 ms had no answer after 20 s; now 504 within 600 ms).

Tests changed: a request whose handling throws before its send is expected to be answered with 503, a time to come back and its id, where 502 was accepted before; 'cleaning it up is tried once' moves to the reducer, which answers the request itself, and checks that nothing of it is left.

--- a/packages/reedlug-gateway/src/daemon/callerServer.ts
+++ b/packages/reedlug-gateway/src/daemon/callerServer.ts
@@ -17,6 +17,8 @@
   response: ServerResponse;
   /** Id of the last event written to the caller of a stream. */
   lastEventId: number | undefined;
+  /** Whether it was handed to a connection to a server, so that it may have run. */
+  isSent: boolean;
 }
 
 /** Receives the server's events and provides its limits. */
@@ -76,7 +78,7 @@
         response.on('close', () => {
           if (!response.writableFinished) listener.onCallerGone(id);
         });
-        listener.onRequest({ id, head, body, response, lastEventId: undefined });
+        listener.onRequest({ id, head, body, response, lastEventId: undefined, isSent: false });
       });
     },
   );
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -84,6 +84,7 @@
   const { requestId } = record.facts;
   const ids = { exchangeId, attemptId };
   const end = (): void => void runtime.attempts.delete(attemptId);
+  exchange.isSent = true;
   const attempt = sendAttempt({
     connection: runtime.pool.acquire({ serverId, address, requestId }, order.needsFreshConnection),
     pool: runtime.pool,
--- a/packages/reedlug-gateway/src/daemon/exchanges.ts
+++ b/packages/reedlug-gateway/src/daemon/exchanges.ts
@@ -63,7 +63,12 @@
 export function writeRefusal(
   exchange: CallerExchange,
   codec: HeaderCodec,
-  params: { status: number; reason: string; requestId: string; retryAfterMs: number | undefined },
+  params: {
+    status: number;
+    reason: string;
+    requestId: string | undefined;
+    retryAfterMs: number | undefined;
+  },
 ): void {
   const { status, reason, requestId, retryAfterMs } = params;
   const body = Buffer.from(JSON.stringify({ error: reason }));
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -11,7 +11,7 @@
 } from '../observe/gatewayMetrics.js';
 import type { Logger } from '../observe/logger.js';
 import { createPlatformCallCounts } from '../observe/platformCalls.js';
-import { reduce } from '../reduce.js';
+import { reduceStep } from '../reduce.js';
 import { configurationHolders, isKnownBox } from '../slices/peers/configurationSources.js';
 import { sharedStateOf } from '../slices/peers/sharedState.js';
 import { isReady } from '../slices/lifecycle/shutdown.js';
@@ -78,12 +78,12 @@
   const emit = createSequentialHandler(
     (body) => {
       const event = { ...body, nowMs: clock.nowMs(), wallClockMs: Date.now() };
-      const effects = reduce(state, event);
+      const step = reduceStep(state, event);
+      for (const effect of step.effects) faults.perform(effect, perform);
+      faults.onEventHandled(body, step.faults);
       if (body.type === 'configurationRead') configurations.record(state.active?.configuration);
-      for (const effect of effects) faults.perform(effect, perform);
-      if (body.type === 'tick') faults.onTickHandled();
     },
-    (error, body) => faults.onEvent(error, body),
+    (error, body) => faults.onEventHandled(body, [{ error, exchangeId: undefined }]),
   );
   const exchanges = new Map<number, CallerExchange>();
   let isBroken = false;
@@ -98,6 +98,7 @@
     nowMs: clock.nowMs,
     emit,
     exchanges,
+    codec: adapter.headers,
     isHandled: (exchangeId) => hasRequest(state, exchangeId),
     onBroken: stopBroken,
   });
--- a/packages/reedlug-gateway/src/daemon/internalFaults.ts
+++ b/packages/reedlug-gateway/src/daemon/internalFaults.ts
@@ -1,23 +1,31 @@
 /**
- * What a box does about an exception of its own code.
+ * What a box does about exceptions of its own code.
  *
- * A request whose event or effect threw fails alone, with an answer that promises nothing, and so do those that an exception
- * elsewhere left without anyone to answer them. Such exceptions are logged; where they go on, what the box believes may be broken, so it stops being ready, and ends once its
- * requests have, or at the end of the grace period.
+ * A request whose event or effect threw fails alone. The reducer answers the requests that it still knows; those that
+ * an exception has left to nobody are answered here, as not run only if nothing of them was handed to a connection.
+ * Exceptions are logged. Where they go on, or no request succeeds any more, what the box believes may be broken, so it
+ * stops being ready, and ends once its requests have, or at the end of the grace period.
  */
+import type { HeaderCodec } from '../adapter.js';
 import type { Logger } from '../observe/logger.js';
+import { INTERNAL_FAULT_REASON } from '../slices/lifecycle/faultRepair.js';
+import { NO_SERVER_RETRY_MS } from '../slices/requests/requestCompletion.js';
+import type { StepFault } from '../stepFaults.js';
 import type { Effect } from '../types/effect.js';
 import type { EventBody } from '../types/event.js';
 import type { CallerExchange } from './callerServer.js';
+import { writeRefusal } from './exchanges.js';
 
 /** Exceptions outside of requests after which a box stops, and the time within which they count, in ms. */
 const MAX_FAULTS = 20;
 const FAULT_WINDOW_MS = 10_000;
+/** Requests in a row that exceptions have ended, without an answer relayed between them, after which a box stops. */
+const MAX_FAILED_REQUESTS = 20;
 /** Time without a handled tick after which a box is no longer ready, in ms. */
 const MAX_TICK_AGE_MS = 3000;
-/** Answer to a request that failed here: it may have run. */
-const FAILED_STATUS = 502;
-const FAULT_REASON = 'internalFault';
+/** Answers to a request that failed here: it may have run, and it has not. */
+const MAY_HAVE_RUN_STATUS = 502;
+const NOT_RUN_STATUS = 503;
 
 /** What the handling of exceptions needs of the box. */
 export interface InternalFaultsContext {
@@ -25,6 +33,7 @@
   nowMs: () => number;
   emit: (body: EventBody) => void;
   exchanges: Map<number, CallerExchange>;
+  codec: HeaderCodec;
   /** Whether the state still has the request of an exchange. */
   isHandled: (exchangeId: number) => boolean;
   /** Called once when the box has to stop. */
@@ -33,103 +42,115 @@
 
 /** Handles the exceptions of a box. */
 export interface InternalFaults {
-  onEvent: (error: unknown, body: EventBody) => void;
+  /** An event was handled, with these exceptions. */
+  onEventHandled: (body: EventBody, faults: readonly StepFault[]) => void;
   /** Performs an effect; what it throws fails its request alone. */
   perform: (effect: Effect, performEffect: (effect: Effect) => void) => void;
   /** An exception that nothing caught. */
   onUncaught: (error: unknown) => void;
-  onTickHandled: () => void;
   /** Whether events are handled, as far as exceptions and ticks show. */
   isSound: () => boolean;
 }
 
 /** Creates the handling of exceptions of a box that starts now. */
 export function createInternalFaults(context: InternalFaultsContext): InternalFaults {
-  const { logger, nowMs, emit, exchanges, isHandled, onBroken } = context;
+  const { logger, nowMs, emit, exchanges, codec, isHandled, onBroken } = context;
   const faultsAtMs: number[] = [];
+  let failedRequests = 0;
   let isBroken = false;
   let tickedAtMs = nowMs();
 
+  const breakDown = (fields: Record<string, number>): void => {
+    if (isBroken) return;
+    isBroken = true;
+    logger('boxBroken', fields);
+    onBroken();
+  };
+
   const recordFault = (): void => {
     faultsAtMs.push(nowMs());
     if (faultsAtMs.length > MAX_FAULTS) faultsAtMs.shift();
     const [firstAtMs = 0] = faultsAtMs;
     const areMany = faultsAtMs.length === MAX_FAULTS && nowMs() - firstAtMs < FAULT_WINDOW_MS;
-    if (!areMany || isBroken) return;
-    isBroken = true;
-    logger('boxBroken', { faults: MAX_FAULTS, withinMs: FAULT_WINDOW_MS });
-    onBroken();
+    if (areMany) breakDown({ faults: MAX_FAULTS, withinMs: FAULT_WINDOW_MS });
   };
 
-  const failRequest = (exchangeId: number, exchange: CallerExchange | undefined): void => {
-    exchanges.delete(exchangeId);
-    if (exchange !== undefined) failExchange(exchange);
-    emit({ type: 'callerGone', exchangeId });
+  const recordFailedRequest = (): void => {
+    failedRequests += 1;
+    if (failedRequests >= MAX_FAILED_REQUESTS) breakDown({ failedRequests });
   };
 
-  const failUnhandledRequests = (): void => {
+  const answerUnhandledRequests = (): void => {
     for (const [exchangeId, exchange] of [...exchanges]) {
-      if (!isHandled(exchangeId)) failRequest(exchangeId, exchange);
+      if (isHandled(exchangeId)) continue;
+      exchanges.delete(exchangeId);
+      failExchange(exchange, codec);
     }
   };
 
+  const failEffect = (effect: Effect, error: unknown): void => {
+    const exchangeId = 'exchangeId' in effect ? effect.exchangeId : undefined;
+    const request = 'requestId' in effect ? effect.requestId : '';
+    const fields = { type: effect.type, request, exchange: exchangeId ?? '' };
+    logger('effectFault', { ...fields, ...describeError(error) });
+    if (exchangeId === undefined) return recordFault();
+    recordFailedRequest();
+    if (effect.type === 'send') {
+      const { attemptId } = effect;
+      const reason = INTERNAL_FAULT_REASON;
+      return emit({ type: 'attemptNotSent', exchangeId, attemptId, reason });
+    }
+    emit({ type: 'callerGone', exchangeId });
+  };
+
   return {
-    onEvent(error, body) {
-      const exchangeId = exchangeIdOf(body);
-      logger('eventFault', {
-        type: body.type,
-        exchange: exchangeId ?? '',
-        ...describeError(error),
-      });
-      // The caller of a request that is cleaned up is gone already.
-      if (exchangeId === undefined || body.type === 'callerGone') {
-        recordFault();
-        return failUnhandledRequests();
+    onEventHandled(body, faults) {
+      for (const { error, exchangeId } of faults) {
+        const fields = { type: body.type, exchange: exchangeId ?? '' };
+        logger('eventFault', { ...fields, ...describeError(error) });
+        if (exchangeId !== undefined) recordFailedRequest();
       }
-      failRequest(exchangeId, exchanges.get(exchangeId));
+      const isFaulty = faults.some(({ exchangeId }) => exchangeId === undefined);
+      if (isFaulty) recordFault();
+      else if (body.type === 'tick') tickedAtMs = nowMs();
+      if (faults.length > 0) answerUnhandledRequests();
     },
     perform(effect, performEffect) {
-      const exchangeId = exchangeIdOf(effect);
+      const exchangeId = 'exchangeId' in effect ? effect.exchangeId : undefined;
       const exchange = exchangeId === undefined ? undefined : exchanges.get(exchangeId);
       try {
         performEffect(effect);
+        if (effect.type === 'relay') failedRequests = 0;
       } catch (error) {
-        const request = 'requestId' in effect ? effect.requestId : '';
-        const fields = { type: effect.type, request, exchange: exchangeId ?? '' };
-        logger('effectFault', { ...fields, ...describeError(error) });
-        if (effect.type === 'send') {
-          const { attemptId } = effect;
-          const reason = FAULT_REASON;
-          return emit({ type: 'attemptNotSent', exchangeId: effect.exchangeId, attemptId, reason });
-        }
-        if (exchangeId === undefined) return recordFault();
-        failRequest(exchangeId, exchange);
+        failEffect(effect, error);
+        if (effect.type === 'send' || exchangeId === undefined || exchange === undefined) return;
+        exchanges.delete(exchangeId);
+        failExchange(exchange, codec);
       }
     },
     onUncaught(error) {
       logger('uncaughtFault', describeError(error));
       recordFault();
     },
-    onTickHandled() {
-      tickedAtMs = nowMs();
-    },
     isSound: () => !isBroken && nowMs() - tickedAtMs < MAX_TICK_AGE_MS,
   };
 }
 
-function exchangeIdOf(value: EventBody | Effect): number | undefined {
-  return 'exchangeId' in value ? value.exchangeId : undefined;
-}
-
 /** Ends an answer that can't be completed: with a status while none was sent, else by closing the connection. */
-function failExchange({ response }: CallerExchange): void {
+function failExchange(exchange: CallerExchange, codec: HeaderCodec): void {
+  const { response, isSent } = exchange;
   if (response.headersSent) return void response.destroy();
-  const body = Buffer.from(JSON.stringify({ error: FAULT_REASON }));
-  response.writeHead(FAILED_STATUS, {
-    'content-type': 'application/json',
-    'content-length': body.length,
-  });
-  response.end(body);
+  try {
+    const retry = isSent
+      ? { status: MAY_HAVE_RUN_STATUS, retryAfterMs: undefined }
+      : { status: NOT_RUN_STATUS, retryAfterMs: NO_SERVER_RETRY_MS };
+    const decoded = codec.decodeRequest(exchange.head);
+    const requestId = decoded.kind === 'request' ? decoded.facts.requestId : undefined;
+    writeRefusal(exchange, codec, { ...retry, reason: INTERNAL_FAULT_REASON, requestId });
+  } catch {
+    // The answer itself can't be written; a closed connection promises nothing.
+    response.destroy();
+  }
 }
 
 function describeError(error: unknown): { error: string; stack: string } {
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -17,7 +17,8 @@
 } from './slices/peers/sharedState.js';
 export { isReady } from './slices/lifecycle/shutdown.js';
 export { isNewEra } from './slices/store/storeEra.js';
-export { reduce } from './reduce.js';
+export { reduce, reduceStep } from './reduce.js';
+export type { StepFault } from './stepFaults.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
 export { explainRequest, type Explanation } from './observe/explainRequest.js';
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -6,6 +6,9 @@
 import type { EventOf, GatewayEvent } from './types/event.js';
 import type { Effect } from './types/effect.js';
 import type { GatewayState, Step } from './state.js';
+import { runPart } from './stepFaults.js';
+import { runTick } from './tick.js';
+import { repairAfterFaults } from './slices/lifecycle/faultRepair.js';
 import { onConfigurationRead } from './slices/store/configuration.js';
 import {
   onAnswerBegun,
@@ -16,69 +19,69 @@
   onAttemptNotSent,
   onEventsRelayed,
 } from './slices/requests/attempts.js';
-import { capacityTick } from './slices/engines/capacity.js';
-import { overloadTick } from './slices/lifecycle/overload.js';
-import type { ThreadLoad } from './types/threadLoad.js';
-import { crashGossipTick, onCrashSuspects } from './slices/crashes/crashGossip.js';
-import { crashRowTick, onCrashRow } from './slices/crashes/crashRow.js';
-import { crashSuspectsTick, liftVerdict } from './slices/crashes/crashSuspects.js';
+import { onCrashSuspects } from './slices/crashes/crashGossip.js';
+import { onCrashRow } from './slices/crashes/crashRow.js';
+import { liftVerdict } from './slices/crashes/crashSuspects.js';
 import { onOrderAnswered } from './slices/engines/engineOrders.js';
-import { clockTick, onClockRow, onStoreClock } from './slices/store/clock.js';
-import { dutyLeaseTick, onLeaseRow } from './slices/store/dutyLease.js';
-import { limitShareTick } from './slices/limits/limitShare.js';
-import { lostServersTick, onServerProbed } from './slices/crashes/lostServers.js';
+import { onClockRow, onStoreClock } from './slices/store/clock.js';
+import { onLeaseRow } from './slices/store/dutyLease.js';
+import { onServerProbed } from './slices/crashes/lostServers.js';
 import { onConfigurationTransferFailed } from './slices/peers/configurationSources.js';
 import { onTunnel } from './slices/peers/tunnels.js';
-import { newerStateTick, onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers/peers.js';
+import { onPeerMessage, onPeersListed, onPeerUsage } from './slices/peers/peers.js';
 import {
   pendingRequestsTick,
   onCallerGone,
   onRequestArrived,
-  requestsTick,
   resumedStreamsTick,
 } from './slices/requests/requests.js';
-import { onRolloutRow, rolloutRecordsTick } from './slices/rollouts/rolloutRecords.js';
-import { rolloutEvaluationTick } from './slices/rollouts/rolloutEvaluation.js';
+import { onRolloutRow } from './slices/rollouts/rolloutRecords.js';
 import { onRolloutOrdered } from './slices/rollouts/rollouts.js';
-import { brittleServicesTick } from './slices/statements/brittleServices.js';
-import { onServerStatements, statementsTick } from './slices/statements/statementGossip.js';
-import { onServersRead, onStoreContact, serversTick } from './slices/servers/servers.js';
-import { linkChecksTick } from './slices/servers/linkChecks.js';
-import { onConnectionTried, serverLinksTick } from './slices/servers/serverLinks.js';
-import { silentServersTick } from './slices/servers/silentServers.js';
+import { onServerStatements } from './slices/statements/statementGossip.js';
+import { onServersRead, onStoreContact } from './slices/servers/servers.js';
+import { onConnectionTried } from './slices/servers/serverLinks.js';
 import { onStoreEra } from './slices/store/storeEra.js';
-import { onStopAsked, shutdownTick } from './slices/lifecycle/shutdown.js';
-import { serverSpeedsTick } from './slices/serverSpeeds/serverSpeeds.js';
-import { gossipTick } from './slices/peers/sendGossip.js';
+import { onStopAsked } from './slices/lifecycle/shutdown.js';
 import { checkWallClock, recordStall } from './slices/lifecycle/suspension.js';
 import { onUnitsAsked, onUnitsReturned } from './slices/limits/unitLoans.js';
-import { onLimitReserveRow, restartReserveTick } from './slices/limits/restartReserve.js';
-import { unitReservationsTick } from './slices/limits/unitReservations.js';
-import { onUnitsLent, waitingSendsTick } from './slices/limits/waitingSends.js';
+import { onLimitReserveRow } from './slices/limits/restartReserve.js';
+import { onUnitsLent } from './slices/limits/waitingSends.js';
 import {
   onStreamStartAnswered,
   onStreamStartAsked,
   onStreamStarts,
 } from './slices/streamVersions/startGossip.js';
-import { registryAgeTick } from './slices/store/feedAges.js';
-import { feedConfirmationTick } from './slices/store/feedConfirmation.js';
 import { onStreamRows } from './slices/streamVersions/streamRows.js';
-import { streamVersionsTick } from './slices/streamVersions/streamVersionsTick.js';
-import { onCheckpointRow, onUsageAnswered, onUsageRow, usageTick } from './slices/usage/usage.js';
+import { onCheckpointRow, onUsageAnswered, onUsageRow } from './slices/usage/usage.js';
 
-/** Handles an event and returns the requested effects. */
+/** Effects that a step requested, and exceptions of its parts. */
+export type StepOutcome = Pick<Step, 'effects' | 'faults'>;
+
+/** Handles an event and returns the requested effects; throws the first exception of the step. */
 export function reduce(state: GatewayState, event: GatewayEvent): Effect[] {
-  const step: Step = { nowMs: event.nowMs, wallClockMs: event.wallClockMs, effects: [] };
-  checkWallClock(state, step);
-  recordStall(state, step.nowMs);
-  handle(state, step, event);
-  return step.effects;
+  const { effects, faults } = reduceStep(state, event);
+  const [fault] = faults;
+  if (fault !== undefined) throw fault.error;
+  return effects;
+}
+
+/** Handles an event. Exceptions end parts of the step; the state is repaired afterwards, and the effects are to be performed. */
+export function reduceStep(state: GatewayState, event: GatewayEvent): StepOutcome {
+  const { nowMs, wallClockMs } = event;
+  const step: Step = { nowMs, wallClockMs, effects: [], faults: [] };
+  const firstAttemptId = state.nextAttemptId;
+  const exchangeId = 'exchangeId' in event ? event.exchangeId : undefined;
+  runPart(step, () => checkWallClock(state, step));
+  runPart(step, () => recordStall(state, nowMs));
+  runPart(step, () => handle(state, step, event), exchangeId);
+  if (step.faults.length > 0) repairAfterFaults(state, step, firstAttemptId);
+  return step;
 }
 
 function handle(state: GatewayState, step: Step, event: GatewayEvent): void {
   switch (event.type) {
     case 'tick':
-      return onTick(state, step, event.load);
+      return runTick(state, step, event.load);
     case 'requestArrived':
       return onRequestArrived(state, step, event);
     case 'callerGone':
@@ -156,40 +159,6 @@
   }
 }
 
-function onTick(state: GatewayState, step: Step, load: ThreadLoad | undefined): void {
-  overloadTick(state, step, load);
-  serversTick(state, step);
-  feedConfirmationTick(state, step.nowMs);
-  registryAgeTick(state, step);
-  serverLinksTick(state);
-  linkChecksTick(state, step);
-  brittleServicesTick(state, step.nowMs);
-  pendingRequestsTick(state, step);
-  streamVersionsTick(state, step);
-  resumedStreamsTick(state, step);
-  requestsTick(state, step);
-  silentServersTick(state, step);
-  lostServersTick(state, step);
-  clockTick(state, step);
-  unitReservationsTick(state, step.nowMs);
-  waitingSendsTick(state, step);
-  limitShareTick(state, step);
-  restartReserveTick(state, step);
-  dutyLeaseTick(state, step);
-  usageTick(state, step);
-  rolloutEvaluationTick(state, step);
-  rolloutRecordsTick(state, step);
-  serverSpeedsTick(state, step);
-  capacityTick(state, step);
-  newerStateTick(state, step);
-  gossipTick(state, step);
-  crashSuspectsTick(state, step);
-  crashGossipTick(state, step);
-  statementsTick(state, step);
-  crashRowTick(state, step);
-  shutdownTick(state, step);
-}
-
 function onTableAnswered(state: GatewayState, step: Step, event: EventOf<'tableAnswered'>): void {
   switch (event.purpose.kind) {
     case 'lease':
--- a/packages/reedlug-gateway/src/slices/crashes/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashSuspects.ts
@@ -15,6 +15,7 @@
   isSameCrash,
 } from '../../policy/crashVerdict.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import { runPart } from '../../stepFaults.js';
 import type { CrashSuspect, LostSend, ServerCrash } from '../../types/crashSuspect.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { giveUp } from '../requests/requestCompletion.js';
@@ -254,7 +255,9 @@
     if (!suspectsOf(state, record).includes(suspect) || !isKeptOut(state, record, step.nowMs))
       continue;
     const hasOutput = record.attempts.some(({ firstOutputAtMs }) => firstOutputAtMs !== undefined);
-    if (!hasOutput) giveUp(state, step, record, CRASHES_SERVERS_REASON);
+    if (hasOutput) continue;
+    const { exchangeId } = record;
+    runPart(step, () => giveUp(state, step, record, CRASHES_SERVERS_REASON), exchangeId);
   }
 }
 
--- a/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
+++ b/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
@@ -9,6 +9,7 @@
 import type { Choice } from '../../policy/chooseServer.js';
 import { addRetryJitter } from '../../policy/retryJitter.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import { runPart } from '../../stepFaults.js';
 import type { EventOf } from '../../types/event.js';
 import type { WorkspaceSpec } from '../../types/configuration.js';
 import type { RequestRecord, WaitingSend } from '../../types/request.js';
@@ -130,7 +131,9 @@
     ready.push(waiting);
     state.waitingForUnits = state.waitingForUnits.filter((other) => other !== waiting);
   }
-  for (const { record } of ready) sendNow(state, step, record);
+  for (const { record } of ready) {
+    runPart(step, () => sendNow(state, step, record), record.exchangeId);
+  }
 }
 
 /** Returns the waiting requests in the order in which they get units. */
@@ -163,12 +166,16 @@
   const timedOut = state.waitingForUnits.filter(({ untilMs }) => untilMs <= step.nowMs);
   state.waitingForUnits = state.waitingForUnits.filter(({ untilMs }) => untilMs > step.nowMs);
   for (const { record } of timedOut) {
-    if (isOpen(state, record)) refuseOverLimit(state, step, record);
-    const workspace = findWorkspace(state, record.workspace ?? '');
-    if (workspace !== undefined) returnUnneededLoans(state, step, workspace);
+    runPart(step, () => endWait(state, step, record), record.exchangeId);
   }
 }
 
+function endWait(state: GatewayState, step: Step, record: RequestRecord): void {
+  if (isOpen(state, record)) refuseOverLimit(state, step, record);
+  const workspace = findWorkspace(state, record.workspace ?? '');
+  if (workspace !== undefined) returnUnneededLoans(state, step, workspace);
+}
+
 /**
  * Sends what has become possible since, and requests the units that waiting requests still lack
  * after a round trip.
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/cutOffBoxes.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/cutOffBoxes.test.ts
@@ -63,7 +63,7 @@
 test('while no box is cut off, gossip does not grow', () => {
   expect(cutOffGossip([peerMessage(), peerMessage({ boxId: 'box-3' })])).to.deep.equal({});
   const box = boxOfLargeFleet();
-  const step = { nowMs: 0, wallClockMs: 0, effects: [] };
+  const step = { nowMs: 0, wallClockMs: 0, effects: [], faults: [] };
   expect(buildGossip(box.state, step).groupMessage()).not.to.have.property('cutOffBoxes');
 });
 
--- a/packages/reedlug-gateway/src/slices/placement/__tests__/placement.test.ts
+++ b/packages/reedlug-gateway/src/slices/placement/__tests__/placement.test.ts
@@ -133,7 +133,12 @@
   const attempt = record?.attempts[0];
   if (record === undefined || attempt === undefined) throw new Error('not sent');
   const nowMs = box.nowMs + attempt.modelMs * timeShare;
-  recordFirstEvent(box.state, { nowMs, wallClockMs: nowMs, effects: [] }, record, attempt);
+  recordFirstEvent(
+    box.state,
+    { nowMs, wallClockMs: nowMs, effects: [], faults: [] },
+    record,
+    attempt,
+  );
   return box;
 }
 
--- a/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
@@ -8,7 +8,7 @@
 import type { ServerView } from '../../types/views.js';
 
 /** Retry-After time when no server accepted a request, in ms: an engine's queue advances in this time. */
-const NO_SERVER_RETRY_MS = 250;
+export const NO_SERVER_RETRY_MS = 250;
 /** Shortest Retry-After time given, in ms: a caller that returns sooner finds the same state. */
 const MIN_RETRY_MS = 100;
 
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -4,6 +4,7 @@
 import type { RouteSpec, WorkspaceSpec } from '../../types/configuration.js';
 import type { PendingRequest, RequestFacts, RequestRecord } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import { runPart } from '../../stepFaults.js';
 import {
   addPendingRequest,
   removePendingRequest,
@@ -56,7 +57,13 @@
 
 /** Accepts the requests that waited for configuration and servers. */
 export function pendingRequestsTick(state: GatewayState, step: Step): void {
-  for (const request of takeReadyRequests(state, step)) acceptRequest(state, step, request);
+  acceptEach(state, step, takeReadyRequests(state, step));
+}
+
+function acceptEach(state: GatewayState, step: Step, requests: readonly PendingRequest[]): void {
+  for (const request of requests) {
+    runPart(step, () => acceptRequest(state, step, request), request.exchangeId);
+  }
 }
 
 /** Whether this box still has the request of an exchange: one in progress, or one that waits to be accepted. */
@@ -112,7 +119,7 @@
 /** Accepts or refuses the streams that are taken up whose version is known by now, or will not be. */
 export function resumedStreamsTick(state: GatewayState, step: Step): void {
   lookupsTick(state, step);
-  for (const request of takeResolvedRequests(state)) acceptRequest(state, step, request);
+  acceptEach(state, step, takeResolvedRequests(state));
 }
 
 /**
@@ -215,7 +222,11 @@
 export function requestsTick(state: GatewayState, step: Step): void {
   for (const record of state.requests.values()) {
     if (step.nowMs < record.deadlineAtMs) continue;
-    recordAbandonedAnswer(state, step, record);
-    giveUp(state, step, record, 'timeIsUp');
+    runPart(step, () => giveUpLate(state, step, record), record.exchangeId);
   }
 }
+
+function giveUpLate(state: GatewayState, step: Step, record: RequestRecord): void {
+  recordAbandonedAnswer(state, step, record);
+  giveUp(state, step, record, 'timeIsUp');
+}
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/fleetSpeeds.test.ts
@@ -73,7 +73,7 @@
     if (view === undefined) return;
     const modelMs = 50 + 200 * random();
     const waitMs = (modelMs / speedOfServer(view.entry.id)) * (0.6 + 0.8 * random());
-    const step = { nowMs, wallClockMs: nowMs + wallClockOffsetMs, effects: [] };
+    const step = { nowMs, wallClockMs: nowMs + wallClockOffsetMs, effects: [], faults: [] };
     recordSpeed(state, step, { view, attempt: attemptOf(modelMs), waitMs });
   };
   return fleet;
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/rolloutSpeeds.test.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/rolloutSpeeds.test.ts
@@ -60,7 +60,7 @@
   expect(nowMs - box.nowMs).to.be.below(3 * attempt.expectedMs);
   recordAnswer(
     box.state,
-    { nowMs, wallClockMs: nowMs, effects: [] },
+    { nowMs, wallClockMs: nowMs, effects: [], faults: [] },
     { record, attempt, end: AnswerEnd.good },
   );
   const view = box.state.rollouts.get('records');
--- a/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/speedUse.test.ts
+++ b/packages/reedlug-gateway/src/slices/serverSpeeds/__tests__/speedUse.test.ts
@@ -106,7 +106,12 @@
   const attempt = record?.attempts[0];
   if (record === undefined || attempt === undefined) throw new Error('not sent');
   const nowMs = box.nowMs + attempt.modelMs * timeShare;
-  recordFirstEvent(box.state, { nowMs, wallClockMs: nowMs, effects: [] }, record, attempt);
+  recordFirstEvent(
+    box.state,
+    { nowMs, wallClockMs: nowMs, effects: [], faults: [] },
+    record,
+    attempt,
+  );
   box.nowMs = nowMs;
   return viewOf(box, order.serverId);
 }
--- a/packages/reedlug-gateway/src/slices/servers/serverIncarnations.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverIncarnations.ts
@@ -1,5 +1,6 @@
 /** Incarnations of servers (a server restarted under the same id is a new one): what runs at one ends with it. */
 import type { GatewayState, Step } from '../../state.js';
+import { runPart } from '../../stepFaults.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import type { ServerView } from '../../types/views.js';
 import { closeAttempt, reachWhenLost } from '../requests/requestCompletion.js';
@@ -35,6 +36,8 @@
   }
   recordIncarnationEnd(state, step, earlier.life);
   for (const found of lost) {
-    if (state.requests.has(found.record.exchangeId)) retryAfterRestart(state, step, found);
+    const { exchangeId } = found.record;
+    if (!state.requests.has(exchangeId)) continue;
+    runPart(step, () => retryAfterRestart(state, step, found), exchangeId);
   }
 }
--- a/packages/reedlug-gateway/src/slices/servers/silentServers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/silentServers.ts
@@ -2,6 +2,7 @@
 import { isOnHangingLink } from '../../policy/connectPlan.js';
 import { lostAfterMs, recordActivity, silenceMs } from '../../policy/serverSilence.js';
 import type { GatewayState, Step } from '../../state.js';
+import { runPart } from '../../stepFaults.js';
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { recordLoss } from '../crashes/lostServers.js';
 import { reserveRetry, mayRunAgain, retry } from '../requests/retries.js';
@@ -15,15 +16,17 @@
 /** Moves requests with a lost attempt to another server where they may run again. */
 export function silentServersTick(state: GatewayState, step: Step): void {
   for (const record of state.requests.values()) {
-    const attempt = record.attempts.at(-1);
-    if (attempt?.open !== true) continue;
-    if (attempt.isHeld === true) recordHeld(state, step, attempt);
-    else if (isLost(state, step, record, attempt)) {
-      moveToOtherServer(state, step, record, attempt);
-    }
+    runPart(step, () => checkSilence(state, step, record), record.exchangeId);
   }
 }
 
+function checkSilence(state: GatewayState, step: Step, record: RequestRecord): void {
+  const attempt = record.attempts.at(-1);
+  if (attempt?.open !== true) return;
+  if (attempt.isHeld === true) recordHeld(state, step, attempt);
+  else if (isLost(state, step, record, attempt)) moveToOtherServer(state, step, record, attempt);
+}
+
 /** A server that is not read is not silent. */
 function recordHeld(state: GatewayState, step: Step, attempt: Attempt): void {
   attempt.lastActivityAtMs = step.nowMs;
--- a/packages/reedlug-gateway/src/slices/workspaceShares/__tests__/workSums.test.ts
+++ b/packages/reedlug-gateway/src/slices/workspaceShares/__tests__/workSums.test.ts
@@ -181,7 +181,7 @@
   for (let index = 0; index < 100; index += 1) request(first, `small-${index}`, 10 + index);
   request(first, 'flood', 90_000, false);
   request(first, 'flood', 9000);
-  const step = { nowMs: first.nowMs, wallClockMs: 0, effects: [] };
+  const step = { nowMs: first.nowMs, wallClockMs: 0, effects: [], faults: [] };
   const { workloads = [] } = buildGossip(first.state, step).ownMessage();
   expect(workloads).to.have.length(64);
   expect(workloads[0]?.workspace).to.equal('flood');
@@ -194,7 +194,7 @@
 test('a box without the switches records and sends nothing', () => {
   const box = createServingBox();
   request(box, 'flood', 900, false);
-  const step = { nowMs: box.nowMs, wallClockMs: 0, effects: [] };
+  const step = { nowMs: box.nowMs, wallClockMs: 0, effects: [], faults: [] };
   expect(buildGossip(box.state, step).ownMessage().workloads).to.equal(undefined);
   expect(standingAt(box, 'flood')).to.equal(undefined);
   expect(box.state.workspaceShares.size).to.equal(0);
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -1,6 +1,7 @@
 /** State of a gateway box. Each slice modifies its part of the state in place. */
 import type { LeaseState, RetryBudget, TableOp } from 'reedlug-coordination';
 import type { EngineModel, OwnSends } from './policy/engineModel.js';
+import type { StepFault } from './stepFaults.js';
 import type { UnitReservation } from './policy/unitPrecedence.js';
 import type { ServicePlacement } from './types/placement.js';
 import type { OverloadState } from './types/threadLoad.js';
@@ -42,11 +43,12 @@
   UsageWindow,
 } from './types/views.js';
 
-/** One step of the reducer: its time, and the effects requested so far. */
+/** One step of the reducer: its time, the effects requested so far, and exceptions of its parts. */
 export interface Step {
   nowMs: number;
   wallClockMs: number;
   effects: Effect[];
+  faults: StepFault[];
 }
 
 /** State of a gateway box. */
