Exceptions in the callbacks of a request end that request alone, with a true answer

Exceptions were thrown at each step of the way. What throws before the connection takes the request (encoding) is not sent and refused as not run; what throws afterwards (start, verdict, statements, relaying) ends as lost, and a request that must run once runs once: that held already, and is kept by throwingSteps.test.ts and sendFaults.test.ts. Two steps did not hold: - reading a request's head: the caller had no answer at all, ever; - closing the connection of a failed send: the send was never reported, so its request waited for its deadline.

Change: callbacks of a request (head, answer, events, end, 'drain', the check of the registry) run under its name; what they throw is logged (callbackFault) and ends the request with an answer that is true. A failed send is reported before its connection is closed, and as not sent only if the client has not begun it. An exception of the box counts against neither server nor links. A connection is taken from the pool only once the request is encoded. A send that ends within the call that makes it leaves no open attempt behind.

Seen failing before, on: 'decodeRequest' (unanswered after 500 ms; now closed at once), 'although closing its connection throws' (unreported after 500 ms), 'leaves no attempt open'. Ruled out by tests that passed before: answers, statements, relaying.

--- a/packages/reedlug-gateway/src/daemon/backendAttempt.ts
+++ b/packages/reedlug-gateway/src/daemon/backendAttempt.ts
@@ -7,7 +7,7 @@
  */
 import type { Dispatcher } from 'undici';
 import type { HeaderCodec } from '../adapter.js';
-import type { AnswerVerdict } from '../types/request.js';
+import { INTERNAL_FAULT_REASON, type AnswerVerdict } from '../types/request.js';
 import type { AnswerSettings } from '../types/settings.js';
 import type { AnswerStatements } from '../types/serverStatement.js';
 import type { Connection, ConnectionPool } from './connectionPool.js';
@@ -60,6 +60,8 @@
 export interface BackendAttempt {
   /** Returns the answer: complete once a plain answer has been reported, without a body for a stream. */
   answer: () => BackendAnswer | undefined;
+  /** Whether its outcome has been reported, or it was cancelled. */
+  isOver: () => boolean;
   /** Closes the connection, so that the server stops working, and reports nothing more. */
   cancel: () => void;
   /** Stops reading from the server; returns false if it is not read already. */
@@ -132,6 +134,14 @@
     settle(() => listener.onAnswered(finalVerdict, whole.status, isCloseDelimited));
   };
 
+  /** Ends an attempt that failed: once the client has begun to write the request, it may have run. */
+  const failSend = (error: Error): void => {
+    settle(() => {
+      if (sent) listener.onLost(reasonOf(error));
+      else listener.onNotSent(reasonOf(error));
+    });
+  };
+
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart(started) {
       controller = started;
@@ -179,17 +189,14 @@
       }
       const whole = { answer, verdict };
       void (connection.closedCleanly ?? Promise.resolve(false)).then((isClean) => {
+        if (isClean && !connection.failed) finish(whole.answer, whole.verdict);
+        else settle(() => listener.onLost('resetInAnswer'));
         discardConnection();
-        if (isClean && !connection.failed) return finish(whole.answer, whole.verdict);
-        settle(() => listener.onLost('resetInAnswer'));
       });
     },
     onResponseError(_controller, error) {
+      failSend(error);
       discardConnection();
-      settle(() => {
-        if (sent) listener.onLost(reasonOf(error));
-        else listener.onNotSent(reasonOf(error));
-      });
     },
   };
 
@@ -205,11 +212,12 @@
       handler,
     );
   } catch (error) {
-    // The client rejected the request before sending it: nothing has left this box.
-    queueMicrotask(() => settle(() => listener.onNotSent(reasonOf(error as Error))));
+    // The listener knows nothing of this attempt yet, so that it is told afterwards.
+    queueMicrotask(() => failSend(error as Error));
   }
   return {
     answer: () => answer,
+    isOver: () => settled,
     cancel() {
       settled = true;
       discardConnection();
@@ -238,6 +246,9 @@
 
 /** Log reasons for the error codes of undici, llhttp and the operating system. */
 const REASONS: Readonly<Record<string, string>> = {
+  // The client does not write such a request, whatever the server.
+  UND_ERR_INVALID_ARG: INTERNAL_FAULT_REASON,
+  UND_ERR_NOT_SUPPORTED: INTERNAL_FAULT_REASON,
   UND_ERR_SOCKET: 'connectionClosed',
   ECONNRESET: 'connectionReset',
   EPIPE: 'connectionReset',
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -84,35 +84,40 @@
   const { requestId } = record.facts;
   const ids = { exchangeId, attemptId };
   const end = (): void => void runtime.attempts.delete(attemptId);
+  const request = {
+    requestId,
+    method: head.method,
+    path: head.path,
+    headers: runtime.adapter.headers.encodeSend(head.rawHeaders, order),
+    body,
+    streaming,
+    isResumed: exchange.lastEventId !== undefined,
+  };
+  const target = { serverId, address, requestId };
+  const connection = runtime.pool.acquire(target, order.needsFreshConnection);
+  // What throws from here on may have happened after the first byte was handed over.
   exchange.isSent = true;
+  const guard = guardFor(runtime, exchange);
   const attempt = sendAttempt({
-    connection: runtime.pool.acquire({ serverId, address, requestId }, order.needsFreshConnection),
+    connection,
     pool: runtime.pool,
     codec: runtime.adapter.headers,
-    request: {
-      requestId,
-      method: head.method,
-      path: head.path,
-      headers: runtime.adapter.headers.encodeSend(head.rawHeaders, order),
-      body,
-      streaming,
-      isResumed: exchange.lastEventId !== undefined,
-    },
+    request,
     bounds: answerSettings(runtime),
     listener: {
-      onNotSent(reason) {
+      onNotSent: guard((reason) => {
         end();
         runtime.emit({ type: 'attemptNotSent', ...ids, reason });
-      },
-      onAnswerHead(statements) {
+      }),
+      onAnswerHead: guard((statements) => {
         runtime.emit({ type: 'answerBegun', ...ids, statements });
-      },
-      onStreamHead: () => confirmServer(runtime, ids),
-      onAnswered(verdict, status, endsWithConnection) {
+      }),
+      onStreamHead: guard(() => confirmServer(runtime, exchange, ids)),
+      onAnswered: guard((verdict, status, endsWithConnection) => {
         runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status, endsWithConnection });
         if (!streaming || verdict !== 'success') end();
-      },
-      onEvents(events) {
+      }),
+      onEvents: guard((events) => {
         const written = writeEvents(exchange, events);
         if (written.kind === 'gap') {
           runtime.attempts.get(attemptId)?.cancel();
@@ -122,20 +127,27 @@
         }
         runtime.emit({ type: 'eventsRelayed', ...ids, lastEventId: written.lastEventId });
         holdWhileUnread(runtime, exchange, ids);
-      },
-      onEnded() {
+      }),
+      onEnded: guard(() => {
         end();
         exchange.response.end();
         runtime.exchanges.delete(exchangeId);
         runtime.emit({ type: 'attemptEnded', ...ids });
-      },
-      onLost(reason) {
+      }),
+      onLost: guard((reason) => {
         end();
         runtime.emit({ type: 'attemptLost', ...ids, reason });
-      },
+      }),
     },
   });
-  runtime.attempts.set(attemptId, attempt);
+  if (!attempt.isOver()) runtime.attempts.set(attemptId, attempt);
+}
+
+/** Returns a function that lets what a callback of a request throws fail that request alone. */
+function guardFor({ faults }: Runtime, exchange: CallerExchange) {
+  return <Values extends unknown[]>(run: (...values: Values) => void) =>
+    (...values: Values): void =>
+      faults.runFor(exchange, () => run(...values));
 }
 
 function answerSettings({ settings }: Runtime): AnswerSettings {
@@ -145,34 +157,43 @@
 /** Stops reading from a stream's server while its caller has too much left to read. */
 function holdWhileUnread(
   runtime: Runtime,
-  { response }: CallerExchange,
+  exchange: CallerExchange,
   ids: { exchangeId: number; attemptId: number },
 ): void {
+  const { response } = exchange;
   const { maxUnreadBytes } = answerSettings(runtime);
   const attempt = runtime.attempts.get(ids.attemptId);
   if (attempt === undefined || response.writableLength <= maxUnreadBytes) return;
   if (!attempt.pause()) return;
   runtime.emit({ type: 'attemptHeld', ...ids, isHeld: true });
-  response.once('drain', () => {
+  const guard = guardFor(runtime, exchange);
+  const readOn = guard(() => {
     attempt.resume();
     runtime.emit({ type: 'attemptHeld', ...ids, isHeld: false });
   });
+  response.once('drain', readOn);
 }
 
 /**
  * Reads the events of a server that goes on with a stream only once the registry was read after its answer began. If the
  * server is in its next life, reading it cancels the attempt.
  */
-function confirmServer(runtime: Runtime, ids: { exchangeId: number; attemptId: number }): void {
+function confirmServer(
+  runtime: Runtime,
+  exchange: CallerExchange,
+  ids: { exchangeId: number; attemptId: number },
+): void {
   if (!mustConfirmServer(runtime.state, ids.exchangeId)) return;
   const attempt = runtime.attempts.get(ids.attemptId);
   if (attempt?.pause() !== true) return;
   runtime.emit({ type: 'attemptHeld', ...ids, isHeld: true });
-  void runtime.registry.readNow().then(() => {
+  const guard = guardFor(runtime, exchange);
+  const readOn = guard(() => {
     if (runtime.attempts.get(ids.attemptId) !== attempt) return;
     runtime.emit({ type: 'attemptHeld', ...ids, isHeld: false });
     attempt.resume();
   });
+  void runtime.registry.readNow().then(readOn);
 }
 
 function cancel(runtime: Runtime, attemptId: number): void {
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -220,7 +220,8 @@
 async function listenAll(runtime: Runtime): Promise<{ callers: Server; others: Server[] }> {
   const { settings, state } = runtime;
   const callers = createCallerServer({
-    onRequest: (exchange) => acceptRequest(runtime, exchange),
+    onRequest: (exchange) =>
+      runtime.faults.runFor(exchange, () => acceptRequest(runtime, exchange)),
     onCallerGone: (exchangeId) => {
       runtime.exchanges.delete(exchangeId);
       runtime.emit({ type: 'callerGone', exchangeId });
--- a/packages/reedlug-gateway/src/daemon/internalFaults.ts
+++ b/packages/reedlug-gateway/src/daemon/internalFaults.ts
@@ -8,11 +8,11 @@
  */
 import type { HeaderCodec } from '../adapter.js';
 import type { Logger } from '../observe/logger.js';
-import { INTERNAL_FAULT_REASON } from '../slices/lifecycle/faultRepair.js';
 import { NO_SERVER_RETRY_MS } from '../slices/requests/requestCompletion.js';
 import type { StepFault } from '../stepFaults.js';
 import type { Effect } from '../types/effect.js';
 import type { EventBody } from '../types/event.js';
+import { INTERNAL_FAULT_REASON } from '../types/request.js';
 import type { CallerExchange } from './callerServer.js';
 import { writeRefusal } from './exchanges.js';
 
@@ -46,6 +46,8 @@
   onEventHandled: (body: EventBody, faults: readonly StepFault[]) => void;
   /** Performs an effect; what it throws fails its request alone. */
   perform: (effect: Effect, performEffect: (effect: Effect) => void) => void;
+  /** Runs a callback of a request, which may not be in the state yet; what it throws fails the request alone. */
+  runFor: (exchange: CallerExchange, run: () => void) => void;
   /** An exception that nothing caught. */
   onUncaught: (error: unknown) => void;
   /** Whether events are handled, as far as exceptions and ticks show. */
@@ -88,19 +90,28 @@
     }
   };
 
-  const failEffect = (effect: Effect, error: unknown): void => {
-    const exchangeId = 'exchangeId' in effect ? effect.exchangeId : undefined;
+  const failRequest = (exchange: CallerExchange): void => {
+    recordFailedRequest();
+    exchanges.delete(exchange.id);
+    failExchange(exchange, codec);
+    emit({ type: 'callerGone', exchangeId: exchange.id });
+  };
+
+  const failEffect = (
+    effect: Effect,
+    exchange: CallerExchange | undefined,
+    error: unknown,
+  ): void => {
     const request = 'requestId' in effect ? effect.requestId : '';
-    const fields = { type: effect.type, request, exchange: exchangeId ?? '' };
+    const fields = { type: effect.type, request, exchange: exchange?.id ?? '' };
     logger('effectFault', { ...fields, ...describeError(error) });
-    if (exchangeId === undefined) return recordFault();
-    recordFailedRequest();
     if (effect.type === 'send') {
-      const { attemptId } = effect;
-      const reason = INTERNAL_FAULT_REASON;
-      return emit({ type: 'attemptNotSent', exchangeId, attemptId, reason });
+      recordFailedRequest();
+      const { exchangeId, attemptId } = effect;
+      return emit({ type: 'attemptNotSent', exchangeId, attemptId, reason: INTERNAL_FAULT_REASON });
     }
-    emit({ type: 'callerGone', exchangeId });
+    if (exchange === undefined) return recordFault();
+    failRequest(exchange);
   };
 
   return {
@@ -122,10 +133,15 @@
         performEffect(effect);
         if (effect.type === 'relay') failedRequests = 0;
       } catch (error) {
-        failEffect(effect, error);
-        if (effect.type === 'send' || exchangeId === undefined || exchange === undefined) return;
-        exchanges.delete(exchangeId);
-        failExchange(exchange, codec);
+        failEffect(effect, exchange, error);
+      }
+    },
+    runFor(exchange, run) {
+      try {
+        run();
+      } catch (error) {
+        logger('callbackFault', { exchange: exchange.id, ...describeError(error) });
+        failRequest(exchange);
       }
     },
     onUncaught(error) {
--- a/packages/reedlug-gateway/src/slices/lifecycle/faultRepair.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/faultRepair.ts
@@ -8,14 +8,11 @@
 import { addUnreadPrompt } from '../../policy/serverLoad.js';
 import { runPart } from '../../stepFaults.js';
 import type { GatewayState, Step } from '../../state.js';
-import type { Attempt, RequestRecord } from '../../types/request.js';
+import { INTERNAL_FAULT_REASON, type Attempt, type RequestRecord } from '../../types/request.js';
 import { closeAttempt, giveUp, serverOf } from '../requests/requestCompletion.js';
 import { removePendingRequest } from '../requests/pendingRequests.js';
 import { removeLookup } from '../streamVersions/takeUps.js';
 
-/** Reason of answers to requests that an exception of the box's own code has ended. */
-export const INTERNAL_FAULT_REASON = 'internalFault';
-
 /** Repairs the state; attempts from `firstAttemptId` on were begun in this step, so their sends are still effects. */
 export function repairAfterFaults(state: GatewayState, step: Step, firstAttemptId: number): void {
   for (const { exchangeId } of [...step.faults]) {
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -3,7 +3,7 @@
 import type { EventOf } from '../../types/event.js';
 import { RouteKind } from '../../types/configuration.js';
 import { CONNECTION_REFUSED_REASON } from '../../types/serverLink.js';
-import type { Attempt, RequestFacts } from '../../types/request.js';
+import { INTERNAL_FAULT_REASON, type Attempt, type RequestFacts } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { isServerAtFault } from '../../policy/connectPlan.js';
 import { recordFailure, recordGone, recordSuccess } from '../../policy/serverHealth.js';
@@ -50,6 +50,8 @@
   const found = findOpenAttempt(state, event);
   if (found === undefined) return;
   const view = closeAttempt(state, found.attempt, Reach.none);
+  // An exception of this box says nothing of the server or the links to it.
+  if (event.reason === INTERNAL_FAULT_REASON) return retryNotRun(state, step, found, event.reason);
   const isAtFault = isServerAtFault(view?.link, state.serverLinks, step.nowMs);
   if (view !== undefined && isAtFault) {
     if (event.reason === CONNECTION_REFUSED_REASON) recordGone(view, step.nowMs);
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -4,6 +4,9 @@
 import type { RouteSpec } from './configuration.js';
 import type { TakeUp } from './takeUp.js';
 
+/** Reason of a send or an answer that an exception of the box's own code has ended. */
+export const INTERNAL_FAULT_REASON = 'internalFault';
+
 /** A part of a prompt that other requests may share. */
 export interface PromptPart {
   id: string;
