Calls, feeds and timers go on after an exception

An exception in following a feed ended its loop for good, so a box that is ready no longer read the store; one in a call of the table, the cloud, the registry or the list of boxes left its caller waiting: the lease for as long as it lasts, a stream that is being checked till its deadline, the box's own entry for ever. A check of links that threw stood for all later ones. An exception in a check of a head kept ticks from happening.

Change: a call that throws or rejects counts as one without an answer (callFault); a feed logs feedFailed, pauses and reads its collection completely, since what was applied of a page is not known; a check of links ends with its exception; ticks come first in their timer, and a transfer is over before its connections close. None of these counts towards stopping the box, which serves on meanwhile: an input that throws at all boxes must not end all of them.

--- a/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/boxEntry.test.ts
@@ -80,3 +80,28 @@
   await settled();
   expect(announcements).to.deep.equal([true]);
 });
+
+test('a write that throws is repeated', async () => {
+  let writes = 0;
+  const entry = maintainBoxEntry({
+    store: {
+      announceBox() {
+        writes += 1;
+        if (writes === 1) throw new Error('broken');
+        return Promise.resolve(true);
+      },
+    },
+    clock: {
+      nowMs: () => 0,
+      pause: (_ms, limit) =>
+        limit === undefined ? Promise.resolve() : new Promise(() => undefined),
+    },
+    logger: () => undefined,
+    address: ADDRESS,
+    holdsPart: () => true,
+  });
+  entry.onListed({ items: [], whole: true });
+  await settled();
+  await settled();
+  expect(writes).to.equal(2);
+});
--- a/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/feedFollower.test.ts
@@ -229,3 +229,43 @@
   expect(waits).to.deep.equal([2000, 0, 2000]);
   expect(faults).to.have.length(1);
 });
+
+test('a feed is followed on when a call or the handling of a page throws', async () => {
+  const calls: Calls = { fullReads: 0, followPositions: [] };
+  const feed = createFeed(calls, (call) => page([`change ${call}`], 10 + call));
+  const { follow } = feed;
+  let throwsIn: 'call' | 'page' | undefined = 'call';
+  feed.follow = (position) => {
+    if (throwsIn === 'call') throw new Error('broken');
+    return follow(position);
+  };
+  const reasons: string[] = [];
+  const faults: string[] = [];
+  const read: string[] = [];
+  const following = followFeed({
+    feed,
+    nextWaitMs: noWait,
+    listener: listener({
+      maxPauseMs: 20,
+      onContact: (contact) => void (contact.reachable || reasons.push(contact.reason)),
+      onFault: (error) => void faults.push(String(error)),
+      onPage({ items, whole }) {
+        if (throwsIn === 'page' && !whole) throw new Error('broken');
+        read.push(...items);
+      },
+    }),
+  });
+  await delay(50);
+  expect(reasons[0]).to.equal('the call failed: Error: broken');
+  throwsIn = 'page';
+  await delay(200);
+  expect(faults[0]).to.equal('Error: broken');
+  throwsIn = undefined;
+  const readBefore = calls.fullReads;
+  await delay(200);
+  following.stop();
+  // What was applied of the page that threw is not known.
+  expect(calls.fullReads).to.be.greaterThan(1);
+  expect(calls.fullReads - readBefore).to.be.at.most(1);
+  expect(read.at(-1)).to.match(/^change/);
+});
--- a/packages/reedlug-gateway/src/daemon/__tests__/linkChecker.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/linkChecker.test.ts
@@ -51,3 +51,13 @@
   expect(await checker.check({ sinceMs: 100 })).to.equal(LinkState.up);
   expect(tries.length).to.equal(2);
 });
+
+test('a check that throws does not stand in the way of the next one', async () => {
+  const { box, checker } = checkerFor([REFUSED_PORT, REFUSED_PORT]);
+  const { servers } = box.state;
+  box.state.servers = undefined as never;
+  const failed = await checker.check({ sinceMs: 0 }).catch((error: Error) => error);
+  expect(failed).to.be.instanceOf(Error);
+  box.state.servers = servers;
+  expect(await checker.check({ sinceMs: 0 })).to.equal(LinkState.down);
+});
--- a/packages/reedlug-gateway/src/daemon/__tests__/registryReader.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/registryReader.test.ts
@@ -11,12 +11,15 @@
   /** Answers of the calls that have not ended, in their order. */
   answers: ((answer: FeedAnswer<ServerChange>) => void)[];
   positions: number[];
+  /** Exceptions of calls. */
+  faults: string[];
 }
 
 function startScene(): Scene {
   const box = createServingBox();
   const answers: Scene['answers'] = [];
   const positions: number[] = [];
+  const faults: string[] = [];
   const servers = {
     readAll: () => Promise.reject(new Error('the whole registry is not read')),
     follow({ afterRevision }: { afterRevision: number }): Promise<FeedAnswer<ServerChange>> {
@@ -29,8 +32,9 @@
     state: box.state,
     clock: PROCESS_CLOCK,
     emit: (body) => void box.take(body),
+    onFault: (error) => void faults.push(String(error)),
   });
-  return { box, reader, answers, positions };
+  return { box, reader, answers, positions, faults };
 }
 
 function pageWith(id: string, revision: number): FeedAnswer<ServerChange> {
@@ -93,3 +97,18 @@
   void reader.readNow();
   expect(positions.length).to.equal(2);
 });
+
+test('streams that wait for a read go on, and the next read is made, when a call throws', async () => {
+  const { reader, answers, positions, faults } = startScene();
+  const { push } = positions;
+  positions.push = () => {
+    throw new Error('broken');
+  };
+  await reader.readNow();
+  expect(faults).to.deep.equal(['Error: broken']);
+  positions.push = push;
+  const next = reader.readNow();
+  answers[0]?.({ kind: 'unavailable', reason: 'silent' });
+  await next;
+  expect(positions.length).to.equal(1);
+});
--- a/packages/reedlug-gateway/src/daemon/boxEntry.ts
+++ b/packages/reedlug-gateway/src/daemon/boxEntry.ts
@@ -35,9 +35,11 @@
   let stopped = false;
   let isWriting = false;
 
+  const onFault = (error: unknown): void => logger('announceFault', { error: String(error) });
   const announce = (): Promise<boolean> => {
-    const call = store.announceBox(boxId, address, holdsPart());
-    return withinLimit(clock, call, { timeoutMs: ANNOUNCE_TIMEOUT_MS, abandoned: false });
+    const call = () => store.announceBox(boxId, address, holdsPart());
+    const limit = { timeoutMs: ANNOUNCE_TIMEOUT_MS, abandoned: false, onFault };
+    return withinLimit(clock, call, limit);
   };
   const write = async (): Promise<void> => {
     if (isWriting) return;
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -241,13 +241,13 @@
 function requestTable(runtime: Runtime, effect: EffectOf<'requestTable'>): void {
   const { purpose, op } = effect;
   const sentAtMs = effect.sentAtMs;
-  const call = runtime.store.table(op, TABLE_TIMEOUT_MS, purpose.kind);
+  const call = () => runtime.store.table(op, TABLE_TIMEOUT_MS, purpose.kind);
   const abandoned: StoreTableReply = {
     answer: { kind: 'unknown' },
     storeNowMs: undefined,
     era: undefined,
   };
-  const limit = { timeoutMs: TABLE_TIMEOUT_MS, abandoned };
+  const limit = { timeoutMs: TABLE_TIMEOUT_MS, abandoned, onFault: runtime.faults.onCallFailed };
   void withinLimit(runtime.clock, call, limit).then((reply) => {
     for (const event of eventsOfTable(runtime.state, { purpose, sentAtMs, reply })) {
       runtime.emit(event);
@@ -269,8 +269,9 @@
   const holderId = runtime.settings.box.id;
   const { cloud, clock } = runtime;
   if (cloud === undefined) return;
-  const limit = { timeoutMs: CLOUD_TIMEOUT_MS, abandoned: 'unknown' } as const;
-  const answered = cloud.call({ call, holderId, fence, timeoutMs: CLOUD_TIMEOUT_MS });
+  const timeoutMs = CLOUD_TIMEOUT_MS;
+  const limit = { timeoutMs, abandoned: 'unknown', onFault: runtime.faults.onCallFailed } as const;
+  const answered = () => cloud.call({ call, holderId, fence, timeoutMs });
   void withinLimit<CloudOutcome>(clock, answered, limit).then((outcome) => {
     const tookMs = Math.round(performance.now() - startedAtMs);
     runtime.logger('cloudAnswered', { kind: call.kind, fence, outcome, tookMs });
--- a/packages/reedlug-gateway/src/daemon/feedFollower.ts
+++ b/packages/reedlug-gateway/src/daemon/feedFollower.ts
@@ -52,6 +52,8 @@
   onPage: (page: FollowedPage<T>) => void;
   onStoreClock: (storeNowMs: number) => void;
   onContact: (contact: FeedContact) => void;
+  /** Called for an exception in following the feed, which goes on with a complete read. */
+  onFault?: (error: unknown) => void;
   /** Returns the latest known era of the store; answers of an earlier era are rejected. */
   storeEra?: () => number | undefined;
   /** Checked before each call once the collection has been read completely; while it returns false, no call is made. */
@@ -107,9 +109,17 @@
   let position: number | undefined;
   let pauseMs = INITIAL_PAUSE_MS;
 
-  const limited = (call: Promise<FeedAnswer<T>>, timeoutMs: number): Promise<FeedAnswer<T>> => {
+  const limited = async (
+    call: () => Promise<FeedAnswer<T>>,
+    timeoutMs: number,
+  ): Promise<FeedAnswer<T>> => {
     const abandoned = { kind: 'unavailable', reason: 'the call outlived its time limit' } as const;
-    return withinLimit(clock, call, { timeoutMs, abandoned });
+    let fault: FeedAnswer<T> | undefined;
+    const onFault = (error: unknown): void => {
+      fault = { kind: 'unavailable', reason: `the call failed: ${String(error)}` };
+    };
+    const answer = await withinLimit(clock, call, { timeoutMs, abandoned, onFault });
+    return fault ?? answer;
   };
 
   /** Resolves once an open poll can no longer be relied on; never if it ends before. */
@@ -128,13 +138,14 @@
   const requestPage = async (poll: AbortController): Promise<TimedAnswer<T>> => {
     const startedAtMs = clock.nowMs();
     if (position === undefined) {
-      const answer = await limited(feed.readAll(READ_TIMEOUT_MS), MAX_READ_MS);
+      const answer = await limited(() => feed.readAll(READ_TIMEOUT_MS), MAX_READ_MS);
       return { answer, tookMs: clock.nowMs() - startedAtMs, waitMs: undefined };
     }
     // Where changes may have been missed, the store can say at once.
     const waitMs = pauseMs > INITIAL_PAUSE_MS || trustedMs() <= 0 ? 0 : nextWaitMs();
     const timeoutMs = waitMs + Math.round(margin.marginMs);
-    const call = feed.follow({ afterRevision: position, waitMs, timeoutMs, signal: poll.signal });
+    const followed = { afterRevision: position, waitMs, timeoutMs, signal: poll.signal };
+    const call = () => feed.follow(followed);
     const ends = [limited(call, timeoutMs)];
     if (waitMs > 0) ends.push(whenDoubtful(poll.signal));
     const answer = await Promise.race(ends);
@@ -200,8 +211,23 @@
     }
   };
 
+  /** What was applied of a page is not known after an exception, so that the collection is read again as a whole. */
+  const onStepFailed = async (following: FollowRun, error: unknown): Promise<void> => {
+    if (following.isCancelled) return;
+    position = undefined;
+    pauseMs = listener.maxPauseMs ?? MAX_PAUSE_MS;
+    listener.onFault?.(error);
+    await clock.pause(pauseMs);
+  };
+
   const run = async (following: FollowRun): Promise<void> => {
-    while (!following.isCancelled) await step(following);
+    while (!following.isCancelled) {
+      try {
+        await step(following);
+      } catch (error) {
+        await onStepFailed(following, error);
+      }
+    }
   };
   const cancel = (): void => {
     current.isCancelled = true;
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -174,7 +174,7 @@
       metrics: metrics.transfers,
     }),
     feeds: undefined,
-    registry: createRegistryReader({ store, state, clock, emit }),
+    registry: createRegistryReader({ store, state, clock, emit, onFault: faults.onCallFailed }),
     exchanges,
     faults,
     attempts: new Map(),
@@ -190,10 +190,10 @@
   const servers = [callers, ...others];
   const measureLoad = createThreadLoadMeter(TICK_MS);
   const ticker = setInterval(() => {
-    for (const attempt of [...runtime.attempts.values()]) attempt.checkHead();
     emit({ type: 'tick', load: measureLoad() });
-    calls.logWhenDue();
     setClosesConnections(callers, state.overload.closesSinceMs !== undefined);
+    for (const attempt of [...runtime.attempts.values()]) attempt.checkHead();
+    calls.logWhenDue();
   }, TICK_MS);
   logger('started', { zone: settings.box.zone, incarnation });
   return {
--- a/packages/reedlug-gateway/src/daemon/internalFaults.ts
+++ b/packages/reedlug-gateway/src/daemon/internalFaults.ts
@@ -48,6 +48,8 @@
   perform: (effect: Effect, performEffect: (effect: Effect) => void) => void;
   /** Runs a callback of a request, which may not be in the state yet; what it throws fails the request alone. */
   runFor: (exchange: CallerExchange, run: () => void) => void;
+  /** A call to the platform threw, and is handled as one without an answer. */
+  onCallFailed: (error: unknown) => void;
   /** An exception that nothing caught. */
   onUncaught: (error: unknown) => void;
   /** Whether events are handled, as far as exceptions and ticks show. */
@@ -144,6 +146,7 @@
         failRequest(exchange);
       }
     },
+    onCallFailed: (error) => logger('callFault', describeError(error)),
     onUncaught(error) {
       logger('uncaughtFault', describeError(error));
       recordFault();
--- a/packages/reedlug-gateway/src/daemon/linkChecker.ts
+++ b/packages/reedlug-gateway/src/daemon/linkChecker.ts
@@ -25,7 +25,6 @@
   const start = async (exceptServerId: string | undefined): Promise<LinkState> => {
     const views = serversToCheck(state, exceptServerId);
     const isAnyUp = await anyOf(views.map((view) => connects(view, onTried)));
-    running = undefined;
     if (isAnyUp) return LinkState.up;
     return views.length === 0 ? LinkState.unknown : LinkState.down;
   };
@@ -33,7 +32,8 @@
   return {
     check({ sinceMs, exceptServerId }) {
       if (state.serverLinks.openedAtMs >= sinceMs) return Promise.resolve(LinkState.up);
-      return (running ??= start(exceptServerId));
+      // A check that throws does not stand in the way of the next one.
+      return (running ??= start(exceptServerId).finally(() => (running = undefined)));
     },
   };
 }
--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -55,6 +55,7 @@
   const common = (feed: StoreFeed): Omit<FeedListener<never>, 'onPage'> => ({
     onStoreClock: (storeNowMs) => emit({ type: 'storeClock', storeNowMs }),
     storeEra: () => runtime.state.storeEra,
+    onFault: (error) => logger('feedFailed', { feed, error: String(error) }),
     onContact: (contact) => emit({ type: 'storeContact', feed, ...contact }),
   });
   const margin = createAnswerMargin();
--- a/packages/reedlug-gateway/src/daemon/registryReader.ts
+++ b/packages/reedlug-gateway/src/daemon/registryReader.ts
@@ -29,21 +29,20 @@
   state: GatewayState;
   clock: Pick<Clock, 'pause'>;
   emit: (body: EventBody) => void;
+  /** Called for a call of the store that throws. */
+  onFault: (error: unknown) => void;
 }): RegistryReader {
-  const { store, state, clock, emit } = context;
+  const { store, state, clock, emit, onFault } = context;
   let running: Promise<void> | undefined;
   let next: Promise<void> | undefined;
   let appliedTo = 0;
 
   const read = async (): Promise<void> => {
     const timeoutMs = READ_TIMEOUT_MS;
-    const call = store.servers.follow({
-      afterRevision: state.serversReadTo,
-      waitMs: 0,
-      timeoutMs,
-    });
+    const position = { afterRevision: state.serversReadTo, waitMs: 0, timeoutMs };
+    const call = () => store.servers.follow(position);
     const abandoned = { kind: 'unavailable', reason: 'the call outlived its time limit' } as const;
-    apply(await withinLimit(clock, call, { timeoutMs, abandoned }));
+    apply(await withinLimit(clock, call, { timeoutMs, abandoned, onFault }));
   };
 
   const apply = (answer: FeedAnswer<ServerChange>): void => {
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateFetcher.ts
@@ -203,8 +203,8 @@
       // An address or a body that no check foresees must not end the process.
       const finished = run(transfer).catch((error: unknown) => (error as Error).message);
       void finished.then((reason) => {
-        for (const client of transfer.clients.values()) closeClient(client);
         isInProgress = false;
+        for (const client of transfer.clients.values()) closeClient(client);
         if (reason !== undefined) onFailed({ peer, version, reason });
       });
     },
