Simulator: exceptions at random places of the reducer

Until now nothing threw on purpose. At the end of each run, with or without it, boxes must hold nothing of requests that are over: no exchange, send, wait, place or unread prompt.

Reads of the state's fields as places to throw were tried first and found none of these: too coarse.

--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -17,7 +17,9 @@
 } from './slices/peers/sharedState.js';
 export { isReady } from './slices/lifecycle/shutdown.js';
 export { isNewEra } from './slices/store/storeEra.js';
-export { reduce, reduceStep } from './reduce.js';
+export { hasRequest } from './slices/requests/requests.js';
+export { NO_SERVER_RETRY_MS } from './slices/requests/requestCompletion.js';
+export { reduce, reduceStep, type StepOutcome } from './reduce.js';
 export type { StepFault } from './stepFaults.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -92,6 +92,7 @@
   const server = world.servers.get(order.serverId);
   const caller = box.exchanges.get(exchangeId);
   if (caller === undefined) return;
+  caller.isSent = true;
   if (server === undefined || !isReachableFrom(world, box.settings.box.zone, server)) {
     // A closed port refuses the connection at once; a silent or partitioned server lets it time out.
     const isGone = server === undefined;
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -2,10 +2,12 @@
 import {
   createSequentialHandler,
   isNewEra,
+  NO_SERVER_RETRY_MS,
   createGatewayState,
   DEFAULT_TUNNEL_SETTINGS,
   followPlatform,
-  reduce,
+  hasRequest,
+  reduceStep,
   TICK_MS,
   type Clock,
   type EventBody,
@@ -13,11 +15,14 @@
   type GatewayState,
   type PlatformFeeds,
   type PlatformStore,
+  type StepOutcome,
 } from 'reedlug-gateway';
+import { recordException } from '../report/sceneRecord.js';
 import type { CallerAttempt } from '../callers/callerAttempt.js';
 import { stopRun } from '../servers/batchEngine.js';
 import { PROPAGATION_MS, later, nowMs, type World } from '../world.js';
 import { performEffect } from './performEffect.js';
+import { isInjected, runThrowingStep } from './throwingStep.js';
 
 /** Wall-clock time at the start of the world, in ms; the value is arbitrary. */
 const WALL_CLOCK_START_MS = 1_700_000_000_000;
@@ -142,19 +147,36 @@
     const sinceStartMs = nowMs(world) - box.startedAtMs;
     const wallClockNowMs = WALL_CLOCK_START_MS + nowMs(world);
     const reduceStartedAtMs = performance.now();
-    const effects = reduce(box.state, {
-      ...body,
-      nowMs: sinceStartMs,
-      wallClockMs: wallClockNowMs,
-    });
+    const isThrowing = world.throwShare > 0 && world.random.chance(world.throwShare);
+    const event = { ...body, nowMs: sinceStartMs, wallClockMs: wallClockNowMs };
+    const handle = (): StepOutcome => reduceStep(box.state, event);
+    const { effects, faults } = isThrowing ? runThrowingStep(world.random, handle) : handle();
     box.reducerMs += performance.now() - reduceStartedAtMs;
     for (const effect of effects) performEffect(world, box, effect);
+    const unexpected = faults.find((fault) => !isInjected(fault));
+    if (unexpected !== undefined) throw unexpected.error;
+    if (faults.length === 0) return;
+    recordException(world, body.type);
+    answerUnhandled(box);
   });
   return (body) => {
     if (box.isAlive) enqueue(body);
   };
 }
 
+/** Answers the requests that an exception has left to nobody, as the daemon does. */
+function answerUnhandled({ exchanges, state }: VirtualBox): void {
+  for (const [exchangeId, attempt] of [...exchanges]) {
+    if (hasRequest(state, exchangeId)) continue;
+    exchanges.delete(exchangeId);
+    attempt.onRefused(
+      attempt.isSent
+        ? { status: 502, reason: 'internalFault', retryAfterMs: undefined }
+        : { status: 503, reason: 'internalFault', retryAfterMs: NO_SERVER_RETRY_MS },
+    );
+  }
+}
+
 /**
  * Ends a box's process at once: callers lose their connections, and its runs at servers stop.
  * Without power, later connections time out.
--- a/packages/reedlug-simulator/src/callers/callerAttempt.ts
+++ b/packages/reedlug-simulator/src/callers/callerAttempt.ts
@@ -69,6 +69,8 @@
 /** A try at a box: the caller's handlers for what the box sends. */
 export interface CallerAttempt {
   request: CallerRequest;
+  /** Whether its box has sent it to a server. */
+  isSent: boolean;
   /** A whole plain answer. */
   onAnswer: () => void;
   /** An event of a stream, from a server of the given software version. */
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -270,6 +270,7 @@
   const { callerMs } = world.scene.network;
   return {
     request,
+    isSent: false,
     onAnswer() {
       request.beganAtFirstTry ||= request.tries === 1;
       later(world, callerMs, () => recordAnswered(world, request));
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -113,6 +113,12 @@
         world.failShare = 0;
       });
     }
+    case 'throwExceptions': {
+      world.throwShare = fault.share;
+      return later(world, fault.forS * 1000, () => {
+        world.throwShare = 0;
+      });
+    }
     case 'storeAway': {
       world.store.setOutage(StoreOutage.silent);
       recordUnstableStore(world, fault.forS);
--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -1,5 +1,6 @@
 /** Simulates a whole fleet of gateway boxes in one process in virtual time. */
 export { generateStoreRestores } from './scene/generateStoreRestores.js';
+export { generateExceptions } from './scene/generateExceptions.js';
 export { generateUnheardLeaves } from './scene/generateUnheardLeaves.js';
 export * from './scene/generateCrashFaults.js';
 export * from './scene/generateLimitFaults.js';
--- a/packages/reedlug-simulator/src/report/sceneRecord.ts
+++ b/packages/reedlug-simulator/src/report/sceneRecord.ts
@@ -105,6 +105,8 @@
   duties: DutyRecord;
   streams: StreamRecord;
   broken: BrokenGuarantee[];
+  /** Numbers of exceptions that ended parts of steps, by type of event. */
+  exceptions: Map<string, number>;
   logs: Map<string, number>;
   /** Called for each log line, to inspect a single run. */
   onLog: (line: LogLine) => void;
@@ -150,6 +152,7 @@
     duties: createDutyRecord(),
     streams: createStreamRecord(),
     broken: [],
+    exceptions: new Map(),
     logs: new Map(),
     onLog: () => undefined,
   };
@@ -271,6 +274,11 @@
   record.prompts.push({ className, tokens, isInTime: end === RequestEnd.inTime });
 }
 
+/** Records an exception that ended a part of a step. */
+export function recordException(world: World, eventType: string): void {
+  countIn(world.record.exceptions, eventType);
+}
+
 /** Records a guarantee that was broken for a request. */
 export function recordBroken(world: World, promise: string, request: CallerRequest): void {
   const detail = `${request.facts.requestId} (${request.spec.name})`;
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -74,6 +74,8 @@
   /** Streams with events of several software versions, and attempts at new streams and at ones taken up. */
   streams: { mixed: number; fresh: AttemptCounts; takenUp: AttemptCounts };
   broken: BrokenGuarantee[];
+  /** Numbers of exceptions that ended parts of steps, by type of event. */
+  exceptions: Record<string, number>;
   logs: Record<string, number>;
   rollouts: RolloutRow[];
   /** Servers that stated a limit, and how well it was kept. */
@@ -157,6 +159,7 @@
     limitRefusals: limitRefusalRows(world),
     streams: { ...record.streams, mixed: record.streams.mixed.size },
     broken: record.broken,
+    exceptions: Object.fromEntries(record.exceptions),
     logs: Object.fromEntries(record.logs),
     limitedServers: limitedServerRows(world),
     statingServers: serverStatementRows(world),
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -22,6 +22,7 @@
 import { scheduleFaults } from './faults/applyFaults.js';
 import { watchDutyLease } from './report/dutyRecord.js';
 import { createSceneRecord, type LogLine } from './report/sceneRecord.js';
+import { checkLeftWork } from './report/leftWork.js';
 import { buildReport, type SceneReport } from './report/sceneReport.js';
 import type { Scene, SceneService } from './scene/scene.js';
 import { recordRunningServers, startServers } from './servers/virtualServers.js';
@@ -56,6 +57,7 @@
   const { engineSeconds } = world.record;
   const cost = { ...engineSeconds };
   await runUntil(world, endsAtMs + ANSWER_TAIL_S * 1000);
+  checkLeftWork(world);
   world.record.engineSeconds = cost;
   return buildReport(world, seed);
 }
@@ -75,6 +77,7 @@
     partitions: [],
     brittlePeriods: [],
     failShare: 0,
+    throwShare: 0,
     breakShare: 0,
     storeUnstableUntilMs: 0,
     rollouts: [],
--- a/packages/reedlug-simulator/src/scene/faultValidation.ts
+++ b/packages/reedlug-simulator/src/scene/faultValidation.ts
@@ -12,6 +12,8 @@
 export const faultSchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('killBoxes'), ...startFields, share, downS: positive }),
   z.strictObject({ kind: z.literal('rollBoxes'), ...startFields, share, gapS: positive }),
+  /** A share of the events throws at a random place of the reducer of its box. */
+  z.strictObject({ kind: z.literal('throwExceptions'), ...spanFields, share }),
   z.strictObject({ kind: z.literal('cutZone'), ...spanFields, zone: z.string() }),
   z.strictObject({
     kind: z.literal('reclaimZone'),
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -35,6 +35,8 @@
   brittlePeriods: BrittlePeriod[];
   /** Share of requests that engines fail at the moment. */
   failShare: number;
+  /** Share of events that throw at a random place of the reducer. */
+  throwShare: number;
   /** Time until which the store is away, or boxes may not have heard of it again. */
   storeUnstableUntilMs: number;
   /** Probability with which a caller loses its connection after an event of a stream. */
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
 import {
+  generateExceptions,
   generateStoreRestores,
   generateUnheardLeaves,
   generateCrashFaults,
@@ -72,6 +73,10 @@
     description:
       'Generate faults from each seed: servers leave by the registry while boxes lose its answers',
   });
+  drawExceptions = Option.Boolean('--draw-exceptions', false, {
+    description:
+      'Generate faults from each seed: exceptions at random places of the reducer, with other faults alongside',
+  });
   logs = Option.String('--log', { description: 'Log events to print, comma-separated, or all' });
 
   override async execute(): Promise<number> {
@@ -91,6 +96,7 @@
 
   private withGeneratedFaults(scene: Scene, seed: number): Scene {
     if (this.draw) return generateLimitFaults(scene, seed);
+    if (this.drawExceptions) return generateExceptions(scene, seed);
     if (this.drawUnheardLeaves) return generateUnheardLeaves(scene, seed);
     if (this.drawCopies) return generateStoreRestores(scene, seed);
     if (this.drawVersions) return generateSoftwareVersions(scene, seed);
