--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -84,6 +84,7 @@
     registryNumber: 0,
     storeReachable: true,
     storeEra: undefined,
+    eraOfOneMessage: undefined,
     storeRestoredAtMs: Number.NEGATIVE_INFINITY,
     eraKnown: { sinceMs: nowMs, reportedSinceWallClockMs: Number.POSITIVE_INFINITY },
     storeLostAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -20,7 +20,7 @@
 import { mergeBrittleGossip } from '../statements/brittleServices.js';
 import { recordIfUninformed } from '../statements/statementGossip.js';
 import { applyHubChanges } from '../servers/servers.js';
-import { mayShowBackup, onStoreEra } from '../store/storeEra.js';
+import { mayShowBackup, onPeerEra } from '../store/storeEra.js';
 import { recordUsageReceived } from '../usage/lateCounts.js';
 import { mergeDecisions, mergeUsage } from '../usage/usage.js';
 
@@ -51,7 +51,7 @@
   peer.requestedUnits.clear();
   recordStoreContact(state, step, message);
   if (message.storeEra !== undefined) {
-    onStoreEra(state, step, { era: message.storeEra, source: boxId });
+    onPeerEra(state, step, { era: message.storeEra, source: boxId });
   }
   addReceivedTotals(state, step, peer as PeerWithMessage, before);
   mergeUsage(state, `${message.boxId}/${message.incarnation}`, message.usage);
--- a/packages/reedlug-gateway/src/slices/store/__tests__/storeEra.test.ts
+++ b/packages/reedlug-gateway/src/slices/store/__tests__/storeEra.test.ts
@@ -39,13 +39,16 @@
   expect(box.state.agreedClockOffsetMs).to.equal(77);
 });
 
-test('a new era is also learned from a peer, and all collections are read again once', () => {
+test('a new era is also learned from two messages of peers, not from one, and all collections are read again once', () => {
   const box = createServingBox();
   box.take({ type: 'storeEra', era: 1 });
   const receive = (storeEra: number, sequence: number) =>
     box.take({ type: 'peerMessage', message: peerMessage({ storeEra, sequence }) });
-  expect(ofType(receive(3, 1), 'readStoreAgain')).to.have.length(1);
+  expect(ofType(receive(9, 1), 'readStoreAgain')).to.have.length(0);
   expect(ofType(receive(3, 2), 'readStoreAgain')).to.have.length(0);
-  expect(ofType(receive(2, 3), 'readStoreAgain')).to.have.length(0);
+  expect(box.state.storeEra).to.equal(1);
+  expect(ofType(receive(3, 3), 'readStoreAgain')).to.have.length(1);
+  expect(ofType(receive(3, 4), 'readStoreAgain')).to.have.length(0);
+  expect(ofType(receive(2, 5), 'readStoreAgain')).to.have.length(0);
   expect(ofType(box.take({ type: 'storeEra', era: 3 }), 'readStoreAgain')).to.have.length(0);
 });
--- a/packages/reedlug-gateway/src/slices/store/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/store/storeEra.ts
@@ -19,7 +19,18 @@
   return storeEra === undefined || era > storeEra;
 }
 
-/** Handles the era in an answer of the store or in a peer's gossip. */
+/** Handles the era in a peer's gossip: one that is new here counts once a second message states it. */
+export function onPeerEra(
+  state: GatewayState,
+  step: Step,
+  { era, source }: { era: number; source: string },
+): void {
+  if (!isNewEra(state, era)) return;
+  if (state.eraOfOneMessage === era) return onStoreEra(state, step, { era, source });
+  state.eraOfOneMessage = era;
+}
+
+/** Handles an era that the store states, or several messages of peers. */
 export function onStoreEra(
   state: GatewayState,
   step: Step,
@@ -28,6 +39,7 @@
   if (!isNewEra(state, era)) return;
   const before = state.storeEra;
   state.storeEra = era;
+  state.eraOfOneMessage = undefined;
   state.eraKnown = {
     sinceMs: step.nowMs,
     reportedSinceWallClockMs: Number.POSITIVE_INFINITY,
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -122,6 +122,8 @@
    * undefined before the first answer.
    */
   storeEra: number | undefined;
+  /** Later era that a single message of a peer has stated. */
+  eraOfOneMessage: number | undefined;
   /** Time at which the store was last restored from a backup, as far as this box knows. */
   storeRestoredAtMs: number;
   /**
