A log whose reader is gone does not stop the box

Once the process that reads the log had ended, each line raised an uncaught EPIPE. 20 of them in ten seconds counted as broken, so the box stopped, and again after each start; with the log of a machine all its boxes. A logger that throws also kept a failed request from its answer.

Change: a stream that fails takes no more lines; they are counted as left out (reedlug_log_lines_left_out_total). A line that can't be written does not count towards stopping the box, and what is to be done about an exception goes on.

Seen failing before, on: 'lines are left out, and nothing throws' (uncaught EPIPE) and 'a log that throws neither stops a box nor keeps a request from its answer'.

--- a/packages/reedlug-gateway/src/daemon/__tests__/internalFaults.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/internalFaults.test.ts
@@ -206,3 +206,16 @@
   withoutListener({ type: 'tick' });
   expect(handled.length).to.equal(4);
 });
+
+test('a log that throws neither stops a box nor keeps a request from its answer', async () => {
+  const { scene, faults, exchanges } = createScene();
+  scene.lines.push = fail;
+  const line: Effect = { type: 'log', event: 'requestSent', fields: {} };
+  for (let count = 0; count < 40; count += 1) faults.perform(line, fail);
+  const outcome = await callThrough((exchange) => {
+    exchanges.set(1, exchange);
+    faults.perform(RELAY, fail);
+  });
+  expect(outcome.status).to.equal(502);
+  expect(scene.broken).to.equal(0);
+});
--- a/packages/reedlug-gateway/src/daemon/internalFaults.ts
+++ b/packages/reedlug-gateway/src/daemon/internalFaults.ts
@@ -58,12 +58,20 @@
 
 /** Creates the handling of exceptions of a box that starts now. */
 export function createInternalFaults(context: InternalFaultsContext): InternalFaults {
-  const { logger, nowMs, emit, exchanges, codec, isHandled, onBroken } = context;
+  const { nowMs, emit, exchanges, codec, isHandled, onBroken } = context;
   const faultsAtMs: number[] = [];
   let failedRequests = 0;
   let isBroken = false;
   let tickedAtMs = nowMs();
 
+  const logger: Logger = (event, fields) => {
+    try {
+      context.logger(event, fields);
+    } catch {
+      // Without a log there is no line to write; what is to be done about the exception goes on.
+    }
+  };
+
   const breakDown = (fields: Record<string, number>): void => {
     if (isBroken) return;
     isBroken = true;
@@ -112,6 +120,8 @@
       const { exchangeId, attemptId } = effect;
       return emit({ type: 'attemptNotSent', exchangeId, attemptId, reason: INTERNAL_FAULT_REASON });
     }
+    // A line that can't be written does no harm to what the box does.
+    if (effect.type === 'log') return;
     if (exchange === undefined) return recordFault();
     failRequest(exchange);
   };
--- a/packages/reedlug-gateway/src/observe/__tests__/boundedLog.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/boundedLog.test.ts
@@ -1,5 +1,6 @@
+import { Writable } from 'node:stream';
 import { expect } from 'chai';
-import { createBoundedLog } from '../boundedLog.js';
+import { createBoundedLog, streamSink } from '../boundedLog.js';
 import type { LogValue } from '../logger.js';
 
 interface Written {
@@ -46,3 +47,26 @@
   log('requestSent', {});
   expect(written.map(({ event }) => event)).to.deep.equal(['linesLeftOut', 'requestSent']);
 });
+
+test('lines are left out, and nothing throws, once the reader of the log is gone', async () => {
+  let calls = 0;
+  const gone = new Writable({
+    autoDestroy: false,
+    write(_chunk, _encoding, done) {
+      calls += 1;
+      done(new Error('EPIPE'));
+    },
+  });
+  const sink = streamSink(gone, 1000);
+  let dropped = 0;
+  const log = createBoundedLog({
+    logger: (event) => sink.write(event),
+    isFull: sink.isFull,
+    nowMs: () => 0,
+    onDropped: () => void (dropped += 1),
+  });
+  log('first', {});
+  await new Promise((resolve) => setImmediate(resolve));
+  for (let line = 0; line < 30; line += 1) log('later', {});
+  expect({ calls, dropped }).to.deep.equal({ calls: 1, dropped: 30 });
+});
--- a/packages/reedlug-gateway/src/observe/boundedLog.ts
+++ b/packages/reedlug-gateway/src/observe/boundedLog.ts
@@ -5,6 +5,7 @@
  * are logged in one line after the second is over. Lines are also dropped and counted while the
  * output is full.
  */
+import type { Writable } from 'node:stream';
 import type { Logger, LogValue } from './logger.js';
 
 /** Maximum number of lines of one kind per second: several times a box's usual requests. */
@@ -19,10 +20,15 @@
 }
 
 /** Returns a sink that writes to a stream and is full while more than `limitBytes` are buffered there. */
-export function streamSink(stream: NodeJS.WriteStream, limitBytes: number): LineSink {
+export function streamSink(stream: Writable, limitBytes: number): LineSink {
+  let isBroken = false;
+  // Whoever read the log is gone: a box serves on without one, and counts the lines that it leaves out.
+  stream.on('error', () => {
+    isBroken = true;
+  });
   return {
     write: (line) => void stream.write(`${line}\n`),
-    isFull: () => stream.writableLength > limitBytes,
+    isFull: () => isBroken || stream.writableLength > limitBytes,
   };
 }
 
