Requests that throw do not stop a box

Such requests are answered, as before, and the box serves on; exceptions outside of requests stop it as before.

--- a/packages/reedlug-gateway/src/daemon/internalFaults.ts
+++ b/packages/reedlug-gateway/src/daemon/internalFaults.ts
@@ -3,8 +3,9 @@
  *
  * A request whose event or effect threw fails alone. The reducer answers the requests that it still knows; those that
  * an exception has left to nobody are answered here, as not run only if nothing of them was handed to a connection.
- * Exceptions are logged. Where they go on, or no request succeeds any more, what the box believes may be broken, so it
- * stops being ready, and ends once its requests have, or at the end of the grace period.
+ * Exceptions are logged. Where those outside of requests go on, what the box believes may be broken, so it stops being
+ * ready, and ends once its requests have, or at the end of the grace period. Those of requests do not end it: a caller
+ * whose requests throw would end one box after another.
  */
 import type { HeaderCodec } from '../adapter.js';
 import type { Logger } from '../observe/logger.js';
@@ -19,8 +20,6 @@
 /** Exceptions outside of requests after which a box stops, and the time within which they count, in ms. */
 const MAX_FAULTS = 20;
 const FAULT_WINDOW_MS = 10_000;
-/** Requests in a row that exceptions have ended, without an answer relayed between them, after which a box stops. */
-const MAX_FAILED_REQUESTS = 20;
 /** Time without a handled tick after which a box is no longer ready, in ms. */
 const MAX_TICK_AGE_MS = 3000;
 /** Answers to a request that failed here: it may have run, and it has not. */
@@ -60,7 +59,6 @@
 export function createInternalFaults(context: InternalFaultsContext): InternalFaults {
   const { nowMs, emit, exchanges, codec, isHandled, onBroken } = context;
   const faultsAtMs: number[] = [];
-  let failedRequests = 0;
   let isBroken = false;
   let tickedAtMs = nowMs();
 
@@ -72,24 +70,15 @@
     }
   };
 
-  const breakDown = (fields: Record<string, number>): void => {
-    if (isBroken) return;
-    isBroken = true;
-    logger('boxBroken', fields);
-    onBroken();
-  };
-
   const recordFault = (): void => {
     faultsAtMs.push(nowMs());
     if (faultsAtMs.length > MAX_FAULTS) faultsAtMs.shift();
     const [firstAtMs = 0] = faultsAtMs;
     const areMany = faultsAtMs.length === MAX_FAULTS && nowMs() - firstAtMs < FAULT_WINDOW_MS;
-    if (areMany) breakDown({ faults: MAX_FAULTS, withinMs: FAULT_WINDOW_MS });
-  };
-
-  const recordFailedRequest = (): void => {
-    failedRequests += 1;
-    if (failedRequests >= MAX_FAILED_REQUESTS) breakDown({ failedRequests });
+    if (!areMany || isBroken) return;
+    isBroken = true;
+    logger('boxBroken', { faults: MAX_FAULTS, withinMs: FAULT_WINDOW_MS });
+    onBroken();
   };
 
   const answerUnhandledRequests = (): void => {
@@ -101,7 +90,6 @@
   };
 
   const failRequest = (exchange: CallerExchange): void => {
-    recordFailedRequest();
     exchanges.delete(exchange.id);
     failExchange(exchange, codec);
     emit({ type: 'callerGone', exchangeId: exchange.id });
@@ -116,7 +104,6 @@
     const fields = { type: effect.type, request, exchange: exchange?.id ?? '' };
     logger('effectFault', { ...fields, ...describeError(error) });
     if (effect.type === 'send') {
-      recordFailedRequest();
       const { exchangeId, attemptId } = effect;
       return emit({ type: 'attemptNotSent', exchangeId, attemptId, reason: INTERNAL_FAULT_REASON });
     }
@@ -131,7 +118,6 @@
       for (const { error, exchangeId } of faults) {
         const fields = { type: body.type, exchange: exchangeId ?? '' };
         logger('eventFault', { ...fields, ...describeError(error) });
-        if (exchangeId !== undefined) recordFailedRequest();
       }
       const isFaulty = faults.some(({ exchangeId }) => exchangeId === undefined);
       if (isFaulty) recordFault();
@@ -143,7 +129,6 @@
       const exchange = exchangeId === undefined ? undefined : exchanges.get(exchangeId);
       try {
         performEffect(effect);
-        if (effect.type === 'relay') failedRequests = 0;
       } catch (error) {
         failEffect(effect, exchange, error);
       }
