A peer whose tunnel decision or link check throws says at once that it can not help

An exception in deciding on a tunnel, or in checking the links after the server could not be reached, left the box that asked without an answer until its own limit, of the 450 ms that a connection may take, and counted as uncaught.

Change: the request is refused as one that this box can not help with (reason internalFault), which says nothing of the server.

--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -127,6 +127,7 @@
     onTried,
     checkLinks: (serverId, sinceMs) => linkChecker.check({ sinceMs, exceptServerId: serverId }),
     nowMs: clock.nowMs,
+    onFault: faults.onUncaught,
     emit,
   });
 
--- a/packages/reedlug-gateway/src/daemon/tunnels/__tests__/tunnels.test.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/__tests__/tunnels.test.ts
@@ -24,6 +24,8 @@
   asked: { serverId: string; boxId: string; fromHost: string }[];
   events: EventBody[];
   tries: ConnectionTry[];
+  /** Exceptions of the peer. */
+  faults: string[];
   /** Waits until an event of the type has been emitted. */
   until: (type: EventBody['type']) => Promise<void>;
   close: () => void;
@@ -36,7 +38,7 @@
     kind: 'connect',
     address: { host: LOOPBACK, port },
   }),
-  links: LinkState = LinkState.up,
+  links: LinkState | 'broken' = LinkState.up,
 ): Promise<Scene> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -46,6 +48,7 @@
   const asked: Scene['asked'] = [];
   const events: EventBody[] = [];
   const tries: ConnectionTry[] = [];
+  const faults: string[] = [];
   const tunnels = createTunnelServer({
     decide(request) {
       const { serverId, boxId, fromHost } = request;
@@ -53,7 +56,9 @@
       return decide(serverPort);
     },
     onTried: (attempt) => tries.push(attempt),
-    checkLinks: () => Promise.resolve(links),
+    checkLinks: () =>
+      links === 'broken' ? Promise.reject(new Error('broken')) : Promise.resolve(links),
+    onFault: (error) => faults.push(String(error)),
     nowMs: () => 0,
     emit: (event) => events.push(event),
   });
@@ -61,6 +66,7 @@
   const port = await listen(peer);
   return {
     asked,
+    faults,
     events,
     tries,
     open: (serverId = 'i 1/ä') =>
@@ -239,3 +245,30 @@
   expect(Buffer.concat(pieces).equals(sent)).to.equal(true);
   scene.close();
 });
+
+test('a peer whose decision throws says at once that it can not help', async () => {
+  const scene = await startScene(
+    () => undefined,
+    () => {
+      throw new Error('broken');
+    },
+  );
+  const result = await scene.open();
+  expect(result.outcome).to.equal(ConnectOutcome.unavailable);
+  expect(result.tookMs).to.be.lessThan(TIMEOUT_MS / 2);
+  expect(scene.faults).to.deep.equal(['Error: broken']);
+  scene.close();
+});
+
+test('a peer whose check of its links throws says nothing of the server', async () => {
+  const refused = { kind: 'connect', address: { host: LOOPBACK, port: 1 } } as const;
+  const scene = await startScene(
+    () => undefined,
+    () => refused,
+    'broken',
+  );
+  const result = await scene.open();
+  expect(result.outcome).to.equal(ConnectOutcome.unavailable);
+  expect(result.tookMs).to.be.lessThan(TIMEOUT_MS / 2);
+  scene.close();
+});
--- a/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
@@ -13,6 +13,7 @@
 import type { HostPort } from '../../types/server.js';
 import type { TunnelDecision } from '../../slices/peers/tunnels.js';
 import type { EventBody } from '../../types/event.js';
+import { INTERNAL_FAULT_REASON } from '../../types/request.js';
 import { openSocket } from '../openSocket.js';
 import {
   BOX_HEADER,
@@ -55,6 +56,8 @@
   /** Checks whether this box's links to other servers are up, or were since. */
   checkLinks: (serverId: string, sinceMs: number) => Promise<LinkState>;
   nowMs: () => number;
+  /** Called for an exception, after which the peer is told that this box can't help. */
+  onFault: (error: unknown) => void;
   emit: (
     event: Extract<EventBody, { type: 'tunnelRefused' | 'tunnelOpened' | 'tunnelClosed' }>,
   ) => void;
@@ -76,11 +79,21 @@
 
 /** Creates a tunnel server without tunnels. */
 export function createTunnelServer(params: TunnelServerParams): TunnelServer {
-  const { decide, onTried, checkLinks, nowMs, emit } = params;
+  const { decide, onTried, nowMs, onFault, emit } = params;
   const open = new Set<Socket>();
   /** Number of connections to servers that are not open yet. */
   let connecting = 0;
 
+  /** Checks the links of this box; a check that throws proves nothing. */
+  const checkLinks = async (serverId: string, sinceMs: number): Promise<LinkState> => {
+    try {
+      return await params.checkLinks(serverId, sinceMs);
+    } catch (error) {
+      onFault(error);
+      return LinkState.unknown;
+    }
+  };
+
   const connectTo = (address: HostPort, client: Socket, tunnel: TunnelRequest): void => {
     const { serverId, requestId } = tunnel;
     connecting += 1;
@@ -128,6 +141,15 @@
     emit({ type: 'tunnelRefused', ...tunnel, reason });
   };
 
+  const decideOrRefuse = (request: Parameters<TunnelServerParams['decide']>[0]): TunnelDecision => {
+    try {
+      return decide(request);
+    } catch (error) {
+      onFault(error);
+      return { kind: 'refuse', reason: INTERNAL_FAULT_REASON };
+    }
+  };
+
   return {
     onConnect(request, stream) {
       // The peer link's connections are TCP sockets.
@@ -138,7 +160,7 @@
         refuse(client, ConnectOutcome.unavailable, 'olderBox');
         return emit({ type: 'tunnelRefused', ...tunnel, reason: 'olderBox' });
       }
-      const decision = decide({ ...tunnel, fromHost: hostOf(client), connecting });
+      const decision = decideOrRefuse({ ...tunnel, fromHost: hostOf(client), connecting });
       if (decision.kind === 'connect') return connectTo(decision.address, client, tunnel);
       refuse(client, ConnectOutcome.unavailable, decision.reason);
       emit({ type: 'tunnelRefused', ...tunnel, reason: decision.reason });
--- a/packages/reedlug-gateway/src/slices/peers/tunnels.ts
+++ b/packages/reedlug-gateway/src/slices/peers/tunnels.ts
@@ -1,4 +1,5 @@
 /** Connections to servers that this box opens for peers that can't reach them. */
+import type { INTERNAL_FAULT_REASON } from '../../types/request.js';
 import { isTooLateToAccept } from '../lifecycle/shutdown.js';
 import { RouteKind } from '../../types/configuration.js';
 import { isCutOff, isLinkHanging } from '../../policy/connectPlan.js';
@@ -13,6 +14,7 @@
       kind: 'refuse';
       reason:
         | 'switchedOff'
+        | typeof INTERNAL_FAULT_REASON
         | 'unknownBox'
         | 'otherAddress'
         | 'unknownServer'
