--- a/packages/reedlug-gateway/src/daemon/__tests__/internalFaults.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/internalFaults.test.ts
@@ -97,7 +97,7 @@
     exchanges.set(1, exchange);
     response.write('half', () => faults.perform(RELAY, fail));
   });
-  expect(outcome).to.include({ status: 200, isWhole: false });
+  expect(outcome).to.deep.equal({ status: 200, isWhole: false, retryAfter: undefined });
 });
 
 test('a send that throws has not left the box', () => {
@@ -126,13 +126,16 @@
 });
 
 test('a request that was not sent when its handling threw is answered as not run, with a time to come back', async () => {
-  const { faults, exchanges } = createScene();
+  const { scene, faults, exchanges } = createScene();
   const outcome = await callThrough((exchange) => {
     exchanges.set(1, exchange);
     const body = { type: 'requestArrived', exchangeId: 1, facts: facts() } as const;
     faults.onEventHandled(body, [{ error: new Error('a mistake'), exchangeId: 1 }]);
   }, false);
   expect(outcome).to.deep.equal({ status: 503, isWhole: true, retryAfter: '0.25' });
+  // The state has nothing of it left to clean up.
+  expect(scene.events).to.deep.equal([]);
+  expect(exchanges.size).to.equal(0);
 });
 
 test('requests that throw do not stop a box, whatever their number', () => {
--- a/packages/reedlug-gateway/src/slices/lifecycle/faultRepair.ts
+++ b/packages/reedlug-gateway/src/slices/lifecycle/faultRepair.ts
@@ -27,7 +27,7 @@
 }
 
 /** Whether an event or a tick will go on with a request: one of its attempts is open, or it waits for units. */
-export function isAwaited(state: GatewayState, record: RequestRecord): boolean {
+function isAwaited(state: GatewayState, record: RequestRecord): boolean {
   const isWaiting = state.waitingForUnits.some((waiting) => waiting.record === record);
   return isWaiting || record.attempts.some(({ open }) => open);
 }
