--- a/packages/reedlug-soak/src/fault.ts
+++ b/packages/reedlug-soak/src/fault.ts
@@ -89,6 +89,11 @@
   | { kind: 'serverResets'; server: number; everyMs: number; forMs: number }
   /** All servers of a software version end at once; later as many of another version start, if one is given. */
   | { kind: 'versionEnds'; version: string; backAs?: string }
+  /**
+   * A share of the servers of a software version end with their registry entries, and one of another version starts
+   * at once for each, under its id or a new one.
+   */
+  | { kind: 'versionSwapped'; from: string; to: string; share: number; keepsId: boolean }
   /** Servers of a software version are drained one by one, and one of another version starts for each. */
   | { kind: 'versionReplaced'; from: string; to: string; everyMs: number }
   | { kind: 'configure' }
--- a/packages/reedlug-soak/src/injectFault.ts
+++ b/packages/reedlug-soak/src/injectFault.ts
@@ -23,7 +23,7 @@
 import type { SoakRecord } from './soakRecord.js';
 import { configure } from './buildWorld.js';
 import type { SoakBox, SoakWorld } from './soakWorld.js';
-import { endVersion, replaceVersion, resetConnections } from './versionFaults.js';
+import { endVersion, replaceVersion, resetConnections, swapVersion } from './versionFaults.js';
 
 /**
  * Seed that decides which responses of the store are lost. It is fixed, so that the choice depends
@@ -139,6 +139,8 @@
       return withServerFault(record, () => resetConnections(world, fault));
     case 'versionEnds':
       return withServerFault(record, () => endVersion(world, record, fault));
+    case 'versionSwapped':
+      return withServerFault(record, () => swapVersion(world, record, fault));
     case 'versionReplaced':
       return withServerFault(record, () => replaceVersion(world, record, fault));
     case 'serverLimits':
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -110,6 +110,7 @@
       key: world.keys.at(-1) ?? '',
       targets: world.boxes.map(({ target }) => target),
       leavesAfterEvents: random.chance(load.leavingShare) ? LEAVES_AFTER_EVENTS : undefined,
+      maxPauseMs: load.maxPauseMs,
       random,
     });
     pending.push(called.then((stream) => void record.streams.push(stream)));
--- a/packages/reedlug-soak/src/streamCallers.ts
+++ b/packages/reedlug-soak/src/streamCallers.ts
@@ -13,6 +13,8 @@
   leavingShare: number;
   /** Software versions of the servers, in turn. */
   versions: readonly string[];
+  /** Longest pause before a caller takes up a broken stream, in ms; `DEFAULT_MAX_PAUSE_MS` if omitted. */
+  maxPauseMs?: number;
   /** Whether faults of the versions are drawn beside the other faults. */
   addsFaults?: boolean;
 }
@@ -31,9 +33,9 @@
 /** Time for which a caller tries to get a stream, in ms, and maximum number of its attempts. */
 const DEADLINE_MS = 5000;
 const MAX_TRIES = 10;
-/** Range of the pause before a caller takes up a broken stream, in ms. */
+/** Shortest pause before a caller takes up a broken stream, and the longest one where a load names none, in ms. */
 const MIN_PAUSE_MS = 40;
-const MAX_PAUSE_MS = 200;
+const DEFAULT_MAX_PAUSE_MS = 200;
 
 /** Calls a stream until it is complete, refused for good, or out of time. */
 export async function callStream(params: {
@@ -45,12 +47,13 @@
   /** Parts of its prompt as on the wire; undefined for none. */
   promptParts?: string | undefined;
   maxTries?: number;
+  maxPauseMs?: number | undefined;
   /** Index of the box of the first attempt; a random one if omitted. */
   firstBox?: number | undefined;
   random: Random;
 }): Promise<CalledStream> {
   const { name, key, targets, leavesAfterEvents, promptParts, random } = params;
-  const { maxTries = MAX_TRIES } = params;
+  const { maxTries = MAX_TRIES, maxPauseMs = DEFAULT_MAX_PAUSE_MS } = params;
   const untilMs = performance.now() + DEADLINE_MS;
   const tries: StreamTry[] = [];
   while (tries.length < maxTries) {
@@ -71,7 +74,7 @@
     tries.push(outcome);
     if (outcome.isWhole) return { tries };
     const leftMs = untilMs - performance.now();
-    const pauseMs = retryAfterMs ?? random.whole(MIN_PAUSE_MS, MAX_PAUSE_MS);
+    const pauseMs = retryAfterMs ?? random.whole(MIN_PAUSE_MS, maxPauseMs);
     // A caller waits for up to a third of the time that it has left.
     if (pauseMs > leftMs / 3) return { tries };
     await delay(pauseMs);
--- a/packages/reedlug-soak/src/versionFaults.ts
+++ b/packages/reedlug-soak/src/versionFaults.ts
@@ -42,6 +42,25 @@
   }
 }
 
+/** Ends a share of the servers of a version, the first ones, and starts one of another version for each. */
+export async function swapVersion(
+  world: SoakWorld,
+  record: SoakRecord,
+  { from, to, share, keepsId }: Extract<Fault, { kind: 'versionSwapped' }>,
+): Promise<void> {
+  const servers = serversOf(world, from).filter(({ standin }) => !standin.isClosed());
+  const swapped = servers.slice(0, Math.ceil(share * servers.length));
+  for (const server of swapped) {
+    const { standin } = server;
+    standin.close();
+    server.version = to;
+    if (keepsId) continue;
+    record.leftAtMs.set(standin.id, performance.now());
+    removeServerEntry(world.store, standin.id);
+  }
+  await Promise.all(swapped.map((server) => startNextIncarnation(world, server, keepsId)));
+}
+
 /** Drains the servers of a version one by one; one of another version starts in place of each. */
 export async function replaceVersion(
   world: SoakWorld,
