The log of a stream that is taken up names what proved its version

streamTakenUp with source=onlyVersion did not tell which of three things stood behind it: a row of versions, a table without such a row, or the answers of other boxes. source names it now, and ageMs tells since when this box has run. No logic is changed.

--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -8,7 +8,7 @@
 import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
 import type { PendingRequest, RequestFacts, RequestRecord } from '../../types/request.js';
-import type { StreamStart, TakeUpLookup } from '../../types/streamVersion.js';
+import type { StreamStart, TableLookup, TakeUpLookup } from '../../types/streamVersion.js';
 import type { TakeUp } from '../../types/takeUp.js';
 import { isFreshPeer, isSeed, usesHubs } from '../peers/fleet.js';
 import { possibleVersions } from './servedVersions.js';
@@ -102,7 +102,9 @@
       return undefined;
     case 'onlyVersion': {
       const { version } = verdict;
-      return { kind: 'goOn', service, version, source: 'onlyVersion', ageMs: 0 };
+      const source = witnessOf(state, { service, table });
+      const ageMs = nowMs - state.processStartedAtMs;
+      return { kind: 'goOn', service, version, source, ageMs };
     }
     case 'unknown':
       log(step, 'streamVersionUnknown', {
@@ -116,6 +118,15 @@
   }
 }
 
+/** Names what shows that one version alone can have begun a stream, for the log. */
+function witnessOf(
+  { streamVersions }: GatewayState,
+  { service, table }: { service: string; table: TableLookup },
+): string {
+  if (table !== 'read') return 'boxes';
+  return streamVersions.versionsRow.services[service] === undefined ? 'tableWithoutRow' : 'table';
+}
+
 /** Whether this box has heard each other box of a small fleet lately. */
 function isFleetHeard(state: GatewayState, nowMs: number): boolean {
   if (usesHubs(state)) return false;
