--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -112,6 +112,7 @@
     unitReservations: { own: [], ofPeers: [], used: [] },
     retryBudgets: new Map(),
     peers: new Map(),
+    lifeEndedAtMs: Number.NEGATIVE_INFINITY,
     hubId: undefined,
     hubSinceMs: nowMs,
     totalsFromBoxes: createReceivedTotals(),
--- a/packages/reedlug-gateway/src/daemon/datagramEvent.ts
+++ b/packages/reedlug-gateway/src/daemon/datagramEvent.ts
@@ -23,6 +23,8 @@
       return { type: 'streamStartAsked', message };
     case 'streamStartAnswered':
       return { type: 'streamStartAnswered', message };
+    case 'versionsListed':
+      return { type: 'versionsListed', message };
     case 'serverStatements':
       return { type: 'serverStatements', message };
   }
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -9,6 +9,7 @@
 import type { Runtime } from './runtime.js';
 import { connectingPeers } from '../slices/peers/connectingPeers.js';
 import { mustConfirmServer } from '../slices/streamVersions/continuations.js';
+import { mustAwaitListing } from '../slices/streamVersions/listingWaits.js';
 import { eventsOfSharedState } from '../slices/peers/sharedState.js';
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
@@ -58,6 +59,8 @@
       return callCloud(runtime, effect);
     case 'readStoreAgain':
       return runtime.feeds?.restart();
+    case 'listingEnded':
+      return endListingWait(runtime, effect.attemptId);
     case 'sendPeers':
       return runtime.peers.send(effect.message, effect.to);
     case 'askPeer':
@@ -175,15 +178,18 @@
 }
 
 /**
- * Reads the events of a server that goes on with a stream only once the registry was read after its answer began. If the
- * server is in its next life, reading it cancels the attempt.
+ * Reads the events of a stream's server once they may be relayed. Those of a server that goes on with a stream wait until the
+ * registry was read after its answer began: if the server is in its next life, reading it cancels the attempt. Those of
+ * a new stream wait until its version is listed.
  */
 function confirmServer(
   runtime: Runtime,
   exchange: CallerExchange,
   ids: { exchangeId: number; attemptId: number },
 ): void {
-  if (!mustConfirmServer(runtime.state, ids.exchangeId)) return;
+  const { state, clock } = runtime;
+  const mustConfirm = mustConfirmServer(state, ids.exchangeId);
+  if (!mustConfirm && !mustAwaitListing(state, ids, clock.nowMs())) return;
   const attempt = runtime.attempts.get(ids.attemptId);
   if (attempt?.pause() !== true) return;
   runtime.emit({ type: 'attemptHeld', ...ids, isHeld: true });
@@ -193,7 +199,15 @@
     runtime.emit({ type: 'attemptHeld', ...ids, isHeld: false });
     attempt.resume();
   });
-  void runtime.registry.readNow().then(readOn);
+  if (mustConfirm) return void runtime.registry.readNow().then(readOn);
+  runtime.listingWaits.set(ids.attemptId, readOn);
+  runtime.emit({ type: 'listingAwaited', ...ids });
+}
+
+function endListingWait({ listingWaits }: Runtime, attemptId: number): void {
+  const readOn = listingWaits.get(attemptId);
+  listingWaits.delete(attemptId);
+  readOn?.();
 }
 
 function cancel(runtime: Runtime, attemptId: number): void {
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -179,6 +179,7 @@
     exchanges,
     faults,
     attempts: new Map(),
+    listingWaits: new Map(),
     logger,
     metrics,
     calls,
--- a/packages/reedlug-gateway/src/daemon/gossipFields.ts
+++ b/packages/reedlug-gateway/src/daemon/gossipFields.ts
@@ -35,6 +35,7 @@
   ['feedAgeMs', isFiniteNumber],
   ['knownAgeMs', isFiniteNumber],
   ['clockOffsetMs', isFiniteNumber],
+  ['sameLivesForMs', isFiniteNumber],
   ['storeEra', isEra],
   ['leaseHolder', isAddress],
   ['registry', isRegistry],
--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -27,6 +27,7 @@
 const REQUIRED_OBJECTS: Readonly<Partial<Record<WireKind, readonly string[]>>> = {
   news: ['loads', 'sendSums', 'admitted', 'usage'],
   usage: ['usage'],
+  versionsListed: ['services'],
 };
 
 /** Fields that must hold an array. */
@@ -121,6 +122,7 @@
   streamStarts: [],
   streamStartAsked: ['port'],
   streamStartAnswered: [],
+  versionsListed: ['revision'],
 };
 
 function isStatementRows(value: unknown): value is Readonly<Record<string, unknown>> {
--- a/packages/reedlug-gateway/src/daemon/runtime.ts
+++ b/packages/reedlug-gateway/src/daemon/runtime.ts
@@ -38,6 +38,8 @@
   exchanges: Map<number, CallerExchange>;
   faults: InternalFaults;
   attempts: Map<number, BackendAttempt>;
+  /** Attempts whose events wait until their version is listed, and what reads on. */
+  listingWaits: Map<number, () => void>;
   logger: Logger;
   metrics: GatewayMetrics;
   calls: PlatformCallCounts;
--- a/packages/reedlug-gateway/src/policy/__tests__/takeUpVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/takeUpVerdict.test.ts
@@ -1,41 +1,95 @@
 import { expect } from 'chai';
-import { takeUpVerdict, type TakeUpEvidence } from '../takeUpVerdict.js';
+import { VersionProof } from '../../types/streamVersion.js';
+import { takeUpVerdict, type TakeUpEvidence, type TableEvidence } from '../takeUpVerdict.js';
 
 function verdict(changes: Partial<TakeUpEvidence>) {
   return takeUpVerdict({
-    versions: new Set(['v1']),
+    table: listed(['v1']),
+    seenVersions: new Set(['v1']),
     haveBoxesAnswered: true,
-    isEachBoxHeard: true,
-    table: 'read',
+    isWitnessed: false,
     isTimeUp: false,
     ...changes,
   });
 }
 
+function listed(versions: readonly string[], earlier?: readonly string[]): TableEvidence {
+  const earlierVersions = earlier === undefined ? undefined : new Set(earlier);
+  return { kind: 'listed', versions: new Set(versions), earlier: earlierVersions };
+}
+
 test('a stream goes on at the only version that can have begun it', () => {
-  expect(verdict({})).to.deep.equal({ kind: 'onlyVersion', version: 'v1' });
+  const { listed: proof } = VersionProof;
+  expect(verdict({})).to.deep.equal({ kind: 'onlyVersion', version: 'v1', proof });
 });
 
 test('the table alone shows that there was one version', () => {
-  const { kind } = verdict({ haveBoxesAnswered: false, isEachBoxHeard: false });
-  expect(kind).to.equal('onlyVersion');
+  expect(verdict({ haveBoxesAnswered: false }).kind).to.equal('onlyVersion');
+});
+
+test('what serves now does not count as what served when a stream began', () => {
+  const seenVersions = new Set(['v2']);
+  const proven = verdict({ seenVersions });
+  expect(proven).to.include({ kind: 'onlyVersion', version: 'v1' });
+  expect(verdict({ seenVersions, table: { kind: 'nothing' } }).kind).to.equal('unknown');
+  expect(verdict({ seenVersions, table: { kind: 'pending' } }).kind).to.equal('wait');
+});
+
+test('a box that has not answered may have begun streams at a version that is not listed', () => {
+  const open = { seenVersions: new Set(['v1', 'v2']), haveBoxesAnswered: false };
+  expect(verdict(open).kind).to.equal('wait');
+  expect(verdict({ ...open, isTimeUp: true }).kind).to.equal('unknown');
+});
+
+test('a version that was listed since the last end of a box began no stream that no box knows', () => {
+  const table = listed(['v1', 'v2'], ['v1']);
+  expect(verdict({ table })).to.include({
+    kind: 'onlyVersion',
+    version: 'v1',
+    proof: VersionProof.listedBeforeLifeEnds,
+  });
+  expect(verdict({ table, haveBoxesAnswered: false }).kind).to.equal('wait');
+  expect(verdict({ table, haveBoxesAnswered: false, isTimeUp: true }).kind).to.equal('unknown');
+});
+
+test('where it is not known when a box last ended each listed version counts', () => {
+  expect(verdict({ table: listed(['v1', 'v2']) }).kind).to.equal('unknown');
+});
+
+test('a box that has just started waits until it knows which boxes run, but not beyond its time', () => {
+  const table = { ...listed(['v1', 'v2']), earlier: 'pending' as const } as TableEvidence;
+  expect(verdict({ table }).kind).to.equal('wait');
+  expect(verdict({ table, isTimeUp: true }).kind).to.equal('unknown');
+});
+
+test('a row of an earlier era counts with all that boxes have seen', () => {
+  const table = { kind: 'restored' as const, versions: new Set(['v1']) };
+  expect(verdict({ table })).to.include({ version: 'v1', proof: VersionProof.listedBeforeRestore });
+  expect(verdict({ table, seenVersions: new Set(['v2']) }).kind).to.equal('unknown');
+  expect(verdict({ table, haveBoxesAnswered: false, isTimeUp: true }).kind).to.equal('unknown');
 });
 
 test('all boxes together show it while the table is away', () => {
-  expect(verdict({ table: 'failed' }).kind).to.equal('onlyVersion');
-  expect(verdict({ table: 'failed', isEachBoxHeard: false }).kind).to.equal('unknown');
+  const table = { kind: 'nothing' as const };
+  const proof = VersionProof.boxes;
+  expect(verdict({ table, isWitnessed: true })).to.include({ kind: 'onlyVersion', proof });
+  expect(verdict({ table, isWitnessed: false }).kind).to.equal('unknown');
 });
 
 test('of several versions none is taken', () => {
-  expect(verdict({ versions: new Set(['v1', 'v2']) }).kind).to.equal('unknown');
+  const seenVersions = new Set(['v1', 'v2']);
+  expect(verdict({ table: listed(['v1', 'v2'], ['v1', 'v2']) }).kind).to.equal('unknown');
+  const table = { kind: 'nothing' as const };
+  expect(verdict({ table, seenVersions, isWitnessed: true }).kind).to.equal('unknown');
 });
 
 test('a stream waits for boxes that may know it, but not beyond its time', () => {
-  const open = { versions: new Set(['v1', 'v2']), haveBoxesAnswered: false, isEachBoxHeard: false };
+  const open = { table: listed(['v1', 'v2']), haveBoxesAnswered: false };
   expect(verdict(open).kind).to.equal('wait');
   expect(verdict({ ...open, isTimeUp: true }).kind).to.equal('unknown');
 });
 
 test('a box that has seen no version takes none', () => {
-  expect(verdict({ versions: new Set() }).kind).to.equal('unknown');
+  const table = { kind: 'nothing' as const };
+  expect(verdict({ table, seenVersions: new Set(), isWitnessed: true }).kind).to.equal('unknown');
 });
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -51,7 +51,9 @@
   onStreamStartAsked,
   onStreamStarts,
 } from './slices/streamVersions/startGossip.js';
+import { listingWaitsTick, onListingAwaited } from './slices/streamVersions/listingWaits.js';
 import { onStreamRows } from './slices/streamVersions/streamRows.js';
+import { onVersionsListed } from './slices/streamVersions/versionsRow.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow } from './slices/usage/usage.js';
 
 /** Effects that a step requested, and exceptions of its parts. */
@@ -146,6 +148,12 @@
     case 'streamStartAnswered':
       onStreamStartAnswered(state, step, event);
       return resumedStreamsTick(state, step);
+    case 'versionsListed':
+      onVersionsListed(state, step, event);
+      return listingWaitsTick(state, step);
+    case 'listingAwaited':
+      onListingAwaited(state, step, event);
+      return listingWaitsTick(state, step);
     case 'unitsAsked':
       return onUnitsAsked(state, step, event);
     case 'unitsLent':
@@ -173,6 +181,7 @@
       return onCrashRow(state, step, event, event.purpose);
     case 'streamRows':
       onStreamRows(state, step, event, event.purpose);
+      listingWaitsTick(state, step);
       return resumedStreamsTick(state, step);
     case 'rollout':
       return onRolloutRow(state, step, event, event.purpose);
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -6,6 +6,7 @@
 import { dutyFence } from '../store/dutyLease.js';
 import { boxesCovered, countedPeers, type PeerWithMessage } from './fleet.js';
 import { cutOffGossip } from './cutOffBoxes.js';
+import { sameLivesGossip, type SameLives } from './lifeEnds.js';
 import { isCutOff } from '../../policy/connectPlan.js';
 import { addSendSums, type SendSums } from '../../policy/engineModel.js';
 import { ownSendSums } from '../engines/engineModels.js';
@@ -38,10 +39,15 @@
   const counted = countedPeers(state, step.nowMs);
   const members = counted.filter(({ message }) => message.scope === GossipScope.box);
   const speeds = speedRows(state, step.nowMs, counted);
+  let sameLives: SameLives | undefined;
   return {
     ownMessage: () => withSpeeds(own, speeds?.own()),
     groupMessage: () => {
-      const message = summedGossip(state, step, own, { scope: GossipScope.group, of: members });
+      const message = summedGossip(state, step, own, {
+        scope: GossipScope.group,
+        of: members,
+        sameLives: sameLivesGossip(state, GossipScope.group, step.nowMs),
+      });
       return withSpeeds(message, speeds?.group());
     },
     othersMessage: (peer) => {
@@ -50,6 +56,7 @@
         scope: GossipScope.others,
         of,
         except: peer.contribution,
+        sameLives: (sameLives ??= sameLivesGossip(state, GossipScope.others, step.nowMs)),
       });
       return withSpeeds(message, speeds?.others(peer));
     },
@@ -79,6 +86,7 @@
     storeContactAgeMs: ageOf(state.storeContactAtMs, step.nowMs),
     feedAgeMs: ownFeedAgeMs(state, step.nowMs),
     knownAgeMs: knownAgeMs(state, step.nowMs),
+    ...sameLivesGossip(state, GossipScope.box, step.nowMs),
     leaseHolder: holdsLease ? { host: box.ip, port: listen.peersPort } : undefined,
     leaving: state.stoppingSinceMs !== undefined,
     silentZones: [...state.silentZones],
@@ -125,15 +133,18 @@
     scope: typeof GossipScope.group | typeof GossipScope.others;
     of: readonly PeerWithMessage[];
     except?: ReceivedTotals;
+    sameLives: SameLives;
   },
 ): PeerMessage {
-  const { scope, of, except } = params;
+  const { scope, of, except, sameLives } = params;
   const totals = [state.totalsFromBoxes];
   if (scope === GossipScope.others) totals.push(state.totalsFromHubs);
   const holder = of.find(({ message }) => message.leaseHolder !== undefined);
   const isHubMessage = scope === GossipScope.others;
   return {
     ...own,
+    sameLivesForMs: undefined,
+    ...sameLives,
     scope,
     registry: isHubMessage && state.serversKnown ? registryGossip(state, step.nowMs) : undefined,
     boxes: boxesCovered(of),
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
@@ -0,0 +1,99 @@
+/**
+ * Since when no life of a box has ended: a life lasts from the start of a box's process to its end.
+ *
+ * What no running box knows happened in a life that has ended, so before the time given here. A box that has
+ * started after the loss of others knows nothing of their lives, but that none of them goes on: it would hear them. In
+ * a fleet with hubs each hub speaks for its group.
+ */
+import { GossipScope, type PeerMessage } from '../../types/peer.js';
+import type { GatewayState } from '../../state.js';
+import {
+  boxesCovered,
+  countedPeers,
+  fleetSize,
+  isFreshPeer,
+  usesHubs,
+  type PeerWithMessage,
+} from './fleet.js';
+
+/** Field of gossip that states since when no life has ended. */
+export type SameLives = Pick<PeerMessage, 'sameLivesForMs'>;
+
+/** Time from its start by which a box has heard each box that it can hear, in ms: two of their messages. */
+const HEARING_MS = 400;
+
+/** Records that the life of a box ended, now or before. */
+export function recordLifeEnd(state: GatewayState, nowMs: number): void {
+  state.lifeEndedAtMs = nowMs;
+}
+
+/** Returns whether this box has heard each box of its fleet that runs and that it can hear. */
+export function hasHeardFleet(state: GatewayState, nowMs: number): boolean {
+  return state.part.listRevision !== 0 && !isHearingFleet(state, nowMs);
+}
+
+/** Returns whether this box has started so lately that it may not have heard each box that it can hear. */
+export function isHearingFleet({ startedAtMs }: GatewayState, nowMs: number): boolean {
+  return nowMs - startedAtMs < HEARING_MS;
+}
+
+/** Returns since when no life has ended in the fleet, as any box knows, on this box's clock; undefined if that is not known. */
+export function sameLivesSinceMs(state: GatewayState, nowMs: number): number | undefined {
+  const own = ownSameLivesSinceMs(state, nowMs);
+  const peers = countedPeers(state, nowMs).filter((peer) => isFreshPeer(peer, nowMs));
+  const stated = peers.map(statedSinceMs);
+  if (!usesHubs(state)) return least([own, ...stated]);
+  if (boxesCovered(peers) < fleetSize(state)) return undefined;
+  // A member hears its hub alone, which speaks for all others.
+  const groups = state.hubId === undefined ? hubStatements(peers, own) : stated;
+  return greatest(groups);
+}
+
+function hubStatements(
+  peers: readonly PeerWithMessage[],
+  own: number | undefined,
+): (number | undefined)[] {
+  const otherHubs = peers.filter(({ message }) => message.scope === GossipScope.group);
+  return [own, ...otherHubs.map(statedSinceMs)];
+}
+
+/** Returns since when no life has ended that this box itself has heard, or its own predecessors'. */
+function ownSameLivesSinceMs(state: GatewayState, nowMs: number): number | undefined {
+  if (!hasHeardFleet(state, nowMs)) return undefined;
+  for (const peer of state.peers.values()) {
+    if (peer.message !== undefined && !isFreshPeer(peer, nowMs)) return undefined;
+  }
+  return Math.max(state.processStartedAtMs, state.lifeEndedAtMs);
+}
+
+function statedSinceMs({ lastReceivedAtMs, message }: PeerWithMessage): number | undefined {
+  const { sameLivesForMs } = message;
+  return sameLivesForMs === undefined ? undefined : lastReceivedAtMs - sameLivesForMs;
+}
+
+/** Returns the times for gossip: for a box and its group, and for a member of a hub. */
+export function sameLivesGossip(state: GatewayState, scope: GossipScope, nowMs: number): SameLives {
+  const isOfFleet = scope === GossipScope.others;
+  const sinceMs = isOfFleet ? sameLivesSinceMs(state, nowMs) : ownSameLivesSinceMs(state, nowMs);
+  return sinceMs === undefined ? {} : { sameLivesForMs: Math.round(nowMs - sinceMs) };
+}
+
+/** Returns for how long the oldest process has run of those that this box hears itself, its own included, in ms. */
+export function longestRunMs(state: GatewayState, nowMs: number): number {
+  let longestMs = nowMs - state.processStartedAtMs;
+  for (const peer of countedPeers(state, nowMs)) {
+    const { sameLivesForMs = 0 } = peer.message;
+    if (isFreshPeer(peer, nowMs)) longestMs = Math.max(longestMs, sameLivesForMs);
+  }
+  return longestMs;
+}
+
+function least(times: readonly (number | undefined)[]): number | undefined {
+  const known = times.filter((time) => time !== undefined);
+  return known.length === 0 ? undefined : Math.min(...known);
+}
+
+function greatest(times: readonly (number | undefined)[]): number | undefined {
+  const known = times.filter((time) => time !== undefined);
+  return known.length < times.length || known.length === 0 ? undefined : Math.max(...known);
+}
--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -13,6 +13,7 @@
   type PeerWithMessage,
 } from './fleet.js';
 import { recordCutOffGossip } from './cutOffBoxes.js';
+import { recordLifeEnd } from './lifeEnds.js';
 import { recordBoxesListed } from '../limits/limitShare.js';
 import { mergeRolloutGossip } from '../rollouts/rollouts.js';
 import { nextRegistryUpdate } from './registryGossip.js';
@@ -44,6 +45,8 @@
   const before = peer.message;
   if (before !== undefined && isOutdated(message, before, isFreshPeer(peer, step.nowMs))) return;
   recordIfUninformed(state, step, peer, message.incarnation);
+  const isNextLife = before !== undefined && before.incarnation !== message.incarnation;
+  if (isNextLife) recordLifeEnd(state, step.nowMs);
   peer.lastReceivedAtMs = step.nowMs;
   peer.isSuspected = false;
   peer.message = message;
@@ -274,7 +277,10 @@
 export function forgetGonePeers(state: GatewayState, step: Step): void {
   for (const peer of state.peers.values()) {
     if (step.nowMs - peer.lastReceivedAtMs < PEER_GONE_AFTER_MS) continue;
-    if (peer.message !== undefined) log(step, 'peerGone', { peer: peer.boxId });
+    if (peer.message !== undefined) {
+      log(step, 'peerGone', { peer: peer.boxId });
+      recordLifeEnd(state, step.nowMs);
+    }
     peer.message = undefined;
     if (!peer.listed) forget(state, peer);
   }
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -134,7 +134,7 @@
 ): string | undefined {
   if (takeUp.kind === 'new') return undefined;
   if (takeUp.kind === 'unknown') return 'streamVersionUnknown';
-  const { service, version, source, ageMs } = takeUp;
+  const { service, version, source, ageMs, isStartKnown } = takeUp;
   const { facts, route } = record;
   log(step, 'streamTakenUp', {
     request: facts.requestId,
@@ -142,6 +142,7 @@
     lastEvent: facts.lastEventId ?? -1,
     version,
     source,
+    isStartKnown,
     ageMs: Math.round(ageMs),
   });
   if (!route.targets.some((target) => target.service === service)) return 'streamServiceMoved';
--- a/packages/reedlug-gateway/src/slices/store/storeEra.ts
+++ b/packages/reedlug-gateway/src/slices/store/storeEra.ts
@@ -52,7 +52,7 @@
   forgetCheckpoint(state);
   for (const view of state.rollouts.values()) forgetRecord(view);
   forgetCrashRow(state, step);
-  forgetStreamRows(state);
+  forgetStreamRows(state, step.nowMs);
   state.clockRowIsLost = true;
   announceDecisions(state, step);
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
@@ -52,6 +52,7 @@
   const versions = writes.find(({ key }) => key === SERVED_VERSIONS_KEY);
   expect((versions?.value as ServedVersionsRow).services).to.deep.equal({
     engines: { '': null, v2: null },
+    records: { '': null },
   });
   const own = writes.find(({ key }) => key === streamStartsKey('box-1'));
   const [start] = (own?.value as StreamStartsRow).starts;
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -106,9 +106,18 @@
   expect(types).to.deep.equal(['sendPeers', 'relay']);
 });
 
-test('nothing is sent or written while one version serves', () => {
+test('nothing is sent or written while one version serves that is listed', () => {
   const box = createServingBox();
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v1' } });
+  const services = { engines: { v1: null }, records: { '': null } };
+  const message = {
+    kind: 'versionsListed' as const,
+    boxId: 'box-2',
+    revision: 9,
+    services,
+    era: 0,
+  };
+  box.take({ type: 'versionsListed', message });
   // Before, the engines stated no version.
   passWithoutStall(box, 40_000);
   addPeer(box);
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -0,0 +1,168 @@
+import { expect } from 'chai';
+import {
+  createServingBox,
+  ofType,
+  only,
+  peerMessage,
+  type TestBox,
+} from '../../../__tests__/__fixtures__/box.js';
+import type { Effect } from '../../../types/effect.js';
+import { SERVED_VERSIONS_KEY, type ServedVersionsRow } from '../../../types/streamVersion.js';
+import { addPeer, listEngines, request, takeUp, versionOf } from './__fixtures__/takenUpStreams.js';
+
+const ERA = 3;
+const REVISION = 9;
+
+function createBox(engines: Readonly<Record<string, string>>): TestBox {
+  const box = createServingBox();
+  box.take({ type: 'storeEra', era: ERA });
+  const entries = Object.entries(engines).map(([id, version]) => [id, { version, bornAtMs: 1 }]);
+  listEngines(box, Object.fromEntries(entries) as Record<string, { version: string }>);
+  // The entries without a version, with which the box was created.
+  box.state.streamVersions.served.get('engines')?.delete('');
+  return box;
+}
+
+function rowOf(value: Partial<ServedVersionsRow>) {
+  const present = { era: ERA, services: {}, ...value };
+  return { key: SERVED_VERSIONS_KEY, version: REVISION, value: present };
+}
+
+function answerRead(box: TestBox, rows: readonly ReturnType<typeof rowOf>[]): Effect[] {
+  return box.take({
+    type: 'tableAnswered',
+    purpose: { kind: 'streamRows', call: 'read' },
+    answer: { kind: 'done', rows },
+    sentAtMs: box.nowMs,
+  });
+}
+
+/** Answers the last write of the row: it is done, or finds another row. */
+function answerWrite(box: TestBox, effects: readonly Effect[], found?: ReturnType<typeof rowOf>) {
+  const [write] = writesOf(effects);
+  const rows = [found ?? { key: SERVED_VERSIONS_KEY, version: REVISION, value: write?.value }];
+  return box.take({
+    type: 'tableAnswered',
+    purpose: { kind: 'streamRows', call: 'writeVersions' },
+    answer:
+      found === undefined ? { kind: 'done', rows } : { kind: 'refused', reason: 'conflict', rows },
+    sentAtMs: box.nowMs,
+  });
+}
+
+function writesOf(effects: readonly Effect[]) {
+  return ofType(effects, 'requestTable').flatMap(({ purpose, op }) =>
+    purpose.kind === 'streamRows' && purpose.call === 'writeVersions' && op.kind === 'transact'
+      ? op.writes
+      : [],
+  );
+}
+
+function passUntilWrite(box: TestBox): Effect[] {
+  for (let passedMs = 0; passedMs < 3000; passedMs += 50) {
+    const effects = box.pass(50);
+    if (writesOf(effects).length > 0) return effects;
+  }
+  return [];
+}
+
+/** Begins a stream up to the head of its answer, and returns what the wait for its version requests. */
+function awaitListing(box: TestBox): { attemptId: number; effects: Effect[] } {
+  const { attemptId } = only(request(box, 1), 'send');
+  const effects = box.take({ type: 'listingAwaited', exchangeId: 1, attemptId });
+  return { attemptId, effects };
+}
+
+test('a version that serves alone is written too, and once', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  const effects = passUntilWrite(box);
+  const { services, era } = writesOf(effects)[0]?.value as ServedVersionsRow;
+  expect({ engines: services['engines'], era }).to.deep.equal({ engines: { v1: null }, era: ERA });
+  answerWrite(box, effects);
+  expect(passUntilWrite(box)).to.have.length(0);
+});
+
+test('the first event of a stream waits until the version of its server is listed', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  const { attemptId, effects } = awaitListing(box);
+  expect(ofType(effects, 'listingEnded')).to.have.length(0);
+  expect(writesOf(effects)).to.have.length(1);
+  expect(only(answerWrite(box, effects), 'listingEnded').attemptId).to.equal(attemptId);
+});
+
+test('a store that does not answer holds a stream for 300 ms, and the next ones not at all', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  awaitListing(box);
+  expect(ofType(box.pass(250), 'listingEnded')).to.have.length(0);
+  expect(ofType(box.pass(50), 'listingEnded')).to.have.length(1);
+  expect(ofType(awaitListing(box).effects, 'listingEnded')).to.have.length(1);
+});
+
+test('a row of an earlier era lists no version, as the backup may lack later ones', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  const { effects } = awaitListing(box);
+  const found = rowOf({ services: { engines: { v1: null } }, era: ERA - 1 });
+  expect(ofType(answerWrite(box, effects, found), 'listingEnded')).to.have.length(0);
+  const [again] = writesOf(passUntilWrite(box));
+  expect(again?.expectVersion).to.equal(REVISION);
+  expect((again?.value as ServedVersionsRow).era).to.equal(ERA);
+});
+
+test('a box without memory goes on with a stream at the version of the row, not at the one that it sees', () => {
+  const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
+  takeUp(box, 1, 'request-9');
+  const effects = answerRead(box, [rowOf({ services: { engines: { v1: null } } })]);
+  expect(only(effects, 'refuse').reason).to.equal('noServerOfVersion');
+});
+
+test('a stream of the lost version goes on at its servers that are left', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v2' });
+  takeUp(box, 1, 'request-9');
+  const effects = answerRead(box, [rowOf({ services: { engines: { v1: null } } })]);
+  expect(versionOf(box, only(effects, 'send').order.serverId)).to.equal('v1');
+});
+
+test('boxes that have just started are no witness that one version has served', () => {
+  const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
+  addPeer(box);
+  takeUp(box, 1, 'request-9');
+  const message = {
+    kind: 'streamStartAnswered' as const,
+    ...{ boxId: 'box-2', key: 'tiger/request-9', start: null, versions: ['v2'] },
+  };
+  expect(ofType(box.take({ type: 'streamStartAnswered', message }), 'send')).to.have.length(0);
+  expect(only(answerRead(box, []), 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+test('a version that was listed since the last end of a box began no stream that no box knows', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v2' });
+  addPeer(box);
+  box.take({ type: 'peerMessage', message: peerMessage({ sequence: 5, sameLivesForMs: 200 }) });
+  const { nowMs } = box;
+  const storeNowMs = nowMs;
+  box.take({ type: 'storeClock', storeNowMs });
+  const services = { engines: { v1: null, v2: null } };
+  const goesOn = (exchangeId: number, listedAgoMs: number): Effect[] => {
+    takeUp(box, exchangeId, `request-9${exchangeId}`);
+    const message = {
+      kind: 'streamStartAnswered' as const,
+      ...{ boxId: 'box-2', key: `tiger/request-9${exchangeId}`, start: null, versions: ['v1'] },
+    };
+    box.take({ type: 'streamStartAnswered', message });
+    const listedAtMs = { engines: { v1: storeNowMs - 90_000, v2: storeNowMs - listedAgoMs } };
+    return answerRead(box, [rowOf({ services, listedAtMs })]);
+  };
+  box.state.processStartedAtMs = nowMs - 300;
+  expect(versionOf(box, only(goesOn(1, 100), 'send').order.serverId)).to.equal('v1');
+  expect(only(goesOn(2, 350), 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+test('a box that learns the row from another one does not write it', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  const services = { engines: { v1: null }, records: { '': null } };
+  const message = { kind: 'versionsListed' as const, boxId: 'box-2', revision: REVISION, services };
+  box.take({ type: 'versionsListed', message: { ...message, era: ERA } });
+  expect(passUntilWrite(box)).to.have.length(0);
+  const { attemptId, effects } = awaitListing(box);
+  expect(only(effects, 'listingEnded').attemptId).to.equal(attemptId);
+});
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
@@ -0,0 +1,77 @@
+/**
+ * Streams whose first event waits until the versions row lists the version of their server.
+ *
+ * A version is listed some milliseconds after the first box sees it, so only the first streams wait. A box that can
+ * not reach the store serves on without: other boxes are told of these streams one by one.
+ */
+import { log, type GatewayState, type Step } from '../../state.js';
+import type { EventOf } from '../../types/event.js';
+import type { ListingWait } from '../../types/streamVersion.js';
+import { softwareVersionOf } from './servedVersions.js';
+import { isListed, requireVersionsRow, writeVersionsRow } from './versionsRow.js';
+
+/** Longest time for which a first event is held, in ms: a slow store answers in 250. */
+const MAX_WAIT_MS = 300;
+/** Time after a wait that ended without the row for which no event waits, in ms. */
+const PAUSE_AFTER_MISS_MS = 5000;
+
+/** Returns whether the first event of an attempt has to wait for its version to be listed. */
+export function mustAwaitListing(
+  state: GatewayState,
+  { exchangeId, attemptId }: { exchangeId: number; attemptId: number },
+  nowMs: number,
+): boolean {
+  const record = state.requests.get(exchangeId);
+  const attempt = record?.attempts.find((candidate) => candidate.attemptId === attemptId);
+  if (record === undefined || attempt === undefined) return false;
+  if (!record.route.resumable || record.beganAtVersion !== undefined) return false;
+  if (!canWaitForRow(state, nowMs)) return false;
+  const version = softwareVersionOf(attempt);
+  return !isListed(state, { service: record.service, version, nowMs });
+}
+
+function canWaitForRow(state: GatewayState, nowMs: number): boolean {
+  const { missedAtMs } = state.streamVersions.versionsRow;
+  return state.storeReachable && nowMs - missedAtMs >= PAUSE_AFTER_MISS_MS;
+}
+
+/** Holds the first event of an attempt and lists its version at once. */
+export function onListingAwaited(
+  state: GatewayState,
+  step: Step,
+  { exchangeId, attemptId }: EventOf<'listingAwaited'>,
+): void {
+  const record = state.requests.get(exchangeId);
+  const attempt = record?.attempts.find((candidate) => candidate.attemptId === attemptId);
+  if (record === undefined || attempt === undefined) return;
+  const { service } = record;
+  const version = softwareVersionOf(attempt);
+  const untilMs = step.nowMs + MAX_WAIT_MS;
+  state.streamVersions.awaitingListing.push({ attemptId, service, version, untilMs });
+  requireVersionsRow(state, step.nowMs);
+  writeVersionsRow(state, step);
+}
+
+/** Lets the events go whose version is listed, or whose time is up. */
+export function listingWaitsTick(state: GatewayState, step: Step): void {
+  const { streamVersions } = state;
+  if (streamVersions.awaitingListing.length === 0) return;
+  const { nowMs } = step;
+  const waiting: ListingWait[] = [];
+  for (const wait of streamVersions.awaitingListing) {
+    const { attemptId, service, version, untilMs } = wait;
+    const isVersionListed = isListed(state, { service, version, nowMs });
+    if (!isVersionListed && nowMs < untilMs && canWaitForRow(state, nowMs)) {
+      waiting.push(wait);
+      continue;
+    }
+    if (!isVersionListed) recordMiss(state, step, wait);
+    step.effects.push({ type: 'listingEnded', attemptId });
+  }
+  streamVersions.awaitingListing = waiting;
+}
+
+function recordMiss(state: GatewayState, step: Step, { service, version }: ListingWait): void {
+  state.streamVersions.versionsRow.missedAtMs = step.nowMs;
+  log(step, 'versionNotListed', { service, version, era: state.storeEra ?? -1 });
+}
--- a/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
@@ -38,7 +38,9 @@
   const version = softwareVersionOf(entry);
   const isNew = ofService.get(version)?.isPresent !== true;
   ofService.set(version, { seenAtMs: step.nowMs, isPresent: true });
-  if (!isNew || ofService.size < 2) return;
+  if (!isNew) return;
+  state.streamVersions.versionsRow.outdatedSinceMs ??= step.nowMs;
+  if (ofService.size < 2) return;
   const versions = [...ofService.keys()].join(' ');
   log(step, 'softwareVersionAdded', { service: entry.service, version, versions });
   recordVersionChange(state);
@@ -56,9 +58,8 @@
   else known.seenAtMs = Math.max(known.seenAtMs, seenAtMs);
 }
 
-/** Requires the rows of the table to be read and written again. */
+/** Requires the rows of streams to be read and written again. */
 function recordVersionChange({ streamVersions }: GatewayState): void {
-  streamVersions.versionsRow.isOutdated = true;
   streamVersions.ownRow.isOutdated = true;
   streamVersions.read.isWanted = true;
 }
@@ -93,10 +94,11 @@
       const wasPresent = known.isPresent;
       known.isPresent = present.get(service)?.has(version) === true;
       if (known.isPresent) known.seenAtMs = step.nowMs;
-      if (known.isPresent !== wasPresent) streamVersions.versionsRow.isOutdated = true;
+      if (known.isPresent !== wasPresent) streamVersions.versionsRow.outdatedSinceMs ??= step.nowMs;
       if (step.nowMs - known.seenAtMs <= retentionMs) continue;
       ofService.delete(version);
-      streamVersions.versionsRow.isOutdated = true;
+      streamVersions.begunUnlisted.get(service)?.delete(version);
+      streamVersions.versionsRow.outdatedSinceMs ??= step.nowMs;
       log(step, 'softwareVersionGone', { service, version });
     }
   }
--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -14,6 +14,7 @@
 import type { PeerView } from '../../types/views.js';
 import { isFreshPeer, isSeed, ownAddress, usesHubs } from '../peers/fleet.js';
 import { hasSeveralVersions, possibleVersions } from './servedVersions.js';
+import { isListed } from './versionsRow.js';
 import {
   findStart,
   isStartRow,
@@ -30,12 +31,24 @@
 const MAX_VERSIONS = 32;
 const MAX_VERSION_LENGTH = 100;
 
-/** Sends the start of a stream to the boxes that keep it, if several versions of its service serve. */
+/** Sends the start of a stream to the boxes that keep it, if several versions of its service serve or its own is not listed. */
 export function announceStart(state: GatewayState, step: Step, start: StreamStart): void {
-  if (!hasSeveralVersions(state, start.service)) return;
+  const { service, version } = start;
+  const { nowMs } = step;
+  const isUnlisted = version !== undefined && !isListed(state, { service, version, nowMs });
+  if (isUnlisted) recordUnlistedBegin(state, { service, version });
+  if (!isUnlisted && !hasSeveralVersions(state, service)) return;
   sendStarts(state, step, [start], holdersOf(state, start.key));
 }
 
+function recordUnlistedBegin(
+  { streamVersions: { begunUnlisted } }: GatewayState,
+  { service, version }: { service: string; version: string },
+): void {
+  const versions = begunUnlisted.get(service) ?? new Set();
+  begunUnlisted.set(service, versions.add(version));
+}
+
 /** Records that events of a stream may be of another version than it was bound to; nobody goes on with it. */
 export function recordUncertainBegin(state: GatewayState, step: Step, record: RequestRecord): void {
   if (record.beganAtVersion === undefined) return;
@@ -116,7 +129,12 @@
 ): void {
   const { boxId, starts } = event.message;
   const origin = { source: boxId, isOwn: false, asOfMs: step.nowMs };
-  for (const row of starts.filter(isStartRow)) recordReceivedStart(state, step, row, origin);
+  for (const row of starts.filter(isStartRow)) {
+    recordReceivedStart(state, step, row, origin);
+    const [, service, version] = row;
+    if (version === null || isListed(state, { service, version, nowMs: step.nowMs })) continue;
+    recordUnlistedBegin(state, { service, version });
+  }
 }
 
 /** Answers another box that asks for the start of a stream. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamVersionsTick.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamVersionsTick.ts
@@ -1,9 +1,11 @@
 /** Keeps what this box knows of streams and their versions up to date. */
 import type { GatewayState, Step } from '../../state.js';
 import { servedVersionsTick } from './servedVersions.js';
+import { listingWaitsTick } from './listingWaits.js';
 import { streamRowsTick } from './streamRows.js';
 import { pruneStarts } from './streamStarts.js';
 import { lookupsTick } from './takeUps.js';
+import { versionsRowTick } from './versionsRow.js';
 
 /** Interval between removals of streams that are over, in ms. */
 const PRUNE_INTERVAL_MS = 1000;
@@ -16,6 +18,8 @@
     streamVersions.prunedAtMs = step.nowMs;
     pruneStarts(state, step.nowMs);
   }
+  versionsRowTick(state, step);
   streamRowsTick(state, step);
+  listingWaitsTick(state, step);
   lookupsTick(state, step);
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -4,17 +4,29 @@
  * A box that does not know holds the request for a moment and asks other boxes and the table. If nobody
  * knows, the stream goes on only where a single version can have begun it; otherwise it is refused.
  */
-import { takeUpVerdict } from '../../policy/takeUpVerdict.js';
+import { takeUpVerdict, type TableEvidence } from '../../policy/takeUpVerdict.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
 import type { PendingRequest, RequestFacts, RequestRecord } from '../../types/request.js';
-import type { StreamStart, TableLookup, TakeUpLookup } from '../../types/streamVersion.js';
+import { VersionProof, type StreamStart, type TakeUpLookup } from '../../types/streamVersion.js';
 import type { TakeUp } from '../../types/takeUp.js';
 import { isFreshPeer, isSeed, usesHubs } from '../peers/fleet.js';
-import { possibleVersions } from './servedVersions.js';
+import {
+  hasHeardFleet,
+  isHearingFleet,
+  longestRunMs,
+  sameLivesSinceMs,
+} from '../peers/lifeEnds.js';
+import { possibleVersions, streamRetentionMs } from './servedVersions.js';
 import { askForStart } from './startGossip.js';
 import { readStreamRows } from './streamRows.js';
 import { findStart, keyOfStream } from './streamStarts.js';
+import {
+  isRowOfPresentEra,
+  listedVersions,
+  storeTimeOf,
+  type ListedVersion,
+} from './versionsRow.js';
 
 /** Longest time for which a request is held, in ms: a slow store answers in 250. */
 const MAX_LOOKUP_MS = 300;
@@ -46,7 +58,10 @@
 function takeUpOfStart(start: StreamStart, { nowMs }: Step): TakeUp {
   const { service, version, source, recordedAtMs } = start;
   if (version === undefined) return { kind: 'unknown' };
-  return { kind: 'goOn', service, version, source, ageMs: nowMs - recordedAtMs };
+  return {
+    ...{ kind: 'goOn', service, version, source, ageMs: nowMs - recordedAtMs },
+    isStartKnown: true,
+  };
 }
 
 function startLookup(
@@ -87,44 +102,102 @@
 
 /** Returns how a stream goes on, or undefined while that is open. */
 function outcomeOf(state: GatewayState, step: Step, lookup: TakeUpLookup): TakeUp | undefined {
-  const { key, service, awaited, table, untilMs, sinceMs } = lookup;
+  const { key, service, awaited, untilMs } = lookup;
   const { nowMs } = step;
   const start = findStart(state, key);
   if (start !== undefined) return takeUpOfStart(start, step);
-  const versions = new Set([...possibleVersions(state, service), ...lookup.versions]);
-  const haveBoxesAnswered = awaited.size === 0;
-  const isEachBoxHeard = haveBoxesAnswered && key !== undefined && isFleetHeard(state, nowMs);
-  const isTimeUp = nowMs >= untilMs;
-  const evidence = { versions, haveBoxesAnswered, isEachBoxHeard, table, isTimeUp };
-  const verdict = takeUpVerdict(evidence);
+  const witnessRanMs =
+    key !== undefined && isFleetHeard(state, nowMs) ? longestRunMs(state, nowMs) : 0;
+  const haveBoxesAnswered = ![...awaited].some((boxId) => mayAnswer(state, boxId, nowMs));
+  const verdict = takeUpVerdict({
+    table: tableEvidence(state, lookup, nowMs),
+    seenVersions: new Set([...possibleVersions(state, service), ...lookup.versions]),
+    haveBoxesAnswered,
+    isWitnessed: haveBoxesAnswered && witnessRanMs >= streamRetentionMs(state),
+    isTimeUp: nowMs >= untilMs,
+  });
   switch (verdict.kind) {
     case 'wait':
       return undefined;
     case 'onlyVersion': {
-      const { version } = verdict;
-      const source = witnessOf(state, { service, table });
-      const ageMs = nowMs - state.processStartedAtMs;
-      return { kind: 'goOn', service, version, source, ageMs };
+      const { version, proof } = verdict;
+      const ageMs =
+        proof === VersionProof.boxes
+          ? witnessRanMs
+          : listedForMs(state, { service, version, nowMs });
+      return { kind: 'goOn', service, version, source: proof, ageMs, isStartKnown: false };
     }
     case 'unknown':
-      log(step, 'streamVersionUnknown', {
-        request: lookup.request.facts.requestId,
-        versions: [...versions].join(' '),
-        table,
-        unanswered: awaited.size,
-        heldMs: Math.round(nowMs - sinceMs),
-      });
+      logUnknown(state, step, lookup);
       return { kind: 'unknown' };
   }
 }
 
-/** Names what shows that one version alone can have begun a stream, for the log. */
-function witnessOf(
-  { streamVersions }: GatewayState,
-  { service, table }: { service: string; table: TableLookup },
-): string {
-  if (table !== 'read') return 'boxes';
-  return streamVersions.versionsRow.services[service] === undefined ? 'tableWithoutRow' : 'table';
+/** Returns what the table shows of a look-up's service; the look-up of a stream without a key asks no boxes. */
+function tableEvidence(
+  state: GatewayState,
+  { key, service, table }: TakeUpLookup,
+  nowMs: number,
+): TableEvidence {
+  if (table === 'pending') return { kind: 'pending' };
+  const listed = listedVersions(state, service, nowMs);
+  if (table === 'failed' || listed.length === 0) return { kind: 'nothing' };
+  const versions = new Set(listed.map(({ version }) => version));
+  if (isRowOfPresentEra(state)) {
+    if (key === undefined) return { kind: 'listed', versions, earlier: undefined };
+    const earlier = versionsBeforeLifeEnds(state, listed, nowMs);
+    const isDated = listed.some(({ listedAtMs }) => listedAtMs !== undefined);
+    const mayLearnMore = earlier === undefined && isDated && isHearingFleet(state, nowMs);
+    return { kind: 'listed', versions, earlier: mayLearnMore ? 'pending' : earlier };
+  }
+  return key === undefined ? { kind: 'nothing' } : { kind: 'restored', versions };
+}
+
+/** Whether a box that was asked may still answer: in a small fleet, a box that was never heard does not run. */
+function mayAnswer(state: GatewayState, boxId: string, nowMs: number): boolean {
+  if (usesHubs(state) || !hasHeardFleet(state, nowMs)) return true;
+  return state.peers.get(boxId)?.message !== undefined;
+}
+
+/** Returns the versions that were listed before a life of a box last ended; undefined if that is not known. */
+function versionsBeforeLifeEnds(
+  state: GatewayState,
+  listed: readonly ListedVersion[],
+  nowMs: number,
+): ReadonlySet<string> | undefined {
+  const sinceMs = sameLivesSinceMs(state, nowMs);
+  if (sinceMs === undefined) return undefined;
+  const sinceStoreMs = storeTimeOf(state, sinceMs);
+  const earlier = listed.filter(
+    ({ listedAtMs }) => listedAtMs === undefined || listedAtMs < sinceStoreMs,
+  );
+  return new Set(earlier.map(({ version }) => version));
+}
+
+/** Returns for how long the row has listed a version, in ms; -1 if that is not known. */
+function listedForMs(
+  state: GatewayState,
+  { service, version, nowMs }: { service: string; version: string; nowMs: number },
+): number {
+  const listed = listedVersions(state, service, nowMs).find((known) => known.version === version);
+  return listed?.listedAtMs === undefined ? -1 : storeTimeOf(state, nowMs) - listed.listedAtMs;
+}
+
+function logUnknown(state: GatewayState, step: Step, lookup: TakeUpLookup): void {
+  const { request, service, sinceMs, table, awaited } = lookup;
+  const { nowMs } = step;
+  const listed = listedVersions(state, service, nowMs);
+  const livesSinceMs = sameLivesSinceMs(state, nowMs);
+  log(step, 'streamVersionUnknown', {
+    request: request.facts.requestId,
+    versions: [...new Set([...possibleVersions(state, service), ...lookup.versions])].join(' '),
+    table,
+    listed: listed.map(({ version }) => version).join(' '),
+    isPresentEra: isRowOfPresentEra(state),
+    unanswered: awaited.size,
+    sameLivesForMs: livesSinceMs === undefined ? -1 : Math.round(nowMs - livesSinceMs),
+    heldMs: Math.round(nowMs - sinceMs),
+  });
 }
 
 /** Whether this box has heard each other box of a small fleet lately. */
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -175,6 +175,8 @@
   unitReservations: { own: UnitReservation[]; ofPeers: UnitReservation[]; used: UnitReservation[] };
   retryBudgets: Map<string, RetryBudget>;
   peers: Map<string, PeerView>;
+  /** When a life of a box that this one had heard last ended, as far as it has noticed. */
+  lifeEndedAtMs: number;
   /**
    * Peer that sends the summed-up gossip of all others to this box; undefined if this box has no
    * hub.
--- a/packages/reedlug-gateway/src/types/effect.ts
+++ b/packages/reedlug-gateway/src/types/effect.ts
@@ -36,6 +36,8 @@
 /** A side effect that the reducer requests. */
 export type Effect =
   | { type: 'send'; exchangeId: number; attemptId: number; order: SendOrder; streaming: boolean }
+  /** The first event of an attempt need not wait for the listing of its version any longer. */
+  | { type: 'listingEnded'; attemptId: number }
   /** Closes the connection of an attempt, so that its server stops working on it. */
   | { type: 'cancelAttempt'; attemptId: number }
   /**
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -13,6 +13,7 @@
   StreamStartAnsweredMessage,
   StreamStartAskedMessage,
   StreamStartsMessage,
+  VersionsListedMessage,
 } from './streamVersion.js';
 import type {
   PeerAddress,
@@ -78,6 +79,8 @@
   /** A relayed answer is complete. */
   /** The server of a stream is not read for now, since its caller reads too slowly or its life is being confirmed; or it is again. */
   | { type: 'attemptHeld'; exchangeId: number; attemptId: number; isHeld: boolean }
+  /** The head of a new stream has arrived from a server whose version is not listed; its events are held. */
+  | { type: 'listingAwaited'; exchangeId: number; attemptId: number }
   | { type: 'attemptEnded'; exchangeId: number; attemptId: number }
   /** The connection ended or delivered an invalid answer after bytes of the attempt were sent. */
   | { type: 'attemptLost'; exchangeId: number; attemptId: number; reason: string }
@@ -130,6 +133,7 @@
   | { type: 'streamStarts'; message: StreamStartsMessage }
   | { type: 'streamStartAsked'; message: StreamStartAskedMessage }
   | { type: 'streamStartAnswered'; message: StreamStartAnsweredMessage }
+  | { type: 'versionsListed'; message: VersionsListedMessage }
   | { type: 'unitsAsked'; message: UnitsAskedMessage }
   | { type: 'unitsLent'; message: UnitsLentMessage }
   | { type: 'unitsReturned'; message: UnitsReturnedMessage }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -15,6 +15,7 @@
   StreamStartAnsweredMessage,
   StreamStartAskedMessage,
   StreamStartsMessage,
+  VersionsListedMessage,
 } from './streamVersion.js';
 import type { SpeedGossip } from './serverSpeed.js';
 import type { WorkloadRow } from './workspaceShares.js';
@@ -138,6 +139,11 @@
    * as its peers showed, in ms; missing from members of a hub and from older boxes.
    */
   knownAgeMs?: number | undefined;
+  /**
+   * Time for which no life of a box has ended that the covered boxes hear, in ms, at most since the start of the box that
+   * has heard them; missing while that is not known, and from older boxes.
+   */
+  sameLivesForMs?: number | undefined;
   /** Address of the holder of the duty lease, if it is one of the covered boxes. */
   leaseHolder: HostPort | undefined;
   leaving: boolean;
@@ -260,4 +266,5 @@
   | ServerStatementsMessage
   | StreamStartsMessage
   | StreamStartAskedMessage
-  | StreamStartAnsweredMessage;
+  | StreamStartAnsweredMessage
+  | VersionsListedMessage;
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -60,9 +60,30 @@
   versions: readonly string[];
 }
 
+/** Tells other boxes the versions row as the sender knows it, so that they need not read it. */
+export interface VersionsListedMessage extends ServedVersionsRow {
+  kind: 'versionsListed';
+  boxId: string;
+  /** Revision of the row. */
+  revision: number;
+}
+
 /** State of the table with regard to a look-up. */
 export type TableLookup = 'pending' | 'read' | 'failed';
 
+/** What proves at which version a stream of unknown start began. */
+export const VersionProof = {
+  /** The row of the store's present era lists a single version. */
+  listed: 'listed',
+  /** It lists a single version that was listed before the last end of a box's life, and no running box knows the stream. */
+  listedBeforeLifeEnds: 'listedBeforeLifeEnds',
+  /** The row is of an earlier era; it and all that the boxes have seen name a single version. */
+  listedBeforeRestore: 'listedBeforeRestore',
+  /** All boxes have seen a single version, one of them for longer than a stream lasts. */
+  boxes: 'boxes',
+} as const;
+export type VersionProof = (typeof VersionProof)[keyof typeof VersionProof];
+
 /** A request that takes a stream up, until this box knows at which version the stream began. */
 export interface TakeUpLookup {
   request: PendingRequest;
@@ -80,7 +101,7 @@
 
 /** Prefix of the rows of this concept in the shared table. */
 export const STREAM_ROWS_PREFIX = 'streams/';
-/** Key of the row with the versions that serve side by side. */
+/** Key of the row with the versions at which streams may have begun. */
 export const SERVED_VERSIONS_KEY = `${STREAM_ROWS_PREFIX}versions`;
 
 /** Returns the key of the row with the streams of a box. */
@@ -107,9 +128,16 @@
  */
 export type VersionEnds = Readonly<Record<string, number | null>>;
 
-/** Row of the services of which several versions serve, or did until lately. */
+/** Row of the versions at which streams may have begun. No box relays a stream's first event before its version is listed. */
 export interface ServedVersionsRow {
   services: Readonly<Record<string, VersionEnds>>;
+  /**
+   * Store's time by service and version before which no stream can have begun there; missing for a version of which
+   * that is not known, and from older boxes.
+   */
+  listedAtMs?: Readonly<Record<string, Readonly<Record<string, number>>>> | undefined;
+  /** Era of the store in which the row was written; missing from older boxes. */
+  era?: number | undefined;
 }
 
 /** What a box knows of streams and the versions at which they began. */
@@ -129,14 +157,33 @@
   read: { sentAtMs: number; isPending: boolean; isWanted: boolean };
   /** Row of this box: its version, the time of its last write, and whether streams have begun since. */
   ownRow: { version: number; writtenAtMs: number; isPending: boolean; isOutdated: boolean };
-  /** Row of the versions that serve side by side, as last known. */
-  versionsRow: {
-    version: number;
-    services: Readonly<Record<string, VersionEnds>>;
-    writtenAtMs: number;
-    isPending: boolean;
-    isOutdated: boolean;
-  };
+  versionsRow: VersionsRowState;
+  /** Attempts whose first event waits until its version is listed. */
+  awaitingListing: ListingWait[];
+  /** Versions at which streams have begun although they were not listed, by service. */
+  begunUnlisted: Map<string, Set<string>>;
+}
+
+/** The versions row as last known. */
+export interface VersionsRowState {
+  version: number;
+  services: Readonly<Record<string, VersionEnds>>;
+  listedAtMs: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  era: number | undefined;
+  writtenAtMs: number;
+  isPending: boolean;
+  /** Set since when the row may have to be written. */
+  outdatedSinceMs: number | undefined;
+  /** Time at which a wait for the row last ended without it. */
+  missedAtMs: number;
+}
+
+/** An attempt whose first event waits until its version is listed. */
+export interface ListingWait {
+  attemptId: number;
+  service: string;
+  version: string;
+  untilMs: number;
 }
 
 /** Returns the state of a box that has just started. */
@@ -159,9 +206,14 @@
     versionsRow: {
       version: 0,
       services: {},
+      listedAtMs: {},
+      era: undefined,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
-      isOutdated: false,
+      outdatedSinceMs: undefined,
+      missedAtMs: Number.NEGATIVE_INFINITY,
     },
+    awaitingListing: [],
+    begunUnlisted: new Map(),
   };
 }
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -70,6 +70,9 @@
       return requestTable(box, effect);
     case 'callCloud':
       return callCloud(world, box, effect);
+    case 'listingEnded':
+      // The boxes here hold no answers.
+      return;
     case 'readStoreAgain':
       return box.feeds?.restart();
     case 'sendPeers':
