A stream that was held until its version was listed is read on after the step that ends the wait

Cause: reading on delivers what has arrived at once, inside the handler of the event that ends the wait. The event that writes the head was queued behind it, while the events of the stream were written at once, under a head of node's own. Change: reading on is queued as a microtask, behind the step.

--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -207,7 +207,8 @@
 function endListingWait({ listingWaits }: Runtime, attemptId: number): void {
   const readOn = listingWaits.get(attemptId);
   listingWaits.delete(attemptId);
-  readOn?.();
+  // Reading on delivers what has arrived at once, which must not be written before the events of this step are handled.
+  if (readOn !== undefined) queueMicrotask(readOn);
 }
 
 function cancel(runtime: Runtime, attemptId: number): void {
