An answer that goes on with a stream is confirmed by the registry also where one version has served

A box that lived on, with servers that came back under their ids with the next version while the store was slow (300 ms): 45, 26 and 45 of some 270 streams held events of two versions, on and by reading on as well. The registry was read after such an answer had begun only where several versions had been seen, but the first second version comes up in just such a moment.

--- a/packages/reedlug-gateway/src/slices/streamVersions/continuations.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/continuations.ts
@@ -4,11 +4,8 @@
  * answer has begun, tells.
  */
 import type { GatewayState } from '../../state.js';
-import { hasSeveralVersions } from './servedVersions.js';
 
 /** Returns whether the registry has to be read before the first event of an attempt's answer is relayed. */
 export function mustConfirmServer(state: GatewayState, exchangeId: number): boolean {
-  const record = state.requests.get(exchangeId);
-  if (record?.beganAtVersion === undefined) return false;
-  return hasSeveralVersions(state, record.service);
+  return state.requests.get(exchangeId)?.beganAtVersion !== undefined;
 }
