What a box vouches for begins when it has heard its fleet; findings of the review

A review of by someone who had not seen the work showed schedules, by trials of the reducer, in which a stream still went on at another version, and others in which calls were wasted. Changed, each with what was shown:

- A box counted as witness from the start of its process, a second before it heard anybody.
It vouches from 400 ms after its start on, adds a version to a known row only after that, and not for a time in which it stood still.
- A box whose row shows that it runs, but that is not heard, ends the proof.
- A start that was dropped or pruned no longer counts as one that a running box would know.
- Without the store's clock nothing is left out.
- In a fleet with hubs each group has to speak, not each box: one box that stayed down made all proof void for 600 s.
- A look-up whose read is still open goes on by the row as known, if that is younger than the last end of a life and names a single version: beside a load of 24, 17 of 35 streams of a single version had gone on.

--- a/packages/reedlug-gateway/src/daemon/peerWire.ts
+++ b/packages/reedlug-gateway/src/daemon/peerWire.ts
@@ -122,7 +122,7 @@
   streamStarts: [],
   streamStartAsked: ['port'],
   streamStartAnswered: [],
-  versionsListed: ['revision'],
+  versionsListed: ['revision', 'knownForMs'],
 };
 
 function isStatementRows(value: unknown): value is Readonly<Record<string, unknown>> {
--- a/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
+++ b/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
@@ -2,19 +2,12 @@
  * Since when no life of a box has ended: a life lasts from the start of a box's process to its end.
  *
  * What no running box knows happened in a life that has ended, so before the time given here. A box that has
- * started after the loss of others knows nothing of their lives, but that none of them goes on: it would hear them. In
- * a fleet with hubs each hub speaks for its group.
+ * started after the loss of others knows nothing of their lives, but that none of them goes on once it has had time
+ * to hear them. In a fleet with hubs each hub speaks for its group.
  */
 import { GossipScope, type PeerMessage } from '../../types/peer.js';
 import type { GatewayState } from '../../state.js';
-import {
-  boxesCovered,
-  countedPeers,
-  fleetSize,
-  isFreshPeer,
-  usesHubs,
-  type PeerWithMessage,
-} from './fleet.js';
+import { countedPeers, isFreshPeer, knownGroups, usesHubs, type PeerWithMessage } from './fleet.js';
 
 /** Field of gossip that states since when no life has ended. */
 export type SameLives = Pick<PeerMessage, 'sameLivesForMs'>;
@@ -27,14 +20,29 @@
   state.lifeEndedAtMs = nowMs;
 }
 
+/** Records that a box wrote to the store: if it is not heard, its life may end without being noticed. */
+export function recordSignOfLife(
+  state: GatewayState,
+  { boxId, atMs, nowMs }: { boxId: string; atMs: number; nowMs: number },
+): void {
+  const peer = state.peers.get(boxId);
+  const isHeard = peer?.message !== undefined && isFreshPeer(peer, nowMs);
+  if (!isHeard && atMs > state.startedAtMs) recordLifeEnd(state, nowMs);
+}
+
 /** Returns whether this box has heard each box of its fleet that runs and that it can hear. */
 export function hasHeardFleet(state: GatewayState, nowMs: number): boolean {
   return state.part.listRevision !== 0 && !isHearingFleet(state, nowMs);
 }
 
 /** Returns whether this box has started so lately that it may not have heard each box that it can hear. */
-export function isHearingFleet({ startedAtMs }: GatewayState, nowMs: number): boolean {
-  return nowMs - startedAtMs < HEARING_MS;
+export function isHearingFleet(state: GatewayState, nowMs: number): boolean {
+  return nowMs < heardSinceMs(state);
+}
+
+/** Returns from when on this box has heard each life that it can hear. */
+export function heardSinceMs({ startedAtMs }: GatewayState): number {
+  return startedAtMs + HEARING_MS;
 }
 
 /** Returns since when no life has ended in the fleet, as any box knows, on this box's clock; undefined if that is not known. */
@@ -43,27 +51,21 @@
   const peers = countedPeers(state, nowMs).filter((peer) => isFreshPeer(peer, nowMs));
   const stated = peers.map(statedSinceMs);
   if (!usesHubs(state)) return least([own, ...stated]);
-  if (boxesCovered(peers) < fleetSize(state)) return undefined;
   // A member hears its hub alone, which speaks for all others.
-  const groups = state.hubId === undefined ? hubStatements(peers, own) : stated;
-  return greatest(groups);
-}
-
-function hubStatements(
-  peers: readonly PeerWithMessage[],
-  own: number | undefined,
-): (number | undefined)[] {
+  if (state.hubId !== undefined) return greatest(stated);
   const otherHubs = peers.filter(({ message }) => message.scope === GossipScope.group);
-  return [own, ...otherHubs.map(statedSinceMs)];
+  if (otherHubs.length < knownGroups(state).others.length) return undefined;
+  return greatest([own, ...otherHubs.map(statedSinceMs)]);
 }
 
-/** Returns since when no life has ended that this box itself has heard, or its own predecessors'. */
+/** Returns since when no life has ended, as far as this box has heard itself. */
 function ownSameLivesSinceMs(state: GatewayState, nowMs: number): number | undefined {
   if (!hasHeardFleet(state, nowMs)) return undefined;
   for (const peer of state.peers.values()) {
     if (peer.message !== undefined && !isFreshPeer(peer, nowMs)) return undefined;
   }
-  return Math.max(state.processStartedAtMs, state.lifeEndedAtMs);
+  // A box that stood still did not hear who ended meanwhile.
+  return Math.max(heardSinceMs(state), state.lifeEndedAtMs, state.stalledAtMs);
 }
 
 function statedSinceMs({ lastReceivedAtMs, message }: PeerWithMessage): number | undefined {
@@ -78,9 +80,9 @@
   return sinceMs === undefined ? {} : { sameLivesForMs: Math.round(nowMs - sinceMs) };
 }
 
-/** Returns for how long the oldest process has run of those that this box hears itself, its own included, in ms. */
-export function longestRunMs(state: GatewayState, nowMs: number): number {
-  let longestMs = nowMs - state.processStartedAtMs;
+/** Returns for how long a box has heard the same lives, of those that this box hears itself, its own included, in ms. */
+export function longestHearingMs(state: GatewayState, nowMs: number): number {
+  let longestMs = Math.max(0, nowMs - heardSinceMs(state));
   for (const peer of countedPeers(state, nowMs)) {
     const { sameLivesForMs = 0 } = peer.message;
     if (isFreshPeer(peer, nowMs)) longestMs = Math.max(longestMs, sameLivesForMs);
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
@@ -5,6 +5,7 @@
   ofType,
   only,
   server,
+  takeContacts,
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../../types/effect.js';
@@ -131,6 +132,7 @@
     },
     sentAtMs: box.nowMs,
   });
+  takeContacts(box, true);
   const changes = [{ id: 'engine-3', entry: undefined }];
   box.take({ type: 'serversRead', whole: false, changes, revision: 3, source: 'store' });
   const row = writesOf(box.pass(600)).find(({ key }) => key === SERVED_VERSIONS_KEY);
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -114,6 +114,7 @@
     kind: 'versionsListed' as const,
     boxId: 'box-2',
     revision: 9,
+    knownForMs: 0,
     services,
     era: 0,
   };
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -8,6 +8,7 @@
 } from '../../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../../types/effect.js';
 import { SERVED_VERSIONS_KEY, type ServedVersionsRow } from '../../../types/streamVersion.js';
+import { mustConfirmServer } from '../continuations.js';
 import { addPeer, listEngines, request, takeUp, versionOf } from './__fixtures__/takenUpStreams.js';
 
 const ERA = 3;
@@ -134,33 +135,56 @@
   expect(only(answerRead(box, []), 'refuse').reason).to.equal('streamVersionUnknown');
 });
 
-test('a version that was listed since the last end of a box began no stream that no box knows', () => {
+function takeUpAfterListing(listedAgoMs: number): Effect[] {
   const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v2' });
   addPeer(box);
-  box.take({ type: 'peerMessage', message: peerMessage({ sequence: 5, sameLivesForMs: 200 }) });
   const { nowMs } = box;
-  const storeNowMs = nowMs;
-  box.take({ type: 'storeClock', storeNowMs });
-  const services = { engines: { v1: null, v2: null } };
-  const goesOn = (exchangeId: number, listedAgoMs: number): Effect[] => {
-    takeUp(box, exchangeId, `request-9${exchangeId}`);
-    const message = {
-      kind: 'streamStartAnswered' as const,
-      ...{ boxId: 'box-2', key: `tiger/request-9${exchangeId}`, start: null, versions: ['v1'] },
-    };
-    box.take({ type: 'streamStartAnswered', message });
-    const listedAtMs = { engines: { v1: storeNowMs - 90_000, v2: storeNowMs - listedAgoMs } };
-    return answerRead(box, [rowOf({ services, listedAtMs })]);
+  box.take({ type: 'storeClock', storeNowMs: nowMs });
+  // The peer has heard the same lives for 200 ms, this box for 300.
+  box.take({ type: 'peerMessage', message: peerMessage({ sequence: 5, sameLivesForMs: 200 }) });
+  box.state.startedAtMs = nowMs - 700;
+  takeUp(box, 1, 'request-9');
+  const message = {
+    kind: 'streamStartAnswered' as const,
+    ...{ boxId: 'box-2', key: 'tiger/request-9', start: null, versions: ['v1'] },
   };
-  box.state.processStartedAtMs = nowMs - 300;
-  expect(versionOf(box, only(goesOn(1, 100), 'send').order.serverId)).to.equal('v1');
-  expect(only(goesOn(2, 350), 'refuse').reason).to.equal('streamVersionUnknown');
+  box.take({ type: 'streamStartAnswered', message });
+  const listedAtMs = { engines: { v1: nowMs - 90_000, v2: nowMs - listedAgoMs } };
+  return answerRead(box, [rowOf({ services: { engines: { v1: null, v2: null } }, listedAtMs })]);
+}
+
+test('a version that was listed since the last end of a box began no stream that no box knows', () => {
+  expect(only(takeUpAfterListing(100), 'send').order.serverId).to.equal('engine-1');
+  expect(only(takeUpAfterListing(350), 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+test('a box that stood still does not vouch for what was listed meanwhile', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v2' });
+  const services = { engines: { v1: null, v2: null } };
+  box.take({ type: 'storeClock', storeNowMs: box.nowMs });
+  box.state.startedAtMs = box.nowMs - 60_000;
+  const listedAtMs = { engines: { v2: box.nowMs + 1000 } };
+  box.pass(5000);
+  takeUp(box, 1, 'request-9');
+  expect(ofType(answerRead(box, [rowOf({ services, listedAtMs })]), 'send')).to.have.length(0);
+});
+
+test('an answer that goes on with a stream is confirmed also where one version has served', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  const { attemptId } = only(request(box, 1), 'send');
+  box.take({ type: 'attemptAnswered', exchangeId: 1, attemptId, verdict: 'success', status: 200 });
+  const lost = box.take({ type: 'attemptLost', exchangeId: 1, attemptId, reason: 'reset' });
+  expect(ofType(lost, 'send')).to.have.length(1);
+  expect(mustConfirmServer(box.state, 1)).to.equal(true);
 });
 
 test('a box that learns the row from another one does not write it', () => {
   const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
   const services = { engines: { v1: null }, records: { '': null } };
-  const message = { kind: 'versionsListed' as const, boxId: 'box-2', revision: REVISION, services };
+  const message = {
+    kind: 'versionsListed' as const,
+    ...{ boxId: 'box-2', revision: REVISION, knownForMs: 0, services },
+  };
   box.take({ type: 'versionsListed', message: { ...message, era: ERA } });
   expect(passUntilWrite(box)).to.have.length(0);
   const { attemptId, effects } = awaitListing(box);
--- a/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
@@ -8,7 +8,8 @@
 import type { EventOf } from '../../types/event.js';
 import type { ListingWait } from '../../types/streamVersion.js';
 import { softwareVersionOf } from './servedVersions.js';
-import { isListed, requireVersionsRow, writeVersionsRow } from './versionsRow.js';
+import { isListed } from './listedVersions.js';
+import { mayAddFromMs, requireVersionsRow, writeVersionsRow } from './versionsRow.js';
 
 /** Longest time for which a first event is held, in ms: a slow store answers in 250. */
 const MAX_WAIT_MS = 300;
@@ -27,7 +28,7 @@
   if (!record.route.resumable || record.beganAtVersion !== undefined) return false;
   if (!canWaitForRow(state, nowMs)) return false;
   const version = softwareVersionOf(attempt);
-  return !isListed(state, { service: record.service, version, nowMs });
+  return !isListed(state, { service: record.service, version });
 }
 
 function canWaitForRow(state: GatewayState, nowMs: number): boolean {
@@ -59,18 +60,25 @@
   const { nowMs } = step;
   const waiting: ListingWait[] = [];
   for (const wait of streamVersions.awaitingListing) {
-    const { attemptId, service, version, untilMs } = wait;
-    const isVersionListed = isListed(state, { service, version, nowMs });
+    const { attemptId, service, version } = wait;
+    const untilMs = Math.max(wait.untilMs, latestWriteMs(state));
+    const isVersionListed = isListed(state, { service, version });
     if (!isVersionListed && nowMs < untilMs && canWaitForRow(state, nowMs)) {
       waiting.push(wait);
       continue;
     }
-    if (!isVersionListed) recordMiss(state, step, wait);
+    if (!isVersionListed && nowMs >= untilMs) recordMiss(state, step, wait);
     step.effects.push({ type: 'listingEnded', attemptId });
   }
   streamVersions.awaitingListing = waiting;
 }
 
+/** Returns until when a write may be awaited that adds to a known row, which a box that has just started does later. */
+function latestWriteMs(state: GatewayState): number {
+  const isRowKnown = state.streamVersions.versionsRow.version !== 0;
+  return isRowKnown ? mayAddFromMs(state) + MAX_WAIT_MS : Number.NEGATIVE_INFINITY;
+}
+
 function recordMiss(state: GatewayState, step: Step, { service, version }: ListingWait): void {
   state.streamVersions.versionsRow.missedAtMs = step.nowMs;
   log(step, 'versionNotListed', { service, version, era: state.storeEra ?? -1 });
--- a/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
@@ -98,6 +98,7 @@
       if (step.nowMs - known.seenAtMs <= retentionMs) continue;
       ofService.delete(version);
       streamVersions.begunUnlisted.get(service)?.delete(version);
+      streamVersions.forgotten.get(service)?.delete(version);
       streamVersions.versionsRow.outdatedSinceMs ??= step.nowMs;
       log(step, 'softwareVersionGone', { service, version });
     }
--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -14,7 +14,7 @@
 import type { PeerView } from '../../types/views.js';
 import { isFreshPeer, isSeed, ownAddress, usesHubs } from '../peers/fleet.js';
 import { hasSeveralVersions, possibleVersions } from './servedVersions.js';
-import { isListed } from './versionsRow.js';
+import { isListed } from './listedVersions.js';
 import {
   findStart,
   isStartRow,
@@ -34,8 +34,7 @@
 /** Sends the start of a stream to the boxes that keep it, if several versions of its service serve or its own is not listed. */
 export function announceStart(state: GatewayState, step: Step, start: StreamStart): void {
   const { service, version } = start;
-  const { nowMs } = step;
-  const isUnlisted = version !== undefined && !isListed(state, { service, version, nowMs });
+  const isUnlisted = version !== undefined && !isListed(state, { service, version });
   if (isUnlisted) recordUnlistedBegin(state, { service, version });
   if (!isUnlisted && !hasSeveralVersions(state, service)) return;
   sendStarts(state, step, [start], holdersOf(state, start.key));
@@ -132,7 +131,7 @@
   for (const row of starts.filter(isStartRow)) {
     recordReceivedStart(state, step, row, origin);
     const [, service, version] = row;
-    if (version === null || isListed(state, { service, version, nowMs: step.nowMs })) continue;
+    if (version === null || isListed(state, { service, version })) continue;
     recordUnlistedBegin(state, { service, version });
   }
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
@@ -15,17 +15,14 @@
   type StreamStartsRow,
 } from '../../types/streamVersion.js';
 import { fleetSize, usesHubs } from '../peers/fleet.js';
+import { recordSignOfLife } from '../peers/lifeEnds.js';
 import { isFiniteNumber } from '../store/rowValues.js';
 import { rowsOf } from '../store/tableRows.js';
 import { hasAnySeveralVersions, hasSeveralVersions } from './servedVersions.js';
 import { announceOwnStarts } from './startGossip.js';
 import { isStartRow, recordReceivedStart, startRowOf } from './streamStarts.js';
-import {
-  applyVersionsRow,
-  forgetVersionsRow,
-  onVersionsRowWritten,
-  storeTimeOf,
-} from './versionsRow.js';
+import { storeTimeOf } from './listedVersions.js';
+import { applyVersionsRow, forgetVersionsRow, onVersionsRowWritten } from './versionsRow.js';
 
 /** Shortest interval between writes of this box's row, in ms: what began since is lost with all boxes. */
 const MIN_WRITE_INTERVAL_MS = 500;
@@ -103,7 +100,10 @@
     case 'writeVersions':
       return onVersionsRowWritten(state, step, event, rows);
   }
-  for (const row of rows ?? []) applyRow(state, step, row, isWritten && call === 'writeOwn');
+  for (const row of rows ?? []) {
+    if (row.key === SERVED_VERSIONS_KEY) applyVersionsRow(state, step, row, event.sentAtMs);
+    else applyRow(state, step, row, isWritten && call === 'writeOwn');
+  }
   if (call === 'read' && hasAnySeveralVersions(state)) announceOwnStarts(state, step);
 }
 
@@ -121,7 +121,6 @@
 
 function applyRow(state: GatewayState, step: Step, row: TableRow, isOwnWrite: boolean): void {
   const { ownRow } = state.streamVersions;
-  if (row.key === SERVED_VERSIONS_KEY) return applyVersionsRow(state, step, row);
   const isOwn = row.key === streamStartsKey(state.settings.box.id);
   if (isOwn) ownRow.version = row.version;
   if (isOwnWrite || !row.key.startsWith(STREAM_ROWS_PREFIX)) return;
@@ -131,6 +130,8 @@
     return log(step, 'streamRowUnreadable', { key: row.key, revision });
   }
   const asOfMs = Math.min(step.nowMs, value.storeNowMs + (state.storeEpochMs ?? 0));
+  const boxId = row.key.slice(streamStartsKey('').length);
+  if (!isOwn) recordSignOfLife(state, { boxId, atMs: asOfMs, nowMs: step.nowMs });
   const origin = { source: row.key, isOwn, asOfMs };
   for (const start of value.starts.filter(isStartRow)) {
     recordReceivedStart(state, step, start, origin);
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
@@ -47,7 +47,7 @@
   const known = starts.get(start.key);
   if (known === undefined) {
     starts.set(start.key, start);
-    dropFirst(state);
+    if (starts.size > MAX_STARTS) dropFirst(state);
     return start;
   }
   known.untilMs = Math.max(known.untilMs, start.untilMs);
@@ -59,10 +59,26 @@
   return known;
 }
 
-function dropFirst({ streamVersions: { starts } }: GatewayState): void {
-  if (starts.size <= MAX_STARTS) return;
-  const [first] = starts.keys();
-  if (first !== undefined) starts.delete(first);
+function dropFirst(state: GatewayState): void {
+  const [first] = state.streamVersions.starts.values();
+  if (first !== undefined) forgetStart(state, first);
+}
+
+/** Removes a start. Its version may have begun streams from now on that no box knows. */
+function forgetStart({ streamVersions }: GatewayState, start: StreamStart): void {
+  const { key, service, version } = start;
+  streamVersions.starts.delete(key);
+  if (version === undefined) return;
+  const versions = streamVersions.forgotten.get(service) ?? new Set();
+  streamVersions.forgotten.set(service, versions.add(version));
+}
+
+/** Whether this box has known starts at a version that it no longer knows. */
+export function hasForgottenStarts(
+  { streamVersions }: GatewayState,
+  { service, version }: { service: string; version: string },
+): boolean {
+  return streamVersions.forgotten.get(service)?.has(version) === true;
 }
 
 /** Returns the start of a stream, if it is known. */
@@ -74,8 +90,10 @@
 }
 
 /** Removes the streams whose callers have given up. */
-export function pruneStarts({ streamVersions: { starts } }: GatewayState, nowMs: number): void {
-  for (const [key, { untilMs }] of starts) if (nowMs > untilMs) starts.delete(key);
+export function pruneStarts(state: GatewayState, nowMs: number): void {
+  for (const start of state.streamVersions.starts.values()) {
+    if (nowMs > start.untilMs) forgetStart(state, start);
+  }
 }
 
 /** Encodes a start for messages and rows. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamVersionsTick.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamVersionsTick.ts
@@ -1,7 +1,6 @@
 /** Keeps what this box knows of streams and their versions up to date. */
 import type { GatewayState, Step } from '../../state.js';
 import { servedVersionsTick } from './servedVersions.js';
-import { listingWaitsTick } from './listingWaits.js';
 import { streamRowsTick } from './streamRows.js';
 import { pruneStarts } from './streamStarts.js';
 import { lookupsTick } from './takeUps.js';
@@ -20,6 +19,5 @@
   }
   versionsRowTick(state, step);
   streamRowsTick(state, step);
-  listingWaitsTick(state, step);
   lookupsTick(state, step);
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -14,19 +14,19 @@
 import {
   hasHeardFleet,
   isHearingFleet,
-  longestRunMs,
+  longestHearingMs,
   sameLivesSinceMs,
 } from '../peers/lifeEnds.js';
 import { possibleVersions, streamRetentionMs } from './servedVersions.js';
 import { askForStart } from './startGossip.js';
 import { readStreamRows } from './streamRows.js';
-import { findStart, keyOfStream } from './streamStarts.js';
+import { findStart, hasForgottenStarts, keyOfStream } from './streamStarts.js';
 import {
   isRowOfPresentEra,
   listedVersions,
   storeTimeOf,
   type ListedVersion,
-} from './versionsRow.js';
+} from './listedVersions.js';
 
 /** Longest time for which a request is held, in ms: a slow store answers in 250. */
 const MAX_LOOKUP_MS = 300;
@@ -106,14 +106,14 @@
   const { nowMs } = step;
   const start = findStart(state, key);
   if (start !== undefined) return takeUpOfStart(start, step);
-  const witnessRanMs =
-    key !== undefined && isFleetHeard(state, nowMs) ? longestRunMs(state, nowMs) : 0;
+  const witnessedMs =
+    key !== undefined && isFleetHeard(state, nowMs) ? longestHearingMs(state, nowMs) : 0;
   const haveBoxesAnswered = ![...awaited].some((boxId) => mayAnswer(state, boxId, nowMs));
   const verdict = takeUpVerdict({
-    table: tableEvidence(state, lookup, nowMs),
-    seenVersions: new Set([...possibleVersions(state, service), ...lookup.versions]),
+    table: tableEvidence(state, lookup, { haveBoxesAnswered, nowMs }),
+    seenVersions: seenVersions(state, lookup),
     haveBoxesAnswered,
-    isWitnessed: haveBoxesAnswered && witnessRanMs >= streamRetentionMs(state),
+    isWitnessed: haveBoxesAnswered && witnessedMs >= streamRetentionMs(state),
     isTimeUp: nowMs >= untilMs,
   });
   switch (verdict.kind) {
@@ -123,7 +123,7 @@
       const { version, proof } = verdict;
       const ageMs =
         proof === VersionProof.boxes
-          ? witnessRanMs
+          ? witnessedMs
           : listedForMs(state, { service, version, nowMs });
       return { kind: 'goOn', service, version, source: proof, ageMs, isStartKnown: false };
     }
@@ -137,15 +137,19 @@
 function tableEvidence(
   state: GatewayState,
   { key, service, table }: TakeUpLookup,
-  nowMs: number,
+  { haveBoxesAnswered, nowMs }: { haveBoxesAnswered: boolean; nowMs: number },
 ): TableEvidence {
-  if (table === 'pending') return { kind: 'pending' };
+  if (table === 'pending') {
+    const mayUseKnownRow = haveBoxesAnswered && key !== undefined;
+    const known = mayUseKnownRow ? knownRowEvidence(state, service, nowMs) : undefined;
+    return known ?? { kind: 'pending' };
+  }
   const listed = listedVersions(state, service, nowMs);
   if (table === 'failed' || listed.length === 0) return { kind: 'nothing' };
   const versions = new Set(listed.map(({ version }) => version));
   if (isRowOfPresentEra(state)) {
     if (key === undefined) return { kind: 'listed', versions, earlier: undefined };
-    const earlier = versionsBeforeLifeEnds(state, listed, nowMs);
+    const earlier = versionsBeforeLifeEnds(state, { service, listed }, nowMs);
     const isDated = listed.some(({ listedAtMs }) => listedAtMs !== undefined);
     const mayLearnMore = earlier === undefined && isDated && isHearingFleet(state, nowMs);
     return { kind: 'listed', versions, earlier: mayLearnMore ? 'pending' : earlier };
@@ -153,23 +157,50 @@
   return key === undefined ? { kind: 'nothing' } : { kind: 'restored', versions };
 }
 
+/** Returns the versions that this box and those that answered have seen, or know to have begun streams. */
+function seenVersions(state: GatewayState, { service, versions }: TakeUpLookup): Set<string> {
+  const unlisted = state.streamVersions.begunUnlisted.get(service) ?? [];
+  return new Set([...possibleVersions(state, service), ...versions, ...unlisted]);
+}
+
 /** Whether a box that was asked may still answer: in a small fleet, a box that was never heard does not run. */
 function mayAnswer(state: GatewayState, boxId: string, nowMs: number): boolean {
   if (usesHubs(state) || !hasHeardFleet(state, nowMs)) return true;
   return state.peers.get(boxId)?.message !== undefined;
 }
 
-/** Returns the versions that were listed before a life of a box last ended; undefined if that is not known. */
+/**
+ * Returns what the row shows as this box knows it, without a new read, if it is younger than the last end of a life and a
+ * single version can have begun the stream: otherwise the table may hold the start of the stream.
+ */
+function knownRowEvidence(
+  state: GatewayState,
+  service: string,
+  nowMs: number,
+): TableEvidence | undefined {
+  const sinceMs = sameLivesSinceMs(state, nowMs);
+  const { knownAtMs } = state.streamVersions.versionsRow;
+  if (sinceMs === undefined || knownAtMs < sinceMs || !isRowOfPresentEra(state)) return undefined;
+  const listed = listedVersions(state, service, nowMs);
+  const earlier = versionsBeforeLifeEnds(state, { service, listed }, nowMs);
+  if (earlier?.size !== 1) return undefined;
+  return { kind: 'listed', versions: new Set(listed.map(({ version }) => version)), earlier };
+}
+
+/** Returns the versions at which streams may have begun in lives that have ended, or were forgotten; undefined if that is not known. */
 function versionsBeforeLifeEnds(
   state: GatewayState,
-  listed: readonly ListedVersion[],
+  { service, listed }: { service: string; listed: readonly ListedVersion[] },
   nowMs: number,
 ): ReadonlySet<string> | undefined {
   const sinceMs = sameLivesSinceMs(state, nowMs);
-  if (sinceMs === undefined) return undefined;
+  if (sinceMs === undefined || state.storeEpochMs === undefined) return undefined;
   const sinceStoreMs = storeTimeOf(state, sinceMs);
   const earlier = listed.filter(
-    ({ listedAtMs }) => listedAtMs === undefined || listedAtMs < sinceStoreMs,
+    ({ version, listedAtMs }) =>
+      listedAtMs === undefined ||
+      listedAtMs < sinceStoreMs ||
+      hasForgottenStarts(state, { service, version }),
   );
   return new Set(earlier.map(({ version }) => version));
 }
@@ -190,7 +221,7 @@
   const livesSinceMs = sameLivesSinceMs(state, nowMs);
   log(step, 'streamVersionUnknown', {
     request: request.facts.requestId,
-    versions: [...new Set([...possibleVersions(state, service), ...lookup.versions])].join(' '),
+    versions: [...seenVersions(state, lookup)].join(' '),
     table,
     listed: listed.map(({ version }) => version).join(' '),
     isPresentEra: isRowOfPresentEra(state),
--- a/packages/reedlug-gateway/src/tick.ts
+++ b/packages/reedlug-gateway/src/tick.ts
@@ -33,6 +33,7 @@
 import { waitingSendsTick } from './slices/limits/waitingSends.js';
 import { registryAgeTick } from './slices/store/feedAges.js';
 import { feedConfirmationTick } from './slices/store/feedConfirmation.js';
+import { listingWaitsTick } from './slices/streamVersions/listingWaits.js';
 import { streamVersionsTick } from './slices/streamVersions/streamVersionsTick.js';
 import { usageTick } from './slices/usage/usage.js';
 
@@ -47,6 +48,7 @@
   (state, { nowMs }) => brittleServicesTick(state, nowMs),
   pendingRequestsTick,
   streamVersionsTick,
+  listingWaitsTick,
   resumedStreamsTick,
   requestsTick,
   silentServersTick,
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -66,6 +66,8 @@
   boxId: string;
   /** Revision of the row. */
   revision: number;
+  /** Time since it was that of the table, in ms. */
+  knownForMs: number;
 }
 
 /** State of the table with regard to a look-up. */
@@ -136,8 +138,9 @@
    * that is not known, and from older boxes.
    */
   listedAtMs?: Readonly<Record<string, Readonly<Record<string, number>>>> | undefined;
-  /** Era of the store in which the row was written; missing from older boxes. */
+  /** Era of the store in which the row was written, and the store's time of its first write there; missing from older boxes. */
   era?: number | undefined;
+  eraSinceMs?: number | undefined;
 }
 
 /** What a box knows of streams and the versions at which they began. */
@@ -162,6 +165,8 @@
   awaitingListing: ListingWait[];
   /** Versions at which streams have begun although they were not listed, by service. */
   begunUnlisted: Map<string, Set<string>>;
+  /** Versions of which this box has forgotten starts, by service. */
+  forgotten: Map<string, Set<string>>;
 }
 
 /** The versions row as last known. */
@@ -170,6 +175,9 @@
   services: Readonly<Record<string, VersionEnds>>;
   listedAtMs: Readonly<Record<string, Readonly<Record<string, number>>>>;
   era: number | undefined;
+  eraSinceMs: number | undefined;
+  /** Time up to which this is the row of the table. */
+  knownAtMs: number;
   writtenAtMs: number;
   isPending: boolean;
   /** Set since when the row may have to be written. */
@@ -208,6 +216,8 @@
       services: {},
       listedAtMs: {},
       era: undefined,
+      eraSinceMs: undefined,
+      knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
       outdatedSinceMs: undefined,
@@ -215,5 +225,6 @@
     },
     awaitingListing: [],
     begunUnlisted: new Map(),
+    forgotten: new Map(),
   };
 }
--- a/packages/reedlug-soak/src/__tests__/versionsAfterLoss.test.ts
+++ b/packages/reedlug-soak/src/__tests__/versionsAfterLoss.test.ts
@@ -124,3 +124,22 @@
     expect(share, goingOn).to.be.at.least(SHARE_AFTER_LOSS);
   });
 }
+
+test('streams keep to their version while the servers come back under their ids with the next one and the store is slow', async function () {
+  this.timeout(RUN_TIMEOUT_MS);
+  const { record } = await runSoak({
+    seed: 500,
+    lengthMs: RUN_MS,
+    boxes: 4,
+    serversPerService: SERVERS,
+    callsPerSecond: 4,
+    folder: join(await mkdtemp(join(tmpdir(), 'reedlug-soak-')), 'run'),
+    streams: { perSecond: 50, leavingShare: 0, versions: ['v1'], maxPauseMs: MAX_PAUSE_MS },
+    faults: [
+      { atMs: 2500, fault: { kind: 'storeSlow', delayMs: 300, forMs: 2500 } },
+      swap(3000, { from: 'v1', to: 'v2' }, { keepsId: true }),
+    ],
+  });
+  expect(record.streams.length).to.be.greaterThan(150);
+  expect(mixedStreams(record).length, 'mixed streams').to.equal(0);
+});
