Gossip: a hub announces only as many changes of entries as a datagram holds

Another writer chooses how long the texts of an entry are. Members that lack a change that no longer fits request the whole registry, as before.

Before the fix: changes of entries with long texts do not make a datagram too large to be sent: AssertionError: expected 66575 to be below 32000 an entry with a long text does not silence the hub that passes it on: AssertionError: expected [ { box: 'box-0', ...(2) }, ...(159) ] to deeply equal [] (lines peerLinkFault, send EMSGSIZE)

--- a/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/daemonFleet.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/daemonFleet.ts
@@ -6,7 +6,7 @@
 import type { Configuration } from '../../../types/configuration.js';
 import type { PeerChange } from '../../../types/event.js';
 import type { PeerAddress } from '../../../types/peer.js';
-import type { ServerChange } from '../../../types/server.js';
+import type { ServerChange, ServerEntry } from '../../../types/server.js';
 import { startGatewayDaemon, type GatewayDaemon } from '../../gatewayDaemon.js';
 
 /** Number of servers in the registry: an eighth of the fleet that the users describe. */
@@ -30,6 +30,8 @@
   putConfiguration: (configuration: Configuration) => void;
   /** Makes the store answer only the hub, or all boxes again. */
   setStoreAway: (isAway: boolean) => void;
+  /** Writes entries of servers into the registry, in one change. */
+  enterServers: (entries: readonly ServerEntry[]) => void;
   /** Announces in the registry that a server is draining. */
   drainServer: (id: string) => void;
   /** Ends the hub. */
@@ -105,6 +107,8 @@
       store.isAwayFor = (boxId) => isAway && boxId !== 'box-0';
       for (const wake of [...store.waiting]) wake();
     },
+    enterServers: (added) =>
+      change(() => added.forEach((entry) => store.servers.set(entry.id, { id: entry.id, entry }))),
     drainServer: (id) =>
       change(() => store.servers.set(id, { id, entry: server(id, { state: 'leaving' }) })),
     async close() {
--- a/packages/reedlug-gateway/src/slices/peers/registryGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/registryGossip.ts
@@ -13,6 +13,11 @@
 const ANNOUNCE_MS = 1500;
 /** Maximum number of changes announced; members that missed more request the whole registry. A datagram holds three times as many. */
 const MAX_ANNOUNCED_CHANGES = 100;
+/**
+ * Maximum size of the texts of all changes announced, in bytes: three sevenths of a datagram. A larger datagram is not sent at all,
+ * so that the members of a hub would take it for silent.
+ */
+const MAX_ANNOUNCED_TEXT_BYTES = 28_000;
 
 /** Records a change of this box's view of the registry. */
 export function recordRegistryChange(state: GatewayState, step: Step, change: ServerChange): void {
@@ -27,10 +32,26 @@
 /** Returns the changes to announce to members now. */
 export function registryGossip(state: GatewayState, nowMs: number): RegistryGossip {
   state.registryChanges = state.registryChanges.filter(({ atMs }) => nowMs - atMs <= ANNOUNCE_MS);
-  const changes = state.registryChanges.map(({ change }) => change);
+  const changes = latestWithinSize(state.registryChanges.map(({ change }) => change));
   return { lastNumber: state.registryNumber, changes };
 }
 
+/** Returns the latest changes whose texts fit; members that lack an earlier one request the whole registry. */
+function latestWithinSize(changes: readonly NumberedChange[]): readonly NumberedChange[] {
+  let bytes = 0;
+  const lastLeftOut = changes.findLastIndex((change) => {
+    bytes += textBytes(change);
+    return bytes > MAX_ANNOUNCED_TEXT_BYTES;
+  });
+  return changes.slice(lastLeftOut + 1);
+}
+
+/** Returns the size of the texts of a change, whose writer chooses their lengths. */
+function textBytes({ id, entry }: NumberedChange): number {
+  const { service = '', zone = '', version = '' } = entry ?? {};
+  return Buffer.byteLength(`${id}${service}${zone}${version}`);
+}
+
 /** What a hub's message means for this box's registry. */
 export type RegistryUpdate =
   | { kind: 'apply'; changes: readonly NumberedChange[] }
