Registry: an entry whose id no header can hold names no server

Requests name their server in a header. An entry under a key with a control character or one beyond Latin-1 was taken in, and each send to it failed as an exception of the box (UND_ERR_INVALID_ARG), which says nothing of the server: it stayed the most attractive one, and 43 to 77 of 90 calls were refused with 503 until somebody removed the entry (trial, one box, three sound servers, six such keys, each with the address of a live server and of none). Checked where entries are taken in, whether the store or another box names them.

Before the fix: entries under keys that no header can hold take no requests from sound servers: AssertionError: expected +0 to equal 30 an entry whose id no header can hold names no server: store / peer: AssertionError: expected [ 'serverAdded' ] to include 'serverEntryUnreadable'

--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -22,6 +22,7 @@
 import { recordIncarnationEnd } from '../crashes/lostServers.js';
 import { recordRegistryChange } from '../peers/registryGossip.js';
 import { failOpenAttempts } from './serverIncarnations.js';
+import { faultOfServerId, withUsableValues } from './usableEntry.js';
 import { recordFeedContact } from '../store/feedAges.js';
 import { mayShowBackup } from '../store/storeEra.js';
 import { mergeDraining } from '../statements/draining.js';
@@ -139,8 +140,12 @@
   received: ServerEntry,
   { source, isLate }: EntryOrigin,
 ): void {
+  const reason = faultOfServerId(received.id);
+  if (reason !== undefined) {
+    return log(step, 'serverEntryUnreadable', { server: received.id, field: 'id', reason, source });
+  }
   state.unconfirmedServers.delete(received.id);
-  const entry = withValidSlots(received);
+  const entry = withUsableValues(received);
   if (isOfEarlierIncarnation(state, entry)) return;
   const known = state.servers.get(received.id);
   if (known === undefined && entry !== received) {
@@ -187,11 +192,6 @@
   return isLaterIncarnation(latestKnownMs, bornAtMs);
 }
 
-/** Replaces a slot count that is not a positive integer by 1, since decisions divide by it. */
-function withValidSlots(entry: ServerEntry): ServerEntry {
-  return Number.isInteger(entry.slots) && entry.slots >= 1 ? entry : { ...entry, slots: 1 };
-}
-
 /** Creates the view of a new server; a new incarnation inherits nothing from an earlier one. */
 function createView(state: GatewayState, entry: ServerEntry): ServerView {
   state.serverIncarnationCount += 1;
--- /dev/null
+++ b/packages/reedlug-gateway/src/slices/servers/usableEntry.ts
@@ -0,0 +1,22 @@
+/**
+ * Which entries of servers can be used, and which of their values, whoever wrote them. Boxes of an older version pass
+ * entries on as they read them, so this is checked for entries of the store and of other boxes alike.
+ */
+import { validateHeaderValue } from 'node:http';
+import type { ServerEntry } from '../../types/server.js';
+
+/** Returns what is wrong with the id of a server; undefined if requests can name it in a header. */
+export function faultOfServerId(id: string): string | undefined {
+  try {
+    validateHeaderValue('id', id);
+    return undefined;
+  } catch (error) {
+    // Node states a value that no header can hold by an error.
+    return (error as Error).message;
+  }
+}
+
+/** Returns an entry whose slot count is a positive integer, since decisions divide by it. */
+export function withUsableValues(entry: ServerEntry): ServerEntry {
+  return Number.isInteger(entry.slots) && entry.slots >= 1 ? entry : { ...entry, slots: 1 };
+}
