--- a/packages/reedlug-gateway/src/slices/servers/__tests__/usableEntries.test.ts
+++ b/packages/reedlug-gateway/src/slices/servers/__tests__/usableEntries.test.ts
@@ -20,3 +20,16 @@
     }
   });
 }
+
+test('a start time that is too large does not hide the later entries of the server', () => {
+  const startedAtMs = 1_780_000_000_000;
+  for (const bornAtMs of [Number.MAX_SAFE_INTEGER, startedAtMs * 1000, -1, 0.5]) {
+    const box = createServingBox();
+    read(box, server('records-9', { bornAtMs, zone: 'odd' }), 'store');
+    read(box, server('records-9', { bornAtMs: startedAtMs }), 'store', 10);
+    expect(box.state.servers.get('records-9')?.entry).to.include({
+      zone: 'zone-a',
+      bornAtMs: startedAtMs,
+    });
+  }
+});
--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -152,6 +152,7 @@
     log(step, 'serverEntryOdd', {
       ...entryLogFields(received, source),
       slots: String(received.slots),
+      bornAtMs: String(received.bornAtMs ?? ''),
     });
   }
   recordServedVersion(state, step, entry);
