State transfer: a service without a bound on its connections is no malformed configuration

A service that states no max_conns has an infinite one in a box, but the check of what other boxes send wanted a finite number: such a configuration came into force from the store alone, and each transfer of it ended as malformed.

Before the fix: a configuration whose services do not bound their connections is passed on: AssertionError: expected 'malformed' to equal 'configuration'

--- a/packages/reedlug-gateway/src/daemon/stateTransfer/stateValidation.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/stateValidation.ts
@@ -18,6 +18,8 @@
 const text: Check = (value) => (typeof value === 'string' ? VALID : 'not a text');
 const flag: Check = (value) => (typeof value === 'boolean' ? VALID : 'not a flag');
 const number: Check = (value) => (Number.isFinite(value) ? VALID : 'not a number');
+/** A bound that may be left out, which is infinite then. */
+const bound: Check = (value) => (value === Number.POSITIVE_INFINITY ? VALID : number(value));
 const count: Check = (value) =>
   Number.isSafeInteger(value) && Number(value) >= 0 ? VALID : 'not a count';
 
@@ -75,7 +77,7 @@
 });
 const service = record({
   name: text,
-  maxConnections: number,
+  maxConnections: bound,
   engine: optional(record({ slots: number, kvCapacityTokens: number })),
   scaling: optional(
     record({
