--- a/packages/reedlug-coordination/src/storeRevision.ts
+++ b/packages/reedlug-coordination/src/storeRevision.ts
@@ -13,6 +13,9 @@
 /** Number of versions in one era; at a thousand writes a second they last for 34 years. */
 const VERSIONS_PER_ERA = 2 ** 40;
 
+/** Highest valid version; a higher one would look like a version of another era. */
+export const MAX_STORE_VERSION = VERSIONS_PER_ERA - 1;
+
 /** Highest valid era; revisions of later ones would exceed the safe integers. */
 export const MAX_STORE_ERA = 2 ** 13 - 1;
 
