Logs: control characters of ids are escaped

Keys of other writers stand in log lines as ids of servers. A NUL or an escape sequence was written as it is, so that tools take the log for a binary file and terminals act on it; line breaks were quoted before. Metrics have no ids of servers.

Before the fix: ids of other writers put no control characters into a line, and are read back: AssertionError: expected 'a\u0000b' to match /^[^\p{Cc}\u2028\u2029]*$/u

--- a/packages/reedlug-gateway/src/observe/logger.ts
+++ b/packages/reedlug-gateway/src/observe/logger.ts
@@ -30,8 +30,16 @@
   return pairs.join(' ');
 }
 
-/** Quotes a value as JSON if it is empty or contains blanks, quotes or equals signs. */
+/** Characters that JSON leaves as they are, but that a terminal or a reader of lines may act on. */
+const UNESCAPED_CONTROLS = /[\u007f-\u009f\u2028\u2029]/g;
+
+/** Quotes a value as JSON if it is empty or contains blanks, quotes, equals signs or control characters. */
 export function quoted(value: LogValue): string {
   const text = String(value);
-  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+  if (/^[^\s"=\p{Cc}]+$/u.test(text)) return text;
+  return JSON.stringify(text).replace(UNESCAPED_CONTROLS, escapeOf);
+}
+
+function escapeOf(character: string): string {
+  return `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`;
 }
