--- a/packages/reedlug-gateway/src/daemon/__tests__/spoiledRows.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/spoiledRows.test.ts
@@ -9,6 +9,8 @@
 const TICK_MS = 50;
 const RUNS = 20;
 /** Values that another writer, or a spoiled answer, may give any row. */
+const DEEP: unknown = JSON.parse('[{"a":'.repeat(20_000) + '1' + '}]'.repeat(20_000));
+const LARGE = Number.MAX_VALUE;
 const VALUES: readonly unknown[] = [
   undefined,
   null,
@@ -25,6 +27,13 @@
   { holderId: 'box-2', incarnation: 1, fence: 'x', renewal: 1 },
   { holderId: 'box-1', incarnation: 1 },
   { order: null, phase: 'sampling', barred: {}, evidence: 5 },
+  DEEP,
+  { entries: DEEP, rows: DEEP, streams: DEEP, versions: DEEP, services: DEEP, starts: DEEP },
+  { counts: DEEP, windows: DEEP, window: DEEP, byBox: DEEP, suspects: DEEP, storeNowMs: DEEP },
+  { services: { engines: { v1: LARGE, v2: -LARGE }, records: { v1: LARGE } } },
+  { holderId: 'box-2', incarnation: LARGE, fence: LARGE, renewal: LARGE },
+  { revision: LARGE, targetVersion: 'v2', phase: 'completed', orderedAtStoreMs: LARGE, barred: [] },
+  { window: LARGE, counts: { tiger: LARGE }, isReported: true, storeNowMs: LARGE, offsetMs: LARGE },
 ];
 
 /** Purposes of calls that a box has to make before it writes rows of the fleet. */
