Statements: a datagram holds as many as fit, however long the ids are

Up to 800 statements go into a datagram, which was counted for usual ids.

Before the fix: statements of hundreds of servers with long ids are sent in datagrams that can be sent: AssertionError: expected 137859 to be below 65507

--- a/packages/reedlug-gateway/src/slices/statements/statementGossip.ts
+++ b/packages/reedlug-gateway/src/slices/statements/statementGossip.ts
@@ -27,8 +27,10 @@
 import { mergeRefusal } from './refusals.js';
 import { mergePause, pauseStatement, PAUSE_TOLERANCE_MS } from './pauses.js';
 
-/** Maximum number of statements in one datagram; they fill at most half of it. */
+/** Maximum number of statements in one datagram; with usual ids they fill at most half of it. */
 const MAX_STATEMENTS_PER_DATAGRAM = 800;
+/** Maximum size of the ids in one datagram, in bytes: more is left for 800 statements than they need. */
+const MAX_ID_BYTES_PER_DATAGRAM = 28_000;
 /** Interval at which a limit that is still being received is sent again, in ms; half of the silence after which one more box may send. */
 const LIMIT_RENEWAL_MS = 8000;
 
@@ -129,13 +131,28 @@
 ): void {
   if (to.length === 0) return;
   const boxId = state.settings.box.id;
-  for (let first = 0; first < toSend.length; first += MAX_STATEMENTS_PER_DATAGRAM) {
-    const statements = toSend.slice(first, first + MAX_STATEMENTS_PER_DATAGRAM);
+  for (let first = 0; first < toSend.length;) {
+    const end = endOfDatagram(toSend, first);
+    const statements = toSend.slice(first, end);
+    first = end;
     const message = { kind: 'serverStatements' as const, boxId, statements };
     step.effects.push({ type: 'sendPeers', message, to });
   }
 }
 
+/** Returns the end of the statements that fit into one datagram from `first` on; at least one does. */
+function endOfDatagram(statements: readonly IncarnationStatement[], first: number): number {
+  const last = Math.min(statements.length, first + MAX_STATEMENTS_PER_DATAGRAM);
+  let idBytes = Buffer.byteLength(statements[first]?.serverId ?? '');
+  let end = first + 1;
+  while (end < last) {
+    idBytes += Buffer.byteLength(statements[end]?.serverId ?? '');
+    if (idBytes > MAX_ID_BYTES_PER_DATAGRAM) return end;
+    end += 1;
+  }
+  return end;
+}
+
 /** Records a peer that has restarted or was silent, since it may lack what was sent meanwhile. */
 export function recordIfUninformed(
   state: GatewayState,
