Roll-outs: of hundreds of orders, boxes tell each other of those of known services and the latest

Each message told of all orders that a box knows, whichever services exist. 589 orders with names of 53 characters made each message of each box too large to be sent for as long as the boxes lived. Up to 50 are told of, as before; beyond, those of services in the configuration come first, then the latest.

Before the fix: hundreds of orders for unknown services do not make gossip too large, nor hide the one of a service: AssertionError: expected 100222 to be below 32000

--- a/packages/reedlug-gateway/src/slices/rollouts/rollouts.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rollouts.ts
@@ -19,6 +19,9 @@
 /** Maximum number of blocked versions kept per service, the newest ones; earlier ones left the registry long ago. */
 const MAX_BLOCKED_VERSIONS = 8;
 
+/** Maximum number of roll-outs in a message; with usual names they fill a tenth of a datagram. */
+const MAX_GOSSIPED_ROLLOUTS = 50;
+
 /** Maximum number of earlier orders kept per service: more than are given within the age of any backup of the store. */
 const MAX_EARLIER_ORDERS = 8;
 
@@ -164,7 +167,7 @@
   nowMs: number,
   of: readonly PeerWithMessage[],
 ): RolloutGossip[] {
-  return [...state.rollouts.values()].map((view) => ({
+  return gossipedRollouts(state).map((view) => ({
     order: view.order,
     ageMs: Math.round(nowMs - view.orderedAtMs),
     phase: view.phase,
@@ -173,6 +176,16 @@
   }));
 }
 
+/** Returns the roll-outs to tell of: of too many, those of services in the configuration, and then the latest ones. */
+function gossipedRollouts({ rollouts, active }: GatewayState): RolloutView[] {
+  const views = [...rollouts.values()];
+  if (views.length <= MAX_GOSSIPED_ROLLOUTS) return views;
+  const services = new Set(active?.configuration.services.map(({ name }) => name));
+  const rankOf = ({ order }: RolloutView): number => (services.has(order.service) ? 1 : 0);
+  views.sort((a, b) => rankOf(b) - rankOf(a) || b.order.revision - a.order.revision);
+  return views.slice(0, MAX_GOSSIPED_ROLLOUTS);
+}
+
 /** Returns whether a roll-out has ended. */
 export function isFinished({ phase }: RolloutView): boolean {
   return phase === RolloutPhase.completed || phase === RolloutPhase.rolledBack;
