Limits: a share that an earlier life held before the list stated it does not count as unused

Callers saw, after a box ended within moments of acquiring its share (or all boxes did), a workspace served beyond its limit: the next lives found that no box holds a share, or that the others had divided by it long before, and spent it a second time within the window. The write that states the share in the list is repeated after 30 s only, so a store that is busy when a fleet starts keeps the gap open for that long.

Cause: that all boxes that are heard hold no share was taken as proof that nobody had used one. After the loss of all boxes each of them is as young as the one that asks.

A box writes no entry before it has read the list, and entries outlive processes. So an own entry in the first list that a process reads proves that an earlier life was there, and the box charges what that may have used up to the start of its process. A box that is new in the list has its whole burst, as before.

--- a/packages/reedlug-gateway/src/slices/limits/limitShare.ts
+++ b/packages/reedlug-gateway/src/slices/limits/limitShare.ts
@@ -5,8 +5,11 @@
  * the network. So a joining box holds no share until all listed boxes have read a list that contains it
  * and have kept to their smaller share for a window. Once it holds a share, its entry in the list says
  * so, and its later incarnations hold the share from their start, whichever other boxes are unreachable.
+ * An incarnation may end before its entry says so. The next one finds the entry without the statement,
+ * joins as a new box does, and charges what the earlier one may have used.
  */
 import { describeRevision } from 'reedlug-coordination';
+import { priorUseOfShare } from '../../policy/priorUseOfShare.js';
 import type { LimitShare, LimitShareGossip } from '../../types/limitShare.js';
 import type { EventOf } from '../../types/event.js';
 import { log, type GatewayState, type Step } from '../../state.js';
@@ -14,6 +17,8 @@
 import { dutyFence } from '../store/dutyLease.js';
 import { mayShowBackup } from '../store/storeEra.js';
 import { countedPeers, isFreshPeer, knownGroups, ownAddress, usesHubs } from '../peers/fleet.js';
+import { chargeWindowMs } from './limitWindow.js';
+import { LOAN_MS } from './quotas.js';
 
 /** Time after its start before a joining box checks whether all boxes know it, in ms. Boxes that start together are all listed by then. */
 const JOIN_AFTER_MS = 3000;
@@ -37,8 +42,10 @@
 ): void {
   const { part } = state;
   if (revision === undefined) return;
-  part.listRevision = Math.max(part.listRevision, revision);
   const own = changes.find(({ boxId }) => boxId === state.settings.box.id);
+  // A box writes no entry before it has read the list.
+  if (part.listRevision === 0) part.hadEarlierLife = own?.address !== undefined;
+  part.listRevision = Math.max(part.listRevision, revision);
   if (own !== undefined || whole === true) {
     part.isRegistered = own?.holdsPart === true;
     // A box that a restored backup lacks keeps its share, since all others still divide by it.
@@ -96,8 +103,13 @@
   if (part.ownRevision === undefined || step.nowMs - state.startedAtMs < JOIN_AFTER_MS) return;
   const { boxes, listRevision, dividedForMs } = otherShares(state, step.nowMs);
   if (boxes < part.divisor - 1 || listRevision < part.ownRevision) return;
-  if (dividedForMs === undefined) return acquireShare(state, step, { kind: 'unused' });
-  acquireShare(state, step, { kind: 'joined', atMs: step.nowMs - dividedForMs });
+  const { processStartedAtMs: startedAtMs } = state;
+  const opening = priorUseOfShare({
+    dividedAtMs: dividedForMs === undefined ? undefined : step.nowMs - dividedForMs,
+    earlierLifeEndedAtMs: part.hadEarlierLife ? startedAtMs : undefined,
+    windowMs: chargeWindowMs(state) + LOAN_MS,
+  });
+  acquireShare(state, step, opening);
 }
 
 /** Returns the sum of what the listed boxes that are reachable now report of their shares. */
--- a/packages/reedlug-gateway/src/types/limitShare.ts
+++ b/packages/reedlug-gateway/src/types/limitShare.ts
@@ -64,6 +64,11 @@
   opening: PriorUse | undefined;
   /** True once the list states that the box holds its share. */
   isRegistered: boolean;
+  /**
+   * True if the list had an entry of this box before this incarnation wrote one. An earlier incarnation
+   * may then have held the share, also one that ended before the list stated it.
+   */
+  hadEarlierLife: boolean;
   /** Time at which the box last requested that entry from the store. */
   registrationSentAtMs: number;
   /** Time at which the box last checked for boxes that are gone. */
@@ -79,6 +84,7 @@
     dividedSinceMs: undefined,
     opening: undefined,
     isRegistered: false,
+    hadEarlierLife: false,
     registrationSentAtMs: Number.NEGATIVE_INFINITY,
     goneBoxesCheckedAtMs: 0,
   };
