Retry budget: a box that has not read the list of boxes does not count as the only one

Callers' requests ran on more servers than the fixed number of repeated sends allows: after a loss of all boxes each box that served before it had read the list of boxes (requests wait 300 ms for it, no longer) took itself for the only one and began with half of the whole number. A box that ended before the list stated its share of the limits began as a new one in each life.

Cause: an unread list was taken for a fleet of one, and the absence of a registered share for the absence of an earlier life.

Before the list is read, a box repeats sends only as its own requests earn them, one at a time. An own entry in the first list that a process reads shows an earlier life, so it begins with the tenth that a restart has. The fixture that lists new boxes says that they had no earlier life.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -273,6 +273,7 @@
 export function listBoxes(box: TestBox, others: readonly PeerAddress[] = []): void {
   listBoxesAfterRestart(box, others);
   box.state.part.opening = { kind: 'unused' };
+  box.state.part.hadEarlierLife = false;
 }
 
 /** Lists a box and others in the store, with an entry of an earlier incarnation of the box. */
--- a/packages/reedlug-gateway/src/slices/requests/retryBudgets.ts
+++ b/packages/reedlug-gateway/src/slices/requests/retryBudgets.ts
@@ -25,6 +25,11 @@
  * whole share in the same window, and two losses of all boxes in a row must stay within the bound.
  */
 const RESTART_SHARE = 0.1;
+/**
+ * Number of repeated sends that a box may save up before it has read the list of boxes, and so does not
+ * know among how many the fixed number is divided.
+ */
+const UNLISTED_CAPACITY = 1;
 
 /** Counts the first send of a request, which earns a fraction of a retry. */
 export function countFirstSend(state: GatewayState, service: string): void {
@@ -37,8 +42,8 @@
 }
 
 function budgetOf(state: GatewayState, service: string): RetryBudget {
-  const { retryRatio, retrySlack } = state.settings.bounds;
-  const capacity = Math.max(1, (retrySlack * USED_SLACK_SHARE) / fleetSize(state));
+  const { retryRatio } = state.settings.bounds;
+  const capacity = capacityOf(state);
   const known = state.retryBudgets.get(service);
   if (known !== undefined) {
     known.capacity = capacity;
@@ -46,8 +51,24 @@
     return known;
   }
   const budget = createRetryBudget(retryRatio * USED_RATIO_SHARE, capacity);
-  const isRestart = state.part.opening?.kind === 'earlierLife';
-  budget.tokens = isRestart ? capacity * RESTART_SHARE : Math.max(1, capacity * JOINING_SHARE);
+  budget.tokens = isNewBox(state)
+    ? Math.max(1, capacity * JOINING_SHARE)
+    : capacity * RESTART_SHARE;
   state.retryBudgets.set(service, budget);
   return budget;
 }
+
+function capacityOf(state: GatewayState): number {
+  if (!hasReadList(state)) return UNLISTED_CAPACITY;
+  return Math.max(1, (state.settings.bounds.retrySlack * USED_SLACK_SHARE) / fleetSize(state));
+}
+
+/** Whether the list of boxes shows that no earlier incarnation of this box has used its share. */
+function isNewBox(state: GatewayState): boolean {
+  const { opening, hadEarlierLife } = state.part;
+  return hasReadList(state) && !hadEarlierLife && opening?.kind !== 'earlierLife';
+}
+
+function hasReadList({ part }: GatewayState): boolean {
+  return part.listRevision > 0;
+}
