Crash suspects: no verdict on crashes before a box's start after a good run of another request

After a loss of all boxes a request could be refused for an hour (500 crashesServers) that earlier lives had left open, as servers had mostly crashed without it.

Cause: a box does not judge crashes before its start, as it knows of other crashes from the suspects of the table's row alone; but a good run of any other suspect scheduled all suspects anew without that check, and a crash that nobody told of counted as none.

Both ways to a verdict ask the same function now. The suspect stays open: one box sends it, one send at a time, until a run shows.

--- a/packages/reedlug-gateway/src/slices/crashes/crashSuspects.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashSuspects.ts
@@ -93,12 +93,18 @@
 /** Schedules the evaluation after a crash that may decide the verdict; until then gossip of other boxes arrives, and the request is not sent. */
 export function scheduleEvaluation(state: GatewayState, step: Step, suspect: CrashSuspect): void {
   if (suspect.crashes.length < crashesToBlock(suspect)) return;
-  if (suspect.blockedSinceMs !== undefined) return;
-  // A box knows too little of what happened before its start; other boxes have evaluated that.
-  if ((suspect.crashes.at(-1)?.endedAtMs ?? 0) < state.startedAtMs) return;
+  if (suspect.blockedSinceMs !== undefined || !mayEvaluate(state, suspect)) return;
   suspect.evaluationDueAtMs ??= step.nowMs + EVALUATION_DELAY_MS;
 }
 
+/**
+ * Whether this box was there at the last crash of a suspect. It knows too little of what happened before
+ * its start, above all which servers crashed without the suspect; other boxes have evaluated that.
+ */
+function mayEvaluate({ startedAtMs }: GatewayState, { crashes }: CrashSuspect): boolean {
+  return (crashes.at(-1)?.endedAtMs ?? 0) >= startedAtMs;
+}
+
 /** Returns the keys of the runs in progress that are past the crash point: none of them crashes servers. */
 export function provenKeys(state: GatewayState, nowMs: number): ReadonlySet<string> {
   const proven = new Set<string>();
@@ -285,7 +291,7 @@
   state.hasClearedSuspects = false;
   for (const suspect of state.crashSuspects.values()) {
     if (suspect.crashes.length < crashesToBlock(suspect)) continue;
-    if (suspect.blockedSinceMs !== undefined) continue;
+    if (suspect.blockedSinceMs !== undefined || !mayEvaluate(state, suspect)) continue;
     const decidedAtMs = (suspect.crashes.at(-1)?.endedAtMs ?? 0) + EVALUATION_DELAY_MS;
     suspect.evaluationDueAtMs ??= Math.max(step.nowMs, decidedAtMs);
   }
