Limits: streams that have begun go before new requests where the units do not suffice for both

Callers saw, right after a loss of all boxes, streams refused as overLimit that they had received in part and came back for, while new requests of their workspace were served from the reserve that is there for the restart.

Cause: units are used in the order of arrival. A taken-up stream is charged whole, as its run counts whole against the limit, and that stays; but it waited behind new requests that arrived a moment before it.

New requests leave begun streams the units that these wait for. While streams are being taken up in the first second of a box, new ones also leave the reserve alone for four fifths of their wait of 300 ms at most, and then may use it. Where no stream is taken up, units go in order of arrival as before.

--- a/packages/reedlug-gateway/src/slices/limits/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/limits/quotas.ts
@@ -260,6 +260,7 @@
     loans: [],
     limits: [{ fromMs: nowMs, ratePerSecond, burst }],
     admitted: 0,
+    begunAskedAtMs: Number.NEGATIVE_INFINITY,
   };
   state.quotas.set(workspace.name, quota);
   return quota;
--- a/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
+++ b/packages/reedlug-gateway/src/slices/limits/restartReserve.ts
@@ -17,6 +17,8 @@
 import type { PendingRequest, RequestRecord } from '../../types/request.js';
 import { isFiniteNumber } from '../store/rowValues.js';
 import { rowsOf } from '../store/tableRows.js';
+import { neededUnitsOf } from './begunStreams.js';
+import { awaitsFirstUnits, firstUnitsWaitMs } from './firstUnits.js';
 import { chargeWindowMs } from './limitWindow.js';
 import { LOAN_MS, releaseReserve } from './quotas.js';
 
@@ -28,15 +30,6 @@
 /** Interval between them, in ms: a store that is busy or just started answers within a second. */
 const READ_RETRY_MS = 1000;
 
-/**
- * Time after the start of a box within which requests wait for units, in ms: gossip reaches members
- * of other groups through two hubs, each of which sends every 200 ms.
- */
-const FIRST_UNITS_MS = 1000;
-/** Share of a route's target for which they wait at most, and longest wait, in ms. */
-const WAIT_SHARE = 0.25;
-const MAX_WAIT_MS = 300;
-
 type ReservePurpose = Extract<TablePurpose, { kind: 'limitReserve' }>;
 
 /** Value of the row of a box. */
@@ -69,14 +62,14 @@
   state: GatewayState,
   step: Step,
   request: PendingRequest,
-  { route, workspace, units, reservedAtMs }: RequestRecord,
+  record: RequestRecord,
 ): boolean {
-  const sinceStartMs = step.nowMs - state.startedAtMs;
-  if (!state.settings.load.restartReserve || sinceStartMs >= FIRST_UNITS_MS) return false;
+  const { route, workspace, units, reservedAtMs } = record;
+  if (!awaitsFirstUnits(state, step.nowMs)) return false;
   const { exchangeId, facts, arrivedAtMs } = request;
-  const waitMs = Math.min(MAX_WAIT_MS, route.targetMs * WAIT_SHARE);
+  const waitMs = firstUnitsWaitMs(route);
   if (step.nowMs - arrivedAtMs >= waitMs) return false;
-  if (request.awaitsUnits !== true) {
+  if (request.awaitsUnits === undefined) {
     const { phase } = state.restartReserve;
     const fields = {
       workspace: workspace ?? '',
@@ -87,7 +80,8 @@
     log(step, 'unitsAwaited', { request: facts.requestId, ...fields });
   }
   state.requests.delete(exchangeId);
-  state.pendingRequests.push({ ...request, awaitsUnits: true, reservedAtMs });
+  const awaitsUnits = neededUnitsOf(record);
+  state.pendingRequests.push({ ...request, awaitsUnits, reservedAtMs });
   return true;
 }
 
--- a/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
@@ -19,6 +19,7 @@
 import type { PeerMessage } from '../../types/peer.js';
 import type { RequestRecord } from '../../types/request.js';
 import { countedPeers, isFreshPeer, type PeerWithMessage } from '../peers/fleet.js';
+import { mayUseUnitsNow, unitsAwaitedByBegun } from './begunStreams.js';
 import { borrowedUnits, chargeSend, limitUse, quotaOf, spareUnits } from './quotas.js';
 
 /** Maximum number of reservations in a message; few limits leave room for more. */
@@ -198,7 +199,7 @@
   nowMs: number,
 ): number {
   const spare = spareUnits(state, workspace, nowMs);
-  if (!reservesUnits(state)) return spare;
+  if (!reservesUnits(state)) return Math.max(0, spare - unitsAwaitedByBegun(state, workspace));
   const waiting = waitingBefore(state, workspace, claim);
   return Math.max(0, spare - withheldFrom(state, workspace, claim, { waiting, nowMs }));
 }
@@ -213,7 +214,9 @@
   record: RequestRecord,
   workspace: WorkspaceSpec,
 ): boolean {
-  if (!reservesUnits(state) || workspace.ratePerSecond <= 0) {
+  if (workspace.ratePerSecond <= 0) return chargeSend(state, record, workspace, step.nowMs);
+  if (!reservesUnits(state)) {
+    if (!mayUseUnitsNow(state, record, workspace, step.nowMs)) return false;
     return chargeSend(state, record, workspace, step.nowMs);
   }
   useReservation(state, step, record, workspace);
--- a/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
+++ b/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
@@ -7,6 +7,7 @@
  * in part and asks again for the rest.
  */
 import type { Choice } from '../../policy/chooseServer.js';
+import { begunFirst } from '../../policy/unitsForBegun.js';
 import { addRetryJitter } from '../../policy/retryJitter.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { runPart } from '../../stepFaults.js';
@@ -36,6 +37,7 @@
   unitsForWaiting,
   withheldFrom,
 } from './unitReservations.js';
+import { neededUnitsOf, mayUseUnitsNow, unitsAwaitedBefore } from './begunStreams.js';
 import { announcedUnits, requestUnits, pruneLoans, returnLoans, acceptLoan } from './unitLoans.js';
 
 /** Share of a route's target time for which a request may wait; small enough that the answer is hardly delayed. */
@@ -85,7 +87,10 @@
   const { nowMs } = step;
   if (!reservesUnits(state)) {
     const borrowed = borrowedUnits(quotaOf(state, workspace, nowMs), nowMs);
-    const own = spareUnits(state, workspace, nowMs) + borrowed;
+    const awaited = unitsAwaitedBefore(state, record);
+    const own = Math.max(0, spareUnits(state, workspace, nowMs) + borrowed - awaited);
+    // The units are there, but kept for streams that are expected.
+    if (own >= record.units) return false;
     return requestUnits(state, step, workspace, record.units - own);
   }
   const available = Math.max(0, unitsForArrival(state, workspace, record, nowMs));
@@ -123,7 +128,7 @@
   const isReady = ({ record }: WaitingSend): boolean =>
     record.workspace === workspace.name &&
     isOpen(state, record) &&
-    (!reservesUnits(state) || unitsForWaiting(state, workspace, record, nowMs) >= record.units) &&
+    hasUnitsFor(state, workspace, record, nowMs) &&
     chargeSend(state, record, workspace, nowMs);
   const ready: WaitingSend[] = [];
   for (const waiting of byPrecedence(state)) {
@@ -136,9 +141,22 @@
   }
 }
 
+/** Returns whether a waiting request may use the units that there are, without those of requests before it. */
+function hasUnitsFor(
+  state: GatewayState,
+  workspace: WorkspaceSpec,
+  record: RequestRecord,
+  nowMs: number,
+): boolean {
+  if (!reservesUnits(state)) return mayUseUnitsNow(state, record, workspace, nowMs);
+  return unitsForWaiting(state, workspace, record, nowMs) >= record.units;
+}
+
 /** Returns the waiting requests in the order in which they get units. */
 function byPrecedence(state: GatewayState): readonly WaitingSend[] {
-  if (!reservesUnits(state)) return state.waitingForUnits;
+  if (!reservesUnits(state)) {
+    return begunFirst(state.waitingForUnits, ({ record }) => neededUnitsOf(record).hasBegun);
+  }
   return [...state.waitingForUnits].sort((a, b) => comparePrecedence(a.record, b.record));
 }
 
@@ -254,7 +272,7 @@
   record: RequestRecord,
   workspace: WorkspaceSpec,
 ): number {
-  if (!reservesUnits(state)) return record.units;
+  if (!reservesUnits(state)) return record.units + unitsAwaitedBefore(state, record);
   const before = reservedBefore(state, workspace.name, claimOf(record), nowMs);
   const own = spareUnits(state, workspace, nowMs);
   const missing = record.units + before - own - announcedUnits(state, workspace, nowMs);
--- a/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
@@ -7,6 +7,8 @@
 import type { EventOf } from '../../types/event.js';
 import type { PendingRequest } from '../../types/request.js';
 import type { GatewayState, Step } from '../../state.js';
+import { begunFirst } from '../../policy/unitsForBegun.js';
+import { isBegunStream } from '../limits/begunStreams.js';
 import { refuse } from './requestCompletion.js';
 
 /** Longest wait for configuration and servers, in ms: the store answers within a few ms, a slow one within 250. */
@@ -37,7 +39,9 @@
 /** Removes and returns the requests that may proceed now, and refuses those that have waited too long. */
 export function takeReadyRequests(state: GatewayState, step: Step): PendingRequest[] {
   if (state.pendingRequests.length === 0) return [];
-  if (isReadyForRequests(state)) return state.pendingRequests.splice(0);
+  if (isReadyForRequests(state)) {
+    return [...begunFirst(state.pendingRequests.splice(0), isBegunStream)];
+  }
   const isLate = ({ arrivedAtMs }: PendingRequest): boolean =>
     step.nowMs - arrivedAtMs >= MAX_START_WAIT_MS;
   const late = state.pendingRequests.filter(isLate);
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -1,6 +1,7 @@
 /** Facts about a caller's request, and a box's record of the request. */
 import type { Reach } from 'reedlug-coordination';
 import type { SendConditions } from '../policy/engineModel.js';
+import type { NeededUnits } from '../policy/unitsForBegun.js';
 import type { RouteSpec } from './configuration.js';
 import type { TakeUp } from './takeUp.js';
 
@@ -153,8 +154,8 @@
   exchangeId: number;
   facts: RequestFacts;
   arrivedAtMs: number;
-  /** True while it waits for units of its workspace's limit. */
-  awaitsUnits?: boolean;
+  /** Units of its workspace's limit that it waits for. */
+  awaitsUnits?: NeededUnits;
   /** Time of its first refusal, if it took the units that were reserved then. */
   reservedAtMs?: number | undefined;
   /** How the stream that it takes up goes on, once that is known. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -118,6 +118,8 @@
   limits: LimitInForce[];
   /** Units admitted by this box since its start. */
   admitted: number;
+  /** Time at which a request for a stream that has begun last asked for units; negative infinity before. */
+  begunAskedAtMs: number;
 }
 
 /** State of a box with regard to a peer. */
