Metric and log field of streams that are taken up, by the reason why they do not go on

After a loss of all boxes the logs told refusals of streams that their callers had received in part from those of new requests only by joining lines of several boxes. requestRefused, streamCut and requestFinished of a request that takes up a stream have 'resumes', and reedlug_taken_up_streams_total counts them by outcome.

--- a/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
+++ b/packages/reedlug-gateway/src/observe/__tests__/decisionMetrics.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
-import { createServingBox, facts, settings } from '../../__tests__/__fixtures__/box.js';
+import { createServingBox, facts, ofType, settings } from '../../__tests__/__fixtures__/box.js';
+import type { RequestFacts } from '../../types/request.js';
 import { recordWork } from '../../slices/workspaceShares/workSums.js';
 import { setDecisionMetrics } from '../decisionMetrics.js';
 import { countEvent, createGatewayMetrics } from '../gatewayMetrics.js';
@@ -73,3 +74,21 @@
   expect(text).to.match(/reedlug_server_speeds\{service="engines",figure="fastest"\} [12]\./);
   expect(await textOf(false)).not.to.contain('reedlug_server_speeds{');
 });
+
+// Without it, refusals of streams that go on after a loss of all boxes can't be told from those of new requests.
+test('streams that are taken up are counted by the reason why they do not go on', async () => {
+  const box = createServingBox();
+  const metrics = createGatewayMetrics();
+  const ask = (exchangeId: number, changes: Partial<RequestFacts>): void => {
+    const request = facts({ requestId: `r${exchangeId}`, path: '/draft/1', ...changes });
+    const effects = box.take({ type: 'requestArrived', exchangeId, facts: request });
+    for (const { event, fields } of ofType(effects, 'log')) countEvent(metrics, event, fields);
+  };
+  const hugeTokens = { promptTokens: 1_000_000, maxOutputTokens: 0 };
+  ask(1, { key: 'unknown', lastEventId: 3, resumedRequestId: 'r0' });
+  ask(2, { key: 'unknown', lastEventId: 3 });
+  ask(3, hugeTokens);
+  const text = await metrics.text();
+  expect(text).to.match(/reedlug_taken_up_streams_total\{outcome="unknownKey"\} 2/);
+  expect(text).not.to.match(/reedlug_taken_up_streams_total\{outcome="overLimit"\}/);
+});
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -18,6 +18,7 @@
   decisions: Counter;
   placements: Counter;
   continuations: Counter;
+  takenUpStreams: Counter;
   connections: Counter;
   connectMs: Histogram;
   tunnelBytes: Counter;
@@ -46,6 +47,7 @@
     case 'requestFinished':
       metrics.requests.inc({ ...labels, outcome: textOf(fields['outcome']) });
       metrics.latencyMs.observe(labels, Number(fields['heldMs'] ?? 0));
+      countTakenUp(metrics, fields, textOf(fields['outcome']));
       return;
     case 'requestSent':
       countPlacement(metrics, fields);
@@ -63,6 +65,9 @@
       return;
     case 'requestRefused':
     case 'streamCut':
+      countTakenUp(metrics, fields, textOf(fields['reason']));
+      metrics.requests.inc({ ...labels, outcome: textOf(fields['reason']) });
+      return;
     case 'callerGone':
       metrics.requests.inc({ ...labels, outcome: textOf(fields['reason'] ?? event) });
       return;
@@ -71,6 +76,15 @@
   }
 }
 
+/** Counts the end of a request that took up a stream, so that the share of each reason can be seen. */
+function countTakenUp(
+  { takenUpStreams }: GatewayMetrics,
+  fields: Readonly<Record<string, LogField>>,
+  outcome: string,
+): void {
+  if (fields['resumes'] !== undefined) takenUpStreams.inc({ outcome });
+}
+
 /** Counts an attempt to open a connection to a server. */
 export function countConnection(
   { connections, connectMs }: GatewayMetrics,
@@ -129,6 +143,12 @@
       labelNames: ['version'],
       registers,
     }),
+    takenUpStreams: new Counter({
+      name: 'reedlug_taken_up_streams_total',
+      help: 'Requests that took up a stream, by outcome: success, or the reason why it did not go on',
+      labelNames: ['outcome'],
+      registers,
+    }),
     connections: new Counter({
       name: 'reedlug_connections_total',
       help: 'Connections to servers that were tried, by path (direct, peer) and outcome (opened, refused, silent, unavailable)',
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -10,6 +10,7 @@
 import { removeUnreadPrompt } from '../../policy/serverLoad.js';
 import { recordActivity } from '../../policy/serverSilence.js';
 import { closeAttempt, giveUp, reachWhenLost, serverOf } from './requestCompletion.js';
+import { takenUpField } from './takenUpField.js';
 import { isPastCrashPoint, recordGoodRun } from '../crashes/crashSuspects.js';
 import { recordSuccessfulEnd, recordFirstEvent } from '../engines/engineModels.js';
 import { recordLoss, recordRefusedConnection, recordUncertainEnd } from '../crashes/lostServers.js';
@@ -235,6 +236,7 @@
     outcome,
     attempts: record.attempts.length,
     heldMs: Math.round(step.nowMs - record.arrivedAtMs),
+    ...takenUpField(record.facts),
   });
 }
 
--- a/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from '../../types/configuration.js';
 import type { Attempt, RequestFacts, RequestRecord } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import { takenUpField } from './takenUpField.js';
 import { releaseSparePlace } from '../statements/brittleServices.js';
 import { removeUnreadPrompt } from '../../policy/serverLoad.js';
 import type { ServerView } from '../../types/views.js';
@@ -70,6 +71,7 @@
     status,
     reason,
     retryAfterMs: Math.round(retryAfterMs ?? 0),
+    ...takenUpField(facts),
   });
 }
 
@@ -92,6 +94,7 @@
       attempts: record.attempts.length,
       lastEvent: record.lastEventId ?? -1,
       heldMs: Math.round(step.nowMs - record.arrivedAtMs),
+      ...takenUpField(record.facts),
     });
     return;
   }
