Roll-outs: a box that starts reads how each roll-out ended, before one holds the lease

Callers saw a service refused for some seconds after a loss of all boxes if its last roll-out had completed (the order stays in the store): the boxes knew the order alone, which sends the new version nothing, and only the holder of the lease read the record. Streams that had begun at the new version were refused for the same time. A version that an earlier roll-out had rolled back got requests meanwhile.

Cause: the absence of a phase and of blocked versions in a box that has just started was taken for a roll-out at its begin.

Evidence: rolloutsAfterLosses.test.ts printed 'expected [] to deeply equal [ new-1 ]' and 'expected [ bad-1, old-1 ] to deeply equal [ old-1 ]'.

Each box reads the record once in its first three seconds while the phase is not known: one call for each roll-out and start, three at most if the store does not answer, none for members of hubs and none in operation.

--- a/packages/reedlug-gateway/src/slices/rollouts/rolloutRecords.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutRecords.ts
@@ -9,13 +9,14 @@
 import { eraOf, type TableRow } from 'reedlug-coordination';
 import { isUsableDuration, laterPhase } from '../../policy/rolloutStep.js';
 import { log, requestTable, type GatewayState, type Step } from '../../state.js';
-import type { EventOf } from '../../types/event.js';
+import type { EventOf, TablePurpose } from '../../types/event.js';
 import {
   ROLLOUT_KEY_PREFIX,
   RolloutPhase,
   type RolloutRecord,
   type RolloutView,
 } from '../../types/rollout.js';
+import { fleetDiscoveredAtMs } from '../peers/fleet.js';
 import { dutyFence } from '../store/dutyLease.js';
 import { blockedVersionsAfter, enterPhase, isFinished } from './rollouts.js';
 import { isArrayOf, isFiniteNumber, isText } from '../store/rowValues.js';
@@ -23,28 +24,50 @@
 
 /** Interval between table calls for one roll-out, in ms: the store usually answers within a few ms, and a busy store is called again. */
 const TABLE_CALL_INTERVAL_MS = 250;
+/** The same for a box that starts and does not hold the lease, in ms: many of them start at once. */
+const START_READ_INTERVAL_MS = 1000;
 
-/** Reads and writes the records while this box holds the lease. */
+/** Reads and writes the records while this box holds the lease; another box reads them once after its start. */
 export function rolloutRecordsTick(state: GatewayState, step: Step): void {
-  if (state.rollouts.size === 0 || dutyFence(state, step.nowMs) === undefined) return;
-  for (const view of state.rollouts.values()) updateRecord(state, step, view);
+  if (state.rollouts.size === 0) return;
+  const isHolder = dutyFence(state, step.nowMs) !== undefined;
+  for (const view of state.rollouts.values()) {
+    if (step.nowMs - view.requestedAtMs < TABLE_CALL_INTERVAL_MS) continue;
+    if (!isUsableDuration(view.order.durationMs)) continue;
+    if (isHolder) updateRecord(state, step, view);
+    else if (needsRecord(state, step, view)) readRecord(step, view);
+  }
+}
+
+/**
+ * Returns whether a box that does not hold the lease reads a record. After a loss of all boxes nobody tells it
+ * how a roll-out ended until one has taken the lease, and until then the version that carries the load gets nothing.
+ */
+function needsRecord(state: GatewayState, step: Step, view: RolloutView): boolean {
+  if (step.nowMs - view.requestedAtMs < START_READ_INTERVAL_MS) return false;
+  const isStarting = step.nowMs < fleetDiscoveredAtMs(state) && state.hubId === undefined;
+  return isStarting && view.phase === RolloutPhase.held && view.recordVersion === undefined;
+}
+
+function readRecord(step: Step, view: RolloutView): void {
+  view.requestedAtMs = step.nowMs;
+  const keys = [recordKey(view.order.service)];
+  requestTable(step, purposeOf(view), { kind: 'read', keys });
+}
+
+function purposeOf({ order }: RolloutView): Extract<TablePurpose, { kind: 'rollout' }> {
+  return { kind: 'rollout', service: order.service, revision: order.revision };
 }
 
 function updateRecord(state: GatewayState, step: Step, view: RolloutView): void {
-  if (step.nowMs - view.requestedAtMs < TABLE_CALL_INTERVAL_MS) return;
-  if (!isUsableDuration(view.order.durationMs)) return;
   const phase = phaseToWrite(view);
   if (phase === undefined) return;
+  if (view.recordVersion === undefined) return readRecord(step, view);
   view.requestedAtMs = step.nowMs;
-  const { service } = view.order;
-  const key = recordKey(service);
-  const purpose = { kind: 'rollout' as const, service, revision: view.order.revision };
-  if (view.recordVersion === undefined) {
-    return requestTable(step, purpose, { kind: 'read', keys: [key] });
-  }
+  const key = recordKey(view.order.service);
   const value = recordOf(state, view, phase);
   const write = { key, expectVersion: view.recordVersion, value };
-  requestTable(step, purpose, { kind: 'transact', writes: [write] });
+  requestTable(step, purposeOf(view), { kind: 'transact', writes: [write] });
 }
 
 function recordKey(service: string): string {
