Usage: requests that start before the clock is agreed count in their window

After a loss of all boxes the usage of a workspace was reported in other windows than those in which its requests started, by as much as the wall clock of a box was off.

Cause: while no offset is agreed, a box counted by its own wall clock. After a loss of all boxes no peer tells the offset, and a box asks the store for it up to a second after its start.

Evidence: usage.test.ts, a box whose clock is off, printed '[ [ 202, 2 ], [ 1, 1 ] ] to deeply equal [ [ 0, 1 ], [ 1, 2 ] ]'.

Such starts are kept with the time of the monotonic clock, 600 spans of 100 ms at most, and are placed with the first tick that knows the agreed clock. Beyond that number the own clock is used, as before.

--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -140,6 +140,7 @@
     resumedAtMs: Number.NEGATIVE_INFINITY,
     storeEpochMs: undefined,
     usage: new Map(),
+    unplacedUsage: [],
     usageReceivedAtMs: new Map(),
     usageChanged: false,
     checkpointAtMs: 0,
--- a/packages/reedlug-gateway/src/slices/usage/__tests__/usage.test.ts
+++ b/packages/reedlug-gateway/src/slices/usage/__tests__/usage.test.ts
@@ -241,3 +241,33 @@
   expect(takeCheckpoint(2)).to.equal(0);
   expect(takeCheckpoint(3)).to.equal(1);
 });
+
+// After a loss of all boxes nobody tells a box the agreed offset, and it asks the store up to a second after its start.
+test('requests that start before the clock is agreed count in their window, whatever the own clock says', () => {
+  const box = createServingBox();
+  box.take({ type: 'storeClock', storeNowMs: 0 });
+  box.pass(4000);
+  box.wallClockOffsetMs += 7000;
+  serve(box, 1);
+  box.pass(2000);
+  serve(box, 2);
+  box.take({ type: 'peerMessage', message: peerMessage({ clockOffsetMs: 0 }) });
+  box.pass(50);
+  serve(box, 3);
+  const counts = [...box.state.usage.values()].flatMap(({ window, byBox }) =>
+    [...byBox.values()].map((of) => [window, of['tiger']]),
+  );
+  expect(counts).to.deep.equal([
+    [0, 1],
+    [1, 2],
+  ]);
+});
+
+test('a box that never agrees on a clock keeps a bounded number of counts', () => {
+  const box = createServingBox();
+  for (let exchangeId = 1; exchangeId <= 900; exchangeId += 1) {
+    serve(box, exchangeId);
+    box.pass(300);
+  }
+  expect(box.state.unplacedUsage.length).to.be.at.most(600);
+});
--- a/packages/reedlug-gateway/src/slices/usage/usage.ts
+++ b/packages/reedlug-gateway/src/slices/usage/usage.ts
@@ -11,10 +11,11 @@
 import type { RequestRecord } from '../../types/request.js';
 import { log, requestTable, type GatewayState, type Step } from '../../state.js';
 import type { UsageDecisionGossip } from '../../types/peer.js';
-import type { UsageCounts, UsageWindow } from '../../types/views.js';
+import type { UnplacedCount, UsageCounts, UsageWindow } from '../../types/views.js';
 import { agreedWallClockMs } from '../store/clock.js';
 import { isArrayOf, isFiniteNumber, isRecordOf, isText } from '../store/rowValues.js';
 import { dropLease, dutyFence } from '../store/dutyLease.js';
+import { countUnplaced, hasAgreedClock, takeUnplaced } from './unplacedUsage.js';
 import {
   eraSinceWallClockMs,
   isDue,
@@ -45,11 +46,20 @@
   record.counted = true;
   const { usageWindowMs } = state.settings.bounds;
   if (usageWindowMs === 0) return;
-  const window = Math.floor(agreedWallClockMs(state, step) / usageWindowMs);
+  const { workspace } = record;
+  const { nowMs } = step;
+  if (!hasAgreedClock(state) && countUnplaced(state, { workspace, nowMs })) return;
+  addCount(state, step, { atMs: nowMs, workspace, count: 1 });
+}
+
+/** Adds starts to the window of their time, by the agreed clock. */
+function addCount(state: GatewayState, step: Step, added: UnplacedCount): void {
+  const wallClockMs = agreedWallClockMs(state, step) - (step.nowMs - added.atMs);
+  const { byBox } = windowOf(state, Math.floor(wallClockMs / state.settings.bounds.usageWindowMs));
   const own = ownKey(state);
-  const counts = windowOf(state, window).byBox.get(own) ?? {};
-  const count = (counts[record.workspace] ?? 0) + 1;
-  windowOf(state, window).byBox.set(own, { ...counts, [record.workspace]: count });
+  const counts = byBox.get(own) ?? {};
+  const count = (counts[added.workspace] ?? 0) + added.count;
+  byBox.set(own, { ...counts, [added.workspace]: count });
   state.usageChanged = true;
 }
 
@@ -132,7 +142,9 @@
 /** Reports finished windows and writes the checkpoint, while this box holds the lease. */
 export function usageTick(state: GatewayState, step: Step): void {
   const { usageWindowMs } = state.settings.bounds;
-  if (usageWindowMs === 0 || state.settings.cloud?.reportsUsage !== true) return;
+  if (usageWindowMs === 0) return;
+  for (const unplaced of takeUnplaced(state)) addCount(state, step, unplaced);
+  if (state.settings.cloud?.reportsUsage !== true) return;
   const wallClockMs = agreedWallClockMs(state, step);
   const current = Math.floor(wallClockMs / usageWindowMs);
   for (const window of state.usage.keys()) {
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -40,6 +40,7 @@
   PeerView,
   QuotaView,
   ServerView,
+  UnplacedCount,
   UsageWindow,
 } from './types/views.js';
 
@@ -209,6 +210,8 @@
    */
   storeEpochMs: number | undefined;
   usage: Map<number, UsageWindow>;
+  /** Counts of requests that started before the agreed clock was known. */
+  unplacedUsage: UnplacedCount[];
   /** Time at which this box last received the usage counts of each other box, by box id. */
   usageReceivedAtMs: Map<string, number>;
   /** True if counts have changed since the last checkpoint. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -206,6 +206,13 @@
 /** Numbers of requests by workspace. */
 export type UsageCounts = Readonly<Record<string, number>>;
 
+/** Number of requests of a workspace that started at about a time of this box's clock. */
+export interface UnplacedCount {
+  atMs: number;
+  workspace: string;
+  count: number;
+}
+
 /** A usage window to be reported to the platform. */
 export interface UsageWindow {
   window: number;
