Limits: a box that reads an empty list first is new in it

The first list of a new deployment is empty and has revision 0, so the next one, with the box's own entry, was taken for the first. The first box of a fleet then charged a burst that nobody had used, and all others joined it as if it had been used.

A test holds the empty list.

--- a/packages/reedlug-gateway/src/slices/limits/__tests__/unregisteredShares.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/unregisteredShares.test.ts
@@ -98,6 +98,14 @@
   expect(unitsOfTwoIncarnations({ dividedForMs: 60_000 })).to.be.at.most(ownShare());
 });
 
+test('a box that reads an empty list and then its own entry has its whole burst', () => {
+  const box = createBox();
+  box.take({ type: 'peersListed', changes: [], whole: true, revision: 0 });
+  list(box, true);
+  box.pass(LIFE_MS);
+  expect(box.state.part.hadEarlierLife).to.equal(false);
+});
+
 test('a box that enters the list for the first time has its whole burst', () => {
   const sent = runIncarnation({ startMs: 0, isFirst: true, peerShare: {} });
   const units = sent.reduce((sum, one) => sum + one.units, 0);
--- a/packages/reedlug-gateway/src/slices/limits/limitShare.ts
+++ b/packages/reedlug-gateway/src/slices/limits/limitShare.ts
@@ -44,7 +44,8 @@
   if (revision === undefined) return;
   const own = changes.find(({ boxId }) => boxId === state.settings.box.id);
   // A box writes no entry before it has read the list.
-  if (part.listRevision === 0) part.hadEarlierLife = own?.address !== undefined;
+  if (!part.hasReadList) part.hadEarlierLife = own?.address !== undefined;
+  part.hasReadList ||= whole === true;
   part.listRevision = Math.max(part.listRevision, revision);
   if (own !== undefined || whole === true) {
     part.isRegistered = own?.holdsPart === true;
--- a/packages/reedlug-gateway/src/types/limitShare.ts
+++ b/packages/reedlug-gateway/src/types/limitShare.ts
@@ -51,6 +51,8 @@
 export interface LimitShare {
   /** Revision up to which this box has read the list of boxes; 0 before the first read. */
   listRevision: number;
+  /** True once this box has read the whole list, which may be empty. */
+  hasReadList: boolean;
   /** Revision of its own entry in the list; undefined while it is not listed. */
   ownRevision: number | undefined;
   /** Number of listed boxes, including this one. */
@@ -79,6 +81,7 @@
 export function createLimitShare(): LimitShare {
   return {
     listRevision: 0,
+    hasReadList: false,
     ownRevision: undefined,
     divisor: 1,
     dividedSinceMs: undefined,
