--- a/packages/reedlug-gateway/src/types/limitShare.ts
+++ b/packages/reedlug-gateway/src/types/limitShare.ts
@@ -51,6 +51,8 @@
 export interface LimitShare {
   /** Revision up to which this box has read the list of boxes; 0 before the first read. */
   listRevision: number;
+  /** True once this box has read the whole list, which may be empty. */
+  hasReadList: boolean;
   /** Revision of its own entry in the list; undefined while it is not listed. */
   ownRevision: number | undefined;
   /** Number of listed boxes, including this one. */
@@ -64,6 +66,11 @@
   opening: PriorUse | undefined;
   /** True once the list states that the box holds its share. */
   isRegistered: boolean;
+  /**
+   * True if the list had an entry of this box before this incarnation wrote one. An earlier incarnation
+   * may then have held the share, also one that ended before the list stated it.
+   */
+  hadEarlierLife: boolean;
   /** Time at which the box last requested that entry from the store. */
   registrationSentAtMs: number;
   /** Time at which the box last checked for boxes that are gone. */
@@ -74,11 +81,13 @@
 export function createLimitShare(): LimitShare {
   return {
     listRevision: 0,
+    hasReadList: false,
     ownRevision: undefined,
     divisor: 1,
     dividedSinceMs: undefined,
     opening: undefined,
     isRegistered: false,
+    hadEarlierLife: false,
     registrationSentAtMs: Number.NEGATIVE_INFINITY,
     goneBoxesCheckedAtMs: 0,
   };
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -118,6 +118,8 @@
   limits: LimitInForce[];
   /** Units admitted by this box since its start. */
   admitted: number;
+  /** Time at which a request for a stream that has begun last asked for units; negative infinity before. */
+  begunAskedAtMs: number;
 }
 
 /** State of a box with regard to a peer. */
@@ -204,6 +206,13 @@
 /** Numbers of requests by workspace. */
 export type UsageCounts = Readonly<Record<string, number>>;
 
+/** Number of requests of a workspace that started at about a time of this box's clock. */
+export interface UnplacedCount {
+  atMs: number;
+  workspace: string;
+  count: number;
+}
+
 /** A usage window to be reported to the platform. */
 export interface UsageWindow {
   window: number;
