A box that has not read the list of boxes may repeat one send

A stream that lost its server at a box that had just started was cut, since before the list a box had to earn each repeated send: three tests of streamContinuation.test.ts failed after.

--- a/packages/reedlug-gateway/src/slices/requests/retryBudgets.ts
+++ b/packages/reedlug-gateway/src/slices/requests/retryBudgets.ts
@@ -51,13 +51,17 @@
     return known;
   }
   const budget = createRetryBudget(retryRatio * USED_RATIO_SHARE, capacity);
-  budget.tokens = isNewBox(state)
-    ? Math.max(1, capacity * JOINING_SHARE)
-    : capacity * RESTART_SHARE;
+  budget.tokens = initialTokens(state, capacity);
   state.retryBudgets.set(service, budget);
   return budget;
 }
 
+function initialTokens(state: GatewayState, capacity: number): number {
+  // One for a stream that loses its server at a box that has just started.
+  if (!hasReadList(state)) return UNLISTED_CAPACITY;
+  return isNewBox(state) ? Math.max(1, capacity * JOINING_SHARE) : capacity * RESTART_SHARE;
+}
+
 function capacityOf(state: GatewayState): number {
   if (!hasReadList(state)) return UNLISTED_CAPACITY;
   return Math.max(1, (state.settings.bounds.retrySlack * USED_SLACK_SHARE) / fleetSize(state));
