A read of the registry that a held stream waits for is made again if it fails

Change: readNow tells whether the registry was learned, and the read is made once more, on the new connections.

--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -6,6 +6,7 @@
 import { PlatformCallKind, PlatformCallOutcome } from '../types/platformCall.js';
 import type { AnswerSettings } from '../types/settings.js';
 import type { HostPort } from '../types/server.js';
+import type { RegistryReader } from './registryReader.js';
 import type { Runtime } from './runtime.js';
 import { connectingPeers } from '../slices/peers/connectingPeers.js';
 import { mustConfirmServer } from '../slices/streamVersions/continuations.js';
@@ -199,11 +200,17 @@
     runtime.emit({ type: 'attemptHeld', ...ids, isHeld: false });
     attempt.resume();
   });
-  if (mustConfirm) return void runtime.registry.readNow().then(readOn);
+  if (mustConfirm) return void readRegistry(runtime.registry).then(readOn);
   runtime.listingWaits.set(ids.attemptId, readOn);
   runtime.emit({ type: 'listingAwaited', ...ids });
 }
 
+/** Reads the registry, once more if the store does not answer: its connections may have been replaced during the read. */
+async function readRegistry(registry: RegistryReader): Promise<void> {
+  if (await registry.readNow()) return;
+  await registry.readNow();
+}
+
 function endListingWait({ listingWaits }: Runtime, attemptId: number): void {
   const readOn = listingWaits.get(attemptId);
   listingWaits.delete(attemptId);
--- a/packages/reedlug-gateway/src/daemon/registryReader.ts
+++ b/packages/reedlug-gateway/src/daemon/registryReader.ts
@@ -13,10 +13,10 @@
 /** Reader of the registry's changes. */
 export interface RegistryReader {
   /**
-   * Resolves once the box knows the registry as of this call or later, or once that could not be learned. Calls that come
-   * during a read share the next one.
+   * Resolves with true once the box knows the registry as of this call or later, with false once that could not be
+   * learned. Calls that come during a read share the next one.
    */
-  readNow: () => Promise<void>;
+  readNow: () => Promise<boolean>;
   /** Returns whether changes up to a revision were read before others that this reader has applied since the last complete read. */
   isOvertaken: (readTo: number) => boolean;
   /** The registry was read completely, so that nothing counts that was known before. */
@@ -33,16 +33,18 @@
   onFault: (error: unknown) => void;
 }): RegistryReader {
   const { store, state, clock, emit, onFault } = context;
-  let running: Promise<void> | undefined;
-  let next: Promise<void> | undefined;
+  let running: Promise<boolean> | undefined;
+  let next: Promise<boolean> | undefined;
   let appliedTo = 0;
 
-  const read = async (): Promise<void> => {
+  const read = async (): Promise<boolean> => {
     const timeoutMs = READ_TIMEOUT_MS;
     const position = { afterRevision: state.serversReadTo, waitMs: 0, timeoutMs };
     const call = () => store.servers.follow(position);
     const abandoned = { kind: 'unavailable', reason: 'the call outlived its time limit' } as const;
-    apply(await withinLimit(clock, call, { timeoutMs, abandoned, onFault }));
+    const answer = await withinLimit(clock, call, { timeoutMs, abandoned, onFault });
+    apply(answer);
+    return answer.kind === 'page';
   };
 
   const apply = (answer: FeedAnswer<ServerChange>): void => {
@@ -55,7 +57,7 @@
     emit({ type: 'serversRead', whole: false, changes, revision, readTo, source: 'store' });
   };
 
-  const start = (): Promise<void> => {
+  const start = (): Promise<boolean> => {
     running = read().finally(() => (running = undefined));
     return running;
   };
