A row of versions that a restore may have cut short is no proof, nor is it once a young box has written it

Callers saw streams of two versions after a loss of all boxes in the seconds of a restore: the second version was listed after the copy was taken, all boxes were lost, and its servers ended.

Cause: the restored row and what young boxes see passed as complete, and fully so once one of them had written the row in the new era. Change: the row carries since when it lacks nothing; a box that has not outlasted the restore sets that to the time of its write. Until that is longer ago than a stream lasts, boxes that have heard the same lives for longer are needed as witnesses. Such streams are refused otherwise, also those of a single version: after a restore and a loss of all boxes together nothing proves it.

--- a/packages/reedlug-gateway/src/policy/__tests__/takeUpVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/takeUpVerdict.test.ts
@@ -62,10 +62,13 @@
   expect(verdict({ table, isTimeUp: true }).kind).to.equal('unknown');
 });
 
-test('a row of an earlier era counts with all that boxes have seen', () => {
+test('a row that a restore may have cut short counts with a box that has seen more', () => {
   const table = { kind: 'restored' as const, versions: new Set(['v1']) };
-  expect(verdict({ table })).to.include({ version: 'v1', proof: VersionProof.listedBeforeRestore });
-  expect(verdict({ table, seenVersions: new Set(['v2']) }).kind).to.equal('unknown');
+  const proof = VersionProof.listedBeforeRestore;
+  expect(verdict({ table, isWitnessed: true })).to.include({ version: 'v1', proof });
+  expect(verdict({ table }).kind).to.equal('unknown');
+  const seenVersions = new Set(['v2']);
+  expect(verdict({ table, seenVersions, isWitnessed: true }).kind).to.equal('unknown');
   expect(verdict({ table, haveBoxesAnswered: false, isTimeUp: true }).kind).to.equal('unknown');
 });
 
--- a/packages/reedlug-gateway/src/policy/takeUpVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/takeUpVerdict.ts
@@ -6,7 +6,7 @@
   | { kind: 'pending' }
   /** The table could not be read, or has no row. */
   | { kind: 'nothing' }
-  /** The row was written in an earlier era of the store, so the last versions may be missing. */
+  /** The row may lack versions that a restore of the store has lost. */
   | { kind: 'restored'; versions: ReadonlySet<string> }
   /**
    * The row lists all versions; `earlier` are those at which streams may have begun in lives of boxes that have ended,
@@ -59,7 +59,7 @@
     case 'restored': {
       if (isWaiting) return { kind: 'wait' };
       const versions = new Set([...table.versions, ...seenVersions]);
-      const only = haveBoxesAnswered ? versions : undefined;
+      const only = evidence.isWitnessed ? versions : undefined;
       return onlyVersion(only, VersionProof.listedBeforeRestore) ?? { kind: 'unknown' };
     }
     case 'pending':
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -109,6 +109,21 @@
   expect((again?.value as ServedVersionsRow).era).to.equal(ERA);
 });
 
+test('a row that was restored after the loss of all boxes is no proof, nor is it once one of them writes it', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  box.take({ type: 'storeClock', storeNowMs: 100_000 });
+  takeUp(box, 1, 'request-8');
+  const restored = rowOf({ services: { engines: { v1: null } }, era: ERA - 1 });
+  const refused = only(answerRead(box, [restored]), 'refuse');
+  expect(refused.reason).to.equal('streamVersionUnknown');
+  const effects = passUntilWrite(box);
+  answerWrite(box, effects);
+  takeUp(box, 2, 'request-9');
+  const [written] = writesOf(effects);
+  const row = rowOf(written?.value as ServedVersionsRow);
+  expect(only(answerRead(box, [row]), 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
 test('a box without memory goes on with a stream at the version of the row, not at the one that it sees', () => {
   const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
   takeUp(box, 1, 'request-9');
--- a/packages/reedlug-gateway/src/slices/streamVersions/listedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listedVersions.ts
@@ -20,6 +20,13 @@
   return version !== 0 && era === presentEra(state);
 }
 
+/** Whether the row lists all versions at which a stream may have begun that is not over. */
+export function isRowComplete(state: GatewayState, nowMs: number): boolean {
+  const { completeSinceMs = 0 } = state.streamVersions.versionsRow;
+  const isOld = storeTimeOf(state, nowMs) - completeSinceMs > streamRetentionMs(state);
+  return isRowOfPresentEra(state) && (completeSinceMs === 0 || isOld);
+}
+
 /** Returns the store's era; a store that states none has not been restored. */
 export function presentEra({ storeEra = 0 }: GatewayState): number {
   return storeEra;
--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -22,7 +22,7 @@
 import { readStreamRows } from './streamRows.js';
 import { findStart, hasForgottenStarts, keyOfStream } from './streamStarts.js';
 import {
-  isRowOfPresentEra,
+  isRowComplete,
   listedVersions,
   storeTimeOf,
   type ListedVersion,
@@ -147,7 +147,7 @@
   const listed = listedVersions(state, service, nowMs);
   if (table === 'failed' || listed.length === 0) return { kind: 'nothing' };
   const versions = new Set(listed.map(({ version }) => version));
-  if (isRowOfPresentEra(state)) {
+  if (isRowComplete(state, nowMs)) {
     if (key === undefined) return { kind: 'listed', versions, earlier: undefined };
     const earlier = versionsBeforeLifeEnds(state, { service, listed }, nowMs);
     const isDated = listed.some(({ listedAtMs }) => listedAtMs !== undefined);
@@ -180,7 +180,8 @@
 ): TableEvidence | undefined {
   const sinceMs = sameLivesSinceMs(state, nowMs);
   const { knownAtMs } = state.streamVersions.versionsRow;
-  if (sinceMs === undefined || knownAtMs < sinceMs || !isRowOfPresentEra(state)) return undefined;
+  if (sinceMs === undefined || knownAtMs < sinceMs || !isRowComplete(state, nowMs))
+    return undefined;
   const listed = listedVersions(state, service, nowMs);
   const earlier = versionsBeforeLifeEnds(state, { service, listed }, nowMs);
   if (earlier?.size !== 1) return undefined;
@@ -224,7 +225,7 @@
     versions: [...seenVersions(state, lookup)].join(' '),
     table,
     listed: listed.map(({ version }) => version).join(' '),
-    isPresentEra: isRowOfPresentEra(state),
+    isRowComplete: isRowComplete(state, nowMs),
     unanswered: awaited.size,
     sameLivesForMs: livesSinceMs === undefined ? -1 : Math.round(nowMs - livesSinceMs),
     heldMs: Math.round(nowMs - sinceMs),
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -64,7 +64,7 @@
   const { versionsRow } = state.streamVersions;
   if (versionsRow.isPending || !state.serversKnown) return;
   if (step.nowMs - versionsRow.writtenAtMs < WRITE_INTERVAL_MS) return;
-  if (isRowComplete(state, step.nowMs)) {
+  if (isRowUpToDate(state, step.nowMs)) {
     versionsRow.outdatedSinceMs = undefined;
     return;
   }
@@ -74,10 +74,12 @@
   versionsRow.isPending = true;
   versionsRow.writtenAtMs = step.nowMs;
   const listedAtMs = mergeListingTimes(state, services, step.nowMs);
-  const eraSinceMs = isRowOfPresentEra(state)
-    ? versionsRow.eraSinceMs
-    : storeTimeOf(state, step.nowMs);
-  const value: ServedVersionsRow = { services, listedAtMs, era: presentEra(state), eraSinceMs };
+  const value: ServedVersionsRow = {
+    services,
+    listedAtMs,
+    era: presentEra(state),
+    ...eraTimes(state, storeTimeOf(state, step.nowMs)),
+  };
   const write = { key: SERVED_VERSIONS_KEY, expectVersion: versionsRow.version, value };
   const op: TableOp = { kind: 'transact', writes: [write] };
   requestTable(step, { kind: 'streamRows', call: 'writeVersions' }, op);
@@ -106,8 +108,21 @@
   });
 }
 
+/** Returns since when the row is written in the present era, and lacks no version. */
+function eraTimes(
+  state: GatewayState,
+  storeNowMs: number,
+): Pick<ServedVersionsRow, 'eraSinceMs' | 'completeSinceMs'> {
+  const { eraSinceMs, completeSinceMs, version } = state.streamVersions.versionsRow;
+  if (isRowOfPresentEra(state)) return { eraSinceMs, completeSinceMs };
+  // A box that has run since before the restore has seen the versions that the row of the backup may lack.
+  const hasOutlastedRestore = Number.isFinite(state.storeRestoredAtMs);
+  const isKept = version === 0 || hasOutlastedRestore;
+  return { eraSinceMs: storeNowMs, completeSinceMs: isKept ? (completeSinceMs ?? 0) : storeNowMs };
+}
+
 /** Whether the row lists all that this box has seen, and was written in the store's present era. */
-function isRowComplete(state: GatewayState, nowMs: number): boolean {
+function isRowUpToDate(state: GatewayState, nowMs: number): boolean {
   const { services } = state.streamVersions.versionsRow;
   return isRowOfPresentEra(state) && isSameServices(mergeServices(state, nowMs), services);
 }
@@ -125,7 +140,7 @@
   if (row !== undefined) applyVersionsRow(state, step, row, sentAtMs);
   else if (rows !== undefined) forgetVersionsRow(state, step.nowMs);
   if (answer.kind === 'done') return announceVersionsRow(state, step);
-  if (isRowComplete(state, step.nowMs)) return;
+  if (isRowUpToDate(state, step.nowMs)) return;
   requireVersionsRow(state, step.nowMs);
   // The write has found another row, on which the next one builds.
   if (row !== undefined) versionsRow.writtenAtMs = Number.NEGATIVE_INFINITY;
@@ -140,7 +155,7 @@
 ): void {
   const { versionsRow } = state.streamVersions;
   versionsRow.knownAtMs = knownAtMs;
-  const { services, listedAtMs, era, eraSinceMs } = (row.value ?? {}) as Partial<
+  const { services, listedAtMs, era, eraSinceMs, completeSinceMs } = (row.value ?? {}) as Partial<
     Record<string, unknown>
   >;
   versionsRow.version = row.version;
@@ -148,8 +163,9 @@
   versionsRow.listedAtMs = validTimes(listedAtMs);
   versionsRow.era = isFiniteNumber(era) ? era : undefined;
   versionsRow.eraSinceMs = isFiniteNumber(eraSinceMs) ? eraSinceMs : undefined;
+  versionsRow.completeSinceMs = isFiniteNumber(completeSinceMs) ? completeSinceMs : undefined;
   mergeIntoServed(state, step);
-  if (!isRowComplete(state, step.nowMs)) requireVersionsRow(state, step.nowMs);
+  if (!isRowUpToDate(state, step.nowMs)) requireVersionsRow(state, step.nowMs);
 }
 
 /** Counts the versions of the row as seen until their end; those that still serve as seen now. */
@@ -183,11 +199,12 @@
 ): void {
   if (to.length === 0) return;
   const { versionsRow } = state.streamVersions;
-  const { version: revision, services, listedAtMs, era, eraSinceMs, knownAtMs } = versionsRow;
+  const { version: revision, services, listedAtMs, era, knownAtMs } = versionsRow;
+  const { eraSinceMs, completeSinceMs } = versionsRow;
   const boxId = state.settings.box.id;
   const kind = 'versionsListed' as const;
   const knownForMs = Math.round(step.nowMs - knownAtMs);
-  const row = { services, listedAtMs, era, eraSinceMs, knownForMs };
+  const row = { services, listedAtMs, era, eraSinceMs, completeSinceMs, knownForMs };
   const message: VersionsListedMessage = { kind, boxId, revision, ...row };
   step.effects.push({ type: 'sendPeers', message, to });
 }
@@ -214,6 +231,7 @@
   versionsRow.listedAtMs = {};
   versionsRow.era = undefined;
   versionsRow.eraSinceMs = undefined;
+  versionsRow.completeSinceMs = undefined;
   versionsRow.knownAtMs = Number.NEGATIVE_INFINITY;
   requireVersionsRow(state, nowMs);
 }
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -79,7 +79,7 @@
   listed: 'listed',
   /** It lists a single version that was listed before the last end of a box's life, and no running box knows the stream. */
   listedBeforeLifeEnds: 'listedBeforeLifeEnds',
-  /** The row is of an earlier era; it and all that the boxes have seen name a single version. */
+  /** The row may lack versions that a restore has lost; it and what boxes have seen that outlast a stream name a single one. */
   listedBeforeRestore: 'listedBeforeRestore',
   /** All boxes have seen a single version, one of them for longer than a stream lasts. */
   boxes: 'boxes',
@@ -141,6 +141,8 @@
   /** Era of the store in which the row was written, and the store's time of its first write there; missing from older boxes. */
   era?: number | undefined;
   eraSinceMs?: number | undefined;
+  /** Store's time from which on the row lists all versions: that of its first write after a restore that no box outlasted. */
+  completeSinceMs?: number | undefined;
 }
 
 /** What a box knows of streams and the versions at which they began. */
@@ -176,6 +178,7 @@
   listedAtMs: Readonly<Record<string, Readonly<Record<string, number>>>>;
   era: number | undefined;
   eraSinceMs: number | undefined;
+  completeSinceMs: number | undefined;
   /** Time up to which this is the row of the table. */
   knownAtMs: number;
   writtenAtMs: number;
@@ -217,6 +220,7 @@
       listedAtMs: {},
       era: undefined,
       eraSinceMs: undefined,
+      completeSinceMs: undefined,
       knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
