A box whose row is young is not yet unheard

Boxes read each other's rows a moment before the first gossip and took that for a box that runs unheard, which voids the proof. A row counts as such a sign once it is 300 ms old.

--- a/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
+++ b/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
@@ -15,6 +15,9 @@
 /** Time from its start by which a box has heard each box that it can hear, in ms: two of their messages. */
 const HEARING_MS = 400;
 
+/** Time after which a box that has written to the store is heard, in ms, unless it is cut off: one of its messages, and its way. */
+const UNHEARD_MS = 300;
+
 /** Records that the life of a box ended, now or before. */
 export function recordLifeEnd(state: GatewayState, nowMs: number): void {
   state.lifeEndedAtMs = nowMs;
@@ -27,7 +30,8 @@
 ): void {
   const peer = state.peers.get(boxId);
   const isHeard = peer?.message !== undefined && isFreshPeer(peer, nowMs);
-  if (!isHeard && atMs > state.startedAtMs) recordLifeEnd(state, nowMs);
+  const isSinceStart = atMs > state.startedAtMs && nowMs - atMs >= UNHEARD_MS;
+  if (!isHeard && isSinceStart) recordLifeEnd(state, nowMs);
 }
 
 /** Returns whether this box has heard each box of its fleet that runs and that it can hear. */
