--- a/packages/reedlug-gateway/src/slices/streamVersions/listedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listedVersions.ts
@@ -22,9 +22,10 @@
 
 /** Whether the row lists all versions at which a stream may have begun that is not over. */
 export function isRowComplete(state: GatewayState, nowMs: number): boolean {
-  const { completeSinceMs = 0 } = state.streamVersions.versionsRow;
-  const isOld = storeTimeOf(state, nowMs) - completeSinceMs > streamRetentionMs(state);
-  return isRowOfPresentEra(state) && (completeSinceMs === 0 || isOld);
+  if (!isRowOfPresentEra(state)) return false;
+  const { completeSinceMs } = state.streamVersions.versionsRow;
+  if (completeSinceMs === undefined) return true;
+  return storeTimeOf(state, nowMs) - completeSinceMs > streamRetentionMs(state);
 }
 
 /** Returns the store's era; a store that states none has not been restored. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/mergeVersionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/mergeVersionsRow.ts
@@ -16,8 +16,8 @@
  */
 function isRowSettled(state: GatewayState, storeNowMs: number): boolean {
   const { eraSinceMs } = state.streamVersions.versionsRow;
-  const isKnown = eraSinceMs !== undefined && isRowOfPresentEra(state);
-  return isKnown && storeNowMs - eraSinceMs > RESTORE_SETTLE_MS;
+  if (!isRowOfPresentEra(state)) return false;
+  return eraSinceMs === undefined || storeNowMs - eraSinceMs > RESTORE_SETTLE_MS;
 }
 
 /**
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -115,10 +115,14 @@
 ): Pick<ServedVersionsRow, 'eraSinceMs' | 'completeSinceMs'> {
   const { eraSinceMs, completeSinceMs, version } = state.streamVersions.versionsRow;
   if (isRowOfPresentEra(state)) return { eraSinceMs, completeSinceMs };
+  // The first row of all is not one of a backup.
+  if (version === 0) return {};
   // A box that has run since before the restore has seen the versions that the row of the backup may lack.
   const hasOutlastedRestore = Number.isFinite(state.storeRestoredAtMs);
-  const isKept = version === 0 || hasOutlastedRestore;
-  return { eraSinceMs: storeNowMs, completeSinceMs: isKept ? (completeSinceMs ?? 0) : storeNowMs };
+  return {
+    eraSinceMs: storeNowMs,
+    completeSinceMs: hasOutlastedRestore ? completeSinceMs : storeNowMs,
+  };
 }
 
 /** Whether the row lists all that this box has seen, and was written in the store's present era. */
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -138,10 +138,11 @@
    * that is not known, and from older boxes.
    */
   listedAtMs?: Readonly<Record<string, Readonly<Record<string, number>>>> | undefined;
-  /** Era of the store in which the row was written, and the store's time of its first write there; missing from older boxes. */
+  /** Era of the store in which the row was written; missing from older boxes. */
   era?: number | undefined;
+  /** Store's time of its first write there; missing if the row was never restored. */
   eraSinceMs?: number | undefined;
-  /** Store's time from which on the row lists all versions: that of its first write after a restore that no box outlasted. */
+  /** Store's time from which on the row lists all versions; missing if no restore is known that no box has outlasted. */
   completeSinceMs?: number | undefined;
 }
 
