Drawn scenes and soaks: all boxes are lost while software versions change

Callers try until the boxes are back; with one retry after 50 ms none of them ever reached a box after a loss of all.

Soak: the drawn plans of versions end with one to three losses of all boxes with such swaps.

--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -19,7 +19,7 @@
 import { restoreStore } from './restoreStore.js';
 import { sendCrashingRequests } from './crashingRequests.js';
 import { limitServers } from './limitedServers.js';
-import { endVersion, mixVersions, nextVersionName } from './softwareVersions.js';
+import { endVersion, mixVersions, nextVersionName, swapVersion } from './softwareVersions.js';
 import { announceDraining, leaveUnheard, refuseRequests } from './serverStatements.js';
 import { startRollout } from './rollouts.js';
 
@@ -99,6 +99,8 @@
       return startBrittlePeriod(world, fault);
     case 'mixVersions':
       return mixVersions(world, pickReadyServers(world, fault));
+    case 'swapVersion':
+      return swapVersion(world, fault, pickReadyServers(world, fault));
     case 'endVersion':
       return endVersion(world, fault);
     case 'breakStreams': {
--- a/packages/reedlug-simulator/src/faults/softwareVersions.ts
+++ b/packages/reedlug-simulator/src/faults/softwareVersions.ts
@@ -2,9 +2,11 @@
 import type { SceneFaultSpec } from '../scene/scene.js';
 import {
   acceptsNewWork,
+  currentVersion,
   drainServer,
   endServer,
   MIXED_VERSION_PREFIX,
+  restartServer,
   startReplacement,
   type VirtualServer,
 } from '../servers/virtualServers.js';
@@ -24,6 +26,23 @@
   }
 }
 
+/** Ends servers at once, and starts one of another version for each. */
+export function swapVersion(
+  world: World,
+  { service, keepsIds, isNewVersion }: Extract<SceneFaultSpec, { kind: 'swapVersion' }>,
+  swapped: readonly VirtualServer[],
+): void {
+  const version = isNewVersion ? nextVersionName(world) : currentVersion(world, service);
+  for (const server of swapped) {
+    if (keepsIds) {
+      restartServer(world, server, 0, true, version);
+      continue;
+    }
+    startReplacement(world, server, version);
+    endServer(world, server);
+  }
+}
+
 /** Ends all servers of one version of a service that has several. */
 export function endVersion(
   world: World,
--- a/packages/reedlug-simulator/src/index.ts
+++ b/packages/reedlug-simulator/src/index.ts
@@ -6,6 +6,7 @@
 export * from './scene/generateLimitFaults.js';
 export * from './scene/generateRollout.js';
 export { generateSoftwareVersions } from './scene/generateSoftwareVersions.js';
+export { generateVersionLosses } from './scene/generateVersionLosses.js';
 export { generateServerLimits } from './scene/generateServerLimits.js';
 export * from './scene/generateBrittleServers.js';
 export * from './scene/generateServerStatements.js';
--- a/packages/reedlug-simulator/src/scene/faultValidation.ts
+++ b/packages/reedlug-simulator/src/scene/faultValidation.ts
@@ -122,6 +122,18 @@
     service: z.string().min(1),
     share,
   }),
+  /**
+   * A share of a service's servers ends with their registry entries, and one of another version starts at
+   * once for each, under its id or a new one: of a new version, or of the one that all had at first.
+   */
+  z.strictObject({
+    kind: z.literal('swapVersion'),
+    ...startFields,
+    service: z.string().min(1),
+    share,
+    keepsIds: z.boolean(),
+    isNewVersion: z.boolean(),
+  }),
   /** All servers of one of a service's versions end at once, unless it has only one. */
   z.strictObject({ kind: z.literal('endVersion'), ...startFields, service: z.string().min(1) }),
   /** Callers lose the connections of a share of their streams, and take these up. */
--- a/packages/reedlug-soak/src/streamCallers.ts
+++ b/packages/reedlug-soak/src/streamCallers.ts
@@ -19,13 +19,20 @@
   addsFaults?: boolean;
 }
 
-/** Share of callers that leave in a drawn load. */
+/** Share of callers that leave in a drawn load, and their longest pause, in ms, which outlasts the loss of all boxes. */
 const DRAWN_LEAVING_SHARE = 0.3;
+const DRAWN_MAX_PAUSE_MS = 700;
 
 /** Returns a load with versions drawn from the seed, and faults of these versions beside the other ones. */
 export function drawStreamLoad(seed: number, perSecond: number): StreamLoad {
   const versions = drawVersions(seed);
-  return { perSecond, leavingShare: DRAWN_LEAVING_SHARE, versions, addsFaults: true };
+  return {
+    perSecond,
+    leavingShare: DRAWN_LEAVING_SHARE,
+    versions,
+    maxPauseMs: DRAWN_MAX_PAUSE_MS,
+    addsFaults: true,
+  };
 }
 
 /** Header that names the parts of a prompt. */
--- a/packages/reedlug-soak/src/versionFaultPlan.ts
+++ b/packages/reedlug-soak/src/versionFaultPlan.ts
@@ -13,6 +13,15 @@
 /** Interval of the resets of a server, and between servers that are replaced, in ms. */
 const RESET_INTERVAL_MS = 400;
 const REPLACEMENT_INTERVAL_MS = 500;
+/** Maximum number of losses of all boxes in a run, their mean interval, and the range of the time until the boxes start, in ms. */
+const MAX_LOSSES = 3;
+const MEAN_LOSS_INTERVAL_MS = 3000;
+const MIN_LOSS_MS = 100;
+const MAX_LOSS_MS = 1000;
+/** Time for which a box process starts, in ms; a version may change until then without a box that sees it. */
+const BOX_START_MS = 800;
+/** Time before a loss at which a version may come up, in ms, too short for the boxes to write what they saw. */
+const SHORTLY_BEFORE_MS = 60;
 /** Seeds of other plans differ from this one by their offset. */
 const SEED_OFFSET = 1000;
 
@@ -47,9 +56,50 @@
     nextVersion += 1;
     atMs += random.exponential(MEAN_INTERVAL_MS);
   }
+  return [...planned, ...generateLosses(random, { lengthMs, nextVersion })];
+}
+
+/** Returns losses of all boxes, each with changes of the servers' versions that few boxes or none can see. */
+function generateLosses(
+  random: Random,
+  { lengthMs, nextVersion }: { lengthMs: number; nextVersion: number },
+): PlannedFault[] {
+  const planned: PlannedFault[] = [];
+  const served = ['v1', 'v2', 'v3'];
+  let atMs = SHORTLY_BEFORE_MS;
+  for (let left = random.whole(1, MAX_LOSSES); left > 0; left -= 1) {
+    atMs += Math.round(random.exponential(MEAN_LOSS_INTERVAL_MS));
+    if (atMs > lengthMs - FAULT_FREE_END_MS) return planned;
+    const backAfterMs = random.whole(MIN_LOSS_MS, MAX_LOSS_MS);
+    const newVersion = `v${nextVersion + left}`;
+    const from = random.pick(served);
+    const to = random.chance(0.6) ? newVersion : random.pick(served);
+    const swap = { kind: 'versionSwapped' as const, from, to, keepsId: random.chance(0.5) };
+    const meanwhileMs = atMs + random.whole(0, backAfterMs + BOX_START_MS);
+    planned.push({ atMs, fault: { kind: 'killAllBoxes', backAfterMs } });
+    if (random.chance(0.3)) {
+      planned.push({ atMs: atMs - SHORTLY_BEFORE_MS, fault: { ...swap, share: 0.5 } });
+    }
+    planned.push({ atMs: meanwhileMs, fault: { ...swap, share: random.pick([0.5, 1]) } });
+    planned.push(...generateStoreFault(random, atMs));
+    served.push(to);
+  }
   return planned;
 }
 
+/** Returns what happens to the store beside a loss of all boxes, in some cases nothing. */
+function generateStoreFault(random: Random, atMs: number): PlannedFault[] {
+  const forMs = random.whole(MIN_FAULT_MS, MAX_FAULT_MS);
+  const copy = { ageMs: forMs, forMs: MIN_FAULT_MS, againWithinMs: 200, otherWrites: 30 };
+  return random.pick<PlannedFault[]>([
+    [],
+    [],
+    [{ atMs, fault: { kind: 'storeSlow', delayMs: MIN_FAULT_MS, forMs } }],
+    [{ atMs, fault: { kind: 'storeAway', forMs } }],
+    [{ atMs, fault: { kind: 'storeCopy', ...copy } }],
+  ]);
+}
+
 function generateFault(
   random: Random,
   params: { boxes: number; servers: readonly number[]; newVersion: string },
--- a/packages/reedlug-soak/src/versionFaults.ts
+++ b/packages/reedlug-soak/src/versionFaults.ts
@@ -48,7 +48,10 @@
   record: SoakRecord,
   { from, to, share, keepsId }: Extract<Fault, { kind: 'versionSwapped' }>,
 ): Promise<void> {
-  const servers = serversOf(world, from).filter(({ standin }) => !standin.isClosed());
+  // A server that another fault replaces already would get two next incarnations.
+  const servers = serversOf(world, from).filter(
+    ({ standin }) => !standin.isClosed() && !record.leftAtMs.has(standin.id),
+  );
   const swapped = servers.slice(0, Math.ceil(share * servers.length));
   for (const server of swapped) {
     const { standin } = server;
--- a/packages/reedlug/src/commands/simulate.ts
+++ b/packages/reedlug/src/commands/simulate.ts
@@ -11,6 +11,7 @@
   generateServerLimits,
   generateServerStatements,
   generateSoftwareVersions,
+  generateVersionLosses,
   readSceneFile,
   runScene,
   type Scene,
@@ -69,6 +70,10 @@
     description:
       'Generate faults from each seed: servers of several software versions, streams that are taken up',
   });
+  drawVersionLosses = Option.Boolean('--draw-version-losses', false, {
+    description:
+      'Generate faults from each seed: all boxes are lost in series while software versions change',
+  });
   drawUnheardLeaves = Option.Boolean('--draw-unheard-leaves', false, {
     description:
       'Generate faults from each seed: servers leave by the registry while boxes lose its answers',
@@ -99,6 +104,7 @@
     if (this.drawExceptions) return generateExceptions(scene, seed);
     if (this.drawUnheardLeaves) return generateUnheardLeaves(scene, seed);
     if (this.drawCopies) return generateStoreRestores(scene, seed);
+    if (this.drawVersionLosses) return generateVersionLosses(scene, seed);
     if (this.drawVersions) return generateSoftwareVersions(scene, seed);
     if (this.drawStatements) return generateServerStatements(scene, seed);
     if (this.drawServerLimits) return generateServerLimits(scene, seed);
