--- a/packages/reedlug-soak/src/__tests__/soak.test.ts
+++ b/packages/reedlug-soak/src/__tests__/soak.test.ts
@@ -2,9 +2,10 @@
 import { mkdtemp } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import type { PlannedFault } from '../fault.js';
 import { planFaults } from '../faultPlan.js';
 import { runSoak } from '../runSoak.js';
-import { planVersionFaults } from '../versionFaultPlan.js';
+import { planVersionFaults, planVersionLosses } from '../versionFaultPlan.js';
 
 /** Timeout of a short run, in ms, which leaves time for its processes on a loaded machine. */
 const RUN_TIMEOUT_MS = 60_000;
@@ -23,6 +24,19 @@
   expect(planned.length).to.be.greaterThan(3);
 });
 
+test('a version changes within 1.8 s of each drawn loss of all boxes', () => {
+  const lengthMs = 20_000;
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const planned = planVersionLosses({ seed, lengthMs });
+    const losses = planned.filter(({ fault }) => fault.kind === 'killAllBoxes');
+    for (const { atMs } of losses) {
+      const isNear = (other: PlannedFault): boolean => Math.abs(other.atMs - atMs) <= 1800;
+      const near = planned.filter(({ fault }) => fault.kind === 'versionSwapped').filter(isNear);
+      expect(near, `seed ${seed}, ${atMs} ms`).not.to.deep.equal([]);
+    }
+  }
+});
+
 test('a short run of real boxes under faults violates no guarantee', async function () {
   this.timeout(RUN_TIMEOUT_MS);
   const result = await runSoak({
--- a/packages/reedlug-soak/src/index.ts
+++ b/packages/reedlug-soak/src/index.ts
@@ -8,3 +8,4 @@
 export { drawPartLoad } from './partCallers.js';
 export { drawStreamLoad } from './streamCallers.js';
 export { describeStreams } from './streamVersions.js';
+export { planVersionLosses } from './versionFaultPlan.js';
--- a/packages/reedlug-soak/src/streamVersions.ts
+++ b/packages/reedlug-soak/src/streamVersions.ts
@@ -70,10 +70,11 @@
   return Math.min(before, ...during.map(({ servers }) => servers)) >= MIN_SERVERS;
 }
 
-/** Describes the streams of a run in a line of its report. */
+/** Describes the streams of a run in a line of its report; counts the attempts that a box answered. */
 export function describeStreams(record: SoakRecord): string {
-  const taken = takenUpStreams(record, () => true);
-  const fresh = newStreams(record, () => true);
+  const gotResponse = ({ status }: StreamTry): boolean => status !== undefined;
+  const taken = takenUpStreams(record, gotResponse);
+  const fresh = newStreams(record, gotResponse);
   const mixed = mixedStreams(record).length;
   return `streams: new=${fresh.begun}/${fresh.total} takenUp=${taken.begun}/${taken.total} mixed=${mixed}`;
 }
--- a/packages/reedlug-soak/src/versionFaultPlan.ts
+++ b/packages/reedlug-soak/src/versionFaultPlan.ts
@@ -5,7 +5,8 @@
 
 /** Mean interval between the starts of these faults, in ms. */
 const MEAN_INTERVAL_MS = 1500;
-/** Time at the end of a run in which none starts, in ms. */
+/** Times at the start of a run without losses of all boxes, and at its end in which no fault starts, in ms. */
+const FAULT_FREE_START_MS = 2000;
 const FAULT_FREE_END_MS = 3000;
 /** Range of the duration of a fault, in ms. */
 const MIN_FAULT_MS = 200;
@@ -34,6 +35,7 @@
     ['v1', 'v1', 'v1', 'v1', 'v1', 'v2'],
     ['v1', 'v2', 'v3'],
     ['v1'],
+    ['v1'],
   ]);
 }
 
@@ -56,24 +58,32 @@
     nextVersion += 1;
     atMs += random.exponential(MEAN_INTERVAL_MS);
   }
-  return [...planned, ...generateLosses(random, { lengthMs, nextVersion })];
+  return [...planned, ...planVersionLosses({ seed, lengthMs })];
 }
 
-/** Returns losses of all boxes, each with changes of the servers' versions that few boxes or none can see. */
-function generateLosses(
-  random: Random,
-  { lengthMs, nextVersion }: { lengthMs: number; nextVersion: number },
-): PlannedFault[] {
+/**
+ * Generates losses of all boxes, each with changes of the servers' versions that few boxes or none can see; the same
+ * seed always gives the same ones.
+ */
+export function planVersionLosses({
+  seed,
+  lengthMs,
+}: {
+  seed: number;
+  lengthMs: number;
+}): PlannedFault[] {
+  const random = createPlanRandom(seed + 3 * SEED_OFFSET);
   const planned: PlannedFault[] = [];
-  const served = ['v1', 'v2', 'v3'];
-  let atMs = SHORTLY_BEFORE_MS;
-  for (let left = random.whole(1, MAX_LOSSES); left > 0; left -= 1) {
+  const served = [...new Set(drawVersions(seed))];
+  let atMs = FAULT_FREE_START_MS;
+  for (let loss = random.whole(1, MAX_LOSSES); loss > 0; loss -= 1) {
     atMs += Math.round(random.exponential(MEAN_LOSS_INTERVAL_MS));
     if (atMs > lengthMs - FAULT_FREE_END_MS) return planned;
     const backAfterMs = random.whole(MIN_LOSS_MS, MAX_LOSS_MS);
-    const newVersion = `v${nextVersion + left}`;
-    const from = random.pick(served);
-    const to = random.chance(0.6) ? newVersion : random.pick(served);
+    const from = random.chance(0.5) ? (served.at(-1) ?? '') : random.pick(served);
+    const earlier = served.filter((version) => version !== from);
+    const isNew = earlier.length === 0 || random.chance(0.6);
+    const to = isNew ? `loss${loss}` : random.pick(earlier);
     const swap = { kind: 'versionSwapped' as const, from, to, keepsId: random.chance(0.5) };
     const meanwhileMs = atMs + random.whole(0, backAfterMs + BOX_START_MS);
     planned.push({ atMs, fault: { kind: 'killAllBoxes', backAfterMs } });
--- a/packages/reedlug/src/commands/soak.ts
+++ b/packages/reedlug/src/commands/soak.ts
@@ -6,6 +6,7 @@
   describeStreams,
   drawPartLoad,
   drawStreamLoad,
+  planVersionLosses,
   runSoak,
   type SoakResult,
 } from 'reedlug-soak';
@@ -41,6 +42,10 @@
     description:
       'Streams per second that callers take up, at servers of several software versions; 0 for none',
   });
+  losses = Option.Boolean('--losses', false, {
+    description:
+      'With --streams: no other faults than losses of all boxes while software versions change',
+  });
   parts = Option.String('--parts', '0', {
     description:
       'Streams per second with prompt parts, one of which crashes servers in most runs; 0 for none',
@@ -90,14 +95,16 @@
     }
     let broken = 0;
     for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
+      const lengthMs = seconds * MS_PER_SECOND;
       const result = await runSoak({
         seed,
-        lengthMs: seconds * MS_PER_SECOND,
+        lengthMs,
         boxes,
         zones,
         serversPerService: servers,
         callsPerSecond: rate,
         ...(streams > 0 ? { streams: drawStreamLoad(seed, streams) } : {}),
+        ...(this.losses ? { faults: planVersionLosses({ seed, lengthMs }) } : {}),
         ...(parts > 0 ? { parts: drawPartLoad(seed, parts) } : {}),
         ...(spoiled > 0 ? { spoiledShare: spoiled } : {}),
         folder: join(this.out, `soak-${seed}`),
