--- a/packages/reedlug-simulator/src/__tests__/softwareVersions.test.ts
+++ b/packages/reedlug-simulator/src/__tests__/softwareVersions.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { generateSoftwareVersions, runScene } from '../index.js';
+import { generateSoftwareVersions, generateVersionLosses, runScene } from '../index.js';
 import { readTestScene } from './__fixtures__/runSceneFile.js';
 
 /** Long enough for a loaded machine, in ms. */
@@ -32,3 +32,18 @@
     expect(await brokenOfStreams('copy-24', seed), `seed ${seed}`).to.deep.equal([]);
   }
 });
+
+for (const [file, seed] of [
+  ['copy-6', 11],
+  ['copy-6', 22],
+  ['copy-6', 24],
+  ['copy-24', 10],
+] as const) {
+  test(`no stream crosses where versions change while all boxes are lost: ${file}, seed ${seed}`, async function () {
+    this.timeout(RUN_TIMEOUT_MS);
+    const scene = generateVersionLosses(readTestScene(file), seed);
+    const { broken, streams } = await runScene(scene, seed);
+    expect(streams.mixed).to.equal(0);
+    expect(broken).to.deep.equal([]);
+  });
+}
--- a/packages/reedlug-simulator/src/callers/callerAttempt.ts
+++ b/packages/reedlug-simulator/src/callers/callerAttempt.ts
@@ -32,8 +32,10 @@
   began: { requestId: string; version: string } | undefined;
   /** Whether the try in progress still has to bring an event, for the record of streams. */
   isAttemptCounted: boolean;
-  /** Number of tries, and what the caller has received of the answer. */
+  /** Number of tries, among them those that reached no box and do not count as retries. */
   tries: number;
+  reconnects: number;
+  /** What the caller has received of the answer. */
   firstEventAtMs: number | undefined;
   lastEventAtMs: number | undefined;
   longestGapMs: number;
@@ -59,6 +61,11 @@
   return spec.kind === 'stream' ? spec.resumable : spec.kind === 'repeatable';
 }
 
+/** Whether the caller tries once more after its try in progress. */
+export function hasRetriesLeft({ tries, reconnects, spec }: CallerRequest): boolean {
+  return tries - reconnects <= spec.retries;
+}
+
 /** A refusal as the caller receives it. */
 export interface Refusal {
   status: number;
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -21,6 +21,7 @@
 import { later, nowMs, nextNumber, type World } from '../world.js';
 import { recordLimitRefusal } from '../report/limitRefusals.js';
 import {
+  hasRetriesLeft,
   isRepeatable,
   type CallerAttempt,
   type CallerRequest,
@@ -163,6 +164,7 @@
     began: undefined,
     isAttemptCounted: false,
     tries: 0,
+    reconnects: 0,
     firstEventAtMs: undefined,
     lastEventAtMs: undefined,
     longestGapMs: 0,
@@ -315,7 +317,7 @@
   }
   const leftMs = request.deadlineAtMs - nowMs(world);
   const waitMs = retryAfterMs ?? RETRY_DELAY_MS;
-  const mayWait = request.tries <= request.spec.retries && waitMs <= leftMs * MAX_WAIT_SHARE;
+  const mayWait = hasRetriesLeft(request) && waitMs <= leftMs * MAX_WAIT_SHARE;
   if (reason === 'overLimit' && status === 429) recordLimitRefusal(world, request, !mayWait);
   if (!mayWait || status === 401 || status === 404) {
     const label = `${status} ${reason}`;
@@ -331,9 +333,11 @@
 /** Retries after a short delay if the request never reached a box or is repeatable; otherwise it has failed. */
 function handleLostConnection(world: World, request: CallerRequest, reason: string): void {
   recordStreamAttemptLost(world, request, false);
-  const mayRetry = request.reachedBoxAtMs === undefined || isRepeatable(request);
+  const reachedNoBox = request.reachedBoxAtMs === undefined;
+  if (reachedNoBox && request.reconnects < request.spec.reconnects) request.reconnects += 1;
+  const mayRetry = reachedNoBox || isRepeatable(request);
   const leftMs = request.deadlineAtMs - nowMs(world);
-  if (!mayRetry || request.tries > request.spec.retries || leftMs <= RETRY_DELAY_MS) {
+  if (!mayRetry || !hasRetriesLeft(request) || leftMs <= RETRY_DELAY_MS) {
     return recordFailed(world, request, reason);
   }
   later(world, RETRY_DELAY_MS, () => sendTry(world, request));
--- a/packages/reedlug-simulator/src/scene/generateVersionLosses.ts
+++ b/packages/reedlug-simulator/src/scene/generateVersionLosses.ts
@@ -12,8 +12,11 @@
 const QUIET_END_S = 4;
 /** Time before a loss at which a version may come up, in s, too short for the boxes to write what they saw. */
 const SHORTLY_BEFORE_S = 0.06;
-/** Number of retries of a caller: enough to go on until the boxes are back. */
-const RETRIES = 60;
+/**
+ * Numbers of a caller's retries, some more than there are losses close together, and of its tries without a box,
+ * enough to go on until the boxes are back.
+ */
+const TRIES = { retries: 3, reconnects: 60 };
 /** Probability that one version alone serves until the first loss, without other faults. */
 const SINGLE_VERSION_PROBABILITY = 0.4;
 
@@ -23,9 +26,7 @@
   const service = scene.classes.find(({ kind }) => kind === 'stream')?.service ?? '';
   const hasSingleVersion = random.chance(SINGLE_VERSION_PROBABILITY);
   const faults = hasSingleVersion ? [] : generateSoftwareVersions(scene, seed).faults;
-  const classes = scene.classes.map((spec) =>
-    spec.resumable ? { ...spec, retries: RETRIES } : spec,
-  );
+  const classes = scene.classes.map((spec) => (spec.resumable ? { ...spec, ...TRIES } : spec));
   return { ...scene, classes, faults: [...faults, ...generateLosses(random, scene, service)] };
 }
 
--- a/packages/reedlug-simulator/src/scene/sceneValidation.ts
+++ b/packages/reedlug-simulator/src/scene/sceneValidation.ts
@@ -62,6 +62,8 @@
   priority: z.number().int().min(0).default(0),
   maxAttempts: count.default(1),
   retries: z.number().int().min(0).default(1),
+  /** Number of tries that reach no box beside those. */
+  reconnects: z.number().int().min(0).default(0),
   /** Number of different request bodies; each request has its own when omitted. */
   bodies: count.optional(),
   /** Prompt parts that requests share, in order: the number of variants of each part, and their lengths. */
