The end of a version is recorded only with the store's clock

By reading: a box that had the registry and the row from peers, but no answer of the store yet, would have written the end of a version by its own clock, which other boxes read as long ago. The test of the end of a version states the clock.

--- a/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
+++ b/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
@@ -14,11 +14,10 @@
 
 /** Time from its start by which a box has heard each box that it can hear, in ms: two of their messages. */
 const HEARING_MS = 400;
-
 /** Time after which a box that has written to the store is heard, in ms, unless it is cut off: one of its messages, and its way. */
 const UNHEARD_MS = 300;
 
-/** Records that the life of a box ended, now or before. */
+/** Records that the life of a box has ended by now. */
 export function recordLifeEnd(state: GatewayState, nowMs: number): void {
   state.lifeEndedAtMs = nowMs;
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/streamRows.test.ts
@@ -133,6 +133,7 @@
     sentAtMs: box.nowMs,
   });
   takeContacts(box, true);
+  box.take({ type: 'storeClock', storeNowMs: 100_000 });
   const changes = [{ id: 'engine-3', entry: undefined }];
   box.take({ type: 'serversRead', whole: false, changes, revision: 3, source: 'store' });
   const row = writesOf(box.pass(600)).find(({ key }) => key === SERVED_VERSIONS_KEY);
--- a/packages/reedlug-gateway/src/slices/streamVersions/mergeVersionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/mergeVersionsRow.ts
@@ -32,13 +32,15 @@
   const storeNowMs = storeTimeOf(state, nowMs);
   const present = presentVersions(state);
   const isRegistryCurrent = nowMs - registryKnownAtMs(state) <= REGISTRY_TRUSTED_MS;
+  // Without the store's clock the time of an end would mean nothing to others.
+  const mayEnd = isRegistryCurrent && state.storeEpochMs !== undefined;
   const names = new Set([...Object.keys(recorded), ...state.streamVersions.served.keys()]);
   const merged: Record<string, VersionEnds> = {};
   for (const service of names) {
     const ends: Record<string, number | null> = {};
     for (const version of possibleVersions(state, service)) ends[version] = storeNowMs;
     for (const [version, endedAtMs] of Object.entries(recorded[service] ?? {})) {
-      ends[version] = endedAtMs ?? (isRegistryCurrent ? storeNowMs : null);
+      ends[version] = endedAtMs ?? (mayEnd ? storeNowMs : null);
     }
     for (const version of present.get(service) ?? []) ends[version] = null;
     const current = Object.entries(ends).filter(([, endedAtMs]) =>
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -27,7 +27,6 @@
 const WRITE_INTERVAL_MS = 250;
 /** Time for which a member of a hub leaves the write to its hub, in ms: until a lost hub is replaced. */
 const MEMBER_DELAY_MS = 2000;
-
 /** Longest time that a datagram takes between two boxes, in ms; one that takes longer makes a row seem younger than it is. */
 const MAX_DATAGRAM_MS = 50;
 /** Difference that the store's time may have between two boxes, in ms: a slow answer of one of them. */
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -140,8 +140,8 @@
    */
   knownAgeMs?: number | undefined;
   /**
-   * Time for which no life of a box has ended that the covered boxes hear, in ms, at most since the start of the box that
-   * has heard them; missing while that is not known, and from older boxes.
+   * Time for which no life of a box has ended that the covered boxes hear, in ms, counted from when the box that speaks
+   * for them had heard its fleet; missing while that is not known, and from older boxes.
    */
   sameLivesForMs?: number | undefined;
   /** Address of the holder of the duty lease, if it is one of the covered boxes. */
