--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -79,7 +79,7 @@
   listed: 'listed',
   /** It lists a single version that was listed before the last end of a box's life, and no running box knows the stream. */
   listedBeforeLifeEnds: 'listedBeforeLifeEnds',
-  /** The row is of an earlier era; it and all that the boxes have seen name a single version. */
+  /** The row may lack versions that a restore has lost; it and what boxes have seen that outlast a stream name a single one. */
   listedBeforeRestore: 'listedBeforeRestore',
   /** All boxes have seen a single version, one of them for longer than a stream lasts. */
   boxes: 'boxes',
@@ -138,9 +138,12 @@
    * that is not known, and from older boxes.
    */
   listedAtMs?: Readonly<Record<string, Readonly<Record<string, number>>>> | undefined;
-  /** Era of the store in which the row was written, and the store's time of its first write there; missing from older boxes. */
+  /** Era of the store in which the row was written; missing from older boxes. */
   era?: number | undefined;
+  /** Store's time of its first write there; missing if the row was never restored. */
   eraSinceMs?: number | undefined;
+  /** Store's time from which on the row lists all versions; missing if no restore is known that no box has outlasted. */
+  completeSinceMs?: number | undefined;
 }
 
 /** What a box knows of streams and the versions at which they began. */
@@ -176,6 +179,7 @@
   listedAtMs: Readonly<Record<string, Readonly<Record<string, number>>>>;
   era: number | undefined;
   eraSinceMs: number | undefined;
+  completeSinceMs: number | undefined;
   /** Time up to which this is the row of the table. */
   knownAtMs: number;
   writtenAtMs: number;
@@ -217,6 +221,7 @@
       listedAtMs: {},
       era: undefined,
       eraSinceMs: undefined,
+      completeSinceMs: undefined,
       knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
