Streams go on after a poll that failed: the answer of their server is confirmed

Cause: after a poll of the store that timed out, a box held the registry for out of date until the next answer. Meanwhile it refused streams of the version with two servers (`noServer`), and streams that began there were uncertain, so that all boxes refused them (`streamVersionUnknown`). Ruled out: servers suspected to have ended, and units.

Change: an answer that goes on with a stream is held until the registry was read after it began, so the poll's age need not decide before. Within 2.5 s of the last answer such a server is asked; if the registry can not be read and its life is not known, the attempt is given up. A new stream whose server's life is not known waits for such a read too, 300 ms at most, and is certain then. A read that finds another era of the store no longer counts as read. The simulator's boxes hold answers as the daemon's do, by the same module.

--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/answerHolds.ts
@@ -0,0 +1,88 @@
+/** Holds the events of streams' servers until they may be relayed. */
+import type { GatewayState } from '../state.js';
+import type { EventBody } from '../types/event.js';
+import {
+  confirmationNeed,
+  ConfirmationNeed,
+} from '../slices/streamVersions/attemptConfirmations.js';
+import { mustAwaitListing } from '../slices/streamVersions/listingWaits.js';
+import type { Clock } from './clock.js';
+import type { RegistryReader } from './registryReader.js';
+
+/** Longest time for which the first event of a new stream waits for a read of the registry, in ms: a slow store answers in 250. */
+const MAX_BEGIN_WAIT_MS = 300;
+
+/** A request and one of its attempts, by their ids. */
+export interface AttemptIds {
+  exchangeId: number;
+  attemptId: number;
+}
+
+/** Decides when the events of attempts may be relayed. */
+export interface AnswerHolds {
+  /** Whether the events of an attempt whose answer has begun have to wait. */
+  mustHold: (ids: AttemptIds) => boolean;
+  /** Resolves once the events of an attempt may be relayed, unless it was cancelled meanwhile. */
+  untilRelayable: (ids: AttemptIds) => Promise<void>;
+  /** The version of an attempt is listed, or need not be any longer. */
+  endListingWait: (attemptId: number) => void;
+  /** The attempt is over. */
+  forget: (attemptId: number) => void;
+}
+
+/** Creates holds for the attempts of one box. */
+export function createAnswerHolds(context: {
+  state: GatewayState;
+  registry: Pick<RegistryReader, 'readNow'>;
+  clock: Pick<Clock, 'nowMs' | 'pause'>;
+  emit: (body: EventBody) => void;
+}): AnswerHolds {
+  const { state, registry, clock, emit } = context;
+  const listingWaits = new Map<number, () => void>();
+
+  /** Reads once more if the store does not answer: its connections may have been replaced during the read. */
+  const readTwice = async (): Promise<boolean> =>
+    (await registry.readNow()) || (await registry.readNow());
+
+  const readInTime = async (): Promise<boolean> => {
+    const limit = new AbortController();
+    const late = clock.pause(MAX_BEGIN_WAIT_MS, limit.signal).then(() => false);
+    try {
+      return await Promise.race([registry.readNow(), late]);
+    } finally {
+      limit.abort();
+    }
+  };
+
+  const confirm = async (need: ConfirmationNeed, ids: AttemptIds): Promise<void> => {
+    const isRegistryRead =
+      need === ConfirmationNeed.goesOn ? await readTwice() : await readInTime();
+    emit({ type: 'attemptConfirmed', ...ids, isRegistryRead });
+  };
+
+  const awaitListing = (ids: AttemptIds): Promise<void> =>
+    new Promise((resolve) => {
+      listingWaits.set(ids.attemptId, resolve);
+      emit({ type: 'listingAwaited', ...ids });
+    });
+
+  return {
+    mustHold(ids) {
+      return (
+        confirmationNeed(state, ids) !== undefined || mustAwaitListing(state, ids, clock.nowMs())
+      );
+    },
+    async untilRelayable(ids) {
+      const need = confirmationNeed(state, ids);
+      if (need !== undefined) await confirm(need, ids);
+      if (mustAwaitListing(state, ids, clock.nowMs())) await awaitListing(ids);
+    },
+    endListingWait(attemptId) {
+      // Reading on delivers what has arrived at once, which must not be written before the events of this step are
+      // handled: it goes on in a microtask.
+      listingWaits.get(attemptId)?.();
+      listingWaits.delete(attemptId);
+    },
+    forget: (attemptId) => void listingWaits.delete(attemptId),
+  };
+}
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -6,11 +6,8 @@
 import { PlatformCallKind, PlatformCallOutcome } from '../types/platformCall.js';
 import type { AnswerSettings } from '../types/settings.js';
 import type { HostPort } from '../types/server.js';
-import type { RegistryReader } from './registryReader.js';
 import type { Runtime } from './runtime.js';
 import { connectingPeers } from '../slices/peers/connectingPeers.js';
-import { mustConfirmServer } from '../slices/streamVersions/continuations.js';
-import { mustAwaitListing } from '../slices/streamVersions/listingWaits.js';
 import { eventsOfSharedState } from '../slices/peers/sharedState.js';
 import { countEvent } from '../observe/gatewayMetrics.js';
 import { sendAttempt } from './backendAttempt.js';
@@ -61,7 +58,7 @@
     case 'readStoreAgain':
       return runtime.feeds?.restart();
     case 'listingEnded':
-      return endListingWait(runtime, effect.attemptId);
+      return runtime.answerHolds.endListingWait(effect.attemptId);
     case 'sendPeers':
       return runtime.peers.send(effect.message, effect.to);
     case 'askPeer':
@@ -87,7 +84,10 @@
   const { serverId, address } = order;
   const { requestId } = record.facts;
   const ids = { exchangeId, attemptId };
-  const end = (): void => void runtime.attempts.delete(attemptId);
+  const end = (): void => {
+    runtime.attempts.delete(attemptId);
+    runtime.answerHolds.forget(attemptId);
+  };
   const request = {
     requestId,
     method: head.method,
@@ -116,7 +116,7 @@
       onAnswerHead: guard((statements) => {
         runtime.emit({ type: 'answerBegun', ...ids, statements });
       }),
-      onStreamHead: guard(() => confirmServer(runtime, exchange, ids)),
+      onStreamHead: guard(() => holdUntilRelayable(runtime, exchange, ids)),
       onAnswered: guard((verdict, status, endsWithConnection) => {
         runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status, endsWithConnection });
         if (!streaming || verdict !== 'success') end();
@@ -179,48 +179,32 @@
 }
 
 /**
- * Reads the events of a stream's server once they may be relayed. Those of a server that goes on with a stream wait until the
- * registry was read after its answer began: if the server is in its next life, reading it cancels the attempt. Those of
- * a new stream wait until its version is listed.
+ * Reads the events of a stream's server once they may be relayed: if reading the registry shows that the server is in its
+ * next life, the attempt is cancelled meanwhile.
  */
-function confirmServer(
+function holdUntilRelayable(
   runtime: Runtime,
   exchange: CallerExchange,
   ids: { exchangeId: number; attemptId: number },
 ): void {
-  const { state, clock } = runtime;
-  const mustConfirm = mustConfirmServer(state, ids.exchangeId);
-  if (!mustConfirm && !mustAwaitListing(state, ids, clock.nowMs())) return;
-  const attempt = runtime.attempts.get(ids.attemptId);
+  const { answerHolds, attempts } = runtime;
+  if (!answerHolds.mustHold(ids)) return;
+  const attempt = attempts.get(ids.attemptId);
   if (attempt?.pause() !== true) return;
   runtime.emit({ type: 'attemptHeld', ...ids, isHeld: true });
   const guard = guardFor(runtime, exchange);
   const readOn = guard(() => {
-    if (runtime.attempts.get(ids.attemptId) !== attempt) return;
+    if (attempts.get(ids.attemptId) !== attempt) return;
     runtime.emit({ type: 'attemptHeld', ...ids, isHeld: false });
     attempt.resume();
   });
-  if (mustConfirm) return void readRegistry(runtime.registry).then(readOn);
-  runtime.listingWaits.set(ids.attemptId, readOn);
-  runtime.emit({ type: 'listingAwaited', ...ids });
-}
-
-/** Reads the registry, once more if the store does not answer: its connections may have been replaced during the read. */
-async function readRegistry(registry: RegistryReader): Promise<void> {
-  if (await registry.readNow()) return;
-  await registry.readNow();
-}
-
-function endListingWait({ listingWaits }: Runtime, attemptId: number): void {
-  const readOn = listingWaits.get(attemptId);
-  listingWaits.delete(attemptId);
-  // Reading on delivers what has arrived at once, which must not be written before the events of this step are handled.
-  if (readOn !== undefined) queueMicrotask(readOn);
+  void answerHolds.untilRelayable(ids).then(readOn);
 }
 
 function cancel(runtime: Runtime, attemptId: number): void {
   runtime.attempts.get(attemptId)?.cancel();
   runtime.attempts.delete(attemptId);
+  runtime.answerHolds.forget(attemptId);
 }
 
 function relay(runtime: Runtime, effect: EffectOf<'relay'>): void {
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -33,6 +33,7 @@
 import { eventOfDatagram } from './datagramEvent.js';
 import { performEffect } from './effects.js';
 import { createInternalFaults } from './internalFaults.js';
+import { createAnswerHolds } from './answerHolds.js';
 import { createRegistryReader } from './registryReader.js';
 import type { Runtime } from './runtime.js';
 import { createLinkChecker } from './linkChecker.js';
@@ -150,6 +151,13 @@
     },
     onCall: calls.count,
   });
+  const registry = createRegistryReader({
+    store,
+    state,
+    clock,
+    emit,
+    onFault: faults.onCallFailed,
+  });
   const runtime: Runtime = {
     settings,
     adapter,
@@ -175,11 +183,11 @@
       metrics: metrics.transfers,
     }),
     feeds: undefined,
-    registry: createRegistryReader({ store, state, clock, emit, onFault: faults.onCallFailed }),
+    registry,
     exchanges,
     faults,
     attempts: new Map(),
-    listingWaits: new Map(),
+    answerHolds: createAnswerHolds({ state, registry, clock, emit }),
     logger,
     metrics,
     calls,
--- a/packages/reedlug-gateway/src/daemon/registryReader.ts
+++ b/packages/reedlug-gateway/src/daemon/registryReader.ts
@@ -43,18 +43,19 @@
     const call = () => store.servers.follow(position);
     const abandoned = { kind: 'unavailable', reason: 'the call outlived its time limit' } as const;
     const answer = await withinLimit(clock, call, { timeoutMs, abandoned, onFault });
-    apply(answer);
-    return answer.kind === 'page';
+    return apply(answer);
   };
 
-  const apply = (answer: FeedAnswer<ServerChange>): void => {
+  /** Returns whether the box knows the registry as of the answer. */
+  const apply = (answer: FeedAnswer<ServerChange>): boolean => {
     // Where the changes are gone, or the store was restored, the poll reads the whole registry.
-    if (answer.kind !== 'page') return;
+    if (answer.kind !== 'page') return false;
     const { items: changes, revision: readTo, newestRevision: revision } = answer.page;
-    const isOutdated = readTo < state.serversReadTo;
-    if (changes.length === 0 || isOutdated || eraOf(readTo) !== eraOf(state.serversReadTo)) return;
+    if (eraOf(readTo) !== eraOf(state.serversReadTo)) return false;
+    if (changes.length === 0 || readTo < state.serversReadTo) return true;
     appliedTo = readTo;
     emit({ type: 'serversRead', whole: false, changes, revision, readTo, source: 'store' });
+    return true;
   };
 
   const start = (): Promise<boolean> => {
--- a/packages/reedlug-gateway/src/daemon/runtime.ts
+++ b/packages/reedlug-gateway/src/daemon/runtime.ts
@@ -6,6 +6,7 @@
 import type { GatewayState } from '../state.js';
 import type { EventBody } from '../types/event.js';
 import type { GatewaySettings } from '../types/settings.js';
+import type { AnswerHolds } from './answerHolds.js';
 import type { BackendAttempt } from './backendAttempt.js';
 import type { CallerExchange } from './callerServer.js';
 import type { Clock } from './clock.js';
@@ -38,8 +39,7 @@
   exchanges: Map<number, CallerExchange>;
   faults: InternalFaults;
   attempts: Map<number, BackendAttempt>;
-  /** Attempts whose events wait until their version is listed, and what reads on. */
-  listingWaits: Map<number, () => void>;
+  answerHolds: AnswerHolds;
   logger: Logger;
   metrics: GatewayMetrics;
   calls: PlatformCallCounts;
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -8,6 +8,8 @@
 export * from './daemon/daemonTimes.js';
 export { eventOfDatagram } from './daemon/datagramEvent.js';
 export { createSequentialHandler } from './daemon/sequentialHandler.js';
+export { createAnswerHolds, type AnswerHolds } from './daemon/answerHolds.js';
+export { createRegistryReader } from './daemon/registryReader.js';
 export { followPlatform, type PlatformFeeds } from './daemon/platformFeeds.js';
 export { eventsOfTable } from './daemon/tableEvents.js';
 export {
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -51,6 +51,7 @@
   onStreamStartAsked,
   onStreamStarts,
 } from './slices/streamVersions/startGossip.js';
+import { onAttemptConfirmed } from './slices/streamVersions/attemptConfirmations.js';
 import { listingWaitsTick, onListingAwaited } from './slices/streamVersions/listingWaits.js';
 import { onStreamRows } from './slices/streamVersions/streamRows.js';
 import { onVersionsListed } from './slices/streamVersions/versionsRow.js';
@@ -104,6 +105,8 @@
       return onEventsRelayed(state, step, event);
     case 'attemptHeld':
       return onAttemptHeld(state, step, event);
+    case 'attemptConfirmed':
+      return onAttemptConfirmed(state, step, event);
     case 'attemptEnded':
       return onAttemptEnded(state, step, event);
     case 'attemptLost':
--- a/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
@@ -28,7 +28,19 @@
  * and so does each attempt that began beside it.
  */
 export function knownLives(state: GatewayState, nowMs: number): KnownLives {
-  const lives = isRegistryCurrent(state, nowMs) ? undefined : livesOfOpenAttempts(state);
+  return livesIn(state, nowMs, isRegistryCurrent(state, nowMs));
+}
+
+/**
+ * Returns the servers that probably run the life of their entry, so that an answer of theirs is worth confirming. A poll that
+ * failed, or a time for which the box stood still, does not speak against that.
+ */
+export function confirmableLives(state: GatewayState, nowMs: number): KnownLives {
+  return livesIn(state, nowMs, isRegistryRecent(state, nowMs));
+}
+
+function livesIn(state: GatewayState, nowMs: number, isRegistryBelieved: boolean): KnownLives {
+  const lives = isRegistryBelieved ? undefined : livesOfOpenAttempts(state);
   return {
     has: ({ life, endSuspectedAtMs }) =>
       nowMs - endSuspectedAtMs >= ENDED_SERVER_MS && (lives === undefined || lives.has(life)),
@@ -36,11 +48,18 @@
 }
 
 function isRegistryCurrent(state: GatewayState, nowMs: number): boolean {
-  const { startedAtMs, stalledAtMs } = state;
-  const confirmedAtMs = Math.max(startedAtMs, registryKnownAtMs(state));
-  if (confirmedAtMs < stalledAtMs + STALL_SETTLE_MS) return false;
+  const confirmedAtMs = registryConfirmedAtMs(state);
+  if (confirmedAtMs < state.stalledAtMs + STALL_SETTLE_MS) return false;
   if (confirmedAtMs <= lastFailureAtMs(state)) return false;
-  return nowMs - confirmedAtMs <= REGISTRY_TRUSTED_MS;
+  return isRegistryRecent(state, nowMs);
+}
+
+function isRegistryRecent(state: GatewayState, nowMs: number): boolean {
+  return nowMs - registryConfirmedAtMs(state) <= REGISTRY_TRUSTED_MS;
+}
+
+function registryConfirmedAtMs(state: GatewayState): number {
+  return Math.max(state.startedAtMs, registryKnownAtMs(state));
 }
 
 /** Returns when this box last failed to reach the store; a peer may have shown since then that its registry is current. */
--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -34,6 +34,7 @@
 } from '../faults/serverStatements.js';
 import { faultOfVersion, recordRolloutArrival } from '../faults/rollouts.js';
 import { setSlowFactor } from '../servers/batchEngine.js';
+import { createHeldDelivery } from './heldDelivery.js';
 import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
 
 /** Zone of the cloud; nothing else is in it. */
@@ -71,8 +72,7 @@
     case 'callCloud':
       return callCloud(world, box, effect);
     case 'listingEnded':
-      // The boxes here hold no answers.
-      return;
+      return box.answerHolds?.endListingWait(effect.attemptId);
     case 'readStoreAgain':
       return box.feeds?.restart();
     case 'sendPeers':
@@ -163,6 +163,7 @@
       if (box.sends.has(attemptId)) deliver();
     });
   };
+  const delivery = createHeldDelivery(box, ids);
   const answer = (verdict: 'success' | 'failure' | 'notRun', status: number): void => {
     const statements = statementsOf(world, server, verdict === 'notRun');
     respond(() => {
@@ -170,7 +171,10 @@
       if (!isOpen) endSend(box, server, attemptId, runId);
       box.emit({ type: 'answerBegun', ...ids, statements });
       recordStatements(world, { server, box, statements });
-      box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
+      if (isOpen) delivery.holdIfNeeded();
+      const report = (): void => box.emit({ type: 'attemptAnswered', ...ids, verdict, status });
+      if (isOpen) delivery.deliver(report);
+      else report();
     });
   };
   const onRejected = (): void => {
@@ -210,15 +214,17 @@
         recordStart();
         answer('success', 200);
       }
-      respond(() => {
-        box.exchanges.get(exchangeId)?.onEvent(event, server.entry.version ?? '');
+      const version = server.entry.version ?? '';
+      const relayEvent = (): void => {
+        box.exchanges.get(exchangeId)?.onEvent(event, version);
         box.emit({ type: 'eventsRelayed', ...ids, lastEventId: event });
         if (!isLast) return;
         endSend(box, server, attemptId, runId);
         box.exchanges.get(exchangeId)?.onEnded();
         box.exchanges.delete(exchangeId);
         box.emit({ type: 'attemptEnded', ...ids });
-      });
+      };
+      respond(() => delivery.deliver(relayEvent));
     },
   });
 }
@@ -233,6 +239,7 @@
   if (sent === undefined) return;
   box.sends.delete(attemptId);
   const zone = world.servers.get(sent.serverId)?.entry.zone ?? '';
+  box.answerHolds?.forget(attemptId);
   later(world, latencyMs(world, box.settings.box.zone, zone), () => {
     stopRunAt(world, sent.serverId, sent.runId);
   });
--- a/packages/reedlug-simulator/src/boxes/virtualBox.ts
+++ b/packages/reedlug-simulator/src/boxes/virtualBox.ts
@@ -1,5 +1,7 @@
 /** A gateway box in virtual time: it runs the real reducer and feeds, with effects on the simulated world. */
 import {
+  createAnswerHolds,
+  createRegistryReader,
   createSequentialHandler,
   isNewEra,
   NO_SERVER_RETRY_MS,
@@ -9,6 +11,7 @@
   hasRequest,
   reduceStep,
   TICK_MS,
+  type AnswerHolds,
   type Clock,
   type EventBody,
   type GatewaySettings,
@@ -60,6 +63,7 @@
   /** The process's connection to the store; undefined until it listens. */
   store: PlatformStore | undefined;
   feeds: PlatformFeeds | undefined;
+  answerHolds: AnswerHolds | undefined;
   emit: (body: EventBody) => void;
 }
 
@@ -97,6 +101,7 @@
     reducerMs: 0,
     store: undefined,
     feeds: undefined,
+    answerHolds: undefined,
     emit: () => undefined,
   };
   box.emit = createEmit(world, box);
@@ -131,6 +136,8 @@
   box.store = store;
   const logger = (): void => undefined;
   const { settings, state, emit } = box;
+  const registry = createRegistryReader({ store, state, clock, emit, onFault: throwFault });
+  box.answerHolds = createAnswerHolds({ state, registry, clock, emit });
   box.feeds = followPlatform({ settings, store, state, clock, logger, emit });
   world.hasResolvedPromise = true;
   const tick = (): void => {
@@ -141,6 +148,10 @@
   later(world, world.random.unit() * TICK_MS, tick);
 }
 
+function throwFault(error: unknown): never {
+  throw error;
+}
+
 /** Returns a function that passes events to the reducer while the process is alive. */
 function createEmit(world: World, box: VirtualBox): (body: EventBody) => void {
   const enqueue = createSequentialHandler((body) => {
