Streams are in the row of their box before their first event

What callers saw: after the loss of all boxes while two versions serve, streams of the last half second were refused with each attempt.

Cause: the row of a box was written twice a second, with the streams that had begun. By the logs (requestSent and the kills) each unknown stream had been sent 0.05 to 0.85 s before the loss.

Change: the row is written ten times a second at most, and names streams from their send on, at the version of the server. The time to the first event is mostly longer than a write takes, so that no event waits, and the begin itself needs no further write. A request that goes on to a server of another version waits with its first event until the row names that one, 300 ms at most, by the wait for listed versions. A write that failed is repeated after half a second, as before.

--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -23,6 +23,7 @@
 import { countStarted } from '../usage/usage.js';
 import { chargeFurtherSend } from '../limits/quotas.js';
 import { hasSeveralVersions, softwareVersionOf } from '../streamVersions/servedVersions.js';
+import { recordBeginForRow } from '../streamVersions/intendedStarts.js';
 import { announceStart } from '../streamVersions/startGossip.js';
 import { recordOwnStart } from '../streamVersions/streamStarts.js';
 import { sendOrGiveUp } from './sending.js';
@@ -150,7 +151,7 @@
   const start = recordOwnStart(state, step, record, version);
   if (start === undefined) return;
   announceStart(state, step, start);
-  if (hasSeveralVersions(state, record.service)) state.streamVersions.ownRow.isOutdated = true;
+  recordBeginForRow(state, start);
 }
 
 /** Logs the versions of two servers whose events are joined in one answer. */
--- a/packages/reedlug-gateway/src/slices/requests/sending.ts
+++ b/packages/reedlug-gateway/src/slices/requests/sending.ts
@@ -18,6 +18,7 @@
 import { placementFields } from '../placement/placementFields.js';
 import { recordPlacement } from '../placement/servicePlacement.js';
 import { speedLogFields } from '../serverSpeeds/speedOf.js';
+import { recordIntendedStart } from '../streamVersions/intendedStarts.js';
 import { knownLives } from '../streamVersions/serverLives.js';
 import { resumeRule } from '../streamVersions/resumeRule.js';
 import { registryAgeMs } from '../store/feedAges.js';
@@ -132,6 +133,7 @@
     recordPlacement(state, { service, facts, need: choice.placement.need }, step.nowMs);
   }
   recordPartsRead(view, record.facts, step.nowMs);
+  recordIntendedStart(state, record);
   const { exchangeId, route } = record;
   step.effects.push({
     type: 'send',
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/takeUps.test.ts
@@ -157,9 +157,28 @@
   const box = createBoxWithTwoVersions();
   addPeer(box);
   takeUp(box, 1, 'request-9');
+  expect(only(box.pass(1000), 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+test('a stream that nobody knows is refused after 300 ms while the store is away', () => {
+  const box = createBoxWithTwoVersions();
+  addPeer(box);
+  takeContacts(box, false);
+  takeUp(box, 1, 'request-9');
   expect(only(box.pass(300), 'refuse').reason).to.equal('streamVersionUnknown');
 });
 
+test('a stream goes on that the table names after 800 ms', () => {
+  const box = createServingBox();
+  listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v2' } });
+  takeContacts(box, true);
+  takeUp(box, 1, 'request-9');
+  expect(ofType(box.pass(800), 'refuse')).to.have.length(0);
+  const starts = [['tiger/request-9', 'engines', 'v2', 60_000]] as const;
+  const row = { key: streamStartsKey('box-2'), version: 3, value: { storeNowMs: 0, starts } };
+  expect(ofType(answerRead(box, [row]), 'send')).to.have.length(1);
+});
+
 test('a stream that nobody knows goes on where only one version has served', () => {
   const box = createServingBox();
   listEngines(box, { 'engine-1': { version: 'v1' }, 'engine-2': { version: 'v1' } });
--- a/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
@@ -1,5 +1,6 @@
 /**
- * Streams whose first event waits until the versions row lists the version of their server.
+ * Streams whose first event waits until the versions row lists the version of their server, and the row of their box
+ * does not name them at another one.
  *
  * A version is listed some milliseconds after the first box sees it, so only the first streams wait. A box that can
  * not reach the store serves on without: other boxes are told of these streams one by one.
@@ -8,6 +9,7 @@
 import type { EventOf } from '../../types/event.js';
 import type { ListingWait } from '../../types/streamVersion.js';
 import { softwareVersionOf } from './servedVersions.js';
+import { isNamedInRow, keyToCorrect } from './intendedStarts.js';
 import { isListed } from './listedVersions.js';
 import { mayAddFromMs, requireVersionsRow, writeVersionsRow } from './versionsRow.js';
 
@@ -28,7 +30,8 @@
   if (!record.route.resumable || record.beganAtVersion !== undefined) return false;
   if (!canWaitForRow(state, nowMs)) return false;
   const version = softwareVersionOf(attempt);
-  return !isListed(state, { service: record.service, version });
+  if (!isListed(state, { service: record.service, version })) return true;
+  return keyToCorrect(state, record, attempt) !== undefined;
 }
 
 function canWaitForRow(state: GatewayState, nowMs: number): boolean {
@@ -48,7 +51,11 @@
   const { service } = record;
   const version = softwareVersionOf(attempt);
   const untilMs = step.nowMs + MAX_WAIT_MS;
-  state.streamVersions.awaitingListing.push({ attemptId, service, version, untilMs });
+  const wait = { attemptId, service, version, untilMs };
+  const key = keyToCorrect(state, record, attempt);
+  state.streamVersions.awaitingListing.push({ ...wait, keyToCorrect: key });
+  if (key !== undefined) state.streamVersions.ownRow.isOutdated = true;
+  if (isListed(state, { service, version })) return;
   requireVersionsRow(state, step.nowMs);
   writeVersionsRow(state, step);
 }
@@ -60,10 +67,11 @@
   const { nowMs } = step;
   const waiting: ListingWait[] = [];
   for (const wait of streamVersions.awaitingListing) {
-    const { attemptId, service, version } = wait;
+    const { attemptId, service, version, keyToCorrect: key } = wait;
     const untilMs = Math.max(wait.untilMs, latestWriteMs(state));
     const isVersionListed = isListed(state, { service, version });
-    if (!isVersionListed && nowMs < untilMs && canWaitForRow(state, nowMs)) {
+    const isOpen = !isVersionListed || (key !== undefined && !isNamedInRow(state, key, version));
+    if (isOpen && nowMs < untilMs && canWaitForRow(state, nowMs)) {
       waiting.push(wait);
       continue;
     }
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
@@ -12,6 +12,7 @@
   SERVED_VERSIONS_KEY,
   STREAM_ROWS_PREFIX,
   streamStartsKey,
+  type StreamStart,
   type StreamStartsRow,
 } from '../../types/streamVersion.js';
 import { fleetSize, usesHubs } from '../peers/fleet.js';
@@ -19,13 +20,16 @@
 import { isFiniteNumber } from '../store/rowValues.js';
 import { rowsOf } from '../store/tableRows.js';
 import { hasAnySeveralVersions, hasSeveralVersions } from './servedVersions.js';
+import { intendedStarts } from './intendedStarts.js';
 import { announceOwnStarts } from './startGossip.js';
 import { isStartRow, recordReceivedStart, startRowOf } from './streamStarts.js';
 import { storeTimeOf } from './listedVersions.js';
 import { applyVersionsRow, forgetVersionsRow, onVersionsRowWritten } from './versionsRow.js';
 
 /** Shortest interval between writes of this box's row, in ms: what began since is lost with all boxes. */
-const MIN_WRITE_INTERVAL_MS = 500;
+const MIN_WRITE_INTERVAL_MS = 100;
+/** The same after a write that failed, in ms, so that a store that refuses is not pressed. */
+const RETRY_INTERVAL_MS = 500;
 /** Interval for each box of the fleet, in ms: all boxes together write at most a hundred times a second. */
 const WRITE_INTERVAL_PER_BOX_MS = 10;
 /** Maximum number of streams in a row, the newest ones; a row stays below 16 KB. */
@@ -38,7 +42,8 @@
   const { read, ownRow } = state.streamVersions;
   if (read.isWanted && !read.isPending) readStreamRows(state, step);
   if (!ownRow.isOutdated || ownRow.isPending) return;
-  const intervalMs = Math.max(MIN_WRITE_INTERVAL_MS, fleetSize(state) * WRITE_INTERVAL_PER_BOX_MS);
+  const shortestMs = ownRow.hasFailed ? RETRY_INTERVAL_MS : MIN_WRITE_INTERVAL_MS;
+  const intervalMs = Math.max(shortestMs, fleetSize(state) * WRITE_INTERVAL_PER_BOX_MS);
   if (step.nowMs - ownRow.writtenAtMs >= intervalMs) writeOwnRow(state, step);
 }
 
@@ -59,22 +64,30 @@
 function writeOwnRow(state: GatewayState, step: Step): void {
   const { starts, ownRow } = state.streamVersions;
   ownRow.isOutdated = false;
-  const own = [...starts.values()].filter(
+  const begun = [...starts.values()].filter(
     ({ isOwn, service }) => isOwn && hasSeveralVersions(state, service),
   );
+  const own = [...begun, ...intendedStarts(state, step.nowMs)].slice(-MAX_STARTS_PER_ROW);
   if (own.length === 0) return;
   ownRow.isPending = true;
   ownRow.writtenAtMs = step.nowMs;
   const value: StreamStartsRow = {
     storeNowMs: storeTimeOf(state, step.nowMs),
-    starts: own.slice(-MAX_STARTS_PER_ROW).map((start) => startRowOf(start, step.nowMs)),
+    starts: own.map((start) => startRowOf(start, step.nowMs)),
   };
+  ownRow.sentVersions = versionsByKey(own);
   const key = streamStartsKey(state.settings.box.id);
   const write = { key, expectVersion: ownRow.version, value };
   const op = { kind: 'transact', writes: [write] } as const;
   requestTable(step, { kind: 'streamRows', call: 'writeOwn' }, op);
 }
 
+function versionsByKey(starts: readonly StreamStart[]): Map<string, string> {
+  const versions = new Map<string, string>();
+  for (const { key, version } of starts) if (version !== undefined) versions.set(key, version);
+  return versions;
+}
+
 /** Handles an answer of the table. */
 export function onStreamRows(
   state: GatewayState,
@@ -96,6 +109,8 @@
     case 'writeOwn':
       ownRow.isPending = false;
       ownRow.isOutdated ||= !isWritten;
+      ownRow.hasFailed = rows === undefined;
+      if (isWritten) ownRow.heldVersions = ownRow.sentVersions;
       break;
     case 'writeVersions':
       return onVersionsRowWritten(state, step, event, rows);
@@ -143,6 +158,7 @@
   const { read, ownRow, versionsRow } = state.streamVersions;
   ownRow.version = 0;
   ownRow.isOutdated = true;
+  ownRow.heldVersions = new Map();
   read.isWanted ||= Object.values(versionsRow.services).some(
     (ends) => Object.keys(ends).length > 1,
   );
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
@@ -24,6 +24,15 @@
   return streamKey(workspace, resumedRequestId ?? requestId);
 }
 
+/** Returns the time after which the caller of a stream has given up. */
+export function untilMsOfStream(
+  state: GatewayState,
+  { route, facts, arrivedAtMs }: RequestRecord,
+): number {
+  const allowedMs = Math.max(facts.deadlineMs ?? 0, route.timeoutMs);
+  return arrivedAtMs + Math.min(streamRetentionMs(state), allowedMs);
+}
+
 /** Records that this box relays a stream from a server of the given version, if that is certain; returns its start. */
 export function recordOwnStart(
   state: GatewayState,
@@ -33,9 +42,8 @@
 ): StreamStart | undefined {
   const key = keyOfStream(record);
   if (key === undefined) return undefined;
-  const { service, route, facts, arrivedAtMs } = record;
-  const allowedMs = Math.max(facts.deadlineMs ?? 0, route.timeoutMs);
-  const untilMs = arrivedAtMs + Math.min(streamRetentionMs(state), allowedMs);
+  const { service } = record;
+  const untilMs = untilMsOfStream(state, record);
   const source = state.settings.box.id;
   const start = { key, service, version, untilMs, isOwn: true, source, recordedAtMs: step.nowMs };
   return mergeStart(state, step, start);
--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -30,6 +30,8 @@
 
 /** Longest time for which a request is held, in ms: a slow store answers in 250. */
 const MAX_LOOKUP_MS = 300;
+/** The same while the table is being read, in ms: a refused caller would come back no sooner. */
+const MAX_TABLE_LOOKUP_MS = 1000;
 
 /** Whether the caller of a request has events of the stream already. */
 function isTakenUp({ lastEventId, resumedRequestId }: RequestFacts): boolean {
@@ -102,7 +104,7 @@
 
 /** Returns how a stream goes on, or undefined while that is open. */
 function outcomeOf(state: GatewayState, step: Step, lookup: TakeUpLookup): TakeUp | undefined {
-  const { key, service, awaited, untilMs } = lookup;
+  const { key, service, awaited, sinceMs, untilMs } = lookup;
   const { nowMs } = step;
   const start = findStart(state, key);
   if (start !== undefined) return takeUpOfStart(start, step);
@@ -114,7 +116,7 @@
     seenVersions: seenVersions(state, lookup),
     haveBoxesAnswered,
     isWitnessed: haveBoxesAnswered && witnessedMs >= streamRetentionMs(state),
-    isTimeUp: nowMs >= untilMs,
+    isTimeUp: nowMs >= (isTableAwaited(state, lookup) ? sinceMs + MAX_TABLE_LOOKUP_MS : untilMs),
   });
   switch (verdict.kind) {
     case 'wait':
@@ -133,6 +135,11 @@
   }
 }
 
+/** Whether the read of the table that a look-up waits for may still bring the start of its stream. */
+function isTableAwaited({ storeReachable }: GatewayState, { key, table }: TakeUpLookup): boolean {
+  return storeReachable && key !== undefined && table === 'pending';
+}
+
 /** Returns what the table shows of a look-up's service; the look-up of a stream without a key asks no boxes. */
 function tableEvidence(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -161,8 +161,7 @@
   resolved: { request: PendingRequest; takeUp: TakeUp }[];
   /** The last read of the rows: its time, and whether its answer is awaited; a wanted one is still to be made. */
   read: { sentAtMs: number; isPending: boolean; isWanted: boolean };
-  /** Row of this box: its version, the time of its last write, and whether streams have begun since. */
-  ownRow: { version: number; writtenAtMs: number; isPending: boolean; isOutdated: boolean };
+  ownRow: OwnStreamsRow;
   versionsRow: VersionsRowState;
   /** Attempts whose first event waits until its version is listed. */
   awaitingListing: ListingWait[];
@@ -172,6 +171,20 @@
   forgotten: Map<string, Set<string>>;
 }
 
+/** The row with the streams of this box. */
+export interface OwnStreamsRow {
+  version: number;
+  /** Time of the last write, and whether it failed. */
+  writtenAtMs: number;
+  hasFailed: boolean;
+  isPending: boolean;
+  /** Whether streams have begun, or requests for them were sent, since the last write. */
+  isOutdated: boolean;
+  /** Versions of the streams that the last write names, and that the row of the table named after the last one that was done; by key. */
+  sentVersions: ReadonlyMap<string, string>;
+  heldVersions: ReadonlyMap<string, string>;
+}
+
 /** The versions row as last known. */
 export interface VersionsRowState {
   version: number;
@@ -190,11 +203,13 @@
   missedAtMs: number;
 }
 
-/** An attempt whose first event waits until its version is listed. */
+/** An attempt whose first event waits until its version is listed, and the row of this box does not name its stream at another one. */
 export interface ListingWait {
   attemptId: number;
   service: string;
   version: string;
+  /** Key of a stream that the row of this box may name at another version. */
+  keyToCorrect: string | undefined;
   untilMs: number;
 }
 
@@ -212,8 +227,11 @@
     ownRow: {
       version: 0,
       writtenAtMs: Number.NEGATIVE_INFINITY,
+      hasFailed: false,
       isPending: false,
       isOutdated: false,
+      sentVersions: new Map(),
+      heldVersions: new Map(),
     },
     versionsRow: {
       version: 0,
