A scan full of rows of boxes is no proof that no version is listed

Cause: rows of boxes that are gone stay in the table and sort before the row of the versions. From 100 of them on, the scan no longer reached that row, and the box took it for missing: streams that nobody knows were refused also where one version alone had ever served, and each first event waited for a new listing, which conflicted.

Change: such a scan is followed by a read of the versions row and of the box's own row by their keys.

The new test failed before (one `refuse`, expected none).

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { TableRow } from 'reedlug-coordination';
 import {
   createServingBox,
   ofType,
@@ -7,7 +8,11 @@
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../../types/effect.js';
-import { SERVED_VERSIONS_KEY, type ServedVersionsRow } from '../../../types/streamVersion.js';
+import {
+  SERVED_VERSIONS_KEY,
+  streamStartsKey,
+  type ServedVersionsRow,
+} from '../../../types/streamVersion.js';
 import { confirmationNeed } from '../attemptConfirmations.js';
 import { addPeer, listEngines, request, takeUp, versionOf } from './__fixtures__/takenUpStreams.js';
 
@@ -29,7 +34,7 @@
   return { key: SERVED_VERSIONS_KEY, version: REVISION, value: present };
 }
 
-function answerRead(box: TestBox, rows: readonly ReturnType<typeof rowOf>[]): Effect[] {
+function answerRead(box: TestBox, rows: readonly TableRow[]): Effect[] {
   return box.take({
     type: 'tableAnswered',
     purpose: { kind: 'streamRows', call: 'read' },
@@ -206,3 +211,20 @@
   const { attemptId, effects } = awaitListing(box);
   expect(only(effects, 'listingEnded').attemptId).to.equal(attemptId);
 });
+
+test('a read that is full of rows of boxes does not show that no version is listed', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  const versions = rowOf({ services: { engines: { v1: null } } });
+  const scan = only(takeUp(box, 1, 'request-8'), 'requestTable').op;
+  if (scan.kind !== 'scan') throw new Error('the rows are not scanned');
+  const ofBoxes = Array.from({ length: 120 }, (_, index) => {
+    const key = streamStartsKey(`box-${1000 + index}`);
+    return { key, version: 3, value: { storeNowMs: 0, starts: [] } };
+  });
+  // The store returns rows by their keys, up to the limit.
+  const rows = [...ofBoxes, versions].slice(0, scan.limit);
+  const effects = answerRead(box, rows);
+  expect(ofType(effects, 'refuse')).to.have.length(0);
+  expect(only(effects, 'requestTable').op.kind).to.equal('read');
+  expect(ofType(answerRead(box, [versions]), 'send')).to.have.length(1);
+});
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
@@ -34,7 +34,7 @@
 const WRITE_INTERVAL_PER_BOX_MS = 10;
 /** Maximum number of streams in a row, the newest ones; a row stays below 16 KB. */
 const MAX_STARTS_PER_ROW = 200;
-/** Maximum number of rows that one read returns; a fleet without hubs has fewer boxes. */
+/** Maximum number of rows that one read returns; a fleet without hubs has fewer boxes, but rows of gone boxes stay. */
 const MAX_ROWS_READ = 100;
 
 /** Reads and writes the rows when that is due. */
@@ -53,14 +53,19 @@
   read.isWanted = false;
   read.isPending = true;
   read.sentAtMs = step.nowMs;
-  const ownKey = streamStartsKey(state.settings.box.id);
   // In a large fleet other boxes answer for their own rows.
-  const op: TableOp = usesHubs(state)
-    ? { kind: 'read', keys: [SERVED_VERSIONS_KEY, ownKey] }
-    : { kind: 'scan', prefix: STREAM_ROWS_PREFIX, afterKey: '', limit: MAX_ROWS_READ };
+  if (usesHubs(state)) return readNamedRows(state, step);
+  const prefix = STREAM_ROWS_PREFIX;
+  const op: TableOp = { kind: 'scan', prefix, afterKey: '', limit: MAX_ROWS_READ };
   requestTable(step, { kind: 'streamRows', call: 'read' }, op);
 }
 
+/** Reads the row of the versions and that of this box. */
+function readNamedRows(state: GatewayState, step: Step): void {
+  const keys = [SERVED_VERSIONS_KEY, streamStartsKey(state.settings.box.id)];
+  requestTable(step, { kind: 'streamRows', call: 'read' }, { kind: 'read', keys });
+}
+
 function writeOwnRow(state: GatewayState, step: Step): void {
   const { starts, ownRow } = state.streamVersions;
   ownRow.isOutdated = false;
@@ -100,6 +105,10 @@
   const isWritten = event.answer.kind === 'done';
   switch (call) {
     case 'read':
+      if (rows !== undefined && isCutShort(rows)) {
+        for (const row of rows) applyRow(state, step, row, false);
+        return readNamedRows(state, step);
+      }
       read.isPending = false;
       endTableLookups(state, event.sentAtMs, rows === undefined ? 'failed' : 'read');
       if (rows !== undefined && !rows.some(({ key }) => key === SERVED_VERSIONS_KEY)) {
@@ -122,6 +131,11 @@
   if (call === 'read' && hasAnySeveralVersions(state)) announceOwnStarts(state, step);
 }
 
+/** Whether a scan returned as many rows as it may, but not that of the versions, which follows those of the boxes. */
+function isCutShort(rows: readonly TableRow[]): boolean {
+  return rows.length >= MAX_ROWS_READ && !rows.some(({ key }) => key === SERVED_VERSIONS_KEY);
+}
+
 /** Records for the waiting look-ups how a read ended that was sent after they began. */
 function endTableLookups(
   { streamVersions }: GatewayState,
