A box keeps units after its start for the streams that its loss has cut

Cause: callers come back with their streams 0.8 s after the boxes, as their connections have to break and their pauses to end. New requests come at once and used all units in that time (531k of one workspace in 0.8 s, 300k a second after). Precedence applied only once a first stream had been taken up, and left new ones the units after 80 % of their wait.

Change: rows name the units of each stream. For 1.5 s after its start a box leaves new requests only what the streams of its earlier life do not need, less those that were taken up there; a request for lent units says whether it is for a stream that has begun. Nothing is added to any share.

--- a/packages/reedlug-gateway/src/daemon/reservationWire.ts
+++ b/packages/reedlug-gateway/src/daemon/reservationWire.ts
@@ -67,7 +67,8 @@
 
 /** Drops a malformed precedence from a request for units, as if an older box had sent it. */
 export function withValidClaim(message: UnitsAskedMessage): UnitsAskedMessage {
-  const { urgency, heldForMs, ...others } = message;
+  const { urgency, heldForMs, isForBegun, ...rest } = message;
+  const others = isForBegun === true ? { ...rest, isForBegun } : rest;
   if (!isUrgency(urgency) || !isWithin(heldForMs, 0, MAX_AGE_MS)) return others;
   return { ...others, urgency, heldForMs };
 }
--- a/packages/reedlug-gateway/src/policy/unitPrecedence.ts
+++ b/packages/reedlug-gateway/src/policy/unitPrecedence.ts
@@ -29,6 +29,8 @@
   urgency: number;
   /** Time of the first refusal; without one, the arrival of the request. */
   heldSinceMs: number;
+  /** True if the units are for a stream that has begun; missing from older boxes. */
+  isForBegun?: boolean | undefined;
 }
 
 /**
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/takenUpAfterLoss.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/__fixtures__/takenUpAfterLoss.ts
@@ -9,6 +9,7 @@
 import { createRandom } from '../../../../__tests__/__fixtures__/random.js';
 import { eventsOfTable } from '../../../../daemon/tableEvents.js';
 import { recordReceivedStart } from '../../../streamVersions/streamStarts.js';
+import { streamStartsKey } from '../../../../types/streamVersion.js';
 import type { Effect } from '../../../../types/effect.js';
 
 const TICK_MS = 50;
@@ -17,9 +18,8 @@
 /** Time before the loss, in ms: a window of the limit. */
 const BEFORE_MS = 9000;
 const MAX_OUTPUT_TOKENS = 20;
-/** Times after the start of the boxes at which callers come back, in ms. */
-const BACK_FROM_MS = 40;
-const BACK_UNTIL_MS = 700;
+/** Times after the start of the boxes at which most callers come back, in ms. */
+const BACK_AT_ONCE = { fromMs: 40, untilMs: 700 };
 
 /** What callers ask for. */
 export interface TakenUpScene {
@@ -30,6 +30,10 @@
   unitsEach: number;
   /** Time after the start of the boxes for which new streams are counted, in ms. */
   countedMs: number;
+  /** Times after the start of the boxes at which callers come back, in ms; at once if omitted. */
+  back?: { fromMs: number; untilMs: number };
+  /** Whether each box finds the streams that it relayed in its row. */
+  areNamedInRows?: boolean;
 }
 
 /** How many streams were asked for and sent. */
@@ -74,9 +78,22 @@
   return done;
 }
 
+/** Answers the read of a box's row, which names streams of its earlier life. */
+function readOwnRow(box: TestBox, streams: readonly { id: string }[], units: number): void {
+  const starts = streams.map(({ id }) => [`tiger/${id}`, 'engines', '', 8000, units]);
+  const key = streamStartsKey(box.state.settings.box.id);
+  box.take({
+    type: 'tableAnswered',
+    purpose: { kind: 'streamRows', call: 'read' },
+    answer: { kind: 'done', rows: [{ key, version: 1, value: { storeNowMs: 0, starts } }] },
+    sentAtMs: box.nowMs,
+  });
+}
+
 /** Plays a scene. */
 export function simulate(scene: TakenUpScene): TakenUpResult {
   const { seed, underWay, newPerSecond, unitsEach, countedMs } = scene;
+  const { fromMs, untilMs } = scene.back ?? BACK_AT_ONCE;
   const random = createRandom(seed);
   const store = createFaultyStore();
   const fleet: TestFleet = createFleet({
@@ -146,11 +163,13 @@
   for (const boxId of ids) restart(fleet, boxId);
   const back = Array.from({ length: underWay }, (_, index) => ({
     id: `old-${index}`,
-    atMs: BACK_FROM_MS + random() * (BACK_UNTIL_MS - BACK_FROM_MS),
+    atMs: fromMs + random() * (untilMs - fromMs),
   }));
-  for (const box of fleet.boxes.values()) {
+  for (const [index, box] of [...fleet.boxes.values()].entries()) {
     enlargeEngines(box);
     const step = { nowMs: box.nowMs, wallClockMs: 0, effects: [], faults: [] };
+    const own = back.filter((_, stream) => stream % ids.length === index);
+    if (scene.areNamedInRows === true) readOwnRow(box, own, unitsEach);
     for (const { id } of back) {
       const origin = { source: 'table', isOwn: false, asOfMs: box.nowMs };
       recordReceivedStart(box.state, step, [`tiger/${id}`, 'engines', '', 8000], origin);
--- a/packages/reedlug-gateway/src/slices/limits/begunStreams.ts
+++ b/packages/reedlug-gateway/src/slices/limits/begunStreams.ts
@@ -7,6 +7,7 @@
 import type { GatewayState } from '../../state.js';
 import type { WorkspaceSpec } from '../../types/configuration.js';
 import type { PendingRequest, RequestRecord } from '../../types/request.js';
+import { unitsForCutStreams } from './cutStreams.js';
 import { awaitsFirstUnits, firstUnitsWaitMs } from './firstUnits.js';
 import { borrowedUnits, limitUse, quotaOf, spareUnits } from './quotas.js';
 
@@ -41,7 +42,10 @@
   if (needed.hasBegun) quota.begunAskedAtMs = nowMs;
   const withheld = unitsWithheldFrom(needed, {
     waiting: waitingRequests(state),
-    keptUnits: keptUnits(state, record, workspace, nowMs),
+    keptUnits: Math.max(
+      unitsForCutStreams(state, workspace, nowMs),
+      keptUnits(state, record, workspace, nowMs),
+    ),
   });
   if (withheld === 0) return true;
   const available = spareUnits(state, workspace, nowMs) + borrowedUnits(quota, nowMs);
@@ -53,11 +57,16 @@
   return unitsForBegun(waitingRequests(state), name);
 }
 
-/** Returns the units that begun streams wait for before a request. */
-export function unitsAwaitedBefore(state: GatewayState, record: RequestRecord): number {
+/** Returns the units that begun streams wait for, or that are kept for them, before a request. */
+export function unitsAwaitedBefore(
+  state: GatewayState,
+  record: RequestRecord,
+  workspace: WorkspaceSpec,
+  nowMs: number,
+): number {
   return unitsWithheldFrom(neededUnitsOf(record), {
     waiting: waitingRequests(state),
-    keptUnits: 0,
+    keptUnits: unitsForCutStreams(state, workspace, nowMs),
   });
 }
 
--- a/packages/reedlug-gateway/src/slices/limits/quotas.ts
+++ b/packages/reedlug-gateway/src/slices/limits/quotas.ts
@@ -56,6 +56,7 @@
   record.chargedAtMs = nowMs;
   record.chargedToShare = ownUnits;
   quota.admitted += units;
+  if (record.beganAtVersion !== undefined) quota.begunCharged += units;
   return true;
 }
 
@@ -261,6 +262,7 @@
     limits: [{ fromMs: nowMs, ratePerSecond, burst }],
     admitted: 0,
     begunAskedAtMs: Number.NEGATIVE_INFINITY,
+    begunCharged: 0,
   };
   state.quotas.set(workspace.name, quota);
   return quota;
--- a/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitLoans.ts
@@ -41,7 +41,7 @@
   step: Step,
   { name: workspace }: WorkspaceSpec,
   units: number,
-  claim?: UnitClaim,
+  { claim, isForBegun = false }: { claim?: UnitClaim; isForBegun?: boolean } = {},
 ): boolean {
   const lenders = lendersOf(state, workspace, { claim, nowMs: step.nowMs });
   const announced = lenders.reduce((sum, { room }) => sum + room, 0);
@@ -56,7 +56,8 @@
     claim === undefined
       ? {}
       : { urgency: claim.urgency, heldForMs: Math.round(step.nowMs - claim.heldSinceMs) };
-  requestFromEach(step, lenders, { ...request, ...claimFields, workspace, units });
+  const begunField = isForBegun ? { isForBegun } : {};
+  requestFromEach(step, lenders, { ...request, ...claimFields, ...begunField, workspace, units });
   return true;
 }
 
@@ -98,10 +99,10 @@
 }
 
 function claimOfAsked(
-  { urgency = UNSTATED_URGENCY, heldForMs = 0 }: UnitsAskedMessage,
+  { urgency = UNSTATED_URGENCY, heldForMs = 0, isForBegun }: UnitsAskedMessage,
   nowMs: number,
 ): UnitClaim {
-  return { urgency, heldSinceMs: nowMs - heldForMs };
+  return { urgency, heldSinceMs: nowMs - heldForMs, isForBegun };
 }
 
 function requestFromEach(step: Step, lenders: readonly Lender[], message: UnitsAskedMessage): void {
--- a/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
+++ b/packages/reedlug-gateway/src/slices/limits/unitReservations.ts
@@ -19,6 +19,7 @@
 import type { PeerMessage } from '../../types/peer.js';
 import type { RequestRecord } from '../../types/request.js';
 import { countedPeers, isFreshPeer, type PeerWithMessage } from '../peers/fleet.js';
+import { unitsForCutStreams } from './cutStreams.js';
 import { mayUseUnitsNow, unitsAwaitedByBegun } from './begunStreams.js';
 import { borrowedUnits, chargeSend, limitUse, quotaOf, spareUnits } from './quotas.js';
 
@@ -199,7 +200,10 @@
   nowMs: number,
 ): number {
   const spare = spareUnits(state, workspace, nowMs);
-  if (!reservesUnits(state)) return Math.max(0, spare - unitsAwaitedByBegun(state, workspace));
+  if (!reservesUnits(state)) {
+    const cut = claim.isForBegun === true ? 0 : unitsForCutStreams(state, workspace, nowMs);
+    return Math.max(0, spare - Math.max(cut, unitsAwaitedByBegun(state, workspace)));
+  }
   const waiting = waitingBefore(state, workspace, claim);
   return Math.max(0, spare - withheldFrom(state, workspace, claim, { waiting, nowMs }));
 }
--- a/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
+++ b/packages/reedlug-gateway/src/slices/limits/waitingSends.ts
@@ -87,14 +87,17 @@
   const { nowMs } = step;
   if (!reservesUnits(state)) {
     const borrowed = borrowedUnits(quotaOf(state, workspace, nowMs), nowMs);
-    const awaited = unitsAwaitedBefore(state, record);
+    const awaited = unitsAwaitedBefore(state, record, workspace, nowMs);
     const own = Math.max(0, spareUnits(state, workspace, nowMs) + borrowed - awaited);
     // The units are there, but kept for streams that are expected.
     if (own >= record.units) return false;
-    return requestUnits(state, step, workspace, record.units - own);
+    const isForBegun = neededUnitsOf(record).hasBegun;
+    return requestUnits(state, step, workspace, record.units - own, { isForBegun });
   }
   const available = Math.max(0, unitsForArrival(state, workspace, record, nowMs));
-  return requestUnits(state, step, workspace, record.units - available, claimOf(record));
+  return requestUnits(state, step, workspace, record.units - available, {
+    claim: claimOf(record),
+  });
 }
 
 /** Sends a request once more if its workspace's limit allows another run; otherwise lets it wait for units or refuses it. */
@@ -272,7 +275,9 @@
   record: RequestRecord,
   workspace: WorkspaceSpec,
 ): number {
-  if (!reservesUnits(state)) return record.units + unitsAwaitedBefore(state, record);
+  if (!reservesUnits(state)) {
+    return record.units + unitsAwaitedBefore(state, record, workspace, nowMs);
+  }
   const before = reservedBefore(state, workspace.name, claimOf(record), nowMs);
   const own = spareUnits(state, workspace, nowMs);
   const missing = record.units + before - own - announcedUnits(state, workspace, nowMs);
--- a/packages/reedlug-gateway/src/slices/streamVersions/intendedStarts.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/intendedStarts.ts
@@ -20,7 +20,7 @@
   const source = state.settings.box.id;
   const starts: StreamStart[] = [];
   for (const record of state.requests.values()) {
-    const { route, service, beganAtVersion } = record;
+    const { route, service, units, beganAtVersion } = record;
     if (!route.resumable || beganAtVersion !== undefined) continue;
     const attempt = record.attempts.findLast(({ open, isAtKnownLife }) => open && isAtKnownLife);
     const key = keyOfStream(record);
@@ -28,7 +28,8 @@
     if (!hasSeveralVersions(state, service)) continue;
     const version = softwareVersionOf(attempt);
     const untilMs = untilMsOfStream(state, record);
-    starts.push({ key, service, version, untilMs, isOwn: true, source, recordedAtMs: nowMs });
+    const start = { key, service, version, untilMs, units, isOwn: true, source };
+    starts.push({ ...start, recordedAtMs: nowMs });
   }
   return starts;
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamRows.ts
@@ -13,6 +13,7 @@
   STREAM_ROWS_PREFIX,
   streamStartsKey,
   type StreamStart,
+  type StreamStartRow,
   type StreamStartsRow,
 } from '../../types/streamVersion.js';
 import { fleetSize, usesHubs } from '../peers/fleet.js';
@@ -22,7 +23,7 @@
 import { hasAnySeveralVersions, hasSeveralVersions } from './servedVersions.js';
 import { intendedStarts } from './intendedStarts.js';
 import { announceOwnStarts } from './startGossip.js';
-import { isStartRow, recordReceivedStart, startRowOf } from './streamStarts.js';
+import { isStartRow, recordReceivedStart, startRowOf, unitsOfRow } from './streamStarts.js';
 import { storeTimeOf } from './listedVersions.js';
 import { applyVersionsRow, forgetVersionsRow, onVersionsRowWritten } from './versionsRow.js';
 
@@ -162,9 +163,19 @@
   const boxId = row.key.slice(streamStartsKey('').length);
   if (!isOwn) recordSignOfLife(state, { boxId, atMs: asOfMs, nowMs: step.nowMs });
   const origin = { source: row.key, isOwn, asOfMs };
-  for (const start of value.starts.filter(isStartRow)) {
-    recordReceivedStart(state, step, start, origin);
-  }
+  const starts = value.starts.filter(isStartRow);
+  for (const start of starts) recordReceivedStart(state, step, start, origin);
+  if (isOwn) recordCutStreams(state, starts);
+}
+
+/** Records the streams of the row that an earlier life of this box has left, unless this one has written the row. */
+function recordCutStreams(
+  { streamVersions, startedAtMs }: GatewayState,
+  starts: readonly StreamStartRow[],
+): void {
+  const hasWritten = streamVersions.ownRow.writtenAtMs > startedAtMs;
+  if (hasWritten || streamVersions.cutStreams.length > 0) return;
+  streamVersions.cutStreams = starts.map((row) => ({ key: row[0], units: unitsOfRow(row) }));
 }
 
 /** Discards what is known of the rows after a restore of the store, which may have lost them. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
@@ -42,11 +42,11 @@
 ): StreamStart | undefined {
   const key = keyOfStream(record);
   if (key === undefined) return undefined;
-  const { service } = record;
+  const { service, units } = record;
   const untilMs = untilMsOfStream(state, record);
   const source = state.settings.box.id;
-  const start = { key, service, version, untilMs, isOwn: true, source, recordedAtMs: step.nowMs };
-  return mergeStart(state, step, start);
+  const start = { key, service, version, untilMs, units, isOwn: true, source };
+  return mergeStart(state, step, { ...start, recordedAtMs: step.nowMs });
 }
 
 /** Merges a start with what is known of the stream, and returns the result. */
@@ -106,10 +106,10 @@
 
 /** Encodes a start for messages and rows. */
 export function startRowOf(
-  { key, service, version, untilMs }: StreamStart,
+  { key, service, version, untilMs, units }: StreamStart,
   nowMs: number,
 ): StreamStartRow {
-  return [key, service, version ?? null, Math.max(0, Math.round(untilMs - nowMs))];
+  return [key, service, version ?? null, Math.max(0, Math.round(untilMs - nowMs)), units];
 }
 
 /** Whether a value is a row of a start: messages and rows may come from other versions of the gateway. */
@@ -121,6 +121,11 @@
   return version === null || typeof version === 'string';
 }
 
+/** Returns the units of a stream; 0 if its row does not state them. */
+export function unitsOfRow([, , , , units]: StreamStartRow): number {
+  return isFiniteNumber(units) && units > 0 ? units : 0;
+}
+
 /** Records a start from a message or a row; its time left counts from `asOfMs`. */
 export function recordReceivedStart(
   state: GatewayState,
@@ -129,9 +134,10 @@
   origin: { source: string; isOwn: boolean; asOfMs: number },
 ): void {
   const [key, service, version, leftMs] = row;
+  const units = unitsOfRow(row);
   const { source, isOwn, asOfMs } = origin;
   const untilMs = asOfMs + Math.min(leftMs, streamRetentionMs(state));
   if (untilMs <= step.nowMs) return;
-  const start = { key, service, version: version ?? undefined, untilMs, isOwn, source };
+  const start = { key, service, version: version ?? undefined, untilMs, units, isOwn, source };
   mergeStart(state, step, { ...start, recordedAtMs: step.nowMs });
 }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -225,6 +225,8 @@
    */
   urgency?: number | undefined;
   heldForMs?: number | undefined;
+  /** True if the units are for a stream that has begun. */
+  isForBegun?: boolean | undefined;
 }
 
 /** Lends units. The lender's share is charged for them, whether or not they arrive or are used. */
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -24,13 +24,24 @@
   untilMs: number;
   /** True if this box relayed the stream, in this life or an earlier one. */
   isOwn: boolean;
+  /** Units that its request counts against the limit of its workspace; 0 if that is not known. */
+  units: number;
   /** Box or row from which it is known, and the time of its first record here. */
   source: string;
   recordedAtMs: number;
 }
 
-/** A stream in a message or a row: key, service, version, and time left until its caller gives up, in ms. */
-export type StreamStartRow = readonly [string, string, string | null, number];
+/**
+ * A stream in a message or a row: key, service, version, time left until its caller gives up, in ms, and the units of
+ * its request, which older boxes do not state.
+ */
+export type StreamStartRow = readonly [string, string, string | null, number, number?];
+
+/** A stream that an earlier life of this box was relaying when it ended. */
+export interface CutStream {
+  key: string;
+  units: number;
+}
 
 /** Streams that the sender relayed. */
 export interface StreamStartsMessage {
@@ -169,6 +180,8 @@
   begunUnlisted: Map<string, Set<string>>;
   /** Versions of which this box has forgotten starts, by service. */
   forgotten: Map<string, Set<string>>;
+  /** Streams of an earlier life of this box, as its row names them. */
+  cutStreams: readonly CutStream[];
 }
 
 /** The row with the streams of this box. */
@@ -249,5 +262,6 @@
     awaitingListing: [],
     begunUnlisted: new Map(),
     forgotten: new Map(),
+    cutStreams: [],
   };
 }
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -120,6 +120,8 @@
   admitted: number;
   /** Time at which a request for a stream that has begun last asked for units; negative infinity before. */
   begunAskedAtMs: number;
+  /** Units charged since the start for streams that had begun before. */
+  begunCharged: number;
 }
 
 /** State of a box with regard to a peer. */
