End the import circle of state.ts and stepFaults.ts

state.ts imported the type of a fault from stepFaults.ts, which imports the type of a step from state.ts. The fault's type now stands in types/stepFault.ts, below both.

--- a/packages/reedlug-gateway/src/daemon/internalFaults.ts
+++ b/packages/reedlug-gateway/src/daemon/internalFaults.ts
@@ -10,10 +10,10 @@
 import type { HeaderCodec } from '../adapter.js';
 import type { Logger } from '../observe/logger.js';
 import { NO_SERVER_RETRY_MS } from '../slices/requests/requestCompletion.js';
-import type { StepFault } from '../stepFaults.js';
 import type { Effect } from '../types/effect.js';
 import type { EventBody } from '../types/event.js';
 import { INTERNAL_FAULT_REASON } from '../types/request.js';
+import type { StepFault } from '../types/stepFault.js';
 import type { CallerExchange } from './callerServer.js';
 import { writeRefusal } from './exchanges.js';
 
--- a/packages/reedlug-gateway/src/index.ts
+++ b/packages/reedlug-gateway/src/index.ts
@@ -22,7 +22,7 @@
 export { hasRequest } from './slices/requests/requests.js';
 export { NO_SERVER_RETRY_MS } from './slices/requests/requestCompletion.js';
 export { reduce, reduceStep, type StepOutcome } from './reduce.js';
-export type { StepFault } from './stepFaults.js';
+export type { StepFault } from './types/stepFault.js';
 export { runGateway } from './daemon/runGateway.js';
 export { startGatewayDaemon, type GatewayDaemon } from './daemon/gatewayDaemon.js';
 export { explainRequest, type Explanation } from './observe/explainRequest.js';
--- a/packages/reedlug-gateway/src/state.ts
+++ b/packages/reedlug-gateway/src/state.ts
@@ -1,7 +1,6 @@
 /** State of a gateway box. Each slice modifies its part of the state in place. */
 import type { LeaseState, RetryBudget, TableOp } from 'reedlug-coordination';
 import type { EngineModel, OwnSends } from './policy/engineModel.js';
-import type { StepFault } from './stepFaults.js';
 import type { UnitReservation } from './policy/unitPrecedence.js';
 import type { ServicePlacement } from './types/placement.js';
 import type { OverloadState } from './types/threadLoad.js';
@@ -25,6 +24,7 @@
 import type { ServerLinks } from './types/serverLink.js';
 import type { ServerSpeedsState } from './types/serverSpeed.js';
 import type { GatewaySettings } from './types/settings.js';
+import type { StepFault } from './types/stepFault.js';
 import type { SharedFeed, StoreFeed } from './types/storeFeed.js';
 import type { StreamVersions } from './types/streamVersion.js';
 import type { WorkspaceShares } from './types/workspaceShares.js';
