End the import circle of the simulator: types and effects in modules of their own

21 files imported each other in a circle: world.ts holds the types of boxes, servers, faults and records, whose modules imported world.ts for its time and randomness, and boxes were started by the module that their effects imported to end them.

Types now stand below: virtualBox.ts, virtualServer.ts and virtualStore.ts hold types alone, brittlePeriod.ts, limitPeriod.ts and rolloutState.ts those of faults. Code was moved, not changed.

Shown: no circle is left in the package (type-only imports counted).

--- a/packages/reedlug-simulator/src/boxes/performEffect.ts
+++ b/packages/reedlug-simulator/src/boxes/performEffect.ts
@@ -12,8 +12,10 @@
   CONNECTION_REFUSED_REASON,
 } from 'reedlug-gateway';
 import { handleCloudCall } from '../servers/engineOrders.js';
-import { isReachableFrom, submitToEngine, type VirtualServer } from '../servers/virtualServers.js';
-import { recordArrival, recordLog, recordRun } from '../report/sceneRecord.js';
+import { isReachableFrom, submitToEngine } from '../servers/virtualServers.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
+import { recordLog } from '../report/boxRecord.js';
+import { recordArrival, recordRun } from '../report/requestRecord.js';
 import {
   arePartitioned,
   boxAt,
@@ -35,7 +37,8 @@
 import { faultOfVersion, recordRolloutArrival } from '../faults/rollouts.js';
 import { setSlowFactor } from '../servers/batchEngine.js';
 import { createHeldDelivery } from './heldDelivery.js';
-import { killBox, stopRunAt, type VirtualBox } from './virtualBox.js';
+import type { VirtualBox } from './virtualBox.js';
+import { killBox, stopRunAt } from './killBox.js';
 
 /** Zone of the cloud; nothing else is in it. */
 const CLOUD_ZONE = '(cloud)';
--- a/packages/reedlug-simulator/src/callers/callers.ts
+++ b/packages/reedlug-simulator/src/callers/callers.ts
@@ -12,12 +12,12 @@
   recordEvent,
   recordFailed,
   recordRefused,
-} from '../report/sceneRecord.js';
+} from '../report/requestRecord.js';
 import {
   recordStreamAttempt,
   recordStreamAttemptLost,
   recordStreamEvent,
-} from '../report/streamRecord.js';
+} from '../report/streamChecks.js';
 import { later, nowMs, nextNumber, type World } from '../world.js';
 import { recordLimitRefusal } from '../report/limitRefusals.js';
 import {
--- a/packages/reedlug-simulator/src/faults/applyFaults.ts
+++ b/packages/reedlug-simulator/src/faults/applyFaults.ts
@@ -1,5 +1,7 @@
 /** Schedules and applies the faults of a scene. */
-import { killBox, startBox, type BoxSpec, type VirtualBox } from '../boxes/virtualBox.js';
+import type { BoxSpec, VirtualBox } from '../boxes/virtualBox.js';
+import { killBox } from '../boxes/killBox.js';
+import { startBox } from '../boxes/startBox.js';
 import type { LoadChanges } from '../callers/callers.js';
 import type { SceneFaultSpec } from '../scene/scene.js';
 import {
@@ -8,11 +10,11 @@
   restartServer,
   silenceServer,
   acceptsNewWork,
-  type VirtualServer,
 } from '../servers/virtualServers.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
 import { boxSpecsOf } from '../boxes/boxSpecs.js';
 import { StoreOutage } from '../store/virtualStore.js';
-import { recordDutyOutage } from '../report/dutyRecord.js';
+import { recordDutyOutage } from '../report/dutyChecks.js';
 import { later, PROPAGATION_MS, type World } from '../world.js';
 import { startBrittlePeriod } from './brittleServers.js';
 import { changeLimits } from './changeLimits.js';
--- a/packages/reedlug-simulator/src/faults/brittleServers.ts
+++ b/packages/reedlug-simulator/src/faults/brittleServers.ts
@@ -1,27 +1,17 @@
 /** Servers that crash when they have to reject too many requests in a second, and the check of how often they do. */
-import { isSynchronized, type VirtualBox } from '../boxes/virtualBox.js';
-import type { SceneFaultSpec } from '../scene/scene.js';
-import { restartServer, type VirtualServer } from '../servers/virtualServers.js';
-import { later, nowMs, type World } from '../world.js';
+import type { VirtualBox } from '../boxes/virtualBox.js';
+import { restartServer } from '../servers/virtualServers.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
+import { isSynchronized, later, nowMs, type World } from '../world.js';
+import type { BrittleFault, BrittlePeriod } from './brittlePeriod.js';
 
 /** Window in which rejections are counted, in ms. */
 const WINDOW_MS = 1000;
+
 /** Crashes that the users allow in one such time: a number, and a share of the servers. */
 const ALLOWED_CRASHES = 2;
-const ALLOWED_CRASHES_SHARE = 0.1;
-
-type BrittleFault = Extract<SceneFaultSpec, { kind: 'brittleServers' }>;
 
-/** A time in which the servers of a service are brittle. */
-export interface BrittlePeriod {
-  fault: BrittleFault;
-  fromMs: number;
-  toMs: number;
-  servers: number;
-  crashes: number;
-  /** Recent rejections by server, and whether they count for the guarantee. */
-  rejections: Map<VirtualServer, { atMs: number; isBound: boolean }[]>;
-}
+const ALLOWED_CRASHES_SHARE = 0.1;
 
 /** Starts a time in which the servers of a service state that they are brittle; later fewer requests may wait. */
 export function startBrittlePeriod(world: World, fault: BrittleFault): void {
--- a/packages/reedlug-simulator/src/faults/changeLimits.ts
+++ b/packages/reedlug-simulator/src/faults/changeLimits.ts
@@ -2,13 +2,6 @@
 import { putConfiguration } from '../report/configurationRecord.js';
 import { nowMs, type World } from '../world.js';
 
-/** The limits that apply from a time until the next period. */
-export interface LimitPeriod {
-  fromMs: number;
-  /** Factor on the scene's own limits. */
-  factor: number;
-}
-
 /** Writes a configuration whose limits are the scene's times the factor. */
 export function changeLimits(world: World, factor: number): void {
   const { configuration, limitPeriods } = world;
--- a/packages/reedlug-simulator/src/faults/crashingRequests.ts
+++ b/packages/reedlug-simulator/src/faults/crashingRequests.ts
@@ -6,15 +6,14 @@
 import { createRequest, sendTry } from '../callers/callers.js';
 import type { CallerRequest, ServerCrash } from '../callers/callerAttempt.js';
 import { generateRequest, generateSharedParts, workspaceName } from '../callers/generateRequest.js';
-import {
-  crashingRequestOf,
-  recordRequest,
-  type CrashingRequestRecord,
-} from '../report/sceneRecord.js';
+import type { CrashingRequestRecord } from '../report/sceneRecord.js';
+import { getOrCreate } from '../report/getOrCreate.js';
+import { recordRequest } from '../report/requestRecord.js';
 import type { SceneClass, SceneFaultSpec } from '../scene/scene.js';
-import { restartServer, type VirtualServer } from '../servers/virtualServers.js';
-import { isSynchronized, type VirtualBox } from '../boxes/virtualBox.js';
-import { PROPAGATION_MS, later, nowMs, nextNumber, type World } from '../world.js';
+import { restartServer } from '../servers/virtualServers.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
+import type { VirtualBox } from '../boxes/virtualBox.js';
+import { PROPAGATION_MS, isSynchronized, later, nowMs, nextNumber, type World } from '../world.js';
 
 /** Number of servers that a request, or a part of prompts, crashes before the guarantee applies. */
 const MIN_CRASHES_OF_REQUEST = 3;
@@ -91,6 +90,15 @@
   };
 }
 
+/** Returns the record of a request, or a part of prompts, that crashes servers. */
+function crashingRequestOf(world: World, cause: string): CrashingRequestRecord {
+  return getOrCreate(world.record.endings, cause, () => ({
+    endedAtMs: [],
+    sentAtMs: [],
+    part: undefined,
+  }));
+}
+
 /** Crashes a server some time after it starts to run such a request. */
 export function crashUnder(
   world: World,
--- a/packages/reedlug-simulator/src/faults/limitedServers.ts
+++ b/packages/reedlug-simulator/src/faults/limitedServers.ts
@@ -1,11 +1,11 @@
 /** Servers that state a limit in their answers, and the check that boxes keep it. */
 import type { LimitStatement } from 'reedlug-gateway';
-import { isSynchronized, type VirtualBox } from '../boxes/virtualBox.js';
+import type { VirtualBox } from '../boxes/virtualBox.js';
 import type { LimitedServerRecord } from '../report/sceneRecord.js';
 import { greatestShare, type TimedAmount } from '../report/slidingSum.js';
 import type { SceneFaultSpec } from '../scene/scene.js';
-import type { VirtualServer } from '../servers/virtualServers.js';
-import { PROPAGATION_MS, later, nowMs, type World } from '../world.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
+import { PROPAGATION_MS, isSynchronized, later, nowMs, type World } from '../world.js';
 
 /** Time after a box forwards an answer with a limit until its sends count, in ms, as guaranteed to the users. */
 const STATEMENT_GRACE_MS = 500;
--- a/packages/reedlug-simulator/src/faults/restoreStore.ts
+++ b/packages/reedlug-simulator/src/faults/restoreStore.ts
@@ -4,7 +4,7 @@
 import { StoreOutage } from '../store/virtualStore.js';
 import { later, nowMs, type World } from '../world.js';
 import { putConfiguration } from '../report/configurationRecord.js';
-import { recordDutyOutage } from '../report/dutyRecord.js';
+import { recordDutyOutage } from '../report/dutyChecks.js';
 
 /** Time from the restore until other writers have written, in ms; shorter than a box's delay after a failed call. */
 const OTHER_WRITES_DELAY_MS = 40;
--- a/packages/reedlug-simulator/src/faults/rollouts.ts
+++ b/packages/reedlug-simulator/src/faults/rollouts.ts
@@ -3,43 +3,21 @@
  * version alongside the old ones and follows the outcome in the roll-out's record.
  */
 import { RolloutPhase } from 'reedlug-gateway';
-import type { SceneFaultSpec } from '../scene/scene.js';
-import {
-  drainServer,
-  endServer,
-  startAlongside,
-  type VirtualServer,
-} from '../servers/virtualServers.js';
+import { drainServer, endServer, startAlongside } from '../servers/virtualServers.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
 import { later, nowMs, type World } from '../world.js';
+import type { RolloutSpec, RolloutState } from './rolloutState.js';
 
 /** Interval between reads of the record, in ms; short because the platform sees it at once. */
 const POLL_INTERVAL_MS = 20;
+
 /** Time from a roll-back until the new servers drain, in ms; specified as "some seconds". */
 const DRAIN_DELAY_MS = 3000;
+
 /** Number of bad answers after which boxes must stop sending to the new version, and within how long, in ms. */
 const MAX_BAD_ANSWERS = 50;
-const STOP_WITHIN_MS = 5000;
 
-type RolloutSpec = Extract<SceneFaultSpec, { kind: 'rollout' }>;
-
-/** The observed state of a roll-out. */
-export interface RolloutState {
-  spec: RolloutSpec;
-  version: string;
-  orderedAtMs: number;
-  /** Requests that reached the service within the ordered duration, and those among them at the new version. */
-  arrivals: number;
-  trialArrivals: number;
-  badAnswers: number;
-  /**
-   * Time by which sends to the new version must stop, once it has given too many bad answers, and
-   * time of the last request to it.
-   */
-  stopDueAtMs: number | undefined;
-  lastArrivalMs: number;
-  endedAtMs: number | undefined;
-  end: RolloutPhase | undefined;
-}
+const STOP_WITHIN_MS = 5000;
 
 /** Orders a roll-out and follows its record. */
 export function startRollout(world: World, spec: RolloutSpec): void {
--- a/packages/reedlug-simulator/src/faults/softwareVersions.ts
+++ b/packages/reedlug-simulator/src/faults/softwareVersions.ts
@@ -8,8 +8,8 @@
   MIXED_VERSION_PREFIX,
   restartServer,
   startReplacement,
-  type VirtualServer,
 } from '../servers/virtualServers.js';
+import type { VirtualServer } from '../servers/virtualServer.js';
 import { nextNumber, type World } from '../world.js';
 
 /** Returns the name of a version that no server has had. */
--- a/packages/reedlug-simulator/src/report/configurationRecord.ts
+++ b/packages/reedlug-simulator/src/report/configurationRecord.ts
@@ -1,6 +1,5 @@
 /** Checks that each box applies a new configuration in time. */
-import { isSynchronized } from '../boxes/virtualBox.js';
-import { later, nowMs, type World } from '../world.js';
+import { isSynchronized, later, nowMs, type World } from '../world.js';
 
 /** Time from a write until all synchronized boxes have it in force, in ms, as guaranteed to the users. */
 const IN_FORCE_DEADLINE_MS = 2000;
--- a/packages/reedlug-simulator/src/report/limitRefusals.ts
+++ b/packages/reedlug-simulator/src/report/limitRefusals.ts
@@ -7,6 +7,7 @@
 import type { CallerRequest } from '../callers/callerAttempt.js';
 import { factorInForce } from '../faults/changeLimits.js';
 import { nowMs, type World } from '../world.js';
+import type { LimitRefusalRecord } from './sceneRecord.js';
 
 /** Requests by their units: the largest tenth, the fifth below it, and the other seven tenths. */
 const SIZE_BANDS = [
@@ -15,15 +16,6 @@
   { name: 'others', fromShare: 0 },
 ] as const;
 
-/** A refusal by a limit. */
-export interface LimitRefusalRecord {
-  request: CallerRequest;
-  atMs: number;
-  units: number;
-  /** Whether the caller gave up on it. */
-  isFinal: boolean;
-}
-
 /** Refusals by limits of one kind, size or workspace. */
 export interface LimitRefusalRow {
   name: string;
--- a/packages/reedlug-simulator/src/report/sceneReport.ts
+++ b/packages/reedlug-simulator/src/report/sceneReport.ts
@@ -14,7 +14,8 @@
 import { largestInTime, largestInTimeByClass } from './largestPrompts.js';
 import { earnedShare, type Outcomes } from './outcomes.js';
 import type { BrokenGuarantee } from './sceneRecord.js';
-import { brokenStreamGuarantees, type AttemptCounts } from './streamRecord.js';
+import type { AttemptCounts } from './streamRecord.js';
+import { brokenStreamGuarantees } from './streamChecks.js';
 import { greatestShare, greatestSum } from './slidingSum.js';
 import { fairnessOf, workspaceRows, type Fairness, type WorkspaceRow } from './workspaceRecord.js';
 
--- a/packages/reedlug-simulator/src/runScene.ts
+++ b/packages/reedlug-simulator/src/runScene.ts
@@ -9,7 +9,7 @@
 } from 'reedlug-gateway';
 import { createEventQueue, createRandom } from 'reedlug-standins';
 import { boxSpecsOf } from './boxes/boxSpecs.js';
-import { startBox } from './boxes/virtualBox.js';
+import { startBox } from './boxes/startBox.js';
 import { startCallers } from './callers/callers.js';
 import {
   keyOf,
@@ -20,13 +20,13 @@
   workspaceShares,
 } from './callers/generateRequest.js';
 import { scheduleFaults } from './faults/applyFaults.js';
-import { watchDutyLease } from './report/dutyRecord.js';
+import { watchDutyLease } from './report/dutyChecks.js';
 import { createSceneRecord, type LogLine } from './report/sceneRecord.js';
 import { checkLeftWork } from './report/leftWork.js';
 import { buildReport, type SceneReport } from './report/sceneReport.js';
 import type { Scene, SceneService } from './scene/scene.js';
 import { recordRunningServers, startServers } from './servers/virtualServers.js';
-import { createVirtualStore } from './store/virtualStore.js';
+import { createVirtualStore } from './store/createVirtualStore.js';
 import type { World } from './world.js';
 
 /** Time after the last caller in which answers may still arrive, in s; about the longest deadline. */
--- a/packages/reedlug-simulator/src/servers/engineOrders.ts
+++ b/packages/reedlug-simulator/src/servers/engineOrders.ts
@@ -1,7 +1,7 @@
 /** Orders of engines and usage reports, as the cloud executes them. */
 import type { CloudCall, CloudOutcome } from 'reedlug-gateway';
-import { recordDutyCall } from '../report/dutyRecord.js';
-import { recordEngineTime } from '../report/sceneRecord.js';
+import { recordDutyCall } from '../report/dutyChecks.js';
+import { recordEngineTime } from '../report/engineRecord.js';
 import { later, nowMs, type World } from '../world.js';
 import {
   acceptsNewWork,
@@ -9,8 +9,8 @@
   MIXED_VERSION_PREFIX,
   drainServer,
   startEngine,
-  type VirtualServer,
 } from './virtualServers.js';
+import type { VirtualServer } from './virtualServer.js';
 
 /**
  * Returns the engines of one kind in a zone that are not draining, without those of a roll-out in
--- a/packages/reedlug-simulator/src/servers/virtualServers.ts
+++ b/packages/reedlug-simulator/src/servers/virtualServers.ts
@@ -3,48 +3,31 @@
  * when a server ends.
  */
 import { RolloutPhase, ServerState, type ServerEntry } from 'reedlug-gateway';
-import { recordEngineTime, recordPrefill } from '../report/sceneRecord.js';
+import { recordEngineTime, recordPrefill } from '../report/engineRecord.js';
 import { arePartitioned, later, nowMs, nextNumber, type World } from '../world.js';
 import type { EngineService, PlainService, SceneService } from '../scene/scene.js';
 import { createBatchEngine, finishStep, submitRun, type BatchEngine } from './batchEngine.js';
-import { createPlainServer, type PlainServer } from './plainServer.js';
+import { createPlainServer } from './plainServer.js';
+import type { ServerWork, VirtualServer } from './virtualServer.js';
 
 /** Interval between checks whether a draining server is idle, in ms. */
 const IDLE_POLL_INTERVAL_MS = 200;
+
 /** Number of missed heartbeats after which a registry entry expires. */
 const EXPIRY_HEARTBEATS = 3;
+
 /** Heartbeat interval of a plain server, in ms. */
 const PLAIN_HEARTBEAT_MS = 1200;
+
 /** Version of the servers at the start. */
 const FIRST_VERSION = 'v1';
+
 /** First part of the names of versions that serve without a roll-out. */
 export const MIXED_VERSION_PREFIX = 'mixed-';
+
 /** Port of every server; only the hosts of addresses differ. */
 const SERVER_PORT = 8509;
 
-/** The simulated engine or plain server behind an entry. */
-export type ServerWork =
-  { kind: 'engine'; engine: BatchEngine } | { kind: 'plain'; server: PlainServer };
-
-/** A server of the world. */
-export interface VirtualServer {
-  entry: ServerEntry;
-  work: ServerWork;
-  startedAtMs: number;
-  /** Whether the server has stopped responding and accepting connections. */
-  isSilent: boolean;
-  /** The limit that its answers state, and whether it rejects requests beyond it. */
-  limit: { perSecond: number; turnsDown: boolean } | undefined;
-  /** Whether it announces in its answers that it drains. */
-  isDraining: boolean;
-  /** The share of requests that it refuses, and the pause that its refusals request, if any. */
-  refusing: { share: number; pauseMs: number | undefined } | undefined;
-  /** Handlers by run id, called for the open requests when the server ends. */
-  openRuns: Map<number, () => void>;
-  /** Returns the number of requests that wait, or -1 while a slot is free. */
-  waiting: () => number;
-}
-
 /** Starts the servers that a scene begins with. */
 export function startServers(world: World): void {
   for (const service of world.scene.services) {
--- a/packages/reedlug-simulator/src/world.ts
+++ b/packages/reedlug-simulator/src/world.ts
@@ -4,10 +4,10 @@
 import type { Scene } from './scene/scene.js';
 import type { SceneRecord } from './report/sceneRecord.js';
 import type { VirtualBox } from './boxes/virtualBox.js';
-import type { BrittlePeriod } from './faults/brittleServers.js';
-import type { LimitPeriod } from './faults/changeLimits.js';
-import type { RolloutState } from './faults/rollouts.js';
-import type { VirtualServer } from './servers/virtualServers.js';
+import type { BrittlePeriod } from './faults/brittlePeriod.js';
+import type { LimitPeriod } from './faults/limitPeriod.js';
+import type { RolloutState } from './faults/rolloutState.js';
+import type { VirtualServer } from './servers/virtualServer.js';
 import type { VirtualStore } from './store/virtualStore.js';
 
 /**
@@ -91,3 +91,13 @@
   const { sameZoneMs, otherZoneMs } = world.scene.network;
   return zone === otherZone ? sameZoneMs : otherZoneMs;
 }
+
+/** Whether a box has run without network partitions for long enough to know what the other boxes know. */
+export function isSynchronized(world: World, box: VirtualBox): boolean {
+  const sinceMs = nowMs(world) - PROPAGATION_MS;
+  return (
+    box.startedAtMs <= sinceMs &&
+    world.cutZones.size === 0 &&
+    world.lastPartitionEndedAtMs <= sinceMs
+  );
+}
