Simulator: workspaces' records use the shared getOrCreate

workspaceRecord.ts had a second copy of getOrCreate. The two differ only for a map that holds undefined, which neither map does.

--- a/packages/reedlug-simulator/src/report/workspaceRecord.ts
+++ b/packages/reedlug-simulator/src/report/workspaceRecord.ts
@@ -2,6 +2,7 @@
 import { maxMinShares } from 'reedlug-gateway';
 import type { CallerRequest } from '../callers/callerAttempt.js';
 import { workOf } from '../callers/generateRequest.js';
+import { getOrCreate } from './getOrCreate.js';
 import { addOutcome, createOutcomes, RequestEnd, type Outcomes } from './outcomes.js';
 
 /** Served share of the requested work below which a span counts as short of capacity. */
@@ -79,12 +80,6 @@
   return { ...createOutcomes(), refusedTwice: 0, servedAfterRefusal: 0 };
 }
 
-function getOrCreate<V>(map: Map<string, V>, key: string, make: () => V): V {
-  const known = map.get(key) ?? make();
-  map.set(key, known);
-  return known;
-}
-
 /** Returns the rows of a report in order of their names. */
 export function workspaceRows(map: ReadonlyMap<string, WorkspaceOutcomes>): WorkspaceRow[] {
   return [...map]
