End the import circle of the decisions: members, records, recipients and outcomes below their slices

18 files of reedlug-decisions imported each other in a circle. What several slices need now stands below them: serverMembers.ts (which servers accept requests), requestRecords.ts (records and phases), peerRecipients.ts (who receives a message), claimOutcomes.ts (rows of settled claims). What starts a chain stands above: boxList.ts and configPolling.ts. admit moved to dispatch.ts, failAttemptsAt to retries.ts, settleFromRow to following.ts, which alone uses it. Code was moved, not changed.

--- a/packages/reedlug-decisions/src/__tests__/windows.test.ts
+++ b/packages/reedlug-decisions/src/__tests__/windows.test.ts
@@ -2,7 +2,7 @@
 import { createTestBox, reportServer, testDraft, type TestBox } from './__fixtures__/testBox.js';
 import { chooseServer } from '../policy/routing.js';
 import { spareCapacity, updateSharingBoxes } from '../policy/windows.js';
-import { createRecord } from '../slices/requests.js';
+import { createRecord } from '../slices/requestRecords.js';
 
 function receiveHeartbeat(box: TestBox, nowMs: number): void {
   box.send(nowMs, {
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -10,7 +10,7 @@
 import { RequestClass, RoutingPolicy, ServerKind } from '../types/settings.js';
 import type { BoxState, ServerView } from '../state.js';
 import { nextRandom, poolSiteKey, siteOfZone } from '../state.js';
-import { serverAcceptsRequests } from '../slices/servers.js';
+import { serverAcceptsRequests } from '../slices/serverMembers.js';
 import { rulesFor, serverAllowed, type ServerRules } from '../plans/rules.js';
 import { expectedCachedTokens } from './cacheView.js';
 import { otherBoxesLoad, spareCapacity } from './windows.js';
--- a/packages/reedlug-decisions/src/reduce.ts
+++ b/packages/reedlug-decisions/src/reduce.ts
@@ -13,15 +13,16 @@
 import { onAttemptLost, onAttemptRefused } from './slices/failedAttempts.js';
 import { onServiceAnswered } from './slices/serviceAttempts.js';
 import { onAttemptEnded, onAttemptProgress } from './slices/streamAttempts.js';
-import { onClaimsAnswered, onOutcomesAnswered, sendOutcomes } from './slices/claimWrites.js';
+import { onClaimsAnswered } from './slices/claimWrites.js';
+import { onOutcomesAnswered, sendOutcomes } from './slices/claimOutcomes.js';
 import {
-  configTick,
   recordPeerRevision,
   onConfigAsk,
   onConfigDeltas,
   onConfigScanned,
   onConfigSnapshot,
 } from './slices/config.js';
+import { configTick } from './slices/configPolling.js';
 import {
   onClaimReread,
   onFollowAsked,
@@ -43,11 +44,11 @@
 import { forgetSettled } from './slices/requests.js';
 import {
   registerConfiguredServers,
-  onBoxListRead,
   onReclaimNoticed,
   onServerUpdates,
   onServerReported,
 } from './slices/servers.js';
+import { onBoxListRead } from './slices/boxList.js';
 import { probeServers } from './slices/probes.js';
 import { onCallerGone, requestsTick } from './slices/timers.js';
 
--- a/packages/reedlug-decisions/src/slices/admission.ts
+++ b/packages/reedlug-decisions/src/slices/admission.ts
@@ -6,17 +6,18 @@
  */
 import { laneLength } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
-import { Reason, type RequestRecord, type RequestSpec } from '../types/request.js';
+import { Reason, type RequestSpec } from '../types/request.js';
 import { RequestClass, ServerKind } from '../types/settings.js';
 import type { BoxState, Step } from '../state.js';
 import { consumeLimit, workspaceView } from './limits.js';
 import { requestClaim } from './claimWrites.js';
-import { dispatchPool } from './dispatch.js';
-import { enterQueue, queueFor, queuesOf } from './queues.js';
-import { addRecord, createRecord, GENERATED_TOKEN_COST, refuse } from './requests.js';
-import { serverAcceptsRequests } from './servers.js';
+import { queueFor, queuesOf } from './queues.js';
+import { refuse } from './requests.js';
+import { addRecord, createRecord, GENERATED_TOKEN_COST } from './requestRecords.js';
+import { serverAcceptsRequests } from './serverMembers.js';
 import { priorityOf } from '../plans/rules.js';
 import { isReady } from './readiness.js';
+import { admit } from './dispatch.js';
 
 /** Retry time where no better estimate exists, in ms. */
 const DEFAULT_RETRY_MS = 1000;
@@ -47,13 +48,6 @@
   else admit(state, step, record);
 }
 
-/** Puts an accepted request into its queue and dispatches from the queue. */
-export function admit(state: BoxState, step: Step, record: RequestRecord): void {
-  const { nowMs } = step;
-  enterQueue(state, record, { nowMs, notBeforeMs: nowMs, atFront: false });
-  dispatchPool(state, step, record.spec.pool);
-}
-
 function withPriority(state: BoxState, spec: RequestSpec): RequestSpec {
   const requestClass = priorityOf(state, spec.workspaceId) ?? spec.requestClass;
   return requestClass === spec.requestClass ? spec : { ...spec, requestClass };
--- a/packages/reedlug-decisions/src/slices/claimWrites.ts
+++ b/packages/reedlug-decisions/src/slices/claimWrites.ts
@@ -1,37 +1,31 @@
 /**
- * Claims of keyed requests that may not be repeated, and their outcomes.
+ * Claims of keyed requests that may not be repeated.
  *
  * A claim is a row in the table by which one box becomes the holder of an idempotency
  * key. While a group of claims is in flight, new claims are collected for the next
  * group. The table thus receives few writes under load, and a single claim does not wait.
  */
 import {
-  claimRowKey,
   Outcome,
   startClaimGroup,
   stepClaimGroup,
   type ClaimGroup,
-  type ClaimValue,
   type ClaimVerdict,
   type PendingClaim,
   type TableAnswer,
   type TableOp,
-  type TableWrite,
 } from 'reedlug-coordination';
 import { Reason, type RequestRecord } from '../types/request.js';
 import type { BoxState, Step } from '../state.js';
 import { nextId } from '../state.js';
-import { admit } from './admission.js';
+import { admit } from './dispatch.js';
+import { giveUp } from './requests.js';
+import { isUnsettled } from './requestRecords.js';
+import { claimKey, claimValue, queueOutcome } from './claimOutcomes.js';
 import { startFollowing } from './following.js';
-import { log } from './log.js';
-import { giveUp, isUnsettled, phaseOf, settle } from './requests.js';
 
 /** Retry time in the answer to the caller if the table did not answer, in ms. */
 const UNAVAILABLE_RETRY_MS = 2000;
-/** Delay before outcomes are written again after a failure, in ms. */
-const OUTCOME_RETRY_MS = 1000;
-/** Maximum number of outcomes written in one operation. */
-const OUTCOME_GROUP_SIZE = 25;
 
 /** Requests a claim. An `expectVersion` above 0 takes over a row whose outcome is `notRun`. */
 export function requestClaim(
@@ -49,27 +43,6 @@
   sendClaims(state, step);
 }
 
-function claimKey(record: RequestRecord): string {
-  return claimRowKey(record.spec.workspaceId, record.spec.idempotencyKey ?? '');
-}
-
-function claimValue(
-  state: BoxState,
-  record: RequestRecord,
-  outcome: Outcome | undefined,
-  operationId: string,
-): ClaimValue {
-  return {
-    digest: record.spec.digest,
-    holderId: state.settings.boxId,
-    incarnation: state.settings.incarnation,
-    operationId,
-    requestId: record.spec.requestId,
-    outcome,
-    status: phaseOf(record, 'settled')?.status,
-  };
-}
-
 function sendClaims(state: BoxState, step: Step): void {
   if (state.claimGroupInFlight || state.pendingClaims.length === 0) return;
   const claims = nextClaimGroup(state);
@@ -190,77 +163,3 @@
   if (waitedMs < state.settings.control.claimTimeoutMs && !late) return;
   continueWithoutTable(state, step, record);
 }
-
-/** Queues the outcome of a claimed request to be written to the table. */
-export function queueOutcome(state: BoxState, step: Step, record: RequestRecord): void {
-  state.pendingOutcomes.push(record.spec.requestId);
-  sendOutcomes(state, step);
-}
-
-/** Writes pending outcomes, one group at a time. */
-export function sendOutcomes(state: BoxState, step: Step): void {
-  if (state.outcomesInFlight || state.pendingOutcomes.length === 0) return;
-  if (step.nowMs < state.outcomesNotBeforeMs) return;
-  const requestIds = state.pendingOutcomes.splice(0, OUTCOME_GROUP_SIZE);
-  const writes = requestIds.flatMap((requestId) => outcomeWrite(state, requestId));
-  if (writes.length === 0) return;
-  state.outcomesInFlight = true;
-  const opId = nextId(state, 'op');
-  state.tableOps.set(opId, { kind: 'claimOutcomes', requestIds });
-  step.effects.push({ type: 'requestTable', opId, op: { kind: 'transact', writes } });
-}
-
-function outcomeWrite(state: BoxState, requestId: string): TableWrite[] {
-  const record = state.requests.get(requestId);
-  const settled = record === undefined ? undefined : phaseOf(record, 'settled');
-  if (record === undefined || settled === undefined) return [];
-  const value = claimValue(state, record, settled.outcome, nextId(state, 'outcome'));
-  return [{ key: claimKey(record), expectVersion: record.claimVersion, value }];
-}
-
-/**
- * Handles the table's answer for outcomes. Rows in conflict have already been changed,
- * possibly by this write if an earlier answer was lost, and are left as they are. The
- * other outcomes are written again, after a delay if the table is throttled or did not
- * answer.
- */
-export function onOutcomesAnswered(
-  state: BoxState,
-  step: Step,
-  requestIds: readonly string[],
-  answer: TableAnswer,
-): void {
-  state.outcomesInFlight = false;
-  if (answer.kind !== 'done') {
-    const retried = outcomesToRetry(state, requestIds, answer);
-    state.pendingOutcomes.unshift(...retried);
-    const backsOff = answer.kind === 'unknown' || answer.reason === 'throttled';
-    if (backsOff) state.outcomesNotBeforeMs = step.nowMs + OUTCOME_RETRY_MS;
-    log(step, 'outcomesDelayed', { count: retried.length, answer: answer.kind });
-  }
-  sendOutcomes(state, step);
-}
-
-function outcomesToRetry(
-  state: BoxState,
-  requestIds: readonly string[],
-  answer: Exclude<TableAnswer, { kind: 'done' }>,
-): string[] {
-  if (answer.kind === 'unknown') return [...requestIds];
-  const conflicting = new Set(answer.rows.map((row) => row.key));
-  return requestIds.filter((requestId) => {
-    const record = state.requests.get(requestId);
-    return record !== undefined && !conflicting.has(claimKey(record));
-  });
-}
-
-/** Settles a request that follows a key by the outcome that is stored in the table. */
-export function settleFromRow(
-  state: BoxState,
-  step: Step,
-  record: RequestRecord,
-  outcome: Outcome,
-  status: number | undefined,
-): void {
-  settle(state, step, record, { outcome, reason: Reason.answered, status });
-}
--- a/packages/reedlug-decisions/src/slices/config.ts
+++ b/packages/reedlug-decisions/src/slices/config.ts
@@ -1,13 +1,11 @@
 /**
- * Configuration: two readers per zone poll the revision log and push deltas to the
- * boxes of their zone. Heartbeats carry the revision, and a box that is behind requests
- * the missing deltas from a peer.
+ * Configuration: readers of the revision log push its deltas to the boxes of their zone, and boxes
+ * answer peers that lack some.
  */
 import {
   applyDeltas,
   applySnapshot,
   deltasAfter,
-  liveInZone,
   takeSnapshot,
   type ConfigDelta,
   type ConfigSnapshot,
@@ -17,10 +15,8 @@
 import type { ConfirmedPlan } from '../types/plan.js';
 import type { BoxState, Step } from '../state.js';
 import { nextId } from '../state.js';
-import { pendingConfirmsTick } from '../plans/confirm.js';
-import { moveWatchTick } from '../plans/moveWatch.js';
 import { log } from './log.js';
-import { sendToZone } from './peerLinks.js';
+import { sendToZone } from './peerRecipients.js';
 import { updateCaughtUp } from './readiness.js';
 
 /** Key prefix of the revision log in the table. */
@@ -29,8 +25,6 @@
 const REVISION_DIGITS = 12;
 /** Maximum number of deltas in one scan or message. */
 const MAX_DELTAS_PER_BATCH = 64;
-/** Number of boxes per zone that poll the table. */
-const READERS_PER_ZONE = 2;
 /** Maximum number of confirmed plans kept for `plans` and `undo`. */
 const MAX_KEPT_PLANS = 200;
 
@@ -45,23 +39,6 @@
   return CONFIG_LOG_PREFIX + String(revision).padStart(REVISION_DIGITS, '0');
 }
 
-/** Polls the log when due, if this box is a reader of its zone. */
-export function configTick(state: BoxState, step: Step): void {
-  pendingConfirmsTick(state, step);
-  moveWatchTick(state, step);
-  requestMissingDeltas(state, step);
-  if (step.nowMs < state.nextConfigPollAtMs || state.configScanInFlight) return;
-  state.nextConfigPollAtMs = step.nowMs + state.settings.control.configPollMs;
-  if (isReader(state)) scanLog(state, step);
-}
-
-/** True for the first live boxes of the zone, and for a box that does not count as live itself. */
-function isReader(state: BoxState): boolean {
-  const { boxId, zone } = state.settings;
-  const rank = liveInZone(state.boxMembers, zone).indexOf(boxId);
-  return rank < READERS_PER_ZONE;
-}
-
 /** Requests the log rows after the applied revision. */
 export function scanLog(state: BoxState, step: Step): void {
   const opId = nextId(state, 'op');
@@ -147,19 +124,6 @@
   updateCaughtUp(state);
 }
 
-/** Requests deltas from a peer that is ahead, if this box is behind the highest known revision. */
-function requestMissingDeltas(state: BoxState, step: Step): void {
-  if (state.config.revision >= state.config.highestKnownRevision) return;
-  if (step.nowMs < state.nextCatchUpAtMs) return;
-  state.nextCatchUpAtMs = step.nowMs + state.settings.control.configPollMs / 4;
-  for (const [boxId, peer] of state.peers) {
-    if (peer.revision <= state.config.revision) continue;
-    const message: PeerMessage = { kind: 'configAsk', afterRevision: state.config.revision };
-    step.effects.push({ type: 'sendPeer', boxId, message });
-    return;
-  }
-}
-
 /** Sends a peer that is behind the missing deltas, or a snapshot if they are no longer kept. */
 export function onConfigAsk(
   state: BoxState,
--- a/packages/reedlug-decisions/src/slices/dispatch.ts
+++ b/packages/reedlug-decisions/src/slices/dispatch.ts
@@ -5,8 +5,15 @@
 import type { BoxState, PoolQueues, ServerView, Step } from '../state.js';
 import { chooseServer } from '../policy/routing.js';
 import { recordFirstTry } from 'reedlug-coordination';
-import { queuesOf } from './queues.js';
-import { serverMember } from './servers.js';
+import { queuesOf, enterQueue } from './queues.js';
+import { serverMember } from './serverMembers.js';
+
+/** Puts an accepted request into its queue and dispatches from the queue. */
+export function admit(state: BoxState, step: Step, record: RequestRecord): void {
+  const { nowMs } = step;
+  enterQueue(state, record, { nowMs, notBeforeMs: nowMs, atFront: false });
+  dispatchPool(state, step, record.spec.pool);
+}
 
 /** Sends requests of a pool until its queues are empty or no server has spare capacity. */
 export function dispatchPool(state: BoxState, step: Step, pool: string): void {
--- a/packages/reedlug-decisions/src/slices/failedAttempts.ts
+++ b/packages/reedlug-decisions/src/slices/failedAttempts.ts
@@ -5,13 +5,13 @@
  * retried; any other has the outcome `unknown`.
  */
 import { MemberSource, Reach } from 'reedlug-coordination';
-import type { BoxState, ServerView, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
 import type { EventOf } from '../types/event.js';
 import { RefusalReason, type Attempt } from '../types/request.js';
-import { findAttempt, closeAttempt, cancelAttempt, openAttempt } from './openAttempts.js';
-import { isUnsettled } from './requests.js';
-import { retryOrGiveUp, requeue } from './retries.js';
+import { findAttempt, closeAttempt, openAttempt } from './openAttempts.js';
+import { isUnsettled } from './requestRecords.js';
 import { applyServerStatement } from './servers.js';
+import { retryOrGiveUp, requeue } from './retries.js';
 
 /** Handles a refusal before the run; the request may be sent to another server at once. */
 export function onAttemptRefused(
@@ -63,14 +63,3 @@
   record.avoidedServers.add(serverId);
   if (openAttempt(record) === undefined) retryOrGiveUp(state, step, record);
 }
-
-/** Fails the open attempts at a dead server as if each connection had been lost. */
-export function failAttemptsAt(state: BoxState, step: Step, view: ServerView): void {
-  for (const attemptId of [...view.openAttempts]) {
-    const found = findAttempt(state, attemptId);
-    if (found === undefined) continue;
-    cancelAttempt(state, step, found.record, found.attempt);
-    if (!isUnsettled(found.record)) continue;
-    if (openAttempt(found.record) === undefined) retryOrGiveUp(state, step, found.record);
-  }
-}
--- a/packages/reedlug-decisions/src/slices/following.ts
+++ b/packages/reedlug-decisions/src/slices/following.ts
@@ -23,11 +23,11 @@
 import { RequestClass, ServerKind } from '../types/settings.js';
 import type { BoxState, Step } from '../state.js';
 import { nextId } from '../state.js';
-import { admit } from './admission.js';
+import { admit } from './dispatch.js';
 import { deliverNewTokens } from './streamAttempts.js';
-import { livePeerIds } from './peerLinks.js';
-import { addRecord, createRecord, phaseOf, settle } from './requests.js';
-import { settleFromRow } from './claimWrites.js';
+import { livePeerIds } from './peerRecipients.js';
+import { settle } from './requests.js';
+import { addRecord, createRecord, phaseOf } from './requestRecords.js';
 
 /** Interval between two look-ups at the holder, in ms. */
 const LOOKUP_INTERVAL_MS = 100;
@@ -150,6 +150,17 @@
   else settleFromRow(state, step, record, value.outcome, value.status);
 }
 
+/** Settles a request that follows a key by the outcome that is stored in the table. */
+function settleFromRow(
+  state: BoxState,
+  step: Step,
+  record: RequestRecord,
+  outcome: Outcome,
+  status: number | undefined,
+): void {
+  settle(state, step, record, { outcome, reason: Reason.answered, status });
+}
+
 /** Follows a request that this box holds itself; returns false if it does not hold it. */
 function followLocally(
   state: BoxState,
--- a/packages/reedlug-decisions/src/slices/handover.ts
+++ b/packages/reedlug-decisions/src/slices/handover.ts
@@ -10,11 +10,12 @@
 import type { PeerMessage } from '../types/peer.js';
 import { Reason, type RequestPhase, type RequestRecord } from '../types/request.js';
 import type { BoxState, Step } from '../state.js';
-import { admit } from './admission.js';
+import { admit } from './dispatch.js';
 import { cancelAll } from './openAttempts.js';
 import { log } from './log.js';
-import { livePeerIds } from './peerLinks.js';
-import { addRecord, createRecord, giveUp, mayHaveReached, phaseOf, settle } from './requests.js';
+import { livePeerIds } from './peerRecipients.js';
+import { giveUp, settle } from './requests.js';
+import { addRecord, createRecord, mayHaveReached, phaseOf } from './requestRecords.js';
 import { leaveQueue } from './queues.js';
 
 /** Time in which a peer has to acknowledge a handover, in ms. */
--- a/packages/reedlug-decisions/src/slices/openAttempts.ts
+++ b/packages/reedlug-decisions/src/slices/openAttempts.ts
@@ -2,7 +2,7 @@
 import type { BoxState, Step } from '../state.js';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { ServerKind } from '../types/settings.js';
-import { recordOfAttempt } from './requests.js';
+import { recordOfAttempt } from './requestRecords.js';
 
 /** An attempt and the record of its request. */
 export interface FoundAttempt {
--- a/packages/reedlug-decisions/src/slices/placement.ts
+++ b/packages/reedlug-decisions/src/slices/placement.ts
@@ -22,7 +22,8 @@
 import { fenceFor } from './orders.js';
 import { log } from './log.js';
 import { poolLoads } from './probes.js';
-import { applyServerStatement, serverMember } from './servers.js';
+import { applyServerStatement } from './servers.js';
+import { serverMember } from './serverMembers.js';
 
 /** Weight of the newest load in the smoothed load. */
 const LOAD_SMOOTHING = 0.05;
--- a/packages/reedlug-decisions/src/slices/probes.ts
+++ b/packages/reedlug-decisions/src/slices/probes.ts
@@ -10,12 +10,14 @@
 import { ServerKind } from '../types/settings.js';
 import type { BoxState, ServerView, Step } from '../state.js';
 import { siteOfZone } from '../state.js';
-import { sendToPeers } from './peerLinks.js';
-import { HOT_DURATION_MS, serverAcceptsRequests } from './servers.js';
+import { sendToPeers } from './peerRecipients.js';
+import { serverAcceptsRequests } from './serverMembers.js';
 
 /** Share of used slots from which a server is hot, and below which it is cool again. */
 const HOT_SHARE = 0.75;
 const COOL_SHARE = 0.6;
+/** How long an update that a server is hot stays valid, in ms. */
+export const HOT_DURATION_MS = 6000;
 
 /** Announces to peers that a server is hot, repeatedly while it stays so, and that it is cool again. */
 export function announceLoad(
--- a/packages/reedlug-decisions/src/slices/reclaim.ts
+++ b/packages/reedlug-decisions/src/slices/reclaim.ts
@@ -16,8 +16,8 @@
 import { cancelAttempt, closeAttempt, isStream, openAttempt } from './openAttempts.js';
 import { requeue, retryOrGiveUp } from './retries.js';
 import { log } from './log.js';
-import { phaseOf, recordOfAttempt } from './requests.js';
-import { serverMember, serverAcceptsRequests } from './servers.js';
+import { phaseOf, recordOfAttempt } from './requestRecords.js';
+import { serverMember, serverAcceptsRequests } from './serverMembers.js';
 
 /** Time reserved before a server stops for the last messages of its streams, in ms. */
 const FINISH_MARGIN_MS = 250;
--- a/packages/reedlug-decisions/src/slices/retries.ts
+++ b/packages/reedlug-decisions/src/slices/retries.ts
@@ -1,12 +1,14 @@
 /** Retries after an attempt without an answer, or the final outcome of the request. */
 import { backoffMs, MemberState } from 'reedlug-coordination';
 import { versionMatches } from '../policy/routing.js';
-import { nextRandom, type BoxState, type Step } from '../state.js';
+import { nextRandom, type BoxState, type Step, type ServerView } from '../state.js';
 import { Reason, type RequestRecord } from '../types/request.js';
 import { dispatchPool } from './dispatch.js';
 import { enterQueue } from './queues.js';
-import { giveUp, mayHaveReached } from './requests.js';
-import { serverMember } from './servers.js';
+import { giveUp } from './requests.js';
+import { mayHaveReached, isUnsettled } from './requestRecords.js';
+import { serverMember } from './serverMembers.js';
+import { findAttempt, cancelAttempt, openAttempt } from './openAttempts.js';
 
 /** Retry time in the answer to a request that failed at its servers, in ms. */
 const FAILED_RETRY_MS = 500;
@@ -71,3 +73,14 @@
   enterQueue(state, record, { nowMs: step.nowMs, notBeforeMs, atFront: true });
   if (delayMs === 0) dispatchPool(state, step, record.spec.pool);
 }
+
+/** Fails the open attempts at a dead server as if each connection had been lost. */
+export function failAttemptsAt(state: BoxState, step: Step, view: ServerView): void {
+  for (const attemptId of [...view.openAttempts]) {
+    const found = findAttempt(state, attemptId);
+    if (found === undefined) continue;
+    cancelAttempt(state, step, found.record, found.attempt);
+    if (!isUnsettled(found.record)) continue;
+    if (openAttempt(found.record) === undefined) retryOrGiveUp(state, step, found.record);
+  }
+}
--- a/packages/reedlug-decisions/src/slices/servers.ts
+++ b/packages/reedlug-decisions/src/slices/servers.ts
@@ -11,27 +11,23 @@
   MemberSource,
   MemberState,
   recordMemberStatement,
-  acceptsNewWork,
   type Member,
   type MemberStatement,
 } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
 import type { EngineReport } from '../types/order.js';
 import type { ServerUpdate } from '../types/peer.js';
-import { ServerKind, type ServerSpec } from '../types/settings.js';
+import type { ServerSpec } from '../types/settings.js';
 import type { BoxState, ServerView, Step } from '../state.js';
 import { poolSiteKey, siteOfZone } from '../state.js';
 import { evacuate } from './reclaim.js';
 import { log } from './log.js';
-import { announceLoad } from './probes.js';
-import { sendToPeers } from './peerLinks.js';
+import { sendToPeers } from './peerRecipients.js';
 import { dispatchPool } from './dispatch.js';
-import { failAttemptsAt } from './failedAttempts.js';
-import { removePendingStart } from './placement.js';
+import { failAttemptsAt } from './retries.js';
 import { recordReport } from '../policy/windows.js';
-
-/** How long an update that a server is hot stays valid, in ms. */
-export const HOT_DURATION_MS = 6000;
+import { serverMember } from './serverMembers.js';
+import { HOT_DURATION_MS, announceLoad } from './probes.js';
 
 /** Adds a server to the state, or updates its description. */
 export function upsertServer(state: BoxState, spec: ServerSpec): ServerView {
@@ -93,28 +89,6 @@
   );
 }
 
-/** Returns the membership record of a server, or undefined if no source has named it. */
-export function serverMember(state: BoxState, serverId: string): Member | undefined {
-  return state.serverMembers.members.get(serverId);
-}
-
-/** True if a server may receive new requests. */
-export function serverAcceptsRequests(state: BoxState, view: ServerView): boolean {
-  const member = serverMember(state, view.spec.id);
-  if (member === undefined) return false;
-  if (state.mutations.has('trustStaleList') && member.state !== MemberState.dead) return true;
-  if (!acceptsNewWork(member)) return false;
-  return reportAllowsRequests(view);
-}
-
-/** Checks the engine's own report, which takes precedence over the settings. */
-function reportAllowsRequests(view: ServerView): boolean {
-  const { report, spec } = view;
-  if (report === undefined || spec.kind === ServerKind.service) return true;
-  if (report.role !== 'serve') return false;
-  return report.model === spec.pool;
-}
-
 /** Registers the servers of the settings at the start; they are not live until they respond. */
 export function registerConfiguredServers(state: BoxState, nowMs: number): void {
   for (const spec of state.settings.servers) {
@@ -275,21 +249,6 @@
   applyServerStatement(state, step, serverId, statement, true);
 }
 
-/** Applies the platform's box list, which may be out of date: it names servers and draining ones. */
-export function onBoxListRead(state: BoxState, step: Step, event: EventOf<'boxListRead'>): void {
-  for (const entry of event.entries) {
-    upsertServer(state, entry.spec);
-    const statement: MemberStatement = {
-      kind: 'listed',
-      incarnation: entry.incarnation,
-      zone: entry.spec.zone,
-      leaving: entry.leaving,
-    };
-    applyServerStatement(state, step, entry.spec.id, statement, true);
-    removePendingStart(state, entry.spec.id);
-  }
-}
-
 /** Applies the result of a probe; an undefined report means that there was no answer. */
 export function onServerReported(
   state: BoxState,
--- a/packages/reedlug-decisions/src/slices/serviceAttempts.ts
+++ b/packages/reedlug-decisions/src/slices/serviceAttempts.ts
@@ -5,7 +5,8 @@
 import { Reason, type Attempt, type RequestRecord } from '../types/request.js';
 import { dispatchPool } from './dispatch.js';
 import { findAttempt, closeAttempt, cancelAll, openAttempt } from './openAttempts.js';
-import { isUnsettled, settle } from './requests.js';
+import { settle } from './requests.js';
+import { isUnsettled } from './requestRecords.js';
 import { requeue } from './retries.js';
 import { applyServerStatement } from './servers.js';
 
--- a/packages/reedlug-decisions/src/slices/streamAttempts.ts
+++ b/packages/reedlug-decisions/src/slices/streamAttempts.ts
@@ -9,7 +9,8 @@
 import { dispatchPool } from './dispatch.js';
 import { findAttempt, closeAttempt, cancelAttempt, cancelAll } from './openAttempts.js';
 import { queuesOf } from './queues.js';
-import { isUnsettled, settle } from './requests.js';
+import { settle } from './requests.js';
+import { isUnsettled } from './requestRecords.js';
 import { retryOrGiveUp } from './retries.js';
 import { onReport } from './servers.js';
 
--- a/packages/reedlug-decisions/src/slices/timers.ts
+++ b/packages/reedlug-decisions/src/slices/timers.ts
@@ -10,7 +10,8 @@
 import { retryOrGiveUp } from './retries.js';
 import { dispatchPool, sendAttempt } from './dispatch.js';
 import { followTick } from './following.js';
-import { giveUp, isUnsettled } from './requests.js';
+import { giveUp } from './requests.js';
+import { isUnsettled } from './requestRecords.js';
 import { handoverTick } from './handover.js';
 import { movingTick } from './reclaim.js';
 import { claimingTick } from './claimWrites.js';
