Attempts: lost attempts, streams and the look-up in files of their own

attempts.ts had 346 lines and held all that may happen to an attempt. It now holds answers and completion (181 lines); lostAttempts.ts holds attempts without a connection, streamAttempts.ts the version, the relayed events and the holds of streams, openAttempts.ts the look-up that all three need.

--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -10,15 +10,9 @@
 import { runTick } from './tick.js';
 import { repairAfterFaults } from './slices/lifecycle/faultRepair.js';
 import { onConfigurationRead } from './slices/store/configuration.js';
-import {
-  onAnswerBegun,
-  onAttemptAnswered,
-  onAttemptEnded,
-  onAttemptHeld,
-  onAttemptLost,
-  onAttemptNotSent,
-  onEventsRelayed,
-} from './slices/requests/attempts.js';
+import { onAnswerBegun, onAttemptAnswered, onAttemptEnded } from './slices/requests/attempts.js';
+import { onAttemptHeld, onEventsRelayed } from './slices/requests/streamAttempts.js';
+import { onAttemptLost, onAttemptNotSent } from './slices/requests/lostAttempts.js';
 import { onCrashSuspects } from './slices/crashes/crashGossip.js';
 import { onCrashRow } from './slices/crashes/crashRow.js';
 import { liftVerdict } from './slices/crashes/crashSuspects.js';
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -1,67 +1,27 @@
-/** Events of attempts (one attempt is one send of a request to a server): answers, losses, completion. */
+/** Answers of attempts (one attempt is one send of a request to a server), and the completion of requests. */
 import { Reach } from 'reedlug-coordination';
 import type { EventOf } from '../../types/event.js';
 import { RouteKind } from '../../types/configuration.js';
-import { CONNECTION_REFUSED_REASON } from '../../types/serverLink.js';
-import { INTERNAL_FAULT_REASON, type Attempt, type RequestFacts } from '../../types/request.js';
+import type { Attempt } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
-import { isServerAtFault } from '../../policy/connectPlan.js';
-import { recordFailure, recordGone, recordSuccess } from '../../policy/serverHealth.js';
+import { recordFailure, recordSuccess } from '../../policy/serverHealth.js';
 import { removeUnreadPrompt } from '../../policy/serverLoad.js';
-import { recordActivity } from '../../policy/serverSilence.js';
-import { closeAttempt, giveUp, reachWhenLost, serverOf } from './requestCompletion.js';
+import { closeAttempt, giveUp, serverOf } from './requestCompletion.js';
 import { takenUpField } from './takenUpField.js';
 import { isPastCrashPoint, recordGoodRun } from '../crashes/crashSuspects.js';
 import { recordSuccessfulEnd, recordFirstEvent } from '../engines/engineModels.js';
-import { recordLoss, recordRefusedConnection, recordUncertainEnd } from '../crashes/lostServers.js';
+import { recordUncertainEnd } from '../crashes/lostServers.js';
 import { recordRejection, releaseSparePlace } from '../statements/brittleServices.js';
 import { recordServedProbe } from '../statements/pauses.js';
 import { applyAnswerStatements, applyRefusal } from '../statements/answerStatements.js';
 import { retryAfterLoss, reserveRerun, retryNotRun, type RequestAttempt } from './retries.js';
-import { AnswerEnd, recordAnswer, recordLostAnswer } from '../rollouts/rolloutEvidence.js';
+import { AnswerEnd, recordAnswer } from '../rollouts/rolloutEvidence.js';
 import { removeServer } from '../servers/servers.js';
 import { countStarted } from '../usage/usage.js';
 import { chargeFurtherSend } from '../limits/quotas.js';
-import { hasSeveralVersions, softwareVersionOf } from '../streamVersions/servedVersions.js';
-import { announceStart } from '../streamVersions/startGossip.js';
-import { recordOwnStart } from '../streamVersions/streamStarts.js';
 import { sendOrGiveUp } from './sending.js';
-
-/** Interval at which a long run counts as good again, in ms: it clears suspects of crashes meanwhile. */
-const GOOD_RUN_INTERVAL_MS = 250;
-/** Longest list of prompt parts in a log line, in characters: a prompt may name hundreds of them. */
-const MAX_LOGGED_PARTS_CHARACTERS = 1024;
-
-function findOpenAttempt(
-  state: GatewayState,
-  event: { exchangeId: number; attemptId: number },
-): RequestAttempt | undefined {
-  const record = state.requests.get(event.exchangeId);
-  const attempt = record?.attempts.find((candidate) => candidate.attemptId === event.attemptId);
-  if (record === undefined || attempt === undefined || !attempt.open) return undefined;
-  return { record, attempt };
-}
-
-/** No connection could be opened, so the request has not run there. */
-export function onAttemptNotSent(
-  state: GatewayState,
-  step: Step,
-  event: EventOf<'attemptNotSent'>,
-): void {
-  const found = findOpenAttempt(state, event);
-  if (found === undefined) return;
-  const view = closeAttempt(state, found.attempt, Reach.none);
-  // An exception of this box says nothing of the server or the links to it.
-  if (event.reason === INTERNAL_FAULT_REASON) return retryNotRun(state, step, found, event.reason);
-  const isAtFault = isServerAtFault(view?.link, state.serverLinks, step.nowMs);
-  if (view !== undefined && isAtFault) {
-    if (event.reason === CONNECTION_REFUSED_REASON) recordGone(view, step.nowMs);
-    else recordFailure(view, step.nowMs);
-  }
-  if (view !== undefined) recordRefusedConnection(state, step, view);
-  found.record.failedToConnect = true;
-  retryNotRun(state, step, found, event.reason);
-}
+import { findOpenAttempt, recordAttemptActivity } from './openAttempts.js';
+import { recordVersionOfStream, logContinuation } from './streamAttempts.js';
 
 /** The head of an answer arrived; its headers may carry statements of the server about itself. */
 export function onAnswerBegun(
@@ -134,41 +94,6 @@
   finishRequest(state, step, found, 'success');
 }
 
-/** Binds a stream to the version of its first event's server, and tells other boxes before the event is relayed. */
-function recordVersionOfStream(
-  state: GatewayState,
-  step: Step,
-  { record, attempt }: RequestAttempt,
-): void {
-  if (record.relayed) return;
-  if (record.beganAtVersion === undefined) {
-    record.beganAtVersion = softwareVersionOf(attempt);
-    record.isBeginUncertain = !attempt.isAtKnownLife && hasSeveralVersions(state, record.service);
-  }
-  if (!record.route.resumable) return;
-  const version = record.isBeginUncertain ? undefined : record.beganAtVersion;
-  const start = recordOwnStart(state, step, record, version);
-  if (start === undefined) return;
-  announceStart(state, step, start);
-  if (hasSeveralVersions(state, record.service)) state.streamVersions.ownRow.isOutdated = true;
-}
-
-/** Logs the versions of two servers whose events are joined in one answer. */
-function logContinuation(step: Step, { record, attempt }: RequestAttempt): void {
-  const isEarlier = (other: Attempt): boolean =>
-    other !== attempt && other.firstOutputAtMs !== undefined;
-  const before = record.relayed ? record.attempts.filter(isEarlier).at(-1) : undefined;
-  if (before === undefined) return;
-  log(step, 'streamContinued', {
-    request: record.facts.requestId,
-    server: attempt.serverId,
-    version: attempt.version ?? '',
-    earlierServer: before.serverId,
-    earlierVersion: before.version ?? '',
-    lastEvent: record.lastEventId ?? -1,
-  });
-}
-
 /** Relays a server's own failure to the caller unchanged, unless the request may be sent again. */
 function onFailure(state: GatewayState, step: Step, found: RequestAttempt, status: number): void {
   const { record, attempt } = found;
@@ -245,46 +170,6 @@
   return attempt.endsWithConnection === true && !isPastCrashPoint(attempt, nowMs);
 }
 
-/** Records the last event of a stream that the caller has received. */
-export function onEventsRelayed(
-  state: GatewayState,
-  step: Step,
-  event: EventOf<'eventsRelayed'>,
-): void {
-  const found = findOpenAttempt(state, event);
-  if (found === undefined) return;
-  recordAttemptActivity(state, step, found.attempt);
-  recordRunPastCrashPoint(state, step, found);
-  if (event.lastEventId !== undefined) found.record.lastEventId = event.lastEventId;
-}
-
-/** Records a good run once a run is past the crash point, and again at intervals. */
-function recordRunPastCrashPoint(
-  state: GatewayState,
-  step: Step,
-  { record, attempt }: RequestAttempt,
-): void {
-  if (attempt.goodRunAtMs !== undefined && state.crashSuspects.size === 0) return;
-  const sinceMs = step.nowMs - (attempt.goodRunAtMs ?? Number.NEGATIVE_INFINITY);
-  if (sinceMs < GOOD_RUN_INTERVAL_MS || !isPastCrashPoint(attempt, step.nowMs)) return;
-  attempt.goodRunAtMs = step.nowMs;
-  recordGoodRun(state, step, record);
-}
-
-/** The server of a stream is not read for now, or is read again. */
-export function onAttemptHeld(
-  state: GatewayState,
-  step: Step,
-  event: EventOf<'attemptHeld'>,
-): void {
-  const found = findOpenAttempt(state, event);
-  if (found === undefined) return;
-  found.attempt.isHeld = event.isHeld;
-  recordAttemptActivity(state, step, found.attempt);
-  const { requestId } = found.record.facts;
-  log(step, 'streamHeld', { request: requestId, isHeld: event.isHeld });
-}
-
 /** A stream ended normally. */
 export function onAttemptEnded(
   state: GatewayState,
@@ -294,53 +179,3 @@
   const found = findOpenAttempt(state, event);
   if (found !== undefined) finishRequest(state, step, found, 'success');
 }
-
-/** The connection ended after bytes were sent: the request may have run. */
-export function onAttemptLost(
-  state: GatewayState,
-  step: Step,
-  event: EventOf<'attemptLost'>,
-): void {
-  const found = findOpenAttempt(state, event);
-  if (found === undefined) return;
-  const { record, attempt } = found;
-  const view = closeAttempt(state, attempt, reachWhenLost(attempt));
-  recordLoss(state, step, { record, attempt, view });
-  recordLostAnswer(state, step, found);
-  logLost(step, found, event.reason);
-  retryAfterLoss(state, step, found, event.reason);
-}
-
-function logLost(step: Step, { record, attempt }: RequestAttempt, reason: string): void {
-  log(step, 'sendLost', {
-    request: record.facts.requestId,
-    digest: record.facts.digest,
-    workspace: record.workspace ?? '',
-    server: attempt.serverId,
-    reason,
-    begun: attempt.firstOutputAtMs !== undefined,
-    lastEvent: record.lastEventId ?? -1,
-    parts: sharedPartsText(record.facts),
-    sinceSentMs: Math.round(step.nowMs - attempt.sentAtMs),
-  });
-}
-
-/** Names the parts of a prompt that other requests may share, in order, within the size of a log field. */
-function sharedPartsText({ promptParts }: RequestFacts): string {
-  const text = promptParts
-    .slice(0, -1)
-    .map(({ id }) => id)
-    .join(',');
-  return text.length <= MAX_LOGGED_PARTS_CHARACTERS
-    ? text
-    : `${text.slice(0, MAX_LOGGED_PARTS_CHARACTERS)}...`;
-}
-
-/** Records that data arrived for an attempt, and so from its server. */
-function recordAttemptActivity(state: GatewayState, step: Step, attempt: Attempt): void {
-  attempt.lastActivityAtMs = step.nowMs;
-  const view = serverOf(state, attempt);
-  if (view === undefined) return;
-  view.receivedAtMs = step.nowMs;
-  recordActivity(view, step.nowMs);
-}
