--- a/packages/reedlug-decisions/src/plans/confirm.ts
+++ b/packages/reedlug-decisions/src/plans/confirm.ts
@@ -10,7 +10,8 @@
 import { itemRevision, liveInZone, type TableAnswer, type TableRow } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
 import type { OperatorAnswer, OperatorRequest, Plan } from '../types/plan.js';
-import type { BoxState, ConfirmStep, PendingConfirm, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
+import type { ConfirmStep, PendingConfirm } from '../types/tableOp.js';
 import { nextId } from '../state.js';
 import { configLogKey, recordPlan, acceptDeltas, type ConfigLogValue } from '../slices/config.js';
 import { confirmedPlan, digestMatches, draftPlan, draftUndo } from './draft.js';
--- a/packages/reedlug-decisions/src/plans/rules.ts
+++ b/packages/reedlug-decisions/src/plans/rules.ts
@@ -1,7 +1,8 @@
 /** Rules of the confirmed configuration for routing, admission and placement. */
 import type { RequestSpec } from '../types/request.js';
 import { RequestClass } from '../types/settings.js';
-import type { BoxState, ServerView } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { ServerView } from '../types/views.js';
 import { siteOfZone } from '../state.js';
 import { itemName, itemValue, type KeepOff, type PoolMove, type Priority } from './items.js';
 
--- a/packages/reedlug-decisions/src/policy/cacheView.ts
+++ b/packages/reedlug-decisions/src/policy/cacheView.ts
@@ -9,7 +9,8 @@
 import type { EventOf } from '../types/event.js';
 import type { CacheUpdate } from '../types/peer.js';
 import type { RequestSpec } from '../types/request.js';
-import type { BoxState, ServerView } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { ServerView } from '../types/views.js';
 
 /** Maximum number of prefix locations kept; the oldest is dropped first. */
 export const MAX_PREFIX_LOCATIONS = 20_000;
--- a/packages/reedlug-decisions/src/policy/routing.ts
+++ b/packages/reedlug-decisions/src/policy/routing.ts
@@ -8,7 +8,8 @@
 import { rendezvousWeight } from 'reedlug-coordination';
 import type { RequestRecord, RequestSpec } from '../types/request.js';
 import { RequestClass, RoutingPolicy, ServerKind } from '../types/settings.js';
-import type { BoxState, ServerView } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { ServerView } from '../types/views.js';
 import { nextRandom, poolSiteKey, siteOfZone } from '../state.js';
 import { serverAcceptsRequests } from '../slices/serverMembers.js';
 import { rulesFor, serverAllowed, type ServerRules } from '../plans/rules.js';
--- a/packages/reedlug-decisions/src/policy/windows.ts
+++ b/packages/reedlug-decisions/src/policy/windows.ts
@@ -10,7 +10,8 @@
 import { hashString, liveInZone, rendezvousWeight } from 'reedlug-coordination';
 import type { EngineReport } from '../types/order.js';
 import { RequestClass, ServerKind, WindowPolicy } from '../types/settings.js';
-import type { BoxState, ServerView, SharingBoxes } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { ServerView, SharingBoxes } from '../types/views.js';
 import { siteOfZone } from '../state.js';
 
 /** Maximum age of a report from which the load of other boxes is computed, in ms. */
--- a/packages/reedlug-decisions/src/slices/dispatch.ts
+++ b/packages/reedlug-decisions/src/slices/dispatch.ts
@@ -2,7 +2,8 @@
 import { Reach, startAttempt, takeFair, takeRetry, type FairQueue } from 'reedlug-coordination';
 import type { Attempt, RequestRecord } from '../types/request.js';
 import { ServerKind } from '../types/settings.js';
-import type { BoxState, PoolQueues, ServerView, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
+import type { PoolQueues, ServerView } from '../types/views.js';
 import { chooseServer } from '../policy/routing.js';
 import { recordFirstTry } from 'reedlug-coordination';
 import { queuesOf, enterQueue } from './queues.js';
--- a/packages/reedlug-decisions/src/slices/limits.ts
+++ b/packages/reedlug-decisions/src/slices/limits.ts
@@ -14,7 +14,8 @@
 } from 'reedlug-coordination';
 import type { WorkspaceDemand } from '../types/peer.js';
 import type { WorkspaceLimits } from '../types/settings.js';
-import type { BoxState, WorkspaceView } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { WorkspaceView } from '../types/views.js';
 
 /** Weight of the newest interval in the smoothed demand. */
 const DEMAND_SMOOTHING = 0.3;
--- a/packages/reedlug-decisions/src/slices/orders.ts
+++ b/packages/reedlug-decisions/src/slices/orders.ts
@@ -18,7 +18,8 @@
 } from 'reedlug-coordination';
 import type { EventOf } from '../types/event.js';
 import type { EngineReport, DesiredEngineState } from '../types/order.js';
-import type { BoxState, ServerView, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
+import type { ServerView } from '../types/views.js';
 import { nextId, siteOfZone } from '../state.js';
 import { WANTED_PREFIX } from '../plans/items.js';
 import { log } from './log.js';
--- a/packages/reedlug-decisions/src/slices/placement.ts
+++ b/packages/reedlug-decisions/src/slices/placement.ts
@@ -16,7 +16,8 @@
   type PoolSpec,
   type ServerSpec,
 } from '../types/settings.js';
-import type { BoxState, PendingStart, ServerView, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
+import type { PendingStart, ServerView } from '../types/views.js';
 import { nextId, nextRandom, siteOfZone } from '../state.js';
 import { reclaimableAllowed } from '../plans/rules.js';
 import { fenceFor } from './orders.js';
--- a/packages/reedlug-decisions/src/slices/queues.ts
+++ b/packages/reedlug-decisions/src/slices/queues.ts
@@ -2,7 +2,8 @@
 import { createFairQueue, pushFair, removeFair, type FairQueue } from 'reedlug-coordination';
 import type { RequestRecord } from '../types/request.js';
 import { RequestClass } from '../types/settings.js';
-import type { BoxState, PoolQueues } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { PoolQueues } from '../types/views.js';
 
 /** Cost credited to each workspace per round of the fair queue, in prompt tokens. */
 const QUANTUM_TOKENS = 2000;
--- a/packages/reedlug-decisions/src/slices/retries.ts
+++ b/packages/reedlug-decisions/src/slices/retries.ts
@@ -1,7 +1,8 @@
 /** Retries after an attempt without an answer, or the final outcome of the request. */
 import { backoffMs, MemberState } from 'reedlug-coordination';
 import { versionMatches } from '../policy/routing.js';
-import { nextRandom, type BoxState, type Step, type ServerView } from '../state.js';
+import { nextRandom, type BoxState, type Step } from '../state.js';
+import type { ServerView } from '../types/views.js';
 import { Reason, type RequestRecord } from '../types/request.js';
 import { dispatchPool } from './dispatch.js';
 import { enterQueue } from './queues.js';
--- a/packages/reedlug-decisions/src/slices/serverMembers.ts
+++ b/packages/reedlug-decisions/src/slices/serverMembers.ts
@@ -1,7 +1,8 @@
 /** Membership of backend servers, and which of them may receive requests. */
 import { MemberState, acceptsNewWork, type Member } from 'reedlug-coordination';
 import { ServerKind } from '../types/settings.js';
-import type { BoxState, ServerView } from '../state.js';
+import type { BoxState } from '../state.js';
+import type { ServerView } from '../types/views.js';
 
 /** Returns the membership record of a server, or undefined if no source has named it. */
 export function serverMember(state: BoxState, serverId: string): Member | undefined {
--- a/packages/reedlug-decisions/src/types/index.ts
+++ b/packages/reedlug-decisions/src/types/index.ts
@@ -6,3 +6,5 @@
 export * from './plan.js';
 export * from './request.js';
 export * from './settings.js';
+export * from './tableOp.js';
+export * from './views.js';
