--- a/packages/reedlug-gateway/src/slices/requests/streamAttempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/streamAttempts.ts
@@ -5,6 +5,7 @@
 import { isPastCrashPoint, recordGoodRun } from '../crashes/crashSuspects.js';
 import type { RequestAttempt } from './retries.js';
 import { hasSeveralVersions, softwareVersionOf } from '../streamVersions/servedVersions.js';
+import { recordBeginForRow } from '../streamVersions/intendedStarts.js';
 import { announceStart } from '../streamVersions/startGossip.js';
 import { recordOwnStart } from '../streamVersions/streamStarts.js';
 import { findOpenAttempt, recordAttemptActivity } from './openAttempts.js';
@@ -28,7 +29,7 @@
   const start = recordOwnStart(state, step, record, version);
   if (start === undefined) return;
   announceStart(state, step, start);
-  if (hasSeveralVersions(state, record.service)) state.streamVersions.ownRow.isOutdated = true;
+  recordBeginForRow(state, start);
 }
 
 /** Logs the versions of two servers whose events are joined in one answer. */
