Simulator: callers, their tries and the load balancer in files of their own

callers.ts had 344 lines and three subjects. callers.ts now says when callers arrive and what they send, callerTries.ts what becomes of a try, and loadBalancer.ts which box a caller reaches.

--- a/packages/reedlug-simulator/src/faults/crashingRequests.ts
+++ b/packages/reedlug-simulator/src/faults/crashingRequests.ts
@@ -3,7 +3,7 @@
  * common, and checks the guarantees that boxes block them and serve all others.
  */
 import type { PromptPart } from 'reedlug-gateway';
-import { createRequest, sendTry } from '../callers/callers.js';
+import { createRequest, sendTry } from '../callers/callerTries.js';
 import type { CallerRequest, ServerCrash } from '../callers/callerAttempt.js';
 import { generateRequest, generateSharedParts, workspaceName } from '../callers/generateRequest.js';
 import type { CrashingRequestRecord } from '../report/sceneRecord.js';
