--- a/packages/reedlug-simulator/src/faults/crashingRequests.ts
+++ b/packages/reedlug-simulator/src/faults/crashingRequests.ts
@@ -6,7 +6,7 @@
 import { createRequest, sendTry } from '../callers/callerTries.js';
 import type { CallerRequest, ServerCrash } from '../callers/callerAttempt.js';
 import { generateRequest, generateSharedParts, workspaceName } from '../callers/generateRequest.js';
-import type { CrashingRequestRecord } from '../report/sceneRecord.js';
+import type { BrokenGuarantee, CrashingRequestRecord } from '../report/sceneRecord.js';
 import { getOrCreate } from '../report/getOrCreate.js';
 import { recordRequest } from '../report/requestRecord.js';
 import type { SceneClass, SceneFaultSpec } from '../scene/scene.js';
@@ -180,9 +180,9 @@
 }
 
 /** Returns the guarantees that boxes broke for such requests, and for others of their class. */
-export function brokenCrashGuarantees(world: World): { promise: string; detail: string }[] {
+export function brokenCrashGuarantees(world: World): BrokenGuarantee[] {
   return crashingRequestRows(world).flatMap(({ cause, ended, furtherSends, others }) => {
-    const broken: { promise: string; detail: string }[] = [];
+    const broken: BrokenGuarantee[] = [];
     if (furtherSends > MAX_FURTHER_SENDS) {
       const detail = `${cause}: ${furtherSends} more, ${ended} servers ended`;
       broken.push({ promise: 'endingRequest', detail });
--- a/packages/reedlug-simulator/src/faults/rollouts.ts
+++ b/packages/reedlug-simulator/src/faults/rollouts.ts
@@ -3,6 +3,7 @@
  * version alongside the old ones and follows the outcome in the roll-out's record.
  */
 import { RolloutPhase } from 'reedlug-gateway';
+import type { BrokenGuarantee } from '../report/sceneRecord.js';
 import { drainServer, endServer, startAlongside } from '../servers/virtualServers.js';
 import type { VirtualServer } from '../servers/virtualServer.js';
 import { later, nowMs, type World } from '../world.js';
@@ -115,7 +116,7 @@
 }
 
 /** Returns the guarantees that were broken in roll-outs of bad versions. */
-export function brokenRolloutGuarantees(world: World): { promise: string; detail: string }[] {
+export function brokenRolloutGuarantees(world: World): BrokenGuarantee[] {
   const { exposeShare, exposeSlack } = world.scene.bounds;
   return world.rollouts.flatMap((rollout) => {
     const { spec, version, arrivals, trialArrivals, stopDueAtMs, lastArrivalMs } = rollout;
--- a/packages/reedlug-simulator/src/report/streamChecks.ts
+++ b/packages/reedlug-simulator/src/report/streamChecks.ts
@@ -3,6 +3,7 @@
 import type { CallerRequest } from '../callers/callerAttempt.js';
 import { readyServersOf } from '../faults/softwareVersions.js';
 import { isSynchronized, nowMs, type World } from '../world.js';
+import type { BrokenGuarantee } from './sceneRecord.js';
 import type { AttemptCounts } from './streamRecord.js';
 
 /** Number of streams with events of two software versions that the users allow. */
@@ -58,7 +59,7 @@
 }
 
 /** Returns the guarantees of streams that were broken. */
-export function brokenStreamGuarantees({ record }: World): { promise: string; detail: string }[] {
+export function brokenStreamGuarantees({ record }: World): BrokenGuarantee[] {
   const { mixed, fresh, takenUp } = record.streams;
   const broken = [];
   if (mixed.size > MAX_MIXED_STREAMS) {
