--- a/packages/reedlug-decisions/src/slices/reclaim.ts
+++ b/packages/reedlug-decisions/src/slices/reclaim.ts
@@ -14,7 +14,13 @@
 import type { ServerView } from '../types/views.js';
 import { recordPrefixLocation } from '../policy/cacheView.js';
 import { firstRanked, modelVersionOf } from '../policy/routing.js';
-import { cancelAttempt, closeAttempt, isStream, openAttempt } from './openAttempts.js';
+import {
+  cancelAttempt,
+  closeAttempt,
+  isStream,
+  openAttempt,
+  type FoundAttempt,
+} from './openAttempts.js';
 import { requeue, retryOrGiveUp } from './retries.js';
 import { log } from './log.js';
 import { phaseOf, recordOfAttempt } from './requestRecords.js';
@@ -44,14 +50,9 @@
   moveIdlePrefixes(state, step, view);
 }
 
-interface RunningStream {
-  record: RequestRecord;
-  attempt: Attempt;
-}
-
 /** Returns the running streams at a server, those with the most tokens at stake first. */
-function streamsAt(state: BoxState, view: ServerView): RunningStream[] {
-  const streams: RunningStream[] = [];
+function streamsAt(state: BoxState, view: ServerView): FoundAttempt[] {
+  const streams: FoundAttempt[] = [];
   for (const attemptId of view.openAttempts) {
     const record = recordOfAttempt(state, attemptId);
     const attempt = record?.attempts.find((item) => item.attemptId === attemptId);
