--- a/packages/reedlug-decisions/src/slices/placement.ts
+++ b/packages/reedlug-decisions/src/slices/placement.ts
@@ -16,13 +16,15 @@
   type PoolSpec,
   type ServerSpec,
 } from '../types/settings.js';
-import type { BoxState, PendingStart, ServerView, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
+import type { PendingStart, ServerView } from '../types/views.js';
 import { nextId, nextRandom, siteOfZone } from '../state.js';
 import { reclaimableAllowed } from '../plans/rules.js';
 import { fenceFor } from './orders.js';
 import { log } from './log.js';
 import { poolLoads } from './probes.js';
-import { applyServerStatement, serverMember } from './servers.js';
+import { applyServerStatement } from './servers.js';
+import { serverMember } from './serverMembers.js';
 
 /** Weight of the newest load in the smoothed load. */
 const LOAD_SMOOTHING = 0.05;
--- a/packages/reedlug-decisions/src/slices/streamAttempts.ts
+++ b/packages/reedlug-decisions/src/slices/streamAttempts.ts
@@ -3,13 +3,15 @@
 import { rulesFor } from '../plans/rules.js';
 import { recordCacheHit, recordOwnPrefixLocation } from '../policy/cacheView.js';
 import { modelVersionOf, shortlist } from '../policy/routing.js';
-import type { BoxState, ServerView, Step } from '../state.js';
+import type { BoxState, Step } from '../state.js';
+import type { ServerView } from '../types/views.js';
 import type { EventOf } from '../types/event.js';
 import { Reason, type Attempt, type RequestRecord } from '../types/request.js';
 import { dispatchPool } from './dispatch.js';
 import { findAttempt, closeAttempt, cancelAttempt, cancelAll } from './openAttempts.js';
 import { queuesOf } from './queues.js';
-import { isUnsettled, settle } from './requests.js';
+import { settle } from './requests.js';
+import { isUnsettled } from './requestRecords.js';
 import { retryOrGiveUp } from './retries.js';
 import { onReport } from './servers.js';
 
