A read of the registry that is older than what the box knows confirms nothing

Cause: the reader took each page of the known era for the registry of now, also one whose revision lies before the position that was asked for: an answer without a revision, such as one cut to an empty body, or one of a store that lags.

Ruled out: a poll that overtakes the read. Its revision counts after the call, that of the position before it, so such a read is still one of now.

Change: a page whose revision is less than the position of the call counts as no read.

Test "an answer that is older than what the box has read does not count as a read": before, expected true to equal false.

--- a/packages/reedlug-gateway/src/daemon/__tests__/registryReader.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/registryReader.test.ts
@@ -112,3 +112,21 @@
   await next;
   expect(positions.length).to.equal(1);
 });
+
+test('an answer that is older than what the box has read does not count as a read', async () => {
+  const { reader, answers, box } = startScene();
+  const readTo = box.state.serversReadTo;
+  const first = reader.readNow();
+  // An answer that was cut to an empty one states no revision.
+  answers[0]?.({
+    kind: 'page',
+    page: { items: [], revision: readTo - 1, newestRevision: 0, storeNowMs: 0 },
+  });
+  expect(await first).to.equal(false);
+  const second = reader.readNow();
+  answers[1]?.({
+    kind: 'page',
+    page: { items: [], revision: readTo, newestRevision: 0, storeNowMs: 0 },
+  });
+  expect(await second).to.equal(true);
+});
--- a/packages/reedlug-gateway/src/daemon/registryReader.ts
+++ b/packages/reedlug-gateway/src/daemon/registryReader.ts
@@ -43,15 +43,17 @@
     const call = () => store.servers.follow(position);
     const abandoned = { kind: 'unavailable', reason: 'the call outlived its time limit' } as const;
     const answer = await withinLimit(clock, call, { timeoutMs, abandoned, onFault });
-    return apply(answer);
+    return apply(answer, position.afterRevision);
   };
 
   /** Returns whether the box knows the registry as of the answer. */
-  const apply = (answer: FeedAnswer<ServerChange>): boolean => {
+  const apply = (answer: FeedAnswer<ServerChange>, afterRevision: number): boolean => {
     // Where the changes are gone, or the store was restored, the poll reads the whole registry.
     if (answer.kind !== 'page') return false;
     const { items: changes, revision: readTo, newestRevision: revision } = answer.page;
     if (eraOf(readTo) !== eraOf(state.serversReadTo)) return false;
+    // An answer of a time before the box's own knowledge shows nothing of now.
+    if (readTo < afterRevision) return false;
     if (changes.length === 0 || readTo < state.serversReadTo) return true;
     appliedTo = readTo;
     emit({ type: 'serversRead', whole: false, changes, revision, readTo, source: 'store' });
