A box that has dropped starts of streams does not deny to know one

Cause: at 50,000 starts the first ones are dropped. The box itself leaves their versions open from then on, but answered others that it does not know the stream. A box that has just started, and hears from it that no life has ended for long, concluded that the stream began before the versions that were listed lately, and went on with it at an earlier one (ORDER).

Ruled out: counting the drop as the end of a life. In a fleet with hubs the hub states that time, not the boxes that keep the start, and a box that drops a start at each begin would hold the time at now.

Change: for as long as a stream lasts after the last drop, such a box gives no answer about streams that it does not know. One that knows the stream answers as before. The box that asks then refuses the stream after 300 ms where several versions can have begun it. A box of an earlier build that asks does so too.

--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -18,6 +18,7 @@
 import {
   findStart,
   isStartRow,
+  mayHaveDroppedStart,
   recordOwnStart,
   recordReceivedStart,
   startRowOf,
@@ -136,7 +137,10 @@
   }
 }
 
-/** Answers another box that asks for the start of a stream. */
+/**
+ * Answers another box that asks for the start of a stream. A box that has dropped starts does not deny one: the other box
+ * would conclude that the stream began before this box ran.
+ */
 export function onStreamStartAsked(
   state: GatewayState,
   step: Step,
@@ -145,6 +149,7 @@
   const { boxId: askerId, host, port, key, service } = event.message;
   if (askerId === state.settings.box.id) return;
   const start = findStart(state, key);
+  if (start === undefined && mayHaveDroppedStart(state, step.nowMs)) return;
   const message = {
     kind: 'streamStartAnswered' as const,
     boxId: state.settings.box.id,
--- a/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/streamStarts.ts
@@ -47,7 +47,7 @@
   const known = starts.get(start.key);
   if (known === undefined) {
     starts.set(start.key, start);
-    if (starts.size > MAX_STARTS) dropFirst(state);
+    if (starts.size > MAX_STARTS) dropFirst(state, step.nowMs);
     return start;
   }
   known.untilMs = Math.max(known.untilMs, start.untilMs);
@@ -59,9 +59,16 @@
   return known;
 }
 
-function dropFirst(state: GatewayState): void {
+function dropFirst(state: GatewayState, nowMs: number): void {
   const [first] = state.streamVersions.starts.values();
-  if (first !== undefined) forgetStart(state, first);
+  if (first === undefined) return;
+  forgetStart(state, first);
+  state.streamVersions.droppedAtMs = nowMs;
+}
+
+/** Whether this box may have dropped the start of a stream that is not over, so that it can not say that it never knew the stream. */
+export function mayHaveDroppedStart(state: GatewayState, nowMs: number): boolean {
+  return nowMs - state.streamVersions.droppedAtMs <= streamRetentionMs(state);
 }
 
 /** Removes a start. Its version may have begun streams from now on that no box knows. */
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -170,6 +170,8 @@
   begunUnlisted: Map<string, Set<string>>;
   /** Versions of which this box has forgotten starts, by service. */
   forgotten: Map<string, Set<string>>;
+  /** Time at which a start was last dropped because there were too many. */
+  droppedAtMs: number;
 }
 
 /** The versions row as last known. */
@@ -231,5 +233,6 @@
     awaitingListing: [],
     begunUnlisted: new Map(),
     forgotten: new Map(),
+    droppedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
