An entry that a restore of the store brought back does not replace that of a running server

Cause: a box that has run since before a restore reads the whole registry again. Where the copy shows a server at another version than the box knows, and entries state no start times, the entry was taken for the server's next life: the box sent streams of the earlier version to a server that runs the later one, and ended what was under way there.

Ruled out: entries with start times; an earlier one is ignored already.

Change: within the time in which a read may be that of a backup, such an entry is held until it is written again, or for 6 s, as entries of servers that are gone are. Meanwhile no stream goes on at that server, since it is not known which of the two runs.

--- a/packages/reedlug-gateway/src/slices/servers/servers.ts
+++ b/packages/reedlug-gateway/src/slices/servers/servers.ts
@@ -110,19 +110,28 @@
   return readTo >= state.serversRevision;
 }
 
-/** Whether an entry may belong to an incarnation that this box has seen disappear, and be there only because of a backup. */
-function needsConfirmation(
-  state: GatewayState,
-  step: Step,
-  { id, bornAtMs }: ServerEntry,
-): boolean {
-  const gone = state.goneServers.get(id);
-  if (gone === undefined || state.servers.has(id) || !mayShowBackup(state, step.nowMs))
-    return false;
-  return !isLaterIncarnation(bornAtMs, gone.bornAtMs);
+/** Whether an entry may belong to an incarnation whose end this box has seen, and be there only because of a backup. */
+function needsConfirmation(state: GatewayState, step: Step, entry: ServerEntry): boolean {
+  if (!mayShowBackup(state, step.nowMs)) return false;
+  const known = state.servers.get(entry.id)?.entry;
+  if (known !== undefined) return isOfUnknownOrder(entry, known);
+  const gone = state.goneServers.get(entry.id);
+  return gone !== undefined && !isLaterIncarnation(entry.bornAtMs, gone.bornAtMs);
+}
+
+/** Whether two entries of a server are of different incarnations, and their start times do not tell which one came first. */
+function isOfUnknownOrder(entry: ServerEntry, known: ServerEntry): boolean {
+  if (softwareVersionOf(entry) === softwareVersionOf(known)) return false;
+  const { bornAtMs } = entry;
+  return (
+    !isLaterIncarnation(bornAtMs, known.bornAtMs) && !isLaterIncarnation(known.bornAtMs, bornAtMs)
+  );
 }
 
 function holdUnconfirmed(state: GatewayState, step: Step, entry: ServerEntry): void {
+  // Until its server writes the entry again, it is not known which of the two incarnations runs.
+  const known = state.servers.get(entry.id);
+  if (known !== undefined) known.endSuspectedAtMs = step.nowMs;
   if (state.unconfirmedServers.has(entry.id)) return;
   state.unconfirmedServers.set(entry.id, { entry, untilMs: step.nowMs + UNCONFIRMED_MS });
   log(step, 'serverDoubted', { server: entry.id });
