A stream that waits for its first units is logged once as taken up

Cause: such a request is accepted anew with each tick, and the line of the take-up was written each time before the units were looked at.

Ruled out: the look-up itself; its outcome is kept with the request, and a known start is read again without a line.

Change: the line is written unless the request has waited for units before.

--- a/packages/reedlug-gateway/src/slices/limits/__tests__/restartReserve.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/restartReserve.test.ts
@@ -231,6 +231,22 @@
   expect(ofType(effects, 'send').map((effect) => effect.exchangeId)).to.deep.equal([90_000]);
 });
 
+test('a stream that waits for its first units is logged once as taken up', () => {
+  const { box } = restart();
+  const starts = [['tiger/request-9', 'engines', '', 20_000]] as const;
+  box.take({ type: 'streamStarts', message: { kind: 'streamStarts', boxId: 'box-2', starts } });
+  const request = facts({
+    requestId: 'request-10',
+    ...{ path: '/draft/1', deadlineMs: 8000, lastEventId: 3, resumedRequestId: 'request-9' },
+    ...{ promptTokens: UNITS, maxOutputTokens: 0 },
+  });
+  const effects = box.take({ type: 'requestArrived', exchangeId: 1, facts: request });
+  for (let passedMs = 0; passedMs < 200; passedMs += 20) effects.push(...box.pass(20));
+  const events = ofType(effects, 'log').map(({ event }) => event);
+  expect(events).to.include('unitsAwaited');
+  expect(events.filter((event) => event === 'streamTakenUp')).to.have.length(1);
+});
+
 test('a request does not wait longer than a quarter of its target, nor after the first second', () => {
   const { box } = restart();
   const request = facts({ requestId: 'r', path: '/draft/1', promptTokens: 5000, deadlineMs: 8000 });
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -97,7 +97,9 @@
   });
   const takeUp = decideTakeUp(state, step, request, record);
   if (takeUp.kind === 'held') return;
-  const versionFault = applyTakeUp(state, step, record, takeUp);
+  // A request that waits for its first units comes here with each tick.
+  if (request.awaitsUnits === undefined) logTakeUp(step, facts, takeUp);
+  const versionFault = applyTakeUp(state, record, takeUp);
   if (versionFault !== undefined) return refuseNow(503, versionFault, VERSION_RETRY_MS);
   const refusal = crashRefusal(state, step, record);
   if (refusal !== undefined) return refuseNow(refusal.status, refusal.reason, refusal.retryAfterMs);
@@ -128,14 +130,23 @@
  */
 function applyTakeUp(
   state: GatewayState,
-  step: Step,
   record: RequestRecord,
   takeUp: Exclude<TakeUpDecision, { kind: 'held' }>,
 ): string | undefined {
   if (takeUp.kind === 'new') return undefined;
   if (takeUp.kind === 'unknown') return 'streamVersionUnknown';
-  const { service, version, source, ageMs, isStartKnown } = takeUp;
-  const { facts, route } = record;
+  const { service, version } = takeUp;
+  if (!record.route.targets.some((target) => target.service === service))
+    return 'streamServiceMoved';
+  record.service = service;
+  record.beganAtVersion = version;
+  return hasServersOfVersion(state, record) ? undefined : 'noServerOfVersion';
+}
+
+/** Logs the version at which a stream goes on that is taken up, and what shows it. */
+function logTakeUp(step: Step, facts: RequestFacts, takeUp: TakeUpDecision): void {
+  if (takeUp.kind !== 'goOn') return;
+  const { version, source, ageMs, isStartKnown } = takeUp;
   log(step, 'streamTakenUp', {
     request: facts.requestId,
     resumes: facts.resumedRequestId ?? '',
@@ -145,10 +156,6 @@
     isStartKnown,
     ageMs: Math.round(ageMs),
   });
-  if (!route.targets.some((target) => target.service === service)) return 'streamServiceMoved';
-  record.service = service;
-  record.beganAtVersion = version;
-  return hasServersOfVersion(state, record) ? undefined : 'noServerOfVersion';
 }
 
 function createRecord(params: {
