The answers of boxes about streams that are looked for are not each decided on for all of them

Cause: each answer, and each announcement of a start, decided anew on all look-ups that are held, for each of them over all peers and versions. After a loss of all boxes hundreds of streams are looked for at one time, and each box answers for each of them.

Ruled out: the ticks; one takes some ms with 500 look-ups.

Change: what arrives leads to decisions only if it may end a look-up: a start that one waits for, or the last answer to one. Others end with the next tick as before.

--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -144,13 +144,14 @@
     case 'peerUsage':
       return onPeerUsage(state, step, event);
     case 'streamStarts':
-      onStreamStarts(state, step, event);
-      return resumedStreamsTick(state, step);
+      return onStreamStarts(state, step, event) ? resumedStreamsTick(state, step) : undefined;
     case 'streamStartAsked':
       return onStreamStartAsked(state, step, event);
     case 'streamStartAnswered':
-      onStreamStartAnswered(state, step, event);
-      return resumedStreamsTick(state, step);
+      // A look-up that this answer does not end ends with a later one, or with a tick.
+      return onStreamStartAnswered(state, step, event)
+        ? resumedStreamsTick(state, step)
+        : undefined;
     case 'versionsListed':
       onVersionsListed(state, step, event);
       return listingWaitsTick(state, step);
--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -121,20 +121,23 @@
   return new Set(holders.filter(mayAnswer).map(({ boxId: holderId }) => holderId));
 }
 
-/** Records the starts that another box announces. */
+/** Records the starts that another box announces; returns whether a look-up waits for one of them. */
 export function onStreamStarts(
   state: GatewayState,
   step: Step,
   event: EventOf<'streamStarts'>,
-): void {
+): boolean {
   const { boxId, starts } = event.message;
   const origin = { source: boxId, isOwn: false, asOfMs: step.nowMs };
+  const keys = new Set<string>();
   for (const row of starts.filter(isStartRow)) {
     recordReceivedStart(state, step, row, origin);
-    const [, service, version] = row;
+    const [key, service, version] = row;
+    keys.add(key);
     if (version === null || isListed(state, { service, version })) continue;
     recordUnlistedBegin(state, { service, version });
   }
+  return state.streamVersions.lookups.some(({ key }) => key !== undefined && keys.has(key));
 }
 
 /**
@@ -160,22 +163,30 @@
   step.effects.push({ type: 'sendPeers', message, to: [{ host, port }] });
 }
 
-/** Records the answer of a box; the look-ups for the stream take it into account. */
+/**
+ * Records the answer of a box; the look-ups for the stream take it into account. Returns whether one of them may end by it:
+ * the start is known, or it was the last answer. Hundreds of streams may be looked for at one time, each with an answer of
+ * every box.
+ */
 export function onStreamStartAnswered(
   state: GatewayState,
   step: Step,
   event: EventOf<'streamStartAnswered'>,
-): void {
+): boolean {
   const { boxId, key, start, versions } = event.message;
   if (isStartRow(start)) {
     const origin = { source: boxId, isOwn: false, asOfMs: step.nowMs };
     recordReceivedStart(state, step, start, origin);
   }
+  const isStartKnown = findStart(state, key) !== undefined;
+  let mayEnd = false;
   for (const lookup of state.streamVersions.lookups) {
     if (lookup.key !== key) continue;
-    lookup.awaited.delete(boxId);
+    const isLast = lookup.awaited.delete(boxId) && lookup.awaited.size === 0;
+    mayEnd ||= isStartKnown || isLast;
     for (const version of versions.filter(isVersion)) lookup.versions.add(version);
   }
+  return mayEnd;
 }
 
 function isVersion(value: unknown): value is string {
