Versions with names of up to 200 characters are listed

Cause: the registry takes names of versions of up to 200 characters, but the versions row and the answers about streams were read up to 100. A version with a longer name, such as an image with its digest, was dropped when the row was read: its streams waited 300 ms for a listing that never came, all streams then began unlisted for 5 s, and after a loss of all boxes a stream of that version went on at the one other version of the row (ORDER).

Ruled out: starts of streams; their version is not bounded by itself.

Change: one bound, that of the registry, for the row and the answers.

Two tests with 200 characters: before, no listing ended the wait, and a stream that nobody knows was sent to engine-1 of v1; now it is refused.

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -206,3 +206,21 @@
   const { attemptId, effects } = awaitListing(box);
   expect(only(effects, 'listingEnded').attemptId).to.equal(attemptId);
 });
+
+/** A version whose name is as long as the registry allows. */
+const LONG_VERSION = 'v'.repeat(200);
+
+test('a version with a long name is listed, so that its streams wait once', () => {
+  const box = createBox({ 'engine-1': LONG_VERSION, 'engine-2': LONG_VERSION });
+  const { attemptId, effects } = awaitListing(box);
+  expect(only(answerWrite(box, effects), 'listingEnded').attemptId).to.equal(attemptId);
+});
+
+test('a version with a long name may have begun a stream that nobody knows', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  takeUp(box, 1, 'request-9');
+  const services = { engines: { v1: null, [LONG_VERSION]: box.nowMs } };
+  const effects = answerRead(box, [rowOf({ services })]);
+  expect(ofType(effects, 'send').map(({ order }) => order.serverId)).to.deep.equal([]);
+  expect(only(effects, 'refuse').reason).to.equal('streamVersionUnknown');
+});
--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -10,7 +10,7 @@
 import type { GatewayState, Step } from '../../state.js';
 import type { EventOf } from '../../types/event.js';
 import type { RequestRecord } from '../../types/request.js';
-import type { StreamStart } from '../../types/streamVersion.js';
+import { MAX_VERSION_LENGTH, type StreamStart } from '../../types/streamVersion.js';
 import type { PeerView } from '../../types/views.js';
 import { isFreshPeer, isSeed, ownAddress, usesHubs } from '../peers/fleet.js';
 import { hasSeveralVersions, possibleVersions } from './servedVersions.js';
@@ -28,9 +28,8 @@
 const HOLDERS = 4;
 /** Maximum number of starts in a datagram, so that it stays below its maximum size. */
 const MAX_STARTS_PER_DATAGRAM = 100;
-/** Maximum number and length of versions in an answer. */
+/** Maximum number of versions in an answer. */
 const MAX_VERSIONS = 32;
-const MAX_VERSION_LENGTH = 100;
 
 /** Sends the start of a stream to the boxes that keep it, if several versions of its service serve or its own is not listed. */
 export function announceStart(state: GatewayState, step: Step, start: StreamStart): void {
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRowValues.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRowValues.ts
@@ -1,11 +1,10 @@
 /** Checks values of the versions row, which another version of the gateway may have written. */
-import type { VersionEnds } from '../../types/streamVersion.js';
+import { MAX_VERSION_LENGTH, type VersionEnds } from '../../types/streamVersion.js';
 import { isFiniteNumber, isFiniteNumberOrNull, isRecordOf } from '../store/rowValues.js';
 
-/** Maximum number of services, and number and length of their versions. */
+/** Maximum number of services and of their versions. */
 const MAX_SERVICES = 500;
 const MAX_VERSIONS = 32;
-const MAX_VERSION_LENGTH = 100;
 
 /** Returns the services of the row without malformed values. */
 export function validServices(services: unknown): Readonly<Record<string, VersionEnds>> {
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -13,6 +13,9 @@
  */
 export const MIN_STREAM_RETENTION_MS = 30_000;
 
+/** Maximum length of a version's name, as long as the registry allows: a version that is dropped here would count as one that never served. */
+export const MAX_VERSION_LENGTH = 200;
+
 /** A stream that its caller may take up. */
 export interface StreamStart {
   /** Workspace, and id of the request that brought the first event. */
