How long streams last is known as soon as the configuration is

Cause: the time for which a stream may be taken up follows from the timeouts of the routes, but was computed by a tick each 500 ms, at 30 s before the configuration was read.

Ruled out: boxes that have run for longer than half a second; they compute the time in time. Routes with a timeout of 15 s and less: 30 s hold for them.

Change: the time is computed when a configuration comes into force, and what was read of the row before counts by it. Without a configuration the row is not written.

--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -54,7 +54,7 @@
 import { onAttemptConfirmed } from './slices/streamVersions/attemptConfirmations.js';
 import { listingWaitsTick, onListingAwaited } from './slices/streamVersions/listingWaits.js';
 import { onStreamRows } from './slices/streamVersions/streamRows.js';
-import { onVersionsListed } from './slices/streamVersions/versionsRow.js';
+import { onStreamRoutesKnown, onVersionsListed } from './slices/streamVersions/versionsRow.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow } from './slices/usage/usage.js';
 
 /** Effects that a step requested, and exceptions of its parts. */
@@ -121,6 +121,7 @@
       return onServerStatements(state, step, event);
     case 'configurationRead':
       onConfigurationRead(state, step, event);
+      onStreamRoutesKnown(state, step);
       return pendingRequestsTick(state, step);
     case 'configurationTransferFailed':
       return onConfigurationTransferFailed(state, step, event);
--- a/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
@@ -22,6 +22,11 @@
   return streamVersions.retentionMs;
 }
 
+/** Updates that time, which is kept as there may be thousands of routes. */
+export function updateStreamRetention(state: GatewayState): void {
+  state.streamVersions.retentionMs = retentionOfRoutes(state);
+}
+
 function retentionOfRoutes({ active }: GatewayState): number {
   let longestMs = 0;
   for (const { kind, timeoutMs } of active?.configuration.routes ?? []) {
@@ -85,8 +90,6 @@
   const { streamVersions } = state;
   if (step.nowMs - streamVersions.checkedAtMs < CHECK_INTERVAL_MS) return;
   streamVersions.checkedAtMs = step.nowMs;
-  // Kept, as there may be thousands of routes.
-  streamVersions.retentionMs = retentionOfRoutes(state);
   const present = presentVersions(state);
   const retentionMs = streamRetentionMs(state);
   for (const [service, ofService] of streamVersions.served) {
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -20,7 +20,11 @@
 import { isFiniteNumber } from '../store/rowValues.js';
 import { isPossible, isRowOfPresentEra, presentEra, storeTimeOf } from './listedVersions.js';
 import { isSameServices, mergeListingTimes, mergeServices } from './mergeVersionsRow.js';
-import { hasAnySeveralVersions, recordVersionOfOthers } from './servedVersions.js';
+import {
+  hasAnySeveralVersions,
+  recordVersionOfOthers,
+  updateStreamRetention,
+} from './servedVersions.js';
 import { validServices, validTimes } from './versionsRowValues.js';
 
 /** Shortest interval between writes, in ms, so that a store that refuses is not pressed. */
@@ -62,6 +66,8 @@
 export function writeVersionsRow(state: GatewayState, step: Step): void {
   const { versionsRow } = state.streamVersions;
   if (versionsRow.isPending || !state.serversKnown) return;
+  // The routes tell for how long a version that has ended stays in the row.
+  if (state.active === undefined) return;
   if (step.nowMs - versionsRow.writtenAtMs < WRITE_INTERVAL_MS) return;
   if (isRowUpToDate(state, step.nowMs)) {
     versionsRow.outdatedSinceMs = undefined;
@@ -171,6 +177,12 @@
   if (!isRowUpToDate(state, step.nowMs)) requireVersionsRow(state, step.nowMs);
 }
 
+/** Applies a configuration, by which it is known for how long streams may be taken up, to what was read before. */
+export function onStreamRoutesKnown(state: GatewayState, step: Step): void {
+  updateStreamRetention(state);
+  mergeIntoServed(state, step);
+}
+
 /** Counts the versions of the row as seen until their end; those that still serve as seen now. */
 function mergeIntoServed(state: GatewayState, step: Step): void {
   const storeNowMs = storeTimeOf(state, step.nowMs);
