Versions are kept for as long as streams of the configuration before last

Cause: a new configuration with shorter timeouts shortened at once the time for which versions and streams are kept, also for streams that had begun under the longer ones.

Ruled out: longer timeouts; they hold at once, for all streams.

Change: the shorter time holds once the longer one has passed.

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/longStreams.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/longStreams.test.ts
@@ -10,7 +10,8 @@
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import { SERVED_VERSIONS_KEY, type ServedVersionsRow } from '../../../types/streamVersion.js';
-import { possibleVersions } from '../servedVersions.js';
+import { possibleVersions, streamRetentionMs } from '../servedVersions.js';
+import { passWithoutStall } from './__fixtures__/takenUpStreams.js';
 
 /** Timeout of the route, longer than half of the shortest time for which versions are kept. */
 const TIMEOUT_MS = 100_000;
@@ -31,9 +32,9 @@
   return box;
 }
 
-function readConfiguration(box: TestBox): void {
-  const routes = configuration().routes.map((route) => ({ ...route, timeoutMs: TIMEOUT_MS }));
-  const changed = configuration({ routes });
+function readConfiguration(box: TestBox, version = 1, timeoutMs = TIMEOUT_MS): void {
+  const routes = configuration().routes.map((route) => ({ ...route, timeoutMs }));
+  const changed = configuration({ version, routes });
   box.take({ type: 'configurationRead', configuration: changed, source: 'store' });
 }
 
@@ -83,3 +84,16 @@
   readConfiguration(box);
   expect([...possibleVersions(box.state, 'engines')]).to.have.members(['v1', 'v2']);
 });
+
+test('a configuration with shorter timeouts holds for streams that begin under it', () => {
+  const box = startBox();
+  readConfiguration(box);
+  readRow(box);
+  readConfiguration(box, 2, 8000);
+  box.pass(600);
+  expect([...possibleVersions(box.state, 'engines')]).to.have.members(['v1', 'v2']);
+  // The last stream of the earlier configuration is over.
+  passWithoutStall(box, 2 * TIMEOUT_MS);
+  expect([...possibleVersions(box.state, 'engines')]).to.have.members(['v2']);
+  expect(streamRetentionMs(box.state)).to.equal(30_000);
+});
--- a/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
@@ -22,9 +22,25 @@
   return streamVersions.retentionMs;
 }
 
-/** Updates that time, which is kept as there may be thousands of routes. */
-export function updateStreamRetention(state: GatewayState): void {
-  state.streamVersions.retentionMs = retentionOfRoutes(state);
+/**
+ * Updates that time by a new configuration; it is kept, as there may be thousands of routes. A shorter one holds once
+ * the streams that began before are over.
+ */
+export function updateStreamRetention(state: GatewayState, nowMs: number): void {
+  const { streamVersions } = state;
+  const ofRoutes = retentionOfRoutes(state);
+  if (ofRoutes === streamVersions.nextRetention?.retentionMs) return;
+  const isLonger = ofRoutes >= streamVersions.retentionMs;
+  if (isLonger) streamVersions.retentionMs = ofRoutes;
+  const fromMs = nowMs + streamVersions.retentionMs;
+  streamVersions.nextRetention = isLonger ? undefined : { retentionMs: ofRoutes, fromMs };
+}
+
+function applyNextRetention({ streamVersions }: GatewayState, nowMs: number): void {
+  const { nextRetention } = streamVersions;
+  if (nextRetention === undefined || nowMs < nextRetention.fromMs) return;
+  streamVersions.retentionMs = nextRetention.retentionMs;
+  streamVersions.nextRetention = undefined;
 }
 
 function retentionOfRoutes({ active }: GatewayState): number {
@@ -90,6 +106,7 @@
   const { streamVersions } = state;
   if (step.nowMs - streamVersions.checkedAtMs < CHECK_INTERVAL_MS) return;
   streamVersions.checkedAtMs = step.nowMs;
+  applyNextRetention(state, step.nowMs);
   const present = presentVersions(state);
   const retentionMs = streamRetentionMs(state);
   for (const [service, ofService] of streamVersions.served) {
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -179,7 +179,7 @@
 
 /** Applies a configuration, by which it is known for how long streams may be taken up, to what was read before. */
 export function onStreamRoutesKnown(state: GatewayState, step: Step): void {
-  updateStreamRetention(state);
+  updateStreamRetention(state, step.nowMs);
   mergeIntoServed(state, step);
 }
 
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -156,6 +156,8 @@
   served: Map<string, Map<string, ServedVersion>>;
   /** Time after which no caller takes up a stream any more, in ms from its begin. */
   retentionMs: number;
+  /** That time by the configuration in force, if it is shorter, and from when on it holds. */
+  nextRetention: { retentionMs: number; fromMs: number } | undefined;
   /** Times at which the versions were last checked, and streams last removed. */
   checkedAtMs: number;
   prunedAtMs: number;
@@ -209,6 +211,7 @@
     starts: new Map(),
     served: new Map(),
     retentionMs: MIN_STREAM_RETENTION_MS,
+    nextRetention: undefined,
     checkedAtMs: Number.NEGATIVE_INFINITY,
     prunedAtMs: Number.NEGATIVE_INFINITY,
     lookups: [],
