The row of a box that left long ago does not count as the end of a life just now

Cause: each read of the rows noted the end of a life if a row was written after this box's start by a box that is not heard.

Ruled out: leaving such rows out as a whole. A box that writes and is not heard may end without being noticed.

Change: a row counts for as long as a stream lasts. While several versions serve, a box writes its row whenever a stream begins, so that one which has not written for longer has begun none that is not over.

Test "the row of a box that left long ago does not count as the end of a life just now", 60 s after its last write: before, the stream was refused, now it goes on at engine-1; one second after its last write it is refused, as before.

--- a/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
+++ b/packages/reedlug-gateway/src/slices/peers/lifeEnds.ts
@@ -7,6 +7,7 @@
  */
 import { GossipScope, type PeerMessage } from '../../types/peer.js';
 import type { GatewayState } from '../../state.js';
+import { streamRetentionMs } from '../streamVersions/servedVersions.js';
 import { countedPeers, isFreshPeer, knownGroups, usesHubs, type PeerWithMessage } from './fleet.js';
 
 /** Field of gossip that states since when no life has ended. */
@@ -22,7 +23,10 @@
   state.lifeEndedAtMs = nowMs;
 }
 
-/** Records that a box wrote to the store: if it is not heard, its life may end without being noticed. */
+/**
+ * Records that a box wrote a row of its streams: if it is not heard, its life may end without being noticed. A box that has
+ * written none for as long as a stream lasts has begun none that is not over, and may be gone for good.
+ */
 export function recordSignOfLife(
   state: GatewayState,
   { boxId, atMs, nowMs }: { boxId: string; atMs: number; nowMs: number },
@@ -30,7 +34,8 @@
   const peer = state.peers.get(boxId);
   const isHeard = peer?.message !== undefined && isFreshPeer(peer, nowMs);
   const isSinceStart = atMs > state.startedAtMs && nowMs - atMs >= UNHEARD_MS;
-  if (!isHeard && isSinceStart) recordLifeEnd(state, nowMs);
+  const isRecent = nowMs - atMs <= streamRetentionMs(state);
+  if (!isHeard && isSinceStart && isRecent) recordLifeEnd(state, nowMs);
 }
 
 /** Returns whether this box has heard each box of its fleet that runs and that it can hear. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -4,12 +4,24 @@
   ofType,
   only,
   peerMessage,
+  takeContacts,
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../../types/effect.js';
-import { SERVED_VERSIONS_KEY, type ServedVersionsRow } from '../../../types/streamVersion.js';
+import {
+  SERVED_VERSIONS_KEY,
+  streamStartsKey,
+  type ServedVersionsRow,
+} from '../../../types/streamVersion.js';
 import { confirmationNeed } from '../attemptConfirmations.js';
-import { addPeer, listEngines, request, takeUp, versionOf } from './__fixtures__/takenUpStreams.js';
+import {
+  addPeer,
+  listEngines,
+  passWithoutStall,
+  request,
+  takeUp,
+  versionOf,
+} from './__fixtures__/takenUpStreams.js';
 
 const ERA = 3;
 const REVISION = 9;
@@ -224,3 +236,28 @@
   expect(ofType(effects, 'send').map(({ order }) => order.serverId)).to.deep.equal([]);
   expect(only(effects, 'refuse').reason).to.equal('streamVersionUnknown');
 });
+
+/** Takes up a stream at a box that has run for 100 s, after which another box has not written its row for some time; v2 was listed 40 s ago. */
+function takeUpBesideRowOf(box7AgoMs: number): Effect[] {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v2' });
+  passWithoutStall(box, 100_000);
+  const { nowMs } = box;
+  box.take({ type: 'storeClock', storeNowMs: nowMs });
+  takeContacts(box, true);
+  takeUp(box, 1, 'request-9');
+  const listedAtMs = { engines: { v1: -50_000, v2: nowMs - 40_000 } };
+  const versions = rowOf({ services: { engines: { v1: null, v2: null } }, listedAtMs });
+  const value = { storeNowMs: nowMs - box7AgoMs, starts: [] };
+  const rows = [{ key: streamStartsKey('box-7'), version: 3, value }, versions];
+  return box.take({
+    type: 'tableAnswered',
+    purpose: { kind: 'streamRows', call: 'read' },
+    answer: { kind: 'done', rows },
+    sentAtMs: nowMs,
+  });
+}
+
+test('the row of a box that left long ago does not count as the end of a life just now', () => {
+  expect(only(takeUpBesideRowOf(1000), 'refuse').reason).to.equal('streamVersionUnknown');
+  expect(only(takeUpBesideRowOf(60_000), 'send').order.serverId).to.equal('engine-1');
+});
