A row of versions that a restore lost, or restored twice, is no proof at once

Cause: a box that finds no row wrote one that counts as complete, as the first row of all is. After a restore from a copy that lacks the row and a loss of all boxes, streams that nobody knows went on at the versions that serve now.

Ruled out: boxes that have run since before the first restore; they have seen the versions that the copy lacks.

Change: where the store was restored before (its era is not the first), a row that is written where none is found is complete from then on only. A box keeps the latest such time of the rows that it has known.

Two tests: before, the stream of unknown start was sent to engine-1, and the row of the second restore had no completeSinceMs.

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -261,3 +261,32 @@
   expect(only(takeUpBesideRowOf(1000), 'refuse').reason).to.equal('streamVersionUnknown');
   expect(only(takeUpBesideRowOf(60_000), 'send').order.serverId).to.equal('engine-1');
 });
+
+test('a row that is written anew after a restore which lost it is no proof at once', () => {
+  const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
+  box.take({ type: 'storeClock', storeNowMs: 100_000 });
+  takeUp(box, 1, 'request-8');
+  expect(only(answerRead(box, []), 'refuse').reason).to.equal('streamVersionUnknown');
+  const effects = passUntilWrite(box);
+  answerWrite(box, effects);
+  takeUp(box, 2, 'request-9');
+  const row = rowOf(writesOf(effects)[0]?.value as ServedVersionsRow);
+  const read = answerRead(box, [row]);
+  expect(ofType(read, 'send').map(({ order }) => order.serverId)).to.deep.equal([]);
+  expect(only(read, 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+test('a row that was no proof is none after a second restore either', () => {
+  const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
+  box.take({ type: 'storeClock', storeNowMs: 100_000 });
+  const copy = rowOf({ services: { engines: { v2: null } }, era: ERA - 1 });
+  takeUp(box, 1, 'request-8');
+  answerRead(box, [copy]);
+  answerWrite(box, passUntilWrite(box));
+  box.take({ type: 'storeEra', era: ERA + 1 });
+  takeUp(box, 2, 'request-9');
+  answerRead(box, [copy]);
+  const [again] = writesOf(passUntilWrite(box));
+  const { completeSinceMs } = again?.value as ServedVersionsRow;
+  expect(completeSinceMs).to.be.at.least(100_000);
+});
--- a/packages/reedlug-gateway/src/slices/streamVersions/listedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listedVersions.ts
@@ -2,6 +2,9 @@
 import type { GatewayState } from '../../state.js';
 import { streamRetentionMs } from './servedVersions.js';
 
+/** Era of a store that was never restored; one that states none is of an earlier era. */
+export const FIRST_ERA = 1;
+
 /** A version that the row lists. */
 export interface ListedVersion {
   version: string;
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -18,7 +18,13 @@
 import { heardSinceMs } from '../peers/lifeEnds.js';
 import { gossipTargets } from '../peers/gossipTargets.js';
 import { isFiniteNumber } from '../store/rowValues.js';
-import { isPossible, isRowOfPresentEra, presentEra, storeTimeOf } from './listedVersions.js';
+import {
+  FIRST_ERA,
+  isPossible,
+  isRowOfPresentEra,
+  presentEra,
+  storeTimeOf,
+} from './listedVersions.js';
 import { isSameServices, mergeListingTimes, mergeServices } from './mergeVersionsRow.js';
 import {
   hasAnySeveralVersions,
@@ -118,15 +124,16 @@
   state: GatewayState,
   storeNowMs: number,
 ): Pick<ServedVersionsRow, 'eraSinceMs' | 'completeSinceMs'> {
-  const { eraSinceMs, completeSinceMs, version } = state.streamVersions.versionsRow;
+  const { eraSinceMs, completeSinceMs, version, lostUntilMs } = state.streamVersions.versionsRow;
   if (isRowOfPresentEra(state)) return { eraSinceMs, completeSinceMs };
-  // The first row of all is not one of a backup.
-  if (version === 0) return {};
-  // A box that has run since before the restore has seen the versions that the row of the backup may lack.
   const hasOutlastedRestore = Number.isFinite(state.storeRestoredAtMs);
+  // The first row of a store that was never restored is the first of all; in another one, the backup may lack the row.
+  const mayBeRestored = version !== 0 || hasOutlastedRestore || presentEra(state) > FIRST_ERA;
+  if (!mayBeRestored) return {};
+  // A box that has run since before the restore has seen the versions that the row of the backup may lack.
   return {
     eraSinceMs: storeNowMs,
-    completeSinceMs: hasOutlastedRestore ? completeSinceMs : storeNowMs,
+    completeSinceMs: hasOutlastedRestore ? lostUntilMs : storeNowMs,
   };
 }
 
@@ -173,6 +180,9 @@
   versionsRow.era = isFiniteNumber(era) ? era : undefined;
   versionsRow.eraSinceMs = isFiniteNumber(eraSinceMs) ? eraSinceMs : undefined;
   versionsRow.completeSinceMs = isFiniteNumber(completeSinceMs) ? completeSinceMs : undefined;
+  if (isFiniteNumber(completeSinceMs)) {
+    versionsRow.lostUntilMs = Math.max(versionsRow.lostUntilMs ?? completeSinceMs, completeSinceMs);
+  }
   mergeIntoServed(state, step);
   if (!isRowUpToDate(state, step.nowMs)) requireVersionsRow(state, step.nowMs);
 }
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -187,6 +187,8 @@
   era: number | undefined;
   eraSinceMs: number | undefined;
   completeSinceMs: number | undefined;
+  /** Latest of these times in any row that this box has known: a later copy may be older than what the boxes knew of the one before. */
+  lostUntilMs: number | undefined;
   /** Time up to which this is the row of the table. */
   knownAtMs: number;
   writtenAtMs: number;
@@ -230,6 +232,7 @@
       era: undefined,
       eraSinceMs: undefined,
       completeSinceMs: undefined,
+      lostUntilMs: undefined,
       knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
