--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -48,7 +48,7 @@
 import { onAttemptConfirmed } from './slices/streamVersions/attemptConfirmations.js';
 import { listingWaitsTick, onListingAwaited } from './slices/streamVersions/listingWaits.js';
 import { onStreamRows } from './slices/streamVersions/streamRows.js';
-import { onVersionsListed } from './slices/streamVersions/versionsRow.js';
+import { onStreamRoutesKnown, onVersionsListed } from './slices/streamVersions/versionsRow.js';
 import { onCheckpointRow, onUsageAnswered, onUsageRow } from './slices/usage/usage.js';
 
 /** Effects that a step requested, and exceptions of its parts. */
@@ -115,6 +115,7 @@
       return onServerStatements(state, step, event);
     case 'configurationRead':
       onConfigurationRead(state, step, event);
+      onStreamRoutesKnown(state, step);
       return pendingRequestsTick(state, step);
     case 'configurationTransferFailed':
       return onConfigurationTransferFailed(state, step, event);
@@ -138,13 +139,14 @@
     case 'peerUsage':
       return onPeerUsage(state, step, event);
     case 'streamStarts':
-      onStreamStarts(state, step, event);
-      return resumedStreamsTick(state, step);
+      return onStreamStarts(state, step, event) ? resumedStreamsTick(state, step) : undefined;
     case 'streamStartAsked':
       return onStreamStartAsked(state, step, event);
     case 'streamStartAnswered':
-      onStreamStartAnswered(state, step, event);
-      return resumedStreamsTick(state, step);
+      // A look-up that this answer does not end ends with a later one, or with a tick.
+      return onStreamStartAnswered(state, step, event)
+        ? resumedStreamsTick(state, step)
+        : undefined;
     case 'versionsListed':
       onVersionsListed(state, step, event);
       return listingWaitsTick(state, step);
--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -5,6 +5,7 @@
   ofType,
   only,
   peerMessage,
+  takeContacts,
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../../types/effect.js';
@@ -14,7 +15,14 @@
   type ServedVersionsRow,
 } from '../../../types/streamVersion.js';
 import { confirmationNeed } from '../attemptConfirmations.js';
-import { addPeer, listEngines, request, takeUp, versionOf } from './__fixtures__/takenUpStreams.js';
+import {
+  addPeer,
+  listEngines,
+  passWithoutStall,
+  request,
+  takeUp,
+  versionOf,
+} from './__fixtures__/takenUpStreams.js';
 
 const ERA = 3;
 const REVISION = 9;
@@ -228,3 +236,75 @@
   expect(only(effects, 'requestTable').op.kind).to.equal('read');
   expect(ofType(answerRead(box, [versions]), 'send')).to.have.length(1);
 });
+
+/** A version whose name is as long as the registry allows. */
+const LONG_VERSION = 'v'.repeat(200);
+
+test('a version with a long name is listed, so that its streams wait once', () => {
+  const box = createBox({ 'engine-1': LONG_VERSION, 'engine-2': LONG_VERSION });
+  const { attemptId, effects } = awaitListing(box);
+  expect(only(answerWrite(box, effects), 'listingEnded').attemptId).to.equal(attemptId);
+});
+
+test('a version with a long name may have begun a stream that nobody knows', () => {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+  takeUp(box, 1, 'request-9');
+  const services = { engines: { v1: null, [LONG_VERSION]: box.nowMs } };
+  const effects = answerRead(box, [rowOf({ services })]);
+  expect(ofType(effects, 'send').map(({ order }) => order.serverId)).to.deep.equal([]);
+  expect(only(effects, 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+/** Takes up a stream at a box that has run for 100 s, after which another box has not written its row for some time; v2 was listed 40 s ago. */
+function takeUpBesideRowOf(box7AgoMs: number): Effect[] {
+  const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v2' });
+  passWithoutStall(box, 100_000);
+  const { nowMs } = box;
+  box.take({ type: 'storeClock', storeNowMs: nowMs });
+  takeContacts(box, true);
+  takeUp(box, 1, 'request-9');
+  const listedAtMs = { engines: { v1: -50_000, v2: nowMs - 40_000 } };
+  const versions = rowOf({ services: { engines: { v1: null, v2: null } }, listedAtMs });
+  const value = { storeNowMs: nowMs - box7AgoMs, starts: [] };
+  const rows = [{ key: streamStartsKey('box-7'), version: 3, value }, versions];
+  return box.take({
+    type: 'tableAnswered',
+    purpose: { kind: 'streamRows', call: 'read' },
+    answer: { kind: 'done', rows },
+    sentAtMs: nowMs,
+  });
+}
+
+test('the row of a box that left long ago does not count as the end of a life just now', () => {
+  expect(only(takeUpBesideRowOf(1000), 'refuse').reason).to.equal('streamVersionUnknown');
+  expect(only(takeUpBesideRowOf(60_000), 'send').order.serverId).to.equal('engine-1');
+});
+
+test('a row that is written anew after a restore which lost it is no proof at once', () => {
+  const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
+  box.take({ type: 'storeClock', storeNowMs: 100_000 });
+  takeUp(box, 1, 'request-8');
+  expect(only(answerRead(box, []), 'refuse').reason).to.equal('streamVersionUnknown');
+  const effects = passUntilWrite(box);
+  answerWrite(box, effects);
+  takeUp(box, 2, 'request-9');
+  const row = rowOf(writesOf(effects)[0]?.value as ServedVersionsRow);
+  const read = answerRead(box, [row]);
+  expect(ofType(read, 'send').map(({ order }) => order.serverId)).to.deep.equal([]);
+  expect(only(read, 'refuse').reason).to.equal('streamVersionUnknown');
+});
+
+test('a row that was no proof is none after a second restore either', () => {
+  const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
+  box.take({ type: 'storeClock', storeNowMs: 100_000 });
+  const copy = rowOf({ services: { engines: { v2: null } }, era: ERA - 1 });
+  takeUp(box, 1, 'request-8');
+  answerRead(box, [copy]);
+  answerWrite(box, passUntilWrite(box));
+  box.take({ type: 'storeEra', era: ERA + 1 });
+  takeUp(box, 2, 'request-9');
+  answerRead(box, [copy]);
+  const [again] = writesOf(passUntilWrite(box));
+  const { completeSinceMs } = again?.value as ServedVersionsRow;
+  expect(completeSinceMs).to.be.at.least(100_000);
+});
--- a/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/servedVersions.ts
@@ -22,6 +22,27 @@
   return streamVersions.retentionMs;
 }
 
+/**
+ * Updates that time by a new configuration; it is kept, as there may be thousands of routes. A shorter one holds once
+ * the streams that began before are over.
+ */
+export function updateStreamRetention(state: GatewayState, nowMs: number): void {
+  const { streamVersions } = state;
+  const ofRoutes = retentionOfRoutes(state);
+  if (ofRoutes === streamVersions.nextRetention?.retentionMs) return;
+  const isLonger = ofRoutes >= streamVersions.retentionMs;
+  if (isLonger) streamVersions.retentionMs = ofRoutes;
+  const fromMs = nowMs + streamVersions.retentionMs;
+  streamVersions.nextRetention = isLonger ? undefined : { retentionMs: ofRoutes, fromMs };
+}
+
+function applyNextRetention({ streamVersions }: GatewayState, nowMs: number): void {
+  const { nextRetention } = streamVersions;
+  if (nextRetention === undefined || nowMs < nextRetention.fromMs) return;
+  streamVersions.retentionMs = nextRetention.retentionMs;
+  streamVersions.nextRetention = undefined;
+}
+
 function retentionOfRoutes({ active }: GatewayState): number {
   let longestMs = 0;
   for (const { kind, timeoutMs } of active?.configuration.routes ?? []) {
@@ -85,8 +106,7 @@
   const { streamVersions } = state;
   if (step.nowMs - streamVersions.checkedAtMs < CHECK_INTERVAL_MS) return;
   streamVersions.checkedAtMs = step.nowMs;
-  // Kept, as there may be thousands of routes.
-  streamVersions.retentionMs = retentionOfRoutes(state);
+  applyNextRetention(state, step.nowMs);
   const present = presentVersions(state);
   const retentionMs = streamRetentionMs(state);
   for (const [service, ofService] of streamVersions.served) {
--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -10,7 +10,7 @@
 import type { GatewayState, Step } from '../../state.js';
 import type { EventOf } from '../../types/event.js';
 import type { RequestRecord } from '../../types/request.js';
-import type { StreamStart } from '../../types/streamVersion.js';
+import { MAX_VERSION_LENGTH, type StreamStart } from '../../types/streamVersion.js';
 import type { PeerView } from '../../types/views.js';
 import { isFreshPeer, isSeed, ownAddress, usesHubs } from '../peers/fleet.js';
 import { hasSeveralVersions, possibleVersions } from './servedVersions.js';
@@ -18,6 +18,7 @@
 import {
   findStart,
   isStartRow,
+  mayHaveDroppedStart,
   recordOwnStart,
   recordReceivedStart,
   startRowOf,
@@ -27,9 +28,8 @@
 const HOLDERS = 4;
 /** Maximum number of starts in a datagram, so that it stays below its maximum size. */
 const MAX_STARTS_PER_DATAGRAM = 100;
-/** Maximum number and length of versions in an answer. */
+/** Maximum number of versions in an answer. */
 const MAX_VERSIONS = 32;
-const MAX_VERSION_LENGTH = 100;
 
 /** Sends the start of a stream to the boxes that keep it, if several versions of its service serve or its own is not listed. */
 export function announceStart(state: GatewayState, step: Step, start: StreamStart): void {
@@ -120,23 +120,29 @@
   return new Set(holders.filter(mayAnswer).map(({ boxId: holderId }) => holderId));
 }
 
-/** Records the starts that another box announces. */
+/** Records the starts that another box announces; returns whether a look-up waits for one of them. */
 export function onStreamStarts(
   state: GatewayState,
   step: Step,
   event: EventOf<'streamStarts'>,
-): void {
+): boolean {
   const { boxId, starts } = event.message;
   const origin = { source: boxId, isOwn: false, asOfMs: step.nowMs };
+  const keys = new Set<string>();
   for (const row of starts.filter(isStartRow)) {
     recordReceivedStart(state, step, row, origin);
-    const [, service, version] = row;
+    const [key, service, version] = row;
+    keys.add(key);
     if (version === null || isListed(state, { service, version })) continue;
     recordUnlistedBegin(state, { service, version });
   }
+  return state.streamVersions.lookups.some(({ key }) => key !== undefined && keys.has(key));
 }
 
-/** Answers another box that asks for the start of a stream. */
+/**
+ * Answers another box that asks for the start of a stream. A box that has dropped starts does not deny one: the other box
+ * would conclude that the stream began before this box ran.
+ */
 export function onStreamStartAsked(
   state: GatewayState,
   step: Step,
@@ -145,6 +151,7 @@
   const { boxId: askerId, host, port, key, service } = event.message;
   if (askerId === state.settings.box.id) return;
   const start = findStart(state, key);
+  if (start === undefined && mayHaveDroppedStart(state, step.nowMs)) return;
   const message = {
     kind: 'streamStartAnswered' as const,
     boxId: state.settings.box.id,
@@ -155,22 +162,30 @@
   step.effects.push({ type: 'sendPeers', message, to: [{ host, port }] });
 }
 
-/** Records the answer of a box; the look-ups for the stream take it into account. */
+/**
+ * Records the answer of a box; the look-ups for the stream take it into account. Returns whether one of them may end by it:
+ * the start is known, or it was the last answer. Hundreds of streams may be looked for at one time, each with an answer of
+ * every box.
+ */
 export function onStreamStartAnswered(
   state: GatewayState,
   step: Step,
   event: EventOf<'streamStartAnswered'>,
-): void {
+): boolean {
   const { boxId, key, start, versions } = event.message;
   if (isStartRow(start)) {
     const origin = { source: boxId, isOwn: false, asOfMs: step.nowMs };
     recordReceivedStart(state, step, start, origin);
   }
+  const isStartKnown = findStart(state, key) !== undefined;
+  let mayEnd = false;
   for (const lookup of state.streamVersions.lookups) {
     if (lookup.key !== key) continue;
-    lookup.awaited.delete(boxId);
+    const isLast = lookup.awaited.delete(boxId) && lookup.awaited.size === 0;
+    mayEnd ||= isStartKnown || isLast;
     for (const version of versions.filter(isVersion)) lookup.versions.add(version);
   }
+  return mayEnd;
 }
 
 function isVersion(value: unknown): value is string {
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -13,6 +13,9 @@
  */
 export const MIN_STREAM_RETENTION_MS = 30_000;
 
+/** Maximum length of a version's name, as long as the registry allows: a version that is dropped here would count as one that never served. */
+export const MAX_VERSION_LENGTH = 200;
+
 /** A stream that its caller may take up. */
 export interface StreamStart {
   /** Workspace, and id of the request that brought the first event. */
@@ -164,6 +167,8 @@
   served: Map<string, Map<string, ServedVersion>>;
   /** Time after which no caller takes up a stream any more, in ms from its begin. */
   retentionMs: number;
+  /** That time by the configuration in force, if it is shorter, and from when on it holds. */
+  nextRetention: { retentionMs: number; fromMs: number } | undefined;
   /** Times at which the versions were last checked, and streams last removed. */
   checkedAtMs: number;
   prunedAtMs: number;
@@ -180,6 +185,8 @@
   begunUnlisted: Map<string, Set<string>>;
   /** Versions of which this box has forgotten starts, by service. */
   forgotten: Map<string, Set<string>>;
+  /** Time at which a start was last dropped because there were too many. */
+  droppedAtMs: number;
   /** Streams of an earlier life of this box, as its row names them. */
   cutStreams: readonly CutStream[];
 }
@@ -206,6 +213,8 @@
   era: number | undefined;
   eraSinceMs: number | undefined;
   completeSinceMs: number | undefined;
+  /** Latest of these times in any row that this box has known: a later copy may be older than what the boxes knew of the one before. */
+  lostUntilMs: number | undefined;
   /** Time up to which this is the row of the table. */
   knownAtMs: number;
   writtenAtMs: number;
@@ -232,6 +241,7 @@
     starts: new Map(),
     served: new Map(),
     retentionMs: MIN_STREAM_RETENTION_MS,
+    nextRetention: undefined,
     checkedAtMs: Number.NEGATIVE_INFINITY,
     prunedAtMs: Number.NEGATIVE_INFINITY,
     lookups: [],
@@ -253,6 +263,7 @@
       era: undefined,
       eraSinceMs: undefined,
       completeSinceMs: undefined,
+      lostUntilMs: undefined,
       knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
@@ -262,6 +273,7 @@
     awaitingListing: [],
     begunUnlisted: new Map(),
     forgotten: new Map(),
+    droppedAtMs: Number.NEGATIVE_INFINITY,
     cutStreams: [],
   };
 }
