A part that was beside blocked ones is not kept out for rounds that these explain

Cause: the verdict on a suspect left out, of its crashes, those at which a likelier or blocked suspect was present only when it counted the three that are required. Rounds, the share of all crashes and the five crashes that decide in any case still counted those that a blocked suspect explains. All 24 boxes kept it out 6.5 s after its first crash, with "crashes=10".

Ruled out: one moment counted as two rounds by late reports (all boxes log each of these crashes at one time); a verdict of one box (all evaluated the same crashes within 0.1 s).

Change: crashes at which a blocked suspect was present add no rounds, do not count among the five, and do not raise the suspect's share.

The new test of the policy fails before the change.

--- a/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
@@ -67,6 +67,17 @@
   expect(evaluate([beside, known])).to.equal(false);
 });
 
+test('crashes that a blocked part explains add no rounds to those of another part', () => {
+  const explained = ['a', 'b', 'c', 'd'].map((id, index) => crash(id, 100 + index * 300));
+  const cause = suspect('part:pool/two', explained, { blockedSinceMs: 2500 });
+  const own = [crash('e', 3000), crash('f', 3010), crash('g', 6000)];
+  const others = [crash('h', 5000), crash('i', 5500)];
+  const beside = suspect('part:pool/one', [...explained, ...own]);
+  expect(evaluate([beside, cause], others)).to.equal(false);
+  const third = suspect('part:pool/one', [...explained, ...own, crash('j', 8000)]);
+  expect(evaluate([third, cause], others)).to.equal(true);
+});
+
 test('five crashes in three rounds suffice whichever other suspects were present', () => {
   const crashes = ['a', 'b', 'c', 'd', 'e'].map((id, index) => crash(id, 100 + index * 100));
   expect(evaluate([suspect('x', crashes), suspect('y', [...crashes])])).to.equal(true);
--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -7,7 +7,7 @@
  * between them, and one success clears a request. Simultaneous crashes count as one round,
  * because servers that fail together have a common cause. If other servers crashed without
  * the request, more rounds are required. Each crash is attributed to the likeliest of the
- * suspects that were present.
+ * suspects that were present; crashes at which a blocked one was present add no rounds.
  */
 import { isPartKey, type CrashSuspect, type ServerCrash } from '../types/crashSuspect.js';
 
@@ -116,9 +116,12 @@
   const blocked = known.filter(({ blockedSinceMs }) => blockedSinceMs !== undefined);
   const crashes = crashesOfOwnCause(suspect, { recent, blocked });
   if (crashes.length < crashesToBlock(suspect)) return false;
-  const rounds = countRounds(crashes);
-  const isFrequent = shareOf(crashes, recent) >= FREQUENT_SHARE;
-  const isAtMany = crashes.length >= CRASHES_DESPITE_OTHERS && rounds >= CRASHES_TO_BLOCK;
+  const unexplained = crashes.filter(
+    (crash) => !blocked.some((cause) => wasPresentAt(cause, crash)),
+  );
+  const rounds = countRounds(unexplained);
+  const isFrequent = unexplained.length >= FREQUENT_SHARE * crashesSince(crashes, recent);
+  const isAtMany = unexplained.length >= CRASHES_DESPITE_OTHERS && rounds >= CRASHES_TO_BLOCK;
   if (rounds < (isFrequent ? ROUNDS_FOR_FREQUENT : ROUNDS_FOR_OTHERS)) return false;
   if (ranWellBefore(suspect) && rounds < ROUNDS_AFTER_GOOD_RUN) return false;
   const presences = presencesByServer(known);
@@ -218,11 +221,11 @@
   });
 }
 
-/** Returns the share of the crashes since the suspect's first one at which it was present. */
-function shareOf(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
+/** Returns the number of crashes since the suspect's first one, those at which it was not present included. */
+function crashesSince(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
   const sinceMs = Math.min(...crashes.map(({ endedAtMs }) => endedAtMs)) - SIMULTANEOUS_MS;
   const all = recent.filter(({ endedAtMs }) => endedAtMs >= sinceMs).length;
-  return crashes.length / Math.max(crashes.length, all);
+  return Math.max(crashes.length, all);
 }
 
 /** Returns whether a suspect was present at a crash. */
