A restored versions row counts as complete only at a box that knew the row before

Cause: a box that ran at the time of a restore counted as one that has seen the versions which the row of the backup may lack. A box that had just started has seen nothing. Each of them read the era 2 first and saw era 3 come 0.2 s later, so it "outlasted" the restore, and wrote the row of the backup (v1 alone) into era 3 as complete. The row had listed v1 and mixed-1 in era 2. At 6.50 s the take-ups were refused (isRowComplete=false), at 7.50 s, after the write, streams of mixed-1 went on at v1 (source=listed ageMs=-1). A second way to the same end: a box that knew a row as incomplete since a first restore took over the completeness of an older backup in a second one.

Ruled out: servers that changed under their ids (requestSent names mixed-1); a start known to a box (isStartKnown=false for all five).

Change: a box remembers, over a restore, since when the row lacked no version as it last knew it in the store's era of that time. One that knew none writes the row as incomplete as of now.

The new test fails before the change (a stream goes on at the box that had not known the row) and also holds that one goes on at a box that had.

Cost: after a loss of all boxes and two restores around it, streams that nobody knows are refused until those of that time are over, as after one.

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -124,6 +124,27 @@
   expect(only(answerRead(box, [row]), 'refuse').reason).to.equal('streamVersionUnknown');
 });
 
+// A store that is restored twice around a loss of all boxes shows those that have just started a new era.
+test('a restored row is proof only if the box that writes it knew the row before the restore', () => {
+  for (const knewRow of [false, true]) {
+    const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
+    box.take({ type: 'storeClock', storeNowMs: 100_000 });
+    const row = rowOf({ services: { engines: { v1: null } } });
+    takeUp(box, 1, 'request-7');
+    if (knewRow) answerRead(box, [row]);
+    box.take({ type: 'storeEra', era: ERA + 1 });
+    takeUp(box, 2, 'request-8');
+    answerRead(box, [row]);
+    const effects = passUntilWrite(box);
+    const [written] = writesOf(effects);
+    expect((written?.value as ServedVersionsRow).era).to.equal(ERA + 1);
+    answerWrite(box, effects);
+    takeUp(box, 3, 'request-9');
+    const after = answerRead(box, [rowOf(written?.value as ServedVersionsRow)]);
+    expect(ofType(after, 'send'), `knew the row: ${knewRow}`).to.have.length(knewRow ? 1 : 0);
+  }
+});
+
 test('a box without memory goes on with a stream at the version of the row, not at the one that it sees', () => {
   const box = createBox({ 'engine-1': 'v2', 'engine-2': 'v2' });
   takeUp(box, 1, 'request-9');
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -112,15 +112,17 @@
   state: GatewayState,
   storeNowMs: number,
 ): Pick<ServedVersionsRow, 'eraSinceMs' | 'completeSinceMs'> {
-  const { eraSinceMs, completeSinceMs, version } = state.streamVersions.versionsRow;
+  const { eraSinceMs, completeSinceMs, version, knownInEra } = state.streamVersions.versionsRow;
   if (isRowOfPresentEra(state)) return { eraSinceMs, completeSinceMs };
-  // The first row of all is not one of a backup.
-  if (version === 0) return {};
-  // A box that has run since before the restore has seen the versions that the row of the backup may lack.
   const hasOutlastedRestore = Number.isFinite(state.storeRestoredAtMs);
+  // The first row of all is not one of a backup.
+  if (version === 0 && !hasOutlastedRestore) return {};
+  // The versions that the row of the backup may lack are known to a box that knew the row before the restore. One
+  // that had just started did not.
+  const known = hasOutlastedRestore ? knownInEra : undefined;
   return {
     eraSinceMs: storeNowMs,
-    completeSinceMs: hasOutlastedRestore ? completeSinceMs : storeNowMs,
+    completeSinceMs: known === undefined ? storeNowMs : known.completeSinceMs,
   };
 }
 
@@ -167,6 +169,9 @@
   versionsRow.era = isFiniteNumber(era) ? era : undefined;
   versionsRow.eraSinceMs = isFiniteNumber(eraSinceMs) ? eraSinceMs : undefined;
   versionsRow.completeSinceMs = isFiniteNumber(completeSinceMs) ? completeSinceMs : undefined;
+  if (isRowOfPresentEra(state)) {
+    versionsRow.knownInEra = { completeSinceMs: versionsRow.completeSinceMs };
+  }
   mergeIntoServed(state, step);
   if (!isRowUpToDate(state, step.nowMs)) requireVersionsRow(state, step.nowMs);
 }
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -180,6 +180,11 @@
   era: number | undefined;
   eraSinceMs: number | undefined;
   completeSinceMs: number | undefined;
+  /**
+   * Store's time since which a row that was known in the store's era of that time lacks no version, which outlasts a
+   * restore; undefined while none was known.
+   */
+  knownInEra: { completeSinceMs: number | undefined } | undefined;
   /** Time up to which this is the row of the table. */
   knownAtMs: number;
   writtenAtMs: number;
@@ -222,6 +227,7 @@
       era: undefined,
       eraSinceMs: undefined,
       completeSinceMs: undefined,
+      knownInEra: undefined,
       knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
