A read of the registry for an answer that goes on is repeated for 1.4 s

Cause: connections to the store are replaced when any call on them has no answer in time, which ends all reads on them. The read that confirms an answer was made twice, whatever ended it.

Change: a read that fails is repeated within 1.4 s from the first, which is what two silent reads take, and up to four reads are made, so that a store that refuses at once ends the wait as soon as before.

--- a/packages/reedlug-gateway/src/daemon/answerHolds.ts
+++ b/packages/reedlug-gateway/src/daemon/answerHolds.ts
@@ -12,6 +12,11 @@
 /** Longest time for which the first event of a new stream waits for a read of the registry, in ms: a slow store answers in 250. */
 const MAX_BEGIN_WAIT_MS = 300;
 
+/** Time from the first read for an answer that goes on within which a failed one is repeated, in ms: two that time out. */
+const REPEAT_READS_WITHIN_MS = 1400;
+/** Maximum number of these reads: a store that is away refuses each of them at once. */
+const MAX_READS = 4;
+
 /** A request and one of its attempts, by their ids. */
 export interface AttemptIds {
   exchangeId: number;
@@ -40,9 +45,15 @@
   const { state, registry, clock, emit } = context;
   const listingWaits = new Map<number, () => void>();
 
-  /** Reads once more if the store does not answer: its connections may have been replaced during the read. */
-  const readTwice = async (): Promise<boolean> =>
-    (await registry.readNow()) || (await registry.readNow());
+  /** Reads again if the store does not answer: its connections may be replaced during each read. */
+  const readAgain = async (): Promise<boolean> => {
+    const untilMs = clock.nowMs() + REPEAT_READS_WITHIN_MS;
+    for (let reads = 0; reads < MAX_READS; reads += 1) {
+      if (await registry.readNow()) return true;
+      if (clock.nowMs() >= untilMs) return false;
+    }
+    return false;
+  };
 
   const readInTime = async (): Promise<boolean> => {
     const limit = new AbortController();
@@ -56,7 +67,7 @@
 
   const confirm = async (need: ConfirmationNeed, ids: AttemptIds): Promise<void> => {
     const isRegistryRead =
-      need === ConfirmationNeed.goesOn ? await readTwice() : await readInTime();
+      need === ConfirmationNeed.goesOn ? await readAgain() : await readInTime();
     emit({ type: 'attemptConfirmed', ...ids, isRegistryRead });
   };
 
