--- a/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/crashVerdict.test.ts
@@ -40,6 +40,20 @@
   expect(evaluate([suspect('popular', crashes)], others)).to.equal(false);
 });
 
+test('a crash that one box notices late is no second round if another box saw it in time', () => {
+  const crashes = [crash('a', 100), crash('b', 105), crash('c', 320, { sentAtMs: 110 })];
+  const late = suspect('popular', crashes);
+  expect(evaluate([late], [crash('c', 104)])).to.equal(false);
+  expect(evaluate([late])).to.equal(true);
+});
+
+test('a send to a server that had ended is no crash of its request', () => {
+  const crashes = [crash('a', 100), crash('b', 400), crash('c', 900, { sentAtMs: 700 })];
+  const sentAfter = suspect('popular', crashes);
+  expect(evaluate([sentAfter], [crash('c', 405)])).to.equal(false);
+  expect(evaluate([sentAfter])).to.equal(true);
+});
+
 test('a send at the moment of a crash does not start a second round', () => {
   const crashes = [crash('a', 100), crash('b', 101), crash('c', 103, { sentAtMs: 101 })];
   const others = ['e', 'f', 'g'].map((id) => crash(id, 105));
@@ -67,6 +81,17 @@
   expect(evaluate([beside, known])).to.equal(false);
 });
 
+test('crashes that a blocked part explains add no rounds to those of another part', () => {
+  const explained = ['a', 'b', 'c', 'd'].map((id, index) => crash(id, 100 + index * 300));
+  const cause = suspect('part:pool/two', explained, { blockedSinceMs: 2500 });
+  const own = [crash('e', 3000), crash('f', 3010), crash('g', 6000)];
+  const others = [crash('h', 5000), crash('i', 5500)];
+  const beside = suspect('part:pool/one', [...explained, ...own]);
+  expect(evaluate([beside, cause], others)).to.equal(false);
+  const third = suspect('part:pool/one', [...explained, ...own, crash('j', 8000)]);
+  expect(evaluate([third, cause], others)).to.equal(true);
+});
+
 test('five crashes in three rounds suffice whichever other suspects were present', () => {
   const crashes = ['a', 'b', 'c', 'd', 'e'].map((id, index) => crash(id, 100 + index * 100));
   expect(evaluate([suspect('x', crashes), suspect('y', [...crashes])])).to.equal(true);
--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -7,7 +7,7 @@
  * between them, and one success clears a request. Simultaneous crashes count as one round,
  * because servers that fail together have a common cause. If other servers crashed without
  * the request, more rounds are required. Each crash is attributed to the likeliest of the
- * suspects that were present.
+ * suspects that were present; crashes at which a blocked one was present add no rounds.
  */
 import { isPartKey, type CrashSuspect, type ServerCrash } from '../types/crashSuspect.js';
 
@@ -116,9 +116,12 @@
   const blocked = known.filter(({ blockedSinceMs }) => blockedSinceMs !== undefined);
   const crashes = crashesOfOwnCause(suspect, { recent, blocked });
   if (crashes.length < crashesToBlock(suspect)) return false;
-  const rounds = countRounds(crashes);
-  const isFrequent = shareOf(crashes, recent) >= FREQUENT_SHARE;
-  const isAtMany = crashes.length >= CRASHES_DESPITE_OTHERS && rounds >= CRASHES_TO_BLOCK;
+  const unexplained = crashes.filter(
+    (crash) => !blocked.some((cause) => wasPresentAt(cause, crash)),
+  );
+  const rounds = countRounds(unexplained);
+  const isFrequent = unexplained.length >= FREQUENT_SHARE * crashesSince(crashes, recent);
+  const isAtMany = unexplained.length >= CRASHES_DESPITE_OTHERS && rounds >= CRASHES_TO_BLOCK;
   if (rounds < (isFrequent ? ROUNDS_FOR_FREQUENT : ROUNDS_FOR_OTHERS)) return false;
   if (ranWellBefore(suspect) && rounds < ROUNDS_AFTER_GOOD_RUN) return false;
   const presences = presencesByServer(known);
@@ -199,8 +202,8 @@
   suspect: CrashSuspect,
   { recent, blocked }: { recent: readonly ServerCrash[]; blocked: readonly CrashSuspect[] },
 ): readonly ServerCrash[] {
-  const { key, crashes } = suspect;
-  if (!isPartKey(key)) return crashes;
+  const crashes = withEarliestEnds(suspect.crashes, recent);
+  if (!isPartKey(suspect.key)) return crashes;
   const commonFrom = ranWellBefore(suspect)
     ? COMMON_CAUSE_SERVERS_AFTER_GOOD_RUN
     : COMMON_CAUSE_SERVERS;
@@ -218,11 +221,29 @@
   });
 }
 
-/** Returns the share of the crashes since the suspect's first one at which it was present. */
-function shareOf(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
+/**
+ * Returns crashes with the earliest end that any box observed, in order of time, without those whose server
+ * had ended before the send. A box that is late to notice one of several simultaneous crashes would take it
+ * for another round.
+ */
+function withEarliestEnds(
+  crashes: readonly ServerCrash[],
+  recent: readonly ServerCrash[],
+): readonly ServerCrash[] {
+  return crashes
+    .map((crash) => {
+      const known = recent.find((other) => isSameCrash(other, crash));
+      return { ...crash, endedAtMs: Math.min(crash.endedAtMs, known?.endedAtMs ?? Infinity) };
+    })
+    .filter(({ sentAtMs, endedAtMs }) => sentAtMs <= endedAtMs + AGE_ERROR_MS)
+    .sort((a, b) => a.endedAtMs - b.endedAtMs);
+}
+
+/** Returns the number of crashes since the suspect's first one, those at which it was not present included. */
+function crashesSince(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
   const sinceMs = Math.min(...crashes.map(({ endedAtMs }) => endedAtMs)) - SIMULTANEOUS_MS;
   const all = recent.filter(({ endedAtMs }) => endedAtMs >= sinceMs).length;
-  return crashes.length / Math.max(crashes.length, all);
+  return Math.max(crashes.length, all);
 }
 
 /** Returns whether a suspect was present at a crash. */
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRow.ts
@@ -124,16 +124,18 @@
   state: GatewayState,
   storeNowMs: number,
 ): Pick<ServedVersionsRow, 'eraSinceMs' | 'completeSinceMs'> {
-  const { eraSinceMs, completeSinceMs, version, lostUntilMs } = state.streamVersions.versionsRow;
+  const { eraSinceMs, completeSinceMs, version, lostUntilMs, wasKnownInEra } =
+    state.streamVersions.versionsRow;
   if (isRowOfPresentEra(state)) return { eraSinceMs, completeSinceMs };
   const hasOutlastedRestore = Number.isFinite(state.storeRestoredAtMs);
   // The first row of a store that was never restored is the first of all; in another one, the backup may lack the row.
   const mayBeRestored = version !== 0 || hasOutlastedRestore || presentEra(state) > FIRST_ERA;
   if (!mayBeRestored) return {};
-  // A box that has run since before the restore has seen the versions that the row of the backup may lack.
+  // The versions that the row of the backup may lack are known to a box that knew the row before the restore. One
+  // that had just started did not.
   return {
     eraSinceMs: storeNowMs,
-    completeSinceMs: hasOutlastedRestore ? lostUntilMs : storeNowMs,
+    completeSinceMs: hasOutlastedRestore && wasKnownInEra ? lostUntilMs : storeNowMs,
   };
 }
 
@@ -180,6 +182,7 @@
   versionsRow.era = isFiniteNumber(era) ? era : undefined;
   versionsRow.eraSinceMs = isFiniteNumber(eraSinceMs) ? eraSinceMs : undefined;
   versionsRow.completeSinceMs = isFiniteNumber(completeSinceMs) ? completeSinceMs : undefined;
+  versionsRow.wasKnownInEra ||= isRowOfPresentEra(state);
   if (isFiniteNumber(completeSinceMs)) {
     versionsRow.lostUntilMs = Math.max(versionsRow.lostUntilMs ?? completeSinceMs, completeSinceMs);
   }
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -215,6 +215,8 @@
   completeSinceMs: number | undefined;
   /** Latest of these times in any row that this box has known: a later copy may be older than what the boxes knew of the one before. */
   lostUntilMs: number | undefined;
+  /** Whether this box has known a row that was written in the store's era of that time, which outlasts a restore. */
+  wasKnownInEra: boolean;
   /** Time up to which this is the row of the table. */
   knownAtMs: number;
   writtenAtMs: number;
@@ -264,6 +266,7 @@
       eraSinceMs: undefined,
       completeSinceMs: undefined,
       lostUntilMs: undefined,
+      wasKnownInEra: false,
       knownAtMs: Number.NEGATIVE_INFINITY,
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
