The next peer is asked after the usual time of connections through peers

Cause: callers of boxes without links wait 120 ms whenever the first peer that is asked for a new connection does not run for a moment, then some 10 to 30 ms more for the next one.

Change: the wait for one peer is estimated as that for a direct connection is, from the connections that peers opened: average plus four deviations, 30 ms at least and 120 (as before) at most and before the first. A peer that others overtook after that time is put last, as before. What arrived while the box itself stood still is not late.

Not mended: requests on open connections through a peer that stands still.

--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -4,7 +4,7 @@
  * Nothing is sent on a connection before it is open, so several attempts may run at the same time; the
  * first that opens is used.
  */
-import { connectPlan } from '../policy/connectPlan.js';
+import { connectPlan, peerPatienceMs } from '../policy/connectPlan.js';
 import { connectingPeers } from '../slices/peers/connectingPeers.js';
 import type { GatewayState } from '../state.js';
 import type { PeerAddress } from '../types/peer.js';
@@ -20,8 +20,6 @@
 import { openTunnel } from './tunnels/openTunnel.js';
 import type { ConnectFailure } from './tunnels/tunnelWire.js';
 
-/** Time after which another peer is asked as well, in ms. */
-const NEXT_PEER_MS = 120;
 /**
  * Time within which a connection has to come up on any path, in ms: the deadline that the server is told
  * is that of the start.
@@ -141,6 +139,7 @@
   const { target, plan, startDirect } = params;
   const { findPeer, peersAfterMs } = plan;
   const tunnels = new Map<string, PeerAttempt>();
+  const patienceMs = peerPatienceMs(state.serverLinks);
   const asked: PeerAddress[] = [];
   const ended: ConnectionTry[] = [];
   let isDirectRunning = plan.isDirectTried;
@@ -150,6 +149,11 @@
   let nextPeerTimer: NodeJS.Timeout | undefined;
   const timeout = setTimeout(() => settle({ outcome: failure }), DIAL_TIMEOUT_MS);
 
+  /** Sockets are read after timers: what arrived while the process stood still is not late. */
+  const askNextPeerAfter = (delayMs: number): void => {
+    nextPeerTimer = setTimeout(() => setImmediate(askNextPeer), delayMs);
+  };
+
   const settle = (result: DialResult): void => {
     if (isSettled) return;
     isSettled = true;
@@ -165,7 +169,7 @@
     for (const [boxId, { attempt, startedAtMs }] of tunnels) {
       attempt.cancel();
       const tookMs = nowMs() - startedAtMs;
-      if (tookMs < NEXT_PEER_MS) continue;
+      if (tookMs < patienceMs) continue;
       // One that others overtook is asked after them from now on.
       const path = { kind: 'peer', boxId } as const;
       onTried({ ...target, path, outcome: ConnectOutcome.unavailable, tookMs, peerReason: 'late' });
@@ -202,7 +206,7 @@
       onAttemptEnded({ kind: 'peer', boxId }, result);
     });
     tunnels.set(boxId, { attempt, startedAtMs: nowMs() });
-    nextPeerTimer = setTimeout(askNextPeer, NEXT_PEER_MS);
+    askNextPeerAfter(patienceMs);
   };
 
   if (plan.isDirectTried) {
@@ -212,10 +216,7 @@
     });
   }
   if (peersAfterMs === 0) askNextPeer();
-  else if (peersAfterMs !== undefined) {
-    // Sockets are read after timers: a connection that came up while the process stood still is not late.
-    nextPeerTimer = setTimeout(() => setImmediate(askNextPeer), peersAfterMs);
-  }
+  else if (peersAfterMs !== undefined) askNextPeerAfter(peersAfterMs);
   // The connection pool does not expect an answer before `dial` returns.
   const isAwaited = plan.isAwaited && (isDirectRunning || tunnels.size > 0);
   if (!isAwaited) setImmediate(() => settle({ outcome: failure }));
--- a/packages/reedlug-gateway/src/policy/__tests__/connectPlan.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/connectPlan.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { ConnectOutcome, createServerLinks, type ServerLink } from '../../types/serverLink.js';
-import { connectPlan, isCutOff, isServerAtFault, patienceMs } from '../connectPlan.js';
+import { connectPlan, isCutOff, isServerAtFault, patienceMs, peerPatienceMs } from '../connectPlan.js';
 
 const NEVER = Number.NEGATIVE_INFINITY;
 
@@ -38,6 +38,16 @@
   expect(patienceMs(createServerLinks())).to.equal(60);
 });
 
+test('one peer is waited for alone as long as connecting through peers usually takes', () => {
+  const links = createServerLinks();
+  const patience = (connectMs: number, deviationMs: number): number =>
+    peerPatienceMs({ ...links, throughPeers: { connectMs, deviationMs } });
+  expect(peerPatienceMs(links)).to.equal(120);
+  expect(patience(3, 1)).to.equal(30);
+  expect(patience(20, 10)).to.equal(60);
+  expect(patience(200, 50)).to.equal(120);
+});
+
 test('while a link is down peers are asked at once, and the link is tried from time to time', () => {
   const link = downLink();
   expect(connectPlan({ ...BASE, link })).to.deep.equal({
--- a/packages/reedlug-gateway/src/policy/connectPlan.ts
+++ b/packages/reedlug-gateway/src/policy/connectPlan.ts
@@ -4,11 +4,22 @@
  * A box may lose its links to servers that other boxes reach. Nothing is sent on a connection that
  * never came up, so the paths are tried at the same time, and the first that opens is used.
  */
-import { ConnectOutcome, type ServerLink, type ServerLinks } from '../types/serverLink.js';
+import {
+  ConnectOutcome,
+  type ConnectTimes,
+  type ServerLink,
+  type ServerLinks,
+} from '../types/serverLink.js';
 
 /** Shortest and longest time for which a direct connection is tried alone, in ms. */
 const MIN_PATIENCE_MS = 60;
 const MAX_PATIENCE_MS = 200;
+/**
+ * Shortest and longest time for which one peer is waited for alone, in ms. Callers of a box without links are to wait at most 50 ms
+ * longer than those of others, and a peer whose process does not run for a moment opens nothing meanwhile.
+ */
+const MIN_PEER_PATIENCE_MS = 30;
+const MAX_PEER_PATIENCE_MS = 120;
 /** Multiple of the deviation that is added to the usual time to connect, as for TCP retransmissions. */
 const DEVIATION_FACTOR = 4;
 /**
@@ -92,9 +103,19 @@
 }
 
 /** Returns how long a direct connection is tried alone, in ms. */
-export function patienceMs({ connectMs, deviationMs }: ServerLinks): number {
-  const usualMs = connectMs + DEVIATION_FACTOR * deviationMs;
-  return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, usualMs));
+export function patienceMs(links: ConnectTimes): number {
+  return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, usualMs(links)));
+}
+
+/** Returns after how long without an answer of a peer another one is asked as well, in ms. */
+export function peerPatienceMs({ throughPeers }: ServerLinks): number {
+  if (throughPeers === undefined) return MAX_PEER_PATIENCE_MS;
+  return Math.min(MAX_PEER_PATIENCE_MS, Math.max(MIN_PEER_PATIENCE_MS, usualMs(throughPeers)));
+}
+
+/** Returns the time in which nearly all connections come up, in ms. */
+function usualMs({ connectMs, deviationMs }: ConnectTimes): number {
+  return connectMs + DEVIATION_FACTOR * deviationMs;
 }
 
 /**
--- a/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverLinks.ts
@@ -5,6 +5,7 @@
   ConnectOutcome,
   type ConnectionPath,
   type ConnectionTry,
+  type ConnectTimes,
   type PeerFailure,
   type ServerLink,
   type ServerLinks,
@@ -90,6 +91,7 @@
       const fields = { server: view.entry.id, peer: peerId, tookMs: Math.round(tookMs) };
       log(step, 'serverReachedByPeer', { ...fields, request: requestId });
       if (peer !== undefined) peer.connectedAtMs = step.nowMs;
+      recordTimeThroughPeer(state.serverLinks, tookMs);
       confirmFailure(state, view, false);
       if (link === undefined) return;
       link.openedByPeerAtMs = step.nowMs;
@@ -137,7 +139,7 @@
   if (outcome === ConnectOutcome.opened) {
     links.openedAtMs = step.nowMs;
     links.failedSinceOpen.clear();
-    recordConnectTime(state, tookMs);
+    recordConnectTime(links, tookMs);
     if (view.link === undefined) return;
     const downMs = Math.round(step.nowMs - view.link.downSinceMs);
     log(step, 'serverLinkUp', { server, downMs, tookMs: Math.round(tookMs), request: requestId });
@@ -169,10 +171,17 @@
   };
 }
 
-function recordConnectTime({ serverLinks }: GatewayState, tookMs: number): void {
-  const differenceMs = tookMs - serverLinks.connectMs;
-  serverLinks.connectMs += differenceMs * CONNECT_TIME_WEIGHT;
-  serverLinks.deviationMs += (Math.abs(differenceMs) - serverLinks.deviationMs) * DEVIATION_WEIGHT;
+/** As in RFC 6298, the first time stands for the average, and half of it for its deviation. */
+function recordTimeThroughPeer(links: ServerLinks, tookMs: number): void {
+  if (links.throughPeers === undefined) {
+    links.throughPeers = { connectMs: tookMs, deviationMs: tookMs / 2 };
+  } else recordConnectTime(links.throughPeers, tookMs);
+}
+
+function recordConnectTime(times: ConnectTimes, tookMs: number): void {
+  const differenceMs = tookMs - times.connectMs;
+  times.connectMs += differenceMs * CONNECT_TIME_WEIGHT;
+  times.deviationMs += (Math.abs(differenceMs) - times.deviationMs) * DEVIATION_WEIGHT;
 }
 
 /** Records whether peers reach a server to which this box's direct connections fail. */
--- a/packages/reedlug-gateway/src/types/serverLink.ts
+++ b/packages/reedlug-gateway/src/types/serverLink.ts
@@ -65,8 +65,14 @@
   atMs: number;
 }
 
-/** What this box knows of its links to all servers. */
-export interface ServerLinks {
+/** Moving averages of the time in which connections come up, and of its deviation. */
+export interface ConnectTimes {
+  connectMs: number;
+  deviationMs: number;
+}
+
+/** What this box knows of its links to all servers; the times are those of direct connections. */
+export interface ServerLinks extends ConnectTimes {
   /**
    * Servers to which direct connections failed since one to any server came up, and whether peers did
    * not reach the server either, or did.
@@ -80,9 +86,8 @@
   /** Times of the last check of the links, and of the last news that other boxes have lost theirs. */
   checkedAtMs: number;
   doubtedAtMs: number;
-  /** Moving averages of the time in which direct connections come up, and of its deviation. */
-  connectMs: number;
-  deviationMs: number;
+  /** Times of connections through peers; undefined before the first. */
+  throughPeers: ConnectTimes | undefined;
 }
 
 /** Returns the links of a box that has opened no connection. */
@@ -94,6 +99,7 @@
     cutOffAtMs: Number.NEGATIVE_INFINITY,
     checkedAtMs: Number.NEGATIVE_INFINITY,
     doubtedAtMs: Number.NEGATIVE_INFINITY,
+    throughPeers: undefined,
     connectMs: 0,
     deviationMs: 0,
   };
