A configuration that its announcer read after a missed answer is asked for at once

Ruled out: the gossip itself (sent with the next tick after a failed call), the transfer (28 ms), the estimated time for an answer (it does not bound this case).

The new tests fail before (no request in the first 200 ms, no field).

--- a/packages/reedlug-gateway/src/daemon/platformFeeds.ts
+++ b/packages/reedlug-gateway/src/daemon/platformFeeds.ts
@@ -71,8 +71,8 @@
     listener: {
       ...common(StoreFeed.operators),
       isNeeded: () => isNeeded() || isConfigurationOverdue(runtime.state, clock.nowMs()),
-      onPage({ items }) {
-        for (const item of rolloutsFirst(items)) emitOperatorEntry(runtime, item);
+      onPage({ items, isLate }) {
+        for (const item of rolloutsFirst(items)) emitOperatorEntry(runtime, item, isLate);
       },
     },
     clock,
@@ -141,11 +141,15 @@
   return [...items.filter(isFirst), ...items.filter((item) => !isFirst(item))];
 }
 
-function emitOperatorEntry({ emit, logger }: FeedRuntime, entry: OperatorEntry): void {
+function emitOperatorEntry(
+  { emit, logger }: FeedRuntime,
+  entry: OperatorEntry,
+  isLate: boolean,
+): void {
   switch (entry.kind) {
     case 'configuration': {
       const { configuration } = entry;
-      return emit({ type: 'configurationRead', configuration, source: 'store' });
+      return emit({ type: 'configurationRead', configuration, source: 'store', isLate });
     }
     case 'rollout':
       return emit({ type: 'rolloutOrdered', order: entry.order });
--- a/packages/reedlug-gateway/src/slices/peers/__tests__/peers.test.ts
+++ b/packages/reedlug-gateway/src/slices/peers/__tests__/peers.test.ts
@@ -25,6 +25,28 @@
   expect(ofType(box.pass(350), 'askPeer')).to.have.length(1);
 });
 
+test('a configuration whose announcer missed the answer of the store is requested at once', () => {
+  const box = createServingBox();
+  const newer = { configurationVersion: 5, isConfigurationLate: true };
+  const effects = box.take({ type: 'peerMessage', message: peerMessage(newer) });
+  expect(ofType(effects, 'askPeer')).to.have.length(1);
+});
+
+for (const isLate of [true, false]) {
+  test(`gossip says for a second whether the answer with a configuration was missed before: ${isLate}`, () => {
+    const box = createServingBox();
+    box.take({ type: 'peerMessage', message: peerMessage() });
+    const active = configuration({ version: 5 });
+    box.take({ type: 'configurationRead', configuration: active, source: 'store', isLate });
+    const said = (effects: readonly Effect[]) =>
+      ofType(effects, 'sendPeers').flatMap(({ message }) =>
+        message.kind === 'news' ? [message.isConfigurationLate] : [],
+      );
+    expect(said(box.pass(200))).to.deep.equal([isLate ? true : undefined]);
+    expect(said(box.pass(1000))).to.deep.equal([undefined]);
+  });
+}
+
 test('an older configuration never comes into force', () => {
   const box = createServingBox();
   const take = (version: number, source: 'store' | 'peer'): void => {
--- a/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
+++ b/packages/reedlug-gateway/src/slices/peers/buildGossip.ts
@@ -11,6 +11,7 @@
 import { addSendSums, type SendSums } from '../../policy/engineModel.js';
 import { ownSendSums } from '../engines/engineModels.js';
 import { ownShareGossip, sumShares } from '../limits/limitShare.js';
+import { lateConfigurationGossip } from '../store/configuration.js';
 import { knownAgeMs, ownFeedAgeMs } from '../store/feedAges.js';
 import { rolloutGossip } from '../rollouts/rollouts.js';
 import { registryGossip } from './registryGossip.js';
@@ -79,6 +80,7 @@
     port: listen.peersPort,
     processorCores: box.processorCores,
     configurationVersion: state.active?.configuration.version ?? 0,
+    ...lateConfigurationGossip(state, step.nowMs),
     serversRevision: state.serversRevision,
     serversRevisionMax: state.serversRevisionMax,
     registry: undefined,
--- a/packages/reedlug-gateway/src/slices/peers/peers.ts
+++ b/packages/reedlug-gateway/src/slices/peers/peers.ts
@@ -220,11 +220,16 @@
   if (ahead === undefined || !lacksAny(state, ahead)) return;
   const aheadMs = step.nowMs - ahead.sinceMs;
   const mayWait = peer.boxId !== state.hubId && state.storeReachable;
-  const graceMs = lacksConfiguration(state, ahead) ? CONFIGURATION_GRACE_MS : REGISTRY_GRACE_MS;
+  const graceMs = lacksConfiguration(state, ahead) ? configurationGraceMs(peer) : REGISTRY_GRACE_MS;
   if (mayWait && aheadMs < graceMs) return;
   requestState(step, peer, lacksServers(state, peer.message ?? ahead));
 }
 
+/** Returns how long the store's answer with a peer's version is waited for, in ms; not at all if the peer itself missed it. */
+function configurationGraceMs({ message }: PeerView): number {
+  return message?.isConfigurationLate === true ? 0 : CONFIGURATION_GRACE_MS;
+}
+
 type Versions = Pick<PeerMessage, 'configurationVersion' | 'serversRevision'>;
 
 function lacksConfiguration(state: GatewayState, { configurationVersion }: Versions): boolean {
--- a/packages/reedlug-gateway/src/slices/store/configuration.ts
+++ b/packages/reedlug-gateway/src/slices/store/configuration.ts
@@ -2,8 +2,12 @@
 import type { EventOf } from '../../types/event.js';
 import type { Configuration, RouteSpec, WorkspaceSpec } from '../../types/configuration.js';
 import { log, type GatewayState, type Step } from '../../state.js';
+import type { PeerMessage } from '../../types/peer.js';
 import type { ActiveConfiguration } from '../../types/views.js';
 
+/** Time for which a box says that it missed the answer with its configuration, in ms: five messages. */
+const LATE_READ_MS = 1000;
+
 /** Puts a version into force if it is newer than the current one. */
 export function onConfigurationRead(
   state: GatewayState,
@@ -13,7 +17,7 @@
   const { configuration, source } = event;
   const currentVersion = state.active?.configuration.version ?? 0;
   if (configuration.version <= currentVersion) return;
-  state.active = activate(configuration);
+  state.active = activate(configuration, event.isLate === true ? step.nowMs : undefined);
   log(step, 'configurationInForce', {
     version: configuration.version,
     before: currentVersion,
@@ -23,7 +27,19 @@
   });
 }
 
-function activate(configuration: Configuration): ActiveConfiguration {
+/** Returns what gossip says of a configuration that others may have missed as well; nothing otherwise. */
+export function lateConfigurationGossip(
+  { active }: GatewayState,
+  nowMs: number,
+): Pick<PeerMessage, 'isConfigurationLate'> {
+  const { readLateAtMs = Number.NEGATIVE_INFINITY } = active ?? {};
+  return nowMs - readLateAtMs < LATE_READ_MS ? { isConfigurationLate: true } : {};
+}
+
+function activate(
+  configuration: Configuration,
+  readLateAtMs: number | undefined,
+): ActiveConfiguration {
   const routesByHost = new Map<string, RouteSpec[]>();
   for (const route of configuration.routes) {
     const host = route.host.toLowerCase();
@@ -38,7 +54,7 @@
   for (const workspace of configuration.workspaces) {
     for (const key of workspace.keys) workspaceByKey.set(key, workspace);
   }
-  return { configuration, routesByHost, workspaceByKey };
+  return { configuration, routesByHost, workspaceByKey, readLateAtMs };
 }
 
 /** Returns the route with the longest matching path prefix, or undefined. */
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -95,7 +95,13 @@
   /** An operator unblocks a request. */
   | { type: 'verdictLifted'; key: string }
   | { type: 'serverStatements'; message: ServerStatementsMessage }
-  | { type: 'configurationRead'; configuration: Configuration; source: 'store' | 'peer' }
+  | {
+      type: 'configurationRead';
+      configuration: Configuration;
+      source: 'store' | 'peer';
+      /** Whether the feed's call before brought no answer, so that other boxes may have missed the same version. */
+      isLate?: boolean;
+    }
   /** A box did not send the version of the configuration that was requested from it. */
   | { type: 'configurationTransferFailed'; peer: HostPort; version: number; reason: string }
   | { type: 'rolloutOrdered'; order: RolloutOrder }
--- a/packages/reedlug-gateway/src/types/peer.ts
+++ b/packages/reedlug-gateway/src/types/peer.ts
@@ -116,6 +116,11 @@
   processorCores: number;
   /** Version of the active configuration of the sender; 0 for none. */
   configurationVersion: number;
+  /**
+   * Whether the sender has just read that version after a call of the store that brought no answer, so that others may
+   * have missed it as well; missing otherwise, and from older boxes.
+   */
+  isConfigurationLate?: boolean | undefined;
   /** Revision of the registry that the sender has read. */
   serversRevision: number;
   /** Revision that no change of the registry known to the sender exceeds; missing from older boxes. */
--- a/packages/reedlug-gateway/src/types/views.ts
+++ b/packages/reedlug-gateway/src/types/views.ts
@@ -14,6 +14,8 @@
   /** Routes of each host, longest prefix first. */
   routesByHost: Map<string, RouteSpec[]>;
   workspaceByKey: Map<string, WorkspaceSpec>;
+  /** Time at which it was read after a call of the store that brought no answer; undefined otherwise. */
+  readLateAtMs: number | undefined;
 }
 
 /** State of a box with regard to one backend server. */
