A box that has just started sends nothing before it has read which requests crash servers

A box asked for it with its first tick, and accepted requests as soon as it knew configuration, servers and the list of boxes, whose reads start earlier. A request that crashes servers, kept out or with three crashes and no verdict, went out once more at each box that it met before the row; a slow table makes that longer. The new test shows it: the request is sent before, refused with 500 after.

Change: requests wait, as they do for configuration and servers, until the first read of the row has ended, with or without an answer, and for 300 ms from their arrival at most. Cost: the first requests of a box that starts wait for its first tick (50 ms), one call of the table and the next tick.

--- a/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
+++ b/packages/reedlug-gateway/src/__tests__/__fixtures__/box.ts
@@ -244,9 +244,12 @@
   pass: (ms: number) => Effect[];
 }
 
+/** Creates a box that has read the row of requests that crash servers, and nothing else. */
 export function createBox(boxSettings: GatewaySettings = settings()): TestBox {
+  const state = createGatewayState({ settings: boxSettings, incarnation: 1, nowMs: 0 });
+  state.crashRow.isFirstReadPending = false;
   const box: TestBox = {
-    state: createGatewayState({ settings: boxSettings, incarnation: 1, nowMs: 0 }),
+    state,
     nowMs: 0,
     wallClockOffsetMs: 1_000_000,
     take: (event) =>
--- a/packages/reedlug-gateway/src/createGatewayState.ts
+++ b/packages/reedlug-gateway/src/createGatewayState.ts
@@ -67,6 +67,7 @@
     suspectsPrunedAtMs: nowMs,
     crashRow: {
       version: undefined,
+      isFirstReadPending: true,
       writtenSignature: '',
       requestedAtMs: Number.NEGATIVE_INFINITY,
       isLastWriter: false,
--- a/packages/reedlug-gateway/src/slices/crashes/__tests__/suspectsAfterLosses.test.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/__tests__/suspectsAfterLosses.test.ts
@@ -9,6 +9,7 @@
   peerMessage,
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
+import type { Effect } from '../../../types/effect.js';
 import type { CrashSuspectsRow, CrashSuspectGossip } from '../../../types/crashSuspect.js';
 import type { PeerAddress } from '../../../types/peer.js';
 import { arrive } from './__fixtures__/crashingSends.js';
@@ -45,17 +46,55 @@
   );
   listBoxesAfterRestart(box, others);
   box.state.part.opening = { kind: 'unused' };
-  const value: CrashSuspectsRow = { storeNowMs: 0, suspects };
   box.pass(50);
+  answerRow(box, suspects);
+  return box;
+}
+
+/** Answers a box's read of the row, or lets it fail. */
+function answerRow(box: TestBox, suspects: readonly CrashSuspectGossip[] | undefined): void {
+  const value = { storeNowMs: 0, suspects: suspects ?? [] } satisfies CrashSuspectsRow;
+  const rows = [{ key: 'crash-suspects', version: 1, value }];
   box.take({
     type: 'tableAnswered',
     purpose: { kind: 'crashSuspects', writes: false },
-    answer: { kind: 'done', rows: [{ key: 'crash-suspects', version: 1, value }] },
+    answer: suspects === undefined ? { kind: 'unknown' } : { kind: 'done', rows },
     sentAtMs: box.nowMs,
   });
+}
+
+/** Creates a box that has read all but the row. */
+function boxBeforeRow(): TestBox {
+  const box = createServingBox();
+  box.state.crashRow.isFirstReadPending = true;
   return box;
 }
 
+function sends(effects: readonly Effect[]): number {
+  return ofType(effects, 'send').length;
+}
+
+test('a request that arrives before a box has read which requests crash servers waits for that', () => {
+  const box = boxBeforeRow();
+  expect(sends(arrive(box, 'bad').effects)).to.equal(0);
+  expect(sends(arrive(box, 'good').effects)).to.equal(0);
+  const blocked = { ...suspectOf(SUSPECT, OPEN_CRASHES), keptOutAgeMs: 100 };
+  answerRow(box, [blocked]);
+  const effects = box.pass(50);
+  expect(sends(effects)).to.equal(1);
+  expect(ofType(effects, 'refuse').map(({ status }) => status)).to.deep.equal([500]);
+});
+
+test('a box serves although the read of the row fails, or does not end in time', () => {
+  const failed = boxBeforeRow();
+  arrive(failed, 'good');
+  answerRow(failed, undefined);
+  expect(sends(failed.pass(50))).to.equal(1);
+  const silent = boxBeforeRow();
+  arrive(silent, 'good');
+  expect(sends(silent.pass(300))).to.equal(1);
+});
+
 test('a good run of another request brings no verdict on crashes before the start of a box', () => {
   const box = startBox(0, [suspectOf(SUSPECT, OPEN_CRASHES), suspectOf('tiger/good', [700, 500])]);
   const { exchangeId, effects } = arrive(box, 'good');
--- a/packages/reedlug-gateway/src/slices/crashes/crashRow.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashRow.ts
@@ -100,6 +100,7 @@
   const { crashRow } = state;
   const { answer } = event;
   const rows = rowsOf(answer);
+  crashRow.isFirstReadPending = false;
   if (rows === undefined) {
     // The write may have been applied, so the row is read before the next write.
     crashRow.version = undefined;
--- a/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
@@ -1,7 +1,7 @@
 /**
- * Requests that arrive before a box knows its configuration and the servers.
+ * Requests that arrive before a box knows its configuration, the servers and the requests that crash servers.
  *
- * After a start both are read within some tens of ms, but callers that waited for the box
+ * After a start all are read within some tens of ms, but callers that waited for the box
  * all arrive at once. Their requests are held for a moment instead of being refused.
  */
 import type { EventOf } from '../../types/event.js';
@@ -16,9 +16,12 @@
 /** Retry-After time while the box lacks either of them, in ms: it asks the store again within half a second. */
 const NOT_STARTED_RETRY_MS = 500;
 
-/** Whether the box knows the configuration, the servers and its share of the limits, which it needs to accept requests. */
+/**
+ * Whether the box knows the configuration, the servers, its share of the limits and which requests crash servers, which it needs to
+ * accept requests. After a loss of all boxes, each would otherwise send one that crashes servers once more.
+ */
 export function isReadyForRequests(state: GatewayState): boolean {
-  return canServe(state) && state.part.listRevision > 0;
+  return canServe(state) && state.part.listRevision > 0 && !state.crashRow.isFirstReadPending;
 }
 
 /** Whether it could serve requests without a limit, and those for which other boxes lend units. */
--- a/packages/reedlug-gateway/src/types/crashSuspect.ts
+++ b/packages/reedlug-gateway/src/types/crashSuspect.ts
@@ -103,6 +103,8 @@
 export interface CrashRowState {
   /** Version of the row; undefined until it is read, and after a write with an unknown outcome. */
   version: number | undefined;
+  /** True from the start of the box until its first read of the row has ended, with or without an answer. */
+  isFirstReadPending: boolean;
   /** Signature of the row's content. */
   writtenSignature: string;
   requestedAtMs: number;
