Versions of 101 to 200 characters are listed, and a miss of one service pauses no other

Cause: an entry's version may have 200 characters, the versions row and the gossip of starts took 100. A version in between was written to the row, dropped as it came back, so the row never looked up to date: it was written again at each chance (250 ms), and each stream of the service began unlisted. Each of these misses also ended the waits of all services for 5 s, so streams of others began at versions that no row lists. The same holds for more than 32 versions of a service, of which the row keeps 32.

Change: 200 characters, one constant; the pause after a miss is that of its service. While the table does not answer, the first streams of each service wait 300 ms every 5 s, no longer those of one service in all.

The tests fail before (the version of 200 characters is not listed; the stream of the other service does not wait).

--- a/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/__tests__/versionsRow.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import {
+  configuration,
   createServingBox,
   ofType,
   only,
@@ -7,11 +8,17 @@
   type TestBox,
 } from '../../../__tests__/__fixtures__/box.js';
 import type { Effect } from '../../../types/effect.js';
+import { ServerState } from '../../../types/server.js';
 import { SERVED_VERSIONS_KEY, type ServedVersionsRow } from '../../../types/streamVersion.js';
 import { confirmationNeed } from '../attemptConfirmations.js';
 import { addPeer, listEngines, request, takeUp, versionOf } from './__fixtures__/takenUpStreams.js';
 
 const ERA = 3;
+/** Longest version of an entry, in characters, and number of versions of a service that the row holds. */
+const MAX_VERSION_LENGTH = 200;
+const MAX_VERSIONS_IN_ROW = 32;
+/** Longest time for which a box that has just started holds a first event, in ms. */
+const MAX_WAIT_MS = 800;
 const REVISION = 9;
 
 function createBox(engines: Readonly<Record<string, string>>): TestBox {
@@ -68,12 +75,34 @@
 }
 
 /** Begins a stream up to the head of its answer, and returns what the wait for its version requests. */
-function awaitListing(box: TestBox): { attemptId: number; effects: Effect[] } {
-  const { attemptId } = only(request(box, 1), 'send');
-  const effects = box.take({ type: 'listingAwaited', exchangeId: 1, attemptId });
+function awaitListing(
+  box: TestBox,
+  { exchangeId = 1, path = '/draft/1' }: { exchangeId?: number; path?: string } = {},
+): { attemptId: number; effects: Effect[] } {
+  const { attemptId } = only(request(box, exchangeId, { path }), 'send');
+  const effects = box.take({ type: 'listingAwaited', exchangeId, attemptId });
   return { attemptId, effects };
 }
 
+/** Adds a service with a server and a route of streams. */
+function addWriters(box: TestBox): void {
+  const { routes, services, ...others } = configuration();
+  const draft = routes.find(({ name }) => name === 'draft');
+  const engines = services.find(({ name }) => name === 'engines');
+  if (draft === undefined || engines === undefined) throw new Error('no route of streams');
+  const target = { service: 'writers', weight: 1 };
+  const write = { ...draft, name: 'write', pathPrefix: '/write/', targets: [target] };
+  const writers = { ...engines, name: 'writers' };
+  const next = {
+    ...others,
+    version: 2,
+    routes: [...routes, write],
+    services: [...services, writers],
+  };
+  box.take({ type: 'configurationRead', configuration: next, source: 'store' });
+  listEngines(box, { 'writer-1': { service: 'writers', version: 'w1', bornAtMs: 1 } });
+}
+
 test('a version that serves alone is written too, and once', () => {
   const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
   const effects = passUntilWrite(box);
@@ -91,6 +120,28 @@
   expect(only(answerWrite(box, effects), 'listingEnded').attemptId).to.equal(attemptId);
 });
 
+test('the longest version that an entry may have is listed, and the row is not written again', () => {
+  const version = 'v'.repeat(MAX_VERSION_LENGTH);
+  const box = createBox({ 'engine-1': version, 'engine-2': version });
+  const { effects } = awaitListing(box);
+  expect(ofType(answerWrite(box, effects), 'listingEnded')).to.have.length(1);
+  expect(passUntilWrite(box)).to.have.length(0);
+});
+
+test('more versions of one service than the row holds do not keep streams of others from waiting', () => {
+  const old = Array.from({ length: MAX_VERSIONS_IN_ROW }, (_, index) => `v${index}`);
+  const engines = old.map((version, index) => [`engine-${index + 1}`, version] as const);
+  const box = createBox(Object.fromEntries(engines));
+  const state = ServerState.leaving;
+  for (const [id, version] of engines) listEngines(box, { [id]: { version, bornAtMs: 1, state } });
+  listEngines(box, { 'engine-next': { version: 'next', bornAtMs: 1 } });
+  expect(ofType(answerWrite(box, awaitListing(box).effects), 'listingEnded')).to.have.length(0);
+  expect(ofType(box.pass(MAX_WAIT_MS), 'listingEnded')).to.have.length(1);
+  addWriters(box);
+  const { effects } = awaitListing(box, { exchangeId: 2, path: '/write/1' });
+  expect(ofType(effects, 'listingEnded')).to.have.length(0);
+});
+
 test('a store that does not answer holds a stream for 300 ms, and the next ones not at all', () => {
   const box = createBox({ 'engine-1': 'v1', 'engine-2': 'v1' });
   awaitListing(box);
--- a/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/listingWaits.ts
@@ -13,7 +13,10 @@
 
 /** Longest time for which a first event is held, in ms: a slow store answers in 250. */
 const MAX_WAIT_MS = 300;
-/** Time after a wait that ended without the row for which no event waits, in ms. */
+/**
+ * Time after a wait that ended without the row for which no event of the same service waits, in ms. Others wait: the row may lack the
+ * versions of one service alone.
+ */
 const PAUSE_AFTER_MISS_MS = 5000;
 
 /** Returns whether the first event of an attempt has to wait for its version to be listed. */
@@ -26,14 +29,15 @@
   const attempt = record?.attempts.find((candidate) => candidate.attemptId === attemptId);
   if (record === undefined || attempt === undefined) return false;
   if (!record.route.resumable || record.beganAtVersion !== undefined) return false;
-  if (!canWaitForRow(state, nowMs)) return false;
+  if (!canWaitForRow(state, record.service, nowMs)) return false;
   const version = softwareVersionOf(attempt);
   return !isListed(state, { service: record.service, version });
 }
 
-function canWaitForRow(state: GatewayState, nowMs: number): boolean {
-  const { missedAtMs } = state.streamVersions.versionsRow;
-  return state.storeReachable && nowMs - missedAtMs >= PAUSE_AFTER_MISS_MS;
+function canWaitForRow(state: GatewayState, service: string, nowMs: number): boolean {
+  const missedAtMs = state.streamVersions.versionsRow.missedAtMs.get(service);
+  const isPaused = missedAtMs !== undefined && nowMs - missedAtMs < PAUSE_AFTER_MISS_MS;
+  return state.storeReachable && !isPaused;
 }
 
 /** Holds the first event of an attempt and lists its version at once. */
@@ -63,7 +67,7 @@
     const { attemptId, service, version } = wait;
     const untilMs = Math.max(wait.untilMs, latestWriteMs(state));
     const isVersionListed = isListed(state, { service, version });
-    if (!isVersionListed && nowMs < untilMs && canWaitForRow(state, nowMs)) {
+    if (!isVersionListed && nowMs < untilMs && canWaitForRow(state, service, nowMs)) {
       waiting.push(wait);
       continue;
     }
@@ -80,6 +84,6 @@
 }
 
 function recordMiss(state: GatewayState, step: Step, { service, version }: ListingWait): void {
-  state.streamVersions.versionsRow.missedAtMs = step.nowMs;
+  state.streamVersions.versionsRow.missedAtMs.set(service, step.nowMs);
   log(step, 'versionNotListed', { service, version, era: state.storeEra ?? -1 });
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/startGossip.ts
@@ -22,14 +22,14 @@
   recordReceivedStart,
   startRowOf,
 } from './streamStarts.js';
+import { MAX_VERSION_LENGTH } from './versionsRowValues.js';
 
 /** Number of boxes that keep the start of a stream in a large fleet: one is left with 94 % if half of all boxes fail. */
 const HOLDERS = 4;
 /** Maximum number of starts in a datagram, so that it stays below its maximum size. */
 const MAX_STARTS_PER_DATAGRAM = 100;
-/** Maximum number and length of versions in an answer. */
+/** Maximum number of versions in an answer. */
 const MAX_VERSIONS = 32;
-const MAX_VERSION_LENGTH = 100;
 
 /** Sends the start of a stream to the boxes that keep it, if several versions of its service serve or its own is not listed. */
 export function announceStart(state: GatewayState, step: Step, start: StreamStart): void {
--- a/packages/reedlug-gateway/src/slices/streamVersions/versionsRowValues.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/versionsRowValues.ts
@@ -2,10 +2,11 @@
 import type { VersionEnds } from '../../types/streamVersion.js';
 import { isFiniteNumber, isFiniteNumberOrNull, isRecordOf } from '../store/rowValues.js';
 
-/** Maximum number of services, and number and length of their versions. */
+/** Maximum number of services, and of their versions. */
 const MAX_SERVICES = 500;
 const MAX_VERSIONS = 32;
-const MAX_VERSION_LENGTH = 100;
+/** Longest version, in characters: that of any server's entry. One that the row could not hold would be written again and again. */
+export const MAX_VERSION_LENGTH = 200;
 
 /** Returns the services of the row without malformed values. */
 export function validServices(services: unknown): Readonly<Record<string, VersionEnds>> {
--- a/packages/reedlug-gateway/src/types/streamVersion.ts
+++ b/packages/reedlug-gateway/src/types/streamVersion.ts
@@ -186,8 +186,8 @@
   isPending: boolean;
   /** Set since when the row may have to be written. */
   outdatedSinceMs: number | undefined;
-  /** Time at which a wait for the row last ended without it. */
-  missedAtMs: number;
+  /** Times at which a wait for the row last ended without the version, by service. */
+  missedAtMs: Map<string, number>;
 }
 
 /** An attempt whose first event waits until its version is listed. */
@@ -226,7 +226,7 @@
       writtenAtMs: Number.NEGATIVE_INFINITY,
       isPending: false,
       outdatedSinceMs: undefined,
-      missedAtMs: Number.NEGATIVE_INFINITY,
+      missedAtMs: new Map(),
     },
     awaitingListing: [],
     begunUnlisted: new Map(),
