A box that does not know the list of boxes sends no suspect without a verdict

A box that has not read the list of boxes for 300 ms after a start accepts requests without it, knows no peers, and takes itself for the first. After a loss of all boxes beside a store that is slow with the list, each box sends one more.

Change: such a box refuses it (503, 500 ms), as the others do. It goes on with all other requests.

The new test fails before (the suspect is sent).

--- a/packages/reedlug-gateway/src/slices/crashes/__tests__/suspectsAfterLosses.test.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/__tests__/suspectsAfterLosses.test.ts
@@ -125,6 +125,17 @@
   expect(sent).to.deep.equal([1, 1, 1, 1]);
 });
 
+test('a box that does not know the list of boxes sends no suspect without a verdict', () => {
+  const box = startBox(0, [suspectOf(SUSPECT, OPEN_CRASHES)]);
+  box.state.peers.clear();
+  box.state.part.listRevision = 0;
+  expect(sends(arrive(box, 'bad').effects)).to.equal(0);
+  expect(sends(arrive(box, 'good').effects)).to.equal(0);
+  const effects = box.pass(350);
+  expect(sends(effects)).to.equal(1);
+  expect(ofType(effects, 'refuse').map(({ status }) => status)).to.deep.equal([503]);
+});
+
 test('a box that started later leaves a suspect to those that it hears', () => {
   const sent = Array.from({ length: BOXES }, (_, index) => {
     const box = startBox(index, [suspectOf(SUSPECT, OPEN_CRASHES)]);
--- a/packages/reedlug-gateway/src/slices/crashes/crashRefusal.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/crashRefusal.ts
@@ -88,9 +88,11 @@
 /**
  * Returns whether this box sends a request whose suspects have three crashes and no verdict. Only the
  * box that ranks first for the likeliest one among those not silent does, one send at a time: the users
- * allow three further sends in all, and copies that arrive at several boxes at once would exceed that.
+ * allow three further sends in all, and copies that arrive at several boxes at once would exceed that. A box that does
+ * not know the list of boxes would take itself for the first.
  */
 function maySendTrial(state: GatewayState, open: readonly OpenSuspect[], nowMs: number): boolean {
+  if (state.part.listRevision === 0) return false;
   const viaHubs = usesHubs(state);
   const isPresent = (peer: PeerView): boolean => viaHubs || isFreshPeer(peer, nowMs);
   const keyHash = hashString(open[0]?.suspect.key ?? '');
