Gateway: one type of an attempt with its request, and one of their ids

RequestAttempt stood in retries.ts and AttemptIds in answerHolds.ts, so that modules below these stated both types again. They now stand in types/request.ts beside the records that they name; rolloutEvidence.ts, serverIncarnations.ts, openAttempts.ts, effects.ts and the simulator's heldDelivery.ts use them. Types only: type check and linter pass.

--- a/packages/reedlug-gateway/src/daemon/answerHolds.ts
+++ b/packages/reedlug-gateway/src/daemon/answerHolds.ts
@@ -8,16 +8,11 @@
 import { mustAwaitListing } from '../slices/streamVersions/listingWaits.js';
 import type { Clock } from './clock.js';
 import type { RegistryReader } from './registryReader.js';
+import type { AttemptIds } from '../types/request.js';
 
 /** Longest time for which the first event of a new stream waits for a read of the registry, in ms: a slow store answers in 250. */
 const MAX_BEGIN_WAIT_MS = 300;
 
-/** A request and one of its attempts, by their ids. */
-export interface AttemptIds {
-  exchangeId: number;
-  attemptId: number;
-}
-
 /** Decides when the events of attempts may be relayed. */
 export interface AnswerHolds {
   /** Whether the events of an attempt whose answer has begun have to wait. */
--- a/packages/reedlug-gateway/src/daemon/effects.ts
+++ b/packages/reedlug-gateway/src/daemon/effects.ts
@@ -4,6 +4,7 @@
 import type { Effect } from '../types/effect.js';
 import type { CloudOutcome } from '../types/event.js';
 import { PlatformCallKind, PlatformCallOutcome } from '../types/platformCall.js';
+import type { AttemptIds } from '../types/request.js';
 import type { AnswerSettings } from '../types/settings.js';
 import type { HostPort } from '../types/server.js';
 import type { Runtime } from './runtime.js';
@@ -159,11 +160,7 @@
 }
 
 /** Stops reading from a stream's server while its caller has too much left to read. */
-function holdWhileUnread(
-  runtime: Runtime,
-  exchange: CallerExchange,
-  ids: { exchangeId: number; attemptId: number },
-): void {
+function holdWhileUnread(runtime: Runtime, exchange: CallerExchange, ids: AttemptIds): void {
   const { response } = exchange;
   const { maxUnreadBytes } = answerSettings(runtime);
   const attempt = runtime.attempts.get(ids.attemptId);
@@ -182,11 +179,7 @@
  * Reads the events of a stream's server once they may be relayed: if reading the registry shows that the server is in its
  * next life, the attempt is cancelled meanwhile.
  */
-function holdUntilRelayable(
-  runtime: Runtime,
-  exchange: CallerExchange,
-  ids: { exchangeId: number; attemptId: number },
-): void {
+function holdUntilRelayable(runtime: Runtime, exchange: CallerExchange, ids: AttemptIds): void {
   const { answerHolds, attempts } = runtime;
   if (!answerHolds.mustHold(ids)) return;
   const attempt = attempts.get(ids.attemptId);
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -2,7 +2,7 @@
 import { Reach } from 'reedlug-coordination';
 import type { EventOf } from '../../types/event.js';
 import { RouteKind } from '../../types/configuration.js';
-import type { Attempt } from '../../types/request.js';
+import type { Attempt, RequestAttempt } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { recordFailure, recordSuccess } from '../../policy/serverHealth.js';
 import { removeUnreadPrompt } from '../../policy/serverLoad.js';
@@ -14,7 +14,7 @@
 import { recordRejection, releaseSparePlace } from '../statements/brittleServices.js';
 import { recordServedProbe } from '../statements/pauses.js';
 import { applyAnswerStatements, applyRefusal } from '../statements/answerStatements.js';
-import { retryAfterLoss, reserveRerun, retryNotRun, type RequestAttempt } from './retries.js';
+import { retryAfterLoss, reserveRerun, retryNotRun } from './retries.js';
 import { AnswerEnd, recordAnswer } from '../rollouts/rolloutEvidence.js';
 import { removeServer } from '../servers/servers.js';
 import { countStarted } from '../usage/usage.js';
--- a/packages/reedlug-gateway/src/slices/requests/lostAttempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lostAttempts.ts
@@ -2,13 +2,17 @@
 import { Reach } from 'reedlug-coordination';
 import type { EventOf } from '../../types/event.js';
 import { CONNECTION_REFUSED_REASON } from '../../types/serverLink.js';
-import { INTERNAL_FAULT_REASON, type RequestFacts } from '../../types/request.js';
+import {
+  INTERNAL_FAULT_REASON,
+  type RequestFacts,
+  type RequestAttempt,
+} from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { isServerAtFault } from '../../policy/connectPlan.js';
 import { recordFailure, recordGone } from '../../policy/serverHealth.js';
 import { closeAttempt, reachWhenLost } from './requestCompletion.js';
 import { recordLoss, recordRefusedConnection } from '../crashes/lostServers.js';
-import { retryAfterLoss, retryNotRun, type RequestAttempt } from './retries.js';
+import { retryAfterLoss, retryNotRun } from './retries.js';
 import { recordLostAnswer } from '../rollouts/rolloutEvidence.js';
 import { findOpenAttempt } from './openAttempts.js';
 
--- a/packages/reedlug-gateway/src/slices/requests/openAttempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/openAttempts.ts
@@ -1,14 +1,13 @@
 /** Open attempts: their look-up, and their activity. */
-import type { Attempt } from '../../types/request.js';
+import type { AttemptIds, Attempt, RequestAttempt } from '../../types/request.js';
 import type { GatewayState, Step } from '../../state.js';
 import { recordActivity } from '../../policy/serverSilence.js';
 import { serverOf } from './requestCompletion.js';
-import type { RequestAttempt } from './retries.js';
 
 /** Returns the attempt that an event belongs to, with its request; undefined once it is closed. */
 export function findOpenAttempt(
   state: GatewayState,
-  event: { exchangeId: number; attemptId: number },
+  event: AttemptIds,
 ): RequestAttempt | undefined {
   const record = state.requests.get(event.exchangeId);
   const attempt = record?.attempts.find((candidate) => candidate.attemptId === event.attemptId);
--- a/packages/reedlug-gateway/src/slices/requests/retries.ts
+++ b/packages/reedlug-gateway/src/slices/requests/retries.ts
@@ -8,25 +8,19 @@
 import { crashesToBlock } from '../../policy/crashVerdict.js';
 import type { Choice } from '../../policy/chooseServer.js';
 import { log, type GatewayState, type Step } from '../../state.js';
-import type { Attempt, RequestRecord } from '../../types/request.js';
 import { CRASHES_SERVERS_REASON } from '../crashes/crashSuspects.js';
 import { unexplainedCrashes } from '../crashes/suspectRivals.js';
 import { suspectsOf } from '../crashes/suspectTable.js';
 import { giveUp, isRepeatable } from './requestCompletion.js';
 import { takeRepeat } from './retryBudgets.js';
 import { sendAgain } from '../limits/waitingSends.js';
+import type { RequestAttempt, RequestRecord } from '../../types/request.js';
 
 /** Minimum time left for a further send, in ms: a short plain request takes about as long. */
 const MIN_TIME_LEFT_MS = 30;
 /** Maximum number of sends of one request, including refused ones: after that many the service counts as full. */
 const MAX_SENDS = 3;
 
-/** A request and one of its attempts. */
-export interface RequestAttempt {
-  record: RequestRecord;
-  attempt: Attempt;
-}
-
 /** Sends a request whose attempt was lost to another server, or gives it up. */
 export function retryAfterLoss(
   state: GatewayState,
--- a/packages/reedlug-gateway/src/slices/requests/streamAttempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/streamAttempts.ts
@@ -1,9 +1,8 @@
 /** Attempts at streams: the version at which a stream begins, relayed events, and holds. */
 import type { EventOf } from '../../types/event.js';
-import type { Attempt } from '../../types/request.js';
+import type { Attempt, RequestAttempt } from '../../types/request.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { isPastCrashPoint, recordGoodRun } from '../crashes/crashSuspects.js';
-import type { RequestAttempt } from './retries.js';
 import { hasSeveralVersions, softwareVersionOf } from '../streamVersions/servedVersions.js';
 import { recordBeginForRow } from '../streamVersions/intendedStarts.js';
 import { announceStart } from '../streamVersions/startGossip.js';
--- a/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
+++ b/packages/reedlug-gateway/src/slices/rollouts/rolloutEvidence.ts
@@ -5,7 +5,7 @@
 import { isCutOff } from '../../policy/connectPlan.js';
 import { addEvidence } from '../../policy/rolloutVerdict.js';
 import type { GatewayState, Step } from '../../state.js';
-import type { Attempt, RequestRecord } from '../../types/request.js';
+import type { Attempt, RequestAttempt, RequestRecord } from '../../types/request.js';
 import {
   RolloutPhase,
   type AnswerTally,
@@ -38,11 +38,7 @@
 }
 
 /** Counts a lost answer as failed, unless its server is draining or gone or this box is partitioned from a zone or from the servers: none of these is the version's fault. */
-export function recordLostAnswer(
-  state: GatewayState,
-  step: Step,
-  lost: { record: RequestRecord; attempt: Attempt },
-): void {
+export function recordLostAnswer(state: GatewayState, step: Step, lost: RequestAttempt): void {
   const isDrainingOrGone = serverOf(state, lost.attempt)?.leaving !== false;
   const isOwnLinkDown = state.silentZones.size > 0 || isCutOff(state.serverLinks);
   if (isDrainingOrGone || isOwnLinkDown) return;
--- a/packages/reedlug-gateway/src/slices/servers/serverIncarnations.ts
+++ b/packages/reedlug-gateway/src/slices/servers/serverIncarnations.ts
@@ -1,7 +1,7 @@
 /** Incarnations of servers (a server restarted under the same id is a new one): what runs at one ends with it. */
 import type { GatewayState, Step } from '../../state.js';
 import { runPart } from '../../stepFaults.js';
-import type { Attempt, RequestRecord } from '../../types/request.js';
+import type { RequestAttempt } from '../../types/request.js';
 import type { ServerView } from '../../types/views.js';
 import { closeAttempt, reachWhenLost } from '../requests/requestCompletion.js';
 import { softwareVersionOf } from '../streamVersions/servedVersions.js';
@@ -17,7 +17,7 @@
 
 /** Closes the attempts open at a server's earlier incarnation as lost: it has ended with everything it was working on. */
 export function failOpenAttempts(state: GatewayState, step: Step, earlier: ServerView): void {
-  const lost: { record: RequestRecord; attempt: Attempt }[] = [];
+  const lost: RequestAttempt[] = [];
   for (const record of state.requests.values()) {
     for (const attempt of record.attempts) {
       if (attempt.open && attempt.life === earlier.life) lost.push({ record, attempt });
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -161,3 +161,15 @@
   /** How the stream that it takes up goes on, once that is known. */
   takeUp?: TakeUp | undefined;
 }
+
+/** A request and one of its attempts. */
+export interface RequestAttempt {
+  record: RequestRecord;
+  attempt: Attempt;
+}
+
+/** A request and one of its attempts, by their ids. */
+export interface AttemptIds {
+  exchangeId: number;
+  attemptId: number;
+}
--- a/packages/reedlug-simulator/src/boxes/heldDelivery.ts
+++ b/packages/reedlug-simulator/src/boxes/heldDelivery.ts
@@ -1,4 +1,5 @@
 /** What a server sends of one answer, in order, held while its box may not relay it. */
+import type { AttemptIds } from 'reedlug-gateway';
 import type { VirtualBox } from './virtualBox.js';
 
 /** Delivery of one answer's parts to a box. */
@@ -10,10 +11,7 @@
 }
 
 /** Creates the delivery of an attempt's answer. */
-export function createHeldDelivery(
-  box: VirtualBox,
-  ids: { exchangeId: number; attemptId: number },
-): HeldDelivery {
+export function createHeldDelivery(box: VirtualBox, ids: AttemptIds): HeldDelivery {
   let held: (() => void)[] | undefined;
   const run = (part: () => void): void => {
     if (box.sends.has(ids.attemptId)) part();
