--- a/packages/reedlug-gateway/src/daemon/answerHolds.ts
+++ b/packages/reedlug-gateway/src/daemon/answerHolds.ts
@@ -8,6 +8,7 @@
 import { mustAwaitListing } from '../slices/streamVersions/listingWaits.js';
 import type { Clock } from './clock.js';
 import type { RegistryReader } from './registryReader.js';
+import type { AttemptIds } from '../types/request.js';
 
 /** Longest time for which the first event of a new stream waits for a read of the registry, in ms: a slow store answers in 250. */
 const MAX_BEGIN_WAIT_MS = 300;
@@ -17,12 +18,6 @@
 /** Maximum number of these reads: a store that is away refuses each of them at once. */
 const MAX_READS = 4;
 
-/** A request and one of its attempts, by their ids. */
-export interface AttemptIds {
-  exchangeId: number;
-  attemptId: number;
-}
-
 /** Decides when the events of attempts may be relayed. */
 export interface AnswerHolds {
   /** Whether the events of an attempt whose answer has begun have to wait. */
