Streams of a version that serves nowhere are asked back after 5 s, and a box that was never heard is no witness

isFleetHeard says that each listed box has been heard; a box that was listed within the last second and never heard counted as heard.

--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -35,11 +35,10 @@
 
 /** Retry-After time of requests refused because this box is about to stop, in ms; another box serves them then. */
 const STOPPING_RETRY_MS = 100;
-/**
- * Retry-After time of streams whose version is unknown or served nowhere, in ms: a box that knows the
- * stream may answer again by then, or a server of the version start.
- */
+/** Retry-After time of streams whose version is unknown, in ms: a box that knows the stream may answer again by then. */
 const VERSION_RETRY_MS = 1000;
+/** The same for streams whose version is served nowhere, in ms: it comes back only with a roll-out that is reversed. */
+const NO_VERSION_RETRY_MS = 5000;
 /** Largest value on the engines' urgency scale; 0 is the most urgent. */
 const MAX_URGENCY = 9;
 /** Urgency steps per workspace priority: a route's priority only orders requests within its workspace's steps. */
@@ -100,7 +99,10 @@
   // A request that waits for its first units comes here with each tick.
   if (request.awaitsUnits === undefined) logTakeUp(step, facts, takeUp);
   const versionFault = applyTakeUp(state, record, takeUp);
-  if (versionFault !== undefined) return refuseNow(503, versionFault, VERSION_RETRY_MS);
+  if (versionFault !== undefined) {
+    const isGone = versionFault === 'noServerOfVersion';
+    return refuseNow(503, versionFault, isGone ? NO_VERSION_RETRY_MS : VERSION_RETRY_MS);
+  }
   const refusal = crashRefusal(state, step, record);
   if (refusal !== undefined) return refuseNow(refusal.status, refusal.reason, refusal.retryAfterMs);
   const choice = chooseServerFor(state, step, record);
--- a/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/takeUps.ts
@@ -242,7 +242,9 @@
 /** Whether this box has heard each other box of a small fleet lately. */
 function isFleetHeard(state: GatewayState, nowMs: number): boolean {
   if (usesHubs(state)) return false;
-  return [...state.peers.values()].every((peer) => isSeed(peer) || isFreshPeer(peer, nowMs));
+  return [...state.peers.values()].every(
+    (peer) => isSeed(peer) || (peer.message !== undefined && isFreshPeer(peer, nowMs)),
+  );
 }
 
 /** Removes and returns the requests whose look-up has ended. */
