--- a/packages/reedlug-gateway/src/daemon/answerHolds.ts
+++ b/packages/reedlug-gateway/src/daemon/answerHolds.ts
@@ -12,7 +12,6 @@
 
 /** Longest time for which the first event of a new stream waits for a read of the registry, in ms: a slow store answers in 250. */
 const MAX_BEGIN_WAIT_MS = 300;
-
 /** Time from the first read for an answer that goes on within which a failed one is repeated, in ms: two that time out. */
 const REPEAT_READS_WITHIN_MS = 1400;
 /** Maximum number of these reads: a store that is away refuses each of them at once. */
