--- a/packages/reedlug-gateway/src/policy/crashVerdict.ts
+++ b/packages/reedlug-gateway/src/policy/crashVerdict.ts
@@ -202,8 +202,8 @@
   suspect: CrashSuspect,
   { recent, blocked }: { recent: readonly ServerCrash[]; blocked: readonly CrashSuspect[] },
 ): readonly ServerCrash[] {
-  const crashes = withEarliestEnds(suspect.crashes, recent);
-  if (!isPartKey(suspect.key)) return crashes;
+  const { key, crashes } = suspect;
+  if (!isPartKey(key)) return crashes;
   const commonFrom = ranWellBefore(suspect)
     ? COMMON_CAUSE_SERVERS_AFTER_GOOD_RUN
     : COMMON_CAUSE_SERVERS;
@@ -221,24 +221,6 @@
   });
 }
 
-/**
- * Returns crashes with the earliest end that any box observed, in order of time, without those whose server
- * had ended before the send. A box that is late to notice one of several simultaneous crashes would take it
- * for another round.
- */
-function withEarliestEnds(
-  crashes: readonly ServerCrash[],
-  recent: readonly ServerCrash[],
-): readonly ServerCrash[] {
-  return crashes
-    .map((crash) => {
-      const known = recent.find((other) => isSameCrash(other, crash));
-      return { ...crash, endedAtMs: Math.min(crash.endedAtMs, known?.endedAtMs ?? Infinity) };
-    })
-    .filter(({ sentAtMs, endedAtMs }) => sentAtMs <= endedAtMs + AGE_ERROR_MS)
-    .sort((a, b) => a.endedAtMs - b.endedAtMs);
-}
-
 /** Returns the number of crashes since the suspect's first one, those at which it was not present included. */
 function crashesSince(crashes: readonly ServerCrash[], recent: readonly ServerCrash[]): number {
   const sinceMs = Math.min(...crashes.map(({ endedAtMs }) => endedAtMs)) - SIMULTANEOUS_MS;
