Revert "A server is not taken for unchanged by what was known before the send"

To do: tell a store that is away, to which servers can not write a new entry either, from one that is slow.

--- a/packages/reedlug-gateway/src/slices/streamVersions/attemptConfirmations.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/attemptConfirmations.ts
@@ -8,7 +8,7 @@
 import type { Attempt, RequestRecord } from '../../types/request.js';
 import { closeAttempt, serverOf } from '../requests/requestCompletion.js';
 import { retryAfterLoss } from '../requests/retries.js';
-import { isLifeShownWithoutRead } from './serverLives.js';
+import { knownLives } from './serverLives.js';
 import { hasSeveralVersions } from './servedVersions.js';
 
 /** Why the registry is read before the first event of an answer is relayed. */
@@ -62,8 +62,7 @@
   { nowMs }: Step,
   { record, attempt }: { record: RequestRecord; attempt: Attempt },
 ): boolean {
+  if (attempt.isAtKnownLife || !hasSeveralVersions(state, record.service)) return true;
   const view = serverOf(state, attempt);
-  if (view === undefined) return false;
-  const servesAlone = !hasSeveralVersions(state, record.service);
-  return isLifeShownWithoutRead(state, nowMs, { attempt, view, servesAlone });
+  return view !== undefined && knownLives(state, nowMs).has(view);
 }
--- a/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
+++ b/packages/reedlug-gateway/src/slices/streamVersions/serverLives.ts
@@ -6,7 +6,6 @@
  * knows is that of the store.
  */
 import type { GatewayState } from '../../state.js';
-import type { Attempt } from '../../types/request.js';
 import type { ServerView } from '../../types/views.js';
 import { registryKnownAtMs } from '../store/feedAges.js';
 import { StoreFeed } from '../../types/storeFeed.js';
@@ -17,10 +16,6 @@
 const ENDED_SERVER_MS = 5000;
 /** Time after the process stood still within which what arrives may have been sent meanwhile, in ms. */
 const STALL_SETTLE_MS = 300;
-/** Longest time for which an answer of the registry is on its way, in ms. */
-const MAX_ANSWER_DELAY_MS = 700;
-/** Time after the end of a server by which a box has noticed the loss of its attempts there, in ms. */
-const LOSS_NOTICED_MS = 1000;
 
 /** Servers whose entries describe the life that they run. */
 export interface KnownLives {
@@ -44,27 +39,6 @@
   return livesIn(state, nowMs, isRegistryRecent(state, nowMs));
 }
 
-/**
- * Whether a server runs the life of its entry although the registry could not be read after the answer of an attempt
- * began. What was known when the attempt was sent does not show that: the server may have restarted shortly before.
- */
-export function isLifeShownWithoutRead(
-  state: GatewayState,
-  nowMs: number,
-  { attempt, view, servesAlone }: { attempt: Attempt; view: ServerView; servesAlone: boolean },
-): boolean {
-  if (nowMs - view.endSuspectedAtMs < ENDED_SERVER_MS) return false;
-  const open = [...state.requests.values()]
-    .flatMap(({ attempts }) => attempts)
-    .filter((other) => other.open && other.isAtKnownLife && other.life === attempt.life);
-  // The registry was answered while an attempt was open that still is: its server has not restarted since.
-  const readAtMs = registryKnownAtMs(state) - MAX_ANSWER_DELAY_MS;
-  if (open.some(({ sentAtMs }) => sentAtMs <= readAtMs)) return true;
-  // A store that answered a moment ago will tell another box or the next attempt.
-  if (isRegistryRecent(state, nowMs)) return false;
-  return servesAlone || open.some(({ sentAtMs }) => sentAtMs <= attempt.sentAtMs - LOSS_NOTICED_MS);
-}
-
 function livesIn(state: GatewayState, nowMs: number, isRegistryBelieved: boolean): KnownLives {
   const lives = isRegistryBelieved ? undefined : livesOfOpenAttempts(state);
   return {
