--- a/packages/reedlug-gateway/src/slices/crashes/__tests__/suspectsAfterLosses.test.ts
+++ b/packages/reedlug-gateway/src/slices/crashes/__tests__/suspectsAfterLosses.test.ts
@@ -1,4 +1,4 @@
-/** Guards against verdicts and trials by boxes that have lost their memory of crashes, but for what the row holds. */
+/** Guards against boxes without memory of crashes that block requests, or send suspects again, without knowing the row. */
 import { expect } from 'chai';
 import {
   listBoxesAfterRestart,
--- a/packages/reedlug-gateway/src/slices/limits/__tests__/takenUpAfterLoss.test.ts
+++ b/packages/reedlug-gateway/src/slices/limits/__tests__/takenUpAfterLoss.test.ts
@@ -1,8 +1,4 @@
-/**
- * Guards against new requests that use up a limit before the streams that callers take up after a loss of all boxes.
- *
- * Of the streams of a workspace that asks for 0.56 of its limit, 0.85 went on with units in order of arrival.
- */
+/** Guards against new requests that use up a limit before the streams that callers take up after a loss of all boxes. */
 import { expect } from 'chai';
 import { simulate, type TakenUpScene } from './__fixtures__/takenUpAfterLoss.js';
 import { maxUnitsInWindow } from './__fixtures__/unitsInWindow.js';
