Log how late the thread was when a request and its caller's end were read

callerGone counted heldMs from the reading only, so that the log could not tell a request that was read late from a connection that waited to be accepted. requestArrived and callerGone carry how late the tick is at that moment; callerGone logs both. No decision depends on it.

--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -227,6 +227,7 @@
     answerBudget: createAnswerBudget(shares.answerBytes),
     requestBudget: createRequestBudget(shares.requestBytes),
     readTurns: createReadTurns(),
+    threadLoad: createThreadLoadMeter(TICK_MS),
     logger,
     metrics,
     calls,
@@ -237,9 +238,8 @@
   runtime.feeds = feeds;
   const { callers, others } = await listenAll(runtime);
   const servers = [callers.server, ...others];
-  const measureLoad = createThreadLoadMeter(TICK_MS);
   const ticker = setInterval(() => {
-    emit({ type: 'tick', load: measureLoad(), openExchanges: callers.openExchanges() });
+    emit({ type: 'tick', load: runtime.threadLoad.measure(), openExchanges: callers.openExchanges() });
     setClosesConnections(callers.server, state.overload.closesSinceMs !== undefined);
     for (const attempt of [...runtime.attempts.values()]) attempt.checkBodilessBytes();
     calls.logWhenDue();
@@ -273,7 +273,7 @@
       runtime.faults.runFor(exchange, () => acceptRequest(runtime, exchange)),
     onCallerGone: (exchangeId) => {
       runtime.exchanges.delete(exchangeId);
-      runtime.emit({ type: 'callerGone', exchangeId });
+      runtime.emit({ type: 'callerGone', exchangeId, lateMs: runtime.threadLoad.lateMs() });
     },
     onRejected: (status, reason) => runtime.logger('requestRejected', { status, reason }),
     shutdownHeaders: () =>
@@ -323,5 +323,6 @@
   exchange.lastEventId = decoded.facts.lastEventId;
   runtime.exchanges.set(exchange.id, exchange);
   const facts = { ...decoded.facts, digest: digestOf(exchange, decoded.facts.host) };
-  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts });
+  const lateMs = runtime.threadLoad.lateMs();
+  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts, lateMs });
 }
--- a/packages/reedlug-gateway/src/daemon/runtime.ts
+++ b/packages/reedlug-gateway/src/daemon/runtime.ts
@@ -19,6 +19,7 @@
 import type { RegistryReader } from './registryReader.js';
 import type { InternalFaults } from './internalFaults.js';
 import type { LinkChecker } from './linkChecker.js';
+import type { ThreadLoadMeter } from './threadLoad.js';
 import type { ServerDialer } from './serverDialer.js';
 import type { StateFetcher } from './stateTransfer/stateFetcher.js';
 
@@ -47,6 +48,7 @@
   answerBudget: AnswerBudget;
   requestBudget: RequestBudget;
   readTurns: ReadTurns;
+  threadLoad: ThreadLoadMeter;
   logger: Logger;
   metrics: GatewayMetrics;
   calls: PlatformCallCounts;
--- a/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
@@ -35,8 +35,11 @@
   step: Step,
   event: EventOf<'requestArrived'>,
 ): void {
-  const { exchangeId, facts } = event;
-  state.pendingRequests.push({ exchangeId, facts, arrivedAtMs: step.nowMs });
+  const { exchangeId, facts, lateMs } = event;
+  state.pendingRequests.push({
+    ...{ exchangeId, facts, arrivedAtMs: step.nowMs },
+    readLateMs: lateMs,
+  });
 }
 
 /** Removes and returns the requests that may proceed now, and refuses those that have waited too long. */
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -58,7 +58,7 @@
 ): void {
   if (state.stopped) return refuseStopped(step, event);
   if (!isReadyForRequests(state)) return addPendingRequest(state, step, event);
-  acceptRequest(state, step, { ...event, arrivedAtMs: step.nowMs });
+  acceptRequest(state, step, { ...event, readLateMs: event.lateMs, arrivedAtMs: step.nowMs });
 }
 
 /** Accepts the requests that waited for configuration and servers. */
@@ -107,6 +107,7 @@
   const { reservedAtMs } = request;
   const record = createRecord({
     ...{ exchangeId, facts, route, workspace, reservedAtMs, nowMs: arrivedAtMs },
+    readLateMs: request.readLateMs ?? 0,
   });
   const takeUp = decideTakeUp(state, step, request, record);
   if (takeUp.kind === 'held') return;
@@ -180,9 +181,10 @@
   route: RouteSpec;
   workspace: WorkspaceSpec | undefined;
   reservedAtMs: number | undefined;
+  readLateMs: number;
   nowMs: number;
 }): RequestRecord {
-  const { exchangeId, facts, route, workspace, reservedAtMs, nowMs } = params;
+  const { exchangeId, facts, route, workspace, reservedAtMs, readLateMs, nowMs } = params;
   return {
     exchangeId,
     facts,
@@ -194,6 +196,7 @@
     chargedToShare: 0,
     urgency: urgencyOf(route, workspace),
     arrivedAtMs: nowMs,
+    readLateMs,
     deadlineAtMs: nowMs + allowedMsOf(facts, route),
     attempts: [],
     excludedServers: new Set(),
@@ -242,6 +245,8 @@
     request: record.facts.requestId,
     route: record.route.name,
     heldMs: Math.round(step.nowMs - record.arrivedAtMs),
+    readLateMs: Math.round(record.readLateMs),
+    lateMs: Math.round(event.lateMs ?? 0),
     relayed: record.relayed,
   });
 }
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -37,8 +37,10 @@
    * whose answers have not left this box; 0 if omitted.
    */
   | { type: 'tick'; load?: ThreadLoad; openExchanges?: number }
-  | { type: 'requestArrived'; exchangeId: number; facts: RequestFacts }
-  | { type: 'callerGone'; exchangeId: number }
+  /** A request was read; `lateMs` is how late the thread was, 0 if omitted. */
+  | { type: 'requestArrived'; exchangeId: number; facts: RequestFacts; lateMs?: number }
+  /** The end of a caller's connection was read; `lateMs` as above. */
+  | { type: 'callerGone'; exchangeId: number; lateMs?: number }
   /** An attempt to open a connection to a server ended. */
   | { type: 'connectionTried'; attempt: ConnectionTry }
   /** A peer's request to be connected to a server, and the end of such a connection. */
--- a/packages/reedlug-gateway/src/types/request.ts
+++ b/packages/reedlug-gateway/src/types/request.ts
@@ -113,6 +113,8 @@
    */
   reservedAtMs?: number;
   arrivedAtMs: number;
+  /** How late the thread of the box was when it read the request, in ms. */
+  readLateMs: number;
   /**
    * Time by which the final answer is due: the earlier of the caller's deadline and the route's
    * timeout.
@@ -154,6 +156,8 @@
   exchangeId: number;
   facts: RequestFacts;
   arrivedAtMs: number;
+  /** How late the thread of the box was when it read the request, in ms; 0 if missing. */
+  readLateMs?: number | undefined;
   /** Units of its workspace's limit that it waits for. */
   awaitsUnits?: NeededUnits;
   /** Time of its first refusal, if it took the units that were reserved then. */
