A box that is behind decides once it has read what came meanwhile

Cause: a turn of the event loop reads a connection's bytes, and its end one turn later; timers run without regard to what lies unread. The time of reading was taken for the time of arrival. A turn accepts one connection, so a box that serves in each turn reads the oldest caller next, who has left.

Change: while the thread is late or has no time to spare, requests, the tick and sends wait until two further turns have read (ReadProgress). Held requests whose callers have left are dropped, the newest are handed on first, for 10 ms of a turn, and what would be held for over 100 ms is refused at once with a time to come back. Connections that wait to be accepted come before handing on; after 500 ms in a row they are closed unread until none waits. The end of a connection is reported when it is read, not when the connection has closed.

--- a/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/callerScene.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/__fixtures__/callerScene.ts
@@ -37,6 +37,7 @@
     requestBudget: createRequestBudget(Number.MAX_SAFE_INTEGER),
     limits: () => undefined,
     isShuttingDown: () => scene.isStopping,
+    onConnection: () => undefined,
     onConnectionClosed: () => undefined,
     ...changes,
   });
--- a/packages/reedlug-gateway/src/daemon/__tests__/closedConnections.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/closedConnections.test.ts
@@ -15,6 +15,7 @@
     requestBudget: createRequestBudget(0),
     limits: () => undefined,
     isShuttingDown: () => false,
+    onConnection: () => undefined,
     onConnectionClosed: () => (closed += 1),
   });
   server.listen(0, '127.0.0.1');
--- a/packages/reedlug-gateway/src/daemon/__tests__/connectionEnds.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/connectionEnds.test.ts
@@ -36,6 +36,7 @@
     requestBudget: createRequestBudget(Number.MAX_SAFE_INTEGER),
     limits: () => undefined,
     isShuttingDown: params.isShuttingDown ?? (() => false),
+    onConnection: () => undefined,
     onConnectionClosed: () => undefined,
   });
   callers.server.listen(0, HOST);
--- a/packages/reedlug-gateway/src/daemon/__tests__/internalFaults.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/internalFaults.test.ts
@@ -62,7 +62,9 @@
   const head = { method: 'GET', path: '/', rawHeaders: [] };
   const server = createServer((_request, response) => {
     const body = Buffer.alloc(0);
-    handle({ id: 1, head, body, response, lastEventId: undefined, isSent }, response);
+    const isCallerGone = (): boolean => false;
+    const state = { lastEventId: undefined, isSent, isCallerGone };
+    handle({ id: 1, head, body, response, ...state }, response);
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
--- a/packages/reedlug-gateway/src/daemon/__tests__/requestBodies.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/requestBodies.test.ts
@@ -20,6 +20,7 @@
     requestBudget: createRequestBudget(ROOM_BYTES),
     limits: () => undefined,
     isShuttingDown: () => false,
+    onConnection: () => undefined,
     onConnectionClosed: () => undefined,
   });
   server.listen(0, '127.0.0.1');
--- a/packages/reedlug-gateway/src/daemon/callerConnections.ts
+++ b/packages/reedlug-gateway/src/daemon/callerConnections.ts
@@ -18,6 +18,8 @@
 export class CallerResponse extends ServerResponse<IncomingMessage> {
   /** The connection on which it leaves; set once its request is accepted. */
   callerConnection: Connection | undefined;
+  /** Called when the caller has ended its connection before this answer was given whole. */
+  onCallerEnd: (() => void) | undefined;
 
   override writeHead(...head: unknown[]): this {
     if (this.callerConnection !== undefined && endsWith(this.callerConnection, this)) {
@@ -114,6 +116,11 @@
         connection.isClosing = true;
         endGracefully(socket, unreadTimeoutMs);
       };
+      socket.once('end', () => {
+        for (const response of [...connection.open]) {
+          if (!response.writableEnded) response.onCallerEnd?.();
+        }
+      });
       socket.once('close', () => {
         connections.delete(socket);
         for (const response of connection.open) {
--- a/packages/reedlug-gateway/src/daemon/callerServer.ts
+++ b/packages/reedlug-gateway/src/daemon/callerServer.ts
@@ -27,6 +27,8 @@
   response: ServerResponse;
   /** Id of the last event written to the caller of a stream. */
   lastEventId: number | undefined;
+  /** Whether its caller has ended or closed the connection, as far as that has been read. */
+  isCallerGone: () => boolean;
   /** Whether it was handed to a connection to a server, so that it may have run. */
   isSent: boolean;
 }
@@ -44,6 +46,8 @@
   requestBudget: RequestBudget;
   limits: () => CallerLimits | undefined;
   isShuttingDown: () => boolean;
+  /** Called for each connection that is accepted. */
+  onConnection: () => void;
   /** Called for each connection that is closed unread. */
   onConnectionClosed: () => void;
 }
@@ -103,12 +107,17 @@
       server.headersTimeout = currentLimits.headerTimeoutMs;
       let exchangeId: number | undefined;
       const { socket } = request;
+      const reportGone = (): void => {
+        if (exchangeId === undefined || response.writableFinished) return;
+        listener.onCallerGone(exchangeId);
+        exchangeId = undefined;
+      };
+      // A connection closes some turns of the event loop after its end was read.
+      response.onCallerEnd = reportGone;
       response.once('close', () => {
         arriving.delete(response);
         connections.leave(socket, response);
-        if (exchangeId !== undefined && !response.writableFinished) {
-          listener.onCallerGone(exchangeId);
-        }
+        reportGone();
       });
       const fault = findHeadFault(request, currentLimits);
       if (fault !== undefined) return reject(response, fault);
@@ -131,14 +140,19 @@
           path: request.url ?? '',
           rawHeaders: request.rawHeaders,
         };
-        listener.onRequest({ id, head, body, response, lastEventId: undefined, isSent: false });
+        const isCallerGone = (): boolean => socket.readableEnded || socket.destroyed;
+        const state = { lastEventId: undefined, isSent: false };
+        listener.onRequest({ id, head, body, response, isCallerGone, ...state });
       });
     },
   );
   // Closing the server calls it, and Node counts a connection as idle once its answer was ended, though it has not left.
   server.closeIdleConnections = () => undefined;
   server.on('drop', () => listener.onConnectionClosed());
-  server.on('connection', connections.add);
+  server.on('connection', (socket) => {
+    connections.add(socket);
+    listener.onConnection();
+  });
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     // The server's connections are TCP sockets.
     const socket = stream as Socket;
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -28,6 +28,7 @@
 import type { GatewayState } from '../state.js';
 import type { Effect } from '../types/effect.js';
 import type { HostPort } from '../types/server.js';
+import type { ThreadLoad } from '../types/threadLoad.js';
 import type { GatewaySettings } from '../types/settings.js';
 import {
   createCallerServer,
@@ -44,6 +45,9 @@
 import { createInternalFaults } from './internalFaults.js';
 import { createAnswerHolds } from './answerHolds.js';
 import { createAnswerBudget, createRequestBudget, observedMemoryBytes } from './bufferBudget.js';
+import { createCallerRequests } from './callerRequests.js';
+import type { HeldRequests } from './heldRequests.js';
+import { createReadProgress } from './readProgress.js';
 import { createReadTurns } from './readTurns.js';
 import { createRegistryReader } from './registryReader.js';
 import type { Runtime } from './runtime.js';
@@ -55,7 +59,6 @@
 import { followPlatform } from './platformFeeds.js';
 import { createOperatorServer } from './operatorServer.js';
 import { openPeerSocket } from './peerSocket.js';
-import { digestOf } from './requestDigest.js';
 import { createEncodedConfigurations } from './stateTransfer/encodedConfigurations.js';
 import { createStateFetcher } from './stateTransfer/stateFetcher.js';
 import { createStateHandler } from './stateTransfer/stateServer.js';
@@ -117,6 +120,7 @@
   const finish = async (): Promise<void> => {
     if (isFinishing) return;
     isFinishing = true;
+    requests.refuseAll();
     faults.answerAll();
     const leftMs = Math.max(0, exitAfterMs(graceMs) - stoppingForMs());
     await Promise.race([callers.end(), delay(leftMs)]);
@@ -191,6 +195,8 @@
   const shares = bufferShares(
     settings.answers?.maxBufferedBytes ?? defaultBufferedBytes(observedMemoryBytes()),
   );
+  const threadLoad = createThreadLoadMeter(TICK_MS);
+  const reads = createReadProgress(threadLoad.lateMs);
   const runtime: Runtime = {
     settings,
     adapter,
@@ -227,7 +233,8 @@
     answerBudget: createAnswerBudget(shares.answerBytes),
     requestBudget: createRequestBudget(shares.requestBytes),
     readTurns: createReadTurns(),
-    threadLoad: createThreadLoadMeter(TICK_MS),
+    threadLoad,
+    reads,
     logger,
     metrics,
     calls,
@@ -236,13 +243,25 @@
   };
   const feeds = followPlatform(runtime);
   runtime.feeds = feeds;
-  const { callers, others } = await listenAll(runtime);
+  const { callers, requests, others } = await listenAll(runtime);
   const servers = [callers.server, ...others];
-  const ticker = setInterval(() => {
-    emit({ type: 'tick', load: runtime.threadLoad.measure(), openExchanges: callers.openExchanges() });
-    setClosesConnections(callers.server, state.overload.closesSinceMs !== undefined);
+  const tick = (load: ThreadLoad): void => {
+    emit({ type: 'tick', load, openExchanges: callers.openExchanges() });
+    setClosesAny(runtime, callers, requests);
     for (const attempt of [...runtime.attempts.values()]) attempt.checkBodilessBytes();
     calls.logWhenDue();
+  };
+  let isTickWaiting = false;
+  const ticker = setInterval(() => {
+    const load = threadLoad.measure();
+    reads.recordLoad(load);
+    if (isTickWaiting) return;
+    isTickWaiting = true;
+    // Time limits count what has arrived in time, though it is read late.
+    reads.afterReads(() => {
+      isTickWaiting = false;
+      tick(load);
+    });
   }, TICK_MS);
   logger('started', { zone: settings.box.zone, incarnation });
   return {
@@ -266,12 +285,15 @@
 }
 
 /** Opens the servers for callers, and for the load balancer and the operators. */
-async function listenAll(runtime: Runtime): Promise<{ callers: CallerServer; others: Server[] }> {
+async function listenAll(
+  runtime: Runtime,
+): Promise<{ callers: CallerServer; requests: HeldRequests; others: Server[] }> {
   const { settings, state } = runtime;
+  const requests = createCallerRequests(runtime, () => setClosesAny(runtime, callers, requests));
   const callers = createCallerServer({
-    onRequest: (exchange) =>
-      runtime.faults.runFor(exchange, () => acceptRequest(runtime, exchange)),
+    onRequest: requests.add,
     onCallerGone: (exchangeId) => {
+      if (requests.drop(exchangeId)) return;
       runtime.exchanges.delete(exchangeId);
       runtime.emit({ type: 'callerGone', exchangeId, lateMs: runtime.threadLoad.lateMs() });
     },
@@ -289,7 +311,11 @@
     requestBudget: runtime.requestBudget,
     limits: () => state.active?.configuration.limits,
     isShuttingDown: () => state.stoppingSinceMs !== undefined,
-    onConnectionClosed: () => runtime.metrics.closedConnections.inc(),
+    onConnection: requests.onConnection,
+    onConnectionClosed: () => {
+      runtime.metrics.closedConnections.inc();
+      requests.onConnection();
+    },
   });
   const readiness = createServer((_request, response) => {
     response.writeHead(isReady(state) && runtime.faults.isSound() ? 200 : 503, {
@@ -302,7 +328,13 @@
   await listenOn(callers.server, listen.callers);
   await listenOn(readiness, listen.readiness);
   await listenOn(operators, { host: box.ip, port: listen.metricsPort });
-  return { callers, others: [readiness, operators] };
+  return { callers, requests, others: [readiness, operators] };
+}
+
+/** Closes new connections unread while the box is overloaded or too many wait to be accepted. */
+function setClosesAny(runtime: Runtime, callers: CallerServer, requests: HeldRequests): void {
+  const isOverloaded = runtime.state.overload.closesSinceMs !== undefined;
+  setClosesConnections(callers.server, isOverloaded || requests.closesConnections());
 }
 
 function listenOn(server: Server, address: HostPort): Promise<void> {
@@ -311,18 +343,3 @@
     server.listen(address.port, address.host, resolve);
   });
 }
-
-function acceptRequest(runtime: Runtime, exchange: CallerExchange): void {
-  const decoded = runtime.adapter.headers.decodeRequest(exchange.head);
-  if (decoded.kind === 'malformed') {
-    runtime.logger('requestRejected', { status: 400, reason: decoded.message });
-    exchange.response.writeHead(400, { 'content-length': 0 });
-    exchange.response.end();
-    return;
-  }
-  exchange.lastEventId = decoded.facts.lastEventId;
-  runtime.exchanges.set(exchange.id, exchange);
-  const facts = { ...decoded.facts, digest: digestOf(exchange, decoded.facts.host) };
-  const lateMs = runtime.threadLoad.lateMs();
-  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts, lateMs });
-}
--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -0,0 +1,143 @@
+/**
+ * Requests that were read while this box was behind.
+ *
+ * They are handed on once the ends of their connections would have been read, the newest first, for a part of each turn;
+ * those whose callers have left are dropped, and the others refused at once. Connections that wait to be accepted come
+ * first: what is behind them is newer. If they still wait after a while, they are closed unread until none waits.
+ */
+import { performance } from 'node:perf_hooks';
+import { isHeldTooLong, servableHeld, type HeldRequest } from '../policy/heldRequests.js';
+import type { CallerExchange } from './callerServer.js';
+import type { ReadProgress } from './readProgress.js';
+
+/** Time of a turn in which requests are handed on, in ms; what came meanwhile is read after it. */
+const SERVE_MS = 10;
+/** Time for which accepting connections comes before handing on requests, in ms. */
+const ACCEPT_FIRST_MS = 100;
+/** Time for which connections wait in a row to be accepted before they are closed unread, in ms: as long as callers of short requests wait. */
+const MAX_BACKLOG_MS = 500;
+
+/** What becomes of held requests. */
+export interface HeldRequestListener {
+  onServable: (exchange: CallerExchange, heldMs: number) => void;
+  onRefused: (exchange: CallerExchange) => void;
+  /** The caller has left before its request was handed on. */
+  onDropped: (exchange: CallerExchange) => void;
+  /** Whether connections are to be closed unread has changed. */
+  onBacklog: (closes: boolean) => void;
+}
+
+/** Requests of callers on their way to the reducer. */
+export interface HeldRequests {
+  /** Hands a request on, at once unless this box is behind. */
+  add: (exchange: CallerExchange) => void;
+  /** Drops a held request whose caller has left; returns false if it is not held. */
+  drop: (exchangeId: number) => boolean;
+  /** A connection was accepted, or closed unread. */
+  onConnection: () => void;
+  /** Whether connections are closed unread. */
+  closesConnections: () => boolean;
+  refuseAll: () => void;
+}
+
+interface Held extends HeldRequest {
+  exchange: CallerExchange;
+}
+
+/** Creates an empty queue. */
+export function createHeldRequests(
+  reads: ReadProgress,
+  listener: HeldRequestListener,
+): HeldRequests {
+  const held = new Map<number, Held>();
+  let lastTurnAtMs = 0;
+  let isTurnPlanned = false;
+  /** Since when each turn has accepted a connection, and the last such turn. */
+  let acceptsSinceMs = 0;
+  let acceptedInTurn = Number.NEGATIVE_INFINITY;
+  let servedAtMs = 0;
+  let closes = false;
+
+  const planTurn = (): void => {
+    if (isTurnPlanned) return;
+    isTurnPlanned = true;
+    lastTurnAtMs = performance.now();
+    reads.afterTurns(1, playTurn);
+  };
+
+  const isAccepting = (): boolean => reads.turn() - acceptedInTurn <= 1;
+
+  const setCloses = (value: boolean): void => {
+    if (closes === value) return;
+    closes = value;
+    listener.onBacklog(value);
+  };
+
+  const dropGone = (): void => {
+    for (const [id, { exchange }] of held) {
+      if (!exchange.isCallerGone()) continue;
+      held.delete(id);
+      listener.onDropped(exchange);
+    }
+  };
+
+  const serve = (servable: Held[]): void => {
+    const startMs = performance.now();
+    for (const { exchange, readAtMs } of servable) {
+      const nowMs = performance.now();
+      if (nowMs - startMs >= SERVE_MS) return;
+      held.delete(exchange.id);
+      servedAtMs = nowMs;
+      listener.onServable(exchange, nowMs - readAtMs);
+    }
+  };
+
+  const playTurn = (): void => {
+    isTurnPlanned = false;
+    const nowMs = performance.now();
+    const present = { nowMs, turn: reads.turn(), turnMs: nowMs - lastTurnAtMs };
+    dropGone();
+    if (!isAccepting()) setCloses(false);
+    const acceptsFirst =
+      isAccepting() && nowMs - Math.max(acceptsSinceMs, servedAtMs) < ACCEPT_FIRST_MS;
+    if (!acceptsFirst) serve(servableHeld(held.values(), present));
+    for (const request of [...held.values()]) {
+      if (isHeldTooLong(request, present)) refuse(request.exchange);
+    }
+    if (held.size > 0 || closes) planTurn();
+  };
+
+  const refuse = (exchange: CallerExchange): void => {
+    held.delete(exchange.id);
+    listener.onRefused(exchange);
+  };
+
+  return {
+    add(exchange) {
+      if (!reads.isBehind()) return listener.onServable(exchange, 0);
+      held.set(exchange.id, { exchange, readAtMs: performance.now(), readAtTurn: reads.turn() });
+      planTurn();
+    },
+    drop(exchangeId) {
+      const request = held.get(exchangeId);
+      if (request === undefined) return false;
+      held.delete(exchangeId);
+      listener.onDropped(request.exchange);
+      return true;
+    },
+    onConnection() {
+      const nowMs = performance.now();
+      const wasBehind = reads.isBehind();
+      if (!wasBehind || !isAccepting()) acceptsSinceMs = nowMs;
+      acceptedInTurn = reads.turn();
+      if (!wasBehind) return;
+      reads.expectMore();
+      if (nowMs - acceptsSinceMs > MAX_BACKLOG_MS) setCloses(true);
+      if (closes) planTurn();
+    },
+    closesConnections: () => closes,
+    refuseAll() {
+      for (const { exchange } of [...held.values()]) refuse(exchange);
+    },
+  };
+}
--- a/packages/reedlug-gateway/src/daemon/runtime.ts
+++ b/packages/reedlug-gateway/src/daemon/runtime.ts
@@ -15,6 +15,7 @@
 import type { ConnectionPool } from './connectionPool.js';
 import type { PeerSocket } from './peerSocket.js';
 import type { PlatformFeeds } from './platformFeeds.js';
+import type { ReadProgress } from './readProgress.js';
 import type { ReadTurns } from './readTurns.js';
 import type { RegistryReader } from './registryReader.js';
 import type { InternalFaults } from './internalFaults.js';
@@ -49,6 +50,7 @@
   requestBudget: RequestBudget;
   readTurns: ReadTurns;
   threadLoad: ThreadLoadMeter;
+  reads: ReadProgress;
   logger: Logger;
   metrics: GatewayMetrics;
   calls: PlatformCallCounts;
--- a/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
+++ b/packages/reedlug-gateway/src/observe/gatewayMetrics.ts
@@ -24,6 +24,9 @@
   tunnelBytes: Counter;
   /** Connections of callers that were closed unread while the box was overloaded. */
   closedConnections: Counter;
+  /** Requests that were not handed on since their callers had left before, and sends that were not begun for it. */
+  droppedRequests: Counter;
+  avoidedSends: Counter;
   linesLeftOut: Counter;
   versions: Gauge;
   /** Age of what this box knows of the store: its own feeds, and the registry from whichever source. */
@@ -172,6 +175,16 @@
       help: 'Connections of callers that were closed unread while the box was overloaded',
       registers,
     }),
+    droppedRequests: new Counter({
+      name: 'reedlug_dropped_requests_total',
+      help: 'Requests whose callers had left before the box, which was behind, took them up',
+      registers,
+    }),
+    avoidedSends: new Counter({
+      name: 'reedlug_avoided_sends_total',
+      help: 'Sends that did not begin, since the caller had left or the answer had arrived while the box was behind',
+      registers,
+    }),
     linesLeftOut: new Counter({
       name: 'reedlug_log_lines_left_out_total',
       help: 'Log lines that were not written because there were too many or the pipe was full',
--- a/packages/reedlug-gateway/src/policy/overload.ts
+++ b/packages/reedlug-gateway/src/policy/overload.ts
@@ -8,7 +8,7 @@
 import type { OverloadState, ThreadLoad } from '../types/threadLoad.js';
 
 /** Share of the time from which the thread has none to spare. */
-const BUSY_SHARE = 0.95;
+export const BUSY_SHARE = 0.95;
 /** Time without time to spare before new connections are closed, in ms: parsing a large configuration takes as long. */
 const BUSY_BEFORE_CLOSING_MS = 600;
 /** The same shortly after an overload: what is accepted in between has to be served then. */
--- a/packages/reedlug-gateway/src/reduce.ts
+++ b/packages/reedlug-gateway/src/reduce.ts
@@ -13,6 +13,7 @@
 import { onConfigurationRead } from './slices/store/configuration.js';
 import { onAnswerBegun, onAttemptAnswered, onAttemptEnded } from './slices/requests/attempts.js';
 import { onAttemptHeld, onEventsRelayed } from './slices/requests/streamAttempts.js';
+import { refuseHeldTooLong } from './slices/requests/lateRefusals.js';
 import { onAttemptLost, onAttemptNotSent } from './slices/requests/lostAttempts.js';
 import { onCrashSuspects } from './slices/crashes/crashGossip.js';
 import { onCrashRow } from './slices/crashes/crashRow.js';
@@ -82,6 +83,8 @@
       return runTick(state, step, event);
     case 'requestArrived':
       return onRequestArrived(state, step, event);
+    case 'requestHeldTooLong':
+      return refuseHeldTooLong(step, event);
     case 'callerGone':
       return onCallerGone(state, step, event);
     case 'connectionTried':
--- a/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
+++ b/packages/reedlug-gateway/src/slices/requests/lateRefusals.ts
@@ -6,6 +6,7 @@
 import { addRetryJitter } from '../../policy/retryJitter.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { RouteKind } from '../../types/configuration.js';
+import type { EventOf } from '../../types/event.js';
 import type { LogField } from '../../types/effect.js';
 import type { RequestRecord } from '../../types/request.js';
 import { modelOf } from '../engines/engineModels.js';
@@ -26,6 +27,8 @@
 
 /** Share of a route's timeout; a request with a shorter deadline comes from a caller that has waited before. */
 const RETRY_DEADLINE_SHARE = 0.95;
+/** Retry-After time of a box that is behind, in ms: it reads what has come meanwhile in less. */
+const BEHIND_RETRY_MS = 500;
 
 /** Refuses a stream that would start too late even at the best engine; returns whether it did. Runs before the request is sent or charged. */
 export function refuseIfLate(
@@ -84,6 +87,13 @@
   return true;
 }
 
+/** Refuses a request that was held for too long while the box was behind. */
+export function refuseHeldTooLong(step: Step, event: EventOf<'requestHeldTooLong'>): void {
+  const { exchangeId, facts } = event;
+  const retryAfterMs = addRetryJitter(BEHIND_RETRY_MS, facts.requestId);
+  refuse(step, { exchangeId, facts, status: 503, reason: 'boxBehind', retryAfterMs });
+}
+
 /**
  * Adds the standing of the workspace to the facts of a decision, and whether the request yields to
  * others.
--- a/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/pendingRequests.ts
@@ -35,11 +35,13 @@
   step: Step,
   event: EventOf<'requestArrived'>,
 ): void {
-  const { exchangeId, facts, lateMs } = event;
-  state.pendingRequests.push({
-    ...{ exchangeId, facts, arrivedAtMs: step.nowMs },
-    readLateMs: lateMs,
-  });
+  state.pendingRequests.push(arrivedRequest(step, event));
+}
+
+/** Returns a request that has arrived, with the time at which it was read. */
+export function arrivedRequest(step: Step, event: EventOf<'requestArrived'>): PendingRequest {
+  const { exchangeId, facts, lateMs, heldMs = 0 } = event;
+  return { exchangeId, facts, arrivedAtMs: step.nowMs - heldMs, readLateMs: lateMs };
 }
 
 /** Removes and returns the requests that may proceed now, and refuses those that have waited too long. */
--- a/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requestCompletion.ts
@@ -1,7 +1,7 @@
 /** Completion of requests: closing attempts, refusing and giving up. */
 import { mayHaveRun, Reach } from 'reedlug-coordination';
 import { RouteKind } from '../../types/configuration.js';
-import type { Attempt, RequestFacts, RequestRecord } from '../../types/request.js';
+import type { Attempt, HeadFacts, RequestRecord } from '../../types/request.js';
 import type { LogField } from '../../types/effect.js';
 import { log, type GatewayState, type Step } from '../../state.js';
 import { takenUpField } from './takenUpField.js';
@@ -56,7 +56,7 @@
   step: Step,
   params: {
     exchangeId: number;
-    facts: RequestFacts;
+    facts: HeadFacts;
     status: number;
     reason: string;
     retryAfterMs: number | undefined;
--- a/packages/reedlug-gateway/src/slices/requests/requests.ts
+++ b/packages/reedlug-gateway/src/slices/requests/requests.ts
@@ -9,6 +9,7 @@
 import {
   addPendingRequest,
   removePendingRequest,
+  arrivedRequest,
   isReadyForRequests,
   takeReadyRequests,
 } from './pendingRequests.js';
@@ -58,7 +59,7 @@
 ): void {
   if (state.stopped) return refuseStopped(step, event);
   if (!isReadyForRequests(state)) return addPendingRequest(state, step, event);
-  acceptRequest(state, step, { ...event, readLateMs: event.lateMs, arrivedAtMs: step.nowMs });
+  acceptRequest(state, step, arrivedRequest(step, event));
 }
 
 /** Accepts the requests that waited for configuration and servers. */
--- a/packages/reedlug-gateway/src/types/effect.ts
+++ b/packages/reedlug-gateway/src/types/effect.ts
@@ -80,3 +80,6 @@
   | { type: 'enterBox'; boxId: string; address: PeerAddress | undefined; holdsPart: boolean }
   | { type: 'stopped' }
   | { type: 'log'; event: string; fields: Readonly<Record<string, LogField>> };
+
+/** An effect of one type. */
+export type EffectOf<T extends Effect['type']> = Extract<Effect, { type: T }>;
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -2,7 +2,7 @@
 import type { TableAnswer } from 'reedlug-coordination';
 import type { Configuration } from './configuration.js';
 import type { CrashSuspectsMessage } from './crashSuspect.js';
-import type { AnswerVerdict, RequestFacts } from './request.js';
+import type { AnswerVerdict, HeadFacts, RequestFacts } from './request.js';
 import type { RolloutOrder } from './rollout.js';
 import type { AnswerStatements, ServerStatementsMessage } from './serverStatement.js';
 import type { HostPort, ServerChange } from './server.js';
@@ -37,8 +37,18 @@
    * whose answers have not left this box; 0 if omitted.
    */
   | { type: 'tick'; load?: ThreadLoad; openExchanges?: number }
-  /** A request was read; `lateMs` is how late the thread was, 0 if omitted. */
-  | { type: 'requestArrived'; exchangeId: number; facts: RequestFacts; lateMs?: number }
+  /**
+   * A request was read, `heldMs` ago. `lateMs` is how late the thread was by then. Both are 0 if omitted.
+   */
+  | {
+      type: 'requestArrived';
+      exchangeId: number;
+      facts: RequestFacts;
+      lateMs?: number;
+      heldMs?: number;
+    }
+  /** A request could not be handed on in time, since the box was behind. */
+  | { type: 'requestHeldTooLong'; exchangeId: number; facts: HeadFacts }
   /** The end of a caller's connection was read; `lateMs` as above. */
   | { type: 'callerGone'; exchangeId: number; lateMs?: number }
   /** An attempt to open a connection to a server ended. */
