Time limits count what has arrived in time, though it is read late

Limits on connecting through a peer, on a whole dial, on a state transfer's silence, on probes, and pauses of the feeds ended in the timer's turn: after the thread was late, an answer that had arrived counted as missing. A limit that passes late now waits for two turns of reading, one that passes in time for one, as those on opening a connection and on calls to the platform did.

--- a/packages/reedlug-gateway/src/daemon/clock.ts
+++ b/packages/reedlug-gateway/src/daemon/clock.ts
@@ -1,6 +1,7 @@
 /** Clock of the feeds: that of the process, or a virtual one in a simulation. */
 import { performance } from 'node:perf_hooks';
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
+import { MAX_LATE_MS, READ_TURNS } from './readProgress.js';
 
 /** Monotonic clock that can also pause. */
 export interface Clock {
@@ -13,7 +14,11 @@
 export const PROCESS_CLOCK: Clock = {
   nowMs: () => performance.now(),
   async pause(ms, signal) {
+    const dueAtMs = performance.now() + ms;
     // Rejects only if it is aborted.
     await delay(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined);
+    if (performance.now() - dueAtMs <= MAX_LATE_MS) return;
+    // What arrived before a limit that passes late is read before it counts.
+    for (let turn = 0; turn < READ_TURNS; turn += 1) await nextTurn();
   },
 };
--- a/packages/reedlug-gateway/src/daemon/openSocket.ts
+++ b/packages/reedlug-gateway/src/daemon/openSocket.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from 'node:stream';
 import { ConnectOutcome } from '../types/serverLink.js';
 import type { HostPort } from '../types/server.js';
+import { startTimeLimit } from './timeLimit.js';
 
 /** Idle time after which the kernel checks whether the other end still exists, in ms. */
 const KEEP_ALIVE_DELAY_MS = 60_000;
@@ -41,19 +42,18 @@
   const end = (failure: Exclude<ConnectOutcome, 'opened'>): void => {
     if (isOver) return;
     isOver = true;
-    clearTimeout(timer);
+    limit.cancel();
     socket.destroy();
     report({ outcome: failure, tookMs: performance.now() - startedAtMs });
   };
-  // Sockets are read after timers: a connection that came up while the process stood still is not late.
-  const timer = setTimeout(() => setImmediate(() => end(ConnectOutcome.silent)), timeoutMs);
+  const limit = startTimeLimit(timeoutMs, () => end(ConnectOutcome.silent));
   const onError = ({ code }: NodeJS.ErrnoException): void =>
     end(REFUSAL_ERROR_CODES.has(code ?? '') ? ConnectOutcome.refused : ConnectOutcome.silent);
   socket.on('error', onError);
   socket.once('connect', () => {
     if (isOver) return;
     isOver = true;
-    clearTimeout(timer);
+    limit.cancel();
     report({
       outcome: ConnectOutcome.opened,
       socket,
@@ -65,7 +65,7 @@
     cancel() {
       if (isOver) return;
       isOver = true;
-      clearTimeout(timer);
+      limit.cancel();
       socket.destroy();
     },
   };
--- a/packages/reedlug-gateway/src/daemon/probeServer.ts
+++ b/packages/reedlug-gateway/src/daemon/probeServer.ts
@@ -7,6 +7,7 @@
 import type { HostPort } from '../types/server.js';
 import { CONNECT_TIMEOUT_MS } from './daemonTimes.js';
 import { openSocket, type OpenedSocket, type ServerSocket } from './openSocket.js';
+import { startTimeLimit } from './timeLimit.js';
 
 /** Time for which a connection has to stay open, in ms: a port forwarder whose target is gone accepts a connection and closes it immediately. */
 const MIN_OPEN_MS = 30;
@@ -49,11 +50,11 @@
 function staysOpen(socket: ServerSocket): Promise<boolean> {
   return new Promise((resolve) => {
     const end = (isOpen: boolean): void => {
-      clearTimeout(timer);
+      limit.cancel();
       socket.destroy();
       resolve(isOpen);
     };
-    const timer = setTimeout(() => end(true), MIN_OPEN_MS);
+    const limit = startTimeLimit(MIN_OPEN_MS, () => end(true));
     socket.once('end', () => end(false));
     socket.once('error', () => end(false));
     socket.resume();
--- a/packages/reedlug-gateway/src/daemon/serverDialer.ts
+++ b/packages/reedlug-gateway/src/daemon/serverDialer.ts
@@ -18,6 +18,7 @@
   type SocketAttempt,
 } from './openSocket.js';
 import { openTunnel } from './tunnels/openTunnel.js';
+import { startTimeLimit, type TimeLimit } from './timeLimit.js';
 import type { ConnectFailure } from './tunnels/tunnelWire.js';
 
 /**
@@ -146,19 +147,18 @@
   let isSettled = false;
   let refusalsByPeers = 0;
   let failure: ConnectFailure = ConnectOutcome.unavailable;
-  let nextPeerTimer: NodeJS.Timeout | undefined;
-  const timeout = setTimeout(() => settle({ outcome: failure }), DIAL_TIMEOUT_MS);
+  let nextPeerLimit: TimeLimit | undefined;
+  const limit = startTimeLimit(DIAL_TIMEOUT_MS, () => settle({ outcome: failure }));
 
-  /** Sockets are read after timers: what arrived while the process stood still is not late. */
   const askNextPeerAfter = (delayMs: number): void => {
-    nextPeerTimer = setTimeout(() => setImmediate(askNextPeer), delayMs);
+    nextPeerLimit = startTimeLimit(delayMs, askNextPeer);
   };
 
   const settle = (result: DialResult): void => {
     if (isSettled) return;
     isSettled = true;
-    clearTimeout(nextPeerTimer);
-    clearTimeout(timeout);
+    nextPeerLimit?.cancel();
+    limit.cancel();
     // Attempts that nobody waits for go on, to learn whether a path is up.
     if (plan.isAwaited) cancelTunnels();
     if (result.outcome !== ConnectOutcome.opened) onFailed(target, ended);
@@ -195,7 +195,7 @@
   };
 
   const askNextPeer = (): void => {
-    clearTimeout(nextPeerTimer);
+    nextPeerLimit?.cancel();
     if (isSettled || tunnels.size >= MAX_PEERS_TRYING || asked.length >= MAX_PEERS_ASKED) return;
     const peer = findPeer(asked);
     if (peer === undefined) return;
--- a/packages/reedlug-gateway/src/daemon/stateTransfer/resumableGet.ts
+++ b/packages/reedlug-gateway/src/daemon/stateTransfer/resumableGet.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici';
 import { parseHostPort } from '../../settings/gatewaySettingsValidation.js';
 import type { HostPort } from '../../types/server.js';
+import { startTimeLimit } from '../timeLimit.js';
 import { AFTER_HEADER, HOLDER_HEADER, MAX_STATE_BYTES } from './transferWire.js';
 
 /** Bytes of a body that broke off. */
@@ -53,7 +54,7 @@
 export async function getState(request: StateRequest): Promise<GetOutcome> {
   const { client, path, afterVersion, idleTimeoutMs, partial } = request;
   const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(), idleTimeoutMs);
+  const limit = startTimeLimit(idleTimeoutMs, () => abort.abort());
   let received: PartialBody | undefined = partial;
   try {
     const { statusCode, headers, body } = await client.request({
@@ -68,7 +69,7 @@
           : { range: `bytes=${partial.size}-`, 'if-range': partial.tag }),
       },
     });
-    timer.refresh();
+    limit.restart();
     // A body that is not read to its end reports its abortion here as well.
     body.on('error', () => undefined);
     if (statusCode === 503 || statusCode === 304) {
@@ -84,7 +85,7 @@
     received = start;
     const resumedFrom = start.size;
     for await (const chunk of body as AsyncIterable<Buffer>) {
-      timer.refresh();
+      limit.restart();
       start.chunks.push(chunk);
       start.size += chunk.length;
       if (start.size <= MAX_STATE_BYTES) continue;
@@ -102,7 +103,7 @@
     const { message: reason, code } = error as NodeJS.ErrnoException;
     return { kind: code === 'ECONNREFUSED' ? 'stalled' : 'broken', reason, partial: kept };
   } finally {
-    clearTimeout(timer);
+    limit.cancel();
   }
 }
 
--- a/packages/reedlug-gateway/src/daemon/tunnels/openTunnel.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/openTunnel.ts
@@ -5,6 +5,7 @@
 import { ConnectOutcome } from '../../types/serverLink.js';
 import type { HostPort } from '../../types/server.js';
 import type { OpenedSocket, SocketAttempt } from '../openSocket.js';
+import { startTimeLimit } from '../timeLimit.js';
 import {
   BOX_HEADER,
   FRAMES_HEADER,
@@ -53,7 +54,7 @@
   let isOver = false;
   const close = (): void => {
     isOver = true;
-    clearTimeout(timer);
+    limit.cancel();
     request.destroy();
   };
   const fail = (outcome: ConnectFailure, peerReason?: string): void => {
@@ -61,7 +62,7 @@
     close();
     report({ outcome, tookMs: performance.now() - startedAtMs, peerReason });
   };
-  const timer = setTimeout(() => fail(ConnectOutcome.unavailable), timeoutMs);
+  const limit = startTimeLimit(timeoutMs, () => fail(ConnectOutcome.unavailable));
   // A peer that is down, or too old to open tunnels, closes the connection.
   request.on('error', () => fail(ConnectOutcome.unavailable));
   request.once('response', () => fail(ConnectOutcome.unavailable));
@@ -77,7 +78,7 @@
       return fail(ConnectOutcome.unavailable, 'olderBox');
     }
     isOver = true;
-    clearTimeout(timer);
+    limit.cancel();
     socket.setNoDelay(true);
     if (first.length > 0) socket.unshift(first);
     const tookMs = performance.now() - startedAtMs;
--- a/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
+++ b/packages/reedlug-gateway/src/daemon/tunnels/tunnelServer.ts
@@ -15,6 +15,7 @@
 import type { EventBody } from '../../types/event.js';
 import { INTERNAL_FAULT_REASON } from '../../types/request.js';
 import { openSocket } from '../openSocket.js';
+import { startTimeLimit } from '../timeLimit.js';
 import {
   BOX_HEADER,
   OUTCOME_HEADER,
@@ -100,12 +101,12 @@
     const sinceMs = nowMs();
     let links: Promise<LinkState> | undefined;
     const check = (): Promise<LinkState> => (links ??= checkLinks(serverId, sinceMs));
-    const checkTimer = setTimeout(check, CHECK_LINKS_AFTER_MS);
+    const checkLimit = startTimeLimit(CHECK_LINKS_AFTER_MS, () => void check());
     const attempt = openSocket(address, CONNECT_TIMEOUT_MS, (result) => {
       const { outcome, tookMs } = result;
       onTried({ serverId, address, requestId, path: { kind: 'direct' }, outcome, tookMs });
       connecting -= 1;
-      clearTimeout(checkTimer);
+      checkLimit.cancel();
       client.off('close', onClientGone);
       if (result.outcome !== ConnectOutcome.opened) {
         const failure = result.outcome;
@@ -123,7 +124,7 @@
     });
     const onClientGone = (): void => {
       connecting -= 1;
-      clearTimeout(checkTimer);
+      checkLimit.cancel();
       attempt.cancel();
     };
     client.once('close', onClientGone);
