Held requests: count the time of handing on, with tests of reading before deciding

isHeldTooLong took the start of a turn for now and left the time of handing on out of the turn's length, so that a slow box handed on three requests of 60 ms each where two fit into 100 ms.

--- /dev/null
+++ b/packages/reedlug-gateway/src/daemon/__tests__/heldRequests.test.ts
@@ -0,0 +1,91 @@
+import { expect } from 'chai';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import type { CallerExchange } from '../callerServer.js';
+import { createHeldRequests, type HeldRequests } from '../heldRequests.js';
+import { createReadProgress, MAX_LATE_MS } from '../readProgress.js';
+
+interface Scene {
+  held: HeldRequests;
+  lateMs: number;
+  log: string[];
+  /** Called with each request that is handed on. */
+  onServed: () => void;
+}
+
+function createScene(): Scene {
+  const scene: Scene = {
+    held: undefined as unknown as HeldRequests,
+    lateMs: MAX_LATE_MS + 1,
+    log: [],
+    onServed: () => undefined,
+  };
+  const reads = createReadProgress(() => scene.lateMs);
+  scene.held = createHeldRequests(reads, {
+    onServable({ id }) {
+      scene.log.push(`served ${id}`);
+      scene.onServed();
+    },
+    onRefused: ({ id }) => scene.log.push(`refused ${id}`),
+    onDropped: ({ id }) => scene.log.push(`dropped ${id}`),
+    onBacklog: (closes) => scene.log.push(closes ? 'closes' : 'accepts'),
+  });
+  return scene;
+}
+
+const exchangeOf = (id: number, isGone = false): CallerExchange =>
+  ({ id, isCallerGone: () => isGone }) as CallerExchange;
+
+function standStill(ms: number): void {
+  const endMs = performance.now() + ms;
+  while (performance.now() < endMs);
+}
+
+async function playTurns(count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn += 1) await nextTurn();
+}
+
+test('a box on time hands requests on at once', () => {
+  const scene = createScene();
+  scene.lateMs = 0;
+  scene.held.add(exchangeOf(1));
+  expect(scene.log).to.deep.equal(['served 1']);
+});
+
+test('a box that is behind drops requests of callers that have left, and serves the newest first', async () => {
+  const scene = createScene();
+  scene.held.add(exchangeOf(1));
+  standStill(1);
+  scene.held.add(exchangeOf(2, true));
+  scene.held.add(exchangeOf(3));
+  await playTurns(3);
+  expect(scene.log).to.deep.equal(['dropped 2', 'served 3', 'served 1']);
+});
+
+test('what a slow box can not hand on within its time is refused at once', async () => {
+  const scene = createScene();
+  scene.onServed = () => standStill(60);
+  for (const id of [1, 2, 3, 4]) scene.held.add(exchangeOf(id));
+  await playTurns(6);
+  expect(scene.log.filter((line) => line.startsWith('served'))).to.have.length.of.at.most(2);
+  expect(scene.log.filter((line) => line.startsWith('refused'))).to.have.length.of.at.least(2);
+  expect(scene.log).to.have.length(4);
+});
+
+test('connections that wait to be accepted come first, and are closed unread if they wait for long', async () => {
+  const scene = createScene();
+  scene.held.add(exchangeOf(1));
+  for (let turn = 0; turn < 8; turn += 1) {
+    scene.held.onConnection();
+    standStill(10);
+    await nextTurn();
+  }
+  expect(scene.log, 'accepting comes first').to.deep.equal([]);
+  for (let turn = 0; turn < 60; turn += 1) {
+    scene.held.onConnection();
+    standStill(10);
+    await nextTurn();
+  }
+  expect(scene.log).to.include('closes');
+  await playTurns(4);
+  expect(scene.log.at(-1)).to.equal('accepts');
+});
--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -50,7 +50,8 @@
   listener: HeldRequestListener,
 ): HeldRequests {
   const held = new Map<number, Held>();
-  let lastTurnAtMs = 0;
+  /** Start of the turn before, in ms. */
+  let turnStartMs = 0;
   let isTurnPlanned = false;
   /** Since when each turn has accepted a connection, and the last such turn. */
   let acceptsSinceMs = 0;
@@ -61,7 +62,6 @@
   const planTurn = (): void => {
     if (isTurnPlanned) return;
     isTurnPlanned = true;
-    lastTurnAtMs = performance.now();
     reads.afterTurns(1, playTurn);
   };
 
@@ -94,16 +94,19 @@
 
   const playTurn = (): void => {
     isTurnPlanned = false;
-    const nowMs = performance.now();
-    const present = { nowMs, turn: reads.turn(), turnMs: nowMs - lastTurnAtMs };
+    const startMs = performance.now();
+    const turn = reads.turn();
     dropGone();
     if (!isAccepting()) setCloses(false);
     const acceptsFirst =
-      isAccepting() && nowMs - Math.max(acceptsSinceMs, servedAtMs) < ACCEPT_FIRST_MS;
-    if (!acceptsFirst) serve(servableHeld(held.values(), present));
+      isAccepting() && startMs - Math.max(acceptsSinceMs, servedAtMs) < ACCEPT_FIRST_MS;
+    if (!acceptsFirst) serve(servableHeld(held.values(), turn));
+    const nowMs = performance.now();
+    const present = { nowMs, turnMs: nowMs - turnStartMs };
     for (const request of [...held.values()]) {
       if (isHeldTooLong(request, present)) refuse(request.exchange);
     }
+    turnStartMs = startMs;
     if (held.size > 0 || closes) planTurn();
   };
 
@@ -115,7 +118,9 @@
   return {
     add(exchange) {
       if (!reads.isBehind()) return listener.onServable(exchange, 0);
-      held.set(exchange.id, { exchange, readAtMs: performance.now(), readAtTurn: reads.turn() });
+      const readAtMs = performance.now();
+      if (held.size === 0) turnStartMs = readAtMs;
+      held.set(exchange.id, { exchange, readAtMs, readAtTurn: reads.turn() });
       planTurn();
     },
     drop(exchangeId) {
--- a/packages/reedlug-gateway/src/policy/heldRequests.ts
+++ b/packages/reedlug-gateway/src/policy/heldRequests.ts
@@ -17,21 +17,17 @@
   readAtTurn: number;
 }
 
-/** The present turn, and how long the one before took. */
-export interface HeldTurn {
-  nowMs: number;
-  turn: number;
-  turnMs: number;
-}
-
-/** Returns the requests that may be served in this turn, the newest first. */
-export function servableHeld<T extends HeldRequest>(held: Iterable<T>, { turn }: HeldTurn): T[] {
+/** Returns the requests that may be served at the end of a turn, the newest first. */
+export function servableHeld<T extends HeldRequest>(held: Iterable<T>, turn: number): T[] {
   return [...held]
     .filter(({ readAtTurn }) => turn - readAtTurn >= END_READ_TURNS)
     .sort((one, other) => other.readAtMs - one.readAtMs);
 }
 
-/** Whether a request that is not served in this turn would be held for too long by the next one. */
-export function isHeldTooLong({ readAtMs }: HeldRequest, { nowMs, turnMs }: HeldTurn): boolean {
+/** Whether a request that was not served in a turn, which took `turnMs`, would be held for too long by the end of the next. */
+export function isHeldTooLong(
+  { readAtMs }: HeldRequest,
+  { nowMs, turnMs }: { nowMs: number; turnMs: number },
+): boolean {
   return nowMs + turnMs - readAtMs > MAX_HELD_MS;
 }
