The time of an answer that was read late says nothing of its server

A box that was behind took the time at which it read an answer for the time at which it arrived, so that its servers looked slow by as much as the box was late. Such answers no longer count for the model of the service or the slowness of the server.

--- a/packages/reedlug-gateway/src/daemon/sendEffect.ts
+++ b/packages/reedlug-gateway/src/daemon/sendEffect.ts
@@ -72,7 +72,9 @@
       }),
       onStreamHead: guard(() => holdUntilRelayable(runtime, exchange, ids, connection.openedAtMs)),
       onAnswered: guard((verdict, status, endsWithConnection) => {
-        runtime.emit({ type: 'attemptAnswered', ...ids, verdict, status, endsWithConnection });
+        const isReadLate = runtime.reads.isBehind();
+        const answer = { verdict, status, endsWithConnection, isReadLate };
+        runtime.emit({ type: 'attemptAnswered', ...ids, ...answer });
         if (!streaming || verdict !== 'success') end();
       }),
       onEvents: guard((events) => {
--- a/packages/reedlug-gateway/src/slices/requests/__tests__/attempts.test.ts
+++ b/packages/reedlug-gateway/src/slices/requests/__tests__/attempts.test.ts
@@ -268,3 +268,35 @@
   expect(recordedSends('invalid', 200)).to.equal(0);
   expect(recordedSends('success', 200)).to.equal(1);
 });
+
+test('an answer that was read late does not make its server look slow', () => {
+  const slownessAfter = (isReadLate: boolean): number => {
+    const box = createServingBox();
+    const { attemptId, order } = sendRequest(box);
+    box.pass(400);
+    const ids = { exchangeId: 1, attemptId };
+    box.take({ type: 'attemptAnswered', ...ids, verdict: 'success', status: 200, isReadLate });
+    return box.state.servers.get(order.serverId)?.slowness ?? 0;
+  };
+  expect(slownessAfter(true)).to.equal(1);
+  expect(slownessAfter(false)).to.be.greaterThan(1);
+});
+
+test('the time for which a request was held counts against its deadline', () => {
+  const sendAfter = (heldMs: number) => {
+    const box = createServingBox();
+    const arrived = { type: 'requestArrived', exchangeId: 1, facts: facts({}), heldMs } as const;
+    return only(box.take(arrived), 'send').order.deadlineMs;
+  };
+  expect(sendAfter(80)).to.equal(sendAfter(0) - 80);
+});
+
+test('a request that was held for too long is refused as not run, with a time to come back', () => {
+  const box = createServingBox();
+  const refusal = only(
+    box.take({ type: 'requestHeldTooLong', exchangeId: 1, facts: facts({}) }),
+    'refuse',
+  );
+  expect(refusal).to.include({ status: 503, reason: 'boxBehind' });
+  expect(refusal.retryAfterMs).to.be.at.least(500);
+});
--- a/packages/reedlug-gateway/src/slices/requests/attempts.ts
+++ b/packages/reedlug-gateway/src/slices/requests/attempts.ts
@@ -48,7 +48,7 @@
   attempt.endsWithConnection = event.endsWithConnection === true;
   switch (event.verdict) {
     case 'success':
-      return onSuccess(state, step, found);
+      return onSuccess(state, step, found, event);
     case 'failure':
       return onFailure(state, step, found, event.status);
     case 'notRun': {
@@ -72,10 +72,16 @@
   }
 }
 
-function onSuccess(state: GatewayState, step: Step, found: RequestAttempt): void {
+function onSuccess(
+  state: GatewayState,
+  step: Step,
+  found: RequestAttempt,
+  { isReadLate = false }: EventOf<'attemptAnswered'>,
+): void {
   const { record, attempt } = found;
   if (attempt.firstOutputAtMs === undefined) {
-    recordFirstEvent(state, step, record, attempt);
+    // The time of an answer that was read late says nothing of its server.
+    if (!isReadLate) recordFirstEvent(state, step, record, attempt);
     recordAnswer(state, step, { record, attempt, end: AnswerEnd.good });
   }
   recordRunStart(state, step, found);
--- a/packages/reedlug-gateway/src/types/event.ts
+++ b/packages/reedlug-gateway/src/types/event.ts
@@ -83,6 +83,8 @@
       status: number;
       /** True if the answer has neither a length nor chunks, so that it ends with its connection. */
       endsWithConnection?: boolean;
+      /** True if the thread was behind, so that the answer may have arrived long before. */
+      isReadLate?: boolean;
     }
   /** Complete events of a stream were relayed to the caller. */
   | {
