Held requests wait longer unless their queue has been standing

Beside load, a box that had stood still refused 40 callers with 10 s left (503, boxBehind), since each request was held for 100 ms at most: in a burst that is less than reading it takes. The short bound now holds only where the queue has not been empty for 500 ms or a request was refused within the last second (CoDel's standing queue); otherwise a request is held for 500 ms at most.

--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -52,6 +52,8 @@
   const held = new Map<number, Held>();
   /** Start of the turn before, in ms. */
   let turnStartMs = 0;
+  let heldSinceMs = 0;
+  let refusedAtMs = Number.NEGATIVE_INFINITY;
   let isTurnPlanned = false;
   /** Since when each turn has accepted a connection, and the last such turn. */
   let acceptsSinceMs = 0;
@@ -102,10 +104,10 @@
       isAccepting() && startMs - Math.max(acceptsSinceMs, servedAtMs) < ACCEPT_FIRST_MS;
     if (!acceptsFirst) serve(servableHeld(held.values(), turn));
     const nowMs = performance.now();
-    const present = { nowMs, turnMs: nowMs - turnStartMs };
-    for (const request of [...held.values()]) {
-      if (isHeldTooLong(request, present)) refuse(request.exchange);
-    }
+    const queue = { nowMs, turnMs: nowMs - turnStartMs, heldSinceMs, refusedAtMs };
+    const tooLong = [...held.values()].filter((request) => isHeldTooLong(request, queue));
+    for (const { exchange } of tooLong) refuse(exchange);
+    if (tooLong.length > 0) refusedAtMs = nowMs;
     turnStartMs = startMs;
     if (held.size > 0 || closes) planTurn();
   };
@@ -119,7 +121,10 @@
     add(exchange) {
       if (!reads.isBehind()) return listener.onServable(exchange, 0);
       const readAtMs = performance.now();
-      if (held.size === 0) turnStartMs = readAtMs;
+      if (held.size === 0) {
+        turnStartMs = readAtMs;
+        heldSinceMs = readAtMs;
+      }
       held.set(exchange.id, { exchange, readAtMs, readAtTurn: reads.turn() });
       planTurn();
     },
--- a/packages/reedlug-gateway/src/policy/heldRequests.ts
+++ b/packages/reedlug-gateway/src/policy/heldRequests.ts
@@ -3,11 +3,15 @@
  *
  * In the order in which they came, each would be served when its caller has waited longest, and under more load than
  * the box can serve nobody would be served in time (adaptive LIFO). So the newest are served first, as many as there is
- * time for, and none waits longer than a bound (CoDel): those that can't be served within it are refused at once.
+ * time for. None waits longer than a bound, which is short while the queue has been standing for a while (CoDel): what
+ * came at once while the box stood still can still be served, and what would wait in a standing queue is refused at once.
  */
 
-/** Longest time for which a request that has been read is held, in ms. */
-export const MAX_HELD_MS = 100;
+/** Longest time for which a request that has been read is held, in ms: by default, and in a standing queue. */
+export const MAX_HELD_MS = 500;
+export const MAX_HELD_STANDING_MS = 100;
+/** Time after a refusal for which the queue counts as standing, in ms: refusing empties it, though more is coming. */
+const STANDING_AFTER_REFUSAL_MS = 1000;
 /** Turns of the event loop from the reading of a request until the end of its connection would have been read. */
 const END_READ_TURNS = 2;
 
@@ -24,10 +28,23 @@
     .sort((one, other) => other.readAtMs - one.readAtMs);
 }
 
-/** Whether a request that was not served in a turn, which took `turnMs`, would be held for too long by the end of the next. */
-export function isHeldTooLong(
-  { readAtMs }: HeldRequest,
-  { nowMs, turnMs }: { nowMs: number; turnMs: number },
-): boolean {
-  return nowMs + turnMs - readAtMs > MAX_HELD_MS;
+/** State of the queue at the end of a turn, which took `turnMs`. */
+export interface HeldQueue {
+  nowMs: number;
+  turnMs: number;
+  /** Time since which the queue has not been empty. */
+  heldSinceMs: number;
+  /** Time of the last refusal; negative infinity before. */
+  refusedAtMs: number;
+}
+
+/** Whether a request that was not served in this turn would be held for too long by the end of the next. */
+export function isHeldTooLong({ readAtMs }: HeldRequest, queue: HeldQueue): boolean {
+  return queue.nowMs + queue.turnMs - readAtMs > maxHeldMs(queue);
+}
+
+function maxHeldMs({ nowMs, heldSinceMs, refusedAtMs }: HeldQueue): number {
+  const isStanding =
+    nowMs - heldSinceMs > MAX_HELD_MS || nowMs - refusedAtMs < STANDING_AFTER_REFUSAL_MS;
+  return isStanding ? MAX_HELD_STANDING_MS : MAX_HELD_MS;
 }
