Soak: callers that leave while boxes stand still, are starved, stopped and killed

The limit on a share of a core moves to the stand-ins, so that the platform's tests use it, too: it makes up for time that a process waits for a core on a loaded machine.

--- a/packages/reedlug-soak/src/callLoad.ts
+++ b/packages/reedlug-soak/src/callLoad.ts
@@ -3,6 +3,7 @@
 import { createRandom } from 'reedlug-standins';
 import { FIRST_KEY, LIMITED_WORKSPACE, probePath } from './buildWorld.js';
 import type { CallSpec, Callers } from './callers.js';
+import { drawPatienceMs, type LeaveLoad } from './leavingCallers.js';
 import { CallKind, type SoakRecord } from './soakRecord.js';
 import { CRASHING_PATH } from './soakServers.js';
 import type { SoakWorld } from './soakWorld.js';
@@ -19,7 +20,7 @@
 
 /** What the parts of the load use. */
 export interface LoadContext {
-  options: { seed: number; callsPerSecond: number };
+  options: { seed: number; callsPerSecond: number; leaving?: LeaveLoad };
   world: SoakWorld;
   record: SoakRecord;
   callers: Callers;
@@ -63,7 +64,12 @@
     const target = world.boxes[box]?.target;
     if (target === undefined) continue;
     const spec = buildCallSpec({ world, box, number, seed: options.seed, fraction: random.unit() });
-    pendingCalls.push(callers.call(spec, target).then((call) => void record.calls.push(call)));
+    const { leaving } = options;
+    const patienceMs =
+      leaving !== undefined && random.chance(leaving.share) ? drawPatienceMs(random) : undefined;
+    pendingCalls.push(
+      callers.call({ ...spec, patienceMs }, target).then((call) => void record.calls.push(call)),
+    );
   }
   await Promise.all(pendingCalls);
 }
--- a/packages/reedlug-soak/src/callers.ts
+++ b/packages/reedlug-soak/src/callers.ts
@@ -23,6 +23,8 @@
   key: string;
   path: string;
   version?: number;
+  /** Time after which the caller leaves unless an answer has begun, in ms; by default long after its deadline. */
+  patienceMs?: number | undefined;
 }
 
 /** Sends requests over keep-alive connections. */
@@ -41,7 +43,7 @@
 }
 
 function send(agent: Agent, spec: CallSpec, target: CallTarget): Promise<Call> {
-  const { requestId, kind, box, key, path, version } = spec;
+  const { requestId, kind, box, key, path, version, patienceMs } = spec;
   const sentAtMs = performance.now();
   const isPost = kind === CallKind.notice || kind === CallKind.draft;
   const headers = {
@@ -53,11 +55,13 @@
   return new Promise((resolve) => {
     let body = '';
     let status: number | undefined;
+    let leftAtMs: number | undefined;
     const finish = (isWhole: boolean): void => {
       clearTimeout(timer);
       const endedAtMs = performance.now();
       const outcome = { status, body, isWhole, version };
-      resolve({ requestId, kind, box, key, sentAtMs, endedAtMs, ...outcome });
+      const left = leftAtMs === undefined ? {} : { leftAtMs };
+      resolve({ requestId, kind, box, key, sentAtMs, endedAtMs, ...outcome, ...left });
     };
     const outgoing = request({
       ...target,
@@ -67,9 +71,16 @@
       headers,
     });
     // What has arrived meanwhile is read first, as this process may have stood still.
+    const leave = (): void => {
+      if (patienceMs !== undefined) {
+        if (status !== undefined) return;
+        leftAtMs = performance.now();
+      }
+      outgoing.destroy();
+    };
     const timer = setTimeout(
-      () => setImmediate(() => outgoing.destroy()),
-      DEADLINE_MS + GIVE_UP_AFTER_MS,
+      () => setImmediate(leave),
+      patienceMs ?? DEADLINE_MS + GIVE_UP_AFTER_MS,
     );
     outgoing.on('response', (response) => {
       status = response.statusCode;
--- a/packages/reedlug-soak/src/guarantees.ts
+++ b/packages/reedlug-soak/src/guarantees.ts
@@ -1,5 +1,6 @@
 /** Checks a run's record against the guarantees to callers, servers and the operator. */
 import { TOLERANCE_MS, type GuaranteeBounds, type Violation } from './guaranteeBounds.js';
+import { checkLeavingCallers } from './leavingCallers.js';
 import { checkCrashingPart } from './crashingPart.js';
 import { checkStreamVersions } from './streamVersions.js';
 import { checkPlannedStops } from './plannedStops.js';
@@ -47,6 +48,7 @@
     ...checkPartitionedBoxes(record, bounds),
     ...checkStreamVersions(record, bounds),
     ...checkCrashingPart(record, bounds),
+    ...checkLeavingCallers(record),
   ];
 }
 
--- a/packages/reedlug-soak/src/runSoak.ts
+++ b/packages/reedlug-soak/src/runSoak.ts
@@ -1,15 +1,15 @@
 /** Runs real boxes under load and planned faults, then checks what callers and servers observed. */
 import { rm } from 'node:fs/promises';
 import { setTimeout as delay } from 'node:timers/promises';
-import { createRandom } from 'reedlug-standins';
+import { createRandom, limitProcessor } from 'reedlug-standins';
 import { sendCrashingRequests, sendRequests, type LoadContext } from './callLoad.js';
+import type { LeaveLoad } from './leavingCallers.js';
 import { createCallers } from './callers.js';
 import { planFaults } from './faultPlan.js';
 import type { Fault, PlannedFault } from './fault.js';
 import { planVersionFaults } from './versionFaultPlan.js';
 import { injectFault } from './injectFault.js';
 import { callUnevenly, type UnevenLoad } from './unevenConnections.js';
-import { limitProcessor } from './processorShare.js';
 import { callPartStreams, type PartLoad } from './partCallers.js';
 import { crashUnderPart, crashUnderRequest } from './serverFaults.js';
 import { type Violation } from './guaranteeBounds.js';
@@ -41,6 +41,8 @@
   unevenLoad?: UnevenLoad;
   /** Groups of requests on kept connections, with answers that take up to 1.9 s. */
   stopLoad?: StopLoad;
+  /** Callers that leave without an answer; plain answers take up to 1.9 s. */
+  leaving?: LeaveLoad;
   /** Share of a processor core that each box gets during the load; all of it if omitted. */
   processorShare?: number;
   /** Share of what boxes receive that is spoiled; the run checks only what must hold even then. */
@@ -129,6 +131,7 @@
   const draftVersions = options.streams?.versions ?? (hasStreams ? ['v1'] : []);
   const spoiling =
     options.spoiledShare === undefined ? undefined : { seed, share: options.spoiledShare };
+  const hasSlowAnswers = options.stopLoad !== undefined || options.leaving !== undefined;
   const world = await buildWorld({
     boxes,
     zones,
@@ -136,9 +139,9 @@
     draftVersions,
     folder,
     spoiling,
-    plainTimeoutMs: options.stopLoad && SLOW_ROUTE_TIMEOUT_MS,
+    plainTimeoutMs: hasSlowAnswers ? SLOW_ROUTE_TIMEOUT_MS : undefined,
   });
-  if (options.stopLoad !== undefined) world.plainRequestMs = slowAnswerMs;
+  if (hasSlowAnswers) world.plainRequestMs = slowAnswerMs;
   const record = createSoakRecord({
     draftEvents: DRAFT_EVENTS,
     boxes,
--- a/packages/reedlug-soak/src/soakRecord.ts
+++ b/packages/reedlug-soak/src/soakRecord.ts
@@ -25,6 +25,8 @@
   key: string;
   sentAtMs: number;
   endedAtMs: number;
+  /** Time at which its caller left without an answer; missing if it did not. */
+  leftAtMs?: number;
   /** Undefined when the connection gave no response. */
   status: number | undefined;
   body: string;
--- a/packages/reedlug-standins/src/index.ts
+++ b/packages/reedlug-standins/src/index.ts
@@ -7,5 +7,6 @@
 export * from './models/engineModel.js';
 export * from './models/tableModel.js';
 export * from './http/freePorts.js';
+export * from './processorShare.js';
 export * from './virtual/eventQueue.js';
 export * from './virtual/random.js';
--- a/packages/reedlug/src/commands/soak.ts
+++ b/packages/reedlug/src/commands/soak.ts
@@ -4,8 +4,10 @@
 import { Command, Option } from 'clipanion';
 import {
   describeStreams,
+  drawLeaveLoad,
   drawPartLoad,
   drawStreamLoad,
+  planLeavingFaults,
   planStopsInTurn,
   planVersionLosses,
   runSoak,
@@ -54,6 +56,10 @@
     description:
       'Callers on kept connections, with no other faults than planned stops of all boxes one after another; 0 for none',
   });
+  leaving = Option.String('--leaving', '0', {
+    description:
+      'Share of the callers that leave without an answer, with no other faults than pauses, stops and kills of boxes; 0 for none',
+  });
   parts = Option.String('--parts', '0', {
     description:
       'Streams per second with prompt parts, one of which crashes servers in most runs; 0 for none',
@@ -79,6 +85,7 @@
       this.parts,
       this.spoiled,
       this.stops,
+      this.leaving,
     ];
     const [
       seconds = 0,
@@ -90,9 +97,11 @@
       parts = 0,
       spoiled = 0,
       stops = 0,
+      leaving = 0,
     ] = texts.map(Number);
     const isPositive = seconds > 0 && boxes >= 1 && zones >= 1 && rate > 0 && servers >= 1;
-    const areUsable = isPositive && streams >= 0 && parts >= 0 && spoiled >= 0 && stops >= 0;
+    const areUsable =
+      isPositive && streams >= 0 && parts >= 0 && spoiled >= 0 && stops >= 0 && leaving >= 0;
     if (seeds === undefined || !areUsable) {
       this.context.stderr.write(
         '--seeds must be like 1-50; --seconds, --boxes, --zones, --servers and --rate must be positive numbers\n',
@@ -116,6 +125,7 @@
         ...(streams > 0 ? { streams: drawStreamLoad(seed, streams) } : {}),
         ...(this.losses ? { faults: planVersionLosses({ seed, lengthMs }) } : {}),
         ...(stops > 0 ? stopsOf({ seed, lengthMs, boxes, callers: stops }) : {}),
+        ...(leaving > 0 ? leavingOf({ seed, lengthMs, boxes, share: leaving }) : {}),
         ...(parts > 0 ? { parts: drawPartLoad(seed, parts) } : {}),
         ...(spoiled > 0 ? { spoiledShare: spoiled } : {}),
         folder: join(this.out, `soak-${seed}`),
@@ -158,3 +168,20 @@
     faults: planStopsInTurn(plan),
   };
 }
+
+/** Returns what makes a run one of callers that leave. */
+function leavingOf(params: {
+  seed: number;
+  lengthMs: number;
+  boxes: number;
+  share: number;
+}): Pick<SoakOptions, 'leaving' | 'processorShare' | 'faults'> {
+  const { share, ...plan } = params;
+  const leaving = drawLeaveLoad(plan.seed, share);
+  const { processorShare } = leaving;
+  return {
+    leaving,
+    ...(processorShare === undefined ? {} : { processorShare }),
+    faults: planLeavingFaults(plan),
+  };
+}
