--- a/packages/reedlug-gateway/src/daemon/__tests__/heldRequests.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/heldRequests.test.ts
@@ -7,6 +7,7 @@
 interface Scene {
   held: HeldRequests;
   lateMs: number;
+  nowMs: number;
   log: string[];
   /** Called with each request that is handed on. */
   onServed: () => void;
@@ -16,30 +17,30 @@
   const scene: Scene = {
     held: undefined as unknown as HeldRequests,
     lateMs: MAX_LATE_MS + 1,
+    nowMs: 0,
     log: [],
     onServed: () => undefined,
   };
   const reads = createReadProgress(() => scene.lateMs);
-  scene.held = createHeldRequests(reads, {
-    onServable({ id }) {
-      scene.log.push(`served ${id}`);
-      scene.onServed();
+  scene.held = createHeldRequests(
+    reads,
+    {
+      onServable({ id }) {
+        scene.log.push(`served ${id}`);
+        scene.onServed();
+      },
+      onRefused: ({ id }) => scene.log.push(`refused ${id}`),
+      onDropped: ({ id }) => scene.log.push(`dropped ${id}`),
+      onBacklog: (closes) => scene.log.push(closes ? 'closes' : 'accepts'),
     },
-    onRefused: ({ id }) => scene.log.push(`refused ${id}`),
-    onDropped: ({ id }) => scene.log.push(`dropped ${id}`),
-    onBacklog: (closes) => scene.log.push(closes ? 'closes' : 'accepts'),
-  });
+    { nowMs: () => scene.nowMs },
+  );
   return scene;
 }
 
 const exchangeOf = (id: number, isGone = false): CallerExchange =>
   ({ id, isCallerGone: () => isGone }) as CallerExchange;
 
-function standStill(ms: number): void {
-  const endMs = performance.now() + ms;
-  while (performance.now() < endMs);
-}
-
 async function playTurns(count: number): Promise<void> {
   for (let turn = 0; turn < count; turn += 1) await nextTurn();
 }
@@ -54,7 +55,7 @@
 test('a box that is behind drops requests of callers that have left, and serves the newest first', async () => {
   const scene = createScene();
   scene.held.add(exchangeOf(1));
-  standStill(1);
+  scene.nowMs += 1;
   scene.held.add(exchangeOf(2, true));
   scene.held.add(exchangeOf(3));
   await playTurns(3);
@@ -63,7 +64,9 @@
 
 test('what came at once is served although the box is slow, and in a standing queue refused', async () => {
   const scene = createScene();
-  scene.onServed = () => standStill(60);
+  scene.onServed = () => {
+    scene.nowMs += 60;
+  };
   for (const id of [1, 2, 3, 4]) scene.held.add(exchangeOf(id));
   await playTurns(6);
   expect(scene.log, 'a burst').to.deep.equal(['served 4', 'served 3', 'served 2', 'served 1']);
@@ -83,13 +86,13 @@
   scene.held.add(exchangeOf(1));
   for (let turn = 0; turn < 8; turn += 1) {
     scene.held.onConnection();
-    standStill(10);
+    scene.nowMs += 10;
     await nextTurn();
   }
   expect(scene.log, 'accepting comes first').to.deep.equal([]);
   for (let turn = 0; turn < 60; turn += 1) {
     scene.held.onConnection();
-    standStill(10);
+    scene.nowMs += 10;
     await nextTurn();
   }
   expect(scene.log).to.include('closes');
--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -5,9 +5,9 @@
  * those whose callers have left are dropped, and the others refused at once. Connections that wait to be accepted come
  * first: what is behind them is newer. If they still wait after a while, they are closed unread until none waits.
  */
-import { performance } from 'node:perf_hooks';
 import { isHeldTooLong, servableHeld, type HeldRequest } from '../policy/heldRequests.js';
 import type { CallerExchange } from './callerServer.js';
+import { PROCESS_CLOCK, type Clock } from './clock.js';
 import type { ReadProgress } from './readProgress.js';
 
 /** Time of a turn in which requests are handed on, in ms; what came meanwhile is read after it. */
@@ -48,6 +48,7 @@
 export function createHeldRequests(
   reads: ReadProgress,
   listener: HeldRequestListener,
+  { nowMs }: Pick<Clock, 'nowMs'> = PROCESS_CLOCK,
 ): HeldRequests {
   const held = new Map<number, Held>();
   /** Start of the turn before, in ms. */
@@ -84,30 +85,30 @@
   };
 
   const serve = (servable: Held[]): void => {
-    const startMs = performance.now();
+    const startMs = nowMs();
     for (const { exchange, readAtMs } of servable) {
-      const nowMs = performance.now();
-      if (nowMs - startMs >= SERVE_MS) return;
+      const atMs = nowMs();
+      if (atMs - startMs >= SERVE_MS) return;
       held.delete(exchange.id);
-      servedAtMs = nowMs;
-      listener.onServable(exchange, nowMs - readAtMs);
+      servedAtMs = atMs;
+      listener.onServable(exchange, atMs - readAtMs);
     }
   };
 
   const playTurn = (): void => {
     isTurnPlanned = false;
-    const startMs = performance.now();
+    const startMs = nowMs();
     const turn = reads.turn();
     dropGone();
     if (!isAccepting()) setCloses(false);
     const acceptsFirst =
       isAccepting() && startMs - Math.max(acceptsSinceMs, servedAtMs) < ACCEPT_FIRST_MS;
     if (!acceptsFirst) serve(servableHeld(held.values(), turn));
-    const nowMs = performance.now();
-    const queue = { nowMs, turnMs: nowMs - turnStartMs, heldSinceMs, refusedAtMs };
+    const atMs = nowMs();
+    const queue = { nowMs: atMs, turnMs: atMs - turnStartMs, heldSinceMs, refusedAtMs };
     const tooLong = [...held.values()].filter((request) => isHeldTooLong(request, queue));
     for (const { exchange } of tooLong) refuse(exchange);
-    if (tooLong.length > 0) refusedAtMs = nowMs;
+    if (tooLong.length > 0) refusedAtMs = atMs;
     turnStartMs = startMs;
     if (held.size > 0 || closes) planTurn();
   };
@@ -120,7 +121,7 @@
   return {
     add(exchange) {
       if (!reads.isBehind()) return listener.onServable(exchange, 0);
-      const readAtMs = performance.now();
+      const readAtMs = nowMs();
       if (held.size === 0) {
         turnStartMs = readAtMs;
         heldSinceMs = readAtMs;
@@ -136,13 +137,13 @@
       return true;
     },
     onConnection() {
-      const nowMs = performance.now();
+      const atMs = nowMs();
       const wasBehind = reads.isBehind();
-      if (!wasBehind || !isAccepting()) acceptsSinceMs = nowMs;
+      if (!wasBehind || !isAccepting()) acceptsSinceMs = atMs;
       acceptedInTurn = reads.turn();
       if (!wasBehind) return;
       reads.expectMore();
-      if (nowMs - acceptsSinceMs > MAX_BACKLOG_MS) setCloses(true);
+      if (atMs - acceptsSinceMs > MAX_BACKLOG_MS) setCloses(true);
       if (closes) planTurn();
     },
     closesConnections: () => closes,
--- a/packages/reedlug-gateway/src/policy/heldRequests.ts
+++ b/packages/reedlug-gateway/src/policy/heldRequests.ts
@@ -21,11 +21,9 @@
   readAtTurn: number;
 }
 
-/** Returns the requests that may be served at the end of a turn, the newest first. */
+/** Returns the requests that may be served at the end of a turn, the newest first; `held` is in the order of reading. */
 export function servableHeld<T extends HeldRequest>(held: Iterable<T>, turn: number): T[] {
-  return [...held]
-    .filter(({ readAtTurn }) => turn - readAtTurn >= END_READ_TURNS)
-    .sort((one, other) => other.readAtMs - one.readAtMs);
+  return [...held].filter(({ readAtTurn }) => turn - readAtTurn >= END_READ_TURNS).reverse();
 }
 
 /** State of the queue at the end of a turn, which took `turnMs`. */
