--- a/packages/reedlug-soak/src/plannedStops.ts
+++ b/packages/reedlug-soak/src/plannedStops.ts
@@ -21,6 +21,7 @@
     ({ fromMs, toMs }) => call.sentAtMs < fromMs && call.endedAtMs >= fromMs && toMs > 0,
   );
   if (stop === undefined || (call.status !== undefined && call.isWhole)) return [];
+  if (call.leftAtMs !== undefined) return [];
   if (hasOtherFault(record, call, stop)) return [];
   if (overlaps(record.serverTroubles, call.sentAtMs - 500, call.endedAtMs + 100)) return [];
   const detail = `${call.kind} ${call.requestId} was cut when box ${call.box} stopped`;
@@ -29,7 +30,8 @@
 
 /** Checks that calls sent after the signal which reach a server are answered, whatever happens to that server. */
 function checkPassedOn(record: SoakRecord, call: Call, arrived: ReadonlySet<string>): Violation[] {
-  if (call.status !== undefined || !arrived.has(call.requestId)) return [];
+  if (call.status !== undefined || call.leftAtMs !== undefined) return [];
+  if (!arrived.has(call.requestId)) return [];
   const stop = stopsOf(record, call).find(
     ({ fromMs, toMs }) => call.sentAtMs >= fromMs && call.sentAtMs < toMs,
   );
