--- a/packages/reedlug-gateway/src/daemon/callerRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/callerRequests.ts
@@ -1,11 +1,11 @@
-/** The way of callers' requests to the reducer: at once, or, while this box is behind, once their callers are known to be there. */
+/** Hands callers' requests to the reducer: at once, or, while this box is behind, through the queue of held requests. */
 import type { CallerExchange } from './callerServer.js';
 import type { HeadFacts } from '../types/request.js';
 import { createHeldRequests, type HeldRequests } from './heldRequests.js';
 import { digestOf } from './requestDigest.js';
 import type { Runtime } from './runtime.js';
 
-/** Creates the way of requests; `onBacklog` is told whether connections are to be closed unread. */
+/** Creates the queue of callers' requests; `onBacklog` is told whether connections are to be closed unread. */
 export function createCallerRequests(
   runtime: Runtime,
   onBacklog: (closes: boolean) => void,
--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -1,9 +1,9 @@
 /**
  * Requests that were read while this box was behind.
  *
- * They are handed on once the ends of their connections would have been read, the newest first, for a part of each turn;
- * those whose callers have left are dropped, and the others refused at once. Connections that wait to be accepted come
- * first: what is behind them is newer. If they still wait after a while, they are closed unread until none waits.
+ * They are handed on once the ends of their connections would have been read, the newest first, for a part of each turn.
+ * Those whose callers have left are dropped, and those that can't be handed on in time are refused. Connections that wait
+ * to be accepted come first, since what they bring is newer. If they wait for long, they are closed unread until none waits.
  */
 import { isHeldTooLong, servableHeld, type HeldRequest } from '../policy/heldRequests.js';
 import type { CallerExchange } from './callerServer.js';
@@ -27,7 +27,7 @@
   onBacklog: (closes: boolean) => void;
 }
 
-/** Requests of callers on their way to the reducer. */
+/** Queue of requests that have been read and not yet been handed on. */
 export interface HeldRequests {
   /** Hands a request on, at once unless this box is behind. */
   add: (exchange: CallerExchange) => void;
@@ -37,6 +37,7 @@
   onConnection: () => void;
   /** Whether connections are closed unread. */
   closesConnections: () => boolean;
+  /** Refuses what is held, before the process ends. */
   refuseAll: () => void;
 }
 
