Held requests wait for a quarter of the time that their callers state

With one bound for all, 156 of 211 streams were served at the box that gets most new connections with 0.2 of a core, beside load (157 of 219 with a bound of 100 ms); their callers state 5 s and were refused after 0.1 to 0.5 s, while the code before served them. Short requests, which state 0.6 s, are refused after 0.15 s, when another box can still serve them.

--- a/packages/reedlug-gateway/src/daemon/__tests__/heldRequests.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/heldRequests.test.ts
@@ -25,6 +25,7 @@
   scene.held = createHeldRequests(
     reads,
     {
+      deadlineMsOf: () => undefined,
       onServable({ id }) {
         scene.log.push(`served ${id}`);
         scene.onServed();
--- a/packages/reedlug-gateway/src/daemon/callerRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/callerRequests.ts
@@ -12,6 +12,10 @@
 ): HeldRequests {
   const { faults, metrics, logger, reads } = runtime;
   return createHeldRequests(reads, {
+    deadlineMsOf({ head }) {
+      const decoded = runtime.adapter.headers.decodeRequest(head);
+      return decoded.kind === 'malformed' ? undefined : decoded.facts.deadlineMs;
+    },
     onServable: (exchange, heldMs) =>
       faults.runFor(exchange, () => acceptRequest(runtime, exchange, heldMs)),
     onRefused: (exchange) => faults.runFor(exchange, () => refuseHeld(runtime, exchange)),
--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -19,6 +19,8 @@
 
 /** What becomes of held requests. */
 export interface HeldRequestListener {
+  /** Returns the time that the caller of a request states, in ms; undefined if it states none. */
+  deadlineMsOf: (exchange: CallerExchange) => number | undefined;
   onServable: (exchange: CallerExchange, heldMs: number) => void;
   onRefused: (exchange: CallerExchange) => void;
   /** The caller has left before its request was handed on. */
@@ -127,7 +129,8 @@
         turnStartMs = readAtMs;
         heldSinceMs = readAtMs;
       }
-      held.set(exchange.id, { exchange, readAtMs, readAtTurn: reads.turn() });
+      const deadlineMs = listener.deadlineMsOf(exchange);
+      held.set(exchange.id, { exchange, readAtMs, readAtTurn: reads.turn(), deadlineMs });
       planTurn();
     },
     drop(exchangeId) {
--- a/packages/reedlug-gateway/src/policy/heldRequests.ts
+++ b/packages/reedlug-gateway/src/policy/heldRequests.ts
@@ -3,11 +3,16 @@
  *
  * In the order in which they came, each would be served when its caller has waited longest, and under more load than
  * the box can serve nobody would be served in time (adaptive LIFO). So the newest are served first, as many as there is
- * time for. None waits longer than a bound, which is short while the queue has been standing for a while (CoDel): what
- * came at once while the box stood still can still be served, and what would wait in a standing queue is refused at once.
+ * time for. None waits longer than a part of the time that its caller states, so that the rest is enough to be served
+ * elsewhere. Where none is stated, the bound is short while the queue has been standing for a while (CoDel): what came at
+ * once while the box stood still can still be served, and what would wait in a standing queue is refused at once.
  */
 
-/** Longest time for which a request that has been read is held, in ms: by default, and in a standing queue. */
+/** Share of the time that a caller states for which its request is held at most, and the bounds on that, in ms. */
+const MAX_HELD_SHARE = 0.25;
+const MIN_HELD_BOUND_MS = 100;
+const MAX_HELD_BOUND_MS = 1000;
+/** Longest time for which a request is held whose caller states none, in ms: by default, and in a standing queue. */
 export const MAX_HELD_MS = 500;
 export const MAX_HELD_STANDING_MS = 100;
 /** Time after a refusal for which the queue counts as standing, in ms: refusing empties it, though more is coming. */
@@ -15,10 +20,11 @@
 /** Turns of the event loop from the reading of a request until the end of its connection would have been read. */
 const END_READ_TURNS = 2;
 
-/** When a held request was read. */
+/** When a held request was read, and how long its caller waits from then on, as far as it states that. */
 export interface HeldRequest {
   readAtMs: number;
   readAtTurn: number;
+  deadlineMs: number | undefined;
 }
 
 /** Returns the requests that may be served at the end of a turn, the newest first; `held` is in the order of reading. */
@@ -37,11 +43,18 @@
 }
 
 /** Whether a request that was not served in this turn would be held for too long by the end of the next. */
-export function isHeldTooLong({ readAtMs }: HeldRequest, queue: HeldQueue): boolean {
-  return queue.nowMs + queue.turnMs - readAtMs > maxHeldMs(queue);
+export function isHeldTooLong(request: HeldRequest, queue: HeldQueue): boolean {
+  return queue.nowMs + queue.turnMs - request.readAtMs > maxHeldMs(request, queue);
 }
 
-function maxHeldMs({ nowMs, heldSinceMs, refusedAtMs }: HeldQueue): number {
+function maxHeldMs(
+  { deadlineMs }: HeldRequest,
+  { nowMs, heldSinceMs, refusedAtMs }: HeldQueue,
+): number {
+  if (deadlineMs !== undefined) {
+    const shareMs = deadlineMs * MAX_HELD_SHARE;
+    return Math.min(MAX_HELD_BOUND_MS, Math.max(MIN_HELD_BOUND_MS, shareMs));
+  }
   const isStanding =
     nowMs - heldSinceMs > MAX_HELD_MS || nowMs - refusedAtMs < STANDING_AFTER_REFUSAL_MS;
   return isStanding ? MAX_HELD_STANDING_MS : MAX_HELD_MS;
