Connections that wait to be accepted are closed unread after 1.5 s in a row

What callers saw: at a box that a service floods, beside load, 39 to 91 of 160 had their connections closed without an answer. Cause: a burst of connections took over 0.5 s to accept, one a turn, and the rest was closed though the box would have served it.

--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -14,8 +14,8 @@
 const SERVE_MS = 10;
 /** Time for which accepting connections comes before handing on requests, in ms. */
 const ACCEPT_FIRST_MS = 100;
-/** Time for which connections wait in a row to be accepted before they are closed unread, in ms: as long as callers of short requests wait. */
-const MAX_BACKLOG_MS = 500;
+/** Time for which connections wait in a row to be accepted before they are closed unread, in ms: a burst that is accepted sooner is served. */
+const MAX_BACKLOG_MS = 1500;
 
 /** What becomes of held requests. */
 export interface HeldRequestListener {
