--- a/packages/reedlug-soak/src/index.ts
+++ b/packages/reedlug-soak/src/index.ts
@@ -5,7 +5,7 @@
 export * from './guarantees.js';
 export * from './runSoak.js';
 export * from './soakRecord.js';
-export { drawLeaveLoad, planLeavingFaults } from './leavingCallers.js';
+export { drawProcessorShare, planLeavingFaults } from './leavingCallers.js';
 export { drawPartLoad } from './partCallers.js';
 export { planStopsInTurn } from './stopCallers.js';
 export { drawStreamLoad } from './streamCallers.js';
--- a/packages/reedlug-soak/src/leavingCallers.ts
+++ b/packages/reedlug-soak/src/leavingCallers.ts
@@ -21,17 +21,15 @@
 /** Share of a core that boxes get in a run with too little. */
 const STARVED_SHARE = 0.15;
 
-/** Callers that leave, and the share of a core that boxes get. */
+/** Callers that leave. */
 export interface LeaveLoad {
   /** Share of the callers that leave. */
   share: number;
-  processorShare?: number;
 }
 
-/** Draws a load; in a third of the runs the boxes are starved. */
-export function drawLeaveLoad(seed: number, share: number): LeaveLoad {
-  const isStarved = createPlanRandom(seed).chance(1 / 3);
-  return isStarved ? { share, processorShare: STARVED_SHARE } : { share };
+/** Draws the share of a core that boxes get, which is too little in a third of the runs; undefined for all of it. */
+export function drawProcessorShare(seed: number): number | undefined {
+  return createPlanRandom(seed).chance(1 / 3) ? STARVED_SHARE : undefined;
 }
 
 /** Returns how long a caller waits that leaves, in ms. */
--- a/packages/reedlug/src/commands/soak.ts
+++ b/packages/reedlug/src/commands/soak.ts
@@ -4,8 +4,8 @@
 import { Command, Option } from 'clipanion';
 import {
   describeStreams,
-  drawLeaveLoad,
   drawPartLoad,
+  drawProcessorShare,
   drawStreamLoad,
   planLeavingFaults,
   planStopsInTurn,
@@ -177,10 +177,9 @@
   share: number;
 }): Pick<SoakOptions, 'leaving' | 'processorShare' | 'faults'> {
   const { share, ...plan } = params;
-  const leaving = drawLeaveLoad(plan.seed, share);
-  const { processorShare } = leaving;
+  const processorShare = drawProcessorShare(plan.seed);
   return {
-    leaving,
+    leaving: { share },
     ...(processorShare === undefined ? {} : { processorShare }),
     faults: planLeavingFaults(plan),
   };
