Log how late the thread was when it read a request, also if that was held

readLateMs was taken as a held request was handed on, when the late tick had been measured already, so that it was near 0 for just these. ReadProgress tells how late the thread has been since it is behind. A test of that fails without it. READ_TURNS stood twice, and the bounds of held requests had names that did not tell them apart.

--- a/packages/reedlug-gateway/src/daemon/__tests__/readProgress.test.ts
+++ b/packages/reedlug-gateway/src/daemon/__tests__/readProgress.test.ts
@@ -25,6 +25,17 @@
   expect(ran).to.deep.equal(['late', 'soon after', 'on time']);
 });
 
+test('a late thread tells how late it was until what came meanwhile is read', async () => {
+  let lateMs = 300;
+  const reads = createReadProgress(() => lateMs);
+  expect(reads.isBehind()).to.equal(true);
+  lateMs = 0;
+  expect(reads.lateMs()).to.equal(300);
+  await nextTurn();
+  await nextTurn();
+  expect(reads.lateMs()).to.equal(0);
+});
+
 test('what is decided at the end of a turn need not wait once more', async () => {
   const reads = createReadProgress(() => MAX_LATE_MS + 1);
   const ran: string[] = [];
--- a/packages/reedlug-gateway/src/daemon/callerRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/callerRequests.ts
@@ -16,8 +16,8 @@
       const decoded = runtime.adapter.headers.decodeRequest(head);
       return decoded.kind === 'malformed' ? undefined : decoded.facts.deadlineMs;
     },
-    onServable: (exchange, heldMs) =>
-      faults.runFor(exchange, () => acceptRequest(runtime, exchange, heldMs)),
+    onServable: (exchange, times) =>
+      faults.runFor(exchange, () => acceptRequest(runtime, exchange, times)),
     onRefused: (exchange) => faults.runFor(exchange, () => refuseHeld(runtime, exchange)),
     onDropped: () => metrics.droppedRequests.inc(),
     onBacklog(closes) {
@@ -27,13 +27,17 @@
   });
 }
 
-function acceptRequest(runtime: Runtime, exchange: CallerExchange, heldMs: number): void {
+function acceptRequest(
+  runtime: Runtime,
+  exchange: CallerExchange,
+  { heldMs, readLateMs }: { heldMs: number; readLateMs: number },
+): void {
   const decoded = decode(runtime, exchange);
   if (decoded === undefined) return;
   exchange.lastEventId = decoded.lastEventId;
   const facts = { ...decoded, digest: digestOf(exchange, decoded.host) };
-  const lateMs = runtime.threadLoad.lateMs();
-  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts, lateMs, heldMs });
+  const times = { lateMs: readLateMs, heldMs };
+  runtime.emit({ type: 'requestArrived', exchangeId: exchange.id, facts, ...times });
 }
 
 function refuseHeld(runtime: Runtime, exchange: CallerExchange): void {
--- a/packages/reedlug-gateway/src/daemon/clock.ts
+++ b/packages/reedlug-gateway/src/daemon/clock.ts
@@ -1,7 +1,8 @@
 /** Clock of the feeds: that of the process, or a virtual one in a simulation. */
 import { performance } from 'node:perf_hooks';
 import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
-import { MAX_LATE_MS, READ_TURNS } from './readProgress.js';
+import { READ_TURNS } from '../policy/heldRequests.js';
+import { MAX_LATE_MS } from './readProgress.js';
 
 /** Monotonic clock that can also pause. */
 export interface Clock {
--- a/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
+++ b/packages/reedlug-gateway/src/daemon/gatewayDaemon.ts
@@ -295,7 +295,7 @@
     onCallerGone: (exchangeId) => {
       if (requests.drop(exchangeId)) return;
       runtime.exchanges.delete(exchangeId);
-      runtime.emit({ type: 'callerGone', exchangeId, lateMs: runtime.threadLoad.lateMs() });
+      runtime.emit({ type: 'callerGone', exchangeId, lateMs: runtime.reads.lateMs() });
     },
     onRejected: (status, reason) => runtime.logger('requestRejected', { status, reason }),
     shutdownHeaders: () =>
@@ -331,7 +331,7 @@
   return { callers, requests, others: [readiness, operators] };
 }
 
-/** Closes new connections unread while the box is overloaded or too many wait to be accepted. */
+/** Closes new connections unread while the box is overloaded or connections have waited for long to be accepted. */
 function setClosesAny(runtime: Runtime, callers: CallerServer, requests: HeldRequests): void {
   const isOverloaded = runtime.state.overload.closesSinceMs !== undefined;
   setClosesConnections(callers.server, isOverloaded || requests.closesConnections());
--- a/packages/reedlug-gateway/src/daemon/heldRequests.ts
+++ b/packages/reedlug-gateway/src/daemon/heldRequests.ts
@@ -21,7 +21,8 @@
 export interface HeldRequestListener {
   /** Returns the time that the caller of a request states, in ms; undefined if it states none. */
   deadlineMsOf: (exchange: CallerExchange) => number | undefined;
-  onServable: (exchange: CallerExchange, heldMs: number) => void;
+  /** A request is handed on that was read `heldMs` ago, when the thread was late by `readLateMs`. */
+  onServable: (exchange: CallerExchange, times: { heldMs: number; readLateMs: number }) => void;
   onRefused: (exchange: CallerExchange) => void;
   /** The caller has left before its request was handed on. */
   onDropped: (exchange: CallerExchange) => void;
@@ -45,6 +46,7 @@
 
 interface Held extends HeldRequest {
   exchange: CallerExchange;
+  readLateMs: number;
 }
 
 /** Creates an empty queue. */
@@ -89,12 +91,12 @@
 
   const serve = (servable: Held[]): void => {
     const startMs = nowMs();
-    for (const { exchange, readAtMs } of servable) {
+    for (const { exchange, readAtMs, readLateMs } of servable) {
       const atMs = nowMs();
       if (atMs - startMs >= SERVE_MS) return;
       held.delete(exchange.id);
       servedAtMs = atMs;
-      listener.onServable(exchange, atMs - readAtMs);
+      listener.onServable(exchange, { heldMs: atMs - readAtMs, readLateMs });
     }
   };
 
@@ -123,14 +125,17 @@
 
   return {
     add(exchange) {
-      if (!reads.isBehind()) return listener.onServable(exchange, 0);
+      const isBehind = reads.isBehind();
+      const readLateMs = reads.lateMs();
+      if (!isBehind) return listener.onServable(exchange, { heldMs: 0, readLateMs });
       const readAtMs = nowMs();
       if (held.size === 0) {
         turnStartMs = readAtMs;
         heldSinceMs = readAtMs;
       }
       const deadlineMs = listener.deadlineMsOf(exchange);
-      held.set(exchange.id, { exchange, readAtMs, readAtTurn: reads.turn(), deadlineMs });
+      const readAtTurn = reads.turn();
+      held.set(exchange.id, { exchange, readAtMs, readAtTurn, readLateMs, deadlineMs });
       planTurn();
     },
     drop(exchangeId) {
--- a/packages/reedlug-gateway/src/daemon/readProgress.ts
+++ b/packages/reedlug-gateway/src/daemon/readProgress.ts
@@ -7,12 +7,11 @@
  * server's answer.
  */
 import type { ThreadLoad } from '../types/threadLoad.js';
+import { READ_TURNS } from '../policy/heldRequests.js';
 import { BUSY_SHARE } from '../policy/overload.js';
 
 /** How late the thread may be before what it decides waits, in ms: one tick, which a collection of garbage may take. */
 export const MAX_LATE_MS = 50;
-/** Turns that read bytes, and the ends behind them. */
-export const READ_TURNS = 2;
 
 /** Turns of the event loop, counted while this box may be behind. */
 export interface ReadProgress {
@@ -26,6 +25,8 @@
   afterReads: (run: () => void) => void;
   /** Takes what has just been read as a sign that more lies unread: a turn accepts only one connection. */
   expectMore: () => void;
+  /** How late the thread is, in ms; while this box is behind, how late it has been at most since then. */
+  lateMs: () => number;
   /** Records the load that a tick measured. */
   recordLoad: (load: ThreadLoad) => void;
 }
@@ -42,6 +43,7 @@
   let isTurnPlanned = false;
   let isBusy = false;
   let hasBeenIdle = false;
+  let greatestLateMs = 0;
   /** True at the end of a turn, when what has been waited for has been read. */
   let isRead = false;
   let waiting: Waiting[] = [];
@@ -57,6 +59,12 @@
     planTurn();
   };
 
+  /** Notes how late the thread is before it decides anything more. */
+  const becomeBehind = (byMs: number): void => {
+    greatestLateMs = turn < behindUntilTurn ? Math.max(greatestLateMs, byMs) : byMs;
+    expectMore();
+  };
+
   const endTurn = (): void => {
     isTurnPlanned = false;
     turn += 1;
@@ -80,8 +88,9 @@
   const isBehind = (): boolean => {
     if (isRead) return false;
     if (turn < behindUntilTurn) return true;
-    if (!isBusy && lateMs() <= MAX_LATE_MS) return false;
-    expectMore();
+    const byMs = lateMs();
+    if (!isBusy && byMs <= MAX_LATE_MS) return false;
+    becomeBehind(byMs);
     return true;
   };
 
@@ -99,12 +108,13 @@
       else run();
     },
     expectMore,
+    lateMs: () => (turn < behindUntilTurn ? Math.max(greatestLateMs, lateMs()) : lateMs()),
     recordLoad(load) {
       const hasNoTime = load.busyShare >= BUSY_SHARE;
       hasBeenIdle ||= !hasNoTime;
       // Where the load can't be measured, the thread never seems to be idle.
       isBusy = hasNoTime && hasBeenIdle;
-      if (load.lateMs > MAX_LATE_MS) expectMore();
+      if (load.lateMs > MAX_LATE_MS) becomeBehind(load.lateMs);
     },
   };
 }
--- a/packages/reedlug-gateway/src/policy/__tests__/heldRequests.test.ts
+++ b/packages/reedlug-gateway/src/policy/__tests__/heldRequests.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import {
   isHeldTooLong,
-  MAX_HELD_MS,
-  MAX_HELD_STANDING_MS,
+  DEFAULT_HELD_MS,
+  STANDING_HELD_MS,
   servableHeld,
   type HeldQueue,
 } from '../heldRequests.js';
@@ -23,14 +23,14 @@
 };
 
 test('a request is refused that would be held for too long by the next turn', () => {
-  expect(isRefused(MAX_HELD_MS - 20, {})).to.equal(false);
-  expect(isRefused(MAX_HELD_MS - 19, {})).to.equal(true);
+  expect(isRefused(DEFAULT_HELD_MS - 20, {})).to.equal(false);
+  expect(isRefused(DEFAULT_HELD_MS - 19, {})).to.equal(true);
 });
 
 test('a request in a queue that has been standing is refused sooner', () => {
-  const heldMs = MAX_HELD_STANDING_MS - 19;
-  expect(isRefused(heldMs, { heldSinceMs: 1000 - MAX_HELD_MS })).to.equal(false);
-  expect(isRefused(heldMs, { heldSinceMs: 999 - MAX_HELD_MS })).to.equal(true);
+  const heldMs = STANDING_HELD_MS - 19;
+  expect(isRefused(heldMs, { heldSinceMs: 1000 - DEFAULT_HELD_MS })).to.equal(false);
+  expect(isRefused(heldMs, { heldSinceMs: 999 - DEFAULT_HELD_MS })).to.equal(true);
   expect(isRefused(heldMs, { refusedAtMs: 900 }), 'refusing empties the queue').to.equal(true);
 });
 
--- a/packages/reedlug-gateway/src/policy/heldRequests.ts
+++ b/packages/reedlug-gateway/src/policy/heldRequests.ts
@@ -10,15 +10,15 @@
 
 /** Share of the time that a caller states for which its request is held at most, and the bounds on that, in ms. */
 const MAX_HELD_SHARE = 0.25;
-const MIN_HELD_BOUND_MS = 100;
-const MAX_HELD_BOUND_MS = 1000;
+const SHORTEST_HELD_MS = 100;
+const LONGEST_HELD_MS = 1000;
 /** Longest time for which a request is held whose caller states none, in ms: by default, and in a standing queue. */
-export const MAX_HELD_MS = 500;
-export const MAX_HELD_STANDING_MS = 100;
+export const DEFAULT_HELD_MS = 500;
+export const STANDING_HELD_MS = 100;
 /** Time after a refusal for which the queue counts as standing, in ms: refusing empties it, though more is coming. */
 const STANDING_AFTER_REFUSAL_MS = 1000;
-/** Turns of the event loop from the reading of a request until the end of its connection would have been read. */
-const END_READ_TURNS = 2;
+/** Turns of the event loop that read bytes, and the end of the connection behind them. */
+export const READ_TURNS = 2;
 
 /** When a held request was read, and how long its caller waits from then on, as far as it states that. */
 export interface HeldRequest {
@@ -29,7 +29,7 @@
 
 /** Returns the requests that may be served at the end of a turn, the newest first; `held` is in the order of reading. */
 export function servableHeld<T extends HeldRequest>(held: Iterable<T>, turn: number): T[] {
-  return [...held].filter(({ readAtTurn }) => turn - readAtTurn >= END_READ_TURNS).reverse();
+  return [...held].filter(({ readAtTurn }) => turn - readAtTurn >= READ_TURNS).reverse();
 }
 
 /** State of the queue at the end of a turn, which took `turnMs`. */
@@ -53,9 +53,9 @@
 ): number {
   if (deadlineMs !== undefined) {
     const shareMs = deadlineMs * MAX_HELD_SHARE;
-    return Math.min(MAX_HELD_BOUND_MS, Math.max(MIN_HELD_BOUND_MS, shareMs));
+    return Math.min(LONGEST_HELD_MS, Math.max(SHORTEST_HELD_MS, shareMs));
   }
   const isStanding =
-    nowMs - heldSinceMs > MAX_HELD_MS || nowMs - refusedAtMs < STANDING_AFTER_REFUSAL_MS;
-  return isStanding ? MAX_HELD_STANDING_MS : MAX_HELD_MS;
+    nowMs - heldSinceMs > DEFAULT_HELD_MS || nowMs - refusedAtMs < STANDING_AFTER_REFUSAL_MS;
+  return isStanding ? STANDING_HELD_MS : DEFAULT_HELD_MS;
 }
