--- a/review/lab-2.mjs
+++ b/review/lab-2.mjs
@@ -1,3 +1,4 @@
+/* global Buffer, clearTimeout, performance, process, setTimeout */
 /**
  * What the scripts of the second review share: boxes as processes, started with the command of the deploy file and
  * settings filled from its template, on loopback addresses and free ports; the project's own stand-ins of the store and
@@ -85,7 +86,9 @@
     const block = 1 + Math.floor(Math.random() * 250);
     const port = 20_000 + Math.floor(Math.random() * 20_000);
     const hosts = Array.from({ length: count }, (_, at) => `127.41.${block}.${at + 1}`);
-    const checks = hosts.flatMap((host) => [port, port + 3, port + 8, 9464].map((p) => isFree(host, p)));
+    const checks = hosts.flatMap((host) =>
+      [port, port + 3, port + 8, 9464].map((p) => isFree(host, p)),
+    );
     if ((await Promise.all(checks)).every(Boolean)) return { hosts, port };
   }
   throw new Error('no free ports');
@@ -129,7 +132,10 @@
   }
 
   async isReady() {
-    return (await call({ host: this.host, port: this.port + 3, path: '/ready', timeoutMs: 500 })).status === 200;
+    return (
+      (await call({ host: this.host, port: this.port + 3, path: '/ready', timeoutMs: 500 }))
+        .status === 200
+    );
   }
 }
 
@@ -152,7 +158,10 @@
       ephemeral_ports: [port + 8],
       seeds: hosts.slice(0, 3).map((seed) => `${seed}:${port + 8}`),
       platform: { address: `${storeAddress.host}:${storeAddress.port}` },
-      cloud: { address: `${cloud.address.host}:${cloud.address.port}`, duties: ['metering', 'autoscale'] },
+      cloud: {
+        address: `${cloud.address.host}:${cloud.address.port}`,
+        duties: ['metering', 'autoscale'],
+      },
       bounds: BOUNDS,
     };
     return new Box({ id, host, port, zone, fields });
@@ -177,7 +186,17 @@
  * Sends one request on a new connection. Resolves with the status (0 without an answer), the head, the body, and whether
  * the answer is complete. `leaveAfterMs`: the caller closes its connection then.
  */
-export function call({ host, port, method = 'GET', path, headers = {}, body = '', timeoutMs = 3000, leaveAfterMs, onData }) {
+export function call({
+  host,
+  port,
+  method = 'GET',
+  path,
+  headers = {},
+  body = '',
+  timeoutMs = 3000,
+  leaveAfterMs,
+  onData,
+}) {
   return new Promise((resolve) => {
     const socket = connect(port, host);
     let text = '';
@@ -190,9 +209,13 @@
       resolve({ how, ...readAnswer(text) });
     };
     const timer = setTimeout(() => end('timeout'), timeoutMs);
-    const lines = Object.entries({ Host: HOST, ...headers }).map(([name, value]) => `${name}: ${value}`);
+    const lines = Object.entries({ Host: HOST, ...headers }).map(
+      ([name, value]) => `${name}: ${value}`,
+    );
     if (method !== 'GET') lines.push(`Content-Length: ${Buffer.byteLength(body)}`);
-    socket.write(`${method} ${path} HTTP/1.1\r\n${lines.join('\r\n')}\r\nConnection: close\r\n\r\n${body}`);
+    socket.write(
+      `${method} ${path} HTTP/1.1\r\n${lines.join('\r\n')}\r\nConnection: close\r\n\r\n${body}`,
+    );
     socket.on('data', (bytes) => {
       text += bytes.toString('latin1');
       onData?.(text);
